Serve one request from end to end, thin

Cause: nothing existed; a caller could not send a request anywhere.

Change: Maven parent with library, emulator, tools and benchmarks; formatter and two Checkstyle runs bound to the build; the slices' packages with the interfaces between them: Verdict, TimerService, DecisionRing, wire messages, ReplicatedLog/ReplicatedState, PipelineRun, RoutingPolicy, AdmissionPolicy, StageHandler, AgentService, EntryService, ControlService.

Seeded violations of format, Maven style and Javadoc each failed the build.

Not yet: the control log has one member and no disk; claims, leases and configuration are forgotten with it.

--- /dev/null
+++ b/benchmarks/src/main/java/org/copperspindle/benchmarks/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * JMH benchmarks of the decisions.
+ */
+package org.copperspindle.benchmarks;
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/audit/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Hash-chained trail of changes, orders, membership and repairs, derived from the replicated log.
+ */
+package org.copperspindle.audit;
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/claims/ClaimSettleMessage.java
@@ -0,0 +1,43 @@
+package org.copperspindle.claims;
+
+import org.copperspindle.verdict.Verdict;
+import org.copperspindle.verdict.VerdictFactory;
+import org.copperspindle.wire.FieldReader;
+import org.copperspindle.wire.FieldWriter;
+import org.copperspindle.wire.MessageCodec;
+import org.copperspindle.wire.WireMessage;
+
+/**
+ * Tells the claim table how a claimed attempt ended. Sending it twice does nothing the second time.
+ *
+ * @param account client account
+ * @param key idempotency key of the request
+ * @param stage stage
+ * @param attemptId attempt that ended
+ * @param verdict its verdict; {@code NOT_RUN} frees the key for another attempt
+ */
+public record ClaimSettleMessage(String account, String key, String stage, String attemptId, Verdict verdict)
+        implements WireMessage {
+
+    /** Codec of this message. */
+    public static final MessageCodec<ClaimSettleMessage> CODEC =
+            MessageCodec.of(22, ClaimSettleMessage.class, ClaimSettleMessage::write, ClaimSettleMessage::read);
+
+    private void write(FieldWriter out) {
+        out.put(1, account)
+                .put(2, key)
+                .put(3, stage)
+                .put(4, attemptId)
+                .put(5, verdict.label())
+                .put(6, verdict.reason());
+    }
+
+    private static ClaimSettleMessage read(FieldReader in) {
+        return new ClaimSettleMessage(
+                in.getString(1),
+                in.getString(2),
+                in.getString(3),
+                in.getString(4),
+                VerdictFactory.of(in.getString(5), in.getString(6)));
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/control/ApplyConfigCommand.java
@@ -0,0 +1,30 @@
+package org.copperspindle.control;
+
+import org.copperspindle.wire.FieldReader;
+import org.copperspindle.wire.FieldWriter;
+import org.copperspindle.wire.MessageCodec;
+import org.copperspindle.wire.WireMessage;
+
+/**
+ * Puts a whole configuration in place of the one it was made from.
+ *
+ * @param changeId identity of the change; repeating it repeats the first answer
+ * @param baseVersion version that it was made from
+ * @param operator who asked
+ * @param text the whole INI text
+ */
+public record ApplyConfigCommand(String changeId, long baseVersion, String operator, String text)
+        implements WireMessage {
+
+    /** Codec of this message. */
+    public static final MessageCodec<ApplyConfigCommand> CODEC =
+            MessageCodec.of(50, ApplyConfigCommand.class, ApplyConfigCommand::write, ApplyConfigCommand::read);
+
+    private void write(FieldWriter out) {
+        out.put(1, changeId).put(2, baseVersion).put(3, operator).put(4, text);
+    }
+
+    private static ApplyConfigCommand read(FieldReader in) {
+        return new ApplyConfigCommand(in.getString(1), in.getLong(2, 0), in.getString(3), in.getString(4));
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/control/ClaimCommand.java
@@ -0,0 +1,26 @@
+package org.copperspindle.control;
+
+import org.copperspindle.wire.FieldReader;
+import org.copperspindle.wire.FieldWriter;
+import org.copperspindle.wire.MessageCodec;
+import org.copperspindle.wire.WireMessage;
+
+/**
+ * Claims an unrepeatable stage.
+ *
+ * @param claim encoded {@link org.copperspindle.claims.ClaimRequestMessage}
+ */
+public record ClaimCommand(byte[] claim) implements WireMessage {
+
+    /** Codec of this message. */
+    public static final MessageCodec<ClaimCommand> CODEC =
+            MessageCodec.of(53, ClaimCommand.class, ClaimCommand::write, ClaimCommand::read);
+
+    private void write(FieldWriter out) {
+        out.put(1, claim);
+    }
+
+    private static ClaimCommand read(FieldReader in) {
+        return new ClaimCommand(in.getBytes(1));
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/control/ControlResult.java
@@ -0,0 +1,36 @@
+package org.copperspindle.control;
+
+import org.copperspindle.claims.ClaimResult;
+
+/**
+ * What the replicated state answers to one command.
+ */
+public sealed interface ControlResult {
+
+    /** The command changed the state, or had changed it before and did nothing now. */
+    record Done() implements ControlResult {}
+
+    /**
+     * A configuration was accepted.
+     *
+     * @param version its version
+     */
+    record ConfigAccepted(long version) implements ControlResult {}
+
+    /**
+     * A configuration was refused.
+     *
+     * @param currentVersion version in force
+     * @param reason         why, for the operator
+     */
+    record ConfigRefused(long currentVersion, String reason) implements ControlResult {}
+
+    /**
+     * A claim was decided.
+     *
+     * @param result     the decision
+     * @param attemptId  attempt that holds the claim
+     * @param upstreamId upstream of that attempt
+     */
+    record Claimed(ClaimResult result, String attemptId, String upstreamId) implements ControlResult {}
+}
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/control/ReplicatedLog.java
@@ -0,0 +1,42 @@
+package org.copperspindle.control;
+
+import java.util.Optional;
+import java.util.function.Consumer;
+
+/**
+ * The log that makes accepted state stay accepted. Called on the decision ring only.
+ */
+public interface ReplicatedLog extends AutoCloseable {
+
+    /**
+     * Says whether this member leads and its lease, counted on its own monotonic clock, still runs.
+     *
+     * @return true if it may answer from its own state
+     */
+    boolean leads();
+
+    /**
+     * Returns the current term.
+     *
+     * @return the term, larger for each leader
+     */
+    long term();
+
+    /**
+     * Returns the operators' address of the leader.
+     *
+     * @return IP:PORT, if a leader is known
+     */
+    Optional<String> leaderAddress();
+
+    /**
+     * Proposes a command.
+     *
+     * @param command  its bytes
+     * @param callback told once, on the decision ring, how it ended
+     */
+    void propose(byte[] command, Consumer<ProposalResult> callback);
+
+    @Override
+    void close();
+}
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/control/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Replicated log of the control members: election, append, snapshots, repair, leases of members.
+ */
+package org.copperspindle.control;
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/core/DecisionRing.java
@@ -0,0 +1,118 @@
+package org.copperspindle.core;
+
+import java.util.concurrent.Executor;
+
+import com.lmax.disruptor.BlockingWaitStrategy;
+import com.lmax.disruptor.ExceptionHandler;
+import com.lmax.disruptor.RingBuffer;
+import com.lmax.disruptor.dsl.Disruptor;
+import com.lmax.disruptor.dsl.ProducerType;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/**
+ * The decision loop of a daemon: a Disruptor ring whose single consumer owns all decision state, so that no decision
+ * takes a lock. Network threads use {@link #offer}, which refuses when the ring is full; they never block. Timer and
+ * disk threads use {@link #execute}, which may wait.
+ */
+public final class DecisionRing implements Executor, AutoCloseable {
+
+    /** Default number of slots; a burst beyond it is refused with back-pressure rather than queued. */
+    public static final int DEFAULT_SLOTS = 8192;
+
+    private static final Logger LOGGER = LogManager.getLogger(DecisionRing.class);
+
+    private final Disruptor<Slot> disruptor;
+    private final RingBuffer<Slot> ring;
+    private volatile Thread owner;
+
+    /**
+     * Starts the consumer thread.
+     *
+     * @param name  name of the consumer thread
+     * @param slots ring size, a power of two
+     */
+    public DecisionRing(String name, int slots) {
+        // Blocking wait: a spinning consumer would use a whole core of a VM that grants 3.5% of one.
+        disruptor = new Disruptor<>(
+                Slot::new,
+                slots,
+                task -> {
+                    Thread thread = new Thread(task, name);
+                    thread.setDaemon(true);
+                    owner = thread;
+                    return thread;
+                },
+                ProducerType.MULTI,
+                new BlockingWaitStrategy());
+        disruptor.handleEventsWith((slot, sequence, endOfBatch) -> slot.run());
+        disruptor.setDefaultExceptionHandler(new LoggingExceptionHandler());
+        ring = disruptor.start();
+    }
+
+    /**
+     * Hands over a task without waiting.
+     *
+     * @param task what to run on the decision thread
+     * @return false if the ring is full and the task was not taken
+     */
+    public boolean offer(Runnable task) {
+        return ring.tryPublishEvent((slot, sequence) -> slot.task = task);
+    }
+
+    /**
+     * Hands over a task, waiting for a free slot. Not for network threads. A task from the decision thread itself runs
+     * in place: waiting for a slot there would be a deadlock.
+     */
+    @Override
+    public void execute(Runnable task) {
+        if (Thread.currentThread() == owner) {
+            task.run();
+            return;
+        }
+        ring.publishEvent((slot, sequence) -> slot.task = task);
+    }
+
+    /**
+     * Returns how full the ring is.
+     *
+     * @return slots in use
+     */
+    public long depth() {
+        return ring.getBufferSize() - ring.remainingCapacity();
+    }
+
+    @Override
+    public void close() {
+        disruptor.halt();
+    }
+
+    /** A preallocated ring slot. */
+    private static final class Slot {
+        private Runnable task;
+
+        private void run() {
+            Runnable current = task;
+            task = null;
+            current.run();
+        }
+    }
+
+    /** Keeps the ring alive: one failed decision must not stop all others. */
+    private static final class LoggingExceptionHandler implements ExceptionHandler<Slot> {
+        @Override
+        public void handleEventException(Throwable failure, long sequence, Slot slot) {
+            LOGGER.error("event=decision-failed sequence={}", sequence, failure);
+        }
+
+        @Override
+        public void handleOnStartException(Throwable failure) {
+            LOGGER.error("event=ring-start-failed", failure);
+        }
+
+        @Override
+        public void handleOnShutdownException(Throwable failure) {
+            LOGGER.error("event=ring-stop-failed", failure);
+        }
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/daemon/ProcessSettings.java
@@ -0,0 +1,121 @@
+package org.copperspindle.daemon;
+
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+
+import org.copperspindle.agent.AgentSettings;
+import org.copperspindle.entry.EntrySettings;
+import org.copperspindle.settings.SettingsException;
+import org.copperspindle.settings.SettingsFile;
+import org.copperspindle.settings.SettingsSection;
+
+/**
+ * Settings of one process: who it is, where it listens, which roles it has.
+ *
+ * @param id            identity of the process
+ * @param failureDomain failure domain of its VM
+ * @param listen        address for the system's own protocol
+ * @param controls      addresses of the control members
+ * @param entry         settings of the entry role, if it has it
+ * @param agent         settings of the agent role, if it has it
+ * @param control       settings of the control role, if it has it
+ */
+public record ProcessSettings(
+        String id,
+        String failureDomain,
+        InetSocketAddress listen,
+        List<InetSocketAddress> controls,
+        Optional<EntrySettings> entry,
+        Optional<AgentSettings> agent,
+        Optional<ControlSettings> control) {
+
+    private static final List<String> KINDS = List.of("process", "entry", "agent", "control");
+    private static final Duration DEFAULT_RENEW = Duration.ofSeconds(1);
+    private static final Duration DEFAULT_LEASE = Duration.ofSeconds(5);
+    private static final int DEFAULT_IN_PROGRESS = 2000;
+    private static final long DEFAULT_BODY = 1 << 20;
+
+    /**
+     * Settings of the control role.
+     *
+     * @param listen     address for operators
+     * @param dataFolder folder of the log
+     * @param lease      length of members' leases
+     */
+    public record ControlSettings(InetSocketAddress listen, Path dataFolder, Duration lease) {}
+
+    /**
+     * Loads the settings of a process.
+     *
+     * @param path the file
+     * @return the settings
+     * @throws SettingsException with every fault found
+     */
+    public static ProcessSettings load(Path path) throws SettingsException {
+        return read(SettingsFile.load(path));
+    }
+
+    /**
+     * Reads the settings of a process.
+     *
+     * @param file the file
+     * @return the settings
+     * @throws SettingsException with every fault found
+     */
+    public static ProcessSettings read(SettingsFile file) throws SettingsException {
+        SettingsSection s = file.section("process");
+        String id = s.getString("id", "a name unique in the deployment");
+        String domain = s.getString("failure-domain", "the failure domain of this VM");
+        InetSocketAddress listen = s.getAddress("listen", Optional.empty());
+        List<InetSocketAddress> controls = s.getAddresses("controls");
+        Duration renew = s.getDuration("renew", Optional.of(DEFAULT_RENEW));
+        s.finish();
+        Optional<EntrySettings> entry =
+                file.has("entry") ? Optional.of(readEntry(file.section("entry"), domain, renew)) : Optional.empty();
+        Optional<AgentSettings> agent =
+                file.has("agent") ? Optional.of(readAgent(file.section("agent"), domain, renew)) : Optional.empty();
+        Optional<ControlSettings> control =
+                file.has("control") ? Optional.of(readControl(file.section("control"))) : Optional.empty();
+        if (entry.isEmpty() && agent.isEmpty() && control.isEmpty()) {
+            s.reject("", "the process has no role", "a section [entry], [agent] or [control]");
+        }
+        file.finish(KINDS);
+        return new ProcessSettings(id, domain, listen, controls, entry, agent, control);
+    }
+
+    private static EntrySettings readEntry(SettingsSection s, String domain, Duration renew) {
+        EntrySettings entry = new EntrySettings(
+                s.getAddress("listen", Optional.empty()),
+                domain,
+                renew,
+                (int) s.getLong("max-in-progress", 1, 1_000_000, Optional.of((long) DEFAULT_IN_PROGRESS)),
+                (int) s.getBytes("max-body", Optional.of(DEFAULT_BODY)),
+                s.getDuration("stop-delay", Optional.of(Duration.ofSeconds(2))));
+        s.finish();
+        return entry;
+    }
+
+    private static AgentSettings readAgent(SettingsSection s, String domain, Duration renew) {
+        AgentSettings agent = new AgentSettings(
+                s.getString("upstream-id", "the identity of the upstream"),
+                s.getString("pool", "the pool of the upstream"),
+                domain,
+                s.getAddress("upstream", Optional.empty()),
+                s.getList("models", "models, separated by commas", Optional.of(List.of())),
+                renew);
+        s.finish();
+        return agent;
+    }
+
+    private static ControlSettings readControl(SettingsSection s) {
+        ControlSettings control = new ControlSettings(
+                s.getAddress("listen", Optional.empty()),
+                Path.of(s.getString("data-folder", "a folder on a disk")),
+                s.getDuration("lease", Optional.of(DEFAULT_LEASE)));
+        s.finish();
+        return control;
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/entry/AnswerSink.java
@@ -0,0 +1,24 @@
+package org.copperspindle.entry;
+
+import org.copperspindle.pipeline.PipelineAnswer;
+
+/**
+ * Where one caller's answer goes. Called on the decision ring; never blocks.
+ */
+public interface AnswerSink {
+
+    /**
+     * Passes on a piece of a streamed answer.
+     *
+     * @param text generated text
+     */
+    void piece(String text);
+
+    /**
+     * Ends the answer.
+     *
+     * @param requestId identity of the request
+     * @param answer    the final answer
+     */
+    void end(String requestId, PipelineAnswer answer);
+}
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/entry/EntrySettings.java
@@ -0,0 +1,22 @@
+package org.copperspindle.entry;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+
+/**
+ * Settings of the entry role of a process.
+ *
+ * @param listen        address for callers
+ * @param failureDomain failure domain of its VM
+ * @param renew         interval of lease renewals
+ * @param maxInProgress requests in progress at once
+ * @param maxBodyBytes  longest body of a request
+ * @param stopDelay     time between readiness off and refusing new work, for the platform's balancer to notice
+ */
+public record EntrySettings(
+        InetSocketAddress listen,
+        String failureDomain,
+        Duration renew,
+        int maxInProgress,
+        int maxBodyBytes,
+        Duration stopDelay) {}
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/limits/AdmissionPolicy.java
@@ -0,0 +1,31 @@
+package org.copperspindle.limits;
+
+import java.time.Duration;
+import java.util.Optional;
+
+import org.copperspindle.config.AccountSettings;
+import org.copperspindle.config.Priority;
+
+/**
+ * Decides whether a request is taken on.
+ */
+public interface AdmissionPolicy {
+
+    /**
+     * Decides on one request. An admitted request must be given back with {@link #release}.
+     *
+     * @param account  client account
+     * @param priority priority of the request
+     * @param now      nanoseconds of the timer service
+     * @return empty if it is admitted, else when the caller may come back
+     */
+    Optional<Duration> refuse(AccountSettings account, Priority priority, long now);
+
+    /**
+     * Gives an admitted request back.
+     *
+     * @param account  client account
+     * @param priority priority of the request
+     */
+    void release(AccountSettings account, Priority priority);
+}
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/limits/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Priorities, fair shares by client account, concurrency limits and retry budgets.
+ */
+package org.copperspindle.limits;
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/measure/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Attainment, cost by stage and Micrometer metrics.
+ */
+package org.copperspindle.measure;
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/membership/ControlUpdateMessage.java
@@ -0,0 +1,55 @@
+package org.copperspindle.membership;
+
+import java.util.List;
+
+import org.copperspindle.wire.FieldReader;
+import org.copperspindle.wire.FieldWriter;
+import org.copperspindle.wire.MessageCodec;
+import org.copperspindle.wire.WireMessage;
+
+/**
+ * Pushed by the leader: configuration and membership that the member lacks.
+ *
+ * @param term term of the leader
+ * @param configVersion version of the configuration carried, 0 if none is
+ * @param configText the whole INI text of that version
+ * @param full whether the membership is a whole one that replaces what the member knew
+ * @param membershipRevision membership revision after this update
+ * @param upstreams encoded {@link UpstreamAnnouncement}s that are new or changed
+ * @param removed identities of upstreams that are gone, in UTF-8
+ */
+public record ControlUpdateMessage(
+        long term,
+        long configVersion,
+        String configText,
+        boolean full,
+        long membershipRevision,
+        List<byte[]> upstreams,
+        List<byte[]> removed)
+        implements WireMessage {
+
+    /** Codec of this message. */
+    public static final MessageCodec<ControlUpdateMessage> CODEC =
+            MessageCodec.of(13, ControlUpdateMessage.class, ControlUpdateMessage::write, ControlUpdateMessage::read);
+
+    private void write(FieldWriter out) {
+        out.put(1, term)
+                .put(2, configVersion)
+                .put(3, configText)
+                .put(4, full)
+                .put(5, membershipRevision)
+                .put(6, upstreams)
+                .put(7, removed);
+    }
+
+    private static ControlUpdateMessage read(FieldReader in) {
+        return new ControlUpdateMessage(
+                in.getLong(1, 0),
+                in.getLong(2, 0),
+                in.getString(3),
+                in.getBoolean(4),
+                in.getLong(5, 0),
+                in.getList(6),
+                in.getList(7));
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/pipeline/StageContext.java
@@ -0,0 +1,85 @@
+package org.copperspindle.pipeline;
+
+import java.io.IOException;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+
+/**
+ * What earlier stages of one request produced, for later ones to use.
+ */
+public final class StageContext {
+
+    /** JSON codec shared by all stages; thread-safe. */
+    public static final ObjectMapper JSON = new ObjectMapper();
+
+    private final byte[] body;
+    private final JsonNode request;
+    private JsonNode embedding = JsonNodeFactory.instance.missingNode();
+    private JsonNode documents = JsonNodeFactory.instance.arrayNode();
+    private final StringBuilder text = new StringBuilder();
+    private byte[] answer = new byte[0];
+    private String answerType = "application/json";
+
+    /**
+     * Starts a context.
+     *
+     * @param body the caller's JSON body
+     * @throws IOException if it is not JSON
+     */
+    public StageContext(byte[] body) throws IOException {
+        this.body = body;
+        this.request = JSON.readTree(body);
+    }
+
+    byte[] body() {
+        return body;
+    }
+
+    JsonNode request() {
+        return request;
+    }
+
+    /**
+     * Returns the text that the request is about.
+     *
+     * @return field {@code input} of the caller's body, empty if absent
+     */
+    public String input() {
+        return request.path("input").asText("");
+    }
+
+    JsonNode embedding() {
+        return embedding;
+    }
+
+    void embedding(JsonNode node) {
+        embedding = node;
+    }
+
+    JsonNode documents() {
+        return documents;
+    }
+
+    void documents(JsonNode node) {
+        documents = node;
+    }
+
+    StringBuilder text() {
+        return text;
+    }
+
+    byte[] answer() {
+        return answer;
+    }
+
+    String answerType() {
+        return answerType;
+    }
+
+    void answer(byte[] bytes, String contentType) {
+        answer = bytes;
+        answerType = contentType;
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/replay/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Replay of recorded traces against stated outcomes, in virtual time.
+ */
+package org.copperspindle.replay;
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/routing/FleetView.java
@@ -0,0 +1,102 @@
+package org.copperspindle.routing;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.copperspindle.membership.ControlUpdateMessage;
+import org.copperspindle.membership.UpstreamAnnouncement;
+import org.copperspindle.wire.MalformedFrameException;
+
+/**
+ * The upstreams that one entry knows, by pool, as control's updates and own attempts made them.
+ */
+public final class FleetView {
+
+    private static final Logger LOGGER = LogManager.getLogger(FleetView.class);
+
+    private final Map<String, UpstreamView> byId = new HashMap<>();
+    private final Map<String, List<UpstreamView>> byPool = new HashMap<>();
+    private long revision;
+
+    /**
+     * Takes an update. A full one replaces the membership but keeps the counters of upstreams that stay.
+     *
+     * @param update the update
+     */
+    public void update(ControlUpdateMessage update) {
+        if (update.membershipRevision() <= revision) {
+            return;
+        }
+        revision = update.membershipRevision();
+        Set<String> named = new HashSet<>();
+        for (byte[] encoded : update.upstreams()) {
+            try {
+                UpstreamAnnouncement announcement = UpstreamAnnouncement.CODEC.decode(encoded);
+                named.add(announcement.upstreamId());
+                put(announcement);
+            } catch (MalformedFrameException e) {
+                LOGGER.warn("event=announcement-malformed revision={}", revision);
+            }
+        }
+        if (update.full()) {
+            Set.copyOf(byId.keySet()).stream().filter(id -> !named.contains(id)).forEach(this::remove);
+        }
+        update.removed().forEach(id -> remove(new String(id, StandardCharsets.UTF_8)));
+    }
+
+    /**
+     * Returns the revision seen.
+     *
+     * @return the membership revision, 0 before the first update
+     */
+    public long revision() {
+        return revision;
+    }
+
+    /**
+     * Returns the upstreams of a pool.
+     *
+     * @param pool its name
+     * @return the upstreams, draining ones included
+     */
+    public List<UpstreamView> pool(String pool) {
+        return byPool.getOrDefault(pool, List.of());
+    }
+
+    /**
+     * Finds an upstream.
+     *
+     * @param upstreamId its identity
+     * @return the upstream, if it is known
+     */
+    public Optional<UpstreamView> upstream(String upstreamId) {
+        return Optional.ofNullable(byId.get(upstreamId));
+    }
+
+    private void put(UpstreamAnnouncement announcement) {
+        UpstreamView view = byId.get(announcement.upstreamId());
+        if (view != null && view.announcement().pool().equals(announcement.pool())) {
+            view.update(announcement);
+            return;
+        }
+        remove(announcement.upstreamId());
+        view = new UpstreamView(announcement);
+        byId.put(announcement.upstreamId(), view);
+        byPool.computeIfAbsent(announcement.pool(), pool -> new ArrayList<>()).add(view);
+    }
+
+    private void remove(String upstreamId) {
+        UpstreamView view = byId.remove(upstreamId);
+        if (view != null) {
+            byPool.get(view.announcement().pool()).remove(view);
+        }
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/routing/LeastLoadRoutingPolicy.java
@@ -0,0 +1,29 @@
+package org.copperspindle.routing;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Takes the least loaded upstream that serves the model, untried ones first.
+ */
+public final class LeastLoadRoutingPolicy implements RoutingPolicy {
+
+    @Override
+    public Optional<UpstreamView> choose(List<UpstreamView> candidates, RoutingRequest request) {
+        return candidates.stream()
+                .filter(view -> usable(view, request))
+                .min(Comparator.comparing((UpstreamView view) ->
+                                request.tried().contains(view.announcement().upstreamId()))
+                        .thenComparingInt(UpstreamView::load)
+                        .thenComparing(view -> view.announcement().upstreamId()));
+    }
+
+    private static boolean usable(UpstreamView view, RoutingRequest request) {
+        if (view.announcement().draining() || view.load() >= request.pool().concurrency()) {
+            return false;
+        }
+        String model = request.stage().model();
+        return model.isEmpty() || view.announcement().models().contains(model);
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/routing/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Choice of an upstream for one attempt.
+ */
+package org.copperspindle.routing;
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/settings/SettingsFile.java
@@ -0,0 +1,146 @@
+package org.copperspindle.settings;
+
+import java.io.IOException;
+import java.io.StringReader;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.apache.commons.configuration2.INIConfiguration;
+import org.apache.commons.configuration2.SubnodeConfiguration;
+import org.apache.commons.configuration2.ex.ConfigurationException;
+
+/**
+ * An INI file read whole. Collects the faults of all its sections.
+ */
+public final class SettingsFile {
+
+    private final String name;
+    private final Map<String, SettingsSection> sections = new LinkedHashMap<>();
+    private final List<SettingsProblem> problems = new ArrayList<>();
+
+    private SettingsFile(String name) {
+        this.name = name;
+    }
+
+    /**
+     * Reads a file.
+     *
+     * @param path the file
+     * @return its sections
+     * @throws SettingsException if it can't be read or is not INI
+     */
+    public static SettingsFile load(Path path) throws SettingsException {
+        try {
+            return parse(path.toString(), Files.readString(path, StandardCharsets.UTF_8));
+        } catch (NoSuchFileException e) {
+            throw new SettingsException(List.of(new SettingsProblem(path.toString(), "", "", "no such file", "")));
+        } catch (IOException e) {
+            throw new SettingsException(
+                    List.of(new SettingsProblem(path.toString(), "", "", "can't be read: " + e.getMessage(), "")));
+        }
+    }
+
+    /**
+     * Parses text that was read elsewhere, for example from a request of an operator.
+     *
+     * @param name name for error messages
+     * @param text the INI text
+     * @return its sections
+     * @throws SettingsException if it is not INI
+     */
+    public static SettingsFile parse(String name, String text) throws SettingsException {
+        SettingsFile file = new SettingsFile(name);
+        INIConfiguration ini = new INIConfiguration();
+        try {
+            ini.read(new StringReader(text));
+        } catch (ConfigurationException | IOException e) {
+            throw new SettingsException(List.of(new SettingsProblem(name, "", "", "not INI: " + e.getMessage(), "")));
+        }
+        for (String section : ini.getSections()) {
+            file.addSection(section, ini);
+        }
+        return file;
+    }
+
+    /**
+     * Returns a section that must exist.
+     *
+     * @param section its name
+     * @return the section; an empty one after a fault
+     */
+    public SettingsSection section(String section) {
+        SettingsSection found = sections.get(section);
+        if (found == null) {
+            problems.add(new SettingsProblem(name, section, "", "section missing", ""));
+            return new SettingsSection(name, section, Map.of(), new ArrayList<>());
+        }
+        return found;
+    }
+
+    /**
+     * Says whether a section exists.
+     *
+     * @param section its name
+     * @return true if it does
+     */
+    public boolean has(String section) {
+        return sections.containsKey(section);
+    }
+
+    /**
+     * Returns the sections whose name starts with a word.
+     *
+     * @param kind the word, for example {@code pool}
+     * @return in the order of the file
+     */
+    public List<SettingsSection> sections(String kind) {
+        return sections.values().stream()
+                .filter(s -> s.name().startsWith(kind + " "))
+                .toList();
+    }
+
+    /**
+     * Reports sections of unknown kind and throws if any fault was found.
+     *
+     * @param kinds allowed first words of section names
+     * @throws SettingsException with all faults
+     */
+    public void finish(List<String> kinds) throws SettingsException {
+        for (SettingsSection section : sections.values()) {
+            String kind = section.name().split(" ", 2)[0];
+            if (!kinds.contains(kind)) {
+                problems.add(new SettingsProblem(
+                        name, section.name(), "", "unknown section", "one of " + String.join(", ", kinds)));
+            }
+        }
+        if (!problems.isEmpty()) {
+            throw new SettingsException(problems);
+        }
+    }
+
+    private void addSection(String section, INIConfiguration ini) {
+        if (section == null) {
+            problems.add(new SettingsProblem(name, "", "", "keys outside any section", ""));
+            return;
+        }
+        SubnodeConfiguration node = ini.getSection(section);
+        Map<String, String> values = new LinkedHashMap<>();
+        for (Iterator<String> keys = node.getKeys(); keys.hasNext(); ) {
+            String key = keys.next();
+            List<Object> all = node.getList(key);
+            if (all.size() > 1) {
+                problems.add(new SettingsProblem(name, section, key, "given " + all.size() + " times", "one value"));
+            }
+            // The INI library doubles dots to tell them from its own path separator.
+            values.put(key.replace("..", "."), String.valueOf(all.get(0)));
+        }
+        sections.put(section, new SettingsSection(name, section, values, problems));
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/settings/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * INI settings: typed reading with errors that name file, section and key.
+ */
+package org.copperspindle.settings;
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/wire/FieldWriter.java
@@ -0,0 +1,117 @@
+package org.copperspindle.wire;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.List;
+
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+
+/**
+ * Collects the numbered fields of one message. Fields are scalars, strings, byte strings or lists of byte strings;
+ * nested messages travel as byte strings, which keeps the reader free of recursion.
+ */
+public final class FieldWriter {
+
+    private final MessageBufferPacker body = MessagePack.newDefaultBufferPacker();
+    private int count;
+
+    /**
+     * Adds an integer.
+     *
+     * @param field number of the field
+     * @param value its value
+     * @return this writer
+     */
+    public FieldWriter put(int field, long value) {
+        try {
+            body.packInt(field).packLong(value);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        count++;
+        return this;
+    }
+
+    /**
+     * Adds a boolean.
+     *
+     * @param field number of the field
+     * @param value its value
+     * @return this writer
+     */
+    public FieldWriter put(int field, boolean value) {
+        return put(field, value ? 1L : 0L);
+    }
+
+    /**
+     * Adds a string.
+     *
+     * @param field number of the field
+     * @param value its value
+     * @return this writer
+     */
+    public FieldWriter put(int field, String value) {
+        try {
+            body.packInt(field).packString(value);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        count++;
+        return this;
+    }
+
+    /**
+     * Adds a byte string.
+     *
+     * @param field number of the field
+     * @param value its value
+     * @return this writer
+     */
+    public FieldWriter put(int field, byte[] value) {
+        try {
+            body.packInt(field).packBinaryHeader(value.length).writePayload(value);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        count++;
+        return this;
+    }
+
+    /**
+     * Adds a list of byte strings, normally encoded messages.
+     *
+     * @param field  number of the field
+     * @param values its values
+     * @return this writer
+     */
+    public FieldWriter put(int field, List<byte[]> values) {
+        try {
+            body.packInt(field).packArrayHeader(values.size());
+            for (byte[] value : values) {
+                body.packBinaryHeader(value.length).writePayload(value);
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        count++;
+        return this;
+    }
+
+    /**
+     * Finishes the message.
+     *
+     * @param type number of the kind of message
+     * @return type, number of fields and fields
+     */
+    byte[] finish(int type) {
+        try (MessageBufferPacker head = MessagePack.newDefaultBufferPacker()) {
+            head.packInt(type).packMapHeader(count);
+            head.writePayload(body.toByteArray());
+            body.close();
+            return head.toByteArray();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/wire/GreetingMessage.java
@@ -0,0 +1,30 @@
+package org.copperspindle.wire;
+
+/**
+ * First message in each direction of a connection.
+ *
+ * @param protocol    highest protocol version of the sender
+ * @param role        {@code entry}, {@code agent} or {@code control}
+ * @param processId   identity from the sender's settings
+ * @param incarnation number of this life of the process; larger for each restart
+ */
+public record GreetingMessage(long protocol, String role, String processId, long incarnation) implements WireMessage {
+
+    /** Protocol version of this build. A peer below {@link #OLDEST_PROTOCOL} is refused. */
+    public static final long PROTOCOL = 1;
+
+    /** Oldest version that this build still talks to. */
+    public static final long OLDEST_PROTOCOL = 1;
+
+    /** Codec of this message. */
+    public static final MessageCodec<GreetingMessage> CODEC =
+            MessageCodec.of(1, GreetingMessage.class, GreetingMessage::write, GreetingMessage::read);
+
+    private void write(FieldWriter out) {
+        out.put(1, protocol).put(2, role).put(3, processId).put(4, incarnation);
+    }
+
+    private static GreetingMessage read(FieldReader in) {
+        return new GreetingMessage(in.getLong(1, 0), in.getString(2), in.getString(3), in.getLong(4, 0));
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/wire/WireTransport.java
@@ -0,0 +1,133 @@
+package org.copperspindle.wire;
+
+import java.net.InetSocketAddress;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
+import io.netty.handler.timeout.IdleStateHandler;
+
+/**
+ * Length-framed TCP between the system's own processes: a four-byte length, then one MessagePack message.
+ */
+public final class WireTransport implements AutoCloseable {
+
+    /** Largest payload; bounds what one peer can make another hold. */
+    public static final int MAX_FRAME_BYTES = 8 << 20;
+
+    private static final int LENGTH_BYTES = 4;
+    private static final int CONNECT_TIMEOUT_MILLIS = 1000;
+    private static final int GREETING_TIMEOUT_SECONDS = 5;
+
+    private final EventLoopGroup group;
+    private final MessageRegistry registry;
+    private final GreetingMessage own;
+    private final WireCounters counters = new WireCounters();
+
+    /**
+     * Creates a transport with its own network threads.
+     *
+     * @param threads  number of network threads
+     * @param registry messages that this process knows; the greeting is added by {@link #registry()}
+     * @param own      this process's greeting
+     */
+    public WireTransport(int threads, MessageRegistry registry, GreetingMessage own) {
+        this.group = new MultiThreadIoEventLoopGroup(threads, NioIoHandler.newFactory());
+        this.registry = registry;
+        this.own = own;
+    }
+
+    /**
+     * Makes a registry that already knows the greeting.
+     *
+     * @return a new registry
+     */
+    public static MessageRegistry registry() {
+        return new MessageRegistry().register(GreetingMessage.CODEC);
+    }
+
+    /**
+     * Listens for connections.
+     *
+     * @param address  address to bind; port 0 takes a free one
+     * @param listener receives the events
+     * @return the bound channel
+     */
+    public Channel listen(InetSocketAddress address, PeerListener listener) {
+        ServerBootstrap bootstrap = new ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel.class)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new Initializer(listener));
+        return bootstrap.bind(address).syncUninterruptibly().channel();
+    }
+
+    /**
+     * Connects to a peer. The listener hears of the connection once it is greeted.
+     *
+     * @param address  where to
+     * @param listener receives the events
+     * @return completes when the TCP connection stands, or fails
+     */
+    public CompletableFuture<Channel> connect(InetSocketAddress address, PeerListener listener) {
+        Bootstrap bootstrap = new Bootstrap()
+                .group(group)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+                .handler(new Initializer(listener));
+        CompletableFuture<Channel> result = new CompletableFuture<>();
+        bootstrap.connect(address).addListener((io.netty.channel.ChannelFuture done) -> {
+            if (done.isSuccess()) {
+                result.complete(done.channel());
+            } else {
+                result.completeExceptionally(done.cause());
+            }
+        });
+        return result;
+    }
+
+    /**
+     * Returns the traffic counters.
+     *
+     * @return counters of all connections of this transport
+     */
+    public WireCounters counters() {
+        return counters;
+    }
+
+    @Override
+    public void close() {
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+    }
+
+    /** Builds the pipeline of one connection. */
+    private final class Initializer extends ChannelInitializer<SocketChannel> {
+        private final PeerListener listener;
+
+        private Initializer(PeerListener listener) {
+            this.listener = listener;
+        }
+
+        @Override
+        protected void initChannel(SocketChannel channel) {
+            channel.pipeline()
+                    .addLast(new LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES))
+                    .addLast(new LengthFieldPrepender(LENGTH_BYTES))
+                    .addLast(new IdleStateHandler(GREETING_TIMEOUT_SECONDS, 0, 0))
+                    .addLast(new PeerHandler(registry, own, listener, counters));
+        }
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/wire/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Length-framed TCP with MessagePack between the system's own processes.
+ */
+package org.copperspindle.wire;
