Give each role of a process its own class

Cause: CopperspindleProcess knew every role's wiring, so that every slice would have had to change one file at once.

Change: ProcessRole with AgentRole, ControlRole, EntryRole; MessageCatalog lists the messages; incoming messages go to the role that declares their class.

--- a/library/src/main/java/org/copperspindle/agent/AgentService.java
+++ b/library/src/main/java/org/copperspindle/agent/AgentService.java
@@ -92,10 +92,14 @@
         awaitIdle(done);
     }
 
-    /** Gives the lease back and closes the upstream's connections. */
+    /** Gives the lease back. */
     public void stop() {
         control.send(new LeaseRequestMessage(configVersion, 0, new byte[0], true));
         control.stop();
+    }
+
+    /** Closes the connections to the upstream. */
+    public void close() {
         client.close();
     }
 
--- a/library/src/main/java/org/copperspindle/daemon/CopperspindleProcess.java
+++ b/library/src/main/java/org/copperspindle/daemon/CopperspindleProcess.java
@@ -1,40 +1,20 @@
 package org.copperspindle.daemon;
 
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
 
 import io.netty.channel.Channel;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.copperspindle.agent.AgentService;
-import org.copperspindle.agent.AttemptCancelMessage;
-import org.copperspindle.agent.AttemptChunkMessage;
-import org.copperspindle.agent.AttemptOrderMessage;
-import org.copperspindle.agent.AttemptOutcomeMessage;
-import org.copperspindle.agent.LoadReportMessage;
-import org.copperspindle.agent.OutcomeAckMessage;
-import org.copperspindle.agent.OutcomeQueryMessage;
-import org.copperspindle.claims.ClaimReplyMessage;
-import org.copperspindle.claims.ClaimRequestMessage;
-import org.copperspindle.claims.ClaimSettleMessage;
-import org.copperspindle.control.ControlDoor;
-import org.copperspindle.control.ControlService;
-import org.copperspindle.control.ControlState;
-import org.copperspindle.control.LocalLog;
-import org.copperspindle.control.NotLeaderMessage;
 import org.copperspindle.core.DecisionRing;
-import org.copperspindle.entry.EntryDoor;
-import org.copperspindle.entry.EntryService;
-import org.copperspindle.http.HttpLimits;
-import org.copperspindle.http.HttpListener;
-import org.copperspindle.membership.ControlUpdateMessage;
-import org.copperspindle.membership.LeaseGrantMessage;
-import org.copperspindle.membership.LeaseRequestMessage;
-import org.copperspindle.membership.UpstreamAnnouncement;
 import org.copperspindle.time.SystemTimerService;
 import org.copperspindle.wire.GreetingMessage;
-import org.copperspindle.wire.MessageRegistry;
 import org.copperspindle.wire.Peer;
 import org.copperspindle.wire.PeerListener;
 import org.copperspindle.wire.WireMessage;
@@ -54,11 +34,9 @@
     private final SystemTimerService timers;
     private final WireTransport transport;
     private final Channel wireChannel;
-    private Optional<HttpListener> callerListener = Optional.empty();
-    private Optional<HttpListener> operatorListener = Optional.empty();
-    private Optional<EntryService> entry = Optional.empty();
-    private Optional<AgentService> agent = Optional.empty();
-    private Optional<ControlService> control = Optional.empty();
+    private final List<ProcessRole> roles = new ArrayList<>();
+    private Optional<ProcessRole> entry = Optional.empty();
+    private Optional<ProcessRole> control = Optional.empty();
 
     private CopperspindleProcess(ProcessSettings settings) {
         this.settings = settings;
@@ -66,22 +44,18 @@
         this.timers = new SystemTimerService(ring);
         long incarnation = System.currentTimeMillis();
         GreetingMessage greeting = new GreetingMessage(GreetingMessage.PROTOCOL, "process", settings.id(), incarnation);
-        this.transport = new WireTransport(NETWORK_THREADS, messages(), greeting);
-        this.wireChannel = transport.listen(settings.listen(), new RoleSwitch());
-        settings.control().ifPresent(this::startControl);
-        settings.agent().ifPresent(a -> {
-            AgentService service =
-                    new AgentService(ring, timers, transport, a, settings.controls(), wireAddress(), incarnation);
-            agent = Optional.of(service);
-            ring.execute(service::start);
-        });
-        settings.entry().ifPresent(e -> {
-            EntryService service = new EntryService(ring, timers, transport, e, settings.controls());
-            entry = Optional.of(service);
-            ring.execute(service::start);
-            callerListener = Optional.of(
-                    new HttpListener(e.listen(), NETWORK_THREADS, HttpLimits.DEFAULT, new EntryDoor(service)));
-        });
+        this.transport = new WireTransport(NETWORK_THREADS, MessageCatalog.registry(), greeting);
+        RoleSwitch roleSwitch = new RoleSwitch();
+        this.wireChannel = transport.listen(settings.listen(), roleSwitch);
+        ProcessContext context = new ProcessContext(settings, ring, timers, transport, wireAddress(), incarnation);
+        // Stopped in this order: an entry finishes its requests before the agent or control beside it goes.
+        entry = settings.entry().map(e -> new EntryRole(context, e));
+        entry.ifPresent(roles::add);
+        settings.agent().ifPresent(a -> roles.add(new AgentRole(context, a)));
+        control = settings.control().map(c -> new ControlRole(context, c));
+        control.ifPresent(roles::add);
+        roles.forEach(roleSwitch::add);
+        roles.forEach(ProcessRole::start);
         LOGGER.info("event=started process={} wire={}", settings.id(), wireAddress());
     }
 
@@ -95,30 +69,6 @@
         return new CopperspindleProcess(settings);
     }
 
-    /**
-     * Returns the messages of the system's own protocol.
-     *
-     * @return a registry that knows all of them
-     */
-    public static MessageRegistry messages() {
-        return WireTransport.registry()
-                .register(UpstreamAnnouncement.CODEC)
-                .register(LeaseRequestMessage.CODEC)
-                .register(LeaseGrantMessage.CODEC)
-                .register(ControlUpdateMessage.CODEC)
-                .register(NotLeaderMessage.CODEC)
-                .register(ClaimRequestMessage.CODEC)
-                .register(ClaimReplyMessage.CODEC)
-                .register(ClaimSettleMessage.CODEC)
-                .register(AttemptOrderMessage.CODEC)
-                .register(AttemptCancelMessage.CODEC)
-                .register(AttemptChunkMessage.CODEC)
-                .register(AttemptOutcomeMessage.CODEC)
-                .register(OutcomeAckMessage.CODEC)
-                .register(OutcomeQueryMessage.CODEC)
-                .register(LoadReportMessage.CODEC);
-    }
-
     /**
      * Returns where other processes reach this one.
      *
@@ -134,7 +84,7 @@
      * @return the bound address, if the process has that role
      */
     public Optional<InetSocketAddress> callerAddress() {
-        return callerListener.map(HttpListener::address);
+        return entry.flatMap(ProcessRole::httpAddress);
     }
 
     /**
@@ -143,7 +93,7 @@
      * @return the bound address, if the process has that role
      */
     public Optional<InetSocketAddress> operatorAddress() {
-        return operatorListener.map(HttpListener::address);
+        return control.flatMap(ProcessRole::httpAddress);
     }
 
     /**
@@ -152,7 +102,7 @@
      * @return false while starting, cut off or stopping
      */
     public boolean ready() {
-        return entry.map(EntryService::ready).orElse(true);
+        return roles.stream().allMatch(ProcessRole::ready);
     }
 
     /**
@@ -163,7 +113,7 @@
     public void stop() throws InterruptedException {
         LOGGER.info("event=stopping process={}", settings.id());
         CountDownLatch idle = new CountDownLatch(1);
-        ring.execute(() -> stopEntry(() -> stopAgent(idle::countDown)));
+        ring.execute(() -> stopNext(roles.iterator(), idle::countDown));
         idle.await();
         kill();
         LOGGER.info("event=stopped process={}", settings.id());
@@ -171,43 +121,27 @@
 
     /** Ends at once, as a crash would; for tests and the demo. */
     public void kill() {
-        callerListener.ifPresent(HttpListener::close);
-        operatorListener.ifPresent(HttpListener::close);
+        roles.forEach(ProcessRole::close);
         timers.close();
         transport.close();
         ring.close();
     }
 
-    private void stopEntry(Runnable next) {
-        if (entry.isPresent()) {
-            entry.get().stop(next);
+    private static void stopNext(Iterator<ProcessRole> left, Runnable done) {
+        if (left.hasNext()) {
+            left.next().stop(() -> stopNext(left, done));
         } else {
-            next.run();
-        }
-    }
-
-    private void stopAgent(Runnable next) {
-        if (agent.isEmpty()) {
-            next.run();
-            return;
+            done.run();
         }
-        agent.get().drain(() -> {
-            agent.get().stop();
-            next.run();
-        });
     }
 
-    private void startControl(ProcessSettings.ControlSettings c) {
-        ControlState state = new ControlState();
-        ControlService service = new ControlService(ring, timers, new LocalLog(state), state, c.lease());
-        control = Optional.of(service);
-        ring.execute(service::start);
-        operatorListener =
-                Optional.of(new HttpListener(c.listen(), 1, HttpLimits.DEFAULT, new ControlDoor(ring, service)));
-    }
+    /** Gives incoming messages to the role that they are for; others, as from a newer peer, are skipped. */
+    private static final class RoleSwitch implements PeerListener {
+        private final Map<Class<?>, PeerListener> listeners = new ConcurrentHashMap<>();
 
-    /** Gives incoming messages to the role that they are for. */
-    private final class RoleSwitch implements PeerListener {
+        private void add(ProcessRole role) {
+            role.messages().forEach(message -> listeners.put(message, role.listener()));
+        }
 
         @Override
         public void onOpen(Peer peer) {
@@ -216,20 +150,13 @@
 
         @Override
         public boolean onMessage(Peer peer, WireMessage message) {
-            Optional<? extends PeerListener> role = isForAgent(message) ? agent : control;
-            return role.map(r -> r.onMessage(peer, message)).orElse(true);
+            PeerListener listener = listeners.get(message.getClass());
+            return listener == null || listener.onMessage(peer, message);
         }
 
         @Override
         public void onClose(Peer peer) {
             LOGGER.debug("event=peer-disconnected peer={}", peer.greeting().processId());
         }
-
-        private static boolean isForAgent(WireMessage message) {
-            return message instanceof AttemptOrderMessage
-                    || message instanceof AttemptCancelMessage
-                    || message instanceof OutcomeAckMessage
-                    || message instanceof OutcomeQueryMessage;
-        }
     }
 }
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/daemon/MessageCatalog.java
@@ -0,0 +1,58 @@
+package org.copperspindle.daemon;
+
+import java.util.List;
+
+import org.copperspindle.agent.AttemptCancelMessage;
+import org.copperspindle.agent.AttemptChunkMessage;
+import org.copperspindle.agent.AttemptOrderMessage;
+import org.copperspindle.agent.AttemptOutcomeMessage;
+import org.copperspindle.agent.LoadReportMessage;
+import org.copperspindle.agent.OutcomeAckMessage;
+import org.copperspindle.agent.OutcomeQueryMessage;
+import org.copperspindle.claims.ClaimReplyMessage;
+import org.copperspindle.claims.ClaimRequestMessage;
+import org.copperspindle.claims.ClaimSettleMessage;
+import org.copperspindle.control.NotLeaderMessage;
+import org.copperspindle.membership.ControlUpdateMessage;
+import org.copperspindle.membership.LeaseGrantMessage;
+import org.copperspindle.membership.LeaseRequestMessage;
+import org.copperspindle.membership.UpstreamAnnouncement;
+import org.copperspindle.wire.MessageCodec;
+import org.copperspindle.wire.MessageRegistry;
+import org.copperspindle.wire.WireTransport;
+
+/**
+ * All messages between the system's own processes.
+ */
+public final class MessageCatalog {
+
+    private static final List<MessageCodec<?>> CODECS = List.of(
+            UpstreamAnnouncement.CODEC,
+            LeaseRequestMessage.CODEC,
+            LeaseGrantMessage.CODEC,
+            ControlUpdateMessage.CODEC,
+            NotLeaderMessage.CODEC,
+            ClaimRequestMessage.CODEC,
+            ClaimReplyMessage.CODEC,
+            ClaimSettleMessage.CODEC,
+            AttemptOrderMessage.CODEC,
+            AttemptCancelMessage.CODEC,
+            AttemptChunkMessage.CODEC,
+            AttemptOutcomeMessage.CODEC,
+            OutcomeAckMessage.CODEC,
+            OutcomeQueryMessage.CODEC,
+            LoadReportMessage.CODEC);
+
+    private MessageCatalog() {}
+
+    /**
+     * Makes a registry of all messages.
+     *
+     * @return a new registry
+     */
+    public static MessageRegistry registry() {
+        MessageRegistry registry = WireTransport.registry();
+        CODECS.forEach(registry::register);
+        return registry;
+    }
+}
