Name network threads by process and share them among identities

Cause: processor time of one process can't be told from another's where several run in one JVM, and 500 stand-in members would need 500 thread groups.

Change: WireTransport names its threads after the process; withGreeting makes a transport of another identity on the same threads.

Measured: nothing yet; the capacity measurements will use it.

--- a/library/src/main/java/org/copperspindle/wire/WireTransport.java
+++ b/library/src/main/java/org/copperspindle/wire/WireTransport.java
@@ -18,6 +18,7 @@
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
 import io.netty.handler.timeout.IdleStateHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
 
 /**
  * Length-framed TCP between the system's own processes: a four-byte length, then one MessagePack message.
@@ -34,6 +35,7 @@
     private final EventLoopGroup group;
     private final MessageRegistry registry;
     private final GreetingMessage own;
+    private final boolean ownsGroup;
     private final WireCounters counters = new WireCounters();
 
     /**
@@ -44,9 +46,31 @@
      * @param own      this process's greeting
      */
     public WireTransport(int threads, MessageRegistry registry, GreetingMessage own) {
-        this.group = new MultiThreadIoEventLoopGroup(threads, NioIoHandler.newFactory());
+        this(newGroup(threads, own), registry, own, true);
+    }
+
+    private WireTransport(EventLoopGroup group, MessageRegistry registry, GreetingMessage own, boolean ownsGroup) {
+        this.group = group;
         this.registry = registry;
         this.own = own;
+        this.ownsGroup = ownsGroup;
+    }
+
+    private static EventLoopGroup newGroup(int threads, GreetingMessage own) {
+        // Named by process, so that processor time can be told apart where several processes share a JVM.
+        DefaultThreadFactory factory = new DefaultThreadFactory("wire-" + own.processId(), true);
+        return new MultiThreadIoEventLoopGroup(threads, factory, NioIoHandler.newFactory());
+    }
+
+    /**
+     * Makes a transport of another identity on this one's network threads; closing it leaves them running. For
+     * measurements with many stand-in members in one process.
+     *
+     * @param other greeting of the other identity
+     * @return a transport with counters of its own
+     */
+    public WireTransport withGreeting(GreetingMessage other) {
+        return new WireTransport(group, registry, other, false);
     }
 
     /**
@@ -110,7 +134,9 @@
 
     @Override
     public void close() {
-        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+        if (ownsGroup) {
+            group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+        }
     }
 
     /** Builds the pipeline of one connection. */
