--- a/library/src/main/java/org/copperspindle/daemon/CopperspindleProcess.java
+++ b/library/src/main/java/org/copperspindle/daemon/CopperspindleProcess.java
@@ -41,7 +41,7 @@
     private CopperspindleProcess(ProcessSettings settings) {
         this.settings = settings;
         this.ring = new DecisionRing("decisions-" + settings.id(), DecisionRing.DEFAULT_SLOTS);
-        this.timers = new SystemTimerService(ring);
+        this.timers = new SystemTimerService("timer-" + settings.id(), ring);
         long incarnation = System.currentTimeMillis();
         GreetingMessage greeting = new GreetingMessage(GreetingMessage.PROTOCOL, "process", settings.id(), incarnation);
         this.transport = new WireTransport(NETWORK_THREADS, MessageCatalog.registry(), greeting);
--- a/library/src/main/java/org/copperspindle/time/SystemTimerService.java
+++ b/library/src/main/java/org/copperspindle/time/SystemTimerService.java
@@ -18,12 +18,13 @@
     /**
      * Starts the timer thread.
      *
+     * @param name     name of the timer thread
      * @param executor where due tasks run
      */
-    public SystemTimerService(Executor executor) {
+    public SystemTimerService(String name, Executor executor) {
         this.executor = executor;
         this.scheduler = new ScheduledThreadPoolExecutor(1, task -> {
-            Thread thread = new Thread(task, "timer");
+            Thread thread = new Thread(task, name);
             thread.setDaemon(true);
             return thread;
         });
--- /dev/null
+++ b/tools/src/main/java/org/copperspindle/capacity/FleetViewProbe.java
@@ -0,0 +1,61 @@
+package org.copperspindle.capacity;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+
+import org.copperspindle.membership.ControlUpdateMessage;
+import org.copperspindle.membership.UpstreamAnnouncement;
+import org.copperspindle.routing.FleetView;
+
+/**
+ * What an entry holds and reads for the upstreams that it knows: live heap, and bytes of a whole membership update.
+ */
+final class FleetViewProbe implements CapacityProbe {
+
+    private static final int[] UPSTREAMS = {500, 1000, 2000, 4300};
+
+    @Override
+    public String name() {
+        return "fleet-view";
+    }
+
+    @Override
+    public List<CapacitySlope> measure(ProbeProgress progress) {
+        List<CapacitySlope.Point> heap = new ArrayList<>();
+        List<CapacitySlope.Point> bytes = new ArrayList<>();
+        List<FleetView> kept = new ArrayList<>();
+        for (int upstreams : UPSTREAMS) {
+            progress.step("membership of " + upstreams + " upstreams at one entry");
+            ControlUpdateMessage update = update(upstreams);
+            bytes.add(new CapacitySlope.Point(upstreams, ControlUpdateMessage.CODEC.encode(update).length));
+            FleetView view = new FleetView();
+            kept.add(view);
+            long before = HeapMeter.liveBytes();
+            view.update(update);
+            heap.add(new CapacitySlope.Point(upstreams, HeapMeter.liveBytes() - before));
+            if (view.upstream("upstream-0").isEmpty()) {
+                throw new IllegalStateException("the view did not take the update");
+            }
+        }
+        return List.of(
+                new CapacitySlope("entry, heap for its view of upstreams", "upstreams", "B", heap),
+                new CapacitySlope("payload of a whole membership update", "upstreams", "B", bytes));
+    }
+
+    private static ControlUpdateMessage update(int count) {
+        List<byte[]> upstreams = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            upstreams.add(UpstreamAnnouncement.CODEC.encode(new UpstreamAnnouncement(
+                    "upstream-" + i,
+                    "pool-" + i % 40,
+                    "domain-" + i % 14,
+                    new InetSocketAddress("10.0." + i / 250 + "." + i % 250, 7400),
+                    1_700_000_000_000L + i,
+                    1,
+                    List.of("model-" + i % 33, "model-" + (i + 1) % 33),
+                    false)));
+        }
+        return new ControlUpdateMessage(1, 0, "", true, 1, upstreams, List.of());
+    }
+}
--- /dev/null
+++ b/tools/src/main/java/org/copperspindle/capacity/RequestProbe.java
@@ -0,0 +1,109 @@
+package org.copperspindle.capacity;
+
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Semaphore;
+
+/**
+ * What one request, and one streamed token, costs an entry and the agents: processor time against the number of
+ * requests in a batch, and against the number of tokens in their answers.
+ */
+final class RequestProbe implements CapacityProbe {
+
+    private static final int[] REQUESTS = {250, 500, 1000, 2000};
+    private static final int[] TOKENS = {16, 64, 128, 256};
+    private static final int WARM_UP = 2000;
+    private static final int STREAMS = 200;
+    private static final int IN_FLIGHT = 16;
+    private static final double NANOS_PER_MICRO = 1000;
+
+    private final HttpClient http = HttpClient.newHttpClient();
+
+    @Override
+    public String name() {
+        return "requests";
+    }
+
+    @Override
+    public List<CapacitySlope> measure(ProbeProgress progress) throws Exception {
+        try (StandInDeployment deployment = new StandInDeployment()) {
+            progress.step("warming up with " + WARM_UP + " requests");
+            call(deployment, WARM_UP, false, 1);
+            List<CapacitySlope> slopes = new ArrayList<>(perRequest(deployment, progress));
+            slopes.addAll(perToken(deployment, progress));
+            return slopes;
+        }
+    }
+
+    private List<CapacitySlope> perRequest(StandInDeployment deployment, ProbeProgress progress) throws Exception {
+        List<CapacitySlope.Point> entry = new ArrayList<>();
+        List<CapacitySlope.Point> agents = new ArrayList<>();
+        for (int requests : REQUESTS) {
+            progress.step(requests + " requests of four stages");
+            ThreadCpuMeter entryCpu = ThreadCpuMeter.ofProcess(StandInDeployment.ENTRY);
+            ThreadCpuMeter agentCpu = ThreadCpuMeter.ofProcess(StandInDeployment.AGENT);
+            entryCpu.start();
+            agentCpu.start();
+            call(deployment, requests, false, 1);
+            entry.add(new CapacitySlope.Point(requests, entryCpu.stop() / NANOS_PER_MICRO));
+            agents.add(new CapacitySlope.Point(requests, agentCpu.stop() / NANOS_PER_MICRO));
+        }
+        return List.of(
+                new CapacitySlope("entry, processor time of four-stage requests", "requests", "us", entry),
+                new CapacitySlope("four agents together, processor time", "requests", "us", agents));
+    }
+
+    private List<CapacitySlope> perToken(StandInDeployment deployment, ProbeProgress progress) throws Exception {
+        List<CapacitySlope.Point> entry = new ArrayList<>();
+        List<CapacitySlope.Point> agents = new ArrayList<>();
+        for (int tokens : TOKENS) {
+            progress.step(STREAMS + " streamed answers of " + tokens + " tokens");
+            ThreadCpuMeter entryCpu = ThreadCpuMeter.ofProcess(StandInDeployment.ENTRY);
+            ThreadCpuMeter agentCpu = ThreadCpuMeter.ofProcess(StandInDeployment.AGENT);
+            entryCpu.start();
+            agentCpu.start();
+            call(deployment, STREAMS, true, tokens);
+            double total = (double) tokens * STREAMS;
+            entry.add(new CapacitySlope.Point(total, entryCpu.stop() / NANOS_PER_MICRO));
+            agents.add(new CapacitySlope.Point(total, agentCpu.stop() / NANOS_PER_MICRO));
+        }
+        return List.of(
+                new CapacitySlope("entry, processor time of streamed tokens", "tokens", "us", entry),
+                new CapacitySlope("agents, processor time of streamed tokens", "tokens", "us", agents));
+    }
+
+    private void call(StandInDeployment deployment, int count, boolean stream, int words) throws Exception {
+        Semaphore inFlight = new Semaphore(IN_FLIGHT);
+        List<CompletableFuture<Void>> answers = new ArrayList<>();
+        String input = "{\"input\":\"" + "word ".repeat(words).strip() + "\"}";
+        URI uri = URI.create("http://127.0.0.1:" + deployment.callerPort() + "/v1/pipelines/measured");
+        for (int i = 0; i < count; i++) {
+            inFlight.acquire();
+            HttpRequest request = HttpRequest.newBuilder(uri)
+                    .header("Authorization", "Bearer " + StandInDeployment.BEARER)
+                    .header("Content-Type", "application/json")
+                    .header("Accept", stream ? "text/event-stream" : "application/json")
+                    .timeout(Duration.ofSeconds(30))
+                    .POST(HttpRequest.BodyPublishers.ofString(input))
+                    .build();
+            answers.add(http.sendAsync(request, HttpResponse.BodyHandlers.ofString())
+                    .whenComplete((response, failure) -> inFlight.release())
+                    .thenAccept(RequestProbe::check));
+        }
+        for (CompletableFuture<Void> answer : answers) {
+            answer.get();
+        }
+    }
+
+    private static void check(HttpResponse<String> response) {
+        if (response.statusCode() != 200) {
+            throw new IllegalStateException("a measured request failed: " + response.body());
+        }
+    }
+}
