Let listeners refuse open and close events as they refuse messages

Cause: onOpen and onClose had to take the event at once, so their implementations used DecisionRing.execute, which waits for a slot. A full ring therefore blocked a network thread, and with it every connection of that thread. Messages that waited for the ring were dropped when their connection closed, although they had arrived. Change: onOpen and onClose return boolean like onMessage; a refused event is offered again and later ones of the connection wait behind it, the close included. DecisionRing.offerUntilTaken hands over from a network thread without waiting, WireTransport.scheduler gives the event loops for it. Conclusion: no network thread waits for the ring in wire, ControlLink, AgentLinks, AgentService, ControlService.

--- a/library/src/main/java/org/copperspindle/agent/AgentService.java
+++ b/library/src/main/java/org/copperspindle/agent/AgentService.java
@@ -104,8 +104,9 @@
     }
 
     @Override
-    public void onOpen(Peer peer) {
+    public boolean onOpen(Peer peer) {
         LOGGER.debug("event=entry-connected entry={}", peer.greeting().processId());
+        return true;
     }
 
     @Override
@@ -114,9 +115,10 @@
     }
 
     @Override
-    public void onClose(Peer peer) {
+    public boolean onClose(Peer peer) {
         // Attempts go on: their outcome is kept for whoever asks.
         LOGGER.debug("event=entry-disconnected entry={}", peer.greeting().processId());
+        return true;
     }
 
     @Override
--- a/library/src/main/java/org/copperspindle/control/ControlService.java
+++ b/library/src/main/java/org/copperspindle/control/ControlService.java
@@ -67,8 +67,9 @@
     }
 
     @Override
-    public void onOpen(Peer peer) {
+    public boolean onOpen(Peer peer) {
         LOGGER.debug("event=member-connected member={}", peer.greeting().processId());
+        return true;
     }
 
     @Override
@@ -77,9 +78,10 @@
     }
 
     @Override
-    public void onClose(Peer peer) {
+    public boolean onClose(Peer peer) {
         // A lost connection is not a lost lease: the member may come back before it ends.
         LOGGER.debug("event=member-disconnected member={}", peer.greeting().processId());
+        return true;
     }
 
     /**
--- a/library/src/main/java/org/copperspindle/core/DecisionRing.java
+++ b/library/src/main/java/org/copperspindle/core/DecisionRing.java
@@ -1,6 +1,8 @@
 package org.copperspindle.core;
 
 import java.util.concurrent.Executor;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 
 import com.lmax.disruptor.BlockingWaitStrategy;
 import com.lmax.disruptor.ExceptionHandler;
@@ -12,14 +14,16 @@
 
 /**
  * The decision loop of a daemon: a Disruptor ring whose single consumer owns all decision state, so that no decision
- * takes a lock. Network threads use {@link #offer}, which refuses when the ring is full; they never block. Timer and
- * disk threads use {@link #execute}, which may wait.
+ * takes a lock. Network threads use {@link #offer}, which refuses when the ring is full, or {@link #offerUntilTaken} for
+ * what must not be lost; they never block. Timer and disk threads use {@link #execute}, which may wait.
  */
 public final class DecisionRing implements Executor, AutoCloseable {
 
     /** Default number of slots; a burst beyond it is refused with back-pressure rather than queued. */
     public static final int DEFAULT_SLOTS = 8192;
 
+    private static final long OFFER_AGAIN_MILLIS = 1;
+
     private static final Logger LOGGER = LogManager.getLogger(DecisionRing.class);
 
     private final Disruptor<Slot> disruptor;
@@ -60,6 +64,21 @@
         return ring.tryPublishEvent((slot, sequence) -> slot.task = task);
     }
 
+    /**
+     * Hands over a task from a network thread without blocking it: while the ring is full, the task is offered again
+     * from the thread's own scheduler. Two tasks handed over this way may change places; what must keep its order is
+     * queued by its sender behind the refused one.
+     *
+     * @param task      what to run on the decision thread
+     * @param scheduler the network thread's event loop, or the group of them
+     */
+    public void offerUntilTaken(Runnable task, ScheduledExecutorService scheduler) {
+        if (offer(task) || scheduler.isShutdown()) {
+            return;
+        }
+        scheduler.schedule(() -> offerUntilTaken(task, scheduler), OFFER_AGAIN_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
     /**
      * Hands over a task, waiting for a free slot. Not for network threads. A task from the decision thread itself runs
      * in place: waiting for a slot there would be a deadlock.
--- a/library/src/main/java/org/copperspindle/daemon/CopperspindleProcess.java
+++ b/library/src/main/java/org/copperspindle/daemon/CopperspindleProcess.java
@@ -144,8 +144,9 @@
         }
 
         @Override
-        public void onOpen(Peer peer) {
+        public boolean onOpen(Peer peer) {
             LOGGER.debug("event=peer-connected peer={}", peer.greeting().processId());
+            return true;
         }
 
         @Override
@@ -155,8 +156,9 @@
         }
 
         @Override
-        public void onClose(Peer peer) {
+        public boolean onClose(Peer peer) {
             LOGGER.debug("event=peer-disconnected peer={}", peer.greeting().processId());
+            return true;
         }
     }
 }
--- a/library/src/main/java/org/copperspindle/daemon/EntryRole.java
+++ b/library/src/main/java/org/copperspindle/daemon/EntryRole.java
@@ -44,8 +44,8 @@
     public PeerListener listener() {
         return new PeerListener() {
             @Override
-            public void onOpen(Peer peer) {
-                // nothing comes in
+            public boolean onOpen(Peer peer) {
+                return true;
             }
 
             @Override
@@ -54,8 +54,8 @@
             }
 
             @Override
-            public void onClose(Peer peer) {
-                // nothing comes in
+            public boolean onClose(Peer peer) {
+                return true;
             }
         };
     }
--- a/library/src/main/java/org/copperspindle/entry/AgentLinks.java
+++ b/library/src/main/java/org/copperspindle/entry/AgentLinks.java
@@ -42,7 +42,7 @@
             Link opened = link;
             transport.connect(address, link).whenComplete((channel, failure) -> {
                 if (failure != null) {
-                    ring.execute(opened::failed);
+                    ring.offerUntilTaken(opened::failed, transport.scheduler());
                 }
             });
         }
@@ -88,8 +88,8 @@
         }
 
         @Override
-        public void onOpen(Peer opened) {
-            ring.execute(() -> {
+        public boolean onOpen(Peer opened) {
+            return ring.offer(() -> {
                 peer = opened;
                 List<WireMessage> ready = List.copyOf(waiting);
                 waiting.clear();
@@ -103,8 +103,8 @@
         }
 
         @Override
-        public void onClose(Peer closed) {
-            ring.execute(() -> {
+        public boolean onClose(Peer closed) {
+            return ring.offer(() -> {
                 links.remove(address, this);
                 listener.onLinkLost(address);
             });
--- a/library/src/main/java/org/copperspindle/membership/ControlLink.java
+++ b/library/src/main/java/org/copperspindle/membership/ControlLink.java
@@ -121,8 +121,8 @@
     }
 
     @Override
-    public void onOpen(Peer opened) {
-        ring.execute(() -> {
+    public boolean onOpen(Peer opened) {
+        return ring.offer(() -> {
             peer = opened;
             awaitingGrant = false;
             renewNow();
@@ -135,8 +135,8 @@
     }
 
     @Override
-    public void onClose(Peer closed) {
-        ring.execute(() -> {
+    public boolean onClose(Peer closed) {
+        return ring.offer(() -> {
             if (peer == closed) {
                 peer = null;
                 timers.schedule(RECONNECT_NANOS, this::connect);
@@ -209,7 +209,8 @@
         hint = Optional.empty();
         transport.connect(target, this).whenComplete((channel, failure) -> {
             if (failure != null) {
-                ring.execute(() -> timers.schedule(RECONNECT_NANOS, this::connect));
+                Runnable again = () -> timers.schedule(RECONNECT_NANOS, this::connect);
+                ring.offerUntilTaken(again, transport.scheduler());
             }
         });
     }
--- a/library/src/main/java/org/copperspindle/wire/PeerHandler.java
+++ b/library/src/main/java/org/copperspindle/wire/PeerHandler.java
@@ -3,6 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -24,7 +25,7 @@
     private final GreetingMessage own;
     private final PeerListener listener;
     private final WireCounters counters;
-    private final Deque<WireMessage> waiting = new ArrayDeque<>();
+    private final Deque<BooleanSupplier> waiting = new ArrayDeque<>();
     private volatile ChannelHandlerContext context;
     private volatile GreetingMessage greeting;
 
@@ -75,9 +76,9 @@
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         if (greeting != null) {
-            // Whatever waited for the ring is given up with the connection, as if it had been lost on the way.
-            waiting.clear();
-            listener.onClose(this);
+            // The close waits behind messages that the ring refused: an outcome that has arrived must not be taken for
+            // one that was cut off.
+            deliver(ctx, () -> listener.onClose(this));
         }
     }
 
@@ -124,12 +125,7 @@
             ctx.close();
             return;
         }
-        // A message that the ring refused must stay in front of later ones.
-        if (!waiting.isEmpty() || !listener.onMessage(this, message)) {
-            waiting.add(message);
-            ctx.channel().config().setAutoRead(false);
-            offerLater(ctx);
-        }
+        deliver(ctx, () -> listener.onMessage(this, message));
     }
 
     private void greet(ChannelHandlerContext ctx, GreetingMessage received) {
@@ -142,20 +138,29 @@
             return;
         }
         greeting = received;
-        listener.onOpen(this);
+        deliver(ctx, () -> listener.onOpen(this));
     }
 
-    private void offerLater(ChannelHandlerContext ctx) {
-        if (waiting.size() > 1) {
+    private void deliver(ChannelHandlerContext ctx, BooleanSupplier event) {
+        if (waiting.isEmpty() && event.getAsBoolean()) {
             return;
         }
+        // An event that the ring refused must stay in front of later ones.
+        waiting.add(event);
+        ctx.channel().config().setAutoRead(false);
+        if (waiting.size() == 1) {
+            offerLater(ctx);
+        }
+    }
+
+    private void offerLater(ChannelHandlerContext ctx) {
         ctx.executor().schedule(() -> offerWaiting(ctx), OFFER_AGAIN_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     private void offerWaiting(ChannelHandlerContext ctx) {
         while (!waiting.isEmpty()) {
-            if (!listener.onMessage(this, waiting.peek())) {
-                ctx.executor().schedule(() -> offerWaiting(ctx), OFFER_AGAIN_MILLIS, TimeUnit.MILLISECONDS);
+            if (!waiting.peek().getAsBoolean()) {
+                offerLater(ctx);
                 return;
             }
             waiting.poll();
--- a/library/src/main/java/org/copperspindle/wire/PeerListener.java
+++ b/library/src/main/java/org/copperspindle/wire/PeerListener.java
@@ -1,7 +1,9 @@
 package org.copperspindle.wire;
 
 /**
- * Receives the events of connections. Called on network threads: implementations hand over to their decision ring.
+ * Receives the events of connections. Called on network threads: implementations hand over to their decision ring and
+ * never wait. An event that is refused is offered again, and later events of the same connection wait behind it, so
+ * that a listener sees open, messages and close in this order and each exactly once.
  */
 public interface PeerListener {
 
@@ -9,8 +11,9 @@
      * A connection was greeted in both directions.
      *
      * @param peer the connection
+     * @return false if the event can't be taken now and must be offered again
      */
-    void onOpen(Peer peer);
+    boolean onOpen(Peer peer);
 
     /**
      * A message arrived.
@@ -22,9 +25,10 @@
     boolean onMessage(Peer peer, WireMessage message);
 
     /**
-     * A greeted connection ended; called once.
+     * A greeted connection ended.
      *
      * @param peer the connection
+     * @return false if the event can't be taken now and must be offered again
      */
-    void onClose(Peer peer);
+    boolean onClose(Peer peer);
 }
--- a/library/src/main/java/org/copperspindle/wire/WireTransport.java
+++ b/library/src/main/java/org/copperspindle/wire/WireTransport.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.bootstrap.Bootstrap;
@@ -79,7 +80,7 @@
      *
      * @param address  where to
      * @param listener receives the events
-     * @return completes when the TCP connection stands, or fails
+     * @return completes on a network thread when the TCP connection stands, or fails
      */
     public CompletableFuture<Channel> connect(InetSocketAddress address, PeerListener listener) {
         Bootstrap bootstrap = new Bootstrap()
@@ -99,6 +100,15 @@
         return result;
     }
 
+    /**
+     * Returns the network threads as a scheduler, for tasks that must not block while the decision ring is full.
+     *
+     * @return the event loops
+     */
+    public ScheduledExecutorService scheduler() {
+        return group;
+    }
+
     /**
      * Returns the traffic counters.
      *
