--- a/tools/src/main/java/org/copperspindle/capacity/StandInControl.java
+++ b/tools/src/main/java/org/copperspindle/capacity/StandInControl.java
@@ -51,7 +51,8 @@
     public void close() {
         process.kill();
         try (Stream<Path> files = Files.walk(data)) {
-            files.sorted(Comparator.reverseOrder()).forEach(file -> file.toFile().delete());
+            files.sorted(Comparator.reverseOrder())
+                    .forEach(file -> file.toFile().delete());
         } catch (IOException e) {
             // A leftover temporary folder does not change a measurement.
             data.toFile().deleteOnExit();
--- a/tools/src/main/java/org/copperspindle/cli/MeasureCommand.java
+++ b/tools/src/main/java/org/copperspindle/cli/MeasureCommand.java
@@ -7,6 +7,8 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
+import org.apache.logging.log4j.Level;
+import org.apache.logging.log4j.core.config.Configurator;
 import org.copperspindle.capacity.CapacityProbe;
 import org.copperspindle.capacity.CapacityProbeFactory;
 import org.copperspindle.capacity.CapacitySlope;
@@ -34,11 +36,16 @@
         parser.addArgument("--probe")
                 .choices(CapacityProbeFactory.names())
                 .help("only this measurement; all of them if not given");
-        parser.addArgument("--" + FORMAT).choices("text", JSON_FORMAT).setDefault("text").help("output format");
+        parser.addArgument("--" + FORMAT)
+                .choices("text", JSON_FORMAT)
+                .setDefault("text")
+                .help("output format");
     }
 
     @Override
     public ExitCode run(Namespace arguments) throws Exception {
+        // A line for each measured request would drown the result and count as its cost.
+        Configurator.setRootLevel(Level.ERROR);
         String chosen = arguments.getString("probe");
         List<CapacitySlope> slopes = new ArrayList<>();
         for (CapacityProbe probe : CapacityProbeFactory.all()) {
@@ -68,7 +75,7 @@
                 slope.points().size(),
                 slope.fit());
         slope.points()
-                .forEach(point -> System.out.printf(Locale.ROOT, "  %12.0f %-12s %14.1f %s%n", point.x(),
-                        slope.xUnit(), point.y(), slope.yUnit()));
+                .forEach(point -> System.out.printf(
+                        Locale.ROOT, "  %12.0f %-12s %14.1f %s%n", point.x(), slope.xUnit(), point.y(), slope.yUnit()));
     }
 }
