Give the fakes faults that can be set while they run

Cause: the fakes only answered well, at once, and counted plain services only. Change: a fake runs a bounded number of calls, an engine slower the fuller its batch is, with a pace for each streamed token; its faults (delay, status, stall, reset, truncation, missing end mark, doubled answer, refusal) are replaced as a whole while it runs, in process or over HTTP; the ledger records every execution with its token, request and attempt.

--- /dev/null
+++ b/emulator/src/main/java/org/copperspindle/emulator/Execution.java
@@ -0,0 +1,11 @@
+package org.copperspindle.emulator;
+
+/**
+ * One execution as a fake saw it.
+ *
+ * @param kind      interface of the fake
+ * @param token     what the caller named the work in its body
+ * @param requestId request that the call named in {@code X-Request-Id}; empty if it named none
+ * @param attemptId attempt that the call named in {@code Idempotency-Key}; empty if it named none
+ */
+public record Execution(FakeKind kind, String token, String requestId, String attemptId) {}
--- a/emulator/src/main/java/org/copperspindle/emulator/FakeUpstream.java
+++ b/emulator/src/main/java/org/copperspindle/emulator/FakeUpstream.java
@@ -4,12 +4,12 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Locale;
+import java.util.Queue;
 import java.util.concurrent.TimeUnit;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.node.ArrayNode;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -22,53 +22,53 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.DefaultHttpContent;
-import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpVersion;
-import io.netty.handler.codec.http.LastHttpContent;
 
 /**
- * One fake upstream on a loopback port. Takes a fixed time per call and writes each execution into the ledger.
+ * One fake upstream. Runs a bounded number of calls at once, engines slower the fuller their batch is, and writes each
+ * execution into the ledger when it starts. Its faults can be replaced while it runs, by {@link #faults(FakeFaults)} or
+ * by {@code PUT /emulator/faults} with JSON. All state belongs to its one network thread.
  */
 public final class FakeUpstream implements AutoCloseable {
 
-    private static final ObjectMapper JSON = new ObjectMapper();
     private static final int MAX_BODY = 8 << 20;
+    private static final String FAULTS_PATH = "/emulator/faults";
+    private static final int UNAVAILABLE = 503;
 
-    private final FakeKind kind;
-    private final Duration service;
+    private final FakeSettings settings;
     private final ExecutionLedger ledger;
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final Channel channel;
+    private final Queue<FakeCall> waiting = new ArrayDeque<>();
+    private int running;
+    private volatile FakeFaults faults = FakeFaults.NONE;
+    private volatile FakeUsage usage = new FakeUsage(0, Duration.ZERO);
 
     /**
-     * Starts a fake on a free loopback port.
+     * Starts a fake on a free loopback port, which runs everything at once.
      *
      * @param kind    its interface
      * @param service time that one call takes
      * @param ledger  where executions are written
      */
     public FakeUpstream(FakeKind kind, Duration service, ExecutionLedger ledger) {
-        this(new InetSocketAddress("127.0.0.1", 0), kind, service, ledger);
+        this(FakeSettings.simple(kind, service), ledger);
     }
 
     /**
      * Starts a fake.
      *
-     * @param address where it listens
-     * @param kind    its interface
-     * @param service time that one call takes
-     * @param ledger  where executions are written
+     * @param settings how it behaves
+     * @param ledger   where executions are written
      */
-    public FakeUpstream(InetSocketAddress address, FakeKind kind, Duration service, ExecutionLedger ledger) {
-        this.kind = kind;
-        this.service = service;
+    public FakeUpstream(FakeSettings settings, ExecutionLedger ledger) {
+        this.settings = settings;
         this.ledger = ledger;
         this.channel = new ServerBootstrap()
                 .group(group)
@@ -80,7 +80,7 @@
                                 .addLast(new HttpServerCodec(), new HttpObjectAggregator(MAX_BODY), new CallHandler());
                     }
                 })
-                .bind(address)
+                .bind(settings.address())
                 .syncUninterruptibly()
                 .channel();
     }
@@ -88,46 +88,129 @@
     /**
      * Returns where it listens.
      *
-     * @return the bound loopback address
+     * @return the bound address
      */
     public InetSocketAddress address() {
         return (InetSocketAddress) channel.localAddress();
     }
 
+    /**
+     * Replaces its faults, for calls that start from now on.
+     *
+     * @param replacement the faults; {@link FakeFaults#NONE} heals it
+     */
+    public void faults(FakeFaults replacement) {
+        faults = replacement;
+    }
+
+    /**
+     * Returns what it has done so far.
+     *
+     * @return calls and busy time
+     */
+    public FakeUsage usage() {
+        return usage;
+    }
+
     @Override
     public void close() {
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
     }
 
-    private ObjectNode answer(JsonNode request) {
-        ObjectNode answer = JSON.createObjectNode();
-        switch (kind) {
-            case ENCODER ->
-                answer.putArray("data")
-                        .addObject()
-                        .putArray("embedding")
-                        .add(0.1)
-                        .add(0.2);
-            case RETRIEVER -> {
-                ArrayNode documents = answer.putArray("documents");
-                documents.add("document a").add("document b").add("document c");
-            }
-            case RERANKER -> {
-                ArrayNode results = answer.putArray("results");
-                results.addObject().put("index", 1);
-                results.addObject().put("index", 0);
+    private void arrive(FakeCall call) {
+        if (faults.draining()) {
+            call.refuse(UNAVAILABLE);
+            return;
+        }
+        if (running >= settings.concurrency()) {
+            waiting.add(call);
+            return;
+        }
+        begin(call);
+    }
+
+    private void begin(FakeCall call) {
+        running++;
+        ledger.ran(call.execution());
+        long startedAt = System.nanoTime();
+        FakeFaults now = faults;
+        if (settings.reportsLoad()) {
+            call.load(String.format(
+                    Locale.ROOT,
+                    "TEXT application_utilization=%.2f, named_metrics.running=%d, named_metrics.queued=%d",
+                    (double) running / settings.concurrency(),
+                    running,
+                    waiting.size()));
+        }
+        if (now.stall()) {
+            call.onClose(() -> end(startedAt));
+            return;
+        }
+        long first = settings.service().toNanos() + TimeUnit.MILLISECONDS.toNanos(now.delayMillis());
+        if (call.streams() && now.errorStatus() == 0) {
+            after(first, () -> stream(call, startedAt, now.response()));
+            return;
+        }
+        long tokens = settings.kind() == FakeKind.ENGINE ? call.words().length * tokenNanos() : 0;
+        after(first + tokens, () -> {
+            if (now.errorStatus() != 0) {
+                call.refuse(now.errorStatus());
+            } else {
+                call.answerWhole(now.response());
             }
-            case ENGINE -> answer.putArray("choices").addObject().put("text", completion(request));
-            case SERVICE -> answer.put("done", true).set("request", request);
-            default -> throw new IllegalStateException("no answer for " + kind);
+            end(startedAt);
+        });
+    }
+
+    private void end(long startedAt) {
+        running--;
+        usage = new FakeUsage(usage.calls() + 1, usage.busy().plusNanos(System.nanoTime() - startedAt));
+        FakeCall next = waiting.poll();
+        // A caller that left while it waited gets nothing run for it.
+        while (next != null && !next.open()) {
+            next = waiting.poll();
+        }
+        if (next != null) {
+            begin(next);
         }
-        return answer;
     }
 
-    /** Repeats the end of the prompt, so that a foreign answer can be told from the right one. */
-    private static String completion(JsonNode request) {
-        String prompt = request.path("prompt").asText();
-        return "echo: " + prompt.substring(prompt.lastIndexOf('\n') + 1);
+    private void stream(FakeCall call, long startedAt, ResponseFault fault) {
+        call.startStream();
+        streamFrom(call, call.words(), 0, startedAt, fault);
+    }
+
+    private void streamFrom(FakeCall call, String[] words, int next, long startedAt, ResponseFault fault) {
+        if (!call.open()) {
+            end(startedAt);
+            return;
+        }
+        boolean cut = fault == ResponseFault.TRUNCATE || fault == ResponseFault.RESET_IN_THE_MIDDLE;
+        if (cut && next >= words.length / 2) {
+            call.cut(fault);
+            end(startedAt);
+            return;
+        }
+        if (next == words.length) {
+            call.endStream(fault);
+            end(startedAt);
+            return;
+        }
+        call.word(words[next]);
+        after(tokenNanos(), () -> streamFrom(call, words, next + 1, startedAt, fault));
+    }
+
+    /** A full batch generates each call's tokens at half the pace of a call alone. */
+    private long tokenNanos() {
+        return settings.perToken().toNanos() * (settings.concurrency() + running) / settings.concurrency();
+    }
+
+    private void after(long nanos, Runnable action) {
+        if (nanos == 0) {
+            channel.eventLoop().execute(action);
+        } else {
+            channel.eventLoop().schedule(action, nanos, TimeUnit.NANOSECONDS);
+        }
     }
 
     /** Answers the calls of one connection. */
@@ -137,11 +220,20 @@
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) throws IOException {
             byte[] body = new byte[request.content().readableBytes()];
             request.content().readBytes(body);
-            JsonNode json = JSON.readTree(body);
-            if (kind == FakeKind.SERVICE) {
-                ledger.ran(json.path("token").asText());
+            if (request.uri().equals(FAULTS_PATH) && request.method().equals(HttpMethod.PUT)) {
+                faults(FakeAnswers.JSON.readValue(body, FakeFaults.class));
+                acknowledge(ctx);
+                return;
             }
-            ctx.executor().schedule(() -> respond(ctx, json), service.toNanos(), TimeUnit.NANOSECONDS);
+            JsonNode json = FakeAnswers.JSON.readTree(body);
+            Execution execution = new Execution(
+                    settings.kind(),
+                    FakeAnswers.token(settings.kind(), json),
+                    request.headers().get("X-Request-Id", ""),
+                    request.headers().get("Idempotency-Key", ""));
+            int tokens = Math.min(settings.maxTokens(), json.path("max_tokens").asInt(0));
+            String completion = FakeAnswers.completion(FakeAnswers.lastLine(json), tokens);
+            arrive(new FakeCall(ctx, json, execution, completion));
         }
 
         @Override
@@ -149,35 +241,12 @@
             ctx.close();
         }
 
-        private void respond(ChannelHandlerContext ctx, JsonNode request) {
-            if (kind == FakeKind.ENGINE && request.path("stream").asBoolean()) {
-                stream(ctx, completion(request));
-                return;
-            }
-            byte[] bytes = answer(request).toString().getBytes(StandardCharsets.UTF_8);
+        private void acknowledge(ChannelHandlerContext ctx) {
+            byte[] bytes = faults.toString().getBytes(StandardCharsets.UTF_8);
             DefaultFullHttpResponse response = new DefaultFullHttpResponse(
                     HttpVersion.HTTP_1_1, HttpResponseStatus.OK, Unpooled.wrappedBuffer(bytes));
-            response.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
             response.headers().set(HttpHeaderNames.CONTENT_LENGTH, bytes.length);
             ctx.writeAndFlush(response);
         }
-
-        private void stream(ChannelHandlerContext ctx, String text) {
-            DefaultHttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
-            head.headers().set(HttpHeaderNames.CONTENT_TYPE, "text/event-stream");
-            head.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
-            ctx.write(head);
-            for (String word : text.split("(?<= )")) {
-                ObjectNode chunk = JSON.createObjectNode();
-                chunk.putArray("choices").addObject().put("text", word);
-                ctx.write(content("data: " + chunk + "\n\n"));
-            }
-            ctx.write(content("data: [DONE]\n\n"));
-            ctx.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
-        }
-
-        private DefaultHttpContent content(String text) {
-            return new DefaultHttpContent(Unpooled.wrappedBuffer(text.getBytes(StandardCharsets.UTF_8)));
-        }
     }
 }
--- a/tools/src/main/java/org/copperspindle/cli/EmulateCommand.java
+++ b/tools/src/main/java/org/copperspindle/cli/EmulateCommand.java
@@ -5,17 +5,23 @@
 import java.util.Locale;
 import java.util.concurrent.CountDownLatch;
 
+import net.sourceforge.argparse4j.impl.Arguments;
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
 import org.copperspindle.emulator.ExecutionLedger;
+import org.copperspindle.emulator.FakeFaults;
 import org.copperspindle.emulator.FakeKind;
+import org.copperspindle.emulator.FakeSettings;
 import org.copperspindle.emulator.FakeUpstream;
+import org.copperspindle.emulator.ResponseFault;
 
 /**
  * {@code copperspindle emulate}: one fake upstream as a process, for trying a deployment out.
  */
 final class EmulateCommand implements Command {
 
+    private static final String LOOPBACK = "127.0.0.1";
+
     @Override
     public String name() {
         return "emulate";
@@ -24,24 +30,62 @@
     @Override
     public void declare(Subparser parser) {
         parser.help("run one fake upstream on loopback")
-                .description("Runs one fake upstream on loopback, for trying a deployment out without model servers.")
-                .epilog("Example: copperspindle emulate --kind engine --port 9001 --service-ms 20");
+                .description("Runs one fake upstream on loopback, for trying a deployment out without model servers."
+                        + " Its faults can be replaced while it runs: PUT /emulator/faults with JSON such as"
+                        + " {\"delayMillis\":200}; the fields are delayMillis, errorStatus, stall, draining, response.")
+                .epilog("Example: copperspindle emulate --kind engine --port 9001 --service-ms 20 --per-token-ms 5");
         parser.addArgument("--kind")
                 .required(true)
                 .choices("encoder", "retriever", "reranker", "engine", "service")
                 .help("interface that it answers by");
         parser.addArgument("--port").type(Integer.class).setDefault(0).help("loopback port, 0 for a free one");
-        parser.addArgument("--service-ms").type(Integer.class).setDefault(20).help("time that one call takes");
+        parser.addArgument("--service-ms")
+                .type(Integer.class)
+                .setDefault(20)
+                .help("time of a call; for an engine, time until the first token");
+        parser.addArgument("--per-token-ms")
+                .type(Integer.class)
+                .setDefault(5)
+                .help("engine: time of each further token");
+        parser.addArgument("--max-tokens").type(Integer.class).setDefault(128).help("engine: longest answer");
+        parser.addArgument("--concurrency").type(Integer.class).setDefault(8).help("calls that run at once");
+        parser.addArgument("--reports-load")
+                .action(Arguments.storeTrue())
+                .help("send the load header with each answer");
+        declareFaults(parser);
+    }
+
+    private static void declareFaults(Subparser parser) {
+        parser.addArgument("--delay-ms").type(Long.class).setDefault(0L).help("fault: added to each call");
+        parser.addArgument("--error-status").type(Integer.class).setDefault(0).help("fault: answer with this status");
+        parser.addArgument("--stall").action(Arguments.storeTrue()).help("fault: do the work and never answer");
+        parser.addArgument("--draining").action(Arguments.storeTrue()).help("fault: refuse new calls");
+        parser.addArgument("--response")
+                .type(Arguments.caseInsensitiveEnumType(ResponseFault.class))
+                .setDefault(ResponseFault.NONE)
+                .help("fault: how answers are spoilt");
     }
 
     @Override
     public ExitCode run(Namespace arguments) throws Exception {
         FakeKind kind = FakeKind.valueOf(arguments.getString("kind").toUpperCase(Locale.ROOT));
-        InetSocketAddress address = new InetSocketAddress("127.0.0.1", arguments.getInt("port"));
-        Duration service = Duration.ofMillis(arguments.getInt("service_ms"));
-        FakeUpstream fake = new FakeUpstream(address, kind, service, new ExecutionLedger());
-        System.out.println(
-                "started kind=" + kind + " address=127.0.0.1:" + fake.address().getPort());
+        FakeSettings settings = new FakeSettings(
+                kind,
+                new InetSocketAddress(LOOPBACK, arguments.getInt("port")),
+                arguments.getInt("concurrency"),
+                Duration.ofMillis(arguments.getInt("service_ms")),
+                Duration.ofMillis(arguments.getInt("per_token_ms")),
+                arguments.getInt("max_tokens"),
+                arguments.getBoolean("reports_load"));
+        FakeUpstream fake = new FakeUpstream(settings, new ExecutionLedger());
+        fake.faults(new FakeFaults(
+                arguments.getLong("delay_ms"),
+                arguments.getInt("error_status"),
+                arguments.getBoolean("stall"),
+                arguments.getBoolean("draining"),
+                arguments.get("response")));
+        System.out.println("started kind=" + arguments.getString("kind") + " address=" + LOOPBACK + ":"
+                + fake.address().getPort());
         new CountDownLatch(1).await();
         return ExitCode.SUCCESS;
     }
