--- /dev/null
+++ b/library/src/main/java/org/copperspindle/limits/EntryPolicy.java
@@ -0,0 +1,96 @@
+package org.copperspindle.limits;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+import org.copperspindle.config.Deployment;
+import org.copperspindle.config.StageSettings;
+import org.copperspindle.pipeline.PipelineRequest;
+import org.copperspindle.routing.RoutingRequest;
+import org.copperspindle.routing.UpstreamView;
+
+/**
+ * Every choice that one entry makes under load and faults: what it takes on, where attempts go, when they are given up
+ * and repeated. Owned by the entry's decision ring; touches neither network nor clock.
+ */
+public interface EntryPolicy {
+
+    /**
+     * Puts a deployment in force.
+     *
+     * @param deployment the deployment
+     */
+    void configure(Deployment deployment);
+
+    /**
+     * Decides whether a request is taken on. One that is must be given back with {@link #release}.
+     *
+     * @param request the request
+     * @param now     nanoseconds of the timer service
+     * @return empty if it is admitted, else when the caller may come back
+     */
+    Optional<Duration> refuse(PipelineRequest request, long now);
+
+    /**
+     * Gives an admitted request back.
+     *
+     * @param request the request
+     */
+    void release(PipelineRequest request);
+
+    /**
+     * Chooses an upstream for one attempt.
+     *
+     * @param request request that it is made for
+     * @param routing what the attempt needs
+     * @param now     nanoseconds of the timer service
+     * @return the choice, empty if none may be used now
+     */
+    Optional<UpstreamView> choose(PipelineRequest request, RoutingRequest routing, long now);
+
+    /**
+     * Notes that an attempt was dispatched.
+     *
+     * @param request request that it is made for
+     * @param stage   stage that it runs
+     * @param view    its upstream
+     * @param now     nanoseconds of the timer service
+     */
+    void dispatched(PipelineRequest request, StageSettings stage, UpstreamView view, long now);
+
+    /**
+     * Notes that an attempt ended.
+     *
+     * @param report how
+     * @param now    nanoseconds of the timer service
+     */
+    void ended(AttemptReport report, long now);
+
+    /**
+     * Returns when an attempt is to be looked at again if it has no outcome by then.
+     *
+     * @param request request that it is made for
+     * @param stage   stage that it runs
+     * @param now     nanoseconds of the timer service
+     * @return nanoseconds from now, empty if only the request's deadline ends it
+     */
+    OptionalLong attemptTimeout(PipelineRequest request, StageSettings stage, long now);
+
+    /**
+     * Says whether an attempt that reached its timeout is given up. Asked before {@link #mayRetry}, spends nothing.
+     *
+     * @param request request that it is made for
+     * @param stage   stage that it runs
+     * @return false if it is better to go on waiting
+     */
+    boolean mayAbandon(PipelineRequest request, StageSettings stage);
+
+    /**
+     * Asks for one attempt more than the first of its stage.
+     *
+     * @param request request that it is made for
+     * @return false if the budget is spent
+     */
+    boolean mayRetry(PipelineRequest request);
+}
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/replay/ReplayEntry.java
@@ -0,0 +1,331 @@
+package org.copperspindle.replay;
+
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+
+import org.copperspindle.agent.AttemptOrderMessage;
+import org.copperspindle.agent.AttemptOutcomeMessage;
+import org.copperspindle.claims.ClaimReplyMessage;
+import org.copperspindle.claims.ClaimResult;
+import org.copperspindle.config.AccountSettings;
+import org.copperspindle.config.Deployment;
+import org.copperspindle.config.PipelineSettings;
+import org.copperspindle.config.PoolKind;
+import org.copperspindle.config.Priority;
+import org.copperspindle.config.StageSettings;
+import org.copperspindle.limits.AttemptEnd;
+import org.copperspindle.limits.AttemptReport;
+import org.copperspindle.limits.EntryPolicy;
+import org.copperspindle.limits.EntryPolicyFactory;
+import org.copperspindle.limits.PolicyKind;
+import org.copperspindle.membership.ControlUpdateMessage;
+import org.copperspindle.membership.UpstreamAnnouncement;
+import org.copperspindle.pipeline.PipelineAction;
+import org.copperspindle.pipeline.PipelineAnswer;
+import org.copperspindle.pipeline.PipelineRequest;
+import org.copperspindle.pipeline.PipelineRun;
+import org.copperspindle.pipeline.StageContext;
+import org.copperspindle.pipeline.UpstreamChooser;
+import org.copperspindle.routing.FleetView;
+import org.copperspindle.routing.PrefixAffinity;
+import org.copperspindle.routing.RoutingRequest;
+import org.copperspindle.routing.UpstreamView;
+import org.copperspindle.time.TimerSubscription;
+import org.copperspindle.time.VirtualTimerService;
+import org.copperspindle.verdict.NotRunVerdict;
+
+/**
+ * One entry of a replay: carries out the actions of {@link PipelineRun}s on upstream models in virtual time, as the
+ * entry role does on agents.
+ */
+final class ReplayEntry {
+
+    private static final long SAME_DOMAIN_NANOS = 250_000;
+    private static final long OTHER_DOMAIN_NANOS = 500_000;
+    private static final long CLAIM_NANOS = 2_000_000;
+    private static final int MAX_IN_PROGRESS = 4096;
+    private static final int PREFIX_REPEATS = 64;
+    private static final int SERVER_ERROR = 500;
+
+    private final String name;
+    private final String failureDomain;
+    private final Deployment deployment;
+    private final VirtualTimerService timers;
+    private final ReplayFleet models;
+    private final ReplayTally tally;
+    private final FleetView fleet = new FleetView();
+    private final EntryPolicy policy;
+    private final Map<String, OpenAttempt> attempts = new HashMap<>();
+    private long nextRequest;
+
+    ReplayEntry(
+            int index,
+            Deployment deployment,
+            VirtualTimerService timers,
+            ReplayFleet models,
+            PolicyKind kind,
+            ReplayTally tally) {
+        this.name = "e" + index;
+        this.failureDomain = deployment
+                .failureDomains()
+                .get(index % deployment.failureDomains().size());
+        this.deployment = deployment;
+        this.timers = timers;
+        this.models = models;
+        this.tally = tally;
+        this.policy = EntryPolicyFactory.of(kind, fleet, MAX_IN_PROGRESS);
+        policy.configure(deployment);
+    }
+
+    void onUpdate(ControlUpdateMessage update) {
+        fleet.update(update);
+    }
+
+    void onLoad(String upstreamId, int inFlight) {
+        fleet.upstream(upstreamId).ifPresent(view -> view.reported(inFlight));
+    }
+
+    /** Takes a request of the trace. */
+    void arrive(TraceRequest traced) {
+        String requestId = name + "-" + nextRequest++;
+        tally.arrived(requestId, traced);
+        long now = timers.nanoTime();
+        PipelineRequest request = request(requestId, traced, now);
+        Optional<java.time.Duration> refusal = policy.refuse(request, now);
+        if (refusal.isPresent()) {
+            tally.answered(requestId, false, "refused", now);
+            return;
+        }
+        OpenRequest open = new OpenRequest(request, traced);
+        open.run = new PipelineRun(request, new Chooser(open));
+        open.deadline = timers.schedule(traced.deadlineNanos(), () -> perform(open, open.run.onDeadline()));
+        perform(open, open.run.start(now));
+    }
+
+    private PipelineRequest request(String requestId, TraceRequest traced, long now) {
+        AccountSettings account = deployment.accounts().get(traced.account());
+        PipelineSettings pipeline = deployment.pipelines().get(traced.pipeline());
+        Priority priority =
+                traced.priority().ordinal() < account.highest().ordinal() ? account.highest() : traced.priority();
+        String input = traced.prefix() == 0 ? requestId : (traced.prefix() + " ").repeat(PREFIX_REPEATS) + requestId;
+        byte[] body = ("{\"input\":\"" + input + "\"}").getBytes(StandardCharsets.UTF_8);
+        return new PipelineRequest(
+                requestId,
+                account,
+                requestId,
+                pipeline,
+                body,
+                new byte[0],
+                priority,
+                now + traced.deadlineNanos(),
+                false);
+    }
+
+    private void perform(OpenRequest open, List<PipelineAction> actions) {
+        actions.forEach(action -> perform(open, action));
+    }
+
+    private void perform(OpenRequest open, PipelineAction action) {
+        if (action instanceof PipelineAction.Dispatch dispatch) {
+            dispatch(open, dispatch.order());
+        } else if (action instanceof PipelineAction.Claim claim) {
+            // Keys of a trace are all new, so a claim costs its delay and is granted.
+            ClaimReplyMessage granted = new ClaimReplyMessage(
+                    0, ClaimResult.GRANTED.name(), claim.request().attemptId(), "");
+            timers.schedule(CLAIM_NANOS, () -> perform(open, open.run.onClaim(granted, timers.nanoTime())));
+        } else if (action instanceof PipelineAction.Cancel cancel) {
+            cancel(cancel.attemptId(), cancel.upstreamId());
+        } else if (action instanceof PipelineAction.Answer answer) {
+            answer(open, answer.answer());
+        }
+    }
+
+    private void dispatch(OpenRequest open, AttemptOrderMessage order) {
+        long now = timers.nanoTime();
+        StageSettings stage = open.run.stage();
+        Optional<UpstreamView> found = fleet.upstream(order.upstreamId());
+        if (found.isEmpty()) {
+            perform(open, open.run.onOutcome(notSent(order.attemptId()), now));
+            return;
+        }
+        UpstreamView view = found.get();
+        tally.attempted(order.attemptId().endsWith("/1"));
+        policy.dispatched(open.request, stage, view, now);
+        OpenAttempt attempt = new OpenAttempt(open, stage, view, order.attemptId(), now);
+        attempts.put(order.attemptId(), attempt);
+        OptionalLong timeout = policy.attemptTimeout(open.request, stage, now);
+        if (timeout.isPresent()) {
+            attempt.timeout = timers.schedule(timeout.getAsLong(), () -> timedOut(attempt));
+        }
+        UpstreamModel model = models.model(order.upstreamId());
+        long work = open.traced.workNanos().get(stage.name());
+        long delay = delay(model);
+        timers.schedule(
+                delay, () -> model.order(order, work, open.traced.prefix(), new NetworkListener(attempt, delay)));
+    }
+
+    private void timedOut(OpenAttempt attempt) {
+        if (!policy.mayAbandon(attempt.open.request, attempt.stage)) {
+            return;
+        }
+        end(attempt, AttemptEnd.TIMED_OUT, -1);
+        cancel(attempt.id, attempt.view.announcement().upstreamId());
+        perform(attempt.open, attempt.open.run.onLost("attempt-timeout", timers.nanoTime()));
+    }
+
+    private void cancel(String attemptId, String upstreamId) {
+        UpstreamModel model = models.model(upstreamId);
+        timers.schedule(delay(model), () -> model.cancel(attemptId));
+    }
+
+    private void onOutcome(OpenAttempt attempt, AttemptOutcomeMessage outcome, double cost) {
+        if (attempts.get(attempt.id) != attempt) {
+            return;
+        }
+        boolean failed = outcome.status() >= SERVER_ERROR;
+        end(attempt, failed ? AttemptEnd.FAILED : AttemptEnd.SUCCEEDED, outcome.inFlight());
+        tally.used(attempt.open.request.requestId(), failed ? 0 : cost);
+        perform(attempt.open, attempt.open.run.onOutcome(outcome, timers.nanoTime()));
+    }
+
+    private void onLost(OpenAttempt attempt) {
+        if (attempts.get(attempt.id) == attempt) {
+            end(attempt, AttemptEnd.LOST, -1);
+            perform(attempt.open, attempt.open.run.onLost("agent-connection-lost", timers.nanoTime()));
+        }
+    }
+
+    private void onNotSent(OpenAttempt attempt) {
+        if (attempts.get(attempt.id) == attempt) {
+            end(attempt, AttemptEnd.REFUSED, -1);
+            perform(attempt.open, attempt.open.run.onOutcome(notSent(attempt.id), timers.nanoTime()));
+        }
+    }
+
+    private void end(OpenAttempt attempt, AttemptEnd how, int inFlight) {
+        attempts.remove(attempt.id);
+        attempt.timeout.cancel();
+        long now = timers.nanoTime();
+        policy.ended(
+                new AttemptReport(
+                        attempt.open.request, attempt.stage, attempt.view, how, now - attempt.since, inFlight),
+                now);
+    }
+
+    private void answer(OpenRequest open, PipelineAnswer answer) {
+        open.deadline.cancel();
+        tally.answered(
+                open.request.requestId(), answer.successful(), answer.verdict().reason(), timers.nanoTime());
+        OpenAttempt attempt = attempts.get(open.run.attemptId());
+        if (attempt != null) {
+            end(attempt, AttemptEnd.WITHDRAWN, -1);
+        }
+        policy.release(open.request);
+    }
+
+    private long delay(UpstreamModel model) {
+        return model.failureDomain().equals(failureDomain) ? SAME_DOMAIN_NANOS : OTHER_DOMAIN_NANOS;
+    }
+
+    private static AttemptOutcomeMessage notSent(String attemptId) {
+        return new AttemptOutcomeMessage(
+                attemptId, new NotRunVerdict("not-sent"), 0, "", new byte[0], false, 0, 0, -1, -1);
+    }
+
+    /** Brings an attempt's end back over the network. */
+    private final class NetworkListener implements UpstreamModel.AttemptListener {
+        private final OpenAttempt attempt;
+        private final long delay;
+
+        private NetworkListener(OpenAttempt attempt, long delay) {
+            this.attempt = attempt;
+            this.delay = delay;
+        }
+
+        @Override
+        public void onOutcome(AttemptOutcomeMessage outcome, double cost) {
+            timers.schedule(delay, () -> ReplayEntry.this.onOutcome(attempt, outcome, cost));
+        }
+
+        @Override
+        public void onLost() {
+            timers.schedule(delay, () -> ReplayEntry.this.onLost(attempt));
+        }
+
+        @Override
+        public void onNotSent() {
+            timers.schedule(delay, () -> ReplayEntry.this.onNotSent(attempt));
+        }
+    }
+
+    /** What one run asks of this entry. */
+    private final class Chooser implements UpstreamChooser {
+        private final OpenRequest open;
+
+        private Chooser(OpenRequest open) {
+            this.open = open;
+        }
+
+        @Override
+        public Optional<UpstreamAnnouncement> choose(StageSettings stage, StageContext context, Set<String> tried) {
+            RoutingRequest routing = new RoutingRequest(
+                    deployment.pools().get(stage.pool()),
+                    stage,
+                    failureDomain,
+                    open.traced.prefix() == 0 ? 0 : PrefixAffinity.hash(context.input()),
+                    tried);
+            return policy.choose(open.request, routing, timers.nanoTime()).map(UpstreamView::announcement);
+        }
+
+        @Override
+        public PoolKind kind(String pool) {
+            return deployment.pools().get(pool).kind();
+        }
+
+        @Override
+        public boolean mayRetry(PipelineRequest request) {
+            return policy.mayRetry(request);
+        }
+
+        @Override
+        public long configVersion() {
+            return 1;
+        }
+    }
+
+    /** One request in progress. */
+    private static final class OpenRequest {
+        private final PipelineRequest request;
+        private final TraceRequest traced;
+        private PipelineRun run;
+        private TimerSubscription deadline = () -> {};
+
+        private OpenRequest(PipelineRequest request, TraceRequest traced) {
+            this.request = request;
+            this.traced = traced;
+        }
+    }
+
+    /** One attempt in progress. */
+    private static final class OpenAttempt {
+        private final OpenRequest open;
+        private final StageSettings stage;
+        private final UpstreamView view;
+        private final String id;
+        private final long since;
+        private TimerSubscription timeout = () -> {};
+
+        private OpenAttempt(OpenRequest open, StageSettings stage, UpstreamView view, String id, long since) {
+            this.open = open;
+            this.stage = stage;
+            this.view = view;
+            this.id = id;
+            this.since = since;
+        }
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/replay/ReplayReport.java
@@ -0,0 +1,107 @@
+package org.copperspindle.replay;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+
+import org.copperspindle.config.Deployment;
+import org.copperspindle.limits.PolicyKind;
+
+/**
+ * Words the comparison of a policy with the baseline. Lines are {@code key=value}, the same bytes for the same replay.
+ */
+public final class ReplayReport {
+
+    private final Trace trace;
+    private final ReplayResult result;
+    private final ReplayResult baseline;
+    private final List<String> unmet = new ArrayList<>();
+    private final StringBuilder text = new StringBuilder();
+
+    private ReplayReport(Trace trace, ReplayResult result, ReplayResult baseline) {
+        this.trace = trace;
+        this.result = result;
+        this.baseline = baseline;
+    }
+
+    /**
+     * Replays a trace under a policy and under the baseline, and checks the stated outcomes.
+     *
+     * @param trace      the trace
+     * @param deployment deployment to replay it with
+     * @param kind       policy to judge
+     * @return the report
+     */
+    public static ReplayReport of(Trace trace, Deployment deployment, PolicyKind kind) {
+        ReplayResult baseline = Replay.run(trace, deployment, PolicyKind.BASELINE);
+        ReplayResult result = kind == PolicyKind.BASELINE ? baseline : Replay.run(trace, deployment, kind);
+        ReplayReport report = new ReplayReport(trace, result, baseline);
+        report.write();
+        return report;
+    }
+
+    /**
+     * Returns the stated outcomes that were not met.
+     *
+     * @return their labels with what was measured
+     */
+    public List<String> unmet() {
+        return List.copyOf(unmet);
+    }
+
+    /**
+     * Returns the report.
+     *
+     * @return lines of text
+     */
+    public String text() {
+        return text.toString();
+    }
+
+    private void write() {
+        line("trace=%s seed=%d requests=%d policy=%s", trace.name(), trace.seed(), result.arrivals(), name(result));
+        attainment(
+                "pipeline", result.attainmentBy(TraceRequest::pipeline), baseline.attainmentBy(TraceRequest::pipeline));
+        attainment("priority", lower(result), lower(baseline));
+        attainment("account", result.attainmentBy(TraceRequest::account), baseline.attainmentBy(TraceRequest::account));
+        line("attainment all value=%.4f baseline=%.4f", result.attainment(r -> true), baseline.attainment(r -> true));
+        new TreeMap<>(result.costByPool())
+                .forEach((pool, cost) -> line(
+                        "cost stage=%s value=%.4f baseline=%.4f",
+                        pool, cost, baseline.costByPool().getOrDefault(pool, 0.0)));
+        line("cost per-attained value=%.6f baseline=%.6f", result.costPerAttained(), baseline.costPerAttained());
+        line("wasted value=%.4f baseline=%.4f", result.wasted(), baseline.wasted());
+        line("extra-attempts value=%.4f baseline=%.4f", result.extraAttempts(), baseline.extraAttempts());
+        result.misses().forEach((reason, count) -> line("missed reason=%s count=%d", reason, count));
+        trace.outcomes().forEach(this::check);
+    }
+
+    private void attainment(String property, Map<String, Double> values, Map<String, Double> baselines) {
+        values.forEach((key, value) ->
+                line("attainment %s=%s value=%.4f baseline=%.4f", property, key, value, baselines.get(key)));
+    }
+
+    private void check(TraceOutcome outcome) {
+        double value = result.measure(outcome, baseline);
+        boolean met = outcome.met(value);
+        String words = String.format(Locale.ROOT, "%s measured %.4f", outcome.label(), value);
+        line("outcome %s: %s", met ? "met" : "NOT MET", words);
+        if (!met) {
+            unmet.add(words);
+        }
+    }
+
+    private static Map<String, Double> lower(ReplayResult result) {
+        return result.attainmentBy(request -> request.priority().name().toLowerCase(Locale.ROOT));
+    }
+
+    private static String name(ReplayResult result) {
+        return result.kind().name().toLowerCase(Locale.ROOT);
+    }
+
+    private void line(String format, Object... arguments) {
+        text.append(String.format(Locale.ROOT, format, arguments)).append('\n');
+    }
+}
--- a/library/src/main/java/org/copperspindle/routing/LeastLoadRoutingPolicy.java
+++ b/library/src/main/java/org/copperspindle/routing/LeastLoadRoutingPolicy.java
@@ -23,7 +23,6 @@
         if (view.announcement().draining() || view.load() >= request.pool().concurrency()) {
             return false;
         }
-        String model = request.stage().model();
-        return model.isEmpty() || view.announcement().models().contains(model);
+        return view.serves(request.stage().model());
     }
 }
--- a/library/src/main/java/org/copperspindle/routing/UpstreamView.java
+++ b/library/src/main/java/org/copperspindle/routing/UpstreamView.java
@@ -40,6 +40,16 @@
         }
     }
 
+    /**
+     * Says whether the upstream serves a model.
+     *
+     * @param model the model; empty for plain services
+     * @return true if it may be asked for it
+     */
+    public boolean serves(String model) {
+        return model.isEmpty() || announcement.models().contains(model);
+    }
+
     /** Notes that this entry dispatched an attempt there. */
     public void dispatched() {
         ownInFlight++;
