--- a/library/src/test/java/org/copperspindle/replay/ReplayTest.java
+++ b/library/src/test/java/org/copperspindle/replay/ReplayTest.java
@@ -22,8 +22,8 @@
     private static final String HEAD = "{\"kind\":\"trace\",\"version\":1,\"name\":\"t\",\"seed\":7,\"entries\":2}\n";
     private static final String LOAD = "{\"kind\":\"load\",\"from_s\":0,\"to_s\":5,\"per_s\":30,\"account\":\"shop\","
             + "\"pipeline\":\"write\",\"prefixes\":9,\"work_ms\":{\"generate\":200}}\n";
-    private static final String STALL = "{\"kind\":\"fault\",\"from_s\":1,\"to_s\":3,\"effect\":\"stall\","
-            + "\"pool\":\"engines\",\"count\":1}\n";
+    private static final String STALL =
+            "{\"kind\":\"fault\",\"from_s\":1,\"to_s\":3,\"effect\":\"stall\"," + "\"pool\":\"engines\",\"count\":1}\n";
 
     @TempDir
     Path folder;
@@ -35,7 +35,8 @@
 
         String first = ReplayReport.of(trace, deployment(), kind).text();
 
-        assertThat(ReplayReport.of(read(HEAD + LOAD + STALL), deployment(), kind).text())
+        assertThat(ReplayReport.of(read(HEAD + LOAD + STALL), deployment(), kind)
+                        .text())
                 .isEqualTo(first);
         assertThat(ReplayReport.of(read(HEAD.replace(":7", ":8") + LOAD + STALL), deployment(), kind)
                         .text())
@@ -57,7 +58,8 @@
     void everyArrivalIsAnsweredOnceAndCostsAreNotNegative() throws Exception {
         ReplayResult result = Replay.run(read(HEAD + LOAD + STALL), deployment(), PolicyKind.BASELINE);
 
-        int missed = result.misses().values().stream().mapToInt(Integer::intValue).sum();
+        int missed =
+                result.misses().values().stream().mapToInt(Integer::intValue).sum();
         assertThat(Math.round(result.attainment(r -> true) * result.arrivals()) + missed)
                 .isEqualTo(result.arrivals());
         assertThat(result.costPerAttained()).isPositive();
@@ -65,10 +67,7 @@
     }
 
     @ParameterizedTest
-    @CsvSource(
-            delimiter = '|',
-            textBlock =
-                    """
+    @CsvSource(delimiter = '|', textBlock = """
             {"kind":"trace","version":2}                                                       | :1: this build reads version 1
             {"kind":"load"}                                                                    | :1: the first line
             {"kind":"trace","version":1,"name":"t"}~{"kind":"rain"}                            | :2: unknown kind 'rain'
