--- a/tools/src/main/java/org/copperspindle/cli/Copperspindle.java
+++ b/tools/src/main/java/org/copperspindle/cli/Copperspindle.java
@@ -17,7 +17,6 @@
  */
 public final class Copperspindle {
 
-    private static final List<Command> COMMANDS =
     private static final List<Command> COMMANDS = List.of(
             new RunCommand(), //
             new ApplyCommand(),
