--- a/library/src/main/java/org/copperspindle/agent/AgentService.java
+++ b/library/src/main/java/org/copperspindle/agent/AgentService.java
@@ -1,48 +1,58 @@
 package org.copperspindle.agent;
 
-import java.io.ByteArrayOutputStream;
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.copperspindle.config.Deployment;
+import org.copperspindle.config.DeploymentLoader;
 import org.copperspindle.core.DecisionRing;
 import org.copperspindle.membership.ControlLink;
 import org.copperspindle.membership.ControlLinkListener;
 import org.copperspindle.membership.ControlUpdateMessage;
 import org.copperspindle.membership.LeaseRequestMessage;
 import org.copperspindle.membership.UpstreamAnnouncement;
+import org.copperspindle.settings.SettingsException;
 import org.copperspindle.time.TimerService;
 import org.copperspindle.time.TimerSubscription;
-import org.copperspindle.verdict.MayHaveRunVerdict;
-import org.copperspindle.verdict.NotRunVerdict;
-import org.copperspindle.verdict.RanVerdict;
-import org.copperspindle.verdict.Verdict;
 import org.copperspindle.wire.Peer;
 import org.copperspindle.wire.PeerListener;
 import org.copperspindle.wire.WireMessage;
 import org.copperspindle.wire.WireTransport;
 
 /**
- * The agent of one upstream. Runs each attempt at most once, keeps its outcome, refuses new work while draining.
+ * The agent of one upstream: carries out what its {@link AttemptTable} decides, announces the upstream, and tells
+ * entries its load. Runs on the decision ring.
  */
 public final class AgentService implements PeerListener, ControlLinkListener {
 
     private static final Logger LOGGER = LogManager.getLogger(AgentService.class);
-    private static final int MAX_ATTEMPTS_KEPT = 4096;
 
     private final DecisionRing ring;
     private final TimerService timers;
     private final AgentSettings settings;
     private final InetSocketAddress address;
     private final long incarnation;
+    private final long clockOrigin;
     private final UpstreamClient client;
+    private final AttemptRunner runner;
+    private final UpstreamProbe probe;
+    private final UpstreamHealth health = new UpstreamHealth();
+    private final UpstreamLoad load = new UpstreamLoad();
+    private final LoadReporter reporter = new LoadReporter();
     private final ControlLink control;
-    private final AttemptTable attempts = new AttemptTable(MAX_ATTEMPTS_KEPT);
+    private final AttemptTable attempts;
     private long sequence = 1;
     private long configVersion;
     private boolean draining;
+    private boolean stopped;
+    private boolean waitingForAcks;
+    private Optional<Runnable> whenIdle = Optional.empty();
+    private long tickAt = Long.MAX_VALUE;
+    private TimerSubscription tick = () -> {};
 
     /**
      * Creates an agent.
@@ -68,32 +78,49 @@
         this.settings = settings;
         this.address = address;
         this.incarnation = incarnation;
-        this.client = new UpstreamClient(settings.upstream());
+        this.clockOrigin = timers.nanoTime();
+        this.attempts = new AttemptTable(settings.upstreamId(), incarnation, settings.limits());
+        this.client = new UpstreamClient(
+                settings.upstream(), settings.limits().concurrency());
+        this.runner = new AttemptRunner(
+                ring, timers, client, settings.refusalStatuses(), settings.limits().maxResponse(), this::ended);
+        this.probe = new UpstreamProbe(
+                ring, timers, client, settings.healthPath(), settings.healthInterval(), this::probed);
         this.control = new ControlLink(ring, timers, transport, controls, settings.renew(), this::leaseRequest, this);
     }
 
-    /** Announces the upstream. */
+    /** Looks for the upstream and announces it. */
     public void start() {
+        perform(attempts.onRefusing(health.refusal(), clock()));
+        probe.start();
         control.start();
+        timers.schedule(settings.reportInterval().toNanos(), this::reportLoad);
     }
 
     /**
-     * Refuses new work from now on, announces that the upstream leaves, and reports when work in progress has ended.
+     * Refuses new work and what waits from now on, announces that the upstream leaves, and reports when nothing is in
+     * progress and every outcome is acknowledged, or the wait for that is over.
      *
-     * @param done run once nothing is in progress
+     * @param done run at the end
      */
     public void drain(Runnable done) {
         if (!draining) {
             draining = true;
-            sequence++;
-            control.renewNow();
-            LOGGER.info("event=draining upstream={} running={}", settings.upstreamId(), attempts.running());
+            LOGGER.info(
+                    "event=draining upstream={} running={} waiting={}",
+                    settings.upstreamId(),
+                    attempts.running(),
+                    attempts.waiting());
+            refusalChanged();
         }
-        awaitIdle(done);
+        whenIdle = Optional.of(done);
+        leaveIfIdle();
     }
 
     /** Gives the lease back. */
     public void stop() {
+        stopped = true;
+        probe.stop();
         control.send(new LeaseRequestMessage(configVersion, 0, new byte[0], true));
         control.stop();
     }
@@ -121,10 +148,20 @@
 
     @Override
     public void onUpdate(ControlUpdateMessage update) {
-        if (update.configVersion() > configVersion) {
-            configVersion = update.configVersion();
-            control.renewNow();
+        if (update.configVersion() <= configVersion) {
+            return;
+        }
+        try {
+            Deployment deployment =
+                    DeploymentLoader.parse("version " + update.configVersion(), update.configText());
+            perform(attempts.onConfiguration(concurrency(deployment), longestDeadline(deployment), clock()));
+        } catch (SettingsException e) {
+            // Control checks before it accepts, so this build is older than the configuration.
+            LOGGER.error("event=config-unreadable version={}", update.configVersion(), e);
+            return;
         }
+        configVersion = update.configVersion();
+        control.renewNow();
     }
 
     @Override
@@ -146,151 +183,169 @@
                 incarnation,
                 sequence,
                 settings.models(),
-                draining);
+                attempts.refusing());
         return new LeaseRequestMessage(configVersion, 0, UpstreamAnnouncement.CODEC.encode(announcement), false);
     }
 
     private void receive(Peer peer, WireMessage message) {
+        long now = clock();
         if (message instanceof AttemptOrderMessage order) {
-            receiveOrder(peer, order);
+            perform(attempts.onOrder(order, peer, now));
+        } else if (message instanceof OutcomeQueryMessage query) {
+            perform(attempts.onQuery(query, peer, now));
         } else if (message instanceof AttemptCancelMessage cancel) {
-            attempts.find(cancel.attemptId()).ifPresent(AttemptTable.Attempt::abort);
+            perform(attempts.onCancel(cancel.attemptId(), now));
         } else if (message instanceof OutcomeAckMessage ack) {
-            attempts.acknowledge(ack.attemptId());
-        } else if (message instanceof OutcomeQueryMessage query) {
-            receiveQuery(peer, query);
+            attempts.onAcknowledge(ack.attemptId());
+            leaveIfIdle();
+        } else if (message instanceof LoadSubscribeMessage) {
+            reporter.subscribe(peer, loadReport());
         }
     }
 
-    private void receiveOrder(Peer peer, AttemptOrderMessage order) {
-        Optional<AttemptTable.Attempt> known = attempts.find(order.attemptId());
-        if (known.isPresent()) {
-            // A doubled order: the outcome is sent again if there is one, and nothing runs.
-            known.get().outcome().ifPresent(peer::send);
-            return;
+    private void ended(ResponseRelay.RelayedResponse response) {
+        long now = clock();
+        load.onResponse(response.load(), now);
+        if (response.neverConnected()) {
+            probed(UpstreamHealth.ProbeResult.SILENT);
         }
-        Optional<String> refusal = refusal(order);
-        if (refusal.isPresent()) {
-            LOGGER.info(
-                    "event=attempt-refused request={} attempt={} reason={}",
-                    order.requestId(),
-                    order.attemptId(),
-                    refusal.get());
-            peer.send(attempts.refuse(order.attemptId(), refusal.get(), attempts.running()));
-            return;
-        }
-        run(peer, order);
+        perform(attempts.onEnded(response.outcome(), response.passedOn(), now));
+        LOGGER.debug(
+                "event=attempt-ended attempt={} verdict={} reason=\"{}\" status={}",
+                response.outcome().attemptId(),
+                response.outcome().verdict().label(),
+                response.outcome().verdict().reason(),
+                response.outcome().status());
+        leaveIfIdle();
     }
 
-    private Optional<String> refusal(AttemptOrderMessage order) {
-        if (draining) {
-            return Optional.of("draining");
+    private void probed(UpstreamHealth.ProbeResult result) {
+        if (health.onProbe(result)) {
+            LOGGER.info("event=upstream-health upstream={} state={}", settings.upstreamId(), health.state());
+            refusalChanged();
         }
-        if (!order.upstreamId().equals(settings.upstreamId())) {
-            return Optional.of("other-upstream");
+    }
+
+    private void refusalChanged() {
+        Optional<String> refusal = draining ? Optional.of("draining") : health.refusal();
+        boolean before = attempts.refusing();
+        perform(attempts.onRefusing(refusal, clock()));
+        if (draining || before != attempts.refusing()) {
+            // Entries connected here hear it at once, the others through control.
+            sequence++;
+            reporter.announce(loadReport());
+            control.renewNow();
         }
-        if (order.agentIncarnation() != incarnation) {
-            // The order was meant for an earlier life, whose table of attempts is gone.
-            return Optional.of("other-incarnation");
+    }
+
+    private void perform(List<AgentAction> actions) {
+        for (AgentAction action : actions) {
+            if (action instanceof AgentAction.Start start) {
+                LOGGER.debug(
+                        "event=attempt-started request={} attempt={}",
+                        start.order().requestId(),
+                        start.order().attemptId());
+                runner.start(start.order(), start.from());
+            } else if (action instanceof AgentAction.Send send) {
+                send(send);
+            } else if (action instanceof AgentAction.Abort abort) {
+                LOGGER.info("event=attempt-aborted attempt={} reason={}", abort.attemptId(), abort.reason());
+                runner.abort(abort.attemptId(), abort.reason());
+            }
         }
-        if (order.timeLeftMicros() <= 0) {
-            return Optional.of("deadline");
+        rearm();
+    }
+
+    private void send(AgentAction.Send send) {
+        AttemptOutcomeMessage outcome = send.outcome();
+        if (outcome.status() == 0) {
+            LOGGER.info(
+                    "event=attempt-not-answered attempt={} verdict={} reason=\"{}\"",
+                    outcome.attemptId(),
+                    outcome.verdict().label(),
+                    outcome.verdict().reason());
         }
-        return Optional.empty();
+        send.to()
+                .send(outcome.withLoad(attempts.running(), attempts.waiting(), load.value(), load.ageMillis(clock())));
     }
 
-    private void receiveQuery(Peer peer, OutcomeQueryMessage query) {
-        Optional<AttemptTable.Attempt> known = attempts.find(query.attemptId());
-        if (known.isPresent()) {
-            known.get().outcome().ifPresent(peer::send);
+    /** Keeps one timer, at the earliest instant that the table waits for. */
+    private void rearm() {
+        long due = attempts.nextDue().orElse(Long.MAX_VALUE);
+        if (due >= tickAt) {
             return;
         }
-        if (query.agentIncarnation() != 0 && query.agentIncarnation() != incarnation) {
-            peer.send(outcome(query.attemptId(), new MayHaveRunVerdict("agent-restarted"), new Response(), 0));
+        tick.cancel();
+        tickAt = due;
+        tick = timers.schedule((due - clock()) * 1000, () -> {
+            tickAt = Long.MAX_VALUE;
+            perform(attempts.onTick(clock()));
+            leaveIfIdle();
+        });
+    }
+
+    private void reportLoad() {
+        if (stopped) {
             return;
         }
-        peer.send(attempts.refuse(query.attemptId(), "never-arrived", attempts.running()));
+        reporter.report(loadReport());
+        timers.schedule(settings.reportInterval().toNanos(), this::reportLoad);
     }
 
-    private void run(Peer peer, AttemptOrderMessage order) {
-        AttemptTable.Attempt attempt = attempts.start(order);
-        long startedAt = timers.nanoTime();
-        LOGGER.debug("event=attempt-started request={} attempt={}", order.requestId(), order.attemptId());
-        TimerSubscription deadline = timers.schedule(order.timeLeftMicros() * 1000, attempt::abort);
-        UpstreamCall call = new UpstreamCall(order.path(), order.body(), order.requestId(), order.attemptId());
-        Response response = new Response();
-        Runnable abort = client.call(call, new UpstreamResponseListener() {
-            @Override
-            public void onHead(int status, String contentType) {
-                response.status = status;
-                response.contentType = contentType;
-            }
-
-            @Override
-            public void onData(byte[] data) {
-                response.body.writeBytes(data);
-                if (order.streaming()) {
-                    peer.send(new AttemptChunkMessage(order.attemptId(), response.chunks++, data));
-                }
-            }
-
-            @Override
-            public void onEnd() {
-                response.complete = true;
-                end(RanVerdict.SUCCESS);
-            }
+    private LoadReportMessage loadReport() {
+        long now = clock();
+        return new LoadReportMessage(
+                settings.upstreamId(),
+                0,
+                attempts.running(),
+                load.value(),
+                incarnation,
+                now,
+                attempts.waiting(),
+                load.ageMillis(now),
+                attempts.refusing());
+    }
 
-            @Override
-            public void onFailure(boolean sent, String reason) {
-                end(sent ? new MayHaveRunVerdict(reason) : new NotRunVerdict(reason));
-            }
+    private void leaveIfIdle() {
+        if (whenIdle.isEmpty() || attempts.running() > 0) {
+            return;
+        }
+        if (attempts.unacknowledged() == 0) {
+            leave();
+        } else if (!waitingForAcks) {
+            waitingForAcks = true;
+            timers.schedule(settings.limits().drainWait().toNanos(), this::leave);
+        }
+    }
 
-            private void end(Verdict verdict) {
-                ring.execute(() -> {
-                    deadline.cancel();
-                    long busy = (timers.nanoTime() - startedAt) / 1000;
-                    AttemptOutcomeMessage outcome = outcome(order.attemptId(), verdict, response, busy);
-                    attempts.finish(attempt, outcome);
-                    LOGGER.debug(
-                            "event=attempt-ended request={} attempt={} verdict={}",
-                            order.requestId(),
-                            order.attemptId(),
-                            verdict.label());
-                    peer.send(outcome);
-                });
-            }
-        });
-        attempt.abortWith(abort);
+    private void leave() {
+        Optional<Runnable> done = whenIdle;
+        whenIdle = Optional.empty();
+        if (done.isPresent()) {
+            LOGGER.info(
+                    "event=drained upstream={} unacknowledged={}", settings.upstreamId(), attempts.unacknowledged());
+            done.get().run();
+        }
     }
 
-    private AttemptOutcomeMessage outcome(String attemptId, Verdict verdict, Response response, long busyMicros) {
-        return new AttemptOutcomeMessage(
-                attemptId,
-                verdict,
-                response.status,
-                response.contentType,
-                response.body.toByteArray(),
-                response.complete,
-                response.chunks,
-                busyMicros,
-                Math.max(0, attempts.running() - 1),
-                -1);
+    private int concurrency(Deployment deployment) {
+        return deployment
+                .pool(settings.pool())
+                .map(pool -> pool.concurrency())
+                .filter(c -> c > 0)
+                .orElse(settings.limits().concurrency());
     }
 
-    private void awaitIdle(Runnable done) {
-        if (attempts.running() == 0) {
-            done.run();
-            return;
-        }
-        timers.schedule(20_000_000, () -> awaitIdle(done));
+    private static long longestDeadline(Deployment deployment) {
+        return deployment.accounts().values().stream()
+                .map(account -> account.maxDeadline())
+                .max(Duration::compareTo)
+                .map(longest -> longest.toNanos() / 1000)
+                .orElse(0L);
     }
 
-    /** A response being gathered; written by one network thread, read after its end. */
-    private static final class Response {
-        private final ByteArrayOutputStream body = new ByteArrayOutputStream();
-        private int status;
-        private String contentType = "";
-        private boolean complete;
-        private long chunks;
+    /** Reading of this life's clock in microseconds; above 0, because 0 stands for no reading. */
+    private long clock() {
+        return (timers.nanoTime() - clockOrigin) / 1000 + 1;
     }
 }
--- a/library/src/main/java/org/copperspindle/agent/AttemptTable.java
+++ b/library/src/main/java/org/copperspindle/agent/AttemptTable.java
@@ -1,99 +1,428 @@
 package org.copperspindle.agent;
 
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
 import java.util.Iterator;
-import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.PriorityQueue;
+import java.util.Set;
 
+import org.copperspindle.verdict.MayHaveRunVerdict;
 import org.copperspindle.verdict.NotRunVerdict;
+import org.copperspindle.verdict.Verdict;
+import org.copperspindle.wire.Peer;
 
 /**
- * What an agent knows of attempts: running, ended and refused. Safeguard: a delayed or doubled order must not run an
- * attempt again, nor run one that was refused and reported {@code NOT_RUN}; enough, because an attempt id enters the
- * table before its order runs and a refusal is entered before it is sent.
+ * What one life of an agent knows of attempts: a pure state machine. Every event takes the reading of the agent's clock
+ * in microseconds and returns what to do, in order.
+ *
+ * <p>Safeguard: a delayed or doubled order must not run an attempt again, nor one that was reported {@code NOT_RUN}; the
+ * caller would see a doubled install. Enough, because an attempt enters the table before it runs and a refusal before it
+ * is sent; because an order can only be accepted while this agent's own clock is before the instant that the order
+ * names, so that a record is forgotten only when no copy can be accepted any more; and because a record that has to go
+ * earlier raises {@link #floor}, below which every unknown order is refused.
  */
 final class AttemptTable {
 
-    private final Map<String, Attempt> attempts = new LinkedHashMap<>();
-    private final int maxEntries;
+    /** Allowed difference of two monotonic clocks' rates, as for leases. */
+    private static final double CLOCK_DRIFT = 0.01;
+
+    /** Share of the records that refusals of attempts never seen may take: they can't be forgotten early. */
+    private static final int QUERY_SHARE = 4;
+
+    private final String upstreamId;
+    private final long incarnation;
+    private final AgentLimits limits;
+    private final Map<String, AttemptRecord> records = new HashMap<>();
+    private final Set<AttemptRecord> evictable = new LinkedHashSet<>();
+    private final PriorityQueue<Due> dues = new PriorityQueue<>(Comparator.comparingLong(Due::at));
+    private final AttemptQueue queue = new AttemptQueue();
+    private final OutcomeStore outcomes;
+    private Optional<String> refusing = Optional.empty();
+    private int concurrency;
+    private long maxDeadline;
     private int running;
+    private int refusedQueries;
+
+    /** Orders that lapse here or before are refused unless they are known: the latest lapse of an evicted record. */
+    private long floor;
 
-    AttemptTable(int maxEntries) {
-        this.maxEntries = maxEntries;
+    /** Start of the latest repeatable attempt whose record is gone; what was sent by then can't be proven not run. */
+    private long forgottenRepeatable = -1;
+
+    /** The same for unrepeatable attempts, whose records are kept longer. */
+    private long forgottenUnrepeatable = -1;
+
+    /**
+     * Creates an empty table.
+     *
+     * @param upstreamId  the upstream
+     * @param incarnation this life of the agent
+     * @param limits      what it allows and keeps
+     */
+    AttemptTable(String upstreamId, long incarnation, AgentLimits limits) {
+        this.upstreamId = upstreamId;
+        this.incarnation = incarnation;
+        this.limits = limits;
+        this.concurrency = limits.concurrency();
+        this.maxDeadline = limits.maxDeadlineMicros();
+        this.outcomes = new OutcomeStore(limits.keptBytes(), limits.maxResponse());
     }
 
-    Optional<Attempt> find(String attemptId) {
-        return Optional.ofNullable(attempts.get(attemptId));
+    /** An order arrived. */
+    List<AgentAction> onOrder(AttemptOrderMessage order, Peer from, long now) {
+        AttemptRecord known = records.get(order.attemptId());
+        if (known != null) {
+            return follow(known, from);
+        }
+        Optional<Verdict> stale = stale(order, now);
+        if (stale.isPresent()) {
+            return List.of(
+                    new AgentAction.Send(from, AttemptOutcomeMessage.withoutAnswer(order.attemptId(), stale.get())));
+        }
+        List<AgentAction> actions = new ArrayList<>();
+        Optional<String> refusal = refusal(order, now, actions);
+        if (refusal.isPresent()) {
+            actions.add(refuse(order, from, refusal.get(), now));
+            return actions;
+        }
+        AttemptRecord record = AttemptRecord.waiting(order, from, lapse(order));
+        put(record);
+        queue.add(record);
+        startWaiting(now, actions);
+        return actions;
     }
 
-    Attempt start(AttemptOrderMessage order) {
-        Attempt attempt = new Attempt(order.attemptId());
-        attempts.put(order.attemptId(), attempt);
-        running++;
-        return attempt;
+    /** Another connection asks for an outcome. */
+    List<AgentAction> onQuery(OutcomeQueryMessage query, Peer from, long now) {
+        AttemptRecord known = records.get(query.attemptId());
+        if (known != null) {
+            return follow(known, from);
+        }
+        AttemptOutcomeMessage outcome =
+                AttemptOutcomeMessage.withoutAnswer(query.attemptId(), neverArrived(query, now));
+        if (outcome.verdict() instanceof NotRunVerdict) {
+            // Its order may still be under way or even unsent. It names the request's deadline, which is at most this
+            // far away, because the request was admitted before anyone could ask for the attempt.
+            long lapse = now + (long) (maxDeadline * (1 + CLOCK_DRIFT));
+            put(AttemptRecord.refused(query.attemptId(), outcome, lapse));
+            refusedQueries++;
+        }
+        return List.of(new AgentAction.Send(from, outcome));
     }
 
-    AttemptOutcomeMessage refuse(String attemptId, String reason, int inFlight) {
-        Attempt attempt = new Attempt(attemptId);
-        attempt.outcome = new AttemptOutcomeMessage(
-                attemptId, new NotRunVerdict(reason), 0, "", new byte[0], false, 0, 0, inFlight, -1);
-        attempts.put(attemptId, attempt);
-        trim();
-        return attempt.outcome;
+    /** The entry has the outcome. */
+    void onAcknowledge(String attemptId) {
+        AttemptRecord record = records.get(attemptId);
+        if (record != null && record.state() == AttemptRecord.State.ENDED) {
+            outcomes.acknowledge(record);
+            evictable.add(record);
+        }
     }
 
-    void finish(Attempt attempt, AttemptOutcomeMessage outcome) {
-        attempt.outcome = outcome;
+    /** Nobody waits for the attempt any more. Work that may not be repeated goes on once it has started. */
+    List<AgentAction> onCancel(String attemptId, long now) {
+        AttemptRecord record = records.get(attemptId);
+        if (record == null) {
+            return List.of();
+        }
+        List<AgentAction> actions = new ArrayList<>();
+        if (record.state() == AttemptRecord.State.WAITING) {
+            refuseWaiting(record, "cancelled", actions);
+        } else if (record.state() == AttemptRecord.State.RUNNING && record.repeatable() && !record.aborted()) {
+            abort(record, "cancelled", actions);
+        }
+        return actions;
+    }
+
+    /** The call to the upstream ended. A second end of the same attempt changes nothing. */
+    List<AgentAction> onEnded(AttemptOutcomeMessage outcome, boolean allPassedOn, long now) {
+        AttemptRecord record = records.get(outcome.attemptId());
+        if (record == null || record.state() != AttemptRecord.State.RUNNING) {
+            return List.of();
+        }
+        List<AgentAction> actions = new ArrayList<>();
+        for (Peer peer : record.subscribers()) {
+            boolean hasPieces = allPassedOn && peer == record.orderedBy();
+            actions.add(new AgentAction.Send(peer, hasPieces ? outcome.withoutBody() : outcome));
+        }
         running--;
-        trim();
+        long forgetAt = Math.max(record.lapsesAt(), record.expiresAt());
+        if (!record.repeatable()) {
+            forgetAt = Math.max(forgetAt, now + limits.keepMicros());
+            outcomes.release();
+        }
+        record.end(outcome, forgetAt);
+        outcomes.add(record);
+        if (!record.irreplaceable()) {
+            evictable.add(record);
+        }
+        due(record);
+        startWaiting(now, actions);
+        return actions;
+    }
+
+    /** Time passed: ends what is past its deadline and forgets what can't matter any more. */
+    List<AgentAction> onTick(long now) {
+        List<AgentAction> actions = new ArrayList<>();
+        while (!dues.isEmpty() && dues.peek().at() <= now) {
+            Due due = dues.poll();
+            AttemptRecord record = records.get(due.attemptId());
+            if (record != null && record.dueAt() == due.at()) {
+                fallDue(record, now, actions);
+            }
+        }
+        startWaiting(now, actions);
+        return actions;
     }
 
-    void acknowledge(String attemptId) {
-        Attempt attempt = attempts.get(attemptId);
-        if (attempt != null && attempt.outcome != null) {
-            attempt.acknowledged = true;
+    /** Refuses new work and what waits from now on, or takes work again. */
+    List<AgentAction> onRefusing(Optional<String> reason, long now) {
+        refusing = reason;
+        List<AgentAction> actions = new ArrayList<>();
+        if (reason.isPresent()) {
+            for (Optional<AttemptRecord> next = queue.poll(); next.isPresent(); next = queue.poll()) {
+                refuseWaiting(next.get(), reason.get(), actions);
+            }
         }
+        return actions;
+    }
+
+    /**
+     * A configuration came into force. More may start, none is cut off; the longest deadline never shrinks, because
+     * requests admitted under an older version may still be under way.
+     */
+    List<AgentAction> onConfiguration(int attempts, long longestDeadlineMicros, long now) {
+        concurrency = attempts;
+        maxDeadline = Math.max(maxDeadline, longestDeadlineMicros);
+        List<AgentAction> actions = new ArrayList<>();
+        startWaiting(now, actions);
+        return actions;
+    }
+
+    OptionalLong nextDue() {
+        return dues.isEmpty() ? OptionalLong.empty() : OptionalLong.of(dues.peek().at());
     }
 
     int running() {
         return running;
     }
 
-    private void trim() {
-        Iterator<Attempt> oldest = attempts.values().iterator();
-        while (attempts.size() > maxEntries && oldest.hasNext()) {
-            Attempt attempt = oldest.next();
-            if (attempt.outcome != null) {
-                oldest.remove();
+    int waiting() {
+        return queue.size();
+    }
+
+    /** Returns how many answers someone may still ask for. */
+    int unacknowledged() {
+        return outcomes.unacknowledged();
+    }
+
+    int size() {
+        return records.size();
+    }
+
+    long keptBytes() {
+        return outcomes.bytes();
+    }
+
+    boolean refusing() {
+        return refusing.isPresent();
+    }
+
+    /** Judges orders that need no record, because every later copy is judged the same way. */
+    private Optional<Verdict> stale(AttemptOrderMessage order, long now) {
+        if (!order.upstreamId().equals(upstreamId)) {
+            return Optional.of(new NotRunVerdict("other-upstream"));
+        }
+        if (order.agentIncarnation() != incarnation) {
+            // Another copy may have run in that life; an entry does not send such an order in the first place.
+            return Optional.of(new MayHaveRunVerdict("other-incarnation"));
+        }
+        if (order.clockMicros() <= 0) {
+            return Optional.of(new NotRunVerdict("not-stamped"));
+        }
+        if (order.clockMicros() > now) {
+            // Not a reading of this clock. Promises nothing: a copy could look valid later.
+            return Optional.of(new MayHaveRunVerdict("clock-ahead"));
+        }
+        if (now >= order.expiresAtMicros()) {
+            return Optional.of(new NotRunVerdict("deadline"));
+        }
+        if (now >= lapse(order)) {
+            return Optional.of(new NotRunVerdict("delayed"));
+        }
+        return lapse(order) <= floor ? Optional.of(new NotRunVerdict("table-full")) : Optional.empty();
+    }
+
+    /** Last instant at which a copy of the order could be accepted. */
+    private long lapse(AttemptOrderMessage order) {
+        return Math.min(order.expiresAtMicros(), order.clockMicros() + limits.maxClockAgeMicros());
+    }
+
+    private Optional<String> refusal(AttemptOrderMessage order, long now, List<AgentAction> actions) {
+        if (refusing.isPresent()) {
+            return refusing;
+        }
+        if (order.expiresAtMicros() > now + (long) (maxDeadline * (1 + CLOCK_DRIFT))) {
+            return Optional.of("deadline-too-far");
+        }
+        if (!makeRoom()) {
+            return Optional.of("table-full");
+        }
+        boolean mustWait = running >= concurrency;
+        if (mustWait && queue.size() >= limits.queue()) {
+            Optional<AttemptRecord> lower = queue.lowerThan(order.priority());
+            if (lower.isEmpty()) {
+                return Optional.of("queue-full");
             }
+            queue.remove(lower.get());
+            refuseWaiting(lower.get(), "displaced", actions);
         }
+        if (!order.repeatable() && !outcomes.reserve()) {
+            return Optional.of("outcomes-full");
+        }
+        return Optional.empty();
     }
 
-    /** One attempt. */
-    static final class Attempt {
-        private final String attemptId;
-        private AttemptOutcomeMessage outcome;
-        private boolean acknowledged;
-        private Runnable abort = () -> {};
+    private AgentAction refuse(AttemptOrderMessage order, Peer from, String reason, long now) {
+        AttemptOutcomeMessage outcome =
+                AttemptOutcomeMessage.withoutAnswer(order.attemptId(), new NotRunVerdict(reason));
+        if (makeRoom()) {
+            AttemptRecord record = AttemptRecord.refused(order.attemptId(), outcome, lapse(order));
+            put(record);
+            evictable.add(record);
+        } else {
+            floor = Math.max(floor, lapse(order));
+        }
+        return new AgentAction.Send(from, outcome);
+    }
 
-        private Attempt(String attemptId) {
-            this.attemptId = attemptId;
+    private void refuseWaiting(AttemptRecord record, String reason, List<AgentAction> actions) {
+        queue.remove(record);
+        if (!record.repeatable()) {
+            outcomes.release();
         }
+        AttemptOutcomeMessage outcome =
+                AttemptOutcomeMessage.withoutAnswer(record.attemptId(), new NotRunVerdict(reason));
+        record.subscribers().forEach(peer -> actions.add(new AgentAction.Send(peer, outcome)));
+        record.refuse(outcome);
+        evictable.add(record);
+        due(record);
+    }
 
-        String attemptId() {
-            return attemptId;
+    private Verdict neverArrived(OutcomeQueryMessage query, long now) {
+        if (query.agentIncarnation() != incarnation) {
+            return new MayHaveRunVerdict(query.agentIncarnation() == 0 ? "incarnation-unknown" : "agent-restarted");
+        }
+        long forgotten = query.unrepeatable()
+                ? forgottenUnrepeatable
+                : Math.max(forgottenRepeatable, forgottenUnrepeatable);
+        if (query.clockMicros() <= forgotten) {
+            // An attempt dispatched at this reading may have run and been forgotten.
+            return new MayHaveRunVerdict("outcome-forgotten");
+        }
+        if (query.clockMicros() > now) {
+            return new MayHaveRunVerdict("clock-ahead");
+        }
+        if (refusedQueries >= limits.records() / QUERY_SHARE || !makeRoom()) {
+            return new MayHaveRunVerdict("table-full");
         }
+        return new NotRunVerdict("never-arrived");
+    }
 
-        Optional<AttemptOutcomeMessage> outcome() {
-            return Optional.ofNullable(outcome);
+    private List<AgentAction> follow(AttemptRecord known, Peer from) {
+        if (known.outcome().isPresent()) {
+            return List.of(new AgentAction.Send(from, known.outcome().get()));
         }
+        known.subscribe(from);
+        return List.of();
+    }
 
-        void abortWith(Runnable handle) {
-            abort = handle;
+    private void startWaiting(long now, List<AgentAction> actions) {
+        while (running < concurrency) {
+            Optional<AttemptRecord> next = queue.poll();
+            if (next.isEmpty()) {
+                return;
+            }
+            AttemptRecord record = next.get();
+            if (now >= record.expiresAt()) {
+                refuseWaiting(record, "deadline", actions);
+                continue;
+            }
+            running++;
+            actions.add(record.start(now));
+            record.dueAt(cutAt(record));
+            due(record);
         }
+    }
 
-        void abort() {
-            abort.run();
+    /** A late answer of unrepeatable work is still worth having: a resent request is told the truth. */
+    private long cutAt(AttemptRecord record) {
+        return record.repeatable() ? record.expiresAt() : record.expiresAt() + limits.lingerMicros();
+    }
+
+    private void fallDue(AttemptRecord record, long now, List<AgentAction> actions) {
+        switch (record.state()) {
+            case WAITING -> refuseWaiting(record, "deadline", actions);
+            case RUNNING -> abort(record, "deadline", actions);
+            default -> forget(record, now);
+        }
+    }
+
+    private void abort(AttemptRecord record, String reason, List<AgentAction> actions) {
+        record.abort();
+        actions.add(new AgentAction.Abort(record.attemptId(), reason));
+    }
+
+    /** Frees a record if none is free. */
+    private boolean makeRoom() {
+        if (records.size() < limits.records()) {
+            return true;
+        }
+        Iterator<AttemptRecord> oldest = evictable.iterator();
+        if (!oldest.hasNext()) {
+            return false;
+        }
+        AttemptRecord record = oldest.next();
+        floor = Math.max(floor, record.lapsesAt());
+        forget(record, Long.MAX_VALUE);
+        return true;
+    }
+
+    private void forget(AttemptRecord record, long now) {
+        records.remove(record.attemptId());
+        boolean order = evictable.remove(record);
+        if (record.state() == AttemptRecord.State.ENDED) {
+            outcomes.remove(record);
+            noteForgotten(record);
+        } else if (!order) {
+            refusedQueries--;
+        }
+    }
+
+    private void noteForgotten(AttemptRecord record) {
+        if (record.repeatable()) {
+            forgottenRepeatable = Math.max(forgottenRepeatable, record.startedAt());
+        } else {
+            forgottenUnrepeatable = Math.max(forgottenUnrepeatable, record.startedAt());
+        }
+    }
+
+    private void put(AttemptRecord record) {
+        records.put(record.attemptId(), record);
+        due(record);
+    }
+
+    private void due(AttemptRecord record) {
+        if (record.dueAt() < Long.MAX_VALUE) {
+            dues.add(new Due(record.dueAt(), record.attemptId()));
         }
     }
+
+    private record Due(long at, String attemptId) {}
 }
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/agent/LoadSubscribeMessage.java
@@ -0,0 +1,26 @@
+package org.copperspindle.agent;
+
+import org.copperspindle.wire.FieldReader;
+import org.copperspindle.wire.FieldWriter;
+import org.copperspindle.wire.MessageCodec;
+import org.copperspindle.wire.WireMessage;
+
+/**
+ * First message of an entry on a connection to an agent: asks for {@link LoadReportMessage}s, the first one at once.
+ *
+ * @param processId identity of the entry, for logs
+ */
+public record LoadSubscribeMessage(String processId) implements WireMessage {
+
+    /** Codec of this message. */
+    public static final MessageCodec<LoadSubscribeMessage> CODEC =
+            MessageCodec.of(110, LoadSubscribeMessage.class, LoadSubscribeMessage::write, LoadSubscribeMessage::read);
+
+    private void write(FieldWriter out) {
+        out.put(1, processId);
+    }
+
+    private static LoadSubscribeMessage read(FieldReader in) {
+        return new LoadSubscribeMessage(in.getString(1));
+    }
+}
--- a/library/src/main/java/org/copperspindle/agent/OutcomeQueryMessage.java
+++ b/library/src/main/java/org/copperspindle/agent/OutcomeQueryMessage.java
@@ -6,22 +6,37 @@
 import org.copperspindle.wire.WireMessage;
 
 /**
- * Asks an agent for the outcome of an attempt that another entry dispatched. An unknown attempt is refused for good and answered {@code NOT_RUN}.
+ * Asks an agent for the outcome of an attempt that another entry dispatched. The outcome of a running attempt is sent
+ * when it ends. An unknown attempt is refused for good and answered {@code NOT_RUN} if the agent can prove that it never
+ * ran, {@code MAY_HAVE_RUN} otherwise.
  *
  * @param attemptId the attempt
- * @param agentIncarnation life of the agent that the attempt was dispatched to, 0 if not known
+ * @param agentIncarnation life of the agent that the attempt was dispatched to, 0 if not known; proves nothing then
+ * @param clockMicros a reading of that life's clock from before the attempt was dispatched, 0 if not known
+ * @param unrepeatable whether the attempt is known to be unrepeatable; records of those are kept longer
  */
-public record OutcomeQueryMessage(String attemptId, long agentIncarnation) implements WireMessage {
+public record OutcomeQueryMessage(String attemptId, long agentIncarnation, long clockMicros, boolean unrepeatable)
+        implements WireMessage {
 
     /** Codec of this message. */
     public static final MessageCodec<OutcomeQueryMessage> CODEC =
             MessageCodec.of(35, OutcomeQueryMessage.class, OutcomeQueryMessage::write, OutcomeQueryMessage::read);
 
+    /**
+     * Creates a query without a reading of the agent's clock.
+     *
+     * @param attemptId        the attempt
+     * @param agentIncarnation life of the agent that the attempt was dispatched to, 0 if not known
+     */
+    public OutcomeQueryMessage(String attemptId, long agentIncarnation) {
+        this(attemptId, agentIncarnation, 0, false);
+    }
+
     private void write(FieldWriter out) {
-        out.put(1, attemptId).put(2, agentIncarnation);
+        out.put(1, attemptId).put(2, agentIncarnation).put(3, clockMicros).put(4, unrepeatable);
     }
 
     private static OutcomeQueryMessage read(FieldReader in) {
-        return new OutcomeQueryMessage(in.getString(1), in.getLong(2, 0));
+        return new OutcomeQueryMessage(in.getString(1), in.getLong(2, 0), in.getLong(3, 0), in.getBoolean(4));
     }
 }
--- a/library/src/main/java/org/copperspindle/agent/UpstreamCall.java
+++ b/library/src/main/java/org/copperspindle/agent/UpstreamCall.java
@@ -3,9 +3,13 @@
 /**
  * One HTTP call to an upstream.
  *
- * @param path      path and query
- * @param body      JSON body, sent with POST
- * @param requestId request id passed on for the upstream's logs
- * @param attemptId attempt id, passed on as the upstream's idempotency key
+ * @param path        path and query
+ * @param body        JSON body, sent with POST; a call without one is sent with GET
+ * @param requestId   request id passed on for the upstream's logs
+ * @param attemptId   attempt id, passed on as the upstream's idempotency key
+ * @param repeatable  whether the call may be sent on a connection that was used before, and again on a new one if the
+ *                    upstream closed that before it answered
+ * @param maxResponse bytes of the answer at most
  */
-public record UpstreamCall(String path, byte[] body, String requestId, String attemptId) {}
+public record UpstreamCall(
+        String path, byte[] body, String requestId, String attemptId, boolean repeatable, int maxResponse) {}
--- a/library/src/main/java/org/copperspindle/agent/UpstreamClient.java
+++ b/library/src/main/java/org/copperspindle/agent/UpstreamClient.java
@@ -1,150 +1,185 @@
 package org.copperspindle.agent;
 
 import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
-import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObject;
-import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
-import io.netty.handler.codec.http.LastHttpContent;
 
 /**
- * HTTP client of an agent towards its one upstream.
+ * HTTP client of an agent towards its one upstream, with one network thread. Repeatable calls share a bounded number of
+ * kept connections. Safeguard: an unrepeatable call always gets a new connection; on a kept one that the upstream has
+ * just closed it would be lost in a way that can't be told from one that ran.
  */
 public final class UpstreamClient implements AutoCloseable {
 
+    /** Reason of a call that found no connection. */
+    static final String CONNECT_FAILED = "connect-failed";
+
     private static final int CONNECT_TIMEOUT_MILLIS = 500;
+    private static final int IDLE_SECONDS = 10;
 
     private final InetSocketAddress address;
+    private final int maxIdle;
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = group.next();
+    private final Deque<UpstreamConnection> idle = new ArrayDeque<>();
+    private final Owner owner = new Owner();
 
     /**
      * Creates a client.
      *
      * @param address the upstream
+     * @param maxIdle connections that are kept open for later calls at most
      */
-    public UpstreamClient(InetSocketAddress address) {
+    public UpstreamClient(InetSocketAddress address, int maxIdle) {
         this.address = address;
+        this.maxIdle = maxIdle;
     }
 
     /**
-     * Starts a call.
+     * Starts a call. Callable from any thread.
      *
      * @param call     what to send
      * @param listener hears the response
-     * @return a handle that aborts the call by closing its connection
+     * @return aborts the call for the given reason
+     */
+    public Consumer<String> call(UpstreamCall call, UpstreamResponseListener listener) {
+        UpstreamExchange exchange = new UpstreamExchange(call, listener);
+        loop.execute(() -> start(exchange));
+        return reason -> loop.execute(() -> exchange.abort(reason));
+    }
+
+    /**
+     * Opens a connection and closes it again without sending anything.
+     *
+     * @param reached told on the network thread whether it stood
      */
-    public Runnable call(UpstreamCall call, UpstreamResponseListener listener) {
-        ResponseHandler handler = new ResponseHandler(listener);
-        Bootstrap bootstrap = new Bootstrap()
-                .group(group)
+    void connectOnly(Consumer<Boolean> reached) {
+        UpstreamConnection connection = new UpstreamConnection(owner);
+        bootstrap(connection).connect(address).addListener((ChannelFuture done) -> {
+            reached.accept(done.isSuccess());
+            done.channel().close();
+        });
+    }
+
+    /**
+     * Runs a task on the network thread a little later, for work that could not be handed over.
+     *
+     * @param task   the task
+     * @param millis how much later
+     */
+    void later(Runnable task, long millis) {
+        loop.schedule(task, millis, TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void close() {
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+    }
+
+    private void start(UpstreamExchange exchange) {
+        if (exchange.mayUsePooled()) {
+            // The one used last is the least likely to have been closed by the upstream.
+            for (UpstreamConnection kept = idle.pollLast(); kept != null; kept = idle.pollLast()) {
+                if (kept.isOpen()) {
+                    kept.use(exchange, request(exchange.call()));
+                    return;
+                }
+            }
+        }
+        connect(exchange);
+    }
+
+    private void connect(UpstreamExchange exchange) {
+        UpstreamConnection connection = new UpstreamConnection(owner);
+        bootstrap(connection).connect(address).addListener((ChannelFuture done) -> {
+            if (!done.isSuccess()) {
+                exchange.fail(CONNECT_FAILED);
+            } else if (exchange.aborted()) {
+                exchange.fail("aborted");
+                connection.close();
+            } else {
+                connection.use(exchange, request(exchange.call()));
+            }
+        });
+    }
+
+    private Bootstrap bootstrap(UpstreamConnection connection) {
+        return new Bootstrap()
+                .group(loop)
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
-                        channel.pipeline().addLast(new HttpClientCodec(), handler);
+                        channel.pipeline().addLast(new HttpClientCodec(), connection);
                     }
                 });
-        ChannelFuture connecting = bootstrap.connect(address);
-        connecting.addListener(done -> {
-            if (done.isSuccess()) {
-                handler.sent = true;
-                connecting.channel().writeAndFlush(request(call));
-            } else {
-                handler.fail("connect: " + done.cause().getMessage());
-            }
-        });
-        Channel channel = connecting.channel();
-        return channel::close;
     }
 
-    @Override
-    public void close() {
-        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
-    }
-
-    private DefaultFullHttpRequest request(UpstreamCall call) {
+    private FullHttpRequest request(UpstreamCall call) {
+        HttpMethod method = call.body().length == 0 ? HttpMethod.GET : HttpMethod.POST;
         DefaultFullHttpRequest request = new DefaultFullHttpRequest(
-                HttpVersion.HTTP_1_1, HttpMethod.POST, call.path(), Unpooled.wrappedBuffer(call.body()));
+                HttpVersion.HTTP_1_1, method, call.path(), Unpooled.wrappedBuffer(call.body()));
         request.headers()
                 .set(HttpHeaderNames.HOST, address.getHostString() + ":" + address.getPort())
-                .set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON)
-                .set(HttpHeaderNames.CONTENT_LENGTH, call.body().length)
-                .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
                 .set("X-Request-Id", call.requestId())
                 .set("Idempotency-Key", call.attemptId());
+        if (call.body().length > 0) {
+            request.headers()
+                    .set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON)
+                    .set(HttpHeaderNames.CONTENT_LENGTH, call.body().length);
+        }
         return request;
     }
 
-    /** Passes one response on. Ends once, whatever the connection does. */
-    private static final class ResponseHandler extends SimpleChannelInboundHandler<HttpObject> {
-        private final UpstreamResponseListener listener;
-        private volatile boolean sent;
-        private boolean ended;
-
-        private ResponseHandler(UpstreamResponseListener listener) {
-            this.listener = listener;
-        }
+    /** Keeps the idle connections. */
+    private final class Owner implements UpstreamConnection.Owner {
 
         @Override
-        protected void channelRead0(ChannelHandlerContext ctx, HttpObject part) {
-            if (part.decoderResult().isFailure()) {
-                fail("malformed response");
-                ctx.close();
+        public void idle(UpstreamConnection connection) {
+            if (idle.size() >= maxIdle) {
+                connection.close();
                 return;
             }
-            if (part instanceof HttpResponse head) {
-                String type = head.headers().get(HttpHeaderNames.CONTENT_TYPE, "");
-                listener.onHead(head.status().code(), type);
-            }
-            if (part instanceof HttpContent content && content.content().isReadable()) {
-                byte[] data = new byte[content.content().readableBytes()];
-                content.content().readBytes(data);
-                listener.onData(data);
-            }
-            if (part instanceof LastHttpContent && !ended) {
-                ended = true;
-                listener.onEnd();
-                ctx.close();
-            }
+            idle.addLast(connection);
+            loop.schedule(() -> expire(connection), IDLE_SECONDS, TimeUnit.SECONDS);
         }
 
         @Override
-        public void channelInactive(ChannelHandlerContext ctx) {
-            fail("connection closed before the response was whole");
+        public void closed(UpstreamConnection connection) {
+            idle.remove(connection);
         }
 
         @Override
-        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            fail(cause.toString());
-            ctx.close();
+        public void resend(UpstreamExchange exchange) {
+            connect(exchange);
         }
 
-        private void fail(String reason) {
-            if (!ended) {
-                ended = true;
-                listener.onFailure(sent, reason);
+        private void expire(UpstreamConnection connection) {
+            if (idle.remove(connection)) {
+                connection.close();
             }
         }
     }
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/agent/UpstreamConnection.java
@@ -0,0 +1,223 @@
+package org.copperspindle.agent;
+
+import java.util.concurrent.TimeUnit;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
+
+/**
+ * One connection to the upstream. It carries one call at a time and is used again only after a whole answer with
+ * nothing behind it. Safeguard: bytes left from one answer, or a second copy of it, would be read as the answer to the
+ * next call, and a caller would get another caller's result; enough, because any byte that no call waits for closes the
+ * connection.
+ */
+final class UpstreamConnection extends SimpleChannelInboundHandler<HttpObject> {
+
+    private static final long LOOK_AGAIN_MILLIS = 5;
+
+    private final Owner owner;
+    private Channel channel;
+    private UpstreamExchange exchange;
+    private boolean usedBefore;
+    private boolean written;
+    private boolean skipping;
+    private boolean keepAlive;
+    private boolean framed;
+    private boolean done;
+    private boolean paused;
+
+    UpstreamConnection(Owner owner) {
+        this.owner = owner;
+    }
+
+    /** Sends a call. */
+    void use(UpstreamExchange next, FullHttpRequest request) {
+        exchange = next;
+        written = false;
+        done = false;
+        next.sendingOn(channel);
+        channel.writeAndFlush(request).addListener(result -> {
+            written = result.isSuccess();
+            if (!written) {
+                channel.close();
+            }
+        });
+    }
+
+    boolean isOpen() {
+        return channel.isActive();
+    }
+
+    void close() {
+        channel.close();
+    }
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext ctx) {
+        channel = ctx.channel();
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, HttpObject part) {
+        if (exchange == null || done) {
+            // Nobody waits for this: a second answer, or bytes behind the first.
+            ctx.close();
+            return;
+        }
+        if (part.decoderResult().isFailure()) {
+            spoil("malformed response");
+            return;
+        }
+        if (part instanceof HttpResponse head) {
+            receiveHead(head);
+        }
+        if (part instanceof HttpContent content && !exchange.ended()) {
+            receiveContent(content);
+        }
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) {
+        if (done) {
+            finish();
+        }
+        ctx.fireChannelReadComplete();
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+        UpstreamExchange lost = exchange;
+        exchange = null;
+        owner.closed(this);
+        if (lost == null) {
+            return;
+        }
+        if (usedBefore && lost.tryAgain()) {
+            owner.resend(lost);
+            return;
+        }
+        lost.fail("connection closed before the response was whole");
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        if (exchange != null && !usedBefore) {
+            exchange.fail(cause.getClass().getSimpleName());
+        }
+        ctx.close();
+    }
+
+    private void receiveHead(HttpResponse head) {
+        if (!written) {
+            spoil("response before the request was sent");
+            return;
+        }
+        skipping = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+        if (skipping) {
+            return;
+        }
+        String id = head.headers().get("X-Request-Id", exchange.call().requestId());
+        if (!id.equals(exchange.call().requestId())) {
+            spoil("response to another request");
+            return;
+        }
+        keepAlive = HttpUtil.isKeepAlive(head);
+        // A body that ends with the connection could have been cut anywhere: it can't be shown to be whole.
+        framed = HttpUtil.isTransferEncodingChunked(head)
+                || head.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
+                || head.status().equals(HttpResponseStatus.NO_CONTENT)
+                || head.status().equals(HttpResponseStatus.NOT_MODIFIED);
+        exchange.onHead(UpstreamHead.of(head));
+    }
+
+    private void receiveContent(HttpContent content) {
+        boolean last = content instanceof LastHttpContent;
+        if (skipping) {
+            skipping = !last;
+            return;
+        }
+        ByteBuf buffer = content.content();
+        if (buffer.isReadable()) {
+            byte[] data = new byte[buffer.readableBytes()];
+            buffer.readBytes(data);
+            if (!exchange.onData(data)) {
+                spoil("response too large");
+                return;
+            }
+        }
+        if (!last) {
+            if (!exchange.wantsMore()) {
+                pause();
+            }
+            return;
+        }
+        if (!framed) {
+            spoil("response without a declared end");
+            return;
+        }
+        done = true;
+        exchange.end();
+    }
+
+    private void spoil(String reason) {
+        exchange.fail(reason);
+        channel.close();
+    }
+
+    private void finish() {
+        exchange = null;
+        done = false;
+        usedBefore = true;
+        if (keepAlive && channel.isActive()) {
+            owner.idle(this);
+        } else {
+            channel.close();
+        }
+    }
+
+    private void pause() {
+        if (paused) {
+            return;
+        }
+        paused = true;
+        channel.config().setAutoRead(false);
+        lookAgainLater();
+    }
+
+    private void lookAgainLater() {
+        channel.eventLoop().schedule(this::lookAgain, LOOK_AGAIN_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private void lookAgain() {
+        if (exchange != null && !exchange.wantsMore() && channel.isOpen()) {
+            lookAgainLater();
+            return;
+        }
+        paused = false;
+        channel.config().setAutoRead(true);
+    }
+
+    /** Who hands out the connections. */
+    interface Owner {
+
+        /** The connection can carry another call. */
+        void idle(UpstreamConnection connection);
+
+        /** The connection is gone. */
+        void closed(UpstreamConnection connection);
+
+        /** The call was lost with a used connection and goes out on a new one. */
+        void resend(UpstreamExchange exchange);
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/agent/UpstreamHead.java
@@ -0,0 +1,33 @@
+package org.copperspindle.agent;
+
+import java.time.Duration;
+import java.util.Optional;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
+
+/**
+ * What the head of an upstream's response says.
+ *
+ * @param status      HTTP status
+ * @param contentType content type, empty if none
+ * @param load        load that the upstream reports, -1 if it reports none
+ * @param retryAfter  how long the upstream wants to be left alone
+ */
+public record UpstreamHead(int status, String contentType, int load, Optional<Duration> retryAfter) {
+
+    /** Response header by which an upstream reports its load: a whole number, requests running and waiting there. */
+    public static final String LOAD_HEADER = "Upstream-Load";
+
+    static UpstreamHead of(HttpResponse response) {
+        HttpHeaders headers = response.headers();
+        int load = headers.getInt(LOAD_HEADER, -1);
+        int seconds = headers.getInt(HttpHeaderNames.RETRY_AFTER, -1);
+        return new UpstreamHead(
+                response.status().code(),
+                headers.get(HttpHeaderNames.CONTENT_TYPE, ""),
+                Math.max(-1, load),
+                seconds < 0 ? Optional.empty() : Optional.of(Duration.ofSeconds(seconds)));
+    }
+}
--- a/library/src/main/java/org/copperspindle/agent/UpstreamResponseListener.java
+++ b/library/src/main/java/org/copperspindle/agent/UpstreamResponseListener.java
@@ -1,7 +1,7 @@
 package org.copperspindle.agent;
 
 /**
- * Hears one upstream's response. Called on a network thread, in order; exactly one of {@link #onEnd} and
+ * Hears one upstream's response. Called on the client's network thread, in order; exactly one of {@link #onEnd} and
  * {@link #onFailure} ends it.
  */
 public interface UpstreamResponseListener {
@@ -9,10 +9,9 @@
     /**
      * The head arrived.
      *
-     * @param status      HTTP status
-     * @param contentType content type, empty if none
+     * @param head what it says
      */
-    void onHead(int status, String contentType);
+    void onHead(UpstreamHead head);
 
     /**
      * A piece of the body arrived.
@@ -21,6 +20,13 @@
      */
     void onData(byte[] data);
 
+    /**
+     * Says whether more of the body can be taken now. While it can't, the connection to the upstream is not read.
+     *
+     * @return false to pause
+     */
+    boolean wantsMore();
+
     /** The framing shows that the response is whole. */
     void onEnd();
 
--- a/library/src/main/java/org/copperspindle/daemon/AgentRole.java
+++ b/library/src/main/java/org/copperspindle/daemon/AgentRole.java
@@ -6,6 +6,7 @@
 import org.copperspindle.agent.AgentSettings;
 import org.copperspindle.agent.AttemptCancelMessage;
 import org.copperspindle.agent.AttemptOrderMessage;
+import org.copperspindle.agent.LoadSubscribeMessage;
 import org.copperspindle.agent.OutcomeAckMessage;
 import org.copperspindle.agent.OutcomeQueryMessage;
 import org.copperspindle.wire.PeerListener;
@@ -37,7 +38,8 @@
                 AttemptOrderMessage.class,
                 AttemptCancelMessage.class,
                 OutcomeAckMessage.class,
-                OutcomeQueryMessage.class);
+                OutcomeQueryMessage.class,
+                LoadSubscribeMessage.class);
     }
 
     @Override
--- a/library/src/main/java/org/copperspindle/daemon/MessageCatalog.java
+++ b/library/src/main/java/org/copperspindle/daemon/MessageCatalog.java
@@ -7,6 +7,7 @@
 import org.copperspindle.agent.AttemptOrderMessage;
 import org.copperspindle.agent.AttemptOutcomeMessage;
 import org.copperspindle.agent.LoadReportMessage;
+import org.copperspindle.agent.LoadSubscribeMessage;
 import org.copperspindle.agent.OutcomeAckMessage;
 import org.copperspindle.agent.OutcomeQueryMessage;
 import org.copperspindle.claims.ClaimReplyMessage;
@@ -41,6 +42,7 @@
             AttemptOutcomeMessage.CODEC,
             OutcomeAckMessage.CODEC,
             OutcomeQueryMessage.CODEC,
+            LoadSubscribeMessage.CODEC,
             LoadReportMessage.CODEC);
 
     private MessageCatalog() {}
--- a/library/src/main/java/org/copperspindle/wire/PeerHandler.java
+++ b/library/src/main/java/org/copperspindle/wire/PeerHandler.java
@@ -55,7 +55,8 @@
     @Override
     public boolean isWritable() {
         ChannelHandlerContext current = context;
-        return current != null && current.channel().isWritable();
+        // A closed connection holds nobody back: sending on it says at once that it is closed.
+        return current == null || !current.channel().isActive() || current.channel().isWritable();
     }
 
     @Override
