Let orders expire by the agent's own clock

Cause: the agent forgot refusals by count, so that a delayed copy of an order whose attempt had been reported NOT_RUN could run; a query that named no incarnation, or came after the record was trimmed, was answered NOT_RUN without a proof. A second asker for a running attempt was never told.

Change: an agent tells its clock to each entry; AgentLinks stamps each order with the request's deadline in that clock. AttemptTable is a pure state machine: it refuses what has lapsed, forgets a record only when no copy can be accepted any more, and raises a floor when a record has to go earlier. Queries prove NOT_RUN only for this incarnation and only if no attempt as late as theirs was forgotten. Askers of a running attempt get its outcome.

--- a/library/src/main/java/org/copperspindle/agent/AgentClock.java
+++ b/library/src/main/java/org/copperspindle/agent/AgentClock.java
@@ -53,15 +53,15 @@
     /**
      * Stamps an order.
      *
-     * @param order     the order
-     * @param madeAt    nanoseconds of the entry's timer service when its time left was worked out
+     * @param order  the order
+     * @param madeAt nanoseconds of the entry's timer service when its time left was worked out
      * @return the stamped order; empty if it is meant for another life of the agent, which must not get it
      */
-    public Optional<AttemptOrderMessage> stamp(AttemptOrderMessage order, long madeAt) {
+    public Optional<StampedOrderMessage> stamp(AttemptOrderMessage order, long madeAt) {
         if (order.agentIncarnation() != incarnation) {
             return Optional.empty();
         }
         long madeAtMicros = readingMicros + (madeAt - receivedAtNanos) / 1000;
-        return Optional.of(order.stamped(madeAtMicros + order.timeLeftMicros(), readingMicros));
+        return Optional.of(new StampedOrderMessage(order, madeAtMicros + order.timeLeftMicros(), readingMicros));
     }
 }
--- a/library/src/main/java/org/copperspindle/agent/AgentService.java
+++ b/library/src/main/java/org/copperspindle/agent/AgentService.java
@@ -18,6 +18,7 @@
 import org.copperspindle.settings.SettingsException;
 import org.copperspindle.time.TimerService;
 import org.copperspindle.time.TimerSubscription;
+import org.copperspindle.verdict.NotRunVerdict;
 import org.copperspindle.wire.Peer;
 import org.copperspindle.wire.PeerListener;
 import org.copperspindle.wire.WireMessage;
@@ -80,12 +81,16 @@
         this.incarnation = incarnation;
         this.clockOrigin = timers.nanoTime();
         this.attempts = new AttemptTable(settings.upstreamId(), incarnation, settings.limits());
-        this.client = new UpstreamClient(
-                settings.upstream(), settings.limits().concurrency());
+        this.client = new UpstreamClient(settings.upstream(), settings.limits().concurrency());
         this.runner = new AttemptRunner(
-                ring, timers, client, settings.refusalStatuses(), settings.limits().maxResponse(), this::ended);
-        this.probe = new UpstreamProbe(
-                ring, timers, client, settings.healthPath(), settings.healthInterval(), this::probed);
+                ring,
+                timers,
+                client,
+                settings.refusalStatuses(),
+                settings.limits().maxResponse(),
+                this::ended);
+        this.probe =
+                new UpstreamProbe(ring, timers, client, settings.healthPath(), settings.healthInterval(), this::probed);
         this.control = new ControlLink(ring, timers, transport, controls, settings.renew(), this::leaseRequest, this);
     }
 
@@ -154,8 +159,7 @@
             return;
         }
         try {
-            Deployment deployment =
-                    DeploymentLoader.parse("version " + update.configVersion(), update.configText());
+            Deployment deployment = DeploymentLoader.parse("version " + update.configVersion(), update.configText());
             perform(attempts.onConfiguration(concurrency(deployment), longestDeadline(deployment), clock()));
         } catch (SettingsException e) {
             // Control checks before it accepts, so this build is older than the configuration.
@@ -191,7 +195,7 @@
 
     private void receive(Peer peer, WireMessage message) {
         long now = clock();
-        if (message instanceof AttemptOrderMessage order) {
+        if (message instanceof StampedOrderMessage order) {
             perform(attempts.onOrder(order, peer, now));
         } else if (message instanceof OutcomeQueryMessage query) {
             perform(attempts.onQuery(query, peer, now));
@@ -200,6 +204,9 @@
         } else if (message instanceof OutcomeAckMessage ack) {
             attempts.onAcknowledge(ack.attemptId());
             leaveIfIdle();
+        } else if (message instanceof AttemptOrderMessage order) {
+            // Refused each time it comes, so the verdict holds without a record.
+            peer.send(AttemptOutcomeMessage.withoutAnswer(order.attemptId(), new NotRunVerdict("not-stamped")));
         } else if (message instanceof LoadSubscribeMessage) {
             reporter.subscribe(peer, loadReport());
         }
@@ -267,8 +274,7 @@
                     outcome.verdict().label(),
                     outcome.verdict().reason());
         }
-        send.to()
-                .send(outcome.withLoad(attempts.running(), attempts.waiting(), load.value(), load.ageMillis(clock())));
+        send.to().send(outcome.withLoad(attempts.running() + attempts.waiting(), load.value(clock())));
     }
 
     /** Keeps one timer, at the earliest instant that the table waits for. */
@@ -300,7 +306,7 @@
                 settings.upstreamId(),
                 0,
                 attempts.running(),
-                load.value(),
+                load.value(now),
                 incarnation,
                 now,
                 attempts.waiting(),
--- a/library/src/main/java/org/copperspindle/agent/AttemptOutcomeMessage.java
+++ b/library/src/main/java/org/copperspindle/agent/AttemptOutcomeMessage.java
@@ -8,21 +8,18 @@
 import org.copperspindle.wire.WireMessage;
 
 /**
- * How an attempt ended, with the whole answer if it ran.
+ * The end of an attempt. Kept by the agent until it is acknowledged.
  *
  * @param attemptId the attempt
  * @param verdict whether it ran
  * @param status HTTP status of the upstream, 0 if it gave none
  * @param contentType content type of the body
- * @param body whole body; empty for an answer whose pieces were all sent on this connection before
+ * @param body whole body; empty for a streamed answer whose pieces were all sent on this connection before
  * @param complete whether the framing shows that the answer is whole
  * @param chunks pieces sent before, for a streamed answer
  * @param busyMicros time that the upstream spent
- * @param inFlight attempts running on the upstream now
- * @param reportedLoad load that the upstream reported last, -1 if it reports none
- * @param retryAfterMillis the upstream's own {@code Retry-After}, -1 if it gave none
- * @param loadAgeMillis age of {@code reportedLoad}, -1 if there is none
- * @param queued attempts waiting at the agent
+ * @param inFlight attempts running or waiting at the agent now, from all entries
+ * @param reportedLoad load that the upstream reported last, -1 if it reports none or that is too old
  */
 public record AttemptOutcomeMessage(
         String attemptId,
@@ -34,10 +31,7 @@
         long chunks,
         long busyMicros,
         int inFlight,
-        int reportedLoad,
-        long retryAfterMillis,
-        long loadAgeMillis,
-        int queued)
+        int reportedLoad)
         implements WireMessage {
 
     /** Codec of this message. */
@@ -46,47 +40,6 @@
 
     private static final byte[] NO_BODY = new byte[0];
 
-    /**
-     * Creates an outcome without the fields that not every sender knows.
-     *
-     * @param attemptId    the attempt
-     * @param verdict      whether it ran
-     * @param status       HTTP status of the upstream, 0 if it gave none
-     * @param contentType  content type of the body
-     * @param body         whole body
-     * @param complete     whether the framing shows that the answer is whole
-     * @param chunks       pieces sent before, for a streamed answer
-     * @param busyMicros   time that the upstream spent
-     * @param inFlight     attempts running on the upstream now
-     * @param reportedLoad load that the upstream reported last, -1 if it reports none
-     */
-    public AttemptOutcomeMessage(
-            String attemptId,
-            Verdict verdict,
-            int status,
-            String contentType,
-            byte[] body,
-            boolean complete,
-            long chunks,
-            long busyMicros,
-            int inFlight,
-            int reportedLoad) {
-        this(
-                attemptId,
-                verdict,
-                status,
-                contentType,
-                body,
-                complete,
-                chunks,
-                busyMicros,
-                inFlight,
-                reportedLoad,
-                -1,
-                -1,
-                0);
-    }
-
     /**
      * Makes the outcome of an attempt that has no answer.
      *
@@ -94,34 +47,20 @@
      * @param verdict   whether it ran
      * @return the outcome
      */
-    static AttemptOutcomeMessage withoutAnswer(String attemptId, Verdict verdict) {
-        return new AttemptOutcomeMessage(attemptId, verdict, 0, "", NO_BODY, false, 0, 0, 0, -1);
+    public static AttemptOutcomeMessage withoutAnswer(String attemptId, Verdict verdict) {
+        return new AttemptOutcomeMessage(attemptId, verdict, 0, "", NO_BODY, false, 0, 0, -1, -1);
     }
 
     /**
      * Adds the load at the time of sending.
      *
-     * @param running attempts running on the upstream
-     * @param waiting attempts waiting at the agent
-     * @param load    load that the upstream reported last, -1 if none
-     * @param age     its age in milliseconds, -1 if none
+     * @param attempts attempts running or waiting at the agent
+     * @param load     load that the upstream reported last, -1 if none
      * @return the outcome with the load
      */
-    AttemptOutcomeMessage withLoad(int running, int waiting, int load, long age) {
+    AttemptOutcomeMessage withLoad(int attempts, int load) {
         return new AttemptOutcomeMessage(
-                attemptId,
-                verdict,
-                status,
-                contentType,
-                body,
-                complete,
-                chunks,
-                busyMicros,
-                running,
-                load,
-                retryAfterMillis,
-                age,
-                waiting);
+                attemptId, verdict, status, contentType, body, complete, chunks, busyMicros, attempts, load);
     }
 
     /**
@@ -131,19 +70,7 @@
      */
     AttemptOutcomeMessage withoutBody() {
         return new AttemptOutcomeMessage(
-                attemptId,
-                verdict,
-                status,
-                contentType,
-                NO_BODY,
-                complete,
-                chunks,
-                busyMicros,
-                inFlight,
-                reportedLoad,
-                retryAfterMillis,
-                loadAgeMillis,
-                queued);
+                attemptId, verdict, status, contentType, NO_BODY, complete, chunks, busyMicros, inFlight, reportedLoad);
     }
 
     private void write(FieldWriter out) {
@@ -157,10 +84,7 @@
                 .put(8, chunks)
                 .put(9, busyMicros)
                 .put(10, inFlight)
-                .put(11, reportedLoad)
-                .put(12, retryAfterMillis)
-                .put(13, loadAgeMillis)
-                .put(14, queued);
+                .put(11, reportedLoad);
     }
 
     private static AttemptOutcomeMessage read(FieldReader in) {
@@ -174,9 +98,6 @@
                 in.getLong(8, 0),
                 in.getLong(9, 0),
                 (int) in.getLong(10, 0),
-                (int) in.getLong(11, 0),
-                in.getLong(12, -1),
-                in.getLong(13, -1),
-                (int) in.getLong(14, 0));
+                (int) in.getLong(11, 0));
     }
 }
--- a/library/src/main/java/org/copperspindle/agent/AttemptRecord.java
+++ b/library/src/main/java/org/copperspindle/agent/AttemptRecord.java
@@ -37,9 +37,10 @@
         this.dueAt = expiresAt;
     }
 
-    static AttemptRecord waiting(AttemptOrderMessage order, Peer from, long lapsesAt) {
+    static AttemptRecord waiting(StampedOrderMessage stamped, Peer from, long lapsesAt) {
+        AttemptOrderMessage order = stamped.order();
         AttemptRecord record = new AttemptRecord(
-                order.attemptId(), order.repeatable(), order.expiresAtMicros(), lapsesAt, State.WAITING);
+                order.attemptId(), order.repeatable(), stamped.expiresAtMicros(), lapsesAt, State.WAITING);
         record.order = order;
         record.orderedBy = from;
         record.subscribe(from);
--- a/library/src/main/java/org/copperspindle/agent/AttemptRunner.java
+++ b/library/src/main/java/org/copperspindle/agent/AttemptRunner.java
@@ -52,10 +52,15 @@
     void start(AttemptOrderMessage order, Peer from) {
         UpstreamCall call = new UpstreamCall(
                 order.path(), order.body(), order.requestId(), order.attemptId(), order.repeatable(), maxResponse);
-        ResponseRelay relay = new ResponseRelay(order, from, refusalStatuses, timers::nanoTime, response -> handOver(() -> {
-            aborts.remove(order.attemptId());
-            ended.accept(response);
-        }));
+        ResponseRelay relay = new ResponseRelay(
+                order,
+                from,
+                refusalStatuses,
+                timers::nanoTime,
+                response -> handOver(() -> {
+                    aborts.remove(order.attemptId());
+                    ended.accept(response);
+                }));
         aborts.put(order.attemptId(), client.call(call, relay));
     }
 
--- a/library/src/main/java/org/copperspindle/agent/AttemptTable.java
+++ b/library/src/main/java/org/copperspindle/agent/AttemptTable.java
@@ -75,7 +75,7 @@
     }
 
     /** An order arrived. */
-    List<AgentAction> onOrder(AttemptOrderMessage order, Peer from, long now) {
+    List<AgentAction> onOrder(StampedOrderMessage order, Peer from, long now) {
         AttemptRecord known = records.get(order.attemptId());
         if (known != null) {
             return follow(known, from);
@@ -206,7 +206,9 @@
     }
 
     OptionalLong nextDue() {
-        return dues.isEmpty() ? OptionalLong.empty() : OptionalLong.of(dues.peek().at());
+        return dues.isEmpty()
+                ? OptionalLong.empty()
+                : OptionalLong.of(dues.peek().at());
     }
 
     int running() {
@@ -235,20 +237,17 @@
     }
 
     /** Judges orders that need no record, because every later copy is judged the same way. */
-    private Optional<Verdict> stale(AttemptOrderMessage order, long now) {
-        if (!order.upstreamId().equals(upstreamId)) {
+    private Optional<Verdict> stale(StampedOrderMessage order, long now) {
+        if (!order.order().upstreamId().equals(upstreamId)) {
             return Optional.of(new NotRunVerdict("other-upstream"));
         }
-        if (order.agentIncarnation() != incarnation) {
+        if (order.order().agentIncarnation() != incarnation) {
             // Another copy may have run in that life; an entry does not send such an order in the first place.
             return Optional.of(new MayHaveRunVerdict("other-incarnation"));
         }
-        if (order.clockMicros() <= 0) {
-            return Optional.of(new NotRunVerdict("not-stamped"));
-        }
-        if (order.clockMicros() > now) {
+        if (order.clockMicros() <= 0 || order.clockMicros() > now) {
             // Not a reading of this clock. Promises nothing: a copy could look valid later.
-            return Optional.of(new MayHaveRunVerdict("clock-ahead"));
+            return Optional.of(new MayHaveRunVerdict("clock-unknown"));
         }
         if (now >= order.expiresAtMicros()) {
             return Optional.of(new NotRunVerdict("deadline"));
@@ -260,11 +259,11 @@
     }
 
     /** Last instant at which a copy of the order could be accepted. */
-    private long lapse(AttemptOrderMessage order) {
+    private long lapse(StampedOrderMessage order) {
         return Math.min(order.expiresAtMicros(), order.clockMicros() + limits.maxClockAgeMicros());
     }
 
-    private Optional<String> refusal(AttemptOrderMessage order, long now, List<AgentAction> actions) {
+    private Optional<String> refusal(StampedOrderMessage order, long now, List<AgentAction> actions) {
         if (refusing.isPresent()) {
             return refusing;
         }
@@ -276,20 +275,20 @@
         }
         boolean mustWait = running >= concurrency;
         if (mustWait && queue.size() >= limits.queue()) {
-            Optional<AttemptRecord> lower = queue.lowerThan(order.priority());
+            Optional<AttemptRecord> lower = queue.lowerThan(order.order().priority());
             if (lower.isEmpty()) {
                 return Optional.of("queue-full");
             }
             queue.remove(lower.get());
             refuseWaiting(lower.get(), "displaced", actions);
         }
-        if (!order.repeatable() && !outcomes.reserve()) {
+        if (!order.order().repeatable() && !outcomes.reserve()) {
             return Optional.of("outcomes-full");
         }
         return Optional.empty();
     }
 
-    private AgentAction refuse(AttemptOrderMessage order, Peer from, String reason, long now) {
+    private AgentAction refuse(StampedOrderMessage order, Peer from, String reason, long now) {
         AttemptOutcomeMessage outcome =
                 AttemptOutcomeMessage.withoutAnswer(order.attemptId(), new NotRunVerdict(reason));
         if (makeRoom()) {
@@ -319,15 +318,14 @@
         if (query.agentIncarnation() != incarnation) {
             return new MayHaveRunVerdict(query.agentIncarnation() == 0 ? "incarnation-unknown" : "agent-restarted");
         }
-        long forgotten = query.unrepeatable()
-                ? forgottenUnrepeatable
-                : Math.max(forgottenRepeatable, forgottenUnrepeatable);
+        long forgotten =
+                query.unrepeatable() ? forgottenUnrepeatable : Math.max(forgottenRepeatable, forgottenUnrepeatable);
         if (query.clockMicros() <= forgotten) {
             // An attempt dispatched at this reading may have run and been forgotten.
             return new MayHaveRunVerdict("outcome-forgotten");
         }
         if (query.clockMicros() > now) {
-            return new MayHaveRunVerdict("clock-ahead");
+            return new MayHaveRunVerdict("clock-unknown");
         }
         if (refusedQueries >= limits.records() / QUERY_SHARE || !makeRoom()) {
             return new MayHaveRunVerdict("table-full");
--- a/library/src/main/java/org/copperspindle/agent/LoadSubscribeMessage.java
+++ b/library/src/main/java/org/copperspindle/agent/LoadSubscribeMessage.java
@@ -7,20 +7,18 @@
 
 /**
  * First message of an entry on a connection to an agent: asks for {@link LoadReportMessage}s, the first one at once.
- *
- * @param processId identity of the entry, for logs
  */
-public record LoadSubscribeMessage(String processId) implements WireMessage {
+public record LoadSubscribeMessage() implements WireMessage {
 
     /** Codec of this message. */
     public static final MessageCodec<LoadSubscribeMessage> CODEC =
             MessageCodec.of(110, LoadSubscribeMessage.class, LoadSubscribeMessage::write, LoadSubscribeMessage::read);
 
     private void write(FieldWriter out) {
-        out.put(1, processId);
+        // no fields yet
     }
 
     private static LoadSubscribeMessage read(FieldReader in) {
-        return new LoadSubscribeMessage(in.getString(1));
+        return new LoadSubscribeMessage();
     }
 }
--- a/library/src/main/java/org/copperspindle/agent/ResponseRelay.java
+++ b/library/src/main/java/org/copperspindle/agent/ResponseRelay.java
@@ -1,7 +1,6 @@
 package org.copperspindle.agent;
 
 import java.io.ByteArrayOutputStream;
-import java.time.Duration;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -100,10 +99,7 @@
                 chunks,
                 (nanoTime.getAsLong() - startedAt) / 1000,
                 0,
-                -1,
-                head.flatMap(UpstreamHead::retryAfter).map(Duration::toMillis).orElse(-1L),
-                -1,
-                0);
+                -1);
         boolean passedOn = complete && order.streaming() && !broken;
         end.accept(new RelayedResponse(
                 outcome, passedOn, head.map(UpstreamHead::load).orElse(-1)));
--- a/library/src/main/java/org/copperspindle/agent/UpstreamHead.java
+++ b/library/src/main/java/org/copperspindle/agent/UpstreamHead.java
@@ -1,8 +1,5 @@
 package org.copperspindle.agent;
 
-import java.time.Duration;
-import java.util.Optional;
-
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
@@ -13,9 +10,8 @@
  * @param status      HTTP status
  * @param contentType content type, empty if none
  * @param load        load that the upstream reports, -1 if it reports none
- * @param retryAfter  how long the upstream wants to be left alone
  */
-public record UpstreamHead(int status, String contentType, int load, Optional<Duration> retryAfter) {
+public record UpstreamHead(int status, String contentType, int load) {
 
     /** Response header by which an upstream reports its load: a whole number, requests running and waiting there. */
     public static final String LOAD_HEADER = "Upstream-Load";
@@ -23,11 +19,7 @@
     static UpstreamHead of(HttpResponse response) {
         HttpHeaders headers = response.headers();
         int load = headers.getInt(LOAD_HEADER, -1);
-        int seconds = headers.getInt(HttpHeaderNames.RETRY_AFTER, -1);
         return new UpstreamHead(
-                response.status().code(),
-                headers.get(HttpHeaderNames.CONTENT_TYPE, ""),
-                Math.max(-1, load),
-                seconds < 0 ? Optional.empty() : Optional.of(Duration.ofSeconds(seconds)));
+                response.status().code(), headers.get(HttpHeaderNames.CONTENT_TYPE, ""), Math.max(-1, load));
     }
 }
--- a/library/src/main/java/org/copperspindle/agent/UpstreamLoad.java
+++ b/library/src/main/java/org/copperspindle/agent/UpstreamLoad.java
@@ -1,11 +1,13 @@
 package org.copperspindle.agent;
 
 /**
- * The load that the upstream reported last, and when. Its age travels with it, so that entries don't take an old report
- * for a new one.
+ * The load that the upstream reported last, and when. Its age travels with reports; a value that is too old
+ * is not passed on, so that entries don't take it for a new one.
  */
 final class UpstreamLoad {
 
+    private static final long MAX_AGE_MICROS = 10_000_000;
+
     private int value = -1;
     private long reportedAt;
 
@@ -17,11 +19,11 @@
         }
     }
 
-    int value() {
-        return value;
+    int value(long now) {
+        return now - reportedAt > MAX_AGE_MICROS ? -1 : value;
     }
 
     long ageMillis(long now) {
-        return value < 0 ? -1 : (now - reportedAt) / 1000;
+        return value(now) < 0 ? -1 : (now - reportedAt) / 1000;
     }
 }
--- a/library/src/main/java/org/copperspindle/daemon/AgentRole.java
+++ b/library/src/main/java/org/copperspindle/daemon/AgentRole.java
@@ -9,6 +9,7 @@
 import org.copperspindle.agent.LoadSubscribeMessage;
 import org.copperspindle.agent.OutcomeAckMessage;
 import org.copperspindle.agent.OutcomeQueryMessage;
+import org.copperspindle.agent.StampedOrderMessage;
 import org.copperspindle.wire.PeerListener;
 import org.copperspindle.wire.WireMessage;
 
@@ -36,6 +37,7 @@
     public Set<Class<? extends WireMessage>> messages() {
         return Set.of(
                 AttemptOrderMessage.class,
+                StampedOrderMessage.class,
                 AttemptCancelMessage.class,
                 OutcomeAckMessage.class,
                 OutcomeQueryMessage.class,
--- a/library/src/main/java/org/copperspindle/daemon/MessageCatalog.java
+++ b/library/src/main/java/org/copperspindle/daemon/MessageCatalog.java
@@ -10,6 +10,7 @@
 import org.copperspindle.agent.LoadSubscribeMessage;
 import org.copperspindle.agent.OutcomeAckMessage;
 import org.copperspindle.agent.OutcomeQueryMessage;
+import org.copperspindle.agent.StampedOrderMessage;
 import org.copperspindle.claims.ClaimReplyMessage;
 import org.copperspindle.claims.ClaimRequestMessage;
 import org.copperspindle.claims.ClaimSettleMessage;
@@ -42,6 +43,7 @@
             AttemptOutcomeMessage.CODEC,
             OutcomeAckMessage.CODEC,
             OutcomeQueryMessage.CODEC,
+            StampedOrderMessage.CODEC,
             LoadSubscribeMessage.CODEC,
             LoadReportMessage.CODEC);
 
--- a/library/src/main/java/org/copperspindle/daemon/ProcessSettings.java
+++ b/library/src/main/java/org/copperspindle/daemon/ProcessSettings.java
@@ -5,7 +5,10 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
 
+import org.copperspindle.agent.AgentLimits;
 import org.copperspindle.agent.AgentSettings;
 import org.copperspindle.entry.EntrySettings;
 import org.copperspindle.settings.SettingsException;
@@ -105,11 +108,44 @@
                 domain,
                 s.getAddress("upstream", Optional.empty()),
                 s.getList("models", "models, separated by commas", Optional.of(List.of())),
-                renew);
+                renew,
+                s.getString("health-path", "a path that answers 503 while the upstream leaves", ""),
+                s.getDuration("health-interval", Optional.of(AgentSettings.DEFAULT_HEALTH_INTERVAL)),
+                s.getDuration("report-interval", Optional.of(AgentSettings.DEFAULT_REPORT_INTERVAL)),
+                readStatuses(s),
+                readLimits(s));
         s.finish();
         return agent;
     }
 
+    private static Set<Integer> readStatuses(SettingsSection s) {
+        String expected = "HTTP statuses from 400 to 599, separated by commas";
+        Set<Integer> statuses = new TreeSet<>();
+        for (String status : s.getList("refusal-statuses", expected, Optional.of(List.of()))) {
+            if (status.matches("[45]\\d\\d")) {
+                statuses.add(Integer.valueOf(status));
+            } else {
+                s.reject("refusal-statuses", status, expected);
+            }
+        }
+        return statuses;
+    }
+
+    private static AgentLimits readLimits(SettingsSection s) {
+        AgentLimits d = AgentLimits.DEFAULT;
+        return new AgentLimits(
+                (int) s.getLong("concurrency", 1, 100_000, Optional.of((long) d.concurrency())),
+                (int) s.getLong("queue", 0, 100_000, Optional.of((long) d.queue())),
+                (int) s.getLong("records", 100, 10_000_000, Optional.of((long) d.records())),
+                s.getBytes("kept-answers", Optional.of(d.keptBytes())),
+                (int) s.getBytes("max-answer", Optional.of((long) d.maxResponse())),
+                s.getDuration("max-deadline", Optional.of(d.maxDeadline())),
+                s.getDuration("max-clock-age", Optional.of(d.maxClockAge())),
+                s.getDuration("keep", Optional.of(d.keep())),
+                s.getDuration("linger", Optional.of(d.linger())),
+                s.getDuration("drain-wait", Optional.of(d.drainWait())));
+    }
+
     private static ControlSettings readControl(SettingsSection s) {
         ControlSettings control = new ControlSettings(
                 s.getAddress("listen", Optional.empty()),
--- a/library/src/main/java/org/copperspindle/entry/EntryService.java
+++ b/library/src/main/java/org/copperspindle/entry/EntryService.java
@@ -19,6 +19,7 @@
 import org.copperspindle.agent.AttemptChunkMessage;
 import org.copperspindle.agent.AttemptOrderMessage;
 import org.copperspindle.agent.AttemptOutcomeMessage;
+import org.copperspindle.agent.LoadReportMessage;
 import org.copperspindle.agent.OutcomeAckMessage;
 import org.copperspindle.agent.OutcomeQueryMessage;
 import org.copperspindle.claims.ClaimReplyMessage;
@@ -109,7 +110,7 @@
         this.settings = settings;
         this.admission = new RateAdmissionPolicy(settings.maxInProgress());
         this.control = new ControlLink(ring, timers, transport, controls, settings.renew(), this::leaseRequest, this);
-        this.agents = new AgentLinks(ring, transport, new AgentListener());
+        this.agents = new AgentLinks(ring, timers, transport, new AgentListener());
     }
 
     /** Joins the deployment. */
@@ -415,7 +416,10 @@
 
         @Override
         public void onMessage(WireMessage message) {
-            if (message instanceof AttemptChunkMessage chunk) {
+            if (message instanceof LoadReportMessage report) {
+                fleet.upstream(report.upstreamId())
+                        .ifPresent(view -> view.reported(report.inFlight() + report.queued()));
+            } else if (message instanceof AttemptChunkMessage chunk) {
                 OpenAttempt attempt = byAttempt.get(chunk.attemptId());
                 if (attempt != null) {
                     perform(attempt.open, attempt.open.run.onChunk(chunk));
--- a/library/src/main/java/org/copperspindle/wire/PeerHandler.java
+++ b/library/src/main/java/org/copperspindle/wire/PeerHandler.java
@@ -57,7 +57,9 @@
     public boolean isWritable() {
         ChannelHandlerContext current = context;
         // A closed connection holds nobody back: sending on it says at once that it is closed.
-        return current == null || !current.channel().isActive() || current.channel().isWritable();
+        return current == null
+                || !current.channel().isActive()
+                || current.channel().isWritable();
     }
 
     @Override
