--- /dev/null
+++ b/library/src/main/java/org/copperspindle/consensus/ConsensusLog.java
@@ -0,0 +1,339 @@
+package org.copperspindle.consensus;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.security.SecureRandom;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.function.Consumer;
+
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.copperspindle.control.ControlResult;
+import org.copperspindle.control.ProposalResult;
+import org.copperspindle.control.ReplicatedLog;
+import org.copperspindle.control.ReplicatedState;
+import org.copperspindle.core.DecisionRing;
+import org.copperspindle.time.TimerService;
+import org.copperspindle.wire.MessageCodec;
+import org.copperspindle.wire.Peer;
+import org.copperspindle.wire.PeerListener;
+import org.copperspindle.wire.WireMessage;
+import org.copperspindle.wire.WireTransport;
+
+/**
+ * The replicated log of a group of control members: runs a {@link RaftNode} on the decision ring, its disk work on a
+ * thread of its own, its messages over the wire transport. All methods but those of {@link PeerListener} and
+ * {@link #close} run on the decision ring.
+ */
+public final class ConsensusLog implements ReplicatedLog, PeerListener {
+
+    private static final Logger LOGGER = LogManager.getLogger(ConsensusLog.class);
+    private static final int SILENT_ELECTIONS = 3;
+
+    private final DecisionRing ring;
+    private final TimerService timers;
+    private final ReplicatedState state;
+    private final RaftSettings settings;
+    private final MemberLinks links;
+    private final DiskWorker disk;
+    private final RaftNode node;
+    private final Map<Long, Consumer<ProposalResult>> pending = new HashMap<>();
+    private boolean running;
+    private volatile boolean stopped;
+
+    private ConsensusLog(
+            DecisionRing ring,
+            TimerService timers,
+            WireTransport transport,
+            ReplicatedState state,
+            RaftSettings settings,
+            MemberFolder folder,
+            RecoveredState recovered) {
+        this.ring = ring;
+        this.timers = timers;
+        this.state = state;
+        this.settings = settings;
+        long silence = SILENT_ELECTIONS * settings.timing().electionNanos();
+        this.links = new MemberLinks(ring, timers, transport, silence);
+        SplittableRandom random = new SplittableRandom(recovered.hardState().identity());
+        this.node = new RaftNode(settings, recovered, random, timers.nanoTime());
+        this.disk = new DiskWorker(
+                settings.name(),
+                folder,
+                sequence -> ring.execute(() -> step(() -> node.persisted(sequence, timers.nanoTime()))),
+                failure -> ring.execute(() -> fail("disk-failed", failure)));
+        recovered.snapshot().ifPresent(this::restore);
+    }
+
+    /**
+     * Opens the log and reads its folder.
+     *
+     * @param ring      ring that owns the log
+     * @param timers    time
+     * @param transport network
+     * @param state     what the log drives
+     * @param settings  settings of the member
+     * @return the log, to be started with {@link #start}
+     * @throws CorruptLogException if synced records are damaged or missing; names the file and the offset
+     * @throws IOException         if the disk fails or another process uses the folder
+     */
+    public static ConsensusLog open(
+            DecisionRing ring,
+            TimerService timers,
+            WireTransport transport,
+            ReplicatedState state,
+            ConsensusSettings settings)
+            throws IOException {
+        return open(ring, timers, transport, state, settings, RaftLimits.DEFAULT, LogFile::open);
+    }
+
+    static ConsensusLog open(
+            DecisionRing ring,
+            TimerService timers,
+            WireTransport transport,
+            ReplicatedState state,
+            ConsensusSettings settings,
+            RaftLimits limits,
+            LogFile.Opener opener)
+            throws IOException {
+        MemberFolder folder = new MemberFolder(settings.dataFolder(), limits.segmentBytes(), opener);
+        SecureRandom identities = new SecureRandom();
+        try {
+            RecoveredState recovered = folder.recover(settings.name(), () -> newIdentity(identities));
+            return new ConsensusLog(ring, timers, transport, state, settings.raft(limits), folder, recovered);
+        } catch (IOException e) {
+            LOGGER.error("event=log-refused member={} reason=\"{}\"", settings.name(), e.getMessage());
+            folder.close();
+            throw e;
+        }
+    }
+
+    /**
+     * Returns the codecs of the messages between members.
+     *
+     * @return the codecs
+     */
+    public static List<MessageCodec<? extends WireMessage>> codecs() {
+        return List.of(
+                VoteRequestMessage.CODEC,
+                VoteReplyMessage.CODEC,
+                AppendRequestMessage.CODEC,
+                AppendReplyMessage.CODEC,
+                SnapshotChunkMessage.CODEC,
+                SnapshotReplyMessage.CODEC,
+                JoinRequestMessage.CODEC,
+                FoundGroupMessage.CODEC);
+    }
+
+    /**
+     * Returns the messages between members.
+     *
+     * @return their classes, for {@link #onMessage}
+     */
+    public static Set<Class<? extends WireMessage>> messages() {
+        return Set.of(
+                VoteRequestMessage.class,
+                VoteReplyMessage.class,
+                AppendRequestMessage.class,
+                AppendReplyMessage.class,
+                SnapshotChunkMessage.class,
+                SnapshotReplyMessage.class,
+                JoinRequestMessage.class,
+                FoundGroupMessage.class);
+    }
+
+    /** Starts to take part in the group. */
+    public void start() {
+        if (stopped) {
+            return;
+        }
+        links.tick();
+        step(() -> node.tick(timers.nanoTime()));
+        timers.schedule(settings.timing().heartbeatNanos() / 2, this::start);
+    }
+
+    @Override
+    public boolean leads() {
+        return !stopped && node.leads(timers.nanoTime());
+    }
+
+    @Override
+    public long term() {
+        return node.term();
+    }
+
+    @Override
+    public Optional<String> leaderAddress() {
+        return stopped ? Optional.empty() : node.leader().map(Member::operators);
+    }
+
+    @Override
+    public Optional<InetSocketAddress> leaderWireAddress() {
+        return stopped ? Optional.empty() : node.leader().map(m -> VoterAddress.parse(m.address()));
+    }
+
+    @Override
+    public void propose(byte[] command, Consumer<ProposalResult> callback) {
+        OptionalLong index = stopped ? OptionalLong.empty() : node.propose(command, timers.nanoTime());
+        if (index.isEmpty()) {
+            // Nothing was appended or sent, and nobody keeps the command: it never will be committed.
+            callback.accept(new ProposalResult.NotTaken(leaderAddress().orElse("")));
+            return;
+        }
+        pending.put(index.getAsLong(), callback);
+        step(() -> {});
+    }
+
+    /**
+     * Removes a member for good, for example one whose VM will not come back.
+     *
+     * @param name its name
+     * @return false if this member doesn't lead, the other is unknown, or the group would lose its quorum
+     */
+    public boolean remove(String name) {
+        boolean[] taken = new boolean[1];
+        step(() -> taken[0] = node.remove(name, timers.nanoTime()));
+        return taken[0];
+    }
+
+    /**
+     * Describes the members.
+     *
+     * @return names and identities, learners marked
+     */
+    public String describeMembers() {
+        return node.membership().toString();
+    }
+
+    /**
+     * Says whether the member still takes part.
+     *
+     * @return false after its disk has failed or it was closed
+     */
+    public boolean isRunning() {
+        return !stopped;
+    }
+
+    @Override
+    public void onOpen(Peer peer) {
+        LOGGER.debug("event=member-connected member={}", peer.greeting().processId());
+    }
+
+    @Override
+    public boolean onMessage(Peer peer, WireMessage message) {
+        return ring.offer(() -> receive(message));
+    }
+
+    @Override
+    public void onClose(Peer peer) {
+        LOGGER.debug("event=member-disconnected member={}", peer.greeting().processId());
+    }
+
+    @Override
+    public void close() {
+        stopped = true;
+        ring.execute(this::end);
+        disk.close();
+    }
+
+    private void receive(WireMessage message) {
+        if (stopped) {
+            return;
+        }
+        if (message instanceof RaftMessage raft) {
+            links.heard(raft.envelope().address());
+        }
+        step(() -> node.receive(message, timers.nanoTime()));
+    }
+
+    /** Feeds the core and carries out what it decides; a callback that proposes in between is served in its turn. */
+    private void step(Runnable input) {
+        if (stopped) {
+            return;
+        }
+        try {
+            input.run();
+            if (running) {
+                return;
+            }
+            running = true;
+            try {
+                List<RaftAction> actions = node.drain();
+                while (!actions.isEmpty()) {
+                    actions.forEach(this::carryOut);
+                    actions = node.drain();
+                }
+            } finally {
+                running = false;
+            }
+        } catch (RuntimeException e) {
+            // The state may have taken half a step: a member that went on could answer from what no other member has.
+            fail("member-failed", e);
+        }
+    }
+
+    private void carryOut(RaftAction action) {
+        if (action instanceof RaftAction.Send send) {
+            links.send(send.address(), send.message());
+        } else if (action instanceof RaftAction.Persist persist) {
+            disk.add(persist);
+        } else if (action instanceof RaftAction.Apply apply) {
+            apply(apply.entry());
+        } else if (action instanceof RaftAction.Restore restore) {
+            restore(restore.snapshot());
+        } else if (action instanceof RaftAction.TakeSnapshot take) {
+            node.snapshotTaken(new LogSnapshot(take.index(), take.term(), take.membership(), state.snapshot()));
+        } else {
+            settleUnknown();
+        }
+    }
+
+    private void apply(LogEntry entry) {
+        ControlResult result = state.apply(entry.index(), entry.term(), entry.body());
+        Consumer<ProposalResult> callback = pending.remove(entry.index());
+        if (callback != null) {
+            callback.accept(new ProposalResult.Committed(entry.index(), result));
+        }
+    }
+
+    private void restore(LogSnapshot snapshot) {
+        if (snapshot.index() > LogSnapshot.FOUNDING_INDEX) {
+            state.restore(snapshot.data());
+        }
+    }
+
+    private void settleUnknown() {
+        List<Consumer<ProposalResult>> open = new ArrayList<>(pending.values());
+        pending.clear();
+        open.forEach(callback -> callback.accept(new ProposalResult.Unknown()));
+    }
+
+    private void fail(String event, Exception failure) {
+        if (stopped) {
+            return;
+        }
+        LOGGER.error("event={} member={} action=member-stopped", event, settings.name(), failure);
+        stopped = true;
+        end();
+        Thread closer = new Thread(disk::close, "disk-close-" + settings.name());
+        closer.setDaemon(true);
+        closer.start();
+    }
+
+    private void end() {
+        links.close();
+        settleUnknown();
+    }
+
+    private static long newIdentity(SecureRandom random) {
+        long identity = random.nextLong();
+        return identity == 0 ? 1 : identity;
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/consensus/HardState.java
@@ -0,0 +1,41 @@
+package org.copperspindle.consensus;
+
+import org.copperspindle.wire.FieldReader;
+import org.copperspindle.wire.FieldWriter;
+import org.copperspindle.wire.MessageCodec;
+import org.copperspindle.wire.WireMessage;
+
+/**
+ * What a member must not forget besides its log.
+ *
+ * @param identity identity of the data folder
+ * @param name     name of the process that first used the folder
+ * @param group    identity of the group, 0 while the member holds nothing of any group
+ * @param term     newest term seen
+ * @param votedFor identity voted for in that term, 0 if none
+ */
+record HardState(long identity, String name, long group, long term, long votedFor) implements WireMessage {
+
+    static final MessageCodec<HardState> CODEC =
+            MessageCodec.of(63, HardState.class, HardState::write, HardState::read);
+
+    static HardState fresh(long identity, String name) {
+        return new HardState(identity, name, 0, 0, 0);
+    }
+
+    HardState withGroup(long joined) {
+        return new HardState(identity, name, joined, term, votedFor);
+    }
+
+    HardState withVote(long newTerm, long vote) {
+        return new HardState(identity, name, group, newTerm, vote);
+    }
+
+    private void write(FieldWriter out) {
+        out.put(1, identity).put(2, name).put(3, group).put(4, term).put(5, votedFor);
+    }
+
+    private static HardState read(FieldReader in) {
+        return new HardState(in.getLong(1, 0), in.getString(2), in.getLong(3, 0), in.getLong(4, 0), in.getLong(5, 0));
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/consensus/JoinRequestMessage.java
@@ -0,0 +1,28 @@
+package org.copperspindle.consensus;
+
+import org.copperspindle.wire.FieldReader;
+import org.copperspindle.wire.FieldWriter;
+import org.copperspindle.wire.MessageCodec;
+import org.copperspindle.wire.WireMessage;
+
+/**
+ * Sent by a member that holds nothing of any group, to all members that its settings name.
+ *
+ * @param groupName name of the group in the sender's settings
+ * @param voters    names of the first voters in the sender's settings, in order, separated by commas
+ * @param founder   identity of the first-named voter as the sender last heard it, 0 if never
+ * @param member    the encoded sender, as a learner
+ */
+record JoinRequestMessage(String groupName, String voters, long founder, byte[] member) implements WireMessage {
+
+    static final MessageCodec<JoinRequestMessage> CODEC =
+            MessageCodec.of(70, JoinRequestMessage.class, JoinRequestMessage::write, JoinRequestMessage::read);
+
+    private void write(FieldWriter out) {
+        out.put(1, groupName).put(2, voters).put(3, founder).put(4, member);
+    }
+
+    private static JoinRequestMessage read(FieldReader in) {
+        return new JoinRequestMessage(in.getString(1), in.getString(2), in.getLong(3, 0), in.getBytes(4));
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/consensus/LogEntry.java
@@ -0,0 +1,42 @@
+package org.copperspindle.consensus;
+
+import java.nio.ByteBuffer;
+
+/**
+ * One entry of the replicated log.
+ *
+ * @param index position, counted from 1
+ * @param term  term of the leader that made it
+ * @param kind  what it carries
+ * @param body  its bytes; never changed
+ */
+record LogEntry(long index, long term, EntryKind kind, byte[] body) {
+
+    private static final int HEAD_BYTES = Long.BYTES + Long.BYTES + 1;
+
+    int size() {
+        return HEAD_BYTES + body.length;
+    }
+
+    byte[] encode() {
+        return ByteBuffer.allocate(size())
+                .putLong(index)
+                .putLong(term)
+                .put((byte) kind.ordinal())
+                .put(body)
+                .array();
+    }
+
+    static LogEntry decode(byte[] bytes) {
+        if (bytes.length < HEAD_BYTES) {
+            throw new IllegalArgumentException("entry too short");
+        }
+        ByteBuffer in = ByteBuffer.wrap(bytes);
+        long index = in.getLong();
+        long term = in.getLong();
+        EntryKind kind = EntryKind.of(in.get());
+        byte[] body = new byte[in.remaining()];
+        in.get(body);
+        return new LogEntry(index, term, kind, body);
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/consensus/LogFile.java
@@ -0,0 +1,68 @@
+package org.copperspindle.consensus;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+
+/**
+ * An open segment file. An interface so that tests can let the disk fail.
+ */
+interface LogFile extends Closeable {
+
+    /** Appends all bytes. */
+    void append(ByteBuffer bytes) throws IOException;
+
+    /** Syncs everything appended so far. */
+    void force() throws IOException;
+
+    /** Cuts the file off and syncs that. */
+    void truncate(long size) throws IOException;
+
+    /** Opens files. */
+    @FunctionalInterface
+    interface Opener {
+
+        /** Opens a file for appending, creating it if it doesn't exist. */
+        LogFile open(Path path) throws IOException;
+    }
+
+    /**
+     * Opens a file through the JDK's channel.
+     *
+     * @param path the file
+     * @return the open file, positioned at its end
+     * @throws IOException if it can't be opened
+     */
+    static LogFile open(Path path) throws IOException {
+        FileChannel channel =
+                FileChannel.open(path, StandardOpenOption.CREATE, StandardOpenOption.WRITE, StandardOpenOption.READ);
+        channel.position(channel.size());
+        return new LogFile() {
+            @Override
+            public void append(ByteBuffer bytes) throws IOException {
+                while (bytes.hasRemaining()) {
+                    channel.write(bytes);
+                }
+            }
+
+            @Override
+            public void force() throws IOException {
+                channel.force(false);
+            }
+
+            @Override
+            public void truncate(long size) throws IOException {
+                channel.truncate(size);
+                channel.force(true);
+            }
+
+            @Override
+            public void close() throws IOException {
+                channel.close();
+            }
+        };
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/consensus/Member.java
@@ -0,0 +1,46 @@
+package org.copperspindle.consensus;
+
+import org.copperspindle.wire.FieldReader;
+import org.copperspindle.wire.FieldWriter;
+import org.copperspindle.wire.MalformedFrameException;
+import org.copperspindle.wire.MessageCodec;
+import org.copperspindle.wire.WireMessage;
+
+/**
+ * One member of the group. The identity belongs to the data folder, not to the process: a member whose disk was lost
+ * has a new one, so that nothing it promised before can be counted for what it holds now.
+ *
+ * @param identity  random number drawn when the data folder was first used; never 0
+ * @param name      name of the process, from its settings
+ * @param address   IP:PORT of the system's own protocol
+ * @param operators IP:PORT for operators
+ * @param voter     true if it votes, false for a learner
+ */
+record Member(long identity, String name, String address, String operators, boolean voter) implements WireMessage {
+
+    static final MessageCodec<Member> CODEC = MessageCodec.of(60, Member.class, Member::write, Member::read);
+
+    Member withVoter(boolean votes) {
+        return new Member(identity, name, address, operators, votes);
+    }
+
+    byte[] encode() {
+        return CODEC.encode(this);
+    }
+
+    static Member decode(byte[] bytes) {
+        try {
+            return CODEC.decode(bytes);
+        } catch (MalformedFrameException e) {
+            throw new IllegalArgumentException(e);
+        }
+    }
+
+    private void write(FieldWriter out) {
+        out.put(1, identity).put(2, name).put(3, address).put(4, operators).put(5, voter);
+    }
+
+    private static Member read(FieldReader in) {
+        return new Member(in.getLong(1, 0), in.getString(2), in.getString(3), in.getString(4), in.getBoolean(5));
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/consensus/RaftLimits.java
@@ -0,0 +1,30 @@
+package org.copperspindle.consensus;
+
+/**
+ * Bounds on memory and frames.
+ *
+ * @param commandBytes  largest command
+ * @param batchBytes    entries in one message, unless a single one is larger
+ * @param pendingBytes  proposals under way at the leader
+ * @param inFlight      unanswered append messages per member
+ * @param chunkBytes    largest piece of a snapshot
+ * @param snapshotBytes largest snapshot that is accepted from a leader
+ * @param logBytes      applied entries after which a snapshot is taken
+ * @param keptEntries   entries kept in memory behind a snapshot, for members that lag a little
+ * @param segmentBytes  size after which a new segment file is begun
+ */
+record RaftLimits(
+        int commandBytes,
+        int batchBytes,
+        int pendingBytes,
+        int inFlight,
+        int chunkBytes,
+        int snapshotBytes,
+        long logBytes,
+        int keptEntries,
+        long segmentBytes) {
+
+    /** Limits of the daemon: below 8 MiB frames and within 128 MiB of memory. */
+    static final RaftLimits DEFAULT =
+            new RaftLimits(4 << 20, 512 << 10, 8 << 20, 4, 256 << 10, 64 << 20, 8 << 20, 1024, 4 << 20);
+}
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/consensus/RaftMessage.java
@@ -0,0 +1,41 @@
+package org.copperspindle.consensus;
+
+import org.copperspindle.wire.FieldReader;
+import org.copperspindle.wire.FieldWriter;
+import org.copperspindle.wire.WireMessage;
+
+/**
+ * A message between two members of a group.
+ */
+sealed interface RaftMessage extends WireMessage
+        permits VoteRequestMessage,
+                VoteReplyMessage,
+                AppendRequestMessage,
+                AppendReplyMessage,
+                SnapshotChunkMessage,
+                SnapshotReplyMessage {
+
+    /** Returns who sent it, to whom, in which group and term. */
+    Envelope envelope();
+
+    /**
+     * The addressing that every message between members carries.
+     *
+     * @param group identity of the group
+     * @param from  identity of the sender
+     * @param to    identity of the addressee; a member with another identity at the same address takes nothing
+     * @param term  the sender's term, or the term that a pre-vote asks for
+     * @param address IP:PORT of the sender, as a member that joins doesn't know the others yet
+     */
+    record Envelope(long group, long from, long to, long term, String address) {
+
+        FieldWriter write(FieldWriter out) {
+            return out.put(1, group).put(2, from).put(3, to).put(4, term).put(5, address);
+        }
+
+        static Envelope read(FieldReader in) {
+            return new Envelope(
+                    in.getLong(1, 0), in.getLong(2, 0), in.getLong(3, 0), in.getLong(4, 0), in.getString(5));
+        }
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/consensus/VoteReplyMessage.java
@@ -0,0 +1,27 @@
+package org.copperspindle.consensus;
+
+import org.copperspindle.wire.FieldReader;
+import org.copperspindle.wire.FieldWriter;
+import org.copperspindle.wire.MessageCodec;
+
+/**
+ * Answers a {@link VoteRequestMessage}.
+ *
+ * @param envelope addressing; the term is the voter's own
+ * @param preVote  as in the request
+ * @param forTerm  term that was asked for
+ * @param granted  true if the vote is given
+ */
+record VoteReplyMessage(Envelope envelope, boolean preVote, long forTerm, boolean granted) implements RaftMessage {
+
+    static final MessageCodec<VoteReplyMessage> CODEC =
+            MessageCodec.of(65, VoteReplyMessage.class, VoteReplyMessage::write, VoteReplyMessage::read);
+
+    private void write(FieldWriter out) {
+        envelope.write(out).put(10, preVote).put(11, forTerm).put(12, granted);
+    }
+
+    private static VoteReplyMessage read(FieldReader in) {
+        return new VoteReplyMessage(Envelope.read(in), in.getBoolean(10), in.getLong(11, 0), in.getBoolean(12));
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/consensus/VoteRequestMessage.java
@@ -0,0 +1,27 @@
+package org.copperspindle.consensus;
+
+import org.copperspindle.wire.FieldReader;
+import org.copperspindle.wire.FieldWriter;
+import org.copperspindle.wire.MessageCodec;
+
+/**
+ * Asks for a vote, or whether one would be given.
+ *
+ * @param envelope  addressing; the term is the one that the candidate stands for
+ * @param preVote   true to ask only whether a vote would be given, which changes nothing at the receiver
+ * @param lastIndex index of the candidate's last entry
+ * @param lastTerm  term of that entry
+ */
+record VoteRequestMessage(Envelope envelope, boolean preVote, long lastIndex, long lastTerm) implements RaftMessage {
+
+    static final MessageCodec<VoteRequestMessage> CODEC =
+            MessageCodec.of(64, VoteRequestMessage.class, VoteRequestMessage::write, VoteRequestMessage::read);
+
+    private void write(FieldWriter out) {
+        envelope.write(out).put(10, preVote).put(11, lastIndex).put(12, lastTerm);
+    }
+
+    private static VoteRequestMessage read(FieldReader in) {
+        return new VoteRequestMessage(Envelope.read(in), in.getBoolean(10), in.getLong(11, 0), in.getLong(12, 0));
+    }
+}
--- a/library/src/main/java/org/copperspindle/control/ReplicatedLog.java
+++ b/library/src/main/java/org/copperspindle/control/ReplicatedLog.java
@@ -1,5 +1,6 @@
 package org.copperspindle.control;
 
+import java.net.InetSocketAddress;
 import java.util.Optional;
 import java.util.function.Consumer;
 
@@ -29,6 +30,15 @@
      */
     Optional<String> leaderAddress();
 
+    /**
+     * Returns where the leader takes the system's own protocol.
+     *
+     * @return its wire address, if a leader is known
+     */
+    default Optional<InetSocketAddress> leaderWireAddress() {
+        return Optional.empty();
+    }
+
     /**
      * Proposes a command.
      *
--- a/library/src/main/java/org/copperspindle/daemon/ControlRole.java
+++ b/library/src/main/java/org/copperspindle/daemon/ControlRole.java
@@ -23,14 +23,14 @@
 final class ControlRole implements ProcessRole {
 
     private final ProcessContext context;
-    private final ReplicatedLog log;
+    private final ConsensusLog log;
     private final ControlService service;
     private final HttpListener operators;
 
     ControlRole(ProcessContext context, ProcessSettings.ControlSettings settings) {
         this.context = context;
         ControlState state = new ControlState();
-        this.log = new LocalLog(state);
+        this.log = open(context, settings, state);
         this.service = new ControlService(context.ring(), context.timers(), log, state, settings.lease());
         this.operators =
                 new HttpListener(settings.listen(), 1, HttpLimits.DEFAULT, new ControlDoor(context.ring(), service));
--- a/library/src/main/java/org/copperspindle/daemon/MessageCatalog.java
+++ b/library/src/main/java/org/copperspindle/daemon/MessageCatalog.java
@@ -12,6 +12,7 @@
 import org.copperspindle.claims.ClaimReplyMessage;
 import org.copperspindle.claims.ClaimRequestMessage;
 import org.copperspindle.claims.ClaimSettleMessage;
+import org.copperspindle.consensus.ConsensusLog;
 import org.copperspindle.control.NotLeaderMessage;
 import org.copperspindle.membership.ControlUpdateMessage;
 import org.copperspindle.membership.LeaseGrantMessage;
@@ -53,6 +54,7 @@
     public static MessageRegistry registry() {
         MessageRegistry registry = WireTransport.registry();
         CODECS.forEach(registry::register);
+        ConsensusLog.codecs().forEach(registry::register);
         return registry;
     }
 }
--- a/library/src/main/java/org/copperspindle/daemon/ProcessSettings.java
+++ b/library/src/main/java/org/copperspindle/daemon/ProcessSettings.java
@@ -3,10 +3,12 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 
 import org.copperspindle.agent.AgentSettings;
+import org.copperspindle.consensus.VoterAddress;
 import org.copperspindle.entry.EntrySettings;
 import org.copperspindle.settings.SettingsException;
 import org.copperspindle.settings.SettingsFile;
@@ -35,17 +37,43 @@
     private static final List<String> KINDS = List.of("process", "entry", "agent", "control");
     private static final Duration DEFAULT_RENEW = Duration.ofSeconds(1);
     private static final Duration DEFAULT_LEASE = Duration.ofSeconds(5);
+    private static final Duration DEFAULT_ELECTION = Duration.ofSeconds(1);
+    private static final Duration MIN_ELECTION = Duration.ofMillis(100);
+    private static final String DEFAULT_GROUP = "copperspindle";
+    private static final String VOTERS_EXPECTED = "ID@IP:PORT of each voter, separated by commas";
+    private static final int MAX_VOTERS = 5;
     private static final int DEFAULT_IN_PROGRESS = 2000;
     private static final long DEFAULT_BODY = 1 << 20;
 
     /**
      * Settings of the control role.
      *
-     * @param listen     address for operators
-     * @param dataFolder folder of the log
-     * @param lease      length of members' leases
+     * @param listen          address for operators
+     * @param dataFolder      folder of the log
+     * @param lease           length of members' leases
+     * @param group           name of the group of control members
+     * @param voters          wanted voters of the log, the same on all members; empty for this process alone
+     * @param electionTimeout after which a silent leader is replaced
      */
-    public record ControlSettings(InetSocketAddress listen, Path dataFolder, Duration lease) {}
+    public record ControlSettings(
+            InetSocketAddress listen,
+            Path dataFolder,
+            Duration lease,
+            String group,
+            List<VoterAddress> voters,
+            Duration electionTimeout) {
+
+        /**
+         * Makes the settings of a control member that is the only one.
+         *
+         * @param listen     address for operators
+         * @param dataFolder folder of the log
+         * @param lease      length of members' leases
+         */
+        public ControlSettings(InetSocketAddress listen, Path dataFolder, Duration lease) {
+            this(listen, dataFolder, lease, DEFAULT_GROUP, List.of(), DEFAULT_ELECTION);
+        }
+    }
 
     /**
      * Loads the settings of a process.
@@ -114,8 +142,34 @@
         ControlSettings control = new ControlSettings(
                 s.getAddress("listen", Optional.empty()),
                 Path.of(s.getString("data-folder", "a folder on a disk")),
-                s.getDuration("lease", Optional.of(DEFAULT_LEASE)));
+                s.getDuration("lease", Optional.of(DEFAULT_LEASE)),
+                s.getString("group", "a name for the group of control members", DEFAULT_GROUP),
+                readVoters(s),
+                s.getDuration("election-timeout", Optional.of(DEFAULT_ELECTION)));
+        if (control.electionTimeout().compareTo(MIN_ELECTION) < 0) {
+            s.reject("election-timeout", "too short to be told from a slow disk", "100ms or more");
+        }
         s.finish();
         return control;
     }
+
+    /** Required: a member that took itself for the only one would found a group beside the real one. */
+    private static List<VoterAddress> readVoters(SettingsSection s) {
+        List<VoterAddress> voters = new ArrayList<>();
+        for (String text : s.getList("voters", VOTERS_EXPECTED, Optional.empty())) {
+            int at = text.indexOf('@');
+            Optional<InetSocketAddress> address =
+                    at < 1 ? Optional.empty() : SettingsSection.findAddress(text.substring(at + 1));
+            if (address.isEmpty()) {
+                s.reject("voters", "bad voter '" + text + "'", VOTERS_EXPECTED);
+                continue;
+            }
+            voters.add(new VoterAddress(text.substring(0, at), address.get()));
+        }
+        long names = voters.stream().map(VoterAddress::name).distinct().count();
+        if (names < voters.size() || voters.size() % 2 == 0 || voters.size() > MAX_VOTERS) {
+            s.reject("voters", voters.size() + " voters, " + names + " names", "1, 3 or 5 voters of different names");
+        }
+        return voters;
+    }
 }
--- a/library/src/main/java/org/copperspindle/settings/SettingsSection.java
+++ b/library/src/main/java/org/copperspindle/settings/SettingsSection.java
@@ -292,6 +292,20 @@
         };
     }
 
+    /**
+     * Parses an address that is part of a longer value.
+     *
+     * @param text IP:PORT
+     * @return the address, if the text is one
+     */
+    public static Optional<InetSocketAddress> findAddress(String text) {
+        try {
+            return Optional.of(parseAddress(text));
+        } catch (IllegalArgumentException e) {
+            return Optional.empty();
+        }
+    }
+
     private static InetSocketAddress parseAddress(String text) {
         int colon = text.lastIndexOf(':');
         require(colon > 0);
