Replicate the control state over a group of voters

Cause: the control state lived in one member's memory and was gone with it.

ControlRole opens it; a control section of settings names group and voters. NotLeaderMessage carries the leader's wire address, which is what ControlLink connects to. Conclusion: first whole path; files and sockets get focused tests next.

--- a/library/src/main/java/org/copperspindle/consensus/ConsensusLog.java
+++ b/library/src/main/java/org/copperspindle/consensus/ConsensusLog.java
@@ -1,7 +1,6 @@
 package org.copperspindle.consensus;
 
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.security.SecureRandom;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -175,8 +174,8 @@
     }
 
     @Override
-    public Optional<InetSocketAddress> leaderWireAddress() {
-        return stopped ? Optional.empty() : node.leader().map(m -> VoterAddress.parse(m.address()));
+    public Optional<String> leaderWireAddress() {
+        return stopped ? Optional.empty() : node.leader().map(Member::address);
     }
 
     @Override
@@ -222,8 +221,9 @@
     }
 
     @Override
-    public void onOpen(Peer peer) {
+    public boolean onOpen(Peer peer) {
         LOGGER.debug("event=member-connected member={}", peer.greeting().processId());
+        return true;
     }
 
     @Override
@@ -232,8 +232,9 @@
     }
 
     @Override
-    public void onClose(Peer peer) {
+    public boolean onClose(Peer peer) {
         LOGGER.debug("event=member-disconnected member={}", peer.greeting().processId());
+        return true;
     }
 
     @Override
--- a/library/src/main/java/org/copperspindle/consensus/LogFile.java
+++ b/library/src/main/java/org/copperspindle/consensus/LogFile.java
@@ -25,7 +25,13 @@
     @FunctionalInterface
     interface Opener {
 
-        /** Opens a file for appending, creating it if it doesn't exist. */
+        /**
+         * Opens a file for appending, creating it if it doesn't exist.
+         *
+         * @param path the file
+         * @return the open file
+         * @throws IOException if it can't be opened
+         */
         LogFile open(Path path) throws IOException;
     }
 
--- a/library/src/main/java/org/copperspindle/consensus/MemberLinks.java
+++ b/library/src/main/java/org/copperspindle/consensus/MemberLinks.java
@@ -93,12 +93,23 @@
             waiting.addLast(message);
             if (connecting == null) {
                 aliveAt = timers.nanoTime();
-                connecting = transport.connect(VoterAddress.parse(address), this);
-                connecting.whenComplete((channel, failure) -> {
-                    if (failure != null) {
-                        ring.execute(() -> connecting = null);
-                    }
-                });
+                connect();
+            }
+        }
+
+        private void connect() {
+            CompletableFuture<Channel> attempt = transport.connect(VoterAddress.parse(address), this);
+            connecting = attempt;
+            attempt.whenComplete((channel, failure) -> {
+                if (failure != null) {
+                    ring.offerUntilTaken(() -> failed(attempt), transport.scheduler());
+                }
+            });
+        }
+
+        private void failed(CompletableFuture<Channel> attempt) {
+            if (connecting == attempt) {
+                connecting = null;
             }
         }
 
@@ -125,8 +136,8 @@
         }
 
         @Override
-        public void onOpen(Peer opened) {
-            ring.execute(() -> {
+        public boolean onOpen(Peer opened) {
+            return ring.offer(() -> {
                 peer = opened;
                 aliveAt = timers.nanoTime();
                 waiting.forEach(opened::send);
@@ -140,8 +151,8 @@
         }
 
         @Override
-        public void onClose(Peer ended) {
-            ring.execute(() -> {
+        public boolean onClose(Peer ended) {
+            return ring.offer(() -> {
                 if (peer == ended) {
                     peer = null;
                     connecting = null;
--- a/library/src/main/java/org/copperspindle/consensus/RaftState.java
+++ b/library/src/main/java/org/copperspindle/consensus/RaftState.java
@@ -139,10 +139,14 @@
         return requested;
     }
 
-    long persistEntries(List<LogEntry> entries) {
-        long sequence = persist(new PersistRequest.AppendEntries(entries));
-        appends.addLast(
-                new PendingAppend(sequence, entries.get(entries.size() - 1).index()));
+    /** Sends the entries that are only in memory to the disk; returns the newest request. */
+    long persistTail() {
+        if (requestedTo >= log.lastIndex()) {
+            return requested;
+        }
+        long sequence = persist(new PersistRequest.AppendEntries(log.from(requestedTo + 1, Integer.MAX_VALUE)));
+        requestedTo = log.lastIndex();
+        appends.addLast(new PendingAppend(sequence, requestedTo));
         return sequence;
     }
 
--- a/library/src/main/java/org/copperspindle/consensus/Replication.java
+++ b/library/src/main/java/org/copperspindle/consensus/Replication.java
@@ -197,7 +197,8 @@
     }
 
     private Progress of(Member member, long now) {
+        // Begins with the newest entry, so that a member that lacks it says so.
         return progress.computeIfAbsent(
-                member.identity(), id -> new Progress(state.log().lastIndex() + 1, now));
+                member.identity(), id -> new Progress(state.log().lastIndex(), now));
     }
 }
--- a/library/src/main/java/org/copperspindle/control/ControlService.java
+++ b/library/src/main/java/org/copperspindle/control/ControlService.java
@@ -105,7 +105,7 @@
 
     private void receive(Peer peer, WireMessage message) {
         if (!log.leads()) {
-            peer.send(new NotLeaderMessage(log.leaderAddress().orElse("")));
+            peer.send(new NotLeaderMessage(log.leaderWireAddress().orElse("")));
             return;
         }
         if (message instanceof LeaseRequestMessage lease) {
--- a/library/src/main/java/org/copperspindle/control/ReplicatedLog.java
+++ b/library/src/main/java/org/copperspindle/control/ReplicatedLog.java
@@ -1,6 +1,5 @@
 package org.copperspindle.control;
 
-import java.net.InetSocketAddress;
 import java.util.Optional;
 import java.util.function.Consumer;
 
@@ -31,11 +30,11 @@
     Optional<String> leaderAddress();
 
     /**
-     * Returns where the leader takes the system's own protocol.
+     * Returns the address of the leader for the system's own protocol.
      *
-     * @return its wire address, if a leader is known
+     * @return IP:PORT, if a leader is known
      */
-    default Optional<InetSocketAddress> leaderWireAddress() {
+    default Optional<String> leaderWireAddress() {
         return Optional.empty();
     }
 
--- a/library/src/main/java/org/copperspindle/daemon/ControlRole.java
+++ b/library/src/main/java/org/copperspindle/daemon/ControlRole.java
@@ -1,19 +1,28 @@
 package org.copperspindle.daemon;
 
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 
 import org.copperspindle.claims.ClaimRequestMessage;
 import org.copperspindle.claims.ClaimSettleMessage;
+import org.copperspindle.consensus.ConsensusLog;
+import org.copperspindle.consensus.ConsensusSettings;
+import org.copperspindle.consensus.VoterAddress;
 import org.copperspindle.control.ControlDoor;
 import org.copperspindle.control.ControlService;
 import org.copperspindle.control.ControlState;
-import org.copperspindle.control.LocalLog;
-import org.copperspindle.control.ReplicatedLog;
+import org.copperspindle.http.HttpExchange;
 import org.copperspindle.http.HttpLimits;
 import org.copperspindle.http.HttpListener;
 import org.copperspindle.membership.LeaseRequestMessage;
+import org.copperspindle.wire.Peer;
 import org.copperspindle.wire.PeerListener;
 import org.copperspindle.wire.WireMessage;
 
@@ -22,35 +31,55 @@
  */
 final class ControlRole implements ProcessRole {
 
+    private static final Set<Class<? extends WireMessage>> SERVICE_MESSAGES =
+            Set.of(LeaseRequestMessage.class, ClaimRequestMessage.class, ClaimSettleMessage.class);
+    private static final int UNAVAILABLE = 503;
+
     private final ProcessContext context;
     private final ConsensusLog log;
     private final ControlService service;
     private final HttpListener operators;
+    private volatile ControlDoor door;
 
     ControlRole(ProcessContext context, ProcessSettings.ControlSettings settings) {
         this.context = context;
+        this.operators = new HttpListener(settings.listen(), 1, HttpLimits.DEFAULT, this::answer);
         ControlState state = new ControlState();
-        this.log = open(context, settings, state);
+        try {
+            this.log = ConsensusLog.open(
+                    context.ring(), context.timers(), context.transport(), state, consensus(context, settings));
+        } catch (IOException e) {
+            operators.close();
+            // Without its log the member has nothing to say; the process ends, loudly, and changes nothing on the disk.
+            throw new UncheckedIOException(e);
+        }
         this.service = new ControlService(context.ring(), context.timers(), log, state, settings.lease());
-        this.operators =
-                new HttpListener(settings.listen(), 1, HttpLimits.DEFAULT, new ControlDoor(context.ring(), service));
+        this.door = new ControlDoor(context.ring(), service);
     }
 
     @Override
     public Set<Class<? extends WireMessage>> messages() {
-        return Set.of(LeaseRequestMessage.class, ClaimRequestMessage.class, ClaimSettleMessage.class);
+        Set<Class<? extends WireMessage>> all = new HashSet<>(SERVICE_MESSAGES);
+        all.addAll(ConsensusLog.messages());
+        return all;
     }
 
     @Override
     public PeerListener listener() {
-        return service;
+        return new MessageSwitch();
     }
 
     @Override
     public void start() {
+        context.ring().execute(log::start);
         context.ring().execute(service::start);
     }
 
+    @Override
+    public boolean ready() {
+        return log.isRunning();
+    }
+
     @Override
     public void stop(Runnable done) {
         done.run();
@@ -66,4 +95,52 @@
     public Optional<InetSocketAddress> httpAddress() {
         return Optional.of(operators.address());
     }
+
+    private void answer(HttpExchange exchange) {
+        ControlDoor open = door;
+        if (open == null) {
+            exchange.respond(UNAVAILABLE, "text/plain", Map.of(), "starting".getBytes(StandardCharsets.UTF_8));
+            return;
+        }
+        open.handle(exchange);
+    }
+
+    private ConsensusSettings consensus(ProcessContext process, ProcessSettings.ControlSettings settings) {
+        String name = process.settings().id();
+        InetSocketAddress own = settings.voters().stream()
+                .filter(v -> v.name().equals(name))
+                .map(VoterAddress::address)
+                .findFirst()
+                .orElse(process.wireAddress());
+        List<VoterAddress> voters =
+                settings.voters().isEmpty() ? List.of(new VoterAddress(name, own)) : settings.voters();
+        return new ConsensusSettings(
+                settings.group(),
+                name,
+                own,
+                operators.address(),
+                voters,
+                settings.dataFolder(),
+                settings.electionTimeout());
+    }
+
+    /** Parts the messages between control members from those of other processes. */
+    private final class MessageSwitch implements PeerListener {
+        @Override
+        public boolean onOpen(Peer peer) {
+            return service.onOpen(peer);
+        }
+
+        @Override
+        public boolean onMessage(Peer peer, WireMessage message) {
+            return SERVICE_MESSAGES.contains(message.getClass())
+                    ? service.onMessage(peer, message)
+                    : log.onMessage(peer, message);
+        }
+
+        @Override
+        public boolean onClose(Peer peer) {
+            return service.onClose(peer);
+        }
+    }
 }
--- a/library/src/main/java/org/copperspindle/daemon/CopperspindleProcess.java
+++ b/library/src/main/java/org/copperspindle/daemon/CopperspindleProcess.java
@@ -48,6 +48,17 @@
         RoleSwitch roleSwitch = new RoleSwitch();
         this.wireChannel = transport.listen(settings.listen(), roleSwitch);
         ProcessContext context = new ProcessContext(settings, ring, timers, transport, wireAddress(), incarnation);
+        try {
+            addRoles(context, roleSwitch);
+        } catch (RuntimeException e) {
+            // Network threads would keep a process alive that has no roles.
+            kill();
+            throw e;
+        }
+        LOGGER.info("event=started process={} wire={}", settings.id(), wireAddress());
+    }
+
+    private void addRoles(ProcessContext context, RoleSwitch roleSwitch) {
         // Stopped in this order: an entry finishes its requests before the agent or control beside it goes.
         entry = settings.entry().map(e -> new EntryRole(context, e));
         entry.ifPresent(roles::add);
@@ -56,7 +67,6 @@
         control.ifPresent(roles::add);
         roles.forEach(roleSwitch::add);
         roles.forEach(ProcessRole::start);
-        LOGGER.info("event=started process={} wire={}", settings.id(), wireAddress());
     }
 
     /**
--- /dev/null
+++ b/library/src/test/java/org/copperspindle/consensus/SimulatedDisk.java
@@ -0,0 +1,59 @@
+package org.copperspindle.consensus;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+
+/**
+ * A disk in memory that carries requests out in order and late. A crash keeps a random prefix of what was under way.
+ */
+final class SimulatedDisk {
+
+    HardState hard;
+    Optional<LogSnapshot> snapshot = Optional.empty();
+    private final List<LogEntry> entries = new ArrayList<>();
+    private final Deque<RaftAction.Persist> underWay = new ArrayDeque<>();
+
+    void begin(RaftAction.Persist persist) {
+        underWay.addLast(persist);
+    }
+
+    void finish(long sequence) {
+        while (!underWay.isEmpty() && underWay.peekFirst().sequence() <= sequence) {
+            carryOut(underWay.pollFirst().request());
+        }
+    }
+
+    void crash(SplittableRandom random) {
+        for (int kept = random.nextInt(underWay.size() + 1); kept > 0; kept--) {
+            carryOut(underWay.pollFirst().request());
+        }
+        underWay.clear();
+    }
+
+    RecoveredState recover() {
+        if (hard.group() == 0) {
+            snapshot = Optional.empty();
+            entries.clear();
+        }
+        long after = snapshot.map(LogSnapshot::index).orElse(0L);
+        return new RecoveredState(
+                hard, snapshot, entries.stream().filter(e -> e.index() > after).toList());
+    }
+
+    private void carryOut(PersistRequest request) {
+        if (request instanceof PersistRequest.SaveHardState save) {
+            hard = save.state();
+        } else if (request instanceof PersistRequest.AppendEntries append) {
+            long first = append.entries().get(0).index();
+            entries.removeIf(e -> e.index() >= first);
+            entries.addAll(append.entries());
+        } else if (request instanceof PersistRequest.SaveSnapshot save) {
+            snapshot = Optional.of(save.snapshot());
+            entries.removeIf(e -> save.reset() || e.index() <= save.snapshot().index());
+        }
+    }
+}
--- /dev/null
+++ b/library/src/test/java/org/copperspindle/consensus/SimulatedGroup.java
@@ -0,0 +1,312 @@
+package org.copperspindle.consensus;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.SplittableRandom;
+
+import org.copperspindle.time.VirtualTimerService;
+import org.copperspindle.wire.WireMessage;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Members of one group on virtual time, with a lossy network, disks that finish late, and clocks that drift. After every
+ * step of any member the promises are checked.
+ */
+final class SimulatedGroup {
+
+    static final long MILLI = 1_000_000;
+    static final RaftTiming TIMING = new RaftTiming(100 * MILLI, 20 * MILLI, 10);
+    private static final RaftLimits LIMITS = new RaftLimits(1 << 10, 200, 4 << 10, 3, 100, 1 << 20, 600, 2, 1 << 20);
+
+    final VirtualTimerService time = new VirtualTimerService();
+    final SplittableRandom random;
+    final List<SimulatedMember> members = new ArrayList<>();
+    final Set<String> cut = new HashSet<>();
+    double loss;
+    double duplicates;
+    long maxDelay = 2 * MILLI;
+    long maxSync = 2 * MILLI;
+    boolean syncBeforeAnswer = true;
+    private final Map<Long, Long> leaderOfTerm = new HashMap<>();
+    private final Map<Long, String> committed = new LinkedHashMap<>();
+    private final Set<String> acknowledged = new HashSet<>();
+    private long nextIdentity = 1;
+
+    SimulatedGroup(long seed, int voters) {
+        random = new SplittableRandom(seed);
+        List<RaftSettings.Voter> names = new ArrayList<>();
+        for (int i = 0; i < voters; i++) {
+            names.add(new RaftSettings.Voter("m" + i, "m" + i));
+        }
+        for (RaftSettings.Voter voter : names) {
+            // Rates at both ends of the declared bound, where a wrong lease would show.
+            double rate = 1 + (random.nextInt(3) - 1) * TIMING.driftPerMille() / 1000.0;
+            members.add(new SimulatedMember(voter.name(), names, rate));
+        }
+    }
+
+    void startAll() {
+        members.forEach(SimulatedMember::start);
+    }
+
+    SimulatedMember member(int number) {
+        return members.get(number);
+    }
+
+    Optional<SimulatedMember> leading() {
+        return members.stream().filter(SimulatedMember::leads).findFirst();
+    }
+
+    /** Advances until a condition holds; fails after a minute of virtual time. */
+    void until(String what, java.util.function.BooleanSupplier condition) {
+        long end = time.nanoTime() + 60_000 * MILLI;
+        while (!condition.getAsBoolean()) {
+            assertThat(time.nanoTime()).as(what).isLessThan(end);
+            time.advance(MILLI);
+        }
+    }
+
+    SimulatedMember awaitLeader() {
+        until("a leader", () -> leading().isPresent());
+        return leading().orElseThrow();
+    }
+
+    /** Proposes to whoever leads and waits until it is acknowledged. */
+    void commit(String command) {
+        until("acknowledged " + command, () -> {
+            leading().filter(m -> !acknowledged.contains(command)).ifPresent(m -> m.propose(command));
+            time.advance(10 * MILLI);
+            return acknowledged.contains(command);
+        });
+    }
+
+    int acknowledgedCount() {
+        return acknowledged.size();
+    }
+
+    boolean isAcknowledged(String command) {
+        return acknowledged.contains(command);
+    }
+
+    void cutOff(SimulatedMember member) {
+        members.forEach(other -> cut.add(link(member.name, other.name)));
+        members.forEach(other -> cut.add(link(other.name, member.name)));
+    }
+
+    /** Everything acknowledged stands in the state of every member that runs, once all is calm. */
+    void checkAllHoldEverything() {
+        until(
+                "all members equal",
+                () -> members.stream().filter(m -> m.node != null).allMatch(m -> m.state.containsAll(acknowledged)));
+    }
+
+    private void check(SimulatedMember acted) {
+        if (acted.node == null) {
+            return;
+        }
+        if (acted.node.role() == RaftRole.LEADER) {
+            Long other = leaderOfTerm.putIfAbsent(acted.node.term(), acted.node.identity());
+            assertThat(other == null ? acted.node.identity() : other)
+                    .as("leader of term " + acted.node.term())
+                    .isEqualTo(acted.node.identity());
+        }
+        assertThat(members.stream().filter(SimulatedMember::leads).count())
+                .as("members that lead at " + time.nanoTime())
+                .isLessThanOrEqualTo(1);
+    }
+
+    private static String link(String from, String to) {
+        return from + ">" + to;
+    }
+
+    private long upTo(long bound) {
+        return random.nextLong(bound) + 1;
+    }
+
+    /** One member with its disk. */
+    final class SimulatedMember {
+        final String name;
+        final List<String> state = new ArrayList<>();
+        RaftNode node;
+        private final RaftSettings settings;
+        private final double rate;
+        private final long offset = random.nextLong(1_000_000_000L);
+        private final Map<Long, String> proposed = new HashMap<>();
+        private SimulatedDisk disk = new SimulatedDisk();
+        private long life;
+        private long diskFreeAt;
+
+        private SimulatedMember(String name, List<RaftSettings.Voter> voters, double rate) {
+            this.name = name;
+            this.rate = rate;
+            this.settings = new RaftSettings("group", name, name, name, voters, TIMING, LIMITS);
+        }
+
+        long now() {
+            return offset + (long) (time.nanoTime() * rate);
+        }
+
+        boolean leads() {
+            return node != null && node.leads(now());
+        }
+
+        void start() {
+            life++;
+            if (disk.hard == null) {
+                disk.hard = HardState.fresh(nextIdentity++, name);
+            }
+            state.clear();
+            disk.snapshot.filter(s -> s.index() > 1).ifPresent(this::restore);
+            diskFreeAt = time.nanoTime();
+            node = new RaftNode(settings, disk.recover(), random.split(), now());
+            long current = life;
+            time.schedule(0, () -> tick(current));
+        }
+
+        /** Ends at once; what the disk had not finished may be there in part, but nobody was told. */
+        void crash() {
+            life++;
+            node = null;
+            proposed.clear();
+            disk.crash(random);
+        }
+
+        void loseDisk() {
+            disk = new SimulatedDisk();
+        }
+
+        /** Gives the member the identity of its lost disk back: what must never happen. */
+        void loseLogButKeepIdentity() {
+            HardState old = disk.hard;
+            LogSnapshot founding = disk.snapshot.orElseThrow();
+            disk = new SimulatedDisk();
+            disk.hard = old;
+            disk.snapshot = Optional.of(LogSnapshot.founding(founding.membership()));
+        }
+
+        boolean propose(String command) {
+            if (node == null) {
+                return false;
+            }
+            OptionalLong index = node.propose(command.getBytes(java.nio.charset.StandardCharsets.UTF_8), now());
+            index.ifPresent(i -> proposed.put(i, command));
+            run();
+            return index.isPresent();
+        }
+
+        private void tick(long ofLife) {
+            if (ofLife != life) {
+                return;
+            }
+            node.tick(now());
+            run();
+            time.schedule((long) (TIMING.heartbeatNanos() / 2 / rate), () -> tick(ofLife));
+        }
+
+        private void run() {
+            List<RaftAction> actions = node.drain();
+            while (!actions.isEmpty()) {
+                actions.forEach(this::carryOut);
+                actions = node.drain();
+            }
+            check(this);
+        }
+
+        private void carryOut(RaftAction action) {
+            if (action instanceof RaftAction.Send send) {
+                post(send.address(), send.message());
+            } else if (action instanceof RaftAction.Persist persist) {
+                write(persist);
+            } else if (action instanceof RaftAction.Apply apply) {
+                applied(apply.entry());
+            } else if (action instanceof RaftAction.Restore restore) {
+                restore(restore.snapshot());
+            } else if (action instanceof RaftAction.TakeSnapshot take) {
+                byte[] data = String.join("\n", state).getBytes(java.nio.charset.StandardCharsets.UTF_8);
+                node.snapshotTaken(new LogSnapshot(take.index(), take.term(), take.membership(), data));
+            } else {
+                proposed.clear();
+            }
+        }
+
+        private void restore(LogSnapshot snapshot) {
+            state.clear();
+            if (snapshot.data().length > 0) {
+                String text = new String(snapshot.data(), java.nio.charset.StandardCharsets.UTF_8);
+                state.addAll(List.of(text.split("\n")));
+            }
+        }
+
+        private void applied(LogEntry entry) {
+            String command = new String(entry.body(), java.nio.charset.StandardCharsets.UTF_8);
+            String known = committed.putIfAbsent(entry.index(), command);
+            assertThat(known == null ? command : known)
+                    .as("committed entry " + entry.index())
+                    .isEqualTo(command);
+            state.add(command);
+            if (command.equals(proposed.remove(entry.index()))) {
+                acknowledged.add(command);
+            }
+        }
+
+        private void write(RaftAction.Persist persist) {
+            disk.begin(persist);
+            diskFreeAt = Math.max(diskFreeAt, time.nanoTime()) + upTo(maxSync);
+            long current = life;
+            long delay = syncBeforeAnswer ? diskFreeAt - time.nanoTime() : 0;
+            if (!syncBeforeAnswer) {
+                time.schedule(1, () -> answered(persist, current));
+            }
+            time.schedule(delay + (syncBeforeAnswer ? 0 : 40 * MILLI), () -> synced(persist, current));
+        }
+
+        private void synced(RaftAction.Persist persist, long ofLife) {
+            if (ofLife != life) {
+                return;
+            }
+            disk.finish(persist.sequence());
+            if (syncBeforeAnswer) {
+                answered(persist, ofLife);
+            }
+        }
+
+        private void answered(RaftAction.Persist persist, long ofLife) {
+            if (ofLife != life) {
+                return;
+            }
+            node.persisted(persist.sequence(), now());
+            run();
+        }
+
+        private void post(String to, WireMessage message) {
+            if (random.nextDouble() < loss) {
+                return;
+            }
+            int copies = random.nextDouble() < duplicates ? 2 : 1;
+            for (int i = 0; i < copies; i++) {
+                time.schedule(upTo(maxDelay), () -> deliver(to, message));
+            }
+        }
+
+        private void deliver(String to, WireMessage message) {
+            // Cut at delivery: what is under way when the cut begins is lost too.
+            if (cut.contains(link(name, to))) {
+                return;
+            }
+            SimulatedMember receiver =
+                    members.stream().filter(m -> m.name.equals(to)).findFirst().orElseThrow();
+            if (receiver.node != null) {
+                receiver.node.receive(message, receiver.now());
+                receiver.run();
+            }
+        }
+    }
+}
