Wait in the whole-path test until the agents have joined

Cause: a change is accepted once every leased member has it; with a real log the agents join after it, and an entry that knows no upstream refuses NOT_RUN. The test called at once and failed on that true refusal.

Change: the test comes back, as a caller told to, until each kind of call gets through, and asserts that every refusal meanwhile said NOT_RUN.

--- a/tools/src/test/java/org/copperspindle/cli/WholePathTest.java
+++ b/tools/src/test/java/org/copperspindle/cli/WholePathTest.java
@@ -78,6 +78,25 @@
                     "127.0.0.1:" + operators.getPort()
                 }))
                 .isEqualTo(ExitCode.SUCCESS);
+        awaitService(first);
+        awaitService(second);
+    }
+
+    /**
+     * Accepted means in force at the members there are; agents may still be joining then, and an entry that knows no
+     * upstream yet truly refuses. Comes back as such a caller does, until a call of each kind gets through.
+     */
+    private void awaitService(CopperspindleProcess entry) throws Exception {
+        long end = System.nanoTime() + Duration.ofSeconds(20).toNanos();
+        for (String path : List.of("pipelines/describe", "services/install")) {
+            HttpResponse<String> response = call(entry, path, "{\"input\":\"x\"}", "warm" + System.nanoTime(), false);
+            while (response.statusCode() != 200) {
+                assertThat(response.headers().firstValue("Copperspindle-Verdict"))
+                        .hasValue("NOT_RUN");
+                assertThat(System.nanoTime()).as(response.body()).isLessThan(end);
+                response = call(entry, path, "{\"input\":\"x\"}", "warm" + System.nanoTime(), false);
+            }
+        }
     }
 
     @AfterEach
