Show a whole deployment at work with bin/copperspindle demo

Cause: a newcomer had nothing to run. Change: demo starts control, two entries, and an agent with a fake for each upstream of a deployment file, replays a trace over HTTP, applies a configuration, drains an upstream and kills another half way, and ends with attainment, cost, verdicts and the promises, checked against the fakes' ledger only.

--- /dev/null
+++ b/tools/src/main/java/org/copperspindle/cli/DemoCommand.java
@@ -0,0 +1,85 @@
+package org.copperspindle.cli;
+
+import java.io.File;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Comparator;
+import java.util.Optional;
+import java.util.stream.Stream;
+
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+import org.copperspindle.config.Deployment;
+import org.copperspindle.config.DeploymentLoader;
+import org.copperspindle.demo.DemoRun;
+import org.copperspindle.demo.DemoTrace;
+
+/**
+ * {@code copperspindle demo}: a whole deployment in this process, disturbed under load, with its promises checked.
+ */
+final class DemoCommand implements Command {
+
+    private static final String HOME_PROPERTY = "copperspindle.home";
+    private static final String LOG_PROPERTY = "copperspindle.log";
+
+    @Override
+    public String name() {
+        return "demo";
+    }
+
+    @Override
+    public void declare(Subparser parser) {
+        parser.help("show a whole deployment at work")
+                .description("Starts a whole deployment in this process on loopback, with fake upstreams. Replays a"
+                        + " trace over HTTP; half way it applies a configuration, drains one upstream and kills"
+                        + " another. Ends with attainment, cost, verdicts and the promises checked; exit 1 if one was"
+                        + " broken.")
+                .epilog("Example: copperspindle demo --settings conf/aarebogen.ini --seed 7");
+        parser.addArgument("--settings")
+                .metavar("FILE")
+                .setDefault(home().resolve(Path.of("conf", "wijzerplaat.ini")).toString())
+                .help("deployment file");
+        parser.addArgument("--trace").metavar("FILE").help("trace to replay; one ships for each shipped deployment");
+        parser.addArgument("--seed").type(Long.class).setDefault(1L).help("seed of tokens, entries and faults");
+    }
+
+    @Override
+    public ExitCode run(Namespace arguments) throws Exception {
+        if (System.getProperty(LOG_PROPERTY) == null) {
+            System.setProperty(LOG_PROPERTY, "warn");
+        }
+        Path file = Path.of(arguments.getString("settings"));
+        Deployment deployment = DeploymentLoader.load(file);
+        Optional<DemoTrace> trace = arguments.getString("trace") == null
+                ? DemoTrace.shipped(deployment.name())
+                : Optional.of(DemoTrace.load(Path.of(arguments.getString("trace"))));
+        if (trace.isEmpty()) {
+            System.err.println(
+                    "copperspindle: no trace ships for deployment '" + deployment.name() + "'; name one with --trace");
+            return ExitCode.USAGE;
+        }
+        String text = Files.readString(file, StandardCharsets.UTF_8);
+        Path data = Files.createTempDirectory("copperspindle-demo");
+        try {
+            DemoRun run = new DemoRun(deployment, text, trace.get(), arguments.getLong("seed"), System.out);
+            return run.run(data) ? ExitCode.SUCCESS : ExitCode.FAILED;
+        } finally {
+            delete(data);
+        }
+    }
+
+    private static Path home() {
+        return Path.of(System.getProperty(HOME_PROPERTY, "."));
+    }
+
+    private static void delete(Path folder) {
+        try (Stream<Path> files = Files.walk(folder)) {
+            files.sorted(Comparator.reverseOrder()).map(Path::toFile).forEach(File::delete);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+}
--- /dev/null
+++ b/tools/src/main/java/org/copperspindle/demo/DemoDeployment.java
@@ -0,0 +1,177 @@
+package org.copperspindle.demo;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+
+import org.copperspindle.config.Deployment;
+import org.copperspindle.config.PoolSettings;
+import org.copperspindle.daemon.CopperspindleProcess;
+import org.copperspindle.daemon.ProcessSettings;
+import org.copperspindle.emulator.ExecutionLedger;
+import org.copperspindle.emulator.FakeKind;
+import org.copperspindle.emulator.FakeSettings;
+import org.copperspindle.emulator.FakeUpstream;
+import org.copperspindle.settings.SettingsException;
+import org.copperspindle.settings.SettingsFile;
+
+/**
+ * A whole deployment in this process: control members, entries, and an agent with a fake for each upstream. Each part is
+ * started from settings text, as a daemon of its own would be.
+ */
+final class DemoDeployment {
+
+    private static final String LOOPBACK = "127.0.0.1";
+    private static final int CONTROLS = 1;
+    private static final int ENTRIES = 2;
+    private static final int SCALE = 3;
+    private static final int SMALLEST_POOL = 2;
+    private static final int MAX_TOKENS = 256;
+    private static final int MAX_CONCURRENCY = 16;
+
+    private final Deployment deployment;
+    private final ExecutionLedger ledger = new ExecutionLedger();
+    private final List<CopperspindleProcess> controls = new ArrayList<>();
+    private final List<CopperspindleProcess> entries = new ArrayList<>();
+    private final List<DemoUpstream> upstreams = new ArrayList<>();
+    private final List<DemoUpstream> gone = new ArrayList<>();
+
+    DemoDeployment(Deployment deployment, Path data) throws IOException, SettingsException {
+        this.deployment = deployment;
+        List<Integer> ports = freePorts(CONTROLS);
+        String members = addresses(ports);
+        for (int i = 0; i < CONTROLS; i++) {
+            controls.add(start(
+                    "control-" + (i + 1),
+                    i,
+                    ports.get(i),
+                    members,
+                    "[control]\nlisten = 127.0.0.1:0\nlease = 2s\ndata-folder = "
+                            + data.resolve("control-" + (i + 1))));
+        }
+        for (PoolSettings pool : deployment.pools().values()) {
+            for (int i = 0; i < scaled(pool); i++) {
+                upstreams.add(startUpstream(pool, i, members));
+            }
+        }
+        for (int i = 0; i < ENTRIES; i++) {
+            entries.add(start("entry-" + (i + 1), i, 0, members, "[entry]\nlisten = 127.0.0.1:0\nstop-delay = 300ms"));
+        }
+    }
+
+    /** Returns how many upstreams a pool gets here: a third of what is planned, at least two where there are two. */
+    static int scaled(PoolSettings pool) {
+        int third = (pool.size() + SCALE - 1) / SCALE;
+        return Math.min(pool.size(), Math.max(SMALLEST_POOL, third));
+    }
+
+    String summary() {
+        return controls.size() + " control member" + (controls.size() == 1 ? "" : "s") + ", " + entries.size()
+                + " entries, " + upstreams.size() + " agents, each with a fake upstream";
+    }
+
+    ExecutionLedger ledger() {
+        return ledger;
+    }
+
+    List<DemoUpstream> upstreams() {
+        return upstreams;
+    }
+
+    List<InetSocketAddress> entryAddresses() {
+        return entries.stream().map(e -> e.callerAddress().orElseThrow()).toList();
+    }
+
+    List<InetSocketAddress> operatorAddresses() {
+        return controls.stream().map(c -> c.operatorAddress().orElseThrow()).toList();
+    }
+
+    boolean ready() {
+        return entries.stream().allMatch(CopperspindleProcess::ready);
+    }
+
+    void drain(DemoUpstream upstream) throws InterruptedException {
+        gone.add(upstream);
+        upstream.drain();
+    }
+
+    void kill(DemoUpstream upstream) {
+        gone.add(upstream);
+        upstream.kill();
+    }
+
+    /** Stops all that still runs, gracefully: entries first, so that none is left without agents or control. */
+    void stop() throws InterruptedException {
+        for (CopperspindleProcess entry : entries) {
+            entry.stop();
+        }
+        for (DemoUpstream upstream : upstreams) {
+            if (!gone.contains(upstream)) {
+                upstream.agent().stop();
+                upstream.fake().close();
+            }
+        }
+        for (CopperspindleProcess control : controls) {
+            control.stop();
+        }
+    }
+
+    private DemoUpstream startUpstream(PoolSettings pool, int index, String members) throws SettingsException {
+        String id = pool.name() + "-" + (index + 1);
+        FakeUpstream fake = new FakeUpstream(fake(pool), ledger);
+        String role = "[agent]\nupstream-id = " + id + "\npool = " + pool.name() + "\nupstream = " + LOOPBACK + ":"
+                + fake.address().getPort()
+                + (pool.models().isEmpty() ? "" : "\nmodels = " + String.join(", ", pool.models()));
+        return new DemoUpstream(id, pool, fake, start("agent-" + id, index, 0, members, role));
+    }
+
+    private static FakeSettings fake(PoolSettings pool) {
+        Duration service = switch (pool.kind()) {
+            case ENCODER -> Duration.ofMillis(8);
+            case RETRIEVER -> Duration.ofMillis(6);
+            case RERANKER -> Duration.ofMillis(15);
+            case ENGINE -> Duration.ofMillis(40);
+            case SERVICE -> Duration.ofMillis(12);
+        };
+        return new FakeSettings(
+                FakeKind.valueOf(pool.kind().name()),
+                new InetSocketAddress(LOOPBACK, 0),
+                Math.min(pool.concurrency(), MAX_CONCURRENCY),
+                service,
+                Duration.ofMillis(6),
+                MAX_TOKENS,
+                pool.reportsLoad());
+    }
+
+    private CopperspindleProcess start(String id, int index, int port, String members, String role)
+            throws SettingsException {
+        List<String> domains = deployment.failureDomains();
+        String text = "[process]\nid = " + id + "\nfailure-domain = " + domains.get(index % domains.size())
+                + "\nlisten = " + LOOPBACK + ":" + port + "\ncontrols = " + members + "\nrenew = 200ms\n\n" + role
+                + "\n";
+        return CopperspindleProcess.start(ProcessSettings.read(SettingsFile.parse(id, text)));
+    }
+
+    private static String addresses(List<Integer> ports) {
+        return String.join(", ", ports.stream().map(p -> LOOPBACK + ":" + p).toList());
+    }
+
+    private static List<Integer> freePorts(int count) throws IOException {
+        List<ServerSocket> held = new ArrayList<>();
+        List<Integer> ports = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(LOOPBACK));
+            held.add(socket);
+            ports.add(socket.getLocalPort());
+        }
+        for (ServerSocket socket : held) {
+            socket.close();
+        }
+        return ports;
+    }
+}
