--- a/library/src/main/java/org/copperspindle/wire/FieldReader.java
+++ b/library/src/main/java/org/copperspindle/wire/FieldReader.java
@@ -7,7 +7,6 @@
 import java.util.Map;
 import java.util.Optional;
 
-import org.msgpack.core.MessageFormat;
 import org.msgpack.core.MessageUnpacker;
 import org.msgpack.value.ImmutableValue;
 import org.msgpack.value.ValueFactory;
@@ -30,12 +29,13 @@
     /**
      * Reads all fields of a message body.
      *
-     * @param in positioned at the map of fields
+     * @param in    positioned at the map of fields
+     * @param bytes length of the whole payload that {@code in} reads
      * @return the fields
      * @throws IOException        if the bytes end early
      * @throws MalformedFrameException if the structure is not one that {@link FieldWriter} makes
      */
-    static FieldReader read(MessageUnpacker in) throws IOException, MalformedFrameException {
+    static FieldReader read(MessageUnpacker in, int bytes) throws IOException, MalformedFrameException {
         int count = in.unpackMapHeader();
         if (count > MAX_FIELDS) {
             throw new MalformedFrameException("too many fields: " + count);
@@ -43,7 +43,7 @@
         FieldReader reader = new FieldReader();
         for (int i = 0; i < count; i++) {
             int field = in.unpackInt();
-            reader.readValue(field, in);
+            reader.readValue(field, in, bytes);
         }
         return reader;
     }
@@ -122,22 +122,28 @@
         return list;
     }
 
-    private void readValue(int field, MessageUnpacker in) throws IOException, MalformedFrameException {
-        MessageFormat format = in.getNextFormat();
-        ValueType type = format.getValueType();
+    private void readValue(int field, MessageUnpacker in, int bytes) throws IOException, MalformedFrameException {
+        ValueType type = in.getNextFormat().getValueType();
         if (type == ValueType.ARRAY) {
-            readList(field, in);
+            readList(field, in, bytes);
+            return;
+        }
+        if (type == ValueType.BINARY) {
+            values.put(field, readBinary(in, bytes));
+            return;
+        }
+        if (type == ValueType.STRING) {
+            values.put(field, ValueFactory.newString(readPayload(in, in.unpackRawStringHeader(), bytes), true));
             return;
         }
         if (type == ValueType.MAP || type == ValueType.EXTENSION) {
-            // From a newer version: skipped without recursion, so depth cannot overflow the stack.
-            in.skipValue();
+            skip(in, bytes);
             return;
         }
         values.put(field, in.unpackValue());
     }
 
-    private void readList(int field, MessageUnpacker in) throws IOException, MalformedFrameException {
+    private void readList(int field, MessageUnpacker in, int bytes) throws IOException, MalformedFrameException {
         int size = in.unpackArrayHeader();
         if (size > MAX_LIST) {
             throw new MalformedFrameException("list too long: " + size);
@@ -145,11 +151,49 @@
         List<ImmutableValue> list = new ArrayList<>(Math.min(size, 16));
         for (int i = 0; i < size; i++) {
             if (in.getNextFormat().getValueType() == ValueType.BINARY) {
-                list.add(in.unpackValue());
+                list.add(readBinary(in, bytes));
             } else {
-                in.skipValue();
+                skip(in, bytes);
             }
         }
         values.put(field, ValueFactory.newArray(list.toArray(new ImmutableValue[0]), true));
     }
+
+    private static ImmutableValue readBinary(MessageUnpacker in, int bytes)
+            throws IOException, MalformedFrameException {
+        return ValueFactory.newBinary(readPayload(in, in.unpackBinaryHeader(), bytes), true);
+    }
+
+    private static byte[] readPayload(MessageUnpacker in, int length, int bytes)
+            throws IOException, MalformedFrameException {
+        // The unpacker allocates what a header announces before it looks for the bytes: a frame of ten bytes could ask
+        // for two gigabytes and end the process.
+        if (length > bytes - in.getTotalReadBytes()) {
+            throw new MalformedFrameException("field longer than its frame: " + length);
+        }
+        return in.readPayload(length);
+    }
+
+    /**
+     * Skips a value from a newer version. Counted here rather than by the unpacker, whose count of values overflows on
+     * a map that announces 2^31 of them, so that a damaged frame would pass for a whole one; without recursion, so that
+     * depth can't overflow the stack.
+     */
+    private static void skip(MessageUnpacker in, int bytes) throws IOException, MalformedFrameException {
+        long left = 1;
+        while (left > 0) {
+            left--;
+            ValueType type = in.getNextFormat().getValueType();
+            if (type == ValueType.MAP) {
+                left += 2L * in.unpackMapHeader();
+            } else if (type == ValueType.ARRAY) {
+                left += in.unpackArrayHeader();
+            } else {
+                in.skipValue();
+            }
+            if (left > bytes - in.getTotalReadBytes()) {
+                throw new MalformedFrameException("more values announced than bytes: " + left);
+            }
+        }
+    }
 }
--- a/library/src/main/java/org/copperspindle/wire/GreetingMessage.java
+++ b/library/src/main/java/org/copperspindle/wire/GreetingMessage.java
@@ -11,7 +11,10 @@
 public record GreetingMessage(long protocol, String role, String processId, long incarnation) implements WireMessage {
 
     /** Protocol version of this build. A peer below {@link #OLDEST_PROTOCOL} is refused. */
-    public static final long PROTOCOL = 1;
+    public static final long PROTOCOL = 2;
+
+    /** First version whose processes send heartbeats. */
+    static final long HEARTBEAT_PROTOCOL = 2;
 
     /** Oldest version that this build still talks to. */
     public static final long OLDEST_PROTOCOL = 1;
--- a/library/src/main/java/org/copperspindle/wire/MessageCodec.java
+++ b/library/src/main/java/org/copperspindle/wire/MessageCodec.java
@@ -76,7 +76,7 @@
             if (found != type) {
                 throw new MalformedFrameException("expected message type " + type + ", found " + found);
             }
-            return reader.apply(FieldReader.read(in));
+            return reader.apply(FieldReader.read(in, payload.length));
         } catch (IOException | RuntimeException e) {
             // MessagePack reports hostile bytes as unchecked exceptions, and so do constructors that check fields.
             throw new MalformedFrameException("not a message", e);
--- a/library/src/main/java/org/copperspindle/wire/MessageRegistry.java
+++ b/library/src/main/java/org/copperspindle/wire/MessageRegistry.java
@@ -57,7 +57,7 @@
     public Optional<WireMessage> decode(byte[] payload) throws MalformedFrameException {
         try (MessageUnpacker in = MessagePack.newDefaultUnpacker(payload)) {
             MessageCodec<?> codec = byType.get(in.unpackInt());
-            FieldReader fields = FieldReader.read(in);
+            FieldReader fields = FieldReader.read(in, payload.length);
             if (in.hasNext()) {
                 throw new MalformedFrameException("bytes after the end of the message");
             }
--- a/library/src/main/java/org/copperspindle/wire/Peer.java
+++ b/library/src/main/java/org/copperspindle/wire/Peer.java
@@ -13,10 +13,12 @@
     GreetingMessage greeting();
 
     /**
-     * Sends a message without waiting. Callable from any thread.
+     * Sends a message without waiting. Callable from any thread. A message is refused, and no byte of it leaves, if the
+     * connection is closed, if the message exceeds the largest frame, or if the peer has not read what was sent before;
+     * in the last case the connection is closed too. After {@code true} it is not known whether the peer gets it.
      *
      * @param message what to send
-     * @return false if the connection is known to be closed, so that no byte of the message was sent
+     * @return false if no byte of the message was sent or will be
      */
     boolean send(WireMessage message);
 
--- a/library/src/main/java/org/copperspindle/wire/WireCounters.java
+++ b/library/src/main/java/org/copperspindle/wire/WireCounters.java
@@ -14,6 +14,11 @@
     private final LongAdder messagesReceived = new LongAdder();
     private final LongAdder bytesReceived = new LongAdder();
     private final LongAdder malformedFrames = new LongAdder();
+    private final LongAdder oversizedFrames = new LongAdder();
+    private final LongAdder closedConnections = new LongAdder();
+    private final LongAdder silentPeers = new LongAdder();
+    private final LongAdder messagesRefused = new LongAdder();
+    private final LongAdder pauses = new LongAdder();
 
     void sent(int payload) {
         messagesSent.increment();
@@ -29,6 +34,26 @@
         malformedFrames.increment();
     }
 
+    void oversized() {
+        oversizedFrames.increment();
+    }
+
+    void closed() {
+        closedConnections.increment();
+    }
+
+    void silentPeer() {
+        silentPeers.increment();
+    }
+
+    void refusedToSend() {
+        messagesRefused.increment();
+    }
+
+    void paused() {
+        pauses.increment();
+    }
+
     /**
      * Returns messages sent.
      *
@@ -66,11 +91,56 @@
     }
 
     /**
-     * Returns frames that closed their connection.
+     * Returns frames that were no message and closed their connection.
      *
      * @return a count
      */
     public long malformedFrames() {
         return malformedFrames.sum();
     }
+
+    /**
+     * Returns frames over the size limit, each of which closed its connection.
+     *
+     * @return a count
+     */
+    public long oversizedFrames() {
+        return oversizedFrames.sum();
+    }
+
+    /**
+     * Returns connections that this side closed over the peer's conduct, whatever the reason.
+     *
+     * @return a count
+     */
+    public long closedConnections() {
+        return closedConnections.sum();
+    }
+
+    /**
+     * Returns connections closed because the peer sent nothing, not even heartbeats.
+     *
+     * @return a count
+     */
+    public long silentPeers() {
+        return silentPeers.sum();
+    }
+
+    /**
+     * Returns messages not sent because they were too large or the peer did not read.
+     *
+     * @return a count
+     */
+    public long messagesRefused() {
+        return messagesRefused.sum();
+    }
+
+    /**
+     * Returns times that reading from a connection paused because the decision ring was full.
+     *
+     * @return a count
+     */
+    public long pauses() {
+        return pauses.sum();
+    }
 }
--- a/library/src/main/java/org/copperspindle/wire/WireTransport.java
+++ b/library/src/main/java/org/copperspindle/wire/WireTransport.java
@@ -18,7 +18,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
-import io.netty.handler.timeout.IdleStateHandler;
+import io.netty.handler.flush.FlushConsolidationHandler;
 import io.netty.util.concurrent.DefaultThreadFactory;
 
 /**
@@ -31,12 +31,13 @@
 
     private static final int LENGTH_BYTES = 4;
     private static final int CONNECT_TIMEOUT_MILLIS = 1000;
-    private static final int GREETING_TIMEOUT_SECONDS = 5;
+    private static final int FLUSH_AFTER = 64;
 
     private final EventLoopGroup group;
     private final MessageRegistry registry;
     private final GreetingMessage own;
     private final boolean ownsGroup;
+    private final WireLimits limits;
     private final WireCounters counters = new WireCounters();
 
     /**
@@ -47,14 +48,28 @@
      * @param own      this process's greeting
      */
     public WireTransport(int threads, MessageRegistry registry, GreetingMessage own) {
-        this(newGroup(threads, own), registry, own, true);
+        this(threads, registry, own, WireLimits.DEFAULT);
     }
 
-    private WireTransport(EventLoopGroup group, MessageRegistry registry, GreetingMessage own, boolean ownsGroup) {
+    /**
+     * Creates a transport with its own network threads and limits.
+     *
+     * @param threads  number of network threads
+     * @param registry messages that this process knows
+     * @param own      this process's greeting
+     * @param limits   bounds on connections
+     */
+    public WireTransport(int threads, MessageRegistry registry, GreetingMessage own, WireLimits limits) {
+        this(newGroup(threads, own), registry, own, true, limits);
+    }
+
+    private WireTransport(
+            EventLoopGroup group, MessageRegistry registry, GreetingMessage own, boolean ownsGroup, WireLimits limits) {
         this.group = group;
         this.registry = registry;
         this.own = own;
         this.ownsGroup = ownsGroup;
+        this.limits = limits;
     }
 
     private static EventLoopGroup newGroup(int threads, GreetingMessage own) {
@@ -71,16 +86,16 @@
      * @return a transport with counters of its own
      */
     public WireTransport withGreeting(GreetingMessage other) {
-        return new WireTransport(group, registry, other, false);
+        return new WireTransport(group, registry, other, false, limits);
     }
 
     /**
-     * Makes a registry that already knows the greeting.
+     * Makes a registry that already knows the greeting and the heartbeat.
      *
      * @return a new registry
      */
     public static MessageRegistry registry() {
-        return new MessageRegistry().register(GreetingMessage.CODEC);
+        return new MessageRegistry().register(GreetingMessage.CODEC).register(HeartbeatMessage.CODEC);
     }
 
     /**
@@ -160,10 +175,11 @@
         @Override
         protected void initChannel(SocketChannel channel) {
             channel.pipeline()
-                    .addLast(new LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES))
+                    // Messages that the ring sends in one go leave in one system call.
+                    .addLast(new FlushConsolidationHandler(FLUSH_AFTER, true))
+                    .addLast(new LengthFieldBasedFrameDecoder(limits.maxFrameBytes(), 0, LENGTH_BYTES, 0, LENGTH_BYTES))
                     .addLast(new LengthFieldPrepender(LENGTH_BYTES))
-                    .addLast(new IdleStateHandler(GREETING_TIMEOUT_SECONDS, 0, 0))
-                    .addLast(new PeerHandler(registry, own, listener, counters));
+                    .addLast(new PeerHandler(registry, own, listener, counters, limits));
         }
     }
 }
