--- a/library/src/test/java/org/copperspindle/wire/RecordingListener.java
+++ b/library/src/test/java/org/copperspindle/wire/RecordingListener.java
@@ -9,9 +9,12 @@
 final class RecordingListener implements PeerListener {
 
     final List<String> events = new CopyOnWriteArrayList<>();
-    volatile boolean full;
+    /** One in so many offers is taken. */
+    volatile int takeOneIn = 1;
+
     volatile int refusals;
     volatile Peer peer;
+    private int offers;
 
     @Override
     public boolean onOpen(Peer opened) {
@@ -30,7 +33,8 @@
     }
 
     private boolean take(String event) {
-        if (full) {
+        offers++;
+        if (offers % takeOneIn != 0) {
             refusals++;
             return false;
         }
