--- a/library/src/main/java/org/copperspindle/wire/FieldReader.java
+++ b/library/src/main/java/org/copperspindle/wire/FieldReader.java
@@ -137,7 +137,7 @@
             return;
         }
         if (type == ValueType.MAP || type == ValueType.EXTENSION) {
-            skip(in, bytes);
+            skip(in);
             return;
         }
         values.put(field, in.unpackValue());
@@ -153,7 +153,7 @@
             if (in.getNextFormat().getValueType() == ValueType.BINARY) {
                 list.add(readBinary(in, bytes));
             } else {
-                skip(in, bytes);
+                skip(in);
             }
         }
         values.put(field, ValueFactory.newArray(list.toArray(new ImmutableValue[0]), true));
@@ -176,10 +176,10 @@
 
     /**
      * Skips a value from a newer version. Counted here rather than by the unpacker, whose count of values overflows on
-     * a map that announces 2^31 of them, so that a damaged frame would pass for a whole one; without recursion, so that
-     * depth can't overflow the stack.
+     * a map that announces 2^31 of them, so that a damaged frame would pass for a whole one. Ends at the latest where the
+     * bytes end; without recursion, so that depth can't overflow the stack.
      */
-    private static void skip(MessageUnpacker in, int bytes) throws IOException, MalformedFrameException {
+    private static void skip(MessageUnpacker in) throws IOException {
         long left = 1;
         while (left > 0) {
             left--;
@@ -191,9 +191,6 @@
             } else {
                 in.skipValue();
             }
-            if (left > bytes - in.getTotalReadBytes()) {
-                throw new MalformedFrameException("more values announced than bytes: " + left);
-            }
         }
     }
 }
