--- a/library/src/main/java/org/copperspindle/agent/AttemptOutcomeMessage.java
+++ b/library/src/main/java/org/copperspindle/agent/AttemptOutcomeMessage.java
@@ -14,12 +14,12 @@
  * @param verdict whether it ran
  * @param status HTTP status of the upstream, 0 if it gave none
  * @param contentType content type of the body
- * @param body whole body; for a streamed answer all pieces joined
+ * @param body whole body; empty for a streamed answer whose pieces were all sent on this connection before
  * @param complete whether the framing shows that the answer is whole
  * @param chunks pieces sent before, for a streamed answer
  * @param busyMicros time that the upstream spent
- * @param inFlight attempts running on the upstream now
- * @param reportedLoad load that the upstream reported last, -1 if it reports none
+ * @param inFlight attempts running or waiting at the agent now, from all entries
+ * @param reportedLoad load that the upstream reported last, -1 if it reports none or that is too old
  */
 public record AttemptOutcomeMessage(
         String attemptId,
@@ -38,6 +38,41 @@
     public static final MessageCodec<AttemptOutcomeMessage> CODEC =
             MessageCodec.of(33, AttemptOutcomeMessage.class, AttemptOutcomeMessage::write, AttemptOutcomeMessage::read);
 
+    private static final byte[] NO_BODY = new byte[0];
+
+    /**
+     * Makes the outcome of an attempt that has no answer.
+     *
+     * @param attemptId the attempt
+     * @param verdict   whether it ran
+     * @return the outcome
+     */
+    public static AttemptOutcomeMessage withoutAnswer(String attemptId, Verdict verdict) {
+        return new AttemptOutcomeMessage(attemptId, verdict, 0, "", NO_BODY, false, 0, 0, -1, -1);
+    }
+
+    /**
+     * Adds the load at the time of sending.
+     *
+     * @param attempts attempts running or waiting at the agent
+     * @param load     load that the upstream reported last, -1 if none
+     * @return the outcome with the load
+     */
+    AttemptOutcomeMessage withLoad(int attempts, int load) {
+        return new AttemptOutcomeMessage(
+                attemptId, verdict, status, contentType, body, complete, chunks, busyMicros, attempts, load);
+    }
+
+    /**
+     * Leaves the body out, for a connection that got every piece of it.
+     *
+     * @return the outcome without its body
+     */
+    AttemptOutcomeMessage withoutBody() {
+        return new AttemptOutcomeMessage(
+                attemptId, verdict, status, contentType, NO_BODY, complete, chunks, busyMicros, inFlight, reportedLoad);
+    }
+
     private void write(FieldWriter out) {
         out.put(1, attemptId)
                 .put(2, verdict.label())
--- a/library/src/main/java/org/copperspindle/daemon/AgentRole.java
+++ b/library/src/main/java/org/copperspindle/daemon/AgentRole.java
@@ -6,8 +6,10 @@
 import org.copperspindle.agent.AgentSettings;
 import org.copperspindle.agent.AttemptCancelMessage;
 import org.copperspindle.agent.AttemptOrderMessage;
+import org.copperspindle.agent.LoadSubscribeMessage;
 import org.copperspindle.agent.OutcomeAckMessage;
 import org.copperspindle.agent.OutcomeQueryMessage;
+import org.copperspindle.agent.StampedOrderMessage;
 import org.copperspindle.wire.PeerListener;
 import org.copperspindle.wire.WireMessage;
 
@@ -35,9 +37,11 @@
     public Set<Class<? extends WireMessage>> messages() {
         return Set.of(
                 AttemptOrderMessage.class,
+                StampedOrderMessage.class,
                 AttemptCancelMessage.class,
                 OutcomeAckMessage.class,
-                OutcomeQueryMessage.class);
+                OutcomeQueryMessage.class,
+                LoadSubscribeMessage.class);
     }
 
     @Override
