--- a/library/src/main/java/org/copperspindle/claims/ClaimSettleMessage.java
+++ b/library/src/main/java/org/copperspindle/claims/ClaimSettleMessage.java
@@ -10,34 +10,51 @@
 /**
  * Tells the claim table how a claimed attempt ended. Sending it twice does nothing the second time.
  *
- * @param account client account
- * @param key idempotency key of the request
- * @param stage stage
- * @param attemptId attempt that ended
- * @param verdict its verdict; {@code NOT_RUN} frees the key for another attempt
+ * @param correlation number that the answer repeats
+ * @param account     client account
+ * @param key         idempotency key of the request
+ * @param stage       pipeline and stage
+ * @param attemptId   attempt that ended
+ * @param verdict     its verdict; {@code NOT_RUN} frees the key for another attempt
+ * @param shard       shard of the key
  */
-public record ClaimSettleMessage(String account, String key, String stage, String attemptId, Verdict verdict)
+public record ClaimSettleMessage(
+        long correlation, String account, String key, String stage, String attemptId, Verdict verdict, int shard)
         implements WireMessage {
 
     /** Codec of this message. */
     public static final MessageCodec<ClaimSettleMessage> CODEC =
             MessageCodec.of(22, ClaimSettleMessage.class, ClaimSettleMessage::write, ClaimSettleMessage::read);
 
+    /**
+     * Numbers this settlement.
+     *
+     * @param number number that the answer repeats
+     * @return the same settlement with that correlation
+     */
+    public ClaimSettleMessage numbered(long number) {
+        return new ClaimSettleMessage(number, account, key, stage, attemptId, verdict, shard);
+    }
+
     private void write(FieldWriter out) {
         out.put(1, account)
                 .put(2, key)
                 .put(3, stage)
                 .put(4, attemptId)
                 .put(5, verdict.label())
-                .put(6, verdict.reason());
+                .put(6, verdict.reason())
+                .put(7, correlation)
+                .put(8, shard);
     }
 
     private static ClaimSettleMessage read(FieldReader in) {
         return new ClaimSettleMessage(
+                in.getLong(7, 0),
                 in.getString(1),
                 in.getString(2),
                 in.getString(3),
                 in.getString(4),
-                VerdictFactory.of(in.getString(5), in.getString(6)));
+                VerdictFactory.of(in.getString(5), in.getString(6)),
+                (int) in.getLong(8, 0));
     }
 }
--- a/library/src/main/java/org/copperspindle/control/ControlResult.java
+++ b/library/src/main/java/org/copperspindle/control/ControlResult.java
@@ -1,6 +1,6 @@
 package org.copperspindle.control;
 
-import org.copperspindle.claims.ClaimResult;
+import org.copperspindle.claims.ClaimDecision;
 
 /**
  * What the replicated state answers to one command.
@@ -28,9 +28,7 @@
     /**
      * A claim was decided.
      *
-     * @param result     the decision
-     * @param attemptId  attempt that holds the claim
-     * @param upstreamId upstream of that attempt
+     * @param decision the decision and the attempt that holds the claim
      */
-    record Claimed(ClaimResult result, String attemptId, String upstreamId) implements ControlResult {}
+    record Claimed(ClaimDecision decision) implements ControlResult {}
 }
--- a/library/src/main/java/org/copperspindle/control/ControlService.java
+++ b/library/src/main/java/org/copperspindle/control/ControlService.java
@@ -12,10 +12,6 @@
 
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.copperspindle.claims.ClaimReplyMessage;
-import org.copperspindle.claims.ClaimRequestMessage;
-import org.copperspindle.claims.ClaimResult;
-import org.copperspindle.claims.ClaimSettleMessage;
 import org.copperspindle.core.DecisionRing;
 import org.copperspindle.membership.ControlUpdateMessage;
 import org.copperspindle.membership.LeaseGrantMessage;
@@ -40,6 +36,7 @@
     private final ReplicatedLog log;
     private final ControlState state;
     private final long leaseNanos;
+    private final ClaimHandler claims;
     private final Map<String, Member> members = new HashMap<>();
     private final List<PendingApply> pending = new ArrayList<>();
 
@@ -59,6 +56,7 @@
         this.log = log;
         this.state = state;
         this.leaseNanos = lease.toNanos();
+        this.claims = new ClaimHandler(timers, log, state);
     }
 
     /** Starts to watch leases. */
@@ -110,10 +108,8 @@
         }
         if (message instanceof LeaseRequestMessage lease) {
             receiveLease(peer, lease);
-        } else if (message instanceof ClaimRequestMessage claim) {
-            receiveClaim(peer, claim);
-        } else if (message instanceof ClaimSettleMessage settle) {
-            log.propose(state.encode(new SettleCommand(ClaimSettleMessage.CODEC.encode(settle))), result -> {});
+        } else {
+            claims.receive(peer, message);
         }
     }
 
@@ -153,19 +149,6 @@
         log.propose(state.encode(new AnnounceCommand(announcement)), result -> pushAll());
     }
 
-    private void receiveClaim(Peer peer, ClaimRequestMessage claim) {
-        log.propose(state.encode(new ClaimCommand(ClaimRequestMessage.CODEC.encode(claim))), result -> {
-            if (result instanceof ProposalResult.Committed committed
-                    && committed.result() instanceof ControlResult.Claimed claimed) {
-                peer.send(new ClaimReplyMessage(
-                        claim.correlation(), claimed.result().name(), claimed.attemptId(), claimed.upstreamId()));
-            } else if (result instanceof ProposalResult.NotTaken) {
-                peer.send(new ClaimReplyMessage(claim.correlation(), ClaimResult.UNAVAILABLE.name(), "", ""));
-            }
-            // Unknown: no reply. The entry asks again with the same attempt, which is granted if the first one held.
-        });
-    }
-
     private void leave(String id) {
         Member member = members.remove(id);
         if (member != null && member.upstreamId != null) {
--- a/library/src/main/java/org/copperspindle/control/ControlState.java
+++ b/library/src/main/java/org/copperspindle/control/ControlState.java
@@ -103,6 +103,15 @@
         return Map.copyOf(upstreams);
     }
 
+    /**
+     * Returns the time of the log, by which claims end.
+     *
+     * @return milliseconds
+     */
+    public long claimTimeMillis() {
+        return claims.timeMillis();
+    }
+
     private ControlResult dispatch(WireMessage command) {
         try {
             if (command instanceof ApplyConfigCommand apply) {
@@ -115,8 +124,8 @@
                 return remove(remove);
             }
             if (command instanceof ClaimCommand claim) {
-                ClaimTable.Decision decision = claims.claim(ClaimRequestMessage.CODEC.decode(claim.claim()));
-                return new ControlResult.Claimed(decision.result(), decision.attemptId(), decision.upstreamId());
+                return new ControlResult.Claimed(
+                        claims.claim(ClaimRequestMessage.CODEC.decode(claim.claim()), claim.atMillis()));
             }
             if (command instanceof SettleCommand settle) {
                 claims.settle(ClaimSettleMessage.CODEC.decode(settle.settle()));
--- a/library/src/main/java/org/copperspindle/daemon/MessageCatalog.java
+++ b/library/src/main/java/org/copperspindle/daemon/MessageCatalog.java
@@ -12,6 +12,7 @@
 import org.copperspindle.claims.ClaimReplyMessage;
 import org.copperspindle.claims.ClaimRequestMessage;
 import org.copperspindle.claims.ClaimSettleMessage;
+import org.copperspindle.claims.ClaimSettledMessage;
 import org.copperspindle.control.NotLeaderMessage;
 import org.copperspindle.membership.ControlUpdateMessage;
 import org.copperspindle.membership.LeaseGrantMessage;
@@ -35,6 +36,7 @@
             ClaimRequestMessage.CODEC,
             ClaimReplyMessage.CODEC,
             ClaimSettleMessage.CODEC,
+            ClaimSettledMessage.CODEC,
             AttemptOrderMessage.CODEC,
             AttemptCancelMessage.CODEC,
             AttemptChunkMessage.CODEC,
--- a/library/src/main/java/org/copperspindle/entry/AgentLinks.java
+++ b/library/src/main/java/org/copperspindle/entry/AgentLinks.java
@@ -1,65 +1,86 @@
 package org.copperspindle.entry;
 
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 
+import io.netty.channel.Channel;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.copperspindle.agent.AttemptCancelMessage;
+import org.copperspindle.agent.AttemptOrderMessage;
 import org.copperspindle.core.DecisionRing;
+import org.copperspindle.time.TimerService;
 import org.copperspindle.wire.Peer;
 import org.copperspindle.wire.PeerListener;
 import org.copperspindle.wire.WireMessage;
 import org.copperspindle.wire.WireTransport;
 
 /**
- * One entry's connections to agents, opened on first use.
+ * One entry's connections to agents, opened on first use and closed when idle.
  */
-final class AgentLinks {
+final class AgentLinks implements AgentPort {
+
+    /** Messages that wait for one connection; beyond it they come back as not sent, and go elsewhere. */
+    static final int MAX_WAITING = 1024;
+
+    private static final Logger LOGGER = LogManager.getLogger(AgentLinks.class);
+    private static final long IDLE_NANOS = Duration.ofMinutes(5).toNanos();
+    private static final long SWEEP_NANOS = Duration.ofMinutes(1).toNanos();
 
     private final DecisionRing ring;
+    private final TimerService timers;
     private final WireTransport transport;
-    private final AgentLinkListener listener;
+    private final AgentListener listener;
     private final Map<InetSocketAddress, Link> links = new HashMap<>();
 
-    AgentLinks(DecisionRing ring, WireTransport transport, AgentLinkListener listener) {
+    AgentLinks(DecisionRing ring, TimerService timers, WireTransport transport, AgentListener listener) {
         this.ring = ring;
+        this.timers = timers;
         this.transport = transport;
         this.listener = listener;
     }
 
-    /**
-     * Sends a message, connecting first where needed.
-     *
-     * @param address the agent
-     * @param message the message
-     */
-    void send(InetSocketAddress address, WireMessage message) {
-        Link link = links.get(address);
+    /** Starts to close idle connections. */
+    void start() {
+        timers.schedule(SWEEP_NANOS, this::sweep);
+    }
+
+    @Override
+    public void send(InetSocketAddress agent, WireMessage message) {
+        Link link = links.get(agent);
         if (link == null) {
-            link = new Link(address);
-            links.put(address, link);
-            Link opened = link;
-            transport.connect(address, link).whenComplete((channel, failure) -> {
-                if (failure != null) {
-                    ring.offerUntilTaken(opened::failed, transport.scheduler());
-                }
-            });
+            link = new Link(agent);
+            links.put(agent, link);
+            link.connect();
         }
         link.send(message);
     }
 
-    /** Hears what comes from agents, on the decision ring. */
-    interface AgentLinkListener {
+    @Override
+    public boolean isOpen(InetSocketAddress agent) {
+        Link link = links.get(agent);
+        return link != null && link.peer != null;
+    }
 
-        /** A message arrived. */
-        void onMessage(WireMessage message);
+    @Override
+    public long clockMicros(InetSocketAddress agent, long incarnation) {
+        return 0;
+    }
 
-        /** A message was not sent: no byte of it left this process. */
-        void onNotSent(WireMessage message);
+    private void sweep() {
+        timers.schedule(SWEEP_NANOS, this::sweep);
+        long limit = timers.nanoTime() - IDLE_NANOS;
+        links.values().stream()
+                .filter(link -> link.peer != null && link.usedAt < limit)
+                .forEach(link -> link.peer.close());
+    }
 
-        /** The connection ended; what was sent may or may not have arrived. */
-        void onLinkLost(InetSocketAddress address);
+    private void notSent(WireMessage message) {
+        timers.schedule(0, () -> listener.onNotSent(message));
     }
 
     /** One connection. */
@@ -67,20 +88,52 @@
         private final InetSocketAddress address;
         private final List<WireMessage> waiting = new ArrayList<>();
         private Peer peer;
+        private long usedAt = timers.nanoTime();
 
         private Link(InetSocketAddress address) {
             this.address = address;
         }
 
+        private void connect() {
+            transport.connect(address, this).whenComplete((channel, failure) -> {
+                if (failure != null) {
+                    ring.offerUntilTaken(this::failed, transport.scheduler());
+                } else {
+                    failWithoutGreeting(channel);
+                }
+            });
+        }
+
+        private void failWithoutGreeting(Channel channel) {
+            // A peer that accepts and never greets is closed without onOpen and onClose. Without this, all messages to
+            // that agent would wait here for ever, each until its request's deadline.
+            channel.closeFuture().addListener(closed -> ring.offerUntilTaken(this::failed, transport.scheduler()));
+        }
+
         private void send(WireMessage message) {
-            if (peer == null) {
+            usedAt = timers.nanoTime();
+            if (peer != null) {
+                if (!peer.send(message)) {
+                    notSent(message);
+                }
+            } else if (message instanceof AttemptCancelMessage cancel && withdraw(cancel.attemptId())) {
+                LOGGER.debug("event=order-withdrawn attempt={}", cancel.attemptId());
+            } else if (waiting.size() < MAX_WAITING) {
                 waiting.add(message);
-            } else if (!peer.send(message)) {
-                listener.onNotSent(message);
+            } else {
+                notSent(message);
             }
         }
 
+        private boolean withdraw(String attemptId) {
+            return waiting.removeIf(m ->
+                    m instanceof AttemptOrderMessage order && order.attemptId().equals(attemptId));
+        }
+
         private void failed() {
+            if (peer != null) {
+                return;
+            }
             links.remove(address, this);
             List<WireMessage> unsent = List.copyOf(waiting);
             waiting.clear();
@@ -99,7 +152,10 @@
 
         @Override
         public boolean onMessage(Peer from, WireMessage message) {
-            return ring.offer(() -> listener.onMessage(message));
+            return ring.offer(() -> {
+                usedAt = timers.nanoTime();
+                listener.onMessage(address, message);
+            });
         }
 
         @Override
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/entry/OpenRequest.java
@@ -0,0 +1,87 @@
+package org.copperspindle.entry;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.Set;
+
+import org.copperspindle.pipeline.PipelineAction;
+import org.copperspindle.pipeline.PipelineRequest;
+import org.copperspindle.pipeline.PipelineRun;
+import org.copperspindle.pipeline.UpstreamChooser;
+import org.copperspindle.time.TimerSubscription;
+
+/**
+ * One request in progress at an entry.
+ */
+final class OpenRequest {
+
+    private final PipelineRequest request;
+    private final UpstreamChooser chooser;
+    private final PipelineRun run;
+    private final AnswerSink sink;
+    private final Deque<PipelineAction> actions = new ArrayDeque<>();
+    private final Set<String> attempts = new HashSet<>();
+    private TimerSubscription deadline = () -> {};
+    private boolean performing;
+    private boolean released;
+
+    OpenRequest(PipelineRequest request, UpstreamChooser chooser, AnswerSink sink) {
+        this.request = request;
+        this.chooser = chooser;
+        this.run = new PipelineRun(request, chooser);
+        this.sink = sink;
+    }
+
+    String id() {
+        return request.requestId();
+    }
+
+    PipelineRequest request() {
+        return request;
+    }
+
+    UpstreamChooser chooser() {
+        return chooser;
+    }
+
+    PipelineRun run() {
+        return run;
+    }
+
+    AnswerSink sink() {
+        return sink;
+    }
+
+    Deque<PipelineAction> actions() {
+        return actions;
+    }
+
+    /** Attempts that the driver has registered for this request. */
+    Set<String> attempts() {
+        return attempts;
+    }
+
+    void deadline(TimerSubscription subscription) {
+        deadline = subscription;
+    }
+
+    void cancelDeadline() {
+        deadline.cancel();
+    }
+
+    boolean performing() {
+        return performing;
+    }
+
+    void performing(boolean value) {
+        performing = value;
+    }
+
+    /** Returns true the first time only. */
+    boolean release() {
+        boolean first = !released;
+        released = true;
+        return first;
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/entry/RequestAdmission.java
@@ -0,0 +1,94 @@
+package org.copperspindle.entry;
+
+import java.time.Duration;
+import java.util.Optional;
+
+import org.copperspindle.config.AccountSettings;
+import org.copperspindle.config.PipelineSettings;
+import org.copperspindle.config.Priority;
+import org.copperspindle.limits.AdmissionPolicy;
+import org.copperspindle.pipeline.PipelineAnswer;
+import org.copperspindle.pipeline.PipelineRequest;
+import org.copperspindle.verdict.NotRunVerdict;
+
+/**
+ * Judges callers' requests: who calls, what may be called, within which bounds. Every refusal is {@code NOT_RUN}: it
+ * comes before anything is claimed or dispatched.
+ */
+final class RequestAdmission {
+
+    private static final int UNAUTHORIZED = 401;
+    private static final int FORBIDDEN = 403;
+    private static final int NOT_FOUND = 404;
+    private static final int TOO_MANY_REQUESTS = 429;
+    private static final int UNAVAILABLE = 503;
+    private static final Duration COME_BACK = Duration.ofSeconds(1);
+
+    private final DeploymentView view;
+    private final AdmissionPolicy policy;
+
+    RequestAdmission(DeploymentView view, AdmissionPolicy policy) {
+        this.view = view;
+        this.policy = policy;
+    }
+
+    /** An entry that does not serve takes nothing on. */
+    AdmissionResult notServing() {
+        return refuse("not-serving", UNAVAILABLE, "this entry does not serve now", Optional.of(COME_BACK));
+    }
+
+    /**
+     * Judges one request.
+     *
+     * @param requestId identity of this arrival
+     * @param request   what the caller sent
+     * @param now       nanoseconds of the timer service
+     * @return the decision; an admitted request must be given back to the policy
+     */
+    AdmissionResult admit(String requestId, CallerRequest request, long now) {
+        Optional<AccountSettings> account = view.authenticate(request.bearer());
+        if (account.isEmpty()) {
+            return refuse("unknown-key", UNAUTHORIZED, "unknown bearer key", Optional.empty());
+        }
+        Optional<PipelineSettings> pipeline =
+                view.deployment().pipeline(request.pipeline()).filter(p -> p.service() == request.service());
+        if (pipeline.isEmpty()) {
+            return refuse("unknown-pipeline", NOT_FOUND, "no such pipeline or service", Optional.empty());
+        }
+        if (!account.get().pipelines().contains(request.pipeline())) {
+            return refuse("not-allowed", FORBIDDEN, "the account may not call this", Optional.empty());
+        }
+        PipelineRequest bounded = bound(requestId, request, account.get(), pipeline.get(), now);
+        Optional<Duration> refusal = policy.refuse(bounded.account(), bounded.priority(), now);
+        if (refusal.isPresent()) {
+            return refuse("rate", TOO_MANY_REQUESTS, "over the account's rate", refusal);
+        }
+        return new AdmissionResult.Admitted(bounded);
+    }
+
+    private static PipelineRequest bound(
+            String requestId, CallerRequest request, AccountSettings account, PipelineSettings pipeline, long now) {
+        Priority priority = request.priority().orElse(pipeline.priority());
+        if (priority.ordinal() < account.highest().ordinal()) {
+            priority = account.highest();
+        }
+        Duration deadline = request.deadline().orElse(pipeline.deadline());
+        if (deadline.compareTo(account.maxDeadline()) > 0) {
+            deadline = account.maxDeadline();
+        }
+        return new PipelineRequest(
+                requestId,
+                account,
+                request.key().orElse(requestId),
+                pipeline,
+                request.body(),
+                DeploymentView.sha256(request.body()),
+                priority,
+                now + deadline.toNanos(),
+                request.streaming());
+    }
+
+    private static AdmissionResult refuse(String reason, int status, String title, Optional<Duration> comeBack) {
+        return new AdmissionResult.Refused(PipelineAnswer.failure(new NotRunVerdict(reason), status, title, comeBack));
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/entry/RequestDriver.java
@@ -0,0 +1,365 @@
+package org.copperspindle.entry;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.copperspindle.agent.AttemptCancelMessage;
+import org.copperspindle.agent.AttemptChunkMessage;
+import org.copperspindle.agent.AttemptOrderMessage;
+import org.copperspindle.agent.AttemptOutcomeMessage;
+import org.copperspindle.agent.OutcomeAckMessage;
+import org.copperspindle.agent.OutcomeQueryMessage;
+import org.copperspindle.claims.ClaimClient;
+import org.copperspindle.limits.AdmissionPolicy;
+import org.copperspindle.pipeline.PipelineAction;
+import org.copperspindle.pipeline.PipelineAnswer;
+import org.copperspindle.pipeline.PipelineRequest;
+import org.copperspindle.pipeline.UpstreamChooser;
+import org.copperspindle.routing.FleetView;
+import org.copperspindle.routing.UpstreamView;
+import org.copperspindle.time.TimerService;
+import org.copperspindle.time.TimerSubscription;
+import org.copperspindle.verdict.NotRunVerdict;
+import org.copperspindle.wire.WireMessage;
+
+/**
+ * Carries out the actions of the requests in progress and feeds back what comes of them. Runs on the decision ring;
+ * network, time and claims come in through interfaces, so that tests drive it in virtual time.
+ */
+final class RequestDriver implements AgentListener {
+
+    /** Bytes of a streamed answer that may wait for one slow caller. */
+    static final long MAX_WAITING_BYTES = 1 << 20;
+
+    private static final Logger LOGGER = LogManager.getLogger(RequestDriver.class);
+
+    /** An agent that comes back this quickly is asked for a repeatable stage's outcome before the stage is rerun. */
+    private static final long ASK_AGAIN_NANOS = Duration.ofMillis(250).toNanos();
+
+    private static final long LINGER_NANOS = Duration.ofSeconds(30).toNanos();
+    private static final int MAX_ENDED = 4096;
+    private static final TimerSubscription NO_TIMER = () -> {};
+
+    private final TimerService timers;
+    private final AgentPort agents;
+    private final ClaimClient claims;
+    private final FleetView fleet;
+    private final AdmissionPolicy admission;
+    private final EntryCounters counters = new EntryCounters();
+    private final Map<String, OpenRequest> requests = new HashMap<>();
+    private final Map<String, OpenAttempt> attempts = new HashMap<>();
+    /** Attempts whose late outcomes are acknowledged, so that their agents can forget them. */
+    private final Map<String, Boolean> ended = new LinkedHashMap<>();
+
+    RequestDriver(
+            TimerService timers, AgentPort agents, ClaimClient claims, FleetView fleet, AdmissionPolicy admission) {
+        this.timers = timers;
+        this.agents = agents;
+        this.claims = claims;
+        this.fleet = fleet;
+        this.admission = admission;
+    }
+
+    /**
+     * Takes an admitted request on.
+     *
+     * @param request the request
+     * @param chooser the choices under its configuration
+     * @param sink    where its answer goes
+     */
+    void open(PipelineRequest request, UpstreamChooser chooser, AnswerSink sink) {
+        OpenRequest open = new OpenRequest(request, chooser, sink);
+        requests.put(open.id(), open);
+        long now = timers.nanoTime();
+        open.deadline(timers.schedule(
+                request.deadlineNanos() - now, () -> perform(open, open.run().onDeadline())));
+        perform(open, open.run().start(now));
+    }
+
+    /**
+     * Notes that a caller went away.
+     *
+     * @param requestId identity of its request
+     */
+    void callerLeft(String requestId) {
+        OpenRequest open = requests.get(requestId);
+        if (open != null) {
+            LOGGER.info("event=caller-left request={}", requestId);
+            perform(open, open.run().onCallerLeft());
+        }
+    }
+
+    /** Returns the requests in progress, those included whose unrepeatable attempt outlives their answer. */
+    int inProgress() {
+        return requests.size();
+    }
+
+    EntryCounters counters() {
+        return counters;
+    }
+
+    @Override
+    public void onMessage(InetSocketAddress agent, WireMessage message) {
+        if (message instanceof AttemptChunkMessage chunk) {
+            OpenAttempt attempt = attempts.get(chunk.attemptId());
+            if (attempt == null) {
+                counters.droppedChunk();
+                return;
+            }
+            perform(attempt.open(), attempt.open().run().onChunk(chunk));
+        } else if (message instanceof AttemptOutcomeMessage outcome) {
+            onOutcome(agent, outcome);
+        }
+    }
+
+    @Override
+    public void onNotSent(WireMessage message) {
+        counters.notSentOnce();
+        if (message instanceof AttemptOrderMessage order) {
+            onOrderNotSent(order.attemptId());
+        } else if (message instanceof OutcomeQueryMessage query) {
+            unreachable(query.attemptId(), false);
+        }
+    }
+
+    @Override
+    public void onLinkLost(InetSocketAddress agent) {
+        counters.linkLost();
+        List<OpenAttempt> lost =
+                attempts.values().stream().filter(a -> agent.equals(a.agent())).toList();
+        for (OpenAttempt attempt : lost) {
+            if (attempts.containsKey(attempt.id())) {
+                perform(attempt.open(), attempt.open().run().onLinkLost(attempt.id(), timers.nanoTime()));
+            }
+        }
+    }
+
+    private void onOutcome(InetSocketAddress agent, AttemptOutcomeMessage outcome) {
+        OpenAttempt attempt = attempts.get(outcome.attemptId());
+        if (attempt == null) {
+            counters.droppedOutcome();
+            if (ended.containsKey(outcome.attemptId())) {
+                agents.send(agent, new OutcomeAckMessage(outcome.attemptId()));
+            }
+            return;
+        }
+        close(attempt, outcome.inFlight());
+        perform(attempt.open(), attempt.open().run().onOutcome(outcome, timers.nanoTime()));
+    }
+
+    /** No byte of the order was sent and none will be: the proof that this attempt never runs. */
+    private void onOrderNotSent(String attemptId) {
+        OpenAttempt attempt = attempts.get(attemptId);
+        if (attempt == null) {
+            return;
+        }
+        close(attempt, -1);
+        AttemptOutcomeMessage outcome = new AttemptOutcomeMessage(
+                attemptId, new NotRunVerdict("not-sent"), 0, "", new byte[0], false, 0, 0, -1, -1);
+        perform(attempt.open(), attempt.open().run().onOutcome(outcome, timers.nanoTime()));
+    }
+
+    private void unreachable(String attemptId, boolean gone) {
+        OpenAttempt attempt = attempts.get(attemptId);
+        if (attempt != null) {
+            perform(attempt.open(), attempt.open().run().onUnreachable(attemptId, gone, timers.nanoTime()));
+        }
+    }
+
+    /** Carries out actions in order. What they cause in turn is queued behind them, never run in their midst. */
+    private void perform(OpenRequest open, List<PipelineAction> actions) {
+        open.actions().addAll(actions);
+        if (open.performing()) {
+            return;
+        }
+        open.performing(true);
+        try {
+            for (PipelineAction next = open.actions().poll();
+                    next != null;
+                    next = open.actions().poll()) {
+                perform(open, next);
+            }
+        } finally {
+            open.performing(false);
+        }
+        settle(open);
+    }
+
+    private void perform(OpenRequest open, PipelineAction action) {
+        if (action instanceof PipelineAction.Dispatch dispatch) {
+            dispatch(open, dispatch.order());
+        } else if (action instanceof PipelineAction.Claim claim) {
+            claims.claim(claim.request(), decision -> perform(open, open.run().onClaim(decision, timers.nanoTime())));
+        } else if (action instanceof PipelineAction.AbandonClaim abandon) {
+            claims.abandon(abandon.attemptId());
+        } else if (action instanceof PipelineAction.Settle settle) {
+            claims.settle(settle.settle(), () -> settle.acknowledge().ifPresent(this::acknowledge));
+        } else if (action instanceof PipelineAction.Query query) {
+            query(open, query);
+        } else if (action instanceof PipelineAction.Cancel cancel) {
+            remember(cancel.attemptId());
+            sendTo(cancel.upstreamId(), new AttemptCancelMessage(cancel.attemptId()));
+        } else if (action instanceof PipelineAction.Acknowledge acknowledge) {
+            acknowledge(acknowledge);
+        } else if (action instanceof PipelineAction.Piece piece) {
+            piece(open, piece.text());
+        } else if (action instanceof PipelineAction.Dropped dropped) {
+            drop(dropped);
+        } else if (action instanceof PipelineAction.Answer answer) {
+            answer(open, answer.answer());
+        }
+    }
+
+    private void dispatch(OpenRequest open, AttemptOrderMessage order) {
+        Optional<UpstreamView> view = fleet.upstream(order.upstreamId());
+        if (view.isEmpty()) {
+            register(new OpenAttempt(open, order.attemptId(), null, Optional.empty()));
+            timers.schedule(0, () -> onOrderNotSent(order.attemptId()));
+            return;
+        }
+        view.get().dispatched();
+        InetSocketAddress agent = view.get().announcement().agentAddress();
+        OpenAttempt attempt = new OpenAttempt(open, order.attemptId(), agent, view);
+        register(attempt);
+        OptionalLong hedge =
+                open.chooser().hedgeAfter(open.request(), open.run().stage());
+        if (hedge.isPresent()) {
+            attempt.timer(timers.schedule(hedge.getAsLong(), () -> hedge(attempt)));
+        }
+        agents.send(agent, order);
+    }
+
+    private void hedge(OpenAttempt attempt) {
+        if (attempts.get(attempt.id()) == attempt) {
+            perform(attempt.open(), attempt.open().run().onHedgeDue(timers.nanoTime()));
+        }
+    }
+
+    private void query(OpenRequest open, PipelineAction.Query query) {
+        OpenAttempt attempt = attempts.get(query.attemptId());
+        if (attempt == null) {
+            attempt = new OpenAttempt(open, query.attemptId(), null, Optional.empty());
+            register(attempt);
+        }
+        OpenAttempt asked = attempt;
+        asked.timer(timers.schedule(query.delay().toNanos(), () -> ask(asked, query)));
+    }
+
+    private void ask(OpenAttempt attempt, PipelineAction.Query query) {
+        if (attempts.get(attempt.id()) != attempt) {
+            return;
+        }
+        Optional<UpstreamView> view = fleet.upstream(query.upstreamId());
+        if (view.isEmpty()) {
+            unreachable(attempt.id(), true);
+            return;
+        }
+        InetSocketAddress agent = view.get().announcement().agentAddress();
+        attempt.agent(agent);
+        attempt.timer(timers.schedule(ASK_AGAIN_NANOS, () -> askAgain(attempt, query)));
+        agents.send(agent, new OutcomeQueryMessage(query.attemptId(), query.incarnation()));
+    }
+
+    private void askAgain(OpenAttempt attempt, PipelineAction.Query query) {
+        if (attempts.get(attempt.id()) != attempt) {
+            return;
+        }
+        if (agents.isOpen(attempt.agent())) {
+            // The agent is there and silent: the attempt still runs. Asked again in case the question was lost.
+            attempt.timer(timers.schedule(ASK_AGAIN_NANOS, () -> ask(attempt, query)));
+        } else {
+            unreachable(attempt.id(), false);
+        }
+    }
+
+    private void register(OpenAttempt attempt) {
+        attempts.put(attempt.id(), attempt);
+        attempt.open().attempts().add(attempt.id());
+    }
+
+    private void close(OpenAttempt attempt, int inFlight) {
+        attempts.remove(attempt.id());
+        attempt.open().attempts().remove(attempt.id());
+        attempt.timer(NO_TIMER);
+        attempt.dispatchedTo().ifPresent(view -> view.ended(inFlight));
+    }
+
+    private void acknowledge(PipelineAction.Acknowledge acknowledge) {
+        remember(acknowledge.attemptId());
+        sendTo(acknowledge.upstreamId(), new OutcomeAckMessage(acknowledge.attemptId()));
+    }
+
+    private void remember(String attemptId) {
+        ended.put(attemptId, Boolean.TRUE);
+        if (ended.size() > MAX_ENDED) {
+            ended.remove(ended.keySet().iterator().next());
+        }
+    }
+
+    private void sendTo(String upstreamId, WireMessage message) {
+        fleet.upstream(upstreamId)
+                .ifPresent(view -> agents.send(view.announcement().agentAddress(), message));
+    }
+
+    private void piece(OpenRequest open, String text) {
+        open.sink().piece(text);
+        if (open.sink().waitingBytes() > MAX_WAITING_BYTES && !open.run().answered()) {
+            // A caller that does not read would make the entry hold the whole answer, times the number of such callers.
+            counters.slowCaller();
+            perform(open, open.run().onSlowCaller());
+        }
+    }
+
+    private void drop(PipelineAction.Dropped dropped) {
+        if (dropped.what().equals("chunk")) {
+            counters.droppedChunk();
+        } else {
+            counters.droppedOutcome();
+        }
+    }
+
+    private void answer(OpenRequest open, PipelineAnswer answer) {
+        LOGGER.info(
+                "event=answered request={} account={} pipeline={} verdict={} status={} reason={}",
+                open.id(),
+                open.request().account().name(),
+                open.request().pipeline().name(),
+                answer.verdict().label(),
+                answer.status(),
+                answer.verdict().reason());
+        open.sink().end(open.id(), answer);
+    }
+
+    /** Forgets what the run no longer waits for. */
+    private void settle(OpenRequest open) {
+        List<String> waitedFor = open.run().openAttempts();
+        List.copyOf(open.attempts()).stream()
+                .filter(id -> !waitedFor.contains(id))
+                .forEach(id -> close(attempts.get(id), -1));
+        if (open.run().answered() && open.release()) {
+            open.cancelDeadline();
+            admission.release(open.request().account(), open.request().priority());
+            if (!open.run().closed()) {
+                LOGGER.info("event=attempt-outlives-request request={}", open.id());
+                open.deadline(timers.schedule(LINGER_NANOS, () -> forget(open)));
+            }
+        }
+        if (open.run().closed()) {
+            forget(open);
+        }
+    }
+
+    private void forget(OpenRequest open) {
+        open.cancelDeadline();
+        requests.remove(open.id());
+        List.copyOf(open.attempts()).forEach(id -> close(attempts.get(id), -1));
+    }
+}
--- a/library/src/main/java/org/copperspindle/pipeline/EngineStageHandler.java
+++ b/library/src/main/java/org/copperspindle/pipeline/EngineStageHandler.java
@@ -26,12 +26,14 @@
         for (JsonNode document : context.documents()) {
             prompt.append(document.asText()).append('\n');
         }
-        prompt.append(context.input());
+        // A resumed stream: the engine goes on behind what the caller has, so that nothing is missing or repeated.
+        prompt.append(context.input()).append(context.passedOn());
+        int maxTokens = context.request().path("max_tokens").asInt(DEFAULT_MAX_TOKENS) - context.piecesPassedOn();
         return StageContext.JSON.writeValueAsBytes(StageContext.JSON
                 .createObjectNode()
                 .put("model", stage.model())
                 .put("prompt", prompt.toString())
-                .put("max_tokens", context.request().path("max_tokens").asInt(DEFAULT_MAX_TOKENS))
+                .put("max_tokens", Math.max(1, maxTokens))
                 .put("stream", streaming));
     }
 
--- a/library/src/main/java/org/copperspindle/pipeline/PipelineAction.java
+++ b/library/src/main/java/org/copperspindle/pipeline/PipelineAction.java
@@ -1,5 +1,8 @@
 package org.copperspindle.pipeline;
 
+import java.time.Duration;
+import java.util.Optional;
+
 import org.copperspindle.agent.AttemptOrderMessage;
 import org.copperspindle.claims.ClaimRequestMessage;
 import org.copperspindle.claims.ClaimSettleMessage;
@@ -16,12 +19,20 @@
      */
     record Claim(ClaimRequestMessage request) implements PipelineAction {}
 
+    /**
+     * Stop asking for a claim; its attempt will never be dispatched.
+     *
+     * @param attemptId the attempt
+     */
+    record AbandonClaim(String attemptId) implements PipelineAction {}
+
     /**
      * Settle a claim.
      *
-     * @param settle the settlement
+     * @param settle      the settlement; the driver sets the correlation
+     * @param acknowledge what to acknowledge once the settlement is committed, and not before
      */
-    record Settle(ClaimSettleMessage settle) implements PipelineAction {}
+    record Settle(ClaimSettleMessage settle, Optional<Acknowledge> acknowledge) implements PipelineAction {}
 
     /**
      * Dispatch an attempt.
@@ -33,10 +44,14 @@
     /**
      * Fetch the kept outcome of an attempt, possibly of another entry.
      *
-     * @param attemptId  the attempt
-     * @param upstreamId upstream that it was dispatched to
+     * @param attemptId   the attempt
+     * @param upstreamId  upstream that it was dispatched to
+     * @param incarnation life of the agent that it was meant for
+     * @param clockMicros reading of that life's clock from before the attempt was dispatched, 0 if none was known
+     * @param delay       pause before asking
      */
-    record Query(String attemptId, String upstreamId) implements PipelineAction {}
+    record Query(String attemptId, String upstreamId, long incarnation, long clockMicros, Duration delay)
+            implements PipelineAction {}
 
     /**
      * Cancel an attempt that nobody waits for.
@@ -61,6 +76,13 @@
      */
     record Piece(String text) implements PipelineAction {}
 
+    /**
+     * Count a message that was late, doubled, foreign or out of order.
+     *
+     * @param what {@code chunk} or {@code outcome}
+     */
+    record Dropped(String what) implements PipelineAction {}
+
     /**
      * End the request.
      *
--- a/library/src/main/java/org/copperspindle/pipeline/PipelineRun.java
+++ b/library/src/main/java/org/copperspindle/pipeline/PipelineRun.java
@@ -1,7 +1,6 @@
 package org.copperspindle.pipeline;
 
 import java.io.IOException;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -10,60 +9,53 @@
 import java.util.Set;
 
 import org.copperspindle.agent.AttemptChunkMessage;
-import org.copperspindle.agent.AttemptOrderMessage;
 import org.copperspindle.agent.AttemptOutcomeMessage;
-import org.copperspindle.claims.ClaimReplyMessage;
-import org.copperspindle.claims.ClaimRequestMessage;
-import org.copperspindle.claims.ClaimResult;
-import org.copperspindle.claims.ClaimSettleMessage;
+import org.copperspindle.claims.ClaimDecision;
 import org.copperspindle.config.StageSettings;
 import org.copperspindle.membership.UpstreamAnnouncement;
 import org.copperspindle.verdict.MayHaveRunVerdict;
 import org.copperspindle.verdict.NotRunVerdict;
-import org.copperspindle.verdict.RanVerdict;
 import org.copperspindle.verdict.Verdict;
 
 /**
  * One request on its way through its stages: a pure state machine. Each event returns the actions that it causes; the
  * run touches neither network nor clock, so that replay and tests drive the very code that serves.
+ *
+ * <p>A run is answered at most once. It is closed when, besides, no unrepeatable attempt of its own is open: such an
+ * attempt goes on when its caller is gone or its deadline has passed, and is settled when its outcome comes.
  */
 public final class PipelineRun {
 
-    private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
+    private static final Duration QUERY_PAUSE = Duration.ofMillis(100);
     private static final int MAX_ATTEMPTS = 3;
-    private static final int BAD_REQUEST = 400;
-    private static final int CONFLICT = 409;
-    private static final int BAD_GATEWAY = 502;
-    private static final int UNAVAILABLE = 503;
-    private static final int GATEWAY_TIMEOUT = 504;
     private static final int SUCCESS_LIMIT = 300;
+    private static final int CLIENT_ERROR = 400;
     private static final int SERVER_ERROR = 500;
 
     private final PipelineRequest request;
     private final UpstreamChooser chooser;
+    private final OrderFactory orders;
+    private final AnswerFactory answers;
     private final Set<String> tried = new HashSet<>();
+    /** One; two while a repeatable stage is hedged. */
+    private final List<StageAttempt> open = new ArrayList<>(2);
+
     private StageContext context;
     private int stageIndex;
-    private int attemptNumber;
-    private String attemptId = "";
-    private UpstreamAnnouncement upstream;
-    private String upstreamId = "";
-    private boolean claimPending;
-    private boolean mayHaveRun;
-    private boolean ran;
-    private boolean ended;
-    private CompletionStream stream;
-    private long nextChunk;
+    private int attempts;
+    private boolean answered;
 
     /**
      * Creates a run.
      *
      * @param request the request
-     * @param chooser the entry's choices
+     * @param chooser the entry's choices, under the configuration that the request was admitted under
      */
     public PipelineRun(PipelineRequest request, UpstreamChooser chooser) {
         this.request = request;
         this.chooser = chooser;
+        this.orders = new OrderFactory(request, chooser);
+        this.answers = new AnswerFactory(request);
     }
 
     /**
@@ -76,102 +68,151 @@
         try {
             context = new StageContext(request.body());
         } catch (IOException e) {
-            return fail(new NotRunVerdict("body-not-json"), BAD_REQUEST, "body is not JSON", Optional.empty());
+            return answer(answers.bodyNotJson());
         }
         return startAttempt(now);
     }
 
     /**
-     * A claim was decided.
+     * The claim of the open attempt was decided.
      *
-     * @param reply the decision
-     * @param now   nanoseconds of the timer service
+     * @param decision the decision
+     * @param now      nanoseconds of the timer service
      * @return what to do
      */
-    public List<PipelineAction> onClaim(ClaimReplyMessage reply, long now) {
-        if (ended || !claimPending) {
+    public List<PipelineAction> onClaim(ClaimDecision decision, long now) {
+        if (answered || open.isEmpty() || open.get(0).dispatched()) {
             return List.of();
         }
-        claimPending = false;
-        return switch (ClaimResult.valueOf(reply.result())) {
-            case GRANTED -> List.of(new PipelineAction.Dispatch(order(now)));
-            case HELD -> follow(reply);
-            case CONFLICT ->
-                fail(verdict("key-conflict"), CONFLICT, "idempotency key used with another body", Optional.empty());
-            case EXPIRED ->
-                fail(verdict("key-expired"), CONFLICT, "idempotency key is too old to be judged", Optional.empty());
-            case UNAVAILABLE ->
-                fail(verdict("claim-unavailable"), UNAVAILABLE, "claim can't be made now", Optional.of(RETRY_AFTER));
+        StageAttempt attempt = open.remove(0);
+        return switch (decision.result()) {
+            case GRANTED -> dispatch(attempt, now);
+            case HELD -> follow(decision);
+            case RELEASED -> retryNotRun("claim-released", now);
+            case CONFLICT -> answer(answers.keyConflict());
+            case EXPIRED -> answer(answers.keyExpired());
+            case UNAVAILABLE, FULL -> answer(answers.claimNotMade(decision.result()));
         };
     }
 
     /**
-     * A piece of a streamed answer arrived.
+     * A piece of a streamed answer arrived. A piece that is not the next one of an open attempt is dropped; if it came
+     * early, what is missing is taken from the kept outcome.
      *
      * @param chunk the piece
      * @return what to do
      */
     public List<PipelineAction> onChunk(AttemptChunkMessage chunk) {
-        if (ended || !chunk.attemptId().equals(attemptId) || stream == null || chunk.sequence() != nextChunk) {
-            return List.of();
+        Optional<StageAttempt> attempt = find(chunk.attemptId()).filter(a -> a.takes(chunk));
+        if (answered || attempt.isEmpty()) {
+            return List.of(new PipelineAction.Dropped("chunk"));
         }
-        nextChunk++;
         try {
-            List<PipelineAction> actions = new ArrayList<>();
-            for (String text : stream.feed(chunk.data())) {
-                context.text().append(text);
-                actions.add(new PipelineAction.Piece(text));
-            }
-            return actions;
+            return pass(attempt.get().take(chunk));
         } catch (IOException e) {
-            return abandon("malformed stream");
+            return abandon("malformed-stream");
         }
     }
 
     /**
-     * An attempt ended. Outcomes of other attempts than the open one are late or doubled and change nothing.
+     * An attempt ended. Outcomes of other attempts than the open ones are late, doubled or foreign and change nothing.
      *
      * @param outcome the outcome
      * @param now     nanoseconds of the timer service
      * @return what to do
      */
     public List<PipelineAction> onOutcome(AttemptOutcomeMessage outcome, long now) {
-        if (ended || !outcome.attemptId().equals(attemptId)) {
+        Optional<StageAttempt> found = find(outcome.attemptId()).filter(StageAttempt::dispatched);
+        if (found.isEmpty()) {
+            return List.of(new PipelineAction.Dropped("outcome"));
+        }
+        StageAttempt attempt = found.get();
+        open.remove(attempt);
+        List<PipelineAction> actions = new ArrayList<>(conclude(attempt, outcome.verdict()));
+        if (!answered) {
+            actions.addAll(goOn(attempt, outcome, now));
+        }
+        return actions;
+    }
+
+    /**
+     * The connection to an open attempt's agent ended. The agent goes on and keeps the outcome, so it is asked first: a
+     * stage that has finished is not paid for twice. Unrepeatable work is asked for until the deadline.
+     *
+     * @param attemptId the attempt
+     * @param now       nanoseconds of the timer service
+     * @return what to do
+     */
+    public List<PipelineAction> onLinkLost(String attemptId, long now) {
+        Optional<StageAttempt> attempt = find(attemptId).filter(StageAttempt::dispatched);
+        if (attempt.isEmpty()) {
             return List.of();
         }
-        if (outcome.verdict() instanceof NotRunVerdict) {
-            return retryNotRun(outcome.verdict(), now);
+        boolean first = attempt.get().linkLost() == 1;
+        if (stage().repeatable() && !first) {
+            return giveUp(attempt.get(), "agent-connection-lost", now);
         }
-        if (outcome.verdict() instanceof MayHaveRunVerdict) {
-            return onLost(outcome.verdict().reason(), now);
+        return List.of(query(attempt.get(), first ? Duration.ZERO : QUERY_PAUSE));
+    }
+
+    /**
+     * The agent of an open attempt could not be asked for its outcome.
+     *
+     * @param attemptId the attempt
+     * @param gone      whether its upstream is no longer known, so that asking again is in vain
+     * @param now       nanoseconds of the timer service
+     * @return what to do
+     */
+    public List<PipelineAction> onUnreachable(String attemptId, boolean gone, long now) {
+        Optional<StageAttempt> attempt = find(attemptId).filter(StageAttempt::dispatched);
+        if (attempt.isEmpty()) {
+            return List.of();
         }
-        List<PipelineAction> actions = new ArrayList<>();
-        actions.add(new PipelineAction.Acknowledge(attemptId, upstreamId));
-        if (!stage().repeatable()) {
-            actions.add(settle(outcome.verdict()));
+        if (stage().repeatable() || gone) {
+            return giveUp(attempt.get(), gone ? "agent-gone" : "agent-unreachable", now);
+        }
+        return List.of(query(attempt.get(), QUERY_PAUSE));
+    }
+
+    /**
+     * An attempt of a repeatable stage is given up, for example because it takes too long.
+     *
+     * @param attemptId the attempt
+     * @param reason    why
+     * @param now       nanoseconds of the timer service
+     * @return what to do
+     */
+    public List<PipelineAction> onGivenUp(String attemptId, String reason, long now) {
+        Optional<StageAttempt> attempt = find(attemptId).filter(StageAttempt::dispatched);
+        if (attempt.isEmpty() || !stage().repeatable()) {
+            return List.of();
         }
-        ran = true;
-        actions.addAll(finishStage(outcome, now));
+        List<PipelineAction> actions = new ArrayList<>();
+        actions.add(new PipelineAction.Cancel(attempt.get().id(), attempt.get().upstreamId()));
+        actions.addAll(giveUp(attempt.get(), reason, now));
         return actions;
     }
 
     /**
-     * The outcome of the open attempt can't be known any more.
+     * The open attempt takes long enough for a second one beside it. The first whole answer wins; the other attempt is
+     * cancelled. Never for unrepeatable stages, nor for a streamed one, whose pieces are passed on as they come.
      *
-     * @param reason what was lost
-     * @param now    nanoseconds of the timer service
+     * @param now nanoseconds of the timer service
      * @return what to do
      */
-    public List<PipelineAction> onLost(String reason, long now) {
-        if (ended) {
+    public List<PipelineAction> onHedgeDue(long now) {
+        if (answered || open.size() != 1 || attempts >= MAX_ATTEMPTS) {
             return List.of();
         }
-        mayHaveRun = true;
-        boolean passedOn = stream != null && nextChunk > 0;
-        if (stage().repeatable() && !passedOn && attemptNumber < MAX_ATTEMPTS && chooser.mayRetry(request)) {
-            return startAttempt(now);
+        if (!stage().repeatable() || open.get(0).streaming()) {
+            return List.of();
         }
-        return fail(verdict(reason), BAD_GATEWAY, "answer of an upstream was lost", Optional.empty());
+        Optional<UpstreamAnnouncement> other =
+                chooser.choose(stage(), context, tried).filter(u -> !tried.contains(u.upstreamId()));
+        if (other.isEmpty() || !chooser.mayHedge(request)) {
+            return List.of();
+        }
+        return dispatch(newAttempt(other.get()), now);
     }
 
     /**
@@ -180,10 +221,16 @@
      * @return what to do
      */
     public List<PipelineAction> onDeadline() {
-        if (ended) {
-            return List.of();
-        }
-        return abandon("deadline");
+        return answered ? List.of() : abandon("deadline");
+    }
+
+    /**
+     * The caller takes its answer too slowly for the memory that it may hold.
+     *
+     * @return what to do
+     */
+    public List<PipelineAction> onSlowCaller() {
+        return answered ? List.of() : abandon("slow-caller");
     }
 
     /**
@@ -192,20 +239,38 @@
      * @return what to do
      */
     public List<PipelineAction> onCallerLeft() {
-        if (ended) {
+        if (answered) {
             return List.of();
         }
-        ended = true;
-        return cancelOpen();
+        answered = true;
+        return letGo();
+    }
+
+    /**
+     * Says whether the caller has its answer or is gone.
+     *
+     * @return true once nothing is passed on any more
+     */
+    public boolean answered() {
+        return answered;
     }
 
     /**
-     * Returns the open attempt.
+     * Says whether the run is over.
      *
-     * @return its id, empty if none is open
+     * @return true once it waits for nothing
      */
-    public String attemptId() {
-        return attemptId;
+    public boolean closed() {
+        return answered && open.isEmpty();
+    }
+
+    /**
+     * Returns the attempts that are open.
+     *
+     * @return their ids, none while the run is between stages or over
+     */
+    public List<String> openAttempts() {
+        return open.stream().map(StageAttempt::id).toList();
     }
 
     /**
@@ -217,59 +282,37 @@
         return request.pipeline().stages().get(stageIndex);
     }
 
+    private Optional<StageAttempt> find(String attemptId) {
+        return open.stream().filter(a -> a.id().equals(attemptId)).findFirst();
+    }
+
     private List<PipelineAction> startAttempt(long now) {
         if (request.deadlineNanos() - now <= 0) {
-            return fail(verdict("deadline"), GATEWAY_TIMEOUT, "deadline passed", Optional.empty());
+            return answer(answers.deadline());
         }
         Optional<UpstreamAnnouncement> choice = chooser.choose(stage(), context, tried);
         if (choice.isEmpty()) {
-            return fail(
-                    verdict("no-upstream"),
-                    UNAVAILABLE,
-                    "no upstream of pool " + stage().pool() + " can take the request",
-                    Optional.of(RETRY_AFTER));
-        }
-        upstream = choice.get();
-        upstreamId = upstream.upstreamId();
-        tried.add(upstreamId);
-        attemptNumber++;
-        attemptId = request.requestId() + "/" + stage().name() + "/" + attemptNumber;
-        stream = streaming() ? new CompletionStream() : null;
-        nextChunk = 0;
+            return answer(answers.noUpstream(stage().pool()));
+        }
+        StageAttempt attempt = newAttempt(choice.get());
         if (stage().repeatable()) {
-            return List.of(new PipelineAction.Dispatch(order(now)));
-        }
-        claimPending = true;
-        return List.of(new PipelineAction.Claim(new ClaimRequestMessage(
-                0,
-                request.account().name(),
-                request.key(),
-                stage().name(),
-                attemptId,
-                upstreamId,
-                request.bodyDigest())));
-    }
-
-    private AttemptOrderMessage order(long now) {
-        StageHandler handler = StageHandlerFactory.of(chooser.kind(stage().pool()));
-        byte[] body;
-        try {
-            body = handler.request(context, stage(), streaming());
-        } catch (IOException e) {
-            throw new IllegalStateException("request of stage " + stage().name() + " can't be written", e);
-        }
-        return new AttemptOrderMessage(
-                attemptId,
-                request.requestId(),
-                upstreamId,
-                upstream.incarnation(),
-                handler.path(stage()),
-                body,
-                streaming(),
-                stage().repeatable(),
-                request.priority(),
-                (request.deadlineNanos() - now) / 1000,
-                chooser.configVersion());
+            return dispatch(attempt, now);
+        }
+        open.add(attempt);
+        return List.of(new PipelineAction.Claim(orders.claim(attempt, stage())));
+    }
+
+    private StageAttempt newAttempt(UpstreamAnnouncement upstream) {
+        tried.add(upstream.upstreamId());
+        attempts++;
+        String id = request.requestId() + "/" + stage().name() + "/" + attempts;
+        return StageAttempt.own(id, upstream, chooser.agentClock(upstream), streaming());
+    }
+
+    private List<PipelineAction> dispatch(StageAttempt attempt, long now) {
+        attempt.markDispatched();
+        open.add(attempt);
+        return List.of(new PipelineAction.Dispatch(orders.order(attempt, stage(), context, now)));
     }
 
     private boolean streaming() {
@@ -279,124 +322,170 @@
                 && StageHandlerFactory.of(chooser.kind(stage().pool())).canStream();
     }
 
-    private List<PipelineAction> follow(ClaimReplyMessage reply) {
-        attemptId = reply.attemptId();
-        upstreamId = reply.upstreamId();
-        stream = null;
-        return List.of(new PipelineAction.Query(attemptId, upstreamId));
+    private List<PipelineAction> follow(ClaimDecision held) {
+        StageAttempt attempt = StageAttempt.follow(held);
+        open.add(attempt);
+        return List.of(query(attempt, Duration.ZERO));
     }
 
-    private List<PipelineAction> retryNotRun(Verdict verdict, long now) {
-        List<PipelineAction> actions = new ArrayList<>();
-        if (!stage().repeatable()) {
-            actions.add(settle(verdict));
-        }
-        if (attemptNumber < MAX_ATTEMPTS && chooser.mayRetry(request)) {
-            actions.addAll(startAttempt(now));
-        } else {
-            actions.addAll(fail(
-                    verdict(verdict.reason()), UNAVAILABLE, "upstreams refused the work", Optional.of(RETRY_AFTER)));
-        }
-        return actions;
+    private static PipelineAction query(StageAttempt attempt, Duration delay) {
+        return new PipelineAction.Query(
+                attempt.id(), attempt.upstreamId(), attempt.incarnation(), attempt.clockMicros(), delay);
     }
 
-    private List<PipelineAction> finishStage(AttemptOutcomeMessage outcome, long now) {
-        if (!outcome.complete()) {
-            return onLost("incomplete answer", now);
+    /** Tells claims and agent how an attempt ended. */
+    private List<PipelineAction> conclude(StageAttempt attempt, Verdict verdict) {
+        boolean refused = verdict instanceof NotRunVerdict;
+        PipelineAction.Acknowledge acknowledge = new PipelineAction.Acknowledge(attempt.id(), attempt.upstreamId());
+        if (stage().repeatable()) {
+            return refused ? List.of() : List.of(acknowledge);
         }
-        if (outcome.status() >= SUCCESS_LIMIT) {
-            return upstreamError(outcome, now);
+        // Acknowledged only once the settlement is committed. Otherwise the agent may forget the outcome while the
+        // claim
+        // still reads as open, and a resend would learn no more than MAY_HAVE_RUN.
+        return List.of(new PipelineAction.Settle(
+                orders.settle(attempt, stage(), verdict), refused ? Optional.empty() : Optional.of(acknowledge)));
+    }
+
+    private List<PipelineAction> goOn(StageAttempt attempt, AttemptOutcomeMessage outcome, long now) {
+        if (outcome.verdict() instanceof NotRunVerdict) {
+            // An agent that forgot what the claims still know proves nothing.
+            return attempt.endedBefore()
+                    ? lose("outcome-forgotten", now)
+                    : retryNotRun(outcome.verdict().reason(), now);
         }
-        try {
-            takeBody(outcome);
-        } catch (IOException e) {
-            return onLost("malformed answer: " + e.getMessage(), now);
+        if (attempt.streaming()) {
+            return finishStream(attempt, outcome, now);
         }
-        if (stageIndex == request.pipeline().stages().size() - 1) {
-            return succeed();
+        if (outcome.verdict() instanceof MayHaveRunVerdict) {
+            return lose(outcome.verdict().reason(), now);
         }
-        stageIndex++;
-        attemptNumber = 0;
-        tried.clear();
-        return startAttempt(now);
+        answers.markRan();
+        return finishStage(outcome, now);
     }
 
-    private void takeBody(AttemptOutcomeMessage outcome) throws IOException {
-        if (stream != null) {
-            // Its pieces were taken as they came; the outcome only has to prove that they were all of it.
-            if (!stream.ended() || outcome.chunks() != nextChunk) {
-                throw new IOException("stream ended early");
-            }
-            return;
+    /** Goes on after a proof that the attempt did not run; it cost no upstream anything, so takes no retry budget. */
+    private List<PipelineAction> retryNotRun(String reason, long now) {
+        if (!open.isEmpty()) {
+            return List.of();
         }
-        StageHandlerFactory.of(chooser.kind(stage().pool()))
-                .accept(context, outcome.body(), outcome.contentType(), false);
+        return attempts < MAX_ATTEMPTS ? startAttempt(now) : answer(answers.refused(reason));
     }
 
-    private List<PipelineAction> upstreamError(AttemptOutcomeMessage outcome, long now) {
-        boolean retry = outcome.status() >= SERVER_ERROR && stage().repeatable();
-        if (retry && attemptNumber < MAX_ATTEMPTS && chooser.mayRetry(request)) {
-            return startAttempt(now);
+    private List<PipelineAction> giveUp(StageAttempt attempt, String reason, long now) {
+        open.remove(attempt);
+        return answered ? List.of() : lose(reason, now);
+    }
+
+    /** The attempt's outcome is lost: runs the stage again where that is allowed. */
+    private List<PipelineAction> lose(String reason, long now) {
+        answers.markMayHaveRun();
+        if (!open.isEmpty()) {
+            return List.of();
         }
-        return fail(
-                new RanVerdict("upstream-status-" + outcome.status()),
-                outcome.status() >= SERVER_ERROR ? BAD_GATEWAY : outcome.status(),
-                "upstream answered " + outcome.status(),
-                Optional.empty());
+        return mayRerun() ? startAttempt(now) : answer(answers.lost(reason));
+    }
+
+    private boolean mayRerun() {
+        return stage().repeatable() && attempts < MAX_ATTEMPTS && chooser.mayRetry(request);
     }
 
-    private List<PipelineAction> succeed() {
-        ended = true;
-        byte[] body = context.answer();
-        if (!request.pipeline().service()) {
-            body = answerBody();
+    private List<PipelineAction> finishStage(AttemptOutcomeMessage outcome, long now) {
+        if (!outcome.complete()) {
+            return lose("incomplete-answer", now);
+        }
+        if (outcome.status() >= SUCCESS_LIMIT) {
+            return upstreamError(outcome.status(), now);
         }
-        return List.of(new PipelineAction.Answer(
-                new PipelineAnswer(RanVerdict.SUCCESS, 200, context.answerType(), body, "", Optional.empty())));
+        try {
+            StageHandlerFactory.of(chooser.kind(stage().pool()))
+                    .accept(context, outcome.body(), outcome.contentType(), false);
+        } catch (IOException e) {
+            return lose("malformed-answer", now);
+        }
+        return nextStage(now);
     }
 
-    private byte[] answerBody() {
+    private List<PipelineAction> finishStream(StageAttempt attempt, AttemptOutcomeMessage outcome, long now) {
+        if (outcome.status() >= SUCCESS_LIMIT) {
+            answers.markRan();
+            return upstreamError(outcome.status(), now);
+        }
+        List<PipelineAction> actions = new ArrayList<>();
         try {
-            return StageContext.JSON.writeValueAsBytes(StageContext.JSON
-                    .createObjectNode()
-                    .put("request_id", request.requestId())
-                    .put("output", context.text().toString())
-                    .set("documents", context.documents()));
+            actions.addAll(pass(attempt.takeRest(outcome)));
         } catch (IOException e) {
-            return context.text().toString().getBytes(StandardCharsets.UTF_8);
+            return abandon("malformed-stream");
+        }
+        // Only the stream's own end mark says that it is whole; an orderly end of the connection does not.
+        if (attempt.streamEnded()) {
+            answers.markRan();
+            actions.addAll(nextStage(now));
+            return actions;
         }
+        // The rest is asked for, of the same engine if the choice falls on it: it still has the prefix in its cache.
+        tried.remove(attempt.upstreamId());
+        actions.addAll(lose("stream-cut", now));
+        return actions;
     }
 
-    private List<PipelineAction> abandon(String reason) {
-        List<PipelineAction> actions = new ArrayList<>(cancelOpen());
-        if (!attemptId.isEmpty() && !claimPending) {
-            mayHaveRun = true;
+    private List<PipelineAction> nextStage(long now) {
+        List<PipelineAction> actions = new ArrayList<>(letGo());
+        if (stageIndex == request.pipeline().stages().size() - 1) {
+            actions.addAll(answer(answers.success(context)));
+            return actions;
         }
-        actions.addAll(fail(verdict(reason), GATEWAY_TIMEOUT, "no whole answer within the deadline", Optional.empty()));
+        stageIndex++;
+        attempts = 0;
+        tried.clear();
+        actions.addAll(startAttempt(now));
         return actions;
     }
 
-    private List<PipelineAction> cancelOpen() {
-        if (attemptId.isEmpty() || !stage().repeatable()) {
+    private List<PipelineAction> pass(List<String> texts) {
+        texts.forEach(context::passOn);
+        return texts.stream().<PipelineAction>map(PipelineAction.Piece::new).toList();
+    }
+
+    private List<PipelineAction> upstreamError(int status, long now) {
+        boolean clientError = status >= CLIENT_ERROR && status < SERVER_ERROR;
+        if (!open.isEmpty()) {
             return List.of();
         }
-        return List.of(new PipelineAction.Cancel(attemptId, upstreamId));
+        if (!clientError && mayRerun()) {
+            return startAttempt(now);
+        }
+        return answer(answers.upstreamStatus(status, clientError));
     }
 
-    private PipelineAction settle(Verdict verdict) {
-        return new PipelineAction.Settle(
-                new ClaimSettleMessage(request.account().name(), request.key(), stage().name(), attemptId, verdict));
+    private List<PipelineAction> abandon(String reason) {
+        if (open.stream().anyMatch(StageAttempt::dispatched)) {
+            answers.markMayHaveRun();
+        }
+        List<PipelineAction> actions = new ArrayList<>(letGo());
+        actions.addAll(answer(answers.abandoned(reason)));
+        return actions;
     }
 
-    private List<PipelineAction> fail(Verdict verdict, int status, String title, Optional<Duration> retryAfter) {
-        ended = true;
-        return List.of(new PipelineAction.Answer(PipelineAnswer.failure(verdict, status, title, retryAfter)));
+    /** Gives up what may be given up. An unrepeatable attempt of this run's own stays open. */
+    private List<PipelineAction> letGo() {
+        List<PipelineAction> actions = new ArrayList<>();
+        for (StageAttempt attempt : List.copyOf(open)) {
+            if (!attempt.dispatched()) {
+                actions.add(new PipelineAction.AbandonClaim(attempt.id()));
+                open.remove(attempt);
+            } else if (stage().repeatable()) {
+                actions.add(new PipelineAction.Cancel(attempt.id(), attempt.upstreamId()));
+                open.remove(attempt);
+            } else if (attempt.followed()) {
+                open.remove(attempt);
+            }
+        }
+        return actions;
     }
 
-    private Verdict verdict(String reason) {
-        if (mayHaveRun) {
-            return new MayHaveRunVerdict(reason);
-        }
-        return ran ? new RanVerdict(reason) : new NotRunVerdict(reason);
+    private List<PipelineAction> answer(PipelineAnswer answer) {
+        answered = true;
+        return List.of(new PipelineAction.Answer(answer));
     }
 }
--- a/library/src/main/java/org/copperspindle/pipeline/StageContext.java
+++ b/library/src/main/java/org/copperspindle/pipeline/StageContext.java
@@ -19,6 +19,8 @@
     private JsonNode embedding = JsonNodeFactory.instance.missingNode();
     private JsonNode documents = JsonNodeFactory.instance.arrayNode();
     private final StringBuilder text = new StringBuilder();
+    private final StringBuilder passedOn = new StringBuilder();
+    private int piecesPassedOn;
     private byte[] answer = new byte[0];
     private String answerType = "application/json";
 
@@ -70,6 +72,22 @@
         return text;
     }
 
+    /** Takes a piece of the streamed stage that goes to the caller at once. */
+    void passOn(String piece) {
+        text.append(piece);
+        passedOn.append(piece);
+        piecesPassedOn++;
+    }
+
+    /** Text of the streamed stage that the caller has: a resumed stream goes on behind it. */
+    String passedOn() {
+        return passedOn.toString();
+    }
+
+    int piecesPassedOn() {
+        return piecesPassedOn;
+    }
+
     byte[] answer() {
         return answer;
     }
--- a/library/src/main/java/org/copperspindle/pipeline/UpstreamChooser.java
+++ b/library/src/main/java/org/copperspindle/pipeline/UpstreamChooser.java
@@ -1,6 +1,7 @@
 package org.copperspindle.pipeline;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 
 import org.copperspindle.config.PoolKind;
@@ -39,7 +40,38 @@
     boolean mayRetry(PipelineRequest request);
 
     /**
-     * Returns the configuration version that the entry serves under.
+     * Returns when a second attempt of a repeatable stage is worth starting beside the first.
+     *
+     * @param request the request
+     * @param stage   the stage
+     * @return nanoseconds after the dispatch of the first, empty to start none, as under overload
+     */
+    default OptionalLong hedgeAfter(PipelineRequest request, StageSettings stage) {
+        return OptionalLong.empty();
+    }
+
+    /**
+     * Asks the hedge budget for one attempt beside another.
+     *
+     * @param request the request
+     * @return false if the budget is spent or the fleet is overloaded
+     */
+    default boolean mayHedge(PipelineRequest request) {
+        return false;
+    }
+
+    /**
+     * Returns what is known of an agent's clock.
+     *
+     * @param upstream the upstream
+     * @return a reading in microseconds, 0 if none is known
+     */
+    default long agentClock(UpstreamAnnouncement upstream) {
+        return 0;
+    }
+
+    /**
+     * Returns the configuration version that the request was admitted under.
      *
      * @return the version
      */
