--- /dev/null
+++ b/library/src/test/java/org/copperspindle/entry/ExecutionBook.java
@@ -0,0 +1,33 @@
+package org.copperspindle.entry;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Counts every execution on a simulated upstream, apart from all of the system's own counting. */
+public final class ExecutionBook {
+
+    private final Map<String, List<String>> attemptsByToken = new HashMap<>();
+    private int total;
+
+    /** Records one execution; returns its number, unique in the book. */
+    public int ran(String token, String attemptId) {
+        attemptsByToken.computeIfAbsent(token, t -> new ArrayList<>()).add(attemptId);
+        return ++total;
+    }
+
+    int count(String token) {
+        return attemptsByToken.getOrDefault(token, List.of()).size();
+    }
+
+    boolean ranAttemptOf(String requestId) {
+        return attemptsByToken.values().stream()
+                .flatMap(List::stream)
+                .anyMatch(attempt -> attempt.startsWith(requestId + "/"));
+    }
+
+    int total() {
+        return total;
+    }
+}
--- /dev/null
+++ b/library/src/test/java/org/copperspindle/entry/SimulatedCaller.java
@@ -0,0 +1,107 @@
+package org.copperspindle.entry;
+
+import java.util.Optional;
+
+import org.copperspindle.pipeline.PipelineAnswer;
+
+/** One arrival of a request, and what its caller was told. */
+final class SimulatedCaller implements AnswerSink {
+
+    private final String requestId;
+    private final String pipeline;
+    private final String key;
+    private final String token;
+    private final long deadline;
+    private final SimulatedDeployment deployment;
+    private final StringBuilder text = new StringBuilder();
+    private Optional<PipelineAnswer> answer = Optional.empty();
+    private int ends;
+    private long endedAt;
+    private boolean left;
+
+    SimulatedCaller(
+            SimulatedDeployment deployment,
+            String requestId,
+            String pipeline,
+            String key,
+            String token,
+            long deadline) {
+        this.deployment = deployment;
+        this.requestId = requestId;
+        this.pipeline = pipeline;
+        this.key = key;
+        this.token = token;
+        this.deadline = deadline;
+    }
+
+    @Override
+    public void piece(String piece) {
+        if (!left) {
+            text.append(piece);
+        }
+    }
+
+    @Override
+    public void end(String id, PipelineAnswer given) {
+        ends++;
+        endedAt = deployment.timers().nanoTime();
+        answer = Optional.of(given);
+    }
+
+    /** The caller is gone, or the entry that it called is. */
+    void leave() {
+        left = true;
+    }
+
+    boolean left() {
+        return left;
+    }
+
+    String requestId() {
+        return requestId;
+    }
+
+    String pipeline() {
+        return pipeline;
+    }
+
+    String key() {
+        return key;
+    }
+
+    String token() {
+        return token;
+    }
+
+    long deadline() {
+        return deadline;
+    }
+
+    String text() {
+        return text.toString();
+    }
+
+    Optional<PipelineAnswer> answer() {
+        return answer;
+    }
+
+    int ends() {
+        return ends;
+    }
+
+    long endedAt() {
+        return endedAt;
+    }
+
+    String verdict() {
+        return answer.map(a -> a.verdict().label()).orElse("none");
+    }
+
+    boolean successful() {
+        return answer.isPresent() && answer.get().successful();
+    }
+
+    String body() {
+        return new String(answer.orElseThrow().body(), java.nio.charset.StandardCharsets.UTF_8);
+    }
+}
--- /dev/null
+++ b/library/src/test/java/org/copperspindle/entry/SimulatedConnection.java
@@ -0,0 +1,140 @@
+package org.copperspindle.entry;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+
+import org.copperspindle.agent.AttemptOrderMessage;
+import org.copperspindle.agent.SimulatedAgent;
+import org.copperspindle.wire.GreetingMessage;
+import org.copperspindle.wire.Peer;
+import org.copperspindle.wire.WireMessage;
+
+/**
+ * A connection of an entry to an agent. Worse than TCP: it drops, doubles and reorders messages, and hands some to the
+ * agent after the entry was told that the connection is gone.
+ */
+final class SimulatedConnection implements Peer {
+
+    private final SimulatedDeployment deployment;
+    private final SimulatedEntry entry;
+    private final InetSocketAddress address;
+    private final List<WireMessage> waiting = new ArrayList<>();
+    private SimulatedAgent agent;
+    private long clockMicros;
+    private long clockIncarnation;
+    private long lastToAgent;
+    private long lastToEntry;
+    private boolean cut;
+
+    SimulatedConnection(SimulatedDeployment deployment, SimulatedEntry entry, InetSocketAddress address) {
+        this.deployment = deployment;
+        this.entry = entry;
+        this.address = address;
+        deployment.later(this::connected);
+    }
+
+    boolean open() {
+        return agent != null && !cut;
+    }
+
+    long clockMicros(long incarnation) {
+        return incarnation == clockIncarnation ? clockMicros : 0;
+    }
+
+    void toAgent(WireMessage message) {
+        if (agent == null) {
+            waiting.add(message);
+            return;
+        }
+        SimulatedAgent life = agent;
+        Runnable arrival = () -> life.receive(message, this);
+        lastToAgent = carry(arrival, lastToAgent);
+        if (message instanceof AttemptOrderMessage) {
+            deployment.count("orders");
+        }
+        maybeCut();
+    }
+
+    @Override
+    public boolean send(WireMessage message) {
+        if (cut) {
+            return false;
+        }
+        lastToEntry = carry(
+                () -> {
+                    if (!cut) {
+                        entry.receive(address, message);
+                    }
+                },
+                lastToEntry);
+        maybeCut();
+        return true;
+    }
+
+    /** Ends the connection. What is on its way to the agent may still arrive there. */
+    void cut() {
+        if (!cut) {
+            cut = true;
+            deployment.count("connections cut");
+            deployment.later(() -> entry.lost(address, this));
+        }
+    }
+
+    @Override
+    public GreetingMessage greeting() {
+        return new GreetingMessage(GreetingMessage.PROTOCOL, "process", "entry", 1);
+    }
+
+    @Override
+    public boolean isWritable() {
+        return true;
+    }
+
+    @Override
+    public void close() {
+        cut();
+    }
+
+    private void connected() {
+        SimulatedAgent found = deployment.agent(address);
+        List<WireMessage> messages = List.copyOf(waiting);
+        waiting.clear();
+        if (found.dead()) {
+            cut = true;
+            entry.lost(address, this);
+            messages.forEach(entry::notSent);
+            return;
+        }
+        agent = found;
+        clockMicros = found.clockMicros();
+        clockIncarnation = found.incarnation();
+        messages.forEach(this::toAgent);
+    }
+
+    private void maybeCut() {
+        if (deployment.strikes(deployment.faults().cut())) {
+            cut();
+        }
+    }
+
+    private long carry(Runnable arrival, long last) {
+        if (deployment.strikes(deployment.faults().drop())) {
+            deployment.count("messages dropped");
+            return last;
+        }
+        long now = deployment.timers().nanoTime();
+        long at = now + deployment.delay();
+        if (!deployment.strikes(deployment.faults().reorder())) {
+            at = Math.max(at, last);
+        } else {
+            deployment.count("messages reordered");
+        }
+        deployment.timers().schedule(at - now, arrival);
+        if (deployment.strikes(deployment.faults().duplicate())) {
+            deployment.count("messages doubled");
+            deployment.timers().schedule(at - now + deployment.delay(), arrival);
+        }
+        return Math.max(last, at);
+    }
+}
--- /dev/null
+++ b/library/src/test/java/org/copperspindle/entry/SimulatedFaults.java
@@ -0,0 +1,41 @@
+package org.copperspindle.entry;
+
+import java.util.SplittableRandom;
+
+/**
+ * How often a simulated deployment fails, as chances from 0 to 1 for each occasion.
+ *
+ * @param drop         a message between entry and agent vanishes
+ * @param duplicate    a message arrives twice
+ * @param reorder      a message overtakes others
+ * @param cut          a message is the last one of its connection
+ * @param agentCrash   an agent dies after it took a message, and comes back as another life
+ * @param entryCrash   an entry dies after it took an arrival or a message
+ * @param controlLoss  a message to control, or its reply, vanishes
+ * @param failover     the leader changes at a message, without having told the outcome
+ * @param upstream     a call to the upstream fails in one of its ways
+ * @param callerLeaves a caller goes away early
+ */
+record SimulatedFaults(
+        double drop,
+        double duplicate,
+        double reorder,
+        double cut,
+        double agentCrash,
+        double entryCrash,
+        double controlLoss,
+        double failover,
+        double upstream,
+        double callerLeaves) {
+
+    static final SimulatedFaults NONE = new SimulatedFaults(0, 0, 0, 0, 0, 0, 0, 0, 0, 0);
+    static final SimulatedFaults NETWORK = new SimulatedFaults(.03, .1, .1, .05, 0, 0, 0, 0, 0, 0);
+    static final SimulatedFaults CRASHES = new SimulatedFaults(0, 0, 0, .02, .04, .04, 0, 0, 0, .05);
+    static final SimulatedFaults CONTROL = new SimulatedFaults(0, 0, 0, .02, 0, .02, .25, .1, 0, 0);
+    static final SimulatedFaults UPSTREAMS = new SimulatedFaults(0, 0, 0, 0, 0, 0, 0, 0, .3, .05);
+    static final SimulatedFaults ALL = new SimulatedFaults(.02, .05, .05, .03, .02, .02, .1, .05, .15, .03);
+
+    static boolean strikes(SplittableRandom random, double chance) {
+        return chance > 0 && random.nextDouble() < chance;
+    }
+}
