--- a/library/src/main/java/org/copperspindle/control/ClaimHandler.java
+++ b/library/src/main/java/org/copperspindle/control/ClaimHandler.java
@@ -41,7 +41,7 @@
     }
 
     private void claim(Peer peer, ClaimRequestMessage claim) {
-        long at = clock.stamp(log.term(), state.claimTimeMillis());
+        long at = clock.stamp(log.term(), state.claims().timeMillis());
         ClaimCommand command = new ClaimCommand(ClaimRequestMessage.CODEC.encode(claim), at);
         log.propose(state.encode(command), result -> {
             if (result instanceof ProposalResult.Committed committed
--- a/library/src/main/java/org/copperspindle/entry/OpenRequest.java
+++ b/library/src/main/java/org/copperspindle/entry/OpenRequest.java
@@ -1,9 +1,10 @@
 package org.copperspindle.entry;
 
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
-import java.util.HashSet;
-import java.util.Set;
+import java.util.List;
+import java.util.Optional;
 
 import org.copperspindle.pipeline.PipelineAction;
 import org.copperspindle.pipeline.PipelineRequest;
@@ -21,7 +22,7 @@
     private final PipelineRun run;
     private final AnswerSink sink;
     private final Deque<PipelineAction> actions = new ArrayDeque<>();
-    private final Set<String> attempts = new HashSet<>();
+    private final List<OpenAttempt> attempts = new ArrayList<>(2);
     private TimerSubscription deadline = () -> {};
     private boolean performing;
     private boolean released;
@@ -58,10 +59,14 @@
     }
 
     /** Attempts that the driver has registered for this request. */
-    Set<String> attempts() {
+    List<OpenAttempt> attempts() {
         return attempts;
     }
 
+    Optional<OpenAttempt> attempt(String attemptId) {
+        return attempts.stream().filter(a -> a.id().equals(attemptId)).findFirst();
+    }
+
     void deadline(TimerSubscription subscription) {
         deadline = subscription;
     }
--- a/library/src/main/java/org/copperspindle/entry/RequestDriver.java
+++ b/library/src/main/java/org/copperspindle/entry/RequestDriver.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -55,7 +56,9 @@
     private final AdmissionPolicy admission;
     private final EntryCounters counters = new EntryCounters();
     private final Map<String, OpenRequest> requests = new HashMap<>();
-    private final Map<String, OpenAttempt> attempts = new HashMap<>();
+    /** By attempt. Several requests may wait for one attempt: a resend through this entry follows the first arrival's. */
+    private final Map<String, List<OpenAttempt>> attempts = new HashMap<>();
+
     /** Attempts whose late outcomes are acknowledged, so that their agents can forget them. */
     private final Map<String, Boolean> ended = new LinkedHashMap<>();
 
@@ -109,12 +112,11 @@
     @Override
     public void onMessage(InetSocketAddress agent, WireMessage message) {
         if (message instanceof AttemptChunkMessage chunk) {
-            OpenAttempt attempt = attempts.get(chunk.attemptId());
-            if (attempt == null) {
+            List<OpenAttempt> waiting = waiting(chunk.attemptId());
+            if (waiting.isEmpty()) {
                 counters.droppedChunk();
-                return;
             }
-            perform(attempt.open(), attempt.open().run().onChunk(chunk));
+            waiting.forEach(a -> perform(a.open(), a.open().run().onChunk(chunk)));
         } else if (message instanceof AttemptOutcomeMessage outcome) {
             onOutcome(agent, outcome);
         }
@@ -133,47 +135,55 @@
     @Override
     public void onLinkLost(InetSocketAddress agent) {
         counters.linkLost();
-        List<OpenAttempt> lost =
-                attempts.values().stream().filter(a -> agent.equals(a.agent())).toList();
+        List<OpenAttempt> lost = attempts.values().stream()
+                .flatMap(List::stream)
+                .filter(a -> agent.equals(a.agent()))
+                .toList();
         for (OpenAttempt attempt : lost) {
-            if (attempts.containsKey(attempt.id())) {
+            if (isOpen(attempt)) {
                 perform(attempt.open(), attempt.open().run().onLinkLost(attempt.id(), timers.nanoTime()));
             }
         }
     }
 
     private void onOutcome(InetSocketAddress agent, AttemptOutcomeMessage outcome) {
-        OpenAttempt attempt = attempts.get(outcome.attemptId());
-        if (attempt == null) {
+        List<OpenAttempt> waiting = waiting(outcome.attemptId());
+        if (waiting.isEmpty()) {
             counters.droppedOutcome();
             if (ended.containsKey(outcome.attemptId())) {
                 agents.send(agent, new OutcomeAckMessage(outcome.attemptId()));
             }
-            return;
         }
-        close(attempt, outcome.inFlight());
-        perform(attempt.open(), attempt.open().run().onOutcome(outcome, timers.nanoTime()));
+        for (OpenAttempt attempt : waiting) {
+            close(attempt, outcome.inFlight());
+            perform(attempt.open(), attempt.open().run().onOutcome(outcome, timers.nanoTime()));
+        }
     }
 
     /** No byte of the order was sent and none will be: the proof that this attempt never runs. */
     private void onOrderNotSent(String attemptId) {
-        OpenAttempt attempt = attempts.get(attemptId);
-        if (attempt == null) {
-            return;
-        }
-        close(attempt, -1);
         AttemptOutcomeMessage outcome = new AttemptOutcomeMessage(
                 attemptId, new NotRunVerdict("not-sent"), 0, "", new byte[0], false, 0, 0, -1, -1);
-        perform(attempt.open(), attempt.open().run().onOutcome(outcome, timers.nanoTime()));
+        for (OpenAttempt attempt : waiting(attemptId)) {
+            close(attempt, -1);
+            perform(attempt.open(), attempt.open().run().onOutcome(outcome, timers.nanoTime()));
+        }
     }
 
     private void unreachable(String attemptId, boolean gone) {
-        OpenAttempt attempt = attempts.get(attemptId);
-        if (attempt != null) {
+        for (OpenAttempt attempt : waiting(attemptId)) {
             perform(attempt.open(), attempt.open().run().onUnreachable(attemptId, gone, timers.nanoTime()));
         }
     }
 
+    private List<OpenAttempt> waiting(String attemptId) {
+        return List.copyOf(attempts.getOrDefault(attemptId, List.of()));
+    }
+
+    private boolean isOpen(OpenAttempt attempt) {
+        return attempts.getOrDefault(attempt.id(), List.of()).contains(attempt);
+    }
+
     /** Carries out actions in order. What they cause in turn is queued behind them, never run in their midst. */
     private void perform(OpenRequest open, List<PipelineAction> actions) {
         open.actions().addAll(actions);
@@ -238,28 +248,24 @@
     }
 
     private void hedge(OpenAttempt attempt) {
-        if (attempts.get(attempt.id()) == attempt) {
+        if (isOpen(attempt)) {
             perform(attempt.open(), attempt.open().run().onHedgeDue(timers.nanoTime()));
         }
     }
 
     private void query(OpenRequest open, PipelineAction.Query query) {
-        OpenAttempt attempt = attempts.get(query.attemptId());
-        if (attempt == null) {
-            attempt = new OpenAttempt(open, query.attemptId(), null, Optional.empty());
-            register(attempt);
-        }
-        OpenAttempt asked = attempt;
+        OpenAttempt asked = open.attempt(query.attemptId())
+                .orElseGet(() -> register(new OpenAttempt(open, query.attemptId(), null, Optional.empty())));
         asked.timer(timers.schedule(query.delay().toNanos(), () -> ask(asked, query)));
     }
 
     private void ask(OpenAttempt attempt, PipelineAction.Query query) {
-        if (attempts.get(attempt.id()) != attempt) {
+        if (!isOpen(attempt)) {
             return;
         }
         Optional<UpstreamView> view = fleet.upstream(query.upstreamId());
         if (view.isEmpty()) {
-            unreachable(attempt.id(), true);
+            perform(attempt.open(), attempt.open().run().onUnreachable(attempt.id(), true, timers.nanoTime()));
             return;
         }
         InetSocketAddress agent = view.get().announcement().agentAddress();
@@ -269,25 +275,30 @@
     }
 
     private void askAgain(OpenAttempt attempt, PipelineAction.Query query) {
-        if (attempts.get(attempt.id()) != attempt) {
+        if (!isOpen(attempt)) {
             return;
         }
         if (agents.isOpen(attempt.agent())) {
             // The agent is there and silent: the attempt still runs. Asked again in case the question was lost.
             attempt.timer(timers.schedule(ASK_AGAIN_NANOS, () -> ask(attempt, query)));
         } else {
-            unreachable(attempt.id(), false);
+            perform(attempt.open(), attempt.open().run().onUnreachable(attempt.id(), false, timers.nanoTime()));
         }
     }
 
-    private void register(OpenAttempt attempt) {
-        attempts.put(attempt.id(), attempt);
-        attempt.open().attempts().add(attempt.id());
+    private OpenAttempt register(OpenAttempt attempt) {
+        attempts.computeIfAbsent(attempt.id(), id -> new ArrayList<>(1)).add(attempt);
+        attempt.open().attempts().add(attempt);
+        return attempt;
     }
 
     private void close(OpenAttempt attempt, int inFlight) {
-        attempts.remove(attempt.id());
-        attempt.open().attempts().remove(attempt.id());
+        List<OpenAttempt> waiting = attempts.get(attempt.id());
+        waiting.remove(attempt);
+        if (waiting.isEmpty()) {
+            attempts.remove(attempt.id());
+        }
+        attempt.open().attempts().remove(attempt);
         attempt.timer(NO_TIMER);
         attempt.dispatchedTo().ifPresent(view -> view.ended(inFlight));
     }
@@ -342,8 +353,8 @@
     private void settle(OpenRequest open) {
         List<String> waitedFor = open.run().openAttempts();
         List.copyOf(open.attempts()).stream()
-                .filter(id -> !waitedFor.contains(id))
-                .forEach(id -> close(attempts.get(id), -1));
+                .filter(attempt -> !waitedFor.contains(attempt.id()))
+                .forEach(attempt -> close(attempt, -1));
         if (open.run().answered() && open.release()) {
             open.cancelDeadline();
             admission.release(open.request().account(), open.request().priority());
@@ -360,6 +371,6 @@
     private void forget(OpenRequest open) {
         open.cancelDeadline();
         requests.remove(open.id());
-        List.copyOf(open.attempts()).forEach(id -> close(attempts.get(id), -1));
+        List.copyOf(open.attempts()).forEach(attempt -> close(attempt, -1));
     }
 }
--- a/library/src/test/java/org/copperspindle/agent/SimulatedAgent.java
+++ b/library/src/test/java/org/copperspindle/agent/SimulatedAgent.java
@@ -21,34 +21,34 @@
     private final Map<String, java.util.List<Peer>> running = new HashMap<>();
     private boolean dead;
 
-    /** Starts a life. */
+    // Starts a life.
     public SimulatedAgent(TimerService timers, SimulatedUpstream upstream, long incarnation) {
         this.timers = timers;
         this.upstream = upstream;
         this.incarnation = incarnation;
     }
 
-    /** Ends this life: its table is gone; what the upstream has been sent goes on. */
+    // Ends this life: its table is gone; what the upstream has been sent goes on.
     public void die() {
         dead = true;
     }
 
-    /** Whether this life is over. */
+    // Whether this life is over.
     public boolean dead() {
         return dead;
     }
 
-    /** This life's number. */
+    // This life's number.
     public long incarnation() {
         return incarnation;
     }
 
-    /** Reading of this life's clock. */
+    // Reading of this life's clock.
     public long clockMicros() {
         return timers.nanoTime() / 1000 + 1;
     }
 
-    /** Takes a message of an entry. */
+    // Takes a message of an entry.
     public void receive(WireMessage message, Peer from) {
         if (dead) {
             return;
--- a/library/src/test/java/org/copperspindle/entry/ExecutionBook.java
+++ b/library/src/test/java/org/copperspindle/entry/ExecutionBook.java
@@ -11,7 +11,7 @@
     private final Map<String, List<String>> attemptsByToken = new HashMap<>();
     private int total;
 
-    /** Records one execution; returns its number, unique in the book. */
+    // Records one execution; returns its number, unique in the book.
     public int ran(String token, String attemptId) {
         attemptsByToken.computeIfAbsent(token, t -> new ArrayList<>()).add(attemptId);
         return ++total;
--- a/library/src/test/java/org/copperspindle/entry/SimulatedEntry.java
+++ b/library/src/test/java/org/copperspindle/entry/SimulatedEntry.java
@@ -28,17 +28,17 @@
     private final RateAdmissionPolicy admission = new RateAdmissionPolicy(MAX_IN_PROGRESS);
     private final ClaimClient claims;
     private final RequestDriver driver;
-    private final DeploymentView view = new DeploymentView();
+    private final DeploymentView view;
     private boolean dead;
 
-    SimulatedEntry(SimulatedDeployment deployment) {
+    SimulatedEntry(SimulatedDeployment deployment, DeploymentView view) {
         this.deployment = deployment;
+        this.view = view;
         this.claims = new ClaimClient(deployment.timers(), this::toControl);
         this.driver = new RequestDriver(deployment.timers(), this, claims, fleet, admission);
     }
 
     void update(ControlUpdateMessage update) {
-        view.update(update);
         fleet.update(update);
     }
 
@@ -60,7 +60,7 @@
     }
 
     void callerLeaves(SimulatedCaller caller) {
-        if (!dead && caller.ends() == 0) {
+        if (!dead && callers.contains(caller) && caller.ends() == 0) {
             caller.leave();
             driver.callerLeft(caller.requestId());
         }
@@ -73,6 +73,13 @@
         List.copyOf(connections.values()).forEach(SimulatedConnection::cut);
     }
 
+    /** The agent's process is gone, and with it the connection. */
+    void cutTo(InetSocketAddress agent) {
+        if (connections.containsKey(agent)) {
+            connections.get(agent).cut();
+        }
+    }
+
     boolean dead() {
         return dead;
     }
@@ -134,12 +141,16 @@
 
     private boolean toControl(WireMessage message) {
         if (!dead) {
-            deployment.later(() -> deployment.control().receive(message, reply -> deployment.later(() -> {
-                if (!dead) {
-                    claims.onReply(reply);
-                    deployment.maybeCrash(this);
-                }
-            })));
+            deployment.later(() -> deployment
+                    .control()
+                    .receive(
+                            message,
+                            reply -> deployment.later(() -> {
+                                if (!dead) {
+                                    claims.onReply(reply);
+                                    deployment.maybeCrash(this);
+                                }
+                            })));
         }
         return true;
     }
--- a/library/src/test/java/org/copperspindle/entry/SimulatedUpstream.java
+++ b/library/src/test/java/org/copperspindle/entry/SimulatedUpstream.java
@@ -41,12 +41,12 @@
         return text.toString();
     }
 
-    /** The agent finished taking a message: a chance for it to die. */
+    // The agent finished taking a message: a chance for it to die.
     public void agentTookMessage(SimulatedAgent agent) {
         deployment.maybeCrash(agent);
     }
 
-    /** Runs an attempt; the end is reported once. */
+    // Runs an attempt; the end is reported once.
     public void call(
             AttemptOrderMessage order, Consumer<AttemptChunkMessage> chunks, Consumer<AttemptOutcomeMessage> end) {
         if (deployment.strikes(deployment.faults().upstream() / 3)) {
@@ -135,9 +135,7 @@
         int pieces = sent;
         deployment
                 .timers()
-                .schedule(
-                        at + deployment.delay(),
-                        () -> end.accept(outcome(order, verdict, 200, body, whole, pieces)));
+                .schedule(at + deployment.delay(), () -> end.accept(outcome(order, verdict, 200, body, whole, pieces)));
     }
 
     private static String token(JsonNode body) {
@@ -145,7 +143,9 @@
         if (!text.isEmpty()) {
             return text;
         }
-        String words = body.path("prompt").asText("") + body.path("query").asText("") + body.path("input").asText("");
+        String words = body.path("prompt").asText("")
+                + body.path("query").asText("")
+                + body.path("input").asText("");
         int start = words.indexOf("face-") + "face-".length();
         return words.substring(start, words.indexOf('|', start));
     }
