--- a/library/src/main/java/org/copperspindle/entry/AgentLinks.java
+++ b/library/src/main/java/org/copperspindle/entry/AgentLinks.java
@@ -6,12 +6,16 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 import io.netty.channel.Channel;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.copperspindle.agent.AgentClock;
 import org.copperspindle.agent.AttemptCancelMessage;
 import org.copperspindle.agent.AttemptOrderMessage;
+import org.copperspindle.agent.LoadReportMessage;
+import org.copperspindle.agent.LoadSubscribeMessage;
 import org.copperspindle.core.DecisionRing;
 import org.copperspindle.time.TimerService;
 import org.copperspindle.wire.Peer;
@@ -20,7 +24,8 @@
 import org.copperspindle.wire.WireTransport;
 
 /**
- * One entry's connections to agents, opened on first use and closed when idle.
+ * One entry's connections to agents, opened on first use and closed when idle. Nothing is sent before the agent has told
+ * its clock, because each order is stamped with it.
  */
 final class AgentLinks implements AgentPort {
 
@@ -51,24 +56,33 @@
 
     @Override
     public void send(InetSocketAddress agent, WireMessage message) {
-        Link link = links.get(agent);
-        if (link == null) {
-            link = new Link(agent);
-            links.put(agent, link);
-            link.connect();
-        }
-        link.send(message);
+        link(agent).send(new Made(message, timers.nanoTime()));
     }
 
     @Override
     public boolean isOpen(InetSocketAddress agent) {
         Link link = links.get(agent);
-        return link != null && link.peer != null;
+        return link != null && link.clock.isPresent();
     }
 
     @Override
     public long clockMicros(InetSocketAddress agent, long incarnation) {
-        return 0;
+        // Connects if need be, so that the clock is known next time.
+        return link(agent)
+                .clock
+                .filter(clock -> clock.incarnation() == incarnation)
+                .map(AgentClock::readingMicros)
+                .orElse(0L);
+    }
+
+    private Link link(InetSocketAddress agent) {
+        Link link = links.get(agent);
+        if (link == null) {
+            link = new Link(agent);
+            links.put(agent, link);
+            link.connect();
+        }
+        return link;
     }
 
     private void sweep() {
@@ -83,10 +97,13 @@
         timers.schedule(0, () -> listener.onNotSent(message));
     }
 
+    private record Made(WireMessage message, long at) {}
+
     /** One connection. */
     private final class Link implements PeerListener {
         private final InetSocketAddress address;
-        private final List<WireMessage> waiting = new ArrayList<>();
+        private final List<Made> waiting = new ArrayList<>();
+        private Optional<AgentClock> clock = Optional.empty();
         private Peer peer;
         private long usedAt = timers.nanoTime();
 
@@ -110,58 +127,66 @@
             channel.closeFuture().addListener(closed -> ring.offerUntilTaken(this::failed, transport.scheduler()));
         }
 
-        private void send(WireMessage message) {
+        private void send(Made made) {
             usedAt = timers.nanoTime();
-            if (peer != null) {
-                if (!peer.send(message)) {
+            WireMessage message = made.message();
+            if (peer != null && clock.isPresent()) {
+                Optional<? extends WireMessage> stamped = message instanceof AttemptOrderMessage order
+                        ? clock.get().stamp(order, made.at())
+                        : Optional.of(message);
+                if (stamped.isEmpty() || !peer.send(stamped.get())) {
                     notSent(message);
                 }
             } else if (message instanceof AttemptCancelMessage cancel && withdraw(cancel.attemptId())) {
                 LOGGER.debug("event=order-withdrawn attempt={}", cancel.attemptId());
             } else if (waiting.size() < MAX_WAITING) {
-                waiting.add(message);
+                waiting.add(made);
             } else {
                 notSent(message);
             }
         }
 
         private boolean withdraw(String attemptId) {
-            return waiting.removeIf(m ->
-                    m instanceof AttemptOrderMessage order && order.attemptId().equals(attemptId));
+            return waiting.removeIf(m -> m.message() instanceof AttemptOrderMessage order
+                    && order.attemptId().equals(attemptId));
         }
 
         private void failed() {
-            if (peer != null) {
-                return;
-            }
             links.remove(address, this);
-            List<WireMessage> unsent = List.copyOf(waiting);
+            List<Made> unsent = List.copyOf(waiting);
             waiting.clear();
-            unsent.forEach(listener::onNotSent);
+            unsent.forEach(made -> listener.onNotSent(made.message()));
+        }
+
+        private void receive(WireMessage message) {
+            if (message instanceof LoadReportMessage report) {
+                clock = Optional.of(AgentClock.of(report, timers.nanoTime()));
+                List<Made> ready = List.copyOf(waiting);
+                waiting.clear();
+                ready.forEach(this::send);
+            } else {
+                usedAt = timers.nanoTime();
+            }
+            listener.onMessage(address, message);
         }
 
         @Override
         public boolean onOpen(Peer opened) {
             return ring.offer(() -> {
                 peer = opened;
-                List<WireMessage> ready = List.copyOf(waiting);
-                waiting.clear();
-                ready.forEach(this::send);
+                opened.send(new LoadSubscribeMessage());
             });
         }
 
         @Override
         public boolean onMessage(Peer from, WireMessage message) {
-            return ring.offer(() -> {
-                usedAt = timers.nanoTime();
-                listener.onMessage(address, message);
-            });
+            return ring.offer(() -> receive(message));
         }
 
         @Override
         public boolean onClose(Peer closed) {
             return ring.offer(() -> {
-                links.remove(address, this);
+                failed();
                 listener.onLinkLost(address);
             });
         }
--- a/library/src/main/java/org/copperspindle/entry/EntryService.java
+++ b/library/src/main/java/org/copperspindle/entry/EntryService.java
@@ -10,16 +10,15 @@
 import org.apache.logging.log4j.Logger;
 import org.copperspindle.claims.ClaimClient;
 import org.copperspindle.core.DecisionRing;
-import org.copperspindle.limits.AdmissionPolicy;
-import org.copperspindle.limits.RateAdmissionPolicy;
+import org.copperspindle.limits.EntryPolicy;
+import org.copperspindle.limits.EntryPolicyFactory;
+import org.copperspindle.limits.PolicyKind;
 import org.copperspindle.membership.ControlLink;
 import org.copperspindle.membership.ControlLinkListener;
 import org.copperspindle.membership.ControlUpdateMessage;
 import org.copperspindle.membership.LeaseRequestMessage;
 import org.copperspindle.pipeline.PipelineRequest;
 import org.copperspindle.routing.FleetView;
-import org.copperspindle.routing.LeastLoadRoutingPolicy;
-import org.copperspindle.routing.RoutingPolicy;
 import org.copperspindle.time.TimerService;
 import org.copperspindle.wire.WireMessage;
 import org.copperspindle.wire.WireTransport;
@@ -42,9 +41,9 @@
     private final ClaimClient claims;
     private final RequestDriver driver;
     private final RequestAdmission admission;
+    private final EntryPolicy policy;
     private final DeploymentView deployment = new DeploymentView();
     private final FleetView fleet = new FleetView();
-    private final RoutingPolicy routing = new LeastLoadRoutingPolicy();
     private boolean refusing;
     private volatile boolean stopping;
     private volatile boolean ready;
@@ -67,7 +66,7 @@
         this.ring = ring;
         this.timers = timers;
         this.settings = settings;
-        AdmissionPolicy policy = new RateAdmissionPolicy(settings.maxInProgress());
+        this.policy = EntryPolicyFactory.of(PolicyKind.ADAPTIVE, fleet, settings.maxInProgress());
         this.control = new ControlLink(ring, timers, transport, controls, settings.renew(), this::leaseRequest, this);
         this.claims = new ClaimClient(timers, control::send);
         ForwardingListener heard = new ForwardingListener();
@@ -141,6 +140,7 @@
     @Override
     public void onUpdate(ControlUpdateMessage update) {
         if (deployment.update(update)) {
+            policy.configure(deployment.deployment());
             updateReady();
         }
         fleet.update(update);
@@ -207,7 +207,7 @@
                 request.account().name(),
                 request.pipeline().name(),
                 deployment.version());
-        RunChooser chooser = new RunChooser(deployment, settings.failureDomain(), fleet, routing, agents);
+        RunChooser chooser = new RunChooser(deployment, settings.failureDomain(), request, policy, timers, agents);
         driver.open(request, chooser, sink);
     }
 
--- a/library/src/main/java/org/copperspindle/entry/OpenAttempt.java
+++ b/library/src/main/java/org/copperspindle/entry/OpenAttempt.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.Optional;
 
+import org.copperspindle.config.StageSettings;
 import org.copperspindle.routing.UpstreamView;
 import org.copperspindle.time.TimerSubscription;
 
@@ -14,14 +15,20 @@
     private final OpenRequest open;
     private final String id;
     private final Optional<UpstreamView> dispatchedTo;
+    private final StageSettings stage;
+    private final long since;
     private InetSocketAddress agent;
     private TimerSubscription timer = () -> {};
+    private TimerSubscription timeout = () -> {};
+    private boolean lost;
 
-    OpenAttempt(OpenRequest open, String id, InetSocketAddress agent, Optional<UpstreamView> dispatchedTo) {
+    OpenAttempt(OpenRequest open, String id, InetSocketAddress agent, Optional<UpstreamView> dispatchedTo, long since) {
         this.open = open;
         this.id = id;
         this.agent = agent;
         this.dispatchedTo = dispatchedTo;
+        this.stage = open.run().stage();
+        this.since = since;
     }
 
     OpenRequest open() {
@@ -37,6 +44,24 @@
         return dispatchedTo;
     }
 
+    StageSettings stage() {
+        return stage;
+    }
+
+    /** Instant of the dispatch, in nanoseconds of the timer service. */
+    long since() {
+        return since;
+    }
+
+    /** Whether a connection that carried it broke. */
+    boolean lost() {
+        return lost;
+    }
+
+    void markLost() {
+        lost = true;
+    }
+
     InetSocketAddress agent() {
         return agent;
     }
@@ -50,4 +75,13 @@
         timer.cancel();
         timer = subscription;
     }
+
+    void timeout(TimerSubscription subscription) {
+        timeout = subscription;
+    }
+
+    void cancelTimers() {
+        timer.cancel();
+        timeout.cancel();
+    }
 }
--- a/library/src/main/java/org/copperspindle/entry/RequestAdmission.java
+++ b/library/src/main/java/org/copperspindle/entry/RequestAdmission.java
@@ -6,7 +6,7 @@
 import org.copperspindle.config.AccountSettings;
 import org.copperspindle.config.PipelineSettings;
 import org.copperspindle.config.Priority;
-import org.copperspindle.limits.AdmissionPolicy;
+import org.copperspindle.limits.EntryPolicy;
 import org.copperspindle.pipeline.PipelineAnswer;
 import org.copperspindle.pipeline.PipelineRequest;
 import org.copperspindle.verdict.NotRunVerdict;
@@ -25,9 +25,9 @@
     private static final Duration COME_BACK = Duration.ofSeconds(1);
 
     private final DeploymentView view;
-    private final AdmissionPolicy policy;
+    private final EntryPolicy policy;
 
-    RequestAdmission(DeploymentView view, AdmissionPolicy policy) {
+    RequestAdmission(DeploymentView view, EntryPolicy policy) {
         this.view = view;
         this.policy = policy;
     }
@@ -59,7 +59,7 @@
             return refuse("not-allowed", FORBIDDEN, "the account may not call this", Optional.empty());
         }
         PipelineRequest bounded = bound(requestId, request, account.get(), pipeline.get(), now);
-        Optional<Duration> refusal = policy.refuse(bounded.account(), bounded.priority(), now);
+        Optional<Duration> refusal = policy.refuse(bounded, now);
         if (refusal.isPresent()) {
             return refuse("rate", TOO_MANY_REQUESTS, "over the account's rate", refusal);
         }
--- a/library/src/main/java/org/copperspindle/entry/RequestDriver.java
+++ b/library/src/main/java/org/copperspindle/entry/RequestDriver.java
@@ -16,18 +16,22 @@
 import org.copperspindle.agent.AttemptChunkMessage;
 import org.copperspindle.agent.AttemptOrderMessage;
 import org.copperspindle.agent.AttemptOutcomeMessage;
+import org.copperspindle.agent.LoadReportMessage;
 import org.copperspindle.agent.OutcomeAckMessage;
 import org.copperspindle.agent.OutcomeQueryMessage;
 import org.copperspindle.claims.ClaimClient;
-import org.copperspindle.limits.AdmissionPolicy;
+import org.copperspindle.limits.AttemptEnd;
+import org.copperspindle.limits.AttemptReport;
+import org.copperspindle.limits.EntryPolicy;
 import org.copperspindle.pipeline.PipelineAction;
 import org.copperspindle.pipeline.PipelineAnswer;
 import org.copperspindle.pipeline.PipelineRequest;
+import org.copperspindle.pipeline.PipelineRun;
 import org.copperspindle.pipeline.UpstreamChooser;
 import org.copperspindle.routing.FleetView;
 import org.copperspindle.routing.UpstreamView;
 import org.copperspindle.time.TimerService;
-import org.copperspindle.time.TimerSubscription;
+import org.copperspindle.verdict.MayHaveRunVerdict;
 import org.copperspindle.verdict.NotRunVerdict;
 import org.copperspindle.wire.WireMessage;
 
@@ -47,13 +51,13 @@
 
     private static final long LINGER_NANOS = Duration.ofSeconds(30).toNanos();
     private static final int MAX_ENDED = 4096;
-    private static final TimerSubscription NO_TIMER = () -> {};
+    private static final int SERVER_ERROR = 500;
 
     private final TimerService timers;
     private final AgentPort agents;
     private final ClaimClient claims;
     private final FleetView fleet;
-    private final AdmissionPolicy admission;
+    private final EntryPolicy policy;
     private final EntryCounters counters = new EntryCounters();
     private final Map<String, OpenRequest> requests = new HashMap<>();
     /** By attempt. Several requests may wait for one attempt: a resend through this entry follows the first arrival's. */
@@ -62,13 +66,12 @@
     /** Attempts whose late outcomes are acknowledged, so that their agents can forget them. */
     private final Map<String, Boolean> ended = new LinkedHashMap<>();
 
-    RequestDriver(
-            TimerService timers, AgentPort agents, ClaimClient claims, FleetView fleet, AdmissionPolicy admission) {
+    RequestDriver(TimerService timers, AgentPort agents, ClaimClient claims, FleetView fleet, EntryPolicy policy) {
         this.timers = timers;
         this.agents = agents;
         this.claims = claims;
         this.fleet = fleet;
-        this.admission = admission;
+        this.policy = policy;
     }
 
     /**
@@ -119,6 +122,8 @@
             waiting.forEach(a -> perform(a.open(), a.open().run().onChunk(chunk)));
         } else if (message instanceof AttemptOutcomeMessage outcome) {
             onOutcome(agent, outcome);
+        } else if (message instanceof LoadReportMessage report) {
+            fleet.upstream(report.upstreamId()).ifPresent(view -> view.reported(report.inFlight() + report.queued()));
         }
     }
 
@@ -141,6 +146,7 @@
                 .toList();
         for (OpenAttempt attempt : lost) {
             if (isOpen(attempt)) {
+                attempt.markLost();
                 perform(attempt.open(), attempt.open().run().onLinkLost(attempt.id(), timers.nanoTime()));
             }
         }
@@ -155,7 +161,7 @@
             }
         }
         for (OpenAttempt attempt : waiting) {
-            close(attempt, outcome.inFlight());
+            close(attempt, endOf(outcome), outcome.inFlight());
             perform(attempt.open(), attempt.open().run().onOutcome(outcome, timers.nanoTime()));
         }
     }
@@ -165,7 +171,7 @@
         AttemptOutcomeMessage outcome = new AttemptOutcomeMessage(
                 attemptId, new NotRunVerdict("not-sent"), 0, "", new byte[0], false, 0, 0, -1, -1);
         for (OpenAttempt attempt : waiting(attemptId)) {
-            close(attempt, -1);
+            close(attempt, AttemptEnd.REFUSED, -1);
             perform(attempt.open(), attempt.open().run().onOutcome(outcome, timers.nanoTime()));
         }
     }
@@ -229,21 +235,26 @@
     }
 
     private void dispatch(OpenRequest open, AttemptOrderMessage order) {
+        long now = timers.nanoTime();
         Optional<UpstreamView> view = fleet.upstream(order.upstreamId());
         if (view.isEmpty()) {
-            register(new OpenAttempt(open, order.attemptId(), null, Optional.empty()));
+            register(new OpenAttempt(open, order.attemptId(), null, Optional.empty(), now));
             timers.schedule(0, () -> onOrderNotSent(order.attemptId()));
             return;
         }
-        view.get().dispatched();
+        policy.dispatched(open.request(), open.run().stage(), view.get(), now);
         InetSocketAddress agent = view.get().announcement().agentAddress();
-        OpenAttempt attempt = new OpenAttempt(open, order.attemptId(), agent, view);
+        OpenAttempt attempt = new OpenAttempt(open, order.attemptId(), agent, view, now);
         register(attempt);
         OptionalLong hedge =
                 open.chooser().hedgeAfter(open.request(), open.run().stage());
         if (hedge.isPresent()) {
             attempt.timer(timers.schedule(hedge.getAsLong(), () -> hedge(attempt)));
         }
+        OptionalLong timeout = policy.attemptTimeout(open.request(), open.run().stage(), now);
+        if (timeout.isPresent()) {
+            attempt.timeout(timers.schedule(timeout.getAsLong(), () -> timedOut(attempt)));
+        }
         agents.send(agent, order);
     }
 
@@ -253,9 +264,20 @@
         }
     }
 
+    private void timedOut(OpenAttempt attempt) {
+        PipelineRun run = attempt.open().run();
+        if (isOpen(attempt)
+                && run.stage().repeatable()
+                && policy.mayAbandon(attempt.open().request(), run.stage())) {
+            close(attempt, AttemptEnd.TIMED_OUT, -1);
+            perform(attempt.open(), run.onGivenUp(attempt.id(), "attempt-timeout", timers.nanoTime()));
+        }
+    }
+
     private void query(OpenRequest open, PipelineAction.Query query) {
         OpenAttempt asked = open.attempt(query.attemptId())
-                .orElseGet(() -> register(new OpenAttempt(open, query.attemptId(), null, Optional.empty())));
+                .orElseGet(() ->
+                        register(new OpenAttempt(open, query.attemptId(), null, Optional.empty(), timers.nanoTime())));
         asked.timer(timers.schedule(query.delay().toNanos(), () -> ask(asked, query)));
     }
 
@@ -271,7 +293,10 @@
         InetSocketAddress agent = view.get().announcement().agentAddress();
         attempt.agent(agent);
         attempt.timer(timers.schedule(ASK_AGAIN_NANOS, () -> askAgain(attempt, query)));
-        agents.send(agent, new OutcomeQueryMessage(query.attemptId(), query.incarnation()));
+        agents.send(
+                agent,
+                new OutcomeQueryMessage(
+                        query.attemptId(), query.incarnation(), query.clockMicros(), !query.repeatable()));
     }
 
     private void askAgain(OpenAttempt attempt, PipelineAction.Query query) {
@@ -292,15 +317,30 @@
         return attempt;
     }
 
-    private void close(OpenAttempt attempt, int inFlight) {
+    private void close(OpenAttempt attempt, AttemptEnd end, int inFlight) {
         List<OpenAttempt> waiting = attempts.get(attempt.id());
         waiting.remove(attempt);
         if (waiting.isEmpty()) {
             attempts.remove(attempt.id());
         }
         attempt.open().attempts().remove(attempt);
-        attempt.timer(NO_TIMER);
-        attempt.dispatchedTo().ifPresent(view -> view.ended(inFlight));
+        attempt.cancelTimers();
+        if (attempt.dispatchedTo().isPresent()) {
+            long now = timers.nanoTime();
+            UpstreamView view = attempt.dispatchedTo().get();
+            long took = now - attempt.since();
+            policy.ended(new AttemptReport(attempt.open().request(), attempt.stage(), view, end, took, inFlight), now);
+        }
+    }
+
+    private static AttemptEnd endOf(AttemptOutcomeMessage outcome) {
+        if (outcome.verdict() instanceof NotRunVerdict) {
+            return AttemptEnd.REFUSED;
+        }
+        if (outcome.verdict() instanceof MayHaveRunVerdict) {
+            return AttemptEnd.LOST;
+        }
+        return outcome.status() >= SERVER_ERROR ? AttemptEnd.FAILED : AttemptEnd.SUCCEEDED;
     }
 
     private void acknowledge(PipelineAction.Acknowledge acknowledge) {
@@ -352,12 +392,14 @@
     /** Forgets what the run no longer waits for. */
     private void settle(OpenRequest open) {
         List<String> waitedFor = open.run().openAttempts();
+        // What is still registered here was cancelled or lost: an attempt with an outcome is closed before its run goes
+        // on.
         List.copyOf(open.attempts()).stream()
                 .filter(attempt -> !waitedFor.contains(attempt.id()))
-                .forEach(attempt -> close(attempt, -1));
+                .forEach(attempt -> close(attempt, attempt.lost() ? AttemptEnd.LOST : AttemptEnd.WITHDRAWN, -1));
         if (open.run().answered() && open.release()) {
             open.cancelDeadline();
-            admission.release(open.request().account(), open.request().priority());
+            policy.release(open.request());
             if (!open.run().closed()) {
                 LOGGER.info("event=attempt-outlives-request request={}", open.id());
                 open.deadline(timers.schedule(LINGER_NANOS, () -> forget(open)));
@@ -371,6 +413,6 @@
     private void forget(OpenRequest open) {
         open.cancelDeadline();
         requests.remove(open.id());
-        List.copyOf(open.attempts()).forEach(attempt -> close(attempt, -1));
+        List.copyOf(open.attempts()).forEach(attempt -> close(attempt, AttemptEnd.WITHDRAWN, -1));
     }
 }
--- a/library/src/main/java/org/copperspindle/entry/RunChooser.java
+++ b/library/src/main/java/org/copperspindle/entry/RunChooser.java
@@ -5,15 +5,17 @@
 
 import org.copperspindle.config.Deployment;
 import org.copperspindle.config.PoolKind;
+import org.copperspindle.config.PoolSettings;
 import org.copperspindle.config.StageSettings;
+import org.copperspindle.limits.EntryPolicy;
 import org.copperspindle.membership.UpstreamAnnouncement;
 import org.copperspindle.pipeline.PipelineRequest;
 import org.copperspindle.pipeline.StageContext;
 import org.copperspindle.pipeline.UpstreamChooser;
-import org.copperspindle.routing.FleetView;
-import org.copperspindle.routing.RoutingPolicy;
+import org.copperspindle.routing.PrefixAffinity;
 import org.copperspindle.routing.RoutingRequest;
 import org.copperspindle.routing.UpstreamView;
+import org.copperspindle.time.TimerService;
 
 /**
  * What one run asks of its entry. Holds the configuration that the run was admitted under: with the newest one in its
@@ -24,24 +26,33 @@
     private final Deployment deployment;
     private final long version;
     private final String failureDomain;
-    private final FleetView fleet;
-    private final RoutingPolicy routing;
+    private final PipelineRequest request;
+    private final EntryPolicy policy;
+    private final TimerService timers;
     private final AgentPort agents;
 
-    RunChooser(DeploymentView view, String failureDomain, FleetView fleet, RoutingPolicy routing, AgentPort agents) {
+    RunChooser(
+            DeploymentView view,
+            String failureDomain,
+            PipelineRequest request,
+            EntryPolicy policy,
+            TimerService timers,
+            AgentPort agents) {
         this.deployment = view.deployment();
         this.version = view.version();
         this.failureDomain = failureDomain;
-        this.fleet = fleet;
-        this.routing = routing;
+        this.request = request;
+        this.policy = policy;
+        this.timers = timers;
         this.agents = agents;
     }
 
     @Override
     public Optional<UpstreamAnnouncement> choose(StageSettings stage, StageContext context, Set<String> tried) {
-        RoutingRequest request =
-                new RoutingRequest(deployment.pools().get(stage.pool()), stage, failureDomain, 0, tried);
-        return routing.choose(fleet.pool(stage.pool()), request).map(UpstreamView::announcement);
+        PoolSettings pool = deployment.pools().get(stage.pool());
+        long affinity = pool.kind() == PoolKind.ENGINE ? PrefixAffinity.hash(context.input()) : 0;
+        RoutingRequest routing = new RoutingRequest(pool, stage, failureDomain, affinity, tried);
+        return policy.choose(request, routing, timers.nanoTime()).map(UpstreamView::announcement);
     }
 
     @Override
@@ -50,8 +61,8 @@
     }
 
     @Override
-    public boolean mayRetry(PipelineRequest request) {
-        return true;
+    public boolean mayRetry(PipelineRequest retried) {
+        return policy.mayRetry(retried);
     }
 
     @Override
--- a/library/src/main/java/org/copperspindle/pipeline/PipelineAction.java
+++ b/library/src/main/java/org/copperspindle/pipeline/PipelineAction.java
@@ -48,9 +48,11 @@
      * @param upstreamId  upstream that it was dispatched to
      * @param incarnation life of the agent that it was meant for
      * @param clockMicros reading of that life's clock from before the attempt was dispatched, 0 if none was known
+     * @param repeatable  whether its stage may run again
      * @param delay       pause before asking
      */
-    record Query(String attemptId, String upstreamId, long incarnation, long clockMicros, Duration delay)
+    record Query(
+            String attemptId, String upstreamId, long incarnation, long clockMicros, boolean repeatable, Duration delay)
             implements PipelineAction {}
 
     /**
--- a/library/src/main/java/org/copperspindle/pipeline/PipelineRun.java
+++ b/library/src/main/java/org/copperspindle/pipeline/PipelineRun.java
@@ -328,9 +328,14 @@
         return List.of(query(attempt, Duration.ZERO));
     }
 
-    private static PipelineAction query(StageAttempt attempt, Duration delay) {
+    private PipelineAction query(StageAttempt attempt, Duration delay) {
         return new PipelineAction.Query(
-                attempt.id(), attempt.upstreamId(), attempt.incarnation(), attempt.clockMicros(), delay);
+                attempt.id(),
+                attempt.upstreamId(),
+                attempt.incarnation(),
+                attempt.clockMicros(),
+                stage().repeatable(),
+                delay);
     }
 
     /** Tells claims and agent how an attempt ended. */
--- a/library/src/test/java/org/copperspindle/entry/SimulatedConnection.java
+++ b/library/src/test/java/org/copperspindle/entry/SimulatedConnection.java
@@ -3,7 +3,9 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 
+import org.copperspindle.agent.AgentClock;
 import org.copperspindle.agent.AttemptOrderMessage;
 import org.copperspindle.agent.SimulatedAgent;
 import org.copperspindle.wire.GreetingMessage;
@@ -21,8 +23,7 @@
     private final InetSocketAddress address;
     private final List<WireMessage> waiting = new ArrayList<>();
     private SimulatedAgent agent;
-    private long clockMicros;
-    private long clockIncarnation;
+    private AgentClock clock;
     private long lastToAgent;
     private long lastToEntry;
     private boolean cut;
@@ -39,7 +40,7 @@
     }
 
     long clockMicros(long incarnation) {
-        return incarnation == clockIncarnation ? clockMicros : 0;
+        return clock != null && incarnation == clock.incarnation() ? clock.readingMicros() : 0;
     }
 
     void toAgent(WireMessage message) {
@@ -47,12 +48,15 @@
             waiting.add(message);
             return;
         }
-        SimulatedAgent life = agent;
-        Runnable arrival = () -> life.receive(message, this);
-        lastToAgent = carry(arrival, lastToAgent);
-        if (message instanceof AttemptOrderMessage) {
-            deployment.count("orders");
+        Optional<? extends WireMessage> stamped = message instanceof AttemptOrderMessage order
+                ? clock.stamp(order, deployment.timers().nanoTime())
+                : Optional.of(message);
+        if (stamped.isEmpty()) {
+            deployment.timers().schedule(0, () -> entry.notSent(message));
+            return;
         }
+        SimulatedAgent life = agent;
+        lastToAgent = carry(() -> life.receive(stamped.get(), this), lastToAgent);
         maybeCut();
     }
 
@@ -107,8 +111,7 @@
             return;
         }
         agent = found;
-        clockMicros = found.clockMicros();
-        clockIncarnation = found.incarnation();
+        clock = AgentClock.of(found.report(), deployment.timers().nanoTime());
         messages.forEach(this::toAgent);
     }
 
--- a/library/src/test/java/org/copperspindle/entry/SimulatedDeployment.java
+++ b/library/src/test/java/org/copperspindle/entry/SimulatedDeployment.java
@@ -75,6 +75,7 @@
     private final List<SimulatedEntry> entries = new ArrayList<>();
     private final List<SimulatedCaller> callers = new ArrayList<>();
     private final Map<String, Integer> counts = new TreeMap<>();
+    private final boolean forgetful;
     private SimulatedFaults faults = SimulatedFaults.NONE;
     private long revision;
     private int arrivals;
@@ -85,6 +86,7 @@
 
     SimulatedDeployment(long seed, int entryCount, ClaimLimits limits) {
         random = new SplittableRandom(seed);
+        forgetful = seed % 2 == 1;
         control = new SimulatedControl(this, limits);
         int port = 1;
         for (PoolKind kind : List.of(PoolKind.RETRIEVER, PoolKind.ENGINE, PoolKind.SERVICE)) {
@@ -93,7 +95,7 @@
                 SimulatedUpstream upstream = new SimulatedUpstream(this, kind);
                 upstreams.put(address, upstream);
                 pools.put(address, poolOf(kind));
-                agents.put(address, new SimulatedAgent(timers, upstream, 1));
+                agents.put(address, life(address, 1));
             }
         }
         for (int i = 0; i < entryCount; i++) {
@@ -209,11 +211,20 @@
                 .getKey();
         entries.forEach(entry -> entry.cutTo(address));
         timers.schedule(random.nextLong(AWAY_NANOS), () -> {
-            agents.put(address, new SimulatedAgent(timers, upstreams.get(address), agent.incarnation() + 1));
+            agents.put(address, life(address, agent.incarnation() + 1));
             later(this::update);
         });
     }
 
+    private SimulatedAgent life(InetSocketAddress address, long incarnation) {
+        String id = idOf(address);
+        return new SimulatedAgent(timers, upstreams.get(address), id, incarnation, forgetful);
+    }
+
+    private String idOf(InetSocketAddress address) {
+        return pools.get(address) + address.getPort();
+    }
+
     /** Tells every entry the membership as it is now. */
     void update() {
         revision++;
@@ -239,7 +250,7 @@
     private ControlUpdateMessage membership() {
         List<byte[]> announcements = new ArrayList<>();
         pools.forEach((address, pool) -> announcements.add(UpstreamAnnouncement.CODEC.encode(new UpstreamAnnouncement(
-                pool + address.getPort(),
+                idOf(address),
                 pool,
                 "north",
                 address,
--- a/library/src/test/java/org/copperspindle/entry/SimulatedEntry.java
+++ b/library/src/test/java/org/copperspindle/entry/SimulatedEntry.java
@@ -9,11 +9,12 @@
 import org.copperspindle.claims.ClaimClient;
 import org.copperspindle.config.AccountSettings;
 import org.copperspindle.config.Priority;
-import org.copperspindle.limits.RateAdmissionPolicy;
+import org.copperspindle.limits.EntryPolicy;
+import org.copperspindle.limits.EntryPolicyFactory;
+import org.copperspindle.limits.PolicyKind;
 import org.copperspindle.membership.ControlUpdateMessage;
 import org.copperspindle.pipeline.PipelineRequest;
 import org.copperspindle.routing.FleetView;
-import org.copperspindle.routing.LeastLoadRoutingPolicy;
 import org.copperspindle.wire.WireMessage;
 
 /** One life of an entry: the real driver and claim client on simulated connections. */
@@ -25,7 +26,7 @@
     private final Map<InetSocketAddress, SimulatedConnection> connections = new HashMap<>();
     private final List<SimulatedCaller> callers = new ArrayList<>();
     private final FleetView fleet = new FleetView();
-    private final RateAdmissionPolicy admission = new RateAdmissionPolicy(MAX_IN_PROGRESS);
+    private final EntryPolicy policy = EntryPolicyFactory.of(PolicyKind.LEAST_LOAD, fleet, MAX_IN_PROGRESS);
     private final ClaimClient claims;
     private final RequestDriver driver;
     private final DeploymentView view;
@@ -35,7 +36,7 @@
         this.deployment = deployment;
         this.view = view;
         this.claims = new ClaimClient(deployment.timers(), this::toControl);
-        this.driver = new RequestDriver(deployment.timers(), this, claims, fleet, admission);
+        this.driver = new RequestDriver(deployment.timers(), this, claims, fleet, policy);
     }
 
     void update(ControlUpdateMessage update) {
@@ -55,8 +56,8 @@
                 Priority.STANDARD,
                 caller.deadline(),
                 streaming);
-        admission.refuse(account, Priority.STANDARD, deployment.timers().nanoTime());
-        driver.open(request, new RunChooser(view, "north", fleet, new LeastLoadRoutingPolicy(), this), caller);
+        policy.refuse(request, deployment.timers().nanoTime());
+        driver.open(request, new RunChooser(view, "north", request, policy, deployment.timers(), this), caller);
     }
 
     void callerLeaves(SimulatedCaller caller) {
