--- a/library/src/main/java/org/copperspindle/daemon/MessageCatalog.java
+++ b/library/src/main/java/org/copperspindle/daemon/MessageCatalog.java
@@ -14,6 +14,7 @@
 import org.copperspindle.claims.ClaimReplyMessage;
 import org.copperspindle.claims.ClaimRequestMessage;
 import org.copperspindle.claims.ClaimSettleMessage;
+import org.copperspindle.claims.ClaimSettledMessage;
 import org.copperspindle.consensus.ConsensusLog;
 import org.copperspindle.control.NotLeaderMessage;
 import org.copperspindle.membership.ControlUpdateMessage;
@@ -38,6 +39,7 @@
             ClaimRequestMessage.CODEC,
             ClaimReplyMessage.CODEC,
             ClaimSettleMessage.CODEC,
+            ClaimSettledMessage.CODEC,
             AttemptOrderMessage.CODEC,
             AttemptCancelMessage.CODEC,
             AttemptChunkMessage.CODEC,
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/entry/RunChooser.java
@@ -0,0 +1,77 @@
+package org.copperspindle.entry;
+
+import java.util.Optional;
+import java.util.Set;
+
+import org.copperspindle.config.Deployment;
+import org.copperspindle.config.PoolKind;
+import org.copperspindle.config.PoolSettings;
+import org.copperspindle.config.StageSettings;
+import org.copperspindle.limits.EntryPolicy;
+import org.copperspindle.membership.UpstreamAnnouncement;
+import org.copperspindle.pipeline.PipelineRequest;
+import org.copperspindle.pipeline.StageContext;
+import org.copperspindle.pipeline.UpstreamChooser;
+import org.copperspindle.routing.PrefixAffinity;
+import org.copperspindle.routing.RoutingRequest;
+import org.copperspindle.routing.UpstreamView;
+import org.copperspindle.time.TimerService;
+
+/**
+ * What one run asks of its entry. Holds the configuration that the run was admitted under: with the newest one in its
+ * place, a change that drops a pool would end runs that were promised it.
+ */
+final class RunChooser implements UpstreamChooser {
+
+    private final Deployment deployment;
+    private final long version;
+    private final String failureDomain;
+    private final PipelineRequest request;
+    private final EntryPolicy policy;
+    private final TimerService timers;
+    private final AgentPort agents;
+
+    RunChooser(
+            DeploymentView view,
+            String failureDomain,
+            PipelineRequest request,
+            EntryPolicy policy,
+            TimerService timers,
+            AgentPort agents) {
+        this.deployment = view.deployment();
+        this.version = view.version();
+        this.failureDomain = failureDomain;
+        this.request = request;
+        this.policy = policy;
+        this.timers = timers;
+        this.agents = agents;
+    }
+
+    @Override
+    public Optional<UpstreamAnnouncement> choose(StageSettings stage, StageContext context, Set<String> tried) {
+        PoolSettings pool = deployment.pools().get(stage.pool());
+        long affinity = pool.kind() == PoolKind.ENGINE ? PrefixAffinity.hash(context.input()) : 0;
+        RoutingRequest routing = new RoutingRequest(pool, stage, failureDomain, affinity, tried);
+        return policy.choose(request, routing, timers.nanoTime()).map(UpstreamView::announcement);
+    }
+
+    @Override
+    public PoolKind kind(String pool) {
+        return deployment.pools().get(pool).kind();
+    }
+
+    @Override
+    public boolean mayRetry(PipelineRequest retried) {
+        return policy.mayRetry(retried);
+    }
+
+    @Override
+    public long agentClock(UpstreamAnnouncement upstream) {
+        return agents.clockMicros(upstream.agentAddress(), upstream.incarnation());
+    }
+
+    @Override
+    public long configVersion() {
+        return version;
+    }
+}
