--- a/library/src/main/java/org/copperspindle/agent/AgentService.java
+++ b/library/src/main/java/org/copperspindle/agent/AgentService.java
@@ -36,7 +36,7 @@
     private final TimerService timers;
     private final AgentSettings settings;
     private final InetSocketAddress address;
-    private final long incarnation;
+    private long incarnation;
     private final UpstreamClient client;
     private final ControlLink control;
     private final AttemptTable attempts = new AttemptTable(MAX_ATTEMPTS_KEPT);
@@ -129,6 +129,11 @@
         }
     }
 
+    @Override
+    public void onNewerIncarnation(long known) {
+        incarnation = known + 1;
+    }
+
     @Override
     public void onLease(boolean held) {
         LOGGER.info("event=lease upstream={} held={}", settings.upstreamId(), held);
--- a/library/src/main/java/org/copperspindle/config/ConfigHistory.java
+++ b/library/src/main/java/org/copperspindle/config/ConfigHistory.java
@@ -58,9 +58,9 @@
         ApplyConfigCommand apply = (ApplyConfigCommand) command;
         byte[] proposed = ConfigText.bytes(apply.text());
         byte[] digest = ConfigText.digest(proposed);
-        ConfigChange before = byId.get(apply.changeId());
-        if (before != null) {
-            return repeat(before, apply, digest);
+        Optional<ControlResult> before = decided(apply, digest);
+        if (before.isPresent()) {
+            return before.get();
         }
         if (expired(apply.baseVersion())) {
             return new ControlResult.ConfigExpired(accepted.firstKey());
@@ -75,6 +75,17 @@
         return new ControlResult.ConfigAccepted(version);
     }
 
+    /**
+     * Finds the first answer to a change that is resent. A decision never changes, so that it may be told by any member
+     * that has applied it.
+     *
+     * @param apply the change
+     * @return the answer; empty if the change id is not known
+     */
+    public Optional<ControlResult> decided(ApplyConfigCommand apply) {
+        return decided(apply, ConfigText.digest(ConfigText.bytes(apply.text())));
+    }
+
     /**
      * Returns the newest accepted version.
      *
@@ -154,6 +165,10 @@
         return !accepted.isEmpty() && baseVersion + 1 < accepted.firstKey();
     }
 
+    private Optional<ControlResult> decided(ApplyConfigCommand apply, byte[] digest) {
+        return Optional.ofNullable(byId.get(apply.changeId())).map(before -> repeat(before, apply, digest));
+    }
+
     private ControlResult repeat(ConfigChange before, ApplyConfigCommand apply, byte[] digest) {
         boolean same = before.baseVersion() == apply.baseVersion()
                 && before.operator().equals(apply.operator())
--- a/library/src/main/java/org/copperspindle/control/ControlDoor.java
+++ b/library/src/main/java/org/copperspindle/control/ControlDoor.java
@@ -1,36 +1,45 @@
 package org.copperspindle.control;
 
+import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.Map;
 import java.util.Optional;
 
+import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import org.copperspindle.config.DeploymentLoader;
-import org.copperspindle.core.DecisionRing;
+import org.copperspindle.core.DecisionQueue;
 import org.copperspindle.http.HttpExchange;
 import org.copperspindle.http.HttpRequestHandler;
 import org.copperspindle.settings.SettingsException;
 
 /**
  * The operators' HTTP interface of a control member: {@code POST /v1/config?base=N&change=ID&operator=NAME} with the
- * whole INI text as body.
+ * whole INI text as body, and {@code GET /v1/status}. A member that does not lead points to the leader.
  */
 public final class ControlDoor implements HttpRequestHandler {
 
     private static final String JSON = "application/json";
+    private static final String CONFIG_PATH = "/v1/config";
+    private static final String NUMBER = "[0-9]{1,18}";
+    private static final int MAX_NAME = 200;
+    private static final Duration DEFAULT_WAIT = Duration.ofSeconds(30);
+    private static final Duration LONGEST_WAIT = Duration.ofMinutes(5);
+    private static final ObjectMapper MAPPER = new ObjectMapper();
 
-    private final DecisionRing ring;
+    private final DecisionQueue queue;
     private final ControlService service;
 
     /**
      * Creates the door.
      *
-     * @param ring    decision ring that owns the service
+     * @param queue   decision ring that owns the service
      * @param service carries the changes out
      */
-    public ControlDoor(DecisionRing ring, ControlService service) {
-        this.ring = ring;
+    public ControlDoor(DecisionQueue queue, ControlService service) {
+        this.queue = queue;
         this.service = service;
     }
 
@@ -38,18 +47,27 @@
     public void handle(HttpExchange exchange) {
         if (exchange.path().equals("/livez")) {
             answer(exchange, 200, node("live"));
-        } else if (exchange.path().equals("/v1/config") && exchange.method().equals("POST")) {
+        } else if (exchange.path().equals(CONFIG_PATH) && exchange.method().equals("POST")) {
             apply(exchange);
+        } else if (exchange.path().equals("/v1/status") && exchange.method().equals("GET")) {
+            status(exchange);
         } else {
             answer(exchange, 404, node("unknown-path"));
         }
     }
 
+    private void status(HttpExchange exchange) {
+        boolean taken = queue.offer(() -> answer(exchange, 200, MAPPER.<ObjectNode>valueToTree(service.status())));
+        if (!taken) {
+            answer(exchange, 503, node("overloaded"));
+        }
+    }
+
     private void apply(HttpExchange exchange) {
         Optional<Long> base =
-                exchange.parameter("base").filter(b -> b.matches("[0-9]{1,18}")).map(Long::parseLong);
-        Optional<String> change = exchange.parameter("change").filter(c -> !c.isBlank());
-        Optional<String> operator = exchange.parameter("operator").filter(o -> !o.isBlank());
+                exchange.parameter("base").filter(b -> b.matches(NUMBER)).map(Long::parseLong);
+        Optional<String> change = name(exchange, "change");
+        Optional<String> operator = name(exchange, "operator");
         if (base.isEmpty() || change.isEmpty() || operator.isEmpty()) {
             answer(exchange, 400, node("refused").put("reason", "base, change and operator are required"));
             return;
@@ -61,30 +79,62 @@
             answer(exchange, 422, node("refused").put("reason", e.getMessage()));
             return;
         }
+        long wait = exchange.parameter("wait-ms")
+                .filter(w -> w.matches(NUMBER))
+                .map(Long::parseLong)
+                .map(w -> Math.min(w, LONGEST_WAIT.toMillis()))
+                .orElse(DEFAULT_WAIT.toMillis());
         ApplyConfigCommand command = new ApplyConfigCommand(change.get(), base.get(), operator.get(), text);
-        if (!ring.offer(() -> service.apply(command, result -> report(exchange, result)))) {
-            answer(exchange, 503, node("refused").put("reason", "overloaded"));
+        boolean taken = queue.offer(
+                () -> service.apply(command, Duration.ofMillis(wait).toNanos(), outcome -> report(exchange, outcome)));
+        if (!taken) {
+            answer(exchange, 503, node("not-taken").put("reason", "overloaded"));
         }
     }
 
-    private static void report(HttpExchange exchange, ProposalResult result) {
-        if (result instanceof ProposalResult.Committed committed) {
-            if (committed.result() instanceof ControlResult.ConfigAccepted accepted) {
-                answer(exchange, 200, node("accepted").put("version", accepted.version()));
-            } else if (committed.result() instanceof ControlResult.ConfigRefused refused) {
-                answer(
-                        exchange,
-                        409,
-                        node("refused").put("version", refused.currentVersion()).put("reason", refused.reason()));
-            }
-        } else if (result instanceof ProposalResult.NotTaken notTaken) {
+    private static Optional<String> name(HttpExchange exchange, String parameter) {
+        return exchange.parameter(parameter).filter(n -> !n.isBlank() && n.length() <= MAX_NAME);
+    }
+
+    private static void report(HttpExchange exchange, ApplyOutcome outcome) {
+        if (outcome instanceof ApplyOutcome.Accepted accepted) {
+            answer(exchange, 200, node("accepted").put("version", accepted.version()));
+        } else if (outcome instanceof ApplyOutcome.Refused refused) {
             answer(
                     exchange,
-                    503,
-                    node("refused").put("reason", "not the leader").put("leader", notTaken.leaderAddress()));
-        } else {
-            answer(exchange, 504, node("unknown"));
+                    409,
+                    node("refused")
+                            .put("version", refused.version())
+                            .put("operator", refused.operator())
+                            .put("reason", refused.reason()));
+        } else if (outcome instanceof ApplyOutcome.NotTaken notTaken) {
+            redirect(exchange, notTaken.leader());
+        } else if (outcome instanceof ApplyOutcome.Unknown unknown) {
+            answer(
+                    exchange,
+                    504,
+                    node("unknown").put("version", unknown.version()).put("reason", unknown.reason()));
+        }
+    }
+
+    private static void redirect(HttpExchange exchange, String leader) {
+        ObjectNode node = node("not-taken").put("reason", "this member does not lead");
+        if (leader.isEmpty()) {
+            answer(exchange, 503, node);
+            return;
+        }
+        StringBuilder location = new StringBuilder("http://" + leader + CONFIG_PATH);
+        char separator = '?';
+        for (String name : new String[] {"base", "change", "operator", "file", "wait-ms"}) {
+            Optional<String> value = exchange.parameter(name);
+            if (value.isPresent()) {
+                location.append(separator).append(name).append('=');
+                location.append(URLEncoder.encode(value.get(), StandardCharsets.UTF_8));
+                separator = '&';
+            }
         }
+        byte[] body = node.put("leader", leader).toString().getBytes(StandardCharsets.UTF_8);
+        exchange.respond(307, JSON, Map.of("Location", location.toString()), body);
     }
 
     private static ObjectNode node(String outcome) {
--- a/library/src/main/java/org/copperspindle/control/ControlService.java
+++ b/library/src/main/java/org/copperspindle/control/ControlService.java
@@ -1,14 +1,13 @@
 package org.copperspindle.control;
 
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.HashMap;
+import java.util.Arrays;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -16,8 +15,7 @@
 import org.copperspindle.claims.ClaimRequestMessage;
 import org.copperspindle.claims.ClaimResult;
 import org.copperspindle.claims.ClaimSettleMessage;
-import org.copperspindle.core.DecisionRing;
-import org.copperspindle.membership.ControlUpdateMessage;
+import org.copperspindle.core.DecisionQueue;
 import org.copperspindle.membership.LeaseGrantMessage;
 import org.copperspindle.membership.LeaseRequestMessage;
 import org.copperspindle.membership.UpstreamAnnouncement;
@@ -30,40 +28,55 @@
 /**
  * The leader's side of leases, configuration and claims. All methods but those of {@link PeerListener} run on the
  * decision ring.
+ *
+ * <p>A version is in force everywhere once every member whose lease runs has reported it. That is enough because a
+ * lease is only prolonged for a member that reports the newest version: one that is behind, however it came to be,
+ * reports within a lease or stops serving within a lease.
  */
 public final class ControlService implements PeerListener {
 
     private static final Logger LOGGER = LogManager.getLogger(ControlService.class);
+    private static final int SWEEPS_PER_LEASE = 20;
+    private static final int MAX_NAMED = 5;
 
-    private final DecisionRing ring;
+    /** Largest difference of two monotonic clocks' rates; members allow for as much on their side. */
+    private static final double CLOCK_DRIFT = 0.01;
+
+    private final DecisionQueue queue;
     private final TimerService timers;
     private final ReplicatedLog log;
     private final ControlState state;
     private final long leaseNanos;
-    private final Map<String, Member> members = new HashMap<>();
-    private final List<PendingApply> pending = new ArrayList<>();
+    private final MemberTable members = new MemberTable();
+    private final PendingApplies pending;
+    private final UpdatePusher pusher;
+    private final Set<String> removing = new HashSet<>();
+    private long leadingTerm;
+    private long leadingSince;
 
     /**
      * Creates the service.
      *
-     * @param ring   decision ring that owns it
+     * @param queue  decision ring that owns it
      * @param timers time
      * @param log    the log
      * @param state  what the log drives
      * @param lease  length of members' leases
      */
     public ControlService(
-            DecisionRing ring, TimerService timers, ReplicatedLog log, ControlState state, Duration lease) {
-        this.ring = ring;
+            DecisionQueue queue, TimerService timers, ReplicatedLog log, ControlState state, Duration lease) {
+        this.queue = queue;
         this.timers = timers;
         this.log = log;
         this.state = state;
         this.leaseNanos = lease.toNanos();
+        this.pending = new PendingApplies(timers);
+        this.pusher = new UpdatePusher(timers, state, members.all(), () -> leads() ? leadingTerm : 0);
     }
 
     /** Starts to watch leases. */
     public void start() {
-        timers.schedule(leaseNanos / 4, this::sweep);
+        timers.schedule(leaseNanos / SWEEPS_PER_LEASE, this::sweep);
     }
 
     @Override
@@ -74,7 +87,7 @@
 
     @Override
     public boolean onMessage(Peer peer, WireMessage message) {
-        return ring.offer(() -> receive(peer, message));
+        return queue.offer(() -> receive(peer, message));
     }
 
     @Override
@@ -87,25 +100,84 @@
     /**
      * Applies a configuration and answers once it is in force at every serving member.
      *
-     * @param command  the change
-     * @param callback told how it ended
+     * @param command   the change, checked as a whole before
+     * @param waitNanos longest wait for it to be in force, in nanoseconds
+     * @param callback  told once how it ended
      */
-    public void apply(ApplyConfigCommand command, Consumer<ProposalResult> callback) {
+    public void apply(ApplyConfigCommand command, long waitNanos, Consumer<ApplyOutcome> callback) {
+        if (!leads()) {
+            callback.accept(new ApplyOutcome.NotTaken(log.leaderAddress().orElse("")));
+            return;
+        }
+        Optional<ControlResult> before = state.config().decided(command);
+        if (before.isPresent()) {
+            answer(before.get(), waitNanos, callback);
+            return;
+        }
         log.propose(state.encode(command), result -> {
-            if (result instanceof ProposalResult.Committed committed
-                    && committed.result() instanceof ControlResult.ConfigAccepted accepted) {
-                pending.add(new PendingApply(accepted.version(), result, callback));
-                pushAll();
-                completeInForce();
-                return;
+            if (result instanceof ProposalResult.Committed committed) {
+                LOGGER.info(
+                        "event=change-decided change={} operator={} base={} result={}",
+                        command.changeId(),
+                        command.operator(),
+                        command.baseVersion(),
+                        committed.result());
+                answer(committed.result(), waitNanos, callback);
+            } else if (result instanceof ProposalResult.NotTaken notTaken) {
+                callback.accept(new ApplyOutcome.NotTaken(notTaken.leaderAddress()));
+            } else {
+                callback.accept(new ApplyOutcome.Unknown(0, "the leader changed while the change was being committed"));
             }
-            callback.accept(result);
         });
     }
 
+    /**
+     * Describes what this member knows.
+     *
+     * @return the status
+     */
+    public ControlStatus status() {
+        return new ControlStatusReport(log, state, members, timers.nanoTime())
+                .create(leads(), pending.versions(), this::waitingFor);
+    }
+
+    private void answer(ControlResult result, long waitNanos, Consumer<ApplyOutcome> callback) {
+        if (result instanceof ControlResult.ConfigAccepted accepted) {
+            pending.add(accepted.version(), waitNanos, this::waitingFor, callback);
+            pusher.wake();
+            completeInForce();
+        } else if (result instanceof ControlResult.ConfigRefused refused) {
+            callback.accept(new ApplyOutcome.Refused(refused.currentVersion(), refused.operator(), refused.reason()));
+        } else if (result instanceof ControlResult.ConfigExpired expired) {
+            callback.accept(new ApplyOutcome.Unknown(
+                    0,
+                    "not made now; whether it was made before is no longer known, changes before version "
+                            + expired.oldestVersion() + " are forgotten"));
+        } else {
+            callback.accept(new ApplyOutcome.Unknown(0, "unexpected result"));
+        }
+    }
+
+    /**
+     * Says whether this member leads, and notices when that begins or ends. What was known of members under another
+     * term says nothing about leases that another leader granted since.
+     */
+    private boolean leads() {
+        long term = log.leads() ? log.term() : 0;
+        if (term != leadingTerm) {
+            leadingTerm = term;
+            leadingSince = timers.nanoTime();
+            members.clear();
+            removing.clear();
+            pending.abandon();
+            LOGGER.info("event=leading term={} version={}", term, state.config().version());
+        }
+        return term != 0;
+    }
+
     private void receive(Peer peer, WireMessage message) {
-        if (!log.leads()) {
-            peer.send(new NotLeaderMessage(log.leaderAddress().orElse("")));
+        if (!leads()) {
+            peer.send(new NotLeaderMessage(log.leaderWireAddress().orElse("")));
             return;
         }
         if (message instanceof LeaseRequestMessage lease) {
@@ -118,39 +190,61 @@
     }
 
     private void receiveLease(Peer peer, LeaseRequestMessage lease) {
-        String id = peer.greeting().processId();
         if (lease.leaving()) {
-            leave(id, true);
+            members.leave(peer).ifPresent(member -> left(member, true));
             return;
         }
-        Member member = members.computeIfAbsent(id, Member::new);
-        member.peer = peer;
-        member.expiresAt = timers.nanoTime() + leaseNanos;
-        member.configVersion = lease.configVersion();
-        member.membershipRevision = lease.membershipRevision();
-        peer.send(new LeaseGrantMessage(
-                leaseNanos / 1_000_000, log.term(), state.config().version()));
-        if (lease.announcement().length > 0) {
-            announce(member, lease.announcement());
+        Member member = members.of(peer, lease);
+        long now = timers.nanoTime();
+        member.seen(now + leaseNanos, lease.configVersion());
+        long newer = newerIncarnation(member, lease.announcement());
+        // Safeguard: a member that holds on to an old version would serve it for ever if each renewal prolonged its
+        // lease, and no change would ever be in force everywhere. Not prolonged, it stops within a lease.
+        boolean current =
+                member.isAgent() || lease.configVersion() >= state.config().version();
+        boolean granted = current && newer == 0;
+        if (granted) {
+            member.leased(now + leaseNanos);
         }
-        push(member);
+        peer.send(new LeaseGrantMessage(
+                granted ? leaseNanos / 1_000_000 : 0,
+                leadingTerm,
+                state.config().version(),
+                lease.number(),
+                newer));
+        pusher.wake();
         completeInForce();
     }
 
-    private void announce(Member member, byte[] announcement) {
-        UpstreamAnnouncement decoded;
+    /** Takes an announcement and returns the newest incarnation known if that is newer than the one announced. */
+    private long newerIncarnation(Member member, byte[] announcement) {
+        if (announcement.length == 0 || Arrays.equals(member.announcing(), announcement)) {
+            return 0;
+        }
         try {
-            decoded = UpstreamAnnouncement.CODEC.decode(announcement);
+            UpstreamAnnouncement decoded = UpstreamAnnouncement.CODEC.decode(announcement);
+            long newest = state.upstreams().newestIncarnation(decoded.upstreamId());
+            if (newest > decoded.incarnation()) {
+                return newest;
+            }
+            member.announces(decoded.upstreamId(), decoded.incarnation());
+            announce(member, decoded, announcement);
         } catch (MalformedFrameException e) {
-            LOGGER.warn("event=announcement-malformed member={}", member.id);
-            return;
+            LOGGER.warn("event=announcement-malformed member={}", member.id());
         }
-        member.upstreamId = decoded.upstreamId();
-        member.incarnation = decoded.incarnation();
+        return 0;
+    }
+
+    private void announce(Member member, UpstreamAnnouncement decoded, byte[] announcement) {
         if (!state.upstreams().isNews(decoded)) {
             return;
         }
-        log.propose(state.encode(new AnnounceCommand(announcement)), result -> pushAll());
+        // Renewals repeat the announcement; only one of them goes through the log.
+        member.announcing(announcement);
+        log.propose(state.encode(new AnnounceCommand(announcement)), result -> {
+            member.announcing(new byte[0]);
+            pusher.wake();
+        });
     }
 
     private void receiveClaim(Peer peer, ClaimRequestMessage claim) {
@@ -166,93 +260,76 @@
         });
     }
 
-    private void leave(String id, boolean left) {
-        Member member = members.remove(id);
-        if (member != null && member.upstreamId != null) {
-            remove(member, left);
+    private void left(Member member, boolean byItself) {
+        LOGGER.info("event=member-gone member={} left={}", member.id(), byItself);
+        if (!member.upstreamId().isEmpty()) {
+            remove(new RemoveUpstreamCommand(member.upstreamId(), member.incarnation(), byItself));
         }
         completeInForce();
     }
 
-    private void remove(Member member, boolean left) {
-        log.propose(
-                state.encode(new RemoveUpstreamCommand(member.upstreamId, member.incarnation, left)),
-                result -> pushAll());
+    private void remove(RemoveUpstreamCommand command) {
+        if (removing.add(command.upstreamId())) {
+            log.propose(state.encode(command), result -> {
+                removing.remove(command.upstreamId());
+                pusher.wake();
+            });
+        }
     }
 
     private void sweep() {
-        timers.schedule(leaseNanos / 4, this::sweep);
-        if (!log.leads()) {
-            members.clear();
+        timers.schedule(leaseNanos / SWEEPS_PER_LEASE, this::sweep);
+        if (!leads()) {
             return;
         }
-        long now = timers.nanoTime();
-        List<Member> expired =
-                members.values().stream().filter(m -> m.expiresAt <= now).toList();
-        for (Member member : expired) {
-            LOGGER.info("event=lease-expired member={}", member.id);
-            leave(member.id, false);
+        members.removeGone(timers.nanoTime()).forEach(member -> left(member, false));
+        if (earlierLeasesOver()) {
+            removeUnleased();
         }
+        completeInForce();
     }
 
-    private void pushAll() {
-        members.values().forEach(this::push);
+    /** Removes upstreams whose agent this leader has never heard of, or whose announcement was late. */
+    private void removeUnleased() {
+        Set<String> leased = members.upstreamIds();
+        List<UpstreamAnnouncement> gone = state.upstreams().all().values().stream()
+                .filter(u -> !leased.contains(u.upstreamId()))
+                .toList();
+        gone.forEach(u -> remove(new RemoveUpstreamCommand(u.upstreamId(), u.incarnation(), false)));
     }
 
-    private void push(Member member) {
-        boolean config = member.configVersion < state.config().version()
-                && member.pushedConfig < state.config().version();
-        boolean membership = member.membershipRevision < state.upstreams().revision()
-                && member.pushedRevision < state.upstreams().revision()
-                && member.upstreamId == null;
-        if (!config && !membership) {
-            return;
-        }
-        List<byte[]> upstreams = new ArrayList<>();
-        Set<String> gone = new HashSet<>();
-        if (membership) {
-            state.upstreams().all().values().forEach(u -> upstreams.add(UpstreamAnnouncement.CODEC.encode(u)));
-        }
-        List<byte[]> removed =
-                gone.stream().map(s -> s.getBytes(StandardCharsets.UTF_8)).toList();
-        boolean sent = member.peer.send(new ControlUpdateMessage(
-                log.term(),
-                config ? state.config().version() : 0,
-                config ? state.config().text() : "",
-                membership,
-                state.upstreams().revision(),
-                upstreams,
-                removed));
-        if (sent) {
-            member.pushedConfig = state.config().version();
-            member.pushedRevision = state.upstreams().revision();
-        }
+    /**
+     * Says whether all leases that earlier leaders granted have run out. Safeguard: a new leader knows none of them. An
+     * entry that was cut off with the old leader would go on under the old version while the operator is told that the
+     * new one is in force everywhere. The wait is enough because a leader grants only while no other can be elected, so
+     * that no earlier lease is younger than this term.
+     */
+    private boolean earlierLeasesOver() {
+        return timers.nanoTime() - leadingSince >= (long) (leaseNanos * (1 + CLOCK_DRIFT));
     }
 
     private void completeInForce() {
-        List<PendingApply> done = pending.stream()
-                .filter(p -> members.values().stream().allMatch(m -> m.configVersion >= p.version()))
-                .toList();
-        pending.removeAll(done);
-        done.forEach(p -> p.callback().accept(p.result()));
+        long now = timers.nanoTime();
+        pending.complete(version -> inForce(version, now));
     }
 
-    /** A leased process as the leader sees it; gone with the leader, rebuilt from renewals. */
-    private static final class Member {
-        private final String id;
-        private Peer peer;
-        private long expiresAt;
-        private long configVersion;
-        private long membershipRevision;
-        private long pushedConfig;
-        private long pushedRevision;
-        private String upstreamId;
-        private long incarnation;
+    private boolean inForce(long version, long now) {
+        // Nobody can serve below the first version: an entry without a configuration refuses every request.
+        return version <= 1
+                || earlierLeasesOver() && members.servingBelow(version, now).isEmpty();
+    }
 
-        private Member(String id) {
-            this.id = id;
+    private String waitingFor(long version) {
+        long now = timers.nanoTime();
+        List<Member> below = members.servingBelow(version, now);
+        if (below.isEmpty()) {
+            return "committed; leases of the earlier leader have not run out yet";
         }
+        String named = below.stream()
+                .limit(MAX_NAMED)
+                .map(m -> m.id() + " (version " + m.configVersion() + ", lease ends in "
+                        + Duration.ofNanos(m.leaseLeft(now)).toMillis() + " ms)")
+                .collect(Collectors.joining(", "));
+        return "committed; not in force at " + below.size() + " members: " + named;
     }
-
-    private record PendingApply(long version, ProposalResult result, Consumer<ProposalResult> callback) {}
 }
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/control/MemberTable.java
@@ -0,0 +1,85 @@
+package org.copperspindle.control;
+
+import java.util.Collection;
+import java.util.IdentityHashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+import org.copperspindle.membership.LeaseRequestMessage;
+import org.copperspindle.wire.Peer;
+
+/**
+ * The members that the leader has heard of in this term. Two lives of one process are two members: an old one that was
+ * only paused may still serve until its own lease has run out, whatever the new one reports.
+ */
+final class MemberTable {
+
+    private final Map<String, Member> members = new LinkedHashMap<>();
+    private final Map<Peer, Member> byPeer = new IdentityHashMap<>();
+
+    /**
+     * Finds the member that sent a request, or enters it.
+     *
+     * @param peer    its connection
+     * @param request the request
+     * @return the member
+     */
+    Member of(Peer peer, LeaseRequestMessage request) {
+        Member known = byPeer.get(peer);
+        if (known != null) {
+            return known;
+        }
+        boolean agent = request.announcement().length > 0;
+        String process = peer.greeting().processId();
+        String key = process + '/' + peer.greeting().incarnation() + (agent ? "/agent" : "/entry");
+        Member member = members.computeIfAbsent(key, k -> new Member(process, agent));
+        byPeer.values().remove(member);
+        byPeer.put(peer, member);
+        member.connected(peer, request.textVersion(), request.membershipRevision());
+        return member;
+    }
+
+    Optional<Member> leave(Peer peer) {
+        Member member = byPeer.remove(peer);
+        if (member != null) {
+            members.values().remove(member);
+        }
+        return Optional.ofNullable(member);
+    }
+
+    List<Member> removeGone(long now) {
+        List<Member> gone = members.values().stream().filter(m -> m.isGone(now)).toList();
+        gone.forEach(m -> leave(m.peer()));
+        return gone;
+    }
+
+    /**
+     * Finds members that may still serve under an older version.
+     *
+     * @param version the version that should be in force
+     * @param now     time in nanoseconds
+     * @return members whose lease runs and that have not reported the version
+     */
+    List<Member> servingBelow(long version, long now) {
+        return members.values().stream()
+                .filter(m -> !m.isAgent() && m.configVersion() < version && m.hasLease(now))
+                .toList();
+    }
+
+    Set<String> upstreamIds() {
+        return members.values().stream().map(Member::upstreamId).collect(Collectors.toSet());
+    }
+
+    Collection<Member> all() {
+        return members.values();
+    }
+
+    void clear() {
+        members.clear();
+        byPeer.clear();
+    }
+}
--- a/library/src/main/java/org/copperspindle/control/ReplicatedLog.java
+++ b/library/src/main/java/org/copperspindle/control/ReplicatedLog.java
@@ -29,6 +29,15 @@
      */
     Optional<String> leaderAddress();
 
+    /**
+     * Returns the address of the leader for the system's own protocol.
+     *
+     * @return IP:PORT, if a leader is known
+     */
+    default Optional<String> leaderWireAddress() {
+        return Optional.empty();
+    }
+
     /**
      * Proposes a command.
      *
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/control/UpdatePusher.java
@@ -0,0 +1,102 @@
+package org.copperspindle.control;
+
+import java.time.Duration;
+import java.util.Collection;
+import java.util.List;
+import java.util.function.LongSupplier;
+
+import org.copperspindle.membership.ControlUpdateMessage;
+import org.copperspindle.membership.MembershipDelta;
+import org.copperspindle.time.TimerService;
+
+/**
+ * Sends members what they lack. Changes of a short time go out together, and not more than a stated number of bytes at
+ * once: when a failure domain comes back, dozens of entries need the whole membership, and control's other messages
+ * must not wait behind it.
+ */
+final class UpdatePusher {
+
+    private static final long COALESCE_NANOS = Duration.ofMillis(10).toNanos();
+    private static final int BYTES_AT_ONCE = 1 << 20;
+
+    private final TimerService timers;
+    private final ControlState state;
+    private final Collection<Member> members;
+    private final LongSupplier term;
+    private boolean scheduled;
+
+    /**
+     * Creates a pusher.
+     *
+     * @param timers  time
+     * @param state   what members need
+     * @param members live view of the members
+     * @param term    current term, 0 while this member does not lead
+     */
+    UpdatePusher(TimerService timers, ControlState state, Collection<Member> members, LongSupplier term) {
+        this.timers = timers;
+        this.state = state;
+        this.members = members;
+        this.term = term;
+    }
+
+    /** Pushes soon. */
+    void wake() {
+        if (!scheduled) {
+            scheduled = true;
+            timers.schedule(COALESCE_NANOS, this::flush);
+        }
+    }
+
+    private void flush() {
+        scheduled = false;
+        if (term.getAsLong() == 0) {
+            return;
+        }
+        int budget = BYTES_AT_ONCE;
+        for (Member member : members) {
+            if (!lacks(member)) {
+                continue;
+            }
+            if (budget <= 0 || !member.peer().isWritable()) {
+                wake();
+                continue;
+            }
+            budget -= push(member);
+        }
+    }
+
+    private boolean lacks(Member member) {
+        return !member.isAgent()
+                && (member.textVersion() < state.config().version()
+                        || member.membershipRevision() < state.upstreams().revision());
+    }
+
+    private int push(Member member) {
+        long version = state.config().version();
+        boolean config = member.textVersion() < version;
+        byte[] patch = config ? state.config().patchFrom(member.textVersion()) : new byte[0];
+        MembershipDelta delta = delta(member);
+        boolean sent = member.peer()
+                .send(new ControlUpdateMessage(
+                        term.getAsLong(),
+                        config ? version : 0,
+                        "",
+                        delta.full(),
+                        delta.revision(),
+                        delta.upstreams(),
+                        delta.removed(),
+                        patch));
+        if (sent) {
+            member.pushed(version, delta.revision());
+        }
+        return patch.length + delta.upstreams().stream().mapToInt(u -> u.length).sum();
+    }
+
+    private MembershipDelta delta(Member member) {
+        long revision = state.upstreams().revision();
+        return member.membershipRevision() < revision
+                ? state.upstreams().since(member.membershipRevision())
+                : new MembershipDelta(false, revision, List.of(), List.of());
+    }
+}
--- a/library/src/main/java/org/copperspindle/core/DecisionRing.java
+++ b/library/src/main/java/org/copperspindle/core/DecisionRing.java
@@ -17,7 +17,7 @@
  * takes a lock. Network threads use {@link #offer}, which refuses when the ring is full, or {@link #offerUntilTaken} for
  * what must not be lost; they never block. Timer and disk threads use {@link #execute}, which may wait.
  */
-public final class DecisionRing implements Executor, AutoCloseable {
+public final class DecisionRing implements DecisionQueue, Executor, AutoCloseable {
 
     /** Default number of slots; a burst beyond it is refused with back-pressure rather than queued. */
     public static final int DEFAULT_SLOTS = 8192;
@@ -54,12 +54,7 @@
         ring = disruptor.start();
     }
 
-    /**
-     * Hands over a task without waiting.
-     *
-     * @param task what to run on the decision thread
-     * @return false if the ring is full and the task was not taken
-     */
+    @Override
     public boolean offer(Runnable task) {
         return ring.tryPublishEvent((slot, sequence) -> slot.task = task);
     }
--- a/library/src/main/java/org/copperspindle/daemon/ControlRole.java
+++ b/library/src/main/java/org/copperspindle/daemon/ControlRole.java
@@ -1,11 +1,13 @@
 package org.copperspindle.daemon;
 
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.Optional;
 import java.util.Set;
 
 import org.copperspindle.claims.ClaimRequestMessage;
 import org.copperspindle.claims.ClaimSettleMessage;
+import org.copperspindle.config.ConfigText;
 import org.copperspindle.control.ControlDoor;
 import org.copperspindle.control.ControlService;
 import org.copperspindle.control.ControlState;
@@ -22,6 +24,10 @@
  */
 final class ControlRole implements ProcessRole {
 
+    /** Operators send whole deployment files, and few of them. */
+    private static final HttpLimits OPERATOR_LIMITS =
+            new HttpLimits(8192, 16384, ConfigText.MAX_BYTES, 100, Duration.ofSeconds(10));
+
     private final ProcessContext context;
     private final ReplicatedLog log;
     private final ControlService service;
@@ -33,7 +39,7 @@
         this.log = new LocalLog(state);
         this.service = new ControlService(context.ring(), context.timers(), log, state, settings.lease());
         this.operators =
-                new HttpListener(settings.listen(), 1, HttpLimits.DEFAULT, new ControlDoor(context.ring(), service));
+                new HttpListener(settings.listen(), 1, OPERATOR_LIMITS, new ControlDoor(context.ring(), service));
     }
 
     @Override
--- a/library/src/main/java/org/copperspindle/daemon/CopperspindleProcess.java
+++ b/library/src/main/java/org/copperspindle/daemon/CopperspindleProcess.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ThreadLocalRandom;
 
 import io.netty.channel.Channel;
 import org.apache.logging.log4j.LogManager;
@@ -28,6 +29,7 @@
 
     private static final Logger LOGGER = LogManager.getLogger(CopperspindleProcess.class);
     private static final int NETWORK_THREADS = 2;
+    private static final int INCARNATION_RANDOM_BITS = 20;
 
     private final ProcessSettings settings;
     private final DecisionRing ring;
@@ -42,7 +44,7 @@
         this.settings = settings;
         this.ring = new DecisionRing("decisions-" + settings.id(), DecisionRing.DEFAULT_SLOTS);
         this.timers = new SystemTimerService(ring);
-        long incarnation = System.currentTimeMillis();
+        long incarnation = newIncarnation();
         GreetingMessage greeting = new GreetingMessage(GreetingMessage.PROTOCOL, "process", settings.id(), incarnation);
         this.transport = new WireTransport(NETWORK_THREADS, MessageCatalog.registry(), greeting);
         RoleSwitch roleSwitch = new RoleSwitch();
@@ -59,6 +61,16 @@
         LOGGER.info("event=started process={} wire={}", settings.id(), wireAddress());
     }
 
+    /**
+     * Draws the number of this life. Normally larger for each restart; where the clock was set back, control names the
+     * newest life that it knows and the member takes a larger number. The random part keeps two lives of the same
+     * millisecond apart.
+     */
+    private static long newIncarnation() {
+        long random = ThreadLocalRandom.current().nextLong(1L << INCARNATION_RANDOM_BITS);
+        return System.currentTimeMillis() << INCARNATION_RANDOM_BITS | random;
+    }
+
     /**
      * Starts a process.
      *
--- a/library/src/main/java/org/copperspindle/membership/ControlLink.java
+++ b/library/src/main/java/org/copperspindle/membership/ControlLink.java
@@ -4,46 +4,52 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.SplittableRandom;
 import java.util.function.Supplier;
 
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.copperspindle.config.ConfigPatch;
 import org.copperspindle.control.NotLeaderMessage;
+import org.copperspindle.core.DecisionQueue;
 import org.copperspindle.core.DecisionRing;
 import org.copperspindle.time.TimerService;
 import org.copperspindle.time.TimerSubscription;
+import org.copperspindle.wire.MalformedFrameException;
 import org.copperspindle.wire.Peer;
 import org.copperspindle.wire.PeerListener;
 import org.copperspindle.wire.WireMessage;
 import org.copperspindle.wire.WireTransport;
 
 /**
- * A member's link to the control leader: finds it, renews the lease, and says when the lease has run out. The lease is
- * counted from when the request was sent, so that the member's count ends before the leader's.
+ * A member's link to the control leader: finds it, renews the lease, puts configuration texts together from patches,
+ * and says when the lease has run out. Runs on the decision ring but for the methods of {@link PeerListener}.
  */
 public final class ControlLink implements PeerListener {
 
     private static final Logger LOGGER = LogManager.getLogger(ControlLink.class);
-    private static final long RECONNECT_NANOS = Duration.ofMillis(200).toNanos();
 
-    /** Allowed difference of two monotonic clocks' rates: the member gives up this share of its lease early. */
-    private static final double CLOCK_DRIFT = 0.01;
+    /** A connection that stands but is never greeted is given up after this; it reports no end of its own. */
+    private static final long GREETING_NANOS = Duration.ofSeconds(3).toNanos();
 
-    private final DecisionRing ring;
+    private static final long SHORTEST_SILENCE_NANOS = Duration.ofSeconds(1).toNanos();
+
+    private final DecisionQueue queue;
     private final TimerService timers;
-    private final WireTransport transport;
-    private final List<InetSocketAddress> controls;
+    private final ControlConnector connector;
+    private final ControlCandidates candidates;
     private final long renewNanos;
     private final Supplier<LeaseRequestMessage> request;
     private final ControlLinkListener listener;
-    private int next;
+    private final LeaseClock lease = new LeaseClock();
     private Peer peer;
-    private Optional<InetSocketAddress> hint = Optional.empty();
-    private long sentAt;
-    private boolean awaitingGrant;
-    private boolean held;
+    private long attempt;
+    private boolean serving;
     private boolean stopped;
     private TimerSubscription expiry = () -> {};
+    private long textVersion;
+    private byte[] text = new byte[0];
 
     /**
      * Creates a link.
@@ -64,19 +70,45 @@
             Duration renew,
             Supplier<LeaseRequestMessage> request,
             ControlLinkListener listener) {
-        this.ring = ring;
+        this(
+                ring,
+                timers,
+                connector(ring, transport),
+                new ControlCandidates(controls, new SplittableRandom()),
+                renew,
+                request,
+                listener);
+    }
+
+    ControlLink(
+            DecisionQueue queue,
+            TimerService timers,
+            ControlConnector connector,
+            ControlCandidates candidates,
+            Duration renew,
+            Supplier<LeaseRequestMessage> request,
+            ControlLinkListener listener) {
+        this.queue = queue;
         this.timers = timers;
-        this.transport = transport;
-        this.controls = List.copyOf(controls);
+        this.connector = connector;
+        this.candidates = candidates;
         this.renewNanos = renew.toNanos();
         this.request = request;
         this.listener = listener;
     }
 
+    private static ControlConnector connector(DecisionRing ring, WireTransport transport) {
+        return (target, listener, failed) -> transport.connect(target, listener).whenComplete((channel, failure) -> {
+            if (failure != null) {
+                ring.offerUntilTaken(failed, transport.scheduler());
+            }
+        });
+    }
+
     /** Connects and starts to renew. */
     public void start() {
         connect();
-        timers.schedule(renewNanos, this::tick);
+        timers.schedule(candidates.spread(renewNanos), this::tick);
     }
 
     /** Sends a renewal at once, for example because a new version is in force. */
@@ -84,12 +116,13 @@
         if (peer == null) {
             return;
         }
-        // Only one request counts at a time: a grant must be counted from the request that it answers.
-        if (!awaitingGrant) {
-            sentAt = timers.nanoTime();
-            awaitingGrant = true;
+        LeaseRequestMessage current = request.get();
+        boolean agent = current.announcement().length > 0;
+        OptionalLong reported = agent ? OptionalLong.empty() : OptionalLong.of(current.configVersion());
+        if (!peer.send(current.numbered(lease.request(timers.nanoTime(), reported), textVersion))) {
+            // Closed before it was opened here: its end was heard of first.
+            lost(peer);
         }
-        peer.send(request.get());
     }
 
     /**
@@ -108,7 +141,7 @@
      * @return true if the member may serve
      */
     public boolean held() {
-        return held;
+        return lease.held(timers.nanoTime());
     }
 
     /** Stops renewing; the caller has sent its leaving request before. */
@@ -122,28 +155,60 @@
 
     @Override
     public boolean onOpen(Peer opened) {
-        return ring.offer(() -> {
-            peer = opened;
-            awaitingGrant = false;
-            renewNow();
-        });
+        return queue.offer(() -> opened(opened));
     }
 
     @Override
     public boolean onMessage(Peer from, WireMessage message) {
-        return ring.offer(() -> receive(from, message));
+        return queue.offer(() -> receive(from, message));
     }
 
     @Override
     public boolean onClose(Peer closed) {
-        return ring.offer(() -> {
-            if (peer == closed) {
-                peer = null;
-                timers.schedule(RECONNECT_NANOS, this::connect);
+        return queue.offer(() -> lost(closed));
+    }
+
+    private void opened(Peer opened) {
+        if (peer != null || stopped) {
+            // A slow attempt that was given up, and another took its place.
+            opened.close();
+            return;
+        }
+        peer = opened;
+        lease.connectionChanged();
+        renewNow();
+    }
+
+    private void lost(Peer closed) {
+        if (peer == closed) {
+            peer = null;
+            connectLater();
+        }
+    }
+
+    private void connectLater() {
+        long current = ++attempt;
+        timers.schedule(candidates.nextWaitNanos(), () -> {
+            if (attempt == current) {
+                connect();
             }
         });
     }
 
+    private void connect() {
+        if (stopped || peer != null) {
+            return;
+        }
+        long current = ++attempt;
+        Runnable giveUp = () -> {
+            if (attempt == current && peer == null) {
+                connectLater();
+            }
+        };
+        connector.connect(candidates.next(), this, giveUp);
+        timers.schedule(GREETING_NANOS, giveUp);
+    }
+
     private void receive(Peer from, WireMessage message) {
         if (from != peer) {
             return;
@@ -151,67 +216,103 @@
         if (message instanceof LeaseGrantMessage grant) {
             granted(grant);
         } else if (message instanceof ControlUpdateMessage update) {
-            listener.onUpdate(update);
+            update(update);
         } else if (message instanceof NotLeaderMessage notLeader) {
-            follow(notLeader);
+            candidates.leaderIs(notLeader.leaderAddress());
+            from.close();
         } else {
             listener.onReply(message);
         }
     }
 
     private void granted(LeaseGrantMessage grant) {
-        if (!awaitingGrant) {
+        candidates.succeeded();
+        if (grant.newerIncarnation() > 0) {
+            superseded(grant.newerIncarnation());
             return;
         }
-        awaitingGrant = false;
-        expiry.cancel();
-        long length = (long) (Duration.ofMillis(grant.leaseMillis()).toNanos() * (1 - CLOCK_DRIFT));
-        long left = sentAt + length - timers.nanoTime();
-        if (left <= 0) {
+        if (!lease.grant(grant, timers.nanoTime())) {
             return;
         }
-        expiry = timers.schedule(left, this::expire);
-        if (!held) {
-            held = true;
+        expiry.cancel();
+        expiry = timers.schedule(lease.left(timers.nanoTime()), this::expire);
+        if (!serving) {
+            serving = true;
             listener.onLease(true);
         }
     }
 
+    /**
+     * Handles a newer life of the same upstream. A life that has never held a lease is the newest one, started while
+     * the clock that numbers lives was set back: it takes a larger number. One that has is an old process that woke up
+     * again: if it took a larger number, the two would push each other out for ever.
+     */
+    private void superseded(long known) {
+        if (lease.everHeld()) {
+            LOGGER.warn("event=superseded newest={}", known);
+            return;
+        }
+        LOGGER.info("event=incarnation-raised known={}", known);
+        listener.onNewerIncarnation(known);
+        renewNow();
+    }
+
     private void expire() {
-        held = false;
+        if (held()) {
+            return;
+        }
+        serving = false;
         LOGGER.warn("event=lease-lost");
         listener.onLease(false);
     }
 
-    private void follow(NotLeaderMessage notLeader) {
-        String address = notLeader.leaderAddress();
-        int colon = address.lastIndexOf(':');
-        hint = colon < 0
-                ? Optional.empty()
-                : Optional.of(new InetSocketAddress(
-                        address.substring(0, colon), Integer.parseInt(address.substring(colon + 1))));
-        peer.close();
+    private void update(ControlUpdateMessage update) {
+        if (!lease.supports(update.term())) {
+            return;
+        }
+        if (update.configPatch().length == 0) {
+            listener.onUpdate(update);
+            return;
+        }
+        Optional<byte[]> patched = patched(update.configPatch());
+        if (patched.isEmpty()) {
+            // What control took this member to hold is not what it holds: begin again with the whole text.
+            LOGGER.warn("event=patch-misfit version={} held={}", update.configVersion(), textVersion);
+            textVersion = 0;
+            text = new byte[0];
+            peer.close();
+            return;
+        }
+        text = patched.get();
+        textVersion = update.configVersion();
+        listener.onUpdate(update.withText(ConfigPatch.string(text)));
+    }
+
+    private Optional<byte[]> patched(byte[] encoded) {
+        try {
+            ConfigPatch patch = ConfigPatch.CODEC.decode(encoded);
+            boolean whole = patch.baseVersion() == 0;
+            return whole || patch.baseVersion() == textVersion
+                    ? patch.apply(whole ? new byte[0] : text)
+                    : Optional.empty();
+        } catch (MalformedFrameException | IllegalArgumentException e) {
+            return Optional.empty();
+        }
     }
 
     private void tick() {
         if (stopped) {
             return;
         }
-        renewNow();
-        timers.schedule(renewNanos, this::tick);
-    }
-
-    private void connect() {
-        if (stopped || peer != null) {
-            return;
+        if (peer != null && lease.waiting(timers.nanoTime()) > Math.max(SHORTEST_SILENCE_NANOS, 2 * renewNanos)) {
+            // Cut off without a word: no end of the connection comes, so only the missing answer tells.
+            LOGGER.warn("event=control-silent member={}", peer.greeting().processId());
+            Peer silent = peer;
+            lost(silent);
+            silent.close();
+        } else {
+            renewNow();
         }
-        InetSocketAddress target = hint.orElseGet(() -> controls.get(next++ % controls.size()));
-        hint = Optional.empty();
-        transport.connect(target, this).whenComplete((channel, failure) -> {
-            if (failure != null) {
-                Runnable again = () -> timers.schedule(RECONNECT_NANOS, this::connect);
-                ring.offerUntilTaken(again, transport.scheduler());
-            }
-        });
+        timers.schedule(candidates.spread(renewNanos), this::tick);
     }
 }
--- a/library/src/main/java/org/copperspindle/membership/ControlLinkListener.java
+++ b/library/src/main/java/org/copperspindle/membership/ControlLinkListener.java
@@ -27,4 +27,14 @@
      * @param message the message
      */
     void onReply(WireMessage message);
+
+    /**
+     * Control knows a newer life of this member's upstream, though this one has not held a lease yet: the clock that
+     * numbers lives was set back. The member goes on under a larger incarnation.
+     *
+     * @param known newest incarnation that control knows
+     */
+    default void onNewerIncarnation(long known) {
+        // only agents announce incarnations
+    }
 }
--- a/library/src/main/java/org/copperspindle/membership/LeaseGrantMessage.java
+++ b/library/src/main/java/org/copperspindle/membership/LeaseGrantMessage.java
@@ -8,21 +8,30 @@
 /**
  * The answer of the leader to a {@link LeaseRequestMessage}.
  *
- * @param leaseMillis length of the lease, counted by the member from when it sent the request
- * @param term term of the leader; also the fencing number of its orders
- * @param configVersion newest version that is accepted or being put in force; a member below it must not serve
+ * @param leaseMillis      length of the lease, counted by the member from when it sent the request; 0 if the lease is
+ *                         not renewed, because the member is behind or a newer life of it is known
+ * @param term             term of the leader; also the fencing number of its orders
+ * @param configVersion    newest version that is accepted or being put in force; a member below it must not serve
+ * @param number           number of the request
+ * @param newerIncarnation newest incarnation known, if it is newer than the one announced; else 0
  */
-public record LeaseGrantMessage(long leaseMillis, long term, long configVersion) implements WireMessage {
+public record LeaseGrantMessage(long leaseMillis, long term, long configVersion, long number, long newerIncarnation)
+        implements WireMessage {
 
     /** Codec of this message. */
     public static final MessageCodec<LeaseGrantMessage> CODEC =
             MessageCodec.of(12, LeaseGrantMessage.class, LeaseGrantMessage::write, LeaseGrantMessage::read);
 
     private void write(FieldWriter out) {
-        out.put(1, leaseMillis).put(2, term).put(3, configVersion);
+        out.put(1, leaseMillis)
+                .put(2, term)
+                .put(3, configVersion)
+                .put(4, number)
+                .put(5, newerIncarnation);
     }
 
     private static LeaseGrantMessage read(FieldReader in) {
-        return new LeaseGrantMessage(in.getLong(1, 0), in.getLong(2, 0), in.getLong(3, 0));
+        return new LeaseGrantMessage(
+                in.getLong(1, 0), in.getLong(2, 0), in.getLong(3, 0), in.getLong(4, 0), in.getLong(5, 0));
     }
 }
--- a/library/src/main/java/org/copperspindle/membership/LeaseRequestMessage.java
+++ b/library/src/main/java/org/copperspindle/membership/LeaseRequestMessage.java
@@ -6,28 +6,62 @@
 import org.copperspindle.wire.WireMessage;
 
 /**
- * Sent by an entry or agent to the leader, at every renewal and at once after a change. It renews the lease and says what is in force at the member.
+ * Sent by an entry or agent to the leader, at every renewal and at once after a change. It renews the lease and says
+ * what is in force at the member.
  *
- * @param configVersion configuration version in force at the member, 0 for none
+ * @param configVersion      configuration version in force at the member, 0 for none
  * @param membershipRevision membership revision that the member has seen, 0 for none
- * @param announcement encoded {@link UpstreamAnnouncement} of an agent, empty for an entry
- * @param leaving whether the member stops and gives its lease back
+ * @param announcement       encoded {@link UpstreamAnnouncement} of an agent, empty for an entry
+ * @param leaving            whether the member stops and gives its lease back
+ * @param number             number of the request on its connection, repeated by the grant
+ * @param textVersion        version whose text the member holds, from which patches can be made; 0 for none
  */
-public record LeaseRequestMessage(long configVersion, long membershipRevision, byte[] announcement, boolean leaving)
+public record LeaseRequestMessage(
+        long configVersion,
+        long membershipRevision,
+        byte[] announcement,
+        boolean leaving,
+        long number,
+        long textVersion)
         implements WireMessage {
 
     /** Codec of this message. */
     public static final MessageCodec<LeaseRequestMessage> CODEC =
             MessageCodec.of(11, LeaseRequestMessage.class, LeaseRequestMessage::write, LeaseRequestMessage::read);
 
+    /**
+     * Creates a request that {@link ControlLink} numbers when it sends it.
+     *
+     * @param configVersion      configuration version in force at the member, 0 for none
+     * @param membershipRevision membership revision that the member has seen, 0 for none
+     * @param announcement       encoded {@link UpstreamAnnouncement} of an agent, empty for an entry
+     * @param leaving            whether the member stops and gives its lease back
+     */
+    public LeaseRequestMessage(long configVersion, long membershipRevision, byte[] announcement, boolean leaving) {
+        this(configVersion, membershipRevision, announcement, leaving, 0, 0);
+    }
+
+    LeaseRequestMessage numbered(long newNumber, long newTextVersion) {
+        return new LeaseRequestMessage(
+                configVersion, membershipRevision, announcement, leaving, newNumber, newTextVersion);
+    }
+
     private void write(FieldWriter out) {
         out.put(1, configVersion)
                 .put(2, membershipRevision)
                 .put(3, announcement)
-                .put(4, leaving);
+                .put(4, leaving)
+                .put(5, number)
+                .put(6, textVersion);
     }
 
     private static LeaseRequestMessage read(FieldReader in) {
-        return new LeaseRequestMessage(in.getLong(1, 0), in.getLong(2, 0), in.getBytes(3), in.getBoolean(4));
+        return new LeaseRequestMessage(
+                in.getLong(1, 0),
+                in.getLong(2, 0),
+                in.getBytes(3),
+                in.getBoolean(4),
+                in.getLong(5, 0),
+                in.getLong(6, 0));
     }
 }
--- /dev/null
+++ b/tools/src/main/java/org/copperspindle/cli/StatusCommand.java
@@ -0,0 +1,92 @@
+package org.copperspindle.cli;
+
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+
+/**
+ * {@code copperspindle status}: leader, versions in force, leases, upstreams and changes under way.
+ */
+final class StatusCommand implements Command {
+
+    private static final Duration TIMEOUT = Duration.ofSeconds(3);
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private final HttpClient http =
+            HttpClient.newBuilder().connectTimeout(TIMEOUT).build();
+
+    @Override
+    public String name() {
+        return "status";
+    }
+
+    @Override
+    public void declare(Subparser parser) {
+        parser.help("show what control knows")
+                .description("Shows the leader, the versions in force at each member, leases, upstreams and changes"
+                        + " under way. Exit code 0: the leader answered; 1: only others or none did.")
+                .epilog("Example: copperspindle status --control 127.0.0.1:7401,127.0.0.1:7402 --format json");
+        parser.addArgument("--format")
+                .choices("text", "json")
+                .setDefault("text")
+                .help("form of the output");
+        ControlAddresses.declare(parser);
+    }
+
+    @Override
+    public ExitCode run(Namespace arguments) throws Exception {
+        Deque<String> targets = new ArrayDeque<>(ControlAddresses.of(arguments));
+        Set<String> asked = new HashSet<>();
+        Optional<JsonNode> best = Optional.empty();
+        while (!targets.isEmpty()) {
+            String target = targets.poll();
+            if (!asked.add(target)) {
+                continue;
+            }
+            Optional<JsonNode> answer = ask(target);
+            if (answer.isPresent()) {
+                best = answer;
+                if (answer.get().path("leads").asBoolean()) {
+                    break;
+                }
+                String leader = answer.get().path("leader").asText();
+                if (!leader.isEmpty()) {
+                    targets.addFirst(leader);
+                }
+            }
+        }
+        if (best.isEmpty()) {
+            System.err.println("no control member answered");
+            return ExitCode.FAILED;
+        }
+        boolean json = arguments.getString("format").equals("json");
+        System.out.println(json ? best.get().toString() : StatusText.of(best.get()));
+        return best.get().path("leads").asBoolean() ? ExitCode.SUCCESS : ExitCode.FAILED;
+    }
+
+    private Optional<JsonNode> ask(String target) throws InterruptedException {
+        HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + target + "/v1/status"))
+                .timeout(TIMEOUT)
+                .build();
+        try {
+            HttpResponse<byte[]> response = http.send(request, HttpResponse.BodyHandlers.ofByteArray());
+            return response.statusCode() == 200 ? Optional.of(MAPPER.readTree(response.body())) : Optional.empty();
+        } catch (IOException e) {
+            System.err.println(target + ": " + e);
+            return Optional.empty();
+        }
+    }
+}
