--- a/library/src/main/java/org/copperspindle/control/ControlService.java
+++ b/library/src/main/java/org/copperspindle/control/ControlService.java
@@ -196,7 +196,7 @@
         }
         Member member = members.of(peer, lease);
         long now = timers.nanoTime();
-        member.seen(now + leaseNanos, lease.configVersion());
+        boolean progress = member.seen(now + leaseNanos, lease.configVersion());
         long newer = newerIncarnation(member, lease.announcement());
         // Safeguard: a member that holds on to an old version would serve it for ever if each renewal prolonged its
         // lease, and no change would ever be in force everywhere. Not prolonged, it stops within a lease.
@@ -212,8 +212,10 @@
                 state.config().version(),
                 lease.number(),
                 newer));
-        pusher.wake();
-        completeInForce();
+        pusher.wakeFor(member);
+        if (progress) {
+            completeInForce();
+        }
     }
 
     /** Takes an announcement and returns the newest incarnation known if that is newer than the one announced. */
--- a/library/src/main/java/org/copperspindle/control/Member.java
+++ b/library/src/main/java/org/copperspindle/control/Member.java
@@ -43,10 +43,13 @@
         membershipRevision = seenRevision;
     }
 
-    void seen(long until, long version) {
+    /** Takes a report and says whether it is of a newer version than the one before. */
+    boolean seen(long until, long version) {
         seenUntil = until;
         // One life never goes back, so a lower version comes from an older message.
+        boolean newer = version > configVersion;
         configVersion = Math.max(configVersion, version);
+        return newer;
     }
 
     void leased(long until) {
--- a/library/src/main/java/org/copperspindle/control/UpdatePusher.java
+++ b/library/src/main/java/org/copperspindle/control/UpdatePusher.java
@@ -40,6 +40,13 @@
         this.term = term;
     }
 
+    /** Pushes soon if a member lacks something. */
+    void wakeFor(Member member) {
+        if (lacks(member)) {
+            wake();
+        }
+    }
+
     /** Pushes soon. */
     void wake() {
         if (!scheduled) {
--- a/library/src/main/java/org/copperspindle/membership/ControlCandidates.java
+++ b/library/src/main/java/org/copperspindle/membership/ControlCandidates.java
@@ -21,6 +21,7 @@
     private final List<InetSocketAddress> controls;
     private final RandomGenerator random;
     private Optional<InetSocketAddress> hint = Optional.empty();
+    private Optional<InetSocketAddress> last = Optional.empty();
     private int next;
     private int failures;
 
@@ -31,11 +32,19 @@
     }
 
     InetSocketAddress next() {
-        InetSocketAddress target = hint.orElseGet(() -> controls.get(next++ % controls.size()));
+        InetSocketAddress target = hint.orElseGet(this::nextInTurn);
         hint = Optional.empty();
+        last = Optional.of(target);
         return target;
     }
 
+    /** Passes over the member that was tried last: it has just failed, and a dead one costs a whole timeout. */
+    private InetSocketAddress nextInTurn() {
+        InetSocketAddress target = controls.get(next++ % controls.size());
+        boolean again = last.isPresent() && last.get().equals(target) && controls.size() > 1;
+        return again ? controls.get(next++ % controls.size()) : target;
+    }
+
     long nextWaitNanos() {
         long longest = Math.min(LONGEST_WAIT_NANOS, FIRST_WAIT_NANOS << Math.min(failures, MAX_DOUBLINGS));
         failures++;
--- a/library/src/main/java/org/copperspindle/membership/ControlLink.java
+++ b/library/src/main/java/org/copperspindle/membership/ControlLink.java
@@ -33,7 +33,8 @@
     /** A connection that stands but is never greeted is given up after this; it reports no end of its own. */
     private static final long GREETING_NANOS = Duration.ofSeconds(3).toNanos();
 
-    private static final long SHORTEST_SILENCE_NANOS = Duration.ofSeconds(1).toNanos();
+    /** A leader that leaves a request unanswered for so long is given up; a lease allows for it several times. */
+    private static final long SILENCE_NANOS = Duration.ofSeconds(1).toNanos();
 
     private final DecisionQueue queue;
     private final TimerService timers;
@@ -122,7 +123,10 @@
         if (!peer.send(current.numbered(lease.request(timers.nanoTime(), reported), textVersion))) {
             // Closed before it was opened here: its end was heard of first.
             lost(peer);
+            return;
         }
+        Peer asked = peer;
+        timers.schedule(SILENCE_NANOS, () -> checkSilence(asked));
     }
 
     /**
@@ -186,6 +190,16 @@
         }
     }
 
+    /** Leaves a leader that was cut off without a word: no end of the connection comes, only the answer is missing. */
+    private void checkSilence(Peer asked) {
+        if (peer != asked || stopped || lease.waiting(timers.nanoTime()) < SILENCE_NANOS) {
+            return;
+        }
+        LOGGER.warn("event=control-silent member={}", asked.greeting().processId());
+        lost(asked);
+        asked.close();
+    }
+
     private void connectLater() {
         long current = ++attempt;
         timers.schedule(candidates.nextWaitNanos(), () -> {
@@ -234,10 +248,9 @@
         if (!lease.grant(grant, timers.nanoTime())) {
             return;
         }
-        expiry.cancel();
-        expiry = timers.schedule(lease.left(timers.nanoTime()), this::expire);
         if (!serving) {
             serving = true;
+            watchExpiry();
             listener.onLease(true);
         }
     }
@@ -257,8 +270,13 @@
         renewNow();
     }
 
+    private void watchExpiry() {
+        expiry = timers.schedule(lease.left(timers.nanoTime()), this::expire);
+    }
+
     private void expire() {
         if (held()) {
+            watchExpiry();
             return;
         }
         serving = false;
@@ -304,15 +322,7 @@
         if (stopped) {
             return;
         }
-        if (peer != null && lease.waiting(timers.nanoTime()) > Math.max(SHORTEST_SILENCE_NANOS, 2 * renewNanos)) {
-            // Cut off without a word: no end of the connection comes, so only the missing answer tells.
-            LOGGER.warn("event=control-silent member={}", peer.greeting().processId());
-            Peer silent = peer;
-            lost(silent);
-            silent.close();
-        } else {
-            renewNow();
-        }
+        renewNow();
         timers.schedule(candidates.spread(renewNanos), this::tick);
     }
 }
--- /dev/null
+++ b/library/src/test/java/org/copperspindle/membership/LeaseClockTest.java
@@ -0,0 +1,58 @@
+package org.copperspindle.membership;
+
+import java.time.Duration;
+import java.util.OptionalLong;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * A member's count of its lease never ends after the leader's, and no grant that proves too little prolongs it.
+ */
+class LeaseClockTest {
+
+    private static final long SECOND = Duration.ofSeconds(1).toNanos();
+
+    private final LeaseClock clock = new LeaseClock();
+
+    /**
+     * The grant is a while under way, and the clocks run apart by up to one percent. When the leader's count ends, so
+     * has the member's; otherwise a version would be called accepted while an entry still serves the one before.
+     */
+    @ParameterizedTest
+    @CsvSource({"0, 1.0", "0, 0.99", "0, 1.01", "900, 0.99", "4000, 0.99"})
+    void memberStopsBeforeTheLeaderCountsTheLeaseAsOver(long underWayMillis, double memberRate) {
+        long number = clock.request(0, OptionalLong.of(7));
+        long answered = (long) (Duration.ofMillis(underWayMillis).toNanos() * memberRate);
+        assertThat(clock.grant(new LeaseGrantMessage(5000, 1, 7, number, 0), answered))
+                .isTrue();
+
+        long leadersEnd = (long) (5 * SECOND * memberRate);
+        assertThat(clock.held(leadersEnd)).isFalse();
+    }
+
+    /** What must not prolong a lease: another request's grant, one doubled, of an old leader, or of another version. */
+    @ParameterizedTest
+    @CsvSource({"1, 2, 7, 5000", "9, 3, 7, 5000", "2, 3, 8, 5000", "2, 3, 6, 5000", "2, 3, 7, 0"})
+    void grantThatProvesTooLittleChangesNothing(long number, long term, long version, long millis) {
+        clock.grant(new LeaseGrantMessage(5000, 3, 7, clock.request(0, OptionalLong.of(7)), 0), 1);
+        long left = clock.left(1);
+        clock.request(SECOND, OptionalLong.of(7));
+
+        assertThat(clock.grant(new LeaseGrantMessage(millis, term, version, number, 0), SECOND + 1))
+                .isFalse();
+        assertThat(clock.left(1)).isEqualTo(left);
+    }
+
+    /** The process is paused past its lease, so that no timer runs: the first request after it is refused. */
+    @Test
+    void pausedProcessDoesNotServeOnWaking() {
+        clock.grant(new LeaseGrantMessage(5000, 1, 7, clock.request(0, OptionalLong.of(7)), 0), 1);
+
+        assertThat(clock.held(SECOND)).isTrue();
+        assertThat(clock.held(10 * SECOND)).isFalse();
+    }
+}
--- /dev/null
+++ b/library/src/test/java/org/copperspindle/membership/VirtualDeployment.java
@@ -0,0 +1,334 @@
+package org.copperspindle.membership;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.function.Consumer;
+
+import org.copperspindle.control.ApplyConfigCommand;
+import org.copperspindle.control.ApplyOutcome;
+import org.copperspindle.control.ControlService;
+import org.copperspindle.control.ControlState;
+import org.copperspindle.control.ProposalResult;
+import org.copperspindle.control.ReplicatedLog;
+import org.copperspindle.core.DecisionQueue;
+import org.copperspindle.time.TimerService;
+import org.copperspindle.time.VirtualTimerService;
+import org.copperspindle.wire.GreetingMessage;
+import org.copperspindle.wire.Peer;
+import org.copperspindle.wire.PeerListener;
+import org.copperspindle.wire.WireMessage;
+
+/**
+ * Control members and stand-in processes in virtual time, with a log that commits after a delay and connections that
+ * can be cut without a word.
+ */
+final class VirtualDeployment {
+
+    static final Duration LEASE = Duration.ofSeconds(5);
+    static final Duration RENEW = Duration.ofSeconds(1);
+    private static final long DELAY_NANOS = Duration.ofMillis(1).toNanos();
+    private static final long COMMIT_NANOS = Duration.ofMillis(3).toNanos();
+
+    final VirtualTimerService time = new VirtualTimerService();
+    final List<Control> controls = new ArrayList<>();
+    final Map<String, StandIn> members = new LinkedHashMap<>();
+    final Set<String> cutOff = new HashSet<>();
+    private final DecisionQueue queue = task -> {
+        task.run();
+        return true;
+    };
+    private final SplittableRandom random = new SplittableRandom(42);
+    private Control leader;
+    private long term;
+    private long index;
+    long messages;
+
+    VirtualDeployment(int count) {
+        for (int i = 0; i < count; i++) {
+            controls.add(new Control(i));
+        }
+        controls.forEach(c -> c.service.start());
+        lead(0);
+    }
+
+    /** The former leader's own lease has ended by now, as the log promises. */
+    void lead(int number) {
+        term++;
+        leader = controls.get(number);
+    }
+
+    Control leader() {
+        return leader;
+    }
+
+    void advance(Duration duration) {
+        time.advance(duration.toNanos());
+    }
+
+    StandIn entry(String id) {
+        return member(id, 1, 1.0, Optional.empty());
+    }
+
+    StandIn agent(String id, long incarnation) {
+        return member(id, incarnation, 1.0, Optional.of("engines"));
+    }
+
+    StandIn member(String id, long life, double clockRate, Optional<String> pool) {
+        StandIn member = new StandIn(id, life, clockRate, pool);
+        members.put(id, member);
+        member.link.start();
+        return member;
+    }
+
+    List<ApplyOutcome> apply(int control, String change, long base, String text, Duration wait) {
+        List<ApplyOutcome> outcomes = new ArrayList<>();
+        ApplyConfigCommand command = new ApplyConfigCommand(change, base, "ann", text);
+        controls.get(control).service.apply(command, wait.toNanos(), outcomes::add);
+        return outcomes;
+    }
+
+    /** One control member; its log is a share of the common one. */
+    final class Control implements ReplicatedLog {
+        final ControlState state = new ControlState();
+        final ControlService service = new ControlService(queue, time, this, state, LEASE);
+        private final String name;
+
+        private Control(int number) {
+            name = "control-" + number;
+        }
+
+        @Override
+        public boolean leads() {
+            return leader == this;
+        }
+
+        @Override
+        public long term() {
+            return term;
+        }
+
+        @Override
+        public Optional<String> leaderAddress() {
+            return Optional.of("127.0.0.1:" + (9000 + controls.indexOf(leader)));
+        }
+
+        @Override
+        public Optional<String> leaderWireAddress() {
+            return Optional.of("127.0.0.1:" + (8000 + controls.indexOf(leader)));
+        }
+
+        @Override
+        public void propose(byte[] command, Consumer<ProposalResult> callback) {
+            long proposedIn = term;
+            time.schedule(COMMIT_NANOS, () -> {
+                // Committed by the others even where this member no longer leads: it just never learns of it.
+                index++;
+                boolean stillLeads = leader == this && term == proposedIn;
+                for (Control control : controls) {
+                    var result = control.state.apply(index, proposedIn, command);
+                    if (control == this && stillLeads) {
+                        callback.accept(new ProposalResult.Committed(index, result));
+                    }
+                }
+                if (!stillLeads) {
+                    callback.accept(new ProposalResult.Unknown());
+                }
+            });
+        }
+
+        @Override
+        public void close() {
+            // nothing is open
+        }
+    }
+
+    /** A process that serves under a lease; it puts texts in force without reading them. */
+    final class StandIn implements ControlLinkListener, ControlConnector {
+        final String id;
+        final ControlLink link;
+        final Optional<String> pool;
+        final Set<String> upstreams = new HashSet<>();
+        private final long greetedAs;
+        private final List<InetSocketAddress> addresses = new ArrayList<>();
+        long incarnation;
+        long sequence = 1;
+        long version;
+        long revision;
+        long configUpdates;
+        String text = "";
+        boolean stuck;
+        boolean draining;
+        boolean dead;
+
+        private StandIn(String id, long life, double clockRate, Optional<String> pool) {
+            this.id = id;
+            this.greetedAs = life;
+            this.incarnation = life;
+            this.pool = pool;
+            for (int i = 0; i < controls.size(); i++) {
+                addresses.add(new InetSocketAddress("127.0.0.1", 8000 + i));
+            }
+            ControlCandidates candidates = new ControlCandidates(addresses, random.split());
+            link = new ControlLink(queue, new DriftingTimers(clockRate), this, candidates, RENEW, this::request, this);
+        }
+
+        boolean serves() {
+            return !dead && version > 0 && link.held();
+        }
+
+        void kill() {
+            dead = true;
+            link.stop();
+        }
+
+        LeaseRequestMessage request() {
+            byte[] announcement = pool.map(p -> UpstreamAnnouncement.CODEC.encode(new UpstreamAnnouncement(
+                            id, p, "north", addresses.get(0), incarnation, sequence, List.of(), draining)))
+                    .orElse(new byte[0]);
+            return new LeaseRequestMessage(version, revision, announcement, false);
+        }
+
+        @Override
+        public void onUpdate(ControlUpdateMessage update) {
+            if (update.configVersion() > version && !stuck) {
+                version = update.configVersion();
+                text = update.configText();
+                configUpdates++;
+                link.renewNow();
+            }
+            if (update.membershipRevision() > revision) {
+                revision = update.membershipRevision();
+                if (update.full()) {
+                    upstreams.clear();
+                }
+                update.upstreams().forEach(u -> upstreams.add(decode(u).upstreamId()));
+                update.removed().forEach(u -> upstreams.remove(new String(u)));
+            }
+        }
+
+        @Override
+        public void onLease(boolean held) {
+            // tests ask the link
+        }
+
+        @Override
+        public void onReply(WireMessage message) {
+            // tests send no requests
+        }
+
+        @Override
+        public void onNewerIncarnation(long known) {
+            incarnation = known + 1;
+        }
+
+        @Override
+        public void connect(InetSocketAddress target, PeerListener listener, Runnable failed) {
+            Control control = controls.get(target.getPort() - 8000);
+            if (cutOff.contains(control.name) || cutOff.contains(id)) {
+                time.schedule(Duration.ofSeconds(1).toNanos(), failed);
+                return;
+            }
+            Connection here = new Connection(this, listener, new GreetingMessage(1, "control", control.name, 1));
+            Connection there = new Connection(this, control.service, new GreetingMessage(1, "p", id, greetedAs));
+            here.other = there;
+            there.other = here;
+            time.schedule(DELAY_NANOS, () -> listener.onOpen(here));
+        }
+
+        private boolean unreachable(String control) {
+            return dead || cutOff.contains(id) || cutOff.contains(control);
+        }
+    }
+
+    static UpstreamAnnouncement decode(byte[] encoded) {
+        try {
+            return UpstreamAnnouncement.CODEC.decode(encoded);
+        } catch (org.copperspindle.wire.MalformedFrameException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** One end of a connection. */
+    private final class Connection implements Peer {
+        private final StandIn member;
+        private final PeerListener owner;
+        private final GreetingMessage greeting;
+        private Connection other;
+        private boolean open = true;
+
+        private Connection(StandIn member, PeerListener owner, GreetingMessage greeting) {
+            this.member = member;
+            this.owner = owner;
+            this.greeting = greeting;
+        }
+
+        private String control() {
+            return greeting.role().equals("control") ? greeting.processId() : other.greeting.processId();
+        }
+
+        @Override
+        public GreetingMessage greeting() {
+            return greeting;
+        }
+
+        @Override
+        public boolean send(WireMessage message) {
+            if (!open) {
+                return false;
+            }
+            messages++;
+            if (!member.unreachable(control())) {
+                time.schedule(DELAY_NANOS, () -> {
+                    if (other.open && !member.unreachable(control())) {
+                        other.owner.onMessage(other, message);
+                    }
+                });
+            }
+            return true;
+        }
+
+        @Override
+        public boolean isWritable() {
+            return true;
+        }
+
+        @Override
+        public void close() {
+            if (!open) {
+                return;
+            }
+            open = false;
+            time.schedule(0, () -> owner.onClose(this));
+            if (!member.unreachable(control())) {
+                time.schedule(DELAY_NANOS, other::close);
+            }
+        }
+    }
+
+    /** A process's own clock, faster or slower than control's. */
+    private final class DriftingTimers implements TimerService {
+        private final double rate;
+
+        private DriftingTimers(double rate) {
+            this.rate = rate;
+        }
+
+        @Override
+        public long nanoTime() {
+            return (long) (time.nanoTime() * rate);
+        }
+
+        @Override
+        public org.copperspindle.time.TimerSubscription schedule(long delayNanos, Runnable task) {
+            return time.schedule((long) (delayNanos / rate), task);
+        }
+    }
+}
