--- a/library/src/main/java/org/copperspindle/agent/AttemptOrderMessage.java
+++ b/library/src/main/java/org/copperspindle/agent/AttemptOrderMessage.java
@@ -7,7 +7,8 @@
 import org.copperspindle.wire.WireMessage;
 
 /**
- * Orders an agent to run one attempt on its upstream.
+ * Orders an agent to run one attempt on its upstream. Travels as a {@link StampedOrderMessage}; without the stamp it is
+ * refused.
  *
  * @param attemptId identity of the attempt; a second order with it runs nothing
  * @param requestId request, for logs
@@ -39,7 +40,7 @@
     public static final MessageCodec<AttemptOrderMessage> CODEC =
             MessageCodec.of(30, AttemptOrderMessage.class, AttemptOrderMessage::write, AttemptOrderMessage::read);
 
-    private void write(FieldWriter out) {
+    void write(FieldWriter out) {
         out.put(1, attemptId)
                 .put(2, requestId)
                 .put(3, upstreamId)
@@ -53,7 +54,7 @@
                 .put(11, configVersion);
     }
 
-    private static AttemptOrderMessage read(FieldReader in) {
+    static AttemptOrderMessage read(FieldReader in) {
         return new AttemptOrderMessage(
                 in.getString(1),
                 in.getString(2),
--- a/library/src/main/java/org/copperspindle/control/ControlService.java
+++ b/library/src/main/java/org/copperspindle/control/ControlService.java
@@ -1,7 +1,6 @@
 package org.copperspindle.control;
 
 import java.time.Duration;
-import java.util.Arrays;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -20,7 +19,6 @@
 import org.copperspindle.membership.LeaseRequestMessage;
 import org.copperspindle.membership.UpstreamAnnouncement;
 import org.copperspindle.time.TimerService;
-import org.copperspindle.wire.MalformedFrameException;
 import org.copperspindle.wire.Peer;
 import org.copperspindle.wire.PeerListener;
 import org.copperspindle.wire.WireMessage;
@@ -205,6 +203,7 @@
         boolean granted = current && newer == 0;
         if (granted) {
             member.leased(now + leaseNanos);
+            announce(member, lease.announcement());
         }
         peer.send(new LeaseGrantMessage(
                 granted ? leaseNanos / 1_000_000 : 0,
@@ -218,33 +217,24 @@
         }
     }
 
-    /** Takes an announcement and returns the newest incarnation known if that is newer than the one announced. */
+    /** Returns the newest incarnation known of the member's upstream if that is newer than its own, else 0. */
     private long newerIncarnation(Member member, byte[] announcement) {
-        if (announcement.length == 0 || Arrays.equals(member.announcing(), announcement)) {
+        if (!member.announces(announcement)) {
             return 0;
         }
-        try {
-            UpstreamAnnouncement decoded = UpstreamAnnouncement.CODEC.decode(announcement);
-            long newest = state.upstreams().newestIncarnation(decoded.upstreamId());
-            if (newest > decoded.incarnation()) {
-                return newest;
-            }
-            member.announces(decoded.upstreamId(), decoded.incarnation());
-            announce(member, decoded, announcement);
-        } catch (MalformedFrameException e) {
-            LOGGER.warn("event=announcement-malformed member={}", member.id());
-        }
-        return 0;
+        long newest = state.upstreams().newestIncarnation(member.announcement().upstreamId());
+        return newest > member.announcement().incarnation() ? newest : 0;
     }
 
-    private void announce(Member member, UpstreamAnnouncement decoded, byte[] announcement) {
-        if (!state.upstreams().isNews(decoded)) {
+    private void announce(Member member, byte[] announcement) {
+        boolean upstream = announcement.length > 0 && member.announcement() != null;
+        if (!upstream || member.announcing() || !state.upstreams().isNews(member.announcement())) {
             return;
         }
         // Renewals repeat the announcement; only one of them goes through the log.
-        member.announcing(announcement);
+        member.announcing(true);
         log.propose(state.encode(new AnnounceCommand(announcement)), result -> {
-            member.announcing(new byte[0]);
+            member.announcing(false);
             pusher.wake();
         });
     }
@@ -264,8 +254,9 @@
 
     private void left(Member member, boolean byItself) {
         LOGGER.info("event=member-gone member={} left={}", member.id(), byItself);
-        if (!member.upstreamId().isEmpty()) {
-            remove(new RemoveUpstreamCommand(member.upstreamId(), member.incarnation(), byItself));
+        if (member.announcement() != null) {
+            UpstreamAnnouncement last = member.announcement();
+            remove(new RemoveUpstreamCommand(last.upstreamId(), last.incarnation(), byItself));
         }
         completeInForce();
     }
@@ -293,7 +284,7 @@
 
     /** Removes upstreams whose agent this leader has never heard of, or whose announcement was late. */
     private void removeUnleased() {
-        Set<String> leased = members.upstreamIds();
+        Set<String> leased = members.leasedUpstreams(timers.nanoTime());
         List<UpstreamAnnouncement> gone = state.upstreams().all().values().stream()
                 .filter(u -> !leased.contains(u.upstreamId()))
                 .toList();
--- a/library/src/main/java/org/copperspindle/control/ControlStatus.java
+++ b/library/src/main/java/org/copperspindle/control/ControlStatus.java
@@ -32,7 +32,7 @@
      *
      * @param id               its identity
      * @param role             {@code entry} or {@code agent}
-     * @param version          version in force at it; 0 for an agent, which holds no configuration
+     * @param version          version in force at it, 0 if none is yet
      * @param leaseMillis      time left of its lease, 0 if it has none and does not serve
      */
     public record MemberStatus(String id, String role, long version, long leaseMillis) {}
--- a/library/src/main/java/org/copperspindle/control/Member.java
+++ b/library/src/main/java/org/copperspindle/control/Member.java
@@ -1,5 +1,11 @@
 package org.copperspindle.control;
 
+import java.util.Arrays;
+
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.copperspindle.membership.UpstreamAnnouncement;
+import org.copperspindle.wire.MalformedFrameException;
 import org.copperspindle.wire.Peer;
 
 /**
@@ -7,6 +13,8 @@
  */
 final class Member {
 
+    private static final Logger LOGGER = LogManager.getLogger(Member.class);
+
     private final String id;
     private final boolean agent;
     private Peer peer;
@@ -15,9 +23,9 @@
     private long configVersion;
     private long textVersion;
     private long membershipRevision;
-    private String upstreamId = "";
-    private long incarnation;
-    private byte[] announcing = new byte[0];
+    private UpstreamAnnouncement announcement;
+    private byte[] lastEncoded = new byte[0];
+    private boolean announcing;
 
     Member(String id, boolean agent) {
         this.id = id;
@@ -86,23 +94,38 @@
     }
 
     String upstreamId() {
-        return upstreamId;
-    }
-
-    long incarnation() {
-        return incarnation;
-    }
-
-    byte[] announcing() {
+        return announcement == null ? "" : announcement.upstreamId();
+    }
+
+    /** Returns what the agent announced last; null for an entry. */
+    UpstreamAnnouncement announcement() {
+        return announcement;
+    }
+
+    /**
+     * Takes what came with a renewal; most repeat the one before and are not read again.
+     *
+     * @param encoded the announcement, empty if none came
+     * @return whether the member has announced an upstream
+     */
+    boolean announces(byte[] encoded) {
+        if (encoded.length > 0 && !Arrays.equals(encoded, lastEncoded)) {
+            lastEncoded = encoded;
+            try {
+                announcement = UpstreamAnnouncement.CODEC.decode(encoded);
+            } catch (MalformedFrameException e) {
+                LOGGER.warn("event=announcement-malformed member={}", id);
+            }
+        }
+        return announcement != null;
+    }
+
+    /** Says whether an announcement is on its way through the log. */
+    boolean announcing() {
         return announcing;
     }
 
-    void announces(String upstream, long life) {
-        upstreamId = upstream;
-        incarnation = life;
-    }
-
-    void announcing(byte[] announcement) {
-        announcing = announcement;
+    void announcing(boolean underWay) {
+        announcing = underWay;
     }
 }
--- a/library/src/main/java/org/copperspindle/control/MemberTable.java
+++ b/library/src/main/java/org/copperspindle/control/MemberTable.java
@@ -66,12 +66,15 @@
      */
     List<Member> servingBelow(long version, long now) {
         return members.values().stream()
-                .filter(m -> !m.isAgent() && m.configVersion() < version && m.hasLease(now))
+                .filter(m -> m.configVersion() < version && m.hasLease(now))
                 .toList();
     }
 
-    Set<String> upstreamIds() {
-        return members.values().stream().map(Member::upstreamId).collect(Collectors.toSet());
+    Set<String> leasedUpstreams(long now) {
+        return members.values().stream()
+                .filter(m -> m.hasLease(now))
+                .map(Member::upstreamId)
+                .collect(Collectors.toSet());
     }
 
     Collection<Member> all() {
--- a/library/src/main/java/org/copperspindle/control/UpdatePusher.java
+++ b/library/src/main/java/org/copperspindle/control/UpdatePusher.java
@@ -74,9 +74,13 @@
     }
 
     private boolean lacks(Member member) {
+        return member.textVersion() < state.config().version() || lacksMembership(member);
+    }
+
+    /** Agents look after their own upstream only. */
+    private boolean lacksMembership(Member member) {
         return !member.isAgent()
-                && (member.textVersion() < state.config().version()
-                        || member.membershipRevision() < state.upstreams().revision());
+                && member.membershipRevision() < state.upstreams().revision();
     }
 
     private int push(Member member) {
@@ -102,7 +106,7 @@
 
     private MembershipDelta delta(Member member) {
         long revision = state.upstreams().revision();
-        return member.membershipRevision() < revision
+        return lacksMembership(member)
                 ? state.upstreams().since(member.membershipRevision())
                 : new MembershipDelta(false, revision, List.of(), List.of());
     }
--- a/library/src/main/java/org/copperspindle/membership/ControlLink.java
+++ b/library/src/main/java/org/copperspindle/membership/ControlLink.java
@@ -4,7 +4,6 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.SplittableRandom;
 import java.util.function.Supplier;
 
@@ -118,9 +117,8 @@
             return;
         }
         LeaseRequestMessage current = request.get();
-        boolean agent = current.announcement().length > 0;
-        OptionalLong reported = agent ? OptionalLong.empty() : OptionalLong.of(current.configVersion());
-        if (!peer.send(current.numbered(lease.request(timers.nanoTime(), reported), textVersion))) {
+        long number = lease.request(timers.nanoTime(), current.configVersion());
+        if (!peer.send(current.numbered(number, textVersion))) {
             // Closed before it was opened here: its end was heard of first.
             lost(peer);
             return;
--- a/library/src/main/java/org/copperspindle/membership/LeaseClock.java
+++ b/library/src/main/java/org/copperspindle/membership/LeaseClock.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.OptionalLong;
 
 /**
  * A member's count of its own lease. Pure: time comes in as an argument. The lease is counted from when the request was
@@ -31,10 +30,10 @@
      * Numbers a request.
      *
      * @param now     when it is sent, in nanoseconds
-     * @param version configuration version that it reports; empty for an agent, which holds no configuration
+     * @param version configuration version that it reports
      * @return its number
      */
-    long request(long now, OptionalLong version) {
+    long request(long now, long version) {
         if (outstanding.size() >= MAX_OUTSTANDING) {
             outstanding.pollLast();
         }
@@ -63,7 +62,7 @@
             return false;
         }
         Outstanding request = outstanding.poll();
-        if (grant.leaseMillis() <= 0 || request.version().orElse(grant.configVersion()) != grant.configVersion()) {
+        if (grant.leaseMillis() <= 0 || request.version() != grant.configVersion()) {
             return false;
         }
         long length = (long) (Duration.ofMillis(grant.leaseMillis()).toNanos() * (1 - CLOCK_DRIFT));
@@ -119,5 +118,5 @@
         return outstanding.isEmpty() ? 0 : now - outstanding.peek().sentAt();
     }
 
-    private record Outstanding(long number, long sentAt, OptionalLong version) {}
+    private record Outstanding(long number, long sentAt, long version) {}
 }
--- a/library/src/test/java/org/copperspindle/membership/LeaseClockTest.java
+++ b/library/src/test/java/org/copperspindle/membership/LeaseClockTest.java
@@ -1,7 +1,6 @@
 package org.copperspindle.membership;
 
 import java.time.Duration;
-import java.util.OptionalLong;
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -25,7 +24,7 @@
     @ParameterizedTest
     @CsvSource({"0, 1.0", "0, 0.99", "0, 1.01", "900, 0.99", "4000, 0.99"})
     void memberStopsBeforeTheLeaderCountsTheLeaseAsOver(long underWayMillis, double memberRate) {
-        long number = clock.request(0, OptionalLong.of(7));
+        long number = clock.request(0, 7);
         long answered = (long) (Duration.ofMillis(underWayMillis).toNanos() * memberRate);
         assertThat(clock.grant(new LeaseGrantMessage(5000, 1, 7, number, 0), answered))
                 .isTrue();
@@ -38,9 +37,9 @@
     @ParameterizedTest
     @CsvSource({"1, 2, 7, 5000", "9, 3, 7, 5000", "2, 3, 8, 5000", "2, 3, 6, 5000", "2, 3, 7, 0"})
     void grantThatProvesTooLittleChangesNothing(long number, long term, long version, long millis) {
-        clock.grant(new LeaseGrantMessage(5000, 3, 7, clock.request(0, OptionalLong.of(7)), 0), 1);
+        clock.grant(new LeaseGrantMessage(5000, 3, 7, clock.request(0, 7), 0), 1);
         long left = clock.left(1);
-        clock.request(SECOND, OptionalLong.of(7));
+        clock.request(SECOND, 7);
 
         assertThat(clock.grant(new LeaseGrantMessage(millis, term, version, number, 0), SECOND + 1))
                 .isFalse();
@@ -50,7 +49,7 @@
     /** The process is paused past its lease, so that no timer runs: the first request after it is refused. */
     @Test
     void pausedProcessDoesNotServeOnWaking() {
-        clock.grant(new LeaseGrantMessage(5000, 1, 7, clock.request(0, OptionalLong.of(7)), 0), 1);
+        clock.grant(new LeaseGrantMessage(5000, 1, 7, clock.request(0, 7), 0), 1);
 
         assertThat(clock.held(SECOND)).isTrue();
         assertThat(clock.held(10 * SECOND)).isFalse();
--- a/tools/src/main/java/org/copperspindle/cli/Copperspindle.java
+++ b/tools/src/main/java/org/copperspindle/cli/Copperspindle.java
@@ -17,8 +17,8 @@
  */
 public final class Copperspindle {
 
-    private static final List<Command> COMMANDS =
-            List.of(new RunCommand(), new ApplyCommand(), new StatusCommand(), new EmulateCommand());
+    private static final List<Command> COMMANDS = List.of(
+            new RunCommand(), new ApplyCommand(), new StatusCommand(), new EmulateCommand(), new ReplayCommand());
     private static final String COMMAND_KEY = "command";
 
     private Copperspindle() {}
--- a/tools/src/main/java/org/copperspindle/cli/StatusText.java
+++ b/tools/src/main/java/org/copperspindle/cli/StatusText.java
@@ -33,13 +33,12 @@
         }
         out.append("\nmembers\n");
         for (JsonNode member : status.path("members")) {
-            boolean agent = member.path("role").asText().equals("agent");
             line(
                     out,
                     "  %-24s %-6s version %-8s lease %d ms",
                     member.path("id").asText(),
                     member.path("role").asText(),
-                    agent ? "-" : member.path("version").asText(),
+                    member.path("version").asText(),
                     member.path("leaseMillis").asLong());
         }
         out.append("\nupstreams (membership revision ")
