--- a/tools/src/main/java/org/copperspindle/cli/Copperspindle.java
+++ b/tools/src/main/java/org/copperspindle/cli/Copperspindle.java
@@ -18,7 +18,12 @@
 public final class Copperspindle {
 
     private static final List<Command> COMMANDS = List.of(
-            new RunCommand(), new ApplyCommand(), new StatusCommand(), new EmulateCommand(), new ReplayCommand());
+            new RunCommand(), //
+            new ApplyCommand(),
+            new EmulateCommand(),
+            new MeasureCommand(),
+            new ReplayCommand(),
+            new StatusCommand());
     private static final String COMMAND_KEY = "command";
 
     private Copperspindle() {}
