--- a/library/src/main/java/org/copperspindle/agent/AttemptTable.java
+++ b/library/src/main/java/org/copperspindle/agent/AttemptTable.java
@@ -36,7 +36,7 @@
     private static final int QUERY_SHARE = 4;
 
     private final String upstreamId;
-    private final long incarnation;
+    private long incarnation;
     private final AgentLimits limits;
     private final Map<String, AttemptRecord> records = new HashMap<>();
     private final Set<AttemptRecord> evictable = new LinkedHashSet<>();
@@ -74,6 +74,16 @@
         this.outcomes = new OutcomeStore(limits.keptBytes(), limits.maxResponse());
     }
 
+    /**
+     * Takes a larger incarnation, because the clock that numbers lives was set back. Called before the first lease, so
+     * that no entry knows this life yet and no order of it has come.
+     *
+     * @param larger the incarnation to go on under
+     */
+    void onIncarnation(long larger) {
+        incarnation = larger;
+    }
+
     /** An order arrived. */
     List<AgentAction> onOrder(StampedOrderMessage order, Peer from, long now) {
         AttemptRecord known = records.get(order.attemptId());
--- a/tools/src/main/java/org/copperspindle/cli/Copperspindle.java
+++ b/tools/src/main/java/org/copperspindle/cli/Copperspindle.java
@@ -23,7 +23,8 @@
             new ApplyCommand(),
             new EmulateCommand(),
             new MeasureCommand(),
-            new ReplayCommand());
+            new ReplayCommand(),
+            new StatusCommand());
     private static final String COMMAND_KEY = "command";
 
     private Copperspindle() {}
