--- a/tools/src/main/java/org/copperspindle/capacity/StandInControl.java
+++ b/tools/src/main/java/org/copperspindle/capacity/StandInControl.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Comparator;
@@ -26,14 +27,16 @@
 
     StandInControl(String lease) throws IOException, SettingsException {
         this.data = Files.createTempDirectory("copperspindle-measure");
+        String address = "127.0.0.1:" + freePort();
         String settings = String.join(
                 "\n",
                 "[process]",
                 "id = " + ID,
                 "failure-domain = north",
-                "listen = 127.0.0.1:0",
+                "listen = " + address,
                 "[control]",
                 "listen = 127.0.0.1:0",
+                "voters = " + ID + "@" + address,
                 "data-folder = " + data,
                 "lease = " + lease);
         this.process = CopperspindleProcess.start(ProcessSettings.read(SettingsFile.parse("measure", settings)));
@@ -47,6 +50,13 @@
         return process.operatorAddress().orElseThrow();
     }
 
+    private static int freePort() throws IOException {
+        // A voter's address stands in the settings, so its port must be known before it starts.
+        try (ServerSocket socket = new ServerSocket(0)) {
+            return socket.getLocalPort();
+        }
+    }
+
     @Override
     public void close() {
         process.kill();
