Pace the tokens of the request measurement

Cause: the fake engine sent at most its own cap of tokens and all at once, so that the slope per token was -0.7 us: a figure of nothing. Change: the measured engine paces its tokens, 2 ms apart, up to 4,096. Measured (machine shared with builds): entry 9.3 us a token, R2 0.976; agents 3.4 us a token, R2 0.50. Before: -0.7 us, R2 0.70. Conclusion: use the paced figures; repeat them on a quiet machine.

--- a/tools/src/main/java/org/copperspindle/capacity/StandInDeployment.java
+++ b/tools/src/main/java/org/copperspindle/capacity/StandInDeployment.java
@@ -16,6 +16,7 @@
 import org.copperspindle.daemon.ProcessSettings;
 import org.copperspindle.emulator.ExecutionLedger;
 import org.copperspindle.emulator.FakeKind;
+import org.copperspindle.emulator.FakeSettings;
 import org.copperspindle.emulator.FakeUpstream;
 import org.copperspindle.settings.SettingsException;
 import org.copperspindle.settings.SettingsFile;
@@ -35,6 +36,9 @@
     static final String BEARER = "measure";
 
     private static final String RESOURCE = "/org/copperspindle/capacity/measured.ini";
+    private static final int CONCURRENCY = 64;
+    private static final int MAX_TOKENS = 4096;
+    private static final Duration PER_TOKEN = Duration.ofMillis(2);
     private static final Duration READY_LIMIT = Duration.ofSeconds(30);
 
     private final StandInControl control;
@@ -74,7 +78,10 @@
     }
 
     private void startAgent(FakeKind kind, String pool) throws SettingsException {
-        FakeUpstream fake = new FakeUpstream(kind, Duration.ZERO, new ExecutionLedger());
+        // Tokens are paced as engines pace them, if faster: tokens that come at once would share frames and cost less.
+        FakeSettings settings = new FakeSettings(
+                kind, new InetSocketAddress("127.0.0.1", 0), CONCURRENCY, Duration.ZERO, PER_TOKEN, MAX_TOKENS, false);
+        FakeUpstream fake = new FakeUpstream(settings, new ExecutionLedger());
         fakes.add(fake);
         start(String.join(
                 "\n",
