--- a/library/src/main/java/org/copperspindle/entry/RequestDriver.java
+++ b/library/src/main/java/org/copperspindle/entry/RequestDriver.java
@@ -2,9 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -21,7 +19,6 @@
 import org.copperspindle.agent.OutcomeQueryMessage;
 import org.copperspindle.claims.ClaimClient;
 import org.copperspindle.limits.AttemptEnd;
-import org.copperspindle.limits.AttemptReport;
 import org.copperspindle.limits.EntryPolicy;
 import org.copperspindle.pipeline.PipelineAction;
 import org.copperspindle.pipeline.PipelineAnswer;
@@ -50,7 +47,6 @@
     private static final long ASK_AGAIN_NANOS = Duration.ofMillis(250).toNanos();
 
     private static final long LINGER_NANOS = Duration.ofSeconds(30).toNanos();
-    private static final int MAX_ENDED = 4096;
     private static final int SERVER_ERROR = 500;
 
     private final TimerService timers;
@@ -60,11 +56,7 @@
     private final EntryPolicy policy;
     private final EntryCounters counters = new EntryCounters();
     private final Map<String, OpenRequest> requests = new HashMap<>();
-    /** By attempt. Several requests may wait for one attempt: a resend through this entry follows the first arrival's. */
-    private final Map<String, List<OpenAttempt>> attempts = new HashMap<>();
-
-    /** Attempts whose late outcomes are acknowledged, so that their agents can forget them. */
-    private final Map<String, Boolean> ended = new LinkedHashMap<>();
+    private final OpenAttempts attempts;
 
     RequestDriver(TimerService timers, AgentPort agents, ClaimClient claims, FleetView fleet, EntryPolicy policy) {
         this.timers = timers;
@@ -72,6 +64,7 @@
         this.claims = claims;
         this.fleet = fleet;
         this.policy = policy;
+        this.attempts = new OpenAttempts(timers, policy);
     }
 
     /**
@@ -115,7 +108,7 @@
     @Override
     public void onMessage(InetSocketAddress agent, WireMessage message) {
         if (message instanceof AttemptChunkMessage chunk) {
-            List<OpenAttempt> waiting = waiting(chunk.attemptId());
+            List<OpenAttempt> waiting = attempts.waiting(chunk.attemptId());
             if (waiting.isEmpty()) {
                 counters.droppedChunk();
             }
@@ -140,12 +133,10 @@
     @Override
     public void onLinkLost(InetSocketAddress agent) {
         counters.linkLost();
-        List<OpenAttempt> lost = attempts.values().stream()
-                .flatMap(List::stream)
-                .filter(a -> agent.equals(a.agent()))
-                .toList();
+        List<OpenAttempt> lost =
+                attempts.all().stream().filter(a -> agent.equals(a.agent())).toList();
         for (OpenAttempt attempt : lost) {
-            if (isOpen(attempt)) {
+            if (attempts.isOpen(attempt)) {
                 attempt.markLost();
                 perform(attempt.open(), attempt.open().run().onLinkLost(attempt.id(), timers.nanoTime()));
             }
@@ -153,15 +144,15 @@
     }
 
     private void onOutcome(InetSocketAddress agent, AttemptOutcomeMessage outcome) {
-        List<OpenAttempt> waiting = waiting(outcome.attemptId());
+        List<OpenAttempt> waiting = attempts.waiting(outcome.attemptId());
         if (waiting.isEmpty()) {
             counters.droppedOutcome();
-            if (ended.containsKey(outcome.attemptId())) {
+            if (attempts.mayForget(outcome.attemptId())) {
                 agents.send(agent, new OutcomeAckMessage(outcome.attemptId()));
             }
         }
         for (OpenAttempt attempt : waiting) {
-            close(attempt, endOf(outcome), outcome.inFlight());
+            attempts.close(attempt, endOf(outcome), outcome.inFlight());
             perform(attempt.open(), attempt.open().run().onOutcome(outcome, timers.nanoTime()));
         }
     }
@@ -170,26 +161,18 @@
     private void onOrderNotSent(String attemptId) {
         AttemptOutcomeMessage outcome = new AttemptOutcomeMessage(
                 attemptId, new NotRunVerdict("not-sent"), 0, "", new byte[0], false, 0, 0, -1, -1);
-        for (OpenAttempt attempt : waiting(attemptId)) {
-            close(attempt, AttemptEnd.REFUSED, -1);
+        for (OpenAttempt attempt : attempts.waiting(attemptId)) {
+            attempts.close(attempt, AttemptEnd.REFUSED, -1);
             perform(attempt.open(), attempt.open().run().onOutcome(outcome, timers.nanoTime()));
         }
     }
 
     private void unreachable(String attemptId, boolean gone) {
-        for (OpenAttempt attempt : waiting(attemptId)) {
+        for (OpenAttempt attempt : attempts.waiting(attemptId)) {
             perform(attempt.open(), attempt.open().run().onUnreachable(attemptId, gone, timers.nanoTime()));
         }
     }
 
-    private List<OpenAttempt> waiting(String attemptId) {
-        return List.copyOf(attempts.getOrDefault(attemptId, List.of()));
-    }
-
-    private boolean isOpen(OpenAttempt attempt) {
-        return attempts.getOrDefault(attempt.id(), List.of()).contains(attempt);
-    }
-
     /** Carries out actions in order. What they cause in turn is queued behind them, never run in their midst. */
     private void perform(OpenRequest open, List<PipelineAction> actions) {
         open.actions().addAll(actions);
@@ -221,7 +204,7 @@
         } else if (action instanceof PipelineAction.Query query) {
             query(open, query);
         } else if (action instanceof PipelineAction.Cancel cancel) {
-            remember(cancel.attemptId());
+            attempts.remember(cancel.attemptId());
             sendTo(cancel.upstreamId(), new AttemptCancelMessage(cancel.attemptId()));
         } else if (action instanceof PipelineAction.Acknowledge acknowledge) {
             acknowledge(acknowledge);
@@ -238,14 +221,14 @@
         long now = timers.nanoTime();
         Optional<UpstreamView> view = fleet.upstream(order.upstreamId());
         if (view.isEmpty()) {
-            register(new OpenAttempt(open, order.attemptId(), null, Optional.empty(), now));
+            attempts.add(new OpenAttempt(open, order.attemptId(), null, Optional.empty(), now));
             timers.schedule(0, () -> onOrderNotSent(order.attemptId()));
             return;
         }
         policy.dispatched(open.request(), open.run().stage(), view.get(), now);
         InetSocketAddress agent = view.get().announcement().agentAddress();
         OpenAttempt attempt = new OpenAttempt(open, order.attemptId(), agent, view, now);
-        register(attempt);
+        attempts.add(attempt);
         OptionalLong hedge =
                 open.chooser().hedgeAfter(open.request(), open.run().stage());
         if (hedge.isPresent()) {
@@ -259,30 +242,30 @@
     }
 
     private void hedge(OpenAttempt attempt) {
-        if (isOpen(attempt)) {
+        if (attempts.isOpen(attempt)) {
             perform(attempt.open(), attempt.open().run().onHedgeDue(timers.nanoTime()));
         }
     }
 
     private void timedOut(OpenAttempt attempt) {
         PipelineRun run = attempt.open().run();
-        if (isOpen(attempt)
+        if (attempts.isOpen(attempt)
                 && run.stage().repeatable()
                 && policy.mayAbandon(attempt.open().request(), run.stage())) {
-            close(attempt, AttemptEnd.TIMED_OUT, -1);
+            attempts.close(attempt, AttemptEnd.TIMED_OUT, -1);
             perform(attempt.open(), run.onGivenUp(attempt.id(), "attempt-timeout", timers.nanoTime()));
         }
     }
 
     private void query(OpenRequest open, PipelineAction.Query query) {
         OpenAttempt asked = open.attempt(query.attemptId())
-                .orElseGet(() ->
-                        register(new OpenAttempt(open, query.attemptId(), null, Optional.empty(), timers.nanoTime())));
+                .orElseGet(() -> attempts.add(
+                        new OpenAttempt(open, query.attemptId(), null, Optional.empty(), timers.nanoTime())));
         asked.timer(timers.schedule(query.delay().toNanos(), () -> ask(asked, query)));
     }
 
     private void ask(OpenAttempt attempt, PipelineAction.Query query) {
-        if (!isOpen(attempt)) {
+        if (!attempts.isOpen(attempt)) {
             return;
         }
         Optional<UpstreamView> view = fleet.upstream(query.upstreamId());
@@ -300,7 +283,7 @@
     }
 
     private void askAgain(OpenAttempt attempt, PipelineAction.Query query) {
-        if (!isOpen(attempt)) {
+        if (!attempts.isOpen(attempt)) {
             return;
         }
         if (agents.isOpen(attempt.agent())) {
@@ -311,28 +294,6 @@
         }
     }
 
-    private OpenAttempt register(OpenAttempt attempt) {
-        attempts.computeIfAbsent(attempt.id(), id -> new ArrayList<>(1)).add(attempt);
-        attempt.open().attempts().add(attempt);
-        return attempt;
-    }
-
-    private void close(OpenAttempt attempt, AttemptEnd end, int inFlight) {
-        List<OpenAttempt> waiting = attempts.get(attempt.id());
-        waiting.remove(attempt);
-        if (waiting.isEmpty()) {
-            attempts.remove(attempt.id());
-        }
-        attempt.open().attempts().remove(attempt);
-        attempt.cancelTimers();
-        if (attempt.dispatchedTo().isPresent()) {
-            long now = timers.nanoTime();
-            UpstreamView view = attempt.dispatchedTo().get();
-            long took = now - attempt.since();
-            policy.ended(new AttemptReport(attempt.open().request(), attempt.stage(), view, end, took, inFlight), now);
-        }
-    }
-
     private static AttemptEnd endOf(AttemptOutcomeMessage outcome) {
         if (outcome.verdict() instanceof NotRunVerdict) {
             return AttemptEnd.REFUSED;
@@ -344,17 +305,10 @@
     }
 
     private void acknowledge(PipelineAction.Acknowledge acknowledge) {
-        remember(acknowledge.attemptId());
+        attempts.remember(acknowledge.attemptId());
         sendTo(acknowledge.upstreamId(), new OutcomeAckMessage(acknowledge.attemptId()));
     }
 
-    private void remember(String attemptId) {
-        ended.put(attemptId, Boolean.TRUE);
-        if (ended.size() > MAX_ENDED) {
-            ended.remove(ended.keySet().iterator().next());
-        }
-    }
-
     private void sendTo(String upstreamId, WireMessage message) {
         fleet.upstream(upstreamId)
                 .ifPresent(view -> agents.send(view.announcement().agentAddress(), message));
@@ -396,7 +350,8 @@
         // on.
         List.copyOf(open.attempts()).stream()
                 .filter(attempt -> !waitedFor.contains(attempt.id()))
-                .forEach(attempt -> close(attempt, attempt.lost() ? AttemptEnd.LOST : AttemptEnd.WITHDRAWN, -1));
+                .forEach(attempt ->
+                        attempts.close(attempt, attempt.lost() ? AttemptEnd.LOST : AttemptEnd.WITHDRAWN, -1));
         if (open.run().answered() && open.release()) {
             open.cancelDeadline();
             policy.release(open.request());
@@ -413,6 +368,6 @@
     private void forget(OpenRequest open) {
         open.cancelDeadline();
         requests.remove(open.id());
-        List.copyOf(open.attempts()).forEach(attempt -> close(attempt, AttemptEnd.WITHDRAWN, -1));
+        List.copyOf(open.attempts()).forEach(attempt -> attempts.close(attempt, AttemptEnd.WITHDRAWN, -1));
     }
 }
--- a/library/src/main/java/org/copperspindle/pipeline/PipelineRun.java
+++ b/library/src/main/java/org/copperspindle/pipeline/PipelineRun.java
@@ -13,8 +13,8 @@
 import org.copperspindle.claims.ClaimDecision;
 import org.copperspindle.config.StageSettings;
 import org.copperspindle.membership.UpstreamAnnouncement;
-import org.copperspindle.verdict.MayHaveRunVerdict;
 import org.copperspindle.verdict.NotRunVerdict;
+import org.copperspindle.verdict.RanVerdict;
 import org.copperspindle.verdict.Verdict;
 
 /**
@@ -28,7 +28,6 @@
 
     private static final Duration QUERY_PAUSE = Duration.ofMillis(100);
     private static final int MAX_ATTEMPTS = 3;
-    private static final int SUCCESS_LIMIT = 300;
     private static final int CLIENT_ERROR = 400;
     private static final int SERVER_ERROR = 500;
 
@@ -353,20 +352,32 @@
     }
 
     private List<PipelineAction> goOn(StageAttempt attempt, AttemptOutcomeMessage outcome, long now) {
-        if (outcome.verdict() instanceof NotRunVerdict) {
-            // An agent that forgot what the claims still know proves nothing.
-            return attempt.endedBefore()
-                    ? lose("outcome-forgotten", now)
-                    : retryNotRun(outcome.verdict().reason(), now);
-        }
-        if (attempt.streaming()) {
-            return finishStream(attempt, outcome, now);
+        if (outcome.verdict() instanceof RanVerdict) {
+            answers.markRan();
         }
-        if (outcome.verdict() instanceof MayHaveRunVerdict) {
-            return lose(outcome.verdict().reason(), now);
+        StageHandler handler = StageHandlerFactory.of(chooser.kind(stage().pool()));
+        List<String> pieces = new ArrayList<>();
+        StageResult result = OutcomeReader.read(attempt, outcome, context, handler, pieces);
+        List<PipelineAction> actions = new ArrayList<>(pass(pieces));
+        if (result instanceof StageResult.Whole) {
+            answers.markRan();
+            actions.addAll(nextStage(now));
+        } else if (result instanceof StageResult.Refused refused) {
+            actions.addAll(retryNotRun(refused.reason(), now));
+        } else if (result instanceof StageResult.Failed failed) {
+            answers.markRan();
+            actions.addAll(upstreamError(failed.status(), now));
+        } else if (result instanceof StageResult.Lost lost) {
+            if (attempt.streaming()) {
+                // The rest is asked for, of the same engine if the choice falls on it: it has the prefix in its cache.
+                tried.remove(attempt.upstreamId());
+            }
+            actions.addAll(lose(lost.reason(), now));
+        } else {
+            answers.markMayHaveRun();
+            actions.addAll(abandon("malformed-stream"));
         }
-        answers.markRan();
-        return finishStage(outcome, now);
+        return actions;
     }
 
     /** Goes on after a proof that the attempt did not run; it cost no upstream anything, so takes no retry budget. */
@@ -395,45 +406,6 @@
         return stage().repeatable() && attempts < MAX_ATTEMPTS && chooser.mayRetry(request);
     }
 
-    private List<PipelineAction> finishStage(AttemptOutcomeMessage outcome, long now) {
-        if (!outcome.complete()) {
-            return lose("incomplete-answer", now);
-        }
-        if (outcome.status() >= SUCCESS_LIMIT) {
-            return upstreamError(outcome.status(), now);
-        }
-        try {
-            StageHandlerFactory.of(chooser.kind(stage().pool()))
-                    .accept(context, outcome.body(), outcome.contentType(), false);
-        } catch (IOException e) {
-            return lose("malformed-answer", now);
-        }
-        return nextStage(now);
-    }
-
-    private List<PipelineAction> finishStream(StageAttempt attempt, AttemptOutcomeMessage outcome, long now) {
-        if (outcome.status() >= SUCCESS_LIMIT) {
-            answers.markRan();
-            return upstreamError(outcome.status(), now);
-        }
-        List<PipelineAction> actions = new ArrayList<>();
-        try {
-            actions.addAll(pass(attempt.takeRest(outcome)));
-        } catch (IOException e) {
-            return abandon("malformed-stream");
-        }
-        // Only the stream's own end mark says that it is whole; an orderly end of the connection does not.
-        if (attempt.streamEnded()) {
-            answers.markRan();
-            actions.addAll(nextStage(now));
-            return actions;
-        }
-        // The rest is asked for, of the same engine if the choice falls on it: it still has the prefix in its cache.
-        tried.remove(attempt.upstreamId());
-        actions.addAll(lose("stream-cut", now));
-        return actions;
-    }
-
     private List<PipelineAction> nextStage(long now) {
         List<PipelineAction> actions = new ArrayList<>(letGo());
         if (stageIndex == request.pipeline().stages().size() - 1) {
