Refuse stale orders NOT_RUN only where no copy can have run

Cause: a doubled order whose first copy had run and been forgotten was refused with NOT_RUN; found by the randomised schedule test.

Change: a refusal by the stamp is NOT_RUN only if no attempt as late as the order's clock reading was forgotten. Refusals after a query are kept for the longest deadline and the greatest age of a clock reading. AgentClock sends no order after its deadline.

--- a/library/src/main/java/org/copperspindle/agent/AgentClock.java
+++ b/library/src/main/java/org/copperspindle/agent/AgentClock.java
@@ -55,13 +55,17 @@
      *
      * @param order  the order
      * @param madeAt nanoseconds of the entry's timer service when its time left was worked out
-     * @return the stamped order; empty if it is meant for another life of the agent, which must not get it
+     * @param now    nanoseconds of the entry's timer service
+     * @return the stamped order; empty if it must not be sent, because it is meant for another life of the agent or its
+     *     deadline has passed here: the agent forgets refusals counting on no order being stamped after its deadline
      */
-    public Optional<StampedOrderMessage> stamp(AttemptOrderMessage order, long madeAt) {
-        if (order.agentIncarnation() != incarnation) {
+    public Optional<StampedOrderMessage> stamp(AttemptOrderMessage order, long madeAt, long now) {
+        long waitedMicros = (now - madeAt) / 1000;
+        if (order.agentIncarnation() != incarnation || waitedMicros >= order.timeLeftMicros()) {
             return Optional.empty();
         }
-        long madeAtMicros = readingMicros + (madeAt - receivedAtNanos) / 1000;
-        return Optional.of(new StampedOrderMessage(order, madeAtMicros + order.timeLeftMicros(), readingMicros));
+        long nowMicros = readingMicros + (now - receivedAtNanos) / 1000;
+        return Optional.of(
+                new StampedOrderMessage(order, nowMicros - waitedMicros + order.timeLeftMicros(), readingMicros));
     }
 }
--- a/library/src/main/java/org/copperspindle/agent/AttemptTable.java
+++ b/library/src/main/java/org/copperspindle/agent/AttemptTable.java
@@ -107,9 +107,10 @@
         AttemptOutcomeMessage outcome =
                 AttemptOutcomeMessage.withoutAnswer(query.attemptId(), neverArrived(query, now));
         if (outcome.verdict() instanceof NotRunVerdict) {
-            // Its order may still be under way or even unsent. It names the request's deadline, which is at most this
-            // far away, because the request was admitted before anyone could ask for the attempt.
-            long lapse = now + (long) (maxDeadline * (1 + CLOCK_DRIFT));
+            // Its order may still be under way or even unsent. The request was admitted before anyone could ask for the
+            // attempt, so the reading that its order is stamped with is at most its deadline away, and the order is
+            // accepted at most the greatest age of a reading later.
+            long lapse = now + longestDeadline() + limits.maxClockAgeMicros();
             put(AttemptRecord.refused(query.attemptId(), outcome, lapse));
             refusedQueries++;
         }
@@ -236,7 +237,7 @@
         return refusing.isPresent();
     }
 
-    /** Judges orders that need no record, because every later copy is judged the same way. */
+    /** Judges orders that need no record, because every later copy is refused the same way. */
     private Optional<Verdict> stale(StampedOrderMessage order, long now) {
         if (!order.order().upstreamId().equals(upstreamId)) {
             return Optional.of(new NotRunVerdict("other-upstream"));
@@ -249,13 +250,17 @@
             // Not a reading of this clock. Promises nothing: a copy could look valid later.
             return Optional.of(new MayHaveRunVerdict("clock-unknown"));
         }
+        Optional<String> reason = Optional.empty();
         if (now >= order.expiresAtMicros()) {
-            return Optional.of(new NotRunVerdict("deadline"));
+            reason = Optional.of("deadline");
+        } else if (now >= lapse(order)) {
+            reason = Optional.of("delayed");
+        } else if (lapse(order) <= floor) {
+            reason = Optional.of("table-full");
         }
-        if (now >= lapse(order)) {
-            return Optional.of(new NotRunVerdict("delayed"));
-        }
-        return lapse(order) <= floor ? Optional.of(new NotRunVerdict("table-full")) : Optional.empty();
+        // An earlier copy may have run and been forgotten: refusing this one does not prove that none ran.
+        boolean provable = order.clockMicros() > forgotten(!order.order().repeatable());
+        return reason.map(r -> provable ? new NotRunVerdict(r) : new MayHaveRunVerdict(r));
     }
 
     /** Last instant at which a copy of the order could be accepted. */
@@ -263,11 +268,15 @@
         return Math.min(order.expiresAtMicros(), order.clockMicros() + limits.maxClockAgeMicros());
     }
 
+    private long longestDeadline() {
+        return (long) (maxDeadline * (1 + CLOCK_DRIFT));
+    }
+
     private Optional<String> refusal(StampedOrderMessage order, long now, List<AgentAction> actions) {
         if (refusing.isPresent()) {
             return refusing;
         }
-        if (order.expiresAtMicros() > now + (long) (maxDeadline * (1 + CLOCK_DRIFT))) {
+        if (order.expiresAtMicros() > now + longestDeadline()) {
             return Optional.of("deadline-too-far");
         }
         if (!makeRoom()) {
@@ -403,6 +412,10 @@
         }
     }
 
+    private long forgotten(boolean unrepeatable) {
+        return unrepeatable ? forgottenUnrepeatable : Math.max(forgottenRepeatable, forgottenUnrepeatable);
+    }
+
     private void noteForgotten(AttemptRecord record) {
         if (record.repeatable()) {
             forgottenRepeatable = Math.max(forgottenRepeatable, record.startedAt());
--- a/library/src/main/java/org/copperspindle/entry/AgentLinks.java
+++ b/library/src/main/java/org/copperspindle/entry/AgentLinks.java
@@ -113,7 +113,7 @@
                 return;
             }
             Optional<? extends WireMessage> stamped = made.message() instanceof AttemptOrderMessage order
-                    ? clock.get().stamp(order, made.at())
+                    ? clock.get().stamp(order, made.at(), timers.nanoTime())
                     : Optional.of(made.message());
             if (stamped.isEmpty() || !peer.send(stamped.get())) {
                 listener.onNotSent(made.message());
--- /dev/null
+++ b/library/src/test/java/org/copperspindle/agent/AttemptTableScheduleTest.java
@@ -0,0 +1,355 @@
+package org.copperspindle.agent;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+
+import org.copperspindle.config.Priority;
+import org.copperspindle.verdict.MayHaveRunVerdict;
+import org.copperspindle.verdict.NotRunVerdict;
+import org.copperspindle.verdict.RanVerdict;
+import org.copperspindle.verdict.Verdict;
+import org.copperspindle.wire.Peer;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Random schedules over the attempt table with a ledger of its own. Orders, queries, cancels and acknowledgements are
+ * delayed, doubled and reordered without bound; the agent restarts, stands still and drains; the table is far too small.
+ * Whatever happens, callers see no attempt run twice, none run that was ever reported NOT_RUN, and no foreign answer.
+ */
+class AttemptTableScheduleTest {
+
+    private static final int SCHEDULES = 40;
+    private static final int STEPS = 1500;
+    private static final long MILLI = 1000;
+    private static final long MAX_DEADLINE = 10_000 * MILLI;
+    private static final int KEPT_BYTES = 400;
+    private static final int MAX_BODY = 100;
+    private static final AgentLimits LIMITS = new AgentLimits(
+            2,
+            3,
+            24,
+            KEPT_BYTES,
+            MAX_BODY,
+            Duration.ofSeconds(10),
+            Duration.ofSeconds(3),
+            Duration.ofSeconds(20),
+            Duration.ofSeconds(2),
+            Duration.ZERO);
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5})
+    void noScheduleBreaksAPromise(long seed) {
+        SplittableRandom seeds = new SplittableRandom(seed);
+        int checked = 0;
+        for (int i = 0; i < SCHEDULES; i++) {
+            World world = new World(seeds.split());
+            world.run();
+            checked += world.verdicts;
+        }
+        assertThat(checked).isGreaterThan(SCHEDULES * STEPS / 10);
+    }
+
+    /** Entries, network, upstream and ledger around one table. */
+    private static final class World {
+        private final SplittableRandom random;
+        private final List<Peer> entries = List.of(new RecordingPeer(), new RecordingPeer(), new RecordingPeer());
+        private final List<Request> requests = new ArrayList<>();
+        private final List<Runnable> network = new ArrayList<>();
+        private final Map<String, Integer> executions = new HashMap<>();
+        private final Set<String> reportedNotRun = new HashSet<>();
+        private final Set<String> running = new HashSet<>();
+        private final Set<String> acknowledged = new HashSet<>();
+        private final Map<String, Long> expires = new HashMap<>();
+        private final Map<String, Long> endedAt = new HashMap<>();
+        private final Map<String, Set<Peer>> unanswered = new HashMap<>();
+        private long life = 1;
+        private long world = MILLI;
+        private long stalled;
+        private AttemptTable table = new AttemptTable("up", life, LIMITS);
+        private int verdicts;
+
+        private World(SplittableRandom random) {
+            this.random = random;
+        }
+
+        private void run() {
+            for (int i = 0; i < STEPS; i++) {
+                step();
+                perform(table.onTick(clock()));
+                checkBounds();
+            }
+            settle();
+        }
+
+        private void step() {
+            world += random.nextLong(200 * MILLI);
+            int event = random.nextInt(16);
+            if (event < 3) {
+                admit();
+            } else if (event < 7) {
+                deliver();
+            } else if (event < 10) {
+                endOne();
+            } else if (event == 10) {
+                query();
+            } else if (event == 11) {
+                acknowledge();
+            } else if (event == 12) {
+                cancel();
+            } else if (event == 13) {
+                drainOrResume();
+            } else if (event == 14) {
+                rare();
+            } else {
+                world += random.nextLong(1000 * MILLI);
+            }
+        }
+
+        /** An entry admits a request and dispatches it at some instant before its deadline, by its own clock. */
+        private void admit() {
+            long deadline = world + random.nextLong(500 * MILLI, MAX_DEADLINE);
+            Request request = new Request("a" + requests.size(), life, clock(), deadline, random.nextInt(3) > 0);
+            requests.add(request);
+            if (random.nextInt(6) == 0) {
+                // Dispatched late: its order does not exist yet when others ask for it.
+                network.add(() -> dispatch(request));
+            } else {
+                dispatch(request);
+            }
+        }
+
+        private void dispatch(Request request) {
+            if (world >= request.deadline() || request.life() != life) {
+                return;
+            }
+            long reading = Math.max(1, clock() - random.nextLong(4000 * MILLI));
+            // The other VM's clock drifts by half of what is allowed, and did not stand still when the agent's did.
+            double drift = 1 + (random.nextDouble() - 0.5) / 100;
+            long estimate = reading + (long) ((clock() - reading) * drift);
+            StampedOrderMessage order = new StampedOrderMessage(
+                    new AttemptOrderMessage(
+                            request.id(),
+                            "r",
+                            "up",
+                            request.life(),
+                            "/",
+                            new byte[0],
+                            false,
+                            request.repeatable(),
+                            Priority.values()[random.nextInt(3)],
+                            0,
+                            1),
+                    estimate + request.deadline() - world + random.nextLong(2) * stalledLately(),
+                    reading);
+            expires.put(request.id(), order.expiresAtMicros());
+            Peer from = entry();
+            for (int copies = 1 + random.nextInt(3); copies > 0; copies--) {
+                network.add(() -> perform(table.onOrder(order, from, clock())));
+            }
+        }
+
+        private long stalledLately() {
+            return stalled == 0 ? 0 : random.nextLong(stalled);
+        }
+
+        private void deliver() {
+            if (!network.isEmpty()) {
+                network.remove(random.nextInt(network.size())).run();
+            }
+        }
+
+        private void endOne() {
+            if (running.isEmpty()) {
+                return;
+            }
+            List<String> ids = running.stream().sorted().toList();
+            end(ids.get(random.nextInt(ids.size())), random.nextInt(8) > 0);
+        }
+
+        private void end(String id, boolean answered) {
+            running.remove(id);
+            Verdict verdict = answered ? RanVerdict.SUCCESS : new MayHaveRunVerdict("reset");
+            byte[] body = answered ? body(id) : new byte[0];
+            AttemptOutcomeMessage outcome =
+                    new AttemptOutcomeMessage(id, verdict, 200, "", body, answered, 0, 0, 0, -1);
+            if (answered) {
+                endedAt.put(id, clock());
+            }
+            perform(table.onEnded(outcome, false, clock()));
+        }
+
+        private void query() {
+            if (requests.isEmpty()) {
+                return;
+            }
+            Request request = requests.get(random.nextInt(requests.size()));
+            Peer from = entry();
+            boolean knowsLife = random.nextInt(5) > 0;
+            OutcomeQueryMessage query = new OutcomeQueryMessage(
+                    request.id(),
+                    knowsLife ? request.life() : 0,
+                    random.nextBoolean() ? request.reading() : 0,
+                    !request.repeatable());
+            network.add(() -> {
+                unanswered.computeIfAbsent(request.id(), id -> new HashSet<>()).add(from);
+                perform(table.onQuery(query, from, clock()));
+                checkKept(request);
+            });
+        }
+
+        /** The answer of unrepeatable work must be there while nobody has acknowledged it and its time is not over. */
+        private void checkKept(Request request) {
+            Long ended = endedAt.get(request.id());
+            boolean due = ended != null
+                    && request.life() == life
+                    && !request.repeatable()
+                    && !acknowledged.contains(request.id())
+                    && clock() < ended + LIMITS.keepMicros();
+            if (due) {
+                List<AgentAction> again = table.onQuery(
+                        new OutcomeQueryMessage(request.id(), life, request.reading(), true), entries.get(0), clock());
+                AttemptOutcomeMessage kept = ((AgentAction.Send) again.get(0)).outcome();
+                assertThat(kept.body()).as(request.id()).isEqualTo(body(request.id()));
+                assertThat(kept.complete()).isTrue();
+            }
+        }
+
+        private void acknowledge() {
+            endedAt.keySet().stream()
+                    .sorted()
+                    .skip(random.nextInt(endedAt.size() + 1))
+                    .findFirst()
+                    .ifPresent(id -> {
+                        acknowledged.add(id);
+                        network.add(() -> table.onAcknowledge(id));
+                    });
+        }
+
+        private void cancel() {
+            if (!requests.isEmpty()) {
+                String id = requests.get(random.nextInt(requests.size())).id();
+                network.add(() -> perform(table.onCancel(id, clock())));
+            }
+        }
+
+        private void drainOrResume() {
+            Optional<String> reason = random.nextInt(3) == 0 ? Optional.of("draining") : Optional.empty();
+            perform(table.onRefusing(reason, clock()));
+        }
+
+        private void rare() {
+            int event = random.nextInt(8);
+            if (event == 0) {
+                restart();
+            } else if (event == 1) {
+                standStill(random.nextLong(5000 * MILLI));
+            } else if (event == 2) {
+                perform(table.onConfiguration(1 + random.nextInt(3), MAX_DEADLINE, clock()));
+            } else {
+                world += random.nextLong(15_000 * MILLI);
+            }
+        }
+
+        /** The agent's VM and its clock stand still while everything else goes on. */
+        private void standStill(long micros) {
+            world += micros;
+            stalled += micros;
+        }
+
+        private void restart() {
+            life++;
+            table = new AttemptTable("up", life, LIMITS);
+            running.clear();
+            endedAt.clear();
+            unanswered.clear();
+            stalled = 0;
+        }
+
+        private void perform(List<AgentAction> actions) {
+            for (AgentAction action : actions) {
+                if (action instanceof AgentAction.Start start) {
+                    String id = start.order().attemptId();
+                    assertThat(executions.merge(id, 1, Integer::sum))
+                            .as("runs of " + id)
+                            .isEqualTo(1);
+                    assertThat(reportedNotRun).as("runs after NOT_RUN").doesNotContain(id);
+                    running.add(id);
+                } else if (action instanceof AgentAction.Send send) {
+                    check(send);
+                } else if (action instanceof AgentAction.Abort abort) {
+                    checkAbort(abort.attemptId());
+                    end(abort.attemptId(), false);
+                }
+            }
+        }
+
+        private void check(AgentAction.Send send) {
+            verdicts++;
+            AttemptOutcomeMessage outcome = send.outcome();
+            String id = outcome.attemptId();
+            unanswered.getOrDefault(id, new HashSet<>()).remove(send.to());
+            if (outcome.verdict() instanceof NotRunVerdict) {
+                assertThat(executions).as("NOT_RUN after a run").doesNotContainKey(id);
+                reportedNotRun.add(id);
+            } else if (outcome.verdict() instanceof RanVerdict) {
+                assertThat(executions).containsKey(id);
+                if (outcome.complete()) {
+                    assertThat(outcome.body()).as("foreign answer").isEqualTo(body(id));
+                }
+            }
+        }
+
+        private void checkAbort(String id) {
+            Request request = requests.get(Integer.parseInt(id.substring(1)));
+            if (!request.repeatable()) {
+                assertThat(clock()).as("cut off").isGreaterThanOrEqualTo(expires.get(id) + LIMITS.lingerMicros());
+            }
+        }
+
+        private void checkBounds() {
+            assertThat(table.size()).isLessThanOrEqualTo(LIMITS.records());
+            assertThat(table.waiting()).isLessThanOrEqualTo(LIMITS.queue());
+            assertThat(table.keptBytes()).isLessThanOrEqualTo(KEPT_BYTES + MAX_BODY);
+            assertThat(table.running()).isEqualTo(running.size());
+        }
+
+        /** Lets everything arrive and end: whoever asked has been answered, and nothing is remembered for ever. */
+        private void settle() {
+            while (!network.isEmpty() || !running.isEmpty()) {
+                deliver();
+                List.copyOf(running).forEach(id -> end(id, true));
+                perform(table.onTick(clock()));
+            }
+            unanswered.forEach(
+                    (id, peers) -> assertThat(peers).as("asked for " + id).isEmpty());
+            world += 3_600_000 * MILLI;
+            perform(table.onTick(clock()));
+            assertThat(table.size()).isZero();
+            assertThat(table.keptBytes()).isZero();
+        }
+
+        private Peer entry() {
+            return entries.get(random.nextInt(entries.size()));
+        }
+
+        private long clock() {
+            return world - stalled;
+        }
+
+        private static byte[] body(String id) {
+            return (id + ";").repeat(MAX_BODY / (id.length() + 1)).getBytes();
+        }
+    }
+
+    private record Request(String id, long life, long reading, long deadline, boolean repeatable) {}
+}
