Bring about the faults of one agent over real sockets

Cause: nothing showed that an agent keeps its promises when a socket breaks at the worst moment.

AttemptRecords and ForgottenAttempts part from AttemptTable. Answers are handed over by DecisionRing.offerUntilTaken.

--- a/library/src/main/java/org/copperspindle/agent/AttemptRunner.java
+++ b/library/src/main/java/org/copperspindle/agent/AttemptRunner.java
@@ -14,8 +14,6 @@
  */
 final class AttemptRunner {
 
-    private static final long OFFER_AGAIN_MILLIS = 1;
-
     private final DecisionRing ring;
     private final TimerService timers;
     private final UpstreamClient client;
@@ -53,14 +51,7 @@
         UpstreamCall call = new UpstreamCall(
                 order.path(), order.body(), order.requestId(), order.attemptId(), order.repeatable(), maxResponse);
         ResponseRelay relay = new ResponseRelay(
-                order,
-                from,
-                refusalStatuses,
-                timers::nanoTime,
-                response -> handOver(() -> {
-                    aborts.remove(order.attemptId());
-                    ended.accept(response);
-                }));
+                order, from, refusalStatuses, timers::nanoTime, response -> handOver(order, response));
         aborts.put(order.attemptId(), client.call(call, relay));
     }
 
@@ -72,13 +63,15 @@
     }
 
     /**
-     * Hands a task to the ring from the network thread. Safeguard: waiting for a slot there would stop every other
-     * answer of this upstream while the ring is full; the task is kept and offered again instead. The tasks that can
-     * wait are bounded by the attempts that run.
+     * Safeguard: waiting for the ring on the network thread would stop every other answer of this upstream while the
+     * ring is full; the task is offered again instead. Those that wait are bounded by the attempts that run.
      */
-    private void handOver(Runnable task) {
-        if (!ring.offer(task)) {
-            client.later(() -> handOver(task), OFFER_AGAIN_MILLIS);
-        }
+    private void handOver(AttemptOrderMessage order, ResponseRelay.RelayedResponse response) {
+        ring.offerUntilTaken(
+                () -> {
+                    aborts.remove(order.attemptId());
+                    ended.accept(response);
+                },
+                client.scheduler());
     }
 }
--- a/library/src/main/java/org/copperspindle/agent/AttemptTable.java
+++ b/library/src/main/java/org/copperspindle/agent/AttemptTable.java
@@ -1,16 +1,9 @@
 package org.copperspindle.agent;
 
 import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.HashMap;
-import java.util.Iterator;
-import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.PriorityQueue;
-import java.util.Set;
 
 import org.copperspindle.verdict.MayHaveRunVerdict;
 import org.copperspindle.verdict.NotRunVerdict;
@@ -25,38 +18,24 @@
  * caller would see a doubled install. Enough, because an attempt enters the table before it runs and a refusal before it
  * is sent; because an order can only be accepted while this agent's own clock is before the instant that the order
  * names, so that a record is forgotten only when no copy can be accepted any more; and because a record that has to go
- * earlier raises {@link #floor}, below which every unknown order is refused.
+ * earlier leaves its mark in {@link ForgottenAttempts}.
  */
 final class AttemptTable {
 
     /** Allowed difference of two monotonic clocks' rates, as for leases. */
     private static final double CLOCK_DRIFT = 0.01;
 
-    /** Share of the records that refusals of attempts never seen may take: they can't be forgotten early. */
-    private static final int QUERY_SHARE = 4;
-
     private final String upstreamId;
     private final long incarnation;
     private final AgentLimits limits;
-    private final Map<String, AttemptRecord> records = new HashMap<>();
-    private final Set<AttemptRecord> evictable = new LinkedHashSet<>();
-    private final PriorityQueue<Due> dues = new PriorityQueue<>(Comparator.comparingLong(Due::at));
     private final AttemptQueue queue = new AttemptQueue();
+    private final ForgottenAttempts forgotten = new ForgottenAttempts();
     private final OutcomeStore outcomes;
+    private final AttemptRecords records;
     private Optional<String> refusing = Optional.empty();
     private int concurrency;
     private long maxDeadline;
     private int running;
-    private int refusedQueries;
-
-    /** Orders that lapse here or before are refused unless they are known: the latest lapse of an evicted record. */
-    private long floor;
-
-    /** Start of the latest repeatable attempt whose record is gone; what was sent by then can't be proven not run. */
-    private long forgottenRepeatable = -1;
-
-    /** The same for unrepeatable attempts, whose records are kept longer. */
-    private long forgottenUnrepeatable = -1;
 
     /**
      * Creates an empty table.
@@ -72,13 +51,14 @@
         this.concurrency = limits.concurrency();
         this.maxDeadline = limits.maxDeadlineMicros();
         this.outcomes = new OutcomeStore(limits.keptBytes(), limits.maxResponse());
+        this.records = new AttemptRecords(limits.records(), outcomes, forgotten);
     }
 
     /** An order arrived. */
     List<AgentAction> onOrder(StampedOrderMessage order, Peer from, long now) {
-        AttemptRecord known = records.get(order.attemptId());
-        if (known != null) {
-            return follow(known, from);
+        Optional<AttemptRecord> known = records.find(order.attemptId());
+        if (known.isPresent()) {
+            return follow(known.get(), from);
         }
         Optional<Verdict> stale = stale(order, now);
         if (stale.isPresent()) {
@@ -92,7 +72,7 @@
             return actions;
         }
         AttemptRecord record = AttemptRecord.waiting(order, from, lapse(order));
-        put(record);
+        records.put(record);
         queue.add(record);
         startWaiting(now, actions);
         return actions;
@@ -100,9 +80,9 @@
 
     /** Another connection asks for an outcome. */
     List<AgentAction> onQuery(OutcomeQueryMessage query, Peer from, long now) {
-        AttemptRecord known = records.get(query.attemptId());
-        if (known != null) {
-            return follow(known, from);
+        Optional<AttemptRecord> known = records.find(query.attemptId());
+        if (known.isPresent()) {
+            return follow(known.get(), from);
         }
         AttemptOutcomeMessage outcome =
                 AttemptOutcomeMessage.withoutAnswer(query.attemptId(), neverArrived(query, now));
@@ -111,28 +91,29 @@
             // attempt, so the reading that its order is stamped with is at most its deadline away, and the order is
             // accepted at most the greatest age of a reading later.
             long lapse = now + longestDeadline() + limits.maxClockAgeMicros();
-            put(AttemptRecord.refused(query.attemptId(), outcome, lapse));
-            refusedQueries++;
+            records.putForGood(AttemptRecord.refused(query.attemptId(), outcome, lapse));
         }
         return List.of(new AgentAction.Send(from, outcome));
     }
 
     /** The entry has the outcome. */
     void onAcknowledge(String attemptId) {
-        AttemptRecord record = records.get(attemptId);
-        if (record != null && record.state() == AttemptRecord.State.ENDED) {
-            outcomes.acknowledge(record);
-            evictable.add(record);
-        }
+        records.find(attemptId)
+                .filter(record -> record.state() == AttemptRecord.State.ENDED)
+                .ifPresent(record -> {
+                    outcomes.acknowledge(record);
+                    records.mayEvict(record);
+                });
     }
 
     /** Nobody waits for the attempt any more. Work that may not be repeated goes on once it has started. */
     List<AgentAction> onCancel(String attemptId, long now) {
-        AttemptRecord record = records.get(attemptId);
-        if (record == null) {
+        Optional<AttemptRecord> known = records.find(attemptId);
+        if (known.isEmpty()) {
             return List.of();
         }
         List<AgentAction> actions = new ArrayList<>();
+        AttemptRecord record = known.get();
         if (record.state() == AttemptRecord.State.WAITING) {
             refuseWaiting(record, "cancelled", actions);
         } else if (record.state() == AttemptRecord.State.RUNNING && record.repeatable() && !record.aborted()) {
@@ -143,10 +124,11 @@
 
     /** The call to the upstream ended. A second end of the same attempt changes nothing. */
     List<AgentAction> onEnded(AttemptOutcomeMessage outcome, boolean allPassedOn, long now) {
-        AttemptRecord record = records.get(outcome.attemptId());
-        if (record == null || record.state() != AttemptRecord.State.RUNNING) {
+        Optional<AttemptRecord> known = records.find(outcome.attemptId());
+        if (known.filter(r -> r.state() == AttemptRecord.State.RUNNING).isEmpty()) {
             return List.of();
         }
+        AttemptRecord record = known.get();
         List<AgentAction> actions = new ArrayList<>();
         for (Peer peer : record.subscribers()) {
             boolean hasPieces = allPassedOn && peer == record.orderedBy();
@@ -161,9 +143,9 @@
         record.end(outcome, forgetAt);
         outcomes.add(record);
         if (!record.irreplaceable()) {
-            evictable.add(record);
+            records.mayEvict(record);
         }
-        due(record);
+        records.due(record);
         startWaiting(now, actions);
         return actions;
     }
@@ -171,12 +153,8 @@
     /** Time passed: ends what is past its deadline and forgets what can't matter any more. */
     List<AgentAction> onTick(long now) {
         List<AgentAction> actions = new ArrayList<>();
-        while (!dues.isEmpty() && dues.peek().at() <= now) {
-            Due due = dues.poll();
-            AttemptRecord record = records.get(due.attemptId());
-            if (record != null && record.dueAt() == due.at()) {
-                fallDue(record, now, actions);
-            }
+        for (Optional<AttemptRecord> due = records.pollDue(now); due.isPresent(); due = records.pollDue(now)) {
+            fallDue(due.get(), actions);
         }
         startWaiting(now, actions);
         return actions;
@@ -207,9 +185,7 @@
     }
 
     OptionalLong nextDue() {
-        return dues.isEmpty()
-                ? OptionalLong.empty()
-                : OptionalLong.of(dues.peek().at());
+        return records.nextDue();
     }
 
     int running() {
@@ -255,11 +231,12 @@
             reason = Optional.of("deadline");
         } else if (now >= lapse(order)) {
             reason = Optional.of("delayed");
-        } else if (lapse(order) <= floor) {
+        } else if (forgotten.belowFloor(lapse(order))) {
             reason = Optional.of("table-full");
         }
         // An earlier copy may have run and been forgotten: refusing this one does not prove that none ran.
-        boolean provable = order.clockMicros() > forgotten(!order.order().repeatable());
+        boolean provable =
+                forgotten.neverRan(order.clockMicros(), !order.order().repeatable());
         return reason.map(r -> provable ? new NotRunVerdict(r) : new MayHaveRunVerdict(r));
     }
 
@@ -279,7 +256,7 @@
         if (order.expiresAtMicros() > now + longestDeadline()) {
             return Optional.of("deadline-too-far");
         }
-        if (!makeRoom()) {
+        if (!records.makeRoom()) {
             return Optional.of("table-full");
         }
         boolean mustWait = running >= concurrency;
@@ -300,12 +277,12 @@
     private AgentAction refuse(StampedOrderMessage order, Peer from, String reason, long now) {
         AttemptOutcomeMessage outcome =
                 AttemptOutcomeMessage.withoutAnswer(order.attemptId(), new NotRunVerdict(reason));
-        if (makeRoom()) {
+        if (records.makeRoom()) {
             AttemptRecord record = AttemptRecord.refused(order.attemptId(), outcome, lapse(order));
-            put(record);
-            evictable.add(record);
+            records.put(record);
+            records.mayEvict(record);
         } else {
-            floor = Math.max(floor, lapse(order));
+            forgotten.raiseFloor(lapse(order));
         }
         return new AgentAction.Send(from, outcome);
     }
@@ -319,24 +296,22 @@
                 AttemptOutcomeMessage.withoutAnswer(record.attemptId(), new NotRunVerdict(reason));
         record.subscribers().forEach(peer -> actions.add(new AgentAction.Send(peer, outcome)));
         record.refuse(outcome);
-        evictable.add(record);
-        due(record);
+        records.mayEvict(record);
+        records.due(record);
     }
 
     private Verdict neverArrived(OutcomeQueryMessage query, long now) {
         if (query.agentIncarnation() != incarnation) {
             return new MayHaveRunVerdict(query.agentIncarnation() == 0 ? "incarnation-unknown" : "agent-restarted");
         }
-        long forgotten =
-                query.unrepeatable() ? forgottenUnrepeatable : Math.max(forgottenRepeatable, forgottenUnrepeatable);
-        if (query.clockMicros() <= forgotten) {
+        if (!forgotten.neverRan(query.clockMicros(), query.unrepeatable())) {
             // An attempt dispatched at this reading may have run and been forgotten.
             return new MayHaveRunVerdict("outcome-forgotten");
         }
         if (query.clockMicros() > now) {
             return new MayHaveRunVerdict("clock-unknown");
         }
-        if (refusedQueries >= limits.records() / QUERY_SHARE || !makeRoom()) {
+        if (!records.makeRoomForGood()) {
             return new MayHaveRunVerdict("table-full");
         }
         return new NotRunVerdict("never-arrived");
@@ -364,7 +339,7 @@
             running++;
             actions.add(record.start(now));
             record.dueAt(cutAt(record));
-            due(record);
+            records.due(record);
         }
     }
 
@@ -373,11 +348,11 @@
         return record.repeatable() ? record.expiresAt() : record.expiresAt() + limits.lingerMicros();
     }
 
-    private void fallDue(AttemptRecord record, long now, List<AgentAction> actions) {
+    private void fallDue(AttemptRecord record, List<AgentAction> actions) {
         switch (record.state()) {
             case WAITING -> refuseWaiting(record, "deadline", actions);
             case RUNNING -> abort(record, "deadline", actions);
-            default -> forget(record, now);
+            default -> records.forget(record);
         }
     }
 
@@ -385,55 +360,4 @@
         record.abort();
         actions.add(new AgentAction.Abort(record.attemptId(), reason));
     }
-
-    /** Frees a record if none is free. */
-    private boolean makeRoom() {
-        if (records.size() < limits.records()) {
-            return true;
-        }
-        Iterator<AttemptRecord> oldest = evictable.iterator();
-        if (!oldest.hasNext()) {
-            return false;
-        }
-        AttemptRecord record = oldest.next();
-        floor = Math.max(floor, record.lapsesAt());
-        forget(record, Long.MAX_VALUE);
-        return true;
-    }
-
-    private void forget(AttemptRecord record, long now) {
-        records.remove(record.attemptId());
-        boolean order = evictable.remove(record);
-        if (record.state() == AttemptRecord.State.ENDED) {
-            outcomes.remove(record);
-            noteForgotten(record);
-        } else if (!order) {
-            refusedQueries--;
-        }
-    }
-
-    private long forgotten(boolean unrepeatable) {
-        return unrepeatable ? forgottenUnrepeatable : Math.max(forgottenRepeatable, forgottenUnrepeatable);
-    }
-
-    private void noteForgotten(AttemptRecord record) {
-        if (record.repeatable()) {
-            forgottenRepeatable = Math.max(forgottenRepeatable, record.startedAt());
-        } else {
-            forgottenUnrepeatable = Math.max(forgottenUnrepeatable, record.startedAt());
-        }
-    }
-
-    private void put(AttemptRecord record) {
-        records.put(record.attemptId(), record);
-        due(record);
-    }
-
-    private void due(AttemptRecord record) {
-        if (record.dueAt() < Long.MAX_VALUE) {
-            dues.add(new Due(record.dueAt(), record.attemptId()));
-        }
-    }
-
-    private record Due(long at, String attemptId) {}
 }
--- a/library/src/main/java/org/copperspindle/agent/UpstreamClient.java
+++ b/library/src/main/java/org/copperspindle/agent/UpstreamClient.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -24,6 +25,7 @@
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.DefaultThreadFactory;
 
 /**
  * HTTP client of an agent towards its one upstream, with one network thread. Repeatable calls share a bounded number of
@@ -40,7 +42,8 @@
 
     private final InetSocketAddress address;
     private final int maxIdle;
-    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(
+            1, new DefaultThreadFactory("upstream-client", true), NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
     private final Deque<UpstreamConnection> idle = new ArrayDeque<>();
     private final Owner owner = new Owner();
@@ -83,13 +86,12 @@
     }
 
     /**
-     * Runs a task on the network thread a little later, for work that could not be handed over.
+     * Returns the network thread, for tasks that wait for the ring.
      *
-     * @param task   the task
-     * @param millis how much later
+     * @return its event loop
      */
-    void later(Runnable task, long millis) {
-        loop.schedule(task, millis, TimeUnit.MILLISECONDS);
+    ScheduledExecutorService scheduler() {
+        return loop;
     }
 
     @Override
--- a/library/src/main/java/org/copperspindle/agent/UpstreamProbe.java
+++ b/library/src/main/java/org/copperspindle/agent/UpstreamProbe.java
@@ -18,7 +18,6 @@
     private static final int LEAVING_STATUS = 503;
     private static final int MAX_RESPONSE = 64 << 10;
     private static final int TIMEOUT_INTERVALS = 3;
-    private static final long OFFER_AGAIN_MILLIS = 1;
 
     private final DecisionRing ring;
     private final TimerService timers;
@@ -76,9 +75,7 @@
 
     /** Hands over what a probe showed; called on the network thread, which never waits for the ring. */
     private void report(ProbeResult seen) {
-        if (!ring.offer(() -> take(seen))) {
-            client.later(() -> report(seen), OFFER_AGAIN_MILLIS);
-        }
+        ring.offerUntilTaken(() -> take(seen), client.scheduler());
     }
 
     private void take(ProbeResult seen) {
--- a/library/src/test/java/org/copperspindle/agent/AttemptTableScheduleTest.java
+++ b/library/src/test/java/org/copperspindle/agent/AttemptTableScheduleTest.java
@@ -34,17 +34,8 @@
     private static final long MAX_DEADLINE = 10_000 * MILLI;
     private static final int KEPT_BYTES = 400;
     private static final int MAX_BODY = 100;
-    private static final AgentLimits LIMITS = new AgentLimits(
-            2,
-            3,
-            24,
-            KEPT_BYTES,
-            MAX_BODY,
-            Duration.ofSeconds(10),
-            Duration.ofSeconds(3),
-            Duration.ofSeconds(20),
-            Duration.ofSeconds(2),
-            Duration.ZERO);
+    private static final Duration KEEP = Duration.ofSeconds(20);
+    private static final Duration LINGER = Duration.ofSeconds(2);
 
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4, 5})
@@ -62,6 +53,7 @@
     /** Entries, network, upstream and ledger around one table. */
     private static final class World {
         private final SplittableRandom random;
+        private final AgentLimits limits;
         private final List<Peer> entries = List.of(new RecordingPeer(), new RecordingPeer(), new RecordingPeer());
         private final List<Request> requests = new ArrayList<>();
         private final List<Runnable> network = new ArrayList<>();
@@ -75,11 +67,23 @@
         private long life = 1;
         private long world = MILLI;
         private long stalled;
-        private AttemptTable table = new AttemptTable("up", life, LIMITS);
+        private AttemptTable table;
         private int verdicts;
 
         private World(SplittableRandom random) {
             this.random = random;
+            this.limits = new AgentLimits(
+                    2,
+                    3,
+                    random.nextInt(6, 24),
+                    KEPT_BYTES,
+                    MAX_BODY,
+                    Duration.ofSeconds(10),
+                    Duration.ofSeconds(3),
+                    KEEP,
+                    LINGER,
+                    Duration.ZERO);
+            this.table = new AttemptTable("up", life, limits);
         }
 
         private void run() {
@@ -92,7 +96,7 @@
         }
 
         private void step() {
-            world += random.nextLong(200 * MILLI);
+            world += random.nextLong(60 * MILLI);
             int event = random.nextInt(16);
             if (event < 3) {
                 admit();
@@ -163,8 +167,10 @@
         }
 
         private void deliver() {
-            if (!network.isEmpty()) {
-                network.remove(random.nextInt(network.size())).run();
+            for (int i = 0; i < 3 && !network.isEmpty(); i++) {
+                // Mostly what was sent lately, now and then something that has been under way for long.
+                int recent = random.nextInt(8) == 0 ? network.size() : Math.min(12, network.size());
+                network.remove(network.size() - 1 - random.nextInt(recent)).run();
             }
         }
 
@@ -214,7 +220,7 @@
                     && request.life() == life
                     && !request.repeatable()
                     && !acknowledged.contains(request.id())
-                    && clock() < ended + LIMITS.keepMicros();
+                    && clock() < ended + limits.keepMicros();
             if (due) {
                 List<AgentAction> again = table.onQuery(
                         new OutcomeQueryMessage(request.id(), life, request.reading(), true), entries.get(0), clock());
@@ -268,7 +274,7 @@
 
         private void restart() {
             life++;
-            table = new AttemptTable("up", life, LIMITS);
+            table = new AttemptTable("up", life, limits);
             running.clear();
             endedAt.clear();
             unanswered.clear();
@@ -312,13 +318,13 @@
         private void checkAbort(String id) {
             Request request = requests.get(Integer.parseInt(id.substring(1)));
             if (!request.repeatable()) {
-                assertThat(clock()).as("cut off").isGreaterThanOrEqualTo(expires.get(id) + LIMITS.lingerMicros());
+                assertThat(clock()).as("cut off").isGreaterThanOrEqualTo(expires.get(id) + limits.lingerMicros());
             }
         }
 
         private void checkBounds() {
-            assertThat(table.size()).isLessThanOrEqualTo(LIMITS.records());
-            assertThat(table.waiting()).isLessThanOrEqualTo(LIMITS.queue());
+            assertThat(table.size()).isLessThanOrEqualTo(limits.records());
+            assertThat(table.waiting()).isLessThanOrEqualTo(limits.queue());
             assertThat(table.keptBytes()).isLessThanOrEqualTo(KEPT_BYTES + MAX_BODY);
             assertThat(table.running()).isEqualTo(running.size());
         }
--- a/library/src/test/java/org/copperspindle/agent/AttemptTableTest.java
+++ b/library/src/test/java/org/copperspindle/agent/AttemptTableTest.java
@@ -70,6 +70,32 @@
         assertThat(verdict()).isEqualTo(new NotRunVerdict("delayed"));
     }
 
+    /**
+     * An order is stamped at the end of its request's deadline, after its attempt was reported NOT_RUN, and names an end
+     * too far away because the agent's VM had stood still. Its refusal must be remembered for the age of a reading more.
+     */
+    @Test
+    void refusalOutlivesAnOrderStampedWhileTheAgentStoodStill() {
+        query("a", LIFE, 1, 2);
+        tick(14);
+
+        order("a", false, 12, 22, 14);
+
+        assertThat(verdict()).isEqualTo(new NotRunVerdict("never-arrived"));
+    }
+
+    @Test
+    void entrySendsNoOrderAfterItsDeadlineOrToAnotherLife() {
+        AgentClock clock = AgentClock.of(new LoadReportMessage("gallery-1", 1, 0, -1, LIFE, 50, 0, -1, false), 1000);
+        AttemptOrderMessage order = new AttemptOrderMessage(
+                "a", "r", "gallery-1", LIFE, "/", new byte[0], false, false, Priority.BATCH, 10, 1);
+
+        assertThat(clock.stamp(order, 5000, 14_000)).hasValue(new StampedOrderMessage(order, 64, 50));
+        assertThat(clock.stamp(order, 5000, 15_000)).isEmpty();
+        AgentClock other = AgentClock.of(new LoadReportMessage("gallery-1", 1, 0, -1, LIFE + 1, 50, 0, -1, false), 0);
+        assertThat(other.stamp(order, 5000, 6000)).isEmpty();
+    }
+
     @Test
     void doubledOrderRunsNothingAndGetsTheOutcome() {
         order("a", false, 1, 9, 2);
--- /dev/null
+++ b/library/src/test/java/org/copperspindle/agent/UpstreamClientTest.java
@@ -0,0 +1,171 @@
+package org.copperspindle.agent;
+
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Answers of upstreams over real sockets: only what is provably whole and one's own counts. */
+class UpstreamClientTest {
+
+    private static final String WHOLE = SocketUpstream.whole("one");
+
+    /**
+     * The upstream runs the call and then breaks its answer, each time in another way. A caller must never see the
+     * pieces as an answer, and must not be told that nothing ran.
+     */
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "truncated body            | HTTP/1.1 200 OK~Content-Length: 9~~half",
+                "nothing at all            | ''",
+                "half a head               | HTTP/1.1 200 OK~Content-Le",
+                "stream without its end    | HTTP/1.1 200 OK~Transfer-Encoding: chunked~~4~half~",
+                "half a chunk              | HTTP/1.1 200 OK~Transfer-Encoding: chunked~~9~half",
+                "no declared end           | HTTP/1.1 200 OK~~half",
+                "not HTTP                  | garbage~~",
+                "two lengths               | HTTP/1.1 200 OK~Content-Length: 4~Content-Length: 9~~half",
+                "chunk of no size          | HTTP/1.1 200 OK~Transfer-Encoding: chunked~~zz~half~0~~",
+                "another request's answer  | HTTP/1.1 200 OK~X-Request-Id: other~Content-Length: 4~~half",
+                "only a provisional answer | HTTP/1.1 100 Continue~~",
+                "larger than allowed       | HTTP/1.1 200 OK~Content-Length: 17~~seventeen letters"
+            })
+    void brokenAnswerIsNoAnswer(String fault, String bytes) throws Exception {
+        try (SocketUpstream upstream = new SocketUpstream((socket, request, call) -> {
+                    SocketUpstream.send(socket, bytes.replace("~", "\r\n"));
+                    socket.close();
+                });
+                UpstreamClient client = new UpstreamClient(upstream.address(), 4)) {
+            assertThat(call(client, "a", false)).as(fault).startsWith("lost sent=true");
+            assertThat(upstream.ledger().count("a")).isEqualTo(1);
+        }
+    }
+
+    @Test
+    void resetBetweenRequestAndAnswerMayHaveRun() throws Exception {
+        try (SocketUpstream upstream = new SocketUpstream((socket, request, call) -> SocketUpstream.reset(socket));
+                UpstreamClient client = new UpstreamClient(upstream.address(), 4)) {
+            assertThat(call(client, "a", false)).startsWith("lost sent=true");
+            assertThat(upstream.ledger().count("a")).isEqualTo(1);
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "HTTP/1.1 200 OK~Content-Length: 3~~one",
+                "HTTP/1.1 200 OK~Transfer-Encoding: chunked~~1~o~2~ne~0~~",
+                "HTTP/1.1 100 Continue~~HTTP/1.1 200 OK~Content-Length: 3~~one"
+            })
+    void wholeAnswerIsTaken(String bytes) throws Exception {
+        try (SocketUpstream upstream = new SocketUpstream(
+                        (socket, request, call) -> SocketUpstream.send(socket, bytes.replace("~", "\r\n")));
+                UpstreamClient client = new UpstreamClient(upstream.address(), 4)) {
+            assertThat(call(client, "a", false)).isEqualTo("one");
+        }
+    }
+
+    /**
+     * The upstream sends its first answer twice on a connection that is kept. The second copy must not become the
+     * answer to the next call, which is another caller's.
+     */
+    @Test
+    void doubledAnswerIsNotTakenForTheNext() throws Exception {
+        try (SocketUpstream upstream = new SocketUpstream((socket, request, call) -> {
+                    String own = SocketUpstream.whole(request.get("idempotency-key"));
+                    SocketUpstream.send(socket, request.get("idempotency-key").equals("a") ? own + own : own);
+                });
+                UpstreamClient client = new UpstreamClient(upstream.address(), 4)) {
+            assertThat(call(client, "a", true)).isEqualTo("a");
+            assertThat(call(client, "b", true)).isEqualTo("b");
+            assertThat(upstream.connections()).isEqualTo(2);
+        }
+    }
+
+    @Test
+    void repeatableCallsShareAConnectionAndOthersDoNot() throws Exception {
+        try (SocketUpstream upstream =
+                        new SocketUpstream((socket, request, call) -> SocketUpstream.send(socket, WHOLE));
+                UpstreamClient client = new UpstreamClient(upstream.address(), 4)) {
+            call(client, "a", true);
+            call(client, "b", true);
+            assertThat(upstream.connections()).isEqualTo(1);
+            call(client, "install", false);
+            assertThat(upstream.connections()).isEqualTo(2);
+        }
+    }
+
+    /**
+     * The upstream closes a kept connection just as the next call is written to it. A repeatable call goes out again on
+     * a new connection; an unrepeatable one never was on the kept one, so it runs once.
+     */
+    @ParameterizedTest
+    @CsvSource({"true", "false"})
+    void callSurvivesAKeptConnectionThatCloses(boolean repeatable) throws Exception {
+        try (SocketUpstream upstream = new SocketUpstream((socket, request, call) -> {
+                    if (call > 0) {
+                        SocketUpstream.reset(socket);
+                    } else {
+                        SocketUpstream.send(socket, WHOLE);
+                    }
+                });
+                UpstreamClient client = new UpstreamClient(upstream.address(), 4)) {
+            call(client, "a", true);
+            assertThat(call(client, "b", repeatable)).isEqualTo("one");
+            assertThat(upstream.ledger().count("b")).isEqualTo(repeatable ? 2 : 1);
+        }
+    }
+
+    @Test
+    void unreachableUpstreamDidNotRunAnything() throws Exception {
+        SocketUpstream gone = new SocketUpstream((socket, request, call) -> {});
+        gone.close();
+        try (UpstreamClient client = new UpstreamClient(gone.address(), 4)) {
+            assertThat(call(client, "a", false)).isEqualTo("lost sent=false connect-failed");
+        }
+    }
+
+    private static String call(UpstreamClient client, String id, boolean repeatable) throws InterruptedException {
+        Heard heard = new Heard();
+        client.call(new UpstreamCall("/", new byte[] {'{', '}'}, "r-" + id, id, repeatable, 16), heard);
+        return heard.ends.poll(20, TimeUnit.SECONDS);
+    }
+
+    /** Keeps how the call ended. */
+    private static final class Heard implements UpstreamResponseListener {
+        private final BlockingQueue<String> ends = new LinkedBlockingQueue<>();
+        private final StringBuffer body = new StringBuffer();
+
+        @Override
+        public void onHead(UpstreamHead head) {
+            // only the end counts
+        }
+
+        @Override
+        public void onData(byte[] data) {
+            body.append(new String(data));
+        }
+
+        @Override
+        public boolean wantsMore() {
+            return true;
+        }
+
+        @Override
+        public void onEnd() {
+            ends.add(body.toString());
+        }
+
+        @Override
+        public void onFailure(boolean sent, String reason) {
+            ends.add("lost sent=" + sent + " " + reason);
+        }
+    }
+}
