--- a/library/src/main/java/org/copperspindle/agent/AttemptTable.java
+++ b/library/src/main/java/org/copperspindle/agent/AttemptTable.java
@@ -26,7 +26,7 @@
     private static final double CLOCK_DRIFT = 0.01;
 
     private final String upstreamId;
-    private final long incarnation;
+    private long incarnation;
     private final AgentLimits limits;
     private final AttemptQueue queue = new AttemptQueue();
     private final ForgottenAttempts forgotten = new ForgottenAttempts();
@@ -54,6 +54,16 @@
         this.records = new AttemptRecords(limits.records(), outcomes, forgotten);
     }
 
+    /**
+     * Takes a larger incarnation, because the clock that numbers lives was set back. Called before the first lease, so
+     * that no entry knows this life yet and no order of it has come.
+     *
+     * @param larger the incarnation to go on under
+     */
+    void onIncarnation(long larger) {
+        incarnation = larger;
+    }
+
     /** An order arrived. */
     List<AgentAction> onOrder(StampedOrderMessage order, Peer from, long now) {
         Optional<AttemptRecord> known = records.find(order.attemptId());
--- a/library/src/main/java/org/copperspindle/control/ClaimPart.java
+++ b/library/src/main/java/org/copperspindle/control/ClaimPart.java
@@ -33,8 +33,8 @@
     @Override
     public ControlResult apply(long index, WireMessage command) throws MalformedFrameException {
         if (command instanceof ClaimCommand claim) {
-            ClaimTable.Decision decision = table.claim(ClaimRequestMessage.CODEC.decode(claim.claim()));
-            return new ControlResult.Claimed(decision.result(), decision.attemptId(), decision.upstreamId());
+            return new ControlResult.Claimed(
+                    table.claim(ClaimRequestMessage.CODEC.decode(claim.claim()), claim.atMillis()));
         }
         if (command instanceof SettleCommand settle) {
             table.settle(ClaimSettleMessage.CODEC.decode(settle.settle()));
--- a/library/src/main/java/org/copperspindle/daemon/MessageCatalog.java
+++ b/library/src/main/java/org/copperspindle/daemon/MessageCatalog.java
@@ -14,6 +14,8 @@
 import org.copperspindle.claims.ClaimReplyMessage;
 import org.copperspindle.claims.ClaimRequestMessage;
 import org.copperspindle.claims.ClaimSettleMessage;
+import org.copperspindle.claims.ClaimSettledMessage;
+import org.copperspindle.consensus.ConsensusLog;
 import org.copperspindle.control.NotLeaderMessage;
 import org.copperspindle.membership.ControlUpdateMessage;
 import org.copperspindle.membership.LeaseGrantMessage;
@@ -37,6 +39,7 @@
             ClaimRequestMessage.CODEC,
             ClaimReplyMessage.CODEC,
             ClaimSettleMessage.CODEC,
+            ClaimSettledMessage.CODEC,
             AttemptOrderMessage.CODEC,
             AttemptCancelMessage.CODEC,
             AttemptChunkMessage.CODEC,
@@ -57,6 +60,7 @@
     public static MessageRegistry registry() {
         MessageRegistry registry = WireTransport.registry();
         CODECS.forEach(registry::register);
+        ConsensusLog.codecs().forEach(registry::register);
         return registry;
     }
 }
