--- a/benchmarks/src/main/java/org/copperspindle/benchmarks/AgentCost.java
+++ b/benchmarks/src/main/java/org/copperspindle/benchmarks/AgentCost.java
@@ -125,7 +125,7 @@
     private static final class Bench implements PeerListener, AutoCloseable {
         private final StandInUpstream upstream = new StandInUpstream();
         private final DecisionRing ring = new DecisionRing("agent-ring", DecisionRing.DEFAULT_SLOTS);
-        private final SystemTimerService timers = new SystemTimerService(ring);
+        private final SystemTimerService timers = new SystemTimerService("timer-agent", ring);
         private final WireTransport agentSide = transport("agent");
         private final WireTransport entrySide = transport("entry");
         private final AgentService agent;
--- a/library/src/test/java/org/copperspindle/agent/AgentFixture.java
+++ b/library/src/test/java/org/copperspindle/agent/AgentFixture.java
@@ -52,7 +52,7 @@
     AgentFixture(SocketUpstream upstream, long incarnation, AgentLimits limits, String healthPath) {
         this.incarnation = incarnation;
         ring = new DecisionRing("agent-test", 4);
-        timers = new SystemTimerService(ring);
+        timers = new SystemTimerService("timer-agent-test", ring);
         transport = transport("agent");
         AgentSettings settings = new AgentSettings(
                 "up-1",
--- a/library/src/test/java/org/copperspindle/entry/SimulatedConnection.java
+++ b/library/src/test/java/org/copperspindle/entry/SimulatedConnection.java
@@ -49,7 +49,10 @@
             return;
         }
         Optional<? extends WireMessage> stamped = message instanceof AttemptOrderMessage order
-                ? clock.stamp(order, deployment.timers().nanoTime())
+                ? clock.stamp(
+                        order,
+                        deployment.timers().nanoTime(),
+                        deployment.timers().nanoTime())
                 : Optional.of(message);
         if (stamped.isEmpty()) {
             deployment.timers().schedule(0, () -> entry.notSent(message));
