--- a/library/src/main/java/org/copperspindle/settings/SettingsFile.java
+++ b/library/src/main/java/org/copperspindle/settings/SettingsFile.java
@@ -106,6 +106,17 @@
                 .toList();
     }
 
+    /**
+     * Returns every value as written, for comparing two files.
+     *
+     * @return values by key, by section, in the order of the file
+     */
+    public Map<String, Map<String, String>> values() {
+        Map<String, Map<String, String>> all = new LinkedHashMap<>();
+        sections.forEach((section, content) -> all.put(section, content.values()));
+        return all;
+    }
+
     /**
      * Reports sections of unknown kind and throws if any fault was found.
      *
--- a/library/src/main/java/org/copperspindle/settings/SettingsSection.java
+++ b/library/src/main/java/org/copperspindle/settings/SettingsSection.java
@@ -242,6 +242,15 @@
                 .toList();
     }
 
+    /**
+     * Returns every value as written.
+     *
+     * @return values by key
+     */
+    Map<String, String> values() {
+        return values;
+    }
+
     private <T> T read(String key, String expected, Optional<T> fallback, T none, Function<String, T> parser) {
         asked.add(key);
         String text = values.get(key);
--- a/tools/src/main/java/org/copperspindle/cli/Copperspindle.java
+++ b/tools/src/main/java/org/copperspindle/cli/Copperspindle.java
@@ -17,7 +17,8 @@
  */
 public final class Copperspindle {
 
-    private static final List<Command> COMMANDS = List.of(new RunCommand(), new ApplyCommand(), new EmulateCommand());
+    private static final List<Command> COMMANDS =
+            List.of(new RunCommand(), new ApplyCommand(), new AuditCommand(), new EmulateCommand());
     private static final String COMMAND_KEY = "command";
 
     private Copperspindle() {}
--- /dev/null
+++ b/tools/src/test/java/org/copperspindle/cli/AuditCommandTest.java
@@ -0,0 +1,94 @@
+package org.copperspindle.cli;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Stream;
+
+import org.copperspindle.audit.AuditEntryFactory;
+import org.copperspindle.audit.AuditStore;
+import org.copperspindle.audit.AuditTrail;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * The command over a folder of trail files.
+ */
+class AuditCommandTest {
+
+    @TempDir
+    private Path folder;
+
+    @BeforeEach
+    void writeTrail() throws Exception {
+        try (AuditStore store = new AuditStore(folder)) {
+            AuditTrail trail = new AuditTrail(store);
+            trail.append(1, 1, AuditEntryFactory.change("ann", "c1", 0, 1, "", "[deployment]\nname = a\n", 1000));
+            trail.append(2, 1, AuditEntryFactory.inForce("control-1", "c1", 1, 2000, List.of("north members=2")));
+            trail.append(3, 1, AuditEntryFactory.change("ben", "c2", 1, 2, "", "[deployment]\nname = b\n", 3000));
+            trail.append(4, 1, AuditEntryFactory.order("engine-1", "engine-1/1", 2, 4000, "load-model llm-1"));
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "--operator, ann, 1",
+        "--change-id, c1, 2",
+        "--kind, order, 1",
+        "--kind, in-force, 1",
+        "--from-version, 2, 2",
+        "--to-version, 1, 2",
+        "--since, 1970-01-01T00:00:02Z, 3",
+        "--until, 1970-01-01T00:00:02Z, 2"
+    })
+    void filtersChooseRecords(String filter, String value, int expected) {
+        List<String> lines = run(ExitCode.SUCCESS, filter, value, "--format", "json");
+
+        assertThat(lines).hasSize(expected + 1);
+        assertThat(lines.get(expected)).contains("\"chain\":\"intact\"").contains("\"checked\":4");
+    }
+
+    /**
+     * A byte of the second record is changed on the disk. The command fails and names the record, the file and the
+     * place, even though the filter asks for other records.
+     */
+    @Test
+    void changedByteFailsTheCommand() throws Exception {
+        Path file;
+        try (Stream<Path> files = Files.list(folder)) {
+            file = files.findFirst().orElseThrow();
+        }
+        byte[] bytes = Files.readAllBytes(file);
+        int at = new String(bytes, StandardCharsets.ISO_8859_1).indexOf("north");
+        bytes[at] = 'N';
+        Files.write(file, bytes);
+
+        List<String> lines = run(ExitCode.FAILED, "--operator", "ann");
+
+        assertThat(lines).anyMatch(l -> l.startsWith("changed record=2 file=" + file.getFileName() + " offset="));
+        assertThat(lines.get(lines.size() - 1)).startsWith("chain=changed");
+    }
+
+    private List<String> run(ExitCode expected, String... arguments) {
+        List<String> all = new ArrayList<>(List.of("audit", "--folder", folder.toString()));
+        all.addAll(List.of(arguments));
+        PrintStream original = System.out;
+        ByteArrayOutputStream captured = new ByteArrayOutputStream();
+        System.setOut(new PrintStream(captured, true, StandardCharsets.UTF_8));
+        try {
+            assertThat(Copperspindle.run(all.toArray(new String[0]))).isEqualTo(expected);
+        } finally {
+            System.setOut(original);
+        }
+        return captured.toString(StandardCharsets.UTF_8).lines().toList();
+    }
+}
