--- a/library/src/main/java/org/copperspindle/audit/AuditWriter.java
+++ b/library/src/main/java/org/copperspindle/audit/AuditWriter.java
@@ -38,8 +38,8 @@
         this.maxFileBytes = maxFileBytes;
         Files.createDirectories(folder);
         List<Path> existing = files.files();
-        if (!existing.isEmpty()) {
-            recover(existing.get(existing.size() - 1));
+        for (int i = existing.size() - 1; i >= 0 && channel == null; i--) {
+            recover(existing.get(i));
         }
     }
 
@@ -99,6 +99,10 @@
             Files.copy(last, last.resolveSibling(last.getFileName() + ".damaged"), StandardCopyOption.REPLACE_EXISTING);
             AuditFolder.cut(last, length);
         }
+        if (length == 0) {
+            Files.delete(last);
+            return;
+        }
         channel = FileChannel.open(last, StandardOpenOption.WRITE);
         channel.position(length);
     }
@@ -106,8 +110,8 @@
     private void begin(long number) throws IOException {
         close();
         Path file = files.file(number);
-        channel = FileChannel.open(file, StandardOpenOption.CREATE, StandardOpenOption.WRITE);
-        channel.truncate(0);
+        // A file of this name is one whose first record was damaged; what is left of it stays as evidence beside it.
+        channel = FileChannel.open(file, StandardOpenOption.CREATE_NEW, StandardOpenOption.WRITE);
         // Without syncing the folder a crash can lose the file's name with all that was synced into it.
         try (FileChannel directory = FileChannel.open(folder)) {
             directory.force(true);
--- a/library/src/test/java/org/copperspindle/audit/AuditTrailTest.java
+++ b/library/src/test/java/org/copperspindle/audit/AuditTrailTest.java
@@ -6,7 +6,10 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.HexFormat;
 import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -108,6 +111,8 @@
         int last = AuditFrame.encode(written.get(2)).remaining();
         for (int lost = 1; lost < last; lost++) {
             Files.write(file, Arrays.copyOf(whole, whole.length - lost));
+            new AuditStore(folder).close();
+            assertThat(verify(folder).findings()).as("lost " + lost).isEmpty();
 
             write(folder, 3, Long.MAX_VALUE);
 
@@ -115,6 +120,40 @@
         }
     }
 
+    /**
+     * A member restarts and replays its whole log, after its trail has grown over several files. Every record is there
+     * already: the files stay as they are, byte for byte.
+     */
+    @Test
+    void replayChangesNothing() throws Exception {
+        write(folder, RECORDS, SMALL_FILE);
+        Map<Path, String> before = contents();
+
+        write(folder, RECORDS, SMALL_FILE);
+
+        assertThat(contents()).isEqualTo(before);
+    }
+
+    /**
+     * The first record of the newest file is damaged, so that nothing in the file can be trusted. The member writes the
+     * records of the replayed log into a fresh file of that name and keeps the damaged one beside it.
+     */
+    @Test
+    void damagedFileIsSetAsideAndWrittenAnew() throws Exception {
+        write(folder, RECORDS, SMALL_FILE);
+        Map<Path, String> before = contents();
+        List<Path> files = new AuditFolder(folder).files();
+        Path last = files.get(files.size() - 1);
+        byte[] bytes = Files.readAllBytes(last);
+        bytes[60] ^= 1;
+        Files.write(last, bytes);
+
+        write(folder, RECORDS, SMALL_FILE);
+
+        assertThat(contents()).isEqualTo(before);
+        assertThat(last.resolveSibling(last.getFileName() + ".damaged")).hasBinaryContent(bytes);
+    }
+
     /**
      * A member loses what its disk had not synced, after a snapshot had already cut the log behind it. The records come
      * back from the snapshot, so that the trail has no hole.
@@ -192,6 +231,14 @@
         return all.records;
     }
 
+    private Map<Path, String> contents() throws IOException {
+        Map<Path, String> contents = new TreeMap<>();
+        for (Path file : new AuditFolder(folder).files()) {
+            contents.put(file, HexFormat.of().formatHex(Files.readAllBytes(file)));
+        }
+        return contents;
+    }
+
     private void rewrite(List<AuditRecord> records) throws IOException {
         Path file = new AuditFolder(folder).files().get(0);
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
