--- a/library/src/main/java/org/copperspindle/audit/AuditTrail.java
+++ b/library/src/main/java/org/copperspindle/audit/AuditTrail.java
@@ -92,6 +92,12 @@
         records.forEach(this::keep);
     }
 
+    /** Empties the trail, as before the first record; what is in files stays there. */
+    void clear() {
+        head = AuditHead.EMPTY;
+        recent.clear();
+    }
+
     private void keep(AuditRecord record) {
         recent.add(record);
         sink.append(record);
--- a/library/src/main/java/org/copperspindle/audit/ConfigDifference.java
+++ b/library/src/main/java/org/copperspindle/audit/ConfigDifference.java
@@ -1,19 +1,21 @@
 package org.copperspindle.audit;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.TreeSet;
-
-import org.copperspindle.settings.SettingsException;
-import org.copperspindle.settings.SettingsFile;
+import java.util.regex.Pattern;
 
 /**
  * Says which sections and keys differ between two configurations, without showing secrets.
  */
 public final class ConfigDifference {
 
+    /** Both separators that the INI library takes: a key that swallowed its value would show a secret. */
+    private static final Pattern SEPARATOR = Pattern.compile("\\s*[=:]\\s*");
+
     private static final int MAX_LINES = 64;
     private static final int MAX_VALUE = 64;
     private static final int DIGEST_SHOWN = 8;
@@ -32,16 +34,29 @@
      * @return one line for each section or key that differs, sorted, at most a fixed number and then a count
      */
     public static List<String> between(String before, String after) {
-        try {
-            ConfigDifference difference = new ConfigDifference();
-            difference.compare(
-                    SettingsFile.parse("before", before).values(),
-                    SettingsFile.parse("after", after).values());
-            return difference.result();
-        } catch (SettingsException e) {
-            // Accepted texts were parsed before they were proposed; a member must still not fail on one that was not.
-            return List.of("not comparable");
+        ConfigDifference difference = new ConfigDifference();
+        difference.compare(values(before), values(after));
+        return difference.result();
+    }
+
+    /**
+     * Splits lines into sections, keys and values. Both texts were checked by the settings package before they were
+     * proposed. Reading them with its INI library again would hold the decision ring up for seconds at the design size.
+     */
+    private static Map<String, Map<String, String>> values(String text) {
+        Map<String, Map<String, String>> sections = new HashMap<>();
+        Map<String, String> section = new HashMap<>();
+        for (String line : text.lines().map(String::trim).toList()) {
+            if (line.startsWith("[") && line.endsWith("]")) {
+                section = sections.computeIfAbsent(line.substring(1, line.length() - 1), name -> new HashMap<>());
+            } else if (!line.isEmpty() && !line.startsWith(";") && !line.startsWith("#")) {
+                int separator = line.indexOf('=');
+                String key = separator < 0 ? line : line.substring(0, separator).trim();
+                section.put(
+                        key, separator < 0 ? "" : line.substring(separator + 1).trim());
+            }
         }
+        return sections;
     }
 
     private void compare(Map<String, Map<String, String>> before, Map<String, Map<String, String>> after) {
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/control/AuditObserver.java
@@ -0,0 +1,87 @@
+package org.copperspindle.control;
+
+import java.util.Optional;
+import java.util.Set;
+
+import org.copperspindle.audit.AuditEntry;
+import org.copperspindle.audit.AuditEntryFactory;
+import org.copperspindle.config.ConfigHistory;
+import org.copperspindle.membership.UpstreamAnnouncement;
+import org.copperspindle.membership.UpstreamTable;
+import org.copperspindle.wire.MalformedFrameException;
+import org.copperspindle.wire.WireMessage;
+
+/**
+ * Compares the state before and after a command and words what changed for the audit trail. A command that changed
+ * nothing, such as a resent change or a late announcement, leaves no record.
+ */
+final class AuditObserver {
+
+    private static final Set<Class<? extends WireMessage>> OBSERVED =
+            Set.of(ApplyConfigCommand.class, AnnounceCommand.class, RemoveUpstreamCommand.class);
+    private static final Observation NOTHING = atMillis -> Optional.empty();
+
+    private final ConfigHistory config;
+    private final UpstreamTable upstreams;
+
+    AuditObserver(ConfigHistory config, UpstreamTable upstreams) {
+        this.config = config;
+        this.upstreams = upstreams;
+    }
+
+    /** What the state was before a command; words the record once the command is applied. */
+    @FunctionalInterface
+    interface Observation {
+        Optional<AuditEntry> after(long atMillis);
+    }
+
+    boolean observes(WireMessage command) {
+        return OBSERVED.contains(command.getClass());
+    }
+
+    Observation observe(WireMessage command) throws MalformedFrameException {
+        if (command instanceof ApplyConfigCommand apply) {
+            return change(apply);
+        }
+        if (command instanceof AnnounceCommand announce) {
+            return announcement(UpstreamAnnouncement.CODEC.decode(announce.announcement()));
+        }
+        if (command instanceof RemoveUpstreamCommand remove) {
+            return removal(remove);
+        }
+        return NOTHING;
+    }
+
+    private Observation change(ApplyConfigCommand apply) {
+        long before = config.version();
+        String text = config.text();
+        return atMillis -> config.version() == before
+                ? Optional.empty()
+                : Optional.of(AuditEntryFactory.change(
+                        apply.operator(),
+                        apply.changeId(),
+                        apply.baseVersion(),
+                        config.version(),
+                        text,
+                        config.text(),
+                        atMillis));
+    }
+
+    private Observation announcement(UpstreamAnnouncement announced) {
+        Optional<UpstreamAnnouncement> before = known(announced.upstreamId());
+        return atMillis -> known(announced.upstreamId())
+                .filter(now -> before.isEmpty() || now.supersedes(before.get()))
+                .flatMap(now -> AuditEntryFactory.membership(before, now, config.version(), atMillis));
+    }
+
+    private Observation removal(RemoveUpstreamCommand remove) {
+        Optional<UpstreamAnnouncement> before = known(remove.upstreamId());
+        return atMillis -> before.filter(gone -> known(remove.upstreamId()).isEmpty())
+                .map(gone ->
+                        AuditEntryFactory.removed(gone.upstreamId(), gone.incarnation(), config.version(), atMillis));
+    }
+
+    private Optional<UpstreamAnnouncement> known(String upstreamId) {
+        return Optional.ofNullable(upstreams.all().get(upstreamId));
+    }
+}
--- a/library/src/main/java/org/copperspindle/control/ControlState.java
+++ b/library/src/main/java/org/copperspindle/control/ControlState.java
@@ -1,60 +1,116 @@
 package org.copperspindle.control;
 
-import java.util.LinkedHashMap;
+import java.time.Clock;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.copperspindle.claims.ClaimRequestMessage;
-import org.copperspindle.claims.ClaimSettleMessage;
+import org.copperspindle.audit.AuditPart;
+import org.copperspindle.audit.AuditSink;
+import org.copperspindle.audit.AuditTrail;
 import org.copperspindle.claims.ClaimTable;
-import org.copperspindle.membership.UpstreamAnnouncement;
+import org.copperspindle.config.ConfigHistory;
+import org.copperspindle.membership.UpstreamTable;
 import org.copperspindle.wire.MalformedFrameException;
+import org.copperspindle.wire.MessageCodec;
 import org.copperspindle.wire.MessageRegistry;
 import org.copperspindle.wire.WireMessage;
 import org.copperspindle.wire.WireTransport;
 
 /**
- * Everything that must survive: configuration, upstreams and claims, as the log's commands made them.
+ * Everything that must survive, as the log's commands made it. Each slice owns its {@link StatePart}; this class hands
+ * commands to them and puts their snapshots together.
  */
 public final class ControlState implements ReplicatedState {
 
     private static final Logger LOGGER = LogManager.getLogger(ControlState.class);
 
-    private final MessageRegistry commands = WireTransport.registry()
-            .register(ApplyConfigCommand.CODEC)
-            .register(AnnounceCommand.CODEC)
-            .register(RemoveUpstreamCommand.CODEC)
-            .register(ClaimCommand.CODEC)
-            .register(SettleCommand.CODEC);
-    private final Map<String, UpstreamAnnouncement> upstreams = new LinkedHashMap<>();
-    private final Map<String, AppliedChange> changes = new LinkedHashMap<>();
-    private final ClaimTable claims = new ClaimTable();
-    private long configVersion;
-    private String configText = "";
-    private long membershipRevision;
+    private final MessageRegistry commands = WireTransport.registry();
+    private final Map<Class<?>, StatePart> byCommand = new HashMap<>();
+    private final ConfigHistory config = new ConfigHistory();
+    private final UpstreamTable upstreams = new UpstreamTable();
+    private final ClaimPart claims = new ClaimPart();
+    private final AuditPart audit;
+    private final AuditObserver observer = new AuditObserver(config, upstreams);
+    private final Clock clock;
+    private final List<StatePart> parts;
+
+    /** Creates an empty state whose audit trail is kept nowhere. */
+    public ControlState() {
+        this(AuditSink.NONE, Clock.systemUTC());
+    }
+
+    /**
+     * Creates an empty state.
+     *
+     * @param sink  keeps the audit trail
+     * @param clock wall clock that commands are stamped with, for readers of the trail only
+     */
+    public ControlState(AuditSink sink, Clock clock) {
+        this.audit = new AuditPart(sink);
+        this.clock = clock;
+        this.parts = List.of(config, upstreams, claims, audit);
+        commands.register(StampedCommand.CODEC);
+        for (StatePart part : parts) {
+            for (MessageCodec<?> codec : part.commands()) {
+                commands.register(codec);
+                byCommand.put(codec.messageClass(), part);
+            }
+        }
+    }
 
     @Override
     public ControlResult apply(long index, long term, byte[] command) {
         try {
             Optional<WireMessage> decoded = commands.decode(command);
-            return decoded.map(this::dispatch).orElseGet(ControlResult.Done::new);
+            if (decoded.isPresent() && decoded.get() instanceof StampedCommand stamped) {
+                Optional<WireMessage> inner = commands.decode(stamped.command());
+                return inner.isPresent()
+                        ? dispatch(index, term, stamped.atMillis(), inner.get())
+                        : new ControlResult.Done();
+            }
+            if (decoded.isPresent()) {
+                return dispatch(index, term, 0, decoded.get());
+            }
         } catch (MalformedFrameException e) {
             // The record passed its checksum, so this is a fault of a proposer; all members skip it alike.
             LOGGER.error("event=command-malformed index={} term={}", index, term, e);
-            return new ControlResult.Done();
         }
+        return new ControlResult.Done();
     }
 
     @Override
     public byte[] snapshot() {
-        throw new UnsupportedOperationException();
+        List<byte[]> encoded = new ArrayList<>();
+        for (StatePart part : parts) {
+            encoded.add(ControlSnapshot.SnapshotPart.CODEC.encode(
+                    new ControlSnapshot.SnapshotPart(part.name(), part.snapshot())));
+        }
+        return ControlSnapshot.CODEC.encode(new ControlSnapshot(ControlSnapshot.FORMAT, encoded));
     }
 
     @Override
     public void restore(byte[] snapshot) {
-        throw new UnsupportedOperationException();
+        try {
+            Map<String, byte[]> found = read(snapshot);
+            for (StatePart part : parts) {
+                part.clear();
+                byte[] bytes = found.remove(part.name());
+                if (bytes != null) {
+                    part.restore(bytes);
+                }
+            }
+            // A part unknown here comes from a newer build: to drop it would lose accepted state without a word.
+            if (!found.isEmpty()) {
+                throw new IllegalStateException("snapshot holds unknown parts: " + found.keySet());
+            }
+        } catch (MalformedFrameException e) {
+            throw new IllegalStateException("snapshot can't be read", e);
+        }
     }
 
     /**
@@ -64,103 +120,69 @@
      * @return its bytes
      */
     public byte[] encode(WireMessage command) {
-        return commands.encode(command);
+        byte[] encoded = commands.encode(command);
+        return observer.observes(command) ? commands.encode(new StampedCommand(clock.millis(), encoded)) : encoded;
     }
 
     /**
-     * Returns the newest accepted version.
+     * Returns the configuration and the changes that made it.
      *
-     * @return the version, 0 if none was accepted yet
+     * @return the live state; read only outside {@link #apply}
      */
-    public long configVersion() {
-        return configVersion;
+    public ConfigHistory config() {
+        return config;
     }
 
     /**
-     * Returns the newest accepted configuration.
+     * Returns the upstreams and the changes that made them.
      *
-     * @return its INI text
+     * @return the live state; read only outside {@link #apply}
      */
-    public String configText() {
-        return configText;
+    public UpstreamTable upstreams() {
+        return upstreams;
     }
 
     /**
-     * Returns the number of membership changes so far.
+     * Returns the claims.
      *
-     * @return the revision
+     * @return the live state; read only outside {@link #apply}
      */
-    public long membershipRevision() {
-        return membershipRevision;
+    public ClaimTable claims() {
+        return claims.table();
     }
 
     /**
-     * Returns the upstreams known.
+     * Returns the audit trail.
      *
-     * @return announcements by identity, read-only
+     * @return the live state; read only outside {@link #apply}
      */
-    public Map<String, UpstreamAnnouncement> upstreams() {
-        return Map.copyOf(upstreams);
+    public AuditTrail audit() {
+        return audit.trail();
     }
 
-    private ControlResult dispatch(WireMessage command) {
-        try {
-            if (command instanceof ApplyConfigCommand apply) {
-                return applyConfig(apply);
-            }
-            if (command instanceof AnnounceCommand announce) {
-                return announce(UpstreamAnnouncement.CODEC.decode(announce.announcement()));
-            }
-            if (command instanceof RemoveUpstreamCommand remove) {
-                return remove(remove);
-            }
-            if (command instanceof ClaimCommand claim) {
-                ClaimTable.Decision decision = claims.claim(ClaimRequestMessage.CODEC.decode(claim.claim()));
-                return new ControlResult.Claimed(decision.result(), decision.attemptId(), decision.upstreamId());
-            }
-            if (command instanceof SettleCommand settle) {
-                claims.settle(ClaimSettleMessage.CODEC.decode(settle.settle()));
-            }
-        } catch (MalformedFrameException e) {
-            LOGGER.error("event=command-malformed type={}", command.getClass().getSimpleName(), e);
-        }
-        return new ControlResult.Done();
-    }
-
-    private ControlResult applyConfig(ApplyConfigCommand apply) {
-        AppliedChange before = changes.get(apply.changeId());
-        if (before != null) {
-            return before.text().equals(apply.text()) && before.baseVersion() == apply.baseVersion()
-                    ? new ControlResult.ConfigAccepted(before.version())
-                    : new ControlResult.ConfigRefused(configVersion, "change id was used with other content");
-        }
-        if (apply.baseVersion() != configVersion) {
-            return new ControlResult.ConfigRefused(
-                    configVersion, "made from version " + apply.baseVersion() + ", in force is " + configVersion);
+    private ControlResult dispatch(long index, long term, long atMillis, WireMessage command)
+            throws MalformedFrameException {
+        StatePart part = byCommand.get(command.getClass());
+        if (part == null) {
+            return new ControlResult.Done();
         }
-        configVersion++;
-        configText = apply.text();
-        changes.put(apply.changeId(), new AppliedChange(apply.baseVersion(), configVersion, apply.text()));
-        return new ControlResult.ConfigAccepted(configVersion);
+        audit.under(term);
+        AuditObserver.Observation observation = observer.observe(command);
+        ControlResult result = part.apply(index, command);
+        observation.after(atMillis).ifPresent(entry -> audit.trail().append(index, term, entry));
+        return result;
     }
 
-    private ControlResult announce(UpstreamAnnouncement announcement) {
-        UpstreamAnnouncement known = upstreams.get(announcement.upstreamId());
-        if (known == null || announcement.supersedes(known)) {
-            upstreams.put(announcement.upstreamId(), announcement);
-            membershipRevision++;
+    private static Map<String, byte[]> read(byte[] snapshot) throws MalformedFrameException {
+        ControlSnapshot decoded = ControlSnapshot.CODEC.decode(snapshot);
+        if (decoded.format() < 1 || decoded.format() > ControlSnapshot.FORMAT) {
+            throw new IllegalStateException("snapshot format " + decoded.format() + " is not known");
         }
-        return new ControlResult.Done();
-    }
-
-    private ControlResult remove(RemoveUpstreamCommand remove) {
-        UpstreamAnnouncement known = upstreams.get(remove.upstreamId());
-        if (known != null && known.incarnation() <= remove.incarnation()) {
-            upstreams.remove(remove.upstreamId());
-            membershipRevision++;
+        Map<String, byte[]> found = new HashMap<>();
+        for (byte[] encoded : decoded.parts()) {
+            ControlSnapshot.SnapshotPart part = ControlSnapshot.SnapshotPart.CODEC.decode(encoded);
+            found.put(part.name(), part.bytes());
         }
-        return new ControlResult.Done();
+        return found;
     }
-
-    private record AppliedChange(long baseVersion, long version, String text) {}
 }
--- a/library/src/main/java/org/copperspindle/daemon/ControlRole.java
+++ b/library/src/main/java/org/copperspindle/daemon/ControlRole.java
@@ -1,9 +1,15 @@
 package org.copperspindle.daemon;
 
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.time.Clock;
 import java.util.Optional;
 import java.util.Set;
 
+import org.copperspindle.audit.AuditDoor;
+import org.copperspindle.audit.AuditStore;
 import org.copperspindle.claims.ClaimRequestMessage;
 import org.copperspindle.claims.ClaimSettleMessage;
 import org.copperspindle.control.ControlDoor;
@@ -13,6 +19,7 @@
 import org.copperspindle.control.ReplicatedLog;
 import org.copperspindle.http.HttpLimits;
 import org.copperspindle.http.HttpListener;
+import org.copperspindle.http.HttpRequestHandler;
 import org.copperspindle.membership.LeaseRequestMessage;
 import org.copperspindle.wire.PeerListener;
 import org.copperspindle.wire.WireMessage;
@@ -25,15 +32,35 @@
     private final ProcessContext context;
     private final ReplicatedLog log;
     private final ControlService service;
+    private final AuditStore audit;
     private final HttpListener operators;
 
     ControlRole(ProcessContext context, ProcessSettings.ControlSettings settings) {
         this.context = context;
-        ControlState state = new ControlState();
+        this.audit = openAudit(settings.dataFolder().resolve("audit"));
+        ControlState state = new ControlState(audit, Clock.systemUTC());
         this.log = new LocalLog(state);
         this.service = new ControlService(context.ring(), context.timers(), log, state, settings.lease());
-        this.operators =
-                new HttpListener(settings.listen(), 1, HttpLimits.DEFAULT, new ControlDoor(context.ring(), service));
+        this.operators = new HttpListener(settings.listen(), 1, HttpLimits.DEFAULT, door(state));
+    }
+
+    private HttpRequestHandler door(ControlState state) {
+        HttpRequestHandler control = new ControlDoor(context.ring(), service);
+        HttpRequestHandler trail =
+                new AuditDoor(context.ring(), () -> state.audit().head(), audit);
+        return exchange -> {
+            boolean reads =
+                    exchange.path().equals(AuditDoor.PATH) && exchange.method().equals("GET");
+            (reads ? trail : control).handle(exchange);
+        };
+    }
+
+    private static AuditStore openAudit(Path folder) {
+        try {
+            return new AuditStore(folder);
+        } catch (IOException e) {
+            throw new UncheckedIOException("the audit trail can't be opened", e);
+        }
     }
 
     @Override
@@ -60,6 +87,7 @@
     public void close() {
         operators.close();
         log.close();
+        audit.close();
     }
 
     @Override
--- a/library/src/test/java/org/copperspindle/audit/ConfigDifferenceTest.java
+++ b/library/src/test/java/org/copperspindle/audit/ConfigDifferenceTest.java
@@ -27,7 +27,7 @@
     @Test
     void hidesSecrets() {
         String before = "[account a]\nkey-sha256 = " + DIGEST + "\napi-token = hush\n";
-        String after = "[account a]\nkey-sha256 = " + DIGEST.replace('0', 'f') + "\napi-token = louder\n";
+        String after = "[account a]\nkey-sha256 = " + DIGEST.replace('0', 'f') + "\napi-token: louder\n";
 
         assertThat(ConfigDifference.between(before, after))
                 .containsExactly(
--- a/tools/src/test/java/org/copperspindle/cli/AuditCommandTest.java
+++ b/tools/src/test/java/org/copperspindle/cli/AuditCommandTest.java
@@ -12,6 +12,9 @@
 import org.copperspindle.audit.AuditEntryFactory;
 import org.copperspindle.audit.AuditStore;
 import org.copperspindle.audit.AuditTrail;
+import org.copperspindle.daemon.CopperspindleProcess;
+import org.copperspindle.daemon.ProcessSettings;
+import org.copperspindle.settings.SettingsFile;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -78,14 +81,56 @@
         assertThat(lines.get(lines.size() - 1)).startsWith("chain=changed");
     }
 
+    /**
+     * A control member accepts a change over its operators' interface, and the command reads the trail from there,
+     * verified against the head in the replicated state.
+     */
+    @Test
+    void readsFromControlMember() throws Exception {
+        Path config = Files.writeString(folder.resolve("new.ini"), "[deployment]\nname = a\nfailure-domains = north\n");
+        CopperspindleProcess control = CopperspindleProcess.start(ProcessSettings.read(SettingsFile.parse(
+                "control",
+                "[process]\nid = control-1\nfailure-domain = north\nlisten = 127.0.0.1:0\n"
+                        + "[control]\nlisten = 127.0.0.1:0\ndata-folder = " + folder.resolve("data") + "\n")));
+        try {
+            String address =
+                    "127.0.0.1:" + control.operatorAddress().orElseThrow().getPort();
+            String[] apply = {
+                "apply",
+                config.toString(),
+                "--base",
+                "0",
+                "--change-id",
+                "c1",
+                "--operator",
+                "ann",
+                "--control",
+                address
+            };
+            assertThat(Copperspindle.run(apply)).isEqualTo(ExitCode.SUCCESS);
+
+            List<String> lines = captured(ExitCode.SUCCESS, "audit", "--control", address, "--kind", "change");
+
+            assertThat(lines.get(0)).contains("record=1 ").contains("actor=ann").contains("base=0 version=1");
+            assertThat(lines.get(1)).isEqualTo("    + [deployment]");
+            assertThat(lines.get(lines.size() - 1)).startsWith("chain=intact checked=");
+        } finally {
+            control.stop();
+        }
+    }
+
     private List<String> run(ExitCode expected, String... arguments) {
         List<String> all = new ArrayList<>(List.of("audit", "--folder", folder.toString()));
         all.addAll(List.of(arguments));
+        return captured(expected, all.toArray(new String[0]));
+    }
+
+    private static List<String> captured(ExitCode expected, String... arguments) {
         PrintStream original = System.out;
         ByteArrayOutputStream captured = new ByteArrayOutputStream();
         System.setOut(new PrintStream(captured, true, StandardCharsets.UTF_8));
         try {
-            assertThat(Copperspindle.run(all.toArray(new String[0]))).isEqualTo(expected);
+            assertThat(Copperspindle.run(arguments)).isEqualTo(expected);
         } finally {
             System.setOut(original);
         }
