--- a/library/src/main/java/org/copperspindle/daemon/CopperspindleProcess.java
+++ b/library/src/main/java/org/copperspindle/daemon/CopperspindleProcess.java
@@ -41,13 +41,24 @@
     private CopperspindleProcess(ProcessSettings settings) {
         this.settings = settings;
         this.ring = new DecisionRing("decisions-" + settings.id(), DecisionRing.DEFAULT_SLOTS);
-        this.timers = new SystemTimerService(ring);
+        this.timers = new SystemTimerService("timer-" + settings.id(), ring);
         long incarnation = System.currentTimeMillis();
         GreetingMessage greeting = new GreetingMessage(GreetingMessage.PROTOCOL, "process", settings.id(), incarnation);
         this.transport = new WireTransport(NETWORK_THREADS, MessageCatalog.registry(), greeting);
         RoleSwitch roleSwitch = new RoleSwitch();
         this.wireChannel = transport.listen(settings.listen(), roleSwitch);
         ProcessContext context = new ProcessContext(settings, ring, timers, transport, wireAddress(), incarnation);
+        try {
+            addRoles(context, roleSwitch);
+        } catch (RuntimeException e) {
+            // Network threads would keep a process alive that has no roles.
+            kill();
+            throw e;
+        }
+        LOGGER.info("event=started process={} wire={}", settings.id(), wireAddress());
+    }
+
+    private void addRoles(ProcessContext context, RoleSwitch roleSwitch) {
         // Stopped in this order: an entry finishes its requests before the agent or control beside it goes.
         entry = settings.entry().map(e -> new EntryRole(context, e));
         entry.ifPresent(roles::add);
@@ -56,7 +67,6 @@
         control.ifPresent(roles::add);
         roles.forEach(roleSwitch::add);
         roles.forEach(ProcessRole::start);
-        LOGGER.info("event=started process={} wire={}", settings.id(), wireAddress());
     }
 
     /**
--- a/tools/src/main/java/org/copperspindle/cli/Copperspindle.java
+++ b/tools/src/main/java/org/copperspindle/cli/Copperspindle.java
@@ -18,7 +18,13 @@
 public final class Copperspindle {
 
     private static final List<Command> COMMANDS = List.of(
-            new RunCommand(), new ApplyCommand(), new AuditCommand(), new EmulateCommand(), new ReplayCommand());
+            new DemoCommand(),
+            new RunCommand(),
+            new ApplyCommand(),
+            new AuditCommand(),
+            new EmulateCommand(),
+            new MeasureCommand(),
+            new ReplayCommand());
     private static final String COMMAND_KEY = "command";
 
     private Copperspindle() {}
