Hide secrets behind both separators of the INI library

Cause: a line 'token: value' showed its value as part of the key. Change: split at the first '=' or ':'. Conclusion: found by the stricter form of ConfigDifferenceTest.hidesSecrets.

--- a/library/src/main/java/org/copperspindle/audit/AuditWriter.java
+++ b/library/src/main/java/org/copperspindle/audit/AuditWriter.java
@@ -91,9 +91,10 @@
         long length = AuditFolder.scan(last, verifier, r -> readable[0] = AuditHead.after(r));
         head = readable[0];
         if (length < Files.size(last)) {
-            LOGGER.error(
-                    "event=audit-file-damaged file={} {}",
+            LOGGER.warn(
+                    "event=audit-file-cut file={} length={} {}",
                     last.getFileName(),
+                    length,
                     verifier.findings().get(verifier.findings().size() - 1).text());
             // Evidence stays: the file as it was found is kept beside the readable part.
             Files.copy(last, last.resolveSibling(last.getFileName() + ".damaged"), StandardCopyOption.REPLACE_EXISTING);
--- a/library/src/main/java/org/copperspindle/audit/ConfigDifference.java
+++ b/library/src/main/java/org/copperspindle/audit/ConfigDifference.java
@@ -50,10 +50,8 @@
             if (line.startsWith("[") && line.endsWith("]")) {
                 section = sections.computeIfAbsent(line.substring(1, line.length() - 1), name -> new HashMap<>());
             } else if (!line.isEmpty() && !line.startsWith(";") && !line.startsWith("#")) {
-                int separator = line.indexOf('=');
-                String key = separator < 0 ? line : line.substring(0, separator).trim();
-                section.put(
-                        key, separator < 0 ? "" : line.substring(separator + 1).trim());
+                String[] parts = SEPARATOR.split(line, 2);
+                section.put(parts[0], parts.length < 2 ? "" : parts[1]);
             }
         }
         return sections;
