Keep the log and the audit trail in folders of their own

Cause: the log refuses a folder that holds anything else, so no control member started. Change: data-folder/log and data-folder/audit. Measured: WholePathTest and AuditCommandTest failed before and pass now.

--- a/library/src/main/java/org/copperspindle/daemon/ControlRole.java
+++ b/library/src/main/java/org/copperspindle/daemon/ControlRole.java
@@ -37,6 +37,8 @@
     private static final Set<Class<? extends WireMessage>> SERVICE_MESSAGES =
             Set.of(LeaseRequestMessage.class, ClaimRequestMessage.class, ClaimSettleMessage.class);
     private static final int UNAVAILABLE = 503;
+    private static final String LOG_FOLDER = "log";
+    private static final String AUDIT_FOLDER = "audit";
 
     private final ProcessContext context;
     private final ConsensusLog log;
@@ -51,7 +53,7 @@
         this.operators = new HttpListener(settings.listen(), 1, HttpLimits.DEFAULT, this::answer);
         ControlState state;
         try {
-            this.audit = new AuditStore(settings.dataFolder().resolve("audit"));
+            this.audit = new AuditStore(settings.dataFolder().resolve(AUDIT_FOLDER));
             state = new ControlState(audit, Clock.systemUTC());
             this.log = ConsensusLog.open(
                     context.ring(), context.timers(), context.transport(), state, consensus(context, settings));
@@ -133,7 +135,7 @@
                 own,
                 operators.address(),
                 voters,
-                settings.dataFolder(),
+                settings.dataFolder().resolve(LOG_FOLDER),
                 settings.electionTimeout());
     }
 
