--- a/library/src/main/java/org/copperspindle/agent/AgentService.java
+++ b/library/src/main/java/org/copperspindle/agent/AgentService.java
@@ -36,7 +36,7 @@
     private final TimerService timers;
     private final AgentSettings settings;
     private final InetSocketAddress address;
-    private final long incarnation;
+    private long incarnation;
     private final long clockOrigin;
     private final UpstreamClient client;
     private final AttemptRunner runner;
@@ -170,6 +170,12 @@
         control.renewNow();
     }
 
+    @Override
+    public void onNewerIncarnation(long known) {
+        incarnation = known + 1;
+        attempts.onIncarnation(incarnation);
+    }
+
     @Override
     public void onLease(boolean held) {
         LOGGER.info("event=lease upstream={} held={}", settings.upstreamId(), held);
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/control/Member.java
@@ -0,0 +1,131 @@
+package org.copperspindle.control;
+
+import java.util.Arrays;
+
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.copperspindle.membership.UpstreamAnnouncement;
+import org.copperspindle.wire.MalformedFrameException;
+import org.copperspindle.wire.Peer;
+
+/**
+ * One life of a member as the leader sees it; gone with the leader, rebuilt from renewals.
+ */
+final class Member {
+
+    private static final Logger LOGGER = LogManager.getLogger(Member.class);
+
+    private final String id;
+    private final boolean agent;
+    private Peer peer;
+    private long seenUntil;
+    private long leasedUntil = Long.MIN_VALUE;
+    private long configVersion;
+    private long textVersion;
+    private long membershipRevision;
+    private UpstreamAnnouncement announcement;
+    private byte[] lastEncoded = new byte[0];
+    private boolean announcing;
+
+    Member(String id, boolean agent) {
+        this.id = id;
+        this.agent = agent;
+    }
+
+    String id() {
+        return id;
+    }
+
+    boolean isAgent() {
+        return agent;
+    }
+
+    Peer peer() {
+        return peer;
+    }
+
+    /** Takes a new connection; what was pushed over the old one may have been lost with it. */
+    void connected(Peer newPeer, long heldText, long seenRevision) {
+        peer = newPeer;
+        textVersion = heldText;
+        membershipRevision = seenRevision;
+    }
+
+    /** Takes a report and says whether it is of a newer version than the one before. */
+    boolean seen(long until, long version) {
+        seenUntil = until;
+        // One life never goes back, so a lower version comes from an older message.
+        boolean newer = version > configVersion;
+        configVersion = Math.max(configVersion, version);
+        return newer;
+    }
+
+    void leased(long until) {
+        leasedUntil = until;
+    }
+
+    boolean hasLease(long now) {
+        return leasedUntil > now;
+    }
+
+    boolean isGone(long now) {
+        return seenUntil <= now && !hasLease(now);
+    }
+
+    long leaseLeft(long now) {
+        return Math.max(0, leasedUntil - now);
+    }
+
+    long configVersion() {
+        return configVersion;
+    }
+
+    long textVersion() {
+        return textVersion;
+    }
+
+    long membershipRevision() {
+        return membershipRevision;
+    }
+
+    void pushed(long version, long revision) {
+        textVersion = Math.max(textVersion, version);
+        membershipRevision = Math.max(membershipRevision, revision);
+    }
+
+    String upstreamId() {
+        return announcement == null ? "" : announcement.upstreamId();
+    }
+
+    /** Returns what the agent announced last; null for an entry. */
+    UpstreamAnnouncement announcement() {
+        return announcement;
+    }
+
+    /**
+     * Takes what came with a renewal; most repeat the one before and are not read again.
+     *
+     * @param encoded the announcement, empty if none came
+     * @return whether the member has announced an upstream
+     */
+    boolean announces(byte[] encoded) {
+        if (encoded.length > 0 && !Arrays.equals(encoded, lastEncoded)) {
+            lastEncoded = encoded;
+            try {
+                announcement = UpstreamAnnouncement.CODEC.decode(encoded);
+            } catch (MalformedFrameException e) {
+                LOGGER.warn("event=announcement-malformed member={}", id);
+            }
+        }
+        return announcement != null;
+    }
+
+    /** Says whether an announcement is on its way through the log. */
+    boolean announcing() {
+        return announcing;
+    }
+
+    void announcing(boolean underWay) {
+        announcing = underWay;
+    }
+}
--- a/library/src/main/java/org/copperspindle/daemon/ControlRole.java
+++ b/library/src/main/java/org/copperspindle/daemon/ControlRole.java
@@ -5,6 +5,7 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.time.Clock;
+import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -15,6 +16,7 @@
 import org.copperspindle.audit.AuditStore;
 import org.copperspindle.claims.ClaimRequestMessage;
 import org.copperspindle.claims.ClaimSettleMessage;
+import org.copperspindle.config.ConfigText;
 import org.copperspindle.consensus.ConsensusLog;
 import org.copperspindle.consensus.ConsensusSettings;
 import org.copperspindle.consensus.VoterAddress;
@@ -39,6 +41,9 @@
     private static final int UNAVAILABLE = 503;
     private static final String LOG_FOLDER = "log";
     private static final String AUDIT_FOLDER = "audit";
+    /** Operators send whole deployment files, and few of them. */
+    private static final HttpLimits OPERATOR_LIMITS =
+            new HttpLimits(8192, 16384, ConfigText.MAX_BYTES, 100, Duration.ofSeconds(10));
 
     private final ProcessContext context;
     private final ConsensusLog log;
@@ -50,7 +55,7 @@
 
     ControlRole(ProcessContext context, ProcessSettings.ControlSettings settings) {
         this.context = context;
-        this.operators = new HttpListener(settings.listen(), 1, HttpLimits.DEFAULT, this::answer);
+        this.operators = new HttpListener(settings.listen(), 1, OPERATOR_LIMITS, this::answer);
         ControlState state;
         try {
             this.audit = new AuditStore(settings.dataFolder().resolve(AUDIT_FOLDER));
--- /dev/null
+++ b/library/src/test/java/org/copperspindle/entry/SimulatedDeployment.java
@@ -0,0 +1,271 @@
+package org.copperspindle.entry;
+
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+
+import org.copperspindle.agent.SimulatedAgent;
+import org.copperspindle.claims.ClaimLimits;
+import org.copperspindle.config.PoolKind;
+import org.copperspindle.membership.ControlUpdateMessage;
+import org.copperspindle.membership.UpstreamAnnouncement;
+import org.copperspindle.time.VirtualTimerService;
+
+/**
+ * Entries, agents, upstreams and claims of one deployment in virtual time. Only the network, the upstreams and the
+ * crashes are simulated; every decision is made by the code that serves.
+ */
+final class SimulatedDeployment {
+
+    static final Duration DEADLINE = Duration.ofSeconds(6);
+    private static final String SETTINGS = """
+            [deployment]
+            name = simulated
+            failure-domains = north
+            [pool retrievers]
+            kind = retriever
+            size = 2
+            [pool engines]
+            kind = engine
+            size = 2
+            models = llm
+            [pool gallery]
+            kind = service
+            size = 2
+            [pipeline describe]
+            stages = retrieve, generate
+            deadline = 6s
+            [stage describe/retrieve]
+            pool = retrievers
+            [stage describe/generate]
+            pool = engines
+            model = llm
+            [service install]
+            pool = gallery
+            repeatable = false
+            [service lookup]
+            pool = gallery
+            [account gallery]
+            key-sha256 = 2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b
+            rate-per-second = 1000000
+            pipelines = describe, install, lookup
+            """;
+    private static final DeploymentView VIEW = new DeploymentView();
+
+    static {
+        VIEW.update(new ControlUpdateMessage(1, 1, SETTINGS, true, 0, List.of(), List.of()));
+    }
+
+    private static final long MAX_DELAY_NANOS = 4_000_000;
+    private static final long AWAY_NANOS = Duration.ofMillis(400).toNanos();
+
+    private final VirtualTimerService timers = new VirtualTimerService();
+    private final SplittableRandom random;
+    private final ExecutionBook book = new ExecutionBook();
+    private final SimulatedControl control;
+    private final Map<InetSocketAddress, SimulatedUpstream> upstreams = new LinkedHashMap<>();
+    private final Map<InetSocketAddress, SimulatedAgent> agents = new LinkedHashMap<>();
+    private final Map<InetSocketAddress, String> pools = new LinkedHashMap<>();
+    private final List<SimulatedEntry> entries = new ArrayList<>();
+    private final List<SimulatedCaller> callers = new ArrayList<>();
+    private final Map<String, Integer> counts = new TreeMap<>();
+    private final boolean forgetful;
+    private SimulatedFaults faults = SimulatedFaults.NONE;
+    private long revision;
+    private int arrivals;
+
+    SimulatedDeployment(long seed, int entryCount) {
+        this(seed, entryCount, ClaimLimits.DEFAULT);
+    }
+
+    SimulatedDeployment(long seed, int entryCount, ClaimLimits limits) {
+        random = new SplittableRandom(seed);
+        forgetful = seed % 2 == 1;
+        control = new SimulatedControl(this, limits);
+        int port = 1;
+        for (PoolKind kind : List.of(PoolKind.RETRIEVER, PoolKind.ENGINE, PoolKind.SERVICE)) {
+            for (int i = 0; i < 2; i++) {
+                InetSocketAddress address = new InetSocketAddress("10.0.0.1", port++);
+                SimulatedUpstream upstream = new SimulatedUpstream(this, kind);
+                upstreams.put(address, upstream);
+                pools.put(address, poolOf(kind));
+                agents.put(address, life(address, 1));
+            }
+        }
+        for (int i = 0; i < entryCount; i++) {
+            entries.add(new SimulatedEntry(this, VIEW));
+        }
+        update();
+    }
+
+    VirtualTimerService timers() {
+        return timers;
+    }
+
+    SplittableRandom random() {
+        return random;
+    }
+
+    ExecutionBook book() {
+        return book;
+    }
+
+    SimulatedControl control() {
+        return control;
+    }
+
+    SimulatedFaults faults() {
+        return faults;
+    }
+
+    void faults(SimulatedFaults next) {
+        faults = next;
+    }
+
+    List<SimulatedCaller> callers() {
+        return callers;
+    }
+
+    List<SimulatedEntry> entries() {
+        return entries;
+    }
+
+    SimulatedAgent agent(InetSocketAddress address) {
+        return agents.get(address);
+    }
+
+    /** Faults brought about so far, by kind. */
+    Map<String, Integer> counts() {
+        return counts;
+    }
+
+    void count(String what) {
+        counts.merge(what, 1, Integer::sum);
+    }
+
+    boolean strikes(double chance) {
+        return SimulatedFaults.strikes(random, chance);
+    }
+
+    long delay() {
+        return 1 + random.nextLong(MAX_DELAY_NANOS);
+    }
+
+    void later(Runnable task) {
+        timers.schedule(delay(), task);
+    }
+
+    /** A request arrives at an entry. */
+    SimulatedCaller call(int entry, String pipeline, String key, String token) {
+        boolean streaming = pipeline.equals("describe") && random.nextBoolean();
+        return call(entry, pipeline, key, token, streaming);
+    }
+
+    SimulatedCaller call(int entry, String pipeline, String key, String token, boolean streaming) {
+        long deadline = timers.nanoTime() + DEADLINE.toNanos();
+        SimulatedCaller caller = new SimulatedCaller(this, "r" + arrivals++, pipeline, key, token, deadline);
+        callers.add(caller);
+        byte[] body =
+                ("{\"input\":\"face-" + token + "|\",\"token\":\"" + token + "\"}").getBytes(StandardCharsets.UTF_8);
+        entries.get(entry).arrive(caller, streaming, body);
+        maybeCrash(entries.get(entry));
+        return caller;
+    }
+
+    void maybeCrash(SimulatedEntry entry) {
+        if (!entry.dead() && strikes(faults.entryCrash())) {
+            crash(entry);
+        }
+    }
+
+    void maybeCrash(SimulatedAgent agent) {
+        if (!agent.dead() && strikes(faults.agentCrash())) {
+            crash(agent);
+        }
+    }
+
+    /** An entry dies; another life takes its place at once, with nothing of what the first knew. */
+    void crash(SimulatedEntry entry) {
+        count("entries crashed");
+        entry.die();
+        int index = entries.indexOf(entry);
+        SimulatedEntry next = new SimulatedEntry(this, VIEW);
+        entries.set(index, next);
+        next.update(membership());
+    }
+
+    /** An agent dies; another life comes back after a while, as one with an empty table. */
+    void crash(SimulatedAgent agent) {
+        count("agents crashed");
+        agent.die();
+        InetSocketAddress address = agents.entrySet().stream()
+                .filter(e -> e.getValue() == agent)
+                .findFirst()
+                .orElseThrow()
+                .getKey();
+        entries.forEach(entry -> entry.cutTo(address));
+        timers.schedule(random.nextLong(AWAY_NANOS), () -> {
+            agents.put(address, life(address, agent.incarnation() + 1));
+            later(this::update);
+        });
+    }
+
+    private SimulatedAgent life(InetSocketAddress address, long incarnation) {
+        String id = idOf(address);
+        return new SimulatedAgent(timers, upstreams.get(address), id, incarnation, forgetful);
+    }
+
+    private String idOf(InetSocketAddress address) {
+        return pools.get(address) + address.getPort();
+    }
+
+    /** Tells every entry the membership as it is now. */
+    void update() {
+        revision++;
+        ControlUpdateMessage update = membership();
+        entries.forEach(entry -> entry.update(update));
+    }
+
+    /** Tells every entry that an upstream has left for good. */
+    void remove(InetSocketAddress address) {
+        pools.remove(address);
+        update();
+    }
+
+    InetSocketAddress address(String pool, int index) {
+        return pools.entrySet().stream()
+                .filter(e -> e.getValue().equals(pool))
+                .skip(index)
+                .findFirst()
+                .orElseThrow()
+                .getKey();
+    }
+
+    private ControlUpdateMessage membership() {
+        List<byte[]> announcements = new ArrayList<>();
+        pools.forEach((address, pool) -> announcements.add(UpstreamAnnouncement.CODEC.encode(new UpstreamAnnouncement(
+                idOf(address),
+                pool,
+                "north",
+                address,
+                agents.get(address).incarnation(),
+                1,
+                pool.equals("engines") ? List.of("llm") : List.of(),
+                false))));
+        return new ControlUpdateMessage(1, 1, SETTINGS, true, revision, announcements, List.of());
+    }
+
+    private static String poolOf(PoolKind kind) {
+        return switch (kind) {
+            case RETRIEVER -> "retrievers";
+            case ENGINE -> "engines";
+            default -> "gallery";
+        };
+    }
+}
--- a/tools/src/main/java/org/copperspindle/cli/Copperspindle.java
+++ b/tools/src/main/java/org/copperspindle/cli/Copperspindle.java
@@ -24,7 +24,8 @@
             new AuditCommand(),
             new EmulateCommand(),
             new MeasureCommand(),
-            new ReplayCommand());
+            new ReplayCommand(),
+            new StatusCommand());
     private static final String COMMAND_KEY = "command";
 
     private Copperspindle() {}
