--- a/library/src/main/java/org/copperspindle/control/ControlState.java
+++ b/library/src/main/java/org/copperspindle/control/ControlState.java
@@ -1,5 +1,6 @@
 package org.copperspindle.control;
 
+import java.time.Clock;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -8,6 +9,9 @@
 
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.copperspindle.audit.AuditPart;
+import org.copperspindle.audit.AuditSink;
+import org.copperspindle.audit.AuditTrail;
 import org.copperspindle.claims.ClaimTable;
 import org.copperspindle.config.ConfigHistory;
 import org.copperspindle.membership.UpstreamTable;
@@ -30,10 +34,27 @@
     private final ConfigHistory config = new ConfigHistory();
     private final UpstreamTable upstreams = new UpstreamTable();
     private final ClaimPart claims = new ClaimPart();
-    private final List<StatePart> parts = List.of(config, upstreams, claims);
+    private final AuditPart audit;
+    private final AuditObserver observer = new AuditObserver(config, upstreams);
+    private final Clock clock;
+    private final List<StatePart> parts;
 
-    /** Creates an empty state. */
+    /** Creates an empty state whose audit trail is kept nowhere. */
     public ControlState() {
+        this(AuditSink.NONE, Clock.systemUTC());
+    }
+
+    /**
+     * Creates an empty state.
+     *
+     * @param sink  keeps the audit trail
+     * @param clock wall clock that commands are stamped with, for readers of the trail only
+     */
+    public ControlState(AuditSink sink, Clock clock) {
+        this.audit = new AuditPart(sink);
+        this.clock = clock;
+        this.parts = List.of(config, upstreams, claims, audit);
+        commands.register(StampedCommand.CODEC);
         for (StatePart part : parts) {
             for (MessageCodec<?> codec : part.commands()) {
                 commands.register(codec);
@@ -46,8 +67,14 @@
     public ControlResult apply(long index, long term, byte[] command) {
         try {
             Optional<WireMessage> decoded = commands.decode(command);
-            if (decoded.isPresent() && byCommand.containsKey(decoded.get().getClass())) {
-                return byCommand.get(decoded.get().getClass()).apply(index, decoded.get());
+            if (decoded.isPresent() && decoded.get() instanceof StampedCommand stamped) {
+                Optional<WireMessage> inner = commands.decode(stamped.command());
+                return inner.isPresent()
+                        ? dispatch(index, term, stamped.atMillis(), inner.get())
+                        : new ControlResult.Done();
+            }
+            if (decoded.isPresent()) {
+                return dispatch(index, term, 0, decoded.get());
             }
         } catch (MalformedFrameException e) {
             // The record passed its checksum, so this is a fault of a proposer; all members skip it alike.
@@ -93,7 +120,8 @@
      * @return its bytes
      */
     public byte[] encode(WireMessage command) {
-        return commands.encode(command);
+        byte[] encoded = commands.encode(command);
+        return observer.observes(command) ? commands.encode(new StampedCommand(clock.millis(), encoded)) : encoded;
     }
 
     /**
@@ -123,6 +151,28 @@
         return claims.table();
     }
 
+    /**
+     * Returns the audit trail.
+     *
+     * @return the live state; read only outside {@link #apply}
+     */
+    public AuditTrail audit() {
+        return audit.trail();
+    }
+
+    private ControlResult dispatch(long index, long term, long atMillis, WireMessage command)
+            throws MalformedFrameException {
+        StatePart part = byCommand.get(command.getClass());
+        if (part == null) {
+            return new ControlResult.Done();
+        }
+        audit.under(term);
+        AuditObserver.Observation observation = observer.observe(command);
+        ControlResult result = part.apply(index, command);
+        observation.after(atMillis).ifPresent(entry -> audit.trail().append(index, term, entry));
+        return result;
+    }
+
     private static Map<String, byte[]> read(byte[] snapshot) throws MalformedFrameException {
         ControlSnapshot decoded = ControlSnapshot.CODEC.decode(snapshot);
         if (decoded.format() < 1 || decoded.format() > ControlSnapshot.FORMAT) {
