Bound callers' connections, refuse ambiguous framing, publish metrics

Cause: the listener enforced no connection count and no time; both lengths and chunked, doubled lengths and folded fields passed; a pipelined request replaced the one being answered, so that a dropped connection told the wrong request; an exchange could be answered twice; the event loop could end with answers unwritten; a full path for metrics was missing. Change: StrictRequestDecoder and RequestAssembler on Netty's codec judge the form; HttpConnectionHandler hands requests on one at a time, with bounds on the whole request, on idle connections and on unread answers; the state of an exchange is typed and late answers are counted; answers in pieces are bounded by the bytes that wait; stop in steps, with answers written out before the event loop ends; limits from [entry]; problem details with type URIs and the verdict, 415, 406, WWW-Authenticate; one access line for each answer; /livez, /readyz and /metrics for every role, [process] metrics-listen for those without a listener; Micrometer registry with bounded labels. Conclusion: a bad, slow or gone caller costs its own connection only.

--- a/library/src/main/java/org/copperspindle/core/DecisionRing.java
+++ b/library/src/main/java/org/copperspindle/core/DecisionRing.java
@@ -3,6 +3,7 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.LongAdder;
 
 import com.lmax.disruptor.BlockingWaitStrategy;
 import com.lmax.disruptor.ExceptionHandler;
@@ -28,6 +29,7 @@
 
     private final Disruptor<Slot> disruptor;
     private final RingBuffer<Slot> ring;
+    private final LongAdder failures = new LongAdder();
     private volatile Thread owner;
 
     /**
@@ -50,7 +52,7 @@
                 ProducerType.MULTI,
                 new BlockingWaitStrategy());
         disruptor.handleEventsWith((slot, sequence, endOfBatch) -> slot.run());
-        disruptor.setDefaultExceptionHandler(new LoggingExceptionHandler());
+        disruptor.setDefaultExceptionHandler(new CountingExceptionHandler());
         ring = disruptor.start();
     }
 
@@ -101,6 +103,15 @@
         return ring.getBufferSize() - ring.remainingCapacity();
     }
 
+    /**
+     * Returns how many decisions failed unexpectedly.
+     *
+     * @return a count
+     */
+    public long failures() {
+        return failures.sum();
+    }
+
     @Override
     public void close() {
         disruptor.halt();
@@ -118,9 +129,10 @@
     }
 
     /** Keeps the ring alive: one failed decision must not stop all others. */
-    private static final class LoggingExceptionHandler implements ExceptionHandler<Slot> {
+    private final class CountingExceptionHandler implements ExceptionHandler<Slot> {
         @Override
         public void handleEventException(Throwable failure, long sequence, Slot slot) {
+            failures.increment();
             LOGGER.error("event=decision-failed sequence={}", sequence, failure);
         }
 
--- a/library/src/main/java/org/copperspindle/daemon/ControlRole.java
+++ b/library/src/main/java/org/copperspindle/daemon/ControlRole.java
@@ -32,8 +32,10 @@
         ControlState state = new ControlState();
         this.log = new LocalLog(state);
         this.service = new ControlService(context.ring(), context.timers(), log, state, settings.lease());
-        this.operators =
-                new HttpListener(settings.listen(), 1, HttpLimits.DEFAULT, new ControlDoor(context.ring(), service));
+        ProbeDoor door =
+                new ProbeDoor(this::ready, context.metrics()::scrape, new ControlDoor(context.ring(), service));
+        this.operators = new HttpListener(settings.listen(), 1, HttpLimits.DEFAULT, door);
+        ProcessMetrics.publish(context.metrics(), "operators", operators.counters());
     }
 
     @Override
--- a/library/src/main/java/org/copperspindle/daemon/CopperspindleProcess.java
+++ b/library/src/main/java/org/copperspindle/daemon/CopperspindleProcess.java
@@ -13,6 +13,9 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.copperspindle.core.DecisionRing;
+import org.copperspindle.http.HttpLimits;
+import org.copperspindle.http.HttpListener;
+import org.copperspindle.measure.MetricsRegistry;
 import org.copperspindle.time.SystemTimerService;
 import org.copperspindle.wire.GreetingMessage;
 import org.copperspindle.wire.Peer;
@@ -33,7 +36,9 @@
     private final DecisionRing ring;
     private final SystemTimerService timers;
     private final WireTransport transport;
+    private final MetricsRegistry metrics = new MetricsRegistry();
     private final Channel wireChannel;
+    private final Optional<HttpListener> probes;
     private final List<ProcessRole> roles = new ArrayList<>();
     private Optional<ProcessRole> entry = Optional.empty();
     private Optional<ProcessRole> control = Optional.empty();
@@ -47,7 +52,8 @@
         this.transport = new WireTransport(NETWORK_THREADS, MessageCatalog.registry(), greeting);
         RoleSwitch roleSwitch = new RoleSwitch();
         this.wireChannel = transport.listen(settings.listen(), roleSwitch);
-        ProcessContext context = new ProcessContext(settings, ring, timers, transport, wireAddress(), incarnation);
+        ProcessContext context =
+                new ProcessContext(settings, ring, timers, transport, metrics, wireAddress(), incarnation);
         // Stopped in this order: an entry finishes its requests before the agent or control beside it goes.
         entry = settings.entry().map(e -> new EntryRole(context, e));
         entry.ifPresent(roles::add);
@@ -56,6 +62,11 @@
         control.ifPresent(roles::add);
         roles.forEach(roleSwitch::add);
         roles.forEach(ProcessRole::start);
+        ProcessMetrics.publish(metrics, ring);
+        ProcessMetrics.publish(metrics, transport.counters());
+        metrics.gauge("ready", "1 while every role of the process serves", this, p -> p.ready() ? 1 : 0);
+        ProbeDoor door = new ProbeDoor(this::ready, metrics::scrape, ProbeDoor.nothing());
+        probes = settings.metricsListen().map(a -> new HttpListener(a, 1, HttpLimits.DEFAULT, door));
         LOGGER.info("event=started process={} wire={}", settings.id(), wireAddress());
     }
 
@@ -96,6 +107,15 @@
         return control.flatMap(ProcessRole::httpAddress);
     }
 
+    /**
+     * Returns where probes and metrics are, besides the addresses of callers and operators.
+     *
+     * @return the bound address, if the settings name one
+     */
+    public Optional<InetSocketAddress> metricsAddress() {
+        return probes.map(HttpListener::address);
+    }
+
     /**
      * Says whether the process serves.
      *
@@ -122,9 +142,11 @@
     /** Ends at once, as a crash would; for tests and the demo. */
     public void kill() {
         roles.forEach(ProcessRole::close);
+        probes.ifPresent(HttpListener::close);
         timers.close();
         transport.close();
         ring.close();
+        metrics.close();
     }
 
     private static void stopNext(Iterator<ProcessRole> left, Runnable done) {
--- a/library/src/main/java/org/copperspindle/daemon/EntryRole.java
+++ b/library/src/main/java/org/copperspindle/daemon/EntryRole.java
@@ -1,14 +1,16 @@
 package org.copperspindle.daemon;
 
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.Optional;
 import java.util.Set;
 
 import org.copperspindle.entry.EntryDoor;
 import org.copperspindle.entry.EntryService;
 import org.copperspindle.entry.EntrySettings;
-import org.copperspindle.http.HttpLimits;
 import org.copperspindle.http.HttpListener;
+import org.copperspindle.measure.EntryMeasures;
+import org.copperspindle.measure.MicrometerEntryMeasures;
 import org.copperspindle.wire.Peer;
 import org.copperspindle.wire.PeerListener;
 import org.copperspindle.wire.WireMessage;
@@ -20,19 +22,27 @@
 
     private static final int NETWORK_THREADS = 2;
 
+    /** Longest wait for callers that do not read their answers. */
+    private static final Duration DRAIN_BOUND = Duration.ofSeconds(5);
+
     private final ProcessContext context;
+    private final EntrySettings settings;
     private final EntryService service;
     private final HttpListener callers;
 
     EntryRole(ProcessContext context, EntrySettings settings) {
         this.context = context;
+        this.settings = settings;
         this.service = new EntryService(
                 context.ring(),
                 context.timers(),
                 context.transport(),
                 settings,
                 context.settings().controls());
-        this.callers = new HttpListener(settings.listen(), NETWORK_THREADS, HttpLimits.DEFAULT, new EntryDoor(service));
+        EntryMeasures measures = new MicrometerEntryMeasures(context.metrics());
+        ProbeDoor door = new ProbeDoor(service::ready, context.metrics()::scrape, new EntryDoor(service, measures));
+        this.callers = new HttpListener(settings.listen(), NETWORK_THREADS, settings.limits(), door);
+        ProcessMetrics.publish(context.metrics(), "callers", callers.counters());
     }
 
     @Override
@@ -72,7 +82,12 @@
 
     @Override
     public void stop(Runnable done) {
-        service.stop(done);
+        callers.announceStop();
+        context.timers().schedule(settings.stopDelay().toNanos(), callers::stopAccepting);
+        // The last answers are written on network threads: closing these before would cut the answers off.
+        Runnable written =
+                () -> context.ring().offerUntilTaken(done, context.transport().scheduler());
+        service.stop(() -> callers.drain(DRAIN_BOUND, written));
     }
 
     @Override
--- a/library/src/main/java/org/copperspindle/daemon/ProcessContext.java
+++ b/library/src/main/java/org/copperspindle/daemon/ProcessContext.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 
 import org.copperspindle.core.DecisionRing;
+import org.copperspindle.measure.MetricsRegistry;
 import org.copperspindle.time.TimerService;
 import org.copperspindle.wire.WireTransport;
 
@@ -13,6 +14,7 @@
  * @param ring        its decision ring
  * @param timers      time
  * @param transport   network between the system's own processes
+ * @param metrics     what the process publishes about itself
  * @param wireAddress where other processes reach this one
  * @param incarnation number of this life of the process, larger for each restart
  */
@@ -21,5 +23,6 @@
         DecisionRing ring,
         TimerService timers,
         WireTransport transport,
+        MetricsRegistry metrics,
         InetSocketAddress wireAddress,
         long incarnation) {}
--- a/library/src/main/java/org/copperspindle/daemon/ProcessSettings.java
+++ b/library/src/main/java/org/copperspindle/daemon/ProcessSettings.java
@@ -11,9 +11,11 @@
 import org.copperspindle.agent.AgentLimits;
 import org.copperspindle.agent.AgentSettings;
 import org.copperspindle.entry.EntrySettings;
+import org.copperspindle.http.HttpLimits;
 import org.copperspindle.settings.SettingsException;
 import org.copperspindle.settings.SettingsFile;
 import org.copperspindle.settings.SettingsSection;
+import org.copperspindle.wire.WireTransport;
 
 /**
  * Settings of one process: who it is, where it listens, which roles it has.
@@ -25,6 +27,7 @@
  * @param entry         settings of the entry role, if it has it
  * @param agent         settings of the agent role, if it has it
  * @param control       settings of the control role, if it has it
+ * @param metricsListen address for probes and metrics, for processes without callers or operators
  */
 public record ProcessSettings(
         String id,
@@ -33,13 +36,38 @@
         List<InetSocketAddress> controls,
         Optional<EntrySettings> entry,
         Optional<AgentSettings> agent,
-        Optional<ControlSettings> control) {
+        Optional<ControlSettings> control,
+        Optional<InetSocketAddress> metricsListen) {
 
     private static final List<String> KINDS = List.of("process", "entry", "agent", "control");
     private static final Duration DEFAULT_RENEW = Duration.ofSeconds(1);
     private static final Duration DEFAULT_LEASE = Duration.ofSeconds(5);
     private static final int DEFAULT_IN_PROGRESS = 2000;
-    private static final long DEFAULT_BODY = 1 << 20;
+
+    /** A body travels in one frame between own processes, with what the stages before added to it. */
+    private static final long MAX_BODY = WireTransport.MAX_FRAME_BYTES / 2;
+
+    /**
+     * Makes settings without an address of its own for probes.
+     *
+     * @param id            identity of the process
+     * @param failureDomain failure domain of its VM
+     * @param listen        address for the system's own protocol
+     * @param controls      addresses of the control members
+     * @param entry         settings of the entry role, if it has it
+     * @param agent         settings of the agent role, if it has it
+     * @param control       settings of the control role, if it has it
+     */
+    public ProcessSettings(
+            String id,
+            String failureDomain,
+            InetSocketAddress listen,
+            List<InetSocketAddress> controls,
+            Optional<EntrySettings> entry,
+            Optional<AgentSettings> agent,
+            Optional<ControlSettings> control) {
+        this(id, failureDomain, listen, controls, entry, agent, control, Optional.empty());
+    }
 
     /**
      * Settings of the control role.
@@ -75,6 +103,7 @@
         InetSocketAddress listen = s.getAddress("listen", Optional.empty());
         List<InetSocketAddress> controls = s.getAddresses("controls");
         Duration renew = s.getDuration("renew", Optional.of(DEFAULT_RENEW));
+        Optional<InetSocketAddress> metrics = s.findAddress("metrics-listen");
         s.finish();
         Optional<EntrySettings> entry =
                 file.has("entry") ? Optional.of(readEntry(file.section("entry"), domain, renew)) : Optional.empty();
@@ -86,7 +115,7 @@
             s.reject("", "the process has no role", "a section [entry], [agent] or [control]");
         }
         file.finish(KINDS);
-        return new ProcessSettings(id, domain, listen, controls, entry, agent, control);
+        return new ProcessSettings(id, domain, listen, controls, entry, agent, control, metrics);
     }
 
     private static EntrySettings readEntry(SettingsSection s, String domain, Duration renew) {
@@ -95,12 +124,25 @@
                 domain,
                 renew,
                 (int) s.getLong("max-in-progress", 1, 1_000_000, Optional.of((long) DEFAULT_IN_PROGRESS)),
-                (int) s.getBytes("max-body", Optional.of(DEFAULT_BODY)),
-                s.getDuration("stop-delay", Optional.of(Duration.ofSeconds(2))));
+                s.getDuration("stop-delay", Optional.of(Duration.ofSeconds(2))),
+                readHttpLimits(s));
         s.finish();
         return entry;
     }
 
+    private static HttpLimits readHttpLimits(SettingsSection s) {
+        HttpLimits d = HttpLimits.DEFAULT;
+        return new HttpLimits(
+                (int) s.getBytes("max-line", 256, 64 << 10, Optional.of((long) d.maxLineBytes())),
+                (int) s.getBytes("max-header", 1 << 10, 256 << 10, Optional.of((long) d.maxHeaderBytes())),
+                (int) s.getBytes("max-body", 1, MAX_BODY, Optional.of((long) d.maxBodyBytes())),
+                (int) s.getLong("max-connections", 1, 1_000_000, Optional.of((long) d.maxConnections())),
+                s.getDuration("read-timeout", Optional.of(d.readTimeout())),
+                s.getDuration("idle-timeout", Optional.of(d.idleTimeout())),
+                s.getDuration("write-timeout", Optional.of(d.writeTimeout())),
+                s.getBytes("max-pending", 4 << 10, 64 << 20, Optional.of(d.maxPendingBytes())));
+    }
+
     private static AgentSettings readAgent(SettingsSection s, String domain, Duration renew) {
         AgentSettings agent = new AgentSettings(
                 s.getString("upstream-id", "the identity of the upstream"),
--- a/library/src/main/java/org/copperspindle/entry/AnswerSink.java
+++ b/library/src/main/java/org/copperspindle/entry/AnswerSink.java
@@ -14,6 +14,15 @@
      */
     void piece(String text);
 
+    /**
+     * Returns what waits for the caller to read. The entry ends an answer whose caller reads too slowly.
+     *
+     * @return bytes handed over and not yet taken by the network
+     */
+    default long waitingBytes() {
+        return 0;
+    }
+
     /**
      * Ends the answer.
      *
--- a/library/src/main/java/org/copperspindle/http/HttpExchange.java
+++ b/library/src/main/java/org/copperspindle/http/HttpExchange.java
@@ -3,44 +3,53 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
 
 import io.netty.buffer.Unpooled;
-import io.netty.channel.ChannelFutureListener;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
-import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
-import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.handler.codec.http.QueryStringDecoder;
 
 /**
- * One request and its answer. Answering is possible from any thread.
+ * One request and its answer. Answering is possible from any thread. An exchange is answered once at most: whatever
+ * comes after its answer, or after its connection, is dropped and counted.
  */
 public final class HttpExchange {
 
-    private final ChannelHandlerContext context;
+    private static final Runnable NOBODY = () -> {};
+    private static final Runnable TOLD = () -> {};
+
+    private final HttpConnectionHandler connection;
     private final String method;
-    private final QueryStringDecoder uri;
-    private final Map<String, String> headers;
+    private final RequestTarget target;
+    private final HttpHeaders headers;
     private final byte[] body;
+    private final boolean old;
     private final boolean keepAlive;
-    private volatile Runnable closed = () -> {};
+    private final AtomicReference<AnswerState> state = new AtomicReference<>(AnswerState.AWAITED);
+    private final AtomicReference<Runnable> closed = new AtomicReference<>(NOBODY);
+    private final AtomicLong pendingBytes = new AtomicLong();
+    private volatile Runnable writable = NOBODY;
 
-    HttpExchange(ChannelHandlerContext context, FullHttpRequest request) {
-        this.context = context;
-        this.method = request.method().name();
-        this.uri = new QueryStringDecoder(request.uri());
-        this.headers = new java.util.TreeMap<>(String.CASE_INSENSITIVE_ORDER);
-        request.headers().forEach(h -> headers.putIfAbsent(h.getKey(), h.getValue()));
-        this.body = new byte[request.content().readableBytes()];
-        request.content().getBytes(request.content().readerIndex(), body);
-        this.keepAlive = HttpUtil.isKeepAlive(request);
+    HttpExchange(HttpConnectionHandler connection, HttpRequest head, RequestTarget target, byte[] body) {
+        this.connection = connection;
+        this.method = head.method().name();
+        this.target = target;
+        this.headers = head.headers();
+        this.body = body;
+        this.old = head.protocolVersion().equals(HttpVersion.HTTP_1_0);
+        // HTTP/1.0 has no chunks, and its persistence was never agreed on: one answer for each connection.
+        this.keepAlive = !old && HttpUtil.isKeepAlive(head);
     }
 
     /**
@@ -58,7 +67,7 @@
      * @return the decoded path
      */
     public String path() {
-        return uri.path();
+        return target.path();
     }
 
     /**
@@ -68,7 +77,7 @@
      * @return its first value
      */
     public Optional<String> parameter(String name) {
-        return Optional.ofNullable(uri.parameters().get(name)).map(values -> values.get(0));
+        return Optional.ofNullable(target.parameters().get(name)).map(values -> values.get(0));
     }
 
     /**
@@ -81,6 +90,16 @@
         return Optional.ofNullable(headers.get(name));
     }
 
+    /**
+     * Says how often a header field was sent.
+     *
+     * @param name its name, in any case
+     * @return number of lines
+     */
+    public int headerCount(String name) {
+        return headers.getAll(name).size();
+    }
+
     /**
      * Returns the whole body.
      *
@@ -91,12 +110,59 @@
     }
 
     /**
-     * Asks to be told when the connection ends before the answer does.
+     * Says whether the answer may be sent in pieces, whose end the caller can tell from a cut connection.
+     *
+     * @return false for HTTP/1.0
+     */
+    public boolean supportsPieces() {
+        return !old;
+    }
+
+    /**
+     * Asks to be told, once, when the connection ends before the answer does; at once if it has.
      *
      * @param task run on a network thread
      */
     public void onClosed(Runnable task) {
-        closed = task;
+        if (!closed.compareAndSet(NOBODY, task)) {
+            task.run();
+        }
+    }
+
+    /**
+     * Says whether what was written has mostly left.
+     *
+     * @return false if a sender of pieces should hold back
+     */
+    public boolean isWritable() {
+        return state.get().open && connection.isWritable();
+    }
+
+    /**
+     * Returns how much of the answer waits for the caller to read.
+     *
+     * @return bytes
+     */
+    public long pendingBytes() {
+        return pendingBytes.get();
+    }
+
+    /**
+     * Asks to be told whenever the answer becomes writable again.
+     *
+     * @param task run on a network thread
+     */
+    public void onWritable(Runnable task) {
+        writable = task;
+    }
+
+    /**
+     * Returns the connection's network thread as a scheduler.
+     *
+     * @return for tasks that must not block it
+     */
+    public ScheduledExecutorService scheduler() {
+        return connection.scheduler();
     }
 
     /**
@@ -108,18 +174,26 @@
      * @param answer      body
      */
     public void respond(int status, String contentType, Map<String, String> fields, byte[] answer) {
-        closed = () -> {};
-        DefaultFullHttpResponse response = new DefaultFullHttpResponse(
-                HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(answer));
-        response.headers().set(HttpHeaderNames.CONTENT_TYPE, contentType);
-        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, answer.length);
-        fields.forEach((name, value) -> response.headers().set(name, value));
-        if (keepAlive) {
-            context.writeAndFlush(response);
+        if (!advance(AnswerState.AWAITED, AnswerState.ENDED)) {
             return;
         }
-        response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-        context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+        HttpResponse head = head(status, contentType, fields);
+        head.headers().set(HttpHeaderNames.CONTENT_LENGTH, answer.length);
+        boolean close = closesAfter(head);
+        connection.write(head);
+        if (answer.length > 0 && !method.equals(HttpMethod.HEAD.name())) {
+            connection.write(new DefaultHttpContent(Unpooled.wrappedBuffer(answer)));
+        }
+        connection.end(this, close);
+    }
+
+    /**
+     * Sends a problem.
+     *
+     * @param problem the whole answer
+     */
+    public void respond(ProblemDetails problem) {
+        respond(problem.status(), ProblemDetails.CONTENT_TYPE, problem.fields(), problem.body());
     }
 
     /**
@@ -129,34 +203,107 @@
      * @param fields      further header fields
      */
     public void start(String contentType, Map<String, String> fields) {
-        DefaultHttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
-        response.headers().set(HttpHeaderNames.CONTENT_TYPE, contentType);
-        response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
-        response.headers().set(HttpHeaderNames.CACHE_CONTROL, HttpHeaderValues.NO_CACHE);
-        fields.forEach((name, value) -> response.headers().set(name, value));
-        context.writeAndFlush(response);
+        if (!advance(AnswerState.AWAITED, AnswerState.STARTED)) {
+            return;
+        }
+        HttpResponse head = head(HttpResponseStatus.OK.code(), contentType, fields);
+        head.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+        head.headers().set(HttpHeaderNames.CACHE_CONTROL, HttpHeaderValues.NO_CACHE);
+        closesAfter(head);
+        connection.write(head);
     }
 
     /**
-     * Sends a piece of a started answer.
+     * Sends a piece of a started answer. If the caller has left too much unread, the connection is closed instead, as
+     * broken: the pieces must not fill this process's memory.
      *
      * @param text the piece
+     * @return false if the answer has ended or is ended by this
      */
-    public void write(String text) {
-        context.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(text.getBytes(StandardCharsets.UTF_8))));
+    public boolean write(String text) {
+        if (state.get() != AnswerState.STARTED) {
+            connection.counters().lateAnswer();
+            return false;
+        }
+        byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+        if (pendingBytes.addAndGet(bytes.length) > connection.limits().maxPendingBytes()) {
+            connection.counters().slowReader();
+            breakOff();
+            return false;
+        }
+        connection
+                .writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(bytes)))
+                .addListener(done -> pendingBytes.addAndGet(-bytes.length));
+        return true;
     }
 
     /** Ends a started answer. */
     public void finish() {
-        closed = () -> {};
-        context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT).addListener(done -> {
-            if (!keepAlive) {
-                context.close();
-            }
-        });
+        if (advance(AnswerState.STARTED, AnswerState.ENDED)) {
+            connection.end(this, !keepAlive || connection.isStopping());
+        }
+    }
+
+    /** Ends a started answer as broken: the connection closes without the end mark. */
+    public void breakOff() {
+        if (state.compareAndSet(AnswerState.STARTED, AnswerState.BROKEN)) {
+            connection.abandon("answer-broken");
+        }
     }
 
+    /** The connection ended. */
     void connectionClosed() {
-        closed.run();
+        AnswerState before = state.getAndUpdate(s -> s.open ? AnswerState.DROPPED : s);
+        if (before.open) {
+            closed.getAndSet(TOLD).run();
+        }
+    }
+
+    /** What was written has mostly left. */
+    void becameWritable() {
+        writable.run();
+    }
+
+    private boolean advance(AnswerState from, AnswerState to) {
+        if (state.compareAndSet(from, to)) {
+            return true;
+        }
+        connection.counters().lateAnswer();
+        return false;
+    }
+
+    private static HttpResponse head(int status, String contentType, Map<String, String> fields) {
+        HttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
+        head.headers().set(HttpHeaderNames.CONTENT_TYPE, contentType);
+        fields.forEach((name, value) -> head.headers().set(name, value));
+        return head;
+    }
+
+    private boolean closesAfter(HttpResponse head) {
+        boolean close = !keepAlive || connection.isStopping();
+        if (close) {
+            head.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        }
+        return close;
+    }
+
+    /** How far the answer has come. */
+    private enum AnswerState {
+        /** Nothing was sent. */
+        AWAITED(true),
+        /** The head was sent, pieces follow. */
+        STARTED(true),
+        /** No more is sent, and the connection is being closed without the end mark. */
+        BROKEN(true),
+        /** All was handed to the connection. */
+        ENDED(false),
+        /** The connection ended first. */
+        DROPPED(false);
+
+        private final boolean open;
+
+        AnswerState(boolean open) {
+            this.open = open;
+        }
     }
 }
--- a/library/src/main/java/org/copperspindle/http/HttpListener.java
+++ b/library/src/main/java/org/copperspindle/http/HttpListener.java
@@ -1,32 +1,51 @@
 package org.copperspindle.http;
 
 import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpObjectAggregator;
-import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.flush.FlushConsolidationHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import io.netty.util.concurrent.GlobalEventExecutor;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.copperspindle.verdict.NotRunVerdict;
 
 /**
- * Listens for HTTP/1.1 requests.
+ * Listens for HTTP/1.1 requests. Stops in steps: {@link #announceStop}, {@link #stopAccepting}, {@link #drain},
+ * {@link #close}.
  */
 public final class HttpListener implements AutoCloseable {
 
-    private static final int MAX_CHUNK_BYTES = 8192;
+    private static final Logger LOGGER = LogManager.getLogger(HttpListener.class);
+    private static final int FLUSH_AFTER = 64;
+    private static final long DRAIN_CHECK_NANOS = Duration.ofMillis(5).toNanos();
 
     private final EventLoopGroup group;
     private final Channel channel;
+    private final HttpLimits limits;
+    private final HttpRequestHandler handler;
+    private final HttpCounters counters = new HttpCounters();
+    private final ChannelGroup open = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+    private volatile boolean stopping;
 
     /**
      * Binds and starts to listen.
@@ -37,21 +56,16 @@
      * @param handler answers requests
      */
     public HttpListener(InetSocketAddress address, int threads, HttpLimits limits, HttpRequestHandler handler) {
-        this.group = new MultiThreadIoEventLoopGroup(threads, NioIoHandler.newFactory());
+        this.limits = limits;
+        this.handler = handler;
+        this.group = new MultiThreadIoEventLoopGroup(
+                threads, new DefaultThreadFactory("http", true), NioIoHandler.newFactory());
         this.channel = new ServerBootstrap()
                 .group(group)
                 .channel(NioServerSocketChannel.class)
                 .childOption(ChannelOption.TCP_NODELAY, true)
-                .childHandler(new ChannelInitializer<SocketChannel>() {
-                    @Override
-                    protected void initChannel(SocketChannel accepted) {
-                        accepted.pipeline()
-                                .addLast(new HttpServerCodec(
-                                        limits.maxLineBytes(), limits.maxHeaderBytes(), MAX_CHUNK_BYTES))
-                                .addLast(new HttpObjectAggregator(limits.maxBodyBytes()))
-                                .addLast(new RequestHandler(handler));
-                    }
-                })
+                .childOption(ChannelOption.SO_KEEPALIVE, true)
+                .childHandler(new Initializer())
                 .bind(address)
                 .syncUninterruptibly()
                 .channel();
@@ -66,37 +80,99 @@
         return (InetSocketAddress) channel.localAddress();
     }
 
+    /**
+     * Returns what was counted.
+     *
+     * @return counters of this listener
+     */
+    public HttpCounters counters() {
+        return counters;
+    }
+
+    /** Ends each connection with its next answer from now on; new connections are still taken. */
+    public void announceStop() {
+        stopping = true;
+    }
+
+    /** Takes no more connections, and closes those that no request has begun on. */
+    public void stopAccepting() {
+        stopping = true;
+        channel.close();
+        open.forEach(accepted -> accepted.eventLoop().execute(() -> {
+            HttpConnectionHandler connection = accepted.pipeline().get(HttpConnectionHandler.class);
+            if (connection != null) {
+                connection.closeIfIdle();
+            }
+        }));
+    }
+
+    /**
+     * Waits without blocking until every answer has been written out to its caller.
+     *
+     * @param bound longest wait, for callers that don't read
+     * @param done  run on a network thread
+     */
+    public void drain(Duration bound, Runnable done) {
+        long end = System.nanoTime() + bound.toNanos();
+        group.execute(() -> awaitAnswers(end, done));
+    }
+
     @Override
     public void close() {
         channel.close().awaitUninterruptibly();
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
     }
 
-    /** Hands one connection's requests on. */
-    private static final class RequestHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
-        private final HttpRequestHandler handler;
-        private HttpExchange current;
-
-        private RequestHandler(HttpRequestHandler handler) {
-            this.handler = handler;
+    private void awaitAnswers(long end, Runnable done) {
+        int left = counters.inProgress();
+        if (left > 0 && System.nanoTime() < end) {
+            group.schedule(() -> awaitAnswers(end, done), DRAIN_CHECK_NANOS, TimeUnit.NANOSECONDS);
+            return;
         }
-
-        @Override
-        protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
-            current = new HttpExchange(ctx, request);
-            handler.handle(current);
+        if (left > 0) {
+            LOGGER.warn("event=answers-unread count={}", left);
         }
+        done.run();
+    }
+
+    /** Builds the pipeline of one connection. */
+    private final class Initializer extends ChannelInitializer<SocketChannel> {
 
         @Override
-        public void channelInactive(ChannelHandlerContext ctx) {
-            if (current != null) {
-                current.connectionClosed();
+        protected void initChannel(SocketChannel accepted) {
+            int connections = counters.connected();
+            accepted.closeFuture().addListener(closed -> counters.disconnected());
+            if (connections > limits.maxConnections()) {
+                counters.refusedConnection();
+                accepted.pipeline().addLast(new HttpResponseEncoder());
+                accepted.eventLoop().execute(() -> refuse(accepted));
+                return;
             }
+            open.add(accepted);
+            accepted.pipeline()
+                    // Pieces that arrive in one go leave in one system call.
+                    .addLast(new FlushConsolidationHandler(FLUSH_AFTER, true))
+                    .addLast(new StrictRequestDecoder(limits))
+                    .addLast(new HttpResponseEncoder())
+                    .addLast(new HttpConnectionHandler(limits, counters, handler, () -> stopping));
         }
 
-        @Override
-        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            ctx.close();
+        private void refuse(SocketChannel accepted) {
+            ProblemDetails problem = new ProblemDetails(
+                    HttpResponseStatus.SERVICE_UNAVAILABLE.code(),
+                    "too many connections",
+                    new NotRunVerdict("too-many-connections"),
+                    "",
+                    Optional.of(Duration.ofSeconds(1)));
+            DefaultFullHttpResponse response = new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1,
+                    HttpResponseStatus.SERVICE_UNAVAILABLE,
+                    Unpooled.wrappedBuffer(problem.body()));
+            problem.fields().forEach((name, value) -> response.headers().set(name, value));
+            response.headers().set("Content-Type", ProblemDetails.CONTENT_TYPE);
+            response.headers().set("Content-Length", response.content().readableBytes());
+            response.headers().set("Connection", "close");
+            accepted.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
         }
     }
 }
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/http/ProblemDetails.java
@@ -0,0 +1,100 @@
+package org.copperspindle.http;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.copperspindle.verdict.MayHaveRunVerdict;
+import org.copperspindle.verdict.NotRunVerdict;
+import org.copperspindle.verdict.Verdict;
+
+/**
+ * An error as callers see it: problem details (RFC 9457) that also say whether the request may have run.
+ *
+ * @param status     HTTP status
+ * @param title      short text for people
+ * @param verdict    whether the request may have run; its reason names the type of the problem
+ * @param requestId  identity of the request, empty if it was given none
+ * @param retryAfter when a retry has better prospects
+ */
+public record ProblemDetails(
+        int status, String title, Verdict verdict, String requestId, Optional<Duration> retryAfter) {
+
+    /** Content type of the body. */
+    public static final String CONTENT_TYPE = "application/problem+json";
+
+    /** Header field of the verdict. */
+    public static final String VERDICT_HEADER = "Copperspindle-Verdict";
+
+    /** Header field of the request's identity. */
+    public static final String REQUEST_ID_HEADER = "Copperspindle-Request-Id";
+
+    /** What the type URIs start with; the reason follows. */
+    public static final String TYPE_PREFIX = "urn:copperspindle:problem:";
+
+    private static final int UNAUTHORIZED = 401;
+    private static final int INTERNAL_ERROR = 500;
+
+    /**
+     * Describes a request that was refused before anything of it ran.
+     *
+     * @param reason stable name of the problem, in lower case with hyphens
+     * @param status HTTP status
+     * @param title  short text for people
+     * @return the details
+     */
+    public static ProblemDetails notRun(String reason, int status, String title) {
+        return new ProblemDetails(status, title, new NotRunVerdict(reason), "", Optional.empty());
+    }
+
+    /**
+     * Describes an unexpected failure of this process.
+     *
+     * @return the details; nothing is known about whether the request ran
+     */
+    static ProblemDetails internalError() {
+        return new ProblemDetails(
+                INTERNAL_ERROR, "unexpected failure", new MayHaveRunVerdict("internal-error"), "", Optional.empty());
+    }
+
+    /**
+     * Returns the JSON body.
+     *
+     * @return UTF-8 text
+     */
+    public byte[] body() {
+        ObjectNode body = JsonNodeFactory.instance
+                .objectNode()
+                .put("type", TYPE_PREFIX + verdict.reason())
+                .put("title", title)
+                .put("status", status)
+                .put("verdict", verdict.label())
+                .put("reason", verdict.reason());
+        if (!requestId.isEmpty()) {
+            body.put("request_id", requestId);
+        }
+        return body.toString().getBytes(StandardCharsets.UTF_8);
+    }
+
+    /**
+     * Returns the header fields.
+     *
+     * @return values by name
+     */
+    public Map<String, String> fields() {
+        Map<String, String> fields = new LinkedHashMap<>();
+        fields.put(VERDICT_HEADER, verdict.label());
+        if (!requestId.isEmpty()) {
+            fields.put(REQUEST_ID_HEADER, requestId);
+        }
+        if (status == UNAUTHORIZED) {
+            fields.put("WWW-Authenticate", "Bearer");
+        }
+        retryAfter.ifPresent(after -> fields.put("Retry-After", String.valueOf(Math.max(1, after.toSeconds()))));
+        return fields;
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/http/RequestTarget.java
@@ -0,0 +1,46 @@
+package org.copperspindle.http;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+import io.netty.handler.codec.http.QueryStringDecoder;
+
+/**
+ * The target of a request (RFC 9112, 3.2), in origin or absolute form. Other forms name nothing that is served here.
+ *
+ * @param path       decoded path
+ * @param parameters decoded query
+ */
+record RequestTarget(String path, Map<String, List<String>> parameters) {
+
+    /** Target of a request that could not be read. */
+    static final RequestTarget NONE = new RequestTarget("", Map.of());
+
+    private static final Pattern ABSOLUTE = Pattern.compile("(?i)https?://[^/?#]+(/.*)?");
+
+    /**
+     * Parses a target.
+     *
+     * @param text from the request line
+     * @return the target, empty if it has another form or a bad escape
+     */
+    static Optional<RequestTarget> parse(String text) {
+        Matcher absolute = ABSOLUTE.matcher(text);
+        String origin = text;
+        if (absolute.matches()) {
+            origin = absolute.group(1) == null ? "/" : absolute.group(1);
+        }
+        if (!origin.startsWith("/")) {
+            return Optional.empty();
+        }
+        try {
+            QueryStringDecoder decoder = new QueryStringDecoder(origin);
+            return Optional.of(new RequestTarget(decoder.path(), decoder.parameters()));
+        } catch (IllegalArgumentException e) {
+            return Optional.empty();
+        }
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/measure/MicrometerEntryMeasures.java
@@ -0,0 +1,100 @@
+package org.copperspindle.measure;
+
+import java.time.Duration;
+import java.util.Locale;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.Timer;
+import org.copperspindle.config.Priority;
+import org.copperspindle.verdict.Verdict;
+
+/**
+ * Publishes an entry's measures. Labels are names from the configuration in force or constants of this program, and
+ * those of which there can be thousands are bounded.
+ */
+public final class MicrometerEntryMeasures implements EntryMeasures {
+
+    private static final int MAX_ACCOUNTS = 200;
+    private static final int MAX_REASONS = 64;
+    private static final int MAX_STAGES = 256;
+    private static final Duration[] BUCKETS = {
+        Duration.ofMillis(100),
+        Duration.ofMillis(250),
+        Duration.ofMillis(500),
+        Duration.ofSeconds(1),
+        Duration.ofSeconds(2),
+        Duration.ofSeconds(4),
+        Duration.ofSeconds(6),
+        Duration.ofSeconds(30)
+    };
+
+    private final MeterRegistry meters;
+    private final BoundedLabels accounts = new BoundedLabels(MAX_ACCOUNTS);
+    private final BoundedLabels reasons = new BoundedLabels(MAX_REASONS);
+    private final BoundedLabels pipelines = new BoundedLabels(MAX_STAGES);
+    private final BoundedLabels stages = new BoundedLabels(MAX_STAGES);
+
+    /**
+     * Creates the measures.
+     *
+     * @param registry where they are published
+     */
+    public MicrometerEntryMeasures(MetricsRegistry registry) {
+        this.meters = registry.meters();
+    }
+
+    @Override
+    public void answered(
+            String account, String pipeline, Priority priority, Verdict verdict, boolean attained, Duration took) {
+        String kept = pipelines.of(pipeline);
+        Counter.builder("copperspindle.requests")
+                .description("Admitted requests answered; attained: whole and within the deadline")
+                .tag("pipeline", kept)
+                .tag("priority", priority.name().toLowerCase(Locale.ROOT))
+                .tag("verdict", verdict.label())
+                .tag("attained", String.valueOf(attained))
+                .register(meters)
+                .increment();
+        Counter.builder("copperspindle.account.requests")
+                .description("Admitted requests answered, by client account")
+                .tag("account", accounts.of(account))
+                .tag("attained", String.valueOf(attained))
+                .register(meters)
+                .increment();
+        Timer.builder("copperspindle.request.duration")
+                .description("From admission to the answer")
+                .tag("pipeline", kept)
+                .serviceLevelObjectives(BUCKETS)
+                .register(meters)
+                .record(took);
+    }
+
+    @Override
+    public void attemptEnded(String pipeline, String stage, Verdict verdict, Duration busy) {
+        String keptPipeline = pipelines.of(pipeline);
+        String keptStage = stages.of(stage);
+        Counter.builder("copperspindle.stage.attempts")
+                .description("Attempts at stages that ended")
+                .tag("pipeline", keptPipeline)
+                .tag("stage", keptStage)
+                .tag("verdict", verdict.label())
+                .register(meters)
+                .increment();
+        Counter.builder("copperspindle.stage.busy.seconds")
+                .description("Time that upstreams spent on attempts: the cost by stage")
+                .tag("pipeline", keptPipeline)
+                .tag("stage", keptStage)
+                .register(meters)
+                .increment(busy.toNanos() / 1e9);
+    }
+
+    @Override
+    public void refused(String reason) {
+        Counter.builder("copperspindle.refusals")
+                .description("Requests refused with the verdict NOT_RUN, by reason")
+                .tag("reason", reasons.of(reason))
+                .register(meters)
+                .increment();
+    }
+}
--- a/library/src/main/java/org/copperspindle/settings/SettingsSection.java
+++ b/library/src/main/java/org/copperspindle/settings/SettingsSection.java
@@ -24,6 +24,8 @@
     private static final Pattern DURATION = Pattern.compile("(\\d+)\\s*(us|ms|s|m|h|d)");
     private static final Pattern SIZE = Pattern.compile("(\\d+)\\s*(B|KiB|MiB|GiB)?");
 
+    private static final Duration MAX_DURATION = Duration.ofDays(365);
+
     private final String file;
     private final String name;
     private final Map<String, String> values;
@@ -151,6 +153,39 @@
         return read(key, "a size such as 512B, 64KiB or 8MiB", fallback, 0L, SettingsSection::parseSize);
     }
 
+    /**
+     * Reads a number of bytes within bounds.
+     *
+     * @param key      the key
+     * @param min      smallest allowed
+     * @param max      largest allowed
+     * @param fallback value if absent, or empty if the key is required
+     * @return bytes
+     */
+    public long getBytes(String key, long min, long max, Optional<Long> fallback) {
+        String expected = "a size such as 512B, 64KiB or 8MiB, from " + min + "B to " + max + "B";
+        return read(key, expected, fallback, min, text -> {
+            long value = parseSize(text);
+            require(value >= min && value <= max);
+            return value;
+        });
+    }
+
+    /**
+     * Reads an address that may be absent.
+     *
+     * @param key the key
+     * @return the address
+     */
+    public Optional<InetSocketAddress> findAddress(String key) {
+        return read(
+                key,
+                "IP:PORT",
+                Optional.of(Optional.empty()),
+                Optional.empty(),
+                text -> Optional.of(parseAddress(text)));
+    }
+
     /**
      * Reads an address such as {@code 127.0.0.1:7400}; names are refused, because a process must not depend on a
      * resolver.
@@ -253,7 +288,7 @@
         }
         try {
             return parser.apply(text.trim());
-        } catch (IllegalArgumentException e) {
+        } catch (IllegalArgumentException | ArithmeticException e) {
             reject(key, "bad value '" + text + "'", expected);
             return none;
         }
@@ -269,14 +304,17 @@
         Matcher matcher = DURATION.matcher(text);
         require(matcher.matches());
         long amount = Long.parseLong(matcher.group(1));
-        return switch (matcher.group(2)) {
-            case "us" -> Duration.ofNanos(amount * 1000);
+        Duration duration = switch (matcher.group(2)) {
+            case "us" -> Duration.ofNanos(Math.multiplyExact(amount, 1000L));
             case "ms" -> Duration.ofMillis(amount);
             case "s" -> Duration.ofSeconds(amount);
             case "m" -> Duration.ofMinutes(amount);
             case "h" -> Duration.ofHours(amount);
             default -> Duration.ofDays(amount);
         };
+        // Longer ones overflow when counted in nanoseconds, far from the key that caused it.
+        require(duration.compareTo(MAX_DURATION) <= 0);
+        return duration;
     }
 
     private static long parseSize(String text) {
@@ -285,9 +323,9 @@
         long amount = Long.parseLong(matcher.group(1));
         String unit = matcher.group(2) == null ? "B" : matcher.group(2);
         return switch (unit) {
-            case "KiB" -> amount << 10;
-            case "MiB" -> amount << 20;
-            case "GiB" -> amount << 30;
+            case "KiB" -> Math.multiplyExact(amount, 1L << 10);
+            case "MiB" -> Math.multiplyExact(amount, 1L << 20);
+            case "GiB" -> Math.multiplyExact(amount, 1L << 30);
             default -> amount;
         };
     }
--- /dev/null
+++ b/library/src/test/java/org/copperspindle/http/RawCaller.java
@@ -0,0 +1,61 @@
+package org.copperspindle.http;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.SocketException;
+import java.nio.charset.StandardCharsets;
+
+/**
+ * A caller that sends the bytes it is told to.
+ */
+final class RawCaller implements AutoCloseable {
+
+    private static final int PATIENCE_MILLIS = 20_000;
+
+    private final Socket socket;
+
+    RawCaller(InetSocketAddress address) throws IOException {
+        socket = new Socket(address.getAddress(), address.getPort());
+        socket.setSoTimeout(PATIENCE_MILLIS);
+    }
+
+    RawCaller send(String text) throws IOException {
+        return send(text.getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    RawCaller send(byte[] bytes) throws IOException {
+        socket.getOutputStream().write(bytes);
+        return this;
+    }
+
+    /** Reads until the text has come; fails at the end of the connection. */
+    String readUntil(String text) throws IOException {
+        ByteArrayOutputStream read = new ByteArrayOutputStream();
+        while (!read.toString(StandardCharsets.ISO_8859_1).endsWith(text)) {
+            int next = socket.getInputStream().read();
+            if (next < 0) {
+                throw new IOException("ended after: " + read);
+            }
+            read.write(next);
+        }
+        return read.toString(StandardCharsets.ISO_8859_1);
+    }
+
+    /** Reads until the other side closes. */
+    String readToEnd() throws IOException {
+        ByteArrayOutputStream read = new ByteArrayOutputStream();
+        try {
+            socket.getInputStream().transferTo(read);
+        } catch (SocketException e) {
+            // a reset is an end too
+        }
+        return read.toString(StandardCharsets.ISO_8859_1);
+    }
+
+    @Override
+    public void close() throws IOException {
+        socket.close();
+    }
+}
