--- a/library/src/main/java/org/copperspindle/daemon/CopperspindleProcess.java
+++ b/library/src/main/java/org/copperspindle/daemon/CopperspindleProcess.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ThreadLocalRandom;
 
 import io.netty.channel.Channel;
 import org.apache.logging.log4j.LogManager;
@@ -31,6 +32,7 @@
 
     private static final Logger LOGGER = LogManager.getLogger(CopperspindleProcess.class);
     private static final int NETWORK_THREADS = 2;
+    private static final int INCARNATION_RANDOM_BITS = 20;
 
     private final ProcessSettings settings;
     private final DecisionRing ring;
@@ -38,7 +40,7 @@
     private final WireTransport transport;
     private final MetricsRegistry metrics = new MetricsRegistry();
     private final Channel wireChannel;
-    private final Optional<HttpListener> probes;
+    private Optional<HttpListener> probes = Optional.empty();
     private final List<ProcessRole> roles = new ArrayList<>();
     private Optional<ProcessRole> entry = Optional.empty();
     private Optional<ProcessRole> control = Optional.empty();
@@ -47,13 +49,33 @@
         this.settings = settings;
         this.ring = new DecisionRing("decisions-" + settings.id(), DecisionRing.DEFAULT_SLOTS);
         this.timers = new SystemTimerService("timer-" + settings.id(), ring);
-        long incarnation = System.currentTimeMillis();
+        long incarnation = newIncarnation();
         GreetingMessage greeting = new GreetingMessage(GreetingMessage.PROTOCOL, "process", settings.id(), incarnation);
         this.transport = new WireTransport(NETWORK_THREADS, MessageCatalog.registry(), greeting);
         RoleSwitch roleSwitch = new RoleSwitch();
         this.wireChannel = transport.listen(settings.listen(), roleSwitch);
         ProcessContext context =
                 new ProcessContext(settings, ring, timers, transport, metrics, wireAddress(), incarnation);
+        try {
+            addRoles(context, roleSwitch);
+            probes = settings.metricsListen().map(this::openProbes);
+        } catch (RuntimeException e) {
+            // Network threads would keep a process alive that has no roles.
+            kill();
+            throw e;
+        }
+        ProcessMetrics.publish(metrics, ring);
+        ProcessMetrics.publish(metrics, transport.counters());
+        metrics.gauge("ready", "1 while every role of the process serves", this, p -> p.ready() ? 1 : 0);
+        LOGGER.info("event=started process={} wire={}", settings.id(), wireAddress());
+    }
+
+    private HttpListener openProbes(InetSocketAddress address) {
+        ProbeDoor door = new ProbeDoor(this::ready, metrics::scrape, ProbeDoor.nothing());
+        return new HttpListener(address, 1, HttpLimits.DEFAULT, door);
+    }
+
+    private void addRoles(ProcessContext context, RoleSwitch roleSwitch) {
         // Stopped in this order: an entry finishes its requests before the agent or control beside it goes.
         entry = settings.entry().map(e -> new EntryRole(context, e));
         entry.ifPresent(roles::add);
@@ -62,12 +84,16 @@
         control.ifPresent(roles::add);
         roles.forEach(roleSwitch::add);
         roles.forEach(ProcessRole::start);
-        ProcessMetrics.publish(metrics, ring);
-        ProcessMetrics.publish(metrics, transport.counters());
-        metrics.gauge("ready", "1 while every role of the process serves", this, p -> p.ready() ? 1 : 0);
-        ProbeDoor door = new ProbeDoor(this::ready, metrics::scrape, ProbeDoor.nothing());
-        probes = settings.metricsListen().map(a -> new HttpListener(a, 1, HttpLimits.DEFAULT, door));
-        LOGGER.info("event=started process={} wire={}", settings.id(), wireAddress());
+    }
+
+    /**
+     * Draws the number of this life. Normally larger for each restart; where the clock was set back, control names the
+     * newest life that it knows and the member takes a larger number. The random part keeps two lives of the same
+     * millisecond apart.
+     */
+    private static long newIncarnation() {
+        long random = ThreadLocalRandom.current().nextLong(1L << INCARNATION_RANDOM_BITS);
+        return System.currentTimeMillis() << INCARNATION_RANDOM_BITS | random;
     }
 
     /**
--- a/library/src/main/java/org/copperspindle/http/HttpLimits.java
+++ b/library/src/main/java/org/copperspindle/http/HttpLimits.java
@@ -35,6 +35,28 @@
             Duration.ofSeconds(30),
             256 << 10);
 
+    /**
+     * Makes limits with the usual bounds on waiting.
+     *
+     * @param maxLineBytes   longest request line
+     * @param maxHeaderBytes all header fields together
+     * @param maxBodyBytes   longest body
+     * @param maxConnections connections open at once
+     * @param readTimeout    from the first byte of a request to its last
+     */
+    public HttpLimits(
+            int maxLineBytes, int maxHeaderBytes, int maxBodyBytes, int maxConnections, Duration readTimeout) {
+        this(
+                maxLineBytes,
+                maxHeaderBytes,
+                maxBodyBytes,
+                maxConnections,
+                readTimeout,
+                DEFAULT.idleTimeout,
+                DEFAULT.writeTimeout,
+                DEFAULT.maxPendingBytes);
+    }
+
     /**
      * Returns these limits with another bound on bodies.
      *
--- /dev/null
+++ b/library/src/test/java/org/copperspindle/entry/PromiseCheck.java
@@ -0,0 +1,119 @@
+package org.copperspindle.entry;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Holds what callers were told against what the book of executions says. Counts each promise that it checked. */
+final class PromiseCheck {
+
+    private static final long GRACE_NANOS = 1_000_000;
+
+    private final SimulatedDeployment deployment;
+    private final Map<String, Integer> checked = new TreeMap<>();
+
+    PromiseCheck(SimulatedDeployment deployment) {
+        this.deployment = deployment;
+    }
+
+    Map<String, Integer> checked() {
+        return checked;
+    }
+
+    void checkAll() {
+        deployment.callers().forEach(this::checkCaller);
+        checkUnrepeatable();
+        checkFirstOutcome();
+        checkNothingLeft();
+    }
+
+    private void checkCaller(SimulatedCaller caller) {
+        assertThat(caller.ends()).as("answers to " + caller.requestId()).isEqualTo(caller.left() ? caller.ends() : 1);
+        assertThat(caller.ends()).isLessThanOrEqualTo(1);
+        if (caller.ends() == 0) {
+            return;
+        }
+        count("answered once, by the deadline");
+        assertThat(caller.endedAt())
+                .as("answer time of " + caller.requestId())
+                .isLessThanOrEqualTo(caller.deadline() + GRACE_NANOS);
+        if (caller.verdict().equals("NOT_RUN")) {
+            count("NOT_RUN never ran");
+            assertThat(deployment.book().ranAttemptOf(caller.requestId()))
+                    .as(caller.requestId() + " was told NOT_RUN")
+                    .isFalse();
+        }
+        if (caller.successful()) {
+            checkSuccess(caller);
+        } else if (!caller.text().isEmpty()) {
+            count("broken stream is a beginning");
+            assertThat(SimulatedUpstream.story(caller.token())).startsWith(caller.text());
+        }
+    }
+
+    private void checkSuccess(SimulatedCaller caller) {
+        count("whole answer is its own");
+        if (!caller.pipeline().equals("describe")) {
+            assertThat(caller.body()).contains("\"token\":\"" + caller.token() + "\"");
+            return;
+        }
+        String story = SimulatedUpstream.story(caller.token());
+        assertThat(caller.body()).contains("\"output\":\"" + story + "\"");
+        assertThat(caller.body()).contains("about " + caller.token());
+        if (!caller.text().isEmpty()) {
+            count("stream without gap or repeat");
+            assertThat(caller.text()).isEqualTo(story);
+        }
+    }
+
+    private void checkUnrepeatable() {
+        Map<String, Set<String>> tokensByKey = deployment.callers().stream()
+                .filter(c -> c.pipeline().equals("install"))
+                .collect(Collectors.groupingBy(
+                        SimulatedCaller::key, Collectors.mapping(SimulatedCaller::token, Collectors.toSet())));
+        tokensByKey.forEach((key, tokens) -> {
+            count("key ran at most once");
+            int runs = tokens.stream().mapToInt(deployment.book()::count).sum();
+            assertThat(runs).as("executions of key " + key).isLessThanOrEqualTo(1);
+        });
+    }
+
+    private void checkFirstOutcome() {
+        Map<String, String> bodies = new HashMap<>();
+        List<SimulatedCaller> successes = deployment.callers().stream()
+                .filter(c -> c.pipeline().equals("install") && c.successful())
+                .toList();
+        for (SimulatedCaller caller : successes) {
+            String first = bodies.putIfAbsent(caller.key(), caller.body());
+            if (first != null) {
+                count("resend got the first outcome");
+                assertThat(caller.body()).as("outcome of key " + caller.key()).isEqualTo(first);
+            }
+            assertThat(deployment.book().count(caller.token())).isEqualTo(1);
+        }
+    }
+
+    private void checkNothingLeft() {
+        for (SimulatedEntry entry : deployment.entries()) {
+            assertThat(entry.driver().inProgress()).as("requests left").isZero();
+            assertThat(entry.claims().pending()).as("claims left").isZero();
+            for (String pool : List.of("retrievers", "engines", "gallery")) {
+                entry.fleet()
+                        .pool(pool)
+                        .forEach(view -> assertThat(view.load())
+                                .as("load left on " + pool)
+                                .isZero());
+            }
+            count("entry holds nothing any more");
+        }
+    }
+
+    private void count(String promise) {
+        checked.merge(promise, 1, Integer::sum);
+    }
+}
--- a/tools/src/main/java/org/copperspindle/cli/Copperspindle.java
+++ b/tools/src/main/java/org/copperspindle/cli/Copperspindle.java
@@ -18,11 +18,13 @@
 public final class Copperspindle {
 
     private static final List<Command> COMMANDS = List.of(
-            new RunCommand(), //
+            new DemoCommand(),
+            new RunCommand(),
             new ApplyCommand(),
             new EmulateCommand(),
             new MeasureCommand(),
-            new ReplayCommand());
+            new ReplayCommand(),
+            new StatusCommand());
     private static final String COMMAND_KEY = "command";
 
     private Copperspindle() {}
