--- a/library/src/main/java/org/copperspindle/daemon/ProcessSettings.java
+++ b/library/src/main/java/org/copperspindle/daemon/ProcessSettings.java
@@ -131,7 +131,7 @@
         InetSocketAddress listen = s.getAddress("listen", Optional.empty());
         List<InetSocketAddress> controls = s.getAddresses("controls");
         Duration renew = s.getDuration("renew", Optional.of(DEFAULT_RENEW));
-        Optional<InetSocketAddress> metrics = s.findAddress("metrics-listen");
+        Optional<InetSocketAddress> metrics = s.getOptionalAddress("metrics-listen");
         s.finish();
         Optional<EntrySettings> entry =
                 file.has("entry") ? Optional.of(readEntry(file.section("entry"), domain, renew)) : Optional.empty();
--- a/library/src/main/java/org/copperspindle/settings/SettingsSection.java
+++ b/library/src/main/java/org/copperspindle/settings/SettingsSection.java
@@ -177,7 +177,7 @@
      * @param key the key
      * @return the address
      */
-    public Optional<InetSocketAddress> findAddress(String key) {
+    public Optional<InetSocketAddress> getOptionalAddress(String key) {
         return read(
                 key,
                 "IP:PORT",
