--- a/library/src/main/java/org/copperspindle/daemon/CopperspindleProcess.java
+++ b/library/src/main/java/org/copperspindle/daemon/CopperspindleProcess.java
@@ -14,6 +14,9 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.copperspindle.core.DecisionRing;
+import org.copperspindle.http.HttpLimits;
+import org.copperspindle.http.HttpListener;
+import org.copperspindle.measure.MetricsRegistry;
 import org.copperspindle.time.SystemTimerService;
 import org.copperspindle.wire.GreetingMessage;
 import org.copperspindle.wire.Peer;
@@ -35,7 +38,9 @@
     private final DecisionRing ring;
     private final SystemTimerService timers;
     private final WireTransport transport;
+    private final MetricsRegistry metrics = new MetricsRegistry();
     private final Channel wireChannel;
+    private Optional<HttpListener> probes = Optional.empty();
     private final List<ProcessRole> roles = new ArrayList<>();
     private Optional<ProcessRole> entry = Optional.empty();
     private Optional<ProcessRole> control = Optional.empty();
@@ -49,17 +54,27 @@
         this.transport = new WireTransport(NETWORK_THREADS, MessageCatalog.registry(), greeting);
         RoleSwitch roleSwitch = new RoleSwitch();
         this.wireChannel = transport.listen(settings.listen(), roleSwitch);
-        ProcessContext context = new ProcessContext(settings, ring, timers, transport, wireAddress(), incarnation);
+        ProcessContext context =
+                new ProcessContext(settings, ring, timers, transport, metrics, wireAddress(), incarnation);
         try {
             addRoles(context, roleSwitch);
+            probes = settings.metricsListen().map(this::openProbes);
         } catch (RuntimeException e) {
             // Network threads would keep a process alive that has no roles.
             kill();
             throw e;
         }
+        ProcessMetrics.publish(metrics, ring);
+        ProcessMetrics.publish(metrics, transport.counters());
+        metrics.gauge("ready", "1 while every role of the process serves", this, p -> p.ready() ? 1 : 0);
         LOGGER.info("event=started process={} wire={}", settings.id(), wireAddress());
     }
 
+    private HttpListener openProbes(InetSocketAddress address) {
+        ProbeDoor door = new ProbeDoor(this::ready, metrics::scrape, ProbeDoor.nothing());
+        return new HttpListener(address, 1, HttpLimits.DEFAULT, door);
+    }
+
     private void addRoles(ProcessContext context, RoleSwitch roleSwitch) {
         // Stopped in this order: an entry finishes its requests before the agent or control beside it goes.
         entry = settings.entry().map(e -> new EntryRole(context, e));
@@ -118,6 +133,15 @@
         return control.flatMap(ProcessRole::httpAddress);
     }
 
+    /**
+     * Returns where probes and metrics are, besides the addresses of callers and operators.
+     *
+     * @return the bound address, if the settings name one
+     */
+    public Optional<InetSocketAddress> metricsAddress() {
+        return probes.map(HttpListener::address);
+    }
+
     /**
      * Says whether the process serves.
      *
@@ -144,9 +168,11 @@
     /** Ends at once, as a crash would; for tests and the demo. */
     public void kill() {
         roles.forEach(ProcessRole::close);
+        probes.ifPresent(HttpListener::close);
         timers.close();
         transport.close();
         ring.close();
+        metrics.close();
     }
 
     private static void stopNext(Iterator<ProcessRole> left, Runnable done) {
