--- a/library/src/main/java/org/copperspindle/limits/EntryPolicy.java
+++ b/library/src/main/java/org/copperspindle/limits/EntryPolicy.java
@@ -93,4 +93,50 @@
      * @return false if the budget is spent
      */
     boolean mayRetry(PipelineRequest request);
+
+    /**
+     * Says whether an attempt for which no upstream may be used now waits for one.
+     *
+     * @param request request that it is made for
+     * @param stage   stage that it runs
+     * @return false if the request is refused instead
+     */
+    default boolean mayWait(PipelineRequest request, StageSettings stage) {
+        return false;
+    }
+
+    /**
+     * Puts an attempt in line.
+     *
+     * @param request request that it is made for
+     * @param routing what it needs
+     * @param now     nanoseconds of the timer service
+     * @return nanoseconds from now after which waiting on can't help any more
+     */
+    default long enqueue(PipelineRequest request, RoutingRequest routing, long now) {
+        throw new IllegalStateException("this policy has no line");
+    }
+
+    /**
+     * Takes the next request out of line for which an upstream of a pool may be used now.
+     *
+     * @param pool the pool
+     * @param now  nanoseconds of the timer service
+     * @return the request to go on with, empty if none can
+     */
+    default Optional<PipelineRequest> next(String pool, long now) {
+        return Optional.empty();
+    }
+
+    /**
+     * Judges whether the stages of a request from one on can still be done in time.
+     *
+     * @param request    the request
+     * @param stageIndex next stage, from 0
+     * @param now        nanoseconds of the timer service
+     * @return when the caller may come back, if they can't; empty if they can
+     */
+    default Optional<Duration> hopeless(PipelineRequest request, int stageIndex, long now) {
+        return Optional.empty();
+    }
 }
--- a/library/src/main/java/org/copperspindle/limits/EntryPolicyFactory.java
+++ b/library/src/main/java/org/copperspindle/limits/EntryPolicyFactory.java
@@ -20,7 +20,8 @@
     public static EntryPolicy of(PolicyKind kind, FleetView fleet, int maxInProgress) {
         return switch (kind) {
             case BASELINE -> new BaselineEntryPolicy(fleet, maxInProgress);
-            case ADAPTIVE, LEAST_LOAD -> new LeastLoadEntryPolicy(fleet, maxInProgress);
+            case ADAPTIVE -> new AdaptiveEntryPolicy(fleet, maxInProgress);
+            case LEAST_LOAD -> new LeastLoadEntryPolicy(fleet, maxInProgress);
         };
     }
 }
--- a/library/src/main/java/org/copperspindle/pipeline/PipelineAction.java
+++ b/library/src/main/java/org/copperspindle/pipeline/PipelineAction.java
@@ -54,6 +54,14 @@
      */
     record Acknowledge(String attemptId, String upstreamId) implements PipelineAction {}
 
+    /**
+     * Wait for an upstream of a pool: call {@link PipelineRun#onCapacity} when one may be used, or
+     * {@link PipelineRun#onHopeless} when it is too late.
+     *
+     * @param pool the pool
+     */
+    record Wait(String pool) implements PipelineAction {}
+
     /**
      * Pass a piece of the answer to the caller.
      *
--- a/library/src/main/java/org/copperspindle/pipeline/PipelineRun.java
+++ b/library/src/main/java/org/copperspindle/pipeline/PipelineRun.java
@@ -52,6 +52,7 @@
     private boolean mayHaveRun;
     private boolean ran;
     private boolean ended;
+    private boolean waiting;
     private CompletionStream stream;
     private long nextChunk;
 
@@ -174,6 +175,40 @@
         return fail(verdict(reason), BAD_GATEWAY, "answer of an upstream was lost", Optional.empty());
     }
 
+    /**
+     * An upstream may be used for the attempt that waits.
+     *
+     * @param now nanoseconds of the timer service
+     * @return what to do
+     */
+    public List<PipelineAction> onCapacity(long now) {
+        if (ended || !waiting) {
+            return List.of();
+        }
+        waiting = false;
+        return startAttempt(now);
+    }
+
+    /**
+     * The request can't be done in time any more. It is answered at once, so that the caller may decide what to do.
+     *
+     * @param retryAfter when the caller may come back
+     * @return what to do
+     */
+    public List<PipelineAction> onHopeless(Duration retryAfter) {
+        if (ended) {
+            return List.of();
+        }
+        waiting = false;
+        List<PipelineAction> actions = new ArrayList<>(cancelOpen());
+        actions.addAll(fail(
+                verdict("deadline-unreachable"),
+                UNAVAILABLE,
+                "can't be answered within the deadline",
+                Optional.of(retryAfter)));
+        return actions;
+    }
+
     /**
      * The deadline passed.
      *
@@ -221,7 +256,16 @@
         if (request.deadlineNanos() - now <= 0) {
             return fail(verdict("deadline"), GATEWAY_TIMEOUT, "deadline passed", Optional.empty());
         }
+        Optional<Duration> hopeless = chooser.hopeless(request, stageIndex, now);
+        if (hopeless.isPresent()) {
+            return onHopeless(hopeless.get());
+        }
         Optional<UpstreamAnnouncement> choice = chooser.choose(stage(), context, tried);
+        if (choice.isEmpty() && chooser.mayWait(request, stage())) {
+            waiting = true;
+            attemptId = "";
+            return List.of(new PipelineAction.Wait(stage().pool()));
+        }
         if (choice.isEmpty()) {
             return fail(
                     verdict("no-upstream"),
--- a/library/src/main/java/org/copperspindle/pipeline/UpstreamChooser.java
+++ b/library/src/main/java/org/copperspindle/pipeline/UpstreamChooser.java
@@ -1,5 +1,6 @@
 package org.copperspindle.pipeline;
 
+import java.time.Duration;
 import java.util.Optional;
 import java.util.Set;
 
@@ -38,6 +39,29 @@
      */
     boolean mayRetry(PipelineRequest request);
 
+    /**
+     * Says whether an attempt may wait for an upstream when none may be used now.
+     *
+     * @param request the request
+     * @param stage   the stage
+     * @return false if the request is refused instead
+     */
+    default boolean mayWait(PipelineRequest request, StageSettings stage) {
+        return false;
+    }
+
+    /**
+     * Judges whether the stages from one on can still be done in time.
+     *
+     * @param request    the request
+     * @param stageIndex next stage, from 0
+     * @param now        nanoseconds of the timer service
+     * @return when the caller may come back, if they can't; empty if they can
+     */
+    default Optional<Duration> hopeless(PipelineRequest request, int stageIndex, long now) {
+        return Optional.empty();
+    }
+
     /**
      * Returns the configuration version that the entry serves under.
      *
--- a/library/src/main/java/org/copperspindle/replay/ReplayEntry.java
+++ b/library/src/main/java/org/copperspindle/replay/ReplayEntry.java
@@ -1,6 +1,7 @@
 package org.copperspindle.replay;
 
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -48,6 +49,7 @@
     private static final long SAME_DOMAIN_NANOS = 250_000;
     private static final long OTHER_DOMAIN_NANOS = 500_000;
     private static final long CLAIM_NANOS = 2_000_000;
+    private static final Duration COME_BACK = Duration.ofSeconds(1);
     private static final int MAX_IN_PROGRESS = 4096;
     private static final int PREFIX_REPEATS = 64;
     private static final int SERVER_ERROR = 500;
@@ -61,6 +63,7 @@
     private final FleetView fleet = new FleetView();
     private final EntryPolicy policy;
     private final Map<String, OpenAttempt> attempts = new HashMap<>();
+    private final Map<String, OpenRequest> requests = new HashMap<>();
     private long nextRequest;
 
     ReplayEntry(
@@ -84,24 +87,41 @@
 
     void onUpdate(ControlUpdateMessage update) {
         fleet.update(update);
+        resumeAll();
     }
 
     void onLoad(String upstreamId, int inFlight) {
         fleet.upstream(upstreamId).ifPresent(view -> view.reported(inFlight));
     }
 
+    /** Lets waiting requests go on wherever an upstream may be used. */
+    void resumeAll() {
+        deployment.pools().keySet().stream().sorted().forEach(this::resume);
+    }
+
+    private void resume(String pool) {
+        Optional<PipelineRequest> next = policy.next(pool, timers.nanoTime());
+        while (next.isPresent()) {
+            OpenRequest open = requests.get(next.get().requestId());
+            open.waiting.cancel();
+            perform(open, open.run.onCapacity(timers.nanoTime()));
+            next = policy.next(pool, timers.nanoTime());
+        }
+    }
+
     /** Takes a request of the trace. */
     void arrive(TraceRequest traced) {
         String requestId = name + "-" + nextRequest++;
         tally.arrived(requestId, traced);
         long now = timers.nanoTime();
         PipelineRequest request = request(requestId, traced, now);
-        Optional<java.time.Duration> refusal = policy.refuse(request, now);
+        Optional<Duration> refusal = policy.refuse(request, now);
         if (refusal.isPresent()) {
             tally.answered(requestId, false, "refused", now);
             return;
         }
         OpenRequest open = new OpenRequest(request, traced);
+        requests.put(requestId, open);
         open.run = new PipelineRun(request, new Chooser(open));
         open.deadline = timers.schedule(traced.deadlineNanos(), () -> perform(open, open.run.onDeadline()));
         perform(open, open.run.start(now));
@@ -140,6 +160,9 @@
             timers.schedule(CLAIM_NANOS, () -> perform(open, open.run.onClaim(granted, timers.nanoTime())));
         } else if (action instanceof PipelineAction.Cancel cancel) {
             cancel(cancel.attemptId(), cancel.upstreamId());
+        } else if (action instanceof PipelineAction.Wait) {
+            long patience = policy.enqueue(open.request, open.missed, timers.nanoTime());
+            open.waiting = timers.schedule(patience, () -> perform(open, open.run.onHopeless(COME_BACK)));
         } else if (action instanceof PipelineAction.Answer answer) {
             answer(open, answer.answer());
         }
@@ -191,12 +214,14 @@
         end(attempt, failed ? AttemptEnd.FAILED : AttemptEnd.SUCCEEDED, outcome.inFlight());
         tally.used(attempt.open.request.requestId(), failed ? 0 : cost);
         perform(attempt.open, attempt.open.run.onOutcome(outcome, timers.nanoTime()));
+        resume(attempt.stage.pool());
     }
 
     private void onLost(OpenAttempt attempt) {
         if (attempts.get(attempt.id) == attempt) {
             end(attempt, AttemptEnd.LOST, -1);
             perform(attempt.open, attempt.open.run.onLost("agent-connection-lost", timers.nanoTime()));
+            resume(attempt.stage.pool());
         }
     }
 
@@ -204,6 +229,7 @@
         if (attempts.get(attempt.id) == attempt) {
             end(attempt, AttemptEnd.REFUSED, -1);
             perform(attempt.open, attempt.open.run.onOutcome(notSent(attempt.id), timers.nanoTime()));
+            resume(attempt.stage.pool());
         }
     }
 
@@ -219,6 +245,8 @@
 
     private void answer(OpenRequest open, PipelineAnswer answer) {
         open.deadline.cancel();
+        open.waiting.cancel();
+        requests.remove(open.request.requestId());
         tally.answered(
                 open.request.requestId(), answer.successful(), answer.verdict().reason(), timers.nanoTime());
         OpenAttempt attempt = attempts.get(open.run.attemptId());
@@ -226,6 +254,9 @@
             end(attempt, AttemptEnd.WITHDRAWN, -1);
         }
         policy.release(open.request);
+        if (attempt != null) {
+            resume(attempt.stage.pool());
+        }
     }
 
     private long delay(UpstreamModel model) {
@@ -278,10 +309,23 @@
                     stage,
                     failureDomain,
                     open.traced.prefix() == 0 ? 0 : PrefixAffinity.hash(context.input()),
-                    tried);
+                    tried,
+                    open.request.priority(),
+                    timers.nanoTime());
+            open.missed = routing;
             return policy.choose(open.request, routing, timers.nanoTime()).map(UpstreamView::announcement);
         }
 
+        @Override
+        public boolean mayWait(PipelineRequest request, StageSettings stage) {
+            return policy.mayWait(request, stage);
+        }
+
+        @Override
+        public Optional<Duration> hopeless(PipelineRequest request, int stageIndex, long now) {
+            return policy.hopeless(request, stageIndex, now);
+        }
+
         @Override
         public PoolKind kind(String pool) {
             return deployment.pools().get(pool).kind();
@@ -304,6 +348,8 @@
         private final TraceRequest traced;
         private PipelineRun run;
         private TimerSubscription deadline = () -> {};
+        private TimerSubscription waiting = () -> {};
+        private RoutingRequest missed;
 
         private OpenRequest(PipelineRequest request, TraceRequest traced) {
             this.request = request;
--- a/library/src/main/java/org/copperspindle/replay/ReplayFleet.java
+++ b/library/src/main/java/org/copperspindle/replay/ReplayFleet.java
@@ -117,6 +117,7 @@
                 entries.forEach(entry -> entry.onLoad(model.id(), model.reportedInFlight()));
             }
         }
+        entries.forEach(ReplayEntry::resumeAll);
     }
 
     private byte[] announcement(UpstreamModel model) {
