Refuse early, retry within a budget, eject with a floor

Cause: waiting work was begun though it could not be done in time, and nothing moved away from upstreams that were stalled, silent or failing.

--- a/library/src/main/java/org/copperspindle/limits/AdaptiveEntryPolicy.java
+++ b/library/src/main/java/org/copperspindle/limits/AdaptiveEntryPolicy.java
@@ -7,8 +7,10 @@
 import java.util.OptionalLong;
 
 import org.copperspindle.config.Deployment;
+import org.copperspindle.config.Priority;
 import org.copperspindle.config.StageSettings;
 import org.copperspindle.pipeline.PipelineRequest;
+import org.copperspindle.routing.EjectionPolicy;
 import org.copperspindle.routing.FleetView;
 import org.copperspindle.routing.RoutingPolicy;
 import org.copperspindle.routing.RoutingRequest;
@@ -21,10 +23,19 @@
  */
 final class AdaptiveEntryPolicy implements EntryPolicy {
 
+    private static final double NANOS_PER_SECOND = 1e9;
+    private static final double MILLIS_PER_SECOND = 1e3;
+    private static final long MIN_REVIEW_NANOS = 20_000_000;
+    private static final long PROBE_NANOS = 250_000_000;
+    private static final Duration MIN_COME_BACK = Duration.ofSeconds(1);
+
     private final FleetView fleet;
     private final AdmissionPolicy admission;
     private final RoutingPolicy routing = new ShareRoutingPolicy();
     private final Map<String, WaitingLine> lines = new HashMap<>();
+    private final LatencyLedger ledger = new LatencyLedger();
+    private final RetryBudget budget = new RetryBudget();
+    private final Map<String, Long> probedAt = new HashMap<>();
 
     AdaptiveEntryPolicy(FleetView fleet, int maxInProgress) {
         this.fleet = fleet;
@@ -38,7 +49,8 @@
 
     @Override
     public Optional<Duration> refuse(PipelineRequest request, long now) {
-        return admission.refuse(request.account(), request.priority(), now);
+        Optional<Duration> tooLate = foresee(request, now);
+        return tooLate.isPresent() ? tooLate : admission.refuse(request.account(), request.priority(), now);
     }
 
     @Override
@@ -55,26 +67,45 @@
     @Override
     public void dispatched(PipelineRequest request, StageSettings stage, UpstreamView view, long now) {
         view.dispatched();
+        budget.earned(request.account().name());
+        line(stage.pool()).dispatched(request.priority(), now);
     }
 
     @Override
     public void ended(AttemptReport report, long now) {
         report.view().ended(report.inFlight());
+        judge(report, now);
+        if (report.end() == AttemptEnd.SUCCEEDED || report.end() == AttemptEnd.WITHDRAWN) {
+            ledger.record(report.request().pipeline(), report.stage(), report.tookNanos(), now);
+        }
     }
 
     @Override
     public OptionalLong attemptTimeout(PipelineRequest request, StageSettings stage, long now) {
-        return OptionalLong.empty();
+        long usual = ledger.quantile(request.pipeline(), stage, Quantile.P50, now);
+        return usual == 0 ? OptionalLong.empty() : OptionalLong.of(Math.max(MIN_REVIEW_NANOS, usual));
     }
 
     @Override
-    public boolean mayAbandon(PipelineRequest request, StageSettings stage) {
-        return false;
+    public boolean mayAbandon(
+            PipelineRequest request, StageSettings stage, UpstreamView view, long ageNanos, long now) {
+        long tail = ledger.quantile(request.pipeline(), stage, Quantile.P95, now);
+        boolean late = ageNanos >= Math.max(MIN_REVIEW_NANOS, tail);
+        if (late) {
+            // An attempt that is late already says more about a slow pool than those that will end, much later, do.
+            ledger.record(request.pipeline(), stage, ageNanos, now);
+        }
+        if (!stage.repeatable() || !budget.allows(request.account().name())) {
+            return false;
+        }
+        boolean away = view.health().ejected(now)
+                || fleet.upstream(view.announcement().upstreamId()).isEmpty();
+        return (away || late && silent(view, stage, now - ageNanos)) && timeForAnother(request, stage, now);
     }
 
     @Override
     public boolean mayRetry(PipelineRequest request) {
-        return true;
+        return budget.take(request.account().name());
     }
 
     @Override
@@ -85,7 +116,16 @@
     @Override
     public long enqueue(PipelineRequest request, RoutingRequest routingRequest, long now) {
         line(routingRequest.pool().name()).add(new Waiter(request, routingRequest));
-        return request.deadlineNanos() - now;
+        int stageIndex = request.pipeline().stages().indexOf(routingRequest.stage());
+        return request.deadlineNanos() - now - ledger.rest(request.pipeline(), stageIndex, Quantile.P10, now);
+    }
+
+    @Override
+    public Optional<Duration> hopeless(PipelineRequest request, int stageIndex, long now) {
+        long needed = ledger.rest(request.pipeline(), stageIndex, Quantile.P10, now);
+        return stageIndex == 0 || needed <= request.deadlineNanos() - now
+                ? Optional.empty()
+                : Optional.of(MIN_COME_BACK);
     }
 
     @Override
@@ -100,6 +140,67 @@
         return Optional.of(head.get().request());
     }
 
+    private void judge(AttemptReport report, long now) {
+        switch (report.end()) {
+            case SUCCEEDED:
+                report.view().health().succeeded(now);
+                break;
+            case FAILED, LOST, TIMED_OUT, REFUSED:
+                EjectionPolicy.failed(report.view(), fleet.pool(report.stage().pool()), now);
+                break;
+            default:
+                break;
+        }
+    }
+
+    /** An upstream that ended nothing since an attempt began, while others did, is stalled rather than busy. */
+    private boolean silent(UpstreamView view, StageSettings stage, long since) {
+        if (view.health().lastSuccessAt() >= since) {
+            return false;
+        }
+        return fleet.pool(stage.pool()).stream()
+                .anyMatch(other -> other.health().lastSuccessAt() >= since);
+    }
+
+    private boolean timeForAnother(PipelineRequest request, StageSettings stage, long now) {
+        int index = request.pipeline().stages().indexOf(stage);
+        return now + ledger.rest(request.pipeline(), index, Quantile.P50, now) <= request.deadlineNanos();
+    }
+
+    /**
+     * Refuses what can't be done in time before it has cost anything. Safeguard: work that is begun and then misses its
+     * deadline takes capacity from work that would not; the symptom is a pool that is busy while nothing is answered.
+     * Enough, because the forecast goes by what is in line now and by durations that the same entry has just seen.
+     */
+    private Optional<Duration> foresee(PipelineRequest request, long now) {
+        long left = request.deadlineNanos() - now;
+        Quantile expected = request.priority() == Priority.INTERACTIVE ? Quantile.P10 : Quantile.P50;
+        long work = ledger.rest(request.pipeline(), 0, expected, now);
+        if (work > left && !probe(request, now)) {
+            return Optional.of(MIN_COME_BACK);
+        }
+        double wait = 0;
+        for (StageSettings stage : request.pipeline().stages()) {
+            wait += line(stage.pool()).waitSeconds(request, now);
+        }
+        if (work + wait * NANOS_PER_SECOND <= left || wait == 0) {
+            return Optional.empty();
+        }
+        Duration comeBack = Duration.ofMillis((long) (wait * MILLIS_PER_SECOND));
+        return Optional.of(comeBack.compareTo(MIN_COME_BACK) < 0 ? MIN_COME_BACK : comeBack);
+    }
+
+    /** Lets one request through now and then, or nothing would be learned once a pool is fast again. */
+    private boolean probe(PipelineRequest request, long now) {
+        String pipeline = request.pipeline().name();
+        Long last = probedAt.get(pipeline);
+        if (last != null && now - last < PROBE_NANOS) {
+            return false;
+        }
+        probedAt.put(pipeline, now);
+        return true;
+    }
+
     private WaitingLine line(String pool) {
         return lines.computeIfAbsent(pool, name -> new WaitingLine());
     }
--- a/library/src/main/java/org/copperspindle/limits/BaselineEntryPolicy.java
+++ b/library/src/main/java/org/copperspindle/limits/BaselineEntryPolicy.java
@@ -77,7 +77,8 @@
     }
 
     @Override
-    public boolean mayAbandon(PipelineRequest request, StageSettings stage) {
+    public boolean mayAbandon(
+            PipelineRequest request, StageSettings stage, UpstreamView view, long ageNanos, long now) {
         return true;
     }
 
--- a/library/src/main/java/org/copperspindle/limits/EntryPolicy.java
+++ b/library/src/main/java/org/copperspindle/limits/EntryPolicy.java
@@ -80,11 +80,14 @@
     /**
      * Says whether an attempt that reached its timeout is given up. Asked before {@link #mayRetry}, spends nothing.
      *
-     * @param request request that it is made for
-     * @param stage   stage that it runs
-     * @return false if it is better to go on waiting
+     * @param request  request that it is made for
+     * @param stage    stage that it runs
+     * @param view     its upstream
+     * @param ageNanos time since it was dispatched
+     * @param now      nanoseconds of the timer service
+     * @return false if it is better to go on waiting; it is looked at again after half its age
      */
-    boolean mayAbandon(PipelineRequest request, StageSettings stage);
+    boolean mayAbandon(PipelineRequest request, StageSettings stage, UpstreamView view, long ageNanos, long now);
 
     /**
      * Asks for one attempt more than the first of its stage.
--- a/library/src/main/java/org/copperspindle/limits/LeastLoadEntryPolicy.java
+++ b/library/src/main/java/org/copperspindle/limits/LeastLoadEntryPolicy.java
@@ -63,7 +63,8 @@
     }
 
     @Override
-    public boolean mayAbandon(PipelineRequest request, StageSettings stage) {
+    public boolean mayAbandon(
+            PipelineRequest request, StageSettings stage, UpstreamView view, long ageNanos, long now) {
         return false;
     }
 
--- a/library/src/main/java/org/copperspindle/limits/WaitingLine.java
+++ b/library/src/main/java/org/copperspindle/limits/WaitingLine.java
@@ -10,11 +10,15 @@
  */
 final class WaitingLine {
 
+    private static final double MIN_RATE = 0.1;
+
     private final FairQueue[] byPriority = new FairQueue[Priority.values().length];
+    private final DecayingRate[] rates = new DecayingRate[Priority.values().length];
 
     WaitingLine() {
         for (int i = 0; i < byPriority.length; i++) {
             byPriority[i] = new FairQueue();
+            rates[i] = new DecayingRate();
         }
     }
 
@@ -45,24 +49,30 @@
         }
     }
 
-    /** Returns how many would be served before a new attempt of a request. */
-    double aheadOf(PipelineRequest request) {
-        double ahead = queue(request)
-                .aheadOf(request.account().name(), request.account().weight());
-        for (int i = 0; i < request.priority().ordinal(); i++) {
-            ahead += byPriority[i].size();
-        }
-        return ahead;
+    /** Counts an attempt that left the line, or did not need it, for an upstream. */
+    void dispatched(Priority priority, long now) {
+        rates[priority.ordinal()].count(now);
     }
 
-    /** Says whether anything of this or a higher priority waits. */
-    boolean occupied(Priority priority) {
-        for (int i = 0; i <= priority.ordinal(); i++) {
-            if (byPriority[i].size() > 0) {
-                return true;
+    /** Returns how long a new attempt of a request would wait, in seconds. */
+    double waitSeconds(PipelineRequest request, long now) {
+        int own = request.priority().ordinal();
+        double higher = 0;
+        double total = 0;
+        double left = 0;
+        for (int i = 0; i < byPriority.length; i++) {
+            double rate = rates[i].perSecond(now);
+            total += rate;
+            if (i < own) {
+                higher += byPriority[i].size();
+            } else {
+                // What higher priorities take now they will go on taking, so only the rest moves this line.
+                left += rate;
             }
         }
-        return false;
+        double ahead = byPriority[own].aheadOf(
+                request.account().name(), request.account().weight());
+        return higher / Math.max(MIN_RATE, total) + ahead / Math.max(MIN_RATE, left);
     }
 
     private FairQueue queue(PipelineRequest request) {
--- a/library/src/main/java/org/copperspindle/replay/ReplayEntry.java
+++ b/library/src/main/java/org/copperspindle/replay/ReplayEntry.java
@@ -193,7 +193,10 @@
     }
 
     private void timedOut(OpenAttempt attempt) {
-        if (!policy.mayAbandon(attempt.open.request, attempt.stage)) {
+        long now = timers.nanoTime();
+        long age = now - attempt.since;
+        if (!policy.mayAbandon(attempt.open.request, attempt.stage, attempt.view, age, now)) {
+            attempt.timeout = timers.schedule(age / 2, () -> timedOut(attempt));
             return;
         }
         end(attempt, AttemptEnd.TIMED_OUT, -1);
--- a/library/src/main/java/org/copperspindle/routing/ShareRoutingPolicy.java
+++ b/library/src/main/java/org/copperspindle/routing/ShareRoutingPolicy.java
@@ -32,6 +32,10 @@
     }
 
     private static boolean usable(UpstreamView view, RoutingRequest request) {
+        UpstreamHealth health = view.health();
+        if (health.ejected(request.now()) || health.onProbation() && view.load() > 0) {
+            return false;
+        }
         return !view.announcement().draining()
                 && view.serves(request.stage().model())
                 && view.load() < slots(request.pool().concurrency(), request.priority());
--- a/library/src/main/java/org/copperspindle/routing/UpstreamView.java
+++ b/library/src/main/java/org/copperspindle/routing/UpstreamView.java
@@ -7,6 +7,7 @@
  */
 public final class UpstreamView {
 
+    private final UpstreamHealth health = new UpstreamHealth();
     private UpstreamAnnouncement announcement;
     private int ownInFlight;
     private int reportedInFlight;
@@ -76,6 +77,15 @@
         reportedInFlight = inFlight;
     }
 
+    /**
+     * Returns what the entry saw of its successes and failures.
+     *
+     * @return its health
+     */
+    public UpstreamHealth health() {
+        return health;
+    }
+
     /**
      * Returns the load that a choice goes by.
      *
