See a slowdown by the attempts that still run

Cause: durations were learned when attempts ended, so that a pool that became slow was noticed seconds late; a third attempt was given up although no fourth was allowed; attempts of a few milliseconds were given up too soon.

--- a/library/src/main/java/org/copperspindle/limits/AdaptiveEntryPolicy.java
+++ b/library/src/main/java/org/copperspindle/limits/AdaptiveEntryPolicy.java
@@ -25,7 +25,8 @@
 
     private static final double NANOS_PER_SECOND = 1e9;
     private static final double MILLIS_PER_SECOND = 1e3;
-    private static final long MIN_REVIEW_NANOS = 20_000_000;
+    private static final long MIN_REVIEW_NANOS = 50_000_000;
+    private static final double LATE = 1.3;
     private static final long PROBE_NANOS = 250_000_000;
     private static final Duration MIN_COME_BACK = Duration.ofSeconds(1);
 
@@ -67,6 +68,7 @@
     @Override
     public void dispatched(PipelineRequest request, StageSettings stage, UpstreamView view, long now) {
         view.dispatched();
+        ledger.tail(request.pipeline(), stage).started();
         budget.earned(request.account().name());
         line(stage.pool()).dispatched(request.priority(), now);
     }
@@ -75,6 +77,8 @@
     public void ended(AttemptReport report, long now) {
         report.view().ended(report.inFlight());
         judge(report, now);
+        ledger.tail(report.request().pipeline(), report.stage())
+                .ended(report.request().requestId());
         if (report.end() == AttemptEnd.SUCCEEDED || report.end() == AttemptEnd.WITHDRAWN) {
             ledger.record(report.request().pipeline(), report.stage(), report.tookNanos(), now);
         }
@@ -89,8 +93,9 @@
     @Override
     public boolean mayAbandon(
             PipelineRequest request, StageSettings stage, UpstreamView view, long ageNanos, long now) {
+        ledger.tail(request.pipeline(), stage).overdue(request.requestId());
         long tail = ledger.quantile(request.pipeline(), stage, Quantile.P95, now);
-        boolean late = ageNanos >= Math.max(MIN_REVIEW_NANOS, tail);
+        boolean late = ageNanos >= Math.max(MIN_REVIEW_NANOS, tail * LATE);
         if (late) {
             // An attempt that is late already says more about a slow pool than those that will end, much later, do.
             ledger.record(request.pipeline(), stage, ageNanos, now);
--- a/library/src/main/java/org/copperspindle/limits/LatencyLedger.java
+++ b/library/src/main/java/org/copperspindle/limits/LatencyLedger.java
@@ -15,9 +15,12 @@
     private final Map<String, Map<String, StageTail>> tails = new HashMap<>();
 
     void record(PipelineSettings pipeline, StageSettings stage, long nanos, long now) {
-        tails.computeIfAbsent(pipeline.name(), name -> new HashMap<>())
-                .computeIfAbsent(stage.name(), name -> new StageTail())
-                .record(nanos, now);
+        tail(pipeline, stage).record(nanos, now);
+    }
+
+    StageTail tail(PipelineSettings pipeline, StageSettings stage) {
+        return tails.computeIfAbsent(pipeline.name(), name -> new HashMap<>())
+                .computeIfAbsent(stage.name(), name -> new StageTail());
     }
 
     /** Returns a quantile of one stage in nanoseconds, 0 while too little is known. */
--- a/library/src/main/java/org/copperspindle/pipeline/PipelineRun.java
+++ b/library/src/main/java/org/copperspindle/pipeline/PipelineRun.java
@@ -243,6 +243,15 @@
         return attemptId;
     }
 
+    /**
+     * Says whether the stage in progress may have a further attempt.
+     *
+     * @return false after its last one
+     */
+    public boolean hasAttemptsLeft() {
+        return attemptNumber < MAX_ATTEMPTS;
+    }
+
     /**
      * Returns the stage in progress.
      *
--- a/library/src/main/java/org/copperspindle/replay/ReplayEntry.java
+++ b/library/src/main/java/org/copperspindle/replay/ReplayEntry.java
@@ -195,7 +195,8 @@
     private void timedOut(OpenAttempt attempt) {
         long now = timers.nanoTime();
         long age = now - attempt.since;
-        if (!policy.mayAbandon(attempt.open.request, attempt.stage, attempt.view, age, now)) {
+        boolean abandon = policy.mayAbandon(attempt.open.request, attempt.stage, attempt.view, age, now);
+        if (!abandon || !attempt.open.run.hasAttemptsLeft()) {
             attempt.timeout = timers.schedule(age / 2, () -> timedOut(attempt));
             return;
         }
