--- a/library/src/main/java/org/copperspindle/limits/AdaptiveEntryPolicy.java
+++ b/library/src/main/java/org/copperspindle/limits/AdaptiveEntryPolicy.java
@@ -10,11 +10,11 @@
 import org.copperspindle.config.Priority;
 import org.copperspindle.config.StageSettings;
 import org.copperspindle.pipeline.PipelineRequest;
+import org.copperspindle.routing.AffinityRoutingPolicy;
 import org.copperspindle.routing.EjectionPolicy;
 import org.copperspindle.routing.FleetView;
 import org.copperspindle.routing.RoutingPolicy;
 import org.copperspindle.routing.RoutingRequest;
-import org.copperspindle.routing.ShareRoutingPolicy;
 import org.copperspindle.routing.UpstreamView;
 
 /**
@@ -32,8 +32,9 @@
 
     private final FleetView fleet;
     private final AdmissionPolicy admission;
-    private final RoutingPolicy routing = new ShareRoutingPolicy();
+    private final RoutingPolicy routing = new AffinityRoutingPolicy();
     private final Map<String, WaitingLine> lines = new HashMap<>();
+    private final Map<String, ConcurrencyLimit> limits = new HashMap<>();
     private final LatencyLedger ledger = new LatencyLedger();
     private final RetryBudget budget = new RetryBudget();
     private final Map<String, Long> probedAt = new HashMap<>();
@@ -62,7 +63,9 @@
 
     @Override
     public Optional<UpstreamView> choose(PipelineRequest request, RoutingRequest routingRequest, long now) {
-        return routing.choose(fleet.pool(routingRequest.pool().name()), routingRequest);
+        String pool = routingRequest.pool().name();
+        return routing.choose(
+                fleet.pool(pool), routingRequest.at(now, limit(pool).share()));
     }
 
     @Override
@@ -138,7 +141,7 @@
         WaitingLine line = line(pool);
         Optional<Waiter> head = line.peek();
         if (head.isEmpty()
-                || routing.choose(fleet.pool(pool), head.get().routing()).isEmpty()) {
+                || choose(head.get().request(), head.get().routing(), now).isEmpty()) {
             return Optional.empty();
         }
         line.poll();
@@ -206,6 +209,10 @@
         return true;
     }
 
+    private ConcurrencyLimit limit(String pool) {
+        return limits.computeIfAbsent(pool, name -> new ConcurrencyLimit());
+    }
+
     private WaitingLine line(String pool) {
         return lines.computeIfAbsent(pool, name -> new WaitingLine());
     }
--- a/library/src/main/java/org/copperspindle/replay/ReplayEntry.java
+++ b/library/src/main/java/org/copperspindle/replay/ReplayEntry.java
@@ -315,7 +315,8 @@
                     open.traced.prefix() == 0 ? 0 : PrefixAffinity.hash(context.input()),
                     tried,
                     open.request.priority(),
-                    timers.nanoTime());
+                    timers.nanoTime(),
+                    1);
             open.missed = routing;
             return policy.choose(open.request, routing, timers.nanoTime()).map(UpstreamView::announcement);
         }
--- a/library/src/main/java/org/copperspindle/routing/RoutingRequest.java
+++ b/library/src/main/java/org/copperspindle/routing/RoutingRequest.java
@@ -16,6 +16,7 @@
  * @param tried         upstreams that earlier attempts of this stage used, avoided where possible
  * @param priority      priority of the request
  * @param now           nanoseconds of the timer service
+ * @param limitShare    share of the pool's declared concurrency that may be filled now
  */
 public record RoutingRequest(
         PoolSettings pool,
@@ -24,7 +25,8 @@
         long affinity,
         Set<String> tried,
         Priority priority,
-        long now) {
+        long now,
+        double limitShare) {
 
     /**
      * Creates a request of standard priority for a policy that does not go by time.
@@ -37,6 +39,17 @@
      */
     public RoutingRequest(
             PoolSettings pool, StageSettings stage, String failureDomain, long affinity, Set<String> tried) {
-        this(pool, stage, failureDomain, affinity, tried, Priority.STANDARD, 0);
+        this(pool, stage, failureDomain, affinity, tried, Priority.STANDARD, 0, 1);
+    }
+
+    /**
+     * Returns the same request at another instant and limit.
+     *
+     * @param instant nanoseconds of the timer service
+     * @param share   share of the pool's declared concurrency that may be filled
+     * @return the request
+     */
+    public RoutingRequest at(long instant, double share) {
+        return new RoutingRequest(pool, stage, failureDomain, affinity, tried, priority, instant, share);
     }
 }
--- a/library/src/main/java/org/copperspindle/routing/UpstreamView.java
+++ b/library/src/main/java/org/copperspindle/routing/UpstreamView.java
@@ -1,5 +1,6 @@
 package org.copperspindle.routing;
 
+import net.openhft.hashing.LongHashFunction;
 import org.copperspindle.membership.UpstreamAnnouncement;
 
 /**
@@ -8,6 +9,7 @@
 public final class UpstreamView {
 
     private final UpstreamHealth health = new UpstreamHealth();
+    private final long idHash;
     private UpstreamAnnouncement announcement;
     private int ownInFlight;
     private int reportedInFlight;
@@ -19,6 +21,7 @@
      */
     public UpstreamView(UpstreamAnnouncement announcement) {
         this.announcement = announcement;
+        this.idHash = LongHashFunction.xx3().hashChars(announcement.upstreamId());
     }
 
     /**
@@ -77,6 +80,15 @@
         reportedInFlight = inFlight;
     }
 
+    /**
+     * Returns the hash of its identity.
+     *
+     * @return the same for the same identity at every entry
+     */
+    public long idHash() {
+        return idHash;
+    }
+
     /**
      * Returns what the entry saw of its successes and failures.
      *
