Fill less of a pool while its attempts miss their deadlines

Cause: with every slot of an engine busy each request is slower, and under overload most of them miss. Change: the share of a pool's concurrency that standard and batch work may fill falls by a tenth for each half second in which more than a tenth of its attempts missed, down to 0.6, and rises by 0.05 when none did.

--- a/library/src/main/java/org/copperspindle/limits/AdaptiveEntryPolicy.java
+++ b/library/src/main/java/org/copperspindle/limits/AdaptiveEntryPolicy.java
@@ -64,8 +64,9 @@
     @Override
     public Optional<UpstreamView> choose(PipelineRequest request, RoutingRequest routingRequest, long now) {
         String pool = routingRequest.pool().name();
-        return routing.choose(
-                fleet.pool(pool), routingRequest.at(now, limit(pool).share()));
+        double share =
+                request.priority() == Priority.INTERACTIVE ? 1 : limit(pool).share();
+        return routing.choose(fleet.pool(pool), routingRequest.at(now, share));
     }
 
     @Override
@@ -80,6 +81,11 @@
     public void ended(AttemptReport report, long now) {
         report.view().ended(report.inFlight());
         judge(report, now);
+        boolean missed =
+                report.end() == AttemptEnd.WITHDRAWN && now >= report.request().deadlineNanos();
+        if (missed || report.end() == AttemptEnd.SUCCEEDED) {
+            limit(report.stage().pool()).ended(!missed, now);
+        }
         ledger.tail(report.request().pipeline(), report.stage())
                 .ended(report.request().requestId());
         if (report.end() == AttemptEnd.SUCCEEDED || report.end() == AttemptEnd.WITHDRAWN) {
--- a/library/src/main/java/org/copperspindle/limits/ConcurrencyLimit.java
+++ b/library/src/main/java/org/copperspindle/limits/ConcurrencyLimit.java
@@ -8,10 +8,10 @@
  */
 final class ConcurrencyLimit {
 
-    private static final double LEAST = 0.4;
+    private static final double LEAST = 0.6;
     private static final double DECREASE = 0.9;
-    private static final double INCREASE = 0.02;
-    private static final double MISS_SHARE = 0.05;
+    private static final double INCREASE = 0.05;
+    private static final double MISS_SHARE = 0.1;
     private static final int MIN_SAMPLES = 20;
     private static final long STEP_NANOS = 500_000_000;
 
