--- a/library/src/main/java/org/copperspindle/entry/OpenRequest.java
+++ b/library/src/main/java/org/copperspindle/entry/OpenRequest.java
@@ -24,6 +24,7 @@
     private final Deque<PipelineAction> actions = new ArrayDeque<>();
     private final List<OpenAttempt> attempts = new ArrayList<>(2);
     private TimerSubscription deadline = () -> {};
+    private TimerSubscription waiting = () -> {};
     private boolean performing;
     private boolean released;
 
@@ -71,7 +72,13 @@
         deadline = subscription;
     }
 
+    void waiting(TimerSubscription subscription) {
+        waiting.cancel();
+        waiting = subscription;
+    }
+
     void cancelDeadline() {
+        waiting.cancel();
         deadline.cancel();
     }
 
--- a/library/src/main/java/org/copperspindle/pipeline/OrderFactory.java
+++ b/library/src/main/java/org/copperspindle/pipeline/OrderFactory.java
@@ -1,12 +1,16 @@
 package org.copperspindle.pipeline;
 
 import java.io.IOException;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
 
 import org.copperspindle.agent.AttemptOrderMessage;
 import org.copperspindle.claims.ClaimRequestMessage;
 import org.copperspindle.claims.ClaimSettleMessage;
 import org.copperspindle.claims.ClaimShards;
 import org.copperspindle.config.StageSettings;
+import org.copperspindle.verdict.NotRunVerdict;
 import org.copperspindle.verdict.Verdict;
 
 /**
@@ -71,6 +75,44 @@
                 ClaimShards.of(request.account().name(), request.key()));
     }
 
+    /** Says whether the answer of a stage is passed on in pieces. */
+    boolean streaming(int stageIndex) {
+        List<StageSettings> stages = request.pipeline().stages();
+        return request.streaming()
+                && stageIndex == stages.size() - 1
+                && StageHandlerFactory.of(chooser.kind(stages.get(stageIndex).pool()))
+                        .canStream();
+    }
+
+    /** Passes pieces of an answer on. */
+    static List<PipelineAction> pass(StageContext context, List<String> texts) {
+        texts.forEach(context::passOn);
+        return texts.stream().<PipelineAction>map(PipelineAction.Piece::new).toList();
+    }
+
+    PipelineAction query(StageAttempt attempt, StageSettings stage, Duration delay) {
+        return new PipelineAction.Query(
+                attempt.id(),
+                attempt.upstreamId(),
+                attempt.incarnation(),
+                attempt.clockMicros(),
+                stage.repeatable(),
+                delay);
+    }
+
+    /** Tells claims and agent how an attempt ended. */
+    List<PipelineAction> conclude(StageAttempt attempt, StageSettings stage, Verdict verdict) {
+        boolean refused = verdict instanceof NotRunVerdict;
+        PipelineAction.Acknowledge acknowledge = new PipelineAction.Acknowledge(attempt.id(), attempt.upstreamId());
+        if (stage.repeatable()) {
+            return refused ? List.of() : List.of(acknowledge);
+        }
+        // Acknowledged only once the settlement is committed. Otherwise the agent may forget the outcome while the
+        // claim still reads as open, and a resend would learn no more than MAY_HAVE_RUN.
+        return List.of(new PipelineAction.Settle(
+                settle(attempt, stage, verdict), refused ? Optional.empty() : Optional.of(acknowledge)));
+    }
+
     private String claimStage(StageSettings stage) {
         return request.pipeline().name() + "/" + stage.name();
     }
