Publish attainment and cost by stage, and read settings raw

Cause: requests, attainment and cost by stage were not published. Change: EntryMeasures, called by the entry when a request is answered and an attempt ends; gauges of the lease and of the version in force; counters of what was dropped.

--- a/library/src/main/java/org/copperspindle/daemon/EntryRole.java
+++ b/library/src/main/java/org/copperspindle/daemon/EntryRole.java
@@ -33,16 +33,19 @@
     EntryRole(ProcessContext context, EntrySettings settings) {
         this.context = context;
         this.settings = settings;
+        EntryMeasures measures = new MicrometerEntryMeasures(context.metrics());
         this.service = new EntryService(
                 context.ring(),
                 context.timers(),
                 context.transport(),
                 settings,
-                context.settings().controls());
-        EntryMeasures measures = new MicrometerEntryMeasures(context.metrics());
+                context.settings().controls(),
+                measures);
         ProbeDoor door = new ProbeDoor(service::ready, context.metrics()::scrape, new EntryDoor(service, measures));
-        this.callers = new HttpListener(settings.listen(), NETWORK_THREADS, settings.limits(), door);
+        this.callers = new HttpListener(
+                "http-" + context.settings().id(), settings.listen(), NETWORK_THREADS, settings.limits(), door);
         ProcessMetrics.publish(context.metrics(), "callers", callers.counters());
+        ProcessMetrics.publish(context.metrics(), service);
     }
 
     @Override
--- a/library/src/main/java/org/copperspindle/daemon/ProcessMetrics.java
+++ b/library/src/main/java/org/copperspindle/daemon/ProcessMetrics.java
@@ -1,6 +1,8 @@
 package org.copperspindle.daemon;
 
 import org.copperspindle.core.DecisionRing;
+import org.copperspindle.entry.EntryCounters;
+import org.copperspindle.entry.EntryService;
 import org.copperspindle.http.HttpCounters;
 import org.copperspindle.measure.MetricsRegistry;
 import org.copperspindle.wire.WireCounters;
@@ -30,6 +32,17 @@
         metrics.counter("wire.reading.pauses", "Pauses because the ring was full", wire, WireCounters::pauses);
     }
 
+    static void publish(MetricsRegistry metrics, EntryService entry) {
+        EntryCounters counters = entry.counters();
+        metrics.gauge("lease.held", "1 while the lease is held", entry, e -> e.leaseHeld() ? 1 : 0);
+        metrics.gauge("config.version", "Version in force", entry, EntryService::configVersion);
+        metrics.counter("dropped.chunks", "Late, doubled or foreign", counters, EntryCounters::droppedChunks);
+        metrics.counter("dropped.outcomes", "Late, doubled or foreign", counters, EntryCounters::droppedOutcomes);
+        metrics.counter("agent.links.lost", "Connections to agents that ended", counters, EntryCounters::linksLost);
+        metrics.counter("agent.messages.unsent", "Messages not sent", counters, EntryCounters::notSent);
+        metrics.counter("callers.slow", "Answers ended, caller too slow", counters, EntryCounters::slowCallers);
+    }
+
     static void publish(MetricsRegistry metrics, String listener, HttpCounters http) {
         String prefix = "http." + listener + ".";
         metrics.gauge(prefix + "connections", "Open connections", http, HttpCounters::connections);
--- a/library/src/main/java/org/copperspindle/entry/EntryService.java
+++ b/library/src/main/java/org/copperspindle/entry/EntryService.java
@@ -13,6 +13,7 @@
 import org.copperspindle.limits.EntryPolicy;
 import org.copperspindle.limits.EntryPolicyFactory;
 import org.copperspindle.limits.PolicyKind;
+import org.copperspindle.measure.EntryMeasures;
 import org.copperspindle.membership.ControlLink;
 import org.copperspindle.membership.ControlLinkListener;
 import org.copperspindle.membership.ControlUpdateMessage;
@@ -47,6 +48,8 @@
     private boolean refusing;
     private volatile boolean stopping;
     private volatile boolean ready;
+    private volatile boolean leaseHeld;
+    private volatile long configVersion;
 
     /**
      * Creates an entry.
@@ -56,13 +59,15 @@
      * @param transport network
      * @param settings  its settings
      * @param controls  addresses of the control members
+     * @param measures  told how requests end
      */
     public EntryService(
             DecisionRing ring,
             TimerService timers,
             WireTransport transport,
             EntrySettings settings,
-            List<InetSocketAddress> controls) {
+            List<InetSocketAddress> controls,
+            EntryMeasures measures) {
         this.ring = ring;
         this.timers = timers;
         this.settings = settings;
@@ -71,7 +76,7 @@
         this.claims = new ClaimClient(timers, control::send);
         ForwardingListener heard = new ForwardingListener();
         this.agents = new AgentLinks(ring, timers, transport, heard);
-        this.driver = new RequestDriver(timers, agents, claims, fleet, policy);
+        this.driver = new RequestDriver(timers, agents, claims, fleet, policy, measures);
         heard.target = driver;
         this.admission = new RequestAdmission(deployment, policy);
     }
@@ -112,6 +117,24 @@
         return ready;
     }
 
+    /**
+     * Says whether the entry holds its lease.
+     *
+     * @return false while it admits nothing
+     */
+    public boolean leaseHeld() {
+        return leaseHeld;
+    }
+
+    /**
+     * Returns the version of the configuration that is in force here.
+     *
+     * @return 0 before the first one
+     */
+    public long configVersion() {
+        return configVersion;
+    }
+
     /**
      * Returns what the entry counts besides its answers.
      *
@@ -160,6 +183,8 @@
     }
 
     private void updateReady() {
+        leaseHeld = control.held();
+        configVersion = deployment.version();
         ready = control.held() && deployment.version() > 0 && !stopping;
     }
 
--- a/library/src/main/java/org/copperspindle/entry/OpenRequest.java
+++ b/library/src/main/java/org/copperspindle/entry/OpenRequest.java
@@ -21,17 +21,19 @@
     private final UpstreamChooser chooser;
     private final PipelineRun run;
     private final AnswerSink sink;
+    private final long since;
     private final Deque<PipelineAction> actions = new ArrayDeque<>();
     private final List<OpenAttempt> attempts = new ArrayList<>(2);
     private TimerSubscription deadline = () -> {};
     private boolean performing;
     private boolean released;
 
-    OpenRequest(PipelineRequest request, UpstreamChooser chooser, AnswerSink sink) {
+    OpenRequest(PipelineRequest request, UpstreamChooser chooser, AnswerSink sink, long since) {
         this.request = request;
         this.chooser = chooser;
         this.run = new PipelineRun(request, chooser);
         this.sink = sink;
+        this.since = since;
     }
 
     String id() {
@@ -50,6 +52,11 @@
         return run;
     }
 
+    /** Instant of the admission, in nanoseconds of the timer service. */
+    long since() {
+        return since;
+    }
+
     AnswerSink sink() {
         return sink;
     }
--- a/library/src/main/java/org/copperspindle/entry/RequestDriver.java
+++ b/library/src/main/java/org/copperspindle/entry/RequestDriver.java
@@ -23,6 +23,7 @@
 import org.copperspindle.limits.AttemptEnd;
 import org.copperspindle.limits.AttemptReport;
 import org.copperspindle.limits.EntryPolicy;
+import org.copperspindle.measure.EntryMeasures;
 import org.copperspindle.pipeline.PipelineAction;
 import org.copperspindle.pipeline.PipelineAnswer;
 import org.copperspindle.pipeline.PipelineRequest;
@@ -58,6 +59,7 @@
     private final ClaimClient claims;
     private final FleetView fleet;
     private final EntryPolicy policy;
+    private final EntryMeasures measures;
     private final EntryCounters counters = new EntryCounters();
     private final Map<String, OpenRequest> requests = new HashMap<>();
     /** By attempt. Several requests may wait for one attempt: a resend through this entry follows the first arrival's. */
@@ -66,12 +68,19 @@
     /** Attempts whose late outcomes are acknowledged, so that their agents can forget them. */
     private final Map<String, Boolean> ended = new LinkedHashMap<>();
 
-    RequestDriver(TimerService timers, AgentPort agents, ClaimClient claims, FleetView fleet, EntryPolicy policy) {
+    RequestDriver(
+            TimerService timers,
+            AgentPort agents,
+            ClaimClient claims,
+            FleetView fleet,
+            EntryPolicy policy,
+            EntryMeasures measures) {
         this.timers = timers;
         this.agents = agents;
         this.claims = claims;
         this.fleet = fleet;
         this.policy = policy;
+        this.measures = measures;
     }
 
     /**
@@ -82,7 +91,7 @@
      * @param sink    where its answer goes
      */
     void open(PipelineRequest request, UpstreamChooser chooser, AnswerSink sink) {
-        OpenRequest open = new OpenRequest(request, chooser, sink);
+        OpenRequest open = new OpenRequest(request, chooser, sink, timers.nanoTime());
         requests.put(open.id(), open);
         long now = timers.nanoTime();
         open.deadline(timers.schedule(
@@ -162,6 +171,11 @@
         }
         for (OpenAttempt attempt : waiting) {
             close(attempt, endOf(outcome), outcome.inFlight());
+            measures.attemptEnded(
+                    attempt.open().request().pipeline().name(),
+                    attempt.stage().name(),
+                    outcome.verdict(),
+                    Duration.ofNanos(outcome.busyMicros() * 1000));
             perform(attempt.open(), attempt.open().run().onOutcome(outcome, timers.nanoTime()));
         }
     }
@@ -386,6 +400,7 @@
                 answer.verdict().label(),
                 answer.status(),
                 answer.verdict().reason());
+        measures.answered(open.request(), answer, timers.nanoTime() - open.since());
         open.sink().end(open.id(), answer);
     }
 
--- a/library/src/main/java/org/copperspindle/http/HttpListener.java
+++ b/library/src/main/java/org/copperspindle/http/HttpListener.java
@@ -56,10 +56,24 @@
      * @param handler answers requests
      */
     public HttpListener(InetSocketAddress address, int threads, HttpLimits limits, HttpRequestHandler handler) {
+        this("http", address, threads, limits, handler);
+    }
+
+    /**
+     * Binds and starts to listen.
+     *
+     * @param name    name of the network threads
+     * @param address address to bind; port 0 takes a free one
+     * @param threads network threads
+     * @param limits  bounds on requests
+     * @param handler answers requests
+     */
+    public HttpListener(
+            String name, InetSocketAddress address, int threads, HttpLimits limits, HttpRequestHandler handler) {
         this.limits = limits;
         this.handler = handler;
         this.group = new MultiThreadIoEventLoopGroup(
-                threads, new DefaultThreadFactory("http", true), NioIoHandler.newFactory());
+                threads, new DefaultThreadFactory(name, true), NioIoHandler.newFactory());
         this.channel = new ServerBootstrap()
                 .group(group)
                 .channel(NioServerSocketChannel.class)
--- a/library/src/main/java/org/copperspindle/measure/EntryMeasures.java
+++ b/library/src/main/java/org/copperspindle/measure/EntryMeasures.java
@@ -2,7 +2,8 @@
 
 import java.time.Duration;
 
-import org.copperspindle.config.Priority;
+import org.copperspindle.pipeline.PipelineAnswer;
+import org.copperspindle.pipeline.PipelineRequest;
 import org.copperspindle.verdict.Verdict;
 
 /**
@@ -16,15 +17,11 @@
     /**
      * An admitted request was answered.
      *
-     * @param account  client account
-     * @param pipeline pipeline or service
-     * @param priority priority it was served with
-     * @param verdict  verdict of the answer
-     * @param attained whether the caller got its whole answer within the deadline
-     * @param took     from admission to the answer
+     * @param request the request
+     * @param answer  its answer; a successful one is whole and was given within the deadline
+     * @param nanos   from admission to the answer
      */
-    default void answered(
-            String account, String pipeline, Priority priority, Verdict verdict, boolean attained, Duration took) {}
+    default void answered(PipelineRequest request, PipelineAnswer answer, long nanos) {}
 
     /**
      * An attempt at a stage ended.
--- a/library/src/main/java/org/copperspindle/measure/MicrometerEntryMeasures.java
+++ b/library/src/main/java/org/copperspindle/measure/MicrometerEntryMeasures.java
@@ -2,11 +2,13 @@
 
 import java.time.Duration;
 import java.util.Locale;
+import java.util.concurrent.TimeUnit;
 
 import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.core.instrument.Timer;
-import org.copperspindle.config.Priority;
+import org.copperspindle.pipeline.PipelineAnswer;
+import org.copperspindle.pipeline.PipelineRequest;
 import org.copperspindle.verdict.Verdict;
 
 /**
@@ -45,21 +47,21 @@
     }
 
     @Override
-    public void answered(
-            String account, String pipeline, Priority priority, Verdict verdict, boolean attained, Duration took) {
-        String kept = pipelines.of(pipeline);
+    public void answered(PipelineRequest request, PipelineAnswer answer, long nanos) {
+        String kept = pipelines.of(request.pipeline().name());
+        String attained = String.valueOf(answer.successful());
         Counter.builder("copperspindle.requests")
                 .description("Admitted requests answered; attained: whole and within the deadline")
                 .tag("pipeline", kept)
-                .tag("priority", priority.name().toLowerCase(Locale.ROOT))
-                .tag("verdict", verdict.label())
-                .tag("attained", String.valueOf(attained))
+                .tag("priority", request.priority().name().toLowerCase(Locale.ROOT))
+                .tag("verdict", answer.verdict().label())
+                .tag("attained", attained)
                 .register(meters)
                 .increment();
         Counter.builder("copperspindle.account.requests")
                 .description("Admitted requests answered, by client account")
-                .tag("account", accounts.of(account))
-                .tag("attained", String.valueOf(attained))
+                .tag("account", accounts.of(request.account().name()))
+                .tag("attained", attained)
                 .register(meters)
                 .increment();
         Timer.builder("copperspindle.request.duration")
@@ -67,7 +69,7 @@
                 .tag("pipeline", kept)
                 .serviceLevelObjectives(BUCKETS)
                 .register(meters)
-                .record(took);
+                .record(nanos, TimeUnit.NANOSECONDS);
     }
 
     @Override
--- a/library/src/main/java/org/copperspindle/settings/SettingsFile.java
+++ b/library/src/main/java/org/copperspindle/settings/SettingsFile.java
@@ -134,7 +134,11 @@
         Map<String, String> values = new LinkedHashMap<>();
         for (Iterator<String> keys = node.getKeys(); keys.hasNext(); ) {
             String key = keys.next();
-            List<Object> all = node.getList(key);
+            // Read raw: the library's other getters replace ${env:NAME} and the like, so that a file sent to this
+            // process
+            // could read its environment, and two processes could read one file differently.
+            Object raw = node.getProperty(key);
+            List<?> all = raw instanceof List<?> list ? list : List.of(raw);
             if (all.size() > 1) {
                 problems.add(new SettingsProblem(name, section, key, "given " + all.size() + " times", "one value"));
             }
--- a/library/src/test/java/org/copperspindle/entry/SimulatedEntry.java
+++ b/library/src/test/java/org/copperspindle/entry/SimulatedEntry.java
@@ -12,6 +12,7 @@
 import org.copperspindle.limits.EntryPolicy;
 import org.copperspindle.limits.EntryPolicyFactory;
 import org.copperspindle.limits.PolicyKind;
+import org.copperspindle.measure.EntryMeasures;
 import org.copperspindle.membership.ControlUpdateMessage;
 import org.copperspindle.pipeline.PipelineRequest;
 import org.copperspindle.routing.FleetView;
@@ -36,7 +37,7 @@
         this.deployment = deployment;
         this.view = view;
         this.claims = new ClaimClient(deployment.timers(), this::toControl);
-        this.driver = new RequestDriver(deployment.timers(), this, claims, fleet, policy);
+        this.driver = new RequestDriver(deployment.timers(), this, claims, fleet, policy, EntryMeasures.NONE);
     }
 
     void update(ControlUpdateMessage update) {
