--- /dev/null
+++ b/library/src/main/java/org/copperspindle/audit/AuditPart.java
@@ -0,0 +1,76 @@
+package org.copperspindle.audit;
+
+import java.util.List;
+
+import org.copperspindle.control.ControlResult;
+import org.copperspindle.control.StatePart;
+import org.copperspindle.wire.MalformedFrameException;
+import org.copperspindle.wire.MessageCodec;
+import org.copperspindle.wire.WireMessage;
+
+/**
+ * The audit trail as a part of the replicated state. Takes entries that the leader proposes for what only it can see.
+ */
+public final class AuditPart implements StatePart {
+
+    private final AuditTrail trail;
+    private long term;
+
+    /**
+     * Creates an empty part.
+     *
+     * @param sink keeps the records
+     */
+    public AuditPart(AuditSink sink) {
+        this.trail = new AuditTrail(sink);
+    }
+
+    /**
+     * Returns the trail.
+     *
+     * @return the live trail
+     */
+    public AuditTrail trail() {
+        return trail;
+    }
+
+    /**
+     * Says which term the next command was proposed in.
+     *
+     * @param now the term
+     */
+    public void under(long now) {
+        term = now;
+    }
+
+    @Override
+    public String name() {
+        return "audit";
+    }
+
+    @Override
+    public List<MessageCodec<?>> commands() {
+        return List.of(AuditEntry.CODEC);
+    }
+
+    @Override
+    public ControlResult apply(long index, WireMessage command) {
+        trail.append(index, term, (AuditEntry) command);
+        return new ControlResult.Done();
+    }
+
+    @Override
+    public byte[] snapshot() {
+        return trail.snapshot();
+    }
+
+    @Override
+    public void clear() {
+        trail.clear();
+    }
+
+    @Override
+    public void restore(byte[] snapshot) throws MalformedFrameException {
+        trail.restore(snapshot);
+    }
+}
--- a/library/src/main/java/org/copperspindle/daemon/ControlRole.java
+++ b/library/src/main/java/org/copperspindle/daemon/ControlRole.java
@@ -4,6 +4,7 @@
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.time.Clock;
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
@@ -11,6 +12,8 @@
 import java.util.Optional;
 import java.util.Set;
 
+import org.copperspindle.audit.AuditDoor;
+import org.copperspindle.audit.AuditStore;
 import org.copperspindle.claims.ClaimRequestMessage;
 import org.copperspindle.claims.ClaimSettleMessage;
 import org.copperspindle.config.ConfigText;
@@ -36,6 +39,8 @@
     private static final Set<Class<? extends WireMessage>> SERVICE_MESSAGES =
             Set.of(LeaseRequestMessage.class, ClaimRequestMessage.class, ClaimSettleMessage.class);
     private static final int UNAVAILABLE = 503;
+    private static final String LOG_FOLDER = "log";
+    private static final String AUDIT_FOLDER = "audit";
     /** Operators send whole deployment files, and few of them. */
     private static final HttpLimits OPERATOR_LIMITS =
             new HttpLimits(8192, 16384, ConfigText.MAX_BYTES, 100, Duration.ofSeconds(10));
@@ -43,14 +48,18 @@
     private final ProcessContext context;
     private final ConsensusLog log;
     private final ControlService service;
+    private final AuditStore audit;
     private final HttpListener operators;
+    private volatile AuditDoor trail;
     private volatile ProbeDoor door;
 
     ControlRole(ProcessContext context, ProcessSettings.ControlSettings settings) {
         this.context = context;
         this.operators = new HttpListener(settings.listen(), 1, OPERATOR_LIMITS, this::answer);
-        ControlState state = new ControlState();
+        ControlState state;
         try {
+            this.audit = new AuditStore(settings.dataFolder().resolve(AUDIT_FOLDER));
+            state = new ControlState(audit, Clock.systemUTC());
             this.log = ConsensusLog.open(
                     context.ring(), context.timers(), context.transport(), state, consensus(context, settings));
         } catch (IOException e) {
@@ -59,6 +68,7 @@
             throw new UncheckedIOException(e);
         }
         this.service = new ControlService(context.ring(), context.timers(), log, state, settings.lease());
+        this.trail = new AuditDoor(context.ring(), () -> state.audit().head(), audit);
         this.door = new ProbeDoor(this::ready, context.metrics()::scrape, new ControlDoor(context.ring(), service));
         ProcessMetrics.publish(context.metrics(), "operators", operators.counters());
     }
@@ -95,6 +105,7 @@
     public void close() {
         operators.close();
         log.close();
+        audit.close();
     }
 
     @Override
@@ -108,6 +119,10 @@
             exchange.respond(UNAVAILABLE, "text/plain", Map.of(), "starting".getBytes(StandardCharsets.UTF_8));
             return;
         }
+        if (exchange.path().equals(AuditDoor.PATH) && exchange.method().equals("GET")) {
+            trail.handle(exchange);
+            return;
+        }
         open.handle(exchange);
     }
 
@@ -126,7 +141,7 @@
                 own,
                 operators.address(),
                 voters,
-                settings.dataFolder(),
+                settings.dataFolder().resolve(LOG_FOLDER),
                 settings.electionTimeout());
     }
 
