--- a/library/src/main/java/org/copperspindle/http/ProblemDetails.java
+++ b/library/src/main/java/org/copperspindle/http/ProblemDetails.java
@@ -3,6 +3,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.LinkedHashMap;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 
@@ -69,7 +70,7 @@
     public byte[] body() {
         ObjectNode body = JsonNodeFactory.instance
                 .objectNode()
-                .put("type", TYPE_PREFIX + verdict.reason())
+                .put("type", type())
                 .put("title", title)
                 .put("status", status)
                 .put("verdict", verdict.label())
@@ -80,6 +81,16 @@
         return body.toString().getBytes(StandardCharsets.UTF_8);
     }
 
+    /**
+     * Returns the URI of the kind of problem.
+     *
+     * @return stable, whatever the reason contains
+     */
+    public String type() {
+        String name = verdict.reason().toLowerCase(Locale.ROOT).replaceAll("[^a-z0-9-]+", "-");
+        return TYPE_PREFIX + (name.isEmpty() ? "failed" : name);
+    }
+
     /**
      * Returns the header fields.
      *
