--- a/library/src/main/java/org/copperspindle/daemon/ControlRole.java
+++ b/library/src/main/java/org/copperspindle/daemon/ControlRole.java
@@ -4,6 +4,7 @@
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -12,6 +13,7 @@
 
 import org.copperspindle.claims.ClaimRequestMessage;
 import org.copperspindle.claims.ClaimSettleMessage;
+import org.copperspindle.config.ConfigText;
 import org.copperspindle.consensus.ConsensusLog;
 import org.copperspindle.consensus.ConsensusSettings;
 import org.copperspindle.consensus.VoterAddress;
@@ -34,6 +36,9 @@
     private static final Set<Class<? extends WireMessage>> SERVICE_MESSAGES =
             Set.of(LeaseRequestMessage.class, ClaimRequestMessage.class, ClaimSettleMessage.class);
     private static final int UNAVAILABLE = 503;
+    /** Operators send whole deployment files, and few of them. */
+    private static final HttpLimits OPERATOR_LIMITS =
+            new HttpLimits(8192, 16384, ConfigText.MAX_BYTES, 100, Duration.ofSeconds(10));
 
     private final ProcessContext context;
     private final ConsensusLog log;
@@ -43,7 +48,7 @@
 
     ControlRole(ProcessContext context, ProcessSettings.ControlSettings settings) {
         this.context = context;
-        this.operators = new HttpListener(settings.listen(), 1, HttpLimits.DEFAULT, this::answer);
+        this.operators = new HttpListener(settings.listen(), 1, OPERATOR_LIMITS, this::answer);
         ControlState state = new ControlState();
         try {
             this.log = ConsensusLog.open(
