--- a/library/src/main/java/org/copperspindle/claims/ClaimLimits.java
+++ b/library/src/main/java/org/copperspindle/claims/ClaimLimits.java
@@ -13,6 +13,6 @@
  */
 public record ClaimLimits(Duration outcomeTime, Duration refusalTime, int maxClaims, int maxRefused) {
 
-    /** Ten minutes and a day; at most 262,144 claims and 8,388,608 refused keys over all shards. */
-    public static final ClaimLimits DEFAULT = new ClaimLimits(Duration.ofMinutes(10), Duration.ofDays(1), 1024, 32768);
+    /** Ten minutes and a day; at most 131,072 claims and 4,194,304 refused keys over all shards. */
+    public static final ClaimLimits DEFAULT = new ClaimLimits(Duration.ofMinutes(10), Duration.ofDays(1), 512, 16384);
 }
--- a/library/src/main/java/org/copperspindle/claims/RefusedKeys.java
+++ b/library/src/main/java/org/copperspindle/claims/RefusedKeys.java
@@ -13,15 +13,20 @@
  * Keys whose claims have run out of time, as hashes only. Safeguard: a key resent late must not run again; enough, since
  * a hash that meets another by chance only refuses a request that could have run, never runs one that must not.
  *
- * <p>Hashes are gathered in spans of time and forgotten span by span.
+ * <p>Hashes are gathered in spans of time and forgotten span by span. Only the newest span grows; the others are sorted
+ * arrays, eight bytes a key.
  */
 final class RefusedKeys {
 
     private static final int SPANS = 24;
+    private static final float LOAD_FACTOR = 0.75f;
+    private static final int FIRST_CAPACITY = 8;
 
     private final ClaimLimits limits;
     private final long spanMillis;
-    private final Deque<Span> spans = new ArrayDeque<>();
+    private final Deque<Span> closed = new ArrayDeque<>();
+    private LongObjectHashMap<Boolean> open = new LongObjectHashMap<>(FIRST_CAPACITY, LOAD_FACTOR);
+    private long openedAt;
     private int size;
 
     RefusedKeys(ClaimLimits limits) {
@@ -30,7 +35,7 @@
     }
 
     boolean contains(long hash) {
-        return spans.stream().anyMatch(span -> span.hashes.containsKey(hash));
+        return open.containsKey(hash) || closed.stream().anyMatch(span -> Arrays.binarySearch(span.hashes, hash) >= 0);
     }
 
     /** Returns false, and adds nothing, if there is no room. */
@@ -38,10 +43,11 @@
         if (size >= limits.maxRefused()) {
             return false;
         }
-        if (spans.isEmpty() || spans.peekLast().startedAt + spanMillis <= now) {
-            spans.addLast(new Span(now));
+        if (openedAt + spanMillis <= now) {
+            closeSpan();
+            openedAt = now;
         }
-        if (spans.peekLast().hashes.put(hash, Boolean.TRUE) == null) {
+        if (open.put(hash, Boolean.TRUE) == null) {
             size++;
         }
         return true;
@@ -49,8 +55,12 @@
 
     void expire(long now) {
         long life = spanMillis + limits.refusalTime().toMillis();
-        while (!spans.isEmpty() && spans.peekFirst().startedAt + life <= now) {
-            size -= spans.pollFirst().hashes.size();
+        while (!closed.isEmpty() && closed.peekFirst().startedAt + life <= now) {
+            size -= closed.pollFirst().hashes.length;
+        }
+        if (openedAt + life <= now) {
+            size -= open.size();
+            open = new LongObjectHashMap<>(FIRST_CAPACITY, LOAD_FACTOR);
         }
     }
 
@@ -59,46 +69,57 @@
     }
 
     void write(MessagePacker out) throws IOException {
-        out.packArrayHeader(spans.size());
-        for (Span span : spans) {
-            long[] sorted = new long[span.hashes.size()];
-            int i = 0;
-            for (LongObjectHashMap.PrimitiveEntry<Boolean> entry : span.hashes.entries()) {
-                sorted[i++] = entry.key();
-            }
-            Arrays.sort(sorted);
-            out.packLong(span.startedAt).packArrayHeader(sorted.length);
-            for (long hash : sorted) {
-                out.packLong(hash);
-            }
+        out.packArrayHeader(closed.size() + 1);
+        for (Span span : closed) {
+            write(out, span.startedAt, span.hashes);
         }
+        write(out, openedAt, sorted(open));
     }
 
     static RefusedKeys read(MessageUnpacker in, ClaimLimits limits) throws IOException {
         RefusedKeys keys = new RefusedKeys(limits);
-        int count = in.unpackArrayHeader();
-        for (int i = 0; i < count; i++) {
-            Span span = new Span(in.unpackLong());
-            int hashes = in.unpackArrayHeader();
-            for (int j = 0; j < hashes; j++) {
-                span.hashes.put(in.unpackLong(), Boolean.TRUE);
+        int last = in.unpackArrayHeader() - 1;
+        for (int i = 0; i <= last; i++) {
+            long startedAt = in.unpackLong();
+            long[] hashes = new long[in.unpackArrayHeader()];
+            for (int j = 0; j < hashes.length; j++) {
+                hashes[j] = in.unpackLong();
+            }
+            keys.size += hashes.length;
+            if (i < last) {
+                keys.closed.addLast(new Span(startedAt, hashes));
+            } else {
+                keys.openedAt = startedAt;
+                Arrays.stream(hashes).forEach(hash -> keys.open.put(hash, Boolean.TRUE));
             }
-            keys.spans.addLast(span);
-            keys.size += hashes;
         }
         return keys;
     }
 
-    /** The hashes of one span of time. */
-    private static final class Span {
-        private static final float LOAD_FACTOR = 0.75f;
-        private static final int FIRST_CAPACITY = 8;
+    private void closeSpan() {
+        if (!open.isEmpty()) {
+            closed.addLast(new Span(openedAt, sorted(open)));
+            open = new LongObjectHashMap<>(FIRST_CAPACITY, LOAD_FACTOR);
+        }
+    }
 
-        private final long startedAt;
-        private final LongObjectHashMap<Boolean> hashes = new LongObjectHashMap<>(FIRST_CAPACITY, LOAD_FACTOR);
+    private static long[] sorted(LongObjectHashMap<Boolean> hashes) {
+        long[] sorted = new long[hashes.size()];
+        int i = 0;
+        for (LongObjectHashMap.PrimitiveEntry<Boolean> entry : hashes.entries()) {
+            sorted[i++] = entry.key();
+        }
+        Arrays.sort(sorted);
+        return sorted;
+    }
 
-        private Span(long startedAt) {
-            this.startedAt = startedAt;
+    private static void write(MessagePacker out, long startedAt, long[] hashes) throws IOException {
+        out.packLong(startedAt).packArrayHeader(hashes.length);
+        for (long hash : hashes) {
+            out.packLong(hash);
         }
     }
+
+    /** The hashes of one span of time, sorted. */
+    private record Span(long startedAt, long[] hashes) {}
 }
--- a/library/src/test/java/org/copperspindle/pipeline/PipelineRunTest.java
+++ b/library/src/test/java/org/copperspindle/pipeline/PipelineRunTest.java
@@ -138,6 +138,23 @@
         assertThat(run.closed()).isTrue();
     }
 
+    /**
+     * An install ran. Its agent may forget it only when the claim table has it as ended; were it told at once, a resend in
+     * between would be told MAY_HAVE_RUN in place of the outcome.
+     */
+    @Test
+    void unrepeatableOutcomeIsAcknowledgedAfterItsSettlement() {
+        PipelineRun run = start(PoolKind.SERVICE, false, false);
+        done.addAll(run.onClaim(ClaimDecision.of(ClaimResult.GRANTED), 0));
+        done.addAll(run.onOutcome(outcome("r/call/1", RanVerdict.SUCCESS, "{}", 0), 1));
+
+        assertThat(done).doesNotHaveAnyElementsOfTypes(PipelineAction.Acknowledge.class);
+        assertThat(done)
+                .filteredOn(PipelineAction.Settle.class::isInstance)
+                .map(a -> ((PipelineAction.Settle) a).acknowledge())
+                .containsExactly(Optional.of(new PipelineAction.Acknowledge("r/call/1", "u1")));
+    }
+
     /** The budget is spent and the only attempt refused with proof: going elsewhere costs nothing, so it is not asked. */
     @Test
     void refusalWithProofNeedsNoRetryBudget() {
