--- a/library/src/main/java/org/copperspindle/entry/AgentLinks.java
+++ b/library/src/main/java/org/copperspindle/entry/AgentLinks.java
@@ -132,7 +132,7 @@
             WireMessage message = made.message();
             if (peer != null && clock.isPresent()) {
                 Optional<? extends WireMessage> stamped = message instanceof AttemptOrderMessage order
-                        ? clock.get().stamp(order, made.at())
+                        ? clock.get().stamp(order, made.at(), usedAt)
                         : Optional.of(message);
                 if (stamped.isEmpty() || !peer.send(stamped.get())) {
                     notSent(message);
