--- a/library/src/test/java/org/copperspindle/consensus/SocketMember.java
+++ b/library/src/test/java/org/copperspindle/consensus/SocketMember.java
@@ -42,7 +42,7 @@
         this.name = self.name();
         this.cut = cut;
         this.ring = new DecisionRing("ring-" + name, 1024);
-        this.timers = new SystemTimerService(ring);
+        this.timers = new SystemTimerService("timer-" + name, ring);
         MessageRegistry registry = WireTransport.registry();
         ConsensusLog.codecs().forEach(registry::register);
         this.transport =
