Answer members on the connection that asked

Cause: a member whose connections nobody read any more was black-holed: its successor at the same address spoke on its own connection, which kept the dead one counted as alive. Change: answers return where the request came in; a connection on which nothing came back for three election timeouts is opened anew. Conclusion: half-dead connections no longer hide a member.

--- a/library/src/main/java/org/copperspindle/consensus/ConsensusLog.java
+++ b/library/src/main/java/org/copperspindle/consensus/ConsensusLog.java
@@ -60,7 +60,7 @@
         this.state = state;
         this.settings = settings;
         long silence = SILENT_ELECTIONS * settings.timing().electionNanos();
-        this.links = new MemberLinks(ring, timers, transport, silence);
+        this.links = new MemberLinks(ring, timers, transport, silence, this::answered);
         SplittableRandom random = new SplittableRandom(recovered.hardState().identity());
         this.node = new RaftNode(settings, recovered, random, timers.nanoTime());
         this.disk = new DiskWorker(
@@ -228,7 +228,7 @@
 
     @Override
     public boolean onMessage(Peer peer, WireMessage message) {
-        return ring.offer(() -> receive(message));
+        return ring.offer(() -> receive(peer, message));
     }
 
     @Override
@@ -244,12 +244,16 @@
         disk.close();
     }
 
-    private void receive(WireMessage message) {
-        if (stopped) {
-            return;
-        }
+    private boolean answered(Peer peer, WireMessage message) {
+        return ring.offer(() -> {
+            links.answered(peer);
+            step(() -> node.receive(message, timers.nanoTime()));
+        });
+    }
+
+    private void receive(Peer peer, WireMessage message) {
         if (message instanceof RaftMessage raft) {
-            links.heard(raft.envelope().address());
+            links.requested(raft.envelope().address(), peer);
         }
         step(() -> node.receive(message, timers.nanoTime()));
     }
--- a/library/src/main/java/org/copperspindle/consensus/MemberLinks.java
+++ b/library/src/main/java/org/copperspindle/consensus/MemberLinks.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BiPredicate;
 
 import io.netty.channel.Channel;
 import org.copperspindle.core.DecisionRing;
@@ -21,11 +22,14 @@
 final class MemberLinks {
 
     private static final int MAX_WAITING = 16;
+    private static final int MAX_INCOMING = 64;
 
     private final DecisionRing ring;
     private final TimerService timers;
     private final WireTransport transport;
     private final long silenceNanos;
+    private final BiPredicate<Peer, WireMessage> receiver;
+    private final Map<String, Peer> incoming = new HashMap<>();
     private final Map<String, Link> links = new HashMap<>();
     private boolean closed;
 
@@ -35,29 +39,52 @@
      * @param ring         ring that owns them
      * @param timers       time
      * @param transport    network
-     * @param silenceNanos a connection to a member that was silent for so long is opened anew
+     * @param silenceNanos a connection on which nothing came back for so long is opened anew
+     * @param receiver     takes the answers that come back
      */
-    MemberLinks(DecisionRing ring, TimerService timers, WireTransport transport, long silenceNanos) {
+    MemberLinks(
+            DecisionRing ring,
+            TimerService timers,
+            WireTransport transport,
+            long silenceNanos,
+            BiPredicate<Peer, WireMessage> receiver) {
         this.ring = ring;
         this.timers = timers;
         this.transport = transport;
         this.silenceNanos = silenceNanos;
+        this.receiver = receiver;
     }
 
     void send(String address, WireMessage message) {
-        if (!closed) {
-            links.computeIfAbsent(address, Link::new).send(message);
+        if (closed) {
+            return;
         }
+        // An answer goes back where its request came from, so that each connection shows whether it works.
+        Peer asked = isAnswer(message) ? incoming.get(address) : null;
+        if (asked != null && asked.send(message)) {
+            return;
+        }
+        links.computeIfAbsent(address, Link::new).send(message);
     }
 
-    /** Notes that a member said something. */
-    void heard(String address) {
-        Link link = links.get(address);
-        if (link != null) {
-            link.aliveAt = timers.nanoTime();
+    /** Notes on which connection a member sends its requests. */
+    void requested(String address, Peer peer) {
+        if (incoming.size() < MAX_INCOMING || incoming.containsKey(address)) {
+            incoming.put(address, peer);
         }
     }
 
+    /** Notes that something came back on a connection of these links. */
+    void answered(Peer peer) {
+        links.values().stream().filter(link -> link.peer == peer).forEach(link -> link.awaiting = false);
+    }
+
+    private static boolean isAnswer(WireMessage message) {
+        return message instanceof AppendReplyMessage
+                || message instanceof VoteReplyMessage
+                || message instanceof SnapshotReplyMessage;
+    }
+
     /** Drops connections that lead nowhere. */
     void tick() {
         links.values().forEach(Link::dropIfSilent);
@@ -74,7 +101,8 @@
         private final Deque<WireMessage> waiting = new ArrayDeque<>();
         private Peer peer;
         private CompletableFuture<Channel> connecting;
-        private long aliveAt;
+        private long sentAt;
+        private boolean awaiting;
 
         private Link(String address) {
             this.address = address;
@@ -82,6 +110,10 @@
 
         private void send(WireMessage message) {
             if (peer != null) {
+                if (!awaiting) {
+                    awaiting = true;
+                    sentAt = timers.nanoTime();
+                }
                 if (peer.isWritable()) {
                     peer.send(message);
                 }
@@ -92,7 +124,8 @@
             }
             waiting.addLast(message);
             if (connecting == null) {
-                aliveAt = timers.nanoTime();
+                sentAt = timers.nanoTime();
+                awaiting = true;
                 connect();
             }
         }
@@ -114,16 +147,18 @@
         }
 
         /**
-         * After a partition TCP may wait for minutes before it tries again; a new connection goes through at once, so
-         * that the member is not taken for lost long after the network is whole.
+         * After a partition, or with a VM that vanished, TCP may hold a connection for minutes on which nothing arrives;
+         * the member would be taken for lost long after it is back. Requests sent without any answer on the same
+         * connection show that; a new connection goes through at once.
          */
         private void dropIfSilent() {
-            if (timers.nanoTime() - aliveAt > silenceNanos) {
+            if (awaiting && timers.nanoTime() - sentAt > silenceNanos) {
                 drop();
             }
         }
 
         private void drop() {
+            awaiting = false;
             waiting.clear();
             if (peer != null) {
                 peer.close();
@@ -139,7 +174,7 @@
         public boolean onOpen(Peer opened) {
             return ring.offer(() -> {
                 peer = opened;
-                aliveAt = timers.nanoTime();
+                sentAt = timers.nanoTime();
                 waiting.forEach(opened::send);
                 waiting.clear();
             });
@@ -147,7 +182,7 @@
 
         @Override
         public boolean onMessage(Peer from, WireMessage message) {
-            return true;
+            return receiver.test(from, message);
         }
 
         @Override
--- a/library/src/test/java/org/copperspindle/consensus/ConsensusLogTest.java
+++ b/library/src/test/java/org/copperspindle/consensus/ConsensusLogTest.java
@@ -1,6 +1,7 @@
 package org.copperspindle.consensus;
 
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.nio.ByteBuffer;
@@ -43,7 +44,7 @@
     @BeforeEach
     void startMembers() throws IOException {
         for (int i = 1; i <= 3; i++) {
-            voters.add(new VoterAddress("control-" + i, freeAddress()));
+            voters.add(new VoterAddress("control-" + i, freeAddress(i)));
         }
         for (VoterAddress voter : voters) {
             start(voter.name(), LogFile::open);
@@ -197,9 +198,15 @@
         }
     }
 
-    private static InetSocketAddress freeAddress() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0)) {
-            return new InetSocketAddress("127.0.0.1", socket.getLocalPort());
+    /**
+     * A loopback address of this JVM's own: outgoing connections start at 127.0.0.1 and can't take its port while a
+     * member is down.
+     */
+    private static InetSocketAddress freeAddress(int member) throws IOException {
+        long pid = ProcessHandle.current().pid();
+        InetAddress own = InetAddress.getByName("127." + (1 + pid % 250) + "." + pid / 250 % 250 + "." + member);
+        try (ServerSocket socket = new ServerSocket(0, 1, own)) {
+            return new InetSocketAddress(own, socket.getLocalPort());
         }
     }
 
--- a/library/src/test/java/org/copperspindle/consensus/RaftNodeTest.java
+++ b/library/src/test/java/org/copperspindle/consensus/RaftNodeTest.java
@@ -183,4 +183,30 @@
         assertThat(taken).isBetween(1, 60);
         assertThat(leader.node.log().lastIndex()).isEqualTo(last + taken);
     }
+
+    /**
+     * The leader's disk is slow, so that its newest entry is only in memory when it is cut off; the others have it and go
+     * on. When the old leader hears of that entry again it must write it before it vouches for it: {@link SimulatedGroup}
+     * compares each answer with the disk.
+     */
+    @Test
+    void entryOnlyInMemoryIsWrittenBeforeItIsVouchedFor() {
+        SimulatedGroup group = new SimulatedGroup(61, 3);
+        group.startAll();
+        SimulatedMember old = group.awaitLeader();
+        old.maxSync = 3000 * MILLI;
+        old.propose("first");
+        old.propose("second");
+        group.time.advance(20 * MILLI);
+        group.cutOff(old);
+        group.until(
+                "another leader", () -> group.leading().filter(m -> m != old).isPresent());
+        old.maxSync = MILLI;
+        group.cut.clear();
+        group.commit("third");
+        group.checkAllHoldEverything();
+        old.crash();
+        old.start();
+        assertThat(old.node.log().lastIndex()).isGreaterThanOrEqualTo(5);
+    }
 }
--- a/library/src/test/java/org/copperspindle/consensus/SimulatedDisk.java
+++ b/library/src/test/java/org/copperspindle/consensus/SimulatedDisk.java
@@ -34,6 +34,14 @@
         underWay.clear();
     }
 
+    /** Returns the last index that a restart would find. */
+    long lastIndex() {
+        long covered = snapshot.map(LogSnapshot::index).orElse(0L);
+        return entries.isEmpty()
+                ? covered
+                : Math.max(covered, entries.get(entries.size() - 1).index());
+    }
+
     RecoveredState recover() {
         if (hard.group() == 0) {
             snapshot = Optional.empty();
--- a/library/src/test/java/org/copperspindle/consensus/SimulatedGroup.java
+++ b/library/src/test/java/org/copperspindle/consensus/SimulatedGroup.java
@@ -33,7 +33,7 @@
     double loss;
     double duplicates;
     long maxDelay = 2 * MILLI;
-    long maxSync = 2 * MILLI;
+    final Map<String, Long> slowLinks = new HashMap<>();
     boolean syncBeforeAnswer = true;
     private final Map<Long, Long> leaderOfTerm = new HashMap<>();
     private final Map<Long, String> committed = new LinkedHashMap<>();
@@ -135,10 +135,12 @@
     final class SimulatedMember {
         final String name;
         final List<String> state = new ArrayList<>();
+        final List<VoteReplyMessage> granted = new ArrayList<>();
         RaftNode node;
+        long maxSync = 2 * MILLI;
+        private double rate;
         private final RaftSettings settings;
-        private final double rate;
-        private final long offset = random.nextLong(1_000_000_000L);
+        private long offset = random.nextLong(1_000_000_000L);
         private final Map<Long, String> proposed = new HashMap<>();
         private SimulatedDisk disk = new SimulatedDisk();
         private long life;
@@ -154,6 +156,12 @@
             return offset + (long) (time.nanoTime() * rate);
         }
 
+        /** Lets the clock go on at another rate from here. */
+        void changeRate(double next) {
+            offset = now() - (long) (time.nanoTime() * next);
+            rate = next;
+        }
+
         boolean leads() {
             return node != null && node.leads(now());
         }
@@ -179,6 +187,12 @@
             disk.crash(random);
         }
 
+        /** Receives a message outside the network. */
+        void receive(WireMessage message) {
+            node.receive(message, now());
+            run();
+        }
+
         void loseDisk() {
             disk = new SimulatedDisk();
         }
@@ -287,12 +301,28 @@
         }
 
         private void post(String to, WireMessage message) {
+            checkPromise(message);
             if (random.nextDouble() < loss) {
                 return;
             }
             int copies = random.nextDouble() < duplicates ? 2 : 1;
             for (int i = 0; i < copies; i++) {
-                time.schedule(upTo(maxDelay), () -> deliver(to, message));
+                long delay = upTo(maxDelay) + slowLinks.getOrDefault(link(name, to), 0L);
+                time.schedule(delay, () -> deliver(to, message));
+            }
+        }
+
+        /** What a member says of its disk must be there after a crash in this very instant. */
+        private void checkPromise(WireMessage message) {
+            if (message instanceof AppendReplyMessage reply && reply.matched()) {
+                assertThat(disk.lastIndex())
+                        .as("entries on the disk of " + name)
+                        .isGreaterThanOrEqualTo(reply.index());
+            }
+            if (message instanceof VoteReplyMessage reply && reply.granted() && !reply.preVote()) {
+                assertThat(disk.hard.term()).as("term on the disk of " + name).isEqualTo(reply.forTerm());
+                assertThat(disk.hard.votedFor()).isEqualTo(reply.envelope().to());
+                granted.add(reply);
             }
         }
 
--- a/library/src/test/java/org/copperspindle/consensus/SocketMember.java
+++ b/library/src/test/java/org/copperspindle/consensus/SocketMember.java
@@ -10,7 +10,9 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 
+import io.netty.channel.Channel;
 import org.copperspindle.control.ControlResult;
 import org.copperspindle.control.ProposalResult;
 import org.copperspindle.control.ReplicatedState;
@@ -36,6 +38,7 @@
     private final DecisionRing ring;
     private final SystemTimerService timers;
     private final WireTransport transport;
+    private final Channel listening;
 
     SocketMember(VoterAddress self, List<VoterAddress> voters, Path folder, Set<String> cut, LogFile.Opener opener)
             throws IOException {
@@ -61,7 +64,7 @@
             closeRuntime();
             throw e;
         }
-        transport.listen(self.address(), this);
+        listening = transport.listen(self.address(), this);
         ring.execute(log::start);
     }
 
@@ -81,6 +84,7 @@
 
     /** Ends at once, as a crash would. */
     void kill() {
+        listening.close().awaitUninterruptibly();
         log.close();
         closeRuntime();
     }
@@ -118,7 +122,7 @@
         return true;
     }
 
-    private <T> T onRing(java.util.function.Supplier<T> question) {
+    private <T> T onRing(Supplier<T> question) {
         CompletableFuture<T> answer = new CompletableFuture<>();
         ring.execute(() -> answer.complete(question.get()));
         return answer.orTimeout(30, TimeUnit.SECONDS).join();
