--- a/library/src/main/java/org/copperspindle/core/DecisionRing.java
+++ b/library/src/main/java/org/copperspindle/core/DecisionRing.java
@@ -3,6 +3,7 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.LongAdder;
 
 import com.lmax.disruptor.BlockingWaitStrategy;
 import com.lmax.disruptor.ExceptionHandler;
@@ -17,7 +18,7 @@
  * takes a lock. Network threads use {@link #offer}, which refuses when the ring is full, or {@link #offerUntilTaken} for
  * what must not be lost; they never block. Timer and disk threads use {@link #execute}, which may wait.
  */
-public final class DecisionRing implements Executor, AutoCloseable {
+public final class DecisionRing implements DecisionQueue, Executor, AutoCloseable {
 
     /** Default number of slots; a burst beyond it is refused with back-pressure rather than queued. */
     public static final int DEFAULT_SLOTS = 8192;
@@ -28,6 +29,7 @@
 
     private final Disruptor<Slot> disruptor;
     private final RingBuffer<Slot> ring;
+    private final LongAdder failures = new LongAdder();
     private volatile Thread owner;
 
     /**
@@ -50,16 +52,11 @@
                 ProducerType.MULTI,
                 new BlockingWaitStrategy());
         disruptor.handleEventsWith((slot, sequence, endOfBatch) -> slot.run());
-        disruptor.setDefaultExceptionHandler(new LoggingExceptionHandler());
+        disruptor.setDefaultExceptionHandler(new CountingExceptionHandler());
         ring = disruptor.start();
     }
 
-    /**
-     * Hands over a task without waiting.
-     *
-     * @param task what to run on the decision thread
-     * @return false if the ring is full and the task was not taken
-     */
+    @Override
     public boolean offer(Runnable task) {
         return ring.tryPublishEvent((slot, sequence) -> slot.task = task);
     }
@@ -101,6 +98,15 @@
         return ring.getBufferSize() - ring.remainingCapacity();
     }
 
+    /**
+     * Returns how many decisions failed unexpectedly.
+     *
+     * @return a count
+     */
+    public long failures() {
+        return failures.sum();
+    }
+
     @Override
     public void close() {
         disruptor.halt();
@@ -118,9 +124,10 @@
     }
 
     /** Keeps the ring alive: one failed decision must not stop all others. */
-    private static final class LoggingExceptionHandler implements ExceptionHandler<Slot> {
+    private final class CountingExceptionHandler implements ExceptionHandler<Slot> {
         @Override
         public void handleEventException(Throwable failure, long sequence, Slot slot) {
+            failures.increment();
             LOGGER.error("event=decision-failed sequence={}", sequence, failure);
         }
 
--- a/library/src/main/java/org/copperspindle/daemon/ControlRole.java
+++ b/library/src/main/java/org/copperspindle/daemon/ControlRole.java
@@ -4,14 +4,19 @@
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.time.Clock;
+import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 
+import org.copperspindle.audit.AuditDoor;
+import org.copperspindle.audit.AuditStore;
 import org.copperspindle.claims.ClaimRequestMessage;
 import org.copperspindle.claims.ClaimSettleMessage;
+import org.copperspindle.config.ConfigText;
 import org.copperspindle.consensus.ConsensusLog;
 import org.copperspindle.consensus.ConsensusSettings;
 import org.copperspindle.consensus.VoterAddress;
@@ -34,18 +39,27 @@
     private static final Set<Class<? extends WireMessage>> SERVICE_MESSAGES =
             Set.of(LeaseRequestMessage.class, ClaimRequestMessage.class, ClaimSettleMessage.class);
     private static final int UNAVAILABLE = 503;
+    private static final String LOG_FOLDER = "log";
+    private static final String AUDIT_FOLDER = "audit";
+    /** Operators send whole deployment files, and few of them. */
+    private static final HttpLimits OPERATOR_LIMITS =
+            new HttpLimits(8192, 16384, ConfigText.MAX_BYTES, 100, Duration.ofSeconds(10));
 
     private final ProcessContext context;
     private final ConsensusLog log;
     private final ControlService service;
+    private final AuditStore audit;
     private final HttpListener operators;
-    private volatile ControlDoor door;
+    private volatile AuditDoor trail;
+    private volatile ProbeDoor door;
 
     ControlRole(ProcessContext context, ProcessSettings.ControlSettings settings) {
         this.context = context;
-        this.operators = new HttpListener(settings.listen(), 1, HttpLimits.DEFAULT, this::answer);
-        ControlState state = new ControlState();
+        this.operators = new HttpListener(settings.listen(), 1, OPERATOR_LIMITS, this::answer);
+        ControlState state;
         try {
+            this.audit = new AuditStore(settings.dataFolder().resolve(AUDIT_FOLDER));
+            state = new ControlState(audit, Clock.systemUTC());
             this.log = ConsensusLog.open(
                     context.ring(), context.timers(), context.transport(), state, consensus(context, settings));
         } catch (IOException e) {
@@ -54,7 +68,9 @@
             throw new UncheckedIOException(e);
         }
         this.service = new ControlService(context.ring(), context.timers(), log, state, settings.lease());
-        this.door = new ControlDoor(context.ring(), service);
+        this.trail = new AuditDoor(context.ring(), () -> state.audit().head(), audit);
+        this.door = new ProbeDoor(this::ready, context.metrics()::scrape, new ControlDoor(context.ring(), service));
+        ProcessMetrics.publish(context.metrics(), "operators", operators.counters());
     }
 
     @Override
@@ -89,6 +105,7 @@
     public void close() {
         operators.close();
         log.close();
+        audit.close();
     }
 
     @Override
@@ -97,11 +114,15 @@
     }
 
     private void answer(HttpExchange exchange) {
-        ControlDoor open = door;
+        ProbeDoor open = door;
         if (open == null) {
             exchange.respond(UNAVAILABLE, "text/plain", Map.of(), "starting".getBytes(StandardCharsets.UTF_8));
             return;
         }
+        if (exchange.path().equals(AuditDoor.PATH) && exchange.method().equals("GET")) {
+            trail.handle(exchange);
+            return;
+        }
         open.handle(exchange);
     }
 
@@ -120,7 +141,7 @@
                 own,
                 operators.address(),
                 voters,
-                settings.dataFolder(),
+                settings.dataFolder().resolve(LOG_FOLDER),
                 settings.electionTimeout());
     }
 
--- a/library/src/main/java/org/copperspindle/daemon/CopperspindleProcess.java
+++ b/library/src/main/java/org/copperspindle/daemon/CopperspindleProcess.java
@@ -8,11 +8,15 @@
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ThreadLocalRandom;
 
 import io.netty.channel.Channel;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.copperspindle.core.DecisionRing;
+import org.copperspindle.http.HttpLimits;
+import org.copperspindle.http.HttpListener;
+import org.copperspindle.measure.MetricsRegistry;
 import org.copperspindle.time.SystemTimerService;
 import org.copperspindle.wire.GreetingMessage;
 import org.copperspindle.wire.Peer;
@@ -28,12 +32,15 @@
 
     private static final Logger LOGGER = LogManager.getLogger(CopperspindleProcess.class);
     private static final int NETWORK_THREADS = 2;
+    private static final int INCARNATION_RANDOM_BITS = 20;
 
     private final ProcessSettings settings;
     private final DecisionRing ring;
     private final SystemTimerService timers;
     private final WireTransport transport;
+    private final MetricsRegistry metrics = new MetricsRegistry();
     private final Channel wireChannel;
+    private Optional<HttpListener> probes = Optional.empty();
     private final List<ProcessRole> roles = new ArrayList<>();
     private Optional<ProcessRole> entry = Optional.empty();
     private Optional<ProcessRole> control = Optional.empty();
@@ -42,22 +49,32 @@
         this.settings = settings;
         this.ring = new DecisionRing("decisions-" + settings.id(), DecisionRing.DEFAULT_SLOTS);
         this.timers = new SystemTimerService("timer-" + settings.id(), ring);
-        long incarnation = System.currentTimeMillis();
+        long incarnation = newIncarnation();
         GreetingMessage greeting = new GreetingMessage(GreetingMessage.PROTOCOL, "process", settings.id(), incarnation);
         this.transport = new WireTransport(NETWORK_THREADS, MessageCatalog.registry(), greeting);
         RoleSwitch roleSwitch = new RoleSwitch();
         this.wireChannel = transport.listen(settings.listen(), roleSwitch);
-        ProcessContext context = new ProcessContext(settings, ring, timers, transport, wireAddress(), incarnation);
+        ProcessContext context =
+                new ProcessContext(settings, ring, timers, transport, metrics, wireAddress(), incarnation);
         try {
             addRoles(context, roleSwitch);
+            probes = settings.metricsListen().map(this::openProbes);
         } catch (RuntimeException e) {
             // Network threads would keep a process alive that has no roles.
             kill();
             throw e;
         }
+        ProcessMetrics.publish(metrics, ring);
+        ProcessMetrics.publish(metrics, transport.counters());
+        metrics.gauge("ready", "1 while every role of the process serves", this, p -> p.ready() ? 1 : 0);
         LOGGER.info("event=started process={} wire={}", settings.id(), wireAddress());
     }
 
+    private HttpListener openProbes(InetSocketAddress address) {
+        ProbeDoor door = new ProbeDoor(this::ready, metrics::scrape, ProbeDoor.nothing());
+        return new HttpListener(address, 1, HttpLimits.DEFAULT, door);
+    }
+
     private void addRoles(ProcessContext context, RoleSwitch roleSwitch) {
         // Stopped in this order: an entry finishes its requests before the agent or control beside it goes.
         entry = settings.entry().map(e -> new EntryRole(context, e));
@@ -69,6 +86,16 @@
         roles.forEach(ProcessRole::start);
     }
 
+    /**
+     * Draws the number of this life. Normally larger for each restart; where the clock was set back, control names the
+     * newest life that it knows and the member takes a larger number. The random part keeps two lives of the same
+     * millisecond apart.
+     */
+    private static long newIncarnation() {
+        long random = ThreadLocalRandom.current().nextLong(1L << INCARNATION_RANDOM_BITS);
+        return System.currentTimeMillis() << INCARNATION_RANDOM_BITS | random;
+    }
+
     /**
      * Starts a process.
      *
@@ -106,6 +133,15 @@
         return control.flatMap(ProcessRole::httpAddress);
     }
 
+    /**
+     * Returns where probes and metrics are, besides the addresses of callers and operators.
+     *
+     * @return the bound address, if the settings name one
+     */
+    public Optional<InetSocketAddress> metricsAddress() {
+        return probes.map(HttpListener::address);
+    }
+
     /**
      * Says whether the process serves.
      *
@@ -132,9 +168,11 @@
     /** Ends at once, as a crash would; for tests and the demo. */
     public void kill() {
         roles.forEach(ProcessRole::close);
+        probes.ifPresent(HttpListener::close);
         timers.close();
         transport.close();
         ring.close();
+        metrics.close();
     }
 
     private static void stopNext(Iterator<ProcessRole> left, Runnable done) {
