--- a/library/src/test/java/org/copperspindle/entry/RequestScheduleTest.java
+++ b/library/src/test/java/org/copperspindle/entry/RequestScheduleTest.java
@@ -24,7 +24,7 @@
 class RequestScheduleTest {
 
     private static final Logger LOGGER = LogManager.getLogger(RequestScheduleTest.class);
-    private static final int SCHEDULES = Integer.getInteger("copperspindle.schedules", 250);
+    private static final int SCHEDULES = Integer.getInteger("copperspindle.schedules", 400);
     private static final int ARRIVALS = 24;
     private static final int KEYS = 6;
     private static final long HEAL_NANOS = Duration.ofSeconds(40).toNanos();
