--- a/tools/src/main/java/org/copperspindle/cli/Copperspindle.java
+++ b/tools/src/main/java/org/copperspindle/cli/Copperspindle.java
@@ -18,7 +18,8 @@
 public final class Copperspindle {
 
     private static final List<Command> COMMANDS = List.of(
-            new RunCommand(), //
+            new DemoCommand(),
+            new RunCommand(),
             new ApplyCommand(),
             new EmulateCommand(),
             new MeasureCommand(),
