--- a/library/src/main/java/org/copperspindle/membership/ControlLink.java
+++ b/library/src/main/java/org/copperspindle/membership/ControlLink.java
@@ -35,6 +35,9 @@
     /** A leader that leaves a request unanswered for so long is given up; a lease allows for it several times. */
     private static final long SILENCE_NANOS = Duration.ofSeconds(1).toNanos();
 
+    /** Shortest wait for the end of the lease, so that a timer that is rounded down does not spin. */
+    private static final long WATCH_NANOS = Duration.ofMillis(1).toNanos();
+
     private final DecisionQueue queue;
     private final TimerService timers;
     private final ControlConnector connector;
@@ -269,7 +272,7 @@
     }
 
     private void watchExpiry() {
-        expiry = timers.schedule(lease.left(timers.nanoTime()), this::expire);
+        expiry = timers.schedule(Math.max(WATCH_NANOS, lease.left(timers.nanoTime())), this::expire);
     }
 
     private void expire() {
--- a/library/src/test/java/org/copperspindle/membership/VirtualDeployment.java
+++ b/library/src/test/java/org/copperspindle/membership/VirtualDeployment.java
@@ -2,7 +2,9 @@
 
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -35,6 +37,7 @@
     static final Duration LEASE = Duration.ofSeconds(5);
     static final Duration RENEW = Duration.ofSeconds(1);
     private static final long DELAY_NANOS = Duration.ofMillis(1).toNanos();
+    private static final long RESEND_NANOS = Duration.ofMillis(50).toNanos();
     private static final long COMMIT_NANOS = Duration.ofMillis(3).toNanos();
 
     final VirtualTimerService time = new VirtualTimerService();
@@ -261,6 +264,7 @@
         private final StandIn member;
         private final PeerListener owner;
         private final GreetingMessage greeting;
+        private final Deque<Runnable> underWay = new ArrayDeque<>();
         private Connection other;
         private boolean open = true;
 
@@ -285,16 +289,33 @@
                 return false;
             }
             messages++;
-            if (!member.unreachable(control())) {
-                time.schedule(DELAY_NANOS, () -> {
-                    if (other.open && !member.unreachable(control())) {
-                        other.owner.onMessage(other, message);
-                    }
-                });
-            }
+            pass(() -> other.owner.onMessage(other, message));
             return true;
         }
 
+        /** Bytes arrive in order; those of a cut connection wait, as TCP sends them again, until an end gives up. */
+        private void pass(Runnable event) {
+            underWay.add(event);
+            if (underWay.size() == 1) {
+                time.schedule(DELAY_NANOS, this::arrive);
+            }
+        }
+
+        private void arrive() {
+            if (member.dead || !other.open) {
+                underWay.clear();
+                return;
+            }
+            if (member.unreachable(control())) {
+                time.schedule(RESEND_NANOS, this::arrive);
+                return;
+            }
+            underWay.poll().run();
+            if (!underWay.isEmpty()) {
+                time.schedule(0, this::arrive);
+            }
+        }
+
         @Override
         public boolean isWritable() {
             return true;
@@ -307,9 +328,7 @@
             }
             open = false;
             time.schedule(0, () -> owner.onClose(this));
-            if (!member.unreachable(control())) {
-                time.schedule(DELAY_NANOS, other::close);
-            }
+            pass(other::close);
         }
     }
 
