--- a/library/src/main/java/org/copperspindle/agent/AgentService.java
+++ b/library/src/main/java/org/copperspindle/agent/AgentService.java
@@ -174,6 +174,8 @@
     public void onNewerIncarnation(long known) {
         incarnation = known + 1;
         attempts.onIncarnation(incarnation);
+        // Entries that subscribed before would hold back orders for the new number until the next report.
+        reporter.announce(loadReport());
     }
 
     @Override
--- a/library/src/main/java/org/copperspindle/control/ControlService.java
+++ b/library/src/main/java/org/copperspindle/control/ControlService.java
@@ -10,10 +10,6 @@
 
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.copperspindle.claims.ClaimReplyMessage;
-import org.copperspindle.claims.ClaimRequestMessage;
-import org.copperspindle.claims.ClaimResult;
-import org.copperspindle.claims.ClaimSettleMessage;
 import org.copperspindle.core.DecisionQueue;
 import org.copperspindle.membership.LeaseGrantMessage;
 import org.copperspindle.membership.LeaseRequestMessage;
@@ -45,6 +41,7 @@
     private final ReplicatedLog log;
     private final ControlState state;
     private final long leaseNanos;
+    private final ClaimHandler claims;
     private final MemberTable members = new MemberTable();
     private final PendingApplies pending;
     private final UpdatePusher pusher;
@@ -68,6 +65,7 @@
         this.log = log;
         this.state = state;
         this.leaseNanos = lease.toNanos();
+        this.claims = new ClaimHandler(timers, log, state);
         this.pending = new PendingApplies(timers);
         this.pusher = new UpdatePusher(timers, state, members.all(), () -> leads() ? leadingTerm : 0);
     }
@@ -180,10 +178,8 @@
         }
         if (message instanceof LeaseRequestMessage lease) {
             receiveLease(peer, lease);
-        } else if (message instanceof ClaimRequestMessage claim) {
-            receiveClaim(peer, claim);
-        } else if (message instanceof ClaimSettleMessage settle) {
-            log.propose(state.encode(new SettleCommand(ClaimSettleMessage.CODEC.encode(settle))), result -> {});
+        } else {
+            claims.receive(peer, message);
         }
     }
 
@@ -239,19 +235,6 @@
         });
     }
 
-    private void receiveClaim(Peer peer, ClaimRequestMessage claim) {
-        log.propose(state.encode(new ClaimCommand(ClaimRequestMessage.CODEC.encode(claim))), result -> {
-            if (result instanceof ProposalResult.Committed committed
-                    && committed.result() instanceof ControlResult.Claimed claimed) {
-                peer.send(new ClaimReplyMessage(
-                        claim.correlation(), claimed.result().name(), claimed.attemptId(), claimed.upstreamId()));
-            } else if (result instanceof ProposalResult.NotTaken) {
-                peer.send(new ClaimReplyMessage(claim.correlation(), ClaimResult.UNAVAILABLE.name(), "", ""));
-            }
-            // Unknown: no reply. The entry asks again with the same attempt, which is granted if the first one held.
-        });
-    }
-
     private void left(Member member, boolean byItself) {
         LOGGER.info("event=member-gone member={} left={}", member.id(), byItself);
         if (member.announcement() != null) {
