--- a/library/src/main/java/org/copperspindle/membership/ControlCandidates.java
+++ b/library/src/main/java/org/copperspindle/membership/ControlCandidates.java
@@ -73,6 +73,8 @@
         try {
             int port = Integer.parseInt(address.substring(colon + 1));
             hint = Optional.of(new InetSocketAddress(address.substring(0, colon), port));
+            // Control is reached again; a leader named in error costs a timeout, which spreads retries by itself.
+            failures = 0;
         } catch (IllegalArgumentException e) {
             hint = Optional.empty();
         }
