--- a/library/src/main/java/org/copperspindle/daemon/ControlRole.java
+++ b/library/src/main/java/org/copperspindle/daemon/ControlRole.java
@@ -51,7 +51,7 @@
     private final AuditStore audit;
     private final HttpListener operators;
     private volatile AuditDoor trail;
-    private volatile ControlDoor door;
+    private volatile ProbeDoor door;
 
     ControlRole(ProcessContext context, ProcessSettings.ControlSettings settings) {
         this.context = context;
@@ -69,7 +69,8 @@
         }
         this.service = new ControlService(context.ring(), context.timers(), log, state, settings.lease());
         this.trail = new AuditDoor(context.ring(), () -> state.audit().head(), audit);
-        this.door = new ControlDoor(context.ring(), service);
+        this.door = new ProbeDoor(this::ready, context.metrics()::scrape, new ControlDoor(context.ring(), service));
+        ProcessMetrics.publish(context.metrics(), "operators", operators.counters());
     }
 
     @Override
@@ -113,7 +114,7 @@
     }
 
     private void answer(HttpExchange exchange) {
-        ControlDoor open = door;
+        ProbeDoor open = door;
         if (open == null) {
             exchange.respond(UNAVAILABLE, "text/plain", Map.of(), "starting".getBytes(StandardCharsets.UTF_8));
             return;
