Refuse deployment files with shared keys, wrong pools or no failure domain

Cause: two accounts with one key, a plain service on a pool of engines, and a file without failure domains were accepted and failed later.

Change: each is refused with the others before anything is proposed; at most 16 stages a pipeline.

Conclusion: more faults are found before the log is asked.

--- a/benchmarks/src/main/java/org/copperspindle/benchmarks/ConfigRolloutMeasurement.java
+++ b/benchmarks/src/main/java/org/copperspindle/benchmarks/ConfigRolloutMeasurement.java
@@ -32,7 +32,6 @@
 
     private static final InetSocketAddress ANY = new InetSocketAddress("127.0.0.1", 0);
     private static final Duration LEASE = Duration.ofSeconds(5);
-    private static final Duration RENEW = Duration.ofSeconds(1);
     private static final Duration IDLE = Duration.ofSeconds(10);
     private static final OperatingSystemMXBean SYSTEM =
             (OperatingSystemMXBean) ManagementFactory.getOperatingSystemMXBean();
@@ -78,7 +77,7 @@
         WireTransport transport = new WireTransport(
                 2, MessageCatalog.registry(), new GreetingMessage(GreetingMessage.PROTOCOL, "process", "members", 1));
         for (int i = 0; i < count; i++) {
-            members.add(new StandInMember(i, ring, timers, transport, control, RENEW, parses, parseNanos));
+            members.add(new StandInMember(i, ring, timers, transport, control, parses, parseNanos));
         }
     }
 
--- a/benchmarks/src/main/java/org/copperspindle/benchmarks/StandInMember.java
+++ b/benchmarks/src/main/java/org/copperspindle/benchmarks/StandInMember.java
@@ -22,6 +22,8 @@
  */
 final class StandInMember implements ControlLinkListener {
 
+    private static final Duration RENEW = Duration.ofSeconds(1);
+
     private final ControlLink link;
     private final WireTransport transport;
     private final AtomicLong parseNanos;
@@ -35,14 +37,13 @@
             TimerService timers,
             WireTransport shared,
             InetSocketAddress control,
-            Duration renew,
             boolean parses,
             AtomicLong parseNanos) {
         this.transport = shared.withGreeting(
                 new GreetingMessage(GreetingMessage.PROTOCOL, "process", "entry-" + number, number + 1L));
         this.parses = parses;
         this.parseNanos = parseNanos;
-        this.link = new ControlLink(ring, timers, transport, List.of(control), renew, this::request, this);
+        this.link = new ControlLink(ring, timers, transport, List.of(control), RENEW, this::request, this);
         ring.execute(link::start);
     }
 
--- a/library/src/main/java/org/copperspindle/config/DeploymentLoader.java
+++ b/library/src/main/java/org/copperspindle/config/DeploymentLoader.java
@@ -26,12 +26,14 @@
     private static final Pattern DIGEST = Pattern.compile("[0-9a-f]{64}");
     private static final Duration DEFAULT_DEADLINE = Duration.ofSeconds(6);
     private static final int MAX_CONCURRENCY = 100_000;
+    private static final int MAX_STAGES = 16;
     private static final int MAX_UPSTREAMS = 100_000;
 
     private final SettingsFile file;
     private final Map<String, PoolSettings> pools = new LinkedHashMap<>();
     private final Map<String, PipelineSettings> pipelines = new LinkedHashMap<>();
     private final Map<String, AccountSettings> accounts = new LinkedHashMap<>();
+    private final Set<String> digests = new HashSet<>();
     private List<String> failureDomains = List.of();
 
     private DeploymentLoader(SettingsFile file) {
@@ -65,6 +67,9 @@
         SettingsSection head = file.section("deployment");
         String name = head.getString("name", "the deployment's name");
         failureDomains = head.getList("failure-domains", "failure domains, separated by commas", Optional.empty());
+        if (failureDomains.isEmpty() || new HashSet<>(failureDomains).size() != failureDomains.size()) {
+            head.reject("failure-domains", "none named, or one twice", "each failure domain once");
+        }
         double weight = head.getDouble("attainment-weight", 0, 1, Optional.of(0.5));
         head.finish();
         file.sections("pool").forEach(this::readPool);
@@ -101,6 +106,9 @@
         if (new HashSet<>(names).size() != names.size()) {
             s.reject("stages", "a stage is named twice", "each stage once");
         }
+        if (names.size() > MAX_STAGES) {
+            s.reject("stages", names.size() + " stages", "at most " + MAX_STAGES);
+        }
         List<StageSettings> stages = new ArrayList<>();
         for (String stage : names) {
             stages.add(readStage(file.section("stage " + s.subject() + "/" + stage), stage));
@@ -124,6 +132,9 @@
     private void readService(SettingsSection s) {
         String pool = s.getString("pool", "the name of a [pool ...] of kind service");
         checkKnown(s, "pool", List.of(pool), pools.keySet());
+        if (pools.containsKey(pool) && pools.get(pool).kind() != PoolKind.SERVICE) {
+            s.reject("pool", "'" + pool + "' is not of kind service", "a pool of plain services");
+        }
         boolean repeatable = s.getBoolean("repeatable", Optional.of(true));
         String path = s.getString("path", "an HTTP path", "/" + s.subject());
         addPipeline(s, List.of(new StageSettings("call", pool, "", repeatable, path)), true);
@@ -144,6 +155,10 @@
         if (!digest.isEmpty() && !DIGEST.matcher(digest).matches()) {
             s.reject("key-sha256", "not a digest", "64 lower-case hexadecimal digits");
         }
+        if (!digest.isEmpty() && !digests.add(digest)) {
+            // Requests with this key would count for whichever account was read last.
+            s.reject("key-sha256", "another account has the same key", "a key of its own for each account");
+        }
         List<String> allowed = s.getList("pipelines", "pipelines and services", Optional.empty());
         checkKnown(s, "pipelines", allowed, pipelines.keySet());
         accounts.put(
