--- a/library/src/main/java/org/copperspindle/entry/RequestAdmission.java
+++ b/library/src/main/java/org/copperspindle/entry/RequestAdmission.java
@@ -7,6 +7,7 @@
 import org.copperspindle.config.PipelineSettings;
 import org.copperspindle.config.Priority;
 import org.copperspindle.limits.EntryPolicy;
+import org.copperspindle.limits.Refusal;
 import org.copperspindle.pipeline.PipelineAnswer;
 import org.copperspindle.pipeline.PipelineRequest;
 import org.copperspindle.verdict.NotRunVerdict;
@@ -59,13 +60,20 @@
             return refuse("not-allowed", FORBIDDEN, "the account may not call this", Optional.empty());
         }
         PipelineRequest bounded = bound(requestId, request, account.get(), pipeline.get(), now);
-        Optional<Duration> refusal = policy.refuse(bounded, now);
+        Optional<Refusal> refusal = policy.refuse(bounded, now);
         if (refusal.isPresent()) {
-            return refuse("rate", TOO_MANY_REQUESTS, "over the account's rate", refusal);
+            return refuse(refusal.get());
         }
         return new AdmissionResult.Admitted(bounded);
     }
 
+    private static AdmissionResult refuse(Refusal refusal) {
+        Optional<Duration> comeBack = Optional.of(refusal.comeBack());
+        return refusal.reason().equals(Refusal.RATE)
+                ? refuse(refusal.reason(), TOO_MANY_REQUESTS, "over the account's rate", comeBack)
+                : refuse(refusal.reason(), UNAVAILABLE, "can't be answered within the deadline", comeBack);
+    }
+
     private static PipelineRequest bound(
             String requestId, CallerRequest request, AccountSettings account, PipelineSettings pipeline, long now) {
         Priority priority = request.priority().orElse(pipeline.priority());
