Fence orders to engines and place models by plan

Cause: nothing placed models, and nothing would have stopped an order of a replaced leader. Change: an order is committed before it is sent; its number is the term and the index of its log record. Agents refuse old numbers, answer copies with the kept report, and after a restart pass nothing before the leader has committed their question. The leader plans from wanted copies and announcements within the weight store's rate, a share in change and the last copy. Measured: broken on purpose, each seen to fail a test and restored: the term check, the index check, the wait for the current number, the taking over of work under way, the leader's check before sending; the last copy, the share in change, the empty bucket of a new leader, the backoff of a model, the bound on loads at once, the unload that stays open.

--- a/library/src/main/java/org/copperspindle/agent/AgentService.java
+++ b/library/src/main/java/org/copperspindle/agent/AgentService.java
@@ -10,6 +10,7 @@
 import org.copperspindle.config.Deployment;
 import org.copperspindle.config.DeploymentLoader;
 import org.copperspindle.core.DecisionRing;
+import org.copperspindle.fleet.OrderHandler;
 import org.copperspindle.membership.ControlLink;
 import org.copperspindle.membership.ControlLinkListener;
 import org.copperspindle.membership.ControlUpdateMessage;
@@ -46,6 +47,7 @@
     private final LoadReporter reporter = new LoadReporter();
     private final ControlLink control;
     private final AttemptTable attempts;
+    private final OrderHandler orders;
     private long sequence = 1;
     private long configVersion;
     private boolean draining;
@@ -92,6 +94,14 @@
         this.probe =
                 new UpstreamProbe(ring, timers, client, settings.healthPath(), settings.healthInterval(), this::probed);
         this.control = new ControlLink(ring, timers, transport, controls, settings.renew(), this::leaseRequest, this);
+        this.orders = new OrderHandler(
+                settings.upstreamId(),
+                incarnation,
+                settings.models(),
+                timers,
+                new EngineOrderCaller(ring, client),
+                control::send,
+                this::modelsChanged);
     }
 
     /** Looks for the upstream and announces it. */
@@ -99,6 +109,7 @@
         perform(attempts.onRefusing(health.refusal(), clock()));
         probe.start();
         control.start();
+        orders.start();
         timers.schedule(settings.reportInterval().toNanos(), this::reportLoad);
     }
 
@@ -126,6 +137,7 @@
     public void stop() {
         stopped = true;
         probe.stop();
+        orders.stop();
         control.send(new LeaseRequestMessage(configVersion, 0, new byte[0], true));
         control.stop();
     }
@@ -161,6 +173,8 @@
         try {
             Deployment deployment = DeploymentLoader.parse("version " + update.configVersion(), update.configText());
             perform(attempts.onConfiguration(concurrency(deployment), longestDeadline(deployment), clock()));
+            orders.onConfiguration(
+                    deployment.pool(settings.pool()).map(p -> p.checksFencing()).orElse(false));
         } catch (SettingsException e) {
             // Control checks before it accepts, so this build is older than the configuration.
             LOGGER.error("event=config-unreadable version={}", update.configVersion(), e);
@@ -174,6 +188,7 @@
     public void onNewerIncarnation(long known) {
         incarnation = known + 1;
         attempts.onIncarnation(incarnation);
+        orders.onIncarnation(incarnation);
     }
 
     @Override
@@ -181,11 +196,24 @@
         LOGGER.info("event=lease upstream={} held={}", settings.upstreamId(), held);
     }
 
+    @Override
+    public void onTerm(long term) {
+        orders.onTerm(term);
+    }
+
     @Override
     public void onReply(WireMessage message) {
+        if (orders.onMessage(message)) {
+            return;
+        }
         LOGGER.debug("event=unexpected-reply type={}", message.getClass().getSimpleName());
     }
 
+    private void modelsChanged() {
+        sequence++;
+        control.renewNow();
+    }
+
     private LeaseRequestMessage leaseRequest() {
         UpstreamAnnouncement announcement = new UpstreamAnnouncement(
                 settings.upstreamId(),
@@ -194,7 +222,7 @@
                 address,
                 incarnation,
                 sequence,
-                settings.models(),
+                orders.models(),
                 attempts.refusing());
         return new LeaseRequestMessage(configVersion, 0, UpstreamAnnouncement.CODEC.encode(announcement), false);
     }
--- a/library/src/main/java/org/copperspindle/agent/UpstreamClient.java
+++ b/library/src/main/java/org/copperspindle/agent/UpstreamClient.java
@@ -24,6 +24,7 @@
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
+import org.copperspindle.fleet.EngineRequest;
 
 /**
  * HTTP client of an agent towards its one upstream, with one network thread. Repeatable calls share a bounded number of
@@ -146,6 +147,9 @@
                 .set(HttpHeaderNames.HOST, address.getHostString() + ":" + address.getPort())
                 .set("X-Request-Id", call.requestId())
                 .set("Idempotency-Key", call.attemptId());
+        if (call.fencingNumber() > 0) {
+            request.headers().set(EngineRequest.FENCING_HEADER, call.fencingNumber());
+        }
         if (call.body().length > 0) {
             request.headers()
                     .set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON)
--- a/library/src/main/java/org/copperspindle/config/DeploymentLoader.java
+++ b/library/src/main/java/org/copperspindle/config/DeploymentLoader.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import java.util.regex.Pattern;
 
+import org.copperspindle.fleet.PlacementLoader;
 import org.copperspindle.settings.SettingsException;
 import org.copperspindle.settings.SettingsFile;
 import org.copperspindle.settings.SettingsSection;
@@ -22,7 +23,8 @@
  */
 public final class DeploymentLoader {
 
-    private static final List<String> KINDS = List.of("deployment", "pool", "pipeline", "stage", "service", "account");
+    private static final List<String> KINDS =
+            List.of("deployment", "pool", "pipeline", "stage", "service", "account", "placement", "weight-store");
     private static final Pattern DIGEST = Pattern.compile("[0-9a-f]{64}");
     private static final Duration DEFAULT_DEADLINE = Duration.ofSeconds(6);
     private static final int MAX_CONCURRENCY = 100_000;
@@ -72,6 +74,7 @@
         file.sections("service").forEach(this::readService);
         file.sections("account").forEach(this::readAccount);
         checkStagesUsed();
+        PlacementLoader.check(file, pools);
         file.finish(KINDS);
         return new Deployment(
                 name, failureDomains, weight, Map.copyOf(accounts), Map.copyOf(pools), Map.copyOf(pipelines));
--- a/library/src/main/java/org/copperspindle/control/AuditObserver.java
+++ b/library/src/main/java/org/copperspindle/control/AuditObserver.java
@@ -6,6 +6,11 @@
 import org.copperspindle.audit.AuditEntry;
 import org.copperspindle.audit.AuditEntryFactory;
 import org.copperspindle.config.ConfigHistory;
+import org.copperspindle.fleet.CloseOrderCommand;
+import org.copperspindle.fleet.FenceCommand;
+import org.copperspindle.fleet.OpenOrder;
+import org.copperspindle.fleet.OpenOrders;
+import org.copperspindle.fleet.PlaceOrderCommand;
 import org.copperspindle.membership.UpstreamAnnouncement;
 import org.copperspindle.membership.UpstreamTable;
 import org.copperspindle.wire.MalformedFrameException;
@@ -17,16 +22,23 @@
  */
 final class AuditObserver {
 
-    private static final Set<Class<? extends WireMessage>> OBSERVED =
-            Set.of(ApplyConfigCommand.class, AnnounceCommand.class, RemoveUpstreamCommand.class);
+    private static final Set<Class<? extends WireMessage>> OBSERVED = Set.of(
+            ApplyConfigCommand.class,
+            AnnounceCommand.class,
+            RemoveUpstreamCommand.class,
+            PlaceOrderCommand.class,
+            CloseOrderCommand.class,
+            FenceCommand.class);
     private static final Observation NOTHING = atMillis -> Optional.empty();
 
     private final ConfigHistory config;
     private final UpstreamTable upstreams;
+    private final OpenOrders orders;
 
-    AuditObserver(ConfigHistory config, UpstreamTable upstreams) {
+    AuditObserver(ConfigHistory config, UpstreamTable upstreams, OpenOrders orders) {
         this.config = config;
         this.upstreams = upstreams;
+        this.orders = orders;
     }
 
     /** What the state was before a command; words the record once the command is applied. */
@@ -49,6 +61,16 @@
         if (command instanceof RemoveUpstreamCommand remove) {
             return removal(remove);
         }
+        if (command instanceof PlaceOrderCommand place) {
+            return atMillis -> orders.find(place.upstreamId())
+                    .map(o -> order(o, atMillis, "placed " + o.kind() + " " + o.subject()));
+        }
+        if (command instanceof CloseOrderCommand close) {
+            return ending(close.upstreamId(), close.outcome() + (close.reason().isEmpty() ? "" : " " + close.reason()));
+        }
+        if (command instanceof FenceCommand fence) {
+            return ending(fence.upstreamId(), "void agent-restarted incarnation=" + fence.incarnation());
+        }
         return NOTHING;
     }
 
@@ -81,6 +103,16 @@
                         AuditEntryFactory.removed(gone.upstreamId(), gone.incarnation(), config.version(), atMillis));
     }
 
+    private Observation ending(String upstreamId, String how) {
+        Optional<OpenOrder> before = orders.find(upstreamId);
+        return atMillis -> before.filter(o -> orders.find(upstreamId).isEmpty())
+                .map(o -> order(o, atMillis, "ended " + how + " " + o.kind() + " " + o.subject()));
+    }
+
+    private AuditEntry order(OpenOrder order, long atMillis, String detail) {
+        return AuditEntryFactory.order(order.upstreamId(), order.orderId(), config.version(), atMillis, detail);
+    }
+
     private Optional<UpstreamAnnouncement> known(String upstreamId) {
         return Optional.ofNullable(upstreams.all().get(upstreamId));
     }
--- a/library/src/main/java/org/copperspindle/control/ControlService.java
+++ b/library/src/main/java/org/copperspindle/control/ControlService.java
@@ -11,6 +11,7 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.copperspindle.core.DecisionQueue;
+import org.copperspindle.fleet.FleetService;
 import org.copperspindle.membership.LeaseGrantMessage;
 import org.copperspindle.membership.LeaseRequestMessage;
 import org.copperspindle.membership.UpstreamAnnouncement;
@@ -45,6 +46,7 @@
     private final MemberTable members = new MemberTable();
     private final PendingApplies pending;
     private final UpdatePusher pusher;
+    private final FleetService fleet;
     private final Set<String> removing = new HashSet<>();
     private long leadingTerm;
     private long leadingSince;
@@ -67,12 +69,14 @@
         this.leaseNanos = lease.toNanos();
         this.claims = new ClaimHandler(timers, log, state);
         this.pending = new PendingApplies(timers);
+        this.fleet = new FleetService(timers, log, state, members::agentOf);
         this.pusher = new UpdatePusher(timers, state, members.all(), () -> leads() ? leadingTerm : 0);
     }
 
     /** Starts to watch leases. */
     public void start() {
         timers.schedule(leaseNanos / SWEEPS_PER_LEASE, this::sweep);
+        fleet.start();
     }
 
     @Override
@@ -176,6 +180,9 @@
             peer.send(new NotLeaderMessage(log.leaderWireAddress().orElse("")));
             return;
         }
+        if (fleet.onMessage(peer, message)) {
+            return;
+        }
         if (message instanceof LeaseRequestMessage lease) {
             receiveLease(peer, lease);
         } else {
--- a/library/src/main/java/org/copperspindle/control/ControlState.java
+++ b/library/src/main/java/org/copperspindle/control/ControlState.java
@@ -14,6 +14,7 @@
 import org.copperspindle.audit.AuditTrail;
 import org.copperspindle.claims.ClaimTable;
 import org.copperspindle.config.ConfigHistory;
+import org.copperspindle.fleet.OpenOrders;
 import org.copperspindle.membership.UpstreamTable;
 import org.copperspindle.wire.MalformedFrameException;
 import org.copperspindle.wire.MessageCodec;
@@ -35,7 +36,8 @@
     private final UpstreamTable upstreams = new UpstreamTable();
     private final ClaimPart claims = new ClaimPart();
     private final AuditPart audit;
-    private final AuditObserver observer = new AuditObserver(config, upstreams);
+    private final OpenOrders orders = new OpenOrders();
+    private final AuditObserver observer = new AuditObserver(config, upstreams, orders);
     private final Clock clock;
     private final List<StatePart> parts;
 
@@ -53,7 +55,7 @@
     public ControlState(AuditSink sink, Clock clock) {
         this.audit = new AuditPart(sink);
         this.clock = clock;
-        this.parts = List.of(config, upstreams, claims, audit);
+        this.parts = List.of(config, upstreams, claims, audit, orders);
         commands.register(StampedCommand.CODEC);
         for (StatePart part : parts) {
             for (MessageCodec<?> codec : part.commands()) {
@@ -151,6 +153,15 @@
         return claims.table();
     }
 
+    /**
+     * Returns the orders that may be under way.
+     *
+     * @return the live state; read only outside {@link #apply}
+     */
+    public OpenOrders orders() {
+        return orders;
+    }
+
     /**
      * Returns the audit trail.
      *
--- a/library/src/main/java/org/copperspindle/control/MemberTable.java
+++ b/library/src/main/java/org/copperspindle/control/MemberTable.java
@@ -1,6 +1,7 @@
 package org.copperspindle.control;
 
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.IdentityHashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -43,6 +44,20 @@
         return member;
     }
 
+    /**
+     * Finds the connection to the agent of an upstream.
+     *
+     * @param upstreamId the upstream
+     * @return the connection of the newest life that was heard of
+     */
+    Optional<Peer> agentOf(String upstreamId) {
+        return members.values().stream()
+                .filter(m -> m.announcement() != null
+                        && m.announcement().upstreamId().equals(upstreamId))
+                .max(Comparator.comparingLong(m -> m.announcement().incarnation()))
+                .map(Member::peer);
+    }
+
     Optional<Member> leave(Peer peer) {
         Member member = byPeer.remove(peer);
         if (member != null) {
--- a/library/src/main/java/org/copperspindle/daemon/ControlRole.java
+++ b/library/src/main/java/org/copperspindle/daemon/ControlRole.java
@@ -23,6 +23,8 @@
 import org.copperspindle.control.ControlDoor;
 import org.copperspindle.control.ControlService;
 import org.copperspindle.control.ControlState;
+import org.copperspindle.fleet.FenceQueryMessage;
+import org.copperspindle.fleet.OrderReportMessage;
 import org.copperspindle.http.HttpExchange;
 import org.copperspindle.http.HttpLimits;
 import org.copperspindle.http.HttpListener;
@@ -36,8 +38,12 @@
  */
 final class ControlRole implements ProcessRole {
 
-    private static final Set<Class<? extends WireMessage>> SERVICE_MESSAGES =
-            Set.of(LeaseRequestMessage.class, ClaimRequestMessage.class, ClaimSettleMessage.class);
+    private static final Set<Class<? extends WireMessage>> SERVICE_MESSAGES = Set.of(
+            LeaseRequestMessage.class,
+            ClaimRequestMessage.class,
+            ClaimSettleMessage.class,
+            FenceQueryMessage.class,
+            OrderReportMessage.class);
     private static final int UNAVAILABLE = 503;
     private static final String LOG_FOLDER = "log";
     private static final String AUDIT_FOLDER = "audit";
--- a/library/src/main/java/org/copperspindle/daemon/MessageCatalog.java
+++ b/library/src/main/java/org/copperspindle/daemon/MessageCatalog.java
@@ -17,6 +17,11 @@
 import org.copperspindle.claims.ClaimSettledMessage;
 import org.copperspindle.consensus.ConsensusLog;
 import org.copperspindle.control.NotLeaderMessage;
+import org.copperspindle.fleet.FenceQueryMessage;
+import org.copperspindle.fleet.FenceReplyMessage;
+import org.copperspindle.fleet.OrderMessage;
+import org.copperspindle.fleet.OrderReportAckMessage;
+import org.copperspindle.fleet.OrderReportMessage;
 import org.copperspindle.membership.ControlUpdateMessage;
 import org.copperspindle.membership.LeaseGrantMessage;
 import org.copperspindle.membership.LeaseRequestMessage;
@@ -48,7 +53,12 @@
             OutcomeQueryMessage.CODEC,
             StampedOrderMessage.CODEC,
             LoadSubscribeMessage.CODEC,
-            LoadReportMessage.CODEC);
+            LoadReportMessage.CODEC,
+            OrderMessage.CODEC,
+            OrderReportMessage.CODEC,
+            OrderReportAckMessage.CODEC,
+            FenceQueryMessage.CODEC,
+            FenceReplyMessage.CODEC);
 
     private MessageCatalog() {}
 
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/fleet/EngineRequest.java
@@ -0,0 +1,62 @@
+package org.copperspindle.fleet;
+
+import java.nio.charset.StandardCharsets;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+/**
+ * The HTTP call to an engine that carries an order out. Adapters go by the interface usual among engines, the rest by a
+ * plain one; each body carries {@code order_id} and {@code fencing_number}.
+ *
+ * @param path           HTTP path, called with POST
+ * @param body           JSON body
+ * @param orderId        identity of the order, sent as {@code Idempotency-Key}
+ * @param fencingNumber  number for engines that refuse old ones, also sent as {@link #FENCING_HEADER}
+ */
+public record EngineRequest(String path, byte[] body, String orderId, long fencingNumber) {
+
+    /** Header field that carries the fencing number. */
+    public static final String FENCING_HEADER = "Copperspindle-Fencing-Number";
+
+    /**
+     * Words the call for an order.
+     *
+     * @param order the order
+     * @return the call
+     */
+    public static EngineRequest of(OrderMessage order) {
+        ObjectNode body = JsonNodeFactory.instance.objectNode();
+        String path = switch (order.kind()) {
+            case LOAD_MODEL -> model(body, order.subject(), "/admin/load");
+            case UNLOAD_MODEL -> model(body, order.subject(), "/admin/unload");
+            case LOAD_ADAPTER -> {
+                body.put("lora_name", order.subject());
+                body.put("lora_path", order.weightsPath() + "/" + order.subject());
+                yield "/v1/load_lora_adapter";
+            }
+            case UNLOAD_ADAPTER -> {
+                body.put("lora_name", order.subject());
+                yield "/v1/unload_lora_adapter";
+            }
+            case CHANGE_ROLE -> {
+                body.put("role", order.subject());
+                yield "/admin/role";
+            }
+            case CANCEL -> {
+                body.put("request_id", order.subject());
+                yield "/admin/cancel";
+            }
+        };
+        body.put("order_id", order.orderId()).put("fencing_number", order.sequence());
+        byte[] bytes = body.toString().getBytes(StandardCharsets.UTF_8);
+        return new EngineRequest(path, bytes, order.orderId(), order.sequence());
+    }
+
+    private static String model(ObjectNode body, String subject, String path) {
+        ModelName name = ModelName.parse(subject);
+        body.put("model", name.base());
+        name.version().ifPresent(version -> body.put("version", version));
+        return path;
+    }
+}
--- a/library/src/main/java/org/copperspindle/membership/ControlLink.java
+++ b/library/src/main/java/org/copperspindle/membership/ControlLink.java
@@ -239,6 +239,7 @@
 
     private void granted(LeaseGrantMessage grant) {
         candidates.succeeded();
+        listener.onTerm(grant.term());
         if (grant.newerIncarnation() > 0) {
             superseded(grant.newerIncarnation());
             return;
--- a/library/src/main/java/org/copperspindle/membership/ControlLinkListener.java
+++ b/library/src/main/java/org/copperspindle/membership/ControlLinkListener.java
@@ -28,6 +28,15 @@
      */
     void onReply(WireMessage message);
 
+    /**
+     * The leader answered a renewal.
+     *
+     * @param term its term
+     */
+    default void onTerm(long term) {
+        // only agents carry out a leader's orders
+    }
+
     /**
      * Control knows a newer life of this member's upstream, though this one has not held a lease yet: the clock that
      * numbers lives was set back. The member goes on under a larger incarnation.
