--- a/library/src/main/java/org/copperspindle/limits/BaselineEntryPolicy.java
+++ b/library/src/main/java/org/copperspindle/limits/BaselineEntryPolicy.java
@@ -1,6 +1,5 @@
 package org.copperspindle.limits;
 
-import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -35,8 +34,10 @@
     }
 
     @Override
-    public Optional<Duration> refuse(PipelineRequest request, long now) {
-        return admission.refuse(request.account(), request.priority(), now);
+    public Optional<Refusal> refuse(PipelineRequest request, long now) {
+        return admission
+                .refuse(request.account(), request.priority(), now)
+                .map(comeBack -> new Refusal(Refusal.RATE, comeBack));
     }
 
     @Override
@@ -77,7 +78,8 @@
     }
 
     @Override
-    public boolean mayAbandon(PipelineRequest request, StageSettings stage) {
+    public boolean mayAbandon(
+            PipelineRequest request, StageSettings stage, UpstreamView view, long ageNanos, long now) {
         return true;
     }
 
--- a/library/src/main/java/org/copperspindle/replay/ReplayEntry.java
+++ b/library/src/main/java/org/copperspindle/replay/ReplayEntry.java
@@ -1,6 +1,7 @@
 package org.copperspindle.replay;
 
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -23,6 +24,7 @@
 import org.copperspindle.limits.EntryPolicy;
 import org.copperspindle.limits.EntryPolicyFactory;
 import org.copperspindle.limits.PolicyKind;
+import org.copperspindle.limits.Refusal;
 import org.copperspindle.membership.ControlUpdateMessage;
 import org.copperspindle.membership.UpstreamAnnouncement;
 import org.copperspindle.pipeline.PipelineAction;
@@ -48,6 +50,7 @@
     private static final long SAME_DOMAIN_NANOS = 250_000;
     private static final long OTHER_DOMAIN_NANOS = 500_000;
     private static final long CLAIM_NANOS = 2_000_000;
+    private static final Duration COME_BACK = Duration.ofSeconds(1);
     private static final int MAX_IN_PROGRESS = 4096;
     private static final int PREFIX_REPEATS = 64;
     private static final int SERVER_ERROR = 500;
@@ -61,6 +64,7 @@
     private final FleetView fleet = new FleetView();
     private final EntryPolicy policy;
     private final Map<String, OpenAttempt> attempts = new HashMap<>();
+    private final Map<String, OpenRequest> requests = new HashMap<>();
     private long nextRequest;
 
     ReplayEntry(
@@ -84,25 +88,43 @@
 
     void onUpdate(ControlUpdateMessage update) {
         fleet.update(update);
+        resumeAll();
     }
 
     void onLoad(String upstreamId, int inFlight) {
         fleet.upstream(upstreamId).ifPresent(view -> view.reported(inFlight));
     }
 
+    /** Lets waiting requests go on wherever an upstream may be used. */
+    void resumeAll() {
+        deployment.pools().keySet().stream().sorted().forEach(this::resume);
+    }
+
+    private void resume(String pool) {
+        Optional<PipelineRequest> next = policy.next(pool, timers.nanoTime());
+        while (next.isPresent()) {
+            OpenRequest open = requests.get(next.get().requestId());
+            open.waiting.cancel();
+            perform(open, open.run.onCapacity(timers.nanoTime()));
+            next = policy.next(pool, timers.nanoTime());
+        }
+    }
+
     /** Takes a request of the trace. */
     void arrive(TraceRequest traced) {
         String requestId = name + "-" + nextRequest++;
         tally.arrived(requestId, traced);
         long now = timers.nanoTime();
         PipelineRequest request = request(requestId, traced, now);
-        Optional<java.time.Duration> refusal = policy.refuse(request, now);
+        Optional<Refusal> refusal = policy.refuse(request, now);
         if (refusal.isPresent()) {
-            tally.answered(requestId, false, "refused", now);
+            tally.answered(requestId, false, "refused-" + refusal.get().reason(), now);
             return;
         }
         OpenRequest open = new OpenRequest(request, traced);
-        open.run = new PipelineRun(request, new Chooser(open));
+        requests.put(requestId, open);
+        open.chooser = new Chooser(open);
+        open.run = new PipelineRun(request, open.chooser);
         open.deadline = timers.schedule(traced.deadlineNanos(), () -> perform(open, open.run.onDeadline()));
         perform(open, open.run.start(now));
     }
@@ -140,6 +162,9 @@
         } else if (action instanceof PipelineAction.Cancel cancel) {
             withdraw(cancel.attemptId());
             cancel(cancel.attemptId(), cancel.upstreamId());
+        } else if (action instanceof PipelineAction.Wait) {
+            long patience = open.chooser.enqueue(open.request, timers.nanoTime());
+            open.waiting = timers.schedule(patience, () -> perform(open, open.run.onHopeless(COME_BACK)));
         } else if (action instanceof PipelineAction.Answer answer) {
             answer(open, answer.answer());
         }
@@ -170,7 +195,11 @@
     }
 
     private void timedOut(OpenAttempt attempt) {
-        if (!policy.mayAbandon(attempt.open.request, attempt.stage)) {
+        long now = timers.nanoTime();
+        long age = now - attempt.since;
+        boolean abandon = policy.mayAbandon(attempt.open.request, attempt.stage, attempt.view, age, now);
+        if (!abandon || !attempt.open.run.hasAttemptsLeft()) {
+            attempt.timeout = timers.schedule(age / 2, () -> timedOut(attempt));
             return;
         }
         end(attempt, AttemptEnd.TIMED_OUT, -1);
@@ -191,12 +220,14 @@
         end(attempt, failed ? AttemptEnd.FAILED : AttemptEnd.SUCCEEDED, outcome.inFlight());
         tally.used(attempt.open.request.requestId(), failed ? 0 : cost);
         perform(attempt.open, attempt.open.run.onOutcome(outcome, timers.nanoTime()));
+        resume(attempt.stage.pool());
     }
 
     private void onLost(OpenAttempt attempt) {
         if (attempts.get(attempt.id) == attempt) {
             end(attempt, AttemptEnd.LOST, -1);
             perform(attempt.open, attempt.open.run.onUnreachable(attempt.id, true, timers.nanoTime()));
+            resume(attempt.stage.pool());
         }
     }
 
@@ -204,6 +235,7 @@
         if (attempts.get(attempt.id) == attempt) {
             end(attempt, AttemptEnd.REFUSED, -1);
             perform(attempt.open, attempt.open.run.onOutcome(notSent(attempt.id), timers.nanoTime()));
+            resume(attempt.stage.pool());
         }
     }
 
@@ -226,10 +258,13 @@
 
     private void answer(OpenRequest open, PipelineAnswer answer) {
         open.deadline.cancel();
+        open.waiting.cancel();
+        requests.remove(open.request.requestId());
         tally.answered(
                 open.request.requestId(), answer.successful(), answer.verdict().reason(), timers.nanoTime());
         open.run.openAttempts().forEach(this::withdraw);
         policy.release(open.request);
+        resume(open.run.stage().pool());
     }
 
     private long delay(UpstreamModel model) {
@@ -270,6 +305,7 @@
     /** What one run asks of this entry. */
     private final class Chooser implements UpstreamChooser {
         private final OpenRequest open;
+        private RoutingRequest missed;
 
         private Chooser(OpenRequest open) {
             this.open = open;
@@ -282,10 +318,29 @@
                     stage,
                     failureDomain,
                     open.traced.prefix() == 0 ? 0 : PrefixAffinity.hash(context.input()),
-                    tried);
+                    tried,
+                    open.request.priority(),
+                    timers.nanoTime(),
+                    1);
+            missed = routing;
             return policy.choose(open.request, routing, timers.nanoTime()).map(UpstreamView::announcement);
         }
 
+        @Override
+        public boolean mayWait(PipelineRequest request, StageSettings stage) {
+            return policy.mayWait(request, stage);
+        }
+
+        @Override
+        public long enqueue(PipelineRequest request, long now) {
+            return policy.enqueue(request, missed, now);
+        }
+
+        @Override
+        public Optional<Duration> hopeless(PipelineRequest request, int stageIndex, long now) {
+            return policy.hopeless(request, stageIndex, now);
+        }
+
         @Override
         public PoolKind kind(String pool) {
             return deployment.pools().get(pool).kind();
@@ -308,6 +363,8 @@
         private final TraceRequest traced;
         private PipelineRun run;
         private TimerSubscription deadline = () -> {};
+        private TimerSubscription waiting = () -> {};
+        private Chooser chooser;
 
         private OpenRequest(PipelineRequest request, TraceRequest traced) {
             this.request = request;
