--- a/tools/src/test/java/org/copperspindle/cli/AuditCommandTest.java
+++ b/tools/src/test/java/org/copperspindle/cli/AuditCommandTest.java
@@ -120,6 +120,12 @@
             assertThat(lines.get(0)).contains("record=1 ").contains("actor=ann").contains("base=0 version=1");
             assertThat(lines.get(1)).isEqualTo("    + [deployment]");
             assertThat(lines.get(lines.size() - 1)).startsWith("chain=intact checked=");
+            List<String> inForce = List.of();
+            for (int i = 0; i < 1000 && inForce.size() < 3; i++) {
+                inForce = captured(ExitCode.SUCCESS, "audit", "--control", address, "--kind", "in-force");
+            }
+            assertThat(inForce.get(0)).contains("subject=version-1").contains("time=20");
+            assertThat(inForce.get(1)).startsWith("    entries=0 agents=0 after-ms=");
         } finally {
             control.stop();
         }
