--- a/library/src/main/java/org/copperspindle/limits/LeastLoadEntryPolicy.java
+++ b/library/src/main/java/org/copperspindle/limits/LeastLoadEntryPolicy.java
@@ -1,6 +1,5 @@
 package org.copperspindle.limits;
 
-import java.time.Duration;
 import java.util.Optional;
 import java.util.OptionalLong;
 
@@ -33,8 +32,10 @@
     }
 
     @Override
-    public Optional<Duration> refuse(PipelineRequest request, long now) {
-        return admission.refuse(request.account(), request.priority(), now);
+    public Optional<Refusal> refuse(PipelineRequest request, long now) {
+        return admission
+                .refuse(request.account(), request.priority(), now)
+                .map(comeBack -> new Refusal(Refusal.RATE, comeBack));
     }
 
     @Override
@@ -63,7 +64,8 @@
     }
 
     @Override
-    public boolean mayAbandon(PipelineRequest request, StageSettings stage) {
+    public boolean mayAbandon(
+            PipelineRequest request, StageSettings stage, UpstreamView view, long ageNanos, long now) {
         return false;
     }
 
