Test the growth of a group from three to five voters

Cause: the change of voters was tested only as the repair of a lost disk. Conclusion: learners are promoted in single steps while the group goes on.

--- a/library/src/test/java/org/copperspindle/consensus/RaftNodeTest.java
+++ b/library/src/test/java/org/copperspindle/consensus/RaftNodeTest.java
@@ -209,4 +209,35 @@
         old.start();
         assertThat(old.node.log().lastIndex()).isGreaterThanOrEqualTo(5);
     }
+
+    /** The operator names two more voters: they learn first, are promoted one by one, and then two of five may be lost. */
+    @Test
+    void groupGrowsFromThreeToFive() {
+        SimulatedGroup group = new SimulatedGroup(71, 3);
+        group.startAll();
+        group.commit("a");
+        group.nameVoters(5);
+        for (SimulatedMember member : List.copyOf(group.members)) {
+            if (member.node != null) {
+                member.crash();
+            }
+            member.start();
+            group.awaitLeader();
+        }
+        group.until(
+                "five voters",
+                () -> group.leading()
+                        .filter(m -> m.node.membership().voters().size() == 5)
+                        .isPresent());
+        group.commit("b");
+        SimulatedMember leader = group.awaitLeader();
+        leader.crash();
+        group.members.stream()
+                .filter(m -> m.node != null)
+                .findFirst()
+                .orElseThrow()
+                .crash();
+        group.commit("c");
+        group.checkAllHoldEverything();
+    }
 }
--- a/library/src/test/java/org/copperspindle/consensus/SimulatedGroup.java
+++ b/library/src/test/java/org/copperspindle/consensus/SimulatedGroup.java
@@ -42,11 +42,17 @@
 
     SimulatedGroup(long seed, int voters) {
         random = new SplittableRandom(seed);
+        nameVoters(voters);
+    }
+
+    /** Names voters in the settings of all members, as from their next start, and adds members that are missing. */
+    void nameVoters(int voters) {
         List<RaftSettings.Voter> names = new ArrayList<>();
         for (int i = 0; i < voters; i++) {
             names.add(new RaftSettings.Voter("m" + i, "m" + i));
         }
-        for (RaftSettings.Voter voter : names) {
+        members.forEach(m -> m.settings = new RaftSettings("group", m.name, m.name, m.name, names, TIMING, LIMITS));
+        for (RaftSettings.Voter voter : names.subList(members.size(), voters)) {
             // Rates at both ends of the declared bound, where a wrong lease would show.
             double rate = 1 + (random.nextInt(3) - 1) * TIMING.driftPerMille() / 1000.0;
             members.add(new SimulatedMember(voter.name(), names, rate));
@@ -139,7 +145,7 @@
         RaftNode node;
         long maxSync = 2 * MILLI;
         private double rate;
-        private final RaftSettings settings;
+        private RaftSettings settings;
         private long offset = random.nextLong(1_000_000_000L);
         private final Map<Long, String> proposed = new HashMap<>();
         private SimulatedDisk disk = new SimulatedDisk();
