--- a/library/src/main/java/org/copperspindle/entry/RequestDriver.java
+++ b/library/src/main/java/org/copperspindle/entry/RequestDriver.java
@@ -20,6 +20,7 @@
 import org.copperspindle.claims.ClaimClient;
 import org.copperspindle.limits.AttemptEnd;
 import org.copperspindle.limits.EntryPolicy;
+import org.copperspindle.measure.EntryMeasures;
 import org.copperspindle.pipeline.PipelineAction;
 import org.copperspindle.pipeline.PipelineAnswer;
 import org.copperspindle.pipeline.PipelineRequest;
@@ -56,16 +57,24 @@
     private final FleetView fleet;
     private final EntryPolicy policy;
     private final WaitingRequests line;
+    private final EntryMeasures measures;
     private final EntryCounters counters = new EntryCounters();
     private final Map<String, OpenRequest> requests = new HashMap<>();
     private final OpenAttempts attempts;
 
-    RequestDriver(TimerService timers, AgentPort agents, ClaimClient claims, FleetView fleet, EntryPolicy policy) {
+    RequestDriver(
+            TimerService timers,
+            AgentPort agents,
+            ClaimClient claims,
+            FleetView fleet,
+            EntryPolicy policy,
+            EntryMeasures measures) {
         this.timers = timers;
         this.agents = agents;
         this.claims = claims;
         this.fleet = fleet;
         this.policy = policy;
+        this.measures = measures;
         this.line = new WaitingRequests(timers, policy, this::resume);
         this.attempts = new OpenAttempts(timers, policy, line);
     }
@@ -78,7 +87,7 @@
      * @param sink    where its answer goes
      */
     void open(PipelineRequest request, UpstreamChooser chooser, AnswerSink sink) {
-        OpenRequest open = new OpenRequest(request, chooser, sink);
+        OpenRequest open = new OpenRequest(request, chooser, sink, timers.nanoTime());
         requests.put(open.id(), open);
         long now = timers.nanoTime();
         open.deadline(timers.schedule(
@@ -156,6 +165,11 @@
         }
         for (OpenAttempt attempt : waiting) {
             attempts.close(attempt, endOf(outcome), outcome.inFlight());
+            measures.attemptEnded(
+                    attempt.open().request().pipeline().name(),
+                    attempt.stage().name(),
+                    outcome.verdict(),
+                    Duration.ofNanos(outcome.busyMicros() * 1000));
             perform(attempt.open(), attempt.open().run().onOutcome(outcome, timers.nanoTime()));
         }
     }
@@ -366,6 +380,7 @@
                 answer.verdict().label(),
                 answer.status(),
                 answer.verdict().reason());
+        measures.answered(open.request(), answer, timers.nanoTime() - open.since());
         open.sink().end(open.id(), answer);
     }
 
