--- a/tools/src/main/java/org/copperspindle/capacity/PathOverhead.java
+++ b/tools/src/main/java/org/copperspindle/capacity/PathOverhead.java
@@ -19,8 +19,8 @@
  */
 public final class PathOverhead {
 
-    private static final int WARM_UP = 3000;
-    private static final int MEASURED = 5000;
+    private static final int WARM_UP = 200;
+    private static final int MEASURED = 600;
     private static final long MAX_NANOS = 10_000_000_000L;
     private static final int DIGITS = 3;
     private static final double NANOS_PER_MICRO = 1000;
