--- a/library/src/test/java/org/copperspindle/entry/WorstMomentTest.java
+++ b/library/src/test/java/org/copperspindle/entry/WorstMomentTest.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 
 import org.copperspindle.agent.SimulatedAgent;
+import org.copperspindle.claims.ClaimDecision;
 import org.copperspindle.claims.ClaimLimits;
 import org.copperspindle.claims.ClaimRequestMessage;
 import org.copperspindle.claims.ClaimResult;
@@ -135,20 +136,8 @@
         deployment.advance(LONG);
         assertThat(deployment.book().count("w1")).isZero();
 
-        ClaimRequestMessage claim = new ClaimRequestMessage(
-                0,
-                "gallery",
-                "k1",
-                deployment.stageOf("install"),
-                "other/call/1",
-                "u",
-                DeploymentView.sha256(SimulatedDeployment.body("w1")),
-                1,
-                0,
-                ClaimShards.of("gallery", "k1"));
-        ClaimTable table = deployment.control().table();
-        assertThat(table.size()).isEqualTo(1);
-        assertThat(table.claim(claim, table.timeMillis()).result()).isEqualTo(ClaimResult.GRANTED);
+        assertThat(deployment.control().table().size()).isEqualTo(1);
+        assertThat(claimAnew().result()).isEqualTo(ClaimResult.GRANTED);
     }
 
     /** The same key with another body is another request that borrows a key: it is refused and never runs. */
@@ -193,6 +182,8 @@
         deployment.entries().get(0).callerLeaves(caller);
         deployment.advance(LONG);
         assertThat(deployment.entries().get(0).driver().inProgress()).isZero();
+        assertThat(claimAnew().result()).isEqualTo(ClaimResult.HELD);
+        assertThat(claimAnew().ended()).as("settled").isTrue();
 
         SimulatedCaller resent = install(1);
         deployment.advance(LONG);
@@ -232,6 +223,23 @@
         assertThat(caller.answer().orElseThrow().retryAfter()).isPresent();
     }
 
+    /** What another attempt that claims the same key is told. */
+    private ClaimDecision claimAnew() {
+        ClaimRequestMessage claim = new ClaimRequestMessage(
+                0,
+                "gallery",
+                "k1",
+                deployment.stageOf("install"),
+                "other/call/1",
+                "u",
+                DeploymentView.sha256(SimulatedDeployment.body("w1")),
+                1,
+                0,
+                ClaimShards.of("gallery", "k1"));
+        ClaimTable table = deployment.control().table();
+        return table.claim(claim, table.timeMillis());
+    }
+
     private SimulatedCaller install(int entry) {
         return deployment.call(entry, "install", "k1", "w1");
     }
--- a/library/src/test/java/org/copperspindle/pipeline/PipelineRunTest.java
+++ b/library/src/test/java/org/copperspindle/pipeline/PipelineRunTest.java
@@ -155,6 +155,33 @@
                 .containsExactly(Optional.of(new PipelineAction.Acknowledge("r/call/1", "u1")));
     }
 
+    /**
+     * The claim table knows that the attempt which holds the key ran; its agent has forgotten it and says that it never
+     * arrived. That is no proof: the caller is told MAY_HAVE_RUN, and the key is not claimed once more.
+     */
+    @Test
+    void forgetfulAgentIsNotBelievedAgainstTheClaims() {
+        PipelineRun run = start(PoolKind.SERVICE, false, false);
+        done.addAll(run.onClaim(new ClaimDecision(ClaimResult.HELD, "x/call/1", "u1", 1, 1, true), 0));
+        done.addAll(run.onOutcome(outcome("x/call/1", new NotRunVerdict("never-arrived"), "", 0), 1));
+
+        assertThat(answer().verdict().label()).isEqualTo("MAY_HAVE_RUN");
+        assertThat(done).filteredOn(PipelineAction.Claim.class::isInstance).hasSize(1);
+    }
+
+    /** An install's outcome is lost: it is told so, with a time to ask again, and nothing is claimed or dispatched anew. */
+    @Test
+    void lostUnrepeatableAttemptIsTheLast() {
+        PipelineRun run = start(PoolKind.SERVICE, false, false);
+        done.addAll(run.onClaim(ClaimDecision.of(ClaimResult.GRANTED), 0));
+        done.addAll(run.onOutcome(outcome("r/call/1", new MayHaveRunVerdict("reset"), "", 0), 1));
+
+        assertThat(answer().verdict().label()).isEqualTo("MAY_HAVE_RUN");
+        assertThat(answer().retryAfter()).isPresent();
+        assertThat(done).filteredOn(PipelineAction.Claim.class::isInstance).hasSize(1);
+        assertThat(orders()).hasSize(1);
+    }
+
     /** The budget is spent and the only attempt refused with proof: going elsewhere costs nothing, so it is not asked. */
     @Test
     void refusalWithProofNeedsNoRetryBudget() {
