--- a/library/src/main/java/org/copperspindle/entry/RequestDriver.java
+++ b/library/src/main/java/org/copperspindle/entry/RequestDriver.java
@@ -20,6 +20,7 @@
 import org.copperspindle.claims.ClaimClient;
 import org.copperspindle.limits.AttemptEnd;
 import org.copperspindle.limits.EntryPolicy;
+import org.copperspindle.measure.EntryMeasures;
 import org.copperspindle.pipeline.PipelineAction;
 import org.copperspindle.pipeline.PipelineAnswer;
 import org.copperspindle.pipeline.PipelineRequest;
@@ -47,6 +48,7 @@
     private static final long ASK_AGAIN_NANOS = Duration.ofMillis(250).toNanos();
 
     private static final long LINGER_NANOS = Duration.ofSeconds(30).toNanos();
+    private static final Duration COME_BACK = Duration.ofSeconds(1);
     private static final int SERVER_ERROR = 500;
 
     private final TimerService timers;
@@ -54,17 +56,27 @@
     private final ClaimClient claims;
     private final FleetView fleet;
     private final EntryPolicy policy;
+    private final WaitingRequests line;
+    private final EntryMeasures measures;
     private final EntryCounters counters = new EntryCounters();
     private final Map<String, OpenRequest> requests = new HashMap<>();
     private final OpenAttempts attempts;
 
-    RequestDriver(TimerService timers, AgentPort agents, ClaimClient claims, FleetView fleet, EntryPolicy policy) {
+    RequestDriver(
+            TimerService timers,
+            AgentPort agents,
+            ClaimClient claims,
+            FleetView fleet,
+            EntryPolicy policy,
+            EntryMeasures measures) {
         this.timers = timers;
         this.agents = agents;
         this.claims = claims;
         this.fleet = fleet;
         this.policy = policy;
-        this.attempts = new OpenAttempts(timers, policy);
+        this.measures = measures;
+        this.line = new WaitingRequests(timers, policy, this::resume);
+        this.attempts = new OpenAttempts(timers, policy, line);
     }
 
     /**
@@ -75,7 +87,7 @@
      * @param sink    where its answer goes
      */
     void open(PipelineRequest request, UpstreamChooser chooser, AnswerSink sink) {
-        OpenRequest open = new OpenRequest(request, chooser, sink);
+        OpenRequest open = new OpenRequest(request, chooser, sink, timers.nanoTime());
         requests.put(open.id(), open);
         long now = timers.nanoTime();
         open.deadline(timers.schedule(
@@ -153,6 +165,11 @@
         }
         for (OpenAttempt attempt : waiting) {
             attempts.close(attempt, endOf(outcome), outcome.inFlight());
+            measures.attemptEnded(
+                    attempt.open().request().pipeline().name(),
+                    attempt.stage().name(),
+                    outcome.verdict(),
+                    Duration.ofNanos(outcome.busyMicros() * 1000));
             perform(attempt.open(), attempt.open().run().onOutcome(outcome, timers.nanoTime()));
         }
     }
@@ -212,6 +229,8 @@
             piece(open, piece.text());
         } else if (action instanceof PipelineAction.Dropped dropped) {
             drop(dropped);
+        } else if (action instanceof PipelineAction.Wait wait) {
+            waitFor(open, wait.pool());
         } else if (action instanceof PipelineAction.Answer answer) {
             answer(open, answer.answer());
         }
@@ -241,6 +260,20 @@
         agents.send(agent, order);
     }
 
+    private void waitFor(OpenRequest open, String pool) {
+        long patience = open.chooser().enqueue(open.request(), timers.nanoTime());
+        open.waiting(timers.schedule(patience, () -> perform(open, open.run().onHopeless(COME_BACK))));
+        line.waits(pool);
+    }
+
+    private void resume(PipelineRequest request) {
+        OpenRequest open = requests.get(request.requestId());
+        if (open != null) {
+            open.waiting(() -> {});
+            perform(open, open.run().onCapacity(timers.nanoTime()));
+        }
+    }
+
     private void hedge(OpenAttempt attempt) {
         if (attempts.isOpen(attempt)) {
             perform(attempt.open(), attempt.open().run().onHedgeDue(timers.nanoTime()));
@@ -249,9 +282,16 @@
 
     private void timedOut(OpenAttempt attempt) {
         PipelineRun run = attempt.open().run();
-        if (attempts.isOpen(attempt)
-                && run.stage().repeatable()
-                && policy.mayAbandon(attempt.open().request(), run.stage())) {
+        if (!attempts.isOpen(attempt) || attempt.dispatchedTo().isEmpty()) {
+            return;
+        }
+        long now = timers.nanoTime();
+        long age = now - attempt.since();
+        boolean abandon = policy.mayAbandon(
+                attempt.open().request(), run.stage(), attempt.dispatchedTo().get(), age, now);
+        if (!abandon || !run.stage().repeatable() || !run.hasAttemptsLeft()) {
+            attempt.timeout(timers.schedule(age / 2, () -> timedOut(attempt)));
+        } else {
             attempts.close(attempt, AttemptEnd.TIMED_OUT, -1);
             perform(attempt.open(), run.onGivenUp(attempt.id(), "attempt-timeout", timers.nanoTime()));
         }
@@ -340,6 +380,7 @@
                 answer.verdict().label(),
                 answer.status(),
                 answer.verdict().reason());
+        measures.answered(open.request(), answer, timers.nanoTime() - open.since());
         open.sink().end(open.id(), answer);
     }
 
--- a/library/src/main/java/org/copperspindle/entry/RunChooser.java
+++ b/library/src/main/java/org/copperspindle/entry/RunChooser.java
@@ -1,5 +1,6 @@
 package org.copperspindle.entry;
 
+import java.time.Duration;
 import java.util.Optional;
 import java.util.Set;
 
@@ -30,6 +31,7 @@
     private final EntryPolicy policy;
     private final TimerService timers;
     private final AgentPort agents;
+    private RoutingRequest missed;
 
     RunChooser(
             DeploymentView view,
@@ -51,8 +53,9 @@
     public Optional<UpstreamAnnouncement> choose(StageSettings stage, StageContext context, Set<String> tried) {
         PoolSettings pool = deployment.pools().get(stage.pool());
         long affinity = pool.kind() == PoolKind.ENGINE ? PrefixAffinity.hash(context.input()) : 0;
-        RoutingRequest routing = new RoutingRequest(pool, stage, failureDomain, affinity, tried);
-        return policy.choose(request, routing, timers.nanoTime()).map(UpstreamView::announcement);
+        missed = new RoutingRequest(
+                pool, stage, failureDomain, affinity, tried, request.priority(), timers.nanoTime(), 1);
+        return policy.choose(request, missed, timers.nanoTime()).map(UpstreamView::announcement);
     }
 
     @Override
@@ -65,6 +68,21 @@
         return policy.mayRetry(retried);
     }
 
+    @Override
+    public boolean mayWait(PipelineRequest waiting, StageSettings stage) {
+        return policy.mayWait(waiting, stage);
+    }
+
+    @Override
+    public long enqueue(PipelineRequest waiting, long now) {
+        return policy.enqueue(waiting, missed, now);
+    }
+
+    @Override
+    public Optional<Duration> hopeless(PipelineRequest judged, int stageIndex, long now) {
+        return policy.hopeless(judged, stageIndex, now);
+    }
+
     @Override
     public long agentClock(UpstreamAnnouncement upstream) {
         return agents.clockMicros(upstream.agentAddress(), upstream.incarnation());
