--- a/library/src/main/java/org/copperspindle/consensus/ConsensusLog.java
+++ b/library/src/main/java/org/copperspindle/consensus/ConsensusLog.java
@@ -202,11 +202,7 @@
         return taken[0];
     }
 
-    /**
-     * Describes the members.
-     *
-     * @return names and identities, learners marked
-     */
+    @Override
     public String describeMembers() {
         return node.membership().toString();
     }
--- a/library/src/main/java/org/copperspindle/control/ControlService.java
+++ b/library/src/main/java/org/copperspindle/control/ControlService.java
@@ -48,6 +48,7 @@
     private final UpdatePusher pusher;
     private final FleetService fleet;
     private final InForceRecorder inForce = new InForceRecorder();
+    private final VoterRecorder voters = new VoterRecorder();
     private final Set<String> removing = new HashSet<>();
     private long leadingTerm;
     private long leadingSince;
@@ -268,12 +269,26 @@
             return;
         }
         members.removeGone(timers.nanoTime()).forEach(member -> left(member, false));
+        recordVoters();
         if (earlierLeasesOver()) {
             removeUnleased();
         }
         completeInForce();
     }
 
+    private void recordVoters() {
+        String voting = log.describeMembers();
+        if (voting.isEmpty()) {
+            return;
+        }
+        voters.observe(
+                        leadingTerm,
+                        log.leaderAddress().orElse(""),
+                        voting,
+                        state.config().version())
+                .ifPresent(entry -> log.propose(state.encode(entry), result -> {}));
+    }
+
     /** Removes upstreams whose agent this leader has never heard of, or whose announcement was late. */
     private void removeUnleased() {
         Set<String> leased = members.leasedUpstreams(timers.nanoTime());
--- a/library/src/main/java/org/copperspindle/control/ReplicatedLog.java
+++ b/library/src/main/java/org/copperspindle/control/ReplicatedLog.java
@@ -38,6 +38,15 @@
         return Optional.empty();
     }
 
+    /**
+     * Describes the members of the log, for operators.
+     *
+     * @return names and identities, empty if the log has one member only
+     */
+    default String describeMembers() {
+        return "";
+    }
+
     /**
      * Proposes a command.
      *
