Bound a routing decision by a subset of large pools

Cause: each decision looked at every upstream of its pool, so that its cost grew with the fleet. Change: an entry uses at most 64 upstreams of a pool that serve the model, ranked by rendezvous hashing and taken from the failure domains in turn; rebuilt only when the membership changes.

--- a/library/src/main/java/org/copperspindle/entry/EntryService.java
+++ b/library/src/main/java/org/copperspindle/entry/EntryService.java
@@ -66,7 +66,11 @@
         this.ring = ring;
         this.timers = timers;
         this.settings = settings;
-        this.policy = EntryPolicyFactory.of(PolicyKind.ADAPTIVE, fleet, settings.maxInProgress());
+        this.policy = EntryPolicyFactory.of(
+                PolicyKind.ADAPTIVE,
+                fleet,
+                settings.maxInProgress(),
+                settings.listen().hashCode());
         this.control = new ControlLink(ring, timers, transport, controls, settings.renew(), this::leaseRequest, this);
         this.claims = new ClaimClient(timers, control::send);
         ForwardingListener heard = new ForwardingListener();
--- a/library/src/main/java/org/copperspindle/limits/AdaptiveEntryPolicy.java
+++ b/library/src/main/java/org/copperspindle/limits/AdaptiveEntryPolicy.java
@@ -13,6 +13,7 @@
 import org.copperspindle.routing.AffinityRoutingPolicy;
 import org.copperspindle.routing.EjectionPolicy;
 import org.copperspindle.routing.FleetView;
+import org.copperspindle.routing.PoolSubset;
 import org.copperspindle.routing.RoutingPolicy;
 import org.copperspindle.routing.RoutingRequest;
 import org.copperspindle.routing.UpstreamView;
@@ -31,6 +32,7 @@
     private static final Duration MIN_COME_BACK = Duration.ofSeconds(1);
 
     private final FleetView fleet;
+    private final PoolSubset subsets;
     private final AdmissionPolicy admission;
     private final RoutingPolicy routing = new AffinityRoutingPolicy();
     private final Map<String, WaitingLine> lines = new HashMap<>();
@@ -39,7 +41,8 @@
     private final RetryBudget budget = new RetryBudget();
     private final Map<String, Long> probedAt = new HashMap<>();
 
-    AdaptiveEntryPolicy(FleetView fleet, int maxInProgress) {
+    AdaptiveEntryPolicy(FleetView fleet, int maxInProgress, long entrySeed) {
+        this.subsets = new PoolSubset(fleet, entrySeed);
         this.fleet = fleet;
         this.admission = new RateAdmissionPolicy(maxInProgress);
     }
@@ -71,7 +74,7 @@
         String pool = routingRequest.pool().name();
         double share =
                 request.priority() == Priority.INTERACTIVE ? 1 : limit(pool).share();
-        return routing.choose(fleet.pool(pool), routingRequest.at(now, share));
+        return routing.choose(subsets.of(pool, routingRequest.stage().model()), routingRequest.at(now, share));
     }
 
     @Override
--- a/library/src/main/java/org/copperspindle/replay/ReplayEntry.java
+++ b/library/src/main/java/org/copperspindle/replay/ReplayEntry.java
@@ -82,7 +82,7 @@
         this.timers = timers;
         this.models = models;
         this.tally = tally;
-        this.policy = EntryPolicyFactory.of(kind, fleet, MAX_IN_PROGRESS);
+        this.policy = EntryPolicyFactory.of(kind, fleet, MAX_IN_PROGRESS, index);
         policy.configure(deployment);
     }
 
--- a/library/src/main/java/org/copperspindle/routing/AffinityRoutingPolicy.java
+++ b/library/src/main/java/org/copperspindle/routing/AffinityRoutingPolicy.java
@@ -20,8 +20,6 @@
     private static final double[] SHARES = {1.1, 1.0, 0.85};
 
     private static final double TRIED_PENALTY = 1e6;
-    private static final long MIX = 0x9E3779B97F4A7C15L;
-    private static final int MIX_SHIFT = 32;
 
     @Override
     public Optional<UpstreamView> choose(List<UpstreamView> candidates, RoutingRequest request) {
@@ -41,7 +39,7 @@
                 leastScore = score;
             }
             if (score < bound) {
-                long weight = weight(request.affinity(), view.idHash());
+                long weight = Rendezvous.weight(request.affinity(), view.idHash());
                 if (preferred == null || weight > highest) {
                     preferred = view;
                     highest = weight;
@@ -86,9 +84,4 @@
         boolean again = !tried.isEmpty() && tried.contains(view.announcement().upstreamId());
         return again ? view.load() + TRIED_PENALTY : view.load();
     }
-
-    private static long weight(long affinity, long idHash) {
-        long mixed = (affinity ^ idHash) * MIX;
-        return (mixed ^ mixed >>> MIX_SHIFT) * MIX;
-    }
 }
