Add own work to what others were last reported to run

Cause: the load of an upstream was the larger of own and reported attempts, so that several entries each saw room that another had just filled. Change: load is own attempts plus those of others at the last report; since it is nearer the truth now, priorities may fill 1.25, 1.1 and 0.95 of the declared concurrency.

--- a/library/src/main/java/org/copperspindle/routing/AffinityRoutingPolicy.java
+++ b/library/src/main/java/org/copperspindle/routing/AffinityRoutingPolicy.java
@@ -17,7 +17,7 @@
     public static final double LOAD_BOUND = 1.25;
 
     /** Slots that a priority may fill, as a share of the declared concurrency. */
-    private static final double[] SHARES = {1.1, 1.0, 0.85};
+    private static final double[] SHARES = {1.25, 1.1, 0.95};
 
     private static final double TRIED_PENALTY = 1e6;
 
--- a/library/src/main/java/org/copperspindle/routing/UpstreamView.java
+++ b/library/src/main/java/org/copperspindle/routing/UpstreamView.java
@@ -12,7 +12,7 @@
     private final long idHash;
     private UpstreamAnnouncement announcement;
     private int ownInFlight;
-    private int reportedInFlight;
+    private int othersInFlight;
 
     /**
      * Creates a view.
@@ -67,7 +67,7 @@
     public void ended(int inFlight) {
         ownInFlight--;
         if (inFlight >= 0) {
-            reportedInFlight = inFlight;
+            othersInFlight = Math.max(0, inFlight - ownInFlight);
         }
     }
 
@@ -77,7 +77,7 @@
      * @param inFlight attempts running there, from all entries
      */
     public void reported(int inFlight) {
-        reportedInFlight = inFlight;
+        othersInFlight = Math.max(0, inFlight - ownInFlight);
     }
 
     /**
@@ -101,9 +101,9 @@
     /**
      * Returns the load that a choice goes by.
      *
-     * @return the larger of own and reported attempts in flight
+     * @return own attempts in flight and those of other entries at the last report
      */
     public int load() {
-        return Math.max(ownInFlight, reportedInFlight);
+        return ownInFlight + othersInFlight;
     }
 }
