Gate agents on the configuration as entries are

Cause: the leader prolonged the lease of an agent that was behind, while the agent itself did not count it as prolonged: a change would have waited for that agent for ever, and its upstream stayed in the membership.

Change: one rule for entries and agents; the test brings about both.

Measured: see the test.

Conclusion: a member that stays behind ends with its lease, whatever it is.

--- a/library/src/main/java/org/copperspindle/control/ControlService.java
+++ b/library/src/main/java/org/copperspindle/control/ControlService.java
@@ -194,8 +194,7 @@
         long newer = newerIncarnation(member, lease.announcement());
         // Safeguard: a member that holds on to an old version would serve it for ever if each renewal prolonged its
         // lease, and no change would ever be in force everywhere. Not prolonged, it stops within a lease.
-        boolean current =
-                member.isAgent() || lease.configVersion() >= state.config().version();
+        boolean current = lease.configVersion() >= state.config().version();
         boolean granted = current && newer == 0;
         if (granted) {
             member.leased(now + leaseNanos);
--- a/library/src/test/java/org/copperspindle/membership/ConfigurationInForceTest.java
+++ b/library/src/test/java/org/copperspindle/membership/ConfigurationInForceTest.java
@@ -57,12 +57,13 @@
     }
 
     /**
-     * An entry hears of a version and does not put it in force, as an older build might. Its renewals must not prolong
-     * its lease, or the change would never end and the entry would serve the old version for ever.
+     * An entry or agent hears of a version and does not put it in force, as an older build might. Its renewals must not
+     * prolong its lease, or the change would never end and the member would serve the old version for ever.
      */
-    @Test
-    void entryThatStaysBehindLosesItsLease() {
-        StandIn behind = deployment.entry("entry-1");
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void memberThatStaysBehindLosesItsLease(boolean agent) {
+        StandIn behind = agent ? deployment.agent("u1", 10) : deployment.entry("entry-1");
         deployment.advance(Duration.ofSeconds(3));
         behind.stuck = true;
 
@@ -73,6 +74,7 @@
 
         assertThat(told).containsExactly(new ApplyOutcome.Accepted(2));
         assertThat(behind.serves()).isFalse();
+        assertThat(deployment.leader().state.upstreams().all()).isEmpty();
     }
 
     /**
