Give unrepeatable calls no place among the kept connections

Cause: an unrepeatable call always opens a connection, and put it among the kept ones afterwards, where no such call takes one: up to the limit stood open for ten seconds each.

Change: such a call asks the upstream to close its connection, and the agent closes it. A reset call on a new connection is tested to go out once, repeatable or not.

--- a/library/src/main/java/org/copperspindle/agent/UpstreamClient.java
+++ b/library/src/main/java/org/copperspindle/agent/UpstreamClient.java
@@ -148,6 +148,9 @@
                 .set(HttpHeaderNames.HOST, address.getHostString() + ":" + address.getPort())
                 .set("X-Request-Id", call.requestId())
                 .set("Idempotency-Key", call.attemptId());
+        if (!call.repeatable()) {
+            request.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        }
         if (call.body().length > 0) {
             request.headers()
                     .set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON)
--- a/library/src/main/java/org/copperspindle/agent/UpstreamConnection.java
+++ b/library/src/main/java/org/copperspindle/agent/UpstreamConnection.java
@@ -132,7 +132,8 @@
             spoil("response to another request");
             return;
         }
-        keepAlive = HttpUtil.isKeepAlive(head);
+        // An unrepeatable call came on a connection of its own and would only crowd out the kept ones.
+        keepAlive = HttpUtil.isKeepAlive(head) && exchange.call().repeatable();
         // A body that ends with the connection could have been cut anywhere: it can't be shown to be whole.
         framed = HttpUtil.isTransferEncodingChunked(head)
                 || head.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
