--- a/library/src/main/java/org/copperspindle/limits/EntryPolicy.java
+++ b/library/src/main/java/org/copperspindle/limits/EntryPolicy.java
@@ -28,9 +28,9 @@
      *
      * @param request the request
      * @param now     nanoseconds of the timer service
-     * @return empty if it is admitted, else when the caller may come back
+     * @return empty if it is admitted, else why not
      */
-    Optional<Duration> refuse(PipelineRequest request, long now);
+    Optional<Refusal> refuse(PipelineRequest request, long now);
 
     /**
      * Gives an admitted request back.
@@ -80,11 +80,14 @@
     /**
      * Says whether an attempt that reached its timeout is given up. Asked before {@link #mayRetry}, spends nothing.
      *
-     * @param request request that it is made for
-     * @param stage   stage that it runs
-     * @return false if it is better to go on waiting
+     * @param request  request that it is made for
+     * @param stage    stage that it runs
+     * @param view     its upstream
+     * @param ageNanos time since it was dispatched
+     * @param now      nanoseconds of the timer service
+     * @return false if it is better to go on waiting; it is looked at again after half its age
      */
-    boolean mayAbandon(PipelineRequest request, StageSettings stage);
+    boolean mayAbandon(PipelineRequest request, StageSettings stage, UpstreamView view, long ageNanos, long now);
 
     /**
      * Asks for one attempt more than the first of its stage.
@@ -93,4 +96,60 @@
      * @return false if the budget is spent
      */
     boolean mayRetry(PipelineRequest request);
+
+    /**
+     * Says whether an attempt for which no upstream may be used now waits for one.
+     *
+     * @param request request that it is made for
+     * @param stage   stage that it runs
+     * @return false if the request is refused instead
+     */
+    default boolean mayWait(PipelineRequest request, StageSettings stage) {
+        return false;
+    }
+
+    /**
+     * Puts an attempt in line.
+     *
+     * @param request request that it is made for
+     * @param routing what it needs
+     * @param now     nanoseconds of the timer service
+     * @return nanoseconds from now after which waiting on can't help any more
+     */
+    default long enqueue(PipelineRequest request, RoutingRequest routing, long now) {
+        throw new IllegalStateException("this policy has no line");
+    }
+
+    /**
+     * Says whether anything is in line for a pool.
+     *
+     * @param pool the pool
+     * @return false if nothing waits
+     */
+    default boolean waiting(String pool) {
+        return false;
+    }
+
+    /**
+     * Takes the next request out of line for which an upstream of a pool may be used now.
+     *
+     * @param pool the pool
+     * @param now  nanoseconds of the timer service
+     * @return the request to go on with, empty if none can
+     */
+    default Optional<PipelineRequest> next(String pool, long now) {
+        return Optional.empty();
+    }
+
+    /**
+     * Judges whether the stages of a request from one on can still be done in time.
+     *
+     * @param request    the request
+     * @param stageIndex next stage, from 0
+     * @param now        nanoseconds of the timer service
+     * @return when the caller may come back, if they can't; empty if they can
+     */
+    default Optional<Duration> hopeless(PipelineRequest request, int stageIndex, long now) {
+        return Optional.empty();
+    }
 }
--- a/library/src/main/java/org/copperspindle/pipeline/PipelineRun.java
+++ b/library/src/main/java/org/copperspindle/pipeline/PipelineRun.java
@@ -13,9 +13,7 @@
 import org.copperspindle.claims.ClaimDecision;
 import org.copperspindle.config.StageSettings;
 import org.copperspindle.membership.UpstreamAnnouncement;
-import org.copperspindle.verdict.MayHaveRunVerdict;
-import org.copperspindle.verdict.NotRunVerdict;
-import org.copperspindle.verdict.Verdict;
+import org.copperspindle.verdict.RanVerdict;
 
 /**
  * One request on its way through its stages: a pure state machine. Each event returns the actions that it causes; the
@@ -28,7 +26,6 @@
 
     private static final Duration QUERY_PAUSE = Duration.ofMillis(100);
     private static final int MAX_ATTEMPTS = 3;
-    private static final int SUCCESS_LIMIT = 300;
     private static final int CLIENT_ERROR = 400;
     private static final int SERVER_ERROR = 500;
 
@@ -44,6 +41,7 @@
     private int stageIndex;
     private int attempts;
     private boolean answered;
+    private boolean waiting;
 
     /**
      * Creates a run.
@@ -108,7 +106,7 @@
             return List.of(new PipelineAction.Dropped("chunk"));
         }
         try {
-            return pass(attempt.get().take(chunk));
+            return OrderFactory.pass(context, attempt.get().take(chunk));
         } catch (IOException e) {
             return abandon("malformed-stream");
         }
@@ -128,7 +126,7 @@
         }
         StageAttempt attempt = found.get();
         open.remove(attempt);
-        List<PipelineAction> actions = new ArrayList<>(conclude(attempt, outcome.verdict()));
+        List<PipelineAction> actions = new ArrayList<>(orders.conclude(attempt, stage(), outcome.verdict()));
         if (!answered) {
             actions.addAll(goOn(attempt, outcome, now));
         }
@@ -152,7 +150,7 @@
         if (stage().repeatable() && !first) {
             return giveUp(attempt.get(), "agent-connection-lost", now);
         }
-        return List.of(query(attempt.get(), first ? Duration.ZERO : QUERY_PAUSE));
+        return List.of(orders.query(attempt.get(), stage(), first ? Duration.ZERO : QUERY_PAUSE));
     }
 
     /**
@@ -171,7 +169,7 @@
         if (stage().repeatable() || gone) {
             return giveUp(attempt.get(), gone ? "agent-gone" : "agent-unreachable", now);
         }
-        return List.of(query(attempt.get(), QUERY_PAUSE));
+        return List.of(orders.query(attempt.get(), stage(), QUERY_PAUSE));
     }
 
     /**
@@ -201,10 +199,8 @@
      * @return what to do
      */
     public List<PipelineAction> onHedgeDue(long now) {
-        if (answered || open.size() != 1 || attempts >= MAX_ATTEMPTS) {
-            return List.of();
-        }
-        if (!stage().repeatable() || open.get(0).streaming()) {
+        boolean single = !answered && open.size() == 1 && hasAttemptsLeft();
+        if (!single || !stage().repeatable() || open.get(0).streaming()) {
             return List.of();
         }
         Optional<UpstreamAnnouncement> other =
@@ -215,6 +211,30 @@
         return dispatch(newAttempt(other.get()), now);
     }
 
+    /**
+     * An upstream may be used for the attempt that waits.
+     *
+     * @param now nanoseconds of the timer service
+     * @return what to do
+     */
+    public List<PipelineAction> onCapacity(long now) {
+        if (answered || !waiting) {
+            return List.of();
+        }
+        waiting = false;
+        return startAttempt(now);
+    }
+
+    /**
+     * The request can't be done in time any more. It is answered at once, so that the caller may decide what to do.
+     *
+     * @param retryAfter when the caller may come back
+     * @return what to do
+     */
+    public List<PipelineAction> onHopeless(Duration retryAfter) {
+        return answered ? List.of() : answer(answers.hopeless(retryAfter));
+    }
+
     /**
      * The deadline passed.
      *
@@ -273,6 +293,15 @@
         return open.stream().map(StageAttempt::id).toList();
     }
 
+    /**
+     * Says whether the stage in progress may have a further attempt.
+     *
+     * @return false after its last one
+     */
+    public boolean hasAttemptsLeft() {
+        return attempts < MAX_ATTEMPTS;
+    }
+
     /**
      * Returns the stage in progress.
      *
@@ -290,7 +319,15 @@
         if (request.deadlineNanos() - now <= 0) {
             return answer(answers.deadline());
         }
+        Optional<Duration> hopeless = chooser.hopeless(request, stageIndex, now);
+        if (hopeless.isPresent()) {
+            return onHopeless(hopeless.get());
+        }
         Optional<UpstreamAnnouncement> choice = chooser.choose(stage(), context, tried);
+        if (choice.isEmpty() && chooser.mayWait(request, stage())) {
+            waiting = true;
+            return List.of(new PipelineAction.Wait(stage().pool()));
+        }
         if (choice.isEmpty()) {
             return answer(answers.noUpstream(stage().pool()));
         }
@@ -306,7 +343,7 @@
         tried.add(upstream.upstreamId());
         attempts++;
         String id = request.requestId() + "/" + stage().name() + "/" + attempts;
-        return StageAttempt.own(id, upstream, chooser.agentClock(upstream), streaming());
+        return StageAttempt.own(id, upstream, chooser.agentClock(upstream), orders.streaming(stageIndex));
     }
 
     private List<PipelineAction> dispatch(StageAttempt attempt, long now) {
@@ -315,58 +352,39 @@
         return List.of(new PipelineAction.Dispatch(orders.order(attempt, stage(), context, now)));
     }
 
-    private boolean streaming() {
-        boolean last = stageIndex == request.pipeline().stages().size() - 1;
-        return request.streaming()
-                && last
-                && StageHandlerFactory.of(chooser.kind(stage().pool())).canStream();
-    }
-
     private List<PipelineAction> follow(ClaimDecision held) {
         StageAttempt attempt = StageAttempt.follow(held);
         open.add(attempt);
-        return List.of(query(attempt, Duration.ZERO));
-    }
-
-    private PipelineAction query(StageAttempt attempt, Duration delay) {
-        return new PipelineAction.Query(
-                attempt.id(),
-                attempt.upstreamId(),
-                attempt.incarnation(),
-                attempt.clockMicros(),
-                stage().repeatable(),
-                delay);
-    }
-
-    /** Tells claims and agent how an attempt ended. */
-    private List<PipelineAction> conclude(StageAttempt attempt, Verdict verdict) {
-        boolean refused = verdict instanceof NotRunVerdict;
-        PipelineAction.Acknowledge acknowledge = new PipelineAction.Acknowledge(attempt.id(), attempt.upstreamId());
-        if (stage().repeatable()) {
-            return refused ? List.of() : List.of(acknowledge);
-        }
-        // Acknowledged only once the settlement is committed. Otherwise the agent may forget the outcome while the
-        // claim
-        // still reads as open, and a resend would learn no more than MAY_HAVE_RUN.
-        return List.of(new PipelineAction.Settle(
-                orders.settle(attempt, stage(), verdict), refused ? Optional.empty() : Optional.of(acknowledge)));
+        return List.of(orders.query(attempt, stage(), Duration.ZERO));
     }
 
     private List<PipelineAction> goOn(StageAttempt attempt, AttemptOutcomeMessage outcome, long now) {
-        if (outcome.verdict() instanceof NotRunVerdict) {
-            // An agent that forgot what the claims still know proves nothing.
-            return attempt.endedBefore()
-                    ? lose("outcome-forgotten", now)
-                    : retryNotRun(outcome.verdict().reason(), now);
-        }
-        if (attempt.streaming()) {
-            return finishStream(attempt, outcome, now);
+        if (outcome.verdict() instanceof RanVerdict) {
+            answers.markRan();
         }
-        if (outcome.verdict() instanceof MayHaveRunVerdict) {
-            return lose(outcome.verdict().reason(), now);
+        StageHandler handler = StageHandlerFactory.of(chooser.kind(stage().pool()));
+        List<String> pieces = new ArrayList<>();
+        StageResult result = OutcomeReader.read(attempt, outcome, context, handler, pieces);
+        List<PipelineAction> actions = new ArrayList<>(OrderFactory.pass(context, pieces));
+        if (result instanceof StageResult.Whole) {
+            answers.markRan();
+            actions.addAll(nextStage(now));
+        } else if (result instanceof StageResult.Refused refused) {
+            actions.addAll(retryNotRun(refused.reason(), now));
+        } else if (result instanceof StageResult.Failed failed) {
+            answers.markRan();
+            actions.addAll(upstreamError(failed.status(), now));
+        } else if (result instanceof StageResult.Lost lost) {
+            if (attempt.streaming()) {
+                // The rest is asked for, of the same engine if the choice falls on it: it has the prefix in its cache.
+                tried.remove(attempt.upstreamId());
+            }
+            actions.addAll(lose(lost.reason(), now));
+        } else {
+            answers.markMayHaveRun();
+            actions.addAll(abandon("malformed-stream"));
         }
-        answers.markRan();
-        return finishStage(outcome, now);
+        return actions;
     }
 
     /** Goes on after a proof that the attempt did not run; it cost no upstream anything, so takes no retry budget. */
@@ -395,45 +413,6 @@
         return stage().repeatable() && attempts < MAX_ATTEMPTS && chooser.mayRetry(request);
     }
 
-    private List<PipelineAction> finishStage(AttemptOutcomeMessage outcome, long now) {
-        if (!outcome.complete()) {
-            return lose("incomplete-answer", now);
-        }
-        if (outcome.status() >= SUCCESS_LIMIT) {
-            return upstreamError(outcome.status(), now);
-        }
-        try {
-            StageHandlerFactory.of(chooser.kind(stage().pool()))
-                    .accept(context, outcome.body(), outcome.contentType(), false);
-        } catch (IOException e) {
-            return lose("malformed-answer", now);
-        }
-        return nextStage(now);
-    }
-
-    private List<PipelineAction> finishStream(StageAttempt attempt, AttemptOutcomeMessage outcome, long now) {
-        if (outcome.status() >= SUCCESS_LIMIT) {
-            answers.markRan();
-            return upstreamError(outcome.status(), now);
-        }
-        List<PipelineAction> actions = new ArrayList<>();
-        try {
-            actions.addAll(pass(attempt.takeRest(outcome)));
-        } catch (IOException e) {
-            return abandon("malformed-stream");
-        }
-        // Only the stream's own end mark says that it is whole; an orderly end of the connection does not.
-        if (attempt.streamEnded()) {
-            answers.markRan();
-            actions.addAll(nextStage(now));
-            return actions;
-        }
-        // The rest is asked for, of the same engine if the choice falls on it: it still has the prefix in its cache.
-        tried.remove(attempt.upstreamId());
-        actions.addAll(lose("stream-cut", now));
-        return actions;
-    }
-
     private List<PipelineAction> nextStage(long now) {
         List<PipelineAction> actions = new ArrayList<>(letGo());
         if (stageIndex == request.pipeline().stages().size() - 1) {
@@ -447,11 +426,6 @@
         return actions;
     }
 
-    private List<PipelineAction> pass(List<String> texts) {
-        texts.forEach(context::passOn);
-        return texts.stream().<PipelineAction>map(PipelineAction.Piece::new).toList();
-    }
-
     private List<PipelineAction> upstreamError(int status, long now) {
         boolean clientError = status >= CLIENT_ERROR && status < SERVER_ERROR;
         if (!open.isEmpty()) {
--- a/tools/src/main/java/org/copperspindle/cli/Copperspindle.java
+++ b/tools/src/main/java/org/copperspindle/cli/Copperspindle.java
@@ -21,6 +21,7 @@
             new DemoCommand(),
             new RunCommand(),
             new ApplyCommand(),
+            new AuditCommand(),
             new EmulateCommand(),
             new MeasureCommand(),
             new ReplayCommand(),
