--- a/library/src/test/java/org/copperspindle/agent/AgentFaultTest.java
+++ b/library/src/test/java/org/copperspindle/agent/AgentFaultTest.java
@@ -252,22 +252,44 @@
         }
     }
 
+    /** Nobody ever fetches the answer: the stopping agent waits for its bounded time and leaves. */
+    @Test
+    void drainingAgentLeavesInTheEnd() throws Exception {
+        try (SocketUpstream upstream = gated();
+                AgentFixture agent = new AgentFixture(upstream, 7, tight(Duration.ofMillis(50)), "")) {
+            AgentFixture.Entry entry = agent.entry();
+            entry.send(entry.order("a", false));
+            arrived.acquire();
+            CountDownLatch left = agent.drain();
+            entry.awaitReport(true);
+            assertThat(left.getCount()).as("work in progress").isEqualTo(1);
+            gate.release();
+
+            assertThat(entry.outcome("a").body()).asString().isEqualTo("done");
+            assertThat(left.await(20, TimeUnit.SECONDS)).isTrue();
+        }
+    }
+
+    @Test
+    void loadOfTheUpstreamIsPassedOnWithItsAge() throws Exception {
+        try (SocketUpstream upstream = new SocketUpstream((socket, request, call) -> SocketUpstream.send(
+                        socket, "HTTP/1.1 200 OK\r\nUpstream-Load: 17\r\nContent-Length: 0\r\n\r\n"));
+                AgentFixture agent = new AgentFixture(upstream)) {
+            AgentFixture.Entry entry = agent.entry();
+            entry.send(entry.order("a", true));
+
+            assertThat(entry.outcome("a").reportedLoad()).isEqualTo(17);
+            LoadReportMessage report = (LoadReportMessage)
+                    entry.take(m -> m instanceof LoadReportMessage load && load.reportedLoad() == 17);
+            assertThat(report.loadAgeMillis()).isNotNegative();
+        }
+    }
+
     /** The agent is full: work beyond the queue is refused for good, also when the same order comes again with room. */
     @Test
     void workBeyondTheQueueIsRefusedForGood() throws Exception {
-        AgentLimits tight = new AgentLimits(
-                1,
-                0,
-                1000,
-                64 << 20,
-                1 << 20,
-                Duration.ofMinutes(2),
-                Duration.ofMinutes(1),
-                Duration.ofMinutes(1),
-                Duration.ZERO,
-                Duration.ZERO);
         try (SocketUpstream upstream = gated();
-                AgentFixture agent = new AgentFixture(upstream, 7, tight, "")) {
+                AgentFixture agent = new AgentFixture(upstream, 7, tight(Duration.ZERO), "")) {
             AgentFixture.Entry entry = agent.entry();
             StampedOrderMessage refused = entry.order("b", false);
             entry.send(entry.order("a", false));
@@ -382,6 +404,20 @@
         }
     }
 
+    private static AgentLimits tight(Duration drainWait) {
+        return new AgentLimits(
+                1,
+                0,
+                1000,
+                64 << 20,
+                1 << 20,
+                Duration.ofMinutes(2),
+                Duration.ofMinutes(1),
+                Duration.ofMinutes(1),
+                Duration.ZERO,
+                drainWait);
+    }
+
     private static void awaitUninterruptibly(CountDownLatch latch) {
         try {
             latch.await();
