--- a/library/src/main/java/org/copperspindle/agent/UpstreamClient.java
+++ b/library/src/main/java/org/copperspindle/agent/UpstreamClient.java
@@ -152,6 +152,9 @@
         if (call.fencingNumber() > 0) {
             request.headers().set(EngineRequest.FENCING_HEADER, call.fencingNumber());
         }
+        if (!call.repeatable()) {
+            request.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        }
         if (call.body().length > 0) {
             request.headers()
                     .set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON)
