Refuse a folded field of any name in the test of framing

Cause: with the check of folded lines taken out on purpose, the two folded cases stayed green, because other checks refuse those two fields. Change: a folded field without meaning for the framing. Conclusion: the check of folded lines has a test of its own.

--- a/library/src/test/java/org/copperspindle/http/HttpListenerTest.java
+++ b/library/src/test/java/org/copperspindle/http/HttpListenerTest.java
@@ -57,6 +57,7 @@
                 refusal("negative length", POST + "Content-Length: -3\r\n\r\nabc"),
                 refusal("signed length", POST + "Content-Length: +3\r\n\r\nabc"),
                 refusal("folded header", POST + "Content-Length:\r\n 3\r\n\r\nabc"),
+                refusal("folded field", POST + "Content-Length: 3\r\nA: b\r\n c\r\n\r\nabc"),
                 refusal("folded coding", POST + "Transfer-Encoding:\r\n\tchunked\r\n\r\n0\r\n\r\n"),
                 refusal("space before colon", POST + "Content-Length : 3\r\n\r\nabc"),
                 refusal("chunk size not hexadecimal", POST + "Transfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n"),
