--- a/library/src/main/java/org/copperspindle/audit/AuditEntry.java
+++ b/library/src/main/java/org/copperspindle/audit/AuditEntry.java
@@ -34,6 +34,16 @@
     public static final MessageCodec<AuditEntry> CODEC =
             MessageCodec.of(95, AuditEntry.class, AuditEntry::write, AuditEntry::read);
 
+    /**
+     * Puts the time in.
+     *
+     * @param millis wall clock of the leader, in milliseconds since 1970
+     * @return this entry with that time
+     */
+    AuditEntry at(long millis) {
+        return new AuditEntry(kind, actor, subject, baseVersion, version, millis, details);
+    }
+
     private void write(FieldWriter out) {
         List<byte[]> lines =
                 details.stream().map(d -> d.getBytes(StandardCharsets.UTF_8)).toList();
