Read a kept stream on a resend that did not ask for one

Cause: the handler of engines went by the form that the run asked for. The kept outcome of a streamed, unrepeatable generation, fetched by a resend through another entry, is a stream whatever the resend asks for; read as one JSON document it ended in MAY_HAVE_RUN malformed-answer.

Ruled out: a cut or foreign outcome; the body was whole, with its end mark.

Change: the content type of the outcome decides; a stream without its end mark stays refused.

--- a/library/src/main/java/org/copperspindle/pipeline/EngineStageHandler.java
+++ b/library/src/main/java/org/copperspindle/pipeline/EngineStageHandler.java
@@ -13,6 +13,7 @@
  */
 final class EngineStageHandler implements StageHandler {
 
+    private static final String EVENT_STREAM = "text/event-stream";
     private static final int DEFAULT_MAX_TOKENS = 128;
 
     @Override
@@ -39,7 +40,8 @@
 
     @Override
     public void accept(StageContext context, byte[] body, String contentType, boolean streaming) throws IOException {
-        if (streaming) {
+        // A kept outcome says by its type how it was asked for first: a resend may ask for the other form.
+        if (streaming || contentType.startsWith(EVENT_STREAM)) {
             acceptStream(context, body);
             return;
         }
