--- a/tools/src/main/java/org/copperspindle/cli/DemoCommand.java
+++ b/tools/src/main/java/org/copperspindle/cli/DemoCommand.java
@@ -5,6 +5,7 @@
 import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.util.Comparator;
 import java.util.Optional;
@@ -15,7 +16,8 @@
 import org.copperspindle.config.Deployment;
 import org.copperspindle.config.DeploymentLoader;
 import org.copperspindle.demo.DemoRun;
-import org.copperspindle.demo.DemoTrace;
+import org.copperspindle.replay.Trace;
+import org.copperspindle.replay.TraceReader;
 
 /**
  * {@code copperspindle demo}: a whole deployment in this process, disturbed under load, with its promises checked.
@@ -43,7 +45,7 @@
                 .setDefault(home().resolve(Path.of("conf", "wijzerplaat.ini")).toString())
                 .help("deployment file");
         parser.addArgument("--trace").metavar("FILE").help("trace to replay; one ships for each shipped deployment");
-        parser.addArgument("--seed").type(Long.class).setDefault(1L).help("seed of tokens, entries and faults");
+        parser.addArgument("--seed").type(Long.class).setDefault(1L).help("seed of entries, resent calls and victims");
     }
 
     @Override
@@ -53,18 +55,20 @@
         }
         Path file = Path.of(arguments.getString("settings"));
         Deployment deployment = DeploymentLoader.load(file);
-        Optional<DemoTrace> trace = arguments.getString("trace") == null
-                ? DemoTrace.shipped(deployment.name())
-                : Optional.of(DemoTrace.load(Path.of(arguments.getString("trace"))));
-        if (trace.isEmpty()) {
-            System.err.println(
-                    "copperspindle: no trace ships for deployment '" + deployment.name() + "'; name one with --trace");
+        Path traceFile = Optional.ofNullable(arguments.getString("trace"))
+                .map(Path::of)
+                .orElse(home().resolve(Path.of("traces", "demo", deployment.name() + ".jsonl")));
+        Trace trace;
+        try {
+            trace = TraceReader.read(traceFile, deployment);
+        } catch (NoSuchFileException e) {
+            System.err.println("copperspindle: no trace " + e.getMessage() + "; name one with --trace");
             return ExitCode.USAGE;
         }
         String text = Files.readString(file, StandardCharsets.UTF_8);
         Path data = Files.createTempDirectory("copperspindle-demo");
         try {
-            DemoRun run = new DemoRun(deployment, text, trace.get(), arguments.getLong("seed"), System.out);
+            DemoRun run = new DemoRun(deployment, text, trace, arguments.getLong("seed"), System.out);
             return run.run(data) ? ExitCode.SUCCESS : ExitCode.FAILED;
         } finally {
             delete(data);
--- a/tools/src/main/java/org/copperspindle/demo/DemoDeployment.java
+++ b/tools/src/main/java/org/copperspindle/demo/DemoDeployment.java
@@ -26,6 +26,9 @@
  */
 final class DemoDeployment {
 
+    static final Duration FIRST_TOKEN = Duration.ofMillis(40);
+    static final Duration PER_TOKEN = Duration.ofMillis(6);
+
     private static final String LOOPBACK = "127.0.0.1";
     private static final int CONTROLS = 1;
     private static final int ENTRIES = 2;
@@ -135,7 +138,7 @@
             case ENCODER -> Duration.ofMillis(8);
             case RETRIEVER -> Duration.ofMillis(6);
             case RERANKER -> Duration.ofMillis(15);
-            case ENGINE -> Duration.ofMillis(40);
+            case ENGINE -> FIRST_TOKEN;
             case SERVICE -> Duration.ofMillis(12);
         };
         return new FakeSettings(
@@ -143,7 +146,7 @@
                 new InetSocketAddress(LOOPBACK, 0),
                 Math.min(pool.concurrency(), MAX_CONCURRENCY),
                 service,
-                Duration.ofMillis(6),
+                PER_TOKEN,
                 MAX_TOKENS,
                 pool.reportsLoad());
     }
--- a/tools/src/main/java/org/copperspindle/demo/DemoReport.java
+++ b/tools/src/main/java/org/copperspindle/demo/DemoReport.java
@@ -85,8 +85,8 @@
         out.println();
         out.println("Verdicts: what the answers say about whether the work ran (resent calls included)");
         TextTable table = new TextTable(2, "verdict", "reason", "answers");
-        Function<DemoAnswer, String> kind = a -> (a.verdict().isEmpty() ? "none" : a.verdict()) + "\t"
-                + (a.reason().isEmpty() ? "-" : a.reason());
+        Function<DemoAnswer, String> kind =
+                a -> (a.verdict().isEmpty() ? "none" : a.verdict()) + "\t" + shortened(a.reason());
         answers.stream()
                 .collect(Collectors.groupingBy(kind, TreeMap::new, Collectors.counting()))
                 .forEach((key, count) -> table.row(key.split("\t")[0], key.split("\t")[1], String.valueOf(count)));
--- a/tools/src/main/java/org/copperspindle/demo/DemoRun.java
+++ b/tools/src/main/java/org/copperspindle/demo/DemoRun.java
@@ -29,6 +29,7 @@
 import org.copperspindle.config.PipelineSettings;
 import org.copperspindle.config.PoolKind;
 import org.copperspindle.config.Priority;
+import org.copperspindle.replay.Trace;
 
 /**
  * One run of the demonstration: starts the deployment, replays the trace, disturbs it half way, and reports.
@@ -44,7 +45,8 @@
 
     private final Deployment deployment;
     private final String text;
-    private final DemoTrace trace;
+    private final Trace trace;
+    private final List<TraceCall> calls;
     private final long seed;
     private final PrintStream out;
     private final DemoCaller caller = new DemoCaller();
@@ -65,13 +67,14 @@
      * @param deployment the sample deployment
      * @param text       its INI text
      * @param trace      what callers do
-     * @param seed       seed of tokens, entries chosen and faults
+     * @param seed       seed of entries, resent calls and victims
      * @param out        where progress and tables go
      */
-    public DemoRun(Deployment deployment, String text, DemoTrace trace, long seed, PrintStream out) {
+    public DemoRun(Deployment deployment, String text, Trace trace, long seed, PrintStream out) {
         this.deployment = deployment;
         this.text = text;
         this.trace = trace;
+        this.calls = new DemoTrace(deployment, seed).calls(trace);
         this.seed = seed;
         this.out = out;
         this.random = new SplittableRandom(seed);
@@ -92,8 +95,8 @@
         long version = operator.apply(text, 0, "demo-1");
         await(parts::ready, READY_MILLIS);
         warmUp();
-        out.println("Configuration version " + version + " is in force; replaying "
-                + trace.calls().size() + " calls (" + trace.origin() + "), seed " + seed);
+        out.println("Configuration version " + version + " is in force; replaying " + calls.size() + " calls of trace "
+                + trace.name() + ", seed " + seed);
         replay(version);
         out.println("Stopping gracefully ...");
         parts.stop();
@@ -112,7 +115,7 @@
 
     /** One call of each pipeline through each entry, so that the first measured call doesn't pay for class loading. */
     private void warmUp() {
-        List<CompletableFuture<?>> calls = new ArrayList<>();
+        List<CompletableFuture<?>> pending = new ArrayList<>();
         for (PipelineSettings pipeline : deployment.pipelines().values()) {
             for (InetSocketAddress entry : parts.entryAddresses()) {
                 Optional<AccountSettings> account = deployment.accounts().values().stream()
@@ -120,17 +123,17 @@
                         .findFirst();
                 if (account.isPresent()) {
                     TraceCall call = new TraceCall(0, account.get().name(), pipeline.name(), 4, false, 0);
-                    calls.add(caller.send(call(call, "warm-" + calls.size()), entry));
+                    pending.add(caller.send(call(call, "warm-" + pending.size()), entry));
                 }
             }
         }
-        calls.forEach(CompletableFuture::join);
+        pending.forEach(CompletableFuture::join);
     }
 
     private void replay(long version) throws InterruptedException {
         startedAt = System.nanoTime();
         int index = 0;
-        for (TraceCall traced : trace.calls()) {
+        for (TraceCall traced : calls) {
             DemoCall call = call(traced, seed + "-" + index++);
             int entry = random.nextInt(parts.entryAddresses().size());
             after(traced.atMillis(), () -> send(call, entry));
@@ -138,16 +141,20 @@
                 after(traced.atMillis() + traced.resendMillis(), () -> send(call.again(), entry + 1));
             }
         }
-        after(trace.lengthMillis() / 2, () -> disturb(version));
-        for (long at = PROGRESS_MILLIS; at < trace.lengthMillis(); at += PROGRESS_MILLIS) {
+        after(lengthMillis() / 2, () -> disturb(version));
+        for (long at = PROGRESS_MILLIS; at < lengthMillis(); at += PROGRESS_MILLIS) {
             after(at, () -> progress(""));
         }
-        int all = trace.calls().size()
-                + (int) trace.calls().stream().filter(c -> c.resendMillis() > 0).count();
-        await(() -> sent.get() == all && answered.get() == all, trace.lengthMillis() + ANSWER_MILLIS);
+        int all = calls.size()
+                + (int) calls.stream().filter(c -> c.resendMillis() > 0).count();
+        await(() -> sent.get() == all && answered.get() == all, lengthMillis() + ANSWER_MILLIS);
         progress("all answered");
     }
 
+    private long lengthMillis() {
+        return calls.isEmpty() ? 0 : calls.get(calls.size() - 1).atMillis();
+    }
+
     private DemoCall call(TraceCall traced, String token) {
         PipelineSettings pipeline = deployment.pipeline(traced.call()).orElseThrow();
         Priority highest = deployment.accounts().containsKey(traced.account())
--- a/tools/src/main/java/org/copperspindle/demo/DemoTrace.java
+++ b/tools/src/main/java/org/copperspindle/demo/DemoTrace.java
@@ -1,82 +1,68 @@
 package org.copperspindle.demo;
 
-import java.io.BufferedReader;
-import java.io.IOException;
-import java.io.InputStream;
-import java.io.InputStreamReader;
-import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
-import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
 
-import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
+import org.copperspindle.config.Deployment;
+import org.copperspindle.config.PipelineSettings;
+import org.copperspindle.config.PoolKind;
+import org.copperspindle.config.StageSettings;
+import org.copperspindle.replay.Trace;
+import org.copperspindle.replay.TraceRequest;
 
 /**
- * A trace to replay. The file holds JSON lines: first a header with {@code format} {@value #FORMAT}, {@code version}
- * and {@code deployment}, then one {@link TraceCall} on each line, in the order of their times.
- *
- * @param deployment name of the deployment that it was made for
- * @param origin     where it comes from
- * @param calls      in the order of their times
+ * Turns a trace into calls over HTTP. What a trace doesn't say is drawn from a seed: which answers are taken as a stream,
+ * and which calls are sent again, as after a lost answer.
  */
-public record DemoTrace(String deployment, String origin, List<TraceCall> calls) {
+final class DemoTrace {
 
-    private static final String FORMAT = "copperspindle-trace";
-    private static final int VERSION = 1;
-    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final int FEWEST_TOKENS = 4;
+    private static final double STREAMED_SHARE = 0.4;
+    private static final double RESENT_SHARE_UNREPEATABLE = 0.4;
+    private static final double RESENT_SHARE = 0.04;
+    /** Soon enough to meet the first sending in progress. */
+    private static final long RESENT_SOON_MILLIS = 5;
+    /** Late enough to meet its kept outcome. */
+    private static final long RESENT_LATE_MILLIS = 700;
 
-    /**
-     * Loads the trace that ships for a deployment.
-     *
-     * @param deployment name of the deployment
-     * @return the trace, if one ships
-     * @throws IOException if it can't be read
-     */
-    public static Optional<DemoTrace> shipped(String deployment) throws IOException {
-        String resource = "/traces/" + deployment + ".jsonl";
-        try (InputStream in = DemoTrace.class.getResourceAsStream(resource)) {
-            return in == null ? Optional.empty() : Optional.of(read(resource, in));
-        }
+    private final Deployment deployment;
+    private final SplittableRandom random;
+
+    DemoTrace(Deployment deployment, long seed) {
+        this.deployment = deployment;
+        this.random = new SplittableRandom(seed);
     }
 
-    /**
-     * Loads a trace file.
-     *
-     * @param file the file
-     * @return the trace
-     * @throws IOException if it can't be read or is not a trace
-     */
-    public static DemoTrace load(Path file) throws IOException {
-        try (InputStream in = Files.newInputStream(file)) {
-            return read(file.toString(), in);
-        }
+    /** Returns the calls in the order of their times. */
+    List<TraceCall> calls(Trace trace) {
+        return trace.requests().stream().map(this::call).toList();
     }
 
-    /**
-     * Returns the time of the last call.
-     *
-     * @return milliseconds since the start of the trace
-     */
-    public long lengthMillis() {
-        return calls.isEmpty() ? 0 : calls.get(calls.size() - 1).atMillis();
+    private TraceCall call(TraceRequest request) {
+        PipelineSettings pipeline = deployment.pipeline(request.pipeline()).orElseThrow();
+        boolean streamed = random.nextDouble() < STREAMED_SHARE;
+        double resentShare = pipeline.repeatable() ? RESENT_SHARE : RESENT_SHARE_UNREPEATABLE;
+        boolean resent = random.nextDouble() < resentShare;
+        long resendMillis = random.nextBoolean() ? RESENT_SOON_MILLIS : RESENT_LATE_MILLIS;
+        return new TraceCall(
+                TimeUnit.NANOSECONDS.toMillis(request.atNanos()),
+                request.account(),
+                pipeline.name(),
+                tokens(request, pipeline),
+                streamed && !pipeline.service(),
+                resent ? resendMillis : 0);
     }
 
-    private static DemoTrace read(String name, InputStream in) throws IOException {
-        BufferedReader reader = new BufferedReader(new InputStreamReader(in, StandardCharsets.UTF_8));
-        String first = reader.readLine();
-        JsonNode header = JSON.readTree(first == null ? "{}" : first);
-        if (!header.path("format").asText().equals(FORMAT)
-                || header.path("version").asInt() != VERSION) {
-            throw new IOException(name + ": line 1 is not the header of a " + FORMAT + " of version " + VERSION);
-        }
-        List<TraceCall> calls = new ArrayList<>();
-        for (String line = reader.readLine(); line != null; line = reader.readLine()) {
-            calls.add(JSON.readValue(line, TraceCall.class));
+    /** Returns the tokens that keep the fake engine busy for the work that the trace states. */
+    private int tokens(TraceRequest request, PipelineSettings pipeline) {
+        for (StageSettings stage : pipeline.stages()) {
+            boolean engine = deployment.pool(stage.pool()).orElseThrow().kind() == PoolKind.ENGINE;
+            if (engine) {
+                long left = request.workNanos().get(stage.name()) - DemoDeployment.FIRST_TOKEN.toNanos();
+                return (int) Math.max(FEWEST_TOKENS, left / DemoDeployment.PER_TOKEN.toNanos());
+            }
         }
-        return new DemoTrace(
-                header.path("deployment").asText(), header.path("origin").asText(), List.copyOf(calls));
+        return 0;
     }
 }
