--- a/tools/src/main/java/org/copperspindle/demo/ConfigClient.java
+++ b/tools/src/main/java/org/copperspindle/demo/ConfigClient.java
@@ -1,6 +1,7 @@
 package org.copperspindle.demo;
 
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -34,15 +35,19 @@
         String answer = "";
         for (int i = 0; i < TRIES; i++) {
             InetSocketAddress control = controls.get(i % controls.size());
-            HttpResponse<String> response = http.send(request(control, text, base, change), bodyOfString());
-            if (response.statusCode() == OK) {
-                return DemoCall.JSON.readTree(response.body()).path("version").asLong();
+            try {
+                HttpResponse<String> response = http.send(request(control, text, base, change), bodyOfString());
+                if (response.statusCode() == OK) {
+                    return DemoCall.JSON.readTree(response.body()).path("version").asLong();
+                }
+                answer = response.body();
+                if (response.statusCode() != NOT_TAKEN) {
+                    break;
+                }
+            } catch (ConnectException e) {
+                answer = e.toString();
             }
-            answer = response.body();
-            if (response.statusCode() != NOT_TAKEN) {
-                break;
-            }
-            // No leader yet: the same change id makes a second sending harmless.
+            // Not started, or no leader yet: the same change id makes a second sending harmless.
             pause();
         }
         throw new IOException("the configuration was not accepted: " + answer);
--- /dev/null
+++ b/tools/src/test/java/org/copperspindle/demo/SteadyLoad.java
@@ -0,0 +1,137 @@
+package org.copperspindle.demo;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.copperspindle.config.Deployment;
+import org.copperspindle.config.PipelineSettings;
+
+/**
+ * Callers behind a balancer: a steady load over the entries that are ready by {@code /readyz}. A call is sent again only
+ * if its connection was refused, or if it was refused as not run by an entry that the balancer had not yet left out.
+ */
+final class SteadyLoad implements AutoCloseable {
+
+    private static final long PERIOD_MILLIS = 25;
+    private static final Duration PROBE_TIMEOUT = Duration.ofSeconds(2);
+    private static final List<String> CALLS = List.of("describe", "install", "browse");
+    private static final int TOKENS = 12;
+
+    private final Deployment deployment;
+    private final List<InetSocketAddress> entries;
+    private final boolean resendAfterCut;
+    private final DemoCaller caller = new DemoCaller();
+    private final HttpClient probes = HttpClient.newHttpClient();
+    private final ScheduledExecutorService scheduler = Executors.newScheduledThreadPool(2);
+    private final Queue<DemoAnswer> answers = new ConcurrentLinkedQueue<>();
+    private final AtomicInteger sent = new AtomicInteger();
+    private final AtomicInteger ended = new AtomicInteger();
+    private final AtomicInteger sentAgain = new AtomicInteger();
+    private volatile List<InetSocketAddress> ready = List.of();
+    private volatile boolean stopping;
+
+    SteadyLoad(Deployment deployment, List<InetSocketAddress> entries, boolean resendAfterCut) {
+        this.deployment = deployment;
+        this.entries = entries;
+        this.resendAfterCut = resendAfterCut;
+        scheduler.scheduleWithFixedDelay(this::probe, 0, PERIOD_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    void start() {
+        scheduler.scheduleAtFixedRate(this::sendNext, 0, PERIOD_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    int ready() {
+        return ready.size();
+    }
+
+    int answered() {
+        return answers.size();
+    }
+
+    int sentAgain() {
+        return sentAgain.get();
+    }
+
+    void stop() {
+        stopping = true;
+    }
+
+    boolean idle() {
+        return stopping && sent.get() == ended.get();
+    }
+
+    List<DemoAnswer> answers() {
+        return List.copyOf(answers);
+    }
+
+    @Override
+    public void close() {
+        scheduler.shutdownNow();
+    }
+
+    private void probe() {
+        ready = entries.stream().filter(this::isReady).toList();
+    }
+
+    private boolean isReady(InetSocketAddress entry) {
+        HttpRequest request = HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + entry.getPort() + "/readyz"))
+                .version(HttpClient.Version.HTTP_1_1)
+                .timeout(PROBE_TIMEOUT)
+                .build();
+        try {
+            return probes.send(request, HttpResponse.BodyHandlers.discarding()).statusCode() == 200;
+        } catch (IOException e) {
+            return false;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return false;
+        }
+    }
+
+    private void sendNext() {
+        if (stopping) {
+            return;
+        }
+        int number = sent.getAndIncrement();
+        PipelineSettings pipeline =
+                deployment.pipeline(CALLS.get(number % CALLS.size())).orElseThrow();
+        boolean stream = !pipeline.service() && number % 2 == 0;
+        TraceCall traced = new TraceCall(0, "caller", pipeline.name(), pipeline.service() ? 0 : TOKENS, stream, 0);
+        String token = "n" + number;
+        send(
+                new DemoCall(
+                        traced, pipeline, pipeline.priority(), token, "key-" + token, "demo-rolling-caller", false),
+                number);
+    }
+
+    private void send(DemoCall call, int turn) {
+        List<InetSocketAddress> choices = ready.isEmpty() ? entries : ready;
+        caller.send(call, choices.get(turn % choices.size())).thenAccept(answer -> receive(answer, turn));
+    }
+
+    private void receive(DemoAnswer answer, int turn) {
+        boolean notSent = answer.reason().contains("ConnectException");
+        boolean notServing = answer.reason().equals("not-serving");
+        boolean cut = resendAfterCut && answer.outcome() == DemoAnswer.Outcome.NONE;
+        if (notSent || notServing || cut) {
+            sentAgain.incrementAndGet();
+            scheduler.schedule(() -> send(answer.call().again(), turn + 1), PERIOD_MILLIS, TimeUnit.MILLISECONDS);
+            return;
+        }
+        answers.add(answer);
+        ended.incrementAndGet();
+    }
+}
