--- a/tools/src/main/java/org/copperspindle/demo/ConfigClient.java
+++ b/tools/src/main/java/org/copperspindle/demo/ConfigClient.java
@@ -38,7 +38,10 @@
             try {
                 HttpResponse<String> response = http.send(request(control, text, base, change), bodyOfString());
                 if (response.statusCode() == OK) {
-                    return DemoCall.JSON.readTree(response.body()).path("version").asLong();
+                    return DemoCall.JSON
+                            .readTree(response.body())
+                            .path("version")
+                            .asLong();
                 }
                 answer = response.body();
                 if (response.statusCode() != NOT_TAKEN) {
