--- a/tools/src/main/java/org/copperspindle/cli/Copperspindle.java
+++ b/tools/src/main/java/org/copperspindle/cli/Copperspindle.java
@@ -17,7 +17,13 @@
  */
 public final class Copperspindle {
 
-            List.of(new DemoCommand(), new RunCommand(), new ApplyCommand(), new ReplayCommand(), new EmulateCommand());
+    private static final List<Command> COMMANDS = List.of(
+            new DemoCommand(), //
+            new RunCommand(),
+            new ApplyCommand(),
+            new MeasureCommand(),
+            new ReplayCommand(),
+            new EmulateCommand());
     private static final String COMMAND_KEY = "command";
 
     private Copperspindle() {}
