--- a/tools/src/main/java/org/copperspindle/demo/DemoDeployment.java
+++ b/tools/src/main/java/org/copperspindle/demo/DemoDeployment.java
@@ -30,7 +30,7 @@
     static final Duration PER_TOKEN = Duration.ofMillis(6);
 
     private static final String LOOPBACK = "127.0.0.1";
-    private static final int CONTROLS = 1;
+    private static final int CONTROLS = 3;
     private static final int ENTRIES = 2;
     private static final int SCALE = 3;
     private static final int SMALLEST_POOL = 2;
@@ -164,6 +164,14 @@
         return String.join(", ", ports.stream().map(p -> LOOPBACK + ":" + p).toList());
     }
 
+    private static String voters(List<Integer> ports) {
+        List<String> voters = new ArrayList<>();
+        for (int port : ports) {
+            voters.add("control-" + (voters.size() + 1) + "@" + LOOPBACK + ":" + port);
+        }
+        return String.join(", ", voters);
+    }
+
     private static List<Integer> freePorts(int count) throws IOException {
         List<ServerSocket> held = new ArrayList<>();
         List<Integer> ports = new ArrayList<>();
