--- a/tools/src/main/java/org/copperspindle/demo/DemoDeployment.java
+++ b/tools/src/main/java/org/copperspindle/demo/DemoDeployment.java
@@ -54,7 +54,7 @@
                     i,
                     ports.get(i),
                     members,
-                    "[control]\nlisten = 127.0.0.1:0\nlease = 2s\ndata-folder = "
+                    "[control]\nlisten = 127.0.0.1:0\nlease = 2s\nvoters = " + voters(ports) + "\ndata-folder = "
                             + data.resolve("control-" + (i + 1))));
         }
         for (PoolSettings pool : deployment.pools().values()) {
