--- a/library/src/main/java/org/copperspindle/claims/ClaimTable.java
+++ b/library/src/main/java/org/copperspindle/claims/ClaimTable.java
@@ -2,11 +2,9 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.util.Arrays;
-import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.TreeMap;
 
-import org.copperspindle.verdict.NotRunVerdict;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessageUnpacker;
@@ -15,61 +13,85 @@
  * Claims of unrepeatable stages; part of the replicated state. Safeguard: without it, a resend through another entry
  * would run an install a second time. Enough, because no entry dispatches before its claim is committed, and one key
  * has at most one attempt that is not proven not run.
+ *
+ * <p>Time is the log's: the leader stamps each command by {@link LogClock}, and the table never goes back. No clock of a
+ * caller or entry is asked.
  */
 public final class ClaimTable {
 
-    private final Map<ClaimKey, Claim> claims = new LinkedHashMap<>();
+    private final ClaimLimits limits;
+    private final Map<Integer, ClaimShard> shards = new TreeMap<>();
+    private long timeMillis;
+
+    /** Creates an empty table with the usual limits. */
+    public ClaimTable() {
+        this(ClaimLimits.DEFAULT);
+    }
+
+    /**
+     * Creates an empty table.
+     *
+     * @param limits its bounds
+     */
+    public ClaimTable(ClaimLimits limits) {
+        this.limits = limits;
+    }
 
     /**
      * Decides a claim.
      *
      * @param request the request
+     * @param atMillis time of the log that the leader stamped it with, in milliseconds
      * @return the decision and the attempt that holds the key
      */
-    public Decision claim(ClaimRequestMessage request) {
-        ClaimKey key = new ClaimKey(request.account(), request.key(), request.stage());
-        Claim held = claims.get(key);
-        if (held == null) {
-            claims.put(key, new Claim(request.attemptId(), request.upstreamId(), request.bodyDigest(), false));
-            return new Decision(ClaimResult.GRANTED, request.attemptId(), request.upstreamId());
-        }
-        if (!Arrays.equals(held.bodyDigest(), request.bodyDigest())) {
-            return new Decision(ClaimResult.CONFLICT, "", "");
+    public ClaimDecision claim(ClaimRequestMessage request, long atMillis) {
+        timeMillis = Math.max(timeMillis, atMillis);
+        int shard = ClaimShards.of(request.account(), request.key());
+        if (shard != request.shard()) {
+            // A sender with another number of shards would look for the key in the wrong place and not find it.
+            return ClaimDecision.of(ClaimResult.UNAVAILABLE);
         }
-        if (held.attemptId().equals(request.attemptId())) {
-            return new Decision(ClaimResult.GRANTED, held.attemptId(), held.upstreamId());
-        }
-        if (held.released()) {
-            claims.put(key, new Claim(request.attemptId(), request.upstreamId(), request.bodyDigest(), false));
-            return new Decision(ClaimResult.GRANTED, request.attemptId(), request.upstreamId());
-        }
-        return new Decision(ClaimResult.HELD, held.attemptId(), held.upstreamId());
+        return shards.computeIfAbsent(shard, s -> new ClaimShard(limits)).claim(request, timeMillis);
     }
 
     /**
-     * Records how a claimed attempt ended. Only {@code NOT_RUN} frees the key; a settlement of an attempt that no longer
-     * holds the key changes nothing.
+     * Records how a claimed attempt ended. Only {@code NOT_RUN} frees the key, and only if the attempt holds it and
+     * was not settled otherwise before.
      *
      * @param settle the settlement
      */
     public void settle(ClaimSettleMessage settle) {
-        ClaimKey key = new ClaimKey(settle.account(), settle.key(), settle.stage());
-        Claim held = claims.get(key);
-        if (held == null || !held.attemptId().equals(settle.attemptId())) {
-            return;
-        }
-        if (settle.verdict() instanceof NotRunVerdict) {
-            claims.put(key, new Claim(held.attemptId(), held.upstreamId(), held.bodyDigest(), true));
+        ClaimShard shard = shards.get(ClaimShards.of(settle.account(), settle.key()));
+        if (shard != null) {
+            shard.settle(settle);
         }
     }
 
     /**
-     * Returns the number of claims held.
+     * Returns the time of the log.
+     *
+     * @return milliseconds of leadership since the log began
+     */
+    public long timeMillis() {
+        return timeMillis;
+    }
+
+    /**
+     * Returns the number of claims whose attempt is known.
      *
      * @return a count
      */
     public int size() {
-        return claims.size();
+        return shards.values().stream().mapToInt(ClaimShard::size).sum();
+    }
+
+    /**
+     * Returns the number of keys that are refused.
+     *
+     * @return a count
+     */
+    public int refusedKeys() {
+        return shards.values().stream().mapToInt(ClaimShard::refusedKeys).sum();
     }
 
     /**
@@ -79,14 +101,10 @@
      */
     public byte[] snapshot() {
         try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
-            out.packArrayHeader(claims.size());
-            for (Map.Entry<ClaimKey, Claim> entry : claims.entrySet()) {
-                ClaimKey key = entry.getKey();
-                Claim claim = entry.getValue();
-                out.packString(key.account()).packString(key.key()).packString(key.stage());
-                out.packString(claim.attemptId()).packString(claim.upstreamId());
-                out.packBinaryHeader(claim.bodyDigest().length).writePayload(claim.bodyDigest());
-                out.packBoolean(claim.released());
+            out.packLong(timeMillis).packMapHeader(shards.size());
+            for (Map.Entry<Integer, ClaimShard> entry : shards.entrySet()) {
+                out.packInt(entry.getKey());
+                entry.getValue().write(out);
             }
             return out.toByteArray();
         } catch (IOException e) {
@@ -98,36 +116,23 @@
      * Replaces the whole table.
      *
      * @param snapshot what {@link #snapshot} made; empty for an empty table
+     * @throws UncheckedIOException if the bytes end early
      */
     public void restore(byte[] snapshot) {
-        claims.clear();
+        shards.clear();
+        timeMillis = 0;
         if (snapshot.length == 0) {
             return;
         }
         try (MessageUnpacker in = MessagePack.newDefaultUnpacker(snapshot)) {
-            int count = in.unpackArrayHeader();
+            timeMillis = in.unpackLong();
+            int count = in.unpackMapHeader();
             for (int i = 0; i < count; i++) {
-                ClaimKey key = new ClaimKey(in.unpackString(), in.unpackString(), in.unpackString());
-                String attempt = in.unpackString();
-                String upstream = in.unpackString();
-                byte[] digest = in.readPayload(in.unpackBinaryHeader());
-                claims.put(key, new Claim(attempt, upstream, digest, in.unpackBoolean()));
+                int number = in.unpackInt();
+                shards.put(number, ClaimShard.read(in, limits));
             }
         } catch (IOException e) {
             throw new UncheckedIOException("claim snapshot ends early", e);
         }
     }
-
-    /**
-     * The decision on a claim.
-     *
-     * @param result     what was decided
-     * @param attemptId  attempt that holds the key, empty if none does
-     * @param upstreamId upstream of that attempt
-     */
-    public record Decision(ClaimResult result, String attemptId, String upstreamId) {}
-
-    private record ClaimKey(String account, String key, String stage) {}
-
-    private record Claim(String attemptId, String upstreamId, byte[] bodyDigest, boolean released) {}
 }
--- a/library/src/main/java/org/copperspindle/entry/AgentLinks.java
+++ b/library/src/main/java/org/copperspindle/entry/AgentLinks.java
@@ -1,13 +1,18 @@
 package org.copperspindle.entry;
 
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 
+import io.netty.channel.Channel;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.copperspindle.agent.AgentClock;
+import org.copperspindle.agent.AttemptCancelMessage;
 import org.copperspindle.agent.AttemptOrderMessage;
 import org.copperspindle.agent.LoadReportMessage;
 import org.copperspindle.agent.LoadSubscribeMessage;
@@ -19,79 +24,77 @@
 import org.copperspindle.wire.WireTransport;
 
 /**
- * One entry's connections to agents, opened on first use. Nothing is sent before the agent has told its clock, because
- * each order is stamped with it.
+ * One entry's connections to agents, opened on first use and closed when idle. Nothing is sent before the agent has told
+ * its clock, because each order is stamped with it.
  */
-final class AgentLinks {
+final class AgentLinks implements AgentPort {
+
+    /** Messages that wait for one connection; beyond it they come back as not sent, and go elsewhere. */
+    static final int MAX_WAITING = 1024;
+
+    private static final Logger LOGGER = LogManager.getLogger(AgentLinks.class);
+    private static final long IDLE_NANOS = Duration.ofMinutes(5).toNanos();
+    private static final long SWEEP_NANOS = Duration.ofMinutes(1).toNanos();
 
     private final DecisionRing ring;
     private final TimerService timers;
     private final WireTransport transport;
-    private final AgentLinkListener listener;
+    private final AgentListener listener;
     private final Map<InetSocketAddress, Link> links = new HashMap<>();
 
-    AgentLinks(DecisionRing ring, TimerService timers, WireTransport transport, AgentLinkListener listener) {
+    AgentLinks(DecisionRing ring, TimerService timers, WireTransport transport, AgentListener listener) {
         this.ring = ring;
         this.timers = timers;
         this.transport = transport;
         this.listener = listener;
     }
 
-    /**
-     * Sends a message, connecting first where needed.
-     *
-     * @param address the agent
-     * @param message the message
-     */
-    void send(InetSocketAddress address, WireMessage message) {
-        link(address).send(new Made(message, timers.nanoTime()));
+    /** Starts to close idle connections. */
+    void start() {
+        timers.schedule(SWEEP_NANOS, this::sweep);
+    }
+
+    @Override
+    public void send(InetSocketAddress agent, WireMessage message) {
+        link(agent).send(new Made(message, timers.nanoTime()));
+    }
+
+    @Override
+    public boolean isOpen(InetSocketAddress agent) {
+        Link link = links.get(agent);
+        return link != null && link.clock.isPresent();
     }
 
-    /**
-     * Returns what is known of an agent's clock, connecting if it is not connected, so that it is known next time.
-     *
-     * @param address     the agent
-     * @param incarnation the life that is meant
-     * @return a reading in microseconds, 0 if none of that life is known
-     */
-    long clockMicros(InetSocketAddress address, long incarnation) {
-        return link(address)
+    @Override
+    public long clockMicros(InetSocketAddress agent, long incarnation) {
+        // Connects if need be, so that the clock is known next time.
+        return link(agent)
                 .clock
                 .filter(clock -> clock.incarnation() == incarnation)
                 .map(AgentClock::readingMicros)
                 .orElse(0L);
     }
 
-    private Link link(InetSocketAddress address) {
-        Link link = links.get(address);
+    private Link link(InetSocketAddress agent) {
+        Link link = links.get(agent);
         if (link == null) {
-            link = new Link(address);
-            links.put(address, link);
-            Link opened = link;
-            transport.connect(address, link).whenComplete((channel, failure) -> {
-                if (failure != null) {
-                    ring.offerUntilTaken(opened::failed, transport.scheduler());
-                } else {
-                    // A connection that ends before both sides have greeted is reported by nobody else.
-                    channel.closeFuture()
-                            .addListener(closed -> ring.offerUntilTaken(opened::failed, transport.scheduler()));
-                }
-            });
+            link = new Link(agent);
+            links.put(agent, link);
+            link.connect();
         }
         return link;
     }
 
-    /** Hears what comes from agents, on the decision ring. */
-    interface AgentLinkListener {
-
-        /** A message arrived. */
-        void onMessage(WireMessage message);
-
-        /** A message was not sent: no byte of it left this process. */
-        void onNotSent(WireMessage message);
+    private void sweep() {
+        timers.schedule(SWEEP_NANOS, this::sweep);
+        long limit = timers.nanoTime() - IDLE_NANOS;
+        links.values().stream()
+                .filter(link -> link.peer != null && link.usedAt < limit)
+                .forEach(link -> link.peer.close());
+    }
 
-        /** The connection ended; what was sent may or may not have arrived. */
-        void onLinkLost(InetSocketAddress address);
+    private void notSent(WireMessage message) {
+        timers.schedule(0, () -> listener.onNotSent(message));
     }
 
     private record Made(WireMessage message, long at) {}
@@ -102,32 +105,50 @@
         private final List<Made> waiting = new ArrayList<>();
         private Optional<AgentClock> clock = Optional.empty();
         private Peer peer;
+        private long usedAt = timers.nanoTime();
 
         private Link(InetSocketAddress address) {
             this.address = address;
         }
 
+        private void connect() {
+            transport.connect(address, this).whenComplete((channel, failure) -> {
+                if (failure != null) {
+                    ring.offerUntilTaken(this::failed, transport.scheduler());
+                } else {
+                    failWithoutGreeting(channel);
+                }
+            });
+        }
+
+        private void failWithoutGreeting(Channel channel) {
+            // A peer that accepts and never greets is closed without onOpen and onClose. Without this, all messages to
+            // that agent would wait here for ever, each until its request's deadline.
+            channel.closeFuture().addListener(closed -> ring.offerUntilTaken(this::failed, transport.scheduler()));
+        }
+
         private void send(Made made) {
-            if (peer == null || clock.isEmpty()) {
+            usedAt = timers.nanoTime();
+            WireMessage message = made.message();
+            if (peer != null && clock.isPresent()) {
+                Optional<? extends WireMessage> stamped = message instanceof AttemptOrderMessage order
+                        ? clock.get().stamp(order, made.at())
+                        : Optional.of(message);
+                if (stamped.isEmpty() || !peer.send(stamped.get())) {
+                    notSent(message);
+                }
+            } else if (message instanceof AttemptCancelMessage cancel && withdraw(cancel.attemptId())) {
+                LOGGER.debug("event=order-withdrawn attempt={}", cancel.attemptId());
+            } else if (waiting.size() < MAX_WAITING) {
                 waiting.add(made);
-                return;
-            }
-            Optional<? extends WireMessage> stamped = made.message() instanceof AttemptOrderMessage order
-                    ? clock.get().stamp(order, made.at())
-                    : Optional.of(made.message());
-            if (stamped.isEmpty() || !peer.send(stamped.get())) {
-                listener.onNotSent(made.message());
+            } else {
+                notSent(message);
             }
         }
 
-        private void receive(WireMessage message) {
-            if (message instanceof LoadReportMessage report) {
-                clock = Optional.of(AgentClock.of(report, timers.nanoTime()));
-                List<Made> ready = List.copyOf(waiting);
-                waiting.clear();
-                ready.forEach(this::send);
-            }
-            listener.onMessage(message);
+        private boolean withdraw(String attemptId) {
+            return waiting.removeIf(m -> m.message() instanceof AttemptOrderMessage order
+                    && order.attemptId().equals(attemptId));
         }
 
         private void failed() {
@@ -137,6 +158,18 @@
             unsent.forEach(made -> listener.onNotSent(made.message()));
         }
 
+        private void receive(WireMessage message) {
+            if (message instanceof LoadReportMessage report) {
+                clock = Optional.of(AgentClock.of(report, timers.nanoTime()));
+                List<Made> ready = List.copyOf(waiting);
+                waiting.clear();
+                ready.forEach(this::send);
+            } else {
+                usedAt = timers.nanoTime();
+            }
+            listener.onMessage(address, message);
+        }
+
         @Override
         public boolean onOpen(Peer opened) {
             return ring.offer(() -> {
--- a/library/src/main/java/org/copperspindle/replay/ReplayEntry.java
+++ b/library/src/main/java/org/copperspindle/replay/ReplayEntry.java
@@ -10,7 +10,7 @@
 
 import org.copperspindle.agent.AttemptOrderMessage;
 import org.copperspindle.agent.AttemptOutcomeMessage;
-import org.copperspindle.claims.ClaimReplyMessage;
+import org.copperspindle.claims.ClaimDecision;
 import org.copperspindle.claims.ClaimResult;
 import org.copperspindle.config.AccountSettings;
 import org.copperspindle.config.Deployment;
@@ -135,10 +135,10 @@
             dispatch(open, dispatch.order());
         } else if (action instanceof PipelineAction.Claim claim) {
             // Keys of a trace are all new, so a claim costs its delay and is granted.
-            ClaimReplyMessage granted = new ClaimReplyMessage(
-                    0, ClaimResult.GRANTED.name(), claim.request().attemptId(), "");
+            ClaimDecision granted = ClaimDecision.of(ClaimResult.GRANTED);
             timers.schedule(CLAIM_NANOS, () -> perform(open, open.run.onClaim(granted, timers.nanoTime())));
         } else if (action instanceof PipelineAction.Cancel cancel) {
+            withdraw(cancel.attemptId());
             cancel(cancel.attemptId(), cancel.upstreamId());
         } else if (action instanceof PipelineAction.Answer answer) {
             answer(open, answer.answer());
@@ -175,7 +175,7 @@
         }
         end(attempt, AttemptEnd.TIMED_OUT, -1);
         cancel(attempt.id, attempt.view.announcement().upstreamId());
-        perform(attempt.open, attempt.open.run.onLost("attempt-timeout", timers.nanoTime()));
+        perform(attempt.open, attempt.open.run.onUnreachable(attempt.id, true, timers.nanoTime()));
     }
 
     private void cancel(String attemptId, String upstreamId) {
@@ -196,7 +196,7 @@
     private void onLost(OpenAttempt attempt) {
         if (attempts.get(attempt.id) == attempt) {
             end(attempt, AttemptEnd.LOST, -1);
-            perform(attempt.open, attempt.open.run.onLost("agent-connection-lost", timers.nanoTime()));
+            perform(attempt.open, attempt.open.run.onUnreachable(attempt.id, true, timers.nanoTime()));
         }
     }
 
@@ -217,14 +217,18 @@
                 now);
     }
 
+    private void withdraw(String attemptId) {
+        OpenAttempt attempt = attempts.get(attemptId);
+        if (attempt != null) {
+            end(attempt, AttemptEnd.WITHDRAWN, -1);
+        }
+    }
+
     private void answer(OpenRequest open, PipelineAnswer answer) {
         open.deadline.cancel();
         tally.answered(
                 open.request.requestId(), answer.successful(), answer.verdict().reason(), timers.nanoTime());
-        OpenAttempt attempt = attempts.get(open.run.attemptId());
-        if (attempt != null) {
-            end(attempt, AttemptEnd.WITHDRAWN, -1);
-        }
+        open.run.openAttempts().forEach(this::withdraw);
         policy.release(open.request);
     }
 
--- a/library/src/test/java/org/copperspindle/control/ControlStateTest.java
+++ b/library/src/test/java/org/copperspindle/control/ControlStateTest.java
@@ -10,6 +10,7 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.Provide;
 import org.copperspindle.claims.ClaimRequestMessage;
+import org.copperspindle.claims.ClaimShards;
 import org.copperspindle.membership.UpstreamAnnouncement;
 import org.copperspindle.wire.WireMessage;
 import org.junit.jupiter.api.Test;
@@ -177,8 +178,11 @@
     }
 
     private static ClaimCommand claim(int number) {
-        ClaimRequestMessage request = new ClaimRequestMessage(
-                number, "account", "k" + number % 4, "call", "t" + number, "u1", new byte[] {(byte) (number % 2)});
-        return new ClaimCommand(ClaimRequestMessage.CODEC.encode(request));
+        String key = "k" + number % 4;
+        byte[] digest = {(byte) (number % 2)};
+        int shard = ClaimShards.of("account", key);
+        ClaimRequestMessage request =
+                new ClaimRequestMessage(number, "account", key, "call", "t" + number, "u1", digest, 1, 0, shard);
+        return new ClaimCommand(ClaimRequestMessage.CODEC.encode(request), number);
     }
 }
--- a/tools/src/main/java/org/copperspindle/cli/Copperspindle.java
+++ b/tools/src/main/java/org/copperspindle/cli/Copperspindle.java
@@ -21,6 +21,7 @@
             new DemoCommand(), //
             new RunCommand(),
             new ApplyCommand(),
+            new StatusCommand(),
             new MeasureCommand(),
             new ReplayCommand(),
             new EmulateCommand());
