--- a/tools/src/main/java/org/copperspindle/demo/ConfigClient.java
+++ b/tools/src/main/java/org/copperspindle/demo/ConfigClient.java
@@ -19,7 +19,8 @@
 
     private static final Duration TIMEOUT = Duration.ofSeconds(10);
     private static final int OK = 200;
-    private static final int NOT_TAKEN = 503;
+    private static final int NOT_THE_LEADER = 307;
+    private static final int UNAVAILABLE = 503;
     private static final int TRIES = 50;
     private static final long PAUSE_MILLIS = 100;
 
@@ -44,7 +45,7 @@
                             .asLong();
                 }
                 answer = response.body();
-                if (response.statusCode() != NOT_TAKEN) {
+                if (response.statusCode() != NOT_THE_LEADER && response.statusCode() != UNAVAILABLE) {
                     break;
                 }
             } catch (ConnectException e) {
