Wait for each entry in the rolling restart test, and judge a stream put together

Cause: the test stopped the second agent of a pool when one entry had seen the first come back; the other entry then had none (1 of 1032 calls refused as NOT_RUN, no-upstream). The check for foreign answers searched the pieces of a stream one by one, and a piece may end inside a token: one stream that went on after its agent's death was called foreign. The text put together is searched now, and a wrong answer is shown in the report. Change: executions carry the fake's port, tokens the entry of the first sending.

--- a/emulator/src/main/java/org/copperspindle/emulator/ExecutionLedger.java
+++ b/emulator/src/main/java/org/copperspindle/emulator/ExecutionLedger.java
@@ -23,7 +23,7 @@
      * @param key what was run, normally the caller's own token in the body
      */
     public void ran(String key) {
-        ran(new Execution(FakeKind.SERVICE, key, "", ""));
+        ran(new Execution(FakeKind.SERVICE, 0, key, "", ""));
     }
 
     /**
--- a/emulator/src/main/java/org/copperspindle/emulator/FakeUpstream.java
+++ b/emulator/src/main/java/org/copperspindle/emulator/FakeUpstream.java
@@ -228,6 +228,7 @@
             JsonNode json = FakeAnswers.JSON.readTree(body);
             Execution execution = new Execution(
                     settings.kind(),
+                    address().getPort(),
                     FakeAnswers.token(settings.kind(), json),
                     request.headers().get("X-Request-Id", ""),
                     request.headers().get("Idempotency-Key", ""));
--- a/tools/src/main/java/org/copperspindle/demo/DemoAnswer.java
+++ b/tools/src/main/java/org/copperspindle/demo/DemoAnswer.java
@@ -83,7 +83,7 @@
                 JsonNode json = DemoCall.JSON.readTree(data);
                 if (event.equals("end")) {
                     String id = json.path("request_id").asText(requestId);
-                    return judged(call, text.toString(), body, id, latency);
+                    return judged(call, text.toString(), data, id, latency);
                 }
                 text.append(json.path("text").asText());
             }
@@ -100,12 +100,15 @@
         return new DemoAnswer(call, outcome, verdict, json.path("reason").asText(), id, latency);
     }
 
-    private static DemoAnswer judged(DemoCall call, String text, String body, String requestId, Duration latency) {
-        return new DemoAnswer(call, judge(call, text, body), RAN, "", requestId, latency);
+    private static DemoAnswer judged(DemoCall call, String text, String end, String requestId, Duration latency) {
+        Outcome outcome = judge(call, text, end);
+        String reason = outcome == Outcome.WHOLE ? "" : "answer was: " + text + " / " + end;
+        return new DemoAnswer(call, outcome, RAN, reason, requestId, latency);
     }
 
-    private static Outcome judge(DemoCall call, String text, String body) {
-        Matcher matcher = TOKEN.matcher(body);
+    /** Searches the text put together, since a piece of a stream may end inside a token, and the end of the answer. */
+    private static Outcome judge(DemoCall call, String text, String end) {
+        Matcher matcher = TOKEN.matcher(text + "\n" + end);
         while (matcher.find()) {
             if (!matcher.group(1).equals(call.token())) {
                 return Outcome.FOREIGN;
--- a/tools/src/test/java/org/copperspindle/demo/PromiseCheckTest.java
+++ b/tools/src/test/java/org/copperspindle/demo/PromiseCheckTest.java
@@ -44,7 +44,7 @@
     @Test
     void rightAnswersBreakNothing() {
         DemoCall call = call("install", "t1", false);
-        ledger.ran(new Execution(FakeKind.SERVICE, "t1", "r1", "a1"));
+        ledger.ran(new Execution(FakeKind.SERVICE, 1, "t1", "r1", "a1"));
 
         assertThat(broken(answer(call, 200, "{\"done\":true,\"request\":" + call.body() + "}")))
                 .isEqualTo(NONE);
@@ -62,7 +62,7 @@
                 "500 | {}                                                          | lost: no answer at all"
             })
     void wrongAnswerIsFound(int status, String body, String promise) {
-        ledger.ran(new Execution(FakeKind.SERVICE, "t1", "r1", "a1"));
+        ledger.ran(new Execution(FakeKind.SERVICE, 1, "t1", "r1", "a1"));
 
         assertThat(broken(answer(call("install", "t1", false), status, body))).isEqualTo(promise);
     }
@@ -77,8 +77,8 @@
 
     @Test
     void secondRunIsFoundWhateverTheAnswerSays() {
-        ledger.ran(new Execution(FakeKind.SERVICE, "t1", "r1", "a1"));
-        ledger.ran(new Execution(FakeKind.SERVICE, "t1", "r2", "a2"));
+        ledger.ran(new Execution(FakeKind.SERVICE, 1, "t1", "r1", "a1"));
+        ledger.ran(new Execution(FakeKind.SERVICE, 1, "t1", "r2", "a2"));
 
         assertThat(broken(answer(call("install", "t1", false), 504, "{\"verdict\":\"MAY_HAVE_RUN\"}")))
                 .isEqualTo("unrepeatable call run twice");
@@ -96,7 +96,7 @@
     void streamIsWholeOnlyWithItsEnd(boolean end, String promise) {
         DemoCall call = call("tag", "t1", true);
         for (FakeKind kind : List.of(FakeKind.ENCODER, FakeKind.RETRIEVER, FakeKind.ENGINE)) {
-            ledger.ran(new Execution(kind, "t1", "r1", "a1"));
+            ledger.ran(new Execution(kind, 1, "t1", "r1", "a1"));
         }
         String body = "data: {\"text\":\"" + call.expected() + "\"}\n\n";
 
--- a/tools/src/test/java/org/copperspindle/demo/RollingRestartTest.java
+++ b/tools/src/test/java/org/copperspindle/demo/RollingRestartTest.java
@@ -206,11 +206,18 @@
                 .allSatisfy(r -> assertThat(r.broken()).as(r.toString()).isZero());
     }
 
-    /** Waits until the upstream beside an agent is given work again, so that the next stop doesn't empty a pool. */
+    /** Waits until every entry gives the upstream beside an agent work again, so that the next stop empties no pool. */
     private void awaitWork(DaemonProcess agent) throws InterruptedException {
-        FakeUpstream fake = agents.get(agent);
-        long before = fake.usage().calls();
-        await(() -> fake.usage().calls() > before, agent + " gets work");
+        int port = agents.get(agent).address().getPort();
+        int before = ledger.executions().size();
+        for (int i = 0; i < entries.size(); i++) {
+            String entry = SteadyLoad.TOKEN_OF_ENTRY + i;
+            await(
+                    () -> ledger.executions().stream()
+                            .skip(before)
+                            .anyMatch(e -> e.port() == port && e.token().endsWith(entry)),
+                    agent + " gets work from entry " + i);
+        }
     }
 
     private void await(BooleanSupplier condition, String what) throws InterruptedException {
--- a/tools/src/test/java/org/copperspindle/demo/SteadyLoad.java
+++ b/tools/src/test/java/org/copperspindle/demo/SteadyLoad.java
@@ -28,6 +28,9 @@
  */
 final class SteadyLoad implements AutoCloseable {
 
+    /** Between a token's number and that of the entry that the call was first sent to. */
+    static final String TOKEN_OF_ENTRY = "-e";
+
     private static final long PERIOD_MILLIS = 25;
     private static final Duration PROBE_TIMEOUT = Duration.ofSeconds(2);
     private static final List<String> CALLS = List.of("describe", "install", "browse");
@@ -124,16 +127,21 @@
                 deployment.pipeline(CALLS.get(number % CALLS.size())).orElseThrow();
         boolean stream = !pipeline.service() && number % 2 == 0;
         TraceCall traced = new TraceCall(0, "caller", pipeline.name(), pipeline.service() ? 0 : TOKENS, stream, 0);
-        String token = "n" + number;
-        send(
-                new DemoCall(
-                        traced, pipeline, pipeline.priority(), token, "key-" + token, "demo-rolling-caller", false),
-                number);
+        List<InetSocketAddress> choices = ready.isEmpty() ? entries : ready;
+        InetSocketAddress entry = choices.get(number % choices.size());
+        String token = "n" + number + TOKEN_OF_ENTRY + entries.indexOf(entry);
+        DemoCall call = new DemoCall(
+                traced, pipeline, pipeline.priority(), token, "key-" + token, "demo-rolling-caller", false);
+        send(call, entry, number);
+    }
+
+    private void send(DemoCall call, InetSocketAddress entry, int turn) {
+        caller.send(call, entry).thenAccept(answer -> receive(answer, turn));
     }
 
-    private void send(DemoCall call, int turn) {
+    private void sendAgain(DemoCall call, int turn) {
         List<InetSocketAddress> choices = ready.isEmpty() ? entries : ready;
-        caller.send(call, choices.get(turn % choices.size())).thenAccept(answer -> receive(answer, turn));
+        send(call.again(), choices.get(turn % choices.size()), turn);
     }
 
     private void receive(DemoAnswer answer, int turn) {
@@ -142,7 +150,7 @@
         boolean cut = resendAfterCut && answer.outcome() == DemoAnswer.Outcome.NONE;
         if (notSent || refused || cut) {
             sentAgain.incrementAndGet();
-            scheduler.schedule(() -> send(answer.call().again(), turn + 1), PERIOD_MILLIS, TimeUnit.MILLISECONDS);
+            scheduler.schedule(() -> sendAgain(answer.call(), turn + 1), PERIOD_MILLIS, TimeUnit.MILLISECONDS);
             return;
         }
         answers.add(answer);
