--- a/tools/src/main/java/org/copperspindle/cli/Copperspindle.java
+++ b/tools/src/main/java/org/copperspindle/cli/Copperspindle.java
@@ -22,6 +22,7 @@
             new RunCommand(),
             new ApplyCommand(),
             new StatusCommand(),
+            new AuditCommand(),
             new MeasureCommand(),
             new ReplayCommand(),
             new EmulateCommand());
