Let the fake engine go on where a prompt ends

Cause: RollingRestartTest failed twice of five runs of the death test: one stream each time came to its caller with parts repeated. The entry had resumed it elsewhere with a prompt that ends with what the caller has; the fake engine began from the start. A third run failed because all prompts shared a prefix and routing kept one engine idle. Change: the fake goes on behind the beginning of its answer in the prompt, as a model does; prompts of the demo and the test begin with their token.

--- a/emulator/src/main/java/org/copperspindle/emulator/FakeAnswers.java
+++ b/emulator/src/main/java/org/copperspindle/emulator/FakeAnswers.java
@@ -17,6 +17,8 @@
 
     private static final Pattern TOKEN = Pattern.compile("token=([A-Za-z0-9-]+)");
 
+    private static final String ECHO = "echo: ";
+
     private FakeAnswers() {}
 
     /**
@@ -27,7 +29,7 @@
      * @return the whole text
      */
     public static String completion(String lastLine, int tokens) {
-        StringBuilder text = new StringBuilder("echo: ").append(lastLine);
+        StringBuilder text = new StringBuilder(ECHO).append(lastLine);
         for (int i = words(text.toString()).length; i < tokens; i++) {
             text.append(" w").append(i);
         }
@@ -47,13 +49,35 @@
             case SERVICE -> request.path("token").asText();
             case ENCODER -> request.path("input").asText();
             case RETRIEVER, RERANKER -> request.path("query").asText();
-            case ENGINE -> lastLine(request);
+            case ENGINE -> input(lastLine(request));
         };
         Matcher matcher = TOKEN.matcher(text);
         return matcher.find() ? matcher.group(1) : text;
     }
 
-    static String lastLine(JsonNode request) {
+    /**
+     * Returns what an engine generates for a request. Like a model, it goes on where the prompt ends: a prompt that ends
+     * with the beginning of its own answer gets the rest, which is how a cut stream is resumed elsewhere.
+     *
+     * @param request   JSON body
+     * @param maxTokens longest answer of the engine
+     * @return the text that is new
+     */
+    static String generated(JsonNode request, int maxTokens) {
+        String line = lastLine(request);
+        String input = input(line);
+        String begun = line.substring(input.length());
+        int tokens = Math.min(maxTokens, request.path("max_tokens").asInt(0));
+        String whole = completion(input, begun.isEmpty() ? tokens : tokens + words(begun).length);
+        return whole.startsWith(begun) ? whole.substring(begun.length()) : whole;
+    }
+
+    private static String input(String line) {
+        int answer = line.indexOf(ECHO);
+        return answer < 0 ? line : line.substring(0, answer);
+    }
+
+    private static String lastLine(JsonNode request) {
         String prompt = request.path("prompt").asText();
         return prompt.substring(prompt.lastIndexOf('\n') + 1);
     }
--- a/emulator/src/main/java/org/copperspindle/emulator/FakeUpstream.java
+++ b/emulator/src/main/java/org/copperspindle/emulator/FakeUpstream.java
@@ -232,8 +232,7 @@
                     FakeAnswers.token(settings.kind(), json),
                     request.headers().get("X-Request-Id", ""),
                     request.headers().get("Idempotency-Key", ""));
-            int tokens = Math.min(settings.maxTokens(), json.path("max_tokens").asInt(0));
-            String completion = FakeAnswers.completion(FakeAnswers.lastLine(json), tokens);
+            String completion = FakeAnswers.generated(json, settings.maxTokens());
             arrive(new FakeCall(ctx, json, execution, completion));
         }
 
--- a/emulator/src/test/java/org/copperspindle/emulator/FakeUpstreamTest.java
+++ b/emulator/src/test/java/org/copperspindle/emulator/FakeUpstreamTest.java
@@ -57,6 +57,21 @@
         assertThat(ledger.byRequest()).containsEntry("r1", 1);
     }
 
+    /**
+     * A stream that was cut after two words is resumed with the prompt and those words: the engine gives the rest, and the
+     * ledger counts it under the caller's token.
+     */
+    @Test
+    void engineGoesOnWhereThePromptEnds() throws Exception {
+        String body = "{\"prompt\":\"doc\\nhello token=t1echo: hello \",\"max_tokens\":4}";
+
+        String answer =
+                http.send(request(body), HttpResponse.BodyHandlers.ofString()).body();
+
+        assertThat(answer).contains("\"text\":\"token=t1 w3 w4 w5\"");
+        assertThat(ledger.count(FakeKind.ENGINE, "t1")).isEqualTo(1);
+    }
+
     @ParameterizedTest
     @EnumSource(
             value = ResponseFault.class,
@@ -113,10 +128,14 @@
     }
 
     private HttpRequest request(boolean stream) {
+        return request(String.format(PROMPT, stream));
+    }
+
+    private HttpRequest request(String body) {
         return HttpRequest.newBuilder(uri("/v1/completions"))
                 .version(HttpClient.Version.HTTP_1_1)
                 .header("X-Request-Id", "r1")
-                .POST(HttpRequest.BodyPublishers.ofString(String.format(PROMPT, stream)))
+                .POST(HttpRequest.BodyPublishers.ofString(body))
                 .build();
     }
 
--- a/tools/src/main/java/org/copperspindle/demo/DemoCall.java
+++ b/tools/src/main/java/org/copperspindle/demo/DemoCall.java
@@ -50,6 +50,7 @@
     }
 
     private String input() {
-        return pipeline.name() + " for " + trace.account() + " token=" + token;
+        // The token comes first: like the prompts of different texts, no two share a prefix, so routing spreads them.
+        return "token=" + token + " " + pipeline.name() + " for " + trace.account();
     }
 }
