--- a/library/src/main/java/org/copperspindle/entry/OpenAttempts.java
+++ b/library/src/main/java/org/copperspindle/entry/OpenAttempts.java
@@ -21,12 +21,14 @@
 
     private final TimerService timers;
     private final EntryPolicy policy;
+    private final WaitingRequests line;
     private final Map<String, List<OpenAttempt>> attempts = new HashMap<>();
     private final Map<String, Boolean> ended = new LinkedHashMap<>();
 
-    OpenAttempts(TimerService timers, EntryPolicy policy) {
+    OpenAttempts(TimerService timers, EntryPolicy policy, WaitingRequests line) {
         this.timers = timers;
         this.policy = policy;
+        this.line = line;
     }
 
     OpenAttempt add(OpenAttempt attempt) {
@@ -66,6 +68,7 @@
             long now = timers.nanoTime();
             long took = now - attempt.since();
             policy.ended(new AttemptReport(attempt.open().request(), attempt.stage(), view, end, took, inFlight), now);
+            line.freed(attempt.stage().pool());
         });
     }
 
--- a/library/src/main/java/org/copperspindle/entry/RequestDriver.java
+++ b/library/src/main/java/org/copperspindle/entry/RequestDriver.java
@@ -47,6 +47,7 @@
     private static final long ASK_AGAIN_NANOS = Duration.ofMillis(250).toNanos();
 
     private static final long LINGER_NANOS = Duration.ofSeconds(30).toNanos();
+    private static final Duration COME_BACK = Duration.ofSeconds(1);
     private static final int SERVER_ERROR = 500;
 
     private final TimerService timers;
@@ -54,6 +55,7 @@
     private final ClaimClient claims;
     private final FleetView fleet;
     private final EntryPolicy policy;
+    private final WaitingRequests line;
     private final EntryCounters counters = new EntryCounters();
     private final Map<String, OpenRequest> requests = new HashMap<>();
     private final OpenAttempts attempts;
@@ -64,7 +66,8 @@
         this.claims = claims;
         this.fleet = fleet;
         this.policy = policy;
-        this.attempts = new OpenAttempts(timers, policy);
+        this.line = new WaitingRequests(timers, policy, this::resume);
+        this.attempts = new OpenAttempts(timers, policy, line);
     }
 
     /**
@@ -212,6 +215,8 @@
             piece(open, piece.text());
         } else if (action instanceof PipelineAction.Dropped dropped) {
             drop(dropped);
+        } else if (action instanceof PipelineAction.Wait wait) {
+            waitFor(open, wait.pool());
         } else if (action instanceof PipelineAction.Answer answer) {
             answer(open, answer.answer());
         }
@@ -241,6 +246,20 @@
         agents.send(agent, order);
     }
 
+    private void waitFor(OpenRequest open, String pool) {
+        long patience = open.chooser().enqueue(open.request(), timers.nanoTime());
+        open.waiting(timers.schedule(patience, () -> perform(open, open.run().onHopeless(COME_BACK))));
+        line.waits(pool);
+    }
+
+    private void resume(PipelineRequest request) {
+        OpenRequest open = requests.get(request.requestId());
+        if (open != null) {
+            open.waiting(() -> {});
+            perform(open, open.run().onCapacity(timers.nanoTime()));
+        }
+    }
+
     private void hedge(OpenAttempt attempt) {
         if (attempts.isOpen(attempt)) {
             perform(attempt.open(), attempt.open().run().onHedgeDue(timers.nanoTime()));
@@ -249,9 +268,16 @@
 
     private void timedOut(OpenAttempt attempt) {
         PipelineRun run = attempt.open().run();
-        if (attempts.isOpen(attempt)
-                && run.stage().repeatable()
-                && policy.mayAbandon(attempt.open().request(), run.stage())) {
+        if (!attempts.isOpen(attempt) || attempt.dispatchedTo().isEmpty()) {
+            return;
+        }
+        long now = timers.nanoTime();
+        long age = now - attempt.since();
+        boolean abandon = policy.mayAbandon(
+                attempt.open().request(), run.stage(), attempt.dispatchedTo().get(), age, now);
+        if (!abandon || !run.stage().repeatable() || !run.hasAttemptsLeft()) {
+            attempt.timeout(timers.schedule(age / 2, () -> timedOut(attempt)));
+        } else {
             attempts.close(attempt, AttemptEnd.TIMED_OUT, -1);
             perform(attempt.open(), run.onGivenUp(attempt.id(), "attempt-timeout", timers.nanoTime()));
         }
--- a/library/src/main/java/org/copperspindle/pipeline/AnswerFactory.java
+++ b/library/src/main/java/org/copperspindle/pipeline/AnswerFactory.java
@@ -61,6 +61,14 @@
         return retryable(verdict("no-upstream"), UNAVAILABLE, "no upstream of pool " + pool + " can take the request");
     }
 
+    PipelineAnswer hopeless(Duration comeBack) {
+        return PipelineAnswer.failure(
+                verdict("deadline-unreachable"),
+                UNAVAILABLE,
+                "can't be answered within the deadline",
+                Optional.of(comeBack));
+    }
+
     PipelineAnswer refused(String reason) {
         return retryable(verdict(reason), UNAVAILABLE, "upstreams refused the work");
     }
--- a/library/src/main/java/org/copperspindle/pipeline/PipelineRun.java
+++ b/library/src/main/java/org/copperspindle/pipeline/PipelineRun.java
@@ -13,9 +13,7 @@
 import org.copperspindle.claims.ClaimDecision;
 import org.copperspindle.config.StageSettings;
 import org.copperspindle.membership.UpstreamAnnouncement;
-import org.copperspindle.verdict.NotRunVerdict;
 import org.copperspindle.verdict.RanVerdict;
-import org.copperspindle.verdict.Verdict;
 
 /**
  * One request on its way through its stages: a pure state machine. Each event returns the actions that it causes; the
@@ -43,6 +41,7 @@
     private int stageIndex;
     private int attempts;
     private boolean answered;
+    private boolean waiting;
 
     /**
      * Creates a run.
@@ -107,7 +106,7 @@
             return List.of(new PipelineAction.Dropped("chunk"));
         }
         try {
-            return pass(attempt.get().take(chunk));
+            return OrderFactory.pass(context, attempt.get().take(chunk));
         } catch (IOException e) {
             return abandon("malformed-stream");
         }
@@ -127,7 +126,7 @@
         }
         StageAttempt attempt = found.get();
         open.remove(attempt);
-        List<PipelineAction> actions = new ArrayList<>(conclude(attempt, outcome.verdict()));
+        List<PipelineAction> actions = new ArrayList<>(orders.conclude(attempt, stage(), outcome.verdict()));
         if (!answered) {
             actions.addAll(goOn(attempt, outcome, now));
         }
@@ -151,7 +150,7 @@
         if (stage().repeatable() && !first) {
             return giveUp(attempt.get(), "agent-connection-lost", now);
         }
-        return List.of(query(attempt.get(), first ? Duration.ZERO : QUERY_PAUSE));
+        return List.of(orders.query(attempt.get(), stage(), first ? Duration.ZERO : QUERY_PAUSE));
     }
 
     /**
@@ -170,7 +169,7 @@
         if (stage().repeatable() || gone) {
             return giveUp(attempt.get(), gone ? "agent-gone" : "agent-unreachable", now);
         }
-        return List.of(query(attempt.get(), QUERY_PAUSE));
+        return List.of(orders.query(attempt.get(), stage(), QUERY_PAUSE));
     }
 
     /**
@@ -200,10 +199,8 @@
      * @return what to do
      */
     public List<PipelineAction> onHedgeDue(long now) {
-        if (answered || open.size() != 1 || attempts >= MAX_ATTEMPTS) {
-            return List.of();
-        }
-        if (!stage().repeatable() || open.get(0).streaming()) {
+        boolean single = !answered && open.size() == 1 && hasAttemptsLeft();
+        if (!single || !stage().repeatable() || open.get(0).streaming()) {
             return List.of();
         }
         Optional<UpstreamAnnouncement> other =
@@ -214,6 +211,30 @@
         return dispatch(newAttempt(other.get()), now);
     }
 
+    /**
+     * An upstream may be used for the attempt that waits.
+     *
+     * @param now nanoseconds of the timer service
+     * @return what to do
+     */
+    public List<PipelineAction> onCapacity(long now) {
+        if (answered || !waiting) {
+            return List.of();
+        }
+        waiting = false;
+        return startAttempt(now);
+    }
+
+    /**
+     * The request can't be done in time any more. It is answered at once, so that the caller may decide what to do.
+     *
+     * @param retryAfter when the caller may come back
+     * @return what to do
+     */
+    public List<PipelineAction> onHopeless(Duration retryAfter) {
+        return answered ? List.of() : answer(answers.hopeless(retryAfter));
+    }
+
     /**
      * The deadline passed.
      *
@@ -272,6 +293,15 @@
         return open.stream().map(StageAttempt::id).toList();
     }
 
+    /**
+     * Says whether the stage in progress may have a further attempt.
+     *
+     * @return false after its last one
+     */
+    public boolean hasAttemptsLeft() {
+        return attempts < MAX_ATTEMPTS;
+    }
+
     /**
      * Returns the stage in progress.
      *
@@ -289,7 +319,15 @@
         if (request.deadlineNanos() - now <= 0) {
             return answer(answers.deadline());
         }
+        Optional<Duration> hopeless = chooser.hopeless(request, stageIndex, now);
+        if (hopeless.isPresent()) {
+            return onHopeless(hopeless.get());
+        }
         Optional<UpstreamAnnouncement> choice = chooser.choose(stage(), context, tried);
+        if (choice.isEmpty() && chooser.mayWait(request, stage())) {
+            waiting = true;
+            return List.of(new PipelineAction.Wait(stage().pool()));
+        }
         if (choice.isEmpty()) {
             return answer(answers.noUpstream(stage().pool()));
         }
@@ -305,7 +343,7 @@
         tried.add(upstream.upstreamId());
         attempts++;
         String id = request.requestId() + "/" + stage().name() + "/" + attempts;
-        return StageAttempt.own(id, upstream, chooser.agentClock(upstream), streaming());
+        return StageAttempt.own(id, upstream, chooser.agentClock(upstream), orders.streaming(stageIndex));
     }
 
     private List<PipelineAction> dispatch(StageAttempt attempt, long now) {
@@ -314,41 +352,10 @@
         return List.of(new PipelineAction.Dispatch(orders.order(attempt, stage(), context, now)));
     }
 
-    private boolean streaming() {
-        boolean last = stageIndex == request.pipeline().stages().size() - 1;
-        return request.streaming()
-                && last
-                && StageHandlerFactory.of(chooser.kind(stage().pool())).canStream();
-    }
-
     private List<PipelineAction> follow(ClaimDecision held) {
         StageAttempt attempt = StageAttempt.follow(held);
         open.add(attempt);
-        return List.of(query(attempt, Duration.ZERO));
-    }
-
-    private PipelineAction query(StageAttempt attempt, Duration delay) {
-        return new PipelineAction.Query(
-                attempt.id(),
-                attempt.upstreamId(),
-                attempt.incarnation(),
-                attempt.clockMicros(),
-                stage().repeatable(),
-                delay);
-    }
-
-    /** Tells claims and agent how an attempt ended. */
-    private List<PipelineAction> conclude(StageAttempt attempt, Verdict verdict) {
-        boolean refused = verdict instanceof NotRunVerdict;
-        PipelineAction.Acknowledge acknowledge = new PipelineAction.Acknowledge(attempt.id(), attempt.upstreamId());
-        if (stage().repeatable()) {
-            return refused ? List.of() : List.of(acknowledge);
-        }
-        // Acknowledged only once the settlement is committed. Otherwise the agent may forget the outcome while the
-        // claim
-        // still reads as open, and a resend would learn no more than MAY_HAVE_RUN.
-        return List.of(new PipelineAction.Settle(
-                orders.settle(attempt, stage(), verdict), refused ? Optional.empty() : Optional.of(acknowledge)));
+        return List.of(orders.query(attempt, stage(), Duration.ZERO));
     }
 
     private List<PipelineAction> goOn(StageAttempt attempt, AttemptOutcomeMessage outcome, long now) {
@@ -358,7 +365,7 @@
         StageHandler handler = StageHandlerFactory.of(chooser.kind(stage().pool()));
         List<String> pieces = new ArrayList<>();
         StageResult result = OutcomeReader.read(attempt, outcome, context, handler, pieces);
-        List<PipelineAction> actions = new ArrayList<>(pass(pieces));
+        List<PipelineAction> actions = new ArrayList<>(OrderFactory.pass(context, pieces));
         if (result instanceof StageResult.Whole) {
             answers.markRan();
             actions.addAll(nextStage(now));
@@ -419,11 +426,6 @@
         return actions;
     }
 
-    private List<PipelineAction> pass(List<String> texts) {
-        texts.forEach(context::passOn);
-        return texts.stream().<PipelineAction>map(PipelineAction.Piece::new).toList();
-    }
-
     private List<PipelineAction> upstreamError(int status, long now) {
         boolean clientError = status >= CLIENT_ERROR && status < SERVER_ERROR;
         if (!open.isEmpty()) {
--- a/library/src/main/java/org/copperspindle/pipeline/UpstreamChooser.java
+++ b/library/src/main/java/org/copperspindle/pipeline/UpstreamChooser.java
@@ -1,5 +1,6 @@
 package org.copperspindle.pipeline;
 
+import java.time.Duration;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -60,6 +61,40 @@
         return false;
     }
 
+    /**
+     * Says whether an attempt may wait for an upstream when none may be used now.
+     *
+     * @param request the request
+     * @param stage   the stage
+     * @return false if the request is refused instead
+     */
+    default boolean mayWait(PipelineRequest request, StageSettings stage) {
+        return false;
+    }
+
+    /**
+     * Puts the attempt in line for which the last choice was empty.
+     *
+     * @param request the request
+     * @param now     nanoseconds of the timer service
+     * @return nanoseconds from now after which waiting on can't help any more
+     */
+    default long enqueue(PipelineRequest request, long now) {
+        throw new IllegalStateException("nothing may wait here");
+    }
+
+    /**
+     * Judges whether the stages from one on can still be done in time.
+     *
+     * @param request    the request
+     * @param stageIndex next stage, from 0
+     * @param now        nanoseconds of the timer service
+     * @return when the caller may come back, if they can't; empty if they can
+     */
+    default Optional<Duration> hopeless(PipelineRequest request, int stageIndex, long now) {
+        return Optional.empty();
+    }
+
     /**
      * Returns what is known of an agent's clock.
      *
