--- a/tools/src/main/java/org/copperspindle/capacity/StandInDeployment.java
+++ b/tools/src/main/java/org/copperspindle/capacity/StandInDeployment.java
@@ -70,6 +70,11 @@
         return entry.callerAddress().orElseThrow().getPort();
     }
 
+    /** Addresses of the fakes, in the order of the stages. */
+    List<InetSocketAddress> fakeAddresses() {
+        return fakes.stream().map(FakeUpstream::address).toList();
+    }
+
     @Override
     public void close() {
         processes.forEach(CopperspindleProcess::kill);
