--- a/tools/src/main/java/org/copperspindle/cli/Copperspindle.java
+++ b/tools/src/main/java/org/copperspindle/cli/Copperspindle.java
@@ -18,14 +18,14 @@
 public final class Copperspindle {
 
     private static final List<Command> COMMANDS = List.of(
-            new DemoCommand(),
+            new DemoCommand(), //
             new RunCommand(),
             new ApplyCommand(),
+            new StatusCommand(),
             new AuditCommand(),
-            new EmulateCommand(),
             new MeasureCommand(),
             new ReplayCommand(),
-            new StatusCommand());
+            new EmulateCommand());
     private static final String COMMAND_KEY = "command";
 
     private Copperspindle() {}
