End a killed process's decisions before its network threads

Cause: kill() closed the roles first; a decision that still ran used a closed event loop, and the demo printed a stack trace at its kill. Change: timers and ring end first.

--- a/library/src/main/java/org/copperspindle/daemon/CopperspindleProcess.java
+++ b/library/src/main/java/org/copperspindle/daemon/CopperspindleProcess.java
@@ -167,11 +167,12 @@
 
     /** Ends at once, as a crash would; for tests and the demo. */
     public void kill() {
+        // Decisions end before what they use is closed: one that still ran would fail on closed network threads.
+        timers.close();
+        ring.close();
         roles.forEach(ProcessRole::close);
         probes.ifPresent(HttpListener::close);
-        timers.close();
         transport.close();
-        ring.close();
         metrics.close();
     }
 
