Close every socket of a transport before its network threads end

Cause: Netty's event loop, told to end while it runs a task, leaves its run loop without the pass that closes its channels. WireTransport relied on that pass, so close() could return with the listening and accepted sockets still open in the JVM: the port stayed taken and a peer waited on a connection that nobody read.

Change: the transport keeps its listening, accepted and connected channels in Netty's channel group, closes them first and waits up to 1 s for it. The group also closes what is accepted or connected while closing. The close is a task of the loop, which runs it before it ends even if the wait is over by then. A transport that shares threads now closes its own connections too.

Measured: the new test holds the only loop busy until it is told to end.

Conclusion: a closed transport leaves no socket behind, also with a busy loop.

--- a/library/src/main/java/org/copperspindle/wire/WireTransport.java
+++ b/library/src/main/java/org/copperspindle/wire/WireTransport.java
@@ -12,6 +12,8 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
@@ -20,6 +22,7 @@
 import io.netty.handler.codec.LengthFieldPrepender;
 import io.netty.handler.flush.FlushConsolidationHandler;
 import io.netty.util.concurrent.DefaultThreadFactory;
+import io.netty.util.concurrent.GlobalEventExecutor;
 
 /**
  * Length-framed TCP between the system's own processes: a four-byte length, then one MessagePack message.
@@ -32,6 +35,7 @@
     private static final int LENGTH_BYTES = 4;
     private static final int CONNECT_TIMEOUT_MILLIS = 1000;
     private static final int FLUSH_AFTER = 64;
+    private static final long CLOSE_BOUND_MILLIS = 1000;
 
     private final EventLoopGroup group;
     private final MessageRegistry registry;
@@ -39,6 +43,8 @@
     private final boolean ownsGroup;
     private final WireLimits limits;
     private final WireCounters counters = new WireCounters();
+    // Closes what is accepted or connected while it is being closed, too.
+    private final ChannelGroup channels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE, true);
 
     /**
      * Creates a transport with its own network threads.
@@ -79,7 +85,8 @@
     }
 
     /**
-     * Makes a transport of another identity on this one's network threads; closing it leaves them running. For
+     * Makes a transport of another identity on this one's network threads; closing it closes its own connections and
+     * leaves the threads running. For
      * measurements with many stand-in members in one process.
      *
      * @param other greeting of the other identity
@@ -111,7 +118,9 @@
                 .channel(NioServerSocketChannel.class)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new Initializer(listener));
-        return bootstrap.bind(address).syncUninterruptibly().channel();
+        Channel channel = bootstrap.bind(address).syncUninterruptibly().channel();
+        channels.add(channel);
+        return channel;
     }
 
     /**
@@ -157,8 +166,14 @@
         return counters;
     }
 
+    /** Closes the listening, accepted and connected sockets, then the network threads if they are this transport's. */
     @Override
     public void close() {
+        // An event loop that is told to end while it runs a task ends without closing its channels: the port stays
+        // taken
+        // and peers wait on a connection that nobody reads. Closing is a task too, which the loop runs before it ends,
+        // even if it comes to it only after this bound.
+        channels.close().awaitUninterruptibly(CLOSE_BOUND_MILLIS);
         if (ownsGroup) {
             group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
         }
@@ -174,6 +189,7 @@
 
         @Override
         protected void initChannel(SocketChannel channel) {
+            channels.add(channel);
             channel.pipeline()
                     // Messages that the ring sends in one go leave in one system call.
                     .addLast(new FlushConsolidationHandler(FLUSH_AFTER, true))
--- a/library/src/test/java/org/copperspindle/wire/WireTransportTest.java
+++ b/library/src/test/java/org/copperspindle/wire/WireTransportTest.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.DataOutputStream;
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.net.SocketException;
@@ -15,6 +16,7 @@
 import java.util.stream.LongStream;
 import java.util.stream.Stream;
 
+import io.netty.channel.EventLoopGroup;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -22,6 +24,7 @@
 import org.junit.jupiter.params.provider.MethodSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 class WireTransportTest {
 
@@ -247,6 +250,32 @@
         assertThat(client.events).containsExactly("open");
     }
 
+    /**
+     * A process in a shared JVM closes its transport while its network thread is busy. The peer must see the end and
+     * the port must be free: the event loop used to end without closing its sockets, so that a successor at the same
+     * address could not bind, and the peer waited on a connection that nobody read.
+     */
+    @Test
+    void closeDuringABusyLoopLeavesNoSocketOpen() throws Exception {
+        listen(new WireLimits(MAX_FRAME, MAX_PENDING, LONG, LONG, LONG));
+        try (Socket socket = new Socket(address.getAddress(), address.getPort())) {
+            socket.getOutputStream().write(frame(GreetingMessage.CODEC.encode(GREETING)));
+            await(() -> server.events.contains("open"));
+            EventLoopGroup loops = (EventLoopGroup) listening.scheduler();
+            loops.execute(() -> {
+                while (!loops.isShuttingDown()) {
+                    Thread.onSpinWait();
+                }
+            });
+
+            listening.close();
+
+            readToEnd(socket);
+        }
+        assertThatThrownBy(() -> new Socket(address.getAddress(), address.getPort()))
+                .isInstanceOf(ConnectException.class);
+    }
+
     private void listen(WireLimits limits) {
         listening = transport(limits);
         address = (InetSocketAddress)
