Keep the note that a caller left when the ring is full

Cause: EntryService.callerLeft offered the note once. At a full ring it was dropped, and the request ran on until its deadline for nobody, just when capacity was short.

Change: the note is offered again from the transport's event loops until the ring takes it; the caller's network thread is not blocked.

Measured: the new test fills a ring of two slots, frees one and waits for the note to take it. Before (trial, test on the old code): "waited for too long" after 20 s. After: passes in 0.04 s.

--- a/library/src/main/java/org/copperspindle/entry/EntryService.java
+++ b/library/src/main/java/org/copperspindle/entry/EntryService.java
@@ -36,6 +36,7 @@
 
     private final DecisionRing ring;
     private final TimerService timers;
+    private final WireTransport transport;
     private final EntrySettings settings;
     private final ControlLink control;
     private final AgentLinks agents;
@@ -70,6 +71,7 @@
             EntryMeasures measures) {
         this.ring = ring;
         this.timers = timers;
+        this.transport = transport;
         this.settings = settings;
         this.policy = EntryPolicyFactory.of(
                 PolicyKind.ADAPTIVE,
@@ -104,12 +106,13 @@
     }
 
     /**
-     * Notes that a caller went away. Should the ring be full, the request merely runs on until its deadline.
+     * Notes that a caller went away, from a network thread; it is not blocked while the ring is full.
      *
      * @param requestId identity of its request
      */
     public void callerLeft(String requestId) {
-        ring.offer(() -> driver.callerLeft(requestId));
+        // Lost at a full ring, the request would run on until its deadline, and take capacity just when that is short.
+        ring.offerUntilTaken(() -> driver.callerLeft(requestId), transport.scheduler());
     }
 
     /**
