Count an upstream's connections where a call must not go out twice

Cause: the test that a call on a new connection is never sent twice read the ledger as soon as the call had failed; a resend still on its way was not seen.

Change: a second call follows, and the upstream must then have taken exactly two connections. Client and upstream handle connections in order, so that a resend has its connection before the second call's. The check of the ledger stays.

Conclusion: a resend behind a failed call is seen on every run.

--- a/library/src/test/java/org/copperspindle/agent/SocketUpstream.java
+++ b/library/src/test/java/org/copperspindle/agent/SocketUpstream.java
@@ -61,6 +61,16 @@
         return connections.get();
     }
 
+    /** Returns the connections that were taken, those included that have sent nothing. */
+    int accepted() {
+        return sockets.size();
+    }
+
+    /** Fails as a process does: the port and all connections are gone. */
+    void fail() throws IOException {
+        close();
+    }
+
     @Override
     public void close() throws IOException {
         server.close();
--- a/library/src/test/java/org/copperspindle/agent/UpstreamClientTest.java
+++ b/library/src/test/java/org/copperspindle/agent/UpstreamClientTest.java
@@ -54,6 +54,10 @@
         try (SocketUpstream upstream = new SocketUpstream((socket, request, call) -> SocketUpstream.reset(socket));
                 UpstreamClient client = new UpstreamClient(upstream.address(), 4)) {
             assertThat(call(client, "a", repeatable)).startsWith("lost sent=true");
+            // One network thread connects in order and the upstream accepts in order: a resend of the first call, even
+            // one that is still to be read, has its connection here before the second call's.
+            assertThat(call(client, "b", repeatable)).startsWith("lost sent=true");
+            assertThat(upstream.accepted()).isEqualTo(2);
             assertThat(upstream.ledger().count("a")).isEqualTo(1);
         }
     }
