--- a/library/src/main/java/org/copperspindle/agent/AttemptQueue.java
+++ b/library/src/main/java/org/copperspindle/agent/AttemptQueue.java
@@ -1,8 +1,10 @@
 package org.copperspindle.agent;
 
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Stream;
 
 import org.copperspindle.config.Priority;
 
@@ -11,24 +13,18 @@
  */
 final class AttemptQueue {
 
-    private final Set<AttemptRecord>[] byPriority;
+    private final List<Set<AttemptRecord>> byPriority = Stream.of(Priority.values())
+            .<Set<AttemptRecord>>map(priority -> new LinkedHashSet<>())
+            .toList();
     private int size;
 
-    @SuppressWarnings("unchecked")
-    AttemptQueue() {
-        byPriority = new Set[Priority.values().length];
-        for (int i = 0; i < byPriority.length; i++) {
-            byPriority[i] = new LinkedHashSet<>();
-        }
-    }
-
     void add(AttemptRecord record) {
-        byPriority[record.order().priority().ordinal()].add(record);
+        byPriority.get(record.order().priority().ordinal()).add(record);
         size++;
     }
 
     void remove(AttemptRecord record) {
-        if (byPriority[record.order().priority().ordinal()].remove(record)) {
+        if (byPriority.get(record.order().priority().ordinal()).remove(record)) {
             size--;
         }
     }
@@ -51,10 +47,10 @@
      * @return the attempt that would be refused in its favour
      */
     Optional<AttemptRecord> lowerThan(Priority priority) {
-        for (int i = byPriority.length - 1; i > priority.ordinal(); i--) {
-            if (!byPriority[i].isEmpty()) {
+        for (int i = byPriority.size() - 1; i > priority.ordinal(); i--) {
+            if (!byPriority.get(i).isEmpty()) {
                 AttemptRecord last = null;
-                for (AttemptRecord record : byPriority[i]) {
+                for (AttemptRecord record : byPriority.get(i)) {
                     last = record;
                 }
                 return Optional.of(last);
--- a/library/src/test/java/org/copperspindle/agent/AgentFaultTest.java
+++ b/library/src/test/java/org/copperspindle/agent/AgentFaultTest.java
@@ -341,7 +341,7 @@
         try (SocketUpstream upstream = gated();
                 AgentFixture agent = new AgentFixture(upstream)) {
             AgentFixture.Entry entry = agent.entry();
-            upstream.close();
+            upstream.fail();
             entry.awaitReport(true);
 
             entry.send(entry.order("a", false));
