Tell a refused resend MAY_HAVE_RUN, never NOT_RUN

Cause: an arrival that brings its own key to an unrepeatable pipeline can be refused before its claim is decided (rate, forecast, not serving, overload, stopping, no upstream, no claim). It was told NOT_RUN, though an earlier arrival of the key ran or may have run. The caller takes a new key, and an install runs twice.

Change: RefusalVerdictPolicy decides what an arrival is told of which nothing ran: MAY_HAVE_RUN, the cause as reason and "ask again with the same key", if the key is the caller's and the pipeline is not known to be repeatable. Minted keys, repeatable pipelines, bodies that are not JSON, malformed keys and key conflicts keep NOT_RUN. An unknown bearer key, unknown pipeline or call not allowed prove nothing, as the configuration may have changed. Refusals on arrival are still counted.

Tests: PromiseCheck judges NOT_RUN by key; the schedules have minted keys too. Three assertions were wrong, since they asked NOT_RUN of a caller's own key: WorstMomentTest.withoutAClaimNothingRuns and requestGivenUpIsAnsweredAtOnce, PipelineRunTest.refusedClaimsAreAnsweredTruly. Each now states both verdicts, minted key and caller's key.

Conclusion: NOT_RUN holds for the key, not for the arrival only. The refusal on a full ring has no test of its own, and refusals of the HTTP listener itself are not judged by the key.

--- a/library/src/main/java/org/copperspindle/entry/CallerRequestReader.java
+++ b/library/src/main/java/org/copperspindle/entry/CallerRequestReader.java
@@ -14,6 +14,7 @@
 import org.copperspindle.config.Priority;
 import org.copperspindle.http.HttpExchange;
 import org.copperspindle.http.ProblemDetails;
+import org.copperspindle.pipeline.RefusalVerdictPolicy;
 import org.copperspindle.pipeline.StageContext;
 
 /**
@@ -30,6 +31,8 @@
     private static final String DEADLINE = "Copperspindle-Deadline-Ms";
     private static final String PRIORITY = "Copperspindle-Priority";
 
+    private static final String NOT_JSON = "not-json";
+
     /** Fields of which two lines would leave open which one counts. */
     private static final List<String> SINGLE = List.of(AUTHORIZATION, IDEMPOTENCY_KEY, DEADLINE, PRIORITY);
 
@@ -47,6 +50,32 @@
      * @return what it asks for, or why that can't be told
      */
     static CallerRequestResult read(HttpExchange exchange) {
+        CallerRequestResult result = judge(exchange);
+        boolean keyed = exchange.header(IDEMPOTENCY_KEY)
+                .filter(k -> KEY.matcher(k).matches())
+                .isPresent();
+        if (keyed
+                && result instanceof CallerRequestResult.Refused refused
+                && !refused.problem().verdict().reason().equals(NOT_JSON)) {
+            return new CallerRequestResult.Refused(mayBeResend(refused.problem()));
+        }
+        return result;
+    }
+
+    /**
+     * An earlier arrival of the key may have come with other fields and have run. Not so for a body that is not JSON, nor
+     * for a key that is none: no entry ever takes those on.
+     */
+    private static ProblemDetails mayBeResend(ProblemDetails problem) {
+        return new ProblemDetails(
+                problem.status(),
+                RefusalVerdictPolicy.title(true, problem.title()),
+                RefusalVerdictPolicy.verdict(true, problem.verdict().reason()),
+                problem.requestId(),
+                problem.retryAfter());
+    }
+
+    private static CallerRequestResult judge(HttpExchange exchange) {
         for (String field : SINGLE) {
             if (exchange.headerCount(field) > 1) {
                 return refused("bad-request", 400, field + " is given more than once");
@@ -87,7 +116,7 @@
             return Optional.of(ProblemDetails.notRun("media-type", 415, "a pipeline takes application/json"));
         }
         if (!isObject(exchange.body())) {
-            return Optional.of(ProblemDetails.notRun("not-json", 400, "the body is not one JSON object"));
+            return Optional.of(ProblemDetails.notRun(NOT_JSON, 400, "the body is not one JSON object"));
         }
         boolean pieces = accepts(exchange, EVENT_STREAM);
         if (pieces && !exchange.supportsPieces()) {
--- a/library/src/main/java/org/copperspindle/entry/EntryDoor.java
+++ b/library/src/main/java/org/copperspindle/entry/EntryDoor.java
@@ -7,7 +7,7 @@
 import org.copperspindle.http.HttpRequestHandler;
 import org.copperspindle.http.ProblemDetails;
 import org.copperspindle.measure.EntryMeasures;
-import org.copperspindle.verdict.NotRunVerdict;
+import org.copperspindle.pipeline.RefusalVerdictPolicy;
 
 /**
  * The callers' HTTP interface: {@code POST /v1/pipelines/NAME} and {@code POST /v1/services/NAME}. Failures are problem
@@ -56,15 +56,23 @@
         Optional<String> requestId = entry.offer(request, new ExchangeSink(exchange, measures));
         if (requestId.isEmpty()) {
             // The ring is full: the network thread must not wait for it, and nothing of the request was handed over.
-            refuse(
-                    exchange,
-                    new ProblemDetails(
-                            503, "entry overloaded", new NotRunVerdict("overload"), "", Optional.of(COME_BACK)));
+            // Which pipelines may be repeated is not known on this thread.
+            boolean mayBeResend = RefusalVerdictPolicy.mayBeResend(request.key().isPresent(), Optional.empty());
+            refuse(exchange, overloaded(mayBeResend));
             return;
         }
         exchange.onClosed(() -> entry.callerLeft(requestId.get()));
     }
 
+    private static ProblemDetails overloaded(boolean mayBeResend) {
+        return new ProblemDetails(
+                503,
+                RefusalVerdictPolicy.title(mayBeResend, "entry overloaded"),
+                RefusalVerdictPolicy.verdict(mayBeResend, "overload"),
+                "",
+                Optional.of(COME_BACK));
+    }
+
     private void refuse(HttpExchange exchange, ProblemDetails problem) {
         measures.refused(problem.verdict().reason());
         AccessLog.write(exchange, problem.requestId(), problem.status(), problem.verdict(), 0);
--- a/library/src/main/java/org/copperspindle/entry/EntryService.java
+++ b/library/src/main/java/org/copperspindle/entry/EntryService.java
@@ -21,6 +21,7 @@
 import org.copperspindle.pipeline.PipelineRequest;
 import org.copperspindle.routing.FleetView;
 import org.copperspindle.time.TimerService;
+import org.copperspindle.verdict.NotRunVerdict;
 import org.copperspindle.wire.WireMessage;
 import org.copperspindle.wire.WireTransport;
 
@@ -43,6 +44,7 @@
     private final RequestDriver driver;
     private final RequestAdmission admission;
     private final EntryPolicy policy;
+    private final EntryMeasures measures;
     private final DeploymentView deployment = new DeploymentView();
     private final FleetView fleet = new FleetView();
     private boolean refusing;
@@ -71,6 +73,7 @@
         this.ring = ring;
         this.timers = timers;
         this.settings = settings;
+        this.measures = measures;
         this.policy = EntryPolicyFactory.of(
                 PolicyKind.ADAPTIVE,
                 fleet,
@@ -213,7 +216,7 @@
 
     private void admit(String requestId, CallerRequest request, AnswerSink sink) {
         AdmissionResult result =
-                serves() ? admission.admit(requestId, request, timers.nanoTime()) : admission.notServing();
+                serves() ? admission.admit(requestId, request, timers.nanoTime()) : admission.notServing(request);
         if (result instanceof AdmissionResult.Admitted admitted) {
             run(admitted.request(), sink);
         } else if (result instanceof AdmissionResult.Refused refused) {
@@ -221,6 +224,10 @@
                     "event=refused request={} reason={}",
                     requestId,
                     refused.answer().verdict().reason());
+            if (!(refused.answer().verdict() instanceof NotRunVerdict)) {
+                // The sink counts NOT_RUN by itself. Of this one nothing ran either, but its key may have run before.
+                measures.refused(refused.answer().verdict().reason());
+            }
             sink.end(requestId, refused.answer());
         }
     }
--- a/library/src/main/java/org/copperspindle/entry/RequestAdmission.java
+++ b/library/src/main/java/org/copperspindle/entry/RequestAdmission.java
@@ -10,11 +10,12 @@
 import org.copperspindle.limits.Refusal;
 import org.copperspindle.pipeline.PipelineAnswer;
 import org.copperspindle.pipeline.PipelineRequest;
-import org.copperspindle.verdict.NotRunVerdict;
+import org.copperspindle.pipeline.RefusalVerdictPolicy;
 
 /**
- * Judges callers' requests: who calls, what may be called, within which bounds. Every refusal is {@code NOT_RUN}: it
- * comes before anything is claimed or dispatched.
+ * Judges callers' requests: who calls, what may be called, within which bounds. A refusal comes before anything
+ * is claimed or dispatched, so nothing of this arrival runs; an earlier arrival of the same key may have run under an
+ * older configuration, in which the account was known and allowed.
  */
 final class RequestAdmission {
 
@@ -34,8 +35,9 @@
     }
 
     /** An entry that does not serve takes nothing on. */
-    AdmissionResult notServing() {
-        return refuse("not-serving", UNAVAILABLE, "this entry does not serve now", Optional.of(COME_BACK));
+    AdmissionResult notServing(CallerRequest request) {
+        boolean mayBeResend = mayBeResend(request, pipeline(request));
+        return refuse(mayBeResend, "not-serving", UNAVAILABLE, "this entry does not serve now", Optional.of(COME_BACK));
     }
 
     /**
@@ -49,29 +51,39 @@
     AdmissionResult admit(String requestId, CallerRequest request, long now) {
         Optional<AccountSettings> account = view.authenticate(request.bearer());
         if (account.isEmpty()) {
-            return refuse("unknown-key", UNAUTHORIZED, "unknown bearer key", Optional.empty());
+            // Judged by the key alone: a stranger must not learn from the verdict which pipelines there are.
+            boolean keyed = request.key().isPresent();
+            return refuse(keyed, "unknown-key", UNAUTHORIZED, "unknown bearer key", Optional.empty());
         }
-        Optional<PipelineSettings> pipeline =
-                view.deployment().pipeline(request.pipeline()).filter(p -> p.service() == request.service());
+        Optional<PipelineSettings> pipeline = pipeline(request);
+        boolean mayBeResend = mayBeResend(request, pipeline);
         if (pipeline.isEmpty()) {
-            return refuse("unknown-pipeline", NOT_FOUND, "no such pipeline or service", Optional.empty());
+            return refuse(mayBeResend, "unknown-pipeline", NOT_FOUND, "no such pipeline or service", Optional.empty());
         }
         if (!account.get().pipelines().contains(request.pipeline())) {
-            return refuse("not-allowed", FORBIDDEN, "the account may not call this", Optional.empty());
+            return refuse(mayBeResend, "not-allowed", FORBIDDEN, "the account may not call this", Optional.empty());
         }
         PipelineRequest bounded = bound(requestId, request, account.get(), pipeline.get(), now);
         Optional<Refusal> refusal = policy.refuse(bounded, now);
         if (refusal.isPresent()) {
-            return refuse(refusal.get());
+            return refuse(mayBeResend, refusal.get());
         }
         return new AdmissionResult.Admitted(bounded);
     }
 
-    private static AdmissionResult refuse(Refusal refusal) {
+    private Optional<PipelineSettings> pipeline(CallerRequest request) {
+        return view.deployment().pipeline(request.pipeline()).filter(p -> p.service() == request.service());
+    }
+
+    private static boolean mayBeResend(CallerRequest request, Optional<PipelineSettings> pipeline) {
+        return RefusalVerdictPolicy.mayBeResend(request.key().isPresent(), pipeline);
+    }
+
+    private static AdmissionResult refuse(boolean mayBeResend, Refusal refusal) {
         Optional<Duration> comeBack = Optional.of(refusal.comeBack());
         return refusal.reason().equals(Refusal.RATE)
-                ? refuse(refusal.reason(), TOO_MANY_REQUESTS, "over the account's rate", comeBack)
-                : refuse(refusal.reason(), UNAVAILABLE, "can't be answered within the deadline", comeBack);
+                ? refuse(mayBeResend, refusal.reason(), TOO_MANY_REQUESTS, "over the account's rate", comeBack)
+                : refuse(mayBeResend, refusal.reason(), UNAVAILABLE, "can't be answered within the deadline", comeBack);
     }
 
     private static PipelineRequest bound(
@@ -96,7 +108,12 @@
                 request.streaming());
     }
 
-    private static AdmissionResult refuse(String reason, int status, String title, Optional<Duration> comeBack) {
-        return new AdmissionResult.Refused(PipelineAnswer.failure(new NotRunVerdict(reason), status, title, comeBack));
+    private static AdmissionResult refuse(
+            boolean mayBeResend, String reason, int status, String title, Optional<Duration> comeBack) {
+        return new AdmissionResult.Refused(PipelineAnswer.failure(
+                RefusalVerdictPolicy.verdict(mayBeResend, reason),
+                status,
+                RefusalVerdictPolicy.title(mayBeResend, title),
+                comeBack));
     }
 }
--- a/library/src/main/java/org/copperspindle/measure/MicrometerEntryMeasures.java
+++ b/library/src/main/java/org/copperspindle/measure/MicrometerEntryMeasures.java
@@ -94,7 +94,7 @@
     @Override
     public void refused(String reason) {
         Counter.builder("copperspindle.refusals")
-                .description("Requests refused with the verdict NOT_RUN, by reason")
+                .description("Requests refused on arrival, or later with the verdict NOT_RUN, by reason")
                 .tag("reason", reasons.of(reason))
                 .register(meters)
                 .increment();
--- a/library/src/main/java/org/copperspindle/pipeline/AnswerFactory.java
+++ b/library/src/main/java/org/copperspindle/pipeline/AnswerFactory.java
@@ -27,11 +27,13 @@
     private static final int GATEWAY_TIMEOUT = 504;
 
     private final PipelineRequest request;
+    private final boolean mayBeResend;
     private boolean ran;
     private boolean mayHaveRun;
 
     AnswerFactory(PipelineRequest request) {
         this.request = request;
+        this.mayBeResend = RefusalVerdictPolicy.mayBeResend(request.callerKey(), Optional.of(request.pipeline()));
     }
 
     /** A stage ran and its outcome is known. */
@@ -49,6 +51,7 @@
         return new PipelineAnswer(RanVerdict.SUCCESS, OK, context.answerType(), body, "", Optional.empty());
     }
 
+    /** {@code NOT_RUN} for any key: no entry ever takes this body on. */
     PipelineAnswer bodyNotJson() {
         return failure(new NotRunVerdict("body-not-json"), BAD_REQUEST, "body is not JSON");
     }
@@ -65,7 +68,7 @@
         return PipelineAnswer.failure(
                 verdict("deadline-unreachable"),
                 UNAVAILABLE,
-                "can't be answered within the deadline",
+                title("can't be answered within the deadline"),
                 Optional.of(comeBack));
     }
 
@@ -88,8 +91,12 @@
                 "upstream answered " + status);
     }
 
+    /** Speaks of the refused body only: the key stays with the first one for as long as its claim is kept. */
     PipelineAnswer keyConflict() {
-        return failure(verdict("key-conflict"), CONFLICT, "idempotency key used with another body");
+        return failure(
+                known("key-conflict", new NotRunVerdict("key-conflict")),
+                CONFLICT,
+                "idempotency key used with another body");
     }
 
     /** Not {@code NOT_RUN}: the key ran or may have, and a caller that is told otherwise would take a new key. */
@@ -106,10 +113,19 @@
     }
 
     private Verdict verdict(String reason) {
+        return known(reason, RefusalVerdictPolicy.verdict(mayBeResend, reason));
+    }
+
+    /** What is known of this arrival's own attempts; if none ran, the verdict given. */
+    private Verdict known(String reason, Verdict noneRan) {
         if (mayHaveRun) {
             return new MayHaveRunVerdict(reason);
         }
-        return ran ? new RanVerdict(reason) : new NotRunVerdict(reason);
+        return ran ? new RanVerdict(reason) : noneRan;
+    }
+
+    private String title(String title) {
+        return RefusalVerdictPolicy.title(mayBeResend, title);
     }
 
     private byte[] body(StageContext context) {
@@ -128,7 +144,7 @@
         return PipelineAnswer.failure(verdict, status, title, Optional.empty());
     }
 
-    private static PipelineAnswer retryable(Verdict verdict, int status, String title) {
-        return PipelineAnswer.failure(verdict, status, title, Optional.of(RETRY_AFTER));
+    private PipelineAnswer retryable(Verdict verdict, int status, String title) {
+        return PipelineAnswer.failure(verdict, status, title(title), Optional.of(RETRY_AFTER));
     }
 }
--- a/library/src/main/java/org/copperspindle/pipeline/PipelineRequest.java
+++ b/library/src/main/java/org/copperspindle/pipeline/PipelineRequest.java
@@ -9,7 +9,7 @@
  *
  * @param requestId     identity of this arrival, minted by the entry
  * @param account       client account
- * @param key           idempotency key of the caller, or one minted by the entry
+ * @param key           idempotency key of the caller, or {@code requestId} if it sent none
  * @param pipeline      pipeline to run, as configured when the request was admitted
  * @param body          JSON body
  * @param bodyDigest    SHA-256 of the body
@@ -26,4 +26,14 @@
         byte[] bodyDigest,
         Priority priority,
         long deadlineNanos,
-        boolean streaming) {}
+        boolean streaming) {
+
+    /**
+     * Says whether the caller brought the key. A minted one is the identity of the arrival, so no other arrival has it.
+     *
+     * @return false if the entry minted it
+     */
+    public boolean callerKey() {
+        return !key.equals(requestId);
+    }
+}
--- a/library/src/test/java/org/copperspindle/daemon/CallerInterfaceTest.java
+++ b/library/src/test/java/org/copperspindle/daemon/CallerInterfaceTest.java
@@ -93,6 +93,34 @@
                 .contains("\"type\":\"urn:copperspindle:problem:" + reason + "\"", "\"verdict\":\"NOT_RUN\"");
     }
 
+    /**
+     * A caller resends its key with another field than the first time, which the entry refuses. The first arrival may have
+     * run, so NOT_RUN would make the caller take a new key and run the work twice. A body that no entry ever takes on can't
+     * have run.
+     */
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "Copperspindle-Deadline-Ms: soon | {} | 400 | bad-request    | MAY_HAVE_RUN",
+                "Accept: image/png               | {} | 406 | not-acceptable | MAY_HAVE_RUN",
+                "Accept: application/json        | {} | 503 | not-serving    | MAY_HAVE_RUN",
+                "Accept: application/json        | {  | 400 | not-json       | NOT_RUN"
+            })
+    void refusedKeyMayHaveRunBefore(String field, String body, int status, String reason, String verdict)
+            throws Exception {
+        String[] header = field.split(": ", 2);
+        HttpResponse<String> response = send(HttpRequest.newBuilder(uri(process.callerAddress(), "/v1/pipelines/p"))
+                .POST(HttpRequest.BodyPublishers.ofString(body))
+                .header("Idempotency-Key", "k")
+                .header(header[0], header[1]));
+
+        assertThat(response.statusCode()).isEqualTo(status);
+        assertThat(response.headers().firstValue("Copperspindle-Verdict")).hasValue(verdict);
+        assertThat(response.body()).contains("problem:" + reason + "\"");
+        assertThat(response.body().contains("same key")).isEqualTo(verdict.equals("MAY_HAVE_RUN"));
+    }
+
     @Test
     void everyDoorHasProbesAndMetrics() throws Exception {
         for (Optional<InetSocketAddress> door : List.of(process.callerAddress(), process.metricsAddress())) {
--- a/library/src/test/java/org/copperspindle/entry/PromiseCheck.java
+++ b/library/src/test/java/org/copperspindle/entry/PromiseCheck.java
@@ -47,6 +47,7 @@
             assertThat(deployment.book().ranAttemptOf(caller.requestId()))
                     .as(caller.requestId() + " was told NOT_RUN")
                     .isFalse();
+            checkKeyNeverRan(caller);
         }
         if (caller.successful()) {
             checkSuccess(caller);
@@ -56,6 +57,28 @@
         }
     }
 
+    /**
+     * A caller that is told NOT_RUN for its own key takes a new one. So no earlier arrival of that key may have run or
+     * run later, either. A conflict speaks only of the body that was refused, since the key belongs to another one.
+     */
+    private void checkKeyNeverRan(SimulatedCaller caller) {
+        if (!caller.pipeline().equals("install") || caller.minted()) {
+            return;
+        }
+        count("NOT_RUN to an own key, which never ran");
+        boolean conflict = caller.reason().equals("key-conflict");
+        int own = deployment.callers().indexOf(caller);
+        List<String> earlier = deployment.callers().subList(0, own).stream()
+                .filter(c -> c.key().equals(caller.key()) && c.pipeline().equals("install"))
+                .filter(c -> !conflict || c.token().equals(caller.token()))
+                .map(SimulatedCaller::requestId)
+                .filter(deployment.book()::ranAttemptOf)
+                .toList();
+        assertThat(earlier)
+                .as("arrivals that ran under key %s of %s, told NOT_RUN", caller.key(), caller.requestId())
+                .isEmpty();
+    }
+
     private void checkSuccess(SimulatedCaller caller) {
         count("whole answer is its own");
         if (!caller.pipeline().equals("describe")) {
--- a/library/src/test/java/org/copperspindle/entry/RequestScheduleTest.java
+++ b/library/src/test/java/org/copperspindle/entry/RequestScheduleTest.java
@@ -85,9 +85,11 @@
     private static SimulatedCaller arrive(SimulatedDeployment deployment, SplittableRandom random) {
         int entry = random.nextInt(3);
         int key = random.nextInt(KEYS);
-        return switch (random.nextInt(4)) {
+        return switch (random.nextInt(5)) {
             case 0 -> deployment.call(entry, "describe", "d", "d" + random.nextInt(1000));
             case 1 -> deployment.call(entry, "lookup", "l", "l" + random.nextInt(1000));
+            case 2 ->
+                deployment.call(entry, "install", "", "m" + deployment.callers().size());
             default -> deployment.call(entry, "install", "k" + key, token(key, random.nextInt(8) == 0 ? 1 : 0));
         };
     }
--- a/library/src/test/java/org/copperspindle/entry/SimulatedCaller.java
+++ b/library/src/test/java/org/copperspindle/entry/SimulatedCaller.java
@@ -80,6 +80,11 @@
         return key;
     }
 
+    /** Whether the caller sent no key, so that the entry made one. */
+    boolean minted() {
+        return key.equals(requestId);
+    }
+
     String token() {
         return token;
     }
@@ -108,6 +113,10 @@
         return answer.map(a -> a.verdict().label()).orElse("none");
     }
 
+    String reason() {
+        return answer.map(a -> a.verdict().reason()).orElse("");
+    }
+
     boolean successful() {
         return answer.isPresent() && answer.get().successful();
     }
--- a/library/src/test/java/org/copperspindle/entry/SimulatedDeployment.java
+++ b/library/src/test/java/org/copperspindle/entry/SimulatedDeployment.java
@@ -50,6 +50,9 @@
             [service install]
             pool = gallery
             repeatable = false
+            [service print]
+            pool = gallery
+            repeatable = false
             [service lookup]
             pool = gallery
             [account gallery]
@@ -57,7 +60,7 @@
             rate-per-second = 1000000
             pipelines = describe, install, lookup
             """;
-    private static final DeploymentView VIEW = new DeploymentView();
+    static final DeploymentView VIEW = new DeploymentView();
 
     static {
         VIEW.update(new ControlUpdateMessage(1, 1, SETTINGS, true, 0, List.of(), List.of()));
@@ -183,7 +186,10 @@
 
     SimulatedCaller call(int entry, String pipeline, String key, String token, boolean streaming) {
         long deadline = timers.nanoTime() + DEADLINE.toNanos();
-        SimulatedCaller caller = new SimulatedCaller(this, "r" + arrivals++, pipeline, key, token, deadline);
+        String requestId = "r" + arrivals++;
+        // Without a key of the caller's the entry makes one that no other arrival has.
+        String ownKey = key.isEmpty() ? requestId : key;
+        SimulatedCaller caller = new SimulatedCaller(this, requestId, pipeline, ownKey, token, deadline);
         callers.add(caller);
         entries.get(entry).arrive(caller, streaming, body(token));
         maybeCrash(entries.get(entry));
--- a/library/src/test/java/org/copperspindle/entry/WorstMomentTest.java
+++ b/library/src/test/java/org/copperspindle/entry/WorstMomentTest.java
@@ -12,6 +12,7 @@
 import org.copperspindle.claims.ClaimTable;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -106,15 +107,17 @@
     }
 
     /**
-     * Control is cut off when the claim is asked for. Nothing may be dispatched without it, so the caller is told NOT_RUN
-     * with a time to come back well before its deadline. When control is back, the resend runs, once.
+     * Control is cut off when the claim is asked for. Nothing may be dispatched without it, so the caller is refused with
+     * a time to come back well before its deadline: NOT_RUN if no other arrival can have the key. When control is back,
+     * the resend runs, once.
      */
-    @Test
-    void withoutAClaimNothingRuns() {
+    @ParameterizedTest
+    @CsvSource({"'',NOT_RUN", "k1,MAY_HAVE_RUN"})
+    void withoutAClaimNothingRuns(String key, String verdict) {
         deployment.control().away(true);
-        SimulatedCaller refused = install(0);
+        SimulatedCaller refused = deployment.call(0, "install", key, "w1");
         deployment.until("the answer", () -> refused.ends() == 1);
-        assertThat(refused.verdict()).isEqualTo("NOT_RUN");
+        assertThat(refused.verdict()).isEqualTo(verdict);
         assertThat(refused.answer().orElseThrow().retryAfter()).isPresent();
         assertThat(refused.endedAt()).isLessThan(Duration.ofSeconds(4).toNanos());
 
@@ -209,17 +212,48 @@
                 .isEqualTo(1);
     }
 
+    /**
+     * An install ran, and its answer was lost with the connection to its caller. The caller resends the key while the
+     * claims can't be reached, or while no upstream is known, so the resend is refused before its claim is looked up. Told
+     * NOT_RUN, it would take a new key and install twice; so it is told to ask again, and then gets the first outcome.
+     */
+    @ParameterizedTest
+    @ValueSource(strings = {"claim-unavailable", "no-upstream"})
+    void refusedResendOfAKeyThatRanIsNotToldNotRun(String fault) {
+        SimulatedCaller first = install(0);
+        reach(Moment.ANSWERED, first);
+        deployment.advance(LONG);
+        deployment.control().away(fault.equals("claim-unavailable"));
+        if (fault.equals("no-upstream")) {
+            deployment.entries().set(1, new SimulatedEntry(deployment, SimulatedDeployment.VIEW));
+        }
+        SimulatedCaller refused = install(1);
+        deployment.until("the refusal", () -> refused.ends() == 1);
+        assertThat(refused.reason()).isEqualTo(fault);
+        assertThat(refused.verdict()).isEqualTo("MAY_HAVE_RUN");
+        assertThat(refused.answer().orElseThrow().title()).contains("same key");
+        assertThat(refused.answer().orElseThrow().retryAfter()).isPresent();
+
+        deployment.control().away(false);
+        deployment.update();
+        SimulatedCaller resent = install(1);
+        deployment.advance(LONG);
+        assertThat(resent.body()).isEqualTo(first.body());
+        assertThat(deployment.book().count("w1")).isEqualTo(1);
+    }
+
     /** No upstream can take the request: the module gives it up and says so at once, with a time to come back. */
-    @Test
-    void requestGivenUpIsAnsweredAtOnce() {
+    @ParameterizedTest
+    @CsvSource({"'',NOT_RUN", "k1,MAY_HAVE_RUN"})
+    void requestGivenUpIsAnsweredAtOnce(String key, String verdict) {
         deployment.remove(deployment.address("gallery", 0));
         deployment.remove(deployment.address("gallery", 0));
         long now = deployment.timers().nanoTime();
-        SimulatedCaller caller = install(0);
+        SimulatedCaller caller = deployment.call(0, "install", key, "w1");
 
         assertThat(caller.ends()).isEqualTo(1);
         assertThat(caller.endedAt()).isEqualTo(now);
-        assertThat(caller.verdict()).isEqualTo("NOT_RUN");
+        assertThat(caller.verdict()).isEqualTo(verdict);
         assertThat(caller.answer().orElseThrow().retryAfter()).isPresent();
     }
 
--- a/library/src/test/java/org/copperspindle/pipeline/PipelineRunTest.java
+++ b/library/src/test/java/org/copperspindle/pipeline/PipelineRunTest.java
@@ -25,7 +25,7 @@
 import org.copperspindle.verdict.Verdict;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.CsvSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -35,6 +35,7 @@
 
     private final List<PipelineAction> done = new ArrayList<>();
     private boolean mayRetry = true;
+    private String key = "k";
 
     /**
      * A stage takes long and is hedged. Whichever attempt is whole first is the answer, the other is cancelled, and its
@@ -122,18 +123,29 @@
         assertThat(answer().successful()).isTrue();
     }
 
-    /** What a caller is told when its claim is not granted. EXPIRED is not NOT_RUN: the key was used before. */
+    /**
+     * What a caller is told when its claim is not granted. EXPIRED is not NOT_RUN: the key was used before. Nor is a claim
+     * that was not decided, if the key ("k") is the caller's: an earlier arrival may have run, or yet get the claim. A key
+     * that the entry made ("r") is carried by no other arrival.
+     */
     @ParameterizedTest
-    @EnumSource(
-            value = ClaimResult.class,
-            names = {"CONFLICT", "EXPIRED", "UNAVAILABLE", "FULL"})
-    void refusedClaimsAreAnsweredTruly(ClaimResult result) {
+    @CsvSource({
+        "CONFLICT,    k, NOT_RUN,      409",
+        "CONFLICT,    r, NOT_RUN,      409",
+        "EXPIRED,     k, MAY_HAVE_RUN, 409",
+        "EXPIRED,     r, MAY_HAVE_RUN, 409",
+        "UNAVAILABLE, k, MAY_HAVE_RUN, 503",
+        "UNAVAILABLE, r, NOT_RUN,      503",
+        "FULL,        k, MAY_HAVE_RUN, 503",
+        "FULL,        r, NOT_RUN,      503"
+    })
+    void refusedClaimsAreAnsweredTruly(ClaimResult result, String requestKey, String verdict, int status) {
+        key = requestKey;
         PipelineRun run = start(PoolKind.SERVICE, false, false);
         done.addAll(run.onClaim(ClaimDecision.of(result), 1));
 
-        boolean expired = result == ClaimResult.EXPIRED;
-        assertThat(answer().verdict().label()).isEqualTo(expired ? "MAY_HAVE_RUN" : "NOT_RUN");
-        assertThat(answer().status()).isEqualTo(expired || result == ClaimResult.CONFLICT ? 409 : 503);
+        assertThat(answer().verdict().label()).isEqualTo(verdict);
+        assertThat(answer().status()).isEqualTo(status);
         assertThat(orders()).isEmpty();
         assertThat(run.closed()).isTrue();
     }
@@ -200,7 +212,7 @@
                 new AccountSettings("acc", "", 1, 1, Priority.INTERACTIVE, Duration.ofSeconds(60), List.of("p"));
         byte[] body = "{\"input\":\"hello \"}".getBytes(StandardCharsets.UTF_8);
         PipelineRequest request = new PipelineRequest(
-                "r", account, "k", pipeline, body, new byte[32], Priority.STANDARD, DEADLINE, streaming);
+                "r", account, key, pipeline, body, new byte[32], Priority.STANDARD, DEADLINE, streaming);
         PipelineRun run = new PipelineRun(request, new TestChooser(kind));
         done.addAll(run.start(0));
         return run;
