--- a/tools/src/main/java/org/copperspindle/demo/DemoDeployment.java
+++ b/tools/src/main/java/org/copperspindle/demo/DemoDeployment.java
@@ -26,8 +26,11 @@
  */
 final class DemoDeployment {
 
+    static final Duration FIRST_TOKEN = Duration.ofMillis(40);
+    static final Duration PER_TOKEN = Duration.ofMillis(6);
+
     private static final String LOOPBACK = "127.0.0.1";
-    private static final int CONTROLS = 1;
+    private static final int CONTROLS = 3;
     private static final int ENTRIES = 2;
     private static final int SCALE = 3;
     private static final int SMALLEST_POOL = 2;
@@ -51,7 +54,7 @@
                     i,
                     ports.get(i),
                     members,
-                    "[control]\nlisten = 127.0.0.1:0\nlease = 2s\ndata-folder = "
+                    "[control]\nlisten = 127.0.0.1:0\nlease = 2s\nvoters = " + voters(ports) + "\ndata-folder = "
                             + data.resolve("control-" + (i + 1))));
         }
         for (PoolSettings pool : deployment.pools().values()) {
@@ -135,7 +138,7 @@
             case ENCODER -> Duration.ofMillis(8);
             case RETRIEVER -> Duration.ofMillis(6);
             case RERANKER -> Duration.ofMillis(15);
-            case ENGINE -> Duration.ofMillis(40);
+            case ENGINE -> FIRST_TOKEN;
             case SERVICE -> Duration.ofMillis(12);
         };
         return new FakeSettings(
@@ -143,7 +146,7 @@
                 new InetSocketAddress(LOOPBACK, 0),
                 Math.min(pool.concurrency(), MAX_CONCURRENCY),
                 service,
-                Duration.ofMillis(6),
+                PER_TOKEN,
                 MAX_TOKENS,
                 pool.reportsLoad());
     }
@@ -161,6 +164,14 @@
         return String.join(", ", ports.stream().map(p -> LOOPBACK + ":" + p).toList());
     }
 
+    private static String voters(List<Integer> ports) {
+        List<String> voters = new ArrayList<>();
+        for (int port : ports) {
+            voters.add("control-" + (voters.size() + 1) + "@" + LOOPBACK + ":" + port);
+        }
+        return String.join(", ", voters);
+    }
+
     private static List<Integer> freePorts(int count) throws IOException {
         List<ServerSocket> held = new ArrayList<>();
         List<Integer> ports = new ArrayList<>();
