Read the sections of a settings file in one pass

Cause: the INI library's view of one section searches all sections, so that reading a file took time by the square of their number: the design size has 4,400 client accounts.

Change: SettingsFile groups the keys by walking the library's nodes once. The library still does the parsing. Keys are taken from the nodes as written, so that undoing its path escapes is no longer needed.

SettingsFileTest checks names with dots and brackets, values with ${...}, continued sections and keys given twice.

--- a/library/src/main/java/org/copperspindle/settings/SettingsFile.java
+++ b/library/src/main/java/org/copperspindle/settings/SettingsFile.java
@@ -7,14 +7,14 @@
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.Iterator;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 
 import org.apache.commons.configuration2.INIConfiguration;
-import org.apache.commons.configuration2.SubnodeConfiguration;
 import org.apache.commons.configuration2.ex.ConfigurationException;
+import org.apache.commons.configuration2.tree.ImmutableNode;
 
 /**
  * An INI file read whole. Collects the faults of all its sections.
@@ -63,8 +63,9 @@
         } catch (ConfigurationException | IOException e) {
             throw new SettingsException(List.of(new SettingsProblem(name, "", "", "not INI: " + e.getMessage(), "")));
         }
+        Map<String, List<ImmutableNode>> keys = keysBySection(ini);
         for (String section : ini.getSections()) {
-            file.addSection(section, ini);
+            file.addSection(section, keys.getOrDefault(section, List.of()));
         }
         return file;
     }
@@ -125,26 +126,38 @@
         }
     }
 
-    private void addSection(String section, INIConfiguration ini) {
+    /**
+     * Groups the keys of the sections in one pass over the library's nodes. Its view of a single section searches all
+     * sections for each call, so that reading took time by the square of their number.
+     */
+    private static Map<String, List<ImmutableNode>> keysBySection(INIConfiguration ini) {
+        Map<String, List<ImmutableNode>> keys = new HashMap<>();
+        for (ImmutableNode section :
+                ini.getNodeModel().getNodeHandler().getRootNode().getChildren()) {
+            keys.computeIfAbsent(section.getNodeName(), name -> new ArrayList<>())
+                    .addAll(section.getChildren());
+        }
+        return keys;
+    }
+
+    private void addSection(String section, List<ImmutableNode> keys) {
         if (section == null) {
             problems.add(new SettingsProblem(name, "", "", "keys outside any section", ""));
             return;
         }
-        SubnodeConfiguration node = ini.getSection(section);
+        // Nodes hold the text as it was written: the library's getters replace ${env:NAME} and the like, so that a file
+        // sent to this process could read its environment, and two processes could read one file differently.
         Map<String, String> values = new LinkedHashMap<>();
-        for (Iterator<String> keys = node.getKeys(); keys.hasNext(); ) {
-            String key = keys.next();
-            // Read raw: the library's other getters replace ${env:NAME} and the like, so that a file sent to this
-            // process
-            // could read its environment, and two processes could read one file differently.
-            Object raw = node.getProperty(key);
-            List<?> all = raw instanceof List<?> list ? list : List.of(raw);
-            if (all.size() > 1) {
-                problems.add(new SettingsProblem(name, section, key, "given " + all.size() + " times", "one value"));
-            }
-            // The INI library doubles dots to tell them from its own path separator.
-            values.put(key.replace("..", "."), String.valueOf(all.get(0)));
+        Map<String, Integer> counts = new LinkedHashMap<>();
+        for (ImmutableNode key : keys) {
+            values.putIfAbsent(key.getNodeName(), String.valueOf(key.getValue()));
+            counts.merge(key.getNodeName(), 1, Integer::sum);
         }
+        counts.forEach((key, count) -> {
+            if (count > 1) {
+                problems.add(new SettingsProblem(name, section, key, "given " + count + " times", "one value"));
+            }
+        });
         sections.put(section, new SettingsSection(name, section, values, problems));
     }
 }
--- /dev/null
+++ b/library/src/test/java/org/copperspindle/settings/SettingsFileTest.java
@@ -0,0 +1,44 @@
+package org.copperspindle.settings;
+
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+/**
+ * Names and values arrive as they were written, whatever the INI library's own paths and substitutions make of them.
+ */
+class SettingsFileTest {
+
+    private static final String TEXT = """
+            [pool a.b]
+            key.one = ${env:HOME}
+            [pool c]
+            key = x, y
+            [pool a.b]
+            key(1) = later
+            """;
+
+    @ParameterizedTest
+    @CsvSource({"pool a.b, key.one, ${env:HOME}", "pool a.b, key(1), later", "pool c, key, 'x, y'"})
+    void valueIsReadAsWritten(String section, String key, String value) throws SettingsException {
+        SettingsFile file = SettingsFile.parse("sample", TEXT);
+
+        assertThat(file.section(section).getString(key, "a value")).isEqualTo(value);
+        assertThat(file.sections("pool")).hasSize(2);
+    }
+
+    /** A section that is continued further down: the second value of a key must not win or vanish unseen. */
+    @Test
+    void keyGivenTwiceIsNamed() throws SettingsException {
+        SettingsFile file = SettingsFile.parse("sample", TEXT + "key.one = again\n");
+
+        assertThatThrownBy(() -> file.finish(List.of("pool")))
+                .isInstanceOf(SettingsException.class)
+                .hasMessageContaining("[pool a.b] key.one: given 2 times");
+    }
+}
