Let one listener keep the status for orders and for probes

Cause: EngineOrderCaller and UpstreamProbe each had an inner listener that keeps the status of a response and drops its body, 17 lines alike.

Change: StatusListener serves both and tells what it heard through two callbacks, still on the client's network thread; both callers hand over to the ring as before.

Measured: AgentFaultTest (15 tests, probes over sockets) and OrderHandlerTest (8) pass.

Conclusion: behaviour is unchanged where it is tested.

--- a/library/src/main/java/org/copperspindle/agent/EngineOrderCaller.java
+++ b/library/src/main/java/org/copperspindle/agent/EngineOrderCaller.java
@@ -32,46 +32,11 @@
                 false,
                 MAX_RESPONSE,
                 request.fencingNumber());
-        client.call(call, new StatusListener(callback));
+        client.call(
+                call, new StatusListener(status -> handOver(callback, status), () -> handOver(callback, NO_ANSWER)));
     }
 
-    private void handOver(Runnable task) {
-        ring.offerUntilTaken(task, client.scheduler());
-    }
-
-    /** Keeps the status of one answer; the body does not matter. */
-    private final class StatusListener implements UpstreamResponseListener {
-        private final Consumer<Integer> callback;
-        private int status = NO_ANSWER;
-
-        private StatusListener(Consumer<Integer> callback) {
-            this.callback = callback;
-        }
-
-        @Override
-        public void onHead(UpstreamHead head) {
-            status = head.status();
-        }
-
-        @Override
-        public void onData(byte[] data) {
-            // not needed
-        }
-
-        @Override
-        public boolean wantsMore() {
-            return true;
-        }
-
-        @Override
-        public void onEnd() {
-            int answered = status;
-            handOver(() -> callback.accept(answered));
-        }
-
-        @Override
-        public void onFailure(boolean sent, String reason) {
-            handOver(() -> callback.accept(NO_ANSWER));
-        }
+    private void handOver(Consumer<Integer> callback, int status) {
+        ring.offerUntilTaken(() -> callback.accept(status), client.scheduler());
     }
 }
--- a/library/src/main/java/org/copperspindle/agent/UpstreamProbe.java
+++ b/library/src/main/java/org/copperspindle/agent/UpstreamProbe.java
@@ -63,7 +63,10 @@
             return;
         }
         Consumer<String> abort = client.call(
-                new UpstreamCall(path, new byte[0], "health", "health", true, MAX_RESPONSE), new ProbeListener());
+                new UpstreamCall(path, new byte[0], "health", "health", true, MAX_RESPONSE),
+                new StatusListener(
+                        status -> report(status == LEAVING_STATUS ? ProbeResult.LEAVING : ProbeResult.SERVING),
+                        () -> report(ProbeResult.SILENT)));
         timeout = timers.schedule(TIMEOUT_INTERVALS * interval.toNanos(), () -> abort.accept("probe timeout"));
     }
 
@@ -83,34 +86,4 @@
         next = timers.schedule(interval.toNanos(), this::start);
         result.accept(seen);
     }
-
-    /** Hears one answer. */
-    private final class ProbeListener implements UpstreamResponseListener {
-        private int status;
-
-        @Override
-        public void onHead(UpstreamHead head) {
-            status = head.status();
-        }
-
-        @Override
-        public void onData(byte[] data) {
-            // only the status counts
-        }
-
-        @Override
-        public boolean wantsMore() {
-            return true;
-        }
-
-        @Override
-        public void onEnd() {
-            report(status == LEAVING_STATUS ? ProbeResult.LEAVING : ProbeResult.SERVING);
-        }
-
-        @Override
-        public void onFailure(boolean sent, String reason) {
-            report(ProbeResult.SILENT);
-        }
-    }
 }
