Hold an account's rate over the whole fleet

Cause: each entry granted every client account its whole rate, so that the fleet granted the rate times the number of entries.

Change: the leader's grant of a lease carries each entry's part of every rate (one number, field 6), the renewal what is used and which grant was taken last (fields 7 and 8). A new leader lets entries go on with what they have until earlier leases have run out. Without a lease the part is 0; an entry without a part admits nothing and is not ready. Buckets settle at the old part before a new one counts.

--- a/library/src/main/java/org/copperspindle/control/ControlService.java
+++ b/library/src/main/java/org/copperspindle/control/ControlService.java
@@ -44,6 +44,7 @@
     private final long leaseNanos;
     private final ClaimHandler claims;
     private final MemberTable members = new MemberTable();
+    private final RateShareTable rateShares = new RateShareTable();
     private final PendingApplies pending;
     private final UpdatePusher pusher;
     private final FleetService fleet;
@@ -170,6 +171,7 @@
             leadingTerm = term;
             leadingSince = timers.nanoTime();
             members.clear();
+            rateShares.clear();
             removing.clear();
             pending.abandon();
             inForce.begin();
@@ -195,7 +197,10 @@
 
     private void receiveLease(Peer peer, LeaseRequestMessage lease) {
         if (lease.leaving()) {
-            members.leave(peer).ifPresent(member -> left(member, true));
+            members.leave(peer).ifPresent(member -> {
+                rateShares.leave(member.key());
+                left(member, true);
+            });
             return;
         }
         Member member = members.of(peer, lease);
@@ -215,13 +220,18 @@
                 leadingTerm,
                 state.config().version(),
                 lease.number(),
-                newer));
+                newer,
+                granted && !member.isAgent() ? rateShare(member, lease, now) : LeaseGrantMessage.KEEP_SHARE));
         pusher.wakeFor(member);
         if (progress) {
             completeInForce();
         }
     }
 
+    private long rateShare(Member member, LeaseRequestMessage lease, long now) {
+        return rateShares.grant(member.key(), lease, now + leaseNanos, now, earlierLeasesOver());
+    }
+
     /** Returns the newest incarnation known of the member's upstream if that is newer than its own, else 0. */
     private long newerIncarnation(Member member, byte[] announcement) {
         if (!member.announces(announcement)) {
--- a/library/src/main/java/org/copperspindle/control/Member.java
+++ b/library/src/main/java/org/copperspindle/control/Member.java
@@ -15,6 +15,7 @@
 
     private static final Logger LOGGER = LogManager.getLogger(Member.class);
 
+    private final String key;
     private final String id;
     private final boolean agent;
     private Peer peer;
@@ -27,11 +28,17 @@
     private byte[] lastEncoded = new byte[0];
     private boolean announcing;
 
-    Member(String id, boolean agent) {
+    Member(String key, String id, boolean agent) {
+        this.key = key;
         this.id = id;
         this.agent = agent;
     }
 
+    /** Returns what names this life of the member. */
+    String key() {
+        return key;
+    }
+
     String id() {
         return id;
     }
--- a/library/src/main/java/org/copperspindle/control/MemberTable.java
+++ b/library/src/main/java/org/copperspindle/control/MemberTable.java
@@ -37,7 +37,7 @@
         boolean agent = request.announcement().length > 0;
         String process = peer.greeting().processId();
         String key = process + '/' + peer.greeting().incarnation() + (agent ? "/agent" : "/entry");
-        Member member = members.computeIfAbsent(key, k -> new Member(process, agent));
+        Member member = members.computeIfAbsent(key, k -> new Member(k, process, agent));
         byPeer.values().remove(member);
         byPeer.put(peer, member);
         member.connected(peer, request.textVersion(), request.membershipRevision());
--- a/library/src/main/java/org/copperspindle/entry/EntryService.java
+++ b/library/src/main/java/org/copperspindle/entry/EntryService.java
@@ -46,6 +46,7 @@
     private final DeploymentView deployment = new DeploymentView();
     private final FleetView fleet = new FleetView();
     private boolean refusing;
+    private double rateShare;
     private volatile boolean stopping;
     private volatile boolean ready;
     private volatile boolean leaseHeld;
@@ -181,6 +182,16 @@
         updateReady();
     }
 
+    @Override
+    public void onRateShare(double fraction) {
+        if (fraction != rateShare) {
+            LOGGER.info("event=rate-share fraction={}", fraction);
+            rateShare = fraction;
+            policy.rateShare(fraction, timers.nanoTime());
+            updateReady();
+        }
+    }
+
     @Override
     public void onReply(WireMessage message) {
         claims.onReply(message);
@@ -189,7 +200,7 @@
     private void updateReady() {
         leaseHeld = control.held();
         configVersion = deployment.version();
-        ready = control.held() && deployment.version() > 0 && !stopping;
+        ready = control.held() && deployment.version() > 0 && rateShare > 0 && !stopping;
     }
 
     private void awaitIdle(Runnable done, long until) {
@@ -226,7 +237,7 @@
     }
 
     private boolean serves() {
-        return !refusing && control.held() && deployment.version() > 0;
+        return !refusing && control.held() && deployment.version() > 0 && rateShare > 0;
     }
 
     private void run(PipelineRequest request, AnswerSink sink) {
--- a/library/src/main/java/org/copperspindle/limits/AdaptiveEntryPolicy.java
+++ b/library/src/main/java/org/copperspindle/limits/AdaptiveEntryPolicy.java
@@ -52,6 +52,11 @@
         // Lines are made on first use, so that a pool that goes keeps its waiters until their deadlines.
     }
 
+    @Override
+    public void rateShare(double fraction, long now) {
+        admission.rateShare(fraction, now);
+    }
+
     @Override
     public Optional<Refusal> refuse(PipelineRequest request, long now) {
         Optional<Duration> tooLate = foresee(request, now);
--- a/library/src/main/java/org/copperspindle/limits/AdmissionPolicy.java
+++ b/library/src/main/java/org/copperspindle/limits/AdmissionPolicy.java
@@ -11,6 +11,14 @@
  */
 public interface AdmissionPolicy {
 
+    /**
+     * Takes this entry's part of every account's rate. A policy that is never told has the whole.
+     *
+     * @param fraction from 0 to 1
+     * @param now      nanoseconds of the timer service
+     */
+    void rateShare(double fraction, long now);
+
     /**
      * Decides on one request. An admitted request must be given back with {@link #release}.
      *
--- a/library/src/main/java/org/copperspindle/limits/BaselineEntryPolicy.java
+++ b/library/src/main/java/org/copperspindle/limits/BaselineEntryPolicy.java
@@ -33,6 +33,11 @@
         nextByPool.clear();
     }
 
+    @Override
+    public void rateShare(double fraction, long now) {
+        admission.rateShare(fraction, now);
+    }
+
     @Override
     public Optional<Refusal> refuse(PipelineRequest request, long now) {
         return admission
--- a/library/src/main/java/org/copperspindle/limits/EntryPolicy.java
+++ b/library/src/main/java/org/copperspindle/limits/EntryPolicy.java
@@ -23,6 +23,14 @@
      */
     void configure(Deployment deployment);
 
+    /**
+     * Takes this entry's part of every account's rate. A policy that is never told has the whole.
+     *
+     * @param fraction from 0 to 1
+     * @param now      nanoseconds of the timer service
+     */
+    void rateShare(double fraction, long now);
+
     /**
      * Decides whether a request is taken on. One that is must be given back with {@link #release}.
      *
--- a/library/src/main/java/org/copperspindle/limits/LeastLoadEntryPolicy.java
+++ b/library/src/main/java/org/copperspindle/limits/LeastLoadEntryPolicy.java
@@ -31,6 +31,11 @@
         // Nothing is learned, so nothing depends on the deployment.
     }
 
+    @Override
+    public void rateShare(double fraction, long now) {
+        admission.rateShare(fraction, now);
+    }
+
     @Override
     public Optional<Refusal> refuse(PipelineRequest request, long now) {
         return admission
--- a/library/src/main/java/org/copperspindle/limits/RateAdmissionPolicy.java
+++ b/library/src/main/java/org/copperspindle/limits/RateAdmissionPolicy.java
@@ -9,16 +9,18 @@
 import org.copperspindle.config.Priority;
 
 /**
- * Holds each client account to its rate, with a burst of one second, and the whole entry to a number of requests in
+ * Holds each client account to this entry's part of its rate, with a burst of one second but at least one request, and the whole entry to a number of requests in
  * progress of which lower priorities may use less.
  */
 public final class RateAdmissionPolicy implements AdmissionPolicy {
 
     private static final double NANOS_PER_SECOND = 1e9;
+    private static final Duration NO_SHARE_COME_BACK = Duration.ofSeconds(1);
     private static final double[] SHARE_BY_PRIORITY = {1.0, 0.9, 0.75};
 
     private final Map<String, Bucket> buckets = new HashMap<>();
     private final int maxInProgress;
+    private double fraction = 1;
     private int inProgress;
 
     /**
@@ -30,17 +32,30 @@
         this.maxInProgress = maxInProgress;
     }
 
+    @Override
+    public void rateShare(double newFraction, long now) {
+        if (newFraction == fraction) {
+            return;
+        }
+        // What was earned so far was earned at the old rate; a larger share must not count backwards.
+        buckets.values().forEach(bucket -> bucket.fill(fraction, now));
+        fraction = newFraction;
+    }
+
     @Override
     public Optional<Duration> refuse(AccountSettings account, Priority priority, long now) {
         if (inProgress >= maxInProgress * SHARE_BY_PRIORITY[priority.ordinal()]) {
             return Optional.of(Duration.ofSeconds(1));
         }
-        double rate = account.ratePerSecond();
-        Bucket bucket = buckets.computeIfAbsent(account.name(), name -> new Bucket(now, rate));
-        bucket.tokens = Math.min(Math.max(1, rate), bucket.tokens + (now - bucket.filledAt) / NANOS_PER_SECOND * rate);
-        bucket.filledAt = now;
+        if (fraction == 0) {
+            return Optional.of(NO_SHARE_COME_BACK);
+        }
+        Bucket bucket = buckets.computeIfAbsent(account.name(), name -> new Bucket(now, fraction, account));
+        bucket.ratePerSecond = account.ratePerSecond();
+        bucket.fill(fraction, now);
         if (bucket.tokens < 1) {
-            return Optional.of(Duration.ofNanos((long) ((1 - bucket.tokens) / rate * NANOS_PER_SECOND)));
+            double seconds = (1 - bucket.tokens) / (bucket.ratePerSecond * fraction);
+            return Optional.of(Duration.ofNanos((long) (seconds * NANOS_PER_SECOND)));
         }
         bucket.tokens--;
         inProgress++;
@@ -55,10 +70,18 @@
     private static final class Bucket {
         private long filledAt;
         private double tokens;
+        private double ratePerSecond;
 
-        private Bucket(long filledAt, double rate) {
+        private Bucket(long filledAt, double fraction, AccountSettings account) {
             this.filledAt = filledAt;
-            this.tokens = Math.max(1, rate);
+            this.ratePerSecond = account.ratePerSecond();
+            this.tokens = Math.max(1, ratePerSecond * fraction);
+        }
+
+        private void fill(double fraction, long now) {
+            double rate = ratePerSecond * fraction;
+            tokens = Math.min(Math.max(1, rate), tokens + (now - filledAt) / NANOS_PER_SECOND * rate);
+            filledAt = now;
         }
     }
 }
--- a/library/src/main/java/org/copperspindle/membership/ControlLink.java
+++ b/library/src/main/java/org/copperspindle/membership/ControlLink.java
@@ -120,8 +120,9 @@
             return;
         }
         LeaseRequestMessage current = request.get();
-        long number = lease.request(timers.nanoTime(), current.configVersion());
-        if (!peer.send(current.numbered(number, textVersion))) {
+        long now = timers.nanoTime();
+        long number = lease.request(now, current.configVersion());
+        if (!peer.send(current.numbered(number, textVersion, lease.rateShare(now), lease.takenNumber()))) {
             // Closed before it was opened here: its end was heard of first.
             lost(peer);
             return;
@@ -149,6 +150,15 @@
         return lease.held(timers.nanoTime());
     }
 
+    /**
+     * Returns the part of every account's rate that may be used now.
+     *
+     * @return parts of {@link LeaseGrantMessage#WHOLE_RATE}, 0 without the lease
+     */
+    public long rateShare() {
+        return lease.rateShare(timers.nanoTime());
+    }
+
     /** Stops renewing; the caller has sent its leaving request before. */
     public void stop() {
         stopped = true;
@@ -250,6 +260,7 @@
         if (!lease.grant(grant, timers.nanoTime())) {
             return;
         }
+        listener.onRateShare(rateShare() / (double) LeaseGrantMessage.WHOLE_RATE);
         if (!serving) {
             serving = true;
             watchExpiry();
--- a/library/src/main/java/org/copperspindle/membership/ControlLinkListener.java
+++ b/library/src/main/java/org/copperspindle/membership/ControlLinkListener.java
@@ -37,6 +37,15 @@
         // only agents carry out a leader's orders
     }
 
+    /**
+     * The lease was prolonged with a part of every account's rate.
+     *
+     * @param fraction from 0 to 1, to be used only while the lease is held
+     */
+    default void onRateShare(double fraction) {
+        // only entries admit callers' requests
+    }
+
     /**
      * Control knows a newer life of this member's upstream, though this one has not held a lease yet: the clock that
      * numbers lives was set back. The member goes on under a larger incarnation.
--- a/library/src/main/java/org/copperspindle/membership/LeaseClock.java
+++ b/library/src/main/java/org/copperspindle/membership/LeaseClock.java
@@ -20,6 +20,8 @@
     private long highestTerm;
     private long end;
     private boolean granted;
+    private long share;
+    private long takenNumber;
 
     /** Forgets the requests of a connection that ended; the lease itself goes on. */
     void connectionChanged() {
@@ -37,7 +39,7 @@
         if (outstanding.size() >= MAX_OUTSTANDING) {
             outstanding.pollLast();
         }
-        outstanding.add(new Outstanding(nextNumber, now, version));
+        outstanding.add(new Outstanding(nextNumber, now, version, rateShare(now)));
         return nextNumber++;
     }
 
@@ -70,6 +72,12 @@
         if (granting <= now || granted && granting <= end) {
             return false;
         }
+        // A leader that says to go on counts on what was reported to it: a larger share that came in between, from its
+        // earlier term over the same connection, would be used without its knowledge.
+        share = grant.rateShare() == LeaseGrantMessage.KEEP_SHARE
+                ? Math.min(rateShare(now), request.rateShare())
+                : grant.rateShare();
+        takenNumber = grant.number();
         end = granting;
         granted = true;
         return true;
@@ -100,6 +108,21 @@
         return granted && now < end;
     }
 
+    /**
+     * Returns the part of every account's rate that may be used. It ends with the lease: control then gives it to others.
+     *
+     * @param now time in nanoseconds
+     * @return parts of {@link LeaseGrantMessage#WHOLE_RATE}
+     */
+    long rateShare(long now) {
+        return held(now) ? share : 0;
+    }
+
+    /** Returns the number of the last grant that was taken, 0 for none. */
+    long takenNumber() {
+        return takenNumber;
+    }
+
     boolean everHeld() {
         return granted;
     }
@@ -118,5 +141,5 @@
         return outstanding.isEmpty() ? 0 : now - outstanding.peek().sentAt();
     }
 
-    private record Outstanding(long number, long sentAt, long version) {}
+    private record Outstanding(long number, long sentAt, long version, long rateShare) {}
 }
--- a/library/src/main/java/org/copperspindle/membership/LeaseRequestMessage.java
+++ b/library/src/main/java/org/copperspindle/membership/LeaseRequestMessage.java
@@ -15,6 +15,8 @@
  * @param leaving            whether the member stops and gives its lease back
  * @param number             number of the request on its connection, repeated by the grant
  * @param textVersion        version whose text the member holds, from which patches can be made; 0 for none
+ * @param rateShare          part of every account's rate that an entry uses, of {@link LeaseGrantMessage#WHOLE_RATE}
+ * @param shareNumber        number of the last grant that the member took; 0 for none
  */
 public record LeaseRequestMessage(
         long configVersion,
@@ -22,7 +24,9 @@
         byte[] announcement,
         boolean leaving,
         long number,
-        long textVersion)
+        long textVersion,
+        long rateShare,
+        long shareNumber)
         implements WireMessage {
 
     /** Codec of this message. */
@@ -38,12 +42,19 @@
      * @param leaving            whether the member stops and gives its lease back
      */
     public LeaseRequestMessage(long configVersion, long membershipRevision, byte[] announcement, boolean leaving) {
-        this(configVersion, membershipRevision, announcement, leaving, 0, 0);
+        this(configVersion, membershipRevision, announcement, leaving, 0, 0, 0, 0);
     }
 
-    LeaseRequestMessage numbered(long newNumber, long newTextVersion) {
+    LeaseRequestMessage numbered(long newNumber, long newTextVersion, long newShare, long newShareNumber) {
         return new LeaseRequestMessage(
-                configVersion, membershipRevision, announcement, leaving, newNumber, newTextVersion);
+                configVersion,
+                membershipRevision,
+                announcement,
+                leaving,
+                newNumber,
+                newTextVersion,
+                newShare,
+                newShareNumber);
     }
 
     private void write(FieldWriter out) {
@@ -52,7 +63,9 @@
                 .put(3, announcement)
                 .put(4, leaving)
                 .put(5, number)
-                .put(6, textVersion);
+                .put(6, textVersion)
+                .put(7, rateShare)
+                .put(8, shareNumber);
     }
 
     private static LeaseRequestMessage read(FieldReader in) {
@@ -62,6 +75,8 @@
                 in.getBytes(3),
                 in.getBoolean(4),
                 in.getLong(5, 0),
-                in.getLong(6, 0));
+                in.getLong(6, 0),
+                in.getLong(7, 0),
+                in.getLong(8, 0));
     }
 }
--- a/library/src/test/java/org/copperspindle/membership/LeaseClockTest.java
+++ b/library/src/test/java/org/copperspindle/membership/LeaseClockTest.java
@@ -54,4 +54,23 @@
         assertThat(clock.held(SECOND)).isTrue();
         assertThat(clock.held(10 * SECOND)).isFalse();
     }
+
+    /**
+     * A leader that was elected again over the same connection reads a report sent before its own earlier, larger grant
+     * arrived, and says to go on. It counts on the reported share; the larger one in use would be above the whole.
+     */
+    @Test
+    void goesOnWithNoMoreThanItReported() {
+        LeaseClock clock = new LeaseClock();
+        clock.grant(new LeaseGrantMessage(5000, 1, 7, clock.request(0, 7), 0, 200), 1);
+        long raised = clock.request(10, 7);
+        long reported = clock.request(20, 7);
+
+        clock.grant(new LeaseGrantMessage(5000, 1, 7, raised, 0, 500), 30);
+        assertThat(clock.rateShare(30)).isEqualTo(500);
+        clock.grant(new LeaseGrantMessage(5000, 2, 7, reported, 0), 40);
+
+        assertThat(clock.rateShare(40)).isEqualTo(200);
+        assertThat(clock.rateShare(5 * SECOND)).isZero();
+    }
 }
