Use the clock of the test class

Cause: a local variable hid the field, which Checkstyle refuses. Change: the new test uses the field, which JUnit makes anew for each test. Conclusion: no assertion changed.

--- a/library/src/test/java/org/copperspindle/membership/LeaseClockTest.java
+++ b/library/src/test/java/org/copperspindle/membership/LeaseClockTest.java
@@ -61,7 +61,6 @@
      */
     @Test
     void goesOnWithNoMoreThanItReported() {
-        LeaseClock clock = new LeaseClock();
         clock.grant(new LeaseGrantMessage(5000, 1, 7, clock.request(0, 7), 0, 200), 1);
         long raised = clock.request(10, 7);
         long reported = clock.request(20, 7);
