Acknowledge outcomes that no request waits for any more

Cause: an outcome that came after its entry had let the attempt go (given up, caller left, resend that no longer follows it, 30 s after the answer) was dropped without a word. It stayed unacknowledged, and an agent that stops waited its whole drain time for it.

Measured: without the memory, both new tests of WorstMomentTest fail; with the acknowledgement before the settlement, the one of the install fails. Both were broken on purpose and restored.

Conclusion: outcomes of an earlier life of the entry, and acknowledgements lost with their connection, are still left to the drain time.

--- a/library/src/main/java/org/copperspindle/claims/ClaimSettleMessage.java
+++ b/library/src/main/java/org/copperspindle/claims/ClaimSettleMessage.java
@@ -36,6 +36,16 @@
         return new ClaimSettleMessage(number, account, key, stage, attemptId, verdict, shard);
     }
 
+    /**
+     * Gives this settlement another verdict.
+     *
+     * @param other verdict of the attempt
+     * @return the same settlement with that verdict
+     */
+    public ClaimSettleMessage as(Verdict other) {
+        return new ClaimSettleMessage(correlation, account, key, stage, attemptId, other, shard);
+    }
+
     private void write(FieldWriter out) {
         out.put(1, account)
                 .put(2, key)
--- a/library/src/main/java/org/copperspindle/entry/OpenAttempts.java
+++ b/library/src/main/java/org/copperspindle/entry/OpenAttempts.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 
@@ -17,13 +16,10 @@
  */
 final class OpenAttempts {
 
-    private static final int MAX_ENDED = 4096;
-
     private final TimerService timers;
     private final EntryPolicy policy;
     private final WaitingRequests line;
     private final Map<String, List<OpenAttempt>> attempts = new HashMap<>();
-    private final Map<String, Boolean> ended = new LinkedHashMap<>();
 
     OpenAttempts(TimerService timers, EntryPolicy policy, WaitingRequests line) {
         this.timers = timers;
@@ -71,16 +67,4 @@
             line.freed(attempt.stage().pool());
         });
     }
-
-    /** Notes an attempt whose outcome is of no use any more: should it come late, its agent may forget it. */
-    void remember(String attemptId) {
-        ended.put(attemptId, Boolean.TRUE);
-        if (ended.size() > MAX_ENDED) {
-            ended.remove(ended.keySet().iterator().next());
-        }
-    }
-
-    boolean mayForget(String attemptId) {
-        return ended.containsKey(attemptId);
-    }
 }
--- a/library/src/main/java/org/copperspindle/entry/RequestDriver.java
+++ b/library/src/main/java/org/copperspindle/entry/RequestDriver.java
@@ -61,6 +61,7 @@
     private final EntryCounters counters = new EntryCounters();
     private final Map<String, OpenRequest> requests = new HashMap<>();
     private final OpenAttempts attempts;
+    private final LateOutcomes late;
 
     RequestDriver(
             TimerService timers,
@@ -77,6 +78,7 @@
         this.measures = measures;
         this.line = new WaitingRequests(timers, policy, this::resume);
         this.attempts = new OpenAttempts(timers, policy, line);
+        this.late = new LateOutcomes(agents, claims);
     }
 
     /**
@@ -159,9 +161,7 @@
         List<OpenAttempt> waiting = attempts.waiting(outcome.attemptId());
         if (waiting.isEmpty()) {
             counters.droppedOutcome();
-            if (attempts.mayForget(outcome.attemptId())) {
-                agents.send(agent, new OutcomeAckMessage(outcome.attemptId()));
-            }
+            late.onOutcome(agent, outcome);
         }
         for (OpenAttempt attempt : waiting) {
             attempts.close(attempt, endOf(outcome), outcome.inFlight());
@@ -221,7 +221,7 @@
         } else if (action instanceof PipelineAction.Query query) {
             query(open, query);
         } else if (action instanceof PipelineAction.Cancel cancel) {
-            attempts.remember(cancel.attemptId());
+            late.remember(cancel.attemptId());
             sendTo(cancel.upstreamId(), new AttemptCancelMessage(cancel.attemptId()));
         } else if (action instanceof PipelineAction.Acknowledge acknowledge) {
             acknowledge(acknowledge);
@@ -345,7 +345,7 @@
     }
 
     private void acknowledge(PipelineAction.Acknowledge acknowledge) {
-        attempts.remember(acknowledge.attemptId());
+        late.remember(acknowledge.attemptId());
         sendTo(acknowledge.upstreamId(), new OutcomeAckMessage(acknowledge.attemptId()));
     }
 
@@ -391,8 +391,7 @@
         // on.
         List.copyOf(open.attempts()).stream()
                 .filter(attempt -> !waitedFor.contains(attempt.id()))
-                .forEach(attempt ->
-                        attempts.close(attempt, attempt.lost() ? AttemptEnd.LOST : AttemptEnd.WITHDRAWN, -1));
+                .forEach(attempt -> letGo(attempt, attempt.lost() ? AttemptEnd.LOST : AttemptEnd.WITHDRAWN));
         if (open.run().answered() && open.release()) {
             open.cancelDeadline();
             policy.release(open.request());
@@ -409,6 +408,17 @@
     private void forget(OpenRequest open) {
         open.cancelDeadline();
         requests.remove(open.id());
-        List.copyOf(open.attempts()).forEach(attempt -> attempts.close(attempt, AttemptEnd.WITHDRAWN, -1));
+        List.copyOf(open.attempts()).forEach(attempt -> letGo(attempt, AttemptEnd.WITHDRAWN));
+    }
+
+    private void letGo(OpenAttempt attempt, AttemptEnd end) {
+        attempts.close(attempt, end, -1);
+        if (attempt.stage().repeatable()) {
+            late.remember(attempt.id());
+        } else {
+            late.rememberClaimed(attempt.open()
+                    .request()
+                    .settlement(attempt.stage(), attempt.id(), new MayHaveRunVerdict("outcome-late")));
+        }
     }
 }
--- a/library/src/main/java/org/copperspindle/pipeline/OrderFactory.java
+++ b/library/src/main/java/org/copperspindle/pipeline/OrderFactory.java
@@ -7,7 +7,6 @@
 
 import org.copperspindle.agent.AttemptOrderMessage;
 import org.copperspindle.claims.ClaimRequestMessage;
-import org.copperspindle.claims.ClaimSettleMessage;
 import org.copperspindle.claims.ClaimShards;
 import org.copperspindle.config.StageSettings;
 import org.copperspindle.verdict.NotRunVerdict;
@@ -55,7 +54,7 @@
                 0,
                 request.account().name(),
                 request.key(),
-                claimStage(stage),
+                request.claimStage(stage),
                 attempt.id(),
                 attempt.upstreamId(),
                 request.bodyDigest(),
@@ -64,17 +63,6 @@
                 ClaimShards.of(request.account().name(), request.key()));
     }
 
-    ClaimSettleMessage settle(StageAttempt attempt, StageSettings stage, Verdict verdict) {
-        return new ClaimSettleMessage(
-                0,
-                request.account().name(),
-                request.key(),
-                claimStage(stage),
-                attempt.id(),
-                verdict,
-                ClaimShards.of(request.account().name(), request.key()));
-    }
-
     /** Says whether the answer of a stage is passed on in pieces. */
     boolean streaming(int stageIndex) {
         List<StageSettings> stages = request.pipeline().stages();
@@ -110,10 +98,7 @@
         // Acknowledged only once the settlement is committed. Otherwise the agent may forget the outcome while the
         // claim still reads as open, and a resend would learn no more than MAY_HAVE_RUN.
         return List.of(new PipelineAction.Settle(
-                settle(attempt, stage, verdict), refused ? Optional.empty() : Optional.of(acknowledge)));
-    }
-
-    private String claimStage(StageSettings stage) {
-        return request.pipeline().name() + "/" + stage.name();
+                request.settlement(stage, attempt.id(), verdict),
+                refused ? Optional.empty() : Optional.of(acknowledge)));
     }
 }
--- a/library/src/main/java/org/copperspindle/pipeline/PipelineRequest.java
+++ b/library/src/main/java/org/copperspindle/pipeline/PipelineRequest.java
@@ -1,8 +1,12 @@
 package org.copperspindle.pipeline;
 
+import org.copperspindle.claims.ClaimSettleMessage;
+import org.copperspindle.claims.ClaimShards;
 import org.copperspindle.config.AccountSettings;
 import org.copperspindle.config.PipelineSettings;
 import org.copperspindle.config.Priority;
+import org.copperspindle.config.StageSettings;
+import org.copperspindle.verdict.Verdict;
 
 /**
  * One admitted request.
@@ -36,4 +40,22 @@
     public boolean callerKey() {
         return !key.equals(requestId);
     }
+
+    /**
+     * Returns the settlement of an attempt's claim.
+     *
+     * @param stage     an unrepeatable stage
+     * @param attemptId the attempt
+     * @param verdict   its verdict
+     * @return the settlement, not yet numbered
+     */
+    public ClaimSettleMessage settlement(StageSettings stage, String attemptId, Verdict verdict) {
+        int shard = ClaimShards.of(account.name(), key);
+        return new ClaimSettleMessage(0, account.name(), key, claimStage(stage), attemptId, verdict, shard);
+    }
+
+    /** Pipeline and stage, as claims name them. */
+    String claimStage(StageSettings stage) {
+        return pipeline.name() + "/" + stage.name();
+    }
 }
--- a/library/src/test/java/org/copperspindle/agent/SimulatedAgent.java
+++ b/library/src/test/java/org/copperspindle/agent/SimulatedAgent.java
@@ -56,6 +56,10 @@
         return dead;
     }
 
+    public int unacknowledged() {
+        return table.unacknowledged();
+    }
+
     public long incarnation() {
         return incarnation;
     }
--- a/library/src/test/java/org/copperspindle/entry/WorstMomentTest.java
+++ b/library/src/test/java/org/copperspindle/entry/WorstMomentTest.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 
+import org.copperspindle.agent.OutcomeQueryMessage;
 import org.copperspindle.agent.SimulatedAgent;
 import org.copperspindle.claims.ClaimDecision;
 import org.copperspindle.claims.ClaimLimits;
@@ -23,6 +24,9 @@
 
     private static final Duration LONG = Duration.ofSeconds(40);
 
+    /** Less than an agent keeps an outcome for which nobody asks. */
+    private static final Duration SOON = Duration.ofSeconds(2);
+
     private final SimulatedDeployment deployment = new SimulatedDeployment(2, 2);
 
     /** How far an install through the first entry has come when the fault strikes. */
@@ -143,6 +147,50 @@
         assertThat(claimAnew().result()).isEqualTo(ClaimResult.GRANTED);
     }
 
+    /**
+     * An entry dies while its install runs; a resend through another entry asks the agent, and its caller leaves before
+     * the reply. The late outcome is settled and acknowledged all the same, in this order. Left unacknowledged, the agent
+     * would wait its whole drain time when it stops; a later resend gets the first outcome.
+     */
+    @Test
+    void lateOutcomeOfAnInstallIsSettledAndAcknowledged() {
+        SimulatedCaller first = install(0);
+        reach(Moment.RAN, first);
+        InetSocketAddress address = holderAddress();
+        deployment.crash(deployment.entries().get(0));
+        SimulatedCaller resent = install(1);
+        SimulatedEntry entry = deployment.entries().get(1);
+        deployment.until("the question", () -> entry.isOpen(address));
+        entry.callerLeaves(resent);
+        assertThat(resent.ends()).isZero();
+        deployment.advance(SOON);
+        assertThat(deployment.agent(address).unacknowledged()).isZero();
+        assertThat(claimAnew().ended()).as("settled before it is acknowledged").isTrue();
+
+        SimulatedCaller again = install(1);
+        deployment.advance(LONG);
+        assertThat(again.successful()).isTrue();
+        assertThat(deployment.book().count("w1")).isEqualTo(1);
+    }
+
+    /**
+     * A lookup is given up because its agent can't be asked, and runs elsewhere. The first outcome comes after all: nobody
+     * needs it, and its agent is told so.
+     */
+    @Test
+    void lateOutcomeOfALookupIsAcknowledged() {
+        SimulatedCaller caller = deployment.call(0, "lookup", "k1", "w1");
+        reach(Moment.RAN, caller);
+        InetSocketAddress address = holderAddress();
+        String attempt = caller.requestId() + "/" + deployment.stageOf("lookup").split("/")[1] + "/1";
+        deployment.entries().get(0).notSent(new OutcomeQueryMessage(attempt, 1, 0, false));
+        deployment.advance(SOON);
+
+        assertThat(caller.successful()).isTrue();
+        assertThat(deployment.book().count("w1")).isEqualTo(2);
+        assertThat(deployment.agent(address).unacknowledged()).isZero();
+    }
+
     /** The same key with another body is another request that borrows a key: it is refused and never runs. */
     @Test
     void sameKeyWithAnotherBodyIsRefused() {
