Split the questions for kept outcomes off RequestDriver

Change: OutcomeQueries asks agents for kept outcomes and asks again; the driver is told of agents that can't be asked. Behaviour is unchanged.

--- a/library/src/main/java/org/copperspindle/entry/RequestDriver.java
+++ b/library/src/main/java/org/copperspindle/entry/RequestDriver.java
@@ -44,9 +44,6 @@
 
     private static final Logger LOGGER = LogManager.getLogger(RequestDriver.class);
 
-    /** An agent that comes back this quickly is asked for a repeatable stage's outcome before the stage is rerun. */
-    private static final long ASK_AGAIN_NANOS = Duration.ofMillis(250).toNanos();
-
     private static final long LINGER_NANOS = Duration.ofSeconds(30).toNanos();
     private static final Duration COME_BACK = Duration.ofSeconds(1);
     private static final int SERVER_ERROR = 500;
@@ -62,6 +59,7 @@
     private final Map<String, OpenRequest> requests = new HashMap<>();
     private final OpenAttempts attempts;
     private final LateOutcomes late;
+    private final OutcomeQueries queries;
 
     RequestDriver(
             TimerService timers,
@@ -79,6 +77,7 @@
         this.line = new WaitingRequests(timers, policy, this::resume);
         this.attempts = new OpenAttempts(timers, policy, line);
         this.late = new LateOutcomes(agents, claims);
+        this.queries = new OutcomeQueries(timers, agents, fleet, attempts, this::unreachable);
     }
 
     /**
@@ -140,7 +139,7 @@
         if (message instanceof AttemptOrderMessage order) {
             onOrderNotSent(order.attemptId());
         } else if (message instanceof OutcomeQueryMessage query) {
-            unreachable(query.attemptId(), false);
+            attempts.waiting(query.attemptId()).forEach(attempt -> unreachable(attempt, false));
         }
     }
 
@@ -184,10 +183,8 @@
         }
     }
 
-    private void unreachable(String attemptId, boolean gone) {
-        for (OpenAttempt attempt : attempts.waiting(attemptId)) {
-            perform(attempt.open(), attempt.open().run().onUnreachable(attemptId, gone, timers.nanoTime()));
-        }
+    private void unreachable(OpenAttempt attempt, boolean gone) {
+        perform(attempt.open(), attempt.open().run().onUnreachable(attempt.id(), gone, timers.nanoTime()));
     }
 
     /** Carries out actions in order. What they cause in turn is queued behind them, never run in their midst. */
@@ -219,7 +216,7 @@
         } else if (action instanceof PipelineAction.Settle settle) {
             claims.settle(settle.settle(), () -> settle.acknowledge().ifPresent(this::acknowledge));
         } else if (action instanceof PipelineAction.Query query) {
-            query(open, query);
+            queries.query(open, query);
         } else if (action instanceof PipelineAction.Cancel cancel) {
             late.remember(cancel.attemptId());
             sendTo(cancel.upstreamId(), new AttemptCancelMessage(cancel.attemptId()));
@@ -297,43 +294,6 @@
         }
     }
 
-    private void query(OpenRequest open, PipelineAction.Query query) {
-        OpenAttempt asked = open.attempt(query.attemptId())
-                .orElseGet(() -> attempts.add(
-                        new OpenAttempt(open, query.attemptId(), null, Optional.empty(), timers.nanoTime())));
-        asked.timer(timers.schedule(query.delay().toNanos(), () -> ask(asked, query)));
-    }
-
-    private void ask(OpenAttempt attempt, PipelineAction.Query query) {
-        if (!attempts.isOpen(attempt)) {
-            return;
-        }
-        Optional<UpstreamView> view = fleet.upstream(query.upstreamId());
-        if (view.isEmpty()) {
-            perform(attempt.open(), attempt.open().run().onUnreachable(attempt.id(), true, timers.nanoTime()));
-            return;
-        }
-        InetSocketAddress agent = view.get().announcement().agentAddress();
-        attempt.agent(agent);
-        attempt.timer(timers.schedule(ASK_AGAIN_NANOS, () -> askAgain(attempt, query)));
-        agents.send(
-                agent,
-                new OutcomeQueryMessage(
-                        query.attemptId(), query.incarnation(), query.clockMicros(), !query.repeatable()));
-    }
-
-    private void askAgain(OpenAttempt attempt, PipelineAction.Query query) {
-        if (!attempts.isOpen(attempt)) {
-            return;
-        }
-        if (agents.isOpen(attempt.agent())) {
-            // The agent is there and silent: the attempt still runs. Asked again in case the question was lost.
-            attempt.timer(timers.schedule(ASK_AGAIN_NANOS, () -> ask(attempt, query)));
-        } else {
-            perform(attempt.open(), attempt.open().run().onUnreachable(attempt.id(), false, timers.nanoTime()));
-        }
-    }
-
     private static AttemptEnd endOf(AttemptOutcomeMessage outcome) {
         if (outcome.verdict() instanceof NotRunVerdict) {
             return AttemptEnd.REFUSED;
