Read configuration texts off the decision ring

Cause: entries and agents read each text on the ring that serves requests, and the operators' door checked whole files on its only network thread.

Change: BackgroundDeploymentReader reads on one thread that ends when idle and reports on the ring. Of the texts that arrive meanwhile only the newest is read next. The one in progress is still put in force: dropped for each newer one, a stream of changes faster than the reading would leave none in force. DeploymentView and AgentService take a higher version only, and a version is reported once it is in force. ControlDoor checks files on a thread of its own, with eight that may wait; one more is answered 503 not-taken. SimulatedDeployment passes the reader that reads in place; no assertion changed.

--- a/library/src/main/java/org/copperspindle/agent/AgentService.java
+++ b/library/src/main/java/org/copperspindle/agent/AgentService.java
@@ -7,8 +7,9 @@
 
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.copperspindle.config.BackgroundDeploymentReader;
 import org.copperspindle.config.Deployment;
-import org.copperspindle.config.DeploymentLoader;
+import org.copperspindle.config.DeploymentReader;
 import org.copperspindle.core.DecisionRing;
 import org.copperspindle.fleet.OrderHandler;
 import org.copperspindle.membership.ControlLink;
@@ -16,7 +17,6 @@
 import org.copperspindle.membership.ControlUpdateMessage;
 import org.copperspindle.membership.LeaseRequestMessage;
 import org.copperspindle.membership.UpstreamAnnouncement;
-import org.copperspindle.settings.SettingsException;
 import org.copperspindle.time.TimerService;
 import org.copperspindle.time.TimerSubscription;
 import org.copperspindle.verdict.NotRunVerdict;
@@ -48,8 +48,10 @@
     private final ControlLink control;
     private final AttemptTable attempts;
     private final OrderHandler orders;
+    private final DeploymentReader reader;
     private long sequence = 1;
     private long configVersion;
+    private long newestConfig;
     private boolean draining;
     private boolean stopped;
     private boolean waitingForAcks;
@@ -79,6 +81,7 @@
         this.ring = ring;
         this.timers = timers;
         this.settings = settings;
+        this.reader = new BackgroundDeploymentReader(ring);
         this.address = address;
         this.incarnation = incarnation;
         this.clockOrigin = timers.nanoTime();
@@ -167,20 +170,23 @@
 
     @Override
     public void onUpdate(ControlUpdateMessage update) {
-        if (update.configVersion() <= configVersion) {
+        long version = update.configVersion();
+        if (version <= newestConfig) {
             return;
         }
-        try {
-            Deployment deployment = DeploymentLoader.parse("version " + update.configVersion(), update.configText());
-            perform(attempts.onConfiguration(concurrency(deployment), longestDeadline(deployment), clock()));
-            orders.onConfiguration(
-                    deployment.pool(settings.pool()).map(p -> p.checksFencing()).orElse(false));
-        } catch (SettingsException e) {
-            // Control checks before it accepts, so this build is older than the configuration.
-            LOGGER.error("event=config-unreadable version={}", update.configVersion(), e);
+        newestConfig = version;
+        reader.read(version, update.configText(), read -> read.ifPresent(found -> putInForce(version, found)));
+    }
+
+    private void putInForce(long version, Deployment deployment) {
+        if (version <= configVersion) {
+            // A reading that ended late must not bring an older version back.
             return;
         }
-        configVersion = update.configVersion();
+        perform(attempts.onConfiguration(concurrency(deployment), longestDeadline(deployment), clock()));
+        orders.onConfiguration(
+                deployment.pool(settings.pool()).map(p -> p.checksFencing()).orElse(false));
+        configVersion = version;
         control.renewNow();
     }
 
--- a/library/src/main/java/org/copperspindle/control/ControlDoor.java
+++ b/library/src/main/java/org/copperspindle/control/ControlDoor.java
@@ -5,6 +5,8 @@
 import java.time.Duration;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.Executor;
+import java.util.concurrent.RejectedExecutionException;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
@@ -30,16 +32,19 @@
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
     private final DecisionQueue queue;
+    private final Executor checks;
     private final ControlService service;
 
     /**
      * Creates the door.
      *
      * @param queue   decision ring that owns the service
+     * @param checks  runs the checks of whole files, off the network threads and the ring; may reject
      * @param service carries the changes out
      */
-    public ControlDoor(DecisionQueue queue, ControlService service) {
+    public ControlDoor(DecisionQueue queue, Executor checks, ControlService service) {
         this.queue = queue;
+        this.checks = checks;
         this.service = service;
     }
 
@@ -73,8 +78,18 @@
             return;
         }
         String text = new String(exchange.body(), StandardCharsets.UTF_8);
+        ApplyConfigCommand command = new ApplyConfigCommand(change.get(), base.get(), operator.get(), text);
         try {
-            DeploymentLoader.parse(exchange.parameter("file").orElse("request"), text);
+            // A large file takes long enough to check that probes and other operators would time out behind it.
+            checks.execute(() -> check(exchange, command));
+        } catch (RejectedExecutionException e) {
+            answer(exchange, 503, node("not-taken").put("reason", "overloaded"));
+        }
+    }
+
+    private void check(HttpExchange exchange, ApplyConfigCommand command) {
+        try {
+            DeploymentLoader.parse(exchange.parameter("file").orElse("request"), command.text());
         } catch (SettingsException e) {
             answer(exchange, 422, node("refused").put("reason", e.getMessage()));
             return;
@@ -84,7 +99,6 @@
                 .map(Long::parseLong)
                 .map(w -> Math.min(w, LONGEST_WAIT.toMillis()))
                 .orElse(DEFAULT_WAIT.toMillis());
-        ApplyConfigCommand command = new ApplyConfigCommand(change.get(), base.get(), operator.get(), text);
         boolean taken = queue.offer(
                 () -> service.apply(command, Duration.ofMillis(wait).toNanos(), outcome -> report(exchange, outcome)));
         if (!taken) {
--- a/library/src/main/java/org/copperspindle/daemon/ControlRole.java
+++ b/library/src/main/java/org/copperspindle/daemon/ControlRole.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.Executor;
 
 import org.copperspindle.audit.AuditDoor;
 import org.copperspindle.audit.AuditStore;
@@ -23,6 +24,7 @@
 import org.copperspindle.control.ControlDoor;
 import org.copperspindle.control.ControlService;
 import org.copperspindle.control.ControlState;
+import org.copperspindle.core.BackgroundThread;
 import org.copperspindle.fleet.FenceQueryMessage;
 import org.copperspindle.fleet.OrderReportMessage;
 import org.copperspindle.http.HttpExchange;
@@ -45,6 +47,9 @@
             FenceQueryMessage.class,
             OrderReportMessage.class);
     private static final int UNAVAILABLE = 503;
+    /** Whole files that wait for their check; each may be as long as the longest text. */
+    private static final int WAITING_CHECKS = 8;
+
     private static final String LOG_FOLDER = "log";
     private static final String AUDIT_FOLDER = "audit";
     /** Operators send whole deployment files, and few of them. */
@@ -75,7 +80,9 @@
         }
         this.service = new ControlService(context.ring(), context.timers(), log, state, settings.lease());
         this.trail = new AuditDoor(context.ring(), () -> state.audit().head(), audit);
-        this.door = new ProbeDoor(this::ready, context.metrics()::scrape, new ControlDoor(context.ring(), service));
+        Executor checks = BackgroundThread.create("config-check", WAITING_CHECKS);
+        this.door =
+                new ProbeDoor(this::ready, context.metrics()::scrape, new ControlDoor(context.ring(), checks, service));
         ProcessMetrics.publish(context.metrics(), "operators", operators.counters());
     }
 
--- a/library/src/main/java/org/copperspindle/entry/DeploymentView.java
+++ b/library/src/main/java/org/copperspindle/entry/DeploymentView.java
@@ -12,9 +12,8 @@
 import org.apache.logging.log4j.Logger;
 import org.copperspindle.config.AccountSettings;
 import org.copperspindle.config.Deployment;
-import org.copperspindle.config.DeploymentLoader;
+import org.copperspindle.config.DeploymentReader;
 import org.copperspindle.membership.ControlUpdateMessage;
-import org.copperspindle.settings.SettingsException;
 
 /**
  * The configuration that one entry serves under.
@@ -24,31 +23,52 @@
     private static final Logger LOGGER = LogManager.getLogger(DeploymentView.class);
 
     private final Map<String, AccountSettings> accountsByDigest = new HashMap<>();
+    private final DeploymentReader reader;
+    private final Runnable whenInForce;
     private Deployment deployment = Deployment.EMPTY;
     private long version;
+    private long newest;
 
     /**
-     * Puts an update's configuration in force, if it is newer.
+     * Creates a view without a configuration.
+     *
+     * @param reader      reads texts
+     * @param whenInForce run each time that another configuration is in force
+     */
+    DeploymentView(DeploymentReader reader, Runnable whenInForce) {
+        this.reader = reader;
+        this.whenInForce = whenInForce;
+    }
+
+    /**
+     * Has an update's configuration read, if it is newer than all before. It is in force later, once it is read.
      *
      * @param update the update
-     * @return whether another configuration is in force now
      */
-    boolean update(ControlUpdateMessage update) {
-        if (update.configVersion() <= version) {
-            return false;
+    void update(ControlUpdateMessage update) {
+        long updated = update.configVersion();
+        if (updated <= newest) {
+            return;
         }
-        try {
-            deployment = DeploymentLoader.parse("version " + update.configVersion(), update.configText());
-        } catch (SettingsException e) {
-            // Control checks before it accepts, so this build is older than the configuration: don't serve it half.
-            LOGGER.error("event=config-unreadable version={}", update.configVersion(), e);
-            return false;
+        newest = updated;
+        reader.read(updated, update.configText(), read -> read.ifPresent(found -> putInForce(updated, found)));
+    }
+
+    /**
+     * Puts a configuration in force. Safeguard: a reading that ends late would bring an older version back after a newer
+     * one was reported, and callers would be served under rules that the operator was told are gone. Only a higher
+     * version is taken, whatever the order in which readings end.
+     */
+    private void putInForce(long read, Deployment found) {
+        if (read <= version) {
+            return;
         }
-        version = update.configVersion();
+        deployment = found;
+        version = read;
         accountsByDigest.clear();
         deployment.accounts().values().forEach(a -> accountsByDigest.put(a.keyDigest(), a));
         LOGGER.info("event=config-in-force version={}", version);
-        return true;
+        whenInForce.run();
     }
 
     /**
--- a/library/src/main/java/org/copperspindle/entry/EntryService.java
+++ b/library/src/main/java/org/copperspindle/entry/EntryService.java
@@ -9,6 +9,7 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.copperspindle.claims.ClaimClient;
+import org.copperspindle.config.BackgroundDeploymentReader;
 import org.copperspindle.core.DecisionRing;
 import org.copperspindle.limits.EntryPolicy;
 import org.copperspindle.limits.EntryPolicyFactory;
@@ -43,7 +44,7 @@
     private final RequestDriver driver;
     private final RequestAdmission admission;
     private final EntryPolicy policy;
-    private final DeploymentView deployment = new DeploymentView();
+    private final DeploymentView deployment;
     private final FleetView fleet = new FleetView();
     private boolean refusing;
     private volatile boolean stopping;
@@ -71,6 +72,7 @@
         this.ring = ring;
         this.timers = timers;
         this.settings = settings;
+        this.deployment = new DeploymentView(new BackgroundDeploymentReader(ring), this::configInForce);
         this.policy = EntryPolicyFactory.of(
                 PolicyKind.ADAPTIVE,
                 fleet,
@@ -166,10 +168,7 @@
 
     @Override
     public void onUpdate(ControlUpdateMessage update) {
-        if (deployment.update(update)) {
-            policy.configure(deployment.deployment());
-            updateReady();
-        }
+        deployment.update(update);
         fleet.update(update);
         control.renewNow();
     }
@@ -186,6 +185,13 @@
         claims.onReply(message);
     }
 
+    /** A version is reported once it is in force and not before, or the operator would be told so too early. */
+    private void configInForce() {
+        policy.configure(deployment.deployment());
+        updateReady();
+        control.renewNow();
+    }
+
     private void updateReady() {
         leaseHeld = control.held();
         configVersion = deployment.version();
--- a/library/src/test/java/org/copperspindle/entry/SimulatedDeployment.java
+++ b/library/src/test/java/org/copperspindle/entry/SimulatedDeployment.java
@@ -13,6 +13,7 @@
 
 import org.copperspindle.agent.SimulatedAgent;
 import org.copperspindle.claims.ClaimLimits;
+import org.copperspindle.config.DirectDeploymentReader;
 import org.copperspindle.config.PoolKind;
 import org.copperspindle.membership.ControlUpdateMessage;
 import org.copperspindle.membership.UpstreamAnnouncement;
@@ -57,7 +58,7 @@
             rate-per-second = 1000000
             pipelines = describe, install, lookup
             """;
-    private static final DeploymentView VIEW = new DeploymentView();
+    private static final DeploymentView VIEW = new DeploymentView(new DirectDeploymentReader(), () -> {});
 
     static {
         VIEW.update(new ControlUpdateMessage(1, 1, SETTINGS, true, 0, List.of(), List.of()));
