Let the reader's test fail, not hang, without its safeguard

On a ring of 8 slots the test's 100 tasks wait for a slot for ever when the ring is blocked.

Change: the test's ring has 256 slots. No assertion changed.

--- a/library/src/test/java/org/copperspindle/config/BackgroundDeploymentReaderTest.java
+++ b/library/src/test/java/org/copperspindle/config/BackgroundDeploymentReaderTest.java
@@ -23,7 +23,7 @@
 
     private static final String BAD = "bad";
 
-    private final DecisionRing ring = new DecisionRing("reader-test", 8);
+    private final DecisionRing ring = new DecisionRing("reader-test", 256);
     private final BlockingQueue<String> begun = new LinkedBlockingQueue<>();
     private final Semaphore held = new Semaphore(0);
     private final List<String> reported = new CopyOnWriteArrayList<>();
