--- a/library/src/main/java/org/copperspindle/entry/EntryService.java
+++ b/library/src/main/java/org/copperspindle/entry/EntryService.java
@@ -22,6 +22,7 @@
 import org.copperspindle.pipeline.PipelineRequest;
 import org.copperspindle.routing.FleetView;
 import org.copperspindle.time.TimerService;
+import org.copperspindle.verdict.NotRunVerdict;
 import org.copperspindle.wire.WireMessage;
 import org.copperspindle.wire.WireTransport;
 
@@ -37,6 +38,7 @@
 
     private final DecisionRing ring;
     private final TimerService timers;
+    private final WireTransport transport;
     private final EntrySettings settings;
     private final ControlLink control;
     private final AgentLinks agents;
@@ -44,6 +46,7 @@
     private final RequestDriver driver;
     private final RequestAdmission admission;
     private final EntryPolicy policy;
+    private final EntryMeasures measures;
     private final DeploymentView deployment;
     private final FleetView fleet = new FleetView();
     private boolean refusing;
@@ -71,8 +74,10 @@
             EntryMeasures measures) {
         this.ring = ring;
         this.timers = timers;
+        this.transport = transport;
         this.settings = settings;
         this.deployment = new DeploymentView(new BackgroundDeploymentReader(ring), this::configInForce);
+        this.measures = measures;
         this.policy = EntryPolicyFactory.of(
                 PolicyKind.ADAPTIVE,
                 fleet,
@@ -106,12 +111,13 @@
     }
 
     /**
-     * Notes that a caller went away. Should the ring be full, the request merely runs on until its deadline.
+     * Notes that a caller went away, from a network thread; it is not blocked while the ring is full.
      *
      * @param requestId identity of its request
      */
     public void callerLeft(String requestId) {
-        ring.offer(() -> driver.callerLeft(requestId));
+        // Lost at a full ring, the request would run on until its deadline, and take capacity just when that is short.
+        ring.offerUntilTaken(() -> driver.callerLeft(requestId), transport.scheduler());
     }
 
     /**
@@ -219,7 +225,7 @@
 
     private void admit(String requestId, CallerRequest request, AnswerSink sink) {
         AdmissionResult result =
-                serves() ? admission.admit(requestId, request, timers.nanoTime()) : admission.notServing();
+                serves() ? admission.admit(requestId, request, timers.nanoTime()) : admission.notServing(request);
         if (result instanceof AdmissionResult.Admitted admitted) {
             run(admitted.request(), sink);
         } else if (result instanceof AdmissionResult.Refused refused) {
@@ -227,6 +233,10 @@
                     "event=refused request={} reason={}",
                     requestId,
                     refused.answer().verdict().reason());
+            if (!(refused.answer().verdict() instanceof NotRunVerdict)) {
+                // The sink counts NOT_RUN by itself. Of this one nothing ran either, but its key may have run before.
+                measures.refused(refused.answer().verdict().reason());
+            }
             sink.end(requestId, refused.answer());
         }
     }
