--- a/library/src/main/java/org/copperspindle/entry/EntryService.java
+++ b/library/src/main/java/org/copperspindle/entry/EntryService.java
@@ -9,6 +9,7 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.copperspindle.claims.ClaimClient;
+import org.copperspindle.config.BackgroundDeploymentReader;
 import org.copperspindle.core.DecisionRing;
 import org.copperspindle.limits.EntryPolicy;
 import org.copperspindle.limits.EntryPolicyFactory;
@@ -46,7 +47,7 @@
     private final RequestAdmission admission;
     private final EntryPolicy policy;
     private final EntryMeasures measures;
-    private final DeploymentView deployment = new DeploymentView();
+    private final DeploymentView deployment;
     private final FleetView fleet = new FleetView();
     private boolean refusing;
     private double rateShare;
@@ -76,6 +77,7 @@
         this.timers = timers;
         this.transport = transport;
         this.settings = settings;
+        this.deployment = new DeploymentView(new BackgroundDeploymentReader(ring), this::configInForce);
         this.measures = measures;
         this.policy = EntryPolicyFactory.of(
                 PolicyKind.ADAPTIVE,
@@ -173,10 +175,7 @@
 
     @Override
     public void onUpdate(ControlUpdateMessage update) {
-        if (deployment.update(update)) {
-            policy.configure(deployment.deployment());
-            updateReady();
-        }
+        deployment.update(update);
         fleet.update(update);
         control.renewNow();
     }
@@ -203,6 +202,13 @@
         claims.onReply(message);
     }
 
+    /** A version is reported once it is in force and not before, or the operator would be told so too early. */
+    private void configInForce() {
+        policy.configure(deployment.deployment());
+        updateReady();
+        control.renewNow();
+    }
+
     private void updateReady() {
         leaseHeld = control.held();
         configVersion = deployment.version();
