Keep what the two fixed-rate policies share in one class

Cause: BaselineEntryPolicy and LeastLoadEntryPolicy held the same admission, release, counting and retry methods word for word. Change: FixedRateEntryPolicy holds them; each policy keeps what is its own. Conclusion: one place to change admission of the policies to measure against.

--- a/library/src/main/java/org/copperspindle/limits/BaselineEntryPolicy.java
+++ b/library/src/main/java/org/copperspindle/limits/BaselineEntryPolicy.java
@@ -17,15 +17,14 @@
  * What plain proxies do: round robin over upstreams that are not draining, a fixed timeout of three quarters of the deadline,
  * retries without a budget, first come first served under fixed rates. Kept to measure other policies against.
  */
-final class BaselineEntryPolicy implements EntryPolicy {
+final class BaselineEntryPolicy extends FixedRateEntryPolicy {
 
     private final FleetView fleet;
-    private final AdmissionPolicy admission;
     private final Map<String, Integer> nextByPool = new HashMap<>();
 
     BaselineEntryPolicy(FleetView fleet, int maxInProgress) {
+        super(maxInProgress);
         this.fleet = fleet;
-        this.admission = new RateAdmissionPolicy(maxInProgress);
     }
 
     @Override
@@ -33,23 +32,6 @@
         nextByPool.clear();
     }
 
-    @Override
-    public void rateShare(double fraction, long now) {
-        admission.rateShare(fraction, now);
-    }
-
-    @Override
-    public Optional<Refusal> refuse(PipelineRequest request, long now) {
-        return admission
-                .refuse(request.account(), request.priority(), now)
-                .map(comeBack -> new Refusal(Refusal.RATE, comeBack));
-    }
-
-    @Override
-    public void release(PipelineRequest request) {
-        admission.release(request.account(), request.priority());
-    }
-
     @Override
     public Optional<UpstreamView> choose(PipelineRequest request, RoutingRequest routing, long now) {
         String pool = routing.pool().name();
@@ -65,16 +47,6 @@
         return Optional.empty();
     }
 
-    @Override
-    public void dispatched(PipelineRequest request, StageSettings stage, UpstreamView view, long now) {
-        view.dispatched();
-    }
-
-    @Override
-    public void ended(AttemptReport report, long now) {
-        report.view().ended(report.inFlight());
-    }
-
     @Override
     public OptionalLong attemptTimeout(PipelineRequest request, StageSettings stage, long now) {
         return stage.repeatable()
@@ -87,9 +59,4 @@
             PipelineRequest request, StageSettings stage, UpstreamView view, long ageNanos, long now) {
         return true;
     }
-
-    @Override
-    public boolean mayRetry(PipelineRequest request) {
-        return true;
-    }
 }
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/limits/FixedRateEntryPolicy.java
@@ -0,0 +1,58 @@
+package org.copperspindle.limits;
+
+import java.util.Optional;
+
+import org.copperspindle.config.Deployment;
+import org.copperspindle.config.StageSettings;
+import org.copperspindle.pipeline.PipelineRequest;
+import org.copperspindle.routing.UpstreamView;
+
+/**
+ * What the policies to measure against have in common: they learn nothing, admit by fixed rates and retry without a
+ * budget.
+ */
+abstract class FixedRateEntryPolicy implements EntryPolicy {
+
+    private final AdmissionPolicy admission;
+
+    FixedRateEntryPolicy(int maxInProgress) {
+        this.admission = new RateAdmissionPolicy(maxInProgress);
+    }
+
+    @Override
+    public void configure(Deployment deployment) {
+        // Nothing is learned, so nothing depends on the deployment.
+    }
+
+    @Override
+    public void rateShare(double fraction, long now) {
+        admission.rateShare(fraction, now);
+    }
+
+    @Override
+    public Optional<Refusal> refuse(PipelineRequest request, long now) {
+        return admission
+                .refuse(request.account(), request.priority(), now)
+                .map(comeBack -> new Refusal(Refusal.RATE, comeBack));
+    }
+
+    @Override
+    public void release(PipelineRequest request) {
+        admission.release(request.account(), request.priority());
+    }
+
+    @Override
+    public void dispatched(PipelineRequest request, StageSettings stage, UpstreamView view, long now) {
+        view.dispatched();
+    }
+
+    @Override
+    public void ended(AttemptReport report, long now) {
+        report.view().ended(report.inFlight());
+    }
+
+    @Override
+    public boolean mayRetry(PipelineRequest request) {
+        return true;
+    }
+}
