Take out the unused note that an answer is writable again

Cause: HttpExchange.onWritable had no caller; a slow caller's stream is ended at its bound instead, so the handler ran an empty task at each change. Change: the method, its field and the handler's call are gone.

--- a/library/src/main/java/org/copperspindle/http/HttpConnectionHandler.java
+++ b/library/src/main/java/org/copperspindle/http/HttpConnectionHandler.java
@@ -95,9 +95,7 @@
         cancel(writeTimeout);
         if (!ctx.channel().isWritable()) {
             waitForReader();
-            return;
         }
-        current.ifPresent(HttpExchange::becameWritable);
     }
 
     @Override
--- a/library/src/main/java/org/copperspindle/http/HttpExchange.java
+++ b/library/src/main/java/org/copperspindle/http/HttpExchange.java
@@ -39,7 +39,6 @@
     private final AtomicReference<AnswerState> state = new AtomicReference<>(AnswerState.AWAITED);
     private final AtomicReference<Runnable> closed = new AtomicReference<>(NOBODY);
     private final AtomicLong pendingBytes = new AtomicLong();
-    private volatile Runnable writable = NOBODY;
 
     HttpExchange(HttpConnectionHandler connection, HttpRequest head, RequestTarget target, byte[] body) {
         this.connection = connection;
@@ -147,15 +146,6 @@
         return pendingBytes.get();
     }
 
-    /**
-     * Asks to be told whenever the answer becomes writable again.
-     *
-     * @param task run on a network thread
-     */
-    public void onWritable(Runnable task) {
-        writable = task;
-    }
-
     /**
      * Returns the connection's network thread as a scheduler.
      *
@@ -259,11 +249,6 @@
         }
     }
 
-    /** What was written has mostly left. */
-    void becameWritable() {
-        writable.run();
-    }
-
     private boolean advance(AnswerState from, AnswerState to) {
         if (state.compareAndSet(from, to)) {
             return true;
