--- /dev/null
+++ b/library/src/main/java/org/copperspindle/batch/BatchService.java
@@ -0,0 +1,271 @@
+package org.copperspindle.batch;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.BooleanSupplier;
+import java.util.function.Function;
+
+import net.openhft.hashing.LongHashFunction;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.copperspindle.discovery.UpstreamDirectory;
+import org.copperspindle.discovery.UpstreamNews;
+import org.copperspindle.mesh.MeshListener;
+import org.copperspindle.mesh.MeshNode;
+import org.copperspindle.mesh.NodeMesh;
+import org.copperspindle.route.BatchLimits;
+import org.copperspindle.time.TimerService;
+import org.copperspindle.wire.WireMessage;
+
+/**
+ * Takes groups of pieces to the node that packs the calls of their pool, and packs those of the pools that fall to this
+ * node. All nodes choose by rendezvous among the nodes that serve, so that they agree without asking. When that node is
+ * lost, the groups that wait at it go to the next one; pieces that it had begun are made again, which they may be.
+ */
+public final class BatchService implements MeshListener {
+
+    private static final Logger LOGGER = LogManager.getLogger(BatchService.class);
+    private static final LongHashFunction HASH = LongHashFunction.xx3();
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+
+    private final NodeMesh mesh;
+    private final TimerService timers;
+    private final UpstreamDirectory directory;
+    private final StagePort port;
+    private final Function<String, Optional<BatchLimits>> limits;
+    private final BooleanSupplier serving;
+    private final Map<String, PoolDispatcher> dispatchers = new HashMap<>();
+    private final Map<Long, Pending> pending = new LinkedHashMap<>();
+    private long lastId;
+
+    /**
+     * Creates the service; to be subscribed to the mesh.
+     *
+     * @param mesh      the nodes
+     * @param timers    time on the network thread
+     * @param directory the upstreams
+     * @param port      speaks to the upstreams of stage pools
+     * @param limits    limits of a pool's calls by its name, as the route table held gives them
+     * @param serving   whether this node takes work for others
+     */
+    public BatchService(
+            NodeMesh mesh,
+            TimerService timers,
+            UpstreamDirectory directory,
+            StagePort port,
+            Function<String, Optional<BatchLimits>> limits,
+            BooleanSupplier serving) {
+        this.mesh = mesh;
+        this.timers = timers;
+        this.directory = directory;
+        this.port = port;
+        this.limits = limits;
+        this.serving = serving;
+        directory.subscribe(this::upstreamChanged);
+    }
+
+    /**
+     * Returns a number for the next group.
+     *
+     * @return never used before in this life of the process
+     */
+    public long nextId() {
+        return ++lastId;
+    }
+
+    /**
+     * Has the pieces of a group made.
+     *
+     * @param group    the group, numbered by {@link #nextId}
+     * @param listener told of every piece, later on this thread
+     */
+    public void submit(PieceGroup group, PieceListener listener) {
+        Pending entry = new Pending(group, listener, timers.nanoTime());
+        pending.put(group.id(), entry);
+        forward(entry);
+    }
+
+    /**
+     * Drops a group that nobody waits for any more.
+     *
+     * @param id its number
+     */
+    public void cancel(long id) {
+        Pending entry = pending.remove(id);
+        if (entry == null) {
+            return;
+        }
+        if (entry.owner.equals(mesh.self())) {
+            dispatcher(entry.group.pool()).cancel(mesh.self(), id);
+        } else {
+            mesh.find(entry.owner).ifPresent(node -> node.send(new PieceCancelMessage(id)));
+        }
+    }
+
+    /**
+     * Gives results up.
+     *
+     * @param pool    pool that made them
+     * @param handles their handles
+     */
+    public void free(String pool, List<String> handles) {
+        String owner = owner(pool);
+        if (handles.isEmpty()) {
+            return;
+        }
+        if (owner.equals(mesh.self())) {
+            dispatcher(pool).free(handles);
+        } else {
+            mesh.find(owner).ifPresent(node -> node.send(new FreeResultsMessage(pool, handles)));
+        }
+    }
+
+    /**
+     * Returns how many pieces wait at this node for an upstream.
+     *
+     * @return a count over all pools
+     */
+    public int waitingPieces() {
+        return dispatchers.values().stream()
+                .mapToInt(PoolDispatcher::waitingPieces)
+                .sum();
+    }
+
+    /**
+     * Returns how many groups of this node's requests are under way.
+     *
+     * @return a count
+     */
+    public int openGroups() {
+        return pending.size();
+    }
+
+    @Override
+    public void onMessage(MeshNode node, WireMessage message) {
+        if (message instanceof PieceGroup group) {
+            dispatcher(group.pool()).add(node.address(), group);
+        } else if (message instanceof PieceCancelMessage cancel) {
+            dispatchers.values().forEach(d -> d.cancel(node.address(), cancel.group()));
+        } else if (message instanceof FreeResultsMessage free) {
+            dispatcher(free.pool()).free(free.handles());
+        } else if (message instanceof PieceResultsMessage results) {
+            received(node.address(), results);
+        }
+    }
+
+    @Override
+    public void onNodeDown(MeshNode node) {
+        List<Pending> orphans = pending.values().stream()
+                .filter(p -> p.owner.equals(node.address()))
+                .toList();
+        if (!orphans.isEmpty()) {
+            LOGGER.warn("event=dispatcher-lost node={} groups={}", node.address(), orphans.size());
+        }
+        orphans.forEach(this::forward);
+    }
+
+    private void forward(Pending entry) {
+        long elapsed = (timers.nanoTime() - entry.at) / NANOS_PER_MILLI;
+        PieceGroup group = entry.group.after(elapsed, entry.missing);
+        entry.owner = owner(group.pool());
+        if (!entry.owner.equals(mesh.self())) {
+            if (mesh.find(entry.owner).filter(node -> node.send(group)).isPresent()) {
+                return;
+            }
+            entry.owner = mesh.self();
+        }
+        // Later, so that no caller hears of results while it is still submitting.
+        timers.schedule(0, () -> {
+            if (pending.containsKey(group.id())) {
+                dispatcher(group.pool()).add(mesh.self(), group);
+            }
+        });
+    }
+
+    private void received(String from, PieceResultsMessage results) {
+        Pending entry = pending.get(results.group());
+        if (entry == null || !entry.owner.equals(from)) {
+            freeUnwanted(results);
+            return;
+        }
+        List<PieceResult> wanted = new ArrayList<>();
+        for (PieceResult result : results.results()) {
+            if (entry.missing.remove((Integer) result.piece())) {
+                wanted.add(result);
+            }
+        }
+        if (entry.missing.isEmpty()) {
+            pending.remove(results.group());
+        }
+        if (!wanted.isEmpty()) {
+            entry.listener.onResults(wanted);
+        }
+    }
+
+    /** Results that came after their request was given up, or from a node that is no longer asked, hold memory. */
+    private void freeUnwanted(PieceResultsMessage results) {
+        for (PieceResult result : results.results()) {
+            if (result.outcome() instanceof PieceOutcome.Made made) {
+                int slash = made.handle().indexOf('/');
+                directory
+                        .findByAddress(made.handle().substring(0, Math.max(0, slash)))
+                        .map(UpstreamNews::pool)
+                        .ifPresent(pool -> free(pool, List.of(made.handle())));
+            }
+        }
+    }
+
+    private String owner(String pool) {
+        String best = serving.getAsBoolean() ? mesh.self() : "";
+        long most = best.isEmpty() ? Long.MIN_VALUE : HASH.hashChars(pool + '@' + best);
+        for (MeshNode node : mesh.nodes()) {
+            long score = HASH.hashChars(pool + '@' + node.address());
+            if (node.hello().serving() && (best.isEmpty() || score > most)) {
+                best = node.address();
+                most = score;
+            }
+        }
+        return best.isEmpty() ? mesh.self() : best;
+    }
+
+    private PoolDispatcher dispatcher(String pool) {
+        return dispatchers.computeIfAbsent(
+                pool,
+                name -> new PoolDispatcher(name, directory, timers, port, () -> limits.apply(name), this::deliver));
+    }
+
+    private void deliver(String origin, PieceResultsMessage results) {
+        if (origin.equals(mesh.self())) {
+            received(origin, results);
+        } else {
+            mesh.find(origin).ifPresent(node -> node.send(results));
+        }
+    }
+
+    private void upstreamChanged(UpstreamNews news) {
+        PoolDispatcher dispatcher = dispatchers.get(news.pool());
+        if (dispatcher != null) {
+            dispatcher.dispatch();
+        }
+    }
+
+    /** A group on its way. */
+    private static final class Pending {
+        private final PieceGroup group;
+        private final PieceListener listener;
+        private final long at;
+        private final List<Integer> missing;
+        private String owner = "";
+
+        private Pending(PieceGroup group, PieceListener listener, long at) {
+            this.group = group;
+            this.listener = listener;
+            this.at = at;
+            this.missing = new ArrayList<>(group.missing());
+        }
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/batch/FreeResultsMessage.java
@@ -0,0 +1,44 @@
+package org.copperspindle.batch;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+
+import org.copperspindle.wire.FieldReader;
+import org.copperspindle.wire.FieldWriter;
+import org.copperspindle.wire.MessageCodec;
+import org.copperspindle.wire.WireMessage;
+
+/**
+ * Results that nobody needs any more, sent to the node that packs the calls of their pool.
+ *
+ * @param pool    pool that made them
+ * @param handles their handles
+ */
+public record FreeResultsMessage(String pool, List<String> handles) implements WireMessage {
+
+    /** Codec of this message. */
+    public static final MessageCodec<FreeResultsMessage> CODEC =
+            MessageCodec.of(234, FreeResultsMessage.class, FreeResultsMessage::write, FreeResultsMessage::read);
+
+    /** Copies the list. */
+    public FreeResultsMessage {
+        handles = List.copyOf(handles);
+    }
+
+    private void write(FieldWriter out) {
+        out.put(1, pool)
+                .put(
+                        2,
+                        handles.stream()
+                                .map(h -> h.getBytes(StandardCharsets.UTF_8))
+                                .toList());
+    }
+
+    private static FreeResultsMessage read(FieldReader in) {
+        return new FreeResultsMessage(
+                in.getString(1),
+                in.getList(2).stream()
+                        .map(b -> new String(b, StandardCharsets.UTF_8))
+                        .toList());
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/batch/PieceGroup.java
@@ -0,0 +1,116 @@
+package org.copperspindle.batch;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.stream.IntStream;
+
+import org.copperspindle.wire.FieldReader;
+import org.copperspindle.wire.FieldWriter;
+import org.copperspindle.wire.MessageCodec;
+import org.copperspindle.wire.WireMessage;
+
+/**
+ * All pieces of one stage of one request, on their way to the node that packs the calls of the stage's pool.
+ *
+ * @param id             number of the group at the node that sends it
+ * @param requestId      id of the request
+ * @param stage          number of the stage in the request's route
+ * @param pool           pool that makes the pieces
+ * @param pieces         how many pieces there are, numbered from 0
+ * @param missing        numbers of the pieces that are still to be made
+ * @param key            key of the request's pieces, for a stage that starts from the request; else empty
+ * @param inputs         handles of the results that every piece needs, for a stage that follows others
+ * @param rank           urgency of the request, 0 first
+ * @param slackMillis    time left in which the pieces must be made for the request to meet its objective; below zero if
+ *                       it no longer can
+ * @param deadlineMillis time left in which the result is of any use
+ * @param resultBytes    approximate size of one result
+ */
+public record PieceGroup(
+        long id,
+        String requestId,
+        int stage,
+        String pool,
+        int pieces,
+        List<Integer> missing,
+        String key,
+        List<String> inputs,
+        int rank,
+        long slackMillis,
+        long deadlineMillis,
+        long resultBytes)
+        implements WireMessage {
+
+    /** Codec of this message. */
+    public static final MessageCodec<PieceGroup> CODEC =
+            MessageCodec.of(230, PieceGroup.class, PieceGroup::write, PieceGroup::read);
+
+    /** Copies the lists. */
+    public PieceGroup {
+        missing = List.copyOf(missing);
+        inputs = List.copyOf(inputs);
+    }
+
+    /**
+     * Returns the same group with less time.
+     *
+     * @param elapsedMillis time that has passed since it was made
+     * @param left          pieces still to be made
+     * @return the group as it is to be sent now
+     */
+    public PieceGroup after(long elapsedMillis, List<Integer> left) {
+        return new PieceGroup(
+                id,
+                requestId,
+                stage,
+                pool,
+                pieces,
+                left,
+                key,
+                inputs,
+                rank,
+                slackMillis - elapsedMillis,
+                deadlineMillis - elapsedMillis,
+                resultBytes);
+    }
+
+    private void write(FieldWriter out) {
+        // The numbers of missing pieces are few and small: one byte string each would cost more than a bit set.
+        byte[] set = new byte[pieces];
+        missing.forEach(piece -> set[piece] = 1);
+        out.put(1, id)
+                .put(2, requestId)
+                .put(3, stage)
+                .put(4, pool)
+                .put(5, set)
+                .put(6, key)
+                .put(
+                        7,
+                        inputs.stream()
+                                .map(i -> i.getBytes(StandardCharsets.UTF_8))
+                                .toList())
+                .put(8, rank)
+                .put(9, slackMillis)
+                .put(10, deadlineMillis)
+                .put(11, resultBytes);
+    }
+
+    private static PieceGroup read(FieldReader in) {
+        byte[] set = in.getBytes(5);
+        return new PieceGroup(
+                in.getLong(1, 0),
+                in.getString(2),
+                (int) in.getLong(3, 0),
+                in.getString(4),
+                set.length,
+                IntStream.range(0, set.length).filter(i -> set[i] != 0).boxed().toList(),
+                in.getString(6),
+                in.getList(7).stream()
+                        .map(b -> new String(b, StandardCharsets.UTF_8))
+                        .toList(),
+                (int) in.getLong(8, 0),
+                in.getLong(9, 0),
+                in.getLong(10, 0),
+                in.getLong(11, 0));
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/batch/PieceQueue.java
@@ -0,0 +1,115 @@
+package org.copperspindle.batch;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.copperspindle.route.BatchLimits;
+
+/**
+ * Groups that wait for calls of one pool, and which of them go next.
+ *
+ * <p>The load it answers: a burst asks for up to two and a half times what the pool makes, for several seconds. Then
+ * groups whose request can still meet its objective go first, by rank and then by how soon they must be made; those that
+ * are late already use what is left over. In the order of arrival every request would wait longest just when most of
+ * them could still be on time.
+ */
+final class PieceQueue {
+
+    private final Map<String, WaitingGroup> groups = new LinkedHashMap<>();
+
+    void add(WaitingGroup group) {
+        groups.put(key(group.origin(), group.group().id()), group);
+    }
+
+    /** Drops a group; returns false if it does not wait here. */
+    boolean cancel(String origin, long id) {
+        WaitingGroup group = groups.remove(key(origin, id));
+        if (group != null) {
+            group.cancel();
+        }
+        return group != null;
+    }
+
+    /** Takes out the groups whose time is over. */
+    List<WaitingGroup> takeOver(long now) {
+        List<WaitingGroup> over = new ArrayList<>();
+        for (Iterator<WaitingGroup> all = groups.values().iterator(); all.hasNext(); ) {
+            WaitingGroup group = all.next();
+            if (group.isOver(now)) {
+                all.remove();
+                over.add(group);
+            }
+        }
+        return over;
+    }
+
+    boolean isEmpty() {
+        return groups.isEmpty();
+    }
+
+    int groups() {
+        return groups.size();
+    }
+
+    int pieces() {
+        return groups.values().stream().mapToInt(g -> g.missing().size()).sum();
+    }
+
+    /**
+     * Takes the pieces of the next call.
+     *
+     * @param limits   limits of the pool
+     * @param most     most pieces to take, below the limit of a call if several upstreams are free
+     * @param bytes    memory for results that the upstream has left
+     * @param now      monotonic time in nanoseconds
+     * @return the pieces; none if nothing fits
+     */
+    List<PieceTask> take(BatchLimits limits, int most, long bytes, long now) {
+        List<WaitingGroup> order = new ArrayList<>(groups.values());
+        order.sort(byUrgency(limits, now));
+        List<PieceTask> taken = new ArrayList<>();
+        long left = bytes;
+        for (WaitingGroup group : order) {
+            int wanted = group.missing().size();
+            int room = Math.min(
+                    limits.batch() - taken.size(), fitting(left, group.group().resultBytes()));
+            boolean enough = taken.size() >= most;
+            // A group that is split waits for two calls; it is split only if it fits into no call whole.
+            if (enough || room <= 0 || wanted > room && !taken.isEmpty()) {
+                continue;
+            }
+            int count = Math.min(wanted, room);
+            take(group, count, taken);
+            left -= count * group.group().resultBytes();
+        }
+        return taken;
+    }
+
+    private void take(WaitingGroup group, int count, List<PieceTask> taken) {
+        List<Integer> first = group.missing().subList(0, count);
+        first.forEach(piece -> taken.add(new PieceTask(group, piece)));
+        first.clear();
+        if (group.missing().isEmpty()) {
+            groups.remove(key(group.origin(), group.group().id()));
+        }
+    }
+
+    private static Comparator<WaitingGroup> byUrgency(BatchLimits limits, long now) {
+        long call = limits.expectedNanos(limits.batch() / 2);
+        return Comparator.<WaitingGroup>comparingInt(g -> g.isOnTime(now, call) ? 0 : 1)
+                .thenComparingInt(g -> g.group().rank())
+                .thenComparingLong(g -> g.slackUntil() - now);
+    }
+
+    private static int fitting(long bytes, long each) {
+        return each <= 0 ? Integer.MAX_VALUE : (int) Math.min(Integer.MAX_VALUE, Math.max(0, bytes) / each);
+    }
+
+    private static String key(String origin, long id) {
+        return origin + '/' + id;
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/batch/PieceResult.java
@@ -0,0 +1,47 @@
+package org.copperspindle.batch;
+
+import org.copperspindle.wire.FieldReader;
+import org.copperspindle.wire.FieldWriter;
+import org.copperspindle.wire.MalformedFrameException;
+import org.copperspindle.wire.MessageCodec;
+import org.copperspindle.wire.WireMessage;
+
+/**
+ * The outcome of one piece of a group.
+ *
+ * @param piece   its number
+ * @param outcome what became of it
+ */
+public record PieceResult(int piece, PieceOutcome outcome) implements WireMessage {
+
+    private static final MessageCodec<PieceResult> CODEC =
+            MessageCodec.of(231, PieceResult.class, PieceResult::write, PieceResult::read);
+
+    byte[] encode() {
+        return CODEC.encode(this);
+    }
+
+    static PieceResult decode(byte[] bytes) {
+        try {
+            return CODEC.decode(bytes);
+        } catch (MalformedFrameException e) {
+            throw new IllegalArgumentException(e);
+        }
+    }
+
+    private void write(FieldWriter out) {
+        out.put(1, piece);
+        if (outcome instanceof PieceOutcome.Made made) {
+            out.put(2, made.handle());
+        } else if (outcome instanceof PieceOutcome.Missed missed) {
+            out.put(3, missed.reason().ordinal());
+        }
+    }
+
+    private static PieceResult read(FieldReader in) {
+        PieceOutcome outcome = in.findString(2)
+                .<PieceOutcome>map(PieceOutcome.Made::new)
+                .orElseGet(() -> new PieceOutcome.Missed(MissReason.of(in.getLong(3, 3))));
+        return new PieceResult((int) in.getLong(1, 0), outcome);
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/batch/PoolDispatcher.java
@@ -0,0 +1,310 @@
+package org.copperspindle.batch;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Supplier;
+
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.copperspindle.discovery.UpstreamDirectory;
+import org.copperspindle.discovery.UpstreamNews;
+import org.copperspindle.route.BatchLimits;
+import org.copperspindle.time.TimerService;
+
+/**
+ * Packs the calls of one pool. A call is formed at the last moment, when an upstream is free, so that all that has come
+ * by then goes into it and the most urgent of it first. While the pool keeps up, pieces hardly wait and calls are small;
+ * as it fills, more gather while calls run, and calls grow up to their limit, where the pool makes most.
+ */
+final class PoolDispatcher {
+
+    private static final Logger LOGGER = LogManager.getLogger(PoolDispatcher.class);
+
+    /** A call that takes so many times what it should is lost: an upstream five times slower still answers. */
+    private static final int PATIENCE = 5;
+
+    /** Added to it for fetching inputs over loaded links. */
+    private static final Duration FETCH = Duration.ofMillis(500);
+
+    /** Pause of an upstream that refused a call because others call it as well: a fraction of a call. */
+    private static final long BUSY_PAUSE_NANOS = Duration.ofMillis(60).toNanos();
+
+    /** Pause of an upstream without memory for results; callers free them within a fraction of a second. */
+    private static final long ROOM_PAUSE_NANOS = Duration.ofMillis(100).toNanos();
+
+    /** Results are given up together this often. */
+    private static final long FREE_NANOS = Duration.ofMillis(40).toNanos();
+
+    /** A piece is made so often at most: each failure of its maker costs it a call's time. */
+    private static final int MAX_LOSSES = 3;
+
+    /** An upstream so much slower than the fastest gets no call that a faster one would finish before. */
+    private static final double SLOW = 2.0;
+
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+
+    private final String pool;
+    private final UpstreamDirectory directory;
+    private final TimerService timers;
+    private final StagePort port;
+    private final Supplier<Optional<BatchLimits>> limits;
+    private final ResultSink sink;
+    private final PieceQueue queue = new PieceQueue();
+    private final Map<String, StageUpstream> upstreams = new LinkedHashMap<>();
+    private final Map<WaitingGroup, Integer> running = new HashMap<>();
+    private boolean freeing;
+    private boolean waking;
+
+    PoolDispatcher(
+            String pool,
+            UpstreamDirectory directory,
+            TimerService timers,
+            StagePort port,
+            Supplier<Optional<BatchLimits>> limits,
+            ResultSink sink) {
+        this.pool = pool;
+        this.directory = directory;
+        this.timers = timers;
+        this.port = port;
+        this.limits = limits;
+        this.sink = sink;
+    }
+
+    void add(String origin, PieceGroup group) {
+        queue.add(new WaitingGroup(origin, group, timers.nanoTime()));
+        dispatch();
+    }
+
+    /** Drops what waits of a group; what is being made is freed when it comes. */
+    void cancel(String origin, long id) {
+        queue.cancel(origin, id);
+        running.keySet().stream()
+                .filter(g -> g.origin().equals(origin) && g.group().id() == id)
+                .forEach(WaitingGroup::cancel);
+    }
+
+    void free(List<String> handles) {
+        for (String handle : handles) {
+            int slash = handle.indexOf('/');
+            String address = slash < 0 ? handle : handle.substring(0, slash);
+            upstreams.values().stream()
+                    .filter(u -> u.news().address().equals(address))
+                    .findFirst()
+                    .ifPresent(u -> u.free(handle));
+        }
+        if (!freeing) {
+            freeing = true;
+            timers.schedule(FREE_NANOS, this::sendFreed);
+        }
+    }
+
+    /** Called when the upstreams of the pool changed. */
+    void dispatch() {
+        Optional<BatchLimits> known = limits.get();
+        if (known.isEmpty()) {
+            return;
+        }
+        long now = timers.nanoTime();
+        queue.takeOver(now).forEach(group -> miss(group, group.missing(), MissReason.LATE));
+        refresh();
+        List<StageUpstream> free = free(known.get(), now);
+        while (!free.isEmpty() && !queue.isEmpty()) {
+            StageUpstream upstream = free.remove(0);
+            int most = (queue.pieces() + free.size()) / (free.size() + 1);
+            List<PieceTask> tasks = queue.take(known.get(), most, upstream.roomLeft(known.get(), now), now);
+            if (!tasks.isEmpty()) {
+                send(upstream, tasks, known.get());
+            }
+        }
+        wakeLater();
+    }
+
+    int waitingPieces() {
+        return queue.pieces();
+    }
+
+    private void refresh() {
+        List<UpstreamNews> ready = directory.ready(pool);
+        ready.forEach(news -> upstreams
+                .computeIfAbsent(news.id(), id -> new StageUpstream(news))
+                .news(news));
+        upstreams.values().removeIf(u -> u.calls() == 0 && !ready.contains(u.news()));
+    }
+
+    /** Returns the upstreams that a call may go to now, the fastest first. */
+    private List<StageUpstream> free(BatchLimits known, long now) {
+        double fastest = upstreams.values().stream()
+                .mapToDouble(StageUpstream::slowness)
+                .min()
+                .orElse(1);
+        List<UpstreamNews> ready = directory.ready(pool);
+        boolean fastBusy = upstreams.values().stream().anyMatch(u -> u.calls() > 0 && u.slowness() <= fastest * SLOW);
+        List<StageUpstream> free = new ArrayList<>();
+        for (StageUpstream upstream : upstreams.values()) {
+            boolean slow = upstream.slowness() > fastest * SLOW;
+            if (ready.contains(upstream.news()) && upstream.isFree(known, now) && !(slow && fastBusy)) {
+                free.add(upstream);
+            }
+        }
+        free.sort(Comparator.comparingDouble(StageUpstream::slowness));
+        return free;
+    }
+
+    private void send(StageUpstream upstream, List<PieceTask> tasks, BatchLimits known) {
+        long now = timers.nanoTime();
+        upstream.started();
+        tasks.forEach(task -> running.merge(task.group(), 1, Integer::sum));
+        long expected = known.expectedNanos(tasks.size());
+        long timeout = PATIENCE * expected / NANOS_PER_MILLI + FETCH.toMillis();
+        LOGGER.debug(
+                "event=stage-call pool={} upstream={} pieces={} waiting={}",
+                pool,
+                upstream.news().id(),
+                tasks.size(),
+                queue.pieces());
+        port.run(
+                upstream.news(),
+                tasks.stream().map(task -> task.item(now)).toList(),
+                timeout,
+                result -> ended(upstream, tasks, result, expected, now));
+    }
+
+    private void ended(
+            StageUpstream upstream, List<PieceTask> tasks, StageCallResult result, long expected, long sentAt) {
+        long now = timers.nanoTime();
+        tasks.forEach(task -> running.computeIfPresent(task.group(), (g, n) -> n > 1 ? n - 1 : null));
+        if (result instanceof StageCallResult.Answered answered) {
+            upstream.answered(expected, now - sentAt);
+            take(upstream, tasks, answered.outcomes(), now);
+        } else if (result instanceof StageCallResult.NotRun notRun) {
+            upstream.notRun(now, BUSY_PAUSE_NANOS);
+            LOGGER.info(
+                    "event=stage-call-refused pool={} upstream={} pieces={} reason={}",
+                    pool,
+                    upstream.news().id(),
+                    tasks.size(),
+                    notRun.reason());
+            tasks.forEach(this::putBack);
+        } else if (result instanceof StageCallResult.Lost lost) {
+            long pause = upstream.lost(now);
+            LOGGER.warn(
+                    "event=stage-call-lost pool={} upstream={} pieces={} reason={} took_ms={} pause_ms={}",
+                    pool,
+                    upstream.news().id(),
+                    tasks.size(),
+                    lost.reason(),
+                    (now - sentAt) / NANOS_PER_MILLI,
+                    pause / NANOS_PER_MILLI);
+            again(tasks, MissReason.FAILED);
+        }
+        dispatch();
+    }
+
+    private void take(StageUpstream upstream, List<PieceTask> tasks, List<PieceOutcome> outcomes, long now) {
+        Map<WaitingGroup, List<PieceResult>> finished = new LinkedHashMap<>();
+        List<PieceTask> failed = new ArrayList<>();
+        for (int i = 0; i < tasks.size(); i++) {
+            PieceTask task = tasks.get(i);
+            PieceOutcome outcome = outcomes.get(i);
+            if (outcome instanceof PieceOutcome.Made made) {
+                made(upstream, task, made, now);
+            }
+            if (outcome instanceof PieceOutcome.Missed missed && missed.reason() == MissReason.NO_ROOM) {
+                upstream.pause(now, ROOM_PAUSE_NANOS);
+                putBack(task);
+            } else if (outcome instanceof PieceOutcome.Missed missed && missed.reason() == MissReason.FAILED) {
+                failed.add(task);
+            } else {
+                finished.computeIfAbsent(task.group(), g -> new ArrayList<>())
+                        .add(new PieceResult(task.piece(), outcome));
+            }
+        }
+        again(failed, MissReason.FAILED);
+        finished.forEach((group, results) -> {
+            if (!group.isCancelled()) {
+                sink.deliver(
+                        group.origin(), new PieceResultsMessage(group.group().id(), results));
+            }
+        });
+    }
+
+    private void made(StageUpstream upstream, PieceTask task, PieceOutcome.Made made, long now) {
+        long kept = limits.get().map(BatchLimits::keptNanos).orElse(0L);
+        upstream.holds(made.handle(), task.group().group().resultBytes(), now + kept);
+        if (task.group().isCancelled()) {
+            free(List.of(made.handle()));
+        }
+    }
+
+    /** Makes pieces of a lost call again, unless they were lost too often. */
+    private void again(List<PieceTask> tasks, MissReason reason) {
+        Map<WaitingGroup, List<Integer>> byGroup = new LinkedHashMap<>();
+        tasks.forEach(task ->
+                byGroup.computeIfAbsent(task.group(), g -> new ArrayList<>()).add(task.piece()));
+        byGroup.forEach((group, pieces) -> {
+            if (group.lost() >= MAX_LOSSES) {
+                miss(group, pieces, reason);
+            } else {
+                pieces.forEach(piece -> putBack(new PieceTask(group, piece)));
+            }
+        });
+    }
+
+    private void putBack(PieceTask task) {
+        if (!task.group().isCancelled()) {
+            task.group().missing().add(task.piece());
+            queue.add(task.group());
+        }
+    }
+
+    private void miss(WaitingGroup group, List<Integer> pieces, MissReason reason) {
+        if (group.isCancelled() || pieces.isEmpty()) {
+            return;
+        }
+        List<PieceResult> results = pieces.stream()
+                .map(piece -> new PieceResult(piece, new PieceOutcome.Missed(reason)))
+                .toList();
+        sink.deliver(group.origin(), new PieceResultsMessage(group.group().id(), results));
+    }
+
+    /** Looks again while something waits: for an upstream whose pause ends, and for groups whose time runs out. */
+    private void wakeLater() {
+        if (waking || queue.isEmpty()) {
+            return;
+        }
+        waking = true;
+        timers.schedule(BUSY_PAUSE_NANOS, () -> {
+            waking = false;
+            dispatch();
+        });
+    }
+
+    private void sendFreed() {
+        freeing = false;
+        for (StageUpstream upstream : upstreams.values()) {
+            List<String> handles = upstream.takeFreed();
+            if (!handles.isEmpty()) {
+                port.free(upstream.news(), handles);
+            }
+        }
+        dispatch();
+    }
+
+    /** Takes outcomes to the node that waits for them. */
+    @FunctionalInterface
+    interface ResultSink {
+        /**
+         * Delivers outcomes.
+         *
+         * @param origin  node that sent the group
+         * @param results the outcomes
+         */
+        void deliver(String origin, PieceResultsMessage results);
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/batch/StageUpstream.java
@@ -0,0 +1,118 @@
+package org.copperspindle.batch;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+
+import org.copperspindle.discovery.UpstreamNews;
+import org.copperspindle.route.BatchLimits;
+
+/**
+ * What the node that packs the calls knows of one upstream of its pool.
+ */
+final class StageUpstream {
+
+    /** First pause after a lost call, doubled up to {@link #LONGEST_PAUSE_NANOS}: as long as one call takes. */
+    private static final long FIRST_PAUSE_NANOS = 400_000_000L;
+
+    /** An upstream that was slow or dark for long is tried again this often. */
+    private static final long LONGEST_PAUSE_NANOS = 3_200_000_000L;
+
+    /** Weight of the newest call in the mean of how much longer than expected calls take. */
+    private static final double SPEED_WEIGHT = 0.4;
+
+    private final Deque<Result> results = new ArrayDeque<>();
+    private final List<String> toFree = new ArrayList<>();
+    private UpstreamNews news;
+    private int calls;
+    private int losses;
+    private long pausedUntil;
+    private boolean paused;
+    private double slowness = 1;
+    private long resultBytes;
+
+    StageUpstream(UpstreamNews news) {
+        this.news = news;
+    }
+
+    UpstreamNews news() {
+        return news;
+    }
+
+    void news(UpstreamNews newest) {
+        news = newest;
+    }
+
+    boolean isFree(BatchLimits limits, long now) {
+        paused = paused && now - pausedUntil < 0;
+        return !paused && calls < limits.slots();
+    }
+
+    int calls() {
+        return calls;
+    }
+
+    /** Returns how much longer than expected its calls take; 1 is as expected. */
+    double slowness() {
+        return slowness;
+    }
+
+    void started() {
+        calls++;
+    }
+
+    void answered(long expectedNanos, long tookNanos) {
+        calls--;
+        losses = 0;
+        slowness += SPEED_WEIGHT * ((double) tookNanos / expectedNanos - slowness);
+    }
+
+    /** Leaves the upstream alone for a while after a call that it lost. */
+    long lost(long now) {
+        calls--;
+        long pause = Math.min(LONGEST_PAUSE_NANOS, FIRST_PAUSE_NANOS << Math.min(losses, 3));
+        losses++;
+        pause(now, pause);
+        return pause;
+    }
+
+    void notRun(long now, long pauseNanos) {
+        calls--;
+        pause(now, pauseNanos);
+    }
+
+    void pause(long now, long nanos) {
+        paused = true;
+        pausedUntil = now + nanos;
+    }
+
+    void holds(String handle, long bytes, long until) {
+        results.addLast(new Result(handle, bytes, until));
+        resultBytes += bytes;
+    }
+
+    long roomLeft(BatchLimits limits, long now) {
+        while (!results.isEmpty() && now - results.peekFirst().until() >= 0) {
+            resultBytes -= results.pollFirst().bytes();
+        }
+        return limits.resultBytes() - resultBytes;
+    }
+
+    void free(String handle) {
+        results.removeIf(result -> {
+            boolean same = result.handle().equals(handle);
+            resultBytes -= same ? result.bytes() : 0;
+            return same;
+        });
+        toFree.add(handle);
+    }
+
+    List<String> takeFreed() {
+        List<String> freed = List.copyOf(toFree);
+        toFree.clear();
+        return freed;
+    }
+
+    private record Result(String handle, long bytes, long until) {}
+}
--- a/library/src/main/java/org/copperspindle/consensus/ConsensusLog.java
+++ b/library/src/main/java/org/copperspindle/consensus/ConsensusLog.java
@@ -90,7 +90,7 @@
             ReplicatedState state,
             ConsensusSettings settings)
             throws IOException {
-        return open(ring, timers, transport, state, settings, RaftLimits.DEFAULT, LogFile::open);
+        return open(ring, timers, transport, state, settings, settings.limits(), LogFile::open);
     }
 
     static ConsensusLog open(
@@ -178,6 +178,11 @@
         return stopped ? Optional.empty() : node.leader().map(Member::address);
     }
 
+    @Override
+    public Optional<String> leaderName() {
+        return stopped ? Optional.empty() : node.leader().map(Member::name);
+    }
+
     @Override
     public void propose(byte[] command, Consumer<ProposalResult> callback) {
         OptionalLong index = stopped ? OptionalLong.empty() : node.propose(command, timers.nanoTime());
--- a/library/src/main/java/org/copperspindle/consensus/GroupFounder.java
+++ b/library/src/main/java/org/copperspindle/consensus/GroupFounder.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 
+import org.apache.logging.log4j.Level;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
@@ -42,14 +43,16 @@
                 settings.self(state.identity()).encode());
         settings.others().forEach(other -> state.send(other.address(), request));
         if (isFounder() && settings.voters().size() == 1) {
-            found(List.of());
+            foundIfAllAreFresh(now);
         }
     }
 
     /** Hears of another member that holds nothing. */
     void receive(JoinRequestMessage request, Member from, long now) {
         if (!request.voters().equals(state.settings().voterNames())) {
-            LOGGER.error(
+            // Members that are found as they come agree after a moment; names from settings never will by themselves.
+            LOGGER.log(
+                    state.settings().roster().isOpen() ? Level.DEBUG : Level.ERROR,
                     "event=voters-differ member={} peer={} own={} theirs={}",
                     state.settings().name(),
                     from.name(),
@@ -103,15 +106,22 @@
     }
 
     private boolean isFounder() {
-        return state.settings().voters().get(0).name().equals(state.settings().name());
+        return state.settings().roster().mayFound()
+                && firstVoter().filter(state.settings().name()::equals).isPresent();
+    }
+
+    private Optional<String> firstVoter() {
+        return state.settings().voters().stream().findFirst().map(RaftSettings.Voter::name);
     }
 
     private long founderHeard() {
         if (isFounder()) {
             return state.identity();
         }
-        Heard founder = heard.get(state.settings().voters().get(0).name());
-        return founder == null ? 0 : founder.member().identity();
+        return firstVoter()
+                .flatMap(name -> Optional.ofNullable(heard.get(name)))
+                .map(founder -> founder.member().identity())
+                .orElse(0L);
     }
 
     private record Heard(Member member, long founder, long at) {}
--- a/library/src/main/java/org/copperspindle/consensus/MemberLinks.java
+++ b/library/src/main/java/org/copperspindle/consensus/MemberLinks.java
@@ -10,6 +10,7 @@
 import io.netty.channel.Channel;
 import org.copperspindle.core.DecisionRing;
 import org.copperspindle.time.TimerService;
+import org.copperspindle.wire.NumericAddress;
 import org.copperspindle.wire.Peer;
 import org.copperspindle.wire.PeerListener;
 import org.copperspindle.wire.WireMessage;
@@ -131,7 +132,7 @@
         }
 
         private void connect() {
-            CompletableFuture<Channel> attempt = transport.connect(VoterAddress.parse(address), this);
+            CompletableFuture<Channel> attempt = transport.connect(NumericAddress.parse(address), this);
             connecting = attempt;
             attempt.whenComplete((channel, failure) -> {
                 if (failure != null) {
--- a/library/src/main/java/org/copperspindle/consensus/MembershipChanges.java
+++ b/library/src/main/java/org/copperspindle/consensus/MembershipChanges.java
@@ -56,6 +56,9 @@
         if (next.isEmpty()) {
             next = repair(now);
         }
+        if (next.isEmpty() && state.settings().roster().isOpen()) {
+            next = removeSilent(now);
+        }
         next.ifPresent(membership -> propose(membership, now));
     }
 
@@ -108,7 +111,7 @@
                 LOGGER.info("event=voter-replaced member={}", older.get().name());
                 return Optional.of(state.membership().without(older.get().identity()));
             }
-            if (older.isEmpty() && state.settings().voter(learner.name()).isPresent()) {
+            if (older.isEmpty() && state.settings().admits(learner.name())) {
                 LOGGER.info("event=voter-promoted member={}", learner.name());
                 return Optional.of(state.membership().with(learner.withVoter(true)));
             }
@@ -116,6 +119,24 @@
         return Optional.empty();
     }
 
+    /**
+     * Removes a voter that is gone, so that the next loss meets a whole group again. One that was only cut off or stopped
+     * asks to join when it is back.
+     */
+    private Optional<Membership> removeSilent(long now) {
+        long silent = SILENT_ELECTIONS * state.settings().timing().electionNanos();
+        if (state.membership().voters().size() <= state.settings().roster().smallest()) {
+            return Optional.empty();
+        }
+        return state.membership().voters().stream()
+                .filter(m -> m.identity() != state.identity() && !replication.hears(m, now, silent) && survives(m, now))
+                .findFirst()
+                .map(gone -> {
+                    LOGGER.info("event=voter-removed member={} reason=silent", gone.name());
+                    return state.membership().without(gone.identity());
+                });
+    }
+
     /** A learner that voted before could help to elect a leader that lacks what only the lost disk still held. */
     private boolean holdsAllCommittedAtAdmission(Member learner) {
         long needed = admittedAt.computeIfAbsent(learner.identity(), id -> state.commit());
--- a/library/src/main/java/org/copperspindle/consensus/RaftLimits.java
+++ b/library/src/main/java/org/copperspindle/consensus/RaftLimits.java
@@ -27,4 +27,11 @@
     /** Limits of the daemon: below 8 MiB frames and within 128 MiB of memory. */
     static final RaftLimits DEFAULT =
             new RaftLimits(4 << 20, 512 << 10, 8 << 20, 4, 256 << 10, 64 << 20, 8 << 20, 1024, 4 << 20);
+
+    /**
+     * Limits where each entry replaces the state. A text of 200 KB, sent a few hundred times a day, must not fill the
+     * memory of a VM with 330 MB: a snapshot every 2 MB, 16 entries kept behind it.
+     */
+    static final RaftLimits WHOLE_TEXTS =
+            new RaftLimits(4 << 20, 512 << 10, 8 << 20, 4, 256 << 10, 8 << 20, 2 << 20, 16, 2 << 20);
 }
--- a/library/src/main/java/org/copperspindle/consensus/RaftNode.java
+++ b/library/src/main/java/org/copperspindle/consensus/RaftNode.java
@@ -16,6 +16,9 @@
  */
 final class RaftNode {
 
+    /** A member that heard no leader for so many election timeouts asks whether it was removed. */
+    private static final int LOST_ELECTIONS = 3;
+
     private final RaftState state;
     private final Election election;
     private final FollowerAppends appends;
@@ -28,6 +31,7 @@
     private Optional<LogSnapshot> saving = Optional.empty();
     private long savingSequence;
     private boolean snapshotAsked;
+    private long askedToJoinAt;
 
     RaftNode(RaftSettings settings, RecoveredState recovered, SplittableRandom random, long now) {
         this.state = new RaftState(settings, recovered, now);
@@ -61,6 +65,7 @@
         if (election.tick(now)) {
             lead(now);
         }
+        askToJoinAgain(now);
         if (state.role() == RaftRole.LEADER) {
             replication.tick(now);
         }
@@ -245,6 +250,28 @@
         }
     }
 
+    /**
+     * A member that was silent for long may have been removed while it could not hear of it: nobody sends it anything any
+     * more, and its pre-votes are refused. With its identity it keeps its log and its votes, so that it may come back
+     * under it.
+     */
+    private void askToJoinAgain(long now) {
+        RaftTiming timing = state.settings().timing();
+        boolean lost = state.settings().roster().isOpen()
+                && state.role() != RaftRole.LEADER
+                && now - state.heardLeaderAt() > LOST_ELECTIONS * timing.electionNanos();
+        if (!lost || now - askedToJoinAt < timing.electionNanos()) {
+            return;
+        }
+        askedToJoinAt = now;
+        JoinRequestMessage request = new JoinRequestMessage(
+                state.settings().groupName(),
+                "",
+                0,
+                state.settings().self(state.identity()).encode());
+        state.settings().others().forEach(other -> state.send(other.address(), request));
+    }
+
     private void receiveJoin(JoinRequestMessage join, long now) {
         Member from = Member.decode(join.member());
         if (!join.groupName().equals(state.settings().groupName()) || from.identity() == state.identity()) {
--- a/library/src/main/java/org/copperspindle/consensus/RaftSettings.java
+++ b/library/src/main/java/org/copperspindle/consensus/RaftSettings.java
@@ -1,7 +1,9 @@
 package org.copperspindle.consensus;
 
 import java.util.List;
-import java.util.Optional;
+import java.util.function.Supplier;
+
+import org.copperspindle.wire.NumericAddress;
 
 /**
  * What a member knows from its settings.
@@ -10,7 +12,8 @@
  * @param name      name of this member
  * @param address   IP:PORT of its own protocol
  * @param operators IP:PORT for operators
- * @param voters    voters that the operator wants, in the same order on all members; the first one founds the group
+ * @param known     voters that are wanted or known, in the same order on all members; the first one founds the group
+ * @param roster    rules of membership
  * @param timing    time limits
  * @param limits    bounds
  */
@@ -19,7 +22,8 @@
         String name,
         String address,
         String operators,
-        List<Voter> voters,
+        Supplier<List<Voter>> known,
+        VoterRoster roster,
         RaftTiming timing,
         RaftLimits limits) {
 
@@ -31,23 +35,52 @@
      */
     record Voter(String name, String address) {}
 
-    RaftSettings {
-        voters = List.copyOf(voters);
+    RaftSettings(
+            String groupName,
+            String name,
+            String address,
+            String operators,
+            VoterRoster roster,
+            RaftTiming timing,
+            RaftLimits limits) {
+        this(groupName, name, address, operators, () -> voters(roster), roster, timing, limits);
+    }
+
+    RaftSettings(
+            String groupName,
+            String name,
+            String address,
+            String operators,
+            List<Voter> voters,
+            RaftTiming timing,
+            RaftLimits limits) {
+        this(groupName, name, address, operators, () -> voters, VoterRoster.named(List.of()), timing, limits);
+    }
+
+    List<Voter> voters() {
+        return known.get();
     }
 
     Member self(long identity) {
         return new Member(identity, name, address, operators, false);
     }
 
-    Optional<Voter> voter(String wanted) {
-        return voters.stream().filter(v -> v.name().equals(wanted)).findFirst();
+    /** Says whether a learner of this name may become a voter. */
+    boolean admits(String wanted) {
+        return roster.isOpen() || voters().stream().anyMatch(v -> v.name().equals(wanted));
     }
 
     List<Voter> others() {
-        return voters.stream().filter(v -> !v.name().equals(name)).toList();
+        return voters().stream().filter(v -> !v.name().equals(name)).toList();
     }
 
     String voterNames() {
-        return String.join(",", voters.stream().map(Voter::name).toList());
+        return String.join(",", voters().stream().map(Voter::name).toList());
+    }
+
+    private static List<Voter> voters(VoterRoster roster) {
+        return roster.voters().stream()
+                .map(v -> new Voter(v.name(), NumericAddress.format(v.address())))
+                .toList();
     }
 }
--- a/library/src/main/java/org/copperspindle/control/ReplicatedLog.java
+++ b/library/src/main/java/org/copperspindle/control/ReplicatedLog.java
@@ -38,6 +38,15 @@
         return Optional.empty();
     }
 
+    /**
+     * Returns the name of the leader.
+     *
+     * @return its name from its settings, if a leader is known
+     */
+    default Optional<String> leaderName() {
+        return Optional.empty();
+    }
+
     /**
      * Describes the members of the log, for operators.
      *
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/direct/DirectClient.java
@@ -0,0 +1,178 @@
+package org.copperspindle.direct;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpClientCodec;
+import org.copperspindle.time.TimerService;
+import org.copperspindle.wire.NumericAddress;
+
+/**
+ * The connections of one node to all upstreams. Network thread only.
+ */
+public final class DirectClient implements UpstreamPort {
+
+    /**
+     * Longest wait for a new connection; milliseconds. A connection within a region takes a few; a lost opening packet is
+     * sent again after a second, and another upstream is tried before that.
+     */
+    private static final int CONNECT_TIMEOUT_MILLIS = 400;
+
+    /** Idle connections kept to one upstream: they count against what it accepts from all nodes together. */
+    private static final int MAX_IDLE = 2;
+
+    private static final long SWEEP_NANOS = Duration.ofSeconds(1).toNanos();
+    private static final int MAX_LINE = 8192;
+    private static final int MAX_HEADER = 32768;
+    private static final int MAX_CHUNK = 65536;
+
+    private final EventLoop loop;
+    private final TimerService timers;
+    private final Map<String, Deque<DirectConnection>> idle = new HashMap<>();
+    private final Owner owner = new Owner();
+    private long connects;
+    private boolean sweeping;
+
+    /**
+     * Creates a client without connections.
+     *
+     * @param loop   network thread
+     * @param timers time on it
+     */
+    public DirectClient(EventLoop loop, TimerService timers) {
+        this.loop = loop;
+        this.timers = timers;
+    }
+
+    /**
+     * Returns how many connections were opened.
+     *
+     * @return a count
+     */
+    public long connects() {
+        return connects;
+    }
+
+    @Override
+    public CallHandle call(DirectCall call, DirectListener listener) {
+        DirectExchange exchange = new DirectExchange(call, listener);
+        if (call.use() == ConnectionUse.KEPT) {
+            DirectConnection kept = takeIdle(call.address());
+            if (kept != null) {
+                kept.use(exchange);
+                return exchange;
+            }
+        }
+        connect(exchange);
+        return exchange;
+    }
+
+    private DirectConnection takeIdle(String address) {
+        Deque<DirectConnection> kept = idle.get(address);
+        // The one used last is the least likely to have been closed by the upstream.
+        while (kept != null && !kept.isEmpty()) {
+            DirectConnection connection = kept.pollLast();
+            if (connection.isFresh(timers.nanoTime())) {
+                return connection;
+            }
+            connection.close();
+        }
+        return null;
+    }
+
+    private void connect(DirectExchange exchange) {
+        connects++;
+        DirectConnection connection = new DirectConnection(exchange.call().address(), owner);
+        new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+                .handler(new Initializer(connection))
+                .connect(NumericAddress.parse(exchange.call().address()))
+                .addListener((ChannelFuture done) -> connected(exchange, connection, done));
+    }
+
+    private static void connected(DirectExchange exchange, DirectConnection connection, ChannelFuture done) {
+        if (!done.isSuccess()) {
+            exchange.fail("connect-failed");
+        } else if (exchange.hasEnded()) {
+            connection.close();
+        } else {
+            connection.use(exchange);
+        }
+    }
+
+    private void sweepLater() {
+        if (!sweeping) {
+            sweeping = true;
+            timers.schedule(SWEEP_NANOS, this::sweep);
+        }
+    }
+
+    private void sweep() {
+        sweeping = false;
+        long now = timers.nanoTime();
+        for (Deque<DirectConnection> kept : idle.values()) {
+            while (!kept.isEmpty() && !kept.peekFirst().isFresh(now)) {
+                kept.pollFirst().close();
+            }
+        }
+        idle.values().removeIf(Deque::isEmpty);
+        if (!idle.isEmpty()) {
+            sweepLater();
+        }
+    }
+
+    /** Builds the pipeline of one connection. */
+    private static final class Initializer extends ChannelInitializer<SocketChannel> {
+        private final DirectConnection connection;
+
+        private Initializer(DirectConnection connection) {
+            this.connection = connection;
+        }
+
+        @Override
+        protected void initChannel(SocketChannel channel) {
+            channel.pipeline().addLast(new HttpClientCodec(MAX_LINE, MAX_HEADER, MAX_CHUNK), connection);
+        }
+    }
+
+    /** Keeps the idle connections. */
+    private final class Owner implements DirectConnection.Owner {
+        @Override
+        public void idle(DirectConnection connection) {
+            Deque<DirectConnection> kept = idle.computeIfAbsent(connection.address(), a -> new ArrayDeque<>());
+            if (kept.size() >= MAX_IDLE) {
+                connection.close();
+                return;
+            }
+            connection.idleSince(timers.nanoTime());
+            kept.addLast(connection);
+            sweepLater();
+        }
+
+        @Override
+        public void closed(DirectConnection connection) {
+            Deque<DirectConnection> kept = idle.get(connection.address());
+            if (kept != null) {
+                kept.remove(connection);
+            }
+        }
+
+        @Override
+        public void resend(DirectExchange exchange) {
+            connect(exchange);
+        }
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/direct/DirectExchange.java
@@ -0,0 +1,83 @@
+package org.copperspindle.direct;
+
+import org.copperspindle.direct.UpstreamPort.CallHandle;
+
+/**
+ * One call on its way, over one connection after another until one has carried it. Network thread only.
+ */
+final class DirectExchange implements CallHandle {
+
+    private final DirectCall call;
+    private final DirectListener listener;
+    private DirectConnection connection;
+    private boolean sent;
+    private boolean headSeen;
+    private boolean ended;
+    private boolean resent;
+
+    DirectExchange(DirectCall call, DirectListener listener) {
+        this.call = call;
+        this.listener = listener;
+    }
+
+    @Override
+    public void abort(String reason) {
+        if (ended) {
+            return;
+        }
+        ended = true;
+        if (connection != null) {
+            connection.abandon();
+        }
+    }
+
+    DirectCall call() {
+        return call;
+    }
+
+    boolean hasEnded() {
+        return ended;
+    }
+
+    /** The call is about to be written: from here on the upstream may run it. */
+    void sendingOn(DirectConnection used) {
+        connection = used;
+        sent = true;
+    }
+
+    void onHead(DirectHead head) {
+        headSeen = true;
+        if (!ended) {
+            listener.onHead(head);
+        }
+    }
+
+    void onData(byte[] data) {
+        if (!ended) {
+            listener.onData(data);
+        }
+    }
+
+    void onEnd() {
+        if (!ended) {
+            ended = true;
+            listener.onEnd();
+        }
+    }
+
+    void fail(String reason) {
+        if (!ended) {
+            ended = true;
+            listener.onFailure(new DirectFailure(sent, reason));
+        }
+    }
+
+    /** Says whether a call that was lost with a kept connection goes out once more, and notes that it does. */
+    boolean mayResend() {
+        if (ended || headSeen || resent || call.use() == ConnectionUse.NEW) {
+            return false;
+        }
+        resent = true;
+        return true;
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/direct/DirectHead.java
@@ -0,0 +1,42 @@
+package org.copperspindle.direct;
+
+import java.util.List;
+import java.util.Optional;
+
+import org.copperspindle.http.HeaderField;
+
+/**
+ * Status and header fields of an upstream's answer.
+ *
+ * @param status HTTP status
+ * @param fields all header fields as they came
+ */
+public record DirectHead(int status, List<HeaderField> fields) {
+
+    private static final int HUNDRED = 100;
+    private static final int SUCCESS_CLASS = 2;
+
+    /** Copies the list. */
+    public DirectHead {
+        fields = List.copyOf(fields);
+    }
+
+    /**
+     * Finds a field.
+     *
+     * @param name its name
+     * @return its first value
+     */
+    public Optional<String> field(String name) {
+        return fields.stream().filter(f -> f.hasName(name)).findFirst().map(HeaderField::value);
+    }
+
+    /**
+     * Says whether the status is a success.
+     *
+     * @return true for 2xx
+     */
+    public boolean isSuccess() {
+        return status / HUNDRED == SUCCESS_CLASS;
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/discovery/DirectoryGossip.java
@@ -0,0 +1,94 @@
+package org.copperspindle.discovery;
+
+import java.time.Duration;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.copperspindle.mesh.MeshListener;
+import org.copperspindle.mesh.MeshNode;
+import org.copperspindle.mesh.NodeMesh;
+import org.copperspindle.time.TimerService;
+import org.copperspindle.wire.WireMessage;
+
+/**
+ * Passes announcements on to all nodes: changes at once, since an upstream that drains must get no new work after a short
+ * while; repeated ones together a few times a second. A node that has just connected gets everything, so that nothing
+ * stays lost that was said while the connection was down.
+ */
+public final class DirectoryGossip implements MeshListener {
+
+    /** Repeated announcements wait so long for others: a quarter of an announcement interval. */
+    private static final long BATCH_NANOS = Duration.ofMillis(300).toNanos();
+
+    private final NodeMesh mesh;
+    private final TimerService timers;
+    private final UpstreamDirectory directory;
+    private final Map<String, UpstreamNews> waiting = new LinkedHashMap<>();
+
+    /**
+     * Creates the gossip; to be subscribed to the mesh.
+     *
+     * @param mesh      the nodes
+     * @param timers    time on the network thread
+     * @param directory this node's directory
+     */
+    public DirectoryGossip(NodeMesh mesh, TimerService timers, UpstreamDirectory directory) {
+        this.mesh = mesh;
+        this.timers = timers;
+        this.directory = directory;
+    }
+
+    /**
+     * Takes an announcement that an upstream made here.
+     *
+     * @param news the announcement
+     */
+    public void announced(UpstreamNews news) {
+        DirectoryChange change = directory.accept(news, timers.nanoTime());
+        if (change == DirectoryChange.CHANGED) {
+            mesh.broadcast(new UpstreamNewsMessage(List.of(news)));
+        } else if (change == DirectoryChange.REFRESHED) {
+            later(news);
+        }
+    }
+
+    /**
+     * Takes note that an upstream has left.
+     *
+     * @param id     its id
+     * @param reason how this is known
+     */
+    public void left(String id, String reason) {
+        directory
+                .leave(id, reason, timers.nanoTime())
+                .ifPresent(news -> mesh.broadcast(new UpstreamNewsMessage(List.of(news))));
+    }
+
+    @Override
+    public void onNodeUp(MeshNode node) {
+        List<UpstreamNews> all = directory.all(timers.nanoTime());
+        if (!all.isEmpty()) {
+            node.send(new UpstreamNewsMessage(all));
+        }
+    }
+
+    @Override
+    public void onMessage(MeshNode node, WireMessage message) {
+        if (message instanceof UpstreamNewsMessage received) {
+            received.news().forEach(news -> directory.accept(news, timers.nanoTime()));
+        }
+    }
+
+    private void later(UpstreamNews news) {
+        if (waiting.isEmpty()) {
+            timers.schedule(BATCH_NANOS, this::flush);
+        }
+        waiting.put(news.id(), news);
+    }
+
+    private void flush() {
+        mesh.broadcast(new UpstreamNewsMessage(List.copyOf(waiting.values())));
+        waiting.clear();
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/discovery/DirectoryListener.java
@@ -0,0 +1,15 @@
+package org.copperspindle.discovery;
+
+/**
+ * Hears of upstreams that come and go.
+ */
+@FunctionalInterface
+public interface DirectoryListener {
+
+    /**
+     * Something about an upstream changed.
+     *
+     * @param news what is known of it now
+     */
+    void onChange(UpstreamNews news);
+}
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/discovery/UpstreamNews.java
@@ -0,0 +1,83 @@
+package org.copperspindle.discovery;
+
+import org.copperspindle.wire.FieldReader;
+import org.copperspindle.wire.FieldWriter;
+import org.copperspindle.wire.MalformedFrameException;
+import org.copperspindle.wire.MessageCodec;
+import org.copperspindle.wire.WireMessage;
+
+/**
+ * What an upstream said of itself.
+ *
+ * @param id            identity of one life of its process; a restart has another
+ * @param pool          its pool
+ * @param address       IP:PORT for requests; may later belong to another upstream
+ * @param failureDomain its failure domain
+ * @param phase         where it stands in its life
+ * @param slots         requests that it runs at once
+ * @param sequence      number of the announcement within this life, to order late ones
+ * @param ageMillis     how long ago the sender of this record heard it
+ */
+public record UpstreamNews(
+        String id,
+        String pool,
+        String address,
+        String failureDomain,
+        UpstreamPhase phase,
+        int slots,
+        long sequence,
+        long ageMillis)
+        implements WireMessage {
+
+    /** Codec of this message. */
+    static final MessageCodec<UpstreamNews> CODEC =
+            MessageCodec.of(220, UpstreamNews.class, UpstreamNews::write, UpstreamNews::read);
+
+    /**
+     * Makes the record of an upstream that has left.
+     *
+     * @return the same upstream, gone
+     */
+    public UpstreamNews gone() {
+        return new UpstreamNews(id, pool, address, failureDomain, UpstreamPhase.GONE, slots, sequence, ageMillis);
+    }
+
+    UpstreamNews withAge(long millis) {
+        return new UpstreamNews(id, pool, address, failureDomain, phase, slots, sequence, millis);
+    }
+
+    byte[] encode() {
+        return CODEC.encode(this);
+    }
+
+    static UpstreamNews decode(byte[] bytes) {
+        try {
+            return CODEC.decode(bytes);
+        } catch (MalformedFrameException e) {
+            throw new IllegalArgumentException(e);
+        }
+    }
+
+    private void write(FieldWriter out) {
+        out.put(1, id)
+                .put(2, pool)
+                .put(3, address)
+                .put(4, failureDomain)
+                .put(5, phase.ordinal())
+                .put(6, slots)
+                .put(7, sequence)
+                .put(8, ageMillis);
+    }
+
+    private static UpstreamNews read(FieldReader in) {
+        return new UpstreamNews(
+                in.getString(1),
+                in.getString(2),
+                in.getString(3),
+                in.getString(4),
+                UpstreamPhase.of(in.getLong(5, 0)),
+                (int) in.getLong(6, 1),
+                in.getLong(7, 0),
+                in.getLong(8, 0));
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/discovery/UpstreamPhase.java
@@ -0,0 +1,23 @@
+package org.copperspindle.discovery;
+
+/**
+ * Where an upstream stands in its life.
+ */
+public enum UpstreamPhase {
+    /** Takes requests. */
+    READY,
+    /** Finishes what it has and takes nothing new. */
+    DRAINING,
+    /** Has left; its id never comes back. */
+    GONE;
+
+    /**
+     * Finds a phase by its number on the wire.
+     *
+     * @param number ordinal
+     * @return the phase; {@link #DRAINING} for numbers of a newer build, which is safe
+     */
+    static UpstreamPhase of(long number) {
+        return number >= 0 && number < values().length ? values()[(int) number] : DRAINING;
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/discovery/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Upstreams as they announce themselves: soft state, kept by every node and passed on between nodes.
+ */
+package org.copperspindle.discovery;
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/edition/EditionExchange.java
@@ -0,0 +1,196 @@
+package org.copperspindle.edition;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.Executor;
+
+import org.copperspindle.mesh.MeshListener;
+import org.copperspindle.mesh.MeshNode;
+import org.copperspindle.mesh.NodeMesh;
+import org.copperspindle.time.TimerService;
+import org.copperspindle.wire.WireMessage;
+
+/**
+ * Carries versions and leases between the nodes: a leader pushes what was accepted and answers questions, every node
+ * asks whom it takes for the leader. Runs on the network thread.
+ */
+public final class EditionExchange implements MeshListener {
+
+    /** A large text takes a while over a slow link; before that it is not sent again. */
+    private static final long RESEND_NANOS = Duration.ofMillis(1500).toNanos();
+
+    private final NodeMesh mesh;
+    private final TimerService timers;
+    private final Executor network;
+    private final Map<String, Sent> sent = new HashMap<>();
+    private EditionHolder holder;
+    private Optional<EditionMember> member = Optional.empty();
+    private MemberStatus status = MemberStatus.NONE;
+
+    /**
+     * Creates the exchange; to be subscribed to the mesh.
+     *
+     * @param mesh    the nodes
+     * @param timers  time on the network thread
+     * @param network runs tasks on the network thread
+     */
+    public EditionExchange(NodeMesh mesh, TimerService timers, Executor network) {
+        this.mesh = mesh;
+        this.timers = timers;
+        this.network = network;
+    }
+
+    /**
+     * Sets what this node serves by.
+     *
+     * @param own the holder, which asks through {@link #ask}
+     */
+    public void holder(EditionHolder own) {
+        holder = own;
+    }
+
+    /**
+     * Sets this node's member of the control group.
+     *
+     * @param own the member
+     */
+    public void member(EditionMember own) {
+        member = Optional.of(own);
+    }
+
+    /**
+     * Takes note of what this node's member knows.
+     *
+     * @param newest its status
+     */
+    public void status(MemberStatus newest) {
+        status = newest;
+        mesh.announce();
+        if (!newest.leader().isEmpty()) {
+            holder.ask();
+        }
+    }
+
+    /**
+     * Returns what this node's member knows.
+     *
+     * @return its status; that of no member if this node has none
+     */
+    public MemberStatus status() {
+        return status;
+    }
+
+    /**
+     * Returns this node's member.
+     *
+     * @return empty if this node has no disk
+     */
+    public Optional<EditionMember> member() {
+        return member;
+    }
+
+    /**
+     * Finds the leader of the highest term that any node tells of.
+     *
+     * @return name of its node
+     */
+    public Optional<String> leader() {
+        long term = status.term();
+        String leader = status.leader();
+        for (MeshNode node : mesh.nodes()) {
+            if (node.hello().term() > term && !node.hello().leader().isEmpty()) {
+                term = node.hello().term();
+                leader = node.hello().leader();
+            }
+        }
+        return leader.isEmpty() ? Optional.empty() : Optional.of(leader);
+    }
+
+    /**
+     * Finds where operators reach the leader.
+     *
+     * @return IP:PORT, empty if this node leads, or no leader is connected
+     */
+    public Optional<String> leaderControl() {
+        return leader().flatMap(mesh::find).map(node -> node.hello().control());
+    }
+
+    /**
+     * Sends a question to the leader.
+     *
+     * @param question the question
+     */
+    public void ask(EditionLeaseAskMessage question) {
+        Optional<String> leader = leader();
+        if (leader.isEmpty()) {
+            return;
+        }
+        if (leader.get().equals(mesh.self())) {
+            member.ifPresent(own ->
+                    own.askNewest(newest -> network.execute(() -> answerSelf(question.sequence(), newest))));
+        } else {
+            mesh.find(leader.get()).ifPresent(node -> node.send(question));
+        }
+    }
+
+    /**
+     * Takes a version that this node's member has recorded.
+     *
+     * @param edition the version
+     */
+    public void recorded(EditionMessage edition) {
+        holder.receive(edition);
+        if (status.leads()) {
+            mesh.nodes().forEach(node -> push(node, node.hello().version(), edition));
+        }
+    }
+
+    @Override
+    public void onMessage(MeshNode node, WireMessage message) {
+        if (message instanceof EditionLeaseAskMessage question) {
+            member.ifPresent(own ->
+                    own.askNewest(newest -> network.execute(() -> answer(node.address(), question, newest))));
+        } else if (message instanceof EditionLeaseMessage answer) {
+            holder.receive(answer);
+        } else if (message instanceof EditionMessage edition) {
+            holder.receive(edition);
+        }
+    }
+
+    @Override
+    public void onNodeDown(MeshNode node) {
+        sent.remove(node.address());
+    }
+
+    private void answerSelf(long sequence, Optional<EditionMessage> newest) {
+        newest.ifPresent(holder::receive);
+        holder.receive(new EditionLeaseMessage(
+                sequence, newest.map(EditionMessage::version).orElse(0L)));
+    }
+
+    private void answer(String address, EditionLeaseAskMessage question, Optional<EditionMessage> newest) {
+        Optional<MeshNode> node = mesh.find(address);
+        if (node.isEmpty()) {
+            return;
+        }
+        // The text goes first: with it the node can use the lease that follows.
+        newest.ifPresent(edition -> push(node.get(), question.held(), edition));
+        long version = newest.map(EditionMessage::version).orElse(0L);
+        node.get().send(new EditionLeaseMessage(question.sequence(), version));
+    }
+
+    private void push(MeshNode node, long held, EditionMessage edition) {
+        long now = timers.nanoTime();
+        Sent last = sent.get(node.address());
+        boolean underWay = last != null && last.version() >= edition.version() && now - last.at() < RESEND_NANOS;
+        if (held >= edition.version() || underWay) {
+            return;
+        }
+        sent.put(node.address(), new Sent(edition.version(), now));
+        node.send(edition);
+    }
+
+    private record Sent(long version, long at) {}
+}
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/edition/EditionHolder.java
@@ -0,0 +1,218 @@
+package org.copperspindle.edition;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.copperspindle.route.RouteTable;
+import org.copperspindle.route.RouteTableReader;
+import org.copperspindle.route.RouteTableResult;
+import org.copperspindle.time.SuspensionWatch;
+import org.copperspindle.time.TimerService;
+
+/**
+ * The version that this node serves by, and its lease. A node never goes back to a lower version. It serves only under
+ * a lease: one that was cut off could else go on running requests under keys that were taken away, and one that was
+ * restarted could begin with an old version. Runs on the network thread.
+ */
+public final class EditionHolder {
+
+    private static final Logger LOGGER = LogManager.getLogger(EditionHolder.class);
+
+    /** Interval of questions to the leader; several may be lost before a lease ends. */
+    private static final Duration ASK_INTERVAL = Duration.ofMillis(400);
+
+    private static final int MAX_OPEN_QUESTIONS = 32;
+
+    private final TimerService timers;
+    private final RouteTableReader reader;
+    private final long leaseNanos;
+    private final SuspensionWatch watch;
+    private final Consumer<EditionLeaseAskMessage> leader;
+    private final List<Consumer<RouteTable>> listeners = new ArrayList<>();
+    private final Deque<Question> questions = new ArrayDeque<>();
+    private Optional<EditionMessage> edition = Optional.empty();
+    private Optional<RouteTable> table = Optional.empty();
+    private boolean leased;
+    private long leaseUntil;
+    private long wantedVersion;
+    private long wantedSentAt;
+    private long sequence;
+
+    /**
+     * Creates a holder of nothing.
+     *
+     * @param timers time on the network thread
+     * @param reader reads texts of versions
+     * @param lease  how long a lease lasts; shorter than the time in which a key that is taken away must be dead
+     * @param watch  notices that this VM stood still
+     * @param leader sends a question to the leader, if one is known
+     */
+    public EditionHolder(
+            TimerService timers,
+            RouteTableReader reader,
+            Duration lease,
+            SuspensionWatch watch,
+            Consumer<EditionLeaseAskMessage> leader) {
+        this.timers = timers;
+        this.reader = reader;
+        this.leaseNanos = lease.toNanos();
+        this.watch = watch;
+        this.leader = leader;
+    }
+
+    /**
+     * Adds a listener.
+     *
+     * @param listener told of each table that this node begins to hold
+     */
+    public void subscribe(Consumer<RouteTable> listener) {
+        listeners.add(listener);
+    }
+
+    /** Begins to ask the leader. */
+    public void start() {
+        ask();
+        timers.schedule(ASK_INTERVAL.toNanos(), this::start);
+    }
+
+    /** Asks the leader now, for example when a new one is known. */
+    public void ask() {
+        checkSuspension();
+        sequence++;
+        questions.addLast(new Question(sequence, timers.nanoTime()));
+        if (questions.size() > MAX_OPEN_QUESTIONS) {
+            questions.removeFirst();
+        }
+        leader.accept(new EditionLeaseAskMessage(sequence, version()));
+    }
+
+    /**
+     * Takes the leader's answer.
+     *
+     * @param answer the answer
+     */
+    public void receive(EditionLeaseMessage answer) {
+        checkSuspension();
+        Optional<Question> asked = questions.stream()
+                .filter(q -> q.sequence() == answer.sequence())
+                .findFirst();
+        if (asked.isEmpty() || answer.version() == 0) {
+            return;
+        }
+        questions.removeIf(q -> q.sequence() <= answer.sequence());
+        if (answer.version() > version()) {
+            // Its text is under way on the same connection.
+            wantedVersion = answer.version();
+            wantedSentAt = asked.get().sentAt();
+            return;
+        }
+        extend(asked.get().sentAt());
+    }
+
+    /**
+     * Takes a version that was accepted. A lower one than that held is dropped.
+     *
+     * @param news the version
+     */
+    public void receive(EditionMessage news) {
+        if (news.version() <= version()) {
+            return;
+        }
+        RouteTableResult result = reader.read(news.text());
+        if (!(result instanceof RouteTableResult.Valid valid)) {
+            // Texts are checked before they are recorded: only another build can have let this one pass.
+            LOGGER.error("event=version-unreadable version={} problem=\"{}\"", news.version(), result);
+            return;
+        }
+        long before = version();
+        edition = Optional.of(news);
+        table = Optional.of(valid.table());
+        LOGGER.info("event=version-held version={} before={} leased={}", news.version(), before, isLeased());
+        listeners.forEach(listener -> listener.accept(valid.table()));
+        if (wantedVersion > 0 && wantedVersion <= news.version()) {
+            wantedVersion = 0;
+            extend(wantedSentAt);
+        }
+    }
+
+    /**
+     * Returns the version held.
+     *
+     * @return 0 if none
+     */
+    public long version() {
+        return edition.map(EditionMessage::version).orElse(0L);
+    }
+
+    /**
+     * Returns what is held, in force or not.
+     *
+     * @return the version with its text
+     */
+    public Optional<EditionMessage> held() {
+        return edition;
+    }
+
+    /**
+     * Returns the table held, in force or not.
+     *
+     * @return the table
+     */
+    public Optional<RouteTable> heldTable() {
+        return table;
+    }
+
+    /**
+     * Returns the table to serve by.
+     *
+     * @return empty without a lease
+     */
+    public Optional<RouteTable> inForce() {
+        checkSuspension();
+        return isLeased() ? table : Optional.empty();
+    }
+
+    private boolean isLeased() {
+        boolean before = leased;
+        leased = leased && timers.nanoTime() - leaseUntil < 0;
+        if (before && !leased) {
+            LOGGER.warn("event=lease-lost version={} reason=expired", version());
+        }
+        return leased;
+    }
+
+    private void checkSuspension() {
+        if (!watch.stoodStill()) {
+            return;
+        }
+        questions.clear();
+        wantedVersion = 0;
+        if (leased) {
+            leased = false;
+            LOGGER.warn("event=lease-lost version={} reason=suspended", version());
+        }
+    }
+
+    private void extend(long sentAt) {
+        long until = sentAt + leaseNanos;
+        if (timers.nanoTime() - until >= 0) {
+            return;
+        }
+        if (!isLeased()) {
+            LOGGER.info("event=lease-held version={}", version());
+            leaseUntil = until;
+            leased = true;
+        } else if (until - leaseUntil > 0) {
+            leaseUntil = until;
+        }
+    }
+
+    private record Question(long sequence, long sentAt) {}
+}
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/edition/EditionLeaseAskMessage.java
@@ -0,0 +1,27 @@
+package org.copperspindle.edition;
+
+import org.copperspindle.wire.FieldReader;
+import org.copperspindle.wire.FieldWriter;
+import org.copperspindle.wire.MessageCodec;
+import org.copperspindle.wire.WireMessage;
+
+/**
+ * A node asks the leader whether it holds the newest version.
+ *
+ * @param sequence number of the question, to match its answer
+ * @param held     version that the node holds, 0 if none
+ */
+public record EditionLeaseAskMessage(long sequence, long held) implements WireMessage {
+
+    /** Codec of this message. */
+    public static final MessageCodec<EditionLeaseAskMessage> CODEC = MessageCodec.of(
+            211, EditionLeaseAskMessage.class, EditionLeaseAskMessage::write, EditionLeaseAskMessage::read);
+
+    private void write(FieldWriter out) {
+        out.put(1, sequence).put(2, held);
+    }
+
+    private static EditionLeaseAskMessage read(FieldReader in) {
+        return new EditionLeaseAskMessage(in.getLong(1, 0), in.getLong(2, 0));
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/edition/EditionMember.java
@@ -0,0 +1,185 @@
+package org.copperspindle.edition;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.copperspindle.consensus.ConsensusLog;
+import org.copperspindle.consensus.ConsensusSettings;
+import org.copperspindle.control.ControlResult;
+import org.copperspindle.control.ProposalResult;
+import org.copperspindle.control.ReplicatedLog;
+import org.copperspindle.core.DecisionRing;
+import org.copperspindle.time.SuspensionWatch;
+import org.copperspindle.time.TimerService;
+import org.copperspindle.wire.WireTransport;
+
+/**
+ * This node's member of the control group. Its log runs on the decision ring; all methods may be called from any thread,
+ * and callbacks come on the ring.
+ */
+public final class EditionMember implements AutoCloseable {
+
+    private static final Logger LOGGER = LogManager.getLogger(EditionMember.class);
+
+    /** How often what is known of the leader is made known to the network thread. */
+    private static final long STATUS_NANOS = Duration.ofMillis(100).toNanos();
+
+    private final DecisionRing ring;
+    private final TimerService timers;
+    private final EditionState state;
+    private final ReplicatedLog log;
+    private final SuspensionWatch watch;
+    private final Consumer<MemberStatus> listener;
+    private final long distrustNanos;
+    private long distrustUntil;
+    private boolean distrusts;
+    private MemberStatus published = MemberStatus.NONE;
+    private volatile boolean closed;
+
+    EditionMember(
+            DecisionRing ring,
+            TimerService timers,
+            EditionState state,
+            ReplicatedLog log,
+            SuspensionWatch watch,
+            Duration electionTimeout,
+            Consumer<MemberStatus> listener) {
+        this.ring = ring;
+        this.timers = timers;
+        this.state = state;
+        this.log = log;
+        this.watch = watch;
+        this.listener = listener;
+        this.distrustNanos = electionTimeout.toNanos();
+    }
+
+    /**
+     * Opens the member and starts it.
+     *
+     * @param ring      ring that owns its log
+     * @param timers    time on that ring
+     * @param transport transport of the log's own connections
+     * @param settings  settings of the log
+     * @param state     what the log drives
+     * @param listener  told on the ring when the leader, the term or the part in the group changes
+     * @return the member
+     * @throws IOException if the disk fails or its records are damaged
+     */
+    public static EditionMember open(
+            DecisionRing ring,
+            TimerService timers,
+            WireTransport transport,
+            ConsensusSettings settings,
+            EditionState state,
+            Consumer<MemberStatus> listener)
+            throws IOException {
+        ConsensusLog log = ConsensusLog.open(ring, timers, transport, state, settings);
+        transport.listen(settings.address(), log);
+        EditionMember member = new EditionMember(
+                ring, timers, state, log, new SuspensionWatch(), settings.electionTimeout(), listener);
+        ring.execute(log::start);
+        ring.execute(member::publish);
+        return member;
+    }
+
+    /**
+     * Records a version.
+     *
+     * @param edition  the version, checked before
+     * @param callback told how it ended
+     */
+    public void put(EditionMessage edition, Consumer<EditionResult> callback) {
+        propose(EditionMessage.CODEC.encode(edition), callback);
+    }
+
+    /**
+     * Reads the newest version. The question goes through the log: a leader that was frozen and does not know yet that
+     * there is another one could else answer with a version that was overtaken.
+     *
+     * @param callback told the result
+     */
+    public void read(Consumer<EditionResult> callback) {
+        propose(EditionState.READ, callback);
+    }
+
+    /**
+     * Asks for the newest version, if this member leads.
+     *
+     * @param callback told the version, empty if none was accepted yet; not called if this member does not lead or can't
+     *                 be sure of it
+     */
+    public void askNewest(Consumer<Optional<EditionMessage>> callback) {
+        ring.offer(() -> {
+            if (isTrusted() && log.leads()) {
+                callback.accept(state.newest());
+            }
+        });
+    }
+
+    @Override
+    public void close() {
+        closed = true;
+        log.close();
+    }
+
+    private void propose(byte[] command, Consumer<EditionResult> callback) {
+        boolean taken = ring.offer(() -> {
+            if (!isTrusted()) {
+                callback.accept(new EditionResult.NotLeading());
+                return;
+            }
+            log.propose(command, result -> callback.accept(read(result)));
+        });
+        if (!taken) {
+            callback.accept(new EditionResult.NotLeading());
+        }
+    }
+
+    private EditionResult read(ProposalResult result) {
+        if (result instanceof ProposalResult.Committed committed
+                && committed.result() instanceof ControlResult.ConfigAccepted accepted) {
+            return new EditionResult.Recorded(accepted.version(), state.newest());
+        }
+        if (result instanceof ProposalResult.NotTaken) {
+            return new EditionResult.NotLeading();
+        }
+        return new EditionResult.Unknown();
+    }
+
+    /** After a suspension the leader's lease, counted on a clock that stood still, proves nothing until it has ended. */
+    private boolean isTrusted() {
+        long now = timers.nanoTime();
+        if (watch.stoodStill()) {
+            LOGGER.warn("event=suspension-noticed action=leases-held-back");
+            distrustUntil = now + distrustNanos;
+            distrusts = true;
+        }
+        distrusts &= now - distrustUntil < 0;
+        return !distrusts;
+    }
+
+    private void publish() {
+        if (closed) {
+            return;
+        }
+        boolean trusted = isTrusted();
+        boolean leads = trusted && log.leads();
+        Optional<String> leader = log.leaderName();
+        MemberStatus status = new MemberStatus(leader.isPresent() ? log.term() : 0, leader.orElse(""), leads);
+        if (!status.equals(published)) {
+            LOGGER.info(
+                    "event=leader-seen leader={} term={} leads={} members={}",
+                    status.leader(),
+                    status.term(),
+                    status.leads(),
+                    log.describeMembers());
+            published = status;
+            listener.accept(status);
+        }
+        timers.schedule(STATUS_NANOS, this::publish);
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/edition/EditionMessage.java
@@ -0,0 +1,27 @@
+package org.copperspindle.edition;
+
+import org.copperspindle.wire.FieldReader;
+import org.copperspindle.wire.FieldWriter;
+import org.copperspindle.wire.MessageCodec;
+import org.copperspindle.wire.WireMessage;
+
+/**
+ * One version of the configuration: a command of the log, its snapshot, and what nodes send each other.
+ *
+ * @param version its version, above 0
+ * @param text    the text as the operator sent it, to be given back unchanged
+ */
+public record EditionMessage(long version, byte[] text) implements WireMessage {
+
+    /** Codec of this message. */
+    public static final MessageCodec<EditionMessage> CODEC =
+            MessageCodec.of(210, EditionMessage.class, EditionMessage::write, EditionMessage::read);
+
+    private void write(FieldWriter out) {
+        out.put(1, version).put(2, text);
+    }
+
+    private static EditionMessage read(FieldReader in) {
+        return new EditionMessage(in.getLong(1, 0), in.getBytes(2));
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/gateway/ControlAnswer.java
@@ -0,0 +1,38 @@
+package org.copperspindle.gateway;
+
+import java.util.Optional;
+
+/**
+ * How a question of an operator ended.
+ */
+public sealed interface ControlAnswer {
+
+    /**
+     * Recorded by a majority.
+     *
+     * @param version newest accepted version, 0 if there is none
+     * @param text    its text
+     */
+    record Recorded(long version, Optional<byte[]> text) implements ControlAnswer {}
+
+    /**
+     * The configuration is invalid; nothing of it was recorded.
+     *
+     * @param problem what is wrong and where
+     */
+    record Invalid(String problem) implements ControlAnswer {}
+
+    /**
+     * Another node answers.
+     *
+     * @param control IP:PORT of its door for operators
+     */
+    record Elsewhere(String control) implements ControlAnswer {}
+
+    /**
+     * No clear answer can be given now.
+     *
+     * @param reason why
+     */
+    record Unavailable(String reason) implements ControlAnswer {}
+}
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayContext.java
@@ -0,0 +1,39 @@
+package org.copperspindle.gateway;
+
+import java.util.random.RandomGenerator;
+
+import org.copperspindle.batch.BatchService;
+import org.copperspindle.direct.UpstreamPort;
+import org.copperspindle.discovery.DirectoryGossip;
+import org.copperspindle.measure.DecisionLog;
+import org.copperspindle.time.TimerService;
+
+/**
+ * What all requests of a node share.
+ *
+ * @param timers    time on the network thread
+ * @param callers   how callers write
+ * @param upstreams how upstreams are spoken to
+ * @param port      sends calls
+ * @param batches   makes the pieces of stages
+ * @param gossip    tells other nodes of upstreams that have left
+ * @param tracker   what was seen of upstreams
+ * @param chooser   chooses upstreams
+ * @param budget    bounds repeats
+ * @param counters  counts requests
+ * @param log       bounds log lines
+ * @param random    spreads returns of refused callers
+ */
+record GatewayContext(
+        TimerService timers,
+        CallerDialect callers,
+        UpstreamDialect upstreams,
+        UpstreamPort port,
+        BatchService batches,
+        DirectoryGossip gossip,
+        UpstreamTracker tracker,
+        UpstreamChooser chooser,
+        RetryBudget budget,
+        GatewayCounters counters,
+        DecisionLog log,
+        RandomGenerator random) {}
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
@@ -0,0 +1,381 @@
+package org.copperspindle.gateway;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ThreadLocalRandom;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.copperspindle.batch.BatchService;
+import org.copperspindle.batch.FreeResultsMessage;
+import org.copperspindle.batch.PieceCancelMessage;
+import org.copperspindle.batch.PieceGroup;
+import org.copperspindle.batch.PieceResultsMessage;
+import org.copperspindle.consensus.ConsensusLog;
+import org.copperspindle.consensus.ConsensusSettings;
+import org.copperspindle.core.DecisionRing;
+import org.copperspindle.direct.DirectClient;
+import org.copperspindle.discovery.DirectoryGossip;
+import org.copperspindle.discovery.UpstreamDirectory;
+import org.copperspindle.discovery.UpstreamNews;
+import org.copperspindle.discovery.UpstreamNewsMessage;
+import org.copperspindle.discovery.UpstreamPhase;
+import org.copperspindle.edition.EditionExchange;
+import org.copperspindle.edition.EditionHolder;
+import org.copperspindle.edition.EditionLeaseAskMessage;
+import org.copperspindle.edition.EditionLeaseMessage;
+import org.copperspindle.edition.EditionMember;
+import org.copperspindle.edition.EditionMessage;
+import org.copperspindle.edition.EditionState;
+import org.copperspindle.edition.MeshRoster;
+import org.copperspindle.http.HttpExchange;
+import org.copperspindle.http.HttpLimits;
+import org.copperspindle.http.HttpListener;
+import org.copperspindle.measure.DecisionLog;
+import org.copperspindle.mesh.MeshListener;
+import org.copperspindle.mesh.MeshNode;
+import org.copperspindle.mesh.MeshSettings;
+import org.copperspindle.mesh.NodeHelloMessage;
+import org.copperspindle.mesh.NodeMesh;
+import org.copperspindle.route.CallerLimits;
+import org.copperspindle.route.RouteTable;
+import org.copperspindle.route.UpstreamPool;
+import org.copperspindle.time.LoopTimerService;
+import org.copperspindle.time.SuspensionWatch;
+import org.copperspindle.time.SystemTimerService;
+import org.copperspindle.time.TimerService;
+import org.copperspindle.wire.GreetingMessage;
+import org.copperspindle.wire.MessageRegistry;
+import org.copperspindle.wire.NumericAddress;
+import org.copperspindle.wire.WireTransport;
+
+/**
+ * One running node that stands directly before upstreams. Requests, upstreams and the connections between nodes live on
+ * one network thread; a node with a disk has a member of the control group besides, on a decision ring of its own, so
+ * that a slow disk never holds a request up.
+ */
+public final class GatewayNode {
+
+    private static final Logger LOGGER = LogManager.getLogger(GatewayNode.class);
+
+    /**
+     * After which a silent leader is replaced. A cut leader is noticed well within the time in which a change must be
+     * accepted; a disk that takes 150 ms for a sync does not hold heartbeats up.
+     */
+    private static final Duration ELECTION_TIMEOUT = Duration.ofMillis(1000);
+
+    /** Part of the time in which a key must be dead everywhere; the rest covers clocks and requests under way. */
+    private static final double LEASE_SHARE = 0.76;
+
+    /** A balancer that asks every second needs two misses to send no new connections. */
+    private static final Duration BALANCER_NOTICE = Duration.ofMillis(2600);
+
+    /** Left of the grace for connections to be closed in order. */
+    private static final Duration STOP_RESERVE = Duration.ofMillis(700);
+
+    /** Time for other nodes to tell what they know before a node that found some calls itself ready. */
+    private static final Duration VIEW_TIME = Duration.ofMillis(300);
+
+    /** A node that finds no others is ready after this: it may be the only one. */
+    private static final Duration LONELY_TIME = Duration.ofSeconds(2);
+
+    private static final Duration TICK = Duration.ofMillis(100);
+    private static final int SERVED_LINES = 300;
+    private static final int FAILED_LINES = 200;
+    private static final int MAX_CONNECTIONS = 2500;
+    private static final int CONTROL_BODY = 8 << 20;
+    private static final int OK = 200;
+    private static final int UNAVAILABLE = 503;
+    private static final String GROUP = "control";
+
+    private final GatewaySettings settings;
+    private final MultiThreadIoEventLoopGroup group =
+            new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("network", true), NioIoHandler.newFactory());
+    private final EventLoop loop = (EventLoop) group.next();
+    private final TimerService timers = new LoopTimerService(loop);
+    private final WireTransport transport;
+    private final GreetingMessage greeting;
+    private final MessageRegistry registry;
+    private final NodeMesh mesh;
+    private final UpstreamDirectory directory = new UpstreamDirectory();
+    private final DirectoryGossip gossip;
+    private final EditionExchange exchange;
+    private final EditionHolder holder;
+    private final BatchService batches;
+    private final GatewayCounters counters = new GatewayCounters();
+    private final RetryBudget budget;
+    private final UpstreamTracker tracker = new UpstreamTracker();
+    private final HttpListener callers;
+    private final HttpListener readiness;
+    private final HttpListener control;
+    private final long startedAt = System.nanoTime();
+    private Optional<DecisionRing> ring = Optional.empty();
+    private volatile boolean grouped;
+    private boolean ready;
+    private boolean stopping;
+
+    private GatewayNode(GatewaySettings settings, GatewayDialects dialects) throws IOException {
+        this.settings = settings;
+        this.registry = registry();
+        long incarnation = System.currentTimeMillis();
+        this.greeting = new GreetingMessage(
+                GreetingMessage.PROTOCOL, "gateway", NumericAddress.format(settings.mesh()), incarnation);
+        this.transport = new WireTransport(group, registry, greeting, MeshSettings.LIMITS);
+        MeshSettings meshSettings = new MeshSettings(
+                settings.mesh(),
+                NumericAddress.format(settings.control()),
+                settings.failureDomain(),
+                settings.dataFolder().isPresent(),
+                settings.seeds());
+        this.mesh = new NodeMesh(meshSettings, transport, timers, this::hello);
+        this.gossip = new DirectoryGossip(mesh, timers, directory);
+        this.exchange = new EditionExchange(mesh, timers, loop);
+        Duration lease = Duration.ofNanos((long) (settings.revocation().toNanos() * LEASE_SHARE));
+        this.holder = new EditionHolder(timers, dialects.tables(), lease, new SuspensionWatch(), exchange::ask);
+        exchange.holder(holder);
+        DirectClient client = new DirectClient(loop, timers);
+        this.batches = new BatchService(
+                mesh,
+                timers,
+                directory,
+                dialects.stages(client, timers),
+                pool -> holder.heldTable().flatMap(t -> t.findPool(pool)).flatMap(UpstreamPool::batch),
+                () -> ready && !stopping);
+        this.budget = new RetryBudget(
+                settings.retries().ratio(),
+                settings.retries().slack(),
+                settings.retries().window());
+        GatewayContext context = new GatewayContext(
+                timers,
+                dialects.callers(),
+                dialects.upstreams(),
+                client,
+                batches,
+                gossip,
+                tracker,
+                new UpstreamChooser(directory, tracker, ThreadLocalRandom.current(), settings.failureDomain()),
+                budget,
+                counters,
+                new DecisionLog(SERVED_LINES, FAILED_LINES),
+                ThreadLocalRandom.current());
+        subscribe();
+        settings.dataFolder().ifPresent(folder -> openMember(folder.resolve(GROUP)));
+        GatewayService service = new GatewayService(context, holder::inForce);
+        ControlDesk desk = new ControlDesk(gossip, exchange, dialects.tables(), loop);
+        this.callers = new HttpListener(group, settings.callers(), this::callerLimits, service);
+        this.readiness = new HttpListener(group, settings.readiness(), () -> HttpLimits.DEFAULT, this::answerReadiness);
+        this.control = new HttpListener(
+                group, settings.control(), () -> HttpLimits.DEFAULT.withMaxBody(CONTROL_BODY), dialects.control(desk));
+    }
+
+    /**
+     * Starts a node.
+     *
+     * @param settings its settings
+     * @param dialects what its callers, upstreams and operators speak
+     * @return the running node
+     * @throws IOException if its disk fails or an address is taken
+     */
+    public static GatewayNode start(GatewaySettings settings, GatewayDialects dialects) throws IOException {
+        GatewayNode node = new GatewayNode(settings, dialects);
+        node.mesh.start();
+        node.loop.execute(() -> {
+            node.holder.start();
+            node.tick();
+        });
+        LOGGER.info(
+                "event=started process={} callers={} control={} mesh={} disk={} first_start={} seeds={}",
+                settings.name(),
+                settings.callers(),
+                settings.control(),
+                settings.mesh(),
+                settings.dataFolder().isPresent(),
+                settings.firstStart(),
+                settings.seeds());
+        return node;
+    }
+
+    /**
+     * Takes other seeds, after a change of settings.
+     *
+     * @param seeds mesh addresses
+     */
+    public void reseed(List<InetSocketAddress> seeds) {
+        LOGGER.info("event=reloaded seeds={}", seeds);
+        loop.execute(() -> mesh.reseed(seeds));
+    }
+
+    /**
+     * Stops gracefully: new callers go elsewhere, requests in progress are finished. Returns when that is done or the
+     * grace is nearly over.
+     *
+     * @throws InterruptedException if the wait is interrupted
+     */
+    public void stop() throws InterruptedException {
+        CountDownLatch idle = new CountDownLatch(1);
+        loop.execute(() -> beginStop(idle::countDown));
+        idle.await();
+        LOGGER.info("event=stopped process={} open={}", settings.name(), counters.open());
+    }
+
+    private void subscribe() {
+        mesh.subscribe(gossip);
+        mesh.subscribe(exchange);
+        mesh.subscribe(batches);
+        mesh.subscribe(new MeshListener() {
+            @Override
+            public void onNodeUp(MeshNode node) {
+                budget.nodes(mesh.nodes().size() + 1);
+            }
+
+            @Override
+            public void onNodeDown(MeshNode node) {
+                budget.nodes(mesh.nodes().size() + 1);
+            }
+        });
+        directory.subscribe(this::upstreamChanged);
+    }
+
+    private void upstreamChanged(UpstreamNews news) {
+        if (news.phase() == UpstreamPhase.GONE) {
+            tracker.forget(news.id());
+        }
+    }
+
+    private void openMember(Path folder) {
+        DecisionRing decisions = new DecisionRing("decisions", DecisionRing.DEFAULT_SLOTS);
+        ring = Optional.of(decisions);
+        TimerService ringTimers = new SystemTimerService("timer", decisions);
+        MeshRoster roster = new MeshRoster(mesh, timers, settings.firstStart(), settings.tolerated());
+        mesh.subscribe(roster);
+        EditionState state = new EditionState(edition -> {
+            grouped = true;
+            loop.execute(() -> exchange.recorded(edition));
+        });
+        ConsensusSettings consensus = new ConsensusSettings(
+                GROUP,
+                NumericAddress.format(settings.mesh()),
+                MeshRoster.memberAddress(settings.mesh()),
+                settings.control(),
+                roster,
+                true,
+                folder,
+                ELECTION_TIMEOUT);
+        WireTransport own = new WireTransport(group, registry, greeting, MeshSettings.LIMITS);
+        try {
+            exchange.member(EditionMember.open(decisions, ringTimers, own, consensus, state, status -> {
+                grouped |= !status.leader().isEmpty();
+                loop.execute(() -> exchange.status(status));
+            }));
+        } catch (IOException e) {
+            // Without its disk the node still serves requests; the rest of the group records changes.
+            LOGGER.error("event=member-not-opened folder={} reason=\"{}\"", folder, e.toString());
+        }
+    }
+
+    private NodeHelloMessage hello() {
+        return new NodeHelloMessage(
+                NumericAddress.format(settings.control()),
+                settings.failureDomain(),
+                settings.dataFolder().isPresent(),
+                ready && !stopping,
+                grouped,
+                exchange.status().term(),
+                exchange.status().leader(),
+                holder.version(),
+                mesh.nodes().stream().map(MeshNode::address).toList());
+    }
+
+    private void tick() {
+        boolean before = ready;
+        ready = isReady();
+        if (before != ready) {
+            LOGGER.info(
+                    "event=readiness ready={} version={} nodes={} uptime_ms={}",
+                    ready,
+                    holder.version(),
+                    mesh.nodes().size(),
+                    Duration.ofNanos(System.nanoTime() - startedAt).toMillis());
+            mesh.announce();
+        }
+        timers.schedule(TICK.toNanos(), this::tick);
+    }
+
+    private boolean isReady() {
+        if (stopping || holder.inForce().isEmpty()) {
+            return false;
+        }
+        long up = System.nanoTime() - startedAt;
+        Duration needed = mesh.nodes().isEmpty() ? LONELY_TIME : VIEW_TIME;
+        return ready || up > needed.toNanos();
+    }
+
+    private void answerReadiness(HttpExchange question) {
+        boolean serves = ready && !stopping;
+        byte[] body = ("{\"ready\":" + serves + "}").getBytes(StandardCharsets.UTF_8);
+        question.respond(serves ? OK : UNAVAILABLE, "application/json", Map.of(), body);
+    }
+
+    private HttpLimits callerLimits() {
+        CallerLimits limits = holder.heldTable().map(RouteTable::limits).orElse(CallerLimits.DEFAULT);
+        HttpLimits base = HttpLimits.DEFAULT;
+        return new HttpLimits(
+                limits.maxHeaderBytes(),
+                limits.maxHeaderBytes(),
+                limits.maxBodyBytes(),
+                MAX_CONNECTIONS,
+                limits.headerTimeout(),
+                limits.idleTimeout(),
+                base.writeTimeout(),
+                base.maxPendingBytes());
+    }
+
+    private void beginStop(Runnable done) {
+        LOGGER.info("event=stopping process={} open={}", settings.name(), counters.open());
+        stopping = true;
+        ready = false;
+        mesh.announce();
+        callers.announceStop();
+        long now = timers.nanoTime();
+        long end = now + settings.stopGrace().minus(STOP_RESERVE).toNanos();
+        timers.schedule(BALANCER_NOTICE.toNanos(), () -> awaitIdle(end, done));
+    }
+
+    private void awaitIdle(long end, Runnable done) {
+        boolean idle = counters.open() == 0
+                && batches.waitingPieces() == 0
+                && callers.counters().inProgress() == 0;
+        if (!idle && timers.nanoTime() - end < 0) {
+            timers.schedule(TICK.toNanos(), () -> awaitIdle(end, done));
+            return;
+        }
+        callers.stopAccepting();
+        timers.schedule(TICK.toNanos(), done);
+    }
+
+    private static MessageRegistry registry() {
+        MessageRegistry registry = WireTransport.registry()
+                .register(NodeHelloMessage.CODEC)
+                .register(EditionMessage.CODEC)
+                .register(EditionLeaseAskMessage.CODEC)
+                .register(EditionLeaseMessage.CODEC)
+                .register(UpstreamNewsMessage.CODEC)
+                .register(PieceGroup.CODEC)
+                .register(PieceResultsMessage.CODEC)
+                .register(PieceCancelMessage.CODEC)
+                .register(FreeResultsMessage.CODEC);
+        ConsensusLog.codecs().forEach(registry::register);
+        return registry;
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayRequest.java
@@ -0,0 +1,67 @@
+package org.copperspindle.gateway;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+import org.copperspindle.http.HeaderField;
+
+/**
+ * A caller's request, decoded.
+ *
+ * @param id             identity that the caller gave it; each attempt of a caller has its own
+ * @param method         HTTP method
+ * @param uri            target as it stood in the request line
+ * @param host           host that it names
+ * @param body           body, empty for none
+ * @param key            key of a client account
+ * @param deadlineMillis how long the caller waits
+ * @param resumeAfter    id of the last event of an earlier answer, if the caller goes on with a stream
+ * @param prompt         parts of the prompt in order; the last belongs to the request or its session alone
+ * @param pieces         pieces of each stage, by number of the stage
+ * @param pieceKey       key of its pieces, empty if it has none
+ * @param fields         header fields to pass on
+ */
+public record GatewayRequest(
+        String id,
+        String method,
+        String uri,
+        String host,
+        byte[] body,
+        Optional<String> key,
+        OptionalLong deadlineMillis,
+        Optional<String> resumeAfter,
+        List<PromptPart> prompt,
+        List<Integer> pieces,
+        String pieceKey,
+        List<HeaderField> fields) {
+
+    /** Copies the lists. */
+    public GatewayRequest {
+        prompt = List.copyOf(prompt);
+        pieces = List.copyOf(pieces);
+        fields = List.copyOf(fields);
+    }
+
+    /**
+     * Returns the path without the query.
+     *
+     * @return not decoded
+     */
+    public String path() {
+        int query = uri.indexOf('?');
+        return query < 0 ? uri : uri.substring(0, query);
+    }
+
+    /**
+     * Returns the deepest part of the prompt that other requests share.
+     *
+     * @return its id, empty if the request has no prompt
+     */
+    public Optional<String> sharedPrompt() {
+        if (prompt.isEmpty()) {
+            return Optional.empty();
+        }
+        return Optional.of(prompt.get(Math.max(0, prompt.size() - 2)).id());
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayService.java
@@ -0,0 +1,84 @@
+package org.copperspindle.gateway;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.function.Supplier;
+
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.copperspindle.http.HttpExchange;
+import org.copperspindle.http.HttpRequestHandler;
+import org.copperspindle.route.ClientAccount;
+import org.copperspindle.route.Route;
+import org.copperspindle.route.RouteTable;
+
+/**
+ * Admits callers' requests: by the table in force, its routes and its keys. Network thread only.
+ */
+final class GatewayService implements HttpRequestHandler {
+
+    private static final Logger LOGGER = LogManager.getLogger(GatewayService.class);
+
+    /** A lease is back within a few questions to the leader, or not for a while. */
+    private static final Duration LEASE_RETURN = Duration.ofMillis(600);
+
+    private final GatewayContext context;
+    private final Supplier<Optional<RouteTable>> tables;
+
+    /**
+     * Creates the service.
+     *
+     * @param context what all requests share
+     * @param tables  the table in force, empty without a lease
+     */
+    GatewayService(GatewayContext context, Supplier<Optional<RouteTable>> tables) {
+        this.context = context;
+        this.tables = tables;
+    }
+
+    @Override
+    public void handle(HttpExchange exchange) {
+        GatewayRequestResult result = context.callers().read(exchange);
+        if (result instanceof GatewayRequestResult.Invalid invalid) {
+            refuse(exchange, "", Refusal.malformed(invalid.problem()), Optional.empty());
+        } else if (result instanceof GatewayRequestResult.Valid valid) {
+            admit(exchange, valid.request());
+        }
+    }
+
+    private void admit(HttpExchange exchange, GatewayRequest request) {
+        Optional<RouteTable> table = tables.get();
+        if (table.isEmpty()) {
+            Refusal refusal = Refusal.unavailable(
+                    "no-lease", "this node does not know whether it holds the newest configuration", LEASE_RETURN);
+            refuse(exchange, request.id(), refusal, table);
+            return;
+        }
+        Optional<Route> route = table.get().findRoute(request.host(), request.path());
+        if (route.isEmpty()) {
+            refuse(exchange, request.id(), Refusal.unknownRoute(), table);
+            return;
+        }
+        Optional<ClientAccount> account = request.key().flatMap(table.get()::findAccount);
+        if (table.get().isKeyed() && !route.get().open() && account.isEmpty()) {
+            refuse(exchange, request.id(), Refusal.unknownKey(), table);
+            return;
+        }
+        new RequestRun(context, exchange, request, table.get(), route.get(), account).start();
+    }
+
+    private void refuse(HttpExchange exchange, String id, Refusal refusal, Optional<RouteTable> table) {
+        context.counters().count(refusal.verdict().reason());
+        if (context.log().takesFailed(context.timers().nanoTime())) {
+            LOGGER.info(
+                    "event=request-refused request={} status={} reason={} version={} retry_after_ms={} detail=\"{}\"",
+                    id,
+                    refusal.status(),
+                    refusal.verdict().reason(),
+                    table.map(RouteTable::version).orElse(0L),
+                    refusal.retryAfter().map(Duration::toMillis).orElse(-1L),
+                    refusal.title());
+        }
+        RequestRun.respond(context, exchange, id, refusal);
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/gateway/Refusal.java
@@ -0,0 +1,61 @@
+package org.copperspindle.gateway;
+
+import java.time.Duration;
+import java.util.Optional;
+
+import org.copperspindle.http.ProblemDetails;
+import org.copperspindle.verdict.MayHaveRunVerdict;
+import org.copperspindle.verdict.NotRunVerdict;
+import org.copperspindle.verdict.Verdict;
+
+/**
+ * An answer of this node's own in place of an upstream's.
+ *
+ * @param status     HTTP status
+ * @param title      short text for people
+ * @param verdict    whether the request may have run, and why it is refused
+ * @param retryAfter when a retry has better prospects; only where the request did not run
+ */
+record Refusal(int status, String title, Verdict verdict, Optional<Duration> retryAfter) {
+
+    private static final int BAD_REQUEST = 400;
+    private static final int UNAUTHORIZED = 401;
+    private static final int NOT_FOUND = 404;
+    private static final int BAD_GATEWAY = 502;
+    private static final int UNAVAILABLE = 503;
+    private static final int GATEWAY_TIMEOUT = 504;
+
+    static Refusal malformed(String problem) {
+        return notRun(BAD_REQUEST, "malformed-request", problem, Optional.empty());
+    }
+
+    static Refusal unknownKey() {
+        return notRun(UNAUTHORIZED, "unknown-key", "the key belongs to no client account", Optional.empty());
+    }
+
+    static Refusal unknownRoute() {
+        return notRun(NOT_FOUND, "unknown-route", "no route has this host and path", Optional.empty());
+    }
+
+    static Refusal unavailable(String reason, String title, Duration retryAfter) {
+        return notRun(UNAVAILABLE, reason, title, Optional.of(retryAfter));
+    }
+
+    static Refusal failed(String reason) {
+        return new Refusal(
+                BAD_GATEWAY, "the upstream gave no whole answer", new MayHaveRunVerdict(reason), Optional.empty());
+    }
+
+    static Refusal timedOut() {
+        return new Refusal(
+                GATEWAY_TIMEOUT, "the time of the request is over", new MayHaveRunVerdict("timeout"), Optional.empty());
+    }
+
+    ProblemDetails details(String requestId) {
+        return new ProblemDetails(status, title, verdict, requestId, Optional.empty());
+    }
+
+    private static Refusal notRun(int status, String reason, String title, Optional<Duration> retryAfter) {
+        return new Refusal(status, title, new NotRunVerdict(reason), retryAfter);
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/gateway/RequestRun.java
@@ -0,0 +1,496 @@
+package org.copperspindle.gateway;
+
+import java.io.ByteArrayOutputStream;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.copperspindle.batch.MissReason;
+import org.copperspindle.direct.ConnectionUse;
+import org.copperspindle.direct.DirectCall;
+import org.copperspindle.direct.DirectFailure;
+import org.copperspindle.direct.DirectHead;
+import org.copperspindle.direct.DirectListener;
+import org.copperspindle.direct.UpstreamPort.CallHandle;
+import org.copperspindle.discovery.UpstreamNews;
+import org.copperspindle.http.HeaderField;
+import org.copperspindle.http.HttpExchange;
+import org.copperspindle.http.ProblemDetails;
+import org.copperspindle.route.ClientAccount;
+import org.copperspindle.route.Route;
+import org.copperspindle.route.RouteKind;
+import org.copperspindle.route.RouteTable;
+import org.copperspindle.time.TimerSubscription;
+
+/**
+ * One request from its admission to its answer: stages first, then attempts at upstreams, one at a time. An attempt is
+ * followed by another only if it is proved not to have run, or if the request is idempotent.
+ */
+final class RequestRun implements StageRun.Listener {
+
+    private static final Logger LOGGER = LogManager.getLogger(RequestRun.class);
+
+    /** Attempts that reached no upstream cost nothing there, but each costs the caller up to a connection timeout. */
+    private static final int MAX_UNSENT = 3;
+
+    /** Largest answer that is held to be passed on whole. */
+    private static final int MAX_HELD_BYTES = 8 << 20;
+
+    /** Stages are made anew once: results that vanish twice mean that their makers are in trouble. */
+    private static final int MAX_STAGE_RUNS = 2;
+
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+    private static final int SERVER_ERROR = 500;
+
+    /** Shortest time after which a refused caller should come back, and the spread over which callers come. */
+    private static final long RETURN_MILLIS = 250;
+
+    private final GatewayContext context;
+    private final HttpExchange exchange;
+    private final GatewayRequest request;
+    private final RouteTable table;
+    private final Route route;
+    private final String pool;
+    private final Optional<ClientAccount> account;
+    private final int rank;
+    private final long beganAt;
+    private final long endAt;
+    private final AnswerRelay relay;
+    private final Set<String> tried = new HashSet<>();
+    private Optional<StageRun> stages = Optional.empty();
+    private Optional<Attempt> attempt = Optional.empty();
+    private TimerSubscription timeout = () -> {};
+    private int stageRuns;
+    private int sent;
+    private int unsent;
+    private boolean mayHaveRun;
+    private boolean over;
+
+    RequestRun(
+            GatewayContext context,
+            HttpExchange exchange,
+            GatewayRequest request,
+            RouteTable table,
+            Route route,
+            Optional<ClientAccount> account) {
+        this.context = context;
+        this.exchange = exchange;
+        this.request = request;
+        this.table = table;
+        this.route = route;
+        this.account = account;
+        this.pool = route.choosePool(context.random().nextDouble());
+        this.rank = rank(route, account);
+        this.beganAt = context.timers().nanoTime();
+        this.endAt = beganAt + timeNanos(request, route);
+        this.relay = new AnswerRelay(exchange);
+    }
+
+    /** Begins; the answer comes later. */
+    void start() {
+        context.counters().begun();
+        context.budget().requested(pool, beganAt);
+        if (context.log().takesServed(beganAt)) {
+            LOGGER.info(
+                    "event=request-admitted request={} route={} account={} pool={} version={} rank={} time_ms={} pieces={}",
+                    request.id(),
+                    route.name(),
+                    account.map(ClientAccount::name).orElse(""),
+                    pool,
+                    table.version(),
+                    rank,
+                    (endAt - beganAt) / NANOS_PER_MILLI,
+                    request.pieces());
+        }
+        timeout = context.timers().schedule(endAt - beganAt, this::timedOut);
+        exchange.onClosed(this::callerLeft);
+        if (over) {
+            return;
+        }
+        if (route.stages().isEmpty()) {
+            attempt();
+        } else {
+            runStages();
+        }
+    }
+
+    @Override
+    public void onStagesDone() {
+        attempt();
+    }
+
+    @Override
+    public void onMissed(int stage, MissReason reason) {
+        if (reason == MissReason.INPUT_GONE && stageRuns < MAX_STAGE_RUNS) {
+            runStages();
+            return;
+        }
+        refuse(unavailable("stage-" + stage + "-" + reason.name().toLowerCase(), "a stage could not be run in time"));
+    }
+
+    private void runStages() {
+        stages.ifPresent(StageRun::end);
+        stageRuns++;
+        StageRun run = new StageRun(
+                request,
+                route,
+                table,
+                rank,
+                context,
+                beganAt + route.objective().toNanos(),
+                endAt,
+                this);
+        stages = Optional.of(run);
+        run.start();
+    }
+
+    private void attempt() {
+        if (over) {
+            return;
+        }
+        long now = context.timers().nanoTime();
+        Optional<UpstreamNews> chosen =
+                table.findPool(pool).flatMap(p -> context.chooser().choose(p, request.sharedPrompt(), tried, now));
+        if (chosen.isEmpty()) {
+            if (relay.hasStarted()) {
+                breakOff("no-upstream");
+            } else if (mayHaveRun) {
+                refuse(Refusal.failed("no-other-upstream"));
+            } else {
+                refuse(unavailable("no-upstream", "no upstream of the pool can take the request"));
+            }
+            return;
+        }
+        send(chosen.get(), now);
+    }
+
+    private void send(UpstreamNews upstream, long now) {
+        tried.add(upstream.id());
+        sent++;
+        context.counters().attempt(sent > 1);
+        Optional<String> resumeAfter = relay.lastId().isPresent()
+                ? Optional.of(Long.toString(relay.lastId().getAsLong()))
+                : request.resumeAfter();
+        AttemptOrder order = new AttemptOrder(
+                request,
+                upstream,
+                Math.max(1, (endAt - now) / NANOS_PER_MILLI),
+                account.map(ClientAccount::name),
+                stages.map(StageRun::results),
+                resumeAfter,
+                rank,
+                route.kind() == RouteKind.SAFE ? ConnectionUse.KEPT : ConnectionUse.NEW);
+        if (context.log().takesServed(now)) {
+            LOGGER.info(
+                    "event=attempt-sent request={} attempt={} upstream={} in_flight={} waited_ms={} resume_after={}",
+                    request.id(),
+                    sent,
+                    upstream.id(),
+                    context.tracker().inFlight(upstream.id()),
+                    (now - beganAt) / NANOS_PER_MILLI,
+                    resumeAfter.orElse(""));
+        }
+        Attempt next = new Attempt(upstream, now);
+        attempt = Optional.of(next);
+        context.tracker().started(upstream.id());
+        DirectCall call = context.upstreams().write(order);
+        CallHandle handle = context.port().call(call, next);
+        next.handle = handle;
+    }
+
+    /** What follows an attempt that is proved not to have run. */
+    private void afterNotRun(String reason, boolean reached) {
+        if (!reached) {
+            sent--;
+            unsent++;
+        }
+        boolean mayTry = reached ? sent < route.maxAttempts() && takeRepeat() : unsent < MAX_UNSENT;
+        if (mayTry) {
+            attempt();
+        } else if (relay.hasStarted()) {
+            breakOff(reason);
+        } else if (mayHaveRun) {
+            refuse(Refusal.failed(reason));
+        } else {
+            refuse(unavailable(reason, "the upstream did not take the request"));
+        }
+    }
+
+    /** What follows an attempt that ran or may have run, and gave no whole answer. */
+    private void afterFailure(String reason) {
+        mayHaveRun = true;
+        if (route.isIdempotent() && sent < route.maxAttempts() && takeRepeat()) {
+            relay.forgetHead();
+            attempt();
+        } else if (relay.hasStarted()) {
+            breakOff(reason);
+        } else {
+            refuse(Refusal.failed(reason));
+        }
+    }
+
+    private boolean takeRepeat() {
+        return context.budget().take(pool, context.timers().nanoTime());
+    }
+
+    private void timedOut() {
+        if (over) {
+            return;
+        }
+        attempt.ifPresent(a -> a.abort("timeout"));
+        if (relay.hasStarted()) {
+            breakOff("timeout");
+        } else if (mayHaveRun || attempt.isPresent()) {
+            refuse(Refusal.timedOut());
+        } else {
+            refuse(unavailable("timeout", "the time of the request is over"));
+        }
+    }
+
+    private void callerLeft() {
+        if (over) {
+            return;
+        }
+        attempt.ifPresent(a -> a.abort("caller-left"));
+        end("caller-left", false);
+    }
+
+    private void breakOff(String reason) {
+        exchange.breakOff();
+        end("broken-" + reason, true);
+    }
+
+    private void refuse(Refusal refusal) {
+        respond(context, exchange, request.id(), refusal);
+        end(refusal.verdict().reason(), true);
+    }
+
+    /** Sends an answer of this node's own. */
+    static void respond(GatewayContext context, HttpExchange exchange, String requestId, Refusal refusal) {
+        ProblemDetails details = refusal.details(requestId);
+        List<HeaderField> fields = new ArrayList<>();
+        fields.add(new HeaderField("Content-Type", ProblemDetails.CONTENT_TYPE));
+        details.fields().forEach((name, value) -> fields.add(new HeaderField(name, value)));
+        refusal.retryAfter().ifPresent(after -> fields.addAll(context.callers().retryAfter(after)));
+        exchange.respond(refusal.status(), fields, details.body());
+    }
+
+    private void answered(int status, List<HeaderField> fields, byte[] body) {
+        exchange.respond(status, fields, body);
+        end("status-" + status, status >= SERVER_ERROR);
+    }
+
+    private void finished() {
+        relay.finish();
+        end("streamed", false);
+    }
+
+    private void end(String outcome, boolean failed) {
+        over = true;
+        timeout.cancel();
+        stages.ifPresent(StageRun::end);
+        context.counters().ended(outcome);
+        long now = context.timers().nanoTime();
+        if (failed ? context.log().takesFailed(now) : context.log().takesServed(now)) {
+            LOGGER.info(
+                    "event=request-ended request={} outcome={} route={} attempts={} unsent={} stage_runs={} events={}"
+                            + " took_ms={} objective_ms={} may_have_run={}",
+                    request.id(),
+                    outcome,
+                    route.name(),
+                    sent,
+                    unsent,
+                    stageRuns,
+                    relay.events(),
+                    (now - beganAt) / NANOS_PER_MILLI,
+                    route.objective().toMillis(),
+                    mayHaveRun);
+        }
+    }
+
+    private Refusal unavailable(String reason, String title) {
+        long millis = RETURN_MILLIS + context.random().nextLong(RETURN_MILLIS);
+        return Refusal.unavailable(reason, title, Duration.ofMillis(millis));
+    }
+
+    private static long timeNanos(GatewayRequest request, Route route) {
+        OptionalLong deadline = request.deadlineMillis();
+        long timeout = route.timeout().toNanos();
+        return deadline.isPresent() ? Math.min(timeout, deadline.getAsLong() * NANOS_PER_MILLI) : timeout;
+    }
+
+    /** The rank of an account goes before that of the route; three ranks of routes fit under each. */
+    private static int rank(Route route, Optional<ClientAccount> account) {
+        int ranks = 3;
+        int within = Math.min(ranks - 1, Math.max(0, route.priority()));
+        int ofAccount = account.map(a -> a.priority().orElse(1)).orElse(1);
+        return Math.min(ranks * ranks, Math.max(0, ofAccount) * ranks + within);
+    }
+
+    /** One attempt at one upstream. */
+    private final class Attempt implements DirectListener {
+        private final UpstreamNews upstream;
+        private final long sentAt;
+        private final ByteArrayOutputStream held = new ByteArrayOutputStream();
+        private CallHandle handle = reason -> {};
+        private Optional<DirectHead> head = Optional.empty();
+        private boolean streams;
+        private boolean ended;
+
+        private Attempt(UpstreamNews upstream, long sentAt) {
+            this.upstream = upstream;
+            this.sentAt = sentAt;
+        }
+
+        @Override
+        public void onHead(DirectHead received) {
+            if (ended) {
+                return;
+            }
+            head = Optional.of(received);
+            streams = route.kind() == RouteKind.STREAM && received.isSuccess();
+            if (streams) {
+                relay.begin(received.status(), context.upstreams().callerFields(received));
+            }
+        }
+
+        @Override
+        public void onData(byte[] data) {
+            if (ended) {
+                return;
+            }
+            if (!streams) {
+                hold(data);
+                return;
+            }
+            boolean before = relay.hasStarted();
+            if (!relay.accept(data)) {
+                abortAndFail("events-missing");
+            } else if (!before && relay.hasStarted() && !route.resumable()) {
+                // The upstream has read its inputs before its first event.
+                stages.ifPresent(StageRun::end);
+            }
+        }
+
+        @Override
+        public void onEnd() {
+            if (ended) {
+                return;
+            }
+            DirectHead answer = head.orElseThrow();
+            if (streams && !relay.isWhole()) {
+                fail("event-cut");
+                return;
+            }
+            if (context.upstreams().provesNotRun(answer)) {
+                notRun(answer);
+                return;
+            }
+            close(true, "");
+            if (streams) {
+                finished();
+            } else if (answer.status() >= SERVER_ERROR && route.isIdempotent() && mayRepeat()) {
+                afterFailure("upstream-status-" + answer.status());
+            } else {
+                answered(answer.status(), context.upstreams().callerFields(answer), held.toByteArray());
+            }
+        }
+
+        @Override
+        public void onFailure(DirectFailure failure) {
+            if (ended) {
+                return;
+            }
+            if (failure.sent()) {
+                fail(failure.reason());
+                return;
+            }
+            close(false, failure.reason());
+            note("unsent", failure.reason());
+            afterNotRun(failure.reason(), false);
+        }
+
+        private boolean mayRepeat() {
+            return sent < route.maxAttempts()
+                    && context.budget().left(pool, context.timers().nanoTime()) >= 1;
+        }
+
+        private void notRun(DirectHead answer) {
+            Optional<String> other = context.upstreams().otherUpstream(answer);
+            boolean lacksInputs = context.upstreams().lacksInputs(answer);
+            close(true, "");
+            note("not-run", "status-" + answer.status());
+            if (other.isPresent() && !other.get().equals(upstream.id())) {
+                // The address belongs to another upstream now: nothing reached the one that was meant.
+                context.gossip().left(upstream.id(), "address-answers-for-another");
+                afterNotRun("upstream-replaced", false);
+            } else if (lacksInputs && stageRuns < MAX_STAGE_RUNS) {
+                attempt = Optional.empty();
+                sent--;
+                tried.remove(upstream.id());
+                runStages();
+            } else {
+                afterNotRun("upstream-status-" + answer.status(), true);
+            }
+        }
+
+        private void hold(byte[] data) {
+            held.writeBytes(data);
+            if (held.size() > MAX_HELD_BYTES) {
+                abortAndFail("answer-too-large");
+            }
+        }
+
+        private void abortAndFail(String reason) {
+            handle.abort(reason);
+            fail(reason);
+        }
+
+        private void fail(String reason) {
+            close(false, reason);
+            note("failed", reason);
+            afterFailure(reason);
+        }
+
+        /** Ends the attempt for a reason of the caller's or of the clock. */
+        private void abort(String reason) {
+            if (ended) {
+                return;
+            }
+            ended = true;
+            handle.abort(reason);
+            context.tracker().ended(upstream.id(), false);
+        }
+
+        private void close(boolean good, String reason) {
+            ended = true;
+            attempt = Optional.empty();
+            if (good) {
+                context.tracker().ended(upstream.id(), true);
+            } else {
+                context.tracker().failed(upstream.id(), context.timers().nanoTime(), reason);
+            }
+        }
+
+        private void note(String outcome, String reason) {
+            long now = context.timers().nanoTime();
+            if (context.log().takesFailed(now)) {
+                LOGGER.info(
+                        "event=attempt-{} request={} attempt={} upstream={} reason={} took_ms={} budget_left={}",
+                        outcome,
+                        request.id(),
+                        sent,
+                        upstream.id(),
+                        reason,
+                        (now - sentAt) / NANOS_PER_MILLI,
+                        (long) context.budget().left(pool, now));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/gateway/StagePlan.java
@@ -0,0 +1,148 @@
+package org.copperspindle.gateway;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+import org.copperspindle.route.RouteStage;
+
+/**
+ * The stages of one request: which may begin, which results each needs, and which results nobody needs any more. Pure.
+ */
+final class StagePlan {
+
+    private final List<RouteStage> stages;
+    private final List<String[]> handles = new ArrayList<>();
+    private final boolean[] begun;
+    private final boolean[] freed;
+    private final Set<Integer> followed = new HashSet<>();
+
+    /**
+     * Plans the stages.
+     *
+     * @param stages stages of the route
+     * @param pieces pieces of each stage; a stage that is not named or has none is left out
+     */
+    StagePlan(List<RouteStage> stages, List<Integer> pieces) {
+        this.stages = stages;
+        this.begun = new boolean[stages.size()];
+        this.freed = new boolean[stages.size()];
+        for (int stage = 0; stage < stages.size(); stage++) {
+            int count = stage < pieces.size() ? pieces.get(stage) : 0;
+            handles.add(new String[count]);
+            if (count > 0) {
+                followed.addAll(stages.get(stage).after());
+            }
+        }
+    }
+
+    int pieces(int stage) {
+        return handles.get(stage).length;
+    }
+
+    /** Returns the stages that can begin now, and notes that they do. */
+    List<Integer> begin() {
+        List<Integer> ready = new ArrayList<>();
+        for (int stage = 0; stage < stages.size(); stage++) {
+            boolean may = !begun[stage] && stages.get(stage).after().stream().allMatch(this::isDone);
+            if (may) {
+                begun[stage] = true;
+                if (pieces(stage) > 0) {
+                    ready.add(stage);
+                }
+            }
+        }
+        return ready;
+    }
+
+    /** Returns the handles that every piece of a stage needs. */
+    List<String> inputs(int stage) {
+        List<String> inputs = new ArrayList<>();
+        stages.get(stage).after().forEach(before -> inputs.addAll(Arrays.asList(handles.get(before))));
+        return inputs;
+    }
+
+    void made(int stage, int piece, String handle) {
+        handles.get(stage)[piece] = handle;
+    }
+
+    boolean isDone(int stage) {
+        return Arrays.stream(handles.get(stage)).noneMatch(handle -> handle == null);
+    }
+
+    boolean isComplete() {
+        for (int stage = 0; stage < stages.size(); stage++) {
+            if (!isDone(stage)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** Returns the results that the request itself needs: those of stages that no other follows. */
+    List<String> results() {
+        List<String> results = new ArrayList<>();
+        for (int stage = 0; stage < stages.size(); stage++) {
+            if (!followed.contains(stage)) {
+                results.addAll(Arrays.asList(handles.get(stage)));
+            }
+        }
+        return results;
+    }
+
+    /**
+     * Takes the results of a stage that nobody needs any more.
+     *
+     * @param requestDone true if the request itself has its inputs or is given up
+     * @return stages whose results may be freed, each once
+     */
+    List<Integer> takeFreeable(boolean requestDone) {
+        List<Integer> free = new ArrayList<>();
+        for (int stage = 0; stage < stages.size(); stage++) {
+            boolean needed = !requestDone && (!followed.contains(stage) || isAwaited(stage));
+            if (!freed[stage] && !needed && !made(stage).isEmpty()) {
+                freed[stage] = true;
+                free.add(stage);
+            }
+        }
+        return free;
+    }
+
+    List<String> made(int stage) {
+        return Arrays.stream(handles.get(stage)).filter(h -> h != null).toList();
+    }
+
+    /** Returns the length of the longest chain of stages behind one, measured by a cost for each stage. */
+    long longestAfter(int stage, StageCost cost) {
+        long longest = 0;
+        for (int next = 0; next < stages.size(); next++) {
+            if (stages.get(next).after().contains(stage) && pieces(next) > 0) {
+                longest = Math.max(longest, cost.of(next) + longestAfter(next, cost));
+            }
+        }
+        return longest;
+    }
+
+    private boolean isAwaited(int stage) {
+        for (int next = 0; next < stages.size(); next++) {
+            if (stages.get(next).after().contains(stage) && !isDone(next)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Cost of a stage. */
+    @FunctionalInterface
+    interface StageCost {
+        /**
+         * Returns the cost of a stage.
+         *
+         * @param stage its number
+         * @return for example nanoseconds
+         */
+        long of(int stage);
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/gateway/StageRun.java
@@ -0,0 +1,165 @@
+package org.copperspindle.gateway;
+
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.IntStream;
+
+import org.copperspindle.batch.BatchService;
+import org.copperspindle.batch.MissReason;
+import org.copperspindle.batch.PieceGroup;
+import org.copperspindle.batch.PieceOutcome;
+import org.copperspindle.batch.PieceResult;
+import org.copperspindle.route.BatchLimits;
+import org.copperspindle.route.Route;
+import org.copperspindle.route.RouteStage;
+import org.copperspindle.route.RouteTable;
+import org.copperspindle.route.UpstreamPool;
+import org.copperspindle.time.TimerService;
+
+/**
+ * Has the pieces of one request's stages made, each stage as soon as those before it are done, and gives results up as
+ * soon as nobody needs them: they hold scarce memory at their makers.
+ */
+final class StageRun {
+
+    /** From the last stage to the first event of an idle engine, with its inputs fetched. */
+    private static final Duration ENGINE_FIRST_EVENT = Duration.ofMillis(120);
+
+    /** Calls are shared with pieces of other requests: twice a request's own pieces is what a call has at medium load. */
+    private static final int SHARED_CALL = 2;
+
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+
+    private final GatewayRequest request;
+    private final Route route;
+    private final RouteTable table;
+    private final int rank;
+    private final BatchService batches;
+    private final TimerService timers;
+    private final long objectiveAt;
+    private final long endAt;
+    private final Listener listener;
+    private final StagePlan plan;
+    private final Set<Long> open = new HashSet<>();
+    private boolean over;
+
+    StageRun(
+            GatewayRequest request,
+            Route route,
+            RouteTable table,
+            int rank,
+            GatewayContext context,
+            long objectiveAt,
+            long endAt,
+            Listener listener) {
+        this.request = request;
+        this.route = route;
+        this.table = table;
+        this.rank = rank;
+        this.batches = context.batches();
+        this.timers = context.timers();
+        this.objectiveAt = objectiveAt;
+        this.endAt = endAt;
+        this.listener = listener;
+        this.plan = new StagePlan(route.stages(), request.pieces());
+    }
+
+    /** Begins the stages that need no others. */
+    void start() {
+        proceed();
+    }
+
+    /** Returns the handles that the request needs; once all stages are done. */
+    List<String> results() {
+        return plan.results();
+    }
+
+    /** Gives up all results: the request has read what it needs, or is over. */
+    void end() {
+        over = true;
+        open.forEach(batches::cancel);
+        open.clear();
+        free(true);
+    }
+
+    private void proceed() {
+        for (int stage : plan.begin()) {
+            submit(stage);
+        }
+        free(false);
+        if (plan.isComplete()) {
+            listener.onStagesDone();
+        }
+    }
+
+    private void submit(int number) {
+        RouteStage stage = route.stages().get(number);
+        long now = timers.nanoTime();
+        long later = plan.longestAfter(number, this::expectedNanos) + ENGINE_FIRST_EVENT.toNanos();
+        long id = batches.nextId();
+        open.add(id);
+        boolean first = stage.after().isEmpty();
+        PieceGroup group = new PieceGroup(
+                id,
+                request.id(),
+                number,
+                stage.pool(),
+                plan.pieces(number),
+                IntStream.range(0, plan.pieces(number)).boxed().toList(),
+                first ? request.pieceKey() : "",
+                first ? List.of() : plan.inputs(number),
+                rank,
+                (objectiveAt - later - now) / NANOS_PER_MILLI,
+                (endAt - now) / NANOS_PER_MILLI,
+                stage.resultBytes());
+        batches.submit(group, results -> received(id, number, results));
+    }
+
+    private void received(long id, int stage, List<PieceResult> results) {
+        if (over) {
+            return;
+        }
+        for (PieceResult result : results) {
+            if (result.outcome() instanceof PieceOutcome.Made made) {
+                plan.made(stage, result.piece(), made.handle());
+            } else if (result.outcome() instanceof PieceOutcome.Missed missed) {
+                listener.onMissed(stage, missed.reason());
+                return;
+            }
+        }
+        if (plan.isDone(stage)) {
+            open.remove(id);
+            proceed();
+        }
+    }
+
+    private void free(boolean requestDone) {
+        for (int stage : plan.takeFreeable(requestDone)) {
+            batches.free(route.stages().get(stage).pool(), plan.made(stage));
+        }
+    }
+
+    private long expectedNanos(int stage) {
+        return table.findPool(route.stages().get(stage).pool())
+                .flatMap(UpstreamPool::batch)
+                .map((BatchLimits limits) -> limits.expectedNanos(SHARED_CALL * plan.pieces(stage)))
+                .orElse(0L);
+    }
+
+    /** Waits for the stages. */
+    interface Listener {
+
+        /** All results are there. */
+        void onStagesDone();
+
+        /**
+         * A piece will not be made.
+         *
+         * @param stage  number of its stage
+         * @param reason why
+         */
+        void onMissed(int stage, MissReason reason);
+    }
+}
--- a/library/src/main/java/org/copperspindle/http/HttpExchange.java
+++ b/library/src/main/java/org/copperspindle/http/HttpExchange.java
@@ -1,6 +1,7 @@
 package org.copperspindle.http;
 
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ScheduledExecutorService;
@@ -31,6 +32,7 @@
 
     private final HttpConnectionHandler connection;
     private final String method;
+    private final String uri;
     private final RequestTarget target;
     private final HttpHeaders headers;
     private final byte[] body;
@@ -43,6 +45,7 @@
     HttpExchange(HttpConnectionHandler connection, HttpRequest head, RequestTarget target, byte[] body) {
         this.connection = connection;
         this.method = head.method().name();
+        this.uri = head.uri();
         this.target = target;
         this.headers = head.headers();
         this.body = body;
@@ -60,6 +63,26 @@
         return method;
     }
 
+    /**
+     * Returns the target as it stood in the request line.
+     *
+     * @return path and query, not decoded
+     */
+    public String uri() {
+        return uri;
+    }
+
+    /**
+     * Returns all header fields.
+     *
+     * @return in the order in which they came
+     */
+    public List<HeaderField> fields() {
+        return headers.entries().stream()
+                .map(e -> new HeaderField(e.getKey(), e.getValue()))
+                .toList();
+    }
+
     /**
      * Returns the path without the query.
      *
@@ -167,14 +190,21 @@
         if (!advance(AnswerState.AWAITED, AnswerState.ENDED)) {
             return;
         }
-        HttpResponse head = head(status, contentType, fields);
-        head.headers().set(HttpHeaderNames.CONTENT_LENGTH, answer.length);
-        boolean close = closesAfter(head);
-        connection.write(head);
-        if (answer.length > 0 && !method.equals(HttpMethod.HEAD.name())) {
-            connection.write(new DefaultHttpContent(Unpooled.wrappedBuffer(answer)));
+        sendWhole(head(status, contentType, fields), answer);
+    }
+
+    /**
+     * Sends the whole answer with the header fields of another answer, for example an upstream's.
+     *
+     * @param status HTTP status
+     * @param fields header fields but those of this connection and its framing
+     * @param answer the body
+     */
+    public void respond(int status, List<HeaderField> fields, byte[] answer) {
+        if (!advance(AnswerState.AWAITED, AnswerState.ENDED)) {
+            return;
         }
-        connection.end(this, close);
+        sendWhole(head(status, fields), answer);
     }
 
     /**
@@ -197,10 +227,21 @@
             return;
         }
         HttpResponse head = head(HttpResponseStatus.OK.code(), contentType, fields);
-        head.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
         head.headers().set(HttpHeaderNames.CACHE_CONTROL, HttpHeaderValues.NO_CACHE);
-        closesAfter(head);
-        connection.write(head);
+        startPieces(head);
+    }
+
+    /**
+     * Starts an answer in pieces with the header fields of another answer, for example an upstream's.
+     *
+     * @param status HTTP status
+     * @param fields header fields but those of this connection and its framing
+     */
+    public void start(int status, List<HeaderField> fields) {
+        if (!advance(AnswerState.AWAITED, AnswerState.STARTED)) {
+            return;
+        }
+        startPieces(head(status, fields));
     }
 
     /**
@@ -211,11 +252,20 @@
      * @return false if the answer has ended or is ended by this
      */
     public boolean write(String text) {
+        return write(text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    /**
+     * Sends a piece of a started answer; see {@link #write(String)}.
+     *
+     * @param bytes the piece, not changed afterwards
+     * @return false if the answer has ended or is ended by this
+     */
+    public boolean write(byte[] bytes) {
         if (state.get() != AnswerState.STARTED) {
             connection.counters().lateAnswer();
             return false;
         }
-        byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
         if (pendingBytes.addAndGet(bytes.length) > connection.limits().maxPendingBytes()) {
             connection.counters().slowReader();
             breakOff();
@@ -241,6 +291,22 @@
         }
     }
 
+    private void sendWhole(HttpResponse head, byte[] answer) {
+        head.headers().set(HttpHeaderNames.CONTENT_LENGTH, answer.length);
+        boolean close = closesAfter(head);
+        connection.write(head);
+        if (answer.length > 0 && !method.equals(HttpMethod.HEAD.name())) {
+            connection.write(new DefaultHttpContent(Unpooled.wrappedBuffer(answer)));
+        }
+        connection.end(this, close);
+    }
+
+    private void startPieces(HttpResponse head) {
+        head.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+        closesAfter(head);
+        connection.write(head);
+    }
+
     /** The connection ended. */
     void connectionClosed() {
         AnswerState before = state.getAndUpdate(s -> s.open ? AnswerState.DROPPED : s);
@@ -264,6 +330,12 @@
         return head;
     }
 
+    private static HttpResponse head(int status, List<HeaderField> fields) {
+        HttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
+        fields.forEach(field -> head.headers().add(field.name(), field.value()));
+        return head;
+    }
+
     private boolean closesAfter(HttpResponse head) {
         boolean close = !keepAlive || connection.isStopping();
         if (close) {
--- a/library/src/main/java/org/copperspindle/http/HttpListener.java
+++ b/library/src/main/java/org/copperspindle/http/HttpListener.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
@@ -41,7 +42,8 @@
 
     private final EventLoopGroup group;
     private final Channel channel;
-    private final HttpLimits limits;
+    private final boolean ownsGroup;
+    private final Supplier<HttpLimits> limits;
     private final HttpRequestHandler handler;
     private final HttpCounters counters = new HttpCounters();
     private final ChannelGroup open = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
@@ -70,10 +72,38 @@
      */
     public HttpListener(
             String name, InetSocketAddress address, int threads, HttpLimits limits, HttpRequestHandler handler) {
+        this(
+                new MultiThreadIoEventLoopGroup(
+                        threads, new DefaultThreadFactory(name, true), NioIoHandler.newFactory()),
+                true,
+                address,
+                () -> limits,
+                handler);
+    }
+
+    /**
+     * Binds and starts to listen on the network threads of the process.
+     *
+     * @param group   network threads, which stay open when the listener is closed
+     * @param address address to bind; port 0 takes a free one
+     * @param limits  bounds on requests, asked for at each new connection
+     * @param handler answers requests
+     */
+    public HttpListener(
+            EventLoopGroup group, InetSocketAddress address, Supplier<HttpLimits> limits, HttpRequestHandler handler) {
+        this(group, false, address, limits, handler);
+    }
+
+    private HttpListener(
+            EventLoopGroup group,
+            boolean ownsGroup,
+            InetSocketAddress address,
+            Supplier<HttpLimits> limits,
+            HttpRequestHandler handler) {
+        this.group = group;
+        this.ownsGroup = ownsGroup;
         this.limits = limits;
         this.handler = handler;
-        this.group = new MultiThreadIoEventLoopGroup(
-                threads, new DefaultThreadFactory(name, true), NioIoHandler.newFactory());
         this.channel = new ServerBootstrap()
                 .group(group)
                 .channel(NioServerSocketChannel.class)
@@ -134,7 +164,9 @@
     @Override
     public void close() {
         channel.close().awaitUninterruptibly();
-        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+        if (ownsGroup) {
+            group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+        }
     }
 
     private void awaitAnswers(long end, Runnable done) {
@@ -156,7 +188,8 @@
         protected void initChannel(SocketChannel accepted) {
             int connections = counters.connected();
             accepted.closeFuture().addListener(closed -> counters.disconnected());
-            if (connections > limits.maxConnections()) {
+            HttpLimits current = limits.get();
+            if (connections > current.maxConnections()) {
                 counters.refusedConnection();
                 accepted.pipeline().addLast(new HttpResponseEncoder());
                 accepted.eventLoop().execute(() -> refuse(accepted));
@@ -166,9 +199,9 @@
             accepted.pipeline()
                     // Pieces that arrive in one go leave in one system call.
                     .addLast(new FlushConsolidationHandler(FLUSH_AFTER, true))
-                    .addLast(new StrictRequestDecoder(limits))
+                    .addLast(new StrictRequestDecoder(current))
                     .addLast(new HttpResponseEncoder())
-                    .addLast(new HttpConnectionHandler(limits, counters, handler, () -> stopping));
+                    .addLast(new HttpConnectionHandler(current, counters, handler, () -> stopping));
         }
 
         private void refuse(SocketChannel accepted) {
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/mesh/MeshSettings.java
@@ -0,0 +1,44 @@
+package org.copperspindle.mesh;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+
+import org.copperspindle.wire.WireLimits;
+import org.copperspindle.wire.WireTransport;
+
+/**
+ * Settings of a node's connections to other nodes.
+ *
+ * @param listen        where this node listens; also its name
+ * @param control       IP:PORT where operators and upstreams reach it
+ * @param failureDomain its failure domain
+ * @param durable       true if it has a disk
+ * @param seeds         addresses of a few nodes, which may include this one
+ */
+public record MeshSettings(
+        InetSocketAddress listen,
+        String control,
+        String failureDomain,
+        boolean durable,
+        List<InetSocketAddress> seeds) {
+
+    /** A node says hello this often; three unheard are well under the bounds in which a drain must be known. */
+    public static final Duration HELLO_INTERVAL = Duration.ofMillis(500);
+
+    /**
+     * Bounds of connections between nodes. A peer silent for 1.6 s, three missed hellos, is taken for dead: work that
+     * was handed to it must move on while its callers' time lasts, and shorter bounds would drop nodes that lose packets.
+     */
+    public static final WireLimits LIMITS = new WireLimits(
+            WireTransport.MAX_FRAME_BYTES,
+            2L * WireTransport.MAX_FRAME_BYTES,
+            Duration.ofSeconds(2),
+            Duration.ofMillis(500),
+            Duration.ofMillis(1600));
+
+    /** Copies the list. */
+    public MeshSettings {
+        seeds = List.copyOf(seeds);
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/mesh/NodeHelloMessage.java
@@ -0,0 +1,75 @@
+package org.copperspindle.mesh;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+
+import org.copperspindle.wire.FieldReader;
+import org.copperspindle.wire.FieldWriter;
+import org.copperspindle.wire.MessageCodec;
+import org.copperspindle.wire.WireMessage;
+
+/**
+ * What a node says of itself, on each connection and again and again.
+ *
+ * @param control       IP:PORT where operators and upstreams reach it
+ * @param failureDomain its failure domain
+ * @param durable       true if it has a disk and so may be a member of the control group
+ * @param serving       true if it takes work for others; false while it starts or stops
+ * @param grouped       true if it belongs to a control group already
+ * @param term          term of the leader that it knows of, 0 if none
+ * @param leader        node address of that leader, empty if none
+ * @param version       version of the route table that it holds, 0 if none
+ * @param nodes         node addresses that it is connected to, so that others find them
+ */
+public record NodeHelloMessage(
+        String control,
+        String failureDomain,
+        boolean durable,
+        boolean serving,
+        boolean grouped,
+        long term,
+        String leader,
+        long version,
+        List<String> nodes)
+        implements WireMessage {
+
+    /** Codec of this message. */
+    public static final MessageCodec<NodeHelloMessage> CODEC =
+            MessageCodec.of(200, NodeHelloMessage.class, NodeHelloMessage::write, NodeHelloMessage::read);
+
+    /** Copies the list. */
+    public NodeHelloMessage {
+        nodes = List.copyOf(nodes);
+    }
+
+    private void write(FieldWriter out) {
+        out.put(1, control)
+                .put(2, failureDomain)
+                .put(3, durable)
+                .put(4, serving)
+                .put(5, grouped)
+                .put(6, term)
+                .put(7, leader)
+                .put(8, version)
+                .put(
+                        9,
+                        nodes.stream()
+                                .map(n -> n.getBytes(StandardCharsets.US_ASCII))
+                                .toList());
+    }
+
+    private static NodeHelloMessage read(FieldReader in) {
+        return new NodeHelloMessage(
+                in.getString(1),
+                in.getString(2),
+                in.getBoolean(3),
+                in.getBoolean(4),
+                in.getBoolean(5),
+                in.getLong(6, 0),
+                in.getString(7),
+                in.getLong(8, 0),
+                in.getList(9).stream()
+                        .map(n -> new String(n, StandardCharsets.US_ASCII))
+                        .toList());
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/mesh/NodeMesh.java
@@ -0,0 +1,238 @@
+package org.copperspindle.mesh;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Supplier;
+
+import io.netty.channel.Channel;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.copperspindle.time.TimerService;
+import org.copperspindle.wire.NumericAddress;
+import org.copperspindle.wire.Peer;
+import org.copperspindle.wire.PeerListener;
+import org.copperspindle.wire.WireMessage;
+import org.copperspindle.wire.WireTransport;
+
+/**
+ * Connects this node with all others. Every node tells whom it is connected to, so that a node that reaches one seed
+ * finds the rest, also after the seeds it was started with are gone. Runs on the network thread.
+ */
+public final class NodeMesh implements PeerListener {
+
+    private static final Logger LOGGER = LogManager.getLogger(NodeMesh.class);
+
+    /** An address that nobody answers at and nobody speaks of is dialled for so long; nanoseconds. */
+    private static final long FORGET_NANOS = 20_000_000_000L;
+
+    private final MeshSettings settings;
+    private final WireTransport transport;
+    private final TimerService timers;
+    private final Supplier<NodeHelloMessage> hello;
+    private final String self;
+    private final Map<String, MeshNode> nodes = new LinkedHashMap<>();
+    private final Map<String, Long> wanted = new LinkedHashMap<>();
+    private final Set<String> dialling = new HashSet<>();
+    private final List<MeshListener> listeners = new ArrayList<>();
+    private Set<String> seeds = Set.of();
+    private boolean stopped;
+
+    /**
+     * Creates the mesh.
+     *
+     * @param settings  settings
+     * @param transport transport whose greeting names this node by {@link MeshSettings#listen}
+     * @param timers    time on the network thread
+     * @param hello     what this node says of itself
+     */
+    public NodeMesh(
+            MeshSettings settings, WireTransport transport, TimerService timers, Supplier<NodeHelloMessage> hello) {
+        this.settings = settings;
+        this.transport = transport;
+        this.timers = timers;
+        this.hello = hello;
+        this.self = NumericAddress.format(settings.listen());
+        reseed(settings.seeds());
+    }
+
+    /**
+     * Adds a listener; before {@link #start}.
+     *
+     * @param listener hears of all nodes and messages
+     */
+    public void subscribe(MeshListener listener) {
+        listeners.add(listener);
+    }
+
+    /** Starts to listen and to connect. */
+    public void start() {
+        transport.listen(settings.listen(), this);
+        tick();
+    }
+
+    /** Stops saying hello and dialling; open connections stay. */
+    public void stop() {
+        stopped = true;
+    }
+
+    /**
+     * Takes other seeds, after a change of settings.
+     *
+     * @param addresses the new seeds
+     */
+    public void reseed(List<InetSocketAddress> addresses) {
+        Set<String> next = new HashSet<>();
+        addresses.forEach(address -> next.add(NumericAddress.format(address)));
+        next.remove(self);
+        seeds = next;
+    }
+
+    /**
+     * Returns the name of this node.
+     *
+     * @return IP:PORT
+     */
+    public String self() {
+        return self;
+    }
+
+    /**
+     * Returns the other nodes that are connected.
+     *
+     * @return in no order
+     */
+    public List<MeshNode> nodes() {
+        return nodes.values().stream().filter(MeshNode::isUp).toList();
+    }
+
+    /**
+     * Finds a connected node.
+     *
+     * @param address its name
+     * @return the node
+     */
+    public Optional<MeshNode> find(String address) {
+        return Optional.ofNullable(nodes.get(address)).filter(MeshNode::isUp);
+    }
+
+    /**
+     * Sends a message to every connected node.
+     *
+     * @param message the message
+     */
+    public void broadcast(WireMessage message) {
+        nodes().forEach(node -> node.send(message));
+    }
+
+    /** Says hello to all at once, when something in it has changed that others should not wait for. */
+    public void announce() {
+        broadcast(hello.get());
+    }
+
+    @Override
+    public boolean onOpen(Peer peer) {
+        String address = peer.greeting().processId();
+        MeshNode node = nodes.computeIfAbsent(address, MeshNode::new);
+        if (address.equals(self) || !node.open(peer)) {
+            peer.close();
+            return true;
+        }
+        peer.send(hello.get());
+        return true;
+    }
+
+    @Override
+    public boolean onMessage(Peer peer, WireMessage message) {
+        MeshNode node = nodes.get(peer.greeting().processId());
+        if (node == null || peer.greeting().incarnation() != node.incarnation()) {
+            return true;
+        }
+        if (message instanceof NodeHelloMessage news) {
+            heard(node, news);
+        } else if (node.isUp()) {
+            listeners.forEach(listener -> listener.onMessage(node, message));
+        }
+        return true;
+    }
+
+    @Override
+    public boolean onClose(Peer peer) {
+        MeshNode node = nodes.get(peer.greeting().processId());
+        if (node == null || !node.closed(peer) || node.isConnected()) {
+            return true;
+        }
+        nodes.remove(node.address());
+        wanted.put(node.address(), timers.nanoTime());
+        if (node.hello() != null) {
+            LOGGER.info("event=node-lost node={} incarnation={} nodes={}", node.address(), node.incarnation(), count());
+            listeners.forEach(listener -> listener.onNodeDown(node));
+        }
+        return true;
+    }
+
+    private void heard(MeshNode node, NodeHelloMessage news) {
+        boolean known = node.isUp();
+        node.hello(news);
+        news.nodes().forEach(this::want);
+        wanted.remove(node.address());
+        if (!known) {
+            LOGGER.info(
+                    "event=node-found node={} incarnation={} domain={} durable={} version={} nodes={}",
+                    node.address(),
+                    node.incarnation(),
+                    news.failureDomain(),
+                    news.durable(),
+                    news.version(),
+                    count());
+            listeners.forEach(listener -> listener.onNodeUp(node));
+        }
+        listeners.forEach(listener -> listener.onHello(node));
+    }
+
+    private void want(String address) {
+        if (!address.equals(self) && !nodes.containsKey(address)) {
+            wanted.putIfAbsent(address, timers.nanoTime());
+        }
+    }
+
+    private void tick() {
+        if (stopped) {
+            return;
+        }
+        announce();
+        dialMissing();
+        timers.schedule(MeshSettings.HELLO_INTERVAL.toNanos(), this::tick);
+    }
+
+    private void dialMissing() {
+        long now = timers.nanoTime();
+        wanted.values().removeIf(since -> now - since > FORGET_NANOS);
+        Set<String> missing = new HashSet<>(seeds);
+        missing.addAll(wanted.keySet());
+        missing.removeAll(dialling);
+        missing.removeIf(this::isConnected);
+        missing.forEach(this::dial);
+    }
+
+    private boolean isConnected(String address) {
+        MeshNode node = nodes.get(address);
+        return node != null && node.isConnected();
+    }
+
+    private void dial(String address) {
+        dialling.add(address);
+        transport
+                .connect(NumericAddress.parse(address), this)
+                .whenComplete((Channel channel, Throwable failure) -> dialling.remove(address));
+    }
+
+    private long count() {
+        return nodes.values().stream().filter(MeshNode::isUp).count();
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/route/BatchLimits.java
@@ -0,0 +1,26 @@
+package org.copperspindle.route;
+
+/**
+ * What one upstream of a stage pool takes.
+ *
+ * @param slots         calls in progress at once
+ * @param queue         calls that may wait
+ * @param batch         most pieces of one call
+ * @param callNanos     time of a call without its pieces
+ * @param pieceNanos    approximate time of one piece
+ * @param resultBytes   memory for results
+ * @param keptNanos     how long a result is kept after its call unless it is freed
+ */
+public record BatchLimits(
+        int slots, int queue, int batch, long callNanos, long pieceNanos, long resultBytes, long keptNanos) {
+
+    /**
+     * Returns how long a call takes.
+     *
+     * @param pieces its pieces
+     * @return nanoseconds, approximately
+     */
+    public long expectedNanos(int pieces) {
+        return callNanos + pieces * pieceNanos;
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/route/Route.java
@@ -0,0 +1,68 @@
+package org.copperspindle.route;
+
+import java.time.Duration;
+import java.util.List;
+
+/**
+ * One route.
+ *
+ * @param name        its name
+ * @param host        host that its requests name
+ * @param pathPrefix  start of the path; begins and ends with a slash
+ * @param kind        what may be repeated
+ * @param timeout     longest time that a request is kept waiting
+ * @param objective   time in which an answer is worth most: to the whole answer, of a stream to its first event
+ * @param priority    rank, 0 first
+ * @param pools       pools that serve it
+ * @param maxAttempts most upstreams that one request is sent to
+ * @param stages      work done before the request runs, by number
+ * @param open        true if requests need no key
+ * @param resumable   true if a stream may go on at another upstream
+ */
+public record Route(
+        String name,
+        String host,
+        String pathPrefix,
+        RouteKind kind,
+        Duration timeout,
+        Duration objective,
+        int priority,
+        List<WeightedPool> pools,
+        int maxAttempts,
+        List<RouteStage> stages,
+        boolean open,
+        boolean resumable) {
+
+    /** Copies the lists. */
+    public Route {
+        pools = List.copyOf(pools);
+        stages = List.copyOf(stages);
+    }
+
+    /**
+     * Says whether a request may run more than once.
+     *
+     * @return true for idempotent requests and streams that may be resumed
+     */
+    public boolean isIdempotent() {
+        return kind == RouteKind.SAFE || kind == RouteKind.STREAM && resumable;
+    }
+
+    /**
+     * Chooses a pool by weight.
+     *
+     * @param draw a number drawn evenly from 0 (inclusive) to 1 (exclusive)
+     * @return the pool's name
+     */
+    public String choosePool(double draw) {
+        int total = pools.stream().mapToInt(WeightedPool::weight).sum();
+        double left = draw * total;
+        for (WeightedPool pool : pools) {
+            left -= pool.weight();
+            if (left < 0) {
+                return pool.pool();
+            }
+        }
+        return pools.get(pools.size() - 1).pool();
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/route/RouteTable.java
@@ -0,0 +1,147 @@
+package org.copperspindle.route;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * One version of everything that a deployment allows. Immutable; always a checked one, see {@link RouteTableCheck}.
+ */
+public final class RouteTable {
+
+    private final long version;
+    private final List<Route> routes;
+    private final Map<String, List<Route>> byHost = new HashMap<>();
+    private final Map<String, UpstreamPool> pools = new HashMap<>();
+    private final List<ClientAccount> accounts;
+    private final Map<String, ClientAccount> byKey = new HashMap<>();
+    private final boolean keyed;
+    private final CallerLimits limits;
+
+    /**
+     * Creates a table.
+     *
+     * @param version  its version
+     * @param routes   its routes
+     * @param pools    its pools
+     * @param accounts client accounts; empty if the deployment declares none, and then no request needs a key
+     * @param limits   bounds on callers
+     */
+    public RouteTable(
+            long version,
+            List<Route> routes,
+            List<UpstreamPool> pools,
+            Optional<List<ClientAccount>> accounts,
+            CallerLimits limits) {
+        this.version = version;
+        this.routes = List.copyOf(routes);
+        this.accounts = List.copyOf(accounts.orElse(List.of()));
+        this.keyed = accounts.isPresent();
+        this.limits = limits;
+        for (Route route : this.routes) {
+            byHost.computeIfAbsent(route.host(), h -> new ArrayList<>()).add(route);
+        }
+        // The longest prefix decides, so that the first match in this order is the route.
+        Comparator<Route> longestFirst =
+                Comparator.comparingInt((Route r) -> r.pathPrefix().length()).reversed();
+        byHost.values().forEach(list -> list.sort(longestFirst));
+        pools.forEach(pool -> this.pools.put(pool.name(), pool));
+        this.accounts.forEach(account -> account.keys().forEach(key -> byKey.put(key, account)));
+    }
+
+    /**
+     * Returns the version.
+     *
+     * @return higher for newer tables
+     */
+    public long version() {
+        return version;
+    }
+
+    /**
+     * Returns the routes.
+     *
+     * @return in the order of the configuration
+     */
+    public List<Route> routes() {
+        return routes;
+    }
+
+    /**
+     * Returns the pools.
+     *
+     * @return in no order
+     */
+    public Collection<UpstreamPool> pools() {
+        return pools.values();
+    }
+
+    /**
+     * Returns the client accounts.
+     *
+     * @return in the order of the configuration
+     */
+    public List<ClientAccount> accounts() {
+        return accounts;
+    }
+
+    /**
+     * Returns the bounds on callers.
+     *
+     * @return the bounds
+     */
+    public CallerLimits limits() {
+        return limits;
+    }
+
+    /**
+     * Says whether requests need a key unless their route is open.
+     *
+     * @return true if the table declares client accounts
+     */
+    public boolean isKeyed() {
+        return keyed;
+    }
+
+    /**
+     * Finds the route of a request.
+     *
+     * @param host host that the request names, with or without a port
+     * @param path its path, as it stood in the request line
+     * @return the route of that host with the longest prefix of the path
+     */
+    public Optional<Route> findRoute(String host, String path) {
+        int colon = host.indexOf(':');
+        String name = colon < 0 ? host : host.substring(0, colon);
+        for (Route route : byHost.getOrDefault(name, List.of())) {
+            if (path.startsWith(route.pathPrefix())) {
+                return Optional.of(route);
+            }
+        }
+        return Optional.empty();
+    }
+
+    /**
+     * Finds a pool.
+     *
+     * @param name its name
+     * @return the pool
+     */
+    public Optional<UpstreamPool> findPool(String name) {
+        return Optional.ofNullable(pools.get(name));
+    }
+
+    /**
+     * Finds the client account that holds a key.
+     *
+     * @param key the key
+     * @return its account
+     */
+    public Optional<ClientAccount> findAccount(String key) {
+        return Optional.ofNullable(byKey.get(key));
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/route/UpstreamPool.java
@@ -0,0 +1,14 @@
+package org.copperspindle.route;
+
+import java.util.Optional;
+import java.util.OptionalInt;
+
+/**
+ * A pool of upstreams that do the same work.
+ *
+ * @param name           its name
+ * @param maxConnections connections that one upstream accepts from all callers together
+ * @param batch          limits of stage calls, empty if the pool serves no stage
+ * @param engineSlots    requests that one model engine runs at once, empty if the pool has no engines
+ */
+public record UpstreamPool(String name, int maxConnections, Optional<BatchLimits> batch, OptionalInt engineSlots) {}
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/wire/NumericAddress.java
@@ -0,0 +1,42 @@
+package org.copperspindle.wire;
+
+import java.net.InetSocketAddress;
+
+/**
+ * Text form of socket addresses. Hosts are IP numbers: processes must not depend on a name service.
+ */
+public final class NumericAddress {
+
+    private static final int MAX_PORT = 65535;
+
+    private NumericAddress() {}
+
+    /**
+     * Formats an address.
+     *
+     * @param address a resolved address
+     * @return IP:PORT
+     */
+    public static String format(InetSocketAddress address) {
+        return address.getAddress().getHostAddress() + ':' + address.getPort();
+    }
+
+    /**
+     * Parses what {@link #format} makes.
+     *
+     * @param text IP:PORT
+     * @return the address
+     * @throws IllegalArgumentException if the text is not of that form
+     */
+    public static InetSocketAddress parse(String text) {
+        int colon = text.lastIndexOf(':');
+        if (colon <= 0) {
+            throw new IllegalArgumentException("not IP:PORT: " + text);
+        }
+        int port = Integer.parseInt(text.substring(colon + 1));
+        if (port <= 0 || port > MAX_PORT) {
+            throw new IllegalArgumentException("not a port: " + text);
+        }
+        return new InetSocketAddress(text.substring(0, colon), port);
+    }
+}
--- a/library/src/main/java/org/copperspindle/wire/WireTransport.java
+++ b/library/src/main/java/org/copperspindle/wire/WireTransport.java
@@ -69,6 +69,18 @@
         this(newGroup(threads, own), registry, own, true, limits);
     }
 
+    /**
+     * Creates a transport on the network threads of the process, which stay open when it is closed.
+     *
+     * @param group    network threads
+     * @param registry messages that this process knows
+     * @param own      this process's greeting
+     * @param limits   bounds on connections
+     */
+    public WireTransport(EventLoopGroup group, MessageRegistry registry, GreetingMessage own, WireLimits limits) {
+        this(group, registry, own, false, limits);
+    }
+
     private WireTransport(
             EventLoopGroup group, MessageRegistry registry, GreetingMessage own, boolean ownsGroup, WireLimits limits) {
         this.group = group;
