--- /dev/null
+++ b/library/src/main/java/org/copperspindle/gateway/AdmittedRequest.java
@@ -0,0 +1,63 @@
+package org.copperspindle.gateway;
+
+import java.util.Optional;
+import java.util.OptionalLong;
+
+import org.copperspindle.route.ClientAccount;
+import org.copperspindle.route.Route;
+import org.copperspindle.route.RouteTable;
+
+/**
+ * A request that the table in force allows, with what it was admitted by.
+ *
+ * @param request what the caller wants
+ * @param table   table by which it was admitted, and by which it is served to its end
+ * @param route   its route
+ * @param account client account that holds its key
+ * @param pool    pool that serves it
+ * @param beganAt when it was admitted, monotonic nanoseconds
+ * @param endAt   when its time is over
+ */
+record AdmittedRequest(
+        GatewayRequest request,
+        RouteTable table,
+        Route route,
+        Optional<ClientAccount> account,
+        String pool,
+        long beganAt,
+        long endAt) {
+
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+
+    /** Ranks of routes that fit under each rank of an account. */
+    private static final int ROUTE_RANKS = 3;
+
+    /** Rank of callers without an account, and of accounts that have none. */
+    private static final int USUAL_RANK = 1;
+
+    /** Admits a request. */
+    static AdmittedRequest of(
+            GatewayRequest request,
+            RouteTable table,
+            Route route,
+            Optional<ClientAccount> account,
+            String pool,
+            long now) {
+        OptionalLong deadline = request.deadlineMillis();
+        long timeout = route.timeout().toNanos();
+        long time = deadline.isPresent() ? Math.min(timeout, deadline.getAsLong() * NANOS_PER_MILLI) : timeout;
+        return new AdmittedRequest(request, table, route, account, pool, now, now + time);
+    }
+
+    /** Returns when an answer is worth most at the latest. */
+    long objectiveAt() {
+        return beganAt + route.objective().toNanos();
+    }
+
+    /** Returns the urgency, 0 first: the rank of the account goes before that of the route. */
+    int rank() {
+        int ofAccount = account.map(a -> a.priority().orElse(USUAL_RANK)).orElse(USUAL_RANK);
+        int within = Math.min(ROUTE_RANKS - 1, Math.max(0, route.priority()));
+        return Math.min(ROUTE_RANKS, Math.max(0, ofAccount)) * ROUTE_RANKS + within;
+    }
+}
--- a/library/src/main/java/org/copperspindle/gateway/GatewayService.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayService.java
@@ -64,7 +64,15 @@
             refuse(exchange, request.id(), Refusal.unknownKey(), table);
             return;
         }
-        new RequestRun(context, exchange, request, table.get(), route.get(), account).start();
+        String pool = route.get().choosePool(context.random().nextDouble());
+        AdmittedRequest admitted = AdmittedRequest.of(
+                request,
+                table.get(),
+                route.get(),
+                account,
+                pool,
+                context.timers().nanoTime());
+        new RequestRun(context, exchange, admitted).start();
     }
 
     private void refuse(HttpExchange exchange, String id, Refusal refusal, Optional<RouteTable> table) {
--- a/library/src/main/java/org/copperspindle/gateway/RequestRun.java
+++ b/library/src/main/java/org/copperspindle/gateway/RequestRun.java
@@ -6,7 +6,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 
 import org.apache.logging.log4j.LogManager;
@@ -25,7 +24,6 @@
 import org.copperspindle.route.ClientAccount;
 import org.copperspindle.route.Route;
 import org.copperspindle.route.RouteKind;
-import org.copperspindle.route.RouteTable;
 import org.copperspindle.time.TimerSubscription;
 
 /**
@@ -53,12 +51,10 @@
 
     private final GatewayContext context;
     private final HttpExchange exchange;
+    private final AdmittedRequest admitted;
     private final GatewayRequest request;
-    private final RouteTable table;
     private final Route route;
     private final String pool;
-    private final Optional<ClientAccount> account;
-    private final int rank;
     private final long beganAt;
     private final long endAt;
     private final AnswerRelay relay;
@@ -72,23 +68,15 @@
     private boolean mayHaveRun;
     private boolean over;
 
-    RequestRun(
-            GatewayContext context,
-            HttpExchange exchange,
-            GatewayRequest request,
-            RouteTable table,
-            Route route,
-            Optional<ClientAccount> account) {
+    RequestRun(GatewayContext context, HttpExchange exchange, AdmittedRequest admitted) {
         this.context = context;
         this.exchange = exchange;
-        this.request = request;
-        this.table = table;
-        this.route = route;
-        this.account = account;
-        this.pool = route.choosePool(context.random().nextDouble());
-        this.rank = rank(route, account);
-        this.beganAt = context.timers().nanoTime();
-        this.endAt = beganAt + timeNanos(request, route);
+        this.admitted = admitted;
+        this.request = admitted.request();
+        this.route = admitted.route();
+        this.pool = admitted.pool();
+        this.beganAt = admitted.beganAt();
+        this.endAt = admitted.endAt();
         this.relay = new AnswerRelay(exchange);
     }
 
@@ -101,10 +89,10 @@
                     "event=request-admitted request={} route={} account={} pool={} version={} rank={} time_ms={} pieces={}",
                     request.id(),
                     route.name(),
-                    account.map(ClientAccount::name).orElse(""),
+                    admitted.account().map(ClientAccount::name).orElse(""),
                     pool,
-                    table.version(),
-                    rank,
+                    admitted.table().version(),
+                    admitted.rank(),
                     (endAt - beganAt) / NANOS_PER_MILLI,
                     request.pieces());
         }
@@ -137,15 +125,7 @@
     private void runStages() {
         stages.ifPresent(StageRun::end);
         stageRuns++;
-        StageRun run = new StageRun(
-                request,
-                route,
-                table,
-                rank,
-                context,
-                beganAt + route.objective().toNanos(),
-                endAt,
-                this);
+        StageRun run = new StageRun(admitted, context, this);
         stages = Optional.of(run);
         run.start();
     }
@@ -155,8 +135,9 @@
             return;
         }
         long now = context.timers().nanoTime();
-        Optional<UpstreamNews> chosen =
-                table.findPool(pool).flatMap(p -> context.chooser().choose(p, request.sharedPrompt(), tried, now));
+        Optional<UpstreamNews> chosen = admitted.table()
+                .findPool(pool)
+                .flatMap(p -> context.chooser().choose(p, request.sharedPrompt(), tried, now));
         if (chosen.isEmpty()) {
             if (relay.hasStarted()) {
                 breakOff("no-upstream");
@@ -181,10 +162,10 @@
                 request,
                 upstream,
                 Math.max(1, (endAt - now) / NANOS_PER_MILLI),
-                account.map(ClientAccount::name),
+                admitted.account().map(ClientAccount::name),
                 stages.map(StageRun::results),
                 resumeAfter,
-                rank,
+                admitted.rank(),
                 route.kind() == RouteKind.SAFE ? ConnectionUse.KEPT : ConnectionUse.NEW);
         if (context.log().takesServed(now)) {
             LOGGER.info(
@@ -319,20 +300,6 @@
         return Refusal.unavailable(reason, title, Duration.ofMillis(millis));
     }
 
-    private static long timeNanos(GatewayRequest request, Route route) {
-        OptionalLong deadline = request.deadlineMillis();
-        long timeout = route.timeout().toNanos();
-        return deadline.isPresent() ? Math.min(timeout, deadline.getAsLong() * NANOS_PER_MILLI) : timeout;
-    }
-
-    /** The rank of an account goes before that of the route; three ranks of routes fit under each. */
-    private static int rank(Route route, Optional<ClientAccount> account) {
-        int ranks = 3;
-        int within = Math.min(ranks - 1, Math.max(0, route.priority()));
-        int ofAccount = account.map(a -> a.priority().orElse(1)).orElse(1);
-        return Math.min(ranks * ranks, Math.max(0, ofAccount) * ranks + within);
-    }
-
     /** One attempt at one upstream. */
     private final class Attempt implements DirectListener {
         private final UpstreamNews upstream;
--- a/library/src/main/java/org/copperspindle/gateway/StageRun.java
+++ b/library/src/main/java/org/copperspindle/gateway/StageRun.java
@@ -14,7 +14,6 @@
 import org.copperspindle.route.BatchLimits;
 import org.copperspindle.route.Route;
 import org.copperspindle.route.RouteStage;
-import org.copperspindle.route.RouteTable;
 import org.copperspindle.route.UpstreamPool;
 import org.copperspindle.time.TimerService;
 
@@ -32,38 +31,22 @@
 
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
-    private final GatewayRequest request;
+    private final AdmittedRequest admitted;
     private final Route route;
-    private final RouteTable table;
-    private final int rank;
     private final BatchService batches;
     private final TimerService timers;
-    private final long objectiveAt;
-    private final long endAt;
     private final Listener listener;
     private final StagePlan plan;
     private final Set<Long> open = new HashSet<>();
     private boolean over;
 
-    StageRun(
-            GatewayRequest request,
-            Route route,
-            RouteTable table,
-            int rank,
-            GatewayContext context,
-            long objectiveAt,
-            long endAt,
-            Listener listener) {
-        this.request = request;
-        this.route = route;
-        this.table = table;
-        this.rank = rank;
+    StageRun(AdmittedRequest admitted, GatewayContext context, Listener listener) {
+        this.admitted = admitted;
+        this.route = admitted.route();
         this.batches = context.batches();
         this.timers = context.timers();
-        this.objectiveAt = objectiveAt;
-        this.endAt = endAt;
         this.listener = listener;
-        this.plan = new StagePlan(route.stages(), request.pieces());
+        this.plan = new StagePlan(route.stages(), admitted.request().pieces());
     }
 
     /** Begins the stages that need no others. */
@@ -103,16 +86,16 @@
         boolean first = stage.after().isEmpty();
         PieceGroup group = new PieceGroup(
                 id,
-                request.id(),
+                admitted.request().id(),
                 number,
                 stage.pool(),
                 plan.pieces(number),
                 IntStream.range(0, plan.pieces(number)).boxed().toList(),
-                first ? request.pieceKey() : "",
+                first ? admitted.request().pieceKey() : "",
                 first ? List.of() : plan.inputs(number),
-                rank,
-                (objectiveAt - later - now) / NANOS_PER_MILLI,
-                (endAt - now) / NANOS_PER_MILLI,
+                admitted.rank(),
+                (admitted.objectiveAt() - later - now) / NANOS_PER_MILLI,
+                (admitted.endAt() - now) / NANOS_PER_MILLI,
                 stage.resultBytes());
         batches.submit(group, results -> received(id, number, results));
     }
@@ -142,7 +125,8 @@
     }
 
     private long expectedNanos(int stage) {
-        return table.findPool(route.stages().get(stage).pool())
+        return admitted.table()
+                .findPool(route.stages().get(stage).pool())
                 .flatMap(UpstreamPool::batch)
                 .map((BatchLimits limits) -> limits.expectedNanos(SHARED_CALL * plan.pieces(stage)))
                 .orElse(0L);
