Begin stages only with room for them, near their inputs, and settle every request before a stop

Cause: in a burst requests were begun that then waited between stages until their results were forgotten; every piece fetched its inputs over failure domains; SIGHUP ended the process; a stop cut requests that still waited. Ruled out: a full pool as such: the calls found no server full.

--- a/library/src/main/java/org/copperspindle/batch/BatchService.java
+++ b/library/src/main/java/org/copperspindle/batch/BatchService.java
@@ -1,5 +1,6 @@
 package org.copperspindle.batch;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -14,6 +15,7 @@
 import org.apache.logging.log4j.Logger;
 import org.copperspindle.discovery.UpstreamDirectory;
 import org.copperspindle.discovery.UpstreamNews;
+import org.copperspindle.measure.DecisionLog;
 import org.copperspindle.mesh.MeshListener;
 import org.copperspindle.mesh.MeshNode;
 import org.copperspindle.mesh.NodeMesh;
@@ -32,13 +34,25 @@
     private static final LongHashFunction HASH = LongHashFunction.xx3();
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
+    /** Loads are told this often: three times in the shortest call. */
+    private static final long LOAD_INTERVAL_NANOS = Duration.ofMillis(80).toNanos();
+
+    /** A load that was not told again for so long has ended, or its node has. */
+    private static final long LOAD_AGE_NANOS = Duration.ofMillis(600).toNanos();
+
+    /** A wait below this is not told: half of a pool's upstreams busy is no load. */
+    private static final long QUIET_MILLIS = 60;
+
     private final NodeMesh mesh;
     private final TimerService timers;
     private final UpstreamDirectory directory;
     private final StagePort port;
     private final Function<String, Optional<BatchLimits>> limits;
     private final BooleanSupplier serving;
+    private final DecisionLog log;
     private final Map<String, PoolDispatcher> dispatchers = new HashMap<>();
+    private final Map<String, Load> loads = new HashMap<>();
+    private final Map<String, Long> told = new HashMap<>();
     private final Map<Long, Pending> pending = new LinkedHashMap<>();
     private long lastId;
 
@@ -51,6 +65,7 @@
      * @param port      speaks to the upstreams of stage pools
      * @param limits    limits of a pool's calls by its name, as the route table held gives them
      * @param serving   whether this node takes work for others
+     * @param log       bounds log lines
      */
     public BatchService(
             NodeMesh mesh,
@@ -58,13 +73,15 @@
             UpstreamDirectory directory,
             StagePort port,
             Function<String, Optional<BatchLimits>> limits,
-            BooleanSupplier serving) {
+            BooleanSupplier serving,
+            DecisionLog log) {
         this.mesh = mesh;
         this.timers = timers;
         this.directory = directory;
         this.port = port;
         this.limits = limits;
         this.serving = serving;
+        this.log = log;
         directory.subscribe(this::upstreamChanged);
     }
 
@@ -124,6 +141,28 @@
         }
     }
 
+    /** Begins to tell the other nodes how long pieces wait here. */
+    public void start() {
+        dispatchers.forEach(this::tellLoad);
+        timers.schedule(LOAD_INTERVAL_NANOS, this::start);
+    }
+
+    /**
+     * Returns how long a group would wait for a pool's upstreams.
+     *
+     * @param pool name of the pool
+     * @return nanoseconds; 0 if nothing is known or what is known is old
+     */
+    public long waitNanos(String pool) {
+        PoolDispatcher own = dispatchers.get(pool);
+        if (own != null && owner(pool).equals(mesh.self())) {
+            return own.waitNanos();
+        }
+        Load load = loads.get(pool);
+        boolean known = load != null && timers.nanoTime() - load.at() < LOAD_AGE_NANOS;
+        return known ? load.waitMillis() * NANOS_PER_MILLI : 0;
+    }
+
     /**
      * Returns how many pieces wait at this node for an upstream.
      *
@@ -154,6 +193,8 @@
             dispatcher(free.pool()).free(free.handles());
         } else if (message instanceof PieceResultsMessage results) {
             received(node.address(), results);
+        } else if (message instanceof PoolLoadMessage load) {
+            loads.put(load.pool(), new Load(load.waitMillis(), timers.nanoTime()));
         }
     }
 
@@ -168,6 +209,17 @@
         orphans.forEach(this::forward);
     }
 
+    private void tellLoad(String pool, PoolDispatcher dispatcher) {
+        long millis = dispatcher.waitNanos() / NANOS_PER_MILLI;
+        Long before = told.get(pool);
+        boolean settled = millis < QUIET_MILLIS && (before == null || before < QUIET_MILLIS);
+        if (settled || !owner(pool).equals(mesh.self())) {
+            return;
+        }
+        told.put(pool, millis);
+        mesh.broadcast(new PoolLoadMessage(pool, millis));
+    }
+
     private void forward(Pending entry) {
         long elapsed = (timers.nanoTime() - entry.at) / NANOS_PER_MILLI;
         PieceGroup group = entry.group.after(elapsed, entry.missing);
@@ -235,7 +287,8 @@
     private PoolDispatcher dispatcher(String pool) {
         return dispatchers.computeIfAbsent(
                 pool,
-                name -> new PoolDispatcher(name, directory, timers, port, () -> limits.apply(name), this::deliver));
+                name -> new PoolDispatcher(
+                        name, directory, timers, port, () -> limits.apply(name), this::deliver, log));
     }
 
     private void deliver(String origin, PieceResultsMessage results) {
@@ -253,6 +306,8 @@
         }
     }
 
+    private record Load(long waitMillis, long at) {}
+
     /** A group on its way. */
     private static final class Pending {
         private final PieceGroup group;
--- a/library/src/main/java/org/copperspindle/batch/PieceQueue.java
+++ b/library/src/main/java/org/copperspindle/batch/PieceQueue.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
 
 import org.copperspindle.route.BatchLimits;
 
@@ -66,10 +67,12 @@
      * @param most     most pieces to take, below the limit of a call if several upstreams are free
      * @param bytes    memory for results that the upstream has left
      * @param now      monotonic time in nanoseconds
+     * @param fits     whether a group may go to the upstream
      * @return the pieces; none if nothing fits
      */
-    List<PieceTask> take(BatchLimits limits, int most, long bytes, long now) {
+    List<PieceTask> take(BatchLimits limits, int most, long bytes, long now, Predicate<WaitingGroup> fits) {
         List<WaitingGroup> order = new ArrayList<>(groups.values());
+        order.removeIf(fits.negate());
         order.sort(byUrgency(limits, now));
         List<PieceTask> taken = new ArrayList<>();
         long left = bytes;
--- a/library/src/main/java/org/copperspindle/batch/PoolDispatcher.java
+++ b/library/src/main/java/org/copperspindle/batch/PoolDispatcher.java
@@ -14,6 +14,7 @@
 import org.apache.logging.log4j.Logger;
 import org.copperspindle.discovery.UpstreamDirectory;
 import org.copperspindle.discovery.UpstreamNews;
+import org.copperspindle.measure.DecisionLog;
 import org.copperspindle.route.BatchLimits;
 import org.copperspindle.time.TimerService;
 
@@ -47,6 +48,12 @@
     /** An upstream so much slower than the fastest gets no call that a faster one would finish before. */
     private static final double SLOW = 2.0;
 
+    /** A group waits so long for an upstream near its inputs: about half a call, a small part of any objective. */
+    private static final long NEAR_WAIT_NANOS = Duration.ofMillis(160).toNanos();
+
+    /** Told when no upstream of the pool can be used. */
+    private static final long LONGEST_WAIT_NANOS = Duration.ofSeconds(2).toNanos();
+
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
     private final String pool;
@@ -55,6 +62,7 @@
     private final StagePort port;
     private final Supplier<Optional<BatchLimits>> limits;
     private final ResultSink sink;
+    private final DecisionLog log;
     private final PieceQueue queue = new PieceQueue();
     private final Map<String, StageUpstream> upstreams = new LinkedHashMap<>();
     private final Map<WaitingGroup, Integer> running = new HashMap<>();
@@ -67,13 +75,15 @@
             TimerService timers,
             StagePort port,
             Supplier<Optional<BatchLimits>> limits,
-            ResultSink sink) {
+            ResultSink sink,
+            DecisionLog log) {
         this.pool = pool;
         this.directory = directory;
         this.timers = timers;
         this.port = port;
         this.limits = limits;
         this.sink = sink;
+        this.log = log;
     }
 
     void add(String origin, PieceGroup group) {
@@ -117,7 +127,8 @@
         while (!free.isEmpty() && !queue.isEmpty()) {
             StageUpstream upstream = free.remove(0);
             int most = (queue.pieces() + free.size()) / (free.size() + 1);
-            List<PieceTask> tasks = queue.take(known.get(), most, upstream.roomLeft(known.get(), now), now);
+            List<PieceTask> tasks = queue.take(
+                    known.get(), most, upstream.roomLeft(known.get(), now), now, group -> isFor(group, upstream, now));
             if (!tasks.isEmpty()) {
                 send(upstream, tasks, known.get());
             }
@@ -125,6 +136,21 @@
         wakeLater();
     }
 
+    /** Returns how long a group that comes now waits until it begins; nanoseconds. */
+    long waitNanos() {
+        Optional<BatchLimits> known = limits.get();
+        long now = timers.nanoTime();
+        List<StageUpstream> usable =
+                upstreams.values().stream().filter(u -> !u.isPaused(now)).toList();
+        if (known.isEmpty() || usable.isEmpty()) {
+            return upstreams.isEmpty() ? 0 : LONGEST_WAIT_NANOS;
+        }
+        long soonest = usable.stream().mapToLong(u -> u.busyNanos(now)).min().orElseThrow();
+        BatchLimits each = known.get();
+        long perCall = each.expectedNanos(each.batch());
+        return soonest + queue.pieces() * perCall / ((long) each.batch() * usable.size());
+    }
+
     int waitingPieces() {
         return queue.pieces();
     }
@@ -137,6 +163,30 @@
         upstreams.values().removeIf(u -> u.calls() == 0 && !ready.contains(u.news()));
     }
 
+    /**
+     * Says whether a group may go to an upstream now. For a moment it waits for one in the failure domain of its inputs:
+     * each piece fetches them all, and bytes between failure domains are what stage work costs most.
+     */
+    private boolean isFor(WaitingGroup group, StageUpstream upstream, long now) {
+        if (group.group().inputs().isEmpty() || now - group.arrivedAt() > NEAR_WAIT_NANOS) {
+            return true;
+        }
+        Optional<String> domain = domainOf(group.group().inputs().get(0));
+        return domain.isEmpty()
+                || domain.get().equals(upstream.news().failureDomain())
+                || upstreams.values().stream()
+                        .noneMatch(u -> !u.isPaused(now)
+                                && u.news().failureDomain().equals(domain.get())
+                                && u.busyNanos(now) < NEAR_WAIT_NANOS);
+    }
+
+    private Optional<String> domainOf(String handle) {
+        int slash = handle.indexOf('/');
+        return slash < 0
+                ? Optional.empty()
+                : directory.findByAddress(handle.substring(0, slash)).map(UpstreamNews::failureDomain);
+    }
+
     /** Returns the upstreams that a call may go to now, the fastest first. */
     private List<StageUpstream> free(BatchLimits known, long now) {
         double fastest = upstreams.values().stream()
@@ -158,16 +208,23 @@
 
     private void send(StageUpstream upstream, List<PieceTask> tasks, BatchLimits known) {
         long now = timers.nanoTime();
-        upstream.started();
+        upstream.started(now + (long) (known.expectedNanos(tasks.size()) * upstream.slowness()));
         tasks.forEach(task -> running.merge(task.group(), 1, Integer::sum));
         long expected = known.expectedNanos(tasks.size());
         long timeout = PATIENCE * expected / NANOS_PER_MILLI + FETCH.toMillis();
-        LOGGER.debug(
-                "event=stage-call pool={} upstream={} pieces={} waiting={}",
-                pool,
-                upstream.news().id(),
-                tasks.size(),
-                queue.pieces());
+        if (log.takesServed(now)) {
+            LOGGER.info(
+                    "event=stage-call pool={} upstream={} pieces={} waiting={} room_left={} requests={}",
+                    pool,
+                    upstream.news().id(),
+                    tasks.size(),
+                    queue.pieces(),
+                    upstream.roomLeft(known, now),
+                    tasks.stream()
+                            .map(t -> t.group().group().requestId())
+                            .distinct()
+                            .toList());
+        }
         port.run(
                 upstream.news(),
                 tasks.stream().map(task -> task.item(now)).toList(),
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/batch/PoolLoadMessage.java
@@ -0,0 +1,27 @@
+package org.copperspindle.batch;
+
+import org.copperspindle.wire.FieldReader;
+import org.copperspindle.wire.FieldWriter;
+import org.copperspindle.wire.MessageCodec;
+import org.copperspindle.wire.WireMessage;
+
+/**
+ * How long pieces wait for a pool's upstreams, told by the node that packs its calls.
+ *
+ * @param pool       name of the pool
+ * @param waitMillis time until a group that comes now would begin
+ */
+public record PoolLoadMessage(String pool, long waitMillis) implements WireMessage {
+
+    /** Codec of this message. */
+    public static final MessageCodec<PoolLoadMessage> CODEC =
+            MessageCodec.of(235, PoolLoadMessage.class, PoolLoadMessage::write, PoolLoadMessage::read);
+
+    private void write(FieldWriter out) {
+        out.put(1, pool).put(2, waitMillis);
+    }
+
+    private static PoolLoadMessage read(FieldReader in) {
+        return new PoolLoadMessage(in.getString(1), in.getLong(2, 0));
+    }
+}
--- a/library/src/main/java/org/copperspindle/batch/StageUpstream.java
+++ b/library/src/main/java/org/copperspindle/batch/StageUpstream.java
@@ -22,12 +22,16 @@
     /** Weight of the newest call in the mean of how much longer than expected calls take. */
     private static final double SPEED_WEIGHT = 0.4;
 
+    /** Part of the memory for results that is filled: their sizes are known approximately only. */
+    private static final double USED_ROOM = 0.9;
+
     private final Deque<Result> results = new ArrayDeque<>();
     private final List<String> toFree = new ArrayList<>();
     private UpstreamNews news;
     private int calls;
     private int losses;
     private long pausedUntil;
+    private long busyUntil;
     private boolean paused;
     private double slowness = 1;
     private long resultBytes;
@@ -45,8 +49,12 @@
     }
 
     boolean isFree(BatchLimits limits, long now) {
+        return !isPaused(now) && calls < limits.slots();
+    }
+
+    boolean isPaused(long now) {
         paused = paused && now - pausedUntil < 0;
-        return !paused && calls < limits.slots();
+        return paused;
     }
 
     int calls() {
@@ -58,8 +66,14 @@
         return slowness;
     }
 
-    void started() {
+    void started(long until) {
         calls++;
+        busyUntil = until;
+    }
+
+    /** Returns how long its call will still take. */
+    long busyNanos(long now) {
+        return calls == 0 ? 0 : Math.max(0, busyUntil - now);
     }
 
     void answered(long expectedNanos, long tookNanos) {
@@ -96,7 +110,7 @@
         while (!results.isEmpty() && now - results.peekFirst().until() >= 0) {
             resultBytes -= results.pollFirst().bytes();
         }
-        return limits.resultBytes() - resultBytes;
+        return (long) (limits.resultBytes() * USED_ROOM) - resultBytes;
     }
 
     void free(String handle) {
--- a/library/src/main/java/org/copperspindle/batch/WaitingGroup.java
+++ b/library/src/main/java/org/copperspindle/batch/WaitingGroup.java
@@ -12,6 +12,7 @@
 
     private final String origin;
     private final PieceGroup group;
+    private final long arrivedAt;
     private final long slackUntil;
     private final long deadline;
     private final List<Integer> missing;
@@ -21,6 +22,7 @@
     WaitingGroup(String origin, PieceGroup group, long now) {
         this.origin = origin;
         this.group = group;
+        this.arrivedAt = now;
         this.slackUntil = now + group.slackMillis() * NANOS_PER_MILLI;
         this.deadline = now + group.deadlineMillis() * NANOS_PER_MILLI;
         this.missing = new ArrayList<>(group.missing());
@@ -38,6 +40,10 @@
         return missing;
     }
 
+    long arrivedAt() {
+        return arrivedAt;
+    }
+
     long slackUntil() {
         return slackUntil;
     }
--- a/library/src/main/java/org/copperspindle/gateway/AdmittedRequest.java
+++ b/library/src/main/java/org/copperspindle/gateway/AdmittedRequest.java
@@ -15,8 +15,9 @@
  * @param route   its route
  * @param account client account that holds its key
  * @param pool    pool that serves it
- * @param beganAt when it was admitted, monotonic nanoseconds
- * @param endAt   when its time is over
+ * @param beganAt     when it was admitted, monotonic nanoseconds
+ * @param objectiveAt until when an answer is worth most
+ * @param endAt       when its time is over
  */
 record AdmittedRequest(
         GatewayRequest request,
@@ -25,6 +26,7 @@
         Optional<ClientAccount> account,
         String pool,
         long beganAt,
+        long objectiveAt,
         long endAt) {
 
     private static final long NANOS_PER_MILLI = 1_000_000L;
@@ -35,23 +37,29 @@
     /** Rank of callers without an account, and of accounts that have none. */
     private static final int USUAL_RANK = 1;
 
-    /** Admits a request. */
+    /**
+     * Admits a request.
+     *
+     * @param waitedMillis how long its caller has waited already, with earlier attempts
+     */
     static AdmittedRequest of(
             GatewayRequest request,
             RouteTable table,
             Route route,
             Optional<ClientAccount> account,
             String pool,
-            long now) {
+            long now,
+            long waitedMillis) {
         OptionalLong deadline = request.deadlineMillis();
         long timeout = route.timeout().toNanos();
         long time = deadline.isPresent() ? Math.min(timeout, deadline.getAsLong() * NANOS_PER_MILLI) : timeout;
-        return new AdmittedRequest(request, table, route, account, pool, now, now + time);
+        long objectiveAt = now + route.objective().toNanos() - waitedMillis * NANOS_PER_MILLI;
+        return new AdmittedRequest(request, table, route, account, pool, now, objectiveAt, now + time);
     }
 
-    /** Returns when an answer is worth most at the latest. */
-    long objectiveAt() {
-        return beganAt + route.objective().toNanos();
+    /** Returns the pool of a stage. */
+    String stagePool(int stage) {
+        return route.stages().get(stage).pool();
     }
 
     /** Returns the urgency, 0 first: the rank of the account goes before that of the route. */
--- a/library/src/main/java/org/copperspindle/gateway/GatewayContext.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayContext.java
@@ -20,6 +20,8 @@
  * @param tracker   what was seen of upstreams
  * @param chooser   chooses upstreams
  * @param budget    bounds repeats
+ * @param gate      decides when stages begin
+ * @param open      requests in progress
  * @param counters  counts requests
  * @param log       bounds log lines
  * @param random    spreads returns of refused callers
@@ -34,6 +36,8 @@
         UpstreamTracker tracker,
         UpstreamChooser chooser,
         RetryBudget budget,
+        StageGate gate,
+        OpenRequests open,
         GatewayCounters counters,
         DecisionLog log,
         RandomGenerator random) {}
--- a/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
@@ -22,6 +22,7 @@
 import org.copperspindle.batch.PieceCancelMessage;
 import org.copperspindle.batch.PieceGroup;
 import org.copperspindle.batch.PieceResultsMessage;
+import org.copperspindle.batch.PoolLoadMessage;
 import org.copperspindle.consensus.ConsensusLog;
 import org.copperspindle.consensus.ConsensusSettings;
 import org.copperspindle.core.DecisionRing;
@@ -81,8 +82,11 @@
     /** A balancer that asks every second needs two misses to send no new connections. */
     private static final Duration BALANCER_NOTICE = Duration.ofMillis(2600);
 
-    /** Left of the grace for connections to be closed in order. */
-    private static final Duration STOP_RESERVE = Duration.ofMillis(700);
+    /** Part of the grace after which a request that no upstream has got yet is refused: it needs the rest elsewhere. */
+    private static final double UNSENT_SHARE = 0.6;
+
+    /** Left of the grace for last answers to reach their callers and connections to be closed in order. */
+    private static final Duration STOP_RESERVE = Duration.ofMillis(450);
 
     /** Time for other nodes to tell what they know before a node that found some calls itself ready. */
     private static final Duration VIEW_TIME = Duration.ofMillis(300);
@@ -113,6 +117,8 @@
     private final EditionExchange exchange;
     private final EditionHolder holder;
     private final BatchService batches;
+    private final OpenRequests open = new OpenRequests();
+    private final GatewayService service;
     private final GatewayCounters counters = new GatewayCounters();
     private final RetryBudget budget;
     private final UpstreamTracker tracker = new UpstreamTracker();
@@ -144,6 +150,7 @@
         Duration lease = Duration.ofNanos((long) (settings.revocation().toNanos() * LEASE_SHARE));
         this.holder = new EditionHolder(timers, dialects.tables(), lease, new SuspensionWatch(), exchange::ask);
         exchange.holder(holder);
+        DecisionLog log = new DecisionLog(SERVED_LINES, FAILED_LINES);
         DirectClient client = new DirectClient(loop, timers);
         this.batches = new BatchService(
                 mesh,
@@ -151,7 +158,8 @@
                 directory,
                 dialects.stages(client, timers),
                 pool -> holder.heldTable().flatMap(t -> t.findPool(pool)).flatMap(UpstreamPool::batch),
-                () -> ready && !stopping);
+                () -> ready && !stopping,
+                log);
         this.budget = new RetryBudget(
                 settings.retries().ratio(),
                 settings.retries().slack(),
@@ -166,12 +174,14 @@
                 tracker,
                 new UpstreamChooser(directory, tracker, ThreadLocalRandom.current(), settings.failureDomain()),
                 budget,
+                new StageGate(batches::waitNanos),
+                open,
                 counters,
-                new DecisionLog(SERVED_LINES, FAILED_LINES),
+                log,
                 ThreadLocalRandom.current());
         subscribe();
         settings.dataFolder().ifPresent(folder -> openMember(folder.resolve(GROUP)));
-        GatewayService service = new GatewayService(context, holder::inForce);
+        this.service = new GatewayService(context, holder::inForce);
         ControlDesk desk = new ControlDesk(gossip, exchange, dialects.tables(), loop);
         this.callers = new HttpListener(group, settings.callers(), this::callerLimits, service);
         this.readiness = new HttpListener(group, settings.readiness(), () -> HttpLimits.DEFAULT, this::answerReadiness);
@@ -192,6 +202,7 @@
         node.mesh.start();
         node.loop.execute(() -> {
             node.holder.start();
+            node.batches.start();
             node.tick();
         });
         LOGGER.info(
@@ -347,13 +358,16 @@
         ready = false;
         mesh.announce();
         callers.announceStop();
-        long now = timers.nanoTime();
-        long end = now + settings.stopGrace().minus(STOP_RESERVE).toNanos();
+        long grace = settings.stopGrace().toNanos();
+        timers.schedule(BALANCER_NOTICE.toNanos(), service::refuseAll);
+        timers.schedule((long) (grace * UNSENT_SHARE), open::refuseUnsent);
+        timers.schedule(grace - STOP_RESERVE.toNanos(), open::endAll);
+        long end = timers.nanoTime() + grace - STOP_RESERVE.toNanos();
         timers.schedule(BALANCER_NOTICE.toNanos(), () -> awaitIdle(end, done));
     }
 
     private void awaitIdle(long end, Runnable done) {
-        boolean idle = counters.open() == 0
+        boolean idle = open.count() == 0
                 && batches.waitingPieces() == 0
                 && callers.counters().inProgress() == 0;
         if (!idle && timers.nanoTime() - end < 0) {
@@ -374,7 +388,8 @@
                 .register(PieceGroup.CODEC)
                 .register(PieceResultsMessage.CODEC)
                 .register(PieceCancelMessage.CODEC)
-                .register(FreeResultsMessage.CODEC);
+                .register(FreeResultsMessage.CODEC)
+                .register(PoolLoadMessage.CODEC);
         ConsensusLog.codecs().forEach(registry::register);
         return registry;
     }
--- a/library/src/main/java/org/copperspindle/gateway/GatewayService.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayService.java
@@ -1,6 +1,8 @@
 package org.copperspindle.gateway;
 
 import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Optional;
 import java.util.function.Supplier;
 
@@ -22,8 +24,13 @@
     /** A lease is back within a few questions to the leader, or not for a while. */
     private static final Duration LEASE_RETURN = Duration.ofMillis(600);
 
+    /** Another node can take the request at once. */
+    private static final Duration STOP_RETURN = Duration.ofMillis(100);
+
     private final GatewayContext context;
     private final Supplier<Optional<RouteTable>> tables;
+    private final Map<String, Long> fullTimes = new HashMap<>();
+    private boolean refusesAll;
 
     /**
      * Creates the service.
@@ -36,6 +43,11 @@
         this.tables = tables;
     }
 
+    /** Refuses requests from now on: they would not be finished before this node ends. */
+    void refuseAll() {
+        refusesAll = true;
+    }
+
     @Override
     public void handle(HttpExchange exchange) {
         GatewayRequestResult result = context.callers().read(exchange);
@@ -48,6 +60,10 @@
 
     private void admit(HttpExchange exchange, GatewayRequest request) {
         Optional<RouteTable> table = tables.get();
+        if (refusesAll) {
+            refuse(exchange, request.id(), Refusal.unavailable("stopping", "this node stops", STOP_RETURN), table);
+            return;
+        }
         if (table.isEmpty()) {
             Refusal refusal = Refusal.unavailable(
                     "no-lease", "this node does not know whether it holds the newest configuration", LEASE_RETURN);
@@ -71,10 +87,23 @@
                 route.get(),
                 account,
                 pool,
-                context.timers().nanoTime());
+                context.timers().nanoTime(),
+                waitedMillis(route.get(), request));
         new RequestRun(context, exchange, admitted).start();
     }
 
+    /**
+     * Returns how long a caller has waited in earlier attempts. Callers name the time that they have left; on one route all
+     * begin with the same.
+     */
+    private long waitedMillis(Route route, GatewayRequest request) {
+        if (request.deadlineMillis().isEmpty()) {
+            return 0;
+        }
+        long left = request.deadlineMillis().getAsLong();
+        return fullTimes.merge(route.name(), left, Math::max) - left;
+    }
+
     private void refuse(HttpExchange exchange, String id, Refusal refusal, Optional<RouteTable> table) {
         context.counters().count(refusal.verdict().reason());
         if (context.log().takesFailed(context.timers().nanoTime())) {
--- a/library/src/main/java/org/copperspindle/gateway/RequestRun.java
+++ b/library/src/main/java/org/copperspindle/gateway/RequestRun.java
@@ -44,6 +44,10 @@
     private static final int MAX_STAGE_RUNS = 2;
 
     private static final long NANOS_PER_MILLI = 1_000_000L;
+
+    /** Held requests are judged again this often: pools tell their waits about as often. */
+    private static final long HELD_LOOK_NANOS = Duration.ofMillis(75).toNanos();
+
     private static final int SERVER_ERROR = 500;
 
     /** Shortest time after which a refused caller should come back, and the spread over which callers come. */
@@ -65,6 +69,7 @@
     private int stageRuns;
     private int sent;
     private int unsent;
+    private boolean held;
     private boolean mayHaveRun;
     private boolean over;
 
@@ -83,6 +88,7 @@
     /** Begins; the answer comes later. */
     void start() {
         context.counters().begun();
+        context.open().add(this);
         context.budget().requested(pool, beganAt);
         if (context.log().takesServed(beganAt)) {
             LOGGER.info(
@@ -104,7 +110,34 @@
         if (route.stages().isEmpty()) {
             attempt();
         } else {
-            runStages();
+            passGate();
+        }
+    }
+
+    /** Says whether no upstream has got the request. */
+    boolean isUnsent() {
+        return attempt.isEmpty() && !mayHaveRun && !relay.hasStarted();
+    }
+
+    /** Refuses a request that has not run, because this node stops. */
+    void refuseStopping() {
+        refuse(unavailable("stopping", "this node stops"));
+    }
+
+    /** Ends a request for good, because the process is about to end. */
+    void endStopping() {
+        if (over) {
+            return;
+        }
+        if (isUnsent()) {
+            refuseStopping();
+            return;
+        }
+        attempt.ifPresent(a -> a.abort("stopping"));
+        if (relay.hasStarted()) {
+            breakOff("stopping");
+        } else {
+            refuse(Refusal.failed("stopping"));
         }
     }
 
@@ -122,6 +155,32 @@
         refuse(unavailable("stage-" + stage + "-" + reason.name().toLowerCase(), "a stage could not be run in time"));
     }
 
+    private void passGate() {
+        if (over) {
+            return;
+        }
+        long now = context.timers().nanoTime();
+        GateVerdict verdict = context.gate().judge(admitted, held, now);
+        if (verdict == GateVerdict.HOLD) {
+            hold(true);
+            context.timers().schedule(HELD_LOOK_NANOS, this::passGate);
+            return;
+        }
+        hold(false);
+        if (verdict == GateVerdict.BEGIN) {
+            runStages();
+        } else {
+            refuse(unavailable("stages-full", "the stages have no room for the request in its time"));
+        }
+    }
+
+    private void hold(boolean holds) {
+        if (held != holds) {
+            held = holds;
+            context.gate().held(holds ? 1 : -1);
+        }
+    }
+
     private void runStages() {
         stages.ifPresent(StageRun::end);
         stageRuns++;
@@ -274,6 +333,8 @@
 
     private void end(String outcome, boolean failed) {
         over = true;
+        hold(false);
+        context.open().remove(this);
         timeout.cancel();
         stages.ifPresent(StageRun::end);
         context.counters().ended(outcome);
--- a/library/src/main/java/org/copperspindle/gateway/StagePlan.java
+++ b/library/src/main/java/org/copperspindle/gateway/StagePlan.java
@@ -125,6 +125,18 @@
         return longest;
     }
 
+    /** Returns the length of the longest chain of stages, measured by a cost for each stage. */
+    long longest(StageCost cost) {
+        long longest = 0;
+        for (int stage = 0; stage < stages.size(); stage++) {
+            if (stages.get(stage).after().isEmpty()) {
+                long own = pieces(stage) > 0 ? cost.of(stage) : 0;
+                longest = Math.max(longest, own + longestAfter(stage, cost));
+            }
+        }
+        return longest;
+    }
+
     private boolean isAwaited(int stage) {
         for (int next = 0; next < stages.size(); next++) {
             if (stages.get(next).after().contains(stage) && !isDone(next)) {
--- a/library/src/main/java/org/copperspindle/gateway/StageRun.java
+++ b/library/src/main/java/org/copperspindle/gateway/StageRun.java
@@ -1,6 +1,5 @@
 package org.copperspindle.gateway;
 
-import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -11,10 +10,8 @@
 import org.copperspindle.batch.PieceGroup;
 import org.copperspindle.batch.PieceOutcome;
 import org.copperspindle.batch.PieceResult;
-import org.copperspindle.route.BatchLimits;
 import org.copperspindle.route.Route;
 import org.copperspindle.route.RouteStage;
-import org.copperspindle.route.UpstreamPool;
 import org.copperspindle.time.TimerService;
 
 /**
@@ -23,12 +20,6 @@
  */
 final class StageRun {
 
-    /** From the last stage to the first event of an idle engine, with its inputs fetched. */
-    private static final Duration ENGINE_FIRST_EVENT = Duration.ofMillis(120);
-
-    /** Calls are shared with pieces of other requests: twice a request's own pieces is what a call has at medium load. */
-    private static final int SHARED_CALL = 2;
-
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
     private final AdmittedRequest admitted;
@@ -80,7 +71,8 @@
     private void submit(int number) {
         RouteStage stage = route.stages().get(number);
         long now = timers.nanoTime();
-        long later = plan.longestAfter(number, this::expectedNanos) + ENGINE_FIRST_EVENT.toNanos();
+        long later = plan.longestAfter(number, s -> StageGate.expectedNanos(admitted, plan, s))
+                + StageGate.ENGINE_FIRST_EVENT.toNanos();
         long id = batches.nextId();
         open.add(id);
         boolean first = stage.after().isEmpty();
@@ -124,14 +116,6 @@
         }
     }
 
-    private long expectedNanos(int stage) {
-        return admitted.table()
-                .findPool(route.stages().get(stage).pool())
-                .flatMap(UpstreamPool::batch)
-                .map((BatchLimits limits) -> limits.expectedNanos(SHARED_CALL * plan.pieces(stage)))
-                .orElse(0L);
-    }
-
     /** Waits for the stages. */
     interface Listener {
 
