Give stage results up at a stream's first event, and begin by promised load

Cause: results of streams that may be resumed were kept to the end of the stream; 44 of them filled the memory of a pool of four upstreams, whose calls shrank from 37 pieces to five while 50 to 190 pieces waited (lines stage-call, room_left). Ruled out: slow upstreams (expected times were met) and small arrivals (pieces waited). Change: results go at the first event, and a stream that must go on elsewhere has them made again.

--- a/library/src/main/java/org/copperspindle/batch/BatchService.java
+++ b/library/src/main/java/org/copperspindle/batch/BatchService.java
@@ -148,19 +148,28 @@
     }
 
     /**
-     * Returns how long a group would wait for a pool's upstreams.
+     * Returns how loaded a pool is.
      *
      * @param pool name of the pool
-     * @return nanoseconds; 0 if nothing is known or what is known is old
+     * @return its load; {@link PoolLoad#UNKNOWN} if nothing is known or what is known is old
      */
-    public long waitNanos(String pool) {
+    public PoolLoad load(String pool) {
         PoolDispatcher own = dispatchers.get(pool);
         if (own != null && owner(pool).equals(mesh.self())) {
-            return own.waitNanos();
+            return own.load();
         }
         Load load = loads.get(pool);
         boolean known = load != null && timers.nanoTime() - load.at() < LOAD_AGE_NANOS;
-        return known ? load.waitMillis() * NANOS_PER_MILLI : 0;
+        return known ? load.load() : PoolLoad.UNKNOWN;
+    }
+
+    /**
+     * Returns how many nodes take callers' requests.
+     *
+     * @return this one and the others that serve
+     */
+    public int nodes() {
+        return 1 + (int) mesh.nodes().stream().filter(n -> n.hello().serving()).count();
     }
 
     /**
@@ -194,7 +203,8 @@
         } else if (message instanceof PieceResultsMessage results) {
             received(node.address(), results);
         } else if (message instanceof PoolLoadMessage load) {
-            loads.put(load.pool(), new Load(load.waitMillis(), timers.nanoTime()));
+            PoolLoad heard = new PoolLoad(load.waitMillis() * NANOS_PER_MILLI, load.perSecond());
+            loads.put(load.pool(), new Load(heard, timers.nanoTime()));
         }
     }
 
@@ -210,14 +220,15 @@
     }
 
     private void tellLoad(String pool, PoolDispatcher dispatcher) {
-        long millis = dispatcher.waitNanos() / NANOS_PER_MILLI;
+        PoolLoad load = dispatcher.load();
+        long millis = load.waitNanos() / NANOS_PER_MILLI;
         Long before = told.get(pool);
         boolean settled = millis < QUIET_MILLIS && (before == null || before < QUIET_MILLIS);
         if (settled || !owner(pool).equals(mesh.self())) {
             return;
         }
         told.put(pool, millis);
-        mesh.broadcast(new PoolLoadMessage(pool, millis));
+        mesh.broadcast(new PoolLoadMessage(pool, millis, (long) load.piecesPerSecond()));
     }
 
     private void forward(Pending entry) {
@@ -306,7 +317,7 @@
         }
     }
 
-    private record Load(long waitMillis, long at) {}
+    private record Load(PoolLoad load, long at) {}
 
     /** A group on its way. */
     private static final class Pending {
--- a/library/src/main/java/org/copperspindle/batch/PieceGroup.java
+++ b/library/src/main/java/org/copperspindle/batch/PieceGroup.java
@@ -25,6 +25,7 @@
  *                       it no longer can
  * @param deadlineMillis time left in which the result is of any use
  * @param resultBytes    approximate size of one result
+ * @param inputBytes     approximate size of all inputs together; each piece fetches them
  */
 public record PieceGroup(
         long id,
@@ -38,7 +39,8 @@
         int rank,
         long slackMillis,
         long deadlineMillis,
-        long resultBytes)
+        long resultBytes,
+        long inputBytes)
         implements WireMessage {
 
     /** Codec of this message. */
@@ -71,7 +73,8 @@
                 rank,
                 slackMillis - elapsedMillis,
                 deadlineMillis - elapsedMillis,
-                resultBytes);
+                resultBytes,
+                inputBytes);
     }
 
     private void write(FieldWriter out) {
@@ -92,7 +95,8 @@
                 .put(8, rank)
                 .put(9, slackMillis)
                 .put(10, deadlineMillis)
-                .put(11, resultBytes);
+                .put(11, resultBytes)
+                .put(12, inputBytes);
     }
 
     private static PieceGroup read(FieldReader in) {
@@ -111,6 +115,7 @@
                 (int) in.getLong(8, 0),
                 in.getLong(9, 0),
                 in.getLong(10, 0),
-                in.getLong(11, 0));
+                in.getLong(11, 0),
+                in.getLong(12, 0));
     }
 }
--- a/library/src/main/java/org/copperspindle/batch/PieceQueue.java
+++ b/library/src/main/java/org/copperspindle/batch/PieceQueue.java
@@ -14,12 +14,16 @@
  * Groups that wait for calls of one pool, and which of them go next.
  *
  * <p>The load it answers: a burst asks for up to two and a half times what the pool makes, for several seconds. Then
- * groups whose request can still meet its objective go first, by rank and then by how soon they must be made; those that
- * are late already use what is left over. In the order of arrival every request would wait longest just when most of
+ * groups whose request can still meet its objective go first, by how soon they must be made and a little by rank; those
+ * that are late already use what is left over. By rank alone the least urgent would wait with their inputs made until
+ * those are forgotten; which requests begin at all is decided before their first stage. In the order of arrival every request would wait longest just when most of
  * them could still be on time.
  */
 final class PieceQueue {
 
+    /** One rank counts as much as so much time: three ranks of routes span a part of a call. */
+    private static final long RANK_NANOS = 40_000_000L;
+
     private final Map<String, WaitingGroup> groups = new LinkedHashMap<>();
 
     void add(WaitingGroup group) {
@@ -104,8 +108,7 @@
     private static Comparator<WaitingGroup> byUrgency(BatchLimits limits, long now) {
         long call = limits.expectedNanos(limits.batch() / 2);
         return Comparator.<WaitingGroup>comparingInt(g -> g.isOnTime(now, call) ? 0 : 1)
-                .thenComparingInt(g -> g.group().rank())
-                .thenComparingLong(g -> g.slackUntil() - now);
+                .thenComparingLong(g -> g.slackUntil() - now + g.group().rank() * RANK_NANOS);
     }
 
     private static int fitting(long bytes, long each) {
--- a/library/src/main/java/org/copperspindle/batch/PoolDispatcher.java
+++ b/library/src/main/java/org/copperspindle/batch/PoolDispatcher.java
@@ -48,13 +48,11 @@
     /** An upstream so much slower than the fastest gets no call that a faster one would finish before. */
     private static final double SLOW = 2.0;
 
-    /** A group waits so long for an upstream near its inputs: about half a call, a small part of any objective. */
-    private static final long NEAR_WAIT_NANOS = Duration.ofMillis(160).toNanos();
-
     /** Told when no upstream of the pool can be used. */
     private static final long LONGEST_WAIT_NANOS = Duration.ofSeconds(2).toNanos();
 
     private static final long NANOS_PER_MILLI = 1_000_000L;
+    private static final double NANOS_PER_SECOND = 1e9;
 
     private final String pool;
     private final UpstreamDirectory directory;
@@ -128,7 +126,15 @@
             StageUpstream upstream = free.remove(0);
             int most = (queue.pieces() + free.size()) / (free.size() + 1);
             List<PieceTask> tasks = queue.take(
-                    known.get(), most, upstream.roomLeft(known.get(), now), now, group -> isFor(group, upstream, now));
+                    known.get(),
+                    most,
+                    upstream.roomLeft(known.get(), now),
+                    now,
+                    group -> isFor(
+                            group,
+                            upstream,
+                            now,
+                            known.get().expectedNanos(group.missing().size())));
             if (!tasks.isEmpty()) {
                 send(upstream, tasks, known.get());
             }
@@ -136,19 +142,21 @@
         wakeLater();
     }
 
-    /** Returns how long a group that comes now waits until it begins; nanoseconds. */
-    long waitNanos() {
+    /** Returns how loaded the pool is. */
+    PoolLoad load() {
         Optional<BatchLimits> known = limits.get();
         long now = timers.nanoTime();
         List<StageUpstream> usable =
                 upstreams.values().stream().filter(u -> !u.isPaused(now)).toList();
         if (known.isEmpty() || usable.isEmpty()) {
-            return upstreams.isEmpty() ? 0 : LONGEST_WAIT_NANOS;
+            return upstreams.isEmpty() ? PoolLoad.UNKNOWN : new PoolLoad(LONGEST_WAIT_NANOS, 0);
         }
         long soonest = usable.stream().mapToLong(u -> u.busyNanos(now)).min().orElseThrow();
         BatchLimits each = known.get();
-        long perCall = each.expectedNanos(each.batch());
-        return soonest + queue.pieces() * perCall / ((long) each.batch() * usable.size());
+        double perNano = usable.stream()
+                .mapToDouble(u -> each.batch() / (each.expectedNanos(each.batch()) * u.slowness()))
+                .sum();
+        return new PoolLoad(soonest + (long) (queue.pieces() / perNano), perNano * NANOS_PER_SECOND);
     }
 
     int waitingPieces() {
@@ -164,11 +172,13 @@
     }
 
     /**
-     * Says whether a group may go to an upstream now. For a moment it waits for one in the failure domain of its inputs:
-     * each piece fetches them all, and bytes between failure domains are what stage work costs most.
+     * Says whether a group may go to an upstream now. One with large inputs waits a while for an upstream in the failure
+     * domain of its inputs, as far as its request stays on time: each piece fetches all of them, and bytes between failure
+     * domains are what stage work costs most.
      */
-    private boolean isFor(WaitingGroup group, StageUpstream upstream, long now) {
-        if (group.group().inputs().isEmpty() || now - group.arrivedAt() > NEAR_WAIT_NANOS) {
+    private boolean isFor(WaitingGroup group, StageUpstream upstream, long now, long callNanos) {
+        long wait = group.nearWaitNanos(callNanos);
+        if (now - group.arrivedAt() >= wait) {
             return true;
         }
         Optional<String> domain = domainOf(group.group().inputs().get(0));
@@ -177,7 +187,7 @@
                 || upstreams.values().stream()
                         .noneMatch(u -> !u.isPaused(now)
                                 && u.news().failureDomain().equals(domain.get())
-                                && u.busyNanos(now) < NEAR_WAIT_NANOS);
+                                && u.busyNanos(now) < group.arrivedAt() + wait - now);
     }
 
     private Optional<String> domainOf(String handle) {
--- a/library/src/main/java/org/copperspindle/batch/WaitingGroup.java
+++ b/library/src/main/java/org/copperspindle/batch/WaitingGroup.java
@@ -10,6 +10,15 @@
 
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
+    /** Inputs below this cost less to move than a wait costs the request. */
+    private static final long LARGE_BYTES = 1_000_000L;
+
+    /** Part of the spare time that is risked on a near upstream. */
+    private static final double NEAR_SHARE = 0.5;
+
+    /** About one call: the one that runs at the near upstream is over by then. */
+    private static final long LONGEST_NEAR_NANOS = 400 * NANOS_PER_MILLI;
+
     private final String origin;
     private final PieceGroup group;
     private final long arrivedAt;
@@ -48,6 +57,16 @@
         return slackUntil;
     }
 
+    /** Returns how long the group may wait for an upstream near its inputs. */
+    long nearWaitNanos(long callNanos) {
+        long fetched = group.inputBytes() * missing.size();
+        if (group.inputs().isEmpty() || fetched < LARGE_BYTES) {
+            return 0;
+        }
+        long spare = slackUntil - arrivedAt - callNanos;
+        return Math.max(0, Math.min(LONGEST_NEAR_NANOS, (long) (spare * NEAR_SHARE)));
+    }
+
     /** Says whether the pieces can be made soon enough for the request's objective, if they take so long from now. */
     boolean isOnTime(long now, long nanos) {
         return now + nanos - slackUntil <= 0;
--- a/library/src/main/java/org/copperspindle/gateway/AdmittedRequest.java
+++ b/library/src/main/java/org/copperspindle/gateway/AdmittedRequest.java
@@ -1,7 +1,6 @@
 package org.copperspindle.gateway;
 
 import java.util.Optional;
-import java.util.OptionalLong;
 
 import org.copperspindle.route.ClientAccount;
 import org.copperspindle.route.Route;
@@ -15,9 +14,7 @@
  * @param route   its route
  * @param account client account that holds its key
  * @param pool    pool that serves it
- * @param beganAt     when it was admitted, monotonic nanoseconds
- * @param objectiveAt until when an answer is worth most
- * @param endAt       when its time is over
+ * @param times   instants that matter to it
  */
 record AdmittedRequest(
         GatewayRequest request,
@@ -25,11 +22,7 @@
         Route route,
         Optional<ClientAccount> account,
         String pool,
-        long beganAt,
-        long objectiveAt,
-        long endAt) {
-
-    private static final long NANOS_PER_MILLI = 1_000_000L;
+        RequestTimes times) {
 
     /** Ranks of routes that fit under each rank of an account. */
     private static final int ROUTE_RANKS = 3;
@@ -37,26 +30,6 @@
     /** Rank of callers without an account, and of accounts that have none. */
     private static final int USUAL_RANK = 1;
 
-    /**
-     * Admits a request.
-     *
-     * @param waitedMillis how long its caller has waited already, with earlier attempts
-     */
-    static AdmittedRequest of(
-            GatewayRequest request,
-            RouteTable table,
-            Route route,
-            Optional<ClientAccount> account,
-            String pool,
-            long now,
-            long waitedMillis) {
-        OptionalLong deadline = request.deadlineMillis();
-        long timeout = route.timeout().toNanos();
-        long time = deadline.isPresent() ? Math.min(timeout, deadline.getAsLong() * NANOS_PER_MILLI) : timeout;
-        long objectiveAt = now + route.objective().toNanos() - waitedMillis * NANOS_PER_MILLI;
-        return new AdmittedRequest(request, table, route, account, pool, now, objectiveAt, now + time);
-    }
-
     /** Returns the pool of a stage. */
     String stagePool(int stage) {
         return route.stages().get(stage).pool();
--- a/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
@@ -174,7 +174,7 @@
                 tracker,
                 new UpstreamChooser(directory, tracker, ThreadLocalRandom.current(), settings.failureDomain()),
                 budget,
-                new StageGate(batches::waitNanos),
+                new StageGate(batches::load, batches::nodes),
                 open,
                 counters,
                 log,
--- a/library/src/main/java/org/copperspindle/gateway/GatewayService.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayService.java
@@ -81,14 +81,10 @@
             return;
         }
         String pool = route.get().choosePool(context.random().nextDouble());
-        AdmittedRequest admitted = AdmittedRequest.of(
-                request,
-                table.get(),
-                route.get(),
-                account,
-                pool,
-                context.timers().nanoTime(),
-                waitedMillis(route.get(), request));
+        long now = context.timers().nanoTime();
+        RequestTimes times =
+                RequestTimes.of(route.get(), request.deadlineMillis(), waitedMillis(route.get(), request), now);
+        AdmittedRequest admitted = new AdmittedRequest(request, table.get(), route.get(), account, pool, times);
         new RequestRun(context, exchange, admitted).start();
     }
 
--- a/library/src/main/java/org/copperspindle/gateway/RequestRun.java
+++ b/library/src/main/java/org/copperspindle/gateway/RequestRun.java
@@ -53,6 +53,9 @@
     /** Shortest time after which a refused caller should come back, and the spread over which callers come. */
     private static final long RETURN_MILLIS = 250;
 
+    /** The same where all pools of a stage are full: bursts last several seconds. */
+    private static final long BURST_MILLIS = 1200;
+
     private final GatewayContext context;
     private final HttpExchange exchange;
     private final AdmittedRequest admitted;
@@ -80,8 +83,8 @@
         this.request = admitted.request();
         this.route = admitted.route();
         this.pool = admitted.pool();
-        this.beganAt = admitted.beganAt();
-        this.endAt = admitted.endAt();
+        this.beganAt = admitted.times().beganAt();
+        this.endAt = admitted.times().endAt();
         this.relay = new AnswerRelay(exchange);
     }
 
@@ -152,6 +155,14 @@
             runStages();
             return;
         }
+        if (relay.hasStarted()) {
+            breakOff("stage-" + stage + "-missed");
+            return;
+        }
+        if (mayHaveRun) {
+            refuse(Refusal.failed("stage-" + stage + "-missed"));
+            return;
+        }
         refuse(unavailable("stage-" + stage + "-" + reason.name().toLowerCase(), "a stage could not be run in time"));
     }
 
@@ -170,7 +181,8 @@
         if (verdict == GateVerdict.BEGIN) {
             runStages();
         } else {
-            refuse(unavailable("stages-full", "the stages have no room for the request in its time"));
+            refuse(Refusal.unavailable(
+                    "stages-full", "the stages have no room for the request in its time", afterBurst()));
         }
     }
 
@@ -181,6 +193,16 @@
         }
     }
 
+    private void runStagesAgain() {
+        if (stageRuns < MAX_STAGE_RUNS) {
+            runStages();
+        } else if (relay.hasStarted()) {
+            breakOff("stages-lost");
+        } else {
+            refuse(mayHaveRun ? Refusal.failed("stages-lost") : unavailable("stages-lost", "stage results were lost"));
+        }
+    }
+
     private void runStages() {
         stages.ifPresent(StageRun::end);
         stageRuns++;
@@ -193,6 +215,11 @@
         if (over) {
             return;
         }
+        if (stages.filter(StageRun::isOver).isPresent()) {
+            // The results were given up at the first event; an attempt after that needs new ones.
+            runStagesAgain();
+            return;
+        }
         long now = context.timers().nanoTime();
         Optional<UpstreamNews> chosen = admitted.table()
                 .findPool(pool)
@@ -356,6 +383,11 @@
         }
     }
 
+    /** When pools are full, callers come back spread over the seconds in which a burst ends. */
+    private Duration afterBurst() {
+        return Duration.ofMillis(BURST_MILLIS + context.random().nextLong(BURST_MILLIS));
+    }
+
     private Refusal unavailable(String reason, String title) {
         long millis = RETURN_MILLIS + context.random().nextLong(RETURN_MILLIS);
         return Refusal.unavailable(reason, title, Duration.ofMillis(millis));
@@ -400,8 +432,10 @@
             boolean before = relay.hasStarted();
             if (!relay.accept(data)) {
                 abortAndFail("events-missing");
-            } else if (!before && relay.hasStarted() && !route.resumable()) {
-                // The upstream has read its inputs before its first event.
+            } else if (!before && relay.hasStarted()) {
+                // The upstream has read its inputs before its first event. Held to the end of the stream, the results
+                // of
+                // 44 streams fill the memory of a pool of four, and its calls shrink to a few pieces.
                 stages.ifPresent(StageRun::end);
             }
         }
--- a/library/src/main/java/org/copperspindle/gateway/StageGate.java
+++ b/library/src/main/java/org/copperspindle/gateway/StageGate.java
@@ -1,8 +1,12 @@
 package org.copperspindle.gateway;
 
 import java.time.Duration;
-import java.util.function.ToLongFunction;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Function;
+import java.util.function.IntSupplier;
 
+import org.copperspindle.batch.PoolLoad;
 import org.copperspindle.route.BatchLimits;
 import org.copperspindle.route.UpstreamPool;
 
@@ -12,8 +16,9 @@
  * <p>The load it answers: a burst brings up to two and a half times what the stage pools make, for several seconds. Once
  * begun, a request holds results at their makers, which forget them after a few seconds; a request that is begun and
  * then waits between two stages wastes what was made for it. So only those begin that can meet their objective by what
- * the pools tell of their waits. The others are held while nothing of them has been made, and begin when the pools have
- * nothing to do; those that would not come to that in their time are refused at once.
+ * the pools tell of their waits and by what was promised to requests before them. The others are held while nothing of
+ * them has been made, and begin when the pools have nothing to do; those that would not come to that while their caller
+ * waits are refused at once.
  */
 final class StageGate {
 
@@ -38,7 +43,14 @@
     /** One held request begins at a time, at this distance, so that all nodes together do not fill the pools again. */
     private static final long RELEASE_NANOS = Duration.ofMillis(150).toNanos();
 
-    private final ToLongFunction<String> waitNanos;
+    /** Part of the objective that each rank must leave over: the least urgent are the first that find no room. */
+    private static final double RANK_MARGIN = 0.03;
+
+    private static final double NANOS_PER_SECOND = 1e9;
+
+    private final Function<String, PoolLoad> loads;
+    private final IntSupplier nodes;
+    private final Map<String, Integer> promised = new HashMap<>();
     private int held;
     private long releasedAt;
     private boolean released;
@@ -46,26 +58,48 @@
     /**
      * Creates a gate.
      *
-     * @param waitNanos how long a group would wait for a pool now, by the pool's name
+     * @param loads load of a pool by its name
+     * @param nodes how many nodes take callers' requests; all are taken to be about as busy as this one
      */
-    StageGate(ToLongFunction<String> waitNanos) {
-        this.waitNanos = waitNanos;
+    StageGate(Function<String, PoolLoad> loads, IntSupplier nodes) {
+        this.loads = loads;
+        this.nodes = nodes;
     }
 
-    /** Judges a request; {@code wasHeld} says that it was held before and is counted as such. */
+    /**
+     * Judges a request.
+     *
+     * @param wasHeld true if it was held before and is counted as such
+     */
     GateVerdict judge(AdmittedRequest request, boolean wasHeld, long now) {
         StagePlan plan =
                 new StagePlan(request.route().stages(), request.request().pieces());
-        long shortest = plan.longest(stage -> expectedNanos(request, plan, stage)) + ENGINE_FIRST_EVENT.toNanos();
-        long waits = plan.longest(stage -> waitNanos.applyAsLong(request.stagePool(stage)));
-        boolean onTime = now + shortest + waits - request.objectiveAt() <= 0;
-        if (onTime || waits < IDLE_NANOS && mayRelease(wasHeld, now)) {
+        long engine = ENGINE_FIRST_EVENT.toNanos();
+        long shortest = plan.finish((stage, begin) -> expectedNanos(request, plan, stage)) + engine;
+        long finish = plan.finish((stage, begin) ->
+                        waitNanos(request.stagePool(stage), begin) + expectedNanos(request, plan, stage))
+                + engine;
+        long margin = (long) (request.route().objective().toNanos() * RANK_MARGIN * request.rank());
+        boolean onTime = now + finish + margin - request.times().objectiveAt() <= 0;
+        boolean idle = finish - shortest < IDLE_NANOS;
+        if (onTime || idle && mayRelease(wasHeld, now)) {
             return GateVerdict.BEGIN;
         }
-        boolean inTime = now + shortest + HOLD_RESERVE.toNanos() - request.endAt() < 0;
+        boolean inTime =
+                now + shortest + HOLD_RESERVE.toNanos() - request.times().patienceAt() < 0;
         return inTime && (wasHeld || held < MOST_HELD) ? GateVerdict.HOLD : GateVerdict.REFUSE;
     }
 
+    /** Counts pieces that a request which has begun will send to a pool later. */
+    void promised(String pool, int pieces) {
+        promised.merge(pool, pieces, Integer::sum);
+    }
+
+    /** Counts them out: they were sent, or never will be. */
+    void submitted(String pool, int pieces) {
+        promised.merge(pool, -pieces, Integer::sum);
+    }
+
     /** Counts requests that are held. */
     void held(int change) {
         held += change;
@@ -84,6 +118,17 @@
                 .orElse(0L);
     }
 
+    /** Returns how long pieces wait that come to a pool after a while: what stands before them by then. */
+    private long waitNanos(String pool, long begin) {
+        PoolLoad load = loads.apply(pool);
+        long ahead = load.waitNanos();
+        if (load.piecesPerSecond() > 0) {
+            double others = promised.getOrDefault(pool, 0) * (double) nodes.getAsInt();
+            ahead += (long) (others / load.piecesPerSecond() * NANOS_PER_SECOND);
+        }
+        return Math.max(0, ahead - begin);
+    }
+
     private boolean mayRelease(boolean wasHeld, long now) {
         if (!wasHeld && held == 0) {
             return true;
--- a/library/src/main/java/org/copperspindle/gateway/StagePlan.java
+++ b/library/src/main/java/org/copperspindle/gateway/StagePlan.java
@@ -38,6 +38,10 @@
         }
     }
 
+    int stages() {
+        return stages.size();
+    }
+
     int pieces(int stage) {
         return handles.get(stage).length;
     }
@@ -125,16 +129,21 @@
         return longest;
     }
 
-    /** Returns the length of the longest chain of stages, measured by a cost for each stage. */
-    long longest(StageCost cost) {
-        long longest = 0;
+    /** Returns when the last stage ends, counted from now, if each takes a time that depends on when it begins. */
+    long finish(StageTime time) {
+        long last = 0;
         for (int stage = 0; stage < stages.size(); stage++) {
-            if (stages.get(stage).after().isEmpty()) {
-                long own = pieces(stage) > 0 ? cost.of(stage) : 0;
-                longest = Math.max(longest, own + longestAfter(stage, cost));
-            }
+            last = Math.max(last, finish(stage, time));
         }
-        return longest;
+        return last;
+    }
+
+    private long finish(int stage, StageTime time) {
+        long begin = 0;
+        for (int before : stages.get(stage).after()) {
+            begin = Math.max(begin, finish(before, time));
+        }
+        return pieces(stage) == 0 ? begin : begin + time.of(stage, begin);
     }
 
     private boolean isAwaited(int stage) {
@@ -157,4 +166,17 @@
          */
         long of(int stage);
     }
+
+    /** Time that a stage takes. */
+    @FunctionalInterface
+    interface StageTime {
+        /**
+         * Returns the time of a stage.
+         *
+         * @param stage its number
+         * @param begin when it can begin, nanoseconds from now
+         * @return nanoseconds
+         */
+        long of(int stage, long begin);
+    }
 }
--- a/library/src/main/java/org/copperspindle/gateway/StageRun.java
+++ b/library/src/main/java/org/copperspindle/gateway/StageRun.java
@@ -28,7 +28,9 @@
     private final TimerService timers;
     private final Listener listener;
     private final StagePlan plan;
+    private final StageGate gate;
     private final Set<Long> open = new HashSet<>();
+    private final Set<Integer> promised = new HashSet<>();
     private boolean over;
 
     StageRun(AdmittedRequest admitted, GatewayContext context, Listener listener) {
@@ -37,11 +39,18 @@
         this.batches = context.batches();
         this.timers = context.timers();
         this.listener = listener;
+        this.gate = context.gate();
         this.plan = new StagePlan(route.stages(), admitted.request().pieces());
     }
 
     /** Begins the stages that need no others. */
     void start() {
+        for (int stage = 0; stage < plan.stages(); stage++) {
+            if (plan.pieces(stage) > 0) {
+                gate.promised(admitted.stagePool(stage), plan.pieces(stage));
+                promised.add(stage);
+            }
+        }
         proceed();
     }
 
@@ -53,13 +62,22 @@
     /** Gives up all results: the request has read what it needs, or is over. */
     void end() {
         over = true;
+        promised.forEach(stage -> gate.submitted(admitted.stagePool(stage), plan.pieces(stage)));
+        promised.clear();
         open.forEach(batches::cancel);
         open.clear();
         free(true);
     }
 
+    /** Says whether the results were given up. */
+    boolean isOver() {
+        return over;
+    }
+
     private void proceed() {
         for (int stage : plan.begin()) {
+            gate.submitted(admitted.stagePool(stage), plan.pieces(stage));
+            promised.remove(stage);
             submit(stage);
         }
         free(false);
@@ -86,12 +104,19 @@
                 first ? admitted.request().pieceKey() : "",
                 first ? List.of() : plan.inputs(number),
                 admitted.rank(),
-                (admitted.objectiveAt() - later - now) / NANOS_PER_MILLI,
-                (admitted.endAt() - now) / NANOS_PER_MILLI,
-                stage.resultBytes());
+                (admitted.times().objectiveAt() - later - now) / NANOS_PER_MILLI,
+                (admitted.times().patienceAt() - now) / NANOS_PER_MILLI,
+                stage.resultBytes(),
+                inputBytes(stage));
         batches.submit(group, results -> received(id, number, results));
     }
 
+    private long inputBytes(RouteStage stage) {
+        return stage.after().stream()
+                .mapToLong(n -> plan.pieces(n) * route.stages().get(n).resultBytes())
+                .sum();
+    }
+
     private void received(long id, int stage, List<PieceResult> results) {
         if (over) {
             return;
--- a/library/src/main/java/org/copperspindle/route/Route.java
+++ b/library/src/main/java/org/copperspindle/route/Route.java
@@ -18,6 +18,7 @@
  * @param stages      work done before the request runs, by number
  * @param open        true if requests need no key
  * @param resumable   true if a stream may go on at another upstream
+ * @param pause       longest pause between events of a stream that is on time, zero for other kinds
  */
 public record Route(
         String name,
@@ -31,7 +32,8 @@
         int maxAttempts,
         List<RouteStage> stages,
         boolean open,
-        boolean resumable) {
+        boolean resumable,
+        Duration pause) {
 
     /** Copies the lists. */
     public Route {
