--- /dev/null
+++ b/emulator/src/main/java/org/copperspindle/emulator/ScriptedUpstream.java
@@ -0,0 +1,165 @@
+package org.copperspindle.emulator;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.OutputStream;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/**
+ * An upstream on a raw socket whose answers are written byte by byte by a script, so that it can break every rule of the
+ * protocol. It keeps what it got.
+ */
+public final class ScriptedUpstream implements AutoCloseable {
+
+    private static final int BACKLOG = 50;
+
+    private final List<ScriptedRequest> received = new CopyOnWriteArrayList<>();
+    private final List<Socket> connections = new CopyOnWriteArrayList<>();
+    private final AtomicInteger number = new AtomicInteger();
+    private final ServerSocket server;
+    private volatile Script script;
+
+    /**
+     * Starts to listen on a free port of loopback.
+     *
+     * @param script what it answers
+     */
+    public ScriptedUpstream(Script script) {
+        this.script = script;
+        try {
+            this.server = new ServerSocket(0, BACKLOG, InetAddress.getByName("127.0.0.1"));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        start(this::accept, "scripted-upstream");
+    }
+
+    /**
+     * Answers by another script from now on.
+     *
+     * @param next the script
+     */
+    public void follow(Script next) {
+        script = next;
+    }
+
+    /**
+     * Returns where it listens.
+     *
+     * @return IP:PORT
+     */
+    public String address() {
+        return "127.0.0.1:" + server.getLocalPort();
+    }
+
+    /**
+     * Returns what it got.
+     *
+     * @return all requests in the order in which they were whole
+     */
+    public List<ScriptedRequest> received() {
+        return received;
+    }
+
+    /**
+     * Returns how many connections it accepted.
+     *
+     * @return a count
+     */
+    public int connections() {
+        return connections.size();
+    }
+
+    @Override
+    public void close() {
+        try {
+            server.close();
+            for (Socket connection : connections) {
+                connection.close();
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private void accept() {
+        while (!server.isClosed()) {
+            try {
+                Socket connection = server.accept();
+                connections.add(connection);
+                start(() -> serve(connection), "scripted-connection");
+            } catch (IOException e) {
+                // Closed; there is nobody to tell.
+                return;
+            }
+        }
+    }
+
+    private void serve(Socket connection) {
+        try {
+            BufferedReader in =
+                    new BufferedReader(new InputStreamReader(connection.getInputStream(), StandardCharsets.ISO_8859_1));
+            for (String line = in.readLine(); line != null; line = in.readLine()) {
+                ScriptedRequest request = read(line, in);
+                received.add(request);
+                script.answer(number.incrementAndGet(), request, connection, connection.getOutputStream());
+            }
+        } catch (IOException e) {
+            // The caller closed the connection, or the script did: either is what a test wants to see at the other end.
+            return;
+        }
+    }
+
+    private static ScriptedRequest read(String line, BufferedReader in) throws IOException {
+        Map<String, String> fields = new HashMap<>();
+        for (String field = in.readLine(); field != null && !field.isEmpty(); field = in.readLine()) {
+            int colon = field.indexOf(':');
+            fields.put(
+                    field.substring(0, colon).toLowerCase(Locale.ROOT),
+                    field.substring(colon + 1).trim());
+        }
+        char[] body = new char[Integer.parseInt(fields.getOrDefault("content-length", "0"))];
+        int length = 0;
+        while (length < body.length) {
+            int count = in.read(body, length, body.length - length);
+            if (count < 0) {
+                throw new IOException("request cut off");
+            }
+            length += count;
+        }
+        String[] words = line.split(" ");
+        return new ScriptedRequest(words[0], words[1], fields, new String(body));
+    }
+
+    private static void start(Runnable task, String name) {
+        Thread thread = new Thread(task, name);
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    /** What an upstream does. */
+    @FunctionalInterface
+    public interface Script {
+        /**
+         * Answers a request.
+         *
+         * @param number     1 for the first request of the upstream
+         * @param request    the request
+         * @param connection its connection
+         * @param out        where the answer goes
+         * @throws IOException if the connection is gone
+         */
+        void answer(int number, ScriptedRequest request, Socket connection, OutputStream out) throws IOException;
+    }
+}
--- a/library/src/test/java/org/copperspindle/direct/DirectClientTest.java
+++ b/library/src/test/java/org/copperspindle/direct/DirectClientTest.java
@@ -13,7 +13,8 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import org.copperspindle.direct.ScriptedUpstream.Script;
+import org.copperspindle.emulator.ScriptedUpstream;
+import org.copperspindle.emulator.ScriptedUpstream.Script;
 import org.copperspindle.http.HeaderField;
 import org.copperspindle.time.LoopTimerService;
 import org.junit.jupiter.api.AfterEach;
@@ -80,13 +81,13 @@
     /** A second answer stands on a kept connection when the next call goes out: it must not get that one. */
     @Test
     void strayAnswerEndsTheConnection() throws Exception {
-        Script script = (number, connection, out) -> write(out, number == 1 ? WHOLE + WHOLE : WHOLE);
+        Script script = (number, request, connection, out) -> write(out, number == 1 ? WHOLE + WHOLE : WHOLE);
         try (ScriptedUpstream upstream = new ScriptedUpstream(script)) {
             assertThat(call(upstream.address(), ConnectionUse.KEPT).get(BOUND_SECONDS, TimeUnit.SECONDS))
                     .isEqualTo("200 whole");
             assertThat(call(upstream.address(), ConnectionUse.KEPT).get(BOUND_SECONDS, TimeUnit.SECONDS))
                     .isEqualTo("200 whole");
-            assertThat(upstream.connections).hasSize(2);
+            assertThat(upstream.connections()).isEqualTo(2);
         }
     }
 
@@ -96,7 +97,7 @@
             for (int i = 0; i < 3; i++) {
                 call(upstream.address(), ConnectionUse.KEPT).get(BOUND_SECONDS, TimeUnit.SECONDS);
             }
-            assertThat(upstream.connections).hasSize(1);
+            assertThat(upstream.connections()).isEqualTo(1);
         }
     }
 
@@ -106,7 +107,7 @@
      */
     @Test
     void callLostWithAKeptConnectionIsSentAgain() throws Exception {
-        Script script = (number, connection, out) -> {
+        Script script = (number, request, connection, out) -> {
             if (number == 2) {
                 connection.close();
             } else {
@@ -119,7 +120,7 @@
                     .isEqualTo("200 whole");
             assertThat(call(upstream.address(), ConnectionUse.NEW).get(BOUND_SECONDS, TimeUnit.SECONDS))
                     .isEqualTo("200 whole");
-            assertThat(upstream.connections).hasSize(3);
+            assertThat(upstream.connections()).isEqualTo(3);
         }
     }
 
@@ -138,7 +139,7 @@
     @Test
     void abortClosesTheConnection() throws Exception {
         CompletableFuture<Integer> ended = new CompletableFuture<>();
-        Script script = (number, connection, out) ->
+        Script script = (number, request, connection, out) ->
                 ended.complete(connection.getInputStream().read());
         try (ScriptedUpstream upstream = new ScriptedUpstream(script)) {
             AtomicReference<UpstreamPort.CallHandle> handle = new AtomicReference<>();
@@ -146,7 +147,7 @@
             loop.submit(() -> handle.set(
                             client.call(call(upstream.address(), "id", ConnectionUse.NEW), new Told(result))))
                     .sync();
-            while (upstream.received.isEmpty()) {
+            while (upstream.received().isEmpty()) {
                 Thread.onSpinWait();
             }
             loop.execute(() -> handle.get().abort("caller-left"));
@@ -167,18 +168,18 @@
     }
 
     private static Script sends(String bytes) {
-        return (number, connection, out) -> write(out, bytes);
+        return (number, request, connection, out) -> write(out, bytes);
     }
 
     private static Script closes(String bytes) {
-        return (number, connection, out) -> {
+        return (number, request, connection, out) -> {
             write(out, bytes);
             connection.close();
         };
     }
 
     private static Script resets(String bytes) {
-        return (number, connection, out) -> {
+        return (number, request, connection, out) -> {
             write(out, bytes);
             reset(connection);
         };
