Open a control member again when its disk works again

Cause: a disk that was full for three seconds stopped its member for good; with another member replaced later the group had no quorum, no change was acknowledged and no lease extended (lines disk-failed, leader-seen without a leader, lease-lost). Ruled out: the replacement itself (the newcomer asked to join; nobody led who could admit it). Change: a keeper opens a stopped member again from what its disk holds, and drops damaged records to join as a new one.

--- a/library/src/main/java/org/copperspindle/consensus/ConsensusLog.java
+++ b/library/src/main/java/org/copperspindle/consensus/ConsensusLog.java
@@ -212,11 +212,7 @@
         return node.membership().toString();
     }
 
-    /**
-     * Says whether the member still takes part.
-     *
-     * @return false after its disk has failed or it was closed
-     */
+    @Override
     public boolean isRunning() {
         return !stopped;
     }
--- a/library/src/main/java/org/copperspindle/consensus/CorruptLogException.java
+++ b/library/src/main/java/org/copperspindle/consensus/CorruptLogException.java
@@ -14,7 +14,14 @@
     private final transient Path file;
     private final long offset;
 
-    CorruptLogException(Path file, long offset, String problem) {
+    /**
+     * Creates the exception.
+     *
+     * @param file    the damaged file
+     * @param offset  where the damage begins, in bytes
+     * @param problem what is wrong
+     */
+    public CorruptLogException(Path file, long offset, String problem) {
         super(problem + " in " + file + " at byte " + offset);
         this.file = file;
         this.offset = offset;
--- a/library/src/main/java/org/copperspindle/control/ReplicatedLog.java
+++ b/library/src/main/java/org/copperspindle/control/ReplicatedLog.java
@@ -56,6 +56,15 @@
         return "";
     }
 
+    /**
+     * Says whether this member still takes part.
+     *
+     * @return false after its disk has failed or it was closed
+     */
+    default boolean isRunning() {
+        return true;
+    }
+
     /**
      * Proposes a command.
      *
--- a/library/src/main/java/org/copperspindle/edition/EditionMember.java
+++ b/library/src/main/java/org/copperspindle/edition/EditionMember.java
@@ -120,6 +120,15 @@
         });
     }
 
+    /**
+     * Says whether the member still takes part in its group.
+     *
+     * @return false after its disk has failed or it was closed
+     */
+    public boolean isRunning() {
+        return log.isRunning();
+    }
+
     @Override
     public void close() {
         closed = true;
--- a/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
@@ -37,9 +37,8 @@
 import org.copperspindle.edition.EditionHolder;
 import org.copperspindle.edition.EditionLeaseAskMessage;
 import org.copperspindle.edition.EditionLeaseMessage;
-import org.copperspindle.edition.EditionMember;
 import org.copperspindle.edition.EditionMessage;
-import org.copperspindle.edition.EditionState;
+import org.copperspindle.edition.MemberKeeper;
 import org.copperspindle.edition.MemberStatus;
 import org.copperspindle.edition.MeshRoster;
 import org.copperspindle.http.HttpExchange;
@@ -133,7 +132,7 @@
     private final StageGate gate;
     private final long startedAt = System.nanoTime();
     private Optional<DecisionRing> ring = Optional.empty();
-    private Optional<WireTransport> memberTransport = Optional.empty();
+    private Optional<MemberKeeper> keeper = Optional.empty();
     private volatile boolean grouped;
     private boolean ready;
     private boolean stopping;
@@ -188,7 +187,7 @@
                 log,
                 ThreadLocalRandom.current());
         subscribe();
-        settings.dataFolder().ifPresent(folder -> openMember(folder.resolve(GROUP)));
+        settings.dataFolder().ifPresent(folder -> keepMember(folder.resolve(GROUP)));
         this.service = new GatewayService(context, holder::inForce);
         ControlDesk desk = new ControlDesk(gossip, exchange, dialects.tables(), loop);
         this.callers = new HttpListener(group, settings.callers(), this::callerLimits, service);
@@ -251,13 +250,12 @@
 
     /** Ends at once, as a crash would; for tests. */
     public void kill() {
-        exchange.member().ifPresent(EditionMember::close);
+        keeper.ifPresent(MemberKeeper::close);
         ring.ifPresent(DecisionRing::close);
         for (HttpListener listener : List.of(callers, readiness, control)) {
             listener.close();
         }
         metrics.ifPresent(HttpListener::close);
-        memberTransport.ifPresent(WireTransport::close);
         transport.close();
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
     }
@@ -297,16 +295,11 @@
         }
     }
 
-    private void openMember(Path folder) {
+    private void keepMember(Path folder) {
         DecisionRing decisions = new DecisionRing("decisions", DecisionRing.DEFAULT_SLOTS);
-        ring = Optional.of(decisions);
         TimerService ringTimers = new SystemTimerService("timer", decisions);
         MeshRoster roster = new MeshRoster(mesh, timers, settings.firstStart(), settings.tolerated());
         mesh.subscribe(roster);
-        EditionState state = new EditionState(edition -> {
-            grouped = true;
-            loop.execute(() -> exchange.recorded(edition));
-        });
         ConsensusSettings consensus = new ConsensusSettings(
                 GROUP,
                 NumericAddress.format(settings.mesh()),
@@ -316,17 +309,27 @@
                 true,
                 folder,
                 ELECTION_TIMEOUT);
-        WireTransport own = new WireTransport(group, registry, greeting, MeshSettings.LIMITS);
-        memberTransport = Optional.of(own);
-        try {
-            exchange.member(EditionMember.open(decisions, ringTimers, own, consensus, state, status -> {
-                grouped |= !status.leader().isEmpty();
-                loop.execute(() -> exchange.status(status));
-            }));
-        } catch (IOException e) {
-            // Without its disk the node still serves requests; the rest of the group records changes.
-            LOGGER.error("event=member-not-opened folder={} reason=\"{}\"", folder, e.toString());
-        }
+        NodeMemberOpener opener = new NodeMemberOpener(
+                decisions,
+                ringTimers,
+                () -> new WireTransport(group, registry, greeting, MeshSettings.LIMITS),
+                consensus,
+                this::recorded,
+                this::memberStatus);
+        MemberKeeper kept = new MemberKeeper(ringTimers, opener, member -> loop.execute(() -> exchange.member(member)));
+        ring = Optional.of(decisions);
+        keeper = Optional.of(kept);
+        decisions.execute(kept::start);
+    }
+
+    private void recorded(EditionMessage edition) {
+        grouped = true;
+        loop.execute(() -> exchange.recorded(edition));
+    }
+
+    private void memberStatus(MemberStatus status) {
+        grouped |= !status.leader().isEmpty();
+        loop.execute(() -> exchange.status(status));
     }
 
     private NodeHelloMessage hello() {
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/gateway/NodeMemberOpener.java
@@ -0,0 +1,70 @@
+package org.copperspindle.gateway;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import java.util.stream.Stream;
+
+import org.copperspindle.consensus.ConsensusSettings;
+import org.copperspindle.core.DecisionRing;
+import org.copperspindle.edition.EditionMember;
+import org.copperspindle.edition.EditionMessage;
+import org.copperspindle.edition.EditionState;
+import org.copperspindle.edition.MemberKeeper.MemberOpener;
+import org.copperspindle.edition.MemberStatus;
+import org.copperspindle.time.TimerService;
+import org.copperspindle.wire.WireTransport;
+
+/**
+ * Opens a node's member of the control group with connections of its own.
+ */
+final class NodeMemberOpener implements MemberOpener {
+
+    private final DecisionRing ring;
+    private final TimerService timers;
+    private final Supplier<WireTransport> transports;
+    private final ConsensusSettings settings;
+    private final Consumer<EditionMessage> recorded;
+    private final Consumer<MemberStatus> status;
+    private Optional<WireTransport> transport = Optional.empty();
+
+    NodeMemberOpener(
+            DecisionRing ring,
+            TimerService timers,
+            Supplier<WireTransport> transports,
+            ConsensusSettings settings,
+            Consumer<EditionMessage> recorded,
+            Consumer<MemberStatus> status) {
+        this.ring = ring;
+        this.timers = timers;
+        this.transports = transports;
+        this.settings = settings;
+        this.recorded = recorded;
+        this.status = status;
+    }
+
+    @Override
+    public EditionMember open() throws IOException {
+        // The stopped member's listening socket holds the address that the next one needs.
+        transport.ifPresent(WireTransport::close);
+        WireTransport own = transports.get();
+        transport = Optional.of(own);
+        return EditionMember.open(ring, timers, own, settings, new EditionState(recorded), status);
+    }
+
+    @Override
+    public void dropRecords() throws IOException {
+        List<Path> records = new ArrayList<>();
+        try (Stream<Path> files = Files.list(settings.dataFolder())) {
+            files.forEach(records::add);
+        }
+        for (Path path : records) {
+            Files.delete(path);
+        }
+    }
+}
