Tell one request's story from the logs of many processes

bin/copperspindle explain reads logs, brings clocks that differ in line, and adds what was believed meanwhile of the upstreams and of the node's lease.

--- a/tools/src/main/java/org/copperspindle/cli/Copperspindle.java
+++ b/tools/src/main/java/org/copperspindle/cli/Copperspindle.java
@@ -25,7 +25,8 @@
             new AuditCommand(),
             new MeasureCommand(),
             new ReplayCommand(),
-            new EmulateCommand());
+            new EmulateCommand(),
+            new ExplainCommand());
     private static final String COMMAND_KEY = "command";
 
     private Copperspindle() {}
