--- /dev/null
+++ b/library/src/main/java/org/copperspindle/gateway/GateJudgement.java
@@ -0,0 +1,11 @@
+package org.copperspindle.gateway;
+
+/**
+ * A verdict of the gate before the stages, with what decided it.
+ *
+ * @param verdict      what becomes of the request
+ * @param finishMillis when its first event would come, from now, by what the pools tell
+ * @param leftMillis   time left to its objective; below zero if that has passed
+ * @param held         requests that this node held already
+ */
+record GateJudgement(GateVerdict verdict, long finishMillis, long leftMillis, int held) {}
--- a/library/src/main/java/org/copperspindle/gateway/RequestRun.java
+++ b/library/src/main/java/org/copperspindle/gateway/RequestRun.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
 
@@ -163,7 +164,8 @@
             refuse(Refusal.failed("stage-" + stage + "-missed"));
             return;
         }
-        refuse(unavailable("stage-" + stage + "-" + reason.name().toLowerCase(), "a stage could not be run in time"));
+        refuse(unavailable(
+                "stage-" + stage + "-" + reason.name().toLowerCase(Locale.ROOT), "a stage could not be run in time"));
     }
 
     private void passGate() {
@@ -171,7 +173,9 @@
             return;
         }
         long now = context.timers().nanoTime();
-        GateVerdict verdict = context.gate().judge(admitted, held, now);
+        GateJudgement judgement = context.gate().judge(admitted, held, now);
+        GateVerdict verdict = judgement.verdict();
+        noteGate(judgement, now);
         if (verdict == GateVerdict.HOLD) {
             hold(true);
             context.timers().schedule(HELD_LOOK_NANOS, this::passGate);
@@ -186,6 +190,23 @@
         }
     }
 
+    /** Leaves a line when a request begins to be held, and when it is refused; to begin at once is the rule. */
+    private void noteGate(GateJudgement judgement, long now) {
+        boolean begins = judgement.verdict() == GateVerdict.BEGIN;
+        boolean stillHeld = held && judgement.verdict() == GateVerdict.HOLD;
+        if (begins && !held || stillHeld || !context.log().takesFailed(now)) {
+            return;
+        }
+        LOGGER.info(
+                "event=gate-{} request={} finish_ms={} left_ms={} held={} rank={}",
+                judgement.verdict().name().toLowerCase(Locale.ROOT),
+                request.id(),
+                judgement.finishMillis(),
+                judgement.leftMillis(),
+                judgement.held(),
+                admitted.rank());
+    }
+
     private void hold(boolean holds) {
         if (held != holds) {
             held = holds;
--- a/library/src/main/java/org/copperspindle/gateway/StageGate.java
+++ b/library/src/main/java/org/copperspindle/gateway/StageGate.java
@@ -47,6 +47,7 @@
     private static final double RANK_MARGIN = 0.03;
 
     private static final double NANOS_PER_SECOND = 1e9;
+    private static final long NANOS_PER_MILLI = 1_000_000L;
 
     private final Function<String, PoolLoad> loads;
     private final IntSupplier nodes;
@@ -71,7 +72,7 @@
      *
      * @param wasHeld true if it was held before and is counted as such
      */
-    GateVerdict judge(AdmittedRequest request, boolean wasHeld, long now) {
+    GateJudgement judge(AdmittedRequest request, boolean wasHeld, long now) {
         StagePlan plan =
                 new StagePlan(request.route().stages(), request.request().pieces());
         long engine = ENGINE_FIRST_EVENT.toNanos();
@@ -80,14 +81,17 @@
                         waitNanos(request.stagePool(stage), begin) + expectedNanos(request, plan, stage))
                 + engine;
         long margin = (long) (request.route().objective().toNanos() * RANK_MARGIN * request.rank());
-        boolean onTime = now + finish + margin - request.times().objectiveAt() <= 0;
+        long left = request.times().objectiveAt() - now;
         boolean idle = finish - shortest < IDLE_NANOS;
-        if (onTime || idle && mayRelease(wasHeld, now)) {
-            return GateVerdict.BEGIN;
-        }
         boolean inTime =
                 now + shortest + HOLD_RESERVE.toNanos() - request.times().patienceAt() < 0;
-        return inTime && (wasHeld || held < MOST_HELD) ? GateVerdict.HOLD : GateVerdict.REFUSE;
+        GateVerdict verdict = GateVerdict.REFUSE;
+        if (finish + margin <= left || idle && mayRelease(wasHeld, now)) {
+            verdict = GateVerdict.BEGIN;
+        } else if (inTime && (wasHeld || held < MOST_HELD)) {
+            verdict = GateVerdict.HOLD;
+        }
+        return new GateJudgement(verdict, finish / NANOS_PER_MILLI, left / NANOS_PER_MILLI, held);
     }
 
     /** Counts pieces that a request which has begun will send to a pool later. */
--- a/library/src/test/java/org/copperspindle/gateway/StageGateTest.java
+++ b/library/src/test/java/org/copperspindle/gateway/StageGateTest.java
@@ -42,18 +42,19 @@
     void beginsWhatCanBeOnTimeAndHoldsOrRefusesTheRest(
             long wait, long waitedMillis, long deadlineMillis, GateVerdict verdict) {
         waitMillis = wait;
-        assertThat(gate.judge(request(waitedMillis, deadlineMillis), false, 0)).isEqualTo(verdict);
+        assertThat(gate.judge(request(waitedMillis, deadlineMillis), false, 0).verdict())
+                .isEqualTo(verdict);
     }
 
     /** Requests in their first stage will fill the pool of the second: its queue is still empty when the next one comes. */
     @Test
     void countsWhatRequestsBeforeItWillSend() {
         AdmittedRequest request = request(0, 20_000);
-        assertThat(gate.judge(request, false, 0)).isEqualTo(GateVerdict.BEGIN);
+        assertThat(gate.judge(request, false, 0).verdict()).isEqualTo(GateVerdict.BEGIN);
         gate.promised("s2", 120);
-        assertThat(gate.judge(request, false, 0)).isEqualTo(GateVerdict.HOLD);
+        assertThat(gate.judge(request, false, 0).verdict()).isEqualTo(GateVerdict.HOLD);
         gate.submitted("s2", 120);
-        assertThat(gate.judge(request, false, 0)).isEqualTo(GateVerdict.BEGIN);
+        assertThat(gate.judge(request, false, 0).verdict()).isEqualTo(GateVerdict.BEGIN);
     }
 
     /** A burst is over and many requests are held at once: they begin one after the other. */
@@ -61,10 +62,10 @@
     void heldRequestsBeginOneAtATime() {
         AdmittedRequest late = request(5000, 20_000);
         gate.held(2);
-        assertThat(gate.judge(late, true, 0)).isEqualTo(GateVerdict.BEGIN);
-        assertThat(gate.judge(late, true, 100 * MILLI)).isEqualTo(GateVerdict.HOLD);
-        assertThat(gate.judge(late, true, 150 * MILLI)).isEqualTo(GateVerdict.BEGIN);
-        assertThat(gate.judge(late, false, 400 * MILLI))
+        assertThat(gate.judge(late, true, 0).verdict()).isEqualTo(GateVerdict.BEGIN);
+        assertThat(gate.judge(late, true, 100 * MILLI).verdict()).isEqualTo(GateVerdict.HOLD);
+        assertThat(gate.judge(late, true, 150 * MILLI).verdict()).isEqualTo(GateVerdict.BEGIN);
+        assertThat(gate.judge(late, false, 400 * MILLI).verdict())
                 .as("not before those held")
                 .isEqualTo(GateVerdict.HOLD);
     }
@@ -73,8 +74,8 @@
     void refusesBeyondTheMostThatAreHeld() {
         waitMillis = 1600;
         gate.held(32);
-        assertThat(gate.judge(request(0, 20_000), false, 0)).isEqualTo(GateVerdict.REFUSE);
-        assertThat(gate.judge(request(0, 20_000), true, 0)).isEqualTo(GateVerdict.HOLD);
+        assertThat(gate.judge(request(0, 20_000), false, 0).verdict()).isEqualTo(GateVerdict.REFUSE);
+        assertThat(gate.judge(request(0, 20_000), true, 0).verdict()).isEqualTo(GateVerdict.HOLD);
     }
 
     private static AdmittedRequest request(long waitedMillis, long deadlineMillis) {
