Name latency metrics so that the text format keeps them apart

Cause: the metrics library drops the suffix bucket, so that bounds and sum of a histogram came under one name. Test: RequestPathTest, which failed for it.

--- a/library/src/main/java/org/copperspindle/gateway/GatewayMetrics.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayMetrics.java
@@ -167,7 +167,7 @@
         for (int bucket = 0; bucket <= LatencyHistogram.bounds(); bucket++) {
             int number = bucket;
             metrics.counter(
-                    name + ".bucket",
+                    name + ".within",
                     description + ", by upper bound",
                     histogram,
                     h -> h.atMost(number),
@@ -176,7 +176,7 @@
                     "le",
                     LatencyHistogram.bound(bucket));
         }
-        metrics.counter(name + ".sum", description, histogram, LatencyHistogram::sumSeconds, "route", route);
+        metrics.counter(name + ".spent", description, histogram, LatencyHistogram::sumSeconds, "route", route);
     }
 
     private void gauge(MetricsRegistry metrics, String name, String description, ToDoubleFunction<NodeState> value) {
