Part an attempt from its request, and end a stream that can't go on

Change: UpstreamAttempt holds one attempt; its owner breaks a begun stream off, or goes on elsewhere.

--- a/library/src/main/java/org/copperspindle/gateway/RequestRun.java
+++ b/library/src/main/java/org/copperspindle/gateway/RequestRun.java
@@ -1,6 +1,5 @@
 package org.copperspindle.gateway;
 
-import java.io.ByteArrayOutputStream;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -13,11 +12,7 @@
 import org.apache.logging.log4j.Logger;
 import org.copperspindle.batch.MissReason;
 import org.copperspindle.direct.ConnectionUse;
-import org.copperspindle.direct.DirectCall;
-import org.copperspindle.direct.DirectFailure;
 import org.copperspindle.direct.DirectHead;
-import org.copperspindle.direct.DirectListener;
-import org.copperspindle.direct.UpstreamPort.CallHandle;
 import org.copperspindle.discovery.UpstreamNews;
 import org.copperspindle.http.HeaderField;
 import org.copperspindle.http.HttpExchange;
@@ -38,9 +33,6 @@
     /** Attempts that reached no upstream cost nothing there, but each costs the caller up to a connection timeout. */
     private static final int MAX_UNSENT = 3;
 
-    /** Largest answer that is held to be passed on whole. */
-    private static final int MAX_HELD_BYTES = 8 << 20;
-
     /** Stages are made anew once: results that vanish twice mean that their makers are in trouble. */
     private static final int MAX_STAGE_RUNS = 2;
 
@@ -67,8 +59,9 @@
     private final long endAt;
     private final AnswerRelay relay;
     private final Set<String> tried = new HashSet<>();
+    private final UpstreamAttempt.Owner owner = new AttemptOwner();
     private Optional<StageRun> stages = Optional.empty();
-    private Optional<Attempt> attempt = Optional.empty();
+    private Optional<UpstreamAttempt> attempt = Optional.empty();
     private TimerSubscription timeout = () -> {};
     private int stageRuns;
     private int sent;
@@ -284,12 +277,9 @@
                     (now - beganAt) / NANOS_PER_MILLI,
                     resumeAfter.orElse(""));
         }
-        Attempt next = new Attempt(upstream, now);
+        UpstreamAttempt next = new UpstreamAttempt(context, admitted, upstream, sent, relay, owner);
         attempt = Optional.of(next);
-        context.tracker().started(upstream.id());
-        DirectCall call = context.upstreams().write(order);
-        CallHandle handle = context.port().call(call, next);
-        next.handle = handle;
+        next.send(order);
     }
 
     /** What follows an attempt that is proved not to have run. */
@@ -369,16 +359,6 @@
         exchange.respond(refusal.status(), fields, details.body());
     }
 
-    private void answered(int status, List<HeaderField> fields, byte[] body) {
-        exchange.respond(status, fields, body);
-        end("status-" + status, status >= SERVER_ERROR);
-    }
-
-    private void finished() {
-        relay.finish();
-        end("streamed", false);
-    }
-
     private void end(String outcome, boolean failed) {
         over = true;
         hold(false);
@@ -414,166 +394,63 @@
         return Refusal.unavailable(reason, title, Duration.ofMillis(millis));
     }
 
-    /** One attempt at one upstream. */
-    private final class Attempt implements DirectListener {
-        private final UpstreamNews upstream;
-        private final long sentAt;
-        private final ByteArrayOutputStream held = new ByteArrayOutputStream();
-        private CallHandle handle = reason -> {};
-        private Optional<DirectHead> head = Optional.empty();
-        private boolean streams;
-        private boolean ended;
-
-        private Attempt(UpstreamNews upstream, long sentAt) {
-            this.upstream = upstream;
-            this.sentAt = sentAt;
-        }
-
+    /** What follows from how an attempt went. */
+    private final class AttemptOwner implements UpstreamAttempt.Owner {
         @Override
-        public void onHead(DirectHead received) {
-            if (ended) {
-                return;
-            }
-            head = Optional.of(received);
-            streams = route.kind() == RouteKind.STREAM && received.isSuccess();
-            if (streams) {
-                relay.begin(received.status(), context.upstreams().callerFields(received));
-            }
+        public void onFirstEvent() {
+            // The upstream has read its inputs before its first event. Held to the end of the stream, the results of 44
+            // streams fill the memory of a pool of four, and its calls shrink to a few pieces.
+            stages.ifPresent(StageRun::end);
         }
 
         @Override
-        public void onData(byte[] data) {
-            if (ended) {
-                return;
-            }
-            if (!streams) {
-                hold(data);
-                return;
-            }
-            boolean before = relay.hasStarted();
-            if (!relay.accept(data)) {
-                abortAndFail("events-missing");
-            } else if (!before && relay.hasStarted()) {
-                // The upstream has read its inputs before its first event. Held to the end of the stream, the results
-                // of
-                // 44 streams fill the memory of a pool of four, and its calls shrink to a few pieces.
-                stages.ifPresent(StageRun::end);
-            }
+        public void onStreamed() {
+            attempt = Optional.empty();
+            relay.finish();
+            end("streamed", false);
         }
 
         @Override
-        public void onEnd() {
-            if (ended) {
-                return;
-            }
-            DirectHead answer = head.orElseThrow();
-            if (streams && !relay.isWhole()) {
-                fail("event-cut");
-                return;
-            }
-            if (context.upstreams().provesNotRun(answer)) {
-                notRun(answer);
-                return;
-            }
-            close(true, "");
-            if (streams) {
-                finished();
-            } else if (answer.status() >= SERVER_ERROR && route.isIdempotent() && mayRepeat()) {
-                afterFailure("upstream-status-" + answer.status());
+        public void onAnswer(DirectHead head, byte[] body) {
+            attempt = Optional.empty();
+            if (relay.hasStarted()) {
+                // The stream was to go on here; the caller can't be given another answer in the middle of it.
+                afterFailure("upstream-status-" + head.status());
+            } else if (head.status() >= SERVER_ERROR && route.isIdempotent() && mayRepeat()) {
+                afterFailure("upstream-status-" + head.status());
             } else {
-                answered(answer.status(), context.upstreams().callerFields(answer), held.toByteArray());
+                exchange.respond(head.status(), context.upstreams().callerFields(head), body);
+                end("status-" + head.status(), head.status() >= SERVER_ERROR);
             }
         }
 
         @Override
-        public void onFailure(DirectFailure failure) {
-            if (ended) {
-                return;
-            }
-            if (failure.sent()) {
-                fail(failure.reason());
-                return;
-            }
-            close(false, failure.reason());
-            note("unsent", failure.reason());
-            afterNotRun(failure.reason(), false);
-        }
-
-        private boolean mayRepeat() {
-            return sent < route.maxAttempts()
-                    && context.budget().left(pool, context.timers().nanoTime()) >= 1;
+        public void onNotRun(String reason, boolean reached) {
+            attempt = Optional.empty();
+            afterNotRun(reason, reached);
         }
 
-        private void notRun(DirectHead answer) {
-            Optional<String> other = context.upstreams().otherUpstream(answer);
-            boolean lacksInputs = context.upstreams().lacksInputs(answer);
-            close(true, "");
-            note("not-run", "status-" + answer.status());
-            if (other.isPresent() && !other.get().equals(upstream.id())) {
-                // The address belongs to another upstream now: nothing reached the one that was meant.
-                context.gossip().left(upstream.id(), "address-answers-for-another");
-                afterNotRun("upstream-replaced", false);
-            } else if (lacksInputs && stageRuns < MAX_STAGE_RUNS) {
-                attempt = Optional.empty();
+        @Override
+        public void onInputsLost(String upstream) {
+            attempt = Optional.empty();
+            if (stageRuns < MAX_STAGE_RUNS) {
                 sent--;
-                tried.remove(upstream.id());
+                tried.remove(upstream);
                 runStages();
             } else {
-                afterNotRun("upstream-status-" + answer.status(), true);
-            }
-        }
-
-        private void hold(byte[] data) {
-            held.writeBytes(data);
-            if (held.size() > MAX_HELD_BYTES) {
-                abortAndFail("answer-too-large");
-            }
-        }
-
-        private void abortAndFail(String reason) {
-            handle.abort(reason);
-            fail(reason);
-        }
-
-        private void fail(String reason) {
-            close(false, reason);
-            note("failed", reason);
-            afterFailure(reason);
-        }
-
-        /** Ends the attempt for a reason of the caller's or of the clock. */
-        private void abort(String reason) {
-            if (ended) {
-                return;
+                afterNotRun("inputs-lost", true);
             }
-            ended = true;
-            handle.abort(reason);
-            context.tracker().ended(upstream.id(), false);
         }
 
-        private void close(boolean good, String reason) {
-            ended = true;
+        @Override
+        public void onFailure(String reason) {
             attempt = Optional.empty();
-            if (good) {
-                context.tracker().ended(upstream.id(), true);
-            } else {
-                context.tracker().failed(upstream.id(), context.timers().nanoTime(), reason);
-            }
+            afterFailure(reason);
         }
 
-        private void note(String outcome, String reason) {
-            long now = context.timers().nanoTime();
-            if (context.log().takesFailed(now)) {
-                LOGGER.info(
-                        "event=attempt-{} request={} attempt={} upstream={} reason={} took_ms={} budget_left={}",
-                        outcome,
-                        request.id(),
-                        sent,
-                        upstream.id(),
-                        reason,
-                        (now - sentAt) / NANOS_PER_MILLI,
-                        (long) context.budget().left(pool, now));
-            }
+        private boolean mayRepeat() {
+            return sent < route.maxAttempts()
+                    && context.budget().left(pool, context.timers().nanoTime()) >= 1;
         }
     }
 }
