--- a/library/src/main/java/org/copperspindle/batch/BatchService.java
+++ b/library/src/main/java/org/copperspindle/batch/BatchService.java
@@ -273,9 +273,8 @@
     private void freeUnwanted(PieceResultsMessage results) {
         for (PieceResult result : results.results()) {
             if (result.outcome() instanceof PieceOutcome.Made made) {
-                int slash = made.handle().indexOf('/');
-                directory
-                        .findByAddress(made.handle().substring(0, Math.max(0, slash)))
+                ResultHandle.makerAddress(made.handle())
+                        .flatMap(directory::findByAddress)
                         .map(UpstreamNews::pool)
                         .ifPresent(pool -> free(pool, List.of(made.handle())));
             }
--- a/library/src/main/java/org/copperspindle/batch/PoolDispatcher.java
+++ b/library/src/main/java/org/copperspindle/batch/PoolDispatcher.java
@@ -99,12 +99,7 @@
 
     void free(List<String> handles) {
         for (String handle : handles) {
-            int slash = handle.indexOf('/');
-            String address = slash < 0 ? handle : handle.substring(0, slash);
-            upstreams.values().stream()
-                    .filter(u -> u.news().address().equals(address))
-                    .findFirst()
-                    .ifPresent(u -> u.free(handle));
+            ResultHandle.makerAddress(handle).flatMap(this::findByAddress).ifPresent(maker -> maker.free(handle));
         }
         if (!freeing) {
             freeing = true;
@@ -190,11 +185,16 @@
                                 && u.busyNanos(now) < group.arrivedAt() + wait - now);
     }
 
+    private Optional<StageUpstream> findByAddress(String address) {
+        return upstreams.values().stream()
+                .filter(u -> u.news().address().equals(address))
+                .findFirst();
+    }
+
     private Optional<String> domainOf(String handle) {
-        int slash = handle.indexOf('/');
-        return slash < 0
-                ? Optional.empty()
-                : directory.findByAddress(handle.substring(0, slash)).map(UpstreamNews::failureDomain);
+        return ResultHandle.makerAddress(handle)
+                .flatMap(directory::findByAddress)
+                .map(UpstreamNews::failureDomain);
     }
 
     /** Returns the upstreams that a call may go to now, the fastest first. */
@@ -218,9 +218,9 @@
 
     private void send(StageUpstream upstream, List<PieceTask> tasks, BatchLimits known) {
         long now = timers.nanoTime();
-        upstream.started(now + (long) (known.expectedNanos(tasks.size()) * upstream.slowness()));
-        tasks.forEach(task -> running.merge(task.group(), 1, Integer::sum));
         long expected = known.expectedNanos(tasks.size());
+        upstream.started(now + (long) (expected * upstream.slowness()));
+        tasks.forEach(task -> running.merge(task.group(), 1, Integer::sum));
         long timeout = PATIENCE * expected / NANOS_PER_MILLI + FETCH.toMillis();
         if (log.takesServed(now)) {
             LOGGER.info(
--- a/library/src/main/java/org/copperspindle/edition/EditionHolder.java
+++ b/library/src/main/java/org/copperspindle/edition/EditionHolder.java
@@ -151,15 +151,6 @@
         return edition.map(EditionMessage::version).orElse(0L);
     }
 
-    /**
-     * Returns what is held, in force or not.
-     *
-     * @return the version with its text
-     */
-    public Optional<EditionMessage> held() {
-        return edition;
-    }
-
     /**
      * Returns the table held, in force or not.
      *
--- a/library/src/main/java/org/copperspindle/gateway/GatewayContext.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayContext.java
@@ -35,7 +35,7 @@
         DirectoryGossip gossip,
         UpstreamTracker tracker,
         UpstreamChooser chooser,
-        RetryBudget budget,
+        SharedRetryBudget budget,
         StageGate gate,
         OpenRequests open,
         GatewayCounters counters,
--- a/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
@@ -122,7 +122,7 @@
     private final OpenRequests open = new OpenRequests();
     private final GatewayService service;
     private final GatewayCounters counters = new GatewayCounters();
-    private final RetryBudget budget;
+    private final SharedRetryBudget budget;
     private final UpstreamTracker tracker = new UpstreamTracker();
     private final HttpListener callers;
     private final HttpListener readiness;
@@ -164,9 +164,9 @@
                 directory,
                 dialects.stages(client, timers),
                 pool -> holder.heldTable().flatMap(t -> t.findPool(pool)).flatMap(UpstreamPool::batch),
-                () -> ready && !stopping,
+                this::serves,
                 log);
-        this.budget = new RetryBudget(
+        this.budget = new SharedRetryBudget(
                 settings.retries().ratio(),
                 settings.retries().slack(),
                 settings.retries().window());
@@ -337,7 +337,7 @@
                 NumericAddress.format(settings.control()),
                 settings.failureDomain(),
                 settings.dataFolder().isPresent(),
-                ready && !stopping,
+                serves(),
                 grouped,
                 exchange.status().term(),
                 exchange.status().leader(),
@@ -369,8 +369,12 @@
         return ready || up > needed.toNanos();
     }
 
+    private boolean serves() {
+        return ready && !stopping;
+    }
+
     private void answerReadiness(HttpExchange question) {
-        boolean serves = ready && !stopping;
+        boolean serves = serves();
         byte[] body = ("{\"ready\":" + serves + "}").getBytes(StandardCharsets.UTF_8);
         question.respond(serves ? OK : UNAVAILABLE, "application/json", Map.of(), body);
     }
@@ -435,7 +439,7 @@
     private final class Shown implements NodeState {
         @Override
         public boolean isReady() {
-            return ready && !stopping;
+            return serves();
         }
 
         @Override
@@ -474,7 +478,7 @@
         }
 
         @Override
-        public RetryBudget budget() {
+        public SharedRetryBudget budget() {
             return budget;
         }
 
--- a/library/src/main/java/org/copperspindle/gateway/NodeState.java
+++ b/library/src/main/java/org/copperspindle/gateway/NodeState.java
@@ -35,7 +35,7 @@
     StageGate gate();
 
     /** Returns the bound on repeats. */
-    RetryBudget budget();
+    SharedRetryBudget budget();
 
     /** Returns the counts of requests. */
     GatewayCounters counters();
--- a/library/src/main/java/org/copperspindle/gateway/RetryBudget.java
+++ b/library/src/main/java/org/copperspindle/gateway/SharedRetryBudget.java
@@ -9,7 +9,7 @@
  * multiplies its load just when it can bear least. Each node keeps to a share, so that the shares add up to less than
  * the whole also while the number of nodes changes.
  */
-public final class RetryBudget {
+public final class SharedRetryBudget {
 
     /** Part of the allowance that nodes use: the rest covers nodes that count themselves differently for a while. */
     private static final double USED = 0.6;
@@ -29,7 +29,7 @@
      * @param slack  repeats allowed in a window besides, over all nodes
      * @param window length of a window
      */
-    public RetryBudget(double ratio, double slack, Duration window) {
+    public SharedRetryBudget(double ratio, double slack, Duration window) {
         this.ratio = ratio;
         this.slack = slack;
         this.bucketNanos = window.toNanos() / BUCKETS;
--- a/library/src/main/java/org/copperspindle/mesh/NodeMesh.java
+++ b/library/src/main/java/org/copperspindle/mesh/NodeMesh.java
@@ -41,7 +41,6 @@
     private final Set<String> dialling = new HashSet<>();
     private final List<MeshListener> listeners = new ArrayList<>();
     private Set<String> seeds = Set.of();
-    private boolean stopped;
 
     /**
      * Creates the mesh.
@@ -76,11 +75,6 @@
         tick();
     }
 
-    /** Stops saying hello and dialling; open connections stay. */
-    public void stop() {
-        stopped = true;
-    }
-
     /**
      * Takes other seeds, after a change of settings.
      *
@@ -202,9 +196,6 @@
     }
 
     private void tick() {
-        if (stopped) {
-            return;
-        }
         announce();
         dialMissing();
         timers.schedule(MeshSettings.HELLO_INTERVAL.toNanos(), this::tick);
--- a/library/src/test/java/org/copperspindle/gateway/RetryBudgetTest.java
+++ b/library/src/test/java/org/copperspindle/gateway/SharedRetryBudgetTest.java
@@ -7,7 +7,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-class RetryBudgetTest {
+class SharedRetryBudgetTest {
 
     private static final long SECOND = 1_000_000_000L;
 
@@ -20,14 +20,14 @@
     void repeatsOfAllNodesStayWithinTheAllowance(int nodes, int requestsPerSecond) {
         double ratio = 0.2;
         double slack = 58;
-        RetryBudget[] budgets = new RetryBudget[nodes];
+        SharedRetryBudget[] budgets = new SharedRetryBudget[nodes];
         for (int i = 0; i < nodes; i++) {
-            budgets[i] = new RetryBudget(ratio, slack, Duration.ofSeconds(10));
+            budgets[i] = new SharedRetryBudget(ratio, slack, Duration.ofSeconds(10));
             budgets[i].nodes(nodes);
         }
         long[] repeats = new long[40];
         for (int second = 0; second < repeats.length; second++) {
-            for (RetryBudget budget : budgets) {
+            for (SharedRetryBudget budget : budgets) {
                 for (int i = 0; i < requestsPerSecond; i++) {
                     long now = second * SECOND + i * SECOND / requestsPerSecond;
                     budget.requested("p", now);
@@ -47,7 +47,7 @@
     @ParameterizedTest
     @CsvSource({"5, false", "11, true"})
     void repeatsComeBackWithTheNextWindow(int seconds, boolean left) {
-        RetryBudget budget = new RetryBudget(0, 2, Duration.ofSeconds(10));
+        SharedRetryBudget budget = new SharedRetryBudget(0, 2, Duration.ofSeconds(10));
         assertThat(budget.take("p", 0)).isTrue();
         assertThat(budget.take("p", 0)).isFalse();
         assertThat(budget.take("q", 0)).as("another pool").isTrue();
