Tell first comers soon that there is no room, and bring those that came back through

Late requests stood behind all others in the pools' queues and lost their results there. Change: a first comer is held for a quarter of its objective at most, then told to come back after 22 to 33 in 100 of its time. One that has come back is held, begins at waits that may be longer the longer it was held (a tenth), and once begun gets one and a half objectives. Times of calls are reckoned with the pieces that wait. Each decision to begin has a line.

--- a/library/src/main/java/org/copperspindle/gateway/RequestRun.java
+++ b/library/src/main/java/org/copperspindle/gateway/RequestRun.java
@@ -46,8 +46,13 @@
     /** Shortest time after which a refused caller should come back, and the spread over which callers come. */
     private static final long RETURN_MILLIS = 250;
 
-    /** The same where all pools of a stage are full: bursts last several seconds. */
-    private static final long BURST_MILLIS = 1200;
+    /**
+     * Part of the time that a caller has left, after which it should come back where stage pools are full, and the part
+     * over which callers are spread. Bursts last for several seconds; the rest of the time is enough for a whole run.
+     */
+    private static final double BURST_SHARE = 0.22;
+
+    private static final double BURST_SPREAD = 0.11;
 
     private final GatewayContext context;
     private final HttpExchange exchange;
@@ -183,11 +188,14 @@
         }
     }
 
-    /** Leaves a line when a request begins to be held, and when it is refused; to begin at once is the rule. */
+    /** Leaves a line when a request begins, when it begins to be held, and when it is refused. */
     private void noteGate(GateJudgement judgement, long now) {
         boolean begins = judgement.verdict() == GateVerdict.BEGIN;
         boolean stillHeld = held && judgement.verdict() == GateVerdict.HOLD;
-        if (begins && !held || stillHeld || !context.log().takesFailed(now)) {
+        if (stillHeld
+                || !(begins && !held
+                        ? context.log().takesServed(now)
+                        : context.log().takesFailed(now))) {
             return;
         }
         LOGGER.info(
@@ -384,9 +392,9 @@
         }
     }
 
-    /** When pools are full, callers come back spread over the seconds in which a burst ends. */
     private Duration afterBurst() {
-        return Duration.ofMillis(BURST_MILLIS + context.random().nextLong(BURST_MILLIS));
+        double share = BURST_SHARE + BURST_SPREAD * context.random().nextDouble();
+        return Duration.ofNanos((long) ((endAt - context.timers().nanoTime()) * share));
     }
 
     private Refusal unavailable(String reason, String title) {
--- a/library/src/main/java/org/copperspindle/gateway/RequestTimes.java
+++ b/library/src/main/java/org/copperspindle/gateway/RequestTimes.java
@@ -13,8 +13,12 @@
  * @param objectiveAt until when an answer is worth most
  * @param endAt       when its time is over
  * @param patienceAt  when its caller leaves unless a first event or the answer has come
+ * @param returned    whether its caller was refused before and has come back
  */
-record RequestTimes(long beganAt, long objectiveAt, long endAt, long patienceAt) {
+record RequestTimes(long beganAt, long objectiveAt, long endAt, long patienceAt, boolean returned) {
+
+    /** Less time than this is lost on the way here; a caller that was refused waits longer before it comes back. */
+    private static final long RETURNED_MILLIS = 100;
 
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
@@ -40,7 +44,12 @@
         long time =
                 deadlineMillis.isPresent() ? Math.min(timeout, deadlineMillis.getAsLong() * NANOS_PER_MILLI) : timeout;
         long objectiveAt = now + route.objective().toNanos() - waitedMillis * NANOS_PER_MILLI;
-        return new RequestTimes(now, objectiveAt, now + time, now + Math.min(time, patienceNanos(route)));
+        return new RequestTimes(
+                now,
+                objectiveAt,
+                now + time,
+                now + Math.min(time, patienceNanos(route)),
+                waitedMillis >= RETURNED_MILLIS);
     }
 
     private static long patienceNanos(Route route) {
--- a/library/src/main/java/org/copperspindle/gateway/StageGate.java
+++ b/library/src/main/java/org/copperspindle/gateway/StageGate.java
@@ -16,9 +16,9 @@
  * <p>The load it answers: a burst brings up to two and a half times what the stage pools make, for several seconds. Once
  * begun, a request holds results at their makers, which forget them after a few seconds; a request that is begun and
  * then waits between two stages wastes what was made for it. So only those begin that can meet their objective by what
- * the pools tell of their waits and by what was promised to requests before them. The others are held while nothing of
- * them has been made, and begin when the pools have nothing to do; those that would not come to that while their caller
- * waits are refused at once.
+ * the pools tell of their waits and by what was promised to requests before them. The others are told at once to come
+ * back when the burst may be over. Those that have come back are held while nothing of them has been made, and begin when
+ * the pools have nothing to do: sent away again, their callers would have waited twice for nothing.
  */
 final class StageGate {
 
@@ -31,12 +31,24 @@
     /** Pools whose waits add up to less have room for requests that are late already: a third of a call. */
     private static final long IDLE_NANOS = Duration.ofMillis(90).toNanos();
 
+    /**
+     * Part of the time that a request was held by which waits may be longer: in a load that lasts, pools are never idle,
+     * and a caller that has come back would be sent away a second time.
+     */
+    private static final double IDLE_GROWTH = 0.1;
+
     /**
      * Most requests held by one node. A burst of six seconds leaves about a hundred behind in a group of seven nodes;
      * those beyond twice that would not begin before their time is over.
      */
     private static final int MOST_HELD = 32;
 
+    /**
+     * Part of its objective for which a request is held that comes for the first time: what pools tell of their waits
+     * changes from call to call. Longer, and callers would wait for an answer that could have been given at once.
+     */
+    private static final double FIRST_HOLD = 0.25;
+
     /** Time beyond the shortest run that a held request must have left; a burst does not end sooner. */
     private static final Duration HOLD_RESERVE = Duration.ofMillis(1500);
 
@@ -78,13 +90,13 @@
         long engine = ENGINE_FIRST_EVENT.toNanos();
         long shortest = plan.finish((stage, begin) -> expectedNanos(request, plan, stage)) + engine;
         long finish = plan.finish((stage, begin) ->
-                        waitNanos(request.stagePool(stage), begin) + expectedNanos(request, plan, stage))
+                        waitNanos(request.stagePool(stage), begin) + loadedNanos(request, plan, stage))
                 + engine;
         long margin = (long) (request.route().objective().toNanos() * RANK_MARGIN * request.rank());
         long left = request.times().objectiveAt() - now;
-        boolean idle = finish - shortest < IDLE_NANOS;
-        boolean inTime =
-                now + shortest + HOLD_RESERVE.toNanos() - request.times().patienceAt() < 0;
+        boolean idle = finish - shortest
+                < IDLE_NANOS + (long) (IDLE_GROWTH * (now - request.times().beganAt()));
+        boolean inTime = now - holdUntil(request, shortest) < 0;
         GateVerdict verdict = GateVerdict.REFUSE;
         if (finish + margin <= left || idle && mayRelease(wasHeld, now)) {
             verdict = GateVerdict.BEGIN;
@@ -122,6 +134,29 @@
                 .orElse(0L);
     }
 
+    private static long holdUntil(AdmittedRequest request, long shortest) {
+        RequestTimes times = request.times();
+        if (times.returned()) {
+            return times.patienceAt() - shortest - HOLD_RESERVE.toNanos();
+        }
+        return times.beganAt() + (long) (request.route().objective().toNanos() * FIRST_HOLD);
+    }
+
+    /** Returns how long the call of a stage takes, with the pieces that wait now and go with it. */
+    private long loadedNanos(AdmittedRequest request, StagePlan plan, int stage) {
+        String pool = request.stagePool(stage);
+        long wait = loads.apply(pool).waitNanos();
+        return request.table()
+                .findPool(pool)
+                .flatMap(UpstreamPool::batch)
+                .map(limits -> {
+                    long waiting = wait * limits.batch() / limits.expectedNanos(limits.batch());
+                    long pieces = Math.min(limits.batch(), SHARED_CALL * plan.pieces(stage) + waiting);
+                    return limits.expectedNanos((int) pieces);
+                })
+                .orElse(0L);
+    }
+
     /** Returns how long pieces wait that come to a pool after a while: what stands before them by then. */
     private long waitNanos(String pool, long begin) {
         PoolLoad load = loads.apply(pool);
--- a/library/src/main/java/org/copperspindle/gateway/StageRun.java
+++ b/library/src/main/java/org/copperspindle/gateway/StageRun.java
@@ -22,6 +22,9 @@
 
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
+    /** Objectives that a request gets which begins too late for its own: after those that can be on time, but not last. */
+    private static final double LATE_OBJECTIVES = 1.5;
+
     private final AdmittedRequest admitted;
     private final Route route;
     private final BatchService batches;
@@ -31,6 +34,7 @@
     private final StageGate gate;
     private final Set<Long> open = new HashSet<>();
     private final Set<Integer> promised = new HashSet<>();
+    private long targetAt;
     private boolean over;
 
     StageRun(AdmittedRequest admitted, GatewayContext context, Listener listener) {
@@ -45,6 +49,7 @@
 
     /** Begins the stages that need no others. */
     void start() {
+        targetAt = target(timers.nanoTime());
         for (int stage = 0; stage < plan.stages(); stage++) {
             if (plan.pieces(stage) > 0) {
                 gate.promised(admitted.stagePool(stage), plan.pieces(stage));
@@ -74,6 +79,15 @@
         return over;
     }
 
+    /** Behind all that can be on time, a request that begins late would hold its results until they are forgotten. */
+    private long target(long now) {
+        long objectiveAt = admitted.times().objectiveAt();
+        long shortest = plan.finish((stage, begin) -> StageGate.expectedNanos(admitted, plan, stage))
+                + StageGate.ENGINE_FIRST_EVENT.toNanos();
+        boolean late = now + shortest - objectiveAt > 0;
+        return late ? now + (long) (route.objective().toNanos() * LATE_OBJECTIVES) : objectiveAt;
+    }
+
     private void proceed() {
         for (int stage : plan.begin()) {
             gate.submitted(admitted.stagePool(stage), plan.pieces(stage));
@@ -105,7 +119,7 @@
                 first ? admitted.request().pieceKey() : "",
                 first ? List.of() : plan.inputs(number),
                 admitted.rank(),
-                (admitted.times().objectiveAt() - later - now) / NANOS_PER_MILLI,
+                (targetAt - later - now) / NANOS_PER_MILLI,
                 (admitted.times().patienceAt() - now) / NANOS_PER_MILLI,
                 stage.resultBytes(),
                 inputBytes(stage),
