Send requests with large stage results to engines in the failure domain of their makers

Cause: results of 0.8 MB were fetched by whichever engine had the shared part of the prompt, two thirds of them across failure domains; tags share some 570 tokens and fetch 1.4 MB on average. Change: where the bytes made in one failure domain weigh more than the shared part (3,000 bytes a token, the ratio of their prices), only engines of that failure domain are looked at.

--- a/library/src/main/java/org/copperspindle/batch/ResultHandle.java
+++ b/library/src/main/java/org/copperspindle/batch/ResultHandle.java
@@ -6,7 +6,7 @@
  * Handles of stage results. A handle names the result at its maker and begins with the maker's address; the rest is the
  * maker's own.
  */
-final class ResultHandle {
+public final class ResultHandle {
 
     private static final char SEPARATOR = '/';
 
@@ -18,7 +18,7 @@
      * @param handle the handle
      * @return IP:PORT of its maker, empty if the handle names none
      */
-    static Optional<String> makerAddress(String handle) {
+    public static Optional<String> makerAddress(String handle) {
         int end = handle.indexOf(SEPARATOR);
         return end < 0 ? Optional.empty() : Optional.of(handle.substring(0, end));
     }
--- a/library/src/main/java/org/copperspindle/gateway/GatewayRequest.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayRequest.java
@@ -64,4 +64,16 @@
         }
         return Optional.of(prompt.get(Math.max(0, prompt.size() - 2)).id());
     }
+
+    /**
+     * Returns the length of what other requests share of the prompt.
+     *
+     * @return tokens of all parts but the last
+     */
+    long sharedTokens() {
+        return prompt.stream()
+                .limit(Math.max(0, prompt.size() - 1))
+                .mapToLong(PromptPart::tokens)
+                .sum();
+    }
 }
--- a/library/src/main/java/org/copperspindle/gateway/RequestRun.java
+++ b/library/src/main/java/org/copperspindle/gateway/RequestRun.java
@@ -243,9 +243,9 @@
             return;
         }
         long now = context.timers().nanoTime();
-        Optional<UpstreamNews> chosen = admitted.table()
-                .findPool(pool)
-                .flatMap(p -> context.chooser().choose(p, request.sharedPrompt(), tried, now));
+        StageInputs inputs = stages.map(StageRun::inputs).orElse(StageInputs.NONE);
+        Optional<UpstreamNews> chosen =
+                admitted.table().findPool(pool).flatMap(p -> context.chooser().choose(p, request, inputs, tried, now));
         if (chosen.isEmpty()) {
             if (relay.hasStarted()) {
                 breakOff("no-upstream");
--- a/library/src/main/java/org/copperspindle/gateway/StagePlan.java
+++ b/library/src/main/java/org/copperspindle/gateway/StagePlan.java
@@ -108,6 +108,18 @@
         return results;
     }
 
+    /** Returns the same with their sizes. */
+    StageInputs inputsOfRequest() {
+        StageInputs inputs = StageInputs.NONE;
+        for (int stage = 0; stage < stages.size(); stage++) {
+            if (!followed.contains(stage)) {
+                inputs =
+                        inputs.and(StageInputs.of(made(stage), stages.get(stage).resultBytes()));
+            }
+        }
+        return inputs;
+    }
+
     /**
      * Takes the results of a stage that nobody needs any more.
      *
--- a/library/src/main/java/org/copperspindle/gateway/StageRun.java
+++ b/library/src/main/java/org/copperspindle/gateway/StageRun.java
@@ -64,6 +64,11 @@
         return plan.results();
     }
 
+    /** Returns the same results with their sizes. */
+    StageInputs inputs() {
+        return plan.inputsOfRequest();
+    }
+
     /** Gives up all results: the request has read what it needs, or is over. */
     void end() {
         over = true;
--- a/library/src/main/java/org/copperspindle/gateway/UpstreamChooser.java
+++ b/library/src/main/java/org/copperspindle/gateway/UpstreamChooser.java
@@ -26,6 +26,12 @@
     /** An upstream unheard for this long is used only if no other is left; three announcements are missing then. */
     private static final long SILENT_NANOS = 4_500_000_000L;
 
+    /**
+     * Bytes of inputs that weigh as much as reading one prompt token again: what a deployment pays for 0.8 MB between
+     * failure domains it pays for some 260 tokens.
+     */
+    private static final long BYTES_PER_TOKEN = 3000;
+
     private static final LongHashFunction HASH = LongHashFunction.xx3();
 
     private final UpstreamDirectory directory;
@@ -44,13 +50,15 @@
     /**
      * Chooses an upstream.
      *
-     * @param pool   the pool
-     * @param shared shared part of the prompt, if there is one
-     * @param tried  ids of upstreams that have had the request
-     * @param now    monotonic time in nanoseconds
+     * @param pool    the pool
+     * @param request the request
+     * @param inputs  stage results that the upstream will fetch
+     * @param tried   ids of upstreams that have had the request
+     * @param now     monotonic time in nanoseconds
      * @return the upstream; empty if the pool has none that can take it
      */
-    Optional<UpstreamNews> choose(UpstreamPool pool, Optional<String> shared, Set<String> tried, long now) {
+    Optional<UpstreamNews> choose(
+            UpstreamPool pool, GatewayRequest request, StageInputs inputs, Set<String> tried, long now) {
         List<UpstreamNews> ready = directory.ready(pool.name()).stream()
                 .filter(u -> !tried.contains(u.id()))
                 .toList();
@@ -64,12 +72,28 @@
         if (candidates.isEmpty()) {
             return Optional.empty();
         }
+        Optional<String> shared = request.sharedPrompt();
         if (pool.engineSlots().isPresent() && shared.isPresent()) {
-            return Optional.of(byAffinity(candidates, shared.get()));
+            return Optional.of(byAffinity(near(candidates, request, inputs), shared.get()));
         }
         return Optional.of(byLoad(candidates));
     }
 
+    /**
+     * Keeps the upstreams in the failure domain of most of the inputs, where these weigh more than the shared part of the
+     * prompt, which may have to be read again there.
+     */
+    private List<UpstreamNews> near(List<UpstreamNews> candidates, GatewayRequest request, StageInputs inputs) {
+        Optional<String> domain = inputs.largestDomain(directory);
+        if (domain.isEmpty() || inputs.bytesIn(domain.get(), directory) < request.sharedTokens() * BYTES_PER_TOKEN) {
+            return candidates;
+        }
+        List<UpstreamNews> near = candidates.stream()
+                .filter(u -> u.failureDomain().equals(domain.get()))
+                .toList();
+        return near.isEmpty() ? candidates : near;
+    }
+
     private UpstreamNews byAffinity(List<UpstreamNews> candidates, String shared) {
         double mean = candidates.stream()
                 .mapToInt(u -> tracker.inFlight(u.id()))
--- /dev/null
+++ b/library/src/test/java/org/copperspindle/gateway/UpstreamChooserTest.java
@@ -0,0 +1,84 @@
+package org.copperspindle.gateway;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+import java.util.Random;
+import java.util.Set;
+import java.util.stream.IntStream;
+
+import org.copperspindle.discovery.UpstreamDirectory;
+import org.copperspindle.discovery.UpstreamNews;
+import org.copperspindle.discovery.UpstreamPhase;
+import org.copperspindle.route.UpstreamPool;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class UpstreamChooserTest {
+
+    private static final UpstreamPool ENGINES = new UpstreamPool("p", 100, Optional.empty(), OptionalInt.of(64));
+
+    private final UpstreamDirectory directory = new UpstreamDirectory();
+    private final UpstreamTracker tracker = new UpstreamTracker();
+    private final UpstreamChooser chooser = new UpstreamChooser(directory, tracker, new Random(3), "d0");
+
+    UpstreamChooserTest() {
+        // Nine engines in three failure domains, and the maker of stage results in the second.
+        IntStream.range(0, 9).forEach(i -> announce("e" + i, "p", "10.0.0." + i + ":1", "d" + i % 3));
+        announce("maker", "s", "10.0.1.1:1", "d1");
+    }
+
+    /** Requests with one shared part go to the engine that has read it. */
+    @Test
+    void sharedPartDecidesWithoutLargeInputs() {
+        Set<String> chosen = new HashSet<>();
+        IntStream.range(0, 20).forEach(i -> chosen.add(choose("part", 500, 0).id()));
+        assertThat(chosen).hasSize(1);
+    }
+
+    /**
+     * Results of 0.8 MB each lie in one failure domain. Fetched from another, they cost more than reading a short shared
+     * part there once more, and less than reading a long one.
+     */
+    @ParameterizedTest
+    @CsvSource({"500, 3, true", "100, 1, true", "500, 1, false", "5400, 3, false"})
+    void largeInputsDecideAgainstAShortSharedPart(int sharedTokens, int results, boolean near) {
+        Map<String, Integer> domains = new HashMap<>();
+        IntStream.range(0, 30)
+                .forEach(i ->
+                        domains.merge(choose("part" + i, sharedTokens, results).failureDomain(), 1, Integer::sum));
+        assertThat(domains.keySet()).hasSize(near ? 1 : 3);
+        assertThat(domains).containsKey("d1");
+    }
+
+    private UpstreamNews choose(String part, int sharedTokens, int results) {
+        GatewayRequest request = new GatewayRequest(
+                "id",
+                "POST",
+                "/x",
+                "h",
+                new byte[0],
+                Optional.empty(),
+                OptionalLong.empty(),
+                Optional.empty(),
+                List.of(new PromptPart(part, sharedTokens), new PromptPart("own", 900)),
+                List.of(),
+                "k",
+                List.of());
+        List<String> handles =
+                IntStream.range(0, results).mapToObj(i -> "10.0.1.1:1/" + i).toList();
+        return chooser.choose(ENGINES, request, StageInputs.of(handles, 800_000), Set.of(), 0)
+                .orElseThrow();
+    }
+
+    private void announce(String id, String pool, String address, String domain) {
+        directory.accept(new UpstreamNews(id, pool, address, domain, UpstreamPhase.READY, 1, 1, 0), 0);
+    }
+}
