Free the memory of lost nodes' results, give results up early, and keep one packer for each pool while nodes are cut off

Found by reading: a node numbers its groups from 1 in each life, so that a call for its old life could answer a group of its new one.

--- a/library/src/main/java/org/copperspindle/batch/BatchService.java
+++ b/library/src/main/java/org/copperspindle/batch/BatchService.java
@@ -7,7 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.function.BooleanSupplier;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Function;
 
 import net.openhft.hashing.LongHashFunction;
@@ -18,6 +18,8 @@
 import org.copperspindle.measure.DecisionLog;
 import org.copperspindle.mesh.MeshListener;
 import org.copperspindle.mesh.MeshNode;
+import org.copperspindle.mesh.MeshRelay;
+import org.copperspindle.mesh.NodeHelloMessage;
 import org.copperspindle.mesh.NodeMesh;
 import org.copperspindle.route.BatchLimits;
 import org.copperspindle.time.TimerService;
@@ -40,6 +42,15 @@
     /** A load that was not told again for so long has ended, or its node has. */
     private static final long LOAD_AGE_NANOS = Duration.ofMillis(600).toNanos();
 
+    /**
+     * After which results of a lost node are given up. A node that is only cut off from this one goes on with its requests
+     * and reads what it has got within about a call and a half.
+     */
+    private static final long ORPHAN_NANOS = Duration.ofMillis(600).toNanos();
+
+    /** A cut lasts for some seconds; a node that is lost for longer does not come back as it was. */
+    private static final long DISTANT_NANOS = Duration.ofSeconds(20).toNanos();
+
     /** A wait below this is told less often: half of a pool's upstreams busy is no load. */
     private static final long QUIET_MILLIS = 60;
 
@@ -47,49 +58,54 @@
     private static final int FULL_ROUNDS = 5;
 
     private final NodeMesh mesh;
+    private final MeshRelay relay;
+    private final Map<String, Distant> distant = new HashMap<>();
     private final TimerService timers;
     private final UpstreamDirectory directory;
     private final StagePort port;
     private final Function<String, Optional<BatchLimits>> limits;
-    private final BooleanSupplier serving;
-    private final boolean packing;
+    private final PackerStatus status;
     private final DecisionLog log;
     private final Map<String, PoolDispatcher> dispatchers = new HashMap<>();
     private final Map<String, Load> loads = new HashMap<>();
     private final PiecePromises promises = new PiecePromises();
     private final Map<Long, Pending> pending = new LinkedHashMap<>();
+
+    /**
+     * Groups are numbered from a random start. A node that is back at once would else number its first groups like those of
+     * its life before, and results of a call that still runs for the old one would be taken for the new one's.
+     */
+    private long lastId = ThreadLocalRandom.current().nextLong(Long.MAX_VALUE / 2);
+
     private final PoolDispatcher.ResultSink sink = new Sink();
-    private long lastId;
     private int round;
 
     /**
      * Creates the service; to be subscribed to the mesh.
      *
-     * @param mesh      the nodes
+     * @param relay     the nodes, also those that are reached through others
      * @param timers    time on the network thread
      * @param directory the upstreams
      * @param port      speaks to the upstreams of stage pools
      * @param limits    limits of a pool's calls by its name, as the route table held gives them
-     * @param serving   whether this node takes work for others
-     * @param packing   whether its VM is large enough to pack calls for others
+     * @param status    this node's own part in packing
      * @param log       bounds log lines
      */
     public BatchService(
-            NodeMesh mesh,
+            MeshRelay relay,
             TimerService timers,
             UpstreamDirectory directory,
             StagePort port,
             Function<String, Optional<BatchLimits>> limits,
-            BooleanSupplier serving,
-            boolean packing,
+            PackerStatus status,
             DecisionLog log) {
-        this.mesh = mesh;
+        this.mesh = relay.mesh();
+        this.relay = relay;
         this.timers = timers;
         this.directory = directory;
         this.port = port;
         this.limits = limits;
-        this.serving = serving;
-        this.packing = packing;
+        this.status = status;
         this.log = log;
         directory.subscribe(this::upstreamChanged);
     }
@@ -128,7 +144,7 @@
         if (entry.owner.equals(mesh.self())) {
             dispatcher(entry.group.pool()).cancel(mesh.self(), id);
         } else {
-            mesh.find(entry.owner).ifPresent(node -> node.send(new PieceCancelMessage(id)));
+            relay.send(entry.owner, new PieceCancelMessage(id));
         }
     }
 
@@ -146,7 +162,7 @@
         if (owner.equals(mesh.self())) {
             dispatcher(pool).free(handles);
         } else {
-            mesh.find(owner).ifPresent(node -> node.send(new FreeResultsMessage(pool, handles)));
+            relay.send(owner, new FreeResultsMessage(pool, handles));
         }
     }
 
@@ -164,6 +180,9 @@
     /** Begins to tell the other nodes how long pieces wait here, and what requests of this node will send. */
     public void start() {
         boolean full = ++round % FULL_ROUNDS == 0;
+        if (!distant.isEmpty()) {
+            moveOrphans();
+        }
         promises.tell(full).forEach(this::tellPromise);
         dispatchers.forEach((pool, dispatcher) -> tellLoad(pool, dispatcher, full));
         timers.schedule(LOAD_INTERVAL_NANOS, this::start);
@@ -206,6 +225,11 @@
         return pending.size();
     }
 
+    @Override
+    public void onNodeUp(MeshNode node) {
+        distant.remove(node.address());
+    }
+
     @Override
     public void onMessage(MeshNode node, WireMessage message) {
         if (message instanceof PieceGroup group) {
@@ -226,22 +250,49 @@
 
     @Override
     public void onNodeDown(MeshNode node) {
+        long now = timers.nanoTime();
         promises.forget(node.address());
+        distant.put(node.address(), new Distant(node.hello(), now));
+        moveOrphans();
+        long life = node.incarnation();
+        timers.schedule(ORPHAN_NANOS, () -> giveUpOrphans(node.address(), life, now));
+    }
+
+    /** Takes groups whose node is gone, for this one and for all that this one reaches, to another node. */
+    private void moveOrphans() {
+        long now = timers.nanoTime();
+        distant.values().removeIf(lost -> now - lost.since() > DISTANT_NANOS);
         List<Pending> orphans = pending.values().stream()
-                .filter(p -> p.owner.equals(node.address()))
+                .filter(p -> !p.owner.equals(mesh.self()) && !relay.sees(p.owner))
                 .toList();
         if (!orphans.isEmpty()) {
-            LOGGER.warn("event=dispatcher-lost node={} groups={}", node.address(), orphans.size());
+            LOGGER.warn("event=dispatcher-lost node={} groups={}", orphans.get(0).owner, orphans.size());
         }
         orphans.forEach(this::forward);
     }
 
+    /** Results of a node that is gone would fill their makers' memory until these forget them. */
+    private void giveUpOrphans(String node, long life, long downAt) {
+        Optional<MeshNode> back = mesh.find(node);
+        boolean lives = back.isPresent() ? back.get().incarnation() == life : relay.sees(node);
+        if (lives) {
+            return;
+        }
+        for (PoolDispatcher dispatcher : dispatchers.values()) {
+            List<String> made = dispatcher.forget(node, downAt);
+            if (!made.isEmpty()) {
+                LOGGER.info("event=orphans node={} results={}", node, made.size());
+                dispatcher.free(made);
+            }
+        }
+    }
+
     private void tellPromise(String pool, long pieces) {
         String owner = owner(pool);
         if (owner.equals(mesh.self())) {
             promises.heard(owner, pool, pieces, timers.nanoTime());
         } else {
-            mesh.find(owner).ifPresent(node -> node.send(new PoolPromiseMessage(pool, pieces)));
+            relay.send(owner, new PoolPromiseMessage(pool, pieces));
         }
     }
 
@@ -252,7 +303,9 @@
             return;
         }
         long promised = promises.total(pool, timers.nanoTime());
-        mesh.broadcast(new PoolLoadMessage(pool, millis, (long) load.piecesPerSecond(), promised));
+        PoolLoadMessage message = new PoolLoadMessage(pool, millis, (long) load.piecesPerSecond(), promised);
+        mesh.broadcast(message);
+        distant.keySet().stream().filter(relay::sees).forEach(node -> relay.send(node, message));
     }
 
     private void forward(Pending entry) {
@@ -260,7 +313,7 @@
         PieceGroup group = entry.group.after(elapsed, entry.missing);
         entry.owner = owner(group.pool());
         if (!entry.owner.equals(mesh.self())) {
-            if (mesh.find(entry.owner).filter(node -> node.send(group)).isPresent()) {
+            if (relay.send(entry.owner, group)) {
                 return;
             }
             entry.owner = mesh.self();
@@ -304,29 +357,35 @@
         sink.giveUp(handles);
     }
 
-    /** Chooses among the nodes that serve, by rendezvous; small VMs only if there is no other. */
+    /**
+     * Chooses among the nodes that serve, the fittest first, by rendezvous. Nodes that only others reach count as well, so
+     * that all choose the same one.
+     */
     private String owner(String pool) {
-        String best = "";
-        boolean large = false;
-        long most = 0;
-        if (serving.getAsBoolean()) {
-            best = mesh.self();
-            large = packing;
-            most = score(pool, best);
-        }
+        String best = mesh.self();
+        int fitness = status.isServing() ? status.fitness() : Integer.MIN_VALUE;
+        long most = score(pool, best);
         for (MeshNode node : mesh.nodes()) {
-            if (!node.hello().serving()) {
-                continue;
-            }
-            long score = score(pool, node.address());
-            boolean larger = node.hello().packing() && !large;
-            if (best.isEmpty() || larger || node.hello().packing() == large && score > most) {
+            if (isBetter(pool, node.address(), node.hello(), fitness, most)) {
                 best = node.address();
-                large = node.hello().packing();
-                most = score;
+                fitness = node.hello().fitness();
+                most = score(pool, best);
+            }
+        }
+        for (Map.Entry<String, Distant> lost : distant.entrySet()) {
+            NodeHelloMessage hello = lost.getValue().hello();
+            if (isBetter(pool, lost.getKey(), hello, fitness, most) && relay.sees(lost.getKey())) {
+                best = lost.getKey();
+                fitness = hello.fitness();
+                most = score(pool, best);
             }
         }
-        return best.isEmpty() ? mesh.self() : best;
+        return best;
+    }
+
+    private static boolean isBetter(String pool, String node, NodeHelloMessage hello, int fitness, long most) {
+        int fit = hello.fitness();
+        return hello.serving() && (fit > fitness || fit == fitness && score(pool, node) > most);
     }
 
     private static long score(String pool, String node) {
@@ -347,6 +406,9 @@
 
     private record Load(PoolLoad load, long at) {}
 
+    /** A node that was lost a short while ago, and what it said of itself last. */
+    private record Distant(NodeHelloMessage hello, long since) {}
+
     /** What the dispatchers of this node hand on. */
     private final class Sink implements PoolDispatcher.ResultSink {
         @Override
@@ -354,7 +416,7 @@
             if (origin.equals(mesh.self())) {
                 received(origin, results);
             } else {
-                mesh.find(origin).ifPresent(node -> node.send(results));
+                relay.send(origin, results);
             }
         }
 
--- a/library/src/main/java/org/copperspindle/batch/PieceQueue.java
+++ b/library/src/main/java/org/copperspindle/batch/PieceQueue.java
@@ -38,6 +38,11 @@
         return group;
     }
 
+    /** Returns the groups of some kind. */
+    List<WaitingGroup> find(Predicate<WaitingGroup> kind) {
+        return groups.values().stream().filter(kind).toList();
+    }
+
     /** Takes out the groups whose time is over. */
     List<WaitingGroup> takeOver(long now) {
         List<WaitingGroup> over = new ArrayList<>();
--- a/library/src/main/java/org/copperspindle/batch/PoolDispatcher.java
+++ b/library/src/main/java/org/copperspindle/batch/PoolDispatcher.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 
 import org.apache.logging.log4j.LogManager;
@@ -103,6 +104,22 @@
                 .forEach(WaitingGroup::cancel);
     }
 
+    /**
+     * Drops what waits for a node that is gone. The node may be back in a new life, whose groups stay.
+     *
+     * @param origin the node
+     * @param until  when it was lost, monotonic time in nanoseconds
+     * @return results that were made for it, and that nobody else will give up
+     */
+    List<String> forget(String origin, long until) {
+        Predicate<WaitingGroup> isOld = group -> group.origin().equals(origin) && group.arrivedAt() - until <= 0;
+        queue.find(isOld).forEach(group -> cancel(origin, group.group().id()));
+        running.keySet().stream().filter(isOld).forEach(WaitingGroup::cancel);
+        return upstreams.values().stream()
+                .flatMap(upstream -> upstream.madeFor(isOld).stream())
+                .toList();
+    }
+
     void free(List<String> handles) {
         for (String handle : handles) {
             ResultHandle.makerAddress(handle).flatMap(this::findByAddress).ifPresent(maker -> maker.free(handle));
@@ -317,7 +334,7 @@
 
     private void made(StageUpstream upstream, PieceTask task, PieceOutcome.Made made, long now) {
         long kept = limits.get().map(BatchLimits::keptNanos).orElse(0L);
-        upstream.holds(made.handle(), task.group().group().resultBytes(), now + kept);
+        upstream.holds(task.group(), made.handle(), task.group().group().resultBytes(), now + kept);
         if (task.group().isCancelled()) {
             free(List.of(made.handle()));
         }
--- a/library/src/main/java/org/copperspindle/batch/StageUpstream.java
+++ b/library/src/main/java/org/copperspindle/batch/StageUpstream.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Predicate;
 
 import org.copperspindle.discovery.UpstreamNews;
 import org.copperspindle.route.BatchLimits;
@@ -25,7 +26,7 @@
     private static final double SPEED_WEIGHT = 0.4;
 
     /** Part of the memory for results that is filled: their sizes are known approximately only. */
-    private static final double USED_ROOM = 0.9;
+    private static final double USED_ROOM = 0.98;
 
     private final Deque<Result> results = new ArrayDeque<>();
     private final List<String> toFree = new ArrayList<>();
@@ -112,11 +113,19 @@
         pausedUntil = now + nanos;
     }
 
-    void holds(String handle, long bytes, long until) {
-        results.addLast(new Result(handle, bytes, until));
+    void holds(WaitingGroup group, String handle, long bytes, long until) {
+        results.addLast(new Result(group, handle, bytes, until));
         resultBytes += bytes;
     }
 
+    /** Returns the results that were made for some groups and not given up yet. */
+    List<String> madeFor(Predicate<WaitingGroup> groups) {
+        return results.stream()
+                .filter(result -> groups.test(result.group()))
+                .map(Result::handle)
+                .toList();
+    }
+
     long roomLeft(BatchLimits limits, long now) {
         while (!results.isEmpty() && now - results.peekFirst().until() >= 0) {
             resultBytes -= results.pollFirst().bytes();
@@ -140,5 +149,5 @@
         return List.copyOf(freed);
     }
 
-    private record Result(String handle, long bytes, long until) {}
+    private record Result(WaitingGroup group, String handle, long bytes, long until) {}
 }
--- a/library/src/main/java/org/copperspindle/gateway/GatewayContext.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayContext.java
@@ -6,6 +6,7 @@
 import org.copperspindle.direct.UpstreamPort;
 import org.copperspindle.discovery.DirectoryGossip;
 import org.copperspindle.measure.DecisionLog;
+import org.copperspindle.mesh.CutOffWatch;
 import org.copperspindle.time.TimerService;
 
 /**
@@ -21,6 +22,7 @@
  * @param chooser   chooses upstreams
  * @param budget    bounds repeats
  * @param gate      decides when stages begin
+ * @param cutOff    tells whether this node is cut off from the others
  * @param open      requests in progress
  * @param counters  counts requests
  * @param log       bounds log lines
@@ -37,6 +39,7 @@
         UpstreamChooser chooser,
         SharedRetryBudget budget,
         StageGate gate,
+        CutOffWatch cutOff,
         OpenRequests open,
         GatewayCounters counters,
         DecisionLog log,
--- a/library/src/main/java/org/copperspindle/gateway/RequestRun.java
+++ b/library/src/main/java/org/copperspindle/gateway/RequestRun.java
@@ -43,6 +43,13 @@
 
     private static final int SERVER_ERROR = 500;
 
+    /**
+     * After which an upstream has fetched the stage results of a request; it does so before it reads the prompt. After 60 ms
+     * one upstream of 3,303 had not. Kept until the first event, results of a pool of eleven left room for 27 pieces in
+     * calls of 39: long prompts make engines slow just when many requests end their stages.
+     */
+    private static final long FETCHED_NANOS = Duration.ofMillis(100).toNanos();
+
     /** Shortest time after which a refused caller should come back, and the spread over which callers come. */
     private static final long RETURN_MILLIS = 250;
 
@@ -50,9 +57,9 @@
      * Part of the time that a caller has left, after which it should come back where stage pools are full, and the part
      * over which callers are spread. Bursts last for several seconds; the rest of the time is enough for a whole run.
      */
-    private static final double BURST_SHARE = 0.22;
+    private static final double BURST_SHARE = 0.25;
 
-    private static final double BURST_SPREAD = 0.11;
+    private static final double BURST_SPREAD = 0.08;
 
     private final GatewayContext context;
     private final HttpExchange exchange;
@@ -68,6 +75,8 @@
     private Optional<StageRun> stages = Optional.empty();
     private Optional<UpstreamAttempt> attempt = Optional.empty();
     private TimerSubscription timeout = () -> {};
+    private long begunAt;
+    private long reckonedNanos;
     private int stageRuns;
     private int sent;
     private int unsent;
@@ -145,6 +154,9 @@
 
     @Override
     public void onStagesDone() {
+        if (stageRuns == 1 && !route.stages().isEmpty()) {
+            context.gate().ran(route, reckonedNanos, context.timers().nanoTime() - begunAt);
+        }
         attempt();
     }
 
@@ -170,6 +182,11 @@
         if (over) {
             return;
         }
+        if (context.cutOff().isCutOff()) {
+            // Packing calls by itself, it would get into the way of the nodes that go on without it.
+            refuse(unavailable("cut-off", "this node does not reach the others"));
+            return;
+        }
         long now = context.timers().nanoTime();
         GateJudgement judgement = context.gate().judge(admitted, held, now);
         GateVerdict verdict = judgement.verdict();
@@ -181,6 +198,8 @@
         }
         hold(false);
         if (verdict == GateVerdict.BEGIN) {
+            begunAt = now;
+            reckonedNanos = judgement.reckonedNanos();
             runStages();
         } else {
             refuse(Refusal.unavailable(
@@ -238,7 +257,7 @@
             return;
         }
         if (stages.filter(StageRun::isOver).isPresent()) {
-            // The results were given up at the first event; an attempt after that needs new ones.
+            // The results were given up; another attempt needs new ones.
             runStagesAgain();
             return;
         }
@@ -288,6 +307,16 @@
         UpstreamAttempt next = new UpstreamAttempt(context, admitted, upstream, sent, relay, owner);
         attempt = Optional.of(next);
         next.send(order);
+        stages.ifPresent(run -> giveUpResults(run, next));
+    }
+
+    /** Gives the stage results up while the upstream reads the prompt: see {@link #FETCHED_NANOS}. */
+    private void giveUpResults(StageRun run, UpstreamAttempt reader) {
+        context.timers().schedule(FETCHED_NANOS, () -> {
+            if (attempt.filter(a -> a == reader).isPresent()) {
+                run.end();
+            }
+        });
     }
 
     /** What follows an attempt that is proved not to have run. */
@@ -406,8 +435,7 @@
     private final class AttemptOwner implements UpstreamAttempt.Owner {
         @Override
         public void onFirstEvent() {
-            // The upstream has read its inputs before its first event. Held to the end of the stream, the results of 44
-            // streams fill the memory of a pool of four, and its calls shrink to a few pieces.
+            // The upstream has read its inputs before its first event.
             stages.ifPresent(StageRun::end);
         }
 
--- a/library/src/main/java/org/copperspindle/mesh/MeshSettings.java
+++ b/library/src/main/java/org/copperspindle/mesh/MeshSettings.java
@@ -11,6 +11,7 @@
  * Settings of a node's connections to other nodes.
  *
  * @param listen        where this node listens; also its name
+ * @param bind          where this node really listens, if others reach it through a forwarder; else the same
  * @param control       IP:PORT where operators and upstreams reach it
  * @param failureDomain its failure domain
  * @param durable       true if it has a disk
@@ -18,6 +19,7 @@
  */
 public record MeshSettings(
         InetSocketAddress listen,
+        InetSocketAddress bind,
         String control,
         String failureDomain,
         boolean durable,
--- a/library/src/main/java/org/copperspindle/mesh/NodeHelloMessage.java
+++ b/library/src/main/java/org/copperspindle/mesh/NodeHelloMessage.java
@@ -20,7 +20,7 @@
  * @param leader        node address of that leader, empty if none
  * @param version       version of the route table that it holds, 0 if none
  * @param nodes         node addresses that it is connected to, so that others find them
- * @param packing       true if its VM is large enough to pack calls for all nodes
+ * @param fitness       how fit it is to pack calls for all nodes, higher for fitter
  */
 public record NodeHelloMessage(
         String control,
@@ -32,7 +32,7 @@
         String leader,
         long version,
         List<String> nodes,
-        boolean packing)
+        int fitness)
         implements WireMessage {
 
     /** Codec of this message. */
@@ -58,7 +58,7 @@
                         nodes.stream()
                                 .map(n -> n.getBytes(StandardCharsets.US_ASCII))
                                 .toList())
-                .put(10, packing);
+                .put(10, fitness);
     }
 
     private static NodeHelloMessage read(FieldReader in) {
@@ -74,6 +74,6 @@
                 in.getList(9).stream()
                         .map(n -> new String(n, StandardCharsets.US_ASCII))
                         .toList(),
-                in.getBoolean(10));
+                (int) in.getLong(10, 0));
     }
 }
--- a/library/src/main/java/org/copperspindle/mesh/NodeMesh.java
+++ b/library/src/main/java/org/copperspindle/mesh/NodeMesh.java
@@ -71,7 +71,7 @@
 
     /** Starts to listen and to connect. */
     public void start() {
-        transport.listen(settings.listen(), this);
+        transport.listen(settings.bind(), this);
         tick();
     }
 
