Run nodes from the product's own settings, and decode what callers and upstreams write in one place

Cause: nodes could be configured and spoken to on the users' platform only; header fields, stage calls and the door for operators were written in its folder though only their names are the platform's. Change: the slice dialect reads header fields, stage calls and control calls by names that a deployment gives. The project has names of its own, an INI form of route tables and a [node] section, which `copperspindle run` takes. platform/ keeps names, tables, settings and its program. A node may listen elsewhere than where others reach it (mesh-bind), for forwarders.

--- /dev/null
+++ b/library/src/main/java/org/copperspindle/dialect/ControlFormat.java
@@ -0,0 +1,79 @@
+package org.copperspindle.dialect;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.copperspindle.discovery.UpstreamNews;
+
+/**
+ * How operators and upstreams of a deployment write what they want of a node.
+ */
+public interface ControlFormat {
+
+    /**
+     * Returns how an upstream announces itself.
+     *
+     * @return method and start of the path; the upstream's id follows
+     */
+    ControlCall announce();
+
+    /**
+     * Returns how an upstream says that it leaves.
+     *
+     * @return method and start of the path; the upstream's id follows
+     */
+    ControlCall leave();
+
+    /**
+     * Returns how an operator sends a configuration.
+     *
+     * @return method and path
+     */
+    ControlCall putTable();
+
+    /**
+     * Returns how an operator reads the newest configuration.
+     *
+     * @return method and path
+     */
+    ControlCall readTable();
+
+    /**
+     * Returns the content type of configurations.
+     *
+     * @return for example {@code application/json}
+     */
+    String tableType();
+
+    /**
+     * Writes which version was accepted.
+     *
+     * @param version the newest accepted version
+     * @return the body
+     */
+    JsonNode accepted(long version);
+
+    /**
+     * Writes an error.
+     *
+     * @param text what is wrong
+     * @return the body
+     */
+    JsonNode problem(String text);
+
+    /**
+     * Reads an announcement.
+     *
+     * @param id   id of the upstream
+     * @param body what it says
+     * @return the announcement
+     * @throws IllegalArgumentException if something is missing or wrong; names the field
+     */
+    UpstreamNews announcement(String id, JsonNode body);
+
+    /**
+     * A call of a node.
+     *
+     * @param method HTTP method
+     * @param path   path, or its start
+     */
+    record ControlCall(String method, String path) {}
+}
--- a/platform/src/main/java/org/copperspindle/platform/PlatformCallers.java
+++ b/library/src/main/java/org/copperspindle/dialect/HeaderCallers.java
@@ -1,4 +1,4 @@
-package org.copperspindle.platform;
+package org.copperspindle.dialect;
 
 import java.time.Duration;
 import java.util.ArrayList;
@@ -15,17 +15,28 @@
 import org.copperspindle.http.HttpExchange;
 
 /**
- * How the platform's clients write.
+ * Callers that say what they want in header fields.
  */
-final class PlatformCallers implements CallerDialect {
+public final class HeaderCallers implements CallerDialect {
 
     private static final String BEARER = "bearer ";
     private static final double MILLIS_PER_SECOND = 1000;
 
+    private final HeaderNames names;
+
+    /**
+     * Creates the dialect.
+     *
+     * @param names names of the fields
+     */
+    public HeaderCallers(HeaderNames names) {
+        this.names = names;
+    }
+
     @Override
     public GatewayRequestResult read(HttpExchange exchange) {
-        if (exchange.headerCount(PlatformHeaders.REQUEST_ID) != 1) {
-            return new GatewayRequestResult.Invalid("exactly one " + PlatformHeaders.REQUEST_ID + " is needed");
+        if (exchange.headerCount(names.requestId()) != 1) {
+            return new GatewayRequestResult.Invalid("exactly one " + names.requestId() + " is needed");
         }
         try {
             return new GatewayRequestResult.Valid(decode(exchange));
@@ -36,25 +47,25 @@
 
     @Override
     public List<HeaderField> retryAfter(Duration after) {
-        // The platform's clients take fractions of a second.
+        // Fractions of a second are taken by callers that come back within one, and rounded by others.
         String seconds = String.format(Locale.ROOT, "%.2f", after.toMillis() / MILLIS_PER_SECOND);
-        return List.of(new HeaderField(PlatformHeaders.RETRY_AFTER, seconds));
+        return List.of(new HeaderField(HeaderFields.RETRY_AFTER, seconds));
     }
 
-    private static GatewayRequest decode(HttpExchange exchange) {
+    private GatewayRequest decode(HttpExchange exchange) {
         return new GatewayRequest(
-                exchange.header(PlatformHeaders.REQUEST_ID).orElseThrow(),
+                exchange.header(names.requestId()).orElseThrow(),
                 exchange.method(),
                 exchange.uri(),
-                exchange.header(PlatformHeaders.HOST).orElse(""),
+                exchange.header(HeaderFields.HOST).orElse(""),
                 exchange.body(),
-                exchange.header(PlatformHeaders.AUTHORIZATION).flatMap(PlatformCallers::key),
+                exchange.header(HeaderFields.AUTHORIZATION).flatMap(HeaderCallers::key),
                 deadline(exchange),
-                exchange.header(PlatformHeaders.LAST_EVENT_ID),
-                prompt(exchange.header(PlatformHeaders.PROMPT).orElse("")),
-                pieces(exchange.header(PlatformHeaders.PIECES).orElse("")),
-                exchange.header(PlatformHeaders.PIECE_KEY).orElse(""),
-                PlatformHeaders.forUpstream(exchange.fields()));
+                exchange.header(HeaderFields.LAST_EVENT_ID),
+                prompt(exchange.header(names.prompt()).orElse("")),
+                pieces(exchange.header(names.pieces()).orElse("")),
+                exchange.header(names.pieceKey()).orElse(""),
+                HeaderFields.passedOn(exchange.fields(), names.ofSystem()));
     }
 
     private static Optional<String> key(String authorization) {
@@ -62,35 +73,32 @@
         return bearer ? Optional.of(authorization.substring(BEARER.length()).trim()) : Optional.empty();
     }
 
-    private static OptionalLong deadline(HttpExchange exchange) {
-        Optional<String> text = exchange.header(PlatformHeaders.DEADLINE);
+    private OptionalLong deadline(HttpExchange exchange) {
+        Optional<String> text = exchange.header(names.deadline());
         if (text.isEmpty()) {
             return OptionalLong.empty();
         }
         try {
             return OptionalLong.of((long) Double.parseDouble(text.get().trim()));
         } catch (NumberFormatException e) {
-            throw new IllegalArgumentException(PlatformHeaders.DEADLINE + " is not a number", e);
+            throw new IllegalArgumentException(names.deadline() + " is not a number", e);
         }
     }
 
-    private static List<PromptPart> prompt(String text) {
+    private List<PromptPart> prompt(String text) {
         List<PromptPart> parts = new ArrayList<>();
         for (String part : split(text)) {
             int colon = part.indexOf(':');
             if (colon <= 0) {
-                throw new IllegalArgumentException(PlatformHeaders.PROMPT + " is not a list of ID:TOKENS");
+                throw new IllegalArgumentException(names.prompt() + " is not a list of ID:TOKENS");
             }
-            parts.add(new PromptPart(
-                    part.substring(0, colon), number(PlatformHeaders.PROMPT, part.substring(colon + 1))));
+            parts.add(new PromptPart(part.substring(0, colon), number(names.prompt(), part.substring(colon + 1))));
         }
         return parts;
     }
 
-    private static List<Integer> pieces(String text) {
-        return split(text).stream()
-                .map(count -> number(PlatformHeaders.PIECES, count))
-                .toList();
+    private List<Integer> pieces(String text) {
+        return split(text).stream().map(count -> number(names.pieces(), count)).toList();
     }
 
     private static List<String> split(String text) {
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/dialect/HeaderNames.java
@@ -0,0 +1,61 @@
+package org.copperspindle.dialect;
+
+import java.util.Set;
+
+/**
+ * Names of the header fields that callers and upstreams of a deployment use.
+ *
+ * @param requestId         identity of one attempt of a caller
+ * @param deadline          milliseconds that the caller waits; towards an upstream, those that are left
+ * @param prompt            parts of the prompt as ID:TOKENS, in order, separated by commas
+ * @param pieces            number of pieces of each stage, separated by commas
+ * @param pieceKey          key that the pieces of stages without predecessors are made from
+ * @param expectedUpstream  id of the only upstream that may run the request
+ * @param answeringUpstream id of the upstream that answered
+ * @param account           name of the client account that holds the key
+ * @param rank              urgency, 0 first
+ * @param inputs            handles of all stage results that the request needs, separated by commas
+ * @param notRun            present where an upstream says that it did not run the request
+ * @param ofSystem          names in lower case of all fields that only the system may set; a caller's are dropped
+ */
+public record HeaderNames(
+        String requestId,
+        String deadline,
+        String prompt,
+        String pieces,
+        String pieceKey,
+        String expectedUpstream,
+        String answeringUpstream,
+        String account,
+        String rank,
+        String inputs,
+        String notRun,
+        Set<String> ofSystem) {
+
+    /** The project's own names. */
+    public static final HeaderNames STANDARD = new HeaderNames(
+            "X-Request-Id",
+            "Copperspindle-Deadline-Ms",
+            "Copperspindle-Prompt",
+            "Copperspindle-Pieces",
+            "Copperspindle-Piece-Key",
+            "Copperspindle-Upstream",
+            "Copperspindle-Answered-By",
+            "Copperspindle-Account",
+            "Copperspindle-Rank",
+            "Copperspindle-Inputs",
+            "Copperspindle-Not-Run",
+            Set.of(
+                    "copperspindle-deadline-ms",
+                    "copperspindle-upstream",
+                    "copperspindle-account",
+                    "copperspindle-rank",
+                    "copperspindle-inputs",
+                    "last-event-id",
+                    "authorization"));
+
+    /** Copies the set. */
+    public HeaderNames {
+        ofSystem = Set.copyOf(ofSystem);
+    }
+}
--- a/platform/src/main/java/org/copperspindle/platform/PlatformUpstreams.java
+++ b/library/src/main/java/org/copperspindle/dialect/HeaderUpstreams.java
@@ -1,8 +1,9 @@
-package org.copperspindle.platform;
+package org.copperspindle.dialect;
 
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 
 import org.copperspindle.direct.DirectCall;
 import org.copperspindle.direct.DirectHead;
@@ -12,26 +13,35 @@
 import org.copperspindle.http.HeaderField;
 
 /**
- * How the platform's servers are told what to run, and what their answers prove.
+ * Upstreams that are told what to run in header fields.
  */
-final class PlatformUpstreams implements UpstreamDialect {
+public final class HeaderUpstreams implements UpstreamDialect {
 
     private static final int MISDIRECTED = 421;
     private static final int CONFLICT = 409;
     private static final int LOWEST_RANK = 9;
 
+    private final HeaderNames names;
+
+    /**
+     * Creates the dialect.
+     *
+     * @param names names of the fields
+     */
+    public HeaderUpstreams(HeaderNames names) {
+        this.names = names;
+    }
+
     @Override
     public DirectCall write(AttemptOrder order) {
         GatewayRequest request = order.request();
         List<HeaderField> fields = new ArrayList<>(request.fields());
-        fields.add(new HeaderField(PlatformHeaders.DEADLINE, Long.toString(order.remainingMillis())));
-        fields.add(new HeaderField(
-                PlatformHeaders.EXPECTED_UPSTREAM, order.upstream().id()));
-        fields.add(new HeaderField(PlatformHeaders.RANK, Integer.toString(Math.min(LOWEST_RANK, order.rank()))));
-        order.account().ifPresent(name -> fields.add(new HeaderField(PlatformHeaders.ACCOUNT, name)));
-        order.inputs()
-                .ifPresent(handles -> fields.add(new HeaderField(PlatformHeaders.INPUTS, String.join(",", handles))));
-        order.resumeAfter().ifPresent(id -> fields.add(new HeaderField(PlatformHeaders.LAST_EVENT_ID, id)));
+        fields.add(new HeaderField(names.deadline(), Long.toString(order.remainingMillis())));
+        fields.add(new HeaderField(names.expectedUpstream(), order.upstream().id()));
+        fields.add(new HeaderField(names.rank(), Integer.toString(Math.min(LOWEST_RANK, order.rank()))));
+        order.account().ifPresent(name -> fields.add(new HeaderField(names.account(), name)));
+        order.inputs().ifPresent(handles -> fields.add(new HeaderField(names.inputs(), String.join(",", handles))));
+        order.resumeAfter().ifPresent(id -> fields.add(new HeaderField(HeaderFields.LAST_EVENT_ID, id)));
         return new DirectCall(
                 order.upstream().address(),
                 request.method(),
@@ -44,22 +54,21 @@
 
     @Override
     public boolean provesNotRun(DirectHead head) {
-        return head.status() == MISDIRECTED
-                || head.field(PlatformHeaders.NOT_RUN).isPresent();
+        return head.status() == MISDIRECTED || head.field(names.notRun()).isPresent();
     }
 
     @Override
     public boolean lacksInputs(DirectHead head) {
-        return head.status() == CONFLICT && head.field(PlatformHeaders.NOT_RUN).isPresent();
+        return head.status() == CONFLICT && head.field(names.notRun()).isPresent();
     }
 
     @Override
     public Optional<String> otherUpstream(DirectHead head) {
-        return head.status() == MISDIRECTED ? head.field(PlatformHeaders.ANSWERING_UPSTREAM) : Optional.empty();
+        return head.status() == MISDIRECTED ? head.field(names.answeringUpstream()) : Optional.empty();
     }
 
     @Override
     public List<HeaderField> callerFields(DirectHead head) {
-        return PlatformHeaders.forCaller(head.fields());
+        return HeaderFields.passedOn(head.fields(), Set.of());
     }
 }
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/dialect/HttpControlDoor.java
@@ -0,0 +1,132 @@
+package org.copperspindle.dialect;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.copperspindle.dialect.ControlFormat.ControlCall;
+import org.copperspindle.gateway.ControlAnswer;
+import org.copperspindle.gateway.ControlDesk;
+import org.copperspindle.http.HttpExchange;
+import org.copperspindle.http.HttpRequestHandler;
+
+/**
+ * A node's door for operators and upstreams.
+ */
+public final class HttpControlDoor implements HttpRequestHandler {
+
+    private static final Logger LOGGER = LogManager.getLogger(HttpControlDoor.class);
+    private static final int OK = 200;
+    private static final int TEMPORARY_REDIRECT = 307;
+    private static final int BAD_REQUEST = 400;
+    private static final int NOT_FOUND = 404;
+    private static final int METHOD_NOT_ALLOWED = 405;
+    private static final int UNAVAILABLE = 503;
+    private static final byte[] NOTHING = "{}".getBytes(StandardCharsets.UTF_8);
+
+    private final ControlDesk desk;
+    private final ControlFormat format;
+
+    /**
+     * Creates the door.
+     *
+     * @param desk   what may be asked for
+     * @param format how it is written
+     */
+    public HttpControlDoor(ControlDesk desk, ControlFormat format) {
+        this.desk = desk;
+        this.format = format;
+    }
+
+    @Override
+    public void handle(HttpExchange exchange) {
+        if (isCall(exchange, format.announce())) {
+            announced(exchange, idOf(exchange, format.announce()));
+        } else if (isCall(exchange, format.leave())) {
+            desk.left(idOf(exchange, format.leave()));
+            answer(exchange, OK, NOTHING);
+        } else if (isWhole(exchange, format.putTable())) {
+            desk.accept(exchange.body(), result -> accepted(exchange, result));
+        } else if (isWhole(exchange, format.readTable())) {
+            desk.read(result -> read(exchange, result));
+        } else if (isPath(exchange)) {
+            problem(exchange, METHOD_NOT_ALLOWED, "method not allowed");
+        } else {
+            problem(exchange, NOT_FOUND, "no such call");
+        }
+    }
+
+    private boolean isPath(HttpExchange exchange) {
+        String path = exchange.path();
+        return path.startsWith(format.announce().path())
+                || path.startsWith(format.leave().path())
+                || path.equals(format.putTable().path())
+                || path.equals(format.readTable().path());
+    }
+
+    private static boolean isCall(HttpExchange exchange, ControlCall call) {
+        return exchange.method().equals(call.method()) && exchange.path().startsWith(call.path());
+    }
+
+    private static boolean isWhole(HttpExchange exchange, ControlCall call) {
+        return exchange.method().equals(call.method()) && exchange.path().equals(call.path());
+    }
+
+    private static String idOf(HttpExchange exchange, ControlCall call) {
+        return exchange.path().substring(call.path().length());
+    }
+
+    private void announced(HttpExchange exchange, String id) {
+        try {
+            desk.announced(format.announcement(id, JsonText.read(exchange.body())));
+            answer(exchange, OK, NOTHING);
+        } catch (IOException | IllegalArgumentException e) {
+            LOGGER.warn("event=announcement-refused upstream={} reason=\"{}\"", id, e.getMessage());
+            problem(exchange, BAD_REQUEST, "announcement: " + e.getMessage());
+        }
+    }
+
+    private void accepted(HttpExchange exchange, ControlAnswer result) {
+        if (result instanceof ControlAnswer.Recorded recorded) {
+            answer(exchange, OK, bytes(format.accepted(recorded.version())));
+        } else {
+            other(exchange, result);
+        }
+    }
+
+    private void read(HttpExchange exchange, ControlAnswer result) {
+        if (!(result instanceof ControlAnswer.Recorded recorded)) {
+            other(exchange, result);
+        } else if (recorded.text().isEmpty()) {
+            problem(exchange, UNAVAILABLE, "no configuration was accepted yet");
+        } else {
+            exchange.respond(OK, format.tableType(), Map.of(), recorded.text().get());
+        }
+    }
+
+    private void other(HttpExchange exchange, ControlAnswer result) {
+        if (result instanceof ControlAnswer.Elsewhere elsewhere) {
+            String location = "http://" + elsewhere.control() + exchange.path();
+            exchange.respond(TEMPORARY_REDIRECT, JsonText.CONTENT_TYPE, Map.of("Location", location), new byte[0]);
+        } else if (result instanceof ControlAnswer.Invalid invalid) {
+            problem(exchange, BAD_REQUEST, invalid.problem());
+        } else if (result instanceof ControlAnswer.Unavailable unavailable) {
+            problem(exchange, UNAVAILABLE, unavailable.reason());
+        }
+    }
+
+    private void problem(HttpExchange exchange, int status, String text) {
+        answer(exchange, status, bytes(format.problem(text)));
+    }
+
+    private static void answer(HttpExchange exchange, int status, byte[] body) {
+        exchange.respond(status, JsonText.CONTENT_TYPE, Map.of(), body);
+    }
+
+    private static byte[] bytes(JsonNode json) {
+        return json.toString().getBytes(StandardCharsets.UTF_8);
+    }
+}
--- a/platform/src/main/java/org/copperspindle/platform/JsonText.java
+++ b/library/src/main/java/org/copperspindle/dialect/JsonText.java
@@ -1,4 +1,4 @@
-package org.copperspindle.platform;
+package org.copperspindle.dialect;
 
 import java.io.IOException;
 
@@ -12,9 +12,10 @@
 /**
  * Reading of JSON texts.
  */
-final class JsonText {
+public final class JsonText {
 
-    static final String CONTENT_TYPE = "application/json";
+    /** Content type of JSON. */
+    public static final String CONTENT_TYPE = "application/json";
 
     /** A text with a name twice means different things to different readers; one with more behind its end is cut. */
     private static final ObjectMapper MAPPER = new ObjectMapper(JsonFactory.builder()
@@ -31,7 +32,7 @@
      * @return its value
      * @throws IOException if the text is not one whole JSON value
      */
-    static JsonNode read(byte[] text) throws IOException {
+    public static JsonNode read(byte[] text) throws IOException {
         JsonNode node = MAPPER.readTree(text);
         if (node == null || node.isMissingNode()) {
             throw new IOException("empty text");
@@ -39,8 +40,15 @@
         return node;
     }
 
-    /** Returns a field; names it if it is missing. */
-    static JsonNode require(JsonNode object, String field) {
+    /**
+     * Returns a field.
+     *
+     * @param object the object
+     * @param field  name of the field
+     * @return its value
+     * @throws IllegalArgumentException if it is missing; names it
+     */
+    public static JsonNode require(JsonNode object, String field) {
         JsonNode value = object.get(field);
         if (value == null || value.isNull()) {
             throw new IllegalArgumentException(field + " is missing");
@@ -48,8 +56,15 @@
         return value;
     }
 
-    /** Returns a text field; names it if it is missing or is none. */
-    static String requireText(JsonNode object, String field) {
+    /**
+     * Returns a text field.
+     *
+     * @param object the object
+     * @param field  name of the field
+     * @return its text
+     * @throws IllegalArgumentException if it is missing or no text; names it
+     */
+    public static String requireText(JsonNode object, String field) {
         JsonNode value = require(object, field);
         if (!value.isTextual()) {
             throw new IllegalArgumentException(field + " is not a text");
@@ -57,8 +72,15 @@
         return value.textValue();
     }
 
-    /** Returns a whole number; names the field if it is missing or is none. */
-    static long requireLong(JsonNode object, String field) {
+    /**
+     * Returns a whole number.
+     *
+     * @param object the object
+     * @param field  name of the field
+     * @return its value
+     * @throws IllegalArgumentException if it is missing or no whole number; names it
+     */
+    public static long requireLong(JsonNode object, String field) {
         JsonNode value = require(object, field);
         if (!value.isNumber() || !value.canConvertToLong()) {
             throw new IllegalArgumentException(field + " is not a whole number");
@@ -66,8 +88,12 @@
         return value.longValue();
     }
 
-    /** Returns the factory of new values. */
-    static JsonNodeFactory nodes() {
+    /**
+     * Returns the factory of new values.
+     *
+     * @return the factory
+     */
+    public static JsonNodeFactory nodes() {
         return JsonNodeFactory.instance;
     }
 }
--- a/platform/src/main/java/org/copperspindle/platform/PlatformStages.java
+++ b/library/src/main/java/org/copperspindle/dialect/StageCalls.java
@@ -1,18 +1,14 @@
-package org.copperspindle.platform;
+package org.copperspindle.dialect;
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.ArrayNode;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.copperspindle.batch.MissReason;
 import org.copperspindle.batch.PieceOutcome;
 import org.copperspindle.batch.StageCallResult;
 import org.copperspindle.batch.StageItem;
@@ -29,21 +25,30 @@
 import org.copperspindle.time.TimerSubscription;
 
 /**
- * Calls of the platform's stage servers.
+ * Calls of stage upstreams with JSON bodies.
  */
-final class PlatformStages implements StagePort {
+public final class StageCalls implements StagePort {
 
-    private static final Logger LOGGER = LogManager.getLogger(PlatformStages.class);
-    private static final String RUN = "/v1/stage-run";
-    private static final String FREE = "/v1/stage-free";
-    private static final String ITEMS = "Items";
+    private static final Logger LOGGER = LogManager.getLogger(StageCalls.class);
     private static final long NANOS_PER_MILLI = 1_000_000L;
     private static final long FREE_TIMEOUT_MILLIS = 2000;
 
+    private final StageCallFormat format;
+    private final HeaderNames names;
     private final UpstreamPort port;
     private final TimerService timers;
 
-    PlatformStages(UpstreamPort port, TimerService timers) {
+    /**
+     * Creates the port.
+     *
+     * @param format how calls are written
+     * @param names  names of header fields
+     * @param port   sends calls
+     * @param timers time on the network thread
+     */
+    public StageCalls(StageCallFormat format, HeaderNames names, UpstreamPort port, TimerService timers) {
+        this.format = format;
+        this.names = names;
         this.port = port;
         this.timers = timers;
     }
@@ -51,29 +56,24 @@
     @Override
     public void run(
             UpstreamNews upstream, List<StageItem> items, long timeoutMillis, Consumer<StageCallResult> callback) {
-        ObjectNode body = JsonText.nodes().objectNode();
-        ArrayNode list = body.putArray(ITEMS);
-        items.forEach(item -> write(item, list.addObject()));
-        call(upstream, RUN, body, timeoutMillis, new Reply(items.size(), callback));
+        call(upstream, format.runPath(), format.write(items), timeoutMillis, new Reply(items.size(), callback));
     }
 
     @Override
     public void free(UpstreamNews upstream, List<String> handles) {
-        ObjectNode body = JsonText.nodes().objectNode();
-        ArrayNode list = body.putArray("Handles");
-        handles.forEach(list::add);
-        call(upstream, FREE, body, FREE_TIMEOUT_MILLIS, new Reply(0, result -> {
+        Reply reply = new Reply(0, result -> {
             if (!(result instanceof StageCallResult.Answered)) {
                 LOGGER.debug("event=results-not-freed upstream={} result={}", upstream.id(), result);
             }
-        }));
+        });
+        call(upstream, format.freePath(), format.writeFreed(handles), FREE_TIMEOUT_MILLIS, reply);
     }
 
-    private void call(UpstreamNews upstream, String path, ObjectNode body, long timeoutMillis, Reply reply) {
+    private void call(UpstreamNews upstream, String path, JsonNode body, long timeoutMillis, Reply reply) {
         List<HeaderField> fields = List.of(
-                new HeaderField(PlatformHeaders.HOST, upstream.address()),
-                new HeaderField(PlatformHeaders.CONTENT_TYPE, JsonText.CONTENT_TYPE),
-                new HeaderField(PlatformHeaders.EXPECTED_UPSTREAM, upstream.id()));
+                new HeaderField(HeaderFields.HOST, upstream.address()),
+                new HeaderField(HeaderFields.CONTENT_TYPE, JsonText.CONTENT_TYPE),
+                new HeaderField(names.expectedUpstream(), upstream.id()));
         DirectCall call = new DirectCall(
                 upstream.address(),
                 "POST",
@@ -86,36 +86,8 @@
         reply.handle = port.call(call, reply);
     }
 
-    private static void write(StageItem item, ObjectNode out) {
-        // "Id" is the id of the request; a piece has none of its own.
-        out.put("Id", item.requestId());
-        out.put("Stage", item.stage());
-        out.put("Piece", item.piece());
-        out.put("RemainingMs", item.remainingMillis());
-        if (item.inputs().isEmpty()) {
-            out.put("Key", item.key());
-        } else {
-            ArrayNode inputs = out.putArray("Inputs");
-            item.inputs().forEach(inputs::add);
-        }
-    }
-
-    private static PieceOutcome read(JsonNode item) {
-        JsonNode handle = item.path("Handle");
-        if (handle.isTextual()) {
-            return new PieceOutcome.Made(handle.textValue());
-        }
-        return new PieceOutcome.Missed(
-                switch (item.path("Reason").asText()) {
-                    case "late" -> MissReason.LATE;
-                    case "gone" -> MissReason.INPUT_GONE;
-                    case "room" -> MissReason.NO_ROOM;
-                    default -> MissReason.FAILED;
-                });
-    }
-
     /** Waits for the answer to one call. */
-    private static final class Reply implements DirectListener {
+    private final class Reply implements DirectListener {
         private static final int MISDIRECTED = 421;
 
         private final int items;
@@ -168,8 +140,7 @@
         }
 
         private StageCallResult result() {
-            if (head.status() == MISDIRECTED
-                    || head.field(PlatformHeaders.NOT_RUN).isPresent()) {
+            if (head.status() == MISDIRECTED || head.field(names.notRun()).isPresent()) {
                 return new StageCallResult.NotRun("status-" + head.status());
             }
             if (!head.isSuccess()) {
@@ -179,15 +150,13 @@
                 return new StageCallResult.Answered(List.of());
             }
             try {
-                return outcomes(JsonText.read(body.toByteArray()).path(ITEMS));
+                return checked(format.read(JsonText.read(body.toByteArray())));
             } catch (IOException e) {
                 return new StageCallResult.Lost("answer-unreadable");
             }
         }
 
-        private StageCallResult outcomes(JsonNode list) {
-            List<PieceOutcome> outcomes = new ArrayList<>();
-            list.forEach(item -> outcomes.add(read(item)));
+        private StageCallResult checked(List<PieceOutcome> outcomes) {
             if (outcomes.size() != items) {
                 // Outcomes have no name but their place: with one missing, none can be told from another.
                 return new StageCallResult.Lost("answer-incomplete");
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/dialect/StandardTables.java
@@ -0,0 +1,179 @@
+package org.copperspindle.dialect;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.stream.Collectors;
+
+import org.copperspindle.route.BatchLimits;
+import org.copperspindle.route.CallerLimits;
+import org.copperspindle.route.ClientAccount;
+import org.copperspindle.route.Route;
+import org.copperspindle.route.RouteKind;
+import org.copperspindle.route.RouteStage;
+import org.copperspindle.route.RouteTable;
+import org.copperspindle.route.RouteTableCheck;
+import org.copperspindle.route.RouteTableReader;
+import org.copperspindle.route.RouteTableResult;
+import org.copperspindle.route.UpstreamPool;
+import org.copperspindle.route.WeightedPool;
+import org.copperspindle.settings.SettingsException;
+import org.copperspindle.settings.SettingsFile;
+import org.copperspindle.settings.SettingsProblem;
+import org.copperspindle.settings.SettingsSection;
+
+/**
+ * Reads route tables written in INI: sections {@code [table]}, {@code [limits]}, {@code [account NAME]},
+ * {@code [pool NAME]}, {@code [route NAME]}, and {@code [stage ROUTE/NUMBER]}.
+ */
+public final class StandardTables implements RouteTableReader {
+
+    private static final List<String> KINDS = List.of("table", "limits", "account", "pool", "route", "stage");
+    private static final int MOST = 1_000_000;
+    private static final int MOST_ATTEMPTS = 10;
+    private static final int MOST_RANK = 9;
+
+    @Override
+    public RouteTableResult read(byte[] text) {
+        try {
+            SettingsFile file = SettingsFile.parse("table", new String(text, StandardCharsets.UTF_8));
+            List<UpstreamPool> pools =
+                    file.sections("pool").stream().map(StandardTables::pool).toList();
+            RouteTable table = new RouteTable(
+                    version(file.section("table")),
+                    file.sections("route").stream().map(s -> route(file, s)).toList(),
+                    pools,
+                    accounts(file),
+                    limits(file));
+            file.finish(KINDS);
+            return RouteTableCheck.findProblem(
+                            table, pools.stream().map(UpstreamPool::name).toList())
+                    .<RouteTableResult>map(RouteTableResult.Invalid::new)
+                    .orElseGet(() -> new RouteTableResult.Valid(table));
+        } catch (SettingsException e) {
+            return new RouteTableResult.Invalid(
+                    e.problems().stream().map(SettingsProblem::toString).collect(Collectors.joining("; ")));
+        }
+    }
+
+    private static long version(SettingsSection s) {
+        long version = s.getLong("version", 1, Long.MAX_VALUE, Optional.empty());
+        s.finish();
+        return version;
+    }
+
+    private static Route route(SettingsFile file, SettingsSection s) {
+        Route route = new Route(
+                s.subject(),
+                s.getString("host", "the host that requests name"),
+                s.getString("path-prefix", "a path that begins and ends with a slash"),
+                s.getEnum("kind", RouteKind.class, Optional.empty()),
+                s.getDuration("timeout", Optional.empty()),
+                s.getDuration("objective", Optional.empty()),
+                (int) s.getLong("rank", 0, MOST_RANK, Optional.of(0L)),
+                weights(s),
+                (int) s.getLong("max-attempts", 1, MOST_ATTEMPTS, Optional.of(1L)),
+                stages(file, s.subject()),
+                s.getBoolean("open", Optional.of(false)),
+                s.getBoolean("resumable", Optional.of(false)),
+                s.getDuration("longest-pause", Optional.of(Duration.ZERO)));
+        s.finish();
+        return route;
+    }
+
+    /** Pools are written as {@code a:90, b:10}; one without a weight has 1. */
+    private static List<WeightedPool> weights(SettingsSection s) {
+        String expected = "POOL:WEIGHT of each pool, separated by commas";
+        List<WeightedPool> pools = new ArrayList<>();
+        for (String text : s.getList("pools", expected, Optional.empty())) {
+            String[] parts = text.split(":", 2);
+            if (parts.length == 2 && !parts[1].matches("\\d{1,6}")) {
+                s.reject("pools", "bad weight in '" + text + "'", expected);
+            } else {
+                pools.add(new WeightedPool(parts[0].trim(), parts.length == 2 ? Integer.parseInt(parts[1]) : 1));
+            }
+        }
+        return pools;
+    }
+
+    private static List<RouteStage> stages(SettingsFile file, String route) {
+        List<RouteStage> stages = new ArrayList<>();
+        for (int number = 0; file.has("stage " + route + '/' + number); number++) {
+            SettingsSection s = file.section("stage " + route + '/' + number);
+            stages.add(new RouteStage(
+                    s.getString("pool", "a pool whose upstreams make pieces"),
+                    after(s),
+                    s.getBytes("result-size", Optional.empty())));
+            s.finish();
+        }
+        return stages;
+    }
+
+    private static List<Integer> after(SettingsSection s) {
+        String expected = "numbers of stages, separated by commas";
+        List<Integer> after = new ArrayList<>();
+        for (String text : s.getList("after", expected, Optional.of(List.of()))) {
+            if (text.matches("\\d{1,3}")) {
+                after.add(Integer.valueOf(text));
+            } else {
+                s.reject("after", "bad number '" + text + "'", expected);
+            }
+        }
+        return after;
+    }
+
+    private static UpstreamPool pool(SettingsSection s) {
+        int slots = (int) s.getLong("engine-slots", 0, MOST, Optional.of(0L));
+        int batch = (int) s.getLong("pieces-in-a-call", 0, MOST, Optional.of(0L));
+        UpstreamPool pool = new UpstreamPool(
+                s.subject(),
+                (int) s.getLong("max-connections", 1, MOST, Optional.of(100L)),
+                batch > 0 ? Optional.of(batch(s, batch)) : Optional.empty(),
+                slots > 0 ? OptionalInt.of(slots) : OptionalInt.empty());
+        s.finish();
+        return pool;
+    }
+
+    private static BatchLimits batch(SettingsSection s, int batch) {
+        return new BatchLimits(
+                (int) s.getLong("calls-at-once", 1, MOST, Optional.of(1L)),
+                (int) s.getLong("calls-waiting", 0, MOST, Optional.of(0L)),
+                batch,
+                s.getDuration("call-time", Optional.empty()).toNanos(),
+                s.getDuration("piece-time", Optional.empty()).toNanos(),
+                s.getBytes("result-memory", Optional.empty()),
+                s.getDuration("result-kept", Optional.empty()).toNanos());
+    }
+
+    /** Without any account no request needs a key. */
+    private static Optional<List<ClientAccount>> accounts(SettingsFile file) {
+        List<ClientAccount> accounts = new ArrayList<>();
+        for (SettingsSection s : file.sections("account")) {
+            int rank = (int) s.getLong("rank", -1, MOST_RANK, Optional.of(-1L));
+            accounts.add(new ClientAccount(
+                    s.subject(),
+                    s.getList("keys", "keys, separated by commas", Optional.of(List.of())),
+                    rank < 0 ? OptionalInt.empty() : OptionalInt.of(rank)));
+            s.finish();
+        }
+        return accounts.isEmpty() ? Optional.empty() : Optional.of(accounts);
+    }
+
+    private static CallerLimits limits(SettingsFile file) {
+        CallerLimits d = CallerLimits.DEFAULT;
+        if (!file.has("limits")) {
+            return d;
+        }
+        SettingsSection s = file.section("limits");
+        CallerLimits limits = new CallerLimits(
+                (int) s.getBytes("max-header", 256, 256 << 10, Optional.of((long) d.maxHeaderBytes())),
+                (int) s.getBytes("max-body", 1, 64 << 20, Optional.of((long) d.maxBodyBytes())),
+                s.getDuration("header-timeout", Optional.of(d.headerTimeout())),
+                s.getDuration("idle-timeout", Optional.of(d.idleTimeout())));
+        s.finish();
+        return limits;
+    }
+}
--- a/library/src/main/java/org/copperspindle/edition/EditionMember.java
+++ b/library/src/main/java/org/copperspindle/edition/EditionMember.java
@@ -1,6 +1,7 @@
 package org.copperspindle.edition;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.function.Consumer;
@@ -64,6 +65,7 @@
      * @param timers    time on that ring
      * @param transport transport of the log's own connections
      * @param settings  settings of the log
+     * @param bind      where the member listens; others reach it at the address in its settings
      * @param state     what the log drives
      * @param listener  told on the ring when the leader, the term or the part in the group changes
      * @return the member
@@ -74,11 +76,12 @@
             TimerService timers,
             WireTransport transport,
             ConsensusSettings settings,
+            InetSocketAddress bind,
             EditionState state,
             Consumer<MemberStatus> listener)
             throws IOException {
         ConsensusLog log = ConsensusLog.open(ring, timers, transport, state, settings);
-        transport.listen(settings.address(), log);
+        transport.listen(bind, log);
         EditionMember member = new EditionMember(
                 ring, timers, state, log, new SuspensionWatch(), settings.electionTimeout(), listener);
         ring.execute(log::start);
--- a/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
@@ -20,6 +20,7 @@
 import org.apache.logging.log4j.Logger;
 import org.copperspindle.batch.BatchService;
 import org.copperspindle.batch.FreeResultsMessage;
+import org.copperspindle.batch.PackerStatus;
 import org.copperspindle.batch.PieceCancelMessage;
 import org.copperspindle.batch.PieceGroup;
 import org.copperspindle.batch.PieceResultsMessage;
@@ -47,11 +48,14 @@
 import org.copperspindle.http.HttpListener;
 import org.copperspindle.http.HttpRequestHandler;
 import org.copperspindle.measure.DecisionLog;
+import org.copperspindle.mesh.CutOffWatch;
 import org.copperspindle.mesh.MeshListener;
 import org.copperspindle.mesh.MeshNode;
+import org.copperspindle.mesh.MeshRelay;
 import org.copperspindle.mesh.MeshSettings;
 import org.copperspindle.mesh.NodeHelloMessage;
 import org.copperspindle.mesh.NodeMesh;
+import org.copperspindle.mesh.RelayMessage;
 import org.copperspindle.route.CallerLimits;
 import org.copperspindle.route.RouteTable;
 import org.copperspindle.route.UpstreamPool;
@@ -98,8 +102,8 @@
     private static final Duration LONELY_TIME = Duration.ofSeconds(2);
 
     /**
-     * Cores of a VM that may pack the calls of a pool, if any has as many. Packing for ten upstreams takes about 0.05 of a
-     * core on the average, and a call must be formed the moment an upstream is free.
+     * Cores of a VM that packs the calls of a pool without delay. On 0.27 of a core with 7 Mbit/s, 57 in 100 drafts of a
+     * calm day were on time, and 70 on 0.96 of a core with 100 Mbit/s.
      */
     private static final double PACKING_CORES = 0.5;
 
@@ -122,6 +126,7 @@
     private final MessageRegistry registry;
     private final NodeMesh mesh;
     private final UpstreamDirectory directory = new UpstreamDirectory();
+    private final CutOffWatch cutOff;
     private final DirectoryGossip gossip;
     private final EditionExchange exchange;
     private final EditionHolder holder;
@@ -153,11 +158,13 @@
         this.transport = new WireTransport(group, registry, greeting, MeshSettings.LIMITS);
         MeshSettings meshSettings = new MeshSettings(
                 settings.mesh(),
+                settings.meshBind().orElse(settings.mesh()),
                 NumericAddress.format(settings.control()),
                 settings.failureDomain(),
                 settings.dataFolder().isPresent(),
                 settings.seeds());
         this.mesh = new NodeMesh(meshSettings, transport, timers, this::hello);
+        this.cutOff = new CutOffWatch(() -> mesh.nodes().size(), timers);
         this.gossip = new DirectoryGossip(mesh, timers, directory);
         this.exchange = new EditionExchange(mesh, timers, loop);
         Duration lease = Duration.ofNanos((long) (settings.revocation().toNanos() * LEASE_SHARE));
@@ -165,15 +172,17 @@
         exchange.holder(holder);
         DecisionLog log = new DecisionLog(SERVED_LINES, FAILED_LINES);
         this.client = new DirectClient(loop, timers);
+        MeshRelay relay = new MeshRelay(mesh, registry);
         this.batches = new BatchService(
-                mesh,
+                relay,
                 timers,
                 directory,
                 dialects.stages(client, timers),
                 pool -> holder.heldTable().flatMap(t -> t.findPool(pool)).flatMap(UpstreamPool::batch),
-                this::serves,
-                packs(),
+                new Packer(),
                 log);
+        relay.listener(batches);
+        mesh.subscribe(relay);
         this.budget = new SharedRetryBudget(
                 settings.retries().ratio(),
                 settings.retries().slack(),
@@ -190,6 +199,7 @@
                 new UpstreamChooser(directory, tracker, ThreadLocalRandom.current(), settings.failureDomain()),
                 budget,
                 gate,
+                cutOff,
                 open,
                 counters,
                 log,
@@ -280,6 +290,7 @@
     }
 
     private void subscribe() {
+        mesh.subscribe(cutOff);
         mesh.subscribe(gossip);
         mesh.subscribe(exchange);
         mesh.subscribe(batches);
@@ -322,6 +333,7 @@
                 ringTimers,
                 () -> new WireTransport(group, registry, greeting, MeshSettings.LIMITS),
                 consensus,
+                MeshRoster.memberAddress(settings.meshBind().orElse(settings.mesh())),
                 this::recorded,
                 this::memberStatus);
         MemberKeeper kept = new MemberKeeper(ringTimers, opener, member -> loop.execute(() -> exchange.member(member)));
@@ -351,11 +363,19 @@
                 exchange.status().leader(),
                 holder.version(),
                 mesh.nodes().stream().map(MeshNode::address).toList(),
-                packs());
+                fitness());
     }
 
-    private boolean packs() {
-        return settings.cores() >= PACKING_CORES;
+    /**
+     * Says how fit this node is to pack calls. Members of the control group come after others of their size: while they are
+     * cut off from each other, and all others still reach them, two of them would pack the calls of one pool, and half of
+     * these calls would find their upstream full.
+     */
+    private int fitness() {
+        if (settings.cores() < PACKING_CORES) {
+            return 0;
+        }
+        return settings.dataFolder().isPresent() ? 1 : 2;
     }
 
     private void tick() {
@@ -435,6 +455,7 @@
     private static MessageRegistry registry() {
         MessageRegistry registry = WireTransport.registry()
                 .register(NodeHelloMessage.CODEC)
+                .register(RelayMessage.CODEC)
                 .register(EditionMessage.CODEC)
                 .register(EditionLeaseAskMessage.CODEC)
                 .register(EditionLeaseMessage.CODEC)
@@ -449,6 +470,19 @@
         return registry;
     }
 
+    /** This node's part in packing calls. */
+    private final class Packer implements PackerStatus {
+        @Override
+        public boolean isServing() {
+            return serves();
+        }
+
+        @Override
+        public int fitness() {
+            return GatewayNode.this.fitness();
+        }
+    }
+
     /** What the metrics show. */
     private final class Shown implements NodeState {
         @Override
--- a/library/src/main/java/org/copperspindle/gateway/GatewaySettings.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewaySettings.java
@@ -15,6 +15,7 @@
  * @param readiness     where a balancer asks whether the node is ready
  * @param control       where operators and upstreams connect
  * @param mesh          where other nodes connect; the next port is taken by the control group
+ * @param meshBind      where it listens for other nodes, if a forwarder stands before that; the next port as well
  * @param metrics       where metrics are read, if anywhere
  * @param seeds         mesh addresses of a few nodes
  * @param dataFolder    folder on a disk; a node that has one is a member of the control group
@@ -32,6 +33,7 @@
         InetSocketAddress readiness,
         InetSocketAddress control,
         InetSocketAddress mesh,
+        Optional<InetSocketAddress> meshBind,
         Optional<InetSocketAddress> metrics,
         List<InetSocketAddress> seeds,
         Optional<Path> dataFolder,
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/gateway/GatewaySettingsReader.java
@@ -0,0 +1,60 @@
+package org.copperspindle.gateway;
+
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+
+import org.copperspindle.settings.SettingsException;
+import org.copperspindle.settings.SettingsFile;
+import org.copperspindle.settings.SettingsSection;
+
+/**
+ * Reads the settings of a node from INI: one section {@code [node]}.
+ */
+public final class GatewaySettingsReader {
+
+    /** Name of the section; a settings file that has it describes a node. */
+    public static final String SECTION = "node";
+
+    private static final int MOST_LOSSES = 4;
+    private static final int MOST_REPEATS = 1_000_000;
+    private static final int MOST_CORES = 1024;
+
+    private GatewaySettingsReader() {}
+
+    /**
+     * Reads settings.
+     *
+     * @param file the file
+     * @return the settings
+     * @throws SettingsException with every fault found
+     */
+    public static GatewaySettings read(SettingsFile file) throws SettingsException {
+        SettingsSection s = file.section(SECTION);
+        String folder = s.getString("data-folder", "a folder on a disk", "");
+        GatewaySettings settings = new GatewaySettings(
+                s.getString("name", "a name unique in the deployment"),
+                s.getString("failure-domain", "the failure domain of this VM"),
+                s.getAddress("callers", Optional.empty()),
+                s.getAddress("readiness", Optional.empty()),
+                s.getAddress("control", Optional.empty()),
+                s.getAddress("mesh", Optional.empty()),
+                s.getOptionalAddress("mesh-bind"),
+                s.getOptionalAddress("metrics"),
+                s.getAddresses("seeds"),
+                folder.isEmpty() ? Optional.empty() : Optional.of(Path.of(folder)),
+                s.getBoolean("first-start", Optional.of(false)),
+                (int) s.getLong("tolerated-losses", 0, MOST_LOSSES, Optional.of(1L)),
+                s.getDuration("revocation", Optional.of(Duration.ofSeconds(5))),
+                new GatewaySettings.RetryLimits(
+                        s.getDouble("retry-ratio", 0, 1, Optional.of(0.2)),
+                        s.getDouble("retry-slack", 0, MOST_REPEATS, Optional.of(20.0)),
+                        s.getDuration("retry-window", Optional.of(Duration.ofSeconds(10)))),
+                s.getDuration("stop-grace", Optional.of(Duration.ofSeconds(8))),
+                s.getDouble("cores", 0, MOST_CORES, Optional.of(1.0)));
+        s.finish();
+        file.finish(List.of(SECTION));
+        return settings;
+    }
+}
--- a/library/src/main/java/org/copperspindle/gateway/NodeMemberOpener.java
+++ b/library/src/main/java/org/copperspindle/gateway/NodeMemberOpener.java
@@ -1,6 +1,7 @@
 package org.copperspindle.gateway;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -29,6 +30,7 @@
     private final TimerService timers;
     private final Supplier<WireTransport> transports;
     private final ConsensusSettings settings;
+    private final InetSocketAddress bind;
     private final Consumer<EditionMessage> recorded;
     private final Consumer<MemberStatus> status;
     private Optional<WireTransport> transport = Optional.empty();
@@ -38,12 +40,14 @@
             TimerService timers,
             Supplier<WireTransport> transports,
             ConsensusSettings settings,
+            InetSocketAddress bind,
             Consumer<EditionMessage> recorded,
             Consumer<MemberStatus> status) {
         this.ring = ring;
         this.timers = timers;
         this.transports = transports;
         this.settings = settings;
+        this.bind = bind;
         this.recorded = recorded;
         this.status = status;
     }
@@ -54,7 +58,7 @@
         transport.ifPresent(WireTransport::close);
         WireTransport own = transports.get();
         transport = Optional.of(own);
-        return EditionMember.open(ring, timers, own, settings, new EditionState(recorded), status);
+        return EditionMember.open(ring, timers, own, settings, bind, new EditionState(recorded), status);
     }
 
     @Override
--- a/tools/src/main/java/org/copperspindle/cli/RunCommand.java
+++ b/tools/src/main/java/org/copperspindle/cli/RunCommand.java
@@ -7,6 +7,11 @@
 import net.sourceforge.argparse4j.inf.Subparser;
 import org.copperspindle.daemon.CopperspindleProcess;
 import org.copperspindle.daemon.ProcessSettings;
+import org.copperspindle.dialect.StandardDialects;
+import org.copperspindle.gateway.GatewayNode;
+import org.copperspindle.gateway.GatewaySettings;
+import org.copperspindle.gateway.GatewaySettingsReader;
+import org.copperspindle.settings.SettingsFile;
 
 /**
  * {@code copperspindle run}: one daemon with the roles that its settings name.
@@ -29,28 +34,59 @@
 
     @Override
     public ExitCode run(Namespace arguments) throws Exception {
-        ProcessSettings settings = ProcessSettings.load(Path.of(arguments.getString("settings")));
+        Path path = Path.of(arguments.getString("settings"));
+        SettingsFile file = SettingsFile.load(path);
+        if (file.has(GatewaySettingsReader.SECTION)) {
+            runNode(GatewaySettingsReader.read(file));
+        } else {
+            runProcess(ProcessSettings.read(file));
+        }
+        return ExitCode.SUCCESS;
+    }
+
+    private static void runProcess(ProcessSettings settings) throws Exception {
         CopperspindleProcess process = CopperspindleProcess.start(settings);
         System.out.println("started process=" + settings.id() + " wire=" + address(process.wireAddress())
                 + process.callerAddress().map(a -> " callers=" + address(a)).orElse("")
                 + process.operatorAddress().map(a -> " operators=" + address(a)).orElse(""));
-        CountDownLatch stopped = new CountDownLatch(1);
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(process, stopped), "shutdown"));
-        stopped.await();
-        return ExitCode.SUCCESS;
+        awaitStop(process::stop);
+    }
+
+    private static void runNode(GatewaySettings settings) throws Exception {
+        GatewayNode node = GatewayNode.start(settings, new StandardDialects());
+        System.out.println("started node=" + settings.name() + " callers=" + address(settings.callers()) + " operators="
+                + address(settings.control()));
+        awaitStop(node::stop);
     }
 
     private static String address(java.net.InetSocketAddress address) {
         return address.getAddress().getHostAddress() + ":" + address.getPort();
     }
 
-    private static void stop(CopperspindleProcess process, CountDownLatch stopped) {
+    private static void awaitStop(Stoppable daemon) throws InterruptedException {
+        CountDownLatch stopped = new CountDownLatch(1);
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(daemon, stopped), "shutdown"));
+        stopped.await();
+    }
+
+    private static void stop(Stoppable daemon, CountDownLatch stopped) {
         try {
-            process.stop();
+            daemon.stop();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
         org.apache.logging.log4j.LogManager.shutdown();
         stopped.countDown();
     }
+
+    /** A daemon that ends without cutting anything off. */
+    @FunctionalInterface
+    private interface Stoppable {
+        /**
+         * Stops it.
+         *
+         * @throws InterruptedException if the wait is interrupted
+         */
+        void stop() throws InterruptedException;
+    }
 }
