Soak nodes as separate processes under seeded disturbances

A module of its own starts nodes as processes with stand-ins for upstreams, callers and an operator, and disturbs them by a plan drawn from the seed: SIGKILL, SIGTERM, SIGSTOP, restarts, a lost disk, links between nodes that are late, reset, silenced or cut one way by a loopback proxy, upstreams that crash or drain, versions and keys that change; in series that overlap. Promises are judged by what callers and stand-ins saw: whole and own answers, at most once, refusals that are true, keys, drains, versions, inputs of pieces, recovery, ends of processes, ends after SIGTERM. Not built: clocks that jump (no privileges are taken for it) and disks that are slow or full.

--- /dev/null
+++ b/soak/src/main/java/org/copperspindle/soak/NodeProcess.java
@@ -0,0 +1,158 @@
+package org.copperspindle.soak;
+
+import java.io.File;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+
+/**
+ * One node as a process of its own, with a proxy before its ports for other nodes.
+ */
+final class NodeProcess implements AutoCloseable {
+
+    /** Longest time from SIGTERM to the end, as the settings of the node state it, and some more for a busy machine. */
+    private static final long STOP_SECONDS = 15;
+
+    private final String name;
+    private final SoakSettings settings;
+    private final NodePorts ports;
+    private final List<NodePorts> all;
+    private final boolean durable;
+    private final LinkProxy mesh;
+    private final LinkProxy member;
+    private Process process;
+    private int starts;
+    private boolean wanted;
+
+    NodeProcess(int number, SoakSettings settings, List<NodePorts> all, boolean durable) throws IOException {
+        this.name = "node-" + number;
+        this.settings = settings;
+        this.ports = all.get(number);
+        this.all = all;
+        this.durable = durable;
+        this.mesh = new LinkProxy(ports.mesh(), ports.bind());
+        this.member = new LinkProxy(ports.mesh() + 1, ports.bind() + 1);
+    }
+
+    String name() {
+        return name;
+    }
+
+    NodePorts ports() {
+        return ports;
+    }
+
+    synchronized void start() throws IOException {
+        Path file = settings.folder().resolve(name + ".ini");
+        Files.writeString(file, ini(starts == 0), StandardCharsets.UTF_8);
+        List<String> command = new ArrayList<>(settings.launcher());
+        command.addAll(List.of("run", "--settings", file.toString()));
+        File log = settings.folder().resolve(name + ".log").toFile();
+        process = new ProcessBuilder(command)
+                .redirectErrorStream(true)
+                .redirectOutput(ProcessBuilder.Redirect.appendTo(log))
+                .start();
+        starts++;
+        wanted = true;
+    }
+
+    synchronized void kill() throws InterruptedException {
+        wanted = false;
+        process.destroyForcibly().waitFor();
+    }
+
+    /** Sends SIGTERM and waits; returns false if the process had to be killed. */
+    boolean stop() throws InterruptedException {
+        Process stopping;
+        synchronized (this) {
+            wanted = false;
+            stopping = process;
+            stopping.destroy();
+        }
+        if (stopping.waitFor(STOP_SECONDS, TimeUnit.SECONDS)) {
+            return true;
+        }
+        stopping.destroyForcibly().waitFor();
+        return false;
+    }
+
+    /** Sends a signal that only the kill command can send. */
+    void signal(String signal) throws IOException, InterruptedException {
+        new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid()))
+                .start()
+                .waitFor();
+    }
+
+    void loseDisk() throws IOException {
+        Path data = data();
+        if (!Files.exists(data)) {
+            return;
+        }
+        List<Path> files;
+        try (Stream<Path> walk = Files.walk(data)) {
+            files = walk.sorted(Comparator.reverseOrder()).toList();
+        }
+        for (Path path : files) {
+            Files.delete(path);
+        }
+    }
+
+    void links(LinkMode mode) {
+        mesh.mode(mode);
+        member.mode(mode);
+    }
+
+    void resetLinks() {
+        mesh.reset();
+        member.reset();
+    }
+
+    synchronized boolean isAlive() {
+        return process != null && process.isAlive();
+    }
+
+    /** Says whether the process ended though nobody ended it. */
+    synchronized boolean endedByItself() {
+        return wanted && process != null && !process.isAlive();
+    }
+
+    @Override
+    public void close() throws IOException {
+        synchronized (this) {
+            wanted = false;
+            if (process != null) {
+                process.destroyForcibly();
+            }
+        }
+        mesh.close();
+        member.close();
+    }
+
+    private Path data() {
+        return settings.folder().resolve(name + "-data");
+    }
+
+    private String ini(boolean first) throws IOException {
+        if (durable) {
+            Files.createDirectories(data());
+        }
+        String seeds =
+                String.join(", ", all.stream().map(p -> address(p.mesh())).toList());
+        return "[node]\nname = " + name + "\nfailure-domain = d" + ports.domain() + "\ncallers = "
+                + address(ports.callers()) + "\nreadiness = " + address(ports.readiness()) + "\ncontrol = "
+                + address(ports.control()) + "\nmesh = " + address(ports.mesh()) + "\nmesh-bind = "
+                + address(ports.bind()) + "\nseeds = " + seeds + "\nfirst-start = " + first
+                + "\ntolerated-losses = 1\nrevocation = " + SoakOperator.REVOCATION.toMillis()
+                + "ms\nretry-slack = 50\nstop-grace = 6s\n" + (durable ? "data-folder = " + data() + "\n" : "");
+    }
+
+    private static String address(int port) {
+        return "127.0.0.1:" + port;
+    }
+}
--- /dev/null
+++ b/soak/src/main/java/org/copperspindle/soak/PromiseBook.java
@@ -0,0 +1,136 @@
+package org.copperspindle.soak;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/**
+ * What callers, upstreams and the operator saw, and which promises it breaks.
+ */
+final class PromiseBook {
+
+    private static final int MOST_TOLD = 20;
+
+    private final Map<String, List<Run>> runs = new ConcurrentHashMap<>();
+    private final Map<String, Answer> answers = new ConcurrentHashMap<>();
+    private final Map<String, Long> drained = new ConcurrentHashMap<>();
+    private final List<String> broken = new ArrayList<>();
+    private final AtomicInteger served = new AtomicInteger();
+    private volatile long revokedAt = Long.MAX_VALUE;
+
+    /** An upstream begins to run a request. */
+    void ran(String id, String upstream, long now) {
+        runs.computeIfAbsent(id, i -> new CopyOnWriteArrayList<>()).add(new Run(upstream, now));
+    }
+
+    /** A caller got the end of an answer, or of its connection. */
+    void answered(SoakRequest request, Answer answer) {
+        answers.put(request.id(), answer);
+        if (answer.status() == 200 && answer.whole()) {
+            served.incrementAndGet();
+            if (!answer.text().equals(expected(request))) {
+                breaks("mixed: " + request.id() + " got \"" + answer.text().replace("\n", "|") + '"');
+            }
+        } else if (answer.status() == 200
+                && request.streams()
+                && !expected(request).startsWith(answer.text())) {
+            breaks("order: " + request.id() + " got \"" + answer.text().replace("\n", "|") + '"');
+        }
+    }
+
+    /** An upstream's word that it drains was acknowledged. */
+    void drained(String upstream, long now) {
+        drained.put(upstream, now);
+    }
+
+    /** The version that takes the second account's key away was acknowledged. */
+    void revoked(long now) {
+        revokedAt = now;
+    }
+
+    long revokedAt() {
+        return revokedAt;
+    }
+
+    int served() {
+        return served.get();
+    }
+
+    int asked() {
+        return answers.size();
+    }
+
+    synchronized void breaks(String promise) {
+        broken.add(promise);
+    }
+
+    /** Judges what can only be told at the end, and returns all broken promises. */
+    synchronized List<String> judge(List<long[]> linkTrouble) {
+        answers.forEach((id, answer) -> judge(SoakRequest.parse(id), answer, linkTrouble));
+        return broken.size() > MOST_TOLD ? List.copyOf(broken.subList(0, MOST_TOLD)) : List.copyOf(broken);
+    }
+
+    private void judge(SoakRequest request, Answer answer, List<long[]> linkTrouble) {
+        List<Run> seen = runs.getOrDefault(request.id(), List.of());
+        if (!request.isIdempotent() && seen.size() > 1) {
+            breaks("twice: " + request.id() + " ran at " + seen);
+        }
+        if (answer.saysNotRun() && !request.isIdempotent() && !seen.isEmpty()) {
+            breaks("refused: " + request.id() + " was answered " + answer.status() + " and ran at " + seen);
+        }
+        if ((answer.status() == 401 || answer.status() == 404)
+                && request.account().equals(SoakOperator.LASTING)) {
+            breaks("denied: " + request.id() + " was answered " + answer.status());
+        }
+        boolean revoked = request.account().equals(SoakOperator.REVOKED)
+                && answer.sentAt() - SoakOperator.REVOCATION.toMillis() > revokedAt;
+        if (revoked && !seen.isEmpty()) {
+            breaks("revoked: " + request.id() + " ran after its key was taken away");
+        }
+        for (Run run : seen) {
+            Long since = drained.get(run.upstream());
+            if (since != null && answer.sentAt() > since + SoakOperator.DRAIN_MILLIS && calm(since, linkTrouble)) {
+                breaks("drain: " + request.id() + " reached " + run.upstream() + " that was draining");
+            }
+        }
+    }
+
+    /** Says whether no link was disturbed around a moment: nodes that are cut off can't hear of a drain. */
+    private static boolean calm(long at, List<long[]> linkTrouble) {
+        long margin = SoakOperator.CONTACT_MILLIS;
+        return linkTrouble.stream().noneMatch(t -> t[0] - margin < at + margin && at < t[1] + margin);
+    }
+
+    private static String expected(SoakRequest request) {
+        if (!request.streams()) {
+            return request.body();
+        }
+        StringBuilder events = new StringBuilder();
+        for (int number = 1; number <= SoakRequest.EVENTS; number++) {
+            events.append(request.event(number));
+        }
+        return events.toString();
+    }
+
+    /**
+     * What a caller got.
+     *
+     * @param status     HTTP status, 0 if none came
+     * @param text       body as far as it came
+     * @param whole      whether its framing says that it is whole
+     * @param saysNotRun whether it promises that the request did not run
+     * @param sentAt     when the request was sent, in milliseconds
+     */
+    record Answer(int status, String text, boolean whole, boolean saysNotRun, long sentAt) {}
+
+    /**
+     * A run of a request.
+     *
+     * @param upstream where
+     * @param at       when, in milliseconds
+     */
+    record Run(String upstream, long at) {}
+}
--- /dev/null
+++ b/soak/src/main/java/org/copperspindle/soak/Soak.java
@@ -0,0 +1,271 @@
+package org.copperspindle.soak;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+
+/**
+ * One soak: starts a deployment, disturbs it by a plan, lets it recover, and judges what was seen. The door of this module.
+ */
+public final class Soak {
+
+    private static final List<String> POOLS = List.of(
+            SoakUpstream.WEB,
+            SoakUpstream.WEB,
+            SoakUpstream.WEB,
+            SoakUpstream.ENGINE,
+            SoakUpstream.ENGINE,
+            SoakUpstream.ENGINE,
+            SoakUpstream.STAGE,
+            SoakUpstream.STAGE);
+    private static final Duration START_BOUND = Duration.ofSeconds(60);
+    private static final Duration CHANGE_BOUND = Duration.ofSeconds(20);
+    private static final long ANNOUNCE_MILLIS = 400;
+    private static final long READ_MILLIS = 700;
+    private static final long LINGER_MILLIS = 2500;
+
+    /** After the last disturbance has ended, all nodes serve again within this; a quarter is what must be served then. */
+    private static final Duration RECOVERY = Duration.ofSeconds(12);
+
+    private static final Duration MEASURED = Duration.ofSeconds(3);
+    private static final double LEAST_RECOVERED = 0.25;
+    private static final int WORKERS = 16;
+
+    private final SoakSettings settings;
+    private final Consumer<String> progress;
+    private final PromiseBook book = new PromiseBook();
+    private final Set<String> results = SoakUpstream.noResults();
+    private final List<NodePorts> ports = new ArrayList<>();
+    private final List<NodeProcess> nodes = new ArrayList<>();
+    private final List<SoakUpstream> upstreams = new ArrayList<>();
+    private final List<SoakCaller> callers = new ArrayList<>();
+    private final List<long[]> linkTrouble = new ArrayList<>();
+    private final ScheduledExecutorService workers = Executors.newScheduledThreadPool(WORKERS);
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
+    private final SoakOperator operator;
+
+    private Soak(SoakSettings settings, Consumer<String> progress) throws IOException {
+        this.settings = settings;
+        this.progress = progress;
+        for (int number = 0; number < settings.nodes(); number++) {
+            ports.add(NodePorts.free(number));
+        }
+        this.operator = new SoakOperator(ports, book);
+    }
+
+    /**
+     * Runs a soak to its end.
+     *
+     * @param settings what to run
+     * @param progress told what happens, a line each
+     * @return how it ended
+     * @throws IOException          if a process can't be started or a file not be written
+     * @throws InterruptedException if the wait is interrupted
+     */
+    public static SoakReport run(SoakSettings settings, Consumer<String> progress)
+            throws IOException, InterruptedException {
+        Files.createDirectories(settings.folder());
+        Soak soak = new Soak(settings, progress);
+        try {
+            return soak.play();
+        } finally {
+            soak.close();
+        }
+    }
+
+    private SoakReport play() throws IOException, InterruptedException {
+        start();
+        List<Disturbance> plan = SoakPlan.of(settings, POOLS.size());
+        long startedAt = System.currentTimeMillis();
+        for (Disturbance each : plan) {
+            workers.schedule(() -> disturb(each), each.atMillis(), TimeUnit.MILLISECONDS);
+        }
+        long lastEnd =
+                plan.stream().mapToLong(d -> d.atMillis() + d.forMillis()).max().orElse(0);
+        Thread.sleep(Math.max(settings.duration().toMillis(), lastEnd) + startedAt - System.currentTimeMillis());
+        double recovered = recover();
+        callers.forEach(SoakCaller::end);
+        Thread.sleep(LINGER_MILLIS);
+        nodes.stream()
+                .filter(NodeProcess::endedByItself)
+                .forEach(node -> book.breaks("exit: " + node.name() + " ended by itself"));
+        synchronized (linkTrouble) {
+            return new SoakReport(settings.seed(), book.asked(), book.served(), recovered, book.judge(linkTrouble));
+        }
+    }
+
+    private void start() throws IOException {
+        for (int number = 0; number < settings.nodes(); number++) {
+            nodes.add(new NodeProcess(number, settings, ports, number < settings.nodes() - 1));
+        }
+        for (NodeProcess node : nodes) {
+            node.start();
+        }
+        POOLS.forEach(pool -> upstreams.add(upstream(pool)));
+        workers.scheduleAtFixedRate(this::announce, 0, ANNOUNCE_MILLIS, TimeUnit.MILLISECONDS);
+        if (!operator.change(false, START_BOUND)) {
+            throw new IOException("no node accepted the first version within " + START_BOUND);
+        }
+        progress.accept("started nodes=" + nodes.size() + " folder=" + settings.folder());
+        AtomicLong numbers = new AtomicLong();
+        for (int i = 0; i < settings.callers(); i++) {
+            SoakCaller caller = new SoakCaller(numbers, ports, book, settings.seed() + i);
+            callers.add(caller);
+            Thread thread = new Thread(caller, "caller-" + i);
+            thread.setDaemon(true);
+            thread.start();
+        }
+        workers.scheduleAtFixedRate(operator::check, READ_MILLIS, READ_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private SoakUpstream upstream(String pool) {
+        return new SoakUpstream(pool, book, ports, results, group);
+    }
+
+    private void announce() {
+        List<SoakUpstream> now;
+        synchronized (upstreams) {
+            now = List.copyOf(upstreams);
+        }
+        now.forEach(upstream -> workers.execute(upstream::announce));
+    }
+
+    private void disturb(Disturbance what) {
+        progress.accept("at_ms=" + what.atMillis() + " kind=" + what.kind() + " target=" + what.target() + " for_ms="
+                + what.forMillis());
+        try {
+            if (what.kind().isOfLinks()) {
+                disturbLinks(nodes.get(what.target()), what);
+            } else {
+                disturbProcess(what);
+            }
+        } catch (IOException e) {
+            book.breaks("soak: " + what.kind() + " failed: " + e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void disturbLinks(NodeProcess node, Disturbance what) throws InterruptedException {
+        long begin = System.currentTimeMillis();
+        if (what.kind() == DisturbanceKind.RESET) {
+            node.resetLinks();
+        } else {
+            node.links(LinkMode.valueOf(what.kind().name()));
+            Thread.sleep(what.forMillis());
+            node.links(LinkMode.PASS);
+        }
+        trouble(begin);
+    }
+
+    private void disturbProcess(Disturbance what) throws IOException, InterruptedException {
+        long begin = System.currentTimeMillis();
+        switch (what.kind()) {
+            case KILL, LOSE_DISK -> killAndRestart(nodes.get(what.target()), what);
+            case TERM -> stopAndRestart(nodes.get(what.target()), what);
+            case PAUSE -> {
+                NodeProcess node = nodes.get(what.target());
+                node.signal("STOP");
+                Thread.sleep(what.forMillis());
+                node.signal("CONT");
+            }
+            case UPSTREAM_CRASH, UPSTREAM_DRAIN -> replaceUpstream(what);
+            case REVOKE, CHANGE -> operator.change(what.kind() == DisturbanceKind.REVOKE, CHANGE_BOUND);
+            default -> throw new IllegalArgumentException(what.toString());
+        }
+        if (what.kind() == DisturbanceKind.PAUSE || what.kind() == DisturbanceKind.KILL) {
+            trouble(begin);
+        }
+    }
+
+    private void killAndRestart(NodeProcess node, Disturbance what) throws IOException, InterruptedException {
+        synchronized (node) {
+            node.kill();
+            if (what.kind() == DisturbanceKind.LOSE_DISK) {
+                node.loseDisk();
+            }
+            Thread.sleep(what.forMillis());
+            node.start();
+        }
+    }
+
+    private void stopAndRestart(NodeProcess node, Disturbance what) throws IOException, InterruptedException {
+        if (!node.stop()) {
+            book.breaks("stop: " + node.name() + " did not end after SIGTERM");
+        }
+        synchronized (node) {
+            Thread.sleep(what.forMillis());
+            if (!node.isAlive()) {
+                node.start();
+            }
+        }
+    }
+
+    private void replaceUpstream(Disturbance what) throws InterruptedException {
+        SoakUpstream leaving;
+        synchronized (upstreams) {
+            leaving = upstreams.get(what.target());
+            upstreams.set(what.target(), upstream(leaving.pool()));
+        }
+        if (what.kind() == DisturbanceKind.UPSTREAM_DRAIN) {
+            leaving.drain();
+            Thread.sleep(SoakOperator.DRAIN_MILLIS + LINGER_MILLIS);
+        }
+        leaving.close();
+    }
+
+    private void trouble(long begin) {
+        synchronized (linkTrouble) {
+            linkTrouble.add(new long[] {begin, System.currentTimeMillis()});
+        }
+    }
+
+    /** Ends all disturbances, gives the deployment its time, and returns which part of the requests is served then. */
+    private double recover() throws IOException, InterruptedException {
+        for (NodeProcess node : nodes) {
+            node.links(LinkMode.PASS);
+            node.signal("CONT");
+            synchronized (node) {
+                if (!node.isAlive()) {
+                    node.start();
+                }
+            }
+        }
+        Thread.sleep(RECOVERY.toMillis());
+        int asked = book.asked();
+        int served = book.served();
+        Thread.sleep(MEASURED.toMillis());
+        int more = book.asked() - asked;
+        double recovered = more == 0 ? 0 : (book.served() - served) / (double) more;
+        if (recovered < LEAST_RECOVERED) {
+            book.breaks("recover: " + recovered + " of " + more + " requests served");
+        }
+        if (!operator.check() && !operator.check() && !operator.check()) {
+            book.breaks("config: can't be read after the recovery");
+        }
+        return recovered;
+    }
+
+    private void close() throws IOException {
+        workers.shutdownNow();
+        callers.forEach(SoakCaller::end);
+        for (NodeProcess node : nodes) {
+            node.close();
+        }
+        synchronized (upstreams) {
+            upstreams.forEach(SoakUpstream::close);
+        }
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+}
--- /dev/null
+++ b/soak/src/main/java/org/copperspindle/soak/SoakCaller.java
@@ -0,0 +1,186 @@
+package org.copperspindle.soak;
+
+import java.io.ByteArrayOutputStream;
+import java.io.EOFException;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.atomic.AtomicLong;
+
+import org.copperspindle.dialect.HeaderNames;
+import org.copperspindle.soak.PromiseBook.Answer;
+
+/**
+ * A caller that sends one request after the other, and keeps an open connection until the process behind it is gone.
+ */
+final class SoakCaller implements Runnable {
+
+    private static final HeaderNames NAMES = HeaderNames.STANDARD;
+    private static final int CONNECT_MILLIS = 1000;
+    private static final int DEADLINE_MILLIS = 4000;
+    private static final int THINK_MILLIS = 60;
+    private static final int MOST_PIECES = 4;
+    private static final int FOR_ONE_CONNECTION = 30;
+    private static final double REVOKED_SHARE = 0.2;
+    private static final List<String> ROUTES =
+            List.of(SoakRequest.SAFE, SoakRequest.ONCE, SoakRequest.DRAFT, SoakRequest.RESUME);
+
+    private final AtomicLong numbers;
+    private final List<NodePorts> nodes;
+    private final PromiseBook book;
+    private final SplittableRandom random;
+    private volatile boolean ended;
+    private Socket socket;
+    private int left;
+
+    SoakCaller(AtomicLong numbers, List<NodePorts> nodes, PromiseBook book, long seed) {
+        this.numbers = numbers;
+        this.nodes = nodes;
+        this.book = book;
+        this.random = new SplittableRandom(seed);
+    }
+
+    void end() {
+        ended = true;
+    }
+
+    @Override
+    public void run() {
+        while (!ended) {
+            String account = random.nextDouble() < REVOKED_SHARE ? SoakOperator.REVOKED : SoakOperator.LASTING;
+            String route = ROUTES.get(random.nextInt(ROUTES.size()));
+            int pieces = route.equals(SoakRequest.DRAFT) || route.equals(SoakRequest.RESUME)
+                    ? 1 + random.nextInt(MOST_PIECES)
+                    : 0;
+            SoakRequest request = SoakRequest.of(numbers.incrementAndGet(), route, account, pieces);
+            book.answered(request, ask(request));
+            pause(random.nextInt(THINK_MILLIS));
+        }
+        close();
+    }
+
+    private Answer ask(SoakRequest request) {
+        long sentAt = System.currentTimeMillis();
+        Reply reply = new Reply();
+        try {
+            connect();
+            sentAt = System.currentTimeMillis();
+            socket.getOutputStream().write(text(request).getBytes(StandardCharsets.US_ASCII));
+            reply.read(socket.getInputStream());
+        } catch (IOException e) {
+            // The connection broke or nothing came in time: what had come by then is the answer.
+            close();
+        }
+        if (!reply.whole || reply.closes) {
+            close();
+        }
+        boolean notRun = List.of(503, 429, 408, 421).contains(reply.status);
+        return new Answer(
+                reply.status, reply.body.toString(StandardCharsets.UTF_8), reply.whole, reply.whole && notRun, sentAt);
+    }
+
+    private void connect() throws IOException {
+        if (socket != null && left-- > 0) {
+            return;
+        }
+        close();
+        NodePorts node = nodes.get(random.nextInt(nodes.size()));
+        Socket next = new Socket();
+        next.setSoTimeout(DEADLINE_MILLIS);
+        next.connect(new InetSocketAddress("127.0.0.1", node.callers()), CONNECT_MILLIS);
+        socket = next;
+        left = random.nextInt(FOR_ONE_CONNECTION);
+    }
+
+    private static String text(SoakRequest request) {
+        return "POST /" + request.route() + "/x HTTP/1.1\r\nHost: h\r\n" + NAMES.requestId() + ": " + request.id()
+                + "\r\nAuthorization: Bearer key-" + request.account() + "\r\n" + NAMES.deadline() + ": "
+                + DEADLINE_MILLIS + "\r\n" + NAMES.prompt() + ": shared:10,own:5\r\n" + NAMES.pieces() + ": "
+                + request.pieces() + ',' + request.pieces() + "\r\n" + NAMES.pieceKey() + ": " + request.pieceKey()
+                + "\r\nContent-Length: 0\r\n\r\n";
+    }
+
+    private void close() {
+        try {
+            if (socket != null) {
+                socket.close();
+            }
+        } catch (IOException e) {
+            // Nothing is left to close.
+            socket = null;
+        }
+        socket = null;
+    }
+
+    private static void pause(long millis) {
+        try {
+            Thread.sleep(millis);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** An answer as far as it was read. */
+    private static final class Reply {
+        private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+        private final Map<String, String> fields = new HashMap<>();
+        private int status;
+        private boolean whole;
+        private boolean closes;
+
+        private void read(InputStream in) throws IOException {
+            String first = line(in);
+            status = Integer.parseInt(first.split(" ")[1]);
+            for (String field = line(in); !field.isEmpty(); field = line(in)) {
+                int colon = field.indexOf(':');
+                fields.put(
+                        field.substring(0, colon).toLowerCase(Locale.ROOT),
+                        field.substring(colon + 1).trim());
+            }
+            closes = "close".equalsIgnoreCase(fields.get("connection"));
+            if ("chunked".equalsIgnoreCase(fields.get("transfer-encoding"))) {
+                readChunks(in);
+            } else {
+                copy(in, Integer.parseInt(fields.getOrDefault("content-length", "0")));
+            }
+            whole = true;
+        }
+
+        private void readChunks(InputStream in) throws IOException {
+            for (int length = Integer.parseInt(line(in), 16); length > 0; length = Integer.parseInt(line(in), 16)) {
+                copy(in, length);
+                line(in);
+            }
+            line(in);
+        }
+
+        private void copy(InputStream in, int length) throws IOException {
+            for (int i = 0; i < length; i++) {
+                body.write(next(in));
+            }
+        }
+
+        private static String line(InputStream in) throws IOException {
+            StringBuilder line = new StringBuilder();
+            for (int c = next(in); c != '\n'; c = next(in)) {
+                line.append((char) c);
+            }
+            return line.toString().trim();
+        }
+
+        private static int next(InputStream in) throws IOException {
+            int c = in.read();
+            if (c < 0) {
+                throw new EOFException();
+            }
+            return c;
+        }
+    }
+}
--- /dev/null
+++ b/soak/src/main/java/org/copperspindle/soak/SoakOperator.java
@@ -0,0 +1,136 @@
+package org.copperspindle.soak;
+
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * Sends versions until they are acknowledged, and reads back what is in force.
+ */
+final class SoakOperator {
+
+    /** The account whose key is never taken away. */
+    static final String LASTING = "lasting";
+
+    /** The account whose key may be. */
+    static final String REVOKED = "passing";
+
+    /** After an acknowledged version that takes a key away, nothing sent with it runs any more. */
+    static final Duration REVOCATION = Duration.ofSeconds(5);
+
+    /** After an acknowledged drain nothing sent later reaches the upstream. */
+    static final long DRAIN_MILLIS = 2000;
+
+    /** Nodes hear of others within this after links are sound again. */
+    static final long CONTACT_MILLIS = 4000;
+
+    private static final Pattern VERSION = Pattern.compile("version = (\\d+)");
+    private static final Duration PATIENCE = Duration.ofSeconds(2);
+    private static final long READ_AFTER_MILLIS = 2500;
+
+    private final List<NodePorts> nodes;
+    private final PromiseBook book;
+    private final HttpClient client = HttpClient.newBuilder()
+            .version(HttpClient.Version.HTTP_1_1)
+            .followRedirects(HttpClient.Redirect.ALWAYS)
+            .connectTimeout(PATIENCE)
+            .build();
+    private long version;
+    private long acknowledged;
+    private long acknowledgedAt;
+    private boolean revoked;
+
+    SoakOperator(List<NodePorts> nodes, PromiseBook book) {
+        this.nodes = nodes;
+        this.book = book;
+    }
+
+    /** Sends a version; returns whether it was acknowledged before the time was over. */
+    synchronized boolean change(boolean revokes, Duration bound) {
+        revoked |= revokes;
+        version++;
+        String table = table();
+        long end = System.nanoTime() + bound.toNanos();
+        while (System.nanoTime() < end) {
+            if (send("PUT", HttpRequest.BodyPublishers.ofString(table)).isPresent()) {
+                acknowledged = version;
+                acknowledgedAt = System.currentTimeMillis();
+                if (revoked && book.revokedAt() == Long.MAX_VALUE) {
+                    book.revoked(acknowledgedAt);
+                }
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Reads the newest version from any node; one that was acknowledged a while ago must show. */
+    synchronized boolean check() {
+        boolean settled = System.currentTimeMillis() - acknowledgedAt > READ_AFTER_MILLIS;
+        long least = settled ? acknowledged : 0;
+        Optional<Long> read = send("GET", HttpRequest.BodyPublishers.noBody()).flatMap(SoakOperator::version);
+        read.filter(found -> found < least)
+                .ifPresent(found -> book.breaks("config: read version " + found + " after " + least + " was accepted"));
+        return read.isPresent();
+    }
+
+    private Optional<String> send(String method, HttpRequest.BodyPublisher body) {
+        NodePorts node = nodes.get(ThreadLocalRandom.current().nextInt(nodes.size()));
+        HttpRequest request = HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + node.control() + "/v1/table"))
+                .timeout(PATIENCE)
+                .method(method, body)
+                .build();
+        try {
+            HttpResponse<String> response = client.send(request, HttpResponse.BodyHandlers.ofString());
+            if (response.statusCode() >= 400 && response.statusCode() < 500) {
+                book.breaks("config: " + method + " was refused: " + response.body());
+            }
+            return response.statusCode() == 200 ? Optional.of(response.body()) : Optional.empty();
+        } catch (IOException e) {
+            // No clear answer: the same is sent again, to any node.
+            return Optional.empty();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return Optional.empty();
+        }
+    }
+
+    private static Optional<Long> version(String table) {
+        Matcher matcher = VERSION.matcher(table);
+        return matcher.find() ? Optional.of(Long.valueOf(matcher.group(1))) : Optional.empty();
+    }
+
+    private String table() {
+        return "[table]\nversion = " + version + "\n[account " + LASTING + "]\nkeys = key-" + LASTING + "\n[account "
+                + REVOKED + "]\nkeys = " + (revoked ? "key-other" : "key-" + REVOKED) + "\n[pool " + SoakUpstream.WEB
+                + "]\n[pool " + SoakUpstream.ENGINE + "]\nengine-slots = 16\n[pool " + SoakUpstream.STAGE
+                + "]\npieces-in-a-call = 8\ncalls-waiting = 2\ncall-time = 30ms\npiece-time = 1ms\n"
+                + "result-memory = 1MiB\nresult-kept = 4s\n"
+                + route(SoakRequest.SAFE, "safe", SoakUpstream.WEB, "max-attempts = 2")
+                + route(SoakRequest.ONCE, "unsafe", SoakUpstream.WEB, "max-attempts = 2")
+                + route(SoakRequest.DRAFT, "stream", SoakUpstream.ENGINE, "max-attempts = 2")
+                + stages(SoakRequest.DRAFT)
+                + route(SoakRequest.RESUME, "stream", SoakUpstream.ENGINE, "max-attempts = 3\nresumable = true")
+                + stages(SoakRequest.RESUME);
+    }
+
+    private String route(String name, String kind, String pool, String more) {
+        // The objective differs from version to version, so that each has an effect.
+        return "[route " + name + "]\nhost = h\npath-prefix = /" + name + "/\nkind = " + kind
+                + "\ntimeout = 4s\nobjective = " + (1500 + version % 100) + "ms\npools = " + pool
+                + "\nlongest-pause = 200ms\n" + more + "\n";
+    }
+
+    private static String stages(String route) {
+        return "[stage " + route + "/0]\npool = " + SoakUpstream.STAGE + "\nresult-size = 1KiB\n[stage " + route
+                + "/1]\npool = " + SoakUpstream.STAGE + "\nafter = 0\nresult-size = 1KiB\n";
+    }
+}
--- /dev/null
+++ b/soak/src/main/java/org/copperspindle/soak/SoakRequest.java
@@ -0,0 +1,55 @@
+package org.copperspindle.soak;
+
+/**
+ * A request of a soak. Its id says all that a stand-in needs to judge what it is asked for.
+ *
+ * @param id      identity
+ * @param route   name of its route, also its path
+ * @param account whose key it carries
+ * @param pieces  pieces of each of the two stages, 0 for routes without stages
+ */
+record SoakRequest(String id, String route, String account, int pieces) {
+
+    static final String SAFE = "safe";
+    static final String ONCE = "once";
+    static final String DRAFT = "draft";
+    static final String RESUME = "resume";
+
+    /** Events of each stream. */
+    static final int EVENTS = 6;
+
+    /** Makes a request. */
+    static SoakRequest of(long number, String route, String account, int pieces) {
+        String id = route + '-' + account + '-' + pieces + '-' + number;
+        return new SoakRequest(id, route, account, pieces);
+    }
+
+    /** Reads what an id says. */
+    static SoakRequest parse(String id) {
+        String[] parts = id.split("-");
+        return new SoakRequest(id, parts[0], parts[1], Integer.parseInt(parts[2]));
+    }
+
+    boolean streams() {
+        return route.equals(DRAFT) || route.equals(RESUME);
+    }
+
+    boolean isIdempotent() {
+        return route.equals(SAFE) || route.equals(RESUME);
+    }
+
+    /** Returns the whole body of its answer, for routes that don't stream. */
+    String body() {
+        return "answer to " + id;
+    }
+
+    /** Returns one event of its answer. */
+    String event(int number) {
+        return "id: " + number + "\ndata: " + id + (number == EVENTS ? " end" : "") + "\n\n";
+    }
+
+    /** Returns the key of its pieces. */
+    String pieceKey() {
+        return "key-" + id;
+    }
+}
--- /dev/null
+++ b/soak/src/main/java/org/copperspindle/soak/SoakSettings.java
@@ -0,0 +1,23 @@
+package org.copperspindle.soak;
+
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+
+/**
+ * What a soak runs.
+ *
+ * @param seed     decides every disturbance and its moment
+ * @param duration time with disturbances; the recovery after it is not counted
+ * @param nodes    node processes; all but the last have a data folder, so that an odd number of them votes
+ * @param callers  callers at work at the same time
+ * @param folder   where settings, data and logs go
+ * @param launcher words that start the command line, to which {@code run --settings FILE} is added
+ */
+public record SoakSettings(long seed, Duration duration, int nodes, int callers, Path folder, List<String> launcher) {
+
+    /** Copies the list. */
+    public SoakSettings {
+        launcher = List.copyOf(launcher);
+    }
+}
--- /dev/null
+++ b/soak/src/main/java/org/copperspindle/soak/SoakUpstream.java
@@ -0,0 +1,268 @@
+package org.copperspindle.soak;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import org.copperspindle.dialect.HeaderNames;
+import org.copperspindle.dialect.JsonText;
+import org.copperspindle.http.HeaderField;
+import org.copperspindle.http.HttpExchange;
+import org.copperspindle.http.HttpLimits;
+import org.copperspindle.http.HttpListener;
+
+/**
+ * A stand-in for an upstream. It writes down what it runs, and says when it is asked for what no caller wants.
+ */
+final class SoakUpstream implements AutoCloseable {
+
+    static final String WEB = "web";
+    static final String ENGINE = "engine";
+    static final String STAGE = "stage";
+
+    private static final HeaderNames NAMES = HeaderNames.STANDARD;
+    private static final Duration ACKNOWLEDGED = Duration.ofSeconds(1);
+    private static final AtomicLong LAST = new AtomicLong();
+    private static final int EVENT_MILLIS = 15;
+    private static final int CALL_MILLIS = 30;
+    private static final double REFUSES = 0.03;
+    private static final double BREAKS = 0.03;
+
+    /** Results that exist, over all upstreams of one soak. */
+    private final Set<String> results;
+
+    private final String id = "u" + LAST.incrementAndGet();
+    private final String pool;
+    private final PromiseBook book;
+    private final List<NodePorts> nodes;
+    private final HttpListener listener;
+    private final HttpClient client = HttpClient.newBuilder()
+            .version(HttpClient.Version.HTTP_1_1)
+            .connectTimeout(ACKNOWLEDGED)
+            .build();
+    private final Random random = ThreadLocalRandom.current();
+    private final AtomicLong sequence = new AtomicLong();
+    private volatile String phase = "ready";
+
+    SoakUpstream(
+            String pool,
+            PromiseBook book,
+            List<NodePorts> nodes,
+            Set<String> results,
+            MultiThreadIoEventLoopGroup group) {
+        this.pool = pool;
+        this.book = book;
+        this.nodes = nodes;
+        this.results = results;
+        this.listener =
+                new HttpListener(group, new InetSocketAddress("127.0.0.1", 0), () -> HttpLimits.DEFAULT, this::handle);
+    }
+
+    static Set<String> noResults() {
+        return ConcurrentHashMap.newKeySet();
+    }
+
+    String pool() {
+        return pool;
+    }
+
+    /** Announces itself to one node; returns whether that was acknowledged. */
+    boolean announce() {
+        NodePorts node = nodes.get(ThreadLocalRandom.current().nextInt(nodes.size()));
+        String body = JsonText.nodes()
+                .objectNode()
+                .put("pool", pool)
+                .put("address", address())
+                .put("failure_domain", "d" + sequence.get() % 1)
+                .put("phase", phase)
+                .put("slots", 16)
+                .put("sequence", sequence.incrementAndGet())
+                .toString();
+        URI uri = URI.create("http://127.0.0.1:" + node.control() + "/v1/upstreams/" + id);
+        HttpRequest request = HttpRequest.newBuilder(uri)
+                .timeout(ACKNOWLEDGED)
+                .PUT(HttpRequest.BodyPublishers.ofString(body))
+                .build();
+        try {
+            return client.send(request, HttpResponse.BodyHandlers.discarding()).statusCode() == 200;
+        } catch (IOException e) {
+            // The node is down or cut off: the next announcement goes to another.
+            return false;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return false;
+        }
+    }
+
+    /** Says that it drains, until that is acknowledged. */
+    void drain() {
+        phase = "draining";
+        while (!announce() && !Thread.currentThread().isInterrupted()) {
+            Thread.onSpinWait();
+        }
+        book.drained(id, System.currentTimeMillis());
+    }
+
+    @Override
+    public void close() {
+        listener.close();
+        results.removeIf(handle -> handle.startsWith(address() + '/'));
+    }
+
+    private String address() {
+        return "127.0.0.1:" + listener.address().getPort();
+    }
+
+    private void handle(HttpExchange exchange) {
+        boolean meant =
+                exchange.header(NAMES.expectedUpstream()).filter(id::equals).isPresent();
+        if (!meant) {
+            exchange.respond(421, List.of(new HeaderField(NAMES.answeringUpstream(), id)), new byte[0]);
+        } else if (exchange.path().equals("/v1/pieces")) {
+            later(exchange, CALL_MILLIS, () -> makePieces(exchange));
+        } else if (exchange.path().equals("/v1/results/free")) {
+            read(exchange).path("handles").forEach(handle -> results.remove(handle.asText()));
+            exchange.respond(200, List.of(), "{}".getBytes(StandardCharsets.UTF_8));
+        } else {
+            runRequest(exchange);
+        }
+    }
+
+    private void runRequest(HttpExchange exchange) {
+        SoakRequest request =
+                SoakRequest.parse(exchange.header(NAMES.requestId()).orElse("none-none-0-0"));
+        judge(exchange, request);
+        boolean gone = !results.containsAll(inputs(exchange));
+        if (gone || random.nextDouble() < REFUSES) {
+            List<HeaderField> refusal =
+                    List.of(new HeaderField(NAMES.requestId(), request.id()), new HeaderField(NAMES.notRun(), "1"));
+            exchange.respond(gone ? 409 : 503, refusal, new byte[0]);
+            return;
+        }
+        book.ran(request.id(), id, System.currentTimeMillis());
+        boolean breaks = random.nextDouble() < BREAKS;
+        List<HeaderField> fields = List.of(new HeaderField(NAMES.requestId(), request.id()));
+        if (request.streams()) {
+            int after = Integer.parseInt(exchange.header("Last-Event-Id").orElse("0"));
+            int last = breaks ? after + random.nextInt(SoakRequest.EVENTS) : SoakRequest.EVENTS;
+            exchange.start(200, fields);
+            stream(exchange, request, after + 1, last);
+        } else if (breaks) {
+            exchange.start(200, fields);
+            exchange.breakOff();
+        } else {
+            byte[] body = request.body().getBytes(StandardCharsets.UTF_8);
+            later(exchange, random.nextInt(EVENT_MILLIS), () -> exchange.respond(200, fields, body));
+        }
+    }
+
+    private void stream(HttpExchange exchange, SoakRequest request, int number, int last) {
+        if (number > SoakRequest.EVENTS) {
+            exchange.finish();
+        } else if (number > last) {
+            exchange.breakOff();
+        } else if (exchange.write(request.event(number))) {
+            later(exchange, EVENT_MILLIS, () -> stream(exchange, request, number + 1, last));
+        }
+    }
+
+    private void judge(HttpExchange exchange, SoakRequest request) {
+        String account = exchange.header(NAMES.account()).orElse("");
+        if (!account.equals(request.account())
+                || exchange.header("Authorization").isPresent()) {
+            book.breaks("unasked: " + request.id() + " came with account " + account);
+        }
+        if (!pool.equals(request.streams() ? ENGINE : WEB)) {
+            book.breaks("route: " + request.id() + " came to pool " + pool);
+        }
+        if (request.streams() && !isComplete(inputs(exchange), request, 1)) {
+            book.breaks("mixed: " + request.id() + " came with inputs " + inputs(exchange));
+        }
+    }
+
+    private static List<String> inputs(HttpExchange exchange) {
+        String handles = exchange.header(NAMES.inputs()).orElse("");
+        return handles.isEmpty() ? List.of() : Arrays.asList(handles.split(","));
+    }
+
+    private void makePieces(HttpExchange exchange) {
+        ObjectNode answer = JsonText.nodes().objectNode();
+        ArrayNode made = answer.putArray("pieces");
+        for (JsonNode piece : read(exchange).path("pieces")) {
+            ObjectNode out = made.addObject();
+            SoakRequest request = SoakRequest.parse(piece.path("request").asText());
+            List<String> inputs = new ArrayList<>();
+            piece.path("inputs").forEach(input -> inputs.add(input.asText()));
+            int stage = piece.path("stage").asInt();
+            judgePiece(request, stage, piece.path("key").asText(), inputs);
+            if (!results.containsAll(inputs)) {
+                out.put("missed", "input-gone");
+                continue;
+            }
+            String handle = address()
+                    + '/'
+                    + request.id()
+                    + '/'
+                    + stage
+                    + '/'
+                    + piece.path("piece").asInt();
+            results.add(handle);
+            out.put("handle", handle);
+        }
+        exchange.respond(200, List.of(), answer.toString().getBytes(StandardCharsets.UTF_8));
+    }
+
+    private void judgePiece(SoakRequest request, int stage, String key, List<String> inputs) {
+        boolean right = stage == 0
+                ? key.equals(request.pieceKey()) && inputs.isEmpty()
+                : key.isEmpty() && isComplete(inputs, request, 0);
+        if (!right || stage > 1) {
+            book.breaks("mixed: a piece of stage " + stage + " of " + request.id() + " came with key " + key
+                    + " and inputs " + inputs);
+        }
+    }
+
+    /** Says whether handles name all pieces of one stage of a request, each once, and nothing else. */
+    private static boolean isComplete(List<String> handles, SoakRequest request, int stage) {
+        Set<String> names = new HashSet<>();
+        for (String handle : handles) {
+            names.add(handle.substring(handle.indexOf('/') + 1));
+        }
+        Set<String> expected = new HashSet<>();
+        for (int piece = 0; piece < request.pieces(); piece++) {
+            expected.add(request.id() + '/' + stage + '/' + piece);
+        }
+        return handles.size() == request.pieces() && names.equals(expected);
+    }
+
+    private static JsonNode read(HttpExchange exchange) {
+        try {
+            return JsonText.read(exchange.body());
+        } catch (IOException e) {
+            throw new IllegalArgumentException("a call's body is not JSON", e);
+        }
+    }
+
+    private static void later(HttpExchange exchange, long millis, Runnable task) {
+        exchange.scheduler().schedule(task, millis, TimeUnit.MILLISECONDS);
+    }
+}
--- a/tools/src/main/java/org/copperspindle/cli/Copperspindle.java
+++ b/tools/src/main/java/org/copperspindle/cli/Copperspindle.java
@@ -26,7 +26,8 @@
             new MeasureCommand(),
             new ReplayCommand(),
             new EmulateCommand(),
-            new ExplainCommand());
+            new ExplainCommand(),
+            new SoakCommand());
     private static final String COMMAND_KEY = "command";
 
     private Copperspindle() {}
--- /dev/null
+++ b/tools/src/test/java/org/copperspindle/cli/SoakTest.java
@@ -0,0 +1,32 @@
+package org.copperspindle.cli;
+
+import java.nio.file.Path;
+import java.time.Duration;
+
+import org.copperspindle.soak.Soak;
+import org.copperspindle.soak.SoakReport;
+import org.copperspindle.soak.SoakSettings;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Short soaks with fixed seeds: real processes, so that moments differ from run to run, but promises must be kept at all of
+ * them. Every seed that ever broke a promise stands here, with its cause.
+ */
+class SoakTest {
+
+    @TempDir
+    private Path folder;
+
+    @ParameterizedTest
+    @ValueSource(longs = {1})
+    void promisesAreKeptWhileNodesAreDisturbed(long seed) throws Exception {
+        SoakSettings settings = new SoakSettings(seed, Duration.ofSeconds(8), 4, 6, folder, SoakCommand.launcher());
+        SoakReport report = Soak.run(settings, line -> {});
+        assertThat(report.broken()).as(report.summary()).isEmpty();
+        assertThat(report.served()).isPositive();
+    }
+}
