Begin requests on idle pools whatever was learned, gate those whose results were forgotten, and count by account and stage

Changes: pools are idle by their loads alone; a request of which nothing ran passes the gate again. Metrics count requests by client account, and pieces and busy seconds by stage pool. Messages, refusals and return times left the two largest files.

--- a/library/src/main/java/org/copperspindle/batch/BatchService.java
+++ b/library/src/main/java/org/copperspindle/batch/BatchService.java
@@ -205,6 +205,17 @@
         return known ? load.load().withPromised(load.load().promised() + promises.untold(pool)) : PoolLoad.UNKNOWN;
     }
 
+    /**
+     * Returns what the upstreams of a pool did in calls that this node packed.
+     *
+     * @param pool name of the pool
+     * @return the work since the start
+     */
+    public PoolWork work(String pool) {
+        PoolDispatcher own = dispatchers.get(pool);
+        return own == null ? PoolWork.NONE : own.work();
+    }
+
     /**
      * Returns how many pieces wait at this node for an upstream.
      *
--- a/library/src/main/java/org/copperspindle/batch/PoolDispatcher.java
+++ b/library/src/main/java/org/copperspindle/batch/PoolDispatcher.java
@@ -71,6 +71,7 @@
     private final PieceQueue queue = new PieceQueue();
     private final Map<String, StageUpstream> upstreams = new LinkedHashMap<>();
     private final Map<WaitingGroup, Integer> running = new HashMap<>();
+    private PoolWork work = PoolWork.NONE;
     private boolean freeing;
     private boolean waking;
 
@@ -177,6 +178,10 @@
         return new PoolLoad(soonest + (long) (queue.pieces() / perNano), perNano * NANOS_PER_SECOND, 0);
     }
 
+    PoolWork work() {
+        return work;
+    }
+
     int waitingPieces() {
         return queue.pieces();
     }
@@ -271,6 +276,10 @@
         long now = timers.nanoTime();
         tasks.forEach(task -> running.computeIfPresent(task.group(), (g, n) -> n > 1 ? n - 1 : null));
         if (result instanceof StageCallResult.Answered answered) {
+            long made = answered.outcomes().stream()
+                    .filter(PieceOutcome.Made.class::isInstance)
+                    .count();
+            work = work.and((now - sentAt) / NANOS_PER_SECOND, made);
             upstream.answered(expected, now - sentAt);
             take(upstream, tasks, answered.outcomes(), now);
         } else if (result instanceof StageCallResult.NotRun notRun) {
--- a/library/src/main/java/org/copperspindle/gateway/GatewayContext.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayContext.java
@@ -26,7 +26,8 @@
  * @param open      requests in progress
  * @param counters  counts requests
  * @param log       bounds log lines
- * @param random    spreads returns of refused callers
+ * @param random    draws pools by weight
+ * @param returns   when refused callers should come back
  */
 record GatewayContext(
         TimerService timers,
@@ -43,4 +44,5 @@
         OpenRequests open,
         GatewayCounters counters,
         DecisionLog log,
-        RandomGenerator random) {}
+        RandomGenerator random,
+        ReturnTimes returns) {}
--- a/library/src/main/java/org/copperspindle/gateway/GatewayCounters.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayCounters.java
@@ -13,9 +13,13 @@
     /** Routes come and go with versions; those beyond this count as one. */
     private static final int MAX_ROUTES = 100;
 
+    /** Client accounts beyond those count as one: each is a line of every scrape. */
+    private static final int MAX_ACCOUNTS = 200;
+
     private static final String OTHER = "other";
 
     private final Map<String, Map<String, Long>> outcomes = new TreeMap<>();
+    private final Map<String, Map<String, Long>> accounts = new TreeMap<>();
     private final Map<String, Long> refusals = new TreeMap<>();
     private final Map<String, LatencyHistogram> durations = new TreeMap<>();
     private final Map<String, LatencyHistogram> waits = new TreeMap<>();
@@ -28,8 +32,10 @@
     }
 
     /** Counts the end of an admitted request. */
-    void ended(String route, String outcome, long nanos) {
+    void ended(String route, String account, String outcome, long nanos) {
         open--;
+        String result = isServed(outcome) ? "served" : "failed";
+        accounts.computeIfAbsent(keptAccount(account), a -> new TreeMap<>()).merge(result, 1L, Long::sum);
         String kept = kept(route);
         outcomes.computeIfAbsent(kept, r -> new TreeMap<>()).merge(outcome, 1L, Long::sum);
         durations.computeIfAbsent(kept, r -> new LatencyHistogram()).record(nanos);
@@ -82,6 +88,19 @@
         return waits;
     }
 
+    /** Returns counts by client account and result. */
+    Map<String, Map<String, Long>> accounts() {
+        return accounts;
+    }
+
+    private static boolean isServed(String outcome) {
+        return outcome.equals("streamed") || outcome.startsWith("status-2");
+    }
+
+    private String keptAccount(String account) {
+        return accounts.containsKey(account) || accounts.size() < MAX_ACCOUNTS ? account : OTHER;
+    }
+
     private String kept(String route) {
         return durations.containsKey(route) || durations.size() < MAX_ROUTES ? route : OTHER;
     }
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayMessages.java
@@ -0,0 +1,43 @@
+package org.copperspindle.gateway;
+
+import org.copperspindle.batch.FreeResultsMessage;
+import org.copperspindle.batch.PieceCancelMessage;
+import org.copperspindle.batch.PieceGroup;
+import org.copperspindle.batch.PieceResultsMessage;
+import org.copperspindle.batch.PoolLoadMessage;
+import org.copperspindle.batch.PoolPromiseMessage;
+import org.copperspindle.consensus.ConsensusLog;
+import org.copperspindle.discovery.UpstreamNewsMessage;
+import org.copperspindle.edition.EditionLeaseAskMessage;
+import org.copperspindle.edition.EditionLeaseMessage;
+import org.copperspindle.edition.EditionMessage;
+import org.copperspindle.mesh.NodeHelloMessage;
+import org.copperspindle.mesh.RelayMessage;
+import org.copperspindle.wire.MessageRegistry;
+import org.copperspindle.wire.WireTransport;
+
+/**
+ * All messages between nodes.
+ */
+final class GatewayMessages {
+
+    private GatewayMessages() {}
+
+    static MessageRegistry registry() {
+        MessageRegistry registry = WireTransport.registry()
+                .register(NodeHelloMessage.CODEC)
+                .register(RelayMessage.CODEC)
+                .register(EditionMessage.CODEC)
+                .register(EditionLeaseAskMessage.CODEC)
+                .register(EditionLeaseMessage.CODEC)
+                .register(UpstreamNewsMessage.CODEC)
+                .register(PieceGroup.CODEC)
+                .register(PieceResultsMessage.CODEC)
+                .register(PieceCancelMessage.CODEC)
+                .register(FreeResultsMessage.CODEC)
+                .register(PoolLoadMessage.CODEC)
+                .register(PoolPromiseMessage.CODEC);
+        ConsensusLog.codecs().forEach(registry::register);
+        return registry;
+    }
+}
--- a/library/src/main/java/org/copperspindle/gateway/GatewayMetrics.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayMetrics.java
@@ -109,6 +109,19 @@
                                 route,
                                 "outcome",
                                 outcome)));
+        node.counters()
+                .accounts()
+                .forEach((account, results) -> results.keySet().stream()
+                        .filter(result -> published.add("account " + account + ' ' + result))
+                        .forEach(result -> metrics.counter(
+                                "account.requests",
+                                "Admitted requests of a client account that ended",
+                                results,
+                                counts -> counts.getOrDefault(result, 0L),
+                                "account",
+                                account,
+                                "result",
+                                result)));
         node.counters().refusals().keySet().stream()
                 .filter(reason -> published.add("refusal " + reason))
                 .forEach(reason -> metrics.counter(
@@ -150,6 +163,20 @@
                 n -> n.batches().load(pool).waitNanos() / 1e9,
                 "pool",
                 pool);
+        metrics.counter(
+                "stage.busy.seconds",
+                "Time of upstreams in calls that this node packed: what a stage costs",
+                node,
+                n -> n.batches().work(pool).busySeconds(),
+                "pool",
+                pool);
+        metrics.counter(
+                "stage.pieces",
+                "Pieces made in calls that this node packed",
+                node,
+                n -> n.batches().work(pool).pieces(),
+                "pool",
+                pool);
         metrics.gauge(
                 "retries.left",
                 "Repeats that this node may still send in the window",
--- a/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
@@ -19,26 +19,16 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.copperspindle.batch.BatchService;
-import org.copperspindle.batch.FreeResultsMessage;
 import org.copperspindle.batch.PackerStatus;
-import org.copperspindle.batch.PieceCancelMessage;
-import org.copperspindle.batch.PieceGroup;
-import org.copperspindle.batch.PieceResultsMessage;
-import org.copperspindle.batch.PoolLoadMessage;
-import org.copperspindle.batch.PoolPromiseMessage;
-import org.copperspindle.consensus.ConsensusLog;
 import org.copperspindle.consensus.ConsensusSettings;
 import org.copperspindle.core.DecisionRing;
 import org.copperspindle.direct.DirectClient;
 import org.copperspindle.discovery.DirectoryGossip;
 import org.copperspindle.discovery.UpstreamDirectory;
 import org.copperspindle.discovery.UpstreamNews;
-import org.copperspindle.discovery.UpstreamNewsMessage;
 import org.copperspindle.discovery.UpstreamPhase;
 import org.copperspindle.edition.EditionExchange;
 import org.copperspindle.edition.EditionHolder;
-import org.copperspindle.edition.EditionLeaseAskMessage;
-import org.copperspindle.edition.EditionLeaseMessage;
 import org.copperspindle.edition.EditionMessage;
 import org.copperspindle.edition.MemberKeeper;
 import org.copperspindle.edition.MemberStatus;
@@ -55,7 +45,6 @@
 import org.copperspindle.mesh.MeshSettings;
 import org.copperspindle.mesh.NodeHelloMessage;
 import org.copperspindle.mesh.NodeMesh;
-import org.copperspindle.mesh.RelayMessage;
 import org.copperspindle.route.CallerLimits;
 import org.copperspindle.route.RouteTable;
 import org.copperspindle.route.UpstreamPool;
@@ -151,7 +140,7 @@
 
     private GatewayNode(GatewaySettings settings, GatewayDialects dialects) throws IOException {
         this.settings = settings;
-        this.registry = registry();
+        this.registry = GatewayMessages.registry();
         long incarnation = System.currentTimeMillis();
         this.greeting = new GreetingMessage(
                 GreetingMessage.PROTOCOL, "gateway", NumericAddress.format(settings.mesh()), incarnation);
@@ -203,7 +192,8 @@
                 open,
                 counters,
                 log,
-                ThreadLocalRandom.current());
+                ThreadLocalRandom.current(),
+                new ReturnTimes(ThreadLocalRandom.current()));
         subscribe();
         settings.dataFolder().ifPresent(folder -> keepMember(folder.resolve(GROUP)));
         this.service = new GatewayService(context, holder::inForce);
@@ -452,24 +442,6 @@
         timers.schedule(TICK.toNanos(), done);
     }
 
-    private static MessageRegistry registry() {
-        MessageRegistry registry = WireTransport.registry()
-                .register(NodeHelloMessage.CODEC)
-                .register(RelayMessage.CODEC)
-                .register(EditionMessage.CODEC)
-                .register(EditionLeaseAskMessage.CODEC)
-                .register(EditionLeaseMessage.CODEC)
-                .register(UpstreamNewsMessage.CODEC)
-                .register(PieceGroup.CODEC)
-                .register(PieceResultsMessage.CODEC)
-                .register(PieceCancelMessage.CODEC)
-                .register(FreeResultsMessage.CODEC)
-                .register(PoolLoadMessage.CODEC)
-                .register(PoolPromiseMessage.CODEC);
-        ConsensusLog.codecs().forEach(registry::register);
-        return registry;
-    }
-
     /** This node's part in packing calls. */
     private final class Packer implements PackerStatus {
         @Override
--- a/library/src/main/java/org/copperspindle/gateway/GatewayService.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayService.java
@@ -98,6 +98,6 @@
                     refusal.retryAfter().map(Duration::toMillis).orElse(-1L),
                     refusal.title());
         }
-        RequestRun.respond(context, exchange, id, refusal);
+        refusal.send(exchange, context.callers(), id);
     }
 }
--- a/library/src/main/java/org/copperspindle/gateway/Refusal.java
+++ b/library/src/main/java/org/copperspindle/gateway/Refusal.java
@@ -1,8 +1,12 @@
 package org.copperspindle.gateway;
 
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 
+import org.copperspindle.http.HeaderField;
+import org.copperspindle.http.HttpExchange;
 import org.copperspindle.http.ProblemDetails;
 import org.copperspindle.verdict.MayHaveRunVerdict;
 import org.copperspindle.verdict.NotRunVerdict;
@@ -51,8 +55,14 @@
                 GATEWAY_TIMEOUT, "the time of the request is over", new MayHaveRunVerdict("timeout"), Optional.empty());
     }
 
-    ProblemDetails details(String requestId) {
-        return new ProblemDetails(status, title, verdict, requestId, Optional.empty());
+    /** Sends it as the answer to a request. */
+    void send(HttpExchange exchange, CallerDialect callers, String requestId) {
+        ProblemDetails details = new ProblemDetails(status, title, verdict, requestId, Optional.empty());
+        List<HeaderField> fields = new ArrayList<>();
+        fields.add(new HeaderField("Content-Type", ProblemDetails.CONTENT_TYPE));
+        details.fields().forEach((name, value) -> fields.add(new HeaderField(name, value)));
+        retryAfter.ifPresent(after -> fields.addAll(callers.retryAfter(after)));
+        exchange.respond(status, fields, details.body());
     }
 
     private static Refusal notRun(int status, String reason, String title, Optional<Duration> retryAfter) {
--- a/library/src/main/java/org/copperspindle/gateway/RequestRun.java
+++ b/library/src/main/java/org/copperspindle/gateway/RequestRun.java
@@ -1,9 +1,7 @@
 package org.copperspindle.gateway;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
@@ -14,9 +12,7 @@
 import org.copperspindle.direct.ConnectionUse;
 import org.copperspindle.direct.DirectHead;
 import org.copperspindle.discovery.UpstreamNews;
-import org.copperspindle.http.HeaderField;
 import org.copperspindle.http.HttpExchange;
-import org.copperspindle.http.ProblemDetails;
 import org.copperspindle.route.ClientAccount;
 import org.copperspindle.route.Route;
 import org.copperspindle.route.RouteKind;
@@ -50,17 +46,6 @@
      */
     private static final long FETCHED_NANOS = Duration.ofMillis(100).toNanos();
 
-    /** Shortest time after which a refused caller should come back, and the spread over which callers come. */
-    private static final long RETURN_MILLIS = 250;
-
-    /**
-     * Part of the time that a caller has left, after which it should come back where stage pools are full, and the part
-     * over which callers are spread. Bursts last for several seconds; the rest of the time is enough for a whole run.
-     */
-    private static final double BURST_SHARE = 0.25;
-
-    private static final double BURST_SPREAD = 0.08;
-
     private final GatewayContext context;
     private final HttpExchange exchange;
     private final AdmittedRequest admitted;
@@ -106,7 +91,7 @@
                     "event=request-admitted request={} route={} account={} pool={} version={} rank={} time_ms={} pieces={}",
                     request.id(),
                     route.name(),
-                    admitted.account().map(ClientAccount::name).orElse(""),
+                    accountName(),
                     pool,
                     admitted.table().version(),
                     admitted.rank(),
@@ -163,7 +148,7 @@
     @Override
     public void onMissed(int stage, MissReason reason) {
         if (reason == MissReason.INPUT_GONE && stageRuns < MAX_STAGE_RUNS) {
-            runStages();
+            beginAgain();
             return;
         }
         if (relay.hasStarted()) {
@@ -203,7 +188,9 @@
             runStages();
         } else {
             refuse(Refusal.unavailable(
-                    "stages-full", "the stages have no room for the request in its time", afterBurst()));
+                    "stages-full",
+                    "the stages have no room for the request in its time",
+                    context.returns().afterBurst(endAt - context.timers().nanoTime())));
         }
     }
 
@@ -234,6 +221,19 @@
         }
     }
 
+    /**
+     * Has all results made once more. Results are forgotten where stages wait for seconds; made again at once, they would
+     * add to the load that they were lost in, so that a request of which nothing ran passes the gate again.
+     */
+    private void beginAgain() {
+        if (mayHaveRun || relay.hasStarted()) {
+            runStages();
+            return;
+        }
+        stages.ifPresent(StageRun::end);
+        passGate();
+    }
+
     private void runStagesAgain() {
         if (stageRuns < MAX_STAGE_RUNS) {
             runStages();
@@ -381,19 +381,13 @@
         end("broken-" + reason, true);
     }
 
-    private void refuse(Refusal refusal) {
-        respond(context, exchange, request.id(), refusal);
-        end(refusal.verdict().reason(), true);
+    private String accountName() {
+        return admitted.account().map(ClientAccount::name).orElse("");
     }
 
-    /** Sends an answer of this node's own. */
-    static void respond(GatewayContext context, HttpExchange exchange, String requestId, Refusal refusal) {
-        ProblemDetails details = refusal.details(requestId);
-        List<HeaderField> fields = new ArrayList<>();
-        fields.add(new HeaderField("Content-Type", ProblemDetails.CONTENT_TYPE));
-        details.fields().forEach((name, value) -> fields.add(new HeaderField(name, value)));
-        refusal.retryAfter().ifPresent(after -> fields.addAll(context.callers().retryAfter(after)));
-        exchange.respond(refusal.status(), fields, details.body());
+    private void refuse(Refusal refusal) {
+        refusal.send(exchange, context.callers(), request.id());
+        end(refusal.verdict().reason(), true);
     }
 
     private void end(String outcome, boolean failed) {
@@ -403,7 +397,7 @@
         timeout.cancel();
         stages.ifPresent(StageRun::end);
         long now = context.timers().nanoTime();
-        context.counters().ended(route.name(), outcome, now - beganAt);
+        context.counters().ended(route.name(), accountName(), outcome, now - beganAt);
         if (failed ? context.log().takesFailed(now) : context.log().takesServed(now)) {
             LOGGER.info(
                     "event=request-ended request={} outcome={} route={} attempts={} unsent={} stage_runs={} events={}"
@@ -421,14 +415,8 @@
         }
     }
 
-    private Duration afterBurst() {
-        double share = BURST_SHARE + BURST_SPREAD * context.random().nextDouble();
-        return Duration.ofNanos((long) ((endAt - context.timers().nanoTime()) * share));
-    }
-
     private Refusal unavailable(String reason, String title) {
-        long millis = RETURN_MILLIS + context.random().nextLong(RETURN_MILLIS);
-        return Refusal.unavailable(reason, title, Duration.ofMillis(millis));
+        return Refusal.unavailable(reason, title, context.returns().soon());
     }
 
     /** What follows from how an attempt went. */
--- a/library/src/main/java/org/copperspindle/gateway/StageGate.java
+++ b/library/src/main/java/org/copperspindle/gateway/StageGate.java
@@ -96,16 +96,17 @@
                 new StagePlan(request.route().stages(), request.request().pieces());
         long engine = ENGINE_FIRST_EVENT.toNanos();
         long shortest = plan.finish((stage, begin) -> expectedNanos(request, plan, stage)) + engine;
-        long finish = plan.finish((stage, begin) ->
+        long reckoned = plan.finish((stage, begin) ->
                         waitNanos(request.stagePool(stage), begin) + loadedNanos(request, plan, stage))
                 + engine;
+        long finish =
+                reckoned + excess.getOrDefault(request.route().name(), 0.0).longValue();
         long margin = (long) (request.route().objective().toNanos() * RANK_MARGIN * request.rank());
         long left = request.times().objectiveAt() - now;
-        boolean idle = finish - shortest
+        // Without what was learned: pools that are idle must get requests, or nothing would be learned any more.
+        boolean idle = reckoned - shortest
                 < IDLE_NANOS + (long) (IDLE_GROWTH * (now - request.times().beganAt()));
         boolean inTime = now - holdUntil(request, shortest) < 0;
-        long reckoned = finish;
-        finish += excess.getOrDefault(request.route().name(), 0.0).longValue();
         GateVerdict verdict = GateVerdict.REFUSE;
         if (finish + margin <= left || idle && mayRelease(wasHeld, now)) {
             verdict = GateVerdict.BEGIN;
--- a/library/src/test/java/org/copperspindle/gateway/StageGateTest.java
+++ b/library/src/test/java/org/copperspindle/gateway/StageGateTest.java
@@ -115,6 +115,20 @@
         assertThat(gate.judge(request, false, 0).verdict()).isEqualTo(GateVerdict.BEGIN);
     }
 
+    /**
+     * A fault made stages take so long that no request looks as if it could be on time, and it is over. Were nothing begun,
+     * nothing would be learned, and everything refused for ever: while pools are idle, requests begin.
+     */
+    @Test
+    void idlePoolsGetRequestsWhateverWasLearned() {
+        AdmittedRequest request = request(0, 20_000);
+        long reckoned = gate.judge(request, false, 0).reckonedNanos();
+        for (int i = 0; i < 100; i++) {
+            gate.ran(request.route(), reckoned, reckoned + 60_000 * MILLI);
+        }
+        assertThat(gate.judge(request(1500, 20_000), false, 0).verdict()).isEqualTo(GateVerdict.BEGIN);
+    }
+
     @Test
     void refusesBeyondTheMostThatAreHeld() {
         waitMillis = 1600;
