--- a/tools/src/test/java/org/copperspindle/cli/SoakTest.java
+++ b/tools/src/test/java/org/copperspindle/cli/SoakTest.java
@@ -21,7 +21,8 @@
     @TempDir
     private Path folder;
 
-    // 101: a stand-in took the port of a node that was down and answered the operator in its place; ports of nodes are now
+    // 101: a stand-in took the port of a node that was down, and answered the operator in its place. Ports of nodes are
+    // now
     // outside the range that the kernel gives away.
     @ParameterizedTest
     @ValueSource(longs = {1, 101})
