Remember nodes that end by themselves in the soak, and draw its stand-ins' conduct from the seed

Stand-ins kept the random numbers of one thread and used them on others, and all stood in one failure domain ("% 1"). Two classes had one pause each. Change: the end of a process is noted before each step that would hide it; random numbers come from the seed; three failure domains; one pause. A record's comment is aligned. The node's code is the same.

--- a/library/src/main/java/org/copperspindle/gateway/GateJudgement.java
+++ b/library/src/main/java/org/copperspindle/gateway/GateJudgement.java
@@ -3,9 +3,9 @@
 /**
  * A verdict of the gate before the stages, with what decided it.
  *
- * @param verdict      what becomes of the request
- * @param finishMillis when its first event would come, from now, by what the pools tell
- * @param leftMillis   time left to its objective; below zero if that has passed
+ * @param verdict       what becomes of the request
+ * @param finishMillis  when its first event would come, from now, by what the pools tell
+ * @param leftMillis    time left to its objective; below zero if that has passed
  * @param held          requests that this node held already
  * @param reckonedNanos how long its stages would take by the loads of their pools alone
  */
--- a/soak/src/main/java/org/copperspindle/soak/LinkProxy.java
+++ b/soak/src/main/java/org/copperspindle/soak/LinkProxy.java
@@ -91,7 +91,7 @@
             OutputStream out = to.getOutputStream();
             for (int count = in.read(buffer); count >= 0; count = in.read(buffer)) {
                 if (mode == LinkMode.DELAY) {
-                    pause(DELAY_MILLIS);
+                    Pause.millis(DELAY_MILLIS);
                 }
                 if (towardsTarget) {
                     await(LinkMode.SILENCE, LinkMode.ONE_WAY);
@@ -111,7 +111,7 @@
 
     private void await(LinkMode first, LinkMode second) {
         while (mode == first || mode == second) {
-            pause(LOOK_MILLIS);
+            Pause.millis(LOOK_MILLIS);
         }
     }
 
@@ -125,14 +125,6 @@
         }
     }
 
-    private static void pause(long millis) {
-        try {
-            Thread.sleep(millis);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
-
     private static void start(Runnable task, String name) {
         Thread thread = new Thread(task, name);
         thread.setDaemon(true);
--- a/soak/src/main/java/org/copperspindle/soak/NodeProcess.java
+++ b/soak/src/main/java/org/copperspindle/soak/NodeProcess.java
@@ -29,6 +29,7 @@
     private Process process;
     private int starts;
     private boolean wanted;
+    private boolean endedByItself;
 
     NodeProcess(int number, SoakSettings settings, List<NodePorts> all, boolean durable) throws IOException {
         this.name = "node-" + number;
@@ -49,6 +50,7 @@
     }
 
     synchronized void start() throws IOException {
+        noteEnd();
         Path file = settings.folder().resolve(name + ".ini");
         Files.writeString(file, ini(starts == 0), StandardCharsets.UTF_8);
         List<String> command = new ArrayList<>(settings.launcher());
@@ -63,6 +65,7 @@
     }
 
     synchronized void kill() throws InterruptedException {
+        noteEnd();
         wanted = false;
         process.destroyForcibly().waitFor();
     }
@@ -71,6 +74,7 @@
     boolean stop() throws InterruptedException {
         Process stopping;
         synchronized (this) {
+            noteEnd();
             wanted = false;
             stopping = process;
             stopping.destroy();
@@ -117,9 +121,15 @@
         return process != null && process.isAlive();
     }
 
-    /** Says whether the process ended though nobody ended it. */
+    /** Says whether a process of this node ever ended though nobody ended it. */
     synchronized boolean endedByItself() {
-        return wanted && process != null && !process.isAlive();
+        noteEnd();
+        return endedByItself;
+    }
+
+    /** Before each step that would hide it: a node that was started again looks as if it had never ended. */
+    private void noteEnd() {
+        endedByItself |= wanted && process != null && !process.isAlive();
     }
 
     @Override
--- a/soak/src/main/java/org/copperspindle/soak/Soak.java
+++ b/soak/src/main/java/org/copperspindle/soak/Soak.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -130,7 +131,7 @@
     }
 
     private SoakUpstream upstream(String pool) {
-        return new SoakUpstream(pool, book, ports, results, group);
+        return new SoakUpstream(pool, book, ports, results, new Random(settings.seed()), group);
     }
 
     private void announce() {
--- a/soak/src/main/java/org/copperspindle/soak/SoakCaller.java
+++ b/soak/src/main/java/org/copperspindle/soak/SoakCaller.java
@@ -61,7 +61,7 @@
                     : 0;
             SoakRequest request = SoakRequest.of(numbers.incrementAndGet(), route, account, pieces);
             book.answered(request, ask(request));
-            pause(random.nextInt(THINK_MILLIS));
+            Pause.millis(random.nextInt(THINK_MILLIS));
         }
         close();
     }
@@ -119,14 +119,6 @@
         socket = null;
     }
 
-    private static void pause(long millis) {
-        try {
-            Thread.sleep(millis);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
-
     /** An answer as far as it was read. */
     private static final class Reply {
         private final ByteArrayOutputStream body = new ByteArrayOutputStream();
--- a/soak/src/main/java/org/copperspindle/soak/SoakUpstream.java
+++ b/soak/src/main/java/org/copperspindle/soak/SoakUpstream.java
@@ -44,13 +44,16 @@
     private static final AtomicLong LAST = new AtomicLong();
     private static final int EVENT_MILLIS = 15;
     private static final int CALL_MILLIS = 30;
+    private static final int DOMAINS = 3;
+    private static final long ASK_AGAIN_MILLIS = 50;
     private static final double REFUSES = 0.03;
     private static final double BREAKS = 0.03;
 
     /** Results that exist, over all upstreams of one soak. */
     private final Set<String> results;
 
-    private final String id = "u" + LAST.incrementAndGet();
+    private final long life = LAST.incrementAndGet();
+    private final String id = "u" + life;
     private final String pool;
     private final PromiseBook book;
     private final List<NodePorts> nodes;
@@ -59,7 +62,7 @@
             .version(HttpClient.Version.HTTP_1_1)
             .connectTimeout(ACKNOWLEDGED)
             .build();
-    private final Random random = ThreadLocalRandom.current();
+    private final Random random;
     private final AtomicLong sequence = new AtomicLong();
     private volatile String phase = "ready";
 
@@ -68,11 +71,13 @@
             PromiseBook book,
             List<NodePorts> nodes,
             Set<String> results,
+            Random random,
             MultiThreadIoEventLoopGroup group) {
         this.pool = pool;
         this.book = book;
         this.nodes = nodes;
         this.results = results;
+        this.random = random;
         this.listener =
                 new HttpListener(group, new InetSocketAddress("127.0.0.1", 0), () -> HttpLimits.DEFAULT, this::handle);
     }
@@ -92,7 +97,7 @@
                 .objectNode()
                 .put("pool", pool)
                 .put("address", address())
-                .put("failure_domain", "d" + sequence.get() % 1)
+                .put("failure_domain", "d" + life % DOMAINS)
                 .put("phase", phase)
                 .put("slots", 16)
                 .put("sequence", sequence.incrementAndGet())
@@ -117,7 +122,7 @@
     void drain() {
         phase = "draining";
         while (!announce() && !Thread.currentThread().isInterrupted()) {
-            Thread.onSpinWait();
+            Pause.millis(ASK_AGAIN_MILLIS);
         }
         book.drained(id, System.currentTimeMillis());
     }
