Show that descriptions are refused while less urgent tags are let in

The gate asks of each request by itself whether it meets its objective; a tag has 2,710 ms, a description 2,308 ms. The pools' waits settle where tags just fit.

The replay of the stage load gets a second deployment (ReplayedLoad; the first one draws as before).

--- /dev/null
+++ b/library/src/test/java/org/copperspindle/gateway/ReplayedLoad.java
@@ -0,0 +1,155 @@
+package org.copperspindle.gateway;
+
+import java.util.List;
+import java.util.function.Function;
+import java.util.random.RandomGenerator;
+
+import org.copperspindle.route.RouteStage;
+
+/**
+ * A deployment's stage pools and what is asked of them for half a minute.
+ *
+ * @param domains failure domains over which upstreams and callers are spread
+ * @param pools   its stage pools
+ * @param kinds   its kinds of requests
+ * @param bursts  when more is asked than usual
+ */
+record ReplayedLoad(int domains, List<Pool> pools, List<Kind> kinds, List<Burst> bursts) {
+
+    private static final String ALL_KINDS = "";
+
+    /**
+     * Returns a load of briefs, summaries and questions. Briefs come more often from 4 to 10 s, summaries from 16 to 22 s,
+     * all from 26 to 30 s.
+     */
+    static ReplayedLoad briefsSummariesQuestions() {
+        return new ReplayedLoad(
+                3,
+                List.of(
+                        new Pool("track", 3, 6, 150, 21.3, 30_750_000),
+                        new Pool("roster", 4, 16, 150, 7.99, 2_755_560),
+                        new Pool("log", 4, 31, 150, 4.18, 533_900)),
+                List.of(
+                        new Kind(
+                                "brief",
+                                1,
+                                1300,
+                                6000,
+                                8.4,
+                                List.of(stage("track", 3_000_000)),
+                                random -> List.of(random.nextInt(10) < 7 ? 1 + random.nextInt(4) : 0)),
+                        new Kind(
+                                "summary",
+                                0,
+                                1700,
+                                5000,
+                                9.3,
+                                List.of(stage("track", 8000), stage("roster", 60_000, 0), stage("log", 6000, 1)),
+                                random -> List.of(1, 8, 10 + random.nextInt(13))),
+                        new Kind(
+                                "question",
+                                2,
+                                1500,
+                                15_000,
+                                4.9,
+                                List.of(
+                                        stage("track", 3_000_000),
+                                        stage("track", 8000),
+                                        stage("roster", 60_000, 1),
+                                        stage("log", 6000, 2)),
+                                random -> List.of(
+                                        random.nextInt(10) < 4 ? 1 + random.nextInt(2) : 0,
+                                        1,
+                                        8,
+                                        10 + random.nextInt(13)))),
+                List.of(
+                        new Burst("brief", 4, 10, 2.4),
+                        new Burst("summary", 16, 22, 2.4),
+                        new Burst(ALL_KINDS, 26, 30, 1.7)));
+    }
+
+    /**
+     * Returns a load of reviews, descriptions and tags. Descriptions and tags need the same chain of three pools; tags are less
+     * urgent and have the longer objective. Descriptions come more often from 4 to 10 s, reviews from 16 to 22 s, all from 26
+     * to 30 s.
+     */
+    static ReplayedLoad reviewsDescriptionsTags() {
+        return new ReplayedLoad(
+                4,
+                List.of(
+                        new Pool("upload", 12, 14, 240, 15, 17_000_000),
+                        new Pool("relay", 10, 40, 240, 5.13, 4_421_050),
+                        new Pool("queue", 11, 49, 240, 4.21, 541_042)),
+                List.of(
+                        new Kind(
+                                "review",
+                                0,
+                                1219,
+                                12_194,
+                                41.3,
+                                List.of(stage("upload", 800_000)),
+                                random -> List.of(random.nextInt(10) < 7 ? 1 + random.nextInt(4) : 0)),
+                        new Kind(
+                                "description",
+                                1,
+                                2308,
+                                15_052,
+                                63.8,
+                                List.of(stage("upload", 8000), stage("relay", 60_000, 0), stage("queue", 6000, 1)),
+                                random -> List.of(1, 4, 4 + random.nextInt(5))),
+                        new Kind(
+                                "tag",
+                                2,
+                                2710,
+                                6021,
+                                68.8,
+                                List.of(
+                                        stage("upload", 800_000),
+                                        stage("upload", 8000),
+                                        stage("relay", 60_000, 1),
+                                        stage("queue", 6000, 2)),
+                                random -> List.of(
+                                        random.nextInt(10) < 4 ? 1 + random.nextInt(2) : 0,
+                                        1,
+                                        4,
+                                        4 + random.nextInt(5)))),
+                List.of(
+                        new Burst("description", 4, 10, 3.1),
+                        new Burst("review", 16, 22, 2.8),
+                        new Burst(ALL_KINDS, 26, 30, 2)));
+    }
+
+    /** Returns how many times as often as usual a kind comes at a second. */
+    double factor(String kind, double second) {
+        return bursts.stream()
+                .filter(burst -> burst.kind().equals(kind) || burst.kind().equals(ALL_KINDS))
+                .filter(burst -> second >= burst.from() && second < burst.until())
+                .mapToDouble(Burst::factor)
+                .findFirst()
+                .orElse(1);
+    }
+
+    private static RouteStage stage(String pool, long bytes, Integer... after) {
+        return new RouteStage(pool, List.of(after), bytes);
+    }
+
+    /** A stage pool; times in milliseconds, memory for results of one upstream in bytes. */
+    record Pool(String name, int upstreams, int batch, double call, double piece, long bytes) {}
+
+    /**
+     * A kind of requests; times in milliseconds.
+     *
+     * @param pieces draws the pieces of each stage
+     */
+    record Kind(
+            String name,
+            int rank,
+            long objective,
+            long deadline,
+            double perSecond,
+            List<RouteStage> stages,
+            Function<RandomGenerator, List<Integer>> pieces) {}
+
+    /** Seconds in which a kind comes more often. */
+    record Burst(String kind, double from, double until, double factor) {}
+}
