Try slow upstreams of a stage pool again while others are busy

Cause: an upstream more than twice as slow as the fastest got no call while any other was busy, and nothing but a call changed that belief; after a fault of four seconds a quarter of a pool stayed unused for as long as the load lasted. The pool's load counted it as free, so that requests began which came late.

Change: such an upstream gets a small call, of the least urgent group, 0.4 s after it was found slow and then at twice the distance each time, up to 3.2 s; what that call shows replaces what was known. Loads leave out upstreams that are left alone.

--- a/library/src/main/java/org/copperspindle/batch/PieceQueue.java
+++ b/library/src/main/java/org/copperspindle/batch/PieceQueue.java
@@ -116,6 +116,23 @@
         return taken;
     }
 
+    /**
+     * Takes the pieces of the group that loses least by a late call, as many as one call takes.
+     *
+     * @param limits limits of the pool
+     * @param bytes  memory for results that the upstream has left
+     * @param now    monotonic time in nanoseconds
+     * @return the pieces; none if no group fits whole
+     */
+    List<PieceTask> takeLeastUrgent(BatchLimits limits, long bytes, long now) {
+        List<PieceTask> taken = new ArrayList<>();
+        groups.values().stream()
+                .filter(g -> g.missing().size() <= limits.batch() && g.resultBytes() <= bytes)
+                .max(byUrgency(limits, now, Set.of()))
+                .ifPresent(g -> take(g, g.missing().size(), taken));
+        return taken;
+    }
+
     private void take(WaitingGroup group, int count, List<PieceTask> taken) {
         List<Integer> first = group.missing().subList(0, count);
         first.forEach(piece -> taken.add(new PieceTask(group, piece)));
--- a/library/src/main/java/org/copperspindle/batch/PoolDispatcher.java
+++ b/library/src/main/java/org/copperspindle/batch/PoolDispatcher.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -131,8 +132,11 @@
         }
         long now = timers.nanoTime();
         queue.takeOver(now).forEach(group -> miss(group, group.missing(), MissReason.LATE));
-        refresh();
-        List<StageUpstream> free = free(known.get(), now);
+        List<UpstreamNews> ready = refresh();
+        List<StageUpstream> slow = leftAlone(now);
+        List<StageUpstream> free = callable(ready, known.get(), now);
+        slow.retainAll(free);
+        free.removeAll(slow);
         while (!free.isEmpty() && !queue.isEmpty()) {
             StageUpstream upstream = free.remove(0);
             int most = (queue.pieces() + free.size()) / (free.size() + 1);
@@ -146,15 +150,38 @@
                 send(upstream, tasks, known.get());
             }
         }
+        trySlowOnes(slow, known.get(), now);
         wakeLater();
     }
 
+    /**
+     * Gives slow upstreams that are left alone one small call each, now and then. Nothing else can show that they are sound
+     * again, and under load another one is always busy: three of eleven upstreams that were slow for four seconds stayed
+     * unused for the 14 and 23 s of load after that, and callers were refused. The call has the least urgent group, since
+     * what goes to an upstream that is still slow comes late.
+     */
+    private void trySlowOnes(List<StageUpstream> slow, BatchLimits known, long now) {
+        for (StageUpstream upstream : slow) {
+            if (queue.isEmpty() || !upstream.isTrialDue(now)) {
+                continue;
+            }
+            List<PieceTask> tasks = queue.takeLeastUrgent(known, upstream.roomLeft(known, now), now);
+            if (!tasks.isEmpty()) {
+                upstream.tried();
+                send(upstream, tasks, known);
+            }
+        }
+    }
+
     /** Returns how loaded the pool is. */
     PoolLoad load() {
         Optional<BatchLimits> known = limits.get();
         long now = timers.nanoTime();
-        List<StageUpstream> usable =
-                upstreams.values().stream().filter(u -> !u.isPaused(now)).toList();
+        double slow = slowFrom(now);
+        // Slow ones get no calls under load: counted as free, they made waits look shorter than they were.
+        List<StageUpstream> usable = upstreams.values().stream()
+                .filter(u -> !u.isPaused(now) && u.slowness() <= slow)
+                .toList();
         if (known.isEmpty() || usable.isEmpty()) {
             return upstreams.isEmpty() ? PoolLoad.UNKNOWN : new PoolLoad(LONGEST_WAIT_NANOS, 0, 0);
         }
@@ -174,10 +201,11 @@
         return queue.pieces();
     }
 
-    private void refresh() {
+    private List<UpstreamNews> refresh() {
         List<UpstreamNews> ready = directory.ready(pool);
         ready.forEach(news -> upstreams.compute(news.id(), (id, known) -> known(known, news)));
         upstreams.values().removeIf(u -> u.calls() == 0 && !ready.contains(u.news()));
+        return ready;
     }
 
     /** Returns what is known of an upstream. A restart under the same id has forgotten its results and its calls. */
@@ -223,22 +251,30 @@
     }
 
     /** Returns the upstreams that a call may go to now, the fastest first. */
-    private List<StageUpstream> free(BatchLimits known, long now) {
-        double fastest = upstreams.values().stream()
-                .mapToDouble(StageUpstream::slowness)
-                .min()
-                .orElse(1);
-        List<UpstreamNews> ready = directory.ready(pool);
-        boolean fastBusy = upstreams.values().stream().anyMatch(u -> u.calls() > 0 && u.slowness() <= fastest * SLOW);
-        List<StageUpstream> free = new ArrayList<>();
-        for (StageUpstream upstream : upstreams.values()) {
-            boolean slow = upstream.slowness() > fastest * SLOW;
-            if (ready.contains(upstream.news()) && upstream.isFree(known, now) && !(slow && fastBusy)) {
-                free.add(upstream);
-            }
-        }
-        free.sort(Comparator.comparingDouble(StageUpstream::slowness));
-        return free;
+    private List<StageUpstream> callable(List<UpstreamNews> ready, BatchLimits known, long now) {
+        return upstreams.values().stream()
+                .filter(u -> u.isFree(known, now) && ready.contains(u.news()))
+                .sorted(Comparator.comparingDouble(StageUpstream::slowness))
+                .collect(Collectors.toCollection(ArrayList::new));
+    }
+
+    /** Returns the upstreams so slow that a faster one, which is busy now, will end another call before them. */
+    private List<StageUpstream> leftAlone(long now) {
+        double slow = slowFrom(now);
+        boolean fastBusy = upstreams.values().stream().anyMatch(u -> u.calls() > 0 && u.slowness() <= slow);
+        return upstreams.values().stream()
+                .filter(u -> fastBusy && u.slowness() > slow)
+                .collect(Collectors.toCollection(ArrayList::new));
+    }
+
+    /** Returns the slowness above which an upstream counts as slow beside the fastest that is in use. */
+    private double slowFrom(long now) {
+        return SLOW
+                * upstreams.values().stream()
+                        .filter(u -> !u.isPaused(now))
+                        .mapToDouble(StageUpstream::slowness)
+                        .min()
+                        .orElse(1);
     }
 
     private void send(StageUpstream upstream, List<PieceTask> tasks, BatchLimits known) {
@@ -279,6 +315,7 @@
                     .count();
             work = work.and((now - sentAt) / NANOS_PER_SECOND, made);
             upstream.answered(expected, now - sentAt);
+            upstream.found(upstream.slowness() > slowFrom(now), now);
             learnFetchTime(tasks, answered.outcomes());
             take(upstream, tasks, answered.outcomes(), now);
         } else if (result instanceof StageCallResult.NotRun notRun) {
--- a/library/src/main/java/org/copperspindle/batch/StageUpstream.java
+++ b/library/src/main/java/org/copperspindle/batch/StageUpstream.java
@@ -35,6 +35,12 @@
     /** Weight of the newest call in the mean of how much longer than expected calls take. */
     private static final double SPEED_WEIGHT = 0.4;
 
+    /** Pause before a slow upstream gets its first small call, doubled with each one that was slow again. */
+    private static final long FIRST_TRIAL_NANOS = 400_000_000L;
+
+    /** Doublings of that: a slow upstream that stays slow delays one group every 3.2 s. */
+    private static final int MOST_TRIAL_DOUBLINGS = 3;
+
     /** Part of the memory for results that is filled: their sizes are known approximately only. */
     private static final double USED_ROOM = 0.98;
 
@@ -47,6 +53,9 @@
     private long busyUntil;
     private boolean paused;
     private double slowness = 1;
+    private boolean onTrial;
+    private int slowTrials;
+    private long trialFrom;
     private long resultBytes;
 
     StageUpstream(UpstreamNews news) {
@@ -91,7 +100,26 @@
 
     void answered(long expectedNanos, long tookNanos) {
         calls--;
-        slowness += SPEED_WEIGHT * ((double) tookNanos / expectedNanos - slowness);
+        double seen = (double) tookNanos / expectedNanos;
+        // What was known of an upstream that was left alone is old by then.
+        slowness = onTrial ? seen : slowness + SPEED_WEIGHT * (seen - slowness);
+        onTrial = false;
+    }
+
+    /** Notes that its next call shows whether it is still slow. */
+    void tried() {
+        onTrial = true;
+    }
+
+    /** Notes after a call whether it is slow, and leaves it alone for a while if so. */
+    void found(boolean slow, long now) {
+        trialFrom = now + (FIRST_TRIAL_NANOS << Math.min(slowTrials, MOST_TRIAL_DOUBLINGS));
+        slowTrials = slow ? slowTrials + 1 : 0;
+    }
+
+    /** Says whether a slow upstream may get a small call to show that it is sound again. */
+    boolean isTrialDue(long now) {
+        return now - trialFrom >= 0;
     }
 
     /**
@@ -106,6 +134,7 @@
     /** Leaves the upstream alone for a while after a call that it lost. */
     long lost(long now) {
         calls--;
+        onTrial = false;
         return failing(now);
     }
 
@@ -124,6 +153,7 @@
 
     void notRun(long now, long pauseNanos) {
         calls--;
+        onTrial = false;
         pause(now, pauseNanos);
     }
 
