Give a member's folder free when it can't listen

Cause: EditionMember.open locked the folder and started the disk thread, and then failed to bind; nobody closed what was half open, so each later attempt found the folder in use, and the node stayed out of its group until the process ended. The port was still taken since a node that ends kept its member's connections open until its network threads were gone.

Change: the log is closed where listening fails; a node's end closes its member's connections.

--- a/library/src/main/java/org/copperspindle/edition/EditionMember.java
+++ b/library/src/main/java/org/copperspindle/edition/EditionMember.java
@@ -81,7 +81,7 @@
             Consumer<MemberStatus> listener)
             throws IOException {
         ConsensusLog log = ConsensusLog.open(ring, timers, transport, state, settings);
-        transport.listen(bind, log);
+        listen(transport, bind, log);
         EditionMember member = new EditionMember(
                 ring, timers, state, log, new SuspensionWatch(), settings.electionTimeout(), listener);
         ring.execute(log::start);
@@ -138,6 +138,22 @@
         log.close();
     }
 
+    /**
+     * Listens for the other members. The log is closed if that fails, for example since the port is still taken: left open, it
+     * would keep its folder locked, and no later attempt could open it.
+     */
+    private static void listen(WireTransport transport, InetSocketAddress bind, ConsensusLog log) {
+        boolean listens = false;
+        try {
+            transport.listen(bind, log);
+            listens = true;
+        } finally {
+            if (!listens) {
+                log.close();
+            }
+        }
+    }
+
     private void propose(byte[] command, Consumer<EditionResult> callback) {
         boolean taken = ring.offer(() -> {
             if (!isTrusted()) {
--- a/library/src/main/java/org/copperspindle/gateway/GroupMember.java
+++ b/library/src/main/java/org/copperspindle/gateway/GroupMember.java
@@ -35,6 +35,7 @@
     private final DecisionRing decisions = new DecisionRing("decisions", DecisionRing.DEFAULT_SLOTS);
     private final EditionExchange exchange;
     private final Executor network;
+    private final NodeMemberOpener opener;
     private final MemberKeeper keeper;
     private volatile boolean grouped;
 
@@ -67,7 +68,7 @@
                 true,
                 folder,
                 ELECTION_TIMEOUT);
-        NodeMemberOpener opener = new NodeMemberOpener(
+        this.opener = new NodeMemberOpener(
                 decisions,
                 timers,
                 transports,
@@ -87,6 +88,7 @@
     @Override
     public void close() {
         keeper.close();
+        opener.close();
         decisions.close();
     }
 
--- a/library/src/main/java/org/copperspindle/gateway/NodeMemberOpener.java
+++ b/library/src/main/java/org/copperspindle/gateway/NodeMemberOpener.java
@@ -24,7 +24,7 @@
 /**
  * Opens a node's member of the control group with connections of its own.
  */
-final class NodeMemberOpener implements MemberOpener {
+final class NodeMemberOpener implements MemberOpener, AutoCloseable {
 
     private final DecisionRing ring;
     private final TimerService timers;
@@ -33,7 +33,7 @@
     private final InetSocketAddress bind;
     private final Consumer<EditionMessage> recorded;
     private final Consumer<MemberStatus> status;
-    private Optional<WireTransport> transport = Optional.empty();
+    private volatile Optional<WireTransport> transport = Optional.empty();
 
     NodeMemberOpener(
             DecisionRing ring,
@@ -71,4 +71,10 @@
             Files.delete(path);
         }
     }
+
+    /** Closes the connections; a node that starts at the same address needs the port. */
+    @Override
+    public void close() {
+        transport.ifPresent(WireTransport::close);
+    }
 }
