Give a member's folder free after any failure to read it

ConsensusLog.open closed the folder for IOException only; the file system tells some faults by UncheckedIOException, after which each later attempt found the folder in use. Change: any failure closes it. The test failed with 'in use by another process' before.

--- a/library/src/main/java/org/copperspindle/consensus/ConsensusLog.java
+++ b/library/src/main/java/org/copperspindle/consensus/ConsensusLog.java
@@ -107,8 +107,9 @@
         try {
             RecoveredState recovered = folder.recover(settings.name(), () -> newIdentity(identities));
             return new ConsensusLog(ring, timers, transport, state, settings.raft(limits), folder, recovered);
-        } catch (IOException e) {
-            LOGGER.error("event=log-refused member={} reason=\"{}\"", settings.name(), e.getMessage());
+        } catch (IOException | RuntimeException e) {
+            LOGGER.error("event=log-refused member={} reason=\"{}\"", settings.name(), e.toString());
+            // Its lock would keep every later attempt out, also after a fault that the file system tells by an unchecked one.
             folder.close();
             throw e;
         }
--- a/library/src/test/java/org/copperspindle/consensus/ConsensusLogTest.java
+++ b/library/src/test/java/org/copperspindle/consensus/ConsensusLogTest.java
@@ -1,6 +1,7 @@
 package org.copperspindle.consensus;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -26,6 +27,7 @@
 import org.junit.jupiter.api.io.TempDir;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 /**
  * Three members with real sockets and files.
@@ -91,6 +93,23 @@
         assertThat(old.state).doesNotContain("doubtful", "refused");
     }
 
+    /**
+     * A member's disk fails while its folder is read, which the file system may tell by an unchecked exception. The next attempt
+     * must find the folder free, or the member stays out of the group for good.
+     */
+    @Test
+    void folderThatCouldNotBeReadIsReadLater() throws IOException {
+        commit("kept");
+        SocketMember old = awaitLeader();
+        kill(old);
+        assertThatThrownBy(() -> start(old.name, path -> {
+                    throw new UncheckedIOException(new IOException("Input/output error"));
+                }))
+                .isInstanceOf(UncheckedIOException.class);
+        SocketMember again = start(old.name, LogFile::open);
+        until("caught up", () -> again.state.contains("kept"));
+    }
+
     /**
      * A voter comes back with an empty folder: it is a learner first and votes under a new identity once it holds
      * everything. Right after that another VM is lost for good. Nothing that was answered as committed is missing.
--- a/library/src/test/java/org/copperspindle/consensus/SocketMember.java
+++ b/library/src/test/java/org/copperspindle/consensus/SocketMember.java
@@ -60,7 +60,7 @@
                 Duration.ofMillis(400));
         try {
             this.log = ConsensusLog.open(ring, timers, transport, this, settings, RaftLimits.DEFAULT, opener);
-        } catch (IOException e) {
+        } catch (IOException | RuntimeException e) {
             closeRuntime();
             throw e;
         }
