--- a/library/src/main/java/org/copperspindle/batch/PoolDispatcher.java
+++ b/library/src/main/java/org/copperspindle/batch/PoolDispatcher.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -10,7 +9,6 @@
 import java.util.Optional;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
-import java.util.stream.Collectors;
 
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -44,12 +42,6 @@
     /** A piece is made so often at most: each failure of its maker costs it a call's time. */
     private static final int MAX_LOSSES = 3;
 
-    /** An upstream so much slower than the fastest gets no call that a faster one would finish before. */
-    private static final double SLOW = 2.0;
-
-    /** Told when no upstream of the pool can be used. */
-    private static final long LONGEST_WAIT_NANOS = Duration.ofSeconds(2).toNanos();
-
     private static final long NANOS_PER_MILLI = 1_000_000L;
     private static final double NANOS_PER_SECOND = 1e9;
 
@@ -61,7 +53,7 @@
     private final ResultSink sink;
     private final DecisionLog log;
     private final PieceQueue queue = new PieceQueue();
-    private final Map<String, StageUpstream> upstreams = new LinkedHashMap<>();
+    private final PoolUpstreams upstreams;
     private final Map<WaitingGroup, Integer> running = new HashMap<>();
     private final FetchTime fetchTime = new FetchTime();
     private PoolWork work = PoolWork.NONE;
@@ -83,6 +75,7 @@
         this.limits = limits;
         this.sink = sink;
         this.log = log;
+        this.upstreams = new PoolUpstreams(pool, directory);
     }
 
     void add(String origin, PieceGroup group) {
@@ -109,14 +102,14 @@
         Predicate<WaitingGroup> isOld = group -> group.origin().equals(origin) && group.arrivedAt() - until <= 0;
         queue.find(isOld).forEach(group -> cancel(origin, group.group().id()));
         running.keySet().stream().filter(isOld).forEach(WaitingGroup::cancel);
-        return upstreams.values().stream()
+        return upstreams.all().stream()
                 .flatMap(upstream -> upstream.madeFor(isOld).stream())
                 .toList();
     }
 
     void free(List<String> handles) {
         for (String handle : handles) {
-            ResultHandle.makerAddress(handle).flatMap(this::findByAddress).ifPresent(maker -> maker.free(handle));
+            ResultHandle.makerAddress(handle).flatMap(upstreams::findByAddress).ifPresent(maker -> maker.free(handle));
         }
         if (!freeing) {
             freeing = true;
@@ -132,9 +125,9 @@
         }
         long now = timers.nanoTime();
         queue.takeOver(now).forEach(group -> miss(group, group.missing(), MissReason.LATE));
-        List<UpstreamNews> ready = refresh();
-        List<StageUpstream> slow = leftAlone(now);
-        List<StageUpstream> free = callable(ready, known.get(), now);
+        upstreams.refresh();
+        List<StageUpstream> slow = upstreams.leftAlone(now);
+        List<StageUpstream> free = upstreams.callable(known.get(), now);
         slow.retainAll(free);
         free.removeAll(slow);
         while (!free.isEmpty() && !queue.isEmpty()) {
@@ -162,7 +155,7 @@
      */
     private void trySlowOnes(List<StageUpstream> slow, BatchLimits known, long now) {
         for (StageUpstream upstream : slow) {
-            if (queue.isEmpty() || !upstream.isTrialDue(now)) {
+            if (queue.isEmpty() || !upstream.isFree(known, now) || !upstream.isTrialDue(now)) {
                 continue;
             }
             List<PieceTask> tasks = queue.takeLeastUrgent(known, upstream.roomLeft(known, now), now);
@@ -175,22 +168,7 @@
 
     /** Returns how loaded the pool is. */
     PoolLoad load() {
-        Optional<BatchLimits> known = limits.get();
-        long now = timers.nanoTime();
-        double slow = slowFrom(now);
-        // Slow ones get no calls under load: counted as free, they made waits look shorter than they were.
-        List<StageUpstream> usable = upstreams.values().stream()
-                .filter(u -> !u.isPaused(now) && u.slowness() <= slow)
-                .toList();
-        if (known.isEmpty() || usable.isEmpty()) {
-            return upstreams.isEmpty() ? PoolLoad.UNKNOWN : new PoolLoad(LONGEST_WAIT_NANOS, 0, 0);
-        }
-        long soonest = usable.stream().mapToLong(u -> u.busyNanos(now)).min().orElseThrow();
-        BatchLimits each = known.get();
-        double perNano = usable.stream()
-                .mapToDouble(u -> each.batch() / (each.fullCallNanos() * u.slowness()))
-                .sum();
-        return new PoolLoad(soonest + (long) (queue.pieces() / perNano), perNano * NANOS_PER_SECOND, 0);
+        return upstreams.load(limits.get(), queue.pieces(), timers.nanoTime());
     }
 
     PoolWork work() {
@@ -201,22 +179,6 @@
         return queue.pieces();
     }
 
-    private List<UpstreamNews> refresh() {
-        List<UpstreamNews> ready = directory.ready(pool);
-        ready.forEach(news -> upstreams.compute(news.id(), (id, known) -> known(known, news)));
-        upstreams.values().removeIf(u -> u.calls() == 0 && !ready.contains(u.news()));
-        return ready;
-    }
-
-    /** Returns what is known of an upstream. A restart under the same id has forgotten its results and its calls. */
-    private static StageUpstream known(StageUpstream known, UpstreamNews news) {
-        if (known == null || known.news().incarnation() != news.incarnation()) {
-            return new StageUpstream(news);
-        }
-        known.news(news);
-        return known;
-    }
-
     /**
      * Says whether a group should go to an upstream now. One with large inputs or results waits a while for an upstream in the
      * failure domain where they were made or will be read, as far as its request stays on time: bytes between failure
@@ -232,16 +194,7 @@
                 : group.group().inputs().stream().findFirst().flatMap(this::domainOf);
         return domain.isEmpty()
                 || domain.get().equals(upstream.news().failureDomain())
-                || upstreams.values().stream()
-                        .noneMatch(u -> !u.isPaused(now)
-                                && u.news().failureDomain().equals(domain.get())
-                                && u.busyNanos(now) < group.arrivedAt() + wait - now);
-    }
-
-    private Optional<StageUpstream> findByAddress(String address) {
-        return upstreams.values().stream()
-                .filter(u -> u.news().address().equals(address))
-                .findFirst();
+                || !upstreams.isSoonFree(domain.get(), group.arrivedAt() + wait - now, now);
     }
 
     private Optional<String> domainOf(String handle) {
@@ -250,33 +203,6 @@
                 .map(UpstreamNews::failureDomain);
     }
 
-    /** Returns the upstreams that a call may go to now, the fastest first. */
-    private List<StageUpstream> callable(List<UpstreamNews> ready, BatchLimits known, long now) {
-        return upstreams.values().stream()
-                .filter(u -> u.isFree(known, now) && ready.contains(u.news()))
-                .sorted(Comparator.comparingDouble(StageUpstream::slowness))
-                .collect(Collectors.toCollection(ArrayList::new));
-    }
-
-    /** Returns the upstreams so slow that a faster one, which is busy now, will end another call before them. */
-    private List<StageUpstream> leftAlone(long now) {
-        double slow = slowFrom(now);
-        boolean fastBusy = upstreams.values().stream().anyMatch(u -> u.calls() > 0 && u.slowness() <= slow);
-        return upstreams.values().stream()
-                .filter(u -> fastBusy && u.slowness() > slow)
-                .collect(Collectors.toCollection(ArrayList::new));
-    }
-
-    /** Returns the slowness above which an upstream counts as slow beside the fastest that is in use. */
-    private double slowFrom(long now) {
-        return SLOW
-                * upstreams.values().stream()
-                        .filter(u -> !u.isPaused(now))
-                        .mapToDouble(StageUpstream::slowness)
-                        .min()
-                        .orElse(1);
-    }
-
     private void send(StageUpstream upstream, List<PieceTask> tasks, BatchLimits known) {
         long now = timers.nanoTime();
         long expected = known.expectedNanos(tasks.size());
@@ -343,7 +269,7 @@
     }
 
     private void noteSpeed(StageUpstream upstream, long now) {
-        boolean slow = upstream.slowness() > slowFrom(now);
+        boolean slow = upstreams.isSlow(upstream, now);
         if (upstream.found(slow, now)) {
             LOGGER.info(
                     "event=stage-upstream-{} pool={} upstream={} slowness={}",
@@ -495,7 +421,7 @@
 
     private void sendFreed() {
         freeing = false;
-        for (StageUpstream upstream : upstreams.values()) {
+        for (StageUpstream upstream : upstreams.all()) {
             List<String> handles = upstream.takeFreed();
             if (!handles.isEmpty()) {
                 port.free(upstream.news(), handles, () -> {
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/batch/PoolUpstreams.java
@@ -0,0 +1,133 @@
+package org.copperspindle.batch;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Collectors;
+
+import org.copperspindle.discovery.UpstreamDirectory;
+import org.copperspindle.discovery.UpstreamNews;
+import org.copperspindle.route.BatchLimits;
+
+/**
+ * The upstreams of one pool, as the node that packs its calls knows them: which of them a call may go to, which are left alone
+ * since they are slow, and how loaded all are together.
+ */
+final class PoolUpstreams {
+
+    /** An upstream so much slower than the fastest gets no call that a faster one would finish before. */
+    private static final double SLOW = 2.0;
+
+    /** Told when no upstream of the pool can be used. */
+    private static final long LONGEST_WAIT_NANOS = Duration.ofSeconds(2).toNanos();
+
+    private static final double NANOS_PER_SECOND = 1e9;
+
+    private final String pool;
+    private final UpstreamDirectory directory;
+    private final Map<String, StageUpstream> byId = new LinkedHashMap<>();
+    private List<UpstreamNews> ready = List.of();
+
+    PoolUpstreams(String pool, UpstreamDirectory directory) {
+        this.pool = pool;
+        this.directory = directory;
+    }
+
+    Collection<StageUpstream> all() {
+        return byId.values();
+    }
+
+    /** Takes over what is announced now. */
+    void refresh() {
+        ready = directory.ready(pool);
+        ready.forEach(news -> byId.compute(news.id(), (id, known) -> known(known, news)));
+        byId.values().removeIf(u -> u.calls() == 0 && !ready.contains(u.news()));
+    }
+
+    Optional<StageUpstream> findByAddress(String address) {
+        return byId.values().stream()
+                .filter(u -> u.news().address().equals(address))
+                .findFirst();
+    }
+
+    /** Returns the upstreams that a call may go to now, the fastest first. */
+    List<StageUpstream> callable(BatchLimits limits, long now) {
+        return byId.values().stream()
+                .filter(u -> u.isFree(limits, now) && ready.contains(u.news()))
+                .sorted(Comparator.comparingDouble(StageUpstream::slowness))
+                .collect(Collectors.toCollection(ArrayList::new));
+    }
+
+    /** Returns the upstreams so slow that a faster one, which is busy now, will end another call before them. */
+    List<StageUpstream> leftAlone(long now) {
+        double slow = slowFrom(now);
+        boolean fastBusy = byId.values().stream().anyMatch(u -> u.calls() > 0 && u.slowness() <= slow);
+        return byId.values().stream()
+                .filter(u -> fastBusy && u.slowness() > slow)
+                .collect(Collectors.toCollection(ArrayList::new));
+    }
+
+    boolean isSlow(StageUpstream upstream, long now) {
+        return upstream.slowness() > slowFrom(now);
+    }
+
+    /**
+     * Says whether an upstream of a failure domain is free within a time.
+     *
+     * @param domain the failure domain
+     * @param nanos  the time
+     * @param now    monotonic time in nanoseconds
+     */
+    boolean isSoonFree(String domain, long nanos, long now) {
+        return byId.values().stream()
+                .anyMatch(u -> !u.isPaused(now) && u.news().failureDomain().equals(domain) && u.busyNanos(now) < nanos);
+    }
+
+    /**
+     * Returns how loaded the pool is. Slow upstreams get no calls under load: counted as free, they made waits look shorter
+     * than they were.
+     *
+     * @param limits  limits of the pool; empty if they are not known
+     * @param waiting pieces that wait
+     * @param now     monotonic time in nanoseconds
+     */
+    PoolLoad load(Optional<BatchLimits> limits, int waiting, long now) {
+        double slow = slowFrom(now);
+        List<StageUpstream> usable = byId.values().stream()
+                .filter(u -> !u.isPaused(now) && u.slowness() <= slow)
+                .toList();
+        if (limits.isEmpty() || usable.isEmpty()) {
+            return byId.isEmpty() ? PoolLoad.UNKNOWN : new PoolLoad(LONGEST_WAIT_NANOS, 0, 0);
+        }
+        long soonest = usable.stream().mapToLong(u -> u.busyNanos(now)).min().orElseThrow();
+        BatchLimits each = limits.get();
+        double perNano = usable.stream()
+                .mapToDouble(u -> each.batch() / (each.fullCallNanos() * u.slowness()))
+                .sum();
+        return new PoolLoad(soonest + (long) (waiting / perNano), perNano * NANOS_PER_SECOND, 0);
+    }
+
+    /** Returns what is known of an upstream. A restart under the same id has forgotten its results and its calls. */
+    private static StageUpstream known(StageUpstream known, UpstreamNews news) {
+        if (known == null || known.news().incarnation() != news.incarnation()) {
+            return new StageUpstream(news);
+        }
+        known.news(news);
+        return known;
+    }
+
+    /** Returns the slowness above which an upstream counts as slow beside the fastest that is in use. */
+    private double slowFrom(long now) {
+        return SLOW
+                * byId.values().stream()
+                        .filter(u -> !u.isPaused(now))
+                        .mapToDouble(StageUpstream::slowness)
+                        .min()
+                        .orElse(1);
+    }
+}
--- a/library/src/main/java/org/copperspindle/consensus/ConsensusLog.java
+++ b/library/src/main/java/org/copperspindle/consensus/ConsensusLog.java
@@ -109,7 +109,8 @@
             return new ConsensusLog(ring, timers, transport, state, settings.raft(limits), folder, recovered);
         } catch (IOException | RuntimeException e) {
             LOGGER.error("event=log-refused member={} reason=\"{}\"", settings.name(), e.toString());
-            // Its lock would keep every later attempt out, also after a fault that the file system tells by an unchecked one.
+            // Its lock would keep every later attempt out, also after a fault that the file system tells by an
+            // unchecked one.
             folder.close();
             throw e;
         }
