--- a/library/src/test/java/org/copperspindle/batch/FakeStagePort.java
+++ b/library/src/test/java/org/copperspindle/batch/FakeStagePort.java
@@ -27,6 +27,9 @@
     private int made;
     long freeNanos = NANOS_PER_MILLI;
 
+    /** Answers are not read before this instant: the process stands still. */
+    long standsStillUntil;
+
     FakeStagePort(VirtualTimerService time, BatchLimits limits) {
         this.time = time;
         this.limits = limits;
@@ -50,7 +53,7 @@
         long begin = Math.max(time.nanoTime(), busyUntil.getOrDefault(id, 0L));
         long end = begin + limits.expectedNanos(items.size()) * (how == Conduct.SLOW ? 5 : 1);
         busyUntil.put(id, end);
-        time.schedule(end - time.nanoTime(), () -> {
+        time.schedule(Math.max(end, standsStillUntil) - time.nanoTime(), () -> {
             queued.merge(id, -1, Integer::sum);
             callback.accept(new StageCallResult.Answered(
                     items.stream().map(item -> outcome(upstream, how)).toList()));
--- a/library/src/test/java/org/copperspindle/batch/SlowUpstreamTest.java
+++ b/library/src/test/java/org/copperspindle/batch/SlowUpstreamTest.java
@@ -67,6 +67,30 @@
         assertThat(callsFrom(from, SLOW)).isGreaterThanOrEqualTo(callsFrom(from, "b") - 2);
     }
 
+    /**
+     * Of the worth of descriptions 0.195 was earned for the rest of a day. The node that packs a pool's calls was frozen for
+     * eight seconds with calls under way to eight of eleven upstreams. Their answers looked as if they had taken as long, and
+     * the three others got all calls from then on: 12 to 16 "stage-call" lines in two seconds, where 48 were usual.
+     */
+    @Test
+    void upstreamsAreUsedAgainAfterTheirCallerStoodStill() {
+        port.standsStillUntil = 8000 * MILLI;
+        dispatcher.add("origin", group());
+        dispatcher.add("origin", group());
+        dispatcher.add("origin", group());
+        time.advance(8000 * MILLI);
+        upstream("d");
+        play(150);
+        upstream("e");
+        play(2000);
+        long from = time.nanoTime();
+        play(5000);
+        List.of(SLOW, "b", "c")
+                .forEach(each -> assertThat(callsFrom(from, each))
+                        .as(each)
+                        .isGreaterThanOrEqualTo(callsFrom(from, "d") - 2));
+    }
+
     /** An upstream that stays slow gets now and then a small call: what goes there comes late. */
     @Test
     void upstreamThatStaysSlowGetsFewPieces() {
