Forget how long stages took once no request of the route runs

What the gate adds for a route is learned from requests that run; under load it can keep all of them away, and pools that are never idle do not let one through. A node that stood still learns up to 0.4 of the objective so. Change: StageExcess forgets a route of which nothing ran for five seconds.

--- a/library/src/main/java/org/copperspindle/gateway/RequestRun.java
+++ b/library/src/main/java/org/copperspindle/gateway/RequestRun.java
@@ -132,7 +132,8 @@
     @Override
     public void onStagesDone() {
         if (stageRuns == 1 && !route.stages().isEmpty()) {
-            context.gate().ran(route, reckonedNanos, context.timers().nanoTime() - begunAt);
+            long now = context.timers().nanoTime();
+            context.gate().ran(route, reckonedNanos, now - begunAt, now);
         }
         attempt();
     }
--- a/library/src/main/java/org/copperspindle/gateway/StageGate.java
+++ b/library/src/main/java/org/copperspindle/gateway/StageGate.java
@@ -1,7 +1,5 @@
 package org.copperspindle.gateway;
 
-import java.util.HashMap;
-import java.util.Map;
 import java.util.Optional;
 import java.util.function.Function;
 import java.util.stream.IntStream;
@@ -60,21 +58,11 @@
      */
     private static final double URGENT_CALLS = 0.5;
 
-    /**
-     * Weight of the newest request in the mean time that stages take beyond what was reckoned. Waits for upstreams near the
-     * inputs and small queues add 0.2 to 0.35 s to three stages; a mean over the last ten requests follows a pool that
-     * turns slow within seconds.
-     */
-    private static final double EXCESS_WEIGHT = 0.1;
-
-    /** Most that is added, as a part of the objective: one request that ran through a fault must not close the gate. */
-    private static final double MOST_EXCESS = 0.4;
-
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
     private final StageForecaster forecaster;
     private final UrgentKinds kinds = new UrgentKinds();
-    private final Map<String, Double> excess = new HashMap<>();
+    private final StageExcess excess = new StageExcess();
     private int held;
     private long releasedAt;
     private boolean released;
@@ -100,7 +88,7 @@
         }
         long fullCall = fullCallNanos(request);
         StageForecast forecast = forecaster.of(request);
-        long finish = forecast.reckoned() + excessNanos(request);
+        long finish = forecast.reckoned() + excess.nanos(request.route(), now);
         long left = request.times().objectiveAt() - now;
         // Without what was learned: pools that are idle must get requests, or nothing would be learned any more.
         boolean idle = forecast.reckoned() - forecast.shortest()
@@ -123,11 +111,10 @@
      * @param route         its route
      * @param reckonedNanos how long they were reckoned to take, {@link GateJudgement#reckonedNanos}
      * @param tookNanos     how long they took
+     * @param now           monotonic time in nanoseconds
      */
-    void ran(Route route, long reckonedNanos, long tookNanos) {
-        double most = route.objective().toNanos() * MOST_EXCESS;
-        double seen = Math.max(0, Math.min(most, tookNanos - reckonedNanos));
-        excess.merge(route.name(), EXCESS_WEIGHT * seen, (old, part) -> old * (1 - EXCESS_WEIGHT) + part);
+    void ran(Route route, long reckonedNanos, long tookNanos, long now) {
+        excess.ran(route, reckonedNanos, tookNanos, now);
     }
 
     /** Counts requests that are held. */
@@ -154,7 +141,7 @@
      */
     private Optional<String> kindInNeed(AdmittedRequest request, long now) {
         return kinds.before(request, now).stream()
-                .filter(urgent -> isLateForWaits(urgent)
+                .filter(urgent -> isLateForWaits(urgent, now)
                         && forecaster
                                 .bottleneck(urgent)
                                 .filter(request::needsPool)
@@ -164,17 +151,13 @@
     }
 
     /** Says whether the next request of a kind would be late, and would not be if nothing waited: room would help it. */
-    private boolean isLateForWaits(AdmittedRequest kind) {
+    private boolean isLateForWaits(AdmittedRequest kind, long now) {
         StageForecast forecast = forecaster.of(kind);
         long reserve = (long) (URGENT_CALLS * fullCallNanos(kind));
-        long spare = kind.route().objective().toNanos() - excessNanos(kind) - reserve;
+        long spare = kind.route().objective().toNanos() - excess.nanos(kind.route(), now) - reserve;
         return forecast.shortest() <= spare && forecast.reckoned() > spare;
     }
 
-    private long excessNanos(AdmittedRequest request) {
-        return excess.getOrDefault(request.route().name(), 0.0).longValue();
-    }
-
     /** Returns the longest full call of the pools that the request needs. */
     private static long fullCallNanos(AdmittedRequest request) {
         return IntStream.range(0, request.route().stages().size())
--- a/library/src/test/java/org/copperspindle/batch/SlowUpstreamTest.java
+++ b/library/src/test/java/org/copperspindle/batch/SlowUpstreamTest.java
@@ -86,9 +86,8 @@
         long from = time.nanoTime();
         play(5000);
         List.of(SLOW, "b", "c")
-                .forEach(each -> assertThat(callsFrom(from, each))
-                        .as(each)
-                        .isGreaterThanOrEqualTo(callsFrom(from, "d") - 2));
+                .forEach(each ->
+                        assertThat(callsFrom(from, each)).as(each).isGreaterThanOrEqualTo(callsFrom(from, "d") - 2));
     }
 
     /** An upstream that stays slow gets now and then a small call: what goes there comes late. */
--- a/library/src/test/java/org/copperspindle/gateway/StageGateTest.java
+++ b/library/src/test/java/org/copperspindle/gateway/StageGateTest.java
@@ -106,15 +106,32 @@
         GateJudgement judgement = gate.judge(request, false, 0);
         assertThat(judgement.verdict()).isEqualTo(GateVerdict.BEGIN);
         for (int i = 0; i < 30; i++) {
-            gate.ran(request.route(), judgement.reckonedNanos(), judgement.reckonedNanos() + 400 * MILLI);
+            gate.ran(request.route(), judgement.reckonedNanos(), judgement.reckonedNanos() + 400 * MILLI, 0);
         }
         assertThat(gate.judge(request, false, 0).verdict()).isEqualTo(GateVerdict.HOLD);
         for (int i = 0; i < 30; i++) {
-            gate.ran(request.route(), judgement.reckonedNanos(), judgement.reckonedNanos());
+            gate.ran(request.route(), judgement.reckonedNanos(), judgement.reckonedNanos(), 0);
         }
         assertThat(gate.judge(request, false, 0).verdict()).isEqualTo(GateVerdict.BEGIN);
     }
 
+    /**
+     * A node stood still while requests ran, and their stages seemed to take long. Its callers would be refused for as long as
+     * the load lasts: pools are not idle, and nothing runs that could show better. After five seconds it is forgotten.
+     */
+    @ParameterizedTest
+    @CsvSource({"5000, HOLD", "5001, BEGIN"})
+    void forgetsWhatWasLearnedOnceNothingRuns(long laterMillis, GateVerdict verdict) {
+        waitMillis = 740;
+        AdmittedRequest request = request(0, 20_000);
+        long reckoned = gate.judge(request, false, 0).reckonedNanos();
+        for (int i = 0; i < 30; i++) {
+            gate.ran(request.route(), reckoned, reckoned + 8000 * MILLI, 0);
+        }
+        long now = laterMillis * MILLI;
+        assertThat(gate.judge(request(0, 20_000, now), false, now).verdict()).isEqualTo(verdict);
+    }
+
     /**
      * A fault made stages take so long that no request looks as if it could be on time, and it is over. Were nothing begun,
      * nothing would be learned, and everything refused for ever: while pools are idle, requests begin.
@@ -124,7 +141,7 @@
         AdmittedRequest request = request(0, 20_000);
         long reckoned = gate.judge(request, false, 0).reckonedNanos();
         for (int i = 0; i < 100; i++) {
-            gate.ran(request.route(), reckoned, reckoned + 60_000 * MILLI);
+            gate.ran(request.route(), reckoned, reckoned + 60_000 * MILLI, 0);
         }
         assertThat(gate.judge(request(1500, 20_000), false, 0).verdict()).isEqualTo(GateVerdict.BEGIN);
     }
@@ -142,6 +159,10 @@
     }
 
     private static AdmittedRequest request(long waitedMillis, long deadlineMillis) {
+        return request(waitedMillis, deadlineMillis, 0);
+    }
+
+    private static AdmittedRequest request(long waitedMillis, long deadlineMillis, long now) {
         Route route = TestRoutes.route(
                 "r",
                 "h",
@@ -154,7 +175,7 @@
                 List.of(route),
                 List.of(TestRoutes.pool("p"), TestRoutes.stagePool("s1"), TestRoutes.stagePool("s2")));
         GatewayRequest request = TestRequests.request("id", OptionalLong.of(deadlineMillis), List.of(), List.of(6, 6));
-        RequestTimes times = RequestTimes.of(route, request.deadlineMillis(), waitedMillis, 0);
+        RequestTimes times = RequestTimes.of(route, request.deadlineMillis(), waitedMillis, now);
         return new AdmittedRequest(request, table, route, Optional.empty(), "p", times);
     }
 }
--- a/library/src/test/java/org/copperspindle/gateway/StageLoadReplay.java
+++ b/library/src/test/java/org/copperspindle/gateway/StageLoadReplay.java
@@ -260,7 +260,7 @@
 
         @Override
         public void onStagesDone() {
-            gate.ran(kind.route(), reckoned, time.nanoTime() - begunAt);
+            gate.ran(kind.route(), reckoned, time.nanoTime() - begunAt, time.nanoTime());
             movedBytes += run.inputs().total() - run.inputs().bytesIn(domain, directory);
             time.schedule(READ_NANOS, run::end);
             time.schedule((long) (ENGINE_NANOS * stretch), this::served);
