Take no upstream for slow that works at its stated speed

Change: slow is more than twice the stated time, or than the fastest if that is slower. The test of it failed with both of the two other upstreams left alone instead of none.

--- a/library/src/main/java/org/copperspindle/batch/PoolUpstreams.java
+++ b/library/src/main/java/org/copperspindle/batch/PoolUpstreams.java
@@ -121,13 +121,16 @@
         return known;
     }
 
-    /** Returns the slowness above which an upstream counts as slow beside the fastest that is in use. */
+    /**
+     * Returns the slowness above which an upstream counts as slow beside the fastest that is in use. One that takes as long as
+     * stated never does: answers without results come at once, and beside their upstream all others looked slow.
+     */
     private double slowFrom(long now) {
-        return SLOW
-                * byId.values().stream()
-                        .filter(u -> !u.isPaused(now))
-                        .mapToDouble(StageUpstream::slowness)
-                        .min()
-                        .orElse(1);
+        double fastest = byId.values().stream()
+                .filter(u -> !u.isPaused(now))
+                .mapToDouble(StageUpstream::slowness)
+                .min()
+                .orElse(1);
+        return SLOW * Math.max(1, fastest);
     }
 }
--- /dev/null
+++ b/library/src/test/java/org/copperspindle/batch/PoolUpstreamsTest.java
@@ -0,0 +1,89 @@
+package org.copperspindle.batch;
+
+import java.util.Optional;
+
+import org.copperspindle.discovery.UpstreamDirectory;
+import org.copperspindle.discovery.UpstreamNews;
+import org.copperspindle.discovery.UpstreamPhase;
+import org.copperspindle.route.BatchLimits;
+import org.copperspindle.route.TestRoutes;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class PoolUpstreamsTest {
+
+    private static final long MILLI = 1_000_000L;
+    private static final BatchLimits LIMITS = TestRoutes.batch(40);
+    private static final long CALL_NANOS = 300 * MILLI;
+
+    private final UpstreamDirectory directory = new UpstreamDirectory();
+    private final PoolUpstreams upstreams = new PoolUpstreams("p", directory);
+
+    /**
+     * The inputs of several calls were gone, so that their upstream answered within 50 ms. Beside it three upstreams that took
+     * as long as stated looked slow ("stage-upstream-slow slowness=1.0") and got no calls while it was busy.
+     */
+    @Test
+    void answersAtOnceMakeNoOtherUpstreamSlow() {
+        announce("quick", "usual", "other");
+        for (int call = 0; call < 5; call++) {
+            answer("quick", 50);
+            answer("usual", 300);
+            answer("other", 330);
+        }
+        find("quick").started(CALL_NANOS);
+        assertThat(upstreams.leftAlone(0)).isEmpty();
+    }
+
+    /** An upstream at twice its stated time and more is left alone while a faster one is busy, and used if none is. */
+    @ParameterizedTest
+    @CsvSource({"550, true, 0", "650, true, 1", "650, false, 0"})
+    void slowUpstreamIsLeftAloneWhileAnotherIsBusy(long tookMillis, boolean busy, int alone) {
+        announce("usual", "slow");
+        for (int call = 0; call < 20; call++) {
+            answer("usual", 300);
+            answer("slow", tookMillis);
+        }
+        if (busy) {
+            find("usual").started(CALL_NANOS);
+        }
+        assertThat(upstreams.leftAlone(0)).hasSize(alone);
+        assertThat(upstreams.callable(LIMITS, 0)).hasSize(busy ? 1 : 2);
+    }
+
+    /** The load of a pool is that of the upstreams that get calls. */
+    @Test
+    void loadLeavesSlowUpstreamsOut() {
+        announce("usual", "slow");
+        double alone = upstreams.load(Optional.of(LIMITS), 0, 0).piecesPerSecond() / 2;
+        for (int call = 0; call < 20; call++) {
+            answer("usual", 300);
+            answer("slow", 1500);
+        }
+        assertThat(upstreams.load(Optional.of(LIMITS), 0, 0).piecesPerSecond()).isEqualTo(alone);
+    }
+
+    private void announce(String... ids) {
+        for (String id : ids) {
+            String address = "10.0.0." + (directory.ready("p").size() + 1) + ":1";
+            directory.accept(new UpstreamNews(id, 0, "p", address, "d", UpstreamPhase.READY, 1, 1, 0), 0);
+        }
+        upstreams.refresh();
+    }
+
+    private void answer(String id, long tookMillis) {
+        StageUpstream upstream = find(id);
+        upstream.started(CALL_NANOS);
+        upstream.answered(CALL_NANOS, tookMillis * MILLI);
+    }
+
+    private StageUpstream find(String id) {
+        return upstreams.all().stream()
+                .filter(u -> u.news().id().equals(id))
+                .findFirst()
+                .orElseThrow();
+    }
+}
