--- a/library/src/main/java/org/copperspindle/gateway/StageGate.java
+++ b/library/src/main/java/org/copperspindle/gateway/StageGate.java
@@ -17,6 +17,8 @@
  * the pools tell of their waits and by what was promised to requests before them. The others are told at once to come
  * back when the burst may be over. Those that have come back are held while nothing of them has been made, and begin when
  * the pools have nothing to do: sent away again, their callers would have waited twice for nothing.
+ *
+ * <p>Where kinds of requests share a pool, the less urgent one leaves room for the next request of the more urgent one.
  */
 final class StageGate {
 
