Test again that a tag waits where a description begins

Cause: when the room kept for more urgent kinds was cut back, first to none and then to a tenth of a call, the case of that room was moved to a wait at which both kinds are held, so that no test of the gate told a tenth from none. Change: the case is back, at the wait where the next description has 20 ms to spare. With no room kept it fails (BEGIN, wanted HOLD).

--- a/library/src/test/java/org/copperspindle/gateway/UrgentRoomTest.java
+++ b/library/src/test/java/org/copperspindle/gateway/UrgentRoomTest.java
@@ -36,11 +36,11 @@
             pool -> new PoolLoad(waitMillis.getOrDefault(pool, 0L) * MILLI, 400, 0), new FirstEventTimes());
 
     /**
-     * Callers of descriptions were refused while tags were let in. At a wait of 600 ms the next description would be late, so
-     * that tags must leave it the room, though they have 2 s to spare.
+     * Callers of descriptions were refused while tags were let in. At a wait of 440 ms the next description has 20 ms to spare,
+     * less than a tenth of a call: it begins, and tags must leave it the room, though they have 2 s to spare.
      */
     @ParameterizedTest
-    @CsvSource({"100, BEGIN, BEGIN", "400, BEGIN, BEGIN", "600, HOLD, HOLD"})
+    @CsvSource({"100, BEGIN, BEGIN", "400, BEGIN, BEGIN", "440, HOLD, BEGIN", "600, HOLD, HOLD"})
     void lessUrgentKindLeavesRoomInASharedPool(long wait, GateVerdict tag, GateVerdict description) {
         waitMillis.put("shared", wait);
         gate.judge(request("description", 1, 1000, 0, "shared"), false, 0);
