Give nodes of tests, demo and warm-up a loopback address of their own

Cause: ControlPathTest#acknowledgedVersionOutlivesItsLeader failed once with a BindException. A port was found free by opening and closing it on all addresses; until the node bound it, and while the node was down, the kernel could give it to an outgoing connection (all start at 127.0.0.1) or to the next who asked for any port, the harness itself among them. Ruled out: a socket of the stopped node still open; the failing node was at its first start, 0.046 s after the test began. Change: LoopbackHost gives an address that no outgoing connection starts at, with ports below the kernel's range, each once. It replaces four copies of finding a free port; the build's warm-up, which had the same gap, uses it too. Before: PortOfStoppedNodeTest fails with the same BindException (outgoing connection from the port of a stopped node). After: it and ControlPathTest, ConsensusLogTest, LoopbackHostTest pass.

--- a/benchmarks/src/main/java/org/copperspindle/benchmarks/ClaimDeployment.java
+++ b/benchmarks/src/main/java/org/copperspindle/benchmarks/ClaimDeployment.java
@@ -1,9 +1,7 @@
 package org.copperspindle.benchmarks;
 
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -19,6 +17,7 @@
 import org.copperspindle.emulator.ExecutionLedger;
 import org.copperspindle.emulator.FakeKind;
 import org.copperspindle.emulator.FakeUpstream;
+import org.copperspindle.loopback.LoopbackHost;
 import org.copperspindle.settings.SettingsException;
 import org.copperspindle.settings.SettingsFile;
 
@@ -29,6 +28,7 @@
 final class ClaimDeployment implements AutoCloseable {
 
     private static final int VOTERS = 3;
+    private static final String ANY_PORT = "127.0.0.1:0";
     private static final int CHANGES = 200;
     private static final long PAUSE_NANOS = 50_000_000;
     private static final String CONFIGURATION = """
@@ -64,19 +64,21 @@
      * @param service time that one call takes
      */
     ClaimDeployment(Path data, Duration service) throws IOException, SettingsException, InterruptedException {
-        List<Integer> ports = freePorts();
+        LoopbackHost host = LoopbackHost.open();
         List<String> voters = new ArrayList<>();
         List<String> controls = new ArrayList<>();
         for (int i = 0; i < VOTERS; i++) {
-            voters.add("control-" + i + "@127.0.0.1:" + ports.get(i));
-            controls.add("127.0.0.1:" + ports.get(i));
+            InetSocketAddress free = host.nextAddress();
+            String address = free.getHostString() + ":" + free.getPort();
+            voters.add("control-" + i + "@" + address);
+            controls.add(address);
         }
         String members = String.join(", ", controls);
         List<CopperspindleProcess> operators = new ArrayList<>();
         for (int i = 0; i < VOTERS; i++) {
             operators.add(start(
                     "control-" + i,
-                    ports.get(i),
+                    controls.get(i),
                     members,
                     "[control]\nlisten = 127.0.0.1:0\ndata-folder = " + data.resolve("c" + i) + "\nvoters = "
                             + String.join(", ", voters)));
@@ -84,11 +86,11 @@
         fake = new FakeUpstream(FakeKind.SERVICE, service, new ExecutionLedger());
         start(
                 "agent",
-                0,
+                ANY_PORT,
                 members,
                 "[agent]\nupstream-id = g1\npool = gallery\nupstream = 127.0.0.1:"
                         + fake.address().getPort());
-        entry = start("entry", 0, members, "[entry]\nlisten = 127.0.0.1:0\nmax-in-progress = 4000");
+        entry = start("entry", ANY_PORT, members, "[entry]\nlisten = 127.0.0.1:0\nmax-in-progress = 4000");
         apply(operators);
         await("install");
         await("lookup");
@@ -114,8 +116,9 @@
         fake.close();
     }
 
-    private CopperspindleProcess start(String id, int port, String controls, String role) throws SettingsException {
-        String text = "[process]\nid = " + id + "\nfailure-domain = north\nlisten = 127.0.0.1:" + port + "\ncontrols = "
+    private CopperspindleProcess start(String id, String listen, String controls, String role)
+            throws SettingsException {
+        String text = "[process]\nid = " + id + "\nfailure-domain = north\nlisten = " + listen + "\ncontrols = "
                 + controls + "\n\n" + role + "\n";
         CopperspindleProcess process = CopperspindleProcess.start(ProcessSettings.read(SettingsFile.parse(id, text)));
         processes.add(process);
@@ -151,18 +154,4 @@
         }
         throw new IOException("no answer of " + service);
     }
-
-    private static List<Integer> freePorts() throws IOException {
-        List<ServerSocket> held = new ArrayList<>();
-        List<Integer> ports = new ArrayList<>();
-        for (int i = 0; i < VOTERS; i++) {
-            ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-            held.add(socket);
-            ports.add(socket.getLocalPort());
-        }
-        for (ServerSocket socket : held) {
-            socket.close();
-        }
-        return ports;
-    }
 }
--- a/benchmarks/src/main/java/org/copperspindle/benchmarks/ConsensusMeasurement.java
+++ b/benchmarks/src/main/java/org/copperspindle/benchmarks/ConsensusMeasurement.java
@@ -1,9 +1,6 @@
 package org.copperspindle.benchmarks;
 
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -23,6 +20,7 @@
 import org.copperspindle.control.ProposalResult;
 import org.copperspindle.control.ReplicatedState;
 import org.copperspindle.core.DecisionRing;
+import org.copperspindle.loopback.LoopbackHost;
 import org.copperspindle.time.SystemTimerService;
 import org.copperspindle.wire.GreetingMessage;
 import org.copperspindle.wire.MessageRegistry;
@@ -60,8 +58,9 @@
     }
 
     private void run() throws Exception {
+        LoopbackHost host = LoopbackHost.open();
         for (int i = 1; i <= 3; i++) {
-            voters.add(new VoterAddress("m" + i, freeAddress(i)));
+            voters.add(new VoterAddress("m" + i, host.nextAddress()));
         }
         for (VoterAddress voter : voters) {
             nodes.add(new Node(voter));
@@ -142,13 +141,6 @@
         }
     }
 
-    private static InetSocketAddress freeAddress(int member) throws IOException {
-        InetAddress own = InetAddress.getByName("127.251.0." + member);
-        try (ServerSocket socket = new ServerSocket(0, 1, own)) {
-            return new InetSocketAddress(own, socket.getLocalPort());
-        }
-    }
-
     /** One member, with a state that only counts. */
     private final class Node implements ReplicatedState {
         private final VoterAddress voter;
--- a/library/src/test/java/org/copperspindle/consensus/ConsensusLogTest.java
+++ b/library/src/test/java/org/copperspindle/consensus/ConsensusLogTest.java
@@ -2,9 +2,6 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.ByteBuffer;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -21,6 +18,7 @@
 import java.util.stream.Stream;
 
 import org.copperspindle.control.ProposalResult;
+import org.copperspindle.loopback.LoopbackHost;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -45,8 +43,9 @@
 
     @BeforeEach
     void startMembers() throws IOException {
+        LoopbackHost host = LoopbackHost.open();
         for (int i = 1; i <= 3; i++) {
-            voters.add(new VoterAddress("control-" + i, freeAddress(i)));
+            voters.add(new VoterAddress("control-" + i, host.nextAddress()));
         }
         for (VoterAddress voter : voters) {
             start(voter.name(), LogFile::open);
@@ -217,18 +216,6 @@
         }
     }
 
-    /**
-     * A loopback address of this JVM's own: outgoing connections start at 127.0.0.1 and can't take its port while a
-     * member is down.
-     */
-    private static InetSocketAddress freeAddress(int member) throws IOException {
-        long pid = ProcessHandle.current().pid();
-        InetAddress own = InetAddress.getByName("127." + (1 + pid % 250) + "." + pid / 250 % 250 + "." + member);
-        try (ServerSocket socket = new ServerSocket(0, 1, own)) {
-            return new InetSocketAddress(own, socket.getLocalPort());
-        }
-    }
-
     /** A file on a disk that fills up: half of the bytes arrive, then it fails. */
     private record FailingFile(LogFile file, AtomicBoolean full) implements LogFile {
         @Override
--- a/tools/src/main/java/org/copperspindle/capacity/StandInControl.java
+++ b/tools/src/main/java/org/copperspindle/capacity/StandInControl.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Comparator;
@@ -11,6 +10,7 @@
 
 import org.copperspindle.daemon.CopperspindleProcess;
 import org.copperspindle.daemon.ProcessSettings;
+import org.copperspindle.loopback.LoopbackHost;
 import org.copperspindle.settings.SettingsException;
 import org.copperspindle.settings.SettingsFile;
 
@@ -27,7 +27,8 @@
 
     StandInControl(String lease) throws IOException, SettingsException {
         this.data = Files.createTempDirectory("copperspindle-measure");
-        String address = "127.0.0.1:" + freePort();
+        InetSocketAddress free = LoopbackHost.open().nextAddress();
+        String address = free.getHostString() + ":" + free.getPort();
         String settings = String.join(
                 "\n",
                 "[process]",
@@ -50,13 +51,6 @@
         return process.operatorAddress().orElseThrow();
     }
 
-    private static int freePort() throws IOException {
-        // A voter's address stands in the settings, so its port must be known before it starts.
-        try (ServerSocket socket = new ServerSocket(0)) {
-            return socket.getLocalPort();
-        }
-    }
-
     @Override
     public void close() {
         process.kill();
--- a/tools/src/main/java/org/copperspindle/demo/DemoDeployment.java
+++ b/tools/src/main/java/org/copperspindle/demo/DemoDeployment.java
@@ -1,9 +1,7 @@
 package org.copperspindle.demo;
 
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -17,6 +15,7 @@
 import org.copperspindle.emulator.FakeKind;
 import org.copperspindle.emulator.FakeSettings;
 import org.copperspindle.emulator.FakeUpstream;
+import org.copperspindle.loopback.LoopbackHost;
 import org.copperspindle.settings.SettingsException;
 import org.copperspindle.settings.SettingsFile;
 
@@ -30,6 +29,7 @@
     static final Duration PER_TOKEN = Duration.ofMillis(6);
 
     private static final String LOOPBACK = "127.0.0.1";
+    private static final String ANY_PORT = LOOPBACK + ":0";
     private static final int CONTROLS = 3;
     private static final int ENTRIES = 2;
     private static final int SCALE = 3;
@@ -46,15 +46,15 @@
 
     DemoDeployment(Deployment deployment, Path data) throws IOException, SettingsException {
         this.deployment = deployment;
-        List<Integer> ports = freePorts(CONTROLS);
-        String members = addresses(ports);
+        List<String> addresses = addresses(CONTROLS);
+        String members = String.join(", ", addresses);
         for (int i = 0; i < CONTROLS; i++) {
             controls.add(start(
                     "control-" + (i + 1),
                     i,
-                    ports.get(i),
+                    addresses.get(i),
                     members,
-                    "[control]\nlisten = 127.0.0.1:0\nlease = 2s\nvoters = " + voters(ports) + "\ndata-folder = "
+                    "[control]\nlisten = 127.0.0.1:0\nlease = 2s\nvoters = " + voters(addresses) + "\ndata-folder = "
                             + data.resolve("control-" + (i + 1))));
         }
         for (PoolSettings pool : deployment.pools().values()) {
@@ -63,7 +63,8 @@
             }
         }
         for (int i = 0; i < ENTRIES; i++) {
-            entries.add(start("entry-" + (i + 1), i, 0, members, "[entry]\nlisten = 127.0.0.1:0\nstop-delay = 300ms"));
+            entries.add(start(
+                    "entry-" + (i + 1), i, ANY_PORT, members, "[entry]\nlisten = 127.0.0.1:0\nstop-delay = 300ms"));
         }
     }
 
@@ -130,7 +131,7 @@
         String role = "[agent]\nupstream-id = " + id + "\npool = " + pool.name() + "\nupstream = " + LOOPBACK + ":"
                 + fake.address().getPort()
                 + (pool.models().isEmpty() ? "" : "\nmodels = " + String.join(", ", pool.models()));
-        return new DemoUpstream(id, pool, fake, start("agent-" + id, index, 0, members, role));
+        return new DemoUpstream(id, pool, fake, start("agent-" + id, index, ANY_PORT, members, role));
     }
 
     private static FakeSettings fake(PoolSettings pool) {
@@ -151,38 +152,31 @@
                 pool.reportsLoad());
     }
 
-    private CopperspindleProcess start(String id, int index, int port, String members, String role)
+    private CopperspindleProcess start(String id, int index, String listen, String members, String role)
             throws SettingsException {
         List<String> domains = deployment.failureDomains();
         String text = "[process]\nid = " + id + "\nfailure-domain = " + domains.get(index % domains.size())
-                + "\nlisten = " + LOOPBACK + ":" + port + "\ncontrols = " + members + "\nrenew = 200ms\n\n" + role
+                + "\nlisten = " + listen + "\ncontrols = " + members + "\nrenew = 200ms\n\n" + role
                 + "\n";
         return CopperspindleProcess.start(ProcessSettings.read(SettingsFile.parse(id, text)));
     }
 
-    private static String addresses(List<Integer> ports) {
-        return String.join(", ", ports.stream().map(p -> LOOPBACK + ":" + p).toList());
+    /** Gives addresses that can stand in the settings of all members before any of them listens. */
+    private static List<String> addresses(int count) throws IOException {
+        LoopbackHost host = LoopbackHost.open();
+        List<String> addresses = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            InetSocketAddress next = host.nextAddress();
+            addresses.add(next.getHostString() + ":" + next.getPort());
+        }
+        return addresses;
     }
 
-    private static String voters(List<Integer> ports) {
+    private static String voters(List<String> addresses) {
         List<String> voters = new ArrayList<>();
-        for (int port : ports) {
-            voters.add("control-" + (voters.size() + 1) + "@" + LOOPBACK + ":" + port);
+        for (String address : addresses) {
+            voters.add("control-" + (voters.size() + 1) + "@" + address);
         }
         return String.join(", ", voters);
     }
-
-    private static List<Integer> freePorts(int count) throws IOException {
-        List<ServerSocket> held = new ArrayList<>();
-        List<Integer> ports = new ArrayList<>();
-        for (int i = 0; i < count; i++) {
-            ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(LOOPBACK));
-            held.add(socket);
-            ports.add(socket.getLocalPort());
-        }
-        for (ServerSocket socket : held) {
-            socket.close();
-        }
-        return ports;
-    }
 }
