Part idle connections to an upstream among the nodes

Cause, by reading: each node kept two idle connections to each upstream, whatever that accepts from all nodes together. 35 nodes keep 70 of the 80 of a plain service's upstream; from 80 nodes on an engine's 160 are used up by idle ones alone, and it resets those that requests open. Change: a node keeps what half of the bound gives it, two at most; none where there are more nodes than that. Connections in use are not parted, stage pools are called by one node. Before and after, kept by all nodes at 35, 136, 380: 70, 272, 760; of 80: 35, 0, 0; of 160: 70, 0, 0. Tests: SharedIdleConnectionsTest (fails with two for each node), DirectClientTest.

--- a/library/src/main/java/org/copperspindle/direct/DirectClient.java
+++ b/library/src/main/java/org/copperspindle/direct/DirectClient.java
@@ -28,9 +28,6 @@
      */
     private static final int CONNECT_TIMEOUT_MILLIS = 400;
 
-    /** Idle connections kept to one upstream: they count against what it accepts from all nodes together. */
-    private static final int MAX_IDLE = 2;
-
     /**
      * A connection that its upstream had closed shows that within a round trip, and the upstream has not seen the call. Lost
      * later, the upstream may have worked on it: whether it is sent once more is for its caller's budget of repeats.
@@ -44,6 +41,7 @@
 
     private final EventLoop loop;
     private final TimerService timers;
+    private final IdleConnections bound;
     private final Map<String, Deque<DirectConnection>> idle = new HashMap<>();
     private final Owner owner = new Owner();
     private long connects;
@@ -54,10 +52,12 @@
      *
      * @param loop   network thread
      * @param timers time on it
+     * @param bound  how many idle connections are kept
      */
-    public DirectClient(EventLoop loop, TimerService timers) {
+    public DirectClient(EventLoop loop, TimerService timers, IdleConnections bound) {
         this.loop = loop;
         this.timers = timers;
+        this.bound = bound;
     }
 
     /**
@@ -130,11 +130,13 @@
     private void sweep() {
         sweeping = false;
         long now = timers.nanoTime();
-        for (Deque<DirectConnection> kept : idle.values()) {
-            while (!kept.isEmpty() && !kept.peekFirst().isFresh(now)) {
+        idle.forEach((address, kept) -> {
+            // Fewer are allowed once other nodes have joined.
+            int most = bound.most(address);
+            while (!kept.isEmpty() && (kept.size() > most || !kept.peekFirst().isFresh(now))) {
                 kept.pollFirst().close();
             }
-        }
+        });
         idle.values().removeIf(Deque::isEmpty);
         if (!idle.isEmpty()) {
             sweepLater();
@@ -160,7 +162,7 @@
         @Override
         public void idle(DirectConnection connection) {
             Deque<DirectConnection> kept = idle.computeIfAbsent(connection.address(), a -> new ArrayDeque<>());
-            if (kept.size() >= MAX_IDLE) {
+            if (kept.size() >= bound.most(connection.address())) {
                 connection.close();
                 return;
             }
--- a/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
@@ -146,7 +146,11 @@
         this.holder = new EditionHolder(timers, dialects.tables(), lease, new SuspensionWatch(), exchange::ask);
         exchange.holder(holder);
         DecisionLog log = new DecisionLog(SERVED_LINES, FAILED_LINES);
-        this.client = new DirectClient(loop, timers);
+        this.client = new DirectClient(
+                loop,
+                timers,
+                new SharedIdleConnections(
+                        directory, holder::heldTable, () -> 1 + mesh.nodes().size()));
         MeshRelay relay = new MeshRelay(mesh, registry);
         this.batches = new BatchService(
                 relay,
--- a/library/src/test/java/org/copperspindle/direct/DirectClientTest.java
+++ b/library/src/test/java/org/copperspindle/direct/DirectClientTest.java
@@ -24,6 +24,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -38,7 +39,8 @@
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = (EventLoop) group.next();
     private final AtomicLong clock = new AtomicLong();
-    private final DirectClient client = new DirectClient(loop, new SteppedTimers());
+    private int mostIdle = 2;
+    private final DirectClient client = new DirectClient(loop, new SteppedTimers(), address -> mostIdle);
 
     @AfterEach
     void close() {
@@ -105,6 +107,22 @@
         }
     }
 
+    /**
+     * More nodes than an upstream accepts connections. Kept ones would fill it up, and it would reset those that other
+     * nodes open for their requests; with no share left, each call opens its own and closes it.
+     */
+    @ParameterizedTest
+    @CsvSource({"0, 3", "1, 1"})
+    void connectionsAreKeptUpToTheShareOfThisNode(int share, int connections) throws Exception {
+        mostIdle = share;
+        try (ScriptedUpstream upstream = new ScriptedUpstream(sends(WHOLE))) {
+            for (int i = 0; i < 3; i++) {
+                call(upstream.address(), ConnectionUse.KEPT).get(BOUND_SECONDS, TimeUnit.SECONDS);
+            }
+            assertThat(upstream.connections()).isEqualTo(connections);
+        }
+    }
+
     /**
      * The upstream closes an idle connection just as a call goes out on it. A call that may be repeated goes out again on
      * a new one; one that may not never goes out on a kept connection at all.
