Tell when a stream's first event came, its longest pause and the size of its prompt

Logs did not tell a review that reached its engine late from one that its engine read late: request-ended had the time of the whole stream only. request-admitted has prompt_tokens and shared_tokens now, request-ended first_event_ms and longest_pause_ms.

--- a/library/src/main/java/org/copperspindle/gateway/AnswerRelay.java
+++ b/library/src/main/java/org/copperspindle/gateway/AnswerRelay.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.LongSupplier;
 
 import org.copperspindle.http.HeaderField;
 import org.copperspindle.http.HttpExchange;
@@ -15,15 +16,26 @@
 final class AnswerRelay {
 
     private final HttpExchange exchange;
+    private final LongSupplier clock;
     private EventFramer framer = new EventFramer();
     private Optional<DirectHeadFields> head = Optional.empty();
     private boolean started;
     private OptionalLong lastId = OptionalLong.empty();
     private long events;
     private boolean gap;
-
-    AnswerRelay(HttpExchange exchange) {
+    private OptionalLong firstAt = OptionalLong.empty();
+    private long lastAt;
+    private long longestPause;
+
+    /**
+     * Creates a relay that has passed nothing on.
+     *
+     * @param exchange the caller's request
+     * @param clock    monotonic time in nanoseconds
+     */
+    AnswerRelay(HttpExchange exchange, LongSupplier clock) {
         this.exchange = exchange;
+        this.clock = clock;
     }
 
     /** Begins with the stream of an upstream; the first one's head is the answer's. */
@@ -73,6 +85,16 @@
         return events;
     }
 
+    /** Returns when the first event was passed on; empty if none was. */
+    OptionalLong firstAt() {
+        return firstAt;
+    }
+
+    /** Returns the longest time between two events. */
+    long longestPauseNanos() {
+        return longestPause;
+    }
+
     void finish() {
         if (!started) {
             start();
@@ -85,12 +107,23 @@
             start();
         }
         events++;
+        noteTime();
         if (event.id().isPresent()) {
             lastId = event.id();
         }
         exchange.write(event.bytes());
     }
 
+    private void noteTime() {
+        long now = clock.getAsLong();
+        if (firstAt.isEmpty()) {
+            firstAt = OptionalLong.of(now);
+        } else {
+            longestPause = Math.max(longestPause, now - lastAt);
+        }
+        lastAt = now;
+    }
+
     private void start() {
         started = true;
         DirectHeadFields first = head.orElseThrow();
--- a/library/src/main/java/org/copperspindle/gateway/GatewayRequest.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayRequest.java
@@ -65,6 +65,15 @@
         return Optional.of(prompt.get(Math.max(0, prompt.size() - 2)).id());
     }
 
+    /**
+     * Returns the length of the prompt.
+     *
+     * @return tokens of all parts
+     */
+    long promptTokens() {
+        return prompt.stream().mapToLong(PromptPart::tokens).sum();
+    }
+
     /**
      * Returns the length of what other requests share of the prompt.
      *
--- a/library/src/main/java/org/copperspindle/gateway/RequestRun.java
+++ b/library/src/main/java/org/copperspindle/gateway/RequestRun.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 
 import org.apache.logging.log4j.LogManager;
@@ -70,7 +71,7 @@
         this.pool = admitted.pool();
         this.beganAt = admitted.times().beganAt();
         this.endAt = admitted.times().endAt();
-        this.relay = new AnswerRelay(exchange);
+        this.relay = new AnswerRelay(exchange, context.timers()::nanoTime);
     }
 
     /** Begins; the answer comes later. */
@@ -80,7 +81,8 @@
         context.budget().requested(pool, beganAt);
         if (context.log().takesServed(beganAt)) {
             LOGGER.info(
-                    "event=request-admitted request={} route={} account={} pool={} version={} rank={} time_ms={} pieces={}",
+                    "event=request-admitted request={} route={} account={} pool={} version={} rank={} time_ms={} pieces={}"
+                            + " prompt_tokens={} shared_tokens={}",
                     request.id(),
                     route.name(),
                     accountName(),
@@ -88,7 +90,9 @@
                     admitted.table().version(),
                     admitted.rank(),
                     (endAt - beganAt) / NANOS_PER_MILLI,
-                    request.pieces());
+                    request.pieces(),
+                    request.promptTokens(),
+                    request.sharedTokens());
         }
         timeout = context.timers().schedule(endAt - beganAt, this::timedOut);
         exchange.onClosed(this::callerLeft);
@@ -412,7 +416,7 @@
         if (failed ? context.log().takesFailed(now) : context.log().takesServed(now)) {
             LOGGER.info(
                     "event=request-ended request={} outcome={} route={} attempts={} unsent={} stage_runs={} events={}"
-                            + " took_ms={} objective_ms={} may_have_run={}",
+                            + " first_event_ms={} longest_pause_ms={} took_ms={} objective_ms={} may_have_run={}",
                     request.id(),
                     outcome,
                     route.name(),
@@ -420,12 +424,19 @@
                     unsent,
                     stageRuns,
                     relay.events(),
+                    firstEventMillis(),
+                    relay.longestPauseNanos() / NANOS_PER_MILLI,
                     (now - beganAt) / NANOS_PER_MILLI,
                     route.objective().toMillis(),
                     mayHaveRun);
         }
     }
 
+    private String firstEventMillis() {
+        OptionalLong at = relay.firstAt();
+        return at.isEmpty() ? "" : Long.toString((at.getAsLong() - beganAt) / NANOS_PER_MILLI);
+    }
+
     private Refusal unavailable(String reason, String title) {
         return Refusal.unavailable(reason, title, context.returns().soon());
     }
