--- a/library/src/main/java/org/copperspindle/batch/PoolUpstreams.java
+++ b/library/src/main/java/org/copperspindle/batch/PoolUpstreams.java
@@ -24,10 +24,10 @@
     private static final double SLOW = 2.0;
 
     /**
-     * Full calls that wait for each upstream from which on a pool is behind. Counted over the whole pool: as soon as one full
-     * call waited, groups went to whoever was free, and in a pool of thirty upstreams one full call always waits, if only for
-     * upstreams of its own failure domain. Of 5.7 GB of inputs that its pieces read in half a minute, 2.2 GB came from other
-     * failure domains; with this 0.6 GB, and callers fare alike (replay of six failure domains).
+     * A pool is behind when so many full calls wait for each of its upstreams. With one full call for the whole pool as the
+     * bound, a pool of thirty upstreams was always behind, since groups that wait for an upstream of their failure domain count
+     * as well. Of 5.7 GB of inputs that its pieces read in half a minute, 2.2 GB came from other failure domains; with this
+     * bound 0.6 GB, and callers fare alike (replay of six failure domains).
      */
     private static final double BEHIND_CALLS = 0.5;
 
--- a/library/src/main/java/org/copperspindle/direct/IdleConnections.java
+++ b/library/src/main/java/org/copperspindle/direct/IdleConnections.java
@@ -1,8 +1,8 @@
 package org.copperspindle.direct;
 
 /**
- * Says how many idle connections a node keeps to an upstream. They count against what the upstream accepts from all nodes
- * together.
+ * The bound on idle connections that a node keeps to an upstream. They count against what the upstream accepts from all
+ * nodes together.
  */
 @FunctionalInterface
 public interface IdleConnections {
