Write lists of texts to the wire in one place

Four messages, the newest the list of nodes, turned texts into byte strings and back by themselves. FieldWriter and FieldReader do it now, as they do for single texts. The bytes are the same: node addresses are ASCII, the others were UTF-8 already. Checked by the tests of wire, batch, mesh and audit.

--- a/library/src/main/java/org/copperspindle/audit/AuditEntry.java
+++ b/library/src/main/java/org/copperspindle/audit/AuditEntry.java
@@ -1,6 +1,5 @@
 package org.copperspindle.audit;
 
-import java.nio.charset.StandardCharsets;
 import java.util.List;
 
 import org.copperspindle.wire.FieldReader;
@@ -45,15 +44,13 @@
     }
 
     private void write(FieldWriter out) {
-        List<byte[]> lines =
-                details.stream().map(d -> d.getBytes(StandardCharsets.UTF_8)).toList();
         out.put(1, kind.word())
                 .put(2, actor)
                 .put(3, subject)
                 .put(4, baseVersion)
                 .put(5, version)
                 .put(6, acceptedAtMillis)
-                .put(7, lines);
+                .putStrings(7, details);
     }
 
     private static AuditEntry read(FieldReader in) {
@@ -64,8 +61,6 @@
                 in.getLong(4, 0),
                 in.getLong(5, 0),
                 in.getLong(6, 0),
-                in.getList(7).stream()
-                        .map(b -> new String(b, StandardCharsets.UTF_8))
-                        .toList());
+                in.getStrings(7));
     }
 }
--- a/library/src/main/java/org/copperspindle/batch/FreeResultsMessage.java
+++ b/library/src/main/java/org/copperspindle/batch/FreeResultsMessage.java
@@ -1,6 +1,5 @@
 package org.copperspindle.batch;
 
-import java.nio.charset.StandardCharsets;
 import java.util.List;
 
 import org.copperspindle.wire.FieldReader;
@@ -26,19 +25,10 @@
     }
 
     private void write(FieldWriter out) {
-        out.put(1, pool)
-                .put(
-                        2,
-                        handles.stream()
-                                .map(h -> h.getBytes(StandardCharsets.UTF_8))
-                                .toList());
+        out.put(1, pool).putStrings(2, handles);
     }
 
     private static FreeResultsMessage read(FieldReader in) {
-        return new FreeResultsMessage(
-                in.getString(1),
-                in.getList(2).stream()
-                        .map(b -> new String(b, StandardCharsets.UTF_8))
-                        .toList());
+        return new FreeResultsMessage(in.getString(1), in.getStrings(2));
     }
 }
--- a/library/src/main/java/org/copperspindle/batch/PieceGroup.java
+++ b/library/src/main/java/org/copperspindle/batch/PieceGroup.java
@@ -1,6 +1,5 @@
 package org.copperspindle.batch;
 
-import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.stream.IntStream;
 
@@ -93,11 +92,7 @@
                 .put(4, pool)
                 .put(5, set)
                 .put(6, key)
-                .put(
-                        7,
-                        inputs.stream()
-                                .map(i -> i.getBytes(StandardCharsets.UTF_8))
-                                .toList())
+                .putStrings(7, inputs)
                 .put(8, rank)
                 .put(9, slackMillis)
                 .put(10, deadlineMillis)
@@ -117,9 +112,7 @@
                 set.length,
                 IntStream.range(0, set.length).filter(i -> set[i] != 0).boxed().toList(),
                 in.getString(6),
-                in.getList(7).stream()
-                        .map(b -> new String(b, StandardCharsets.UTF_8))
-                        .toList(),
+                in.getStrings(7),
                 (int) in.getLong(8, 0),
                 in.getLong(9, 0),
                 in.getLong(10, 0),
--- a/library/src/main/java/org/copperspindle/mesh/NodeListMessage.java
+++ b/library/src/main/java/org/copperspindle/mesh/NodeListMessage.java
@@ -1,6 +1,5 @@
 package org.copperspindle.mesh;
 
-import java.nio.charset.StandardCharsets;
 import java.util.List;
 
 import org.copperspindle.wire.FieldReader;
@@ -27,14 +26,10 @@
     }
 
     private void write(FieldWriter out) {
-        out.put(
-                1,
-                nodes.stream().map(n -> n.getBytes(StandardCharsets.US_ASCII)).toList());
+        out.putStrings(1, nodes);
     }
 
     private static NodeListMessage read(FieldReader in) {
-        return new NodeListMessage(in.getList(1).stream()
-                .map(n -> new String(n, StandardCharsets.US_ASCII))
-                .toList());
+        return new NodeListMessage(in.getStrings(1));
     }
 }
--- a/library/src/main/java/org/copperspindle/wire/FieldReader.java
+++ b/library/src/main/java/org/copperspindle/wire/FieldReader.java
@@ -1,6 +1,7 @@
 package org.copperspindle.wire;
 
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -122,6 +123,18 @@
         return list;
     }
 
+    /**
+     * Returns a list of texts.
+     *
+     * @param field number of the field
+     * @return its values, empty if it is absent
+     */
+    public List<String> getStrings(int field) {
+        return getList(field).stream()
+                .map(v -> new String(v, StandardCharsets.UTF_8))
+                .toList();
+    }
+
     private void readValue(int field, MessageUnpacker in, int bytes) throws IOException, MalformedFrameException {
         ValueType type = in.getNextFormat().getValueType();
         if (type == ValueType.ARRAY) {
--- a/library/src/main/java/org/copperspindle/wire/FieldWriter.java
+++ b/library/src/main/java/org/copperspindle/wire/FieldWriter.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 
 import org.msgpack.core.MessageBufferPacker;
@@ -98,6 +99,19 @@
         return this;
     }
 
+    /**
+     * Adds a list of texts.
+     *
+     * @param field  number of the field
+     * @param values its values
+     * @return this writer
+     */
+    public FieldWriter putStrings(int field, List<String> values) {
+        return put(
+                field,
+                values.stream().map(v -> v.getBytes(StandardCharsets.UTF_8)).toList());
+    }
+
     /**
      * Finishes the message.
      *
