--- a/benchmarks/src/main/java/org/copperspindle/benchmarks/ClaimDeployment.java
+++ b/benchmarks/src/main/java/org/copperspindle/benchmarks/ClaimDeployment.java
@@ -20,6 +20,7 @@
 import org.copperspindle.loopback.LoopbackHost;
 import org.copperspindle.settings.SettingsException;
 import org.copperspindle.settings.SettingsFile;
+import org.copperspindle.wire.NumericAddress;
 
 /**
  * Three control members with disks, one entry and one agent with a quick service, in this process over loopback. The
@@ -68,8 +69,7 @@
         List<String> voters = new ArrayList<>();
         List<String> controls = new ArrayList<>();
         for (int i = 0; i < VOTERS; i++) {
-            InetSocketAddress free = host.nextAddress();
-            String address = free.getHostString() + ":" + free.getPort();
+            String address = NumericAddress.format(host.nextAddress());
             voters.add("control-" + i + "@" + address);
             controls.add(address);
         }
--- a/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
@@ -139,7 +139,7 @@
                 settings.dataFolder().isPresent(),
                 settings.seeds());
         this.mesh = new NodeMesh(meshSettings, transport, timers, this::hello);
-        this.cutOff = new CutOffWatch(() -> mesh.nodes().size(), timers);
+        this.cutOff = new CutOffWatch(mesh::count, timers);
         this.gossip = new DirectoryGossip(mesh, timers, directory);
         this.exchange = new EditionExchange(mesh, timers, loop);
         Duration lease = Duration.ofNanos((long) (settings.revocation().toNanos() * LEASE_SHARE));
@@ -147,10 +147,7 @@
         exchange.holder(holder);
         DecisionLog log = new DecisionLog(SERVED_LINES, FAILED_LINES);
         this.client = new DirectClient(
-                loop,
-                timers,
-                new SharedIdleConnections(
-                        directory, holder::heldTable, () -> 1 + mesh.nodes().size()));
+                loop, timers, new SharedIdleConnections(directory, holder::heldTable, () -> 1 + mesh.count()));
         MeshRelay relay = new MeshRelay(mesh, registry);
         this.batches = new BatchService(
                 relay,
@@ -280,12 +277,12 @@
         mesh.subscribe(new MeshListener() {
             @Override
             public void onNodeUp(MeshNode node) {
-                budget.nodes(mesh.nodes().size() + 1);
+                budget.nodes(mesh.count() + 1);
             }
 
             @Override
             public void onNodeDown(MeshNode node) {
-                budget.nodes(mesh.nodes().size() + 1);
+                budget.nodes(mesh.count() + 1);
             }
         });
         directory.subscribe(this::upstreamChanged);
@@ -351,7 +348,7 @@
                     "event=readiness ready={} version={} nodes={} uptime_ms={}",
                     ready,
                     holder.version(),
-                    mesh.nodes().size(),
+                    mesh.count(),
                     uptime().toMillis());
             mesh.announce();
         }
@@ -425,7 +422,7 @@
 
         @Override
         public int nodes() {
-            return mesh.nodes().size();
+            return mesh.count();
         }
 
         @Override
--- a/library/src/main/java/org/copperspindle/loopback/LoopbackHost.java
+++ b/library/src/main/java/org/copperspindle/loopback/LoopbackHost.java
@@ -48,7 +48,7 @@
         int number = OPENED.getAndIncrement() % BYTE_VALUES;
         String own = "127." + (1 + pid % BYTE_VALUES) + "." + pid / BYTE_VALUES % BYTE_VALUES + "." + (1 + number);
         InetAddress address = InetAddress.getByName(own);
-        return new LoopbackHost(isUsable(address) ? address : InetAddress.getByName("127.0.0.1"));
+        return new LoopbackHost(canBind(address, 0) ? address : InetAddress.getByName("127.0.0.1"));
     }
 
     /**
@@ -61,27 +61,20 @@
         while (nextPort < LAST_PORT) {
             int port = nextPort;
             nextPort += PAIR;
-            if (isFree(port) && isFree(port + 1)) {
+            if (canBind(address, port) && canBind(address, port + 1)) {
                 return new InetSocketAddress(address, port);
             }
         }
         throw new IOException("no two free ports left at " + address.getHostAddress());
     }
 
-    private boolean isFree(int port) {
+    /** Says whether a port can be listened at, or with port 0 whether the machine knows the address. */
+    private static boolean canBind(InetAddress address, int port) {
         try (ServerSocket socket = new ServerSocket(port, 1, address)) {
             return socket.isBound();
         } catch (IOException e) {
-            // Something listens there on all addresses of the machine; the caller tries the next pair.
-            return false;
-        }
-    }
-
-    private static boolean isUsable(InetAddress address) {
-        try (ServerSocket socket = new ServerSocket(0, 1, address)) {
-            return socket.isBound();
-        } catch (IOException e) {
-            // The operating system knows 127.0.0.1 only.
+            // The port is taken on all addresses, or the operating system knows 127.0.0.1 only: the caller takes
+            // another.
             return false;
         }
     }
--- a/library/src/main/java/org/copperspindle/mesh/NodeMesh.java
+++ b/library/src/main/java/org/copperspindle/mesh/NodeMesh.java
@@ -105,6 +105,15 @@
         return nodes.values().stream().filter(MeshNode::isUp).toList();
     }
 
+    /**
+     * Counts the other nodes that are connected.
+     *
+     * @return as many as {@link #nodes} lists
+     */
+    public int count() {
+        return (int) nodes.values().stream().filter(MeshNode::isUp).count();
+    }
+
     /**
      * Finds a connected node.
      *
@@ -242,8 +251,4 @@
                 .connect(NumericAddress.parse(address), this)
                 .whenComplete((Channel channel, Throwable failure) -> dialling.remove(address));
     }
-
-    private long count() {
-        return nodes.values().stream().filter(MeshNode::isUp).count();
-    }
 }
--- a/tools/src/main/java/org/copperspindle/capacity/StandInControl.java
+++ b/tools/src/main/java/org/copperspindle/capacity/StandInControl.java
@@ -13,6 +13,7 @@
 import org.copperspindle.loopback.LoopbackHost;
 import org.copperspindle.settings.SettingsException;
 import org.copperspindle.settings.SettingsFile;
+import org.copperspindle.wire.NumericAddress;
 
 /**
  * One control member of its own, with a temporary data folder.
@@ -27,8 +28,7 @@
 
     StandInControl(String lease) throws IOException, SettingsException {
         this.data = Files.createTempDirectory("copperspindle-measure");
-        InetSocketAddress free = LoopbackHost.open().nextAddress();
-        String address = free.getHostString() + ":" + free.getPort();
+        String address = NumericAddress.format(LoopbackHost.open().nextAddress());
         String settings = String.join(
                 "\n",
                 "[process]",
--- a/tools/src/main/java/org/copperspindle/demo/DemoDeployment.java
+++ b/tools/src/main/java/org/copperspindle/demo/DemoDeployment.java
@@ -18,6 +18,7 @@
 import org.copperspindle.loopback.LoopbackHost;
 import org.copperspindle.settings.SettingsException;
 import org.copperspindle.settings.SettingsFile;
+import org.copperspindle.wire.NumericAddress;
 
 /**
  * A whole deployment in this process: control members, entries, and an agent with a fake for each upstream. Each part is
@@ -166,8 +167,7 @@
         LoopbackHost host = LoopbackHost.open();
         List<String> addresses = new ArrayList<>();
         for (int i = 0; i < count; i++) {
-            InetSocketAddress next = host.nextAddress();
-            addresses.add(next.getHostString() + ":" + next.getPort());
+            addresses.add(NumericAddress.format(host.nextAddress()));
         }
         return addresses;
     }
