--- a/library/src/main/java/org/copperspindle/gateway/AdmittedRequest.java
+++ b/library/src/main/java/org/copperspindle/gateway/AdmittedRequest.java
@@ -38,6 +38,11 @@
         return route.stages().get(stage).pool();
     }
 
+    /** Returns the name of the client account; empty if the route needs none. */
+    String accountName() {
+        return account.map(ClientAccount::name).orElse("");
+    }
+
     /** Says whether the request has pieces of a stage. */
     boolean needsStage(int stage) {
         return stage < request.pieces().size() && request.pieces().get(stage) > 0;
--- a/library/src/main/java/org/copperspindle/gateway/RequestRun.java
+++ b/library/src/main/java/org/copperspindle/gateway/RequestRun.java
@@ -4,11 +4,8 @@
 import java.util.HashSet;
 import java.util.Locale;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
 import org.copperspindle.batch.MissReason;
 import org.copperspindle.direct.ConnectionUse;
 import org.copperspindle.direct.DirectHead;
@@ -24,8 +21,6 @@
  */
 final class RequestRun implements StageRun.Listener {
 
-    private static final Logger LOGGER = LogManager.getLogger(RequestRun.class);
-
     /** Attempts that reached no upstream cost nothing there, but each costs the caller up to a connection timeout. */
     private static final int MAX_UNSENT = 3;
 
@@ -48,6 +43,7 @@
     private final long beganAt;
     private final long endAt;
     private final AnswerRelay relay;
+    private final RequestLines lines;
     private final Set<String> tried = new HashSet<>();
     private final UpstreamAttempt.Owner owner = new AttemptOwner();
     private Optional<StageRun> stages = Optional.empty();
@@ -72,6 +68,7 @@
         this.beganAt = admitted.times().beganAt();
         this.endAt = admitted.times().endAt();
         this.relay = new AnswerRelay(exchange, context.timers()::nanoTime);
+        this.lines = new RequestLines(context.log(), context.tracker(), admitted);
     }
 
     /** Begins; the answer comes later. */
@@ -79,21 +76,7 @@
         context.counters().begun();
         context.open().add(this);
         context.budget().requested(pool, beganAt);
-        if (context.log().takesServed(beganAt)) {
-            LOGGER.info(
-                    "event=request-admitted request={} route={} account={} pool={} version={} rank={} time_ms={} pieces={}"
-                            + " prompt_tokens={} shared_tokens={}",
-                    request.id(),
-                    route.name(),
-                    accountName(),
-                    pool,
-                    admitted.table().version(),
-                    admitted.rank(),
-                    (endAt - beganAt) / NANOS_PER_MILLI,
-                    request.pieces(),
-                    request.promptTokens(),
-                    request.sharedTokens());
-        }
+        lines.admitted();
         timeout = context.timers().schedule(endAt - beganAt, this::timedOut);
         exchange.onClosed(this::callerLeft);
         if (over) {
@@ -172,7 +155,7 @@
         long now = context.timers().nanoTime();
         GateJudgement judgement = context.gate().judge(admitted, held, now);
         GateVerdict verdict = judgement.verdict();
-        noteGate(judgement, now);
+        lines.gate(judgement, held, now);
         if (verdict == GateVerdict.HOLD) {
             hold(true);
             context.timers().schedule(HELD_LOOK_NANOS, this::passGate);
@@ -191,27 +174,6 @@
         }
     }
 
-    /** Leaves a line when a request begins, when it begins to be held, and when it is refused. */
-    private void noteGate(GateJudgement judgement, long now) {
-        boolean begins = judgement.verdict() == GateVerdict.BEGIN;
-        boolean stillHeld = held && judgement.verdict() == GateVerdict.HOLD;
-        if (stillHeld
-                || !(begins && !held
-                        ? context.log().takesServed(now)
-                        : context.log().takesFailed(now))) {
-            return;
-        }
-        LOGGER.info(
-                "event=gate-{} request={} finish_ms={} left_ms={} held={} rank={} in_need={}",
-                judgement.verdict().name().toLowerCase(Locale.ROOT),
-                request.id(),
-                judgement.finishMillis(),
-                judgement.leftMillis(),
-                judgement.held(),
-                admitted.rank(),
-                judgement.inNeed().orElse(""));
-    }
-
     private void hold(boolean holds) {
         if (held != holds) {
             held = holds;
@@ -305,16 +267,7 @@
                 resumeAfter,
                 admitted.rank(),
                 route.isIdempotent() ? ConnectionUse.KEPT : ConnectionUse.NEW);
-        if (context.log().takesServed(now)) {
-            LOGGER.info(
-                    "event=attempt-sent request={} attempt={} upstream={} in_flight={} waited_ms={} resume_after={}",
-                    request.id(),
-                    sent,
-                    upstream.id(),
-                    context.tracker().inFlight(upstream.id()),
-                    (now - beganAt) / NANOS_PER_MILLI,
-                    resumeAfter.orElse(""));
-        }
+        lines.attemptSent(sent, upstream, resumeAfter, now);
         UpstreamAttempt next = new UpstreamAttempt(context, admitted, upstream, sent, relay, owner);
         attempt = Optional.of(next);
         next.send(order);
@@ -396,10 +349,6 @@
         end("broken-" + reason, true);
     }
 
-    private String accountName() {
-        return admitted.account().map(ClientAccount::name).orElse("");
-    }
-
     private void refuse(Refusal refusal) {
         refusal.send(exchange, context.callers(), request.id());
         end(refusal.verdict().reason(), true);
@@ -412,29 +361,8 @@
         timeout.cancel();
         stages.ifPresent(StageRun::end);
         long now = context.timers().nanoTime();
-        context.counters().ended(route.name(), accountName(), outcome, now - beganAt);
-        if (failed ? context.log().takesFailed(now) : context.log().takesServed(now)) {
-            LOGGER.info(
-                    "event=request-ended request={} outcome={} route={} attempts={} unsent={} stage_runs={} events={}"
-                            + " first_event_ms={} longest_pause_ms={} took_ms={} objective_ms={} may_have_run={}",
-                    request.id(),
-                    outcome,
-                    route.name(),
-                    sent,
-                    unsent,
-                    stageRuns,
-                    relay.events(),
-                    firstEventMillis(),
-                    relay.longestPauseNanos() / NANOS_PER_MILLI,
-                    (now - beganAt) / NANOS_PER_MILLI,
-                    route.objective().toMillis(),
-                    mayHaveRun);
-        }
-    }
-
-    private String firstEventMillis() {
-        OptionalLong at = relay.firstAt();
-        return at.isEmpty() ? "" : Long.toString((at.getAsLong() - beganAt) / NANOS_PER_MILLI);
+        context.counters().ended(route.name(), admitted.accountName(), outcome, now - beganAt);
+        lines.ended(outcome, failed, new RequestProgress(sent, unsent, stageRuns, mayHaveRun), relay, now);
     }
 
     private Refusal unavailable(String reason, String title) {
