Let tests use what the fakes and the loopback host give

EditionMemberTest bound a port again that it had closed on 127.0.0.1, the gap for which PortOfStoppedNodeTest was written; it takes its address from LoopbackHost now. NodeMeshTest let time pass on a thread of its own with a sleep, while failed connections were noted on the network thread: time passes on the network thread now, as in a node, and accept waits. All assertions are as strict as before.

--- a/library/src/test/java/org/copperspindle/edition/EditionMemberTest.java
+++ b/library/src/test/java/org/copperspindle/edition/EditionMemberTest.java
@@ -1,7 +1,6 @@
 package org.copperspindle.edition;
 
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.nio.file.Path;
@@ -13,6 +12,7 @@
 import org.copperspindle.consensus.VoterAddress;
 import org.copperspindle.consensus.VoterRoster;
 import org.copperspindle.core.DecisionRing;
+import org.copperspindle.loopback.LoopbackHost;
 import org.copperspindle.time.SystemTimerService;
 import org.copperspindle.wire.GreetingMessage;
 import org.copperspindle.wire.MessageRegistry;
@@ -42,9 +42,9 @@
         try (DecisionRing ring = new DecisionRing("test", 64);
                 WireTransport transport = new WireTransport(
                         1, registry, new GreetingMessage(GreetingMessage.PROTOCOL, "control", "m", 1))) {
-            InetSocketAddress address;
-            try (ServerSocket taken = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-                address = new InetSocketAddress(taken.getInetAddress(), taken.getLocalPort());
+            InetSocketAddress address = LoopbackHost.open().nextAddress();
+            try (ServerSocket taken = new ServerSocket(address.getPort(), 1, address.getAddress())) {
+                assertThat(taken.isBound()).isTrue();
                 assertThatThrownBy(() -> open(ring, transport, address)).isInstanceOf(IOException.class);
             }
             try (EditionMember member = open(ring, transport, address)) {
--- a/library/src/test/java/org/copperspindle/mesh/NodeMeshTest.java
+++ b/library/src/test/java/org/copperspindle/mesh/NodeMeshTest.java
@@ -4,10 +4,15 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
 
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
 import org.copperspindle.loopback.LoopbackHost;
 import org.copperspindle.time.VirtualTimerService;
 import org.copperspindle.wire.GreetingMessage;
@@ -25,14 +30,22 @@
  */
 class NodeMeshTest {
 
-    private static final int SOCKET_TIMEOUT_MILLIS = 20_000;
+    private static final int ACCEPT_MILLIS = 20;
+
+    /** Generous: the wait ends as soon as the node is dialled. */
+    private static final int MOST_LOOKS = 1000;
 
     private final LoopbackHost host = LoopbackHost.open();
     private final VirtualTimerService time = new VirtualTimerService();
     private final InetSocketAddress own = host.nextAddress();
     private final String self = NumericAddress.format(own);
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = (EventLoop) group.next();
     private final WireTransport transport = new WireTransport(
-            1, WireTransport.registry(), new GreetingMessage(GreetingMessage.PROTOCOL, "gateway", self, 1));
+            group,
+            WireTransport.registry(),
+            new GreetingMessage(GreetingMessage.PROTOCOL, "gateway", self, 1),
+            MeshSettings.LIMITS);
     private long version;
     private final NodeMesh mesh = new NodeMesh(
             new MeshSettings(own, own, "127.0.0.1:9", "d", false, List.of()), transport, time, () -> hello(version));
@@ -44,6 +57,7 @@
     @AfterEach
     void close() {
         transport.close();
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
     }
 
     /**
@@ -94,28 +108,29 @@
         InetSocketAddress named = host.nextAddress();
         FakePeer peer = connect(1);
         mesh.onMessage(peer, new NodeListMessage(List.of(NumericAddress.format(named))));
-        time.advance(Duration.ofSeconds(30).toNanos());
+        advance(Duration.ofSeconds(30));
         try (ServerSocket back = new ServerSocket(named.getPort(), 5, named.getAddress())) {
-            back.setSoTimeout(SOCKET_TIMEOUT_MILLIS);
-            Thread dialling = new Thread(this::tickUntilInterrupted);
-            dialling.start();
-            try (Socket found = back.accept()) {
-                assertThat(found.isConnected()).isTrue();
-            } finally {
-                dialling.interrupt();
+            back.setSoTimeout(ACCEPT_MILLIS);
+            boolean found = false;
+            for (int look = 0; look < MOST_LOOKS && !found; look++) {
+                advance(MeshSettings.LOOK_INTERVAL);
+                found = isDialled(back);
             }
+            assertThat(found).isTrue();
         }
     }
 
-    private void tickUntilInterrupted() {
-        try {
-            while (true) {
-                time.advance(MeshSettings.LOOK_INTERVAL.toNanos());
-                Thread.sleep(20);
-            }
-        } catch (InterruptedException e) {
-            // The node was found; the test is over.
-            Thread.currentThread().interrupt();
+    /** Lets time pass on the network thread, as in a node: connections that fail are noted there. */
+    private void advance(Duration duration) {
+        loop.submit(() -> time.advance(duration.toNanos())).syncUninterruptibly();
+    }
+
+    private static boolean isDialled(ServerSocket listening) throws IOException {
+        try (Socket caller = listening.accept()) {
+            return caller.isConnected();
+        } catch (SocketTimeoutException e) {
+            // Not yet; the test looks again.
+            return false;
         }
     }
 
