--- a/library/src/main/java/org/copperspindle/gateway/AdmittedRequest.java
+++ b/library/src/main/java/org/copperspindle/gateway/AdmittedRequest.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import java.util.stream.IntStream;
 
+import org.copperspindle.quarantine.RequestDigest;
 import org.copperspindle.route.BatchLimits;
 import org.copperspindle.route.ClientAccount;
 import org.copperspindle.route.Route;
@@ -43,6 +44,11 @@
         return account.map(ClientAccount::name).orElse("");
     }
 
+    /** Computes what names the request, whichever attempt of its caller brings it. */
+    RequestDigest digest() {
+        return RequestDigest.of(accountName(), request.method(), request.host(), request.uri(), request.body());
+    }
+
     /** Says whether the request has pieces of a stage. */
     boolean needsStage(int stage) {
         return stage < request.pieces().size() && request.pieces().get(stage) > 0;
--- a/library/src/main/java/org/copperspindle/gateway/UpstreamAttempt.java
+++ b/library/src/main/java/org/copperspindle/gateway/UpstreamAttempt.java
@@ -178,14 +178,15 @@
         long now = context.timers().nanoTime();
         if (context.log().takesFailed(now)) {
             LOGGER.info(
-                    "event=attempt-{} request={} attempt={} upstream={} reason={} took_ms={} budget_left={}",
+                    "event=attempt-{} request={} attempt={} upstream={} reason={} took_ms={} budget_left={} digest={}",
                     outcome,
                     admitted.request().id(),
                     number,
                     upstream.id(),
                     reason,
                     (now - sentAt) / NANOS_PER_MILLI,
-                    (long) context.budget().left(admitted.pool(), now));
+                    (long) context.budget().left(admitted.pool(), now),
+                    admitted.digest().text());
         }
     }
 
--- /dev/null
+++ b/library/src/test/java/org/copperspindle/quarantine/RequestDigestTest.java
@@ -0,0 +1,40 @@
+package org.copperspindle.quarantine;
+
+import java.nio.charset.StandardCharsets;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class RequestDigestTest {
+
+    private static final RequestDigest ASKED = digest("a", "POST", "h", "/p/x?q=1", "body");
+
+    @Test
+    void sameRequestHasTheSameDigest() {
+        assertThat(digest("a", "POST", "h", "/p/x?q=1", "body")).isEqualTo(ASKED);
+        assertThat(ASKED.text()).matches("[0-9a-f]{32}");
+    }
+
+    /** The last two hold the same bytes in a row, but parted elsewhere. */
+    @ParameterizedTest
+    @CsvSource({
+        "b, POST, h, /p/x?q=1, body",
+        "a, PUT, h, /p/x?q=1, body",
+        "a, POST, g, /p/x?q=1, body",
+        "a, POST, h, /p/x?q=2, body",
+        "a, POST, h, /p/x?q=1, bode",
+        "a, POST, h, /p/x?q=1, ''",
+        "a, POST, h, /p/x?q=1b, ody",
+        "a, POST, h/p, /x?q=1, body"
+    })
+    void anyOtherRequestHasAnother(String account, String method, String host, String uri, String body) {
+        assertThat(digest(account, method, host, uri, body)).isNotEqualTo(ASKED);
+    }
+
+    private static RequestDigest digest(String account, String method, String host, String uri, String body) {
+        return RequestDigest.of(account, method, host, uri, body.getBytes(StandardCharsets.UTF_8));
+    }
+}
