Hold requests off that end the upstreams that run them, at all nodes

Callers saw: one request, sent again and again, ended upstream after upstream (12 in 13 s), and everybody's requests that ran there were cut off; its caller got 502 each time, which says nothing about coming back.

Cause: evidence held by one node alone, and tied to the upstream that was gone (UpstreamTracker). The request came to four of seven nodes, eight times of eleven to another one than before; each saw a lost connection, as after a reset or a cut. Ruled out: own repeats (attempt=1 in all twelve), upstreams ending by themselves (nothing else was common to the twelve ends).

Change: the slice quarantine. A lost connection is followed by one connection to the upstream's address; if nothing listens there, or another life announces itself, the upstream ended, and the digests of the requests that ran there go to all nodes. Levels count ends one after the other: a run that was sent in ignorance of an end counts no more than that end, so that a popular request at twelve upstreams of a failure domain that dies counts once. An upstream that outlives a request clears it everywhere; a later epoch replaces an earlier one, so that nodes that were cut off bring nothing back. After three ends (six where more upstreams end without it than runs are outlived) the request is answered 400 at once, for a minute, then two, up to an hour. A suspected request's repeat waits for the check.

Why it holds: beliefs merge to the same in any order, are told at once, again to a node that connects or lost one of two connections, and through a third node where two are cut off from each other; evidence is an upstream that is proved to be gone.

--- a/library/src/main/java/org/copperspindle/direct/DirectClient.java
+++ b/library/src/main/java/org/copperspindle/direct/DirectClient.java
@@ -1,15 +1,20 @@
 package org.copperspindle.direct;
 
+import java.net.ConnectException;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.Consumer;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
@@ -20,7 +25,7 @@
 /**
  * The connections of one node to all upstreams. Network thread only.
  */
-public final class DirectClient implements UpstreamPort {
+public final class DirectClient implements UpstreamPort, ListenCheck {
 
     /**
      * Longest wait for a new connection; milliseconds. A connection within a region takes a few; a lost opening packet is
@@ -84,6 +89,14 @@
         return exchange;
     }
 
+    @Override
+    public void check(String address, Consumer<ListenState> result) {
+        open(address, new ChannelInboundHandlerAdapter()).addListener((ChannelFuture done) -> {
+            done.channel().close();
+            result.accept(stateOf(done));
+        });
+    }
+
     private DirectConnection takeIdle(String address) {
         Deque<DirectConnection> kept = idle.get(address);
         // The one used last is the least likely to have been closed by the upstream.
@@ -98,21 +111,33 @@
     }
 
     private void connect(DirectExchange exchange) {
-        connects++;
         DirectConnection connection = new DirectConnection(exchange.call().address(), owner);
-        new Bootstrap()
+        open(exchange.call().address(), new Initializer(connection))
+                .addListener((ChannelFuture done) -> connected(exchange, connection, done));
+    }
+
+    private ChannelFuture open(String address, ChannelHandler handler) {
+        connects++;
+        return new Bootstrap()
                 .group(loop)
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
-                .handler(new Initializer(connection))
-                .connect(NumericAddress.parse(exchange.call().address()))
-                .addListener((ChannelFuture done) -> connected(exchange, connection, done));
+                .handler(handler)
+                .connect(NumericAddress.parse(address));
+    }
+
+    private static ListenState stateOf(ChannelFuture done) {
+        if (done.isSuccess()) {
+            return ListenState.LISTENS;
+        }
+        boolean silent = done.cause() instanceof ConnectTimeoutException || !(done.cause() instanceof ConnectException);
+        return silent ? ListenState.SILENT : ListenState.REFUSES;
     }
 
     private static void connected(DirectExchange exchange, DirectConnection connection, ChannelFuture done) {
         if (!done.isSuccess()) {
-            exchange.fail("connect-failed");
+            exchange.lose("connect-failed");
         } else if (exchange.hasEnded()) {
             connection.close();
         } else {
@@ -184,7 +209,7 @@
             if (timers.nanoTime() - exchange.sentAt() < STALE_NANOS) {
                 connect(exchange);
             } else {
-                exchange.fail("connection-closed");
+                exchange.lose("connection-closed");
             }
         }
     }
--- a/library/src/main/java/org/copperspindle/direct/DirectConnection.java
+++ b/library/src/main/java/org/copperspindle/direct/DirectConnection.java
@@ -138,7 +138,7 @@
             owner.resend(lost);
             return;
         }
-        lost.fail(reset ? "connection-reset" : "connection-closed");
+        lost.lose(reset ? "connection-reset" : "connection-closed");
     }
 
     @Override
@@ -212,7 +212,10 @@
             return;
         }
         if (endsWithConnection && reset) {
-            spoil("connection-reset");
+            DirectExchange cut = exchange;
+            exchange = null;
+            channel.close();
+            cut.lose("connection-reset");
             return;
         }
         done = true;
--- a/library/src/main/java/org/copperspindle/direct/DirectExchange.java
+++ b/library/src/main/java/org/copperspindle/direct/DirectExchange.java
@@ -75,10 +75,20 @@
         }
     }
 
+    /** Ends the call because its connection ended or could not be opened. */
+    void lose(String reason) {
+        end(new DirectFailure(sent, true, reason));
+    }
+
+    /** Ends the call because of what came over its connection. */
     void fail(String reason) {
+        end(new DirectFailure(sent, false, reason));
+    }
+
+    private void end(DirectFailure failure) {
         if (!ended) {
             ended = true;
-            listener.onFailure(new DirectFailure(sent, reason));
+            listener.onFailure(failure);
         }
     }
 
--- a/library/src/main/java/org/copperspindle/direct/DirectFailure.java
+++ b/library/src/main/java/org/copperspindle/direct/DirectFailure.java
@@ -4,6 +4,7 @@
  * A call that got no whole answer.
  *
  * @param sent   false if no byte of it left, so that it cannot have run
+ * @param lost   true if its connection ended or could not be opened; false if this side broke it off for what came over it
  * @param reason what happened, in short
  */
-public record DirectFailure(boolean sent, String reason) {}
+public record DirectFailure(boolean sent, boolean lost, String reason) {}
--- a/library/src/main/java/org/copperspindle/gateway/AdmittedRequest.java
+++ b/library/src/main/java/org/copperspindle/gateway/AdmittedRequest.java
@@ -4,6 +4,7 @@
 import java.util.stream.IntStream;
 
 import org.copperspindle.quarantine.RequestDigest;
+import org.copperspindle.quarantine.WatchedRequest;
 import org.copperspindle.route.BatchLimits;
 import org.copperspindle.route.ClientAccount;
 import org.copperspindle.route.Route;
@@ -44,9 +45,14 @@
         return account.map(ClientAccount::name).orElse("");
     }
 
-    /** Computes what names the request, whichever attempt of its caller brings it. */
-    RequestDigest digest() {
-        return RequestDigest.of(accountName(), request.method(), request.host(), request.uri(), request.body());
+    /** Describes the request to the quarantine. */
+    WatchedRequest watched() {
+        return new WatchedRequest(
+                request.id(),
+                route.name(),
+                accountName(),
+                pool,
+                () -> RequestDigest.of(accountName(), request.method(), request.host(), request.uri(), request.body()));
     }
 
     /** Says whether the request has pieces of a stage. */
--- a/library/src/main/java/org/copperspindle/gateway/GatewayContext.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayContext.java
@@ -8,6 +8,7 @@
 import org.copperspindle.discovery.DirectoryGossip;
 import org.copperspindle.measure.DecisionLog;
 import org.copperspindle.mesh.CutOffWatch;
+import org.copperspindle.quarantine.RequestQuarantine;
 import org.copperspindle.time.TimerService;
 
 /**
@@ -31,6 +32,7 @@
  * @param log       bounds log lines
  * @param random    draws pools by weight
  * @param returns   when refused callers should come back
+ * @param quarantine holds requests off that end their upstreams
  */
 record GatewayContext(
         TimerService timers,
@@ -50,4 +52,5 @@
         GatewayCounters counters,
         DecisionLog log,
         RandomGenerator random,
-        ReturnTimes returns) {}
+        ReturnTimes returns,
+        RequestQuarantine quarantine) {}
--- a/library/src/main/java/org/copperspindle/gateway/GatewayMessages.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayMessages.java
@@ -14,6 +14,7 @@
 import org.copperspindle.mesh.NodeHelloMessage;
 import org.copperspindle.mesh.NodeListMessage;
 import org.copperspindle.mesh.RelayMessage;
+import org.copperspindle.quarantine.SuspicionMessage;
 import org.copperspindle.wire.MessageRegistry;
 import org.copperspindle.wire.WireTransport;
 
@@ -33,6 +34,7 @@
                 .register(EditionLeaseAskMessage.CODEC)
                 .register(EditionLeaseMessage.CODEC)
                 .register(UpstreamNewsMessage.CODEC)
+                .register(SuspicionMessage.CODEC)
                 .register(PieceGroup.CODEC)
                 .register(PieceResultsMessage.CODEC)
                 .register(PieceCancelMessage.CODEC)
--- a/library/src/main/java/org/copperspindle/gateway/GatewayMetrics.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayMetrics.java
@@ -83,6 +83,21 @@
                 "groups.open",
                 "Groups of pieces of this node's requests",
                 n -> n.batches().openGroups());
+        gauge(
+                metrics,
+                "requests.suspected",
+                "Requests under which upstreams ended, held off or not",
+                n -> n.quarantine().remembered());
+        gauge(
+                metrics,
+                "requests.held.off",
+                "Requests that are held off because upstreams ended under them",
+                n -> n.quarantine().held().size());
+        metrics.counter(
+                "upstreams.ended",
+                "Upstreams that ended under runs of this node",
+                node,
+                n -> n.quarantine().upstreamsEnded());
         gauge(metrics, "heap.bytes", "Heap in use", n -> usedHeap());
         metrics.counter("attempts", "Attempts sent", node, n -> n.counters().attempts());
         metrics.counter(
--- a/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
@@ -43,6 +43,7 @@
 import org.copperspindle.mesh.MeshSettings;
 import org.copperspindle.mesh.NodeHelloMessage;
 import org.copperspindle.mesh.NodeMesh;
+import org.copperspindle.quarantine.RequestQuarantine;
 import org.copperspindle.route.CallerLimits;
 import org.copperspindle.route.RouteTable;
 import org.copperspindle.route.UpstreamPool;
@@ -117,6 +118,7 @@
     private final HttpListener control;
     private final Optional<HttpListener> metrics;
     private final DirectClient client;
+    private final RequestQuarantine quarantine;
     private final StageGate gate;
     private final IgnoredAnnouncements ignored;
     private final long startedAt = System.nanoTime();
@@ -148,6 +150,7 @@
         DecisionLog log = new DecisionLog(SERVED_LINES, FAILED_LINES);
         this.client = new DirectClient(
                 loop, timers, new SharedIdleConnections(directory, holder::heldTable, () -> 1 + mesh.count()));
+        this.quarantine = new RequestQuarantine(mesh, timers, directory, client, log);
         MeshRelay relay = new MeshRelay(mesh, registry);
         this.batches = new BatchService(
                 relay,
@@ -183,7 +186,8 @@
                 counters,
                 log,
                 ThreadLocalRandom.current(),
-                new ReturnTimes(ThreadLocalRandom.current()));
+                new ReturnTimes(ThreadLocalRandom.current()),
+                quarantine);
         subscribe();
         settings.dataFolder().ifPresent(folder -> keepMember(folder.resolve(GroupMember.NAME)));
         this.service = new GatewayService(context, holder::inForce, this::leaseReturn);
@@ -274,6 +278,7 @@
         mesh.subscribe(gossip);
         mesh.subscribe(exchange);
         mesh.subscribe(batches);
+        mesh.subscribe(quarantine);
         mesh.subscribe(new MeshListener() {
             @Override
             public void onNodeUp(MeshNode node) {
@@ -465,6 +470,11 @@
             return counters;
         }
 
+        @Override
+        public RequestQuarantine quarantine() {
+            return quarantine;
+        }
+
         @Override
         public IgnoredAnnouncements ignored() {
             return ignored;
--- a/library/src/main/java/org/copperspindle/gateway/NodeState.java
+++ b/library/src/main/java/org/copperspindle/gateway/NodeState.java
@@ -4,6 +4,7 @@
 import org.copperspindle.discovery.UpstreamDirectory;
 import org.copperspindle.edition.EditionHolder;
 import org.copperspindle.edition.MemberStatus;
+import org.copperspindle.quarantine.RequestQuarantine;
 
 /**
  * What a node shows of itself.
@@ -40,6 +41,9 @@
     /** Returns the counts of requests. */
     GatewayCounters counters();
 
+    /** Returns what holds requests off that end their upstreams. */
+    RequestQuarantine quarantine();
+
     /** Returns the counts of announcements that name no upstream. */
     IgnoredAnnouncements ignored();
 }
--- a/library/src/main/java/org/copperspindle/gateway/Refusal.java
+++ b/library/src/main/java/org/copperspindle/gateway/Refusal.java
@@ -22,6 +22,9 @@
  */
 record Refusal(int status, String title, Verdict verdict, Optional<Duration> retryAfter) {
 
+    /** Reason of a request that is held off. */
+    static final String ENDS_UPSTREAMS = "ends-upstreams";
+
     private static final int BAD_REQUEST = 400;
     private static final int UNAUTHORIZED = 401;
     private static final int NOT_FOUND = 404;
@@ -50,6 +53,16 @@
                 BAD_GATEWAY, "the upstream gave no whole answer", new MayHaveRunVerdict(reason), Optional.empty());
     }
 
+    /**
+     * The status is one after which callers don't come back by themselves: any retry would end one more upstream.
+     *
+     * @param mayHaveRun whether this attempt of the caller reached an upstream
+     */
+    static Refusal endsUpstreams(boolean mayHaveRun) {
+        Verdict verdict = mayHaveRun ? new MayHaveRunVerdict(ENDS_UPSTREAMS) : new NotRunVerdict(ENDS_UPSTREAMS);
+        return new Refusal(BAD_REQUEST, "upstreams ended each time they ran this request", verdict, Optional.empty());
+    }
+
     static Refusal timedOut() {
         return new Refusal(
                 GATEWAY_TIMEOUT, "the time of the request is over", new MayHaveRunVerdict("timeout"), Optional.empty());
--- a/library/src/main/java/org/copperspindle/gateway/RequestRun.java
+++ b/library/src/main/java/org/copperspindle/gateway/RequestRun.java
@@ -11,6 +11,8 @@
 import org.copperspindle.direct.DirectHead;
 import org.copperspindle.discovery.UpstreamNews;
 import org.copperspindle.http.HttpExchange;
+import org.copperspindle.quarantine.UpstreamRun;
+import org.copperspindle.quarantine.WatchedRequest;
 import org.copperspindle.route.ClientAccount;
 import org.copperspindle.route.Route;
 import org.copperspindle.time.TimerSubscription;
@@ -44,10 +46,12 @@
     private final long endAt;
     private final AnswerRelay relay;
     private final RequestLines lines;
+    private final WatchedRequest watched;
     private final Set<String> tried = new HashSet<>();
     private final UpstreamAttempt.Owner owner = new AttemptOwner();
     private Optional<StageRun> stages = Optional.empty();
     private Optional<UpstreamAttempt> attempt = Optional.empty();
+    private Optional<UpstreamRun> lastRun = Optional.empty();
     private TimerSubscription timeout = () -> {};
     private long begunAt;
     private long reckonedNanos;
@@ -68,6 +72,7 @@
         this.beganAt = admitted.times().beganAt();
         this.endAt = admitted.times().endAt();
         this.relay = new AnswerRelay(exchange, context.timers()::nanoTime);
+        this.watched = admitted.watched();
         this.lines = new RequestLines(context.log(), context.tracker(), admitted);
     }
 
@@ -82,7 +87,9 @@
         if (over) {
             return;
         }
-        if (route.stages().isEmpty()) {
+        if (context.quarantine().isHeld(watched)) {
+            holdOff();
+        } else if (route.stages().isEmpty()) {
             attempt();
         } else {
             passGate();
@@ -230,6 +237,11 @@
         if (over) {
             return;
         }
+        if (context.quarantine().isHeld(watched)) {
+            // Upstreams ended under it while its stages ran.
+            holdOff();
+            return;
+        }
         if (stages.filter(StageRun::isOver).isPresent()) {
             // The results were given up; another attempt needs new ones.
             runStagesAgain();
@@ -268,10 +280,12 @@
                 admitted.rank(),
                 route.isIdempotent() ? ConnectionUse.KEPT : ConnectionUse.NEW);
         lines.attemptSent(sent, upstream, resumeAfter, now);
-        UpstreamAttempt next = new UpstreamAttempt(context, admitted, upstream, sent, relay, owner);
+        UpstreamRun run = context.quarantine().sent(watched, upstream, lastRun);
+        lastRun = Optional.of(run);
+        UpstreamAttempt next = new UpstreamAttempt(context, admitted, run, sent, relay, owner);
         attempt = Optional.of(next);
         next.send(order);
-        stages.ifPresent(run -> giveUpResults(run, next));
+        stages.ifPresent(made -> giveUpResults(made, next));
     }
 
     /**
@@ -308,7 +322,9 @@
     /** What follows an attempt that ran or may have run, and gave no whole answer. */
     private void afterFailure(String reason) {
         mayHaveRun = true;
-        if (route.isIdempotent() && sent < route.maxAttempts() && takeRepeat()) {
+        if (context.quarantine().isHeld(watched)) {
+            holdOff();
+        } else if (route.isIdempotent() && sent < route.maxAttempts() && takeRepeat()) {
             relay.forgetHead();
             attempt();
         } else if (relay.hasStarted()) {
@@ -349,6 +365,14 @@
         end("broken-" + reason, true);
     }
 
+    private void holdOff() {
+        if (relay.hasStarted()) {
+            breakOff(Refusal.ENDS_UPSTREAMS);
+        } else {
+            refuse(Refusal.endsUpstreams(mayHaveRun));
+        }
+    }
+
     private void refuse(Refusal refusal) {
         refusal.send(exchange, context.callers(), request.id());
         end(refusal.verdict().reason(), true);
@@ -424,7 +448,10 @@
         @Override
         public void onFailure(String reason) {
             attempt = Optional.empty();
-            afterFailure(reason);
+            // The caller may have left while it was found out whether the upstream ended.
+            if (!over) {
+                afterFailure(reason);
+            }
         }
 
         private boolean mayRepeat() {
--- a/library/src/main/java/org/copperspindle/gateway/UpstreamAttempt.java
+++ b/library/src/main/java/org/copperspindle/gateway/UpstreamAttempt.java
@@ -10,6 +10,7 @@
 import org.copperspindle.direct.DirectListener;
 import org.copperspindle.direct.UpstreamPort.CallHandle;
 import org.copperspindle.discovery.UpstreamNews;
+import org.copperspindle.quarantine.UpstreamRun;
 import org.copperspindle.route.RouteKind;
 
 /**
@@ -26,6 +27,7 @@
 
     private final GatewayContext context;
     private final AdmittedRequest admitted;
+    private final UpstreamRun run;
     private final UpstreamNews upstream;
     private final int number;
     private final AnswerRelay relay;
@@ -40,13 +42,14 @@
     UpstreamAttempt(
             GatewayContext context,
             AdmittedRequest admitted,
-            UpstreamNews upstream,
+            UpstreamRun run,
             int number,
             AnswerRelay relay,
             Owner owner) {
         this.context = context;
         this.admitted = admitted;
-        this.upstream = upstream;
+        this.run = run;
+        this.upstream = run.upstream();
         this.number = number;
         this.relay = relay;
         this.owner = owner;
@@ -105,11 +108,13 @@
         }
         DirectHead answer = head.orElseThrow();
         if (streams && !relay.isWhole()) {
-            fail("event-cut");
+            // An answer without a length ends with its connection, also when its upstream ends.
+            fail("event-cut", true);
         } else if (context.upstreams().provesNotRun(answer)) {
             notRun(answer);
         } else {
             close(true, "");
+            context.quarantine().outlived(run);
             if (streams) {
                 owner.onStreamed();
             } else {
@@ -124,7 +129,7 @@
             return;
         }
         if (failure.sent()) {
-            fail(failure.reason());
+            fail(failure.reason(), failure.lost());
             return;
         }
         close(false, failure.reason());
@@ -156,13 +161,17 @@
 
     private void abortAndFail(String reason) {
         handle.abort(reason);
-        fail(reason);
+        fail(reason, false);
     }
 
-    private void fail(String reason) {
+    private void fail(String reason, boolean connectionLost) {
         close(false, reason);
         note("failed", reason);
-        owner.onFailure(reason);
+        if (connectionLost) {
+            context.quarantine().lost(run, () -> owner.onFailure(reason));
+        } else {
+            owner.onFailure(reason);
+        }
     }
 
     private void close(boolean good, String reason) {
@@ -186,7 +195,7 @@
                     reason,
                     (now - sentAt) / NANOS_PER_MILLI,
                     (long) context.budget().left(admitted.pool(), now),
-                    admitted.digest().text());
+                    run.request().digest().text());
         }
     }
 
--- a/library/src/main/java/org/copperspindle/mesh/MeshListener.java
+++ b/library/src/main/java/org/copperspindle/mesh/MeshListener.java
@@ -21,6 +21,13 @@
      */
     default void onNodeDown(MeshNode node) {}
 
+    /**
+     * One of several connections to a node ended, with what was on its way; the node is still connected.
+     *
+     * @param node the node
+     */
+    default void onConnectionLost(MeshNode node) {}
+
     /**
      * A node said something new of itself.
      *
--- a/library/src/main/java/org/copperspindle/mesh/NodeMesh.java
+++ b/library/src/main/java/org/copperspindle/mesh/NodeMesh.java
@@ -179,7 +179,13 @@
     @Override
     public boolean onClose(Peer peer) {
         MeshNode node = nodes.get(peer.greeting().processId());
-        if (node == null || !node.closed(peer) || node.isConnected()) {
+        if (node == null || !node.closed(peer)) {
+            return true;
+        }
+        if (node.isUp()) {
+            listeners.forEach(listener -> listener.onConnectionLost(node));
+        }
+        if (node.isConnected()) {
             return true;
         }
         nodes.remove(node.address());
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/quarantine/PoolSurvival.java
@@ -0,0 +1,61 @@
+package org.copperspindle.quarantine;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Set;
+
+/**
+ * How the upstreams of one pool have fared lately, as this node saw it: runs that they outlived, and ends of upstreams with the
+ * requests that ran. It tells a request that ends upstreams from one that runs where everything does.
+ */
+final class PoolSurvival {
+
+    /** Long enough for a few ends one after the other: an upstream takes seconds to be back. */
+    private static final long HALF_WINDOW_NANOS = Duration.ofSeconds(5).toNanos();
+
+    /** More ends than that in a window are many in any case. */
+    private static final int MAX_ENDS = 64;
+
+    private final Deque<End> ends = new ArrayDeque<>();
+    private long half = Long.MIN_VALUE;
+    private long outlived;
+    private long outlivedBefore;
+
+    void outlived(long now) {
+        roll(now);
+        outlived++;
+    }
+
+    /** Notes the end of an upstream with the requests of this node that ran there. */
+    void ended(String upstream, Set<RequestDigest> ran, long now) {
+        ends.addLast(new End(upstream, ran, now));
+        if (ends.size() > MAX_ENDS) {
+            ends.removeFirst();
+        }
+    }
+
+    /** Says whether more upstreams ended without a request than runs were outlived. */
+    boolean endsWithout(RequestDigest request, long now) {
+        roll(now);
+        ends.removeIf(end -> now - end.at() > 2 * HALF_WINDOW_NANOS);
+        long without = ends.stream()
+                .filter(end -> !end.ran().contains(request))
+                .map(End::upstream)
+                .distinct()
+                .count();
+        return without > outlived + outlivedBefore;
+    }
+
+    private void roll(long now) {
+        long current = Math.floorDiv(now, HALF_WINDOW_NANOS);
+        if (current == half) {
+            return;
+        }
+        outlivedBefore = half != Long.MIN_VALUE && current - half == 1 ? outlived : 0;
+        outlived = 0;
+        half = current;
+    }
+
+    private record End(String upstream, Set<RequestDigest> ran, long at) {}
+}
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/quarantine/UpstreamRun.java
@@ -0,0 +1,71 @@
+package org.copperspindle.quarantine;
+
+import java.util.Optional;
+
+import org.copperspindle.discovery.UpstreamNews;
+
+/**
+ * One run of a request at one upstream, with what was thought of the request when it was sent there. If the upstream ends, that
+ * tells its end from one that came before it: ends count one after the other only where the next run was sent in knowledge
+ * of the last.
+ */
+public final class UpstreamRun {
+
+    private final WatchedRequest request;
+    private final UpstreamNews upstream;
+    private final long epoch;
+    private final int levelBefore;
+    private final Optional<UpstreamRun> previous;
+    private int levelAfter;
+
+    UpstreamRun(
+            WatchedRequest request,
+            UpstreamNews upstream,
+            long epoch,
+            int levelBefore,
+            Optional<UpstreamRun> previous) {
+        this.request = request;
+        this.upstream = upstream;
+        this.epoch = epoch;
+        this.levelBefore = levelBefore;
+        this.previous = previous;
+    }
+
+    /**
+     * Returns the upstream.
+     *
+     * @return as it was known when the request was sent there
+     */
+    public UpstreamNews upstream() {
+        return upstream;
+    }
+
+    /**
+     * Returns the request.
+     *
+     * @return the request that runs
+     */
+    public WatchedRequest request() {
+        return request;
+    }
+
+    long epoch() {
+        return epoch;
+    }
+
+    /**
+     * Returns the level that the request had before this run. The run before it in the same attempt of the caller may have
+     * been found to end its upstream only after this one was sent.
+     */
+    int levelBefore() {
+        int ofPrevious = previous.filter(run -> run.epoch == epoch)
+                .map(run -> run.levelAfter)
+                .orElse(0);
+        return Math.max(levelBefore, ofPrevious);
+    }
+
+    /** Notes that the upstream ended under it, and which level the request has by that. */
+    void ended(int level) {
+        levelAfter = level;
+    }
+}
--- /dev/null
+++ b/library/src/test/java/org/copperspindle/quarantine/SuspicionTest.java
@@ -0,0 +1,71 @@
+package org.copperspindle.quarantine;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+
+import org.copperspindle.wire.MalformedFrameException;
+import org.copperspindle.wire.MessageRegistry;
+import org.copperspindle.wire.WireTransport;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class SuspicionTest {
+
+    private static final RequestDigest DIGEST = new RequestDigest("00ff");
+
+    /**
+     * Nodes hear of the same ends in another order, twice, or through a third node. If they came to different levels, one would hold
+     * a request off that another sends on.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+    void orderAndRepetitionDoNotMatter(long seed) {
+        Random random = new Random(seed);
+        List<Suspicion> heard = new ArrayList<>();
+        for (int i = 0; i < 6; i++) {
+            heard.add(of(random.nextInt(2), random.nextInt(8), "u" + random.nextInt(4)));
+        }
+        Suspicion first = heard.stream().reduce(Suspicion::merge).orElseThrow();
+        for (int i = 0; i < 50; i++) {
+            heard.add(heard.get(random.nextInt(heard.size())));
+            Collections.shuffle(heard, random);
+            Suspicion other = heard.stream().reduce(Suspicion::merge).orElseThrow();
+            assertThat(other.epoch()).isEqualTo(first.epoch());
+            assertThat(other.level()).isEqualTo(first.level());
+            assertThat(other.upstreams()).containsExactlyInAnyOrderElementsOf(first.upstreams());
+        }
+    }
+
+    @Test
+    void travelsAsBytes() throws MalformedFrameException {
+        MessageRegistry registry = WireTransport.registry().register(SuspicionMessage.CODEC);
+        SuspicionMessage message = new SuspicionMessage(List.of(
+                new Suspicion(DIGEST, 3, 4, List.of("a", "b"), "r", "t", 5),
+                of(0, 2, "u").cleared()));
+        assertThat(registry.decode(registry.encode(message))).contains(message);
+    }
+
+    /** Ends one after the other; the hold after the last one in seconds. */
+    @ParameterizedTest
+    @CsvSource({"0, 0", "2, 0", "5, 0", "6, 60", "7, 60", "8, 120", "10, 240", "16, 1920", "18, 3600"})
+    void holdsGrowWithEachEnd(int level, long seconds) {
+        assertThat(HoldPolicy.holdNanos(level)).isEqualTo(seconds * 1_000_000_000L);
+    }
+
+    /** A node of another build tells a level that this one doesn't know; shifted by it, a hold would be anything. */
+    @ParameterizedTest
+    @CsvSource({"-5, 0", "1000, 18"})
+    void levelsOfOtherBuildsAreBounded(int told, int kept) {
+        assertThat(of(0, told, "u").level()).isEqualTo(kept);
+    }
+
+    private static Suspicion of(long epoch, int level, String upstream) {
+        return new Suspicion(DIGEST, epoch, level, List.of(upstream), "r", "t", 0);
+    }
+}
