Blame no request for an upstream that had ended before it was sent there

Cause: three of three upstreams of a pool had ended under another request. The popular one was still sent to them, on connections kept from before, lost these, and each loss counted as an end under it, the same upstream twice: event=request-held-off level=6 upstreams=[u1, u3]. Change: nodes remember which lives of upstreams have ended, from their own checks and from what others tell; a run that was sent to one of them proves nothing, so that one life counts once. Two tests failed before, the third (later lives under one id count one by one) guards the other side.

--- a/library/src/main/java/org/copperspindle/quarantine/RequestQuarantine.java
+++ b/library/src/main/java/org/copperspindle/quarantine/RequestQuarantine.java
@@ -44,6 +44,7 @@
     private final DecisionLog log;
     private final SuspicionTable table = new SuspicionTable();
     private final UpstreamEnds ends;
+    private final EndedUpstreams endedUpstreams = new EndedUpstreams();
     private final Map<String, PoolSurvival> survival = new HashMap<>();
     private long upstreamsEnded;
     private boolean sweeping;
@@ -91,7 +92,8 @@
                 upstream,
                 known.map(Suspicion::epoch).orElse(0L),
                 known.map(Suspicion::level).orElse(0),
-                previous);
+                previous,
+                endedUpstreams.contains(UpstreamLife.of(upstream)));
     }
 
     /**
@@ -102,6 +104,7 @@
     public void outlived(UpstreamRun run) {
         long now = timers.nanoTime();
         survival(run.request().pool()).outlived(now);
+        endedUpstreams.lives(run.life());
         find(run.request()).filter(known -> known.level() > 0).ifPresent(known -> clear(known, "outlived"));
     }
 
@@ -113,6 +116,10 @@
      *              request only when it is known whether it ended this upstream as well
      */
     public void lost(UpstreamRun run, Runnable known) {
+        if (run.sentInVain()) {
+            known.run();
+            return;
+        }
         boolean suspected = find(run.request()).filter(s -> s.level() > 0).isPresent();
         if (suspected) {
             ends.lost(run, known);
@@ -221,6 +228,8 @@
         Set<RequestDigest> ran =
                 runs.stream().map(run -> run.request().digest()).collect(Collectors.toSet());
         pool.ended(upstream.id(), ran, now);
+        String life = UpstreamLife.of(upstream).text();
+        endedUpstreams.add(List.of(life));
         List<Suspicion> news = new ArrayList<>();
         for (UpstreamRun run : runs) {
             WatchedRequest request = run.request();
@@ -230,7 +239,7 @@
                     request.digest(),
                     run.epoch(),
                     run.levelBefore() + step,
-                    List.of(upstream.id()),
+                    List.of(life),
                     request.route(),
                     request.account(),
                     0);
@@ -255,6 +264,7 @@
             return false;
         }
         sweepLater();
+        endedUpstreams.add(heard.upstreams());
         Suspicion known = table.find(heard.digest(), now).orElse(heard);
         boolean held = table.isHeld(known.digest(), now);
         if (held != heldBefore) {
--- a/library/src/main/java/org/copperspindle/quarantine/UpstreamEnds.java
+++ b/library/src/main/java/org/copperspindle/quarantine/UpstreamEnds.java
@@ -36,7 +36,7 @@
     private final TimerService timers;
     private final ListenCheck listens;
     private final Listener listener;
-    private final Map<Life, Doubt> doubts = new LinkedHashMap<>();
+    private final Map<UpstreamLife, Doubt> doubts = new LinkedHashMap<>();
 
     UpstreamEnds(UpstreamDirectory directory, TimerService timers, ListenCheck listens, Listener listener) {
         this.directory = directory;
@@ -53,10 +53,10 @@
      */
     void lost(UpstreamRun run, Runnable checked) {
         UpstreamNews upstream = run.upstream();
-        Life life = Life.of(upstream);
+        UpstreamLife life = run.life();
         boolean planned = directory
                 .find(upstream.id())
-                .filter(news -> Life.of(news).equals(life) && news.phase() == UpstreamPhase.READY)
+                .filter(news -> UpstreamLife.of(news).equals(life) && news.phase() == UpstreamPhase.READY)
                 .isEmpty();
         if (planned || !doubts.containsKey(life) && doubts.size() >= MAX_DOUBTS) {
             checked.run();
@@ -66,7 +66,7 @@
         doubt.runs.add(run);
         boolean isReplaced = directory
                 .findByAddress(upstream.address())
-                .filter(holder -> !Life.of(holder).equals(life))
+                .filter(holder -> !UpstreamLife.of(holder).equals(life))
                 .isPresent();
         if (isReplaced) {
             end(life, "next-life");
@@ -82,18 +82,18 @@
 
     @Override
     public void onChange(UpstreamNews news) {
-        Life life = Life.of(news);
+        UpstreamLife life = UpstreamLife.of(news);
         if (news.phase() != UpstreamPhase.READY) {
             doubts.remove(life);
             return;
         }
-        Optional<Life> before = doubts.keySet().stream()
-                .filter(l -> !l.equals(life) && (l.address().equals(news.address()) || l.id().equals(news.id())))
+        Optional<UpstreamLife> before = doubts.keySet().stream()
+                .filter(l -> !l.equals(life) && (doubts.get(l).isAt(news.address()) || l.id().equals(news.id())))
                 .findFirst();
         before.ifPresent(ended -> end(ended, "next-life"));
     }
 
-    private void checked(Life life, Doubt doubt, ListenState state) {
+    private void checked(UpstreamLife life, Doubt doubt, ListenState state) {
         doubt.checking = false;
         List<Runnable> waiting = List.copyOf(doubt.waiting);
         doubt.waiting.clear();
@@ -107,14 +107,14 @@
         waiting.forEach(Runnable::run);
     }
 
-    private void end(Life life, String evidence) {
+    private void end(UpstreamLife life, String evidence) {
         Doubt doubt = doubts.remove(life);
         LOGGER.warn(
                 "event=upstream-ended upstream={} incarnation={} pool={} address={} evidence={} runs={}",
                 life.id(),
                 life.incarnation(),
                 doubt.upstream.pool(),
-                life.address(),
+                doubt.upstream.address(),
                 evidence,
                 doubt.runs.size());
         listener.ended(doubt.upstream, List.copyOf(doubt.runs));
@@ -132,13 +132,6 @@
         void ended(UpstreamNews upstream, List<UpstreamRun> runs);
     }
 
-    /** One life of an upstream. */
-    private record Life(String id, long incarnation, String address) {
-        static Life of(UpstreamNews news) {
-            return new Life(news.id(), news.incarnation(), news.address());
-        }
-    }
-
     /** Runs that lost their connections to one life of an upstream. */
     private static final class Doubt {
         private final UpstreamNews upstream;
@@ -149,5 +142,9 @@
         private Doubt(UpstreamNews upstream) {
             this.upstream = upstream;
         }
+
+        private boolean isAt(String address) {
+            return upstream.address().equals(address);
+        }
     }
 }
--- a/library/src/main/java/org/copperspindle/quarantine/UpstreamRun.java
+++ b/library/src/main/java/org/copperspindle/quarantine/UpstreamRun.java
@@ -16,6 +16,7 @@
     private final long epoch;
     private final int levelBefore;
     private final Optional<UpstreamRun> previous;
+    private final boolean sentInVain;
     private int levelAfter;
 
     UpstreamRun(
@@ -23,12 +24,14 @@
             UpstreamNews upstream,
             long epoch,
             int levelBefore,
-            Optional<UpstreamRun> previous) {
+            Optional<UpstreamRun> previous,
+            boolean sentInVain) {
         this.request = request;
         this.upstream = upstream;
         this.epoch = epoch;
         this.levelBefore = levelBefore;
         this.previous = previous;
+        this.sentInVain = sentInVain;
     }
 
     /**
@@ -49,6 +52,15 @@
         return request;
     }
 
+    UpstreamLife life() {
+        return UpstreamLife.of(upstream);
+    }
+
+    /** Says whether the upstream was known to have ended when the request was sent there. */
+    boolean sentInVain() {
+        return sentInVain;
+    }
+
     long epoch() {
         return epoch;
     }
--- a/library/src/test/java/org/copperspindle/quarantine/QuarantineFleet.java
+++ b/library/src/test/java/org/copperspindle/quarantine/QuarantineFleet.java
@@ -82,7 +82,12 @@
 
     /** Has every node hear what the upstream at a place says of itself. */
     void announce(int number, String id, UpstreamPhase phase) {
-        UpstreamNews news = new UpstreamNews(id, 0, POOL, address(number), "d", phase, 4, 1, 0);
+        announce(number, id, 0, phase);
+    }
+
+    /** Has every node hear of one life of an upstream that tells when it began. */
+    void announce(int number, String id, long incarnation, UpstreamPhase phase) {
+        UpstreamNews news = new UpstreamNews(id, incarnation, POOL, address(number), "d", phase, 4, 1, 0);
         upstreams.put(number, news);
         nodes.forEach(node -> node.directory.accept(news, time.nanoTime()));
     }
--- a/library/src/test/java/org/copperspindle/quarantine/RequestQuarantineTest.java
+++ b/library/src/test/java/org/copperspindle/quarantine/RequestQuarantineTest.java
@@ -143,6 +143,54 @@
         assertThat(fleet.isHeldEverywhere(POPULAR)).isTrue();
     }
 
+    /**
+     * Two of three upstreams ended under a guilty request, and other nodes know. A popular request is still sent there, on connections
+     * that were kept from before, and loses them; it ran nowhere, and is not to blame. It was held off in half a second:
+     * event=request-held-off level=6 upstreams=[u1, u3], with upstream u1 counted twice.
+     */
+    @Test
+    void requestsSentToUpstreamsThatHadEndedAreNotToBlame() {
+        int first = fleet.addUpstream();
+        int second = fleet.addUpstream();
+        fleet.end(first, Map.of(fleet.send(0, GUILTY, first), 0));
+        fleet.settle();
+        fleet.end(second, Map.of(fleet.send(1, GUILTY, second), 1));
+        fleet.settle();
+        for (int i = 0; i < 2 * ENDS; i++) {
+            int node = i % NODES;
+            UpstreamRun run = fleet.send(node, POPULAR, i % 2 == 0 ? first : second);
+            fleet.breakOff(Map.of(run, node));
+            fleet.settle();
+        }
+        assertThat(fleet.quarantine(0).remembered()).isEqualTo(1);
+    }
+
+    /** The same upstream ends under two runs of a popular request, of which one was sent in knowledge of an end before. It is one end. */
+    @Test
+    void oneUpstreamCountsOnceForARequest() {
+        fleet.endsOne(0, POPULAR);
+        int upstream = fleet.addUpstream();
+        UpstreamRun early = fleet.send(0, POPULAR, upstream);
+        fleet.end(upstream, Map.of(early, 0));
+        fleet.settle();
+        UpstreamRun late = fleet.send(1, POPULAR, upstream);
+        fleet.settle();
+        fleet.breakOff(Map.of(late, 1));
+        fleet.settle();
+        assertThat(fleet.isHeldAnywhere(POPULAR)).isFalse();
+    }
+
+    /** An upstream starts again under the id that it had, and ends once more under the same request: these are two ends. */
+    @Test
+    void laterLivesUnderOneIdCountOneByOne() {
+        for (int life = 1; life <= ENDS; life++) {
+            fleet.announce(0, "u", life, UpstreamPhase.READY);
+            fleet.end(0, Map.of(fleet.send(life, GUILTY, 0), life));
+            fleet.settle();
+        }
+        assertThat(fleet.isHeldEverywhere(GUILTY)).isTrue();
+    }
+
     /** Two guilty requests at once, beside others that are served, are each held off after three ends. */
     @Test
     void twoGuiltyRequestsAtOnce() {
