Part the pieces of a call that was lost with its connection

Callers would see: one request's piece ends each stage upstream that makes it. All pieces of the call were packed together again, and with later ones; after three ends everybody who had shared the calls was told that a stage failed. Now the groups go on in two calls, and each alone after the next loss. Calls lost by a timeout are packed as before.

--- a/library/src/main/java/org/copperspindle/batch/PieceQueue.java
+++ b/library/src/main/java/org/copperspindle/batch/PieceQueue.java
@@ -84,6 +84,8 @@
      * <p>Groups that should rather wait for another upstream do so while the pool keeps up. While it is behind they come after
      * the others, so that calls are full and bytes still mostly stay in a failure domain.
      *
+     * <p>Groups of a call that was lost with its connection are parted: they share calls with groups of their lot only.
+     *
      * @param limits   limits of the pool
      * @param bounds   what the upstream's call may take
      * @param now      monotonic time in nanoseconds
@@ -103,9 +105,11 @@
             int room = Math.min(
                     limits.batch() - taken.size(), fitting(left, group.group().resultBytes()));
             boolean enough = taken.size() >= bounds.pieces();
+            boolean parted =
+                    !taken.isEmpty() && !group.sharesCallsWith(taken.get(0).group());
             // The first group of a call goes in any case: it may be larger than a call.
             boolean waitsWhole = wanted > room && !taken.isEmpty() && !(fullCallWaits && maySplit(group, limits));
-            if (enough || room <= 0 || waitsWhole) {
+            if (enough || parted || room <= 0 || waitsWhole) {
                 continue;
             }
             int count = Math.min(wanted, room);
--- a/library/src/main/java/org/copperspindle/batch/PoolDispatcher.java
+++ b/library/src/main/java/org/copperspindle/batch/PoolDispatcher.java
@@ -57,6 +57,7 @@
     private final Map<WaitingGroup, Integer> running = new HashMap<>();
     private final FetchTime fetchTime = new FetchTime();
     private PoolWork work = PoolWork.NONE;
+    private long lots;
     private boolean freeing;
     private boolean waking;
 
@@ -262,6 +263,9 @@
                     lost.reason(),
                     (now - sentAt) / NANOS_PER_MILLI,
                     pause / NANOS_PER_MILLI);
+            if (lost.connectionLost()) {
+                part(tasks);
+            }
             again(tasks, MissReason.FAILED);
         }
         dispatch();
@@ -372,6 +376,23 @@
         }
     }
 
+    /**
+     * Parts the groups of a call that was lost with its connection: in two, and after the next loss each from all others. One of
+     * their pieces may end each upstream that makes it. Packed together again, all of them would be lost so often that
+     * they fail, and more that came later; in two calls, the other half is made at once.
+     */
+    private void part(List<PieceTask> tasks) {
+        List<WaitingGroup> groups =
+                tasks.stream().map(PieceTask::group).distinct().toList();
+        boolean again = groups.stream().anyMatch(WaitingGroup::isParted);
+        long first = lots + 1;
+        int parts = again ? groups.size() : 2;
+        lots += parts;
+        for (int i = 0; i < groups.size(); i++) {
+            groups.get(i).part(first + i % parts);
+        }
+    }
+
     /** Makes pieces of a lost call again, unless they were lost too often. */
     private void again(List<PieceTask> tasks, MissReason reason) {
         Map<WaitingGroup, List<Integer>> byGroup = new LinkedHashMap<>();
--- a/library/src/main/java/org/copperspindle/batch/WaitingGroup.java
+++ b/library/src/main/java/org/copperspindle/batch/WaitingGroup.java
@@ -19,6 +19,9 @@
      */
     private static final long LARGE_BYTES = 250_000L;
 
+    /** Lot of groups that share calls with each other freely. */
+    private static final long ANY_LOT = 0;
+
     /** Part of the spare time that is risked on a near upstream. */
     private static final double NEAR_SHARE = 0.5;
 
@@ -32,6 +35,7 @@
     private final long deadline;
     private final List<Integer> missing;
     private int losses;
+    private long lot = ANY_LOT;
     private long sentAt;
     private boolean cancelled;
     private boolean inputsGivenUp;
@@ -140,6 +144,19 @@
         return cancelled;
     }
 
+    /** Has the group share calls with groups of one lot only, of which one may have ended an upstream. */
+    void part(long number) {
+        lot = number;
+    }
+
+    boolean isParted() {
+        return lot != ANY_LOT;
+    }
+
+    boolean sharesCallsWith(WaitingGroup other) {
+        return lot == other.lot;
+    }
+
     /** Counts a loss and returns how many there were. */
     int lost() {
         return ++losses;
--- a/library/src/main/java/org/copperspindle/dialect/StageCalls.java
+++ b/library/src/main/java/org/copperspindle/dialect/StageCalls.java
@@ -121,15 +121,14 @@
 
         @Override
         public void onFailure(DirectFailure failure) {
-            end(
-                    failure.sent()
-                            ? new StageCallResult.Lost(failure.reason())
-                            : new StageCallResult.Lost("unsent-" + failure.reason()));
+            String reason = failure.sent() ? failure.reason() : "unsent-" + failure.reason();
+            boolean mayHaveEnded = failure.sent() && failure.lost();
+            end(new StageCallResult.Lost(reason, mayHaveEnded));
         }
 
         private void timedOut() {
             handle.abort("timeout");
-            end(new StageCallResult.Lost("timeout"));
+            end(StageCallResult.Lost.inSilence("timeout"));
         }
 
         private void end(StageCallResult result) {
@@ -145,7 +144,7 @@
                 return new StageCallResult.NotRun("status-" + head.status());
             }
             if (!head.isSuccess()) {
-                return new StageCallResult.Lost("status-" + head.status());
+                return StageCallResult.Lost.inSilence("status-" + head.status());
             }
             if (items == 0) {
                 return new StageCallResult.Answered(List.of());
@@ -153,14 +152,14 @@
             try {
                 return checked(format.read(JsonText.read(body.toByteArray())));
             } catch (IOException e) {
-                return new StageCallResult.Lost("answer-unreadable");
+                return StageCallResult.Lost.inSilence("answer-unreadable");
             }
         }
 
         private StageCallResult checked(List<PieceOutcome> outcomes) {
             if (outcomes.size() != items) {
                 // Outcomes have no name but their place: with one missing, none can be told from another.
-                return new StageCallResult.Lost("answer-incomplete");
+                return StageCallResult.Lost.inSilence("answer-incomplete");
             }
             return new StageCallResult.Answered(outcomes);
         }
--- a/library/src/test/java/org/copperspindle/batch/FakeStagePort.java
+++ b/library/src/test/java/org/copperspindle/batch/FakeStagePort.java
@@ -27,6 +27,9 @@
     private int made;
     long freeNanos = NANOS_PER_MILLI;
 
+    /** Request whose pieces end each upstream that makes them. */
+    String fatal = "";
+
     /** Answers are not read before this instant: the process stands still. */
     long standsStillUntil;
 
@@ -42,7 +45,14 @@
         calls.add(new Call(id, items, time.nanoTime()));
         Conduct how = conduct.getOrDefault(id, Conduct.SOUND);
         if (how == Conduct.DARK) {
-            time.schedule(timeoutMillis * NANOS_PER_MILLI, () -> callback.accept(new StageCallResult.Lost("timeout")));
+            time.schedule(
+                    timeoutMillis * NANOS_PER_MILLI, () -> callback.accept(StageCallResult.Lost.inSilence("timeout")));
+            return;
+        }
+        if (items.stream().anyMatch(item -> item.requestId().equals(fatal))) {
+            time.schedule(
+                    limits.expectedNanos(items.size()) / 2,
+                    () -> callback.accept(StageCallResult.Lost.withConnection("connection-closed")));
             return;
         }
         if (how == Conduct.REFUSING || queued.getOrDefault(id, 0) > limits.queue()) {
