Let a kept connection begin a suspicion and never add to one

Cause: a node that was cut off did not hear that three upstreams had ended, and sent them that request on kept connections; each was lost without a byte (event=attempt-failed reason=connect-failed took_ms=2) and counted, though the request ran nowhere. Change: a call that went out on a kept connection and saw nothing come back tells so (DirectFailure.unseen) and raises no level that is there; repeats and suspected requests go out on new connections, whose loss proves that the upstream was there.

--- a/library/src/main/java/org/copperspindle/direct/DirectClient.java
+++ b/library/src/main/java/org/copperspindle/direct/DirectClient.java
@@ -141,6 +141,7 @@
         } else if (exchange.hasEnded()) {
             connection.close();
         } else {
+            exchange.connected();
             connection.use(exchange);
         }
     }
--- a/library/src/main/java/org/copperspindle/direct/DirectExchange.java
+++ b/library/src/main/java/org/copperspindle/direct/DirectExchange.java
@@ -14,6 +14,7 @@
     private boolean headSeen;
     private boolean ended;
     private boolean resent;
+    private boolean kept;
     private long sentAt;
 
     DirectExchange(DirectCall call, DirectListener listener) {
@@ -34,9 +35,15 @@
 
     /** Notes when the call goes out on a kept connection, in nanoseconds of monotonic time. */
     void sentAt(long now) {
+        kept = true;
         sentAt = now;
     }
 
+    /** Notes that a new connection was opened for the call: its upstream is there. */
+    void connected() {
+        kept = false;
+    }
+
     long sentAt() {
         return sentAt;
     }
@@ -77,12 +84,12 @@
 
     /** Ends the call because its connection ended or could not be opened. */
     void lose(String reason) {
-        end(new DirectFailure(sent, true, reason));
+        end(new DirectFailure(sent, true, kept && !headSeen, reason));
     }
 
     /** Ends the call because of what came over its connection. */
     void fail(String reason) {
-        end(new DirectFailure(sent, false, reason));
+        end(new DirectFailure(sent, false, false, reason));
     }
 
     private void end(DirectFailure failure) {
--- a/library/src/main/java/org/copperspindle/gateway/RequestRun.java
+++ b/library/src/main/java/org/copperspindle/gateway/RequestRun.java
@@ -278,7 +278,7 @@
                 stages.map(StageRun::results),
                 resumeAfter,
                 admitted.rank(),
-                route.isIdempotent() ? ConnectionUse.KEPT : ConnectionUse.NEW);
+                connectionUse());
         lines.attemptSent(sent, upstream, resumeAfter, now);
         UpstreamRun run = context.quarantine().sent(watched, upstream, lastRun);
         lastRun = Optional.of(run);
@@ -288,6 +288,16 @@
         stages.ifPresent(made -> giveUpResults(made, next));
     }
 
+    /**
+     * Says on which connection the next attempt may go out. Repeats and suspected requests get new ones: a kept connection may have
+     * been dead before, and its loss would not tell whether the request ended one more upstream.
+     */
+    private ConnectionUse connectionUse() {
+        boolean maySeeStale =
+                route.isIdempotent() && sent == 1 && !context.quarantine().isSuspected(watched);
+        return maySeeStale ? ConnectionUse.KEPT : ConnectionUse.NEW;
+    }
+
     /**
      * Gives the stage results up while the upstream reads the prompt, before which it has fetched them. Kept until the first
      * event, results of a pool of eleven left room for 27 pieces in calls of 39: long prompts make engines slow just when
--- a/library/src/main/java/org/copperspindle/gateway/UpstreamAttempt.java
+++ b/library/src/main/java/org/copperspindle/gateway/UpstreamAttempt.java
@@ -109,7 +109,7 @@
         DirectHead answer = head.orElseThrow();
         if (streams && !relay.isWhole()) {
             // An answer without a length ends with its connection, also when its upstream ends.
-            fail("event-cut", true);
+            lose("event-cut", true);
         } else if (context.upstreams().provesNotRun(answer)) {
             notRun(answer);
         } else {
@@ -129,7 +129,11 @@
             return;
         }
         if (failure.sent()) {
-            fail(failure.reason(), failure.lost());
+            if (failure.lost()) {
+                lose(failure.reason(), !failure.unseen());
+            } else {
+                fail(failure.reason());
+            }
             return;
         }
         close(false, failure.reason());
@@ -161,17 +165,20 @@
 
     private void abortAndFail(String reason) {
         handle.abort(reason);
-        fail(reason, false);
+        fail(reason);
     }
 
-    private void fail(String reason, boolean connectionLost) {
+    private void fail(String reason) {
         close(false, reason);
         note("failed", reason);
-        if (connectionLost) {
-            context.quarantine().lost(run, () -> owner.onFailure(reason));
-        } else {
-            owner.onFailure(reason);
-        }
+        owner.onFailure(reason);
+    }
+
+    /** Ends the attempt because its connection ended, perhaps with the upstream. */
+    private void lose(String reason, boolean wasThere) {
+        close(false, reason);
+        note("failed", reason);
+        context.quarantine().lost(run, wasThere, () -> owner.onFailure(reason));
     }
 
     private void close(boolean good, String reason) {
--- a/library/src/main/java/org/copperspindle/quarantine/RequestQuarantine.java
+++ b/library/src/main/java/org/copperspindle/quarantine/RequestQuarantine.java
@@ -77,6 +77,16 @@
         return !table.isEmpty() && table.isHeld(request.digest(), timers.nanoTime());
     }
 
+    /**
+     * Says whether an upstream ended under a request and none has outlived it since.
+     *
+     * @param request the request
+     * @return true also while it is held off
+     */
+    public boolean isSuspected(WatchedRequest request) {
+        return find(request).filter(known -> known.level() > 0).isPresent();
+    }
+
     /**
      * Notes that a request is sent to an upstream.
      *
@@ -111,17 +121,21 @@
     /**
      * Notes that a run lost its connection, and finds out whether its upstream ended.
      *
-     * @param run   the run
-     * @param known called when the request may be sent again as far as the quarantine goes: at once, but for a suspected
-     *              request only when it is known whether it ended this upstream as well
+     * @param run      the run
+     * @param wasThere false if it went out on a connection that was kept, and nothing came back on it: the upstream may have ended
+     *                 before
+     * @param known    called when the request may be sent again as far as the quarantine goes: at once, but for a suspected
+     *                 request only when it is known whether it ended this upstream as well
      */
-    public void lost(UpstreamRun run, Runnable known) {
+    public void lost(UpstreamRun run, boolean wasThere, Runnable known) {
+        if (!wasThere) {
+            run.mayHaveComeTooLate();
+        }
         if (run.sentInVain()) {
             known.run();
             return;
         }
-        boolean suspected = find(run.request()).filter(s -> s.level() > 0).isPresent();
-        if (suspected) {
+        if (isSuspected(run.request())) {
             ends.lost(run, known);
         } else {
             ends.lost(run, () -> {});
@@ -234,15 +248,10 @@
         for (UpstreamRun run : runs) {
             WatchedRequest request = run.request();
             int step = pool.endsWithout(request.digest(), now) ? HoldPolicy.END_AMONG_OTHERS : HoldPolicy.END;
-            run.ended(run.levelBefore() + step);
+            int level = run.levelAfter(step);
+            run.ended(level);
             Suspicion suspicion = new Suspicion(
-                    request.digest(),
-                    run.epoch(),
-                    run.levelBefore() + step,
-                    List.of(life),
-                    request.route(),
-                    request.account(),
-                    0);
+                    request.digest(), run.epoch(), level, List.of(life), request.route(), request.account(), 0);
             if (accept(suspicion, request.id())) {
                 news.add(suspicion);
             }
--- a/library/src/main/java/org/copperspindle/quarantine/UpstreamRun.java
+++ b/library/src/main/java/org/copperspindle/quarantine/UpstreamRun.java
@@ -17,6 +17,7 @@
     private final int levelBefore;
     private final Optional<UpstreamRun> previous;
     private final boolean sentInVain;
+    private boolean wasThere = true;
     private int levelAfter;
 
     UpstreamRun(
@@ -61,6 +62,21 @@
         return sentInVain;
     }
 
+    /** Notes that nothing shows that the upstream was still there when the request was sent. */
+    void mayHaveComeTooLate() {
+        wasThere = false;
+    }
+
+    /**
+     * Returns the level that the request has by the end of the upstream. A kept connection that is lost without a byte may have been dead
+     * before: this can begin a suspicion and never adds to one.
+     *
+     * @param step what the end adds
+     */
+    int levelAfter(int step) {
+        return wasThere ? levelBefore() + step : Math.max(levelBefore(), step);
+    }
+
     long epoch() {
         return epoch;
     }
--- a/library/src/test/java/org/copperspindle/direct/DirectClientTest.java
+++ b/library/src/test/java/org/copperspindle/direct/DirectClientTest.java
@@ -166,6 +166,43 @@
                 .isEqualTo("unsent connect-failed");
     }
 
+    /**
+     * An upstream ends at the second or third call. Where that came on a connection that was kept, and nothing listens any more, the upstream
+     * may have been gone before: whoever asks what ended it must not blame the call. On a connection that was opened for
+     * the call, it was there.
+     */
+    @ParameterizedTest
+    @CsvSource({"2, KEPT, true", "2, NEW, false", "3, KEPT, false"})
+    void lossTellsWhetherTheUpstreamWasThere(int endsAt, ConnectionUse use, boolean unseen) throws Exception {
+        AtomicReference<ScriptedUpstream> upstream = new AtomicReference<>();
+        upstream.set(new ScriptedUpstream((number, request, connection, out) -> {
+            if (number == 1) {
+                write(out, WHOLE);
+            } else if (number < endsAt) {
+                connection.close();
+            } else {
+                upstream.get().close();
+            }
+        }));
+        String address = upstream.get().address();
+        call(address, ConnectionUse.KEPT).get(BOUND_SECONDS, TimeUnit.SECONDS);
+        Told told = new Told(new CompletableFuture<>());
+        loop.execute(() -> client.call(call(address, "id", use), told));
+        assertThat(told.result.get(BOUND_SECONDS, TimeUnit.SECONDS)).startsWith("sent connect");
+        assertThat(told.failure.lost()).isTrue();
+        assertThat(told.failure.unseen()).isEqualTo(unseen);
+    }
+
+    @Test
+    void tellsWhetherAProcessListens() throws Exception {
+        String address;
+        try (ScriptedUpstream upstream = new ScriptedUpstream(sends(WHOLE))) {
+            address = upstream.address();
+            assertThat(check(address)).isEqualTo(ListenState.LISTENS);
+        }
+        assertThat(check(address)).isEqualTo(ListenState.REFUSES);
+    }
+
     /** The caller leaves: the upstream sees its connection end, and stops its work. */
     @Test
     void abortClosesTheConnection() throws Exception {
@@ -187,6 +224,12 @@
         }
     }
 
+    private ListenState check(String address) throws Exception {
+        CompletableFuture<ListenState> state = new CompletableFuture<>();
+        loop.execute(() -> client.check(address, state::complete));
+        return state.get(BOUND_SECONDS, TimeUnit.SECONDS);
+    }
+
     private CompletableFuture<String> call(String address, ConnectionUse use) {
         CompletableFuture<String> result = new CompletableFuture<>();
         loop.execute(() -> client.call(call(address, "id", use), new Told(result)));
@@ -231,6 +274,7 @@
         private final CompletableFuture<String> result;
         private final StringBuilder body = new StringBuilder();
         private int status;
+        private DirectFailure failure;
 
         private Told(CompletableFuture<String> result) {
             this.result = result;
@@ -252,8 +296,9 @@
         }
 
         @Override
-        public void onFailure(DirectFailure failure) {
-            result.complete((failure.sent() ? "sent " : "unsent ") + failure.reason());
+        public void onFailure(DirectFailure ended) {
+            failure = ended;
+            result.complete((ended.sent() ? "sent " : "unsent ") + ended.reason());
         }
     }
 
--- a/library/src/test/java/org/copperspindle/quarantine/QuarantineFleet.java
+++ b/library/src/test/java/org/copperspindle/quarantine/QuarantineFleet.java
@@ -112,9 +112,15 @@
         breakOff(runs);
     }
 
+    /** Ends an upstream of which the connections of runs showed no sign of life. */
+    void endUnseen(int upstream, Map<UpstreamRun, Integer> runs) {
+        upstreams.computeIfPresent(upstream, (n, news) -> news.gone());
+        runs.forEach((run, node) -> quarantine(node).lost(run, false, () -> {}));
+    }
+
     /** Breaks the connections of runs; their upstream may live on. */
     void breakOff(Map<UpstreamRun, Integer> runs) {
-        runs.forEach((run, node) -> quarantine(node).lost(run, () -> {}));
+        runs.forEach((run, node) -> quarantine(node).lost(run, true, () -> {}));
     }
 
     /** Sends a request to a new upstream, which ends under it, unless it is held off; returns whether it was sent. */
--- a/library/src/test/java/org/copperspindle/quarantine/RequestQuarantineTest.java
+++ b/library/src/test/java/org/copperspindle/quarantine/RequestQuarantineTest.java
@@ -165,6 +165,24 @@
         assertThat(fleet.quarantine(0).remembered()).isEqualTo(1);
     }
 
+    /**
+     * A node that is cut off does not hear that upstreams have ended, and sends them a popular request on connections kept from before. It
+     * loses one after the other, without a byte, though the request ran nowhere. That may be the first end of a guilty request, but is
+     * never the next. It was held off there:
+     * event=attempt-failed reason=connect-failed took_ms=2, three times, event=request-held-off level=6 upstreams=[u1, u3, u2].
+     */
+    @Test
+    void keptConnectionsRaiseNoSuspicionAnyFurther() {
+        for (int i = 0; i < 2 * ENDS; i++) {
+            int upstream = fleet.addUpstream();
+            UpstreamRun run = fleet.send(0, POPULAR, upstream);
+            fleet.endUnseen(upstream, Map.of(run, 0));
+            fleet.settle();
+        }
+        assertThat(fleet.quarantine(0).isSuspected(POPULAR)).isTrue();
+        assertThat(fleet.isHeldAnywhere(POPULAR)).isFalse();
+    }
+
     /** The same upstream ends under two runs of a popular request, of which one was sent in knowledge of an end before. It is one end. */
     @Test
     void oneUpstreamCountsOnceForARequest() {
@@ -377,12 +395,12 @@
         int upstream = fleet.addUpstream();
         boolean[] told = new boolean[1];
         UpstreamRun run = fleet.send(1, GUILTY, upstream);
-        fleet.quarantine(1).lost(run, () -> told[0] = true);
+        fleet.quarantine(1).lost(run, true, () -> told[0] = true);
         assertThat(told[0]).isFalse();
         fleet.settle();
         assertThat(told[0]).isTrue();
         told[0] = false;
-        fleet.quarantine(1).lost(fleet.send(1, POPULAR, upstream), () -> told[0] = true);
+        fleet.quarantine(1).lost(fleet.send(1, POPULAR, upstream), true, () -> told[0] = true);
         assertThat(told[0]).isTrue();
     }
 
