Give each port of a soak once

A node with one port for two doors, started by hand, ends as it starts, which is what the soak told. Logs of a soak that breaks a promise stay now.

--- a/soak/src/main/java/org/copperspindle/soak/NodePorts.java
+++ b/soak/src/main/java/org/copperspindle/soak/NodePorts.java
@@ -2,6 +2,8 @@
 
 import java.io.IOException;
 import java.net.ServerSocket;
+import java.util.HashSet;
+import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 
 /**
@@ -24,6 +26,9 @@
 
     private static final int LAST = 32_000;
 
+    /** Ports that were given; nobody may listen on them yet, so that they look free. */
+    private static final Set<Integer> GIVEN = new HashSet<>();
+
     static NodePorts free(int domain) throws IOException {
         return new NodePorts(pair(), pair(), pair(), pair(), pair(), domain);
     }
@@ -33,7 +38,9 @@
             int port = ThreadLocalRandom.current().nextInt(FIRST, LAST);
             try (ServerSocket first = new ServerSocket(port);
                     ServerSocket next = new ServerSocket(port + 1)) {
-                return Math.min(first.getLocalPort(), next.getLocalPort());
+                if (isNew(first.getLocalPort(), next.getLocalPort())) {
+                    return first.getLocalPort();
+                }
             } catch (IOException e) {
                 // One of the two is taken; others are tried.
                 continue;
@@ -41,4 +48,13 @@
         }
         throw new IOException("no two free ports between " + FIRST + " and " + LAST);
     }
+
+    private static synchronized boolean isNew(int first, int next) {
+        if (GIVEN.contains(first) || GIVEN.contains(next)) {
+            return false;
+        }
+        GIVEN.add(first);
+        GIVEN.add(next);
+        return true;
+    }
 }
--- a/tools/src/test/java/org/copperspindle/cli/SoakTest.java
+++ b/tools/src/test/java/org/copperspindle/cli/SoakTest.java
@@ -6,6 +6,7 @@
 import org.copperspindle.soak.Soak;
 import org.copperspindle.soak.SoakReport;
 import org.copperspindle.soak.SoakSettings;
+import org.junit.jupiter.api.io.CleanupMode;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -18,7 +19,8 @@
  */
 class SoakTest {
 
-    @TempDir
+    // The logs of a soak that broke a promise stay, so that it can be traced.
+    @TempDir(cleanup = CleanupMode.ON_SUCCESS)
     private Path folder;
 
     // 101: a stand-in took the port of a node that was down, and answered the operator in its place. Ports of nodes are
