Use what the wire and the table have for suspicions, and drop what only a test called

Found by reading the change again. Ids of upstreams were joined by commas on the wire beside putStrings, and one with a comma would have come out as two; held requests were listed by copying the whole table and looking each up once more; the same condition stood four times; a cut answer was ended by hand although the end of its connection, which follows, says the same; two factories of a lost stage call served a test only.

--- a/library/src/main/java/org/copperspindle/batch/StageCallResult.java
+++ b/library/src/main/java/org/copperspindle/batch/StageCallResult.java
@@ -28,26 +28,5 @@
      * @param connectionLost true if its connection ended after it was sent, as when the upstream ends; false if no whole
      *                       answer came in time or over it
      */
-    record Lost(String reason, boolean connectionLost) implements StageCallResult {
-
-        /**
-         * Makes the result of a call whose connection ended after it was sent.
-         *
-         * @param reason what happened
-         * @return the result
-         */
-        public static Lost withConnection(String reason) {
-            return new Lost(reason, true);
-        }
-
-        /**
-         * Makes the result of a call without a whole answer.
-         *
-         * @param reason what happened
-         * @return the result
-         */
-        public static Lost inSilence(String reason) {
-            return new Lost(reason, false);
-        }
-    }
+    record Lost(String reason, boolean connectionLost) implements StageCallResult {}
 }
--- a/library/src/main/java/org/copperspindle/dialect/StageCalls.java
+++ b/library/src/main/java/org/copperspindle/dialect/StageCalls.java
@@ -128,7 +128,7 @@
 
         private void timedOut() {
             handle.abort("timeout");
-            end(StageCallResult.Lost.inSilence("timeout"));
+            end(new StageCallResult.Lost("timeout", false));
         }
 
         private void end(StageCallResult result) {
@@ -144,7 +144,7 @@
                 return new StageCallResult.NotRun("status-" + head.status());
             }
             if (!head.isSuccess()) {
-                return StageCallResult.Lost.inSilence("status-" + head.status());
+                return new StageCallResult.Lost("status-" + head.status(), false);
             }
             if (items == 0) {
                 return new StageCallResult.Answered(List.of());
@@ -152,14 +152,14 @@
             try {
                 return checked(format.read(JsonText.read(body.toByteArray())));
             } catch (IOException e) {
-                return StageCallResult.Lost.inSilence("answer-unreadable");
+                return new StageCallResult.Lost("answer-unreadable", false);
             }
         }
 
         private StageCallResult checked(List<PieceOutcome> outcomes) {
             if (outcomes.size() != items) {
                 // Outcomes have no name but their place: with one missing, none can be told from another.
-                return StageCallResult.Lost.inSilence("answer-incomplete");
+                return new StageCallResult.Lost("answer-incomplete", false);
             }
             return new StageCallResult.Answered(outcomes);
         }
--- a/library/src/main/java/org/copperspindle/direct/DirectConnection.java
+++ b/library/src/main/java/org/copperspindle/direct/DirectConnection.java
@@ -212,10 +212,7 @@
             return;
         }
         if (endsWithConnection && reset) {
-            DirectExchange cut = exchange;
-            exchange = null;
-            channel.close();
-            cut.lose("connection-reset");
+            // Not whole, and the end of the connection, which comes next, tells so.
             return;
         }
         done = true;
--- a/library/src/main/java/org/copperspindle/mesh/NodeMesh.java
+++ b/library/src/main/java/org/copperspindle/mesh/NodeMesh.java
@@ -182,10 +182,10 @@
         if (node == null || !node.closed(peer)) {
             return true;
         }
-        if (node.isUp()) {
-            listeners.forEach(listener -> listener.onConnectionLost(node));
-        }
         if (node.isConnected()) {
+            if (node.isUp()) {
+                listeners.forEach(listener -> listener.onConnectionLost(node));
+            }
             return true;
         }
         nodes.remove(node.address());
--- a/library/src/main/java/org/copperspindle/quarantine/EndedUpstreams.java
+++ b/library/src/main/java/org/copperspindle/quarantine/EndedUpstreams.java
@@ -27,7 +27,7 @@
     }
 
     /** Takes back that an upstream ended, since it answers. */
-    void lives(UpstreamLife life) {
+    void answered(UpstreamLife life) {
         if (!lives.isEmpty()) {
             lives.remove(life.text());
         }
--- a/library/src/main/java/org/copperspindle/quarantine/RequestQuarantine.java
+++ b/library/src/main/java/org/copperspindle/quarantine/RequestQuarantine.java
@@ -84,7 +84,7 @@
      * @return true also while it is held off
      */
     public boolean isSuspected(WatchedRequest request) {
-        return find(request).filter(known -> known.level() > 0).isPresent();
+        return find(request).filter(Suspicion::isSuspected).isPresent();
     }
 
     /**
@@ -114,8 +114,8 @@
     public void outlived(UpstreamRun run) {
         long now = timers.nanoTime();
         survival(run.request().pool()).outlived(now);
-        endedUpstreams.lives(run.life());
-        find(run.request()).filter(known -> known.level() > 0).ifPresent(known -> clear(known, "outlived"));
+        endedUpstreams.answered(run.life());
+        find(run.request()).filter(Suspicion::isSuspected).ifPresent(known -> clear(known, "outlived"));
     }
 
     /**
@@ -149,11 +149,7 @@
      * @return in no order
      */
     public List<HeldRequest> held() {
-        long now = timers.nanoTime();
-        return table.all(now).stream()
-                .filter(each -> table.isHeld(each.digest(), now))
-                .map(HeldRequest::of)
-                .toList();
+        return table.held(timers.nanoTime()).stream().map(HeldRequest::of).toList();
     }
 
     /**
@@ -163,7 +159,7 @@
      * @return false if it is not suspected
      */
     public boolean lift(RequestDigest digest) {
-        Optional<Suspicion> known = table.find(digest, timers.nanoTime()).filter(suspicion -> suspicion.level() > 0);
+        Optional<Suspicion> known = table.find(digest, timers.nanoTime()).filter(Suspicion::isSuspected);
         known.ifPresent(suspicion -> clear(suspicion, "lifted"));
         return known.isPresent();
     }
--- a/library/src/main/java/org/copperspindle/quarantine/Suspicion.java
+++ b/library/src/main/java/org/copperspindle/quarantine/Suspicion.java
@@ -45,6 +45,11 @@
         level = Math.max(0, Math.min(HoldPolicy.MOST, level));
     }
 
+    /** Says whether an upstream ended under the request in this epoch. */
+    boolean isSuspected() {
+        return level > 0;
+    }
+
     /** Returns the next epoch of it, cleared now. */
     Suspicion cleared() {
         return new Suspicion(digest, epoch + 1, 0, List.of(), route, account, 0);
@@ -92,19 +97,18 @@
         out.put(1, digest.text())
                 .put(2, epoch)
                 .put(3, level)
-                .put(4, String.join(",", upstreams))
+                .putStrings(4, upstreams)
                 .put(5, route)
                 .put(6, account)
                 .put(7, ageMillis);
     }
 
     private static Suspicion read(FieldReader in) {
-        String ids = in.getString(4);
         return new Suspicion(
                 new RequestDigest(in.getString(1)),
                 in.getLong(2, 0),
                 (int) in.getLong(3, 0),
-                ids.isEmpty() ? List.of() : List.of(ids.split(",")),
+                in.getStrings(4),
                 in.getString(5),
                 in.getString(6),
                 in.getLong(7, 0));
--- a/library/src/main/java/org/copperspindle/quarantine/SuspicionTable.java
+++ b/library/src/main/java/org/copperspindle/quarantine/SuspicionTable.java
@@ -37,7 +37,7 @@
     /** Says whether a request is held off. */
     boolean isHeld(RequestDigest digest, long now) {
         Entry entry = entries.get(digest);
-        return entry != null && HoldPolicy.isHeld(entry.suspicion().level(), now - entry.at());
+        return entry != null && entry.isHeld(now);
     }
 
     /** Merges what is heard; returns whether it says anything new. */
@@ -60,6 +60,14 @@
         return entries.values().stream().map(entry -> entry.told(now)).toList();
     }
 
+    /** Lists what is held off. */
+    List<Suspicion> held(long now) {
+        return entries.values().stream()
+                .filter(entry -> entry.isHeld(now))
+                .map(entry -> entry.told(now))
+                .toList();
+    }
+
     void forgetOld(long now) {
         entries.values().removeIf(entry -> entry.isOver(now));
     }
@@ -84,6 +92,10 @@
             return new Entry(suspicion, now - Duration.ofMillis(age).toNanos());
         }
 
+        boolean isHeld(long now) {
+            return HoldPolicy.isHeld(suspicion.level(), now - at);
+        }
+
         boolean isOver(long now) {
             return now - at >= HoldPolicy.keepNanos(suspicion.level());
         }
--- a/library/src/test/java/org/copperspindle/batch/FakeStagePort.java
+++ b/library/src/test/java/org/copperspindle/batch/FakeStagePort.java
@@ -46,13 +46,13 @@
         Conduct how = conduct.getOrDefault(id, Conduct.SOUND);
         if (how == Conduct.DARK) {
             time.schedule(
-                    timeoutMillis * NANOS_PER_MILLI, () -> callback.accept(StageCallResult.Lost.inSilence("timeout")));
+                    timeoutMillis * NANOS_PER_MILLI, () -> callback.accept(new StageCallResult.Lost("timeout", false)));
             return;
         }
         if (items.stream().anyMatch(item -> item.requestId().equals(fatal))) {
             time.schedule(
                     limits.expectedNanos(items.size()) / 2,
-                    () -> callback.accept(StageCallResult.Lost.withConnection("connection-closed")));
+                    () -> callback.accept(new StageCallResult.Lost("connection-closed", true)));
             return;
         }
         if (how == Conduct.REFUSING || queued.getOrDefault(id, 0) > limits.queue()) {
