Count in a sliding window in one place

The quarantine rolled two halves of a window by hand beside the ten buckets of the retry budget. Both use SlidingCount now; lengths of windows and buckets are as before, and so are the tests of both.

--- a/library/src/main/java/org/copperspindle/gateway/SharedRetryBudget.java
+++ b/library/src/main/java/org/copperspindle/gateway/SharedRetryBudget.java
@@ -4,6 +4,8 @@
 import java.util.HashMap;
 import java.util.Map;
 
+import org.copperspindle.measure.SlidingCount;
+
 /**
  * Bounds how often requests are sent to a second upstream, over all nodes. When a pool fails as a whole, sending again
  * multiplies its load just when it can bear least. Each node keeps to a share, so that the shares add up to less than
@@ -51,7 +53,7 @@
      * @param now  monotonic time in nanoseconds
      */
     public void requested(String pool, long now) {
-        window(pool).roll(now, bucketNanos).requests[0]++;
+        window(pool).requests.add(now);
     }
 
     /**
@@ -62,11 +64,10 @@
      * @return false if none is left
      */
     public boolean take(String pool, long now) {
-        Window window = window(pool).roll(now, bucketNanos);
-        if (left(window) < 1) {
+        if (left(pool, now) < 1) {
             return false;
         }
-        window.repeats[0]++;
+        window(pool).repeats.add(now);
         return true;
     }
 
@@ -78,48 +79,23 @@
      * @return a count, perhaps a fraction
      */
     public double left(String pool, long now) {
-        return left(window(pool).roll(now, bucketNanos));
-    }
-
-    private double left(Window window) {
-        double allowed = USED * (ratio * sum(window.requests) + slack / nodes);
-        return allowed - sum(window.repeats);
+        Window window = window(pool);
+        double allowed = USED * (ratio * window.requests.sum(now) + slack / nodes);
+        return allowed - window.repeats.sum(now);
     }
 
     private Window window(String pool) {
-        return windows.computeIfAbsent(pool, p -> new Window());
-    }
-
-    private static long sum(long[] counts) {
-        long sum = 0;
-        for (long count : counts) {
-            sum += count;
-        }
-        return sum;
+        return windows.computeIfAbsent(pool, p -> new Window(bucketNanos));
     }
 
-    /** Counts of the last buckets, the newest first. */
+    /** What a pool got lately. */
     private static final class Window {
-        private final long[] requests = new long[BUCKETS];
-        private final long[] repeats = new long[BUCKETS];
-        private long newest;
-        private boolean begun;
-
-        private Window roll(long now, long bucketNanos) {
-            long bucket = Math.floorDiv(now, bucketNanos);
-            long steps = begun ? Math.min(BUCKETS, bucket - newest) : 0;
-            for (long step = 0; step < steps; step++) {
-                shift(requests);
-                shift(repeats);
-            }
-            newest = bucket;
-            begun = true;
-            return this;
-        }
+        private final SlidingCount requests;
+        private final SlidingCount repeats;
 
-        private static void shift(long[] counts) {
-            System.arraycopy(counts, 0, counts, 1, BUCKETS - 1);
-            counts[0] = 0;
+        private Window(long bucketNanos) {
+            this.requests = new SlidingCount(BUCKETS, bucketNanos);
+            this.repeats = new SlidingCount(BUCKETS, bucketNanos);
         }
     }
 }
--- a/library/src/main/java/org/copperspindle/quarantine/PoolSurvival.java
+++ b/library/src/main/java/org/copperspindle/quarantine/PoolSurvival.java
@@ -5,6 +5,8 @@
 import java.util.Deque;
 import java.util.Set;
 
+import org.copperspindle.measure.SlidingCount;
+
 /**
  * How the upstreams of one pool have fared lately, as this node saw it: runs that they outlived, and ends of upstreams with the
  * requests that ran. It tells a request that ends upstreams from one that runs where everything does.
@@ -12,19 +14,18 @@
 final class PoolSurvival {
 
     /** Long enough for a few ends one after the other: an upstream takes seconds to be back. */
-    private static final long HALF_WINDOW_NANOS = Duration.ofSeconds(5).toNanos();
+    private static final long WINDOW_NANOS = Duration.ofSeconds(10).toNanos();
+
+    private static final int BUCKETS = 2;
 
     /** More ends than that in a window are many in any case. */
     private static final int MAX_ENDS = 64;
 
     private final Deque<End> ends = new ArrayDeque<>();
-    private long half = Long.MIN_VALUE;
-    private long outlived;
-    private long outlivedBefore;
+    private final SlidingCount outlived = new SlidingCount(BUCKETS, WINDOW_NANOS / BUCKETS);
 
     void outlived(long now) {
-        roll(now);
-        outlived++;
+        outlived.add(now);
     }
 
     /** Notes the end of an upstream with the requests of this node that ran there. */
@@ -37,24 +38,13 @@
 
     /** Says whether more upstreams ended without a request than runs were outlived. */
     boolean endsWithout(RequestDigest request, long now) {
-        roll(now);
-        ends.removeIf(end -> now - end.at() > 2 * HALF_WINDOW_NANOS);
+        ends.removeIf(end -> now - end.at() > WINDOW_NANOS);
         long without = ends.stream()
                 .filter(end -> !end.ran().contains(request))
                 .map(End::upstream)
                 .distinct()
                 .count();
-        return without > outlived + outlivedBefore;
-    }
-
-    private void roll(long now) {
-        long current = Math.floorDiv(now, HALF_WINDOW_NANOS);
-        if (current == half) {
-            return;
-        }
-        outlivedBefore = half != Long.MIN_VALUE && current - half == 1 ? outlived : 0;
-        outlived = 0;
-        half = current;
+        return without > outlived.sum(now);
     }
 
     private record End(String upstream, Set<RequestDigest> ran, long at) {}
