Count each life of an upstream that ends among the others

Found by reading the change again. Where upstreams start again under the id that they had, all of their ends counted as one, so that a popular request in a pool where everything ends was held off after three ends and not six. Cause: ends were told apart by id, not by life. The test fails without it.

--- a/library/src/main/java/org/copperspindle/quarantine/PoolSurvival.java
+++ b/library/src/main/java/org/copperspindle/quarantine/PoolSurvival.java
@@ -28,9 +28,9 @@
         outlived.add(now);
     }
 
-    /** Notes the end of an upstream with the requests of this node that ran there. */
-    void ended(String upstream, Set<RequestDigest> ran, long now) {
-        ends.addLast(new End(upstream, ran, now));
+    /** Notes the end of one life of an upstream with the requests of this node that ran there. */
+    void ended(String life, Set<RequestDigest> ran, long now) {
+        ends.addLast(new End(life, ran, now));
         if (ends.size() > MAX_ENDS) {
             ends.removeFirst();
         }
@@ -41,11 +41,11 @@
         ends.removeIf(end -> now - end.at() > WINDOW_NANOS);
         long without = ends.stream()
                 .filter(end -> !end.ran().contains(request))
-                .map(End::upstream)
+                .map(End::life)
                 .distinct()
                 .count();
         return without > outlived.sum(now);
     }
 
-    private record End(String upstream, Set<RequestDigest> ran, long at) {}
+    private record End(String life, Set<RequestDigest> ran, long at) {}
 }
--- a/library/src/main/java/org/copperspindle/quarantine/RequestQuarantine.java
+++ b/library/src/main/java/org/copperspindle/quarantine/RequestQuarantine.java
@@ -234,11 +234,11 @@
     private void upstreamEnded(UpstreamNews upstream, List<UpstreamRun> runs) {
         long now = timers.nanoTime();
         upstreamsEnded++;
+        String life = UpstreamLife.of(upstream).text();
         PoolSurvival pool = survival(upstream.pool());
         Set<RequestDigest> ran =
                 runs.stream().map(run -> run.request().digest()).collect(Collectors.toSet());
-        pool.ended(upstream.id(), ran, now);
-        String life = UpstreamLife.of(upstream).text();
+        pool.ended(life, ran, now);
         endedUpstreams.add(List.of(life));
         List<Suspicion> news = new ArrayList<>();
         for (UpstreamRun run : runs) {
--- a/library/src/test/java/org/copperspindle/quarantine/RequestQuarantineTest.java
+++ b/library/src/test/java/org/copperspindle/quarantine/RequestQuarantineTest.java
@@ -209,6 +209,22 @@
         assertThat(fleet.isHeldEverywhere(GUILTY)).isTrue();
     }
 
+    /** The same, where upstreams start again under the id that they had: each of their lives ended. */
+    @Test
+    void endsOfLaterLivesUnderOneIdAreOthersToo() {
+        fleet.serve(0, QuarantineFleet.request("served"));
+        fleet.serve(0, QuarantineFleet.request("served-too"));
+        for (int life = 1; life <= 2 * ENDS; life++) {
+            fleet.announce(0, "u", life, UpstreamPhase.READY);
+            fleet.end(0, Map.of(fleet.send(0, QuarantineFleet.request("other-" + life), 0), 0));
+            fleet.settle();
+        }
+        for (int i = 0; i < ENDS; i++) {
+            assertThat(fleet.endsOne(0, POPULAR)).isTrue();
+        }
+        assertThat(fleet.isHeldAnywhere(POPULAR)).isFalse();
+    }
+
     /** Two guilty requests at once, beside others that are served, are each held off after three ends. */
     @Test
     void twoGuiltyRequestsAtOnce() {
