Take a soak's ports from the loopback host that exists

Found by reading the change again. NodePorts drew ports of 127.0.0.1 at random and then remembered them, beside LoopbackHost, which gives each pair once on an address of its own, where neither another process's outgoing connection nor another soak takes them while a node is down. The verdict's header field and word are the library's constants.

--- a/soak/src/main/java/org/copperspindle/soak/LinkProxy.java
+++ b/soak/src/main/java/org/copperspindle/soak/LinkProxy.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -25,10 +24,10 @@
     private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
     private volatile LinkMode mode = LinkMode.PASS;
 
-    LinkProxy(int port, int targetPort) throws IOException {
-        this.target = new InetSocketAddress("127.0.0.1", targetPort);
-        this.server = new ServerSocket(port, BACKLOG, InetAddress.getByName("127.0.0.1"));
-        start(this::accept, "proxy-" + port);
+    LinkProxy(InetSocketAddress listen, InetSocketAddress target) throws IOException {
+        this.target = target;
+        this.server = new ServerSocket(listen.getPort(), BACKLOG, listen.getAddress());
+        start(this::accept, "proxy-" + listen.getPort());
     }
 
     void mode(LinkMode next) {
--- a/soak/src/main/java/org/copperspindle/soak/NodePorts.java
+++ b/soak/src/main/java/org/copperspindle/soak/NodePorts.java
@@ -1,14 +1,14 @@
 package org.copperspindle.soak;
 
 import java.io.IOException;
-import java.net.ServerSocket;
-import java.util.HashSet;
-import java.util.Set;
-import java.util.concurrent.ThreadLocalRandom;
+import java.net.InetSocketAddress;
+
+import org.copperspindle.loopback.LoopbackHost;
 
 /**
  * Ports of one node on loopback.
  *
+ * @param host      address of all of them, which nobody else uses
  * @param callers   for callers
  * @param readiness for the question whether it is ready
  * @param control   for operators and upstreams
@@ -16,45 +16,27 @@
  * @param bind      where it listens behind the proxy; the next one as well
  * @param domain    number of its failure domain
  */
-record NodePorts(int callers, int readiness, int control, int mesh, int bind, int domain) {
-
-    /**
-     * Below the range from which the kernel gives ports to whoever asks for any: a stand-in that took the port of a node
-     * that is down would answer in the node's place.
-     */
-    private static final int FIRST = 15_000;
-
-    private static final int LAST = 32_000;
-
-    /** Ports that were given; nobody may listen on them yet, so that they look free. */
-    private static final Set<Integer> GIVEN = new HashSet<>();
-
-    static NodePorts free(int domain) throws IOException {
-        return new NodePorts(pair(), pair(), pair(), pair(), pair(), domain);
+record NodePorts(String host, int callers, int readiness, int control, int mesh, int bind, int domain) {
+
+    static NodePorts free(LoopbackHost loopback, int domain) throws IOException {
+        InetSocketAddress callers = loopback.nextAddress();
+        return new NodePorts(
+                callers.getAddress().getHostAddress(),
+                callers.getPort(),
+                loopback.nextAddress().getPort(),
+                loopback.nextAddress().getPort(),
+                loopback.nextAddress().getPort(),
+                loopback.nextAddress().getPort(),
+                domain);
     }
 
-    private static int pair() throws IOException {
-        for (int tries = 0; tries < LAST - FIRST; tries++) {
-            int port = ThreadLocalRandom.current().nextInt(FIRST, LAST);
-            try (ServerSocket first = new ServerSocket(port);
-                    ServerSocket next = new ServerSocket(port + 1)) {
-                if (isNew(first.getLocalPort(), next.getLocalPort())) {
-                    return first.getLocalPort();
-                }
-            } catch (IOException e) {
-                // One of the two is taken; others are tried.
-                continue;
-            }
-        }
-        throw new IOException("no two free ports between " + FIRST + " and " + LAST);
+    /** Returns IP:PORT of a port of the node. */
+    String address(int port) {
+        return host + ':' + port;
     }
 
-    private static synchronized boolean isNew(int first, int next) {
-        if (GIVEN.contains(first) || GIVEN.contains(next)) {
-            return false;
-        }
-        GIVEN.add(first);
-        GIVEN.add(next);
-        return true;
+    /** Returns where a process listens or is reached at a port of the node. */
+    InetSocketAddress socketAddress(int port) {
+        return new InetSocketAddress(host, port);
     }
 }
--- a/soak/src/main/java/org/copperspindle/soak/NodeProcess.java
+++ b/soak/src/main/java/org/copperspindle/soak/NodeProcess.java
@@ -37,8 +37,8 @@
         this.ports = all.get(number);
         this.all = all;
         this.durable = durable;
-        this.mesh = new LinkProxy(ports.mesh(), ports.bind());
-        this.member = new LinkProxy(ports.mesh() + 1, ports.bind() + 1);
+        this.mesh = new LinkProxy(ports.socketAddress(ports.mesh()), ports.socketAddress(ports.bind()));
+        this.member = new LinkProxy(ports.socketAddress(ports.mesh() + 1), ports.socketAddress(ports.bind() + 1));
     }
 
     String name() {
@@ -153,16 +153,12 @@
             Files.createDirectories(data());
         }
         String seeds =
-                String.join(", ", all.stream().map(p -> address(p.mesh())).toList());
+                String.join(", ", all.stream().map(p -> p.address(p.mesh())).toList());
         return "[node]\nname = " + name + "\nfailure-domain = d" + ports.domain() + "\ncallers = "
-                + address(ports.callers()) + "\nreadiness = " + address(ports.readiness()) + "\ncontrol = "
-                + address(ports.control()) + "\nmesh = " + address(ports.mesh()) + "\nmesh-bind = "
-                + address(ports.bind()) + "\nseeds = " + seeds + "\nfirst-start = " + first
+                + ports.address(ports.callers()) + "\nreadiness = " + ports.address(ports.readiness()) + "\ncontrol = "
+                + ports.address(ports.control()) + "\nmesh = " + ports.address(ports.mesh()) + "\nmesh-bind = "
+                + ports.address(ports.bind()) + "\nseeds = " + seeds + "\nfirst-start = " + first
                 + "\ntolerated-losses = 1\nrevocation = " + SoakOperator.REVOCATION.toMillis()
                 + "ms\nretry-slack = 50\nstop-grace = 6s\n" + (durable ? "data-folder = " + data() + "\n" : "");
     }
-
-    private static String address(int port) {
-        return "127.0.0.1:" + port;
-    }
 }
--- a/soak/src/main/java/org/copperspindle/soak/Soak.java
+++ b/soak/src/main/java/org/copperspindle/soak/Soak.java
@@ -15,6 +15,7 @@
 
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import org.copperspindle.loopback.LoopbackHost;
 
 /**
  * One soak: starts a deployment, disturbs it by a plan, lets it recover, and judges what was seen. The door of this module.
@@ -62,8 +63,9 @@
     private Soak(SoakSettings settings, Consumer<String> progress) throws IOException {
         this.settings = settings;
         this.progress = progress;
+        LoopbackHost loopback = LoopbackHost.open();
         for (int number = 0; number < settings.nodes(); number++) {
-            ports.add(NodePorts.free(number));
+            ports.add(NodePorts.free(loopback, number));
         }
         this.operator = new SoakOperator(ports, book);
     }
--- a/soak/src/main/java/org/copperspindle/soak/SoakCaller.java
+++ b/soak/src/main/java/org/copperspindle/soak/SoakCaller.java
@@ -4,7 +4,6 @@
 import java.io.EOFException;
 import java.io.IOException;
 import java.io.InputStream;
-import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
@@ -15,7 +14,9 @@
 import java.util.concurrent.atomic.AtomicLong;
 
 import org.copperspindle.dialect.HeaderNames;
+import org.copperspindle.http.ProblemDetails;
 import org.copperspindle.soak.PromiseBook.Answer;
+import org.copperspindle.verdict.NotRunVerdict;
 
 /**
  * A caller that sends one request after the other, and keeps an open connection until the process behind it is gone.
@@ -23,6 +24,7 @@
 final class SoakCaller implements Runnable {
 
     private static final HeaderNames NAMES = HeaderNames.STANDARD;
+    private static final String VERDICT_FIELD = ProblemDetails.VERDICT_HEADER.toLowerCase(Locale.ROOT);
     private static final int CONNECT_MILLIS = 1000;
     private static final int DEADLINE_MILLIS = 4000;
     private static final int THINK_MILLIS = 60;
@@ -89,7 +91,7 @@
             close();
         }
         boolean notRun = List.of(503, 429, 408, 421).contains(reply.status)
-                || "NOT_RUN".equals(reply.fields.get("copperspindle-verdict"));
+                || NotRunVerdict.LABEL.equals(reply.fields.get(VERDICT_FIELD));
         return new Answer(
                 reply.status, reply.body.toString(StandardCharsets.UTF_8), reply.whole, reply.whole && notRun, sentAt);
     }
@@ -102,7 +104,7 @@
         NodePorts node = nodes.get(random.nextInt(nodes.size()));
         Socket next = new Socket();
         next.setSoTimeout(DEADLINE_MILLIS);
-        next.connect(new InetSocketAddress("127.0.0.1", node.callers()), CONNECT_MILLIS);
+        next.connect(node.socketAddress(node.callers()), CONNECT_MILLIS);
         socket = next;
         left = random.nextInt(FOR_ONE_CONNECTION);
     }
--- a/soak/src/main/java/org/copperspindle/soak/SoakOperator.java
+++ b/soak/src/main/java/org/copperspindle/soak/SoakOperator.java
@@ -84,7 +84,7 @@
 
     private Optional<String> send(String method, HttpRequest.BodyPublisher body) {
         NodePorts node = nodes.get(ThreadLocalRandom.current().nextInt(nodes.size()));
-        HttpRequest request = HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + node.control() + "/v1/table"))
+        HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + node.address(node.control()) + "/v1/table"))
                 .timeout(PATIENCE)
                 .method(method, body)
                 .build();
--- a/soak/src/main/java/org/copperspindle/soak/SoakUpstream.java
+++ b/soak/src/main/java/org/copperspindle/soak/SoakUpstream.java
@@ -108,7 +108,7 @@
                 .put("slots", 16)
                 .put("sequence", sequence.incrementAndGet())
                 .toString();
-        URI uri = URI.create("http://127.0.0.1:" + node.control() + "/v1/upstreams/" + id);
+        URI uri = URI.create("http://" + node.address(node.control()) + "/v1/upstreams/" + id);
         HttpRequest request = HttpRequest.newBuilder(uri)
                 .timeout(ACKNOWLEDGED)
                 .PUT(HttpRequest.BodyPublishers.ofString(body))
--- a/soak/src/test/java/org/copperspindle/soak/NodeProcessTest.java
+++ b/soak/src/test/java/org/copperspindle/soak/NodeProcessTest.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.List;
 
+import org.copperspindle.loopback.LoopbackHost;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -46,7 +47,7 @@
 
     private NodeProcess node(List<String> launcher) throws Exception {
         SoakSettings settings = new SoakSettings(1, Duration.ofSeconds(1), 1, 0, folder, false, launcher);
-        return new NodeProcess(0, settings, List.of(NodePorts.free(0)), false);
+        return new NodeProcess(0, settings, List.of(NodePorts.free(LoopbackHost.open(), 0)), false);
     }
 
     private static void awaitEnd(NodeProcess node) {
