--- a/library/src/main/java/org/copperspindle/batch/PieceQueue.java
+++ b/library/src/main/java/org/copperspindle/batch/PieceQueue.java
@@ -76,10 +76,8 @@
 
     /**
      * Takes the pieces of the next call. While a full call waits, a group that does not fit whole is split: the rest goes with
-     * the next call, with which all of it would have gone, and the places cost nothing. Whole, groups of 16 pieces on the
-     * average filled 23 of 31 places while 64 pieces waited; split, and with groups of other failure domains behind them, all
-     * kinds of requests earned 0.973 of their worth rather than 0.956 in replay. With less to do a group stays whole, since
-     * its request waits for the later of two calls.
+     * the next call, with which all of it would have gone, and the places cost nothing; whole groups leave places empty while
+     * pieces wait. With less to do a group stays whole, since its request waits for the later of two calls.
      *
      * <p>Groups that should rather wait for another upstream do so while the pool keeps up. While it is behind they come after
      * the others, so that calls are full and bytes still mostly stay in a failure domain.
@@ -147,8 +145,7 @@
 
     /**
      * Says whether a group may be made by two calls. Its first results fill their maker's memory until the rest is there:
-     * split groups of large ones took two makers' whole memory, and calls of six places went out with one or two pieces while
-     * forty waited.
+     * split groups of large ones would take two makers' whole memory, and calls go out nearly empty while many pieces wait.
      */
     private static boolean maySplit(WaitingGroup group, BatchLimits limits) {
         return limits.batch() * group.group().resultBytes() * SPLIT_ROOM <= limits.resultBytes();
--- a/library/src/main/java/org/copperspindle/batch/PoolDispatcher.java
+++ b/library/src/main/java/org/copperspindle/batch/PoolDispatcher.java
@@ -149,9 +149,9 @@
 
     /**
      * Gives slow upstreams that are left alone one small call each, now and then. Nothing else can show that they are sound
-     * again, and under load another one is always busy: three of eleven upstreams that were slow for four seconds stayed
-     * unused for the 14 and 23 s of load after that, and callers were refused. The call has the least urgent group, since
-     * what goes to an upstream that is still slow comes late.
+     * again, and under load another one is always busy: upstreams that had been slow for a moment stayed unused as long as the
+     * load lasted, and callers were refused. The call has the least urgent group, since what goes to an upstream that is
+     * still slow comes late.
      */
     private void trySlowOnes(List<StageUpstream> slow, BatchLimits known, long now) {
         for (StageUpstream upstream : slow) {
--- a/library/src/main/java/org/copperspindle/batch/PoolUpstreams.java
+++ b/library/src/main/java/org/copperspindle/batch/PoolUpstreams.java
@@ -26,8 +26,7 @@
     /**
      * A pool is behind when so many full calls wait for each of its upstreams. With one full call for the whole pool as the
      * bound, a pool of thirty upstreams was always behind, since groups that wait for an upstream of their failure domain count
-     * as well. Of 5.7 GB of inputs that its pieces read in half a minute, 2.2 GB came from other failure domains; with this
-     * bound 0.6 GB, and callers fare alike (replay of six failure domains).
+     * as well, and its pieces read most of their inputs from other failure domains.
      */
     private static final double BEHIND_CALLS = 0.5;
 
--- a/library/src/main/java/org/copperspindle/batch/StageUpstream.java
+++ b/library/src/main/java/org/copperspindle/batch/StageUpstream.java
@@ -22,8 +22,8 @@
     private static final long LONGEST_PAUSE_NANOS = 3_200_000_000L;
 
     /**
-     * A call that takes so many times what it should is lost. An upstream whose answers are lost is free meanwhile: at five
-     * times, and half a second more, each such call took 1.6 to 1.9 s of one upstream of four, and its requests were late.
+     * A call that takes so many times what it should is lost. An upstream whose answers are lost is free meanwhile: with more
+     * patience each such call would keep it idle for seconds, and its requests would be late.
      */
     private static final double PATIENCE = 2.5;
 
@@ -201,7 +201,7 @@
 
     /**
      * Notes that results are gone from the upstream's memory. Counted as free when they are given up, the next call would
-     * overtake that on another connection and find the memory full: 20 to 260 pieces in half a minute did.
+     * overtake that on another connection and find the memory full.
      */
     void freed(List<String> handles) {
         Set<String> gone = Set.copyOf(handles);
--- a/library/src/main/java/org/copperspindle/batch/WaitingGroup.java
+++ b/library/src/main/java/org/copperspindle/batch/WaitingGroup.java
@@ -13,9 +13,8 @@
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
     /**
-     * What a group reads or makes below this costs less to move than a wait costs its request. At 1 MB a large result by itself
-     * and a group of four pieces that each read 0.24 MB waited for nobody; with a quarter of that 0.36 GB move in half a minute
-     * in place of 1.49 GB, and callers fare alike (replay of six failure domains).
+     * What a group reads or makes below this costs less to move than a wait costs its request. With a larger bound a large result
+     * by itself, and a small group of pieces that each read much, would wait for nobody and cross failure domains.
      */
     private static final long LARGE_BYTES = 250_000L;
 
--- a/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
@@ -74,8 +74,8 @@
     private static final Duration LONELY_TIME = Duration.ofSeconds(2);
 
     /**
-     * Cores of a VM that packs the calls of a pool without delay. On 0.27 of a core with 7 Mbit/s, 57 in 100 drafts of a
-     * calm day were on time, and 70 on 0.96 of a core with 100 Mbit/s.
+     * Cores of a VM that packs the calls of a pool without delay. On a smaller one, which has a slower link as well, requests
+     * are late though the pool keeps up.
      */
     private static final double PACKING_CORES = 0.5;
 
--- a/library/src/main/java/org/copperspindle/gateway/RequestRun.java
+++ b/library/src/main/java/org/copperspindle/gateway/RequestRun.java
@@ -222,8 +222,7 @@
 
     /**
      * Returns the failure domain of the upstream that the request would go to now. Its large stage results are made there if
-     * that costs no time: in replay, half a minute of bursts moved 0.95 GB of results to another failure domain, and 1.53 GB
-     * where calls did not mind it.
+     * that costs no time: what crosses failure domains is what stage work costs most.
      */
     private Optional<String> meantDomain() {
         return choose(StageInputs.NONE, context.timers().nanoTime()).map(UpstreamNews::failureDomain);
@@ -300,8 +299,8 @@
 
     /**
      * Gives the stage results up while the upstream reads the prompt, before which it has fetched them. Kept until the first
-     * event, results of a pool of eleven left room for 27 pieces in calls of 39: long prompts make engines slow just when
-     * many requests end their stages.
+     * event, they would leave calls of the pool without room: long prompts make engines slow just when many requests end
+     * their stages.
      */
     private void giveUpResults(StageRun run, UpstreamAttempt reader) {
         context.timers().schedule(run.fetchNanos(context.fetches()), () -> {
--- a/library/src/main/java/org/copperspindle/gateway/StageExcess.java
+++ b/library/src/main/java/org/copperspindle/gateway/StageExcess.java
@@ -12,8 +12,8 @@
 final class StageExcess {
 
     /**
-     * Weight of the newest request in the mean. Waits for upstreams near the inputs and small queues add 0.2 to 0.35 s to three
-     * stages; a mean over the last ten requests follows a pool that turns slow within seconds.
+     * Weight of the newest request in the mean. Waits for upstreams near the inputs and small queues add a part of a call to
+     * each stage; a mean over the last ten requests follows a pool that turns slow within seconds.
      */
     private static final double WEIGHT = 0.1;
 
--- a/library/src/main/java/org/copperspindle/gateway/UrgentKinds.java
+++ b/library/src/main/java/org/copperspindle/gateway/UrgentKinds.java
@@ -24,7 +24,7 @@
     /**
      * Returns an example of each kind that is more urgent than a request by the ranks of their routes. The rank of an account
      * does not count here: the few requests of a preferred account, which come now and then, would keep room free all
-     * the time. On a calm day 62 of 648 requests of the most urgent kind were refused for them.
+     * the time, and requests of the most urgent kind would be refused for them.
      *
      * @param request the request
      * @param now     monotonic time in nanoseconds
--- a/library/src/main/java/org/copperspindle/gateway/WaitEstimate.java
+++ b/library/src/main/java/org/copperspindle/gateway/WaitEstimate.java
@@ -11,9 +11,9 @@
 final class WaitEstimate {
 
     /**
-     * A caller with less than this part of the longest time that any caller of its route has named was here before. Callers
-     * of one route differ in patience by 15 in 100 either way, 0.85 / 1.15; taken for waiting, that difference made half
-     * of all first attempts look too late to be served in time.
+     * A caller with less than this part of the longest time that any caller of its route has named was here before: the
+     * quotient of the least and the most patient caller of a route, and a little less. Taken for waiting, their
+     * difference would make first attempts look too late to be served in time.
      */
     private static final double RETURNED_PART = 0.735;
 
--- a/library/src/main/java/org/copperspindle/mesh/NodeListMessage.java
+++ b/library/src/main/java/org/copperspindle/mesh/NodeListMessage.java
@@ -9,8 +9,7 @@
 
 /**
  * The nodes that a node is connected to, so that others find them. Told on a new connection and when it has changed: as a
- * part of each hello, all lists together grew with the cube of the number of nodes, 39 KB a second at each of 35 nodes and
- * 620 KB at each of 136 (reckoned from their encoded size).
+ * part of each hello, all lists together would grow with the cube of the number of nodes.
  *
  * @param nodes node addresses
  */
