--- a/library/src/main/java/org/copperspindle/batch/PoolDispatcher.java
+++ b/library/src/main/java/org/copperspindle/batch/PoolDispatcher.java
@@ -33,6 +33,12 @@
     /** Pause of an upstream that refused a call because others call it as well: a fraction of a call. */
     private static final long BUSY_PAUSE_NANOS = Duration.ofMillis(60).toNanos();
 
+    /**
+     * The same while the upstream is cold, and how often it is told then of results that are given up: it bears a few requests
+     * a second, refused ones too.
+     */
+    private static final long COLD_PAUSE_NANOS = Duration.ofMillis(500).toNanos();
+
     /** Pause of an upstream without memory for results; callers free them within a fraction of a second. */
     private static final long ROOM_PAUSE_NANOS = Duration.ofMillis(100).toNanos();
 
@@ -112,10 +118,7 @@
         for (String handle : handles) {
             ResultHandle.makerAddress(handle).flatMap(upstreams::findByAddress).ifPresent(maker -> maker.free(handle));
         }
-        if (!freeing) {
-            freeing = true;
-            timers.schedule(FREE_NANOS, this::sendFreed);
-        }
+        freeLater(FREE_NANOS);
     }
 
     /** Called when the upstreams of the pool changed. */
@@ -245,7 +248,7 @@
             learnFetchTime(tasks, answered.outcomes());
             take(upstream, tasks, answered.outcomes(), now);
         } else if (result instanceof StageCallResult.NotRun notRun) {
-            upstream.notRun(now, BUSY_PAUSE_NANOS);
+            upstream.notRun(now, upstreams.isCold(upstream, now) ? COLD_PAUSE_NANOS : BUSY_PAUSE_NANOS);
             LOGGER.info(
                     "event=stage-call-refused pool={} upstream={} pieces={} reason={}",
                     pool,
@@ -439,11 +442,24 @@
         });
     }
 
+    private void freeLater(long nanos) {
+        if (!freeing) {
+            freeing = true;
+            timers.schedule(nanos, this::sendFreed);
+        }
+    }
+
     private void sendFreed() {
         freeing = false;
+        long now = timers.nanoTime();
         for (StageUpstream upstream : upstreams.all()) {
-            List<String> handles = upstream.takeFreed();
-            if (!handles.isEmpty()) {
+            if (upstreams.isCold(upstream, now) && !upstream.mayFreeWhileCold(now, COLD_PAUSE_NANOS)) {
+                freeLater(COLD_PAUSE_NANOS);
+                continue;
+            }
+            List<String> handles = upstream.takeFreed(now);
+            // An upstream that is evacuated gets nothing any more; it forgets its results by itself.
+            if (!handles.isEmpty() && upstreams.isReady(upstream)) {
                 port.free(upstream.news(), handles, () -> {
                     upstream.freed(handles);
                     dispatch();
--- a/library/src/main/java/org/copperspindle/batch/PoolUpstreams.java
+++ b/library/src/main/java/org/copperspindle/batch/PoolUpstreams.java
@@ -53,7 +53,17 @@
     void refresh() {
         ready = directory.ready(pool);
         ready.forEach(news -> byId.compute(news.id(), (id, known) -> known(known, news)));
-        byId.values().removeIf(u -> u.calls() == 0 && !ready.contains(u.news()));
+        byId.values().removeIf(u -> u.calls() == 0 && !isReady(u));
+    }
+
+    /** Says whether an upstream may be called at all: it has neither left, nor drains, nor is its failure domain evacuated. */
+    boolean isReady(StageUpstream upstream) {
+        return ready.contains(upstream.news());
+    }
+
+    /** Says whether an upstream bears less than others for a while. */
+    boolean isCold(StageUpstream upstream, long now) {
+        return directory.isCold(upstream.news(), now);
     }
 
     Optional<StageUpstream> findByAddress(String address) {
@@ -65,7 +75,7 @@
     /** Returns the upstreams that a call may go to now, the fastest first. */
     List<StageUpstream> callable(BatchLimits limits, long now) {
         return byId.values().stream()
-                .filter(u -> u.isFree(limits, now) && ready.contains(u.news()))
+                .filter(u -> u.isFree(limits, now) && isReady(u))
                 .sorted(Comparator.comparingDouble(StageUpstream::slowness))
                 .collect(Collectors.toCollection(ArrayList::new));
     }
@@ -92,7 +102,10 @@
      */
     boolean isSoonFree(String domain, long nanos, long now) {
         return byId.values().stream()
-                .anyMatch(u -> !u.isPaused(now) && u.news().failureDomain().equals(domain) && u.busyNanos(now) < nanos);
+                .anyMatch(u -> !u.isPaused(now)
+                        && isReady(u)
+                        && u.news().failureDomain().equals(domain)
+                        && u.busyNanos(now) < nanos);
     }
 
     /**
@@ -130,7 +143,7 @@
     private List<StageUpstream> usable(long now) {
         double slow = slowFrom(now);
         return byId.values().stream()
-                .filter(u -> !u.isPaused(now) && u.slowness() <= slow)
+                .filter(u -> !u.isPaused(now) && u.slowness() <= slow && isReady(u))
                 .toList();
     }
 
--- a/library/src/main/java/org/copperspindle/batch/StageUpstream.java
+++ b/library/src/main/java/org/copperspindle/batch/StageUpstream.java
@@ -57,6 +57,7 @@
     private int slowTrials;
     private long trialFrom;
     private long resultBytes;
+    private long freedAt = Long.MIN_VALUE / 2;
 
     StageUpstream(UpstreamNews news) {
         this.news = news;
@@ -192,10 +193,16 @@
         toFree.add(handle);
     }
 
+    /** Says whether a cold upstream may be told of results again, or has none to be told of. */
+    boolean mayFreeWhileCold(long now, long pauseNanos) {
+        return toFree.isEmpty() || now - freedAt >= pauseNanos;
+    }
+
     /** Takes the results to give up now. */
-    List<String> takeFreed() {
+    List<String> takeFreed(long now) {
         List<String> freed = List.copyOf(toFree);
         toFree.clear();
+        freedAt = freed.isEmpty() ? freedAt : now;
         return freed;
     }
 
--- a/library/src/main/java/org/copperspindle/dialect/AnnouncementFields.java
+++ b/library/src/main/java/org/copperspindle/dialect/AnnouncementFields.java
@@ -6,7 +6,7 @@
 import org.copperspindle.wire.NumericAddress;
 
 /**
- * Names of the fields in which upstreams of a deployment say what they are. All but the incarnation are required, since an
+ * Names of the fields in which upstreams of a deployment say what they are. All but the last two are required, since an
  * announcement may come from a writer of another kind or version: what does not say all of it names no upstream.
  *
  * @param pool          name of the pool
@@ -16,6 +16,7 @@
  * @param slots         requests that it runs at once
  * @param sequence      number of the announcement within one life
  * @param incarnation   when that life began, milliseconds since 1970; may be absent
+ * @param cold          how many milliseconds it stays cold; may be absent
  */
 public record AnnouncementFields(
         String pool,
@@ -24,7 +25,8 @@
         String phase,
         String slots,
         String sequence,
-        String incarnation) {
+        String incarnation,
+        String cold) {
 
     /**
      * Reads an announcement.
@@ -44,7 +46,8 @@
                 readPhase(JsonText.requireText(body, phase)),
                 (int) Math.min(Integer.MAX_VALUE, JsonText.requireAtLeast(body, slots, 1)),
                 JsonText.requireAtLeast(body, sequence, 0),
-                0);
+                0,
+                readCold(body));
     }
 
     /**
@@ -58,6 +61,17 @@
         return body.has(incarnation) ? JsonText.requireAtLeast(body, incarnation, 1) : UpstreamNews.UNKNOWN_INCARNATION;
     }
 
+    /** Fractions of a millisecond are rounded up: an upstream must not count as warm too early. */
+    private long readCold(JsonNode body) {
+        if (!body.hasNonNull(cold)) {
+            return 0;
+        }
+        if (!body.get(cold).isNumber()) {
+            throw new IllegalArgumentException(cold + " is not a number");
+        }
+        return (long) Math.ceil(Math.max(0, body.get(cold).asDouble()));
+    }
+
     private UpstreamPhase readPhase(String text) {
         return switch (text) {
             case "ready" -> UpstreamPhase.READY;
--- a/library/src/main/java/org/copperspindle/dialect/ControlFormat.java
+++ b/library/src/main/java/org/copperspindle/dialect/ControlFormat.java
@@ -36,6 +36,20 @@
      */
     ControlCall readTable();
 
+    /**
+     * Returns how an operator has a failure domain evacuated.
+     *
+     * @return method and start of the path; the failure domain's name follows
+     */
+    ControlCall evacuate();
+
+    /**
+     * Returns how an operator has a failure domain used again.
+     *
+     * @return method and start of the path; the failure domain's name follows
+     */
+    ControlCall endEvacuation();
+
     /**
      * Returns the content type of configurations.
      *
--- a/library/src/main/java/org/copperspindle/dialect/HttpControlDoor.java
+++ b/library/src/main/java/org/copperspindle/dialect/HttpControlDoor.java
@@ -29,6 +29,7 @@
     private final ControlDesk desk;
     private final ControlFormat format;
     private final HeldRequestCalls heldRequests;
+    private final EvacuationCalls evacuations;
 
     /**
      * Creates the door.
@@ -40,12 +41,15 @@
         this.desk = desk;
         this.format = format;
         this.heldRequests = new HeldRequestCalls(desk);
+        this.evacuations = new EvacuationCalls(desk.evacuations(), format, this::other);
     }
 
     @Override
     public void handle(HttpExchange exchange) {
         if (HeldRequestCalls.isMeant(exchange)) {
             heldRequests.handle(exchange);
+        } else if (evacuations.isMeant(exchange)) {
+            evacuations.handle(exchange);
         } else if (isCall(exchange, format.announce())) {
             announced(exchange, idOf(exchange, format.announce()));
         } else if (isCall(exchange, format.leave())) {
@@ -131,7 +135,8 @@
 
     private void other(HttpExchange exchange, ControlAnswer result) {
         if (result instanceof ControlAnswer.Elsewhere elsewhere) {
-            String location = "http://" + elsewhere.control() + exchange.path();
+            String target = exchange.uri().startsWith("/") ? exchange.uri() : exchange.path();
+            String location = "http://" + elsewhere.control() + target;
             exchange.respond(TEMPORARY_REDIRECT, JsonText.CONTENT_TYPE, Map.of("Location", location), new byte[0]);
         } else if (result instanceof ControlAnswer.Invalid invalid) {
             problem(exchange, BAD_REQUEST, invalid.problem());
--- a/library/src/main/java/org/copperspindle/dialect/StandardControlFormat.java
+++ b/library/src/main/java/org/copperspindle/dialect/StandardControlFormat.java
@@ -10,8 +10,8 @@
 
     private static final String UPSTREAMS = "/v1/upstreams/";
     private static final String TABLE = "/v1/table";
-    private static final AnnouncementFields UPSTREAM =
-            new AnnouncementFields("pool", "address", "failure_domain", "phase", "slots", "sequence", "incarnation");
+    private static final AnnouncementFields UPSTREAM = new AnnouncementFields(
+            "pool", "address", "failure_domain", "phase", "slots", "sequence", "incarnation", "cold_ms");
 
     @Override
     public ControlCall announce() {
@@ -33,6 +33,16 @@
         return new ControlCall("GET", TABLE);
     }
 
+    @Override
+    public ControlCall evacuate() {
+        return EvacuationCalls.BEGIN;
+    }
+
+    @Override
+    public ControlCall endEvacuation() {
+        return EvacuationCalls.END;
+    }
+
     @Override
     public String tableType() {
         return "text/plain; charset=utf-8";
--- a/library/src/main/java/org/copperspindle/dialect/StandardTables.java
+++ b/library/src/main/java/org/copperspindle/dialect/StandardTables.java
@@ -11,6 +11,7 @@
 import org.copperspindle.route.BatchLimits;
 import org.copperspindle.route.CallerLimits;
 import org.copperspindle.route.ClientAccount;
+import org.copperspindle.route.ColdLimits;
 import org.copperspindle.route.Route;
 import org.copperspindle.route.RouteKind;
 import org.copperspindle.route.RouteStage;
@@ -132,11 +133,19 @@
                 s.subject(),
                 (int) s.getLong("max-connections", 1, MOST, Optional.of(100L)),
                 batch > 0 ? Optional.of(batch(s, batch)) : Optional.empty(),
-                slots > 0 ? OptionalInt.of(slots) : OptionalInt.empty());
+                slots > 0 ? OptionalInt.of(slots) : OptionalInt.empty(),
+                cold(s));
         s.finish();
         return pool;
     }
 
+    /** Without a rate cold upstreams bear as much as others. */
+    private static Optional<ColdLimits> cold(SettingsSection s) {
+        double perSecond = s.getDouble("cold-per-second", 0, MOST, Optional.of(0.0));
+        Duration time = s.getDuration("cold-time", Optional.of(Duration.ZERO));
+        return perSecond > 0 ? Optional.of(new ColdLimits(time, perSecond)) : Optional.empty();
+    }
+
     private static BatchLimits batch(SettingsSection s, int batch) {
         return new BatchLimits(
                 (int) s.getLong("calls-at-once", 1, MOST, Optional.of(1L)),
--- a/library/src/main/java/org/copperspindle/discovery/UpstreamDirectory.java
+++ b/library/src/main/java/org/copperspindle/discovery/UpstreamDirectory.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -24,7 +25,11 @@
     /** Longer than any late announcement or passed-on record may take. */
     private static final long FORGET_NANOS = Duration.ofSeconds(60).toNanos();
 
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+
     private final Map<String, Known> byId = new LinkedHashMap<>();
+    private final EvacuatedDomains evacuated = new EvacuatedDomains();
+    private Map<String, Long> coldNanosByPool = Map.of();
     private final Map<String, String> holders = new HashMap<>();
     private final List<DirectoryListener> listeners = new ArrayList<>();
 
@@ -37,6 +42,69 @@
         listeners.add(listener);
     }
 
+    /**
+     * Sets which failure domains are evacuated. Their upstreams are not {@link #ready} from now on. Those of a failure domain that is
+     * used again count as cold for as long as those of their pool stay cold after a start: they may have become so in the
+     * same moment, and all nodes see them without any load.
+     *
+     * @param failureDomains all that are evacuated
+     * @param now            monotonic time in nanoseconds
+     */
+    public void evacuate(Set<String> failureDomains, long now) {
+        Set<String> changed = evacuated.replace(failureDomains, now);
+        List<UpstreamNews> concerned = byId.values().stream()
+                .map(Known::news)
+                .filter(news -> news.phase() != UpstreamPhase.GONE && changed.contains(news.failureDomain()))
+                .toList();
+        concerned.forEach(this::tell);
+    }
+
+    /**
+     * Says whether a failure domain is evacuated.
+     *
+     * @param failureDomain its name
+     * @return true if its upstreams get nothing
+     */
+    public boolean isEvacuated(String failureDomain) {
+        return evacuated.contains(failureDomain);
+    }
+
+    /**
+     * Says whether any upstream has announced itself in a failure domain.
+     *
+     * @param failureDomain its name
+     * @return false if none is known there
+     */
+    public boolean hasDomain(String failureDomain) {
+        return byId.values().stream()
+                .anyMatch(known -> known.news().failureDomain().equals(failureDomain));
+    }
+
+    /**
+     * Sets how long upstreams stay cold.
+     *
+     * @param nanosByPool nanoseconds by name of the pool; upstreams of other pools are never presumed to be cold
+     */
+    public void coldTimes(Map<String, Long> nanosByPool) {
+        coldNanosByPool = Map.copyOf(nanosByPool);
+    }
+
+    /**
+     * Says whether an upstream is cold: by what it said, counted from when it was heard, or because its failure domain was
+     * evacuated until a short while ago.
+     *
+     * @param news the upstream
+     * @param now  monotonic time in nanoseconds
+     * @return true if it bears little
+     */
+    public boolean isCold(UpstreamNews news, long now) {
+        Known known = byId.get(news.id());
+        boolean stated = known != null
+                && known.news().isCold()
+                && now - known.statedAt() < known.news().coldMillis() * NANOS_PER_MILLI;
+        return stated || evacuated.isReopened(news.failureDomain(), coldNanosByPool.getOrDefault(news.pool(), 0L), now);
+    }
+
     /**
      * Takes an announcement, heard here or passed on by another node.
      *
@@ -58,7 +126,7 @@
             holders.remove(before.news().address(), news.id());
         }
         boolean held = holds(news.id(), news.address());
-        byId.put(news.id(), new Known(news, before == null ? heardAt : Math.max(heardAt, before.heardAt())));
+        byId.put(news.id(), new Known(news, before == null ? heardAt : Math.max(heardAt, before.heardAt()), heardAt));
         boolean taken = held || takeAddress(news, heardAt);
         if (same && held) {
             return DirectoryChange.REFRESHED;
@@ -67,7 +135,7 @@
             return DirectoryChange.NONE;
         }
         LOGGER.info(
-                "event=upstream-{} upstream={} incarnation={} before={} pool={} address={} domain={} sequence={} age_ms={}",
+                "event=upstream-{} upstream={} incarnation={} before={} pool={} address={} domain={} sequence={} age_ms={} cold_ms={}",
                 news.phase() == UpstreamPhase.READY ? "seen" : "draining",
                 news.id(),
                 news.incarnation(),
@@ -76,7 +144,8 @@
                 news.address(),
                 news.failureDomain(),
                 news.sequence(),
-                news.ageMillis());
+                news.ageMillis(),
+                news.coldMillis());
         tell(news);
         return DirectoryChange.CHANGED;
     }
@@ -149,13 +218,25 @@
         List<UpstreamNews> found = new ArrayList<>();
         for (Known known : byId.values()) {
             UpstreamNews news = known.news();
-            if (news.phase() == UpstreamPhase.READY && news.pool().equals(pool) && holds(news.id(), news.address())) {
+            boolean ready = news.phase() == UpstreamPhase.READY && news.pool().equals(pool);
+            if (ready && !isEvacuated(news.failureDomain()) && holds(news.id(), news.address())) {
                 found.add(news);
             }
         }
         return found;
     }
 
+    /**
+     * Counts the upstreams of a pool that take requests and are cold.
+     *
+     * @param pool name of the pool
+     * @param now  monotonic time in nanoseconds
+     * @return a count
+     */
+    public long countCold(String pool, long now) {
+        return ready(pool).stream().filter(news -> isCold(news, now)).count();
+    }
+
     /**
      * Says how long ago an upstream was heard.
      *
@@ -194,14 +275,14 @@
 
     private DirectoryChange leave(Known before, UpstreamNews news, long now) {
         if (before == null) {
-            byId.put(news.id(), new Known(news, now));
+            byId.put(news.id(), new Known(news, now, now));
             return DirectoryChange.NONE;
         }
         holders.remove(before.news().address(), news.id());
         UpstreamNews gone = isOther(news.incarnation(), before.news())
                 ? news
                 : before.news().gone();
-        byId.put(news.id(), new Known(gone, now));
+        byId.put(news.id(), new Known(gone, now, now));
         tell(before.news().gone());
         return DirectoryChange.CHANGED;
     }
@@ -252,7 +333,10 @@
         return incarnation != UpstreamNews.UNKNOWN_INCARNATION && incarnation != known.incarnation();
     }
 
-    /** Returns the news as if they carried the age and number of the older ones, to compare the rest. */
+    /**
+     * Returns the news as if they carried the age and number of the older ones, to compare the rest. For how long an upstream
+     * stays cold changes with each announcement; only whether it does is a change.
+     */
     private static UpstreamNews withSequence(UpstreamNews news, UpstreamNews older) {
         return new UpstreamNews(
                 news.id(),
@@ -263,8 +347,10 @@
                 news.phase(),
                 news.slots(),
                 older.sequence(),
-                0);
+                0,
+                news.isCold() == older.isCold() ? older.coldMillis() : news.coldMillis());
     }
 
-    private record Known(UpstreamNews news, long heardAt) {}
+    /** An upstream, when it was heard last, and when it said what is known of it. */
+    private record Known(UpstreamNews news, long heardAt, long statedAt) {}
 }
--- a/library/src/main/java/org/copperspindle/discovery/UpstreamNews.java
+++ b/library/src/main/java/org/copperspindle/discovery/UpstreamNews.java
@@ -19,6 +19,7 @@
  * @param slots         requests that it runs at once
  * @param sequence      number of the announcement within this life, to order late ones
  * @param ageMillis     how long ago the sender of this record heard it
+ * @param coldMillis    how much longer it stays cold, counted from when it said so; 0 if it is not cold
  */
 public record UpstreamNews(
         String id,
@@ -29,7 +30,8 @@
         UpstreamPhase phase,
         int slots,
         long sequence,
-        long ageMillis)
+        long ageMillis,
+        long coldMillis)
         implements WireMessage {
 
     /** Incarnation of an upstream that does not tell when it started. */
@@ -46,7 +48,7 @@
      */
     public UpstreamNews gone() {
         return new UpstreamNews(
-                id, incarnation, pool, address, failureDomain, UpstreamPhase.GONE, slots, sequence, ageMillis);
+                id, incarnation, pool, address, failureDomain, UpstreamPhase.GONE, slots, sequence, ageMillis, 0);
     }
 
     /**
@@ -57,11 +59,17 @@
      * @return a record without address and pool
      */
     static UpstreamNews goneUnheard(String id, long incarnation) {
-        return new UpstreamNews(id, incarnation, "", "", "", UpstreamPhase.GONE, 0, 0, 0);
+        return new UpstreamNews(id, incarnation, "", "", "", UpstreamPhase.GONE, 0, 0, 0, 0);
     }
 
     UpstreamNews withAge(long millis) {
-        return new UpstreamNews(id, incarnation, pool, address, failureDomain, phase, slots, sequence, millis);
+        return new UpstreamNews(
+                id, incarnation, pool, address, failureDomain, phase, slots, sequence, millis, coldMillis);
+    }
+
+    /** Says whether the upstream was cold when it announced itself. */
+    boolean isCold() {
+        return coldMillis > 0;
     }
 
     byte[] encode() {
@@ -85,7 +93,8 @@
                 .put(6, slots)
                 .put(7, sequence)
                 .put(8, ageMillis)
-                .put(9, incarnation);
+                .put(9, incarnation)
+                .put(10, coldMillis);
     }
 
     private static UpstreamNews read(FieldReader in) {
@@ -98,6 +107,7 @@
                 UpstreamPhase.of(in.getLong(5, 0)),
                 (int) in.getLong(6, 1),
                 in.getLong(7, 0),
-                in.getLong(8, 0));
+                in.getLong(8, 0),
+                in.getLong(10, 0));
     }
 }
--- a/library/src/main/java/org/copperspindle/edition/EditionExchange.java
+++ b/library/src/main/java/org/copperspindle/edition/EditionExchange.java
@@ -28,6 +28,7 @@
     private EditionHolder holder;
     private Optional<EditionMember> member = Optional.empty();
     private MemberStatus status = MemberStatus.NONE;
+    private Optional<String> asked = Optional.empty();
 
     /**
      * Creates the exchange; to be subscribed to the mesh.
@@ -147,6 +148,18 @@
         }
     }
 
+    /**
+     * Takes the evacuated failure domains that this node's member has recorded.
+     *
+     * @param evacuations all of them
+     */
+    public void recorded(EvacuationsMessage evacuations) {
+        holder.receive(evacuations);
+        if (status.leads()) {
+            mesh.broadcast(evacuations);
+        }
+    }
+
     @Override
     public void onMessage(MeshNode node, WireMessage message) {
         if (message instanceof EditionLeaseAskMessage question) {
@@ -156,6 +169,20 @@
             holder.receive(answer);
         } else if (message instanceof EditionMessage edition) {
             holder.receive(edition);
+        } else if (message instanceof EvacuationsMessage evacuations) {
+            holder.receive(evacuations);
+        }
+    }
+
+    /** A node that has been told of another leader asks that one at once: after a loss of all, callers wait for its lease. */
+    @Override
+    public void onHello(MeshNode node) {
+        Optional<String> leader = leader();
+        if (leader.isPresent()
+                && !leader.equals(asked)
+                && mesh.find(leader.get()).isPresent()) {
+            asked = leader;
+            holder.ask();
         }
     }
 
@@ -164,21 +191,28 @@
         sent.remove(node.address());
     }
 
-    private void answerSelf(long sequence, Optional<EditionMessage> newest) {
-        newest.ifPresent(holder::receive);
-        holder.receive(new EditionLeaseMessage(
-                sequence, newest.map(EditionMessage::version).orElse(0L)));
+    private void answerSelf(long sequence, EditionSnapshotMessage newest) {
+        newest.edition().ifPresent(holder::receive);
+        holder.receive(newest.evacuations());
+        holder.receive(lease(sequence, newest));
     }
 
-    private void answer(String address, EditionLeaseAskMessage question, Optional<EditionMessage> newest) {
+    private void answer(String address, EditionLeaseAskMessage question, EditionSnapshotMessage newest) {
         Optional<MeshNode> node = mesh.find(address);
         if (node.isEmpty()) {
             return;
         }
-        // The text goes first: with it the node can use the lease that follows.
-        newest.ifPresent(edition -> push(node.get(), question.held(), edition));
-        long version = newest.map(EditionMessage::version).orElse(0L);
-        node.get().send(new EditionLeaseMessage(question.sequence(), version));
+        // What the node lacks goes first: with it the node can use the lease that follows.
+        newest.edition().ifPresent(edition -> push(node.get(), question.held(), edition));
+        if (newest.evacuations().revision() > question.revision()) {
+            node.get().send(newest.evacuations());
+        }
+        node.get().send(lease(question.sequence(), newest));
+    }
+
+    private static EditionLeaseMessage lease(long sequence, EditionSnapshotMessage newest) {
+        return new EditionLeaseMessage(
+                sequence, newest.version(), newest.evacuations().revision());
     }
 
     private void push(MeshNode node, long held, EditionMessage edition) {
--- a/library/src/main/java/org/copperspindle/edition/EditionHolder.java
+++ b/library/src/main/java/org/copperspindle/edition/EditionHolder.java
@@ -17,9 +17,10 @@
 import org.copperspindle.time.TimerService;
 
 /**
- * The version that this node serves by, and its lease. A node never goes back to a lower version. It serves only under
- * a lease: one that was cut off could else go on running requests under keys that were taken away, and one that was
- * restarted could begin with an old version. Runs on the network thread.
+ * The version that this node serves by, the evacuated failure domains, and its lease on both. A node never goes back to a
+ * lower version or revision. It serves only under a lease: one that was cut off could else go on running requests under
+ * keys that were taken away or at upstreams that are evacuated, and one that was restarted could begin with what is old.
+ * Runs on the network thread.
  */
 public final class EditionHolder {
 
@@ -36,13 +37,14 @@
     private final SuspensionWatch watch;
     private final Consumer<EditionLeaseAskMessage> leader;
     private final List<Consumer<RouteTable>> listeners = new ArrayList<>();
+    private final List<Consumer<EvacuationsMessage>> evacuationListeners = new ArrayList<>();
     private final Deque<Question> questions = new ArrayDeque<>();
     private Optional<EditionMessage> edition = Optional.empty();
     private Optional<RouteTable> table = Optional.empty();
+    private EvacuationsMessage evacuations = EvacuationsMessage.NONE;
     private boolean leased;
     private long leaseUntil;
-    private long wantedVersion;
-    private long wantedSentAt;
+    private Optional<Wanted> wanted = Optional.empty();
     private long sequence;
 
     /**
@@ -76,6 +78,15 @@
         listeners.add(listener);
     }
 
+    /**
+     * Adds a listener.
+     *
+     * @param listener told of each list of evacuated failure domains that this node begins to hold
+     */
+    public void subscribeEvacuations(Consumer<EvacuationsMessage> listener) {
+        evacuationListeners.add(listener);
+    }
+
     /** Begins to ask the leader. */
     public void start() {
         ask();
@@ -90,7 +101,7 @@
         if (questions.size() > MAX_OPEN_QUESTIONS) {
             questions.removeFirst();
         }
-        leader.accept(new EditionLeaseAskMessage(sequence, version()));
+        leader.accept(new EditionLeaseAskMessage(sequence, version(), evacuations.revision()));
     }
 
     /**
@@ -107,13 +118,10 @@
             return;
         }
         questions.removeIf(q -> q.sequence() <= answer.sequence());
-        if (answer.version() > version()) {
-            // Its text is under way on the same connection.
-            wantedVersion = answer.version();
-            wantedSentAt = asked.get().sentAt();
-            return;
-        }
-        extend(asked.get().sentAt());
+        // What is lacking is under way on the same connection.
+        wanted = Optional.of(
+                new Wanted(answer.version(), answer.revision(), asked.get().sentAt()));
+        extendIfComplete();
     }
 
     /**
@@ -136,10 +144,27 @@
         table = Optional.of(valid.table());
         LOGGER.info("event=version-held version={} before={} leased={}", news.version(), before, isLeased());
         listeners.forEach(listener -> listener.accept(valid.table()));
-        if (wantedVersion > 0 && wantedVersion <= news.version()) {
-            wantedVersion = 0;
-            extend(wantedSentAt);
+        extendIfComplete();
+    }
+
+    /**
+     * Takes a list of evacuated failure domains. One that is not newer than that held is dropped.
+     *
+     * @param news the list
+     */
+    public void receive(EvacuationsMessage news) {
+        if (news.revision() <= evacuations.revision()) {
+            return;
         }
+        LOGGER.info(
+                "event=evacuations-held revision={} before={} evacuated={} leased={}",
+                news.revision(),
+                evacuations.revision(),
+                news.failureDomains(),
+                isLeased());
+        evacuations = news;
+        evacuationListeners.forEach(listener -> listener.accept(news));
+        extendIfComplete();
     }
 
     /**
@@ -151,6 +176,15 @@
         return edition.map(EditionMessage::version).orElse(0L);
     }
 
+    /**
+     * Returns the evacuated failure domains as this node knows them, under a lease or not.
+     *
+     * @return the newest list held
+     */
+    public EvacuationsMessage evacuations() {
+        return evacuations;
+    }
+
     /**
      * Returns the table held, in force or not.
      *
@@ -184,13 +218,22 @@
             return;
         }
         questions.clear();
-        wantedVersion = 0;
+        wanted = Optional.empty();
         if (leased) {
             leased = false;
             LOGGER.warn("event=lease-lost version={} reason=suspended", version());
         }
     }
 
+    private void extendIfComplete() {
+        Optional<Wanted> complete =
+                wanted.filter(news -> news.version() <= version() && news.revision() <= evacuations.revision());
+        complete.ifPresent(news -> {
+            wanted = Optional.empty();
+            extend(news.sentAt());
+        });
+    }
+
     private void extend(long sentAt) {
         long until = sentAt + leaseNanos;
         if (timers.nanoTime() - until >= 0) {
@@ -206,4 +249,7 @@
     }
 
     private record Question(long sequence, long sentAt) {}
+
+    /** What the leader said is newest, in answer to a question of a certain instant. */
+    private record Wanted(long version, long revision, long sentAt) {}
 }
--- a/library/src/main/java/org/copperspindle/edition/EditionLeaseAskMessage.java
+++ b/library/src/main/java/org/copperspindle/edition/EditionLeaseAskMessage.java
@@ -6,22 +6,23 @@
 import org.copperspindle.wire.WireMessage;
 
 /**
- * A node asks the leader whether it holds the newest version.
+ * A node asks the leader whether it holds what is newest.
  *
  * @param sequence number of the question, to match its answer
  * @param held     version that the node holds, 0 if none
+ * @param revision revision of the evacuations that it holds, 0 before the first
  */
-public record EditionLeaseAskMessage(long sequence, long held) implements WireMessage {
+public record EditionLeaseAskMessage(long sequence, long held, long revision) implements WireMessage {
 
     /** Codec of this message. */
     public static final MessageCodec<EditionLeaseAskMessage> CODEC = MessageCodec.of(
             211, EditionLeaseAskMessage.class, EditionLeaseAskMessage::write, EditionLeaseAskMessage::read);
 
     private void write(FieldWriter out) {
-        out.put(1, sequence).put(2, held);
+        out.put(1, sequence).put(2, held).put(3, revision);
     }
 
     private static EditionLeaseAskMessage read(FieldReader in) {
-        return new EditionLeaseAskMessage(in.getLong(1, 0), in.getLong(2, 0));
+        return new EditionLeaseAskMessage(in.getLong(1, 0), in.getLong(2, 0), in.getLong(3, 0));
     }
 }
--- a/library/src/main/java/org/copperspindle/edition/EditionMember.java
+++ b/library/src/main/java/org/copperspindle/edition/EditionMember.java
@@ -99,6 +99,16 @@
         propose(EditionMessage.CODEC.encode(edition), callback);
     }
 
+    /**
+     * Records an order on a failure domain.
+     *
+     * @param order    the order, its name checked before
+     * @param callback told how it ended
+     */
+    public void evacuate(EvacuationCommand order, Consumer<EditionResult> callback) {
+        propose(EvacuationCommand.CODEC.encode(order), callback);
+    }
+
     /**
      * Reads the newest version. The question goes through the log: a leader that was frozen and does not know yet that
      * there is another one could else answer with a version that was overtaken.
@@ -110,15 +120,14 @@
     }
 
     /**
-     * Asks for the newest version, if this member leads.
+     * Asks for all that was accepted, if this member leads.
      *
-     * @param callback told the version, empty if none was accepted yet; not called if this member does not lead or can't
-     *                 be sure of it
+     * @param callback told what is newest; not called if this member does not lead or can't be sure of it
      */
-    public void askNewest(Consumer<Optional<EditionMessage>> callback) {
+    public void askNewest(Consumer<EditionSnapshotMessage> callback) {
         ring.offer(() -> {
             if (isTrusted() && log.leads()) {
-                callback.accept(state.newest());
+                callback.accept(state.held());
             }
         });
     }
@@ -168,14 +177,15 @@
     }
 
     private EditionResult read(ProposalResult result) {
-        if (result instanceof ProposalResult.Committed committed
-                && committed.result() instanceof ControlResult.ConfigAccepted accepted) {
-            return new EditionResult.Recorded(accepted.version(), state.newest());
-        }
         if (result instanceof ProposalResult.NotTaken) {
             return new EditionResult.NotLeading();
         }
-        return new EditionResult.Unknown();
+        if (!(result instanceof ProposalResult.Committed committed)) {
+            return new EditionResult.Unknown();
+        }
+        return committed.result() instanceof ControlResult.ConfigRefused refused
+                ? new EditionResult.Refused(refused.reason())
+                : new EditionResult.Recorded(state.held());
     }
 
     /** After a suspension the leader's lease, counted on a clock that stood still, proves nothing until it has ended. */
--- a/library/src/main/java/org/copperspindle/edition/EditionResult.java
+++ b/library/src/main/java/org/copperspindle/edition/EditionResult.java
@@ -1,7 +1,5 @@
 package org.copperspindle.edition;
 
-import java.util.Optional;
-
 /**
  * How a question to the control group ended.
  */
@@ -10,10 +8,16 @@
     /**
      * Committed: the state holds everything that was acknowledged before the question came.
      *
-     * @param version newest version, 0 if none
-     * @param newest  its text
+     * @param held all that was accepted
+     */
+    record Recorded(EditionSnapshotMessage held) implements EditionResult {}
+
+    /**
+     * Committed, and changed nothing.
+     *
+     * @param reason why, for the operator
      */
-    record Recorded(long version, Optional<EditionMessage> newest) implements EditionResult {}
+    record Refused(String reason) implements EditionResult {}
 
     /** This member does not lead; nothing was recorded. */
     record NotLeading() implements EditionResult {}
--- a/library/src/main/java/org/copperspindle/edition/EditionState.java
+++ b/library/src/main/java/org/copperspindle/edition/EditionState.java
@@ -1,17 +1,21 @@
 package org.copperspindle.edition;
 
 import java.util.Optional;
-import java.util.function.Consumer;
 
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.copperspindle.control.ControlResult;
 import org.copperspindle.control.ReplicatedState;
 import org.copperspindle.wire.MalformedFrameException;
+import org.copperspindle.wire.MessageRegistry;
+import org.copperspindle.wire.WireMessage;
 
 /**
- * The newest accepted version. The highest one wins: a version that is not above the one held changes nothing, so that a
- * resent or overtaken change can be acknowledged without harm, and of two texts under one number the first stands.
+ * The newest accepted version, and the failure domains that are evacuated.
+ *
+ * <p>The highest version wins: a version that is not above the one held changes nothing, so that a resent or overtaken change
+ * can be acknowledged without harm, and of two texts under one number the first stands. Orders to evacuate carry no number:
+ * the last one in the log wins, and one that asks for what is so already changes nothing.
  */
 public final class EditionState implements ReplicatedState {
 
@@ -20,63 +24,103 @@
 
     private static final Logger LOGGER = LogManager.getLogger(EditionState.class);
 
-    private final Consumer<EditionMessage> observer;
-    private EditionMessage newest = new EditionMessage(0, new byte[0]);
+    /** What commands and snapshots are made of. A snapshot that holds a version alone was made before there were evacuations. */
+    private static final MessageRegistry FORMAT = new MessageRegistry()
+            .register(EditionMessage.CODEC)
+            .register(EvacuationCommand.CODEC)
+            .register(EditionSnapshotMessage.CODEC);
+
+    private final EditionObserver observer;
+    private EditionSnapshotMessage held = EditionSnapshotMessage.EMPTY;
 
     /**
      * Creates the state.
      *
-     * @param observer told of each version that comes into force
+     * @param observer told of each version and list of evacuations that comes into force
      */
-    public EditionState(Consumer<EditionMessage> observer) {
+    public EditionState(EditionObserver observer) {
         this.observer = observer;
     }
 
     /**
-     * Returns the newest version.
+     * Returns all that was accepted.
      *
-     * @return empty if none was accepted yet
+     * @return the state as a snapshot would hold it
      */
-    public Optional<EditionMessage> newest() {
-        return newest.version() == 0 ? Optional.empty() : Optional.of(newest);
+    public EditionSnapshotMessage held() {
+        return held;
     }
 
     @Override
     public ControlResult apply(long index, long term, byte[] command) {
         if (command.length == 0) {
-            return new ControlResult.ConfigAccepted(newest.version());
+            return new ControlResult.ConfigAccepted(held.version());
+        }
+        WireMessage message = decode(command);
+        if (message instanceof EvacuationCommand order) {
+            return evacuate(order, index, term);
         }
-        EditionMessage edition = decode(command);
-        if (edition.version() > newest.version()) {
-            LOGGER.info(
-                    "event=version-committed version={} before={} index={} term={} bytes={}",
-                    edition.version(),
-                    newest.version(),
-                    index,
-                    term,
-                    edition.text().length);
-            newest = edition;
-            observer.accept(edition);
+        if (message instanceof EditionMessage edition && edition.version() > held.version()) {
+            accept(edition, index, term);
         }
-        return new ControlResult.ConfigAccepted(newest.version());
+        return new ControlResult.ConfigAccepted(held.version());
     }
 
     @Override
     public byte[] snapshot() {
-        return EditionMessage.CODEC.encode(newest);
+        return EditionSnapshotMessage.CODEC.encode(held);
     }
 
     @Override
     public void restore(byte[] snapshot) {
-        newest = decode(snapshot);
-        if (newest.version() > 0) {
-            observer.accept(newest);
+        WireMessage message = decode(snapshot);
+        if (message instanceof EditionSnapshotMessage whole) {
+            held = whole;
+        } else if (message instanceof EditionMessage alone) {
+            Optional<EditionMessage> edition = Optional.of(alone).filter(e -> e.version() > 0);
+            held = new EditionSnapshotMessage(edition, EvacuationsMessage.NONE);
+        }
+        held.edition().ifPresent(observer::onEdition);
+        if (held.evacuations().revision() > 0) {
+            observer.onEvacuations(held.evacuations());
+        }
+    }
+
+    private void accept(EditionMessage edition, long index, long term) {
+        LOGGER.info(
+                "event=version-committed version={} before={} index={} term={} bytes={}",
+                edition.version(),
+                held.version(),
+                index,
+                term,
+                edition.text().length);
+        held = new EditionSnapshotMessage(Optional.of(edition), held.evacuations());
+        observer.onEdition(edition);
+    }
+
+    private ControlResult evacuate(EvacuationCommand order, long index, long term) {
+        if (held.evacuations().isFullFor(order)) {
+            return new ControlResult.ConfigRefused(held.version(), "", "too many failure domains are evacuated");
+        }
+        EvacuationsMessage next = held.evacuations().after(order, index);
+        LOGGER.info(
+                "event=evacuation-committed domain={} begins={} changed={} index={} term={} evacuated={}",
+                order.failureDomain(),
+                order.begins(),
+                next != held.evacuations(),
+                index,
+                term,
+                next.failureDomains());
+        if (next != held.evacuations()) {
+            held = new EditionSnapshotMessage(held.edition(), next);
+            observer.onEvacuations(next);
         }
+        return new ControlResult.ConfigAccepted(held.version());
     }
 
-    private static EditionMessage decode(byte[] bytes) {
+    private static WireMessage decode(byte[] bytes) {
         try {
-            return EditionMessage.CODEC.decode(bytes);
+            return FORMAT.decode(bytes).orElseThrow(() -> new IllegalStateException("record of an unknown kind"));
         } catch (MalformedFrameException e) {
             // The log checks its records: these are the bytes that were proposed.
             throw new IllegalStateException(e);
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/edition/EvacuationCommand.java
@@ -0,0 +1,27 @@
+package org.copperspindle.edition;
+
+import org.copperspindle.wire.FieldReader;
+import org.copperspindle.wire.FieldWriter;
+import org.copperspindle.wire.MessageCodec;
+import org.copperspindle.wire.WireMessage;
+
+/**
+ * An operator's order on one failure domain, as the log records it.
+ *
+ * @param failureDomain name of the failure domain
+ * @param begins        true to send nothing more to its upstreams, false to use them again
+ */
+public record EvacuationCommand(String failureDomain, boolean begins) implements WireMessage {
+
+    /** Codec of this message. */
+    public static final MessageCodec<EvacuationCommand> CODEC =
+            MessageCodec.of(213, EvacuationCommand.class, EvacuationCommand::write, EvacuationCommand::read);
+
+    private void write(FieldWriter out) {
+        out.put(1, failureDomain).put(2, begins);
+    }
+
+    private static EvacuationCommand read(FieldReader in) {
+        return new EvacuationCommand(in.getString(1), in.getBoolean(2));
+    }
+}
--- a/library/src/main/java/org/copperspindle/gateway/ControlAnswer.java
+++ b/library/src/main/java/org/copperspindle/gateway/ControlAnswer.java
@@ -16,7 +16,7 @@
     record Recorded(long version, Optional<byte[]> text) implements ControlAnswer {}
 
     /**
-     * The configuration is invalid; nothing of it was recorded.
+     * What was sent is invalid; nothing of it was recorded.
      *
      * @param problem what is wrong and where
      */
--- a/library/src/main/java/org/copperspindle/gateway/ControlDesk.java
+++ b/library/src/main/java/org/copperspindle/gateway/ControlDesk.java
@@ -2,7 +2,6 @@
 
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.Executor;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 
@@ -10,10 +9,8 @@
 import org.apache.logging.log4j.Logger;
 import org.copperspindle.discovery.DirectoryGossip;
 import org.copperspindle.discovery.UpstreamNews;
-import org.copperspindle.edition.EditionExchange;
 import org.copperspindle.edition.EditionMember;
 import org.copperspindle.edition.EditionMessage;
-import org.copperspindle.edition.EditionResult;
 import org.copperspindle.quarantine.HeldRequest;
 import org.copperspindle.quarantine.RequestDigest;
 import org.copperspindle.quarantine.RequestQuarantine;
@@ -29,28 +26,28 @@
     private static final Logger LOGGER = LogManager.getLogger(ControlDesk.class);
 
     private final DirectoryGossip gossip;
-    private final EditionExchange editions;
+    private final GroupQuestions group;
     private final RouteTableReader reader;
     private final Supplier<Optional<RouteTable>> held;
     private final IgnoredAnnouncements ignored;
     private final RequestQuarantine quarantine;
-    private final Executor network;
+    private final EvacuationDesk evacuations;
 
     ControlDesk(
             DirectoryGossip gossip,
-            EditionExchange editions,
+            GroupQuestions group,
             RouteTableReader reader,
             Supplier<Optional<RouteTable>> held,
             IgnoredAnnouncements ignored,
             RequestQuarantine quarantine,
-            Executor network) {
+            EvacuationDesk evacuations) {
         this.gossip = gossip;
-        this.editions = editions;
+        this.group = group;
         this.reader = reader;
         this.held = held;
         this.ignored = ignored;
         this.quarantine = quarantine;
-        this.network = network;
+        this.evacuations = evacuations;
     }
 
     /**
@@ -126,58 +123,37 @@
             answer.accept(new ControlAnswer.Invalid(invalid.problem()));
         } else if (result instanceof RouteTableResult.Valid valid) {
             EditionMessage edition = new EditionMessage(valid.table().version(), text);
-            withMember(
-                    answer,
-                    member -> member.put(
-                            edition,
-                            ended -> network.execute(() -> {
-                                LOGGER.info(
-                                        "event=version-asked version={} bytes={} result={}",
-                                        edition.version(),
-                                        text.length,
-                                        describe(ended));
-                                answer.accept(translate(ended));
-                            })));
+            group.ask((member, ended) -> member.put(edition, ended), ended -> {
+                LOGGER.info(
+                        "event=version-asked version={} bytes={} result={}",
+                        edition.version(),
+                        text.length,
+                        describe(ended));
+                answer.accept(ended);
+            });
         }
     }
 
+    /**
+     * Returns what may be asked about the evacuation of failure domains.
+     *
+     * @return its own desk
+     */
+    public EvacuationDesk evacuations() {
+        return evacuations;
+    }
+
     /**
      * Reads the newest accepted configuration.
      *
      * @param answer told the text
      */
     public void read(Consumer<ControlAnswer> answer) {
-        withMember(answer, member -> member.read(ended -> network.execute(() -> answer.accept(translate(ended)))));
-    }
-
-    private void withMember(Consumer<ControlAnswer> answer, Consumer<EditionMember> task) {
-        Optional<EditionMember> member = editions.member();
-        if (member.isPresent() && editions.status().leads()) {
-            task.accept(member.get());
-        } else {
-            answer.accept(elsewhere());
-        }
-    }
-
-    private ControlAnswer translate(EditionResult result) {
-        if (result instanceof EditionResult.Recorded recorded) {
-            return new ControlAnswer.Recorded(
-                    recorded.version(), recorded.newest().map(EditionMessage::text));
-        }
-        if (result instanceof EditionResult.NotLeading) {
-            return elsewhere();
-        }
-        return new ControlAnswer.Unavailable("the leader changed meanwhile; the outcome is not known");
-    }
-
-    private ControlAnswer elsewhere() {
-        return editions.leaderControl()
-                .<ControlAnswer>map(ControlAnswer.Elsewhere::new)
-                .orElseGet(() -> new ControlAnswer.Unavailable("no leader is known"));
+        group.ask(EditionMember::read, answer);
     }
 
-    private static String describe(EditionResult result) {
-        return result instanceof EditionResult.Recorded recorded
+    private static String describe(ControlAnswer result) {
+        return result instanceof ControlAnswer.Recorded recorded
                 ? "recorded newest=" + recorded.version()
                 : result.getClass().getSimpleName();
     }
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/gateway/EvacuationDesk.java
@@ -0,0 +1,58 @@
+package org.copperspindle.gateway;
+
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.copperspindle.edition.EvacuationCommand;
+import org.copperspindle.edition.EvacuationsMessage;
+
+/**
+ * What operators may ask of a node about the evacuation of failure domains. Network thread only; answers come on it.
+ */
+public final class EvacuationDesk {
+
+    private static final Logger LOGGER = LogManager.getLogger(EvacuationDesk.class);
+
+    private final GroupQuestions group;
+    private final Supplier<EvacuationsMessage> held;
+    private final KnownDomains domains;
+
+    EvacuationDesk(GroupQuestions group, Supplier<EvacuationsMessage> held, KnownDomains domains) {
+        this.group = group;
+        this.held = held;
+        this.domains = domains;
+    }
+
+    /**
+     * Has a failure domain evacuated, or used again.
+     *
+     * @param order  the order; its name need not be known
+     * @param answer told how it ended
+     */
+    public void order(EvacuationCommand order, Consumer<ControlAnswer> answer) {
+        if (!domains.isKnown(order.failureDomain())) {
+            LOGGER.info("event=evacuation-refused domain=\"{}\" reason=unknown", order.failureDomain());
+            answer.accept(new ControlAnswer.Invalid("no failure domain of that name"));
+            return;
+        }
+        group.ask((member, ended) -> member.evacuate(order, ended), result -> {
+            LOGGER.info(
+                    "event=evacuation-asked domain={} begins={} result={}",
+                    order.failureDomain(),
+                    order.begins(),
+                    result.getClass().getSimpleName());
+            answer.accept(result);
+        });
+    }
+
+    /**
+     * Lists the failure domains that are evacuated.
+     *
+     * @return as this node knows them
+     */
+    public EvacuationsMessage held() {
+        return held.get();
+    }
+}
--- a/library/src/main/java/org/copperspindle/gateway/GatewayContext.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayContext.java
@@ -4,6 +4,7 @@
 
 import org.copperspindle.batch.BatchService;
 import org.copperspindle.batch.FetchTime;
+import org.copperspindle.coldstart.ColdAdmission;
 import org.copperspindle.direct.UpstreamPort;
 import org.copperspindle.discovery.DirectoryGossip;
 import org.copperspindle.measure.DecisionLog;
@@ -22,6 +23,7 @@
  * @param gossip    tells other nodes of upstreams that have left
  * @param tracker   what was seen of upstreams
  * @param chooser   chooses upstreams
+ * @param cold      parts what cold upstreams bear among the nodes
  * @param budget    bounds repeats
  * @param gate      decides when stages begin
  * @param fetches   how long upstreams take to fetch stage results
@@ -43,6 +45,7 @@
         DirectoryGossip gossip,
         UpstreamTracker tracker,
         UpstreamChooser chooser,
+        ColdAdmission cold,
         SharedRetryBudget budget,
         StageGate gate,
         FetchTime fetches,
--- a/library/src/main/java/org/copperspindle/gateway/GatewayMessages.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayMessages.java
@@ -11,6 +11,7 @@
 import org.copperspindle.edition.EditionLeaseAskMessage;
 import org.copperspindle.edition.EditionLeaseMessage;
 import org.copperspindle.edition.EditionMessage;
+import org.copperspindle.edition.EvacuationsMessage;
 import org.copperspindle.mesh.NodeHelloMessage;
 import org.copperspindle.mesh.NodeListMessage;
 import org.copperspindle.mesh.RelayMessage;
@@ -31,6 +32,7 @@
                 .register(NodeListMessage.CODEC)
                 .register(RelayMessage.CODEC)
                 .register(EditionMessage.CODEC)
+                .register(EvacuationsMessage.CODEC)
                 .register(EditionLeaseAskMessage.CODEC)
                 .register(EditionLeaseMessage.CODEC)
                 .register(UpstreamNewsMessage.CODEC)
--- a/library/src/main/java/org/copperspindle/gateway/GatewayMetrics.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayMetrics.java
@@ -52,6 +52,16 @@
                 "config.version",
                 "Version held, in force or not",
                 n -> n.holder().version());
+        gauge(
+                metrics,
+                "domains.evacuated",
+                "Failure domains whose upstreams get nothing",
+                n -> n.holder().evacuations().failureDomains().size());
+        gauge(
+                metrics,
+                "evacuation.revision",
+                "Revision of the list of evacuated failure domains; differs between nodes while one is behind",
+                n -> n.holder().evacuations().revision());
         gauge(
                 metrics,
                 "leader.term",
@@ -176,6 +186,13 @@
                 n -> n.directory().ready(pool).size(),
                 "pool",
                 pool);
+        metrics.gauge(
+                "upstreams.cold",
+                "Upstreams that bear few requests for a while",
+                node,
+                n -> n.directory().countCold(pool, System.nanoTime()),
+                "pool",
+                pool);
         metrics.gauge(
                 "pool.wait.seconds",
                 "Time until new pieces begin, as this node knows it",
--- a/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
@@ -5,13 +5,16 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -22,6 +25,8 @@
 import org.copperspindle.batch.BatchService;
 import org.copperspindle.batch.FetchTime;
 import org.copperspindle.batch.PackerStatus;
+import org.copperspindle.coldstart.ColdAdmission;
+import org.copperspindle.coldstart.SenderSetAdmission;
 import org.copperspindle.direct.DirectClient;
 import org.copperspindle.discovery.DirectoryGossip;
 import org.copperspindle.discovery.UpstreamDirectory;
@@ -167,6 +172,7 @@
                 settings.retries().slack(),
                 settings.retries().window());
         FirstEventTimes firstEvents = new FirstEventTimes();
+        ColdAdmission cold = new SenderSetAdmission(mesh.self(), this::servingNodes, cutOff::isCutOff);
         this.gate = new StageGate(batches::load, firstEvents);
         GatewayContext context = new GatewayContext(
                 timers,
@@ -176,7 +182,8 @@
                 batches,
                 gossip,
                 tracker,
-                new UpstreamChooser(directory, tracker, ThreadLocalRandom.current(), settings.failureDomain()),
+                new UpstreamChooser(directory, tracker, cold, ThreadLocalRandom.current(), settings.failureDomain()),
+                cold,
                 budget,
                 gate,
                 new FetchTime(),
@@ -192,8 +199,16 @@
         settings.dataFolder().ifPresent(folder -> keepMember(folder.resolve(GroupMember.NAME)));
         this.service = new GatewayService(context, holder::inForce, this::leaseReturn);
         this.ignored = new IgnoredAnnouncements(timers, log);
-        ControlDesk desk =
-                new ControlDesk(gossip, exchange, dialects.tables(), holder::heldTable, ignored, quarantine, loop);
+        GroupQuestions questions = new GroupQuestions(exchange, loop);
+        KnownDomains domains = new KnownDomains(ownAndDeclaredDomains(settings), mesh, directory);
+        ControlDesk desk = new ControlDesk(
+                gossip,
+                questions,
+                dialects.tables(),
+                holder::heldTable,
+                ignored,
+                quarantine,
+                new EvacuationDesk(questions, holder::evacuations, domains));
         this.callers = new HttpListener(group, settings.callers(), this::callerLimits, service);
         this.readiness = new HttpListener(group, settings.readiness(), () -> HttpLimits.DEFAULT, this::answerReadiness);
         this.control = new HttpListener(
@@ -292,6 +307,28 @@
             }
         });
         directory.subscribe(this::upstreamChanged);
+        holder.subscribe(table -> directory.coldTimes(coldTimes(table)));
+        holder.subscribeEvacuations(news -> directory.evacuate(Set.copyOf(news.failureDomains()), timers.nanoTime()));
+    }
+
+    private static Map<String, Long> coldTimes(RouteTable table) {
+        return table.pools().stream()
+                .filter(pool -> pool.cold().isPresent())
+                .collect(Collectors.toMap(
+                        UpstreamPool::name, pool -> pool.cold().get().time().toNanos()));
+    }
+
+    private static Set<String> ownAndDeclaredDomains(GatewaySettings settings) {
+        Set<String> names = new HashSet<>(settings.failureDomains());
+        names.add(settings.failureDomain());
+        return names;
+    }
+
+    private List<String> servingNodes() {
+        return mesh.nodes().stream()
+                .filter(node -> node.hello().serving())
+                .map(MeshNode::address)
+                .toList();
     }
 
     private void upstreamChanged(UpstreamNews news) {
--- a/library/src/main/java/org/copperspindle/gateway/GatewaySettings.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewaySettings.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * Settings of a node that stands directly before upstreams.
@@ -25,6 +26,7 @@
  * @param retries       bound on repeats
  * @param stopGrace     time from the order to stop to the end of the process
  * @param cores         cores of its VM that the process may use, a fraction for less than one
+ * @param failureDomains names of all failure domains of the deployment, as far as they are known beforehand
  */
 public record GatewaySettings(
         String name,
@@ -42,11 +44,13 @@
         Duration revocation,
         RetryLimits retries,
         Duration stopGrace,
-        double cores) {
+        double cores,
+        Set<String> failureDomains) {
 
-    /** Copies the list. */
+    /** Copies the lists. */
     public GatewaySettings {
         seeds = List.copyOf(seeds);
+        failureDomains = Set.copyOf(failureDomains);
     }
 
     /**
--- a/library/src/main/java/org/copperspindle/gateway/GatewaySettingsReader.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewaySettingsReader.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 
 import org.copperspindle.settings.SettingsException;
 import org.copperspindle.settings.SettingsFile;
@@ -52,7 +53,9 @@
                         s.getDouble("retry-slack", 0, MOST_REPEATS, Optional.of(20.0)),
                         s.getDuration("retry-window", Optional.of(Duration.ofSeconds(10)))),
                 s.getDuration("stop-grace", Optional.of(Duration.ofSeconds(8))),
-                s.getDouble("cores", 0, MOST_CORES, Optional.of(1.0)));
+                s.getDouble("cores", 0, MOST_CORES, Optional.of(1.0)),
+                Set.copyOf(s.getList(
+                        "failure-domains", "names of failure domains, separated by commas", Optional.of(List.of()))));
         s.finish();
         file.finish(List.of(SECTION));
         return settings;
--- a/library/src/main/java/org/copperspindle/gateway/GroupMember.java
+++ b/library/src/main/java/org/copperspindle/gateway/GroupMember.java
@@ -9,6 +9,8 @@
 import org.copperspindle.core.DecisionRing;
 import org.copperspindle.edition.EditionExchange;
 import org.copperspindle.edition.EditionMessage;
+import org.copperspindle.edition.EditionObserver;
+import org.copperspindle.edition.EvacuationsMessage;
 import org.copperspindle.edition.MemberKeeper;
 import org.copperspindle.edition.MemberStatus;
 import org.copperspindle.edition.MeshRoster;
@@ -74,7 +76,7 @@
                 transports,
                 consensus,
                 MeshRoster.memberAddress(settings.meshBind().orElse(settings.mesh())),
-                this::recorded,
+                new Recorded(),
                 this::status);
         this.keeper = new MemberKeeper(timers, opener, opened -> network.execute(() -> exchange.member(opened)));
         decisions.execute(keeper::start);
@@ -92,13 +94,23 @@
         decisions.close();
     }
 
-    private void recorded(EditionMessage edition) {
-        grouped = true;
-        network.execute(() -> exchange.recorded(edition));
-    }
-
     private void status(MemberStatus status) {
         grouped |= !status.leader().isEmpty();
         network.execute(() -> exchange.status(status));
     }
+
+    /** Hands on what the member has recorded. */
+    private final class Recorded implements EditionObserver {
+        @Override
+        public void onEdition(EditionMessage edition) {
+            grouped = true;
+            network.execute(() -> exchange.recorded(edition));
+        }
+
+        @Override
+        public void onEvacuations(EvacuationsMessage evacuations) {
+            grouped = true;
+            network.execute(() -> exchange.recorded(evacuations));
+        }
+    }
 }
--- a/library/src/main/java/org/copperspindle/gateway/NodeMemberOpener.java
+++ b/library/src/main/java/org/copperspindle/gateway/NodeMemberOpener.java
@@ -14,7 +14,7 @@
 import org.copperspindle.consensus.ConsensusSettings;
 import org.copperspindle.core.DecisionRing;
 import org.copperspindle.edition.EditionMember;
-import org.copperspindle.edition.EditionMessage;
+import org.copperspindle.edition.EditionObserver;
 import org.copperspindle.edition.EditionState;
 import org.copperspindle.edition.MemberKeeper.MemberOpener;
 import org.copperspindle.edition.MemberStatus;
@@ -31,7 +31,7 @@
     private final Supplier<WireTransport> transports;
     private final ConsensusSettings settings;
     private final InetSocketAddress bind;
-    private final Consumer<EditionMessage> recorded;
+    private final EditionObserver recorded;
     private final Consumer<MemberStatus> status;
     private volatile Optional<WireTransport> transport = Optional.empty();
 
@@ -41,7 +41,7 @@
             Supplier<WireTransport> transports,
             ConsensusSettings settings,
             InetSocketAddress bind,
-            Consumer<EditionMessage> recorded,
+            EditionObserver recorded,
             Consumer<MemberStatus> status) {
         this.ring = ring;
         this.timers = timers;
--- a/library/src/main/java/org/copperspindle/gateway/RequestRun.java
+++ b/library/src/main/java/org/copperspindle/gateway/RequestRun.java
@@ -249,6 +249,10 @@
         long now = context.timers().nanoTime();
         StageInputs inputs = stages.map(StageRun::inputs).orElse(StageInputs.NONE);
         Optional<UpstreamNews> chosen = choose(inputs, now);
+        if (chosen.isEmpty() && mayWaitForWarmth(now)) {
+            context.timers().schedule(HELD_LOOK_NANOS, this::attempt);
+            return;
+        }
         if (chosen.isEmpty()) {
             if (relay.hasStarted()) {
                 breakOff("no-upstream");
@@ -262,8 +266,18 @@
         send(chosen.get(), now);
     }
 
+    /** Says whether an upstream that is cold now may take the request while its caller still waits. */
+    private boolean mayWaitForWarmth(long now) {
+        boolean warming = admitted.table()
+                .findPool(pool)
+                .filter(p -> context.chooser().isWarming(p, tried, now))
+                .isPresent();
+        return warming && now + HELD_LOOK_NANOS - admitted.times().patienceAt() < 0;
+    }
+
     private void send(UpstreamNews upstream, long now) {
         tried.add(upstream.id());
+        context.cold().taken(upstream.id(), now);
         sent++;
         context.counters().attempt(route.name(), sent > 1, now - beganAt);
         Optional<String> resumeAfter = relay.lastId().isPresent()
--- a/library/src/main/java/org/copperspindle/gateway/SharedIdleConnections.java
+++ b/library/src/main/java/org/copperspindle/gateway/SharedIdleConnections.java
@@ -42,9 +42,11 @@
 
     @Override
     public int most(String address) {
-        return directory
-                .findByAddress(address)
-                .map(UpstreamNews::pool)
+        Optional<UpstreamNews> upstream = directory.findByAddress(address);
+        if (upstream.filter(u -> directory.isEvacuated(u.failureDomain())).isPresent()) {
+            return 0;
+        }
+        return upstream.map(UpstreamNews::pool)
                 .flatMap(pool -> table.get().flatMap(t -> t.findPool(pool)))
                 .map(this::share)
                 .orElse(MOST);
--- a/library/src/main/java/org/copperspindle/gateway/UpstreamChooser.java
+++ b/library/src/main/java/org/copperspindle/gateway/UpstreamChooser.java
@@ -1,19 +1,21 @@
 package org.copperspindle.gateway;
 
-import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 
 import net.openhft.hashing.LongHashFunction;
+import org.copperspindle.coldstart.ColdAdmission;
 import org.copperspindle.discovery.UpstreamDirectory;
 import org.copperspindle.discovery.UpstreamNews;
 import org.copperspindle.route.UpstreamPool;
 
 /**
  * Chooses the upstream of an attempt. An engine keeps the prompts that it has read, so that requests with the same shared
- * part go to the same engine while its load is near the mean; other upstreams are chosen by the fewest calls in flight.
+ * part go to the same engine while its load is near the mean; other upstreams are chosen by the fewest calls in flight. A cold
+ * upstream is passed over unless this node may send to it now.
  */
 final class UpstreamChooser {
 
@@ -36,13 +38,19 @@
 
     private final UpstreamDirectory directory;
     private final UpstreamTracker tracker;
+    private final ColdAdmission cold;
     private final RandomGenerator random;
     private final String failureDomain;
 
     UpstreamChooser(
-            UpstreamDirectory directory, UpstreamTracker tracker, RandomGenerator random, String failureDomain) {
+            UpstreamDirectory directory,
+            UpstreamTracker tracker,
+            ColdAdmission cold,
+            RandomGenerator random,
+            String failureDomain) {
         this.directory = directory;
         this.tracker = tracker;
+        this.cold = cold;
         this.random = random;
         this.failureDomain = failureDomain;
     }
@@ -72,11 +80,34 @@
         if (candidates.isEmpty()) {
             return Optional.empty();
         }
+        Predicate<UpstreamNews> bears = upstream -> bears(pool, upstream, now);
         Optional<String> shared = request.sharedPrompt();
         if (pool.engineSlots().isPresent() && shared.isPresent()) {
-            return Optional.of(byAffinity(near(candidates, request, inputs), shared.get()));
+            return byAffinity(near(candidates, request, inputs), shared.get(), bears)
+                    .or(() -> byAffinity(candidates, shared.get(), bears))
+                    .or(() -> byLoad(candidates, bears));
         }
-        return Optional.of(byLoad(candidates));
+        return byLoad(candidates, bears);
+    }
+
+    /**
+     * Says whether a pool has upstreams that this node passes over for the moment only because they are cold.
+     *
+     * @param pool  the pool
+     * @param tried ids of upstreams that have had the request
+     * @param now   monotonic time in nanoseconds
+     * @return true if another look a little later may find one
+     */
+    boolean isWarming(UpstreamPool pool, Set<String> tried, long now) {
+        return pool.cold().isPresent()
+                && directory.ready(pool.name()).stream()
+                        .anyMatch(u -> !tried.contains(u.id()) && directory.isCold(u, now));
+    }
+
+    private boolean bears(UpstreamPool pool, UpstreamNews upstream, long now) {
+        return pool.cold().isEmpty()
+                || !directory.isCold(upstream, now)
+                || cold.mayTake(upstream.id(), pool.cold().get(), now);
     }
 
     /**
@@ -94,30 +125,39 @@
         return near.isEmpty() ? candidates : near;
     }
 
-    private UpstreamNews byAffinity(List<UpstreamNews> candidates, String shared) {
+    private Optional<UpstreamNews> byAffinity(
+            List<UpstreamNews> candidates, String shared, Predicate<UpstreamNews> bears) {
         double mean = candidates.stream()
                 .mapToInt(u -> tracker.inFlight(u.id()))
                 .average()
                 .orElse(0);
         double bound = mean * LOAD_BOUND + LOAD_SLACK;
-        return candidates.stream()
-                .filter(u -> tracker.inFlight(u.id()) <= bound)
-                .max(Comparator.comparingLong(u -> HASH.hashChars(shared + '@' + u.id())))
-                .orElseThrow();
+        UpstreamNews best = null;
+        long most = 0;
+        for (UpstreamNews upstream : candidates) {
+            long score = HASH.hashChars(shared + '@' + upstream.id());
+            boolean first = best == null || score > most;
+            if (first && tracker.inFlight(upstream.id()) <= bound && bears.test(upstream)) {
+                best = upstream;
+                most = score;
+            }
+        }
+        return Optional.ofNullable(best);
     }
 
-    private UpstreamNews byLoad(List<UpstreamNews> candidates) {
-        int least = candidates.stream()
-                .mapToInt(u -> tracker.inFlight(u.id()))
-                .min()
-                .orElseThrow();
-        List<UpstreamNews> best = candidates.stream()
-                .filter(u -> tracker.inFlight(u.id()) == least)
-                .toList();
+    private Optional<UpstreamNews> byLoad(List<UpstreamNews> candidates, Predicate<UpstreamNews> bears) {
+        List<UpstreamNews> bearing = candidates.stream().filter(bears).toList();
+        if (bearing.isEmpty()) {
+            return Optional.empty();
+        }
+        int least =
+                bearing.stream().mapToInt(u -> tracker.inFlight(u.id())).min().orElseThrow();
+        List<UpstreamNews> best =
+                bearing.stream().filter(u -> tracker.inFlight(u.id()) == least).toList();
         List<UpstreamNews> near = best.stream()
                 .filter(u -> u.failureDomain().equals(failureDomain))
                 .toList();
         List<UpstreamNews> among = near.isEmpty() ? best : near;
-        return among.get(random.nextInt(among.size()));
+        return Optional.of(among.get(random.nextInt(among.size())));
     }
 }
--- a/library/src/test/java/org/copperspindle/batch/FakeStagePort.java
+++ b/library/src/test/java/org/copperspindle/batch/FakeStagePort.java
@@ -19,6 +19,7 @@
 
     final List<Call> calls = new ArrayList<>();
     final List<String> freed = new ArrayList<>();
+    int freeCalls;
     final Map<String, Conduct> conduct = new HashMap<>();
     private final Map<String, Long> busyUntil = new HashMap<>();
     private final Map<String, Integer> queued = new HashMap<>();
@@ -73,6 +74,7 @@
     @Override
     public void free(UpstreamNews upstream, List<String> handles, Runnable ended) {
         freed.addAll(handles);
+        freeCalls++;
         time.schedule(freeNanos, ended);
     }
 
--- a/library/src/test/java/org/copperspindle/batch/PartedCallsTest.java
+++ b/library/src/test/java/org/copperspindle/batch/PartedCallsTest.java
@@ -80,7 +80,7 @@
     private void announce(int number) {
         directory.accept(
                 new UpstreamNews(
-                        "u" + number, 0, "p", "10.0.0." + (number + 1) + ":1", "d", UpstreamPhase.READY, 1, 1, 0),
+                        "u" + number, 0, "p", "10.0.0." + (number + 1) + ":1", "d", UpstreamPhase.READY, 1, 1, 0, 0),
                 time.nanoTime());
     }
 
--- a/library/src/test/java/org/copperspindle/batch/PoolDispatcherTest.java
+++ b/library/src/test/java/org/copperspindle/batch/PoolDispatcherTest.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.stream.IntStream;
 
 import org.copperspindle.batch.FakeStagePort.Conduct;
@@ -326,6 +327,41 @@
         assertThat(results).hasSize(16).allMatch(r -> r.outcome() instanceof PieceOutcome.Made);
     }
 
+    /**
+     * A failure domain is evacuated while a call runs there and pieces wait. What runs is finished and its results are used; no
+     * further call goes there, and nobody is told there of results that are given up.
+     */
+    @Test
+    void evacuatedDomainGetsNothingMore() {
+        upstream("a", "d1");
+        upstream("b", "d2");
+        IntStream.range(0, 12).forEach(i -> add(group(8, 5000, 20_000)));
+        directory.evacuate(Set.of("d1"), time.nanoTime());
+        dispatcher.dispatch();
+        long before = port.calls.stream().filter(c -> c.upstream().equals("a")).count();
+        time.advance(200 * MILLI);
+        dispatcher.free(List.of("10.0.0.1:1/1"));
+        time.advance(8000 * MILLI);
+        assertThat(port.calls.stream().filter(c -> c.upstream().equals("a"))).hasSize((int) before);
+        assertThat(port.freed).isEmpty();
+        assertThat(results).hasSize(96).allMatch(r -> r.outcome() instanceof PieceOutcome.Made);
+    }
+
+    /** A cold upstream that bears a few requests a second is told of given up results together, not fifty times a second. */
+    @Test
+    void coldUpstreamIsRarelyToldOfResults() {
+        directory.accept(
+                new UpstreamNews("a", 0, "p", "10.0.0.1:1", "d1", UpstreamPhase.READY, 1, 1, 0, 3000), time.nanoTime());
+        dispatcher.dispatch();
+        for (int i = 0; i < 100; i++) {
+            dispatcher.free(List.of("10.0.0.1:1/" + i));
+            time.advance(20 * MILLI);
+        }
+        time.advance(1000 * MILLI);
+        assertThat(port.freed).hasSize(100);
+        assertThat(port.freeCalls).isBetween(3, 6);
+    }
+
     private void live(String id, long incarnation) {
         announce(id, incarnation, "10.0.0.1:1", "d1");
     }
@@ -337,7 +373,8 @@
 
     private void announce(String id, long incarnation, String address, String domain) {
         directory.accept(
-                new UpstreamNews(id, incarnation, "p", address, domain, UpstreamPhase.READY, 1, 1, 0), time.nanoTime());
+                new UpstreamNews(id, incarnation, "p", address, domain, UpstreamPhase.READY, 1, 1, 0, 0),
+                time.nanoTime());
     }
 
     private void add(PieceGroup group) {
--- a/library/src/test/java/org/copperspindle/batch/PoolUpstreamsTest.java
+++ b/library/src/test/java/org/copperspindle/batch/PoolUpstreamsTest.java
@@ -81,7 +81,7 @@
     private void announce(String... ids) {
         for (String id : ids) {
             String address = "10.0.0." + (directory.ready("p").size() + 1) + ":1";
-            directory.accept(new UpstreamNews(id, 0, "p", address, "d", UpstreamPhase.READY, 1, 1, 0), 0);
+            directory.accept(new UpstreamNews(id, 0, "p", address, "d", UpstreamPhase.READY, 1, 1, 0, 0), 0);
         }
         upstreams.refresh();
     }
--- a/library/src/test/java/org/copperspindle/batch/ResultMemoryTest.java
+++ b/library/src/test/java/org/copperspindle/batch/ResultMemoryTest.java
@@ -74,7 +74,7 @@
     private PoolDispatcher dispatcher(String pool, BatchLimits limits, int host, PoolDispatcher.ResultSink sink) {
         IntStream.range(host, host + 4)
                 .forEach(i -> directory.accept(
-                        new UpstreamNews(pool + i, 0, pool, "10.0.0." + i + ":1", "d", UpstreamPhase.READY, 1, 1, 0),
+                        new UpstreamNews(pool + i, 0, pool, "10.0.0." + i + ":1", "d", UpstreamPhase.READY, 1, 1, 0, 0),
                         0));
         return new PoolDispatcher(
                 pool,
--- a/library/src/test/java/org/copperspindle/batch/SharedCallsTest.java
+++ b/library/src/test/java/org/copperspindle/batch/SharedCallsTest.java
@@ -49,7 +49,8 @@
         UpstreamDirectory directory = new UpstreamDirectory();
         IntStream.range(0, 4)
                 .forEach(i -> directory.accept(
-                        new UpstreamNews("u" + i, 0, "p", "10.0.0." + i + ":1", "d", UpstreamPhase.READY, 1, 1, 0), 0));
+                        new UpstreamNews("u" + i, 0, "p", "10.0.0." + i + ":1", "d", UpstreamPhase.READY, 1, 1, 0, 0),
+                        0));
         FakeStagePort port = new FakeStagePort(time, LIMITS);
         Map<Long, Integer> left = new HashMap<>();
         Map<Long, Long> until = new HashMap<>();
--- a/library/src/test/java/org/copperspindle/batch/SlowUpstreamTest.java
+++ b/library/src/test/java/org/copperspindle/batch/SlowUpstreamTest.java
@@ -136,7 +136,7 @@
 
     private void upstream(String id) {
         String address = "10.0.0." + (directory.ready("p").size() + 1) + ":1";
-        directory.accept(new UpstreamNews(id, 0, "p", address, "d", UpstreamPhase.READY, 1, 1, 0), 0);
+        directory.accept(new UpstreamNews(id, 0, "p", address, "d", UpstreamPhase.READY, 1, 1, 0, 0), 0);
     }
 
     private PieceGroup group() {
--- a/library/src/test/java/org/copperspindle/batch/SplitGroupsTest.java
+++ b/library/src/test/java/org/copperspindle/batch/SplitGroupsTest.java
@@ -42,7 +42,8 @@
     void callsAreFullUnderLoad() {
         IntStream.range(0, 4)
                 .forEach(i -> directory.accept(
-                        new UpstreamNews("u" + i, 0, "p", "10.0.0." + i + ":1", "d", UpstreamPhase.READY, 1, 1, 0), 0));
+                        new UpstreamNews("u" + i, 0, "p", "10.0.0." + i + ":1", "d", UpstreamPhase.READY, 1, 1, 0, 0),
+                        0));
         PoolDispatcher dispatcher = new PoolDispatcher(
                 "p",
                 directory,
--- /dev/null
+++ b/library/src/test/java/org/copperspindle/coldstart/ColdAdmissionTest.java
@@ -0,0 +1,140 @@
+package org.copperspindle.coldstart;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+import java.util.stream.IntStream;
+
+import org.copperspindle.route.ColdLimits;
+import org.copperspindle.time.VirtualTimerService;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * A cold upstream and nodes that all want it, in virtual time. It counts what arrives in each second that slides, as such an upstream
+ * does, and ends above half as much again as it bears and five more.
+ */
+class ColdAdmissionTest {
+
+    private static final long MILLI = 1_000_000L;
+    private static final long SECOND = 1000 * MILLI;
+    private static final double OVERAGE = 1.5;
+    private static final int SLACK = 5;
+    private static final String COLD = "cold-upstream";
+
+    private final VirtualTimerService time = new VirtualTimerService();
+    private final List<Long> arrivals = new ArrayList<>();
+
+    /**
+     * A failure domain returns cold in a burst: all nodes see an empty upstream in the same moment, each would send what it has
+     * there, and it ends again. The nodes are all connected, parted in two halves that don't see each other, or parted and
+     * then connected again.
+     */
+    @ParameterizedTest
+    @CsvSource({
+        "3, 18, ALL",
+        "7, 18, ALL",
+        "34, 18, ALL",
+        "34, 18, HALVES",
+        "34, 18, HEALING",
+        "34, 2, ALL",
+        "34, 2, HALVES",
+        "34, 0.4, ALL",
+        "300, 18, ALL",
+        "300, 18, HALVES",
+        "300, 100, HEALING",
+        "4, 60, HALVES"
+    })
+    void coldUpstreamGetsWhatItBears(int count, double perSecond, View view) {
+        for (long seed = 1; seed <= 5; seed++) {
+            arrivals.clear();
+            play(count, perSecond, view, new Random(seed));
+            assertThat(busiestSecond()).isLessThanOrEqualTo((int) (perSecond * OVERAGE + SLACK));
+        }
+    }
+
+    /** A cold upstream that the pool needs is used: from the first second on it gets a good part of what it bears. */
+    @ParameterizedTest
+    @CsvSource({"3, 18", "7, 18", "34, 18", "34, 100", "300, 18"})
+    void coldUpstreamIsUsed(int count, double perSecond) {
+        play(count, perSecond, View.ALL, new Random(1));
+        long first = arrivals.stream().filter(at -> at < SECOND).count();
+        assertThat(first).isGreaterThanOrEqualTo((long) (perSecond / 2));
+    }
+
+    /** A node that was cut off can't know what the others send. */
+    @Test
+    void nodeThatIsCutOffSendsNothing() {
+        ColdAdmission alone = new SenderSetAdmission("n0", List::of, () -> true);
+        assertThat(alone.mayTake(COLD, new ColdLimits(Duration.ofSeconds(3), 18), 0))
+                .isFalse();
+    }
+
+    /** What was sent before it was known that the upstream is cold counts as well. */
+    @Test
+    void earlierSendsCount() {
+        ColdAdmission alone = new SenderSetAdmission("n0", List::of, () -> false);
+        ColdLimits limits = new ColdLimits(Duration.ofSeconds(3), 10);
+        IntStream.range(0, 30).forEach(i -> alone.taken(COLD, i * 10 * MILLI));
+        assertThat(alone.mayTake(COLD, limits, 300 * MILLI)).isFalse();
+        assertThat(alone.mayTake(COLD, limits, 2000 * MILLI)).isTrue();
+    }
+
+    private void play(int count, double perSecond, View view, Random random) {
+        long start = time.nanoTime();
+        ColdLimits limits = new ColdLimits(Duration.ofSeconds(3), perSecond);
+        for (int i = 0; i < count; i++) {
+            int self = i;
+            ColdAdmission admission =
+                    new SenderSetAdmission("n" + i, () -> others(self, count, view, start), () -> false);
+            want(admission, limits, start, random);
+        }
+        time.advance(4 * SECOND);
+    }
+
+    /** Sends whenever the node may; a request takes up to a few milliseconds to arrive. */
+    private void want(ColdAdmission admission, ColdLimits limits, long start, Random random) {
+        long now = time.nanoTime();
+        if (now - start > 3 * SECOND) {
+            return;
+        }
+        if (admission.mayTake(COLD, limits, now)) {
+            admission.taken(COLD, now);
+            arrivals.add(now - start + random.nextInt(20) * MILLI);
+        }
+        time.schedule((1 + random.nextInt(30)) * MILLI, () -> want(admission, limits, start, random));
+    }
+
+    private List<String> others(int self, int count, View view, long start) {
+        boolean parted = view == View.HALVES || view == View.HEALING && time.nanoTime() - start < SECOND;
+        return IntStream.range(0, count)
+                .filter(i -> i != self && (!parted || i % 2 == self % 2))
+                .mapToObj(i -> "n" + i)
+                .toList();
+    }
+
+    private int busiestSecond() {
+        Collections.sort(arrivals);
+        int most = 0;
+        int from = 0;
+        for (int to = 0; to < arrivals.size(); to++) {
+            while (arrivals.get(to) - arrivals.get(from) >= SECOND) {
+                from++;
+            }
+            most = Math.max(most, to - from + 1);
+        }
+        return most;
+    }
+
+    /** Which other nodes a node sees. */
+    enum View {
+        ALL,
+        HALVES,
+        HEALING
+    }
+}
--- a/library/src/test/java/org/copperspindle/discovery/DirectoryGossipTest.java
+++ b/library/src/test/java/org/copperspindle/discovery/DirectoryGossipTest.java
@@ -76,6 +76,6 @@
 
     private static UpstreamNews news(int number, long sequence) {
         return new UpstreamNews(
-                "u" + number, 0, "p", "10.0.0." + number + ":1", "d", UpstreamPhase.READY, 1, sequence, 0);
+                "u" + number, 0, "p", "10.0.0." + number + ":1", "d", UpstreamPhase.READY, 1, sequence, 0, 0);
     }
 }
--- a/library/src/test/java/org/copperspindle/discovery/UpstreamDirectoryTest.java
+++ b/library/src/test/java/org/copperspindle/discovery/UpstreamDirectoryTest.java
@@ -1,6 +1,9 @@
 package org.copperspindle.discovery;
 
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -140,11 +143,70 @@
         return directory.ready("p").stream().map(UpstreamNews::id).toList();
     }
 
+    /** An operator evacuates a failure domain: its upstreams get nothing, and get work again once that has ended. */
+    @Test
+    void upstreamsOfAnEvacuatedDomainAreNotReady() {
+        List<String> told = new ArrayList<>();
+        hear("a", "10.0.0.1:1", UpstreamPhase.READY, 1, 0);
+        directory.subscribe(news -> told.add(news.id()));
+        directory.evacuate(Set.of("d"), now);
+        assertThat(directory.ready("p")).isEmpty();
+        hear("b", "10.0.0.2:1", UpstreamPhase.READY, 1, 0);
+        assertThat(directory.ready("p")).as("one that starts meanwhile").isEmpty();
+        directory.evacuate(Set.of("other"), now);
+        assertThat(readyIds()).containsExactlyInAnyOrder("a", "b");
+        assertThat(told).containsExactly("a", "b", "a", "b");
+    }
+
+    /**
+     * An upstream says for how long it stays cold. What counts is when it said so: a record that was passed on late says less, and
+     * an announcement in between that repeats it is no news to pass on at once.
+     */
+    @ParameterizedTest
+    @CsvSource({"0, 2999, true", "0, 3000, false", "2000, 999, true", "2000, 1000, false"})
+    void coldnessEndsCountedFromWhenItWasStated(long ageMillis, long laterMillis, boolean cold) {
+        UpstreamNews news =
+                new UpstreamNews("a", 0, "p", "10.0.0.1:1", "d", UpstreamPhase.READY, 4, 1, ageMillis, 3000);
+        directory.accept(news, now);
+        assertThat(directory.isCold(news, now + laterMillis * 1_000_000L)).isEqualTo(cold);
+    }
+
+    @Test
+    void becomingColdOrWarmIsNewsAndTheRestOfTheTimeIsNot() {
+        assertThat(hearCold(1, 0)).isEqualTo(DirectoryChange.CHANGED);
+        assertThat(hearCold(2, 3000)).isEqualTo(DirectoryChange.CHANGED);
+        assertThat(hearCold(3, 1800)).isEqualTo(DirectoryChange.REFRESHED);
+        assertThat(hearCold(4, 0)).isEqualTo(DirectoryChange.CHANGED);
+    }
+
+    /**
+     * Upstreams become cold in the moment in which their failure domain is used again, and their last announcement was made before.
+     * They count as cold until they can't be any more, whatever they say meanwhile.
+     */
+    @Test
+    void upstreamsOfADomainThatIsUsedAgainCountAsCold() {
+        directory.coldTimes(Map.of("p", 3 * SECOND));
+        hear("a", "10.0.0.1:1", UpstreamPhase.READY, 1, 0);
+        UpstreamNews news = directory.find("a").orElseThrow();
+        assertThat(directory.isCold(news, now)).isFalse();
+        directory.evacuate(Set.of("d"), now);
+        directory.evacuate(Set.of(), now);
+        hear("a", "10.0.0.1:1", UpstreamPhase.READY, 2, 0);
+        assertThat(directory.isCold(news, now + 2 * SECOND)).isTrue();
+        assertThat(directory.isCold(news, now + 3 * SECOND)).isFalse();
+    }
+
+    private DirectoryChange hearCold(long sequence, long coldMillis) {
+        return directory.accept(
+                new UpstreamNews("c", 0, "p", "10.0.0.3:1", "d", UpstreamPhase.READY, 4, sequence, 0, coldMillis), now);
+    }
+
     private DirectoryChange hear(String id, String address, UpstreamPhase phase, long sequence, long ageMillis) {
-        return directory.accept(new UpstreamNews(id, 0, "p", address, "d", phase, 4, sequence, ageMillis), now);
+        return directory.accept(new UpstreamNews(id, 0, "p", address, "d", phase, 4, sequence, ageMillis, 0), now);
     }
 
     private DirectoryChange live(String id, long incarnation, UpstreamPhase phase, long sequence) {
-        return directory.accept(new UpstreamNews(id, incarnation, "p", "10.0.0.1:1", "d", phase, 4, sequence, 0), now);
+        return directory.accept(
+                new UpstreamNews(id, incarnation, "p", "10.0.0.1:1", "d", phase, 4, sequence, 0, 0), now);
     }
 }
--- a/library/src/test/java/org/copperspindle/edition/EditionHolderTest.java
+++ b/library/src/test/java/org/copperspindle/edition/EditionHolderTest.java
@@ -14,6 +14,8 @@
 import org.copperspindle.time.SuspensionWatch;
 import org.copperspindle.time.VirtualTimerService;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -96,6 +98,44 @@
         assertThat(holder.inForce()).map(RouteTable::version).hasValue(6L);
     }
 
+    /**
+     * A node starts, wakes or was cut off while a failure domain was evacuated. It has the newest table, and without the list its
+     * callers' requests would go to upstreams that must get nothing.
+     */
+    @Test
+    void servesNothingBeforeItKnowsTheEvacuations() {
+        holder.receive(edition(5));
+        holder.ask();
+        answer(5, 9);
+        assertThat(holder.inForce()).isEmpty();
+        holder.receive(new EvacuationsMessage(9, List.of("d")));
+        assertThat(holder.inForce()).map(RouteTable::version).hasValue(5L);
+        assertThat(holder.evacuations().failureDomains()).containsExactly("d");
+    }
+
+    /** The list comes before a table was accepted at all, as after a first start; then the table is what is waited for. */
+    @Test
+    void waitsForTheTableThatFollowsTheEvacuations() {
+        holder.receive(new EvacuationsMessage(9, List.of("d")));
+        holder.ask();
+        answer(1, 9);
+        assertThat(holder.inForce()).isEmpty();
+        holder.receive(edition(1));
+        assertThat(holder.inForce()).isPresent();
+    }
+
+    /** A list that was held up on its way comes after its successor: the failure domain would be used again. */
+    @ParameterizedTest
+    @CsvSource({"8, d", "9, d", "10, "})
+    void evacuationsNeverGoBack(long revision, String expected) {
+        List<EvacuationsMessage> told = new ArrayList<>();
+        holder.subscribeEvacuations(told::add);
+        holder.receive(new EvacuationsMessage(9, List.of("d")));
+        holder.receive(new EvacuationsMessage(revision, List.of()));
+        assertThat(holder.evacuations().failureDomains()).isEqualTo(expected == null ? List.of() : List.of(expected));
+        assertThat(told).hasSize(revision > 9 ? 2 : 1);
+    }
+
     @Test
     void asksAgainAndAgain() {
         holder.start();
@@ -108,7 +148,11 @@
     }
 
     private void answer(long version) {
+        answer(version, 0);
+    }
+
+    private void answer(long version, long revision) {
         long last = questions.get(questions.size() - 1).sequence();
-        holder.receive(new EditionLeaseMessage(last, version));
+        holder.receive(new EditionLeaseMessage(last, version, revision));
     }
 }
--- a/library/src/test/java/org/copperspindle/edition/EditionMemberTest.java
+++ b/library/src/test/java/org/copperspindle/edition/EditionMemberTest.java
@@ -71,7 +71,7 @@
                 transport,
                 settings,
                 address,
-                new EditionState(edition -> {}),
+                new EditionState(new IgnoringObserver()),
                 status -> {});
     }
 }
--- a/library/src/test/java/org/copperspindle/edition/EditionStateTest.java
+++ b/library/src/test/java/org/copperspindle/edition/EditionStateTest.java
@@ -8,13 +8,14 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
 class EditionStateTest {
 
-    private final List<Long> seen = new ArrayList<>();
-    private final EditionState state = new EditionState(edition -> seen.add(edition.version()));
+    private final Seen seen = new Seen();
+    private final EditionState state = new EditionState(seen);
     private long index;
 
     /**
@@ -34,18 +35,68 @@
     void readChangesNothingAndTellsTheNewest() {
         put(3, "text");
         assertThat(state.apply(++index, 1, EditionState.READ)).isEqualTo(new ControlResult.ConfigAccepted(3));
-        assertThat(seen).containsExactly(3L);
+        assertThat(seen.versions).containsExactly(3L);
     }
 
     @Test
     void snapshotBringsTheTextBackUnchanged() {
         put(3, "text é");
-        List<Long> restored = new ArrayList<>();
-        EditionState other = new EditionState(edition -> restored.add(edition.version()));
+        Seen restored = new Seen();
+        EditionState other = new EditionState(restored);
         other.restore(state.snapshot());
-        assertThat(new String(other.newest().orElseThrow().text(), StandardCharsets.UTF_8))
-                .isEqualTo("text é");
-        assertThat(restored).containsExactly(3L);
+        assertThat(text(other)).isEqualTo("text é");
+        assertThat(restored.versions).containsExactly(3L);
+        assertThat(restored.evacuations).isEmpty();
+    }
+
+    /** A member starts with a snapshot that was made before there were evacuations: it holds the newest version alone. */
+    @ParameterizedTest
+    @ValueSource(longs = {0, 3})
+    void snapshotOfAVersionAloneIsRead(long version) {
+        byte[] old = EditionMessage.CODEC.encode(new EditionMessage(version, "text".getBytes(StandardCharsets.UTF_8)));
+        state.restore(old);
+        assertThat(state.held().version()).isEqualTo(version);
+        assertThat(state.held().evacuations()).isEqualTo(EvacuationsMessage.NONE);
+        assertThat(seen.versions).hasSize(version > 0 ? 1 : 0);
+    }
+
+    /**
+     * Orders carry no number, and one may be sent again after a lost answer. Whichever is last in the log wins, and one that
+     * changes nothing leaves the revision as it is, so that nodes need not be told.
+     */
+    @ParameterizedTest
+    @CsvSource({
+        "+a, 1, a",
+        "+a +a, 1, a",
+        "+a -a, 2, ''",
+        "+a -a +a, 3, a",
+        "-a, 0, ''",
+        "+b +a -b -b, 3, a",
+        "+a -a -a, 2, ''"
+    })
+    void lastOrderInTheLogWins(String orders, long revision, String evacuated) {
+        for (String order : orders.split(" ")) {
+            order(order.substring(1), order.startsWith("+"));
+        }
+        EvacuationsMessage held = state.held().evacuations();
+        assertThat(held.revision()).isEqualTo(revision);
+        assertThat(String.join(" ", held.failureDomains())).isEqualTo(evacuated);
+        assertThat(seen.evacuations).hasSize((int) revision);
+        EditionState other = new EditionState(new Seen());
+        other.restore(state.snapshot());
+        assertThat(other.held()).isEqualTo(state.held());
+    }
+
+    /** A writer that goes wild names one failure domain after the other: what each node holds stays bounded. */
+    @Test
+    void refusesMoreEvacuationsThanAnyDeploymentHas() {
+        for (int i = 0; i < EvacuationsMessage.MOST; i++) {
+            assertThat(order("d" + i, true)).isInstanceOf(ControlResult.ConfigAccepted.class);
+        }
+        assertThat(order("one-more", true)).isInstanceOf(ControlResult.ConfigRefused.class);
+        assertThat(order("d0", true)).isInstanceOf(ControlResult.ConfigAccepted.class);
+        assertThat(order("d0", false)).isInstanceOf(ControlResult.ConfigAccepted.class);
+        assertThat(order("one-more", true)).isInstanceOf(ControlResult.ConfigAccepted.class);
     }
 
     private ControlResult put(long version, String text) {
@@ -53,7 +104,32 @@
         return state.apply(++index, 1, EditionMessage.CODEC.encode(edition));
     }
 
+    private ControlResult order(String failureDomain, boolean begins) {
+        EvacuationCommand order = new EvacuationCommand(failureDomain, begins);
+        return state.apply(++index, 1, EvacuationCommand.CODEC.encode(order));
+    }
+
     private String text() {
-        return new String(state.newest().orElseThrow().text(), StandardCharsets.UTF_8);
+        return text(state);
+    }
+
+    private static String text(EditionState of) {
+        return new String(of.held().edition().orElseThrow().text(), StandardCharsets.UTF_8);
+    }
+
+    /** What an observer was told. */
+    private static final class Seen implements EditionObserver {
+        private final List<Long> versions = new ArrayList<>();
+        private final List<EvacuationsMessage> evacuations = new ArrayList<>();
+
+        @Override
+        public void onEdition(EditionMessage edition) {
+            versions.add(edition.version());
+        }
+
+        @Override
+        public void onEvacuations(EvacuationsMessage news) {
+            evacuations.add(news);
+        }
     }
 }
--- a/library/src/test/java/org/copperspindle/edition/MemberKeeperTest.java
+++ b/library/src/test/java/org/copperspindle/edition/MemberKeeperTest.java
@@ -91,7 +91,7 @@
             return new EditionMember(
                     ring,
                     time,
-                    new EditionState(edition -> {}),
+                    new EditionState(new IgnoringObserver()),
                     log,
                     new SuspensionWatch(),
                     Duration.ofSeconds(1),
--- a/library/src/test/java/org/copperspindle/gateway/SharedIdleConnectionsTest.java
+++ b/library/src/test/java/org/copperspindle/gateway/SharedIdleConnectionsTest.java
@@ -42,7 +42,7 @@
     }
 
     private SharedIdleConnections idle(int nodes, UpstreamPool pool) {
-        directory.accept(new UpstreamNews("u", 0, "p", ADDRESS, "d", UpstreamPhase.READY, 1, 1, 0), 0);
+        directory.accept(new UpstreamNews("u", 0, "p", ADDRESS, "d", UpstreamPhase.READY, 1, 1, 0, 0), 0);
         RouteTable table = TestRoutes.table(1, List.of(), List.of(pool));
         return new SharedIdleConnections(directory, () -> Optional.of(table), () -> nodes);
     }
--- a/library/src/test/java/org/copperspindle/gateway/StageLoadReplay.java
+++ b/library/src/test/java/org/copperspindle/gateway/StageLoadReplay.java
@@ -176,7 +176,7 @@
             String address = "10.0." + limits.size() + "." + i + ":1";
             directory.accept(
                     new UpstreamNews(
-                            name + i, 0, name, address, "d" + i % asked.domains(), UpstreamPhase.READY, 1, 1, 0),
+                            name + i, 0, name, address, "d" + i % asked.domains(), UpstreamPhase.READY, 1, 1, 0, 0),
                     0);
         }
     }
--- a/library/src/test/java/org/copperspindle/gateway/StageRunTest.java
+++ b/library/src/test/java/org/copperspindle/gateway/StageRunTest.java
@@ -48,7 +48,7 @@
             limits.put(pool, call(pool.equals("long") ? 400 : 100));
             directory.accept(
                     new UpstreamNews(
-                            pool, 0, pool, "10.0.0." + limits.size() + ":1", "d", UpstreamPhase.READY, 1, 1, 0),
+                            pool, 0, pool, "10.0.0." + limits.size() + ":1", "d", UpstreamPhase.READY, 1, 1, 0, 0),
                     0);
         }
         batches = new LoneBatches(time, directory, stages, limits);
--- a/library/src/test/java/org/copperspindle/gateway/UpstreamChooserTest.java
+++ b/library/src/test/java/org/copperspindle/gateway/UpstreamChooserTest.java
@@ -1,5 +1,6 @@
 package org.copperspindle.gateway;
 
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -11,9 +12,11 @@
 import java.util.Set;
 import java.util.stream.IntStream;
 
+import org.copperspindle.coldstart.SenderSetAdmission;
 import org.copperspindle.discovery.UpstreamDirectory;
 import org.copperspindle.discovery.UpstreamNews;
 import org.copperspindle.discovery.UpstreamPhase;
+import org.copperspindle.route.ColdLimits;
 import org.copperspindle.route.UpstreamPool;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -23,11 +26,13 @@
 
 class UpstreamChooserTest {
 
-    private static final UpstreamPool ENGINES = new UpstreamPool("p", 100, Optional.empty(), OptionalInt.of(64));
+    private static final UpstreamPool COLD_ENGINES = new UpstreamPool(
+            "p", 100, Optional.empty(), OptionalInt.of(64), Optional.of(new ColdLimits(Duration.ofSeconds(3), 2)));
 
     private final UpstreamDirectory directory = new UpstreamDirectory();
     private final UpstreamTracker tracker = new UpstreamTracker();
-    private final UpstreamChooser chooser = new UpstreamChooser(directory, tracker, new Random(3), "d0");
+    private final SenderSetAdmission cold = new SenderSetAdmission("n0", List::of, () -> false);
+    private final UpstreamChooser chooser = new UpstreamChooser(directory, tracker, cold, new Random(3), "d0");
 
     UpstreamChooserTest() {
         // Nine engines in three failure domains, and the maker of stage results in the second.
@@ -58,7 +63,59 @@
         assertThat(domains).containsKey("d1");
     }
 
+    /**
+     * The engine that has read a shared part is cold and bears two requests a second. Callers of a popular prompt would all go
+     * there, and it would end; the rest of them finds another engine.
+     */
+    @Test
+    void coldEngineGetsNoMoreThanItBears() {
+        String home = choose("part", 500, 0).id();
+        announceCold(home, 3000);
+        Map<String, Integer> chosen = new HashMap<>();
+        IntStream.range(0, 20).forEach(i -> {
+            String id = choose("part", 500, 0).id();
+            cold.taken(id, 0);
+            chosen.merge(id, 1, Integer::sum);
+        });
+        assertThat(chosen).containsEntry(home, 1).hasSize(2);
+    }
+
+    /** All engines are cold and have got what they bear: the request waits a little instead of being refused. */
+    @Test
+    void poolOfColdEnginesIsWarming() {
+        assertThat(chooser.isWarming(COLD_ENGINES, Set.of(), 0)).isFalse();
+        for (int i = 0; i < 9; i++) {
+            announceCold("e" + i, 3000);
+            cold.taken("e" + i, 0);
+        }
+        assertThat(find("part", 500, 0)).isEmpty();
+        assertThat(chooser.isWarming(COLD_ENGINES, Set.of(), 0)).isTrue();
+        assertThat(chooser.isWarming(COLD_ENGINES, Set.of(), 4_000_000_000L)).isFalse();
+    }
+
+    /** Results lie in a failure domain that is evacuated: they are no reason to go there. */
+    @Test
+    void largeInputsDrawNobodyIntoAnEvacuatedDomain() {
+        directory.evacuate(Set.of("d1"), 0);
+        Set<String> domains = new HashSet<>();
+        IntStream.range(0, 30)
+                .forEach(i -> domains.add(choose("part" + i, 500, 3).failureDomain()));
+        assertThat(domains).containsExactlyInAnyOrder("d0", "d2");
+    }
+
+    private void announceCold(String id, long coldMillis) {
+        UpstreamNews known = directory.find(id).orElseThrow();
+        directory.accept(
+                new UpstreamNews(
+                        id, 0, "p", known.address(), known.failureDomain(), UpstreamPhase.READY, 1, 2, 0, coldMillis),
+                0);
+    }
+
     private UpstreamNews choose(String part, int sharedTokens, int results) {
+        return find(part, sharedTokens, results).orElseThrow();
+    }
+
+    private Optional<UpstreamNews> find(String part, int sharedTokens, int results) {
         GatewayRequest request = TestRequests.request(
                 "id",
                 OptionalLong.empty(),
@@ -66,11 +123,10 @@
                 List.of());
         List<String> handles =
                 IntStream.range(0, results).mapToObj(i -> "10.0.1.1:1/" + i).toList();
-        return chooser.choose(ENGINES, request, StageInputs.of(handles, 800_000), Set.of(), 0)
-                .orElseThrow();
+        return chooser.choose(COLD_ENGINES, request, StageInputs.of(handles, 800_000), Set.of(), 0);
     }
 
     private void announce(String id, String pool, String address, String domain) {
-        directory.accept(new UpstreamNews(id, 0, pool, address, domain, UpstreamPhase.READY, 1, 1, 0), 0);
+        directory.accept(new UpstreamNews(id, 0, pool, address, domain, UpstreamPhase.READY, 1, 1, 0, 0), 0);
     }
 }
--- a/library/src/test/java/org/copperspindle/quarantine/QuarantineFleet.java
+++ b/library/src/test/java/org/copperspindle/quarantine/QuarantineFleet.java
@@ -87,7 +87,7 @@
 
     /** Has every node hear of one life of an upstream that tells when it began. */
     void announce(int number, String id, long incarnation, UpstreamPhase phase) {
-        UpstreamNews news = new UpstreamNews(id, incarnation, POOL, address(number), "d", phase, 4, 1, 0);
+        UpstreamNews news = new UpstreamNews(id, incarnation, POOL, address(number), "d", phase, 4, 1, 0, 0);
         upstreams.put(number, news);
         nodes.forEach(node -> node.directory.accept(news, time.nanoTime()));
     }
--- a/tools/src/main/java/org/copperspindle/cli/Copperspindle.java
+++ b/tools/src/main/java/org/copperspindle/cli/Copperspindle.java
@@ -23,6 +23,7 @@
             new ApplyCommand(),
             new StatusCommand(),
             new HeldCommand(),
+            new EvacuateCommand(),
             new AuditCommand(),
             new MeasureCommand(),
             new ReplayCommand(),
