Bring stage work past a packer that stands still

No call of these pools went out for 2.0 s, and 264 requests were refused in second 5. When it woke it told waits of 12 s for 5 s, and some 500 requests were refused by all nodes in seconds 11 to 14.

Cause: its silence was noticed by closed connections, 1.6 s, and its groups moved only once no other node named it any more, 0.4 s later. After the wake its calls seemed to have taken 8 to 13 times as long as they should ("stage-upstream-slow ... slowness=12.9" for 16 upstreams within 10 ms), and it made once more what others had made meanwhile.

Ruled out: lost messages, since the groups moved in one go; slow upstreams, since the same ones answered the other packer in time.

Change: a packer that has groups of this node and says nothing for 0.9 s is passed over until it talks. A node looks at its clock each 80 ms: calls that were under way during a standstill teach nothing, and after one as long as the silence by which others find it dead it drops their groups.

Why it holds: packers tell loads every 400 ms at least; what is moved too early is made twice at most, and its first results are given up. Tests fail without each of the three safeguards.

--- a/library/src/main/java/org/copperspindle/batch/BatchService.java
+++ b/library/src/main/java/org/copperspindle/batch/BatchService.java
@@ -19,6 +19,7 @@
 import org.copperspindle.mesh.MeshListener;
 import org.copperspindle.mesh.MeshNode;
 import org.copperspindle.mesh.MeshRelay;
+import org.copperspindle.mesh.MeshSettings;
 import org.copperspindle.mesh.NodeHelloMessage;
 import org.copperspindle.mesh.NodeMesh;
 import org.copperspindle.route.BatchLimits;
@@ -37,7 +38,7 @@
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
     /** Loads are told this often: three times in the shortest call. */
-    private static final long LOAD_INTERVAL_NANOS = Duration.ofMillis(80).toNanos();
+    static final long LOAD_INTERVAL_NANOS = Duration.ofMillis(80).toNanos();
 
     /** A load that was not told again for so long has ended, or its node has. */
     private static final long LOAD_AGE_NANOS = Duration.ofMillis(600).toNanos();
@@ -69,6 +70,8 @@
     private final Map<String, PoolDispatcher> dispatchers = new HashMap<>();
     private final Map<String, Load> loads = new HashMap<>();
     private final PiecePromises promises = new PiecePromises();
+    private final StandstillWatch standstills = new StandstillWatch();
+    private final SilentPackers silent = new SilentPackers();
     private final Map<Long, Pending> pending = new LinkedHashMap<>();
 
     /**
@@ -79,6 +82,7 @@
 
     private final PoolDispatcher.ResultSink sink = new Sink();
     private int round;
+    private long droppedAt;
 
     /**
      * Creates the service; to be subscribed to the mesh.
@@ -180,6 +184,8 @@
     /** Begins to tell the other nodes how long pieces wait here, and what requests of this node will send. */
     public void start() {
         boolean full = ++round % FULL_ROUNDS == 0;
+        lookForStandstill();
+        moveFromSilentPackers();
         if (!distant.isEmpty()) {
             moveOrphans();
         }
@@ -243,6 +249,8 @@
 
     @Override
     public void onMessage(MeshNode node, WireMessage message) {
+        lookForStandstill();
+        silent.heard(node.address(), timers.nanoTime());
         if (message instanceof PieceGroup group) {
             dispatcher(group.pool()).add(node.address(), group);
         } else if (message instanceof PieceCancelMessage cancel) {
@@ -263,12 +271,50 @@
     public void onNodeDown(MeshNode node) {
         long now = timers.nanoTime();
         promises.forget(node.address());
+        silent.forget(node.address());
         distant.put(node.address(), new Distant(node.hello(), now));
         moveOrphans();
         long life = node.incarnation();
         timers.schedule(ORPHAN_NANOS, () -> giveUpOrphans(node.address(), life, now));
     }
 
+    /**
+     * Drops the groups of other nodes after a standstill that was long enough for them to have found this node dead. They have them
+     * made elsewhere by now: packed here as well, each piece would be made twice, in the very moment in which work has piled up.
+     */
+    private void lookForStandstill() {
+        standstills.look(timers.nanoTime());
+        boolean known = standstills.wokeAt() == droppedAt;
+        if (known || standstills.stoodNanos() < MeshSettings.LIMITS.silence().toNanos()) {
+            return;
+        }
+        droppedAt = standstills.wokeAt();
+        int dropped = dispatchers.values().stream()
+                .mapToInt(dispatcher -> dispatcher.dropOthers(mesh.self()))
+                .sum();
+        LOGGER.warn(
+                "event=standstill-noticed took_ms={} groups_dropped={}",
+                standstills.stoodNanos() / NANOS_PER_MILLI,
+                dropped);
+    }
+
+    private void moveFromSilentPackers() {
+        long now = timers.nanoTime();
+        Map<String, Long> waitsFrom = new HashMap<>();
+        pending.values().stream()
+                .filter(p -> !p.owner.equals(mesh.self()))
+                .forEach(p -> waitsFrom.merge(p.owner, p.sentAt, Math::min));
+        waitsFrom.forEach((packer, since) -> {
+            if (silent.fallsSilent(packer, since, now)) {
+                List<Pending> moved = pending.values().stream()
+                        .filter(p -> p.owner.equals(packer))
+                        .toList();
+                LOGGER.warn("event=dispatcher-silent node={} groups={}", packer, moved.size());
+                moved.forEach(this::forward);
+            }
+        });
+    }
+
     /** Takes groups whose node is gone, for this one and for all that this one reaches, to another node. */
     private void moveOrphans() {
         long now = timers.nanoTime();
@@ -323,6 +369,7 @@
         long elapsed = (timers.nanoTime() - entry.at) / NANOS_PER_MILLI;
         PieceGroup group = entry.group.after(elapsed, entry.missing);
         entry.owner = owner(group.pool());
+        entry.sentAt = timers.nanoTime();
         if (!entry.owner.equals(mesh.self())) {
             if (relay.send(entry.owner, group)) {
                 return;
@@ -369,8 +416,8 @@
     }
 
     /**
-     * Chooses among the nodes that serve, the fittest first, by rendezvous. Nodes that only others reach count as well, so
-     * that all choose the same one.
+     * Chooses among the nodes that serve and talk, the fittest first, by rendezvous. Nodes that only others reach count as well,
+     * so that all choose the same one.
      */
     private String owner(String pool) {
         String best = mesh.self();
@@ -394,9 +441,11 @@
         return best;
     }
 
-    private static boolean isBetter(String pool, String node, NodeHelloMessage hello, int fitness, long most) {
+    private boolean isBetter(String pool, String node, NodeHelloMessage hello, int fitness, long most) {
         int fit = hello.fitness();
-        return hello.serving() && (fit > fitness || fit == fitness && score(pool, node) > most);
+        return hello.serving()
+                && !silent.isSilent(node)
+                && (fit > fitness || fit == fitness && score(pool, node) > most);
     }
 
     private static long score(String pool, String node) {
@@ -405,7 +454,9 @@
 
     private PoolDispatcher dispatcher(String pool) {
         return dispatchers.computeIfAbsent(
-                pool, name -> new PoolDispatcher(name, directory, timers, port, () -> limits.apply(name), sink, log));
+                pool,
+                name -> new PoolDispatcher(name, directory, timers, port, () -> limits.apply(name), sink, log)
+                        .judgingBy(standstills));
     }
 
     private void upstreamChanged(UpstreamNews news) {
@@ -452,6 +503,7 @@
         private final long at;
         private final List<Integer> missing;
         private String owner = "";
+        private long sentAt;
 
         private Pending(PieceGroup group, PieceListener listener, long at) {
             this.group = group;
--- a/library/src/main/java/org/copperspindle/batch/PoolDispatcher.java
+++ b/library/src/main/java/org/copperspindle/batch/PoolDispatcher.java
@@ -62,6 +62,7 @@
     private final PoolUpstreams upstreams;
     private final Map<WaitingGroup, Integer> running = new HashMap<>();
     private final FetchTime fetchTime = new FetchTime();
+    private Optional<StandstillWatch> standstills = Optional.empty();
     private PoolWork work = PoolWork.NONE;
     private long lots;
     private boolean freeing;
@@ -85,11 +86,32 @@
         this.upstreams = new PoolUpstreams(pool, directory);
     }
 
+    /** Sets what tells whether this process stood still while a call was under way; without it, it never did. */
+    PoolDispatcher judgingBy(StandstillWatch watch) {
+        standstills = Optional.of(watch);
+        return this;
+    }
+
     void add(String origin, PieceGroup group) {
         queue.add(new WaitingGroup(origin, group, timers.nanoTime()));
         dispatch();
     }
 
+    /**
+     * Drops all groups of other nodes; results of calls that run for them are given up as they come.
+     *
+     * @param self the node whose groups stay
+     * @return how many were dropped
+     */
+    int dropOthers(String self) {
+        Predicate<WaitingGroup> isOther = group -> !group.origin().equals(self) && !group.isCancelled();
+        List<WaitingGroup> waiting = queue.find(isOther);
+        List<WaitingGroup> made = running.keySet().stream().filter(isOther).toList();
+        waiting.forEach(group -> cancel(group.origin(), group.group().id()));
+        made.forEach(WaitingGroup::cancel);
+        return waiting.size() + made.size();
+    }
+
     /** Drops what waits of a group; what is being made is freed when it comes. */
     void cancel(String origin, long id) {
         queue.cancel(origin, id).ifPresent(this::giveUpInputs);
@@ -237,15 +259,20 @@
     private void ended(
             StageUpstream upstream, List<PieceTask> tasks, StageCallResult result, long expected, long sentAt) {
         long now = timers.nanoTime();
+        boolean spoiled = standstills.filter(watch -> watch.spoils(sentAt, now)).isPresent();
         tasks.forEach(task -> running.computeIfPresent(task.group(), (g, n) -> n > 1 ? n - 1 : null));
         if (result instanceof StageCallResult.Answered answered) {
             long made = answered.outcomes().stream()
                     .filter(PieceOutcome.Made.class::isInstance)
                     .count();
-            work = work.and((now - sentAt) / NANOS_PER_SECOND, made);
-            upstream.answered(expected, now - sentAt);
-            noteSpeed(upstream, now);
-            learnFetchTime(tasks, answered.outcomes());
+            work = work.and((spoiled ? expected : now - sentAt) / NANOS_PER_SECOND, made);
+            if (spoiled) {
+                upstream.ended();
+            } else {
+                upstream.answered(expected, now - sentAt);
+                noteSpeed(upstream, now);
+                learnFetchTime(tasks, answered.outcomes());
+            }
             take(upstream, tasks, answered.outcomes(), now);
         } else if (result instanceof StageCallResult.NotRun notRun) {
             upstream.notRun(now, upstreams.isCold(upstream, now) ? COLD_PAUSE_NANOS : BUSY_PAUSE_NANOS);
@@ -257,7 +284,11 @@
                     notRun.reason());
             tasks.forEach(this::putBack);
         } else if (result instanceof StageCallResult.Lost lost) {
-            long pause = upstream.lost(now);
+            // After a standstill of this process a call that has no answer proves nothing.
+            long pause = spoiled ? 0 : upstream.lost(now);
+            if (spoiled) {
+                upstream.ended();
+            }
             LOGGER.warn(
                     "event=stage-call-lost pool={} upstream={} pieces={} reason={} took_ms={} pause_ms={}",
                     pool,
--- a/library/src/main/java/org/copperspindle/batch/StageUpstream.java
+++ b/library/src/main/java/org/copperspindle/batch/StageUpstream.java
@@ -107,6 +107,12 @@
         onTrial = false;
     }
 
+    /** Notes that a call is over that shows nothing of the upstream. */
+    void ended() {
+        calls--;
+        onTrial = false;
+    }
+
     /** Notes that its next call shows whether it is still slow. */
     void tried() {
         onTrial = true;
--- a/library/src/test/java/org/copperspindle/batch/BatchServiceTest.java
+++ b/library/src/test/java/org/copperspindle/batch/BatchServiceTest.java
@@ -16,12 +16,16 @@
 import org.copperspindle.mesh.RelayMessage;
 import org.copperspindle.route.BatchLimits;
 import org.copperspindle.route.TestRoutes;
+import org.copperspindle.time.TimerService;
+import org.copperspindle.time.TimerSubscription;
 import org.copperspindle.time.VirtualTimerService;
 import org.copperspindle.wire.GreetingMessage;
 import org.copperspindle.wire.MessageRegistry;
 import org.copperspindle.wire.WireTransport;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -100,11 +104,58 @@
         assertThat(other.sent(PieceGroup.class)).hasSize(1);
     }
 
+    /**
+     * The packer stands still with its connections open. Until they were found dead and nobody named it any more, two seconds of
+     * stages waited there, and everything that came meanwhile; requests of two seconds' objective were lost. It is used again
+     * once it talks.
+     */
+    @Test
+    void groupsOfASilentPackerGoToTheNext() {
+        service.start();
+        connect(packer, 2, List.of(OTHER));
+        connect(other, 1, List.of(PACKER));
+        time.advance(5000 * MILLI);
+        service.submit(group(), results::addAll);
+        time.advance(800 * MILLI);
+        mesh.onMessage(packer, new PieceCancelMessage(1));
+        time.advance(800 * MILLI);
+        assertThat(other.sent(PieceGroup.class)).as("while the packer talks").isEmpty();
+        time.advance(200 * MILLI);
+        assertThat(other.sent(PieceGroup.class)).hasSize(1);
+        mesh.onMessage(packer, new PieceCancelMessage(1));
+        service.submit(group(), results::addAll);
+        assertThat(packer.sent(PieceGroup.class)).hasSize(2);
+    }
+
+    /**
+     * This node packs and stands still for longer than others take to find it dead. What it was to make for them is made elsewhere
+     * by then: made here as well, it would take the pool just when work has piled up. What its own callers wait for stays.
+     */
+    @ParameterizedTest
+    @CsvSource({"3000, 1", "900, 2"})
+    void dropsGroupsOfOthersAfterAStandstill(long stoodMillis, int groupsLeft) {
+        StandingClock clock = new StandingClock(time);
+        BatchService packing = service(clock);
+        packing.start();
+        connect(other, -1, List.of());
+        mesh.onMessage(other, group());
+        packing.submit(group(), results::addAll);
+        time.advance(200 * MILLI);
+        assertThat(packing.waitingPieces()).isEqualTo(2);
+        clock.standStill(stoodMillis);
+        time.advance(200 * MILLI);
+        assertThat(packing.waitingPieces()).isEqualTo(groupsLeft);
+    }
+
     private BatchService service() {
+        return service(time);
+    }
+
+    private BatchService service(TimerService timers) {
         MeshRelay relay = new MeshRelay(mesh, registry);
         BatchService made = new BatchService(
                 relay,
-                time,
+                timers,
                 new UpstreamDirectory(),
                 new FakeStagePort(time, LIMITS),
                 pool -> Optional.of(LIMITS),
@@ -131,6 +182,30 @@
         return new NodeHelloMessage("127.0.0.1:9", "d", false, true, false, 0, "", 0, fitness);
     }
 
+    /** A clock that went on while nothing ran. */
+    private static final class StandingClock implements TimerService {
+        private final VirtualTimerService time;
+        private long stoodNanos;
+
+        private StandingClock(VirtualTimerService time) {
+            this.time = time;
+        }
+
+        private void standStill(long millis) {
+            stoodNanos += millis * MILLI;
+        }
+
+        @Override
+        public long nanoTime() {
+            return time.nanoTime() + stoodNanos;
+        }
+
+        @Override
+        public TimerSubscription schedule(long delayNanos, Runnable task) {
+            return time.schedule(delayNanos, task);
+        }
+    }
+
     /** A node that serves and should not pack while there are others. */
     private static final class SmallNode implements PackerStatus {
         @Override
--- a/library/src/test/java/org/copperspindle/batch/SlowUpstreamTest.java
+++ b/library/src/test/java/org/copperspindle/batch/SlowUpstreamTest.java
@@ -90,6 +90,23 @@
                         assertThat(callsFrom(from, each)).as(each).isGreaterThanOrEqualTo(callsFrom(from, "d") - 2));
     }
 
+    /**
+     * The same with a look at the clock: what calls took tells nothing then, and the pool is as fast as it was, at once. Else the
+     * node told of waits of twelve seconds, and five seconds of callers were refused by all nodes.
+     */
+    @Test
+    void poolIsAsFastAsBeforeOnceItsCallerWakes() {
+        StandstillWatch watch = new StandstillWatch();
+        dispatcher.judgingBy(watch);
+        watch.look(time.nanoTime());
+        port.standsStillUntil = 8000 * MILLI;
+        IntStream.range(0, 3).forEach(i -> dispatcher.add("origin", group()));
+        double before = dispatcher.load().piecesPerSecond();
+        time.advance(8010 * MILLI);
+        assertThat(dispatcher.load().piecesPerSecond()).isEqualTo(before);
+        assertThat(dispatcher.load().waitNanos()).isZero();
+    }
+
     /** An upstream that stays slow gets now and then a small call: what goes there comes late. */
     @Test
     void upstreamThatStaysSlowGetsFewPieces() {
