Begin no stream that its caller would not see the end of

Cause: the gate reckons until the first event. Ruled out: slow engines; events came every 36 ms.

Change: a node learns how long the streams of a route take after their first event. The first event must come so much before the caller's time is over: what can't is refused at once, is not held for it, and pieces of it are dropped as late.

StageGateTest fails without either half.

--- a/library/src/main/java/org/copperspindle/gateway/GatewayContext.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayContext.java
@@ -28,6 +28,7 @@
  * @param gate      decides when stages begin
  * @param fetches   how long upstreams take to fetch stage results
  * @param firstEvents how long upstreams take after the stages
+ * @param streamTimes how long streams take after their first event
  * @param cutOff    tells whether this node is cut off from the others
  * @param open      requests in progress
  * @param counters  counts requests
@@ -50,6 +51,7 @@
         StageGate gate,
         FetchTime fetches,
         FirstEventTimes firstEvents,
+        StreamTimes streamTimes,
         CutOffWatch cutOff,
         OpenRequests open,
         GatewayCounters counters,
--- a/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
@@ -188,6 +188,7 @@
                 gate,
                 new FetchTime(),
                 firstEvents,
+                new StreamTimes(),
                 cutOff,
                 open,
                 counters,
--- a/library/src/main/java/org/copperspindle/gateway/GatewayService.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayService.java
@@ -83,7 +83,12 @@
         String pool = route.get().choosePool(context.random().nextDouble());
         long now = context.timers().nanoTime();
         long waited = waits.waitedMillis(route.get().name(), request.deadlineMillis());
-        RequestTimes times = RequestTimes.of(route.get(), request.deadlineMillis(), waited, now);
+        RequestTimes times = RequestTimes.of(
+                route.get(),
+                request.deadlineMillis(),
+                waited,
+                context.streamTimes().nanos(route.get()),
+                now);
         AdmittedRequest admitted = new AdmittedRequest(request, table.get(), route.get(), account, pool, times);
         new RequestRun(context, exchange, admitted).start();
     }
--- a/library/src/main/java/org/copperspindle/gateway/RequestRun.java
+++ b/library/src/main/java/org/copperspindle/gateway/RequestRun.java
@@ -55,6 +55,7 @@
     private TimerSubscription timeout = () -> {};
     private long begunAt;
     private long reckonedNanos;
+    private long firstEventAt;
     private int stageRuns;
     private int sent;
     private int unsent;
@@ -424,11 +425,13 @@
             stages.ifPresent(StageRun::end);
             context.fetches().sound();
             context.firstEvents().seen(route, tookNanos);
+            firstEventAt = context.timers().nanoTime();
         }
 
         @Override
         public void onStreamed() {
             attempt = Optional.empty();
+            context.streamTimes().seen(route, context.timers().nanoTime() - firstEventAt);
             relay.finish();
             end("streamed", false);
         }
--- a/library/src/main/java/org/copperspindle/gateway/RequestTimes.java
+++ b/library/src/main/java/org/copperspindle/gateway/RequestTimes.java
@@ -12,7 +12,7 @@
  * @param beganAt     when it was admitted
  * @param objectiveAt until when an answer is worth most
  * @param endAt       when its time is over
- * @param patienceAt  when its caller leaves unless a first event or the answer has come
+ * @param patienceAt  until when a first event or the answer must have come: later, its caller has left, or leaves before the stream ends
  * @param returned    whether its caller was refused before and has come back
  */
 record RequestTimes(long beganAt, long objectiveAt, long endAt, long patienceAt, boolean returned) {
@@ -34,15 +34,16 @@
      * @param route          route of the request
      * @param deadlineMillis how long the caller waits
      * @param waitedMillis   how long it has waited already, with earlier attempts
+     * @param streamNanos    how long the stream will take after its first event; 0 if that is not known
      * @param now            monotonic time in nanoseconds
      */
-    static RequestTimes of(Route route, OptionalLong deadlineMillis, long waitedMillis, long now) {
+    static RequestTimes of(Route route, OptionalLong deadlineMillis, long waitedMillis, long streamNanos, long now) {
         long timeout = route.timeout().toNanos();
         long time =
                 deadlineMillis.isPresent() ? Math.min(timeout, deadlineMillis.getAsLong() * NANOS_PER_MILLI) : timeout;
         long objectiveAt = now + route.objective().toNanos() - waitedMillis * NANOS_PER_MILLI;
-        return new RequestTimes(
-                now, objectiveAt, now + time, now + Math.min(time, patienceNanos(route)), waitedMillis > 0);
+        long patience = Math.min(time - streamNanos, patienceNanos(route));
+        return new RequestTimes(now, objectiveAt, now + time, now + patience, waitedMillis > 0);
     }
 
     private static long patienceNanos(Route route) {
--- a/library/src/main/java/org/copperspindle/gateway/StageGate.java
+++ b/library/src/main/java/org/copperspindle/gateway/StageGate.java
@@ -96,7 +96,9 @@
         boolean inTime = now - holdUntil(request, forecast.shortest()) < 0;
         Optional<String> inNeed = kindInNeed(request, now);
         GateVerdict verdict = GateVerdict.REFUSE;
-        if (finish <= left && inNeed.isEmpty() || idle && mayRelease(wasHeld, now, (long) (RELEASE_CALLS * fullCall))) {
+        boolean ends = now + forecast.reckoned() - request.times().patienceAt() < 0;
+        if (finish <= left && inNeed.isEmpty()
+                || idle && ends && mayRelease(wasHeld, now, (long) (RELEASE_CALLS * fullCall))) {
             verdict = GateVerdict.BEGIN;
         } else if (inTime && (wasHeld || held < MOST_HELD)) {
             verdict = GateVerdict.HOLD;
--- a/library/src/test/java/org/copperspindle/gateway/StageGateTest.java
+++ b/library/src/test/java/org/copperspindle/gateway/StageGateTest.java
@@ -62,6 +62,18 @@
                 .isEqualTo(verdict);
     }
 
+    /**
+     * A caller has come back, and its stream takes two seconds after its first event. Begun so late that the caller leaves in its
+     * middle, it would use up pools and an engine in a burst, for nobody; held until then, the caller would hear nothing.
+     */
+    @ParameterizedTest
+    @CsvSource({"0, 4000, BEGIN", "0, 2600, REFUSE", "1600, 8000, HOLD", "1600, 4000, REFUSE"})
+    void beginsNothingThatItsCallerWouldNotSeeTheEndOf(long wait, long deadlineMillis, GateVerdict verdict) {
+        waitMillis = wait;
+        AdmittedRequest request = request(5000, deadlineMillis, 2000 * MILLI, 0);
+        assertThat(gate.judge(request, false, 0).verdict()).isEqualTo(verdict);
+    }
+
     /** In a load that lasts, pools are never idle: the longer a caller was held, the longer the waits it may begin at. */
     @ParameterizedTest
     @CsvSource({"0, HOLD", "1000, HOLD", "3000, BEGIN"})
@@ -163,6 +175,10 @@
     }
 
     private static AdmittedRequest request(long waitedMillis, long deadlineMillis, long now) {
+        return request(waitedMillis, deadlineMillis, 0, now);
+    }
+
+    private static AdmittedRequest request(long waitedMillis, long deadlineMillis, long streamNanos, long now) {
         Route route = TestRoutes.route(
                 "r",
                 "h",
@@ -175,7 +191,7 @@
                 List.of(route),
                 List.of(TestRoutes.pool("p"), TestRoutes.stagePool("s1"), TestRoutes.stagePool("s2")));
         GatewayRequest request = TestRequests.request("id", OptionalLong.of(deadlineMillis), List.of(), List.of(6, 6));
-        RequestTimes times = RequestTimes.of(route, request.deadlineMillis(), waitedMillis, now);
+        RequestTimes times = RequestTimes.of(route, request.deadlineMillis(), waitedMillis, streamNanos, now);
         return new AdmittedRequest(request, table, route, Optional.empty(), "p", times);
     }
 }
--- a/library/src/test/java/org/copperspindle/gateway/StageLoadReplay.java
+++ b/library/src/test/java/org/copperspindle/gateway/StageLoadReplay.java
@@ -251,7 +251,7 @@
             long waited = (now - askedAt) / MILLI;
             OptionalLong left = OptionalLong.of(kind.route().timeout().toMillis() - waited);
             GatewayRequest request = TestRequests.request(id, left, List.of(), pieces);
-            RequestTimes times = RequestTimes.of(kind.route(), left, waited, now);
+            RequestTimes times = RequestTimes.of(kind.route(), left, waited, 0, now);
             admitted = new AdmittedRequest(request, table, kind.route(), Optional.empty(), "engines", times);
             for (int stage = 0; stage < pieces.size(); stage++) {
                 sizes.put(
--- a/library/src/test/java/org/copperspindle/gateway/StageRunTest.java
+++ b/library/src/test/java/org/copperspindle/gateway/StageRunTest.java
@@ -103,7 +103,7 @@
         limits.forEach((name, each) -> pools.add(new UpstreamPool(name, 10, Optional.of(each), OptionalInt.empty())));
         RouteTable table = TestRoutes.table(1, List.of(route), pools);
         GatewayRequest request = TestRequests.request("id", OptionalLong.of(20_000), List.of(), List.of(1, 1, 1, 1, 1));
-        RequestTimes times = RequestTimes.of(route, request.deadlineMillis(), 0, 0);
+        RequestTimes times = RequestTimes.of(route, request.deadlineMillis(), 0, 0, 0);
         return new AdmittedRequest(request, table, route, Optional.empty(), "p", times);
     }
 
--- a/library/src/test/java/org/copperspindle/gateway/UrgentRoomTest.java
+++ b/library/src/test/java/org/copperspindle/gateway/UrgentRoomTest.java
@@ -125,7 +125,7 @@
                 List.of(TestRoutes.pool("p"), TestRoutes.stagePool("shared"), TestRoutes.stagePool("own")));
         List<Integer> pieces = stages.stream().map(stage -> 6).toList();
         GatewayRequest request = TestRequests.request("id", OptionalLong.of(20_000), List.of(), pieces);
-        RequestTimes times = RequestTimes.of(route, request.deadlineMillis(), 0, now);
+        RequestTimes times = RequestTimes.of(route, request.deadlineMillis(), 0, 0, now);
         return new AdmittedRequest(request, table, route, Optional.empty(), "p", times);
     }
 }
