Give nodes their first lease sooner, and let callers wait for it

Cause: a node hears of the leader from its seeds and dials it half a second later, with all others.

Change: the leader is dialled as soon as it is named. A request that comes to a node before its first lease waits for it, up to 0.8 s and a quarter of its caller's time, which is counted from its arrival. A lost node is told to the others within 50 ms, not at the next look half a second later: work is left with a node while any names it.

--- a/library/src/main/java/org/copperspindle/edition/EditionHolder.java
+++ b/library/src/main/java/org/copperspindle/edition/EditionHolder.java
@@ -43,6 +43,7 @@
     private Optional<RouteTable> table = Optional.empty();
     private EvacuationsMessage evacuations = EvacuationsMessage.NONE;
     private boolean leased;
+    private boolean everLeased;
     private long leaseUntil;
     private Optional<Wanted> wanted = Optional.empty();
     private long sequence;
@@ -204,6 +205,15 @@
         return isLeased() ? table : Optional.empty();
     }
 
+    /**
+     * Says whether this node has had a lease since it started.
+     *
+     * @return false while it waits for its first
+     */
+    public boolean wasEverLeased() {
+        return everLeased;
+    }
+
     private boolean isLeased() {
         boolean before = leased;
         leased = leased && timers.nanoTime() - leaseUntil < 0;
@@ -243,6 +253,7 @@
             LOGGER.info("event=lease-held version={}", version());
             leaseUntil = until;
             leased = true;
+            everLeased = true;
         } else if (until - leaseUntil > 0) {
             leaseUntil = until;
         }
--- a/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
@@ -198,7 +198,7 @@
                 quarantine);
         subscribe();
         settings.dataFolder().ifPresent(folder -> keepMember(folder.resolve(GroupMember.NAME)));
-        this.service = new GatewayService(context, holder::inForce, this::leaseReturn);
+        this.service = new GatewayService(context, holder::inForce, new FirstLease());
         this.ignored = new IgnoredAnnouncements(timers, log);
         GroupQuestions questions = new GroupQuestions(exchange, loop);
         KnownDomains domains = new KnownDomains(ownAndDeclaredDomains(settings), mesh, directory);
@@ -372,18 +372,6 @@
         return settings.dataFolder().isPresent() ? 1 : 2;
     }
 
-    /**
-     * Returns when a caller should come back that finds no lease here. Where other nodes serve, at once: it will reach one of
-     * them. Where none does, as after a loss of power of all, a leader must be elected first; callers told to come back
-     * before that were refused twice, and most have no third attempt.
-     */
-    private Duration leaseReturn() {
-        boolean othersServe =
-                mesh.nodes().stream().anyMatch(node -> node.hello().serving());
-        Duration left = othersServe ? Duration.ZERO : GROUP_RETURN.minus(uptime());
-        return left.compareTo(LEASE_RETURN) > 0 ? left : LEASE_RETURN;
-    }
-
     private void tick() {
         boolean before = ready;
         ready = isReady();
@@ -444,6 +432,26 @@
         new GracefulStop(timers, service, open, callers, batches).begin(settings.stopGrace(), done);
     }
 
+    /** Where this node stands with its lease. */
+    private final class FirstLease implements LeaseOutlook {
+        @Override
+        public boolean isUnderWay() {
+            return !stopping && !holder.wasEverLeased() && uptime().compareTo(GROUP_RETURN) < 0;
+        }
+
+        /**
+         * Where other nodes serve, at once: the caller will reach one of them. Where none does, as after a loss of power of all, a
+         * leader must be elected first; callers told to come back before that were refused twice, and most have no third attempt.
+         */
+        @Override
+        public Duration returnAfter() {
+            boolean othersServe =
+                    mesh.nodes().stream().anyMatch(node -> node.hello().serving());
+            Duration left = othersServe ? Duration.ZERO : GROUP_RETURN.minus(uptime());
+            return left.compareTo(LEASE_RETURN) > 0 ? left : LEASE_RETURN;
+        }
+    }
+
     /** This node's part in packing calls. */
     private final class Packer implements PackerStatus {
         @Override
--- a/library/src/main/java/org/copperspindle/gateway/GatewayService.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayService.java
@@ -22,23 +22,28 @@
     /** Another node can take the request at once. */
     private static final Duration STOP_RETURN = Duration.ofMillis(100);
 
+    /** A waiting request is looked at again so often: a small part of the wait. */
+    private static final long LEASE_LOOK_NANOS = Duration.ofMillis(25).toNanos();
+
     private final GatewayContext context;
     private final Supplier<Optional<RouteTable>> tables;
-    private final Supplier<Duration> leaseReturns;
+    private final LeaseOutlook leases;
+    private final LeaseWait leaseWait;
     private final WaitEstimate waits = new WaitEstimate();
     private boolean refusesAll;
 
     /**
      * Creates the service.
      *
-     * @param context      what all requests share
-     * @param tables       the table in force, empty without a lease
-     * @param leaseReturns when a caller should come back that finds no lease
+     * @param context what all requests share
+     * @param tables  the table in force, empty without a lease
+     * @param leases  what callers may expect without one
      */
-    GatewayService(GatewayContext context, Supplier<Optional<RouteTable>> tables, Supplier<Duration> leaseReturns) {
+    GatewayService(GatewayContext context, Supplier<Optional<RouteTable>> tables, LeaseOutlook leases) {
         this.context = context;
         this.tables = tables;
-        this.leaseReturns = leaseReturns;
+        this.leases = leases;
+        this.leaseWait = new LeaseWait(leases);
     }
 
     /** Refuses requests from now on: they would not be finished before this node ends. */
@@ -52,21 +57,26 @@
         if (result instanceof GatewayRequestResult.Invalid invalid) {
             refuse(exchange, "", Refusal.malformed(invalid.problem()), Optional.empty());
         } else if (result instanceof GatewayRequestResult.Valid valid) {
-            admit(exchange, valid.request());
+            admit(exchange, valid.request(), context.timers().nanoTime());
         }
     }
 
-    private void admit(HttpExchange exchange, GatewayRequest request) {
+    private void admit(HttpExchange exchange, GatewayRequest request, long arrivedAt) {
         Optional<RouteTable> table = tables.get();
         if (refusesAll) {
             refuse(exchange, request.id(), Refusal.unavailable("stopping", "this node stops", STOP_RETURN), table);
             return;
         }
+        if (table.isEmpty()
+                && leaseWait.isWorth(request.deadlineMillis(), context.timers().nanoTime() - arrivedAt)) {
+            context.timers().schedule(LEASE_LOOK_NANOS, () -> admit(exchange, request, arrivedAt));
+            return;
+        }
         if (table.isEmpty()) {
             Refusal refusal = Refusal.unavailable(
                     "no-lease",
                     "this node does not know whether it holds the newest configuration",
-                    leaseReturns.get());
+                    leases.returnAfter());
             refuse(exchange, request.id(), refusal, table);
             return;
         }
@@ -81,14 +91,13 @@
             return;
         }
         String pool = route.get().choosePool(context.random().nextDouble());
-        long now = context.timers().nanoTime();
         long waited = waits.waitedMillis(route.get().name(), request.deadlineMillis());
         RequestTimes times = RequestTimes.of(
                 route.get(),
                 request.deadlineMillis(),
                 waited,
                 context.streamTimes().nanos(route.get()),
-                now);
+                arrivedAt);
         AdmittedRequest admitted = new AdmittedRequest(request, table.get(), route.get(), account, pool, times);
         new RequestRun(context, exchange, admitted).start();
     }
--- a/library/src/main/java/org/copperspindle/gateway/RequestRun.java
+++ b/library/src/main/java/org/copperspindle/gateway/RequestRun.java
@@ -83,7 +83,7 @@
         context.open().add(this);
         context.budget().requested(pool, beganAt);
         lines.admitted();
-        timeout = context.timers().schedule(endAt - beganAt, this::timedOut);
+        timeout = context.timers().schedule(endAt - context.timers().nanoTime(), this::timedOut);
         exchange.onClosed(this::callerLeft);
         if (over) {
             return;
--- a/library/src/main/java/org/copperspindle/mesh/NodeMesh.java
+++ b/library/src/main/java/org/copperspindle/mesh/NodeMesh.java
@@ -31,6 +31,9 @@
     /** An address that nobody answers at and nobody speaks of is dialled for so long; nanoseconds. */
     private static final long FORGET_NANOS = 20_000_000_000L;
 
+    /** Connections with nodes that are lost together end within about so long of each other; nanoseconds. */
+    private static final long TOGETHER_NANOS = 50_000_000L;
+
     private final MeshSettings settings;
     private final WireTransport transport;
     private final TimerService timers;
@@ -41,6 +44,7 @@
     private final Set<String> dialling = new HashSet<>();
     private final List<MeshListener> listeners = new ArrayList<>();
     private Set<String> seeds = Set.of();
+    private boolean announcing;
 
     /**
      * Creates the mesh.
@@ -191,6 +195,7 @@
         nodes.remove(node.address());
         wanted.put(node.address(), timers.nanoTime());
         if (node.hello() != null) {
+            announceSoon();
             LOGGER.info("event=node-lost node={} incarnation={} nodes={}", node.address(), node.incarnation(), count());
             listeners.forEach(listener -> listener.onNodeDown(node));
         }
@@ -201,6 +206,7 @@
         boolean known = node.isUp();
         node.hello(news);
         wanted.remove(node.address());
+        dialLeader(news.leader());
         if (!known) {
             LOGGER.info(
                     "event=node-found node={} incarnation={} domain={} durable={} version={} nodes={}",
@@ -215,12 +221,38 @@
         listeners.forEach(listener -> listener.onHello(node));
     }
 
+    /**
+     * Connects with the leader as soon as it is named. At the next look it would be one of all nodes that are dialled at once, and a node
+     * that has just started serves nobody before it has a lease from it.
+     */
+    private void dialLeader(String leader) {
+        boolean reached = leader.isEmpty() || leader.equals(self) || isConnected(leader);
+        if (!reached && !dialling.contains(leader)) {
+            want(leader);
+            dial(leader);
+        }
+    }
+
     private void want(String address) {
         if (!address.equals(self) && !nodes.containsKey(address)) {
             wanted.putIfAbsent(address, timers.nanoTime());
         }
     }
 
+    /**
+     * Tells the other nodes within a moment that one is gone: they go on taking it for alive, and leave work with it, while any node names
+     * it. Nodes that are lost together are told together.
+     */
+    private void announceSoon() {
+        if (!announcing) {
+            announcing = true;
+            timers.schedule(TOGETHER_NANOS, () -> {
+                announcing = false;
+                announce();
+            });
+        }
+    }
+
     private void tick() {
         announce();
         dialMissing();
--- a/library/src/test/java/org/copperspindle/mesh/NodeMeshTest.java
+++ b/library/src/test/java/org/copperspindle/mesh/NodeMeshTest.java
@@ -99,6 +99,21 @@
         assertThat(lists(second).get(lists(second).size() - 1).nodes()).containsExactlyInAnyOrder(name(1), name(2));
     }
 
+    /**
+     * A node dies that packs the calls of a pool. Others leave their groups with it while any node names it as connected, half a second
+     * longer than they have known it to be gone themselves.
+     */
+    @Test
+    void lostNodeIsToldWithinAMoment() {
+        FakePeer witness = connect(1);
+        FakePeer lost = connect(2);
+        time.advance(Duration.ofSeconds(1).toNanos());
+        mesh.onClose(lost);
+        time.advance(Duration.ofMillis(60).toNanos());
+        List<NodeListMessage> told = lists(witness);
+        assertThat(told.get(told.size() - 1).nodes()).containsExactly(name(1));
+    }
+
     /**
      * A node is down for half a minute, and a neighbour goes on naming it, since it still has its connection. Lists are told
      * once: forgotten after twenty seconds, the node would not be found again when it answers.
@@ -120,6 +135,26 @@
         }
     }
 
+    /**
+     * A node that has just started hears of the leader from its seeds. It has no lease before it reaches the leader; dialled with all others
+     * at the next look, half a second after the start of all nodes passed without an answer to any caller.
+     */
+    @Test
+    void leaderIsDialledWhenItIsNamed() throws IOException {
+        InetSocketAddress leader = host.nextAddress();
+        try (ServerSocket listening = new ServerSocket(leader.getPort(), 5, leader.getAddress())) {
+            listening.setSoTimeout(ACCEPT_MILLIS);
+            FakePeer seed = connect(1);
+            String name = NumericAddress.format(leader);
+            mesh.onMessage(seed, new NodeHelloMessage("127.0.0.1:9", "d", true, true, true, 3, name, 1, 1));
+            boolean found = false;
+            for (int look = 0; look < MOST_LOOKS && !found; look++) {
+                found = isDialled(listening);
+            }
+            assertThat(found).isTrue();
+        }
+    }
+
     /** Lets time pass on the network thread, as in a node: connections that fail are noted there. */
     private void advance(Duration duration) {
         loop.submit(() -> time.advance(duration.toNanos())).syncUninterruptibly();
