--- a/library/src/main/java/org/copperspindle/batch/BatchService.java
+++ b/library/src/main/java/org/copperspindle/batch/BatchService.java
@@ -71,7 +71,6 @@
     private final Map<String, Load> loads = new HashMap<>();
     private final PiecePromises promises = new PiecePromises();
     private final StandstillWatch standstills = new StandstillWatch();
-    private final SilentPackers silent = new SilentPackers();
     private final Map<Long, Pending> pending = new LinkedHashMap<>();
 
     /**
@@ -185,7 +184,6 @@
     public void start() {
         boolean full = ++round % FULL_ROUNDS == 0;
         lookForStandstill();
-        moveFromSilentPackers();
         if (!distant.isEmpty()) {
             moveOrphans();
         }
@@ -250,7 +248,6 @@
     @Override
     public void onMessage(MeshNode node, WireMessage message) {
         lookForStandstill();
-        silent.heard(node.address(), timers.nanoTime());
         if (message instanceof PieceGroup group) {
             dispatcher(group.pool()).add(node.address(), group);
         } else if (message instanceof PieceCancelMessage cancel) {
@@ -271,7 +268,6 @@
     public void onNodeDown(MeshNode node) {
         long now = timers.nanoTime();
         promises.forget(node.address());
-        silent.forget(node.address());
         distant.put(node.address(), new Distant(node.hello(), now));
         moveOrphans();
         long life = node.incarnation();
@@ -298,23 +294,6 @@
                 dropped);
     }
 
-    private void moveFromSilentPackers() {
-        long now = timers.nanoTime();
-        Map<String, Long> waitsFrom = new HashMap<>();
-        pending.values().stream()
-                .filter(p -> !p.owner.equals(mesh.self()))
-                .forEach(p -> waitsFrom.merge(p.owner, p.sentAt, Math::min));
-        waitsFrom.forEach((packer, since) -> {
-            if (silent.fallsSilent(packer, since, now)) {
-                List<Pending> moved = pending.values().stream()
-                        .filter(p -> p.owner.equals(packer))
-                        .toList();
-                LOGGER.warn("event=dispatcher-silent node={} groups={}", packer, moved.size());
-                moved.forEach(this::forward);
-            }
-        });
-    }
-
     /** Takes groups whose node is gone, for this one and for all that this one reaches, to another node. */
     private void moveOrphans() {
         long now = timers.nanoTime();
@@ -369,7 +348,6 @@
         long elapsed = (timers.nanoTime() - entry.at) / NANOS_PER_MILLI;
         PieceGroup group = entry.group.after(elapsed, entry.missing);
         entry.owner = owner(group.pool());
-        entry.sentAt = timers.nanoTime();
         if (!entry.owner.equals(mesh.self())) {
             if (relay.send(entry.owner, group)) {
                 return;
@@ -416,7 +394,7 @@
     }
 
     /**
-     * Chooses among the nodes that serve and talk, the fittest first, by rendezvous. Nodes that only others reach count as well,
+     * Chooses among the nodes that serve, the fittest first, by rendezvous. Nodes that only others reach count as well,
      * so that all choose the same one.
      */
     private String owner(String pool) {
@@ -441,11 +419,9 @@
         return best;
     }
 
-    private boolean isBetter(String pool, String node, NodeHelloMessage hello, int fitness, long most) {
+    private static boolean isBetter(String pool, String node, NodeHelloMessage hello, int fitness, long most) {
         int fit = hello.fitness();
-        return hello.serving()
-                && !silent.isSilent(node)
-                && (fit > fitness || fit == fitness && score(pool, node) > most);
+        return hello.serving() && (fit > fitness || fit == fitness && score(pool, node) > most);
     }
 
     private static long score(String pool, String node) {
@@ -503,7 +479,6 @@
         private final long at;
         private final List<Integer> missing;
         private String owner = "";
-        private long sentAt;
 
         private Pending(PieceGroup group, PieceListener listener, long at) {
             this.group = group;
--- a/library/src/test/java/org/copperspindle/batch/BatchServiceTest.java
+++ b/library/src/test/java/org/copperspindle/batch/BatchServiceTest.java
@@ -104,29 +104,6 @@
         assertThat(other.sent(PieceGroup.class)).hasSize(1);
     }
 
-    /**
-     * The packer stands still with its connections open. Until they were found dead and nobody named it any more, two seconds of
-     * stages waited there, and everything that came meanwhile; requests of two seconds' objective were lost. It is used again
-     * once it talks.
-     */
-    @Test
-    void groupsOfASilentPackerGoToTheNext() {
-        service.start();
-        connect(packer, 2, List.of(OTHER));
-        connect(other, 1, List.of(PACKER));
-        time.advance(5000 * MILLI);
-        service.submit(group(), results::addAll);
-        time.advance(800 * MILLI);
-        mesh.onMessage(packer, new PieceCancelMessage(1));
-        time.advance(800 * MILLI);
-        assertThat(other.sent(PieceGroup.class)).as("while the packer talks").isEmpty();
-        time.advance(200 * MILLI);
-        assertThat(other.sent(PieceGroup.class)).hasSize(1);
-        mesh.onMessage(packer, new PieceCancelMessage(1));
-        service.submit(group(), results::addAll);
-        assertThat(packer.sent(PieceGroup.class)).hasSize(2);
-    }
-
     /**
      * This node packs and stands still for longer than others take to find it dead. What it was to make for them is made elsewhere
      * by then: made here as well, it would take the pool just when work has piled up. What its own callers wait for stays.
