--- a/library/src/main/java/org/copperspindle/batch/PoolDispatcher.java
+++ b/library/src/main/java/org/copperspindle/batch/PoolDispatcher.java
@@ -338,6 +338,7 @@
                         .add(new PieceResult(task.piece(), told(outcome)));
             }
         }
+        noteRoom(upstream, outcomes, now);
         if (failed.size() * 2 > tasks.size()) {
             // One piece that fails can be bad luck; an upstream that fails most would get the same pieces again at
             // once.
@@ -354,6 +355,21 @@
         });
     }
 
+    private void noteRoom(StageUpstream upstream, List<PieceOutcome> outcomes, long now) {
+        long missed = outcomes.stream()
+                .filter(outcome -> outcome.isMissedFor(MissReason.NO_ROOM))
+                .count();
+        if (missed > 0 && log.takesFailed(now)) {
+            LOGGER.info(
+                    "event=stage-call-without-room pool={} upstream={} pieces={} missed={} room_left={}",
+                    pool,
+                    upstream.news().id(),
+                    outcomes.size(),
+                    missed,
+                    limits.get().map(known -> upstream.roomLeft(known, now)).orElse(0L));
+        }
+    }
+
     /**
      * Returns what a request is told of a piece. One that found no room was put back unless its inputs are given up: sent
      * again without them, it would only be told so by the next call.
