Have the soak's operator empty failure domains, and its engines start cold

The soak had neither. An operator evacuates one failure domain after the other; nothing that a caller sends 5 s after an acknowledgement may reach it from any node, cut off or not. Engines are cold after their start, and tell when more comes in a second than they bear.

--- a/soak/src/main/java/org/copperspindle/soak/PromiseBook.java
+++ b/soak/src/main/java/org/copperspindle/soak/PromiseBook.java
@@ -20,7 +20,9 @@
 
     private final Map<String, List<Run>> runs = new ConcurrentHashMap<>();
     private final Map<String, Answer> answers = new ConcurrentHashMap<>();
+    private final Map<String, List<Run>> pieces = new ConcurrentHashMap<>();
     private final Map<String, Long> drained = new ConcurrentHashMap<>();
+    private final List<Emptied> emptied = new CopyOnWriteArrayList<>();
     private final List<String> broken = new ArrayList<>();
     private final AtomicInteger served = new AtomicInteger();
     private final List<Long> fatalEnds = new CopyOnWriteArrayList<>();
@@ -31,6 +33,16 @@
         runs.computeIfAbsent(id, i -> new CopyOnWriteArrayList<>()).add(new Run(upstream, now));
     }
 
+    /** An upstream makes a piece of a request's stage. */
+    void madePiece(String id, String upstream, long now) {
+        pieces.computeIfAbsent(id, i -> new CopyOnWriteArrayList<>()).add(new Run(upstream, now));
+    }
+
+    /** A failure domain was evacuated, from the acknowledgement until just before the end was ordered. */
+    void evacuated(String failureDomain, long from, long until) {
+        emptied.add(new Emptied(failureDomain, from, until));
+    }
+
     /** A caller got the end of an answer, or of its connection. */
     void answered(SoakRequest request, Answer answer) {
         answers.put(request.id(), answer);
@@ -133,6 +145,8 @@
         if (revoked && !seen.isEmpty()) {
             breaks("revoked: " + request.id() + " ran after its key was taken away");
         }
+        judgeEvacuations(request, answer, seen);
+        judgeEvacuations(request, answer, pieces.getOrDefault(request.id(), List.of()));
         for (Run run : seen) {
             Long since = drained.get(run.upstream());
             if (since != null && answer.sentAt() > since + SoakOperator.DRAIN_MILLIS && calm(since, linkTrouble)) {
@@ -141,6 +155,18 @@
         }
     }
 
+    /** Holds for all nodes, cut off or not: a node admits nothing without a lease, and has none before it knows of the evacuation. */
+    private void judgeEvacuations(SoakRequest request, Answer answer, List<Run> seen) {
+        for (Emptied each : emptied) {
+            boolean late = answer.sentAt() > each.from() + Evacuation.BOUND_MILLIS;
+            seen.stream()
+                    .filter(run -> late && run.at() < each.until())
+                    .filter(run -> SoakUpstream.domainOf(run.upstream()).equals(each.failureDomain()))
+                    .forEach(run -> breaks("evacuated: " + request.id() + " reached " + run.upstream() + " in "
+                            + each.failureDomain()));
+        }
+    }
+
     /** Says whether no link was disturbed around a moment: nodes that are cut off can't hear of a drain. */
     private static boolean calm(long at, List<long[]> linkTrouble) {
         long margin = SoakOperator.CONTACT_MILLIS;
@@ -176,4 +202,13 @@
      * @param at       when, in milliseconds
      */
     record Run(String upstream, long at) {}
+
+    /**
+     * Time in which a failure domain was evacuated.
+     *
+     * @param failureDomain its name
+     * @param from          when that was acknowledged, in milliseconds
+     * @param until         when its end was about to be ordered
+     */
+    private record Emptied(String failureDomain, long from, long until) {}
 }
--- a/soak/src/main/java/org/copperspindle/soak/Soak.java
+++ b/soak/src/main/java/org/copperspindle/soak/Soak.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
 
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -97,8 +98,13 @@
         for (Disturbance each : plan) {
             workers.schedule(() -> disturb(each), each.atMillis(), TimeUnit.MILLISECONDS);
         }
-        long lastEnd =
-                plan.stream().mapToLong(d -> d.atMillis() + d.forMillis()).max().orElse(0);
+        List<Evacuation> evacuations = Evacuation.plan(settings);
+        workers.execute(() -> evacuate(evacuations, startedAt));
+        long lastEnd = Stream.concat(
+                        plan.stream().map(d -> d.atMillis() + d.forMillis()),
+                        evacuations.stream().map(Evacuation::endMillis))
+                .max(Long::compare)
+                .orElse(0L);
         Thread.sleep(Math.max(settings.duration().toMillis(), lastEnd) + startedAt - System.currentTimeMillis());
         double recovered = recover();
         callers.forEach(SoakCaller::end);
@@ -143,7 +149,32 @@
     }
 
     private SoakUpstream upstream(String pool) {
-        return new SoakUpstream(pool, book, ports, results, this::endedUnderFatal, new Random(settings.seed()), group);
+        SoakUpstream upstream =
+                new SoakUpstream(pool, book, ports, results, this::endedUnderFatal, new Random(settings.seed()), group);
+        boolean cold = settings.evacuates() && pool.equals(SoakUpstream.ENGINE);
+        return cold ? upstream.starting(ColdStart.at(System.currentTimeMillis())) : upstream;
+    }
+
+    /** Empties failure domains one after the other: two orders on one domain at once would undo each other. */
+    private void evacuate(List<Evacuation> plan, long startedAt) {
+        for (Evacuation each : plan) {
+            Pause.millis(Math.max(0, startedAt + each.atMillis() - System.currentTimeMillis()));
+            evacuate(each);
+        }
+    }
+
+    private void evacuate(Evacuation what) {
+        progress.accept("at_ms=" + what.atMillis() + " kind=EVACUATE target=" + what.failureDomain() + " for_ms="
+                + what.forMillis());
+        boolean acknowledged = operator.evacuate(what.failureDomain(), true, CHANGE_BOUND);
+        long from = System.currentTimeMillis();
+        Pause.millis(what.forMillis());
+        if (acknowledged) {
+            book.evacuated(what.failureDomain(), from, System.currentTimeMillis());
+        }
+        if (!operator.evacuate(what.failureDomain(), false, START_BOUND)) {
+            book.breaks("evacuation: the end of " + what.failureDomain() + " was not acknowledged");
+        }
     }
 
     /** Ends an upstream by a request that it runs; another one starts in its place. */
--- a/soak/src/main/java/org/copperspindle/soak/SoakOperator.java
+++ b/soak/src/main/java/org/copperspindle/soak/SoakOperator.java
@@ -32,6 +32,8 @@
     /** Nodes hear of others within this after links are sound again. */
     static final long CONTACT_MILLIS = 4000;
 
+    private static final String TABLE = "/v1/table";
+    private static final String EVACUATIONS = "/v1/evacuations/";
     private static final Pattern VERSION = Pattern.compile("version = (\\d+)");
     private static final Duration PATIENCE = Duration.ofSeconds(2);
     private static final long READ_AFTER_MILLIS = 2500;
@@ -60,7 +62,7 @@
         String table = table();
         long end = System.nanoTime() + bound.toNanos();
         while (System.nanoTime() < end) {
-            if (send("PUT", HttpRequest.BodyPublishers.ofString(table)).isPresent()) {
+            if (send("PUT", TABLE, HttpRequest.BodyPublishers.ofString(table)).isPresent()) {
                 acknowledged = version;
                 acknowledgedAt = System.currentTimeMillis();
                 if (revoked && book.revokedAt() == Long.MAX_VALUE) {
@@ -76,15 +78,29 @@
     synchronized boolean check() {
         boolean settled = System.currentTimeMillis() - acknowledgedAt > READ_AFTER_MILLIS;
         long least = settled ? acknowledged : 0;
-        Optional<Long> read = send("GET", HttpRequest.BodyPublishers.noBody()).flatMap(SoakOperator::version);
+        Optional<Long> read =
+                send("GET", TABLE, HttpRequest.BodyPublishers.noBody()).flatMap(SoakOperator::version);
         read.filter(found -> found < least)
                 .ifPresent(found -> book.breaks("config: read version " + found + " after " + least + " was accepted"));
         return read.isPresent();
     }
 
-    private Optional<String> send(String method, HttpRequest.BodyPublisher body) {
+    /** Has a failure domain evacuated, or used again; returns whether that was acknowledged before the time was over. */
+    boolean evacuate(String failureDomain, boolean begins, Duration bound) {
+        long end = System.nanoTime() + bound.toNanos();
+        while (System.nanoTime() < end && !Thread.currentThread().isInterrupted()) {
+            String path = EVACUATIONS + failureDomain;
+            if (send(begins ? "PUT" : "DELETE", path, HttpRequest.BodyPublishers.noBody())
+                    .isPresent()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private Optional<String> send(String method, String path, HttpRequest.BodyPublisher body) {
         NodePorts node = nodes.get(ThreadLocalRandom.current().nextInt(nodes.size()));
-        HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + node.address(node.control()) + "/v1/table"))
+        HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + node.address(node.control()) + path))
                 .timeout(PATIENCE)
                 .method(method, body)
                 .build();
@@ -112,7 +128,8 @@
     private String table() {
         return "[table]\nversion = " + version + "\n[account " + LASTING + "]\nkeys = key-" + LASTING + "\n[account "
                 + REVOKED + "]\nkeys = " + (revoked ? "key-other" : "key-" + REVOKED) + "\n[pool " + SoakUpstream.WEB
-                + "]\n[pool " + SoakUpstream.ENGINE + "]\nengine-slots = 16\n[pool " + SoakUpstream.STAGE
+                + "]\n[pool " + SoakUpstream.ENGINE + "]\nengine-slots = 16\ncold-time = " + ColdStart.TIME_MILLIS
+                + "ms\ncold-per-second = " + ColdStart.PER_SECOND + "\n[pool " + SoakUpstream.STAGE
                 + "]\npieces-in-a-call = 8\ncalls-waiting = 2\ncall-time = 30ms\npiece-time = 1ms\n"
                 + "result-memory = 1MiB\nresult-kept = 4s\n"
                 + route(SoakRequest.SAFE, "safe", SoakUpstream.WEB, "max-attempts = 2")
--- a/soak/src/main/java/org/copperspindle/soak/SoakSettings.java
+++ b/soak/src/main/java/org/copperspindle/soak/SoakSettings.java
@@ -13,10 +13,18 @@
  * @param callers  callers at work at the same time
  * @param folder   where settings, data and logs go
  * @param fatal    whether a caller sends one request again and again that ends each upstream that runs it
+ * @param evacuates whether the operator evacuates failure domains, and engines are cold after their start
  * @param launcher words that start the command line, to which {@code run --settings FILE} is added
  */
 public record SoakSettings(
-        long seed, Duration duration, int nodes, int callers, Path folder, boolean fatal, List<String> launcher) {
+        long seed,
+        Duration duration,
+        int nodes,
+        int callers,
+        Path folder,
+        boolean fatal,
+        boolean evacuates,
+        List<String> launcher) {
 
     /** Copies the list. */
     public SoakSettings {
--- a/soak/src/main/java/org/copperspindle/soak/SoakUpstream.java
+++ b/soak/src/main/java/org/copperspindle/soak/SoakUpstream.java
@@ -45,7 +45,7 @@
     private static final AtomicLong LAST = new AtomicLong();
     private static final int EVENT_MILLIS = 15;
     private static final int CALL_MILLIS = 30;
-    private static final int DOMAINS = 3;
+    static final int DOMAINS = 3;
     private static final long ASK_AGAIN_MILLIS = 50;
     private static final double REFUSES = 0.03;
     private static final double BREAKS = 0.03;
@@ -66,6 +66,7 @@
     private final Consumer<SoakUpstream> ends;
     private final Set<HttpExchange> open = ConcurrentHashMap.newKeySet();
     private final Random random;
+    private volatile ColdStart coldStart = ColdStart.WARM;
     private final AtomicLong sequence = new AtomicLong();
     private volatile String phase = "ready";
     private volatile boolean ended;
@@ -88,6 +89,22 @@
                 new HttpListener(group, new InetSocketAddress("127.0.0.1", 0), () -> HttpLimits.DEFAULT, this::handle);
     }
 
+    /** Sets what it bears after its start; before its first announcement. */
+    SoakUpstream starting(ColdStart start) {
+        coldStart = start;
+        return this;
+    }
+
+    /** Returns the name of a failure domain by its number. */
+    static String failureDomain(long number) {
+        return "d" + number % DOMAINS;
+    }
+
+    /** Returns the failure domain of an upstream. */
+    static String domainOf(String upstream) {
+        return failureDomain(Long.parseLong(upstream.substring(1)));
+    }
+
     static Set<String> noResults() {
         return ConcurrentHashMap.newKeySet();
     }
@@ -103,10 +120,11 @@
                 .objectNode()
                 .put("pool", pool)
                 .put("address", address())
-                .put("failure_domain", "d" + life % DOMAINS)
+                .put("failure_domain", domainOf(id))
                 .put("phase", phase)
                 .put("slots", 16)
                 .put("sequence", sequence.incrementAndGet())
+                .put("cold_ms", coldStart.leftMillis(System.currentTimeMillis()))
                 .toString();
         URI uri = URI.create("http://" + node.address(node.control()) + "/v1/upstreams/" + id);
         HttpRequest request = HttpRequest.newBuilder(uri)
@@ -181,6 +199,9 @@
         SoakRequest request =
                 SoakRequest.parse(exchange.header(NAMES.requestId()).orElse("none-none-0-0"));
         judge(exchange, request);
+        if (coldStart.isTooMuch(System.currentTimeMillis())) {
+            book.breaks("cold: " + id + " got " + request.id() + " beyond what it bears");
+        }
         boolean gone = !results.containsAll(inputs(exchange));
         if (gone || random.nextDouble() < REFUSES) {
             List<HeaderField> refusal =
@@ -249,6 +270,7 @@
             piece.path("inputs").forEach(input -> inputs.add(input.asText()));
             int stage = piece.path("stage").asInt();
             judgePiece(request, stage, piece.path("key").asText(), inputs);
+            book.madePiece(request.id(), id, System.currentTimeMillis());
             if (!results.containsAll(inputs)) {
                 out.put("missed", "input-gone");
                 continue;
--- a/tools/src/main/java/org/copperspindle/cli/SoakCommand.java
+++ b/tools/src/main/java/org/copperspindle/cli/SoakCommand.java
@@ -58,6 +58,10 @@
         parser.addArgument("--no-fatal")
                 .action(Arguments.storeTrue())
                 .help("leave out the caller whose one request ends each upstream that runs it");
+        parser.addArgument("--no-evacuations")
+                .action(Arguments.storeTrue())
+                .help(
+                        "leave out the operator who evacuates failure domains, and engines that are cold after their start");
         parser.addArgument("--folder").setDefault("").help("for settings, data and logs; a temporary one if not given");
     }
 
@@ -77,6 +81,7 @@
                     arguments.getInt("callers"),
                     folder.resolve("seed-" + seed),
                     !arguments.getBoolean("no_fatal"),
+                    !arguments.getBoolean("no_evacuations"),
                     launcher());
             SoakReport report = Soak.run(settings, line -> System.out.println("soak " + line));
             System.out.println(report.summary() + " logs=" + settings.folder());
--- a/tools/src/test/java/org/copperspindle/cli/SoakTest.java
+++ b/tools/src/test/java/org/copperspindle/cli/SoakTest.java
@@ -30,10 +30,10 @@
     // kept
     // connections was held off in its place.
     @ParameterizedTest
-    @CsvSource({"1, false", "101, false", "7001, true", "7002, true"})
-    void promisesAreKeptWhileNodesAreDisturbed(long seed, boolean fatal) throws Exception {
+    @CsvSource({"1, false, false", "101, false, false", "7001, true, false", "7002, true, false", "8001, false, true"})
+    void promisesAreKeptWhileNodesAreDisturbed(long seed, boolean fatal, boolean evacuates) throws Exception {
         SoakSettings settings =
-                new SoakSettings(seed, Duration.ofSeconds(8), 4, 6, folder, fatal, SoakCommand.launcher());
+                new SoakSettings(seed, Duration.ofSeconds(8), 4, 6, folder, fatal, evacuates, SoakCommand.launcher());
         SoakReport report = Soak.run(settings, line -> {});
         assertThat(report.broken()).as(report.summary()).isEmpty();
         assertThat(report.served()).isPositive();
