Have one deferred task where six places kept a flag beside a timer

Found when the change was read again: NodeMesh, RequestQuarantine and PoolDispatcher each wrote once more what DirectClient, UpdatePusher and WaitingRequests had: a flag, a timer that clears it, and a task.

--- a/library/src/main/java/org/copperspindle/batch/PoolDispatcher.java
+++ b/library/src/main/java/org/copperspindle/batch/PoolDispatcher.java
@@ -16,6 +16,7 @@
 import org.copperspindle.discovery.UpstreamNews;
 import org.copperspindle.measure.DecisionLog;
 import org.copperspindle.route.BatchLimits;
+import org.copperspindle.time.DeferredTask;
 import org.copperspindle.time.TimerService;
 
 /**
@@ -33,18 +34,9 @@
     /** Pause of an upstream that refused a call because others call it as well: a fraction of a call. */
     private static final long BUSY_PAUSE_NANOS = Duration.ofMillis(60).toNanos();
 
-    /**
-     * The same while the upstream is cold, and how often it is told then of results that are given up: it bears a few requests
-     * a second, refused ones too.
-     */
-    private static final long COLD_PAUSE_NANOS = Duration.ofMillis(500).toNanos();
-
     /** Pause of an upstream without memory for results; callers free them within a fraction of a second. */
     private static final long ROOM_PAUSE_NANOS = Duration.ofMillis(100).toNanos();
 
-    /** Results are given up together this often: a tenth of the shortest time for which they are needed. */
-    private static final long FREE_NANOS = Duration.ofMillis(20).toNanos();
-
     /** A piece is made so often at most: each failure of its maker costs it a call's time. */
     private static final int MAX_LOSSES = 3;
 
@@ -61,12 +53,12 @@
     private final PieceQueue queue = new PieceQueue();
     private final PoolUpstreams upstreams;
     private final Map<WaitingGroup, Integer> running = new HashMap<>();
+    private final FreedResults freed;
+    private final DeferredTask wake;
+    private final CallParting parting = new CallParting();
     private final FetchTime fetchTime = new FetchTime();
     private Optional<StandstillWatch> standstills = Optional.empty();
     private PoolWork work = PoolWork.NONE;
-    private long lots;
-    private boolean freeing;
-    private boolean waking;
 
     PoolDispatcher(
             String pool,
@@ -84,6 +76,8 @@
         this.sink = sink;
         this.log = log;
         this.upstreams = new PoolUpstreams(pool, directory);
+        this.freed = new FreedResults(upstreams, timers, port, this::dispatch);
+        this.wake = new DeferredTask(timers, this::dispatch);
     }
 
     /** Sets what tells whether this process stood still while a call was under way; without it, it never did. */
@@ -137,10 +131,7 @@
     }
 
     void free(List<String> handles) {
-        for (String handle : handles) {
-            ResultHandle.makerAddress(handle).flatMap(upstreams::findByAddress).ifPresent(maker -> maker.free(handle));
-        }
-        freeLater(FREE_NANOS);
+        freed.add(handles);
     }
 
     /** Called when the upstreams of the pool changed. */
@@ -262,49 +253,61 @@
         boolean spoiled = standstills.filter(watch -> watch.spoils(sentAt, now)).isPresent();
         tasks.forEach(task -> running.computeIfPresent(task.group(), (g, n) -> n > 1 ? n - 1 : null));
         if (result instanceof StageCallResult.Answered answered) {
+            long tookNanos = now - sentAt;
             long made = answered.outcomes().stream()
                     .filter(PieceOutcome.Made.class::isInstance)
                     .count();
-            work = work.and((spoiled ? expected : now - sentAt) / NANOS_PER_SECOND, made);
+            work = work.and((spoiled ? expected : tookNanos) / NANOS_PER_SECOND, made);
             if (spoiled) {
                 upstream.ended();
             } else {
-                upstream.answered(expected, now - sentAt);
+                upstream.answered(expected, tookNanos);
                 noteSpeed(upstream, now);
                 learnFetchTime(tasks, answered.outcomes());
             }
             take(upstream, tasks, answered.outcomes(), now);
         } else if (result instanceof StageCallResult.NotRun notRun) {
-            upstream.notRun(now, upstreams.isCold(upstream, now) ? COLD_PAUSE_NANOS : BUSY_PAUSE_NANOS);
-            LOGGER.info(
-                    "event=stage-call-refused pool={} upstream={} pieces={} reason={}",
-                    pool,
-                    upstream.news().id(),
-                    tasks.size(),
-                    notRun.reason());
-            tasks.forEach(this::putBack);
+            refused(upstream, tasks, notRun, now);
         } else if (result instanceof StageCallResult.Lost lost) {
-            // After a standstill of this process a call that has no answer proves nothing.
-            long pause = spoiled ? 0 : upstream.lost(now);
-            if (spoiled) {
-                upstream.ended();
-            }
-            LOGGER.warn(
-                    "event=stage-call-lost pool={} upstream={} pieces={} reason={} took_ms={} pause_ms={}",
-                    pool,
-                    upstream.news().id(),
-                    tasks.size(),
-                    lost.reason(),
-                    (now - sentAt) / NANOS_PER_MILLI,
-                    pause / NANOS_PER_MILLI);
-            if (lost.connectionLost()) {
-                part(tasks);
-            }
-            again(tasks, MissReason.FAILED);
+            lost(upstream, tasks, lost, spoiled, now - sentAt);
         }
         dispatch();
     }
 
+    private void refused(StageUpstream upstream, List<PieceTask> tasks, StageCallResult.NotRun notRun, long now) {
+        upstream.notRun(now, upstreams.isCold(upstream, now) ? StageUpstream.COLD_PAUSE_NANOS : BUSY_PAUSE_NANOS);
+        LOGGER.info(
+                "event=stage-call-refused pool={} upstream={} pieces={} reason={}",
+                pool,
+                upstream.news().id(),
+                tasks.size(),
+                notRun.reason());
+        tasks.forEach(this::putBack);
+    }
+
+    private void lost(
+            StageUpstream upstream, List<PieceTask> tasks, StageCallResult.Lost lost, boolean spoiled, long tookNanos) {
+        long pause = 0;
+        if (spoiled) {
+            // After a standstill of this process a call that has no answer proves nothing.
+            upstream.ended();
+        } else {
+            pause = upstream.lost(timers.nanoTime());
+        }
+        LOGGER.warn(
+                "event=stage-call-lost pool={} upstream={} pieces={} reason={} took_ms={} pause_ms={}",
+                pool,
+                upstream.news().id(),
+                tasks.size(),
+                lost.reason(),
+                tookNanos / NANOS_PER_MILLI,
+                pause / NANOS_PER_MILLI);
+        if (lost.connectionLost()) {
+            parting.part(tasks);
+        }
+        again(tasks, MissReason.FAILED);
+    }
+
     private void noteSpeed(StageUpstream upstream, long now) {
         boolean slow = upstreams.isSlow(upstream, now);
         if (upstream.found(slow, now)) {
@@ -426,23 +429,6 @@
         }
     }
 
-    /**
-     * Parts the groups of a call that was lost with its connection: in two, and after the next loss each from all others. One of
-     * their pieces may end each upstream that makes it. Packed together again, all of them would be lost so often that
-     * they fail, and more that came later; in two calls, the other half is made at once.
-     */
-    private void part(List<PieceTask> tasks) {
-        List<WaitingGroup> groups =
-                tasks.stream().map(PieceTask::group).distinct().toList();
-        boolean again = groups.stream().anyMatch(WaitingGroup::isParted);
-        long first = lots + 1;
-        int parts = again ? groups.size() : 2;
-        lots += parts;
-        for (int i = 0; i < groups.size(); i++) {
-            groups.get(i).part(first + i % parts);
-        }
-    }
-
     /** Makes pieces of a lost call again, unless they were lost too often. */
     private void again(List<PieceTask> tasks, MissReason reason) {
         Map<WaitingGroup, List<Integer>> byGroup = new LinkedHashMap<>();
@@ -479,39 +465,8 @@
 
     /** Looks again while something waits: for an upstream whose pause ends, and for groups whose time runs out. */
     private void wakeLater() {
-        if (waking || queue.isEmpty()) {
-            return;
-        }
-        waking = true;
-        timers.schedule(BUSY_PAUSE_NANOS, () -> {
-            waking = false;
-            dispatch();
-        });
-    }
-
-    private void freeLater(long nanos) {
-        if (!freeing) {
-            freeing = true;
-            timers.schedule(nanos, this::sendFreed);
-        }
-    }
-
-    private void sendFreed() {
-        freeing = false;
-        long now = timers.nanoTime();
-        for (StageUpstream upstream : upstreams.all()) {
-            if (upstreams.isCold(upstream, now) && !upstream.mayFreeWhileCold(now, COLD_PAUSE_NANOS)) {
-                freeLater(COLD_PAUSE_NANOS);
-                continue;
-            }
-            List<String> handles = upstream.takeFreed(now);
-            // An upstream that is evacuated gets nothing any more; it forgets its results by itself.
-            if (!handles.isEmpty() && upstreams.isReady(upstream)) {
-                port.free(upstream.news(), handles, () -> {
-                    upstream.freed(handles);
-                    dispatch();
-                });
-            }
+        if (!queue.isEmpty()) {
+            wake.schedule(BUSY_PAUSE_NANOS);
         }
     }
 
--- a/library/src/main/java/org/copperspindle/batch/StageUpstream.java
+++ b/library/src/main/java/org/copperspindle/batch/StageUpstream.java
@@ -1,5 +1,6 @@
 package org.copperspindle.batch;
 
+import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.LinkedHashSet;
@@ -15,6 +16,12 @@
  */
 final class StageUpstream {
 
+    /**
+     * Pause of a cold upstream that refused a call, and how often it is told of results that are given up: it bears a few requests
+     * a second, refused ones too.
+     */
+    static final long COLD_PAUSE_NANOS = Duration.ofMillis(500).toNanos();
+
     /** First pause after a lost call, doubled up to {@link #LONGEST_PAUSE_NANOS}: as long as one call takes. */
     private static final long FIRST_PAUSE_NANOS = 400_000_000L;
 
@@ -200,8 +207,8 @@
     }
 
     /** Says whether a cold upstream may be told of results again, or has none to be told of. */
-    boolean mayFreeWhileCold(long now, long pauseNanos) {
-        return toFree.isEmpty() || now - freedAt >= pauseNanos;
+    boolean mayFreeWhileCold(long now) {
+        return toFree.isEmpty() || now - freedAt >= COLD_PAUSE_NANOS;
     }
 
     /** Takes the results to give up now. */
--- a/library/src/main/java/org/copperspindle/control/UpdatePusher.java
+++ b/library/src/main/java/org/copperspindle/control/UpdatePusher.java
@@ -7,6 +7,7 @@
 
 import org.copperspindle.membership.ControlUpdateMessage;
 import org.copperspindle.membership.MembershipDelta;
+import org.copperspindle.time.DeferredTask;
 import org.copperspindle.time.TimerService;
 
 /**
@@ -19,11 +20,10 @@
     private static final long COALESCE_NANOS = Duration.ofMillis(3).toNanos();
     private static final int BYTES_AT_ONCE = 1 << 20;
 
-    private final TimerService timers;
     private final ControlState state;
     private final Collection<Member> members;
     private final LongSupplier term;
-    private boolean scheduled;
+    private final DeferredTask flush;
 
     /**
      * Creates a pusher.
@@ -34,10 +34,10 @@
      * @param term    current term, 0 while this member does not lead
      */
     UpdatePusher(TimerService timers, ControlState state, Collection<Member> members, LongSupplier term) {
-        this.timers = timers;
         this.state = state;
         this.members = members;
         this.term = term;
+        this.flush = new DeferredTask(timers, this::flush);
     }
 
     /** Pushes soon if a member lacks something. */
@@ -49,14 +49,10 @@
 
     /** Pushes soon. */
     void wake() {
-        if (!scheduled) {
-            scheduled = true;
-            timers.schedule(COALESCE_NANOS, this::flush);
-        }
+        flush.schedule(COALESCE_NANOS);
     }
 
     private void flush() {
-        scheduled = false;
         if (term.getAsLong() == 0) {
             return;
         }
--- a/library/src/main/java/org/copperspindle/direct/DirectClient.java
+++ b/library/src/main/java/org/copperspindle/direct/DirectClient.java
@@ -19,6 +19,7 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpClientCodec;
+import org.copperspindle.time.DeferredTask;
 import org.copperspindle.time.TimerService;
 import org.copperspindle.wire.NumericAddress;
 
@@ -47,10 +48,10 @@
     private final EventLoop loop;
     private final TimerService timers;
     private final IdleConnections bound;
+    private final DeferredTask sweep;
     private final Map<String, Deque<DirectConnection>> idle = new HashMap<>();
     private final Owner owner = new Owner();
     private long connects;
-    private boolean sweeping;
 
     /**
      * Creates a client without connections.
@@ -63,6 +64,7 @@
         this.loop = loop;
         this.timers = timers;
         this.bound = bound;
+        this.sweep = new DeferredTask(timers, this::sweep);
     }
 
     /**
@@ -146,15 +148,7 @@
         }
     }
 
-    private void sweepLater() {
-        if (!sweeping) {
-            sweeping = true;
-            timers.schedule(SWEEP_NANOS, this::sweep);
-        }
-    }
-
     private void sweep() {
-        sweeping = false;
         long now = timers.nanoTime();
         idle.forEach((address, kept) -> {
             // Fewer are allowed once other nodes have joined.
@@ -165,7 +159,7 @@
         });
         idle.values().removeIf(Deque::isEmpty);
         if (!idle.isEmpty()) {
-            sweepLater();
+            sweep.schedule(SWEEP_NANOS);
         }
     }
 
@@ -194,7 +188,7 @@
             }
             connection.idleSince(timers.nanoTime());
             kept.addLast(connection);
-            sweepLater();
+            sweep.schedule(SWEEP_NANOS);
         }
 
         @Override
--- a/library/src/main/java/org/copperspindle/entry/WaitingRequests.java
+++ b/library/src/main/java/org/copperspindle/entry/WaitingRequests.java
@@ -8,6 +8,7 @@
 
 import org.copperspindle.limits.EntryPolicy;
 import org.copperspindle.pipeline.PipelineRequest;
+import org.copperspindle.time.DeferredTask;
 import org.copperspindle.time.TimerService;
 
 /**
@@ -21,24 +22,22 @@
     private final TimerService timers;
     private final EntryPolicy policy;
     private final Consumer<PipelineRequest> resumed;
+    private final DeferredTask lookAgain;
     private final Set<String> freed = new TreeSet<>();
     private final Set<String> watched = new TreeSet<>();
     private boolean resuming;
-    private boolean armed;
 
     WaitingRequests(TimerService timers, EntryPolicy policy, Consumer<PipelineRequest> resumed) {
         this.timers = timers;
         this.policy = policy;
         this.resumed = resumed;
+        this.lookAgain = new DeferredTask(timers, this::lookAgain);
     }
 
     /** A request got in line for a pool. */
     void waits(String pool) {
         watched.add(pool);
-        if (!armed) {
-            armed = true;
-            timers.schedule(LOOK_AGAIN_NANOS, this::lookAgain);
-        }
+        lookAgain.schedule(LOOK_AGAIN_NANOS);
     }
 
     /** Room may have come in a pool. What that causes in turn is queued behind it, so that nothing nests. */
@@ -68,7 +67,6 @@
     }
 
     private void lookAgain() {
-        armed = false;
         Set<String> pools = new TreeSet<>(watched);
         watched.clear();
         for (String pool : pools) {
--- a/library/src/main/java/org/copperspindle/mesh/NodeMesh.java
+++ b/library/src/main/java/org/copperspindle/mesh/NodeMesh.java
@@ -13,6 +13,7 @@
 import io.netty.channel.Channel;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.copperspindle.time.DeferredTask;
 import org.copperspindle.time.TimerService;
 import org.copperspindle.wire.NumericAddress;
 import org.copperspindle.wire.Peer;
@@ -31,7 +32,7 @@
     /** An address that nobody answers at and nobody speaks of is dialled for so long; nanoseconds. */
     private static final long FORGET_NANOS = 20_000_000_000L;
 
-    /** Connections with nodes that are lost together end within about so long of each other; nanoseconds. */
+    /** Connections with nodes that are lost together end within about so long of each other, and are told together; nanoseconds. */
     private static final long TOGETHER_NANOS = 50_000_000L;
 
     private final MeshSettings settings;
@@ -39,12 +40,12 @@
     private final TimerService timers;
     private final Supplier<NodeHelloMessage> hello;
     private final String self;
+    private final DeferredTask lossTold;
     private final Map<String, MeshNode> nodes = new LinkedHashMap<>();
     private final Map<String, Long> wanted = new LinkedHashMap<>();
     private final Set<String> dialling = new HashSet<>();
     private final List<MeshListener> listeners = new ArrayList<>();
     private Set<String> seeds = Set.of();
-    private boolean announcing;
 
     /**
      * Creates the mesh.
@@ -61,6 +62,7 @@
         this.timers = timers;
         this.hello = hello;
         this.self = NumericAddress.format(settings.listen());
+        this.lossTold = new DeferredTask(timers, this::announce);
         reseed(settings.seeds());
     }
 
@@ -195,7 +197,8 @@
         nodes.remove(node.address());
         wanted.put(node.address(), timers.nanoTime());
         if (node.hello() != null) {
-            announceSoon();
+            // The others go on taking it for alive, and leave work with it, while any node names it.
+            lossTold.schedule(TOGETHER_NANOS);
             LOGGER.info("event=node-lost node={} incarnation={} nodes={}", node.address(), node.incarnation(), count());
             listeners.forEach(listener -> listener.onNodeDown(node));
         }
@@ -239,20 +242,6 @@
         }
     }
 
-    /**
-     * Tells the other nodes within a moment that one is gone: they go on taking it for alive, and leave work with it, while any node names
-     * it. Nodes that are lost together are told together.
-     */
-    private void announceSoon() {
-        if (!announcing) {
-            announcing = true;
-            timers.schedule(TOGETHER_NANOS, () -> {
-                announcing = false;
-                announce();
-            });
-        }
-    }
-
     private void tick() {
         announce();
         dialMissing();
--- a/library/src/main/java/org/copperspindle/quarantine/RequestQuarantine.java
+++ b/library/src/main/java/org/copperspindle/quarantine/RequestQuarantine.java
@@ -18,6 +18,7 @@
 import org.copperspindle.mesh.MeshListener;
 import org.copperspindle.mesh.MeshNode;
 import org.copperspindle.mesh.NodeMesh;
+import org.copperspindle.time.DeferredTask;
 import org.copperspindle.time.TimerService;
 import org.copperspindle.wire.WireMessage;
 
@@ -44,10 +45,10 @@
     private final DecisionLog log;
     private final SuspicionTable table = new SuspicionTable();
     private final UpstreamEnds ends;
+    private final DeferredTask sweep;
     private final EndedUpstreams endedUpstreams = new EndedUpstreams();
     private final Map<String, PoolSurvival> survival = new HashMap<>();
     private long upstreamsEnded;
-    private boolean sweeping;
 
     /**
      * Creates the quarantine; to be subscribed to the mesh.
@@ -63,6 +64,7 @@
         this.mesh = mesh;
         this.log = log;
         this.timers = timers;
+        this.sweep = new DeferredTask(timers, this::sweep);
         this.ends = new UpstreamEnds(directory, timers, listens, this::upstreamEnded);
         directory.subscribe(ends);
     }
@@ -210,16 +212,10 @@
     }
 
     /** An empty table makes requests cheap again. */
-    private void sweepLater() {
-        if (!sweeping) {
-            sweeping = true;
-            timers.schedule(SWEEP_NANOS, () -> {
-                sweeping = false;
-                table.forgetOld(timers.nanoTime());
-                if (!table.isEmpty()) {
-                    sweepLater();
-                }
-            });
+    private void sweep() {
+        table.forgetOld(timers.nanoTime());
+        if (!table.isEmpty()) {
+            sweep.schedule(SWEEP_NANOS);
         }
     }
 
@@ -268,7 +264,7 @@
         if (!table.accept(heard, now)) {
             return false;
         }
-        sweepLater();
+        sweep.schedule(SWEEP_NANOS);
         endedUpstreams.add(heard.upstreams());
         Suspicion known = table.find(heard.digest(), now).orElse(heard);
         boolean held = table.isHeld(known.digest(), now);
@@ -288,7 +284,7 @@
                 from,
                 known.level(),
                 known.epoch(),
-                HoldPolicy.holdNanos(known.level()) / 1_000_000L,
+                Duration.ofNanos(HoldPolicy.holdNanos(known.level())).toMillis(),
                 known.route(),
                 known.account(),
                 known.upstreams());
