Score candidates for a rendezvous in one place

Found when the change was read again: SenderSetAdmission wrote the score once more that BatchService and UpstreamChooser each had. Change: routing.RendezvousScore serves all three; the numbers are the same, so that nodes of either build choose alike. PoolView parts its two words otherwise and keeps its own: its choices would move. Behaviour as before: tests unchanged and green.

--- a/library/src/main/java/org/copperspindle/batch/BatchService.java
+++ b/library/src/main/java/org/copperspindle/batch/BatchService.java
@@ -10,7 +10,6 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Function;
 
-import net.openhft.hashing.LongHashFunction;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.copperspindle.discovery.UpstreamDirectory;
@@ -23,6 +22,7 @@
 import org.copperspindle.mesh.NodeHelloMessage;
 import org.copperspindle.mesh.NodeMesh;
 import org.copperspindle.route.BatchLimits;
+import org.copperspindle.routing.RendezvousScore;
 import org.copperspindle.time.TimerService;
 import org.copperspindle.wire.WireMessage;
 
@@ -34,7 +34,6 @@
 public final class BatchService implements MeshListener {
 
     private static final Logger LOGGER = LogManager.getLogger(BatchService.class);
-    private static final LongHashFunction HASH = LongHashFunction.xx3();
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
     /** Loads are told this often: three times in the shortest call. */
@@ -400,12 +399,12 @@
     private String owner(String pool) {
         String best = mesh.self();
         int fitness = status.isServing() ? status.fitness() : Integer.MIN_VALUE;
-        long most = score(pool, best);
+        long most = RendezvousScore.of(pool, best);
         for (MeshNode node : mesh.nodes()) {
             if (isBetter(pool, node.address(), node.hello(), fitness, most)) {
                 best = node.address();
                 fitness = node.hello().fitness();
-                most = score(pool, best);
+                most = RendezvousScore.of(pool, best);
             }
         }
         for (Map.Entry<String, Distant> lost : distant.entrySet()) {
@@ -413,7 +412,7 @@
             if (isBetter(pool, lost.getKey(), hello, fitness, most) && relay.sees(lost.getKey())) {
                 best = lost.getKey();
                 fitness = hello.fitness();
-                most = score(pool, best);
+                most = RendezvousScore.of(pool, best);
             }
         }
         return best;
@@ -421,11 +420,7 @@
 
     private static boolean isBetter(String pool, String node, NodeHelloMessage hello, int fitness, long most) {
         int fit = hello.fitness();
-        return hello.serving() && (fit > fitness || fit == fitness && score(pool, node) > most);
-    }
-
-    private static long score(String pool, String node) {
-        return HASH.hashChars(pool + '@' + node);
+        return hello.serving() && (fit > fitness || fit == fitness && RendezvousScore.of(pool, node) > most);
     }
 
     private PoolDispatcher dispatcher(String pool) {
--- a/library/src/main/java/org/copperspindle/coldstart/SenderSetAdmission.java
+++ b/library/src/main/java/org/copperspindle/coldstart/SenderSetAdmission.java
@@ -4,8 +4,8 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 
-import net.openhft.hashing.LongHashFunction;
 import org.copperspindle.route.ColdLimits;
+import org.copperspindle.routing.RendezvousScore;
 
 /**
  * A cold upstream gets requests from a few nodes only, which all nodes choose alike by rendezvous, without asking anybody. All
@@ -20,8 +20,6 @@
     /** Part of what a cold upstream bears that the nodes use: twice that is below what ends it. */
     private static final double USED = 0.75;
 
-    private static final LongHashFunction HASH = LongHashFunction.xx3();
-
     private final String self;
     private final Supplier<List<String>> others;
     private final BooleanSupplier cutOff;
@@ -62,11 +60,9 @@
 
     /** Returns how many nodes are rather to send to an upstream than this one. */
     private long before(String upstream, List<String> nodes) {
-        long own = score(upstream, self);
-        return nodes.stream().filter(node -> score(upstream, node) > own).count();
-    }
-
-    private static long score(String upstream, String node) {
-        return HASH.hashChars(upstream + '@' + node);
+        long own = RendezvousScore.of(upstream, self);
+        return nodes.stream()
+                .filter(node -> RendezvousScore.of(upstream, node) > own)
+                .count();
     }
 }
--- a/library/src/main/java/org/copperspindle/gateway/UpstreamChooser.java
+++ b/library/src/main/java/org/copperspindle/gateway/UpstreamChooser.java
@@ -6,11 +6,11 @@
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 
-import net.openhft.hashing.LongHashFunction;
 import org.copperspindle.coldstart.ColdAdmission;
 import org.copperspindle.discovery.UpstreamDirectory;
 import org.copperspindle.discovery.UpstreamNews;
 import org.copperspindle.route.UpstreamPool;
+import org.copperspindle.routing.RendezvousScore;
 
 /**
  * Chooses the upstream of an attempt. An engine keeps the prompts that it has read, so that requests with the same shared
@@ -34,8 +34,6 @@
      */
     private static final long BYTES_PER_TOKEN = 3000;
 
-    private static final LongHashFunction HASH = LongHashFunction.xx3();
-
     private final UpstreamDirectory directory;
     private final UpstreamTracker tracker;
     private final ColdAdmission cold;
@@ -135,7 +133,7 @@
         UpstreamNews best = null;
         long most = 0;
         for (UpstreamNews upstream : candidates) {
-            long score = HASH.hashChars(shared + '@' + upstream.id());
+            long score = RendezvousScore.of(shared, upstream.id());
             boolean first = best == null || score > most;
             if (first && tracker.inFlight(upstream.id()) <= bound && bears.test(upstream)) {
                 best = upstream;
--- a/library/src/main/java/org/copperspindle/routing/package-info.java
+++ b/library/src/main/java/org/copperspindle/routing/package-info.java
@@ -1,4 +1,4 @@
 /**
- * Choice of an upstream for one attempt.
+ * Choice of an upstream for one attempt, and the score that other choices share with it.
  */
 package org.copperspindle.routing;
