Decode parts of messages by the codec itself

Found when the change was read again: Suspicion and EditionSnapshotMessage each wrapped the codec's exception for their readers, as Member, Membership, UpstreamNews and PieceResult did. Change: MessageCodec.decodePart does it for all six.

--- a/library/src/main/java/org/copperspindle/batch/PieceResult.java
+++ b/library/src/main/java/org/copperspindle/batch/PieceResult.java
@@ -2,7 +2,6 @@
 
 import org.copperspindle.wire.FieldReader;
 import org.copperspindle.wire.FieldWriter;
-import org.copperspindle.wire.MalformedFrameException;
 import org.copperspindle.wire.MessageCodec;
 import org.copperspindle.wire.WireMessage;
 
@@ -22,11 +21,7 @@
     }
 
     static PieceResult decode(byte[] bytes) {
-        try {
-            return CODEC.decode(bytes);
-        } catch (MalformedFrameException e) {
-            throw new IllegalArgumentException(e);
-        }
+        return CODEC.decodePart(bytes);
     }
 
     private void write(FieldWriter out) {
--- a/library/src/main/java/org/copperspindle/consensus/Member.java
+++ b/library/src/main/java/org/copperspindle/consensus/Member.java
@@ -2,7 +2,6 @@
 
 import org.copperspindle.wire.FieldReader;
 import org.copperspindle.wire.FieldWriter;
-import org.copperspindle.wire.MalformedFrameException;
 import org.copperspindle.wire.MessageCodec;
 import org.copperspindle.wire.WireMessage;
 
@@ -29,11 +28,7 @@
     }
 
     static Member decode(byte[] bytes) {
-        try {
-            return CODEC.decode(bytes);
-        } catch (MalformedFrameException e) {
-            throw new IllegalArgumentException(e);
-        }
+        return CODEC.decodePart(bytes);
     }
 
     private void write(FieldWriter out) {
--- a/library/src/main/java/org/copperspindle/consensus/Membership.java
+++ b/library/src/main/java/org/copperspindle/consensus/Membership.java
@@ -8,7 +8,6 @@
 
 import org.copperspindle.wire.FieldReader;
 import org.copperspindle.wire.FieldWriter;
-import org.copperspindle.wire.MalformedFrameException;
 import org.copperspindle.wire.MessageCodec;
 import org.copperspindle.wire.WireMessage;
 
@@ -70,11 +69,7 @@
     }
 
     static Membership decode(byte[] bytes) {
-        try {
-            return CODEC.decode(bytes);
-        } catch (MalformedFrameException e) {
-            throw new IllegalArgumentException(e);
-        }
+        return CODEC.decodePart(bytes);
     }
 
     private void write(FieldWriter out) {
--- a/library/src/main/java/org/copperspindle/discovery/UpstreamNews.java
+++ b/library/src/main/java/org/copperspindle/discovery/UpstreamNews.java
@@ -2,7 +2,6 @@
 
 import org.copperspindle.wire.FieldReader;
 import org.copperspindle.wire.FieldWriter;
-import org.copperspindle.wire.MalformedFrameException;
 import org.copperspindle.wire.MessageCodec;
 import org.copperspindle.wire.WireMessage;
 
@@ -77,11 +76,7 @@
     }
 
     static UpstreamNews decode(byte[] bytes) {
-        try {
-            return CODEC.decode(bytes);
-        } catch (MalformedFrameException e) {
-            throw new IllegalArgumentException(e);
-        }
+        return CODEC.decodePart(bytes);
     }
 
     private void write(FieldWriter out) {
--- a/library/src/main/java/org/copperspindle/edition/EditionSnapshotMessage.java
+++ b/library/src/main/java/org/copperspindle/edition/EditionSnapshotMessage.java
@@ -4,7 +4,6 @@
 
 import org.copperspindle.wire.FieldReader;
 import org.copperspindle.wire.FieldWriter;
-import org.copperspindle.wire.MalformedFrameException;
 import org.copperspindle.wire.MessageCodec;
 import org.copperspindle.wire.WireMessage;
 
@@ -40,12 +39,8 @@
 
     private static EditionSnapshotMessage read(FieldReader in) {
         byte[] text = in.getBytes(1);
-        try {
-            return new EditionSnapshotMessage(
-                    text.length == 0 ? Optional.empty() : Optional.of(EditionMessage.CODEC.decode(text)),
-                    EvacuationsMessage.CODEC.decode(in.getBytes(2)));
-        } catch (MalformedFrameException e) {
-            throw new IllegalArgumentException(e);
-        }
+        return new EditionSnapshotMessage(
+                text.length == 0 ? Optional.empty() : Optional.of(EditionMessage.CODEC.decodePart(text)),
+                EvacuationsMessage.CODEC.decodePart(in.getBytes(2)));
     }
 }
--- a/library/src/main/java/org/copperspindle/quarantine/Suspicion.java
+++ b/library/src/main/java/org/copperspindle/quarantine/Suspicion.java
@@ -6,7 +6,6 @@
 
 import org.copperspindle.wire.FieldReader;
 import org.copperspindle.wire.FieldWriter;
-import org.copperspindle.wire.MalformedFrameException;
 import org.copperspindle.wire.MessageCodec;
 import org.copperspindle.wire.WireMessage;
 
@@ -86,11 +85,7 @@
     }
 
     static Suspicion decode(byte[] bytes) {
-        try {
-            return CODEC.decode(bytes);
-        } catch (MalformedFrameException e) {
-            throw new IllegalArgumentException(e);
-        }
+        return CODEC.decodePart(bytes);
     }
 
     private void write(FieldWriter out) {
--- a/library/src/main/java/org/copperspindle/wire/MessageCodec.java
+++ b/library/src/main/java/org/copperspindle/wire/MessageCodec.java
@@ -88,6 +88,21 @@
         }
     }
 
+    /**
+     * Decodes a message that is a part of another one, for the reader of that: what is wrong with the part is wrong with the whole.
+     *
+     * @param payload what {@link #encode} made
+     * @return the message
+     * @throws IllegalArgumentException if the bytes are not this message
+     */
+    public T decodePart(byte[] payload) {
+        try {
+            return decode(payload);
+        } catch (MalformedFrameException e) {
+            throw new IllegalArgumentException(e);
+        }
+    }
+
     T read(FieldReader fields) {
         return reader.apply(fields);
     }
