Ask nodes by one client from the commands of operators

Found when the change was read again: evacuate and held each had an HTTP client, a request and a loop like that of status, and their tests one stand-in node each. Change: NodeClient asks one node for all three; StandInNode serves both tests, whose assertions are as they were. status and held follow redirects now as evacuate does; no node sends them any.

--- a/tools/src/main/java/org/copperspindle/cli/EvacuateCommand.java
+++ b/tools/src/main/java/org/copperspindle/cli/EvacuateCommand.java
@@ -1,10 +1,7 @@
 package org.copperspindle.cli;
 
 import java.io.IOException;
-import java.net.URI;
 import java.net.URLEncoder;
-import java.net.http.HttpClient;
-import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -29,10 +26,7 @@
     private static final int OK = 200;
     private static final int SERVER_ERROR = 500;
 
-    private final HttpClient http = HttpClient.newBuilder()
-            .connectTimeout(TIMEOUT)
-            .followRedirects(HttpClient.Redirect.NORMAL)
-            .build();
+    private final NodeClient nodes = new NodeClient(TIMEOUT);
 
     @Override
     public String name() {
@@ -68,32 +62,24 @@
 
     /** Returns the answer of a node, unless it has none or can't say how the order ended. */
     private Optional<HttpResponse<byte[]>> ask(String target, Namespace arguments) throws InterruptedException {
-        try {
-            HttpResponse<byte[]> answer =
-                    http.send(request(target, arguments), HttpResponse.BodyHandlers.ofByteArray());
-            if (answer.statusCode() < SERVER_ERROR) {
-                return Optional.of(answer);
-            }
-            System.err.println(target + ": " + new String(answer.body(), StandardCharsets.UTF_8));
-        } catch (IOException e) {
-            System.err.println(target + ": " + e);
-        }
-        return Optional.empty();
-    }
-
-    private static HttpRequest request(String target, Namespace arguments) {
         String begun = arguments.getString("begin");
         String ended = arguments.getString("end");
-        String named = begun == null ? ended : begun;
-        String path = named == null ? PATH : PATH + '/' + URLEncoder.encode(named, StandardCharsets.UTF_8);
-        HttpRequest.Builder request =
-                HttpRequest.newBuilder(URI.create("http://" + target + path)).timeout(TIMEOUT);
+        Optional<HttpResponse<byte[]>> answer;
         if (begun != null) {
-            request.PUT(HttpRequest.BodyPublishers.noBody());
+            answer = nodes.ask(target, "PUT", path(begun));
         } else if (ended != null) {
-            request.DELETE();
+            answer = nodes.ask(target, "DELETE", path(ended));
+        } else {
+            answer = nodes.ask(target, "GET", PATH);
         }
-        return request.build();
+        answer.filter(given -> given.statusCode() >= SERVER_ERROR)
+                .ifPresent(unclear ->
+                        System.err.println(target + ": " + new String(unclear.body(), StandardCharsets.UTF_8)));
+        return answer.filter(given -> given.statusCode() < SERVER_ERROR);
+    }
+
+    private static String path(String domain) {
+        return PATH + '/' + URLEncoder.encode(domain, StandardCharsets.UTF_8);
     }
 
     private static ExitCode show(HttpResponse<byte[]> answer) throws IOException {
--- a/tools/src/main/java/org/copperspindle/cli/HeldCommand.java
+++ b/tools/src/main/java/org/copperspindle/cli/HeldCommand.java
@@ -1,9 +1,6 @@
 package org.copperspindle.cli;
 
 import java.io.IOException;
-import java.net.URI;
-import java.net.http.HttpClient;
-import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.time.Duration;
 import java.util.Optional;
@@ -24,8 +21,7 @@
     private static final long MILLIS_PER_SECOND = 1000;
     private static final int NOT_FOUND = 404;
 
-    private final HttpClient http =
-            HttpClient.newBuilder().connectTimeout(TIMEOUT).build();
+    private final NodeClient nodes = new NodeClient(TIMEOUT);
 
     @Override
     public String name() {
@@ -58,18 +54,9 @@
     }
 
     private Optional<HttpResponse<byte[]>> ask(String target, Optional<String> lifted) throws InterruptedException {
-        URI uri = URI.create(
-                "http://" + target + PATH + lifted.map(digest -> '/' + digest).orElse(""));
-        HttpRequest.Builder request = HttpRequest.newBuilder(uri).timeout(TIMEOUT);
-        if (lifted.isPresent()) {
-            request.DELETE();
-        }
-        try {
-            return Optional.of(http.send(request.build(), HttpResponse.BodyHandlers.ofByteArray()));
-        } catch (IOException e) {
-            System.err.println(target + ": " + e);
-            return Optional.empty();
-        }
+        return lifted.isPresent()
+                ? nodes.ask(target, "DELETE", PATH + '/' + lifted.get())
+                : nodes.ask(target, "GET", PATH);
     }
 
     private static ExitCode show(HttpResponse<byte[]> answer, Optional<String> lifted) throws IOException {
--- a/tools/src/main/java/org/copperspindle/cli/StatusCommand.java
+++ b/tools/src/main/java/org/copperspindle/cli/StatusCommand.java
@@ -1,9 +1,6 @@
 package org.copperspindle.cli;
 
 import java.io.IOException;
-import java.net.URI;
-import java.net.http.HttpClient;
-import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.time.Duration;
 import java.util.ArrayDeque;
@@ -24,9 +21,9 @@
 
     private static final Duration TIMEOUT = Duration.ofSeconds(3);
     private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final int OK = 200;
 
-    private final HttpClient http =
-            HttpClient.newBuilder().connectTimeout(TIMEOUT).build();
+    private final NodeClient nodes = new NodeClient(TIMEOUT);
 
     @Override
     public String name() {
@@ -78,12 +75,13 @@
     }
 
     private Optional<JsonNode> ask(String target) throws InterruptedException {
-        HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + target + "/v1/status"))
-                .timeout(TIMEOUT)
-                .build();
+        Optional<HttpResponse<byte[]>> answer =
+                nodes.ask(target, "GET", "/v1/status").filter(given -> given.statusCode() == OK);
+        if (answer.isEmpty()) {
+            return Optional.empty();
+        }
         try {
-            HttpResponse<byte[]> response = http.send(request, HttpResponse.BodyHandlers.ofByteArray());
-            return response.statusCode() == 200 ? Optional.of(MAPPER.readTree(response.body())) : Optional.empty();
+            return Optional.of(MAPPER.readTree(answer.get().body()));
         } catch (IOException e) {
             System.err.println(target + ": " + e);
             return Optional.empty();
--- a/tools/src/test/java/org/copperspindle/cli/HeldCommandTest.java
+++ b/tools/src/test/java/org/copperspindle/cli/HeldCommandTest.java
@@ -1,13 +1,8 @@
 package org.copperspindle.cli;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.io.PrintStream;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 
-import com.sun.net.httpserver.HttpServer;
+import com.sun.net.httpserver.HttpExchange;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -25,35 +20,22 @@
             "{\"held\":[{\"digest\":\"0f\",\"route\":\"r\",\"account\":\"t\",\"since_ms\":4000,"
                     + "\"left_ms\":56000,\"upstreams\":[\"u1\",\"u2\"]}]}";
 
-    private final PrintStream before = System.out;
-    private final ByteArrayOutputStream out = new ByteArrayOutputStream();
-    private HttpServer node;
+    private StandInNode node;
 
     @BeforeEach
     void start() throws IOException {
-        node = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
-        node.createContext("/v1/held-requests", exchange -> {
-            boolean lists = exchange.getRequestMethod().equals("GET");
-            boolean known = lists || exchange.getRequestURI().getPath().endsWith("/0f");
-            byte[] body = (lists ? LIST : "{}").getBytes(StandardCharsets.UTF_8);
-            exchange.sendResponseHeaders(known ? 200 : 404, body.length);
-            exchange.getResponseBody().write(body);
-            exchange.close();
-        });
-        node.start();
-        System.setOut(new PrintStream(out, true, StandardCharsets.UTF_8));
+        node = new StandInNode("/v1/held-requests", HeldCommandTest::answer);
     }
 
     @AfterEach
     void stop() {
-        System.setOut(before);
-        node.stop(0);
+        node.close();
     }
 
     @Test
     void listsWhatIsHeldOff() {
         assertThat(run()).isEqualTo(ExitCode.SUCCESS);
-        assertThat(out.toString(StandardCharsets.UTF_8))
+        assertThat(node.printed())
                 .contains("digest=0f route=r account=t since_s=4 left_s=56 upstreams=[\"u1\",\"u2\"]");
     }
 
@@ -65,17 +47,17 @@
 
     @Test
     void nobodyAnswers() {
-        node.stop(0);
+        node.stop();
         assertThat(run()).isEqualTo(ExitCode.FAILED);
     }
 
+    private static StandInNode.Reply answer(HttpExchange exchange) {
+        boolean lists = exchange.getRequestMethod().equals("GET");
+        boolean known = lists || exchange.getRequestURI().getPath().endsWith("/0f");
+        return new StandInNode.Reply(known ? 200 : 404, lists ? LIST : "{}");
+    }
+
     private ExitCode run(String... more) {
-        String address = "127.0.0.1:" + node.getAddress().getPort();
-        String[] arguments = new String[3 + more.length];
-        arguments[0] = "held";
-        arguments[1] = "--control";
-        arguments[2] = address;
-        System.arraycopy(more, 0, arguments, 3, more.length);
-        return Copperspindle.run(arguments);
+        return node.run("held", more);
     }
 }
