Part the lease's outlook from the node, and drop what the change made twice

Found when the change was read again. EvacuationCalls had the door's own way to refuse a bad order once more. EvacuationsMessage.after sorted and copied twice. UpstreamPool kept a constructor for tests only; tests state what they mean. Behaviour as before; no assertion changed.

--- a/library/src/main/java/org/copperspindle/dialect/EvacuationCalls.java
+++ b/library/src/main/java/org/copperspindle/dialect/EvacuationCalls.java
@@ -35,7 +35,6 @@
     private static final int LONGEST_NAME = 200;
 
     private static final int OK = 200;
-    private static final int BAD_REQUEST = 400;
     private static final int METHOD_NOT_ALLOWED = 405;
 
     private final EvacuationDesk desk;
@@ -74,7 +73,7 @@
         } else if (ends.isPresent()) {
             order(exchange, ends.get(), false);
         } else {
-            problem(exchange, METHOD_NOT_ALLOWED, "method not allowed");
+            HttpControlDoor.answer(exchange, METHOD_NOT_ALLOWED, format.problem("method not allowed"));
         }
     }
 
@@ -92,9 +91,9 @@
     private void order(HttpExchange exchange, ControlCall call, boolean begins) {
         String name = exchange.path().substring(call.path().length());
         if (name.isEmpty() || name.getBytes(StandardCharsets.UTF_8).length > LONGEST_NAME) {
-            problem(exchange, BAD_REQUEST, "the name of a failure domain has 1 to " + LONGEST_NAME + " bytes");
+            invalid(exchange, "the name of a failure domain has 1 to " + LONGEST_NAME + " bytes");
         } else if (exchange.body().length > 0) {
-            problem(exchange, BAD_REQUEST, "an order on a failure domain has no body");
+            invalid(exchange, "an order on a failure domain has no body");
         } else {
             desk.order(new EvacuationCommand(name, begins), result -> ordered(exchange, name, begins, result));
         }
@@ -117,7 +116,7 @@
         return all;
     }
 
-    private void problem(HttpExchange exchange, int status, String text) {
-        HttpControlDoor.answer(exchange, status, format.problem(text));
+    private void invalid(HttpExchange exchange, String problem) {
+        others.accept(exchange, new ControlAnswer.Invalid(problem));
     }
 }
--- a/library/src/main/java/org/copperspindle/edition/EvacuationsMessage.java
+++ b/library/src/main/java/org/copperspindle/edition/EvacuationsMessage.java
@@ -1,5 +1,6 @@
 package org.copperspindle.edition;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.TreeSet;
 
@@ -52,13 +53,13 @@
         if (contains(order.failureDomain()) == order.begins()) {
             return this;
         }
-        TreeSet<String> next = new TreeSet<>(failureDomains);
+        List<String> next = new ArrayList<>(failureDomains);
         if (order.begins()) {
             next.add(order.failureDomain());
         } else {
             next.remove(order.failureDomain());
         }
-        return new EvacuationsMessage(index, List.copyOf(next));
+        return new EvacuationsMessage(index, next);
     }
 
     private void write(FieldWriter out) {
--- a/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
@@ -83,12 +83,6 @@
      */
     private static final double PACKING_CORES = 0.5;
 
-    /** A lease is back within a question to the leader, or another node has one. */
-    private static final Duration LEASE_RETURN = Duration.ofMillis(300);
-
-    /** Time from a start of all nodes until they serve: an election of up to twice its timeout, and leases. */
-    private static final Duration GROUP_RETURN = GroupMember.ELECTION_TIMEOUT.multipliedBy(2);
-
     private static final Duration TICK = Duration.ofMillis(100);
     private static final int SERVED_LINES = 300;
     private static final int FAILED_LINES = 200;
@@ -171,7 +165,7 @@
                 settings.retries().slack(),
                 settings.retries().window());
         FirstEventTimes firstEvents = new FirstEventTimes();
-        ColdAdmission cold = new SenderSetAdmission(mesh.self(), this::servingNodes, cutOff::isCutOff);
+        ColdAdmission cold = new SenderSetAdmission(mesh.self(), mesh::serving, cutOff::isCutOff);
         this.gate = new StageGate(batches::load, firstEvents);
         GatewayContext context = new GatewayContext(
                 timers,
@@ -197,7 +191,8 @@
                 quarantine);
         subscribe();
         settings.dataFolder().ifPresent(folder -> keepMember(folder.resolve(GroupMember.NAME)));
-        this.service = new GatewayService(context, holder::inForce, new FirstLease());
+        this.service = new GatewayService(
+                context, holder::inForce, new FirstLease(holder, mesh, () -> stopping, this::uptime));
         this.ignored = new IgnoredAnnouncements(timers, log);
         GroupQuestions questions = new GroupQuestions(exchange, loop);
         KnownDomains domains = new KnownDomains(settings, mesh, directory);
@@ -318,13 +313,6 @@
                         UpstreamPool::name, pool -> pool.cold().get().time().toNanos()));
     }
 
-    private List<String> servingNodes() {
-        return mesh.nodes().stream()
-                .filter(node -> node.hello().serving())
-                .map(MeshNode::address)
-                .toList();
-    }
-
     private void upstreamChanged(UpstreamNews news) {
         if (news.phase() == UpstreamPhase.GONE) {
             tracker.forget(news.id());
@@ -425,26 +413,6 @@
         new GracefulStop(timers, service, open, callers, batches).begin(settings.stopGrace(), done);
     }
 
-    /** Where this node stands with its lease. */
-    private final class FirstLease implements LeaseOutlook {
-        @Override
-        public boolean isUnderWay() {
-            return !stopping && !holder.wasEverLeased() && uptime().compareTo(GROUP_RETURN) < 0;
-        }
-
-        /**
-         * Where other nodes serve, at once: the caller will reach one of them. Where none does, as after a loss of power of all, a
-         * leader must be elected first; callers told to come back before that were refused twice, and most have no third attempt.
-         */
-        @Override
-        public Duration returnAfter() {
-            boolean othersServe =
-                    mesh.nodes().stream().anyMatch(node -> node.hello().serving());
-            Duration left = othersServe ? Duration.ZERO : GROUP_RETURN.minus(uptime());
-            return left.compareTo(LEASE_RETURN) > 0 ? left : LEASE_RETURN;
-        }
-    }
-
     /** This node's part in packing calls. */
     private final class Packer implements PackerStatus {
         @Override
--- a/library/src/main/java/org/copperspindle/gateway/StageGate.java
+++ b/library/src/main/java/org/copperspindle/gateway/StageGate.java
@@ -31,10 +31,7 @@
      */
     private static final double IDLE_GROWTH = 0.1;
 
-    /**
-     * Most requests held by one node. A burst of six seconds leaves about a hundred behind in a group of seven nodes;
-     * those beyond twice that would not begin before their time is over.
-     */
+    /** Most requests held by one node: more than a burst leaves behind there, and those beyond would not begin in time. */
     private static final int MOST_HELD = 32;
 
     /**
@@ -54,7 +51,7 @@
 
     /**
      * Part of a full call by which a more urgent kind must be early before less urgent requests are let in: what pools tell is
-     * about so old. With a quarter or half of a call the less urgent kind loses more than the urgent one gains.
+     * about so old. Much longer, and the less urgent kind would lose more than the urgent one gains.
      */
     private static final double URGENT_CALLS = 0.1;
 
--- a/library/src/main/java/org/copperspindle/mesh/NodeMesh.java
+++ b/library/src/main/java/org/copperspindle/mesh/NodeMesh.java
@@ -120,6 +120,18 @@
         return (int) nodes.values().stream().filter(MeshNode::isUp).count();
     }
 
+    /**
+     * Lists the other nodes that take requests of callers.
+     *
+     * @return their addresses
+     */
+    public List<String> serving() {
+        return nodes().stream()
+                .filter(node -> node.hello().serving())
+                .map(MeshNode::address)
+                .toList();
+    }
+
     /**
      * Finds a connected node.
      *
--- a/library/src/main/java/org/copperspindle/route/UpstreamPool.java
+++ b/library/src/main/java/org/copperspindle/route/UpstreamPool.java
@@ -17,17 +17,4 @@
         int maxConnections,
         Optional<BatchLimits> batch,
         OptionalInt engineSlots,
-        Optional<ColdLimits> cold) {
-
-    /**
-     * Creates a pool whose cold upstreams bear as much as others.
-     *
-     * @param name           its name
-     * @param maxConnections connections that one upstream accepts from all callers together
-     * @param batch          limits of stage calls, empty if the pool serves no stage
-     * @param engineSlots    requests that one model engine runs at once, empty if the pool has no engines
-     */
-    public UpstreamPool(String name, int maxConnections, Optional<BatchLimits> batch, OptionalInt engineSlots) {
-        this(name, maxConnections, batch, engineSlots, Optional.empty());
-    }
-}
+        Optional<ColdLimits> cold) {}
--- a/library/src/test/java/org/copperspindle/gateway/SharedIdleConnectionsTest.java
+++ b/library/src/test/java/org/copperspindle/gateway/SharedIdleConnectionsTest.java
@@ -31,8 +31,8 @@
     @ParameterizedTest
     @CsvSource({"7, 80", "35, 80", "35, 160", "136, 160", "380, 160", "380, 460"})
     void halfOfAnUpstreamsConnectionsStayFree(int nodes, int connections) {
-        SharedIdleConnections idle =
-                idle(nodes, new UpstreamPool("p", connections, Optional.empty(), OptionalInt.empty()));
+        SharedIdleConnections idle = idle(
+                nodes, new UpstreamPool("p", connections, Optional.empty(), OptionalInt.empty(), Optional.empty()));
         assertThat(idle.most(ADDRESS) * nodes).isLessThanOrEqualTo(connections / 2);
     }
 
@@ -46,7 +46,8 @@
     /** No request will go there for minutes, and the upstream may be about to lose its power. */
     @Test
     void nothingIsKeptWithEvacuatedUpstreams() {
-        SharedIdleConnections idle = idle(3, new UpstreamPool("p", 100, Optional.empty(), OptionalInt.empty()));
+        SharedIdleConnections idle =
+                idle(3, new UpstreamPool("p", 100, Optional.empty(), OptionalInt.empty(), Optional.empty()));
         directory.evacuate(Set.of("d"), 0);
         assertThat(idle.most(ADDRESS)).isZero();
         directory.evacuate(Set.of(), 0);
--- a/library/src/test/java/org/copperspindle/gateway/StageLoadReplay.java
+++ b/library/src/test/java/org/copperspindle/gateway/StageLoadReplay.java
@@ -85,7 +85,8 @@
         asked.pools().forEach(this::pool);
         this.kinds = asked.kinds().stream().map(this::kind).toList();
         List<UpstreamPool> pools = new ArrayList<>(List.of(TestRoutes.pool("engines")));
-        limits.forEach((name, each) -> pools.add(new UpstreamPool(name, 300, Optional.of(each), OptionalInt.empty())));
+        limits.forEach((name, each) ->
+                pools.add(new UpstreamPool(name, 300, Optional.of(each), OptionalInt.empty(), Optional.empty())));
         this.table = TestRoutes.table(1, kinds.stream().map(Kind::route).toList(), pools);
         this.stages = new SimulatedStages(time, limits, sizes);
         this.lone = new LoneBatches(time, directory, stages, limits);
--- a/library/src/test/java/org/copperspindle/gateway/StageRunTest.java
+++ b/library/src/test/java/org/copperspindle/gateway/StageRunTest.java
@@ -100,7 +100,8 @@
                         new RouteStage("b", List.of(2), 10),
                         new RouteStage("c", List.of(3), 10)));
         List<UpstreamPool> pools = new ArrayList<>(List.of(TestRoutes.pool("p")));
-        limits.forEach((name, each) -> pools.add(new UpstreamPool(name, 10, Optional.of(each), OptionalInt.empty())));
+        limits.forEach((name, each) ->
+                pools.add(new UpstreamPool(name, 10, Optional.of(each), OptionalInt.empty(), Optional.empty())));
         RouteTable table = TestRoutes.table(1, List.of(route), pools);
         GatewayRequest request = TestRequests.request("id", OptionalLong.of(20_000), List.of(), List.of(1, 1, 1, 1, 1));
         RequestTimes times = RequestTimes.of(route, request.deadlineMillis(), 0, 0, 0);
--- a/library/src/test/java/org/copperspindle/route/TestRoutes.java
+++ b/library/src/test/java/org/copperspindle/route/TestRoutes.java
@@ -43,12 +43,12 @@
 
     // Makes a pool of plain upstreams.
     public static UpstreamPool pool(String name) {
-        return new UpstreamPool(name, 100, Optional.empty(), OptionalInt.empty());
+        return new UpstreamPool(name, 100, Optional.empty(), OptionalInt.empty(), Optional.empty());
     }
 
     // Makes a stage pool whose calls take 240 ms and 5 ms a piece, 40 pieces at most.
     public static UpstreamPool stagePool(String name) {
-        return new UpstreamPool(name, 100, Optional.of(batch(40)), OptionalInt.empty());
+        return new UpstreamPool(name, 100, Optional.of(batch(40)), OptionalInt.empty(), Optional.empty());
     }
 
     // Makes limits of calls of 240 ms and 5 ms a piece.
