Tell in logs and metrics which limits upstreams name

What upstreams say in their answers went to callers and nowhere else, so that the lines of a node could not tell a limit that was never read from one that was read and not kept to. The head of each answer, to whatever call, is read in one place now; a limit is kept until a later answer lacks it or the upstream leaves or starts again. Nothing is decided by it yet.

--- /dev/null
+++ b/library/src/main/java/org/copperspindle/backpressure/LimitSignal.java
@@ -0,0 +1,61 @@
+package org.copperspindle.backpressure;
+
+import java.util.List;
+import java.util.regex.Pattern;
+
+/**
+ * What one answer says of the requests a second that its upstream takes from all nodes together.
+ */
+public sealed interface LimitSignal {
+
+    /** An answer without a limit. */
+    LimitSignal ABSENT = new Absent();
+
+    /**
+     * Reads the values of the field that holds the limit. Of several the lowest counts, since any of them may be what the upstream
+     * bears. A value that is no decimal number says nothing: neither that there is a limit nor that there is none.
+     *
+     * @param values all values of the field, none if the answer lacks it
+     * @return what they say
+     */
+    static LimitSignal of(List<String> values) {
+        if (values.isEmpty()) {
+            return ABSENT;
+        }
+        return values.stream()
+                .map(String::trim)
+                .filter(value -> Named.DECIMAL.matcher(value).matches())
+                .map(value -> (LimitSignal) new Named(Math.min(Named.MOST, Double.parseDouble(value))))
+                .reduce((a, b) -> ((Named) a).perSecond() <= ((Named) b).perSecond() ? a : b)
+                .orElseGet(() -> new Unreadable(values.get(0)));
+    }
+
+    /** The answer has no such field. */
+    record Absent() implements LimitSignal {}
+
+    /**
+     * The upstream names a limit.
+     *
+     * @param perSecond requests a second, zero or more
+     */
+    record Named(double perSecond) implements LimitSignal {
+        private static final Pattern DECIMAL = Pattern.compile("[0-9]{1,18}(\\.[0-9]{0,18})?");
+
+        /** No upstream gets more; larger limits are as good as none. */
+        private static final double MOST = 1e6;
+    }
+
+    /**
+     * The field holds no number.
+     *
+     * @param text what it holds
+     */
+    record Unreadable(String text) implements LimitSignal {
+        private static final int LONGEST = 40;
+
+        /** Cuts long texts off. */
+        public Unreadable {
+            text = text.substring(0, Math.min(LONGEST, text.length()));
+        }
+    }
+}
--- a/library/src/main/java/org/copperspindle/dialect/HeaderNames.java
+++ b/library/src/main/java/org/copperspindle/dialect/HeaderNames.java
@@ -16,6 +16,7 @@
  * @param rank              urgency, 0 first
  * @param inputs            handles of all stage results that the request needs, separated by commas
  * @param notRun            present where an upstream says that it did not run the request
+ * @param limit            requests a second that an upstream takes from all nodes together
  * @param ofSystem          names in lower case of all fields that only the system may set; a caller's are dropped
  */
 public record HeaderNames(
@@ -30,6 +31,7 @@
         String rank,
         String inputs,
         String notRun,
+        String limit,
         Set<String> ofSystem) {
 
     /** The project's own names. */
@@ -45,6 +47,7 @@
             "Copperspindle-Rank",
             "Copperspindle-Inputs",
             "Copperspindle-Not-Run",
+            "Copperspindle-Limit",
             Set.of(
                     "copperspindle-deadline-ms",
                     "copperspindle-upstream",
--- a/library/src/main/java/org/copperspindle/dialect/HeaderUpstreams.java
+++ b/library/src/main/java/org/copperspindle/dialect/HeaderUpstreams.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.Set;
 
+import org.copperspindle.backpressure.LimitSignal;
 import org.copperspindle.direct.DirectCall;
 import org.copperspindle.direct.DirectHead;
 import org.copperspindle.gateway.AttemptOrder;
@@ -43,6 +44,7 @@
         order.inputs().ifPresent(handles -> fields.add(new HeaderField(names.inputs(), String.join(",", handles))));
         order.resumeAfter().ifPresent(id -> fields.add(new HeaderField(HeaderFields.LAST_EVENT_ID, id)));
         return new DirectCall(
+                order.upstream().id(),
                 order.upstream().address(),
                 request.method(),
                 request.uri(),
@@ -67,6 +69,11 @@
         return head.status() == MISDIRECTED ? head.field(names.answeringUpstream()) : Optional.empty();
     }
 
+    @Override
+    public LimitSignal limit(DirectHead head) {
+        return LimitSignal.of(head.values(names.limit()));
+    }
+
     @Override
     public List<HeaderField> callerFields(DirectHead head) {
         return HeaderFields.passedOn(head.fields(), Set.of());
--- a/library/src/main/java/org/copperspindle/dialect/StageCalls.java
+++ b/library/src/main/java/org/copperspindle/dialect/StageCalls.java
@@ -76,6 +76,7 @@
                 new HeaderField(HeaderFields.CONTENT_TYPE, JsonText.CONTENT_TYPE),
                 new HeaderField(names.expectedUpstream(), upstream.id()));
         DirectCall call = new DirectCall(
+                upstream.id(),
                 upstream.address(),
                 "POST",
                 path,
--- a/library/src/main/java/org/copperspindle/direct/DirectCall.java
+++ b/library/src/main/java/org/copperspindle/direct/DirectCall.java
@@ -7,6 +7,7 @@
 /**
  * One call of an upstream.
  *
+ * @param upstream  id of the upstream that is meant
  * @param address   IP:PORT
  * @param method    HTTP method
  * @param uri       target as it goes into the request line
@@ -16,6 +17,7 @@
  * @param use       on which connection it may go out
  */
 public record DirectCall(
+        String upstream,
         String address,
         String method,
         String uri,
--- a/library/src/main/java/org/copperspindle/direct/DirectHead.java
+++ b/library/src/main/java/org/copperspindle/direct/DirectHead.java
@@ -31,6 +31,19 @@
         return fields.stream().filter(f -> f.hasName(name)).findFirst().map(HeaderField::value);
     }
 
+    /**
+     * Finds all fields of a name.
+     *
+     * @param name the name
+     * @return their values in the order in which they came
+     */
+    public List<String> values(String name) {
+        return fields.stream()
+                .filter(f -> f.hasName(name))
+                .map(HeaderField::value)
+                .toList();
+    }
+
     /**
      * Says whether the status is a success.
      *
--- a/library/src/main/java/org/copperspindle/gateway/GatewayMetrics.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayMetrics.java
@@ -108,6 +108,11 @@
                 "Upstreams that ended under runs of this node",
                 node,
                 n -> n.quarantine().upstreamsEnded());
+        gauge(
+                metrics,
+                "upstreams.limited",
+                "Upstreams that have named how many requests a second they take from all nodes together",
+                n -> n.limits().count());
         gauge(metrics, "heap.bytes", "Heap in use", n -> usedHeap());
         metrics.counter("attempts", "Attempts sent", node, n -> n.counters().attempts());
         metrics.counter(
--- a/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
@@ -21,12 +21,14 @@
 import io.netty.util.concurrent.DefaultThreadFactory;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.copperspindle.backpressure.UpstreamLimits;
 import org.copperspindle.batch.BatchService;
 import org.copperspindle.batch.FetchTime;
 import org.copperspindle.batch.PackerStatus;
 import org.copperspindle.coldstart.ColdAdmission;
 import org.copperspindle.coldstart.SenderSetAdmission;
 import org.copperspindle.direct.DirectClient;
+import org.copperspindle.direct.UpstreamPort;
 import org.copperspindle.discovery.DirectoryGossip;
 import org.copperspindle.discovery.UpstreamDirectory;
 import org.copperspindle.discovery.UpstreamNews;
@@ -116,6 +118,7 @@
     private final HttpListener control;
     private final Optional<HttpListener> metrics;
     private final DirectClient client;
+    private final UpstreamLimits upstreamLimits;
     private final RequestQuarantine quarantine;
     private final StageGate gate;
     private final IgnoredAnnouncements ignored;
@@ -149,12 +152,14 @@
         this.client = new DirectClient(
                 loop, timers, new SharedIdleConnections(directory, holder::heldTable, () -> 1 + mesh.count()));
         this.quarantine = new RequestQuarantine(mesh, timers, directory, client, log);
+        this.upstreamLimits = new UpstreamLimits(directory, log);
+        UpstreamPort port = new ObservedPort(client, dialects.upstreams(), upstreamLimits, timers);
         MeshRelay relay = new MeshRelay(mesh, registry);
         this.batches = new BatchService(
                 relay,
                 timers,
                 directory,
-                dialects.stages(client, timers),
+                dialects.stages(port, timers),
                 pool -> holder.heldTable().flatMap(t -> t.findPool(pool)).flatMap(UpstreamPool::batch),
                 new Packer(),
                 log);
@@ -171,7 +176,7 @@
                 timers,
                 dialects.callers(),
                 dialects.upstreams(),
-                client,
+                port,
                 batches,
                 gossip,
                 tracker,
@@ -448,6 +453,11 @@
             return exchange.status();
         }
 
+        @Override
+        public UpstreamLimits limits() {
+            return upstreamLimits;
+        }
+
         @Override
         public EditionHolder holder() {
             return holder;
--- a/library/src/main/java/org/copperspindle/gateway/NodeState.java
+++ b/library/src/main/java/org/copperspindle/gateway/NodeState.java
@@ -1,5 +1,6 @@
 package org.copperspindle.gateway;
 
+import org.copperspindle.backpressure.UpstreamLimits;
 import org.copperspindle.batch.BatchService;
 import org.copperspindle.discovery.UpstreamDirectory;
 import org.copperspindle.edition.EditionHolder;
@@ -20,6 +21,9 @@
     /** Returns how many connections to upstreams were opened. */
     long connects();
 
+    /** Returns the limits that upstreams have named. */
+    UpstreamLimits limits();
+
     /** Returns what this node's member of the control group knows. */
     MemberStatus status();
 
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/gateway/ObservedPort.java
@@ -0,0 +1,68 @@
+package org.copperspindle.gateway;
+
+import org.copperspindle.backpressure.UpstreamLimits;
+import org.copperspindle.direct.DirectCall;
+import org.copperspindle.direct.DirectFailure;
+import org.copperspindle.direct.DirectHead;
+import org.copperspindle.direct.DirectListener;
+import org.copperspindle.direct.UpstreamPort;
+import org.copperspindle.time.TimerService;
+
+/**
+ * Sends calls, and reads in the head of each answer what its upstream says of itself. All calls of a node go through it, so
+ * that no kind of call and no kind of answer is left out.
+ */
+final class ObservedPort implements UpstreamPort {
+
+    private final UpstreamPort port;
+    private final UpstreamDialect dialect;
+    private final UpstreamLimits limits;
+    private final TimerService timers;
+
+    ObservedPort(UpstreamPort port, UpstreamDialect dialect, UpstreamLimits limits, TimerService timers) {
+        this.port = port;
+        this.dialect = dialect;
+        this.limits = limits;
+        this.timers = timers;
+    }
+
+    @Override
+    public CallHandle call(DirectCall call, DirectListener listener) {
+        return port.call(call, new Reader(call, listener, timers.nanoTime()));
+    }
+
+    /** Reads one answer and passes it on. */
+    private final class Reader implements DirectListener {
+        private final DirectCall call;
+        private final DirectListener listener;
+        private final long sentAt;
+
+        private Reader(DirectCall call, DirectListener listener, long sentAt) {
+            this.call = call;
+            this.listener = listener;
+            this.sentAt = sentAt;
+        }
+
+        @Override
+        public void onHead(DirectHead head) {
+            String speaker = dialect.otherUpstream(head).orElse(call.upstream());
+            limits.answered(speaker, dialect.limit(head), sentAt, timers.nanoTime());
+            listener.onHead(head);
+        }
+
+        @Override
+        public void onData(byte[] data) {
+            listener.onData(data);
+        }
+
+        @Override
+        public void onEnd() {
+            listener.onEnd();
+        }
+
+        @Override
+        public void onFailure(DirectFailure failure) {
+            listener.onFailure(failure);
+        }
+    }
+}
--- a/library/src/main/java/org/copperspindle/gateway/UpstreamDialect.java
+++ b/library/src/main/java/org/copperspindle/gateway/UpstreamDialect.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 
+import org.copperspindle.backpressure.LimitSignal;
 import org.copperspindle.direct.DirectCall;
 import org.copperspindle.direct.DirectHead;
 import org.copperspindle.http.HeaderField;
@@ -44,6 +45,14 @@
      */
     Optional<String> otherUpstream(DirectHead head);
 
+    /**
+     * Reads how many requests a second the upstream that answered takes from all nodes together.
+     *
+     * @param head the answer's head
+     * @return what it says of it
+     */
+    LimitSignal limit(DirectHead head);
+
     /**
      * Chooses the header fields that go back to the caller.
      *
--- /dev/null
+++ b/library/src/test/java/org/copperspindle/backpressure/UpstreamLimitsTest.java
@@ -0,0 +1,72 @@
+package org.copperspindle.backpressure;
+
+import java.util.OptionalDouble;
+
+import org.copperspindle.discovery.UpstreamDirectory;
+import org.copperspindle.discovery.UpstreamNews;
+import org.copperspindle.discovery.UpstreamPhase;
+import org.copperspindle.measure.DecisionLog;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class UpstreamLimitsTest {
+
+    private static final LimitSignal LIMIT = new LimitSignal.Named(1.5);
+
+    private final UpstreamDirectory directory = new UpstreamDirectory();
+    private final UpstreamLimits limits = new UpstreamLimits(directory, new DecisionLog(0, 0));
+
+    UpstreamLimitsTest() {
+        announce(1, UpstreamPhase.READY);
+    }
+
+    @Test
+    void limitHoldsUntilALaterAnswerLacksIt() {
+        limits.answered("e", LIMIT, 0, 100);
+        assertThat(limits.find("e")).isEqualTo(OptionalDouble.of(1.5));
+        limits.answered("e", new LimitSignal.Named(2), 150, 200);
+        assertThat(limits.find("e")).isEqualTo(OptionalDouble.of(2));
+        limits.answered("e", LimitSignal.ABSENT, 250, 300);
+        assertThat(limits.find("e")).isEmpty();
+    }
+
+    /** Answers without the limit that were written before it arrive after it: the upstream would be flooded again. */
+    @Test
+    void answerToAnEarlierCallDoesNotEndALimit() {
+        limits.answered("e", LIMIT, 0, 100);
+        limits.answered("e", LimitSignal.ABSENT, 50, 300);
+        assertThat(limits.find("e")).isPresent();
+    }
+
+    @Test
+    void unreadableValueChangesNothing() {
+        limits.answered("e", new LimitSignal.Unreadable("x"), 0, 50);
+        assertThat(limits.find("e")).isEmpty();
+        limits.answered("e", LIMIT, 0, 100);
+        limits.answered("e", new LimitSignal.Unreadable("x"), 150, 200);
+        assertThat(limits.find("e")).isPresent();
+    }
+
+    /** The limit was one of a process that is gone; kept, it would hold back the next one for as long as nobody calls it. */
+    @ParameterizedTest
+    @EnumSource(names = {"READY", "GONE"})
+    void nextLifeHasNoLimit(UpstreamPhase phase) {
+        limits.answered("e", LIMIT, 0, 100);
+        announce(phase == UpstreamPhase.READY ? 2 : 1, phase);
+        assertThat(limits.find("e")).isEmpty();
+        assertThat(limits.count()).isZero();
+    }
+
+    @Test
+    void upstreamThatIsNotKnownHasNoLimit() {
+        limits.answered("other", LIMIT, 0, 100);
+        assertThat(limits.count()).isZero();
+    }
+
+    private void announce(long incarnation, UpstreamPhase phase) {
+        directory.accept(new UpstreamNews("e", incarnation, "p", "10.0.0.1:1", "a", phase, 1, 1, 0, 0), 0);
+    }
+}
--- a/library/src/test/java/org/copperspindle/direct/DirectClientTest.java
+++ b/library/src/test/java/org/copperspindle/direct/DirectClientTest.java
@@ -238,7 +238,7 @@
 
     private static DirectCall call(String address, String id, ConnectionUse use) {
         List<HeaderField> fields = List.of(new HeaderField("Host", "h"), new HeaderField("X-Request-Id", id));
-        return new DirectCall(address, "GET", "/x", fields, new byte[0], id, use);
+        return new DirectCall("u", address, "GET", "/x", fields, new byte[0], id, use);
     }
 
     private static Script sends(String bytes) {
