Keep to the limits that upstreams name, over all nodes together

Callers saw nothing of it yet, but two engines that had said that they take 1 and 1.3 requests a second from all nodes together got 12 and 13 in four seconds, where 11 and 12.8 would have been allowed: what an upstream says in its answers was read by nobody.

A limit that any answer names is told to all nodes. The node that packs the calls of a stage pool keeps the limits of its upstreams, so that calls and given up results draw on them without a question.

Ways weighed: each node its part of the limit (with 34 nodes and one request a second, 34 at once); a few senders by rendezvous, as for cold upstreams (no messages, but with six senders for each of four upstreams half of 34 nodes could use none of them while there is room). Cold upstreams keep that way: their bound holds in the first second after a start, when nobody may have been told anything.

SendPermitsTest plays 5 to 843 nodes, parted, restarted, standing still, joining and leaving, in each window of four seconds.

--- /dev/null
+++ b/library/src/main/java/org/copperspindle/backpressure/PermitAnswerMessage.java
@@ -0,0 +1,28 @@
+package org.copperspindle.backpressure;
+
+import org.copperspindle.wire.FieldReader;
+import org.copperspindle.wire.FieldWriter;
+import org.copperspindle.wire.MessageCodec;
+import org.copperspindle.wire.WireMessage;
+
+/**
+ * Answers the question for a permit.
+ *
+ * @param number  number of the question
+ * @param granted whether the permit is given
+ * @param micros  microseconds from now on until it is valid, or, if it is not given, until one could be
+ */
+public record PermitAnswerMessage(long number, boolean granted, long micros) implements WireMessage {
+
+    /** Codec of this message. */
+    public static final MessageCodec<PermitAnswerMessage> CODEC =
+            MessageCodec.of(229, PermitAnswerMessage.class, PermitAnswerMessage::write, PermitAnswerMessage::read);
+
+    private void write(FieldWriter out) {
+        out.put(1, number).put(2, granted).put(3, micros);
+    }
+
+    private static PermitAnswerMessage read(FieldReader in) {
+        return new PermitAnswerMessage(in.getLong(1, 0), in.getBoolean(2), Math.max(0, in.getLong(3, 0)));
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/backpressure/SendPermits.java
@@ -0,0 +1,238 @@
+package org.copperspindle.backpressure;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.function.Consumer;
+
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.copperspindle.time.TimerService;
+import org.copperspindle.time.TimerSubscription;
+import org.copperspindle.wire.WireMessage;
+
+/**
+ * Permits to send to upstreams that have named a limit. For each such upstream one node keeps the limit for all and gives out one
+ * permit for each request, so that the sum over all nodes is bounded however many there are, and any of them may use what is
+ * there. A node that gets no answer goes without. Network thread only.
+ */
+public final class SendPermits {
+
+    private static final Logger LOGGER = LogManager.getLogger(SendPermits.class);
+
+    /** A keeper that has not answered by then stands still or is cut off; an answer takes a few milliseconds. */
+    private static final long ANSWER_NANOS = Duration.ofMillis(60).toNanos();
+
+    /** After that, and while it is not known who keeps the upstream, it is asked for again. */
+    private static final long ASK_AGAIN_NANOS = Duration.ofMillis(250).toNanos();
+
+    private static final long NANOS_PER_MICRO = 1000;
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+
+    private final UpstreamLimits limits;
+    private final KeeperChoice keepers;
+    private final Link link;
+    private final TimerService timers;
+    private final SendSlots slots = new SendSlots();
+    private final Map<String, Long> deniedUntil = new HashMap<>();
+    private final Map<Long, Question> open = new HashMap<>();
+    private long lastNumber;
+    private long unanswered;
+
+    /**
+     * Creates it.
+     *
+     * @param limits  the limits
+     * @param keepers who keeps them
+     * @param link    reaches other nodes
+     * @param timers  time on the network thread
+     */
+    public SendPermits(UpstreamLimits limits, KeeperChoice keepers, Link link, TimerService timers) {
+        this.limits = limits;
+        this.keepers = keepers;
+        this.link = link;
+        this.timers = timers;
+    }
+
+    /**
+     * Says whether requests to an upstream need a permit.
+     *
+     * @param upstream its id
+     * @return false if it takes whatever comes
+     */
+    public boolean isNeeded(String upstream) {
+        return limits.find(upstream).isPresent();
+    }
+
+    /**
+     * Returns how long it makes no sense to ask for a permit.
+     *
+     * @param upstream id of the upstream
+     * @return nanoseconds; 0 if a permit may be had, or is not needed
+     */
+    public long deniedNanos(String upstream) {
+        Long until = deniedUntil.get(upstream);
+        return until == null || !isNeeded(upstream) ? 0 : Math.max(0, until - timers.nanoTime());
+    }
+
+    /**
+     * Asks for a permit. The answer may come before this returns.
+     *
+     * @param upstream    id of the upstream
+     * @param longestWait nanoseconds after which the permit must be valid
+     * @param callback    told once
+     */
+    public void ask(String upstream, long longestWait, Consumer<PermitResult> callback) {
+        Optional<String> keeper = keepers.keeper(upstream);
+        if (keeper.filter(link.self()::equals).isPresent()) {
+            take(upstream, longestWait, callback);
+            return;
+        }
+        Question question = new Question(upstream, callback);
+        long number = ++lastNumber;
+        PermitAskMessage message = new PermitAskMessage(number, upstream, longestWait / NANOS_PER_MILLI);
+        if (keeper.isEmpty() || !link.send(keeper.get(), message)) {
+            question.end(new PermitResult.Denied(ASK_AGAIN_NANOS));
+            return;
+        }
+        open.put(number, question);
+        question.timeout = timers.schedule(ANSWER_NANOS, () -> missed(number, keeper.get()));
+    }
+
+    /**
+     * Says whether this node keeps an upstream itself and may send to it now.
+     *
+     * @param upstream its id
+     * @return true also if no permit is needed
+     */
+    public boolean mayTake(String upstream) {
+        return !isNeeded(upstream) || keeps(upstream) && waitNanos(upstream) == 0;
+    }
+
+    /**
+     * Takes a permit that {@link #mayTake} says can be had.
+     *
+     * @param upstream id of the upstream
+     */
+    public void take(String upstream) {
+        if (isNeeded(upstream)) {
+            reserve(upstream, 0);
+        }
+    }
+
+    /**
+     * Takes a message of another node.
+     *
+     * @param node    its name
+     * @param message the message; others than questions and answers for permits are left alone
+     */
+    public void onMessage(String node, WireMessage message) {
+        if (message instanceof PermitAskMessage ask) {
+            link.send(node, answer(ask));
+        } else if (message instanceof PermitAnswerMessage answer) {
+            Optional.ofNullable(open.remove(answer.number())).ifPresent(question -> question.end(result(answer)));
+        }
+    }
+
+    /** Forgets what this node gave out for upstreams that another one keeps now, or that have no limit any more. */
+    public void look() {
+        slots.forgetIf(upstream -> !isNeeded(upstream) || !keeps(upstream));
+        deniedUntil.keySet().removeIf(upstream -> deniedNanos(upstream) == 0);
+    }
+
+    /**
+     * Returns how many questions got no answer.
+     *
+     * @return a count since the start
+     */
+    public long unanswered() {
+        return unanswered;
+    }
+
+    private void take(String upstream, long longestWait, Consumer<PermitResult> callback) {
+        OptionalLong wait = reserve(upstream, longestWait);
+        PermitResult result = wait.isPresent()
+                ? new PermitResult.Granted(wait.getAsLong())
+                : new PermitResult.Denied(waitNanos(upstream));
+        new Question(upstream, callback).end(result);
+    }
+
+    private PermitAnswerMessage answer(PermitAskMessage ask) {
+        // A node that sees other nodes asks the wrong one for a moment: two keepers would give out twice what there is.
+        if (!keeps(ask.upstream())) {
+            return new PermitAnswerMessage(ask.number(), false, ASK_AGAIN_NANOS / NANOS_PER_MICRO);
+        }
+        OptionalLong wait = reserve(ask.upstream(), ask.longestWait() * NANOS_PER_MILLI);
+        long nanos = wait.orElseGet(() -> waitNanos(ask.upstream()));
+        return new PermitAnswerMessage(ask.number(), wait.isPresent(), nanos / NANOS_PER_MICRO);
+    }
+
+    private OptionalLong reserve(String upstream, long longestWait) {
+        // The limit may have ended meanwhile, as this node knows it.
+        double perSecond = limits.find(upstream).orElse(Double.MAX_VALUE);
+        return slots.reserve(upstream, perSecond, longestWait, timers.nanoTime());
+    }
+
+    private long waitNanos(String upstream) {
+        return slots.waitNanos(upstream, limits.find(upstream).orElse(Double.MAX_VALUE), timers.nanoTime());
+    }
+
+    private boolean keeps(String upstream) {
+        return keepers.keeper(upstream).filter(link.self()::equals).isPresent();
+    }
+
+    private void missed(long number, String keeper) {
+        Question question = open.remove(number);
+        if (question != null) {
+            unanswered++;
+            LOGGER.debug("event=permit-unanswered upstream={} keeper={}", question.upstream, keeper);
+            question.end(new PermitResult.Denied(ASK_AGAIN_NANOS));
+        }
+    }
+
+    private static PermitResult result(PermitAnswerMessage answer) {
+        long nanos = answer.micros() * NANOS_PER_MICRO;
+        return answer.granted() ? new PermitResult.Granted(nanos) : new PermitResult.Denied(nanos);
+    }
+
+    /** Reaches other nodes. */
+    public interface Link {
+        /**
+         * Returns the name of this node.
+         *
+         * @return as {@link KeeperChoice} gives it
+         */
+        String self();
+
+        /**
+         * Sends a message.
+         *
+         * @param node    name of the node that it is for
+         * @param message the message
+         * @return false if there is no way
+         */
+        boolean send(String node, WireMessage message);
+    }
+
+    /** A question that waits for its answer. */
+    private final class Question {
+        private final String upstream;
+        private final Consumer<PermitResult> callback;
+        private TimerSubscription timeout = () -> {};
+
+        private Question(String upstream, Consumer<PermitResult> callback) {
+            this.upstream = upstream;
+            this.callback = callback;
+        }
+
+        private void end(PermitResult result) {
+            timeout.cancel();
+            if (result instanceof PermitResult.Denied denied) {
+                deniedUntil.put(upstream, timers.nanoTime() + denied.freeNanos());
+            }
+            callback.accept(result);
+        }
+    }
+}
--- a/library/src/main/java/org/copperspindle/batch/BatchService.java
+++ b/library/src/main/java/org/copperspindle/batch/BatchService.java
@@ -81,6 +81,7 @@
     private final PoolDispatcher.ResultSink sink = new Sink();
     private int round;
     private long droppedAt;
+    private CallAdmission admission = CallAdmission.ALL;
 
     /**
      * Creates the service; to be subscribed to the mesh.
@@ -112,6 +113,15 @@
         directory.subscribe(this::upstreamChanged);
     }
 
+    /**
+     * Sets what bounds calls; before {@link #start}.
+     *
+     * @param bound asked before each call
+     */
+    public void admittedBy(CallAdmission bound) {
+        admission = bound;
+    }
+
     /**
      * Returns a number for the next group.
      *
@@ -157,7 +167,7 @@
      * @param handles their handles
      */
     public void free(String pool, List<String> handles) {
-        String owner = owner(pool);
+        String owner = packer(pool);
         if (handles.isEmpty()) {
             return;
         }
@@ -200,7 +210,7 @@
     public PoolLoad load(String pool) {
         long now = timers.nanoTime();
         PoolDispatcher own = dispatchers.get(pool);
-        if (own != null && owner(pool).equals(mesh.self())) {
+        if (own != null && packer(pool).equals(mesh.self())) {
             return own.load().withPromised(promises.total(pool, now) + promises.untold(pool));
         }
         Load load = loads.get(pool);
@@ -323,7 +333,7 @@
     }
 
     private void tellPromise(String pool, long pieces) {
-        String owner = owner(pool);
+        String owner = packer(pool);
         if (owner.equals(mesh.self())) {
             promises.heard(owner, pool, pieces, timers.nanoTime());
         } else {
@@ -334,7 +344,7 @@
     private void tellLoad(String pool, PoolDispatcher dispatcher, boolean full) {
         PoolLoad load = dispatcher.load();
         long millis = load.waitNanos() / NANOS_PER_MILLI;
-        if (!owner(pool).equals(mesh.self()) || millis < QUIET_MILLIS && !full) {
+        if (!packer(pool).equals(mesh.self()) || millis < QUIET_MILLIS && !full) {
             return;
         }
         long promised = promises.total(pool, timers.nanoTime());
@@ -346,7 +356,7 @@
     private void forward(Pending entry) {
         long elapsed = (timers.nanoTime() - entry.at) / NANOS_PER_MILLI;
         PieceGroup group = entry.group.after(elapsed, entry.missing);
-        entry.owner = owner(group.pool());
+        entry.owner = packer(group.pool());
         if (!entry.owner.equals(mesh.self())) {
             if (relay.send(entry.owner, group)) {
                 return;
@@ -393,10 +403,13 @@
     }
 
     /**
-     * Chooses among the nodes that serve, the fittest first, by rendezvous. Nodes that only others reach count as well,
-     * so that all choose the same one.
+     * Chooses the node that packs the calls of a pool: among those that serve the fittest, by rendezvous. Nodes that only others
+     * reach count as well, so that all choose the same one.
+     *
+     * @param pool name of the pool
+     * @return name of the node
      */
-    private String owner(String pool) {
+    public String packer(String pool) {
         String best = mesh.self();
         int fitness = status.isServing() ? status.fitness() : Integer.MIN_VALUE;
         long most = RendezvousScore.of(pool, best);
@@ -427,7 +440,8 @@
         return dispatchers.computeIfAbsent(
                 pool,
                 name -> new PoolDispatcher(name, directory, timers, port, () -> limits.apply(name), sink, log)
-                        .judgingBy(standstills));
+                        .judgingBy(standstills)
+                        .admittedBy(admission));
     }
 
     private void upstreamChanged(UpstreamNews news) {
--- a/library/src/main/java/org/copperspindle/batch/FreedResults.java
+++ b/library/src/main/java/org/copperspindle/batch/FreedResults.java
@@ -14,6 +14,9 @@
     /** Results are given up together this often: a tenth of the shortest time for which they are needed. */
     private static final long FREE_NANOS = Duration.ofMillis(20).toNanos();
 
+    /** An upstream that takes few requests is looked at again this often. */
+    private static final long LIMITED_LOOK_NANOS = Duration.ofMillis(60).toNanos();
+
     private final PoolUpstreams upstreams;
     private final TimerService timers;
     private final StagePort port;
@@ -50,9 +53,14 @@
                 send.schedule(StageUpstream.COLD_PAUSE_NANOS);
                 continue;
             }
+            if (upstream.hasFreed() && !upstreams.mayCall(upstream)) {
+                send.schedule(LIMITED_LOOK_NANOS);
+                continue;
+            }
             List<String> handles = upstream.takeFreed(now);
             // An upstream that is evacuated gets nothing any more; it forgets its results by itself.
             if (!handles.isEmpty() && upstreams.isReady(upstream)) {
+                upstreams.frees(upstream);
                 port.free(upstream.news(), handles, () -> {
                     upstream.freed(handles);
                     roomFound.run();
--- a/library/src/main/java/org/copperspindle/batch/PoolDispatcher.java
+++ b/library/src/main/java/org/copperspindle/batch/PoolDispatcher.java
@@ -86,6 +86,12 @@
         return this;
     }
 
+    /** Sets what bounds the calls of upstreams; without it, nothing does. */
+    PoolDispatcher admittedBy(CallAdmission bound) {
+        upstreams.admittedBy(bound);
+        return this;
+    }
+
     void add(String origin, PieceGroup group) {
         queue.add(new WaitingGroup(origin, group, timers.nanoTime()));
         dispatch();
@@ -222,6 +228,7 @@
     private void send(StageUpstream upstream, List<PieceTask> tasks, BatchLimits known) {
         long now = timers.nanoTime();
         long expected = known.expectedNanos(tasks.size());
+        upstreams.calls(upstream);
         upstream.started(now + (long) (expected * upstream.slowness()));
         tasks.forEach(task -> running.merge(task.group(), 1, Integer::sum));
         long fetched = fetchTime.nanos(known, inputBytes(tasks));
--- a/library/src/main/java/org/copperspindle/batch/PoolUpstreams.java
+++ b/library/src/main/java/org/copperspindle/batch/PoolUpstreams.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.stream.Collectors;
 
 import org.copperspindle.discovery.UpstreamDirectory;
@@ -33,18 +34,29 @@
     /** Told when no upstream of the pool can be used. */
     private static final long LONGEST_WAIT_NANOS = Duration.ofSeconds(2).toNanos();
 
+    /** Requests that an upstream gets for a call: the call itself, and what makes it forget the results. */
+    private static final int CALLS_A_BATCH = 2;
+
+    /** A limit below this counts as this, to have a finite load. */
+    private static final double LEAST = 0.01;
+
     private static final double NANOS_PER_SECOND = 1e9;
 
     private final String pool;
     private final UpstreamDirectory directory;
     private final Map<String, StageUpstream> byId = new LinkedHashMap<>();
     private List<UpstreamNews> ready = List.of();
+    private CallAdmission admission = CallAdmission.ALL;
 
     PoolUpstreams(String pool, UpstreamDirectory directory) {
         this.pool = pool;
         this.directory = directory;
     }
 
+    void admittedBy(CallAdmission bound) {
+        admission = bound;
+    }
+
     Collection<StageUpstream> all() {
         return byId.values();
     }
@@ -66,6 +78,22 @@
         return directory.isCold(upstream.news(), now);
     }
 
+    /** Says whether an upstream takes one more request now, whatever it is. */
+    boolean mayCall(StageUpstream upstream) {
+        return admission.mayCall(upstream.news().id());
+    }
+
+    /** Notes that an upstream gets a call that makes pieces. */
+    void calls(StageUpstream upstream) {
+        admission.calls(upstream.news().id());
+        upstream.worked();
+    }
+
+    /** Notes that an upstream is told which results it may forget. */
+    void frees(StageUpstream upstream) {
+        admission.calls(upstream.news().id());
+    }
+
     Optional<StageUpstream> findByAddress(String address) {
         return byId.values().stream()
                 .filter(u -> u.news().address().equals(address))
@@ -75,7 +103,7 @@
     /** Returns the upstreams that a call may go to now, the fastest first. */
     List<StageUpstream> callable(BatchLimits limits, long now) {
         return byId.values().stream()
-                .filter(u -> u.isFree(limits, now) && isReady(u))
+                .filter(u -> u.isFree(limits, now) && isReady(u) && mayWork(u))
                 .sorted(Comparator.comparingDouble(StageUpstream::slowness))
                 .collect(Collectors.toCollection(ArrayList::new));
     }
@@ -124,7 +152,7 @@
         long soonest = usable.stream().mapToLong(u -> u.busyNanos(now)).min().orElseThrow();
         BatchLimits each = limits.get();
         double perNano = usable.stream()
-                .mapToDouble(u -> each.batch() / (each.fullCallNanos() * u.slowness()))
+                .mapToDouble(u -> each.batch() / Math.max(each.fullCallNanos() * u.slowness(), spacingNanos(u)))
                 .sum();
         return new PoolLoad(soonest + (long) (waiting / perNano), perNano * NANOS_PER_SECOND, 0);
     }
@@ -140,6 +168,21 @@
         return waiting >= BEHIND_CALLS * limits.batch() * usable(now).size();
     }
 
+    /**
+     * Says whether an upstream may get pieces. Where the number of its calls is limited, every other one makes it forget results:
+     * without that its memory would stay full for as long as it keeps them by itself.
+     */
+    private boolean mayWork(StageUpstream upstream) {
+        boolean limited = admission.perSecond(upstream.news().id()).isPresent();
+        return !limited || mayCall(upstream) && !upstream.shouldFreeFirst();
+    }
+
+    /** Returns how far apart its calls that make pieces are at least. */
+    private double spacingNanos(StageUpstream upstream) {
+        OptionalDouble perSecond = admission.perSecond(upstream.news().id());
+        return perSecond.isPresent() ? CALLS_A_BATCH * NANOS_PER_SECOND / Math.max(LEAST, perSecond.getAsDouble()) : 0;
+    }
+
     private List<StageUpstream> usable(long now) {
         double slow = slowFrom(now);
         return byId.values().stream()
--- a/library/src/main/java/org/copperspindle/batch/StageUpstream.java
+++ b/library/src/main/java/org/copperspindle/batch/StageUpstream.java
@@ -65,6 +65,7 @@
     private long trialFrom;
     private long resultBytes;
     private long freedAt = Long.MIN_VALUE / 2;
+    private boolean workedLast;
 
     StageUpstream(UpstreamNews news) {
         this.news = news;
@@ -211,11 +212,27 @@
         return toFree.isEmpty() || now - freedAt >= COLD_PAUSE_NANOS;
     }
 
+    /** Notes that it gets a call that makes pieces. */
+    void worked() {
+        workedLast = true;
+    }
+
+    /** Says whether it has results to be told of. */
+    boolean hasFreed() {
+        return !toFree.isEmpty();
+    }
+
+    /** Says whether it is to be told of given up results before it gets another call. */
+    boolean shouldFreeFirst() {
+        return workedLast && hasFreed();
+    }
+
     /** Takes the results to give up now. */
     List<String> takeFreed(long now) {
         List<String> freed = List.copyOf(toFree);
         toFree.clear();
         freedAt = freed.isEmpty() ? freedAt : now;
+        workedLast &= freed.isEmpty();
         return freed;
     }
 
--- a/library/src/main/java/org/copperspindle/gateway/GatewayContext.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayContext.java
@@ -2,6 +2,7 @@
 
 import java.util.random.RandomGenerator;
 
+import org.copperspindle.backpressure.SendPermits;
 import org.copperspindle.batch.BatchService;
 import org.copperspindle.batch.FetchTime;
 import org.copperspindle.coldstart.ColdAdmission;
@@ -24,6 +25,7 @@
  * @param tracker   what was seen of upstreams
  * @param chooser   chooses upstreams
  * @param cold      parts what cold upstreams bear among the nodes
+ * @param permits   admits to upstreams that have named a limit
  * @param budget    bounds repeats
  * @param gate      decides when stages begin
  * @param fetches   how long upstreams take to fetch stage results
@@ -47,6 +49,7 @@
         UpstreamTracker tracker,
         UpstreamChooser chooser,
         ColdAdmission cold,
+        SendPermits permits,
         SharedRetryBudget budget,
         StageGate gate,
         FetchTime fetches,
--- a/library/src/main/java/org/copperspindle/gateway/GatewayMessages.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayMessages.java
@@ -1,5 +1,8 @@
 package org.copperspindle.gateway;
 
+import org.copperspindle.backpressure.LimitNewsMessage;
+import org.copperspindle.backpressure.PermitAnswerMessage;
+import org.copperspindle.backpressure.PermitAskMessage;
 import org.copperspindle.batch.FreeResultsMessage;
 import org.copperspindle.batch.PieceCancelMessage;
 import org.copperspindle.batch.PieceGroup;
@@ -37,6 +40,9 @@
                 .register(EditionLeaseMessage.CODEC)
                 .register(UpstreamNewsMessage.CODEC)
                 .register(SuspicionMessage.CODEC)
+                .register(LimitNewsMessage.CODEC)
+                .register(PermitAskMessage.CODEC)
+                .register(PermitAnswerMessage.CODEC)
                 .register(PieceGroup.CODEC)
                 .register(PieceResultsMessage.CODEC)
                 .register(PieceCancelMessage.CODEC)
--- a/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
@@ -21,6 +21,8 @@
 import io.netty.util.concurrent.DefaultThreadFactory;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.copperspindle.backpressure.LimitGossip;
+import org.copperspindle.backpressure.SendPermits;
 import org.copperspindle.backpressure.UpstreamLimits;
 import org.copperspindle.batch.BatchService;
 import org.copperspindle.batch.FetchTime;
@@ -59,6 +61,7 @@
 import org.copperspindle.wire.GreetingMessage;
 import org.copperspindle.wire.MessageRegistry;
 import org.copperspindle.wire.NumericAddress;
+import org.copperspindle.wire.WireMessage;
 import org.copperspindle.wire.WireTransport;
 
 /**
@@ -119,6 +122,7 @@
     private final Optional<HttpListener> metrics;
     private final DirectClient client;
     private final UpstreamLimits upstreamLimits;
+    private final SendPermits permits;
     private final RequestQuarantine quarantine;
     private final StageGate gate;
     private final IgnoredAnnouncements ignored;
@@ -165,6 +169,10 @@
                 log);
         relay.listener(batches);
         mesh.subscribe(relay);
+        LimitKeepers keepers = new LimitKeepers(mesh, this::serves, cutOff, directory, batches, this::isStagePool);
+        this.permits = new SendPermits(upstreamLimits, keepers, new DirectLink(), timers);
+        batches.admittedBy(new LimitedCalls(upstreamLimits, permits));
+        mesh.subscribe(new LimitGossip(mesh, timers, upstreamLimits, permits));
         this.budget = new SharedRetryBudget(
                 settings.retries().ratio(),
                 settings.retries().slack(),
@@ -180,8 +188,10 @@
                 batches,
                 gossip,
                 tracker,
-                new UpstreamChooser(directory, tracker, cold, ThreadLocalRandom.current(), settings.failureDomain()),
+                new UpstreamChooser(
+                        directory, tracker, cold, permits, ThreadLocalRandom.current(), settings.failureDomain()),
                 cold,
+                permits,
                 budget,
                 gate,
                 new FetchTime(),
@@ -326,6 +336,13 @@
         }
     }
 
+    private boolean isStagePool(String pool) {
+        return holder.heldTable()
+                .flatMap(table -> table.findPool(pool))
+                .flatMap(UpstreamPool::batch)
+                .isPresent();
+    }
+
     private void keepMember(Path folder) {
         MeshRoster roster = new MeshRoster(mesh, timers, settings.firstStart(), settings.tolerated());
         mesh.subscribe(roster);
@@ -370,6 +387,7 @@
                     uptime().toMillis());
             mesh.announce();
         }
+        permits.look();
         timers.schedule(TICK.toNanos(), this::tick);
     }
 
@@ -418,6 +436,19 @@
         new GracefulStop(timers, service, open, callers, batches).begin(settings.stopGrace(), done);
     }
 
+    /** Reaches the nodes that are connected. */
+    private final class DirectLink implements SendPermits.Link {
+        @Override
+        public String self() {
+            return mesh.self();
+        }
+
+        @Override
+        public boolean send(String node, WireMessage message) {
+            return mesh.find(node).filter(to -> to.send(message)).isPresent();
+        }
+    }
+
     /** This node's part in packing calls. */
     private final class Packer implements PackerStatus {
         @Override
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/gateway/LimitKeepers.java
@@ -0,0 +1,75 @@
+package org.copperspindle.gateway;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.function.BooleanSupplier;
+import java.util.function.Predicate;
+
+import org.copperspindle.backpressure.KeeperChoice;
+import org.copperspindle.batch.BatchService;
+import org.copperspindle.discovery.UpstreamDirectory;
+import org.copperspindle.discovery.UpstreamNews;
+import org.copperspindle.mesh.CutOffWatch;
+import org.copperspindle.mesh.NodeMesh;
+import org.copperspindle.routing.RendezvousScore;
+
+/**
+ * Chooses who keeps the limit of an upstream: for stage pools the node that packs their calls, which sends nearly all that they get,
+ * for others one of the serving nodes by rendezvous.
+ */
+final class LimitKeepers implements KeeperChoice {
+
+    private final NodeMesh mesh;
+    private final BooleanSupplier serves;
+    private final CutOffWatch cutOff;
+    private final UpstreamDirectory directory;
+    private final BatchService batches;
+    private final Predicate<String> isStagePool;
+
+    /**
+     * Creates the choice.
+     *
+     * @param mesh        the nodes
+     * @param serves      says whether this node serves
+     * @param cutOff      says whether this node sees few of the others
+     * @param directory   the upstreams
+     * @param batches     knows who packs the calls of a pool
+     * @param isStagePool says of a pool's name whether its upstreams get batched calls
+     */
+    LimitKeepers(
+            NodeMesh mesh,
+            BooleanSupplier serves,
+            CutOffWatch cutOff,
+            UpstreamDirectory directory,
+            BatchService batches,
+            Predicate<String> isStagePool) {
+        this.mesh = mesh;
+        this.serves = serves;
+        this.cutOff = cutOff;
+        this.directory = directory;
+        this.batches = batches;
+        this.isStagePool = isStagePool;
+    }
+
+    @Override
+    public Optional<String> keeper(String upstream) {
+        if (cutOff.isCutOff()) {
+            // The others go on with a keeper of their own.
+            return Optional.empty();
+        }
+        return directory.find(upstream).map(UpstreamNews::pool).flatMap(pool -> keeper(upstream, pool));
+    }
+
+    private Optional<String> keeper(String upstream, String pool) {
+        if (isStagePool.test(pool)) {
+            return Optional.of(batches.packer(pool));
+        }
+        List<String> nodes = mesh.serving();
+        String best = serves.getAsBoolean() ? mesh.self() : "";
+        for (String node : nodes) {
+            boolean better = best.isEmpty() || RendezvousScore.of(upstream, node) > RendezvousScore.of(upstream, best);
+            best = better ? node : best;
+        }
+        return Optional.of(best).filter(name -> !name.isEmpty());
+    }
+}
--- a/library/src/main/java/org/copperspindle/gateway/RequestRun.java
+++ b/library/src/main/java/org/copperspindle/gateway/RequestRun.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 
 import org.copperspindle.batch.MissReason;
@@ -50,6 +51,7 @@
     private final Set<String> tried = new HashSet<>();
     private final UpstreamAttempt.Owner owner = new AttemptOwner();
     private Optional<StageRun> stages = Optional.empty();
+    private Optional<AttemptTurn> turn = Optional.empty();
     private Optional<UpstreamAttempt> attempt = Optional.empty();
     private Optional<UpstreamRun> lastRun = Optional.empty();
     private TimerSubscription timeout = () -> {};
@@ -247,33 +249,9 @@
             runStagesAgain();
             return;
         }
-        long now = context.timers().nanoTime();
         StageInputs inputs = stages.map(StageRun::inputs).orElse(StageInputs.NONE);
-        Optional<UpstreamNews> chosen = choose(inputs, now);
-        if (chosen.isEmpty() && mayWaitForWarmth(now)) {
-            context.timers().schedule(HELD_LOOK_NANOS, this::attempt);
-            return;
-        }
-        if (chosen.isEmpty()) {
-            if (relay.hasStarted()) {
-                breakOff("no-upstream");
-            } else if (mayHaveRun) {
-                refuse(Refusal.failed("no-other-upstream"));
-            } else {
-                refuse(unavailable("no-upstream", "no upstream of the pool can take the request"));
-            }
-            return;
-        }
-        send(chosen.get(), now);
-    }
-
-    /** Says whether an upstream that is cold now may take the request while its caller still waits. */
-    private boolean mayWaitForWarmth(long now) {
-        boolean warming = admitted.table()
-                .findPool(pool)
-                .filter(p -> context.chooser().isWarming(p, tried, now))
-                .isPresent();
-        return warming && now + HELD_LOOK_NANOS - admitted.times().patienceAt() < 0;
+        turn = Optional.of(new AttemptTurn(context, admitted, tried, inputs, new TurnOwner()));
+        turn.get().seek();
     }
 
     private void send(UpstreamNews upstream, long now) {
@@ -407,6 +385,7 @@
         hold(false);
         context.open().remove(this);
         timeout.cancel();
+        turn.ifPresent(AttemptTurn::cancel);
         stages.ifPresent(StageRun::end);
         long now = context.timers().nanoTime();
         context.counters().ended(route.name(), admitted.accountName(), outcome, now - beganAt);
@@ -417,6 +396,35 @@
         return Refusal.unavailable(reason, title, context.returns().soon());
     }
 
+    /** What follows from the search for an upstream. */
+    private final class TurnOwner implements AttemptTurn.Listener {
+        @Override
+        public void onTurn(UpstreamNews upstream) {
+            if (context.quarantine().isHeld(watched)) {
+                // Upstreams ended under it while it waited.
+                holdOff();
+            } else {
+                send(upstream, context.timers().nanoTime());
+            }
+        }
+
+        @Override
+        public void onNoUpstream(OptionalLong freeNanos) {
+            if (relay.hasStarted()) {
+                breakOff("no-upstream");
+            } else if (mayHaveRun) {
+                refuse(Refusal.failed("no-other-upstream"));
+            } else if (freeNanos.isPresent()) {
+                refuse(Refusal.unavailable(
+                        "upstreams-limited",
+                        "the upstreams of the pool take no more requests now",
+                        context.returns().after(freeNanos.getAsLong())));
+            } else {
+                refuse(unavailable("no-upstream", "no upstream of the pool can take the request"));
+            }
+        }
+    }
+
     /** What follows from how an attempt went. */
     private final class AttemptOwner implements UpstreamAttempt.Owner {
         @Override
--- a/library/src/main/java/org/copperspindle/gateway/ReturnTimes.java
+++ b/library/src/main/java/org/copperspindle/gateway/ReturnTimes.java
@@ -30,6 +30,11 @@
         return Duration.ofMillis(SOON_MILLIS + random.nextLong(SOON_MILLIS));
     }
 
+    /** Returns a time after which there may be room that is known to be taken for so long. */
+    Duration after(long takenNanos) {
+        return Duration.ofNanos(takenNanos).plus(soon());
+    }
+
     /** Returns a time after which a burst may be over, for a caller that has so much time left. */
     Duration afterBurst(long leftNanos) {
         double share = BURST_SHARE + BURST_SPREAD * random.nextDouble();
--- a/library/src/main/java/org/copperspindle/gateway/UpstreamChooser.java
+++ b/library/src/main/java/org/copperspindle/gateway/UpstreamChooser.java
@@ -1,11 +1,15 @@
 package org.copperspindle.gateway;
 
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 
+import org.copperspindle.backpressure.SendPermits;
 import org.copperspindle.coldstart.ColdAdmission;
 import org.copperspindle.discovery.UpstreamDirectory;
 import org.copperspindle.discovery.UpstreamNews;
@@ -15,7 +19,7 @@
 /**
  * Chooses the upstream of an attempt. An engine keeps the prompts that it has read, so that requests with the same shared
  * part go to the same engine while its load is near the mean; other upstreams are chosen by the fewest calls in flight. A cold
- * upstream is passed over unless this node may send to it now.
+ * upstream is passed over unless this node may send to it now, and one that has named a limit while its keeper has no room.
  */
 final class UpstreamChooser {
 
@@ -37,6 +41,7 @@
     private final UpstreamDirectory directory;
     private final UpstreamTracker tracker;
     private final ColdAdmission cold;
+    private final SendPermits permits;
     private final RandomGenerator random;
     private final String failureDomain;
 
@@ -44,11 +49,13 @@
             UpstreamDirectory directory,
             UpstreamTracker tracker,
             ColdAdmission cold,
+            SendPermits permits,
             RandomGenerator random,
             String failureDomain) {
         this.directory = directory;
         this.tracker = tracker;
         this.cold = cold;
+        this.permits = permits;
         this.random = random;
         this.failureDomain = failureDomain;
     }
@@ -65,20 +72,12 @@
      */
     Optional<UpstreamNews> choose(
             UpstreamPool pool, GatewayRequest request, StageInputs inputs, Set<String> tried, long now) {
-        List<UpstreamNews> ready = directory.ready(pool.name()).stream()
-                .filter(u -> !tried.contains(u.id()))
-                .toList();
-        List<UpstreamNews> usable =
-                ready.stream().filter(u -> tracker.isUsable(u.id(), now)).toList();
-        List<UpstreamNews> heard = usable.stream()
-                .filter(u -> directory.silence(u.id(), now) < SILENT_NANOS)
-                .toList();
-        // All silent at once means that this node is cut off from announcements, not that all have died.
-        List<UpstreamNews> candidates = heard.isEmpty() ? usable : heard;
+        List<UpstreamNews> candidates = candidates(pool, tried, now);
         if (candidates.isEmpty()) {
             return Optional.empty();
         }
-        Predicate<UpstreamNews> bears = upstream -> bears(pool, upstream, now);
+        Predicate<UpstreamNews> bears =
+                upstream -> permits.deniedNanos(upstream.id()) == 0 && bears(pool, upstream, now);
         Optional<String> shared = request.sharedPrompt();
         if (pool.engineSlots().isPresent() && shared.isPresent()) {
             return byAffinity(near(candidates, request, inputs), shared.get(), bears)
@@ -102,6 +101,79 @@
                         .anyMatch(u -> !tried.contains(u.id()) && directory.isCold(u, now));
     }
 
+    /**
+     * Says whether an upstream that was chosen a moment ago may still get the request.
+     *
+     * @param pool     its pool
+     * @param upstream the upstream
+     * @param tried    ids of upstreams that have had the request
+     * @param now      monotonic time in nanoseconds
+     * @return false if it has left, is suspected, or is cold and has had enough
+     */
+    boolean isFit(UpstreamPool pool, UpstreamNews upstream, Set<String> tried, long now) {
+        return bears(pool, upstream, now)
+                && candidates(pool, tried, now).stream().anyMatch(u -> u.id().equals(upstream.id()));
+    }
+
+    /**
+     * Finds the upstream with a limit that may have room first.
+     *
+     * @param pool  the pool
+     * @param tried ids of upstreams that are passed over
+     * @param now   monotonic time in nanoseconds
+     * @return the upstream; empty if none that could take the request has a limit
+     */
+    Optional<UpstreamNews> soonestLimited(UpstreamPool pool, Set<String> tried, long now) {
+        return limitedCandidates(pool, tried, now).stream()
+                .filter(u -> bears(pool, u, now))
+                .min(Comparator.comparingLong(u -> permits.deniedNanos(u.id())));
+    }
+
+    /**
+     * Says when the first upstream with a limit may have room.
+     *
+     * @param pool  the pool
+     * @param tried ids of upstreams that are passed over
+     * @param now   monotonic time in nanoseconds
+     * @return nanoseconds from now on; empty if none that could take the request has a limit
+     */
+    OptionalLong soonestLimitedNanos(UpstreamPool pool, Set<String> tried, long now) {
+        return limitedCandidates(pool, tried, now).stream()
+                .mapToLong(u -> permits.deniedNanos(u.id()))
+                .min();
+    }
+
+    /**
+     * Lists the upstreams of a pool that have named a limit.
+     *
+     * @param pool  the pool
+     * @param tried ids of upstreams that are left out
+     * @param now   monotonic time in nanoseconds
+     * @return their ids
+     */
+    Set<String> limited(UpstreamPool pool, Set<String> tried, long now) {
+        return limitedCandidates(pool, tried, now).stream()
+                .map(UpstreamNews::id)
+                .collect(Collectors.toSet());
+    }
+
+    private List<UpstreamNews> limitedCandidates(UpstreamPool pool, Set<String> tried, long now) {
+        return candidates(pool, tried, now).stream()
+                .filter(u -> permits.isNeeded(u.id()))
+                .toList();
+    }
+
+    private List<UpstreamNews> candidates(UpstreamPool pool, Set<String> tried, long now) {
+        List<UpstreamNews> usable = directory.ready(pool.name()).stream()
+                .filter(u -> !tried.contains(u.id()) && tracker.isUsable(u.id(), now))
+                .toList();
+        List<UpstreamNews> heard = usable.stream()
+                .filter(u -> directory.silence(u.id(), now) < SILENT_NANOS)
+                .toList();
+        // All silent at once means that this node is cut off from announcements, not that all have died.
+        return heard.isEmpty() ? usable : heard;
+    }
+
     private boolean bears(UpstreamPool pool, UpstreamNews upstream, long now) {
         return pool.cold().isEmpty()
                 || !directory.isCold(upstream, now)
--- /dev/null
+++ b/library/src/test/java/org/copperspindle/backpressure/SendPermitsTest.java
@@ -0,0 +1,263 @@
+package org.copperspindle.backpressure;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.stream.IntStream;
+
+import org.copperspindle.discovery.UpstreamDirectory;
+import org.copperspindle.discovery.UpstreamNews;
+import org.copperspindle.discovery.UpstreamPhase;
+import org.copperspindle.measure.DecisionLog;
+import org.copperspindle.routing.RendezvousScore;
+import org.copperspindle.time.VirtualTimerService;
+import org.copperspindle.wire.WireMessage;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Nodes that all want one upstream with a limit, in virtual time. It counts what arrives in four seconds, as such an upstream does.
+ */
+class SendPermitsTest {
+
+    private static final long MILLI = 1_000_000L;
+    private static final long SECOND = 1000 * MILLI;
+    private static final long WINDOW = 4 * SECOND;
+    private static final long PLAYED = 14 * SECOND;
+    private static final long DELAY = 2 * MILLI;
+    private static final String LIMITED = "u";
+
+    private final VirtualTimerService time = new VirtualTimerService();
+    private final List<Long> arrivals = new ArrayList<>();
+    private final List<Node> nodes = new ArrayList<>();
+    private Random random = new Random(1);
+    private Trouble trouble = Trouble.NONE;
+
+    /** Guards against a sum over all nodes that is beyond the limit, in any window and whatever happens to the nodes. */
+    @ParameterizedTest
+    @CsvSource({
+        "5, 1, NONE",
+        "34, 1, NONE",
+        "300, 1, NONE",
+        "843, 1, NONE",
+        "5, 0, NONE",
+        "34, 0.1, NONE",
+        "34, 1.3, NONE",
+        "34, 30, NONE",
+        "843, 200, NONE",
+        "5, 1, HALVES",
+        "34, 1, HALVES",
+        "34, 30, HALVES",
+        "843, 1.3, HALVES",
+        "34, 1, HEALING",
+        "34, 30, HEALING",
+        "5, 1, KEEPER_RESTARTS",
+        "34, 1, KEEPER_RESTARTS",
+        "34, 30, KEEPER_RESTARTS",
+        "5, 1, KEEPER_STANDS_STILL",
+        "34, 30, KEEPER_STANDS_STILL",
+        "34, 1, NODES_JOIN",
+        "300, 30, NODES_JOIN",
+        "34, 1, NODES_LEAVE",
+        "34, 30, NODES_LEAVE"
+    })
+    void sumOverAllNodesIsBounded(int count, double perSecond, Trouble what) {
+        int seeds = count > 100 ? 1 : 3;
+        for (long seed = 1; seed <= seeds; seed++) {
+            play(count, perSecond, what, seed, 0);
+            assertThat(busiestWindow())
+                    .as("requests in four seconds, seed %d", seed)
+                    .isLessThanOrEqualTo((int) (1.5 * perSecond * 4 + 5));
+        }
+    }
+
+    /** Guards against a bound that keeps requests away which the upstream takes, also where they come to few of the nodes. */
+    @ParameterizedTest
+    @CsvSource({"5, 1, 0", "34, 1, 0", "34, 30, 0", "843, 1, 0", "843, 200, 0", "34, 4, 33", "843, 30, 840"})
+    void limitIsUsed(int count, double perSecond, int idle) {
+        play(count, perSecond, Trouble.NONE, 1, idle);
+        long last = arrivals.stream().filter(at -> at >= PLAYED - WINDOW).count();
+        assertThat(last).isGreaterThanOrEqualTo((long) (0.6 * perSecond * 4));
+    }
+
+    /** Guards against a limit that was lowered and is kept to only once what was promised before is used up. */
+    @Test
+    void lowerLimitHoldsSoon() {
+        start(34, 30, Trouble.NONE, 1, 0);
+        time.advance(6 * SECOND);
+        long loweredAt = time.nanoTime();
+        nodes.forEach(node -> node.name(1));
+        time.advance(8 * SECOND);
+        arrivals.removeIf(at -> at < loweredAt - nodes.get(0).startedAt + 2 * SECOND);
+        assertThat(busiestWindow()).isLessThanOrEqualTo(11);
+    }
+
+    /** Guards against a keeper that waits for an answer which never comes: the request goes elsewhere. */
+    @Test
+    void keeperThatDoesNotAnswerDenies() {
+        start(5, 1, Trouble.NONE, 1, 5);
+        Node keeper =
+                nodes.get(Integer.parseInt(nodes.get(0).keeper().orElseThrow().substring(1)));
+        keeper.standsStillUntil = Long.MAX_VALUE;
+        Node other = nodes.stream().filter(n -> n != keeper).findFirst().orElseThrow();
+        List<PermitResult> results = new ArrayList<>();
+        other.permits.ask(LIMITED, SECOND, results::add);
+        time.advance(SECOND);
+        assertThat(results).hasSize(1).allMatch(PermitResult.Denied.class::isInstance);
+        assertThat(other.permits.unanswered()).isEqualTo(1);
+    }
+
+    private void play(int count, double perSecond, Trouble what, long seed, int idle) {
+        start(count, perSecond, what, seed, idle);
+        time.advance(PLAYED);
+        nodes.forEach(node -> node.ended = true);
+        time.advance(WINDOW);
+    }
+
+    private void start(int count, double perSecond, Trouble what, long seed, int idle) {
+        arrivals.clear();
+        nodes.clear();
+        random = new Random(seed);
+        trouble = what;
+        for (int i = 0; i < count; i++) {
+            nodes.add(new Node(i));
+        }
+        nodes.forEach(node -> node.name(perSecond));
+        nodes.stream().skip(idle).forEach(Node::want);
+        if (what != Trouble.NONE) {
+            time.schedule(SECOND, this::disturb);
+        }
+    }
+
+    /** Strikes the keeper, or whoever would be next, once a second. */
+    private void disturb() {
+        if (nodes.get(0).ended) {
+            return;
+        }
+        Node keeper = nodes.stream()
+                .filter(node -> node.here && node.keeper().equals(Optional.of(node.name)))
+                .findFirst()
+                .orElseThrow();
+        if (trouble == Trouble.KEEPER_RESTARTS) {
+            keeper.restart();
+        } else if (trouble == Trouble.KEEPER_STANDS_STILL) {
+            keeper.standsStillUntil = time.nanoTime() + 700 * MILLI;
+        } else if (trouble == Trouble.NODES_LEAVE
+                && nodes.stream().filter(node -> node.here).count() > 2) {
+            keeper.here = false;
+        } else if (trouble == Trouble.NODES_JOIN) {
+            nodes.add(new Node(nodes.size()));
+            nodes.get(nodes.size() - 1).name(keeper.limits.find(LIMITED).orElseThrow());
+            nodes.get(nodes.size() - 1).want();
+        }
+        time.schedule(2 * SECOND, this::disturb);
+    }
+
+    private int busiestWindow() {
+        long[] times = arrivals.stream().mapToLong(Long::longValue).sorted().toArray();
+        return IntStream.range(0, times.length)
+                .map(from -> (int) Arrays.stream(times)
+                        .filter(at -> at >= times[from] && at - times[from] < WINDOW)
+                        .count())
+                .max()
+                .orElse(0);
+    }
+
+    /** What happens to the nodes. */
+    enum Trouble {
+        NONE,
+        HALVES,
+        HEALING,
+        KEEPER_RESTARTS,
+        KEEPER_STANDS_STILL,
+        NODES_JOIN,
+        NODES_LEAVE
+    }
+
+    /** One node. */
+    private final class Node implements SendPermits.Link {
+        private final int number;
+        private final String name;
+        private final long startedAt = time.nanoTime();
+        private final UpstreamDirectory directory = new UpstreamDirectory();
+        private final UpstreamLimits limits = new UpstreamLimits(directory, new DecisionLog(0, 0));
+        private SendPermits permits = new SendPermits(limits, upstream -> keeper(), this, time);
+        private boolean here = true;
+        private boolean ended;
+        private long standsStillUntil;
+
+        private Node(int number) {
+            this.number = number;
+            this.name = "n" + number;
+            directory.accept(
+                    new UpstreamNews(LIMITED, 0, "p", "10.0.0.1:1", "a", UpstreamPhase.READY, 1, 1, 0, 0), startedAt);
+        }
+
+        @Override
+        public String self() {
+            return name;
+        }
+
+        @Override
+        public boolean send(String to, WireMessage message) {
+            Node other = nodes.get(Integer.parseInt(to.substring(1)));
+            time.schedule(DELAY, () -> arrive(other, message));
+            return true;
+        }
+
+        private void arrive(Node other, WireMessage message) {
+            long left = other.standsStillUntil - time.nanoTime();
+            if (left > 0 && other.standsStillUntil != Long.MAX_VALUE) {
+                time.schedule(left, () -> arrive(other, message));
+            } else if (left <= 0 && other.here && sees(other)) {
+                other.permits.onMessage(name, message);
+            }
+        }
+
+        private void name(double perSecond) {
+            limits.answered(LIMITED, new LimitSignal.Named(perSecond), 0, time.nanoTime());
+        }
+
+        private void restart() {
+            permits = new SendPermits(limits, upstream -> keeper(), this, time);
+        }
+
+        private Optional<String> keeper() {
+            return nodes.stream()
+                    .filter(this::sees)
+                    .map(node -> node.name)
+                    .max(Comparator.comparingLong(node -> RendezvousScore.of(LIMITED, node)));
+        }
+
+        private boolean sees(Node other) {
+            boolean parted = trouble == Trouble.HALVES
+                    || trouble == Trouble.HEALING && (time.nanoTime() / (3 * SECOND)) % 2 == 0;
+            return other.here && (!parted || number % 2 == other.number % 2);
+        }
+
+        /** Sends whenever it may; a request takes up to 20 ms to arrive. */
+        private void want() {
+            if (ended || !here) {
+                return;
+            }
+            if (time.nanoTime() >= standsStillUntil && permits.deniedNanos(LIMITED) == 0) {
+                permits.ask(LIMITED, random.nextInt(2) * SECOND, this::told);
+            }
+            permits.look();
+            time.schedule((1 + random.nextInt(100)) * MILLI, this::want);
+        }
+
+        private void told(PermitResult result) {
+            if (result instanceof PermitResult.Granted granted) {
+                arrivals.add(
+                        time.nanoTime() - nodes.get(0).startedAt + granted.delayNanos() + random.nextInt(20) * MILLI);
+            }
+        }
+    }
+}
--- a/library/src/test/java/org/copperspindle/batch/SlowUpstreamTest.java
+++ b/library/src/test/java/org/copperspindle/batch/SlowUpstreamTest.java
@@ -157,21 +157,6 @@
     }
 
     private PieceGroup group() {
-        return new PieceGroup(
-                ++lastId,
-                "r" + lastId,
-                0,
-                "p",
-                8,
-                IntStream.range(0, 8).boxed().toList(),
-                "k",
-                List.of(),
-                4,
-                2000,
-                8000,
-                10,
-                0,
-                "",
-                false);
+        return TestGroups.ofEight(++lastId);
     }
 }
--- a/library/src/test/java/org/copperspindle/gateway/UpstreamChooserTest.java
+++ b/library/src/test/java/org/copperspindle/gateway/UpstreamChooserTest.java
@@ -12,12 +12,18 @@
 import java.util.Set;
 import java.util.stream.IntStream;
 
+import org.copperspindle.backpressure.LimitSignal;
+import org.copperspindle.backpressure.PermitResult;
+import org.copperspindle.backpressure.SendPermits;
+import org.copperspindle.backpressure.UpstreamLimits;
 import org.copperspindle.coldstart.SenderSetAdmission;
 import org.copperspindle.discovery.UpstreamDirectory;
 import org.copperspindle.discovery.UpstreamNews;
 import org.copperspindle.discovery.UpstreamPhase;
+import org.copperspindle.measure.DecisionLog;
 import org.copperspindle.route.ColdLimits;
 import org.copperspindle.route.UpstreamPool;
+import org.copperspindle.time.VirtualTimerService;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -29,10 +35,13 @@
     private static final UpstreamPool COLD_ENGINES = new UpstreamPool(
             "p", 100, Optional.empty(), OptionalInt.of(64), Optional.of(new ColdLimits(Duration.ofSeconds(3), 2)));
 
+    private final VirtualTimerService time = new VirtualTimerService();
     private final UpstreamDirectory directory = new UpstreamDirectory();
     private final UpstreamTracker tracker = new UpstreamTracker();
     private final SenderSetAdmission cold = new SenderSetAdmission("n0", List::of, () -> false);
-    private final UpstreamChooser chooser = new UpstreamChooser(directory, tracker, cold, new Random(3), "d0");
+    private final UpstreamLimits limits = new UpstreamLimits(directory, new DecisionLog(0, 0));
+    private final SendPermits permits = LonePermits.of(limits, time);
+    private final UpstreamChooser chooser = new UpstreamChooser(directory, tracker, cold, permits, new Random(3), "d0");
 
     UpstreamChooserTest() {
         // Nine engines in three failure domains, and the maker of stage results in the second.
@@ -93,6 +102,19 @@
         assertThat(chooser.isWarming(COLD_ENGINES, Set.of(), 4_000_000_000L)).isFalse();
     }
 
+    /** Guards against requests that queue for an engine in need while others take whatever comes. */
+    @Test
+    void engineWithoutRoomInItsLimitIsPassedOver() {
+        String home = choose("part", 500, 0).id();
+        limits.answered(home, new LimitSignal.Named(1), 0, 1);
+        assertThat(choose("part", 500, 0).id()).isEqualTo(home);
+        permits.ask(home, 0, result -> assertThat(result).isInstanceOf(PermitResult.Denied.class));
+        assertThat(choose("part", 500, 0).id()).isNotEqualTo(home);
+        assertThat(chooser.soonestLimited(COLD_ENGINES, Set.of(), 0))
+                .map(UpstreamNews::id)
+                .contains(home);
+    }
+
     /** Results lie in a failure domain that is evacuated: they are no reason to go there. */
     @Test
     void largeInputsDrawNobodyIntoAnEvacuatedDomain() {
