Tell in logs and metrics which upstreams ask for rest or say that they leave

A 503 with Retry-After went by as any refusal, and nothing told whether an answer had asked for rest, of which node, and for how long. The head of each answer is read for that too, and for the notice that its upstream leaves. Nothing is decided by it yet.

--- a/library/src/main/java/org/copperspindle/backpressure/LimitSignal.java
+++ b/library/src/main/java/org/copperspindle/backpressure/LimitSignal.java
@@ -1,7 +1,7 @@
 package org.copperspindle.backpressure;
 
 import java.util.List;
-import java.util.regex.Pattern;
+import java.util.OptionalDouble;
 
 /**
  * What one answer says of the requests a second that its upstream takes from all nodes together.
@@ -22,12 +22,10 @@
         if (values.isEmpty()) {
             return ABSENT;
         }
-        return values.stream()
-                .map(String::trim)
-                .filter(value -> Named.DECIMAL.matcher(value).matches())
-                .map(value -> (LimitSignal) new Named(Math.min(Named.MOST, Double.parseDouble(value))))
-                .reduce((a, b) -> ((Named) a).perSecond() <= ((Named) b).perSecond() ? a : b)
-                .orElseGet(() -> new Unreadable(values.get(0)));
+        OptionalDouble perSecond = FieldNumber.readable(values).min();
+        return perSecond.isPresent()
+                ? new Named(Math.min(Named.MOST, perSecond.getAsDouble()))
+                : new Unreadable(values.get(0));
     }
 
     /** The answer has no such field. */
@@ -39,8 +37,6 @@
      * @param perSecond requests a second, zero or more
      */
     record Named(double perSecond) implements LimitSignal {
-        private static final Pattern DECIMAL = Pattern.compile("[0-9]{1,18}(\\.[0-9]{0,18})?");
-
         /** No upstream gets more; larger limits are as good as none. */
         private static final double MOST = 1e6;
     }
@@ -51,11 +47,9 @@
      * @param text what it holds
      */
     record Unreadable(String text) implements LimitSignal {
-        private static final int LONGEST = 40;
-
         /** Cuts long texts off. */
         public Unreadable {
-            text = text.substring(0, Math.min(LONGEST, text.length()));
+            text = FieldNumber.shortened(text);
         }
     }
 }
--- a/library/src/main/java/org/copperspindle/dialect/HeaderNames.java
+++ b/library/src/main/java/org/copperspindle/dialect/HeaderNames.java
@@ -17,6 +17,7 @@
  * @param inputs            handles of all stage results that the request needs, separated by commas
  * @param notRun            present where an upstream says that it did not run the request
  * @param limit            requests a second that an upstream takes from all nodes together
+ * @param leaving          present as "1" in the answers of an upstream that leaves
  * @param ofSystem          names in lower case of all fields that only the system may set; a caller's are dropped
  */
 public record HeaderNames(
@@ -32,6 +33,7 @@
         String inputs,
         String notRun,
         String limit,
+        String leaving,
         Set<String> ofSystem) {
 
     /** The project's own names. */
@@ -48,6 +50,7 @@
             "Copperspindle-Inputs",
             "Copperspindle-Not-Run",
             "Copperspindle-Limit",
+            "Copperspindle-Leaving",
             Set.of(
                     "copperspindle-deadline-ms",
                     "copperspindle-upstream",
--- a/library/src/main/java/org/copperspindle/dialect/HeaderUpstreams.java
+++ b/library/src/main/java/org/copperspindle/dialect/HeaderUpstreams.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 
 import org.copperspindle.backpressure.LimitSignal;
+import org.copperspindle.backpressure.RestSignal;
 import org.copperspindle.direct.DirectCall;
 import org.copperspindle.direct.DirectHead;
 import org.copperspindle.gateway.AttemptOrder;
@@ -20,6 +21,8 @@
 
     private static final int MISDIRECTED = 421;
     private static final int CONFLICT = 409;
+    private static final int UNAVAILABLE = 503;
+    private static final String LEAVES = "1";
     private static final int LOWEST_RANK = 9;
 
     private final HeaderNames names;
@@ -74,6 +77,17 @@
         return LimitSignal.of(head.values(names.limit()));
     }
 
+    @Override
+    public RestSignal rest(DirectHead head) {
+        return head.status() == UNAVAILABLE ? RestSignal.of(head.values(HeaderFields.RETRY_AFTER)) : RestSignal.ABSENT;
+    }
+
+    @Override
+    public boolean isLeaving(DirectHead head) {
+        return head.values(names.leaving()).stream()
+                .anyMatch(value -> value.trim().equals(LEAVES));
+    }
+
     @Override
     public List<HeaderField> callerFields(DirectHead head) {
         return HeaderFields.passedOn(head.fields(), Set.of());
--- a/library/src/main/java/org/copperspindle/gateway/GatewayMetrics.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayMetrics.java
@@ -113,6 +113,11 @@
                 "upstreams.limited",
                 "Upstreams that have named how many requests a second they take from all nodes together",
                 n -> n.limits().count());
+        gauge(
+                metrics,
+                "upstreams.at.rest",
+                "Upstreams that want nothing from this node for a while",
+                n -> n.rests().count(System.nanoTime()));
         gauge(metrics, "heap.bytes", "Heap in use", n -> usedHeap());
         metrics.counter("attempts", "Attempts sent", node, n -> n.counters().attempts());
         metrics.counter(
--- a/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
@@ -24,6 +24,7 @@
 import org.copperspindle.backpressure.LimitGossip;
 import org.copperspindle.backpressure.SendPermits;
 import org.copperspindle.backpressure.UpstreamLimits;
+import org.copperspindle.backpressure.UpstreamRests;
 import org.copperspindle.batch.BatchService;
 import org.copperspindle.batch.FetchTime;
 import org.copperspindle.batch.PackerStatus;
@@ -122,6 +123,7 @@
     private final Optional<HttpListener> metrics;
     private final DirectClient client;
     private final UpstreamLimits upstreamLimits;
+    private final UpstreamRests upstreamRests;
     private final SendPermits permits;
     private final RequestQuarantine quarantine;
     private final StageGate gate;
@@ -157,7 +159,8 @@
                 loop, timers, new SharedIdleConnections(directory, holder::heldTable, () -> 1 + mesh.count()));
         this.quarantine = new RequestQuarantine(mesh, timers, directory, client, log);
         this.upstreamLimits = new UpstreamLimits(directory, log);
-        UpstreamPort port = new ObservedPort(client, dialects.upstreams(), upstreamLimits, timers);
+        this.upstreamRests = new UpstreamRests(directory, log);
+        UpstreamPort port = new ObservedPort(client, dialects.upstreams(), upstreamLimits, upstreamRests, timers);
         MeshRelay relay = new MeshRelay(mesh, registry);
         this.batches = new BatchService(
                 relay,
@@ -489,6 +492,11 @@
             return upstreamLimits;
         }
 
+        @Override
+        public UpstreamRests rests() {
+            return upstreamRests;
+        }
+
         @Override
         public EditionHolder holder() {
             return holder;
--- a/library/src/main/java/org/copperspindle/gateway/NodeState.java
+++ b/library/src/main/java/org/copperspindle/gateway/NodeState.java
@@ -1,6 +1,7 @@
 package org.copperspindle.gateway;
 
 import org.copperspindle.backpressure.UpstreamLimits;
+import org.copperspindle.backpressure.UpstreamRests;
 import org.copperspindle.batch.BatchService;
 import org.copperspindle.discovery.UpstreamDirectory;
 import org.copperspindle.edition.EditionHolder;
@@ -24,6 +25,9 @@
     /** Returns the limits that upstreams have named. */
     UpstreamLimits limits();
 
+    /** Returns the upstreams that want nothing for a while. */
+    UpstreamRests rests();
+
     /** Returns what this node's member of the control group knows. */
     MemberStatus status();
 
--- a/library/src/main/java/org/copperspindle/gateway/ObservedPort.java
+++ b/library/src/main/java/org/copperspindle/gateway/ObservedPort.java
@@ -1,6 +1,9 @@
 package org.copperspindle.gateway;
 
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.copperspindle.backpressure.UpstreamLimits;
+import org.copperspindle.backpressure.UpstreamRests;
 import org.copperspindle.direct.DirectCall;
 import org.copperspindle.direct.DirectFailure;
 import org.copperspindle.direct.DirectHead;
@@ -14,15 +17,24 @@
  */
 final class ObservedPort implements UpstreamPort {
 
+    private static final Logger LOGGER = LogManager.getLogger(ObservedPort.class);
+
     private final UpstreamPort port;
     private final UpstreamDialect dialect;
     private final UpstreamLimits limits;
+    private final UpstreamRests rests;
     private final TimerService timers;
 
-    ObservedPort(UpstreamPort port, UpstreamDialect dialect, UpstreamLimits limits, TimerService timers) {
+    ObservedPort(
+            UpstreamPort port,
+            UpstreamDialect dialect,
+            UpstreamLimits limits,
+            UpstreamRests rests,
+            TimerService timers) {
         this.port = port;
         this.dialect = dialect;
         this.limits = limits;
+        this.rests = rests;
         this.timers = timers;
     }
 
@@ -46,7 +58,12 @@
         @Override
         public void onHead(DirectHead head) {
             String speaker = dialect.otherUpstream(head).orElse(call.upstream());
-            limits.answered(speaker, dialect.limit(head), sentAt, timers.nanoTime());
+            long now = timers.nanoTime();
+            limits.answered(speaker, dialect.limit(head), sentAt, now);
+            rests.answered(speaker, dialect.rest(head), now);
+            if (dialect.isLeaving(head)) {
+                LOGGER.info("event=upstream-says-it-leaves upstream={}", speaker);
+            }
             listener.onHead(head);
         }
 
--- a/library/src/main/java/org/copperspindle/gateway/UpstreamDialect.java
+++ b/library/src/main/java/org/copperspindle/gateway/UpstreamDialect.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 
 import org.copperspindle.backpressure.LimitSignal;
+import org.copperspindle.backpressure.RestSignal;
 import org.copperspindle.direct.DirectCall;
 import org.copperspindle.direct.DirectHead;
 import org.copperspindle.http.HeaderField;
@@ -53,6 +54,22 @@
      */
     LimitSignal limit(DirectHead head);
 
+    /**
+     * Reads for how long the upstream that answered wants nothing more from this node.
+     *
+     * @param head the answer's head
+     * @return what it says of it
+     */
+    RestSignal rest(DirectHead head);
+
+    /**
+     * Says whether the upstream that answered is about to leave.
+     *
+     * @param head the answer's head
+     * @return true if it finishes what it has and wants nothing new from anybody
+     */
+    boolean isLeaving(DirectHead head);
+
     /**
      * Chooses the header fields that go back to the caller.
      *
