Leave upstreams alone that ask for rest

Callers were refused, a tenth and more of reviews and tags for seconds, each after its stages had run: engines that turned requests away and asked a node for 3 s of rest got the next requests of that node within milliseconds. Nobody read for how long; and since a quick refusal counted as a sign of life and ended at once, the upstream looked empty and sound, and drew the next request.

What a 503 asks for is kept by node and upstream: the longest of several, on the monotonic clock, until the upstream leaves or starts again. Neither attempts nor stage calls nor given up results go there. After the rest it gets one request at a time, and twice as many with each that it takes, so that what was held back does not come in one moment. A rest is no sign of illness: failures, kept prompts and suspicions stay as they were. A request waits where an upstream of its pool is back while its caller still waits; else it is refused at once, before its stages, and told when the first one is back.

UpstreamRestsTest covers overtaking answers, the return and the next life.

--- a/library/src/main/java/org/copperspindle/backpressure/UpstreamRests.java
+++ b/library/src/main/java/org/copperspindle/backpressure/UpstreamRests.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -18,7 +19,11 @@
 
     private static final Logger LOGGER = LogManager.getLogger(UpstreamRests.class);
 
-    private static final long NANOS_PER_MILLI = 1_000_000L;
+    /** Requests that an upstream may have at first after its rest. All that was held back would else come in the same moment. */
+    private static final int FIRST_IN_FLIGHT = 1;
+
+    /** With so many requests taken after a rest an upstream is used as any other. */
+    private static final int LAST_IN_FLIGHT = 32;
 
     private final UpstreamDirectory directory;
     private final DecisionLog log;
@@ -41,16 +46,45 @@
      *
      * @param upstream id of the upstream that answered
      * @param signal   what the answer says
+     * @param taken    whether the upstream took the request that it answers
      * @param now      monotonic time in nanoseconds
      */
-    public void answered(String upstream, RestSignal signal, long now) {
+    public void answered(String upstream, RestSignal signal, boolean taken, long now) {
         if (signal instanceof RestSignal.Asked asked) {
             asked(upstream, asked, now);
+        } else if (signal instanceof RestSignal.Absent && taken) {
+            recovers(upstream, now);
         } else if (signal instanceof RestSignal.Unreadable unreadable && log.takesFailed(now)) {
             LOGGER.warn("event=upstream-rest-unreadable upstream={} value=\"{}\"", upstream, unreadable.text());
         }
     }
 
+    /**
+     * Returns how long an upstream still wants nothing from this node.
+     *
+     * @param upstream its id
+     * @param now      monotonic time in nanoseconds
+     * @return nanoseconds; 0 if it takes requests
+     */
+    public long restNanos(String upstream, long now) {
+        Rest rest = rests.get(upstream);
+        return rest == null ? 0 : Math.max(0, rest.until() - now);
+    }
+
+    /**
+     * Says whether an upstream takes one more request of this node. After a rest it gets one at a time first, and twice as many
+     * with each that it takes.
+     *
+     * @param upstream its id
+     * @param inFlight how many it has
+     * @param now      monotonic time in nanoseconds
+     * @return false while it rests or has what it may have so soon after
+     */
+    public boolean mayTake(String upstream, int inFlight, long now) {
+        Rest rest = rests.get(upstream);
+        return rest == null || rest.until() - now <= 0 && inFlight < rest.mostInFlight();
+    }
+
     /**
      * Counts the upstreams that are at rest.
      *
@@ -62,12 +96,13 @@
     }
 
     private void asked(String upstream, RestSignal.Asked asked, long now) {
-        if (directory.find(upstream).isEmpty()) {
+        Optional<UpstreamNews> known = directory.find(upstream);
+        if (known.isEmpty()) {
             return;
         }
-        long incarnation =
-                directory.find(upstream).map(UpstreamNews::incarnation).orElseThrow();
-        rests.put(upstream, new Rest(now + asked.rest().toNanos(), incarnation));
+        // Answers overtake each other: a shorter rest that is read later does not end a longer one.
+        long until = now + Math.max(asked.rest().toNanos(), restNanos(upstream, now));
+        rests.put(upstream, new Rest(until, known.get().incarnation(), FIRST_IN_FLIGHT));
         if (log.takesFailed(now)) {
             LOGGER.info(
                     "event=upstream-rest upstream={} rest_ms={}",
@@ -76,6 +111,20 @@
         }
     }
 
+    /** Notes that an upstream took a request; one that was sent before the rest shows nothing while it lasts. */
+    private void recovers(String upstream, long now) {
+        Rest rest = rests.get(upstream);
+        if (rest == null || rest.until() - now > 0) {
+            return;
+        }
+        int most = rest.mostInFlight() * 2;
+        if (most > LAST_IN_FLIGHT) {
+            rests.remove(upstream);
+        } else {
+            rests.put(upstream, new Rest(rest.until(), rest.incarnation(), most));
+        }
+    }
+
     private void upstreamChanged(UpstreamNews news) {
         Rest rest = rests.get(news.id());
         if (rest != null && (news.phase() == UpstreamPhase.GONE || rest.incarnation() != news.incarnation())) {
@@ -86,8 +135,9 @@
     /**
      * A rest.
      *
-     * @param until       when it ends, monotonic time in nanoseconds
-     * @param incarnation life of the upstream that asked for it
+     * @param until        when it ends, monotonic time in nanoseconds
+     * @param incarnation  life of the upstream that asked for it
+     * @param mostInFlight requests that the upstream may have after it
      */
-    private record Rest(long until, long incarnation) {}
+    private record Rest(long until, long incarnation, int mostInFlight) {}
 }
--- a/library/src/main/java/org/copperspindle/batch/CallAdmission.java
+++ b/library/src/main/java/org/copperspindle/batch/CallAdmission.java
@@ -3,7 +3,7 @@
 import java.util.OptionalDouble;
 
 /**
- * Bounds the calls to upstreams of stage pools that have named how many requests a second they take.
+ * Bounds the calls to upstreams of stage pools that have named how many requests a second they take, or want none for a while.
  */
 public interface CallAdmission {
 
@@ -19,6 +19,11 @@
             // Nothing is counted.
         }
 
+        @Override
+        public boolean isAtRest(String upstream) {
+            return false;
+        }
+
         @Override
         public OptionalDouble perSecond(String upstream) {
             return OptionalDouble.empty();
@@ -40,6 +45,14 @@
      */
     void calls(String upstream);
 
+    /**
+     * Says whether an upstream wants nothing for a while.
+     *
+     * @param upstream its id
+     * @return true while it rests; it may not be called then
+     */
+    boolean isAtRest(String upstream);
+
     /**
      * Returns how many calls an upstream gets at most.
      *
--- a/library/src/main/java/org/copperspindle/batch/PoolUpstreams.java
+++ b/library/src/main/java/org/copperspindle/batch/PoolUpstreams.java
@@ -130,7 +130,7 @@
      */
     boolean isSoonFree(String domain, long nanos, long now) {
         return byId.values().stream()
-                .anyMatch(u -> !u.isPaused(now)
+                .anyMatch(u -> !isAway(u, now)
                         && isReady(u)
                         && u.news().failureDomain().equals(domain)
                         && u.busyNanos(now) < nanos);
@@ -174,7 +174,11 @@
      */
     private boolean mayWork(StageUpstream upstream) {
         boolean limited = admission.perSecond(upstream.news().id()).isPresent();
-        return !limited || mayCall(upstream) && !upstream.shouldFreeFirst();
+        return mayCall(upstream) && !(limited && upstream.shouldFreeFirst());
+    }
+
+    private boolean isAway(StageUpstream upstream, long now) {
+        return upstream.isPaused(now) || admission.isAtRest(upstream.news().id());
     }
 
     /** Returns how far apart its calls that make pieces are at least. */
@@ -186,7 +190,7 @@
     private List<StageUpstream> usable(long now) {
         double slow = slowFrom(now);
         return byId.values().stream()
-                .filter(u -> !u.isPaused(now) && u.slowness() <= slow && isReady(u))
+                .filter(u -> !isAway(u, now) && u.slowness() <= slow && isReady(u))
                 .toList();
     }
 
--- a/library/src/main/java/org/copperspindle/gateway/AttemptTurn.java
+++ b/library/src/main/java/org/copperspindle/gateway/AttemptTurn.java
@@ -23,7 +23,7 @@
     /** Upstreams that are asked for a moment later; each of them costs a round trip between nodes. */
     private static final int MAX_RESERVES = 3;
 
-    /** Cold upstreams are looked at again this often. */
+    /** Upstreams that are cold, or have just had a rest, are looked at again this often. */
     private static final long LOOK_NANOS = Duration.ofMillis(75).toNanos();
 
     private final GatewayContext context;
@@ -90,10 +90,20 @@
         if (limited.isPresent() && patience > 0) {
             reserveAsked.add(limited.get().id());
             ask(pool, limited.get(), patience);
-        } else if (chooser.isWarming(pool, tried, now) && patience > LOOK_NANOS) {
-            context.timers().schedule(LOOK_NANOS, this::seek);
         } else {
-            none(chooser.soonestLimitedNanos(pool, tried, now));
+            lookAgain(pool, patience, now);
+        }
+    }
+
+    /** Waits for upstreams that are cold or rest, unless they do so for longer than the caller waits. */
+    private void lookAgain(UpstreamPool pool, long patience, long now) {
+        OptionalLong soonest = context.chooser().soonestNanos(pool, tried, now);
+        boolean waits = context.chooser().isWarming(pool, tried, now) || soonest.isPresent();
+        long wait = Math.max(LOOK_NANOS, soonest.orElse(0));
+        if (waits && reserveAsked.isEmpty() && wait < patience) {
+            context.timers().schedule(wait, this::seek);
+        } else {
+            none(soonest);
         }
     }
 
@@ -169,7 +179,7 @@
         /**
          * No upstream can take the request in its time.
          *
-         * @param freeNanos nanoseconds until one of those that have named a limit may have room again; empty if there is none
+         * @param freeNanos nanoseconds until one of those that rest or have named a limit may take it; empty if there is none
          */
         void onNoUpstream(OptionalLong freeNanos);
     }
--- a/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
@@ -174,7 +174,7 @@
         mesh.subscribe(relay);
         LimitKeepers keepers = new LimitKeepers(mesh, this::serves, cutOff, directory, batches, this::isStagePool);
         this.permits = new SendPermits(upstreamLimits, keepers, new DirectLink(), timers);
-        batches.admittedBy(new LimitedCalls(upstreamLimits, permits));
+        batches.admittedBy(new RestrainedCalls(upstreamLimits, permits, upstreamRests, timers));
         mesh.subscribe(new LimitGossip(mesh, timers, upstreamLimits, permits));
         this.budget = new SharedRetryBudget(
                 settings.retries().ratio(),
@@ -192,7 +192,13 @@
                 gossip,
                 tracker,
                 new UpstreamChooser(
-                        directory, tracker, cold, permits, ThreadLocalRandom.current(), settings.failureDomain()),
+                        directory,
+                        tracker,
+                        cold,
+                        permits,
+                        upstreamRests,
+                        ThreadLocalRandom.current(),
+                        settings.failureDomain()),
                 cold,
                 permits,
                 budget,
--- a/library/src/main/java/org/copperspindle/gateway/ObservedPort.java
+++ b/library/src/main/java/org/copperspindle/gateway/ObservedPort.java
@@ -60,7 +60,7 @@
             String speaker = dialect.otherUpstream(head).orElse(call.upstream());
             long now = timers.nanoTime();
             limits.answered(speaker, dialect.limit(head), sentAt, now);
-            rests.answered(speaker, dialect.rest(head), now);
+            rests.answered(speaker, dialect.rest(head), !dialect.provesNotRun(head), now);
             if (dialect.isLeaving(head)) {
                 LOGGER.info("event=upstream-says-it-leaves upstream={}", speaker);
             }
--- a/library/src/main/java/org/copperspindle/gateway/RequestRun.java
+++ b/library/src/main/java/org/copperspindle/gateway/RequestRun.java
@@ -163,6 +163,12 @@
             return;
         }
         long now = context.timers().nanoTime();
+        OptionalLong soonest = soonestNanos(now);
+        if (soonest.orElse(0) > admitted.times().patienceAt() - now) {
+            // Its stages would be made for nothing.
+            refuse(inNeed(soonest.getAsLong()));
+            return;
+        }
         GateJudgement judgement = context.gate().judge(admitted, held, now);
         GateVerdict verdict = judgement.verdict();
         lines.gate(judgement, held, now);
@@ -231,6 +237,14 @@
         return choose(StageInputs.NONE, context.timers().nanoTime()).map(UpstreamNews::failureDomain);
     }
 
+    /** Returns when the first upstream of the pool may take the request, by what they say of themselves. */
+    private OptionalLong soonestNanos(long now) {
+        return admitted.table()
+                .findPool(pool)
+                .map(p -> context.chooser().soonestNanos(p, tried, now))
+                .orElse(OptionalLong.empty());
+    }
+
     private Optional<UpstreamNews> choose(StageInputs inputs, long now) {
         return admitted.table().findPool(pool).flatMap(p -> context.chooser().choose(p, request, inputs, tried, now));
     }
@@ -392,6 +406,13 @@
         lines.ended(outcome, failed, new RequestProgress(sent, unsent, stageRuns, mayHaveRun), relay, now);
     }
 
+    private Refusal inNeed(long freeNanos) {
+        return Refusal.unavailable(
+                "upstreams-in-need",
+                "the upstreams of the pool take no more requests now",
+                context.returns().after(freeNanos));
+    }
+
     private Refusal unavailable(String reason, String title) {
         return Refusal.unavailable(reason, title, context.returns().soon());
     }
@@ -415,10 +436,7 @@
             } else if (mayHaveRun) {
                 refuse(Refusal.failed("no-other-upstream"));
             } else if (freeNanos.isPresent()) {
-                refuse(Refusal.unavailable(
-                        "upstreams-limited",
-                        "the upstreams of the pool take no more requests now",
-                        context.returns().after(freeNanos.getAsLong())));
+                refuse(inNeed(freeNanos.getAsLong()));
             } else {
                 refuse(unavailable("no-upstream", "no upstream of the pool can take the request"));
             }
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/gateway/RestrainedCalls.java
@@ -0,0 +1,48 @@
+package org.copperspindle.gateway;
+
+import java.util.OptionalDouble;
+
+import org.copperspindle.backpressure.SendPermits;
+import org.copperspindle.backpressure.UpstreamLimits;
+import org.copperspindle.backpressure.UpstreamRests;
+import org.copperspindle.batch.CallAdmission;
+import org.copperspindle.time.TimerService;
+
+/**
+ * Bounds the calls of stage pools by what their upstreams have said of themselves. The node that packs a pool keeps the limits of its
+ * upstreams too, so that it asks nobody.
+ */
+final class RestrainedCalls implements CallAdmission {
+
+    private final UpstreamLimits limits;
+    private final SendPermits permits;
+    private final UpstreamRests rests;
+    private final TimerService timers;
+
+    RestrainedCalls(UpstreamLimits limits, SendPermits permits, UpstreamRests rests, TimerService timers) {
+        this.limits = limits;
+        this.permits = permits;
+        this.rests = rests;
+        this.timers = timers;
+    }
+
+    @Override
+    public boolean mayCall(String upstream) {
+        return !isAtRest(upstream) && permits.mayTake(upstream);
+    }
+
+    @Override
+    public void calls(String upstream) {
+        permits.take(upstream);
+    }
+
+    @Override
+    public boolean isAtRest(String upstream) {
+        return rests.restNanos(upstream, timers.nanoTime()) > 0;
+    }
+
+    @Override
+    public OptionalDouble perSecond(String upstream) {
+        return limits.find(upstream);
+    }
+}
--- a/library/src/main/java/org/copperspindle/gateway/UpstreamChooser.java
+++ b/library/src/main/java/org/copperspindle/gateway/UpstreamChooser.java
@@ -10,6 +10,7 @@
 import java.util.stream.Collectors;
 
 import org.copperspindle.backpressure.SendPermits;
+import org.copperspindle.backpressure.UpstreamRests;
 import org.copperspindle.coldstart.ColdAdmission;
 import org.copperspindle.discovery.UpstreamDirectory;
 import org.copperspindle.discovery.UpstreamNews;
@@ -19,7 +20,7 @@
 /**
  * Chooses the upstream of an attempt. An engine keeps the prompts that it has read, so that requests with the same shared
  * part go to the same engine while its load is near the mean; other upstreams are chosen by the fewest calls in flight. A cold
- * upstream is passed over unless this node may send to it now, and one that has named a limit while its keeper has no room.
+ * upstream is passed over unless this node may send to it now, one that has named a limit while its keeper has no room, and one that rests.
  */
 final class UpstreamChooser {
 
@@ -42,6 +43,7 @@
     private final UpstreamTracker tracker;
     private final ColdAdmission cold;
     private final SendPermits permits;
+    private final UpstreamRests rests;
     private final RandomGenerator random;
     private final String failureDomain;
 
@@ -50,12 +52,14 @@
             UpstreamTracker tracker,
             ColdAdmission cold,
             SendPermits permits,
+            UpstreamRests rests,
             RandomGenerator random,
             String failureDomain) {
         this.directory = directory;
         this.tracker = tracker;
         this.cold = cold;
         this.permits = permits;
+        this.rests = rests;
         this.random = random;
         this.failureDomain = failureDomain;
     }
@@ -130,16 +134,16 @@
     }
 
     /**
-     * Says when the first upstream with a limit may have room.
+     * Says when the first upstream that rests, or has named a limit, may take the request.
      *
      * @param pool  the pool
      * @param tried ids of upstreams that are passed over
      * @param now   monotonic time in nanoseconds
-     * @return nanoseconds from now on; empty if none that could take the request has a limit
+     * @return nanoseconds from now on, 0 if one may now; empty if the pool has none at all
      */
-    OptionalLong soonestLimitedNanos(UpstreamPool pool, Set<String> tried, long now) {
-        return limitedCandidates(pool, tried, now).stream()
-                .mapToLong(u -> permits.deniedNanos(u.id()))
+    OptionalLong soonestNanos(UpstreamPool pool, Set<String> tried, long now) {
+        return sound(pool, tried, now).stream()
+                .mapToLong(u -> Math.max(rests.restNanos(u.id(), now), permits.deniedNanos(u.id())))
                 .min();
     }
 
@@ -164,8 +168,8 @@
     }
 
     private List<UpstreamNews> candidates(UpstreamPool pool, Set<String> tried, long now) {
-        List<UpstreamNews> usable = directory.ready(pool.name()).stream()
-                .filter(u -> !tried.contains(u.id()) && tracker.isUsable(u.id(), now))
+        List<UpstreamNews> usable = sound(pool, tried, now).stream()
+                .filter(u -> rests.mayTake(u.id(), tracker.inFlight(u.id()), now))
                 .toList();
         List<UpstreamNews> heard = usable.stream()
                 .filter(u -> directory.silence(u.id(), now) < SILENT_NANOS)
@@ -174,6 +178,12 @@
         return heard.isEmpty() ? usable : heard;
     }
 
+    private List<UpstreamNews> sound(UpstreamPool pool, Set<String> tried, long now) {
+        return directory.ready(pool.name()).stream()
+                .filter(u -> !tried.contains(u.id()) && tracker.isUsable(u.id(), now))
+                .toList();
+    }
+
     private boolean bears(UpstreamPool pool, UpstreamNews upstream, long now) {
         return pool.cold().isEmpty()
                 || !directory.isCold(upstream, now)
--- /dev/null
+++ b/library/src/test/java/org/copperspindle/backpressure/UpstreamRestsTest.java
@@ -0,0 +1,90 @@
+package org.copperspindle.backpressure;
+
+import java.time.Duration;
+
+import org.copperspindle.discovery.UpstreamDirectory;
+import org.copperspindle.discovery.UpstreamNews;
+import org.copperspindle.discovery.UpstreamPhase;
+import org.copperspindle.measure.DecisionLog;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class UpstreamRestsTest {
+
+    private static final long SECOND = 1_000_000_000L;
+
+    private final UpstreamDirectory directory = new UpstreamDirectory();
+    private final UpstreamRests rests = new UpstreamRests(directory, new DecisionLog(0, 0));
+
+    UpstreamRestsTest() {
+        announce(1, UpstreamPhase.READY);
+    }
+
+    @Test
+    void restEndsByItself() {
+        ask(3, 0);
+        assertThat(rests.mayTake("e", 0, SECOND)).isFalse();
+        assertThat(rests.restNanos("e", SECOND)).isEqualTo(2 * SECOND);
+        assertThat(rests.count(SECOND)).isEqualTo(1);
+        assertThat(rests.mayTake("e", 0, 3 * SECOND)).isTrue();
+        assertThat(rests.count(3 * SECOND)).isZero();
+    }
+
+    /** Guards against answers that overtake each other: the longer rest holds whichever is read last. */
+    @Test
+    void shorterRestDoesNotEndALongerOne() {
+        ask(3, 0);
+        ask(1, SECOND);
+        assertThat(rests.restNanos("e", SECOND)).isEqualTo(2 * SECOND);
+        ask(5, SECOND);
+        assertThat(rests.restNanos("e", SECOND)).isEqualTo(5 * SECOND);
+    }
+
+    /** Guards against an upstream that gets all that was held back in the moment in which its rest ends. */
+    @Test
+    void requestsComeBackByAndBy() {
+        ask(3, 0);
+        long now = 3 * SECOND;
+        for (int most = 1; most <= 32; most *= 2) {
+            assertThat(rests.mayTake("e", most - 1, now)).isTrue();
+            assertThat(rests.mayTake("e", most, now)).isFalse();
+            rests.answered("e", RestSignal.ABSENT, true, now);
+        }
+        assertThat(rests.mayTake("e", 1000, now)).isTrue();
+    }
+
+    /** Guards against a rest that is cut short by the answer to a request which the upstream had before it. */
+    @Test
+    void answerWithinTheRestShowsNothing() {
+        ask(3, 0);
+        rests.answered("e", RestSignal.ABSENT, true, SECOND);
+        assertThat(rests.mayTake("e", 0, SECOND)).isFalse();
+        assertThat(rests.mayTake("e", 1, 3 * SECOND)).isFalse();
+    }
+
+    @Test
+    void refusalAfterTheRestIsNoSignOfRecovery() {
+        ask(3, 0);
+        rests.answered("e", RestSignal.ABSENT, false, 3 * SECOND);
+        assertThat(rests.mayTake("e", 1, 3 * SECOND)).isFalse();
+    }
+
+    @ParameterizedTest
+    @EnumSource(names = {"READY", "GONE"})
+    void nextLifeHasNoRest(UpstreamPhase phase) {
+        ask(3, 0);
+        announce(phase == UpstreamPhase.READY ? 2 : 1, phase);
+        assertThat(rests.restNanos("e", 0)).isZero();
+    }
+
+    private void ask(int seconds, long now) {
+        rests.answered("e", new RestSignal.Asked(Duration.ofSeconds(seconds)), false, now);
+    }
+
+    private void announce(long incarnation, UpstreamPhase phase) {
+        directory.accept(new UpstreamNews("e", incarnation, "p", "10.0.0.1:1", "a", phase, 1, 1, 0, 0), 0);
+    }
+}
--- a/library/src/test/java/org/copperspindle/batch/LimitedStageTest.java
+++ b/library/src/test/java/org/copperspindle/batch/LimitedStageTest.java
@@ -113,6 +113,11 @@
             lastAt = time.nanoTime();
         }
 
+        @Override
+        public boolean isAtRest(String upstream) {
+            return false;
+        }
+
         @Override
         public OptionalDouble perSecond(String upstream) {
             return limits && upstream.equals(LIMITED) ? OptionalDouble.of(1) : OptionalDouble.empty();
--- a/library/src/test/java/org/copperspindle/gateway/UpstreamChooserTest.java
+++ b/library/src/test/java/org/copperspindle/gateway/UpstreamChooserTest.java
@@ -16,6 +16,7 @@
 import org.copperspindle.backpressure.PermitResult;
 import org.copperspindle.backpressure.SendPermits;
 import org.copperspindle.backpressure.UpstreamLimits;
+import org.copperspindle.backpressure.UpstreamRests;
 import org.copperspindle.coldstart.SenderSetAdmission;
 import org.copperspindle.discovery.UpstreamDirectory;
 import org.copperspindle.discovery.UpstreamNews;
@@ -40,8 +41,10 @@
     private final UpstreamTracker tracker = new UpstreamTracker();
     private final SenderSetAdmission cold = new SenderSetAdmission("n0", List::of, () -> false);
     private final UpstreamLimits limits = new UpstreamLimits(directory, new DecisionLog(0, 0));
+    private final UpstreamRests rests = new UpstreamRests(directory, new DecisionLog(0, 0));
     private final SendPermits permits = LonePermits.of(limits, time);
-    private final UpstreamChooser chooser = new UpstreamChooser(directory, tracker, cold, permits, new Random(3), "d0");
+    private final UpstreamChooser chooser =
+            new UpstreamChooser(directory, tracker, cold, permits, rests, new Random(3), "d0");
 
     UpstreamChooserTest() {
         // Nine engines in three failure domains, and the maker of stage results in the second.
