Take an upstream that says in its answers that it leaves as leaving

Requests went on to upstreams that had said in their answers that they leave, until an announcement said so too, if any did: half of 30 requests in UpstreamRestTest. Only announcements were read for it.

The notice is told to all nodes at once, like an announced drain. It is a phase of its own: a process that says so may announce itself as before for a while, and nodes pass on what they heard earlier, so that no announcement of the same life brings it back and the notice is never late. A drain that was announced can be withdrawn by a later announcement, as before.

--- a/library/src/main/java/org/copperspindle/discovery/DirectoryGossip.java
+++ b/library/src/main/java/org/copperspindle/discovery/DirectoryGossip.java
@@ -69,6 +69,17 @@
                 .ifPresent(news -> mesh.broadcast(new UpstreamNewsMessage(List.of(news))));
     }
 
+    /**
+     * Takes note that an upstream has said in an answer that it leaves.
+     *
+     * @param id its id
+     */
+    public void leaving(String id) {
+        directory
+                .leaving(id, timers.nanoTime())
+                .ifPresent(news -> mesh.broadcast(new UpstreamNewsMessage(List.of(news))));
+    }
+
     @Override
     public void onNodeUp(MeshNode node) {
         List<UpstreamNews> all = directory.all(timers.nanoTime());
--- a/library/src/main/java/org/copperspindle/discovery/UpstreamDirectory.java
+++ b/library/src/main/java/org/copperspindle/discovery/UpstreamDirectory.java
@@ -108,11 +108,12 @@
     /**
      * Takes an announcement, heard here or passed on by another node.
      *
-     * @param news the announcement
-     * @param now  monotonic time in nanoseconds
+     * @param announced the announcement
+     * @param now       monotonic time in nanoseconds
      * @return what it changed
      */
-    public DirectoryChange accept(UpstreamNews news, long now) {
+    public DirectoryChange accept(UpstreamNews announced, long now) {
+        UpstreamNews news = sinceItLeaves(announced);
         long heardAt = now - Duration.ofMillis(Math.max(0, news.ageMillis())).toNanos();
         Known before = byId.get(news.id());
         if (before != null && isLate(before.news(), news)) {
@@ -178,6 +179,20 @@
         return Optional.of(gone);
     }
 
+    /**
+     * Notes that an upstream has said in an answer that it leaves.
+     *
+     * @param id  its id
+     * @param now monotonic time in nanoseconds
+     * @return what is passed on to other nodes, empty if it was known to leave
+     */
+    public Optional<UpstreamNews> leaving(String id, long now) {
+        Optional<UpstreamNews> leaving = find(id).filter(news -> news.phase() != UpstreamPhase.LEAVING)
+                .map(news -> news.leaving().withAge(0));
+        leaving.ifPresent(news -> accept(news, now));
+        return leaving;
+    }
+
     /**
      * Forgets upstreams that were silent for longer than any announcement or passed-on record takes.
      *
@@ -273,6 +288,18 @@
                 .toList();
     }
 
+    /**
+     * Returns an announcement as it counts for an upstream that leaves. It may go on to announce itself as before for a while, and nodes
+     * pass on what they heard earlier.
+     */
+    private UpstreamNews sinceItLeaves(UpstreamNews announced) {
+        Known known = byId.get(announced.id());
+        boolean leaves = known != null
+                && known.news().phase() == UpstreamPhase.LEAVING
+                && known.news().incarnation() == announced.incarnation();
+        return leaves && announced.phase() != UpstreamPhase.GONE ? announced.leaving() : announced;
+    }
+
     private DirectoryChange leave(Known before, UpstreamNews news, long now) {
         if (before == null) {
             byId.put(news.id(), new Known(news, now, now));
@@ -325,7 +352,9 @@
         if (news.incarnation() < known.incarnation() && !isGone) {
             return true;
         }
-        return wasGone || !isGone && news.sequence() < known.sequence();
+        // What was read in an answer has no number of its own.
+        boolean isNumbered = !isGone && news.phase() != UpstreamPhase.LEAVING;
+        return wasGone || isNumbered && news.sequence() < known.sequence();
     }
 
     /** Says whether an incarnation that was told is another one than that of what is known. */
--- a/library/src/main/java/org/copperspindle/discovery/UpstreamNews.java
+++ b/library/src/main/java/org/copperspindle/discovery/UpstreamNews.java
@@ -50,6 +50,21 @@
                 id, incarnation, pool, address, failureDomain, UpstreamPhase.GONE, slots, sequence, ageMillis, 0);
     }
 
+    /** Makes the record of an upstream that has said that it leaves. */
+    UpstreamNews leaving() {
+        return new UpstreamNews(
+                id,
+                incarnation,
+                pool,
+                address,
+                failureDomain,
+                UpstreamPhase.LEAVING,
+                slots,
+                sequence,
+                ageMillis,
+                coldMillis);
+    }
+
     /**
      * Makes the record of an upstream that has left and was not known before.
      *
--- a/library/src/main/java/org/copperspindle/discovery/UpstreamPhase.java
+++ b/library/src/main/java/org/copperspindle/discovery/UpstreamPhase.java
@@ -9,7 +9,9 @@
     /** Finishes what it has and takes nothing new. */
     DRAINING,
     /** Has left; its id comes back only with a later incarnation. */
-    GONE;
+    GONE,
+    /** Has said in an answer that it leaves: as if it drained, and no announcement of the same life brings it back. */
+    LEAVING;
 
     /**
      * Finds a phase by its number on the wire.
--- a/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
@@ -160,7 +160,8 @@
         this.quarantine = new RequestQuarantine(mesh, timers, directory, client, log);
         this.upstreamLimits = new UpstreamLimits(directory, log);
         this.upstreamRests = new UpstreamRests(directory, log);
-        UpstreamPort port = new ObservedPort(client, dialects.upstreams(), upstreamLimits, upstreamRests, timers);
+        UpstreamPort port =
+                new ObservedPort(client, dialects.upstreams(), upstreamLimits, upstreamRests, gossip, timers);
         MeshRelay relay = new MeshRelay(mesh, registry);
         this.batches = new BatchService(
                 relay,
--- a/library/src/main/java/org/copperspindle/gateway/ObservedPort.java
+++ b/library/src/main/java/org/copperspindle/gateway/ObservedPort.java
@@ -1,7 +1,5 @@
 package org.copperspindle.gateway;
 
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
 import org.copperspindle.backpressure.UpstreamLimits;
 import org.copperspindle.backpressure.UpstreamRests;
 import org.copperspindle.direct.DirectCall;
@@ -9,6 +7,7 @@
 import org.copperspindle.direct.DirectHead;
 import org.copperspindle.direct.DirectListener;
 import org.copperspindle.direct.UpstreamPort;
+import org.copperspindle.discovery.DirectoryGossip;
 import org.copperspindle.time.TimerService;
 
 /**
@@ -17,12 +16,11 @@
  */
 final class ObservedPort implements UpstreamPort {
 
-    private static final Logger LOGGER = LogManager.getLogger(ObservedPort.class);
-
     private final UpstreamPort port;
     private final UpstreamDialect dialect;
     private final UpstreamLimits limits;
     private final UpstreamRests rests;
+    private final DirectoryGossip gossip;
     private final TimerService timers;
 
     ObservedPort(
@@ -30,11 +28,13 @@
             UpstreamDialect dialect,
             UpstreamLimits limits,
             UpstreamRests rests,
+            DirectoryGossip gossip,
             TimerService timers) {
         this.port = port;
         this.dialect = dialect;
         this.limits = limits;
         this.rests = rests;
+        this.gossip = gossip;
         this.timers = timers;
     }
 
@@ -62,7 +62,7 @@
             limits.answered(speaker, dialect.limit(head), sentAt, now);
             rests.answered(speaker, dialect.rest(head), !dialect.provesNotRun(head), now);
             if (dialect.isLeaving(head)) {
-                LOGGER.info("event=upstream-says-it-leaves upstream={}", speaker);
+                gossip.leaving(speaker);
             }
             listener.onHead(head);
         }
--- a/library/src/test/java/org/copperspindle/discovery/UpstreamDirectoryTest.java
+++ b/library/src/test/java/org/copperspindle/discovery/UpstreamDirectoryTest.java
@@ -31,6 +31,27 @@
         assertThat(directory.ready("p").isEmpty()).isEqualTo(!readyAgain);
     }
 
+    /** Guards against a notice to leave that comes late to a node, after an announcement with a higher number. */
+    @Test
+    void noticeToLeaveIsNeverLate() {
+        live("e", 1, UpstreamPhase.READY, 5);
+        assertThat(live("e", 1, UpstreamPhase.LEAVING, 4)).isEqualTo(DirectoryChange.CHANGED);
+        assertThat(directory.ready("p")).isEmpty();
+    }
+
+    /** Guards against an announcement, late or of a process that has not got round to it, that undoes a notice to leave. */
+    @Test
+    void upstreamThatSaidItLeavesStaysAway() {
+        live("e", 1, UpstreamPhase.READY, 1);
+        assertThat(directory.leaving("e", now)).map(UpstreamNews::phase).contains(UpstreamPhase.LEAVING);
+        assertThat(directory.leaving("e", now)).isEmpty();
+        live("e", 1, UpstreamPhase.READY, 2);
+        assertThat(directory.ready("p")).isEmpty();
+        assertThat(directory.find("e")).isPresent();
+        live("e", 2, UpstreamPhase.READY, 1);
+        assertThat(directory.ready("p")).extracting(UpstreamNews::incarnation).containsExactly(2L);
+    }
+
     @Test
     void upstreamThatLeftNeverComesBack() {
         hear("a", "10.0.0.1:1", UpstreamPhase.READY, 2, 0);
