Tell nodes that have just come of limits after their upstreams

A node that had just started sent freely to upstreams in need until an answer of its own told it of their limits: it was told by others of the limits first and of the upstreams after that, and drops limits of upstreams that it does not know. With several nodes the second one to connect told it again, some 50 ms later.

GatewayNode and RequestRun had grown: the link to keepers, the refusal of upstreams in need and the cold times of a table have places of their own.

--- a/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
@@ -13,7 +13,6 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
-import java.util.stream.Collectors;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -62,7 +61,6 @@
 import org.copperspindle.wire.GreetingMessage;
 import org.copperspindle.wire.MessageRegistry;
 import org.copperspindle.wire.NumericAddress;
-import org.copperspindle.wire.WireMessage;
 import org.copperspindle.wire.WireTransport;
 
 /**
@@ -173,10 +171,9 @@
                 log);
         relay.listener(batches);
         mesh.subscribe(relay);
-        LimitKeepers keepers = new LimitKeepers(mesh, this::serves, cutOff, directory, batches, this::isStagePool);
-        this.permits = new SendPermits(upstreamLimits, keepers, new DirectLink(), timers);
+        LimitKeepers keepers = new LimitKeepers(mesh, this::serves, cutOff, directory, batches, holder::heldTable);
+        this.permits = new SendPermits(upstreamLimits, keepers, new MeshLink(mesh), timers);
         batches.admittedBy(new RestrainedCalls(upstreamLimits, permits, upstreamRests, timers));
-        mesh.subscribe(new LimitGossip(mesh, timers, upstreamLimits, permits));
         this.budget = new SharedRetryBudget(
                 settings.retries().ratio(),
                 settings.retries().slack(),
@@ -312,6 +309,8 @@
     private void subscribe() {
         mesh.subscribe(cutOff);
         mesh.subscribe(gossip);
+        // After the upstreams: a node that has just come knows nothing of a limit whose upstream it does not know.
+        mesh.subscribe(new LimitGossip(mesh, timers, upstreamLimits, permits));
         mesh.subscribe(exchange);
         mesh.subscribe(batches);
         mesh.subscribe(quarantine);
@@ -327,17 +326,10 @@
             }
         });
         directory.subscribe(this::upstreamChanged);
-        holder.subscribe(table -> directory.coldTimes(coldTimes(table)));
+        holder.subscribe(table -> directory.coldTimes(table.coldNanosByPool()));
         holder.subscribeEvacuations(news -> directory.evacuate(Set.copyOf(news.failureDomains()), timers.nanoTime()));
     }
 
-    private static Map<String, Long> coldTimes(RouteTable table) {
-        return table.pools().stream()
-                .filter(pool -> pool.cold().isPresent())
-                .collect(Collectors.toMap(
-                        UpstreamPool::name, pool -> pool.cold().get().time().toNanos()));
-    }
-
     private void upstreamChanged(UpstreamNews news) {
         if (news.phase() == UpstreamPhase.GONE) {
             tracker.forget(news.id());
@@ -346,13 +338,6 @@
         }
     }
 
-    private boolean isStagePool(String pool) {
-        return holder.heldTable()
-                .flatMap(table -> table.findPool(pool))
-                .flatMap(UpstreamPool::batch)
-                .isPresent();
-    }
-
     private void keepMember(Path folder) {
         MeshRoster roster = new MeshRoster(mesh, timers, settings.firstStart(), settings.tolerated());
         mesh.subscribe(roster);
@@ -446,19 +431,6 @@
         new GracefulStop(timers, service, open, callers, batches).begin(settings.stopGrace(), done);
     }
 
-    /** Reaches the nodes that are connected. */
-    private final class DirectLink implements SendPermits.Link {
-        @Override
-        public String self() {
-            return mesh.self();
-        }
-
-        @Override
-        public boolean send(String node, WireMessage message) {
-            return mesh.find(node).filter(to -> to.send(message)).isPresent();
-        }
-    }
-
     /** This node's part in packing calls. */
     private final class Packer implements PackerStatus {
         @Override
--- a/library/src/main/java/org/copperspindle/gateway/LimitKeepers.java
+++ b/library/src/main/java/org/copperspindle/gateway/LimitKeepers.java
@@ -3,7 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
-import java.util.function.Predicate;
+import java.util.function.Supplier;
 
 import org.copperspindle.backpressure.KeeperChoice;
 import org.copperspindle.batch.BatchService;
@@ -11,6 +11,8 @@
 import org.copperspindle.discovery.UpstreamNews;
 import org.copperspindle.mesh.CutOffWatch;
 import org.copperspindle.mesh.NodeMesh;
+import org.copperspindle.route.RouteTable;
+import org.copperspindle.route.UpstreamPool;
 import org.copperspindle.routing.RendezvousScore;
 
 /**
@@ -24,17 +26,17 @@
     private final CutOffWatch cutOff;
     private final UpstreamDirectory directory;
     private final BatchService batches;
-    private final Predicate<String> isStagePool;
+    private final Supplier<Optional<RouteTable>> table;
 
     /**
      * Creates the choice.
      *
-     * @param mesh        the nodes
-     * @param serves      says whether this node serves
-     * @param cutOff      says whether this node sees few of the others
-     * @param directory   the upstreams
-     * @param batches     knows who packs the calls of a pool
-     * @param isStagePool says of a pool's name whether its upstreams get batched calls
+     * @param mesh      the nodes
+     * @param serves    says whether this node serves
+     * @param cutOff    says whether this node sees few of the others
+     * @param directory the upstreams
+     * @param batches   knows who packs the calls of a pool
+     * @param table     the route table held
      */
     LimitKeepers(
             NodeMesh mesh,
@@ -42,13 +44,13 @@
             CutOffWatch cutOff,
             UpstreamDirectory directory,
             BatchService batches,
-            Predicate<String> isStagePool) {
+            Supplier<Optional<RouteTable>> table) {
         this.mesh = mesh;
         this.serves = serves;
         this.cutOff = cutOff;
         this.directory = directory;
         this.batches = batches;
-        this.isStagePool = isStagePool;
+        this.table = table;
     }
 
     @Override
@@ -61,7 +63,7 @@
     }
 
     private Optional<String> keeper(String upstream, String pool) {
-        if (isStagePool.test(pool)) {
+        if (isStagePool(pool)) {
             return Optional.of(batches.packer(pool));
         }
         List<String> nodes = mesh.serving();
@@ -72,4 +74,11 @@
         }
         return Optional.of(best).filter(name -> !name.isEmpty());
     }
+
+    private boolean isStagePool(String pool) {
+        return table.get()
+                .flatMap(held -> held.findPool(pool))
+                .flatMap(UpstreamPool::batch)
+                .isPresent();
+    }
 }
--- a/library/src/main/java/org/copperspindle/gateway/Refusal.java
+++ b/library/src/main/java/org/copperspindle/gateway/Refusal.java
@@ -48,6 +48,11 @@
         return notRun(UNAVAILABLE, reason, title, Optional.of(retryAfter));
     }
 
+    /** All upstreams that could take the request rest, or have named a limit that is used up. */
+    static Refusal inNeed(Duration retryAfter) {
+        return unavailable("upstreams-in-need", "the upstreams of the pool take no more requests now", retryAfter);
+    }
+
     static Refusal failed(String reason) {
         return new Refusal(
                 BAD_GATEWAY, "the upstream gave no whole answer", new MayHaveRunVerdict(reason), Optional.empty());
--- a/library/src/main/java/org/copperspindle/gateway/RequestRun.java
+++ b/library/src/main/java/org/copperspindle/gateway/RequestRun.java
@@ -166,7 +166,7 @@
         OptionalLong soonest = soonestNanos(now);
         if (soonest.orElse(0) > admitted.times().patienceAt() - now) {
             // Its stages would be made for nothing.
-            refuse(inNeed(soonest.getAsLong()));
+            refuse(Refusal.inNeed(context.returns().after(soonest.getAsLong())));
             return;
         }
         GateJudgement judgement = context.gate().judge(admitted, held, now);
@@ -406,13 +406,6 @@
         lines.ended(outcome, failed, new RequestProgress(sent, unsent, stageRuns, mayHaveRun), relay, now);
     }
 
-    private Refusal inNeed(long freeNanos) {
-        return Refusal.unavailable(
-                "upstreams-in-need",
-                "the upstreams of the pool take no more requests now",
-                context.returns().after(freeNanos));
-    }
-
     private Refusal unavailable(String reason, String title) {
         return Refusal.unavailable(reason, title, context.returns().soon());
     }
@@ -436,7 +429,7 @@
             } else if (mayHaveRun) {
                 refuse(Refusal.failed("no-other-upstream"));
             } else if (freeNanos.isPresent()) {
-                refuse(inNeed(freeNanos.getAsLong()));
+                refuse(Refusal.inNeed(context.returns().after(freeNanos.getAsLong())));
             } else {
                 refuse(unavailable("no-upstream", "no upstream of the pool can take the request"));
             }
--- a/library/src/main/java/org/copperspindle/route/RouteTable.java
+++ b/library/src/main/java/org/copperspindle/route/RouteTable.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Collectors;
 
 /**
  * One version of everything that a deployment allows. Immutable; always a checked one, see {@link RouteTableCheck}.
@@ -135,6 +136,18 @@
         return Optional.ofNullable(pools.get(name));
     }
 
+    /**
+     * Lists for how long upstreams stay cold after their start.
+     *
+     * @return nanoseconds by name of the pool, only of pools that state it
+     */
+    public Map<String, Long> coldNanosByPool() {
+        return pools().stream()
+                .filter(pool -> pool.cold().isPresent())
+                .collect(Collectors.toMap(
+                        UpstreamPool::name, pool -> pool.cold().get().time().toNanos()));
+    }
+
     /**
      * Finds the client account that holds a key.
      *
