Have the soak's upstreams name limits, ask for rest and say that they leave

Stand-ins of all kinds are in need by turns: they name one to four requests a second for nine seconds, or turn all away for a second and a half, and say in their answers when they drain. They judge themselves what they get, from all nodes together, whatever happens to the nodes.

--- a/soak/src/main/java/org/copperspindle/soak/Soak.java
+++ b/soak/src/main/java/org/copperspindle/soak/Soak.java
@@ -60,6 +60,8 @@
     private final ScheduledExecutorService workers = Executors.newScheduledThreadPool(WORKERS);
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
     private final SoakOperator operator;
+    private final Random needSeeds;
+    private final long needsUntil;
 
     private Soak(SoakSettings settings, Consumer<String> progress) throws IOException {
         this.settings = settings;
@@ -69,6 +71,8 @@
             ports.add(NodePorts.free(loopback, number));
         }
         this.operator = new SoakOperator(ports, book);
+        this.needSeeds = new Random(settings.seed());
+        this.needsUntil = System.currentTimeMillis() + settings.duration().toMillis();
     }
 
     /**
@@ -152,7 +156,14 @@
         SoakUpstream upstream =
                 new SoakUpstream(pool, book, ports, results, this::endedUnderFatal, new Random(settings.seed()), group);
         boolean cold = settings.evacuates() && pool.equals(SoakUpstream.ENGINE);
-        return cold ? upstream.starting(ColdStart.at(System.currentTimeMillis())) : upstream;
+        if (cold) {
+            upstream.starting(ColdStart.at(System.currentTimeMillis()));
+        }
+        if (settings.needs()) {
+            long now = System.currentTimeMillis();
+            upstream.needing(UpstreamNeed.between(now, needsUntil, settings.nodes(), new Random(needSeeds.nextLong())));
+        }
+        return upstream;
     }
 
     /** Empties failure domains one after the other: two orders on one domain at once would undo each other. */
--- a/soak/src/main/java/org/copperspindle/soak/SoakSettings.java
+++ b/soak/src/main/java/org/copperspindle/soak/SoakSettings.java
@@ -14,6 +14,7 @@
  * @param folder   where settings, data and logs go
  * @param fatal    whether a caller sends one request again and again that ends each upstream that runs it
  * @param evacuates whether the operator evacuates failure domains, and engines are cold after their start
+ * @param needs    whether upstreams name limits and ask for rest
  * @param launcher words that start the command line, to which {@code run --settings FILE} is added
  */
 public record SoakSettings(
@@ -24,6 +25,7 @@
         Path folder,
         boolean fatal,
         boolean evacuates,
+        boolean needs,
         List<String> launcher) {
 
     /** Copies the list. */
--- a/soak/src/main/java/org/copperspindle/soak/SoakUpstream.java
+++ b/soak/src/main/java/org/copperspindle/soak/SoakUpstream.java
@@ -46,6 +46,7 @@
     private static final int EVENT_MILLIS = 15;
     private static final int CALL_MILLIS = 30;
     static final int DOMAINS = 3;
+    private static final String DRAINING = "draining";
     private static final long ASK_AGAIN_MILLIS = 50;
     private static final double REFUSES = 0.03;
     private static final double BREAKS = 0.03;
@@ -67,6 +68,7 @@
     private final Set<HttpExchange> open = ConcurrentHashMap.newKeySet();
     private final Random random;
     private volatile ColdStart coldStart = ColdStart.WARM;
+    private volatile UpstreamNeed need = UpstreamNeed.NONE;
     private final AtomicLong sequence = new AtomicLong();
     private volatile String phase = "ready";
     private volatile boolean ended;
@@ -95,6 +97,12 @@
         return this;
     }
 
+    /** Sets what it asks of the nodes; before its first announcement. */
+    SoakUpstream needing(UpstreamNeed needs) {
+        need = needs;
+        return this;
+    }
+
     /** Returns the name of a failure domain by its number. */
     static String failureDomain(long number) {
         return "d" + number % DOMAINS;
@@ -144,7 +152,7 @@
 
     /** Says that it drains, until that is acknowledged. */
     void drain() {
-        phase = "draining";
+        phase = DRAINING;
         while (!announce() && !Thread.currentThread().isInterrupted()) {
             Pause.millis(ASK_AGAIN_MILLIS);
         }
@@ -177,18 +185,33 @@
         exchange.onClosed(() -> open.remove(exchange));
         boolean meant =
                 exchange.header(NAMES.expectedUpstream()).filter(id::equals).isPresent();
-        if (!meant) {
+        if (meant) {
+            need.arrives(System.currentTimeMillis()).ifPresent(broken -> book.breaks(broken + " at " + id));
+        }
+        if (meant && need.turnsAway()) {
+            exchange.respond(503, fields(new HeaderField(NAMES.notRun(), "1")), new byte[0]);
+        } else if (!meant) {
             exchange.respond(421, List.of(new HeaderField(NAMES.answeringUpstream(), id)), new byte[0]);
         } else if (exchange.path().equals("/v1/pieces")) {
             later(exchange, CALL_MILLIS, () -> makePieces(exchange));
         } else if (exchange.path().equals("/v1/results/free")) {
             read(exchange).path("handles").forEach(handle -> results.remove(handle.asText()));
-            exchange.respond(200, List.of(), "{}".getBytes(StandardCharsets.UTF_8));
+            exchange.respond(200, fields(), "{}".getBytes(StandardCharsets.UTF_8));
         } else {
             runRequest(exchange);
         }
     }
 
+    /** Adds what it says of itself to the fields of an answer. */
+    private List<HeaderField> fields(HeaderField... own) {
+        List<HeaderField> fields = new ArrayList<>(Arrays.asList(own));
+        fields.addAll(need.fields(System.currentTimeMillis()));
+        if (phase.equals(DRAINING)) {
+            fields.add(new HeaderField(NAMES.leaving(), "1"));
+        }
+        return fields;
+    }
+
     private static void breakOff(HttpExchange exchange) {
         // Only an answer that has begun can be broken off; where it has, this does nothing.
         exchange.start(200, List.of());
@@ -205,7 +228,7 @@
         boolean gone = !results.containsAll(inputs(exchange));
         if (gone || random.nextDouble() < REFUSES) {
             List<HeaderField> refusal =
-                    List.of(new HeaderField(NAMES.requestId(), request.id()), new HeaderField(NAMES.notRun(), "1"));
+                    fields(new HeaderField(NAMES.requestId(), request.id()), new HeaderField(NAMES.notRun(), "1"));
             exchange.respond(gone ? 409 : 503, refusal, new byte[0]);
             return;
         }
@@ -216,7 +239,7 @@
             return;
         }
         boolean breaks = random.nextDouble() < BREAKS;
-        List<HeaderField> fields = List.of(new HeaderField(NAMES.requestId(), request.id()));
+        List<HeaderField> fields = fields(new HeaderField(NAMES.requestId(), request.id()));
         if (request.streams()) {
             int after = Integer.parseInt(exchange.header("Last-Event-Id").orElse("0"));
             int last = breaks ? after + random.nextInt(SoakRequest.EVENTS) : SoakRequest.EVENTS;
@@ -285,7 +308,7 @@
             results.add(handle);
             out.put("handle", handle);
         }
-        exchange.respond(200, List.of(), answer.toString().getBytes(StandardCharsets.UTF_8));
+        exchange.respond(200, fields(), answer.toString().getBytes(StandardCharsets.UTF_8));
     }
 
     private void judgePiece(SoakRequest request, int stage, String key, List<String> inputs) {
--- a/tools/src/main/java/org/copperspindle/cli/SoakCommand.java
+++ b/tools/src/main/java/org/copperspindle/cli/SoakCommand.java
@@ -62,6 +62,9 @@
                 .action(Arguments.storeTrue())
                 .help(
                         "leave out the operator who evacuates failure domains, and engines that are cold after their start");
+        parser.addArgument("--no-needs")
+                .action(Arguments.storeTrue())
+                .help("leave out upstreams that name limits and ask for rest");
         parser.addArgument("--folder").setDefault("").help("for settings, data and logs; a temporary one if not given");
     }
 
@@ -82,6 +85,7 @@
                     folder.resolve("seed-" + seed),
                     !arguments.getBoolean("no_fatal"),
                     !arguments.getBoolean("no_evacuations"),
+                    !arguments.getBoolean("no_needs"),
                     launcher());
             SoakReport report = Soak.run(settings, line -> System.out.println("soak " + line));
             System.out.println(report.summary() + " logs=" + settings.folder());
--- a/tools/src/test/java/org/copperspindle/cli/SoakTest.java
+++ b/tools/src/test/java/org/copperspindle/cli/SoakTest.java
@@ -31,10 +31,18 @@
     // connections was held off in its place.
     // 8003: a node that had just started refused the end of an evacuation, of whose failure domain it had not heard.
     @ParameterizedTest
-    @CsvSource({"1, false, false", "101, false, false", "7001, true, false", "7002, true, false", "8003, false, true"})
-    void promisesAreKeptWhileNodesAreDisturbed(long seed, boolean fatal, boolean evacuates) throws Exception {
-        SoakSettings settings =
-                new SoakSettings(seed, Duration.ofSeconds(8), 4, 6, folder, fatal, evacuates, SoakCommand.launcher());
+    @CsvSource({
+        "1, false, false, false",
+        "101, false, false, false",
+        "7001, true, false, false",
+        "7002, true, false, false",
+        "8003, false, true, false",
+        "9001, false, false, true"
+    })
+    void promisesAreKeptWhileNodesAreDisturbed(long seed, boolean fatal, boolean evacuates, boolean needs)
+            throws Exception {
+        SoakSettings settings = new SoakSettings(
+                seed, Duration.ofSeconds(8), 4, 6, folder, fatal, evacuates, needs, SoakCommand.launcher());
         SoakReport report = Soak.run(settings, line -> {});
         assertThat(report.broken()).as(report.summary()).isEmpty();
         assertThat(report.served()).isPositive();
