--- a/library/src/main/java/org/copperspindle/backpressure/SendPermits.java
+++ b/library/src/main/java/org/copperspindle/backpressure/SendPermits.java
@@ -66,6 +66,15 @@
         return limits.find(upstream).isPresent();
     }
 
+    /**
+     * Says whether any upstream needs permits.
+     *
+     * @return false while none has a limit
+     */
+    public boolean isAnyNeeded() {
+        return limits.isAnyKnown();
+    }
+
     /**
      * Returns how long it makes no sense to ask for a permit.
      *
--- a/library/src/main/java/org/copperspindle/backpressure/UpstreamLimits.java
+++ b/library/src/main/java/org/copperspindle/backpressure/UpstreamLimits.java
@@ -84,6 +84,11 @@
         return limit == null ? OptionalDouble.empty() : limit.perSecond();
     }
 
+    /** Says whether any upstream has, or had a short while ago, a limit. */
+    boolean isAnyKnown() {
+        return !limits.isEmpty();
+    }
+
     /**
      * Counts the upstreams that have a limit.
      *
--- a/library/src/main/java/org/copperspindle/backpressure/UpstreamRests.java
+++ b/library/src/main/java/org/copperspindle/backpressure/UpstreamRests.java
@@ -85,6 +85,15 @@
         return rest == null || rest.until() - now <= 0 && inFlight < rest.mostInFlight();
     }
 
+    /**
+     * Says whether any upstream rests or has just had a rest.
+     *
+     * @return false if all take whatever comes
+     */
+    public boolean isAnyKnown() {
+        return !rests.isEmpty();
+    }
+
     /**
      * Counts the upstreams that are at rest.
      *
--- a/library/src/main/java/org/copperspindle/gateway/GatewayMetrics.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayMetrics.java
@@ -103,6 +103,11 @@
                 "requests.held.off",
                 "Requests that are held off because upstreams ended under them",
                 n -> n.quarantine().held().size());
+        metrics.counter(
+                "permits.unanswered",
+                "Questions for a permit to send that got no answer",
+                node,
+                n -> n.permits().unanswered());
         metrics.counter(
                 "upstreams.ended",
                 "Upstreams that ended under runs of this node",
--- a/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
@@ -471,6 +471,11 @@
             return upstreamLimits;
         }
 
+        @Override
+        public SendPermits permits() {
+            return permits;
+        }
+
         @Override
         public UpstreamRests rests() {
             return upstreamRests;
--- a/library/src/main/java/org/copperspindle/gateway/NodeState.java
+++ b/library/src/main/java/org/copperspindle/gateway/NodeState.java
@@ -1,5 +1,6 @@
 package org.copperspindle.gateway;
 
+import org.copperspindle.backpressure.SendPermits;
 import org.copperspindle.backpressure.UpstreamLimits;
 import org.copperspindle.backpressure.UpstreamRests;
 import org.copperspindle.batch.BatchService;
@@ -25,6 +26,9 @@
     /** Returns the limits that upstreams have named. */
     UpstreamLimits limits();
 
+    /** Returns the permits to send to upstreams that have named a limit. */
+    SendPermits permits();
+
     /** Returns the upstreams that want nothing for a while. */
     UpstreamRests rests();
 
--- a/library/src/main/java/org/copperspindle/gateway/UpstreamChooser.java
+++ b/library/src/main/java/org/copperspindle/gateway/UpstreamChooser.java
@@ -139,9 +139,13 @@
      * @param pool  the pool
      * @param tried ids of upstreams that are passed over
      * @param now   monotonic time in nanoseconds
-     * @return nanoseconds from now on, 0 if one may now; empty if the pool has none at all
+     * @return nanoseconds from now on, 0 if one may now; empty if no upstream is in need, or none of the pool is left
      */
     OptionalLong soonestNanos(UpstreamPool pool, Set<String> tried, long now) {
+        if (!permits.isAnyNeeded() && !rests.isAnyKnown()) {
+            // Asked for each held request, many times a second.
+            return OptionalLong.empty();
+        }
         return sound(pool, tried, now).stream()
                 .mapToLong(u -> Math.max(rests.restNanos(u.id(), now), permits.deniedNanos(u.id())))
                 .min();
