--- a/library/src/main/java/org/copperspindle/gateway/RestrainedCalls.java
+++ b/library/src/main/java/org/copperspindle/gateway/RestrainedCalls.java
@@ -38,7 +38,8 @@
 
     @Override
     public boolean isAtRest(String upstream) {
-        return rests.restNanos(upstream, timers.nanoTime()) > 0;
+        // Asked of each upstream whenever a pool is looked at: the clock is read only where somebody rests.
+        return rests.isAnyKnown() && rests.restNanos(upstream, timers.nanoTime()) > 0;
     }
 
     @Override
