Refuse requests for upstreams in need only where there are any

The time until an upstream takes requests again was compared with the caller's patience also where it was not known.

UpstreamChooserTest#needOfAllEnginesIsKnownBeforeTheStages guards against it.

--- a/library/src/main/java/org/copperspindle/gateway/RequestRun.java
+++ b/library/src/main/java/org/copperspindle/gateway/RequestRun.java
@@ -163,10 +163,10 @@
             return;
         }
         long now = context.timers().nanoTime();
-        OptionalLong soonest = soonestNanos(now);
-        if (soonest.orElse(0) > admitted.times().patienceAt() - now) {
+        OptionalLong tooLate = tooLateNanos(now);
+        if (tooLate.isPresent()) {
             // Its stages would be made for nothing.
-            refuse(Refusal.inNeed(context.returns().after(soonest.getAsLong())));
+            refuse(Refusal.inNeed(context.returns().after(tooLate.getAsLong())));
             return;
         }
         GateJudgement judgement = context.gate().judge(admitted, held, now);
@@ -237,11 +237,12 @@
         return choose(StageInputs.NONE, context.timers().nanoTime()).map(UpstreamNews::failureDomain);
     }
 
-    /** Returns when the first upstream of the pool may take the request, by what they say of themselves. */
-    private OptionalLong soonestNanos(long now) {
+    /** Returns when the first upstream of the pool takes requests again, if all are in need for longer than the caller waits. */
+    private OptionalLong tooLateNanos(long now) {
+        long patience = admitted.times().patienceAt() - now;
         return admitted.table()
                 .findPool(pool)
-                .map(p -> context.chooser().soonestNanos(p, tried, now))
+                .map(p -> context.chooser().soonestBeyond(p, tried, patience, now))
                 .orElse(OptionalLong.empty());
     }
 
--- a/library/src/main/java/org/copperspindle/gateway/UpstreamChooser.java
+++ b/library/src/main/java/org/copperspindle/gateway/UpstreamChooser.java
@@ -151,6 +151,21 @@
                 .min();
     }
 
+    /**
+     * Says when the first upstream in need may take the request, if that is too late for it.
+     *
+     * @param pool     the pool
+     * @param tried    ids of upstreams that are passed over
+     * @param patience nanoseconds for which its caller waits; below zero once it has waited for longer
+     * @param now      monotonic time in nanoseconds
+     * @return nanoseconds from now on; empty if an upstream may take it in time, or nothing is known against it
+     */
+    OptionalLong soonestBeyond(UpstreamPool pool, Set<String> tried, long patience, long now) {
+        OptionalLong soonest = soonestNanos(pool, tried, now);
+        boolean late = soonest.isPresent() && soonest.getAsLong() > Math.max(0, patience);
+        return late ? soonest : OptionalLong.empty();
+    }
+
     /**
      * Lists the upstreams of a pool that have named a limit.
      *
--- a/library/src/test/java/org/copperspindle/gateway/UpstreamChooserTest.java
+++ b/library/src/test/java/org/copperspindle/gateway/UpstreamChooserTest.java
@@ -14,6 +14,7 @@
 
 import org.copperspindle.backpressure.LimitSignal;
 import org.copperspindle.backpressure.PermitResult;
+import org.copperspindle.backpressure.RestSignal;
 import org.copperspindle.backpressure.SendPermits;
 import org.copperspindle.backpressure.UpstreamLimits;
 import org.copperspindle.backpressure.UpstreamRests;
@@ -118,6 +119,21 @@
                 .contains(home);
     }
 
+    /** Guards against requests, late ones too, that are refused for a need that nobody has, and against stages for nobody. */
+    @Test
+    void needOfAllEnginesIsKnownBeforeTheStages() {
+        assertThat(chooser.soonestBeyond(COLD_ENGINES, Set.of(), -1, 0)).isEmpty();
+        for (int i = 0; i < 9; i++) {
+            rests.answered("e" + i, new RestSignal.Asked(Duration.ofSeconds(3 + i)), false, 0);
+        }
+        assertThat(chooser.soonestBeyond(COLD_ENGINES, Set.of(), 2_000_000_000L, 0))
+                .hasValue(3_000_000_000L);
+        assertThat(chooser.soonestBeyond(COLD_ENGINES, Set.of(), 4_000_000_000L, 0))
+                .isEmpty();
+        assertThat(chooser.soonestBeyond(COLD_ENGINES, Set.of(), -1, 3_000_000_000L))
+                .isEmpty();
+    }
+
     /** Results lie in a failure domain that is evacuated: they are no reason to go there. */
     @Test
     void largeInputsDrawNobodyIntoAnEvacuatedDomain() {
