--- a/library/src/main/java/org/copperspindle/backpressure/SendPermits.java
+++ b/library/src/main/java/org/copperspindle/backpressure/SendPermits.java
@@ -96,7 +96,7 @@
     public void ask(String upstream, long longestWait, Consumer<PermitResult> callback) {
         Optional<String> keeper = keepers.keeper(upstream);
         if (keeper.filter(link.self()::equals).isPresent()) {
-            take(upstream, longestWait, callback);
+            takeHere(upstream, longestWait, callback);
             return;
         }
         Question question = new Question(upstream, callback);
@@ -160,7 +160,7 @@
         return unanswered;
     }
 
-    private void take(String upstream, long longestWait, Consumer<PermitResult> callback) {
+    private void takeHere(String upstream, long longestWait, Consumer<PermitResult> callback) {
         OptionalLong wait = reserve(upstream, longestWait);
         PermitResult result = wait.isPresent()
                 ? new PermitResult.Granted(wait.getAsLong())
--- a/library/src/main/java/org/copperspindle/batch/PoolUpstreams.java
+++ b/library/src/main/java/org/copperspindle/batch/PoolUpstreams.java
@@ -38,7 +38,7 @@
     private static final int CALLS_A_BATCH = 2;
 
     /** A limit below this counts as this, to have a finite load. */
-    private static final double LEAST = 0.01;
+    private static final double LEAST_PER_SECOND = 0.01;
 
     private static final double NANOS_PER_SECOND = 1e9;
 
@@ -184,7 +184,9 @@
     /** Returns how far apart its calls that make pieces are at least. */
     private double spacingNanos(StageUpstream upstream) {
         OptionalDouble perSecond = admission.perSecond(upstream.news().id());
-        return perSecond.isPresent() ? CALLS_A_BATCH * NANOS_PER_SECOND / Math.max(LEAST, perSecond.getAsDouble()) : 0;
+        return perSecond.isPresent()
+                ? CALLS_A_BATCH * NANOS_PER_SECOND / Math.max(LEAST_PER_SECOND, perSecond.getAsDouble())
+                : 0;
     }
 
     private List<StageUpstream> usable(long now) {
