Have a test listen at a port that nobody else is given

The port was one that the kernel gives away: with two processes that open and close listeners all the time, 12 and 9 of 600 ports that had just been closed were listened at 10 ms later. The test now takes its port outside that range, at a loopback address of its own process; what it asserts is unchanged.

--- a/emulator/src/main/java/org/copperspindle/emulator/ScriptedUpstream.java
+++ b/emulator/src/main/java/org/copperspindle/emulator/ScriptedUpstream.java
@@ -5,7 +5,7 @@
 import java.io.InputStreamReader;
 import java.io.OutputStream;
 import java.io.UncheckedIOException;
-import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -36,9 +36,19 @@
      * @param script what it answers
      */
     public ScriptedUpstream(Script script) {
+        this(script, new InetSocketAddress("127.0.0.1", 0));
+    }
+
+    /**
+     * Starts to listen.
+     *
+     * @param script  what it answers
+     * @param address where it listens
+     */
+    public ScriptedUpstream(Script script, InetSocketAddress address) {
         this.script = script;
         try {
-            this.server = new ServerSocket(0, BACKLOG, InetAddress.getByName("127.0.0.1"));
+            this.server = new ServerSocket(address.getPort(), BACKLOG, address.getAddress());
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
@@ -92,7 +102,7 @@
      * @return IP:PORT
      */
     public String address() {
-        return "127.0.0.1:" + server.getLocalPort();
+        return server.getInetAddress().getHostAddress() + ':' + server.getLocalPort();
     }
 
     /**
--- a/library/src/test/java/org/copperspindle/direct/DirectClientTest.java
+++ b/library/src/test/java/org/copperspindle/direct/DirectClientTest.java
@@ -17,6 +17,7 @@
 import org.copperspindle.emulator.ScriptedUpstream;
 import org.copperspindle.emulator.ScriptedUpstream.Script;
 import org.copperspindle.http.HeaderField;
+import org.copperspindle.loopback.LoopbackHost;
 import org.copperspindle.time.LoopTimerService;
 import org.copperspindle.time.TimerService;
 import org.copperspindle.time.TimerSubscription;
@@ -193,10 +194,12 @@
         assertThat(told.failure.unseen()).isEqualTo(unseen);
     }
 
+    /** The port is one that the kernel gives to nobody else once it is free again. */
     @Test
     void tellsWhetherAProcessListens() throws Exception {
         String address;
-        try (ScriptedUpstream upstream = new ScriptedUpstream(sends(WHOLE))) {
+        try (ScriptedUpstream upstream =
+                new ScriptedUpstream(sends(WHOLE), LoopbackHost.open().nextAddress())) {
             address = upstream.address();
             assertThat(check(address)).isEqualTo(ListenState.LISTENS);
         }
