Forget limits and rests that are over

Cause: a limit that had ended was dropped only when another one was told, and the rest of an upstream that fell silent never, since the directory forgets silent upstreams without a word. Found in reading. Change: both are looked through with the node's tick. Three tests, which could not be written against the code before: nothing there forgot.

--- a/library/src/main/java/org/copperspindle/backpressure/SendPermits.java
+++ b/library/src/main/java/org/copperspindle/backpressure/SendPermits.java
@@ -145,8 +145,9 @@
         }
     }
 
-    /** Forgets what this node gave out for upstreams that another one keeps now, or that have no limit any more. */
+    /** Forgets limits that are over, and what this node gave out for upstreams that another one keeps now; to be called often. */
     public void look() {
+        limits.look(timers.nanoTime());
         slots.forgetIf(upstream -> !isNeeded(upstream) || !keeps(upstream));
         deniedUntil.keySet().removeIf(upstream -> deniedNanos(upstream) == 0);
     }
--- a/library/src/main/java/org/copperspindle/backpressure/UpstreamLimits.java
+++ b/library/src/main/java/org/copperspindle/backpressure/UpstreamLimits.java
@@ -121,7 +121,6 @@
 
     /** Returns all limits, for a node that has just come. */
     List<LimitNews> all(long now) {
-        forgetEnded(now);
         return limits.entrySet().stream()
                 .map(known -> known.getValue().news(known.getKey(), now))
                 .toList();
@@ -134,7 +133,6 @@
         }
         Limit limit = new Limit(perSecond, known.get().incarnation(), now);
         if (put(upstream, limit, "answer")) {
-            forgetEnded(now);
             listeners.forEach(listener -> listener.accept(upstream));
         }
     }
@@ -171,7 +169,8 @@
         }
     }
 
-    private void forgetEnded(long now) {
+    /** Forgets limits that ended a while ago, and those of upstreams that fell silent. */
+    void look(long now) {
         limits.entrySet().removeIf(known -> {
             Limit limit = known.getValue();
             boolean isOld = limit.perSecond().isEmpty() && now - limit.statedAt() > REMEMBERED_NANOS;
--- a/library/src/main/java/org/copperspindle/backpressure/UpstreamRests.java
+++ b/library/src/main/java/org/copperspindle/backpressure/UpstreamRests.java
@@ -104,6 +104,11 @@
         return rests.values().stream().filter(rest -> rest.until() - now > 0).count();
     }
 
+    /** Forgets upstreams that fell silent: they leave the directory without a word. To be called often. */
+    public void look() {
+        rests.keySet().removeIf(upstream -> directory.find(upstream).isEmpty());
+    }
+
     private void asked(String upstream, RestSignal.Asked asked, long now) {
         Optional<UpstreamNews> known = directory.find(upstream);
         if (known.isEmpty()) {
--- a/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
@@ -383,6 +383,7 @@
             mesh.announce();
         }
         permits.look();
+        upstreamRests.look();
         timers.schedule(TICK.toNanos(), this::tick);
     }
 
--- a/library/src/test/java/org/copperspindle/backpressure/UpstreamLimitsTest.java
+++ b/library/src/test/java/org/copperspindle/backpressure/UpstreamLimitsTest.java
@@ -66,6 +66,25 @@
         assertThat(limits.count()).isZero();
     }
 
+    /** Guards against a node that goes on to look for upstreams in need, for each held request, after the last one has recovered. */
+    @Test
+    void endedLimitIsForgotten() {
+        limits.answered("e", LIMIT, 0, 100);
+        limits.answered("e", LimitSignal.ABSENT, 150, 200);
+        limits.look(1000);
+        assertThat(limits.isAnyKnown()).isTrue();
+        limits.look(20_000_000_000L);
+        assertThat(limits.isAnyKnown()).isFalse();
+    }
+
+    @Test
+    void limitOfASilentUpstreamIsForgotten() {
+        limits.answered("e", LIMIT, 0, 100);
+        directory.forgetSilent(100_000_000_000L);
+        limits.look(100_000_000_000L);
+        assertThat(limits.isAnyKnown()).isFalse();
+    }
+
     private void announce(long incarnation, UpstreamPhase phase) {
         directory.accept(new UpstreamNews("e", incarnation, "p", "10.0.0.1:1", "a", phase, 1, 1, 0, 0), 0);
     }
--- a/library/src/test/java/org/copperspindle/backpressure/UpstreamRestsTest.java
+++ b/library/src/test/java/org/copperspindle/backpressure/UpstreamRestsTest.java
@@ -80,6 +80,17 @@
         assertThat(rests.restNanos("e", 0)).isZero();
     }
 
+    /** Guards against state that grows with each upstream that crashes while it rests. */
+    @Test
+    void silentUpstreamIsForgotten() {
+        ask(3, 0);
+        rests.look();
+        assertThat(rests.isAnyKnown()).isTrue();
+        directory.forgetSilent(100 * SECOND);
+        rests.look();
+        assertThat(rests.isAnyKnown()).isFalse();
+    }
+
     private void ask(int seconds, long now) {
         rests.answered("e", new RestSignal.Asked(Duration.ofSeconds(seconds)), false, now);
     }
