--- a/library/src/main/java/org/copperspindle/backpressure/PermitAnswerMessage.java
+++ b/library/src/main/java/org/copperspindle/backpressure/PermitAnswerMessage.java
@@ -18,6 +18,20 @@
     public static final MessageCodec<PermitAnswerMessage> CODEC =
             MessageCodec.of(229, PermitAnswerMessage.class, PermitAnswerMessage::write, PermitAnswerMessage::read);
 
+    private static final long NANOS_PER_MICRO = 1000;
+
+    static PermitAnswerMessage of(long number, PermitResult result) {
+        if (result instanceof PermitResult.Granted granted) {
+            return new PermitAnswerMessage(number, true, granted.delayNanos() / NANOS_PER_MICRO);
+        }
+        return new PermitAnswerMessage(number, false, ((PermitResult.Denied) result).freeNanos() / NANOS_PER_MICRO);
+    }
+
+    PermitResult result() {
+        long nanos = micros * NANOS_PER_MICRO;
+        return granted ? new PermitResult.Granted(nanos) : new PermitResult.Denied(nanos);
+    }
+
     private void write(FieldWriter out) {
         out.put(1, number).put(2, granted).put(3, micros);
     }
--- a/library/src/main/java/org/copperspindle/backpressure/SendPermits.java
+++ b/library/src/main/java/org/copperspindle/backpressure/SendPermits.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.function.Consumer;
 
@@ -28,7 +29,6 @@
     /** After that, and while it is not known who keeps the upstream, it is asked for again. */
     private static final long ASK_AGAIN_NANOS = Duration.ofMillis(250).toNanos();
 
-    private static final long NANOS_PER_MICRO = 1000;
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
     private final UpstreamLimits limits;
@@ -66,6 +66,17 @@
         return limits.find(upstream).isPresent();
     }
 
+    /**
+     * Returns how far apart the requests of all nodes to an upstream are.
+     *
+     * @param upstream its id
+     * @return nanoseconds; 0 if it takes whatever comes, also if its limit has ended meanwhile
+     */
+    public long spacingNanos(String upstream) {
+        OptionalDouble perSecond = limits.find(upstream);
+        return perSecond.isPresent() ? SendSlots.spacingNanos(perSecond.getAsDouble()) : 0;
+    }
+
     /**
      * Says whether any upstream needs permits.
      *
@@ -94,12 +105,12 @@
      * @param callback    told once
      */
     public void ask(String upstream, long longestWait, Consumer<PermitResult> callback) {
+        Question question = new Question(upstream, callback);
         Optional<String> keeper = keepers.keeper(upstream);
         if (keeper.filter(link.self()::equals).isPresent()) {
-            takeHere(upstream, longestWait, callback);
+            question.end(give(upstream, longestWait));
             return;
         }
-        Question question = new Question(upstream, callback);
         long number = ++lastNumber;
         PermitAskMessage message = new PermitAskMessage(number, upstream, longestWait / NANOS_PER_MILLI);
         if (keeper.isEmpty() || !link.send(keeper.get(), message)) {
@@ -117,7 +128,8 @@
      * @return true also if no permit is needed
      */
     public boolean mayTake(String upstream) {
-        return !isNeeded(upstream) || keeps(upstream) && waitNanos(upstream) == 0;
+        return !isNeeded(upstream)
+                || keeps(upstream) && slots.waitNanos(upstream, spacingNanos(upstream), timers.nanoTime()) == 0;
     }
 
     /**
@@ -127,7 +139,7 @@
      */
     public void take(String upstream) {
         if (isNeeded(upstream)) {
-            reserve(upstream, 0);
+            give(upstream, 0);
         }
     }
 
@@ -139,9 +151,14 @@
      */
     public void onMessage(String node, WireMessage message) {
         if (message instanceof PermitAskMessage ask) {
-            link.send(node, answer(ask));
+            // A node that sees other nodes asks the wrong one for a moment: two keepers would give out twice what there
+            // is.
+            PermitResult result = keeps(ask.upstream())
+                    ? give(ask.upstream(), ask.longestWait() * NANOS_PER_MILLI)
+                    : new PermitResult.Denied(ASK_AGAIN_NANOS);
+            link.send(node, PermitAnswerMessage.of(ask.number(), result));
         } else if (message instanceof PermitAnswerMessage answer) {
-            Optional.ofNullable(open.remove(answer.number())).ifPresent(question -> question.end(result(answer)));
+            Optional.ofNullable(open.remove(answer.number())).ifPresent(question -> question.end(answer.result()));
         }
     }
 
@@ -161,32 +178,13 @@
         return unanswered;
     }
 
-    private void takeHere(String upstream, long longestWait, Consumer<PermitResult> callback) {
-        OptionalLong wait = reserve(upstream, longestWait);
-        PermitResult result = wait.isPresent()
+    /** Gives a permit for an upstream that this node keeps. */
+    private PermitResult give(String upstream, long longestWait) {
+        long now = timers.nanoTime();
+        OptionalLong wait = slots.reserve(upstream, spacingNanos(upstream), longestWait, now);
+        return wait.isPresent()
                 ? new PermitResult.Granted(wait.getAsLong())
-                : new PermitResult.Denied(waitNanos(upstream));
-        new Question(upstream, callback).end(result);
-    }
-
-    private PermitAnswerMessage answer(PermitAskMessage ask) {
-        // A node that sees other nodes asks the wrong one for a moment: two keepers would give out twice what there is.
-        if (!keeps(ask.upstream())) {
-            return new PermitAnswerMessage(ask.number(), false, ASK_AGAIN_NANOS / NANOS_PER_MICRO);
-        }
-        OptionalLong wait = reserve(ask.upstream(), ask.longestWait() * NANOS_PER_MILLI);
-        long nanos = wait.orElseGet(() -> waitNanos(ask.upstream()));
-        return new PermitAnswerMessage(ask.number(), wait.isPresent(), nanos / NANOS_PER_MICRO);
-    }
-
-    private OptionalLong reserve(String upstream, long longestWait) {
-        // The limit may have ended meanwhile, as this node knows it.
-        double perSecond = limits.find(upstream).orElse(Double.MAX_VALUE);
-        return slots.reserve(upstream, perSecond, longestWait, timers.nanoTime());
-    }
-
-    private long waitNanos(String upstream) {
-        return slots.waitNanos(upstream, limits.find(upstream).orElse(Double.MAX_VALUE), timers.nanoTime());
+                : new PermitResult.Denied(slots.waitNanos(upstream, spacingNanos(upstream), now));
     }
 
     private boolean keeps(String upstream) {
@@ -202,11 +200,6 @@
         }
     }
 
-    private static PermitResult result(PermitAnswerMessage answer) {
-        long nanos = answer.micros() * NANOS_PER_MICRO;
-        return answer.granted() ? new PermitResult.Granted(nanos) : new PermitResult.Denied(nanos);
-    }
-
     /** Reaches other nodes. */
     public interface Link {
         /**
--- a/library/src/main/java/org/copperspindle/backpressure/SendSlots.java
+++ b/library/src/main/java/org/copperspindle/backpressure/SendSlots.java
@@ -35,13 +35,13 @@
      * Reserves the next moment of an upstream.
      *
      * @param upstream    its id
-     * @param perSecond   its limit
+     * @param spacing     nanoseconds between two requests to it
      * @param longestWait nanoseconds until that moment at most
      * @param now         monotonic time in nanoseconds
      * @return nanoseconds until the moment; empty if it is later
      */
-    OptionalLong reserve(String upstream, double perSecond, long longestWait, long now) {
-        long wait = waitNanos(upstream, perSecond, now);
+    OptionalLong reserve(String upstream, long spacing, long longestWait, long now) {
+        long wait = waitNanos(upstream, spacing, now);
         if (wait > Math.min(longestWait, AHEAD_NANOS)) {
             return OptionalLong.empty();
         }
@@ -50,9 +50,9 @@
     }
 
     /** Returns nanoseconds until the next moment of an upstream. */
-    long waitNanos(String upstream, double perSecond, long now) {
+    long waitNanos(String upstream, long spacing, long now) {
         long last = lastSlots.computeIfAbsent(upstream, id -> now);
-        return Math.max(0, last + intervalNanos(perSecond) - now);
+        return Math.max(0, last + spacing - now);
     }
 
     /** Forgets upstreams; if this node is asked for them again, it begins anew. */
@@ -60,8 +60,8 @@
         lastSlots.keySet().removeIf(isForgotten);
     }
 
-    /** Returns the time between two requests at a limit. */
-    static long intervalNanos(double perSecond) {
+    /** Returns the nanoseconds between two requests at a limit. */
+    static long spacingNanos(double perSecond) {
         return (long) (NANOS_PER_SECOND / (USED * Math.max(LEAST_PER_SECOND, perSecond)));
     }
 }
--- a/library/src/main/java/org/copperspindle/backpressure/UpstreamLimits.java
+++ b/library/src/main/java/org/copperspindle/backpressure/UpstreamLimits.java
@@ -13,7 +13,6 @@
 import org.apache.logging.log4j.Logger;
 import org.copperspindle.discovery.UpstreamDirectory;
 import org.copperspindle.discovery.UpstreamNews;
-import org.copperspindle.discovery.UpstreamPhase;
 import org.copperspindle.measure.DecisionLog;
 
 /**
@@ -161,9 +160,7 @@
 
     private void upstreamChanged(UpstreamNews news) {
         Limit limit = limits.get(news.id());
-        boolean isOver =
-                limit != null && (news.phase() == UpstreamPhase.GONE || limit.incarnation() != news.incarnation());
-        if (isOver) {
+        if (limit != null && news.ends(limit.incarnation())) {
             limits.remove(news.id());
             LOGGER.info("event=upstream-limit-forgotten upstream={} phase={}", news.id(), news.phase());
         }
--- a/library/src/main/java/org/copperspindle/backpressure/UpstreamRests.java
+++ b/library/src/main/java/org/copperspindle/backpressure/UpstreamRests.java
@@ -8,7 +8,6 @@
 import org.apache.logging.log4j.Logger;
 import org.copperspindle.discovery.UpstreamDirectory;
 import org.copperspindle.discovery.UpstreamNews;
-import org.copperspindle.discovery.UpstreamPhase;
 import org.copperspindle.measure.DecisionLog;
 
 /**
@@ -141,7 +140,7 @@
 
     private void upstreamChanged(UpstreamNews news) {
         Rest rest = rests.get(news.id());
-        if (rest != null && (news.phase() == UpstreamPhase.GONE || rest.incarnation() != news.incarnation())) {
+        if (rest != null && news.ends(rest.incarnation())) {
             rests.remove(news.id());
         }
     }
--- a/library/src/main/java/org/copperspindle/batch/CallAdmission.java
+++ b/library/src/main/java/org/copperspindle/batch/CallAdmission.java
@@ -1,7 +1,5 @@
 package org.copperspindle.batch;
 
-import java.util.OptionalDouble;
-
 /**
  * Bounds the calls to upstreams of stage pools that have named how many requests a second they take, or want none for a while.
  */
@@ -25,8 +23,8 @@
         }
 
         @Override
-        public OptionalDouble perSecond(String upstream) {
-            return OptionalDouble.empty();
+        public long spacingNanos(String upstream) {
+            return 0;
         }
     };
 
@@ -54,10 +52,10 @@
     boolean isAtRest(String upstream);
 
     /**
-     * Returns how many calls an upstream gets at most.
+     * Returns how far apart the calls of an upstream are at least.
      *
      * @param upstream its id
-     * @return calls a second; empty if it has named no limit
+     * @return nanoseconds; 0 if it has named no limit
      */
-    OptionalDouble perSecond(String upstream);
+    long spacingNanos(String upstream);
 }
--- a/library/src/main/java/org/copperspindle/batch/PoolUpstreams.java
+++ b/library/src/main/java/org/copperspindle/batch/PoolUpstreams.java
@@ -8,7 +8,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalDouble;
 import java.util.stream.Collectors;
 
 import org.copperspindle.discovery.UpstreamDirectory;
@@ -37,9 +36,6 @@
     /** Requests that an upstream gets for a call: the call itself, and what makes it forget the results. */
     private static final int CALLS_A_BATCH = 2;
 
-    /** A limit below this counts as this, to have a finite load. */
-    private static final double LEAST_PER_SECOND = 0.01;
-
     private static final double NANOS_PER_SECOND = 1e9;
 
     private final String pool;
@@ -173,7 +169,7 @@
      * without that its memory would stay full for as long as it keeps them by itself.
      */
     private boolean mayWork(StageUpstream upstream) {
-        boolean limited = admission.perSecond(upstream.news().id()).isPresent();
+        boolean limited = spacingNanos(upstream) > 0;
         return mayCall(upstream) && !(limited && upstream.shouldFreeFirst());
     }
 
@@ -182,11 +178,8 @@
     }
 
     /** Returns how far apart its calls that make pieces are at least. */
-    private double spacingNanos(StageUpstream upstream) {
-        OptionalDouble perSecond = admission.perSecond(upstream.news().id());
-        return perSecond.isPresent()
-                ? CALLS_A_BATCH * NANOS_PER_SECOND / Math.max(LEAST_PER_SECOND, perSecond.getAsDouble())
-                : 0;
+    private long spacingNanos(StageUpstream upstream) {
+        return CALLS_A_BATCH * admission.spacingNanos(upstream.news().id());
     }
 
     private List<StageUpstream> usable(long now) {
--- a/library/src/main/java/org/copperspindle/batch/StageUpstream.java
+++ b/library/src/main/java/org/copperspindle/batch/StageUpstream.java
@@ -209,7 +209,7 @@
 
     /** Says whether a cold upstream may be told of results again, or has none to be told of. */
     boolean mayFreeWhileCold(long now) {
-        return toFree.isEmpty() || now - freedAt >= COLD_PAUSE_NANOS;
+        return !hasFreed() || now - freedAt >= COLD_PAUSE_NANOS;
     }
 
     /** Notes that it gets a call that makes pieces. */
--- a/library/src/main/java/org/copperspindle/dialect/HeaderNames.java
+++ b/library/src/main/java/org/copperspindle/dialect/HeaderNames.java
@@ -16,8 +16,8 @@
  * @param rank              urgency, 0 first
  * @param inputs            handles of all stage results that the request needs, separated by commas
  * @param notRun            present where an upstream says that it did not run the request
- * @param limit            requests a second that an upstream takes from all nodes together
- * @param leaving          present as "1" in the answers of an upstream that leaves
+ * @param limit             requests a second that an upstream takes from all nodes together
+ * @param leaving           present as "1" in the answers of an upstream that leaves
  * @param ofSystem          names in lower case of all fields that only the system may set; a caller's are dropped
  */
 public record HeaderNames(
--- a/library/src/main/java/org/copperspindle/discovery/UpstreamNews.java
+++ b/library/src/main/java/org/copperspindle/discovery/UpstreamNews.java
@@ -81,6 +81,16 @@
                 id, incarnation, pool, address, failureDomain, phase, slots, sequence, millis, coldMillis);
     }
 
+    /**
+     * Says whether what was known of one life of the upstream is over: it has left, or another life has begun.
+     *
+     * @param life incarnation of that life
+     * @return false while the life goes on
+     */
+    public boolean ends(long life) {
+        return phase == UpstreamPhase.GONE || incarnation != life;
+    }
+
     /** Says whether the upstream was cold when it announced itself. */
     boolean isCold() {
         return coldMillis > 0;
--- a/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
@@ -173,7 +173,7 @@
         mesh.subscribe(relay);
         LimitKeepers keepers = new LimitKeepers(mesh, this::serves, cutOff, directory, batches, holder::heldTable);
         this.permits = new SendPermits(upstreamLimits, keepers, new MeshLink(mesh), timers);
-        batches.admittedBy(new RestrainedCalls(upstreamLimits, permits, upstreamRests, timers));
+        batches.admittedBy(new RestrainedCalls(permits, upstreamRests, timers));
         this.budget = new SharedRetryBudget(
                 settings.retries().ratio(),
                 settings.retries().slack(),
--- a/library/src/main/java/org/copperspindle/gateway/RestrainedCalls.java
+++ b/library/src/main/java/org/copperspindle/gateway/RestrainedCalls.java
@@ -1,9 +1,6 @@
 package org.copperspindle.gateway;
 
-import java.util.OptionalDouble;
-
 import org.copperspindle.backpressure.SendPermits;
-import org.copperspindle.backpressure.UpstreamLimits;
 import org.copperspindle.backpressure.UpstreamRests;
 import org.copperspindle.batch.CallAdmission;
 import org.copperspindle.time.TimerService;
@@ -14,13 +11,11 @@
  */
 final class RestrainedCalls implements CallAdmission {
 
-    private final UpstreamLimits limits;
     private final SendPermits permits;
     private final UpstreamRests rests;
     private final TimerService timers;
 
-    RestrainedCalls(UpstreamLimits limits, SendPermits permits, UpstreamRests rests, TimerService timers) {
-        this.limits = limits;
+    RestrainedCalls(SendPermits permits, UpstreamRests rests, TimerService timers) {
         this.permits = permits;
         this.rests = rests;
         this.timers = timers;
@@ -43,7 +38,7 @@
     }
 
     @Override
-    public OptionalDouble perSecond(String upstream) {
-        return limits.find(upstream);
+    public long spacingNanos(String upstream) {
+        return permits.spacingNanos(upstream);
     }
 }
--- a/library/src/main/java/org/copperspindle/gateway/UpstreamChooser.java
+++ b/library/src/main/java/org/copperspindle/gateway/UpstreamChooser.java
@@ -188,7 +188,7 @@
 
     private List<UpstreamNews> candidates(UpstreamPool pool, Set<String> tried, long now) {
         List<UpstreamNews> usable = sound(pool, tried, now).stream()
-                .filter(u -> !rests.isAnyKnown() || rests.mayTake(u.id(), tracker.inFlight(u.id()), now))
+                .filter(u -> rests.mayTake(u.id(), tracker.inFlight(u.id()), now))
                 .toList();
         List<UpstreamNews> heard = usable.stream()
                 .filter(u -> directory.silence(u.id(), now) < SILENT_NANOS)
--- a/library/src/test/java/org/copperspindle/batch/LimitedStageTest.java
+++ b/library/src/test/java/org/copperspindle/batch/LimitedStageTest.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalDouble;
 
 import org.copperspindle.discovery.UpstreamDirectory;
 import org.copperspindle.discovery.UpstreamNews;
@@ -119,8 +118,8 @@
         }
 
         @Override
-        public OptionalDouble perSecond(String upstream) {
-            return limits && upstream.equals(LIMITED) ? OptionalDouble.of(1) : OptionalDouble.empty();
+        public long spacingNanos(String upstream) {
+            return limits && upstream.equals(LIMITED) ? SECOND : 0;
         }
     }
 }
