--- a/library/src/main/java/org/copperspindle/gateway/AttemptTurn.java
+++ b/library/src/main/java/org/copperspindle/gateway/AttemptTurn.java
@@ -57,6 +57,23 @@
         this.listener = listener;
     }
 
+    /**
+     * Says before the stages of a request whether its attempt would find all upstreams in need for longer than its caller waits.
+     *
+     * @param context  parts of the node
+     * @param admitted the request
+     * @param tried    ids of upstreams that have had it
+     * @param now      monotonic time in nanoseconds
+     * @return nanoseconds until the first of them takes requests again; empty if there is no such need
+     */
+    static OptionalLong tooLateNanos(GatewayContext context, AdmittedRequest admitted, Set<String> tried, long now) {
+        long patience = admitted.times().patienceAt() - now;
+        return admitted.table()
+                .findPool(admitted.pool())
+                .map(pool -> context.chooser().soonestBeyond(pool, tried, patience, now))
+                .orElse(OptionalLong.empty());
+    }
+
     /** Looks for an upstream. */
     void seek() {
         Optional<UpstreamPool> pool = admitted.table().findPool(admitted.pool());
--- a/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
@@ -37,7 +37,6 @@
 import org.copperspindle.discovery.UpstreamPhase;
 import org.copperspindle.edition.EditionExchange;
 import org.copperspindle.edition.EditionHolder;
-import org.copperspindle.edition.MemberStatus;
 import org.copperspindle.edition.MeshRoster;
 import org.copperspindle.http.HttpExchange;
 import org.copperspindle.http.HttpLimits;
@@ -119,13 +118,10 @@
     private final HttpListener readiness;
     private final HttpListener control;
     private final Optional<HttpListener> metrics;
-    private final DirectClient client;
     private final UpstreamLimits upstreamLimits;
     private final UpstreamRests upstreamRests;
     private final SendPermits permits;
     private final RequestQuarantine quarantine;
-    private final StageGate gate;
-    private final IgnoredAnnouncements ignored;
     private final long startedAt = System.nanoTime();
     private Optional<GroupMember> member = Optional.empty();
     private boolean ready;
@@ -153,7 +149,7 @@
         this.holder = new EditionHolder(timers, dialects.tables(), lease, new SuspensionWatch(), exchange::ask);
         exchange.holder(holder);
         DecisionLog log = new DecisionLog(SERVED_LINES, FAILED_LINES);
-        this.client = new DirectClient(
+        DirectClient client = new DirectClient(
                 loop, timers, new SharedIdleConnections(directory, holder::heldTable, () -> 1 + mesh.count()));
         this.quarantine = new RequestQuarantine(mesh, timers, directory, client, log);
         this.upstreamLimits = new UpstreamLimits(directory, log);
@@ -180,7 +176,7 @@
                 settings.retries().window());
         FirstEventTimes firstEvents = new FirstEventTimes();
         ColdAdmission cold = new SenderSetAdmission(mesh.self(), mesh::serving, cutOff::isCutOff);
-        this.gate = new StageGate(batches::load, firstEvents);
+        StageGate gate = new StageGate(batches::load, firstEvents);
         GatewayContext context = new GatewayContext(
                 timers,
                 dialects.callers(),
@@ -215,7 +211,7 @@
         settings.dataFolder().ifPresent(folder -> keepMember(folder.resolve(GroupMember.NAME)));
         this.service = new GatewayService(
                 context, holder::inForce, new FirstLease(holder, mesh, () -> stopping, this::uptime));
-        this.ignored = new IgnoredAnnouncements(timers, log);
+        IgnoredAnnouncements ignored = new IgnoredAnnouncements(timers, log);
         GroupQuestions questions = new GroupQuestions(exchange, loop);
         KnownDomains domains = new KnownDomains(settings, mesh, directory);
         ControlDesk desk = new ControlDesk(
@@ -230,7 +226,23 @@
         this.readiness = new HttpListener(group, settings.readiness(), () -> HttpLimits.DEFAULT, this::answerReadiness);
         this.control = new HttpListener(
                 group, settings.control(), () -> HttpLimits.DEFAULT.withMaxBody(CONTROL_BODY), dialects.control(desk));
-        this.metrics = settings.metrics().flatMap(this::openMetrics);
+        NodeState state = new NodeState(
+                this::serves,
+                mesh,
+                client,
+                exchange,
+                holder,
+                directory,
+                upstreamLimits,
+                permits,
+                upstreamRests,
+                batches,
+                gate,
+                budget,
+                counters,
+                quarantine,
+                ignored);
+        this.metrics = settings.metrics().flatMap(address -> openMetrics(address, state));
     }
 
     /**
@@ -295,9 +307,9 @@
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
     }
 
-    private Optional<HttpListener> openMetrics(InetSocketAddress address) {
+    private Optional<HttpListener> openMetrics(InetSocketAddress address, NodeState state) {
         try {
-            HttpRequestHandler handler = new GatewayMetrics(new Shown());
+            HttpRequestHandler handler = new GatewayMetrics(state);
             return Optional.of(new HttpListener(group, address, () -> HttpLimits.DEFAULT, handler));
         } catch (RuntimeException e) {
             // A node that can't be measured still serves.
@@ -444,82 +456,4 @@
             return GatewayNode.this.fitness();
         }
     }
-
-    /** What the metrics show. */
-    private final class Shown implements NodeState {
-        @Override
-        public boolean isReady() {
-            return serves();
-        }
-
-        @Override
-        public int nodes() {
-            return mesh.count();
-        }
-
-        @Override
-        public long connects() {
-            return client.connects();
-        }
-
-        @Override
-        public MemberStatus status() {
-            return exchange.status();
-        }
-
-        @Override
-        public UpstreamLimits limits() {
-            return upstreamLimits;
-        }
-
-        @Override
-        public SendPermits permits() {
-            return permits;
-        }
-
-        @Override
-        public UpstreamRests rests() {
-            return upstreamRests;
-        }
-
-        @Override
-        public EditionHolder holder() {
-            return holder;
-        }
-
-        @Override
-        public UpstreamDirectory directory() {
-            return directory;
-        }
-
-        @Override
-        public BatchService batches() {
-            return batches;
-        }
-
-        @Override
-        public StageGate gate() {
-            return gate;
-        }
-
-        @Override
-        public SharedRetryBudget budget() {
-            return budget;
-        }
-
-        @Override
-        public GatewayCounters counters() {
-            return counters;
-        }
-
-        @Override
-        public RequestQuarantine quarantine() {
-            return quarantine;
-        }
-
-        @Override
-        public IgnoredAnnouncements ignored() {
-            return ignored;
-        }
-    }
 }
--- a/library/src/main/java/org/copperspindle/gateway/NodeState.java
+++ b/library/src/main/java/org/copperspindle/gateway/NodeState.java
@@ -1,61 +1,70 @@
 package org.copperspindle.gateway;
 
+import java.util.function.BooleanSupplier;
+
 import org.copperspindle.backpressure.SendPermits;
 import org.copperspindle.backpressure.UpstreamLimits;
 import org.copperspindle.backpressure.UpstreamRests;
 import org.copperspindle.batch.BatchService;
+import org.copperspindle.direct.DirectClient;
 import org.copperspindle.discovery.UpstreamDirectory;
+import org.copperspindle.edition.EditionExchange;
 import org.copperspindle.edition.EditionHolder;
 import org.copperspindle.edition.MemberStatus;
+import org.copperspindle.mesh.NodeMesh;
 import org.copperspindle.quarantine.RequestQuarantine;
 
 /**
  * What a node shows of itself.
+ *
+ * @param readiness  says whether new callers are taken
+ * @param mesh       the other nodes
+ * @param client     the connections to upstreams
+ * @param exchange   what this node's member of the control group knows
+ * @param holder     the version held
+ * @param directory  the known upstreams
+ * @param limits     the limits that upstreams have named
+ * @param permits    the permits to send to these
+ * @param rests      the upstreams that want nothing for a while
+ * @param batches    the stage work
+ * @param gate       the gate before the stages
+ * @param budget     the bound on repeats
+ * @param counters   the counts of requests
+ * @param quarantine holds requests off that end their upstreams
+ * @param ignored    the counts of announcements that name no upstream
  */
-interface NodeState {
-
-    /** Says whether new callers are taken. */
-    boolean isReady();
+record NodeState(
+        BooleanSupplier readiness,
+        NodeMesh mesh,
+        DirectClient client,
+        EditionExchange exchange,
+        EditionHolder holder,
+        UpstreamDirectory directory,
+        UpstreamLimits limits,
+        SendPermits permits,
+        UpstreamRests rests,
+        BatchService batches,
+        StageGate gate,
+        SharedRetryBudget budget,
+        GatewayCounters counters,
+        RequestQuarantine quarantine,
+        IgnoredAnnouncements ignored) {
+
+    boolean isReady() {
+        return readiness.getAsBoolean();
+    }
 
     /** Returns how many other nodes are connected. */
-    int nodes();
+    int nodes() {
+        return mesh.count();
+    }
 
     /** Returns how many connections to upstreams were opened. */
-    long connects();
-
-    /** Returns the limits that upstreams have named. */
-    UpstreamLimits limits();
-
-    /** Returns the permits to send to upstreams that have named a limit. */
-    SendPermits permits();
-
-    /** Returns the upstreams that want nothing for a while. */
-    UpstreamRests rests();
-
-    /** Returns what this node's member of the control group knows. */
-    MemberStatus status();
-
-    /** Returns the version held. */
-    EditionHolder holder();
-
-    /** Returns the known upstreams. */
-    UpstreamDirectory directory();
-
-    /** Returns the stage work. */
-    BatchService batches();
-
-    /** Returns the gate before the stages. */
-    StageGate gate();
-
-    /** Returns the bound on repeats. */
-    SharedRetryBudget budget();
-
-    /** Returns the counts of requests. */
-    GatewayCounters counters();
-
-    /** Returns what holds requests off that end their upstreams. */
-    RequestQuarantine quarantine();
+    long connects() {
+        return client.connects();
+    }
 
-    /** Returns the counts of announcements that name no upstream. */
-    IgnoredAnnouncements ignored();
+    MemberStatus status() {
+        return exchange.status();
+    }
 }
--- a/library/src/main/java/org/copperspindle/gateway/RequestRun.java
+++ b/library/src/main/java/org/copperspindle/gateway/RequestRun.java
@@ -163,7 +163,7 @@
             return;
         }
         long now = context.timers().nanoTime();
-        OptionalLong tooLate = tooLateNanos(now);
+        OptionalLong tooLate = AttemptTurn.tooLateNanos(context, admitted, tried, now);
         if (tooLate.isPresent()) {
             // Its stages would be made for nothing.
             refuse(Refusal.inNeed(context.returns().after(tooLate.getAsLong())));
@@ -237,15 +237,6 @@
         return choose(StageInputs.NONE, context.timers().nanoTime()).map(UpstreamNews::failureDomain);
     }
 
-    /** Returns when the first upstream of the pool takes requests again, if all are in need for longer than the caller waits. */
-    private OptionalLong tooLateNanos(long now) {
-        long patience = admitted.times().patienceAt() - now;
-        return admitted.table()
-                .findPool(pool)
-                .map(p -> context.chooser().soonestBeyond(p, tried, patience, now))
-                .orElse(OptionalLong.empty());
-    }
-
     private Optional<UpstreamNews> choose(StageInputs inputs, long now) {
         return admitted.table().findPool(pool).flatMap(p -> context.chooser().choose(p, request, inputs, tried, now));
     }
