Count arrivals in a sliding window in one place in the soak, and in one in the tests

Cause: the stand-in in need had written again what the cold one had, and SendPermitsTest what ColdAdmissionTest had. Change: ArrivalWindow in the soak, BusiestWindow in the library's tests. Same windows, same bounds, no assertion changed; ColdAdmissionTest and SendPermitsTest pass.

--- a/library/src/test/java/org/copperspindle/backpressure/SendPermitsTest.java
+++ b/library/src/test/java/org/copperspindle/backpressure/SendPermitsTest.java
@@ -1,16 +1,15 @@
 package org.copperspindle.backpressure;
 
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
-import java.util.stream.IntStream;
 
 import org.copperspindle.discovery.UpstreamDirectory;
 import org.copperspindle.discovery.UpstreamNews;
 import org.copperspindle.discovery.UpstreamPhase;
+import org.copperspindle.measure.BusiestWindow;
 import org.copperspindle.measure.DecisionLog;
 import org.copperspindle.routing.RendezvousScore;
 import org.copperspindle.time.VirtualTimerService;
@@ -71,7 +70,7 @@
         int seeds = count > 100 ? 1 : 3;
         for (long seed = 1; seed <= seeds; seed++) {
             play(count, perSecond, what, seed, 0);
-            assertThat(busiestWindow())
+            assertThat(BusiestWindow.count(arrivals, WINDOW))
                     .as("requests in four seconds, seed %d", seed)
                     .isLessThanOrEqualTo((int) (1.5 * perSecond * 4 + 5));
         }
@@ -95,7 +94,7 @@
         nodes.forEach(node -> node.name(1));
         time.advance(8 * SECOND);
         arrivals.removeIf(at -> at < loweredAt - nodes.get(0).startedAt + 2 * SECOND);
-        assertThat(busiestWindow()).isLessThanOrEqualTo(11);
+        assertThat(BusiestWindow.count(arrivals, WINDOW)).isLessThanOrEqualTo(11);
     }
 
     /** Guards against a keeper that waits for an answer which never comes: the request goes elsewhere. */
@@ -159,16 +158,6 @@
         time.schedule(2 * SECOND, this::disturb);
     }
 
-    private int busiestWindow() {
-        long[] times = arrivals.stream().mapToLong(Long::longValue).sorted().toArray();
-        return IntStream.range(0, times.length)
-                .map(from -> (int) Arrays.stream(times)
-                        .filter(at -> at >= times[from] && at - times[from] < WINDOW)
-                        .count())
-                .max()
-                .orElse(0);
-    }
-
     /** What happens to the nodes. */
     enum Trouble {
         NONE,
--- a/library/src/test/java/org/copperspindle/coldstart/ColdAdmissionTest.java
+++ b/library/src/test/java/org/copperspindle/coldstart/ColdAdmissionTest.java
@@ -2,11 +2,11 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Collections;
 import java.util.List;
 import java.util.Random;
 import java.util.stream.IntStream;
 
+import org.copperspindle.measure.BusiestWindow;
 import org.copperspindle.route.ColdLimits;
 import org.copperspindle.time.VirtualTimerService;
 import org.junit.jupiter.api.Test;
@@ -54,7 +54,7 @@
         for (long seed = 1; seed <= 5; seed++) {
             arrivals.clear();
             play(count, perSecond, view, new Random(seed));
-            assertThat(busiestSecond()).isLessThanOrEqualTo((int) (perSecond * OVERAGE + SLACK));
+            assertThat(BusiestWindow.count(arrivals, SECOND)).isLessThanOrEqualTo((int) (perSecond * OVERAGE + SLACK));
         }
     }
 
@@ -118,19 +118,6 @@
                 .toList();
     }
 
-    private int busiestSecond() {
-        Collections.sort(arrivals);
-        int most = 0;
-        int from = 0;
-        for (int to = 0; to < arrivals.size(); to++) {
-            while (arrivals.get(to) - arrivals.get(from) >= SECOND) {
-                from++;
-            }
-            most = Math.max(most, to - from + 1);
-        }
-        return most;
-    }
-
     /** Which other nodes a node sees. */
     enum View {
         ALL,
--- a/soak/src/main/java/org/copperspindle/soak/ColdStart.java
+++ b/soak/src/main/java/org/copperspindle/soak/ColdStart.java
@@ -1,8 +1,5 @@
 package org.copperspindle.soak;
 
-import java.util.ArrayDeque;
-import java.util.Deque;
-
 /**
  * What a stand-in bears after its start: counts what arrives in each second that slides, and tells when that would end it.
  */
@@ -23,7 +20,7 @@
     private static final long SECOND_MILLIS = 1000;
 
     private final long warmAt;
-    private final Deque<Long> arrivals = new ArrayDeque<>();
+    private final ArrivalWindow second = new ArrivalWindow(SECOND_MILLIS);
 
     private ColdStart(long warmAt) {
         this.warmAt = warmAt;
@@ -41,13 +38,6 @@
 
     /** Counts an arrival; returns whether it is one too many. */
     synchronized boolean isTooMuch(long now) {
-        if (leftMillis(now) == 0) {
-            return false;
-        }
-        arrivals.addLast(now);
-        while (now - arrivals.peekFirst() >= SECOND_MILLIS) {
-            arrivals.pollFirst();
-        }
-        return arrivals.size() > MOST;
+        return leftMillis(now) > 0 && second.add(now) > MOST;
     }
 }
--- a/soak/src/main/java/org/copperspindle/soak/UpstreamNeed.java
+++ b/soak/src/main/java/org/copperspindle/soak/UpstreamNeed.java
@@ -1,8 +1,6 @@
 package org.copperspindle.soak;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
@@ -43,7 +41,7 @@
     private final Random random;
     private final int nodes;
     private final long until;
-    private final Deque<Long> arrivals = new ArrayDeque<>();
+    private final ArrivalWindow arrivals = new ArrivalWindow(WINDOW_MILLIS);
     private State state = State.CALM;
     private long since;
     private long stateUntil;
@@ -66,15 +64,10 @@
     synchronized Optional<String> arrives(long now) {
         advance(now);
         // What comes sooner may be of nodes that nobody has told yet.
-        if (now - since > READ_MILLIS) {
-            arrivals.addLast(now);
-        }
-        while (!arrivals.isEmpty() && now - arrivals.peekFirst() >= WINDOW_MILLIS) {
-            arrivals.pollFirst();
-        }
+        int count = now - since > READ_MILLIS ? arrivals.add(now) : 0;
         boolean judged = state == State.LIMITED && now - since > CONTACT_MILLIS;
-        if (judged && arrivals.size() > most()) {
-            return Optional.of("limit: " + arrivals.size() + " requests in four seconds at " + perSecond + " a second");
+        if (judged && count > most()) {
+            return Optional.of("limit: " + count + " requests in four seconds at " + perSecond + " a second");
         }
         if (state == State.RESTING && now - since > READ_MILLIS && ++resting > nodes * UNDER_WAY) {
             return Optional.of("rest: " + resting + " requests of " + nodes + " nodes while it rests");
