Move the admission to the stages out of the gateway, and declare the interfaces of its fleet-wide form

Cause: the gateway held decisions among sockets. StageAdmission, its estimators and RetryAfterDelays move to admission, StagePlan and StageInputs to stage; they see a request through StagedRequest, so that a controller can evaluate requests of other nodes with the same code.

--- a/library/src/main/java/org/copperspindle/admission/FirstEventLatencies.java
+++ b/library/src/main/java/org/copperspindle/admission/FirstEventLatencies.java
@@ -1,4 +1,4 @@
-package org.copperspindle.gateway;
+package org.copperspindle.admission;
 
 import java.util.HashMap;
 import java.util.Map;
@@ -10,7 +10,7 @@
  * part of the estimated time to first event of a request. On the same engines prompts of one route take 100 ms, those
  * of another 230 ms.
  */
-final class FirstEventLatencies {
+public final class FirstEventLatencies {
 
     /** Fraction of the objective that is assumed before the first measurement: engines read most prompts in less. */
     private static final double INITIAL_FRACTION = 0.1;
@@ -27,14 +27,24 @@
 
     private final Map<String, Double> means = new HashMap<>();
 
-    /** Records the time to first event of an attempt. */
-    void observe(Route route, long nanos) {
+    /**
+     * Records the time to first event of an attempt.
+     *
+     * @param route route of the request
+     * @param nanos measured time in nanoseconds
+     */
+    public void observe(Route route, long nanos) {
         double sample = Math.min(nanos, MAX_FRACTION * objective(route));
         means.merge(route.name(), sample, (mean, newest) -> mean + WEIGHT * (newest - mean));
     }
 
-    /** Returns the expected time to first event in nanoseconds. */
-    long expectedNanos(Route route) {
+    /**
+     * Returns the expected time to first event in nanoseconds.
+     *
+     * @param route route of a request
+     * @return nanoseconds from the attempt to its first event
+     */
+    public long expectedNanos(Route route) {
         return means.getOrDefault(route.name(), INITIAL_FRACTION * objective(route))
                 .longValue();
     }
--- a/library/src/main/java/org/copperspindle/admission/StageAdmission.java
+++ b/library/src/main/java/org/copperspindle/admission/StageAdmission.java
@@ -1,4 +1,4 @@
-package org.copperspindle.gateway;
+package org.copperspindle.admission;
 
 import java.util.Optional;
 import java.util.function.Function;
@@ -21,7 +21,7 @@
  * <p>Where request kinds share a pool, the less urgent one leaves capacity for the next request of the more urgent
  * one.
  */
-final class StageAdmission {
+public final class StageAdmission {
 
     /** Fraction of a full call: pools with waits below it in total have capacity for requests that are already late. */
     private static final double IDLE_WAIT_FRACTION = 0.33;
@@ -78,31 +78,33 @@
      * @param loads               returns the load of a pool by its name
      * @param firstEventLatencies time from an attempt to its first event, after the stages
      */
-    StageAdmission(Function<String, PoolLoad> loads, FirstEventLatencies firstEventLatencies) {
+    public StageAdmission(Function<String, PoolLoad> loads, FirstEventLatencies firstEventLatencies) {
         this.estimator = new StageTimeEstimator(loads, firstEventLatencies);
     }
 
     /**
      * Decides on a request.
      *
+     * @param request     the request
      * @param wasDeferred true if it was deferred before and is counted as such
+     * @param now         monotonic time in nanoseconds
+     * @return the decision
      */
-    StageAdmissionDecision decide(AdmittedRequest request, boolean wasDeferred, long now) {
+    public StageAdmissionDecision decide(StagedRequest request, boolean wasDeferred, long now) {
         if (!wasDeferred) {
             kinds.observe(request);
         }
         long fullCall = fullCallNanos(request);
         StageTimeEstimate estimate = estimator.estimate(request);
         long correctedNanos = estimate.estimated() + overruns.nanos(request.route(), now);
-        long remainingNanos = request.times().objectiveAt() - now;
+        long remainingNanos = request.objectiveAt() - now;
         // Without the learned overrun: idle pools must get requests, or the overrun could not be measured again.
         boolean idle = estimate.estimated() - estimate.minimum()
-                < IDLE_WAIT_FRACTION * fullCall
-                        + IDLE_WAIT_GROWTH * (now - request.times().admittedAt());
+                < IDLE_WAIT_FRACTION * fullCall + IDLE_WAIT_GROWTH * (now - request.admittedAt());
         boolean mayDefer = now - deferUntil(request, estimate.minimum()) < 0;
         Optional<String> underserved = underservedKind(request, now);
         StageAdmissionVerdict verdict = StageAdmissionVerdict.REFUSE;
-        boolean endsInTime = now + estimate.estimated() - request.times().callerTimeoutAt() < 0;
+        boolean endsInTime = now + estimate.estimated() - request.callerTimeoutAt() < 0;
         if (correctedNanos <= remainingNanos && underserved.isEmpty()
                 || idle
                         && endsInTime
@@ -128,25 +130,33 @@
      * @param actualNanos    measured duration of its stages
      * @param now            monotonic time in nanoseconds
      */
-    void recordStages(Route route, long estimatedNanos, long actualNanos, long now) {
+    public void recordStages(Route route, long estimatedNanos, long actualNanos, long now) {
         overruns.observe(route, estimatedNanos, actualNanos, now);
     }
 
-    /** Adds to the number of deferred requests. */
-    void adjustDeferred(int delta) {
+    /**
+     * Adds to the number of deferred requests.
+     *
+     * @param delta number to add, negative to subtract
+     */
+    public void adjustDeferred(int delta) {
         deferredCount += delta;
     }
 
-    int deferredCount() {
+    /**
+     * Returns how many requests this node defers.
+     *
+     * @return a count
+     */
+    public int deferredCount() {
         return deferredCount;
     }
 
-    private static long deferUntil(AdmittedRequest request, long minimum) {
-        RequestTimes times = request.times();
-        if (times.retried()) {
-            return times.callerTimeoutAt() - (long) ((1 + DEFERRED_SPARE_RUNS) * minimum);
+    private static long deferUntil(StagedRequest request, long minimum) {
+        if (request.retried()) {
+            return request.callerTimeoutAt() - (long) ((1 + DEFERRED_SPARE_RUNS) * minimum);
         }
-        return times.admittedAt() + (long) (request.route().objective().toNanos() * FIRST_DEFERRAL_FRACTION);
+        return request.admittedAt() + (long) (request.route().objective().toNanos() * FIRST_DEFERRAL_FRACTION);
     }
 
     /**
@@ -155,7 +165,7 @@
      * that wait. Judged by objectives alone, the kind with the longest objective would be admitted until only it
      * could be in time, whatever its rank.
      */
-    private Optional<String> underservedKind(AdmittedRequest request, long now) {
+    private Optional<String> underservedKind(StagedRequest request, long now) {
         return kinds.moreUrgentThan(request, now).stream()
                 .filter(urgent -> isLateDueToQueueing(urgent, now)
                         && estimator
@@ -170,7 +180,7 @@
      * Returns whether the next request of a kind would be late, but not without queueing, so that free capacity would
      * help it.
      */
-    private boolean isLateDueToQueueing(AdmittedRequest kind, long now) {
+    private boolean isLateDueToQueueing(StagedRequest kind, long now) {
         StageTimeEstimate estimate = estimator.estimate(kind);
         long margin = (long) (URGENT_MARGIN_FRACTION * fullCallNanos(kind));
         long available = kind.route().objective().toNanos() - overruns.nanos(kind.route(), now) - margin;
@@ -178,7 +188,7 @@
     }
 
     /** Returns the longest full call of the pools that the request needs. */
-    private static long fullCallNanos(AdmittedRequest request) {
+    private static long fullCallNanos(StagedRequest request) {
         return IntStream.range(0, request.route().stages().size())
                 .filter(request::needsStage)
                 .mapToObj(request::stageLimits)
--- a/library/src/main/java/org/copperspindle/admission/StageAdmissionDecision.java
+++ b/library/src/main/java/org/copperspindle/admission/StageAdmissionDecision.java
@@ -1,4 +1,4 @@
-package org.copperspindle.gateway;
+package org.copperspindle.admission;
 
 import java.util.Optional;
 
@@ -13,7 +13,7 @@
  *     correction
  * @param underservedRoute     route of a more urgent request kind that needs the capacity; empty if none does
  */
-record StageAdmissionDecision(
+public record StageAdmissionDecision(
         StageAdmissionVerdict verdict,
         long estimatedMillis,
         long remainingMillis,
--- a/library/src/main/java/org/copperspindle/admission/StageAdmissionVerdict.java
+++ b/library/src/main/java/org/copperspindle/admission/StageAdmissionVerdict.java
@@ -1,9 +1,9 @@
-package org.copperspindle.gateway;
+package org.copperspindle.admission;
 
 /**
  * Decision on a request whose route has stages.
  */
-enum StageAdmissionVerdict {
+public enum StageAdmissionVerdict {
     /** The stages start now. */
     BEGIN,
     /** The request is deferred: it waits without holding any stage results, and is evaluated again. */
--- a/library/src/main/java/org/copperspindle/admission/StageOverruns.java
+++ b/library/src/main/java/org/copperspindle/admission/StageOverruns.java
@@ -1,4 +1,4 @@
-package org.copperspindle.gateway;
+package org.copperspindle.admission;
 
 import java.time.Duration;
 import java.util.HashMap;
--- a/library/src/main/java/org/copperspindle/admission/StageTimeEstimate.java
+++ b/library/src/main/java/org/copperspindle/admission/StageTimeEstimate.java
@@ -1,4 +1,4 @@
-package org.copperspindle.gateway;
+package org.copperspindle.admission;
 
 /**
  * Estimated times of a request that starts now, by the waits that its pools report. All times in nanoseconds.
@@ -7,4 +7,4 @@
  * @param estimated estimated time to the first event
  * @param stages    the part of the estimated time that its stages take
  */
-record StageTimeEstimate(long minimum, long estimated, long stages) {}
+public record StageTimeEstimate(long minimum, long estimated, long stages) {}
--- a/library/src/main/java/org/copperspindle/admission/StageTimeEstimator.java
+++ b/library/src/main/java/org/copperspindle/admission/StageTimeEstimator.java
@@ -1,4 +1,4 @@
-package org.copperspindle.gateway;
+package org.copperspindle.admission;
 
 import java.util.Comparator;
 import java.util.Optional;
@@ -7,11 +7,12 @@
 
 import org.copperspindle.batch.PoolLoad;
 import org.copperspindle.route.BatchLimits;
+import org.copperspindle.stage.StagePlan;
 
 /**
  * Estimates how long requests that start now take, by the waits that the pools of their stages report.
  */
-final class StageTimeEstimator {
+public final class StageTimeEstimator {
 
     /** Calls are shared with pieces of other requests: at medium load a call has twice the pieces of one request. */
     private static final int SHARED_CALL_FACTOR = 2;
@@ -27,12 +28,18 @@
      * @param loads               returns the load of a pool by its name
      * @param firstEventLatencies time from an attempt to its first event, after the stages
      */
-    StageTimeEstimator(Function<String, PoolLoad> loads, FirstEventLatencies firstEventLatencies) {
+    public StageTimeEstimator(Function<String, PoolLoad> loads, FirstEventLatencies firstEventLatencies) {
         this.loads = loads;
         this.firstEventLatencies = firstEventLatencies;
     }
 
-    StageTimeEstimate estimate(AdmittedRequest request) {
+    /**
+     * Estimates the times of a request that starts now.
+     *
+     * @param request the request
+     * @return its times by the present loads
+     */
+    public StageTimeEstimate estimate(StagedRequest request) {
         StagePlan plan = plan(request);
         long firstEvent = firstEventLatencies.expectedNanos(request.route());
         long minimum = plan.finish((stage, start) -> expectedNanos(request, plan, stage));
@@ -41,8 +48,13 @@
         return new StageTimeEstimate(minimum + firstEvent, estimated + firstEvent, estimated);
     }
 
-    /** Returns the pool of the request with the longest wait; empty if none has a wait. */
-    Optional<String> bottleneck(AdmittedRequest request) {
+    /**
+     * Returns the pool of a request with the longest wait.
+     *
+     * @param request the request
+     * @return name of the pool; empty if none has a wait
+     */
+    public Optional<String> bottleneck(StagedRequest request) {
         StagePlan plan = plan(request);
         return IntStream.range(0, plan.stages())
                 .filter(stage -> plan.pieces(stage) > 0)
@@ -51,20 +63,27 @@
                 .max(Comparator.comparingLong(pool -> waitNanos(pool, 0)));
     }
 
-    /** Returns the duration of a stage's call while its pool keeps up with its load. */
-    static long expectedNanos(AdmittedRequest request, StagePlan plan, int stage) {
+    /**
+     * Returns the duration of a stage's call while its pool keeps up with its load.
+     *
+     * @param request a request
+     * @param plan    plan of its stages
+     * @param stage   number of the stage
+     * @return nanoseconds
+     */
+    public static long expectedNanos(StagedRequest request, StagePlan plan, int stage) {
         return request.stageLimits(stage)
                 .map((BatchLimits limits) ->
                         limits.expectedNanos(Math.min(limits.maxPieces(), SHARED_CALL_FACTOR * plan.pieces(stage))))
                 .orElse(0L);
     }
 
-    private static StagePlan plan(AdmittedRequest request) {
-        return new StagePlan(request.route().stages(), request.request().pieces());
+    private static StagePlan plan(StagedRequest request) {
+        return new StagePlan(request.route().stages(), request.pieces());
     }
 
     /** Returns the duration of a stage's call including the waiting pieces that are batched with it. */
-    private long loadedNanos(AdmittedRequest request, StagePlan plan, int stage) {
+    private long loadedNanos(StagedRequest request, StagePlan plan, int stage) {
         String pool = request.stagePool(stage);
         long wait = loads.apply(pool).waitNanos();
         return request.stageLimits(stage)
--- a/library/src/main/java/org/copperspindle/admission/UrgentRequestKinds.java
+++ b/library/src/main/java/org/copperspindle/admission/UrgentRequestKinds.java
@@ -1,4 +1,4 @@
-package org.copperspindle.gateway;
+package org.copperspindle.admission;
 
 import java.time.Duration;
 import java.util.HashMap;
@@ -16,10 +16,10 @@
      */
     private static final long RECENT_NANOS = Duration.ofSeconds(5).toNanos();
 
-    private final Map<String, AdmittedRequest> newestByRoute = new HashMap<>();
+    private final Map<String, StagedRequest> newestByRoute = new HashMap<>();
 
     /** Records a request that has just arrived. */
-    void observe(AdmittedRequest request) {
+    void observe(StagedRequest request) {
         newestByRoute.put(request.route().name(), request);
     }
 
@@ -31,8 +31,8 @@
      * @param request the request
      * @param now     monotonic time in nanoseconds
      */
-    List<AdmittedRequest> moreUrgentThan(AdmittedRequest request, long now) {
-        newestByRoute.values().removeIf(other -> now - other.times().admittedAt() > RECENT_NANOS);
+    List<StagedRequest> moreUrgentThan(StagedRequest request, long now) {
+        newestByRoute.values().removeIf(other -> now - other.admittedAt() > RECENT_NANOS);
         return newestByRoute.values().stream()
                 .filter(other -> other.route().priority() < request.route().priority())
                 .toList();
--- a/library/src/main/java/org/copperspindle/gateway/AdmittedRequest.java
+++ b/library/src/main/java/org/copperspindle/gateway/AdmittedRequest.java
@@ -1,8 +1,9 @@
 package org.copperspindle.gateway;
 
+import java.util.List;
 import java.util.Optional;
-import java.util.stream.IntStream;
 
+import org.copperspindle.admission.StagedRequest;
 import org.copperspindle.quarantine.RequestDigest;
 import org.copperspindle.quarantine.TrackedRequest;
 import org.copperspindle.route.BatchLimits;
@@ -27,7 +28,8 @@
         Route route,
         Optional<ClientAccount> account,
         String pool,
-        RequestTimes times) {
+        RequestTimes times)
+        implements StagedRequest {
 
     /** Number of distinct route ranks within each account rank. */
     private static final int ROUTE_RANKS = 3;
@@ -35,13 +37,33 @@
     /** Rank of callers without an account, and of accounts that set no rank. */
     private static final int DEFAULT_RANK = 1;
 
-    /** Returns the pool of a stage. */
-    String stagePool(int stage) {
-        return route.stages().get(stage).pool();
+    @Override
+    public List<Integer> pieces() {
+        return request.pieces();
     }
 
-    /** Returns the name of the client account; empty if the route needs none. */
-    String accountName() {
+    @Override
+    public long admittedAt() {
+        return times.admittedAt();
+    }
+
+    @Override
+    public long objectiveAt() {
+        return times.objectiveAt();
+    }
+
+    @Override
+    public long callerTimeoutAt() {
+        return times.callerTimeoutAt();
+    }
+
+    @Override
+    public boolean retried() {
+        return times.retried();
+    }
+
+    @Override
+    public String accountName() {
         return account.map(ClientAccount::name).orElse("");
     }
 
@@ -55,20 +77,8 @@
                 () -> RequestDigest.of(accountName(), request.method(), request.host(), request.uri(), request.body()));
     }
 
-    /** Returns whether the request has pieces of a stage. */
-    boolean needsStage(int stage) {
-        return stage < request.pieces().size() && request.pieces().get(stage) > 0;
-    }
-
-    /** Returns whether a pool runs pieces of the request. */
-    boolean needsPool(String name) {
-        return IntStream.range(0, route.stages().size())
-                .filter(this::needsStage)
-                .anyMatch(stage -> stagePool(stage).equals(name));
-    }
-
-    /** Returns the batch limits of a stage's pool; empty if the table does not have the pool. */
-    Optional<BatchLimits> stageLimits(int stage) {
+    @Override
+    public Optional<BatchLimits> stageLimits(int stage) {
         return table.findPool(stagePool(stage)).flatMap(UpstreamPool::batchLimits);
     }
 
@@ -76,7 +86,8 @@
      * Returns the scheduling rank, 0 is the most urgent: the rank of the account takes precedence over that of the
      * route.
      */
-    int rank() {
+    @Override
+    public int rank() {
         int accountRank = account.map(a -> a.priority().orElse(DEFAULT_RANK)).orElse(DEFAULT_RANK);
         int routeRank = Math.min(ROUTE_RANKS - 1, Math.max(0, route.priority()));
         return Math.min(ROUTE_RANKS, Math.max(0, accountRank)) * ROUTE_RANKS + routeRank;
--- a/library/src/main/java/org/copperspindle/gateway/GatewayContext.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayContext.java
@@ -2,6 +2,9 @@
 
 import java.util.random.RandomGenerator;
 
+import org.copperspindle.admission.FirstEventLatencies;
+import org.copperspindle.admission.RetryAfterDelays;
+import org.copperspindle.admission.StageAdmission;
 import org.copperspindle.backpressure.SendPermits;
 import org.copperspindle.batch.BatchService;
 import org.copperspindle.batch.FetchTimeEstimator;
--- a/library/src/main/java/org/copperspindle/gateway/NodeState.java
+++ b/library/src/main/java/org/copperspindle/gateway/NodeState.java
@@ -2,6 +2,7 @@
 
 import java.util.function.BooleanSupplier;
 
+import org.copperspindle.admission.StageAdmission;
 import org.copperspindle.backpressure.SendPermits;
 import org.copperspindle.backpressure.UpstreamBackoffs;
 import org.copperspindle.backpressure.UpstreamLimits;
--- a/library/src/main/java/org/copperspindle/gateway/RequestLogger.java
+++ b/library/src/main/java/org/copperspindle/gateway/RequestLogger.java
@@ -6,6 +6,8 @@
 
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.copperspindle.admission.StageAdmissionDecision;
+import org.copperspindle.admission.StageAdmissionVerdict;
 import org.copperspindle.discovery.UpstreamRecord;
 import org.copperspindle.measure.LogRateLimiter;
 
--- a/library/src/main/java/org/copperspindle/gateway/RequestRun.java
+++ b/library/src/main/java/org/copperspindle/gateway/RequestRun.java
@@ -7,6 +7,8 @@
 import java.util.OptionalLong;
 import java.util.Set;
 
+import org.copperspindle.admission.StageAdmissionDecision;
+import org.copperspindle.admission.StageAdmissionVerdict;
 import org.copperspindle.batch.MissReason;
 import org.copperspindle.direct.ConnectionUse;
 import org.copperspindle.direct.DirectHead;
@@ -16,6 +18,7 @@
 import org.copperspindle.quarantine.UpstreamRun;
 import org.copperspindle.route.ClientAccount;
 import org.copperspindle.route.Route;
+import org.copperspindle.stage.StageInputs;
 import org.copperspindle.time.TimerSubscription;
 
 /**
--- a/library/src/main/java/org/copperspindle/gateway/StageRun.java
+++ b/library/src/main/java/org/copperspindle/gateway/StageRun.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.stream.IntStream;
 
+import org.copperspindle.admission.StageTimeEstimator;
 import org.copperspindle.batch.BatchService;
 import org.copperspindle.batch.FetchTimeEstimator;
 import org.copperspindle.batch.MissReason;
@@ -17,6 +18,8 @@
 import org.copperspindle.batch.PieceResult;
 import org.copperspindle.route.Route;
 import org.copperspindle.route.RouteStage;
+import org.copperspindle.stage.StageInputs;
+import org.copperspindle.stage.StagePlan;
 import org.copperspindle.time.TimerService;
 import org.copperspindle.time.TimerSubscription;
 
--- a/library/src/main/java/org/copperspindle/gateway/UpstreamChooser.java
+++ b/library/src/main/java/org/copperspindle/gateway/UpstreamChooser.java
@@ -16,6 +16,7 @@
 import org.copperspindle.discovery.UpstreamRecord;
 import org.copperspindle.route.UpstreamPool;
 import org.copperspindle.routing.RendezvousScore;
+import org.copperspindle.stage.StageInputs;
 
 /**
  * Chooses the upstream of an attempt. Engines cache the prompts that they have read, so requests with the same shared
--- a/library/src/main/java/org/copperspindle/gateway/UpstreamSearch.java
+++ b/library/src/main/java/org/copperspindle/gateway/UpstreamSearch.java
@@ -9,6 +9,7 @@
 import org.copperspindle.backpressure.PermitResult;
 import org.copperspindle.discovery.UpstreamRecord;
 import org.copperspindle.route.UpstreamPool;
+import org.copperspindle.stage.StageInputs;
 
 /**
  * Searches for the upstream of an attempt and the time at which the attempt may be sent. An upstream with a rate limit is
--- a/library/src/main/java/org/copperspindle/stage/StageInputs.java
+++ b/library/src/main/java/org/copperspindle/stage/StageInputs.java
@@ -1,4 +1,4 @@
-package org.copperspindle.gateway;
+package org.copperspindle.stage;
 
 import java.util.HashMap;
 import java.util.List;
@@ -14,38 +14,44 @@
  *
  * @param bytes approximate size of each result by its handle
  */
-record StageInputs(Map<String, Long> bytes) {
+public record StageInputs(Map<String, Long> bytes) {
 
     /** Inputs of a request without stages. */
-    static final StageInputs NONE = new StageInputs(Map.of());
+    public static final StageInputs NONE = new StageInputs(Map.of());
 
     /** Creates inputs from results of the same size. */
-    static StageInputs of(List<String> handles, long bytesEach) {
+    public static StageInputs of(List<String> handles, long bytesEach) {
         Map<String, Long> bytes = new HashMap<>();
         handles.forEach(handle -> bytes.put(handle, bytesEach));
         return new StageInputs(bytes);
     }
 
-    StageInputs plus(StageInputs other) {
+    /**
+     * Returns these inputs together with others.
+     *
+     * @param other the others
+     * @return all of them
+     */
+    public StageInputs plus(StageInputs other) {
         Map<String, Long> all = new HashMap<>(bytes);
         all.putAll(other.bytes);
         return new StageInputs(all);
     }
 
     /** Returns the total size in bytes. */
-    long totalBytes() {
+    public long totalBytes() {
         return bytes.values().stream().mapToLong(Long::longValue).sum();
     }
 
     /** Returns the failure domain in which most of the bytes were produced. */
-    Optional<String> largestDomain(UpstreamDirectory directory) {
+    public Optional<String> largestDomain(UpstreamDirectory directory) {
         return byDomain(directory).entrySet().stream()
                 .max(Map.Entry.<String, Long>comparingByValue().thenComparing(Map.Entry.comparingByKey()))
                 .map(Map.Entry::getKey);
     }
 
     /** Returns how many of the bytes were produced in a failure domain. */
-    long bytesIn(String domain, UpstreamDirectory directory) {
+    public long bytesIn(String domain, UpstreamDirectory directory) {
         return byDomain(directory).getOrDefault(domain, 0L);
     }
 
--- a/library/src/main/java/org/copperspindle/stage/StagePlan.java
+++ b/library/src/main/java/org/copperspindle/stage/StagePlan.java
@@ -1,4 +1,4 @@
-package org.copperspindle.gateway;
+package org.copperspindle.stage;
 
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -14,7 +14,7 @@
  * Dependency graph of the stages of one request: which stages may start, which results each one needs, and which
  * results are no longer needed. It has no side effects outside itself.
  */
-final class StagePlan {
+public final class StagePlan {
 
     private final List<RouteStage> stages;
     private final List<String[]> handles = new ArrayList<>();
@@ -28,7 +28,7 @@
      * @param stages stages of the route
      * @param pieces number of pieces by stage; a stage without pieces is skipped
      */
-    StagePlan(List<RouteStage> stages, List<Integer> pieces) {
+    public StagePlan(List<RouteStage> stages, List<Integer> pieces) {
         this.stages = stages;
         this.started = new boolean[stages.size()];
         this.released = new boolean[stages.size()];
@@ -41,16 +41,31 @@
         }
     }
 
-    int stages() {
+    /**
+     * Returns the number of stages of the route.
+     *
+     * @return a count, with stages that are skipped
+     */
+    public int stages() {
         return stages.size();
     }
 
-    int pieces(int stage) {
+    /**
+     * Returns the number of pieces of a stage.
+     *
+     * @param stage number of the stage
+     * @return a count; 0 if the stage is skipped
+     */
+    public int pieces(int stage) {
         return handles.get(stage).length;
     }
 
-    /** Returns the stages that can start now and marks them as started. */
-    List<Integer> startReady() {
+    /**
+     * Returns the stages that can start now and marks them as started.
+     *
+     * @return numbers of the stages
+     */
+    public List<Integer> startReady() {
         return startReady(stage -> true);
     }
 
@@ -58,8 +73,9 @@
      * Returns the stages that can start now and are due, and marks them as started.
      *
      * @param due returns whether a stage that can start should start now
+     * @return numbers of the stages
      */
-    List<Integer> startReady(IntPredicate due) {
+    public List<Integer> startReady(IntPredicate due) {
         List<Integer> ready = new ArrayList<>();
         for (int stage = 0; stage < stages.size(); stage++) {
             boolean canStart =
@@ -74,21 +90,36 @@
         return ready;
     }
 
-    /** Returns the input handles of every piece of a stage. */
-    List<String> inputs(int stage) {
+    /**
+     * Returns the input handles of every piece of a stage.
+     *
+     * @param stage number of the stage
+     * @return the handles
+     */
+    public List<String> inputs(int stage) {
         List<String> inputs = new ArrayList<>();
         stages.get(stage).after().forEach(before -> inputs.addAll(Arrays.asList(handles.get(before))));
         return inputs;
     }
 
-    /** Returns whether a stage is the only reader of all its inputs. */
-    boolean isOnlyReader(int stage) {
+    /**
+     * Returns whether a stage is the only reader of all its inputs.
+     *
+     * @param stage number of the stage
+     * @return true if nothing else reads any of them
+     */
+    public boolean isOnlyReader(int stage) {
         List<Integer> before = stages.get(stage).after();
         return !before.isEmpty() && before.stream().allMatch(input -> readers(input) == 1);
     }
 
-    /** Returns whether another stage reads the results of a stage. */
-    boolean hasReader(int stage) {
+    /**
+     * Returns whether another stage reads the results of a stage.
+     *
+     * @param stage number of the stage
+     * @return false if only the request reads them, or nobody
+     */
+    public boolean hasReader(int stage) {
         return stagesWithReaders.contains(stage);
     }
 
@@ -98,8 +129,9 @@
      * @param stage     the stage that is left out
      * @param remaining remaining time of a stage that has started or can start
      * @param cost      duration of a later stage
+     * @return nanoseconds until the longest of them ends
      */
-    long longestParallel(int stage, StageCost remaining, StageCost cost) {
+    public long longestParallel(int stage, StageCost remaining, StageCost cost) {
         long longest = 0;
         for (int other = 0; other < stages.size(); other++) {
             boolean open = other != stage && !isDone(other);
@@ -110,20 +142,42 @@
         return longest;
     }
 
-    /** Records that the producer of a stage's pieces releases the inputs of that stage. */
-    void markInputsReleased(int stage) {
+    /**
+     * Records that the producer of a stage's pieces releases the inputs of that stage.
+     *
+     * @param stage number of the stage
+     */
+    public void markInputsReleased(int stage) {
         stages.get(stage).after().forEach(input -> released[input] = true);
     }
 
-    void setResult(int stage, int piece, String handle) {
+    /**
+     * Records the result of a piece.
+     *
+     * @param stage  number of its stage
+     * @param piece  number of the piece
+     * @param handle handle of the result
+     */
+    public void setResult(int stage, int piece, String handle) {
         handles.get(stage)[piece] = handle;
     }
 
-    boolean isDone(int stage) {
+    /**
+     * Returns whether all pieces of a stage have results.
+     *
+     * @param stage number of the stage
+     * @return true also for a stage that is skipped
+     */
+    public boolean isDone(int stage) {
         return Arrays.stream(handles.get(stage)).noneMatch(handle -> handle == null);
     }
 
-    boolean isComplete() {
+    /**
+     * Returns whether all stages are done.
+     *
+     * @return true if no piece lacks a result
+     */
+    public boolean isComplete() {
         for (int stage = 0; stage < stages.size(); stage++) {
             if (!isDone(stage)) {
                 return false;
@@ -132,8 +186,12 @@
         return true;
     }
 
-    /** Returns the results that the request itself needs: those that no other stage reads. */
-    List<String> results() {
+    /**
+     * Returns the results that the request itself needs: those that no other stage reads.
+     *
+     * @return their handles
+     */
+    public List<String> results() {
         List<String> results = new ArrayList<>();
         for (int stage = 0; stage < stages.size(); stage++) {
             if (!stagesWithReaders.contains(stage)) {
@@ -143,8 +201,12 @@
         return results;
     }
 
-    /** Returns the same results with their sizes. */
-    StageInputs requestInputs() {
+    /**
+     * Returns the same results with their sizes.
+     *
+     * @return handles and sizes
+     */
+    public StageInputs requestInputs() {
         StageInputs inputs = StageInputs.NONE;
         for (int stage = 0; stage < stages.size(); stage++) {
             if (!stagesWithReaders.contains(stage)) {
@@ -161,7 +223,7 @@
      * @param requestDone true if the request has read its inputs or has ended
      * @return stages whose results can be released, each once
      */
-    List<Integer> takeReleasable(boolean requestDone) {
+    public List<Integer> takeReleasable(boolean requestDone) {
         List<Integer> releasable = new ArrayList<>();
         for (int stage = 0; stage < stages.size(); stage++) {
             boolean needed = !requestDone && (!stagesWithReaders.contains(stage) || hasPendingReader(stage));
@@ -173,12 +235,24 @@
         return releasable;
     }
 
-    List<String> availableHandles(int stage) {
+    /**
+     * Returns the results of a stage that exist so far.
+     *
+     * @param stage number of the stage
+     * @return their handles
+     */
+    public List<String> availableHandles(int stage) {
         return Arrays.stream(handles.get(stage)).filter(h -> h != null).toList();
     }
 
-    /** Returns the cost of the most expensive chain of stages that follows a stage. */
-    long longestAfter(int stage, StageCost cost) {
+    /**
+     * Returns the cost of the most expensive chain of stages that follows a stage.
+     *
+     * @param stage number of the stage
+     * @param cost  cost of each stage
+     * @return the sum of the costs of that chain; 0 if no stage follows
+     */
+    public long longestAfter(int stage, StageCost cost) {
         long longest = 0;
         for (int next = 0; next < stages.size(); next++) {
             if (stages.get(next).after().contains(stage) && pieces(next) > 0) {
@@ -188,8 +262,13 @@
         return longest;
     }
 
-    /** Returns the end of the last stage, relative to now, if the duration of each stage depends on its start. */
-    long finish(StageDuration time) {
+    /**
+     * Returns the end of the last stage, relative to now, if the duration of each stage depends on its start.
+     *
+     * @param time duration of each stage
+     * @return nanoseconds from now
+     */
+    public long finish(StageDuration time) {
         long last = 0;
         for (int stage = 0; stage < stages.size(); stage++) {
             last = Math.max(last, finish(stage, time));
@@ -222,7 +301,7 @@
 
     /** Cost of a stage. */
     @FunctionalInterface
-    interface StageCost {
+    public interface StageCost {
         /**
          * Returns the cost of a stage.
          *
@@ -234,7 +313,7 @@
 
     /** Duration of a stage. */
     @FunctionalInterface
-    interface StageDuration {
+    public interface StageDuration {
         /**
          * Returns the duration of a stage.
          *
--- a/library/src/test/java/org/copperspindle/gateway/StageAdmissionTest.java
+++ b/library/src/test/java/org/copperspindle/gateway/StageAdmissionTest.java
@@ -4,6 +4,10 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 
+import org.copperspindle.admission.FirstEventLatencies;
+import org.copperspindle.admission.StageAdmission;
+import org.copperspindle.admission.StageAdmissionDecision;
+import org.copperspindle.admission.StageAdmissionVerdict;
 import org.copperspindle.batch.PoolLoad;
 import org.copperspindle.route.Route;
 import org.copperspindle.route.RouteKind;
--- a/library/src/test/java/org/copperspindle/gateway/StageLoadReplay.java
+++ b/library/src/test/java/org/copperspindle/gateway/StageLoadReplay.java
@@ -13,6 +13,11 @@
 import java.util.function.Function;
 import java.util.random.RandomGenerator;
 
+import org.copperspindle.admission.FirstEventLatencies;
+import org.copperspindle.admission.RetryAfterDelays;
+import org.copperspindle.admission.StageAdmission;
+import org.copperspindle.admission.StageAdmissionDecision;
+import org.copperspindle.admission.StageAdmissionVerdict;
 import org.copperspindle.batch.BatchService;
 import org.copperspindle.batch.MissReason;
 import org.copperspindle.batch.PoolLoad;
--- a/library/src/test/java/org/copperspindle/gateway/StagePlanTest.java
+++ b/library/src/test/java/org/copperspindle/gateway/StagePlanTest.java
@@ -3,6 +3,7 @@
 import java.util.List;
 
 import org.copperspindle.route.RouteStage;
+import org.copperspindle.stage.StagePlan;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
--- a/library/src/test/java/org/copperspindle/gateway/UpstreamChooserTest.java
+++ b/library/src/test/java/org/copperspindle/gateway/UpstreamChooserTest.java
@@ -25,6 +25,7 @@
 import org.copperspindle.measure.LogRateLimiter;
 import org.copperspindle.route.ColdLimits;
 import org.copperspindle.route.UpstreamPool;
+import org.copperspindle.stage.StageInputs;
 import org.copperspindle.time.VirtualTimerService;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
--- a/library/src/test/java/org/copperspindle/gateway/UrgentRequestKindsTest.java
+++ b/library/src/test/java/org/copperspindle/gateway/UrgentRequestKindsTest.java
@@ -9,6 +9,9 @@
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 
+import org.copperspindle.admission.FirstEventLatencies;
+import org.copperspindle.admission.StageAdmission;
+import org.copperspindle.admission.StageAdmissionVerdict;
 import org.copperspindle.batch.PoolLoad;
 import org.copperspindle.route.ClientAccount;
 import org.copperspindle.route.Route;
