Ask the controller of a pool group before stages start

Cause: each node decides alone when stages start, so requests with long objectives keep the pools at a level of queueing at which more urgent routes can't meet theirs (docs/design/scarce-capacity.md, part A and B).

Change: messages 240 to 242, FleetStageStarts (node side) and StartController with GroupControllers (controller side). RequestRun leaves the admission to StageEntrance, which asks the controller while the pools of the request are short and otherwise decides as before. The dispatcher announces shortage in field 5 of PoolLoadMessage. MeshRelay supports several listeners. The policy is still empty, so no route is coordinated and nothing changes (StageStartsFactory.policy).

A request that waits for the controller does not count as deferred: the limits on deferred requests apply to decisions of a single node.

--- /dev/null
+++ b/library/src/main/java/org/copperspindle/admission/FleetStageStarts.java
@@ -0,0 +1,453 @@
+package org.copperspindle.admission;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Function;
+import java.util.function.Supplier;
+
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.copperspindle.batch.BatchService;
+import org.copperspindle.batch.PoolLoad;
+import org.copperspindle.batch.PoolLoadMessage;
+import org.copperspindle.measure.LogRateLimiter;
+import org.copperspindle.mesh.MeshListener;
+import org.copperspindle.mesh.MeshNode;
+import org.copperspindle.mesh.MeshRelay;
+import org.copperspindle.route.RouteTable;
+import org.copperspindle.time.DeferredTask;
+import org.copperspindle.time.TimerService;
+import org.copperspindle.time.TimerSubscription;
+import org.copperspindle.wire.WireMessage;
+
+/**
+ * Asks the controllers of the pool groups when the stages of this node's requests may start, and runs the controllers
+ * of the groups that this node is responsible for. The controller of a group is the dispatcher node of its first pool,
+ * so all nodes agree on it without messages. A node that gets no response decides its requests alone.
+ *
+ * <p>Runs on the network thread. The caller subscribes it to the mesh and to the relay, after the batch service: the
+ * decisions use the loads that the batch service reads from the same messages.
+ */
+public final class FleetStageStarts implements StageStarts, MeshListener {
+
+    private static final Logger LOGGER = LogManager.getLogger(FleetStageStarts.class);
+
+    /** Longest wait for a controller from which no message comes: its pauses and link failures must not cost more. */
+    private static final long SILENCE_NANOS = Duration.ofMillis(300).toNanos();
+
+    /**
+     * Interval for sending a waiting start request again. A controller that no longer has it, after a change that this
+     * node did not see, takes it again or leaves it unanswered.
+     */
+    private static final long RENEWAL_NANOS = Duration.ofSeconds(1).toNanos();
+
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+
+    private final MeshRelay relay;
+    private final String self;
+    private final TimerService timers;
+    private final Function<String, String> dispatcherNode;
+    private final Supplier<Optional<RouteTable>> tables;
+    private final StartPolicy policy;
+    private final LogRateLimiter log;
+    private final GroupControllers controllers;
+    private final StartCounters counters = new StartCounters();
+    private final ControllerContacts contacts = new ControllerContacts();
+    private final Map<Long, Question> questions = new LinkedHashMap<>();
+    private final Map<String, String> controllerByGroup = new HashMap<>();
+    private final Map<String, Long> announcedShortAt = new HashMap<>();
+    private final Map<String, Long> lostIncarnations = new HashMap<>();
+    private final DeferredTask promptUpdate;
+    private Optional<CoordinatedPools> pools = Optional.empty();
+
+    /**
+     * Creates the service.
+     *
+     * @param relay          sends to other nodes, also through a third node
+     * @param timers         timers of the network thread
+     * @param dispatcherNode returns the dispatcher node of a pool
+     * @param tables         supplies the current route table
+     * @param loads          returns the load of a pool by its name
+     * @param policy         the decisions
+     * @param log            limits the rate of log lines
+     */
+    public FleetStageStarts(
+            MeshRelay relay,
+            TimerService timers,
+            Function<String, String> dispatcherNode,
+            Supplier<Optional<RouteTable>> tables,
+            Function<String, PoolLoad> loads,
+            StartPolicy policy,
+            LogRateLimiter log) {
+        this.relay = relay;
+        this.self = relay.mesh().self();
+        this.timers = timers;
+        this.dispatcherNode = dispatcherNode;
+        this.tables = tables;
+        this.policy = policy;
+        this.log = log;
+        this.promptUpdate = new DeferredTask(timers, this::update);
+        this.controllers = new GroupControllers(
+                loads,
+                group -> self.equals(controllerByGroup.get(group)),
+                policy.shortages(),
+                () -> new StartController(policy, timers, new MeshResponder(), counters, log));
+    }
+
+    /** Starts the regular evaluation of the pools and of the waiting requests, at the pace of the load messages. */
+    public void start() {
+        update();
+        List.copyOf(questions.values()).forEach(this::renew);
+        timers.schedule(BatchService.LOAD_INTERVAL_NANOS, this::start);
+    }
+
+    /**
+     * Returns the pools of the groups that this node, as their controller, finds short of capacity.
+     *
+     * @return names of pools
+     */
+    public Set<String> shortPools() {
+        return pools.map(controllers::shortPools).orElse(Set.of());
+    }
+
+    /**
+     * Returns the counts for the metrics.
+     *
+     * @return counts since this node started
+     */
+    public StartCounters counters() {
+        return counters;
+    }
+
+    /**
+     * Returns how many requests wait at the controllers of this node.
+     *
+     * @return a count
+     */
+    public int waitingCount() {
+        return controllers.waitingCount();
+    }
+
+    /**
+     * Returns how many requests of one rank wait at the controllers of this node.
+     *
+     * @param rank scheduling rank
+     * @return a count
+     */
+    public int waitingCount(int rank) {
+        return controllers.waitingCount(rank);
+    }
+
+    /**
+     * Returns how many requests of this node wait for a decision of a controller.
+     *
+     * @return a count
+     */
+    public int openQuestions() {
+        return questions.size();
+    }
+
+    @Override
+    public boolean isShort(StagedRequest request) {
+        Optional<String> group = pools.flatMap(p -> p.groupOf(request));
+        if (group.isEmpty() || !isShort(group.get())) {
+            return false;
+        }
+        long now = timers.nanoTime();
+        String controller = controllerByGroup.get(group.get());
+        return self.equals(controller)
+                || contacts.mayAsk(controller, request.route().name(), now)
+                        && StartRequestMessage.of(0, request, now).isValid();
+    }
+
+    @Override
+    public void request(StagedRequest request, long id, Listener listener) {
+        Optional<String> group = pools.flatMap(p -> p.groupOf(request));
+        if (group.isEmpty()) {
+            listener.decideLocally();
+            return;
+        }
+        Question question = new Question(id, request, group.get(), listener);
+        questions.put(id, question);
+        ask(question);
+    }
+
+    @Override
+    public void cancel(long id) {
+        Question question = questions.get(id);
+        if (question != null) {
+            close(question);
+            cancelAtController(question);
+        }
+    }
+
+    @Override
+    public void onNodeUp(MeshNode node) {
+        Long lost = lostIncarnations.remove(node.address());
+        if (lost != null && lost != node.incarnation()) {
+            controllers.forget(node.address());
+        }
+    }
+
+    @Override
+    public void onNodeDown(MeshNode node) {
+        lostIncarnations.put(node.address(), node.incarnation());
+        promptUpdate.schedule(0);
+    }
+
+    @Override
+    public void onConnectionLost(MeshNode node) {
+        List.copyOf(questions.values()).stream()
+                .filter(question -> question.controller.equals(node.address()))
+                .forEach(this::ask);
+    }
+
+    @Override
+    public void onMessage(MeshNode node, WireMessage message) {
+        if (message instanceof PoolLoadMessage load) {
+            onLoad(node.address(), load);
+        } else if (message instanceof StartRequestMessage request) {
+            onRequest(node.address(), request);
+        } else if (message instanceof StartResponseMessage response) {
+            onResponse(node.address(), response);
+        } else if (message instanceof StartCancelMessage cancel) {
+            controllers.cancel(node.address(), cancel.id());
+        }
+    }
+
+    private void onLoad(String node, PoolLoadMessage load) {
+        Optional<String> group = pools.flatMap(p -> p.groupOf(load.pool()));
+        if (group.isEmpty()) {
+            return;
+        }
+        long now = timers.nanoTime();
+        contacts.onLoad(node, now);
+        if (load.isShort()) {
+            announcedShortAt.put(load.pool(), now);
+        } else {
+            announcedShortAt.remove(load.pool());
+        }
+        controllers.loadChanged(group.get());
+    }
+
+    private void onRequest(String node, StartRequestMessage message) {
+        Optional<RemoteRequest> request = pools.flatMap(p -> RemoteRequest.of(message, p, timers.nanoTime()));
+        Optional<String> group = request.flatMap(r -> pools.flatMap(p -> p.groupOf(r)));
+        if (group.isEmpty()) {
+            dropped(node, "start-request");
+            return;
+        }
+        // A request for a group of another controller stays unanswered; its node sees the change soon.
+        controllers.find(group.get()).ifPresent(c -> c.add(toStart(node, message.id(), request.get())));
+    }
+
+    private void onResponse(String node, StartResponseMessage response) {
+        if (!response.isValid()) {
+            dropped(node, "start-response");
+            return;
+        }
+        Question question = questions.get(response.id());
+        if (question == null || !question.controller.equals(node)) {
+            counters.recordIgnoredResponse();
+            return;
+        }
+        contacts.onResponse(node, question.request.route().name(), timers.nanoTime());
+        if (response.verdict() == StartResponseMessage.QUEUED) {
+            question.acknowledged = true;
+            return;
+        }
+        close(question);
+        if (response.verdict() == StartResponseMessage.START) {
+            question.listener.start();
+        } else {
+            question.listener.refuse(response.retryAfterMillis() * NANOS_PER_MILLI);
+        }
+    }
+
+    private void dropped(String node, String kind) {
+        counters.recordDroppedMessage();
+        if (log.allowsFailed(timers.nanoTime())) {
+            LOGGER.warn("event=admission-message-dropped node={} kind={}", node, kind);
+        }
+    }
+
+    /** Adopts the current table and controllers, and sends waiting requests to the controllers that have changed. */
+    private void update() {
+        Optional<RouteTable> table = tables.get();
+        if (pools.map(CoordinatedPools::table)
+                .filter(t -> t == table.orElse(null))
+                .isEmpty()) {
+            pools = table.map(t -> new CoordinatedPools(t, policy));
+        }
+        controllerByGroup.clear();
+        pools.ifPresent(current -> {
+            current.groups().forEach(group -> controllerByGroup.put(group, dispatcherNode.apply(group)));
+            announcedShortAt.keySet().removeIf(pool -> current.groupOf(pool).isEmpty());
+            controllers.update(current, timers.nanoTime());
+        });
+        forgetLostNodes();
+        for (Question question : List.copyOf(questions.values())) {
+            String controller = controllerByGroup.get(question.group);
+            if (questions.get(question.id) != question || question.controller.equals(controller)) {
+                continue;
+            }
+            cancelAtController(question);
+            if (controller == null) {
+                // The new table does not coordinate the request.
+                close(question);
+                question.listener.decideLocally();
+            } else {
+                ask(question);
+            }
+        }
+    }
+
+    /** Drops the requests of lost nodes once they can't be reached through other nodes either. */
+    private void forgetLostNodes() {
+        for (String node : Set.copyOf(lostIncarnations.keySet())) {
+            if (!relay.canReach(node)) {
+                lostIncarnations.remove(node);
+                controllers.forget(node);
+                contacts.forget(node);
+            }
+        }
+    }
+
+    private boolean isShort(String group) {
+        if (controllers.isShort(group)) {
+            return true;
+        }
+        long now = timers.nanoTime();
+        return announcedShortAt.entrySet().stream()
+                .anyMatch(entry -> now - entry.getValue() < PoolLoadMessage.MAX_AGE_NANOS
+                        && pools.flatMap(p -> p.groupOf(entry.getKey()))
+                                .filter(group::equals)
+                                .isPresent());
+    }
+
+    /** Sends a start request to the present controller of its group. */
+    private void ask(Question question) {
+        question.controller = controllerByGroup.get(question.group);
+        question.askedAt = timers.nanoTime();
+        question.acknowledged = false;
+        question.silence.cancel();
+        if (question.controller.equals(self)) {
+            boolean accepted = controllers
+                    .find(question.group)
+                    .filter(c -> c.add(toStart(self, question.id, question.request)))
+                    .isPresent();
+            if (!accepted) {
+                unanswered(question);
+            }
+            return;
+        }
+        question.silence = timers.schedule(SILENCE_NANOS, () -> checkSilence(question));
+        send(question);
+    }
+
+    private void send(Question question) {
+        relay.send(question.controller, StartRequestMessage.of(question.id, question.request, timers.nanoTime()));
+    }
+
+    /** Sends a start request again if it may have been lost, or if the controller may have lost it since. */
+    private void renew(Question question) {
+        if (questions.get(question.id) != question || question.controller.equals(self)) {
+            return;
+        }
+        if (!question.acknowledged) {
+            send(question);
+        } else if (timers.nanoTime() - question.askedAt >= RENEWAL_NANOS) {
+            ask(question);
+        }
+    }
+
+    private void checkSilence(Question question) {
+        long now = timers.nanoTime();
+        long since =
+                question.acknowledged ? contacts.lastHeardAt(question.controller, question.askedAt) : question.askedAt;
+        long left = since + SILENCE_NANOS - now;
+        if (left > 0) {
+            question.silence = timers.schedule(left, () -> checkSilence(question));
+            return;
+        }
+        contacts.onUnanswered(question.controller, question.request.route().name(), since, now);
+        unanswered(question);
+    }
+
+    private void unanswered(Question question) {
+        counters.recordUnanswered();
+        if (log.allowsFailed(timers.nanoTime())) {
+            LOGGER.info(
+                    "event=admission-unanswered start_id={} controller={} acknowledged={}",
+                    question.id,
+                    question.controller,
+                    question.acknowledged);
+        }
+        close(question);
+        cancelAtController(question);
+        question.listener.decideLocally();
+    }
+
+    /** Ends a question, so that no further response counts. */
+    private void close(Question question) {
+        questions.remove(question.id);
+        question.silence.cancel();
+    }
+
+    private void cancelAtController(Question question) {
+        if (question.controller.equals(self)) {
+            controllers.cancel(self, question.id);
+        } else {
+            relay.send(question.controller, new StartCancelMessage(question.id));
+        }
+    }
+
+    private StartRequest toStart(String node, long id, StagedRequest request) {
+        double weight = pools.map(p -> p.weight(request.accountName())).orElseThrow();
+        return new StartRequest(node, id, request, weight);
+    }
+
+    /** Sends the decisions of this node's controllers. */
+    private final class MeshResponder implements StartController.Responder {
+        @Override
+        public void queued(String node, long id) {
+            if (!node.equals(self)) {
+                relay.send(node, new StartResponseMessage(id, StartResponseMessage.QUEUED, 0));
+            }
+        }
+
+        @Override
+        public void decided(StartDecision decision) {
+            StartResponseMessage response = StartResponseMessage.of(decision);
+            if (decision.request().node().equals(self)) {
+                onResponse(self, response);
+            } else {
+                relay.send(decision.request().node(), response);
+            }
+        }
+    }
+
+    /** A start request without a decision. */
+    private static final class Question {
+        private final long id;
+        private final StagedRequest request;
+        private final String group;
+        private final Listener listener;
+        private String controller = "";
+        private long askedAt;
+        private boolean acknowledged;
+        private TimerSubscription silence = () -> {};
+
+        private Question(long id, StagedRequest request, String group, Listener listener) {
+            this.id = id;
+            this.request = request;
+            this.group = group;
+            this.listener = listener;
+        }
+    }
+}
--- a/library/src/main/java/org/copperspindle/batch/BatchService.java
+++ b/library/src/main/java/org/copperspindle/batch/BatchService.java
@@ -7,8 +7,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Function;
+import java.util.function.Supplier;
 
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -19,10 +21,8 @@
 import org.copperspindle.mesh.MeshNode;
 import org.copperspindle.mesh.MeshRelay;
 import org.copperspindle.mesh.MeshSettings;
-import org.copperspindle.mesh.NodeHelloMessage;
 import org.copperspindle.mesh.NodeMesh;
 import org.copperspindle.route.BatchLimits;
-import org.copperspindle.routing.RendezvousScore;
 import org.copperspindle.time.TimerService;
 import org.copperspindle.wire.WireMessage;
 
@@ -39,10 +39,7 @@
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
     /** Interval between load updates: three updates within the shortest call. */
-    static final long LOAD_INTERVAL_NANOS = Duration.ofMillis(80).toNanos();
-
-    /** Age after which a load is ignored: the load is over, or the node that reported it is gone. */
-    private static final long MAX_LOAD_AGE_NANOS = Duration.ofMillis(600).toNanos();
+    public static final long LOAD_INTERVAL_NANOS = Duration.ofMillis(80).toNanos();
 
     /**
      * Delay before the results made for a lost node are released. A node that is merely partitioned from this one
@@ -51,12 +48,6 @@
     private static final long ORPHAN_RELEASE_DELAY_NANOS =
             Duration.ofMillis(600).toNanos();
 
-    /**
-     * How long a lost node is remembered: a network partition lasts for some seconds, and a node that is lost for
-     * longer does not return with the same state.
-     */
-    private static final long LOST_NODE_RETENTION_NANOS = Duration.ofSeconds(20).toNanos();
-
     /** Shorter waits are sent in full updates only: a pool with half of its upstreams busy is not loaded. */
     private static final long SHORT_WAIT_MILLIS = 60;
 
@@ -68,18 +59,17 @@
 
     private final NodeMesh mesh;
     private final MeshRelay relay;
-    private final Map<String, LostNode> lostNodes = new HashMap<>();
+    private final DispatcherChooser chooser;
     private final TimerService timers;
     private final UpstreamDirectory directory;
     private final StagePort port;
     private final Function<String, Optional<BatchLimits>> limits;
-    private final DispatcherStatus status;
     private final LogRateLimiter log;
     private final Map<String, PoolDispatcher> dispatchers = new HashMap<>();
-    private final Map<String, Load> loads = new HashMap<>();
+    private final ReceivedLoads loads = new ReceivedLoads();
     private final ExpectedPieces expectedPieces = new ExpectedPieces();
     private final PauseDetector pauseDetector = new PauseDetector();
-    private final Map<Long, Pending> pending = new LinkedHashMap<>();
+    private final Map<Long, PendingGroup> pending = new LinkedHashMap<>();
 
     /**
      * Group ids count up from a random start. Otherwise a node that restarts at once would reuse the ids of its
@@ -92,6 +82,7 @@
     private int round;
     private long handledPauseAt;
     private CallAdmission admission = CallAdmission.ALL;
+    private Supplier<Set<String>> shortage = Set::of;
 
     /**
      * Creates the service. The caller subscribes it to the mesh.
@@ -118,7 +109,7 @@
         this.directory = directory;
         this.port = port;
         this.limits = limits;
-        this.status = status;
+        this.chooser = new DispatcherChooser(relay, status);
         this.log = log;
         directory.subscribe(this::upstreamChanged);
     }
@@ -132,6 +123,15 @@
         admission = bound;
     }
 
+    /**
+     * Sets which pools are announced as short of capacity. To be called before {@link #start}.
+     *
+     * @param pools supplies their names, evaluated before each load update
+     */
+    public void announceShortage(Supplier<Set<String>> pools) {
+        shortage = pools;
+    }
+
     /**
      * Returns an id for the next group.
      *
@@ -148,7 +148,7 @@
      * @param listener receives the outcome of every piece, later on this thread
      */
     public void submit(PieceGroup group, PieceListener listener) {
-        Pending entry = new Pending(group, listener, timers.nanoTime());
+        PendingGroup entry = new PendingGroup(group, listener, timers.nanoTime());
         pending.put(group.id(), entry);
         forward(entry);
     }
@@ -159,14 +159,14 @@
      * @param id its id
      */
     public void cancel(long id) {
-        Pending entry = pending.remove(id);
+        PendingGroup entry = pending.remove(id);
         if (entry == null) {
             return;
         }
-        if (entry.owner.equals(mesh.self())) {
-            dispatcher(entry.group.pool()).cancel(mesh.self(), id);
+        if (entry.owner().equals(mesh.self())) {
+            dispatcher(entry.group().pool()).cancel(mesh.self(), id);
         } else {
-            relay.send(entry.owner, new PieceCancelMessage(id));
+            relay.send(entry.owner(), new PieceCancelMessage(id));
         }
     }
 
@@ -206,11 +206,14 @@
     public void start() {
         boolean full = ++round % ROUNDS_PER_FULL_UPDATE == 0;
         checkForPause();
-        if (!lostNodes.isEmpty()) {
+        if (chooser.hasLostNodes()) {
             moveOrphans();
         }
         expectedPieces.takeUpdates(full).forEach(this::sendExpectedPieces);
-        dispatchers.forEach((pool, dispatcher) -> broadcastLoad(pool, dispatcher, full));
+        Set<String> shortPools = shortage.get();
+        // Nodes learn of the shortage from the loads of this dispatcher, which needs no pieces of its own for that.
+        shortPools.stream().filter(this::isDispatchedHere).forEach(this::dispatcher);
+        dispatchers.forEach((pool, dispatcher) -> broadcastLoad(pool, dispatcher, full, shortPools.contains(pool)));
         timers.schedule(LOAD_INTERVAL_NANOS, this::start);
     }
 
@@ -223,14 +226,12 @@
     public PoolLoad load(String pool) {
         long now = timers.nanoTime();
         PoolDispatcher own = dispatchers.get(pool);
-        if (own != null && dispatcherNode(pool).equals(mesh.self())) {
+        if (own != null && isDispatchedHere(pool)) {
             return own.load().withExpectedPieces(expectedPieces.total(pool, now) + expectedPieces.unsent(pool));
         }
-        Load load = loads.get(pool);
-        boolean known = load != null && now - load.receivedAt() < MAX_LOAD_AGE_NANOS;
-        return known
-                ? load.load().withExpectedPieces(load.load().expectedPieces() + expectedPieces.unsent(pool))
-                : PoolLoad.UNKNOWN;
+        return loads.find(pool, now)
+                .map(load -> load.withExpectedPieces(load.expectedPieces() + expectedPieces.unsent(pool)))
+                .orElse(PoolLoad.UNKNOWN);
     }
 
     /**
@@ -266,7 +267,7 @@
 
     @Override
     public void onNodeUp(MeshNode node) {
-        lostNodes.remove(node.address());
+        chooser.onNodeUp(node);
     }
 
     @Override
@@ -281,9 +282,7 @@
         } else if (message instanceof PieceResultsMessage results) {
             onResults(node.address(), results);
         } else if (message instanceof PoolLoadMessage load) {
-            PoolLoad received =
-                    new PoolLoad(load.waitMillis() * NANOS_PER_MILLI, load.perSecond(), load.expectedPieces());
-            loads.put(load.pool(), new Load(received, timers.nanoTime()));
+            loads.put(load, timers.nanoTime());
         } else if (message instanceof ExpectedPiecesMessage expected) {
             expectedPieces.onUpdate(node.address(), expected.pool(), expected.pieces(), timers.nanoTime());
         }
@@ -293,7 +292,7 @@
     public void onNodeDown(MeshNode node) {
         long now = timers.nanoTime();
         expectedPieces.forget(node.address());
-        lostNodes.put(node.address(), new LostNode(node.hello(), now));
+        chooser.onNodeDown(node, now);
         moveOrphans();
         long incarnation = node.incarnation();
         timers.schedule(ORPHAN_RELEASE_DELAY_NANOS, () -> releaseOrphans(node.address(), incarnation, now));
@@ -322,13 +321,13 @@
 
     /** Sends groups to another dispatcher if theirs can be reached neither directly nor through other nodes. */
     private void moveOrphans() {
-        long now = timers.nanoTime();
-        lostNodes.values().removeIf(lost -> now - lost.lostAt() > LOST_NODE_RETENTION_NANOS);
-        List<Pending> orphans = pending.values().stream()
-                .filter(p -> !p.owner.equals(mesh.self()) && !relay.canReach(p.owner))
+        chooser.removeExpired(timers.nanoTime());
+        List<PendingGroup> orphans = pending.values().stream()
+                .filter(p -> !p.owner().equals(mesh.self()) && !relay.canReach(p.owner()))
                 .toList();
         if (!orphans.isEmpty()) {
-            LOGGER.warn("event=dispatcher-lost node={} groups={}", orphans.get(0).owner, orphans.size());
+            LOGGER.warn(
+                    "event=dispatcher-lost node={} groups={}", orphans.get(0).owner(), orphans.size());
         }
         orphans.forEach(this::forward);
     }
@@ -361,27 +360,32 @@
         }
     }
 
-    private void broadcastLoad(String pool, PoolDispatcher dispatcher, boolean full) {
+    private boolean isDispatchedHere(String pool) {
+        return dispatcherNode(pool).equals(mesh.self());
+    }
+
+    private void broadcastLoad(String pool, PoolDispatcher dispatcher, boolean full, boolean isShort) {
         PoolLoad load = dispatcher.load();
         long millis = load.waitNanos() / NANOS_PER_MILLI;
-        if (!dispatcherNode(pool).equals(mesh.self()) || millis < SHORT_WAIT_MILLIS && !full) {
+        if (!isDispatchedHere(pool) || millis < SHORT_WAIT_MILLIS && !full && !isShort) {
             return;
         }
         long expectedCount = expectedPieces.total(pool, timers.nanoTime());
-        PoolLoadMessage message = new PoolLoadMessage(pool, millis, (long) load.piecesPerSecond(), expectedCount);
+        PoolLoadMessage message =
+                new PoolLoadMessage(pool, millis, (long) load.piecesPerSecond(), expectedCount, isShort);
         mesh.broadcast(message);
-        lostNodes.keySet().stream().filter(relay::canReach).forEach(node -> relay.send(node, message));
+        chooser.lostButReachable().forEach(node -> relay.send(node, message));
     }
 
-    private void forward(Pending entry) {
-        long elapsed = (timers.nanoTime() - entry.submittedAt) / NANOS_PER_MILLI;
-        PieceGroup group = entry.group.withElapsed(elapsed, entry.missing);
-        entry.owner = dispatcherNode(group.pool());
-        if (!entry.owner.equals(mesh.self())) {
-            if (relay.send(entry.owner, group)) {
+    private void forward(PendingGroup entry) {
+        long elapsed = (timers.nanoTime() - entry.submittedAt()) / NANOS_PER_MILLI;
+        PieceGroup group = entry.group().withElapsed(elapsed, entry.missing());
+        entry.owner(dispatcherNode(group.pool()));
+        if (!entry.owner().equals(mesh.self())) {
+            if (relay.send(entry.owner(), group)) {
                 return;
             }
-            entry.owner = mesh.self();
+            entry.owner(mesh.self());
         }
         // Deferred, so that a caller does not receive results while it is still submitting.
         timers.schedule(0, () -> {
@@ -392,22 +396,22 @@
     }
 
     private void onResults(String from, PieceResultsMessage results) {
-        Pending entry = pending.get(results.group());
-        if (entry == null || !entry.owner.equals(from)) {
+        PendingGroup entry = pending.get(results.group());
+        if (entry == null || !entry.owner().equals(from)) {
             releaseUnwanted(results);
             return;
         }
         List<PieceResult> wanted = new ArrayList<>();
         for (PieceResult result : results.results()) {
-            if (entry.missing.remove((Integer) result.piece())) {
+            if (entry.missing().remove((Integer) result.piece())) {
                 wanted.add(result);
             }
         }
-        if (entry.missing.isEmpty()) {
+        if (entry.missing().isEmpty()) {
             pending.remove(results.group());
         }
         if (!wanted.isEmpty()) {
-            entry.listener.onResults(wanted);
+            entry.listener().onResults(wanted);
         }
     }
 
@@ -426,39 +430,13 @@
     }
 
     /**
-     * Chooses the dispatcher of a pool by rendezvous hashing among the serving nodes with the highest fitness. Nodes
-     * that can be reached only through others count as well, so that all nodes choose the same one.
+     * Returns the dispatcher of a pool, on which all nodes agree without messages.
      *
      * @param pool name of the pool
      * @return name of the dispatcher node
      */
     public String dispatcherNode(String pool) {
-        String best = mesh.self();
-        int fitness = status.isServing() ? status.fitness() : Integer.MIN_VALUE;
-        long score = RendezvousScore.of(pool, best);
-        for (MeshNode node : mesh.nodes()) {
-            if (isBetter(pool, node.address(), node.hello(), fitness, score)) {
-                best = node.address();
-                fitness = node.hello().fitness();
-                score = RendezvousScore.of(pool, best);
-            }
-        }
-        for (Map.Entry<String, LostNode> lost : lostNodes.entrySet()) {
-            NodeHelloMessage hello = lost.getValue().hello();
-            if (isBetter(pool, lost.getKey(), hello, fitness, score) && relay.canReach(lost.getKey())) {
-                best = lost.getKey();
-                fitness = hello.fitness();
-                score = RendezvousScore.of(pool, best);
-            }
-        }
-        return best;
-    }
-
-    private static boolean isBetter(String pool, String node, NodeHelloMessage hello, int fitness, long score) {
-        int candidateFitness = hello.fitness();
-        return hello.serving()
-                && (candidateFitness > fitness
-                        || candidateFitness == fitness && RendezvousScore.of(pool, node) > score);
+        return chooser.dispatcherNode(pool);
     }
 
     private PoolDispatcher dispatcher(String pool) {
@@ -476,11 +454,6 @@
         }
     }
 
-    private record Load(PoolLoad load, long receivedAt) {}
-
-    /** A recently lost node and the last greeting received from it. */
-    private record LostNode(NodeHelloMessage hello, long lostAt) {}
-
     /** Forwards the results of this node's dispatchers. */
     private final class Sink implements PoolDispatcher.ResultSink {
         @Override
@@ -505,20 +478,4 @@
             byPool.forEach(BatchService.this::releaseResults);
         }
     }
-
-    /** A submitted group that still lacks results. */
-    private static final class Pending {
-        private final PieceGroup group;
-        private final PieceListener listener;
-        private final long submittedAt;
-        private final List<Integer> missing;
-        private String owner = "";
-
-        private Pending(PieceGroup group, PieceListener listener, long submittedAt) {
-            this.group = group;
-            this.listener = listener;
-            this.submittedAt = submittedAt;
-            this.missing = new ArrayList<>(group.missing());
-        }
-    }
 }
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/batch/ReceivedLoads.java
@@ -0,0 +1,30 @@
+package org.copperspindle.batch;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * The loads of pools that their dispatchers have sent to this node.
+ */
+final class ReceivedLoads {
+
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+
+    private final Map<String, Load> loads = new HashMap<>();
+
+    void put(PoolLoadMessage message, long now) {
+        PoolLoad load =
+                new PoolLoad(message.waitMillis() * NANOS_PER_MILLI, message.perSecond(), message.expectedPieces());
+        loads.put(message.pool(), new Load(load, now));
+    }
+
+    /** Returns the last load of a pool unless it is too old. */
+    Optional<PoolLoad> find(String pool, long now) {
+        return Optional.ofNullable(loads.get(pool))
+                .filter(load -> now - load.receivedAt() < PoolLoadMessage.MAX_AGE_NANOS)
+                .map(Load::load);
+    }
+
+    private record Load(PoolLoad load, long receivedAt) {}
+}
--- a/library/src/main/java/org/copperspindle/gateway/GatewayContext.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayContext.java
@@ -5,6 +5,7 @@
 import org.copperspindle.admission.FirstEventLatencies;
 import org.copperspindle.admission.RetryAfterDelays;
 import org.copperspindle.admission.StageAdmission;
+import org.copperspindle.admission.StageStarts;
 import org.copperspindle.backpressure.SendPermits;
 import org.copperspindle.batch.BatchService;
 import org.copperspindle.batch.FetchTimeEstimator;
@@ -31,6 +32,7 @@
  * @param permits             admits requests to upstreams that have announced a limit
  * @param retryBudget         limits retries
  * @param stageAdmission      decides when stages begin
+ * @param stageStarts         asks the controllers of pool groups when stages begin
  * @param fetchTime           estimates how long upstreams take to fetch stage results
  * @param firstEventLatencies how long upstreams take to the first event once the stages are done
  * @param streamDurations     how long streams take after their first event
@@ -55,6 +57,7 @@
         SendPermits permits,
         SharedRetryBudget retryBudget,
         StageAdmission stageAdmission,
+        StageStarts stageStarts,
         FetchTimeEstimator fetchTime,
         FirstEventLatencies firstEventLatencies,
         StreamDurations streamDurations,
--- a/library/src/main/java/org/copperspindle/gateway/GatewayMessages.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayMessages.java
@@ -1,5 +1,8 @@
 package org.copperspindle.gateway;
 
+import org.copperspindle.admission.StartCancelMessage;
+import org.copperspindle.admission.StartRequestMessage;
+import org.copperspindle.admission.StartResponseMessage;
 import org.copperspindle.backpressure.LimitRecordsMessage;
 import org.copperspindle.backpressure.PermitRequestMessage;
 import org.copperspindle.backpressure.PermitResponseMessage;
@@ -48,7 +51,10 @@
                 .register(PieceCancelMessage.CODEC)
                 .register(ReleaseResultsMessage.CODEC)
                 .register(PoolLoadMessage.CODEC)
-                .register(ExpectedPiecesMessage.CODEC);
+                .register(ExpectedPiecesMessage.CODEC)
+                .register(StartRequestMessage.CODEC)
+                .register(StartResponseMessage.CODEC)
+                .register(StartCancelMessage.CODEC);
         ConsensusLog.codecs().forEach(registry::register);
         return registry;
     }
--- a/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
@@ -21,6 +21,7 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.copperspindle.admission.FirstEventLatencies;
+import org.copperspindle.admission.FleetStageStarts;
 import org.copperspindle.admission.RetryAfterDelays;
 import org.copperspindle.admission.StageAdmission;
 import org.copperspindle.backpressure.LimitGossip;
@@ -115,6 +116,7 @@
     private final VersionExchange versionExchange;
     private final VersionHolder versionHolder;
     private final BatchService batches;
+    private final FleetStageStarts stageStarts;
     private final OpenRequests openRequests = new OpenRequests();
     private final GatewayService service;
     private final GatewayCounters counters = new GatewayCounters();
@@ -174,7 +176,7 @@
                 pool -> versionHolder.heldTable().flatMap(t -> t.findPool(pool)).flatMap(UpstreamPool::batchLimits),
                 new OwnDispatcherStatus(),
                 decisionLog);
-        relay.listener(batches);
+        relay.subscribe(batches);
         mesh.subscribe(relay);
         LimitOwners limitOwners =
                 new LimitOwners(mesh, this::serves, isolation, directory, batches, versionHolder::heldTable);
@@ -185,6 +187,8 @@
                 settings.retries().slack(),
                 settings.retries().window());
         FirstEventLatencies firstEventLatencies = new FirstEventLatencies();
+        this.stageStarts = StageStartsFactory.create(
+                relay, timers, batches, versionHolder::heldTable, firstEventLatencies, decisionLog);
         ColdAdmission coldAdmission = new SenderSetAdmission(mesh.self(), mesh::serving, isolation::isIsolated);
         StageAdmission stageAdmission = new StageAdmission(batches::load, firstEventLatencies);
         GatewayContext context = new GatewayContext(
@@ -207,6 +211,7 @@
                 permits,
                 retryBudget,
                 stageAdmission,
+                stageStarts,
                 new FetchTimeEstimator(),
                 firstEventLatencies,
                 new StreamDurations(),
@@ -254,6 +259,7 @@
                 upstreamBackoffs,
                 batches,
                 stageAdmission,
+                stageStarts,
                 retryBudget,
                 counters,
                 quarantine,
@@ -275,6 +281,7 @@
         node.loop.execute(() -> {
             node.versionHolder.start();
             node.batches.start();
+            node.stageStarts.start();
             node.tick();
         });
         LOGGER.info(
@@ -342,6 +349,7 @@
         mesh.subscribe(new LimitGossip(mesh, timers, upstreamLimits, permits));
         mesh.subscribe(versionExchange);
         mesh.subscribe(batches);
+        mesh.subscribe(stageStarts);
         mesh.subscribe(quarantine);
         mesh.subscribe(new MeshListener() {
             @Override
--- a/library/src/main/java/org/copperspindle/gateway/NodeState.java
+++ b/library/src/main/java/org/copperspindle/gateway/NodeState.java
@@ -2,6 +2,7 @@
 
 import java.util.function.BooleanSupplier;
 
+import org.copperspindle.admission.FleetStageStarts;
 import org.copperspindle.admission.StageAdmission;
 import org.copperspindle.backpressure.SendPermits;
 import org.copperspindle.backpressure.UpstreamBackoffs;
@@ -29,6 +30,7 @@
  * @param backoffs             upstreams that have requested a backoff
  * @param batches              the work on stages
  * @param stageAdmission       admission to the stages
+ * @param stageStarts          starts of stages that are agreed with other nodes
  * @param retryBudget          the limit on retries
  * @param counters             the counts of requests
  * @param quarantine           quarantines requests that terminate their upstreams
@@ -46,6 +48,7 @@
         UpstreamBackoffs backoffs,
         BatchService batches,
         StageAdmission stageAdmission,
+        FleetStageStarts stageStarts,
         SharedRetryBudget retryBudget,
         GatewayCounters counters,
         RequestQuarantine quarantine,
--- a/library/src/main/java/org/copperspindle/gateway/RequestLogger.java
+++ b/library/src/main/java/org/copperspindle/gateway/RequestLogger.java
@@ -76,7 +76,7 @@
             return;
         }
         LOGGER.info(
-                "event=gate-{} request={} finish_ms={} left_ms={} held={} rank={} in_need={}",
+                "event=gate-{} request={} finish_ms={} left_ms={} held={} rank={} in_need={}" + " decided_by=node",
                 decision.verdict().name().toLowerCase(Locale.ROOT),
                 id,
                 decision.estimatedMillis(),
@@ -86,6 +86,48 @@
                 decision.underservedRoute().orElse(""));
     }
 
+    /**
+     * Logs that the controller was asked and has not decided at once.
+     *
+     * @param startId id of the start request, as in the controller's log
+     * @param now     monotonic time in nanoseconds
+     */
+    void startAsked(long startId, long now) {
+        if (log.allowsServed(now)) {
+            LOGGER.info(
+                    "event=gate-hold request={} left_ms={} rank={} start_id={} decided_by=controller",
+                    id,
+                    leftMillis(now),
+                    admitted.rank(),
+                    startId);
+        }
+    }
+
+    /**
+     * Logs the decision of the controller.
+     *
+     * @param startId id of the start request, as in the controller's log
+     * @param starts  true if the stages start, false if the request is refused
+     * @param askedAt when the controller was asked, monotonic time in nanoseconds
+     * @param now     monotonic time in nanoseconds
+     */
+    void startDecided(long startId, boolean starts, long askedAt, long now) {
+        if (isLogged(!starts, now)) {
+            LOGGER.info(
+                    "event=gate-{} request={} left_ms={} waited_ms={} rank={} start_id={} decided_by=controller",
+                    starts ? "begin" : "refuse",
+                    id,
+                    leftMillis(now),
+                    (now - askedAt) / NANOS_PER_MILLI,
+                    admitted.rank(),
+                    startId);
+        }
+    }
+
+    private long leftMillis(long now) {
+        return (admitted.objectiveAt() - now) / NANOS_PER_MILLI;
+    }
+
     /**
      * Logs that an attempt was sent.
      *
--- a/library/src/main/java/org/copperspindle/gateway/RequestRun.java
+++ b/library/src/main/java/org/copperspindle/gateway/RequestRun.java
@@ -1,14 +1,11 @@
 package org.copperspindle.gateway;
 
-import java.time.Duration;
 import java.util.HashSet;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 
-import org.copperspindle.admission.StageAdmissionDecision;
-import org.copperspindle.admission.StageAdmissionVerdict;
 import org.copperspindle.batch.MissReason;
 import org.copperspindle.direct.ConnectionUse;
 import org.copperspindle.direct.DirectHead;
@@ -35,9 +32,6 @@
 
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
-    /** Interval for evaluating a deferred request again; the pools report their waits about as often. */
-    private static final long DEFERRED_CHECK_NANOS = Duration.ofMillis(75).toNanos();
-
     private static final int SERVER_ERROR = 500;
 
     private final GatewayContext context;
@@ -52,19 +46,17 @@
     private final RequestLogger requestLogger;
     private final TrackedRequest tracked;
     private final Set<String> tried = new HashSet<>();
+    private final StageEntrance entrance;
     private final UpstreamAttempt.Listener attemptListener = new AttemptListener();
     private Optional<StageRun> stages = Optional.empty();
     private Optional<UpstreamSearch> search = Optional.empty();
     private Optional<UpstreamAttempt> attempt = Optional.empty();
     private Optional<UpstreamRun> lastRun = Optional.empty();
     private TimerSubscription timeout = () -> {};
-    private long stagesStartedAt;
-    private long estimatedStagesNanos;
     private long firstEventAt;
     private int stageRuns;
     private int sent;
     private int unsent;
-    private boolean deferred;
     private boolean mayHaveRun;
     private boolean ended;
 
@@ -80,6 +72,7 @@
         this.relay = new EventStreamRelay(exchange, context.timers()::nanoTime);
         this.tracked = admitted.tracked();
         this.requestLogger = new RequestLogger(context.log(), context.tracker(), admitted);
+        this.entrance = new StageEntrance(context, admitted, tried, requestLogger, new EntranceListener());
     }
 
     /** Starts processing; the response is sent later. */
@@ -98,7 +91,7 @@
         } else if (route.stages().isEmpty()) {
             startAttempt();
         } else {
-            admitToStages();
+            entrance.enter();
         }
     }
 
@@ -132,8 +125,7 @@
     @Override
     public void onStagesDone() {
         if (stageRuns == 1 && !route.stages().isEmpty()) {
-            long now = context.timers().nanoTime();
-            context.stageAdmission().recordStages(route, estimatedStagesNanos, now - stagesStartedAt, now);
+            entrance.recordStages();
         }
         startAttempt();
     }
@@ -156,51 +148,6 @@
                 "stage-" + stage + "-" + reason.name().toLowerCase(Locale.ROOT), "a stage could not be run in time"));
     }
 
-    private void admitToStages() {
-        if (ended) {
-            return;
-        }
-        if (context.isolation().isIsolated()) {
-            // A partitioned node would batch calls by itself and compete with the nodes that work without it.
-            refuse(unavailable("cut-off", "this node does not reach the others"));
-            return;
-        }
-        long now = context.timers().nanoTime();
-        OptionalLong backpressure = UpstreamSearch.backpressureNanos(context, admitted, tried, now);
-        if (backpressure.isPresent()) {
-            // Its stages would run in vain.
-            refuse(Refusal.backpressure(context.retryAfterDelays().after(backpressure.getAsLong())));
-            return;
-        }
-        StageAdmissionDecision decision = context.stageAdmission().decide(admitted, deferred, now);
-        StageAdmissionVerdict verdict = decision.verdict();
-        requestLogger.stageDecision(decision, deferred, now);
-        if (verdict == StageAdmissionVerdict.HOLD) {
-            setDeferred(true);
-            context.timers().schedule(DEFERRED_CHECK_NANOS, this::admitToStages);
-            return;
-        }
-        setDeferred(false);
-        if (verdict == StageAdmissionVerdict.BEGIN) {
-            stagesStartedAt = now;
-            estimatedStagesNanos = decision.estimatedStagesNanos();
-            runStages();
-        } else {
-            refuse(Refusal.unavailable(
-                    "stages-full",
-                    "the stages have no room for the request in its time",
-                    context.retryAfterDelays()
-                            .afterBurst(deadlineAt - context.timers().nanoTime())));
-        }
-    }
-
-    private void setDeferred(boolean defer) {
-        if (deferred != defer) {
-            deferred = defer;
-            context.stageAdmission().adjustDeferred(defer ? 1 : -1);
-        }
-    }
-
     /**
      * Runs all stages again. Producers drop results when stages wait for seconds. An immediate second run would add
      * to the load that caused the loss, so a request that no upstream has received passes the stage admission again.
@@ -211,7 +158,7 @@
             return;
         }
         stages.ifPresent(StageRun::releaseAll);
-        admitToStages();
+        entrance.enter();
     }
 
     private void rerunLostStages() {
@@ -398,7 +345,7 @@
 
     private void finish(String outcome, boolean failed) {
         ended = true;
-        setDeferred(false);
+        entrance.cancel();
         context.openRequests().remove(this);
         timeout.cancel();
         search.ifPresent(UpstreamSearch::cancel);
@@ -412,6 +359,24 @@
         return Refusal.unavailable(reason, title, context.retryAfterDelays().soon());
     }
 
+    /** Handles the decision on the start of the stages. */
+    private final class EntranceListener implements StageEntrance.Listener {
+        @Override
+        public void onAdmitted() {
+            if (context.quarantine().isQuarantined(tracked)) {
+                // The request was quarantined while it waited.
+                refuseQuarantined();
+            } else {
+                runStages();
+            }
+        }
+
+        @Override
+        public void onRefused(Refusal refusal) {
+            refuse(refusal);
+        }
+    }
+
     /** Handles the result of the search for an upstream. */
     private final class SearchListener implements UpstreamSearch.Listener {
         @Override
--- a/library/src/main/java/org/copperspindle/mesh/MeshRelay.java
+++ b/library/src/main/java/org/copperspindle/mesh/MeshRelay.java
@@ -1,5 +1,7 @@
 package org.copperspindle.mesh;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 
 import org.apache.logging.log4j.LogManager;
@@ -20,7 +22,7 @@
 
     private final NodeMesh mesh;
     private final MessageRegistry registry;
-    private MeshListener listener = new MeshListener() {};
+    private final List<MeshListener> listeners = new ArrayList<>();
 
     /**
      * Creates the relay. The caller subscribes it to the mesh.
@@ -34,12 +36,12 @@
     }
 
     /**
-     * Sets the listener for relayed messages.
+     * Adds a listener for relayed messages.
      *
      * @param receiver called as if the messages had arrived directly
      */
-    public void listener(MeshListener receiver) {
-        listener = receiver;
+    public void subscribe(MeshListener receiver) {
+        listeners.add(receiver);
     }
 
     /**
@@ -89,7 +91,8 @@
         }
         try {
             registry.decode(relayed.payload())
-                    .ifPresent(inner -> listener.onMessage(new MeshNode(relayed.from()), inner));
+                    .ifPresent(inner ->
+                            listeners.forEach(listener -> listener.onMessage(new MeshNode(relayed.from()), inner)));
         } catch (MalformedFrameException e) {
             LOGGER.warn("event=relayed-message-unreadable from={} via={}", relayed.from(), node.address());
         }
--- a/library/src/test/java/org/copperspindle/batch/BatchServiceTest.java
+++ b/library/src/test/java/org/copperspindle/batch/BatchServiceTest.java
@@ -140,7 +140,7 @@
                 pool -> Optional.of(LIMITS),
                 new LowFitnessNode(),
                 new LogRateLimiter(0, 0));
-        relay.listener(made);
+        relay.subscribe(made);
         mesh.subscribe(relay);
         mesh.subscribe(made);
         return made;
--- a/library/src/test/java/org/copperspindle/mesh/MeshRelayTest.java
+++ b/library/src/test/java/org/copperspindle/mesh/MeshRelayTest.java
@@ -43,7 +43,7 @@
 
     MeshRelayTest() {
         mesh.subscribe(relay);
-        relay.listener(new MeshListener() {
+        relay.subscribe(new MeshListener() {
             @Override
             public void onMessage(MeshNode node, WireMessage message) {
                 received.add(node.address() + ' ' + ((NodeHelloMessage) message).control());
