--- a/library/src/main/java/org/copperspindle/admission/FleetStageStarts.java
+++ b/library/src/main/java/org/copperspindle/admission/FleetStageStarts.java
@@ -359,10 +359,11 @@
         if (questions.get(question.id) != question || question.controller.equals(self)) {
             return;
         }
-        if (!question.acknowledged) {
-            send(question);
-        } else if (timers.nanoTime() - question.askedAt >= RENEWAL_NANOS) {
+        long age = timers.nanoTime() - question.askedAt;
+        if (question.acknowledged && age >= RENEWAL_NANOS) {
             ask(question);
+        } else if (!question.acknowledged && age >= BatchService.LOAD_INTERVAL_NANOS) {
+            send(question);
         }
     }
 
