--- a/library/src/main/java/org/copperspindle/gateway/GatewayMetrics.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayMetrics.java
@@ -24,17 +24,20 @@
     private static final int OK = 200;
 
     private final NodeState node;
+    private final AdmissionMetrics admissionMetrics;
     private final Set<String> published = new HashSet<>();
     private Optional<MetricsRegistry> registry = Optional.empty();
 
     GatewayMetrics(NodeState node) {
         this.node = node;
+        this.admissionMetrics = new AdmissionMetrics(node.stageStarts());
     }
 
     @Override
     public void handle(HttpExchange exchange) {
         MetricsRegistry metrics = registry.orElseGet(this::createRegistry);
         publishNew(metrics);
+        admissionMetrics.publishNew(metrics);
         exchange.respond(OK, CONTENT_TYPE, Map.of(), metrics.scrape().getBytes(StandardCharsets.UTF_8));
     }
 
@@ -123,6 +126,7 @@
                 "upstreams.at.rest",
                 "Upstreams that want nothing from this node for a while",
                 n -> n.backoffs().count(System.nanoTime()));
+        admissionMetrics.publish(metrics);
         gauge(metrics, "heap.bytes", "Heap in use", n -> usedHeap());
         metrics.counter("attempts", "Attempts sent", node, n -> n.counters().attempts());
         metrics.counter(
--- a/library/src/test/java/org/copperspindle/batch/BatchServiceTest.java
+++ b/library/src/test/java/org/copperspindle/batch/BatchServiceTest.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 
 import org.copperspindle.discovery.UpstreamDirectory;
 import org.copperspindle.measure.LogRateLimiter;
@@ -126,6 +127,22 @@
         assertThat(dispatching.waitingPieces()).isEqualTo(groupsLeft);
     }
 
+    /**
+     * While a pool is short, all nodes must learn of it in every interval of 80 ms, also from a dispatcher that has no
+     * pieces of the pool itself; otherwise nothing is sent in most intervals, to save traffic.
+     */
+    @ParameterizedTest
+    @CsvSource({"true, 10", "false, 0"})
+    void shortageIsAnnouncedInEveryInterval(boolean isShort, int announced) {
+        service.announceShortage(() -> isShort ? Set.of("p") : Set.of());
+        connect(other, -1, List.of());
+        service.start();
+        time.advance(9 * 80 * MILLI);
+        assertThat(other.sent(PoolLoadMessage.class))
+                .filteredOn(PoolLoadMessage::isShort)
+                .hasSize(announced);
+    }
+
     private BatchService service() {
         return service(time);
     }
--- a/tools/src/main/java/org/copperspindle/cli/RequestTimeline.java
+++ b/tools/src/main/java/org/copperspindle/cli/RequestTimeline.java
@@ -30,6 +30,8 @@
             "started",
             "lines-dropped");
 
+    private static final Set<String> ADMISSION_EVENTS = Set.of("admission-decided", "admission-unanswered");
+
     private final List<LogLine> lines;
 
     private RequestTimeline(List<LogLine> lines) {
@@ -39,8 +41,9 @@
     /** Selects and orders the lines that explain a request. */
     static RequestTimeline of(String request, List<LogLine> all) {
         Map<String, List<LogLine>> linesByProcess = new LinkedHashMap<>();
+        Set<String> startIds = startIds(request, all);
         for (LogLine line : all) {
-            if (line.concerns(request)) {
+            if (line.concerns(request) || isDecisionOn(startIds, line)) {
                 linesByProcess
                         .computeIfAbsent(line.process(), p -> new ArrayList<>())
                         .add(line);
@@ -52,15 +55,9 @@
         List<LogLine> receivingNodeLines = receivingNode(linesByProcess);
         long begin = receivingNodeLines.get(0).millis();
         long end = receivingNodeLines.get(receivingNodeLines.size() - 1).millis();
-        // Other nodes take part in the stages only, which finish before the first attempt at the upstream.
-        long stagesEnd = receivingNodeLines.stream()
-                .filter(line -> line.event().equals("attempt-sent"))
-                .mapToLong(line -> line.millis() - 1)
-                .findFirst()
-                .orElse(end);
         Map<String, Long> clockOffsets = new LinkedHashMap<>();
         linesByProcess.forEach((process, processLines) -> clockOffsets.put(
-                process, processLines == receivingNodeLines ? 0L : clockOffset(processLines, begin, stagesEnd)));
+                process, processLines == receivingNodeLines ? 0L : clockOffset(processLines, receivingNodeLines)));
         List<LogLine> timeline = new ArrayList<>();
         linesByProcess.forEach((process, processLines) ->
                 processLines.forEach(line -> timeline.add(line.withOffset(clockOffsets.get(process)))));
@@ -81,6 +78,23 @@
                 .toList();
     }
 
+    /**
+     * Returns the ids under which the request's node asked a controller for its start. The controller knows the
+     * request by these only.
+     */
+    private static Set<String> startIds(String request, List<LogLine> all) {
+        Set<String> ids = new HashSet<>();
+        all.stream()
+                .filter(line -> line.concerns(request))
+                .forEach(line -> line.value("start_id").ifPresent(ids::add));
+        return ids;
+    }
+
+    private static boolean isDecisionOn(Set<String> startIds, LogLine line) {
+        return ADMISSION_EVENTS.contains(line.event())
+                && line.value("start_id").filter(startIds::contains).isPresent();
+    }
+
     /** Returns the lines of the node that received the request from the caller. */
     private static List<LogLine> receivingNode(Map<String, List<LogLine>> linesByProcess) {
         return linesByProcess.values().stream()
@@ -93,16 +107,34 @@
     }
 
     /**
-     * Estimates the clock offset of another process: the smallest correction that moves its lines about the request
-     * between the request's begin and end.
+     * Estimates the clock offset of another process: the smallest correction that moves each of its lines about the
+     * request to a time at which it can have been written, as far as all of them allow it.
      */
-    private static long clockOffset(List<LogLine> processLines, long begin, long end) {
-        long first = processLines.get(0).millis();
-        long last = processLines.get(processLines.size() - 1).millis();
-        if (first < begin) {
-            return begin - first;
+    private static long clockOffset(List<LogLine> processLines, List<LogLine> receivingNodeLines) {
+        long begin = receivingNodeLines.get(0).millis();
+        long end = receivingNodeLines.get(receivingNodeLines.size() - 1).millis();
+        // Other nodes take part in the stages only, which finish before the first attempt at the upstream.
+        long stagesEnd = receivingNodeLines.stream()
+                .filter(line -> line.event().equals("attempt-sent"))
+                .mapToLong(line -> line.millis() - 1)
+                .findFirst()
+                .orElse(end);
+        long least = Long.MIN_VALUE;
+        long most = Long.MAX_VALUE;
+        for (LogLine line : processLines) {
+            long from = begin;
+            long to = stagesEnd;
+            for (LogLine own : receivingNodeLines) {
+                if (isDecisionOn(Set.of(own.value("start_id").orElse("")), line)) {
+                    // A controller decides after it was asked and before the node has its decision.
+                    from = own.event().equals("gate-hold") ? own.millis() : from;
+                    to = own.event().equals("gate-hold") ? to : Math.min(to, own.millis() - 1);
+                }
+            }
+            least = Math.max(least, from - line.millis());
+            most = Math.min(most, to - line.millis());
         }
-        return last > end ? Math.min(0, Math.max(end - last, begin - first)) : 0;
+        return Math.max(least, Math.min(0, most));
     }
 
     private static void addContext(
--- a/tools/src/test/java/org/copperspindle/cli/RequestTimelineTest.java
+++ b/tools/src/test/java/org/copperspindle/cli/RequestTimelineTest.java
@@ -43,6 +43,25 @@
         assertThat(RequestTimeline.of("r", lines).print()).hasSize(2).allMatch(line -> line.contains("node-1"));
     }
 
+    /**
+     * The controller knows a request by the id of its start request only. Without its line nobody could tell why the
+     * request was refused. Decisions on other requests would mislead.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {0, -2000, 2000})
+    void showsTheDecisionOfTheController(long skew) {
+        List<LogLine> lines = lines(
+                "a ts=11000 level=INFO logger=X event=request-admitted request=r1 route=x",
+                "a ts=11001 level=INFO logger=X event=gate-hold request=r1 start_id=77 decided_by=controller",
+                "c ts=" + (11200 + skew) + " level=INFO logger=X event=admission-decided start_id=77 verdict=refuse",
+                "c ts=" + (11201 + skew) + " level=INFO logger=X event=admission-decided start_id=777 verdict=start",
+                "a ts=11300 level=INFO logger=X event=gate-refuse request=r1 start_id=77 decided_by=controller",
+                "a ts=11300 level=INFO logger=X event=request-ended request=r1 outcome=stages-full");
+        assertThat(RequestTimeline.of("r1", lines).print())
+                .extracting(line -> line.replaceAll(".*event=(\\S+).*", "$1"))
+                .containsExactly("request-admitted", "gate-hold", "admission-decided", "gate-refuse", "request-ended");
+    }
+
     @Test
     void unknownRequestHasNoLines() {
         assertThat(RequestTimeline.of("r", lines("a ts=1 level=INFO logger=X event=request-ended request=s"))
