--- a/library/src/main/java/org/copperspindle/admission/StartController.java
+++ b/library/src/main/java/org/copperspindle/admission/StartController.java
@@ -38,7 +38,7 @@
     StartController(
             StartPolicy policy, TimerService timers, Responder responder, StartCounters counters, LogRateLimiter log) {
         this.queue = policy.queues().get();
-        this.forecast = policy.forecast();
+        this.forecast = policy.forecasts().get();
         this.timers = timers;
         this.responder = responder;
         this.counters = counters;
--- a/library/src/main/java/org/copperspindle/admission/StartPolicy.java
+++ b/library/src/main/java/org/copperspindle/admission/StartPolicy.java
@@ -13,14 +13,14 @@
  * The pure decisions that {@link FleetStageStarts} carries out.
  *
  * @param queues    creates the queue of a pool group
- * @param forecast  estimates for the requests of all groups
+ * @param forecasts creates the estimates for the requests of a pool group
  * @param groups    groups the pools of a route table; evaluated once per table
  * @param shortages creates the shortage detection of a pool
  * @param weights   share of a client account relative to other accounts, above 0
  */
 public record StartPolicy(
         Supplier<StartQueue> queues,
-        StartForecast forecast,
+        Supplier<StartForecast> forecasts,
         Function<RouteTable, Groups> groups,
         Supplier<Shortage> shortages,
         ToDoubleFunction<ClientAccount> weights) {
--- a/library/src/test/java/org/copperspindle/admission/FakeStartPolicy.java
+++ b/library/src/test/java/org/copperspindle/admission/FakeStartPolicy.java
@@ -32,7 +32,8 @@
                 return true;
             }
         };
-        return new StartPolicy(() -> this, this, table -> groups, () -> (queueing, fullCall, now) -> isShort, a -> 1);
+        return new StartPolicy(
+                () -> this, () -> this, table -> groups, () -> (queueing, fullCall, now) -> isShort, a -> 1);
     }
 
     @Override
