Add the memory budget of a node and the policy that relieves it

Cause: each response is bounded alone; nothing bounds their sum or decides which one is broken off when memory runs short. Change: org.copperspindle.memory with HeldMemory (reserve, release, pressure), its implementation, and the pure SheddingPolicy. Nothing uses it yet.

--- /dev/null
+++ b/library/src/main/java/org/copperspindle/memory/MemoryHolder.java
@@ -0,0 +1,110 @@
+package org.copperspindle.memory;
+
+import java.util.Arrays;
+
+/**
+ * The bytes held for one request and its response. Thread-safe.
+ */
+public final class MemoryHolder {
+
+    private static final HeldKind[] KINDS = HeldKind.values();
+
+    private final long[] bytesByKind = new long[KINDS.length];
+    private String id = "";
+    private boolean repeatable;
+    private boolean started;
+    private boolean closed;
+    private long readAt;
+    private Runnable breakOff = () -> {};
+
+    MemoryHolder() {}
+
+    /**
+     * Sets what identifies the request, and whether it can be served again.
+     *
+     * @param requestId   id for log lines
+     * @param canBeServed true if the caller may repeat the request or resume its stream
+     */
+    public synchronized void describe(String requestId, boolean canBeServed) {
+        id = requestId;
+        repeatable = canBeServed;
+    }
+
+    /** Records that the response has started. */
+    public synchronized void responseStarted() {
+        started = true;
+    }
+
+    /**
+     * Sets how the response is broken off. The action must not end it as if it were complete.
+     *
+     * @param action the action; runs on the thread that reserves memory
+     */
+    public synchronized void onBreakOff(Runnable action) {
+        breakOff = action;
+    }
+
+    /**
+     * Returns how many bytes are held.
+     *
+     * @return bytes of all kinds
+     */
+    public synchronized long bytes() {
+        long sum = 0;
+        for (long bytes : bytesByKind) {
+            sum += bytes;
+        }
+        return sum;
+    }
+
+    synchronized String id() {
+        return id;
+    }
+
+    void breakOff() {
+        Runnable action;
+        synchronized (this) {
+            action = breakOff;
+        }
+        action.run();
+    }
+
+    /** Adds bytes and returns how many were added: none once the holder is closed. */
+    synchronized long add(HeldKind kind, long bytes, long now) {
+        if (closed) {
+            return 0;
+        }
+        if (kind == HeldKind.UNSENT_RESPONSE && bytesByKind[kind.ordinal()] == 0) {
+            // The caller had read everything until now.
+            readAt = now;
+        }
+        bytesByKind[kind.ordinal()] += bytes;
+        return bytes;
+    }
+
+    /** Removes bytes and returns how many were removed: none once the holder is closed. */
+    synchronized long remove(HeldKind kind, long bytes) {
+        long removed = Math.min(bytes, bytesByKind[kind.ordinal()]);
+        bytesByKind[kind.ordinal()] -= removed;
+        return removed;
+    }
+
+    /** Closes the holder and returns how many bytes it still had. */
+    synchronized long close() {
+        closed = true;
+        long rest = bytes();
+        Arrays.fill(bytesByKind, 0);
+        return rest;
+    }
+
+    synchronized void readAt(long now) {
+        readAt = now;
+    }
+
+    /** Returns what the policy needs to know. */
+    synchronized HeldResponse response(long now) {
+        long unsent = bytesByKind[HeldKind.UNSENT_RESPONSE.ordinal()];
+        long responseBytes = unsent + bytesByKind[HeldKind.BUFFERED_RESPONSE.ordinal()];
+        return new HeldResponse(this, bytes(), responseBytes, unsent == 0 ? 0 : now - readAt, repeatable, started);
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/memory/SheddingPolicy.java
@@ -0,0 +1,80 @@
+package org.copperspindle.memory;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+
+/**
+ * Decides which responses are broken off, and whether a large body is read, when memory is short. A pure function of
+ * its arguments.
+ */
+final class SheddingPolicy {
+
+    /** Used share of the budget from which responses are broken off. */
+    static final double SHEDDING_PRESSURE = 0.9;
+
+    /** Used share of the budget from which it is full. */
+    static final double FULL_PRESSURE = 1;
+
+    /**
+     * Callers are compared by this unit of unread time. A caller on a slow link reads at least once in it, so that only
+     * those that have stopped reading reach the first unit; smaller differences are due to chance.
+     */
+    static final long UNREAD_UNIT_NANOS = Duration.ofSeconds(1).toNanos();
+
+    /** Unread longest first; then those that may be repeated or resumed, those not started, and the largest. */
+    private static final Comparator<HeldResponse> ORDER = Comparator.comparingLong(SheddingPolicy::unreadUnits)
+            .reversed()
+            .thenComparing(r -> !r.repeatable())
+            .thenComparing(HeldResponse::started)
+            .thenComparing(Comparator.comparingLong(HeldResponse::bytes).reversed());
+
+    private SheddingPolicy() {}
+
+    /**
+     * Returns the responses to break off. From a pressure of 0.9, those whose callers have stopped reading, until the
+     * pressure is below; from 1, others as well, until it is below 1.
+     *
+     * @param holders     all holders; those without bytes of a response are passed over
+     * @param heldBytes   bytes held by all
+     * @param budgetBytes size of the budget
+     * @return the responses, in the order in which they are to be broken off
+     */
+    static List<HeldResponse> breakOff(List<HeldResponse> holders, long heldBytes, long budgetBytes) {
+        List<HeldResponse> chosen = new ArrayList<>();
+        if (heldBytes < SHEDDING_PRESSURE * budgetBytes) {
+            return chosen;
+        }
+        long left = heldBytes;
+        List<HeldResponse> candidates = holders.stream()
+                .filter(r -> r.responseBytes() > 0)
+                .sorted(ORDER)
+                .toList();
+        for (HeldResponse next : candidates) {
+            double target = unreadUnits(next) > 0 ? SHEDDING_PRESSURE : FULL_PRESSURE;
+            if (left < target * budgetBytes) {
+                return chosen;
+            }
+            chosen.add(next);
+            left -= next.bytes();
+        }
+        return chosen;
+    }
+
+    /**
+     * Returns whether a request body may be read.
+     *
+     * @param bodyBytes   its size as far as known
+     * @param heldBytes   bytes held by all
+     * @param budgetBytes size of the budget
+     * @return false if it is large and the budget is full
+     */
+    static boolean mayReadBody(long bodyBytes, long heldBytes, long budgetBytes) {
+        return bodyBytes <= HeldMemory.LARGE_BODY_BYTES || heldBytes < FULL_PRESSURE * budgetBytes;
+    }
+
+    private static long unreadUnits(HeldResponse response) {
+        return response.unreadNanos() / UNREAD_UNIT_NANOS;
+    }
+}
