Count what a node holds for callers, and slow upstreams to the speed of callers

Cause: an upstream is read as fast as it sends, whatever the caller takes, and the sum of what is held isn't known.

--- a/library/src/main/java/org/copperspindle/direct/DirectConnection.java
+++ b/library/src/main/java/org/copperspindle/direct/DirectConnection.java
@@ -89,6 +89,11 @@
         channel.close();
     }
 
+    /** Pauses or resumes reading. */
+    void setReading(boolean reads) {
+        channel.config().setAutoRead(reads);
+    }
+
     /** Closes the connection without notifying its call, whose result nobody waits for any more. */
     void abandon() {
         exchange = null;
@@ -246,6 +251,9 @@
         responseComplete = false;
         usedBefore = true;
         if (keepAlive && channel.isActive()) {
+            // The response may have ended with the last data that was read before a pause. A kept connection must
+            // read to notice its close.
+            setReading(true);
             pool.idle(this);
         } else {
             channel.close();
--- a/library/src/main/java/org/copperspindle/direct/DirectExchange.java
+++ b/library/src/main/java/org/copperspindle/direct/DirectExchange.java
@@ -34,6 +34,13 @@
         }
     }
 
+    @Override
+    public void setReading(boolean reads) {
+        if (!ended && connection != null) {
+            connection.setReading(reads);
+        }
+    }
+
     /** Records that the call is sent on a kept connection, at a time in nanoseconds of the monotonic clock. */
     void sentOnKeptAt(long now) {
         onKeptConnection = true;
--- a/library/src/main/java/org/copperspindle/direct/UpstreamPort.java
+++ b/library/src/main/java/org/copperspindle/direct/UpstreamPort.java
@@ -23,5 +23,14 @@
          * @param reason cause, for logs
          */
         void abort(String reason);
+
+        /**
+         * Pauses or resumes reading of the response, so that the upstream is slowed to the speed of the reader. Data
+         * that was read before is still passed on. While paused, the loss of the connection isn't noticed; the caller
+         * bounds the pause. Does nothing once the call has ended.
+         *
+         * @param reads false to pause
+         */
+        default void setReading(boolean reads) {}
     }
 }
--- a/library/src/main/java/org/copperspindle/gateway/EventFramer.java
+++ b/library/src/main/java/org/copperspindle/gateway/EventFramer.java
@@ -39,6 +39,11 @@
         return partial.length > 0;
     }
 
+    /** Returns the size of the partial event. */
+    int partialBytes() {
+        return partial.length;
+    }
+
     /** Returns the position after the next blank line, or -1. */
     private static int endOfEvent(byte[] bytes, int from) {
         int lineStart = from;
--- a/library/src/main/java/org/copperspindle/gateway/EventStreamRelay.java
+++ b/library/src/main/java/org/copperspindle/gateway/EventStreamRelay.java
@@ -69,6 +69,16 @@
         return true;
     }
 
+    /** Returns the exchange of the caller. */
+    HttpExchange exchange() {
+        return exchange;
+    }
+
+    /** Returns how many bytes of an incomplete event are buffered. */
+    int partialEventBytes() {
+        return framer.partialBytes();
+    }
+
     boolean hasStarted() {
         return started;
     }
--- a/library/src/main/java/org/copperspindle/gateway/GatewayContext.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayContext.java
@@ -12,6 +12,7 @@
 import org.copperspindle.direct.UpstreamPort;
 import org.copperspindle.discovery.DirectoryGossip;
 import org.copperspindle.measure.LogRateLimiter;
+import org.copperspindle.memory.HeldMemory;
 import org.copperspindle.mesh.IsolationDetector;
 import org.copperspindle.quarantine.RequestQuarantine;
 import org.copperspindle.time.TimerService;
@@ -41,6 +42,8 @@
  * @param random              draws pools by weight
  * @param retryAfterDelays    when refused callers should retry
  * @param quarantine          quarantines requests that terminate their upstreams
+ * @param memory              memory held for callers
+ * @param pausedUpstreams     upstreams that are not read because their callers don't read
  */
 record GatewayContext(
         TimerService timers,
@@ -64,4 +67,6 @@
         LogRateLimiter log,
         RandomGenerator random,
         RetryAfterDelays retryAfterDelays,
-        RequestQuarantine quarantine) {}
+        RequestQuarantine quarantine,
+        HeldMemory memory,
+        PausedUpstreams pausedUpstreams) {}
--- a/library/src/main/java/org/copperspindle/gateway/GatewayMetrics.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayMetrics.java
@@ -123,6 +123,7 @@
                 "upstreams.at.rest",
                 "Upstreams that want nothing from this node for a while",
                 n -> n.backoffs().count(System.nanoTime()));
+        HeldMemoryMetrics.register(metrics, node);
         gauge(metrics, "heap.bytes", "Heap in use", n -> usedHeap());
         metrics.counter("attempts", "Attempts sent", node, n -> n.counters().attempts());
         metrics.counter(
--- a/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
@@ -43,6 +43,8 @@
 import org.copperspindle.http.HttpListener;
 import org.copperspindle.http.HttpRequestHandler;
 import org.copperspindle.measure.LogRateLimiter;
+import org.copperspindle.memory.HeldMemories;
+import org.copperspindle.memory.HeldMemory;
 import org.copperspindle.mesh.IsolationDetector;
 import org.copperspindle.mesh.MeshListener;
 import org.copperspindle.mesh.MeshNode;
@@ -96,6 +98,10 @@
     private static final int MAX_SERVED_LINES_PER_SECOND = 300;
     private static final int MAX_FAILED_LINES_PER_SECOND = 200;
     private static final int MAX_CONNECTIONS = 2500;
+
+    /** A response that needs more than this part of the budget would crowd out the others. */
+    private static final int RESPONSES_IN_BUDGET = 8;
+
     private static final int MAX_CONTROL_BODY_BYTES = 8 << 20;
     private static final int OK = 200;
     private static final int UNAVAILABLE = 503;
@@ -128,6 +134,7 @@
     private final UpstreamBackoffs upstreamBackoffs;
     private final SendPermits permits;
     private final RequestQuarantine quarantine;
+    private final HeldMemory memory;
     private final long startedAt = System.nanoTime();
     private Optional<ControlGroupMember> member = Optional.empty();
     private boolean ready;
@@ -156,6 +163,12 @@
                 timers, dialects.tableReader(), lease, new SuspensionDetector(), versionExchange::requestLease);
         versionExchange.holder(versionHolder);
         LogRateLimiter decisionLog = new LogRateLimiter(MAX_SERVED_LINES_PER_SECOND, MAX_FAILED_LINES_PER_SECOND);
+        this.memory = HeldMemories.create(
+                HeldMemories.budgetBytes(
+                        settings.memoryBytes(), Runtime.getRuntime().maxMemory()),
+                timers::nanoTime,
+                decisionLog);
+        PausedUpstreams paused = new PausedUpstreams();
         DirectClient client = new DirectClient(
                 loop,
                 timers,
@@ -216,7 +229,9 @@
                 decisionLog,
                 ThreadLocalRandom.current(),
                 new RetryAfterDelays(ThreadLocalRandom.current()),
-                quarantine);
+                quarantine,
+                memory,
+                paused);
         subscribe();
         settings.dataFolder().ifPresent(folder -> openMember(folder.resolve(ControlGroupMember.NAME)));
         this.service = new GatewayService(
@@ -234,7 +249,7 @@
                 ignoredAnnouncements,
                 quarantine,
                 new EvacuationRequestHandler(controlGroup, versionHolder::evacuations, knownDomains));
-        this.callerListener = new HttpListener(eventLoops, settings.callers(), this::callerLimits, service);
+        this.callerListener = new HttpListener(eventLoops, settings.callers(), this::callerLimits, service, memory);
         this.readinessListener =
                 new HttpListener(eventLoops, settings.readiness(), () -> HttpLimits.DEFAULT, this::answerReadiness);
         this.controlListener = new HttpListener(
@@ -257,7 +272,9 @@
                 retryBudget,
                 counters,
                 quarantine,
-                ignoredAnnouncements);
+                ignoredAnnouncements,
+                memory,
+                paused);
         this.metricsListener = settings.metrics().flatMap(address -> openMetrics(address, state));
     }
 
@@ -453,7 +470,7 @@
                 limits.headerTimeout(),
                 limits.idleTimeout(),
                 base.writeTimeout(),
-                base.maxPendingBytes());
+                Math.max(base.maxPendingBytes(), memory.budgetBytes() / RESPONSES_IN_BUDGET));
     }
 
     private void beginStop(Runnable done) {
--- a/library/src/main/java/org/copperspindle/gateway/GatewaySettings.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewaySettings.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 
 /**
@@ -28,6 +29,8 @@
  * @param stopGrace       time from the stop signal to the end of the process
  * @param cores           cores of its VM that the process may use, a fraction for less than one
  * @param failureDomains  names of all failure domains of the deployment, as far as they are known in advance
+ * @param memoryBytes     memory that the process may use, in bytes; if empty, the maximum heap alone bounds what is held
+ *                        for callers
  */
 public record GatewaySettings(
         String name,
@@ -46,7 +49,8 @@
         RetryLimits retries,
         Duration stopGrace,
         double cores,
-        Set<String> failureDomains) {
+        Set<String> failureDomains,
+        OptionalLong memoryBytes) {
 
     /** Copies the lists. */
     public GatewaySettings {
--- a/library/src/main/java/org/copperspindle/gateway/GatewaySettingsReader.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewaySettingsReader.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 
 import org.copperspindle.settings.SettingsException;
@@ -55,9 +56,15 @@
                 s.getDuration("stop-grace", Optional.of(Duration.ofSeconds(8))),
                 s.getDouble("cores", 0, MAX_CORES, Optional.of(1.0)),
                 Set.copyOf(s.getList(
-                        "failure-domains", "names of failure domains, separated by commas", Optional.of(List.of()))));
+                        "failure-domains", "names of failure domains, separated by commas", Optional.of(List.of()))),
+                memory(s));
         s.finish();
         file.finish(List.of(SECTION));
         return settings;
     }
+
+    private static OptionalLong memory(SettingsSection s) {
+        long bytes = s.getBytes("memory", Optional.of(0L));
+        return bytes == 0 ? OptionalLong.empty() : OptionalLong.of(bytes);
+    }
 }
--- a/library/src/main/java/org/copperspindle/gateway/NodeState.java
+++ b/library/src/main/java/org/copperspindle/gateway/NodeState.java
@@ -9,6 +9,7 @@
 import org.copperspindle.batch.BatchService;
 import org.copperspindle.direct.DirectClient;
 import org.copperspindle.discovery.UpstreamDirectory;
+import org.copperspindle.memory.HeldMemory;
 import org.copperspindle.mesh.NodeMesh;
 import org.copperspindle.quarantine.RequestQuarantine;
 import org.copperspindle.version.MemberStatus;
@@ -33,6 +34,8 @@
  * @param counters             the counts of requests
  * @param quarantine           quarantines requests that terminate their upstreams
  * @param ignoredAnnouncements counts announcements that do not identify an upstream
+ * @param memory               memory held for callers
+ * @param pausedUpstreams      upstreams that are not read because their callers don't read
  */
 record NodeState(
         BooleanSupplier readiness,
@@ -49,7 +52,9 @@
         SharedRetryBudget retryBudget,
         GatewayCounters counters,
         RequestQuarantine quarantine,
-        IgnoredAnnouncements ignoredAnnouncements) {
+        IgnoredAnnouncements ignoredAnnouncements,
+        HeldMemory memory,
+        PausedUpstreams pausedUpstreams) {
 
     boolean isReady() {
         return readiness.getAsBoolean();
--- a/library/src/main/java/org/copperspindle/gateway/RequestRun.java
+++ b/library/src/main/java/org/copperspindle/gateway/RequestRun.java
@@ -79,6 +79,7 @@
         this.deadlineAt = admitted.times().deadlineAt();
         this.relay = new EventStreamRelay(exchange, context.timers()::nanoTime);
         this.tracked = admitted.tracked();
+        exchange.memoryHolder().describe(request.id(), route.isIdempotent());
         this.requestLogger = new RequestLogger(context.log(), context.tracker(), admitted);
     }
 
@@ -375,7 +376,8 @@
             return;
         }
         attempt.ifPresent(a -> a.abort("caller-left"));
-        finish("caller-left", false);
+        boolean shed = exchange.wasShed();
+        finish(shed ? "broken-memory-short" : "caller-left", shed);
     }
 
     private void abortResponse(String reason) {
--- a/library/src/main/java/org/copperspindle/gateway/UpstreamAttempt.java
+++ b/library/src/main/java/org/copperspindle/gateway/UpstreamAttempt.java
@@ -10,6 +10,7 @@
 import org.copperspindle.direct.DirectListener;
 import org.copperspindle.direct.UpstreamPort.CallHandle;
 import org.copperspindle.discovery.UpstreamRecord;
+import org.copperspindle.memory.HeldKind;
 import org.copperspindle.quarantine.UpstreamRun;
 import org.copperspindle.route.RouteKind;
 
@@ -22,7 +23,7 @@
     private static final Logger LOGGER = LogManager.getLogger(UpstreamAttempt.class);
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
-    /** Largest response that is buffered. */
+    /** Largest response, or largest single event, that is buffered. */
     private static final int MAX_BUFFERED_BYTES = 8 << 20;
 
     private final GatewayContext context;
@@ -33,7 +34,9 @@
     private final EventStreamRelay relay;
     private final Listener listener;
     private final long sentAt;
+    private final UpstreamReading reading;
     private final ByteArrayOutputStream bufferedBody = new ByteArrayOutputStream();
+    private long heldBytes;
     private CallHandle handle = reason -> {};
     private Optional<DirectHead> head = Optional.empty();
     private boolean isStream;
@@ -54,6 +57,7 @@
         this.relay = relay;
         this.listener = listener;
         this.sentAt = context.timers().nanoTime();
+        this.reading = new UpstreamReading(context.timers(), relay.exchange(), context.pausedUpstreams());
     }
 
     /** Sends the attempt; the listener may be called before this returns. */
@@ -68,6 +72,7 @@
             return;
         }
         ended = true;
+        releaseAll();
         handle.abort(reason);
         context.tracker().ended(upstream.id(), false);
     }
@@ -81,6 +86,7 @@
         isStream = admitted.route().kind() == RouteKind.STREAM && received.isSuccess();
         if (isStream) {
             relay.beginStream(received.status(), context.upstreamDialect().callerFields(received));
+            reading.begin(handle);
         }
     }
 
@@ -99,6 +105,10 @@
         } else if (!startedBefore && relay.hasStarted()) {
             listener.onFirstEvent(context.timers().nanoTime() - sentAt);
         }
+        if (!ended) {
+            hold(relay.partialEventBytes());
+            reading.adjust();
+        }
     }
 
     @Override
@@ -158,9 +168,27 @@
 
     private void buffer(byte[] data) {
         bufferedBody.writeBytes(data);
-        if (bufferedBody.size() > MAX_BUFFERED_BYTES) {
+        hold(bufferedBody.size());
+    }
+
+    /** Reserves the memory of the part of the response that can't be passed on yet. */
+    private void hold(long bytes) {
+        if (bytes > MAX_BUFFERED_BYTES) {
             abortAndFail("answer-too-large");
+            return;
         }
+        long added = bytes - heldBytes;
+        heldBytes = bytes;
+        if (added > 0) {
+            context.memory().reserve(relay.exchange().memoryHolder(), HeldKind.BUFFERED_RESPONSE, added);
+        } else if (added < 0) {
+            context.memory().release(relay.exchange().memoryHolder(), HeldKind.BUFFERED_RESPONSE, -added);
+        }
+    }
+
+    private void releaseAll() {
+        reading.end();
+        hold(0);
     }
 
     private void abortAndFail(String reason) {
@@ -183,6 +211,7 @@
 
     private void end(boolean succeeded, String reason) {
         ended = true;
+        releaseAll();
         if (succeeded) {
             context.tracker().ended(upstream.id(), true);
         } else {
--- a/library/src/main/java/org/copperspindle/http/HttpConnectionHandler.java
+++ b/library/src/main/java/org/copperspindle/http/HttpConnectionHandler.java
@@ -25,6 +25,7 @@
 import io.netty.util.ReferenceCountUtil;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.copperspindle.memory.HeldMemory;
 
 /**
  * Netty handler of one caller's connection. It passes requests to the handler one at a time, so that responses are
@@ -45,6 +46,7 @@
     private final HttpCounters counters;
     private final HttpRequestHandler handler;
     private final BooleanSupplier stopping;
+    private final HeldMemory memory;
     private final RequestAssembler assembler;
     private final Deque<ReceivedRequest> queuedRequests = new ArrayDeque<>();
     private Optional<HttpExchange> currentExchange = Optional.empty();
@@ -55,12 +57,17 @@
     private volatile ChannelHandlerContext context;
 
     HttpConnectionHandler(
-            HttpLimits limits, HttpCounters counters, HttpRequestHandler handler, BooleanSupplier stopping) {
+            HttpLimits limits,
+            HttpCounters counters,
+            HttpRequestHandler handler,
+            HeldMemory memory,
+            BooleanSupplier stopping) {
         this.limits = limits;
         this.counters = counters;
         this.handler = handler;
         this.stopping = stopping;
-        this.assembler = new RequestAssembler(limits.maxBodyBytes());
+        this.memory = memory;
+        this.assembler = new RequestAssembler(limits.maxBodyBytes(), memory);
     }
 
     @Override
@@ -97,6 +104,7 @@
         if (!ctx.channel().isWritable()) {
             startWriteTimeout();
         }
+        currentExchange.ifPresent(HttpExchange::writabilityChanged);
     }
 
     @Override
@@ -119,7 +127,7 @@
         cancel(idleTimeout);
         cancel(writeTimeout);
         // Queued requests were not passed to the handler: they don't run, and no caller is left to answer.
-        queuedRequests.clear();
+        dropUnhandled();
         currentExchange.ifPresent(this::dropExchange);
     }
 
@@ -138,6 +146,10 @@
         return counters;
     }
 
+    HeldMemory memory() {
+        return memory;
+    }
+
     boolean isStopping() {
         return stopping.getAsBoolean();
     }
@@ -150,8 +162,8 @@
         return context.executor();
     }
 
-    void write(Object part) {
-        context.write(part);
+    ChannelFuture write(Object part) {
+        return context.write(part);
     }
 
     ChannelFuture writeAndFlush(Object part) {
@@ -185,10 +197,16 @@
         context.close();
     }
 
+    /** Closes the connection at once, without a line of its own in the log. May be called from any thread. */
+    void closeNow() {
+        context.close();
+    }
+
     private void onRequest(ReceivedRequest request) {
         cancel(readTimeout);
         if (request instanceof ReceivedRequest.Refused) {
             inputClosed = true;
+            assembler.discard();
             counters.refusedRequest();
         }
         queuedRequests.add(request);
@@ -217,13 +235,14 @@
                     "event=request-refused reason={} remote={}",
                     refused.problem().verdict().reason(),
                     context.channel().remoteAddress());
-            HttpExchange exchange = new HttpExchange(this, placeholderRequest(), RequestTarget.NONE, new byte[0]);
+            HttpExchange exchange =
+                    new HttpExchange(this, placeholderRequest(), RequestTarget.NONE, new byte[0], memory.open());
             currentExchange = Optional.of(exchange);
             exchange.respond(refused.problem());
         } else if (next instanceof ReceivedRequest.Whole whole) {
             HttpRequest head = whole.head();
             RequestTarget target = RequestTarget.parse(head.uri()).orElseThrow();
-            HttpExchange exchange = new HttpExchange(this, head, target, whole.body());
+            HttpExchange exchange = new HttpExchange(this, head, target, whole.body(), whole.holder());
             currentExchange = Optional.of(exchange);
             handle(exchange);
         }
@@ -246,6 +265,7 @@
         }
         cancel(writeTimeout);
         currentExchange = Optional.empty();
+        memory.close(exchange.memoryHolder());
         counters.requestEnded();
         if (close) {
             closeAfterLinger();
@@ -278,7 +298,7 @@
      */
     private void closeAfterLinger() {
         inputClosed = true;
-        queuedRequests.clear();
+        dropUnhandled();
         if (!context.channel().isActive()) {
             return;
         }
@@ -289,10 +309,21 @@
 
     private void dropExchange(HttpExchange exchange) {
         currentExchange = Optional.empty();
+        memory.close(exchange.memoryHolder());
         counters.requestEnded();
         exchange.connectionClosed();
     }
 
+    private void dropUnhandled() {
+        assembler.discard();
+        queuedRequests.forEach(request -> {
+            if (request instanceof ReceivedRequest.Whole whole) {
+                memory.close(whole.holder());
+            }
+        });
+        queuedRequests.clear();
+    }
+
     private void sendContinueIfExpected() {
         // While an earlier request is unanswered, the caller would take this for its response.
         if (currentExchange.isEmpty() && queuedRequests.isEmpty() && !inputClosed && assembler.pollContinueExpected()) {
--- a/library/src/main/java/org/copperspindle/http/HttpExchange.java
+++ b/library/src/main/java/org/copperspindle/http/HttpExchange.java
@@ -20,6 +20,8 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import org.copperspindle.memory.HeldKind;
+import org.copperspindle.memory.MemoryHolder;
 
 /**
  * An HTTP request and its response. The response may be sent from any thread, and only once: whatever is sent after
@@ -30,6 +32,9 @@
     private static final Runnable NO_LISTENER = () -> {};
     private static final Runnable NOTIFIED = () -> {};
 
+    /** Part of a complete response that is written at once; each one that is read shows that the caller reads. */
+    private static final int SLICE_BYTES = 16 << 10;
+
     private final HttpConnectionHandler connection;
     private final String method;
     private final String uri;
@@ -41,8 +46,16 @@
     private final AtomicReference<ResponseState> state = new AtomicReference<>(ResponseState.AWAITED);
     private final AtomicReference<Runnable> closeListener = new AtomicReference<>(NO_LISTENER);
     private final AtomicLong pendingBytes = new AtomicLong();
-
-    HttpExchange(HttpConnectionHandler connection, HttpRequest head, RequestTarget target, byte[] body) {
+    private final MemoryHolder memoryHolder;
+    private volatile Runnable writabilityListener = NO_LISTENER;
+    private volatile boolean shed;
+
+    HttpExchange(
+            HttpConnectionHandler connection,
+            HttpRequest head,
+            RequestTarget target,
+            byte[] body,
+            MemoryHolder memoryHolder) {
         this.connection = connection;
         this.method = head.method().name();
         this.uri = head.uri();
@@ -53,6 +66,8 @@
         // HTTP/1.0 has no chunked encoding and no standard for persistent connections: the connection closes after
         // one response.
         this.keepAlive = !http10 && HttpUtil.isKeepAlive(head);
+        this.memoryHolder = memoryHolder;
+        memoryHolder.onBreakOff(this::breakOff);
     }
 
     /**
@@ -163,6 +178,34 @@
         return state.get().open && connection.isWritable();
     }
 
+    /**
+     * Registers a task that runs whenever {@link #isWritable} may have changed. It replaces an earlier one.
+     *
+     * @param task the task; runs on the connection's network thread
+     */
+    public void onWritabilityChanged(Runnable task) {
+        writabilityListener = task;
+    }
+
+    /**
+     * Returns the holder of the memory of this request and its response. It is closed once the response is written or
+     * the connection has closed.
+     *
+     * @return the holder
+     */
+    public MemoryHolder memoryHolder() {
+        return memoryHolder;
+    }
+
+    /**
+     * Returns whether the response was broken off because memory was short.
+     *
+     * @return true if the caller can't get the whole response
+     */
+    public boolean wasShed() {
+        return shed;
+    }
+
     /**
      * Returns how many bytes of the response wait to be sent to the caller.
      *
@@ -274,9 +317,14 @@
             abortResponse();
             return false;
         }
+        connection.memory().reserve(memoryHolder, HeldKind.UNSENT_RESPONSE, bytes.length);
+        if (state.get() != ResponseState.STARTED) {
+            // The reservation has made memory short, and this response was broken off for it.
+            return false;
+        }
         connection
                 .writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(bytes)))
-                .addListener(done -> pendingBytes.addAndGet(-bytes.length));
+                .addListener(done -> onWritten(bytes.length));
         return true;
     }
 
@@ -297,22 +345,51 @@
         }
     }
 
+    private void onWritten(int bytes) {
+        pendingBytes.addAndGet(-bytes);
+        connection.memory().release(memoryHolder, HeldKind.UNSENT_RESPONSE, bytes);
+        connection.memory().recordRead(memoryHolder);
+    }
+
+    /** Closes the connection before the response is complete, in whatever state it is. */
+    private void breakOff() {
+        shed = true;
+        state.updateAndGet(s -> s.open ? ResponseState.BROKEN : s);
+        connection.closeNow();
+    }
+
     private void sendComplete(HttpResponse head, byte[] content) {
         head.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.length);
         boolean close = markConnectionClose(head);
         connection.write(head);
         if (content.length > 0 && !method.equals(HttpMethod.HEAD.name())) {
-            connection.write(new DefaultHttpContent(Unpooled.wrappedBuffer(content)));
+            writeSlices(content);
         }
         connection.complete(this, close);
     }
 
+    /** Writes the body of a complete response. Its array is held as a whole until the last slice is written. */
+    private void writeSlices(byte[] content) {
+        connection.memory().reserve(memoryHolder, HeldKind.UNSENT_RESPONSE, content.length);
+        for (int start = 0; start < content.length; start += SLICE_BYTES) {
+            int length = Math.min(SLICE_BYTES, content.length - start);
+            connection
+                    .write(new DefaultHttpContent(Unpooled.wrappedBuffer(content, start, length)))
+                    .addListener(done -> connection.memory().recordRead(memoryHolder));
+        }
+    }
+
     private void startChunked(HttpResponse head) {
+        memoryHolder.responseStarted();
         head.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
         markConnectionClose(head);
         connection.write(head);
     }
 
+    void writabilityChanged() {
+        writabilityListener.run();
+    }
+
     /** Marks the response as dropped because the connection has closed. */
     void connectionClosed() {
         ResponseState before = state.getAndUpdate(s -> s.open ? ResponseState.DROPPED : s);
--- a/library/src/main/java/org/copperspindle/http/HttpListener.java
+++ b/library/src/main/java/org/copperspindle/http/HttpListener.java
@@ -14,6 +14,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -28,6 +29,8 @@
 import io.netty.util.concurrent.GlobalEventExecutor;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.copperspindle.memory.HeldMemories;
+import org.copperspindle.memory.HeldMemory;
 import org.copperspindle.verdict.NotRunVerdict;
 
 /**
@@ -40,11 +43,18 @@
     private static final int MAX_WRITES_BEFORE_FLUSH = 64;
     private static final long DRAIN_CHECK_NANOS = Duration.ofMillis(5).toNanos();
 
+    /**
+     * Bytes that wait for a caller below which its response can be written again, and above which it can't. Between
+     * them a sender is paused and resumed once for several reads of the caller.
+     */
+    private static final WriteBufferWaterMark WATER_MARK = new WriteBufferWaterMark(16 << 10, 64 << 10);
+
     private final EventLoopGroup group;
     private final Channel channel;
     private final boolean ownsGroup;
     private final Supplier<HttpLimits> limits;
     private final HttpRequestHandler handler;
+    private final HeldMemory memory;
     private final HttpCounters counters = new HttpCounters();
     private final ChannelGroup openChannels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
     private volatile boolean stopping;
@@ -78,7 +88,8 @@
                 true,
                 address,
                 () -> limits,
-                handler);
+                handler,
+                HeldMemories.unlimited());
     }
 
     /**
@@ -91,7 +102,25 @@
      */
     public HttpListener(
             EventLoopGroup group, InetSocketAddress address, Supplier<HttpLimits> limits, HttpRequestHandler handler) {
-        this(group, false, address, limits, handler);
+        this(group, address, limits, handler, HeldMemories.unlimited());
+    }
+
+    /**
+     * Binds and starts to listen on existing network threads, with a memory budget.
+     *
+     * @param group   network threads; they keep running when the listener is closed
+     * @param address address to bind; port 0 picks a free port
+     * @param limits  supplies the limits of each new connection
+     * @param handler handles requests
+     * @param memory  holds the bodies of requests and the unsent bytes of responses
+     */
+    public HttpListener(
+            EventLoopGroup group,
+            InetSocketAddress address,
+            Supplier<HttpLimits> limits,
+            HttpRequestHandler handler,
+            HeldMemory memory) {
+        this(group, false, address, limits, handler, memory);
     }
 
     private HttpListener(
@@ -99,16 +128,19 @@
             boolean ownsGroup,
             InetSocketAddress address,
             Supplier<HttpLimits> limits,
-            HttpRequestHandler handler) {
+            HttpRequestHandler handler,
+            HeldMemory memory) {
         this.group = group;
         this.ownsGroup = ownsGroup;
         this.limits = limits;
         this.handler = handler;
+        this.memory = memory;
         this.channel = new ServerBootstrap()
                 .group(group)
                 .channel(NioServerSocketChannel.class)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.SO_KEEPALIVE, true)
+                .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WATER_MARK)
                 .childHandler(new Initializer())
                 .bind(address)
                 .syncUninterruptibly()
@@ -201,7 +233,7 @@
                     .addLast(new FlushConsolidationHandler(MAX_WRITES_BEFORE_FLUSH, true))
                     .addLast(new StrictRequestDecoder(current))
                     .addLast(new HttpResponseEncoder())
-                    .addLast(new HttpConnectionHandler(current, counters, handler, () -> stopping));
+                    .addLast(new HttpConnectionHandler(current, counters, handler, memory, () -> stopping));
         }
 
         private void refuse(SocketChannel accepted) {
--- a/library/src/main/java/org/copperspindle/http/RequestAssembler.java
+++ b/library/src/main/java/org/copperspindle/http/RequestAssembler.java
@@ -2,6 +2,7 @@
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 
@@ -15,6 +16,10 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
+import org.copperspindle.memory.HeldKind;
+import org.copperspindle.memory.HeldMemory;
+import org.copperspindle.memory.MemoryHolder;
+import org.copperspindle.verdict.NotRunVerdict;
 
 /**
  * Assembles the requests of one connection from the parts that Netty decodes, and validates them. No more parts may
@@ -22,13 +27,22 @@
  */
 final class RequestAssembler {
 
+    /** Delay of a retry after a large body was refused: callers that have stopped reading are broken off by then. */
+    private static final Duration MEMORY_RETRY_AFTER = Duration.ofSeconds(1);
+
+    private static final int UNAVAILABLE = 503;
+
     private final int maxBodyBytes;
+    private final HeldMemory memory;
+    private Optional<MemoryHolder> holder = Optional.empty();
+    private long reservedBytes;
     private Optional<HttpRequest> head = Optional.empty();
     private ByteArrayOutputStream body = new ByteArrayOutputStream(0);
     private boolean continueExpected;
 
-    RequestAssembler(int maxBodyBytes) {
+    RequestAssembler(int maxBodyBytes, HeldMemory memory) {
         this.maxBodyBytes = maxBodyBytes;
+        this.memory = memory;
     }
 
     /**
@@ -46,8 +60,15 @@
             if (problem.isPresent()) {
                 return refused(problem.get());
             }
+            int length = (int) HttpUtil.getContentLength(request, 0L);
+            if (!memory.mayReadBody(length)) {
+                return refused(memoryShort());
+            }
             head = Optional.of(request);
-            body = new ByteArrayOutputStream((int) HttpUtil.getContentLength(request, 0L));
+            holder = Optional.of(memory.open());
+            reservedBytes = 0;
+            reserveBody(length);
+            body = new ByteArrayOutputStream(length);
             continueExpected = request.headers().contains(HttpHeaderNames.EXPECT);
         }
         return part instanceof HttpContent content ? append(content) : Optional.empty();
@@ -64,6 +85,13 @@
         return expected;
     }
 
+    /** Drops a partly received request and releases its memory; no more parts may be passed. */
+    void discard() {
+        holder.ifPresent(memory::close);
+        holder = Optional.empty();
+        body = new ByteArrayOutputStream(0);
+    }
+
     /**
      * Returns whether no request has been partly received.
      *
@@ -92,9 +120,15 @@
     private Optional<ReceivedRequest> append(HttpContent content) {
         // A caller that sends the body without waiting for 100 Continue needs none.
         continueExpected &= !content.content().isReadable();
-        if (body.size() + content.content().readableBytes() > maxBodyBytes) {
+        int size = body.size() + content.content().readableBytes();
+        if (size > maxBodyBytes) {
             return refused(tooLarge());
         }
+        if (body.size() <= HeldMemory.LARGE_BODY_BYTES && size > reservedBytes && !memory.mayReadBody(size)) {
+            // A body in chunks whose length was not known before.
+            return refused(memoryShort());
+        }
+        reserveBody(size);
         try {
             content.content()
                     .getBytes(
@@ -107,8 +141,9 @@
         if (!(content instanceof LastHttpContent)) {
             return Optional.empty();
         }
-        ReceivedRequest whole = new ReceivedRequest.Whole(head.orElseThrow(), body.toByteArray());
+        ReceivedRequest whole = new ReceivedRequest.Whole(head.orElseThrow(), body.toByteArray(), holder.orElseThrow());
         head = Optional.empty();
+        holder = Optional.empty();
         body = new ByteArrayOutputStream(0);
         return Optional.of(whole);
     }
@@ -152,6 +187,22 @@
         return RequestTarget.parse(request.uri()).isPresent();
     }
 
+    private void reserveBody(int size) {
+        if (size > reservedBytes) {
+            memory.reserve(holder.orElseThrow(), HeldKind.REQUEST_BODY, size - reservedBytes);
+            reservedBytes = size;
+        }
+    }
+
+    private static ProblemDetails memoryShort() {
+        return new ProblemDetails(
+                UNAVAILABLE,
+                "this node has no memory for a large body now",
+                new NotRunVerdict("memory-short"),
+                "",
+                Optional.of(MEMORY_RETRY_AFTER));
+    }
+
     private ProblemDetails tooLarge() {
         return ProblemDetails.notRun("body-too-large", 413, "the body exceeds " + maxBodyBytes + " bytes");
     }
