--- a/library/src/test/java/org/copperspindle/direct/DirectClientTest.java
+++ b/library/src/test/java/org/copperspindle/direct/DirectClientTest.java
@@ -14,6 +14,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import org.copperspindle.direct.UpstreamPort.CallHandle;
 import org.copperspindle.emulator.ScriptedUpstream;
 import org.copperspindle.emulator.ScriptedUpstream.Script;
 import org.copperspindle.http.HeaderField;
@@ -229,6 +230,56 @@
         }
     }
 
+    /**
+     * Guards against a kept connection that is never read again because its last response ended while it was paused:
+     * the next call would get no response, and the close by the upstream would not be noticed.
+     */
+    @Test
+    void connectionPausedAtTheEndOfAResponseReadsAgain() throws Exception {
+        try (ScriptedUpstream upstream = new ScriptedUpstream(sends(WHOLE))) {
+            CompletableFuture<String> first = new CompletableFuture<>();
+            AtomicReference<CallHandle> handle = new AtomicReference<>();
+            DirectListener pausing = new RecordingListener(first) {
+                @Override
+                public void onData(byte[] data) {
+                    handle.get().setReading(false);
+                    super.onData(data);
+                }
+            };
+            loop.execute(() -> handle.set(client.call(call(upstream.address(), "id", ConnectionUse.KEPT), pausing)));
+            assertThat(first.get(TIMEOUT_SECONDS, TimeUnit.SECONDS)).isEqualTo("200 whole");
+            // The handle of a call that has ended must not pause the next call of its connection.
+            loop.execute(() -> handle.get().setReading(false));
+            assertThat(call(upstream.address(), ConnectionUse.KEPT).get(TIMEOUT_SECONDS, TimeUnit.SECONDS))
+                    .isEqualTo("200 whole");
+            assertThat(client.connects()).isEqualTo(1);
+        }
+    }
+
+    /** Guards against a paused call whose connection stays open after the call was aborted. */
+    @Test
+    void abortOfPausedCallClosesItsConnection() throws Exception {
+        CompletableFuture<Integer> ended = new CompletableFuture<>();
+        Script silentAfterHead = (number, request, connection, out) -> {
+            write(out, WHOLE.replace("whole", ""));
+            ended.complete(connection.getInputStream().read());
+        };
+        try (ScriptedUpstream upstream = new ScriptedUpstream(silentAfterHead)) {
+            CompletableFuture<String> result = new CompletableFuture<>();
+            AtomicReference<CallHandle> handle = new AtomicReference<>();
+            DirectListener pausing = new RecordingListener(result) {
+                @Override
+                public void onHead(DirectHead head) {
+                    handle.get().setReading(false);
+                    loop.execute(() -> handle.get().abort("timeout"));
+                }
+            };
+            loop.execute(() -> handle.set(client.call(call(upstream.address(), "id", ConnectionUse.KEPT), pausing)));
+            assertThat(ended.get(TIMEOUT_SECONDS, TimeUnit.SECONDS)).isEqualTo(-1);
+            assertThat(result).isNotDone();
+        }
+    }
+
     private ListenState check(String address) throws Exception {
         CompletableFuture<ListenState> state = new CompletableFuture<>();
         loop.execute(() -> client.check(address, state::complete));
@@ -275,7 +326,7 @@
     }
 
     /** Records the result of a call. */
-    private static final class RecordingListener implements DirectListener {
+    private static class RecordingListener implements DirectListener {
         private final CompletableFuture<String> result;
         private final StringBuilder body = new StringBuilder();
         private int status;
