--- a/library/src/main/java/org/copperspindle/gateway/UpstreamAttempt.java
+++ b/library/src/main/java/org/copperspindle/gateway/UpstreamAttempt.java
@@ -57,7 +57,7 @@
         this.relay = relay;
         this.listener = listener;
         this.sentAt = context.timers().nanoTime();
-        this.reading = new UpstreamReading(context.timers(), relay.exchange(), context.pausedUpstreams());
+        this.reading = new UpstreamReading(context.timers(), relay.exchange()::isWritable, context.pausedUpstreams());
     }
 
     /** Sends the attempt; the listener may be called before this returns. */
@@ -86,6 +86,7 @@
         isStream = admitted.route().kind() == RouteKind.STREAM && received.isSuccess();
         if (isStream) {
             relay.beginStream(received.status(), context.upstreamDialect().callerFields(received));
+            relay.exchange().onWritabilityChanged(reading::adjust);
             reading.begin(handle);
         }
     }
--- a/library/src/main/java/org/copperspindle/gateway/UpstreamReading.java
+++ b/library/src/main/java/org/copperspindle/gateway/UpstreamReading.java
@@ -1,9 +1,9 @@
 package org.copperspindle.gateway;
 
 import java.time.Duration;
+import java.util.function.BooleanSupplier;
 
 import org.copperspindle.direct.UpstreamPort.CallHandle;
-import org.copperspindle.http.HttpExchange;
 import org.copperspindle.time.TimerService;
 import org.copperspindle.time.TimerSubscription;
 
@@ -20,19 +20,26 @@
      * Longest pause. The rest of the upstream's limit is for a busy network thread on either side; a longer pause would
      * turn a slow caller into a broken response.
      */
-    private static final long MAX_PAUSE_NANOS =
+    static final long MAX_PAUSE_NANOS =
             ASSUMED_UPSTREAM_LIMIT.multipliedBy(3).dividedBy(4).toNanos();
 
     private final TimerService timers;
-    private final HttpExchange exchange;
+    private final BooleanSupplier writable;
     private final PausedUpstreams paused;
     private CallHandle handle = reason -> {};
     private TimerSubscription pauseEnd = () -> {};
     private State state = State.ENDED;
 
-    UpstreamReading(TimerService timers, HttpExchange exchange, PausedUpstreams paused) {
+    /**
+     * Creates the control of a call that has not started.
+     *
+     * @param timers   timers on the network thread
+     * @param writable whether the caller's connection takes more data
+     * @param paused   counts pauses
+     */
+    UpstreamReading(TimerService timers, BooleanSupplier writable, PausedUpstreams paused) {
         this.timers = timers;
-        this.exchange = exchange;
+        this.writable = writable;
         this.paused = paused;
     }
 
@@ -40,7 +47,6 @@
     void begin(CallHandle call) {
         handle = call;
         state = State.READING;
-        exchange.onWritabilityChanged(this::adjust);
         adjust();
     }
 
@@ -49,7 +55,7 @@
         if (state == State.ENDED) {
             return;
         }
-        if (exchange.isWritable()) {
+        if (writable.getAsBoolean()) {
             resume(State.READING);
         } else if (state == State.READING) {
             state = State.PAUSED;
--- a/library/src/test/java/org/copperspindle/gateway/GatewaySettingsReaderTest.java
+++ b/library/src/test/java/org/copperspindle/gateway/GatewaySettingsReaderTest.java
@@ -27,13 +27,14 @@
 
     @Test
     void readsNodeSettings() throws SettingsException {
-        GatewaySettings settings = GatewaySettingsReader.read(
-                SettingsFile.parse("f", NODE + "data-folder = /data/n1\nstop-grace = 3s\ncores = 0.5\n"));
+        GatewaySettings settings = GatewaySettingsReader.read(SettingsFile.parse(
+                "f", NODE + "data-folder = /data/n1\nstop-grace = 3s\ncores = 0.5\nmemory = 330MiB\n"));
         assertThat(settings.name()).isEqualTo("n1");
         assertThat(settings.seeds()).hasSize(2);
         assertThat(settings.dataFolder()).contains(Path.of("/data/n1"));
         assertThat(settings.stopGrace()).isEqualTo(Duration.ofSeconds(3));
         assertThat(settings.cores()).isEqualTo(0.5);
+        assertThat(settings.memoryBytes()).hasValue(330L << 20);
     }
 
     @ParameterizedTest
