--- a/library/src/test/java/org/copperspindle/http/HttpMemoryTest.java
+++ b/library/src/test/java/org/copperspindle/http/HttpMemoryTest.java
@@ -145,6 +145,16 @@
         listener = new HttpListener(group, new InetSocketAddress("127.0.0.1", 0), () -> limits, handled::add, memory);
     }
 
+    /** Sends a request and starts its response. */
+    private HttpExchange startStream(RawCaller caller) throws IOException {
+        caller.send(length(3) + "abc");
+        await(() -> handled.size() == 1);
+        HttpExchange exchange = handled.peek();
+        exchange.start("text/plain", Map.of());
+        exchange.write("ok");
+        return exchange;
+    }
+
     private static String length(int bytes) {
         return POST + "Content-Length: " + bytes + "\r\n\r\n";
     }
@@ -171,22 +181,14 @@
         STREAMED {
             @Override
             void run(HttpMemoryTest test, RawCaller caller) throws IOException {
-                caller.send(length(3) + "abc");
-                await(() -> test.handled.size() == 1);
-                test.handled.peek().start("text/plain", Map.of());
-                test.handled.peek().write("ok");
-                test.handled.peek().finish();
+                test.startStream(caller).finish();
                 caller.readUntil("0\r\n\r\n");
             }
         },
         STREAM_ABORTED {
             @Override
             void run(HttpMemoryTest test, RawCaller caller) throws IOException {
-                caller.send(length(3) + "abc");
-                await(() -> test.handled.size() == 1);
-                test.handled.peek().start("text/plain", Map.of());
-                test.handled.peek().write("ok");
-                test.handled.peek().abortResponse();
+                test.startStream(caller).abortResponse();
                 caller.readToEnd();
             }
         },
