Don't run a request queued behind a response that was broken off

Cause: closing a connection fails its pending writes before channelInactive runs. The failed end of a complete response counted as a written response, so the next queued request of the closed connection was passed to the handler and could run without a caller.

Change: after a failed write on a closed connection, nothing more is handled; channelInactive drops the queued requests. Test: two requests on a connection, the first response is broken off for memory.

--- a/library/src/main/java/org/copperspindle/http/HttpConnectionHandler.java
+++ b/library/src/main/java/org/copperspindle/http/HttpConnectionHandler.java
@@ -267,6 +267,11 @@
         currentExchange = Optional.empty();
         memory.close(exchange.memoryHolder());
         counters.requestEnded();
+        if (!context.channel().isActive()) {
+            // The write failed because the connection has closed. Requests behind it must not run; channelInactive,
+            // which follows, drops them.
+            return;
+        }
         if (close) {
             closeAfterLinger();
             return;
--- a/library/src/test/java/org/copperspindle/http/HttpMemoryTest.java
+++ b/library/src/test/java/org/copperspindle/http/HttpMemoryTest.java
@@ -119,6 +119,22 @@
         assertThat(memory.shedResponses()).isEqualTo(1);
     }
 
+    /** Guards against a request that runs although its connection was closed to break off the response before it. */
+    @Test
+    void requestQueuedBehindShedResponseIsNotHandled() throws Exception {
+        listen(LONG);
+        try (RawCaller caller = new RawCaller(listener.address())) {
+            caller.send((length(3) + "abc").repeat(2));
+            await(() -> memory.heldBytes() == 6);
+            HttpExchange exchange = handled.peek();
+            exchange.scheduler().execute(() -> exchange.respond(200, "text/plain", Map.of(), new byte[32 << 20]));
+            caller.readToEnd();
+            assertThat(exchange.wasShed()).isTrue();
+        }
+        await(() -> memory.heldBytes() == 0 && listener.counters().inProgress() == 0);
+        assertThat(handled).hasSize(1);
+    }
+
     /** Guards against a body that never ends: what is held of it stays bounded, and the caller is refused. */
     @Test
     void bodyThatNeverEndsIsRefused() throws Exception {
