--- a/library/src/main/java/org/copperspindle/gateway/GatewayMetrics.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayMetrics.java
@@ -127,6 +127,7 @@
                 "Upstreams that want nothing from this node for a while",
                 n -> n.backoffs().count(System.nanoTime()));
         admissionMetrics.publish(metrics);
+        HeldMemoryMetrics.register(metrics, node);
         gauge(metrics, "heap.bytes", "Heap in use", n -> usedHeap());
         metrics.counter("attempts", "Attempts sent", node, n -> n.counters().attempts());
         metrics.counter(
--- a/library/src/main/java/org/copperspindle/gateway/RequestRun.java
+++ b/library/src/main/java/org/copperspindle/gateway/RequestRun.java
@@ -71,6 +71,7 @@
         this.deadlineAt = admitted.times().deadlineAt();
         this.relay = new EventStreamRelay(exchange, context.timers()::nanoTime);
         this.tracked = admitted.tracked();
+        exchange.memoryHolder().describe(request.id(), route.isIdempotent());
         this.requestLogger = new RequestLogger(context.log(), context.tracker(), admitted);
         this.entrance = new StageEntrance(context, admitted, tried, requestLogger, new EntranceListener());
     }
@@ -322,7 +323,8 @@
             return;
         }
         attempt.ifPresent(a -> a.abort("caller-left"));
-        finish("caller-left", false);
+        boolean shed = exchange.wasShed();
+        finish(shed ? "broken-memory-short" : "caller-left", shed);
     }
 
     private void abortResponse(String reason) {
--- a/library/src/test/java/org/copperspindle/gateway/StageEntranceTest.java
+++ b/library/src/test/java/org/copperspindle/gateway/StageEntranceTest.java
@@ -158,6 +158,8 @@
                 null,
                 null,
                 new RetryAfterDelays(new Random(1)),
+                null,
+                null,
                 null);
         RequestLogger logger = new RequestLogger(new LogRateLimiter(0, 0), null, admitted);
         return new StageEntrance(context, admitted, new HashSet<>(), logger, new RecordingListener());
