Add the policy by which waiting requests start while stage pools are short

Each node admits a request if the estimated time is within the request's own objective, so requests with long objectives keep the pools at a level of queueing at which more urgent ones can't meet theirs, and one account can take the share of the others.

--- /dev/null
+++ b/library/src/main/java/org/copperspindle/admission/PriorityStartQueue.java
@@ -0,0 +1,240 @@
+package org.copperspindle.admission;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+
+/**
+ * Waiting requests by priority, fair share of the accounts and latest start. Requests that can be on time start first,
+ * and are refused as soon as the work ahead of them takes longer than they can wait. Late requests start while the
+ * pools are nearly idle; those of callers that were refused before wait for that, the others are refused.
+ */
+final class PriorityStartQueue implements StartQueue {
+
+    /** More than all nodes receive in the time that a request can wait; each takes some hundred bytes. */
+    static final int MAX_WAITING = 4096;
+
+    /**
+     * Queueing in full calls up to which timely requests start: enough to keep calls full, and little enough that
+     * results don't fill the memory of their producers while they wait for the next stage.
+     */
+    private static final double START_CALLS = 0.5;
+
+    /** Queueing in full calls up to which late requests start: less than a timely request would notice. */
+    private static final double LATE_START_CALLS = 1.0 / 3;
+
+    /** Interval at which the work ahead of all requests is computed: refusals needn't be sent sooner. */
+    private static final long SWEEP_NANOS = Duration.ofMillis(20).toNanos();
+
+    private final RetryBookings bookings;
+    private final Map<Key, StartRequest> arrivals = new LinkedHashMap<>();
+    private final Map<Key, WaitingStart> waiting = new HashMap<>();
+    private final RankedStarts timely = new RankedStarts();
+    private final RankedStarts late = new RankedStarts();
+    private long sweptAt;
+    private boolean anySwept;
+
+    /**
+     * Creates an empty queue.
+     *
+     * @param random spreads the retries of refused callers
+     */
+    PriorityStartQueue(RandomGenerator random) {
+        this.bookings = new RetryBookings(random);
+    }
+
+    @Override
+    public void add(StartRequest request, long now) {
+        cancel(request.node(), request.id());
+        arrivals.put(Key.of(request), request);
+    }
+
+    @Override
+    public void cancel(String node, long id) {
+        Key key = new Key(node, id);
+        arrivals.remove(key);
+        Optional.ofNullable(waiting.get(key)).ifPresent(this::remove);
+    }
+
+    @Override
+    public void forget(String node) {
+        arrivals.keySet().removeIf(key -> key.node().equals(node));
+        List.copyOf(waiting.values()).stream()
+                .filter(each -> each.start().node().equals(node))
+                .forEach(this::remove);
+    }
+
+    @Override
+    public List<StartDecision> decide(StartForecast forecast, long now) {
+        Round round = new Round(forecast, now);
+        round.enrol();
+        round.startTimely();
+        if (!anySwept || now - sweptAt >= SWEEP_NANOS) {
+            anySwept = true;
+            sweptAt = now;
+            round.sweepTimely();
+            round.sweepLate();
+        }
+        if (timely.isEmpty()) {
+            round.startLate();
+        }
+        round.refuseLateFirstAttempts();
+        round.refuseBeyondMaximum();
+        return round.decisions;
+    }
+
+    @Override
+    public int size() {
+        return arrivals.size() + waiting.size();
+    }
+
+    private void remove(WaitingStart each) {
+        waiting.remove(Key.of(each.start()));
+        if (!timely.remove(each)) {
+            late.remove(each);
+        }
+    }
+
+    private record Key(String node, long id) {
+        private static Key of(StartRequest request) {
+            return new Key(request.node(), request.id());
+        }
+    }
+
+    /** One round of decisions. */
+    private final class Round {
+        private final StartForecast forecast;
+        private final long now;
+        private final List<StartDecision> decisions = new ArrayList<>();
+        private final List<WaitingStart> lateFirstAttempts = new ArrayList<>();
+
+        private Round(StartForecast forecast, long now) {
+            this.forecast = forecast;
+            this.now = now;
+        }
+
+        private void enrol() {
+            arrivals.forEach((key, request) -> {
+                WaitingStart each = new WaitingStart(request, forecast);
+                waiting.put(key, each);
+                if (each.isTimely(forecast.queueingNanos(each.request()), now)) {
+                    timely.add(each);
+                } else {
+                    addLate(each);
+                }
+            });
+            arrivals.clear();
+        }
+
+        private void startTimely() {
+            Set<String> fullPools = new HashSet<>();
+            Optional<WaitingStart> next = nextOf(timely, fullPools);
+            while (next.isPresent()) {
+                WaitingStart each = next.get();
+                long queueing = forecast.queueingNanos(each.request());
+                if (!each.isTimely(queueing, now)) {
+                    timely.remove(each);
+                    addLate(each);
+                } else if (queueing <= START_CALLS * forecast.fullCallNanos(each.request())) {
+                    timely.serve(each);
+                    start(each);
+                } else {
+                    fullPools.addAll(WorkAhead.pools(each.request()));
+                }
+                next = nextOf(timely, fullPools);
+            }
+        }
+
+        /** Refuses requests that can't be on time behind those before them, so that their callers know at once. */
+        private void sweepTimely() {
+            WorkAhead work = new WorkAhead(forecast);
+            for (WaitingStart each : timely.inOrder()) {
+                long queueing = work.queueingNanos(each.request());
+                if (each.isTimely(queueing + work.aheadNanos(each.request()), now)) {
+                    work.add(each.request());
+                } else if (!each.request().retried()) {
+                    refuse(each);
+                } else if (!each.isTimely(queueing, now)) {
+                    timely.remove(each);
+                    late.add(each);
+                }
+            }
+        }
+
+        private void sweepLate() {
+            WorkAhead work = new WorkAhead(forecast);
+            for (WaitingStart each : late.inOrder()) {
+                if (!each.isUseful(now)) {
+                    refuse(each);
+                } else if (each.isTimely(work.queueingNanos(each.request()), now)) {
+                    late.remove(each);
+                    timely.add(each);
+                }
+            }
+        }
+
+        private void startLate() {
+            Set<String> busyPools = new HashSet<>();
+            Optional<WaitingStart> next = nextOf(late, busyPools);
+            while (next.isPresent()) {
+                WaitingStart each = next.get();
+                if (!each.isUseful(now)) {
+                    refuse(each);
+                } else if (forecast.queueingNanos(each.request())
+                        < LATE_START_CALLS * forecast.fullCallNanos(each.request())) {
+                    late.serve(each);
+                    start(each);
+                } else {
+                    busyPools.addAll(WorkAhead.pools(each.request()));
+                }
+                next = nextOf(late, busyPools);
+            }
+        }
+
+        private void refuseLateFirstAttempts() {
+            lateFirstAttempts.stream()
+                    .filter(each -> waiting.get(Key.of(each.start())) == each)
+                    .forEach(this::refuse);
+        }
+
+        /** Late requests are refused before timely ones, and among them the least urgent that come last. */
+        private void refuseBeyondMaximum() {
+            while (waiting.size() > MAX_WAITING) {
+                refuse(late.last().or(timely::last).orElseThrow());
+            }
+        }
+
+        private Optional<WaitingStart> nextOf(RankedStarts starts, Set<String> excludedPools) {
+            return starts.next(each -> excludedPools.stream().noneMatch(each.request()::needsPool));
+        }
+
+        private void addLate(WaitingStart each) {
+            late.add(each);
+            if (!each.request().retried()) {
+                lateFirstAttempts.add(each);
+            }
+        }
+
+        private void start(WaitingStart each) {
+            waiting.remove(Key.of(each.start()));
+            forecast.recordStart(each.request());
+            decisions.add(new StartDecision.Start(each.start()));
+        }
+
+        private void refuse(WaitingStart each) {
+            remove(each);
+            long left = each.request().callerTimeoutAt() - now;
+            // Callers retry once, so a second refusal needs no booked time.
+            Duration delay =
+                    each.request().retried() ? bookings.unbooked(left) : bookings.book(each.costNanos(), left, now);
+            decisions.add(new StartDecision.Refuse(each.start(), delay));
+        }
+    }
+}
--- a/library/src/main/java/org/copperspindle/admission/StageAdmission.java
+++ b/library/src/main/java/org/copperspindle/admission/StageAdmission.java
@@ -2,10 +2,8 @@
 
 import java.util.Optional;
 import java.util.function.Function;
-import java.util.stream.IntStream;
 
 import org.copperspindle.batch.PoolLoad;
-import org.copperspindle.route.BatchLimits;
 import org.copperspindle.route.Route;
 
 /**
@@ -94,7 +92,7 @@
         if (!wasDeferred) {
             kinds.observe(request);
         }
-        long fullCall = fullCallNanos(request);
+        long fullCall = StageTimeEstimator.fullCallNanos(request);
         StageTimeEstimate estimate = estimator.estimate(request);
         long correctedNanos = estimate.estimated() + overruns.nanos(request.route(), now);
         long remainingNanos = request.objectiveAt() - now;
@@ -182,22 +180,11 @@
      */
     private boolean isLateDueToQueueing(StagedRequest kind, long now) {
         StageTimeEstimate estimate = estimator.estimate(kind);
-        long margin = (long) (URGENT_MARGIN_FRACTION * fullCallNanos(kind));
+        long margin = (long) (URGENT_MARGIN_FRACTION * StageTimeEstimator.fullCallNanos(kind));
         long available = kind.route().objective().toNanos() - overruns.nanos(kind.route(), now) - margin;
         return estimate.minimum() <= available && estimate.estimated() > available;
     }
 
-    /** Returns the longest full call of the pools that the request needs. */
-    private static long fullCallNanos(StagedRequest request) {
-        return IntStream.range(0, request.route().stages().size())
-                .filter(request::needsStage)
-                .mapToObj(request::stageLimits)
-                .flatMap(Optional::stream)
-                .mapToLong(BatchLimits::fullCallNanos)
-                .max()
-                .orElse(0);
-    }
-
     private boolean mayStartDeferred(boolean wasDeferred, long now, long interval) {
         if (!wasDeferred && deferredCount == 0) {
             return true;
--- a/library/src/main/java/org/copperspindle/admission/StageTimeEstimator.java
+++ b/library/src/main/java/org/copperspindle/admission/StageTimeEstimator.java
@@ -78,6 +78,22 @@
                 .orElse(0L);
     }
 
+    /**
+     * Returns the duration of a full call of the slowest pool that a request uses.
+     *
+     * @param request the request
+     * @return nanoseconds; 0 if none of its pools is known
+     */
+    public static long fullCallNanos(StagedRequest request) {
+        return IntStream.range(0, request.route().stages().size())
+                .filter(request::needsStage)
+                .mapToObj(request::stageLimits)
+                .flatMap(Optional::stream)
+                .mapToLong(BatchLimits::fullCallNanos)
+                .max()
+                .orElse(0);
+    }
+
     private static StagePlan plan(StagedRequest request) {
         return new StagePlan(request.route().stages(), request.pieces());
     }
--- a/library/src/main/java/org/copperspindle/admission/StartForecast.java
+++ b/library/src/main/java/org/copperspindle/admission/StartForecast.java
@@ -39,6 +39,18 @@
      */
     long costNanos(StagedRequest request);
 
+    /**
+     * Returns the work of a request at one pool, as a part of the whole pool's time. By default the largest work of
+     * the request, for forecasts that don't tell its pools apart.
+     *
+     * @param request the request
+     * @param pool    name of the pool
+     * @return nanoseconds for which the request occupies all upstreams of the pool; 0 if it does not use the pool
+     */
+    default long costNanos(StagedRequest request, String pool) {
+        return request.needsPool(pool) ? costNanos(request) : 0;
+    }
+
     /**
      * Records that a request starts now, so that the following estimates include it.
      *
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/admission/WaitingStart.java
@@ -0,0 +1,62 @@
+package org.copperspindle.admission;
+
+import java.util.Comparator;
+
+/**
+ * A request that waits at the controller, with the times by which it is ordered.
+ */
+final class WaitingStart {
+
+    /** Order within an account: callers that were refused before first, then by the latest start. */
+    static final Comparator<WaitingStart> BY_LATEST_START = Comparator.comparing(
+                    (WaitingStart waiting) -> !waiting.request.retried())
+            .thenComparing((first, second) -> Long.signum(first.latestStartAt - second.latestStartAt));
+
+    /**
+     * Part of a full call for which a start is assumed to be too late already: while a request runs, others start
+     * whose pieces share its calls, and its later stages begin up to a call later than the present loads say.
+     */
+    private static final double MARGIN_CALLS = 0.5;
+
+    /** Shortest runs that must fit into the time left to a late request: a run that starts late takes longer. */
+    private static final int LATE_RUNS = 2;
+
+    private final StartRequest start;
+    private final StagedRequest request;
+    private final long latestStartAt;
+    private final long lastUsefulStartAt;
+    private final long costNanos;
+
+    WaitingStart(StartRequest start, StartForecast forecast) {
+        this.start = start;
+        this.request = start.request();
+        long shortest = forecast.shortestNanos(request);
+        long margin = (long) (MARGIN_CALLS * forecast.fullCallNanos(request));
+        this.latestStartAt = request.objectiveAt() - shortest - margin;
+        this.lastUsefulStartAt = request.callerTimeoutAt() - LATE_RUNS * shortest;
+        this.costNanos = forecast.costNanos(request);
+    }
+
+    StartRequest start() {
+        return start;
+    }
+
+    StagedRequest request() {
+        return request;
+    }
+
+    /** Returns the work of the request at its slowest pool, in nanoseconds of that pool. */
+    long costNanos() {
+        return costNanos;
+    }
+
+    /** Returns whether a start after the given delay ends within the objective. */
+    boolean isTimely(long delayNanos, long now) {
+        return now + delayNanos - latestStartAt <= 0;
+    }
+
+    /** Returns whether a start still ends before the caller leaves. */
+    boolean isUseful(long now) {
+        return now - lastUsefulStartAt <= 0;
+    }
+}
--- a/library/src/main/java/org/copperspindle/dialect/StandardTableReader.java
+++ b/library/src/main/java/org/copperspindle/dialect/StandardTableReader.java
@@ -37,6 +37,11 @@
     private static final int MAX_ATTEMPTS = 10;
     private static final int MAX_RANK = 9;
 
+    /** With weights further apart, one request of a small account would count for minutes of a shared pool. */
+    private static final double MIN_ACCOUNT_WEIGHT = 0.001;
+
+    private static final double MAX_ACCOUNT_WEIGHT = 1000;
+
     @Override
     public RouteTableResult read(byte[] text) {
         try {
@@ -167,7 +172,12 @@
             accounts.add(new ClientAccount(
                     s.subject(),
                     s.getList("keys", "keys, separated by commas", Optional.of(List.of())),
-                    rank < 0 ? OptionalInt.empty() : OptionalInt.of(rank)));
+                    rank < 0 ? OptionalInt.empty() : OptionalInt.of(rank),
+                    s.getDouble(
+                            "weight",
+                            MIN_ACCOUNT_WEIGHT,
+                            MAX_ACCOUNT_WEIGHT,
+                            Optional.of(ClientAccount.DEFAULT_WEIGHT))));
             s.finish();
         }
         return accounts.isEmpty() ? Optional.empty() : Optional.of(accounts);
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/fairness/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Fair queueing: weighted shares of a resource among client accounts.
+ */
+package org.copperspindle.fairness;
--- a/library/src/test/java/org/copperspindle/dialect/StandardTableReaderTest.java
+++ b/library/src/test/java/org/copperspindle/dialect/StandardTableReaderTest.java
@@ -22,6 +22,9 @@
             [account editors]
             keys = k1, k2
             rank = 1
+            weight = 2.5
+            [account readers]
+            keys = k3
             [pool engines]
             engine-slots = 64
             [pool spare]
@@ -56,6 +59,8 @@
         RouteTable table = ((RouteTableResult.Valid) result).table();
         assertThat(table.version()).isEqualTo(7);
         assertThat(table.isKeyed()).isTrue();
+        assertThat(table.findAccount("k1").orElseThrow().weight()).isEqualTo(2.5);
+        assertThat(table.findAccount("k3").orElseThrow().weight()).isEqualTo(1);
         Route route = table.findRoute("h", "/review/x").orElseThrow();
         assertThat(route.kind()).isEqualTo(RouteKind.STREAM);
         assertThat(route.pools()).isEqualTo(List.of(new WeightedPool("engines", 90), new WeightedPool("spare", 10)));
@@ -70,6 +75,9 @@
     @CsvSource({
         "version = 7, version = x, version",
         "timeout = 20s, timeout = 0s, review",
+        "weight = 2.5, weight = 0, weight",
+        "weight = 2.5, weight = -1, weight",
+        "weight = 2.5, weight = NaN, weight",
         "engines:90, engines:x, pools",
         "engines:90, nowhere:90, nowhere",
         "after = 0, after = 5, stage 1",
