--- a/library/src/main/java/org/copperspindle/admission/LoadForecast.java
+++ b/library/src/main/java/org/copperspindle/admission/LoadForecast.java
@@ -54,6 +54,11 @@
         return Math.max(0, estimate.estimated() - estimate.minimum());
     }
 
+    @Override
+    public long longestWaitNanos(StagedRequest request) {
+        return estimator.longestWaitNanos(request);
+    }
+
     @Override
     public long fullCallNanos(StagedRequest request) {
         return StageTimeEstimator.fullCallNanos(request);
--- a/library/src/main/java/org/copperspindle/admission/PriorityStartQueue.java
+++ b/library/src/main/java/org/copperspindle/admission/PriorityStartQueue.java
@@ -22,12 +22,19 @@
     static final int MAX_WAITING = 4096;
 
     /**
-     * Queueing in full calls up to which timely requests start: enough to keep calls full, and little enough that
-     * results don't fill the memory of their producers while they wait for the next stage.
+     * Longest wait at a pool, in full calls, up to which timely requests start. Upstreams then have full calls waiting;
+     * at half a call some are idle while pieces are under way, and results that wait for much more than a call fill
+     * the memory of their producers.
      */
-    private static final double START_CALLS = 0.5;
+    private static final double START_CALLS = 1.2;
 
-    /** Queueing in full calls up to which late requests start: less than a timely request would notice. */
+    /**
+     * Part of the slack of more urgent requests that queueing may use before less urgent ones wait: with all of it,
+     * the next urgent request could only just be on time if no estimate were wrong.
+     */
+    private static final double URGENT_SLACK_FRACTION = 0.5;
+
+    /** Longest wait at a pool, in full calls, up to which late requests start: less than a timely request would notice. */
     private static final double LATE_START_CALLS = 1.0 / 3;
 
     /** Interval at which the work ahead of all requests is computed: refusals needn't be sent sooner. */
@@ -36,6 +43,7 @@
     private final RetryBookings bookings;
     private final Map<Key, StartRequest> arrivals = new LinkedHashMap<>();
     private final Map<Key, WaitingStart> waiting = new HashMap<>();
+    private final UrgentRequestKinds urgentKinds = new UrgentRequestKinds();
     private final RankedStarts timely = new RankedStarts();
     private final RankedStarts late = new RankedStarts();
     private long sweptAt;
@@ -124,6 +132,7 @@
             arrivals.forEach((key, request) -> {
                 WaitingStart each = new WaitingStart(request, forecast);
                 waiting.put(key, each);
+                urgentKinds.observe(each.request());
                 if (each.isTimely(forecast.queueingNanos(each.request()), now)) {
                     timely.add(each);
                 } else {
@@ -135,20 +144,24 @@
 
         private void startTimely() {
             Set<String> fullPools = new HashSet<>();
-            Optional<WaitingStart> next = nextOf(timely, fullPools);
+            Set<Integer> heldRanks = new HashSet<>();
+            Optional<WaitingStart> next = nextOf(timely, fullPools, heldRanks);
             while (next.isPresent()) {
                 WaitingStart each = next.get();
                 long queueing = forecast.queueingNanos(each.request());
                 if (!each.isTimely(queueing, now)) {
                     timely.remove(each);
                     addLate(each);
-                } else if (queueing <= START_CALLS * forecast.fullCallNanos(each.request())) {
+                } else if (isKeptForUrgent(each.request()) && !timely.hasCredit(each)) {
+                    heldRanks.add(each.request().rank());
+                } else if (forecast.longestWaitNanos(each.request())
+                        <= START_CALLS * forecast.fullCallNanos(each.request())) {
                     timely.serve(each);
                     start(each);
                 } else {
                     fullPools.addAll(WorkAhead.pools(each.request()));
                 }
-                next = nextOf(timely, fullPools);
+                next = nextOf(timely, fullPools, heldRanks);
             }
         }
 
@@ -182,19 +195,19 @@
 
         private void startLate() {
             Set<String> busyPools = new HashSet<>();
-            Optional<WaitingStart> next = nextOf(late, busyPools);
+            Optional<WaitingStart> next = nextOf(late, busyPools, Set.of());
             while (next.isPresent()) {
                 WaitingStart each = next.get();
                 if (!each.isUseful(now)) {
                     refuse(each);
-                } else if (forecast.queueingNanos(each.request())
+                } else if (forecast.longestWaitNanos(each.request())
                         < LATE_START_CALLS * forecast.fullCallNanos(each.request())) {
                     late.serve(each);
                     start(each);
                 } else {
                     busyPools.addAll(WorkAhead.pools(each.request()));
                 }
-                next = nextOf(late, busyPools);
+                next = nextOf(late, busyPools, Set.of());
             }
         }
 
@@ -211,8 +224,24 @@
             }
         }
 
-        private Optional<WaitingStart> nextOf(RankedStarts starts, Set<String> excludedPools) {
-            return starts.next(each -> excludedPools.stream().noneMatch(each.request()::needsPool));
+        private Optional<WaitingStart> nextOf(
+                RankedStarts starts, Set<String> excludedPools, Set<Integer> excludedRanks) {
+            return starts.next(each -> !excludedRanks.contains(each.request().rank())
+                    && excludedPools.stream().noneMatch(each.request()::needsPool));
+        }
+
+        /**
+         * Returns whether the queueing has used up so much of the slack of a more urgent kind of request that a less
+         * urgent one should wait. Without this the kind with the longest objective fills the pools until only it can
+         * be on time.
+         */
+        private boolean isKeptForUrgent(StagedRequest request) {
+            return urgentKinds.moreUrgentThan(request, now).stream()
+                    .filter(urgent -> WorkAhead.pools(urgent).stream().anyMatch(request::needsPool))
+                    .anyMatch(urgent -> {
+                        long slack = urgent.route().objective().toNanos() - forecast.shortestNanos(urgent);
+                        return slack > 0 && forecast.queueingNanos(urgent) > URGENT_SLACK_FRACTION * slack;
+                    });
         }
 
         private void addLate(WaitingStart each) {
--- a/library/src/main/java/org/copperspindle/admission/RankOrder.java
+++ b/library/src/main/java/org/copperspindle/admission/RankOrder.java
@@ -14,6 +14,10 @@
     private static final double LOWER_RANK_FRACTION = 0.125;
 
     private final Map<Integer, Double> startTags;
+
+    /** Work that waiting ranks may start although capacity is kept for more urgent requests. */
+    private final Map<Integer, Double> creditNanos = new HashMap<>();
+
     private double virtualTime;
 
     RankOrder() {
@@ -50,20 +54,31 @@
      */
     void charge(int rank, double costNanos, Collection<Integer> waiting) {
         double weight = 1;
+        double credit = costNanos;
         for (int other : waiting) {
-            if (other >= rank) {
-                break;
+            if (other < rank) {
+                weight *= LOWER_RANK_FRACTION;
+            } else if (other > rank) {
+                credit *= LOWER_RANK_FRACTION;
+                creditNanos.merge(other, credit, Double::sum);
             }
-            weight *= LOWER_RANK_FRACTION;
         }
+        creditNanos.merge(rank, -costNanos, (known, cost) -> Math.max(0, known + cost));
+        creditNanos.values().removeIf(left -> left <= 0);
         virtualTime = Math.max(virtualTime, tag(rank));
         startTags.put(rank, tag(rank) + costNanos / weight);
         startTags.values().removeIf(tag -> tag <= virtualTime);
     }
 
+    /** Returns whether more urgent ranks have started so much that a waiting rank's part of it allows a request. */
+    boolean hasCredit(int rank, double costNanos) {
+        return creditNanos.getOrDefault(rank, 0.0) >= costNanos;
+    }
+
     /** Forgets the work done so far: while nothing waits, no rank takes capacity from another one. */
     void reset() {
         startTags.clear();
+        creditNanos.clear();
         virtualTime = 0;
     }
 
--- a/library/src/main/java/org/copperspindle/admission/RankedStarts.java
+++ b/library/src/main/java/org/copperspindle/admission/RankedStarts.java
@@ -66,6 +66,11 @@
         return removed;
     }
 
+    /** Returns whether the part of a request's rank allows it to start before capacity is kept for urgent requests. */
+    boolean hasCredit(WaitingStart waiting) {
+        return ranks.hasCredit(waiting.request().rank(), waiting.costNanos());
+    }
+
     /** Returns all requests in the order in which they would start if no others came. */
     List<WaitingStart> inOrder() {
         Map<Integer, Iterator<WaitingStart>> left = new TreeMap<>();
--- a/library/src/main/java/org/copperspindle/admission/StageTimeEstimator.java
+++ b/library/src/main/java/org/copperspindle/admission/StageTimeEstimator.java
@@ -2,6 +2,7 @@
 
 import java.util.Comparator;
 import java.util.Optional;
+import java.util.concurrent.atomic.LongAccumulator;
 import java.util.function.Function;
 import java.util.stream.IntStream;
 
@@ -48,6 +49,23 @@
         return new StageTimeEstimate(minimum + firstEvent, estimated + firstEvent, estimated);
     }
 
+    /**
+     * Returns the longest wait of a request that starts now at any of its pools.
+     *
+     * @param request the request
+     * @return nanoseconds
+     */
+    public long longestWaitNanos(StagedRequest request) {
+        StagePlan plan = plan(request);
+        LongAccumulator longest = new LongAccumulator(Math::max, 0);
+        plan.finish((stage, start) -> {
+            long wait = waitNanos(request.stagePool(stage), start);
+            longest.accumulate(wait);
+            return wait + loadedNanos(request, plan, stage);
+        });
+        return longest.get();
+    }
+
     /**
      * Returns the pool of a request with the longest wait.
      *
--- a/library/src/main/java/org/copperspindle/admission/StartForecast.java
+++ b/library/src/main/java/org/copperspindle/admission/StartForecast.java
@@ -23,6 +23,17 @@
      */
     long queueingNanos(StagedRequest request);
 
+    /**
+     * Returns the longest wait of a request that starts now at any of its pools. Unlike the queueing it does not
+     * contain that its calls take longer because they are shared. By default the queueing.
+     *
+     * @param request the request
+     * @return nanoseconds
+     */
+    default long longestWaitNanos(StagedRequest request) {
+        return queueingNanos(request);
+    }
+
     /**
      * Returns the duration of a full call of the slowest pool that a request uses.
      *
--- a/library/src/main/java/org/copperspindle/admission/WaitingStart.java
+++ b/library/src/main/java/org/copperspindle/admission/WaitingStart.java
@@ -12,12 +12,6 @@
                     (WaitingStart waiting) -> !waiting.request.retried())
             .thenComparing((first, second) -> Long.signum(first.latestStartAt - second.latestStartAt));
 
-    /**
-     * Part of a full call for which a start is assumed to be too late already: while a request runs, others start
-     * whose pieces share its calls, and its later stages begin up to a call later than the present loads say.
-     */
-    private static final double MARGIN_CALLS = 0.5;
-
     /** Shortest runs that must fit into the time left to a late request: a run that starts late takes longer. */
     private static final int LATE_RUNS = 2;
 
@@ -31,8 +25,7 @@
         this.start = start;
         this.request = start.request();
         long shortest = forecast.shortestNanos(request);
-        long margin = (long) (MARGIN_CALLS * forecast.fullCallNanos(request));
-        this.latestStartAt = request.objectiveAt() - shortest - margin;
+        this.latestStartAt = request.objectiveAt() - shortest;
         this.lastUsefulStartAt = request.callerTimeoutAt() - LATE_RUNS * shortest;
         this.costNanos = forecast.costNanos(request);
     }
