--- a/library/src/main/java/org/copperspindle/admission/StartForecast.java
+++ b/library/src/main/java/org/copperspindle/admission/StartForecast.java
@@ -23,6 +23,17 @@
      */
     long queueingNanos(StagedRequest request);
 
+    /**
+     * Returns the longest wait of a request that starts now at any of its pools. Unlike the queueing it does not
+     * contain that its calls take longer because they are shared. By default the queueing.
+     *
+     * @param request the request
+     * @return nanoseconds
+     */
+    default long longestWaitNanos(StagedRequest request) {
+        return queueingNanos(request);
+    }
+
     /**
      * Returns the duration of a full call of the slowest pool that a request uses.
      *
@@ -39,6 +50,18 @@
      */
     long costNanos(StagedRequest request);
 
+    /**
+     * Returns the work of a request at one pool, as a part of the whole pool's time. By default the largest work of
+     * the request, for forecasts that don't tell its pools apart.
+     *
+     * @param request the request
+     * @param pool    name of the pool
+     * @return nanoseconds for which the request occupies all upstreams of the pool; 0 if it does not use the pool
+     */
+    default long costNanos(StagedRequest request, String pool) {
+        return request.needsPool(pool) ? costNanos(request) : 0;
+    }
+
     /**
      * Records that a request starts now, so that the following estimates include it.
      *
