Wait in the scripted upstream until its port is closed before its connections are

Cause: DirectClientTest#lossTellsWhetherTheUpstreamWasThere, case (2, KEPT, true), failed beside other load with "expected true but was false". The fault is in the stand-in, not in the client. ScriptedUpstream.close() closed its server socket and then its connections at once. The thread that waits in accept holds the kernel's listening socket until the signal of the close has woken it. Until then the port went on accepting, so that the client, whose kept connection was closed, connected again to an upstream that should have been gone, and its call was lost on a new connection: that is not possibly stale.

Change: close() joins the accepting thread before it closes the connections. The test and its checks are unchanged.

--- a/emulator/src/main/java/org/copperspindle/emulator/ScriptedUpstream.java
+++ b/emulator/src/main/java/org/copperspindle/emulator/ScriptedUpstream.java
@@ -28,6 +28,7 @@
     private final List<Socket> connections = new CopyOnWriteArrayList<>();
     private final AtomicInteger number = new AtomicInteger();
     private final ServerSocket server;
+    private final Thread acceptor;
     private volatile Script script;
 
     /**
@@ -52,7 +53,8 @@
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
-        start(this::accept, "scripted-upstream");
+        this.acceptor = daemon(this::accept, "scripted-upstream");
+        acceptor.start();
     }
 
     /**
@@ -127,6 +129,7 @@
     public void close() {
         try {
             server.close();
+            awaitEndOfListening();
             for (Socket connection : connections) {
                 connection.close();
             }
@@ -135,12 +138,25 @@
         }
     }
 
+    /**
+     * Waits until the kernel accepts no more connections. A thread that waits in {@code accept} keeps the listening
+     * socket alive for a moment after its close: a caller whose connection is closed before that moment has passed
+     * could connect again, to a process that should be gone.
+     */
+    private void awaitEndOfListening() {
+        try {
+            acceptor.join();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private void accept() {
         while (!server.isClosed()) {
             try {
                 Socket connection = server.accept();
                 connections.add(connection);
-                start(() -> serve(connection), "scripted-connection");
+                daemon(() -> serve(connection), "scripted-connection").start();
             } catch (IOException e) {
                 // Closed; there is nobody to tell.
                 return;
@@ -184,10 +200,10 @@
         return new ScriptedRequest(words[0], words[1], fields, new String(body));
     }
 
-    private static void start(Runnable task, String name) {
+    private static Thread daemon(Runnable task, String name) {
         Thread thread = new Thread(task, name);
         thread.setDaemon(true);
-        thread.start();
+        return thread;
     }
 
     /** What an upstream does. */
