Read what upstreams state of their load, and use their pace in the dispatcher of a stage pool

Cause: the dispatcher learns of a slowdown of an upstream only from calls that come back late, and of its end only from the calls after it. Some upstreams state in each response how long work takes them now.

UpstreamLoads keeps the last counts and the average pace (half-life 1 s, ignored after 2 s) of one incarnation of each upstream; a figure of a call that was sent to an earlier incarnation, or that another upstream answered, is ignored. Malformed values are counted and logged at most twice a second by a limiter of their own. The pace reaches the batch package through UpstreamPace: it scales the expected duration and the timeout of a call, the order of free upstreams, the load of the pool, and which groups would still be on time at this upstream. It does not make an upstream count as slow, so that it is not skipped: a pool near its capacity needs its slowed upstreams. The ratio that is measured of a call is taken relative to the pace stated meanwhile, so that a slowdown does not count twice. Without a fourth figure nothing changes.

--- a/library/src/main/java/org/copperspindle/batch/BatchService.java
+++ b/library/src/main/java/org/copperspindle/batch/BatchService.java
@@ -92,6 +92,7 @@
     private int round;
     private long handledPauseAt;
     private CallAdmission admission = CallAdmission.ALL;
+    private UpstreamPace pace = UpstreamPace.NONE;
 
     /**
      * Creates the service. The caller subscribes it to the mesh.
@@ -132,6 +133,15 @@
         admission = bound;
     }
 
+    /**
+     * Sets what upstreams state of their pace. To be called before {@link #start}.
+     *
+     * @param stated the pace, which scales the expected durations of calls
+     */
+    public void scaleDurationsBy(UpstreamPace stated) {
+        pace = stated;
+    }
+
     /**
      * Returns an id for the next group.
      *
@@ -466,7 +476,8 @@
                 pool,
                 name -> new PoolDispatcher(name, directory, timers, port, () -> limits.apply(name), sink, log)
                         .withPauseDetector(pauseDetector)
-                        .limitCallsWith(admission));
+                        .limitCallsWith(admission)
+                        .scaleDurationsBy(pace));
     }
 
     private void upstreamChanged(UpstreamRecord changed) {
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/batch/InputReleaser.java
@@ -0,0 +1,74 @@
+package org.copperspindle.batch;
+
+import java.util.List;
+
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.copperspindle.route.BatchLimits;
+import org.copperspindle.time.TimerService;
+
+/**
+ * Releases the inputs of the groups of one pool once the upstreams that run them have fetched them, so that the memory
+ * of their producers is free before the calls end.
+ */
+final class InputReleaser {
+
+    private static final Logger LOGGER = LogManager.getLogger(InputReleaser.class);
+
+    private final String pool;
+    private final TimerService timers;
+    private final PoolDispatcher.ResultSink sink;
+    private final FetchTimeEstimator fetchTime = new FetchTimeEstimator();
+
+    InputReleaser(String pool, TimerService timers, PoolDispatcher.ResultSink sink) {
+        this.pool = pool;
+        this.timers = timers;
+        this.sink = sink;
+    }
+
+    /** Releases the inputs of a call that is sent now, each group's once they have been fetched. */
+    void releaseOnceFetched(List<PieceTask> tasks, BatchLimits known, long now) {
+        long fetchNanos = fetchTime.nanos(known, inputBytes(tasks));
+        tasks.stream().map(PieceTask::group).distinct().forEach(group -> releaseOnceFetched(group, now, fetchNanos));
+    }
+
+    /** Releases the inputs of a group that needs them no longer. */
+    void release(WaitingGroup group) {
+        List<String> inputs = group.takeInputs();
+        if (!inputs.isEmpty()) {
+            sink.release(inputs);
+        }
+    }
+
+    /** Updates the fetch time estimate from a call whose inputs may have been released while it ran. */
+    void updateFetchTime(List<PieceTask> tasks, List<PieceOutcome> outcomes) {
+        boolean releasedTooEarly = false;
+        for (int i = 0; i < tasks.size(); i++) {
+            releasedTooEarly |= outcomes.get(i).isMissedFor(MissReason.INPUT_GONE)
+                    && !tasks.get(i).group().hasInputs();
+        }
+        if (releasedTooEarly) {
+            fetchTime.recordEarlyRelease();
+            LOGGER.info("event=inputs-given-up-early pool={} pieces={}", pool, tasks.size());
+        } else {
+            fetchTime.recordSuccess();
+        }
+    }
+
+    private void releaseOnceFetched(WaitingGroup group, long now, long fetchNanos) {
+        group.markSent(now);
+        if (group.group().ownsInputs()) {
+            timers.schedule(fetchNanos, () -> {
+                if (group.hasFetchedInputs(timers.nanoTime(), fetchNanos)) {
+                    release(group);
+                }
+            });
+        }
+    }
+
+    private static long inputBytes(List<PieceTask> tasks) {
+        return tasks.stream()
+                .mapToLong(task -> task.group().group().inputBytes())
+                .sum();
+    }
+}
--- a/library/src/main/java/org/copperspindle/batch/PieceQueue.java
+++ b/library/src/main/java/org/copperspindle/batch/PieceQueue.java
@@ -97,7 +97,7 @@
         Set<WaitingGroup> preferred =
                 groups.values().stream().filter(prefers).collect(Collectors.toCollection(LinkedHashSet::new));
         List<WaitingGroup> order = new ArrayList<>(bounds.takesAll() ? groups.values() : preferred);
-        order.sort(byUrgency(limits, now, preferred));
+        order.sort(byUrgency((long) (halfCallNanos(limits) * bounds.pace()), now, preferred));
         List<PieceTask> taken = new ArrayList<>();
         long freeBytes = bounds.bytes();
         for (WaitingGroup group : order) {
@@ -132,7 +132,7 @@
         List<PieceTask> taken = new ArrayList<>();
         groups.values().stream()
                 .filter(g -> g.missing().size() <= limits.maxPieces() && g.resultBytes() <= bytes)
-                .max(byUrgency(limits, now, Set.of()))
+                .max(byUrgency(halfCallNanos(limits), now, Set.of()))
                 .ifPresent(g -> take(g, g.missing().size(), taken));
         return taken;
     }
@@ -155,8 +155,11 @@
         return limits.maxPieces() * group.group().resultBytes() * MIN_CALLS_IN_MEMORY_TO_SPLIT <= limits.resultBytes();
     }
 
-    private static Comparator<WaitingGroup> byUrgency(BatchLimits limits, long now, Set<WaitingGroup> preferred) {
-        long call = limits.expectedNanos(limits.maxPieces() / 2);
+    private static long halfCallNanos(BatchLimits limits) {
+        return limits.expectedNanos(limits.maxPieces() / 2);
+    }
+
+    private static Comparator<WaitingGroup> byUrgency(long call, long now, Set<WaitingGroup> preferred) {
         return Comparator.<WaitingGroup>comparingInt(g -> g.isOnTime(now, call) ? 0 : 1)
                 .thenComparingInt(g -> preferred.contains(g) ? 0 : 1)
                 .thenComparingLong(g -> g.slackUntil() - now + g.group().rank() * RANK_NANOS);
--- a/library/src/main/java/org/copperspindle/batch/PoolDispatcher.java
+++ b/library/src/main/java/org/copperspindle/batch/PoolDispatcher.java
@@ -57,9 +57,9 @@
     private final PoolUpstreams upstreams;
     private final Map<WaitingGroup, Integer> running = new HashMap<>();
     private final ResultReleaser releaser;
+    private final InputReleaser inputs;
     private final DeferredTask wake;
     private final CallSplitter splitter = new CallSplitter();
-    private final FetchTimeEstimator fetchTime = new FetchTimeEstimator();
     private Optional<PauseDetector> pauseDetector = Optional.empty();
     private PoolWork work = PoolWork.NONE;
 
@@ -80,6 +80,7 @@
         this.log = log;
         this.upstreams = new PoolUpstreams(pool, directory);
         this.releaser = new ResultReleaser(upstreams, timers, port, this::dispatch);
+        this.inputs = new InputReleaser(pool, timers, sink);
         this.wake = new DeferredTask(timers, this::dispatch);
     }
 
@@ -95,6 +96,12 @@
         return this;
     }
 
+    /** Sets what upstreams state of their pace; without it, they are presumed to take as long as usual. */
+    PoolDispatcher scaleDurationsBy(UpstreamPace stated) {
+        upstreams.scaleDurationsBy(stated);
+        return this;
+    }
+
     void add(String origin, PieceGroup group) {
         queue.add(new WaitingGroup(origin, group, timers.nanoTime()));
         dispatch();
@@ -118,7 +125,7 @@
 
     /** Cancels a group: drops its waiting pieces; the results of running ones are released when they arrive. */
     void cancel(String origin, long id) {
-        queue.cancel(origin, id).ifPresent(this::releaseInputs);
+        queue.cancel(origin, id).ifPresent(inputs::release);
         running.keySet().stream()
                 .filter(g -> g.origin().equals(origin) && g.group().id() == id)
                 .forEach(WaitingGroup::cancel);
@@ -163,7 +170,8 @@
             CallBounds bounds = new CallBounds(
                     (queue.pieces() + free.size()) / (free.size() + 1),
                     upstream.freeMemory(known.get(), now),
-                    upstreams.isBehind(known.get(), queue.pieces(), now));
+                    upstreams.isBehind(known.get(), queue.pieces(), now),
+                    upstreams.pace(upstream, now));
             List<PieceTask> tasks =
                     queue.take(known.get(), bounds, now, group -> shouldSendTo(group, upstream, now, known.get()));
             if (!tasks.isEmpty()) {
@@ -234,14 +242,12 @@
         long now = timers.nanoTime();
         long expected = known.expectedNanos(tasks.size());
         upstreams.recordCall(upstream);
-        upstream.onSent(now + (long) (expected * upstream.slowness()));
+        upstream.onSent(now + (long) (expected * upstreams.slowness(upstream, now)));
         tasks.forEach(task -> running.merge(task.group(), 1, Integer::sum));
-        long fetchNanos = fetchTime.nanos(known, inputBytes(tasks));
-        tasks.stream()
-                .map(PieceTask::group)
-                .distinct()
-                .forEach(group -> releaseInputsOnceFetched(group, now, fetchNanos));
-        long timeout = upstream.timeoutNanos(expected) / NANOS_PER_MILLI + FETCH_ALLOWANCE.toMillis();
+        inputs.releaseOnceFetched(tasks, known, now);
+        double pace = upstreams.pace(upstream, now);
+        long timeout = upstream.timeoutNanos((long) (expected * Math.max(1, pace))) / NANOS_PER_MILLI
+                + FETCH_ALLOWANCE.toMillis();
         if (log.allowsServed(now)) {
             LOGGER.info(
                     "event=stage-call pool={} upstream={} pieces={} waiting={} room_left={} requests={}",
@@ -259,12 +265,12 @@
                 upstream.announced(),
                 tasks.stream().map(task -> task.toItem(now)).toList(),
                 timeout,
-                result -> onCallEnded(upstream, tasks, result, expected, now));
+                result -> onCallEnded(upstream, tasks, result, new SentCall(expected, pace, now)));
     }
 
-    private void onCallEnded(
-            StageUpstream upstream, List<PieceTask> tasks, StageCallResult result, long expected, long sentAt) {
+    private void onCallEnded(StageUpstream upstream, List<PieceTask> tasks, StageCallResult result, SentCall call) {
         long now = timers.nanoTime();
+        long sentAt = call.sentAt();
         boolean affectedByPause =
                 pauseDetector.filter(detector -> detector.affects(sentAt, now)).isPresent();
         tasks.forEach(task -> running.computeIfPresent(task.group(), (g, n) -> n > 1 ? n - 1 : null));
@@ -273,13 +279,13 @@
             long made = answered.outcomes().stream()
                     .filter(PieceOutcome.Made.class::isInstance)
                     .count();
-            work = work.plus((affectedByPause ? expected : tookNanos) / NANOS_PER_SECOND, made);
+            work = work.plus((affectedByPause ? call.statedNanos() : tookNanos) / NANOS_PER_SECOND, made);
             if (affectedByPause) {
                 upstream.onInconclusiveEnd();
             } else {
-                upstream.onAnswered(expected, tookNanos);
+                upstream.onAnswered(call.expectedNanos(upstreams.pace(upstream, now)), tookNanos);
                 recordSpeed(upstream, now);
-                updateFetchTime(tasks, answered.outcomes());
+                inputs.updateFetchTime(tasks, answered.outcomes());
             }
             handleOutcomes(upstream, tasks, answered.outcomes(), now);
         } else if (result instanceof StageCallResult.NotRun notRun) {
@@ -409,46 +415,6 @@
         }
     }
 
-    private static long inputBytes(List<PieceTask> tasks) {
-        return tasks.stream()
-                .mapToLong(task -> task.group().group().inputBytes())
-                .sum();
-    }
-
-    /** Releases the inputs of a group once the upstream has fetched them. */
-    private void releaseInputsOnceFetched(WaitingGroup group, long now, long fetchNanos) {
-        group.markSent(now);
-        if (group.group().ownsInputs()) {
-            timers.schedule(fetchNanos, () -> {
-                if (group.hasFetchedInputs(timers.nanoTime(), fetchNanos)) {
-                    releaseInputs(group);
-                }
-            });
-        }
-    }
-
-    /** Updates the fetch time estimate from a call whose inputs may have been released while it ran. */
-    private void updateFetchTime(List<PieceTask> tasks, List<PieceOutcome> outcomes) {
-        boolean releasedTooEarly = false;
-        for (int i = 0; i < tasks.size(); i++) {
-            releasedTooEarly |= outcomes.get(i).isMissedFor(MissReason.INPUT_GONE)
-                    && !tasks.get(i).group().hasInputs();
-        }
-        if (releasedTooEarly) {
-            fetchTime.recordEarlyRelease();
-            LOGGER.info("event=inputs-given-up-early pool={} pieces={}", pool, tasks.size());
-        } else {
-            fetchTime.recordSuccess();
-        }
-    }
-
-    private void releaseInputs(WaitingGroup group) {
-        List<String> inputs = group.takeInputs();
-        if (!inputs.isEmpty()) {
-            sink.release(inputs);
-        }
-    }
-
     /** Requeues the pieces of a lost call, unless they were lost too often. */
     private void retry(List<PieceTask> tasks, MissReason reason) {
         Map<WaitingGroup, List<Integer>> byGroup = new LinkedHashMap<>();
@@ -473,7 +439,7 @@
     }
 
     private void reportMissed(WaitingGroup group, List<Integer> pieces, MissReason reason) {
-        releaseInputs(group);
+        inputs.release(group);
         if (group.isCancelled() || pieces.isEmpty()) {
             return;
         }
@@ -493,6 +459,25 @@
         }
     }
 
+    /**
+     * A call in progress.
+     *
+     * @param statedNanos  its duration by the limits of the pool
+     * @param paceWhenSent the pace that its upstream stated before it was sent
+     * @param sentAt       monotonic time in nanoseconds
+     */
+    private record SentCall(long statedNanos, double paceWhenSent, long sentAt) {
+
+        /**
+         * Returns how long the call should have taken at the pace that the upstream stated meanwhile. Only what exceeds
+         * this counts as slowness: otherwise a slowdown would count twice, and the upstream would still seem slow after
+         * it.
+         */
+        private long expectedNanos(double paceNow) {
+            return (long) (statedNanos * (paceWhenSent + paceNow) / 2);
+        }
+    }
+
     /**
      * Delivers outcomes to the node that waits for them, and releases inputs at the dispatchers of the pools that
      * produced them.
--- a/library/src/main/java/org/copperspindle/batch/PoolUpstreams.java
+++ b/library/src/main/java/org/copperspindle/batch/PoolUpstreams.java
@@ -46,6 +46,7 @@
     private final Map<String, StageUpstream> byId = new LinkedHashMap<>();
     private List<UpstreamRecord> ready = List.of();
     private CallAdmission admission = CallAdmission.ALL;
+    private UpstreamPace pace = UpstreamPace.NONE;
 
     PoolUpstreams(String pool, UpstreamDirectory directory) {
         this.pool = pool;
@@ -56,6 +57,24 @@
         admission = bound;
     }
 
+    void scaleDurationsBy(UpstreamPace stated) {
+        pace = stated;
+    }
+
+    /** Returns the multiple of the usual time that work takes an upstream now by its own statement. */
+    double pace(StageUpstream upstream, long now) {
+        return pace.factor(upstream.announced(), now);
+    }
+
+    /**
+     * Returns the expected ratio of actual to stated duration of a call that is sent now; 1 is as stated. It determines
+     * waits and the order of upstreams, but not which of them count as slow and are skipped: slowdowns that upstreams
+     * state are short, and a pool near its capacity needs its slowed upstreams as well.
+     */
+    double slowness(StageUpstream upstream, long now) {
+        return upstream.slowness() * pace(upstream, now);
+    }
+
     Collection<StageUpstream> all() {
         return byId.values();
     }
@@ -106,7 +125,7 @@
     List<StageUpstream> callable(BatchLimits limits, long now) {
         return byId.values().stream()
                 .filter(u -> u.isFree(limits, now) && isReady(u) && mayRunPieces(u))
-                .sorted(Comparator.comparingDouble(StageUpstream::slowness))
+                .sorted(Comparator.comparingDouble(u -> slowness(u, now)))
                 .collect(Collectors.toCollection(ArrayList::new));
     }
 
@@ -157,7 +176,7 @@
         long soonest = usable.stream().mapToLong(u -> u.busyNanos(now)).min().orElseThrow();
         BatchLimits each = limits.get();
         double perNano = usable.stream()
-                .mapToDouble(u -> each.maxPieces() / Math.max(each.fullCallNanos() * u.slowness(), spacingNanos(u)))
+                .mapToDouble(u -> each.maxPieces() / Math.max(each.fullCallNanos() * slowness(u, now), spacingNanos(u)))
                 .sum();
         return new PoolLoad(soonest + (long) (waiting / perNano), perNano * NANOS_PER_SECOND, 0);
     }
--- a/library/src/main/java/org/copperspindle/dialect/HeaderNames.java
+++ b/library/src/main/java/org/copperspindle/dialect/HeaderNames.java
@@ -18,6 +18,7 @@
  * @param notRun            present if an upstream states that it did not run the request
  * @param limit             requests per second that an upstream accepts from all nodes together
  * @param leaving           present as "1" in the responses of an upstream that leaves
+ * @param load              running requests, waiting requests, slots and perhaps the pace of an upstream
  * @param reserved          names in lower case of all fields that only the system may set; a caller's are dropped
  */
 public record HeaderNames(
@@ -34,6 +35,7 @@
         String notRun,
         String limit,
         String leaving,
+        String load,
         Set<String> reserved) {
 
     /** The default names. */
@@ -51,6 +53,7 @@
             "Copperspindle-Not-Run",
             "Copperspindle-Limit",
             "Copperspindle-Leaving",
+            "Copperspindle-Load",
             Set.of(
                     "copperspindle-deadline-ms",
                     "copperspindle-upstream",
--- a/library/src/main/java/org/copperspindle/dialect/HeaderUpstreamDialect.java
+++ b/library/src/main/java/org/copperspindle/dialect/HeaderUpstreamDialect.java
@@ -7,6 +7,7 @@
 
 import org.copperspindle.backpressure.BackoffSignal;
 import org.copperspindle.backpressure.LimitSignal;
+import org.copperspindle.backpressure.UpstreamLoadSignal;
 import org.copperspindle.direct.DirectCall;
 import org.copperspindle.direct.DirectHead;
 import org.copperspindle.gateway.AttemptSpec;
@@ -84,6 +85,11 @@
                 : BackoffSignal.ABSENT;
     }
 
+    @Override
+    public UpstreamLoadSignal load(DirectHead head) {
+        return UpstreamLoadSignal.of(head.values(names.load()));
+    }
+
     @Override
     public boolean isLeaving(DirectHead head) {
         return head.values(names.leaving()).stream()
--- a/library/src/main/java/org/copperspindle/gateway/GatewayMetrics.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayMetrics.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.function.ToDoubleFunction;
 
+import org.copperspindle.batch.UpstreamPace;
 import org.copperspindle.http.HttpExchange;
 import org.copperspindle.http.HttpRequestHandler;
 import org.copperspindle.measure.LatencyHistogram;
@@ -123,6 +124,16 @@
                 "upstreams.at.rest",
                 "Upstreams that want nothing from this node for a while",
                 n -> n.backoffs().count(System.nanoTime()));
+        gauge(
+                metrics,
+                "upstreams.stating.load",
+                "Upstreams that have stated their load to this node within two seconds",
+                n -> n.loads().count(System.nanoTime()));
+        metrics.counter(
+                "upstream.loads.unreadable",
+                "Statements of load that were ignored",
+                node,
+                n -> n.loads().unreadable());
         gauge(metrics, "heap.bytes", "Heap in use", n -> usedHeap());
         metrics.counter("attempts", "Attempts sent", node, n -> n.counters().attempts());
         metrics.counter(
@@ -215,6 +226,13 @@
                 n -> n.batches().load(pool).waitNanos() / 1e9,
                 "pool",
                 pool);
+        metrics.gauge(
+                "pool.pace.slowest",
+                "Time that work takes the slowest upstream by its own figure, 1 as usual",
+                node,
+                n -> n.loads().slowest(pool, System.nanoTime()).orElse(UpstreamPace.USUAL),
+                "pool",
+                pool);
         metrics.counter(
                 "stage.busy.seconds",
                 "Time of upstreams in calls that this node packed: what a stage costs",
--- a/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
@@ -27,9 +27,11 @@
 import org.copperspindle.backpressure.SendPermits;
 import org.copperspindle.backpressure.UpstreamBackoffs;
 import org.copperspindle.backpressure.UpstreamLimits;
+import org.copperspindle.backpressure.UpstreamLoads;
 import org.copperspindle.batch.BatchService;
 import org.copperspindle.batch.DispatcherStatus;
 import org.copperspindle.batch.FetchTimeEstimator;
+import org.copperspindle.batch.UpstreamPace;
 import org.copperspindle.coldstart.ColdAdmission;
 import org.copperspindle.coldstart.SenderSetAdmission;
 import org.copperspindle.direct.DirectClient;
@@ -95,6 +97,10 @@
     private static final Duration TICK_INTERVAL = Duration.ofMillis(100);
     private static final int MAX_SERVED_LINES_PER_SECOND = 300;
     private static final int MAX_FAILED_LINES_PER_SECOND = 200;
+
+    /** Log lines per second about load statements that are ignored: a few show which upstream sends what. */
+    private static final int MAX_SIGNAL_LINES_PER_SECOND = 2;
+
     private static final int MAX_CONNECTIONS = 2500;
     private static final int MAX_CONTROL_BODY_BYTES = 8 << 20;
     private static final int OK = 200;
@@ -126,6 +132,7 @@
     private final Optional<HttpListener> metricsListener;
     private final UpstreamLimits upstreamLimits;
     private final UpstreamBackoffs upstreamBackoffs;
+    private final UpstreamLoads upstreamLoads;
     private final SendPermits permits;
     private final RequestQuarantine quarantine;
     private final long startedAt = System.nanoTime();
@@ -163,8 +170,9 @@
         this.quarantine = new RequestQuarantine(mesh, timers, directory, client, decisionLog);
         this.upstreamLimits = new UpstreamLimits(directory, decisionLog);
         this.upstreamBackoffs = new UpstreamBackoffs(directory, decisionLog);
+        this.upstreamLoads = new UpstreamLoads(directory, new LogRateLimiter(0, MAX_SIGNAL_LINES_PER_SECOND));
         UpstreamPort port = new SignalReadingPort(
-                client, dialects.upstreamDialect(), upstreamLimits, upstreamBackoffs, gossip, timers);
+                client, dialects.upstreamDialect(), upstreamLimits, upstreamBackoffs, upstreamLoads, gossip, timers);
         MeshRelay relay = new MeshRelay(mesh, registry);
         this.batches = new BatchService(
                 relay,
@@ -180,6 +188,8 @@
                 new LimitOwners(mesh, this::serves, isolation, directory, batches, versionHolder::heldTable);
         this.permits = new SendPermits(upstreamLimits, limitOwners, new MeshPermitLink(mesh), timers);
         batches.limitCallsWith(new BackpressureCallAdmission(permits, upstreamBackoffs, timers));
+        batches.scaleDurationsBy((upstream, now) ->
+                upstreamLoads.pace(upstream.id(), upstream.incarnation(), now).orElse(UpstreamPace.USUAL));
         this.retryBudget = new SharedRetryBudget(
                 settings.retries().ratio(),
                 settings.retries().slack(),
@@ -252,6 +262,7 @@
                 upstreamLimits,
                 permits,
                 upstreamBackoffs,
+                upstreamLoads,
                 batches,
                 stageAdmission,
                 retryBudget,
@@ -417,6 +428,7 @@
         }
         permits.removeStale();
         upstreamBackoffs.removeStale();
+        upstreamLoads.removeStale();
         timers.schedule(TICK_INTERVAL.toNanos(), this::tick);
     }
 
--- a/library/src/main/java/org/copperspindle/gateway/NodeState.java
+++ b/library/src/main/java/org/copperspindle/gateway/NodeState.java
@@ -6,6 +6,7 @@
 import org.copperspindle.backpressure.SendPermits;
 import org.copperspindle.backpressure.UpstreamBackoffs;
 import org.copperspindle.backpressure.UpstreamLimits;
+import org.copperspindle.backpressure.UpstreamLoads;
 import org.copperspindle.batch.BatchService;
 import org.copperspindle.direct.DirectClient;
 import org.copperspindle.discovery.UpstreamDirectory;
@@ -27,6 +28,7 @@
  * @param limits               limits announced by upstreams
  * @param permits              permits for upstreams with a limit
  * @param backoffs             upstreams that have requested a backoff
+ * @param loads                what upstreams have stated of their load
  * @param batches              the work on stages
  * @param stageAdmission       admission to the stages
  * @param retryBudget          the limit on retries
@@ -44,6 +46,7 @@
         UpstreamLimits limits,
         SendPermits permits,
         UpstreamBackoffs backoffs,
+        UpstreamLoads loads,
         BatchService batches,
         StageAdmission stageAdmission,
         SharedRetryBudget retryBudget,
--- a/library/src/main/java/org/copperspindle/gateway/SignalReadingPort.java
+++ b/library/src/main/java/org/copperspindle/gateway/SignalReadingPort.java
@@ -1,7 +1,10 @@
 package org.copperspindle.gateway;
 
+import java.util.OptionalLong;
+
 import org.copperspindle.backpressure.UpstreamBackoffs;
 import org.copperspindle.backpressure.UpstreamLimits;
+import org.copperspindle.backpressure.UpstreamLoads;
 import org.copperspindle.direct.DirectCall;
 import org.copperspindle.direct.DirectFailure;
 import org.copperspindle.direct.DirectHead;
@@ -11,7 +14,7 @@
 import org.copperspindle.time.TimerService;
 
 /**
- * An {@link UpstreamPort} that reads the limit, backoff and shutdown signals in the head of each response. All calls
+ * An {@link UpstreamPort} that reads the limit, backoff, load and shutdown signals in the head of each response. All calls
  * of a node go through it, so that no kind of call or response is left out.
  */
 final class SignalReadingPort implements UpstreamPort {
@@ -20,6 +23,7 @@
     private final UpstreamDialect dialect;
     private final UpstreamLimits limits;
     private final UpstreamBackoffs backoffs;
+    private final UpstreamLoads loads;
     private final DirectoryGossip gossip;
     private final TimerService timers;
 
@@ -28,12 +32,14 @@
             UpstreamDialect dialect,
             UpstreamLimits limits,
             UpstreamBackoffs backoffs,
+            UpstreamLoads loads,
             DirectoryGossip gossip,
             TimerService timers) {
         this.port = port;
         this.dialect = dialect;
         this.limits = limits;
         this.backoffs = backoffs;
+        this.loads = loads;
         this.gossip = gossip;
         this.timers = timers;
     }
@@ -48,11 +54,13 @@
         private final DirectCall call;
         private final DirectListener listener;
         private final long sentAt;
+        private final OptionalLong incarnation;
 
         private SignalReader(DirectCall call, DirectListener listener, long sentAt) {
             this.call = call;
             this.listener = listener;
             this.sentAt = sentAt;
+            this.incarnation = loads.incarnation(call.upstream());
         }
 
         @Override
@@ -61,6 +69,9 @@
             long now = timers.nanoTime();
             limits.onResponse(responder, dialect.limit(head), sentAt, now);
             backoffs.onResponse(responder, dialect.backoff(head), !dialect.provesNotRun(head), now);
+            if (responder.equals(call.upstream())) {
+                loads.onResponse(responder, incarnation, dialect.load(head), now);
+            }
             if (dialect.isLeaving(head)) {
                 gossip.onLeaving(responder);
             }
--- a/library/src/main/java/org/copperspindle/gateway/UpstreamDialect.java
+++ b/library/src/main/java/org/copperspindle/gateway/UpstreamDialect.java
@@ -5,6 +5,7 @@
 
 import org.copperspindle.backpressure.BackoffSignal;
 import org.copperspindle.backpressure.LimitSignal;
+import org.copperspindle.backpressure.UpstreamLoadSignal;
 import org.copperspindle.direct.DirectCall;
 import org.copperspindle.direct.DirectHead;
 import org.copperspindle.http.HeaderField;
@@ -63,6 +64,14 @@
      */
     BackoffSignal backoff(DirectHead head);
 
+    /**
+     * Reads what the upstream that responded states of its load.
+     *
+     * @param head head of the response
+     * @return the load signal
+     */
+    UpstreamLoadSignal load(DirectHead head);
+
     /**
      * Returns whether the upstream that responded is about to leave.
      *
--- a/library/src/test/java/org/copperspindle/batch/PieceQueueTest.java
+++ b/library/src/test/java/org/copperspindle/batch/PieceQueueTest.java
@@ -59,7 +59,7 @@
         queue.add(group(2, 4, 950, 4, 0));
         List<PieceTask> tasks = queue.take(
                 LIMITS,
-                new CallBounds(most, Long.MAX_VALUE, isBehind),
+                new CallBounds(most, Long.MAX_VALUE, isBehind, UpstreamPace.USUAL),
                 0,
                 group -> group.group().id() == 2);
         assertThat(tasks).hasSize(pieces);
@@ -131,7 +131,7 @@
     }
 
     private List<PieceTask> take(int most, long bytes) {
-        return queue.take(LIMITS, new CallBounds(most, bytes, false), 0, group -> true);
+        return queue.take(LIMITS, new CallBounds(most, bytes, false, UpstreamPace.USUAL), 0, group -> true);
     }
 
     private static WaitingGroup group(long id, int pieces, long slackMillis, int rank, long bytes) {
--- a/library/src/test/java/org/copperspindle/batch/PoolUpstreamsTest.java
+++ b/library/src/test/java/org/copperspindle/batch/PoolUpstreamsTest.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import java.util.stream.IntStream;
 
+import org.assertj.core.data.Percentage;
 import org.copperspindle.discovery.UpstreamDirectory;
 import org.copperspindle.discovery.UpstreamPhase;
 import org.copperspindle.discovery.UpstreamRecord;
@@ -82,6 +83,32 @@
         assertThat(upstreams.isBehind(LIMITS, waiting, 0)).isEqualTo(behind);
     }
 
+    /** Guards against a slowdown that shows only once calls come back late, while the upstream states it before. */
+    @Test
+    void statedPaceDeterminesOrderAndLoad() {
+        announce("slowed", "usual");
+        double before = upstreams.load(Optional.of(LIMITS), 0, 0).piecesPerSecond();
+        upstreams.scaleDurationsBy((upstream, now) -> upstream.id().equals("slowed") ? 2.5 : UpstreamPace.USUAL);
+        assertThat(upstreams.callable(LIMITS, 0)).containsExactly(find("usual"), find("slowed"));
+        assertThat(upstreams.load(Optional.of(LIMITS), 0, 0).piecesPerSecond())
+                .isCloseTo(before * (1 + 1 / 2.5) / 2, Percentage.withPercentage(0.1));
+        find("usual").onSent(CALL_NANOS);
+        assertThat(upstreams.skippedAsSlow(0)).isEmpty();
+    }
+
+    /** Without a stated pace the pool is seen exactly as by measured durations alone. */
+    @Test
+    void withoutStatedPaceOnlyMeasuredDurationsCount() {
+        announce("slow", "usual");
+        for (int call = 0; call < 3; call++) {
+            answer("slow", 450);
+            answer("usual", 300);
+        }
+        upstreams.scaleDurationsBy((upstream, now) -> UpstreamPace.USUAL);
+        upstreams.all().forEach(u -> assertThat(upstreams.slowness(u, 0)).isEqualTo(u.slowness()));
+        assertThat(upstreams.callable(LIMITS, 0)).containsExactly(find("usual"), find("slow"));
+    }
+
     private void announce(String... ids) {
         for (String id : ids) {
             String address = "10.0.0." + (directory.ready("p").size() + 1) + ":1";
