Let fake upstreams state their load in figures, and work at another pace

Cause: nodes read a load field with three or four figures, and no stand-in of the emulator sends it or slows down in the way that the fourth figure states.

Change: FakeLoad sets the pace at which a fake works, and whether its responses state three figures, four or none. Both can change while it runs. Without it a fake behaves as before.

--- a/emulator/src/main/java/org/copperspindle/emulator/FakeCall.java
+++ b/emulator/src/main/java/org/copperspindle/emulator/FakeCall.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
+import java.util.Optional;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.netty.buffer.Unpooled;
@@ -24,6 +25,9 @@
 
     static final String LOAD_HEADER = "endpoint-load-metrics";
 
+    /** States the load in figures; the standard name of the gateway's upstream dialect. */
+    static final String FIGURES_HEADER = "Copperspindle-Load";
+
     private static final String EVENT_STREAM = "text/event-stream";
     private static final String END_MARK = "data: [DONE]\n\n";
 
@@ -32,6 +36,7 @@
     private final Execution execution;
     private final String completion;
     private String load = "";
+    private Optional<String> figures = Optional.empty();
 
     FakeCall(ChannelHandlerContext ctx, JsonNode request, Execution execution, String completion) {
         this.ctx = ctx;
@@ -60,6 +65,10 @@
         load = report;
     }
 
+    void figures(Optional<String> statement) {
+        figures = statement;
+    }
+
     void onClose(Runnable action) {
         ctx.channel().closeFuture().addListener(closed -> action.run());
     }
@@ -130,6 +139,7 @@
         if (!load.isEmpty()) {
             head.headers().set(LOAD_HEADER, load);
         }
+        figures.ifPresent(statement -> head.headers().set(FIGURES_HEADER, statement));
     }
 
     private static DefaultHttpContent content(String text) {
--- a/emulator/src/main/java/org/copperspindle/emulator/FakeUpstream.java
+++ b/emulator/src/main/java/org/copperspindle/emulator/FakeUpstream.java
@@ -48,6 +48,7 @@
     private final Queue<FakeCall> waiting = new ArrayDeque<>();
     private int running;
     private volatile FakeFaults faults = FakeFaults.NONE;
+    private volatile FakeLoad load = FakeLoad.USUAL;
     private volatile FakeUsage usage = new FakeUsage(0, Duration.ZERO);
 
     /**
@@ -103,6 +104,15 @@
         faults = replacement;
     }
 
+    /**
+     * Replaces its pace, for calls that start from now on, and what its responses state of its load.
+     *
+     * @param replacement pace and statement; {@link FakeLoad#USUAL} to work as usual and state nothing
+     */
+    public void load(FakeLoad replacement) {
+        load = replacement;
+    }
+
     /**
      * Returns what it has done so far.
      *
@@ -118,6 +128,7 @@
     }
 
     private void arrive(FakeCall call) {
+        call.figures(load.statement(running, waiting.size(), settings.concurrency()));
         if (faults.draining()) {
             call.refuse(UNAVAILABLE);
             return;
@@ -134,6 +145,7 @@
         ledger.ran(call.execution());
         long startedAt = System.nanoTime();
         FakeFaults now = faults;
+        call.figures(load.statement(running, waiting.size(), settings.concurrency()));
         if (settings.reportsLoad()) {
             call.load(String.format(
                     Locale.ROOT,
@@ -149,7 +161,7 @@
             });
             return;
         }
-        long first = settings.service().toNanos() + TimeUnit.MILLISECONDS.toNanos(now.delayMillis());
+        long first = load.scaled(settings.service().toNanos()) + TimeUnit.MILLISECONDS.toNanos(now.delayMillis());
         if (call.streams() && now.errorStatus() == 0) {
             after(first, () -> stream(call, startedAt, now.response()));
             return;
@@ -213,7 +225,7 @@
 
     /** A full batch generates each call's tokens at half the pace of a call alone. */
     private long tokenNanos() {
-        return settings.perToken().toNanos() * (settings.concurrency() + running) / settings.concurrency();
+        return load.scaled(settings.perToken().toNanos()) * (settings.concurrency() + running) / settings.concurrency();
     }
 
     private void after(long nanos, Runnable action) {
--- a/emulator/src/test/java/org/copperspindle/emulator/FakeUpstreamTest.java
+++ b/emulator/src/test/java/org/copperspindle/emulator/FakeUpstreamTest.java
@@ -9,6 +9,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 
 import org.junit.jupiter.api.AfterEach;
@@ -57,6 +58,29 @@
         assertThat(ledger.byRequest()).containsEntry("r1", 1);
     }
 
+    /** Nodes read three or four figures from responses of any kind, also from refusals. */
+    @ParameterizedTest
+    @CsvSource({"0, 200,", "3, 200, '1,0,1'", "4, 200, '1,0,1,250'", "4, 503, '0,0,1,250'"})
+    void responsesStateTheLoadInFigures(int figures, int status, String expected) throws Exception {
+        engine.load(new FakeLoad(250, figures));
+        engine.faults(status == 200 ? FakeFaults.NONE : FakeFaults.refusing());
+
+        HttpResponse<String> response = call(false);
+
+        assertThat(response.statusCode()).isEqualTo(status);
+        assertThat(response.headers().firstValue(FakeCall.FIGURES_HEADER)).isEqualTo(Optional.ofNullable(expected));
+    }
+
+    /** The pace that is stated is the one at which the fake works. */
+    @Test
+    void slowedUpstreamTakesLonger() throws Exception {
+        engine.load(new FakeLoad(10_000, 4));
+
+        call(false);
+
+        assertThat(engine.usage().busy()).isGreaterThanOrEqualTo(Duration.ofMillis(100));
+    }
+
     /**
      * A stream that was cut after two words is resumed with the prompt and those words: the engine gives the rest, and the
      * ledger counts it under the caller's token.
