Let the soak have uneven upstreams, accounts of unequal size and callers that stop reading

Cause: upstreams that state their load, work at different speeds, and callers that read slowly were not among the stand-ins of the soak, so that no check judged a deployment under them.

Four accounts that keep their keys send unequal shares, each half of the one before. Three in a hundred requests have a large answer (150 KB a part) on a connection with a small window, of which the caller reads the head and then nothing for 0.5 to 3 s. The checks of whole answers, of runs and of refusals judge these requests as all others; a line of progress says how they ended. Answers are compared when they come and kept without their text.

At this size the socket buffers of a node may hold most of what a slow reader leaves unread.

--- a/soak/src/main/java/org/copperspindle/soak/PromiseBook.java
+++ b/soak/src/main/java/org/copperspindle/soak/PromiseBook.java
@@ -13,6 +13,7 @@
 final class PromiseBook {
 
     private static final int MOST_TOLD = 20;
+    private static final int MOST_EXCERPT = 400;
     private static final int HELD_OFF = 400;
     private static final int ENDS_BEFORE_HOLD = 3;
     private static final int MOST_RETRIES = 3;
@@ -45,16 +46,16 @@
 
     /** A caller got the end of an answer, or of its connection. */
     void answered(SoakRequest request, Answer answer) {
-        answers.put(request.id(), answer);
+        answers.put(request.id(), answer.withoutText());
         if (answer.status() == 200 && answer.whole()) {
             served.incrementAndGet();
             if (!answer.text().equals(expected(request))) {
-                breaks("mixed: " + request.id() + " got \"" + answer.text().replace("\n", "|") + '"');
+                breaks("mixed: " + request.id() + " got " + answer.excerpt());
             }
         } else if (answer.status() == 200
                 && request.streams()
                 && !expected(request).startsWith(answer.text())) {
-            breaks("order: " + request.id() + " got \"" + answer.text().replace("\n", "|") + '"');
+            breaks("order: " + request.id() + " got " + answer.excerpt());
         }
     }
 
@@ -92,6 +93,17 @@
         return fatalEnds.size();
     }
 
+    /** Returns how the requests of callers that stopped reading have ended. */
+    String slowReaders() {
+        List<Answer> slow = answers.entrySet().stream()
+                .filter(answered -> SoakRequest.isLarge(answered.getKey()))
+                .map(Map.Entry::getValue)
+                .toList();
+        long whole = slow.stream().filter(a -> a.status() == 200 && a.whole()).count();
+        long cut = slow.stream().filter(a -> a.status() == 200 && !a.whole()).count();
+        return "asked=" + slow.size() + " whole=" + whole + " cut_off=" + cut;
+    }
+
     int asked() {
         return answers.size();
     }
@@ -137,7 +149,7 @@
             breaks("denied: " + request.id() + " was held off");
         }
         if ((answer.status() == 401 || answer.status() == 404)
-                && request.account().equals(SoakOperator.LASTING)) {
+                && !request.account().equals(SoakOperator.REVOKED)) {
             breaks("denied: " + request.id() + " was answered " + answer.status());
         }
         boolean revoked = request.account().equals(SoakOperator.REVOKED)
@@ -193,7 +205,18 @@
      * @param saysNotRun whether it promises that the request did not run
      * @param sentAt     when the request was sent, in milliseconds
      */
-    record Answer(int status, String text, boolean whole, boolean saysNotRun, long sentAt) {}
+    record Answer(int status, String text, boolean whole, boolean saysNotRun, long sentAt) {
+
+        /** Large answers have been compared when they are written down, and would fill the memory. */
+        private Answer withoutText() {
+            return new Answer(status, "", whole, saysNotRun, sentAt);
+        }
+
+        private String excerpt() {
+            String start = text.substring(0, Math.min(MOST_EXCERPT, text.length()));
+            return '"' + start.replace("\n", "|") + "\" (" + text.length() + " characters)";
+        }
+    }
 
     /**
      * A run of a request.
--- a/soak/src/main/java/org/copperspindle/soak/Soak.java
+++ b/soak/src/main/java/org/copperspindle/soak/Soak.java
@@ -61,6 +61,7 @@
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
     private final SoakOperator operator;
     private final Random needSeeds;
+    private final Random speeds;
     private final long needsUntil;
 
     private Soak(SoakSettings settings, Consumer<String> progress) throws IOException {
@@ -72,6 +73,8 @@
         }
         this.operator = new SoakOperator(ports, book);
         this.needSeeds = new Random(settings.seed());
+        // A generator of its own: the other draws of a seed stay what they are.
+        this.speeds = new Random(~settings.seed());
         this.needsUntil = System.currentTimeMillis() + settings.duration().toMillis();
     }
 
@@ -116,6 +119,7 @@
         nodes.stream()
                 .filter(NodeProcess::endedByItself)
                 .forEach(node -> book.breaks("exit: " + node.name() + " ended by itself"));
+        progress.accept("slow readers " + book.slowReaders());
         synchronized (linkTrouble) {
             return new SoakReport(
                     settings.seed(), book.asked(), book.served(), book.fatalEnds(), recovered, book.judge(linkTrouble));
@@ -155,6 +159,9 @@
     private SoakUpstream upstream(String pool) {
         SoakUpstream upstream =
                 new SoakUpstream(pool, book, ports, results, this::endedUnderFatal, new Random(settings.seed()), group);
+        synchronized (speeds) {
+            upstream.working(UpstreamSpeed.of(speeds));
+        }
         boolean cold = settings.evacuates() && pool.equals(SoakUpstream.ENGINE);
         if (cold) {
             upstream.starting(ColdStart.at(System.currentTimeMillis()));
--- a/soak/src/main/java/org/copperspindle/soak/SoakCaller.java
+++ b/soak/src/main/java/org/copperspindle/soak/SoakCaller.java
@@ -1,5 +1,6 @@
 package org.copperspindle.soak;
 
+import java.io.BufferedInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.EOFException;
 import java.io.IOException;
@@ -31,6 +32,16 @@
     private static final int MOST_PIECES = 4;
     private static final int FOR_ONE_CONNECTION = 30;
     private static final double REVOKED_SHARE = 0.2;
+
+    /** Share of requests whose answers are large and are not read for a while once they have begun. */
+    private static final double SLOW_SHARE = 0.03;
+
+    private static final int SHORTEST_STALL_MILLIS = 500;
+    private static final int LONGEST_STALL_MILLIS = 3000;
+
+    /** Of the connection of a slow reader, in bytes: little is on its way while it does not read. */
+    private static final int SMALL_WINDOW = 1 << 16;
+
     private static final List<String> ROUTES =
             List.of(SoakRequest.SAFE, SoakRequest.ONCE, SoakRequest.DRAFT, SoakRequest.RESUME);
 
@@ -38,8 +49,13 @@
     private final List<NodePorts> nodes;
     private final PromiseBook book;
     private final SplittableRandom random;
+
+    /** A generator of its own for what was added later: the other draws of a seed stay what they are. */
+    private final SplittableRandom more;
+
     private volatile boolean ended;
     private Socket socket;
+    private InputStream in;
     private int left;
 
     SoakCaller(AtomicLong numbers, List<NodePorts> nodes, PromiseBook book, long seed) {
@@ -47,6 +63,7 @@
         this.nodes = nodes;
         this.book = book;
         this.random = new SplittableRandom(seed);
+        this.more = new SplittableRandom(~seed);
     }
 
     void end() {
@@ -56,13 +73,17 @@
     @Override
     public void run() {
         while (!ended) {
-            String account = random.nextDouble() < REVOKED_SHARE ? SoakOperator.REVOKED : SoakOperator.LASTING;
+            String account = random.nextDouble() < REVOKED_SHARE ? SoakOperator.REVOKED : lastingAccount();
             String route = ROUTES.get(random.nextInt(ROUTES.size()));
             int pieces = route.equals(SoakRequest.DRAFT) || route.equals(SoakRequest.RESUME)
                     ? 1 + random.nextInt(MOST_PIECES)
                     : 0;
-            SoakRequest request = SoakRequest.of(numbers.incrementAndGet(), route, account, pieces);
-            book.answered(request, ask(request, ""));
+            if (more.nextDouble() < SLOW_SHARE) {
+                askAndStall(SoakRequest.large(numbers.incrementAndGet(), route, account, pieces));
+            } else {
+                SoakRequest request = SoakRequest.of(numbers.incrementAndGet(), route, account, pieces);
+                book.answered(request, ask(request, "", 0));
+            }
             Pause.millis(random.nextInt(THINK_MILLIS));
         }
         close();
@@ -70,19 +91,36 @@
 
     /** Sends a request that ends upstreams, on a connection of its own. */
     Answer askFatal(SoakRequest request) {
-        Answer answer = ask(request, SoakRequest.FATAL);
+        Answer answer = ask(request, SoakRequest.FATAL, 0);
         close();
         return answer;
     }
 
-    private Answer ask(SoakRequest request, String body) {
+    /** Sends a request on a connection of its own, and stops to read its answer for a while. */
+    private void askAndStall(SoakRequest request) {
+        int stall = SHORTEST_STALL_MILLIS + more.nextInt(LONGEST_STALL_MILLIS - SHORTEST_STALL_MILLIS);
+        close();
+        book.answered(request, ask(request, "", stall));
+        close();
+    }
+
+    /** Draws the first account most often, and each further one half as often. */
+    private String lastingAccount() {
+        int place = Long.numberOfTrailingZeros(more.nextLong());
+        if (place == 0) {
+            return SoakOperator.LASTING;
+        }
+        return SoakOperator.SMALLER.get(Math.min(place, SoakOperator.SMALLER.size()) - 1);
+    }
+
+    private Answer ask(SoakRequest request, String body, int stallMillis) {
         long sentAt = System.currentTimeMillis();
         Reply reply = new Reply();
         try {
-            connect();
+            connect(stallMillis > 0);
             sentAt = System.currentTimeMillis();
             socket.getOutputStream().write(text(request, body).getBytes(StandardCharsets.US_ASCII));
-            reply.read(socket.getInputStream());
+            reply.read(in, stallMillis);
         } catch (IOException e) {
             // The connection broke or nothing came in time: what had come by then is the answer.
             close();
@@ -96,7 +134,7 @@
                 reply.status, reply.body.toString(StandardCharsets.UTF_8), reply.whole, reply.whole && notRun, sentAt);
     }
 
-    private void connect() throws IOException {
+    private void connect(boolean smallWindow) throws IOException {
         if (socket != null && left-- > 0) {
             return;
         }
@@ -104,8 +142,12 @@
         NodePorts node = nodes.get(random.nextInt(nodes.size()));
         Socket next = new Socket();
         next.setSoTimeout(DEADLINE_MILLIS);
+        if (smallWindow) {
+            next.setReceiveBufferSize(SMALL_WINDOW);
+        }
         next.connect(node.socketAddress(node.callers()), CONNECT_MILLIS);
         socket = next;
+        in = new BufferedInputStream(next.getInputStream());
         left = random.nextInt(FOR_ONE_CONNECTION);
     }
 
@@ -137,7 +179,7 @@
         private boolean whole;
         private boolean closes;
 
-        private void read(InputStream in) throws IOException {
+        private void read(InputStream in, int stallMillis) throws IOException {
             String first = line(in);
             status = Integer.parseInt(first.split(" ")[1]);
             for (String field = line(in); !field.isEmpty(); field = line(in)) {
@@ -146,6 +188,7 @@
                         field.substring(0, colon).toLowerCase(Locale.ROOT),
                         field.substring(colon + 1).trim());
             }
+            Pause.millis(stallMillis);
             closes = "close".equalsIgnoreCase(fields.get("connection"));
             if ("chunked".equalsIgnoreCase(fields.get("transfer-encoding"))) {
                 readChunks(in);
--- a/soak/src/main/java/org/copperspindle/soak/SoakOperator.java
+++ b/soak/src/main/java/org/copperspindle/soak/SoakOperator.java
@@ -20,6 +20,9 @@
     /** The account whose key is never taken away. */
     static final String LASTING = "lasting";
 
+    /** Accounts whose keys are never taken away either; each sends half as much as the one before it. */
+    static final List<String> SMALLER = List.of("second", "third", "fourth");
+
     /** The account whose key may be. */
     static final String REVOKED = "passing";
 
@@ -127,7 +130,8 @@
 
     private String table() {
         return "[table]\nversion = " + version + "\n[account " + LASTING + "]\nkeys = key-" + LASTING + "\n[account "
-                + REVOKED + "]\nkeys = " + (revoked ? "key-other" : "key-" + REVOKED) + "\n[pool " + SoakUpstream.WEB
+                + REVOKED + "]\nkeys = " + (revoked ? "key-other" : "key-" + REVOKED) + '\n' + smallerAccounts()
+                + "[pool " + SoakUpstream.WEB
                 + "]\n[pool " + SoakUpstream.ENGINE + "]\nengine-slots = 16\ncold-time = " + ColdStart.TIME_MILLIS
                 + "ms\ncold-per-second = " + ColdStart.PER_SECOND + "\n[pool " + SoakUpstream.STAGE
                 + "]\npieces-in-a-call = 8\ncalls-waiting = 2\ncall-time = 30ms\npiece-time = 1ms\n"
@@ -140,6 +144,12 @@
                 + stages(SoakRequest.RESUME);
     }
 
+    private static String smallerAccounts() {
+        StringBuilder accounts = new StringBuilder();
+        SMALLER.forEach(name -> accounts.append("[account " + name + "]\nkeys = key-" + name + '\n'));
+        return accounts.toString();
+    }
+
     private String route(String name, String kind, String pool, String more) {
         // The objective differs from version to version, so that each has an effect.
         return "[route " + name + "]\nhost = h\npath-prefix = /" + name + "/\nkind = " + kind
--- a/soak/src/main/java/org/copperspindle/soak/SoakRequest.java
+++ b/soak/src/main/java/org/copperspindle/soak/SoakRequest.java
@@ -18,6 +18,12 @@
     /** Body of a request that ends the upstream that runs it; all others have none. */
     static final String FATAL = "fatal";
 
+    /** Ends the id of a request whose answer is large. */
+    private static final String LARGE = "large";
+
+    /** Added to each part of a large answer: one part must stay below what a stand-in may have pending. */
+    private static final String FILLER = "x".repeat(150_000);
+
     /** Events of each stream. */
     static final int EVENTS = 6;
 
@@ -27,6 +33,17 @@
         return new SoakRequest(id, route, account, pieces);
     }
 
+    /** Makes a request whose answer is large. */
+    static SoakRequest large(long number, String route, String account, int pieces) {
+        SoakRequest small = of(number, route, account, pieces);
+        return new SoakRequest(small.id + '-' + LARGE, route, account, pieces);
+    }
+
+    /** Says whether the answer of a request is large. */
+    static boolean isLarge(String id) {
+        return id.endsWith(LARGE);
+    }
+
     /** Reads what an id says. */
     static SoakRequest parse(String id) {
         String[] parts = id.split("-");
@@ -43,12 +60,16 @@
 
     /** Returns the whole body of its answer, for routes that don't stream. */
     String body() {
-        return "answer to " + id;
+        return "answer to " + id + filler();
     }
 
     /** Returns one event of its answer. */
     String event(int number) {
-        return "id: " + number + "\ndata: " + id + (number == EVENTS ? " end" : "") + "\n\n";
+        return "id: " + number + "\ndata: " + id + filler() + (number == EVENTS ? " end" : "") + "\n\n";
+    }
+
+    private String filler() {
+        return isLarge(id) ? FILLER : "";
     }
 
     /** Returns the key of its pieces. */
--- a/soak/src/main/java/org/copperspindle/soak/SoakUpstream.java
+++ b/soak/src/main/java/org/copperspindle/soak/SoakUpstream.java
@@ -45,6 +45,7 @@
     private static final AtomicLong LAST = new AtomicLong();
     private static final int EVENT_MILLIS = 15;
     private static final int CALL_MILLIS = 30;
+    private static final int SLOTS = 16;
     static final int DOMAINS = 3;
     private static final String DRAINING = "draining";
     private static final long ASK_AGAIN_MILLIS = 50;
@@ -69,6 +70,7 @@
     private final Random random;
     private volatile ColdStart coldStart = ColdStart.WARM;
     private volatile UpstreamNeed need = UpstreamNeed.NONE;
+    private volatile UpstreamSpeed speed = UpstreamSpeed.USUAL;
     private final AtomicLong sequence = new AtomicLong();
     private volatile String phase = "ready";
     private volatile boolean ended;
@@ -103,6 +105,12 @@
         return this;
     }
 
+    /** Sets how fast it works; before its first announcement. */
+    SoakUpstream working(UpstreamSpeed pace) {
+        speed = pace;
+        return this;
+    }
+
     /** Returns the name of a failure domain by its number. */
     static String failureDomain(long number) {
         return "d" + number % DOMAINS;
@@ -130,7 +138,7 @@
                 .put("address", address())
                 .put("failure_domain", domainOf(id))
                 .put("phase", phase)
-                .put("slots", 16)
+                .put("slots", SLOTS)
                 .put("sequence", sequence.incrementAndGet())
                 .put("cold_ms", coldStart.leftMillis(System.currentTimeMillis()))
                 .toString();
@@ -193,7 +201,7 @@
         } else if (!meant) {
             exchange.respond(421, List.of(new HeaderField(NAMES.answeringUpstream(), id)), new byte[0]);
         } else if (exchange.path().equals("/v1/pieces")) {
-            later(exchange, CALL_MILLIS, () -> makePieces(exchange));
+            later(exchange, speed.scaled(CALL_MILLIS), () -> makePieces(exchange));
         } else if (exchange.path().equals("/v1/results/free")) {
             read(exchange).path("handles").forEach(handle -> results.remove(handle.asText()));
             exchange.respond(200, fields(), "{}".getBytes(StandardCharsets.UTF_8));
@@ -206,6 +214,7 @@
     private List<HeaderField> fields(HeaderField... own) {
         List<HeaderField> fields = new ArrayList<>(Arrays.asList(own));
         fields.addAll(need.fields(System.currentTimeMillis()));
+        fields.addAll(speed.fields(open.size(), SLOTS));
         if (phase.equals(DRAINING)) {
             fields.add(new HeaderField(NAMES.leaving(), "1"));
         }
@@ -250,7 +259,7 @@
             exchange.abortResponse();
         } else {
             byte[] body = request.body().getBytes(StandardCharsets.UTF_8);
-            later(exchange, random.nextInt(EVENT_MILLIS), () -> exchange.respond(200, fields, body));
+            later(exchange, speed.scaled(random.nextInt(EVENT_MILLIS)), () -> exchange.respond(200, fields, body));
         }
     }
 
@@ -260,7 +269,7 @@
         } else if (number > last) {
             exchange.abortResponse();
         } else if (exchange.write(request.event(number))) {
-            later(exchange, EVENT_MILLIS, () -> stream(exchange, request, number + 1, last));
+            later(exchange, speed.scaled(EVENT_MILLIS), () -> stream(exchange, request, number + 1, last));
         }
     }
 
