Join the admission policy, its service and the load that upstreams state

The service decides with the real queue, forecast, pool groups and account weights. ShortageDetector serves one pool, and counts the pieces of earlier stages only as far as the pool can't work them off until they arrive: a pool at half of its throughput has expected pieces of half a second and would have been announced as short all the time.

--- a/library/src/main/java/org/copperspindle/admission/GroupControllers.java
+++ b/library/src/main/java/org/copperspindle/admission/GroupControllers.java
@@ -23,7 +23,6 @@
     private static final Logger LOGGER = LogManager.getLogger(GroupControllers.class);
 
     private static final long NANOS_PER_MILLI = 1_000_000L;
-    private static final double NANOS_PER_SECOND = 1e9;
 
     private final Function<String, PoolLoad> loads;
     private final Predicate<String> isController;
@@ -135,7 +134,7 @@
 
     private boolean isShort(String pool, BatchLimits limits, long now) {
         PoolState state = pools.computeIfAbsent(pool, p -> new PoolState(shortages.get()));
-        long queueing = queueingNanos(loads.apply(pool));
+        long queueing = ShortageDetector.queueingNanos(loads.apply(pool), limits);
         boolean before = state.isShort;
         state.isShort = state.shortage.update(queueing, limits.fullCallNanos(), now);
         if (before != state.isShort) {
@@ -149,13 +148,6 @@
         return state.isShort;
     }
 
-    /** Returns the queueing of a new request: the work that waits and the work that earlier requests will send. */
-    private static long queueingNanos(PoolLoad load) {
-        double expected =
-                load.piecesPerSecond() > 0 ? load.expectedPieces() / load.piecesPerSecond() * NANOS_PER_SECOND : 0;
-        return load.waitNanos() + (long) expected;
-    }
-
     private static final class PoolState {
         private final StartPolicy.Shortage shortage;
         private boolean isShort;
--- a/library/src/main/java/org/copperspindle/admission/PoolGroups.java
+++ b/library/src/main/java/org/copperspindle/admission/PoolGroups.java
@@ -18,7 +18,7 @@
  * Groups of stage pools that are used together by routes, directly or through other routes. Each group is named after
  * its first pool by name, so that all nodes with the same route table agree on it.
  */
-public final class PoolGroups {
+public final class PoolGroups implements StartPolicy.Groups {
 
     /**
      * Smallest part of the timeout that the objective of a deferrable route has: its requests have time to wait for
@@ -53,6 +53,7 @@
      * @param pool name of the pool
      * @return name of the first pool of its group; empty if no stage uses the pool
      */
+    @Override
     public Optional<String> groupOf(String pool) {
         return Optional.ofNullable(groupByPool.get(pool));
     }
@@ -63,6 +64,7 @@
      * @param route a route of the table
      * @return true if it has stages and a route in the group of its pools is deferrable
      */
+    @Override
     public boolean isCoordinated(Route route) {
         return groupOf(route).filter(coordinatedGroups::contains).isPresent();
     }
--- a/library/src/main/java/org/copperspindle/admission/ShortageDetector.java
+++ b/library/src/main/java/org/copperspindle/admission/ShortageDetector.java
@@ -1,14 +1,15 @@
 package org.copperspindle.admission;
 
 import java.time.Duration;
-import java.util.HashMap;
-import java.util.Map;
+
+import org.copperspindle.batch.PoolLoad;
+import org.copperspindle.route.BatchLimits;
 
 /**
  * Decides when a pool is short of capacity, with a hysteresis so that the nodes don't change between two ways of
  * deciding with every call.
  */
-public final class ShortageDetector {
+public final class ShortageDetector implements StartPolicy.Shortage {
 
     /** A pool is short above this queueing, in full calls: up to it, queueing only keeps the calls full. */
     private static final double SHORT_CALLS = 0.5;
@@ -19,44 +20,39 @@
     /** How long the queueing must stay below that: about two full calls, so that one ended call is no reason. */
     private static final long ENOUGH_NANOS = Duration.ofSeconds(1).toNanos();
 
-    /** Last time at which each short pool had more queueing than {@link #ENOUGH_CALLS}. */
-    private final Map<String, Long> queuedAt = new HashMap<>();
+    /** Calls of earlier stages that most expected pieces still wait for; the pool works meanwhile. */
+    private static final int EARLIER_CALLS = 2;
 
-    /**
-     * Records the queueing of a pool.
-     *
-     * @param pool          name of the pool
-     * @param queueingNanos estimated queueing of a new request, in nanoseconds
-     * @param fullCallNanos duration of a full call, in nanoseconds
-     * @param now           monotonic time in nanoseconds
-     * @return true if the pool is short
-     */
-    public boolean update(String pool, long queueingNanos, long fullCallNanos, long now) {
-        boolean wasShort = queuedAt.containsKey(pool);
-        if (queueingNanos > SHORT_CALLS * fullCallNanos || wasShort && queueingNanos >= ENOUGH_CALLS * fullCallNanos) {
-            queuedAt.put(pool, now);
-        } else if (wasShort && now - queuedAt.get(pool) >= ENOUGH_NANOS) {
-            queuedAt.remove(pool);
-        }
-        return isShort(pool);
-    }
+    private static final double NANOS_PER_SECOND = 1e9;
+
+    private boolean isShort;
+    private long queuedAt;
 
     /**
-     * Returns whether a pool is short by its last update.
+     * Returns the queueing of a new request at a pool: the pieces that wait, and those expected from earlier requests
+     * beyond what the pool works off until they arrive.
      *
-     * @param pool name of the pool
-     * @return false if the pool was never updated
+     * @param load   load of the pool
+     * @param limits limits of its calls
+     * @return nanoseconds
      */
-    public boolean isShort(String pool) {
-        return queuedAt.containsKey(pool);
+    public static long queueingNanos(PoolLoad load, BatchLimits limits) {
+        if (load.piecesPerSecond() <= 0) {
+            return load.waitNanos();
+        }
+        long expected = (long) (load.expectedPieces() / load.piecesPerSecond() * NANOS_PER_SECOND);
+        return load.waitNanos() + Math.max(0, expected - EARLIER_CALLS * limits.fullCallNanos());
     }
 
-    /**
-     * Forgets a pool that this node no longer dispatches.
-     *
-     * @param pool name of the pool
-     */
-    public void forget(String pool) {
-        queuedAt.remove(pool);
+    @Override
+    public boolean update(long queueingNanos, long fullCallNanos, long now) {
+        boolean stays = isShort && queueingNanos >= ENOUGH_CALLS * fullCallNanos;
+        if (stays || queueingNanos > SHORT_CALLS * fullCallNanos) {
+            isShort = true;
+            queuedAt = now;
+        } else if (isShort && now - queuedAt >= ENOUGH_NANOS) {
+            isShort = false;
+        }
+        return isShort;
     }
 }
--- a/library/src/main/java/org/copperspindle/gateway/StageStartsFactory.java
+++ b/library/src/main/java/org/copperspindle/gateway/StageStartsFactory.java
@@ -1,14 +1,20 @@
 package org.copperspindle.gateway;
 
 import java.util.Optional;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Supplier;
 
 import org.copperspindle.admission.FirstEventLatencies;
 import org.copperspindle.admission.FleetStageStarts;
+import org.copperspindle.admission.LoadForecast;
+import org.copperspindle.admission.PoolGroups;
+import org.copperspindle.admission.ShortageDetector;
 import org.copperspindle.admission.StartPolicy;
+import org.copperspindle.admission.StartQueues;
 import org.copperspindle.batch.BatchService;
 import org.copperspindle.measure.LogRateLimiter;
 import org.copperspindle.mesh.MeshRelay;
+import org.copperspindle.route.ClientAccount;
 import org.copperspindle.route.RouteTable;
 import org.copperspindle.time.TimerService;
 
@@ -43,17 +49,12 @@
         return starts;
     }
 
-    /** Returns the decisions: no route is coordinated, so each node decides alone and there are no controllers. */
     private static StartPolicy policy(BatchService batches, FirstEventLatencies latencies, TimerService timers) {
         return new StartPolicy(
-                () -> {
-                    throw new IllegalStateException("no pool group has a queue");
-                },
-                () -> {
-                    throw new IllegalStateException("no pool group has a forecast");
-                },
-                table -> StartPolicy.Groups.NONE,
-                () -> (queueingNanos, fullCallNanos, now) -> false,
-                account -> 1);
+                () -> StartQueues.create(ThreadLocalRandom.current()),
+                () -> new LoadForecast(batches::load, latencies, timers::nanoTime),
+                PoolGroups::of,
+                ShortageDetector::new,
+                ClientAccount::weight);
     }
 }
