Choose engines by the estimated time to the first event while their paces differ

Cause: in a burst of long prompts all engines get equal shares of prompt tokens, also those that read them at half the speed of the others, and each node knows only its own requests in flight. Change: nodes report the prompt tokens they send and the times to the first event to the load owner of the pool, which sends a table of tokens, pace and pauses to all nodes.

--- /dev/null
+++ b/library/src/main/java/org/copperspindle/engineload/NodePool.java
@@ -0,0 +1,164 @@
+package org.copperspindle.engineload;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+
+import org.copperspindle.discovery.UpstreamRecord;
+
+/**
+ * The engines of one pool as a node knows them: its own counts, and the last table of the load owner.
+ */
+final class NodePool {
+
+    /** Confirms the counts of a node often enough for the owner not to drop them. */
+    private static final long CONFIRM_NANOS = OwnerModel.MAX_AGE_NANOS / 3;
+
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+
+    private final String name;
+    private final Map<String, OwnEngine> own = new HashMap<>();
+    private final Map<String, EngineLoad> table = new HashMap<>();
+    private final PaceRule rule = new PaceRule();
+    private String owner = "";
+    private long reportedAt;
+    private boolean tableKnown;
+    private long tableAt;
+    private double tokensPerNano;
+    private long baseNanos;
+
+    NodePool(String name) {
+        this.name = name;
+    }
+
+    String name() {
+        return name;
+    }
+
+    /** Returns the counts of an engine; an engine that has started again has new ones. */
+    OwnEngine engine(UpstreamRecord engine) {
+        OwnEngine known = own.get(engine.id());
+        if (known == null || known.incarnation() != engine.incarnation()) {
+            if (known != null) {
+                table.remove(engine.id());
+            }
+            known = new OwnEngine(engine.incarnation());
+            own.put(engine.id(), known);
+        }
+        return known;
+    }
+
+    /** Forgets an engine that has left or started again; attempts in progress end on the old counts. */
+    void forget(String engine) {
+        own.remove(engine);
+        table.remove(engine);
+    }
+
+    /** Notes who the load owner is; a new one is told everything, and the table of the old one is dropped. */
+    void ownedBy(String node) {
+        if (!node.equals(owner)) {
+            owner = node;
+            startAnew();
+        }
+    }
+
+    String owner() {
+        return owner;
+    }
+
+    void startAnew() {
+        table.clear();
+        tableKnown = false;
+        rule.reset();
+        own.values().forEach(OwnEngine::reportAgain);
+    }
+
+    /** Returns the next report; empty if nothing changed and the last one still holds. */
+    Optional<EngineSamplesMessage> report(long now) {
+        boolean confirms =
+                now - reportedAt >= CONFIRM_NANOS && own.values().stream().anyMatch(e -> !e.isIdle());
+        SampleLists lists = new SampleLists();
+        own.entrySet().stream()
+                .filter(entry -> entry.getValue().isChanged())
+                .limit(ValueBounds.MAX_ENGINES)
+                .forEach(entry -> entry.getValue().appendTo(lists, entry.getKey()));
+        EngineSamplesMessage message = lists.message(name);
+        return confirms || !message.engines().isEmpty() ? Optional.of(message) : Optional.empty();
+    }
+
+    /** Notes that a report was sent. */
+    void reported(EngineSamplesMessage message, long now) {
+        reportedAt = now;
+        message.engines().forEach(id -> own.get(id).reported(now));
+    }
+
+    /** Takes a table, or the changes since the last one. */
+    void accept(EngineLoadsMessage message, long now) {
+        if (!isFresh(now)) {
+            rule.reset();
+        }
+        for (int i = 0; i < message.engines().size(); i++) {
+            String id = message.engines().get(i);
+            if (table.containsKey(id) || table.size() < ValueBounds.MAX_ENGINES) {
+                table.put(id, message.load(i));
+            }
+        }
+        own.values().forEach(engine -> engine.tableArrived(now));
+        tokensPerNano = (double) message.tokensPerSecond() / EngineLoads.NANOS_PER_SECOND;
+        baseNanos = message.baseMillis() * NANOS_PER_MILLI;
+        tableKnown = true;
+        tableAt = now;
+        rule.update(slowestPace(), now);
+    }
+
+    boolean isFresh(long now) {
+        return tableKnown && now - tableAt <= OwnerModel.MAX_AGE_NANOS;
+    }
+
+    /** Returns whether the choice of an engine depends on its pace now. */
+    boolean differs(long now) {
+        return isFresh(now) && rule.differs() && tokensPerNano > 0;
+    }
+
+    /** Returns the tokens that wait at an engine: those in the table, and what this node has sent since. */
+    long waitingTokens(UpstreamRecord engine, long now) {
+        OwnEngine counts = engine(engine);
+        if (!isFresh(now) || !table.containsKey(engine.id())) {
+            return counts.waitingTokens();
+        }
+        long inTable = table.get(engine.id()).waitingTokens();
+        return Math.max(counts.waitingTokens(), inTable + counts.tokensSinceTable());
+    }
+
+    /** Returns the estimate for a prompt with so many unread tokens; empty without a fresh table. */
+    Optional<EngineEstimate> estimate(UpstreamRecord engine, long unreadTokens, long now) {
+        if (!isFresh(now) || tokensPerNano <= 0) {
+            return Optional.empty();
+        }
+        EngineLoad load = table.getOrDefault(engine.id(), EngineLoad.NONE);
+        long waiting = waitingTokens(engine, now);
+        double readNanos = (waiting + unreadTokens) / (tokensPerNano * load.pace());
+        return Optional.of(new EngineEstimate(
+                (long) readNanos + baseNanos, load.pace(), waiting, load.longestPauseMillis() * NANOS_PER_MILLI));
+    }
+
+    double slowestPace() {
+        return table.values().stream().mapToDouble(EngineLoad::pace).min().orElse(1);
+    }
+
+    /** Returns the tokens that wait at all engines, of this node alone if the table is not fresh. */
+    long waitingTokens(long now) {
+        return isFresh(now)
+                ? table.values().stream().mapToLong(EngineLoad::waitingTokens).sum()
+                : own.values().stream().mapToLong(OwnEngine::waitingTokens).sum();
+    }
+
+    /** Returns the running streams of this node. */
+    long streams() {
+        return own.values().stream().mapToLong(OwnEngine::streams).sum();
+    }
+
+    double tableAgeSeconds(long now) {
+        return tableKnown ? (double) (now - tableAt) / EngineLoads.NANOS_PER_SECOND : -1;
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/engineload/OwnEngine.java
@@ -0,0 +1,116 @@
+package org.copperspindle.engineload;
+
+import java.time.Duration;
+
+/**
+ * What this node counts of its own attempts at one incarnation of an engine.
+ */
+final class OwnEngine {
+
+    /** Pauses that no route objects to are not worth a message. */
+    private static final long MIN_PAUSE_MILLIS = 100;
+
+    /** A report that is younger when a table arrives was sent after the owner had made the table. */
+    private static final long REPORT_TRAVEL_NANOS = Duration.ofMillis(10).toNanos();
+
+    private final long incarnation;
+    private long waitingTokens;
+    private long streams;
+    private long sampledTokens;
+    private long sampledMillis;
+    private long samples;
+    private long longestPause;
+    private boolean changed;
+    private long reportedTokens;
+    private long reportedBefore;
+    private long reportedAt;
+    private long tokensInTable;
+
+    OwnEngine(long incarnation) {
+        this.incarnation = incarnation;
+    }
+
+    long incarnation() {
+        return incarnation;
+    }
+
+    void started(long tokens) {
+        waitingTokens += tokens;
+        streams++;
+        changed = true;
+    }
+
+    void stopsWaiting(long tokens) {
+        waitingTokens -= tokens;
+        changed = true;
+    }
+
+    void sampled(long tokens, long millis) {
+        sampledTokens = Math.min(ValueBounds.MAX_TOKENS, sampledTokens + tokens);
+        sampledMillis = Math.min(ValueBounds.MAX_MILLIS, sampledMillis + millis);
+        samples = Math.min(ValueBounds.MAX_STREAMS, samples + 1);
+        changed = true;
+    }
+
+    void paused(long millis) {
+        if (millis >= MIN_PAUSE_MILLIS) {
+            longestPause = Math.min(ValueBounds.MAX_MILLIS, Math.max(longestPause, millis));
+            changed = true;
+        }
+    }
+
+    void ended() {
+        streams--;
+        changed = true;
+    }
+
+    long waitingTokens() {
+        return waitingTokens;
+    }
+
+    long streams() {
+        return streams;
+    }
+
+    boolean isIdle() {
+        return waitingTokens == 0 && streams == 0;
+    }
+
+    boolean isChanged() {
+        return changed;
+    }
+
+    /** Marks the counts to be reported again, because the owner does not know them. */
+    void reportAgain() {
+        changed = !isIdle() || changed;
+        reportedTokens = 0;
+        reportedBefore = 0;
+        tokensInTable = 0;
+    }
+
+    void appendTo(SampleLists lists, String id) {
+        lists.add(id, waitingTokens, streams, sampledTokens, sampledMillis, longestPause, samples);
+    }
+
+    /** Starts the next report after one was sent. */
+    void reported(long now) {
+        reportedBefore = reportedTokens;
+        reportedTokens = waitingTokens;
+        reportedAt = now;
+        sampledTokens = 0;
+        sampledMillis = 0;
+        samples = 0;
+        longestPause = 0;
+        changed = false;
+    }
+
+    /** Notes which of this node's tokens a table that has just arrived includes. */
+    void tableArrived(long now) {
+        tokensInTable = now - reportedAt >= REPORT_TRAVEL_NANOS ? reportedTokens : reportedBefore;
+    }
+
+    /** Returns the tokens sent, less those read, since the state that the last table includes. */
+    long tokensSinceTable() {
+        return waitingTokens - tokensInTable;
+    }
+}
--- a/library/src/main/java/org/copperspindle/gateway/GatewayContext.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayContext.java
@@ -11,6 +11,7 @@
 import org.copperspindle.coldstart.ColdAdmission;
 import org.copperspindle.direct.UpstreamPort;
 import org.copperspindle.discovery.DirectoryGossip;
+import org.copperspindle.engineload.EngineLoads;
 import org.copperspindle.measure.LogRateLimiter;
 import org.copperspindle.mesh.IsolationDetector;
 import org.copperspindle.quarantine.RequestQuarantine;
@@ -27,6 +28,7 @@
  * @param gossip              announces to other nodes that upstreams have left
  * @param tracker             what was observed of upstreams
  * @param chooser             chooses upstreams
+ * @param engineLoads         measures the engines of all pools
  * @param coldAdmission       divides the load that cold upstreams sustain among the nodes
  * @param permits             admits requests to upstreams that have announced a limit
  * @param retryBudget         limits retries
@@ -51,6 +53,7 @@
         DirectoryGossip gossip,
         UpstreamTracker tracker,
         UpstreamChooser chooser,
+        EngineLoads engineLoads,
         ColdAdmission coldAdmission,
         SendPermits permits,
         SharedRetryBudget retryBudget,
--- a/library/src/main/java/org/copperspindle/gateway/GatewayMessages.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayMessages.java
@@ -11,6 +11,8 @@
 import org.copperspindle.batch.ReleaseResultsMessage;
 import org.copperspindle.consensus.ConsensusLog;
 import org.copperspindle.discovery.UpstreamRecordsMessage;
+import org.copperspindle.engineload.EngineLoadsMessage;
+import org.copperspindle.engineload.EngineSamplesMessage;
 import org.copperspindle.mesh.NodeHelloMessage;
 import org.copperspindle.mesh.NodeListMessage;
 import org.copperspindle.mesh.RelayMessage;
@@ -48,7 +50,9 @@
                 .register(PieceCancelMessage.CODEC)
                 .register(ReleaseResultsMessage.CODEC)
                 .register(PoolLoadMessage.CODEC)
-                .register(ExpectedPiecesMessage.CODEC);
+                .register(ExpectedPiecesMessage.CODEC)
+                .register(EngineSamplesMessage.CODEC)
+                .register(EngineLoadsMessage.CODEC);
         ConsensusLog.codecs().forEach(registry::register);
         return registry;
     }
--- a/library/src/main/java/org/copperspindle/gateway/GatewayMetrics.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayMetrics.java
@@ -124,6 +124,11 @@
                 "Upstreams that want nothing from this node for a while",
                 n -> n.backoffs().count(System.nanoTime()));
         gauge(metrics, "heap.bytes", "Heap in use", n -> usedHeap());
+        metrics.counter(
+                "engine.load.messages.dropped",
+                "Messages about engine loads with impossible values",
+                node,
+                n -> n.engineLoads().droppedMessages());
         metrics.counter("attempts", "Attempts sent", node, n -> n.counters().attempts());
         metrics.counter(
                 "attempt.repeats",
@@ -181,8 +186,7 @@
                 .heldTable()
                 .map(RouteTable::pools)
                 .ifPresent(pools -> pools.stream()
-                        .map(UpstreamPool::name)
-                        .filter(pool -> published.add("pool " + pool))
+                        .filter(pool -> published.add("pool " + pool.name()))
                         .forEach(pool -> publishPool(metrics, pool)));
     }
 
@@ -193,6 +197,13 @@
                         metrics.counter(name, description, counts, c -> c.getOrDefault(reason, 0L), "reason", reason));
     }
 
+    private void publishPool(MetricsRegistry metrics, UpstreamPool pool) {
+        publishPool(metrics, pool.name());
+        if (pool.engineSlots().isPresent()) {
+            publishEngines(metrics, pool.name());
+        }
+    }
+
     private void publishPool(MetricsRegistry metrics, String pool) {
         metrics.gauge(
                 "upstreams.ready",
@@ -238,6 +249,30 @@
                 pool);
     }
 
+    private void publishEngines(MetricsRegistry metrics, String pool) {
+        metrics.gauge(
+                "engine.slowest.pace",
+                "Prompt-reading speed of the slowest engine, relative to the median of its pool",
+                node,
+                n -> n.engineLoads().slowestPace(pool),
+                "pool",
+                pool);
+        metrics.gauge(
+                "engine.waiting.tokens",
+                "Prompt tokens that engines have not read; of this node alone without a fresh table",
+                node,
+                n -> n.engineLoads().waitingTokens(pool),
+                "pool",
+                pool);
+        metrics.gauge(
+                "engine.table.age.seconds",
+                "Age of the table of engine loads; negative if there is none",
+                node,
+                n -> n.engineLoads().tableAgeSeconds(pool),
+                "pool",
+                pool);
+    }
+
     private void publish(
             MetricsRegistry metrics, String name, String description, String route, LatencyHistogram histogram) {
         if (!published.add(name + ' ' + route)) {
--- a/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
@@ -38,6 +38,7 @@
 import org.copperspindle.discovery.UpstreamDirectory;
 import org.copperspindle.discovery.UpstreamPhase;
 import org.copperspindle.discovery.UpstreamRecord;
+import org.copperspindle.engineload.EngineLoads;
 import org.copperspindle.http.HttpExchange;
 import org.copperspindle.http.HttpLimits;
 import org.copperspindle.http.HttpListener;
@@ -115,6 +116,7 @@
     private final VersionExchange versionExchange;
     private final VersionHolder versionHolder;
     private final BatchService batches;
+    private final EngineLoads engineLoads;
     private final OpenRequests openRequests = new OpenRequests();
     private final GatewayService service;
     private final GatewayCounters counters = new GatewayCounters();
@@ -176,6 +178,8 @@
                 decisionLog);
         relay.listener(batches);
         mesh.subscribe(relay);
+        this.engineLoads =
+                new EngineLoads(mesh, timers, directory, batches::dispatcherNode, this::hasEngines, decisionLog);
         LimitOwners limitOwners =
                 new LimitOwners(mesh, this::serves, isolation, directory, batches, versionHolder::heldTable);
         this.permits = new SendPermits(upstreamLimits, limitOwners, new MeshPermitLink(mesh), timers);
@@ -186,6 +190,15 @@
                 settings.retries().window());
         FirstEventLatencies firstEventLatencies = new FirstEventLatencies();
         ColdAdmission coldAdmission = new SenderSetAdmission(mesh.self(), mesh::serving, isolation::isIsolated);
+        UpstreamChooser chooser = new UpstreamChooser(
+                directory,
+                tracker,
+                coldAdmission,
+                permits,
+                upstreamBackoffs,
+                ThreadLocalRandom.current(),
+                settings.failureDomain());
+        chooser.chooseEnginesWith(new EstimatedEngineChoice(engineLoads, new AffinityEngineChoice(tracker)));
         StageAdmission stageAdmission = new StageAdmission(batches::load, firstEventLatencies);
         GatewayContext context = new GatewayContext(
                 timers,
@@ -195,14 +208,8 @@
                 batches,
                 gossip,
                 tracker,
-                new UpstreamChooser(
-                        directory,
-                        tracker,
-                        coldAdmission,
-                        permits,
-                        upstreamBackoffs,
-                        ThreadLocalRandom.current(),
-                        settings.failureDomain()),
+                chooser,
+                engineLoads,
                 coldAdmission,
                 permits,
                 retryBudget,
@@ -253,6 +260,7 @@
                 permits,
                 upstreamBackoffs,
                 batches,
+                engineLoads,
                 stageAdmission,
                 retryBudget,
                 counters,
@@ -275,6 +283,7 @@
         node.loop.execute(() -> {
             node.versionHolder.start();
             node.batches.start();
+            node.engineLoads.start();
             node.tick();
         });
         LOGGER.info(
@@ -342,6 +351,7 @@
         mesh.subscribe(new LimitGossip(mesh, timers, upstreamLimits, permits));
         mesh.subscribe(versionExchange);
         mesh.subscribe(batches);
+        mesh.subscribe(engineLoads);
         mesh.subscribe(quarantine);
         mesh.subscribe(new MeshListener() {
             @Override
@@ -428,6 +438,14 @@
         return ready || uptime().compareTo(needed) > 0;
     }
 
+    private boolean hasEngines(String pool) {
+        return versionHolder
+                .heldTable()
+                .flatMap(t -> t.findPool(pool))
+                .filter(p -> p.engineSlots().isPresent())
+                .isPresent();
+    }
+
     private Duration uptime() {
         return Duration.ofNanos(System.nanoTime() - startedAt);
     }
--- a/library/src/main/java/org/copperspindle/gateway/GatewayRequest.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayRequest.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 
+import org.copperspindle.engineload.EnginePrompt;
 import org.copperspindle.http.HeaderField;
 
 /**
@@ -85,4 +86,9 @@
                 .mapToLong(PromptPart::tokens)
                 .sum();
     }
+
+    /** Returns the prompt as the choice of an engine sees it. */
+    EnginePrompt enginePrompt() {
+        return new EnginePrompt(sharedPrompt().orElse(""), sharedTokens(), promptTokens());
+    }
 }
--- a/library/src/main/java/org/copperspindle/gateway/NodeState.java
+++ b/library/src/main/java/org/copperspindle/gateway/NodeState.java
@@ -9,6 +9,7 @@
 import org.copperspindle.batch.BatchService;
 import org.copperspindle.direct.DirectClient;
 import org.copperspindle.discovery.UpstreamDirectory;
+import org.copperspindle.engineload.EngineLoads;
 import org.copperspindle.mesh.NodeMesh;
 import org.copperspindle.quarantine.RequestQuarantine;
 import org.copperspindle.version.MemberStatus;
@@ -28,6 +29,7 @@
  * @param permits              permits for upstreams with a limit
  * @param backoffs             upstreams that have requested a backoff
  * @param batches              the work on stages
+ * @param engineLoads          the measured engines
  * @param stageAdmission       admission to the stages
  * @param retryBudget          the limit on retries
  * @param counters             the counts of requests
@@ -45,6 +47,7 @@
         SendPermits permits,
         UpstreamBackoffs backoffs,
         BatchService batches,
+        EngineLoads engineLoads,
         StageAdmission stageAdmission,
         SharedRetryBudget retryBudget,
         GatewayCounters counters,
--- a/library/src/main/java/org/copperspindle/gateway/RequestLogger.java
+++ b/library/src/main/java/org/copperspindle/gateway/RequestLogger.java
@@ -3,12 +3,14 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.Function;
 
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.copperspindle.admission.StageAdmissionDecision;
 import org.copperspindle.admission.StageAdmissionVerdict;
 import org.copperspindle.discovery.UpstreamRecord;
+import org.copperspindle.engineload.EngineEstimate;
 import org.copperspindle.measure.LogRateLimiter;
 
 /**
@@ -92,20 +94,30 @@
      * @param number      number of the attempt, from 1
      * @param upstream    target of the attempt
      * @param resumeAfter id of the event after which the stream resumes
+     * @param estimate    estimate for the engine; empty for other upstreams and while loads are not known
      * @param now         monotonic time in nanoseconds
      */
-    void attemptSent(int number, UpstreamRecord upstream, Optional<String> resumeAfter, long now) {
+    void attemptSent(
+            int number,
+            UpstreamRecord upstream,
+            Optional<String> resumeAfter,
+            Optional<EngineEstimate> estimate,
+            long now) {
         if (!log.allowsServed(now)) {
             return;
         }
         LOGGER.info(
-                "event=attempt-sent request={} attempt={} upstream={} in_flight={} waited_ms={} resume_after={}",
+                "event=attempt-sent request={} attempt={} upstream={} in_flight={} waited_ms={} resume_after={}"
+                        + " estimate_ms={} pace={} waiting_tokens={}",
                 id,
                 number,
                 upstream.id(),
                 tracker.inFlight(upstream.id()),
                 (now - admittedAt) / NANOS_PER_MILLI,
-                resumeAfter.orElse(""));
+                resumeAfter.orElse(""),
+                text(estimate, e -> e.firstEventNanos() / NANOS_PER_MILLI),
+                text(estimate, EngineEstimate::pace),
+                text(estimate, EngineEstimate::waitingTokens));
     }
 
     /**
@@ -142,6 +154,10 @@
         return failed ? log.allowsFailed(now) : log.allowsServed(now);
     }
 
+    private static String text(Optional<EngineEstimate> estimate, Function<EngineEstimate, Object> value) {
+        return estimate.map(value).map(Object::toString).orElse("");
+    }
+
     private String firstEventMillis(OptionalLong at) {
         return at.isEmpty() ? "" : Long.toString((at.getAsLong() - admittedAt) / NANOS_PER_MILLI);
     }
--- a/library/src/main/java/org/copperspindle/gateway/RequestRun.java
+++ b/library/src/main/java/org/copperspindle/gateway/RequestRun.java
@@ -248,7 +248,9 @@
     }
 
     private Optional<UpstreamRecord> choose(StageInputs inputs, long now) {
-        return admitted.table().findPool(pool).flatMap(p -> context.chooser().choose(p, request, inputs, tried, now));
+        return admitted.table()
+                .findPool(pool)
+                .flatMap(p -> context.chooser().choose(p, route, request, inputs, tried, now));
     }
 
     private void startAttempt() {
@@ -287,7 +289,12 @@
                 resumeAfter,
                 admitted.rank(),
                 connectionUse());
-        requestLogger.attemptSent(sent, upstream, resumeAfter, now);
+        requestLogger.attemptSent(
+                sent,
+                upstream,
+                resumeAfter,
+                context.engineLoads().estimate(pool, upstream, request.enginePrompt()),
+                now);
         UpstreamRun run = context.quarantine().startRun(tracked, upstream, lastRun);
         lastRun = Optional.of(run);
         UpstreamAttempt next = new UpstreamAttempt(context, admitted, run, sent, relay, attemptListener);
--- a/library/src/main/java/org/copperspindle/gateway/UpstreamAttempt.java
+++ b/library/src/main/java/org/copperspindle/gateway/UpstreamAttempt.java
@@ -10,6 +10,7 @@
 import org.copperspindle.direct.DirectListener;
 import org.copperspindle.direct.UpstreamPort.CallHandle;
 import org.copperspindle.discovery.UpstreamRecord;
+import org.copperspindle.engineload.EngineAttempt;
 import org.copperspindle.quarantine.UpstreamRun;
 import org.copperspindle.route.RouteKind;
 
@@ -35,6 +36,7 @@
     private final long sentAt;
     private final ByteArrayOutputStream bufferedBody = new ByteArrayOutputStream();
     private CallHandle handle = reason -> {};
+    private EngineAttempt engineAttempt = EngineAttempt.NONE;
     private Optional<DirectHead> head = Optional.empty();
     private boolean isStream;
     private boolean ended;
@@ -59,6 +61,8 @@
     /** Sends the attempt; the listener may be called before this returns. */
     void send(AttemptSpec spec) {
         context.tracker().started(upstream.id());
+        engineAttempt = context.engineLoads()
+                .sent(admitted.pool(), upstream, admitted.request().enginePrompt());
         handle = context.port().call(context.upstreamDialect().write(spec), this);
     }
 
@@ -69,6 +73,7 @@
         }
         ended = true;
         handle.abort(reason);
+        engineAttempt.ended();
         context.tracker().ended(upstream.id(), false);
     }
 
@@ -94,7 +99,12 @@
             return;
         }
         boolean startedBefore = relay.hasStarted();
-        if (!relay.accept(data)) {
+        long eventsBefore = relay.eventCount();
+        boolean inOrder = relay.accept(data);
+        if (relay.eventCount() > eventsBefore) {
+            engineAttempt.event(context.timers().nanoTime());
+        }
+        if (!inOrder) {
             abortAndFail("events-missing");
         } else if (!startedBefore && relay.hasStarted()) {
             listener.onFirstEvent(context.timers().nanoTime() - sentAt);
@@ -183,6 +193,7 @@
 
     private void end(boolean succeeded, String reason) {
         ended = true;
+        engineAttempt.ended();
         if (succeeded) {
             context.tracker().ended(upstream.id(), true);
         } else {
--- a/library/src/main/java/org/copperspindle/gateway/UpstreamChooser.java
+++ b/library/src/main/java/org/copperspindle/gateway/UpstreamChooser.java
@@ -14,26 +14,18 @@
 import org.copperspindle.coldstart.ColdAdmission;
 import org.copperspindle.discovery.UpstreamDirectory;
 import org.copperspindle.discovery.UpstreamRecord;
+import org.copperspindle.route.Route;
 import org.copperspindle.route.UpstreamPool;
-import org.copperspindle.routing.RendezvousScore;
 import org.copperspindle.stage.StageInputs;
 
 /**
  * Chooses the upstream of an attempt. Engines cache the prompts that they have read, so requests with the same shared
- * prompt part go to the same engine while its load is near the mean of the pool. Other upstreams are chosen by the
- * fewest calls in flight. Skipped are cold upstreams that this node may not send to now, upstreams with a limit whose
+ * prompt part go to the same engine while an {@link EngineChoice} allows it. Other upstreams are chosen by the fewest
+ * calls in flight. Skipped are cold upstreams that this node may not send to now, upstreams with a limit whose
  * owner has no capacity left, and upstreams that requested a backoff.
  */
 final class UpstreamChooser {
 
-    /**
-     * Load of an engine relative to the mean of its pool above which the engine with the next score gets the request.
-     */
-    private static final double LOAD_FACTOR = 1.25;
-
-    /** Additional requests allowed above that bound: with few requests in flight the mean is not significant. */
-    private static final int LOAD_SLACK = 3;
-
     /**
      * Upstreams without an announcement for this long are used only if no other is left; they missed three
      * announcements.
@@ -53,6 +45,7 @@
     private final UpstreamBackoffs backoffs;
     private final RandomGenerator random;
     private final String failureDomain;
+    private EngineChoice engines;
 
     UpstreamChooser(
             UpstreamDirectory directory,
@@ -69,12 +62,19 @@
         this.backoffs = backoffs;
         this.random = random;
         this.failureDomain = failureDomain;
+        this.engines = new AffinityEngineChoice(tracker);
+    }
+
+    /** Sets the choice among the engines that may take a request, instead of the one by affinity alone. */
+    void chooseEnginesWith(EngineChoice choice) {
+        engines = choice;
     }
 
     /**
      * Chooses an upstream.
      *
      * @param pool    the pool
+     * @param route   its route
      * @param request the request
      * @param inputs  stage results that the upstream will fetch
      * @param tried   ids of upstreams that already got the request
@@ -82,17 +82,17 @@
      * @return the upstream; empty if the pool has none that can take it
      */
     Optional<UpstreamRecord> choose(
-            UpstreamPool pool, GatewayRequest request, StageInputs inputs, Set<String> tried, long now) {
+            UpstreamPool pool, Route route, GatewayRequest request, StageInputs inputs, Set<String> tried, long now) {
         List<UpstreamRecord> candidates = candidates(pool, tried, now);
         if (candidates.isEmpty()) {
             return Optional.empty();
         }
         Predicate<UpstreamRecord> accepts =
                 upstream -> permits.deniedNanos(upstream.id()) == 0 && accepts(pool, upstream, now);
-        Optional<String> shared = request.sharedPrompt();
-        if (pool.engineSlots().isPresent() && shared.isPresent()) {
-            return byAffinity(nearInputs(candidates, request, inputs), shared.get(), accepts)
-                    .or(() -> byAffinity(candidates, shared.get(), accepts))
+        if (pool.engineSlots().isPresent() && request.sharedPrompt().isPresent()) {
+            EngineDemand demand = demand(pool, route, request);
+            return engines.choose(demand, nearInputs(candidates, request, inputs), accepts)
+                    .or(() -> engines.choose(demand, candidates, accepts))
                     .or(() -> byLoad(candidates, accepts));
         }
         return byLoad(candidates, accepts);
@@ -234,24 +234,12 @@
         return near.isEmpty() ? candidates : near;
     }
 
-    private Optional<UpstreamRecord> byAffinity(
-            List<UpstreamRecord> candidates, String shared, Predicate<UpstreamRecord> accepts) {
-        double mean = candidates.stream()
-                .mapToInt(u -> tracker.inFlight(u.id()))
-                .average()
-                .orElse(0);
-        double bound = mean * LOAD_FACTOR + LOAD_SLACK;
-        UpstreamRecord best = null;
-        long bestScore = 0;
-        for (UpstreamRecord upstream : candidates) {
-            long score = RendezvousScore.of(shared, upstream.id());
-            boolean better = best == null || score > bestScore;
-            if (better && tracker.inFlight(upstream.id()) <= bound && accepts.test(upstream)) {
-                best = upstream;
-                bestScore = score;
-            }
-        }
-        return Optional.ofNullable(best);
+    private static EngineDemand demand(UpstreamPool pool, Route route, GatewayRequest request) {
+        return new EngineDemand(
+                pool.name(),
+                request.enginePrompt(),
+                route.objective().toNanos(),
+                route.maxEventGap().toNanos());
     }
 
     private Optional<UpstreamRecord> byLoad(List<UpstreamRecord> candidates, Predicate<UpstreamRecord> accepts) {
--- a/library/src/main/java/org/copperspindle/gateway/UpstreamSearch.java
+++ b/library/src/main/java/org/copperspindle/gateway/UpstreamSearch.java
@@ -100,7 +100,8 @@
     private void seek(UpstreamPool pool, long now) {
         UpstreamChooser chooser = context.chooser();
         Set<String> excluded = immediatePermits < MAX_IMMEDIATE_PERMITS ? tried : includingLimited(pool, now);
-        Optional<UpstreamRecord> candidate = chooser.choose(pool, admitted.request(), inputs, excluded, now);
+        Optional<UpstreamRecord> candidate =
+                chooser.choose(pool, admitted.route(), admitted.request(), inputs, excluded, now);
         if (candidate.isPresent()) {
             selectOrRequestPermit(pool, candidate.get());
             return;
--- a/library/src/test/java/org/copperspindle/gateway/UpstreamChooserTest.java
+++ b/library/src/test/java/org/copperspindle/gateway/UpstreamChooserTest.java
@@ -24,6 +24,9 @@
 import org.copperspindle.discovery.UpstreamRecord;
 import org.copperspindle.measure.LogRateLimiter;
 import org.copperspindle.route.ColdLimits;
+import org.copperspindle.route.Route;
+import org.copperspindle.route.RouteKind;
+import org.copperspindle.route.TestRoutes;
 import org.copperspindle.route.UpstreamPool;
 import org.copperspindle.stage.StageInputs;
 import org.copperspindle.time.VirtualTimerService;
@@ -38,6 +41,8 @@
     private static final UpstreamPool COLD_ENGINES = new UpstreamPool(
             "p", 100, Optional.empty(), OptionalInt.of(64), Optional.of(new ColdLimits(Duration.ofSeconds(3), 2)));
 
+    private static final Route ROUTE = TestRoutes.route("r", "h", "/x/", RouteKind.STREAM, "p");
+
     private final VirtualTimerService time = new VirtualTimerService();
     private final UpstreamDirectory directory = new UpstreamDirectory();
     private final UpstreamTracker tracker = new UpstreamTracker();
@@ -171,7 +176,7 @@
                 List.of());
         List<String> handles =
                 IntStream.range(0, results).mapToObj(i -> "10.0.1.1:1/" + i).toList();
-        return chooser.choose(COLD_ENGINES, request, StageInputs.of(handles, 800_000), Set.of(), 0);
+        return chooser.choose(COLD_ENGINES, ROUTE, request, StageInputs.of(handles, 800_000), Set.of(), 0);
     }
 
     private void announce(String id, String pool, String address, String domain) {
