Measure engines by the order of their first events, and replay a burst on uneven engines

Cause: with the tokens known to wait ahead, paces of slow engines were measured as 0.65 to 0.8 instead of 0.46, because most of what is ahead is partly read or not yet known to the sender. Change: the load owner sorts first events of all nodes by time and takes the time since the one before. Nodes choose among engines with the weight of what these could read by the time at which all would be done with what other nodes send unseen; otherwise 24 nodes sent to the same few engines between two tables.

--- a/library/src/main/java/org/copperspindle/engineload/BaseLatency.java
+++ b/library/src/main/java/org/copperspindle/engineload/BaseLatency.java
@@ -7,13 +7,16 @@
 final class BaseLatency {
 
     /** Prompts up to this length are read in less time than the base takes, or in about as much. */
-    private static final double SHORT_TOKENS = 2000;
+    static final double SHORT_TOKENS = 2000;
 
-    /** Weight of the newest sample. */
-    private static final double WEIGHT = 0.05;
+    /** Weight of a sample above the base: most of these waited behind prompts that the node did not know of. */
+    private static final double RISE = 0.05;
+
+    /** Weight of a sample below the base. */
+    private static final double FALL = 0.1;
 
     /** The base never explains more than this share of a short prompt's time: some of it was reading. */
-    private static final double MAX_SHARE = 0.5;
+    private static final double MAX_SHARE = 0.8;
 
     private double millis;
 
@@ -23,7 +26,7 @@
             return;
         }
         double rest = Math.max(0, Math.min(meanMillis * MAX_SHARE, meanMillis - meanTokens / speed));
-        millis += WEIGHT * (rest - millis);
+        millis += (rest > millis ? RISE : FALL) * (rest - millis);
     }
 
     double millis() {
--- a/library/src/main/java/org/copperspindle/engineload/EngineAttempt.java
+++ b/library/src/main/java/org/copperspindle/engineload/EngineAttempt.java
@@ -6,29 +6,27 @@
 public final class EngineAttempt {
 
     /** An attempt at an upstream that is not an engine; counts nothing. */
-    public static final EngineAttempt NONE = new EngineAttempt(new OwnEngine(0), 0, 0, 0, true);
+    public static final EngineAttempt NONE = new EngineAttempt(new OwnEngine(0), 0, 0, true);
 
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
     private final OwnEngine engine;
-    private final long aheadTokens;
     private final long unreadTokens;
     private final long sentAt;
     private boolean reading = true;
     private boolean ended;
     private long lastEventAt;
 
-    private EngineAttempt(OwnEngine engine, long aheadTokens, long unreadTokens, long sentAt, boolean ended) {
+    private EngineAttempt(OwnEngine engine, long unreadTokens, long sentAt, boolean ended) {
         this.engine = engine;
-        this.aheadTokens = aheadTokens;
         this.unreadTokens = unreadTokens;
         this.sentAt = sentAt;
         this.ended = ended;
     }
 
-    static EngineAttempt start(OwnEngine engine, long aheadTokens, long unreadTokens, long now) {
+    static EngineAttempt start(OwnEngine engine, long unreadTokens, long now) {
         engine.started(unreadTokens);
-        return new EngineAttempt(engine, aheadTokens, unreadTokens, now, false);
+        return new EngineAttempt(engine, unreadTokens, now, false);
     }
 
     /**
@@ -42,7 +40,7 @@
         }
         if (reading) {
             stopReading();
-            engine.sampled(aheadTokens + unreadTokens, (now - sentAt) / NANOS_PER_MILLI);
+            engine.sampled(unreadTokens, sentAt, now);
         } else {
             engine.paused((now - lastEventAt) / NANOS_PER_MILLI);
         }
--- a/library/src/main/java/org/copperspindle/engineload/EngineEstimate.java
+++ b/library/src/main/java/org/copperspindle/engineload/EngineEstimate.java
@@ -4,8 +4,10 @@
  * Estimate for one attempt at an engine.
  *
  * @param firstEventNanos estimated time to the first event in nanoseconds
+ * @param tokensPerNano    estimated prompt-reading speed in tokens per nanosecond
  * @param pace            prompt-reading speed relative to the median of the pool
  * @param waitingTokens   prompt tokens of other attempts that the engine has not read yet
  * @param longestPauseNanos recent longest pause between events of a stream in nanoseconds
  */
-public record EngineEstimate(long firstEventNanos, double pace, long waitingTokens, long longestPauseNanos) {}
+public record EngineEstimate(
+        long firstEventNanos, double tokensPerNano, double pace, long waitingTokens, long longestPauseNanos) {}
--- a/library/src/main/java/org/copperspindle/engineload/EngineEstimates.java
+++ b/library/src/main/java/org/copperspindle/engineload/EngineEstimates.java
@@ -5,7 +5,6 @@
 /**
  * Estimates for one prompt at the engines of a pool, at one moment.
  */
-@FunctionalInterface
 public interface EngineEstimates {
 
     /**
@@ -15,4 +14,12 @@
      * @return time to the first event, and the load it results from
      */
     EngineEstimate at(UpstreamRecord engine);
+
+    /**
+     * Returns how much other nodes are likely to have sent to the pool since the state that the estimates are based
+     * on. If all nodes ignored that, they would all send to the same few engines between two tables.
+     *
+     * @return prompt tokens
+     */
+    long unseenTokens();
 }
--- a/library/src/main/java/org/copperspindle/engineload/EngineLoads.java
+++ b/library/src/main/java/org/copperspindle/engineload/EngineLoads.java
@@ -96,9 +96,14 @@
         long now = timers.nanoTime();
         NodePool known = pool(pool);
         long unread = unreadTokens(engine, prompt, home(pool, prompt), now);
-        long ahead = known.waitingTokens(engine, now);
+        known.sent(unread);
         cachedParts.add(engine, prompt.shared(), now);
-        return EngineAttempt.start(known.engine(engine), ahead, unread, now);
+        EngineAttempt attempt = EngineAttempt.start(known.engine(engine), unread, now);
+        if (known.mayReport(now)) {
+            // A node that sends less than once an interval would otherwise tell the others late of what it sent.
+            report(known, now);
+        }
+        return attempt;
     }
 
     /**
@@ -115,8 +120,18 @@
             return Optional.empty();
         }
         String home = home(pool, prompt);
-        return Optional.of(engine -> known.estimate(engine, unreadTokens(engine, prompt, home, now), now)
-                .orElseThrow());
+        return Optional.of(new EngineEstimates() {
+            @Override
+            public EngineEstimate at(UpstreamRecord engine) {
+                return known.estimate(engine, unreadTokens(engine, prompt, home, now), now)
+                        .orElseThrow();
+            }
+
+            @Override
+            public long unseenTokens() {
+                return known.unseenTokens(now);
+            }
+        });
     }
 
     /**
@@ -261,7 +276,7 @@
     private void sendTable(OwnerPool pool, long now) {
         pool.update(log, now);
         for (String node : pool.takeNewNodes()) {
-            mesh.find(node).ifPresent(found -> found.send(pool.whole()));
+            mesh.find(node).ifPresent(found -> found.send(pool.whole(now)));
         }
         pool.takeChanges(now).ifPresent(message -> {
             mesh.broadcast(message);
--- a/library/src/main/java/org/copperspindle/engineload/EngineLoadsMessage.java
+++ b/library/src/main/java/org/copperspindle/engineload/EngineLoadsMessage.java
@@ -20,6 +20,8 @@
  * @param longestPauses   recent longest pauses between events in milliseconds
  * @param tokensPerSecond median prompt-reading speed of the pool, 0 while it is not known
  * @param baseMillis      time to the first event beyond reading the prompt, in milliseconds
+ * @param sentPerSecond   prompt tokens that all nodes send to the pool in a second
+ * @param slowestPace     pace of the slowest engine as far as it is certain, in thousandths of the median
  */
 public record EngineLoadsMessage(
         String pool,
@@ -29,7 +31,9 @@
         List<Long> paces,
         List<Long> longestPauses,
         long tokensPerSecond,
-        long baseMillis)
+        long baseMillis,
+        long sentPerSecond,
+        long slowestPace)
         implements WireMessage {
 
     /** Codec of this message. */
@@ -45,7 +49,13 @@
         longestPauses = List.copyOf(longestPauses);
     }
 
-    static EngineLoadsMessage of(String pool, Map<String, EngineLoad> loads, long tokensPerSecond, long baseMillis) {
+    static EngineLoadsMessage of(
+            String pool,
+            Map<String, EngineLoad> loads,
+            long tokensPerSecond,
+            long baseMillis,
+            long sentPerSecond,
+            long slowestPace) {
         List<EngineLoad> values = List.copyOf(loads.values());
         return new EngineLoadsMessage(
                 pool,
@@ -55,7 +65,9 @@
                 values.stream().map(EngineLoad::paceThousandths).toList(),
                 values.stream().map(EngineLoad::longestPauseMillis).toList(),
                 tokensPerSecond,
-                baseMillis);
+                baseMillis,
+                sentPerSecond,
+                slowestPace);
     }
 
     /** Returns one entry of the lists. */
@@ -72,7 +84,9 @@
                 && ValueBounds.areNumbers(paces, count, 1, ValueBounds.MAX_PACE)
                 && ValueBounds.areNumbers(longestPauses, count, 0, ValueBounds.MAX_MILLIS)
                 && ValueBounds.isWithin(tokensPerSecond, 0, ValueBounds.MAX_TOKENS)
-                && ValueBounds.isWithin(baseMillis, 0, ValueBounds.MAX_MILLIS);
+                && ValueBounds.isWithin(baseMillis, 0, ValueBounds.MAX_MILLIS)
+                && ValueBounds.isWithin(sentPerSecond, 0, ValueBounds.MAX_TOKENS)
+                && ValueBounds.isWithin(slowestPace, 1, ValueBounds.MAX_PACE);
     }
 
     private void write(FieldWriter out) {
@@ -83,7 +97,9 @@
                 .put(5, PackedNumbers.pack(paces))
                 .put(6, PackedNumbers.pack(longestPauses))
                 .put(7, tokensPerSecond)
-                .put(8, baseMillis);
+                .put(8, baseMillis)
+                .put(9, sentPerSecond)
+                .put(10, slowestPace);
     }
 
     private static EngineLoadsMessage read(FieldReader in) {
@@ -95,6 +111,8 @@
                 PackedNumbers.unpack(in.getBytes(5)),
                 PackedNumbers.unpack(in.getBytes(6)),
                 in.getLong(7, 0),
-                in.getLong(8, 0));
+                in.getLong(8, 0),
+                in.getLong(9, 0),
+                in.getLong(10, EngineLoad.MEDIAN_PACE));
     }
 }
--- a/library/src/main/java/org/copperspindle/engineload/EngineModel.java
+++ b/library/src/main/java/org/copperspindle/engineload/EngineModel.java
@@ -7,23 +7,29 @@
  */
 final class EngineModel {
 
-    /** A slowdown of some hundred milliseconds leaves sums with this half-life almost unchanged. */
-    private static final double HALF_LIFE_NANOS = Duration.ofSeconds(2).toNanos();
+    /**
+     * At one sample a second and engine, a slowdown of some hundred milliseconds leaves sums with this half-life almost
+     * unchanged. With 2 s, two disturbed samples in a row marked one of 29 equal engines as slow.
+     */
+    private static final double HALF_LIFE_NANOS = Duration.ofSeconds(6).toNanos();
 
     /**
      * Largest deviation of one sample from the pool's median speed, as a factor. Without it one attempt that hung for
      * seconds would mark its engine as slow.
      */
-    private static final double MAX_DEVIATION = 2;
+    private static final double MAX_DEVIATION = 2.5;
+
+    /** Samples at the median speed that are added to the measured ones: the pace of an unused engine goes to 1. */
+    private static final double PRIOR_SAMPLES = 1;
 
     /**
-     * Samples at the median speed that are added to the measured ones. With few samples the pace is near 1, and it
-     * returns there when an engine gets no more requests.
+     * The same before an engine is called slow. With fewer, several disturbances in a row made one of 29 equal engines
+     * look slow.
      */
-    private static final double PRIOR_SAMPLES = 2;
+    private static final double CAUTIOUS_PRIOR_SAMPLES = 4;
 
-    /** Weight of samples below which the rate of an engine does not count for the median of its pool. */
-    private static final double MIN_SAMPLES = 1.5;
+    /** Weight of samples below which nothing can be said of an engine: two may fall into one disturbance. */
+    private static final double MIN_SAMPLES = 3;
 
     private static final double MIN_SAMPLE_MILLIS = 1;
 
@@ -34,29 +40,38 @@
     private double millis;
     private double samples;
     private long decayedAt;
+    private long lastFirstEventAt = Long.MIN_VALUE;
     private long pausePeriodAt;
     private long pauseMillis;
     private long earlierPauseMillis;
 
     /**
-     * Adds samples.
+     * Adds a sample. A short prompt counts for less, because most of its time is the base latency.
      *
      * @param sampledTokens tokens read
      * @param sampledMillis time without the base latency, in milliseconds
-     * @param count         number of samples
      * @param speed         median speed of the pool in tokens per millisecond, 0 while it is not known
      * @param now           monotonic time in nanoseconds
      */
-    void add(double sampledTokens, double sampledMillis, long count, double speed, long now) {
+    void add(double sampledTokens, double sampledMillis, double speed, long now) {
         decay(now);
-        double taken = Math.max(MIN_SAMPLE_MILLIS * count, sampledMillis);
+        double taken = Math.max(MIN_SAMPLE_MILLIS, sampledMillis);
         if (speed > 0) {
             double expected = sampledTokens / speed;
             taken = Math.max(expected / MAX_DEVIATION, Math.min(expected * MAX_DEVIATION, taken));
         }
         tokens += sampledTokens;
         millis += taken;
-        samples += count;
+        samples += Math.min(1, sampledTokens / BaseLatency.SHORT_TOKENS);
+    }
+
+    /** Notes when the engine had read a prompt; from then on it read the next one. */
+    void firstEvent(long at) {
+        lastFirstEventAt = at;
+    }
+
+    long lastFirstEventAt() {
+        return lastFirstEventAt;
     }
 
     void addPause(long longestMillis, long now) {
@@ -77,11 +92,20 @@
 
     /** Returns the speed relative to the pool's median, which is given in tokens per millisecond. */
     double pace(double speed, long now) {
+        return pace(speed, PRIOR_SAMPLES, now);
+    }
+
+    /** Returns the pace by which to decide whether the engine differs from others: nearer to 1 for few samples. */
+    double cautiousPace(double speed, long now) {
+        return pace(speed, CAUTIOUS_PRIOR_SAMPLES, now);
+    }
+
+    private double pace(double speed, double priorSamples, long now) {
         decay(now);
-        if (speed <= 0 || samples <= 0 || tokens <= 0) {
+        if (speed <= 0 || samples < MIN_SAMPLES || tokens <= 0) {
             return 1;
         }
-        double prior = PRIOR_SAMPLES * tokens / samples;
+        double prior = priorSamples * tokens / samples;
         return (tokens + prior) / (millis * speed + prior);
     }
 
--- a/library/src/main/java/org/copperspindle/engineload/EngineSamplesMessage.java
+++ b/library/src/main/java/org/copperspindle/engineload/EngineSamplesMessage.java
@@ -15,20 +15,24 @@
  * @param engines       ids of engines
  * @param waitingTokens prompt tokens that the node has sent and that have no first event yet
  * @param streams       running streams of the node
- * @param sampledTokens tokens ahead of and in the prompts whose first event came since the last message
- * @param sampledMillis sum of their times to the first event in milliseconds
+ * @param sampled       for each first event since the last message the index of its engine in the list
+ * @param sampledTokens unread tokens of its prompt
+ * @param sampledMillis time to the first event in milliseconds
+ * @param sampleAges    time since the first event in milliseconds
  * @param longestPauses longest pause between events since the last message in milliseconds
- * @param samples       number of first events since the last message
+ * @param sentTokens    prompt tokens sent to all engines of the pool since the last message
  */
 public record EngineSamplesMessage(
         String pool,
         List<String> engines,
         List<Long> waitingTokens,
         List<Long> streams,
+        List<Long> longestPauses,
+        List<Long> sampled,
         List<Long> sampledTokens,
         List<Long> sampledMillis,
-        List<Long> longestPauses,
-        List<Long> samples)
+        List<Long> sampleAges,
+        long sentTokens)
         implements WireMessage {
 
     /** Codec of this message. */
@@ -40,22 +44,27 @@
         engines = List.copyOf(engines);
         waitingTokens = List.copyOf(waitingTokens);
         streams = List.copyOf(streams);
+        longestPauses = List.copyOf(longestPauses);
+        sampled = List.copyOf(sampled);
         sampledTokens = List.copyOf(sampledTokens);
         sampledMillis = List.copyOf(sampledMillis);
-        longestPauses = List.copyOf(longestPauses);
-        samples = List.copyOf(samples);
+        sampleAges = List.copyOf(sampleAges);
     }
 
     /** Returns whether the lists are parallel and all values are possible ones. */
     boolean isPlausible() {
         int count = engines.size();
+        int samples = sampled.size();
         return ValueBounds.areIds(engines)
                 && ValueBounds.areNumbers(waitingTokens, count, 0, ValueBounds.MAX_TOKENS)
                 && ValueBounds.areNumbers(streams, count, 0, ValueBounds.MAX_STREAMS)
-                && ValueBounds.areNumbers(sampledTokens, count, 0, ValueBounds.MAX_TOKENS)
-                && ValueBounds.areNumbers(sampledMillis, count, 0, ValueBounds.MAX_MILLIS)
                 && ValueBounds.areNumbers(longestPauses, count, 0, ValueBounds.MAX_MILLIS)
-                && ValueBounds.areNumbers(samples, count, 0, ValueBounds.MAX_STREAMS);
+                && samples <= ValueBounds.MAX_SAMPLES
+                && ValueBounds.areNumbers(sampled, samples, 0, count - 1)
+                && ValueBounds.areNumbers(sampledTokens, samples, 0, ValueBounds.MAX_TOKENS)
+                && ValueBounds.areNumbers(sampledMillis, samples, 0, ValueBounds.MAX_MILLIS)
+                && ValueBounds.areNumbers(sampleAges, samples, 0, ValueBounds.MAX_MILLIS)
+                && ValueBounds.isWithin(sentTokens, 0, ValueBounds.MAX_TOKENS);
     }
 
     private void write(FieldWriter out) {
@@ -66,7 +75,9 @@
                 .put(5, PackedNumbers.pack(sampledTokens))
                 .put(6, PackedNumbers.pack(sampledMillis))
                 .put(7, PackedNumbers.pack(longestPauses))
-                .put(8, PackedNumbers.pack(samples));
+                .put(8, PackedNumbers.pack(sampled))
+                .put(9, sentTokens)
+                .put(10, PackedNumbers.pack(sampleAges));
     }
 
     private static EngineSamplesMessage read(FieldReader in) {
@@ -75,9 +86,11 @@
                 in.getStrings(2),
                 PackedNumbers.unpack(in.getBytes(3)),
                 PackedNumbers.unpack(in.getBytes(4)),
+                PackedNumbers.unpack(in.getBytes(7)),
+                PackedNumbers.unpack(in.getBytes(8)),
                 PackedNumbers.unpack(in.getBytes(5)),
                 PackedNumbers.unpack(in.getBytes(6)),
-                PackedNumbers.unpack(in.getBytes(7)),
-                PackedNumbers.unpack(in.getBytes(8)));
+                PackedNumbers.unpack(in.getBytes(10)),
+                in.getLong(9, 0));
     }
 }
--- a/library/src/main/java/org/copperspindle/engineload/NodePool.java
+++ b/library/src/main/java/org/copperspindle/engineload/NodePool.java
@@ -14,6 +14,9 @@
     /** Confirms the counts of a node often enough for the owner not to drop them. */
     private static final long CONFIRM_NANOS = OwnerModel.MAX_AGE_NANOS / 3;
 
+    /** Age of the counts of other nodes when a table with them is made; most report an attempt at once. */
+    private static final long MEAN_REPORT_AGE_NANOS = EngineLoads.INTERVAL_NANOS / 8;
+
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
     private final String name;
@@ -21,11 +24,13 @@
     private final Map<String, EngineLoad> table = new HashMap<>();
     private final PaceRule rule = new PaceRule();
     private String owner = "";
-    private long reportedAt;
+    private long reportedAt = Long.MIN_VALUE / 2;
     private boolean tableKnown;
     private long tableAt;
     private double tokensPerNano;
     private long baseNanos;
+    private double sentPerNano;
+    private long sentTokens;
 
     NodePool(String name) {
         this.name = name;
@@ -81,14 +86,29 @@
         own.entrySet().stream()
                 .filter(entry -> entry.getValue().isChanged())
                 .limit(ValueBounds.MAX_ENGINES)
-                .forEach(entry -> entry.getValue().appendTo(lists, entry.getKey()));
-        EngineSamplesMessage message = lists.message(name);
+                .forEach(entry -> entry.getValue().appendTo(lists, entry.getKey(), now));
+        EngineSamplesMessage message = lists.message(name, sentTokens);
         return confirms || !message.engines().isEmpty() ? Optional.of(message) : Optional.empty();
     }
 
+    /** Returns whether a report may be sent before the next interval ends. */
+    boolean mayReport(long now) {
+        return now - reportedAt >= EngineLoads.INTERVAL_NANOS;
+    }
+
+    void sent(long tokens) {
+        sentTokens = Math.min(ValueBounds.MAX_TOKENS, sentTokens + tokens);
+    }
+
+    /** Returns what all nodes are likely to have sent since the counts in the table were reported. */
+    long unseenTokens(long now) {
+        return (long) (sentPerNano * (now - tableAt + MEAN_REPORT_AGE_NANOS));
+    }
+
     /** Notes that a report was sent. */
     void reported(EngineSamplesMessage message, long now) {
         reportedAt = now;
+        sentTokens = 0;
         message.engines().forEach(id -> own.get(id).reported(now));
     }
 
@@ -106,9 +126,10 @@
         own.values().forEach(engine -> engine.tableArrived(now));
         tokensPerNano = (double) message.tokensPerSecond() / EngineLoads.NANOS_PER_SECOND;
         baseNanos = message.baseMillis() * NANOS_PER_MILLI;
+        sentPerNano = message.sentPerSecond() / EngineLoads.NANOS_PER_SECOND;
         tableKnown = true;
         tableAt = now;
-        rule.update(slowestPace(), now);
+        rule.update((double) message.slowestPace() / EngineLoad.MEDIAN_PACE, now);
     }
 
     boolean isFresh(long now) {
@@ -137,9 +158,14 @@
         }
         EngineLoad load = table.getOrDefault(engine.id(), EngineLoad.NONE);
         long waiting = waitingTokens(engine, now);
-        double readNanos = (waiting + unreadTokens) / (tokensPerNano * load.pace());
+        double speed = tokensPerNano * load.pace();
+        double readNanos = (waiting + unreadTokens) / speed;
         return Optional.of(new EngineEstimate(
-                (long) readNanos + baseNanos, load.pace(), waiting, load.longestPauseMillis() * NANOS_PER_MILLI));
+                (long) readNanos + baseNanos,
+                speed,
+                load.pace(),
+                waiting,
+                load.longestPauseMillis() * NANOS_PER_MILLI));
     }
 
     double slowestPace() {
--- a/library/src/main/java/org/copperspindle/engineload/OwnEngine.java
+++ b/library/src/main/java/org/copperspindle/engineload/OwnEngine.java
@@ -1,6 +1,8 @@
 package org.copperspindle.engineload;
 
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 
 /**
  * What this node counts of its own attempts at one incarnation of an engine.
@@ -13,12 +15,13 @@
     /** A report that is younger when a table arrives was sent after the owner had made the table. */
     private static final long REPORT_TRAVEL_NANOS = Duration.ofMillis(10).toNanos();
 
+    /** More first events of one engine between two reports would tell nothing new. */
+    private static final int MAX_SAMPLES = ValueBounds.MAX_SAMPLES / ValueBounds.MAX_ENGINES;
+
     private final long incarnation;
     private long waitingTokens;
     private long streams;
-    private long sampledTokens;
-    private long sampledMillis;
-    private long samples;
+    private final List<ReadPrompt> samples = new ArrayList<>();
     private long longestPause;
     private boolean changed;
     private long reportedTokens;
@@ -45,10 +48,10 @@
         changed = true;
     }
 
-    void sampled(long tokens, long millis) {
-        sampledTokens = Math.min(ValueBounds.MAX_TOKENS, sampledTokens + tokens);
-        sampledMillis = Math.min(ValueBounds.MAX_MILLIS, sampledMillis + millis);
-        samples = Math.min(ValueBounds.MAX_STREAMS, samples + 1);
+    void sampled(long tokens, long sentAt, long firstEventAt) {
+        if (samples.size() < MAX_SAMPLES) {
+            samples.add(new ReadPrompt("", tokens, sentAt, firstEventAt));
+        }
         changed = true;
     }
 
@@ -88,8 +91,9 @@
         tokensInTable = 0;
     }
 
-    void appendTo(SampleLists lists, String id) {
-        lists.add(id, waitingTokens, streams, sampledTokens, sampledMillis, longestPause, samples);
+    void appendTo(SampleLists lists, String id, long now) {
+        lists.add(id, waitingTokens, streams, longestPause);
+        samples.forEach(prompt -> lists.add(prompt, now));
     }
 
     /** Starts the next report after one was sent. */
@@ -97,9 +101,7 @@
         reportedBefore = reportedTokens;
         reportedTokens = waitingTokens;
         reportedAt = now;
-        sampledTokens = 0;
-        sampledMillis = 0;
-        samples = 0;
+        samples.clear();
         longestPause = 0;
         changed = false;
     }
--- a/library/src/main/java/org/copperspindle/engineload/OwnerPool.java
+++ b/library/src/main/java/org/copperspindle/engineload/OwnerPool.java
@@ -85,8 +85,8 @@
         return taken;
     }
 
-    EngineLoadsMessage whole() {
-        return message(loads);
+    EngineLoadsMessage whole(long now) {
+        return message(loads, now);
     }
 
     /** Returns the changes for all nodes; empty if there are none and the last table still holds. */
@@ -105,13 +105,18 @@
         }
         sent.putAll(changed);
         sentAt = now;
-        return Optional.of(message(changed));
+        return Optional.of(message(changed, now));
     }
 
-    private EngineLoadsMessage message(Map<String, EngineLoad> entries) {
+    private EngineLoadsMessage message(Map<String, EngineLoad> entries, long now) {
         long perSecond = Math.round(model.speed() * MILLIS_PER_SECOND);
         return EngineLoadsMessage.of(
-                name, entries, Math.min(ValueBounds.MAX_TOKENS, perSecond), Math.round(model.baseMillis()));
+                name,
+                entries,
+                Math.min(ValueBounds.MAX_TOKENS, perSecond),
+                Math.round(model.baseMillis()),
+                model.sentPerSecond(now),
+                model.slowestPace(now));
     }
 
     /** Returns whether other nodes could choose better if they knew the loads. */
--- a/library/src/main/java/org/copperspindle/engineload/ValueBounds.java
+++ b/library/src/main/java/org/copperspindle/engineload/ValueBounds.java
@@ -22,6 +22,9 @@
     /** Ten times the median of the pool, in thousandths. */
     static final long MAX_PACE = 10_000L;
 
+    /** First events that one node reports of a pool at once. */
+    static final int MAX_SAMPLES = 1024;
+
     private static final int MAX_ID_LENGTH = 256;
 
     private ValueBounds() {}
--- a/library/src/main/java/org/copperspindle/gateway/EstimatedEngineChoice.java
+++ b/library/src/main/java/org/copperspindle/gateway/EstimatedEngineChoice.java
@@ -24,6 +24,9 @@
     /** Share of the longest allowed pause above which an engine's pauses are likely to make streams late. */
     private static final double MAX_PAUSE_SHARE = 0.7;
 
+    /** A double holds the other bits of a score exactly. */
+    private static final int UNUSED_BITS = 11;
+
     private final EngineLoads loads;
     private final EngineChoice otherwise;
 
@@ -53,24 +56,60 @@
             }
         }
         List<Estimated> steady = all.stream().filter(e -> e.isSteady(demand)).toList();
-        return first(steady.isEmpty() ? all : steady, (long) (demand.objectiveNanos() * TOLERANCE));
+        long tolerance = (long) (demand.objectiveNanos() * TOLERANCE);
+        return choose(
+                steady.isEmpty() ? all : steady, tolerance, estimates.get().unseenTokens());
     }
 
-    private static Optional<UpstreamRecord> first(List<Estimated> engines, long toleranceNanos) {
-        long best = engines.stream()
-                .mapToLong(e -> e.estimate().firstEventNanos())
-                .min()
-                .orElse(0);
-        return engines.stream()
-                .filter(e -> e.estimate().firstEventNanos() <= best + toleranceNanos)
-                .max(Comparator.comparingLong(Estimated::score))
+    /**
+     * Chooses by rendezvous among the engines whose estimate is below a limit, each with the weight of the tokens
+     * that it could read until the limit.
+     */
+    private static Optional<UpstreamRecord> choose(List<Estimated> engines, long toleranceNanos, long unseenTokens) {
+        List<Estimated> sorted = engines.stream()
+                .sorted(Comparator.comparingLong(Estimated::nanos))
+                .toList();
+        if (sorted.isEmpty()) {
+            return Optional.empty();
+        }
+        double limit = Math.max(sorted.get(0).nanos() + toleranceNanos, commonFinish(sorted, unseenTokens));
+        return sorted.stream()
+                .filter(e -> e.nanos() < limit)
+                .max(Comparator.comparingDouble(e -> e.weightedScore(limit)))
+                .or(() -> Optional.of(sorted.get(0)))
                 .map(Estimated::engine);
     }
 
+    /** Returns when all engines would be done with so many more tokens, shared so that they finish together. */
+    private static double commonFinish(List<Estimated> sorted, long tokens) {
+        double speed = 0;
+        double weighted = 0;
+        double finish = 0;
+        for (Estimated engine : sorted) {
+            if (speed > 0 && engine.nanos() >= finish) {
+                break;
+            }
+            speed += engine.estimate().tokensPerNano();
+            weighted += engine.estimate().tokensPerNano() * engine.nanos();
+            finish = (tokens + weighted) / speed;
+        }
+        return finish;
+    }
+
     private record Estimated(UpstreamRecord engine, long score, EngineEstimate estimate) {
+        private long nanos() {
+            return estimate.firstEventNanos();
+        }
+
         private boolean isSteady(EngineDemand demand) {
             return demand.maxPauseNanos() == 0
                     || estimate.longestPauseNanos() <= demand.maxPauseNanos() * MAX_PAUSE_SHARE;
         }
+
+        /** Returns a score that is the largest of all with a probability proportional to the weight. */
+        private double weightedScore(double limitNanos) {
+            double uniform = ((score >>> UNUSED_BITS) + 0.5) / (1L << (Long.SIZE - UNUSED_BITS));
+            return Math.log(uniform) / ((limitNanos - nanos()) * estimate.tokensPerNano());
+        }
     }
 }
--- /dev/null
+++ b/library/src/test/java/org/copperspindle/gateway/EngineChoiceReplay.java
@@ -0,0 +1,221 @@
+package org.copperspindle.gateway;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+import java.util.Random;
+import java.util.Set;
+import java.util.stream.IntStream;
+
+import org.copperspindle.backpressure.UpstreamBackoffs;
+import org.copperspindle.backpressure.UpstreamLimits;
+import org.copperspindle.coldstart.SenderSetAdmission;
+import org.copperspindle.discovery.UpstreamDirectory;
+import org.copperspindle.discovery.UpstreamPhase;
+import org.copperspindle.discovery.UpstreamRecord;
+import org.copperspindle.engineload.EngineAttempt;
+import org.copperspindle.engineload.EngineLoads;
+import org.copperspindle.measure.LogRateLimiter;
+import org.copperspindle.mesh.LinkedPeer;
+import org.copperspindle.mesh.MeshSettings;
+import org.copperspindle.mesh.NodeHelloMessage;
+import org.copperspindle.mesh.NodeMesh;
+import org.copperspindle.route.Route;
+import org.copperspindle.route.RouteKind;
+import org.copperspindle.route.TestRoutes;
+import org.copperspindle.route.UpstreamPool;
+import org.copperspindle.stage.StageInputs;
+import org.copperspindle.time.VirtualTimerService;
+import org.copperspindle.wire.GreetingMessage;
+import org.copperspindle.wire.MessageRegistry;
+import org.copperspindle.wire.WireTransport;
+
+/**
+ * A pool of engines that is sent prompts by many nodes in virtual time. The first node is the load owner.
+ */
+final class EngineChoiceReplay implements AutoCloseable {
+
+    static final double STATED_TOKENS_PER_MILLI = 38;
+    private static final long MILLI = 1_000_000L;
+    private static final long LINK_NANOS = 1_400_000L;
+    private static final long BASE_NANOS = 20 * MILLI;
+    private static final long STREAM_NANOS = 2_500 * MILLI;
+    private static final int PARTS = 600;
+    private static final int SHARED_TOKENS = 2500;
+    private static final int SHORT_SHARED_TOKENS = 300;
+    private static final UpstreamPool POOL =
+            new UpstreamPool("p", 100, Optional.empty(), OptionalInt.of(64), Optional.empty());
+    private static final Route ROUTE = TestRoutes.route("r", "h", "/x/", RouteKind.STREAM, "p");
+
+    private final VirtualTimerService time = new VirtualTimerService();
+    private final MessageRegistry registry = GatewayMessages.registry();
+    private final WireTransport transport =
+            new WireTransport(1, registry, new GreetingMessage(GreetingMessage.PROTOCOL, "gateway", "127.0.0.1:1", 1));
+    private final UpstreamDirectory directory = new UpstreamDirectory();
+    private final Map<String, ReplayedEngine> engines = new HashMap<>();
+    private final List<Node> nodes = new ArrayList<>();
+    private final List<String> chosen = new ArrayList<>();
+    private final List<Double> longFirstEvents = new ArrayList<>();
+    private final Random random;
+    private final boolean byEstimate;
+
+    EngineChoiceReplay(int nodeCount, List<Double> paces, boolean noisy, boolean byEstimate, long seed) {
+        this.byEstimate = byEstimate;
+        this.random = new Random(seed);
+        for (int i = 0; i < paces.size(); i++) {
+            directory.accept(
+                    new UpstreamRecord("e" + i, 0, "p", "10.0.0." + i + ":1", "d", UpstreamPhase.READY, 64, 1, 0, 0),
+                    0);
+            double speed = STATED_TOKENS_PER_MILLI * paces.get(i);
+            engines.put("e" + i, new ReplayedEngine(speed, noisy, 120_000, random));
+        }
+        IntStream.rangeClosed(1, nodeCount).forEach(i -> nodes.add(new Node("127.0.0.1:" + i)));
+        nodes.stream().skip(1).forEach(node -> link(nodes.get(0), node));
+        nodes.forEach(node -> time.schedule(random.nextLong(160 * MILLI), node.loads::start));
+    }
+
+    // Sends prompts for some seconds and returns after the last event of all.
+    void load(double perSecond, double longShare, double seconds) {
+        double end = millis() + seconds * 1000;
+        while (millis() < end) {
+            long gap = (long) (-Math.log(1 - random.nextDouble()) / perSecond * 1e9);
+            time.advance(gap);
+            arrive(random.nextDouble() < longShare);
+        }
+    }
+
+    // Forgets the first events until now.
+    void startMeasuring() {
+        longFirstEvents.clear();
+    }
+
+    void finish() {
+        time.advance(20_000 * MILLI);
+    }
+
+    double shareWithin(double millis) {
+        return (double) longFirstEvents.stream().filter(t -> t <= millis).count() / longFirstEvents.size();
+    }
+
+    double percentile(double share) {
+        List<Double> sorted = longFirstEvents.stream().sorted().toList();
+        return sorted.get((int) (sorted.size() * share));
+    }
+
+    int partsRead() {
+        return engines.values().stream().mapToInt(ReplayedEngine::partsRead).sum();
+    }
+
+    List<String> chosen() {
+        return chosen;
+    }
+
+    long streamsLeft() {
+        return nodes.stream().mapToLong(n -> n.loads.streams("p")).sum();
+    }
+
+    double slowestPace() {
+        return nodes.get(0).loads.slowestPace("p");
+    }
+
+    // Bytes that a node other than the owner has received.
+    long bytesAtNode() {
+        return nodes.get(1).received.bytes();
+    }
+
+    @Override
+    public void close() {
+        transport.close();
+    }
+
+    private double millis() {
+        return (double) time.nanoTime() / MILLI;
+    }
+
+    private void arrive(boolean isLong) {
+        Node node = nodes.get(random.nextInt(nodes.size()));
+        int part = random.nextInt(PARTS);
+        int shared = isLong ? SHARED_TOKENS : SHORT_SHARED_TOKENS;
+        int own = isLong ? 12_000 - SHARED_TOKENS : 300 + random.nextInt(300);
+        GatewayRequest request = TestRequests.request(
+                "id",
+                OptionalLong.empty(),
+                List.of(new PromptPart((isLong ? "l" : "s") + part, shared), new PromptPart("own", own)),
+                List.of());
+        node.send(request, isLong);
+    }
+
+    private void link(Node owner, Node other) {
+        LinkedPeer atOwner = new LinkedPeer(other.address, other.mesh, time, LINK_NANOS, registry);
+        LinkedPeer atOther = new LinkedPeer(owner.address, owner.mesh, time, LINK_NANOS, registry);
+        atOwner.reverse(atOther);
+        atOther.reverse(atOwner);
+        other.received = atOwner;
+        NodeHelloMessage hello = new NodeHelloMessage("127.0.0.1:9", "d", false, true, false, 0, "", 0, 0);
+        owner.mesh.onOpen(atOwner);
+        other.mesh.onOpen(atOther);
+        owner.mesh.onMessage(atOwner, hello);
+        other.mesh.onMessage(atOther, hello);
+    }
+
+    private final class Node {
+        private final String address;
+        private final NodeMesh mesh;
+        private final EngineLoads loads;
+        private final UpstreamTracker tracker = new UpstreamTracker();
+        private final UpstreamChooser chooser;
+        private LinkedPeer received;
+
+        private Node(String address) {
+            this.address = address;
+            InetSocketAddress listen =
+                    new InetSocketAddress("127.0.0.1", Integer.parseInt(address.substring(address.indexOf(':') + 1)));
+            MeshSettings settings = new MeshSettings(listen, listen, "127.0.0.1:9", "d", false, List.of());
+            LogRateLimiter log = new LogRateLimiter(0, 0);
+            this.mesh = new NodeMesh(
+                    settings,
+                    transport,
+                    time,
+                    () -> new NodeHelloMessage("127.0.0.1:9", "d", false, true, false, 0, "", 0, 0));
+            this.loads = new EngineLoads(mesh, time, directory, pool -> "127.0.0.1:1", "p"::equals, log);
+            mesh.subscribe(loads);
+            this.chooser = new UpstreamChooser(
+                    directory,
+                    tracker,
+                    new SenderSetAdmission(address, List::of, () -> false),
+                    SingleNodePermits.of(new UpstreamLimits(directory, log), time),
+                    new UpstreamBackoffs(directory, log),
+                    new Random(7),
+                    "d");
+            if (byEstimate) {
+                chooser.chooseEnginesWith(new EstimatedEngineChoice(loads, new AffinityEngineChoice(tracker)));
+            }
+        }
+
+        private void send(GatewayRequest request, boolean isLong) {
+            long sentAt = time.nanoTime();
+            UpstreamRecord engine = chooser.choose(POOL, ROUTE, request, StageInputs.NONE, Set.of(), sentAt)
+                    .orElseThrow();
+            chosen.add(engine.id());
+            tracker.started(engine.id());
+            EngineAttempt attempt = loads.sent("p", engine, request.enginePrompt());
+            double read = engines.get(engine.id()).read(request.enginePrompt(), millis());
+            long firstEvent = (long) (read * MILLI) - sentAt + BASE_NANOS;
+            time.schedule(firstEvent, () -> {
+                attempt.event(time.nanoTime());
+                if (isLong) {
+                    longFirstEvents.add((double) firstEvent / MILLI);
+                }
+            });
+            time.schedule(firstEvent + STREAM_NANOS, () -> {
+                attempt.ended();
+                tracker.ended(engine.id(), true);
+            });
+        }
+    }
+}
