--- /dev/null
+++ b/library/src/main/java/org/copperspindle/gateway/EstimatedEngineChoice.java
@@ -0,0 +1,115 @@
+package org.copperspindle.gateway;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Predicate;
+
+import org.copperspindle.discovery.UpstreamRecord;
+import org.copperspindle.engineload.EngineEstimate;
+import org.copperspindle.engineload.EngineEstimates;
+import org.copperspindle.engineload.EngineLoads;
+import org.copperspindle.routing.RendezvousScore;
+
+/**
+ * Chooses by the estimated time to the first event while the engines of a pool differ, and by another choice
+ * otherwise. A request stays with the engine that has cached its shared part while that costs little time.
+ */
+final class EstimatedEngineChoice implements EngineChoice {
+
+    /** Additional time to the first event that the cached part is worth, as a share of the objective. */
+    private static final double TOLERANCE = 0.1;
+
+    /** Share of the longest allowed pause above which an engine's pauses are likely to make streams late. */
+    private static final double MAX_PAUSE_SHARE = 0.7;
+
+    /** A double holds the other bits of a score exactly. */
+    private static final int UNUSED_BITS = 11;
+
+    private final EngineLoads loads;
+    private final EngineChoice otherwise;
+
+    /**
+     * Creates the choice.
+     *
+     * @param loads     estimates, while the engines of a pool differ
+     * @param otherwise the choice that applies without estimates
+     */
+    EstimatedEngineChoice(EngineLoads loads, EngineChoice otherwise) {
+        this.loads = loads;
+        this.otherwise = otherwise;
+    }
+
+    @Override
+    public Optional<UpstreamRecord> choose(
+            EngineDemand demand, List<UpstreamRecord> candidates, Predicate<UpstreamRecord> accepts) {
+        Optional<EngineEstimates> estimates = loads.estimates(demand.pool(), demand.prompt());
+        if (estimates.isEmpty()) {
+            return otherwise.choose(demand, candidates, accepts);
+        }
+        List<Estimated> all = new ArrayList<>();
+        for (UpstreamRecord engine : candidates) {
+            if (accepts.test(engine)) {
+                long score = RendezvousScore.of(demand.prompt().shared(), engine.id());
+                all.add(new Estimated(engine, score, estimates.get().at(engine)));
+            }
+        }
+        List<Estimated> steady = all.stream().filter(e -> e.isSteady(demand)).toList();
+        long tolerance = (long) (demand.objectiveNanos() * TOLERANCE);
+        return choose(
+                steady.isEmpty() ? all : steady, tolerance, estimates.get().unseenTokens());
+    }
+
+    /**
+     * Chooses by rendezvous among the engines whose estimate is below a limit, each with the weight of the tokens
+     * that it could read until the limit.
+     */
+    private static Optional<UpstreamRecord> choose(List<Estimated> engines, long toleranceNanos, long unseenTokens) {
+        List<Estimated> sorted = engines.stream()
+                .sorted(Comparator.comparingLong(Estimated::nanos))
+                .toList();
+        if (sorted.isEmpty()) {
+            return Optional.empty();
+        }
+        double limit = Math.max(sorted.get(0).nanos() + toleranceNanos, commonFinish(sorted, unseenTokens));
+        return sorted.stream()
+                .filter(e -> e.nanos() < limit)
+                .max(Comparator.comparingDouble(e -> e.weightedScore(limit)))
+                .or(() -> Optional.of(sorted.get(0)))
+                .map(Estimated::engine);
+    }
+
+    /** Returns when all engines would be done with so many more tokens, shared so that they finish together. */
+    private static double commonFinish(List<Estimated> sorted, long tokens) {
+        double speed = 0;
+        double weighted = 0;
+        double finish = 0;
+        for (Estimated engine : sorted) {
+            if (speed > 0 && engine.nanos() >= finish) {
+                break;
+            }
+            speed += engine.estimate().tokensPerNano();
+            weighted += engine.estimate().tokensPerNano() * engine.nanos();
+            finish = (tokens + weighted) / speed;
+        }
+        return finish;
+    }
+
+    private record Estimated(UpstreamRecord engine, long score, EngineEstimate estimate) {
+        private long nanos() {
+            return estimate.firstEventNanos();
+        }
+
+        private boolean isSteady(EngineDemand demand) {
+            return demand.maxPauseNanos() == 0
+                    || estimate.longestPauseNanos() <= demand.maxPauseNanos() * MAX_PAUSE_SHARE;
+        }
+
+        /** Returns a score that is the largest of all with a probability proportional to the weight. */
+        private double weightedScore(double limitNanos) {
+            double uniform = ((score >>> UNUSED_BITS) + 0.5) / (1L << (Long.SIZE - UNUSED_BITS));
+            return Math.log(uniform) / ((limitNanos - nanos()) * estimate.tokensPerNano());
+        }
+    }
+}
--- a/library/src/main/java/org/copperspindle/gateway/GatewayMessages.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayMessages.java
@@ -14,6 +14,8 @@
 import org.copperspindle.batch.ReleaseResultsMessage;
 import org.copperspindle.consensus.ConsensusLog;
 import org.copperspindle.discovery.UpstreamRecordsMessage;
+import org.copperspindle.engineload.EngineLoadsMessage;
+import org.copperspindle.engineload.EngineSamplesMessage;
 import org.copperspindle.mesh.NodeHelloMessage;
 import org.copperspindle.mesh.NodeListMessage;
 import org.copperspindle.mesh.RelayMessage;
@@ -54,7 +56,9 @@
                 .register(ExpectedPiecesMessage.CODEC)
                 .register(StartRequestMessage.CODEC)
                 .register(StartResponseMessage.CODEC)
-                .register(StartCancelMessage.CODEC);
+                .register(StartCancelMessage.CODEC)
+                .register(EngineSamplesMessage.CODEC)
+                .register(EngineLoadsMessage.CODEC);
         ConsensusLog.codecs().forEach(registry::register);
         return registry;
     }
--- a/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
@@ -41,6 +41,7 @@
 import org.copperspindle.discovery.UpstreamDirectory;
 import org.copperspindle.discovery.UpstreamPhase;
 import org.copperspindle.discovery.UpstreamRecord;
+import org.copperspindle.engineload.EngineLoads;
 import org.copperspindle.http.HttpExchange;
 import org.copperspindle.http.HttpLimits;
 import org.copperspindle.http.HttpListener;
@@ -129,6 +130,7 @@
     private final VersionHolder versionHolder;
     private final BatchService batches;
     private final FleetStageStarts stageStarts;
+    private final EngineLoads engineLoads;
     private final OpenRequests openRequests = new OpenRequests();
     private final GatewayService service;
     private final GatewayCounters counters = new GatewayCounters();
@@ -199,6 +201,8 @@
                 decisionLog);
         relay.subscribe(batches);
         mesh.subscribe(relay);
+        this.engineLoads =
+                new EngineLoads(mesh, timers, directory, batches::dispatcherNode, this::hasEngines, decisionLog);
         LimitOwners limitOwners =
                 new LimitOwners(mesh, this::serves, isolation, directory, batches, versionHolder::heldTable);
         this.permits = new SendPermits(upstreamLimits, limitOwners, new MeshPermitLink(mesh), timers);
@@ -213,6 +217,15 @@
         this.stageStarts = StageStartsFactory.create(
                 relay, timers, batches, versionHolder::heldTable, firstEventLatencies, decisionLog);
         ColdAdmission coldAdmission = new SenderSetAdmission(mesh.self(), mesh::serving, isolation::isIsolated);
+        UpstreamChooser chooser = new UpstreamChooser(
+                directory,
+                tracker,
+                coldAdmission,
+                permits,
+                upstreamBackoffs,
+                ThreadLocalRandom.current(),
+                settings.failureDomain());
+        chooser.chooseEnginesWith(new EstimatedEngineChoice(engineLoads, new AffinityEngineChoice(tracker)));
         StageAdmission stageAdmission = new StageAdmission(batches::load, firstEventLatencies);
         GatewayContext context = new GatewayContext(
                 timers,
@@ -222,14 +235,8 @@
                 batches,
                 gossip,
                 tracker,
-                new UpstreamChooser(
-                        directory,
-                        tracker,
-                        coldAdmission,
-                        permits,
-                        upstreamBackoffs,
-                        ThreadLocalRandom.current(),
-                        settings.failureDomain()),
+                chooser,
+                engineLoads,
                 coldAdmission,
                 permits,
                 retryBudget,
@@ -284,6 +291,7 @@
                 upstreamBackoffs,
                 upstreamLoads,
                 batches,
+                engineLoads,
                 stageAdmission,
                 stageStarts,
                 retryBudget,
@@ -310,6 +318,7 @@
             node.versionHolder.start();
             node.batches.start();
             node.stageStarts.start();
+            node.engineLoads.start();
             node.tick();
         });
         LOGGER.info(
@@ -378,6 +387,7 @@
         mesh.subscribe(versionExchange);
         mesh.subscribe(batches);
         mesh.subscribe(stageStarts);
+        mesh.subscribe(engineLoads);
         mesh.subscribe(quarantine);
         mesh.subscribe(new MeshListener() {
             @Override
@@ -465,6 +475,14 @@
         return ready || uptime().compareTo(needed) > 0;
     }
 
+    private boolean hasEngines(String pool) {
+        return versionHolder
+                .heldTable()
+                .flatMap(t -> t.findPool(pool))
+                .filter(p -> p.engineSlots().isPresent())
+                .isPresent();
+    }
+
     private Duration uptime() {
         return Duration.ofNanos(System.nanoTime() - startedAt);
     }
--- a/library/src/main/java/org/copperspindle/gateway/NodeState.java
+++ b/library/src/main/java/org/copperspindle/gateway/NodeState.java
@@ -11,6 +11,7 @@
 import org.copperspindle.batch.BatchService;
 import org.copperspindle.direct.DirectClient;
 import org.copperspindle.discovery.UpstreamDirectory;
+import org.copperspindle.engineload.EngineLoads;
 import org.copperspindle.memory.HeldMemory;
 import org.copperspindle.mesh.NodeMesh;
 import org.copperspindle.quarantine.RequestQuarantine;
@@ -32,6 +33,7 @@
  * @param backoffs             upstreams that have requested a backoff
  * @param loads                what upstreams have stated of their load
  * @param batches              the work on stages
+ * @param engineLoads          the measured engines
  * @param stageAdmission       admission to the stages
  * @param stageStarts          starts of stages that are agreed with other nodes
  * @param retryBudget          the limit on retries
@@ -53,6 +55,7 @@
         UpstreamBackoffs backoffs,
         UpstreamLoads loads,
         BatchService batches,
+        EngineLoads engineLoads,
         StageAdmission stageAdmission,
         FleetStageStarts stageStarts,
         SharedRetryBudget retryBudget,
