Bound the wait for a controller and cancel start requests that wait in vain

Cause: sending a start request to the same controller again, after a second or after a lost connection, restarted the 300 ms within which the controller has to respond. A repeated start request that crossed the decision was queued again at the controller and never cancelled. A decision that came after the node had become isolated, or after the upstreams had requested a backoff, started the stages.

Change: the wait counts from the last message of the same controller. A "queued" response to a request that no longer waits is answered with a cancellation. Isolation and backpressure are checked again before a request that waited for the controller starts or is decided by the node. Without a short pool, a request is not looked up in the pool groups.

--- a/library/src/main/java/org/copperspindle/admission/ControllerContacts.java
+++ b/library/src/main/java/org/copperspindle/admission/ControllerContacts.java
@@ -15,11 +15,11 @@
      * Time without start requests for a route after one that stayed unanswered although the controller sends loads: it
      * does not receive them, or does not know the route. Each attempt costs a caller the longest wait.
      */
-    private static final long DEAF_NANOS = Duration.ofSeconds(1).toNanos();
+    private static final long SUSPENSION_NANOS = Duration.ofSeconds(1).toNanos();
 
     private final Map<String, Long> heardAt = new HashMap<>();
     private final Set<String> silent = new HashSet<>();
-    private final Map<Target, Long> deafUntil = new HashMap<>();
+    private final Map<Target, Long> suspendedUntil = new HashMap<>();
 
     /** Records a load message of a controller. */
     void onLoad(String node, long now) {
@@ -30,7 +30,7 @@
     /** Records a response to a start request for a route. */
     void onResponse(String node, String route, long now) {
         onLoad(node, now);
-        deafUntil.remove(new Target(node, route));
+        suspendedUntil.remove(new Target(node, route));
     }
 
     /**
@@ -43,7 +43,7 @@
      */
     void onUnanswered(String node, String route, long since, long now) {
         if (lastHeardAt(node, since) - since > 0) {
-            deafUntil.put(new Target(node, route), now + DEAF_NANOS);
+            suspendedUntil.put(new Target(node, route), now + SUSPENSION_NANOS);
         } else {
             silent.add(node);
         }
@@ -57,14 +57,14 @@
 
     /** Returns whether start requests for a route can be sent to a controller. */
     boolean mayAsk(String node, String route, long now) {
-        Long until = deafUntil.get(new Target(node, route));
+        Long until = suspendedUntil.get(new Target(node, route));
         return !silent.contains(node) && (until == null || now - until >= 0);
     }
 
     void forget(String node) {
         heardAt.remove(node);
         silent.remove(node);
-        deafUntil.keySet().removeIf(target -> target.node().equals(node));
+        suspendedUntil.keySet().removeIf(target -> target.node().equals(node));
     }
 
     private record Target(String node, String route) {}
--- a/library/src/main/java/org/copperspindle/admission/FleetStageStarts.java
+++ b/library/src/main/java/org/copperspindle/admission/FleetStageStarts.java
@@ -154,6 +154,9 @@
 
     @Override
     public boolean isShort(StagedRequest request) {
+        if (announcedShortAt.isEmpty() && !controllers.isAnyShort()) {
+            return false;
+        }
         Optional<String> group = pools.flatMap(p -> p.groupOf(request));
         if (group.isEmpty() || !isShort(group.get())) {
             return false;
@@ -254,6 +257,10 @@
         Question question = questions.get(response.id());
         if (question == null || !question.controller.equals(node)) {
             counters.recordIgnoredResponse();
+            if (response.verdict() == StartResponseMessage.QUEUED) {
+                // A repeated start request arrived after the decision or the cancellation, and waits there again.
+                relay.send(node, new StartCancelMessage(response.id()));
+            }
             return;
         }
         contacts.onResponse(node, question.request.route().name(), timers.nanoTime());
@@ -330,10 +337,15 @@
                                 .isPresent());
     }
 
-    /** Sends a start request to the present controller of its group. */
+    /**
+     * Sends a start request to the present controller of its group. Sending it to the same controller again does not
+     * extend the wait.
+     */
     private void ask(Question question) {
-        question.controller = controllerByGroup.get(question.group);
-        question.askedAt = timers.nanoTime();
+        String controller = controllerByGroup.get(question.group);
+        long now = timers.nanoTime();
+        question.askedAt = question.controller.equals(controller) ? silentSince(question) : now;
+        question.controller = controller;
         question.acknowledged = false;
         question.silence.cancel();
         if (question.controller.equals(self)) {
@@ -346,7 +358,8 @@
             }
             return;
         }
-        question.silence = timers.schedule(SILENCE_NANOS, () -> checkSilence(question));
+        long left = question.askedAt + SILENCE_NANOS - now;
+        question.silence = timers.schedule(Math.max(0, left), () -> checkSilence(question));
         send(question);
     }
 
@@ -367,10 +380,14 @@
         }
     }
 
+    /** Returns the time from which the wait for the controller counts, monotonic time in nanoseconds. */
+    private long silentSince(Question question) {
+        return question.acknowledged ? contacts.lastHeardAt(question.controller, question.askedAt) : question.askedAt;
+    }
+
     private void checkSilence(Question question) {
         long now = timers.nanoTime();
-        long since =
-                question.acknowledged ? contacts.lastHeardAt(question.controller, question.askedAt) : question.askedAt;
+        long since = silentSince(question);
         long left = since + SILENCE_NANOS - now;
         if (left > 0) {
             question.silence = timers.schedule(left, () -> checkSilence(question));
--- a/library/src/main/java/org/copperspindle/admission/GroupControllers.java
+++ b/library/src/main/java/org/copperspindle/admission/GroupControllers.java
@@ -66,6 +66,10 @@
         return shortGroups.contains(group);
     }
 
+    boolean isAnyShort() {
+        return !shortGroups.isEmpty();
+    }
+
     /** Returns all pools of the groups that this node finds short. */
     Set<String> shortPools(CoordinatedPools table) {
         Set<String> names = new HashSet<>();
--- a/library/src/main/java/org/copperspindle/gateway/RequestLogger.java
+++ b/library/src/main/java/org/copperspindle/gateway/RequestLogger.java
@@ -76,7 +76,7 @@
             return;
         }
         LOGGER.info(
-                "event=gate-{} request={} finish_ms={} left_ms={} held={} rank={} in_need={}" + " decided_by=node",
+                "event=gate-{} request={} finish_ms={} left_ms={} held={} rank={} in_need={} decided_by=node",
                 decision.verdict().name().toLowerCase(Locale.ROOT),
                 id,
                 decision.estimatedMillis(),
--- a/library/src/main/java/org/copperspindle/gateway/StageEntrance.java
+++ b/library/src/main/java/org/copperspindle/gateway/StageEntrance.java
@@ -58,20 +58,10 @@
         if (cancelled || question.isPresent()) {
             return;
         }
-        if (context.isolation().isIsolated()) {
-            // A partitioned node would batch calls by itself and compete with the nodes that work without it.
-            refuse(Refusal.unavailable(
-                    "cut-off",
-                    "this node does not reach the others",
-                    context.retryAfterDelays().soon()));
+        if (refuseUnservable()) {
             return;
         }
-        OptionalLong backpressure = UpstreamSearch.backpressureNanos(
-                context, admitted, tried, context.timers().nanoTime());
-        if (backpressure.isPresent()) {
-            // Its stages would run in vain.
-            refuse(Refusal.backpressure(context.retryAfterDelays().after(backpressure.getAsLong())));
-        } else if (context.stageStarts().isShort(admitted)) {
+        if (context.stageStarts().isShort(admitted)) {
             askController();
         } else {
             decideLocally();
@@ -93,6 +83,24 @@
                 context.stageAdmission().recordStages(admitted.route(), estimate, now - stagesStartedAt, now));
     }
 
+    /** Refuses the request if its stages would run in vain, whatever the pools and the controller say. */
+    private boolean refuseUnservable() {
+        if (context.isolation().isIsolated()) {
+            // A partitioned node would batch calls by itself and compete with the nodes that work without it.
+            refuse(Refusal.unavailable(
+                    "cut-off",
+                    "this node does not reach the others",
+                    context.retryAfterDelays().soon()));
+            return true;
+        }
+        OptionalLong backpressure = UpstreamSearch.backpressureNanos(
+                context, admitted, tried, context.timers().nanoTime());
+        if (backpressure.isPresent()) {
+            refuse(Refusal.backpressure(context.retryAfterDelays().after(backpressure.getAsLong())));
+        }
+        return backpressure.isPresent();
+    }
+
     private void askController() {
         setDeferred(false);
         long id = context.batches().nextId();
@@ -158,7 +166,10 @@
         void onRefused(Refusal refusal);
     }
 
-    /** Handles the decision of the controller on one question; ignores it once the question is closed. */
+    /**
+     * Handles the decision of the controller on one question; ignores it once the question is closed. This node may
+     * have become isolated, or the upstreams may have requested a backoff, while the request waited.
+     */
     private final class ControllerListener implements StageStarts.Listener {
         private final long id;
         private final long askedAt;
@@ -170,7 +181,7 @@
 
         @Override
         public void start() {
-            if (close()) {
+            if (close() && !refuseUnservable()) {
                 requestLogger.startDecided(id, true, askedAt, context.timers().nanoTime());
                 admit(OptionalLong.empty());
             }
@@ -186,7 +197,7 @@
 
         @Override
         public void decideLocally() {
-            if (close()) {
+            if (close() && !refuseUnservable()) {
                 StageEntrance.this.decideLocally();
             }
         }
--- a/library/src/test/java/org/copperspindle/admission/FleetStageStartsTest.java
+++ b/library/src/test/java/org/copperspindle/admission/FleetStageStartsTest.java
@@ -153,6 +153,45 @@
         assertThat(listener.decisions).containsExactly("local");
     }
 
+    /**
+     * The controller is paused shortly before a waiting request is sent again, or one of its connections is lost
+     * after the pause began. Sending the request again must not extend the wait beyond 300 ms after the last message.
+     */
+    @ParameterizedTest
+    @CsvSource({"880, false", "80, true"})
+    void repeatedRequestDoesNotExtendTheWait(long lastLoadAt, boolean connectionLost) {
+        FakePeer other = new FakePeer(FIRST);
+        connect(other);
+        starts.request(request(), 7, listener);
+        respond(first, 7, StartResponseMessage.QUEUED, 0);
+        for (long at = 80; at <= lastLoadAt; at += 80) {
+            time.advance(80 * MILLI);
+            load(first, true);
+        }
+        time.advance(200 * MILLI);
+        if (connectionLost) {
+            mesh.onClose(other);
+        }
+        time.advance(99 * MILLI);
+        assertThat(listener.decisions).isEmpty();
+        time.advance(MILLI);
+        assertThat(listener.decisions).containsExactly("local");
+    }
+
+    /**
+     * A repeated start request crosses the decision, so that the controller queues it again. Left there, it would take
+     * capacity and a booked retry from requests that still wait.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {StartResponseMessage.START, StartResponseMessage.REFUSE})
+    void requestQueuedAgainAfterItsDecisionIsCancelled(int verdict) {
+        starts.request(request(), 7, listener);
+        respond(first, 7, verdict, 0);
+        respond(first, 7, StartResponseMessage.QUEUED, 0);
+        assertThat(first.sent(StartCancelMessage.class)).containsExactly(new StartCancelMessage(7));
+        assertThat(listener.decisions).hasSize(1);
+    }
+
     /** While the controller is there, a request that decided by itself would go before others that wait. */
     @Test
     void requestWaitsWhileTheControllerSendsLoads() {
--- a/library/src/test/java/org/copperspindle/gateway/StageEntranceTest.java
+++ b/library/src/test/java/org/copperspindle/gateway/StageEntranceTest.java
@@ -17,6 +17,7 @@
 import org.copperspindle.discovery.UpstreamDirectory;
 import org.copperspindle.measure.LogRateLimiter;
 import org.copperspindle.mesh.IsolationDetector;
+import org.copperspindle.mesh.TestMeshNodes;
 import org.copperspindle.route.Route;
 import org.copperspindle.route.RouteKind;
 import org.copperspindle.route.RouteStage;
@@ -48,6 +49,8 @@
             time, new UpstreamDirectory(), new SimulatedStages(time, Map.of(), Map.of()), Map.of());
     private PoolLoad load = PoolLoad.UNKNOWN;
     private final StageAdmission stageAdmission = new StageAdmission(pool -> load, new FirstEventLatencies());
+    private int connected = 1;
+    private final IsolationDetector isolation = new IsolationDetector(() -> connected, time);
     private final StageEntrance entrance = entrance();
 
     @AfterEach
@@ -95,6 +98,20 @@
         assertThat(decisions).isEmpty();
     }
 
+    /**
+     * A node that is isolated while a request waits elects itself as controller. It must not run the stages beside the
+     * nodes that work without it.
+     */
+    @ParameterizedTest
+    @CsvSource({"start", "local"})
+    void requestThatWaitsWhileTheNodeBecomesIsolatedIsRefused(String decision) {
+        entrance.enter();
+        connected = 0;
+        List.of("a:1", "b:1", "c:1").forEach(node -> isolation.onNodeDown(TestMeshNodes.node(node)));
+        starts.decide(0, decision);
+        assertThat(decisions).singleElement().asString().startsWith("refused cut-off");
+    }
+
     /** A request whose stages run again must not get the decision on its first run. */
     @Test
     void secondRunIsAskedForUnderAnotherId() {
@@ -152,7 +169,7 @@
                 null,
                 null,
                 null,
-                new IsolationDetector(() -> 1, time),
+                isolation,
                 null,
                 null,
                 null,
