Split the wiring of a node, and leave a slow caller's pauses out of an engine's

Change: DispatcherFitness and CallerHttpLimits are classes of their own; a gap with a pause of reading is left out. Tests: UpstreamReadingTest#pauseOfReadingIsReportedOnce.

--- a/library/src/main/java/org/copperspindle/engineload/EngineAttempt.java
+++ b/library/src/main/java/org/copperspindle/engineload/EngineAttempt.java
@@ -50,6 +50,15 @@
         lastEventAt = now;
     }
 
+    /**
+     * Leaves the time since the last event out of the pauses: the response was not read meanwhile.
+     *
+     * @param now monotonic time in nanoseconds
+     */
+    public void skipPause(long now) {
+        lastEventAt = now;
+    }
+
     /** Records that the attempt has ended, in whatever way. */
     public void ended() {
         if (ended) {
--- a/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
@@ -30,7 +30,6 @@
 import org.copperspindle.backpressure.UpstreamLimits;
 import org.copperspindle.backpressure.UpstreamLoads;
 import org.copperspindle.batch.BatchService;
-import org.copperspindle.batch.DispatcherStatus;
 import org.copperspindle.batch.FetchTimeEstimator;
 import org.copperspindle.batch.UpstreamPace;
 import org.copperspindle.coldstart.ColdAdmission;
@@ -57,8 +56,6 @@
 import org.copperspindle.mesh.NodeHelloMessage;
 import org.copperspindle.mesh.NodeMesh;
 import org.copperspindle.quarantine.RequestQuarantine;
-import org.copperspindle.route.CallerLimits;
-import org.copperspindle.route.RouteTable;
 import org.copperspindle.route.UpstreamPool;
 import org.copperspindle.time.EventLoopTimerService;
 import org.copperspindle.time.SuspensionDetector;
@@ -92,12 +89,6 @@
     /** Delay after which a node that finds no others becomes ready: it may be the only one. */
     private static final Duration SINGLE_NODE_DELAY = Duration.ofSeconds(2);
 
-    /**
-     * Minimum cores of a VM that batches the calls of a pool without delay. A smaller VM has a slower link as well:
-     * with it as dispatcher, requests are late even though the pool keeps up.
-     */
-    private static final double MIN_DISPATCHER_CORES = 0.5;
-
     private static final Duration TICK_INTERVAL = Duration.ofMillis(100);
     private static final int MAX_SERVED_LINES_PER_SECOND = 300;
     private static final int MAX_FAILED_LINES_PER_SECOND = 200;
@@ -105,16 +96,12 @@
     /** Log lines per second about load statements that are ignored: a few show which upstream sends what. */
     private static final int MAX_SIGNAL_LINES_PER_SECOND = 2;
 
-    private static final int MAX_CONNECTIONS = 2500;
-
-    /** A response that needs more than this part of the budget would crowd out the others. */
-    private static final int RESPONSES_IN_BUDGET = 8;
-
     private static final int MAX_CONTROL_BODY_BYTES = 8 << 20;
     private static final int OK = 200;
     private static final int UNAVAILABLE = 503;
 
     private final GatewaySettings settings;
+    private final DispatcherFitness dispatcherFitness;
     private final MultiThreadIoEventLoopGroup eventLoops =
             new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("network", true), NioIoHandler.newFactory());
     private final EventLoop loop = (EventLoop) eventLoops.next();
@@ -153,6 +140,7 @@
 
     private GatewayNode(GatewaySettings settings, GatewayDialects dialects) throws IOException {
         this.settings = settings;
+        this.dispatcherFitness = new DispatcherFitness(settings, this::serves);
         this.registry = GatewayMessages.registry();
         long incarnation = System.currentTimeMillis();
         this.greeting = new GreetingMessage(
@@ -197,7 +185,7 @@
                 directory,
                 dialects.stagePort(port, timers),
                 pool -> versionHolder.heldTable().flatMap(t -> t.findPool(pool)).flatMap(UpstreamPool::batchLimits),
-                new OwnDispatcherStatus(),
+                dispatcherFitness,
                 decisionLog);
         relay.subscribe(batches);
         mesh.subscribe(relay);
@@ -217,15 +205,7 @@
         this.stageStarts = StageStartsFactory.create(
                 relay, timers, batches, versionHolder::heldTable, firstEventLatencies, decisionLog);
         ColdAdmission coldAdmission = new SenderSetAdmission(mesh.self(), mesh::serving, isolation::isIsolated);
-        UpstreamChooser chooser = new UpstreamChooser(
-                directory,
-                tracker,
-                coldAdmission,
-                permits,
-                upstreamBackoffs,
-                ThreadLocalRandom.current(),
-                settings.failureDomain());
-        chooser.chooseEnginesWith(new EstimatedEngineChoice(engineLoads, new AffinityEngineChoice(tracker)));
+        UpstreamChooser chooser = createChooser(coldAdmission);
         StageAdmission stageAdmission = new StageAdmission(batches::load, firstEventLatencies);
         GatewayContext context = new GatewayContext(
                 timers,
@@ -271,7 +251,12 @@
                 ignoredAnnouncements,
                 quarantine,
                 new EvacuationRequestHandler(controlGroup, versionHolder::evacuations, knownDomains));
-        this.callerListener = new HttpListener(eventLoops, settings.callers(), this::callerLimits, service, memory);
+        this.callerListener = new HttpListener(
+                eventLoops,
+                settings.callers(),
+                new CallerHttpLimits(versionHolder::heldTable, memory.budgetBytes()),
+                service,
+                memory);
         this.readinessListener =
                 new HttpListener(eventLoops, settings.readiness(), () -> HttpLimits.DEFAULT, this::answerReadiness);
         this.controlListener = new HttpListener(
@@ -367,6 +352,19 @@
         eventLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
     }
 
+    private UpstreamChooser createChooser(ColdAdmission coldAdmission) {
+        UpstreamChooser chooser = new UpstreamChooser(
+                directory,
+                tracker,
+                coldAdmission,
+                permits,
+                upstreamBackoffs,
+                ThreadLocalRandom.current(),
+                settings.failureDomain());
+        chooser.chooseEnginesWith(new EstimatedEngineChoice(engineLoads, new AffinityEngineChoice(tracker)));
+        return chooser;
+    }
+
     private Optional<HttpListener> openMetrics(InetSocketAddress address, NodeState state) {
         try {
             HttpRequestHandler handler = new GatewayMetrics(state);
@@ -434,19 +432,7 @@
                 versionExchange.status().term(),
                 versionExchange.status().leader(),
                 versionHolder.version(),
-                fitness());
-    }
-
-    /**
-     * Returns how well this node is suited as a dispatcher. Members of the control group rank after other nodes of
-     * their size: while they are partitioned from each other but still reached by all others, two of them would
-     * dispatch the calls of one pool, and half of these calls would find their upstream full.
-     */
-    private int fitness() {
-        if (settings.cores() < MIN_DISPATCHER_CORES) {
-            return 0;
-        }
-        return settings.dataFolder().isPresent() ? 1 : 2;
+                dispatcherFitness.fitness());
     }
 
     private void tick() {
@@ -497,20 +483,6 @@
         probe.respond(serves ? OK : UNAVAILABLE, "application/json", Map.of(), body);
     }
 
-    private HttpLimits callerLimits() {
-        CallerLimits limits = versionHolder.heldTable().map(RouteTable::limits).orElse(CallerLimits.DEFAULT);
-        HttpLimits base = HttpLimits.DEFAULT;
-        return new HttpLimits(
-                limits.maxHeaderBytes(),
-                limits.maxHeaderBytes(),
-                limits.maxBodyBytes(),
-                MAX_CONNECTIONS,
-                limits.headerTimeout(),
-                limits.idleTimeout(),
-                base.writeTimeout(),
-                Math.max(base.maxPendingBytes(), memory.budgetBytes() / RESPONSES_IN_BUDGET));
-    }
-
     private void beginStop(Runnable done) {
         LOGGER.info("event=stopping process={} open={}", settings.name(), counters.open());
         stopping = true;
@@ -519,17 +491,4 @@
         callerListener.announceStop();
         new GracefulStop(timers, service, openRequests, callerListener, batches).begin(settings.stopGrace(), done);
     }
-
-    /** Reports to the batch service whether and how well this node is suited as a dispatcher. */
-    private final class OwnDispatcherStatus implements DispatcherStatus {
-        @Override
-        public boolean isServing() {
-            return serves();
-        }
-
-        @Override
-        public int fitness() {
-            return GatewayNode.this.fitness();
-        }
-    }
 }
--- a/library/src/main/java/org/copperspindle/gateway/UpstreamAttempt.java
+++ b/library/src/main/java/org/copperspindle/gateway/UpstreamAttempt.java
@@ -109,7 +109,7 @@
         long eventsBefore = relay.eventCount();
         boolean inOrder = relay.accept(data);
         if (relay.eventCount() > eventsBefore) {
-            engineAttempt.event(context.timers().nanoTime());
+            recordEvent(context.timers().nanoTime());
         }
         if (!inOrder) {
             abortAndFail("events-missing");
@@ -177,6 +177,14 @@
         }
     }
 
+    /** Records an event of the engine; time in which this node did not read is no pause of the engine. */
+    private void recordEvent(long now) {
+        if (reading.takePause()) {
+            engineAttempt.skipPause(now);
+        }
+        engineAttempt.event(now);
+    }
+
     private void buffer(byte[] data) {
         bufferedBody.writeBytes(data);
         hold(bufferedBody.size());
--- a/library/src/main/java/org/copperspindle/gateway/UpstreamReading.java
+++ b/library/src/main/java/org/copperspindle/gateway/UpstreamReading.java
@@ -29,6 +29,7 @@
     private CallHandle handle = reason -> {};
     private TimerSubscription pauseEnd = () -> {};
     private State state = State.ENDED;
+    private boolean pausedSinceTaken;
 
     /**
      * Creates the control of a call that has not started.
@@ -59,12 +60,20 @@
             resume(State.READING);
         } else if (state == State.READING) {
             state = State.PAUSED;
+            pausedSinceTaken = true;
             paused.increment();
             handle.setReading(false);
             pauseEnd = timers.schedule(MAX_PAUSE_NANOS, () -> resume(State.OVERDUE));
         }
     }
 
+    /** Returns whether reading has paused since this was last asked. */
+    boolean takePause() {
+        boolean wasPaused = pausedSinceTaken;
+        pausedSinceTaken = state == State.PAUSED;
+        return wasPaused;
+    }
+
     /** Stops to control the call, which has ended or is being aborted. */
     void end() {
         resume(State.ENDED);
--- a/library/src/test/java/org/copperspindle/gateway/StageEntranceTest.java
+++ b/library/src/test/java/org/copperspindle/gateway/StageEntranceTest.java
@@ -164,6 +164,7 @@
                 null,
                 null,
                 null,
+                null,
                 stageAdmission,
                 starts,
                 null,
--- a/library/src/test/java/org/copperspindle/gateway/UpstreamReadingTest.java
+++ b/library/src/test/java/org/copperspindle/gateway/UpstreamReadingTest.java
@@ -63,6 +63,18 @@
         assertThat(handle.changes).isEqualTo(2);
     }
 
+    /** Guards against an engine that is avoided for pauses which a slow caller caused. */
+    @Test
+    void pauseOfReadingIsReportedOnce() {
+        reading.begin(handle);
+        assertThat(reading.takePause()).isFalse();
+        stall(true);
+        assertThat(reading.takePause()).isTrue();
+        stall(false);
+        assertThat(reading.takePause()).isTrue();
+        assertThat(reading.takePause()).isFalse();
+    }
+
     private void stall(boolean stalls) {
         writable = !stalls;
         reading.adjust();
