Send tables of small engine pools twice as often, and weight engines by speed

Cause: loads were up to 160 ms old, and the weight of an engine, what it could read until a limit, changed with every table, so shared parts moved between engines that were all good enough. Reports also counted as 20 ms old. Change: pools of up to 40 engines report and send tables every 80 ms, with at most 16 changes between two regular tables; engines below the limit are weighted by speed alone; reports count as half an interval old, 40 ms. Choices on equal engines are unchanged.

--- a/library/src/main/java/org/copperspindle/engineload/EngineLoads.java
+++ b/library/src/main/java/org/copperspindle/engineload/EngineLoads.java
@@ -29,9 +29,15 @@
 
     static final double NANOS_PER_SECOND = 1e9;
 
-    /** Interval of reports and tables: a fraction of the time in which an engine reads a long prompt. */
+    /** Longest interval of reports and tables: a fraction of the time in which an engine reads a long prompt. */
     static final long INTERVAL_NANOS = Duration.ofMillis(160).toNanos();
 
+    /** Interval for small pools, which can have more frequent tables within the traffic that a node may cause. */
+    static final long SHORT_INTERVAL_NANOS = INTERVAL_NANOS / 2;
+
+    /** Engines of a small pool. Its tables take at most 9 KB/s, with the changes between two regular tables. */
+    static final int SMALL_POOL = 40;
+
     private static final Logger LOGGER = LogManager.getLogger(EngineLoads.class);
 
     private final NodeMesh mesh;
@@ -44,6 +50,7 @@
     private final Map<String, OwnerPool> owned = new HashMap<>();
     private final Map<String, Long> incarnations = new HashMap<>();
     private final CachedParts cachedParts = new CachedParts();
+    private boolean regular;
     private long dropped;
 
     /**
@@ -75,10 +82,11 @@
     /** Starts to report and to send tables. */
     public void start() {
         long now = timers.nanoTime();
-        pools.values().forEach(pool -> report(pool, now));
+        regular = !regular;
+        pools.values().stream().filter(pool -> regular || isSmall(pool.name())).forEach(pool -> report(pool, now));
         owned.keySet().removeIf(pool -> !isOwner(pool));
-        owned.values().forEach(pool -> sendTable(pool, now));
-        timers.schedule(INTERVAL_NANOS, this::start);
+        owned.values().stream().filter(pool -> regular || isSmall(pool.name())).forEach(pool -> sendTable(pool, now));
+        timers.schedule(SHORT_INTERVAL_NANOS, this::start);
     }
 
     /**
@@ -246,7 +254,7 @@
     /** Reports before the interval ends if that is allowed: a node with few requests would otherwise report late. */
     private void reportSoon(NodePool pool) {
         long now = timers.nanoTime();
-        if (pool.mayReport(now)) {
+        if (pool.mayReport(isSmall(pool.name()) ? SHORT_INTERVAL_NANOS : INTERVAL_NANOS, now)) {
             report(pool, now);
         }
     }
@@ -283,7 +291,7 @@
         for (String node : pool.takeNewNodes()) {
             mesh.find(node).ifPresent(found -> found.send(pool.whole(now)));
         }
-        pool.takeChanges(now).ifPresent(message -> {
+        pool.takeChanges(regular, now).ifPresent(message -> {
             mesh.broadcast(message);
             accept(message, mesh.self());
         });
@@ -310,6 +318,10 @@
         return false;
     }
 
+    private boolean isSmall(String pool) {
+        return directory.ready(pool).size() <= SMALL_POOL;
+    }
+
     private NodePool pool(String name) {
         return pools.computeIfAbsent(name, NodePool::new);
     }
--- a/library/src/main/java/org/copperspindle/engineload/NodePool.java
+++ b/library/src/main/java/org/copperspindle/engineload/NodePool.java
@@ -14,8 +14,8 @@
     /** Confirms the counts of a node often enough for the owner not to drop them. */
     private static final long CONFIRM_NANOS = OwnerModel.MAX_AGE_NANOS / 3;
 
-    /** Age of the counts of other nodes when a table with them is made; most report an attempt at once. */
-    private static final long MEAN_REPORT_AGE_NANOS = EngineLoads.INTERVAL_NANOS / 8;
+    /** Age of the counts of other nodes when a table with them is made: half an interval between reports. */
+    private static final long MEAN_REPORT_AGE_NANOS = EngineLoads.SHORT_INTERVAL_NANOS / 2;
 
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
@@ -91,9 +91,9 @@
         return confirms || !message.engines().isEmpty() ? Optional.of(message) : Optional.empty();
     }
 
-    /** Returns whether a report may be sent before the next interval ends. */
-    boolean mayReport(long now) {
-        return now - reportedAt >= EngineLoads.INTERVAL_NANOS;
+    /** Returns whether the last report is so old that another one may be sent at once. */
+    boolean mayReport(long intervalNanos, long now) {
+        return now - reportedAt >= intervalNanos;
     }
 
     void sent(long tokens) {
--- a/library/src/main/java/org/copperspindle/engineload/OwnerPool.java
+++ b/library/src/main/java/org/copperspindle/engineload/OwnerPool.java
@@ -28,6 +28,9 @@
     /** Confirms a table that has not changed often enough for nodes not to drop it. */
     private static final long CONFIRM_NANOS = OwnerModel.MAX_AGE_NANOS / 3;
 
+    /** Changes that are sent between two regular tables; more would exceed the traffic that a node may cause. */
+    private static final int MAX_EARLY_CHANGES = 16;
+
     private static final double MILLIS_PER_SECOND = 1000;
 
     private final String name;
@@ -44,6 +47,10 @@
         this.name = name;
     }
 
+    String name() {
+        return name;
+    }
+
     OwnerModel model() {
         return model;
     }
@@ -89,8 +96,11 @@
         return message(loads, now);
     }
 
-    /** Returns the changes for all nodes; empty if there are none and the last table still holds. */
-    Optional<EngineLoadsMessage> takeChanges(long now) {
+    /**
+     * Returns the changes for all nodes; empty if there are none and the last table still holds, and between two
+     * regular tables also if there are many.
+     */
+    Optional<EngineLoadsMessage> takeChanges(boolean regular, long now) {
         if (!needed) {
             return Optional.empty();
         }
@@ -100,7 +110,8 @@
                 changed.put(id, load);
             }
         });
-        if (changed.isEmpty() && now - sentAt < CONFIRM_NANOS) {
+        boolean due = !changed.isEmpty() || now - sentAt >= CONFIRM_NANOS;
+        if (!due || !regular && changed.size() > MAX_EARLY_CHANGES) {
             return Optional.empty();
         }
         sent.putAll(changed);
--- a/library/src/main/java/org/copperspindle/gateway/EstimatedEngineChoice.java
+++ b/library/src/main/java/org/copperspindle/gateway/EstimatedEngineChoice.java
@@ -62,8 +62,8 @@
     }
 
     /**
-     * Chooses by rendezvous among the engines whose estimate is below a limit, each with the weight of the tokens
-     * that it could read until the limit.
+     * Chooses by rendezvous among the engines whose estimate is below a limit, weighted by speed. Speeds change slowly,
+     * so a shared part stays with its engine until that one reaches the limit.
      */
     private static Optional<UpstreamRecord> choose(List<Estimated> engines, long toleranceNanos, long unseenTokens) {
         List<Estimated> sorted = engines.stream()
@@ -75,7 +75,7 @@
         double limit = Math.max(sorted.get(0).nanos() + toleranceNanos, commonFinish(sorted, unseenTokens));
         return sorted.stream()
                 .filter(e -> e.nanos() < limit)
-                .max(Comparator.comparingDouble(e -> e.weightedScore(limit)))
+                .max(Comparator.comparingDouble(Estimated::weightedScore))
                 .or(() -> Optional.of(sorted.get(0)))
                 .map(Estimated::engine);
     }
@@ -106,10 +106,10 @@
                     || estimate.longestPauseNanos() <= demand.maxPauseNanos() * MAX_PAUSE_SHARE;
         }
 
-        /** Returns a score that is the largest of all with a probability proportional to the weight. */
-        private double weightedScore(double limitNanos) {
+        /** Returns a score that is the largest of all with a probability proportional to the speed. */
+        private double weightedScore() {
             double uniform = ((score >>> UNUSED_BITS) + 0.5) / (1L << (Long.SIZE - UNUSED_BITS));
-            return Math.log(uniform) / ((limitNanos - nanos()) * estimate.tokensPerNano());
+            return Math.log(uniform) / estimate.tokensPerNano();
         }
     }
 }
--- a/library/src/test/java/org/copperspindle/engineload/EngineLoadsTest.java
+++ b/library/src/test/java/org/copperspindle/engineload/EngineLoadsTest.java
@@ -182,6 +182,20 @@
         assertThat(other.sent(EngineSamplesMessage.class)).hasSizeBetween(4, 10);
     }
 
+    /** More frequent reports of a large pool, with its large tables, would exceed the traffic that a node may cause. */
+    @ParameterizedTest
+    @CsvSource({"40, 18, 22", "41, 9, 11"})
+    void intervalDependsOnTheSizeOfThePool(int engines, int min, int max) {
+        for (int i = 2; i < engines; i++) {
+            announce("e" + i, 1);
+        }
+        for (int i = 0; i < 160; i++) {
+            loads.sent("p", engine("e0"), PROMPT);
+            time.advance(10 * MILLI);
+        }
+        assertThat(other.sent(EngineSamplesMessage.class)).hasSizeBetween(min, max);
+    }
+
     /** Nodes at rest must not send anything. */
     @Test
     void nothingIsSentAtRest() {
