Forget engines that no node reports any more

Cause: a report that arrives after an engine has left created the engine again at the load owner, for good. After 512 of them the owner ignored new engines. Change: the owner forgets engines without counts after 60 s without a report. Two comments give the reason of their constants instead of trial results.

--- a/library/src/main/java/org/copperspindle/engineload/EngineModel.java
+++ b/library/src/main/java/org/copperspindle/engineload/EngineModel.java
@@ -8,8 +8,8 @@
 final class EngineModel {
 
     /**
-     * At one sample a second and engine, a slowdown of some hundred milliseconds leaves sums with this half-life almost
-     * unchanged. With 2 s, two disturbed samples in a row marked one of 29 equal engines as slow.
+     * Long enough that a slowdown of some hundred milliseconds, which disturbs one or two samples of an engine, does not
+     * change where prompts go; short enough that a slow engine is recognized within a burst.
      */
     private static final double HALF_LIFE_NANOS = Duration.ofSeconds(6).toNanos();
 
@@ -23,8 +23,8 @@
     private static final double PRIOR_SAMPLES = 1;
 
     /**
-     * The same before an engine is called slow. With fewer, several disturbances in a row made one of 29 equal engines
-     * look slow.
+     * The same before an engine is called slow: several disturbances in a row must not move prompts away from the
+     * engines that have cached their shared parts.
      */
     private static final double CAUTIOUS_PRIOR_SAMPLES = 4;
 
@@ -41,6 +41,7 @@
     private double samples;
     private long decayedAt;
     private long lastFirstEventAt = Long.MIN_VALUE;
+    private long heardAt;
     private long pausePeriodAt;
     private long pauseMillis;
     private long earlierPauseMillis;
@@ -74,6 +75,15 @@
         return lastFirstEventAt;
     }
 
+    /** Notes that a node reported the engine. */
+    void heard(long at) {
+        heardAt = at;
+    }
+
+    long heardAt() {
+        return heardAt;
+    }
+
     void addPause(long longestMillis, long now) {
         rotatePauses(now);
         pauseMillis = Math.max(pauseMillis, longestMillis);
--- a/library/src/main/java/org/copperspindle/engineload/OwnerModel.java
+++ b/library/src/main/java/org/copperspindle/engineload/OwnerModel.java
@@ -21,6 +21,9 @@
     /** Samples that wait to be sorted; more than all engines of a table give in that time. */
     private static final int MAX_UNSORTED = 16 * ValueBounds.MAX_ENGINES;
 
+    /** Engines without counts are forgotten after this time, in which their samples have lost nearly all weight. */
+    private static final long RETENTION_NANOS = Duration.ofSeconds(60).toNanos();
+
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
     private final Map<String, EngineModel> engines = new HashMap<>();
@@ -43,6 +46,7 @@
             }
             EngineModel engine = engines.computeIfAbsent(id, e -> new EngineModel());
             counts.set(id, message.waitingTokens().get(i), message.streams().get(i));
+            engine.heard(now);
             engine.addPause(message.longestPauses().get(i), now);
         }
         for (int i = 0; i < message.sampled().size() && unsorted.size() < MAX_UNSORTED; i++) {
@@ -99,9 +103,16 @@
                 counts.engines.forEach((id, own) -> loads.computeIfPresent(id, (i, load) -> sum(load, own)));
             }
         }
+        loads.entrySet().removeIf(entry -> isUnused(entry.getKey(), entry.getValue(), now));
+        engines.keySet().retainAll(loads.keySet());
         return loads;
     }
 
+    private boolean isUnused(String id, EngineLoad load, long now) {
+        boolean isIdle = load.waitingTokens() == 0 && load.streams() == 0;
+        return isIdle && now - engines.get(id).heardAt() > RETENTION_NANOS;
+    }
+
     /** Returns the median speed in tokens per millisecond, 0 while it is not known. */
     double speed() {
         return speed;
--- a/library/src/main/java/org/copperspindle/engineload/OwnerPool.java
+++ b/library/src/main/java/org/copperspindle/engineload/OwnerPool.java
@@ -73,6 +73,8 @@
     /** Brings the loads up to date. */
     void update(LogRateLimiter log, long now) {
         loads = model.loads(now);
+        sent.keySet().retainAll(loads.keySet());
+        slow.retainAll(loads.keySet());
         loads.forEach((id, load) -> logPace(id, load, log, now));
         if (isNeeded()) {
             needed = true;
--- a/library/src/test/java/org/copperspindle/engineload/EngineLoadsTest.java
+++ b/library/src/test/java/org/copperspindle/engineload/EngineLoadsTest.java
@@ -299,6 +299,27 @@
         assertThat(model.loads(0)).hasSize(512);
     }
 
+    /** Late reports of engines that have left must not take the places of new engines for good. */
+    @Test
+    void ownerForgetsEnginesThatAreNoLongerReported() {
+        OwnerModel model = new OwnerModel();
+        for (int i = 0; i < 512; i++) {
+            model.merge(OTHER, samples("x" + i, 0, 0), 0);
+        }
+        model.loads(61_000 * MILLI);
+        model.merge(OTHER, samples("new", 100, 1), 61_000 * MILLI);
+        assertThat(model.loads(61_000 * MILLI)).containsOnlyKeys("new");
+    }
+
+    /** An engine with a long stream must not be forgotten between two changes of its counts. */
+    @Test
+    void ownerKeepsEnginesWithStreams() {
+        OwnerModel model = new OwnerModel();
+        model.merge(OTHER, samples("e0", 0, 1), 0);
+        model.merge(OTHER, samples("e1", 0, 1), 61_000 * MILLI);
+        assertThat(model.loads(61_000 * MILLI)).containsOnlyKeys("e0", "e1");
+    }
+
     /** One attempt that hung for a minute must not mark its engine as slow. */
     @Test
     void oneOutlierDoesNotMarkAnEngine() {
