Keep a request with its engine while its first event is early enough there

Change: the engine with the highest rendezvous score among those whose first event is expected within a quarter of the objective, or near the best.

--- a/library/src/main/java/org/copperspindle/gateway/EstimatedEngineChoice.java
+++ b/library/src/main/java/org/copperspindle/gateway/EstimatedEngineChoice.java
@@ -21,12 +21,15 @@
     /** Additional time to the first event that the cached part is worth, as a share of the objective. */
     private static final double TOLERANCE = 0.1;
 
+    /**
+     * Share of the objective within which any first event is early enough: the stages need the rest. Until then a
+     * request stays with its engine, since reading the shared part again elsewhere would gain the caller nothing.
+     */
+    private static final double EARLY_SHARE = 0.25;
+
     /** Share of the longest allowed pause above which an engine's pauses are likely to make streams late. */
     private static final double MAX_PAUSE_SHARE = 0.7;
 
-    /** A double holds the other bits of a score exactly. */
-    private static final int UNUSED_BITS = 11;
-
     private final EngineLoads loads;
     private final EngineChoice otherwise;
 
@@ -56,27 +59,26 @@
             }
         }
         List<Estimated> steady = all.stream().filter(e -> e.isSteady(demand)).toList();
-        long tolerance = (long) (demand.objectiveNanos() * TOLERANCE);
         return choose(
-                steady.isEmpty() ? all : steady, tolerance, estimates.get().unseenTokens());
+                steady.isEmpty() ? all : steady,
+                demand.objectiveNanos(),
+                estimates.get().unseenTokens());
     }
 
-    /**
-     * Chooses by rendezvous among the engines whose estimate is below a limit, each with the weight of the tokens
-     * that it could read until the limit.
-     */
-    private static Optional<UpstreamRecord> choose(List<Estimated> engines, long toleranceNanos, long unseenTokens) {
+    /** Chooses by rendezvous among the engines whose estimate is below a limit. */
+    private static Optional<UpstreamRecord> choose(List<Estimated> engines, long objectiveNanos, long unseenTokens) {
         List<Estimated> sorted = engines.stream()
                 .sorted(Comparator.comparingLong(Estimated::nanos))
                 .toList();
         if (sorted.isEmpty()) {
             return Optional.empty();
         }
-        double limit = Math.max(sorted.get(0).nanos() + toleranceNanos, commonFinish(sorted, unseenTokens));
+        double tolerated = sorted.get(0).nanos() + objectiveNanos * TOLERANCE;
+        double early = objectiveNanos * EARLY_SHARE;
+        double limit = Math.max(Math.max(tolerated, early), commonFinish(sorted, unseenTokens));
         return sorted.stream()
-                .filter(e -> e.nanos() < limit)
-                .max(Comparator.comparingDouble(e -> e.weightedScore(limit)))
-                .or(() -> Optional.of(sorted.get(0)))
+                .filter(e -> e.nanos() <= limit)
+                .max(Comparator.comparingLong(Estimated::score))
                 .map(Estimated::engine);
     }
 
@@ -105,11 +107,5 @@
             return demand.maxPauseNanos() == 0
                     || estimate.longestPauseNanos() <= demand.maxPauseNanos() * MAX_PAUSE_SHARE;
         }
-
-        /** Returns a score that is the largest of all with a probability proportional to the weight. */
-        private double weightedScore(double limitNanos) {
-            double uniform = ((score >>> UNUSED_BITS) + 0.5) / (1L << (Long.SIZE - UNUSED_BITS));
-            return Math.log(uniform) / ((limitNanos - nanos()) * estimate.tokensPerNano());
-        }
     }
 }
