Never let a stated pace shorten timeouts or make an upstream seem slow

Cause: an upstream that states a pace below the usual one but works as usual was measured as up to five times slower than expected, counted as slow and was skipped. An upstream that is slow and says so kept a slowness of 1, so that its timeouts fell below those without stated paces once its figure was older than 2 s. A stated pace of 20 lengthened timeouts twentyfold, so that a failing upstream held its pieces for longer than their requests wait.

Change: a pace below the usual one counts as the usual one. StageUpstream also averages the durations of calls relative to the limits of the pool, and timeouts follow the larger of both. A stated pace lengthens a timeout at most fourfold. Without stated paces both averages are equal and timeouts are as before.

--- a/library/src/main/java/org/copperspindle/batch/PoolDispatcher.java
+++ b/library/src/main/java/org/copperspindle/batch/PoolDispatcher.java
@@ -246,8 +246,7 @@
         tasks.forEach(task -> running.merge(task.group(), 1, Integer::sum));
         inputs.releaseOnceFetched(tasks, known, now);
         double pace = upstreams.pace(upstream, now);
-        long timeout = upstream.timeoutNanos((long) (expected * Math.max(1, pace))) / NANOS_PER_MILLI
-                + FETCH_ALLOWANCE.toMillis();
+        long timeout = upstream.timeoutNanos(expected, pace) / NANOS_PER_MILLI + FETCH_ALLOWANCE.toMillis();
         if (log.allowsServed(now)) {
             LOGGER.info(
                     "event=stage-call pool={} upstream={} pieces={} waiting={} room_left={} requests={}",
@@ -283,7 +282,7 @@
             if (affectedByPause) {
                 upstream.onInconclusiveEnd();
             } else {
-                upstream.onAnswered(call.expectedNanos(upstreams.pace(upstream, now)), tookNanos);
+                upstream.onAnswered(call.statedNanos(), call.expectedNanos(upstreams.pace(upstream, now)), tookNanos);
                 recordSpeed(upstream, now);
                 inputs.updateFetchTime(tasks, answered.outcomes());
             }
--- a/library/src/main/java/org/copperspindle/batch/PoolUpstreams.java
+++ b/library/src/main/java/org/copperspindle/batch/PoolUpstreams.java
@@ -61,9 +61,13 @@
         pace = stated;
     }
 
-    /** Returns the multiple of the usual time that work takes an upstream now by its own statement. */
+    /**
+     * Returns the multiple of the usual time that work takes an upstream now by its own statement, at least 1. Calls
+     * are never expected to be faster because of a statement: an upstream that falsely states a pace below the usual
+     * one would count as slow and be skipped.
+     */
     double pace(StageUpstream upstream, long now) {
-        return pace.factor(upstream.announced(), now);
+        return Math.max(UpstreamPace.USUAL, pace.factor(upstream.announced(), now));
     }
 
     /**
--- a/library/src/main/java/org/copperspindle/batch/StageUpstream.java
+++ b/library/src/main/java/org/copperspindle/batch/StageUpstream.java
@@ -47,6 +47,12 @@
 
     private static final int MAX_COUNTED_LOSSES = 3;
 
+    /**
+     * Pace up to which a timeout is lengthened. With a larger one, an upstream that fails after it has stated an
+     * excessive pace would hold its pieces beyond the timeouts of their requests.
+     */
+    private static final double MAX_TIMEOUT_PACE = 4;
+
     /** Weight of the latest call in the moving average of the slowness. */
     private static final double SPEED_WEIGHT = 0.4;
 
@@ -70,6 +76,10 @@
     private long busyUntil;
     private boolean paused;
     private double slowness = 1;
+
+    /** Like the slowness, but relative to the stated duration: valid also when no pace is known. */
+    private double slownessWithoutPace = 1;
+
     private boolean probing;
     private int slowProbes;
     private long nextProbeAt;
@@ -117,14 +127,25 @@
         return calls == 0 ? 0 : Math.max(0, busyUntil - now);
     }
 
-    void onAnswered(long expectedNanos, long tookNanos) {
+    /**
+     * Records the duration of a call.
+     *
+     * @param statedNanos   duration by the limits of the pool
+     * @param expectedNanos duration at the pace that the upstream stated meanwhile
+     * @param tookNanos     actual duration
+     */
+    void onAnswered(long statedNanos, long expectedNanos, long tookNanos) {
         calls--;
-        double measured = (double) tookNanos / expectedNanos;
-        // The average of an upstream that was skipped for a while is outdated: a probe replaces it.
-        slowness = probing ? measured : slowness + SPEED_WEIGHT * (measured - slowness);
+        slowness = average(slowness, (double) tookNanos / expectedNanos);
+        slownessWithoutPace = average(slownessWithoutPace, (double) tookNanos / statedNanos);
         probing = false;
     }
 
+    private double average(double before, double measured) {
+        // The average of an upstream that was skipped for a while is outdated: a probe replaces it.
+        return probing ? measured : before + SPEED_WEIGHT * (measured - before);
+    }
+
     /** Records the end of a call that says nothing about the upstream. */
     void onInconclusiveEnd() {
         calls--;
@@ -154,12 +175,18 @@
     }
 
     /**
-     * Returns the timeout of a call with a given expected duration. Each consecutive loss lengthens it, so that an
-     * upstream that has turned slow eventually answers in time and is known to be slow from then on.
+     * Returns the timeout of a call. Each consecutive loss lengthens it, so that an upstream that has turned slow
+     * eventually answers in time and is known to be slow from then on. A stated pace may lengthen it but never
+     * shortens it.
+     *
+     * @param statedNanos duration of the call by the limits of the pool
+     * @param pace        pace that the upstream states
      */
-    long timeoutNanos(long expectedNanos) {
+    long timeoutNanos(long statedNanos, double pace) {
         int consecutive = Math.min(MAX_COUNTED_LOSSES, losses);
-        return (long) (expectedNanos * TIMEOUT_FACTOR * Math.max(1, slowness) * Math.pow(TIMEOUT_GROWTH, consecutive));
+        double byPace = Math.max(1, slowness) * Math.min(MAX_TIMEOUT_PACE, pace);
+        double factor = Math.max(1, Math.max(slownessWithoutPace, byPace));
+        return (long) (statedNanos * TIMEOUT_FACTOR * factor * Math.pow(TIMEOUT_GROWTH, consecutive));
     }
 
     /** Records a lost call and pauses the upstream. */
--- a/library/src/test/java/org/copperspindle/batch/PoolUpstreamsTest.java
+++ b/library/src/test/java/org/copperspindle/batch/PoolUpstreamsTest.java
@@ -109,6 +109,42 @@
         assertThat(upstreams.callable(LIMITS, 0)).containsExactly(find("usual"), find("slow"));
     }
 
+    /**
+     * Guards against an upstream that states a pace below the usual one, such as 0, while it works as usual: judged by
+     * that figure it would count as slow and be skipped for good.
+     */
+    @Test
+    void paceBelowTheUsualOneIsNotUsed() {
+        announce("u");
+        upstreams.scaleDurationsBy((upstream, now) -> 0.2);
+        assertThat(upstreams.pace(find("u"), 0)).isEqualTo(UpstreamPace.USUAL);
+    }
+
+    /**
+     * Guards against timeouts that are shorter than without stated paces: a slow upstream whose figure has become too
+     * old would lose its calls.
+     */
+    @Test
+    void timeoutDoesNotShrinkOnceThePaceIsTooOld() {
+        announce("u");
+        StageUpstream upstream = find("u");
+        for (int call = 0; call < 20; call++) {
+            upstream.onSent(0);
+            upstream.onAnswered(CALL_NANOS, new SentCall(CALL_NANOS, 5, 0).expectedNanos(5), 5 * CALL_NANOS);
+        }
+        assertThat(upstream.slowness()).isEqualTo(1);
+        assertThat(upstream.timeoutNanos(CALL_NANOS, UpstreamPace.USUAL)).isGreaterThan(12 * CALL_NANOS);
+    }
+
+    /** Guards against a lost call that occupies its pieces for tens of seconds because of an excessive pace. */
+    @Test
+    void statedPaceLengthensTimeoutsToABound() {
+        announce("u");
+        StageUpstream upstream = find("u");
+        assertThat(upstream.timeoutNanos(CALL_NANOS, 2)).isEqualTo(5 * CALL_NANOS);
+        assertThat(upstream.timeoutNanos(CALL_NANOS, 20)).isEqualTo(10 * CALL_NANOS);
+    }
+
     private void announce(String... ids) {
         for (String id : ids) {
             String address = "10.0.0." + (directory.ready("p").size() + 1) + ":1";
@@ -120,7 +156,7 @@
     private void answer(String id, long tookMillis) {
         StageUpstream upstream = find(id);
         upstream.onSent(CALL_NANOS);
-        upstream.onAnswered(CALL_NANOS, tookMillis * MILLI);
+        upstream.onAnswered(CALL_NANOS, CALL_NANOS, tookMillis * MILLI);
     }
 
     private StageUpstream find(String id) {
