--- a/soak/src/main/java/org/copperspindle/soak/SoakCaller.java
+++ b/soak/src/main/java/org/copperspindle/soak/SoakCaller.java
@@ -99,9 +99,9 @@
     /** Sends a request on a connection of its own, and stops to read its answer for a while. */
     private void askAndStall(SoakRequest request) {
         int stall = SHORTEST_STALL_MILLIS + more.nextInt(LONGEST_STALL_MILLIS - SHORTEST_STALL_MILLIS);
-        close();
-        book.answered(request, ask(request, "", stall));
-        close();
+        SoakCaller connection = new SoakCaller(numbers, nodes, book, more.nextLong());
+        book.answered(request, connection.ask(request, "", stall));
+        connection.close();
     }
 
     /** Draws the first account most often, and each further one half as often. */
