Don't overflow the booked work of a retry slot

The work of a request at a pool of nearly no throughput is close to the maximum of a long. Added to the work already booked it became negative, so any number of such retries were booked into one slot. The comparison no longer adds the two.

RetryBookingsTest#hugeCostTakesASlotOfItsOwn: failed before in one of two cases; RetryBookingsTest passes now (9 tests).

--- a/library/src/main/java/org/copperspindle/admission/RetryBookings.java
+++ b/library/src/main/java/org/copperspindle/admission/RetryBookings.java
@@ -50,7 +50,7 @@
         for (long slot = first; slot <= last; slot++) {
             long booked = bookedNanos.getOrDefault(slot, 0L);
             // A request that needs more than a slot gets one of its own.
-            if (booked == 0 || booked + costNanos <= SLOT_FRACTION * SLOT_NANOS) {
+            if (booked == 0 || costNanos <= SLOT_FRACTION * SLOT_NANOS - booked) {
                 bookedNanos.put(slot, booked + Math.max(1, costNanos));
                 return delay(Math.max(earliest, slot * SLOT_NANOS), Math.min(latest, (slot + 1) * SLOT_NANOS - 1), now);
             }
--- a/library/src/test/java/org/copperspindle/admission/RetryBookingsTest.java
+++ b/library/src/test/java/org/copperspindle/admission/RetryBookingsTest.java
@@ -44,4 +44,15 @@
             assertThat(nanos).isBetween(Math.max(0, left) / 4, Math.max(0, left) / 3);
         }
     }
+
+    /** The cost at a pool of nearly no throughput must not overflow its slot, which would be booked without limit. */
+    @ParameterizedTest
+    @ValueSource(longs = {Long.MAX_VALUE, Long.MAX_VALUE / 2})
+    void hugeCostTakesASlotOfItsOwn(long cost) {
+        List<Long> slots = new ArrayList<>();
+        for (int i = 0; i < 8; i++) {
+            slots.add(bookings.book(cost, LEFT, 0).toNanos() / SLOT);
+        }
+        assertThat(slots).doesNotHaveDuplicates();
+    }
 }
