Limit accounts above their share, and start at idle pools at once

Fairness counted only among waiting requests. While nobody waited, starts of an account that sends ten times its share filled the pools up to the limit of starts, and requests of other accounts were late by that queueing. AccountWork keeps the work that accounts recently requested and started at each pool. An account that started more than 1.25 times its weighted max-min share of a pool starts only up to half a full call of wait there. An account alone at a pool is not limited, and unused shares go to the others.

Two faults of PriorityStartQueue: - A late retry without pieces made startLate loop for ever: it was neither started nor excluded, since it uses no pool. - A request for a full pool and an idle one excluded both pools, so a request for the idle one alone waited. A request at whose pools nothing waits now starts at once.

--- a/library/src/main/java/org/copperspindle/admission/PriorityStartQueue.java
+++ b/library/src/main/java/org/copperspindle/admission/PriorityStartQueue.java
@@ -34,6 +34,12 @@
      */
     private static final double URGENT_SLACK_FRACTION = 0.5;
 
+    /**
+     * Longest wait at a pool, in full calls, up to which timely requests of an account above its share start. The rest
+     * up to {@link #START_CALLS} is left to the other accounts, whose requests would be late behind more of it.
+     */
+    private static final double ABOVE_SHARE_START_CALLS = 0.5;
+
     /** Longest wait at a pool, in full calls, up to which late requests start: less than a timely request would notice. */
     private static final double LATE_START_CALLS = 1.0 / 3;
 
@@ -46,6 +52,7 @@
     private final UrgentRequestKinds urgentKinds = new UrgentRequestKinds();
     private final RankedStarts timely = new RankedStarts();
     private final RankedStarts late = new RankedStarts();
+    private final AccountWork accounts = new AccountWork();
     private long sweptAt;
     private boolean anySwept;
 
@@ -83,8 +90,12 @@
     public List<StartDecision> decide(StartForecast forecast, long now) {
         Round round = new Round(forecast, now);
         round.enrol();
+        boolean sweeps = !anySwept || now - sweptAt >= SWEEP_NANOS;
+        if (sweeps) {
+            accounts.update(now);
+        }
         round.startTimely();
-        if (!anySwept || now - sweptAt >= SWEEP_NANOS) {
+        if (sweeps) {
             anySwept = true;
             sweptAt = now;
             round.sweepTimely();
@@ -133,6 +144,13 @@
                 WaitingStart each = new WaitingStart(request, forecast);
                 waiting.put(key, each);
                 urgentKinds.observe(each.request());
+                WorkAhead.pools(each.request())
+                        .forEach(pool -> accounts.request(
+                                pool,
+                                each.request().accountName(),
+                                request.weight(),
+                                forecast.costNanos(each.request(), pool),
+                                now));
                 if (each.isTimely(forecast.queueingNanos(each.request()), now)) {
                     timely.add(each);
                 } else {
@@ -145,15 +163,20 @@
         private void startTimely() {
             Set<String> fullPools = new HashSet<>();
             Set<Integer> heldRanks = new HashSet<>();
-            Optional<WaitingStart> next = nextOf(timely, fullPools, heldRanks);
+            Set<String> heldAccounts = new HashSet<>();
+            Optional<WaitingStart> next = nextOf(timely, fullPools, heldRanks, heldAccounts);
             while (next.isPresent()) {
                 WaitingStart each = next.get();
                 long queueing = forecast.queueingNanos(each.request());
                 if (!each.isTimely(queueing, now)) {
                     timely.remove(each);
                     addLate(each);
-                } else if (isKeptForUrgent(each.request()) && !timely.hasCredit(each)) {
+                } else if (!isIdle(each) && isKeptForUrgent(each.request()) && !timely.hasCredit(each)) {
                     heldRanks.add(each.request().rank());
+                } else if (isAboveShare(each)
+                        && forecast.longestWaitNanos(each.request())
+                                > ABOVE_SHARE_START_CALLS * forecast.fullCallNanos(each.request())) {
+                    heldAccounts.add(each.request().accountName());
                 } else if (forecast.longestWaitNanos(each.request())
                         <= START_CALLS * forecast.fullCallNanos(each.request())) {
                     timely.serve(each);
@@ -161,7 +184,7 @@
                 } else {
                     fullPools.addAll(WorkAhead.pools(each.request()));
                 }
-                next = nextOf(timely, fullPools, heldRanks);
+                next = nextOf(timely, fullPools, heldRanks, heldAccounts);
             }
         }
 
@@ -195,19 +218,20 @@
 
         private void startLate() {
             Set<String> busyPools = new HashSet<>();
-            Optional<WaitingStart> next = nextOf(late, busyPools, Set.of());
+            Optional<WaitingStart> next = nextOf(late, busyPools, Set.of(), Set.of());
             while (next.isPresent()) {
                 WaitingStart each = next.get();
                 if (!each.isUseful(now)) {
                     refuse(each);
-                } else if (forecast.longestWaitNanos(each.request())
-                        < LATE_START_CALLS * forecast.fullCallNanos(each.request())) {
+                } else if (isIdle(each)
+                        || forecast.longestWaitNanos(each.request())
+                                < LATE_START_CALLS * forecast.fullCallNanos(each.request())) {
                     late.serve(each);
                     start(each);
                 } else {
                     busyPools.addAll(WorkAhead.pools(each.request()));
                 }
-                next = nextOf(late, busyPools, Set.of());
+                next = nextOf(late, busyPools, Set.of(), Set.of());
             }
         }
 
@@ -225,9 +249,26 @@
         }
 
         private Optional<WaitingStart> nextOf(
-                RankedStarts starts, Set<String> excludedPools, Set<Integer> excludedRanks) {
-            return starts.next(each -> !excludedRanks.contains(each.request().rank())
-                    && excludedPools.stream().noneMatch(each.request()::needsPool));
+                RankedStarts starts,
+                Set<String> excludedPools,
+                Set<Integer> excludedRanks,
+                Set<String> excludedAccounts) {
+            boolean noneExcluded = excludedPools.isEmpty() && excludedRanks.isEmpty() && excludedAccounts.isEmpty();
+            return starts.next(each -> noneExcluded
+                    || isIdle(each)
+                    || !excludedRanks.contains(each.request().rank())
+                            && !excludedAccounts.contains(each.request().accountName())
+                            && excludedPools.stream().noneMatch(each.request()::needsPool));
+        }
+
+        private boolean isAboveShare(WaitingStart each) {
+            String account = each.request().accountName();
+            return WorkAhead.pools(each.request()).stream().anyMatch(pool -> accounts.isAboveShare(pool, account));
+        }
+
+        /** Returns whether nothing waits at the pools of a request, so that its start takes capacity from no other. */
+        private boolean isIdle(WaitingStart each) {
+            return forecast.longestWaitNanos(each.request()) <= 0;
         }
 
         /**
@@ -254,6 +295,9 @@
         private void start(WaitingStart each) {
             waiting.remove(Key.of(each.start()));
             forecast.recordStart(each.request());
+            WorkAhead.pools(each.request())
+                    .forEach(pool -> accounts.start(
+                            pool, each.request().accountName(), forecast.costNanos(each.request(), pool), now));
             decisions.add(new StartDecision.Start(each.start()));
         }
 
--- a/library/src/test/java/org/copperspindle/admission/PriorityStartQueueTest.java
+++ b/library/src/test/java/org/copperspindle/admission/PriorityStartQueueTest.java
@@ -7,8 +7,10 @@
 import org.copperspindle.batch.PoolLoad;
 import org.copperspindle.route.Route;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -185,6 +187,29 @@
         assertThat(queue.size()).isEqualTo(PriorityStartQueue.MAX_WAITING);
     }
 
+    /** A late retry that needs no pieces must not keep the controller in an endless round: no pool is busy with it. */
+    @Test
+    @Timeout(value = 10, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+    void lateRetryWithoutPiecesStartsAtOnce() {
+        TestStarts.Staged request =
+                new TestStarts.Staged(DEFERRABLE, List.of(0), "a", 0, 4000 * MILLI, 6000 * MILLI, true);
+        clock[0] = 4100 * MILLI;
+        queue.add(new StartRequest("n", 1, request, 1), clock[0]);
+        assertThat(decide()).singleElement().isInstanceOf(StartDecision.Start.class);
+    }
+
+    /** A request whose own pool is idle must not wait for one that needs this pool and a full one. */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 1})
+    void startsAtAnIdlePoolBehindARequestForAFullPool(int rank) {
+        LoadForecast uneven = TestStarts.forecast(
+                pool -> new PoolLoad(pool.equals("full") ? FULL_MILLIS * MILLI : 0, PIECES_PER_SECOND, 0), clock);
+        add(TestStarts.route("both", 0, 4000, 12_000, "full", "idle"), "a", false);
+        assertThat(queue.decide(uneven, clock[0])).isEmpty();
+        add(TestStarts.route("one", rank, 4000, 12_000, "idle"), "b", false);
+        assertThat(startedRoutes(queue.decide(uneven, clock[0]))).containsExactly("one");
+    }
+
     private void add(Route route, String account, boolean retried) {
         queue.add(
                 new StartRequest("n", 100 + ++lastId, TestStarts.request(route, account, retried, clock[0]), 1),
