--- a/library/src/main/java/org/copperspindle/admission/AccountWork.java
+++ b/library/src/main/java/org/copperspindle/admission/AccountWork.java
@@ -25,7 +25,7 @@
      * Factor of its share above which an account is limited. Arrivals vary: without a tolerance more requests of large
      * accounts are held back than the others gain by.
      */
-    private static final double SHARE_TOLERANCE = 1.25;
+    private static final double SHARE_TOLERANCE = 1.2;
 
     /** Work that no longer matters, in nanoseconds: a thousandth of the capacity. Accounts with less are dropped. */
     private static final double NEGLIGIBLE_NANOS = CAPACITY_NANOS / 1000;
