Start late retries at busier pools the longer they have waited

Change: they yield only to timely requests of their rank or a more urgent one, and the limit on the wait grows with their own wait.

--- a/library/src/main/java/org/copperspindle/admission/PriorityStartQueue.java
+++ b/library/src/main/java/org/copperspindle/admission/PriorityStartQueue.java
@@ -43,6 +43,12 @@
     /** Longest wait at a pool, in full calls, up to which late requests start: less than a timely request would notice. */
     private static final double LATE_START_CALLS = 1.0 / 3;
 
+    /**
+     * Part of the time that a late request has waited by which the wait at its pools may be longer: under a lasting load
+     * pools are never idle, and its caller would be refused a second time after a long wait.
+     */
+    private static final double LATE_START_GROWTH = 0.1;
+
     /** Interval at which the work ahead of all requests is computed: refusals needn't be sent sooner. */
     private static final long SWEEP_NANOS = Duration.ofMillis(20).toNanos();
 
@@ -101,9 +107,7 @@
             round.sweepTimely();
             round.sweepLate();
         }
-        if (timely.isEmpty()) {
-            round.startLate();
-        }
+        round.startLate();
         round.refuseLateFirstAttempts();
         round.refuseBeyondMaximum();
         return round.decisions;
@@ -141,7 +145,7 @@
 
         private void enrol() {
             arrivals.forEach((key, request) -> {
-                WaitingStart each = new WaitingStart(request, forecast);
+                WaitingStart each = new WaitingStart(request, forecast, now);
                 waiting.put(key, each);
                 urgentKinds.observe(each.request());
                 WorkAhead.pools(each.request())
@@ -223,9 +227,7 @@
                 WaitingStart each = next.get();
                 if (!each.isUseful(now)) {
                     refuse(each);
-                } else if (isIdle(each)
-                        || forecast.longestWaitNanos(each.request())
-                                < LATE_START_CALLS * forecast.fullCallNanos(each.request())) {
+                } else if (mayStartLate(each)) {
                     late.serve(each);
                     start(each);
                 } else {
@@ -235,6 +237,16 @@
             }
         }
 
+        /** A late request takes no room that a timely one of its rank or a more urgent one waits for. */
+        private boolean mayStartLate(WaitingStart each) {
+            if (timely.hasRankUpTo(each.request().rank())) {
+                return false;
+            }
+            double longest = LATE_START_CALLS * forecast.fullCallNanos(each.request())
+                    + LATE_START_GROWTH * each.waitedNanos(now);
+            return isIdle(each) || forecast.longestWaitNanos(each.request()) < longest;
+        }
+
         private void refuseLateFirstAttempts() {
             lateFirstAttempts.stream()
                     .filter(each -> waiting.get(Key.of(each.start())) == each)
--- a/library/src/main/java/org/copperspindle/admission/RankedStarts.java
+++ b/library/src/main/java/org/copperspindle/admission/RankedStarts.java
@@ -97,6 +97,11 @@
         });
     }
 
+    /** Returns whether requests of a rank, or of a more urgent one, wait. */
+    boolean hasRankUpTo(int rank) {
+        return !queues.isEmpty() && queues.firstKey() <= rank;
+    }
+
     boolean isEmpty() {
         return queues.isEmpty();
     }
--- a/library/src/main/java/org/copperspindle/admission/WaitingStart.java
+++ b/library/src/main/java/org/copperspindle/admission/WaitingStart.java
@@ -20,14 +20,16 @@
     private final long latestStartAt;
     private final long lastUsefulStartAt;
     private final long costNanos;
+    private final long waitsSince;
 
-    WaitingStart(StartRequest start, StartForecast forecast) {
+    WaitingStart(StartRequest start, StartForecast forecast, long now) {
         this.start = start;
         this.request = start.request();
         long shortest = forecast.shortestNanos(request);
         this.latestStartAt = request.objectiveAt() - shortest;
         this.lastUsefulStartAt = request.callerTimeoutAt() - LATE_RUNS * shortest;
         this.costNanos = forecast.costNanos(request);
+        this.waitsSince = now;
     }
 
     StartRequest start() {
@@ -43,6 +45,11 @@
         return costNanos;
     }
 
+    /** Returns how long the request has waited here, in nanoseconds. */
+    long waitedNanos(long now) {
+        return now - waitsSince;
+    }
+
     /** Returns whether a start after the given delay ends within the objective. */
     boolean isTimely(long delayNanos, long now) {
         return now + delayNanos - latestStartAt <= 0;
--- a/library/src/test/java/org/copperspindle/admission/PriorityStartQueueTest.java
+++ b/library/src/test/java/org/copperspindle/admission/PriorityStartQueueTest.java
@@ -135,6 +135,18 @@
         assertThat(startedRoutes(decide())).containsExactly("deferrable");
     }
 
+    /** Under a lasting load pools are never idle, and a caller would be refused a second time after a long wait. */
+    @ParameterizedTest
+    @CsvSource({"0, false", "300, false", "400, true"})
+    void lateRetryStartsAtABusierPoolTheLongerItHasWaited(long waitedMillis, boolean starts) {
+        clock[0] = 3900 * MILLI;
+        waitMillis = 180;
+        queue.add(new StartRequest("n", 1, TestStarts.request(DEFERRABLE, "a", true, 0), 1), clock[0]);
+        assertThat(decide()).isEmpty();
+        clock[0] += waitedMillis * MILLI;
+        assertThat(startedRoutes(decide()).contains("deferrable")).isEqualTo(starts);
+    }
+
     /** A late retry that starts when its caller is about to leave is wasted. */
     @Test
     void lateRetryIsRefusedAfterItsLastUsefulStart() {
