--- a/library/src/main/java/org/copperspindle/engineload/PaceRule.java
+++ b/library/src/main/java/org/copperspindle/engineload/PaceRule.java
@@ -8,10 +8,10 @@
 final class PaceRule {
 
     /** Pace of the slowest engine below which the engines differ. */
-    static final double SLOW_PACE = 0.7;
+    static final double SLOW_PACE = 0.8;
 
     /** Pace of the slowest engine above which they no longer differ. */
-    static final double EVEN_PACE = 0.8;
+    static final double EVEN_PACE = 0.9;
 
     /** A disturbance by neighbours is shorter. */
     private static final long SLOW_TIME_NANOS = Duration.ofSeconds(1).toNanos();
