Repeat whole tables of engines, drop impossible loads, and name start requests alike

Cause: the table owner sends only changes, so a node that had dropped its table held a partial one that counted as fresh, in which a slow engine that did not change looked fast. A pool load from another node was taken unchecked; its wait overflowed, and since the admission across nodes it also decides about a shortage. One thing was called question and start request. Change: the owner repeats the whole table every second (every 25 ms for each engine in larger pools), unchanged entries as they were sent; loads out of range are dropped with a log line; the code says start request throughout, no behaviour of it changes. Tests: nodeWithAPartialTableGetsAllEnginesAgain, impossibleLoadIsDropped (six cases) and impossibleLoadDoesNotAnnounceAShortage failed before and pass now.

--- a/library/src/main/java/org/copperspindle/admission/FleetStageStarts.java
+++ b/library/src/main/java/org/copperspindle/admission/FleetStageStarts.java
@@ -58,7 +58,7 @@
     private final GroupControllers controllers;
     private final StartCounters counters = new StartCounters();
     private final ControllerContacts contacts = new ControllerContacts();
-    private final Map<Long, Question> questions = new LinkedHashMap<>();
+    private final Map<Long, PendingStart> pendingStarts = new LinkedHashMap<>();
     private final Map<String, String> controllerByGroup = new HashMap<>();
     private final Map<String, Long> announcedShortAt = new HashMap<>();
     private final Map<String, Long> lostIncarnations = new HashMap<>();
@@ -102,7 +102,7 @@
     /** Starts the regular evaluation of the pools and of the waiting requests, at the pace of the load messages. */
     public void start() {
         update();
-        List.copyOf(questions.values()).forEach(this::renew);
+        List.copyOf(pendingStarts.values()).forEach(this::renew);
         timers.schedule(BatchService.LOAD_INTERVAL_NANOS, this::start);
     }
 
@@ -148,8 +148,8 @@
      *
      * @return a count
      */
-    public int openQuestions() {
-        return questions.size();
+    public int pendingCount() {
+        return pendingStarts.size();
     }
 
     @Override
@@ -175,17 +175,17 @@
             listener.decideLocally();
             return;
         }
-        Question question = new Question(id, request, group.get(), listener);
-        questions.put(id, question);
-        ask(question);
+        PendingStart pending = new PendingStart(id, request, group.get(), listener);
+        pendingStarts.put(id, pending);
+        ask(pending);
     }
 
     @Override
     public void cancel(long id) {
-        Question question = questions.get(id);
-        if (question != null) {
-            close(question);
-            cancelAtController(question);
+        PendingStart pending = pendingStarts.get(id);
+        if (pending != null) {
+            close(pending);
+            cancelAtController(pending);
         }
     }
 
@@ -205,8 +205,8 @@
 
     @Override
     public void onConnectionLost(MeshNode node) {
-        List.copyOf(questions.values()).stream()
-                .filter(question -> question.controller.equals(node.address()))
+        List.copyOf(pendingStarts.values()).stream()
+                .filter(pending -> pending.controller.equals(node.address()))
                 .forEach(this::ask);
     }
 
@@ -225,7 +225,7 @@
 
     private void onLoad(String node, PoolLoadMessage load) {
         Optional<String> group = pools.flatMap(p -> p.groupOf(load.pool()));
-        if (group.isEmpty()) {
+        if (group.isEmpty() || !load.isValid()) {
             return;
         }
         long now = timers.nanoTime();
@@ -254,8 +254,8 @@
             dropped(node, "start-response");
             return;
         }
-        Question question = questions.get(response.id());
-        if (question == null || !question.controller.equals(node)) {
+        PendingStart pending = pendingStarts.get(response.id());
+        if (pending == null || !pending.controller.equals(node)) {
             counters.recordIgnoredResponse();
             if (response.verdict() == StartResponseMessage.QUEUED) {
                 // A repeated start request arrived after the decision or the cancellation, and waits there again.
@@ -263,16 +263,16 @@
             }
             return;
         }
-        contacts.onResponse(node, question.request.route().name(), timers.nanoTime());
+        contacts.onResponse(node, pending.request.route().name(), timers.nanoTime());
         if (response.verdict() == StartResponseMessage.QUEUED) {
-            question.acknowledged = true;
+            pending.acknowledged = true;
             return;
         }
-        close(question);
+        close(pending);
         if (response.verdict() == StartResponseMessage.START) {
-            question.listener.start();
+            pending.listener.start();
         } else {
-            question.listener.refuse(response.retryAfterMillis() * NANOS_PER_MILLI);
+            pending.listener.refuse(response.retryAfterMillis() * NANOS_PER_MILLI);
         }
     }
 
@@ -298,18 +298,18 @@
             controllers.update(current, timers.nanoTime());
         });
         forgetLostNodes();
-        for (Question question : List.copyOf(questions.values())) {
-            String controller = controllerByGroup.get(question.group);
-            if (questions.get(question.id) != question || question.controller.equals(controller)) {
+        for (PendingStart pending : List.copyOf(pendingStarts.values())) {
+            String controller = controllerByGroup.get(pending.group);
+            if (pendingStarts.get(pending.id) != pending || pending.controller.equals(controller)) {
                 continue;
             }
-            cancelAtController(question);
+            cancelAtController(pending);
             if (controller == null) {
                 // The new table does not coordinate the request.
-                close(question);
-                question.listener.decideLocally();
+                close(pending);
+                pending.listener.decideLocally();
             } else {
-                ask(question);
+                ask(pending);
             }
         }
     }
@@ -341,87 +341,87 @@
      * Sends a start request to the present controller of its group. Sending it to the same controller again does not
      * extend the wait.
      */
-    private void ask(Question question) {
-        String controller = controllerByGroup.get(question.group);
+    private void ask(PendingStart pending) {
+        String controller = controllerByGroup.get(pending.group);
         long now = timers.nanoTime();
-        question.askedAt = question.controller.equals(controller) ? silentSince(question) : now;
-        question.controller = controller;
-        question.acknowledged = false;
-        question.silence.cancel();
-        if (question.controller.equals(self)) {
+        pending.askedAt = pending.controller.equals(controller) ? silentSince(pending) : now;
+        pending.controller = controller;
+        pending.acknowledged = false;
+        pending.silence.cancel();
+        if (pending.controller.equals(self)) {
             boolean accepted = controllers
-                    .find(question.group)
-                    .filter(c -> c.add(toStart(self, question.id, question.request)))
+                    .find(pending.group)
+                    .filter(c -> c.add(toStart(self, pending.id, pending.request)))
                     .isPresent();
             if (!accepted) {
-                unanswered(question);
+                unanswered(pending);
             }
             return;
         }
-        long left = question.askedAt + SILENCE_NANOS - now;
-        question.silence = timers.schedule(Math.max(0, left), () -> checkSilence(question));
-        send(question);
+        long left = pending.askedAt + SILENCE_NANOS - now;
+        pending.silence = timers.schedule(Math.max(0, left), () -> checkSilence(pending));
+        send(pending);
     }
 
-    private void send(Question question) {
-        relay.send(question.controller, StartRequestMessage.of(question.id, question.request, timers.nanoTime()));
+    private void send(PendingStart pending) {
+        relay.send(pending.controller, StartRequestMessage.of(pending.id, pending.request, timers.nanoTime()));
     }
 
     /** Sends a start request again if it may have been lost, or if the controller may have lost it since. */
-    private void renew(Question question) {
-        if (questions.get(question.id) != question || question.controller.equals(self)) {
+    private void renew(PendingStart pending) {
+        if (pendingStarts.get(pending.id) != pending || pending.controller.equals(self)) {
             return;
         }
-        long age = timers.nanoTime() - question.askedAt;
-        if (question.acknowledged && age >= RENEWAL_NANOS) {
-            ask(question);
-        } else if (!question.acknowledged && age >= BatchService.LOAD_INTERVAL_NANOS) {
-            send(question);
+        long age = timers.nanoTime() - pending.askedAt;
+        if (pending.acknowledged && age >= RENEWAL_NANOS) {
+            ask(pending);
+        } else if (!pending.acknowledged && age >= BatchService.LOAD_INTERVAL_NANOS) {
+            send(pending);
         }
     }
 
     /** Returns the time from which the wait for the controller counts, monotonic time in nanoseconds. */
-    private long silentSince(Question question) {
-        return question.acknowledged ? contacts.lastHeardAt(question.controller, question.askedAt) : question.askedAt;
+    private long silentSince(PendingStart pending) {
+        return pending.acknowledged ? contacts.lastHeardAt(pending.controller, pending.askedAt) : pending.askedAt;
     }
 
-    private void checkSilence(Question question) {
+    private void checkSilence(PendingStart pending) {
         long now = timers.nanoTime();
-        long since = silentSince(question);
+        long since = silentSince(pending);
         long left = since + SILENCE_NANOS - now;
         if (left > 0) {
-            question.silence = timers.schedule(left, () -> checkSilence(question));
+            pending.silence = timers.schedule(left, () -> checkSilence(pending));
             return;
         }
-        contacts.onUnanswered(question.controller, question.request.route().name(), since, now);
-        unanswered(question);
+        contacts.onUnanswered(pending.controller, pending.request.route().name(), since, now);
+        unanswered(pending);
     }
 
-    private void unanswered(Question question) {
+    private void unanswered(PendingStart pending) {
         counters.recordUnanswered();
         if (log.allowsFailed(timers.nanoTime())) {
             LOGGER.info(
                     "event=admission-unanswered start_id={} controller={} acknowledged={}",
-                    question.id,
-                    question.controller,
-                    question.acknowledged);
+                    pending.id,
+                    pending.controller,
+                    pending.acknowledged);
         }
-        close(question);
-        cancelAtController(question);
-        question.listener.decideLocally();
+        close(pending);
+        cancelAtController(pending);
+        pending.listener.decideLocally();
     }
 
-    /** Ends a question, so that no further response counts. */
-    private void close(Question question) {
-        questions.remove(question.id);
-        question.silence.cancel();
+    /** Ends a pending start request, so that no further response counts. */
+    private void close(PendingStart pending) {
+        pendingStarts.remove(pending.id);
+        pending.silence.cancel();
     }
 
-    private void cancelAtController(Question question) {
-        if (question.controller.equals(self)) {
-            controllers.cancel(self, question.id);
+    private void cancelAtController(PendingStart pending) {
+        if (pending.controller.equals(self)) {
+            controllers.cancel(self, pending.id);
         } else {
-            relay.send(question.controller, new StartCancelMessage(question.id));
+            relay.send(pending.controller, new StartCancelMessage(pending.id));
         }
     }
 
@@ -451,7 +451,7 @@
     }
 
     /** A start request without a decision. */
-    private static final class Question {
+    private static final class PendingStart {
         private final long id;
         private final StagedRequest request;
         private final String group;
@@ -461,7 +461,7 @@
         private boolean acknowledged;
         private TimerSubscription silence = () -> {};
 
-        private Question(long id, StagedRequest request, String group, Listener listener) {
+        private PendingStart(long id, StagedRequest request, String group, Listener listener) {
             this.id = id;
             this.request = request;
             this.group = group;
--- a/library/src/main/java/org/copperspindle/admission/StageStarts.java
+++ b/library/src/main/java/org/copperspindle/admission/StageStarts.java
@@ -33,7 +33,7 @@
     boolean isShort(StagedRequest request);
 
     /**
-     * Asks the controller. The listener is called exactly once unless the question is cancelled, possibly before this
+     * Asks the controller. The listener is called exactly once unless the start request is cancelled, possibly before this
      * method returns.
      *
      * @param request  the request
@@ -43,7 +43,7 @@
     void request(StagedRequest request, long id, Listener listener);
 
     /**
-     * Cancels a question whose request has ended; its listener is not called any more.
+     * Cancels the start request of a request that has ended; its listener is not called any more.
      *
      * @param id the id
      */
--- a/library/src/main/java/org/copperspindle/backpressure/UpstreamLoads.java
+++ b/library/src/main/java/org/copperspindle/backpressure/UpstreamLoads.java
@@ -77,7 +77,7 @@
     }
 
     /**
-     * Returns how long work takes an upstream, averaged with a half-life of one second.
+     * Returns how long work takes an upstream, as an exponentially weighted average (half-life one second).
      *
      * @param upstream    its id
      * @param incarnation its incarnation
--- a/library/src/main/java/org/copperspindle/batch/BatchService.java
+++ b/library/src/main/java/org/copperspindle/batch/BatchService.java
@@ -66,7 +66,7 @@
     private final Function<String, Optional<BatchLimits>> limits;
     private final LogRateLimiter log;
     private final Map<String, PoolDispatcher> dispatchers = new HashMap<>();
-    private final ReceivedLoads loads = new ReceivedLoads();
+    private final ReceivedLoads loads;
     private final ExpectedPieces expectedPieces = new ExpectedPieces();
     private final PauseDetector pauseDetector = new PauseDetector();
     private final Map<Long, PendingGroup> pending = new LinkedHashMap<>();
@@ -112,6 +112,7 @@
         this.limits = limits;
         this.chooser = new DispatcherChooser(relay, status);
         this.log = log;
+        this.loads = new ReceivedLoads(log);
         directory.subscribe(this::upstreamChanged);
     }
 
@@ -292,7 +293,7 @@
         } else if (message instanceof PieceResultsMessage results) {
             onResults(node.address(), results);
         } else if (message instanceof PoolLoadMessage load) {
-            loads.put(load, timers.nanoTime());
+            loads.put(node.address(), load, timers.nanoTime());
         } else if (message instanceof ExpectedPiecesMessage expected) {
             expectedPieces.onUpdate(node.address(), expected.pool(), expected.pieces(), timers.nanoTime());
         }
--- a/library/src/main/java/org/copperspindle/batch/PoolLoadMessage.java
+++ b/library/src/main/java/org/copperspindle/batch/PoolLoadMessage.java
@@ -27,6 +27,27 @@
     public static final MessageCodec<PoolLoadMessage> CODEC =
             MessageCodec.of(235, PoolLoadMessage.class, PoolLoadMessage::write, PoolLoadMessage::read);
 
+    /** Longest wait in milliseconds that is believed: no caller waits longer. */
+    private static final long MAX_WAIT_MILLIS = Duration.ofHours(1).toMillis();
+
+    /** Far above the pieces of any real pool. */
+    private static final long MAX_PIECES = 1_000_000_000L;
+
+    /**
+     * Returns whether the message may be used.
+     *
+     * @return false if a value is out of range
+     */
+    public boolean isValid() {
+        return isWithin(waitMillis, MAX_WAIT_MILLIS)
+                && isWithin(perSecond, MAX_PIECES)
+                && isWithin(expectedPieces, MAX_PIECES);
+    }
+
+    private static boolean isWithin(long value, long most) {
+        return value >= 0 && value <= most;
+    }
+
     private void write(FieldWriter out) {
         out.put(1, pool).put(2, waitMillis).put(3, perSecond).put(4, expectedPieces);
         if (isShort) {
--- a/library/src/main/java/org/copperspindle/batch/ReceivedLoads.java
+++ b/library/src/main/java/org/copperspindle/batch/ReceivedLoads.java
@@ -4,16 +4,33 @@
 import java.util.Map;
 import java.util.Optional;
 
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.copperspindle.measure.LogRateLimiter;
+
 /**
  * The loads of pools that their dispatchers have sent to this node.
  */
 final class ReceivedLoads {
 
+    private static final Logger LOGGER = LogManager.getLogger(ReceivedLoads.class);
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
+    private final LogRateLimiter log;
     private final Map<String, Load> loads = new HashMap<>();
 
-    void put(PoolLoadMessage message, long now) {
+    ReceivedLoads(LogRateLimiter log) {
+        this.log = log;
+    }
+
+    /** Takes a load; drops one with impossible values. */
+    void put(String node, PoolLoadMessage message, long now) {
+        if (!message.isValid()) {
+            if (log.allowsFailed(now)) {
+                LOGGER.warn("event=pool-load-dropped node={} pool={}", node, message.pool());
+            }
+            return;
+        }
         PoolLoad load =
                 new PoolLoad(message.waitMillis() * NANOS_PER_MILLI, message.perSecond(), message.expectedPieces());
         loads.put(message.pool(), new Load(load, now));
--- a/library/src/main/java/org/copperspindle/engineload/OwnerPool.java
+++ b/library/src/main/java/org/copperspindle/engineload/OwnerPool.java
@@ -31,6 +31,15 @@
     /** Changes that are sent between two regular tables; more would exceed the traffic that a node may cause. */
     private static final int MAX_EARLY_CHANGES = 16;
 
+    /**
+     * Time between whole tables for each engine, so that they cause the same traffic in pools of any size. A node that
+     * has dropped its table gets only changes otherwise, and takes engines that are not among them for fast ones.
+     */
+    private static final long WHOLE_TABLE_NANOS_PER_ENGINE =
+            Duration.ofMillis(25).toNanos();
+
+    private static final long MIN_WHOLE_TABLE_NANOS = Duration.ofSeconds(1).toNanos();
+
     private static final double MILLIS_PER_SECOND = 1000;
 
     private final String name;
@@ -42,6 +51,7 @@
     private boolean needed;
     private long neededAt;
     private long sentAt;
+    private long wholeAt;
 
     OwnerPool(String name) {
         this.name = name;
@@ -106,10 +116,15 @@
         if (!needed) {
             return Optional.empty();
         }
+        boolean whole = regular && isWholeDue(now);
         Map<String, EngineLoad> changed = new LinkedHashMap<>();
         loads.forEach((id, load) -> {
-            if (load.differsFrom(sent.getOrDefault(id, EngineLoad.NONE)) || !sent.containsKey(id)) {
+            EngineLoad known = sent.get(id);
+            if (known == null || load.differsFrom(known)) {
                 changed.put(id, load);
+            } else if (whole) {
+                // What the other nodes have already, so that a repeated entry changes no choice.
+                changed.put(id, known);
             }
         });
         boolean due = !changed.isEmpty() || now - sentAt >= CONFIRM_NANOS;
@@ -118,9 +133,14 @@
         }
         sent.putAll(changed);
         sentAt = now;
+        wholeAt = whole ? now : wholeAt;
         return Optional.of(message(changed, now));
     }
 
+    private boolean isWholeDue(long now) {
+        return now - wholeAt >= Math.max(MIN_WHOLE_TABLE_NANOS, loads.size() * WHOLE_TABLE_NANOS_PER_ENGINE);
+    }
+
     private EngineLoadsMessage message(Map<String, EngineLoad> entries, long now) {
         long perSecond = Math.round(model.speed() * MILLIS_PER_SECOND);
         return EngineLoadsMessage.of(
--- a/library/src/main/java/org/copperspindle/gateway/AdmissionMetrics.java
+++ b/library/src/main/java/org/copperspindle/gateway/AdmissionMetrics.java
@@ -34,7 +34,7 @@
                 "admission.asked",
                 "Requests of this node that wait for a decision of a controller",
                 starts,
-                FleetStageStarts::openQuestions);
+                FleetStageStarts::pendingCount);
         metrics.gauge(
                 "admission.short.pools",
                 "Pools of the groups that this node controls and finds short of capacity",
--- a/library/src/main/java/org/copperspindle/gateway/StageEntrance.java
+++ b/library/src/main/java/org/copperspindle/gateway/StageEntrance.java
@@ -25,7 +25,7 @@
     private final Set<String> tried;
     private final RequestLogger requestLogger;
     private final Listener listener;
-    private OptionalLong question = OptionalLong.empty();
+    private OptionalLong startId = OptionalLong.empty();
     private OptionalLong estimatedStagesNanos = OptionalLong.empty();
     private long stagesStartedAt;
     private boolean deferred;
@@ -55,7 +55,7 @@
 
     /** Decides on the request, now or later. Called again when its stages have to run again. */
     void enter() {
-        if (cancelled || question.isPresent()) {
+        if (cancelled || startId.isPresent()) {
             return;
         }
         if (refuseUnservable()) {
@@ -72,8 +72,8 @@
     void cancel() {
         cancelled = true;
         setDeferred(false);
-        question.ifPresent(context.stageStarts()::cancel);
-        question = OptionalLong.empty();
+        startId.ifPresent(context.stageStarts()::cancel);
+        startId = OptionalLong.empty();
     }
 
     /** Records that the stages are done, if this node estimated their duration. */
@@ -105,9 +105,9 @@
         setDeferred(false);
         long id = context.batches().nextId();
         long askedAt = context.timers().nanoTime();
-        question = OptionalLong.of(id);
+        startId = OptionalLong.of(id);
         context.stageStarts().request(admitted, id, new ControllerListener(id, askedAt));
-        if (question.isPresent() && question.getAsLong() == id) {
+        if (startId.isPresent() && startId.getAsLong() == id) {
             requestLogger.startAsked(id, askedAt);
         }
     }
@@ -167,7 +167,7 @@
     }
 
     /**
-     * Handles the decision of the controller on one question; ignores it once the question is closed. This node may
+     * Handles the decision of the controller on one start request; ignores it once that is closed. This node may
      * have become isolated, or the upstreams may have requested a backoff, while the request waited.
      */
     private final class ControllerListener implements StageStarts.Listener {
@@ -203,8 +203,8 @@
         }
 
         private boolean close() {
-            boolean open = question.isPresent() && question.getAsLong() == id;
-            question = open ? OptionalLong.empty() : question;
+            boolean open = startId.isPresent() && startId.getAsLong() == id;
+            startId = open ? OptionalLong.empty() : startId;
             return open;
         }
     }
--- a/library/src/test/java/org/copperspindle/admission/FleetStageStartsTest.java
+++ b/library/src/test/java/org/copperspindle/admission/FleetStageStartsTest.java
@@ -99,7 +99,14 @@
         transport.close();
     }
 
-    /** Without a shortage a question would only delay the request. */
+    /** A malformed load must not send requests to a controller that may not exist. */
+    @Test
+    void impossibleLoadDoesNotAnnounceAShortage() {
+        mesh.onMessage(first, new PoolLoadMessage(POOL, -1, 100, 0, true));
+        assertThat(starts.isShort(request())).isFalse();
+    }
+
+    /** Without a shortage a start request would only delay the request. */
     @ParameterizedTest
     @CsvSource({"true, 0, true", "true, 599, true", "true, 600, false", "false, 0, false"})
     void asksOnlyWhileAPoolIsShort(boolean isShort, long ageMillis, boolean asks) {
@@ -312,7 +319,7 @@
         time.advance(1000 * MILLI);
         assertThat(first.sent(StartCancelMessage.class)).containsExactly(new StartCancelMessage(7));
         assertThat(listener.decisions).isEmpty();
-        assertThat(starts.openQuestions()).isZero();
+        assertThat(starts.pendingCount()).isZero();
     }
 
     /** A new table may not coordinate the route any more: nobody would decide the requests that wait. */
@@ -339,7 +346,7 @@
         assertThat(first.sent(StartRequestMessage.class)).isEmpty();
     }
 
-    /** Without the sign of life the node would decide by itself; a repeated question must not take a second place. */
+    /** Without the sign of life the node would decide by itself; a repeated start request must not take a second place. */
     @Test
     void controllerReportsThatARequestWaitsAndDecidesItOnce() {
         becomeController();
--- a/library/src/test/java/org/copperspindle/admission/StartsUnderFailuresTest.java
+++ b/library/src/test/java/org/copperspindle/admission/StartsUnderFailuresTest.java
@@ -111,7 +111,7 @@
         assertThat(listeners).filteredOn(l -> !l.decisions.contains("left")).allMatch(l -> l.decisions.size() == 1);
         assertThat(listeners).anyMatch(l -> l.decisions.contains("start"));
         assertThat(listeners).anyMatch(l -> l.decisions.contains("local"));
-        assertThat(nodes).allMatch(node -> node.starts.openQuestions() == 0 && node.starts.waitingCount() == 0);
+        assertThat(nodes).allMatch(node -> node.starts.pendingCount() == 0 && node.starts.waitingCount() == 0);
     }
 
     /** Cuts a link in one direction, closes it in both, delays it as a pause of the process does, or heals it. */
--- a/library/src/test/java/org/copperspindle/batch/BatchServiceTest.java
+++ b/library/src/test/java/org/copperspindle/batch/BatchServiceTest.java
@@ -143,6 +143,24 @@
                 .hasSize(announced);
     }
 
+    /** An impossible load, whose wait overflows, would make a pool look short or free to all decisions of this node. */
+    @ParameterizedTest
+    @CsvSource({
+        "10, 100, 3, true",
+        "-1, 100, 0, false",
+        "9223372036854775807, 100, 0, false",
+        "10, -1, 0, false",
+        "10, 9223372036854775807, 0, false",
+        "10, 100, -9223372036854775808, false",
+        "10, 100, 9223372036854775807, false"
+    })
+    void impossibleLoadIsDropped(long waitMillis, long perSecond, long expected, boolean accepted) {
+        connect(dispatcher, 2, List.of(OTHER));
+        mesh.onMessage(dispatcher, new PoolLoadMessage("loaded", waitMillis, perSecond, expected, true));
+        assertThat(service.load("loaded").waitNanos()).isEqualTo(accepted ? waitMillis * MILLI : 0);
+        assertThat(service.load("loaded").expectedPieces()).isEqualTo(accepted ? expected : 0);
+    }
+
     private BatchService service() {
         return service(time);
     }
--- a/library/src/test/java/org/copperspindle/engineload/EngineLoadsTest.java
+++ b/library/src/test/java/org/copperspindle/engineload/EngineLoadsTest.java
@@ -238,6 +238,20 @@
         assertThat(late.sent(EngineLoadsMessage.class).get(0).engines()).containsExactlyInAnyOrder("e0", "e1");
     }
 
+    /** A node that has dropped its table would take engines that don't change for fast ones, and a slow one first. */
+    @Test
+    void nodeWithAPartialTableGetsAllEnginesAgain() {
+        owner = SELF;
+        for (int i = 0; i < 6; i++) {
+            mesh.onMessage(other, samples("e0", 90_000, 1));
+            mesh.onMessage(other, samples("e1", 90_000, 1));
+            time.advance(300 * MILLI);
+        }
+        assertThat(other.sent(EngineLoadsMessage.class))
+                .filteredOn(table -> table.engines().size() == 2)
+                .hasSizeBetween(2, 3);
+    }
+
     /** The load owner must not talk to itself over the network. */
     @Test
     void ownerSendsNoReports() {
--- a/library/src/test/java/org/copperspindle/gateway/StageEntranceTest.java
+++ b/library/src/test/java/org/copperspindle/gateway/StageEntranceTest.java
@@ -90,7 +90,7 @@
     /** A caller that has left, or whose time is over, must not start stages by a decision that comes later. */
     @ParameterizedTest
     @CsvSource({"start", "refuse", "local"})
-    void endedRequestCancelsItsQuestion(String decision) {
+    void endedRequestCancelsItsStartRequest(String decision) {
         entrance.enter();
         entrance.cancel();
         starts.decide(0, decision);
@@ -196,7 +196,7 @@
         }
     }
 
-    /** Records the questions; decides when the test says so, even on questions that were decided or cancelled. */
+    /** Records the start requests; decides when the test says so, even on ones that were decided or cancelled. */
     private static final class FakeStarts implements StageStarts {
         private final List<Long> asked = new ArrayList<>();
         private final List<Long> cancelled = new ArrayList<>();
@@ -219,8 +219,8 @@
             cancelled.add(id);
         }
 
-        void decide(int question, String decision) {
-            Listener listener = listeners.get(question);
+        void decide(int index, String decision) {
+            Listener listener = listeners.get(index);
             if (decision.equals("start")) {
                 listener.start();
             } else if (decision.equals("refuse")) {
