--- a/library/src/main/java/org/copperspindle/batch/PieceGroup.java
+++ b/library/src/main/java/org/copperspindle/batch/PieceGroup.java
@@ -27,6 +27,7 @@
  * @param inputBytes     approximate size of all inputs together; each piece fetches them
  * @param readerDomain   failure domain in which the results will be read; empty if that is not known yet
  * @param ownsInputs     true if nobody else reads the inputs, so that the dispatcher releases them
+ * @param resumed        true if the request's stream was interrupted and its caller waits for the next event
  */
 public record PieceGroup(
         long id,
@@ -43,7 +44,8 @@
         long resultBytes,
         long inputBytes,
         String readerDomain,
-        boolean ownsInputs)
+        boolean ownsInputs,
+        boolean resumed)
         implements WireMessage {
 
     /** Codec of this message. */
@@ -79,7 +81,8 @@
                 resultBytes,
                 inputBytes,
                 readerDomain,
-                ownsInputs);
+                ownsInputs,
+                resumed);
     }
 
     private void write(FieldWriter out) {
@@ -100,6 +103,9 @@
                 .put(12, inputBytes)
                 .put(13, ownsInputs ? 1 : 0)
                 .put(14, readerDomain);
+        if (resumed) {
+            out.put(15, true);
+        }
     }
 
     private static PieceGroup read(FieldReader in) {
@@ -119,6 +125,7 @@
                 in.getLong(11, 0),
                 in.getLong(12, 0),
                 in.getString(14),
-                in.getLong(13, 0) != 0);
+                in.getLong(13, 0) != 0,
+                in.getBoolean(15));
     }
 }
--- a/library/src/main/java/org/copperspindle/gateway/StageRun.java
+++ b/library/src/main/java/org/copperspindle/gateway/StageRun.java
@@ -251,7 +251,8 @@
                 stage.resultBytes(),
                 inputBytes(stage),
                 plan.hasReader(number) ? "" : readerDomain.orElse(""),
-                ownsInputs);
+                ownsInputs,
+                false);
         if (ownsInputs) {
             plan.markInputsReleased(number);
         }
--- a/library/src/test/java/org/copperspindle/batch/BatchServiceTest.java
+++ b/library/src/test/java/org/copperspindle/batch/BatchServiceTest.java
@@ -189,7 +189,7 @@
 
     private PieceGroup group() {
         return new PieceGroup(
-                service.nextId(), "r", 0, "p", 1, List.of(0), "k", List.of(), 4, 2000, 9000, 10, 0, "", false);
+                service.nextId(), "r", 0, "p", 1, List.of(0), "k", List.of(), 4, 2000, 9000, 10, 0, "", false, false);
     }
 
     private static NodeHelloMessage hello(int fitness) {
--- a/library/src/test/java/org/copperspindle/batch/PaceReplay.java
+++ b/library/src/test/java/org/copperspindle/batch/PaceReplay.java
@@ -166,6 +166,7 @@
                 10_000,
                 0,
                 "",
+                false,
                 false);
     }
 
--- a/library/src/test/java/org/copperspindle/batch/PieceQueueTest.java
+++ b/library/src/test/java/org/copperspindle/batch/PieceQueueTest.java
@@ -137,7 +137,7 @@
     private static WaitingGroup group(long id, int pieces, long slackMillis, int rank, long bytes) {
         List<Integer> all = IntStream.range(0, pieces).boxed().toList();
         PieceGroup group = new PieceGroup(
-                id, "r", 0, "p", pieces, all, "k", List.of(), rank, slackMillis, 2000, bytes, 0, "", false);
+                id, "r", 0, "p", pieces, all, "k", List.of(), rank, slackMillis, 2000, bytes, 0, "", false, false);
         return new WaitingGroup("n", group, 0);
     }
 }
--- a/library/src/test/java/org/copperspindle/batch/PoolDispatcherTest.java
+++ b/library/src/test/java/org/copperspindle/batch/PoolDispatcherTest.java
@@ -415,6 +415,7 @@
                 bytes,
                 0,
                 "",
+                false,
                 false);
     }
 
@@ -434,7 +435,8 @@
                 10,
                 inputBytes,
                 "",
-                true);
+                true,
+                false);
     }
 
     private static List<Integer> all(int pieces) {
--- a/library/src/test/java/org/copperspindle/batch/ResultMemoryTest.java
+++ b/library/src/test/java/org/copperspindle/batch/ResultMemoryTest.java
@@ -103,7 +103,22 @@
         List<Integer> all = IntStream.range(0, pieces).boxed().toList();
         long left = OBJECTIVE_MILLIS - (time.nanoTime() - startedAt.get(id)) / MILLI;
         return new PieceGroup(
-                id, "r" + id, stage, pool, pieces, all, "k", inputs, 4, left, 4000, bytes, 0, "", early && stage == 1);
+                id,
+                "r" + id,
+                stage,
+                pool,
+                pieces,
+                all,
+                "k",
+                inputs,
+                4,
+                left,
+                4000,
+                bytes,
+                0,
+                "",
+                early && stage == 1,
+                false);
     }
 
     /** The node of the request, which receives the results of the second pool. */
--- a/library/src/test/java/org/copperspindle/batch/SharedCallsTest.java
+++ b/library/src/test/java/org/copperspindle/batch/SharedCallsTest.java
@@ -88,6 +88,7 @@
 
     private static PieceGroup group(long id) {
         List<Integer> all = IntStream.range(0, 8).boxed().toList();
-        return new PieceGroup(id, "r" + id, 0, "p", 8, all, "k", List.of(), 4, SLACK_MILLIS, 4000, 10, 0, "", false);
+        return new PieceGroup(
+                id, "r" + id, 0, "p", 8, all, "k", List.of(), 4, SLACK_MILLIS, 4000, 10, 0, "", false, false);
     }
 }
--- a/library/src/test/java/org/copperspindle/batch/SplitCallsTest.java
+++ b/library/src/test/java/org/copperspindle/batch/SplitCallsTest.java
@@ -85,6 +85,7 @@
     }
 
     private static PieceGroup group(long id) {
-        return new PieceGroup(id, "r" + id, 0, "p", 1, List.of(0), "k", List.of(), 4, 9000, 30_000, 10, 0, "", false);
+        return new PieceGroup(
+                id, "r" + id, 0, "p", 1, List.of(0), "k", List.of(), 4, 9000, 30_000, 10, 0, "", false, false);
     }
 }
--- a/library/src/test/java/org/copperspindle/batch/SplitGroupsTest.java
+++ b/library/src/test/java/org/copperspindle/batch/SplitGroupsTest.java
@@ -73,6 +73,6 @@
     private static PieceGroup group(long id, int pieces) {
         List<Integer> all = IntStream.range(0, pieces).boxed().toList();
         return new PieceGroup(
-                id, "r" + id, 0, "p", pieces, all, "k", List.of(), 4, OBJECTIVE_MILLIS, 4000, 10, 0, "", false);
+                id, "r" + id, 0, "p", pieces, all, "k", List.of(), 4, OBJECTIVE_MILLIS, 4000, 10, 0, "", false, false);
     }
 }
--- a/library/src/test/java/org/copperspindle/batch/TestGroups.java
+++ b/library/src/test/java/org/copperspindle/batch/TestGroups.java
@@ -27,6 +27,7 @@
                 10,
                 0,
                 "",
+                false,
                 false);
     }
 }
