Bound the part of a controller's time that admission decisions take

A controller that falls behind has more waiting requests, each round of decisions then takes longer, and the node, which dispatches calls as well, falls behind further. Change: after a round the controller decides again at the earliest after four times as long, and at least every 20 ms as before; arrivals and new loads in between are decided together. While a round takes 5 ms or less nothing changes but that arrivals wait up to 20 ms.

--- a/library/src/main/java/org/copperspindle/admission/GroupControllers.java
+++ b/library/src/main/java/org/copperspindle/admission/GroupControllers.java
@@ -104,7 +104,7 @@
 
     /** Decides again after the load of a pool of the group has changed. */
     void loadChanged(String group) {
-        Optional.ofNullable(controllers.get(group)).ifPresent(StartController::decide);
+        Optional.ofNullable(controllers.get(group)).ifPresent(StartController::decideWithinBudget);
     }
 
     void cancel(String node, long id) {
--- a/library/src/main/java/org/copperspindle/admission/StartController.java
+++ b/library/src/main/java/org/copperspindle/admission/StartController.java
@@ -21,6 +21,13 @@
     /** Interval of decisions while requests wait: a quarter of the age that the reported loads may have. */
     private static final long DECISION_INTERVAL_NANOS = Duration.ofMillis(20).toNanos();
 
+    /**
+     * Decisions take at most one of so many parts of the time: their cost grows with the number of waiting requests, and
+     * the node that decides also dispatches calls. Without a bound, a queue that is longer than usual delays the
+     * dispatch, which makes it longer still.
+     */
+    private static final int PARTS_OF_TIME = 5;
+
     /** Maximum number of waiting requests; their nodes decide any beyond it. */
     private static final int MAX_WAITING = 4096;
 
@@ -34,6 +41,8 @@
     private final LogRateLimiter log;
     private final DeferredTask nextDecision;
     private final Map<Key, Waiting> waiting = new HashMap<>();
+    private long restUntil;
+    private boolean rests;
 
     StartController(
             StartPolicy policy, TimerService timers, Responder responder, StartCounters counters, LogRateLimiter log) {
@@ -43,7 +52,7 @@
         this.responder = responder;
         this.counters = counters;
         this.log = log;
-        this.nextDecision = new DeferredTask(timers, this::decide);
+        this.nextDecision = new DeferredTask(timers, this::decideWithinBudget);
     }
 
     /**
@@ -61,7 +70,7 @@
             long now = timers.nanoTime();
             waiting.put(key, new Waiting(now, request.request().rank(), isTimely(request.request(), now)));
             queue.add(request, now);
-            decide();
+            decideWithinBudget();
         }
         if (waiting.containsKey(key)) {
             responder.queued(request.node(), request.id());
@@ -82,21 +91,13 @@
         }
     }
 
-    /** Decides which requests start or are refused by the present loads. */
-    void decide() {
-        if (waiting.isEmpty()) {
-            return;
-        }
-        long now = timers.nanoTime();
-        for (StartDecision decision : queue.decide(forecast, now)) {
-            Waiting entry = waiting.remove(Key.of(decision.request()));
-            if (entry != null) {
-                record(decision, entry, now);
-                responder.decided(decision);
-            }
-        }
-        if (!waiting.isEmpty()) {
-            nextDecision.schedule(DECISION_INTERVAL_NANOS);
+    /** Decides now, or as soon as decisions have taken no more than their part of the time. */
+    void decideWithinBudget() {
+        long left = restUntil - timers.nanoTime();
+        if (rests && left > 0) {
+            nextDecision.schedule(left);
+        } else {
+            decide();
         }
     }
 
@@ -114,6 +115,27 @@
         return (int) waiting.values().stream().filter(w -> w.rank() == rank).count();
     }
 
+    /** Decides which requests start or are refused by the present loads. */
+    private void decide() {
+        if (waiting.isEmpty()) {
+            return;
+        }
+        long now = timers.nanoTime();
+        for (StartDecision decision : queue.decide(forecast, now)) {
+            Waiting entry = waiting.remove(Key.of(decision.request()));
+            if (entry != null) {
+                record(decision, entry, now);
+                responder.decided(decision);
+            }
+        }
+        long end = timers.nanoTime();
+        rests = end - now > 0;
+        restUntil = end + (PARTS_OF_TIME - 1) * (end - now);
+        if (!waiting.isEmpty()) {
+            nextDecision.schedule(Math.max(DECISION_INTERVAL_NANOS, restUntil - end));
+        }
+    }
+
     private boolean isTimely(StagedRequest request, long now) {
         long end = now + forecast.shortestNanos(request) + forecast.queueingNanos(request);
         return end - request.objectiveAt() <= 0;
