--- a/library/src/main/java/org/copperspindle/direct/DirectExchange.java
+++ b/library/src/main/java/org/copperspindle/direct/DirectExchange.java
@@ -68,6 +68,7 @@
     void sendingOn(DirectConnection used) {
         connection = used;
         sent = true;
+        listener.onSent();
     }
 
     void onHead(DirectHead head) {
--- a/library/src/main/java/org/copperspindle/direct/DirectListener.java
+++ b/library/src/main/java/org/copperspindle/direct/DirectListener.java
@@ -1,11 +1,17 @@
 package org.copperspindle.direct;
 
 /**
- * Receives the response to a call, on the network thread: a head, data, then the end; or at any moment a failure.
- * Nothing follows the end or the failure.
+ * Receives the progress of a call, on the network thread: that it is sent, then a head, data, then the end; or at any
+ * moment a failure. Nothing follows the end or the failure.
  */
 public interface DirectListener {
 
+    /**
+     * The call is about to be written to an open connection; opening a new one may have taken a while. Called again if a
+     * kept connection was lost at once and the call is sent on a new one.
+     */
+    default void onSent() {}
+
     /**
      * The head was received, and it belongs to this call.
      *
--- a/library/src/main/java/org/copperspindle/gateway/AdmittedRequest.java
+++ b/library/src/main/java/org/copperspindle/gateway/AdmittedRequest.java
@@ -2,10 +2,12 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 import org.copperspindle.admission.StagedRequest;
 import org.copperspindle.quarantine.RequestDigest;
 import org.copperspindle.quarantine.TrackedRequest;
+import org.copperspindle.resume.ResumePlan;
 import org.copperspindle.route.BatchLimits;
 import org.copperspindle.route.ClientAccount;
 import org.copperspindle.route.Route;
@@ -67,6 +69,19 @@
         return account.map(ClientAccount::name).orElse("");
     }
 
+    /** Returns the same request while its interrupted stream is resumed by a plan. */
+    AdmittedRequest resumed(ResumePlan plan) {
+        return new AdmittedRequest(request, table, route, account, pool, times.resumed(route, plan));
+    }
+
+    /**
+     * Returns the time until which the next event of an interrupted stream is on time, in nanoseconds of the monotonic
+     * clock; empty for all other requests.
+     */
+    OptionalLong resumedUntil() {
+        return times.resumed() ? OptionalLong.of(times.objectiveAt()) : OptionalLong.empty();
+    }
+
     /** Describes the request to the quarantine. The digest is computed only when the quarantine asks for it. */
     TrackedRequest tracked() {
         return new TrackedRequest(
--- a/library/src/main/java/org/copperspindle/gateway/EventStreamRelay.java
+++ b/library/src/main/java/org/copperspindle/gateway/EventStreamRelay.java
@@ -23,6 +23,7 @@
     private boolean started;
     private OptionalLong lastEventId = OptionalLong.empty();
     private long eventCount;
+    private OptionalLong repeatedId = OptionalLong.empty();
     private boolean gapFound;
     private OptionalLong firstEventAt = OptionalLong.empty();
     private long lastEventAt;
@@ -39,12 +40,23 @@
         this.clock = clock;
     }
 
-    /** Starts reading the stream of an upstream. The head of the first one becomes the head of the response. */
-    void beginStream(int status, List<HeaderField> fields) {
+    /**
+     * Starts reading the stream of an upstream. The head of the first one becomes the head of the response.
+     *
+     * @param status HTTP status of the stream
+     * @param fields header fields for the caller
+     * @return false if the caller has already received the head of a response with another status, which this stream
+     *     can't continue
+     */
+    boolean beginStream(int status, List<HeaderField> fields) {
         framer = new EventFramer();
+        // Neither describes the stream of another upstream.
+        gapFound = false;
+        repeatedId = OptionalLong.empty();
         if (head.isEmpty()) {
             head = Optional.of(new ResponseHead(status, fields));
         }
+        return head.get().status() == status;
     }
 
     /** Discards the head of an upstream that failed before its first event. */
@@ -58,6 +70,7 @@
     boolean accept(byte[] data) {
         for (StreamEvent event : framer.accept(data)) {
             if (isDuplicate(event)) {
+                repeatedId = event.id();
                 continue;
             }
             gapFound |= isGap(event);
@@ -83,9 +96,22 @@
         return started;
     }
 
-    /** Returns whether the stream ended at an event boundary, without a gap in the event ids. */
+    /**
+     * Returns whether the stream ended at an event boundary, without a gap in the event ids. A stream that repeated
+     * events, but ended before the last event that the caller has, is not the same stream.
+     */
     boolean isComplete() {
-        return !framer.hasPartialEvent() && !gapFound;
+        return !framer.hasPartialEvent() && !gapFound && !endsInRepeatedEvents();
+    }
+
+    /** Returns whether another upstream can continue the response: without event ids it would repeat all events. */
+    boolean canContinue() {
+        return !started || lastEventId.isPresent();
+    }
+
+    /** Returns the time at which the last event was relayed; empty if none was. */
+    OptionalLong lastEventAt() {
+        return firstEventAt.isPresent() ? OptionalLong.of(lastEventAt) : OptionalLong.empty();
     }
 
     OptionalLong lastEventId() {
@@ -121,6 +147,7 @@
         recordTime();
         if (event.id().isPresent()) {
             lastEventId = event.id();
+            repeatedId = OptionalLong.empty();
         }
         exchange.write(event.bytes());
     }
@@ -145,6 +172,10 @@
         return lastEventId.isPresent() && event.id().isPresent() && event.id().getAsLong() <= lastEventId.getAsLong();
     }
 
+    private boolean endsInRepeatedEvents() {
+        return repeatedId.isPresent() && repeatedId.getAsLong() < lastEventId.orElseThrow();
+    }
+
     private boolean isGap(StreamEvent event) {
         return lastEventId.isPresent()
                 && event.id().isPresent()
--- a/library/src/main/java/org/copperspindle/gateway/GatewayContext.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayContext.java
@@ -46,6 +46,7 @@
  * @param random              draws pools by weight
  * @param retryAfterDelays    when refused callers should retry
  * @param quarantine          quarantines requests that terminate their upstreams
+ * @param resumptions         plans how interrupted streams are resumed
  * @param memory              memory held for callers
  * @param pausedUpstreams     upstreams that are not read because their callers don't read
  */
@@ -74,5 +75,6 @@
         RandomGenerator random,
         RetryAfterDelays retryAfterDelays,
         RequestQuarantine quarantine,
+        StreamResumptions resumptions,
         HeldMemory memory,
         PausedUpstreams pausedUpstreams) {}
--- a/library/src/main/java/org/copperspindle/gateway/GatewayCounters.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayCounters.java
@@ -26,6 +26,8 @@
     private int open;
     private long attempts;
     private long retries;
+    private long resumedStreams;
+    private long resumedInTime;
 
     void recordStart() {
         open++;
@@ -57,6 +59,12 @@
         }
     }
 
+    /** Counts a stream whose caller receives events again after the loss of its engine. */
+    void recordResumed(boolean inTime) {
+        resumedStreams++;
+        resumedInTime += inTime ? 1 : 0;
+    }
+
     int open() {
         return open;
     }
@@ -69,6 +77,14 @@
         return retries;
     }
 
+    long resumedStreams() {
+        return resumedStreams;
+    }
+
+    long resumedInTime() {
+        return resumedInTime;
+    }
+
     /** Returns counts by route and outcome. */
     Map<String, Map<String, Long>> outcomes() {
         return outcomes;
--- a/library/src/main/java/org/copperspindle/gateway/GatewayMetrics.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayMetrics.java
@@ -151,6 +151,16 @@
                 "Attempts beyond the first",
                 node,
                 n -> n.counters().retries());
+        metrics.counter(
+                "streams.resumed",
+                "Interrupted streams whose callers received events again",
+                node,
+                n -> n.counters().resumedStreams());
+        metrics.counter(
+                "streams.resumed.in.time",
+                "Interrupted streams whose pause was not longer than their route allows",
+                node,
+                n -> n.counters().resumedInTime());
         metrics.counter("upstream.connects", "Connections opened to upstreams", node, NodeState::connects);
         return metrics;
     }
--- a/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
@@ -232,6 +232,7 @@
                 ThreadLocalRandom.current(),
                 new RetryAfterDelays(ThreadLocalRandom.current()),
                 quarantine,
+                new StreamResumptions(counters),
                 memory,
                 paused);
         subscribe();
--- a/library/src/main/java/org/copperspindle/gateway/RequestLogger.java
+++ b/library/src/main/java/org/copperspindle/gateway/RequestLogger.java
@@ -162,6 +162,25 @@
                 text(estimate, EngineEstimate::waitingTokens));
     }
 
+    /**
+     * Logs that the caller of an interrupted stream receives events again.
+     *
+     * @param sinceLastEventNanos time since the last event of the engine that was lost
+     * @param stagesNanos         how much of it the stages took
+     * @param inTime              whether that is within the longest pause of the route
+     * @param now                 monotonic time in nanoseconds
+     */
+    void resumed(long sinceLastEventNanos, long stagesNanos, boolean inTime, long now) {
+        if (isLogged(!inTime, now)) {
+            LOGGER.info(
+                    "event=stream-resumed request={} since_last_event_ms={} stages_ms={} in_time={}",
+                    id,
+                    sinceLastEventNanos / NANOS_PER_MILLI,
+                    stagesNanos / NANOS_PER_MILLI,
+                    inTime);
+        }
+    }
+
     /**
      * Logs the end of the request.
      *
--- a/library/src/main/java/org/copperspindle/gateway/RequestRun.java
+++ b/library/src/main/java/org/copperspindle/gateway/RequestRun.java
@@ -27,9 +27,6 @@
     /** Attempts that reached no upstream cost nothing there, but each costs the caller up to a connection timeout. */
     private static final int MAX_UNSENT = 3;
 
-    /** Stages are run again once: results that are lost twice mean that their producers have a fault. */
-    private static final int MAX_STAGE_RUNS = 2;
-
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
     private static final int SERVER_ERROR = 500;
@@ -45,16 +42,17 @@
     private final EventStreamRelay relay;
     private final RequestLogger requestLogger;
     private final TrackedRequest tracked;
+    private final StreamResumption resumption;
+    private final SilenceWatch silence;
+    private final RequestStages stages;
     private final Set<String> tried = new HashSet<>();
     private final StageEntrance entrance;
     private final UpstreamAttempt.Listener attemptListener = new AttemptListener();
-    private Optional<StageRun> stages = Optional.empty();
     private Optional<UpstreamSearch> search = Optional.empty();
     private Optional<UpstreamAttempt> attempt = Optional.empty();
     private Optional<UpstreamRun> lastRun = Optional.empty();
     private TimerSubscription timeout = () -> {};
     private long firstEventAt;
-    private int stageRuns;
     private int sent;
     private int unsent;
     private boolean mayHaveRun;
@@ -73,6 +71,9 @@
         this.tracked = admitted.tracked();
         exchange.memoryHolder().describe(request.id(), route.isIdempotent());
         this.requestLogger = new RequestLogger(context.log(), context.tracker(), admitted);
+        this.resumption = new StreamResumption(context, admitted, relay, requestLogger);
+        this.silence = new SilenceWatch(context, admitted, this::mayResume);
+        this.stages = new RequestStages(context, admitted, resumption, this::likelyFailureDomain, this);
         this.entrance = new StageEntrance(context, admitted, tried, requestLogger, new EntranceListener());
     }
 
@@ -125,15 +126,16 @@
 
     @Override
     public void onStagesDone() {
-        if (stageRuns == 1 && !route.stages().isEmpty()) {
+        if (stages.runs() == 1) {
             entrance.recordStages();
         }
+        resumption.onStagesDone();
         startAttempt();
     }
 
     @Override
     public void onMissed(int stage, MissReason reason) {
-        if (reason == MissReason.INPUT_GONE && stageRuns < MAX_STAGE_RUNS) {
+        if (reason == MissReason.INPUT_GONE && stages.tryAcquireRunAfterLoss()) {
             restartStages();
             return;
         }
@@ -155,37 +157,13 @@
      */
     private void restartStages() {
         if (mayHaveRun || relay.hasStarted()) {
-            runStages();
+            stages.run();
             return;
         }
-        stages.ifPresent(StageRun::releaseAll);
+        stages.release();
         entrance.enter();
     }
 
-    private void rerunLostStages() {
-        if (stageRuns < MAX_STAGE_RUNS) {
-            runStages();
-        } else if (relay.hasStarted()) {
-            abortResponse("stages-lost");
-        } else {
-            refuse(mayHaveRun ? Refusal.failed("stages-lost") : unavailable("stages-lost", "stage results were lost"));
-        }
-    }
-
-    private void runStages() {
-        stages.ifPresent(StageRun::releaseAll);
-        stageRuns++;
-        StageRun run = new StageRun(
-                admitted,
-                likelyFailureDomain(),
-                context.firstEventLatencies().expectedNanos(route),
-                context.batches(),
-                context.timers(),
-                this);
-        stages = Optional.of(run);
-        run.start();
-    }
-
     /**
      * Returns the failure domain of the upstream that the request would be sent to now. Its large stage results are
      * produced there if that costs no time, because traffic between failure domains is the largest cost of stage
@@ -210,13 +188,13 @@
             refuseQuarantined();
             return;
         }
-        if (stages.filter(StageRun::isReleased).isPresent()) {
-            // The results were released; another attempt needs new ones.
-            rerunLostStages();
+        if (stages.isReleased()) {
+            // Another attempt needs new results.
+            stages.runAfterRelease();
             return;
         }
-        StageInputs inputs = stages.map(StageRun::inputs).orElse(StageInputs.NONE);
-        search = Optional.of(new UpstreamSearch(context, admitted, tried, inputs, new SearchListener()));
+        search = Optional.of(
+                new UpstreamSearch(context, resumption.request(), tried, stages.inputs(), new SearchListener()));
         search.get().seek();
     }
 
@@ -233,7 +211,7 @@
                 upstream,
                 Math.max(1, (deadlineAt - now) / NANOS_PER_MILLI),
                 admitted.account().map(ClientAccount::name),
-                stages.map(StageRun::results),
+                stages.results(),
                 resumeAfter,
                 admitted.rank(),
                 connectionUse());
@@ -247,8 +225,10 @@
         lastRun = Optional.of(run);
         UpstreamAttempt next = new UpstreamAttempt(context, admitted, run, sent, relay, attemptListener);
         attempt = Optional.of(next);
+        if (relay.hasStarted()) {
+            silence.watch(next);
+        }
         next.send(spec);
-        stages.ifPresent(stageRun -> releaseFetchedResults(stageRun, next));
     }
 
     /**
@@ -261,19 +241,6 @@
         return allowStale ? ConnectionUse.KEPT : ConnectionUse.NEW;
     }
 
-    /**
-     * Releases the stage results once the upstream has fetched them, which it does before it reads the prompt. Kept
-     * until the first event, they would leave no memory for other calls of the pool: long prompts slow the engines
-     * down while many requests finish their stages.
-     */
-    private void releaseFetchedResults(StageRun run, UpstreamAttempt reader) {
-        context.timers().schedule(run.fetchNanos(context.fetchTime()), () -> {
-            if (attempt.filter(a -> a == reader).isPresent()) {
-                run.releaseAll();
-            }
-        });
-    }
-
     /** Handles an attempt that provably did not run. */
     private void handleNotRun(String reason, boolean reached) {
         if (!reached) {
@@ -297,8 +264,9 @@
         mayHaveRun = true;
         if (context.quarantine().isQuarantined(tracked)) {
             refuseQuarantined();
-        } else if (route.isIdempotent() && sent < route.maxAttempts() && acquireRetry()) {
+        } else if (mayRunAgain() && sent < route.maxAttempts() && acquireRetry()) {
             relay.discardHead();
+            resumption.onInterrupted();
             startAttempt();
         } else if (relay.hasStarted()) {
             abortResponse(reason);
@@ -307,6 +275,23 @@
         }
     }
 
+    /** Returns whether the request may be sent to another upstream although it may have run. */
+    private boolean mayRunAgain() {
+        return route.isIdempotent() && relay.canContinue();
+    }
+
+    private boolean mayRetry() {
+        return sent < route.maxAttempts()
+                && context.retryBudget().remaining(pool, context.timers().nanoTime()) >= 1;
+    }
+
+    /** Returns whether the stream could be continued by another upstream now. */
+    private boolean mayResume() {
+        return mayRunAgain()
+                && mayRetry()
+                && choose(StageInputs.NONE, context.timers().nanoTime()).isPresent();
+    }
+
     private boolean acquireRetry() {
         return context.retryBudget().tryAcquire(pool, context.timers().nanoTime());
     }
@@ -357,11 +342,12 @@
         entrance.cancel();
         context.openRequests().remove(this);
         timeout.cancel();
+        silence.cancel();
         search.ifPresent(UpstreamSearch::cancel);
-        stages.ifPresent(StageRun::releaseAll);
+        stages.release();
         long now = context.timers().nanoTime();
         context.counters().recordEnd(route.name(), admitted.accountName(), outcome, now - admittedAt);
-        requestLogger.ended(outcome, failed, new RequestProgress(sent, unsent, stageRuns, mayHaveRun), relay, now);
+        requestLogger.ended(outcome, failed, new RequestProgress(sent, unsent, stages.runs(), mayHaveRun), relay, now);
     }
 
     private Refusal unavailable(String reason, String title) {
@@ -376,7 +362,7 @@
                 // The request was quarantined while it waited.
                 refuseQuarantined();
             } else {
-                runStages();
+                stages.run();
             }
         }
 
@@ -414,18 +400,30 @@
 
     /** Handles the progress and the end of an attempt. */
     private final class AttemptListener implements UpstreamAttempt.Listener {
+        @Override
+        public void onSent() {
+            Optional<UpstreamAttempt> reader = attempt;
+            stages.releaseOnceFetched(() -> attempt.equals(reader));
+        }
+
         @Override
         public void onFirstEvent(long tookNanos) {
-            // An upstream fetches its inputs before it sends the first event.
-            stages.ifPresent(StageRun::releaseAll);
-            context.fetchTime().recordSuccess();
+            recordInputsFetched();
             context.firstEventLatencies().observe(route, tookNanos);
             firstEventAt = context.timers().nanoTime();
+            attempt.ifPresent(silence::watch);
+        }
+
+        @Override
+        public void onContinued() {
+            recordInputsFetched();
+            resumption.onContinued();
         }
 
         @Override
         public void onStreamed() {
             attempt = Optional.empty();
+            resumption.onContinued();
             context.streamDurations().observe(route, context.timers().nanoTime() - firstEventAt);
             relay.finish();
             finish("streamed", false);
@@ -454,13 +452,13 @@
         @Override
         public void onInputsLost(String upstream) {
             attempt = Optional.empty();
-            if (stages.filter(StageRun::isReleased).isPresent()) {
+            if (stages.isReleased()) {
                 context.fetchTime().recordEarlyRelease();
             }
-            if (stageRuns < MAX_STAGE_RUNS) {
+            if (stages.tryAcquireRunAfterLoss()) {
                 sent--;
                 tried.remove(upstream);
-                runStages();
+                stages.run();
             } else {
                 handleNotRun("inputs-lost", true);
             }
@@ -475,9 +473,10 @@
             }
         }
 
-        private boolean mayRetry() {
-            return sent < route.maxAttempts()
-                    && context.retryBudget().remaining(pool, context.timers().nanoTime()) >= 1;
+        private void recordInputsFetched() {
+            // An upstream fetches its inputs before it sends the first event.
+            stages.release();
+            context.fetchTime().recordSuccess();
         }
     }
 }
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/gateway/RequestStages.java
@@ -0,0 +1,123 @@
+package org.copperspindle.gateway;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
+
+import org.copperspindle.stage.StageInputs;
+
+/**
+ * The stages of one request. They run again when their results are gone before an upstream has read them, and when
+ * another attempt needs results that were released.
+ */
+final class RequestStages {
+
+    /**
+     * Runs that may follow a loss of results: results that are lost twice mean that their producers have a fault. Runs
+     * after a release are not counted, since the attempts that they precede are limited.
+     */
+    private static final int MAX_RUNS_AFTER_LOSS = 1;
+
+    private final GatewayContext context;
+    private final AdmittedRequest admitted;
+    private final StreamResumption resumption;
+    private final Supplier<Optional<String>> readerDomain;
+    private final StageRun.Listener listener;
+    private Optional<StageRun> current = Optional.empty();
+    private int runs;
+    private int runsAfterLoss;
+
+    /**
+     * Creates the stages of a request.
+     *
+     * @param context      the shared components
+     * @param admitted     the request
+     * @param resumption   whether its stream is interrupted
+     * @param readerDomain returns the failure domain of the upstream that will probably get the request
+     * @param listener     receives the end of each run
+     */
+    RequestStages(
+            GatewayContext context,
+            AdmittedRequest admitted,
+            StreamResumption resumption,
+            Supplier<Optional<String>> readerDomain,
+            StageRun.Listener listener) {
+        this.context = context;
+        this.admitted = admitted;
+        this.resumption = resumption;
+        this.readerDomain = readerDomain;
+        this.listener = listener;
+    }
+
+    /** Starts all stages and releases the results of the run before. */
+    void run() {
+        release();
+        runs++;
+        resumption.onStagesStarted();
+        StageRun run = new StageRun(
+                resumption.request(),
+                readerDomain.get(),
+                context.firstEventLatencies().expectedNanos(admitted.route()),
+                context.batches(),
+                context.timers(),
+                listener);
+        current = Optional.of(run);
+        run.start();
+    }
+
+    /** Starts all stages for another attempt, after the results were released. */
+    void runAfterRelease() {
+        runsAfterLoss = 0;
+        run();
+    }
+
+    /** Returns whether the stages may run again after a loss of results, and counts that run. */
+    boolean tryAcquireRunAfterLoss() {
+        if (runsAfterLoss >= MAX_RUNS_AFTER_LOSS) {
+            return false;
+        }
+        runsAfterLoss++;
+        return true;
+    }
+
+    /** Returns how often the stages were started. */
+    int runs() {
+        return runs;
+    }
+
+    /** Returns whether the results were released, so that another attempt needs new ones. */
+    boolean isReleased() {
+        return current.filter(StageRun::isReleased).isPresent();
+    }
+
+    /** Returns the handles of the results; empty if the request has no stages. */
+    Optional<List<String>> results() {
+        return current.map(StageRun::results);
+    }
+
+    /** Returns the same results with their sizes. */
+    StageInputs inputs() {
+        return current.map(StageRun::inputs).orElse(StageInputs.NONE);
+    }
+
+    /**
+     * Releases the results once an upstream that was just sent the request has fetched them, which it does before it
+     * reads the prompt. Kept until the first event, they would leave no memory for other calls of the pool: long
+     * prompts slow the engines down while many requests finish their stages.
+     *
+     * @param stillReading returns whether that attempt is still the current one
+     */
+    void releaseOnceFetched(BooleanSupplier stillReading) {
+        current.ifPresent(run -> context.timers().schedule(run.fetchNanos(context.fetchTime()), () -> {
+            if (stillReading.getAsBoolean()) {
+                run.releaseAll();
+            }
+        }));
+    }
+
+    /** Releases all results: the request has read what it needs, or has ended. */
+    void release() {
+        current.ifPresent(StageRun::releaseAll);
+    }
+}
--- a/library/src/main/java/org/copperspindle/gateway/RequestTimes.java
+++ b/library/src/main/java/org/copperspindle/gateway/RequestTimes.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.OptionalLong;
 
+import org.copperspindle.resume.ResumePlan;
 import org.copperspindle.route.Route;
 import org.copperspindle.route.RouteKind;
 
@@ -10,13 +11,15 @@
  * Start, objective and deadlines of one request, on this node's monotonic clock in nanoseconds.
  *
  * @param admittedAt      when it was admitted
- * @param objectiveAt     latency objective of the first event
+ * @param objectiveAt     latency objective of the next event: of the first one, or of the one after an interruption
  * @param deadlineAt      when its time is over
- * @param callerTimeoutAt latest time for the first event or the response; after that the caller has left, or leaves
- *     before the stream ends
+ * @param callerTimeoutAt latest time for that event or the response; after that the caller has left, or leaves before
+ *     the stream ends
  * @param retried         whether the caller was refused before and has come back
+ * @param resumed         whether events have reached the caller and the stream has lost its engine
  */
-record RequestTimes(long admittedAt, long objectiveAt, long deadlineAt, long callerTimeoutAt, boolean retried) {
+record RequestTimes(
+        long admittedAt, long objectiveAt, long deadlineAt, long callerTimeoutAt, boolean retried, boolean resumed) {
 
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
@@ -44,7 +47,20 @@
                 deadlineMillis.isPresent() ? Math.min(timeout, deadlineMillis.getAsLong() * NANOS_PER_MILLI) : timeout;
         long objectiveAt = now + route.objective().toNanos() - waitedMillis * NANOS_PER_MILLI;
         long callerTimeNanos = Math.min(time - streamNanos, callerTimeoutNanos(route));
-        return new RequestTimes(now, objectiveAt, now + time, now + callerTimeNanos, waitedMillis > 0);
+        return new RequestTimes(now, objectiveAt, now + time, now + callerTimeNanos, waitedMillis > 0, false);
+    }
+
+    /**
+     * Returns the times of the same request while its stream is interrupted. The caller has received the first event,
+     * so the latest time for that one does not end the work on the next.
+     *
+     * @param route route of the request
+     * @param plan  how the stream is resumed
+     */
+    RequestTimes resumed(Route route, ResumePlan plan) {
+        long patienceNanos = Math.min(deadlineAt - plan.lastEventAt(), callerTimeoutNanos(route));
+        return new RequestTimes(
+                admittedAt, plan.onTimeUntil(), deadlineAt, plan.lastEventAt() + patienceNanos, retried, true);
     }
 
     private static long callerTimeoutNanos(Route route) {
--- a/library/src/main/java/org/copperspindle/gateway/SignalReadingPort.java
+++ b/library/src/main/java/org/copperspindle/gateway/SignalReadingPort.java
@@ -63,6 +63,11 @@
             this.incarnation = loads.incarnation(call.upstream());
         }
 
+        @Override
+        public void onSent() {
+            listener.onSent();
+        }
+
         @Override
         public void onHead(DirectHead head) {
             String responder = dialect.otherUpstream(head).orElse(call.upstream());
--- a/library/src/main/java/org/copperspindle/gateway/StageRun.java
+++ b/library/src/main/java/org/copperspindle/gateway/StageRun.java
@@ -140,10 +140,14 @@
 
     /**
      * Returns the target end of the request. Queued behind all requests that can be in time, a late one would hold
-     * its results until its producers drop them.
+     * its results until its producers drop them. A resumed one keeps its time: the dispatcher puts it first anyway, and
+     * tells by that time whether it is late.
      */
     private long targetEnd(long now) {
         long objectiveAt = admitted.times().objectiveAt();
+        if (admitted.times().resumed()) {
+            return objectiveAt;
+        }
         long shortest = plan.finish((stage, start) -> StageTimeEstimator.expectedNanos(admitted, plan, stage))
                 + firstEventNanos;
         boolean late = now + shortest - objectiveAt > 0;
@@ -252,7 +256,7 @@
                 inputBytes(stage),
                 plan.hasReader(number) ? "" : readerDomain.orElse(""),
                 ownsInputs,
-                false);
+                admitted.times().resumed());
         if (ownsInputs) {
             plan.markInputsReleased(number);
         }
--- a/library/src/main/java/org/copperspindle/gateway/UpstreamAttempt.java
+++ b/library/src/main/java/org/copperspindle/gateway/UpstreamAttempt.java
@@ -41,7 +41,9 @@
     private CallHandle handle = reason -> {};
     private EngineAttempt engineAttempt = EngineAttempt.NONE;
     private Optional<DirectHead> head = Optional.empty();
+    private long lastDataAt;
     private boolean isStream;
+    private boolean relayed;
     private boolean ended;
 
     UpstreamAttempt(
@@ -59,6 +61,7 @@
         this.relay = relay;
         this.listener = listener;
         this.sentAt = context.timers().nanoTime();
+        this.lastDataAt = sentAt;
         this.reading = new UpstreamReading(context.timers(), relay.exchange()::isWritable, context.pausedUpstreams());
     }
 
@@ -82,17 +85,54 @@
         context.tracker().ended(upstream.id(), false);
     }
 
+    /** Closes the connection and ends the attempt as failed. */
+    void giveUp(String reason) {
+        if (!ended) {
+            abortAndFail(reason);
+        }
+    }
+
+    boolean hasEnded() {
+        return ended;
+    }
+
+    /** Returns whether an event of this attempt was relayed to the caller. */
+    boolean hasRelayed() {
+        return relayed;
+    }
+
+    /** Returns how long the upstream has sent nothing while it was read, in nanoseconds. */
+    long silentNanos(long now) {
+        if (reading.isPaused()) {
+            return 0;
+        }
+        long since = isStream ? Math.max(lastDataAt, reading.readingSince()) : lastDataAt;
+        return now - since;
+    }
+
+    @Override
+    public void onSent() {
+        if (!ended) {
+            listener.onSent();
+        }
+    }
+
     @Override
     public void onHead(DirectHead received) {
         if (ended) {
             return;
         }
         head = Optional.of(received);
+        lastDataAt = context.timers().nanoTime();
         isStream = admitted.route().kind() == RouteKind.STREAM && received.isSuccess();
-        if (isStream) {
-            relay.beginStream(received.status(), context.upstreamDialect().callerFields(received));
+        if (!isStream) {
+            return;
+        }
+        if (relay.beginStream(received.status(), context.upstreamDialect().callerFields(received))) {
             relay.exchange().onWritabilityChanged(reading::adjust);
             reading.begin(handle);
+        } else {
+            abortAndFail("upstream-status-" + received.status());
         }
     }
 
@@ -101,6 +141,7 @@
         if (ended) {
             return;
         }
+        lastDataAt = context.timers().nanoTime();
         if (!isStream) {
             buffer(data);
             return;
@@ -111,10 +152,12 @@
         if (relay.eventCount() > eventsBefore) {
             recordEvent(context.timers().nanoTime());
         }
+        if (relay.eventCount() > eventsBefore && !relayed) {
+            relayed = true;
+            reportFirstEvent(startedBefore);
+        }
         if (!inOrder) {
             abortAndFail("events-missing");
-        } else if (!startedBefore && relay.hasStarted()) {
-            listener.onFirstEvent(context.timers().nanoTime() - sentAt);
         }
         if (!ended) {
             hold(relay.partialEventBytes());
@@ -177,6 +220,14 @@
         }
     }
 
+    private void reportFirstEvent(boolean continuesStream) {
+        if (continuesStream) {
+            listener.onContinued();
+        } else {
+            listener.onFirstEvent(context.timers().nanoTime() - sentAt);
+        }
+    }
+
     /** Records an event of the engine; time in which this node did not read is no pause of the engine. */
     private void recordEvent(long now) {
         if (reading.takePause()) {
@@ -258,6 +309,9 @@
     /** Receives the progress and, once, the end of an attempt. */
     interface Listener {
 
+        /** Called when the request is written to its connection, once more if that was lost at once. */
+        void onSent();
+
         /**
          * Called when the first event of the response was relayed.
          *
@@ -265,6 +319,9 @@
          */
         void onFirstEvent(long tookNanos);
 
+        /** Called when the first event of an attempt that resumes a stream was relayed. */
+        void onContinued();
+
         /** Called when the stream was relayed to its end. */
         void onStreamed();
 
--- a/library/src/main/java/org/copperspindle/gateway/UpstreamReading.java
+++ b/library/src/main/java/org/copperspindle/gateway/UpstreamReading.java
@@ -30,6 +30,7 @@
     private TimerSubscription pauseEnd = () -> {};
     private State state = State.ENDED;
     private boolean pausedSinceTaken;
+    private long readingSince;
 
     /**
      * Creates the control of a call that has not started.
@@ -48,6 +49,7 @@
     void begin(CallHandle call) {
         handle = call;
         state = State.READING;
+        readingSince = timers.nanoTime();
         adjust();
     }
 
@@ -74,6 +76,16 @@
         return wasPaused;
     }
 
+    /** Returns whether the upstream is not read now. */
+    boolean isPaused() {
+        return state == State.PAUSED;
+    }
+
+    /** Returns when reading last began or ended a pause, monotonic time in nanoseconds; 0 before it began. */
+    long readingSince() {
+        return readingSince;
+    }
+
     /** Stops to control the call, which has ended or is being aborted. */
     void end() {
         resume(State.ENDED);
@@ -83,6 +95,7 @@
         boolean wasPaused = state == State.PAUSED;
         state = next;
         if (wasPaused) {
+            readingSince = timers.nanoTime();
             pauseEnd.cancel();
             paused.decrement();
             handle.setReading(true);
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/resume/ResumePlan.java
@@ -0,0 +1,21 @@
+package org.copperspindle.resume;
+
+/**
+ * How a stream that has lost its engine is resumed.
+ *
+ * @param lastEventAt   when the last event was relayed to the caller, monotonic time in nanoseconds
+ * @param onTimeUntil   time until which the next event is on time, monotonic time in nanoseconds
+ * @param stillPossible true if that time had not passed when the plan was made
+ */
+public record ResumePlan(long lastEventAt, long onTimeUntil, boolean stillPossible) {
+
+    /**
+     * Returns whether the next event is on time.
+     *
+     * @param at when it is relayed, monotonic time in nanoseconds
+     * @return true if the pause before it is not longer than the route allows
+     */
+    public boolean isInTime(long at) {
+        return at - onTimeUntil <= 0;
+    }
+}
--- a/library/src/test/java/org/copperspindle/gateway/StageEntranceTest.java
+++ b/library/src/test/java/org/copperspindle/gateway/StageEntranceTest.java
@@ -178,6 +178,7 @@
                 new RetryAfterDelays(new Random(1)),
                 null,
                 null,
+                null,
                 null);
         RequestLogger logger = new RequestLogger(new LogRateLimiter(0, 0), null, admitted);
         return new StageEntrance(context, admitted, new HashSet<>(), logger, new RecordingListener());
