--- /dev/null
+++ b/library/src/test/java/org/copperspindle/gateway/ScriptedEngines.java
@@ -0,0 +1,93 @@
+package org.copperspindle.gateway;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+import org.copperspindle.direct.DirectCall;
+import org.copperspindle.direct.DirectFailure;
+import org.copperspindle.direct.DirectHead;
+import org.copperspindle.direct.DirectListener;
+import org.copperspindle.direct.UpstreamPort;
+import org.copperspindle.http.HeaderField;
+
+/**
+ * Engines without sockets that answer as the test says. At most one call may be open at a time.
+ */
+final class ScriptedEngines implements UpstreamPort {
+
+    private final List<Call> calls = new ArrayList<>();
+    private int mostOpen;
+
+    @Override
+    public CallHandle call(DirectCall call, DirectListener listener) {
+        Call next = new Call(call, listener);
+        calls.add(next);
+        mostOpen = Math.max(mostOpen, (int) calls.stream().filter(c -> c.open).count());
+        listener.onSent();
+        return reason -> next.open = false;
+    }
+
+    int count() {
+        return calls.size();
+    }
+
+    /** Returns the largest number of calls that were open at the same time. */
+    int mostOpen() {
+        return mostOpen;
+    }
+
+    Call call(int number) {
+        return calls.get(number);
+    }
+
+    /** Returns the last call. */
+    Call last() {
+        return calls.get(calls.size() - 1);
+    }
+
+    /** One call to an engine. */
+    static final class Call {
+        private final DirectCall sent;
+        private final DirectListener listener;
+        private boolean open = true;
+
+        private Call(DirectCall sent, DirectListener listener) {
+            this.sent = sent;
+            this.listener = listener;
+        }
+
+        DirectCall sent() {
+            return sent;
+        }
+
+        boolean isOpen() {
+            return open;
+        }
+
+        void head(int status) {
+            listener.onHead(new DirectHead(status, List.of(new HeaderField("Content-Type", "text/event-stream"))));
+        }
+
+        /** Sends events with these ids. */
+        void events(int... ids) {
+            for (int id : ids) {
+                data("id: " + id + "\ndata: x\n\n");
+            }
+        }
+
+        void data(String data) {
+            listener.onData(data.getBytes(StandardCharsets.UTF_8));
+        }
+
+        void end() {
+            open = false;
+            listener.onEnd();
+        }
+
+        void crash() {
+            open = false;
+            listener.onFailure(new DirectFailure(true, true, false, "connection-closed"));
+        }
+    }
+}
--- /dev/null
+++ b/library/src/test/java/org/copperspindle/gateway/StreamHarness.java
@@ -0,0 +1,307 @@
+package org.copperspindle.gateway;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Random;
+import java.util.stream.IntStream;
+
+import org.copperspindle.admission.FirstEventLatencies;
+import org.copperspindle.admission.RetryAfterDelays;
+import org.copperspindle.admission.StageAdmission;
+import org.copperspindle.admission.StageStarts;
+import org.copperspindle.admission.StagedRequest;
+import org.copperspindle.backpressure.SendPermits;
+import org.copperspindle.backpressure.UpstreamBackoffs;
+import org.copperspindle.backpressure.UpstreamLimits;
+import org.copperspindle.batch.BatchService;
+import org.copperspindle.batch.DispatcherStatus;
+import org.copperspindle.batch.FetchTimeEstimator;
+import org.copperspindle.batch.MissReason;
+import org.copperspindle.batch.PieceGroup;
+import org.copperspindle.batch.PieceOutcome;
+import org.copperspindle.batch.PieceResult;
+import org.copperspindle.batch.PieceResultsMessage;
+import org.copperspindle.batch.PoolLoad;
+import org.copperspindle.coldstart.SenderSetAdmission;
+import org.copperspindle.direct.ListenState;
+import org.copperspindle.discovery.DirectoryGossip;
+import org.copperspindle.discovery.UpstreamDirectory;
+import org.copperspindle.discovery.UpstreamPhase;
+import org.copperspindle.discovery.UpstreamRecord;
+import org.copperspindle.engineload.EngineLoads;
+import org.copperspindle.http.EmbeddedCaller;
+import org.copperspindle.measure.LogRateLimiter;
+import org.copperspindle.memory.HeldMemories;
+import org.copperspindle.mesh.FakePeer;
+import org.copperspindle.mesh.IsolationDetector;
+import org.copperspindle.mesh.MeshRelay;
+import org.copperspindle.mesh.MeshSettings;
+import org.copperspindle.mesh.NodeHelloMessage;
+import org.copperspindle.mesh.NodeMesh;
+import org.copperspindle.quarantine.RequestQuarantine;
+import org.copperspindle.route.Route;
+import org.copperspindle.route.RouteKind;
+import org.copperspindle.route.RouteStage;
+import org.copperspindle.route.RouteTable;
+import org.copperspindle.route.TestRoutes;
+import org.copperspindle.route.WeightedPool;
+import org.copperspindle.time.VirtualTimerService;
+import org.copperspindle.wire.GreetingMessage;
+import org.copperspindle.wire.MessageRegistry;
+import org.copperspindle.wire.WireTransport;
+
+/**
+ * One stream of one node in virtual time. The test plays the engines, and the node that dispatches the stages.
+ */
+final class StreamHarness implements AutoCloseable {
+
+    static final long MILLI = 1_000_000L;
+    static final Duration MAX_EVENT_GAP = Duration.ofMillis(600);
+    static final Duration TIMEOUT = Duration.ofSeconds(20);
+    static final int MAX_ATTEMPTS = 3;
+
+    private static final String SELF = "127.0.0.1:1";
+    private static final String DISPATCHER = "127.0.0.1:2";
+    private static final String CONTROL = "127.0.0.1:9";
+    private static final int LINES = 1000;
+
+    private final VirtualTimerService time = new VirtualTimerService();
+    private final MessageRegistry registry = GatewayMessages.registry();
+    private final WireTransport transport =
+            new WireTransport(1, registry, new GreetingMessage(GreetingMessage.PROTOCOL, "gateway", SELF, 1));
+    private final FakePeer dispatcher = new FakePeer(DISPATCHER);
+    private final UpstreamDirectory directory = new UpstreamDirectory();
+    private final ScriptedEngines engines = new ScriptedEngines();
+    private final EmbeddedCaller caller = new EmbeddedCaller();
+    private final GatewayCounters counters = new GatewayCounters();
+    private final FirstEventLatencies latencies = new FirstEventLatencies();
+    private final Route route;
+    private final RouteTable table;
+    private final NodeMesh mesh;
+    private final GatewayContext context;
+    private int answeredGroups;
+
+    /**
+     * Starts a stream.
+     *
+     * @param resumable   whether it may be resumed
+     * @param coordinated whether another route makes the group of its stage pool a coordinated one
+     * @param engineCount engines of its pool
+     */
+    StreamHarness(boolean resumable, boolean coordinated, int engineCount) {
+        route = route("r", 0, Duration.ofMillis(1500), resumable);
+        List<Route> routes = new ArrayList<>(List.of(route));
+        if (coordinated) {
+            routes.add(route("deferrable", 1, Duration.ofSeconds(15), false));
+        }
+        table = TestRoutes.table(1, routes, List.of(TestRoutes.pool("p"), TestRoutes.stagePool("s")));
+        IntStream.range(0, engineCount)
+                .forEach(i -> directory.accept(
+                        new UpstreamRecord("e" + i, 0, "p", "10.0.0." + i + ":1", "d", UpstreamPhase.READY, 1, 1, 0, 0),
+                        0));
+        InetSocketAddress listen = new InetSocketAddress("127.0.0.1", 1);
+        mesh = new NodeMesh(
+                new MeshSettings(listen, listen, CONTROL, "d", false, List.of()), transport, time, () -> hello(1));
+        context = context(mesh);
+        mesh.subscribe(context.batches());
+        mesh.onOpen(dispatcher);
+        mesh.onMessage(dispatcher, hello(2));
+        new RequestRun(context, caller.exchange(), admitted()).start();
+    }
+
+    VirtualTimerService time() {
+        return time;
+    }
+
+    ScriptedEngines engines() {
+        return engines;
+    }
+
+    EmbeddedCaller caller() {
+        return caller;
+    }
+
+    GatewayCounters counters() {
+        return counters;
+    }
+
+    long expectedFirstEventMillis() {
+        return latencies.expectedNanos(route) / MILLI;
+    }
+
+    /** Returns the groups of pieces that the dispatcher got, oldest first. */
+    List<PieceGroup> groups() {
+        return dispatcher.sent(PieceGroup.class);
+    }
+
+    FakePeer dispatcher() {
+        return dispatcher;
+    }
+
+    /** Returns whether the dispatcher has a group without an answer. */
+    boolean stagesWait() {
+        return answeredGroups < groups().size();
+    }
+
+    /** Produces the results of the oldest group without an answer. */
+    void makeResults() {
+        answer(new PieceOutcome.Made("10.0.1.1:1/h" + answeredGroups));
+    }
+
+    /** Reports that the oldest group without an answer has no result. */
+    void miss(MissReason reason) {
+        answer(new PieceOutcome.Missed(reason));
+    }
+
+    /** Runs the stages, and relays the first two events of an engine. */
+    void startStream() {
+        advance(300);
+        makeResults();
+        advance(100);
+        engines.last().head(200);
+        engines.last().events(1, 2);
+    }
+
+    void advance(long millis) {
+        time.advance(millis * MILLI);
+    }
+
+    /** Returns the ids of the events that the caller has received. */
+    List<Integer> events() {
+        return caller.received()
+                .lines()
+                .filter(line -> line.startsWith("id: "))
+                .map(line -> Integer.parseInt(line.substring(4)))
+                .toList();
+    }
+
+    /** Returns how the request has ended; empty while it runs. */
+    String outcome() {
+        return counters.outcomes().getOrDefault("r", Map.of()).keySet().stream()
+                .findFirst()
+                .orElse("");
+    }
+
+    @Override
+    public void close() {
+        transport.close();
+    }
+
+    private void answer(PieceOutcome outcome) {
+        PieceGroup group = groups().get(answeredGroups);
+        answeredGroups++;
+        mesh.onMessage(dispatcher, new PieceResultsMessage(group.id(), List.of(new PieceResult(0, outcome))));
+    }
+
+    private static Route route(String name, int priority, Duration objective, boolean resumable) {
+        return new Route(
+                name,
+                "h",
+                '/' + name + '/',
+                RouteKind.STREAM,
+                TIMEOUT,
+                objective,
+                priority,
+                List.of(new WeightedPool("p", 1)),
+                MAX_ATTEMPTS,
+                List.of(new RouteStage("s", List.of(), 10)),
+                false,
+                resumable,
+                MAX_EVENT_GAP);
+    }
+
+    private AdmittedRequest admitted() {
+        GatewayRequest request = TestRequests.request("id", OptionalLong.empty(), List.of(), List.of(1));
+        RequestTimes times = RequestTimes.of(route, request.deadlineMillis(), 0, 0, time.nanoTime());
+        return new AdmittedRequest(request, table, route, Optional.empty(), "p", times);
+    }
+
+    private static NodeHelloMessage hello(int fitness) {
+        return new NodeHelloMessage(CONTROL, "d", false, true, false, 0, "", 0, fitness);
+    }
+
+    private GatewayContext context(NodeMesh nodes) {
+        LogRateLimiter log = new LogRateLimiter(LINES, LINES);
+        PlainDialect dialect = new PlainDialect();
+        BatchService batches = new BatchService(
+                new MeshRelay(nodes, registry),
+                time,
+                directory,
+                new SimulatedStages(time, Map.of(), Map.of()),
+                name -> Optional.empty(),
+                new SelfStatus(),
+                log);
+        UpstreamTracker tracker = new UpstreamTracker();
+        UpstreamLimits limits = new UpstreamLimits(directory, log);
+        SendPermits permits = SingleNodePermits.of(limits, time);
+        UpstreamBackoffs backoffs = new UpstreamBackoffs(directory, log);
+        SenderSetAdmission cold = new SenderSetAdmission(SELF, List::of, () -> false);
+        UpstreamChooser chooser = new UpstreamChooser(directory, tracker, cold, permits, backoffs, new Random(3), "d");
+        SharedRetryBudget retries = new SharedRetryBudget(1, 100, Duration.ofSeconds(10));
+        return new GatewayContext(
+                time,
+                dialect,
+                dialect,
+                engines,
+                batches,
+                new DirectoryGossip(nodes, time, directory),
+                tracker,
+                chooser,
+                new EngineLoads(nodes, time, directory, pool -> SELF, pool -> false, log),
+                cold,
+                permits,
+                retries,
+                new StageAdmission(pool -> PoolLoad.UNKNOWN, latencies),
+                new NeverShort(),
+                new FetchTimeEstimator(),
+                latencies,
+                new StreamDurations(),
+                new IsolationDetector(nodes::count, time),
+                new OpenRequests(),
+                counters,
+                log,
+                new Random(5),
+                new RetryAfterDelays(new Random(1)),
+                new RequestQuarantine(
+                        nodes, time, directory, (address, result) -> result.accept(ListenState.LISTENS), log),
+                new StreamResumptions(counters),
+                HeldMemories.unlimited(),
+                new PausedUpstreams());
+    }
+
+    /** Status of this node, which serves but is less fit than the other one. */
+    private static final class SelfStatus implements DispatcherStatus {
+        @Override
+        public boolean isServing() {
+            return true;
+        }
+
+        @Override
+        public int fitness() {
+            return 1;
+        }
+    }
+
+    /** No pool is short. */
+    private static final class NeverShort implements StageStarts {
+        @Override
+        public boolean isShort(StagedRequest request) {
+            return false;
+        }
+
+        @Override
+        public void request(StagedRequest request, long id, Listener listener) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public void cancel(long id) {
+            throw new UnsupportedOperationException();
+        }
+    }
+}
--- /dev/null
+++ b/library/src/test/java/org/copperspindle/http/EmbeddedCaller.java
@@ -0,0 +1,82 @@
+package org.copperspindle.http;
+
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.atomic.AtomicReference;
+
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import org.copperspindle.memory.HeldMemories;
+
+/**
+ * A caller without a socket that has sent one request and collects its response.
+ */
+public final class EmbeddedCaller {
+
+    private final AtomicReference<HttpExchange> exchange = new AtomicReference<>();
+    private final StringBuilder received = new StringBuilder();
+    private final EmbeddedChannel channel;
+    private boolean complete;
+    private boolean aborted;
+
+    // Sends a request without a body.
+    public EmbeddedCaller() {
+        HttpConnectionHandler handler = new HttpConnectionHandler(
+                HttpLimits.DEFAULT, new HttpCounters(), exchange::set, HeldMemories.unlimited(), () -> false);
+        channel = new EmbeddedChannel(new CloseRecorder(), handler);
+        DefaultHttpRequest head = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/x");
+        head.headers().set(HttpHeaderNames.HOST, "h");
+        channel.writeInbound(head, LastHttpContent.EMPTY_LAST_CONTENT);
+    }
+
+    // Returns the exchange of the request.
+    public HttpExchange exchange() {
+        return exchange.get();
+    }
+
+    // Returns the body received so far.
+    public String received() {
+        read();
+        return received.toString();
+    }
+
+    // Returns whether the response has ended as complete.
+    public boolean isComplete() {
+        read();
+        return complete;
+    }
+
+    // Returns whether the node has closed the connection.
+    public boolean isAborted() {
+        return aborted;
+    }
+
+    // Closes the connection.
+    public void leave() {
+        channel.pipeline().fireChannelInactive();
+    }
+
+    private void read() {
+        for (Object part = channel.readOutbound(); part != null; part = channel.readOutbound()) {
+            if (part instanceof HttpContent content) {
+                received.append(content.content().toString(StandardCharsets.UTF_8));
+            }
+            complete |= part instanceof LastHttpContent;
+        }
+    }
+
+    /** Records that the node closes the connection. A socket reports its end later, and not within the call. */
+    private final class CloseRecorder extends ChannelOutboundHandlerAdapter {
+        @Override
+        public void close(ChannelHandlerContext context, ChannelPromise promise) {
+            aborted = true;
+        }
+    }
+}
