--- a/library/src/main/java/org/copperspindle/resume/ResumePolicy.java
+++ b/library/src/main/java/org/copperspindle/resume/ResumePolicy.java
@@ -18,7 +18,7 @@
 
     /**
      * Longest pauses of the route after which an engine that sends nothing is given up. Engines that read a long prompt
-     * for another stream pause for up to one and a half of them; resuming elsewhere takes up to three. Callers wait for
+     * for another stream pause for up to 1.4 of them, and resuming elsewhere takes up to 3.3. Callers wait for at least
      * eight, so that the rest is enough to resume.
      */
     private static final int SILENT_EVENT_GAPS = 3;
--- a/library/src/test/java/org/copperspindle/gateway/ResumedStreamTest.java
+++ b/library/src/test/java/org/copperspindle/gateway/ResumedStreamTest.java
@@ -173,6 +173,46 @@
         assertThat(stream.events()).containsExactly(1, 2, 3);
     }
 
+    /** An engine that was not read, because its caller does not read, must not count as silent. */
+    @Test
+    void timeInWhichTheCallerDoesNotReadIsNoSilence() {
+        stream.startStream();
+        stream.advance(1000);
+        stream.caller().setReading(false);
+        stream.advance(1400);
+        stream.caller().setReading(true);
+        stream.advance(1799);
+        assertThat(stream.engines().call(0).isOpen()).isTrue();
+        stream.advance(1);
+        assertThat(stream.engines().call(0).isOpen()).isFalse();
+    }
+
+    /** After a suspension of this node the events of its engines are still unread: they must not be given up. */
+    @Test
+    void suspensionOfThisNodeIsNoSilence() {
+        stream.startStream();
+        stream.suspend(5000);
+        stream.advance(1800);
+        assertThat(stream.engines().call(0).isOpen()).isTrue();
+        stream.engines().call(0).events(3);
+        stream.advance(1799);
+        assertThat(stream.engines().call(0).isOpen()).isTrue();
+        stream.advance(1);
+        assertThat(stream.engines().call(0).isOpen()).isFalse();
+    }
+
+    /** An engine that sends part of an event, or a comment, now and then is slow, but not silent. */
+    @Test
+    void engineThatSendsAnythingIsNotSilent() {
+        stream.startStream();
+        for (int i = 0; i < 5; i++) {
+            stream.advance(1500);
+            stream.engines().last().data(i % 2 == 0 ? ":\n\n" : "data: ");
+        }
+        assertThat(stream.engines().count()).isEqualTo(1);
+        assertThat(stream.engines().last().isOpen()).isTrue();
+    }
+
     /** A slow engine is better than none: it must not be given up if the stream can't go elsewhere. */
     @Test
     void silentEngineIsKeptWithoutAnother() {
--- a/library/src/test/java/org/copperspindle/gateway/StreamHarness.java
+++ b/library/src/test/java/org/copperspindle/gateway/StreamHarness.java
@@ -50,6 +50,8 @@
 import org.copperspindle.route.RouteTable;
 import org.copperspindle.route.TestRoutes;
 import org.copperspindle.route.WeightedPool;
+import org.copperspindle.time.TimerService;
+import org.copperspindle.time.TimerSubscription;
 import org.copperspindle.time.VirtualTimerService;
 import org.copperspindle.wire.GreetingMessage;
 import org.copperspindle.wire.MessageRegistry;
@@ -71,6 +73,7 @@
     private static final int LINES = 1000;
 
     private final VirtualTimerService time = new VirtualTimerService();
+    private final SuspendedTimers nodeTime = new SuspendedTimers();
     private final MessageRegistry registry = GatewayMessages.registry();
     private final WireTransport transport =
             new WireTransport(1, registry, new GreetingMessage(GreetingMessage.PROTOCOL, "gateway", SELF, 1));
@@ -114,10 +117,6 @@
         new RequestRun(context, caller.exchange(), admitted()).start();
     }
 
-    VirtualTimerService time() {
-        return time;
-    }
-
     ScriptedEngines engines() {
         return engines;
     }
@@ -167,6 +166,11 @@
         engines.last().events(1, 2);
     }
 
+    /** Suspends the node: its clock goes on, and the timers that became due meanwhile run late. */
+    void suspend(long millis) {
+        nodeTime.suspendedNanos += millis * MILLI;
+    }
+
     void advance(long millis) {
         time.advance(millis * MILLI);
     }
@@ -244,7 +248,7 @@
         UpstreamChooser chooser = new UpstreamChooser(directory, tracker, cold, permits, backoffs, new Random(3), "d");
         SharedRetryBudget retries = new SharedRetryBudget(1, 100, Duration.ofSeconds(10));
         return new GatewayContext(
-                time,
+                nodeTime,
                 dialect,
                 dialect,
                 engines,
@@ -274,6 +278,21 @@
                 new PausedUpstreams());
     }
 
+    /** Virtual time in which the node is suspended now and then. */
+    private final class SuspendedTimers implements TimerService {
+        private long suspendedNanos;
+
+        @Override
+        public long nanoTime() {
+            return time.nanoTime() + suspendedNanos;
+        }
+
+        @Override
+        public TimerSubscription schedule(long delayNanos, Runnable task) {
+            return time.schedule(delayNanos, task);
+        }
+    }
+
     /** Status of this node, which serves but is less fit than the other one. */
     private static final class SelfStatus implements DispatcherStatus {
         @Override
--- a/library/src/test/java/org/copperspindle/http/EmbeddedCaller.java
+++ b/library/src/test/java/org/copperspindle/http/EmbeddedCaller.java
@@ -58,6 +58,12 @@
         return aborted;
     }
 
+    // Stops or continues to read; until it continues, nothing more can be written.
+    public void setReading(boolean reads) {
+        channel.unsafe().outboundBuffer().setUserDefinedWritability(1, reads);
+        channel.runPendingTasks();
+    }
+
     // Closes the connection.
     public void leave() {
         channel.pipeline().fireChannelInactive();
