--- a/library/src/main/java/org/copperspindle/gateway/EventStreamRelay.java
+++ b/library/src/main/java/org/copperspindle/gateway/EventStreamRelay.java
@@ -21,8 +21,11 @@
     private EventFramer framer = new EventFramer();
     private Optional<ResponseHead> head = Optional.empty();
     private boolean started;
+    private boolean resumes;
     private OptionalLong lastEventId = OptionalLong.empty();
+    private boolean endsWithoutId;
     private long eventCount;
+    private OptionalLong repeatedId = OptionalLong.empty();
     private boolean gapFound;
     private OptionalLong firstEventAt = OptionalLong.empty();
     private long lastEventAt;
@@ -39,25 +42,31 @@
         this.clock = clock;
     }
 
-    /** Starts reading the stream of an upstream. The head of the first one becomes the head of the response. */
-    void beginStream(int status, List<HeaderField> fields) {
+    /**
+     * Starts reading the stream of an upstream. Its head becomes the head of the response, unless that has started.
+     *
+     * @param status HTTP status of the stream
+     * @param fields header fields for the caller
+     * @return false if the caller has already received the head of a response with another status, which this stream
+     *     can't continue
+     */
+    boolean beginStream(int status, List<HeaderField> fields) {
         framer = new EventFramer();
-        if (head.isEmpty()) {
-            head = Optional.of(new ResponseHead(status, fields));
-        }
-    }
-
-    /** Discards the head of an upstream that failed before its first event. */
-    void discardHead() {
+        // Neither describes the stream of another upstream.
+        gapFound = false;
+        repeatedId = OptionalLong.empty();
+        resumes = started;
         if (!started) {
-            head = Optional.empty();
+            head = Optional.of(new ResponseHead(status, fields));
         }
+        return head.orElseThrow().status() == status;
     }
 
     /** Relays the events that these bytes complete; returns false if the event ids show that events are missing. */
     boolean accept(byte[] data) {
         for (StreamEvent event : framer.accept(data)) {
             if (isDuplicate(event)) {
+                repeatedId = resumes ? event.id() : OptionalLong.empty();
                 continue;
             }
             gapFound |= isGap(event);
@@ -88,10 +97,32 @@
         return !framer.hasPartialEvent() && !gapFound;
     }
 
+    /**
+     * Returns whether a stream that was to continue the response repeated events, but not up to the last one that the
+     * caller has. It is not the same stream, although its upstream may have ended it properly.
+     */
+    boolean endsInRepeatedEvents() {
+        return repeatedId.isPresent() && repeatedId.getAsLong() < lastEventId.orElseThrow();
+    }
+
+    /**
+     * Returns whether another upstream can continue the response. It continues after the last event id, and would
+     * repeat events that followed it without one.
+     */
+    boolean canContinue() {
+        return !endsWithoutId;
+    }
+
+    /** Returns the time at which the last event was relayed; empty if none was. */
+    OptionalLong lastEventAt() {
+        return firstEventAt.isPresent() ? OptionalLong.of(lastEventAt) : OptionalLong.empty();
+    }
+
     OptionalLong lastEventId() {
         return lastEventId;
     }
 
+    /** Returns the number of relayed events, without comments. */
     long eventCount() {
         return eventCount;
     }
@@ -117,12 +148,20 @@
         if (!started) {
             start();
         }
+        if (event.hasContent()) {
+            record(event);
+        }
+        exchange.write(event.bytes());
+    }
+
+    private void record(StreamEvent event) {
         eventCount++;
         recordTime();
+        endsWithoutId = event.id().isEmpty();
         if (event.id().isPresent()) {
             lastEventId = event.id();
+            repeatedId = OptionalLong.empty();
         }
-        exchange.write(event.bytes());
     }
 
     private void recordTime() {
--- a/library/src/main/java/org/copperspindle/gateway/UpstreamAttempt.java
+++ b/library/src/main/java/org/copperspindle/gateway/UpstreamAttempt.java
@@ -27,6 +27,9 @@
     /** Largest response, or largest single event, that is buffered. */
     private static final int MAX_BUFFERED_BYTES = 8 << 20;
 
+    /** Reason of an attempt whose stream ended before the last event. */
+    private static final String EVENT_CUT = "event-cut";
+
     private final GatewayContext context;
     private final AdmittedRequest admitted;
     private final UpstreamRun run;
@@ -41,7 +44,9 @@
     private CallHandle handle = reason -> {};
     private EngineAttempt engineAttempt = EngineAttempt.NONE;
     private Optional<DirectHead> head = Optional.empty();
+    private long lastDataAt;
     private boolean isStream;
+    private boolean relayed;
     private boolean ended;
 
     UpstreamAttempt(
@@ -59,6 +64,7 @@
         this.relay = relay;
         this.listener = listener;
         this.sentAt = context.timers().nanoTime();
+        this.lastDataAt = sentAt;
         this.reading = new UpstreamReading(context.timers(), relay.exchange()::isWritable, context.pausedUpstreams());
     }
 
@@ -82,17 +88,54 @@
         context.tracker().ended(upstream.id(), false);
     }
 
+    /** Closes the connection and ends the attempt as failed. */
+    void giveUp(String reason) {
+        if (!ended) {
+            abortAndFail(reason);
+        }
+    }
+
+    boolean hasEnded() {
+        return ended;
+    }
+
+    /** Returns whether an event of this attempt was relayed to the caller. */
+    boolean hasRelayed() {
+        return relayed;
+    }
+
+    /** Returns how long the upstream has sent nothing while it was read, in nanoseconds. */
+    long silentNanos(long now) {
+        if (reading.isPaused()) {
+            return 0;
+        }
+        long since = isStream ? Math.max(lastDataAt, reading.readingSince()) : lastDataAt;
+        return now - since;
+    }
+
+    @Override
+    public void onSent() {
+        if (!ended) {
+            listener.onSent();
+        }
+    }
+
     @Override
     public void onHead(DirectHead received) {
         if (ended) {
             return;
         }
         head = Optional.of(received);
+        lastDataAt = context.timers().nanoTime();
         isStream = admitted.route().kind() == RouteKind.STREAM && received.isSuccess();
-        if (isStream) {
-            relay.beginStream(received.status(), context.upstreamDialect().callerFields(received));
+        if (!isStream) {
+            return;
+        }
+        if (relay.beginStream(received.status(), context.upstreamDialect().callerFields(received))) {
             relay.exchange().onWritabilityChanged(reading::adjust);
             reading.begin(handle);
+        } else {
+            abortAndFail("upstream-status-" + received.status());
         }
     }
 
@@ -101,20 +144,26 @@
         if (ended) {
             return;
         }
+        lastDataAt = context.timers().nanoTime();
         if (!isStream) {
             buffer(data);
             return;
         }
-        boolean startedBefore = relay.hasStarted();
         long eventsBefore = relay.eventCount();
         boolean inOrder = relay.accept(data);
+        if (ended) {
+            // The write closed the connection of the caller because memory is short.
+            return;
+        }
         if (relay.eventCount() > eventsBefore) {
             recordEvent(context.timers().nanoTime());
         }
+        if (relay.eventCount() > eventsBefore && !relayed) {
+            relayed = true;
+            reportFirstEvent(eventsBefore > 0);
+        }
         if (!inOrder) {
             abortAndFail("events-missing");
-        } else if (!startedBefore && relay.hasStarted()) {
-            listener.onFirstEvent(context.timers().nanoTime() - sentAt);
         }
         if (!ended) {
             hold(relay.partialEventBytes());
@@ -130,7 +179,9 @@
         DirectHead response = head.orElseThrow();
         if (isStream && !relay.isComplete()) {
             // A response without a length ends with its connection, also when its upstream crashes.
-            connectionLost("event-cut", true);
+            connectionLost(EVENT_CUT, true);
+        } else if (isStream && relay.endsInRepeatedEvents()) {
+            fail(EVENT_CUT);
         } else if (context.upstreamDialect().provesNotRun(response)) {
             handleNotRun(response);
         } else {
@@ -177,6 +228,14 @@
         }
     }
 
+    private void reportFirstEvent(boolean continuesStream) {
+        if (continuesStream) {
+            listener.onContinued();
+        } else {
+            listener.onFirstEvent(context.timers().nanoTime() - sentAt);
+        }
+    }
+
     /** Records an event of the engine; time in which this node did not read is no pause of the engine. */
     private void recordEvent(long now) {
         if (reading.takePause()) {
@@ -258,6 +317,9 @@
     /** Receives the progress and, once, the end of an attempt. */
     interface Listener {
 
+        /** Called when the request is written to its connection, once more if that was lost at once. */
+        void onSent();
+
         /**
          * Called when the first event of the response was relayed.
          *
@@ -265,6 +327,9 @@
          */
         void onFirstEvent(long tookNanos);
 
+        /** Called when the first event of an attempt that resumes a stream was relayed. */
+        void onContinued();
+
         /** Called when the stream was relayed to its end. */
         void onStreamed();
 
