Let the soak run stage pools short and disturb their dispatchers and engines

Dispatchers are suspended or killed, engines fall silent or crash in the middle of long streams, and general disturbances join them in the last part. Refusals are judged for all requests, also for those that may run twice.

--- a/soak/src/main/java/org/copperspindle/soak/DisturbanceKind.java
+++ b/soak/src/main/java/org/copperspindle/soak/DisturbanceKind.java
@@ -1,5 +1,7 @@
 package org.copperspindle.soak;
 
+import java.util.List;
+
 /**
  * What is done to a deployment from outside.
  */
@@ -27,7 +29,32 @@
     /** The operator sends a new version. */
     CHANGE,
     /** The operator takes a key away with a new version. */
-    REVOKE;
+    REVOKE,
+    /** SIGSTOP to the node that dispatches a stage pool, and SIGCONT at the end. */
+    DISPATCHER_PAUSE,
+    /** SIGKILL to the node that dispatches a stage pool, which starts again when the disturbance ends. */
+    DISPATCHER_KILL,
+    /** An engine sends nothing more on its streams, whose connections stay open, and goes on at the end. */
+    ENGINE_SILENCE;
+
+    /** Kinds of the general plan. Their order decides what a seed means. */
+    static final List<DisturbanceKind> GENERAL = List.of(
+            KILL,
+            TERM,
+            PAUSE,
+            LOSE_DISK,
+            DELAY,
+            RESET,
+            SILENCE,
+            ONE_WAY,
+            UPSTREAM_CRASH,
+            UPSTREAM_DRAIN,
+            CHANGE,
+            REVOKE);
+
+    boolean isOfDispatchers() {
+        return this == DISPATCHER_PAUSE || this == DISPATCHER_KILL;
+    }
 
     boolean isOfLinks() {
         return this == DELAY || this == RESET || this == SILENCE || this == ONE_WAY;
--- a/soak/src/main/java/org/copperspindle/soak/NodeProcess.java
+++ b/soak/src/main/java/org/copperspindle/soak/NodeProcess.java
@@ -45,8 +45,17 @@
         return name;
     }
 
-    NodePorts ports() {
-        return ports;
+    int number() {
+        return ports.domain();
+    }
+
+    boolean isDurable() {
+        return durable;
+    }
+
+    /** Returns the address by which other nodes know it. */
+    String meshAddress() {
+        return ports.address(ports.mesh());
     }
 
     synchronized void start() throws IOException {
--- a/soak/src/main/java/org/copperspindle/soak/PromiseBook.java
+++ b/soak/src/main/java/org/copperspindle/soak/PromiseBook.java
@@ -26,6 +26,9 @@
     private final List<Emptied> emptied = new CopyOnWriteArrayList<>();
     private final List<String> broken = new ArrayList<>();
     private final AtomicInteger served = new AtomicInteger();
+    private final StreamWork work = new StreamWork();
+    private final RecoveryWatch recovery = new RecoveryWatch();
+    private final ServedShares shares = new ServedShares();
     private final List<Long> fatalEnds = new CopyOnWriteArrayList<>();
     private volatile long revokedAt = Long.MAX_VALUE;
 
@@ -47,7 +50,15 @@
     /** A caller got the end of an answer, or of its connection. */
     void answered(SoakRequest request, Answer answer) {
         answers.put(request.id(), answer.withoutText());
-        if (answer.status() == 200 && answer.whole()) {
+        if (request.streams()
+                && !SoakRequest.isLarge(request.id())
+                && !request.account().equals(SoakOperator.REVOKED)) {
+            recovery.answered(answer.withoutText());
+            if (answer.status() > 0) {
+                shares.answered(request, answer.isServed());
+            }
+        }
+        if (answer.isServed()) {
             served.incrementAndGet();
             if (!answer.text().equals(expected(request))) {
                 breaks("mixed: " + request.id() + " got " + answer.excerpt());
@@ -104,6 +115,26 @@
         return "asked=" + slow.size() + " whole=" + whole + " cut_off=" + cut;
     }
 
+    /** Returns what engines worked on. */
+    StreamWork work() {
+        return work;
+    }
+
+    /** Returns which nodes were disturbed when. */
+    RecoveryWatch recovery() {
+        return recovery;
+    }
+
+    /** Returns how often requests with stages were served. */
+    ServedShares shares() {
+        return shares;
+    }
+
+    /** Returns how many requests were refused as not run. */
+    long refused() {
+        return answers.values().stream().filter(Answer::saysNotRun).count();
+    }
+
     int asked() {
         return answers.size();
     }
@@ -116,6 +147,7 @@
     synchronized List<String> judge(List<long[]> linkTrouble) {
         answers.forEach((id, answer) -> judge(SoakRequest.parse(id), answer, linkTrouble));
         judgeFatal(linkTrouble);
+        work.overlaps().forEach(this::breaks);
         return broken.size() > MOST_TOLD ? List.copyOf(broken.subList(0, MOST_TOLD)) : List.copyOf(broken);
     }
 
@@ -142,7 +174,7 @@
         if (!request.isIdempotent() && seen.size() > 1) {
             breaks("twice: " + request.id() + " ran at " + seen);
         }
-        if (answer.saysNotRun() && !request.isIdempotent() && !seen.isEmpty()) {
+        if (answer.saysNotRun() && !seen.isEmpty()) {
             breaks("refused: " + request.id() + " was answered " + answer.status() + " and ran at " + seen);
         }
         if (answer.status() == HELD_OFF) {
@@ -190,7 +222,7 @@
             return request.body();
         }
         StringBuilder events = new StringBuilder();
-        for (int number = 1; number <= SoakRequest.EVENTS; number++) {
+        for (int number = 1; number <= request.events(); number++) {
             events.append(request.event(number));
         }
         return events.toString();
@@ -204,12 +236,19 @@
      * @param whole      whether its framing says that it is whole
      * @param saysNotRun whether it promises that the request did not run
      * @param sentAt     when the request was sent, in milliseconds
+     * @param node       number of the node that was asked
+     * @param endedAt    when the answer ended, in milliseconds
      */
-    record Answer(int status, String text, boolean whole, boolean saysNotRun, long sentAt) {
+    record Answer(int status, String text, boolean whole, boolean saysNotRun, long sentAt, int node, long endedAt) {
+
+        /** Says whether it is a success and whole. */
+        boolean isServed() {
+            return status == 200 && whole;
+        }
 
         /** Large answers have been compared when they are written down, and would fill the memory. */
         private Answer withoutText() {
-            return new Answer(status, "", whole, saysNotRun, sentAt);
+            return new Answer(status, "", whole, saysNotRun, sentAt, node, endedAt);
         }
 
         private String excerpt() {
--- a/soak/src/main/java/org/copperspindle/soak/Soak.java
+++ b/soak/src/main/java/org/copperspindle/soak/Soak.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
+import java.util.stream.IntStream;
 import java.util.stream.Stream;
 
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -32,6 +33,17 @@
             SoakUpstream.ENGINE,
             SoakUpstream.STAGE,
             SoakUpstream.STAGE);
+
+    /** In a shortage the second stage has a pool of its own. */
+    private static final List<String> POOLS_IN_SHORTAGE = Stream.concat(
+                    POOLS.stream(), Stream.of(SoakUpstream.LATER_STAGE, SoakUpstream.LATER_STAGE))
+            .toList();
+
+    private static final List<String> STAGE_POOLS = List.of(SoakUpstream.LATER_STAGE, SoakUpstream.STAGE);
+
+    /** In a shortage, the part of the time after which general disturbances join those of dispatchers and engines. */
+    private static final double CALM_PART = 0.6;
+
     private static final Duration START_BOUND = Duration.ofSeconds(60);
     private static final Duration CHANGE_BOUND = Duration.ofSeconds(20);
     private static final long ANNOUNCE_MILLIS = 400;
@@ -56,6 +68,8 @@
     private final List<NodeProcess> nodes = new ArrayList<>();
     private final List<SoakUpstream> upstreams = new ArrayList<>();
     private final List<SoakCaller> callers = new ArrayList<>();
+    private final List<FloodCaller> flood = new ArrayList<>();
+    private final StageDispatchers dispatchers = new StageDispatchers(nodes);
     private final List<long[]> linkTrouble = new ArrayList<>();
     private final ScheduledExecutorService workers = Executors.newScheduledThreadPool(WORKERS);
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
@@ -71,7 +85,7 @@
         for (int number = 0; number < settings.nodes(); number++) {
             ports.add(NodePorts.free(loopback, number));
         }
-        this.operator = new SoakOperator(ports, book);
+        this.operator = new SoakOperator(ports, book, settings.shortage());
         this.needSeeds = new Random(settings.seed());
         // A generator of its own: the other draws of a seed stay what they are.
         this.speeds = new Random(~settings.seed());
@@ -100,7 +114,7 @@
 
     private SoakReport play() throws IOException, InterruptedException {
         start();
-        List<Disturbance> plan = SoakPlan.of(settings, POOLS.size());
+        List<Disturbance> plan = plan();
         long startedAt = System.currentTimeMillis();
         for (Disturbance each : plan) {
             workers.schedule(() -> disturb(each), each.atMillis(), TimeUnit.MILLISECONDS);
@@ -113,9 +127,14 @@
                 .max(Long::compare)
                 .orElse(0L);
         Thread.sleep(Math.max(settings.duration().toMillis(), lastEnd) + startedAt - System.currentTimeMillis());
+        flood.forEach(FloodCaller::end);
         double recovered = recover();
         callers.forEach(SoakCaller::end);
+        long end = System.currentTimeMillis();
         Thread.sleep(LINGER_MILLIS);
+        if (settings.shortage()) {
+            judgeShortage(end);
+        }
         nodes.stream()
                 .filter(NodeProcess::endedByItself)
                 .forEach(node -> book.breaks("exit: " + node.name() + " ended by itself"));
@@ -126,14 +145,41 @@
         }
     }
 
+    private List<Disturbance> plan() {
+        List<Disturbance> plan = SoakPlan.of(settings, pools().size());
+        if (!settings.shortage()) {
+            return plan;
+        }
+        plan.removeIf(d -> d.atMillis() < CALM_PART * settings.duration().toMillis());
+        List<Integer> engines = IntStream.range(0, POOLS.size())
+                .filter(number -> POOLS.get(number).equals(SoakUpstream.ENGINE))
+                .boxed()
+                .toList();
+        plan.addAll(ShortagePlan.of(settings, STAGE_POOLS.size(), engines));
+        return plan;
+    }
+
+    private List<String> pools() {
+        return settings.shortage() ? POOLS_IN_SHORTAGE : POOLS;
+    }
+
+    private void judgeShortage(long end) {
+        RecoveryWatch.Verdict verdict = book.recovery().judge(settings.nodes(), settings.durableNodes(), end);
+        verdict.broken().forEach(book::breaks);
+        book.shares().unfair().forEach(book::breaks);
+        progress.accept(
+                "shortage refused=" + book.refused() + " resumed=" + book.work().resumed() + " recoveries_judged="
+                        + verdict.judged() + ' ' + book.shares().summary());
+    }
+
     private void start() throws IOException {
         for (int number = 0; number < settings.nodes(); number++) {
-            nodes.add(new NodeProcess(number, settings, ports, number < settings.nodes() - 1));
+            nodes.add(new NodeProcess(number, settings, ports, number < settings.durableNodes()));
         }
         for (NodeProcess node : nodes) {
             node.start();
         }
-        POOLS.forEach(pool -> upstreams.add(upstream(pool)));
+        pools().forEach(pool -> upstreams.add(upstream(pool)));
         workers.scheduleAtFixedRate(this::announce, 0, ANNOUNCE_MILLIS, TimeUnit.MILLISECONDS);
         if (!operator.change(false, START_BOUND)) {
             throw new IOException("no node accepted the first version within " + START_BOUND);
@@ -142,26 +188,37 @@
         AtomicLong numbers = new AtomicLong();
         for (int i = 0; i < settings.callers(); i++) {
             SoakCaller caller = new SoakCaller(numbers, ports, book, settings.seed() + i);
+            if (settings.shortage()) {
+                caller.inShortage();
+            }
             callers.add(caller);
-            Thread thread = new Thread(caller, "caller-" + i);
-            thread.setDaemon(true);
-            thread.start();
+            start(caller, "caller-" + i);
         }
         if (settings.fatal()) {
-            FatalCaller caller = new FatalCaller(numbers, ports, book, settings);
-            Thread thread = new Thread(caller, "fatal-caller");
-            thread.setDaemon(true);
-            thread.start();
+            start(new FatalCaller(numbers, ports, book, settings), "fatal-caller");
+        }
+        if (settings.shortage()) {
+            flood.addAll(FloodCaller.callers(numbers, ports, book, settings.seed()));
+            flood.forEach(caller -> start(caller, "flood-caller"));
         }
         workers.scheduleAtFixedRate(operator::check, READ_MILLIS, READ_MILLIS, TimeUnit.MILLISECONDS);
     }
 
+    private static void start(Runnable caller, String name) {
+        Thread thread = new Thread(caller, name);
+        thread.setDaemon(true);
+        thread.start();
+    }
+
     private SoakUpstream upstream(String pool) {
         SoakUpstream upstream =
                 new SoakUpstream(pool, book, ports, results, this::endedUnderFatal, new Random(settings.seed()), group);
         synchronized (speeds) {
             upstream.working(UpstreamSpeed.of(speeds));
         }
+        if (settings.shortage()) {
+            upstream.inShortage();
+        }
         boolean cold = settings.evacuates() && pool.equals(SoakUpstream.ENGINE);
         if (cold) {
             upstream.starting(ColdStart.at(System.currentTimeMillis()));
@@ -226,6 +283,8 @@
         try {
             if (what.kind().isOfLinks()) {
                 disturbLinks(nodes.get(what.target()), what);
+            } else if (what.kind().isOfDispatchers()) {
+                disturbDispatcher(what);
             } else {
                 disturbProcess(what);
             }
@@ -238,6 +297,7 @@
 
     private void disturbLinks(NodeProcess node, Disturbance what) throws InterruptedException {
         long begin = System.currentTimeMillis();
+        RecoveryWatch.Outage outage = book.recovery().disturbed(RecoveryWatch.NO_NODE, begin);
         if (what.kind() == DisturbanceKind.RESET) {
             node.resetLinks();
         } else {
@@ -245,29 +305,70 @@
             Thread.sleep(what.forMillis());
             node.links(LinkMode.PASS);
         }
+        outage.ends(System.currentTimeMillis());
         trouble(begin);
     }
 
     private void disturbProcess(Disturbance what) throws IOException, InterruptedException {
         long begin = System.currentTimeMillis();
+        RecoveryWatch.Outage outage =
+                book.recovery().disturbed(isOfNode(what.kind()) ? what.target() : RecoveryWatch.NO_NODE, begin);
         switch (what.kind()) {
             case KILL, LOSE_DISK -> killAndRestart(nodes.get(what.target()), what);
             case TERM -> stopAndRestart(nodes.get(what.target()), what);
-            case PAUSE -> {
-                NodeProcess node = nodes.get(what.target());
-                node.signal("STOP");
-                Thread.sleep(what.forMillis());
-                node.signal("CONT");
-            }
+            case PAUSE -> pause(nodes.get(what.target()), what);
             case UPSTREAM_CRASH, UPSTREAM_DRAIN -> replaceUpstream(what);
+            case ENGINE_SILENCE -> silence(what);
             case REVOKE, CHANGE -> operator.change(what.kind() == DisturbanceKind.REVOKE, CHANGE_BOUND);
             default -> throw new IllegalArgumentException(what.toString());
         }
+        outage.ends(System.currentTimeMillis());
         if (what.kind() == DisturbanceKind.PAUSE || what.kind() == DisturbanceKind.KILL) {
             trouble(begin);
         }
     }
 
+    private static boolean isOfNode(DisturbanceKind kind) {
+        return switch (kind) {
+            case KILL, LOSE_DISK, TERM, PAUSE -> true;
+            default -> false;
+        };
+    }
+
+    /** Disturbs the node that dispatches a pool now; a second one at the same time meets the next node in the order. */
+    private void disturbDispatcher(Disturbance what) throws IOException, InterruptedException {
+        long begin = System.currentTimeMillis();
+        NodeProcess node = dispatchers.take(STAGE_POOLS.get(what.target()));
+        RecoveryWatch.Outage outage = book.recovery().disturbed(node.number(), begin);
+        progress.accept("at_ms=" + what.atMillis() + " dispatcher=" + node.name());
+        try {
+            if (what.kind() == DisturbanceKind.DISPATCHER_KILL) {
+                killAndRestart(node, what);
+            } else {
+                pause(node, what);
+            }
+        } finally {
+            outage.ends(System.currentTimeMillis());
+            dispatchers.release(node);
+        }
+        trouble(begin);
+    }
+
+    private static void pause(NodeProcess node, Disturbance what) throws IOException, InterruptedException {
+        node.signal("STOP");
+        Thread.sleep(what.forMillis());
+        node.signal("CONT");
+    }
+
+    private void silence(Disturbance what) throws InterruptedException {
+        SoakUpstream engine;
+        synchronized (upstreams) {
+            engine = upstreams.get(what.target());
+        }
+        engine.silence(what.forMillis());
+        Thread.sleep(what.forMillis());
+    }
+
     private void killAndRestart(NodeProcess node, Disturbance what) throws IOException, InterruptedException {
         synchronized (node) {
             node.kill();
--- a/soak/src/main/java/org/copperspindle/soak/SoakCaller.java
+++ b/soak/src/main/java/org/copperspindle/soak/SoakCaller.java
@@ -57,6 +57,11 @@
     private Socket socket;
     private InputStream in;
     private int left;
+    private int node;
+    private boolean inShortage;
+
+    /** The last request on the open connection whose answer was whole; empty if there is none. */
+    private String answered = "";
 
     SoakCaller(AtomicLong numbers, List<NodePorts> nodes, PromiseBook book, long seed) {
         this.numbers = numbers;
@@ -66,6 +71,12 @@
         this.more = new SplittableRandom(~seed);
     }
 
+    /** Asks for long streams, as is done while pools are short. */
+    SoakCaller inShortage() {
+        inShortage = true;
+        return this;
+    }
+
     void end() {
         ended = true;
     }
@@ -79,16 +90,25 @@
                     ? 1 + random.nextInt(MOST_PIECES)
                     : 0;
             if (more.nextDouble() < SLOW_SHARE) {
-                askAndStall(SoakRequest.large(numbers.incrementAndGet(), route, account, pieces));
+                askAndStall(lengthened(SoakRequest.large(numbers.incrementAndGet(), route, account, pieces)));
             } else {
-                SoakRequest request = SoakRequest.of(numbers.incrementAndGet(), route, account, pieces);
-                book.answered(request, ask(request, "", 0));
+                SoakRequest request = lengthened(SoakRequest.of(numbers.incrementAndGet(), route, account, pieces));
+                book.answered(request, ask(request));
             }
             Pause.millis(random.nextInt(THINK_MILLIS));
         }
         close();
     }
 
+    private SoakRequest lengthened(SoakRequest request) {
+        return inShortage && request.streams() ? request.lengthened() : request;
+    }
+
+    /** Sends a request, on the open connection if there is one. */
+    Answer ask(SoakRequest request) {
+        return ask(request, "", 0);
+    }
+
     /** Sends a request that ends upstreams, on a connection of its own. */
     Answer askFatal(SoakRequest request) {
         Answer answer = ask(request, SoakRequest.FATAL, 0);
@@ -125,32 +145,52 @@
             // The connection broke or nothing came in time: what had come by then is the answer.
             close();
         }
+        if (reply.whole) {
+            answered = request.id();
+        }
         if (!reply.whole || reply.closes) {
             close();
         }
         boolean notRun = List.of(503, 429, 408, 421).contains(reply.status)
                 || NotRunVerdict.LABEL.equals(reply.fields.get(VERDICT_FIELD));
         return new Answer(
-                reply.status, reply.body.toString(StandardCharsets.UTF_8), reply.whole, reply.whole && notRun, sentAt);
+                reply.status,
+                reply.body.toString(StandardCharsets.UTF_8),
+                reply.whole,
+                reply.whole && notRun,
+                sentAt,
+                node,
+                System.currentTimeMillis());
     }
 
     private void connect(boolean smallWindow) throws IOException {
         if (socket != null && left-- > 0) {
+            checkAnsweredOnce();
             return;
         }
         close();
-        NodePorts node = nodes.get(random.nextInt(nodes.size()));
+        NodePorts ports = nodes.get(random.nextInt(nodes.size()));
+        node = ports.domain();
         Socket next = new Socket();
         next.setSoTimeout(DEADLINE_MILLIS);
         if (smallWindow) {
             next.setReceiveBufferSize(SMALL_WINDOW);
         }
-        next.connect(node.socketAddress(node.callers()), CONNECT_MILLIS);
+        next.connect(ports.socketAddress(ports.callers()), CONNECT_MILLIS);
         socket = next;
         in = new BufferedInputStream(next.getInputStream());
         left = random.nextInt(FOR_ONE_CONNECTION);
     }
 
+    /** Nothing was asked since the last whole answer, so nothing may have come. */
+    private void checkAnsweredOnce() throws IOException {
+        int extra = answered.isEmpty() ? 0 : in.available();
+        if (extra > 0) {
+            book.breaks("answers: " + extra + " bytes came after the whole answer to " + answered);
+        }
+        answered = "";
+    }
+
     private static String text(SoakRequest request, String body) {
         return "POST /" + request.route() + "/x HTTP/1.1\r\nHost: h\r\n" + NAMES.requestId() + ": " + request.id()
                 + "\r\nAuthorization: Bearer key-" + request.account() + "\r\n" + NAMES.deadline() + ": "
@@ -162,6 +202,7 @@
     private void close() {
         try {
             if (socket != null) {
+                checkAnsweredOnce();
                 socket.close();
             }
         } catch (IOException e) {
--- a/soak/src/main/java/org/copperspindle/soak/SoakOperator.java
+++ b/soak/src/main/java/org/copperspindle/soak/SoakOperator.java
@@ -40,6 +40,10 @@
     private static final Pattern VERSION = Pattern.compile("version = (\\d+)");
     private static final Duration PATIENCE = Duration.ofSeconds(2);
     private static final long READ_AFTER_MILLIS = 2500;
+    private static final int OBJECTIVE_MILLIS = 1500;
+
+    /** More than half of the timeout of the routes. */
+    private static final int WAITING_OBJECTIVE_MILLIS = 2500;
 
     private final List<NodePorts> nodes;
     private final PromiseBook book;
@@ -48,13 +52,16 @@
             .followRedirects(HttpClient.Redirect.ALWAYS)
             .connectTimeout(PATIENCE)
             .build();
+    private final boolean shortage;
     private long version;
     private long acknowledged;
     private long acknowledgedAt;
     private boolean revoked;
 
-    SoakOperator(List<NodePorts> nodes, PromiseBook book) {
+    /** Creates an operator; {@code shortage} says whether the stage pools of its versions run short. */
+    SoakOperator(List<NodePorts> nodes, PromiseBook book, boolean shortage) {
         this.nodes = nodes;
+        this.shortage = shortage;
         this.book = book;
     }
 
@@ -133,9 +140,7 @@
                 + REVOKED + "]\nkeys = " + (revoked ? "key-other" : "key-" + REVOKED) + '\n' + smallerAccounts()
                 + "[pool " + SoakUpstream.WEB
                 + "]\n[pool " + SoakUpstream.ENGINE + "]\nengine-slots = 16\ncold-time = " + ColdStart.TIME_MILLIS
-                + "ms\ncold-per-second = " + ColdStart.PER_SECOND + "\n[pool " + SoakUpstream.STAGE
-                + "]\npieces-in-a-call = 8\ncalls-waiting = 2\ncall-time = 30ms\npiece-time = 1ms\n"
-                + "result-memory = 1MiB\nresult-kept = 4s\n"
+                + "ms\ncold-per-second = " + ColdStart.PER_SECOND + '\n' + stagePools()
                 + route(SoakRequest.SAFE, "safe", SoakUpstream.WEB, "max-attempts = 2")
                 + route(SoakRequest.ONCE, "unsafe", SoakUpstream.WEB, "max-attempts = 2")
                 + route(SoakRequest.DRAFT, "stream", SoakUpstream.ENGINE, "max-attempts = 2")
@@ -144,6 +149,20 @@
                 + stages(SoakRequest.RESUME);
     }
 
+    private String stagePools() {
+        if (!shortage) {
+            return stagePool(
+                    SoakUpstream.STAGE, "pieces-in-a-call = 8\ncalls-waiting = 2\ncall-time = 30ms\npiece-time = 1ms");
+        }
+        String limits = "pieces-in-a-call = 4\ncalls-waiting = 1\ncall-time = " + SoakUpstream.SHORT_CALL_MILLIS
+                + "ms\npiece-time = " + SoakUpstream.SHORT_PIECE_MILLIS + "ms";
+        return stagePool(SoakUpstream.STAGE, limits) + stagePool(SoakUpstream.LATER_STAGE, limits);
+    }
+
+    private static String stagePool(String name, String limits) {
+        return "[pool " + name + "]\n" + limits + "\nresult-memory = 1MiB\nresult-kept = 4s\n";
+    }
+
     private static String smallerAccounts() {
         StringBuilder accounts = new StringBuilder();
         SMALLER.forEach(name -> accounts.append("[account " + name + "]\nkeys = key-" + name + '\n'));
@@ -151,14 +170,19 @@
     }
 
     private String route(String name, String kind, String pool, String more) {
+        // A route of lower rank that leaves its callers time to wait makes the group of its pools a coordinated one.
+        boolean waits = shortage && name.equals(SoakRequest.DRAFT);
+        int objective = waits ? WAITING_OBJECTIVE_MILLIS : OBJECTIVE_MILLIS;
         // The objective differs from version to version, so that each has an effect.
         return "[route " + name + "]\nhost = h\npath-prefix = /" + name + "/\nkind = " + kind
-                + "\ntimeout = 4s\nobjective = " + (1500 + version % 100) + "ms\npools = " + pool
+                + "\ntimeout = 4s\nobjective = " + (objective + version % 100) + "ms\nrank = " + (waits ? 1 : 0)
+                + "\npools = " + pool
                 + "\nlongest-pause = 200ms\n" + more + "\n";
     }
 
-    private static String stages(String route) {
+    private String stages(String route) {
         return "[stage " + route + "/0]\npool = " + SoakUpstream.STAGE + "\nresult-size = 1KiB\n[stage " + route
-                + "/1]\npool = " + SoakUpstream.STAGE + "\nafter = 0\nresult-size = 1KiB\n";
+                + "/1]\npool = " + (shortage ? SoakUpstream.LATER_STAGE : SoakUpstream.STAGE)
+                + "\nafter = 0\nresult-size = 1KiB\n";
     }
 }
--- a/soak/src/main/java/org/copperspindle/soak/SoakPlan.java
+++ b/soak/src/main/java/org/copperspindle/soak/SoakPlan.java
@@ -31,7 +31,7 @@
         while (at < end) {
             int series = 1 + random.nextInt(LONGEST_SERIES);
             for (int i = 0; i < series; i++) {
-                DisturbanceKind kind = DisturbanceKind.values()[random.nextInt(DisturbanceKind.values().length)];
+                DisturbanceKind kind = DisturbanceKind.GENERAL.get(random.nextInt(DisturbanceKind.GENERAL.size()));
                 if (kind == DisturbanceKind.LOSE_DISK && diskLost) {
                     kind = DisturbanceKind.KILL;
                 }
--- a/soak/src/main/java/org/copperspindle/soak/SoakRequest.java
+++ b/soak/src/main/java/org/copperspindle/soak/SoakRequest.java
@@ -24,8 +24,13 @@
     /** Added to each part of a large answer: one part must stay below what a stand-in may have pending. */
     private static final String FILLER = "x".repeat(150_000);
 
-    /** Events of each stream. */
-    static final int EVENTS = 6;
+    /** Ends the id of a request whose stream is long. */
+    private static final String LONG = "long";
+
+    private static final int EVENTS = 6;
+
+    /** Long enough that an engine can be lost in the middle of most streams. */
+    private static final int LONG_EVENTS = 24;
 
     /** Makes a request. */
     static SoakRequest of(long number, String route, String account, int pieces) {
@@ -41,7 +46,17 @@
 
     /** Says whether the answer of a request is large. */
     static boolean isLarge(String id) {
-        return id.endsWith(LARGE);
+        return id.contains("-" + LARGE);
+    }
+
+    /** Returns this request with a long stream as its answer. */
+    SoakRequest lengthened() {
+        return new SoakRequest(id + '-' + LONG, route, account, pieces);
+    }
+
+    /** Returns how many events its answer has. */
+    int events() {
+        return id.endsWith("-" + LONG) ? LONG_EVENTS : EVENTS;
     }
 
     /** Reads what an id says. */
@@ -65,7 +80,7 @@
 
     /** Returns one event of its answer. */
     String event(int number) {
-        return "id: " + number + "\ndata: " + id + filler() + (number == EVENTS ? " end" : "") + "\n\n";
+        return "id: " + number + "\ndata: " + id + filler() + (number == events() ? " end" : "") + "\n\n";
     }
 
     private String filler() {
--- a/soak/src/main/java/org/copperspindle/soak/SoakSettings.java
+++ b/soak/src/main/java/org/copperspindle/soak/SoakSettings.java
@@ -9,12 +9,13 @@
  *
  * @param seed     decides every disturbance and its moment
  * @param duration time with disturbances; the recovery after it is not counted
- * @param nodes    node processes; all but the last have a data folder, so that an odd number of them votes
+ * @param nodes    node processes, 2 or more; all but the last one or two have a data folder, so that an odd number of them votes
  * @param callers  callers at work at the same time
  * @param folder   where settings, data and logs go
  * @param fatal    whether a caller sends one request again and again that ends each upstream that runs it
  * @param evacuates whether the operator evacuates failure domains, and engines are cold after their start
  * @param needs    whether upstreams name limits and ask for rest
+ * @param shortage whether stage pools run short under a flood, and their dispatchers and engines are disturbed
  * @param launcher words that start the command line, to which {@code run --settings FILE} is added
  */
 public record SoakSettings(
@@ -26,10 +27,16 @@
         boolean fatal,
         boolean evacuates,
         boolean needs,
+        boolean shortage,
         List<String> launcher) {
 
     /** Copies the list. */
     public SoakSettings {
         launcher = List.copyOf(launcher);
     }
+
+    /** Returns how many nodes have a data folder; they have the lowest numbers. */
+    int durableNodes() {
+        return nodes - 1 - nodes % 2;
+    }
 }
--- a/soak/src/main/java/org/copperspindle/soak/SoakUpstream.java
+++ b/soak/src/main/java/org/copperspindle/soak/SoakUpstream.java
@@ -40,11 +40,24 @@
     static final String ENGINE = "engine";
     static final String STAGE = "stage";
 
+    /** Runs the second stage while pools are short; its pool is the first one of the group by name. */
+    static final String LATER_STAGE = "later";
+
     private static final HeaderNames NAMES = HeaderNames.STANDARD;
     private static final Duration ACKNOWLEDGED = Duration.ofSeconds(1);
     private static final AtomicLong LAST = new AtomicLong();
     private static final int EVENT_MILLIS = 15;
     private static final int CALL_MILLIS = 30;
+
+    /** Time of a call and of each of its pieces while pools are short, as the route table states it. */
+    static final int SHORT_CALL_MILLIS = 120;
+
+    static final int SHORT_PIECE_MILLIS = 10;
+
+    /** Between two events of a long stream; below the longest pause that the route table states. */
+    private static final int LONG_EVENT_MILLIS = 40;
+
+    private static final int LOOK_MILLIS = 10;
     private static final int SLOTS = 16;
     static final int DOMAINS = 3;
     private static final String DRAINING = "draining";
@@ -74,6 +87,9 @@
     private final AtomicLong sequence = new AtomicLong();
     private volatile String phase = "ready";
     private volatile boolean ended;
+    private volatile boolean inShortage;
+    private volatile long silentUntil;
+    private long busyUntil;
 
     SoakUpstream(
             String pool,
@@ -111,6 +127,17 @@
         return this;
     }
 
+    /** Runs calls one after the other, as slowly as is stated while pools are short; before its first announcement. */
+    SoakUpstream inShortage() {
+        inShortage = true;
+        return this;
+    }
+
+    /** Sends nothing on its streams for some time. */
+    void silence(long millis) {
+        silentUntil = System.currentTimeMillis() + millis;
+    }
+
     /** Returns the name of a failure domain by its number. */
     static String failureDomain(long number) {
         return "d" + number % DOMAINS;
@@ -201,7 +228,7 @@
         } else if (!meant) {
             exchange.respond(421, List.of(new HeaderField(NAMES.answeringUpstream(), id)), new byte[0]);
         } else if (exchange.path().equals("/v1/pieces")) {
-            later(exchange, speed.scaled(CALL_MILLIS), () -> makePieces(exchange));
+            later(exchange, callMillis(exchange), () -> makePieces(exchange));
         } else if (exchange.path().equals("/v1/results/free")) {
             read(exchange).path("handles").forEach(handle -> results.remove(handle.asText()));
             exchange.respond(200, fields(), "{}".getBytes(StandardCharsets.UTF_8));
@@ -210,6 +237,18 @@
         }
     }
 
+    private long callMillis(HttpExchange exchange) {
+        return inShortage ? waitForTurn(read(exchange).path("pieces").size()) : speed.scaled(CALL_MILLIS);
+    }
+
+    /** Returns when a call of so many pieces is done, after those that came before it. */
+    private synchronized long waitForTurn(int pieces) {
+        long now = System.currentTimeMillis();
+        long takes = speed.scaled(SHORT_CALL_MILLIS + (long) pieces * SHORT_PIECE_MILLIS);
+        busyUntil = Math.max(now, busyUntil) + takes;
+        return busyUntil - now;
+    }
+
     /** Adds what it says of itself to the fields of an answer. */
     private List<HeaderField> fields(HeaderField... own) {
         List<HeaderField> fields = new ArrayList<>(Arrays.asList(own));
@@ -251,9 +290,14 @@
         List<HeaderField> fields = fields(new HeaderField(NAMES.requestId(), request.id()));
         if (request.streams()) {
             int after = Integer.parseInt(exchange.header("Last-Event-Id").orElse("0"));
-            int last = breaks ? after + random.nextInt(SoakRequest.EVENTS) : SoakRequest.EVENTS;
+            int last = breaks ? after + random.nextInt(request.events()) : request.events();
             exchange.start(200, fields);
-            stream(exchange, request, after + 1, last);
+            stream(
+                    exchange,
+                    request,
+                    after + 1,
+                    last,
+                    book.work().begins(request.id(), id, System.currentTimeMillis()));
         } else if (breaks) {
             exchange.start(200, fields);
             exchange.abortResponse();
@@ -263,13 +307,22 @@
         }
     }
 
-    private void stream(HttpExchange exchange, SoakRequest request, int number, int last) {
-        if (number > SoakRequest.EVENTS) {
+    private void stream(HttpExchange exchange, SoakRequest request, int number, int last, StreamWork.Span work) {
+        if (ended || !open.contains(exchange)) {
+            work.ends(System.currentTimeMillis());
+        } else if (!exchange.isWritable() || System.currentTimeMillis() < silentUntil) {
+            later(exchange, LOOK_MILLIS, () -> stream(exchange, request, number, last, work));
+        } else if (number > request.events()) {
+            work.ends(System.currentTimeMillis());
             exchange.finish();
         } else if (number > last) {
+            work.ends(System.currentTimeMillis());
             exchange.abortResponse();
         } else if (exchange.write(request.event(number))) {
-            later(exchange, speed.scaled(EVENT_MILLIS), () -> stream(exchange, request, number + 1, last));
+            long pause = speed.scaled(inShortage ? LONG_EVENT_MILLIS : EVENT_MILLIS);
+            later(exchange, pause, () -> stream(exchange, request, number + 1, last, work));
+        } else {
+            work.ends(System.currentTimeMillis());
         }
     }
 
--- a/tools/src/main/java/org/copperspindle/cli/SoakCommand.java
+++ b/tools/src/main/java/org/copperspindle/cli/SoakCommand.java
@@ -21,6 +21,10 @@
 final class SoakCommand implements Command {
 
     private static final int DEFAULT_NODES = 4;
+
+    /** Of two nodes without a data folder one is the first choice as a dispatcher of a stage pool, the other the standby. */
+    private static final int DEFAULT_SHORTAGE_NODES = 5;
+
     private static final int DEFAULT_CALLERS = 12;
     private static final int DEFAULT_SECONDS = 20;
 
@@ -47,8 +51,8 @@
                 .help("duration of the fault injection");
         parser.addArgument("--nodes")
                 .type(Integer.class)
-                .setDefault(DEFAULT_NODES)
-                .help("number of node processes; an even number");
+                .help("number of node processes; default: " + DEFAULT_NODES + ", with --shortage "
+                        + DEFAULT_SHORTAGE_NODES);
         parser.addArgument("--callers")
                 .type(Integer.class)
                 .setDefault(DEFAULT_CALLERS)
@@ -63,6 +67,11 @@
         parser.addArgument("--no-needs")
                 .action(Arguments.storeTrue())
                 .help("leave out upstreams that announce limits and request backoffs");
+        parser.addArgument("--shortage")
+                .action(Arguments.storeTrue())
+                .help(
+                        "let stage pools run short, and disturb their dispatchers and engines, instead of what the options"
+                                + " above leave out");
         parser.addArgument("--folder")
                 .setDefault("")
                 .help("folder for settings, data and logs; default: a temporary folder");
@@ -73,6 +82,9 @@
         // Stand-ins abort responses on purpose; the HTTP warnings about it would hide the progress of the soak.
         Configurator.setLevel("org.copperspindle.http", Level.ERROR);
         boolean passed = true;
+        boolean shortage = arguments.getBoolean("shortage");
+        Integer nodes = arguments.getInt("nodes");
+        int defaultNodes = shortage ? DEFAULT_SHORTAGE_NODES : DEFAULT_NODES;
         String folderOption = arguments.getString("folder");
         Path folder = folderOption.isEmpty() ? Files.createTempDirectory("copperspindle-soak") : Path.of(folderOption);
         long firstSeed = arguments.getLong("seed");
@@ -80,12 +92,13 @@
             SoakSettings settings = new SoakSettings(
                     seed,
                     Duration.ofSeconds(arguments.getInt("seconds")),
-                    arguments.getInt("nodes"),
+                    nodes == null ? defaultNodes : nodes,
                     arguments.getInt("callers"),
                     folder.resolve("seed-" + seed),
-                    !arguments.getBoolean("no_fatal"),
-                    !arguments.getBoolean("no_evacuations"),
-                    !arguments.getBoolean("no_needs"),
+                    !shortage && !arguments.getBoolean("no_fatal"),
+                    !shortage && !arguments.getBoolean("no_evacuations"),
+                    !shortage && !arguments.getBoolean("no_needs"),
+                    shortage,
                     nodeCommand());
             SoakReport report = Soak.run(settings, line -> System.out.println("soak " + line));
             System.out.println(report.summary() + " logs=" + settings.folder());
--- a/tools/src/test/java/org/copperspindle/cli/SoakTest.java
+++ b/tools/src/test/java/org/copperspindle/cli/SoakTest.java
@@ -30,17 +30,27 @@
     // 8003: a node that had just started refused to end an evacuation, since it did not know the failure domain yet.
     @ParameterizedTest
     @CsvSource({
-        "1, false, false, false",
-        "101, false, false, false",
-        "7001, true, false, false",
-        "7002, true, false, false",
-        "8003, false, true, false",
-        "9001, false, false, true"
+        "1, false, false, false, false",
+        "101, false, false, false, false",
+        "7001, true, false, false, false",
+        "7002, true, false, false, false",
+        "8003, false, true, false, false",
+        "9001, false, false, true, false",
+        "3, false, false, false, true"
     })
-    void promisesAreKeptUnderInjectedFaults(long seed, boolean fatal, boolean evacuates, boolean needs)
-            throws Exception {
+    void promisesAreKeptUnderInjectedFaults(
+            long seed, boolean fatal, boolean evacuates, boolean needs, boolean shortage) throws Exception {
         SoakSettings settings = new SoakSettings(
-                seed, Duration.ofSeconds(8), 4, 6, folder, fatal, evacuates, needs, SoakCommand.nodeCommand());
+                seed,
+                Duration.ofSeconds(8),
+                shortage ? 5 : 4,
+                6,
+                folder,
+                fatal,
+                evacuates,
+                needs,
+                shortage,
+                SoakCommand.nodeCommand());
         SoakReport report = Soak.run(settings, line -> {});
         assertThat(report.broken()).as(report.summary()).isEmpty();
         assertThat(report.served()).isPositive();
