Judge recovery by first events, and by the nodes together for what is served

Now each undisturbed node has to answer, with a first event or a refusal, and all of them together have to serve some of 20 requests.

--- a/soak/src/main/java/org/copperspindle/soak/FloodCaller.java
+++ b/soak/src/main/java/org/copperspindle/soak/FloodCaller.java
@@ -16,7 +16,7 @@
     private static final int MOST_PIECES = 4;
 
     /** All nodes together are asked for more than the stage pools run. */
-    private static final int CALLERS_OF_A_NODE = 4;
+    private static final int CALLERS_OF_A_NODE = 2;
 
     private static final int MOST_PAUSE_MILLIS = 150;
 
--- a/soak/src/main/java/org/copperspindle/soak/PromiseBook.java
+++ b/soak/src/main/java/org/copperspindle/soak/PromiseBook.java
@@ -237,9 +237,18 @@
      * @param saysNotRun whether it promises that the request did not run
      * @param sentAt     when the request was sent, in milliseconds
      * @param node       number of the node that was asked
+     * @param firstAt    when its body began, in milliseconds; 0 if none came
      * @param endedAt    when the answer ended, in milliseconds
      */
-    record Answer(int status, String text, boolean whole, boolean saysNotRun, long sentAt, int node, long endedAt) {
+    record Answer(
+            int status,
+            String text,
+            boolean whole,
+            boolean saysNotRun,
+            long sentAt,
+            int node,
+            long firstAt,
+            long endedAt) {
 
         /** Says whether it is a success and whole. */
         boolean isServed() {
@@ -248,7 +257,7 @@
 
         /** Large answers have been compared when they are written down, and would fill the memory. */
         private Answer withoutText() {
-            return new Answer(status, "", whole, saysNotRun, sentAt, node, endedAt);
+            return new Answer(status, "", whole, saysNotRun, sentAt, node, firstAt, endedAt);
         }
 
         private String excerpt() {
--- a/soak/src/main/java/org/copperspindle/soak/RecoveryWatch.java
+++ b/soak/src/main/java/org/copperspindle/soak/RecoveryWatch.java
@@ -1,7 +1,6 @@
 package org.copperspindle.soak;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -11,8 +10,8 @@
 import org.copperspindle.soak.PromiseBook.Answer;
 
 /**
- * Judges whether nodes that are not disturbed answer requests with stages again after others were. Times are in
- * milliseconds.
+ * Judges whether nodes that are not disturbed answer requests with stages again after others were: each of them answers,
+ * with a first event or a refusal, and together they serve some. Times are in milliseconds.
  *
  * <p>Only time in which nothing begins or ends is judged, and only while no more voters are disturbed than the
  * deployment tolerates.
@@ -31,12 +30,15 @@
     /** Longest objective of the most urgent route with stages. */
     private static final long OBJECTIVE_MILLIS = 1600;
 
-    /** Between two answers of a node, from the last disturbance on. */
+    /** Between two answers, from the last disturbance on. The last part is the time that a served request has. */
     static final long BOUND_MILLIS = SILENCE_LIMIT_MILLIS + TAKEOVER_MILLIS + OBJECTIVE_MILLIS;
 
     /** Requests that a node must have been sent in time to be blamed for answering none. */
     private static final int LEAST_ASKED = 3;
 
+    /** The same for serving none: most requests are refused while pools are short, so that fewer tell nothing. */
+    private static final int LEAST_ASKED_TO_SERVE = 20;
+
     private static final int TOLERATED_VOTERS = 1;
 
     private final List<Outage> outages = new CopyOnWriteArrayList<>();
@@ -56,7 +58,6 @@
 
     /** Returns what is broken by nodes from 0 on, of which the first {@code voters} vote. */
     synchronized Verdict judge(int nodes, int voters, long end) {
-        answers.sort(Comparator.comparingLong(Answer::endedAt));
         List<Outage> known = outages.stream().map(this::untilServing).toList();
         TreeSet<Long> events = new TreeSet<>(Set.of(end));
         known.forEach(outage -> events.add(outage.from));
@@ -70,41 +71,56 @@
             if (until - from <= BOUND_MILLIS || down.contains(NO_NODE) || !tolerated) {
                 continue;
             }
+            List<Answer> undisturbed =
+                    answers.stream().filter(a -> !down.contains(a.node())).toList();
+            List<Answer> served =
+                    undisturbed.stream().filter(RecoveryWatch::isServed).toList();
+            judged++;
+            judge("nodes served", undisturbed, served, LEAST_ASKED_TO_SERVE, from, until, broken);
             for (int node = 0; node < nodes; node++) {
-                if (!down.contains(node)) {
-                    judged++;
-                    judge(node, from, until, broken);
-                }
+                int number = node;
+                List<Answer> own =
+                        undisturbed.stream().filter(a -> a.node() == number).toList();
+                List<Answer> answered = own.stream().filter(a -> a.status() > 0).toList();
+                judge("node-" + node + " answered", own, answered, LEAST_ASKED, from, until, broken);
             }
         }
         return new Verdict(judged, broken);
     }
 
-    private void judge(int node, long from, long until, List<String> broken) {
-        List<Answer> own = answers.stream().filter(a -> a.node() == node).toList();
-        long last = from;
-        for (Answer answer : own) {
-            boolean counts = answer.isServed() && answer.endedAt() > from && answer.endedAt() <= until;
-            if (counts) {
-                judgeGap(node, own, last, answer.endedAt(), broken);
-                last = answer.endedAt();
+    /** Judges each time without a good answer between two events. */
+    private static void judge(
+            String subject,
+            List<Answer> all,
+            List<Answer> good,
+            int least,
+            long from,
+            long until,
+            List<String> broken) {
+        TreeSet<Long> times = new TreeSet<>(Set.of(from, until));
+        good.stream()
+                .map(RecoveryWatch::answeredAt)
+                .filter(at -> at > from && at < until)
+                .forEach(times::add);
+        for (long last = from; last < until; last = times.higher(last)) {
+            long next = times.higher(last);
+            long begin = last;
+            long asked = all.stream()
+                    .filter(a -> a.sentAt() >= begin && a.sentAt() < begin + BOUND_MILLIS - OBJECTIVE_MILLIS)
+                    .count();
+            if (next - last > BOUND_MILLIS && asked >= least) {
+                broken.add("again: " + subject + " none of " + asked + " requests from " + last + " to " + next);
             }
         }
-        judgeGap(node, own, last, until, broken);
     }
 
-    private static void judgeGap(int node, List<Answer> own, long from, long until, List<String> broken) {
-        if (until - from <= BOUND_MILLIS) {
-            return;
-        }
-        long latest = from + BOUND_MILLIS - OBJECTIVE_MILLIS;
-        long asked = own.stream()
-                .filter(a -> a.sentAt() >= from && a.sentAt() < latest)
-                .count();
-        if (asked >= LEAST_ASKED) {
-            broken.add(
-                    "again: node-" + node + " answered none of " + asked + " requests from " + from + " to " + until);
-        }
+    private static boolean isServed(Answer answer) {
+        return answer.status() == 200 && answer.firstAt() > 0;
+    }
+
+    /** Returns when a caller got the first event, or a refusal. */
+    private static long answeredAt(Answer answer) {
+        return isServed(answer) ? answer.firstAt() : answer.endedAt();
     }
 
     /** A node takes part again, also as a dispatcher, once it has answered a request. */
@@ -114,9 +130,9 @@
         }
         Outage whole = new Outage(outage.node, outage.from);
         whole.until = answers.stream()
-                .filter(a -> a.node() == outage.node && a.isServed() && a.sentAt() >= outage.until)
-                .mapToLong(Answer::endedAt)
-                .findFirst()
+                .filter(a -> a.node() == outage.node && isServed(a) && a.sentAt() >= outage.until)
+                .mapToLong(RecoveryWatch::answeredAt)
+                .min()
                 .orElse(Long.MAX_VALUE);
         return whole;
     }
@@ -132,7 +148,7 @@
     /**
      * What was judged.
      *
-     * @param judged times without disturbances, counted for each node that was judged in them
+     * @param judged times without disturbances in which undisturbed nodes were judged
      * @param broken what is broken
      */
     record Verdict(int judged, List<String> broken) {}
--- a/soak/src/main/java/org/copperspindle/soak/SoakCaller.java
+++ b/soak/src/main/java/org/copperspindle/soak/SoakCaller.java
@@ -160,6 +160,7 @@
                 reply.whole && notRun,
                 sentAt,
                 node,
+                reply.firstAt,
                 System.currentTimeMillis());
     }
 
@@ -219,6 +220,7 @@
         private int status;
         private boolean whole;
         private boolean closes;
+        private long firstAt;
 
         private void read(InputStream in, int stallMillis) throws IOException {
             String first = line(in);
@@ -248,6 +250,9 @@
         }
 
         private void copy(InputStream in, int length) throws IOException {
+            if (firstAt == 0 && length > 0) {
+                firstAt = System.currentTimeMillis();
+            }
             for (int i = 0; i < length; i++) {
                 body.write(next(in));
             }
--- a/soak/src/main/java/org/copperspindle/soak/SoakRequest.java
+++ b/soak/src/main/java/org/copperspindle/soak/SoakRequest.java
@@ -27,6 +27,9 @@
     /** Ends the id of a request whose stream is long. */
     private static final String LONG = "long";
 
+    /** The same of a long stream: all of them are more than the buffers of a connection on loopback take. */
+    private static final String LONG_FILLER = "x".repeat(240_000);
+
     private static final int EVENTS = 6;
 
     /** Long enough that an engine can be lost in the middle of most streams. */
@@ -56,7 +59,11 @@
 
     /** Returns how many events its answer has. */
     int events() {
-        return id.endsWith("-" + LONG) ? LONG_EVENTS : EVENTS;
+        return isLong() ? LONG_EVENTS : EVENTS;
+    }
+
+    private boolean isLong() {
+        return id.endsWith("-" + LONG);
     }
 
     /** Reads what an id says. */
@@ -84,7 +91,10 @@
     }
 
     private String filler() {
-        return isLarge(id) ? FILLER : "";
+        if (!isLarge(id)) {
+            return "";
+        }
+        return isLong() ? LONG_FILLER : FILLER;
     }
 
     /** Returns the key of its pieces. */
