--- a/soak/src/main/java/org/copperspindle/soak/ShortagePlan.java
+++ b/soak/src/main/java/org/copperspindle/soak/ShortagePlan.java
@@ -20,6 +20,10 @@
     private static final int SHORTEST_MILLIS = 400;
     private static final int LONGEST_MILLIS = 6000;
     private static final int LONGEST_GAP_MILLIS = 2000;
+
+    /** A node that is started serves after about this, on a busy machine. */
+    private static final int START_MILLIS = 3000;
+
     private static final double ENGINE_SHARE = 0.35;
 
     /** An engine that crashes may be silent for as long before that; its streams have time left to be resumed. */
@@ -62,7 +66,7 @@
                     DisturbanceKind kind = kill ? DisturbanceKind.DISPATCHER_KILL : DisturbanceKind.DISPATCHER_PAUSE;
                     long begin = i == 0 ? at : at + random.nextInt(TOGETHER_MILLIS);
                     plan.add(new Disturbance(begin, lasts, kind, random.nextInt(pools)));
-                    longest = Math.max(longest, lasts);
+                    longest = Math.max(longest, kill ? lasts + START_MILLIS : lasts);
                 }
                 longest += RecoveryWatch.BOUND_MILLIS;
             }
--- a/soak/src/main/java/org/copperspindle/soak/SoakUpstream.java
+++ b/soak/src/main/java/org/copperspindle/soak/SoakUpstream.java
@@ -65,6 +65,12 @@
     private static final double REFUSES = 0.03;
     private static final double BREAKS = 0.03;
 
+    /** The same for long streams: enough of them are resumed to be judged. */
+    private static final double LONG_BREAKS = 0.15;
+
+    /** A long stream may be silent for as long before it breaks; it has time left to be resumed. */
+    private static final int LONGEST_STALL_MILLIS = 1000;
+
     /** Results that exist, over all upstreams of one soak. */
     private final Set<String> results;
 
@@ -286,7 +292,7 @@
             ends.accept(this);
             return;
         }
-        boolean breaks = random.nextDouble() < BREAKS;
+        boolean breaks = random.nextDouble() < (inShortage && request.streams() ? LONG_BREAKS : BREAKS);
         List<HeaderField> fields = fields(new HeaderField(NAMES.requestId(), request.id()));
         if (request.streams()) {
             int after = Integer.parseInt(exchange.header("Last-Event-Id").orElse("0"));
@@ -316,8 +322,8 @@
             work.ends(System.currentTimeMillis());
             exchange.finish();
         } else if (number > last) {
-            work.ends(System.currentTimeMillis());
-            exchange.abortResponse();
+            int stall = inShortage ? random.nextInt(LONGEST_STALL_MILLIS) : 0;
+            breakOff(exchange, System.currentTimeMillis() + stall, work);
         } else if (exchange.write(request.event(number))) {
             long pause = speed.scaled(inShortage ? LONG_EVENT_MILLIS : EVENT_MILLIS);
             later(exchange, pause, () -> stream(exchange, request, number + 1, last, work));
@@ -326,6 +332,16 @@
         }
     }
 
+    private void breakOff(HttpExchange exchange, long at, StreamWork.Span work) {
+        long now = System.currentTimeMillis();
+        if (!ended && open.contains(exchange) && now < at) {
+            later(exchange, LOOK_MILLIS, () -> breakOff(exchange, at, work));
+            return;
+        }
+        work.ends(now);
+        exchange.abortResponse();
+    }
+
     private void judge(HttpExchange exchange, SoakRequest request) {
         String account = exchange.header(NAMES.account()).orElse("");
         if (!account.equals(request.account())
