--- a/tools/src/test/java/org/copperspindle/cli/SoakTest.java
+++ b/tools/src/test/java/org/copperspindle/cli/SoakTest.java
@@ -28,6 +28,8 @@
     // 7001, 7002: one request crashed all upstreams of a pool, and a frequent request that was still sent to them over
     // kept-alive connections was quarantined in its place.
     // 8003: a node that had just started refused to end an evacuation, since it did not know the failure domain yet.
+    // 504: broke nothing; it begins with three dispatchers of short pools that are suspended or killed at once.
+    // nothing.
     @ParameterizedTest
     @CsvSource({
         "1, false, false, false, false",
@@ -36,7 +38,7 @@
         "7002, true, false, false, false",
         "8003, false, true, false, false",
         "9001, false, false, true, false",
-        "3, false, false, false, true"
+        "504, false, false, false, true"
     })
     void promisesAreKeptUnderInjectedFaults(
             long seed, boolean fatal, boolean evacuates, boolean needs, boolean shortage) throws Exception {
