--- a/soak/src/main/java/org/copperspindle/soak/SoakCaller.java
+++ b/soak/src/main/java/org/copperspindle/soak/SoakCaller.java
@@ -36,7 +36,14 @@
     /** Share of requests whose answers are large and are not read for a while once they have begun. */
     private static final double SLOW_SHARE = 0.03;
 
+    /** The same while pools are short and most streams are refused. */
+    private static final double SLOW_SHARE_IN_SHORTAGE = 0.1;
+
     private static final int SHORTEST_STALL_MILLIS = 500;
+
+    /** Long enough that a long stream fills the buffers of its connection, and the node has to hold the rest. */
+    private static final int SHORTEST_LONG_STALL_MILLIS = 1500;
+
     private static final int LONGEST_STALL_MILLIS = 3000;
 
     /** Of the connection of a slow reader, in bytes: little is on its way while it does not read. */
@@ -89,7 +96,7 @@
             int pieces = route.equals(SoakRequest.DRAFT) || route.equals(SoakRequest.RESUME)
                     ? 1 + random.nextInt(MOST_PIECES)
                     : 0;
-            if (more.nextDouble() < SLOW_SHARE) {
+            if (more.nextDouble() < (inShortage ? SLOW_SHARE_IN_SHORTAGE : SLOW_SHARE)) {
                 askAndStall(lengthened(SoakRequest.large(numbers.incrementAndGet(), route, account, pieces)));
             } else {
                 SoakRequest request = lengthened(SoakRequest.of(numbers.incrementAndGet(), route, account, pieces));
@@ -118,7 +125,8 @@
 
     /** Sends a request on a connection of its own, and stops to read its answer for a while. */
     private void askAndStall(SoakRequest request) {
-        int stall = SHORTEST_STALL_MILLIS + more.nextInt(LONGEST_STALL_MILLIS - SHORTEST_STALL_MILLIS);
+        int shortest = inShortage ? SHORTEST_LONG_STALL_MILLIS : SHORTEST_STALL_MILLIS;
+        int stall = shortest + more.nextInt(LONGEST_STALL_MILLIS - shortest);
         SoakCaller connection = new SoakCaller(numbers, nodes, book, more.nextLong());
         book.answered(request, connection.ask(request, "", stall));
         connection.close();
