--- a/soak/src/main/java/org/copperspindle/soak/SoakCaller.java
+++ b/soak/src/main/java/org/copperspindle/soak/SoakCaller.java
@@ -36,7 +36,14 @@
     /** Share of requests whose answers are large and are not read for a while once they have begun. */
     private static final double SLOW_SHARE = 0.03;
 
+    /** The same while pools are short and most streams are refused. */
+    private static final double SLOW_SHARE_IN_SHORTAGE = 0.1;
+
     private static final int SHORTEST_STALL_MILLIS = 500;
+
+    /** Long enough that a long stream fills the buffers of its connection, and the node has to hold the rest. */
+    private static final int SHORTEST_LONG_STALL_MILLIS = 1500;
+
     private static final int LONGEST_STALL_MILLIS = 3000;
 
     /** Of the connection of a slow reader, in bytes: little is on its way while it does not read. */
@@ -57,6 +64,11 @@
     private Socket socket;
     private InputStream in;
     private int left;
+    private int node;
+    private boolean inShortage;
+
+    /** The last request on the open connection whose answer was whole; empty if there is none. */
+    private String answered = "";
 
     SoakCaller(AtomicLong numbers, List<NodePorts> nodes, PromiseBook book, long seed) {
         this.numbers = numbers;
@@ -66,6 +78,12 @@
         this.more = new SplittableRandom(~seed);
     }
 
+    /** Asks for long streams, as is done while pools are short. */
+    SoakCaller inShortage() {
+        inShortage = true;
+        return this;
+    }
+
     void end() {
         ended = true;
     }
@@ -78,17 +96,26 @@
             int pieces = route.equals(SoakRequest.DRAFT) || route.equals(SoakRequest.RESUME)
                     ? 1 + random.nextInt(MOST_PIECES)
                     : 0;
-            if (more.nextDouble() < SLOW_SHARE) {
-                askAndStall(SoakRequest.large(numbers.incrementAndGet(), route, account, pieces));
+            if (more.nextDouble() < (inShortage ? SLOW_SHARE_IN_SHORTAGE : SLOW_SHARE)) {
+                askAndStall(lengthened(SoakRequest.large(numbers.incrementAndGet(), route, account, pieces)));
             } else {
-                SoakRequest request = SoakRequest.of(numbers.incrementAndGet(), route, account, pieces);
-                book.answered(request, ask(request, "", 0));
+                SoakRequest request = lengthened(SoakRequest.of(numbers.incrementAndGet(), route, account, pieces));
+                book.answered(request, ask(request));
             }
             Pause.millis(random.nextInt(THINK_MILLIS));
         }
         close();
     }
 
+    private SoakRequest lengthened(SoakRequest request) {
+        return inShortage && request.streams() ? request.lengthened() : request;
+    }
+
+    /** Sends a request, on the open connection if there is one. */
+    Answer ask(SoakRequest request) {
+        return ask(request, "", 0);
+    }
+
     /** Sends a request that ends upstreams, on a connection of its own. */
     Answer askFatal(SoakRequest request) {
         Answer answer = ask(request, SoakRequest.FATAL, 0);
@@ -98,7 +125,8 @@
 
     /** Sends a request on a connection of its own, and stops to read its answer for a while. */
     private void askAndStall(SoakRequest request) {
-        int stall = SHORTEST_STALL_MILLIS + more.nextInt(LONGEST_STALL_MILLIS - SHORTEST_STALL_MILLIS);
+        int shortest = inShortage ? SHORTEST_LONG_STALL_MILLIS : SHORTEST_STALL_MILLIS;
+        int stall = shortest + more.nextInt(LONGEST_STALL_MILLIS - shortest);
         SoakCaller connection = new SoakCaller(numbers, nodes, book, more.nextLong());
         book.answered(request, connection.ask(request, "", stall));
         connection.close();
@@ -125,32 +153,53 @@
             // The connection broke or nothing came in time: what had come by then is the answer.
             close();
         }
+        if (reply.whole) {
+            answered = request.id();
+        }
         if (!reply.whole || reply.closes) {
             close();
         }
         boolean notRun = List.of(503, 429, 408, 421).contains(reply.status)
                 || NotRunVerdict.LABEL.equals(reply.fields.get(VERDICT_FIELD));
         return new Answer(
-                reply.status, reply.body.toString(StandardCharsets.UTF_8), reply.whole, reply.whole && notRun, sentAt);
+                reply.status,
+                reply.body.toString(StandardCharsets.UTF_8),
+                reply.whole,
+                reply.whole && notRun,
+                sentAt,
+                node,
+                reply.firstAt,
+                System.currentTimeMillis());
     }
 
     private void connect(boolean smallWindow) throws IOException {
         if (socket != null && left-- > 0) {
+            checkAnsweredOnce();
             return;
         }
         close();
-        NodePorts node = nodes.get(random.nextInt(nodes.size()));
+        NodePorts ports = nodes.get(random.nextInt(nodes.size()));
+        node = ports.domain();
         Socket next = new Socket();
         next.setSoTimeout(DEADLINE_MILLIS);
         if (smallWindow) {
             next.setReceiveBufferSize(SMALL_WINDOW);
         }
-        next.connect(node.socketAddress(node.callers()), CONNECT_MILLIS);
+        next.connect(ports.socketAddress(ports.callers()), CONNECT_MILLIS);
         socket = next;
         in = new BufferedInputStream(next.getInputStream());
         left = random.nextInt(FOR_ONE_CONNECTION);
     }
 
+    /** Nothing was asked since the last whole answer, so nothing may have come. */
+    private void checkAnsweredOnce() throws IOException {
+        int extra = answered.isEmpty() ? 0 : in.available();
+        if (extra > 0) {
+            book.breaks("answers: " + extra + " bytes came after the whole answer to " + answered);
+        }
+        answered = "";
+    }
+
     private static String text(SoakRequest request, String body) {
         return "POST /" + request.route() + "/x HTTP/1.1\r\nHost: h\r\n" + NAMES.requestId() + ": " + request.id()
                 + "\r\nAuthorization: Bearer key-" + request.account() + "\r\n" + NAMES.deadline() + ": "
@@ -162,6 +211,7 @@
     private void close() {
         try {
             if (socket != null) {
+                checkAnsweredOnce();
                 socket.close();
             }
         } catch (IOException e) {
@@ -178,6 +228,7 @@
         private int status;
         private boolean whole;
         private boolean closes;
+        private long firstAt;
 
         private void read(InputStream in, int stallMillis) throws IOException {
             String first = line(in);
@@ -207,6 +258,9 @@
         }
 
         private void copy(InputStream in, int length) throws IOException {
+            if (firstAt == 0 && length > 0) {
+                firstAt = System.currentTimeMillis();
+            }
             for (int i = 0; i < length; i++) {
                 body.write(next(in));
             }
--- a/soak/src/main/java/org/copperspindle/soak/SoakRequest.java
+++ b/soak/src/main/java/org/copperspindle/soak/SoakRequest.java
@@ -24,8 +24,16 @@
     /** Added to each part of a large answer: one part must stay below what a stand-in may have pending. */
     private static final String FILLER = "x".repeat(150_000);
 
-    /** Events of each stream. */
-    static final int EVENTS = 6;
+    /** Ends the id of a request whose stream is long. */
+    private static final String LONG = "long";
+
+    /** The same of a long stream: all of them are more than the buffers of a connection on loopback take. */
+    private static final String LONG_FILLER = "x".repeat(240_000);
+
+    private static final int EVENTS = 6;
+
+    /** Long enough that an engine can be lost in the middle of most streams. */
+    private static final int LONG_EVENTS = 24;
 
     /** Makes a request. */
     static SoakRequest of(long number, String route, String account, int pieces) {
@@ -41,7 +49,21 @@
 
     /** Says whether the answer of a request is large. */
     static boolean isLarge(String id) {
-        return id.endsWith(LARGE);
+        return id.contains("-" + LARGE);
+    }
+
+    /** Returns this request with a long stream as its answer. */
+    SoakRequest lengthened() {
+        return new SoakRequest(id + '-' + LONG, route, account, pieces);
+    }
+
+    /** Returns how many events its answer has. */
+    int events() {
+        return isLong() ? LONG_EVENTS : EVENTS;
+    }
+
+    private boolean isLong() {
+        return id.endsWith("-" + LONG);
     }
 
     /** Reads what an id says. */
@@ -65,11 +87,14 @@
 
     /** Returns one event of its answer. */
     String event(int number) {
-        return "id: " + number + "\ndata: " + id + filler() + (number == EVENTS ? " end" : "") + "\n\n";
+        return "id: " + number + "\ndata: " + id + filler() + (number == events() ? " end" : "") + "\n\n";
     }
 
     private String filler() {
-        return isLarge(id) ? FILLER : "";
+        if (!isLarge(id)) {
+            return "";
+        }
+        return isLong() ? LONG_FILLER : FILLER;
     }
 
     /** Returns the key of its pieces. */
