--- a/library/src/main/java/org/copperspindle/admission/FleetStageStarts.java
+++ b/library/src/main/java/org/copperspindle/admission/FleetStageStarts.java
@@ -115,6 +115,20 @@
         return pools.map(controllers::shortPools).orElse(Set.of());
     }
 
+    /**
+     * Returns whether the group of a pool is short of capacity, by this node as its controller or by the loads that
+     * the dispatchers of its pools announce.
+     *
+     * @param pool name of the pool
+     * @return false also for pools of no coordinated group
+     */
+    public boolean isPoolShort(String pool) {
+        if (announcedShortAt.isEmpty() && !controllers.isAnyShort()) {
+            return false;
+        }
+        return pools.flatMap(p -> p.groupOf(pool)).filter(this::isShort).isPresent();
+    }
+
     /**
      * Returns the counts for the metrics.
      *
--- a/library/src/main/java/org/copperspindle/batch/BatchService.java
+++ b/library/src/main/java/org/copperspindle/batch/BatchService.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Function;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 
 import org.apache.logging.log4j.LogManager;
@@ -83,6 +84,7 @@
     private long handledPauseAt;
     private CallAdmission admission = CallAdmission.ALL;
     private Supplier<Set<String>> shortage = Set::of;
+    private Predicate<String> fillsCalls = pool -> false;
     private UpstreamPace pace = UpstreamPace.NONE;
 
     /**
@@ -134,6 +136,15 @@
         shortage = pools;
     }
 
+    /**
+     * Sets which pools are short of capacity, so that their calls are filled. To be called before {@link #start}.
+     *
+     * @param isShort whether the pool of a name is short
+     */
+    public void fillCallsWhile(Predicate<String> isShort) {
+        fillsCalls = isShort;
+    }
+
     /**
      * Sets what upstreams state of their pace. To be called before {@link #start}.
      *
@@ -456,7 +467,8 @@
                 name -> new PoolDispatcher(name, directory, timers, port, () -> limits.apply(name), sink, log)
                         .withPauseDetector(pauseDetector)
                         .limitCallsWith(admission)
-                        .scaleDurationsBy(pace));
+                        .scaleDurationsBy(pace)
+                        .fillCallsWhile(() -> fillsCalls.test(name)));
     }
 
     private void upstreamChanged(UpstreamRecord changed) {
--- a/library/src/main/java/org/copperspindle/batch/PieceTask.java
+++ b/library/src/main/java/org/copperspindle/batch/PieceTask.java
@@ -8,6 +8,11 @@
  */
 record PieceTask(WaitingGroup group, int piece) {
 
+    /** Returns whether the rest of its group, which was split to fill this call, still waits. */
+    boolean isOfSplitGroup() {
+        return group.isSplit() && !group.missing().isEmpty();
+    }
+
     StageItem toItem(long now) {
         PieceGroup source = group.group();
         return new StageItem(
--- a/library/src/main/java/org/copperspindle/batch/PoolDispatcher.java
+++ b/library/src/main/java/org/copperspindle/batch/PoolDispatcher.java
@@ -7,13 +7,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
 
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.copperspindle.discovery.UpstreamDirectory;
-import org.copperspindle.discovery.UpstreamRecord;
 import org.copperspindle.measure.LogRateLimiter;
 import org.copperspindle.route.BatchLimits;
 import org.copperspindle.time.DeferredTask;
@@ -60,6 +60,8 @@
     private final InputReleaser inputs;
     private final DeferredTask wake;
     private final CallSplitter splitter = new CallSplitter();
+    private final NearUpstreams nearUpstreams;
+    private final ResumedCalls resumedCalls = new ResumedCalls();
     private Optional<PauseDetector> pauseDetector = Optional.empty();
     private PoolWork work = PoolWork.NONE;
 
@@ -79,6 +81,7 @@
         this.sink = sink;
         this.log = log;
         this.upstreams = new PoolUpstreams(pool, directory);
+        this.nearUpstreams = new NearUpstreams(directory, upstreams);
         this.releaser = new ResultReleaser(upstreams, timers, port, this::dispatch);
         this.inputs = new InputReleaser(pool, timers, sink);
         this.wake = new DeferredTask(timers, this::dispatch);
@@ -102,6 +105,12 @@
         return this;
     }
 
+    /** Sets whether the pool is short of capacity, so that calls are filled; without it, it never is. */
+    PoolDispatcher fillCallsWhile(BooleanSupplier poolIsShort) {
+        queue.fillCallsWhile(poolIsShort);
+        return this;
+    }
+
     void add(String origin, PieceGroup group) {
         queue.add(new WaitingGroup(origin, group, timers.nanoTime()));
         dispatch();
@@ -167,21 +176,45 @@
         free.removeAll(slow);
         while (!free.isEmpty() && !queue.isEmpty()) {
             StageUpstream upstream = free.remove(0);
-            CallBounds bounds = new CallBounds(
-                    (queue.pieces() + free.size()) / (free.size() + 1),
-                    upstream.freeMemory(known.get(), now),
-                    upstreams.isBehind(known.get(), queue.pieces(), now),
-                    upstreams.pace(upstream, now));
-            List<PieceTask> tasks =
-                    queue.take(known.get(), bounds, now, group -> shouldSendTo(group, upstream, now, known.get()));
+            if (sendResumed(upstream, free.size() + 1, known.get(), now)) {
+                continue;
+            }
+            CallBounds bounds = bounds(upstream, queue.pieces(), free.size() + 1, known.get(), now);
+            List<PieceTask> tasks = queue.take(
+                    known.get(), bounds, now, group -> nearUpstreams.shouldSendTo(group, upstream, now, known.get()));
             if (!tasks.isEmpty()) {
-                send(upstream, tasks, known.get());
+                send(upstream, tasks, known.get(), false);
             }
         }
         probeSlowUpstreams(slow, known.get(), now);
         scheduleWake();
     }
 
+    /**
+     * Sends a call that carries only groups of interrupted streams, as long as their callers can get the next event in
+     * time: in a full call their pieces would take longer.
+     */
+    private boolean sendResumed(StageUpstream upstream, int free, BatchLimits known, long now) {
+        int pieces = queue.resumedPieces(known, now);
+        int calls = Math.min(free, resumedCalls.free(upstreams.readyCount()));
+        if (pieces == 0 || calls <= 0) {
+            return false;
+        }
+        List<PieceTask> tasks = queue.takeResumed(known, bounds(upstream, pieces, calls, known, now), now);
+        if (!tasks.isEmpty()) {
+            send(upstream, tasks, known, true);
+        }
+        return !tasks.isEmpty();
+    }
+
+    private CallBounds bounds(StageUpstream upstream, int pieces, int calls, BatchLimits known, long now) {
+        return new CallBounds(
+                (pieces + calls - 1) / calls,
+                upstream.freeMemory(known, now),
+                upstreams.isBehind(known, queue.pieces(), now),
+                upstreams.pace(upstream, now));
+    }
+
     /**
      * Sends one small call now and then to each slow upstream that is skipped otherwise. Only a call can show that it
      * has recovered, and under load a faster upstream is always busy: without probes, upstreams that had been slow
@@ -196,7 +229,7 @@
             List<PieceTask> tasks = queue.takeLeastUrgent(known, upstream.freeMemory(known, now), now);
             if (!tasks.isEmpty()) {
                 upstream.startProbe();
-                send(upstream, tasks, known);
+                send(upstream, tasks, known, false);
             }
         }
     }
@@ -207,52 +240,30 @@
     }
 
     PoolWork work() {
-        return work;
+        return work.withSplitGroups(queue.splits());
     }
 
     int waitingPieces() {
         return queue.pieces();
     }
 
-    /**
-     * Returns whether a group should be sent to an upstream now. A group with large inputs or results waits a while
-     * for an upstream in the failure domain where they were produced or will be read, as long as its request stays on
-     * time: traffic between failure domains is the largest cost of stage work.
-     */
-    private boolean shouldSendTo(WaitingGroup group, StageUpstream upstream, long now, BatchLimits known) {
-        long wait = group.maxNearWaitNanos(known);
-        if (now - group.arrivedAt() >= wait) {
-            return true;
-        }
-        Optional<String> domain = group.prefersReaderDomain()
-                ? Optional.of(group.group().readerDomain())
-                : group.group().inputs().stream().findFirst().flatMap(this::domainOf);
-        return domain.isEmpty()
-                || domain.get().equals(upstream.announced().failureDomain())
-                || !upstreams.isFreeWithin(domain.get(), group.arrivedAt() + wait - now, now);
-    }
-
-    private Optional<String> domainOf(String handle) {
-        return ResultHandle.producerAddress(handle)
-                .flatMap(directory::findByAddress)
-                .map(UpstreamRecord::failureDomain);
-    }
-
-    private void send(StageUpstream upstream, List<PieceTask> tasks, BatchLimits known) {
+    private void send(StageUpstream upstream, List<PieceTask> tasks, BatchLimits known, boolean resumedOnly) {
         long now = timers.nanoTime();
         long expected = known.expectedNanos(tasks.size());
         upstreams.recordCall(upstream);
         upstream.onSent(now + (long) (expected * upstreams.slowness(upstream, now)));
         tasks.forEach(task -> running.merge(task.group(), 1, Integer::sum));
         inputs.releaseOnceFetched(tasks, known, now);
+        resumedCalls.onSent(resumedOnly);
         double pace = upstreams.pace(upstream, now);
         long timeout = upstream.timeoutNanos(expected, pace) / NANOS_PER_MILLI + FETCH_ALLOWANCE.toMillis();
         if (log.allowsServed(now)) {
             LOGGER.info(
-                    "event=stage-call pool={} upstream={} pieces={} waiting={} room_left={} requests={}",
+                    "event=stage-call pool={} upstream={} pieces={} split={} waiting={} room_left={} requests={}",
                     pool,
                     upstream.announced().id(),
                     tasks.size(),
+                    tasks.stream().filter(PieceTask::isOfSplitGroup).count(),
                     queue.pieces(),
                     upstream.freeMemory(known, now),
                     tasks.stream()
@@ -264,7 +275,7 @@
                 upstream.announced(),
                 tasks.stream().map(task -> task.toItem(now)).toList(),
                 timeout,
-                result -> onCallEnded(upstream, tasks, result, new SentCall(expected, pace, now)));
+                result -> onCallEnded(upstream, tasks, result, new SentCall(expected, pace, now, resumedOnly)));
     }
 
     private void onCallEnded(StageUpstream upstream, List<PieceTask> tasks, StageCallResult result, SentCall call) {
@@ -272,6 +283,7 @@
         long sentAt = call.sentAt();
         boolean affectedByPause =
                 pauseDetector.filter(detector -> detector.affects(sentAt, now)).isPresent();
+        resumedCalls.onEnded(call.resumedOnly());
         tasks.forEach(task -> running.computeIfPresent(task.group(), (g, n) -> n > 1 ? n - 1 : null));
         if (result instanceof StageCallResult.Answered answered) {
             long tookNanos = now - sentAt;
--- a/library/src/main/java/org/copperspindle/batch/PoolUpstreams.java
+++ b/library/src/main/java/org/copperspindle/batch/PoolUpstreams.java
@@ -83,6 +83,11 @@
         return byId.values();
     }
 
+    /** Returns the number of upstreams that are ready. */
+    int readyCount() {
+        return ready.size();
+    }
+
     /** Updates the upstreams from the directory. */
     void refresh() {
         ready = directory.ready(pool);
--- a/library/src/main/java/org/copperspindle/batch/SentCall.java
+++ b/library/src/main/java/org/copperspindle/batch/SentCall.java
@@ -6,8 +6,9 @@
  * @param statedNanos  its duration by the limits of the pool
  * @param paceWhenSent the pace that its upstream stated before it was sent
  * @param sentAt       monotonic time in nanoseconds
+ * @param resumedOnly  whether it carries only groups of interrupted streams, apart from other calls
  */
-record SentCall(long statedNanos, double paceWhenSent, long sentAt) {
+record SentCall(long statedNanos, double paceWhenSent, long sentAt, boolean resumedOnly) {
 
     /**
      * Returns how long the call should have taken at the pace that the upstream stated meanwhile. Only what exceeds
--- a/library/src/main/java/org/copperspindle/batch/StageUpstream.java
+++ b/library/src/main/java/org/copperspindle/batch/StageUpstream.java
@@ -237,7 +237,12 @@
         while (!results.isEmpty() && now - results.peekFirst().expiresAt() >= 0) {
             resultBytes -= results.pollFirst().bytes();
         }
-        return (long) (limits.resultBytes() * USABLE_MEMORY_SHARE) - resultBytes;
+        return usableMemory(limits) - resultBytes;
+    }
+
+    /** Returns the memory for results of an upstream that holds none. */
+    static long usableMemory(BatchLimits limits) {
+        return (long) (limits.resultBytes() * USABLE_MEMORY_SHARE);
     }
 
     void addRelease(String handle) {
--- a/library/src/main/java/org/copperspindle/batch/WaitingGroup.java
+++ b/library/src/main/java/org/copperspindle/batch/WaitingGroup.java
@@ -37,6 +37,7 @@
     private int losses;
     private long partition = NO_PARTITION;
     private long sentAt;
+    private boolean split;
     private boolean cancelled;
     private boolean inputsReleased;
 
@@ -86,12 +87,12 @@
 
     /**
      * Returns how long the group may wait for an upstream in the failure domain where its inputs are or where its
-     * results will be read.
+     * results will be read. A group of an interrupted stream does not wait.
      *
      * @param limits limits of the pool
      */
     long maxNearWaitNanos(BatchLimits limits) {
-        if ((prefersReaderDomain() ? resultBytes() : fetchedBytes()) < MIN_NEAR_BYTES) {
+        if (group.resumed() || (prefersReaderDomain() ? resultBytes() : fetchedBytes()) < MIN_NEAR_BYTES) {
             return 0;
         }
         long spare = slackUntil - arrivedAt - limits.expectedNanos(missing.size());
@@ -104,6 +105,16 @@
         return now + nanos - slackUntil <= 0;
     }
 
+    /** Returns whether its stream was interrupted and the pieces, sent in a call of their own, would still be in time. */
+    boolean isResumedInTime(BatchLimits limits, long now) {
+        return group.resumed() && isOnTime(now, limits.expectedNanos(Math.min(missing.size(), limits.maxPieces())));
+    }
+
+    /** Returns whether the missing pieces are too many or too large for any call, so that they can't stay together. */
+    boolean exceedsCall(BatchLimits limits) {
+        return missing.size() > limits.maxPieces() || resultBytes() > StageUpstream.usableMemory(limits);
+    }
+
     boolean isExpired(long now) {
         return now - deadline >= 0;
     }
@@ -116,6 +127,21 @@
         cancelled = true;
     }
 
+    /** Returns whether no piece of the group has been sent yet. */
+    boolean isWhole() {
+        return missing.size() == group.missing().size();
+    }
+
+    /** Records that a full call took only a part of the missing pieces. */
+    void markSplit() {
+        split = true;
+    }
+
+    /** Returns whether the group was split to fill a call, so that its missing pieces go first and together. */
+    boolean isSplit() {
+        return split;
+    }
+
     /** Records that pieces of the group are sent in a call. */
     void markSent(long now) {
         sentAt = now;
--- a/library/src/main/java/org/copperspindle/gateway/GatewayMetrics.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayMetrics.java
@@ -263,6 +263,13 @@
                 n -> n.batches().work(pool).pieces(),
                 "pool",
                 pool);
+        metrics.counter(
+                "stage.groups.split",
+                "Groups split to fill calls that this node packed while their pool was short",
+                node,
+                n -> n.batches().work(pool).splitGroups(),
+                "pool",
+                pool);
         metrics.gauge(
                 "retries.left",
                 "Repeats that this node may still send in the window",
--- a/library/src/main/java/org/copperspindle/gateway/StageStartsFactory.java
+++ b/library/src/main/java/org/copperspindle/gateway/StageStartsFactory.java
@@ -45,6 +45,7 @@
         FleetStageStarts starts = new FleetStageStarts(
                 relay, timers, batches::dispatcherNode, tables, batches::load, policy(batches, latencies, timers), log);
         batches.announceShortage(starts::shortPools);
+        batches.fillCallsWhile(starts::isPoolShort);
         relay.subscribe(starts);
         return starts;
     }
--- a/library/src/test/java/org/copperspindle/admission/FleetStageStartsTest.java
+++ b/library/src/test/java/org/copperspindle/admission/FleetStageStartsTest.java
@@ -115,6 +115,20 @@
         assertThat(starts.isShort(request())).isEqualTo(asks);
     }
 
+    /**
+     * A dispatcher must know that its pool's group is short from the load of any pool of the group, and until that load
+     * is outdated: it fills calls only then. Pools of other groups keep whole groups.
+     */
+    @ParameterizedTest
+    @CsvSource({"true, 0, true", "true, 599, true", "true, 600, false", "false, 0, false"})
+    void poolsOfAShortGroupAreKnown(boolean isShort, long ageMillis, boolean known) {
+        assertThat(starts.isPoolShort(POOL)).isFalse();
+        load(first, isShort);
+        time.advance(ageMillis * MILLI);
+        assertThat(starts.isPoolShort(POOL)).isEqualTo(known);
+        assertThat(starts.isPoolShort("unknown")).isFalse();
+    }
+
     /** A request without pieces needs no pool, and a huge one would be dropped by the controller. */
     @ParameterizedTest
     @ValueSource(ints = {0, 10_001})
--- a/library/src/test/java/org/copperspindle/batch/PoolUpstreamsTest.java
+++ b/library/src/test/java/org/copperspindle/batch/PoolUpstreamsTest.java
@@ -130,7 +130,7 @@
         StageUpstream upstream = find("u");
         for (int call = 0; call < 20; call++) {
             upstream.onSent(0);
-            upstream.onAnswered(CALL_NANOS, new SentCall(CALL_NANOS, 5, 0).expectedNanos(5), 5 * CALL_NANOS);
+            upstream.onAnswered(CALL_NANOS, new SentCall(CALL_NANOS, 5, 0, false).expectedNanos(5), 5 * CALL_NANOS);
         }
         assertThat(upstream.slowness()).isEqualTo(1);
         assertThat(upstream.timeoutNanos(CALL_NANOS, UpstreamPace.USUAL)).isGreaterThan(12 * CALL_NANOS);
