Leave memory to large groups, keep groups of interrupted streams whole, and join the change of ready upstreams

An upstream without the memory for the first group of a call, or for the rest of a split one, takes no other results once that group has waited for the time of a full call. Only rests that fit into one call go first, and groups are split to fill calls only where the memory holds 40 results. Calls of interrupted streams take whole groups, and their bound counts only upstreams that take full load. Rounds without such groups skip the passes for them.

--- a/library/src/main/java/org/copperspindle/batch/BatchService.java
+++ b/library/src/main/java/org/copperspindle/batch/BatchService.java
@@ -472,10 +472,7 @@
     }
 
     private void upstreamChanged(UpstreamRecord changed) {
-        PoolDispatcher dispatcher = dispatchers.get(changed.pool());
-        if (dispatcher != null) {
-            dispatcher.dispatch();
-        }
+        Optional.ofNullable(dispatchers.get(changed.pool())).ifPresent(PoolDispatcher::dispatch);
     }
 
     /** Forwards the results of this node's dispatchers. */
@@ -492,13 +489,10 @@
         @Override
         public void release(List<String> handles) {
             Map<String, List<String>> byPool = new HashMap<>();
-            for (String handle : handles) {
-                ResultHandle.producerAddress(handle)
-                        .flatMap(directory::findByAddress)
-                        .map(UpstreamRecord::pool)
-                        .ifPresent(pool -> byPool.computeIfAbsent(pool, p -> new ArrayList<>())
-                                .add(handle));
-            }
+            handles.forEach(handle -> ResultHandle.producerAddress(handle)
+                    .flatMap(directory::findByAddress)
+                    .ifPresent(producer -> byPool.computeIfAbsent(producer.pool(), p -> new ArrayList<>())
+                            .add(handle)));
             byPool.forEach(BatchService.this::releaseResults);
         }
     }
--- a/library/src/main/java/org/copperspindle/batch/CallDraft.java
+++ b/library/src/main/java/org/copperspindle/batch/CallDraft.java
@@ -30,10 +30,14 @@
         return pieces.isEmpty();
     }
 
-    /** Returns whether the call is below its bound and the partition of the group may share it. */
+    /** Returns whether the call has reached its bound of pieces. */
+    boolean isFull() {
+        return pieces.size() >= Math.min(bounds.pieces(), limits.maxPieces());
+    }
+
+    /** Returns whether the partition of the group may share the call. */
     boolean accepts(WaitingGroup group) {
-        return pieces.size() < bounds.pieces()
-                && (pieces.isEmpty() || group.sharesCallsWith(pieces.get(0).group()));
+        return pieces.isEmpty() || group.sharesCallsWith(pieces.get(0).group());
     }
 
     /** Returns how many pieces of a group fit into the call and into the memory of the upstream. */
--- a/library/src/main/java/org/copperspindle/batch/CallPacking.java
+++ b/library/src/main/java/org/copperspindle/batch/CallPacking.java
@@ -19,4 +19,12 @@
      * @return the pieces; none if nothing fits
      */
     List<PieceTask> pack(List<WaitingGroup> ordered, BatchLimits limits, CallBounds bounds);
+
+    /**
+     * Returns whether the rest of a group that is split goes first in the next call. If so, the first group of a call
+     * waits for the memory for all of it where its results are too large to be split.
+     */
+    default boolean ordersRestsFirst() {
+        return false;
+    }
 }
--- a/library/src/main/java/org/copperspindle/batch/FullCallPacking.java
+++ b/library/src/main/java/org/copperspindle/batch/FullCallPacking.java
@@ -17,16 +17,19 @@
 final class FullCallPacking implements CallPacking {
 
     /**
-     * Maximum size of one result of a group that is split. Results of 800 KB, eight of which make a full call, would
-     * fill two producers; a memory for 40 results or more has room for the few of a partly made group.
+     * Minimum number of results in the memory of an upstream for a group to be split. The few results of a partly made
+     * group then take a small part of the memory; of a memory for twelve results, they would take the half.
      */
-    private static final long MAX_SPLIT_RESULT_BYTES = 250_000L;
+    private static final int MIN_RESULTS_IN_MEMORY_TO_SPLIT = 40;
 
     @Override
     public List<PieceTask> pack(List<WaitingGroup> ordered, BatchLimits limits, CallBounds bounds) {
         boolean maySplit = true;
         CallDraft draft = new CallDraft(limits, bounds);
         for (WaitingGroup group : ordered) {
+            if (draft.isFull()) {
+                break;
+            }
             int wanted = group.missing().size();
             int room = draft.room(group);
             boolean accepted = draft.accepts(group) && room > 0;
@@ -34,7 +37,7 @@
                 draft.add(group, wanted);
                 continue;
             }
-            boolean splits = maySplit && maySplit(group, wanted - room, limits);
+            boolean splits = splitsWithoutRest(group, limits) || maySplit && maySplit(group, wanted - room, limits);
             if (accepted && (splits || draft.isEmpty() && group.exceedsCall(limits))) {
                 draft.add(group, room);
                 maySplit = false;
@@ -44,11 +47,23 @@
         return draft.pieces();
     }
 
+    @Override
+    public boolean ordersRestsFirst() {
+        return true;
+    }
+
+    /** Returns whether a group is split as in whole-group packing, where its rest has no precedence. */
+    private static boolean splitsWithoutRest(WaitingGroup group, BatchLimits limits) {
+        return !group.group().resumed() && WholeGroupPacking.hasMemoryToSplit(group, limits);
+    }
+
     private static boolean maySplit(WaitingGroup group, int rest, BatchLimits limits) {
-        if (group.isSplit() || group.group().resumed() || rest > limits.maxPieces()) {
-            return false;
-        }
-        return group.group().resultBytes() <= MAX_SPLIT_RESULT_BYTES
-                || WholeGroupPacking.hasMemoryToSplit(group, limits);
+        return !group.isSplit() && isDivisible(group, limits) && rest <= limits.maxPieces();
+    }
+
+    /** Returns whether the pieces of a group may go into two calls, as far as its kind and its results are concerned. */
+    static boolean isDivisible(WaitingGroup group, BatchLimits limits) {
+        boolean hasSmallResults = group.group().resultBytes() * MIN_RESULTS_IN_MEMORY_TO_SPLIT <= limits.resultBytes();
+        return !group.group().resumed() && (hasSmallResults || WholeGroupPacking.hasMemoryToSplit(group, limits));
     }
 }
--- a/library/src/main/java/org/copperspindle/batch/PieceQueue.java
+++ b/library/src/main/java/org/copperspindle/batch/PieceQueue.java
@@ -33,10 +33,14 @@
     private static final long RANK_NANOS = 40_000_000L;
 
     private static final CallPacking WHOLE_GROUPS = new WholeGroupPacking();
-    private static final CallPacking FULL_CALLS = new FullCallPacking();
+    private static final CallPacking RESUMED_CALLS = new WholeGroupsOnlyPacking();
 
     private final Map<String, WaitingGroup> groups = new LinkedHashMap<>();
     private BooleanSupplier isShort = () -> false;
+    private CallPacking shortagePacking = new FullCallPacking();
+    private boolean fillsCalls;
+    private int resumedGroups;
+    private int splitGroups;
     private long splits;
 
     /** Sets whether the pool is short of capacity, so that calls are filled; without it, it never is. */
@@ -44,14 +48,35 @@
         isShort = poolIsShort;
     }
 
+    /** Sets how calls are packed while the pool is short of capacity; without it, they are filled. */
+    void packShortCallsWith(CallPacking packing) {
+        shortagePacking = packing;
+    }
+
+    /** Updates whether calls are filled. To be called before each round of calls. */
+    void updateShortage() {
+        fillsCalls = isShort.getAsBoolean();
+    }
+
+    /** Adds a group. One without missing pieces is refused: no call would ever take it. */
     void add(WaitingGroup group) {
-        groups.put(key(group.origin(), group.group().id()), group);
+        if (group.missing().isEmpty()) {
+            return;
+        }
+        WaitingGroup replaced = groups.put(key(group.origin(), group.group().id()), group);
+        count(group, 1);
+        if (replaced != null) {
+            count(replaced, -1);
+        }
     }
 
     /** Removes and cancels a group; returns it if it was waiting here. */
     Optional<WaitingGroup> cancel(String origin, long id) {
         Optional<WaitingGroup> group = Optional.ofNullable(groups.remove(key(origin, id)));
-        group.ifPresent(WaitingGroup::cancel);
+        group.ifPresent(cancelled -> {
+            count(cancelled, -1);
+            cancelled.cancel();
+        });
         return group;
     }
 
@@ -67,6 +92,7 @@
             WaitingGroup group = all.next();
             if (group.isExpired(now)) {
                 all.remove();
+                count(group, -1);
                 expired.add(group);
             }
         }
@@ -87,6 +113,9 @@
 
     /** Returns the pieces that wait in groups of interrupted streams that can still be in time. */
     int resumedPieces(BatchLimits limits, long now) {
+        if (resumedGroups == 0) {
+            return 0;
+        }
         return groups.values().stream()
                 .filter(g -> g.isResumedInTime(limits, now))
                 .mapToInt(g -> g.missing().size())
@@ -116,25 +145,61 @@
      * @return the pieces; none if nothing fits
      */
     List<PieceTask> take(BatchLimits limits, CallBounds bounds, long now, Predicate<WaitingGroup> prefers) {
-        boolean fills = bounds.pieces() >= limits.maxPieces() && isShort.getAsBoolean();
+        if (!hasMemoryForAny(bounds.bytes())) {
+            return List.of();
+        }
+        boolean fills = fillsCalls && bounds.pieces() >= limits.maxPieces();
         Set<WaitingGroup> preferred = groups.values().stream()
                 .filter(group -> group.isSplit() || prefers.test(group))
                 .collect(Collectors.toCollection(LinkedHashSet::new));
         List<WaitingGroup> order = new ArrayList<>(bounds.takesAll() ? groups.values() : preferred);
-        // A group is split at most once: with too little memory here, its rest waits for the next upstream.
-        order.removeIf(group -> !fills && group.isSplit() && !fits(group, limits, bounds));
         // Filled calls take their full duration: groups with less time left would be late in all of them.
         long call = fills ? limits.fullCallNanos() : halfCallNanos(limits);
-        Comparator<WaitingGroup> urgency = byUrgency(limits, (long) (call * bounds.pace()), now, preferred);
-        order.sort(fills ? urgency.thenComparing(WaitingGroup::isWhole) : urgency);
-        List<PieceTask> taken = (fills ? FULL_CALLS : WHOLE_GROUPS).pack(order, limits, bounds);
+        order.sort(byUrgency(limits, (long) (call * bounds.pace()), now, preferred));
+        reserveMemory(order, limits, bounds, now, fills && shortagePacking.ordersRestsFirst());
+        if (!fills && (splitGroups > 0 || resumedGroups > 0)) {
+            // The rest of a split group, and a group of an interrupted stream, wait for an upstream with more memory.
+            order.removeIf(group -> staysTogether(group, limits, now) && !fits(group, limits, bounds));
+        }
+        List<PieceTask> taken = (fills ? shortagePacking : WHOLE_GROUPS).pack(order, limits, bounds);
         remove(taken);
-        if (fills) {
-            recordSplits(taken);
+        if (fills && shortagePacking.ordersRestsFirst()) {
+            recordSplits(taken, limits);
         }
         return taken;
     }
 
+    private boolean hasMemoryForAny(long bytes) {
+        return groups.values().stream().anyMatch(group -> group.group().resultBytes() <= Math.max(0, bytes));
+    }
+
+    private static boolean staysTogether(WaitingGroup group, BatchLimits limits, long now) {
+        return group.isSplit() || group.isResumedInTime(limits, now);
+    }
+
+    /**
+     * Removes groups that would take the memory for which a group before them waits: the most urgent one if calls are
+     * filled, where it is not cut, or the rest of a split one. Otherwise small groups would take the memory of each
+     * released result, and large groups would never be sent. Upstreams stay in use for the duration of a full call,
+     * in which another one may have the memory.
+     */
+    private void reserveMemory(
+            List<WaitingGroup> order, BatchLimits limits, CallBounds bounds, long now, boolean keepsFirstWhole) {
+        if (!keepsFirstWhole && splitGroups == 0) {
+            return;
+        }
+        for (int i = 0; i < order.size() && (i == 0 || splitGroups > 0); i++) {
+            WaitingGroup group = order.get(i);
+            boolean reserves = keepsFirstWhole && i == 0 || group.isSplit();
+            boolean waitedForCall = now - group.arrivedAt() >= limits.fullCallNanos();
+            if (reserves && waitedForCall && !fits(group, limits, bounds) && !isCut(group, limits)) {
+                order.subList(i + 1, order.size())
+                        .removeIf(other -> other.group().resultBytes() > 0);
+                return;
+            }
+        }
+    }
+
     /**
      * Takes the pieces of a call that carries only groups of interrupted streams that can still be in time.
      *
@@ -146,7 +211,7 @@
     List<PieceTask> takeResumed(BatchLimits limits, CallBounds bounds, long now) {
         List<WaitingGroup> order = new ArrayList<>(find(group -> group.isResumedInTime(limits, now)));
         order.sort(byUrgency(limits, (long) (halfCallNanos(limits) * bounds.pace()), now, Set.of()));
-        List<PieceTask> taken = WHOLE_GROUPS.pack(order, limits, bounds);
+        List<PieceTask> taken = RESUMED_CALLS.pack(order, limits, bounds);
         remove(taken);
         return taken;
     }
@@ -169,29 +234,52 @@
         return taken;
     }
 
+    /** Returns whether memory for a part of the group is enough. */
+    private static boolean isCut(WaitingGroup group, BatchLimits limits) {
+        return !group.isSplit() && FullCallPacking.isDivisible(group, limits);
+    }
+
     private static boolean fits(WaitingGroup rest, BatchLimits limits, CallBounds bounds) {
         return rest.resultBytes() <= bounds.bytes() || rest.exceedsCall(limits);
     }
 
-    private void recordSplits(List<PieceTask> taken) {
+    /** Marks the groups of which a filled call took a part, if the rest is meant for one more call. */
+    private void recordSplits(List<PieceTask> taken, BatchLimits limits) {
+        if (taken.isEmpty()) {
+            return;
+        }
         taken.stream()
                 .map(PieceTask::group)
                 .distinct()
                 .filter(group -> !group.missing().isEmpty() && !group.isSplit())
+                .filter(group -> !group.exceedsCall(limits) && !WholeGroupPacking.hasMemoryToSplit(group, limits))
                 .forEach(group -> {
                     group.markSplit();
+                    splitGroups++;
                     splits++;
                 });
     }
 
     /** Removes taken pieces from their groups, and groups of which nothing is left. */
     private void remove(List<PieceTask> taken) {
-        taken.forEach(task -> task.group().missing().remove((Integer) task.piece()));
-        taken.stream()
-                .map(PieceTask::group)
-                .filter(group -> group.missing().isEmpty())
-                .forEach(
-                        group -> groups.remove(key(group.origin(), group.group().id())));
+        for (int from = 0, to; from < taken.size(); from = to) {
+            WaitingGroup group = taken.get(from).group();
+            to = from + 1;
+            while (to < taken.size() && taken.get(to).group() == group) {
+                to++;
+            }
+            group.missing().subList(0, to - from).clear();
+            if (group.missing().isEmpty()) {
+                groups.remove(key(group.origin(), group.group().id()));
+                count(group, -1);
+            }
+        }
+    }
+
+    /** Counts a group that was added or removed, so that rounds without such groups skip the passes for them. */
+    private void count(WaitingGroup group, int change) {
+        resumedGroups += group.group().resumed() ? change : 0;
+        splitGroups += group.isSplit() ? change : 0;
     }
 
     private static long halfCallNanos(BatchLimits limits) {
--- a/library/src/main/java/org/copperspindle/batch/PoolDispatcher.java
+++ b/library/src/main/java/org/copperspindle/batch/PoolDispatcher.java
@@ -111,6 +111,12 @@
         return this;
     }
 
+    /** Sets how calls are packed while the pool is short of capacity; without it, they are filled. */
+    PoolDispatcher packShortCallsWith(CallPacking packing) {
+        queue.packShortCallsWith(packing);
+        return this;
+    }
+
     void add(String origin, PieceGroup group) {
         queue.add(new WaitingGroup(origin, group, timers.nanoTime()));
         dispatch();
@@ -170,6 +176,7 @@
         long now = timers.nanoTime();
         queue.removeExpired(now).forEach(group -> reportMissed(group, group.missing(), MissReason.LATE));
         upstreams.refresh();
+        queue.updateShortage();
         List<StageUpstream> slow = upstreams.skippedAsSlow(now);
         List<StageUpstream> free = upstreams.callable(known.get(), now);
         slow.retainAll(free);
@@ -196,8 +203,11 @@
      */
     private boolean sendResumed(StageUpstream upstream, int free, BatchLimits known, long now) {
         int pieces = queue.resumedPieces(known, now);
-        int calls = Math.min(free, resumedCalls.free(upstreams.readyCount()));
-        if (pieces == 0 || calls <= 0) {
+        if (pieces == 0) {
+            return false;
+        }
+        int calls = Math.min(free, resumedCalls.free(upstreams.usableCount(now)));
+        if (calls <= 0) {
             return false;
         }
         List<PieceTask> tasks = queue.takeResumed(known, bounds(upstream, pieces, calls, known, now), now);
--- a/library/src/main/java/org/copperspindle/batch/PoolUpstreams.java
+++ b/library/src/main/java/org/copperspindle/batch/PoolUpstreams.java
@@ -84,9 +84,9 @@
         return byId.values();
     }
 
-    /** Returns the number of upstreams that are ready. */
-    int readyCount() {
-        return ready.size();
+    /** Returns the number of upstreams that take full load: not paused, backing off, slow or cold. */
+    int usableCount(long now) {
+        return (int) usable(now).stream().filter(u -> !isCold(u, now)).count();
     }
 
     /** Updates the upstreams from the directory. */
--- a/library/src/main/java/org/copperspindle/batch/WaitingGroup.java
+++ b/library/src/main/java/org/copperspindle/batch/WaitingGroup.java
@@ -127,11 +127,6 @@
         cancelled = true;
     }
 
-    /** Returns whether no piece of the group has been sent yet. */
-    boolean isWhole() {
-        return missing.size() == group.missing().size();
-    }
-
     /** Records that a full call took only a part of the missing pieces. */
     void markSplit() {
         split = true;
--- a/library/src/main/java/org/copperspindle/batch/WholeGroupPacking.java
+++ b/library/src/main/java/org/copperspindle/batch/WholeGroupPacking.java
@@ -20,6 +20,9 @@
         boolean fullCallWaits = bounds.pieces() >= limits.maxPieces();
         CallDraft draft = new CallDraft(limits, bounds);
         for (WaitingGroup group : ordered) {
+            if (draft.isFull()) {
+                break;
+            }
             int wanted = group.missing().size();
             int room = draft.room(group);
             // The first group of a call is always taken: it may be larger than a call.
--- a/library/src/test/java/org/copperspindle/batch/PieceQueueTest.java
+++ b/library/src/test/java/org/copperspindle/batch/PieceQueueTest.java
@@ -130,6 +130,13 @@
         assertThat(queue.isEmpty()).isTrue();
     }
 
+    /** A group without pieces would stay in the queue until its deadline, since no call takes it. */
+    @Test
+    void groupWithoutPiecesIsRefused() {
+        queue.add(group(1, 0, 900, 4, 0));
+        assertThat(queue.isEmpty()).isTrue();
+    }
+
     private List<PieceTask> take(int most, long bytes) {
         return queue.take(LIMITS, new CallBounds(most, bytes, false, UpstreamPace.USUAL), 0, group -> true);
     }
--- a/library/src/test/java/org/copperspindle/batch/PoolUpstreamsTest.java
+++ b/library/src/test/java/org/copperspindle/batch/PoolUpstreamsTest.java
@@ -72,6 +72,22 @@
         assertThat(upstreams.load(Optional.of(LIMITS), 0, 0).piecesPerSecond()).isEqualTo(alone);
     }
 
+    /** Upstreams that get no calls, or few, must not raise the number that may be used for interrupted streams. */
+    @Test
+    void usableUpstreamsAreNeitherSlowNorPausedNorBackingOffNorCold() {
+        announce("usual", "slow", "paused", "backing-off");
+        directory.accept(new UpstreamRecord("cold", 0, "p", "10.0.0.9:1", "d", UpstreamPhase.READY, 1, 1, 0, 5_000), 0);
+        upstreams.refresh();
+        for (int call = 0; call < 20; call++) {
+            answer("usual", 300);
+            answer("slow", 1500);
+        }
+        find("paused").pause(0, MILLI);
+        upstreams.limitCallsWith(new BackingOff("backing-off"));
+        assertThat(upstreams.usableCount(0)).isEqualTo(1);
+        assertThat(upstreams.usableCount(MILLI)).isEqualTo(2);
+    }
+
     /**
      * With calls of forty pieces, one waiting full call is half of what two upstreams take next, but little for
      * thirty: there the groups wait for upstreams of their failure domain, and the pool keeps up.
@@ -165,4 +181,27 @@
                 .findFirst()
                 .orElseThrow();
     }
+
+    /** Admits all calls but those to one upstream, which has requested a backoff. */
+    private record BackingOff(String id) implements CallAdmission {
+        @Override
+        public boolean mayCall(String upstream) {
+            return !isBackingOff(upstream);
+        }
+
+        @Override
+        public void recordCall(String upstream) {
+            // Calls are not counted.
+        }
+
+        @Override
+        public boolean isBackingOff(String upstream) {
+            return upstream.equals(id);
+        }
+
+        @Override
+        public long spacingNanos(String upstream) {
+            return 0;
+        }
+    }
 }
--- a/library/src/test/java/org/copperspindle/batch/ResumedGroupsTest.java
+++ b/library/src/test/java/org/copperspindle/batch/ResumedGroupsTest.java
@@ -88,6 +88,54 @@
         assertThat(requests(bound).get(0)).isEqualTo("r" + fullCallsAndOneGroup);
     }
 
+    /**
+     * Groups of three do not fill a call of eight. Guards against a group whose last piece waits for a second call, in
+     * which it is late.
+     */
+    @Test
+    void resumedGroupsStayWhole() {
+        LongStream.rangeClosed(1, 3).forEach(id -> dispatcher.add("origin", group(id, 3, 500, true)));
+        start(1);
+        assertThat(requests(0)).containsExactly("r1", "r1", "r1", "r2", "r2", "r2");
+    }
+
+    /** An upstream without the memory for the whole group must not take a part of it: another one may have it. */
+    @ParameterizedTest
+    @CsvSource({"20, 0", "29, 0", "30, 3"})
+    void resumedGroupIsNotCutByMemory(long bytes, int pieces) {
+        PieceQueue queue = new PieceQueue();
+        queue.add(new WaitingGroup("n", group(1, 3, 500, true), 0));
+        CallBounds bounds = new CallBounds(8, bytes, true, UpstreamPace.USUAL);
+        assertThat(queue.takeResumed(LIMITS, bounds, 0)).hasSize(pieces);
+        assertThat(queue.take(LIMITS, bounds, 0, group -> true)).isEmpty();
+    }
+
+    /** A group larger than a call would never be sent if it had to stay together. */
+    @Test
+    void resumedGroupLargerThanACallIsSentInParts() {
+        dispatcher.add("origin", group(1, 11, 900, true));
+        start(2);
+        time.advance(1000 * MILLI);
+        assertThat(made).containsEntry(1L, 11);
+    }
+
+    /** A quarter of upstreams that can't be called would be more than a quarter of those that are in use. */
+    @Test
+    void pausedUpstreamsDoNotRaiseTheBound() {
+        IntStream.range(0, 4).forEach(i -> port.behaviors.put("u" + i, FakeStagePort.Behavior.REFUSING));
+        dispatcher.add("origin", group(100, 2, 450, true));
+        start(4);
+        time.advance(10 * MILLI);
+        dispatcher.cancel("origin", 100);
+        int refused = port.calls.size();
+        IntStream.rangeClosed(1, 5).forEach(id -> dispatcher.add("origin", group(id, 2, 450, true)));
+        IntStream.rangeClosed(101, 200).forEach(id -> dispatcher.add("origin", group(id, 2, 2000, false)));
+        start(8);
+        assertThat(port.calls).hasSize(refused + 4);
+        assertThat(requests(refused)).hasSize(8).allMatch(ResumedGroupsTest::isResumed);
+        assertThat(requests(refused + 1)).hasSize(8).anyMatch(request -> !isResumed(request));
+    }
+
     /** The bound counts running calls: after one has ended, also without an answer, the next one may start. */
     @ParameterizedTest
     @CsvSource({"SOUND", "UNRESPONSIVE", "REFUSING"})
