Split groups in pools whose memory holds thirty results, so that billing of deployment 2 is included

A ratio of 40 left out the pool whose calls were emptiest (10.7 to 14.8 of 19 pieces, memory for 36 results); pools of large results have memory for 12.

--- a/library/src/main/java/org/copperspindle/batch/FullCallPacking.java
+++ b/library/src/main/java/org/copperspindle/batch/FullCallPacking.java
@@ -20,7 +20,7 @@
      * Minimum number of results in the memory of an upstream for a group to be split. The few results of a partly made
      * group then take a small part of the memory; of a memory for twelve results, they would take the half.
      */
-    private static final int MIN_RESULTS_IN_MEMORY_TO_SPLIT = 40;
+    private static final int MIN_RESULTS_IN_MEMORY_TO_SPLIT = 30;
 
     @Override
     public List<PieceTask> pack(List<WaitingGroup> ordered, BatchLimits limits, CallBounds bounds) {
