Place prompts at engines where they neither come late nor interrupt streams

Requests of routes with a longest allowed pause stay with the engine that has cached their shared part, wait for it, or go to an engine whose streams they do not interrupt.

--- a/library/src/main/java/org/copperspindle/engineload/EngineLoad.java
+++ b/library/src/main/java/org/copperspindle/engineload/EngineLoad.java
@@ -21,6 +21,9 @@
     /** A smaller change of the pause does not matter: pauses are compared with hundreds of milliseconds. */
     private static final long PAUSE_STEP_MILLIS = 50;
 
+    /** A smaller change of the streams does not matter, except between none and some. */
+    private static final long STREAMS_STEP = 2;
+
     double pace() {
         return (double) paceThousandths / MEDIAN_PACE;
     }
@@ -28,6 +31,8 @@
     /** Returns whether nodes that know the other load should be sent this one. */
     boolean differsFrom(EngineLoad other) {
         return waitingTokens != other.waitingTokens
+                || (streams == 0) != (other.streams == 0)
+                || Math.abs(streams - other.streams) >= STREAMS_STEP
                 || Math.abs(paceThousandths - other.paceThousandths) >= PACE_STEP
                 || Math.abs(longestPauseMillis - other.longestPauseMillis) >= PAUSE_STEP_MILLIS;
     }
--- a/library/src/main/java/org/copperspindle/engineload/EngineLoads.java
+++ b/library/src/main/java/org/copperspindle/engineload/EngineLoads.java
@@ -103,7 +103,8 @@
         }
         long now = timers.nanoTime();
         NodePool known = pool(pool);
-        long unread = unreadTokens(engine, prompt, home(pool, prompt), now);
+        boolean cached = isCached(engine, prompt, home(pool, prompt), now);
+        long unread = cached ? prompt.tokens() - prompt.sharedTokens() : prompt.tokens();
         known.sent(unread);
         cachedParts.add(engine, prompt.shared(), now);
         EngineAttempt attempt = EngineAttempt.start(known.engine(engine), unread, now, () -> reportSoon(known));
@@ -128,7 +129,7 @@
         return Optional.of(new EngineEstimates() {
             @Override
             public EngineEstimate at(UpstreamRecord engine) {
-                return known.estimate(engine, unreadTokens(engine, prompt, home, now), now)
+                return known.estimate(engine, prompt, isCached(engine, prompt, home, now), now)
                         .orElseThrow();
             }
 
@@ -153,7 +154,7 @@
         if (known == null || !known.isFresh(now)) {
             return Optional.empty();
         }
-        return known.estimate(engine, unreadTokens(engine, prompt, home(pool, prompt), now), now);
+        return known.estimate(engine, prompt, isCached(engine, prompt, home(pool, prompt), now), now);
     }
 
     /**
@@ -340,8 +341,7 @@
         return best;
     }
 
-    private long unreadTokens(UpstreamRecord engine, EnginePrompt prompt, String home, long now) {
-        boolean cached = engine.id().equals(home) || cachedParts.contains(engine, prompt.shared(), now);
-        return cached ? prompt.tokens() - prompt.sharedTokens() : prompt.tokens();
+    private boolean isCached(UpstreamRecord engine, EnginePrompt prompt, String home, long now) {
+        return engine.id().equals(home) || cachedParts.contains(engine, prompt.shared(), now);
     }
 }
--- a/library/src/main/java/org/copperspindle/engineload/NodePool.java
+++ b/library/src/main/java/org/copperspindle/engineload/NodePool.java
@@ -151,20 +151,31 @@
         return Math.max(counts.waitingTokens(), inTable + counts.tokensSinceTable());
     }
 
-    /** Returns the estimate for a prompt with so many unread tokens; empty without a fresh table. */
-    Optional<EngineEstimate> estimate(UpstreamRecord engine, long unreadTokens, long now) {
+    /** Returns the attempts in progress at an engine: those in the table, and what this node has started since. */
+    private long streams(UpstreamRecord engine) {
+        OwnEngine counts = engine(engine);
+        long inTable = table.getOrDefault(engine.id(), EngineLoad.NONE).streams();
+        return Math.max(counts.streams(), inTable + counts.streamsSinceTable());
+    }
+
+    /** Returns the estimate for a prompt; empty without a fresh table. */
+    Optional<EngineEstimate> estimate(UpstreamRecord engine, EnginePrompt prompt, boolean cached, long now) {
         if (!isFresh(now) || tokensPerNano <= 0) {
             return Optional.empty();
         }
         EngineLoad load = table.getOrDefault(engine.id(), EngineLoad.NONE);
         long waiting = waitingTokens(engine, now);
         double speed = tokensPerNano * load.pace();
-        double readNanos = (waiting + unreadTokens) / speed;
+        long unread = cached ? prompt.tokens() - prompt.sharedTokens() : prompt.tokens();
+        double readNanos = (waiting + unread) / speed;
         return Optional.of(new EngineEstimate(
                 (long) readNanos + baseNanos,
+                baseNanos,
                 speed,
                 load.pace(),
                 waiting,
+                streams(engine),
+                cached,
                 load.longestPauseMillis() * NANOS_PER_MILLI));
     }
 
--- a/library/src/main/java/org/copperspindle/engineload/OwnEngine.java
+++ b/library/src/main/java/org/copperspindle/engineload/OwnEngine.java
@@ -28,6 +28,9 @@
     private long reportedBefore;
     private long reportedAt;
     private long tokensInTable;
+    private long reportedStreams;
+    private long streamsReportedBefore;
+    private long streamsInTable;
 
     OwnEngine(long incarnation) {
         this.incarnation = incarnation;
@@ -89,6 +92,9 @@
         reportedTokens = 0;
         reportedBefore = 0;
         tokensInTable = 0;
+        reportedStreams = 0;
+        streamsReportedBefore = 0;
+        streamsInTable = 0;
     }
 
     void appendTo(SampleLists lists, String id, long now) {
@@ -100,19 +106,28 @@
     void reported(long now) {
         reportedBefore = reportedTokens;
         reportedTokens = waitingTokens;
+        streamsReportedBefore = reportedStreams;
+        reportedStreams = streams;
         reportedAt = now;
         samples.clear();
         longestPause = 0;
         changed = false;
     }
 
-    /** Notes which of this node's tokens a table that has just arrived includes. */
+    /** Notes which of this node's counts a table that has just arrived includes. */
     void tableArrived(long now) {
-        tokensInTable = now - reportedAt >= REPORT_TRAVEL_NANOS ? reportedTokens : reportedBefore;
+        boolean hasLast = now - reportedAt >= REPORT_TRAVEL_NANOS;
+        tokensInTable = hasLast ? reportedTokens : reportedBefore;
+        streamsInTable = hasLast ? reportedStreams : streamsReportedBefore;
     }
 
     /** Returns the tokens sent, less those read, since the state that the last table includes. */
     long tokensSinceTable() {
         return waitingTokens - tokensInTable;
     }
+
+    /** Returns the attempts started, less those ended, since the state that the last table includes. */
+    long streamsSinceTable() {
+        return streams - streamsInTable;
+    }
 }
--- a/library/src/main/java/org/copperspindle/gateway/GatewayCounters.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayCounters.java
@@ -4,6 +4,7 @@
 import java.util.TreeMap;
 
 import org.copperspindle.measure.LatencyHistogram;
+import org.copperspindle.placement.PlacementReason;
 
 /**
  * Counts the outcomes of requests. Used on the network thread only, where metrics are read as well.
@@ -21,11 +22,13 @@
     private final Map<String, Map<String, Long>> outcomes = new TreeMap<>();
     private final Map<String, Map<String, Long>> accounts = new TreeMap<>();
     private final Map<String, Long> refusals = new TreeMap<>();
+    private final Map<String, Long> placements = new TreeMap<>();
     private final Map<String, LatencyHistogram> durations = new TreeMap<>();
     private final Map<String, LatencyHistogram> waits = new TreeMap<>();
     private int open;
     private long attempts;
     private long retries;
+    private long placementWaits;
 
     void recordStart() {
         open++;
@@ -57,6 +60,16 @@
         }
     }
 
+    /** Counts a request that was placed at an engine by the loads of the engines. */
+    void recordPlacement(PlacementReason reason) {
+        placements.merge(reason.label(), 1L, Long::sum);
+    }
+
+    /** Counts a request that waits for an engine. */
+    void recordPlacementWait() {
+        placementWaits++;
+    }
+
     int open() {
         return open;
     }
@@ -74,6 +87,15 @@
         return outcomes;
     }
 
+    /** Returns counts by the label of the placement. */
+    Map<String, Long> placements() {
+        return placements;
+    }
+
+    long placementWaits() {
+        return placementWaits;
+    }
+
     /** Returns counts by reason. */
     Map<String, Long> refusals() {
         return refusals;
--- a/library/src/main/java/org/copperspindle/gateway/GatewayMetrics.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayMetrics.java
@@ -145,6 +145,11 @@
                 "Messages about engine loads with impossible values",
                 node,
                 n -> n.engineLoads().droppedMessages());
+        metrics.counter(
+                "engine.placement.waits",
+                "Requests that waited for an engine",
+                node,
+                n -> n.counters().placementWaits());
         metrics.counter("attempts", "Attempts sent", node, n -> n.counters().attempts());
         metrics.counter(
                 "attempt.repeats",
@@ -185,6 +190,12 @@
                                 result)));
         publishReasons(
                 metrics, "refusals", "Requests not admitted", node.counters().refusals());
+        publishCounts(
+                metrics,
+                "engine.placements",
+                "Requests placed at engines by their loads",
+                node.counters().placements(),
+                "placement");
         publishReasons(
                 metrics,
                 "announcements.ignored",
@@ -207,10 +218,15 @@
     }
 
     private void publishReasons(MetricsRegistry metrics, String name, String description, Map<String, Long> counts) {
+        publishCounts(metrics, name, description, counts, "reason");
+    }
+
+    private void publishCounts(
+            MetricsRegistry metrics, String name, String description, Map<String, Long> counts, String label) {
         counts.keySet().stream()
                 .filter(reason -> published.add(name + ' ' + reason))
                 .forEach(reason ->
-                        metrics.counter(name, description, counts, c -> c.getOrDefault(reason, 0L), "reason", reason));
+                        metrics.counter(name, description, counts, c -> c.getOrDefault(reason, 0L), label, reason));
     }
 
     private void publishPool(MetricsRegistry metrics, UpstreamPool pool) {
--- a/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
@@ -55,6 +55,7 @@
 import org.copperspindle.mesh.MeshSettings;
 import org.copperspindle.mesh.NodeHelloMessage;
 import org.copperspindle.mesh.NodeMesh;
+import org.copperspindle.placement.EnginePlacements;
 import org.copperspindle.quarantine.RequestQuarantine;
 import org.copperspindle.route.UpstreamPool;
 import org.copperspindle.time.EventLoopTimerService;
@@ -362,6 +363,7 @@
                 ThreadLocalRandom.current(),
                 settings.failureDomain());
         chooser.chooseEnginesWith(new EstimatedEngineChoice(engineLoads, new AffinityEngineChoice(tracker)));
+        chooser.placeWith(new EnginePlacer(engineLoads, EnginePlacements.undisturbed()));
         return chooser;
     }
 
--- a/library/src/main/java/org/copperspindle/gateway/RequestLogger.java
+++ b/library/src/main/java/org/copperspindle/gateway/RequestLogger.java
@@ -137,6 +137,7 @@
      * @param upstream    target of the attempt
      * @param resumeAfter id of the event after which the stream resumes
      * @param estimate    estimate for the engine; empty for other upstreams and while loads are not known
+     * @param placement   how the engine was chosen; empty if it was not chosen by the loads of the engines
      * @param now         monotonic time in nanoseconds
      */
     void attemptSent(
@@ -144,13 +145,14 @@
             UpstreamRecord upstream,
             Optional<String> resumeAfter,
             Optional<EngineEstimate> estimate,
+            Optional<SentPlacement> placement,
             long now) {
         if (!log.allowsServed(now)) {
             return;
         }
         LOGGER.info(
                 "event=attempt-sent request={} attempt={} upstream={} in_flight={} waited_ms={} resume_after={}"
-                        + " estimate_ms={} pace={} waiting_tokens={}",
+                        + " estimate_ms={} pace={} waiting_tokens={} streams={} placement={} placement_wait_ms={}",
                 id,
                 number,
                 upstream.id(),
@@ -159,7 +161,10 @@
                 resumeAfter.orElse(""),
                 text(estimate, e -> e.firstEventNanos() / NANOS_PER_MILLI),
                 text(estimate, EngineEstimate::pace),
-                text(estimate, EngineEstimate::waitingTokens));
+                text(estimate, EngineEstimate::waitingTokens),
+                text(estimate, EngineEstimate::streams),
+                text(placement, p -> p.reason().label()),
+                text(placement, p -> p.waitedNanos() / NANOS_PER_MILLI));
     }
 
     /**
@@ -196,8 +201,8 @@
         return failed ? log.allowsFailed(now) : log.allowsServed(now);
     }
 
-    private static String text(Optional<EngineEstimate> estimate, Function<EngineEstimate, Object> value) {
-        return estimate.map(value).map(Object::toString).orElse("");
+    private static <T> String text(Optional<T> source, Function<T, Object> value) {
+        return source.map(value).map(Object::toString).orElse("");
     }
 
     private String firstEventMillis(OptionalLong at) {
--- a/library/src/main/java/org/copperspindle/gateway/RequestRun.java
+++ b/library/src/main/java/org/copperspindle/gateway/RequestRun.java
@@ -216,7 +216,8 @@
             return;
         }
         StageInputs inputs = stages.map(StageRun::inputs).orElse(StageInputs.NONE);
-        search = Optional.of(new UpstreamSearch(context, admitted, tried, inputs, new SearchListener()));
+        search = Optional.of(
+                new UpstreamSearch(context, admitted, tried, inputs, OptionalLong.empty(), new SearchListener()));
         search.get().seek();
     }
 
@@ -242,6 +243,7 @@
                 upstream,
                 resumeAfter,
                 context.engineLoads().estimate(pool, upstream, request.enginePrompt()),
+                search.flatMap(UpstreamSearch::placement),
                 now);
         UpstreamRun run = context.quarantine().startRun(tracked, upstream, lastRun);
         lastRun = Optional.of(run);
--- a/library/src/main/java/org/copperspindle/gateway/UpstreamChooser.java
+++ b/library/src/main/java/org/copperspindle/gateway/UpstreamChooser.java
@@ -14,6 +14,7 @@
 import org.copperspindle.coldstart.ColdAdmission;
 import org.copperspindle.discovery.UpstreamDirectory;
 import org.copperspindle.discovery.UpstreamRecord;
+import org.copperspindle.placement.PlacementDecision;
 import org.copperspindle.route.Route;
 import org.copperspindle.route.UpstreamPool;
 import org.copperspindle.stage.StageInputs;
@@ -46,6 +47,7 @@
     private final RandomGenerator random;
     private final String failureDomain;
     private EngineChoice engines;
+    private Optional<EnginePlacer> placer = Optional.empty();
 
     UpstreamChooser(
             UpstreamDirectory directory,
@@ -70,6 +72,42 @@
         engines = choice;
     }
 
+    /** Sets the placement of requests whose routes have a longest allowed pause. */
+    void placeWith(EnginePlacer enginePlacer) {
+        placer = Optional.of(enginePlacer);
+    }
+
+    /**
+     * Places a request at an engine by the loads of the engines.
+     *
+     * @param pool    the pool
+     * @param route   its route
+     * @param request the request
+     * @param inputs  stage results that the engine will fetch
+     * @param tried   ids of upstreams that already got the request
+     * @param times   times of the request
+     * @param now     monotonic time in nanoseconds
+     * @return the decision; empty if the upstream has to be chosen with {@link #choose}
+     */
+    Optional<PlacementDecision> place(
+            UpstreamPool pool,
+            Route route,
+            GatewayRequest request,
+            StageInputs inputs,
+            Set<String> tried,
+            PlacementTimes times,
+            long now) {
+        if (placer.isEmpty()
+                || pool.engineSlots().isEmpty()
+                || request.sharedPrompt().isEmpty()) {
+            return Optional.empty();
+        }
+        List<UpstreamRecord> candidates = candidates(pool, tried, now);
+        List<UpstreamRecord> near = accepting(pool, nearInputs(candidates, request, inputs), now);
+        List<UpstreamRecord> accepting = near.isEmpty() ? accepting(pool, candidates, now) : near;
+        return placer.get().place(demand(pool, route, request), times, accepting);
+    }
+
     /**
      * Chooses an upstream.
      *
@@ -87,8 +125,7 @@
         if (candidates.isEmpty()) {
             return Optional.empty();
         }
-        Predicate<UpstreamRecord> accepts =
-                upstream -> permits.deniedNanos(upstream.id()) == 0 && accepts(pool, upstream, now);
+        Predicate<UpstreamRecord> accepts = upstream -> acceptsNow(pool, upstream, now);
         if (pool.engineSlots().isPresent() && request.sharedPrompt().isPresent()) {
             EngineDemand demand = demand(pool, route, request);
             return engines.choose(demand, nearInputs(candidates, request, inputs), accepts)
@@ -212,6 +249,14 @@
                 .toList();
     }
 
+    private List<UpstreamRecord> accepting(UpstreamPool pool, List<UpstreamRecord> upstreams, long now) {
+        return upstreams.stream().filter(u -> acceptsNow(pool, u, now)).toList();
+    }
+
+    private boolean acceptsNow(UpstreamPool pool, UpstreamRecord upstream, long now) {
+        return permits.deniedNanos(upstream.id()) == 0 && accepts(pool, upstream, now);
+    }
+
     private boolean accepts(UpstreamPool pool, UpstreamRecord upstream, long now) {
         return pool.cold().isEmpty()
                 || !directory.isCold(upstream, now)
--- a/library/src/main/java/org/copperspindle/placement/PlacementReason.java
+++ b/library/src/main/java/org/copperspindle/placement/PlacementReason.java
@@ -13,7 +13,9 @@
     /** The prompt interrupts the streams of any engine, and it interrupts the fewest here. */
     LEAST_DISTURBING("least-disturbing"),
     /** It is expected to send the first event soonest. */
-    EARLIEST("earliest");
+    EARLIEST("earliest"),
+    /** It is expected to continue an interrupted stream in time. */
+    RESUMED("resumed");
 
     private final String label;
 
--- a/library/src/test/java/org/copperspindle/gateway/EngineChoiceReplay.java
+++ b/library/src/test/java/org/copperspindle/gateway/EngineChoiceReplay.java
@@ -1,6 +1,5 @@
 package org.copperspindle.gateway;
 
-import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -12,19 +11,10 @@
 import java.util.Set;
 import java.util.stream.IntStream;
 
-import org.copperspindle.backpressure.UpstreamBackoffs;
-import org.copperspindle.backpressure.UpstreamLimits;
-import org.copperspindle.coldstart.SenderSetAdmission;
 import org.copperspindle.discovery.UpstreamDirectory;
 import org.copperspindle.discovery.UpstreamPhase;
 import org.copperspindle.discovery.UpstreamRecord;
 import org.copperspindle.engineload.EngineAttempt;
-import org.copperspindle.engineload.EngineLoads;
-import org.copperspindle.measure.LogRateLimiter;
-import org.copperspindle.mesh.LinkedPeer;
-import org.copperspindle.mesh.MeshSettings;
-import org.copperspindle.mesh.NodeHelloMessage;
-import org.copperspindle.mesh.NodeMesh;
 import org.copperspindle.route.Route;
 import org.copperspindle.route.RouteKind;
 import org.copperspindle.route.TestRoutes;
@@ -32,7 +22,6 @@
 import org.copperspindle.stage.StageInputs;
 import org.copperspindle.time.VirtualTimerService;
 import org.copperspindle.wire.GreetingMessage;
-import org.copperspindle.wire.MessageRegistry;
 import org.copperspindle.wire.WireTransport;
 
 /**
@@ -42,7 +31,6 @@
 
     static final double STATED_TOKENS_PER_MILLI = 38;
     private static final long MILLI = 1_000_000L;
-    private static final long LINK_NANOS = 1_400_000L;
     private static final long BASE_NANOS = 20 * MILLI;
     private static final long STREAM_NANOS = 2_500 * MILLI;
     private static final int PARTS = 600;
@@ -53,19 +41,16 @@
     private static final Route ROUTE = TestRoutes.route("r", "h", "/x/", RouteKind.STREAM, "p");
 
     private final VirtualTimerService time = new VirtualTimerService();
-    private final MessageRegistry registry = GatewayMessages.registry();
-    private final WireTransport transport =
-            new WireTransport(1, registry, new GreetingMessage(GreetingMessage.PROTOCOL, "gateway", "127.0.0.1:1", 1));
+    private final WireTransport transport = new WireTransport(
+            1, GatewayMessages.registry(), new GreetingMessage(GreetingMessage.PROTOCOL, "gateway", "127.0.0.1:1", 1));
     private final UpstreamDirectory directory = new UpstreamDirectory();
     private final Map<String, ReplayedEngine> engines = new HashMap<>();
-    private final List<Node> nodes = new ArrayList<>();
+    private final List<ReplayedNode> nodes = new ArrayList<>();
     private final List<String> chosen = new ArrayList<>();
     private final List<Double> longFirstEvents = new ArrayList<>();
     private final Random random;
-    private final boolean byEstimate;
 
     EngineChoiceReplay(int nodeCount, List<Double> paces, boolean noisy, boolean byEstimate, long seed) {
-        this.byEstimate = byEstimate;
         this.random = new Random(seed);
         for (int i = 0; i < paces.size(); i++) {
             directory.accept(
@@ -74,9 +59,15 @@
             double speed = STATED_TOKENS_PER_MILLI * paces.get(i);
             engines.put("e" + i, new ReplayedEngine(speed, noisy, 120_000, random));
         }
-        IntStream.rangeClosed(1, nodeCount).forEach(i -> nodes.add(new Node("127.0.0.1:" + i)));
-        nodes.stream().skip(1).forEach(node -> link(nodes.get(0), node));
-        nodes.forEach(node -> time.schedule(random.nextLong(160 * MILLI), node.loads::start));
+        IntStream.rangeClosed(1, nodeCount)
+                .forEach(i -> nodes.add(new ReplayedNode("127.0.0.1:" + i, transport, time, directory)));
+        nodes.stream().skip(1).forEach(nodes.get(0)::link);
+        nodes.forEach(node -> time.schedule(random.nextLong(160 * MILLI), node.loads()::start));
+        if (byEstimate) {
+            nodes.forEach(node -> node.chooser()
+                    .chooseEnginesWith(
+                            new EstimatedEngineChoice(node.loads(), new AffinityEngineChoice(node.tracker()))));
+        }
     }
 
     // Sends prompts for some seconds and returns after the last event of all.
@@ -116,7 +107,7 @@
     }
 
     long streamsLeft() {
-        return nodes.stream().mapToLong(n -> n.loads.streams("p")).sum();
+        return nodes.stream().mapToLong(n -> n.loads().streams("p")).sum();
     }
 
     @Override
@@ -129,7 +120,7 @@
     }
 
     private void arrive(boolean isLong) {
-        Node node = nodes.get(random.nextInt(nodes.size()));
+        ReplayedNode node = nodes.get(random.nextInt(nodes.size()));
         int part = random.nextInt(PARTS);
         int shared = isLong ? SHARED_TOKENS : SHORT_SHARED_TOKENS;
         int own = isLong ? 12_000 - SHARED_TOKENS : 300 + random.nextInt(300);
@@ -138,73 +129,28 @@
                 OptionalLong.empty(),
                 List.of(new PromptPart((isLong ? "l" : "s") + part, shared), new PromptPart("own", own)),
                 List.of());
-        node.send(request, isLong);
-    }
-
-    private void link(Node owner, Node other) {
-        LinkedPeer atOwner = new LinkedPeer(other.address, other.mesh, time, LINK_NANOS);
-        LinkedPeer atOther = new LinkedPeer(owner.address, owner.mesh, time, LINK_NANOS);
-        atOwner.reverse(atOther);
-        atOther.reverse(atOwner);
-        NodeHelloMessage hello = new NodeHelloMessage("127.0.0.1:9", "d", false, true, false, 0, "", 0, 0);
-        owner.mesh.onOpen(atOwner);
-        other.mesh.onOpen(atOther);
-        owner.mesh.onMessage(atOwner, hello);
-        other.mesh.onMessage(atOther, hello);
+        send(node, request, isLong);
     }
 
-    private final class Node {
-        private final String address;
-        private final NodeMesh mesh;
-        private final EngineLoads loads;
-        private final UpstreamTracker tracker = new UpstreamTracker();
-        private final UpstreamChooser chooser;
-
-        private Node(String address) {
-            this.address = address;
-            InetSocketAddress listen =
-                    new InetSocketAddress("127.0.0.1", Integer.parseInt(address.substring(address.indexOf(':') + 1)));
-            MeshSettings settings = new MeshSettings(listen, listen, "127.0.0.1:9", "d", false, List.of());
-            LogRateLimiter log = new LogRateLimiter(0, 0);
-            this.mesh = new NodeMesh(
-                    settings,
-                    transport,
-                    time,
-                    () -> new NodeHelloMessage("127.0.0.1:9", "d", false, true, false, 0, "", 0, 0));
-            this.loads = new EngineLoads(mesh, time, directory, pool -> "127.0.0.1:1", "p"::equals, log);
-            mesh.subscribe(loads);
-            this.chooser = new UpstreamChooser(
-                    directory,
-                    tracker,
-                    new SenderSetAdmission(address, List::of, () -> false),
-                    SingleNodePermits.of(new UpstreamLimits(directory, log), time),
-                    new UpstreamBackoffs(directory, log),
-                    new Random(7),
-                    "d");
-            if (byEstimate) {
-                chooser.chooseEnginesWith(new EstimatedEngineChoice(loads, new AffinityEngineChoice(tracker)));
+    private void send(ReplayedNode node, GatewayRequest request, boolean isLong) {
+        long sentAt = time.nanoTime();
+        UpstreamRecord engine = node.chooser()
+                .choose(POOL, ROUTE, request, StageInputs.NONE, Set.of(), sentAt)
+                .orElseThrow();
+        chosen.add(engine.id());
+        node.tracker().started(engine.id());
+        EngineAttempt attempt = node.loads().sent("p", engine, request.enginePrompt());
+        double read = engines.get(engine.id()).read(request.enginePrompt(), millis());
+        long firstEvent = (long) (read * MILLI) - sentAt + BASE_NANOS;
+        time.schedule(firstEvent, () -> {
+            attempt.event(time.nanoTime());
+            if (isLong) {
+                longFirstEvents.add((double) firstEvent / MILLI);
             }
-        }
-
-        private void send(GatewayRequest request, boolean isLong) {
-            long sentAt = time.nanoTime();
-            UpstreamRecord engine = chooser.choose(POOL, ROUTE, request, StageInputs.NONE, Set.of(), sentAt)
-                    .orElseThrow();
-            chosen.add(engine.id());
-            tracker.started(engine.id());
-            EngineAttempt attempt = loads.sent("p", engine, request.enginePrompt());
-            double read = engines.get(engine.id()).read(request.enginePrompt(), millis());
-            long firstEvent = (long) (read * MILLI) - sentAt + BASE_NANOS;
-            time.schedule(firstEvent, () -> {
-                attempt.event(time.nanoTime());
-                if (isLong) {
-                    longFirstEvents.add((double) firstEvent / MILLI);
-                }
-            });
-            time.schedule(firstEvent + STREAM_NANOS, () -> {
-                attempt.ended();
-                tracker.ended(engine.id(), true);
-            });
-        }
+        });
+        time.schedule(firstEvent + STREAM_NANOS, () -> {
+            attempt.ended();
+            node.tracker().ended(engine.id(), true);
+        });
     }
 }
--- a/library/src/test/java/org/copperspindle/gateway/ReplayedEngine.java
+++ b/library/src/test/java/org/copperspindle/gateway/ReplayedEngine.java
@@ -37,22 +37,31 @@
 
     // Reads a prompt; returns the time in milliseconds at which that is done.
     double read(EnginePrompt prompt, double now) {
+        busyUntil = finish(Math.max(now, busyUntil), unreadTokens(prompt) / tokensPerMilli);
+        return busyUntil;
+    }
+
+    // Caches the shared part of a prompt; returns the tokens that are to be read.
+    long unreadTokens(EnginePrompt prompt) {
         boolean hit = cached.remove(prompt.shared());
         cached.add(prompt.shared());
         if (cached.size() > CACHED_PARTS) {
             cached.remove(cached.iterator().next());
         }
         partsRead += hit ? 0 : 1;
-        double left = hit ? prompt.tokens() - prompt.sharedTokens() : prompt.tokens();
-        busyUntil = finish(Math.max(now, busyUntil), left / tokensPerMilli);
-        return busyUntil;
+        return hit ? prompt.tokens() - prompt.sharedTokens() : prompt.tokens();
+    }
+
+    double tokensPerMilli() {
+        return tokensPerMilli;
     }
 
     int partsRead() {
         return partsRead;
     }
 
-    private double finish(double from, double workMillis) {
+    // Returns when work that takes so long on an undisturbed engine is done.
+    double finish(double from, double workMillis) {
         double at = from;
         double left = workMillis;
         for (long[] period : noise) {
