--- a/library/src/test/java/org/copperspindle/engineload/EngineLoadsTest.java
+++ b/library/src/test/java/org/copperspindle/engineload/EngineLoadsTest.java
@@ -119,6 +119,65 @@
         assertThat(waiting("e0")).isZero();
     }
 
+    /** Attempts of other nodes must count, and own ones must not count twice once they are in the table. */
+    @Test
+    void streamsOfAllNodesCountOnce() {
+        mesh.onMessage(other, streamsMessage(3));
+        EngineAttempt attempt = loads.sent("p", engine("e0"), PROMPT);
+        assertThat(streams("e0")).isEqualTo(4);
+        time.advance(200 * MILLI);
+        mesh.onMessage(other, streamsMessage(4));
+        assertThat(streams("e0")).isEqualTo(4);
+        attempt.ended();
+        assertThat(streams("e0")).isEqualTo(3);
+    }
+
+    /** A node that joins, or a new owner, knows no own streams of the table before: they must not be subtracted. */
+    @Test
+    void ownStreamsAreNeverFewerThanCounted() {
+        mesh.onMessage(other, streamsMessage(0));
+        loads.sent("p", engine("e0"), PROMPT);
+        time.advance(200 * MILLI);
+        mesh.onMessage(other, streamsMessage(0));
+        assertThat(streams("e0")).isEqualTo(1);
+    }
+
+    /** Streams that end change no waiting tokens: nodes would go on to take their engine for a busy one. */
+    @ParameterizedTest
+    @CsvSource({"5, 5, false", "5, 4, false", "5, 3, true", "1, 0, true", "0, 1, true"})
+    void changedStreamsAreSent(long before, long after, boolean expected) {
+        EngineLoad known = new EngineLoad(0, before, EngineLoad.MEDIAN_PACE, 0);
+        EngineLoad load = new EngineLoad(0, after, EngineLoad.MEDIAN_PACE, 0);
+        assertThat(load.differsFrom(known)).isEqualTo(expected);
+    }
+
+    /** The home engine has the shared part cached, and others once this node has sent it to them. */
+    @Test
+    void cachedPartsAreKnown() {
+        mesh.onMessage(other, table(1000, 40_000, 20));
+        List<String> cached = cachedAt();
+        assertThat(cached).hasSize(1);
+        String away = cached.contains("e0") ? "e1" : "e0";
+        loads.sent("p", engine(away), PROMPT);
+        assertThat(cachedAt()).contains(away).containsAll(cached);
+    }
+
+    private List<String> cachedAt() {
+        return directory.ready("p").stream()
+                .filter(e -> loads.estimate("p", e, PROMPT).orElseThrow().cached())
+                .map(UpstreamRecord::id)
+                .toList();
+    }
+
+    private long streams(String id) {
+        return loads.estimate("p", engine(id), PROMPT).orElseThrow().streams();
+    }
+
+    private static EngineLoadsMessage streamsMessage(long streams) {
+        return new EngineLoadsMessage(
+                "p", List.of("e0"), List.of(0L), List.of(streams), List.of(1000L), List.of(0L), 40_000, 20, 0, 1000);
+    }
+
     /** Each way in which an attempt ends must give back what it counted, once. */
     @ParameterizedTest
     @ValueSource(strings = {"ended", "event ended", "event event ended", "ended ended", "event ended event ended"})
