Place prompts without waits, at lower cost, and predict the failure domain by the same rule

Engines with recent pauses come last among equal ones instead of being left out, and the home engine has privileges only if it has cached the shared part. Changes of stream counts alone go with regular tables only.

--- a/library/src/main/java/org/copperspindle/admission/StageAdmission.java
+++ b/library/src/main/java/org/copperspindle/admission/StageAdmission.java
@@ -80,6 +80,16 @@
         this.estimator = new StageTimeEstimator(loads, firstEventLatencies);
     }
 
+    /**
+     * Returns how long the stages of a request that starts now are expected to take.
+     *
+     * @param request the request
+     * @return nanoseconds
+     */
+    public long estimatedStagesNanos(StagedRequest request) {
+        return estimator.estimate(request).stages();
+    }
+
     /**
      * Decides on a request.
      *
--- a/library/src/main/java/org/copperspindle/engineload/EngineEstimates.java
+++ b/library/src/main/java/org/copperspindle/engineload/EngineEstimates.java
@@ -15,6 +15,14 @@
      */
     EngineEstimate at(UpstreamRecord engine);
 
+    /**
+     * Returns the rendezvous score of an engine for the shared part of the prompt.
+     *
+     * @param engine an engine of the pool
+     * @return the score; the engine with the highest one is the first choice while engines are equal
+     */
+    long score(UpstreamRecord engine);
+
     /**
      * Returns how much other nodes are likely to have sent to the pool since the state that the estimates are based
      * on. If all nodes ignored that, they would all send to the same few engines between two tables.
--- a/library/src/main/java/org/copperspindle/engineload/EngineLoad.java
+++ b/library/src/main/java/org/copperspindle/engineload/EngineLoad.java
@@ -21,18 +21,27 @@
     /** A smaller change of the pause does not matter: pauses are compared with hundreds of milliseconds. */
     private static final long PAUSE_STEP_MILLIS = 50;
 
-    /** A smaller change of the streams does not matter, except between none and some. */
+    /**
+     * A smaller change of the streams does not matter, except between none and some: streams are compared only among
+     * engines that a prompt interrupts anyway, where an error of one costs at most one more interrupted stream. Each
+     * node adds the streams that it has started since.
+     */
     private static final long STREAMS_STEP = 2;
 
     double pace() {
         return (double) paceThousandths / MEDIAN_PACE;
     }
 
-    /** Returns whether nodes that know the other load should be sent this one. */
+    /** Returns whether nodes that know the other load should be sent this one with the next regular table. */
     boolean differsFrom(EngineLoad other) {
-        return waitingTokens != other.waitingTokens
+        return isUrgentAfter(other)
                 || (streams == 0) != (other.streams == 0)
-                || Math.abs(streams - other.streams) >= STREAMS_STEP
+                || Math.abs(streams - other.streams) >= STREAMS_STEP;
+    }
+
+    /** Returns whether it should be sent between two regular tables as well: changes of streams alone can wait. */
+    boolean isUrgentAfter(EngineLoad other) {
+        return waitingTokens != other.waitingTokens
                 || Math.abs(paceThousandths - other.paceThousandths) >= PACE_STEP
                 || Math.abs(longestPauseMillis - other.longestPauseMillis) >= PAUSE_STEP_MILLIS;
     }
--- a/library/src/main/java/org/copperspindle/engineload/EngineLoads.java
+++ b/library/src/main/java/org/copperspindle/engineload/EngineLoads.java
@@ -16,7 +16,6 @@
 import org.copperspindle.mesh.MeshListener;
 import org.copperspindle.mesh.MeshNode;
 import org.copperspindle.mesh.NodeMesh;
-import org.copperspindle.routing.RendezvousScore;
 import org.copperspindle.time.TimerService;
 import org.copperspindle.wire.WireMessage;
 
@@ -103,8 +102,8 @@
         }
         long now = timers.nanoTime();
         NodePool known = pool(pool);
-        boolean cached = isCached(engine, prompt, home(pool, prompt), now);
-        long unread = cached ? prompt.tokens() - prompt.sharedTokens() : prompt.tokens();
+        boolean cached = isCached(engine, prompt, home(pool, new RendezvousScores(prompt.shared())), now);
+        long unread = prompt.unreadTokens(cached);
         known.sent(unread);
         cachedParts.add(engine, prompt.shared(), now);
         EngineAttempt attempt = EngineAttempt.start(known.engine(engine), unread, now, () -> reportSoon(known));
@@ -125,8 +124,14 @@
         if (known == null || !known.differs(now)) {
             return Optional.empty();
         }
-        String home = home(pool, prompt);
+        RendezvousScores scores = new RendezvousScores(prompt.shared());
+        String home = home(pool, scores);
         return Optional.of(new EngineEstimates() {
+            @Override
+            public long score(UpstreamRecord engine) {
+                return scores.of(engine);
+            }
+
             @Override
             public EngineEstimate at(UpstreamRecord engine) {
                 return known.estimate(engine, prompt, isCached(engine, prompt, home, now), now)
@@ -154,7 +159,8 @@
         if (known == null || !known.isFresh(now)) {
             return Optional.empty();
         }
-        return known.estimate(engine, prompt, isCached(engine, prompt, home(pool, prompt), now), now);
+        return known.estimate(
+                engine, prompt, isCached(engine, prompt, home(pool, new RendezvousScores(prompt.shared())), now), now);
     }
 
     /**
@@ -328,11 +334,11 @@
     }
 
     /** Returns the engine to which requests with the shared part of a prompt go while the engines are equal. */
-    private String home(String pool, EnginePrompt prompt) {
+    private String home(String pool, RendezvousScores scores) {
         String best = "";
         long bestScore = 0;
         for (UpstreamRecord engine : directory.ready(pool)) {
-            long score = RendezvousScore.of(prompt.shared(), engine.id());
+            long score = scores.of(engine);
             if (best.isEmpty() || score > bestScore) {
                 best = engine.id();
                 bestScore = score;
--- a/library/src/main/java/org/copperspindle/engineload/EnginePrompt.java
+++ b/library/src/main/java/org/copperspindle/engineload/EnginePrompt.java
@@ -7,4 +7,15 @@
  * @param sharedTokens length of the shared part in tokens
  * @param tokens       length of the whole prompt in tokens
  */
-public record EnginePrompt(String shared, long sharedTokens, long tokens) {}
+public record EnginePrompt(String shared, long sharedTokens, long tokens) {
+
+    /**
+     * Returns how many tokens an engine has to read.
+     *
+     * @param cached true if the engine has cached the shared part
+     * @return tokens
+     */
+    public long unreadTokens(boolean cached) {
+        return cached ? tokens - sharedTokens : tokens;
+    }
+}
--- a/library/src/main/java/org/copperspindle/engineload/NodePool.java
+++ b/library/src/main/java/org/copperspindle/engineload/NodePool.java
@@ -166,8 +166,7 @@
         EngineLoad load = table.getOrDefault(engine.id(), EngineLoad.NONE);
         long waiting = waitingTokens(engine, now);
         double speed = tokensPerNano * load.pace();
-        long unread = cached ? prompt.tokens() - prompt.sharedTokens() : prompt.tokens();
-        double readNanos = (waiting + unread) / speed;
+        double readNanos = (waiting + prompt.unreadTokens(cached)) / speed;
         return Optional.of(new EngineEstimate(
                 (long) readNanos + baseNanos,
                 baseNanos,
--- a/library/src/main/java/org/copperspindle/engineload/OwnerPool.java
+++ b/library/src/main/java/org/copperspindle/engineload/OwnerPool.java
@@ -120,7 +120,7 @@
         Map<String, EngineLoad> changed = new LinkedHashMap<>();
         loads.forEach((id, load) -> {
             EngineLoad known = sent.get(id);
-            if (known == null || load.differsFrom(known)) {
+            if (known == null || (regular ? load.differsFrom(known) : load.isUrgentAfter(known))) {
                 changed.put(id, load);
             } else if (whole) {
                 // What the other nodes have already, so that a repeated entry changes no choice.
--- a/library/src/main/java/org/copperspindle/gateway/EnginePlacer.java
+++ b/library/src/main/java/org/copperspindle/gateway/EnginePlacer.java
@@ -11,7 +11,6 @@
 import org.copperspindle.placement.EnginePlacement;
 import org.copperspindle.placement.PlacementDecision;
 import org.copperspindle.placement.PlacementDemand;
-import org.copperspindle.routing.RendezvousScore;
 
 /**
  * Places requests at engines by their loads, for routes with a longest allowed pause between events.
@@ -35,44 +34,49 @@
         this.placement = placement;
     }
 
+    /**
+     * Returns the estimates that a request is decided by.
+     *
+     * @param demand the request
+     * @return the estimates; empty if the request has to be decided without the loads of the engines
+     */
+    Optional<EngineEstimates> estimates(EngineDemand demand) {
+        return demand.maxPauseNanos() == 0 ? Optional.empty() : loads.estimates(demand.pool(), demand.prompt());
+    }
+
     /**
      * Decides on a request.
      *
-     * @param demand  the request
-     * @param times   its times
-     * @param engines the engines that may take it
-     * @return the decision; empty if the request has to be decided without the loads of the engines
+     * @param demand    the request
+     * @param times     its times
+     * @param estimates estimates for it
+     * @param engines   the engines that may take it
+     * @return the decision
      */
-    Optional<PlacementDecision> place(EngineDemand demand, PlacementTimes times, List<UpstreamRecord> engines) {
-        if (demand.maxPauseNanos() == 0 || engines.isEmpty()) {
-            return Optional.empty();
-        }
-        return loads.estimates(demand.pool(), demand.prompt())
-                .map(estimates -> placement.place(
-                        placementDemand(demand, times, estimates),
-                        engines.stream()
-                                .map(engine -> candidate(demand, engine, estimates.at(engine)))
-                                .toList()));
+    PlacementDecision place(
+            EngineDemand demand, PlacementTimes times, EngineEstimates estimates, List<UpstreamRecord> engines) {
+        List<EngineCandidate> candidates =
+                engines.stream().map(engine -> candidate(engine, estimates)).toList();
+        return placement.place(placementDemand(demand, times, estimates), candidates);
     }
 
     private static PlacementDemand placementDemand(
             EngineDemand demand, PlacementTimes times, EngineEstimates estimates) {
         return new PlacementDemand(
                 times.requestId(),
-                demand.prompt().tokens(),
-                demand.prompt().sharedTokens(),
+                demand.prompt(),
                 times.leftNanos(),
                 (long) (demand.objectiveNanos() * MARGIN_SHARE),
                 demand.maxPauseNanos(),
-                times.waitedNanos(),
                 estimates.unseenTokens(),
                 times.resumed());
     }
 
-    private static EngineCandidate candidate(EngineDemand demand, UpstreamRecord engine, EngineEstimate estimate) {
+    private static EngineCandidate candidate(UpstreamRecord engine, EngineEstimates estimates) {
+        EngineEstimate estimate = estimates.at(engine);
         return new EngineCandidate(
                 engine,
-                RendezvousScore.of(demand.prompt().shared(), engine.id()),
+                estimates.score(engine),
                 estimate.cached(),
                 estimate.waitingTokens(),
                 estimate.tokensPerNano(),
--- a/library/src/main/java/org/copperspindle/gateway/EstimatedEngineChoice.java
+++ b/library/src/main/java/org/copperspindle/gateway/EstimatedEngineChoice.java
@@ -10,7 +10,7 @@
 import org.copperspindle.engineload.EngineEstimate;
 import org.copperspindle.engineload.EngineEstimates;
 import org.copperspindle.engineload.EngineLoads;
-import org.copperspindle.routing.RendezvousScore;
+import org.copperspindle.placement.LoadLevel;
 
 /**
  * Chooses by the estimated time to the first event while the engines of a pool differ, and by another choice
@@ -27,9 +27,6 @@
      */
     private static final double EARLY_SHARE = 0.25;
 
-    /** Share of the longest allowed pause above which an engine's pauses are likely to make streams late. */
-    private static final double MAX_PAUSE_SHARE = 0.7;
-
     private final EngineLoads loads;
     private final EngineChoice otherwise;
 
@@ -54,15 +51,11 @@
         List<Estimated> all = new ArrayList<>();
         for (UpstreamRecord engine : candidates) {
             if (accepts.test(engine)) {
-                long score = RendezvousScore.of(demand.prompt().shared(), engine.id());
+                long score = estimates.get().score(engine);
                 all.add(new Estimated(engine, score, estimates.get().at(engine)));
             }
         }
-        List<Estimated> steady = all.stream().filter(e -> e.isSteady(demand)).toList();
-        return choose(
-                steady.isEmpty() ? all : steady,
-                demand.objectiveNanos(),
-                estimates.get().unseenTokens());
+        return choose(all, demand.objectiveNanos(), estimates.get().unseenTokens());
     }
 
     /** Chooses by rendezvous among the engines whose estimate is below a limit. */
@@ -75,37 +68,17 @@
         }
         double tolerated = sorted.get(0).nanos() + objectiveNanos * TOLERANCE;
         double early = objectiveNanos * EARLY_SHARE;
-        double limit = Math.max(Math.max(tolerated, early), commonFinish(sorted, unseenTokens));
+        double finish = LoadLevel.of(sorted, Estimated::nanos, e -> e.estimate().tokensPerNano(), unseenTokens);
+        double limit = Math.max(Math.max(tolerated, early), finish);
         return sorted.stream()
                 .filter(e -> e.nanos() <= limit)
                 .max(Comparator.comparingLong(Estimated::score))
                 .map(Estimated::engine);
     }
 
-    /** Returns when all engines would be done with so many more tokens, shared so that they finish together. */
-    private static double commonFinish(List<Estimated> sorted, long tokens) {
-        double speed = 0;
-        double weighted = 0;
-        double finish = 0;
-        for (Estimated engine : sorted) {
-            if (speed > 0 && engine.nanos() >= finish) {
-                break;
-            }
-            speed += engine.estimate().tokensPerNano();
-            weighted += engine.estimate().tokensPerNano() * engine.nanos();
-            finish = (tokens + weighted) / speed;
-        }
-        return finish;
-    }
-
     private record Estimated(UpstreamRecord engine, long score, EngineEstimate estimate) {
         private long nanos() {
             return estimate.firstEventNanos();
         }
-
-        private boolean isSteady(EngineDemand demand) {
-            return demand.maxPauseNanos() == 0
-                    || estimate.longestPauseNanos() <= demand.maxPauseNanos() * MAX_PAUSE_SHARE;
-        }
     }
 }
--- a/library/src/main/java/org/copperspindle/gateway/GatewayCounters.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayCounters.java
@@ -28,7 +28,6 @@
     private int open;
     private long attempts;
     private long retries;
-    private long placementWaits;
 
     void recordStart() {
         open++;
@@ -65,11 +64,6 @@
         placements.merge(reason.label(), 1L, Long::sum);
     }
 
-    /** Counts a request that waits for an engine. */
-    void recordPlacementWait() {
-        placementWaits++;
-    }
-
     int open() {
         return open;
     }
@@ -92,10 +86,6 @@
         return placements;
     }
 
-    long placementWaits() {
-        return placementWaits;
-    }
-
     /** Returns counts by reason. */
     Map<String, Long> refusals() {
         return refusals;
--- a/library/src/main/java/org/copperspindle/gateway/GatewayMetrics.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayMetrics.java
@@ -145,11 +145,6 @@
                 "Messages about engine loads with impossible values",
                 node,
                 n -> n.engineLoads().droppedMessages());
-        metrics.counter(
-                "engine.placement.waits",
-                "Requests that waited for an engine",
-                node,
-                n -> n.counters().placementWaits());
         metrics.counter("attempts", "Attempts sent", node, n -> n.counters().attempts());
         metrics.counter(
                 "attempt.repeats",
--- a/library/src/main/java/org/copperspindle/gateway/RequestLogger.java
+++ b/library/src/main/java/org/copperspindle/gateway/RequestLogger.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.Function;
+import java.util.function.Supplier;
 
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -12,6 +13,7 @@
 import org.copperspindle.discovery.UpstreamRecord;
 import org.copperspindle.engineload.EngineEstimate;
 import org.copperspindle.measure.LogRateLimiter;
+import org.copperspindle.placement.PlacementReason;
 
 /**
  * Writes the log lines of one request: what was decided, on which values, and how it ended.
@@ -136,23 +138,24 @@
      * @param number      number of the attempt, from 1
      * @param upstream    target of the attempt
      * @param resumeAfter id of the event after which the stream resumes
-     * @param estimate    estimate for the engine; empty for other upstreams and while loads are not known
-     * @param placement   how the engine was chosen; empty if it was not chosen by the loads of the engines
+     * @param estimates   returns the estimate for the engine, called only if the line is logged; empty for other upstreams and while loads are not known
+     * @param placement   why the engine was chosen; empty if it was not chosen by the loads of the engines
      * @param now         monotonic time in nanoseconds
      */
     void attemptSent(
             int number,
             UpstreamRecord upstream,
             Optional<String> resumeAfter,
-            Optional<EngineEstimate> estimate,
-            Optional<SentPlacement> placement,
+            Supplier<Optional<EngineEstimate>> estimates,
+            Optional<PlacementReason> placement,
             long now) {
         if (!log.allowsServed(now)) {
             return;
         }
+        Optional<EngineEstimate> estimate = estimates.get();
         LOGGER.info(
                 "event=attempt-sent request={} attempt={} upstream={} in_flight={} waited_ms={} resume_after={}"
-                        + " estimate_ms={} pace={} waiting_tokens={} streams={} placement={} placement_wait_ms={}",
+                        + " estimate_ms={} pace={} waiting_tokens={} streams={} placement={}",
                 id,
                 number,
                 upstream.id(),
@@ -163,8 +166,7 @@
                 text(estimate, EngineEstimate::pace),
                 text(estimate, EngineEstimate::waitingTokens),
                 text(estimate, EngineEstimate::streams),
-                text(placement, p -> p.reason().label()),
-                text(placement, p -> p.waitedNanos() / NANOS_PER_MILLI));
+                text(placement, PlacementReason::label));
     }
 
     /**
--- a/library/src/main/java/org/copperspindle/gateway/RequestRun.java
+++ b/library/src/main/java/org/copperspindle/gateway/RequestRun.java
@@ -187,18 +187,15 @@
     }
 
     /**
-     * Returns the failure domain of the upstream that the request would be sent to now. Its large stage results are
+     * Returns the failure domain of the upstream that the request is expected to be sent to after its stages. Its large stage results are
      * produced there if that costs no time, because traffic between failure domains is the largest cost of stage
      * work.
      */
     private Optional<String> likelyFailureDomain() {
-        return choose(StageInputs.NONE, context.timers().nanoTime()).map(UpstreamRecord::failureDomain);
-    }
-
-    private Optional<UpstreamRecord> choose(StageInputs inputs, long now) {
-        return admitted.table()
-                .findPool(pool)
-                .flatMap(p -> context.chooser().choose(p, route, request, inputs, tried, now));
+        long stagesNanos = context.stageAdmission().estimatedStagesNanos(admitted);
+        return UpstreamSearch.predict(
+                        context, admitted, tried, stagesNanos, context.timers().nanoTime())
+                .map(UpstreamRecord::failureDomain);
     }
 
     private void startAttempt() {
@@ -242,7 +239,7 @@
                 sent,
                 upstream,
                 resumeAfter,
-                context.engineLoads().estimate(pool, upstream, request.enginePrompt()),
+                () -> context.engineLoads().estimate(pool, upstream, request.enginePrompt()),
                 search.flatMap(UpstreamSearch::placement),
                 now);
         UpstreamRun run = context.quarantine().startRun(tracked, upstream, lastRun);
--- a/library/src/main/java/org/copperspindle/gateway/UpstreamChooser.java
+++ b/library/src/main/java/org/copperspindle/gateway/UpstreamChooser.java
@@ -14,6 +14,7 @@
 import org.copperspindle.coldstart.ColdAdmission;
 import org.copperspindle.discovery.UpstreamDirectory;
 import org.copperspindle.discovery.UpstreamRecord;
+import org.copperspindle.engineload.EngineEstimates;
 import org.copperspindle.placement.PlacementDecision;
 import org.copperspindle.route.Route;
 import org.copperspindle.route.UpstreamPool;
@@ -78,18 +79,18 @@
     }
 
     /**
-     * Places a request at an engine by the loads of the engines.
+     * Chooses an upstream.
      *
      * @param pool    the pool
      * @param route   its route
      * @param request the request
-     * @param inputs  stage results that the engine will fetch
+     * @param inputs  stage results that the upstream will fetch
      * @param tried   ids of upstreams that already got the request
      * @param times   times of the request
      * @param now     monotonic time in nanoseconds
-     * @return the decision; empty if the upstream has to be chosen with {@link #choose}
+     * @return the upstream; empty if the pool has none that can take it
      */
-    Optional<PlacementDecision> place(
+    Optional<ChosenUpstream> choose(
             UpstreamPool pool,
             Route route,
             GatewayRequest request,
@@ -97,42 +98,27 @@
             Set<String> tried,
             PlacementTimes times,
             long now) {
-        if (placer.isEmpty()
-                || pool.engineSlots().isEmpty()
-                || request.sharedPrompt().isEmpty()) {
-            return Optional.empty();
-        }
-        List<UpstreamRecord> candidates = candidates(pool, tried, now);
-        List<UpstreamRecord> near = accepting(pool, nearInputs(candidates, request, inputs), now);
-        List<UpstreamRecord> accepting = near.isEmpty() ? accepting(pool, candidates, now) : near;
-        return placer.get().place(demand(pool, route, request), times, accepting);
-    }
-
-    /**
-     * Chooses an upstream.
-     *
-     * @param pool    the pool
-     * @param route   its route
-     * @param request the request
-     * @param inputs  stage results that the upstream will fetch
-     * @param tried   ids of upstreams that already got the request
-     * @param now     monotonic time in nanoseconds
-     * @return the upstream; empty if the pool has none that can take it
-     */
-    Optional<UpstreamRecord> choose(
-            UpstreamPool pool, Route route, GatewayRequest request, StageInputs inputs, Set<String> tried, long now) {
         List<UpstreamRecord> candidates = candidates(pool, tried, now);
         if (candidates.isEmpty()) {
             return Optional.empty();
         }
         Predicate<UpstreamRecord> accepts = upstream -> acceptsNow(pool, upstream, now);
-        if (pool.engineSlots().isPresent() && request.sharedPrompt().isPresent()) {
-            EngineDemand demand = demand(pool, route, request);
-            return engines.choose(demand, nearInputs(candidates, request, inputs), accepts)
-                    .or(() -> engines.choose(demand, candidates, accepts))
-                    .or(() -> byLoad(candidates, accepts));
+        if (pool.engineSlots().isEmpty() || request.sharedPrompt().isEmpty()) {
+            return byLoad(candidates, accepts).map(UpstreamChooser::unplaced);
+        }
+        EngineDemand demand = demand(pool, route, request);
+        List<UpstreamRecord> near = nearInputs(candidates, request, inputs);
+        Optional<EngineEstimates> estimates = placer.flatMap(p -> p.estimates(demand));
+        if (estimates.isPresent()) {
+            List<UpstreamRecord> accepting = near.stream().filter(accepts).toList();
+            List<UpstreamRecord> eligible =
+                    accepting.isEmpty() ? candidates.stream().filter(accepts).toList() : accepting;
+            return placed(placer.get().place(demand, times, estimates.get(), eligible));
         }
-        return byLoad(candidates, accepts);
+        return engines.choose(demand, near, accepts)
+                .or(() -> engines.choose(demand, candidates, accepts))
+                .or(() -> byLoad(candidates, accepts))
+                .map(UpstreamChooser::unplaced);
     }
 
     /**
@@ -249,8 +235,14 @@
                 .toList();
     }
 
-    private List<UpstreamRecord> accepting(UpstreamPool pool, List<UpstreamRecord> upstreams, long now) {
-        return upstreams.stream().filter(u -> acceptsNow(pool, u, now)).toList();
+    private static ChosenUpstream unplaced(UpstreamRecord upstream) {
+        return new ChosenUpstream(upstream, Optional.empty());
+    }
+
+    private static Optional<ChosenUpstream> placed(PlacementDecision decision) {
+        return decision instanceof PlacementDecision.Send send
+                ? Optional.of(new ChosenUpstream(send.engine(), Optional.of(send.reason())))
+                : Optional.empty();
     }
 
     private boolean acceptsNow(UpstreamPool pool, UpstreamRecord upstream, long now) {
--- a/library/src/main/java/org/copperspindle/gateway/UpstreamSearch.java
+++ b/library/src/main/java/org/copperspindle/gateway/UpstreamSearch.java
@@ -8,17 +8,15 @@
 
 import org.copperspindle.backpressure.PermitResult;
 import org.copperspindle.discovery.UpstreamRecord;
-import org.copperspindle.placement.PlacementDecision;
 import org.copperspindle.placement.PlacementReason;
 import org.copperspindle.route.UpstreamPool;
 import org.copperspindle.stage.StageInputs;
-import org.copperspindle.time.TimerSubscription;
 
 /**
  * Searches for the upstream of an attempt and the time at which the attempt may be sent. An upstream with a rate limit is
  * used if a send permit is available immediately. If all upstreams that could take the request have limits, the
  * search reserves the earliest permit within the caller's remaining time, and reports a failure immediately if there
- * is none. A request that has to wait for an engine is kept with one timer and decided again.
+ * is none.
  */
 final class UpstreamSearch {
 
@@ -37,12 +35,9 @@
     private final StageInputs inputs;
     private final OptionalLong nextEventBy;
     private final Listener listener;
-    private final long startedAt;
     private final Set<String> delayedPermitsRequested = new HashSet<>();
     private int immediatePermits;
     private Optional<PlacementReason> placement = Optional.empty();
-    private TimerSubscription engineWait = () -> {};
-    private long waitedNanos;
     private boolean ended;
 
     /**
@@ -69,7 +64,6 @@
         this.inputs = inputs;
         this.nextEventBy = nextEventBy;
         this.listener = listener;
-        this.startedAt = context.timers().nanoTime();
     }
 
     /**
@@ -92,6 +86,27 @@
                 .orElse(OptionalLong.empty());
     }
 
+    /**
+     * Predicts the upstream of a request whose stages start now, by the rule that chooses it after them.
+     *
+     * @param context     shared components of the node
+     * @param admitted    the request
+     * @param tried       ids of upstreams that already got the request
+     * @param stagesNanos expected duration of the stages in nanoseconds
+     * @param now         monotonic time in nanoseconds
+     * @return the upstream; empty if none can take the request now
+     */
+    static Optional<UpstreamRecord> predict(
+            GatewayContext context, AdmittedRequest admitted, Set<String> tried, long stagesNanos, long now) {
+        long left = admitted.objectiveAt() - now - stagesNanos;
+        PlacementTimes times = new PlacementTimes(admitted.request().id(), left, false);
+        return admitted.table()
+                .findPool(admitted.pool())
+                .flatMap(pool -> context.chooser()
+                        .choose(pool, admitted.route(), admitted.request(), StageInputs.NONE, tried, times, now))
+                .map(ChosenUpstream::upstream);
+    }
+
     /** Starts or continues the search. */
     void seek() {
         Optional<UpstreamPool> pool = admitted.table().findPool(admitted.pool());
@@ -108,27 +123,21 @@
     /** Cancels the search; the listener is not called after that. */
     void cancel() {
         ended = true;
-        engineWait.cancel();
     }
 
-    /** Returns how the engine was chosen; empty if it was not chosen by the loads of the engines. */
-    Optional<SentPlacement> placement() {
-        return placement.map(reason -> new SentPlacement(reason, waitedNanos));
+    /** Returns why the engine was chosen; empty if it was not chosen by the loads of the engines. */
+    Optional<PlacementReason> placement() {
+        return placement;
     }
 
     private void seek(UpstreamPool pool, long now) {
         UpstreamChooser chooser = context.chooser();
         Set<String> excluded = immediatePermits < MAX_IMMEDIATE_PERMITS ? tried : includingLimited(pool, now);
-        Optional<PlacementDecision> decision =
-                chooser.place(pool, admitted.route(), admitted.request(), inputs, excluded, placementTimes(now), now);
-        if (decision.isPresent() && decision.get() instanceof PlacementDecision.Wait waiting) {
-            waitForEngine(waiting.nanos(), now);
-            return;
-        }
-        Optional<UpstreamRecord> candidate = placed(decision)
-                .or(() -> chooser.choose(pool, admitted.route(), admitted.request(), inputs, excluded, now));
-        if (candidate.isPresent()) {
-            selectOrRequestPermit(pool, candidate.get());
+        Optional<ChosenUpstream> chosen =
+                chooser.choose(pool, admitted.route(), admitted.request(), inputs, excluded, placementTimes(now), now);
+        placement = chosen.flatMap(ChosenUpstream::placement);
+        if (chosen.isPresent()) {
+            selectOrRequestPermit(pool, chosen.get().upstream());
             return;
         }
         Optional<UpstreamRecord> limited = delayedPermitsRequested.size() < MAX_DELAYED_PERMITS
@@ -136,7 +145,6 @@
                 : Optional.empty();
         long callerTimeNanos = admitted.times().callerTimeoutAt() - now;
         if (limited.isPresent() && callerTimeNanos > 0) {
-            placement = Optional.empty();
             delayedPermitsRequested.add(limited.get().id());
             requestPermit(pool, limited.get(), callerTimeNanos);
         } else {
@@ -146,37 +154,7 @@
 
     private PlacementTimes placementTimes(long now) {
         long lateAt = nextEventBy.orElse(admitted.objectiveAt());
-        return new PlacementTimes(admitted.request().id(), lateAt - now, delayedNanos(now), nextEventBy.isPresent());
-    }
-
-    /**
-     * Returns what counts as wait for an engine: any delay by limits, backoffs and cold starts as well. A request that was
-     * sent before does not wait, nor does one whose caller is about to leave.
-     */
-    private long delayedNanos(long now) {
-        boolean mayWait = tried.isEmpty() && now < admitted.times().callerTimeoutAt();
-        return mayWait ? now - startedAt : Long.MAX_VALUE;
-    }
-
-    /** Notes why an engine was chosen, and returns it. */
-    private Optional<UpstreamRecord> placed(Optional<PlacementDecision> decision) {
-        if (decision.isPresent() && decision.get() instanceof PlacementDecision.Send send) {
-            placement = Optional.of(send.reason());
-            return Optional.of(send.engine());
-        }
-        placement = Optional.empty();
-        return Optional.empty();
-    }
-
-    private void waitForEngine(long nanos, long now) {
-        if (waitedNanos == 0) {
-            context.counters().recordPlacementWait();
-        }
-        long callerTimeNanos = admitted.times().callerTimeoutAt() - now;
-        engineWait = context.timers().schedule(Math.min(nanos, callerTimeNanos), () -> {
-            waitedNanos += context.timers().nanoTime() - now;
-            seek();
-        });
+        return new PlacementTimes(admitted.request().id(), lateAt - now, nextEventBy.isPresent());
     }
 
     /** Waits for upstreams that are cold or back off, unless that takes longer than the caller waits. */
--- a/library/src/main/java/org/copperspindle/placement/PlacementDecision.java
+++ b/library/src/main/java/org/copperspindle/placement/PlacementDecision.java
@@ -15,13 +15,6 @@
      */
     record Send(UpstreamRecord engine, PlacementReason reason) implements PlacementDecision {}
 
-    /**
-     * The request waits, and is decided again then.
-     *
-     * @param nanos how long, in nanoseconds
-     */
-    record Wait(long nanos) implements PlacementDecision {}
-
     /** There is no engine to choose from. */
     record None() implements PlacementDecision {}
 }
--- a/library/src/main/java/org/copperspindle/placement/UndisturbedPlacement.java
+++ b/library/src/main/java/org/copperspindle/placement/UndisturbedPlacement.java
@@ -1,9 +1,9 @@
 package org.copperspindle.placement;
 
-import java.time.Duration;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
 import java.util.function.ToLongFunction;
 
@@ -27,26 +27,12 @@
     private static final double MAX_PAUSE_SHARE = 0.7;
 
     /**
-     * The same at the home engine. Engines that read in chunks make the streams wait for a part of the reading time
-     * only, and any other engine has to read the shared part again, which interrupts streams as well.
+     * The same at the home engine if it has cached the shared part. Callers notice the reading time that is left, which
+     * is less than the computed one: a prompt counts in full until its first event, although half of it has been read
+     * on average. Any other engine has to read the shared part as well, which interrupts streams for longer.
      */
     private static final double HOME_MAX_PAUSE_SHARE = 1.3;
 
-    /** Longest wait for an engine in total: results of stages occupy the memory of their producers meanwhile. */
-    private static final long MAX_WAIT_NANOS = Duration.ofMillis(400).toNanos();
-
-    /** Share of the time left that a request may wait: estimates of the rest may be wrong. */
-    private static final double MAX_WAIT_SHARE = 0.5;
-
-    /** Shortest wait, so that a request is not decided again before an engine has read a part of a prompt. */
-    private static final long MIN_WAIT_NANOS = Duration.ofMillis(10).toNanos();
-
-    /** Shared part that is worth a wait; a smaller one is read again in less time than a wait takes. */
-    private static final long MIN_WAIT_TOKENS = 1000;
-
-    /** The same as a share of the prompt. */
-    private static final double MIN_WAIT_PROMPT_SHARE = 0.1;
-
     @Override
     public PlacementDecision place(PlacementDemand demand, List<EngineCandidate> candidates) {
         if (candidates.isEmpty()) {
@@ -56,48 +42,53 @@
             return resume(demand, candidates);
         }
         EngineCandidate home = highest(candidates, EngineCandidate::score).orElseThrow();
-        if (isTimely(demand, home) && isUndisturbed(demand, home, HOME_MAX_PAUSE_SHARE)) {
+        if (home.cached() && isTimely(demand, home) && isUndisturbed(demand, home, HOME_MAX_PAUSE_SHARE)) {
             return new PlacementDecision.Send(home.engine(), PlacementReason.HOME);
         }
-        long wait = waitNanos(demand, home);
-        if (wait > 0) {
-            return new PlacementDecision.Wait(wait);
-        }
-        List<EngineCandidate> steady =
-                candidates.stream().filter(e -> isSteady(demand, e)).toList();
-        return elsewhere(demand, steady.isEmpty() ? candidates : steady, home);
+        return elsewhere(demand, candidates, home);
     }
 
-    /** Chooses an engine when the home engine can't take the request now. */
+    /**
+     * Chooses an engine when the home engine can't take the request. Engines with recent long pauses come last among
+     * those that are equal otherwise: if they were left out, a single engine without pauses would get all requests.
+     */
     private static PlacementDecision elsewhere(
             PlacementDemand demand, List<EngineCandidate> engines, EngineCandidate home) {
-        List<EngineCandidate> harmless =
-                engines.stream().filter(e -> isHarmless(demand, e)).toList();
-        Optional<EngineCandidate> cached =
-                highest(harmless.stream().filter(EngineCandidate::cached).toList(), EngineCandidate::score);
-        if (cached.isPresent()) {
-            return send(cached.get(), home, PlacementReason.CACHED);
-        }
-        Optional<EngineCandidate> other = highest(harmless, EngineCandidate::score);
-        if (other.isPresent()) {
-            return send(other.get(), home, PlacementReason.OTHER);
+        List<EngineCandidate> harmless = steadyFirst(demand, filter(engines, e -> isHarmless(demand, e)));
+        if (!harmless.isEmpty()) {
+            return harmless(harmless, home);
         }
-        List<EngineCandidate> timely =
-                engines.stream().filter(e -> isTimely(demand, e)).toList();
+        List<EngineCandidate> timely = steadyFirst(demand, filter(engines, e -> isTimely(demand, e)));
         if (!timely.isEmpty()) {
             return send(leastDisturbing(demand, timely), home, PlacementReason.LEAST_DISTURBING);
         }
         return late(demand, engines, home);
     }
 
-    /** Chooses for a request that is late at any engine; its home engine gets it if that is hardly later. */
+    /** Prefers an engine that has cached the shared part. */
+    private static PlacementDecision harmless(List<EngineCandidate> harmless, EngineCandidate home) {
+        Optional<EngineCandidate> cached = highest(filter(harmless, EngineCandidate::cached), EngineCandidate::score);
+        if (cached.isPresent()) {
+            return send(cached.get(), home, PlacementReason.CACHED);
+        }
+        EngineCandidate other = highest(harmless, EngineCandidate::score).orElseThrow();
+        return send(other, home, PlacementReason.OTHER);
+    }
+
+    /** Returns the engines without recent long pauses; all of them if each has had one. */
+    private static List<EngineCandidate> steadyFirst(PlacementDemand demand, List<EngineCandidate> engines) {
+        List<EngineCandidate> steady = filter(engines, e -> isSteady(demand, e));
+        return steady.isEmpty() ? engines : steady;
+    }
+
+    /** Chooses for a request that is late at any engine; a home engine with the shared part gets it if hardly later. */
     private static PlacementDecision late(PlacementDemand demand, List<EngineCandidate> engines, EngineCandidate home) {
         List<EngineCandidate> early = earliest(demand, engines);
         double latest = early.stream()
                 .mapToDouble(e -> firstEventNanos(demand, e))
                 .max()
                 .orElseThrow();
-        if (firstEventNanos(demand, home) <= latest + demand.marginNanos()) {
+        if (home.cached() && firstEventNanos(demand, home) <= latest + demand.marginNanos()) {
             return new PlacementDecision.Send(home.engine(), PlacementReason.HOME);
         }
         return send(highest(early, EngineCandidate::score).orElseThrow(), home, PlacementReason.EARLIEST);
@@ -108,9 +99,7 @@
      * over the engines that are in time.
      */
     private static PlacementDecision resume(PlacementDemand demand, List<EngineCandidate> candidates) {
-        List<EngineCandidate> inTime = candidates.stream()
-                .filter(e -> firstEventNanos(demand, e) <= demand.leftNanos())
-                .toList();
+        List<EngineCandidate> inTime = filter(candidates, e -> firstEventNanos(demand, e) <= demand.leftNanos());
         if (!inTime.isEmpty()) {
             return new PlacementDecision.Send(spread(demand, inTime).engine(), PlacementReason.RESUMED);
         }
@@ -118,25 +107,11 @@
         return new PlacementDecision.Send(early.engine(), PlacementReason.EARLIEST);
     }
 
-    /** Returns how long to wait until the home engine can take the request; 0 if it does not become able in time. */
-    private static long waitNanos(PlacementDemand demand, EngineCandidate home) {
-        boolean isWorthIt = demand.sharedTokens() >= MIN_WAIT_TOKENS
-                && demand.sharedTokens() >= demand.promptTokens() * MIN_WAIT_PROMPT_SHARE;
-        double waitingNanos = home.waitingTokens() / home.tokensPerNano();
-        double excess = readNanos(demand, home) - demand.maxPauseNanos() * HOME_MAX_PAUSE_SHARE;
-        if (!isWorthIt || excess <= 0 || excess > waitingNanos) {
-            return 0;
-        }
-        long wait = Math.max(MIN_WAIT_NANOS, (long) Math.ceil(excess));
-        double longest = Math.min(demand.leftNanos() * MAX_WAIT_SHARE, MAX_WAIT_NANOS - demand.waitedNanos());
-        // The engine reads meanwhile, so that the first event comes no later than if the request were sent now.
-        return wait <= longest && isTimely(demand, home) ? wait : 0;
-    }
-
     /** Returns the engine that gets the request so that the fewest streams per speed are interrupted. */
     private static EngineCandidate leastDisturbing(PlacementDemand demand, List<EngineCandidate> engines) {
         // Other prompts for which this rule applies are about as long as this one.
-        double prompts = 1 + (double) demand.unseenTokens() / Math.max(1, demand.promptTokens());
+        double prompts =
+                1 + (double) demand.unseenTokens() / Math.max(1, demand.prompt().tokens());
         return spread(demand, lowest(engines, e -> e.streams() / e.tokensPerNano(), prompts));
     }
 
@@ -153,19 +128,8 @@
             List<EngineCandidate> engines, ToDoubleFunction<EngineCandidate> load, double amount) {
         List<EngineCandidate> sorted =
                 engines.stream().sorted(Comparator.comparingDouble(load)).toList();
-        double speed = 0;
-        double weighted = 0;
-        double level = load.applyAsDouble(sorted.get(0));
-        for (EngineCandidate engine : sorted) {
-            if (speed > 0 && load.applyAsDouble(engine) > level) {
-                break;
-            }
-            speed += engine.tokensPerNano();
-            weighted += engine.tokensPerNano() * load.applyAsDouble(engine);
-            level = (amount + weighted) / speed;
-        }
-        double limit = Math.max(level, load.applyAsDouble(sorted.get(0)));
-        return sorted.stream().filter(e -> load.applyAsDouble(e) <= limit).toList();
+        double limit = LoadLevel.of(sorted, load, EngineCandidate::tokensPerNano, amount);
+        return filter(sorted, e -> load.applyAsDouble(e) <= limit);
     }
 
     private static EngineCandidate spread(PlacementDemand demand, List<EngineCandidate> engines) {
@@ -175,6 +139,10 @@
                 .orElseThrow();
     }
 
+    private static List<EngineCandidate> filter(List<EngineCandidate> engines, Predicate<EngineCandidate> condition) {
+        return engines.stream().filter(condition).toList();
+    }
+
     private static Optional<EngineCandidate> highest(
             List<EngineCandidate> engines, ToLongFunction<EngineCandidate> score) {
         return engines.stream().max(Comparator.comparingLong(score));
@@ -185,7 +153,7 @@
     }
 
     private static boolean isSteady(PlacementDemand demand, EngineCandidate engine) {
-        return demand.maxPauseNanos() == 0 || engine.longestPauseNanos() <= demand.maxPauseNanos() * MAX_PAUSE_SHARE;
+        return engine.longestPauseNanos() <= demand.maxPauseNanos() * MAX_PAUSE_SHARE;
     }
 
     private static boolean isHarmless(PlacementDemand demand, EngineCandidate engine) {
@@ -193,9 +161,7 @@
     }
 
     private static boolean isUndisturbed(PlacementDemand demand, EngineCandidate engine, double maxShare) {
-        return demand.maxPauseNanos() == 0
-                || engine.streams() == 0
-                || readNanos(demand, engine) <= demand.maxPauseNanos() * maxShare;
+        return engine.streams() == 0 || readNanos(demand, engine) <= demand.maxPauseNanos() * maxShare;
     }
 
     private static boolean isTimely(PlacementDemand demand, EngineCandidate engine) {
@@ -207,7 +173,6 @@
     }
 
     private static double readNanos(PlacementDemand demand, EngineCandidate engine) {
-        long unread = engine.cached() ? demand.promptTokens() - demand.sharedTokens() : demand.promptTokens();
-        return (engine.waitingTokens() + unread) / engine.tokensPerNano();
+        return (engine.waitingTokens() + demand.prompt().unreadTokens(engine.cached())) / engine.tokensPerNano();
     }
 }
--- a/library/src/main/java/org/copperspindle/placement/package-info.java
+++ b/library/src/main/java/org/copperspindle/placement/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Which engine gets a prompt, and whether the request waits for it: engines that have cached the shared part of the
+ * Which engine gets a prompt: engines that have cached the shared part of the
  * prompt are preferred as long as the prompt neither comes late there nor interrupts the streams that run there.
  */
 package org.copperspindle.placement;
--- a/library/src/test/java/org/copperspindle/gateway/ReplayedNode.java
+++ b/library/src/test/java/org/copperspindle/gateway/ReplayedNode.java
@@ -56,9 +56,16 @@
 
     // Connects this node, the load owner, with another one.
     void link(ReplayedNode other) {
+        link(other, new TrafficMeter());
+    }
+
+    // The same, and counts the messages in both directions.
+    void link(ReplayedNode other, TrafficMeter traffic) {
         LinkedPeer atOwner = new LinkedPeer(other.address, other.mesh, time, LINK_NANOS);
         LinkedPeer atOther = new LinkedPeer(address, mesh, time, LINK_NANOS);
         atOwner.reverse(atOther);
+        atOwner.observe(message -> traffic.add(message, time.nanoTime()));
+        atOther.observe(message -> traffic.add(message, time.nanoTime()));
         atOther.reverse(atOwner);
         mesh.onOpen(atOwner);
         other.mesh.onOpen(atOther);
--- a/library/src/test/java/org/copperspindle/mesh/LinkedPeer.java
+++ b/library/src/test/java/org/copperspindle/mesh/LinkedPeer.java
@@ -1,5 +1,7 @@
 package org.copperspindle.mesh;
 
+import java.util.function.Consumer;
+
 import org.copperspindle.time.VirtualTimerService;
 import org.copperspindle.wire.GreetingMessage;
 import org.copperspindle.wire.Peer;
@@ -15,6 +17,7 @@
     private final VirtualTimerService time;
     private final long delayNanos;
     private LinkedPeer reverse;
+    private Consumer<WireMessage> observer = message -> {};
 
     // Creates a connection to the node of that name.
     public LinkedPeer(String name, NodeMesh target, VirtualTimerService time, long delayNanos) {
@@ -29,6 +32,11 @@
         reverse = peer;
     }
 
+    // Sets who is told of each message that is sent.
+    public void observe(Consumer<WireMessage> messageObserver) {
+        observer = messageObserver;
+    }
+
     @Override
     public GreetingMessage greeting() {
         return greeting;
@@ -36,6 +44,7 @@
 
     @Override
     public boolean send(WireMessage message) {
+        observer.accept(message);
         time.schedule(delayNanos, () -> target.onMessage(reverse, message));
         return true;
     }
