--- a/library/src/main/java/org/copperspindle/gateway/GatewayCounters.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayCounters.java
@@ -4,6 +4,7 @@
 import java.util.TreeMap;
 
 import org.copperspindle.measure.LatencyHistogram;
+import org.copperspindle.placement.PlacementReason;
 
 /**
  * Counts the outcomes of requests. Used on the network thread only, where metrics are read as well.
@@ -21,6 +22,7 @@
     private final Map<String, Map<String, Long>> outcomes = new TreeMap<>();
     private final Map<String, Map<String, Long>> accounts = new TreeMap<>();
     private final Map<String, Long> refusals = new TreeMap<>();
+    private final Map<String, Long> placements = new TreeMap<>();
     private final Map<String, LatencyHistogram> durations = new TreeMap<>();
     private final Map<String, LatencyHistogram> waits = new TreeMap<>();
     private int open;
@@ -65,6 +67,11 @@
         resumedInTime += inTime ? 1 : 0;
     }
 
+    /** Counts a request that was placed at an engine by the loads of the engines. */
+    void recordPlacement(PlacementReason reason) {
+        placements.merge(reason.label(), 1L, Long::sum);
+    }
+
     int open() {
         return open;
     }
@@ -90,6 +97,11 @@
         return outcomes;
     }
 
+    /** Returns counts by the label of the placement. */
+    Map<String, Long> placements() {
+        return placements;
+    }
+
     /** Returns counts by reason. */
     Map<String, Long> refusals() {
         return refusals;
--- a/library/src/main/java/org/copperspindle/gateway/RequestRun.java
+++ b/library/src/main/java/org/copperspindle/gateway/RequestRun.java
@@ -15,7 +15,6 @@
 import org.copperspindle.quarantine.UpstreamRun;
 import org.copperspindle.route.ClientAccount;
 import org.copperspindle.route.Route;
-import org.copperspindle.stage.StageInputs;
 import org.copperspindle.time.TimerSubscription;
 
 /**
@@ -166,18 +165,15 @@
     }
 
     /**
-     * Returns the failure domain of the upstream that the request would be sent to now. Its large stage results are
-     * produced there if that costs no time, because traffic between failure domains is the largest cost of stage
-     * work.
+     * Returns the failure domain of the upstream that the request is expected to be sent to after its stages. Its
+     * large stage results are produced there if that costs no time, because traffic between failure domains is the
+     * largest cost of stage work.
      */
     private Optional<String> likelyFailureDomain() {
-        return choose(StageInputs.NONE, context.timers().nanoTime()).map(UpstreamRecord::failureDomain);
-    }
-
-    private Optional<UpstreamRecord> choose(StageInputs inputs, long now) {
-        return admitted.table()
-                .findPool(pool)
-                .flatMap(p -> context.chooser().choose(p, route, request, inputs, tried, now));
+        long stagesNanos = context.stageAdmission().estimatedStagesNanos(admitted);
+        return UpstreamSearch.predict(
+                        context, admitted, tried, stagesNanos, context.timers().nanoTime())
+                .map(UpstreamRecord::failureDomain);
     }
 
     private void startAttempt() {
@@ -194,8 +190,9 @@
             runReleasedStages();
             return;
         }
-        search = Optional.of(
-                new UpstreamSearch(context, resumption.request(), tried, stages.inputs(), new SearchListener()));
+        AdmittedRequest current = resumption.request();
+        search = Optional.of(new UpstreamSearch(
+                context, current, tried, stages.inputs(), current.resumedUntil(), new SearchListener()));
         search.get().seek();
     }
 
@@ -227,7 +224,8 @@
                 sent,
                 upstream,
                 resumeAfter,
-                context.engineLoads().estimate(pool, upstream, request.enginePrompt()),
+                () -> context.engineLoads().estimate(pool, upstream, request.enginePrompt()),
+                search.flatMap(UpstreamSearch::placement),
                 now);
         UpstreamRun run = context.quarantine().startRun(tracked, upstream, lastRun);
         lastRun = Optional.of(run);
@@ -299,7 +297,9 @@
                 && !context.quarantine().isQuarantined(tracked)
                 && isRepeatable()
                 && hasAttemptLeft()
-                && choose(StageInputs.NONE, context.timers().nanoTime()).isPresent();
+                && UpstreamSearch.predict(
+                                context, admitted, tried, 0, context.timers().nanoTime())
+                        .isPresent();
     }
 
     private boolean acquireRetry() {
--- a/library/src/main/java/org/copperspindle/gateway/UpstreamAttempt.java
+++ b/library/src/main/java/org/copperspindle/gateway/UpstreamAttempt.java
@@ -47,6 +47,7 @@
     private long lastDataAt;
     private boolean isStream;
     private boolean relayed;
+    private int sends;
     private boolean ended;
 
     UpstreamAttempt(
@@ -115,6 +116,7 @@
 
     @Override
     public void onSent() {
+        sends++;
         if (!ended) {
             listener.onSent();
         }
@@ -183,7 +185,12 @@
         } else if (isStream && relay.endsInRepeatedEvents()) {
             fail(EVENT_CUT);
         } else if (context.upstreamDialect().provesNotRun(response)) {
-            handleNotRun(response);
+            if (sends > 1) {
+                // The upstream may have run the copy that was lost with the kept connection.
+                fail("not-run-after-resend");
+            } else {
+                handleNotRun(response);
+            }
         } else {
             end(true, "");
             context.quarantine().onSurvived(run);
--- a/library/src/main/java/org/copperspindle/gateway/UpstreamChooser.java
+++ b/library/src/main/java/org/copperspindle/gateway/UpstreamChooser.java
@@ -14,6 +14,8 @@
 import org.copperspindle.coldstart.ColdAdmission;
 import org.copperspindle.discovery.UpstreamDirectory;
 import org.copperspindle.discovery.UpstreamRecord;
+import org.copperspindle.engineload.EngineEstimates;
+import org.copperspindle.placement.PlacementDecision;
 import org.copperspindle.route.Route;
 import org.copperspindle.route.UpstreamPool;
 import org.copperspindle.stage.StageInputs;
@@ -46,6 +48,7 @@
     private final RandomGenerator random;
     private final String failureDomain;
     private EngineChoice engines;
+    private Optional<EnginePlacer> placer = Optional.empty();
 
     UpstreamChooser(
             UpstreamDirectory directory,
@@ -70,6 +73,11 @@
         engines = choice;
     }
 
+    /** Sets the placement of requests whose routes have a longest allowed pause. */
+    void placeWith(EnginePlacer enginePlacer) {
+        placer = Optional.of(enginePlacer);
+    }
+
     /**
      * Chooses an upstream.
      *
@@ -78,24 +86,39 @@
      * @param request the request
      * @param inputs  stage results that the upstream will fetch
      * @param tried   ids of upstreams that already got the request
+     * @param times   times of the request
      * @param now     monotonic time in nanoseconds
      * @return the upstream; empty if the pool has none that can take it
      */
-    Optional<UpstreamRecord> choose(
-            UpstreamPool pool, Route route, GatewayRequest request, StageInputs inputs, Set<String> tried, long now) {
+    Optional<ChosenUpstream> choose(
+            UpstreamPool pool,
+            Route route,
+            GatewayRequest request,
+            StageInputs inputs,
+            Set<String> tried,
+            PlacementTimes times,
+            long now) {
         List<UpstreamRecord> candidates = candidates(pool, tried, now);
         if (candidates.isEmpty()) {
             return Optional.empty();
         }
-        Predicate<UpstreamRecord> accepts =
-                upstream -> permits.deniedNanos(upstream.id()) == 0 && accepts(pool, upstream, now);
-        if (pool.engineSlots().isPresent() && request.sharedPrompt().isPresent()) {
-            EngineDemand demand = demand(pool, route, request);
-            return engines.choose(demand, nearInputs(candidates, request, inputs), accepts)
-                    .or(() -> engines.choose(demand, candidates, accepts))
-                    .or(() -> byLoad(candidates, accepts));
+        Predicate<UpstreamRecord> accepts = upstream -> acceptsNow(pool, upstream, now);
+        if (pool.engineSlots().isEmpty() || request.sharedPrompt().isEmpty()) {
+            return byLoad(candidates, accepts).map(UpstreamChooser::unplaced);
+        }
+        EngineDemand demand = demand(pool, route, request);
+        List<UpstreamRecord> near = nearInputs(candidates, request, inputs);
+        Optional<EngineEstimates> estimates = placer.flatMap(p -> p.estimates(demand));
+        if (estimates.isPresent()) {
+            List<UpstreamRecord> accepting = near.stream().filter(accepts).toList();
+            List<UpstreamRecord> eligible =
+                    accepting.isEmpty() ? candidates.stream().filter(accepts).toList() : accepting;
+            return placed(placer.get().place(demand, times, estimates.get(), eligible));
         }
-        return byLoad(candidates, accepts);
+        return engines.choose(demand, near, accepts)
+                .or(() -> engines.choose(demand, candidates, accepts))
+                .or(() -> byLoad(candidates, accepts))
+                .map(UpstreamChooser::unplaced);
     }
 
     /**
@@ -212,6 +235,20 @@
                 .toList();
     }
 
+    private static ChosenUpstream unplaced(UpstreamRecord upstream) {
+        return new ChosenUpstream(upstream, Optional.empty());
+    }
+
+    private static Optional<ChosenUpstream> placed(PlacementDecision decision) {
+        return decision instanceof PlacementDecision.Send send
+                ? Optional.of(new ChosenUpstream(send.engine(), Optional.of(send.reason())))
+                : Optional.empty();
+    }
+
+    private boolean acceptsNow(UpstreamPool pool, UpstreamRecord upstream, long now) {
+        return permits.deniedNanos(upstream.id()) == 0 && accepts(pool, upstream, now);
+    }
+
     private boolean accepts(UpstreamPool pool, UpstreamRecord upstream, long now) {
         return pool.cold().isEmpty()
                 || !directory.isCold(upstream, now)
--- a/library/src/main/java/org/copperspindle/gateway/UpstreamSearch.java
+++ b/library/src/main/java/org/copperspindle/gateway/UpstreamSearch.java
@@ -8,6 +8,7 @@
 
 import org.copperspindle.backpressure.PermitResult;
 import org.copperspindle.discovery.UpstreamRecord;
+import org.copperspindle.placement.PlacementReason;
 import org.copperspindle.route.UpstreamPool;
 import org.copperspindle.stage.StageInputs;
 
@@ -32,9 +33,11 @@
     private final AdmittedRequest admitted;
     private final Set<String> tried;
     private final StageInputs inputs;
+    private final OptionalLong nextEventBy;
     private final Listener listener;
     private final Set<String> delayedPermitsRequested = new HashSet<>();
     private int immediatePermits;
+    private Optional<PlacementReason> placement = Optional.empty();
     private boolean ended;
 
     /**
@@ -44,6 +47,8 @@
      * @param admitted the request
      * @param tried    ids of upstreams that already got the request
      * @param inputs   stage results that the upstream will fetch
+     * @param nextEventBy monotonic time in nanoseconds until which the next event of a resumed stream is on time; empty
+     *     for requests whose response has not started
      * @param listener called once, possibly before {@link #seek} returns
      */
     UpstreamSearch(
@@ -51,11 +56,13 @@
             AdmittedRequest admitted,
             Set<String> tried,
             StageInputs inputs,
+            OptionalLong nextEventBy,
             Listener listener) {
         this.context = context;
         this.admitted = admitted;
         this.tried = tried;
         this.inputs = inputs;
+        this.nextEventBy = nextEventBy;
         this.listener = listener;
     }
 
@@ -79,6 +86,27 @@
                 .orElse(OptionalLong.empty());
     }
 
+    /**
+     * Predicts the upstream of a request whose stages start now, by the rule that chooses it after them.
+     *
+     * @param context     shared components of the node
+     * @param admitted    the request
+     * @param tried       ids of upstreams that already got the request
+     * @param stagesNanos expected duration of the stages in nanoseconds
+     * @param now         monotonic time in nanoseconds
+     * @return the upstream; empty if none can take the request now
+     */
+    static Optional<UpstreamRecord> predict(
+            GatewayContext context, AdmittedRequest admitted, Set<String> tried, long stagesNanos, long now) {
+        long left = admitted.objectiveAt() - now - stagesNanos;
+        PlacementTimes times = new PlacementTimes(admitted.request().id(), left, false);
+        return admitted.table()
+                .findPool(admitted.pool())
+                .flatMap(pool -> context.chooser()
+                        .choose(pool, admitted.route(), admitted.request(), StageInputs.NONE, tried, times, now))
+                .map(ChosenUpstream::upstream);
+    }
+
     /** Starts or continues the search. */
     void seek() {
         Optional<UpstreamPool> pool = admitted.table().findPool(admitted.pool());
@@ -97,13 +125,19 @@
         ended = true;
     }
 
+    /** Returns why the engine was chosen; empty if it was not chosen by the loads of the engines. */
+    Optional<PlacementReason> placement() {
+        return placement;
+    }
+
     private void seek(UpstreamPool pool, long now) {
         UpstreamChooser chooser = context.chooser();
         Set<String> excluded = immediatePermits < MAX_IMMEDIATE_PERMITS ? tried : includingLimited(pool, now);
-        Optional<UpstreamRecord> candidate =
-                chooser.choose(pool, admitted.route(), admitted.request(), inputs, excluded, now);
-        if (candidate.isPresent()) {
-            selectOrRequestPermit(pool, candidate.get());
+        Optional<ChosenUpstream> chosen =
+                chooser.choose(pool, admitted.route(), admitted.request(), inputs, excluded, placementTimes(now), now);
+        placement = chosen.flatMap(ChosenUpstream::placement);
+        if (chosen.isPresent()) {
+            selectOrRequestPermit(pool, chosen.get().upstream());
             return;
         }
         Optional<UpstreamRecord> limited = delayedPermitsRequested.size() < MAX_DELAYED_PERMITS
@@ -118,6 +152,11 @@
         }
     }
 
+    private PlacementTimes placementTimes(long now) {
+        long lateAt = nextEventBy.orElse(admitted.objectiveAt());
+        return new PlacementTimes(admitted.request().id(), lateAt - now, nextEventBy.isPresent());
+    }
+
     /** Waits for upstreams that are cold or back off, unless that takes longer than the caller waits. */
     private void retryOrGiveUp(UpstreamPool pool, long callerTimeNanos, long now) {
         OptionalLong earliest = context.chooser().earliestNanos(pool, tried, now);
@@ -173,6 +212,7 @@
 
     private void select(UpstreamRecord upstream) {
         ended = true;
+        placement.ifPresent(context.counters()::recordPlacement);
         listener.onUpstreamSelected(upstream);
     }
 
