Add standby dispatchers for coordinated pools

The dispatcher of a coordinated pool sends heartbeats to a standby, which dispatches the pool while the dispatcher is silent. Waiting groups move to the standby, and results of the former dispatcher are still accepted.

--- a/library/src/main/java/org/copperspindle/admission/FleetStageStarts.java
+++ b/library/src/main/java/org/copperspindle/admission/FleetStageStarts.java
@@ -27,8 +27,8 @@
 
 /**
  * Asks the controllers of the pool groups when the stages of this node's requests may start, and runs the controllers
- * of the groups that this node is responsible for. The controller of a group is the dispatcher node of its first pool,
- * so all nodes agree on it without messages. A node that gets no response decides its requests alone.
+ * of the groups that this node is responsible for. The controller of a group is the node that dispatches its first
+ * pool, so all nodes agree on it without further messages. A node that gets no response decides its requests alone.
  *
  * <p>Runs on the network thread. The caller subscribes it to the mesh and to the relay, after the batch service: the
  * decisions use the loads that the batch service reads from the same messages.
@@ -70,7 +70,7 @@
      *
      * @param relay          sends to other nodes, also through a third node
      * @param timers         timers of the network thread
-     * @param dispatcherNode returns the dispatcher node of a pool
+     * @param dispatcherNode returns the node that dispatches a pool at present
      * @param tables         supplies the current route table
      * @param loads          returns the load of a pool by its name
      * @param policy         the decisions
@@ -106,6 +106,11 @@
         timers.schedule(BatchService.LOAD_INTERVAL_NANOS, this::start);
     }
 
+    /** Adopts a change of the dispatcher nodes, soon after this call. */
+    public void updateControllers() {
+        promptUpdate.schedule(0);
+    }
+
     /**
      * Returns the pools of the groups that this node, as their controller, finds short of capacity.
      *
--- a/library/src/main/java/org/copperspindle/admission/PoolGroups.java
+++ b/library/src/main/java/org/copperspindle/admission/PoolGroups.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.stream.Collectors;
 
 import org.copperspindle.route.Route;
 import org.copperspindle.route.RouteStage;
@@ -69,6 +70,18 @@
         return groupOf(route).filter(coordinatedGroups::contains).isPresent();
     }
 
+    /**
+     * Returns the pools whose requests are decided together with those of other nodes while pools are short.
+     *
+     * @return names of the pools of all groups with a deferrable route
+     */
+    public Set<String> coordinatedPools() {
+        return groupByPool.entrySet().stream()
+                .filter(entry -> coordinatedGroups.contains(entry.getValue()))
+                .map(Map.Entry::getKey)
+                .collect(Collectors.toUnmodifiableSet());
+    }
+
     private Optional<String> groupOf(Route route) {
         return route.stages().stream().findFirst().flatMap(stage -> groupOf(stage.pool()));
     }
--- a/library/src/main/java/org/copperspindle/batch/BatchService.java
+++ b/library/src/main/java/org/copperspindle/batch/BatchService.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -23,6 +22,8 @@
 import org.copperspindle.mesh.MeshSettings;
 import org.copperspindle.mesh.NodeMesh;
 import org.copperspindle.route.BatchLimits;
+import org.copperspindle.standby.ActingDispatchers;
+import org.copperspindle.standby.TakeoverListener;
 import org.copperspindle.time.TimerService;
 import org.copperspindle.wire.WireMessage;
 
@@ -57,6 +58,7 @@
      */
     private static final int ROUNDS_PER_FULL_UPDATE = 5;
 
+    private final ResultSink sink = new Sink();
     private final NodeMesh mesh;
     private final MeshRelay relay;
     private final DispatcherChooser chooser;
@@ -69,7 +71,8 @@
     private final ReceivedLoads loads;
     private final ExpectedPieces expectedPieces = new ExpectedPieces();
     private final PauseDetector pauseDetector = new PauseDetector();
-    private final Map<Long, PendingGroup> pending = new LinkedHashMap<>();
+    private final ActingDispatchers acting;
+    private final PendingGroups pending;
 
     /**
      * Group ids count up from a random start. Otherwise a node that restarts at once would reuse the ids of its
@@ -78,8 +81,8 @@
      */
     private long lastId = ThreadLocalRandom.current().nextLong(Long.MAX_VALUE / 2);
 
-    private final PoolDispatcher.ResultSink sink = new Sink();
     private int round;
+    private boolean fullUpdateNext;
     private long handledPauseAt;
     private CallAdmission admission = CallAdmission.ALL;
     private Supplier<Set<String>> shortage = Set::of;
@@ -113,6 +116,10 @@
         this.chooser = new DispatcherChooser(relay, status);
         this.log = log;
         this.loads = new ReceivedLoads(log);
+        this.acting = new ActingDispatchers(chooser, mesh.self(), timers::nanoTime);
+        this.pending = new PendingGroups(relay, timers, acting, this::dispatcher, sink);
+        acting.subscribe(pending);
+        acting.subscribe(new Takeovers());
         directory.subscribe(this::upstreamChanged);
     }
 
@@ -159,9 +166,7 @@
      * @param listener receives the outcome of every piece, later on this thread
      */
     public void submit(PieceGroup group, PieceListener listener) {
-        PendingGroup entry = new PendingGroup(group, listener, timers.nanoTime());
-        pending.put(group.id(), entry);
-        forward(entry);
+        pending.submit(group, listener);
     }
 
     /**
@@ -170,15 +175,7 @@
      * @param id its id
      */
     public void cancel(long id) {
-        PendingGroup entry = pending.remove(id);
-        if (entry == null) {
-            return;
-        }
-        if (entry.owner().equals(mesh.self())) {
-            dispatcher(entry.group().pool()).cancel(mesh.self(), id);
-        } else {
-            relay.send(entry.owner(), new PieceCancelMessage(id));
-        }
+        pending.cancel(id);
     }
 
     /**
@@ -188,7 +185,7 @@
      * @param handles their handles
      */
     public void releaseResults(String pool, List<String> handles) {
-        String owner = dispatcherNode(pool);
+        String owner = actingDispatcher(pool);
         if (handles.isEmpty()) {
             return;
         }
@@ -215,10 +212,12 @@
      * send.
      */
     public void start() {
-        boolean full = ++round % ROUNDS_PER_FULL_UPDATE == 0;
+        boolean full = ++round % ROUNDS_PER_FULL_UPDATE == 0 || fullUpdateNext;
+        fullUpdateNext = false;
         checkForPause();
         if (chooser.hasLostNodes()) {
-            moveOrphans();
+            chooser.removeExpired(timers.nanoTime());
+            pending.moveOrphans();
         }
         expectedPieces.takeUpdates(full).forEach(this::sendExpectedPieces);
         Set<String> shortPools = shortage.get();
@@ -285,13 +284,14 @@
     public void onMessage(MeshNode node, WireMessage message) {
         checkForPause();
         if (message instanceof PieceGroup group) {
+            acting.forwardTakeover(node.address(), group.pool());
             dispatcher(group.pool()).add(node.address(), group);
         } else if (message instanceof PieceCancelMessage cancel) {
-            dispatchers.values().forEach(d -> d.cancel(node.address(), cancel.group()));
+            onCancel(node.address(), cancel);
         } else if (message instanceof ReleaseResultsMessage free) {
             dispatcher(free.pool()).free(free.handles());
         } else if (message instanceof PieceResultsMessage results) {
-            onResults(node.address(), results);
+            pending.onResults(node.address(), results);
         } else if (message instanceof PoolLoadMessage load) {
             loads.put(node.address(), load, timers.nanoTime());
         } else if (message instanceof ExpectedPiecesMessage expected) {
@@ -299,12 +299,23 @@
         }
     }
 
+    private void onCancel(String node, PieceCancelMessage cancel) {
+        for (PoolDispatcher dispatcher : dispatchers.values()) {
+            if (cancel.moved()) {
+                dispatcher.withdraw(node, cancel.group());
+            } else {
+                dispatcher.cancel(node, cancel.group());
+            }
+        }
+    }
+
     @Override
     public void onNodeDown(MeshNode node) {
         long now = timers.nanoTime();
         expectedPieces.forget(node.address());
         chooser.onNodeDown(node, now);
-        moveOrphans();
+        chooser.removeExpired(now);
+        pending.moveOrphans();
         long incarnation = node.incarnation();
         timers.schedule(ORPHAN_RELEASE_DELAY_NANOS, () -> releaseOrphans(node.address(), incarnation, now));
     }
@@ -321,8 +332,8 @@
             return;
         }
         handledPauseAt = pauseDetector.pauseEndedAt();
-        int dropped = dispatchers.values().stream()
-                .mapToInt(dispatcher -> dispatcher.dropGroupsOfOthers(mesh.self()))
+        int dropped = dispatchers.entrySet().stream()
+                .mapToInt(each -> each.getValue().dropGroupsOfOthers(mesh.self(), acting.isHeld(each.getKey())))
                 .sum();
         LOGGER.warn(
                 "event=standstill-noticed took_ms={} groups_dropped={}",
@@ -330,19 +341,6 @@
                 dropped);
     }
 
-    /** Sends groups to another dispatcher if theirs can be reached neither directly nor through other nodes. */
-    private void moveOrphans() {
-        chooser.removeExpired(timers.nanoTime());
-        List<PendingGroup> orphans = pending.values().stream()
-                .filter(p -> !p.owner().equals(mesh.self()) && !relay.canReach(p.owner()))
-                .toList();
-        if (!orphans.isEmpty()) {
-            LOGGER.warn(
-                    "event=dispatcher-lost node={} groups={}", orphans.get(0).owner(), orphans.size());
-        }
-        orphans.forEach(this::forward);
-    }
-
     /**
      * Releases the results made for a node that is gone; they would fill the memory of their producers until they
      * expire.
@@ -363,7 +361,7 @@
     }
 
     private void sendExpectedPieces(String pool, long pieces) {
-        String owner = dispatcherNode(pool);
+        String owner = actingDispatcher(pool);
         if (owner.equals(mesh.self())) {
             expectedPieces.onUpdate(owner, pool, pieces, timers.nanoTime());
         } else {
@@ -372,7 +370,7 @@
     }
 
     private boolean isDispatchedHere(String pool) {
-        return dispatcherNode(pool).equals(mesh.self());
+        return actingDispatcher(pool).equals(mesh.self());
     }
 
     private void broadcastLoad(String pool, PoolDispatcher dispatcher, boolean full, boolean isShort) {
@@ -388,66 +386,33 @@
         chooser.lostButReachable().forEach(node -> relay.send(node, message));
     }
 
-    private void forward(PendingGroup entry) {
-        long elapsed = (timers.nanoTime() - entry.submittedAt()) / NANOS_PER_MILLI;
-        PieceGroup group = entry.group().withElapsed(elapsed, entry.missing());
-        entry.owner(dispatcherNode(group.pool()));
-        if (!entry.owner().equals(mesh.self())) {
-            if (relay.send(entry.owner(), group)) {
-                return;
-            }
-            entry.owner(mesh.self());
-        }
-        // Deferred, so that a caller does not receive results while it is still submitting.
-        timers.schedule(0, () -> {
-            if (pending.containsKey(group.id())) {
-                dispatcher(group.pool()).add(mesh.self(), group);
-            }
-        });
-    }
-
-    private void onResults(String from, PieceResultsMessage results) {
-        PendingGroup entry = pending.get(results.group());
-        if (entry == null || !entry.owner().equals(from)) {
-            releaseUnwanted(results);
-            return;
-        }
-        List<PieceResult> wanted = new ArrayList<>();
-        for (PieceResult result : results.results()) {
-            if (entry.missing().remove((Integer) result.piece())) {
-                wanted.add(result);
-            }
-        }
-        if (entry.missing().isEmpty()) {
-            pending.remove(results.group());
-        }
-        if (!wanted.isEmpty()) {
-            entry.listener().onResults(wanted);
-        }
+    /**
+     * Returns the dispatcher of a pool that membership designates, on which all nodes agree without messages.
+     *
+     * @param pool name of the pool
+     * @return name of the dispatcher node
+     */
+    public String dispatcherNode(String pool) {
+        return chooser.dispatcherNode(pool);
     }
 
     /**
-     * Releases results that arrive after their request was cancelled, or from a node that is no longer the group's
-     * dispatcher: they hold memory.
+     * Returns the node that dispatches a pool at present.
+     *
+     * @param pool name of the pool
+     * @return name of the standby while it has taken over the pool, otherwise of the dispatcher
      */
-    private void releaseUnwanted(PieceResultsMessage results) {
-        List<String> handles = new ArrayList<>();
-        for (PieceResult result : results.results()) {
-            if (result.outcome() instanceof PieceOutcome.Made made) {
-                handles.add(made.handle());
-            }
-        }
-        sink.release(handles);
+    public String actingDispatcher(String pool) {
+        return acting.of(pool);
     }
 
     /**
-     * Returns the dispatcher of a pool, on which all nodes agree without messages.
+     * Returns the nodes that dispatch the pools at present, to which takeovers are applied.
      *
-     * @param pool name of the pool
-     * @return name of the dispatcher node
+     * @return the acting dispatchers
      */
-    public String dispatcherNode(String pool) {
-        return chooser.dispatcherNode(pool);
+    public ActingDispatchers actingDispatchers() {
+        return acting;
     }
 
     private PoolDispatcher dispatcher(String pool) {
@@ -455,6 +420,7 @@
                 pool,
                 name -> new PoolDispatcher(name, directory, timers, port, () -> limits.apply(name), sink, log)
                         .withPauseDetector(pauseDetector)
+                        .startOnlyFor(origin -> origin.equals(mesh.self()) || !acting.isHeld(name))
                         .limitCallsWith(admission)
                         .scaleDurationsBy(pace));
     }
@@ -466,12 +432,30 @@
         }
     }
 
+    /** Adjusts this node's dispatchers to takeovers of other nodes' pools and of its own. */
+    private final class Takeovers implements TakeoverListener {
+        @Override
+        public int moveGroups(String pool, String from, String to) {
+            if (from.equals(mesh.self()) && dispatchers.containsKey(pool)) {
+                // Nodes that the announcement has not reached learn of the takeover from this node.
+                dispatcher(pool).waitingOrigins().forEach(node -> acting.forwardTakeover(node, pool));
+            }
+            return 0;
+        }
+
+        @Override
+        public void onChange() {
+            // The node that dispatches a pool now does not have the counts that were sent to the other.
+            fullUpdateNext = true;
+        }
+    }
+
     /** Forwards the results of this node's dispatchers. */
-    private final class Sink implements PoolDispatcher.ResultSink {
+    private final class Sink implements ResultSink {
         @Override
         public void deliver(String origin, PieceResultsMessage results) {
             if (origin.equals(mesh.self())) {
-                onResults(origin, results);
+                pending.onResults(origin, results);
             } else {
                 relay.send(origin, results);
             }
--- a/library/src/main/java/org/copperspindle/batch/InputReleaser.java
+++ b/library/src/main/java/org/copperspindle/batch/InputReleaser.java
@@ -17,10 +17,10 @@
 
     private final String pool;
     private final TimerService timers;
-    private final PoolDispatcher.ResultSink sink;
+    private final ResultSink sink;
     private final FetchTimeEstimator fetchTime = new FetchTimeEstimator();
 
-    InputReleaser(String pool, TimerService timers, PoolDispatcher.ResultSink sink) {
+    InputReleaser(String pool, TimerService timers, ResultSink sink) {
         this.pool = pool;
         this.timers = timers;
         this.sink = sink;
--- a/library/src/main/java/org/copperspindle/batch/PendingGroup.java
+++ b/library/src/main/java/org/copperspindle/batch/PendingGroup.java
@@ -1,7 +1,9 @@
 package org.copperspindle.batch;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 
 /**
  * A submitted group that still lacks results.
@@ -12,6 +14,7 @@
     private final PieceListener listener;
     private final long submittedAt;
     private final List<Integer> missing;
+    private final Set<String> formerOwners = new HashSet<>();
     private String owner = "";
 
     PendingGroup(PieceGroup group, PieceListener listener, long submittedAt) {
@@ -44,7 +47,23 @@
         return owner;
     }
 
+    /** Sets the node that dispatches the group instead of a lost one, whose results are not accepted any more. */
     void owner(String node) {
         owner = node;
     }
+
+    /** Records that another node takes over the group while the present one may still have results of it. */
+    void recordMove() {
+        formerOwners.add(owner);
+    }
+
+    /** Returns whether the group was at a node that may still have results of it. */
+    boolean wasAt(String node) {
+        return formerOwners.contains(node);
+    }
+
+    /** Returns whether the group was moved from a node that may still have results of it. */
+    boolean wasMoved() {
+        return !formerOwners.isEmpty();
+    }
 }
--- a/library/src/main/java/org/copperspindle/batch/PieceCancelMessage.java
+++ b/library/src/main/java/org/copperspindle/batch/PieceCancelMessage.java
@@ -10,8 +10,9 @@
  * released.
  *
  * @param group id of the group at the node that sent it
+ * @param moved true if another node dispatches the group now, so that its inputs are still needed
  */
-public record PieceCancelMessage(long group) implements WireMessage {
+public record PieceCancelMessage(long group, boolean moved) implements WireMessage {
 
     /** Codec of this message. */
     public static final MessageCodec<PieceCancelMessage> CODEC =
@@ -19,9 +20,12 @@
 
     private void write(FieldWriter out) {
         out.put(1, group);
+        if (moved) {
+            out.put(2, true);
+        }
     }
 
     private static PieceCancelMessage read(FieldReader in) {
-        return new PieceCancelMessage(in.getLong(1, 0));
+        return new PieceCancelMessage(in.getLong(1, 0), in.getBoolean(2));
     }
 }
--- a/library/src/main/java/org/copperspindle/batch/PieceQueue.java
+++ b/library/src/main/java/org/copperspindle/batch/PieceQueue.java
@@ -32,6 +32,12 @@
     private static final int MIN_CALLS_IN_MEMORY_TO_SPLIT = 2;
 
     private final Map<String, WaitingGroup> groups = new LinkedHashMap<>();
+    private Predicate<WaitingGroup> mayStart = group -> true;
+
+    /** Sets which groups may be taken for calls; the others stay in the queue. */
+    void takeOnly(Predicate<WaitingGroup> startable) {
+        mayStart = startable;
+    }
 
     void add(WaitingGroup group) {
         groups.put(key(group.origin(), group.group().id()), group);
@@ -94,9 +100,10 @@
      */
     List<PieceTask> take(BatchLimits limits, CallBounds bounds, long now, Predicate<WaitingGroup> prefers) {
         boolean fullCallWaits = bounds.pieces() >= limits.maxPieces();
+        List<WaitingGroup> startable = find(mayStart);
         Set<WaitingGroup> preferred =
-                groups.values().stream().filter(prefers).collect(Collectors.toCollection(LinkedHashSet::new));
-        List<WaitingGroup> order = new ArrayList<>(bounds.takesAll() ? groups.values() : preferred);
+                startable.stream().filter(prefers).collect(Collectors.toCollection(LinkedHashSet::new));
+        List<WaitingGroup> order = new ArrayList<>(bounds.takesAll() ? startable : preferred);
         order.sort(byUrgency((long) (halfCallNanos(limits) * bounds.pace()), now, preferred));
         List<PieceTask> taken = new ArrayList<>();
         long freeBytes = bounds.bytes();
@@ -131,6 +138,7 @@
     List<PieceTask> takeLeastUrgent(BatchLimits limits, long bytes, long now) {
         List<PieceTask> taken = new ArrayList<>();
         groups.values().stream()
+                .filter(mayStart)
                 .filter(g -> g.missing().size() <= limits.maxPieces() && g.resultBytes() <= bytes)
                 .max(byUrgency(halfCallNanos(limits), now, Set.of()))
                 .ifPresent(g -> take(g, g.missing().size(), taken));
--- a/library/src/main/java/org/copperspindle/batch/PoolDispatcher.java
+++ b/library/src/main/java/org/copperspindle/batch/PoolDispatcher.java
@@ -7,8 +7,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -102,6 +104,12 @@
         return this;
     }
 
+    /** Sets the origins for whose groups calls are started; groups of other origins wait. */
+    PoolDispatcher startOnlyFor(Predicate<String> origins) {
+        queue.takeOnly(group -> origins.test(group.origin()));
+        return this;
+    }
+
     void add(String origin, PieceGroup group) {
         queue.add(new WaitingGroup(origin, group, timers.nanoTime()));
         dispatch();
@@ -110,19 +118,42 @@
     /**
      * Drops all groups of other nodes; results of their running calls are released as they arrive.
      *
-     * @param self the node whose groups are kept
+     * @param self       the node whose groups are kept
+     * @param keepInputs true if the node that dispatches them now needs their inputs
      * @return number of dropped groups
      */
-    int dropGroupsOfOthers(String self) {
+    int dropGroupsOfOthers(String self, boolean keepInputs) {
         Predicate<WaitingGroup> isOther = group -> !group.origin().equals(self) && !group.isCancelled();
         List<WaitingGroup> waiting = queue.find(isOther);
         List<WaitingGroup> inProgress =
                 running.keySet().stream().filter(isOther).toList();
+        if (keepInputs) {
+            waiting.forEach(WaitingGroup::withdraw);
+            inProgress.forEach(WaitingGroup::withdraw);
+        }
         waiting.forEach(group -> cancel(group.origin(), group.group().id()));
         inProgress.forEach(WaitingGroup::cancel);
         return waiting.size() + inProgress.size();
     }
 
+    /**
+     * Drops a group that another node dispatches now: as if cancelled, but without releasing its inputs.
+     *
+     * @param origin the node that submitted it
+     * @param id     its id
+     */
+    void withdraw(String origin, long id) {
+        queue.cancel(origin, id).ifPresent(WaitingGroup::withdraw);
+        running.keySet().stream()
+                .filter(g -> g.origin().equals(origin) && g.group().id() == id)
+                .forEach(WaitingGroup::withdraw);
+    }
+
+    /** Returns the nodes whose groups wait here. */
+    Set<String> waitingOrigins() {
+        return queue.find(group -> true).stream().map(WaitingGroup::origin).collect(Collectors.toSet());
+    }
+
     /** Cancels a group: drops its waiting pieces; the results of running ones are released when they arrive. */
     void cancel(String origin, long id) {
         queue.cancel(origin, id).ifPresent(inputs::release);
@@ -457,25 +488,4 @@
             wake.schedule(BUSY_PAUSE_NANOS);
         }
     }
-
-    /**
-     * Delivers outcomes to the node that waits for them, and releases inputs at the dispatchers of the pools that
-     * produced them.
-     */
-    interface ResultSink {
-        /**
-         * Delivers outcomes.
-         *
-         * @param origin  node that submitted the group
-         * @param results the outcomes
-         */
-        void deliver(String origin, PieceResultsMessage results);
-
-        /**
-         * Releases results of other pools.
-         *
-         * @param handles their handles
-         */
-        void release(List<String> handles);
-    }
 }
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/batch/ResultSink.java
@@ -0,0 +1,24 @@
+package org.copperspindle.batch;
+
+import java.util.List;
+
+/**
+ * Delivers outcomes to the node that waits for them, and releases inputs at the dispatchers of the pools that
+ * produced them.
+ */
+interface ResultSink {
+    /**
+     * Delivers outcomes.
+     *
+     * @param origin  node that submitted the group
+     * @param results the outcomes
+     */
+    void deliver(String origin, PieceResultsMessage results);
+
+    /**
+     * Releases results of other pools.
+     *
+     * @param handles their handles
+     */
+    void release(List<String> handles);
+}
--- a/library/src/main/java/org/copperspindle/batch/WaitingGroup.java
+++ b/library/src/main/java/org/copperspindle/batch/WaitingGroup.java
@@ -116,6 +116,12 @@
         cancelled = true;
     }
 
+    /** Cancels the group because another node dispatches it now; its inputs are not released here any more. */
+    void withdraw() {
+        cancelled = true;
+        inputsReleased = true;
+    }
+
     /** Records that pieces of the group are sent in a call. */
     void markSent(long now) {
         sentAt = now;
--- a/library/src/main/java/org/copperspindle/gateway/GatewayMessages.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayMessages.java
@@ -20,6 +20,8 @@
 import org.copperspindle.mesh.NodeListMessage;
 import org.copperspindle.mesh.RelayMessage;
 import org.copperspindle.quarantine.SuspicionMessage;
+import org.copperspindle.standby.DispatcherHeartbeatMessage;
+import org.copperspindle.standby.TakeoverMessage;
 import org.copperspindle.version.EvacuationsMessage;
 import org.copperspindle.version.VersionLeaseRequestMessage;
 import org.copperspindle.version.VersionLeaseResponseMessage;
@@ -58,7 +60,9 @@
                 .register(StartResponseMessage.CODEC)
                 .register(StartCancelMessage.CODEC)
                 .register(EngineSamplesMessage.CODEC)
-                .register(EngineLoadsMessage.CODEC);
+                .register(EngineLoadsMessage.CODEC)
+                .register(DispatcherHeartbeatMessage.CODEC)
+                .register(TakeoverMessage.CODEC);
         ConsensusLog.codecs().forEach(registry::register);
         return registry;
     }
--- a/library/src/main/java/org/copperspindle/gateway/GatewayMetrics.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayMetrics.java
@@ -128,6 +128,7 @@
                 "Upstreams that want nothing from this node for a while",
                 n -> n.backoffs().count(System.nanoTime()));
         admissionMetrics.publish(metrics);
+        StandbyMetrics.publish(metrics, node.standby());
         HeldMemoryMetrics.register(metrics, node);
         gauge(
                 metrics,
--- a/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
@@ -49,14 +49,13 @@
 import org.copperspindle.memory.HeldMemories;
 import org.copperspindle.memory.HeldMemory;
 import org.copperspindle.mesh.IsolationDetector;
-import org.copperspindle.mesh.MeshListener;
-import org.copperspindle.mesh.MeshNode;
 import org.copperspindle.mesh.MeshRelay;
 import org.copperspindle.mesh.MeshSettings;
 import org.copperspindle.mesh.NodeHelloMessage;
 import org.copperspindle.mesh.NodeMesh;
 import org.copperspindle.quarantine.RequestQuarantine;
 import org.copperspindle.route.UpstreamPool;
+import org.copperspindle.standby.StandbyDispatchers;
 import org.copperspindle.time.EventLoopTimerService;
 import org.copperspindle.time.SuspensionDetector;
 import org.copperspindle.time.TimerService;
@@ -116,6 +115,7 @@
     private final VersionExchange versionExchange;
     private final VersionHolder versionHolder;
     private final BatchService batches;
+    private final StandbyDispatchers standby;
     private final FleetStageStarts stageStarts;
     private final EngineLoads engineLoads;
     private final OpenRequests openRequests = new OpenRequests();
@@ -197,11 +197,9 @@
         batches.limitCallsWith(new BackpressureCallAdmission(permits, upstreamBackoffs, timers));
         batches.scaleDurationsBy((upstream, now) ->
                 upstreamLoads.pace(upstream.id(), upstream.incarnation(), now).orElse(UpstreamPace.USUAL));
-        this.retryBudget = new SharedRetryBudget(
-                settings.retries().ratio(),
-                settings.retries().slack(),
-                settings.retries().window());
+        this.retryBudget = createRetryBudget();
         FirstEventLatencies firstEventLatencies = new FirstEventLatencies();
+        this.standby = StandbyFactory.create(relay, timers, batches, versionHolder::heldTable, isolation, decisionLog);
         this.stageStarts = StageStartsFactory.create(
                 relay, timers, batches, versionHolder::heldTable, firstEventLatencies, decisionLog);
         ColdAdmission coldAdmission = new SenderSetAdmission(mesh.self(), mesh::serving, isolation::isIsolated);
@@ -279,6 +277,7 @@
                 engineLoads,
                 stageAdmission,
                 stageStarts,
+                standby,
                 retryBudget,
                 counters,
                 quarantine,
@@ -302,6 +301,7 @@
         node.loop.execute(() -> {
             node.versionHolder.start();
             node.batches.start();
+            node.standby.start();
             node.stageStarts.start();
             node.engineLoads.start();
             node.tick();
@@ -352,6 +352,13 @@
         eventLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
     }
 
+    private SharedRetryBudget createRetryBudget() {
+        return new SharedRetryBudget(
+                settings.retries().ratio(),
+                settings.retries().slack(),
+                settings.retries().window());
+    }
+
     private UpstreamChooser createChooser(ColdAdmission coldAdmission) {
         UpstreamChooser chooser = new UpstreamChooser(
                 directory,
@@ -383,21 +390,13 @@
         // know.
         mesh.subscribe(new LimitGossip(mesh, timers, upstreamLimits, permits));
         mesh.subscribe(versionExchange);
+        // Before the batch service, which must know of a takeover or of a stall when it handles the same message.
+        mesh.subscribe(standby);
         mesh.subscribe(batches);
         mesh.subscribe(stageStarts);
         mesh.subscribe(engineLoads);
         mesh.subscribe(quarantine);
-        mesh.subscribe(new MeshListener() {
-            @Override
-            public void onNodeUp(MeshNode node) {
-                retryBudget.setNodeCount(mesh.count() + 1);
-            }
-
-            @Override
-            public void onNodeDown(MeshNode node) {
-                retryBudget.setNodeCount(mesh.count() + 1);
-            }
-        });
+        mesh.subscribe(new RetryBudgetScaling(retryBudget, mesh::count));
         directory.subscribe(this::onUpstreamChange);
         versionHolder.subscribe(table -> directory.setColdTimes(table.coldNanosByPool()));
         versionHolder.subscribeEvacuations(
--- a/library/src/main/java/org/copperspindle/gateway/NodeState.java
+++ b/library/src/main/java/org/copperspindle/gateway/NodeState.java
@@ -15,6 +15,7 @@
 import org.copperspindle.memory.HeldMemory;
 import org.copperspindle.mesh.NodeMesh;
 import org.copperspindle.quarantine.RequestQuarantine;
+import org.copperspindle.standby.StandbyDispatchers;
 import org.copperspindle.version.MemberStatus;
 import org.copperspindle.version.VersionExchange;
 import org.copperspindle.version.VersionHolder;
@@ -36,6 +37,7 @@
  * @param engineLoads          the measured engines
  * @param stageAdmission       admission to the stages
  * @param stageStarts          starts of stages that are agreed with other nodes
+ * @param standby              takeovers of pools by this node
  * @param retryBudget          the limit on retries
  * @param counters             the counts of requests
  * @param quarantine           quarantines requests that terminate their upstreams
@@ -58,6 +60,7 @@
         EngineLoads engineLoads,
         StageAdmission stageAdmission,
         FleetStageStarts stageStarts,
+        StandbyDispatchers standby,
         SharedRetryBudget retryBudget,
         GatewayCounters counters,
         RequestQuarantine quarantine,
--- a/library/src/main/java/org/copperspindle/gateway/StageStartsFactory.java
+++ b/library/src/main/java/org/copperspindle/gateway/StageStartsFactory.java
@@ -16,6 +16,7 @@
 import org.copperspindle.mesh.MeshRelay;
 import org.copperspindle.route.ClientAccount;
 import org.copperspindle.route.RouteTable;
+import org.copperspindle.standby.TakeoverListener;
 import org.copperspindle.time.TimerService;
 
 /**
@@ -43,8 +44,20 @@
             FirstEventLatencies latencies,
             LogRateLimiter log) {
         FleetStageStarts starts = new FleetStageStarts(
-                relay, timers, batches::dispatcherNode, tables, batches::load, policy(batches, latencies, timers), log);
+                relay,
+                timers,
+                batches::actingDispatcher,
+                tables,
+                batches::load,
+                policy(batches, latencies, timers),
+                log);
         batches.announceShortage(starts::shortPools);
+        batches.actingDispatchers().subscribe(new TakeoverListener() {
+            @Override
+            public void onChange() {
+                starts.updateControllers();
+            }
+        });
         relay.subscribe(starts);
         return starts;
     }
--- a/library/src/main/java/org/copperspindle/mesh/NodeMesh.java
+++ b/library/src/main/java/org/copperspindle/mesh/NodeMesh.java
@@ -105,6 +105,24 @@
         return self;
     }
 
+    /**
+     * Returns the incarnation of this node's process.
+     *
+     * @return the incarnation that other nodes see
+     */
+    public long incarnation() {
+        return transport.ownGreeting().incarnation();
+    }
+
+    /**
+     * Returns the present state of this node.
+     *
+     * @return the hello that other nodes receive
+     */
+    public NodeHelloMessage ownHello() {
+        return hello.get();
+    }
+
     /**
      * Returns the other nodes that are connected.
      *
--- a/library/src/main/java/org/copperspindle/wire/WireTransport.java
+++ b/library/src/main/java/org/copperspindle/wire/WireTransport.java
@@ -141,6 +141,15 @@
         return channel;
     }
 
+    /**
+     * Returns the greeting that this process sends.
+     *
+     * @return the greeting
+     */
+    public GreetingMessage ownGreeting() {
+        return ownGreeting;
+    }
+
     /**
      * Connects to a peer. The listener is notified once the greetings have been exchanged.
      *
--- a/library/src/test/java/org/copperspindle/batch/RecordingSink.java
+++ b/library/src/test/java/org/copperspindle/batch/RecordingSink.java
@@ -7,7 +7,7 @@
 /**
  * Passes results on and records released handles.
  */
-final class RecordingSink implements PoolDispatcher.ResultSink {
+final class RecordingSink implements ResultSink {
 
     final List<String> released = new ArrayList<>();
     private final Consumer<PieceResultsMessage> results;
--- a/library/src/test/java/org/copperspindle/batch/ResultMemoryTest.java
+++ b/library/src/test/java/org/copperspindle/batch/ResultMemoryTest.java
@@ -71,7 +71,7 @@
         return inTime;
     }
 
-    private PoolDispatcher dispatcher(String pool, BatchLimits limits, int host, PoolDispatcher.ResultSink sink) {
+    private PoolDispatcher dispatcher(String pool, BatchLimits limits, int host, ResultSink sink) {
         IntStream.range(host, host + 4)
                 .forEach(i -> directory.accept(
                         new UpstreamRecord(
@@ -122,7 +122,7 @@
     }
 
     /** The node of the request, which receives the results of the second pool. */
-    private final class ReaderSink implements PoolDispatcher.ResultSink {
+    private final class ReaderSink implements ResultSink {
         @Override
         public void deliver(String origin, PieceResultsMessage message) {
             if (read.merge(message.group(), message.results().size(), Integer::sum) < 6) {
