--- a/library/src/main/java/org/copperspindle/batch/BatchService.java
+++ b/library/src/main/java/org/copperspindle/batch/BatchService.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -24,7 +23,6 @@
 import org.copperspindle.mesh.NodeMesh;
 import org.copperspindle.route.BatchLimits;
 import org.copperspindle.standby.ActingDispatchers;
-import org.copperspindle.standby.TakeoverListener;
 import org.copperspindle.time.TimerService;
 import org.copperspindle.wire.WireMessage;
 
@@ -59,14 +57,7 @@
      */
     private static final int ROUNDS_PER_FULL_UPDATE = 5;
 
-    /**
-     * Time from a takeover by this node to its first calls: the other nodes' groups arrive a round trip after the
-     * announcement. The calls for this node's groups alone would occupy the upstreams nearly empty.
-     */
-    private static final long GATHER_NANOS = Duration.ofMillis(20).toNanos();
-
     private final ResultSink sink = new Sink();
-    private final Set<String> gathering = new HashSet<>();
     private final NodeMesh mesh;
     private final MeshRelay relay;
     private final DispatcherChooser chooser;
@@ -81,6 +72,7 @@
     private final PauseDetector pauseDetector = new PauseDetector();
     private final ActingDispatchers acting;
     private final PendingGroups pending;
+    private final DispatcherTakeovers takeovers;
 
     /**
      * Group ids count up from a random start. Otherwise a node that restarts at once would reuse the ids of its
@@ -127,7 +119,9 @@
         this.acting = new ActingDispatchers(chooser, mesh.self(), timers::nanoTime);
         this.pending = new PendingGroups(relay, timers, acting, this::dispatcher, sink);
         acting.subscribe(pending);
-        acting.subscribe(new Takeovers());
+        this.takeovers = new DispatcherTakeovers(
+                acting, mesh.self(), timers, pool -> Optional.ofNullable(dispatchers.get(pool)), this::sendFullUpdate);
+        acting.subscribe(takeovers);
         directory.subscribe(this::upstreamChanged);
     }
 
@@ -377,6 +371,11 @@
         }
     }
 
+    /** After a change, the node that dispatches a pool does not have the counts that were sent to the other. */
+    private void sendFullUpdate() {
+        fullUpdateNext = true;
+    }
+
     private boolean isDispatchedHere(String pool) {
         return actingDispatcher(pool).equals(mesh.self());
     }
@@ -428,15 +427,11 @@
                 pool,
                 name -> new PoolDispatcher(name, directory, timers, port, () -> limits.apply(name), sink, log)
                         .withPauseDetector(pauseDetector)
-                        .startOnlyFor(origin -> mayStart(name, origin))
+                        .startOnlyFor(origin -> takeovers.mayStart(name, origin))
                         .limitCallsWith(admission)
                         .scaleDurationsBy(pace));
     }
 
-    private boolean mayStart(String pool, String origin) {
-        return !gathering.contains(pool) && (origin.equals(mesh.self()) || !acting.isHeld(pool));
-    }
-
     private void upstreamChanged(UpstreamRecord changed) {
         PoolDispatcher dispatcher = dispatchers.get(changed.pool());
         if (dispatcher != null) {
@@ -444,30 +439,6 @@
         }
     }
 
-    /** Adjusts this node's dispatchers to takeovers of other nodes' pools and of its own. */
-    private final class Takeovers implements TakeoverListener {
-        @Override
-        public int moveGroups(String pool, String from, String to) {
-            if (from.equals(mesh.self()) && dispatchers.containsKey(pool)) {
-                // Nodes that the announcement has not reached learn of the takeover from this node.
-                dispatcher(pool).waitingOrigins().forEach(node -> acting.forwardTakeover(node, pool));
-            }
-            if (to.equals(mesh.self()) && gathering.add(pool)) {
-                timers.schedule(GATHER_NANOS, () -> {
-                    gathering.remove(pool);
-                    dispatcher(pool).dispatch();
-                });
-            }
-            return 0;
-        }
-
-        @Override
-        public void onChange() {
-            // The node that dispatches a pool now does not have the counts that were sent to the other.
-            fullUpdateNext = true;
-        }
-    }
-
     /** Forwards the results of this node's dispatchers. */
     private final class Sink implements ResultSink {
         @Override
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/batch/DispatcherTakeovers.java
@@ -0,0 +1,88 @@
+package org.copperspindle.batch;
+
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Function;
+
+import org.copperspindle.standby.ActingDispatchers;
+import org.copperspindle.standby.TakeoverListener;
+import org.copperspindle.time.TimerService;
+
+/**
+ * Adjusts the dispatchers of this node to takeovers: those that it makes, and those of its own pools by other nodes.
+ */
+final class DispatcherTakeovers implements TakeoverListener {
+
+    /**
+     * Time from a takeover by this node to its first calls: the other nodes' groups arrive a round trip after the
+     * announcement. The calls for this node's groups alone would occupy the upstreams nearly empty.
+     */
+    private static final long GATHER_NANOS = Duration.ofMillis(20).toNanos();
+
+    private final ActingDispatchers acting;
+    private final String self;
+    private final TimerService timers;
+    private final Function<String, Optional<PoolDispatcher>> dispatchers;
+    private final Runnable onChange;
+    private final Set<String> gathering = new HashSet<>();
+
+    /**
+     * Creates the listener. The caller subscribes it after the pending groups.
+     *
+     * @param acting      the nodes that dispatch the pools
+     * @param self        name of this node
+     * @param timers      timers of the network thread
+     * @param dispatchers finds this node's dispatcher of a pool by its name
+     * @param onChange    called when any pool has got another acting dispatcher
+     */
+    DispatcherTakeovers(
+            ActingDispatchers acting,
+            String self,
+            TimerService timers,
+            Function<String, Optional<PoolDispatcher>> dispatchers,
+            Runnable onChange) {
+        this.acting = acting;
+        this.self = self;
+        this.timers = timers;
+        this.dispatchers = dispatchers;
+        this.onChange = onChange;
+    }
+
+    /**
+     * Returns whether this node may start calls for a group.
+     *
+     * @param pool   pool of the group
+     * @param origin node that submitted it
+     */
+    boolean mayStart(String pool, String origin) {
+        return !gathering.contains(pool) && (origin.equals(self) || !acting.isHeld(pool));
+    }
+
+    @Override
+    public int moveGroups(String pool, String from, String to) {
+        if (from.equals(self)) {
+            // Nodes that the announcement has not reached learn of the takeover from this node.
+            dispatchers
+                    .apply(pool)
+                    .map(PoolDispatcher::waitingOrigins)
+                    .orElse(Set.of())
+                    .forEach(node -> acting.forwardTakeover(node, pool));
+        }
+        if (to.equals(self) && gathering.add(pool)) {
+            timers.schedule(GATHER_NANOS, () -> endGathering(pool));
+        }
+        return 0;
+    }
+
+    @Override
+    public void onChange() {
+        onChange.run();
+    }
+
+    private void endGathering(String pool) {
+        gathering.remove(pool);
+        dispatchers.apply(pool).ifPresent(PoolDispatcher::dispatch);
+    }
+}
