--- a/library/src/main/java/org/copperspindle/batch/BatchService.java
+++ b/library/src/main/java/org/copperspindle/batch/BatchService.java
@@ -427,7 +427,7 @@
                 pool,
                 name -> new PoolDispatcher(name, directory, timers, port, () -> limits.apply(name), sink, log)
                         .withPauseDetector(pauseDetector)
-                        .startOnlyFor(origin -> takeovers.mayStart(name, origin))
+                        .startOnlyFor(() -> takeovers.startableOrigins(name))
                         .limitCallsWith(admission)
                         .scaleDurationsBy(pace));
     }
--- a/library/src/main/java/org/copperspindle/batch/DispatcherTakeovers.java
+++ b/library/src/main/java/org/copperspindle/batch/DispatcherTakeovers.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Function;
+import java.util.function.Predicate;
 
 import org.copperspindle.standby.ActingDispatchers;
 import org.copperspindle.standby.TakeoverListener;
@@ -51,13 +52,16 @@
     }
 
     /**
-     * Returns whether this node may start calls for a group.
+     * Returns the nodes for whose groups this node may start calls at present.
      *
-     * @param pool   pool of the group
-     * @param origin node that submitted it
+     * @param pool pool of the groups
+     * @return accepts the names of these nodes
      */
-    boolean mayStart(String pool, String origin) {
-        return !gathering.contains(pool) && (origin.equals(self) || !acting.isHeld(pool));
+    Predicate<String> startableOrigins(String pool) {
+        if (gathering.contains(pool)) {
+            return origin -> false;
+        }
+        return acting.isHeld(pool) ? self::equals : origin -> true;
     }
 
     @Override
--- a/library/src/main/java/org/copperspindle/batch/PieceQueue.java
+++ b/library/src/main/java/org/copperspindle/batch/PieceQueue.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
+import java.util.function.Supplier;
 import java.util.stream.Collectors;
 
 import org.copperspindle.route.BatchLimits;
@@ -32,11 +33,11 @@
     private static final int MIN_CALLS_IN_MEMORY_TO_SPLIT = 2;
 
     private final Map<String, WaitingGroup> groups = new LinkedHashMap<>();
-    private Predicate<WaitingGroup> mayStart = group -> true;
+    private Supplier<Predicate<WaitingGroup>> startable = () -> group -> true;
 
-    /** Sets which groups may be taken for calls; the others stay in the queue. */
-    void takeOnly(Predicate<WaitingGroup> startable) {
-        mayStart = startable;
+    /** Sets which groups may be taken for calls, evaluated for each call; the others stay in the queue. */
+    void takeOnly(Supplier<Predicate<WaitingGroup>> groupsToStart) {
+        startable = groupsToStart;
     }
 
     void add(WaitingGroup group) {
@@ -45,11 +46,16 @@
 
     /** Removes and cancels a group; returns it if it was waiting here. */
     Optional<WaitingGroup> cancel(String origin, long id) {
-        Optional<WaitingGroup> group = Optional.ofNullable(groups.remove(key(origin, id)));
+        Optional<WaitingGroup> group = remove(origin, id);
         group.ifPresent(WaitingGroup::cancel);
         return group;
     }
 
+    /** Removes a group; returns it if it was waiting here. */
+    Optional<WaitingGroup> remove(String origin, long id) {
+        return Optional.ofNullable(groups.remove(key(origin, id)));
+    }
+
     /** Returns the groups that match a predicate. */
     List<WaitingGroup> find(Predicate<WaitingGroup> kind) {
         return groups.values().stream().filter(kind).toList();
@@ -100,10 +106,10 @@
      */
     List<PieceTask> take(BatchLimits limits, CallBounds bounds, long now, Predicate<WaitingGroup> prefers) {
         boolean fullCallWaits = bounds.pieces() >= limits.maxPieces();
-        List<WaitingGroup> startable = find(mayStart);
+        List<WaitingGroup> candidates = find(startable.get());
         Set<WaitingGroup> preferred =
-                startable.stream().filter(prefers).collect(Collectors.toCollection(LinkedHashSet::new));
-        List<WaitingGroup> order = new ArrayList<>(bounds.takesAll() ? startable : preferred);
+                candidates.stream().filter(prefers).collect(Collectors.toCollection(LinkedHashSet::new));
+        List<WaitingGroup> order = new ArrayList<>(bounds.takesAll() ? candidates : preferred);
         order.sort(byUrgency((long) (halfCallNanos(limits) * bounds.pace()), now, preferred));
         List<PieceTask> taken = new ArrayList<>();
         long freeBytes = bounds.bytes();
@@ -138,7 +144,7 @@
     List<PieceTask> takeLeastUrgent(BatchLimits limits, long bytes, long now) {
         List<PieceTask> taken = new ArrayList<>();
         groups.values().stream()
-                .filter(mayStart)
+                .filter(startable.get())
                 .filter(g -> g.missing().size() <= limits.maxPieces() && g.resultBytes() <= bytes)
                 .max(byUrgency(halfCallNanos(limits), now, Set.of()))
                 .ifPresent(g -> take(g, g.missing().size(), taken));
--- a/library/src/main/java/org/copperspindle/batch/PoolDispatcher.java
+++ b/library/src/main/java/org/copperspindle/batch/PoolDispatcher.java
@@ -104,9 +104,12 @@
         return this;
     }
 
-    /** Sets the origins for whose groups calls are started; groups of other origins wait. */
-    PoolDispatcher startOnlyFor(Predicate<String> origins) {
-        queue.takeOnly(group -> origins.test(group.origin()));
+    /** Sets the origins for whose groups a call may be started, evaluated for each call; other groups wait. */
+    PoolDispatcher startOnlyFor(Supplier<Predicate<String>> origins) {
+        queue.takeOnly(() -> {
+            Predicate<String> startable = origins.get();
+            return group -> startable.test(group.origin());
+        });
         return this;
     }
 
@@ -137,13 +140,14 @@
     }
 
     /**
-     * Drops a group that another node dispatches now: as if cancelled, but without releasing its inputs.
+     * Drops a group that another node dispatches now. Results of its running pieces are delivered, and its inputs are
+     * not released.
      *
      * @param origin the node that submitted it
      * @param id     its id
      */
     void withdraw(String origin, long id) {
-        queue.cancel(origin, id).ifPresent(WaitingGroup::withdraw);
+        queue.remove(origin, id).ifPresent(WaitingGroup::withdraw);
         running.keySet().stream()
                 .filter(g -> g.origin().equals(origin) && g.group().id() == id)
                 .forEach(WaitingGroup::withdraw);
@@ -462,7 +466,7 @@
     }
 
     private void requeue(PieceTask task) {
-        if (!task.group().isCancelled()) {
+        if (!task.group().isDropped()) {
             task.group().missing().add(task.piece());
             queue.add(task.group());
         }
@@ -470,7 +474,7 @@
 
     private void reportMissed(WaitingGroup group, List<Integer> pieces, MissReason reason) {
         inputs.release(group);
-        if (group.isCancelled() || pieces.isEmpty()) {
+        if (group.isDropped() || pieces.isEmpty()) {
             return;
         }
         List<PieceResult> results = pieces.stream()
--- a/library/src/main/java/org/copperspindle/batch/WaitingGroup.java
+++ b/library/src/main/java/org/copperspindle/batch/WaitingGroup.java
@@ -38,6 +38,7 @@
     private long partition = NO_PARTITION;
     private long sentAt;
     private boolean cancelled;
+    private boolean withdrawn;
     private boolean inputsReleased;
 
     WaitingGroup(String origin, PieceGroup group, long now) {
@@ -116,9 +117,12 @@
         cancelled = true;
     }
 
-    /** Cancels the group because another node dispatches it now; its inputs are not released here any more. */
+    /**
+     * Gives the group to another node: pieces that run here are still delivered, but none is started or reported as
+     * missed, and the inputs are not released here any more.
+     */
     void withdraw() {
-        cancelled = true;
+        withdrawn = true;
         inputsReleased = true;
     }
 
@@ -150,6 +154,11 @@
         return cancelled;
     }
 
+    /** Returns whether pieces without a result are of no concern here any more. */
+    boolean isDropped() {
+        return cancelled || withdrawn;
+    }
+
     /**
      * Restricts the group to share calls only with groups of one partition, one of which may have crashed an
      * upstream.
--- a/library/src/main/java/org/copperspindle/standby/StandbyDispatchers.java
+++ b/library/src/main/java/org/copperspindle/standby/StandbyDispatchers.java
@@ -335,8 +335,11 @@
     }
 
     private boolean isHeldAfterStall(String pool) {
+        if (!pools.get().contains(pool)) {
+            return false;
+        }
         checkForStall();
-        return timers.nanoTime() - heldUntil < 0 && pools.get().contains(pool);
+        return timers.nanoTime() - heldUntil < 0;
     }
 
     private long incarnationOf(String node) {
--- a/library/src/test/java/org/copperspindle/batch/DispatcherTakeoverTest.java
+++ b/library/src/test/java/org/copperspindle/batch/DispatcherTakeoverTest.java
@@ -334,6 +334,26 @@
         assertThat(fleet.port.freed).containsExactly("10.0.0.1:1/y");
     }
 
+    /**
+     * Calls run at a working dispatcher whose heartbeats are lost. Their results must count: the standby can run the
+     * same pieces only afterwards, at the same upstreams.
+     */
+    @Test
+    void resultsOfCallsThatRunDuringATakeoverAreAccepted() {
+        fleet.advance(HEARTBEAT_MILLIS);
+        fleet.port.behaviors.put("a", FakeStagePort.Behavior.SLOW);
+        fleet.port.behaviors.put("b", FakeStagePort.Behavior.SLOW);
+        fleet.lose(message -> message.is(DispatcherHeartbeatMessage.class));
+        fleet.advance(200);
+        List<Submitted> submitted =
+                List.of(fleet.node(3).submit(40), fleet.node(3).submit(40));
+        fleet.advance(150);
+        assertThat(fleet.node(3).acting()).isEqualTo(STANDBY);
+        fleet.advance(160);
+        assertThat(submitted).allMatch(Submitted::isDone);
+        assertThat(fleet.node(2).service.waitingPieces()).isZero();
+    }
+
     /** The inputs of a group that moves are still needed: released by the former dispatcher, its stages would run again. */
     @Test
     void inputsOfMovedGroupsAreNotReleased() {
