Bound the wait for nodes that ignore takeovers, and account for released results at both dispatchers

- The replaced dispatcher starts a group that its origin has not withdrawn 160 ms after it was told of the takeover.
- Gone inputs of a moved group count as missed only after a full call, in which the former owner may still deliver the result.
The dispatcher does not release inputs of groups that it holds.
- The stall threshold follows from the silence limit, the heartbeat interval and the check interval (200 ms), for both clocks.
- Only made results of withdrawn groups are delivered, and they don't change the estimate of the fetch time.
- Releases of results go to dispatcher and standby during a takeover and for the retention time after it.
A node that had not dispatched the pool dropped releases, since it did not know the upstreams yet.

--- a/library/src/main/java/org/copperspindle/batch/BatchService.java
+++ b/library/src/main/java/org/copperspindle/batch/BatchService.java
@@ -117,7 +117,7 @@
         this.log = log;
         this.loads = new ReceivedLoads(log);
         this.acting = new ActingDispatchers(chooser, mesh.self(), timers::nanoTime);
-        this.pending = new PendingGroups(relay, timers, acting, this::dispatcher, sink);
+        this.pending = new PendingGroups(relay, timers, acting, this::dispatcher, limits, sink);
         acting.subscribe(pending);
         this.takeovers = new DispatcherTakeovers(
                 acting, mesh.self(), timers, pool -> Optional.ofNullable(dispatchers.get(pool)), this::sendFullUpdate);
@@ -187,14 +187,30 @@
      * @param handles their handles
      */
     public void releaseResults(String pool, List<String> handles) {
-        String owner = actingDispatcher(pool);
         if (handles.isEmpty()) {
             return;
         }
-        if (owner.equals(mesh.self())) {
-            dispatcher(pool).free(handles);
+        release(actingDispatcher(pool), new ReleaseResultsMessage(pool, handles, false));
+        long retention =
+                limits.apply(pool).map(BatchLimits::resultRetentionNanos).orElse(0L);
+        acting.counterpart(pool, retention)
+                .ifPresent(node -> release(node, new ReleaseResultsMessage(pool, handles, true)));
+    }
+
+    private void release(String node, ReleaseResultsMessage message) {
+        if (node.equals(mesh.self())) {
+            onRelease(message);
+        } else {
+            relay.send(node, message);
+        }
+    }
+
+    private void onRelease(ReleaseResultsMessage message) {
+        PoolDispatcher dispatcher = dispatcher(message.pool());
+        if (message.accountedOnly()) {
+            dispatcher.recordReleased(message.handles());
         } else {
-            relay.send(owner, new ReleaseResultsMessage(pool, handles));
+            dispatcher.free(message.handles());
         }
     }
 
@@ -290,8 +306,8 @@
             dispatcher(group.pool()).add(node.address(), group);
         } else if (message instanceof PieceCancelMessage cancel) {
             onCancel(node.address(), cancel);
-        } else if (message instanceof ReleaseResultsMessage free) {
-            dispatcher(free.pool()).free(free.handles());
+        } else if (message instanceof ReleaseResultsMessage release) {
+            onRelease(release);
         } else if (message instanceof PieceResultsMessage results) {
             pending.onResults(node.address(), results);
         } else if (message instanceof PoolLoadMessage load) {
@@ -427,7 +443,7 @@
                 pool,
                 name -> new PoolDispatcher(name, directory, timers, port, () -> limits.apply(name), sink, log)
                         .withPauseDetector(pauseDetector)
-                        .startOnlyFor(() -> takeovers.startableOrigins(name))
+                        .startOnlyFor(() -> takeovers.startable(name))
                         .limitCallsWith(admission)
                         .scaleDurationsBy(pace));
     }
--- a/library/src/main/java/org/copperspindle/batch/PendingGroups.java
+++ b/library/src/main/java/org/copperspindle/batch/PendingGroups.java
@@ -4,11 +4,13 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Function;
 
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.copperspindle.mesh.MeshRelay;
+import org.copperspindle.route.BatchLimits;
 import org.copperspindle.standby.ActingDispatchers;
 import org.copperspindle.standby.TakeoverListener;
 import org.copperspindle.time.TimerService;
@@ -27,6 +29,7 @@
     private final TimerService timers;
     private final ActingDispatchers acting;
     private final Function<String, PoolDispatcher> dispatchers;
+    private final Function<String, Optional<BatchLimits>> limits;
     private final ResultSink sink;
     private final Map<Long, PendingGroup> pending = new LinkedHashMap<>();
 
@@ -37,6 +40,7 @@
      * @param timers      timers of the network thread
      * @param acting      the nodes that dispatch the pools
      * @param dispatchers returns this node's dispatcher of a pool by its name
+     * @param limits      returns the limits of a pool's calls by its name
      * @param sink        releases results that nobody needs
      */
     PendingGroups(
@@ -44,12 +48,14 @@
             TimerService timers,
             ActingDispatchers acting,
             Function<String, PoolDispatcher> dispatchers,
+            Function<String, Optional<BatchLimits>> limits,
             ResultSink sink) {
         this.relay = relay;
         this.self = relay.mesh().self();
         this.timers = timers;
         this.acting = acting;
         this.dispatchers = dispatchers;
+        this.limits = limits;
         this.sink = sink;
     }
 
@@ -113,9 +119,39 @@
             release(results.results());
             return;
         }
+        List<PieceResult> provisional = results.results().stream()
+                .filter(result -> isOwner && isProvisional(entry, result))
+                .toList();
+        if (!provisional.isEmpty()) {
+            long wait = limits.apply(entry.group().pool())
+                    .map(BatchLimits::fullCallNanos)
+                    .orElse(0L);
+            timers.schedule(wait, () -> acceptMisses(from, entry, provisional));
+        }
+        List<PieceResult> accepted = new ArrayList<>(results.results());
+        accepted.removeAll(provisional);
+        accept(entry, isOwner, accepted);
+    }
+
+    /**
+     * Returns whether the former owner of a moved group may still have the result of a missed piece: it releases the
+     * inputs of a call that runs, so that a second call for the same piece finds them gone.
+     */
+    private static boolean isProvisional(PendingGroup entry, PieceResult result) {
+        return entry.wasMoved() && result.outcome().isMissedFor(MissReason.INPUT_GONE);
+    }
+
+    /** Accepts misses after the call that ran at the former owner when the group was moved must have ended. */
+    private void acceptMisses(String owner, PendingGroup entry, List<PieceResult> misses) {
+        if (pending.get(entry.group().id()) == entry && entry.owner().equals(owner)) {
+            accept(entry, true, misses);
+        }
+    }
+
+    private void accept(PendingGroup entry, boolean isOwner, List<PieceResult> results) {
         List<PieceResult> wanted = new ArrayList<>();
         List<PieceResult> unwanted = new ArrayList<>();
-        for (PieceResult result : results.results()) {
+        for (PieceResult result : results) {
             boolean isUsable = isOwner || result.outcome() instanceof PieceOutcome.Made;
             boolean isMissing = isUsable && entry.missing().remove((Integer) result.piece());
             (isMissing ? wanted : unwanted).add(result);
@@ -124,7 +160,7 @@
             release(unwanted);
         }
         if (entry.missing().isEmpty()) {
-            pending.remove(results.group());
+            pending.remove(entry.group().id());
             if (!isOwner) {
                 cancelAtOwner(entry);
             }
--- a/library/src/main/java/org/copperspindle/batch/PieceQueue.java
+++ b/library/src/main/java/org/copperspindle/batch/PieceQueue.java
@@ -40,6 +40,11 @@
         startable = groupsToStart;
     }
 
+    /** Returns whether a call may be started for a group. */
+    boolean isStartable(WaitingGroup group) {
+        return startable.get().test(group);
+    }
+
     void add(WaitingGroup group) {
         groups.put(key(group.origin(), group.group().id()), group);
     }
--- a/library/src/main/java/org/copperspindle/batch/PieceResultsMessage.java
+++ b/library/src/main/java/org/copperspindle/batch/PieceResultsMessage.java
@@ -24,6 +24,14 @@
         results = List.copyOf(results);
     }
 
+    /** Returns the message that pieces of a group were missed for one reason. */
+    static PieceResultsMessage missed(long group, List<Integer> pieces, MissReason reason) {
+        PieceOutcome outcome = new PieceOutcome.Missed(reason);
+        return new PieceResultsMessage(
+                group,
+                pieces.stream().map(piece -> new PieceResult(piece, outcome)).toList());
+    }
+
     private void write(FieldWriter out) {
         out.put(1, group).put(2, results.stream().map(PieceResult::encode).toList());
     }
--- a/library/src/main/java/org/copperspindle/batch/PoolDispatcher.java
+++ b/library/src/main/java/org/copperspindle/batch/PoolDispatcher.java
@@ -81,8 +81,10 @@
         this.sink = sink;
         this.log = log;
         this.upstreams = new PoolUpstreams(pool, directory);
+        // A standby is asked to release results before it dispatches anything.
+        upstreams.refresh();
         this.releaser = new ResultReleaser(upstreams, timers, port, this::dispatch);
-        this.inputs = new InputReleaser(pool, timers, sink);
+        this.inputs = new InputReleaser(pool, timers, sink, queue::isStartable);
         this.wake = new DeferredTask(timers, this::dispatch);
     }
 
@@ -104,12 +106,9 @@
         return this;
     }
 
-    /** Sets the origins for whose groups a call may be started, evaluated for each call; other groups wait. */
-    PoolDispatcher startOnlyFor(Supplier<Predicate<String>> origins) {
-        queue.takeOnly(() -> {
-            Predicate<String> startable = origins.get();
-            return group -> startable.test(group.origin());
-        });
+    /** Sets the groups for which a call may be started, evaluated for each call; other groups wait. */
+    PoolDispatcher startOnlyFor(Supplier<Predicate<WaitingGroup>> groups) {
+        queue.takeOnly(groups);
         return this;
     }
 
@@ -187,6 +186,11 @@
         releaser.add(handles);
     }
 
+    /** Accounts for results that another node releases. */
+    void recordReleased(List<String> handles) {
+        releaser.recordReleased(handles);
+    }
+
     /** Sends waiting pieces to free upstreams. Also called when the upstreams of the pool changed. */
     void dispatch() {
         Optional<BatchLimits> known = limits.get();
@@ -396,7 +400,7 @@
                 requeue(task);
             } else if (outcome.isMissedFor(MissReason.FAILED)) {
                 failed.add(task);
-            } else {
+            } else if (outcome instanceof PieceOutcome.Made || !task.group().isWithdrawn()) {
                 finished.computeIfAbsent(task.group(), g -> new ArrayList<>())
                         .add(new PieceResult(task.piece(), reportedOutcome(outcome)));
             }
@@ -477,10 +481,7 @@
         if (group.isDropped() || pieces.isEmpty()) {
             return;
         }
-        List<PieceResult> results = pieces.stream()
-                .map(piece -> new PieceResult(piece, new PieceOutcome.Missed(reason)))
-                .toList();
-        sink.deliver(group.origin(), new PieceResultsMessage(group.group().id(), results));
+        sink.deliver(group.origin(), PieceResultsMessage.missed(group.group().id(), pieces, reason));
     }
 
     /**
--- a/library/src/main/java/org/copperspindle/batch/ReleaseResultsMessage.java
+++ b/library/src/main/java/org/copperspindle/batch/ReleaseResultsMessage.java
@@ -8,12 +8,14 @@
 import org.copperspindle.wire.WireMessage;
 
 /**
- * Results that are no longer needed; sent to the dispatcher of the pool that produced them.
+ * Results that are no longer needed; sent to the dispatcher of the pool that produced them. Around a takeover it is
+ * sent to both the dispatcher and the standby, of which one releases the results and the other accounts for it.
  *
- * @param pool    pool that produced them
- * @param handles their handles
+ * @param pool          pool that produced them
+ * @param handles       their handles
+ * @param accountedOnly true if another node sends the request to their producers
  */
-public record ReleaseResultsMessage(String pool, List<String> handles) implements WireMessage {
+public record ReleaseResultsMessage(String pool, List<String> handles, boolean accountedOnly) implements WireMessage {
 
     /** Codec of this message. */
     public static final MessageCodec<ReleaseResultsMessage> CODEC = MessageCodec.of(
@@ -25,10 +27,10 @@
     }
 
     private void write(FieldWriter out) {
-        out.put(1, pool).putStrings(2, handles);
+        out.put(1, pool).putStrings(2, handles).put(3, accountedOnly);
     }
 
     private static ReleaseResultsMessage read(FieldReader in) {
-        return new ReleaseResultsMessage(in.getString(1), in.getStrings(2));
+        return new ReleaseResultsMessage(in.getString(1), in.getStrings(2), in.getBoolean(3));
     }
 }
--- a/library/src/main/java/org/copperspindle/batch/ResultReleaser.java
+++ b/library/src/main/java/org/copperspindle/batch/ResultReleaser.java
@@ -48,6 +48,16 @@
         send.schedule(RELEASE_INTERVAL_NANOS);
     }
 
+    /** Accounts for results that another node releases. */
+    void recordReleased(List<String> handles) {
+        for (String handle : handles) {
+            ResultHandle.producerAddress(handle)
+                    .flatMap(upstreams::findByAddress)
+                    .ifPresent(producer -> producer.onReleased(List.of(handle)));
+        }
+        onMemoryFreed.run();
+    }
+
     private void send() {
         long now = timers.nanoTime();
         for (StageUpstream upstream : upstreams.all()) {
--- a/library/src/main/java/org/copperspindle/batch/WaitingGroup.java
+++ b/library/src/main/java/org/copperspindle/batch/WaitingGroup.java
@@ -123,7 +123,6 @@
      */
     void withdraw() {
         withdrawn = true;
-        inputsReleased = true;
     }
 
     /** Records that pieces of the group are sent in a call. */
@@ -138,7 +137,7 @@
 
     /** Takes the inputs to release, once; empty if others read them too. */
     List<String> takeInputs() {
-        if (inputsReleased || !group.ownsInputs()) {
+        if (inputsReleased || withdrawn || !group.ownsInputs()) {
             return List.of();
         }
         inputsReleased = true;
@@ -154,6 +153,11 @@
         return cancelled;
     }
 
+    /** Returns whether another node dispatches the group, which runs the pieces without a result. */
+    boolean isWithdrawn() {
+        return withdrawn;
+    }
+
     /** Returns whether pieces without a result are of no concern here any more. */
     boolean isDropped() {
         return cancelled || withdrawn;
--- a/library/src/main/java/org/copperspindle/gateway/StandbyFactory.java
+++ b/library/src/main/java/org/copperspindle/gateway/StandbyFactory.java
@@ -12,7 +12,6 @@
 import org.copperspindle.route.RouteTable;
 import org.copperspindle.standby.StallDetector;
 import org.copperspindle.standby.StandbyDispatchers;
-import org.copperspindle.time.SuspensionDetector;
 import org.copperspindle.time.TimerService;
 
 /**
@@ -45,7 +44,7 @@
                 batches.actingDispatchers(),
                 new CoordinatedPoolNames(tables),
                 isolation::isIsolated,
-                new StallDetector(timers::nanoTime, new SuspensionDetector()),
+                new StallDetector(timers::nanoTime, System::currentTimeMillis),
                 log);
         relay.subscribe(standby);
         return standby;
--- a/library/src/main/java/org/copperspindle/standby/ActingDispatchers.java
+++ b/library/src/main/java/org/copperspindle/standby/ActingDispatchers.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.BiConsumer;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
@@ -25,6 +26,7 @@
     private final String self;
     private final LongSupplier clock;
     private final Map<String, Takeover> takeovers = new HashMap<>();
+    private final Map<String, Takeover> latest = new HashMap<>();
     private final List<TakeoverListener> listeners = new ArrayList<>();
     private Predicate<String> isHeldAfterStall = pool -> false;
     private BiConsumer<String, String> forwarder = (node, pool) -> {};
@@ -63,6 +65,27 @@
         return takeover != null && isValid(takeover, chosen) ? takeover.standby() : chosen;
     }
 
+    /**
+     * Returns the other node that may account for results of a pool because of a takeover: the replaced dispatcher, or
+     * after its return the standby.
+     *
+     * @param pool           name of the pool
+     * @param retentionNanos time for which results are kept
+     * @return name of the node; empty if the last takeover ended longer ago than results are kept
+     */
+    public Optional<String> counterpart(String pool, long retentionNanos) {
+        Takeover takeover = latest.get(pool);
+        if (takeover == null) {
+            return Optional.empty();
+        }
+        if (clock.getAsLong() - takeover.validUntil() >= retentionNanos) {
+            latest.remove(pool);
+            return Optional.empty();
+        }
+        boolean isReplaced = of(pool).equals(takeover.standby());
+        return Optional.of(isReplaced ? takeover.dispatcher() : takeover.standby());
+    }
+
     /**
      * Returns whether this node must not start calls for groups of other nodes: its standby has taken over, or may
      * have done so while this node's process stood still.
@@ -71,7 +94,18 @@
      * @return true while such groups must wait
      */
     public boolean isHeld(String pool) {
-        return isTakenOver(pool) || isHeldAfterStall.test(pool);
+        return isTakenOver(pool) || isHeldAfterStall(pool);
+    }
+
+    /**
+     * Returns whether the standby may have taken over while this node's process stood still. Checks for a stall first,
+     * since responses of upstreams may be handled before any timer after one.
+     *
+     * @param pool name of the pool
+     * @return true until an announcement of the takeover would have arrived
+     */
+    public boolean isHeldAfterStall(String pool) {
+        return isHeldAfterStall.test(pool);
     }
 
     /**
@@ -101,8 +135,13 @@
         forwarder = sender;
     }
 
-    /** Returns whether another node dispatches a pool of this node. */
-    boolean isTakenOver(String pool) {
+    /**
+     * Returns whether another node dispatches a pool of this node.
+     *
+     * @param pool name of the pool
+     * @return true while a takeover against this node is valid
+     */
+    public boolean isTakenOver(String pool) {
         Takeover takeover = takeovers.get(pool);
         return takeover != null && takeover.dispatcher().equals(self) && isValid(takeover, self);
     }
@@ -113,6 +152,7 @@
      * @return number of this node's groups that were moved
      */
     int apply(String pool, Takeover takeover) {
+        latest.put(pool, takeover);
         Takeover known = takeovers.put(pool, takeover);
         boolean isKnown = known != null && known.isSameAs(takeover) && !known.isExpired(clock.getAsLong());
         return isKnown ? 0 : move(pool, takeover.dispatcher(), takeover.standby());
--- a/library/src/main/java/org/copperspindle/standby/StallDetector.java
+++ b/library/src/main/java/org/copperspindle/standby/StallDetector.java
@@ -1,33 +1,30 @@
 package org.copperspindle.standby;
 
-import java.time.Duration;
+import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 
-import org.copperspindle.time.SuspensionDetector;
-
 /**
  * Detects that this process stood still, either because it was not scheduled, which the monotonic clock shows, or
- * because its VM was suspended, during which the monotonic clock may stand still as well.
+ * because its VM was suspended, during which the monotonic clock may stand still while the time of day goes on.
  */
 public final class StallDetector {
 
-    /** Shortest stall: the silence after which a standby takes over. */
-    private static final long MIN_STALL_NANOS = Duration.ofMillis(300).toNanos();
-
     private final LongSupplier clock;
-    private final SuspensionDetector suspensions;
+    private final LongSupplier timeOfDayMillis;
     private long checkedAt;
+    private long checkedAtMillis;
 
     /**
-     * Creates a detector. It must be checked at intervals well below 300 ms.
+     * Creates a detector. It must be checked at the interval at which standbys check for silence.
      *
-     * @param clock       monotonic time in nanoseconds
-     * @param suspensions detects suspensions of the VM; used by this detector only
+     * @param clock           monotonic time in nanoseconds
+     * @param timeOfDayMillis time of day in milliseconds
      */
-    public StallDetector(LongSupplier clock, SuspensionDetector suspensions) {
+    public StallDetector(LongSupplier clock, LongSupplier timeOfDayMillis) {
         this.clock = clock;
-        this.suspensions = suspensions;
+        this.timeOfDayMillis = timeOfDayMillis;
         this.checkedAt = clock.getAsLong();
+        this.checkedAtMillis = timeOfDayMillis.getAsLong();
     }
 
     /**
@@ -37,8 +34,10 @@
      */
     boolean check() {
         long now = clock.getAsLong();
-        boolean isLate = now - checkedAt >= MIN_STALL_NANOS;
+        long nowMillis = timeOfDayMillis.getAsLong();
+        long elapsed = Math.max(now - checkedAt, TimeUnit.MILLISECONDS.toNanos(nowMillis - checkedAtMillis));
         checkedAt = now;
-        return suspensions.detectSuspension() || isLate;
+        checkedAtMillis = nowMillis;
+        return elapsed >= StandbyTimes.MIN_STALL_NANOS;
     }
 }
--- a/library/src/main/java/org/copperspindle/standby/StandbyDispatchers.java
+++ b/library/src/main/java/org/copperspindle/standby/StandbyDispatchers.java
@@ -1,6 +1,5 @@
 package org.copperspindle.standby;
 
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -29,27 +28,12 @@
 
     private static final Logger LOGGER = LogManager.getLogger(StandbyDispatchers.class);
 
-    /** Interval between checks for silence; it delays a takeover by less than a tenth of the silence. */
-    private static final long CHECK_INTERVAL_NANOS = Duration.ofMillis(20).toNanos();
-
-    /** Checks per heartbeat: heartbeats are sent every 80 ms, three of them within the tolerated silence. */
-    private static final int CHECKS_PER_HEARTBEAT = 4;
-
     /**
      * Heartbeats after which the roles are evaluated again without an event: reachability through other nodes changes
      * without one. An evaluation compares all nodes for each pool.
      */
     private static final int HEARTBEATS_PER_EVALUATION = 5;
 
-    /**
-     * Time after a stall in which no calls are started for other nodes: an announcement of a takeover is repeated every
-     * 80 ms, and the one that was missed is followed by another within this time.
-     */
-    private static final long STALL_HOLD_NANOS = Duration.ofMillis(160).toNanos();
-
-    /** Time after the end of a takeover in which the dispatcher may still forward its announcement. */
-    private static final long LATE_FORWARD_NANOS = Duration.ofMillis(160).toNanos();
-
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
     private final MeshRelay relay;
@@ -109,8 +93,8 @@
     /** Starts the heartbeats and the checks for silent dispatchers. */
     public void start() {
         checkForStall();
-        boolean isHeartbeatDue = checks % CHECKS_PER_HEARTBEAT == 0;
-        boolean isEvaluationDue = checks % (CHECKS_PER_HEARTBEAT * HEARTBEATS_PER_EVALUATION) == 0;
+        boolean isHeartbeatDue = checks % StandbyTimes.CHECKS_PER_HEARTBEAT == 0;
+        boolean isEvaluationDue = checks % (StandbyTimes.CHECKS_PER_HEARTBEAT * HEARTBEATS_PER_EVALUATION) == 0;
         checks++;
         if (isHeartbeatDue) {
             evaluateRoles(isEvaluationDue);
@@ -121,7 +105,7 @@
             Map.copyOf(active).forEach(this::announce);
         }
         acting.removeInvalid();
-        timers.schedule(CHECK_INTERVAL_NANOS, this::start);
+        timers.schedule(StandbyTimes.CHECK_INTERVAL_NANOS, this::start);
     }
 
     /**
@@ -213,7 +197,8 @@
             return;
         }
         Long ended = endedAt.get(pool);
-        boolean isLate = isForwarded && ended != null && now - ended < LATE_FORWARD_NANOS;
+        // The dispatcher may still forward an announcement a moment after the takeover has ended.
+        boolean isLate = isForwarded && ended != null && now - ended < StandbyTimes.ANNOUNCEMENT_WAIT_NANOS;
         if (isLate || standby.equals(self)) {
             return;
         }
@@ -329,7 +314,7 @@
         if (!stalls.check()) {
             return;
         }
-        heldUntil = timers.nanoTime() + STALL_HOLD_NANOS;
+        heldUntil = timers.nanoTime() + StandbyTimes.ANNOUNCEMENT_WAIT_NANOS;
         heartbeats.clear();
         List.copyOf(active.keySet()).forEach(pool -> returnPool(pool, "stalled"));
     }
