--- a/library/src/main/java/org/copperspindle/batch/PieceResult.java
+++ b/library/src/main/java/org/copperspindle/batch/PieceResult.java
@@ -16,6 +16,15 @@
     private static final MessageCodec<PieceResult> CODEC =
             MessageCodec.of(231, PieceResult.class, PieceResult::write, PieceResult::read);
 
+    /**
+     * Returns the result that is reported to the request. A piece for which there was no room was requeued unless its
+     * inputs have been released; sent again without them, the next call would only report them as gone.
+     */
+    static PieceResult reported(int piece, PieceOutcome outcome) {
+        boolean isWithoutRoom = outcome.isMissedFor(MissReason.NO_ROOM);
+        return new PieceResult(piece, isWithoutRoom ? new PieceOutcome.Missed(MissReason.INPUT_GONE) : outcome);
+    }
+
     byte[] encode() {
         return CODEC.encode(this);
     }
--- a/library/src/main/java/org/copperspindle/batch/PoolDispatcher.java
+++ b/library/src/main/java/org/copperspindle/batch/PoolDispatcher.java
@@ -402,7 +402,7 @@
                 failed.add(task);
             } else if (outcome instanceof PieceOutcome.Made || !task.group().isWithdrawn()) {
                 finished.computeIfAbsent(task.group(), g -> new ArrayList<>())
-                        .add(new PieceResult(task.piece(), reportedOutcome(outcome)));
+                        .add(PieceResult.reported(task.piece(), outcome));
             }
         }
         logMissingRoom(upstream, outcomes, now);
@@ -437,14 +437,6 @@
         }
     }
 
-    /**
-     * Returns the outcome that is reported to the request. A piece for which there was no room was requeued unless
-     * its inputs have been released; sent again without them, the next call would only report them as gone.
-     */
-    private static PieceOutcome reportedOutcome(PieceOutcome outcome) {
-        return outcome.isMissedFor(MissReason.NO_ROOM) ? new PieceOutcome.Missed(MissReason.INPUT_GONE) : outcome;
-    }
-
     private void onMade(StageUpstream upstream, PieceTask task, PieceOutcome.Made made, long now) {
         long retention = limits.get().map(BatchLimits::resultRetentionNanos).orElse(0L);
         upstream.addResult(task.group(), made.handle(), task.group().group().resultBytes(), now + retention);
