--- a/library/src/main/java/org/copperspindle/batch/PieceQueue.java
+++ b/library/src/main/java/org/copperspindle/batch/PieceQueue.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
+import java.util.function.Supplier;
 import java.util.stream.Collectors;
 
 import org.copperspindle.route.BatchLimits;
@@ -42,6 +43,17 @@
     private int resumedGroups;
     private int splitGroups;
     private long splits;
+    private Supplier<Predicate<WaitingGroup>> startable = () -> group -> true;
+
+    /** Sets which groups may be taken for calls, evaluated for each call; the others stay in the queue. */
+    void takeOnly(Supplier<Predicate<WaitingGroup>> groupsToStart) {
+        startable = groupsToStart;
+    }
+
+    /** Returns whether a call may be started for a group. */
+    boolean isStartable(WaitingGroup group) {
+        return startable.get().test(group);
+    }
 
     /** Sets whether the pool is short of capacity, so that calls are filled; without it, it never is. */
     void fillCallsWhile(BooleanSupplier poolIsShort) {
@@ -72,11 +84,15 @@
 
     /** Removes and cancels a group; returns it if it was waiting here. */
     Optional<WaitingGroup> cancel(String origin, long id) {
+        Optional<WaitingGroup> group = remove(origin, id);
+        group.ifPresent(WaitingGroup::cancel);
+        return group;
+    }
+
+    /** Removes a group; returns it if it was waiting here. */
+    Optional<WaitingGroup> remove(String origin, long id) {
         Optional<WaitingGroup> group = Optional.ofNullable(groups.remove(key(origin, id)));
-        group.ifPresent(cancelled -> {
-            count(cancelled, -1);
-            cancelled.cancel();
-        });
+        group.ifPresent(removed -> count(removed, -1));
         return group;
     }
 
@@ -145,14 +161,15 @@
      * @return the pieces; none if nothing fits
      */
     List<PieceTask> take(BatchLimits limits, CallBounds bounds, long now, Predicate<WaitingGroup> prefers) {
-        if (!hasMemoryForAny(bounds.bytes())) {
+        List<WaitingGroup> candidates = find(startable.get());
+        if (!hasMemoryForAny(candidates, bounds.bytes())) {
             return List.of();
         }
         boolean fills = fillsCalls && bounds.pieces() >= limits.maxPieces();
-        Set<WaitingGroup> preferred = groups.values().stream()
+        Set<WaitingGroup> preferred = candidates.stream()
                 .filter(group -> group.isSplit() || prefers.test(group))
                 .collect(Collectors.toCollection(LinkedHashSet::new));
-        List<WaitingGroup> order = new ArrayList<>(bounds.takesAll() ? groups.values() : preferred);
+        List<WaitingGroup> order = new ArrayList<>(bounds.takesAll() ? candidates : preferred);
         // Filled calls take their full duration: groups with less time left would be late in all of them.
         long call = fills ? limits.fullCallNanos() : halfCallNanos(limits);
         order.sort(byUrgency(limits, (long) (call * bounds.pace()), now, preferred));
@@ -169,8 +186,8 @@
         return taken;
     }
 
-    private boolean hasMemoryForAny(long bytes) {
-        return groups.values().stream().anyMatch(group -> group.group().resultBytes() <= Math.max(0, bytes));
+    private static boolean hasMemoryForAny(List<WaitingGroup> candidates, long bytes) {
+        return candidates.stream().anyMatch(group -> group.group().resultBytes() <= Math.max(0, bytes));
     }
 
     private static boolean staysTogether(WaitingGroup group, BatchLimits limits, long now) {
@@ -209,7 +226,8 @@
      * @return the pieces; none if nothing fits
      */
     List<PieceTask> takeResumed(BatchLimits limits, CallBounds bounds, long now) {
-        List<WaitingGroup> order = new ArrayList<>(find(group -> group.isResumedInTime(limits, now)));
+        List<WaitingGroup> order =
+                new ArrayList<>(find(startable.get().and(group -> group.isResumedInTime(limits, now))));
         order.sort(byUrgency(limits, (long) (halfCallNanos(limits) * bounds.pace()), now, Set.of()));
         List<PieceTask> taken = RESUMED_CALLS.pack(order, limits, bounds);
         remove(taken);
@@ -227,6 +245,7 @@
     List<PieceTask> takeLeastUrgent(BatchLimits limits, long bytes, long now) {
         CallBounds bounds = new CallBounds(limits.maxPieces(), bytes, true, UpstreamPace.USUAL);
         Optional<WaitingGroup> last = groups.values().stream()
+                .filter(startable.get())
                 .filter(g -> g.missing().size() <= limits.maxPieces() && g.resultBytes() <= bytes)
                 .max(byUrgency(limits, halfCallNanos(limits), now, Set.of()));
         List<PieceTask> taken = WHOLE_GROUPS.pack(last.stream().toList(), limits, bounds);
--- a/library/src/main/java/org/copperspindle/batch/PoolDispatcher.java
+++ b/library/src/main/java/org/copperspindle/batch/PoolDispatcher.java
@@ -7,9 +7,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -82,8 +84,10 @@
         this.log = log;
         this.upstreams = new PoolUpstreams(pool, directory);
         this.nearUpstreams = new NearUpstreams(directory, upstreams);
+        // A standby is asked to release results before it dispatches anything.
+        upstreams.refresh();
         this.releaser = new ResultReleaser(upstreams, timers, port, this::dispatch);
-        this.inputs = new InputReleaser(pool, timers, sink);
+        this.inputs = new InputReleaser(pool, timers, sink, queue::isStartable);
         this.wake = new DeferredTask(timers, this::dispatch);
     }
 
@@ -117,6 +121,12 @@
         return this;
     }
 
+    /** Sets the groups for which a call may be started, evaluated for each call; other groups wait. */
+    PoolDispatcher startOnlyFor(Supplier<Predicate<WaitingGroup>> groups) {
+        queue.takeOnly(groups);
+        return this;
+    }
+
     void add(String origin, PieceGroup group) {
         queue.add(new WaitingGroup(origin, group, timers.nanoTime()));
         dispatch();
@@ -125,19 +135,43 @@
     /**
      * Drops all groups of other nodes; results of their running calls are released as they arrive.
      *
-     * @param self the node whose groups are kept
+     * @param self       the node whose groups are kept
+     * @param keepInputs true if the node that dispatches them now needs their inputs
      * @return number of dropped groups
      */
-    int dropGroupsOfOthers(String self) {
+    int dropGroupsOfOthers(String self, boolean keepInputs) {
         Predicate<WaitingGroup> isOther = group -> !group.origin().equals(self) && !group.isCancelled();
         List<WaitingGroup> waiting = queue.find(isOther);
         List<WaitingGroup> inProgress =
                 running.keySet().stream().filter(isOther).toList();
+        if (keepInputs) {
+            waiting.forEach(WaitingGroup::withdraw);
+            inProgress.forEach(WaitingGroup::withdraw);
+        }
         waiting.forEach(group -> cancel(group.origin(), group.group().id()));
         inProgress.forEach(WaitingGroup::cancel);
         return waiting.size() + inProgress.size();
     }
 
+    /**
+     * Drops a group that another node dispatches now. Results of its running pieces are delivered, and its inputs are
+     * not released.
+     *
+     * @param origin the node that submitted it
+     * @param id     its id
+     */
+    void withdraw(String origin, long id) {
+        queue.remove(origin, id).ifPresent(WaitingGroup::withdraw);
+        running.keySet().stream()
+                .filter(g -> g.origin().equals(origin) && g.group().id() == id)
+                .forEach(WaitingGroup::withdraw);
+    }
+
+    /** Returns the nodes whose groups wait here. */
+    Set<String> waitingOrigins() {
+        return queue.find(group -> true).stream().map(WaitingGroup::origin).collect(Collectors.toSet());
+    }
+
     /** Cancels a group: drops its waiting pieces; the results of running ones are released when they arrive. */
     void cancel(String origin, long id) {
         queue.cancel(origin, id).ifPresent(inputs::release);
@@ -167,6 +201,11 @@
         releaser.add(handles);
     }
 
+    /** Accounts for results that another node releases. */
+    void recordReleased(List<String> handles) {
+        releaser.recordReleased(handles);
+    }
+
     /** Sends waiting pieces to free upstreams. Also called when the upstreams of the pool changed. */
     void dispatch() {
         Optional<BatchLimits> known = limits.get();
@@ -383,9 +422,9 @@
                 requeue(task);
             } else if (outcome.isMissedFor(MissReason.FAILED)) {
                 failed.add(task);
-            } else {
+            } else if (outcome instanceof PieceOutcome.Made || !task.group().isWithdrawn()) {
                 finished.computeIfAbsent(task.group(), g -> new ArrayList<>())
-                        .add(new PieceResult(task.piece(), reportedOutcome(outcome)));
+                        .add(PieceResult.reported(task.piece(), outcome));
             }
         }
         logMissingRoom(upstream, outcomes, now);
@@ -420,14 +459,6 @@
         }
     }
 
-    /**
-     * Returns the outcome that is reported to the request. A piece for which there was no room was requeued unless
-     * its inputs have been released; sent again without them, the next call would only report them as gone.
-     */
-    private static PieceOutcome reportedOutcome(PieceOutcome outcome) {
-        return outcome.isMissedFor(MissReason.NO_ROOM) ? new PieceOutcome.Missed(MissReason.INPUT_GONE) : outcome;
-    }
-
     private void onMade(StageUpstream upstream, PieceTask task, PieceOutcome.Made made, long now) {
         long retention = limits.get().map(BatchLimits::resultRetentionNanos).orElse(0L);
         upstream.addResult(task.group(), made.handle(), task.group().group().resultBytes(), now + retention);
@@ -453,7 +484,7 @@
     }
 
     private void requeue(PieceTask task) {
-        if (!task.group().isCancelled()) {
+        if (!task.group().isDropped()) {
             task.group().missing().add(task.piece());
             queue.add(task.group());
         }
@@ -461,13 +492,10 @@
 
     private void reportMissed(WaitingGroup group, List<Integer> pieces, MissReason reason) {
         inputs.release(group);
-        if (group.isCancelled() || pieces.isEmpty()) {
+        if (group.isDropped() || pieces.isEmpty()) {
             return;
         }
-        List<PieceResult> results = pieces.stream()
-                .map(piece -> new PieceResult(piece, new PieceOutcome.Missed(reason)))
-                .toList();
-        sink.deliver(group.origin(), new PieceResultsMessage(group.group().id(), results));
+        sink.deliver(group.origin(), PieceResultsMessage.missed(group.group().id(), pieces, reason));
     }
 
     /**
@@ -479,25 +507,4 @@
             wake.schedule(BUSY_PAUSE_NANOS);
         }
     }
-
-    /**
-     * Delivers outcomes to the node that waits for them, and releases inputs at the dispatchers of the pools that
-     * produced them.
-     */
-    interface ResultSink {
-        /**
-         * Delivers outcomes.
-         *
-         * @param origin  node that submitted the group
-         * @param results the outcomes
-         */
-        void deliver(String origin, PieceResultsMessage results);
-
-        /**
-         * Releases results of other pools.
-         *
-         * @param handles their handles
-         */
-        void release(List<String> handles);
-    }
 }
--- a/library/src/main/java/org/copperspindle/batch/WaitingGroup.java
+++ b/library/src/main/java/org/copperspindle/batch/WaitingGroup.java
@@ -39,6 +39,7 @@
     private long sentAt;
     private boolean split;
     private boolean cancelled;
+    private boolean withdrawn;
     private boolean inputsReleased;
 
     WaitingGroup(String origin, PieceGroup group, long now) {
@@ -137,6 +138,14 @@
         return split;
     }
 
+    /**
+     * Gives the group to another node: pieces that run here are still delivered, but none is started or reported as
+     * missed, and the inputs are not released here any more.
+     */
+    void withdraw() {
+        withdrawn = true;
+    }
+
     /** Records that pieces of the group are sent in a call. */
     void markSent(long now) {
         sentAt = now;
@@ -149,7 +158,7 @@
 
     /** Takes the inputs to release, once; empty if others read them too. */
     List<String> takeInputs() {
-        if (inputsReleased || !group.ownsInputs()) {
+        if (inputsReleased || withdrawn || !group.ownsInputs()) {
             return List.of();
         }
         inputsReleased = true;
@@ -165,6 +174,16 @@
         return cancelled;
     }
 
+    /** Returns whether another node dispatches the group, which runs the pieces without a result. */
+    boolean isWithdrawn() {
+        return withdrawn;
+    }
+
+    /** Returns whether pieces without a result are of no concern here any more. */
+    boolean isDropped() {
+        return cancelled || withdrawn;
+    }
+
     /**
      * Restricts the group to share calls only with groups of one partition, one of which may have crashed an
      * upstream.
--- a/library/src/test/java/org/copperspindle/admission/FleetStageStartsTest.java
+++ b/library/src/test/java/org/copperspindle/admission/FleetStageStartsTest.java
@@ -274,20 +274,23 @@
     }
 
     /**
-     * The controller is lost or replaced while requests wait there: they wait at the next one, and the earlier one can
-     * no longer start them.
+     * The controller is lost, replaced or taken over while requests wait there: they wait at the next one, and the
+     * earlier one can no longer start them. After a takeover they must not wait for the next evaluation.
      */
     @ParameterizedTest
-    @ValueSource(booleans = {true, false})
-    void waitingRequestsAreSentToTheNextController(boolean lost) {
+    @ValueSource(strings = {"lost", "replaced", "taken over"})
+    void waitingRequestsAreSentToTheNextController(String cause) {
         starts.request(request(), 7, listener);
         respond(first, 7, StartResponseMessage.QUEUED, 0);
         controller = SECOND;
-        if (lost) {
+        if (cause.equals("lost")) {
             mesh.onClose(first);
             time.advance(0);
         } else {
-            time.advance(80 * MILLI);
+            if (cause.equals("taken over")) {
+                starts.updateControllers();
+            }
+            time.advance(cause.equals("taken over") ? 0 : 80 * MILLI);
             assertThat(first.sent(StartCancelMessage.class)).hasSize(1);
             respond(first, 7, StartResponseMessage.START, 0);
         }
--- a/library/src/test/java/org/copperspindle/batch/ChainReplay.java
+++ b/library/src/test/java/org/copperspindle/batch/ChainReplay.java
@@ -268,7 +268,7 @@
         }
     }
 
-    private final class Pool implements StagePort, PoolDispatcher.ResultSink {
+    private final class Pool implements StagePort, ResultSink {
         private final int stage;
         private final Stage spec;
         private final BatchLimits limits;
--- a/library/src/test/java/org/copperspindle/gateway/PlacementReplay.java
+++ b/library/src/test/java/org/copperspindle/gateway/PlacementReplay.java
@@ -209,7 +209,12 @@
         long now = time.nanoTime();
         long left = leftTime.next(random) * MILLI;
         RequestTimes times = new RequestTimes(
-                now + left - OBJECTIVE_MILLIS * MILLI, now + left, now + 20_000 * MILLI, now + 6000 * MILLI, false);
+                now + left - OBJECTIVE_MILLIS * MILLI,
+                now + left,
+                now + 20_000 * MILLI,
+                now + 6000 * MILLI,
+                false,
+                false);
         AdmittedRequest admitted = new AdmittedRequest(
                 request, TestRoutes.table(1, List.of(ROUTE), List.of(POOL)), ROUTE, Optional.empty(), "p", times);
         Sent sent = new Sent(request, now, left, isDigest ? DIGEST_EVENTS : DRAFT_EVENTS);
--- a/library/src/test/java/org/copperspindle/gateway/ResumedStreamTest.java
+++ b/library/src/test/java/org/copperspindle/gateway/ResumedStreamTest.java
@@ -398,7 +398,7 @@
         stream.caller().leave();
         assertThat(stream.outcome()).isEqualTo("caller-left");
         assertThat(stream.dispatcher().sent(PieceCancelMessage.class))
-                .containsExactly(new PieceCancelMessage(stream.groups().get(1).id()));
+                .containsExactly(new PieceCancelMessage(stream.groups().get(1).id(), false));
         stream.makeResults();
         stream.advance(10_000);
         assertThat(stream.engines().count()).isEqualTo(1);
