--- a/library/src/main/java/org/copperspindle/batch/PoolDispatcher.java
+++ b/library/src/main/java/org/copperspindle/batch/PoolDispatcher.java
@@ -13,8 +13,6 @@
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
 
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
 import org.copperspindle.discovery.UpstreamDirectory;
 import org.copperspindle.measure.LogRateLimiter;
 import org.copperspindle.route.BatchLimits;
@@ -29,8 +27,6 @@
  */
 final class PoolDispatcher {
 
-    private static final Logger LOGGER = LogManager.getLogger(PoolDispatcher.class);
-
     /** Added to the timeout of a call, for fetching inputs over loaded links and for retransmitted packets. */
     private static final Duration FETCH_ALLOWANCE = Duration.ofMillis(250);
 
@@ -54,7 +50,7 @@
     private final StagePort port;
     private final Supplier<Optional<BatchLimits>> limits;
     private final ResultSink sink;
-    private final LogRateLimiter log;
+    private final StageCallLogger callLogger;
     private final PieceQueue queue = new PieceQueue();
     private final PoolUpstreams upstreams;
     private final Map<WaitingGroup, Integer> running = new HashMap<>();
@@ -81,7 +77,7 @@
         this.port = port;
         this.limits = limits;
         this.sink = sink;
-        this.log = log;
+        this.callLogger = new StageCallLogger(pool, log);
         this.upstreams = new PoolUpstreams(pool, directory);
         this.nearUpstreams = new NearUpstreams(directory, upstreams);
         // A standby is asked to release results before it dispatches anything.
@@ -306,20 +302,7 @@
         resumedCalls.onSent(resumedOnly);
         double pace = upstreams.pace(upstream, now);
         long timeout = upstream.timeoutNanos(expected, pace) / NANOS_PER_MILLI + FETCH_ALLOWANCE.toMillis();
-        if (log.allowsServed(now)) {
-            LOGGER.info(
-                    "event=stage-call pool={} upstream={} pieces={} split={} waiting={} room_left={} requests={}",
-                    pool,
-                    upstream.announced().id(),
-                    tasks.size(),
-                    tasks.stream().filter(PieceTask::isOfSplitGroup).count(),
-                    queue.pieces(),
-                    upstream.freeMemory(known, now),
-                    tasks.stream()
-                            .map(t -> t.group().group().requestId())
-                            .distinct()
-                            .toList());
-        }
+        callLogger.sent(upstream, tasks, queue.pieces(), upstream.freeMemory(known, now), now);
         port.run(
                 upstream.announced(),
                 tasks.stream().map(task -> task.toItem(now)).toList(),
@@ -358,12 +341,7 @@
 
     private void onRefused(StageUpstream upstream, List<PieceTask> tasks, StageCallResult.NotRun notRun, long now) {
         upstream.onRefused(now, upstreams.isCold(upstream, now) ? StageUpstream.COLD_PAUSE_NANOS : BUSY_PAUSE_NANOS);
-        LOGGER.info(
-                "event=stage-call-refused pool={} upstream={} pieces={} reason={}",
-                pool,
-                upstream.announced().id(),
-                tasks.size(),
-                notRun.reason());
+        callLogger.refused(upstream, tasks.size(), notRun.reason());
         tasks.forEach(this::requeue);
     }
 
@@ -380,14 +358,7 @@
         } else {
             pause = upstream.onLost(timers.nanoTime());
         }
-        LOGGER.warn(
-                "event=stage-call-lost pool={} upstream={} pieces={} reason={} took_ms={} pause_ms={}",
-                pool,
-                upstream.announced().id(),
-                tasks.size(),
-                lost.reason(),
-                tookNanos / NANOS_PER_MILLI,
-                pause / NANOS_PER_MILLI);
+        callLogger.lost(upstream, tasks.size(), lost.reason(), tookNanos, pause);
         if (lost.connectionLost()) {
             splitter.split(tasks);
         }
@@ -397,12 +368,7 @@
     private void recordSpeed(StageUpstream upstream, long now) {
         boolean slow = upstreams.isSlow(upstream, now);
         if (upstream.recordSpeed(slow, now)) {
-            LOGGER.info(
-                    "event=stage-upstream-{} pool={} upstream={} slowness={}",
-                    slow ? "slow" : "sound",
-                    pool,
-                    upstream.announced().id(),
-                    Math.round(upstream.slowness() * 10) / 10.0);
+            callLogger.speedChanged(upstream, slow);
         }
     }
 
@@ -427,7 +393,9 @@
                         .add(PieceResult.reported(task.piece(), outcome));
             }
         }
-        logMissingRoom(upstream, outcomes, now);
+        long freeBytes =
+                limits.get().map(known -> upstream.freeMemory(known, now)).orElse(0L);
+        callLogger.withoutRoom(upstream, outcomes, freeBytes, now);
         if (failed.size() * 2 > tasks.size()) {
             // A single failed piece may be accidental. An upstream that fails most pieces must not get the same ones
             // again at once.
@@ -444,21 +412,6 @@
         });
     }
 
-    private void logMissingRoom(StageUpstream upstream, List<PieceOutcome> outcomes, long now) {
-        long missedCount = outcomes.stream()
-                .filter(outcome -> outcome.isMissedFor(MissReason.NO_ROOM))
-                .count();
-        if (missedCount > 0 && log.allowsFailed(now)) {
-            LOGGER.info(
-                    "event=stage-call-without-room pool={} upstream={} pieces={} missed={} room_left={}",
-                    pool,
-                    upstream.announced().id(),
-                    outcomes.size(),
-                    missedCount,
-                    limits.get().map(known -> upstream.freeMemory(known, now)).orElse(0L));
-        }
-    }
-
     private void onMade(StageUpstream upstream, PieceTask task, PieceOutcome.Made made, long now) {
         long retention = limits.get().map(BatchLimits::resultRetentionNanos).orElse(0L);
         upstream.addResult(task.group(), made.handle(), task.group().group().resultBytes(), now + retention);
