Cache the roles of nodes in pools between changes of membership

The choice of a dispatcher compares all nodes. The tests of ActingDispatchers report changes of membership, since a changed choice is noticed with such an event.

--- a/library/src/main/java/org/copperspindle/standby/ActingDispatchers.java
+++ b/library/src/main/java/org/copperspindle/standby/ActingDispatchers.java
@@ -23,6 +23,7 @@
     static final long VALIDITY_NANOS = Duration.ofMillis(800).toNanos();
 
     private final DispatcherChoice choice;
+    private final RolesCache roles;
     private final String self;
     private final LongSupplier clock;
     private final Map<String, Takeover> takeovers = new HashMap<>();
@@ -40,6 +41,7 @@
      */
     public ActingDispatchers(DispatcherChoice choice, String self, LongSupplier clock) {
         this.choice = choice;
+        this.roles = new RolesCache(choice);
         this.self = self;
         this.clock = clock;
     }
@@ -60,9 +62,9 @@
      * @return name of the node
      */
     public String of(String pool) {
-        String chosen = choice.dispatcherNode(pool);
         Takeover takeover = takeovers.get(pool);
-        return takeover != null && isValid(takeover, chosen) ? takeover.standby() : chosen;
+        boolean isValid = takeover != null && isValid(takeover, roles.of(pool).dispatcher());
+        return isValid ? takeover.standby() : choice.dispatcherNode(pool);
     }
 
     /**
@@ -125,6 +127,16 @@
         return choice;
     }
 
+    /** Returns the roles in the pools as of the last change of membership. */
+    RolesCache roles() {
+        return roles;
+    }
+
+    /** Returns whether any takeover is known. */
+    boolean hasTakeovers() {
+        return !takeovers.isEmpty();
+    }
+
     /** Sets whether groups of other nodes must wait in a pool because this process stood still a moment ago. */
     void holdAfterStallWhile(Predicate<String> isHeld) {
         isHeldAfterStall = isHeld;
@@ -174,7 +186,7 @@
             return;
         }
         Map.copyOf(takeovers).forEach((pool, takeover) -> {
-            String chosen = choice.dispatcherNode(pool);
+            String chosen = roles.of(pool).dispatcher();
             if (isValid(takeover, chosen)) {
                 return;
             }
@@ -199,7 +211,7 @@
     private boolean isValid(Takeover takeover, String chosen) {
         return !takeover.isExpired(clock.getAsLong())
                 && isOfCurrentProcess(takeover, chosen)
-                && (takeover.standby().equals(self) || choice.canReach(takeover.standby()));
+                && (takeover.standby().equals(self) || roles.canReach(takeover.standby()));
     }
 
     private boolean isOfCurrentProcess(Takeover takeover, String chosen) {
--- a/library/src/main/java/org/copperspindle/standby/StallDetector.java
+++ b/library/src/main/java/org/copperspindle/standby/StallDetector.java
@@ -15,7 +15,7 @@
     private long checkedAtMillis;
 
     /**
-     * Creates a detector. It must be checked at the interval at which standbys check for silence.
+     * Creates a detector. It must be checked at least once in every heartbeat interval.
      *
      * @param clock           monotonic time in nanoseconds
      * @param timeOfDayMillis time of day in milliseconds
--- a/library/src/main/java/org/copperspindle/standby/StandbyDispatchers.java
+++ b/library/src/main/java/org/copperspindle/standby/StandbyDispatchers.java
@@ -41,6 +41,7 @@
     private final TimerService timers;
     private final ActingDispatchers acting;
     private final DispatcherChoice choice;
+    private final RolesCache roles;
     private final long incarnation;
     private final Supplier<Set<String>> pools;
     private final BooleanSupplier isIsolated;
@@ -53,7 +54,8 @@
     private Map<String, List<String>> poolsByStandby = Map.of();
     private Set<String> evaluatedPools = Set.of();
     private boolean rolesMayHaveChanged = true;
-    private long checks;
+    private long intervals;
+    private boolean isCheckScheduled;
     private long heldUntil;
 
     /**
@@ -80,6 +82,7 @@
         this.timers = timers;
         this.acting = acting;
         this.choice = acting.choice();
+        this.roles = acting.roles();
         this.incarnation = relay.mesh().incarnation();
         this.pools = pools;
         this.isIsolated = isIsolated;
@@ -93,19 +96,33 @@
     /** Starts the heartbeats and the checks for silent dispatchers. */
     public void start() {
         checkForStall();
-        boolean isHeartbeatDue = checks % StandbyTimes.CHECKS_PER_HEARTBEAT == 0;
-        boolean isEvaluationDue = checks % (StandbyTimes.CHECKS_PER_HEARTBEAT * HEARTBEATS_PER_EVALUATION) == 0;
-        checks++;
-        if (isHeartbeatDue) {
-            evaluateRoles(isEvaluationDue);
-            poolsByStandby.forEach((standby, names) -> relay.send(standby, new DispatcherHeartbeatMessage(names)));
-        }
+        // Reachability through other nodes changes without an event.
+        roles.clearReachability();
+        evaluateRoles(intervals % HEARTBEATS_PER_EVALUATION == 0);
+        intervals++;
+        poolsByStandby.forEach((standby, names) -> relay.send(standby, new DispatcherHeartbeatMessage(names)));
+        checkPools();
+        Map.copyOf(active).forEach(this::announce);
+        timers.schedule(StandbyTimes.HEARTBEAT_INTERVAL_NANOS, this::start);
+    }
+
+    /** Checks for silence and for the end of takeovers, at short intervals only while there is anything to check. */
+    private void checkPools() {
         List.copyOf(heartbeats.keySet()).forEach(this::checkPool);
-        if (isHeartbeatDue) {
-            Map.copyOf(active).forEach(this::announce);
-        }
         acting.removeInvalid();
-        timers.schedule(StandbyTimes.CHECK_INTERVAL_NANOS, this::start);
+        scheduleCheck();
+    }
+
+    private void scheduleCheck() {
+        if (isCheckScheduled || heartbeats.isEmpty() && !acting.hasTakeovers()) {
+            return;
+        }
+        isCheckScheduled = true;
+        timers.schedule(StandbyTimes.CHECK_INTERVAL_NANOS, () -> {
+            isCheckScheduled = false;
+            checkForStall();
+            checkPools();
+        });
     }
 
     /**
@@ -119,18 +136,26 @@
 
     @Override
     public void onNodeUp(MeshNode node) {
-        rolesMayHaveChanged = true;
+        onMembershipChange();
     }
 
     @Override
     public void onNodeDown(MeshNode node) {
-        rolesMayHaveChanged = true;
+        checkForStall();
+        onMembershipChange();
         acting.removeInvalid();
+        // The choice learns of the lost node only after this listener.
+        roles.clear();
     }
 
     @Override
     public void onHello(MeshNode node) {
+        onMembershipChange();
+    }
+
+    private void onMembershipChange() {
         rolesMayHaveChanged = true;
+        roles.clear();
     }
 
     @Override
@@ -149,7 +174,7 @@
         Set<String> known = pools.get();
         boolean isForeign = message.pools().isEmpty();
         for (String pool : message.pools()) {
-            if (!known.contains(pool) || !choice.dispatcherNode(pool).equals(node)) {
+            if (!known.contains(pool) || !roles.of(pool).dispatcher().equals(node)) {
                 isForeign = true;
                 continue;
             }
@@ -168,7 +193,7 @@
             drop(node, "takeover", "malformed");
             return;
         }
-        String dispatcher = choice.dispatcherNode(pool);
+        String dispatcher = roles.of(pool).dispatcher();
         if (node.equals(dispatcher) && !dispatcher.equals(message.dispatcher())) {
             // The sender has not yet seen that membership designates it.
             return;
@@ -177,7 +202,7 @@
             drop(node, "takeover", "other-dispatcher");
             return;
         }
-        String standby = choice.standbyNode(pool).orElse("");
+        String standby = roles.of(pool).standby().orElse("");
         boolean isForwarded = node.equals(dispatcher);
         if (standby.isEmpty() || !isForwarded && !standby.equals(node)) {
             drop(node, "takeover", "not-standby");
@@ -218,11 +243,14 @@
             end(pool, "table");
             return;
         }
-        PoolRoles roles = PoolRoles.of(pool, choice);
         boolean isolated = isIsolated.getAsBoolean();
+        if (takeover == null && isolated) {
+            return;
+        }
+        PoolRoles present = roles.of(pool);
         TakeoverDecision decision = takeover == null
-                ? TakeoverPolicy.beforeTakeover(history, roles, self, isolated, now)
-                : TakeoverPolicy.duringTakeover(history, roles, self, isolated, now);
+                ? TakeoverPolicy.beforeTakeover(history, present, self, isolated, now)
+                : TakeoverPolicy.duringTakeover(history, present, self, isolated, now);
         if (decision instanceof TakeoverDecision.TakeOver silence) {
             takeOver(pool, history, silence.silentNanos());
         } else if (decision instanceof TakeoverDecision.Return) {
@@ -296,11 +324,13 @@
             return;
         }
         rolesMayHaveChanged = false;
+        roles.clear();
         evaluatedPools = present;
         Map<String, List<String>> evaluated = new TreeMap<>();
         for (String pool : present) {
             if (choice.dispatcherNode(pool).equals(self)) {
-                choice.standbyNode(pool)
+                roles.of(pool)
+                        .standby()
                         .ifPresent(standby -> evaluated
                                 .computeIfAbsent(standby, name -> new ArrayList<>())
                                 .add(pool));
--- a/library/src/test/java/org/copperspindle/standby/ActingDispatchersTest.java
+++ b/library/src/test/java/org/copperspindle/standby/ActingDispatchersTest.java
@@ -59,6 +59,7 @@
         announce();
         if (lost) {
             choice.reachable = false;
+            acting.roles().clear();
         } else {
             time.advance(800 * MILLI);
         }
@@ -88,6 +89,7 @@
         } else {
             choice.dispatcher = "next";
         }
+        acting.roles().clear();
         assertThat(acting.of(POOL)).isEqualTo(choice.dispatcher);
         acting.removeInvalid();
         assertThat(moves).hasSize(1);
@@ -99,6 +101,7 @@
         announce();
         assertThat(acting.isHeld(POOL)).isFalse();
         choice.dispatcher = "self";
+        acting.roles().clear();
         acting.apply(POOL, new Takeover("self", 1, "standby", time.nanoTime() + ActingDispatchers.VALIDITY_NANOS));
         assertThat(acting.isHeld(POOL)).isTrue();
         assertThat(acting.isHeld("other")).isFalse();
@@ -106,6 +109,19 @@
         assertThat(acting.isHeld(POOL)).isFalse();
     }
 
+    /** Requests ask for the dispatcher many times in a second; comparing all nodes each time takes too long. */
+    @Test
+    void dispatcherIsChosenOnceInATakeoverWithoutChanges() {
+        announce();
+        choice.asked = 0;
+        for (int i = 0; i < 50; i++) {
+            time.advance(10 * MILLI);
+            acting.removeInvalid();
+            assertThat(acting.of(POOL)).isEqualTo("standby");
+        }
+        assertThat(choice.asked).isLessThanOrEqualTo(3);
+    }
+
     private int announce() {
         long validUntil = time.nanoTime() + ActingDispatchers.VALIDITY_NANOS;
         return acting.apply(POOL, new Takeover("dispatcher", 1, "standby", validUntil));
@@ -116,14 +132,17 @@
         private String dispatcher = "dispatcher";
         private long incarnation = 1;
         private boolean reachable = true;
+        private int asked;
 
         @Override
         public String dispatcherNode(String pool) {
+            asked++;
             return dispatcher;
         }
 
         @Override
         public Optional<String> standbyNode(String pool) {
+            asked++;
             return Optional.of("standby");
         }
 
@@ -134,6 +153,7 @@
 
         @Override
         public boolean canReach(String node) {
+            asked++;
             return reachable;
         }
 
