Accept the end of a takeover from the node that took over, and repeat it

An end was dropped if another node had become the standby meanwhile, and a lost end was not repeated: groups went to the former standby for up to 800 ms.

--- a/library/src/main/java/org/copperspindle/standby/ActingDispatchers.java
+++ b/library/src/main/java/org/copperspindle/standby/ActingDispatchers.java
@@ -170,6 +170,13 @@
         return isKnown ? 0 : move(pool, takeover.dispatcher(), takeover.standby());
     }
 
+    /** Returns whether the last takeover of a pool, which may have ended, is by a node against a dispatcher's process. */
+    boolean isLatest(String pool, String dispatcher, long incarnation, String standby) {
+        Takeover takeover = latest.get(pool);
+        return takeover != null
+                && takeover.isSameAs(new Takeover(dispatcher, incarnation, standby, takeover.validUntil()));
+    }
+
     /** Ends a takeover. Groups that wait at the standby stay there. */
     void end(String pool) {
         if (takeovers.remove(pool) != null) {
--- a/library/src/main/java/org/copperspindle/standby/StandbyDispatchers.java
+++ b/library/src/main/java/org/copperspindle/standby/StandbyDispatchers.java
@@ -34,6 +34,9 @@
      */
     private static final int HEARTBEATS_PER_EVALUATION = 5;
 
+    /** Repetitions of the end of a takeover: a node that misses it sends groups to the standby for up to 800 ms. */
+    private static final int END_REPETITIONS = 2;
+
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
     private final MeshRelay relay;
@@ -193,6 +196,11 @@
             drop(node, "takeover", "malformed");
             return;
         }
+        if (message.ends() && acting.isLatest(pool, message.dispatcher(), message.incarnation(), node)) {
+            // The node that took over ends it, although membership may have designated another standby meanwhile.
+            endAnnounced(pool);
+            return;
+        }
         String dispatcher = roles.of(pool).dispatcher();
         if (node.equals(dispatcher) && !dispatcher.equals(message.dispatcher())) {
             // The sender has not yet seen that membership designates it.
@@ -216,8 +224,7 @@
         long now = timers.nanoTime();
         if (message.ends()) {
             if (!isForwarded) {
-                endedAt.put(pool, now);
-                acting.end(pool);
+                endAnnounced(pool);
             }
             return;
         }
@@ -231,6 +238,11 @@
         acting.apply(pool, new Takeover(message.dispatcher(), message.incarnation(), standby, validUntil));
     }
 
+    private void endAnnounced(String pool) {
+        endedAt.put(pool, timers.nanoTime());
+        acting.end(pool);
+    }
+
     private void checkPool(String pool) {
         HeartbeatHistory history = heartbeats.get(pool);
         long now = timers.nanoTime();
@@ -286,7 +298,21 @@
     private void returnPool(String pool, String reason) {
         ActiveTakeover takeover = active.get(pool);
         end(pool, reason);
-        broadcast(takeover.message(pool, true));
+        TakeoverMessage end = takeover.message(pool, true);
+        broadcast(end);
+        repeatEnd(end, END_REPETITIONS);
+    }
+
+    private void repeatEnd(TakeoverMessage end, int remaining) {
+        timers.schedule(StandbyTimes.HEARTBEAT_INTERVAL_NANOS, () -> {
+            if (active.containsKey(end.pool())) {
+                return;
+            }
+            broadcast(end);
+            if (remaining > 1) {
+                repeatEnd(end, remaining - 1);
+            }
+        });
     }
 
     /**
--- a/library/src/test/java/org/copperspindle/batch/DispatcherTakeoverTest.java
+++ b/library/src/test/java/org/copperspindle/batch/DispatcherTakeoverTest.java
@@ -6,6 +6,7 @@
 import java.util.stream.Stream;
 
 import org.copperspindle.batch.TakeoverFleet.Submitted;
+import org.copperspindle.mesh.NodeHelloMessage;
 import org.copperspindle.standby.DispatcherHeartbeatMessage;
 import org.copperspindle.standby.TakeoverMessage;
 import org.junit.jupiter.api.AfterEach;
@@ -389,6 +390,40 @@
         assertThat(fleet.calls).hasSize(2).allMatch(call -> call.requests().size() >= 28);
     }
 
+    /**
+     * Another node has become the standby in the view of one node. It must accept the end from the node that took over,
+     * or it would send its groups there until the takeover expires.
+     */
+    @Test
+    void endIsAcceptedFromTheFormerStandby() {
+        fleet.advance(HEARTBEAT_MILLIS);
+        fleet.node(1).suspend(true);
+        fleet.advance(TAKEOVER_MILLIS);
+        assertThat(fleet.node(3).acting()).isEqualTo(STANDBY);
+        fleet.inject(2, 3, new NodeHelloMessage("127.0.0.1:9", "d", false, false, false, 0, "", 0, 0));
+        fleet.inject(2, 3, new TakeoverMessage(TakeoverFleet.POOL, DISPATCHER, 1, true));
+        fleet.advance(5);
+        assertThat(fleet.node(3).acting()).isEqualTo(DISPATCHER);
+        assertThat(fleet.node(3).standby.counters().droppedMessages()).isZero();
+    }
+
+    /** A node that misses the end of a takeover would send its groups to the standby until the takeover expires. */
+    @Test
+    void missedEndIsRepeated() {
+        fleet.advance(HEARTBEAT_MILLIS);
+        fleet.lose(message -> message.is(DispatcherHeartbeatMessage.class));
+        fleet.advance(TAKEOVER_MILLIS);
+        fleet.lose(message ->
+                message.to() == 4 && message.message() instanceof TakeoverMessage takeover && takeover.ends());
+        while (!fleet.node(3).acting().equals(DISPATCHER)) {
+            fleet.advance(1);
+        }
+        assertThat(fleet.node(4).acting()).isEqualTo(STANDBY);
+        fleet.lose(message -> false);
+        fleet.advance(82);
+        assertThat(fleet.node(4).acting()).isEqualTo(DISPATCHER);
+    }
+
     /** Wrong announcements must not send the groups of all nodes to a node that does not dispatch the pool. */
     @ParameterizedTest
     @MethodSource("unusable")
