--- a/library/src/main/java/org/copperspindle/standby/StandbyDispatchers.java
+++ b/library/src/main/java/org/copperspindle/standby/StandbyDispatchers.java
@@ -34,6 +34,9 @@
      */
     private static final int HEARTBEATS_PER_EVALUATION = 5;
 
+    /** Repetitions of the end of a takeover: a node that misses it sends groups to the standby for up to 800 ms. */
+    private static final int END_REPETITIONS = 2;
+
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
     private final MeshRelay relay;
@@ -41,6 +44,7 @@
     private final TimerService timers;
     private final ActingDispatchers acting;
     private final DispatcherChoice choice;
+    private final RolesCache roles;
     private final long incarnation;
     private final Supplier<Set<String>> pools;
     private final BooleanSupplier isIsolated;
@@ -53,7 +57,8 @@
     private Map<String, List<String>> poolsByStandby = Map.of();
     private Set<String> evaluatedPools = Set.of();
     private boolean rolesMayHaveChanged = true;
-    private long checks;
+    private long intervals;
+    private boolean isCheckScheduled;
     private long heldUntil;
 
     /**
@@ -80,6 +85,7 @@
         this.timers = timers;
         this.acting = acting;
         this.choice = acting.choice();
+        this.roles = acting.roles();
         this.incarnation = relay.mesh().incarnation();
         this.pools = pools;
         this.isIsolated = isIsolated;
@@ -93,19 +99,33 @@
     /** Starts the heartbeats and the checks for silent dispatchers. */
     public void start() {
         checkForStall();
-        boolean isHeartbeatDue = checks % StandbyTimes.CHECKS_PER_HEARTBEAT == 0;
-        boolean isEvaluationDue = checks % (StandbyTimes.CHECKS_PER_HEARTBEAT * HEARTBEATS_PER_EVALUATION) == 0;
-        checks++;
-        if (isHeartbeatDue) {
-            evaluateRoles(isEvaluationDue);
-            poolsByStandby.forEach((standby, names) -> relay.send(standby, new DispatcherHeartbeatMessage(names)));
-        }
+        // Reachability through other nodes changes without an event.
+        roles.clearReachability();
+        evaluateRoles(intervals % HEARTBEATS_PER_EVALUATION == 0);
+        intervals++;
+        poolsByStandby.forEach((standby, names) -> relay.send(standby, new DispatcherHeartbeatMessage(names)));
+        checkPools();
+        Map.copyOf(active).forEach(this::announce);
+        timers.schedule(StandbyTimes.HEARTBEAT_INTERVAL_NANOS, this::start);
+    }
+
+    /** Checks for silence and for the end of takeovers, at short intervals only while there is anything to check. */
+    private void checkPools() {
         List.copyOf(heartbeats.keySet()).forEach(this::checkPool);
-        if (isHeartbeatDue) {
-            Map.copyOf(active).forEach(this::announce);
-        }
         acting.removeInvalid();
-        timers.schedule(StandbyTimes.CHECK_INTERVAL_NANOS, this::start);
+        scheduleCheck();
+    }
+
+    private void scheduleCheck() {
+        if (isCheckScheduled || heartbeats.isEmpty() && !acting.hasTakeovers()) {
+            return;
+        }
+        isCheckScheduled = true;
+        timers.schedule(StandbyTimes.CHECK_INTERVAL_NANOS, () -> {
+            isCheckScheduled = false;
+            checkForStall();
+            checkPools();
+        });
     }
 
     /**
@@ -119,18 +139,26 @@
 
     @Override
     public void onNodeUp(MeshNode node) {
-        rolesMayHaveChanged = true;
+        onMembershipChange();
     }
 
     @Override
     public void onNodeDown(MeshNode node) {
-        rolesMayHaveChanged = true;
+        checkForStall();
+        onMembershipChange();
         acting.removeInvalid();
+        // The choice learns of the lost node only after this listener.
+        roles.clear();
     }
 
     @Override
     public void onHello(MeshNode node) {
+        onMembershipChange();
+    }
+
+    private void onMembershipChange() {
         rolesMayHaveChanged = true;
+        roles.clear();
     }
 
     @Override
@@ -149,7 +177,7 @@
         Set<String> known = pools.get();
         boolean isForeign = message.pools().isEmpty();
         for (String pool : message.pools()) {
-            if (!known.contains(pool) || !choice.dispatcherNode(pool).equals(node)) {
+            if (!known.contains(pool) || !roles.of(pool).dispatcher().equals(node)) {
                 isForeign = true;
                 continue;
             }
@@ -168,7 +196,12 @@
             drop(node, "takeover", "malformed");
             return;
         }
-        String dispatcher = choice.dispatcherNode(pool);
+        if (message.ends() && acting.isLatest(pool, message.dispatcher(), message.incarnation(), node)) {
+            // The node that took over ends it, although membership may have designated another standby meanwhile.
+            endAnnounced(pool);
+            return;
+        }
+        String dispatcher = roles.of(pool).dispatcher();
         if (node.equals(dispatcher) && !dispatcher.equals(message.dispatcher())) {
             // The sender has not yet seen that membership designates it.
             return;
@@ -177,7 +210,7 @@
             drop(node, "takeover", "other-dispatcher");
             return;
         }
-        String standby = choice.standbyNode(pool).orElse("");
+        String standby = roles.of(pool).standby().orElse("");
         boolean isForwarded = node.equals(dispatcher);
         if (standby.isEmpty() || !isForwarded && !standby.equals(node)) {
             drop(node, "takeover", "not-standby");
@@ -191,8 +224,7 @@
         long now = timers.nanoTime();
         if (message.ends()) {
             if (!isForwarded) {
-                endedAt.put(pool, now);
-                acting.end(pool);
+                endAnnounced(pool);
             }
             return;
         }
@@ -206,6 +238,11 @@
         acting.apply(pool, new Takeover(message.dispatcher(), message.incarnation(), standby, validUntil));
     }
 
+    private void endAnnounced(String pool) {
+        endedAt.put(pool, timers.nanoTime());
+        acting.end(pool);
+    }
+
     private void checkPool(String pool) {
         HeartbeatHistory history = heartbeats.get(pool);
         long now = timers.nanoTime();
@@ -218,11 +255,14 @@
             end(pool, "table");
             return;
         }
-        PoolRoles roles = PoolRoles.of(pool, choice);
         boolean isolated = isIsolated.getAsBoolean();
+        if (takeover == null && isolated) {
+            return;
+        }
+        PoolRoles present = roles.of(pool);
         TakeoverDecision decision = takeover == null
-                ? TakeoverPolicy.beforeTakeover(history, roles, self, isolated, now)
-                : TakeoverPolicy.duringTakeover(history, roles, self, isolated, now);
+                ? TakeoverPolicy.beforeTakeover(history, present, self, isolated, now)
+                : TakeoverPolicy.duringTakeover(history, present, self, isolated, now);
         if (decision instanceof TakeoverDecision.TakeOver silence) {
             takeOver(pool, history, silence.silentNanos());
         } else if (decision instanceof TakeoverDecision.Return) {
@@ -258,7 +298,21 @@
     private void returnPool(String pool, String reason) {
         ActiveTakeover takeover = active.get(pool);
         end(pool, reason);
-        broadcast(takeover.message(pool, true));
+        TakeoverMessage end = takeover.message(pool, true);
+        broadcast(end);
+        repeatEnd(end, END_REPETITIONS);
+    }
+
+    private void repeatEnd(TakeoverMessage end, int remaining) {
+        timers.schedule(StandbyTimes.HEARTBEAT_INTERVAL_NANOS, () -> {
+            if (active.containsKey(end.pool())) {
+                return;
+            }
+            broadcast(end);
+            if (remaining > 1) {
+                repeatEnd(end, remaining - 1);
+            }
+        });
     }
 
     /**
@@ -296,11 +350,13 @@
             return;
         }
         rolesMayHaveChanged = false;
+        roles.clear();
         evaluatedPools = present;
         Map<String, List<String>> evaluated = new TreeMap<>();
         for (String pool : present) {
             if (choice.dispatcherNode(pool).equals(self)) {
-                choice.standbyNode(pool)
+                roles.of(pool)
+                        .standby()
                         .ifPresent(standby -> evaluated
                                 .computeIfAbsent(standby, name -> new ArrayList<>())
                                 .add(pool));
