--- a/library/src/main/java/org/copperspindle/standby/ActingDispatchers.java
+++ b/library/src/main/java/org/copperspindle/standby/ActingDispatchers.java
@@ -177,6 +177,14 @@
                 && takeover.isSameAs(new Takeover(dispatcher, incarnation, standby, takeover.validUntil()));
     }
 
+    /**
+     * Keeps the takeovers until a time after a stall of this node: announcements that prolong them may have arrived
+     * meanwhile and wait to be handled, and expiry would move groups needlessly.
+     */
+    void prolong(long until) {
+        takeovers.replaceAll((pool, takeover) -> takeover.prolonged(until));
+    }
+
     /** Ends a takeover. Groups that wait at the standby stay there. */
     void end(String pool) {
         if (takeovers.remove(pool) != null) {
--- a/library/src/main/java/org/copperspindle/standby/HeartbeatHistory.java
+++ b/library/src/main/java/org/copperspindle/standby/HeartbeatHistory.java
@@ -22,6 +22,11 @@
         return new HeartbeatHistory(dispatcher, incarnation, count + 1, since, now);
     }
 
+    /** Returns the history after a stall of this node: the heartbeats before it say nothing about the dispatcher. */
+    HeartbeatHistory restarted(long now) {
+        return new HeartbeatHistory(dispatcher, incarnation, 0, now, now);
+    }
+
     boolean isOf(String node, long nodeIncarnation) {
         return dispatcher.equals(node) && incarnation == nodeIncarnation;
     }
--- a/library/src/main/java/org/copperspindle/standby/StallDetector.java
+++ b/library/src/main/java/org/copperspindle/standby/StallDetector.java
@@ -13,6 +13,7 @@
     private final LongSupplier timeOfDayMillis;
     private long checkedAt;
     private long checkedAtMillis;
+    private long lastStallNanos;
 
     /**
      * Creates a detector. It must be checked at least once in every heartbeat interval.
@@ -38,6 +39,15 @@
         long elapsed = Math.max(now - checkedAt, TimeUnit.MILLISECONDS.toNanos(nowMillis - checkedAtMillis));
         checkedAt = now;
         checkedAtMillis = nowMillis;
-        return elapsed >= StandbyTimes.MIN_STALL_NANOS;
+        if (elapsed < StandbyTimes.MIN_STALL_NANOS) {
+            return false;
+        }
+        lastStallNanos = elapsed;
+        return true;
+    }
+
+    /** Returns the time between the two checks around the last stall, 0 if there was none. */
+    long lastStallNanos() {
+        return lastStallNanos;
     }
 }
--- a/library/src/main/java/org/copperspindle/standby/StandbyDispatchers.java
+++ b/library/src/main/java/org/copperspindle/standby/StandbyDispatchers.java
@@ -371,10 +371,23 @@
             return;
         }
         heldUntil = timers.nanoTime() + StandbyTimes.ANNOUNCEMENT_WAIT_NANOS;
+        acting.prolong(heldUntil);
+        if (stalls.lastStallNanos() < StandbyTimes.MAX_CONTINUED_STALL_NANOS) {
+            continueAfterStall();
+            return;
+        }
         heartbeats.clear();
         List.copyOf(active.keySet()).forEach(pool -> returnPool(pool, "stalled"));
     }
 
+    /** Other nodes still send groups here; ending the takeovers would move them twice if the dispatcher is silent. */
+    private void continueAfterStall() {
+        long now = timers.nanoTime();
+        heartbeats.keySet().retainAll(active.keySet());
+        heartbeats.replaceAll((pool, history) -> history.restarted(now));
+        Map.copyOf(active).forEach(this::announce);
+    }
+
     private boolean isHeldAfterStall(String pool) {
         if (!pools.get().contains(pool)) {
             return false;
--- a/library/src/main/java/org/copperspindle/standby/StandbyTimes.java
+++ b/library/src/main/java/org/copperspindle/standby/StandbyTimes.java
@@ -25,5 +25,11 @@
      */
     static final long MIN_STALL_NANOS = TakeoverPolicy.SILENCE_NANOS - HEARTBEAT_INTERVAL_NANOS - CHECK_INTERVAL_NANOS;
 
+    /**
+     * Shortest stall of a standby that ends its takeovers: its last announcement may be an interval older than the
+     * stall, and other nodes return to the dispatcher when the validity of that announcement ends.
+     */
+    static final long MAX_CONTINUED_STALL_NANOS = ActingDispatchers.VALIDITY_NANOS - HEARTBEAT_INTERVAL_NANOS;
+
     private StandbyTimes() {}
 }
--- a/library/src/main/java/org/copperspindle/standby/Takeover.java
+++ b/library/src/main/java/org/copperspindle/standby/Takeover.java
@@ -14,6 +14,11 @@
         return dispatcher.equals(other.dispatcher) && incarnation == other.incarnation && standby.equals(other.standby);
     }
 
+    /** Returns this takeover, valid at least until a time. */
+    Takeover prolonged(long until) {
+        return isExpired(until) ? new Takeover(dispatcher, incarnation, standby, until) : this;
+    }
+
     boolean isExpired(long now) {
         return now - validUntil >= 0;
     }
