--- a/library/src/main/java/org/copperspindle/gateway/RequestLogger.java
+++ b/library/src/main/java/org/copperspindle/gateway/RequestLogger.java
@@ -138,7 +138,8 @@
      * @param number      number of the attempt, from 1
      * @param upstream    target of the attempt
      * @param resumeAfter id of the event after which the stream resumes
-     * @param estimates   returns the estimate for the engine, called only if the line is logged; empty for other upstreams and while loads are not known
+     * @param estimates   returns the estimate for the engine, called only if the line is logged; empty for other
+     *     upstreams and while loads are not known
      * @param placement   why the engine was chosen; empty if it was not chosen by the loads of the engines
      * @param now         monotonic time in nanoseconds
      */
--- a/library/src/main/java/org/copperspindle/standby/StandbyDispatchers.java
+++ b/library/src/main/java/org/copperspindle/standby/StandbyDispatchers.java
@@ -109,25 +109,6 @@
         timers.schedule(StandbyTimes.HEARTBEAT_INTERVAL_NANOS, this::start);
     }
 
-    /** Checks for silence and for the end of takeovers, at short intervals only while there is anything to check. */
-    private void checkPools() {
-        List.copyOf(heartbeats.keySet()).forEach(this::checkPool);
-        acting.removeInvalid();
-        scheduleCheck();
-    }
-
-    private void scheduleCheck() {
-        if (isCheckScheduled || heartbeats.isEmpty() && !acting.hasTakeovers()) {
-            return;
-        }
-        isCheckScheduled = true;
-        timers.schedule(StandbyTimes.CHECK_INTERVAL_NANOS, () -> {
-            isCheckScheduled = false;
-            checkForStall();
-            checkPools();
-        });
-    }
-
     /**
      * Returns the counts for the metrics.
      *
@@ -156,11 +137,6 @@
         onMembershipChange();
     }
 
-    private void onMembershipChange() {
-        rolesMayHaveChanged = true;
-        roles.clear();
-    }
-
     @Override
     public void onMessage(MeshNode node, WireMessage message) {
         checkForStall();
@@ -171,6 +147,30 @@
         }
     }
 
+    /** Checks for silence and for the end of takeovers, at short intervals only while there is anything to check. */
+    private void checkPools() {
+        List.copyOf(heartbeats.keySet()).forEach(this::checkPool);
+        acting.removeInvalid();
+        scheduleCheck();
+    }
+
+    private void scheduleCheck() {
+        if (isCheckScheduled || heartbeats.isEmpty() && !acting.hasTakeovers()) {
+            return;
+        }
+        isCheckScheduled = true;
+        timers.schedule(StandbyTimes.CHECK_INTERVAL_NANOS, () -> {
+            isCheckScheduled = false;
+            checkForStall();
+            checkPools();
+        });
+    }
+
+    private void onMembershipChange() {
+        rolesMayHaveChanged = true;
+        roles.clear();
+    }
+
     private void onHeartbeat(String node, DispatcherHeartbeatMessage message) {
         long now = timers.nanoTime();
         long sender = choice.incarnation(node).orElse(0);
