Tell reasons instead of measurements in the comments on resumption

Change: they say what the constants follow from. No code changes.

Checked: formatter, linter, tests of the package.

--- a/library/src/main/java/org/copperspindle/resume/ResumePolicy.java
+++ b/library/src/main/java/org/copperspindle/resume/ResumePolicy.java
@@ -10,17 +10,16 @@
 /**
  * Decides how streams are resumed that have lost their engine after events had reached the caller. By then the results
  * of their stages have been released, so that the stages run again, and the objective of the first event has passed.
- * Ordered by that objective, the stages come after those of all requests that can still be on time: of 40 resumed
- * streams, 35 then paused for longer than their route allows. The plan names the time that counts for the caller
- * instead. A pure function of its arguments.
+ * Ordered by that objective, the stages come after those of all requests that can still be on time, and the next event
+ * is late for most streams. The plan names the time that counts for the caller instead. A pure function of its
+ * arguments.
  */
 public final class ResumePolicy {
 
     /**
-     * Longest pauses of the route after which an engine that sends nothing is given up. Where 600 ms are allowed,
-     * engines that read a long prompt for another stream pause for up to 840 ms and must not be given up. A resumed
-     * stream takes up to 1,980 ms to its next event; with the 1,800 ms of silence before it that is less than the
-     * 4,800 ms (RequestTimes.CALLER_TIMEOUT_EVENT_GAPS) for which callers wait.
+     * Longest pauses of the route after which an engine that sends nothing is given up. An engine that reads a long
+     * prompt for another stream pauses for more than one of them and must not be given up. The silence and the
+     * resumption after it must take less time than callers wait, see {@code RequestTimes}.
      */
     private static final int SILENT_EVENT_GAPS = 3;
 
