Leave room for urgent requests when a flood has filled the admission queue

Cause: the controller of a pool group took no request while 4,096 waited. The queue refuses the least urgent beyond 4,096, but never had more, so that its rule had no effect: in a flood of requests that can wait, urgent ones were turned away without a log line or a count. Their nodes waited 300 ms for a response and then decided alone, past the limits that hold for all nodes.

Change: the maximum is a constant of StartQueue. The controller takes twice as many between two rounds, in which the queue refuses the least urgent. What is beyond that is dropped with a log line and counted.

--- a/library/src/main/java/org/copperspindle/admission/FleetStageStarts.java
+++ b/library/src/main/java/org/copperspindle/admission/FleetStageStarts.java
@@ -265,7 +265,10 @@
             return;
         }
         // A request for a group of another controller stays unanswered; its node sees the change soon.
-        controllers.find(group.get()).ifPresent(c -> c.add(toStart(node, message.id(), request.get())));
+        controllers
+                .find(group.get())
+                .filter(c -> !c.add(toStart(node, message.id(), request.get())))
+                .ifPresent(full -> dropped(node, "start-request-beyond-maximum"));
     }
 
     private void onResponse(String node, StartResponseMessage response) {
--- a/library/src/main/java/org/copperspindle/admission/PriorityStartQueue.java
+++ b/library/src/main/java/org/copperspindle/admission/PriorityStartQueue.java
@@ -18,9 +18,6 @@
  */
 final class PriorityStartQueue implements StartQueue {
 
-    /** More than all nodes receive in the time that a request can wait; each takes some hundred bytes. */
-    static final int MAX_WAITING = 4096;
-
     /**
      * Longest wait at a pool, in full calls, up to which timely requests start. Upstreams then have full calls waiting;
      * at half a call some are idle while pieces are under way, and results that wait for much more than a call fill
--- a/library/src/main/java/org/copperspindle/admission/StartController.java
+++ b/library/src/main/java/org/copperspindle/admission/StartController.java
@@ -28,8 +28,11 @@
      */
     private static final int PARTS_OF_TIME = 5;
 
-    /** Maximum number of waiting requests; their nodes decide any beyond it. */
-    private static final int MAX_WAITING = 4096;
+    /**
+     * Maximum number of requests between two rounds of decisions; their nodes decide any beyond it. Twice what the queue
+     * keeps, so that in a flood there is room for urgent requests until the queue refuses the others.
+     */
+    private static final int MAX_UNDECIDED = 2 * StartQueue.MAX_WAITING;
 
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
@@ -64,7 +67,7 @@
     boolean add(StartRequest request) {
         Key key = Key.of(request);
         if (!waiting.containsKey(key)) {
-            if (waiting.size() >= MAX_WAITING) {
+            if (waiting.size() >= MAX_UNDECIDED) {
                 return false;
             }
             long now = timers.nanoTime();
--- a/library/src/main/java/org/copperspindle/admission/StartQueue.java
+++ b/library/src/main/java/org/copperspindle/admission/StartQueue.java
@@ -8,6 +8,12 @@
  */
 public interface StartQueue {
 
+    /**
+     * Maximum number of requests that go on waiting after a round of decisions: more than all nodes receive in the time
+     * that a request can wait. Each takes some hundred bytes.
+     */
+    int MAX_WAITING = 4096;
+
     /**
      * Adds a request. A request with the same node and id replaces the earlier one.
      *
@@ -32,7 +38,8 @@
     void forget(String node);
 
     /**
-     * Decides which requests start or are refused now. Requests that are not in the result go on waiting.
+     * Decides which requests start or are refused now. Requests that are not in the result go on waiting; beyond
+     * {@link #MAX_WAITING} the least urgent are refused.
      *
      * @param forecast estimates by the present loads; receives each start
      * @param now      monotonic time in nanoseconds
--- a/library/src/main/java/org/copperspindle/gateway/AdmissionMetrics.java
+++ b/library/src/main/java/org/copperspindle/gateway/AdmissionMetrics.java
@@ -52,7 +52,7 @@
                 StartCounters::ignoredResponses);
         metrics.counter(
                 "admission.messages.dropped",
-                "Messages that were out of range or named an unknown route",
+                "Messages that were out of range, named an unknown route or came while too many requests waited",
                 counters,
                 StartCounters::droppedMessages);
     }
--- a/library/src/test/java/org/copperspindle/admission/PriorityStartQueueTest.java
+++ b/library/src/test/java/org/copperspindle/admission/PriorityStartQueueTest.java
@@ -190,13 +190,13 @@
     /** A flood must not use up the memory of the controller; what it sends beyond that is refused, not forgotten. */
     @Test
     void refusesBeyondItsMaximum() {
-        IntStream.range(0, PriorityStartQueue.MAX_WAITING + 100).forEach(i -> add(DEFERRABLE, "flood", true));
+        IntStream.range(0, StartQueue.MAX_WAITING + 100).forEach(i -> add(DEFERRABLE, "flood", true));
         add(URGENT, "a", false);
         assertThat(decide())
                 .hasSize(101)
                 .allMatch(decision -> decision instanceof StartDecision.Refuse
                         && decision.request().request().route() == DEFERRABLE);
-        assertThat(queue.size()).isEqualTo(PriorityStartQueue.MAX_WAITING);
+        assertThat(queue.size()).isEqualTo(StartQueue.MAX_WAITING);
     }
 
     /** A late retry that needs no pieces must not keep the controller in an endless round: no pool is busy with it. */
--- a/library/src/test/java/org/copperspindle/admission/StartControllerTest.java
+++ b/library/src/test/java/org/copperspindle/admission/StartControllerTest.java
@@ -1,11 +1,15 @@
 package org.copperspindle.admission;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.SplittableRandom;
 import java.util.TreeMap;
 
+import org.copperspindle.batch.PoolLoad;
 import org.copperspindle.measure.LogRateLimiter;
+import org.copperspindle.route.Route;
 import org.copperspindle.time.TimerService;
 import org.copperspindle.time.TimerSubscription;
 import org.junit.jupiter.api.Test;
@@ -18,12 +22,13 @@
 
     private static final long MILLI = 1_000_000L;
     private static final long SECOND = 1000 * MILLI;
+    private static final Route URGENT = TestStarts.route("urgent", 0, 2000, 12_000, "p");
+    private static final Route DEFERRABLE = TestStarts.route("deferrable", 1, 4000, 6000, "p");
 
     private final BusyTimers timers = new BusyTimers();
     private final CostlyPolicy policy = new CostlyPolicy();
-    private int answered;
-    private final StartController controller = new StartController(
-            policy.of("p"), timers, new CountingResponder(), new StartCounters(), new LogRateLimiter(9, 9));
+    private final List<StartDecision> decisions = new ArrayList<>();
+    private final StartController controller = controller(policy.of("p"));
 
     /**
      * A queue that grows makes each round of decisions longer, and the node that decides dispatches calls as well.
@@ -49,14 +54,49 @@
         controller.add(request(1));
         policy.starts = true;
         controller.add(request(2));
-        assertThat(answered).isZero();
+        assertThat(decisions).isEmpty();
         timers.advance(5 * 60 * MILLI);
-        assertThat(answered).isEqualTo(2);
+        assertThat(decisions).hasSize(2);
+    }
+
+    /**
+     * A flood of requests that can wait has filled the queue. Guards against urgent requests that the controller turns
+     * away because of them: their nodes would wait in vain for a response and then decide alone.
+     */
+    @Test
+    void floodLeavesRoomForUrgentRequests() {
+        PoolLoad full = new PoolLoad(700 * MILLI, 100, 0);
+        long[] clock = {0};
+        StartPolicy plain = policy.of("p");
+        StartController flooded = controller(new StartPolicy(
+                () -> StartQueues.create(new SplittableRandom(1)),
+                () -> TestStarts.forecast(pool -> full, clock),
+                plain.groups(),
+                plain.shortages(),
+                plain.weights()));
+        for (long id = 0; id < StartQueue.MAX_WAITING + 100; id++) {
+            assertThat(flooded.add(request(id, DEFERRABLE, true))).isTrue();
+        }
+        assertThat(flooded.add(request(10_000, URGENT, false))).isTrue();
+        assertThat(flooded.waitingCount(URGENT.priority())).isEqualTo(1);
+        assertThat(flooded.waitingCount()).isEqualTo(StartQueue.MAX_WAITING);
+        assertThat(decisions)
+                .hasSize(101)
+                .allMatch(decision -> decision instanceof StartDecision.Refuse
+                        && decision.request().request().route() == DEFERRABLE);
+    }
+
+    private StartController controller(StartPolicy decidedBy) {
+        return new StartController(
+                decidedBy, timers, new RecordingResponder(), new StartCounters(), new LogRateLimiter(9, 9));
     }
 
     private static StartRequest request(long id) {
-        return new StartRequest(
-                "n", id, TestStarts.request(TestStarts.route("r", 0, 1000, 4000, "p"), "a", false, 0), 1);
+        return request(id, URGENT, false);
+    }
+
+    private static StartRequest request(long id, Route route, boolean retried) {
+        return new StartRequest("n", id, TestStarts.request(route, "a", retried, 0), 1);
     }
 
     /** Decisions that take time. */
@@ -140,7 +180,7 @@
         }
     }
 
-    private final class CountingResponder implements StartController.Responder {
+    private final class RecordingResponder implements StartController.Responder {
         @Override
         public void queued(String node, long id) {
             // Only decisions count.
@@ -148,7 +188,7 @@
 
         @Override
         public void decided(StartDecision decision) {
-            answered++;
+            decisions.add(decision);
         }
     }
 }
