Log the software version of upstreams and what callers say of streams they take up

What callers saw: streams that two versions of an upstream's software wrote. The logs could not tell whether a node had continued such a stream itself or a caller had taken it up elsewhere, nor which software ran where.

Announcements are read with the version of the upstream's software, which is a type of its own beside model versions and the numbers of configurations, and travels with the upstream's record. The id of the request that brought the first event is read from the caller and kept with the id of the last event; named twice, it counts as not named. No decision changes.

--- a/library/src/main/java/org/copperspindle/dialect/AnnouncementFields.java
+++ b/library/src/main/java/org/copperspindle/dialect/AnnouncementFields.java
@@ -1,12 +1,13 @@
 package org.copperspindle.dialect;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import org.copperspindle.discovery.SoftwareVersion;
 import org.copperspindle.discovery.UpstreamPhase;
 import org.copperspindle.discovery.UpstreamRecord;
 import org.copperspindle.wire.NumericAddress;
 
 /**
- * Names of the fields in which upstreams of a deployment announce themselves. All but the last two are required, since
+ * Names of the fields in which upstreams of a deployment announce themselves. All but the last three are required, since
  * an announcement may come from a sender of another kind or version: one that lacks a field does not identify an
  * upstream.
  *
@@ -18,6 +19,7 @@
  * @param sequence      sequence number of the announcement within one incarnation
  * @param incarnation   start of that incarnation, milliseconds since 1970; may be absent
  * @param cold          remaining time for which it stays cold, in milliseconds; may be absent
+ * @param software      version of its software; may be absent
  */
 public record AnnouncementFields(
         String pool,
@@ -27,7 +29,8 @@
         String slots,
         String sequence,
         String incarnation,
-        String cold) {
+        String cold,
+        String software) {
 
     /**
      * Reads an announcement.
@@ -48,7 +51,8 @@
                 (int) Math.min(Integer.MAX_VALUE, JsonText.requireAtLeast(body, slots, 1)),
                 JsonText.requireAtLeast(body, sequence, 0),
                 0,
-                readCold(body));
+                readCold(body),
+                readSoftware(body));
     }
 
     /**
@@ -75,6 +79,13 @@
         return (long) Math.ceil(Math.max(0, body.get(cold).asDouble()));
     }
 
+    private SoftwareVersion readSoftware(JsonNode body) {
+        JsonNode stated = body.path(software);
+        return stated.isValueNode() && !stated.isNull()
+                ? SoftwareVersion.of(stated.asText())
+                : SoftwareVersion.UNSTATED;
+    }
+
     private UpstreamPhase readPhase(String text) {
         return switch (text) {
             case "ready" -> UpstreamPhase.READY;
--- a/library/src/main/java/org/copperspindle/dialect/HeaderCallerDialect.java
+++ b/library/src/main/java/org/copperspindle/dialect/HeaderCallerDialect.java
@@ -11,6 +11,7 @@
 import org.copperspindle.gateway.GatewayRequest;
 import org.copperspindle.gateway.GatewayRequestResult;
 import org.copperspindle.gateway.PromptPart;
+import org.copperspindle.gateway.ResumePoint;
 import org.copperspindle.http.HeaderField;
 import org.copperspindle.http.HttpExchange;
 
@@ -61,7 +62,7 @@
                 exchange.body(),
                 exchange.header(HeaderFields.AUTHORIZATION).flatMap(HeaderCallerDialect::key),
                 deadline(exchange),
-                exchange.header(HeaderFields.LAST_EVENT_ID),
+                resumePoint(exchange),
                 prompt(exchange.header(names.prompt()).orElse("")),
                 pieces(exchange.header(names.pieces()).orElse("")),
                 exchange.header(names.pieceKey()).orElse(""),
@@ -73,6 +74,13 @@
         return bearer ? Optional.of(authorization.substring(BEARER.length()).trim()) : Optional.empty();
     }
 
+    private Optional<ResumePoint> resumePoint(HttpExchange exchange) {
+        Optional<String> first =
+                exchange.headerCount(names.resumes()) == 1 ? exchange.header(names.resumes()) : Optional.empty();
+        return exchange.header(HeaderFields.LAST_EVENT_ID)
+                .map(event -> new ResumePoint(event, first.filter(id -> !id.isBlank())));
+    }
+
     private OptionalLong deadline(HttpExchange exchange) {
         Optional<String> text = exchange.header(names.deadline());
         if (text.isEmpty()) {
--- a/library/src/main/java/org/copperspindle/dialect/HeaderNames.java
+++ b/library/src/main/java/org/copperspindle/dialect/HeaderNames.java
@@ -6,6 +6,7 @@
  * Names of the header fields that callers and upstreams of a deployment use.
  *
  * @param requestId         id of one attempt of a caller
+ * @param resumes           id of the request whose response brought the first event of a stream that is taken up
  * @param deadline          caller's timeout in milliseconds; towards an upstream, the remaining time
  * @param prompt            parts of the prompt as ID:TOKENS, in order, separated by commas
  * @param pieces            number of pieces of each stage, separated by commas
@@ -23,6 +24,7 @@
  */
 public record HeaderNames(
         String requestId,
+        String resumes,
         String deadline,
         String prompt,
         String pieces,
@@ -41,6 +43,7 @@
     /** The default names. */
     public static final HeaderNames STANDARD = new HeaderNames(
             "X-Request-Id",
+            "Copperspindle-Resumes",
             "Copperspindle-Deadline-Ms",
             "Copperspindle-Prompt",
             "Copperspindle-Pieces",
--- a/library/src/main/java/org/copperspindle/dialect/StandardControlFormat.java
+++ b/library/src/main/java/org/copperspindle/dialect/StandardControlFormat.java
@@ -11,7 +11,7 @@
     private static final String UPSTREAMS = "/v1/upstreams/";
     private static final String TABLE = "/v1/table";
     private static final AnnouncementFields UPSTREAM = new AnnouncementFields(
-            "pool", "address", "failure_domain", "phase", "slots", "sequence", "incarnation", "cold_ms");
+            "pool", "address", "failure_domain", "phase", "slots", "sequence", "incarnation", "cold_ms", "software");
 
     @Override
     public ControlCall announce() {
--- a/library/src/main/java/org/copperspindle/discovery/UpstreamDirectory.java
+++ b/library/src/main/java/org/copperspindle/discovery/UpstreamDirectory.java
@@ -153,7 +153,7 @@
             return DirectoryChange.NONE;
         }
         LOGGER.info(
-                "event=upstream-{} upstream={} incarnation={} before={} pool={} address={} domain={} sequence={} age_ms={} cold_ms={}",
+                "event=upstream-{} upstream={} incarnation={} before={} pool={} address={} domain={} sequence={} age_ms={} cold_ms={} software={}",
                 state.phase() == UpstreamPhase.READY ? "seen" : "draining",
                 state.id(),
                 state.incarnation(),
@@ -163,7 +163,8 @@
                 state.failureDomain(),
                 state.sequence(),
                 state.ageMillis(),
-                state.coldMillis());
+                state.coldMillis(),
+                state.software().text());
         notifyListeners(state);
         return DirectoryChange.CHANGED;
     }
@@ -399,7 +400,8 @@
                 state.slots(),
                 older.sequence(),
                 0,
-                state.isCold() == older.isCold() ? older.coldMillis() : state.coldMillis());
+                state.isCold() == older.isCold() ? older.coldMillis() : state.coldMillis(),
+                state.software());
     }
 
     /** State of an upstream, when it was last heard, and when the state was announced. */
--- a/library/src/main/java/org/copperspindle/discovery/UpstreamRecord.java
+++ b/library/src/main/java/org/copperspindle/discovery/UpstreamRecord.java
@@ -19,6 +19,7 @@
  * @param sequence      number of the announcement within this incarnation, to order delayed ones
  * @param ageMillis     time since the sender of this record received the announcement, in milliseconds
  * @param coldMillis    remaining cold time in milliseconds, counted from the announcement; 0 if it is not cold
+ * @param software      version of its software
  */
 public record UpstreamRecord(
         String id,
@@ -30,7 +31,8 @@
         int slots,
         long sequence,
         long ageMillis,
-        long coldMillis)
+        long coldMillis,
+        SoftwareVersion software)
         implements WireMessage {
 
     /** Incarnation of an upstream that does not announce its start time. */
@@ -47,7 +49,17 @@
      */
     public UpstreamRecord gone() {
         return new UpstreamRecord(
-                id, incarnation, pool, address, failureDomain, UpstreamPhase.GONE, slots, sequence, ageMillis, 0);
+                id,
+                incarnation,
+                pool,
+                address,
+                failureDomain,
+                UpstreamPhase.GONE,
+                slots,
+                sequence,
+                ageMillis,
+                0,
+                software);
     }
 
     /** Returns a copy that marks the upstream as leaving. */
@@ -62,7 +74,8 @@
                 slots,
                 sequence,
                 ageMillis,
-                coldMillis);
+                coldMillis,
+                software);
     }
 
     /**
@@ -73,12 +86,13 @@
      * @return a record without address and pool
      */
     static UpstreamRecord goneUnknown(String id, long incarnation) {
-        return new UpstreamRecord(id, incarnation, "", "", "", UpstreamPhase.GONE, 0, 0, 0, 0);
+        return new UpstreamRecord(
+                id, incarnation, "", "", "", UpstreamPhase.GONE, 0, 0, 0, 0, SoftwareVersion.UNSTATED);
     }
 
     UpstreamRecord withAge(long millis) {
         return new UpstreamRecord(
-                id, incarnation, pool, address, failureDomain, phase, slots, sequence, millis, coldMillis);
+                id, incarnation, pool, address, failureDomain, phase, slots, sequence, millis, coldMillis, software);
     }
 
     /**
@@ -116,6 +130,9 @@
                 .put(8, ageMillis)
                 .put(9, incarnation)
                 .put(10, coldMillis);
+        if (!software.equals(SoftwareVersion.UNSTATED)) {
+            out.put(11, software.text());
+        }
     }
 
     private static UpstreamRecord read(FieldReader in) {
@@ -129,6 +146,7 @@
                 (int) in.getLong(6, 1),
                 in.getLong(7, 0),
                 in.getLong(8, 0),
-                in.getLong(10, 0));
+                in.getLong(10, 0),
+                in.findString(11).map(SoftwareVersion::of).orElse(SoftwareVersion.UNSTATED));
     }
 }
--- a/library/src/main/java/org/copperspindle/gateway/GatewayRequest.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayRequest.java
@@ -17,7 +17,7 @@
  * @param body           body, empty for none
  * @param key            key of a client account
  * @param deadlineMillis caller's timeout in milliseconds, if stated
- * @param resumeAfter    id of the last event of an earlier response, if the caller resumes a stream
+ * @param resumePoint    where the stream of an earlier response is taken up, if the caller does so
  * @param prompt         parts of the prompt in order; the last belongs to this request or its session alone
  * @param pieces         number of pieces of each stage, by stage number
  * @param pieceKey       key of its pieces, empty if it has none
@@ -31,7 +31,7 @@
         byte[] body,
         Optional<String> key,
         OptionalLong deadlineMillis,
-        Optional<String> resumeAfter,
+        Optional<ResumePoint> resumePoint,
         List<PromptPart> prompt,
         List<Integer> pieces,
         String pieceKey,
--- a/library/src/main/java/org/copperspindle/gateway/RequestLogger.java
+++ b/library/src/main/java/org/copperspindle/gateway/RequestLogger.java
@@ -53,7 +53,7 @@
         GatewayRequest request = admitted.request();
         LOGGER.info(
                 "event=request-admitted request={} route={} account={} pool={} version={} rank={} time_ms={} pieces={}"
-                        + " prompt_tokens={} shared_tokens={}",
+                        + " prompt_tokens={} shared_tokens={} resume_after={} resumes={}",
                 id,
                 admitted.route().name(),
                 admitted.accountName(),
@@ -63,7 +63,9 @@
                 (admitted.times().deadlineAt() - admittedAt) / NANOS_PER_MILLI,
                 request.pieces(),
                 request.promptTokens(),
-                request.sharedTokens());
+                request.sharedTokens(),
+                request.resumePoint().map(ResumePoint::lastEventId).orElse(""),
+                request.resumePoint().flatMap(ResumePoint::firstRequest).orElse(""));
     }
 
     /**
@@ -155,11 +157,12 @@
         }
         Optional<EngineEstimate> estimate = estimates.get();
         LOGGER.info(
-                "event=attempt-sent request={} attempt={} upstream={} in_flight={} waited_ms={} resume_after={}"
+                "event=attempt-sent request={} attempt={} upstream={} software={} in_flight={} waited_ms={} resume_after={}"
                         + " estimate_ms={} pace={} waiting_tokens={} streams={} placement={}",
                 id,
                 number,
                 upstream.id(),
+                upstream.software().text(),
                 tracker.inFlight(upstream.id()),
                 (now - admittedAt) / NANOS_PER_MILLI,
                 resumeAfter.orElse(""),
--- a/library/src/main/java/org/copperspindle/gateway/RequestRun.java
+++ b/library/src/main/java/org/copperspindle/gateway/RequestRun.java
@@ -210,7 +210,7 @@
         context.counters().recordAttempt(route.name(), sent > 1, now - admittedAt);
         Optional<String> resumeAfter = relay.lastEventId().isPresent()
                 ? Optional.of(Long.toString(relay.lastEventId().getAsLong()))
-                : request.resumeAfter();
+                : request.resumePoint().map(ResumePoint::lastEventId);
         AttemptSpec spec = new AttemptSpec(
                 request,
                 upstream,
--- a/library/src/test/java/org/copperspindle/backpressure/SendPermitsTest.java
+++ b/library/src/test/java/org/copperspindle/backpressure/SendPermitsTest.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.Random;
 
+import org.copperspindle.discovery.SoftwareVersion;
 import org.copperspindle.discovery.UpstreamDirectory;
 import org.copperspindle.discovery.UpstreamPhase;
 import org.copperspindle.discovery.UpstreamRecord;
@@ -189,7 +190,19 @@
             this.number = number;
             this.name = "n" + number;
             directory.accept(
-                    new UpstreamRecord(LIMITED, 0, "p", "10.0.0.1:1", "a", UpstreamPhase.READY, 1, 1, 0, 0), startedAt);
+                    new UpstreamRecord(
+                            LIMITED,
+                            0,
+                            "p",
+                            "10.0.0.1:1",
+                            "a",
+                            UpstreamPhase.READY,
+                            1,
+                            1,
+                            0,
+                            0,
+                            SoftwareVersion.UNSTATED),
+                    startedAt);
         }
 
         @Override
--- a/library/src/test/java/org/copperspindle/backpressure/UpstreamLimitsTest.java
+++ b/library/src/test/java/org/copperspindle/backpressure/UpstreamLimitsTest.java
@@ -2,6 +2,7 @@
 
 import java.util.OptionalDouble;
 
+import org.copperspindle.discovery.SoftwareVersion;
 import org.copperspindle.discovery.UpstreamDirectory;
 import org.copperspindle.discovery.UpstreamPhase;
 import org.copperspindle.discovery.UpstreamRecord;
@@ -95,6 +96,9 @@
     }
 
     private void announce(long incarnation, UpstreamPhase phase) {
-        directory.accept(new UpstreamRecord("e", incarnation, "p", "10.0.0.1:1", "a", phase, 1, 1, 0, 0), 0);
+        directory.accept(
+                new UpstreamRecord(
+                        "e", incarnation, "p", "10.0.0.1:1", "a", phase, 1, 1, 0, 0, SoftwareVersion.UNSTATED),
+                0);
     }
 }
--- a/library/src/test/java/org/copperspindle/backpressure/UpstreamLoadsTest.java
+++ b/library/src/test/java/org/copperspindle/backpressure/UpstreamLoadsTest.java
@@ -6,6 +6,7 @@
 import java.util.OptionalLong;
 
 import org.assertj.core.data.Offset;
+import org.copperspindle.discovery.SoftwareVersion;
 import org.copperspindle.discovery.UpstreamDirectory;
 import org.copperspindle.discovery.UpstreamPhase;
 import org.copperspindle.discovery.UpstreamRecord;
@@ -145,6 +146,7 @@
 
     private void announce(String id, long incarnation, UpstreamPhase phase) {
         String address = "10.0.0." + id.length() + ":" + (int) id.charAt(0);
-        directory.accept(new UpstreamRecord(id, incarnation, "p", address, "a", phase, 1, 1, 0, 0), 0);
+        directory.accept(
+                new UpstreamRecord(id, incarnation, "p", address, "a", phase, 1, 1, 0, 0, SoftwareVersion.UNSTATED), 0);
     }
 }
--- a/library/src/test/java/org/copperspindle/batch/ChainReplay.java
+++ b/library/src/test/java/org/copperspindle/batch/ChainReplay.java
@@ -10,6 +10,7 @@
 import java.util.function.Consumer;
 import java.util.stream.IntStream;
 
+import org.copperspindle.discovery.SoftwareVersion;
 import org.copperspindle.discovery.UpstreamDirectory;
 import org.copperspindle.discovery.UpstreamPhase;
 import org.copperspindle.discovery.UpstreamRecord;
@@ -285,7 +286,17 @@
                 servers.put(address, new Server());
                 directory.accept(
                         new UpstreamRecord(
-                                "u" + stage + '-' + i, 0, "p" + stage, address, "d", UpstreamPhase.READY, 1, 1, 0, 0),
+                                "u" + stage + '-' + i,
+                                0,
+                                "p" + stage,
+                                address,
+                                "d",
+                                UpstreamPhase.READY,
+                                1,
+                                1,
+                                0,
+                                0,
+                                SoftwareVersion.UNSTATED),
                         0);
             }
             this.dispatcher = new PoolDispatcher(
--- a/library/src/test/java/org/copperspindle/batch/FilledCallsTest.java
+++ b/library/src/test/java/org/copperspindle/batch/FilledCallsTest.java
@@ -7,6 +7,7 @@
 import java.util.stream.IntStream;
 
 import org.copperspindle.batch.FakeStagePort.Behavior;
+import org.copperspindle.discovery.SoftwareVersion;
 import org.copperspindle.discovery.UpstreamDirectory;
 import org.copperspindle.discovery.UpstreamPhase;
 import org.copperspindle.discovery.UpstreamRecord;
@@ -295,7 +296,18 @@
 
     private void upstream(String id, long incarnation) {
         directory.accept(
-                new UpstreamRecord(id, incarnation, "p", id + ":1", "d", UpstreamPhase.READY, 1, incarnation, 0, 0),
+                new UpstreamRecord(
+                        id,
+                        incarnation,
+                        "p",
+                        id + ":1",
+                        "d",
+                        UpstreamPhase.READY,
+                        1,
+                        incarnation,
+                        0,
+                        0,
+                        SoftwareVersion.UNSTATED),
                 time.nanoTime());
     }
 
--- a/library/src/test/java/org/copperspindle/batch/LimitedStageTest.java
+++ b/library/src/test/java/org/copperspindle/batch/LimitedStageTest.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 
+import org.copperspindle.discovery.SoftwareVersion;
 import org.copperspindle.discovery.UpstreamDirectory;
 import org.copperspindle.discovery.UpstreamPhase;
 import org.copperspindle.discovery.UpstreamRecord;
@@ -88,7 +89,8 @@
 
     private void upstream(String id, String address) {
         directory.accept(
-                new UpstreamRecord(id, 0, "p", address, "d", UpstreamPhase.READY, 1, 1, 0, 0), time.nanoTime());
+                new UpstreamRecord(id, 0, "p", address, "d", UpstreamPhase.READY, 1, 1, 0, 0, SoftwareVersion.UNSTATED),
+                time.nanoTime());
     }
 
     private PieceGroup group() {
--- a/library/src/test/java/org/copperspindle/batch/PaceReplay.java
+++ b/library/src/test/java/org/copperspindle/batch/PaceReplay.java
@@ -13,6 +13,7 @@
 
 import org.copperspindle.backpressure.UpstreamLoadSignal;
 import org.copperspindle.backpressure.UpstreamLoads;
+import org.copperspindle.discovery.SoftwareVersion;
 import org.copperspindle.discovery.UpstreamDirectory;
 import org.copperspindle.discovery.UpstreamPhase;
 import org.copperspindle.discovery.UpstreamRecord;
@@ -84,7 +85,19 @@
         for (int i = 0; i < UPSTREAMS; i++) {
             String id = "u" + i;
             directory.accept(
-                    new UpstreamRecord(id, 1, "p", "10.0.0." + i + ":1", "d", UpstreamPhase.READY, 1, 1, 0, 0), 0);
+                    new UpstreamRecord(
+                            id,
+                            1,
+                            "p",
+                            "10.0.0." + i + ":1",
+                            "d",
+                            UpstreamPhase.READY,
+                            1,
+                            1,
+                            0,
+                            0,
+                            SoftwareVersion.UNSTATED),
+                    0);
             machines.put(id, new Machine(random.nextLong()));
         }
     }
--- a/library/src/test/java/org/copperspindle/batch/PoolDispatcherTest.java
+++ b/library/src/test/java/org/copperspindle/batch/PoolDispatcherTest.java
@@ -7,6 +7,7 @@
 import java.util.stream.IntStream;
 
 import org.copperspindle.batch.FakeStagePort.Behavior;
+import org.copperspindle.discovery.SoftwareVersion;
 import org.copperspindle.discovery.UpstreamDirectory;
 import org.copperspindle.discovery.UpstreamPhase;
 import org.copperspindle.discovery.UpstreamRecord;
@@ -360,7 +361,8 @@
     @Test
     void coldUpstreamGetsFewReleases() {
         directory.accept(
-                new UpstreamRecord("a", 0, "p", "10.0.0.1:1", "d1", UpstreamPhase.READY, 1, 1, 0, 3000),
+                new UpstreamRecord(
+                        "a", 0, "p", "10.0.0.1:1", "d1", UpstreamPhase.READY, 1, 1, 0, 3000, SoftwareVersion.UNSTATED),
                 time.nanoTime());
         dispatcher.dispatch();
         for (int i = 0; i < 100; i++) {
@@ -383,7 +385,18 @@
 
     private void announce(String id, long incarnation, String address, String domain) {
         directory.accept(
-                new UpstreamRecord(id, incarnation, "p", address, domain, UpstreamPhase.READY, 1, 1, 0, 0),
+                new UpstreamRecord(
+                        id,
+                        incarnation,
+                        "p",
+                        address,
+                        domain,
+                        UpstreamPhase.READY,
+                        1,
+                        1,
+                        0,
+                        0,
+                        SoftwareVersion.UNSTATED),
                 time.nanoTime());
     }
 
--- a/library/src/test/java/org/copperspindle/batch/PoolUpstreamsTest.java
+++ b/library/src/test/java/org/copperspindle/batch/PoolUpstreamsTest.java
@@ -4,6 +4,7 @@
 import java.util.stream.IntStream;
 
 import org.assertj.core.data.Percentage;
+import org.copperspindle.discovery.SoftwareVersion;
 import org.copperspindle.discovery.UpstreamDirectory;
 import org.copperspindle.discovery.UpstreamPhase;
 import org.copperspindle.discovery.UpstreamRecord;
@@ -76,7 +77,20 @@
     @Test
     void usableUpstreamsAreNeitherSlowNorPausedNorBackingOffNorCold() {
         announce("usual", "slow", "paused", "backing-off");
-        directory.accept(new UpstreamRecord("cold", 0, "p", "10.0.0.9:1", "d", UpstreamPhase.READY, 1, 1, 0, 5_000), 0);
+        directory.accept(
+                new UpstreamRecord(
+                        "cold",
+                        0,
+                        "p",
+                        "10.0.0.9:1",
+                        "d",
+                        UpstreamPhase.READY,
+                        1,
+                        1,
+                        0,
+                        5_000,
+                        SoftwareVersion.UNSTATED),
+                0);
         upstreams.refresh();
         for (int call = 0; call < 20; call++) {
             answer("usual", 300);
@@ -164,7 +178,10 @@
     private void announce(String... ids) {
         for (String id : ids) {
             String address = "10.0.0." + (directory.ready("p").size() + 1) + ":1";
-            directory.accept(new UpstreamRecord(id, 0, "p", address, "d", UpstreamPhase.READY, 1, 1, 0, 0), 0);
+            directory.accept(
+                    new UpstreamRecord(
+                            id, 0, "p", address, "d", UpstreamPhase.READY, 1, 1, 0, 0, SoftwareVersion.UNSTATED),
+                    0);
         }
         upstreams.refresh();
     }
--- a/library/src/test/java/org/copperspindle/batch/ResultMemoryTest.java
+++ b/library/src/test/java/org/copperspindle/batch/ResultMemoryTest.java
@@ -9,6 +9,7 @@
 import java.util.SplittableRandom;
 import java.util.stream.IntStream;
 
+import org.copperspindle.discovery.SoftwareVersion;
 import org.copperspindle.discovery.UpstreamDirectory;
 import org.copperspindle.discovery.UpstreamPhase;
 import org.copperspindle.discovery.UpstreamRecord;
@@ -75,7 +76,17 @@
         IntStream.range(host, host + 4)
                 .forEach(i -> directory.accept(
                         new UpstreamRecord(
-                                pool + i, 0, pool, "10.0.0." + i + ":1", "d", UpstreamPhase.READY, 1, 1, 0, 0),
+                                pool + i,
+                                0,
+                                pool,
+                                "10.0.0." + i + ":1",
+                                "d",
+                                UpstreamPhase.READY,
+                                1,
+                                1,
+                                0,
+                                0,
+                                SoftwareVersion.UNSTATED),
                         0));
         return new PoolDispatcher(
                 pool,
--- a/library/src/test/java/org/copperspindle/batch/ResumedGroupsTest.java
+++ b/library/src/test/java/org/copperspindle/batch/ResumedGroupsTest.java
@@ -8,6 +8,7 @@
 import java.util.stream.IntStream;
 import java.util.stream.LongStream;
 
+import org.copperspindle.discovery.SoftwareVersion;
 import org.copperspindle.discovery.UpstreamDirectory;
 import org.copperspindle.discovery.UpstreamPhase;
 import org.copperspindle.discovery.UpstreamRecord;
@@ -254,7 +255,19 @@
     private void start(int upstreams) {
         for (int i = 0; i < upstreams; i++) {
             directory.accept(
-                    new UpstreamRecord("u" + i, 0, "p", "10.0.0." + i + ":1", "d", UpstreamPhase.READY, 1, 1, 0, 0), 0);
+                    new UpstreamRecord(
+                            "u" + i,
+                            0,
+                            "p",
+                            "10.0.0." + i + ":1",
+                            "d",
+                            UpstreamPhase.READY,
+                            1,
+                            1,
+                            0,
+                            0,
+                            SoftwareVersion.UNSTATED),
+                    0);
         }
         dispatcher.dispatch();
     }
--- a/library/src/test/java/org/copperspindle/batch/SlowUpstreamTest.java
+++ b/library/src/test/java/org/copperspindle/batch/SlowUpstreamTest.java
@@ -6,6 +6,7 @@
 
 import org.assertj.core.data.Percentage;
 import org.copperspindle.batch.FakeStagePort.Behavior;
+import org.copperspindle.discovery.SoftwareVersion;
 import org.copperspindle.discovery.UpstreamDirectory;
 import org.copperspindle.discovery.UpstreamPhase;
 import org.copperspindle.discovery.UpstreamRecord;
@@ -156,7 +157,9 @@
 
     private void upstream(String id) {
         String address = "10.0.0." + (directory.ready("p").size() + 1) + ":1";
-        directory.accept(new UpstreamRecord(id, 0, "p", address, "d", UpstreamPhase.READY, 1, 1, 0, 0), 0);
+        directory.accept(
+                new UpstreamRecord(id, 0, "p", address, "d", UpstreamPhase.READY, 1, 1, 0, 0, SoftwareVersion.UNSTATED),
+                0);
     }
 
     private PieceGroup group() {
--- a/library/src/test/java/org/copperspindle/batch/SplitCallsTest.java
+++ b/library/src/test/java/org/copperspindle/batch/SplitCallsTest.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 
+import org.copperspindle.discovery.SoftwareVersion;
 import org.copperspindle.discovery.UpstreamDirectory;
 import org.copperspindle.discovery.UpstreamPhase;
 import org.copperspindle.discovery.UpstreamRecord;
@@ -80,7 +81,17 @@
     private void announce(int number) {
         directory.accept(
                 new UpstreamRecord(
-                        "u" + number, 0, "p", "10.0.0." + (number + 1) + ":1", "d", UpstreamPhase.READY, 1, 1, 0, 0),
+                        "u" + number,
+                        0,
+                        "p",
+                        "10.0.0." + (number + 1) + ":1",
+                        "d",
+                        UpstreamPhase.READY,
+                        1,
+                        1,
+                        0,
+                        0,
+                        SoftwareVersion.UNSTATED),
                 time.nanoTime());
     }
 
--- a/library/src/test/java/org/copperspindle/batch/SplitGroupsTest.java
+++ b/library/src/test/java/org/copperspindle/batch/SplitGroupsTest.java
@@ -8,6 +8,7 @@
 import java.util.SplittableRandom;
 import java.util.stream.IntStream;
 
+import org.copperspindle.discovery.SoftwareVersion;
 import org.copperspindle.discovery.UpstreamDirectory;
 import org.copperspindle.discovery.UpstreamPhase;
 import org.copperspindle.discovery.UpstreamRecord;
@@ -43,7 +44,18 @@
     void callsAreFullUnderLoad() {
         IntStream.range(0, 4)
                 .forEach(i -> directory.accept(
-                        new UpstreamRecord("u" + i, 0, "p", "10.0.0." + i + ":1", "d", UpstreamPhase.READY, 1, 1, 0, 0),
+                        new UpstreamRecord(
+                                "u" + i,
+                                0,
+                                "p",
+                                "10.0.0." + i + ":1",
+                                "d",
+                                UpstreamPhase.READY,
+                                1,
+                                1,
+                                0,
+                                0,
+                                SoftwareVersion.UNSTATED),
                         0));
         PoolDispatcher dispatcher = new PoolDispatcher(
                 "p",
--- a/library/src/test/java/org/copperspindle/batch/TakeoverFleet.java
+++ b/library/src/test/java/org/copperspindle/batch/TakeoverFleet.java
@@ -10,6 +10,7 @@
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 
+import org.copperspindle.discovery.SoftwareVersion;
 import org.copperspindle.discovery.UpstreamDirectory;
 import org.copperspindle.discovery.UpstreamPhase;
 import org.copperspindle.discovery.UpstreamRecord;
@@ -114,7 +115,8 @@
 
     void upstream(String id) {
         String address = "10.0.0.1:" + (id.charAt(0) - 'a' + 1);
-        UpstreamRecord announced = new UpstreamRecord(id, 0, POOL, address, "d", UpstreamPhase.READY, 1, 1, 0, 0);
+        UpstreamRecord announced = new UpstreamRecord(
+                id, 0, POOL, address, "d", UpstreamPhase.READY, 1, 1, 0, 0, SoftwareVersion.UNSTATED);
         nodes.values().forEach(node -> node.directory.accept(announced, node.timers.nanoTime()));
     }
 
--- a/library/src/test/java/org/copperspindle/batch/WithdrawnGroupsTest.java
+++ b/library/src/test/java/org/copperspindle/batch/WithdrawnGroupsTest.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 
+import org.copperspindle.discovery.SoftwareVersion;
 import org.copperspindle.discovery.UpstreamDirectory;
 import org.copperspindle.discovery.UpstreamPhase;
 import org.copperspindle.discovery.UpstreamRecord;
@@ -36,7 +37,9 @@
     @CsvSource({"SOUND, 8", "WITHOUT_ROOM, 0", "WITHOUT_INPUT, 0", "FAILING, 0", "UNRESPONSIVE, 0"})
     void onlyResultsOfWithdrawnGroupsAreDelivered(FakeStagePort.Behavior behavior, int delivered) {
         directory.accept(
-                new UpstreamRecord("a", 0, "p", "10.0.0.1:1", "d1", UpstreamPhase.READY, 1, 1, 0, 0), time.nanoTime());
+                new UpstreamRecord(
+                        "a", 0, "p", "10.0.0.1:1", "d1", UpstreamPhase.READY, 1, 1, 0, 0, SoftwareVersion.UNSTATED),
+                time.nanoTime());
         port.behaviors.put("a", behavior);
         dispatcher.add("n", TestGroups.ofEight(1));
         dispatcher.withdraw("n", 1);
--- a/library/src/test/java/org/copperspindle/discovery/DirectoryGossipTest.java
+++ b/library/src/test/java/org/copperspindle/discovery/DirectoryGossipTest.java
@@ -77,6 +77,16 @@
 
     private static UpstreamRecord announcement(int number, long sequence) {
         return new UpstreamRecord(
-                "u" + number, 0, "p", "10.0.0." + number + ":1", "d", UpstreamPhase.READY, 1, sequence, 0, 0);
+                "u" + number,
+                0,
+                "p",
+                "10.0.0." + number + ":1",
+                "d",
+                UpstreamPhase.READY,
+                1,
+                sequence,
+                0,
+                0,
+                SoftwareVersion.UNSTATED);
     }
 }
--- a/library/src/test/java/org/copperspindle/discovery/UpstreamDirectoryTest.java
+++ b/library/src/test/java/org/copperspindle/discovery/UpstreamDirectoryTest.java
@@ -205,8 +205,8 @@
     @ParameterizedTest
     @CsvSource({"0, 2999, true", "0, 3000, false", "2000, 999, true", "2000, 1000, false"})
     void coldTimeIsCountedFromTheAnnouncement(long ageMillis, long laterMillis, boolean cold) {
-        UpstreamRecord upstream =
-                new UpstreamRecord("a", 0, "p", "10.0.0.1:1", "d", UpstreamPhase.READY, 4, 1, ageMillis, 3000);
+        UpstreamRecord upstream = new UpstreamRecord(
+                "a", 0, "p", "10.0.0.1:1", "d", UpstreamPhase.READY, 4, 1, ageMillis, 3000, SoftwareVersion.UNSTATED);
         directory.accept(upstream, now);
         assertThat(directory.isCold(upstream, now + laterMillis * 1_000_000L)).isEqualTo(cold);
     }
@@ -238,16 +238,32 @@
 
     private DirectoryChange announceCold(long sequence, long coldMillis) {
         return directory.accept(
-                new UpstreamRecord("c", 0, "p", "10.0.0.3:1", "d", UpstreamPhase.READY, 4, sequence, 0, coldMillis),
+                new UpstreamRecord(
+                        "c",
+                        0,
+                        "p",
+                        "10.0.0.3:1",
+                        "d",
+                        UpstreamPhase.READY,
+                        4,
+                        sequence,
+                        0,
+                        coldMillis,
+                        SoftwareVersion.UNSTATED),
                 now);
     }
 
     private DirectoryChange announce(String id, String address, UpstreamPhase phase, long sequence, long ageMillis) {
-        return directory.accept(new UpstreamRecord(id, 0, "p", address, "d", phase, 4, sequence, ageMillis, 0), now);
+        return directory.accept(
+                new UpstreamRecord(
+                        id, 0, "p", address, "d", phase, 4, sequence, ageMillis, 0, SoftwareVersion.UNSTATED),
+                now);
     }
 
     private DirectoryChange announceIncarnation(String id, long incarnation, UpstreamPhase phase, long sequence) {
         return directory.accept(
-                new UpstreamRecord(id, incarnation, "p", "10.0.0.1:1", "d", phase, 4, sequence, 0, 0), now);
+                new UpstreamRecord(
+                        id, incarnation, "p", "10.0.0.1:1", "d", phase, 4, sequence, 0, 0, SoftwareVersion.UNSTATED),
+                now);
     }
 }
--- a/library/src/test/java/org/copperspindle/engineload/EngineLoadsTest.java
+++ b/library/src/test/java/org/copperspindle/engineload/EngineLoadsTest.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.stream.LongStream;
 
+import org.copperspindle.discovery.SoftwareVersion;
 import org.copperspindle.discovery.UpstreamDirectory;
 import org.copperspindle.discovery.UpstreamPhase;
 import org.copperspindle.discovery.UpstreamRecord;
@@ -442,7 +443,17 @@
     private void announce(String id, long incarnation) {
         directory.accept(
                 new UpstreamRecord(
-                        id, incarnation, "p", "10.0.0.1:" + id.substring(1), "d", UpstreamPhase.READY, 64, 1, 0, 0),
+                        id,
+                        incarnation,
+                        "p",
+                        "10.0.0.1:" + id.substring(1),
+                        "d",
+                        UpstreamPhase.READY,
+                        64,
+                        1,
+                        0,
+                        0,
+                        SoftwareVersion.UNSTATED),
                 time.nanoTime());
     }
 
--- a/library/src/test/java/org/copperspindle/gateway/EngineChoiceReplay.java
+++ b/library/src/test/java/org/copperspindle/gateway/EngineChoiceReplay.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.stream.IntStream;
 
+import org.copperspindle.discovery.SoftwareVersion;
 import org.copperspindle.discovery.UpstreamDirectory;
 import org.copperspindle.discovery.UpstreamPhase;
 import org.copperspindle.discovery.UpstreamRecord;
@@ -54,7 +55,18 @@
         this.random = new Random(seed);
         for (int i = 0; i < paces.size(); i++) {
             directory.accept(
-                    new UpstreamRecord("e" + i, 0, "p", "10.0.0." + i + ":1", "d", UpstreamPhase.READY, 64, 1, 0, 0),
+                    new UpstreamRecord(
+                            "e" + i,
+                            0,
+                            "p",
+                            "10.0.0." + i + ":1",
+                            "d",
+                            UpstreamPhase.READY,
+                            64,
+                            1,
+                            0,
+                            0,
+                            SoftwareVersion.UNSTATED),
                     0);
             double speed = STATED_TOKENS_PER_MILLI * paces.get(i);
             engines.put("e" + i, new ReplayedEngine(speed, noisy, 120_000, random));
--- a/library/src/test/java/org/copperspindle/gateway/EstimatedEngineChoiceTest.java
+++ b/library/src/test/java/org/copperspindle/gateway/EstimatedEngineChoiceTest.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.Set;
 
+import org.copperspindle.discovery.SoftwareVersion;
 import org.copperspindle.discovery.UpstreamDirectory;
 import org.copperspindle.discovery.UpstreamPhase;
 import org.copperspindle.discovery.UpstreamRecord;
@@ -52,7 +53,17 @@
         mesh.onMessage(owner, hello());
         IDS.forEach(id -> directory.accept(
                 new UpstreamRecord(
-                        id, 1, "p", "10.0.0." + IDS.indexOf(id) + ":1", "d", UpstreamPhase.READY, 64, 1, 0, 0),
+                        id,
+                        1,
+                        "p",
+                        "10.0.0." + IDS.indexOf(id) + ":1",
+                        "d",
+                        UpstreamPhase.READY,
+                        64,
+                        1,
+                        0,
+                        0,
+                        SoftwareVersion.UNSTATED),
                 0));
         for (int i = 0; i < 8; i++) {
             mesh.onMessage(owner, table());
--- a/library/src/test/java/org/copperspindle/gateway/PlacementReplay.java
+++ b/library/src/test/java/org/copperspindle/gateway/PlacementReplay.java
@@ -13,6 +13,7 @@
 import java.util.Set;
 import java.util.stream.IntStream;
 
+import org.copperspindle.discovery.SoftwareVersion;
 import org.copperspindle.discovery.UpstreamDirectory;
 import org.copperspindle.discovery.UpstreamPhase;
 import org.copperspindle.discovery.UpstreamRecord;
@@ -105,7 +106,10 @@
         this.random = new Random(seed);
         for (int i = 0; i < ENGINES; i++) {
             String address = "10.0.0." + i + ":1";
-            directory.accept(new UpstreamRecord("e" + i, 0, "p", address, "d", UpstreamPhase.READY, 64, 1, 0, 0), 0);
+            directory.accept(
+                    new UpstreamRecord(
+                            "e" + i, 0, "p", address, "d", UpstreamPhase.READY, 64, 1, 0, 0, SoftwareVersion.UNSTATED),
+                    0);
             double speed = i % 4 == 0 ? FAST_TOKENS_PER_MILLI : TOKENS_PER_MILLI;
             engines.put("e" + i, new ChunkedEngine(new ReplayedEngine(speed, true, 120_000, random), time));
         }
--- a/library/src/test/java/org/copperspindle/gateway/SharedIdleConnectionLimitTest.java
+++ b/library/src/test/java/org/copperspindle/gateway/SharedIdleConnectionLimitTest.java
@@ -5,6 +5,7 @@
 import java.util.OptionalInt;
 import java.util.Set;
 
+import org.copperspindle.discovery.SoftwareVersion;
 import org.copperspindle.discovery.UpstreamDirectory;
 import org.copperspindle.discovery.UpstreamPhase;
 import org.copperspindle.discovery.UpstreamRecord;
@@ -57,7 +58,10 @@
     }
 
     private SharedIdleConnectionLimit idle(int nodes, UpstreamPool pool) {
-        directory.accept(new UpstreamRecord("u", 0, "p", ADDRESS, "d", UpstreamPhase.READY, 1, 1, 0, 0), 0);
+        directory.accept(
+                new UpstreamRecord(
+                        "u", 0, "p", ADDRESS, "d", UpstreamPhase.READY, 1, 1, 0, 0, SoftwareVersion.UNSTATED),
+                0);
         RouteTable table = TestRoutes.table(1, List.of(), List.of(pool));
         return new SharedIdleConnectionLimit(directory, () -> Optional.of(table), () -> nodes);
     }
--- a/library/src/test/java/org/copperspindle/gateway/ShortPoolCallsTest.java
+++ b/library/src/test/java/org/copperspindle/gateway/ShortPoolCallsTest.java
@@ -12,6 +12,7 @@
 import org.copperspindle.batch.BatchService;
 import org.copperspindle.batch.PieceGroup;
 import org.copperspindle.batch.PoolLoadMessage;
+import org.copperspindle.discovery.SoftwareVersion;
 import org.copperspindle.discovery.UpstreamDirectory;
 import org.copperspindle.discovery.UpstreamPhase;
 import org.copperspindle.discovery.UpstreamRecord;
@@ -124,7 +125,18 @@
         IntStream.range(0, 3).forEach(i -> service.submit(group(service.nextId(), pool), results -> {}));
         time.advance(MILLI);
         directory.accept(
-                new UpstreamRecord("u-" + pool, 0, pool, pool + ":1", "d0", UpstreamPhase.READY, 1, 1, 0, 0),
+                new UpstreamRecord(
+                        "u-" + pool,
+                        0,
+                        pool,
+                        pool + ":1",
+                        "d0",
+                        UpstreamPhase.READY,
+                        1,
+                        1,
+                        0,
+                        0,
+                        SoftwareVersion.UNSTATED),
                 time.nanoTime());
     }
 
--- a/library/src/test/java/org/copperspindle/gateway/SignalReadingPortTest.java
+++ b/library/src/test/java/org/copperspindle/gateway/SignalReadingPortTest.java
@@ -17,6 +17,7 @@
 import org.copperspindle.direct.DirectListener;
 import org.copperspindle.direct.UpstreamPort;
 import org.copperspindle.discovery.DirectoryGossip;
+import org.copperspindle.discovery.SoftwareVersion;
 import org.copperspindle.discovery.UpstreamDirectory;
 import org.copperspindle.discovery.UpstreamPhase;
 import org.copperspindle.discovery.UpstreamRecord;
@@ -117,7 +118,19 @@
 
     private void announce(String id, long incarnation) {
         directory.accept(
-                new UpstreamRecord(id, incarnation, "p", "10.0.0.1:1", "a", UpstreamPhase.READY, 1, 1, 0, 0), 0);
+                new UpstreamRecord(
+                        id,
+                        incarnation,
+                        "p",
+                        "10.0.0.1:1",
+                        "a",
+                        UpstreamPhase.READY,
+                        1,
+                        1,
+                        0,
+                        0,
+                        SoftwareVersion.UNSTATED),
+                0);
     }
 
     /** Does nothing. */
--- a/library/src/test/java/org/copperspindle/gateway/StageLoadReplay.java
+++ b/library/src/test/java/org/copperspindle/gateway/StageLoadReplay.java
@@ -25,6 +25,7 @@
 import org.copperspindle.batch.BatchService;
 import org.copperspindle.batch.MissReason;
 import org.copperspindle.batch.PoolLoad;
+import org.copperspindle.discovery.SoftwareVersion;
 import org.copperspindle.discovery.UpstreamDirectory;
 import org.copperspindle.discovery.UpstreamPhase;
 import org.copperspindle.discovery.UpstreamRecord;
@@ -277,7 +278,17 @@
             String address = "10.0." + limits.size() + "." + i + ":1";
             directory.accept(
                     new UpstreamRecord(
-                            name + i, 0, name, address, "d" + i % spec.domains(), UpstreamPhase.READY, 1, 1, 0, 0),
+                            name + i,
+                            0,
+                            name,
+                            address,
+                            "d" + i % spec.domains(),
+                            UpstreamPhase.READY,
+                            1,
+                            1,
+                            0,
+                            0,
+                            SoftwareVersion.UNSTATED),
                     0);
         }
     }
--- a/library/src/test/java/org/copperspindle/gateway/StageRunTest.java
+++ b/library/src/test/java/org/copperspindle/gateway/StageRunTest.java
@@ -9,6 +9,7 @@
 import java.util.OptionalLong;
 
 import org.copperspindle.batch.MissReason;
+import org.copperspindle.discovery.SoftwareVersion;
 import org.copperspindle.discovery.UpstreamDirectory;
 import org.copperspindle.discovery.UpstreamPhase;
 import org.copperspindle.discovery.UpstreamRecord;
@@ -48,7 +49,17 @@
             limits.put(pool, call(pool.equals("long") ? 400 : 100));
             directory.accept(
                     new UpstreamRecord(
-                            pool, 0, pool, "10.0.0." + limits.size() + ":1", "d", UpstreamPhase.READY, 1, 1, 0, 0),
+                            pool,
+                            0,
+                            pool,
+                            "10.0.0." + limits.size() + ":1",
+                            "d",
+                            UpstreamPhase.READY,
+                            1,
+                            1,
+                            0,
+                            0,
+                            SoftwareVersion.UNSTATED),
                     0);
         }
         batches = new SingleNodeBatches(time, directory, stages, limits);
--- a/library/src/test/java/org/copperspindle/gateway/StreamHarness.java
+++ b/library/src/test/java/org/copperspindle/gateway/StreamHarness.java
@@ -31,6 +31,7 @@
 import org.copperspindle.coldstart.SenderSetAdmission;
 import org.copperspindle.direct.ListenState;
 import org.copperspindle.discovery.DirectoryGossip;
+import org.copperspindle.discovery.SoftwareVersion;
 import org.copperspindle.discovery.UpstreamDirectory;
 import org.copperspindle.discovery.UpstreamPhase;
 import org.copperspindle.discovery.UpstreamRecord;
@@ -124,10 +125,7 @@
             routes.add(route("deferrable", 1, Duration.ofSeconds(15), false));
         }
         table = TestRoutes.table(1, routes, List.of(TestRoutes.pool("p"), TestRoutes.stagePool("s")));
-        IntStream.range(0, engineCount)
-                .forEach(i -> directory.accept(
-                        new UpstreamRecord("e" + i, 0, "p", "10.0.0." + i + ":1", "d", UpstreamPhase.READY, 1, 1, 0, 0),
-                        0));
+        IntStream.range(0, engineCount).forEach(i -> announce(i, ""));
         InetSocketAddress listen = new InetSocketAddress("127.0.0.1", 1);
         mesh = new NodeMesh(
                 new MeshSettings(listen, listen, CONTROL, "d", false, List.of()), transport, time, () -> hello(1));
@@ -139,6 +137,24 @@
         new RequestRun(context, caller.exchange(), admitted()).start();
     }
 
+    /** Announces an engine with the version of its software. */
+    void announce(int number, String software) {
+        directory.accept(
+                new UpstreamRecord(
+                        "e" + number,
+                        0,
+                        "p",
+                        "10.0.0." + number + ":1",
+                        "d",
+                        UpstreamPhase.READY,
+                        1,
+                        1,
+                        0,
+                        0,
+                        SoftwareVersion.of(software)),
+                0);
+    }
+
     ScriptedEngines engines() {
         return engines;
     }
--- a/library/src/test/java/org/copperspindle/gateway/UpstreamChooserTest.java
+++ b/library/src/test/java/org/copperspindle/gateway/UpstreamChooserTest.java
@@ -19,6 +19,7 @@
 import org.copperspindle.backpressure.UpstreamBackoffs;
 import org.copperspindle.backpressure.UpstreamLimits;
 import org.copperspindle.coldstart.SenderSetAdmission;
+import org.copperspindle.discovery.SoftwareVersion;
 import org.copperspindle.discovery.UpstreamDirectory;
 import org.copperspindle.discovery.UpstreamPhase;
 import org.copperspindle.discovery.UpstreamRecord;
@@ -160,7 +161,17 @@
         UpstreamRecord known = directory.find(id).orElseThrow();
         directory.accept(
                 new UpstreamRecord(
-                        id, 0, "p", known.address(), known.failureDomain(), UpstreamPhase.READY, 1, 2, 0, coldMillis),
+                        id,
+                        0,
+                        "p",
+                        known.address(),
+                        known.failureDomain(),
+                        UpstreamPhase.READY,
+                        1,
+                        2,
+                        0,
+                        coldMillis,
+                        SoftwareVersion.UNSTATED),
                 0);
     }
 
@@ -182,6 +193,9 @@
     }
 
     private void announce(String id, String pool, String address, String domain) {
-        directory.accept(new UpstreamRecord(id, 0, pool, address, domain, UpstreamPhase.READY, 1, 1, 0, 0), 0);
+        directory.accept(
+                new UpstreamRecord(
+                        id, 0, pool, address, domain, UpstreamPhase.READY, 1, 1, 0, 0, SoftwareVersion.UNSTATED),
+                0);
     }
 }
--- a/library/src/test/java/org/copperspindle/gateway/UpstreamSearchTest.java
+++ b/library/src/test/java/org/copperspindle/gateway/UpstreamSearchTest.java
@@ -18,6 +18,7 @@
 import org.copperspindle.backpressure.UpstreamBackoffs;
 import org.copperspindle.backpressure.UpstreamLimits;
 import org.copperspindle.coldstart.SenderSetAdmission;
+import org.copperspindle.discovery.SoftwareVersion;
 import org.copperspindle.discovery.UpstreamDirectory;
 import org.copperspindle.discovery.UpstreamPhase;
 import org.copperspindle.discovery.UpstreamRecord;
@@ -261,7 +262,18 @@
     private void announce(String id, UpstreamPhase phase) {
         String address = "10.0.0." + IDS.indexOf(id) + ":1";
         directory.accept(
-                new UpstreamRecord(id, 1, "p", address, id.equals("e0") ? "d0" : "d1", phase, 64, 1, 0, 0),
+                new UpstreamRecord(
+                        id,
+                        1,
+                        "p",
+                        address,
+                        id.equals("e0") ? "d0" : "d1",
+                        phase,
+                        64,
+                        1,
+                        0,
+                        0,
+                        SoftwareVersion.UNSTATED),
                 time.nanoTime());
     }
 
--- a/library/src/test/java/org/copperspindle/placement/UndisturbedPlacementTest.java
+++ b/library/src/test/java/org/copperspindle/placement/UndisturbedPlacementTest.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.stream.IntStream;
 
+import org.copperspindle.discovery.SoftwareVersion;
 import org.copperspindle.discovery.UpstreamPhase;
 import org.copperspindle.discovery.UpstreamRecord;
 import org.copperspindle.engineload.EnginePrompt;
@@ -341,7 +342,8 @@
         }
 
         private EngineCandidate get() {
-            UpstreamRecord engine = new UpstreamRecord(id, 1, "p", "10.0.0.1:1", "d", UpstreamPhase.READY, 64, 1, 0, 0);
+            UpstreamRecord engine = new UpstreamRecord(
+                    id, 1, "p", "10.0.0.1:1", "d", UpstreamPhase.READY, 64, 1, 0, 0, SoftwareVersion.UNSTATED);
             return new EngineCandidate(
                     engine, score, cached, waitingTokens, speed, 20 * MILLI, streams, pauseMillis * MILLI);
         }
--- a/library/src/test/java/org/copperspindle/quarantine/QuarantineFleet.java
+++ b/library/src/test/java/org/copperspindle/quarantine/QuarantineFleet.java
@@ -19,6 +19,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import org.copperspindle.direct.ListenState;
+import org.copperspindle.discovery.SoftwareVersion;
 import org.copperspindle.discovery.UpstreamDirectory;
 import org.copperspindle.discovery.UpstreamPhase;
 import org.copperspindle.discovery.UpstreamRecord;
@@ -87,8 +88,8 @@
 
     /** Announces an incarnation of an upstream to every node. */
     void announce(int number, String id, long incarnation, UpstreamPhase phase) {
-        UpstreamRecord upstreamState =
-                new UpstreamRecord(id, incarnation, POOL, address(number), "d", phase, 4, 1, 0, 0);
+        UpstreamRecord upstreamState = new UpstreamRecord(
+                id, incarnation, POOL, address(number), "d", phase, 4, 1, 0, 0, SoftwareVersion.UNSTATED);
         upstreams.put(number, upstreamState);
         nodes.forEach(node -> node.directory.accept(upstreamState, time.nanoTime()));
     }
