Continue a stream only at the software version that began it

Cause: the next engine was chosen as for a new request. Which upstreams a request may get at all was known only as a set of ids that it had tried, so that nothing else could exclude one.

Change: UpstreamEligibility says which upstreams may get a request, by id and, once the caller holds an event, by the software that wrote it. Every search takes it as a predicate: the choice after the stages, its prediction before them, the check of a permit that was waited for, cold and limited upstreams, the silence watch.

Why it holds: there is one place where eligibility is decided, and the set of ids that could be passed past it is gone. A request without an event still moves to any version.

--- a/library/src/main/java/org/copperspindle/gateway/RequestRun.java
+++ b/library/src/main/java/org/copperspindle/gateway/RequestRun.java
@@ -1,10 +1,8 @@
 package org.copperspindle.gateway;
 
-import java.util.HashSet;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 
 import org.copperspindle.batch.MissReason;
 import org.copperspindle.direct.ConnectionUse;
@@ -44,7 +42,7 @@
     private final StreamResumption resumption;
     private final SilenceWatch silence;
     private final RequestStages stages;
-    private final Set<String> tried = new HashSet<>();
+    private final UpstreamEligibility eligibility = new UpstreamEligibility();
     private final StageEntrance entrance;
     private final UpstreamAttempt.Listener attemptListener = new AttemptListener();
     private Optional<UpstreamSearch> search = Optional.empty();
@@ -73,7 +71,7 @@
         this.resumption = new StreamResumption(context, admitted, relay, requestLogger);
         this.silence = new SilenceWatch(context, admitted, this::canMoveElsewhere);
         this.stages = new RequestStages(context, admitted, resumption, this::likelyFailureDomain, this);
-        this.entrance = new StageEntrance(context, admitted, tried, requestLogger, new EntranceListener());
+        this.entrance = new StageEntrance(context, admitted, eligibility, requestLogger, new EntranceListener());
     }
 
     /** Starts processing; the response is sent later. */
@@ -172,7 +170,11 @@
     private Optional<String> likelyFailureDomain() {
         long stagesNanos = context.stageAdmission().estimatedStagesNanos(admitted);
         return UpstreamSearch.predict(
-                        context, admitted, tried, stagesNanos, context.timers().nanoTime())
+                        context,
+                        admitted,
+                        eligibility,
+                        stagesNanos,
+                        context.timers().nanoTime())
                 .map(UpstreamRecord::failureDomain);
     }
 
@@ -185,6 +187,10 @@
             refuseQuarantined();
             return;
         }
+        if (isVersionGone()) {
+            refuseVersionGone();
+            return;
+        }
         if (stages.isReleased()) {
             // Another attempt needs new results.
             runReleasedStages();
@@ -192,10 +198,29 @@
         }
         AdmittedRequest current = resumption.request();
         search = Optional.of(new UpstreamSearch(
-                context, current, tried, stages.inputs(), current.resumedUntil(), new SearchListener()));
+                context, current, eligibility, stages.inputs(), current.resumedUntil(), new SearchListener()));
         search.get().seek();
     }
 
+    /** Returns whether the caller holds events that no upstream which serves now may continue. */
+    private boolean isVersionGone() {
+        return eligibility.software().isPresent()
+                && admitted.table()
+                        .findPool(pool)
+                        .filter(p -> context.chooser().hasEligible(p, eligibility))
+                        .isEmpty();
+    }
+
+    private void refuseVersionGone() {
+        if (relay.hasStarted()) {
+            abortResponse("version-gone");
+        } else if (mayHaveRun) {
+            refuse(Refusal.failed("version-gone"));
+        } else {
+            refuse(unavailable("version-gone", "no upstream runs the software version that began the stream"));
+        }
+    }
+
     private void runReleasedStages() {
         if (stages.tryRunAfterRelease(relay.hasStarted())) {
             return;
@@ -204,7 +229,7 @@
     }
 
     private void send(UpstreamRecord upstream, long now) {
-        tried.add(upstream.id());
+        eligibility.exclude(upstream.id());
         context.coldAdmission().recordSend(upstream.id(), now);
         sent++;
         context.counters().recordAttempt(route.name(), sent > 1, now - admittedAt);
@@ -298,7 +323,11 @@
                 && isRepeatable()
                 && hasAttemptLeft()
                 && UpstreamSearch.predict(
-                                context, admitted, tried, 0, context.timers().nanoTime())
+                                context,
+                                admitted,
+                                eligibility,
+                                0,
+                                context.timers().nanoTime())
                         .isPresent();
     }
 
@@ -421,6 +450,7 @@
             recordInputsFetched();
             context.firstEventLatencies().observe(route, tookNanos);
             firstEventAt = context.timers().nanoTime();
+            lastRun.map(UpstreamRun::upstream).map(UpstreamRecord::software).ifPresent(eligibility::require);
             attempt.ifPresent(silence::watch);
         }
 
@@ -468,7 +498,7 @@
             }
             if (stages.tryAcquireRunAfterLoss()) {
                 sent--;
-                tried.remove(upstream);
+                eligibility.readmit(upstream);
                 stages.run();
             } else {
                 handleNotRun("inputs-lost", true);
--- a/library/src/main/java/org/copperspindle/gateway/StageEntrance.java
+++ b/library/src/main/java/org/copperspindle/gateway/StageEntrance.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.OptionalLong;
-import java.util.Set;
 
 import org.copperspindle.admission.StageAdmissionDecision;
 import org.copperspindle.admission.StageAdmissionVerdict;
@@ -22,7 +21,7 @@
 
     private final GatewayContext context;
     private final AdmittedRequest admitted;
-    private final Set<String> tried;
+    private final UpstreamEligibility eligibility;
     private final RequestLogger requestLogger;
     private final Listener listener;
     private OptionalLong startId = OptionalLong.empty();
@@ -36,19 +35,19 @@
      *
      * @param context       the shared components
      * @param admitted      the request
-     * @param tried         ids of the upstreams that the request was sent to, which changes
+     * @param eligibility   which upstreams may get the request, which changes
      * @param requestLogger writes the log lines of the request
      * @param listener      receives the decision
      */
     StageEntrance(
             GatewayContext context,
             AdmittedRequest admitted,
-            Set<String> tried,
+            UpstreamEligibility eligibility,
             RequestLogger requestLogger,
             Listener listener) {
         this.context = context;
         this.admitted = admitted;
-        this.tried = tried;
+        this.eligibility = eligibility;
         this.requestLogger = requestLogger;
         this.listener = listener;
     }
@@ -94,7 +93,7 @@
             return true;
         }
         OptionalLong backpressure = UpstreamSearch.backpressureNanos(
-                context, admitted, tried, context.timers().nanoTime());
+                context, admitted, eligibility, context.timers().nanoTime());
         if (backpressure.isPresent()) {
             refuse(Refusal.backpressure(context.retryAfterDelays().after(backpressure.getAsLong())));
         }
--- a/library/src/main/java/org/copperspindle/gateway/UpstreamChooser.java
+++ b/library/src/main/java/org/copperspindle/gateway/UpstreamChooser.java
@@ -81,13 +81,13 @@
     /**
      * Chooses an upstream.
      *
-     * @param pool    the pool
-     * @param route   its route
-     * @param request the request
-     * @param inputs  stage results that the upstream will fetch
-     * @param tried   ids of upstreams that already got the request
-     * @param times   times of the request
-     * @param now     monotonic time in nanoseconds
+     * @param pool     the pool
+     * @param route    its route
+     * @param request  the request
+     * @param inputs   stage results that the upstream will fetch
+     * @param eligible whether an upstream may get the request at all
+     * @param times    times of the request
+     * @param now      monotonic time in nanoseconds
      * @return the upstream; empty if the pool has none that can take it
      */
     Optional<ChosenUpstream> choose(
@@ -95,10 +95,10 @@
             Route route,
             GatewayRequest request,
             StageInputs inputs,
-            Set<String> tried,
+            Predicate<UpstreamRecord> eligible,
             PlacementTimes times,
             long now) {
-        List<UpstreamRecord> candidates = candidates(pool, tried, now);
+        List<UpstreamRecord> candidates = candidates(pool, eligible, now);
         if (candidates.isEmpty()) {
             return Optional.empty();
         }
@@ -111,9 +111,9 @@
         Optional<EngineEstimates> estimates = placer.flatMap(p -> p.estimates(demand));
         if (estimates.isPresent()) {
             List<UpstreamRecord> accepting = near.stream().filter(accepts).toList();
-            List<UpstreamRecord> eligible =
+            List<UpstreamRecord> preferred =
                     accepting.isEmpty() ? candidates.stream().filter(accepts).toList() : accepting;
-            return placed(placer.get().place(demand, times, estimates.get(), eligible));
+            return placed(placer.get().place(demand, times, estimates.get(), preferred));
         }
         return engines.choose(demand, near, accepts)
                 .or(() -> engines.choose(demand, candidates, accepts))
@@ -124,15 +124,14 @@
     /**
      * Returns whether a pool has upstreams that this node skips only because they are cold.
      *
-     * @param pool  the pool
-     * @param tried ids of upstreams that already got the request
-     * @param now   monotonic time in nanoseconds
+     * @param pool     the pool
+     * @param eligible whether an upstream may get the request at all
+     * @param now      monotonic time in nanoseconds
      * @return true if a later call may find one
      */
-    boolean isWarming(UpstreamPool pool, Set<String> tried, long now) {
+    boolean isWarming(UpstreamPool pool, Predicate<UpstreamRecord> eligible, long now) {
         return pool.cold().isPresent()
-                && directory.ready(pool.name()).stream()
-                        .anyMatch(u -> !tried.contains(u.id()) && directory.isCold(u, now));
+                && directory.ready(pool.name()).stream().anyMatch(u -> eligible.test(u) && directory.isCold(u, now));
     }
 
     /**
@@ -140,25 +139,25 @@
      *
      * @param pool     its pool
      * @param upstream the upstream
-     * @param tried    ids of upstreams that already got the request
+     * @param eligible whether an upstream may get the request at all
      * @param now      monotonic time in nanoseconds
      * @return false if it has left, is suspected, or is cold and has received as many requests as it can take
      */
-    boolean isStillUsable(UpstreamPool pool, UpstreamRecord upstream, Set<String> tried, long now) {
+    boolean isStillUsable(UpstreamPool pool, UpstreamRecord upstream, Predicate<UpstreamRecord> eligible, long now) {
         return accepts(pool, upstream, now)
-                && candidates(pool, tried, now).stream().anyMatch(u -> u.id().equals(upstream.id()));
+                && candidates(pool, eligible, now).stream().anyMatch(u -> u.id().equals(upstream.id()));
     }
 
     /**
      * Returns the upstream with a limit that may have capacity first.
      *
-     * @param pool  the pool
-     * @param tried ids of upstreams to skip
-     * @param now   monotonic time in nanoseconds
+     * @param pool     the pool
+     * @param eligible whether an upstream may get the request at all
+     * @param now      monotonic time in nanoseconds
      * @return the upstream; empty if none that could take the request has a limit
      */
-    Optional<UpstreamRecord> earliestLimited(UpstreamPool pool, Set<String> tried, long now) {
-        return limitedCandidates(pool, tried, now).stream()
+    Optional<UpstreamRecord> earliestLimited(UpstreamPool pool, Predicate<UpstreamRecord> eligible, long now) {
+        return limitedCandidates(pool, eligible, now).stream()
                 .filter(u -> accepts(pool, u, now))
                 .min(Comparator.comparingLong(u -> permits.deniedNanos(u.id())));
     }
@@ -166,18 +165,18 @@
     /**
      * Returns when the first upstream with a backoff or a limit may take the request.
      *
-     * @param pool  the pool
-     * @param tried ids of upstreams to skip
-     * @param now   monotonic time in nanoseconds
+     * @param pool     the pool
+     * @param eligible whether an upstream may get the request at all
+     * @param now      monotonic time in nanoseconds
      * @return nanoseconds from now, 0 if one may take it now; empty if no upstream signals backpressure, or none is
      *     left
      */
-    OptionalLong earliestNanos(UpstreamPool pool, Set<String> tried, long now) {
+    OptionalLong earliestNanos(UpstreamPool pool, Predicate<UpstreamRecord> eligible, long now) {
         if (!permits.isAnyNeeded() && !backoffs.isAnyKnown()) {
             // Called many times a second for each deferred request.
             return OptionalLong.empty();
         }
-        return healthy(pool, tried, now).stream()
+        return healthy(pool, eligible, now).stream()
                 .mapToLong(u -> Math.max(backoffs.backoffNanos(u.id(), now), permits.deniedNanos(u.id())))
                 .min();
     }
@@ -187,13 +186,13 @@
      * caller.
      *
      * @param pool            the pool
-     * @param tried           ids of upstreams to skip
+     * @param eligible        whether an upstream may get the request at all
      * @param callerTimeNanos nanoseconds for which the caller still waits; negative if that time has passed
      * @param now             monotonic time in nanoseconds
      * @return nanoseconds from now; empty if an upstream may take it in time, or no upstream signals backpressure
      */
-    OptionalLong earliestBeyond(UpstreamPool pool, Set<String> tried, long callerTimeNanos, long now) {
-        OptionalLong earliest = earliestNanos(pool, tried, now);
+    OptionalLong earliestBeyond(UpstreamPool pool, Predicate<UpstreamRecord> eligible, long callerTimeNanos, long now) {
+        OptionalLong earliest = earliestNanos(pool, eligible, now);
         boolean late = earliest.isPresent() && earliest.getAsLong() > Math.max(0, callerTimeNanos);
         return late ? earliest : OptionalLong.empty();
     }
@@ -201,25 +200,36 @@
     /**
      * Returns the upstreams of a pool that have a limit.
      *
-     * @param pool  the pool
-     * @param tried ids of upstreams to leave out
-     * @param now   monotonic time in nanoseconds
+     * @param pool     the pool
+     * @param eligible whether an upstream may get the request at all
+     * @param now      monotonic time in nanoseconds
      * @return their ids
      */
-    Set<String> limited(UpstreamPool pool, Set<String> tried, long now) {
-        return limitedCandidates(pool, tried, now).stream()
+    Set<String> limited(UpstreamPool pool, Predicate<UpstreamRecord> eligible, long now) {
+        return limitedCandidates(pool, eligible, now).stream()
                 .map(UpstreamRecord::id)
                 .collect(Collectors.toSet());
     }
 
-    private List<UpstreamRecord> limitedCandidates(UpstreamPool pool, Set<String> tried, long now) {
-        return candidates(pool, tried, now).stream()
+    /**
+     * Returns whether an upstream that may get the request serves, whatever its load and its health.
+     *
+     * @param pool     the pool
+     * @param eligible whether an upstream may get the request at all
+     * @return false if waiting would not help
+     */
+    boolean hasEligible(UpstreamPool pool, Predicate<UpstreamRecord> eligible) {
+        return directory.ready(pool.name()).stream().anyMatch(eligible);
+    }
+
+    private List<UpstreamRecord> limitedCandidates(UpstreamPool pool, Predicate<UpstreamRecord> eligible, long now) {
+        return candidates(pool, eligible, now).stream()
                 .filter(u -> permits.isNeeded(u.id()))
                 .toList();
     }
 
-    private List<UpstreamRecord> candidates(UpstreamPool pool, Set<String> tried, long now) {
-        List<UpstreamRecord> usable = healthy(pool, tried, now).stream()
+    private List<UpstreamRecord> candidates(UpstreamPool pool, Predicate<UpstreamRecord> eligible, long now) {
+        List<UpstreamRecord> usable = healthy(pool, eligible, now).stream()
                 .filter(u -> backoffs.mayTake(u.id(), tracker.inFlight(u.id()), now))
                 .toList();
         List<UpstreamRecord> announcing = usable.stream()
@@ -229,9 +239,9 @@
         return announcing.isEmpty() ? usable : announcing;
     }
 
-    private List<UpstreamRecord> healthy(UpstreamPool pool, Set<String> tried, long now) {
+    private List<UpstreamRecord> healthy(UpstreamPool pool, Predicate<UpstreamRecord> eligible, long now) {
         return directory.ready(pool.name()).stream()
-                .filter(u -> !tried.contains(u.id()) && tracker.isUsable(u.id(), now))
+                .filter(u -> eligible.test(u) && tracker.isUsable(u.id(), now))
                 .toList();
     }
 
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/gateway/UpstreamEligibility.java
@@ -0,0 +1,48 @@
+package org.copperspindle.gateway;
+
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Predicate;
+
+import org.copperspindle.discovery.SoftwareVersion;
+import org.copperspindle.discovery.UpstreamRecord;
+
+/**
+ * Which upstreams may get one request, whatever their load: none that has received it before, and once a caller holds
+ * events of its stream, only those that run the software that wrote them. Every search for an upstream applies it.
+ */
+final class UpstreamEligibility implements Predicate<UpstreamRecord> {
+
+    private final Set<String> tried = new HashSet<>();
+    private Optional<SoftwareVersion> software = Optional.empty();
+
+    @Override
+    public boolean test(UpstreamRecord upstream) {
+        return !tried.contains(upstream.id()) && hasSoftware(upstream);
+    }
+
+    /** Records that an upstream gets the request. */
+    void exclude(String upstream) {
+        tried.add(upstream);
+    }
+
+    /** Allows an upstream again that could not run the request for reasons of the request. */
+    void readmit(String upstream) {
+        tried.remove(upstream);
+    }
+
+    /** Allows only upstreams with a version of the software from now on. */
+    void require(SoftwareVersion version) {
+        software = Optional.of(version);
+    }
+
+    /** Returns the only version that may continue the stream; empty while no caller holds an event of it. */
+    Optional<SoftwareVersion> software() {
+        return software;
+    }
+
+    private boolean hasSoftware(UpstreamRecord upstream) {
+        return software.isEmpty() || software.get().equals(upstream.software());
+    }
+}
--- a/library/src/main/java/org/copperspindle/gateway/UpstreamSearch.java
+++ b/library/src/main/java/org/copperspindle/gateway/UpstreamSearch.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.Predicate;
 
 import org.copperspindle.backpressure.PermitResult;
 import org.copperspindle.discovery.UpstreamRecord;
@@ -31,7 +32,7 @@
 
     private final GatewayContext context;
     private final AdmittedRequest admitted;
-    private final Set<String> tried;
+    private final Predicate<UpstreamRecord> eligible;
     private final StageInputs inputs;
     private final OptionalLong nextEventBy;
     private final Listener listener;
@@ -43,24 +44,24 @@
     /**
      * Creates a search.
      *
-     * @param context  shared components of the node
-     * @param admitted the request
-     * @param tried    ids of upstreams that already got the request
-     * @param inputs   stage results that the upstream will fetch
+     * @param context     shared components of the node
+     * @param admitted    the request
+     * @param eligible    whether an upstream may get the request at all
+     * @param inputs      stage results that the upstream will fetch
      * @param nextEventBy monotonic time in nanoseconds until which the next event of a resumed stream is on time; empty
      *     for requests whose response has not started
-     * @param listener called once, possibly before {@link #seek} returns
+     * @param listener    called once, possibly before {@link #seek} returns
      */
     UpstreamSearch(
             GatewayContext context,
             AdmittedRequest admitted,
-            Set<String> tried,
+            Predicate<UpstreamRecord> eligible,
             StageInputs inputs,
             OptionalLong nextEventBy,
             Listener listener) {
         this.context = context;
         this.admitted = admitted;
-        this.tried = tried;
+        this.eligible = eligible;
         this.inputs = inputs;
         this.nextEventBy = nextEventBy;
         this.listener = listener;
@@ -72,17 +73,17 @@
      *
      * @param context  shared components of the node
      * @param admitted the request
-     * @param tried    ids of upstreams that already got the request
+     * @param eligible whether an upstream may get the request at all
      * @param now      monotonic time in nanoseconds
      * @return nanoseconds until the first upstream accepts requests again; empty if one may accept the request in
      *     time
      */
     static OptionalLong backpressureNanos(
-            GatewayContext context, AdmittedRequest admitted, Set<String> tried, long now) {
+            GatewayContext context, AdmittedRequest admitted, Predicate<UpstreamRecord> eligible, long now) {
         long callerTimeNanos = admitted.times().callerTimeoutAt() - now;
         return admitted.table()
                 .findPool(admitted.pool())
-                .map(pool -> context.chooser().earliestBeyond(pool, tried, callerTimeNanos, now))
+                .map(pool -> context.chooser().earliestBeyond(pool, eligible, callerTimeNanos, now))
                 .orElse(OptionalLong.empty());
     }
 
@@ -91,19 +92,23 @@
      *
      * @param context     shared components of the node
      * @param admitted    the request
-     * @param tried       ids of upstreams that already got the request
+     * @param eligible    whether an upstream may get the request at all
      * @param stagesNanos expected duration of the stages in nanoseconds
      * @param now         monotonic time in nanoseconds
      * @return the upstream; empty if none can take the request now
      */
     static Optional<UpstreamRecord> predict(
-            GatewayContext context, AdmittedRequest admitted, Set<String> tried, long stagesNanos, long now) {
+            GatewayContext context,
+            AdmittedRequest admitted,
+            Predicate<UpstreamRecord> eligible,
+            long stagesNanos,
+            long now) {
         long left = admitted.objectiveAt() - now - stagesNanos;
         PlacementTimes times = new PlacementTimes(admitted.request().id(), left, false);
         return admitted.table()
                 .findPool(admitted.pool())
                 .flatMap(pool -> context.chooser()
-                        .choose(pool, admitted.route(), admitted.request(), StageInputs.NONE, tried, times, now))
+                        .choose(pool, admitted.route(), admitted.request(), StageInputs.NONE, eligible, times, now))
                 .map(ChosenUpstream::upstream);
     }
 
@@ -132,16 +137,17 @@
 
     private void seek(UpstreamPool pool, long now) {
         UpstreamChooser chooser = context.chooser();
-        Set<String> excluded = immediatePermits < MAX_IMMEDIATE_PERMITS ? tried : includingLimited(pool, now);
+        Predicate<UpstreamRecord> allowed =
+                immediatePermits < MAX_IMMEDIATE_PERMITS ? eligible : withoutLimited(pool, now);
         Optional<ChosenUpstream> chosen =
-                chooser.choose(pool, admitted.route(), admitted.request(), inputs, excluded, placementTimes(now), now);
+                chooser.choose(pool, admitted.route(), admitted.request(), inputs, allowed, placementTimes(now), now);
         placement = chosen.flatMap(ChosenUpstream::placement);
         if (chosen.isPresent()) {
             selectOrRequestPermit(pool, chosen.get().upstream());
             return;
         }
         Optional<UpstreamRecord> limited = delayedPermitsRequested.size() < MAX_DELAYED_PERMITS
-                ? chooser.earliestLimited(pool, union(tried, delayedPermitsRequested), now)
+                ? chooser.earliestLimited(pool, without(delayedPermitsRequested), now)
                 : Optional.empty();
         long callerTimeNanos = admitted.times().callerTimeoutAt() - now;
         if (limited.isPresent() && callerTimeNanos > 0) {
@@ -159,8 +165,8 @@
 
     /** Waits for upstreams that are cold or back off, unless that takes longer than the caller waits. */
     private void retryOrGiveUp(UpstreamPool pool, long callerTimeNanos, long now) {
-        OptionalLong earliest = context.chooser().earliestNanos(pool, tried, now);
-        boolean waits = context.chooser().isWarming(pool, tried, now) || earliest.isPresent();
+        OptionalLong earliest = context.chooser().earliestNanos(pool, eligible, now);
+        boolean waits = context.chooser().isWarming(pool, eligible, now) || earliest.isPresent();
         long wait = Math.max(CHECK_INTERVAL_NANOS, earliest.orElse(0));
         if (waits && delayedPermitsRequested.isEmpty() && wait < callerTimeNanos) {
             context.timers().schedule(wait, this::seek);
@@ -203,7 +209,7 @@
             return;
         }
         if (context.chooser()
-                .isStillUsable(pool, upstream, tried, context.timers().nanoTime())) {
+                .isStillUsable(pool, upstream, eligible, context.timers().nanoTime())) {
             select(upstream);
         } else {
             seek();
@@ -221,14 +227,12 @@
         listener.onNoUpstream(freeNanos);
     }
 
-    private Set<String> includingLimited(UpstreamPool pool, long now) {
-        return union(tried, context.chooser().limited(pool, tried, now));
+    private Predicate<UpstreamRecord> withoutLimited(UpstreamPool pool, long now) {
+        return without(context.chooser().limited(pool, eligible, now));
     }
 
-    private static Set<String> union(Set<String> one, Set<String> other) {
-        Set<String> all = new HashSet<>(one);
-        all.addAll(other);
-        return all;
+    private Predicate<UpstreamRecord> without(Set<String> ids) {
+        return eligible.and(upstream -> !ids.contains(upstream.id()));
     }
 
     /** Receives the result of the search. */
--- a/library/src/test/java/org/copperspindle/gateway/EngineChoiceReplay.java
+++ b/library/src/test/java/org/copperspindle/gateway/EngineChoiceReplay.java
@@ -8,7 +8,6 @@
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Random;
-import java.util.Set;
 import java.util.stream.IntStream;
 
 import org.copperspindle.discovery.SoftwareVersion;
@@ -147,7 +146,14 @@
     private void send(ReplayedNode node, GatewayRequest request, boolean isLong) {
         long sentAt = time.nanoTime();
         UpstreamRecord engine = node.chooser()
-                .choose(POOL, ROUTE, request, StageInputs.NONE, Set.of(), new PlacementTimes("id", 0, false), sentAt)
+                .choose(
+                        POOL,
+                        ROUTE,
+                        request,
+                        StageInputs.NONE,
+                        upstream -> true,
+                        new PlacementTimes("id", 0, false),
+                        sentAt)
                 .orElseThrow()
                 .upstream();
         chosen.add(engine.id());
--- a/library/src/test/java/org/copperspindle/gateway/PlacementReplay.java
+++ b/library/src/test/java/org/copperspindle/gateway/PlacementReplay.java
@@ -227,7 +227,13 @@
         requests++;
         estimated += node.loads().estimates("p", request.enginePrompt()).isPresent() ? 1 : 0;
         GatewayContext context = TestContexts.search(time, node.chooser(), node.permits(), counters);
-        new UpstreamSearch(context, admitted, Set.of(), StageInputs.NONE, OptionalLong.empty(), listener(node, sent))
+        new UpstreamSearch(
+                        context,
+                        admitted,
+                        upstream -> true,
+                        StageInputs.NONE,
+                        OptionalLong.empty(),
+                        listener(node, sent))
                 .seek();
     }
 
--- a/library/src/test/java/org/copperspindle/gateway/StageEntranceTest.java
+++ b/library/src/test/java/org/copperspindle/gateway/StageEntranceTest.java
@@ -1,7 +1,6 @@
 package org.copperspindle.gateway;
 
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -181,7 +180,7 @@
                 null,
                 null);
         RequestLogger logger = new RequestLogger(new LogRateLimiter(0, 0), null, admitted);
-        return new StageEntrance(context, admitted, new HashSet<>(), logger, new RecordingListener());
+        return new StageEntrance(context, admitted, new UpstreamEligibility(), logger, new RecordingListener());
     }
 
     private final class RecordingListener implements StageEntrance.Listener {
--- a/library/src/test/java/org/copperspindle/gateway/UpstreamChooserTest.java
+++ b/library/src/test/java/org/copperspindle/gateway/UpstreamChooserTest.java
@@ -106,14 +106,15 @@
      */
     @Test
     void poolOfColdEnginesIsWarming() {
-        assertThat(chooser.isWarming(COLD_ENGINES, Set.of(), 0)).isFalse();
+        assertThat(chooser.isWarming(COLD_ENGINES, upstream -> true, 0)).isFalse();
         for (int i = 0; i < 9; i++) {
             announceCold("e" + i, 3000);
             cold.recordSend("e" + i, 0);
         }
         assertThat(find("part", 500, 0)).isEmpty();
-        assertThat(chooser.isWarming(COLD_ENGINES, Set.of(), 0)).isTrue();
-        assertThat(chooser.isWarming(COLD_ENGINES, Set.of(), 4_000_000_000L)).isFalse();
+        assertThat(chooser.isWarming(COLD_ENGINES, upstream -> true, 0)).isTrue();
+        assertThat(chooser.isWarming(COLD_ENGINES, upstream -> true, 4_000_000_000L))
+                .isFalse();
     }
 
     /** Guards against requests that queue for an engine with a used-up limit while others could take them. */
@@ -124,7 +125,7 @@
         assertThat(choose("part", 500, 0).id()).isEqualTo(home);
         permits.requestPermit(home, 0, result -> assertThat(result).isInstanceOf(PermitResult.Denied.class));
         assertThat(choose("part", 500, 0).id()).isNotEqualTo(home);
-        assertThat(chooser.earliestLimited(COLD_ENGINES, Set.of(), 0))
+        assertThat(chooser.earliestLimited(COLD_ENGINES, upstream -> true, 0))
                 .map(UpstreamRecord::id)
                 .contains(home);
     }
@@ -135,15 +136,16 @@
      */
     @Test
     void backpressureOfAllEnginesIsKnownBeforeTheStages() {
-        assertThat(chooser.earliestBeyond(COLD_ENGINES, Set.of(), -1, 0)).isEmpty();
+        assertThat(chooser.earliestBeyond(COLD_ENGINES, upstream -> true, -1, 0))
+                .isEmpty();
         for (int i = 0; i < 9; i++) {
             backoffs.onResponse("e" + i, new BackoffSignal.Asked(Duration.ofSeconds(3 + i)), false, 0);
         }
-        assertThat(chooser.earliestBeyond(COLD_ENGINES, Set.of(), 2_000_000_000L, 0))
+        assertThat(chooser.earliestBeyond(COLD_ENGINES, upstream -> true, 2_000_000_000L, 0))
                 .hasValue(3_000_000_000L);
-        assertThat(chooser.earliestBeyond(COLD_ENGINES, Set.of(), 4_000_000_000L, 0))
+        assertThat(chooser.earliestBeyond(COLD_ENGINES, upstream -> true, 4_000_000_000L, 0))
                 .isEmpty();
-        assertThat(chooser.earliestBeyond(COLD_ENGINES, Set.of(), -1, 3_000_000_000L))
+        assertThat(chooser.earliestBeyond(COLD_ENGINES, upstream -> true, -1, 3_000_000_000L))
                 .isEmpty();
     }
 
@@ -188,7 +190,8 @@
         List<String> handles =
                 IntStream.range(0, results).mapToObj(i -> "10.0.1.1:1/" + i).toList();
         PlacementTimes times = new PlacementTimes("id", 1_000_000_000L, false);
-        return chooser.choose(COLD_ENGINES, ROUTE, request, StageInputs.of(handles, 800_000), Set.of(), times, 0)
+        return chooser.choose(
+                        COLD_ENGINES, ROUTE, request, StageInputs.of(handles, 800_000), upstream -> true, times, 0)
                 .map(ChosenUpstream::upstream);
     }
 
--- a/library/src/test/java/org/copperspindle/gateway/UpstreamSearchTest.java
+++ b/library/src/test/java/org/copperspindle/gateway/UpstreamSearchTest.java
@@ -3,14 +3,12 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Random;
-import java.util.Set;
 import java.util.stream.IntStream;
 
 import org.copperspindle.backpressure.BackoffSignal;
@@ -86,7 +84,7 @@
             new Random(1),
             "d");
     private final List<String> selected = new ArrayList<>();
-    private final Set<String> tried = new HashSet<>();
+    private final UpstreamEligibility eligibility = new UpstreamEligibility();
     private final String shared;
 
     UpstreamSearchTest() {
@@ -175,7 +173,7 @@
         Optional<UpstreamRecord> predicted = UpstreamSearch.predict(
                 TestContexts.search(time, chooser, permits, counters),
                 admitted,
-                tried,
+                eligibility,
                 stagesMillis * MILLI,
                 time.nanoTime());
         assertThat(predicted).map(UpstreamRecord::failureDomain).contains(expected);
@@ -230,7 +228,7 @@
     private UpstreamSearch search(AdmittedRequest admitted, OptionalLong nextEventBy) {
         GatewayContext context = TestContexts.search(time, chooser, permits, counters);
         return new UpstreamSearch(
-                context, admitted, tried, StageInputs.NONE, nextEventBy, new UpstreamSearch.Listener() {
+                context, admitted, eligibility, StageInputs.NONE, nextEventBy, new UpstreamSearch.Listener() {
                     @Override
                     public void onUpstreamSelected(UpstreamRecord upstream) {
                         selected.add(upstream.id());
