Let every node know at which software version a stream began

What callers saw: a stream that a caller took up at another node went on at an engine of another software version.

Cause: only the node that sent the first event knew which version wrote it, and that node is often the one that was lost. The class of fault: a fact that later decisions at other nodes depend on, kept only where it arose.

Change: package origin. A node keeps the origin of each resumable stream it sends. While it has heard of one version in the pool, nothing else happens. Once it knows a second one, it stores those records, and each later one, at two other nodes in two failure domains, at the moment the request is sent, that is before the first event. A record decides; without one, a single version is the answer only if a node that reaches a majority knows no other. Else the caller is told at once, with a refusal that says that nothing has run. A version that became known while the majority was out of reach begins no resumable streams; records of a new version are passed on to nodes that their sender does not reach. Requests of one stream draw the same pool.

Why it holds: a positive record is never wrong, and a conclusion from its absence needs a majority on both sides, which always overlap.

--- a/library/src/main/java/org/copperspindle/discovery/DirectoryGossip.java
+++ b/library/src/main/java/org/copperspindle/discovery/DirectoryGossip.java
@@ -93,10 +93,36 @@
     @Override
     public void onMessage(MeshNode node, WireMessage message) {
         if (message instanceof UpstreamRecordsMessage received) {
-            received.records().forEach(announcement -> directory.accept(announcement, timers.nanoTime()));
+            List<UpstreamRecord> newSoftware = received.records().stream()
+                    .filter(announcement -> acceptForwarded(announcement))
+                    .toList();
+            forward(newSoftware, node);
         }
     }
 
+    /** Returns whether the pool runs software that this node did not know. */
+    private boolean acceptForwarded(UpstreamRecord announcement) {
+        boolean known = directory
+                .softwareLearnedAt(announcement.pool(), announcement.software())
+                .isPresent();
+        DirectoryChange change = directory.accept(announcement, timers.nanoTime());
+        return !known && change == DirectoryChange.CHANGED;
+    }
+
+    /**
+     * Sends records to the nodes that their sender does not reach. A node that knows one software version of a pool
+     * concludes that all its streams began there, so each version must become known beyond a partial partition.
+     */
+    private void forward(List<UpstreamRecord> records, MeshNode sender) {
+        if (records.isEmpty()) {
+            return;
+        }
+        UpstreamRecordsMessage message = new UpstreamRecordsMessage(records);
+        mesh.nodes().stream()
+                .filter(node -> node != sender && !sender.neighbours().contains(node.address()))
+                .forEach(node -> node.send(message));
+    }
+
     private void enqueue(UpstreamRecord announcement) {
         if (pending.isEmpty()) {
             timers.schedule(BATCH_NANOS, this::flush);
--- a/library/src/main/java/org/copperspindle/discovery/UpstreamDirectory.java
+++ b/library/src/main/java/org/copperspindle/discovery/UpstreamDirectory.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 
 import org.apache.logging.log4j.LogManager;
@@ -33,6 +34,7 @@
 
     private final Map<String, Entry> byId = new LinkedHashMap<>();
     private final EvacuatedDomains evacuated = new EvacuatedDomains();
+    private final SoftwareHistory software = new SoftwareHistory();
     private Map<String, Long> coldNanosByPool = Map.of();
     private final Map<String, String> ownerIdByAddress = new HashMap<>();
 
@@ -133,6 +135,7 @@
         if (state.phase() == UpstreamPhase.GONE) {
             return markGone(previous, state, now);
         }
+        recordSoftware(state, receivedAt, now);
         boolean same = previous != null && previous.state().withAge(0).equals(withSequence(state, previous.state()));
         if (previous != null && !previous.state().address().equals(state.address())) {
             ownerIdByAddress.remove(previous.state().address(), state.id());
@@ -219,6 +222,7 @@
      */
     public void removeSilent(long now) {
         readyByPool.clear();
+        software.removeExpired(now);
         byId.values().removeIf(known -> now - known.receivedAt() > EXPIRY_NANOS);
         ownerIdByAddress.values().removeIf(id -> !byId.containsKey(id));
     }
@@ -264,6 +268,28 @@
         return ready(pool).stream().filter(state -> isCold(state, now)).count();
     }
 
+    /**
+     * Returns the software versions of the upstreams of a pool, also of those that have left.
+     *
+     * @param pool name of the pool
+     * @param from monotonic time in nanoseconds
+     * @return the versions that were heard of since that time
+     */
+    public Set<SoftwareVersion> softwareSince(String pool, long from) {
+        return software.heardSince(pool, from);
+    }
+
+    /**
+     * Returns when this node learned that a software version serves in a pool.
+     *
+     * @param pool    name of the pool
+     * @param version the version
+     * @return monotonic time in nanoseconds; empty if it has not heard of the version for long
+     */
+    public OptionalLong softwareLearnedAt(String pool, SoftwareVersion version) {
+        return software.learnedAt(pool, version);
+    }
+
     /**
      * Returns the time since an upstream was last heard.
      *
@@ -321,9 +347,23 @@
         return leaves && announced.phase() != UpstreamPhase.GONE ? announced.leaving() : announced;
     }
 
+    private void recordSoftware(UpstreamRecord state, long receivedAt, long now) {
+        if (software.record(state, receivedAt, now)) {
+            LOGGER.info(
+                    "event=software-seen pool={} software={} upstream={}",
+                    state.pool(),
+                    state.software().text(),
+                    state.id());
+        }
+    }
+
     private DirectoryChange markGone(Entry previous, UpstreamRecord state, long now) {
         readyByPool.clear();
         if (previous == null) {
+            // A node that has just joined learns from the records of former upstreams what they ran.
+            if (!state.pool().isEmpty()) {
+                recordSoftware(state, now - Duration.ofMillis(state.ageMillis()).toNanos(), now);
+            }
             byId.put(state.id(), new Entry(state, now, now));
             return DirectoryChange.NONE;
         }
--- a/library/src/main/java/org/copperspindle/gateway/GatewayContext.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayContext.java
@@ -16,6 +16,7 @@
 import org.copperspindle.measure.LogRateLimiter;
 import org.copperspindle.memory.HeldMemory;
 import org.copperspindle.mesh.IsolationDetector;
+import org.copperspindle.origin.StreamOrigins;
 import org.copperspindle.quarantine.RequestQuarantine;
 import org.copperspindle.time.TimerService;
 
@@ -49,6 +50,7 @@
  * @param resumptions         plans how interrupted streams are resumed
  * @param memory              memory held for callers
  * @param pausedUpstreams     upstreams that are not read because their callers don't read
+ * @param origins             at which software version streams began
  */
 record GatewayContext(
         TimerService timers,
@@ -77,4 +79,5 @@
         RequestQuarantine quarantine,
         StreamResumptions resumptions,
         HeldMemory memory,
-        PausedUpstreams pausedUpstreams) {}
+        PausedUpstreams pausedUpstreams,
+        StreamOrigins origins) {}
--- a/library/src/main/java/org/copperspindle/gateway/GatewayMessages.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayMessages.java
@@ -19,6 +19,9 @@
 import org.copperspindle.mesh.NodeHelloMessage;
 import org.copperspindle.mesh.NodeListMessage;
 import org.copperspindle.mesh.RelayMessage;
+import org.copperspindle.origin.OriginAnswerMessage;
+import org.copperspindle.origin.OriginQueryMessage;
+import org.copperspindle.origin.OriginRecordsMessage;
 import org.copperspindle.quarantine.SuspicionMessage;
 import org.copperspindle.standby.DispatcherHeartbeatMessage;
 import org.copperspindle.standby.TakeoverMessage;
@@ -62,7 +65,10 @@
                 .register(EngineSamplesMessage.CODEC)
                 .register(EngineLoadsMessage.CODEC)
                 .register(DispatcherHeartbeatMessage.CODEC)
-                .register(TakeoverMessage.CODEC);
+                .register(TakeoverMessage.CODEC)
+                .register(OriginRecordsMessage.CODEC)
+                .register(OriginQueryMessage.CODEC)
+                .register(OriginAnswerMessage.CODEC);
         ConsensusLog.codecs().forEach(registry::register);
         return registry;
     }
--- a/library/src/main/java/org/copperspindle/gateway/GatewayMetrics.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayMetrics.java
@@ -26,12 +26,14 @@
 
     private final NodeState node;
     private final AdmissionMetrics admissionMetrics;
+    private final OriginMetrics originMetrics;
     private final Set<String> published = new HashSet<>();
     private Optional<MetricsRegistry> registry = Optional.empty();
 
     GatewayMetrics(NodeState node) {
         this.node = node;
         this.admissionMetrics = new AdmissionMetrics(node.stageStarts());
+        this.originMetrics = new OriginMetrics(node.origins());
     }
 
     @Override
@@ -39,12 +41,14 @@
         MetricsRegistry metrics = registry.orElseGet(this::createRegistry);
         publishNew(metrics);
         admissionMetrics.publishNew(metrics);
+        originMetrics.publishNew(metrics);
         exchange.respond(OK, CONTENT_TYPE, Map.of(), metrics.scrape().getBytes(StandardCharsets.UTF_8));
     }
 
     private MetricsRegistry createRegistry() {
         MetricsRegistry metrics = new MetricsRegistry();
         registry = Optional.of(metrics);
+        originMetrics.publish(metrics);
         gauge(metrics, "ready", "1 while the node takes new callers", n -> n.isReady() ? 1 : 0);
         gauge(
                 metrics,
--- a/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
@@ -53,6 +53,7 @@
 import org.copperspindle.mesh.MeshSettings;
 import org.copperspindle.mesh.NodeHelloMessage;
 import org.copperspindle.mesh.NodeMesh;
+import org.copperspindle.origin.SharedStreamOrigins;
 import org.copperspindle.placement.EnginePlacements;
 import org.copperspindle.quarantine.RequestQuarantine;
 import org.copperspindle.route.UpstreamPool;
@@ -134,6 +135,7 @@
     private final SendPermits permits;
     private final RequestQuarantine quarantine;
     private final HeldMemory memory;
+    private final SharedStreamOrigins origins;
     private final long startedAt = System.nanoTime();
     private Optional<ControlGroupMember> member = Optional.empty();
     private boolean ready;
@@ -147,14 +149,7 @@
         this.greeting = new GreetingMessage(
                 GreetingMessage.PROTOCOL, "gateway", NumericAddress.format(settings.mesh()), incarnation);
         this.transport = new WireTransport(eventLoops, registry, greeting, MeshSettings.LIMITS);
-        MeshSettings meshSettings = new MeshSettings(
-                settings.mesh(),
-                settings.meshBind().orElse(settings.mesh()),
-                NumericAddress.format(settings.control()),
-                settings.failureDomain(),
-                settings.dataFolder().isPresent(),
-                settings.seeds());
-        this.mesh = new NodeMesh(meshSettings, transport, timers, this::hello);
+        this.mesh = new NodeMesh(meshSettings(settings), transport, timers, this::hello);
         this.isolation = new IsolationDetector(mesh::count, timers);
         this.gossip = new DirectoryGossip(mesh, timers, directory);
         this.versionExchange = new VersionExchange(mesh, timers, loop);
@@ -169,6 +164,7 @@
                 timers::nanoTime,
                 decisionLog);
         PausedUpstreams paused = new PausedUpstreams();
+        this.origins = OriginsFactory.create(mesh, timers, directory, versionHolder::heldTable);
         DirectClient client = new DirectClient(
                 loop,
                 timers,
@@ -233,7 +229,8 @@
                 quarantine,
                 new StreamResumptions(counters),
                 memory,
-                paused);
+                paused,
+                origins);
         subscribe();
         settings.dataFolder().ifPresent(folder -> openMember(folder.resolve(ControlGroupMember.NAME)));
         this.service = new GatewayService(
@@ -285,7 +282,8 @@
                 quarantine,
                 ignoredAnnouncements,
                 memory,
-                paused);
+                paused,
+                origins);
         this.metricsListener = settings.metrics().flatMap(address -> openMetrics(address, state));
     }
 
@@ -306,6 +304,7 @@
             node.standby.start();
             node.stageStarts.start();
             node.engineLoads.start();
+            node.origins.start();
             node.tick();
         });
         LOGGER.info(
@@ -354,6 +353,16 @@
         eventLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
     }
 
+    private static MeshSettings meshSettings(GatewaySettings settings) {
+        return new MeshSettings(
+                settings.mesh(),
+                settings.meshBind().orElse(settings.mesh()),
+                NumericAddress.format(settings.control()),
+                settings.failureDomain(),
+                settings.dataFolder().isPresent(),
+                settings.seeds());
+    }
+
     private SharedRetryBudget createRetryBudget() {
         return new SharedRetryBudget(
                 settings.retries().ratio(),
--- a/library/src/main/java/org/copperspindle/gateway/GatewayService.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayService.java
@@ -10,7 +10,9 @@
 import org.copperspindle.http.HttpRequestHandler;
 import org.copperspindle.route.ClientAccount;
 import org.copperspindle.route.Route;
+import org.copperspindle.route.RouteKind;
 import org.copperspindle.route.RouteTable;
+import org.copperspindle.routing.RendezvousScore;
 
 /**
  * Admits or refuses callers' requests by the routes and keys of the table in force. Runs on the network thread only.
@@ -25,6 +27,11 @@
     /** Interval at which a waiting request is checked again: a small part of the wait. */
     private static final long LEASE_POLL_NANOS = Duration.ofMillis(25).toNanos();
 
+    /** Bits of a hash that a double can't hold. */
+    private static final int DRAW_SHIFT = Long.SIZE - 53;
+
+    private static final double DRAW_UNIT = 0x1.0p-53;
+
     private final GatewayContext context;
     private final Supplier<Optional<RouteTable>> tables;
     private final LeaseStatus leaseStatus;
@@ -91,7 +98,7 @@
             refuse(exchange, request.id(), Refusal.unknownKey(), table);
             return;
         }
-        String pool = route.get().choosePool(context.random().nextDouble());
+        String pool = route.get().choosePool(poolDraw(route.get(), request));
         long waited = priorWaits.waitedMillis(route.get().name(), request.deadlineMillis());
         RequestTimes times = RequestTimes.of(
                 route.get(),
@@ -103,6 +110,18 @@
         new RequestRun(context, exchange, admitted).start();
     }
 
+    /**
+     * Draws a number for the choice of the pool. Requests of one stream draw the same one: only the pool in which a
+     * stream began can continue it.
+     */
+    private double poolDraw(Route route, GatewayRequest request) {
+        if (route.kind() != RouteKind.STREAM) {
+            return context.random().nextDouble();
+        }
+        String first = request.resumePoint().flatMap(ResumePoint::firstRequest).orElse(request.id());
+        return (RendezvousScore.of(route.name(), first) >>> DRAW_SHIFT) * DRAW_UNIT;
+    }
+
     private void refuse(HttpExchange exchange, String id, Refusal refusal, Optional<RouteTable> table) {
         context.counters().recordRefusal(refusal.verdict().reason());
         if (context.log().allowsFailed(context.timers().nanoTime())) {
--- a/library/src/main/java/org/copperspindle/gateway/NodeState.java
+++ b/library/src/main/java/org/copperspindle/gateway/NodeState.java
@@ -14,6 +14,7 @@
 import org.copperspindle.engineload.EngineLoads;
 import org.copperspindle.memory.HeldMemory;
 import org.copperspindle.mesh.NodeMesh;
+import org.copperspindle.origin.SharedStreamOrigins;
 import org.copperspindle.quarantine.RequestQuarantine;
 import org.copperspindle.standby.StandbyDispatchers;
 import org.copperspindle.version.MemberStatus;
@@ -44,6 +45,7 @@
  * @param ignoredAnnouncements counts announcements that do not identify an upstream
  * @param memory               memory held for callers
  * @param pausedUpstreams      upstreams that are not read because their callers don't read
+ * @param origins              at which software version streams began
  */
 record NodeState(
         BooleanSupplier readiness,
@@ -66,7 +68,8 @@
         RequestQuarantine quarantine,
         IgnoredAnnouncements ignoredAnnouncements,
         HeldMemory memory,
-        PausedUpstreams pausedUpstreams) {
+        PausedUpstreams pausedUpstreams,
+        SharedStreamOrigins origins) {
 
     boolean isReady() {
         return readiness.getAsBoolean();
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/gateway/OriginMetrics.java
@@ -0,0 +1,53 @@
+package org.copperspindle.gateway;
+
+import java.util.HashSet;
+import java.util.Set;
+
+import org.copperspindle.measure.MetricsRegistry;
+import org.copperspindle.origin.OriginCounters;
+import org.copperspindle.origin.SharedStreamOrigins;
+
+/**
+ * Publishes the metrics of stream origins.
+ */
+final class OriginMetrics {
+
+    private final SharedStreamOrigins origins;
+    private final Set<String> published = new HashSet<>();
+
+    OriginMetrics(SharedStreamOrigins origins) {
+        this.origins = origins;
+    }
+
+    /** Publishes the series that every node has. */
+    void publish(MetricsRegistry metrics) {
+        metrics.gauge(
+                "stream.origins",
+                "Streams of which this node knows at which software version they began",
+                origins,
+                SharedStreamOrigins::size);
+        metrics.counter(
+                "stream.origins.dropped",
+                "Records of such streams that were dropped early",
+                origins,
+                SharedStreamOrigins::dropped);
+        metrics.counter(
+                "stream.origins.stored",
+                "Streams that this node recorded at other nodes",
+                origins.counters(),
+                OriginCounters::stored);
+    }
+
+    /** Publishes the results that have occurred since the last scrape. */
+    void publishNew(MetricsRegistry metrics) {
+        origins.counters().results().keySet().stream()
+                .filter(published::add)
+                .forEach(result -> metrics.counter(
+                        "streams.taken.up",
+                        "Streams that callers took up at this node, by what was known of their software version",
+                        origins.counters(),
+                        c -> c.results().getOrDefault(result, 0L),
+                        "origin",
+                        result));
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/gateway/OriginsFactory.java
@@ -0,0 +1,30 @@
+package org.copperspindle.gateway;
+
+import java.util.Optional;
+import java.util.function.Supplier;
+
+import org.copperspindle.discovery.UpstreamDirectory;
+import org.copperspindle.mesh.MajorityWatch;
+import org.copperspindle.mesh.NodeMesh;
+import org.copperspindle.origin.SharedStreamOrigins;
+import org.copperspindle.route.RouteTable;
+import org.copperspindle.time.TimerService;
+
+/**
+ * Creates the stream origins of a node and connects them with the other nodes and the directory.
+ */
+final class OriginsFactory {
+
+    private OriginsFactory() {}
+
+    static SharedStreamOrigins create(
+            NodeMesh mesh, TimerService timers, UpstreamDirectory directory, Supplier<Optional<RouteTable>> tables) {
+        MajorityWatch majority = new MajorityWatch(mesh::count, timers);
+        SharedStreamOrigins origins =
+                new SharedStreamOrigins(mesh, majority, timers, directory, new StreamLifetime(tables));
+        mesh.subscribe(majority);
+        mesh.subscribe(origins);
+        directory.subscribe(origins::onUpstreamChange);
+        return origins;
+    }
+}
--- a/library/src/main/java/org/copperspindle/gateway/RequestLogger.java
+++ b/library/src/main/java/org/copperspindle/gateway/RequestLogger.java
@@ -13,6 +13,8 @@
 import org.copperspindle.discovery.UpstreamRecord;
 import org.copperspindle.engineload.EngineEstimate;
 import org.copperspindle.measure.LogRateLimiter;
+import org.copperspindle.origin.OriginCounters;
+import org.copperspindle.origin.OriginResult;
 import org.copperspindle.placement.PlacementReason;
 
 /**
@@ -130,6 +132,30 @@
         }
     }
 
+    /**
+     * Logs what is known of the version that began the stream which the caller takes up.
+     *
+     * @param result    the result
+     * @param tookNanos how long the nodes were asked
+     */
+    void originFound(OriginResult result, long tookNanos) {
+        if (isLogged(result instanceof OriginResult.Unknown, admittedAt + tookNanos)) {
+            LOGGER.info(
+                    "event=stream-origin request={} result={} software={} took_ms={}",
+                    id,
+                    OriginCounters.label(result),
+                    software(result),
+                    tookNanos / NANOS_PER_MILLI);
+        }
+    }
+
+    private static String software(OriginResult result) {
+        if (result instanceof OriginResult.Recorded known) {
+            return known.software().text();
+        }
+        return result instanceof OriginResult.OnlyVersion only ? only.software().text() : "";
+    }
+
     private long leftMillis(long now) {
         return (admitted.objectiveAt() - now) / NANOS_PER_MILLI;
     }
--- a/library/src/main/java/org/copperspindle/gateway/RequestRun.java
+++ b/library/src/main/java/org/copperspindle/gateway/RequestRun.java
@@ -43,6 +43,7 @@
     private final SilenceWatch silence;
     private final RequestStages stages;
     private final UpstreamEligibility eligibility = new UpstreamEligibility();
+    private final StreamContinuity continuity;
     private final StageEntrance entrance;
     private final UpstreamAttempt.Listener attemptListener = new AttemptListener();
     private Optional<UpstreamSearch> search = Optional.empty();
@@ -71,6 +72,7 @@
         this.resumption = new StreamResumption(context, admitted, relay, requestLogger);
         this.silence = new SilenceWatch(context, admitted, this::canMoveElsewhere);
         this.stages = new RequestStages(context, admitted, resumption, this::likelyFailureDomain, this);
+        this.continuity = new StreamContinuity(context, admitted, eligibility, requestLogger);
         this.entrance = new StageEntrance(context, admitted, eligibility, requestLogger, new EntranceListener());
     }
 
@@ -87,10 +89,10 @@
         }
         if (context.quarantine().isQuarantined(tracked)) {
             refuseQuarantined();
-        } else if (route.stages().isEmpty()) {
-            startAttempt();
+        } else if (continuity.isTakenUp()) {
+            continuity.find(this::onOriginFound);
         } else {
-            entrance.enter();
+            begin();
         }
     }
 
@@ -178,6 +180,27 @@
                 .map(UpstreamRecord::failureDomain);
     }
 
+    private void begin() {
+        if (route.stages().isEmpty()) {
+            startAttempt();
+        } else {
+            entrance.enter();
+        }
+    }
+
+    private void onOriginFound(boolean known) {
+        if (ended) {
+            return;
+        }
+        if (!known) {
+            refuse(unavailable("origin-unknown", "no node knows which software version began the stream"));
+        } else if (continuity.isVersionGone()) {
+            refuseVersionGone();
+        } else {
+            begin();
+        }
+    }
+
     private void startAttempt() {
         if (ended) {
             return;
@@ -187,7 +210,7 @@
             refuseQuarantined();
             return;
         }
-        if (isVersionGone()) {
+        if (continuity.isVersionGone()) {
             refuseVersionGone();
             return;
         }
@@ -202,15 +225,6 @@
         search.get().seek();
     }
 
-    /** Returns whether the caller holds events that no upstream which serves now may continue. */
-    private boolean isVersionGone() {
-        return eligibility.software().isPresent()
-                && admitted.table()
-                        .findPool(pool)
-                        .filter(p -> context.chooser().hasEligible(p, eligibility))
-                        .isEmpty();
-    }
-
     private void refuseVersionGone() {
         if (relay.hasStarted()) {
             abortResponse("version-gone");
@@ -230,6 +244,7 @@
 
     private void send(UpstreamRecord upstream, long now) {
         eligibility.exclude(upstream.id());
+        continuity.onSend(upstream);
         context.coldAdmission().recordSend(upstream.id(), now);
         sent++;
         context.counters().recordAttempt(route.name(), sent > 1, now - admittedAt);
@@ -450,7 +465,7 @@
             recordInputsFetched();
             context.firstEventLatencies().observe(route, tookNanos);
             firstEventAt = context.timers().nanoTime();
-            lastRun.map(UpstreamRun::upstream).map(UpstreamRecord::software).ifPresent(eligibility::require);
+            lastRun.map(UpstreamRun::upstream).ifPresent(continuity::onFirstEvent);
             attempt.ifPresent(silence::watch);
         }
 
--- a/library/src/main/java/org/copperspindle/gateway/UpstreamEligibility.java
+++ b/library/src/main/java/org/copperspindle/gateway/UpstreamEligibility.java
@@ -16,10 +16,19 @@
 
     private final Set<String> tried = new HashSet<>();
     private Optional<SoftwareVersion> software = Optional.empty();
+    private Predicate<UpstreamRecord> mayBegin = upstream -> true;
 
     @Override
     public boolean test(UpstreamRecord upstream) {
-        return !tried.contains(upstream.id()) && hasSoftware(upstream);
+        if (tried.contains(upstream.id())) {
+            return false;
+        }
+        return software.isPresent() ? software.get().equals(upstream.software()) : mayBegin.test(upstream);
+    }
+
+    /** Limits which upstreams may begin the stream; one that is continued is limited by its software alone. */
+    void beginOnlyAt(Predicate<UpstreamRecord> condition) {
+        mayBegin = condition;
     }
 
     /** Records that an upstream gets the request. */
@@ -41,8 +50,4 @@
     Optional<SoftwareVersion> software() {
         return software;
     }
-
-    private boolean hasSoftware(UpstreamRecord upstream) {
-        return software.isEmpty() || software.get().equals(upstream.software());
-    }
 }
--- a/library/src/main/java/org/copperspindle/mesh/MeshNode.java
+++ b/library/src/main/java/org/copperspindle/mesh/MeshNode.java
@@ -18,6 +18,7 @@
     private long incarnation;
     private NodeHelloMessage hello;
     private List<String> neighbours = List.of();
+    private boolean silent;
     private final Map<Class<?>, WireMessage> lastSent = new HashMap<>();
 
     MeshNode(String address) {
@@ -76,6 +77,15 @@
         return false;
     }
 
+    /**
+     * Returns whether the last connection that ended was closed because the node was silent.
+     *
+     * @return true if the node may still run behind a partition
+     */
+    public boolean isSilent() {
+        return silent;
+    }
+
     boolean isUp() {
         return hello != null && !peers.isEmpty();
     }
@@ -123,6 +133,7 @@
     boolean removePeer(Peer peer) {
         // The last messages on this connection may not have arrived, so they are sent again.
         lastSent.clear();
+        silent = peer.isClosedForSilence();
         return peers.remove(peer);
     }
 }
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/origin/SharedStreamOrigins.java
@@ -0,0 +1,265 @@
+package org.copperspindle.origin;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import java.util.stream.Collectors;
+
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.copperspindle.discovery.SoftwareVersion;
+import org.copperspindle.discovery.UpstreamDirectory;
+import org.copperspindle.discovery.UpstreamRecord;
+import org.copperspindle.mesh.MajorityWatch;
+import org.copperspindle.mesh.MeshListener;
+import org.copperspindle.mesh.MeshNode;
+import org.copperspindle.mesh.NodeMesh;
+import org.copperspindle.time.TimerService;
+import org.copperspindle.wire.WireMessage;
+
+/**
+ * Origins of streams, shared between nodes. A node keeps those of the streams that it relays; while more than one
+ * version is known in a pool, it also stores each at {@link #COPIES} other nodes when it sends the request, which is
+ * long before the first event. When a second version becomes known, it stores those that it kept until then. A node at
+ * which a stream is taken up asks the nodes that would hold the record.
+ */
+public final class SharedStreamOrigins implements StreamOrigins, MeshListener {
+
+    /** Other nodes at which a record is stored. */
+    static final int COPIES = 2;
+
+    /** Nodes that are asked for a record: more than hold it, since a node may have come or gone in between. */
+    static final int ASKED = 4;
+
+    /** How long an answer is awaited: several round trips on a link with packet loss, little of a caller's time. */
+    private static final long QUERY_TIMEOUT_NANOS = Duration.ofMillis(250).toNanos();
+
+    private static final long SWEEP_NANOS = Duration.ofSeconds(5).toNanos();
+
+    /**
+     * How much longer streams are stored elsewhere than a former version counts in an answer: nodes hear of an upstream
+     * for the last time at different moments.
+     */
+    private static final long STORED_LONGER_NANOS = Duration.ofSeconds(10).toNanos();
+
+    /** Largest number of records in one message. */
+    private static final int MAX_BATCH = 200;
+
+    private static final Logger LOGGER = LogManager.getLogger(SharedStreamOrigins.class);
+
+    private final NodeMesh mesh;
+    private final MajorityWatch majority;
+    private final TimerService timers;
+    private final UpstreamDirectory directory;
+    private final LongSupplier lifetimeNanos;
+    private final OriginTable table = new OriginTable();
+    private final Map<Long, OriginQuery> queries = new HashMap<>();
+    private final Set<String> mixedPools = new HashSet<>();
+    private final OriginCounters counters = new OriginCounters();
+    private long lastQuery;
+
+    /**
+     * Creates the origins. The caller subscribes them to the mesh and to the directory.
+     *
+     * @param mesh          the nodes
+     * @param majority      whether this node reaches most of them
+     * @param timers        timers of the network thread
+     * @param directory     the known upstreams
+     * @param lifetimeNanos supplies the time after which no caller takes a stream up, in nanoseconds from its start
+     */
+    public SharedStreamOrigins(
+            NodeMesh mesh,
+            MajorityWatch majority,
+            TimerService timers,
+            UpstreamDirectory directory,
+            LongSupplier lifetimeNanos) {
+        this.mesh = mesh;
+        this.majority = majority;
+        this.timers = timers;
+        this.directory = directory;
+        this.lifetimeNanos = lifetimeNanos;
+    }
+
+    /** Starts to remove expired records. */
+    public void start() {
+        table.removeExpired(timers.nanoTime());
+        timers.schedule(SWEEP_NANOS, this::start);
+    }
+
+    /**
+     * Returns the counts of records and queries.
+     *
+     * @return the counters
+     */
+    public OriginCounters counters() {
+        return counters;
+    }
+
+    /**
+     * Returns the number of records that this node keeps, for itself and for others.
+     *
+     * @return a count
+     */
+    public int size() {
+        return table.size();
+    }
+
+    /**
+     * Returns how many records were dropped before they expired.
+     *
+     * @return a count
+     */
+    public long dropped() {
+        return table.dropped();
+    }
+
+    /** {@inheritDoc} A version that became known in a minority may be unknown to the other side. */
+    @Override
+    public boolean mayBegin(UpstreamRecord upstream) {
+        OptionalLong lostAt = majority.lostAt();
+        if (lostAt.isEmpty()) {
+            return true;
+        }
+        OptionalLong learnedAt = directory.softwareLearnedAt(upstream.pool(), upstream.software());
+        return learnedAt.isPresent() && learnedAt.getAsLong() - lostAt.getAsLong() < 0;
+    }
+
+    @Override
+    public void record(StreamKey key, UpstreamRecord upstream, long order) {
+        String pool = upstream.pool();
+        OriginRecord added = new OriginRecord(key, pool, new StreamOrigin(upstream.software(), order));
+        table.put(added, true, expiry());
+        if (isMixed(pool)) {
+            store(added);
+        } else {
+            mixedPools.remove(pool);
+        }
+    }
+
+    @Override
+    public void find(StreamKey key, String pool, Consumer<OriginResult> listener) {
+        Consumer<OriginResult> counted = result -> {
+            counters.record(result);
+            listener.accept(result);
+        };
+        OriginView own = view(key, pool);
+        List<MeshNode> asked = table.isOwn(key) ? List.of() : RecordHolders.of(key, mesh.nodes(), ASKED);
+        OriginQuery query =
+                new OriginQuery(own, asked.stream().map(MeshNode::address).collect(Collectors.toSet()), counted);
+        if (query.isComplete()) {
+            query.finish();
+            return;
+        }
+        long id = ++lastQuery;
+        queries.put(id, query);
+        query.limitTime(timers.schedule(QUERY_TIMEOUT_NANOS, () -> finish(id)));
+        for (MeshNode node : asked) {
+            if (!node.send(new OriginQueryMessage(id, key, pool))) {
+                query.lost(node.address());
+            }
+        }
+        finishIfComplete(id);
+    }
+
+    /**
+     * Stores the streams of a pool elsewhere as soon as a second version is known in it.
+     *
+     * @param change an upstream that has changed
+     */
+    public void onUpstreamChange(UpstreamRecord change) {
+        String pool = change.pool();
+        if (isMixed(pool) && mixedPools.add(pool)) {
+            List<OriginRecord> kept = table.own(pool, timers.nanoTime());
+            LOGGER.info(
+                    "event=stream-origins-stored pool={} software={} streams={}",
+                    pool,
+                    change.software().text(),
+                    kept.size());
+            store(kept);
+        }
+    }
+
+    @Override
+    public void onMessage(MeshNode node, WireMessage message) {
+        if (message instanceof OriginRecordsMessage received) {
+            received.records().forEach(each -> table.put(each, false, expiry()));
+        } else if (message instanceof OriginQueryMessage asked) {
+            node.send(new OriginAnswerMessage(asked.query(), view(asked.key(), asked.pool())));
+        } else if (message instanceof OriginAnswerMessage answer) {
+            OriginQuery query = queries.get(answer.query());
+            if (query != null) {
+                query.answered(node.address(), answer.view());
+                finishIfComplete(answer.query());
+            }
+        }
+    }
+
+    @Override
+    public void onNodeDown(MeshNode node) {
+        queries.values().forEach(query -> query.lost(node.address()));
+        Set.copyOf(queries.keySet()).forEach(this::finishIfComplete);
+    }
+
+    private OriginView view(StreamKey key, String pool) {
+        return new OriginView(
+                table.find(key, timers.nanoTime()), List.copyOf(versions(pool, 0)), majority.isInformed());
+    }
+
+    private Set<SoftwareVersion> versions(String pool, long marginNanos) {
+        return directory.softwareSince(pool, timers.nanoTime() - lifetimeNanos.getAsLong() - marginNanos);
+    }
+
+    private boolean isMixed(String pool) {
+        return versions(pool, STORED_LONGER_NANOS).size() > 1;
+    }
+
+    private long expiry() {
+        return timers.nanoTime() + lifetimeNanos.getAsLong();
+    }
+
+    private void store(OriginRecord added) {
+        OriginRecordsMessage message = new OriginRecordsMessage(List.of(added));
+        RecordHolders.of(added.key(), mesh.nodes(), COPIES).forEach(node -> node.send(message));
+        counters.recordStored(1);
+    }
+
+    private void store(List<OriginRecord> kept) {
+        Map<MeshNode, List<OriginRecord>> byNode = new HashMap<>();
+        List<MeshNode> nodes = mesh.nodes();
+        for (OriginRecord each : kept) {
+            RecordHolders.of(each.key(), nodes, COPIES)
+                    .forEach(node ->
+                            byNode.computeIfAbsent(node, n -> new ArrayList<>()).add(each));
+        }
+        byNode.forEach(SharedStreamOrigins::send);
+        counters.recordStored(kept.size());
+    }
+
+    private static void send(MeshNode node, List<OriginRecord> records) {
+        for (int from = 0; from < records.size(); from += MAX_BATCH) {
+            List<OriginRecord> batch = records.subList(from, Math.min(records.size(), from + MAX_BATCH));
+            node.send(new OriginRecordsMessage(batch));
+        }
+    }
+
+    private void finishIfComplete(long id) {
+        OriginQuery query = queries.get(id);
+        if (query != null && query.isComplete()) {
+            finish(id);
+        }
+    }
+
+    private void finish(long id) {
+        OriginQuery query = queries.remove(id);
+        if (query != null) {
+            query.finish();
+        }
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/origin/StreamOrigins.java
@@ -0,0 +1,37 @@
+package org.copperspindle.origin;
+
+import java.util.function.Consumer;
+
+import org.copperspindle.discovery.UpstreamRecord;
+
+/**
+ * Knows at which software version streams began. Must be used on the network thread.
+ */
+public interface StreamOrigins {
+
+    /**
+     * Returns whether an upstream may begin streams that callers may take up elsewhere.
+     *
+     * @param upstream the upstream
+     * @return false while other nodes may not know that its version is in use
+     */
+    boolean mayBegin(UpstreamRecord upstream);
+
+    /**
+     * Records that a stream is sent to an upstream, before its first event.
+     *
+     * @param key      the stream
+     * @param upstream the upstream
+     * @param order    number of the record of this stream, from 1
+     */
+    void record(StreamKey key, UpstreamRecord upstream, long order);
+
+    /**
+     * Finds the version at which a stream began.
+     *
+     * @param key      the stream
+     * @param pool     its pool
+     * @param listener receives the result once, perhaps before this returns
+     */
+    void find(StreamKey key, String pool, Consumer<OriginResult> listener);
+}
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/origin/package-info.java
@@ -0,0 +1,6 @@
+/**
+ * Where streams began. What two software versions of an upstream write does not fit together, so a caller that takes a
+ * stream up at another node may only be sent to the version that began it. While the upstreams of a pool run one version,
+ * nothing is stored elsewhere; from the moment at which a second one is known, each stream is recorded at two more nodes.
+ */
+package org.copperspindle.origin;
--- a/library/src/main/java/org/copperspindle/quarantine/RequestDigest.java
+++ b/library/src/main/java/org/copperspindle/quarantine/RequestDigest.java
@@ -1,11 +1,8 @@
 package org.copperspindle.quarantine;
 
-import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
-import java.util.Arrays;
-import java.util.HexFormat;
+
+import org.copperspindle.digest.ContentDigest;
 
 /**
  * Identifies the content of a request independent of the attempt that carries it: a digest of the client account, the
@@ -16,8 +13,6 @@
  */
 public record RequestDigest(String text) {
 
-    private static final int BYTES = 16;
-
     /**
      * Computes the digest of a request.
      *
@@ -29,25 +24,11 @@
      * @return the digest, equal for equal arguments only
      */
     public static RequestDigest of(String account, String method, String host, String uri, byte[] body) {
-        MessageDigest hash = sha256();
-        for (String part : new String[] {account, method, host, uri}) {
-            add(hash, part.getBytes(StandardCharsets.UTF_8));
-        }
-        add(hash, body);
-        return new RequestDigest(HexFormat.of().formatHex(Arrays.copyOf(hash.digest(), BYTES)));
-    }
-
-    /** Adds a part with its length as a prefix, so that the boundary between two parts is unambiguous. */
-    private static void add(MessageDigest hash, byte[] part) {
-        hash.update(ByteBuffer.allocate(Integer.BYTES).putInt(part.length).flip());
-        hash.update(part);
-    }
-
-    private static MessageDigest sha256() {
-        try {
-            return MessageDigest.getInstance("SHA-256");
-        } catch (NoSuchAlgorithmException e) {
-            throw new IllegalStateException("every Java platform has SHA-256", e);
-        }
+        return new RequestDigest(ContentDigest.of(
+                account.getBytes(StandardCharsets.UTF_8),
+                method.getBytes(StandardCharsets.UTF_8),
+                host.getBytes(StandardCharsets.UTF_8),
+                uri.getBytes(StandardCharsets.UTF_8),
+                body));
     }
 }
--- a/library/src/main/java/org/copperspindle/wire/Peer.java
+++ b/library/src/main/java/org/copperspindle/wire/Peer.java
@@ -30,6 +30,16 @@
      */
     boolean isWritable();
 
+    /**
+     * Returns whether the connection was closed because the peer was silent. The peer may still run behind a partition;
+     * one that ends closes its connections.
+     *
+     * @return false while the connection is open, and if it ended in any other way
+     */
+    default boolean isClosedForSilence() {
+        return false;
+    }
+
     /** Closes the connection. */
     void close();
 }
--- a/library/src/main/java/org/copperspindle/wire/PeerHandler.java
+++ b/library/src/main/java/org/copperspindle/wire/PeerHandler.java
@@ -35,6 +35,7 @@
     private final WireLimits limits;
     private final Deque<BooleanSupplier> pendingEvents = new ArrayDeque<>();
     private final AtomicLong pendingBytes = new AtomicLong();
+    private volatile boolean closedForSilence;
     private Phase phase = Phase.GREETING;
     private Future<?> greetingTimeout;
     private long readingResumedNanos;
@@ -118,6 +119,11 @@
         send(ownGreeting);
     }
 
+    @Override
+    public boolean isClosedForSilence() {
+        return closedForSilence;
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         phase = Phase.ENDED;
@@ -137,6 +143,7 @@
             send(HeartbeatMessage.INSTANCE);
         } else if (isPeerSilent(ctx)) {
             counters.recordSilentPeer();
+            closedForSilence = true;
             refuse(ctx, "peer-silent");
         }
     }
--- a/library/src/test/java/org/copperspindle/gateway/StreamHarness.java
+++ b/library/src/test/java/org/copperspindle/gateway/StreamHarness.java
@@ -41,10 +41,12 @@
 import org.copperspindle.memory.HeldMemories;
 import org.copperspindle.mesh.FakePeer;
 import org.copperspindle.mesh.IsolationDetector;
+import org.copperspindle.mesh.MajorityWatch;
 import org.copperspindle.mesh.MeshRelay;
 import org.copperspindle.mesh.MeshSettings;
 import org.copperspindle.mesh.NodeHelloMessage;
 import org.copperspindle.mesh.NodeMesh;
+import org.copperspindle.origin.SharedStreamOrigins;
 import org.copperspindle.quarantine.RequestQuarantine;
 import org.copperspindle.quarantine.UpstreamRun;
 import org.copperspindle.route.Route;
@@ -354,7 +356,9 @@
                 new RequestQuarantine(nodes, time, directory, this::checkListens, log),
                 new StreamResumptions(counters),
                 HeldMemories.unlimited(),
-                new PausedUpstreams());
+                new PausedUpstreams(),
+                new SharedStreamOrigins(
+                        nodes, new MajorityWatch(nodes::count, time), time, directory, TIMEOUT::toNanos));
     }
 
     /** Virtual time in which the node is suspended now and then. */
