Let the soak release software versions and keep a ledger of what callers hold

What callers saw: streams that two software versions wrote. No soak could show it: all stand-ins ran the same software, and no caller took a stream up.

--- a/soak/src/main/java/org/copperspindle/soak/PromiseBook.java
+++ b/soak/src/main/java/org/copperspindle/soak/PromiseBook.java
@@ -27,6 +27,7 @@
     private final List<String> broken = new ArrayList<>();
     private final AtomicInteger served = new AtomicInteger();
     private final StreamWork work = new StreamWork();
+    private final HeldStreams held = new HeldStreams();
     private final RecoveryWatch recovery = new RecoveryWatch();
     private final ServedShares shares = new ServedShares();
     private final List<Long> fatalEnds = new CopyOnWriteArrayList<>();
@@ -60,12 +61,10 @@
         }
         if (answer.isServed()) {
             served.incrementAndGet();
-            if (!answer.text().equals(expected(request))) {
+            if (!HeldStreams.unsigned(answer.text()).equals(expected(request))) {
                 breaks("mixed: " + request.id() + " got " + answer.excerpt());
             }
-        } else if (answer.status() == 200
-                && request.streams()
-                && !expected(request).startsWith(answer.text())) {
+        } else if (answer.status() == 200 && request.streams() && !begins(expected(request), answer.text())) {
             breaks("order: " + request.id() + " got " + answer.excerpt());
         }
     }
@@ -115,6 +114,11 @@
         return "asked=" + slow.size() + " whole=" + whole + " cut_off=" + cut;
     }
 
+    /** Returns what callers hold of their streams. */
+    HeldStreams held() {
+        return held;
+    }
+
     /** Returns what engines worked on. */
     StreamWork work() {
         return work;
@@ -148,6 +152,7 @@
         answers.forEach((id, answer) -> judge(SoakRequest.parse(id), answer, linkTrouble));
         judgeFatal(linkTrouble);
         work.overlaps().forEach(this::breaks);
+        held.broken(linkTrouble).forEach(this::breaks);
         return broken.size() > MOST_TOLD ? List.copyOf(broken.subList(0, MOST_TOLD)) : List.copyOf(broken);
     }
 
@@ -217,12 +222,20 @@
         return linkTrouble.stream().noneMatch(t -> t[0] - margin < at + margin && at < t[1] + margin);
     }
 
+    /** Says whether a body that broke off, perhaps in the middle of an event, is the beginning of a whole one. */
+    private static boolean begins(String whole, String part) {
+        String events = HeldStreams.unsigned(part);
+        int version = events.lastIndexOf(" @");
+        String end = version >= 0 ? events.substring(0, version) : events;
+        return whole.startsWith(end) || whole.startsWith(events.stripTrailing());
+    }
+
     private static String expected(SoakRequest request) {
         if (!request.streams()) {
             return request.body();
         }
         StringBuilder events = new StringBuilder();
-        for (int number = 1; number <= request.events(); number++) {
+        for (int number = 1 + request.heldEvents(); number <= request.events(); number++) {
             events.append(request.event(number));
         }
         return events.toString();
--- a/soak/src/main/java/org/copperspindle/soak/Soak.java
+++ b/soak/src/main/java/org/copperspindle/soak/Soak.java
@@ -39,6 +39,11 @@
                     POOLS.stream(), Stream.of(SoakUpstream.LATER_STAGE, SoakUpstream.LATER_STAGE))
             .toList();
 
+    /** With releases there are enough engines that two of each version are left while others are replaced. */
+    private static final List<String> POOLS_WITH_RELEASES = Stream.concat(
+                    POOLS.stream(), Stream.generate(() -> SoakUpstream.ENGINE).limit(3))
+            .toList();
+
     private static final List<String> STAGE_POOLS = List.of(SoakUpstream.LATER_STAGE, SoakUpstream.STAGE);
 
     /** In a shortage, the part of the time after which general disturbances join those of dispatchers and engines. */
@@ -76,6 +81,7 @@
     private final SoakOperator operator;
     private final Random needSeeds;
     private final Random speeds;
+    private final EngineVersions versions;
     private final long needsUntil;
 
     private Soak(SoakSettings settings, Consumer<String> progress) throws IOException {
@@ -89,6 +95,8 @@
         this.needSeeds = new Random(settings.seed());
         // A generator of its own: the other draws of a seed stay what they are.
         this.speeds = new Random(~settings.seed());
+        this.versions = new EngineVersions(
+                System.currentTimeMillis(), settings.duration().toMillis(), new Random(settings.seed()));
         this.needsUntil = System.currentTimeMillis() + settings.duration().toMillis();
     }
 
@@ -140,6 +148,9 @@
                 .forEach(node -> book.breaks("exit: " + node.name() + " ended by itself"));
         progress.accept("slow readers " + book.slowReaders());
         synchronized (linkTrouble) {
+            if (settings.releases()) {
+                progress.accept("streams " + book.held().summary(linkTrouble));
+            }
             return new SoakReport(
                     settings.seed(), book.asked(), book.served(), book.fatalEnds(), recovered, book.judge(linkTrouble));
         }
@@ -160,7 +171,10 @@
     }
 
     private List<String> pools() {
-        return settings.shortage() ? POOLS_IN_SHORTAGE : POOLS;
+        if (settings.shortage()) {
+            return POOLS_IN_SHORTAGE;
+        }
+        return settings.releases() ? POOLS_WITH_RELEASES : POOLS;
     }
 
     private void judgeShortage(long end) {
@@ -191,6 +205,9 @@
             if (settings.shortage()) {
                 caller.inShortage();
             }
+            if (settings.releases()) {
+                caller.takingUp(this::readyEngines);
+            }
             callers.add(caller);
             start(caller, "caller-" + i);
         }
@@ -204,6 +221,15 @@
         workers.scheduleAtFixedRate(operator::check, READ_MILLIS, READ_MILLIS, TimeUnit.MILLISECONDS);
     }
 
+    private int readyEngines(String software) {
+        synchronized (upstreams) {
+            return (int) upstreams.stream()
+                    .filter(upstream ->
+                            upstream.isReady() && upstream.software().equals(software))
+                    .count();
+        }
+    }
+
     private static void start(Runnable caller, String name) {
         Thread thread = new Thread(caller, name);
         thread.setDaemon(true);
@@ -219,6 +245,11 @@
         if (settings.shortage()) {
             upstream.inShortage();
         }
+        if (settings.releases() && pool.equals(SoakUpstream.ENGINE)) {
+            synchronized (versions) {
+                upstream.running(versions.next(System.currentTimeMillis()));
+            }
+        }
         boolean cold = settings.evacuates() && pool.equals(SoakUpstream.ENGINE);
         if (cold) {
             upstream.starting(ColdStart.at(System.currentTimeMillis()));
--- a/soak/src/main/java/org/copperspindle/soak/SoakCaller.java
+++ b/soak/src/main/java/org/copperspindle/soak/SoakCaller.java
@@ -7,12 +7,16 @@
 import java.io.InputStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Optional;
 import java.util.SplittableRandom;
+import java.util.TreeMap;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.ToIntFunction;
 
 import org.copperspindle.dialect.HeaderNames;
 import org.copperspindle.http.ProblemDetails;
@@ -31,6 +35,17 @@
     private static final int THINK_MILLIS = 60;
     private static final int MOST_PIECES = 4;
     private static final int FOR_ONE_CONNECTION = 30;
+    private static final int MOST_TIMES_TAKEN_UP = 3;
+
+    /** Share of streams whose connection is lost at the caller's end, where callers take streams up. */
+    private static final double LOST_CONNECTIONS = 0.3;
+
+    /** Bytes after which such a connection is lost at the latest. */
+    private static final int LONGEST_READ = 1500;
+
+    /** Of so many requests that take a stream up, one names a later request than the first. */
+    private static final int LATER_NAMED = 5;
+
     private static final double REVOKED_SHARE = 0.2;
 
     /** Share of requests whose answers are large and are not read for a while once they have begun. */
@@ -61,11 +76,15 @@
     private final SplittableRandom more;
 
     private volatile boolean ended;
+    /** The request that is named as the one that brought events, while a stream is taken up. */
+    private Optional<SoakRequest> resumes = Optional.empty();
+
     private Socket socket;
     private InputStream in;
     private int left;
     private int node;
     private boolean inShortage;
+    private Optional<ToIntFunction<String>> enginesByVersion = Optional.empty();
 
     /** The last request on the open connection whose answer was whole; empty if there is none. */
     private String answered = "";
@@ -84,6 +103,16 @@
         return this;
     }
 
+    /**
+     * Takes streams up that break off, at other nodes.
+     *
+     * @param engines returns how many engines of a version take requests
+     */
+    SoakCaller takingUp(ToIntFunction<String> engines) {
+        enginesByVersion = Optional.of(engines);
+        return this;
+    }
+
     void end() {
         ended = true;
     }
@@ -100,15 +129,44 @@
                 askAndStall(lengthened(SoakRequest.large(numbers.incrementAndGet(), route, account, pieces)));
             } else {
                 SoakRequest request = lengthened(SoakRequest.of(numbers.incrementAndGet(), route, account, pieces));
-                book.answered(request, ask(request));
+                Answer answer = ask(request);
+                book.answered(request, answer);
+                if (enginesByVersion.isPresent() && route.equals(SoakRequest.RESUME)) {
+                    takeUp(request, answer);
+                }
             }
             Pause.millis(random.nextInt(THINK_MILLIS));
         }
         close();
     }
 
+    /** Takes a stream up until it is whole, a few times at most, each time on a new connection. */
+    private void takeUp(SoakRequest first, Answer begun) {
+        book.held().began(first.id(), begun.text());
+        Map<Integer, String> events = new TreeMap<>(HeldStreams.events(begun.text()));
+        SoakRequest brought = first;
+        Answer last = begun;
+        for (int i = 0; i < MOST_TIMES_TAKEN_UP && !last.isServed() && !events.isEmpty(); i++) {
+            close();
+            int held = Collections.max(events.keySet());
+            SoakRequest next = first.takenUp(held, numbers.incrementAndGet());
+            // Most name the request that brought the first event, some a later one that brought events as well.
+            resumes = Optional.of(more.nextInt(LATER_NAMED) == 0 ? brought : first);
+            int before = enginesByVersion.get().applyAsInt(events.get(held));
+            last = ask(next);
+            int after = enginesByVersion.get().applyAsInt(events.get(held));
+            resumes = Optional.empty();
+            book.answered(next, last);
+            book.held().tookUp(first.id(), last.text(), Math.min(before, after), last.sentAt(), last.endedAt());
+            Map<Integer, String> came = HeldStreams.events(last.text());
+            events.putAll(came);
+            brought = came.isEmpty() ? brought : next;
+        }
+    }
+
     private SoakRequest lengthened(SoakRequest request) {
-        return inShortage && request.streams() ? request.lengthened() : request;
+        boolean isLong = inShortage || enginesByVersion.isPresent();
+        return isLong && request.streams() ? request.lengthened() : request;
     }
 
     /** Sends a request, on the open connection if there is one. */
@@ -144,10 +202,13 @@
     private Answer ask(SoakRequest request, String body, int stallMillis) {
         long sentAt = System.currentTimeMillis();
         Reply reply = new Reply();
+        if (enginesByVersion.isPresent() && request.streams() && more.nextDouble() < LOST_CONNECTIONS) {
+            reply.longest = 1 + more.nextInt(LONGEST_READ);
+        }
         try {
             connect(stallMillis > 0);
             sentAt = System.currentTimeMillis();
-            socket.getOutputStream().write(text(request, body).getBytes(StandardCharsets.US_ASCII));
+            socket.getOutputStream().write((text(request, body) + body).getBytes(StandardCharsets.US_ASCII));
             reply.read(in, stallMillis);
         } catch (IOException e) {
             // The connection broke or nothing came in time: what had come by then is the answer.
@@ -200,12 +261,18 @@
         answered = "";
     }
 
-    private static String text(SoakRequest request, String body) {
+    private String text(SoakRequest request, String body) {
         return "POST /" + request.route() + "/x HTTP/1.1\r\nHost: h\r\n" + NAMES.requestId() + ": " + request.id()
                 + "\r\nAuthorization: Bearer key-" + request.account() + "\r\n" + NAMES.deadline() + ": "
                 + DEADLINE_MILLIS + "\r\n" + NAMES.prompt() + ": shared:10,own:5\r\n" + NAMES.pieces() + ": "
                 + request.pieces() + ',' + request.pieces() + "\r\n" + NAMES.pieceKey() + ": " + request.pieceKey()
-                + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+                + takenUpFields(request) + "\r\nContent-Length: " + body.length() + "\r\n\r\n";
+    }
+
+    private String takenUpFields(SoakRequest request) {
+        return resumes.map(named ->
+                        "\r\nLast-Event-Id: " + request.heldEvents() + "\r\n" + NAMES.resumes() + ": " + named.id())
+                .orElse("");
     }
 
     private void close() {
@@ -229,6 +296,7 @@
         private boolean whole;
         private boolean closes;
         private long firstAt;
+        private int longest = Integer.MAX_VALUE;
 
         private void read(InputStream in, int stallMillis) throws IOException {
             String first = line(in);
@@ -263,6 +331,9 @@
             }
             for (int i = 0; i < length; i++) {
                 body.write(next(in));
+                if (body.size() >= longest) {
+                    throw new EOFException();
+                }
             }
         }
 
--- a/soak/src/main/java/org/copperspindle/soak/SoakRequest.java
+++ b/soak/src/main/java/org/copperspindle/soak/SoakRequest.java
@@ -1,5 +1,8 @@
 package org.copperspindle.soak;
 
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
 /**
  * A request of a soak. Its id says all that a stand-in needs to judge what it is asked for.
  *
@@ -30,6 +33,11 @@
     /** The same of a long stream: all of them are more than the buffers of a connection on loopback take. */
     private static final String LONG_FILLER = "x".repeat(240_000);
 
+    /** Precedes the number of the last event that the caller of a request holds. */
+    private static final String AFTER = "-after";
+
+    private static final Pattern AFTER_EVENT = Pattern.compile(AFTER + "(\\d+)");
+
     private static final int EVENTS = 6;
 
     /** Long enough that an engine can be lost in the middle of most streams. */
@@ -57,13 +65,28 @@
         return new SoakRequest(id + '-' + LONG, route, account, pieces);
     }
 
+    /** Returns the request in which a caller takes up this stream after an event. */
+    SoakRequest takenUp(int event, long number) {
+        return new SoakRequest(id + AFTER + event + "-n" + number, route, account, pieces);
+    }
+
+    /** Returns the number of the last event that its caller holds, 0 for a new stream. */
+    int heldEvents() {
+        Matcher last = AFTER_EVENT.matcher(id);
+        int events = 0;
+        while (last.find()) {
+            events = Integer.parseInt(last.group(1));
+        }
+        return events;
+    }
+
     /** Returns how many events its answer has. */
     int events() {
         return isLong() ? LONG_EVENTS : EVENTS;
     }
 
     private boolean isLong() {
-        return id.endsWith("-" + LONG);
+        return id.contains("-" + LONG);
     }
 
     /** Reads what an id says. */
--- a/soak/src/main/java/org/copperspindle/soak/SoakSettings.java
+++ b/soak/src/main/java/org/copperspindle/soak/SoakSettings.java
@@ -16,6 +16,7 @@
  * @param evacuates whether the operator evacuates failure domains, and engines are cold after their start
  * @param needs    whether upstreams name limits and ask for rest
  * @param shortage whether stage pools run short under a flood, and their dispatchers and engines are disturbed
+ * @param releases whether engines run two software versions at a time, and callers take streams up that break off
  * @param launcher words that start the command line, to which {@code run --settings FILE} is added
  */
 public record SoakSettings(
@@ -28,6 +29,7 @@
         boolean evacuates,
         boolean needs,
         boolean shortage,
+        boolean releases,
         List<String> launcher) {
 
     /** Copies the list. */
--- a/soak/src/main/java/org/copperspindle/soak/SoakUpstream.java
+++ b/soak/src/main/java/org/copperspindle/soak/SoakUpstream.java
@@ -94,6 +94,7 @@
     private volatile String phase = "ready";
     private volatile boolean ended;
     private volatile boolean inShortage;
+    private volatile String software = "";
     private volatile long silentUntil;
     private long busyUntil;
 
@@ -139,6 +140,21 @@
         return this;
     }
 
+    /** Sets the version of its software, which it writes into its events; before its first announcement. */
+    SoakUpstream running(String version) {
+        software = version;
+        return this;
+    }
+
+    String software() {
+        return software;
+    }
+
+    /** Says whether it takes new requests. */
+    boolean isReady() {
+        return !ended && !phase.equals(DRAINING);
+    }
+
     /** Sends nothing on its streams for some time. */
     void silence(long millis) {
         silentUntil = System.currentTimeMillis() + millis;
@@ -174,6 +190,7 @@
                 .put("slots", SLOTS)
                 .put("sequence", sequence.incrementAndGet())
                 .put("cold_ms", coldStart.leftMillis(System.currentTimeMillis()))
+                .put("software", software)
                 .toString();
         URI uri = URI.create("http://" + node.address(node.control()) + "/v1/upstreams/" + id);
         HttpRequest request = HttpRequest.newBuilder(uri)
@@ -292,7 +309,7 @@
             ends.accept(this);
             return;
         }
-        boolean breaks = random.nextDouble() < (inShortage && request.streams() ? LONG_BREAKS : BREAKS);
+        boolean breaks = random.nextDouble() < (breaksOften(request) ? LONG_BREAKS : BREAKS);
         List<HeaderField> fields = fields(new HeaderField(NAMES.requestId(), request.id()));
         if (request.streams()) {
             int after = Integer.parseInt(exchange.header("Last-Event-Id").orElse("0"));
@@ -313,6 +330,10 @@
         }
     }
 
+    private boolean breaksOften(SoakRequest request) {
+        return request.streams() && (inShortage || !software.isEmpty());
+    }
+
     private void stream(HttpExchange exchange, SoakRequest request, int number, int last, StreamWork.Span work) {
         if (ended || !open.contains(exchange)) {
             work.ends(System.currentTimeMillis());
@@ -324,7 +345,7 @@
         } else if (number > last) {
             int stall = inShortage ? random.nextInt(LONGEST_STALL_MILLIS) : 0;
             breakOff(exchange, System.currentTimeMillis() + stall, work);
-        } else if (exchange.write(request.event(number))) {
+        } else if (exchange.write(event(request, number))) {
             long pause = speed.scaled(inShortage ? LONG_EVENT_MILLIS : EVENT_MILLIS);
             later(exchange, pause, () -> stream(exchange, request, number + 1, last, work));
         } else {
@@ -332,6 +353,11 @@
         }
     }
 
+    private String event(SoakRequest request, int number) {
+        String event = request.event(number);
+        return software.isEmpty() ? event : HeldStreams.writtenBy(software, event);
+    }
+
     private void breakOff(HttpExchange exchange, long at, StreamWork.Span work) {
         long now = System.currentTimeMillis();
         if (!ended && open.contains(exchange) && now < at) {
--- a/tools/src/main/java/org/copperspindle/cli/SoakCommand.java
+++ b/tools/src/main/java/org/copperspindle/cli/SoakCommand.java
@@ -72,6 +72,10 @@
                 .help(
                         "let stage pools run short, and disturb their dispatchers and engines, instead of what the options"
                                 + " above leave out");
+        parser.addArgument("--releases")
+                .action(Arguments.storeTrue())
+                .help(
+                        "run engines of two software versions at a time, and callers that take up streams that break off");
         parser.addArgument("--folder")
                 .setDefault("")
                 .help("folder for settings, data and logs; default: a temporary folder");
@@ -99,6 +103,7 @@
                     !shortage && !arguments.getBoolean("no_evacuations"),
                     !shortage && !arguments.getBoolean("no_needs"),
                     shortage,
+                    !shortage && arguments.getBoolean("releases"),
                     nodeCommand());
             SoakReport report = Soak.run(settings, line -> System.out.println("soak " + line));
             System.out.println(report.summary() + " logs=" + settings.folder());
--- a/tools/src/test/java/org/copperspindle/cli/SoakTest.java
+++ b/tools/src/test/java/org/copperspindle/cli/SoakTest.java
@@ -32,16 +32,18 @@
     // nothing.
     @ParameterizedTest
     @CsvSource({
-        "1, false, false, false, false",
-        "101, false, false, false, false",
-        "7001, true, false, false, false",
-        "7002, true, false, false, false",
-        "8003, false, true, false, false",
-        "9001, false, false, true, false",
-        "504, false, false, false, true"
+        "1, false, false, false, false, false",
+        "101, false, false, false, false, false",
+        "7001, true, false, false, false, false",
+        "7002, true, false, false, false, false",
+        "8003, false, true, false, false, false",
+        "9001, false, false, true, false, false",
+        "504, false, false, false, true, false",
+        "11, false, false, false, false, true"
     })
     void promisesAreKeptUnderInjectedFaults(
-            long seed, boolean fatal, boolean evacuates, boolean needs, boolean shortage) throws Exception {
+            long seed, boolean fatal, boolean evacuates, boolean needs, boolean shortage, boolean releases)
+            throws Exception {
         SoakSettings settings = new SoakSettings(
                 seed,
                 Duration.ofSeconds(8),
@@ -52,6 +54,7 @@
                 evacuates,
                 needs,
                 shortage,
+                releases,
                 SoakCommand.nodeCommand());
         SoakReport report = Soak.run(settings, line -> {});
         assertThat(report.broken()).as(report.summary()).isEmpty();
