Bound what a log line takes from a caller that takes up a stream

Last-Event-Id and the named request are logged as one word of 64 characters at most, else as unprintable. A request with an empty id is not recorded, since no caller could name it.

Found while reading the change again; no caller has been seen to send such values.

--- a/library/src/main/java/org/copperspindle/gateway/RequestLogger.java
+++ b/library/src/main/java/org/copperspindle/gateway/RequestLogger.java
@@ -5,6 +5,7 @@
 import java.util.OptionalLong;
 import java.util.function.Function;
 import java.util.function.Supplier;
+import java.util.regex.Pattern;
 
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -26,6 +27,8 @@
 
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
+    private static final Pattern PRINTABLE = Pattern.compile("[!-~]{1,64}");
+
     private final LogRateLimiter log;
     private final UpstreamTracker tracker;
     private final AdmittedRequest admitted;
@@ -66,8 +69,8 @@
                 request.pieces(),
                 request.promptTokens(),
                 request.sharedTokens(),
-                request.resumePoint().map(ResumePoint::lastEventId).orElse(""),
-                request.resumePoint().flatMap(ResumePoint::firstRequest).orElse(""));
+                printable(request.resumePoint().map(ResumePoint::lastEventId)),
+                printable(request.resumePoint().flatMap(ResumePoint::firstRequest)));
     }
 
     /**
@@ -191,7 +194,7 @@
                 upstream.software().text(),
                 tracker.inFlight(upstream.id()),
                 (now - admittedAt) / NANOS_PER_MILLI,
-                resumeAfter.orElse(""),
+                printable(resumeAfter),
                 text(estimate, e -> e.firstEventNanos() / NANOS_PER_MILLI),
                 text(estimate, EngineEstimate::pace),
                 text(estimate, EngineEstimate::waitingTokens),
@@ -252,6 +255,11 @@
         return failed ? log.allowsFailed(now) : log.allowsServed(now);
     }
 
+    /** Returns a caller's text as one word of bounded length. */
+    private static String printable(Optional<String> text) {
+        return text.map(t -> PRINTABLE.matcher(t).matches() ? t : "unprintable").orElse("");
+    }
+
     private static <T> String text(Optional<T> source, Function<T, Object> value) {
         return source.map(value).map(Object::toString).orElse("");
     }
--- a/library/src/main/java/org/copperspindle/gateway/RequestRun.java
+++ b/library/src/main/java/org/copperspindle/gateway/RequestRun.java
@@ -180,6 +180,7 @@
                 .map(UpstreamRecord::failureDomain);
     }
 
+    /** Starts the work on a request that may be sent: its stages, or the first attempt. */
     private void begin() {
         if (route.stages().isEmpty()) {
             startAttempt();
@@ -188,6 +189,7 @@
         }
     }
 
+    /** Starts a request that takes up a stream, unless it may be sent nowhere. */
     private void onOriginFound(boolean known) {
         if (ended) {
             return;
@@ -225,13 +227,14 @@
         search.get().seek();
     }
 
+    /** Ends a request whose caller holds events that no other upstream may continue. */
     private void refuseVersionGone() {
         if (relay.hasStarted()) {
             abortResponse("version-gone");
         } else if (mayHaveRun) {
             refuse(Refusal.failed("version-gone"));
         } else {
-            refuse(unavailable("version-gone", "no upstream runs the software version that began the stream"));
+            refuse(unavailable("version-gone", "no other upstream runs the software version that began the stream"));
         }
     }
 
--- a/library/src/main/java/org/copperspindle/gateway/StreamContinuity.java
+++ b/library/src/main/java/org/copperspindle/gateway/StreamContinuity.java
@@ -101,8 +101,11 @@
         return false;
     }
 
+    /** Returns whether callers may take the stream up. One whose request has an empty id can't be named by them. */
     private boolean isRecorded() {
-        return admitted.route().kind() == RouteKind.STREAM && admitted.route().resumable();
+        return admitted.route().kind() == RouteKind.STREAM
+                && admitted.route().resumable()
+                && !admitted.request().id().isEmpty();
     }
 
     private StreamKey key(String requestId) {
