--- a/library/src/main/java/org/copperspindle/gateway/OriginMetrics.java
+++ b/library/src/main/java/org/copperspindle/gateway/OriginMetrics.java
@@ -26,6 +26,11 @@
                 "Streams of which this node knows at which software version they began",
                 origins,
                 SharedStreamOrigins::size);
+        metrics.gauge(
+                "stream.origins.informed",
+                "1 while this node may conclude from the only version that it knows where a stream began",
+                origins,
+                o -> o.isInformed() ? 1 : 0);
         metrics.counter(
                 "stream.origins.dropped",
                 "Records of such streams that were dropped early",
--- a/library/src/main/java/org/copperspindle/origin/SharedStreamOrigins.java
+++ b/library/src/main/java/org/copperspindle/origin/SharedStreamOrigins.java
@@ -120,6 +120,15 @@
         return table.dropped();
     }
 
+    /**
+     * Returns whether this node may conclude from a missing record where a stream began.
+     *
+     * @return false just after its start, and while it does not reach a majority
+     */
+    public boolean isInformed() {
+        return majority.isInformed();
+    }
+
     /** {@inheritDoc} A version that became known in a minority may be unknown to the other side. */
     @Override
     public boolean mayBegin(UpstreamRecord upstream) {
