Let a stream that is taken up wait for what a node learns after its start

Cause: a node concludes nothing for 2 s after its start, and refused meanwhile.

Change: while a node learns, and knows one version of the pool at most, it asks again at the end of that time instead. With two versions known it refuses at once: waiting can't help.

Why it holds: the time is at most 2 s less the uptime, below the time after which callers leave; the request's own timeout and its caller's leaving end the wait.

--- a/library/src/main/java/org/copperspindle/mesh/MajorityWatch.java
+++ b/library/src/main/java/org/copperspindle/mesh/MajorityWatch.java
@@ -55,7 +55,16 @@
      * @return true if what it does not know of is not in use elsewhere
      */
     public boolean isInformed() {
-        return lostAt().isEmpty() && timers.nanoTime() - startedAt >= EXCHANGE_NANOS;
+        return lostAt().isEmpty() && exchangeNanosLeft() == 0;
+    }
+
+    /**
+     * Returns how long this node still learns what the others know, after its start.
+     *
+     * @return nanoseconds, 0 once it has learned that
+     */
+    public long exchangeNanosLeft() {
+        return Math.max(0, startedAt + EXCHANGE_NANOS - timers.nanoTime());
     }
 
     @Override
--- a/library/src/main/java/org/copperspindle/origin/SharedStreamOrigins.java
+++ b/library/src/main/java/org/copperspindle/origin/SharedStreamOrigins.java
@@ -158,23 +158,14 @@
             counters.record(result);
             listener.accept(result);
         };
-        OriginView own = view(key, pool);
-        List<MeshNode> asked = table.isOwn(key) ? List.of() : RecordHolders.of(key, mesh.nodes(), ASKED);
-        OriginQuery query =
-                new OriginQuery(own, asked.stream().map(MeshNode::address).collect(Collectors.toSet()), counted);
-        if (query.isComplete()) {
-            query.finish();
-            return;
-        }
-        long id = ++lastQuery;
-        queries.put(id, query);
-        query.limitTime(timers.schedule(QUERY_TIMEOUT_NANOS, () -> finish(id)));
-        for (MeshNode node : asked) {
-            if (!node.send(new OriginQueryMessage(id, key, pool))) {
-                query.lost(node.address());
+        ask(key, pool, result -> {
+            long wait = majority.exchangeNanosLeft();
+            if (result instanceof OriginResult.Unknown && wait > 0 && !isAmbiguous(pool)) {
+                timers.schedule(wait, () -> ask(key, pool, counted));
+            } else {
+                counted.accept(result);
             }
-        }
-        finishIfComplete(id);
+        });
     }
 
     /**
@@ -216,6 +207,32 @@
         Set.copyOf(queries.keySet()).forEach(this::finishIfComplete);
     }
 
+    /** Asks the nodes that would hold a record, and decides by what they and this node know. */
+    private void ask(StreamKey key, String pool, Consumer<OriginResult> listener) {
+        OriginView own = view(key, pool);
+        List<MeshNode> asked = table.isOwn(key) ? List.of() : RecordHolders.of(key, mesh.nodes(), ASKED);
+        OriginQuery query =
+                new OriginQuery(own, asked.stream().map(MeshNode::address).collect(Collectors.toSet()), listener);
+        if (query.isComplete()) {
+            query.finish();
+            return;
+        }
+        long id = ++lastQuery;
+        queries.put(id, query);
+        query.limitTime(timers.schedule(QUERY_TIMEOUT_NANOS, () -> finish(id)));
+        for (MeshNode node : asked) {
+            if (!node.send(new OriginQueryMessage(id, key, pool))) {
+                query.lost(node.address());
+            }
+        }
+        finishIfComplete(id);
+    }
+
+    /** Returns whether more than one version may have begun a stream that is taken up now. */
+    private boolean isAmbiguous(String pool) {
+        return versions(pool, 0).size() > 1;
+    }
+
     private OriginView view(StreamKey key, String pool) {
         return new OriginView(
                 table.find(key, timers.nanoTime()), List.copyOf(versions(pool, 0)), majority.isInformed());
--- a/library/src/test/java/org/copperspindle/origin/SharedStreamOriginsTest.java
+++ b/library/src/test/java/org/copperspindle/origin/SharedStreamOriginsTest.java
@@ -180,6 +180,31 @@
         assertThat(fleet.find(3, "r3")).isEqualTo(UNKNOWN);
     }
 
+    /**
+     * All nodes start at once, as after a loss of power, and their callers come back at once: they must wait for what the
+     * nodes learn in their first two seconds rather than be refused.
+     */
+    @Test
+    void streamIsNotRefusedJustAfterAllNodesHaveStarted() {
+        for (int node = 0; node < NODES; node++) {
+            fleet.restart(node);
+        }
+        fleet.announce(0, "u1", "old");
+        assertThat(fleet.find(1, "r", Duration.ofMillis(1500))).isEmpty();
+        assertThat(fleet.find(1, "r", Duration.ofSeconds(1))).contains(only("old"));
+    }
+
+    /** Waiting can't help where two versions are known already. */
+    @Test
+    void streamOfUnknownVersionIsRefusedAtOnceJustAfterAllNodesHaveStarted() {
+        for (int node = 0; node < NODES; node++) {
+            fleet.restart(node);
+        }
+        fleet.announce(0, "u1", "old");
+        fleet.announce(0, "u2", "new");
+        assertThat(fleet.find(1, "r", Duration.ofMillis(10))).contains(UNKNOWN);
+    }
+
     /** A holder that is cut off without having been noticed: the caller waits for a bounded time only. */
     @Test
     void silentNodesDelayAnAnswerForABoundedTime() {
