Ask the other nodes once a node's own record of a stream has expired

Found while reading the change again; not seen by a caller.

Cause: a node that had relayed a stream answered from its own record alone, also in the seconds in which that had expired and not been removed, and then knew nothing, although another node had recorded the stream again. A record of another node also took the mark away that the stream was relayed here, so that it would not have been stored elsewhere when a second version appeared.

Change: only a valid record of its own spares the question, and the mark stays.

Before and after: nodeAsksTheOthersOnceItsOwnRecordHasExpired fails on the commit before and passes.

--- a/library/src/main/java/org/copperspindle/origin/OriginTable.java
+++ b/library/src/main/java/org/copperspindle/origin/OriginTable.java
@@ -29,7 +29,8 @@
             return;
         }
         records.remove(received.key());
-        records.put(received.key(), new Held(received.origin(), received.pool(), own, until));
+        boolean relayed = own || before != null && before.own();
+        records.put(received.key(), new Held(received.origin(), received.pool(), relayed, until));
         if (records.size() > MAX_RECORDS) {
             records.remove(records.keySet().iterator().next());
             dropped++;
@@ -37,15 +38,12 @@
     }
 
     Optional<StreamOrigin> find(StreamKey key, long now) {
-        return Optional.ofNullable(records.get(key))
-                .filter(held -> held.until() - now > 0)
-                .map(Held::origin);
+        return valid(key, now).map(Held::origin);
     }
 
-    /** Returns whether this node relays the stream, so that no other node has a later record. */
-    boolean isOwn(StreamKey key) {
-        Held held = records.get(key);
-        return held != null && held.own();
+    /** Returns whether this node has relayed the stream and still knows where it began, so that no other is needed. */
+    boolean isOwn(StreamKey key, long now) {
+        return valid(key, now).filter(Held::own).isPresent();
     }
 
     /** Returns the records of the streams of a pool that this node relays or has relayed. */
@@ -72,5 +70,9 @@
         return dropped;
     }
 
+    private Optional<Held> valid(StreamKey key, long now) {
+        return Optional.ofNullable(records.get(key)).filter(held -> held.until() - now > 0);
+    }
+
     private record Held(StreamOrigin origin, String pool, boolean own, long until) {}
 }
--- a/library/src/main/java/org/copperspindle/origin/SharedStreamOrigins.java
+++ b/library/src/main/java/org/copperspindle/origin/SharedStreamOrigins.java
@@ -210,7 +210,8 @@
     /** Asks the nodes that would hold a record, and decides by what they and this node know. */
     private void ask(StreamKey key, String pool, Consumer<OriginResult> listener) {
         OriginView own = view(key, pool);
-        List<MeshNode> asked = table.isOwn(key) ? List.of() : RecordHolders.of(key, mesh.nodes(), ASKED);
+        List<MeshNode> asked =
+                table.isOwn(key, timers.nanoTime()) ? List.of() : RecordHolders.of(key, mesh.nodes(), ASKED);
         OriginQuery query =
                 new OriginQuery(own, asked.stream().map(MeshNode::address).collect(Collectors.toSet()), listener);
         if (query.isComplete()) {
--- a/library/src/test/java/org/copperspindle/origin/SharedStreamOriginsTest.java
+++ b/library/src/test/java/org/copperspindle/origin/SharedStreamOriginsTest.java
@@ -205,6 +205,24 @@
         assertThat(fleet.find(1, "r", Duration.ofMillis(10))).contains(UNKNOWN);
     }
 
+    /** The node that began the stream has forgotten it; another one has recorded it again since. */
+    @Test
+    void nodeAsksTheOthersOnceItsOwnRecordHasExpired() {
+        UpstreamRecord old = fleet.announce(0, "u1", "old");
+        fleet.announce(0, "u2", "new");
+        for (int i = 0; i < 20; i++) {
+            fleet.begin(0, "r" + i, old, 1);
+        }
+        fleet.advance(Duration.ofSeconds(20));
+        for (int i = 0; i < 20; i++) {
+            fleet.begin(1, "r" + i, old, 1);
+        }
+        fleet.advance(Duration.ofSeconds(15));
+        for (int i = 0; i < 20; i++) {
+            assertThat(fleet.find(0, "r" + i, Duration.ofMillis(10))).contains(recorded("old"));
+        }
+    }
+
     /** A holder that is cut off without having been noticed: the caller waits for a bounded time only. */
     @Test
     void silentNodesDelayAnAnswerForABoundedTime() {
