Record a stream that is taken up under its first name as well

Found by the question what a caller gets who takes a stream up twice and names the request that brought the first event each time; not seen by a caller.

Cause: only the node that began a stream recorded it under that name. If that node was lost while one version served, or its record had expired, nobody knew the name later, although another node relayed the stream: refused as origin-unknown once a second version had appeared.

--- a/library/src/main/java/org/copperspindle/gateway/RequestLogger.java
+++ b/library/src/main/java/org/copperspindle/gateway/RequestLogger.java
@@ -154,7 +154,7 @@
 
     private static String software(OriginResult result) {
         if (result instanceof OriginResult.Recorded known) {
-            return known.software().text();
+            return known.origin().software().text();
         }
         return result instanceof OriginResult.OnlyVersion only ? only.software().text() : "";
     }
--- a/library/src/main/java/org/copperspindle/gateway/StreamContinuity.java
+++ b/library/src/main/java/org/copperspindle/gateway/StreamContinuity.java
@@ -21,6 +21,7 @@
     private final RequestLogger requestLogger;
     private Optional<SoftwareVersion> recorded = Optional.empty();
     private long records;
+    private long firstRecords = 1;
 
     /**
      * Creates the state of a request that has not been sent.
@@ -65,7 +66,10 @@
         });
     }
 
-    /** Records the version before a request is sent, so that it is known before the first event can arrive. */
+    /**
+     * Records the version before a request is sent, so that it is known before the first event can arrive. A stream that is
+     * taken up is recorded under its first name as well: the caller may use that again, and whoever recorded it may be gone.
+     */
     void onSend(UpstreamRecord upstream) {
         if (!isRecorded() || recorded.filter(upstream.software()::equals).isPresent()) {
             return;
@@ -73,6 +77,10 @@
         records++;
         recorded = Optional.of(upstream.software());
         context.origins().record(key(admitted.request().id()), upstream, records);
+        admitted.request()
+                .resumePoint()
+                .flatMap(ResumePoint::firstRequest)
+                .ifPresent(first -> context.origins().record(key(first), upstream, firstRecords));
     }
 
     /** Limits the stream to the version that wrote its first event. */
@@ -91,7 +99,8 @@
 
     private boolean require(OriginResult result) {
         if (result instanceof OriginResult.Recorded known) {
-            eligibility.require(known.software());
+            eligibility.require(known.origin().software());
+            firstRecords = known.origin().order();
             return true;
         }
         if (result instanceof OriginResult.OnlyVersion only) {
--- a/library/src/main/java/org/copperspindle/origin/OriginResult.java
+++ b/library/src/main/java/org/copperspindle/origin/OriginResult.java
@@ -10,9 +10,9 @@
     /**
      * The stream was recorded.
      *
-     * @param software version that began it
+     * @param origin its newest record
      */
-    record Recorded(SoftwareVersion software) implements OriginResult {}
+    record Recorded(StreamOrigin origin) implements OriginResult {}
 
     /**
      * The stream was not recorded, and no other version was in use that could have begun it.
--- a/library/src/main/java/org/copperspindle/origin/OriginView.java
+++ b/library/src/main/java/org/copperspindle/origin/OriginView.java
@@ -35,7 +35,7 @@
                 .flatMap(view -> view.origin().stream())
                 .max(Comparator.comparingLong(StreamOrigin::order));
         if (newest.isPresent()) {
-            return new OriginResult.Recorded(newest.get().software());
+            return new OriginResult.Recorded(newest.get());
         }
         Set<SoftwareVersion> versions = new HashSet<>();
         views.forEach(view -> versions.addAll(view.versions()));
--- a/library/src/test/java/org/copperspindle/origin/SharedStreamOriginsTest.java
+++ b/library/src/test/java/org/copperspindle/origin/SharedStreamOriginsTest.java
@@ -90,7 +90,8 @@
         fleet.begin(0, "r", old, 1);
         fleet.end(0);
         for (int node = 1; node < NODES; node++) {
-            assertThat(fleet.find(node, "r")).isEqualTo(recorded("new"));
+            assertThat(fleet.find(node, "r"))
+                    .isEqualTo(new OriginResult.Recorded(new StreamOrigin(SoftwareVersion.of("new"), 2)));
         }
     }
 
@@ -264,7 +265,7 @@
     }
 
     private static OriginResult recorded(String software) {
-        return new OriginResult.Recorded(SoftwareVersion.of(software));
+        return new OriginResult.Recorded(new StreamOrigin(SoftwareVersion.of(software), 1));
     }
 
     private static OriginResult only(String software) {
