Name what a stream is bound to its software, and split what a request may still do

Change: the outcome is software-gone, the class StreamSoftware. AttemptBudget counts the attempts of a request, the directory's changes go to UpstreamTracker directly, the checks of quarantine and software that end a request are one call each. A figure leaves a comment; tests of the soak's ledger say which failure they guard against. No decision changes; ContinuedVersionTest expects the new name.

--- a/library/src/main/java/org/copperspindle/gateway/EventStreamRelay.java
+++ b/library/src/main/java/org/copperspindle/gateway/EventStreamRelay.java
@@ -118,8 +118,11 @@
         return firstEventAt.isPresent() ? OptionalLong.of(lastEventAt) : OptionalLong.empty();
     }
 
-    OptionalLong lastEventId() {
-        return lastEventId;
+    /** Returns the id of the event after which the next upstream goes on; empty if it begins the stream. */
+    Optional<String> resumeAfter(GatewayRequest request) {
+        return lastEventId.isPresent()
+                ? Optional.of(Long.toString(lastEventId.getAsLong()))
+                : request.resumePoint().map(ResumePoint::lastEventId);
     }
 
     /** Returns the number of relayed events, without comments. */
--- a/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
@@ -38,8 +38,6 @@
 import org.copperspindle.direct.UpstreamPort;
 import org.copperspindle.discovery.DirectoryGossip;
 import org.copperspindle.discovery.UpstreamDirectory;
-import org.copperspindle.discovery.UpstreamPhase;
-import org.copperspindle.discovery.UpstreamRecord;
 import org.copperspindle.engineload.EngineLoads;
 import org.copperspindle.http.HttpExchange;
 import org.copperspindle.http.HttpLimits;
@@ -409,20 +407,12 @@
         mesh.subscribe(engineLoads);
         mesh.subscribe(quarantine);
         mesh.subscribe(new RetryBudgetScaling(retryBudget, mesh::count));
-        directory.subscribe(this::onUpstreamChange);
+        directory.subscribe(tracker::onUpstreamChange);
         versionHolder.subscribe(table -> directory.setColdTimes(table.coldNanosByPool()));
         versionHolder.subscribeEvacuations(
                 update -> directory.evacuate(Set.copyOf(update.failureDomains()), timers.nanoTime()));
     }
 
-    private void onUpstreamChange(UpstreamRecord update) {
-        if (update.phase() == UpstreamPhase.GONE) {
-            tracker.forget(update.id());
-        } else {
-            tracker.updateIncarnation(update.id(), update.incarnation());
-        }
-    }
-
     private void openMember(Path folder) {
         VoterDiscovery voterDiscovery =
                 new VoterDiscovery(mesh, timers, settings.firstStart(), settings.toleratedLosses());
--- a/library/src/main/java/org/copperspindle/gateway/RequestRun.java
+++ b/library/src/main/java/org/copperspindle/gateway/RequestRun.java
@@ -5,7 +5,6 @@
 import java.util.OptionalLong;
 
 import org.copperspindle.batch.MissReason;
-import org.copperspindle.direct.ConnectionUse;
 import org.copperspindle.direct.DirectHead;
 import org.copperspindle.discovery.UpstreamRecord;
 import org.copperspindle.http.HttpExchange;
@@ -21,9 +20,6 @@
  */
 final class RequestRun implements StageRun.Listener {
 
-    /** Attempts that reached no upstream cost nothing there, but each costs the caller up to a connection timeout. */
-    private static final int MAX_UNSENT = 3;
-
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
     private static final int SERVER_ERROR = 500;
@@ -43,7 +39,8 @@
     private final SilenceWatch silence;
     private final RequestStages stages;
     private final UpstreamEligibility eligibility = new UpstreamEligibility();
-    private final StreamContinuity continuity;
+    private final StreamSoftware software;
+    private final AttemptBudget attempts;
     private final StageEntrance entrance;
     private final UpstreamAttempt.Listener attemptListener = new AttemptListener();
     private Optional<UpstreamSearch> search = Optional.empty();
@@ -51,8 +48,6 @@
     private Optional<UpstreamRun> lastRun = Optional.empty();
     private TimerSubscription timeout = () -> {};
     private long firstEventAt;
-    private int sent;
-    private int unsent;
     private boolean mayHaveRun;
     private boolean ended;
 
@@ -72,7 +67,8 @@
         this.resumption = new StreamResumption(context, admitted, relay, requestLogger);
         this.silence = new SilenceWatch(context, admitted, this::canMoveElsewhere);
         this.stages = new RequestStages(context, admitted, resumption, this::likelyFailureDomain, this);
-        this.continuity = new StreamContinuity(context, admitted, eligibility, requestLogger);
+        this.software = new StreamSoftware(context, admitted, eligibility, requestLogger);
+        this.attempts = new AttemptBudget(context, admitted);
         this.entrance = new StageEntrance(context, admitted, eligibility, requestLogger, new EntranceListener());
     }
 
@@ -84,13 +80,11 @@
         requestLogger.admitted();
         timeout = context.timers().schedule(deadlineAt - context.timers().nanoTime(), this::timedOut);
         exchange.onClosed(this::callerLeft);
-        if (ended) {
+        if (ended || refuseIfQuarantined()) {
             return;
         }
-        if (context.quarantine().isQuarantined(tracked)) {
-            refuseQuarantined();
-        } else if (continuity.isTakenUp()) {
-            continuity.find(this::onOriginFound);
+        if (software.isTakenUp()) {
+            software.find(this::onOriginFound);
         } else {
             begin();
         }
@@ -171,13 +165,13 @@
      */
     private Optional<String> likelyFailureDomain() {
         long stagesNanos = context.stageAdmission().estimatedStagesNanos(admitted);
-        return UpstreamSearch.predict(
-                        context,
-                        admitted,
-                        eligibility,
-                        stagesNanos,
-                        context.timers().nanoTime())
-                .map(UpstreamRecord::failureDomain);
+        return predict(stagesNanos).map(UpstreamRecord::failureDomain);
+    }
+
+    /** Returns the upstream that the request would be sent to if its stages started now and took some time. */
+    private Optional<UpstreamRecord> predict(long stagesNanos) {
+        long now = context.timers().nanoTime();
+        return UpstreamSearch.predict(context, admitted, eligibility, stagesNanos, now);
     }
 
     /** Starts the work on a request that may be sent: its stages, or the first attempt. */
@@ -196,24 +190,14 @@
         }
         if (!known) {
             refuse(unavailable("origin-unknown", "no node knows which software version began the stream"));
-        } else if (continuity.isVersionGone()) {
-            refuseVersionGone();
-        } else {
+        } else if (!refuseIfSoftwareGone()) {
             begin();
         }
     }
 
     private void startAttempt() {
-        if (ended) {
-            return;
-        }
-        if (context.quarantine().isQuarantined(tracked)) {
-            // The request was quarantined while its stages ran.
-            refuseQuarantined();
-            return;
-        }
-        if (continuity.isVersionGone()) {
-            refuseVersionGone();
+        // The request may have been quarantined while its stages ran.
+        if (ended || refuseIfQuarantined() || refuseIfSoftwareGone()) {
             return;
         }
         if (stages.isReleased()) {
@@ -227,33 +211,28 @@
         search.get().seek();
     }
 
-    /** Ends a request whose caller holds events that no other upstream may continue. */
-    private void refuseVersionGone() {
-        if (relay.hasStarted()) {
-            abortResponse("version-gone");
-        } else if (mayHaveRun) {
-            refuse(Refusal.failed("version-gone"));
-        } else {
-            refuse(unavailable("version-gone", "no other upstream runs the software version that began the stream"));
+    /** Ends a request whose caller holds events that no upstream may continue; returns whether that is so. */
+    private boolean refuseIfSoftwareGone() {
+        boolean gone = software.isSoftwareGone();
+        if (gone) {
+            endUnserved("software-gone", "no other upstream runs the software version that began the stream");
         }
+        return gone;
     }
 
     private void runReleasedStages() {
-        if (stages.tryRunAfterRelease(relay.hasStarted())) {
-            return;
+        if (!stages.tryRunAfterRelease(relay.hasStarted())) {
+            refuse(mayHaveRun ? Refusal.failed("stages-lost") : unavailable("stages-lost", "stage results were lost"));
         }
-        refuse(mayHaveRun ? Refusal.failed("stages-lost") : unavailable("stages-lost", "stage results were lost"));
     }
 
     private void send(UpstreamRecord upstream, long now) {
         eligibility.exclude(upstream.id());
-        continuity.onSend(upstream);
+        software.onSend(upstream);
         context.coldAdmission().recordSend(upstream.id(), now);
-        sent++;
-        context.counters().recordAttempt(route.name(), sent > 1, now - admittedAt);
-        Optional<String> resumeAfter = relay.lastEventId().isPresent()
-                ? Optional.of(Long.toString(relay.lastEventId().getAsLong()))
-                : request.resumePoint().map(ResumePoint::lastEventId);
+        attempts.recordSent();
+        context.counters().recordAttempt(route.name(), attempts.sent() > 1, now - admittedAt);
+        Optional<String> resumeAfter = relay.resumeAfter(request);
         AttemptSpec spec = new AttemptSpec(
                 request,
                 upstream,
@@ -262,9 +241,9 @@
                 stages.results(),
                 resumeAfter,
                 admitted.rank(),
-                connectionUse());
+                attempts.connectionUse(context.quarantine().isSuspected(tracked)));
         requestLogger.attemptSent(
-                sent,
+                attempts.sent(),
                 upstream,
                 resumeAfter,
                 () -> context.engineLoads().estimate(pool, upstream, request.enginePrompt()),
@@ -272,7 +251,7 @@
                 now);
         UpstreamRun run = context.quarantine().startRun(tracked, upstream, lastRun);
         lastRun = Optional.of(run);
-        UpstreamAttempt next = new UpstreamAttempt(context, admitted, run, sent, relay, attemptListener);
+        UpstreamAttempt next = new UpstreamAttempt(context, admitted, run, attempts.sent(), relay, attemptListener);
         attempt = Optional.of(next);
         if (relay.hasStarted()) {
             silence.watch(next);
@@ -280,40 +259,23 @@
         next.send(spec);
     }
 
-    /**
-     * Returns on which connection the next attempt may be sent. Retries and suspected requests get a new connection:
-     * a kept one may have been stale, and its loss would not tell whether the request crashed one more upstream.
-     */
-    private ConnectionUse connectionUse() {
-        boolean allowStale =
-                route.isIdempotent() && sent == 1 && !context.quarantine().isSuspected(tracked);
-        return allowStale ? ConnectionUse.KEPT : ConnectionUse.NEW;
-    }
-
     /** Handles an attempt that provably did not run. */
     private void handleNotRun(String reason, boolean reached) {
-        if (!reached) {
-            sent--;
-            unsent++;
-        }
-        boolean retry = reached ? sent < route.maxAttempts() && acquireRetry() : unsent < MAX_UNSENT;
+        boolean retry = reached ? attempts.tryAcquireRetry() : attempts.tryRepeatUnsent();
         if (retry) {
             startAttempt();
-        } else if (relay.hasStarted()) {
-            abortResponse(reason);
-        } else if (mayHaveRun) {
-            refuse(Refusal.failed(reason));
         } else {
-            refuse(unavailable(reason, "the upstream did not take the request"));
+            endUnserved(reason, "the upstream did not take the request");
         }
     }
 
     /** Handles an attempt that ran or may have run, without a complete response. */
     private void handleFailure(String reason) {
         mayHaveRun = true;
-        if (context.quarantine().isQuarantined(tracked)) {
-            refuseQuarantined();
-        } else if (isRepeatable() && sent < route.maxAttempts() && acquireRetry()) {
+        if (refuseIfQuarantined()) {
+            return;
+        }
+        if (isRepeatable() && attempts.tryAcquireRetry()) {
             resumption.onInterrupted();
             startAttempt();
         } else if (relay.hasStarted()) {
@@ -328,29 +290,13 @@
         return route.isIdempotent() && relay.canContinue();
     }
 
-    /** Returns whether the limits of the route and of its retries leave another attempt. */
-    private boolean hasAttemptLeft() {
-        return sent < route.maxAttempts()
-                && context.retryBudget().remaining(pool, context.timers().nanoTime()) >= 1;
-    }
-
     /** Returns whether another upstream could take the stream now, so that its present one may be given up. */
     private boolean canMoveElsewhere() {
         return !context.isolation().isIsolated()
                 && !context.quarantine().isQuarantined(tracked)
                 && isRepeatable()
-                && hasAttemptLeft()
-                && UpstreamSearch.predict(
-                                context,
-                                admitted,
-                                eligibility,
-                                0,
-                                context.timers().nanoTime())
-                        .isPresent();
-    }
-
-    private boolean acquireRetry() {
-        return context.retryBudget().tryAcquire(pool, context.timers().nanoTime());
+                && attempts.hasLeft()
+                && predict(0).isPresent();
     }
 
     private void timedOut() {
@@ -381,12 +327,28 @@
         finish("broken-" + reason, true);
     }
 
-    private void refuseQuarantined() {
+    /** Ends a request that is quarantined; returns whether it is. */
+    private boolean refuseIfQuarantined() {
+        if (!context.quarantine().isQuarantined(tracked)) {
+            return false;
+        }
         if (relay.hasStarted()) {
             abortResponse(Refusal.CRASHES_UPSTREAMS);
         } else {
             refuse(Refusal.crashesUpstreams(mayHaveRun));
         }
+        return true;
+    }
+
+    /** Ends a request that no upstream goes on with; the response promises no more than is known of earlier attempts. */
+    private void endUnserved(String reason, String title) {
+        if (relay.hasStarted()) {
+            abortResponse(reason);
+        } else if (mayHaveRun) {
+            refuse(Refusal.failed(reason));
+        } else {
+            refuse(unavailable(reason, title));
+        }
     }
 
     private void refuse(Refusal refusal) {
@@ -404,7 +366,8 @@
         stages.release();
         long now = context.timers().nanoTime();
         context.counters().recordEnd(route.name(), admitted.accountName(), outcome, now - admittedAt);
-        requestLogger.ended(outcome, failed, new RequestProgress(sent, unsent, stages.runs(), mayHaveRun), relay, now);
+        RequestProgress progress = new RequestProgress(attempts.sent(), attempts.unsent(), stages.runs(), mayHaveRun);
+        requestLogger.ended(outcome, failed, progress, relay, now);
     }
 
     private Refusal unavailable(String reason, String title) {
@@ -415,10 +378,8 @@
     private final class EntranceListener implements StageEntrance.Listener {
         @Override
         public void onAdmitted() {
-            if (context.quarantine().isQuarantined(tracked)) {
-                // The request was quarantined while it waited.
-                refuseQuarantined();
-            } else {
+            // The request may have been quarantined while it waited.
+            if (!refuseIfQuarantined()) {
                 stages.run();
             }
         }
@@ -433,10 +394,8 @@
     private final class SearchListener implements UpstreamSearch.Listener {
         @Override
         public void onUpstreamSelected(UpstreamRecord upstream) {
-            if (context.quarantine().isQuarantined(tracked)) {
-                // The request was quarantined while it waited.
-                refuseQuarantined();
-            } else {
+            // The request may have been quarantined while it waited.
+            if (!refuseIfQuarantined()) {
                 send(upstream, context.timers().nanoTime());
             }
         }
@@ -468,7 +427,7 @@
             recordInputsFetched();
             context.firstEventLatencies().observe(route, tookNanos);
             firstEventAt = context.timers().nanoTime();
-            lastRun.map(UpstreamRun::upstream).ifPresent(continuity::onFirstEvent);
+            lastRun.map(UpstreamRun::upstream).ifPresent(software::onFirstEvent);
             attempt.ifPresent(silence::watch);
         }
 
@@ -494,7 +453,7 @@
             if (relay.hasStarted()) {
                 // The attempt was to resume the stream; the response to the caller has already started.
                 handleFailure("upstream-status-" + head.status());
-            } else if (head.status() >= SERVER_ERROR && route.isIdempotent() && hasAttemptLeft()) {
+            } else if (head.status() >= SERVER_ERROR && route.isIdempotent() && attempts.hasLeft()) {
                 handleFailure("upstream-status-" + head.status());
             } else {
                 exchange.respond(head.status(), context.upstreamDialect().callerFields(head), body);
@@ -515,7 +474,7 @@
                 context.fetchTime().recordEarlyRelease();
             }
             if (stages.tryAcquireRunAfterLoss()) {
-                sent--;
+                attempts.takeBack();
                 eligibility.readmit(upstream);
                 stages.run();
             } else {
--- a/library/src/main/java/org/copperspindle/gateway/StreamContinuity.java
+++ b/library/src/main/java/org/copperspindle/gateway/StreamSoftware.java
@@ -13,7 +13,7 @@
  * Keeps one stream at the software version that began it, over all upstreams that continue the response and over all
  * requests in which the caller takes it up.
  */
-final class StreamContinuity {
+final class StreamSoftware {
 
     private final GatewayContext context;
     private final AdmittedRequest admitted;
@@ -31,7 +31,7 @@
      * @param eligibility   which upstreams may get the request
      * @param requestLogger writes its log lines
      */
-    StreamContinuity(
+    StreamSoftware(
             GatewayContext context,
             AdmittedRequest admitted,
             UpstreamEligibility eligibility,
@@ -89,7 +89,7 @@
     }
 
     /** Returns whether the caller holds events that no upstream which serves now may continue. */
-    boolean isVersionGone() {
+    boolean isSoftwareGone() {
         return eligibility.software().isPresent()
                 && admitted.table()
                         .findPool(admitted.pool())
--- a/library/src/main/java/org/copperspindle/gateway/UpstreamTracker.java
+++ b/library/src/main/java/org/copperspindle/gateway/UpstreamTracker.java
@@ -6,6 +6,8 @@
 
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.copperspindle.discovery.UpstreamPhase;
+import org.copperspindle.discovery.UpstreamRecord;
 
 /**
  * What this node observes of each upstream by its own calls: calls in flight, failures, and a pause after consecutive
@@ -106,6 +108,19 @@
         return state == null ? 0 : state.inFlight;
     }
 
+    /**
+     * Adopts a change of the directory.
+     *
+     * @param change an upstream that has changed or left
+     */
+    public void onUpstreamChange(UpstreamRecord change) {
+        if (change.phase() == UpstreamPhase.GONE) {
+            forget(change.id());
+        } else {
+            updateIncarnation(change.id(), change.incarnation());
+        }
+    }
+
     /**
      * Records the announced incarnation of an upstream. Failures of the previous incarnation say nothing about the
      * new one, which would otherwise stay unused for the rest of the pause; calls in flight end by themselves.
--- a/library/src/main/java/org/copperspindle/origin/OriginTable.java
+++ b/library/src/main/java/org/copperspindle/origin/OriginTable.java
@@ -10,7 +10,7 @@
  */
 final class OriginTable {
 
-    /** Records of about 200 bytes; a node relays some 20 streams a second and holds as many records for others twice. */
+    /** Bounds the memory: callers choose how many streams they begin. */
     private static final int MAX_RECORDS = 20_000;
 
     private final Map<StreamKey, Held> records = new LinkedHashMap<>();
--- a/library/src/test/java/org/copperspindle/gateway/ContinuedVersionTest.java
+++ b/library/src/test/java/org/copperspindle/gateway/ContinuedVersionTest.java
@@ -46,7 +46,7 @@
         stream.startStream();
         announce(number -> number == begunAt() ? "old" : "new");
         stream.engines().last().crash();
-        assertThat(stream.outcome()).isEqualTo("broken-version-gone");
+        assertThat(stream.outcome()).isEqualTo("broken-software-gone");
         assertThat(stream.caller().isComplete()).isFalse();
         assertThat(stream.engines().count()).isEqualTo(1);
         assertThat(stream.stagesWait()).isFalse();
--- a/soak/src/test/java/org/copperspindle/soak/HeldStreamsTest.java
+++ b/soak/src/test/java/org/copperspindle/soak/HeldStreamsTest.java
@@ -16,12 +16,14 @@
     private final HeldStreams held = new HeldStreams();
     private final SoakRequest stream = SoakRequest.of(1, SoakRequest.RESUME, "a", 1);
 
+    /** A node went on at another version within one response. */
     @Test
     void eventsOfTwoVersionsInOneAnswerAreFound() {
         held.began(stream.id(), event("v1", 1) + event("v2", 2));
         assertThat(held.broken(CALM)).singleElement().asString().contains("[v1, v2]");
     }
 
+    /** A caller took the stream up, and was sent to another version. */
     @Test
     void eventsOfTwoVersionsOverTwoRequestsAreFound() {
         held.began(stream.id(), event("v1", 1));
@@ -29,6 +31,7 @@
         assertThat(held.broken(CALM)).hasSize(1);
     }
 
+    /** An event that is cut off has no version yet. */
     @Test
     void streamOfOneVersionBreaksNothing() {
         held.began(stream.id(), event("v1", 1) + "id: 2\ndata: cut");
