--- a/library/src/test/java/org/copperspindle/origin/SharedStreamOriginsTest.java
+++ b/library/src/test/java/org/copperspindle/origin/SharedStreamOriginsTest.java
@@ -139,10 +139,13 @@
     /** Two nodes don't reach each other, but all others: a version that one learns of must reach the other one. */
     @Test
     void newVersionPassesAPartialPartition() {
-        fleet.announce(0, "u1", "old");
+        UpstreamRecord old = fleet.announce(0, "u1", "old");
         fleet.partition(0, 6);
         fleet.announce(0, "u2", "new");
         assertThat(fleet.find(6, "r")).isEqualTo(UNKNOWN);
+        fleet.begin(6, "s", old, 1);
+        fleet.end(6);
+        assertThat(fleet.find(1, "s")).as("stored by a node that learned of it").isEqualTo(recorded("old"));
     }
 
     /** Versions that are known are not passed on again: repeated announcements must cost what they cost before. */
