--- a/library/src/main/java/org/copperspindle/gateway/GatewayRequest.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayRequest.java
@@ -66,6 +66,18 @@
         return Optional.of(prompt.get(Math.max(0, prompt.size() - 2)).id());
     }
 
+    /**
+     * Returns the parts of the prompt that other requests may share.
+     *
+     * @return their ids in order, without the last part, which belongs to this request or its session alone
+     */
+    List<String> sharedParts() {
+        return prompt.stream()
+                .limit(Math.max(0, prompt.size() - 1))
+                .map(PromptPart::id)
+                .toList();
+    }
+
     /**
      * Returns the length of the prompt.
      *
--- a/library/src/main/java/org/copperspindle/gateway/RequestLogger.java
+++ b/library/src/main/java/org/copperspindle/gateway/RequestLogger.java
@@ -6,6 +6,7 @@
 import java.util.function.Function;
 import java.util.function.Supplier;
 import java.util.regex.Pattern;
+import java.util.stream.Collectors;
 
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -27,6 +28,9 @@
 
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
+    /** Bounds the line of a request whose prompt has hundreds of parts. */
+    private static final int MAX_LOGGED_PARTS = 8;
+
     private static final Pattern PRINTABLE = Pattern.compile("[!-~]{1,64}");
 
     private final LogRateLimiter log;
@@ -255,6 +259,19 @@
         return failed ? log.allowsFailed(now) : log.allowsServed(now);
     }
 
+    /**
+     * Returns the shared parts of a prompt as one word of bounded length.
+     *
+     * @param request the request
+     * @return the first ids, separated by commas
+     */
+    static String sharedParts(GatewayRequest request) {
+        return request.sharedParts().stream()
+                .limit(MAX_LOGGED_PARTS)
+                .map(id -> printable(Optional.of(id)))
+                .collect(Collectors.joining(","));
+    }
+
     /** Returns a caller's text as one word of bounded length. */
     private static String printable(Optional<String> text) {
         return text.map(t -> PRINTABLE.matcher(t).matches() ? t : "unprintable").orElse("");
--- a/library/src/main/java/org/copperspindle/gateway/UpstreamAttempt.java
+++ b/library/src/main/java/org/copperspindle/gateway/UpstreamAttempt.java
@@ -309,7 +309,7 @@
         long now = context.timers().nanoTime();
         if (context.log().allowsFailed(now)) {
             LOGGER.info(
-                    "event=attempt-{} request={} attempt={} upstream={} reason={} took_ms={} budget_left={} digest={}",
+                    "event=attempt-{} request={} attempt={} upstream={} reason={} took_ms={} budget_left={} digest={} parts={}",
                     outcome,
                     admitted.request().id(),
                     attemptNumber,
@@ -317,7 +317,8 @@
                     reason,
                     (now - sentAt) / NANOS_PER_MILLI,
                     (long) context.retryBudget().remaining(admitted.pool(), now),
-                    run.request().digest().text());
+                    run.request().digest().text(),
+                    RequestLogger.sharedParts(admitted.request()));
         }
     }
 
