--- a/emulator/src/main/java/org/copperspindle/emulator/ScriptedStream.java
+++ b/emulator/src/main/java/org/copperspindle/emulator/ScriptedStream.java
@@ -19,6 +19,16 @@
                 + "Transfer-Encoding: chunked\r\n\r\n";
     }
 
+    /**
+     * Writes a whole stream of two events.
+     *
+     * @param request the request that it answers
+     * @return head, events and end
+     */
+    public static String whole(ScriptedRequest request) {
+        return head(request) + chunk("id: 1\ndata: e\n\n") + chunk("id: 2\ndata: e\n\n") + chunk("");
+    }
+
     /**
      * Writes one chunk.
      *
--- a/emulator/src/main/java/org/copperspindle/emulator/ScriptedUpstream.java
+++ b/emulator/src/main/java/org/copperspindle/emulator/ScriptedUpstream.java
@@ -15,6 +15,7 @@
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Predicate;
 
 /**
  * An upstream on a raw socket whose answers are written byte by byte by a script, so that it can break every rule of the
@@ -74,8 +75,19 @@
      * @param otherwise answers all other requests
      */
     public void crashOn(String fatal, CrashMoment moment, Script otherwise) {
+        crashOn(request -> request.body().equals(fatal), moment, otherwise);
+    }
+
+    /**
+     * Ends, from now on, by each request of a kind: stops to listen and breaks all connections.
+     *
+     * @param fatal     whether a request ends it
+     * @param moment    when it ends
+     * @param otherwise answers all other requests
+     */
+    public void crashOn(Predicate<ScriptedRequest> fatal, CrashMoment moment, Script otherwise) {
         follow((n, request, connection, out) -> {
-            if (!request.body().equals(fatal)) {
+            if (!fatal.test(request)) {
                 otherwise.answer(n, request, connection, out);
                 return;
             }
