--- a/library/src/main/java/org/copperspindle/dialect/QuarantinedRequestsEndpoint.java
+++ b/library/src/main/java/org/copperspindle/dialect/QuarantinedRequestsEndpoint.java
@@ -7,10 +7,10 @@
 import org.copperspindle.http.HttpExchange;
 import org.copperspindle.http.HttpRequestHandler;
 import org.copperspindle.quarantine.QuarantinedRequest;
-import org.copperspindle.quarantine.RequestDigest;
+import org.copperspindle.quarantine.SuspectDigest;
 
 /**
- * HTTP endpoint for quarantined requests: {@code GET} lists them, {@code DELETE} of one lifts its quarantine. It is
+ * HTTP endpoint for quarantined requests and prompt parts: {@code GET} lists them, {@code DELETE} of one lifts its quarantine. It is
  * the same on every deployment.
  */
 final class QuarantinedRequestsEndpoint implements HttpRequestHandler {
@@ -45,11 +45,11 @@
     }
 
     private void lift(HttpExchange exchange, String digest) {
-        if (handler.liftQuarantine(new RequestDigest(digest))) {
+        if (handler.liftQuarantine(new SuspectDigest(digest))) {
             HttpControlEndpoint.respond(
                     exchange, OK, JsonText.nodes().objectNode().put("lifted", digest));
         } else {
-            HttpControlEndpoint.respond(exchange, NOT_FOUND, errorBody("no request of that digest is suspected"));
+            HttpControlEndpoint.respond(exchange, NOT_FOUND, errorBody("nothing of that digest is suspected"));
         }
     }
 
@@ -59,6 +59,7 @@
         for (QuarantinedRequest request : handler.quarantinedRequests()) {
             ObjectNode entry = entries.addObject()
                     .put("digest", request.digest())
+                    .put("part", request.part())
                     .put("route", request.route())
                     .put("account", request.account())
                     .put("since_ms", request.sinceMillis())
--- a/library/src/main/java/org/copperspindle/direct/DirectConnection.java
+++ b/library/src/main/java/org/copperspindle/direct/DirectConnection.java
@@ -172,10 +172,7 @@
             failResponse("response-to-another-request");
             return;
         }
-        boolean delimited = HttpUtil.isTransferEncodingChunked(head)
-                || head.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
-                || head.status().code() == 204
-                || head.status().code() == 304;
+        boolean delimited = received.isDelimited();
         closeDelimited = !delimited;
         // If the response arrived before the whole request was written, the rest of the request is still on the
         // connection.
--- a/library/src/main/java/org/copperspindle/direct/DirectHead.java
+++ b/library/src/main/java/org/copperspindle/direct/DirectHead.java
@@ -1,6 +1,7 @@
 package org.copperspindle.direct;
 
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 
 import org.copperspindle.http.HeaderField;
@@ -15,6 +16,8 @@
 
     private static final int STATUSES_PER_CLASS = 100;
     private static final int SUCCESS_CLASS = 2;
+    private static final int NO_CONTENT = 204;
+    private static final int NOT_MODIFIED = 304;
 
     /** Copies the list. */
     public DirectHead {
@@ -44,6 +47,18 @@
                 .toList();
     }
 
+    /**
+     * Returns whether the response states where its body ends.
+     *
+     * @return false if the body ends with its connection, and can't be told from one that was cut off there
+     */
+    public boolean isDelimited() {
+        boolean chunked = field("Transfer-Encoding")
+                .filter(value -> value.toLowerCase(Locale.ROOT).contains("chunked"))
+                .isPresent();
+        return chunked || field("Content-Length").isPresent() || status == NO_CONTENT || status == NOT_MODIFIED;
+    }
+
     /**
      * Returns whether the status is a success.
      *
--- a/library/src/main/java/org/copperspindle/gateway/AdmittedRequest.java
+++ b/library/src/main/java/org/copperspindle/gateway/AdmittedRequest.java
@@ -5,7 +5,7 @@
 import java.util.OptionalLong;
 
 import org.copperspindle.admission.StagedRequest;
-import org.copperspindle.quarantine.RequestDigest;
+import org.copperspindle.quarantine.SuspectDigest;
 import org.copperspindle.quarantine.TrackedRequest;
 import org.copperspindle.resume.ResumePlan;
 import org.copperspindle.route.BatchLimits;
@@ -89,7 +89,9 @@
                 route.name(),
                 accountName(),
                 pool,
-                () -> RequestDigest.of(accountName(), request.method(), request.host(), request.uri(), request.body()));
+                request.sharedParts(),
+                () -> SuspectDigest.ofRequest(
+                        accountName(), request.method(), request.host(), request.uri(), request.body()));
     }
 
     @Override
--- a/library/src/main/java/org/copperspindle/gateway/ControlRequestHandler.java
+++ b/library/src/main/java/org/copperspindle/gateway/ControlRequestHandler.java
@@ -10,8 +10,8 @@
 import org.copperspindle.discovery.DirectoryGossip;
 import org.copperspindle.discovery.UpstreamRecord;
 import org.copperspindle.quarantine.QuarantinedRequest;
-import org.copperspindle.quarantine.RequestDigest;
 import org.copperspindle.quarantine.RequestQuarantine;
+import org.copperspindle.quarantine.SuspectDigest;
 import org.copperspindle.route.RouteTable;
 import org.copperspindle.route.RouteTableReader;
 import org.copperspindle.route.RouteTableResult;
@@ -96,7 +96,7 @@
     }
 
     /**
-     * Lists the requests that are quarantined because upstreams terminated while running them.
+     * Lists the requests and prompt parts that are quarantined because upstreams terminated while running them.
      *
      * @return the quarantined requests known to this node
      */
@@ -105,12 +105,12 @@
     }
 
     /**
-     * Lifts the quarantine of a request; this has been sent to all nodes when this returns.
+     * Lifts the quarantine of a request or a prompt part; this has been sent to all nodes when this returns.
      *
      * @param digest digest of the request
      * @return false if it is neither quarantined nor suspected
      */
-    public boolean liftQuarantine(RequestDigest digest) {
+    public boolean liftQuarantine(SuspectDigest digest) {
         return quarantine.lift(digest);
     }
 
--- a/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
@@ -406,6 +406,8 @@
         mesh.subscribe(stageStarts);
         mesh.subscribe(engineLoads);
         mesh.subscribe(quarantine);
+        // Not during the call: the listener ends requests, which the caller may be about to send on.
+        quarantine.subscribe(() -> loop.execute(openRequests::endQuarantined));
         mesh.subscribe(new RetryBudgetScaling(retryBudget, mesh::count));
         directory.subscribe(tracker::onUpstreamChange);
         versionHolder.subscribe(table -> directory.setColdTimes(table.coldNanosByPool()));
--- a/library/src/main/java/org/copperspindle/gateway/OpenRequests.java
+++ b/library/src/main/java/org/copperspindle/gateway/OpenRequests.java
@@ -36,6 +36,11 @@
         unsent.forEach(RequestRun::refuseStopping);
     }
 
+    /** Ends the requests that have become quarantined before their responses have begun. */
+    void endQuarantined() {
+        List.copyOf(runs).forEach(RequestRun::endIfQuarantined);
+    }
+
     /** Aborts the remaining requests because the process is about to exit. */
     void abortAll() {
         if (!runs.isEmpty()) {
--- a/library/src/main/java/org/copperspindle/gateway/Refusal.java
+++ b/library/src/main/java/org/copperspindle/gateway/Refusal.java
@@ -69,6 +69,20 @@
         return new Refusal(BAD_REQUEST, "upstreams ended each time they ran this request", verdict, Optional.empty());
     }
 
+    /**
+     * A request with a prompt part that crashes upstreams. Callers may share the part with others, so that they are told
+     * when it is tried again.
+     *
+     * @param mayHaveRun whether this attempt of the caller reached an upstream
+     * @param retryAfter time until the part is tried again
+     */
+    static Refusal partCrashesUpstreams(boolean mayHaveRun, Duration retryAfter) {
+        String title = "upstreams ended when they ran requests with a part of this prompt";
+        return mayHaveRun
+                ? new Refusal(BAD_GATEWAY, title, new MayHaveRunVerdict(CRASHES_UPSTREAMS), Optional.empty())
+                : unavailable(CRASHES_UPSTREAMS, title, retryAfter);
+    }
+
     static Refusal timedOut() {
         return new Refusal(
                 GATEWAY_TIMEOUT, "the time of the request is over", new MayHaveRunVerdict("timeout"), Optional.empty());
--- a/library/src/main/java/org/copperspindle/gateway/RequestRun.java
+++ b/library/src/main/java/org/copperspindle/gateway/RequestRun.java
@@ -1,5 +1,6 @@
 package org.copperspindle.gateway;
 
+import java.time.Duration;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -38,7 +39,7 @@
     private final StreamResumption resumption;
     private final SilenceWatch silence;
     private final RequestStages stages;
-    private final UpstreamEligibility eligibility = new UpstreamEligibility();
+    private final UpstreamEligibility eligibility;
     private final StreamSoftware software;
     private final AttemptBudget attempts;
     private final StageEntrance entrance;
@@ -62,6 +63,8 @@
         this.deadlineAt = admitted.times().deadlineAt();
         this.relay = new EventStreamRelay(exchange, context.timers()::nanoTime);
         this.tracked = admitted.tracked();
+        this.eligibility =
+                new UpstreamEligibility(upstream -> context.quarantine().permits(tracked, upstream));
         exchange.memoryHolder().describe(request.id(), route.isIdempotent());
         this.requestLogger = new RequestLogger(context.log(), context.tracker(), admitted);
         this.resumption = new StreamResumption(context, admitted, relay, requestLogger);
@@ -117,6 +120,21 @@
         }
     }
 
+    /**
+     * Ends a request that has become quarantined before its response has begun. An attempt that waits at its upstream is
+     * aborted: it would crash that one too.
+     */
+    void endIfQuarantined() {
+        if (ended || relay.hasStarted() || !context.quarantine().isQuarantined(tracked)) {
+            return;
+        }
+        attempt.ifPresent(a -> {
+            mayHaveRun = true;
+            a.abort(Refusal.CRASHES_UPSTREAMS);
+        });
+        refuse(quarantineRefusal());
+    }
+
     @Override
     public void onStagesDone() {
         if (stages.runs() == 1) {
@@ -335,11 +353,18 @@
         if (relay.hasStarted()) {
             abortResponse(Refusal.CRASHES_UPSTREAMS);
         } else {
-            refuse(Refusal.crashesUpstreams(mayHaveRun));
+            refuse(quarantineRefusal());
         }
         return true;
     }
 
+    private Refusal quarantineRefusal() {
+        Optional<Duration> partQuarantine = context.quarantine().partQuarantine(tracked);
+        return partQuarantine.isPresent()
+                ? Refusal.partCrashesUpstreams(mayHaveRun, partQuarantine.get())
+                : Refusal.crashesUpstreams(mayHaveRun);
+    }
+
     /** Ends a request that no upstream goes on with; the response promises no more than is known of earlier attempts. */
     private void endUnserved(String reason, String title) {
         if (relay.hasStarted()) {
@@ -395,8 +420,13 @@
         @Override
         public void onUpstreamSelected(UpstreamRecord upstream) {
             // The request may have been quarantined while it waited.
-            if (!refuseIfQuarantined()) {
+            if (refuseIfQuarantined()) {
+                return;
+            }
+            if (context.quarantine().permits(tracked, upstream)) {
                 send(upstream, context.timers().nanoTime());
+            } else {
+                startAttempt();
             }
         }
 
--- a/library/src/main/java/org/copperspindle/gateway/UpstreamAttempt.java
+++ b/library/src/main/java/org/copperspindle/gateway/UpstreamAttempt.java
@@ -12,6 +12,7 @@
 import org.copperspindle.discovery.UpstreamRecord;
 import org.copperspindle.engineload.EngineAttempt;
 import org.copperspindle.memory.HeldKind;
+import org.copperspindle.quarantine.RunOutcome;
 import org.copperspindle.quarantine.UpstreamRun;
 import org.copperspindle.route.RouteKind;
 
@@ -193,7 +194,7 @@
             }
         } else {
             end(true, "");
-            context.quarantine().onSurvived(run);
+            context.quarantine().onSurvived(run, outcomeOf(response));
             if (isStream) {
                 listener.onStreamed();
             } else {
@@ -220,6 +221,13 @@
         listener.onNotRun(failure.reason(), false);
     }
 
+    private static RunOutcome outcomeOf(DirectHead response) {
+        if (!response.isSuccess()) {
+            return RunOutcome.FAILED;
+        }
+        return response.isDelimited() ? RunOutcome.ANSWERED : RunOutcome.ENDED_WITH_CONNECTION;
+    }
+
     private void handleNotRun(DirectHead response) {
         Optional<String> other = context.upstreamDialect().otherUpstream(response);
         end(true, "");
--- a/library/src/main/java/org/copperspindle/gateway/UpstreamEligibility.java
+++ b/library/src/main/java/org/copperspindle/gateway/UpstreamEligibility.java
@@ -9,18 +9,29 @@
 import org.copperspindle.discovery.UpstreamRecord;
 
 /**
- * Which upstreams may get one request, whatever their load: none that has received it before, and once a caller holds
- * events of its stream, only those that run the software that wrote them. Every search for an upstream applies it.
+ * Which upstreams may get one request, whatever their load: none that has received it before or that the quarantine keeps
+ * it from, and once a caller holds events of its stream, only those that run the software that wrote them. Every search for
+ * an upstream applies it.
  */
 final class UpstreamEligibility implements Predicate<UpstreamRecord> {
 
     private final Set<String> tried = new HashSet<>();
     private Optional<SoftwareVersion> software = Optional.empty();
+    private final Predicate<UpstreamRecord> permitted;
     private Predicate<UpstreamRecord> mayBegin = upstream -> true;
 
+    /**
+     * Creates the eligibility of a request that no upstream has received.
+     *
+     * @param permitted whether the quarantine permits an upstream
+     */
+    UpstreamEligibility(Predicate<UpstreamRecord> permitted) {
+        this.permitted = permitted;
+    }
+
     @Override
     public boolean test(UpstreamRecord upstream) {
-        if (tried.contains(upstream.id())) {
+        if (tried.contains(upstream.id()) || !permitted.test(upstream)) {
             return false;
         }
         return software.isPresent() ? software.get().equals(upstream.software()) : mayBegin.test(upstream);
--- a/library/src/main/java/org/copperspindle/quarantine/PoolTerminationHistory.java
+++ b/library/src/main/java/org/copperspindle/quarantine/PoolTerminationHistory.java
@@ -29,24 +29,24 @@
         survivedRuns.add(now);
     }
 
-    /** Records the termination of an upstream incarnation with the requests of this node that were running there. */
-    void recordTermination(String incarnation, Set<RequestDigest> requests, long now) {
-        terminations.addLast(new Termination(incarnation, requests, now));
+    /** Records the termination of an upstream incarnation with what the requests of this node that were running there hold. */
+    void recordTermination(String incarnation, Set<SuspectDigest> suspects, long now) {
+        terminations.addLast(new Termination(incarnation, suspects, now));
         if (terminations.size() > MAX_TERMINATIONS) {
             terminations.removeFirst();
         }
     }
 
-    /** Returns whether more upstreams terminated without a request than runs survived. */
-    boolean terminatesMoreWithout(RequestDigest request, long now) {
+    /** Returns whether more upstreams terminated without a suspect than runs survived. */
+    boolean terminatesMoreWithout(SuspectDigest suspect, long now) {
         terminations.removeIf(termination -> now - termination.at() > WINDOW_NANOS);
         long terminatedWithout = terminations.stream()
-                .filter(termination -> !termination.requests().contains(request))
+                .filter(termination -> !termination.suspects().contains(suspect))
                 .map(Termination::incarnation)
                 .distinct()
                 .count();
         return terminatedWithout > survivedRuns.sum(now);
     }
 
-    private record Termination(String incarnation, Set<RequestDigest> requests, long at) {}
+    private record Termination(String incarnation, Set<SuspectDigest> suspects, long at) {}
 }
--- a/library/src/main/java/org/copperspindle/quarantine/QuarantinePolicy.java
+++ b/library/src/main/java/org/copperspindle/quarantine/QuarantinePolicy.java
@@ -3,7 +3,7 @@
 import java.time.Duration;
 
 /**
- * Decides from the level of a suspicion whether a request is quarantined, and for how long.
+ * Decides from the level of a suspicion whether its suspect is quarantined, and for how long.
  *
  * <p>The level counts consecutive terminations, not all of them. When a failure domain loses power, a popular request
  * runs at many upstreams that terminate at the same time; these runs started without knowledge of each other's
@@ -26,6 +26,25 @@
      */
     static final int QUARANTINE_LEVEL = 3 * STEP;
 
+    /**
+     * Added to the level of a prompt part by a termination that is not known to be a consequence of anything else: its run
+     * was sent before the last termination was known, or the same request terminated an upstream before. A long wait at an
+     * upstream must not hide a part under which upstreams terminate one after the other.
+     */
+    static final int SMALL_STEP = 1;
+
+    /**
+     * Minimum time since the last termination for {@link #SMALL_STEP} to be added to it. Upstreams that terminate for one
+     * reason, such as a lost failure domain, are noticed within less.
+     */
+    static final long MIN_SEPARATION_MILLIS = 200;
+
+    /**
+     * Requests under which upstreams must terminate before a prompt part is quarantined. With a single one, the request
+     * itself is quarantined.
+     */
+    static final int MIN_REQUESTS_OF_PART = 2;
+
     /** Maximum level; higher ones would have no further effect. */
     static final int MAX_LEVEL = QUARANTINE_LEVEL + 6 * STEP;
 
@@ -46,8 +65,20 @@
 
     private QuarantinePolicy() {}
 
-    static boolean isQuarantined(int level, long sinceLastTermination) {
-        return sinceLastTermination < quarantineNanos(level);
+    /**
+     * Returns the level on which the quarantine is decided. A prompt part that the same software answered shortly before
+     * needs twice the evidence: requests hold several parts, and the one that crashes upstreams is answered by none.
+     */
+    static int effectiveLevel(Suspicion suspicion) {
+        if (!suspicion.isOfPromptPart()) {
+            return suspicion.level();
+        }
+        if (suspicion.evidence().requests().size() < MIN_REQUESTS_OF_PART) {
+            return Math.min(suspicion.level(), QUARANTINE_LEVEL - 1);
+        }
+        return suspicion.evidence().isContradictory()
+                ? Math.max(0, suspicion.level() - QUARANTINE_LEVEL)
+                : suspicion.level();
     }
 
     /** Returns how long a request is quarantined after the last termination; zero below {@link #QUARANTINE_LEVEL}. */
@@ -59,6 +90,13 @@
         return Math.min(MAX_QUARANTINE_NANOS, MIN_QUARANTINE_NANOS << extraTerminations);
     }
 
+    /** Returns the remaining quarantine time of a suspicion at its current age; zero if it is over. */
+    static Duration remainingQuarantine(Suspicion suspicion) {
+        Duration whole = Duration.ofNanos(quarantineNanos(effectiveLevel(suspicion)));
+        Duration remaining = whole.minusMillis(suspicion.ageMillis());
+        return remaining.isNegative() ? Duration.ZERO : remaining;
+    }
+
     /** Returns how long a request is remembered after the last termination or after it was cleared. */
     static long retentionNanos(int level) {
         return quarantineNanos(level) + RETENTION_NANOS;
--- a/library/src/main/java/org/copperspindle/quarantine/QuarantinedRequest.java
+++ b/library/src/main/java/org/copperspindle/quarantine/QuarantinedRequest.java
@@ -3,9 +3,10 @@
 import java.util.List;
 
 /**
- * A quarantined request, as shown to operators.
+ * A quarantined request or prompt part, as shown to operators.
  *
- * @param digest          identifies the request
+ * @param digest          identifies it
+ * @param part            id of the prompt part; empty for a whole request
  * @param route           its route
  * @param account         its client account, empty for callers without one
  * @param upstreams       some of the upstreams that terminated while running it
@@ -13,18 +14,22 @@
  * @param remainingMillis remaining quarantine time
  */
 public record QuarantinedRequest(
-        String digest, String route, String account, List<String> upstreams, long sinceMillis, long remainingMillis) {
-
-    private static final long NANOS_PER_MILLI = 1_000_000L;
+        String digest,
+        String part,
+        String route,
+        String account,
+        List<String> upstreams,
+        long sinceMillis,
+        long remainingMillis) {
 
     static QuarantinedRequest of(Suspicion suspicion) {
-        long quarantineMillis = QuarantinePolicy.quarantineNanos(suspicion.level()) / NANOS_PER_MILLI;
         return new QuarantinedRequest(
                 suspicion.digest().text(),
+                suspicion.part(),
                 suspicion.route(),
                 suspicion.account(),
                 suspicion.upstreams(),
                 suspicion.ageMillis(),
-                quarantineMillis - suspicion.ageMillis());
+                QuarantinePolicy.remainingQuarantine(suspicion).toMillis());
     }
 }
--- a/library/src/main/java/org/copperspindle/quarantine/RequestQuarantine.java
+++ b/library/src/main/java/org/copperspindle/quarantine/RequestQuarantine.java
@@ -3,51 +3,43 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.stream.Collectors;
 
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
 import org.copperspindle.direct.ListenCheck;
+import org.copperspindle.direct.ListenState;
 import org.copperspindle.discovery.UpstreamDirectory;
 import org.copperspindle.discovery.UpstreamRecord;
 import org.copperspindle.measure.LogRateLimiter;
 import org.copperspindle.mesh.MeshListener;
 import org.copperspindle.mesh.MeshNode;
 import org.copperspindle.mesh.NodeMesh;
-import org.copperspindle.time.DeferredTask;
 import org.copperspindle.time.TimerService;
 import org.copperspindle.wire.WireMessage;
 
 /**
- * Quarantines requests that terminate the upstreams that run them. Such a request may be retried at any node, so each
- * node immediately tells the others under which requests an upstream terminated. If the count were kept at one node,
- * or with the terminated upstream, it would never add up, and the request would terminate one upstream after the
- * other with everything that runs there. A request that an upstream survives is cleared on all nodes. Must be used on
- * the network thread only.
+ * Quarantines requests, and parts of prompts, that terminate the upstreams that run them. Such requests may come at any
+ * node, so each node immediately tells the others under which requests and parts an upstream terminated. If the count
+ * were kept at one node, or with the terminated upstream, it would never add up, and one upstream after the other would
+ * terminate with everything that runs there. A request or part that an upstream survives is cleared on all nodes. Must be
+ * used on the network thread only.
  */
 public final class RequestQuarantine implements MeshListener {
 
-    private static final Logger LOGGER = LogManager.getLogger(RequestQuarantine.class);
+    private static final Duration MIN_REFUSAL = Duration.ofSeconds(1);
 
-    /** Maximum number of suspicions in one message: about 25 KB, a small part of the largest frame. */
-    private static final int MAX_PER_MESSAGE = 256;
-
-    /** Origin, in log lines, of a suspicion received from another node; for a local one it is the id of the request. */
-    private static final String FROM_OTHER_NODE = "told";
-
-    private static final long SWEEP_NANOS = Duration.ofSeconds(30).toNanos();
-
-    private final NodeMesh mesh;
     private final TimerService timers;
-    private final LogRateLimiter log;
-    private final SuspicionTable table = new SuspicionTable();
+    private final UpstreamDirectory directory;
+    private final ListenCheck listenCheck;
+    private final SuspicionExchange exchange;
+    private final SuspicionTable table;
+    private final TerminatedUpstreams terminatedIncarnations;
     private final TerminatedUpstreamDetector terminationDetector;
-    private final DeferredTask sweep;
-    private final TerminatedUpstreams terminatedIncarnations = new TerminatedUpstreams();
+    private final RecentAnswers recentAnswers = new RecentAnswers();
+    private final TrialSlots trials;
     private final Map<String, PoolTerminationHistory> historyByPool = new HashMap<>();
     private long terminatedUpstreams;
 
@@ -66,32 +58,83 @@
             UpstreamDirectory directory,
             ListenCheck listenCheck,
             LogRateLimiter log) {
-        this.mesh = mesh;
-        this.log = log;
         this.timers = timers;
-        this.sweep = new DeferredTask(timers, this::sweep);
+        this.directory = directory;
+        this.listenCheck = listenCheck;
+        this.exchange = new SuspicionExchange(mesh, timers, log);
+        this.table = exchange.table();
+        this.terminatedIncarnations = exchange.terminatedIncarnations();
+        this.trials = new TrialSlots(mesh.self(), () -> mesh.serving().stream());
         this.terminationDetector = new TerminatedUpstreamDetector(directory, timers, listenCheck, this::onTerminated);
         directory.subscribe(terminationDetector);
     }
 
     /**
-     * Returns whether a request must not run. Costs nothing while no request is suspected.
+     * Adds a listener.
+     *
+     * @param listener called when a request or a prompt part becomes quarantined
+     */
+    public void subscribe(Runnable listener) {
+        exchange.subscribe(listener);
+    }
+
+    /**
+     * Returns whether a request must not run at any upstream of its pool. Costs nothing while nothing is quarantined.
      *
      * @param request the request
-     * @return true while it is quarantined
+     * @return true while it is quarantined, or a part of its prompt is
      */
     public boolean isQuarantined(TrackedRequest request) {
-        return !table.isEmpty() && table.isQuarantined(request.digest(), timers.nanoTime());
+        if (!table.hasRestricted()) {
+            return false;
+        }
+        return isRequestHeld(request) || hasHeldPart(request);
+    }
+
+    /**
+     * Returns whether a request may run at an upstream as far as the parts of its prompt are concerned. A part may be
+     * quarantined for one software version of a pool only.
+     *
+     * @param request  the request
+     * @param upstream the upstream
+     * @return false if it must not be sent there now
+     */
+    public boolean permits(TrackedRequest request, UpstreamRecord upstream) {
+        return !table.hasRestricted() || permits(request, upstream.software().text());
+    }
+
+    /**
+     * Returns for how long a request is refused because of the parts of its prompt.
+     *
+     * @param request the request
+     * @return the remaining quarantine time; empty if the whole request is quarantined, which its caller can't change by
+     *     waiting, or if nothing is
+     */
+    public Optional<Duration> partQuarantine(TrackedRequest request) {
+        if (!table.hasRestricted() || isRequestHeld(request)) {
+            return Optional.empty();
+        }
+        return request.partSuspects().stream()
+                .flatMap(part -> exchange.find(part.digest()).stream())
+                .map(QuarantinePolicy::remainingQuarantine)
+                .max(Duration::compareTo)
+                // Once it is over, one request is sent in each slot.
+                .map(remaining -> remaining.compareTo(MIN_REFUSAL) < 0 ? MIN_REFUSAL : remaining)
+                .filter(remaining -> hasHeldPart(request));
     }
 
     /**
-     * Returns whether an upstream terminated while running a request and none has survived it since.
+     * Returns whether an upstream terminated while running a request, or one with a part of its prompt, and none has
+     * survived it since.
      *
      * @param request the request
      * @return true also while it is quarantined
      */
     public boolean isSuspected(TrackedRequest request) {
-        return find(request).filter(Suspicion::isSuspected).isPresent();
+        return !table.isEmpty()
+                && request.suspects().stream()
+                        .flatMap(suspect -> exchange.find(suspect.digest()).stream())
+                        .anyMatch(Suspicion::isSuspected);
     }
 
     /**
@@ -103,26 +146,32 @@
      * @return the run, whose outcome is reported by {@link #onSurvived} or {@link #onConnectionFailure}
      */
     public UpstreamRun startRun(TrackedRequest request, UpstreamRecord upstream, Optional<UpstreamRun> previous) {
-        Optional<Suspicion> known = find(request);
+        Map<SuspectDigest, Suspicion> known = knownSuspicions(request);
+        useTrials(request, upstream, known);
         return new UpstreamRun(
-                request,
-                upstream,
-                known.map(Suspicion::epoch).orElse(0L),
-                known.map(Suspicion::level).orElse(0),
-                previous,
-                terminatedIncarnations.contains(UpstreamIncarnation.of(upstream)));
+                request, upstream, known, previous, terminatedIncarnations.contains(UpstreamIncarnation.of(upstream)));
     }
 
     /**
-     * Records that an upstream completed a request and is still alive, whatever its response was.
+     * Records that an upstream completed a request and is still alive.
      *
-     * @param run the run
+     * @param run     the run
+     * @param outcome what the response proves
      */
-    public void onSurvived(UpstreamRun run) {
+    public void onSurvived(UpstreamRun run, RunOutcome outcome) {
         long now = timers.nanoTime();
         historyOf(run.request().pool()).recordSurvivedRun(now);
+        if (outcome == RunOutcome.ENDED_WITH_CONNECTION) {
+            if (isSuspected(run.request())) {
+                listenCheck.check(run.upstream().address(), state -> onEndChecked(run, state));
+            }
+            return;
+        }
         terminatedIncarnations.markAlive(run.incarnation());
-        find(run.request()).filter(Suspicion::isSuspected).ifPresent(known -> clear(known, "outlived"));
+        if (outcome == RunOutcome.ANSWERED) {
+            recordAnswer(run, now);
+        }
+        clearSurvived(run, outcome);
     }
 
     /**
@@ -151,9 +200,9 @@
     }
 
     /**
-     * Lists the quarantined requests.
+     * Lists the quarantined requests and prompt parts.
      *
-     * @return the requests, in no particular order
+     * @return the entries, in no particular order
      */
     public List<QuarantinedRequest> quarantined() {
         return table.quarantined(timers.nanoTime()).stream()
@@ -162,21 +211,21 @@
     }
 
     /**
-     * Lifts the quarantine of a request on all nodes.
+     * Lifts the quarantine of a request or a prompt part on all nodes.
      *
-     * @param digest identifies the request
+     * @param digest identifies it
      * @return false if it is not suspected
      */
-    public boolean lift(RequestDigest digest) {
-        Optional<Suspicion> known = table.find(digest, timers.nanoTime()).filter(Suspicion::isSuspected);
-        known.ifPresent(suspicion -> clear(suspicion, "lifted"));
+    public boolean lift(SuspectDigest digest) {
+        Optional<Suspicion> known = exchange.find(digest).filter(Suspicion::isSuspected);
+        known.ifPresent(suspicion -> exchange.clear(suspicion, "lifted"));
         return known.isPresent();
     }
 
     /**
-     * Returns the number of tracked requests.
+     * Returns the number of tracked suspicions.
      *
-     * @return number of requests that are suspected, quarantined or were cleared recently
+     * @return number of requests and prompt parts that are suspected, quarantined or were cleared recently
      */
     public int trackedRequests() {
         return table.size();
@@ -193,118 +242,168 @@
 
     @Override
     public void onNodeUp(MeshNode node) {
-        sendTo(table.all(timers.nanoTime()), List.of(node));
+        exchange.onNodeUp(node);
     }
 
     @Override
     public void onConnectionLost(MeshNode node) {
-        sendTo(table.all(timers.nanoTime()), List.of(node));
+        exchange.onConnectionLost(node);
     }
 
     @Override
     public void onMessage(MeshNode node, WireMessage message) {
-        if (!(message instanceof SuspicionMessage received)) {
-            return;
+        exchange.onMessage(node, message);
+    }
+
+    private boolean isRequestHeld(TrackedRequest request) {
+        return table.requestState(request.digest(), timers.nanoTime()) == HoldState.HELD;
+    }
+
+    /** Returns whether no upstream of the pool may get the request because of the parts of its prompt. */
+    private boolean hasHeldPart(TrackedRequest request) {
+        Set<String> versions = new HashSet<>();
+        directory
+                .ready(request.pool())
+                .forEach(upstream -> versions.add(upstream.software().text()));
+        if (versions.isEmpty()) {
+            long now = timers.nanoTime();
+            return request.partSuspects().stream().anyMatch(part -> table.isQuarantined(part.digest(), now));
         }
-        List<Suspicion> changed = received.suspicions().stream()
-                .filter(each -> accept(each, FROM_OTHER_NODE))
-                .map(each -> table.find(each.digest(), timers.nanoTime()).orElse(each))
-                .toList();
-        // If some nodes cannot reach each other, a node that reaches both forwards the suspicion.
-        sendTo(
-                changed,
-                mesh.nodes().stream()
-                        .filter(other -> other != node && !node.neighbours().contains(other.address()))
-                        .toList());
+        return versions.stream().noneMatch(version -> permits(request, version));
+    }
+
+    private boolean permits(TrackedRequest request, String software) {
+        return request.partSuspects().stream().allMatch(part -> permits(part, software));
     }
 
-    /** Removes expired suspicions; an empty table makes the check of each request free again. */
-    private void sweep() {
-        table.removeExpired(timers.nanoTime());
-        if (!table.isEmpty()) {
-            sweep.schedule(SWEEP_NANOS);
+    private boolean permits(Suspect part, String software) {
+        return switch (table.partState(part.digest(), software, timers.nanoTime())) {
+            case FREE -> true;
+            case TRIAL -> exchange.find(part.digest()).filter(trials::isOpen).isPresent();
+            case HELD -> false;
+        };
+    }
+
+    private Map<SuspectDigest, Suspicion> knownSuspicions(TrackedRequest request) {
+        if (table.isEmpty()) {
+            return Map.of();
         }
+        Map<SuspectDigest, Suspicion> known = new HashMap<>();
+        for (Suspect suspect : request.suspects()) {
+            exchange.find(suspect.digest()).ifPresent(suspicion -> known.put(suspect.digest(), suspicion));
+        }
+        return known;
     }
 
-    private Optional<Suspicion> find(TrackedRequest request) {
-        return table.isEmpty() ? Optional.empty() : table.find(request.digest(), timers.nanoTime());
+    private void useTrials(TrackedRequest request, UpstreamRecord upstream, Map<SuspectDigest, Suspicion> known) {
+        if (!table.hasRestricted()) {
+            return;
+        }
+        String software = upstream.software().text();
+        request.partSuspects().stream()
+                .filter(part -> table.partState(part.digest(), software, timers.nanoTime()) == HoldState.TRIAL)
+                .forEach(part -> trials.use(known.get(part.digest())));
     }
 
     private PoolTerminationHistory historyOf(String pool) {
         return historyByPool.computeIfAbsent(pool, p -> new PoolTerminationHistory());
     }
 
+    private void recordAnswer(UpstreamRun run, long now) {
+        TrackedRequest request = run.request();
+        for (String part : request.sharedParts()) {
+            recentAnswers.record(request.pool(), run.software(), part, now);
+        }
+    }
+
+    private void onEndChecked(UpstreamRun run, ListenState state) {
+        if (state == ListenState.LISTENS) {
+            recordAnswer(run, timers.nanoTime());
+            clearSurvived(run, RunOutcome.ANSWERED);
+        }
+    }
+
+    private void clearSurvived(UpstreamRun run, RunOutcome outcome) {
+        if (table.isEmpty()) {
+            return;
+        }
+        exchange.find(run.request().digest())
+                .filter(Suspicion::isSuspected)
+                .ifPresent(known -> exchange.clear(known, "outlived"));
+        if (outcome == RunOutcome.ANSWERED) {
+            run.request().partSuspects().stream()
+                    .flatMap(part -> exchange.find(part.digest()).stream())
+                    .filter(Suspicion::isSuspected)
+                    .forEach(known -> clearPart(known, run.software()));
+        }
+    }
+
+    /** Clears a part that an upstream answered, if upstreams with the same software terminated under it. */
+    private void clearPart(Suspicion known, String software) {
+        if (known.evidence().terminated().contains(software)) {
+            exchange.clear(known, "outlived");
+        } else {
+            exchange.publish(List.of(known.withAnswered(software)), "outlived");
+        }
+    }
+
     private void onTerminated(UpstreamRecord upstream, List<UpstreamRun> runs) {
         long now = timers.nanoTime();
         terminatedUpstreams++;
         String incarnation = UpstreamIncarnation.of(upstream).text();
         PoolTerminationHistory pool = historyOf(upstream.pool());
-        Set<RequestDigest> requests =
-                runs.stream().map(run -> run.request().digest()).collect(Collectors.toSet());
-        pool.recordTermination(incarnation, requests, now);
+        Set<SuspectDigest> suspects = new HashSet<>();
+        runs.forEach(run -> run.request().suspects().forEach(suspect -> suspects.add(suspect.digest())));
+        pool.recordTermination(incarnation, suspects, now);
         terminatedIncarnations.add(List.of(incarnation));
-        List<Suspicion> changed = new ArrayList<>();
         for (UpstreamRun run : runs) {
-            TrackedRequest request = run.request();
-            int step = pool.terminatesMoreWithout(request.digest(), now)
-                    ? QuarantinePolicy.STEP_AMONG_OTHER_TERMINATIONS
-                    : QuarantinePolicy.STEP;
-            int level = run.levelAfter(step);
-            run.terminated(level);
-            Suspicion suspicion = new Suspicion(
-                    request.digest(), run.epoch(), level, List.of(incarnation), request.route(), request.account(), 0);
-            if (accept(suspicion, request.id())) {
-                changed.add(suspicion);
-            }
+            List<Suspicion> changes = new ArrayList<>();
+            run.request().suspects().forEach(suspect -> changes.add(suspicion(run, suspect, pool, now)));
+            exchange.publish(changes, run.request().id());
         }
-        sendTo(changed, mesh.nodes());
     }
 
-    private void clear(Suspicion known, String reason) {
-        Suspicion cleared = known.cleared();
-        accept(cleared, reason);
-        sendTo(List.of(cleared), mesh.nodes());
+    private Suspicion suspicion(UpstreamRun run, Suspect suspect, PoolTerminationHistory pool, long now) {
+        TrackedRequest request = run.request();
+        SuspectDigest digest = suspect.digest();
+        int level = levelAfter(run, suspect, pool, now);
+        run.terminated(digest, level);
+        String software = run.software();
+        boolean answered = suspect.part()
+                .filter(part -> recentAnswers.contains(request.pool(), software, part, now))
+                .isPresent();
+        TerminationEvidence evidence = new TerminationEvidence(
+                List.of(run.incarnation().text()),
+                List.of(request.digest().abbreviated()),
+                List.of(software),
+                answered ? List.of(software) : List.of());
+        return new Suspicion(
+                digest, suspect.partLabel(), run.epoch(digest), level, evidence, request.route(), request.account(), 0);
     }
 
-    private boolean accept(Suspicion received, String from) {
-        long now = timers.nanoTime();
-        boolean quarantinedBefore = table.isQuarantined(received.digest(), now);
-        int levelBefore =
-                table.find(received.digest(), now).map(Suspicion::level).orElse(0);
-        if (!table.accept(received, now)) {
-            return false;
-        }
-        sweep.schedule(SWEEP_NANOS);
-        terminatedIncarnations.add(received.upstreams());
-        Suspicion known = table.find(received.digest(), now).orElse(received);
-        boolean quarantined = table.isQuarantined(known.digest(), now);
-        if (quarantined != quarantinedBefore) {
-            logChange(quarantined ? "held-off" : "cleared", known, from);
-        } else if (known.level() > levelBefore && !from.equals(FROM_OTHER_NODE) && log.allowsFailed(now)) {
-            logChange("suspected", known, from);
+    private int levelAfter(UpstreamRun run, Suspect suspect, PoolTerminationHistory pool, long now) {
+        SuspectDigest digest = suspect.digest();
+        boolean amongOthers = pool.terminatesMoreWithout(digest, now);
+        int step = amongOthers ? QuarantinePolicy.STEP_AMONG_OTHER_TERMINATIONS : QuarantinePolicy.STEP;
+        if (!suspect.isPromptPart()) {
+            return run.levelAfter(digest, step);
         }
-        return true;
+        Optional<Suspicion> current =
+                exchange.find(digest).filter(known -> known.epoch() == run.epoch(digest) && known.isSuspected());
+        String abbreviated = run.request().digest().abbreviated();
+        boolean sameRequest = current.filter(
+                        known -> known.evidence().requests().contains(abbreviated))
+                .isPresent();
+        int consecutive = run.levelAfter(digest, sameRequest ? QuarantinePolicy.SMALL_STEP : step);
+        int separate = current.filter(known -> run.wasAlive() && isSeparate(known, run))
+                .map(known -> known.level() + QuarantinePolicy.SMALL_STEP)
+                .orElse(0);
+        return Math.max(consecutive, separate);
     }
 
-    private static void logChange(String event, Suspicion known, String from) {
-        LOGGER.info(
-                "event=request-{} digest={} from={} level={} epoch={} hold_ms={} route={} account={} upstreams={}",
-                event,
-                known.digest().text(),
-                from,
-                known.level(),
-                known.epoch(),
-                Duration.ofNanos(QuarantinePolicy.quarantineNanos(known.level()))
-                        .toMillis(),
-                known.route(),
-                known.account(),
-                known.upstreams());
-    }
-
-    private static void sendTo(List<Suspicion> suspicions, List<MeshNode> nodes) {
-        for (int from = 0; from < suspicions.size(); from += MAX_PER_MESSAGE) {
-            List<Suspicion> chunk = suspicions.subList(from, Math.min(suspicions.size(), from + MAX_PER_MESSAGE));
-            nodes.forEach(node -> node.send(new SuspicionMessage(chunk)));
-        }
+    /** Returns whether the upstream of a run terminated apart from those that are known to have done so. */
+    private static boolean isSeparate(Suspicion known, UpstreamRun run) {
+        return known.ageMillis() >= QuarantinePolicy.MIN_SEPARATION_MILLIS
+                && !known.upstreams().contains(run.incarnation().text());
     }
 }
--- a/library/src/main/java/org/copperspindle/quarantine/UpstreamRun.java
+++ b/library/src/main/java/org/copperspindle/quarantine/UpstreamRun.java
@@ -1,11 +1,13 @@
 package org.copperspindle.quarantine;
 
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Optional;
 
 import org.copperspindle.discovery.UpstreamRecord;
 
 /**
- * One run of a request at one upstream, with the suspicion level known when the request was sent. If the upstream
+ * One run of a request at one upstream, with the suspicions known when the request was sent. If the upstream
  * terminates, this distinguishes consecutive terminations from independent ones: terminations add up only if the
  * later run was started with knowledge of the earlier termination.
  */
@@ -13,24 +15,21 @@
 
     private final TrackedRequest request;
     private final UpstreamRecord upstream;
-    private final long epoch;
-    private final int levelBefore;
+    private final Map<SuspectDigest, Suspicion> known;
     private final Optional<UpstreamRun> previous;
     private final boolean sentAfterTermination;
+    private final Map<SuspectDigest, Integer> levelsAfter = new HashMap<>();
     private boolean wasAlive = true;
-    private int levelAfter;
 
     UpstreamRun(
             TrackedRequest request,
             UpstreamRecord upstream,
-            long epoch,
-            int levelBefore,
+            Map<SuspectDigest, Suspicion> known,
             Optional<UpstreamRun> previous,
             boolean sentAfterTermination) {
         this.request = request;
         this.upstream = upstream;
-        this.epoch = epoch;
-        this.levelBefore = levelBefore;
+        this.known = Map.copyOf(known);
         this.previous = previous;
         this.sentAfterTermination = sentAfterTermination;
     }
@@ -57,6 +56,11 @@
         return UpstreamIncarnation.of(upstream);
     }
 
+    /** Returns the software version of the upstream as text. */
+    String software() {
+        return upstream.software().text();
+    }
+
     /** Returns whether the upstream was known to have terminated when the request was sent. */
     boolean sentAfterTermination() {
         return sentAfterTermination;
@@ -67,33 +71,42 @@
         wasAlive = false;
     }
 
+    /** Returns whether the upstream was alive when the request was sent. */
+    boolean wasAlive() {
+        return wasAlive;
+    }
+
     /**
-     * Returns the level of the request after the termination of the upstream. A kept-alive connection that was lost
+     * Returns the level of a suspect after the termination of the upstream. A kept-alive connection that was lost
      * without a byte may have been dead before, so it can start a suspicion but never raise one.
      *
-     * @param step increment for the termination
+     * @param suspect the request, or a part of its prompt
+     * @param step    increment for the termination
      */
-    int levelAfter(int step) {
-        return wasAlive ? levelBefore() + step : Math.max(levelBefore(), step);
+    int levelAfter(SuspectDigest suspect, int step) {
+        int before = levelBefore(suspect);
+        return wasAlive ? before + step : Math.max(before, step);
     }
 
-    long epoch() {
-        return epoch;
+    long epoch(SuspectDigest suspect) {
+        return Optional.ofNullable(known.get(suspect)).map(Suspicion::epoch).orElse(0L);
     }
 
     /**
-     * Returns the level of the request before this run. The previous run in the same attempt of the caller may have
+     * Returns the level of a suspect before this run. The previous run in the same attempt of the caller may have
      * been found to terminate its upstream only after this run was sent.
      */
-    int levelBefore() {
-        int previousLevel = previous.filter(run -> run.epoch == epoch)
-                .map(run -> run.levelAfter)
+    int levelBefore(SuspectDigest suspect) {
+        int previousLevel = previous.filter(run -> run.epoch(suspect) == epoch(suspect))
+                .map(run -> run.levelsAfter.getOrDefault(suspect, 0))
                 .orElse(0);
-        return Math.max(levelBefore, previousLevel);
+        int knownLevel =
+                Optional.ofNullable(known.get(suspect)).map(Suspicion::level).orElse(0);
+        return Math.max(knownLevel, previousLevel);
     }
 
-    /** Records that the upstream terminated, and the resulting level of the request. */
-    void terminated(int level) {
-        levelAfter = level;
+    /** Records that the upstream terminated, and the resulting level of a suspect. */
+    void terminated(SuspectDigest suspect, int level) {
+        levelsAfter.put(suspect, level);
     }
 }
--- a/library/src/test/java/org/copperspindle/gateway/StageEntranceTest.java
+++ b/library/src/test/java/org/copperspindle/gateway/StageEntranceTest.java
@@ -181,7 +181,8 @@
                 null,
                 null);
         RequestLogger logger = new RequestLogger(new LogRateLimiter(0, 0), null, admitted);
-        return new StageEntrance(context, admitted, new UpstreamEligibility(), logger, new RecordingListener());
+        return new StageEntrance(
+                context, admitted, new UpstreamEligibility(upstream -> true), logger, new RecordingListener());
     }
 
     private final class RecordingListener implements StageEntrance.Listener {
--- a/library/src/test/java/org/copperspindle/gateway/UpstreamSearchTest.java
+++ b/library/src/test/java/org/copperspindle/gateway/UpstreamSearchTest.java
@@ -84,7 +84,7 @@
             new Random(1),
             "d");
     private final List<String> selected = new ArrayList<>();
-    private final UpstreamEligibility eligibility = new UpstreamEligibility();
+    private final UpstreamEligibility eligibility = new UpstreamEligibility(upstream -> true);
     private final String shared;
 
     UpstreamSearchTest() {
--- a/library/src/test/java/org/copperspindle/quarantine/QuarantineFleet.java
+++ b/library/src/test/java/org/copperspindle/quarantine/QuarantineFleet.java
@@ -68,10 +68,10 @@
         awaitDelivery();
     }
 
-    /** Creates a request of one account from its body. */
-    static TrackedRequest request(String body) {
-        RequestDigest digest = RequestDigest.of("t", "POST", "h", "/r/x", body.getBytes(StandardCharsets.UTF_8));
-        return new TrackedRequest("id-" + body, "r", "t", POOL, () -> digest);
+    /** Creates a request of one account from its body and the shared parts of its prompt. */
+    static TrackedRequest request(String body, String... parts) {
+        SuspectDigest digest = SuspectDigest.ofRequest("t", "POST", "h", "/r/x", body.getBytes(StandardCharsets.UTF_8));
+        return new TrackedRequest("id-" + body, "r", "t", POOL, List.of(parts), () -> digest);
     }
 
     /** Adds an upstream that every node knows, at an address of its own; returns its number. */
@@ -81,6 +81,13 @@
         return number;
     }
 
+    /** Adds an upstream with a software version that every node knows; returns its number. */
+    int addUpstream(String software) {
+        int number = upstreams.size();
+        announce(number, "u" + number, 0, UpstreamPhase.READY, new SoftwareVersion(software));
+        return number;
+    }
+
     /** Announces the state of an upstream to every node. */
     void announce(int number, String id, UpstreamPhase phase) {
         announce(number, id, 0, phase);
@@ -88,8 +95,12 @@
 
     /** Announces an incarnation of an upstream to every node. */
     void announce(int number, String id, long incarnation, UpstreamPhase phase) {
-        UpstreamRecord upstreamState = new UpstreamRecord(
-                id, incarnation, POOL, address(number), "d", phase, 4, 1, 0, 0, SoftwareVersion.UNSTATED);
+        announce(number, id, incarnation, phase, SoftwareVersion.UNSTATED);
+    }
+
+    private void announce(int number, String id, long incarnation, UpstreamPhase phase, SoftwareVersion software) {
+        UpstreamRecord upstreamState =
+                new UpstreamRecord(id, incarnation, POOL, address(number), "d", phase, 4, 1, 0, 0, software);
         upstreams.put(number, upstreamState);
         nodes.forEach(node -> node.directory.accept(upstreamState, time.nanoTime()));
     }
@@ -139,9 +150,20 @@
         return true;
     }
 
+    /** Sends a request to a new upstream of a software version, which terminates while running it. */
+    void terminatesUpstream(int node, TrackedRequest request, String software) {
+        int upstream = addUpstream(software);
+        terminate(upstream, Map.of(send(node, request, upstream), node));
+        awaitDelivery();
+    }
+
+    boolean permits(int node, TrackedRequest request, int upstream) {
+        return quarantine(node).permits(request, upstreams.get(upstream));
+    }
+
     /** Completes a request at a new upstream. */
     void serve(int node, TrackedRequest request) {
-        quarantine(node).onSurvived(send(node, request, addUpstream()));
+        quarantine(node).onSurvived(send(node, request, addUpstream()), RunOutcome.ANSWERED);
     }
 
     RequestQuarantine quarantine(int node) {
--- a/library/src/test/java/org/copperspindle/quarantine/RequestQuarantineTest.java
+++ b/library/src/test/java/org/copperspindle/quarantine/RequestQuarantineTest.java
@@ -421,7 +421,7 @@
             fleet.awaitDelivery();
         }
         for (int node = 0; node < NODES; node++) {
-            assertThat(fleet.quarantine(node).trackedRequests()).isLessThanOrEqualTo(SuspicionTable.MAX_REQUESTS);
+            assertThat(fleet.quarantine(node).trackedRequests()).isLessThanOrEqualTo(SuspicionTable.MAX_ENTRIES);
         }
         assertThat(fleet.isQuarantinedEverywhere(HARMFUL)).isTrue();
         fleet.advance(Duration.ofMinutes(15));
--- a/library/src/test/java/org/copperspindle/quarantine/RequestDigestTest.java
+++ b/library/src/test/java/org/copperspindle/quarantine/SuspectDigestTest.java
@@ -8,9 +8,9 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-class RequestDigestTest {
+class SuspectDigestTest {
 
-    private static final RequestDigest EXPECTED = digest("a", "POST", "h", "/p/x?q=1", "body");
+    private static final SuspectDigest EXPECTED = digest("a", "POST", "h", "/p/x?q=1", "body");
 
     @Test
     void sameRequestHasTheSameDigest() {
@@ -34,7 +34,7 @@
         assertThat(digest(account, method, host, uri, body)).isNotEqualTo(EXPECTED);
     }
 
-    private static RequestDigest digest(String account, String method, String host, String uri, String body) {
-        return RequestDigest.of(account, method, host, uri, body.getBytes(StandardCharsets.UTF_8));
+    private static SuspectDigest digest(String account, String method, String host, String uri, String body) {
+        return SuspectDigest.ofRequest(account, method, host, uri, body.getBytes(StandardCharsets.UTF_8));
     }
 }
--- a/library/src/test/java/org/copperspindle/quarantine/SuspicionTest.java
+++ b/library/src/test/java/org/copperspindle/quarantine/SuspicionTest.java
@@ -17,7 +17,7 @@
 
 class SuspicionTest {
 
-    private static final RequestDigest DIGEST = new RequestDigest("00ff");
+    private static final SuspectDigest DIGEST = new SuspectDigest("00ff");
 
     /**
      * Nodes may receive the same terminations in another order, repeatedly, or through a third node. If they came to
@@ -46,7 +46,7 @@
     void isEncodedAndDecoded() throws MalformedFrameException {
         MessageRegistry registry = WireTransport.registry().register(SuspicionMessage.CODEC);
         SuspicionMessage message = new SuspicionMessage(List.of(
-                new Suspicion(DIGEST, 3, 4, List.of("a", "b"), "r", "t", 5),
+                new Suspicion(DIGEST, "p", 3, 4, evidence("a", "b"), "r", "t", 5),
                 of(0, 2, "u").cleared()));
         assertThat(registry.decode(registry.encode(message))).contains(message);
     }
@@ -69,6 +69,10 @@
     }
 
     private static Suspicion of(long epoch, int level, String upstream) {
-        return new Suspicion(DIGEST, epoch, level, List.of(upstream), "r", "t", 0);
+        return new Suspicion(DIGEST, "", epoch, level, evidence(upstream), "r", "t", 0);
+    }
+
+    private static TerminationEvidence evidence(String... upstreams) {
+        return new TerminationEvidence(List.of(upstreams), List.of("r0"), List.of("v1"), List.of());
     }
 }
--- a/tools/src/main/java/org/copperspindle/cli/HeldCommand.java
+++ b/tools/src/main/java/org/copperspindle/cli/HeldCommand.java
@@ -73,8 +73,9 @@
         }
         for (JsonNode quarantined : body.path("held")) {
             System.out.printf(
-                    "digest=%s route=%s account=%s since_s=%d left_s=%d upstreams=%s%n",
+                    "digest=%s part=%s route=%s account=%s since_s=%d left_s=%d upstreams=%s%n",
                     quarantined.path("digest").asText(),
+                    quarantined.path("part").asText(),
                     quarantined.path("route").asText(),
                     quarantined.path("account").asText(),
                     quarantined.path("since_ms").asLong() / MILLIS_PER_SECOND,
--- a/tools/src/test/java/org/copperspindle/cli/HeldCommandTest.java
+++ b/tools/src/test/java/org/copperspindle/cli/HeldCommandTest.java
@@ -18,7 +18,7 @@
 class HeldCommandTest {
 
     private static final String LIST =
-            "{\"held\":[{\"digest\":\"0f\",\"route\":\"r\",\"account\":\"t\",\"since_ms\":4000,"
+            "{\"held\":[{\"digest\":\"0f\",\"part\":\"5c1e\",\"route\":\"r\",\"account\":\"t\",\"since_ms\":4000,"
                     + "\"left_ms\":56000,\"upstreams\":[\"u1\",\"u2\"]}]}";
 
     private StandInNode node;
@@ -37,7 +37,7 @@
     void listsQuarantinedRequests() {
         assertThat(run()).isEqualTo(ExitCode.SUCCESS);
         assertThat(node.printed())
-                .contains("digest=0f route=r account=t since_s=4 left_s=56 upstreams=[\"u1\",\"u2\"]");
+                .contains("digest=0f part=5c1e route=r account=t since_s=4 left_s=56 upstreams=[\"u1\",\"u2\"]");
     }
 
     @ParameterizedTest
