--- a/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
@@ -378,6 +378,7 @@
                 ThreadLocalRandom.current(),
                 settings.failureDomain());
         chooser.chooseEnginesWith(new EstimatedEngineChoice(engineLoads, new AffinityEngineChoice(tracker)));
+        chooser.skipTerminated(quarantine::hasTerminated);
         chooser.placeWith(new EnginePlacer(engineLoads, EnginePlacements.undisturbed()));
         return chooser;
     }
--- a/library/src/main/java/org/copperspindle/gateway/UpstreamChooser.java
+++ b/library/src/main/java/org/copperspindle/gateway/UpstreamChooser.java
@@ -49,6 +49,7 @@
     private final String failureDomain;
     private EngineChoice engines;
     private Optional<EnginePlacer> placer = Optional.empty();
+    private Predicate<UpstreamRecord> terminated = upstream -> false;
 
     UpstreamChooser(
             UpstreamDirectory directory,
@@ -78,6 +79,11 @@
         placer = Optional.of(enginePlacer);
     }
 
+    /** Sets which upstreams have terminated, as far as other nodes have told this one; they are skipped. */
+    void skipTerminated(Predicate<UpstreamRecord> condition) {
+        terminated = condition;
+    }
+
     /**
      * Chooses an upstream.
      *
@@ -241,7 +247,7 @@
 
     private List<UpstreamRecord> healthy(UpstreamPool pool, Predicate<UpstreamRecord> eligible, long now) {
         return directory.ready(pool.name()).stream()
-                .filter(u -> eligible.test(u) && tracker.isUsable(u.id(), now))
+                .filter(u -> eligible.test(u) && tracker.isUsable(u.id(), now) && !terminated.test(u))
                 .toList();
     }
 
--- a/library/src/main/java/org/copperspindle/quarantine/RequestQuarantine.java
+++ b/library/src/main/java/org/copperspindle/quarantine/RequestQuarantine.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 
 import org.copperspindle.direct.ListenCheck;
@@ -137,6 +138,22 @@
                         .anyMatch(Suspicion::isSuspected);
     }
 
+    /**
+     * Returns whether an upstream has terminated under a run of any node. An upstream that has announced itself since is
+     * alive: the evidence was wrong.
+     *
+     * @param upstream the upstream
+     * @return true if a request can't reach it
+     */
+    public boolean hasTerminated(UpstreamRecord upstream) {
+        OptionalLong learnedAt = terminatedIncarnations.learnedAt(UpstreamIncarnation.of(upstream));
+        if (learnedAt.isEmpty()) {
+            return false;
+        }
+        long now = timers.nanoTime();
+        return directory.silenceNanos(upstream.id(), now) >= now - learnedAt.getAsLong();
+    }
+
     /**
      * Records that a request is sent to an upstream.
      *
@@ -355,7 +372,7 @@
         Set<SuspectDigest> suspects = new HashSet<>();
         runs.forEach(run -> run.request().suspects().forEach(suspect -> suspects.add(suspect.digest())));
         pool.recordTermination(incarnation, suspects, now);
-        terminatedIncarnations.add(List.of(incarnation));
+        terminatedIncarnations.add(List.of(incarnation), now);
         for (UpstreamRun run : runs) {
             List<Suspicion> changes = new ArrayList<>();
             run.request().suspects().forEach(suspect -> changes.add(suspicion(run, suspect, pool, now)));
--- a/library/src/main/java/org/copperspindle/quarantine/SuspicionExchange.java
+++ b/library/src/main/java/org/copperspindle/quarantine/SuspicionExchange.java
@@ -124,7 +124,7 @@
             return false;
         }
         sweep.schedule(SWEEP_NANOS);
-        terminatedIncarnations.add(received.upstreams());
+        terminatedIncarnations.add(received.upstreams(), now);
         Suspicion known = table.find(received.digest(), now).orElse(received);
         boolean quarantined = table.isQuarantined(known.digest(), now);
         if (quarantined != quarantinedBefore) {
--- a/library/src/main/java/org/copperspindle/quarantine/TerminatedUpstreams.java
+++ b/library/src/main/java/org/copperspindle/quarantine/TerminatedUpstreams.java
@@ -1,8 +1,9 @@
 package org.copperspindle.quarantine;
 
 import java.util.Collection;
-import java.util.LinkedHashSet;
-import java.util.Set;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.OptionalLong;
 
 /**
  * The most recent upstream incarnations that are known to have terminated. A request sent to one of them on a
@@ -13,23 +14,32 @@
     /** More than terminate within the minutes for which connections are kept alive; about 50 bytes each. */
     private static final int MAX_INCARNATIONS = 2048;
 
-    private final Set<String> incarnations = new LinkedHashSet<>();
-
-    void add(Collection<String> terminated) {
-        incarnations.addAll(terminated);
-        while (incarnations.size() > MAX_INCARNATIONS) {
-            incarnations.remove(incarnations.iterator().next());
+    private final Map<String, Long> learnedAt = new LinkedHashMap<>() {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Long> eldest) {
+            return size() > MAX_INCARNATIONS;
         }
+    };
+
+    /** Adds incarnations; those that are known keep the time at which this node learned of them. */
+    void add(Collection<String> terminated, long now) {
+        terminated.forEach(incarnation -> learnedAt.putIfAbsent(incarnation, now));
     }
 
     boolean contains(UpstreamIncarnation incarnation) {
-        return !incarnations.isEmpty() && incarnations.contains(incarnation.text());
+        return learnedAt(incarnation).isPresent();
+    }
+
+    /** Returns when this node learned that an incarnation has terminated; empty if it is not known to have. */
+    OptionalLong learnedAt(UpstreamIncarnation incarnation) {
+        Long at = learnedAt.isEmpty() ? null : learnedAt.get(incarnation.text());
+        return at == null ? OptionalLong.empty() : OptionalLong.of(at);
     }
 
     /** Removes an incarnation that answered and is therefore alive. */
     void markAlive(UpstreamIncarnation incarnation) {
-        if (!incarnations.isEmpty()) {
-            incarnations.remove(incarnation.text());
+        if (!learnedAt.isEmpty()) {
+            learnedAt.remove(incarnation.text());
         }
     }
 }
--- a/library/src/test/java/org/copperspindle/gateway/UpstreamChooserTest.java
+++ b/library/src/test/java/org/copperspindle/gateway/UpstreamChooserTest.java
@@ -68,6 +68,14 @@
         assertThat(chosen).hasSize(1);
     }
 
+    /** Guards against sending to the engine of a prompt part, one request after the other, after it has terminated. */
+    @Test
+    void terminatedEngineIsSkipped() {
+        String home = choose("part", 500, 0).id();
+        chooser.skipTerminated(upstream -> upstream.id().equals(home));
+        assertThat(choose("part", 500, 0).id()).isNotEqualTo(home);
+    }
+
     /**
      * Results of 0.8 MB each are in one failure domain. Fetching them from another one costs more than reading a
      * short shared prompt part there again, and less than reading a long one.
--- a/library/src/test/java/org/copperspindle/quarantine/QuarantineFleet.java
+++ b/library/src/test/java/org/copperspindle/quarantine/QuarantineFleet.java
@@ -157,6 +157,11 @@
         awaitDelivery();
     }
 
+    /** Returns whether a node knows that an upstream has terminated. */
+    boolean hasTerminated(int node, int upstream) {
+        return quarantine(node).hasTerminated(upstreams.get(upstream));
+    }
+
     boolean permits(int node, TrackedRequest request, int upstream) {
         return quarantine(node).permits(request, upstreams.get(upstream));
     }
--- a/library/src/test/java/org/copperspindle/quarantine/RequestQuarantineTest.java
+++ b/library/src/test/java/org/copperspindle/quarantine/RequestQuarantineTest.java
@@ -203,6 +203,22 @@
         assertThat(fleet.isQuarantinedAnywhere(POPULAR)).isFalse();
     }
 
+    /**
+     * Guards against requests that a node sends to upstreams which terminated under runs of other nodes: each finds nobody
+     * there. One that announces itself afterwards is alive, and so is another incarnation.
+     */
+    @Test
+    void otherNodesLearnWhichUpstreamsHaveTerminated() {
+        fleet.announce(0, "u", 1, UpstreamPhase.READY);
+        fleet.terminate(0, Map.of(fleet.send(0, HARMFUL, 0), 0));
+        fleet.awaitDelivery();
+        assertThat(fleet.hasTerminated(1, 0)).isTrue();
+        fleet.announce(0, "u", 1, UpstreamPhase.READY);
+        assertThat(fleet.hasTerminated(1, 0)).isFalse();
+        fleet.announce(0, "u", 2, UpstreamPhase.READY);
+        assertThat(fleet.hasTerminated(1, 0)).isFalse();
+    }
+
     /** An upstream restarts under its id and terminates again under the same request: these are two terminations. */
     @Test
     void incarnationsUnderOneIdCountSeparately() {
