--- a/library/src/main/java/org/copperspindle/gateway/CallerHttpLimits.java
+++ b/library/src/main/java/org/copperspindle/gateway/CallerHttpLimits.java
@@ -12,8 +12,6 @@
  */
 final class CallerHttpLimits implements Supplier<HttpLimits> {
 
-    private static final int MAX_CONNECTIONS = 2500;
-
     /** A response that needs more than this part of the budget would crowd out the others. */
     private static final int RESPONSES_IN_BUDGET = 8;
 
@@ -33,7 +31,7 @@
                 limits.maxHeaderBytes(),
                 limits.maxHeaderBytes(),
                 limits.maxBodyBytes(),
-                MAX_CONNECTIONS,
+                base.maxConnections(),
                 limits.headerTimeout(),
                 limits.idleTimeout(),
                 base.writeTimeout(),
--- a/library/src/main/java/org/copperspindle/gateway/GatewayMessages.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayMessages.java
@@ -22,6 +22,7 @@
 import org.copperspindle.origin.OriginAnswerMessage;
 import org.copperspindle.origin.OriginQueryMessage;
 import org.copperspindle.origin.OriginRecordsMessage;
+import org.copperspindle.overload.OverloadMessage;
 import org.copperspindle.quarantine.SuspicionMessage;
 import org.copperspindle.standby.DispatcherHeartbeatMessage;
 import org.copperspindle.standby.TakeoverMessage;
@@ -50,6 +51,7 @@
                 .register(VersionLeaseResponseMessage.CODEC)
                 .register(UpstreamRecordsMessage.CODEC)
                 .register(SuspicionMessage.CODEC)
+                .register(OverloadMessage.CODEC)
                 .register(LimitRecordsMessage.CODEC)
                 .register(PermitRequestMessage.CODEC)
                 .register(PermitResponseMessage.CODEC)
--- a/library/src/main/java/org/copperspindle/gateway/GatewayMetrics.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayMetrics.java
@@ -12,6 +12,7 @@
 import org.copperspindle.http.HttpRequestHandler;
 import org.copperspindle.measure.LatencyHistogram;
 import org.copperspindle.measure.MetricsRegistry;
+import org.copperspindle.quarantine.QuarantinedRequest;
 import org.copperspindle.route.RouteTable;
 import org.copperspindle.route.UpstreamPool;
 
@@ -110,12 +111,31 @@
                 metrics,
                 "requests.held.off",
                 "Requests that are held off because upstreams ended under them",
-                n -> n.quarantine().quarantined().size());
+                n -> n.quarantine().quarantined().stream()
+                        .filter(held -> !held.isPromptPart())
+                        .count());
         metrics.counter(
                 "permits.unanswered",
                 "Questions for a permit to send that got no answer",
                 node,
                 n -> n.permits().unanswered());
+        gauge(
+                metrics,
+                "prompt.parts.held.off",
+                "Prompt parts that are held off because upstreams ended under them",
+                n -> n.quarantine().quarantined().stream()
+                        .filter(QuarantinedRequest::isPromptPart)
+                        .count());
+        gauge(
+                metrics,
+                "node.overloaded",
+                "1 while the node limits new connections",
+                n -> n.overload().isOverloaded() ? 1 : 0);
+        metrics.counter(
+                "connections.shed",
+                "New connections closed unread, for other nodes",
+                node,
+                n -> n.overload().shedConnections());
         metrics.counter(
                 "upstreams.ended",
                 "Upstreams that ended under runs of this node",
--- a/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
@@ -52,6 +52,8 @@
 import org.copperspindle.mesh.NodeHelloMessage;
 import org.copperspindle.mesh.NodeMesh;
 import org.copperspindle.origin.SharedStreamOrigins;
+import org.copperspindle.overload.NodeOverload;
+import org.copperspindle.overload.ShedConnections;
 import org.copperspindle.placement.EnginePlacements;
 import org.copperspindle.quarantine.RequestQuarantine;
 import org.copperspindle.route.UpstreamPool;
@@ -132,10 +134,12 @@
     private final UpstreamLoads upstreamLoads;
     private final SendPermits permits;
     private final RequestQuarantine quarantine;
+    private final NodeOverload overload;
     private final HeldMemory memory;
     private final SharedStreamOrigins origins;
     private final long startedAt = System.nanoTime();
     private Optional<ControlGroupMember> member = Optional.empty();
+    private long tickDueAt = System.nanoTime();
     private boolean ready;
     private boolean stopping;
 
@@ -168,6 +172,7 @@
                 timers,
                 new SharedIdleConnectionLimit(directory, versionHolder::heldTable, () -> 1 + mesh.count()));
         this.quarantine = new RequestQuarantine(mesh, timers, directory, client, decisionLog);
+        this.overload = new NodeOverload(mesh, TICK_INTERVAL.toNanos());
         this.upstreamLimits = new UpstreamLimits(directory, decisionLog);
         this.upstreamBackoffs = new UpstreamBackoffs(directory, decisionLog);
         this.upstreamLoads = new UpstreamLoads(directory, new LogRateLimiter(0, MAX_SIGNAL_LINES_PER_SECOND));
@@ -251,7 +256,8 @@
                 settings.callers(),
                 new CallerHttpLimits(versionHolder::heldTable, memory.budgetBytes()),
                 service,
-                memory);
+                memory,
+                new ShedConnections(settings.descriptors(), overload::tryAdmit));
         this.readinessListener =
                 new HttpListener(eventLoops, settings.readiness(), () -> HttpLimits.DEFAULT, this::answerReadiness);
         this.controlListener = new HttpListener(
@@ -278,6 +284,7 @@
                 retryBudget,
                 counters,
                 quarantine,
+                overload,
                 ignoredAnnouncements,
                 memory,
                 paused,
@@ -406,6 +413,7 @@
         mesh.subscribe(batches);
         mesh.subscribe(stageStarts);
         mesh.subscribe(engineLoads);
+        mesh.subscribe(overload);
         mesh.subscribe(quarantine);
         // Not during the call: the listener ends requests, which the caller may be about to send on.
         quarantine.subscribe(() -> loop.execute(openRequests::endQuarantined));
@@ -440,6 +448,8 @@
     }
 
     private void tick() {
+        long now = timers.nanoTime();
+        overload.record(Math.max(0, now - tickDueAt), now);
         boolean before = ready;
         ready = isReady();
         if (before != ready) {
@@ -454,6 +464,7 @@
         permits.removeStale();
         upstreamBackoffs.removeStale();
         upstreamLoads.removeStale();
+        tickDueAt = timers.nanoTime() + TICK_INTERVAL.toNanos();
         timers.schedule(TICK_INTERVAL.toNanos(), this::tick);
     }
 
--- a/library/src/main/java/org/copperspindle/gateway/GatewaySettings.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewaySettings.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
 
@@ -30,6 +31,7 @@
  * @param cores           cores of its VM that the process may use, a fraction for less than one
  * @param failureDomains  names of all failure domains of the deployment, as far as they are known in advance
  * @param memoryBytes     memory that the process may use, in bytes; if empty, the maximum heap alone bounds what is held
+ * @param descriptors     sockets and files that the process may open; empty if unknown
  *                        for callers
  */
 public record GatewaySettings(
@@ -50,7 +52,8 @@
         Duration stopGrace,
         double cores,
         Set<String> failureDomains,
-        OptionalLong memoryBytes) {
+        OptionalLong memoryBytes,
+        OptionalInt descriptors) {
 
     /** Copies the lists. */
     public GatewaySettings {
--- a/library/src/main/java/org/copperspindle/gateway/GatewaySettingsReader.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewaySettingsReader.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
 
@@ -22,6 +23,7 @@
     private static final int MAX_TOLERATED_LOSSES = 4;
     private static final int MAX_RETRY_SLACK = 1_000_000;
     private static final int MAX_CORES = 1024;
+    private static final int MAX_DESCRIPTORS = 1 << 20;
 
     private GatewaySettingsReader() {}
 
@@ -57,12 +59,18 @@
                 s.getDouble("cores", 0, MAX_CORES, Optional.of(1.0)),
                 Set.copyOf(s.getList(
                         "failure-domains", "names of failure domains, separated by commas", Optional.of(List.of()))),
-                memory(s));
+                memory(s),
+                descriptors(s));
         s.finish();
         file.finish(List.of(SECTION));
         return settings;
     }
 
+    private static OptionalInt descriptors(SettingsSection s) {
+        int count = (int) s.getLong("descriptors", 0, MAX_DESCRIPTORS, Optional.of(0L));
+        return count == 0 ? OptionalInt.empty() : OptionalInt.of(count);
+    }
+
     private static OptionalLong memory(SettingsSection s) {
         long bytes = s.getBytes("memory", Optional.of(0L));
         return bytes == 0 ? OptionalLong.empty() : OptionalLong.of(bytes);
--- a/library/src/main/java/org/copperspindle/gateway/NodeState.java
+++ b/library/src/main/java/org/copperspindle/gateway/NodeState.java
@@ -15,6 +15,7 @@
 import org.copperspindle.memory.HeldMemory;
 import org.copperspindle.mesh.NodeMesh;
 import org.copperspindle.origin.SharedStreamOrigins;
+import org.copperspindle.overload.NodeOverload;
 import org.copperspindle.quarantine.RequestQuarantine;
 import org.copperspindle.standby.StandbyDispatchers;
 import org.copperspindle.version.MemberStatus;
@@ -42,6 +43,7 @@
  * @param retryBudget          the limit on retries
  * @param counters             the counts of requests
  * @param quarantine           quarantines requests that terminate their upstreams
+ * @param overload             whether this node and the others are overloaded
  * @param ignoredAnnouncements counts announcements that do not identify an upstream
  * @param memory               memory held for callers
  * @param pausedUpstreams      upstreams that are not read because their callers don't read
@@ -66,6 +68,7 @@
         SharedRetryBudget retryBudget,
         GatewayCounters counters,
         RequestQuarantine quarantine,
+        NodeOverload overload,
         IgnoredAnnouncements ignoredAnnouncements,
         HeldMemory memory,
         PausedUpstreams pausedUpstreams,
--- a/library/src/main/java/org/copperspindle/http/HttpCounters.java
+++ b/library/src/main/java/org/copperspindle/http/HttpCounters.java
@@ -12,6 +12,7 @@
     private final AtomicInteger inProgress = new AtomicInteger();
     private final LongAdder requests = new LongAdder();
     private final LongAdder refusedConnections = new LongAdder();
+    private final LongAdder shedConnections = new LongAdder();
     private final LongAdder refusedRequests = new LongAdder();
     private final LongAdder slowSenders = new LongAdder();
     private final LongAdder slowReaders = new LongAdder();
@@ -39,6 +40,10 @@
         refusedConnections.increment();
     }
 
+    void shedConnection() {
+        shedConnections.increment();
+    }
+
     void refusedRequest() {
         refusedRequests.increment();
     }
@@ -86,6 +91,15 @@
         return requests.sum();
     }
 
+    /**
+     * Returns the number of connections closed unread because this process could not serve them.
+     *
+     * @return a count
+     */
+    public long shedConnections() {
+        return shedConnections.sum();
+    }
+
     /**
      * Returns the number of connections refused because too many were open.
      *
--- a/library/src/main/java/org/copperspindle/http/HttpListener.java
+++ b/library/src/main/java/org/copperspindle/http/HttpListener.java
@@ -14,6 +14,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
@@ -41,6 +42,13 @@
 
     private static final Logger LOGGER = LogManager.getLogger(HttpListener.class);
     private static final int MAX_WRITES_BEFORE_FLUSH = 64;
+
+    /**
+     * Connections accepted in one turn of the network thread. In a surge most are closed at once; with fewer a turn those that
+     * wait to be accepted would grow old.
+     */
+    private static final int MAX_ACCEPTS_PER_READ = 64;
+
     private static final long DRAIN_CHECK_NANOS = Duration.ofMillis(5).toNanos();
 
     /**
@@ -55,6 +63,7 @@
     private final Supplier<HttpLimits> limits;
     private final HttpRequestHandler handler;
     private final HeldMemory memory;
+    private final ConnectionAdmission admission;
     private final HttpCounters counters = new HttpCounters();
     private final ChannelGroup openChannels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
     private volatile boolean stopping;
@@ -89,7 +98,8 @@
                 address,
                 () -> limits,
                 handler,
-                HeldMemories.unlimited());
+                HeldMemories.unlimited(),
+                ConnectionAdmission.ALL);
     }
 
     /**
@@ -120,7 +130,27 @@
             Supplier<HttpLimits> limits,
             HttpRequestHandler handler,
             HeldMemory memory) {
-        this(group, false, address, limits, handler, memory);
+        this(group, address, limits, handler, memory, ConnectionAdmission.ALL);
+    }
+
+    /**
+     * Binds and starts to listen on existing network threads, with a memory budget and a choice of connections.
+     *
+     * @param group     network threads; they keep running when the listener is closed
+     * @param address   address to bind; port 0 picks a free port
+     * @param limits    supplies the limits of each new connection
+     * @param handler   handles requests
+     * @param memory    holds the bodies of requests and the unsent bytes of responses
+     * @param admission decides which connections are taken
+     */
+    public HttpListener(
+            EventLoopGroup group,
+            InetSocketAddress address,
+            Supplier<HttpLimits> limits,
+            HttpRequestHandler handler,
+            HeldMemory memory,
+            ConnectionAdmission admission) {
+        this(group, false, address, limits, handler, memory, admission);
     }
 
     private HttpListener(
@@ -129,7 +159,9 @@
             InetSocketAddress address,
             Supplier<HttpLimits> limits,
             HttpRequestHandler handler,
-            HeldMemory memory) {
+            HeldMemory memory,
+            ConnectionAdmission admission) {
+        this.admission = admission;
         this.group = group;
         this.ownsGroup = ownsGroup;
         this.limits = limits;
@@ -138,6 +170,9 @@
         this.channel = new ServerBootstrap()
                 .group(group)
                 .channel(NioServerSocketChannel.class)
+                .option(
+                        ChannelOption.RECVBUF_ALLOCATOR,
+                        new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(MAX_ACCEPTS_PER_READ))
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.SO_KEEPALIVE, true)
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WATER_MARK)
@@ -220,6 +255,11 @@
         protected void initChannel(SocketChannel accepted) {
             int connections = counters.connected();
             accepted.closeFuture().addListener(closed -> counters.disconnected());
+            if (!admission.admits(connections)) {
+                counters.shedConnection();
+                accepted.eventLoop().execute(accepted::close);
+                return;
+            }
             HttpLimits current = limits.get();
             if (connections > current.maxConnections()) {
                 counters.refusedConnection();
--- /dev/null
+++ b/library/src/main/java/org/copperspindle/overload/NodeOverload.java
@@ -0,0 +1,127 @@
+package org.copperspindle.overload;
+
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.copperspindle.mesh.MeshListener;
+import org.copperspindle.mesh.MeshNode;
+import org.copperspindle.mesh.NodeMesh;
+import org.copperspindle.wire.WireMessage;
+
+/**
+ * Knows whether this node and the others are overloaded. A message is sent only when that changes. Must be used on the
+ * network thread only.
+ */
+public final class NodeOverload implements MeshListener {
+
+    private static final Logger LOGGER = LogManager.getLogger(NodeOverload.class);
+
+    private final NodeMesh mesh;
+    private final ConnectionRateLimit limit;
+    private final Set<String> overloadedNodes = new HashSet<>();
+    private boolean announced;
+    private long shed;
+
+    /**
+     * Creates the state of a node that is not overloaded. The caller subscribes it to the mesh.
+     *
+     * @param mesh      the nodes
+     * @param tickNanos time between ticks of the network thread, in nanoseconds
+     */
+    public NodeOverload(NodeMesh mesh, long tickNanos) {
+        this.mesh = mesh;
+        this.limit = new ConnectionRateLimit(tickNanos);
+    }
+
+    /**
+     * Records a tick of the network thread, and tells the other nodes if this changes anything.
+     *
+     * @param delayNanos time between the moment at which the tick was due and its execution, in nanoseconds
+     * @param now        monotonic time in nanoseconds
+     */
+    public void record(long delayNanos, long now) {
+        limit.record(delayNanos, now);
+        if (limit.isLimited() == announced) {
+            return;
+        }
+        announced = limit.isLimited();
+        LOGGER.info(
+                "event=node-overload overloaded={} delay_ms={} nodes_overloaded={}",
+                announced,
+                Duration.ofNanos(delayNanos).toMillis(),
+                overloadedNodes.size());
+        mesh.broadcast(new OverloadMessage(announced));
+    }
+
+    /**
+     * Returns whether this node takes one more connection. If most other nodes are overloaded too, it takes all: their
+     * callers would find nothing better elsewhere.
+     *
+     * @return false if its caller should try another node
+     */
+    public boolean tryAdmit() {
+        if (limit.tryAdmit() || !othersHaveCapacity()) {
+            return true;
+        }
+        shed++;
+        return false;
+    }
+
+    /**
+     * Returns whether this node is overloaded.
+     *
+     * @return true while it limits new connections
+     */
+    public boolean isOverloaded() {
+        return limit.isLimited();
+    }
+
+    /**
+     * Returns how many connections were left to other nodes.
+     *
+     * @return a count since the start of the process
+     */
+    public long shedConnections() {
+        return shed;
+    }
+
+    @Override
+    public void onNodeUp(MeshNode node) {
+        if (announced) {
+            node.send(new OverloadMessage(true));
+        }
+    }
+
+    @Override
+    public void onConnectionLost(MeshNode node) {
+        node.send(new OverloadMessage(announced));
+    }
+
+    @Override
+    public void onNodeDown(MeshNode node) {
+        overloadedNodes.remove(node.address());
+    }
+
+    @Override
+    public void onMessage(MeshNode node, WireMessage message) {
+        if (!(message instanceof OverloadMessage received)) {
+            return;
+        }
+        if (received.overloaded()) {
+            overloadedNodes.add(node.address());
+        } else {
+            overloadedNodes.remove(node.address());
+        }
+    }
+
+    private boolean othersHaveCapacity() {
+        List<String> others = mesh.serving();
+        long free =
+                others.stream().filter(node -> !overloadedNodes.contains(node)).count();
+        return !others.isEmpty() && 2 * free >= others.size();
+    }
+}
--- a/library/src/main/java/org/copperspindle/quarantine/QuarantinedRequest.java
+++ b/library/src/main/java/org/copperspindle/quarantine/QuarantinedRequest.java
@@ -22,6 +22,15 @@
         long sinceMillis,
         long remainingMillis) {
 
+    /**
+     * Returns whether a part of prompts is quarantined.
+     *
+     * @return false for a whole request
+     */
+    public boolean isPromptPart() {
+        return !part.isEmpty();
+    }
+
     static QuarantinedRequest of(Suspicion suspicion) {
         return new QuarantinedRequest(
                 suspicion.digest().text(),
--- a/library/src/test/java/org/copperspindle/http/HttpListenerTest.java
+++ b/library/src/test/java/org/copperspindle/http/HttpListenerTest.java
@@ -18,6 +18,9 @@
 import java.util.function.BooleanSupplier;
 import java.util.stream.Stream;
 
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import org.copperspindle.memory.HeldMemories;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -287,6 +290,25 @@
         }
     }
 
+    /** Guards against an answer to a request that was not read: its caller could not try another node at once. */
+    @Test
+    void connectionsThatAreNotAdmittedAreClosedUnread() throws Exception {
+        MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        InetSocketAddress any = new InetSocketAddress("127.0.0.1", 0);
+        listener = new HttpListener(
+                group, any, () -> LIMITS, HttpListenerTest::echo, HeldMemories.unlimited(), open -> open < 2);
+        try (RawCaller first = new RawCaller(listener.address());
+                RawCaller second = new RawCaller(listener.address())) {
+            first.send(GET.formatted("1")).readUntil("GET /echo/1 ");
+            assertThat(second.readToEnd()).isEmpty();
+            first.send(GET.formatted("2")).readUntil("GET /echo/2 ");
+        } finally {
+            group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+        }
+        assertThat(listener.counters().shedConnections()).isEqualTo(1);
+        assertThat(listener.counters().requests()).isEqualTo(2);
+    }
+
     @Test
     void connectionsBeyondTheLimitAreRefused() throws Exception {
         listen(new HttpLimits(256, 1024, 64, 2, LONG, LONG, LONG, 1024), HttpListenerTest::echo);
