--- a/library/src/main/java/org/copperspindle/gateway/UpstreamAttempt.java
+++ b/library/src/main/java/org/copperspindle/gateway/UpstreamAttempt.java
@@ -218,6 +218,7 @@
         }
         end(false, failure.reason());
         logAttempt("unsent", failure.reason());
+        context.quarantine().onUnreachable(run);
         listener.onNotRun(failure.reason(), false);
     }
 
--- a/library/src/main/java/org/copperspindle/quarantine/RequestQuarantine.java
+++ b/library/src/main/java/org/copperspindle/quarantine/RequestQuarantine.java
@@ -216,6 +216,16 @@
         }
     }
 
+    /**
+     * Records that a request could not be sent because its upstream accepts no connections. An announcement that the
+     * upstream sent before it terminated may have arrived late.
+     *
+     * @param run the run, which did not begin
+     */
+    public void onUnreachable(UpstreamRun run) {
+        terminatedIncarnations.markUnreachable(run.incarnation(), timers.nanoTime());
+    }
+
     /**
      * Lists the quarantined requests and prompt parts.
      *
--- a/library/src/test/java/org/copperspindle/quarantine/PromptPartQuarantineTest.java
+++ b/library/src/test/java/org/copperspindle/quarantine/PromptPartQuarantineTest.java
@@ -64,6 +64,18 @@
         assertThat(quarantinedParts(0)).isEmpty();
     }
 
+    /** Guards against blaming the part of a request that crashes upstreams by itself, however often it is tried again. */
+    @Test
+    void partOfOneHarmfulRequestIsNotQuarantined() {
+        TrackedRequest harmful = request("rare");
+        for (int second = 0; second < 1000; second++) {
+            fleet.terminatesUpstream(second % NODES, harmful);
+            fleet.advance(Duration.ofSeconds(1));
+        }
+        assertThat(fleet.terminated()).isGreaterThan(QuarantinePolicy.QUARANTINE_LEVEL);
+        assertThat(fleet.isQuarantinedAnywhere(request("rare"))).isFalse();
+    }
+
     /** Guards against blaming all parts that two harmful ones have in common when both come at the same time. */
     @Test
     void twoFatalPartsAtOnceAreQuarantinedEach() {
--- a/library/src/test/java/org/copperspindle/quarantine/RequestQuarantineTest.java
+++ b/library/src/test/java/org/copperspindle/quarantine/RequestQuarantineTest.java
@@ -219,6 +219,26 @@
         assertThat(fleet.hasTerminated(1, 0)).isFalse();
     }
 
+    /**
+     * Guards against sending to a terminated upstream for ever after an announcement that it sent before has arrived late:
+     * each node tries it once more at most. An answer that is read after its termination proves nothing either.
+     */
+    @Test
+    void lateAnnouncementOfATerminatedUpstreamIsTriedOnce() {
+        int upstream = fleet.addUpstream();
+        UpstreamRun answered = fleet.send(1, POPULAR, upstream);
+        fleet.terminate(upstream, Map.of(fleet.send(0, HARMFUL, upstream), 0));
+        fleet.awaitDelivery();
+        fleet.quarantine(1).onSurvived(answered, RunOutcome.ANSWERED);
+        assertThat(fleet.hasTerminated(1, upstream)).isTrue();
+        fleet.advance(Duration.ofSeconds(2));
+        fleet.announce(upstream, "u" + upstream, UpstreamPhase.READY);
+        assertThat(fleet.hasTerminated(1, upstream)).isFalse();
+        fleet.advance(Duration.ofMillis(10));
+        fleet.quarantine(1).onUnreachable(fleet.send(1, POPULAR, upstream));
+        assertThat(fleet.hasTerminated(1, upstream)).isTrue();
+    }
+
     /** An upstream restarts under its id and terminates again under the same request: these are two terminations. */
     @Test
     void incarnationsUnderOneIdCountSeparately() {
--- a/soak/src/main/java/org/copperspindle/soak/SoakUpstream.java
+++ b/soak/src/main/java/org/copperspindle/soak/SoakUpstream.java
@@ -180,6 +180,9 @@
 
     /** Announces itself to one node; returns whether that was acknowledged. */
     boolean announce() {
+        if (ended) {
+            return false;
+        }
         NodePorts node = nodes.get(ThreadLocalRandom.current().nextInt(nodes.size()));
         String body = JsonText.nodes()
                 .objectNode()
