--- a/library/src/main/java/org/copperspindle/quarantine/PoolTerminationHistory.java
+++ b/library/src/main/java/org/copperspindle/quarantine/PoolTerminationHistory.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayDeque;
+import java.util.Collection;
 import java.util.Deque;
 import java.util.Set;
 
@@ -37,12 +38,20 @@
         }
     }
 
-    /** Returns whether more upstreams terminated without a suspect than runs survived. */
-    boolean terminatesMoreWithout(SuspectDigest suspect, long now) {
+    /**
+     * Returns whether more upstreams terminated without a suspect than runs survived.
+     *
+     * @param suspect the suspect
+     * @param with    incarnations that terminated under the suspect at any node; this one may only have had other requests
+     *     there
+     * @param now     monotonic time in nanoseconds
+     */
+    boolean terminatesMoreWithout(SuspectDigest suspect, Collection<String> with, long now) {
         terminations.removeIf(termination -> now - termination.at() > WINDOW_NANOS);
         long terminatedWithout = terminations.stream()
                 .filter(termination -> !termination.suspects().contains(suspect))
                 .map(Termination::incarnation)
+                .filter(incarnation -> !with.contains(incarnation))
                 .distinct()
                 .count();
         return terminatedWithout > survivedRuns.sum(now);
--- a/library/src/main/java/org/copperspindle/quarantine/RequestQuarantine.java
+++ b/library/src/main/java/org/copperspindle/quarantine/RequestQuarantine.java
@@ -410,13 +410,14 @@
 
     private int levelAfter(UpstreamRun run, Suspect suspect, PoolTerminationHistory pool, long now) {
         SuspectDigest digest = suspect.digest();
-        boolean amongOthers = pool.terminatesMoreWithout(digest, now);
+        Optional<Suspicion> current =
+                exchange.find(digest).filter(known -> known.epoch() == run.epoch(digest) && known.isSuspected());
+        List<String> with = current.map(Suspicion::upstreams).orElse(List.of());
+        boolean amongOthers = pool.terminatesMoreWithout(digest, with, now);
         int step = amongOthers ? QuarantinePolicy.STEP_AMONG_OTHER_TERMINATIONS : QuarantinePolicy.STEP;
         if (!suspect.isPromptPart()) {
             return run.levelAfter(digest, step);
         }
-        Optional<Suspicion> current =
-                exchange.find(digest).filter(known -> known.epoch() == run.epoch(digest) && known.isSuspected());
         String abbreviated = run.request().digest().abbreviated();
         boolean sameRequest = current.filter(
                         known -> known.evidence().requests().contains(abbreviated))
--- a/library/src/test/java/org/copperspindle/quarantine/PromptPartQuarantineTest.java
+++ b/library/src/test/java/org/copperspindle/quarantine/PromptPartQuarantineTest.java
@@ -117,15 +117,22 @@
         assertThat(terminated).isEqualTo(2 * MAX_TERMINATIONS);
     }
 
-    /** Guards against the quarantine of a shared part because a failure domain with many requests is lost. */
-    @Test
-    void partIsNotQuarantinedWhenManyUpstreamsTerminateAtOnce() {
+    /**
+     * Guards against the quarantine of a shared part because a failure domain with many requests is lost; nodes notice it
+     * at one upstream after the other.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {0, 20, 100})
+    void partIsNotQuarantinedWhenManyUpstreamsTerminateAtOnce(long millisApart) {
         Map<Integer, Map<UpstreamRun, Integer>> runs = new HashMap<>();
         for (int i = 0; i < 12; i++) {
             int upstream = fleet.addUpstream();
             runs.put(upstream, Map.of(fleet.send(i % NODES, sound(), upstream), i % NODES));
         }
-        runs.forEach(fleet::terminate);
+        runs.forEach((upstream, lost) -> {
+            fleet.terminate(upstream, lost);
+            fleet.advance(Duration.ofMillis(millisApart));
+        });
         fleet.awaitDelivery();
         assertThat(fleet.isQuarantinedAnywhere(sound())).isFalse();
     }
@@ -168,7 +175,10 @@
         assertThat(fleet.isQuarantinedEverywhere(fatal())).isTrue();
     }
 
-    /** A stream that was resumed at one terminated upstream after the other is not blamed for what a part explains. */
+    /**
+     * A stream that was resumed at one terminated upstream after the other is not blamed for what a part explains, nor is a
+     * part that it shares with another bystander.
+     */
     @Test
     void resumedBystanderIsNotQuarantined() {
         TrackedRequest bystander = request("rare");
@@ -177,7 +187,11 @@
             fleet.serve(0, sound());
             int upstream = fleet.addUpstream();
             UpstreamRun resumed = fleet.send(0, bystander, upstream, previous);
-            fleet.terminate(upstream, Map.of(fleet.send(i, fatal(), upstream), i, resumed, 0));
+            Map<UpstreamRun, Integer> runs = new HashMap<>(Map.of(fleet.send(i, fatal(), upstream), i, resumed, 0));
+            if (i == 0) {
+                runs.put(fleet.send(1, request("rare"), upstream), 1);
+            }
+            fleet.terminate(upstream, runs);
             fleet.awaitDelivery();
             previous = Optional.of(resumed);
         }
