--- a/library/src/test/java/org/copperspindle/quarantine/PromptPartQuarantineTest.java
+++ b/library/src/test/java/org/copperspindle/quarantine/PromptPartQuarantineTest.java
@@ -157,6 +157,36 @@
         assertThat(fleet.isQuarantinedEverywhere(fatal())).isTrue();
     }
 
+    /**
+     * Guards against counting one upstream twice: another node notices its termination later, or a kept-alive connection to
+     * it is lost without a byte long after.
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void oneUpstreamCountsOnceForAPart(boolean wasAlive) {
+        for (int i = 0; i < MAX_TERMINATIONS - 1; i++) {
+            int upstream = fleet.addUpstream();
+            UpstreamRun noticedAtOnce = fleet.send(0, fatal(), upstream);
+            UpstreamRun noticedLater = fleet.send(1, fatal(), upstream);
+            fleet.terminate(upstream, Map.of(noticedAtOnce, 0));
+            fleet.advance(Duration.ofMillis(300));
+            fleet.quarantine(1).onConnectionFailure(noticedLater, wasAlive, () -> {});
+            fleet.advance(Duration.ofMillis(300));
+        }
+        assertThat(fleet.isQuarantinedAnywhere(fatal())).isFalse();
+    }
+
+    /** Guards against the quarantine of a part by kept-alive connections to upstreams that an isolated node takes for alive. */
+    @Test
+    void keptAliveConnectionsDoNotRaiseTheSuspicionOfAPart() {
+        for (int i = 0; i < 2 * MAX_UNORDERED_TERMINATIONS; i++) {
+            int upstream = fleet.addUpstream();
+            fleet.terminateUnnoticed(upstream, Map.of(fleet.send(0, sound(), upstream), 0));
+            fleet.advance(Duration.ofMillis(300));
+        }
+        assertThat(fleet.isQuarantinedAnywhere(sound())).isFalse();
+    }
+
     /** Guards against a flood: requests with the part come at all nodes in the same moment, several times. */
     @Test
     void waveOfRequestsAtAllNodesIsStoppedAfterThreeGenerations() {
--- a/library/src/test/java/org/copperspindle/quarantine/SuspectDigestTest.java
+++ b/library/src/test/java/org/copperspindle/quarantine/SuspectDigestTest.java
@@ -34,6 +34,14 @@
         assertThat(digest(account, method, host, uri, body)).isNotEqualTo(EXPECTED);
     }
 
+    /** A part that crashes the upstreams of one pool may be harmless at another. */
+    @ParameterizedTest
+    @CsvSource({"p, a, p, a, true", "p, a, q, a, false", "p, a, p, b, false", "p, ab, pa, b, false"})
+    void promptPartsOfAPoolHaveTheirOwnDigests(String pool, String part, String otherPool, String other, boolean same) {
+        assertThat(SuspectDigest.ofPromptPart(pool, part).equals(SuspectDigest.ofPromptPart(otherPool, other)))
+                .isEqualTo(same);
+    }
+
     private static SuspectDigest digest(String account, String method, String host, String uri, String body) {
         return SuspectDigest.ofRequest(account, method, host, uri, body.getBytes(StandardCharsets.UTF_8));
     }
