--- a/library/src/main/java/org/copperspindle/gateway/RequestRun.java
+++ b/library/src/main/java/org/copperspindle/gateway/RequestRun.java
@@ -1,6 +1,5 @@
 package org.copperspindle.gateway;
 
-import java.time.Duration;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -9,7 +8,6 @@
 import org.copperspindle.direct.DirectHead;
 import org.copperspindle.discovery.UpstreamRecord;
 import org.copperspindle.http.HttpExchange;
-import org.copperspindle.quarantine.TrackedRequest;
 import org.copperspindle.quarantine.UpstreamRun;
 import org.copperspindle.route.ClientAccount;
 import org.copperspindle.route.Route;
@@ -35,7 +33,7 @@
     private final long deadlineAt;
     private final EventStreamRelay relay;
     private final RequestLogger requestLogger;
-    private final TrackedRequest tracked;
+    private final QuarantineGuard quarantine;
     private final StreamResumption resumption;
     private final SilenceWatch silence;
     private final RequestStages stages;
@@ -62,9 +60,8 @@
         this.admittedAt = admitted.times().admittedAt();
         this.deadlineAt = admitted.times().deadlineAt();
         this.relay = new EventStreamRelay(exchange, context.timers()::nanoTime);
-        this.tracked = admitted.tracked();
-        this.eligibility =
-                new UpstreamEligibility(upstream -> context.quarantine().permits(tracked, upstream));
+        this.quarantine = new QuarantineGuard(context.quarantine(), admitted.tracked());
+        this.eligibility = new UpstreamEligibility(quarantine::permits);
         exchange.memoryHolder().describe(request.id(), route.isIdempotent());
         this.requestLogger = new RequestLogger(context.log(), context.tracker(), admitted);
         this.resumption = new StreamResumption(context, admitted, relay, requestLogger);
@@ -125,14 +122,22 @@
      * aborted: it would crash that one too.
      */
     void endIfQuarantined() {
-        if (ended || relay.hasStarted() || !context.quarantine().isQuarantined(tracked)) {
+        if (ended || relay.hasStarted() || !mustEnd()) {
             return;
         }
         attempt.ifPresent(a -> {
             mayHaveRun = true;
             a.abort(Refusal.CRASHES_UPSTREAMS);
         });
-        refuse(quarantineRefusal());
+        refuse(quarantine.refusal(mayHaveRun));
+    }
+
+    private boolean mustEnd() {
+        return attempt.isPresent()
+                ? lastRun.map(UpstreamRun::upstream)
+                        .filter(quarantine::mustTakeBack)
+                        .isPresent()
+                : quarantine.isQuarantined();
     }
 
     @Override
@@ -259,7 +264,7 @@
                 stages.results(),
                 resumeAfter,
                 admitted.rank(),
-                attempts.connectionUse(context.quarantine().isSuspected(tracked)));
+                attempts.connectionUse(quarantine.isSuspected()));
         requestLogger.attemptSent(
                 attempts.sent(),
                 upstream,
@@ -267,7 +272,7 @@
                 () -> context.engineLoads().estimate(pool, upstream, request.enginePrompt()),
                 search.flatMap(UpstreamSearch::placement),
                 now);
-        UpstreamRun run = context.quarantine().startRun(tracked, upstream, lastRun);
+        UpstreamRun run = quarantine.startRun(upstream, lastRun);
         lastRun = Optional.of(run);
         UpstreamAttempt next = new UpstreamAttempt(context, admitted, run, attempts.sent(), relay, attemptListener);
         attempt = Optional.of(next);
@@ -311,7 +316,7 @@
     /** Returns whether another upstream could take the stream now, so that its present one may be given up. */
     private boolean canMoveElsewhere() {
         return !context.isolation().isIsolated()
-                && !context.quarantine().isQuarantined(tracked)
+                && !quarantine.isQuarantined()
                 && isRepeatable()
                 && attempts.hasLeft()
                 && predict(0).isPresent();
@@ -347,24 +352,17 @@
 
     /** Ends a request that is quarantined; returns whether it is. */
     private boolean refuseIfQuarantined() {
-        if (!context.quarantine().isQuarantined(tracked)) {
+        if (!quarantine.isQuarantined()) {
             return false;
         }
         if (relay.hasStarted()) {
             abortResponse(Refusal.CRASHES_UPSTREAMS);
         } else {
-            refuse(quarantineRefusal());
+            refuse(quarantine.refusal(mayHaveRun));
         }
         return true;
     }
 
-    private Refusal quarantineRefusal() {
-        Optional<Duration> partQuarantine = context.quarantine().partQuarantine(tracked);
-        return partQuarantine.isPresent()
-                ? Refusal.partCrashesUpstreams(mayHaveRun, partQuarantine.get())
-                : Refusal.crashesUpstreams(mayHaveRun);
-    }
-
     /** Ends a request that no upstream goes on with; the response promises no more than is known of earlier attempts. */
     private void endUnserved(String reason, String title) {
         if (relay.hasStarted()) {
@@ -423,7 +421,7 @@
             if (refuseIfQuarantined()) {
                 return;
             }
-            if (context.quarantine().permits(tracked, upstream)) {
+            if (quarantine.permits(upstream)) {
                 send(upstream, context.timers().nanoTime());
             } else {
                 startAttempt();
--- a/library/src/main/java/org/copperspindle/quarantine/RequestQuarantine.java
+++ b/library/src/main/java/org/copperspindle/quarantine/RequestQuarantine.java
@@ -1,7 +1,6 @@
 package org.copperspindle.quarantine;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -39,9 +38,8 @@
     private final SuspicionTable table;
     private final TerminatedUpstreams terminatedIncarnations;
     private final TerminatedUpstreamDetector terminationDetector;
-    private final RecentAnswers recentAnswers = new RecentAnswers();
+    private final TerminationAssessor assessor;
     private final TrialSlots trials;
-    private final Map<String, PoolTerminationHistory> historyByPool = new HashMap<>();
     private long terminatedUpstreams;
 
     /**
@@ -65,6 +63,7 @@
         this.exchange = new SuspicionExchange(mesh, timers, log);
         this.table = exchange.table();
         this.terminatedIncarnations = exchange.terminatedIncarnations();
+        this.assessor = new TerminationAssessor(exchange);
         this.trials = new TrialSlots(mesh.self(), () -> mesh.serving().stream());
         this.terminationDetector = new TerminatedUpstreamDetector(directory, timers, listenCheck, this::onTerminated);
         directory.subscribe(terminationDetector);
@@ -104,6 +103,25 @@
         return !table.hasRestricted() || permits(request, upstream.software().text());
     }
 
+    /**
+     * Returns whether a request that was sent to an upstream must be taken back. A trial need not: it shows whether the
+     * quarantine is still needed.
+     *
+     * @param request  the request
+     * @param upstream the upstream that has received it
+     * @return true if the request, or a part of its prompt at the software of the upstream, is quarantined
+     */
+    public boolean mustTakeBack(TrackedRequest request, UpstreamRecord upstream) {
+        if (!table.hasRestricted()) {
+            return false;
+        }
+        String software = upstream.software().text();
+        return isRequestHeld(request)
+                || request.partSuspects().stream()
+                        .anyMatch(
+                                part -> table.partState(part.digest(), software, timers.nanoTime()) == HoldState.HELD);
+    }
+
     /**
      * Returns for how long a request is refused because of the parts of its prompt.
      *
@@ -177,7 +195,7 @@
      */
     public void onSurvived(UpstreamRun run, RunOutcome outcome) {
         long now = timers.nanoTime();
-        historyOf(run.request().pool()).recordSurvivedRun(now);
+        assessor.recordSurvivedRun(run.request().pool(), now);
         if (outcome == RunOutcome.ENDED_WITH_CONNECTION) {
             if (isSuspected(run.request())) {
                 listenCheck.check(run.upstream().address(), state -> onEndChecked(run, state));
@@ -186,7 +204,7 @@
         }
         terminatedIncarnations.markAlive(run.incarnation());
         if (outcome == RunOutcome.ANSWERED) {
-            recordAnswer(run, now);
+            assessor.recordAnswer(run, now);
         }
         clearSurvived(run, outcome);
     }
@@ -332,20 +350,9 @@
                 .forEach(part -> trials.use(known.get(part.digest())));
     }
 
-    private PoolTerminationHistory historyOf(String pool) {
-        return historyByPool.computeIfAbsent(pool, p -> new PoolTerminationHistory());
-    }
-
-    private void recordAnswer(UpstreamRun run, long now) {
-        TrackedRequest request = run.request();
-        for (String part : request.sharedParts()) {
-            recentAnswers.record(request.pool(), run.software(), part, now);
-        }
-    }
-
     private void onEndChecked(UpstreamRun run, ListenState state) {
         if (state == ListenState.LISTENS) {
-            recordAnswer(run, timers.nanoTime());
+            assessor.recordAnswer(run, timers.nanoTime());
             clearSurvived(run, RunOutcome.ANSWERED);
         }
     }
@@ -375,63 +382,8 @@
     }
 
     private void onTerminated(UpstreamRecord upstream, List<UpstreamRun> runs) {
-        long now = timers.nanoTime();
         terminatedUpstreams++;
-        String incarnation = UpstreamIncarnation.of(upstream).text();
-        PoolTerminationHistory pool = historyOf(upstream.pool());
-        Set<SuspectDigest> suspects = new HashSet<>();
-        runs.forEach(run -> run.request().suspects().forEach(suspect -> suspects.add(suspect.digest())));
-        pool.recordTermination(incarnation, suspects, now);
-        terminatedIncarnations.add(List.of(incarnation), now);
-        for (UpstreamRun run : runs) {
-            List<Suspicion> changes = new ArrayList<>();
-            run.request().suspects().forEach(suspect -> changes.add(suspicion(run, suspect, pool, now)));
-            exchange.publish(changes, run.request().id());
-        }
-    }
-
-    private Suspicion suspicion(UpstreamRun run, Suspect suspect, PoolTerminationHistory pool, long now) {
-        TrackedRequest request = run.request();
-        SuspectDigest digest = suspect.digest();
-        int level = levelAfter(run, suspect, pool, now);
-        run.terminated(digest, level);
-        String software = run.software();
-        boolean answered = suspect.part()
-                .filter(part -> recentAnswers.contains(request.pool(), software, part, now))
-                .isPresent();
-        TerminationEvidence evidence = new TerminationEvidence(
-                List.of(run.incarnation().text()),
-                List.of(request.digest().abbreviated()),
-                List.of(software),
-                answered ? List.of(software) : List.of());
-        return new Suspicion(
-                digest, suspect.partLabel(), run.epoch(digest), level, evidence, request.route(), request.account(), 0);
-    }
-
-    private int levelAfter(UpstreamRun run, Suspect suspect, PoolTerminationHistory pool, long now) {
-        SuspectDigest digest = suspect.digest();
-        Optional<Suspicion> current =
-                exchange.find(digest).filter(known -> known.epoch() == run.epoch(digest) && known.isSuspected());
-        List<String> with = current.map(Suspicion::upstreams).orElse(List.of());
-        boolean amongOthers = pool.terminatesMoreWithout(digest, with, now);
-        int step = amongOthers ? QuarantinePolicy.STEP_AMONG_OTHER_TERMINATIONS : QuarantinePolicy.STEP;
-        if (!suspect.isPromptPart()) {
-            return run.levelAfter(digest, step);
-        }
-        String abbreviated = run.request().digest().abbreviated();
-        boolean sameRequest = current.filter(
-                        known -> known.evidence().requests().contains(abbreviated))
-                .isPresent();
-        int consecutive = run.levelAfter(digest, sameRequest ? QuarantinePolicy.SMALL_STEP : step);
-        int separate = current.filter(known -> run.wasAlive() && isSeparate(known, run))
-                .map(known -> known.level() + QuarantinePolicy.SMALL_STEP)
-                .orElse(0);
-        return Math.max(consecutive, separate);
-    }
-
-    /** Returns whether the upstream of a run terminated apart from those that are known to have done so. */
-    private static boolean isSeparate(Suspicion known, UpstreamRun run) {
-        return known.ageMillis() >= QuarantinePolicy.MIN_SEPARATION_MILLIS
-                && !known.upstreams().contains(run.incarnation().text());
+        terminatedIncarnations.add(List.of(UpstreamIncarnation.of(upstream).text()), timers.nanoTime());
+        assessor.onTerminated(upstream, runs, timers.nanoTime());
     }
 }
--- a/library/src/test/java/org/copperspindle/quarantine/PromptPartQuarantineTest.java
+++ b/library/src/test/java/org/copperspindle/quarantine/PromptPartQuarantineTest.java
@@ -287,6 +287,9 @@
         assertThat(trying).hasSize(1);
         int node = trying.get(0);
         UpstreamRun trial = fleet.send(node, fatal(), other);
+        assertThat(fleet.quarantine(node).mustTakeBack(trial.request(), trial.upstream()))
+                .as("the trial")
+                .isFalse();
         assertThat(fleet.permits(node, fatal(), other)).as("a second one").isFalse();
         if (survives) {
             fleet.quarantine(node).onSurvived(trial, RunOutcome.ANSWERED);
@@ -349,7 +352,10 @@
 
     @Test
     void liftedPartIsFreeEverywhere() {
+        UpstreamRun waiting = fleet.send(1, fatal(), fleet.addUpstream());
         quarantineFatalPart();
+        assertThat(fleet.quarantine(1).mustTakeBack(waiting.request(), waiting.upstream()))
+                .isTrue();
         QuarantinedRequest entry = fleet.quarantine(1).quarantined().get(0);
         assertThat(fleet.quarantine(1).lift(new SuspectDigest(entry.digest()))).isTrue();
         fleet.awaitDelivery();
