--- a/library/src/main/java/org/copperspindle/gateway/ControlRequestHandler.java
+++ b/library/src/main/java/org/copperspindle/gateway/ControlRequestHandler.java
@@ -107,7 +107,7 @@
     /**
      * Lifts the quarantine of a request or a prompt part; this has been sent to all nodes when this returns.
      *
-     * @param digest digest of the request
+     * @param digest identifies it
      * @return false if it is neither quarantined nor suspected
      */
     public boolean liftQuarantine(SuspectDigest digest) {
--- a/library/src/main/java/org/copperspindle/gateway/GatewaySettings.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewaySettings.java
@@ -31,8 +31,8 @@
  * @param cores           cores of its VM that the process may use, a fraction for less than one
  * @param failureDomains  names of all failure domains of the deployment, as far as they are known in advance
  * @param memoryBytes     memory that the process may use, in bytes; if empty, the maximum heap alone bounds what is held
- * @param descriptors     sockets and files that the process may open; empty if unknown
  *                        for callers
+ * @param descriptors     sockets and files that the process may open; empty if unknown
  */
 public record GatewaySettings(
         String name,
--- a/library/src/main/java/org/copperspindle/gateway/RequestRun.java
+++ b/library/src/main/java/org/copperspindle/gateway/RequestRun.java
@@ -118,26 +118,27 @@
     }
 
     /**
-     * Ends a request that has become quarantined before its response has begun. An attempt that waits at its upstream is
-     * aborted: it would crash that one too.
+     * Ends a request that has become quarantined. An attempt that waits at its upstream is aborted, also one that is to
+     * resume a stream: it would crash that upstream too.
      */
     void endIfQuarantined() {
-        if (ended || relay.hasStarted() || !mustEnd()) {
+        if (ended || !mustEnd()) {
             return;
         }
-        attempt.ifPresent(a -> {
-            mayHaveRun = true;
-            a.abort(Refusal.CRASHES_UPSTREAMS);
-        });
-        refuse(quarantine.refusal(mayHaveRun));
+        mayHaveRun |= attempt.isPresent();
+        attempt.ifPresent(a -> a.abort(Refusal.CRASHES_UPSTREAMS));
+        endQuarantined();
     }
 
     private boolean mustEnd() {
-        return attempt.isPresent()
-                ? lastRun.map(UpstreamRun::upstream)
+        if (attempt.isEmpty()) {
+            return quarantine.isQuarantined();
+        }
+        // An upstream that has sent an event survives the request.
+        return !attempt.get().hasRelayed()
+                && lastRun.map(UpstreamRun::upstream)
                         .filter(quarantine::mustTakeBack)
-                        .isPresent()
-                : quarantine.isQuarantined();
+                        .isPresent();
     }
 
     @Override
@@ -355,12 +356,16 @@
         if (!quarantine.isQuarantined()) {
             return false;
         }
+        endQuarantined();
+        return true;
+    }
+
+    private void endQuarantined() {
         if (relay.hasStarted()) {
             abortResponse(Refusal.CRASHES_UPSTREAMS);
         } else {
             refuse(quarantine.refusal(mayHaveRun));
         }
-        return true;
     }
 
     /** Ends a request that no upstream goes on with; the response promises no more than is known of earlier attempts. */
--- a/library/src/test/java/org/copperspindle/gateway/InterruptedStreamTest.java
+++ b/library/src/test/java/org/copperspindle/gateway/InterruptedStreamTest.java
@@ -65,6 +65,22 @@
         assertThat(stream.outcome()).isEqualTo("ends-upstreams");
     }
 
+    /** Guards against a stream that waits to be resumed and crashes one more engine, though its response has begun. */
+    @Test
+    void resumedStreamThatWaitsIsBrokenOffWhenItBecomesQuarantined() {
+        stream.startStream();
+        stream.engines().last().crash();
+        stream.advance(300);
+        stream.makeResults();
+        stream.advance(100);
+        assertThat(stream.engines().call(1).isOpen()).isTrue();
+        stream.quarantine();
+        stream.endQuarantined();
+        assertThat(stream.engines().call(1).isOpen()).isFalse();
+        assertThat(stream.caller().isAborted()).isTrue();
+        assertThat(stream.outcome()).isEqualTo("broken-ends-upstreams");
+    }
+
     /** A stream that has begun shows that its engine survives it. */
     @Test
     void begunStreamGoesOnWhenItBecomesQuarantined() {
