--- a/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
@@ -90,6 +90,9 @@
     /** Delay after which a node that finds no others becomes ready: it may be the only one. */
     private static final Duration SINGLE_NODE_DELAY = Duration.ofSeconds(2);
 
+    /** Time for other nodes to contradict a quarantine before the requests that wait at upstreams are taken back. */
+    private static final long CONTRADICTION_NANOS = Duration.ofMillis(20).toNanos();
+
     private static final Duration TICK_INTERVAL = Duration.ofMillis(100);
     private static final int MAX_SERVED_LINES_PER_SECOND = 300;
     private static final int MAX_FAILED_LINES_PER_SECOND = 200;
@@ -415,8 +418,7 @@
         mesh.subscribe(engineLoads);
         mesh.subscribe(overload);
         mesh.subscribe(quarantine);
-        // Not during the call: the listener ends requests, which the caller may be about to send on.
-        quarantine.subscribe(() -> loop.execute(openRequests::endQuarantined));
+        quarantine.subscribe(() -> timers.schedule(CONTRADICTION_NANOS, openRequests::endQuarantined));
         mesh.subscribe(new RetryBudgetScaling(retryBudget, mesh::count));
         directory.subscribe(tracker::onUpstreamChange);
         versionHolder.subscribe(table -> directory.setColdTimes(table.coldNanosByPool()));
--- a/library/src/main/java/org/copperspindle/quarantine/RequestQuarantine.java
+++ b/library/src/main/java/org/copperspindle/quarantine/RequestQuarantine.java
@@ -75,7 +75,7 @@
      * @param listener called when a request or a prompt part becomes quarantined
      */
     public void subscribe(Runnable listener) {
-        exchange.subscribe(listener);
+        exchange.subscribe(quarantined -> listener.run());
     }
 
     /**
--- a/library/src/main/java/org/copperspindle/quarantine/SuspicionExchange.java
+++ b/library/src/main/java/org/copperspindle/quarantine/SuspicionExchange.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Consumer;
 
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -36,7 +37,7 @@
     private final SuspicionTable table = new SuspicionTable();
     private final TerminatedUpstreams terminatedIncarnations = new TerminatedUpstreams();
     private final DeferredTask sweep;
-    private final List<Runnable> quarantineListeners = new ArrayList<>();
+    private final List<Consumer<Suspicion>> quarantineListeners = new ArrayList<>();
 
     SuspicionExchange(NodeMesh mesh, TimerService timers, LogRateLimiter log) {
         this.mesh = mesh;
@@ -45,11 +46,16 @@
         this.sweep = new DeferredTask(timers, this::sweep);
     }
 
-    /** Adds a listener that is called when a suspect becomes quarantined. */
-    void subscribe(Runnable listener) {
+    /** Adds a listener that is called with each suspicion whose suspect becomes quarantined. */
+    void subscribe(Consumer<Suspicion> listener) {
         quarantineListeners.add(listener);
     }
 
+    /** Returns monotonic time in nanoseconds. */
+    long now() {
+        return timers.nanoTime();
+    }
+
     SuspicionTable table() {
         return table;
     }
@@ -133,7 +139,7 @@
             logChange("suspected", known, origin);
         }
         if (quarantined && !quarantinedBefore) {
-            quarantineListeners.forEach(Runnable::run);
+            quarantineListeners.forEach(listener -> listener.accept(known));
         }
         return true;
     }
--- a/library/src/main/java/org/copperspindle/quarantine/TerminationAssessor.java
+++ b/library/src/main/java/org/copperspindle/quarantine/TerminationAssessor.java
@@ -26,6 +26,7 @@
      */
     TerminationAssessor(SuspicionExchange exchange) {
         this.exchange = exchange;
+        exchange.subscribe(this::contradict);
     }
 
     /** Records that an upstream of a pool completed a request, whatever its response was. */
@@ -60,6 +61,19 @@
         }
     }
 
+    /**
+     * Tells all nodes if this one has seen answers to a prompt part that becomes quarantined. The nodes that ran the
+     * requests under which upstreams terminated may not have seen any.
+     */
+    private void contradict(Suspicion quarantined) {
+        if (!quarantined.isOfPromptPart()) {
+            return;
+        }
+        recentAnswers
+                .softwareThatAnswered(quarantined, exchange.now())
+                .forEach(software -> exchange.publish(List.of(quarantined.withAnswered(software)), "answered"));
+    }
+
     private Suspicion suspicion(UpstreamRun run, Suspect suspect, PoolTerminationHistory pool, long now) {
         TrackedRequest request = run.request();
         SuspectDigest digest = suspect.digest();
--- a/library/src/test/java/org/copperspindle/quarantine/PromptPartQuarantineTest.java
+++ b/library/src/test/java/org/copperspindle/quarantine/PromptPartQuarantineTest.java
@@ -106,6 +106,22 @@
         assertThat(fleet.isQuarantinedAnywhere(sound())).isFalse();
     }
 
+    /**
+     * Guards against the quarantine of a part that only other nodes have seen answered than those at which upstreams
+     * terminated, as in a large fleet.
+     */
+    @Test
+    void answersSeenByAnotherNodeProtectAPart() {
+        fleet.serve(NODES - 1, sound());
+        for (int i = 0; i < MAX_TERMINATIONS; i++) {
+            fleet.terminatesUpstream(i, fatal());
+        }
+        for (int node = 0; node < NODES; node++) {
+            assertThat(quarantinedParts(node)).containsExactly(FATAL);
+        }
+        assertThat(fleet.isQuarantinedAnywhere(sound())).isFalse();
+    }
+
     /** A part that becomes fatal though requests with it were completed before needs twice the evidence. */
     @Test
     void partThatWasAnsweredBeforeIsQuarantinedInTheEnd() {
