--- a/library/src/main/java/org/copperspindle/dialect/HeaderCallerDialect.java
+++ b/library/src/main/java/org/copperspindle/dialect/HeaderCallerDialect.java
@@ -63,7 +63,7 @@
                 exchange.header(HeaderFields.AUTHORIZATION).flatMap(HeaderCallerDialect::key),
                 deadline(exchange),
                 resumePoint(exchange),
-                prompt(exchange.header(names.prompt()).orElse("")),
+                prompt(exchange.headerList(names.prompt())),
                 pieces(exchange.header(names.pieces()).orElse("")),
                 exchange.header(names.pieceKey()).orElse(""),
                 HeaderFields.forwarded(exchange.fields(), names.reserved()));
--- a/library/src/main/java/org/copperspindle/http/HttpExchange.java
+++ b/library/src/main/java/org/copperspindle/http/HttpExchange.java
@@ -128,6 +128,16 @@
         return Optional.ofNullable(headers.get(name));
     }
 
+    /**
+     * Returns a header field that holds a list. Several fields of a name are one list, in their order.
+     *
+     * @param name its name, in any case
+     * @return the values of all fields with that name, separated by commas; empty if there is none
+     */
+    public String headerList(String name) {
+        return String.join(",", headers.getAll(name));
+    }
+
     /**
      * Returns how often a header field was sent.
      *
