--- a/library/src/main/java/org/copperspindle/dialect/QuarantinedRequestsEndpoint.java
+++ b/library/src/main/java/org/copperspindle/dialect/QuarantinedRequestsEndpoint.java
@@ -10,8 +10,8 @@
 import org.copperspindle.quarantine.SuspectDigest;
 
 /**
- * HTTP endpoint for quarantined requests and prompt parts: {@code GET} lists them, {@code DELETE} of one lifts its quarantine. It is
- * the same on every deployment.
+ * HTTP endpoint for quarantined requests and prompt parts: {@code GET} lists them, {@code DELETE} of one lifts its
+ * quarantine. It is the same on every deployment.
  */
 final class QuarantinedRequestsEndpoint implements HttpRequestHandler {
 
--- a/library/src/main/java/org/copperspindle/gateway/GatewayMetrics.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayMetrics.java
@@ -106,7 +106,7 @@
                 metrics,
                 "requests.suspected",
                 "Requests under which upstreams ended, held off or not",
-                n -> n.quarantine().trackedRequests());
+                n -> n.quarantine().trackedSuspicions());
         gauge(
                 metrics,
                 "requests.held.off",
--- a/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
@@ -142,7 +142,6 @@
     private final SharedStreamOrigins origins;
     private final long startedAt = System.nanoTime();
     private Optional<ControlGroupMember> member = Optional.empty();
-    private long tickDueAt = System.nanoTime();
     private boolean ready;
     private boolean stopping;
 
@@ -154,7 +153,7 @@
         this.greeting = new GreetingMessage(
                 GreetingMessage.PROTOCOL, "gateway", NumericAddress.format(settings.mesh()), incarnation);
         this.transport = new WireTransport(eventLoops, registry, greeting, MeshSettings.LIMITS);
-        this.mesh = new NodeMesh(meshSettings(settings), transport, timers, this::hello);
+        this.mesh = new NodeMesh(settings.meshSettings(), transport, timers, this::hello);
         this.isolation = new IsolationDetector(mesh::count, timers);
         this.gossip = new DirectoryGossip(mesh, timers, directory);
         this.versionExchange = new VersionExchange(mesh, timers, loop);
@@ -361,16 +360,6 @@
         eventLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
     }
 
-    private static MeshSettings meshSettings(GatewaySettings settings) {
-        return new MeshSettings(
-                settings.mesh(),
-                settings.meshBind().orElse(settings.mesh()),
-                NumericAddress.format(settings.control()),
-                settings.failureDomain(),
-                settings.dataFolder().isPresent(),
-                settings.seeds());
-    }
-
     private SharedRetryBudget createRetryBudget() {
         return new SharedRetryBudget(
                 settings.retries().ratio(),
@@ -450,8 +439,7 @@
     }
 
     private void tick() {
-        long now = timers.nanoTime();
-        overload.record(Math.max(0, now - tickDueAt), now);
+        overload.tick(timers.nanoTime());
         boolean before = ready;
         ready = isReady();
         if (before != ready) {
@@ -466,7 +454,6 @@
         permits.removeStale();
         upstreamBackoffs.removeStale();
         upstreamLoads.removeStale();
-        tickDueAt = timers.nanoTime() + TICK_INTERVAL.toNanos();
         timers.schedule(TICK_INTERVAL.toNanos(), this::tick);
     }
 
--- a/library/src/main/java/org/copperspindle/gateway/GatewaySettings.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewaySettings.java
@@ -9,6 +9,9 @@
 import java.util.OptionalLong;
 import java.util.Set;
 
+import org.copperspindle.mesh.MeshSettings;
+import org.copperspindle.wire.NumericAddress;
+
 /**
  * Settings of a node directly in front of upstreams.
  *
@@ -61,6 +64,21 @@
         failureDomains = Set.copyOf(failureDomains);
     }
 
+    /**
+     * Returns what the connections to the other nodes need.
+     *
+     * @return addresses, failure domain and seeds of this node
+     */
+    MeshSettings meshSettings() {
+        return new MeshSettings(
+                mesh,
+                meshBind.orElse(mesh),
+                NumericAddress.format(control),
+                failureDomain,
+                dataFolder.isPresent(),
+                seeds);
+    }
+
     /**
      * Limits on retries at a second upstream, over all nodes.
      *
--- a/library/src/main/java/org/copperspindle/gateway/QuarantineGuard.java
+++ b/library/src/main/java/org/copperspindle/gateway/QuarantineGuard.java
@@ -37,9 +37,20 @@
         return quarantine.permits(tracked, upstream);
     }
 
-    /** Returns whether the request must be taken back from an upstream that has received it. */
-    boolean mustTakeBack(UpstreamRecord upstream) {
-        return quarantine.mustTakeBack(tracked, upstream);
+    /**
+     * Returns whether the request must be ended because it has become quarantined.
+     *
+     * @param attempt attempt in progress; empty while none is
+     * @param lastRun run of the last attempt
+     */
+    boolean mustEnd(Optional<UpstreamAttempt> attempt, Optional<UpstreamRun> lastRun) {
+        if (attempt.isEmpty()) {
+            return isQuarantined();
+        }
+        // An upstream that has sent an event survives the request.
+        return !attempt.get().hasRelayed()
+                && lastRun.filter(run -> quarantine.mustTakeBack(tracked, run.upstream()))
+                        .isPresent();
     }
 
     /** Returns whether an upstream terminated under the request or a part of its prompt. */
--- a/library/src/main/java/org/copperspindle/gateway/Refusal.java
+++ b/library/src/main/java/org/copperspindle/gateway/Refusal.java
@@ -4,7 +4,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 
+import org.copperspindle.admission.RetryAfterDelays;
 import org.copperspindle.http.HeaderField;
 import org.copperspindle.http.HttpExchange;
 import org.copperspindle.http.ProblemDetails;
@@ -53,6 +55,23 @@
         return unavailable("upstreams-in-need", "the upstreams of the pool take no more requests now", retryAfter);
     }
 
+    /**
+     * No upstream of the pool can take the request.
+     *
+     * @param mayHaveRun whether an earlier attempt may have run
+     * @param freeNanos  time until an upstream takes requests again, in nanoseconds; empty if none is known to
+     * @param delays     delays of retries
+     */
+    static Refusal noUpstream(boolean mayHaveRun, OptionalLong freeNanos, RetryAfterDelays delays) {
+        if (mayHaveRun) {
+            return failed("no-other-upstream");
+        }
+        if (freeNanos.isPresent()) {
+            return backpressure(delays.after(freeNanos.getAsLong()));
+        }
+        return unavailable("no-upstream", "no upstream of the pool can take the request", delays.soon());
+    }
+
     static Refusal failed(String reason) {
         return new Refusal(
                 BAD_GATEWAY, "the upstream gave no whole answer", new MayHaveRunVerdict(reason), Optional.empty());
--- a/library/src/main/java/org/copperspindle/gateway/RequestRun.java
+++ b/library/src/main/java/org/copperspindle/gateway/RequestRun.java
@@ -38,6 +38,7 @@
     private final SilenceWatch silence;
     private final RequestStages stages;
     private final UpstreamEligibility eligibility;
+    private final UpstreamForecast forecast;
     private final StreamSoftware software;
     private final AttemptBudget attempts;
     private final StageEntrance entrance;
@@ -62,11 +63,12 @@
         this.relay = new EventStreamRelay(exchange, context.timers()::nanoTime);
         this.quarantine = new QuarantineGuard(context.quarantine(), admitted.tracked());
         this.eligibility = new UpstreamEligibility(quarantine::permits);
+        this.forecast = new UpstreamForecast(context, admitted, eligibility);
         exchange.memoryHolder().describe(request.id(), route.isIdempotent());
         this.requestLogger = new RequestLogger(context.log(), context.tracker(), admitted);
         this.resumption = new StreamResumption(context, admitted, relay, requestLogger);
         this.silence = new SilenceWatch(context, admitted, this::canMoveElsewhere);
-        this.stages = new RequestStages(context, admitted, resumption, this::likelyFailureDomain, this);
+        this.stages = new RequestStages(context, admitted, resumption, forecast::failureDomainAfterStages, this);
         this.software = new StreamSoftware(context, admitted, eligibility, requestLogger);
         this.attempts = new AttemptBudget(context, admitted);
         this.entrance = new StageEntrance(context, admitted, eligibility, requestLogger, new EntranceListener());
@@ -122,7 +124,7 @@
      * resume a stream: it would crash that upstream too.
      */
     void endIfQuarantined() {
-        if (ended || !mustEnd()) {
+        if (ended || !quarantine.mustEnd(attempt, lastRun)) {
             return;
         }
         mayHaveRun |= attempt.isPresent();
@@ -130,17 +132,6 @@
         endQuarantined();
     }
 
-    private boolean mustEnd() {
-        if (attempt.isEmpty()) {
-            return quarantine.isQuarantined();
-        }
-        // An upstream that has sent an event survives the request.
-        return !attempt.get().hasRelayed()
-                && lastRun.map(UpstreamRun::upstream)
-                        .filter(quarantine::mustTakeBack)
-                        .isPresent();
-    }
-
     @Override
     public void onStagesDone() {
         if (stages.runs() == 1) {
@@ -182,22 +173,6 @@
         entrance.enter();
     }
 
-    /**
-     * Returns the failure domain of the upstream that the request is expected to be sent to after its stages. Its
-     * large stage results are produced there if that costs no time, because traffic between failure domains is the
-     * largest cost of stage work.
-     */
-    private Optional<String> likelyFailureDomain() {
-        long stagesNanos = context.stageAdmission().estimatedStagesNanos(admitted);
-        return predict(stagesNanos).map(UpstreamRecord::failureDomain);
-    }
-
-    /** Returns the upstream that the request would be sent to if its stages started now and took some time. */
-    private Optional<UpstreamRecord> predict(long stagesNanos) {
-        long now = context.timers().nanoTime();
-        return UpstreamSearch.predict(context, admitted, eligibility, stagesNanos, now);
-    }
-
     /** Starts the work on a request that may be sent: its stages, or the first attempt. */
     private void begin() {
         if (route.stages().isEmpty()) {
@@ -320,7 +295,7 @@
                 && !quarantine.isQuarantined()
                 && isRepeatable()
                 && attempts.hasLeft()
-                && predict(0).isPresent();
+                && forecast.afterNanos(0).isPresent();
     }
 
     private void timedOut() {
@@ -437,12 +412,8 @@
         public void onNoUpstream(OptionalLong freeNanos) {
             if (relay.hasStarted()) {
                 abortResponse("no-upstream");
-            } else if (mayHaveRun) {
-                refuse(Refusal.failed("no-other-upstream"));
-            } else if (freeNanos.isPresent()) {
-                refuse(Refusal.backpressure(context.retryAfterDelays().after(freeNanos.getAsLong())));
             } else {
-                refuse(unavailable("no-upstream", "no upstream of the pool can take the request"));
+                refuse(Refusal.noUpstream(mayHaveRun, freeNanos, context.retryAfterDelays()));
             }
         }
     }
--- a/library/src/main/java/org/copperspindle/overload/NodeOverload.java
+++ b/library/src/main/java/org/copperspindle/overload/NodeOverload.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.Set;
 
 import org.apache.logging.log4j.LogManager;
@@ -23,6 +24,8 @@
     private final NodeMesh mesh;
     private final ConnectionRateLimit limit;
     private final Set<String> overloadedNodes = new HashSet<>();
+    private final long tickNanos;
+    private OptionalLong tickedAt = OptionalLong.empty();
     private boolean announced;
     private long shed;
 
@@ -34,16 +37,19 @@
      */
     public NodeOverload(NodeMesh mesh, long tickNanos) {
         this.mesh = mesh;
+        this.tickNanos = tickNanos;
         this.limit = new ConnectionRateLimit(tickNanos);
     }
 
     /**
-     * Records a tick of the network thread, and tells the other nodes if this changes anything.
+     * Records a tick of the network thread, and tells the other nodes if this changes anything. Ticks are scheduled one
+     * interval after the last one.
      *
-     * @param delayNanos time between the moment at which the tick was due and its execution, in nanoseconds
-     * @param now        monotonic time in nanoseconds
+     * @param now monotonic time in nanoseconds
      */
-    public void record(long delayNanos, long now) {
+    public void tick(long now) {
+        long delayNanos = tickedAt.isPresent() ? Math.max(0, now - tickedAt.getAsLong() - tickNanos) : 0;
+        tickedAt = OptionalLong.of(now);
         limit.record(delayNanos, now);
         if (limit.isLimited() == announced) {
             return;
--- a/library/src/main/java/org/copperspindle/overload/ShedConnections.java
+++ b/library/src/main/java/org/copperspindle/overload/ShedConnections.java
@@ -12,7 +12,7 @@
  */
 public final class ShedConnections implements ConnectionAdmission {
 
-    /** Maximum number of open connections, whatever the process may open: some 10 KB of heap each. */
+    /** Maximum number of open connections, whatever the process may open: each takes memory. */
     static final int MAX_CONNECTIONS = 2500;
 
     /** Part of the descriptors of the process that callers may take; upstreams and other nodes need the rest. */
--- a/library/src/main/java/org/copperspindle/quarantine/PoolTerminationHistory.java
+++ b/library/src/main/java/org/copperspindle/quarantine/PoolTerminationHistory.java
@@ -30,7 +30,7 @@
         survivedRuns.add(now);
     }
 
-    /** Records the termination of an upstream incarnation with what the requests of this node that were running there hold. */
+    /** Records the termination of an upstream incarnation with the suspects of this node that were running there. */
     void recordTermination(String incarnation, Set<SuspectDigest> suspects, long now) {
         terminations.addLast(new Termination(incarnation, suspects, now));
         if (terminations.size() > MAX_TERMINATIONS) {
--- a/library/src/main/java/org/copperspindle/quarantine/QuarantinePolicy.java
+++ b/library/src/main/java/org/copperspindle/quarantine/QuarantinePolicy.java
@@ -27,9 +27,8 @@
     static final int QUARANTINE_LEVEL = 3 * STEP;
 
     /**
-     * Added to the level of a prompt part by a termination that is not known to be a consequence of anything else: its run
-     * was sent before the last termination was known, or the same request terminated an upstream before. A long wait at an
-     * upstream must not hide a part under which upstreams terminate one after the other.
+     * Added to the level of a prompt part by a termination that is weaker evidence: the run was sent before the last
+     * termination was known, as happens after a long wait at an upstream, or the same request terminated an upstream before.
      */
     static final int SMALL_STEP = 1;
 
--- a/library/src/main/java/org/copperspindle/quarantine/RecentAnswers.java
+++ b/library/src/main/java/org/copperspindle/quarantine/RecentAnswers.java
@@ -12,7 +12,7 @@
  */
 final class RecentAnswers {
 
-    /** Maximum number of entries of about 120 bytes each. */
+    /** Maximum number of entries; the oldest are dropped first. */
     static final int MAX_ENTRIES = 8192;
 
     /** How long a completed request speaks for its parts; requests with a shared part come more often. */
--- a/library/src/main/java/org/copperspindle/quarantine/RequestQuarantine.java
+++ b/library/src/main/java/org/copperspindle/quarantine/RequestQuarantine.java
@@ -130,16 +130,15 @@
      *     waiting, or if nothing is
      */
     public Optional<Duration> partQuarantine(TrackedRequest request) {
-        if (!table.hasRestricted() || isRequestHeld(request)) {
+        if (!table.hasRestricted() || isRequestHeld(request) || !hasHeldPart(request)) {
             return Optional.empty();
         }
         return request.partSuspects().stream()
                 .flatMap(part -> exchange.find(part.digest()).stream())
                 .map(QuarantinePolicy::remainingQuarantine)
-                .max(Duration::compareTo)
                 // Once it is over, one request is sent in each slot.
                 .map(remaining -> remaining.compareTo(MIN_REFUSAL) < 0 ? MIN_REFUSAL : remaining)
-                .filter(remaining -> hasHeldPart(request));
+                .max(Duration::compareTo);
     }
 
     /**
@@ -272,7 +271,7 @@
      *
      * @return number of requests and prompt parts that are suspected, quarantined or were cleared recently
      */
-    public int trackedRequests() {
+    public int trackedSuspicions() {
         return table.size();
     }
 
--- a/library/src/main/java/org/copperspindle/quarantine/SuspicionTable.java
+++ b/library/src/main/java/org/copperspindle/quarantine/SuspicionTable.java
@@ -16,7 +16,7 @@
 final class SuspicionTable {
 
     /**
-     * Maximum number of entries of about 300 bytes each; covers the requests of thirty full upstreams of 64 slots
+     * Maximum number of entries; covers the requests of thirty full upstreams of 64 slots
      * that terminate within minutes, or those of ten with the parts of their prompts.
      */
     static final int MAX_ENTRIES = 2048;
--- a/library/src/test/java/org/copperspindle/overload/NodeOverloadTest.java
+++ b/library/src/test/java/org/copperspindle/overload/NodeOverloadTest.java
@@ -101,7 +101,7 @@
 
     private void tick(long delay) {
         now += TICK + delay;
-        overload.record(delay, now);
+        overload.tick(now);
     }
 
     private void connect(int count) {
--- a/library/src/test/java/org/copperspindle/quarantine/PromptPartQuarantineTest.java
+++ b/library/src/test/java/org/copperspindle/quarantine/PromptPartQuarantineTest.java
@@ -353,7 +353,7 @@
     void promptsWithHundredsOfPartsAddABoundedNumber() {
         String[] parts = IntStream.range(0, 600).mapToObj(i -> "p" + i / 2).toArray(String[]::new);
         fleet.terminatesUpstream(0, request(parts));
-        assertThat(fleet.quarantine(NODES - 1).trackedRequests()).isEqualTo(1 + TrackedRequest.MAX_PARTS);
+        assertThat(fleet.quarantine(NODES - 1).trackedSuspicions()).isEqualTo(1 + TrackedRequest.MAX_PARTS);
     }
 
     /** A node that starts, and one that was partitioned, learn the part before they send a request with it. */
--- a/library/src/test/java/org/copperspindle/quarantine/RequestQuarantineTest.java
+++ b/library/src/test/java/org/copperspindle/quarantine/RequestQuarantineTest.java
@@ -164,7 +164,7 @@
             fleet.breakConnections(Map.of(run, node));
             fleet.awaitDelivery();
         }
-        assertThat(fleet.quarantine(0).trackedRequests()).isEqualTo(1);
+        assertThat(fleet.quarantine(0).trackedSuspicions()).isEqualTo(1);
     }
 
     /**
@@ -203,42 +203,6 @@
         assertThat(fleet.isQuarantinedAnywhere(POPULAR)).isFalse();
     }
 
-    /**
-     * Guards against requests that a node sends to upstreams which terminated under runs of other nodes: each finds nobody
-     * there. One that announces itself afterwards is alive, and so is another incarnation.
-     */
-    @Test
-    void otherNodesLearnWhichUpstreamsHaveTerminated() {
-        fleet.announce(0, "u", 1, UpstreamPhase.READY);
-        fleet.terminate(0, Map.of(fleet.send(0, HARMFUL, 0), 0));
-        fleet.awaitDelivery();
-        assertThat(fleet.hasTerminated(1, 0)).isTrue();
-        fleet.announce(0, "u", 1, UpstreamPhase.READY);
-        assertThat(fleet.hasTerminated(1, 0)).isFalse();
-        fleet.announce(0, "u", 2, UpstreamPhase.READY);
-        assertThat(fleet.hasTerminated(1, 0)).isFalse();
-    }
-
-    /**
-     * Guards against sending to a terminated upstream for ever after an announcement that it sent before has arrived late:
-     * each node tries it once more at most. An answer that is read after its termination proves nothing either.
-     */
-    @Test
-    void lateAnnouncementOfATerminatedUpstreamIsTriedOnce() {
-        int upstream = fleet.addUpstream();
-        UpstreamRun answered = fleet.send(1, POPULAR, upstream);
-        fleet.terminate(upstream, Map.of(fleet.send(0, HARMFUL, upstream), 0));
-        fleet.awaitDelivery();
-        fleet.quarantine(1).onSurvived(answered, RunOutcome.ANSWERED);
-        assertThat(fleet.hasTerminated(1, upstream)).isTrue();
-        fleet.advance(Duration.ofSeconds(2));
-        fleet.announce(upstream, "u" + upstream, UpstreamPhase.READY);
-        assertThat(fleet.hasTerminated(1, upstream)).isFalse();
-        fleet.advance(Duration.ofMillis(10));
-        fleet.quarantine(1).onUnreachable(fleet.send(1, POPULAR, upstream));
-        assertThat(fleet.hasTerminated(1, upstream)).isTrue();
-    }
-
     /** An upstream restarts under its id and terminates again under the same request: these are two terminations. */
     @Test
     void incarnationsUnderOneIdCountSeparately() {
@@ -302,7 +266,7 @@
             fleet.breakConnections(Map.of(run, 0));
             fleet.advance(Duration.ofSeconds(12));
         }
-        assertThat(fleet.quarantine(0).trackedRequests()).isZero();
+        assertThat(fleet.quarantine(0).trackedSuspicions()).isZero();
     }
 
     /**
@@ -457,11 +421,11 @@
             fleet.awaitDelivery();
         }
         for (int node = 0; node < NODES; node++) {
-            assertThat(fleet.quarantine(node).trackedRequests()).isLessThanOrEqualTo(SuspicionTable.MAX_ENTRIES);
+            assertThat(fleet.quarantine(node).trackedSuspicions()).isLessThanOrEqualTo(SuspicionTable.MAX_ENTRIES);
         }
         assertThat(fleet.isQuarantinedEverywhere(HARMFUL)).isTrue();
         fleet.advance(Duration.ofMinutes(15));
-        assertThat(fleet.quarantine(0).trackedRequests()).isZero();
+        assertThat(fleet.quarantine(0).trackedSuspicions()).isZero();
     }
 
     /**
--- a/soak/src/main/java/org/copperspindle/soak/Soak.java
+++ b/soak/src/main/java/org/copperspindle/soak/Soak.java
@@ -12,7 +12,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
-import java.util.stream.IntStream;
 import java.util.stream.Stream;
 
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -24,28 +23,6 @@
  */
 public final class Soak {
 
-    private static final List<String> POOLS = List.of(
-            SoakUpstream.WEB,
-            SoakUpstream.WEB,
-            SoakUpstream.WEB,
-            SoakUpstream.ENGINE,
-            SoakUpstream.ENGINE,
-            SoakUpstream.ENGINE,
-            SoakUpstream.STAGE,
-            SoakUpstream.STAGE);
-
-    /** In a shortage the second stage has a pool of its own. */
-    private static final List<String> POOLS_IN_SHORTAGE = Stream.concat(
-                    POOLS.stream(), Stream.of(SoakUpstream.LATER_STAGE, SoakUpstream.LATER_STAGE))
-            .toList();
-
-    /** With releases there are enough engines that two of each version are left while others are replaced. */
-    private static final List<String> POOLS_WITH_RELEASES = Stream.concat(
-                    POOLS.stream(), Stream.generate(() -> SoakUpstream.ENGINE).limit(3))
-            .toList();
-
-    private static final List<String> STAGE_POOLS = List.of(SoakUpstream.LATER_STAGE, SoakUpstream.STAGE);
-
     /** In a shortage, the part of the time after which general disturbances join those of dispatchers and engines. */
     private static final double CALM_PART = 0.6;
 
@@ -169,26 +146,15 @@
     }
 
     private List<Disturbance> plan() {
-        List<Disturbance> plan = SoakPlan.of(settings, pools().size());
+        List<Disturbance> plan = SoakPlan.of(settings, SoakPools.of(settings).size());
         if (!settings.shortage()) {
             return plan;
         }
         plan.removeIf(d -> d.atMillis() < CALM_PART * settings.duration().toMillis());
-        List<Integer> engines = IntStream.range(0, POOLS.size())
-                .filter(number -> POOLS.get(number).equals(SoakUpstream.ENGINE))
-                .boxed()
-                .toList();
-        plan.addAll(ShortagePlan.of(settings, STAGE_POOLS.size(), engines));
+        plan.addAll(ShortagePlan.of(settings, SoakPools.STAGE_POOLS.size(), SoakPools.engines()));
         return plan;
     }
 
-    private List<String> pools() {
-        if (settings.shortage()) {
-            return POOLS_IN_SHORTAGE;
-        }
-        return settings.releases() ? POOLS_WITH_RELEASES : POOLS;
-    }
-
     private void judgeShortage(long end) {
         RecoveryWatch.Verdict verdict = book.recovery().judge(settings.nodes(), settings.durableNodes(), end);
         verdict.broken().forEach(book::breaks);
@@ -205,7 +171,7 @@
         for (NodeProcess node : nodes) {
             node.start();
         }
-        pools().forEach(pool -> upstreams.add(upstream(pool)));
+        SoakPools.of(settings).forEach(pool -> upstreams.add(upstream(pool)));
         workers.scheduleAtFixedRate(this::announce, 0, ANNOUNCE_MILLIS, TimeUnit.MILLISECONDS);
         if (!operator.change(false, START_BOUND)) {
             throw new IOException("no node accepted the first version within " + START_BOUND);
@@ -400,7 +366,7 @@
     /** Disturbs the node that dispatches a pool now; a second one at the same time meets the next node in the order. */
     private void disturbDispatcher(Disturbance what) throws IOException, InterruptedException {
         long begin = System.currentTimeMillis();
-        NodeProcess node = dispatchers.take(STAGE_POOLS.get(what.target()));
+        NodeProcess node = dispatchers.take(SoakPools.STAGE_POOLS.get(what.target()));
         RecoveryWatch.Outage outage = book.recovery().disturbed(node.number(), begin);
         progress.accept("at_ms=" + what.atMillis() + " dispatcher=" + node.name());
         try {
--- /dev/null
+++ b/soak/src/main/java/org/copperspindle/soak/SoakPools.java
@@ -0,0 +1,52 @@
+package org.copperspindle.soak;
+
+import java.util.List;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+
+/**
+ * Which pools the upstreams of a soak belong to.
+ */
+final class SoakPools {
+
+    private static final List<String> POOLS = List.of(
+            SoakUpstream.WEB,
+            SoakUpstream.WEB,
+            SoakUpstream.WEB,
+            SoakUpstream.ENGINE,
+            SoakUpstream.ENGINE,
+            SoakUpstream.ENGINE,
+            SoakUpstream.STAGE,
+            SoakUpstream.STAGE);
+
+    /** In a shortage the second stage has a pool of its own. */
+    private static final List<String> POOLS_IN_SHORTAGE = Stream.concat(
+                    POOLS.stream(), Stream.of(SoakUpstream.LATER_STAGE, SoakUpstream.LATER_STAGE))
+            .toList();
+
+    /** With releases there are enough engines that two of each version are left while others are replaced. */
+    private static final List<String> POOLS_WITH_RELEASES = Stream.concat(
+                    POOLS.stream(), Stream.generate(() -> SoakUpstream.ENGINE).limit(3))
+            .toList();
+
+    /** The pools of the two stages in a shortage. */
+    static final List<String> STAGE_POOLS = List.of(SoakUpstream.LATER_STAGE, SoakUpstream.STAGE);
+
+    private SoakPools() {}
+
+    /** Returns the pool of each upstream that a soak starts. */
+    static List<String> of(SoakSettings settings) {
+        if (settings.shortage()) {
+            return POOLS_IN_SHORTAGE;
+        }
+        return settings.releases() ? POOLS_WITH_RELEASES : POOLS;
+    }
+
+    /** Returns the numbers of the engines among the upstreams of a soak. */
+    static List<Integer> engines() {
+        return IntStream.range(0, POOLS.size())
+                .filter(number -> POOLS.get(number).equals(SoakUpstream.ENGINE))
+                .boxed()
+                .toList();
+    }
+}
