--- a/library/src/main/java/org/copperspindle/memory/SheddingPolicy.java
+++ b/library/src/main/java/org/copperspindle/memory/SheddingPolicy.java
@@ -23,12 +23,8 @@
      */
     static final long UNREAD_UNIT_NANOS = Duration.ofSeconds(1).toNanos();
 
-    /** Unread longest first; then those that may be repeated or resumed, those not started, and the largest. */
-    private static final Comparator<HeldResponse> ORDER = Comparator.comparingLong(SheddingPolicy::unreadUnits)
-            .reversed()
-            .thenComparing(r -> !r.repeatable())
-            .thenComparing(HeldResponse::started)
-            .thenComparing(Comparator.comparingLong(HeldResponse::bytes).reversed());
+    /** Part of the budget below which a response is small: to break it off costs a caller its answer and frees nothing. */
+    private static final int SMALL_PARTS = 100;
 
     private SheddingPolicy() {}
 
@@ -49,7 +45,7 @@
         long left = heldBytes;
         List<HeldResponse> candidates = holders.stream()
                 .filter(r -> r.responseBytes() > 0)
-                .sorted(ORDER)
+                .sorted(order(budgetBytes))
                 .toList();
         for (HeldResponse next : candidates) {
             double target = unreadUnits(next) > 0 ? SHEDDING_PRESSURE : FULL_PRESSURE;
@@ -74,6 +70,16 @@
         return bodyBytes <= HeldMemory.LARGE_BODY_BYTES || heldBytes < FULL_PRESSURE * budgetBytes;
     }
 
+    /** Unread longest first; then all but small ones, those that may be repeated or resumed, not started, and the largest. */
+    private static Comparator<HeldResponse> order(long budgetBytes) {
+        return Comparator.comparingLong(SheddingPolicy::unreadUnits)
+                .reversed()
+                .thenComparing(r -> r.bytes() < budgetBytes / SMALL_PARTS)
+                .thenComparing(r -> !r.repeatable())
+                .thenComparing(HeldResponse::started)
+                .thenComparing(Comparator.comparingLong(HeldResponse::bytes).reversed());
+    }
+
     private static long unreadUnits(HeldResponse response) {
         return response.unreadNanos() / UNREAD_UNIT_NANOS;
     }
--- a/library/src/test/java/org/copperspindle/memory/SheddingPolicyTest.java
+++ b/library/src/test/java/org/copperspindle/memory/SheddingPolicyTest.java
@@ -29,6 +29,8 @@
         "a caller that reads is spared below the full budget, a:950:900:rs, ''",
         "a caller that reads is not spared by the full budget, a:600:900:s b:500:0:rs, b",
         "not started before started, a:500:0:rs b:500:0:r, b",
+        "one that frees hardly anything is spared, a:1040:0:s b:5:0:r, a",
+        "small ones end if there are no others, a:9:0:rs b:8:0:rs c:1100:0:b, a b",
         "the largest of equals, a:100:0:s b:900:0:s, b",
         "bodies alone are never broken off, a:600:0:b b:600:0:b, ''",
         "a stalled caller ends before one that reads, a:500:0:rs b:600:1500:s, b",
