--- a/review/lib/Stand.java
+++ b/review/lib/Stand.java
@@ -31,11 +31,18 @@
     Stand(Path home, Path recordFile, int count) throws Exception {
         this.home = home;
         this.folder = Files.createTempDirectory("review-stand");
+        // Also ends the nodes if this process is told to stop.
+        Runtime.getRuntime().addShutdownHook(new Thread(this::endNodes));
         this.record = new PrintWriter(Files.newBufferedWriter(recordFile), true);
         Random random = new Random();
         // An own part of the loopback range, and ports that are free there now.
-        net = 10 + random.nextInt(200);
-        int base = 20000 + random.nextInt(10000);
+        int part;
+        int base;
+        do {
+            part = 10 + random.nextInt(200);
+            base = 20000 + random.nextInt(10000);
+        } while (!isFree("127." + part + ".1.11", base, base + 1, base + 100, base + 101, base + 102));
+        net = part;
         mesh = base;
         front = base + 100;
         ready = base + 101;
@@ -49,6 +56,17 @@
         }
     }
 
+    private static boolean isFree(String ip, int... ports) {
+        for (int port : ports) {
+            try (ServerSocket probe = new ServerSocket()) {
+                probe.bind(new InetSocketAddress(ip, port));
+            } catch (IOException e) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     String nodeIp(int i) {
         return "127." + net + ".1." + (11 + i);
     }
@@ -68,10 +86,25 @@
     @Override
     public void close() {
         servers.forEach(Server::stop);
-        for (Node node : nodes) {
-            node.kill();
-        }
+        endNodes();
         record.flush();
+        if (!Boolean.getBoolean("keep")) {
+            delete(folder.toFile());
+        }
+    }
+
+    private void endNodes() {
+        nodes.forEach(Node::kill);
+    }
+
+    private static void delete(File file) {
+        File[] inside = file.listFiles();
+        if (inside != null) {
+            for (File each : inside) {
+                delete(each);
+            }
+        }
+        file.delete();
     }
 
     /** One node of the system, started with the command of the deploy file. */
@@ -334,8 +367,24 @@
         boolean answer(Server server, Request request, Socket socket, OutputStream out) throws Exception;
     }
 
+    /** Answers a request of which only the head is read; returns false to close the connection. */
+    interface EarlyWork {
+        boolean answer(EarlyServer server, Request request, Socket socket, InputStream in, OutputStream out)
+                throws Exception;
+    }
+
+    /** A server that answers before it has read the body. */
+    final class EarlyServer extends Server {
+        final EarlyWork early;
+
+        EarlyServer(String service, int index, int port, String id, int slots, EarlyWork early) throws IOException {
+            super(service, index, port, id, slots, null);
+            this.early = early;
+        }
+    }
+
     /** One server of a service. It announces itself to the nodes every 1.2 s. */
-    final class Server {
+    class Server {
         final String service;
         final String ip;
         final int port;
@@ -386,7 +435,7 @@
                 socket.setTcpNoDelay(true);
                 BufferedInputStream in = new BufferedInputStream(socket.getInputStream());
                 OutputStream out = socket.getOutputStream();
-                if (slowBytes > 0) {
+                if (slowBytes > 0 || this instanceof EarlyServer) {
                     socket.setReceiveBufferSize(65536);
                 }
                 while (true) {
@@ -398,6 +447,13 @@
                     r.method = first.split(" ")[0];
                     r.path = first.split(" ")[1];
                     readFields(in, r.fields);
+                    if (this instanceof EarlyServer) {
+                        EarlyServer own = (EarlyServer) this;
+                        if (!own.early.answer(own, r, socket, in, out)) {
+                            return;
+                        }
+                        continue;
+                    }
                     r.body = readBody(in, Integer.parseInt(r.fields.getOrDefault("content-length", "0")));
                     if (r.path.equals("/healthz")) {
                         respond(out, 200, Map.of("X-Instance-Id", id), new byte[0]);
