--- a/review/lib/Stand.java
+++ b/review/lib/Stand.java
@@ -20,6 +20,8 @@
     final int front;
     final int ready;
     final int mesh;
+    /** Open until this is closed. */
+    private ServerSocket reservation;
     /** The first machines have a disk, as in a zone of the platform. */
     int disks = 3;
     String bounds = "{\"SeedLagS\":3,\"ReuseDelayS\":2,\"ContactMs\":3000,\"AckMs\":4000,\"CatchUpS\":4,\"DrainMs\":2000,"
@@ -36,10 +38,12 @@
         this.record = new PrintWriter(Files.newBufferedWriter(recordFile), true);
         Random random = new Random();
         // An own part of the loopback range, and ports that are free there now.
-        int part;
+        int part = 10 + random.nextInt(200);
+        while (!isReserved(part)) {
+            part = 10 + random.nextInt(200);
+        }
         int base;
         do {
-            part = 10 + random.nextInt(200);
             base = 20000 + random.nextInt(10000);
         } while (!isFree("127." + part + ".1.11", base, base + 1, base + 100, base + 101, base + 102));
         net = part;
@@ -56,6 +60,19 @@
         }
     }
 
+    /** Keeps a part of the loopback range for this process, so that another script at the same time draws another one. */
+    private boolean isReserved(int part) throws IOException {
+        ServerSocket socket = new ServerSocket();
+        try {
+            socket.bind(new InetSocketAddress("127." + part + ".250.250", 19999));
+            reservation = socket;
+            return true;
+        } catch (IOException e) {
+            socket.close();
+            return false;
+        }
+    }
+
     private static boolean isFree(String ip, int... ports) {
         for (int port : ports) {
             try (ServerSocket probe = new ServerSocket()) {
@@ -88,6 +105,11 @@
         servers.forEach(Server::stop);
         endNodes();
         record.flush();
+        try {
+            reservation.close();
+        } catch (IOException e) {
+            // nothing was sent there
+        }
         if (!Boolean.getBoolean("keep")) {
             delete(folder.toFile());
         }
