--- a/review/lib-2/Deployment.java
+++ b/review/lib-2/Deployment.java
@@ -122,6 +122,28 @@
         return null;
     }
 
+    /** Starts the balancer: it asks each node once a second, and takes it out after two misses until it is ready again. */
+    void startBalancer() {
+        for (Node node : nodes) {
+            Server.daemon(() -> {
+                int misses = 0;
+                while (true) {
+                    misses = isReady(node) ? 0 : misses + 1;
+                    node.inRotation = misses < 2;
+                    Server.sleep(1000);
+                }
+            }, "balancer-" + node.name());
+        }
+    }
+
+    /** Returns the node to which the balancer hands a connection of a client: by a hash, among those in rotation. */
+    Node balanced(int client) {
+        List<Node> in = nodes.stream().filter(node -> node.inRotation).toList();
+        // While fewer than half are in rotation, all are used.
+        List<Node> used = 2 * in.size() < nodes.size() ? nodes : in;
+        return used.get(client % used.size());
+    }
+
     boolean isReady(Node node) {
         try {
             return Call.send(node.ready(), "GET", "/v1/ready", "", 1000).status() == 200;
@@ -149,7 +171,8 @@
         final int number;
         final boolean durable;
         final String zone;
-        private Process process;
+        private volatile Process process;
+        volatile boolean inRotation = true;
 
         private Node(int number, boolean durable) {
             this.number = number;
