--- a/review/lib-2/CaseTwoGroups.java
+++ b/review/lib-2/CaseTwoGroups.java
@@ -41,7 +41,13 @@
         frozen.start(true);
         Thread starter = new Thread(() -> startOthers(others));
         starter.start();
-        Deployment.await("start of " + frozen.name(), 10, () -> Files.readString(frozen.log()).contains("event=started"));
+        while (!Files.readString(frozen.log()).contains("event=started")) {
+            if (record.seconds() > 20) {
+                record.say("not started");
+                return 2;
+            }
+            Server.sleep(5);
+        }
         if (trouble) {
             frozen.signal("STOP");
             Server.sleep(FREEZE_MILLIS);
