--- a/review/lib-2/CaseFirstStart.java
+++ b/review/lib-2/CaseFirstStart.java
@@ -53,7 +53,7 @@
             first.start(false);
         }
         double stableAt = record.seconds();
-        String config = CaseStageAnswers.config();
+        String config = Configs.streams();
         String by = null;
         while (by == null && record.seconds() < stableAt + OPERATOR_SECONDS) {
             by = deployment.put(config, 2, deployment.nodes);
--- a/review/lib-2/CaseTwoGroups.java
+++ b/review/lib-2/CaseTwoGroups.java
@@ -96,7 +96,7 @@
     }
 
     private static String put(Deployment deployment, Record record, int version, List<Deployment.Node> targets) throws Exception {
-        Map<String, Object> config = Json.object(CaseStageAnswers.config());
+        Map<String, Object> config = Json.object(Configs.streams());
         config.put("Version", version);
         String by = deployment.put(Json.write(config).replace(".0,", ","), 20, targets);
         record.say("version %d acknowledged by %s", version, by);
--- a/review/lib-2/Server.java
+++ b/review/lib-2/Server.java
@@ -27,7 +27,8 @@
     private final Set<Socket> open = ConcurrentHashMap.newKeySet();
     private final AtomicLong sequence = new AtomicLong();
     private final int slots;
-    private volatile String state = "ready";
+    volatile String state = "ready";
+    volatile String version = "v1";
     private volatile boolean ended;
 
     Server(Deployment deployment, String service, String ip, int port, String zone, int slots) throws IOException {
@@ -53,7 +54,7 @@
     abstract boolean handle(Connection connection, Message request) throws Exception;
 
     Map<String, Object> announcement() {
-        return Json.of("Service", service, "Address", address, "Zone", zone, "Version", "v1", "Slots", slots,
+        return Json.of("Service", service, "Address", address, "Zone", zone, "Version", version, "Slots", slots,
                 "State", state, "ColdLeftMs", 0, "Stage", "both",
                 "Models", List.of(Json.of("Name", "m", "Version", 1, "Adapters", List.of())), "Seq", sequence.incrementAndGet());
     }
@@ -82,19 +83,22 @@
     private void announce() {
         int at = random.nextInt(deployment.nodes.size());
         while (!ended) {
-            boolean acknowledged = false;
-            try {
-                Deployment.Node node = deployment.nodes.get(at % deployment.nodes.size());
-                Message response = Call.send(node.control(), "POST", "/v1/Instances.Heartbeat/" + id, Json.write(announcement()), 1000);
-                acknowledged = response.status() / 100 == 2;
-            } catch (IOException e) {
-                acknowledged = false;
-            }
+            boolean acknowledged = call("Heartbeat", at, Json.write(announcement()));
             at += acknowledged ? 0 : 1;
             sleep(acknowledged ? 1200 : 100);
         }
     }
 
+    /** Sends a call of the discovery to one node; returns whether it was acknowledged. */
+    boolean call(String name, int node, String body) {
+        try {
+            String control = deployment.nodes.get(node % deployment.nodes.size()).control();
+            return Call.send(control, "POST", "/v1/Instances." + name + '/' + id, body, 1000).status() / 100 == 2;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
     private void accept() {
         while (!ended) {
             try {
@@ -137,7 +141,6 @@
         final Socket socket;
         final BufferedInputStream in;
         private final OutputStream out;
-        byte[] late = new byte[0];
 
         private Connection(Socket socket) throws IOException {
             this.socket = socket;
