review: a script that is ended takes its processes along

Processes that a script started are killed by a shutdown hook too, when the script itself is ended before its time.

--- a/review/lib-2/Deployment.java
+++ b/review/lib-2/Deployment.java
@@ -36,6 +36,8 @@
             nodes.add(new Node(i, i < durable));
         }
         seeds = nodes.stream().limit(3).map(Node::control).toList();
+        // If the script itself is ended, no process of it stays.
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> nodes.forEach(Node::destroy)));
     }
 
     /** Returns the loopback address of a number from 1 to 250 in the network of this run. */
@@ -256,6 +258,12 @@
             new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).inheritIO().start().waitFor();
         }
 
+        private void destroy() {
+            if (process != null) {
+                process.destroyForcibly();
+            }
+        }
+
         void kill() throws Exception {
             if (process != null) {
                 process.destroyForcibly();
