--- a/library/src/main/java/org/copperspindle/gateway/OriginsFactory.java
+++ b/library/src/main/java/org/copperspindle/gateway/OriginsFactory.java
@@ -6,6 +6,7 @@
 import org.copperspindle.discovery.UpstreamDirectory;
 import org.copperspindle.mesh.MajorityWatch;
 import org.copperspindle.mesh.NodeMesh;
+import org.copperspindle.origin.ObservedSoftware;
 import org.copperspindle.origin.SharedStreamOrigins;
 import org.copperspindle.route.RouteTable;
 import org.copperspindle.time.TimerService;
@@ -20,8 +21,9 @@
     static SharedStreamOrigins create(
             NodeMesh mesh, TimerService timers, UpstreamDirectory directory, Supplier<Optional<RouteTable>> tables) {
         MajorityWatch majority = new MajorityWatch(mesh::count, timers);
-        SharedStreamOrigins origins =
-                new SharedStreamOrigins(mesh, majority, timers, directory, new StreamLifetime(tables));
+        StreamLifetime lifetime = new StreamLifetime(tables);
+        ObservedSoftware observed = new ObservedSoftware(directory, majority, timers, lifetime);
+        SharedStreamOrigins origins = new SharedStreamOrigins(mesh, majority, timers, observed, observed, lifetime);
         mesh.subscribe(majority);
         mesh.subscribe(origins);
         directory.subscribe(origins::onUpstreamChange);
--- a/library/src/main/java/org/copperspindle/mesh/MajorityWatch.java
+++ b/library/src/main/java/org/copperspindle/mesh/MajorityWatch.java
@@ -67,6 +67,15 @@
         return Math.max(0, startedAt + EXCHANGE_NANOS - timers.nanoTime());
     }
 
+    /**
+     * Returns how long this node has been up.
+     *
+     * @return nanoseconds
+     */
+    public long uptimeNanos() {
+        return timers.nanoTime() - startedAt;
+    }
+
     @Override
     public void onNodeUp(MeshNode node) {
         silentSince.remove(node.address());
--- a/library/src/main/java/org/copperspindle/origin/OriginQuery.java
+++ b/library/src/main/java/org/copperspindle/origin/OriginQuery.java
@@ -15,7 +15,7 @@
 
     private final Set<String> awaited;
     private final List<OriginView> views = new ArrayList<>();
-    private final Consumer<OriginResult> listener;
+    private final Consumer<List<OriginView>> listener;
     private TimerSubscription timeout = () -> {};
 
     /**
@@ -23,9 +23,9 @@
      *
      * @param own      what this node knows
      * @param awaited  names of the asked nodes
-     * @param listener receives the result
+     * @param listener receives what the nodes know
      */
-    OriginQuery(OriginView own, Set<String> awaited, Consumer<OriginResult> listener) {
+    OriginQuery(OriginView own, Set<String> awaited, Consumer<List<OriginView>> listener) {
         this.views.add(own);
         this.awaited = new HashSet<>(awaited);
         this.listener = listener;
@@ -51,9 +51,9 @@
         return awaited.isEmpty();
     }
 
-    /** Reports the result by what is known now. */
+    /** Reports what is known now. */
     void finish() {
         timeout.cancel();
-        listener.accept(OriginView.decide(views));
+        listener.accept(List.copyOf(views));
     }
 }
--- a/library/src/main/java/org/copperspindle/origin/OriginView.java
+++ b/library/src/main/java/org/copperspindle/origin/OriginView.java
@@ -2,10 +2,8 @@
 
 import java.util.Collection;
 import java.util.Comparator;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 
 import org.copperspindle.discovery.SoftwareVersion;
 
@@ -24,24 +22,14 @@
     }
 
     /**
-     * Decides where a stream began. Without a record a single version is the answer only if an informed node knows no
-     * other: the stream may have begun beyond a partition, or its record may be lost.
+     * Returns the newest record of a stream.
      *
      * @param views what this node and others know
-     * @return the result
+     * @return empty if none of them has a record
      */
-    static OriginResult decide(Collection<OriginView> views) {
-        Optional<StreamOrigin> newest = views.stream()
+    static Optional<StreamOrigin> newest(Collection<OriginView> views) {
+        return views.stream()
                 .flatMap(view -> view.origin().stream())
                 .max(Comparator.comparingLong(StreamOrigin::order));
-        if (newest.isPresent()) {
-            return new OriginResult.Recorded(newest.get());
-        }
-        Set<SoftwareVersion> versions = new HashSet<>();
-        views.forEach(view -> versions.addAll(view.versions()));
-        boolean informed = views.stream().anyMatch(OriginView::informed);
-        return informed && versions.size() == 1
-                ? new OriginResult.OnlyVersion(versions.iterator().next())
-                : new OriginResult.Unknown();
     }
 }
--- a/library/src/main/java/org/copperspindle/origin/SharedStreamOrigins.java
+++ b/library/src/main/java/org/copperspindle/origin/SharedStreamOrigins.java
@@ -6,7 +6,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.OptionalLong;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
@@ -15,7 +15,6 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.copperspindle.discovery.SoftwareVersion;
-import org.copperspindle.discovery.UpstreamDirectory;
 import org.copperspindle.discovery.UpstreamRecord;
 import org.copperspindle.mesh.MajorityWatch;
 import org.copperspindle.mesh.MeshListener;
@@ -43,12 +42,6 @@
 
     private static final long SWEEP_NANOS = Duration.ofSeconds(5).toNanos();
 
-    /**
-     * How much longer streams are stored elsewhere than a former version counts in an answer: nodes hear of an upstream
-     * for the last time at different moments.
-     */
-    private static final long STORED_LONGER_NANOS = Duration.ofSeconds(10).toNanos();
-
     /** Largest number of records in one message. */
     private static final int MAX_BATCH = 200;
 
@@ -57,7 +50,8 @@
     private final NodeMesh mesh;
     private final MajorityWatch majority;
     private final TimerService timers;
-    private final UpstreamDirectory directory;
+    private final ObservedSoftware observed;
+    private final SoftwareInUse software;
     private final LongSupplier lifetimeNanos;
     private final OriginTable table = new OriginTable();
     private final Map<Long, OriginQuery> queries = new HashMap<>();
@@ -71,19 +65,22 @@
      * @param mesh          the nodes
      * @param majority      whether this node reaches most of them
      * @param timers        timers of the network thread
-     * @param directory     the known upstreams
+     * @param observed      the versions that this node has heard of
+     * @param software      the versions that may have begun streams
      * @param lifetimeNanos supplies the time after which no caller takes a stream up, in nanoseconds from its start
      */
     public SharedStreamOrigins(
             NodeMesh mesh,
             MajorityWatch majority,
             TimerService timers,
-            UpstreamDirectory directory,
+            ObservedSoftware observed,
+            SoftwareInUse software,
             LongSupplier lifetimeNanos) {
         this.mesh = mesh;
         this.majority = majority;
         this.timers = timers;
-        this.directory = directory;
+        this.observed = observed;
+        this.software = software;
         this.lifetimeNanos = lifetimeNanos;
     }
 
@@ -129,15 +126,9 @@
         return majority.isInformed();
     }
 
-    /** {@inheritDoc} A version that became known in a minority may be unknown to the other side. */
     @Override
     public boolean mayBegin(UpstreamRecord upstream) {
-        OptionalLong lostAt = majority.lostAt();
-        if (lostAt.isEmpty()) {
-            return true;
-        }
-        OptionalLong learnedAt = directory.softwareLearnedAt(upstream.pool(), upstream.software());
-        return learnedAt.isPresent() && learnedAt.getAsLong() - lostAt.getAsLong() < 0;
+        return software.mayBegin(upstream);
     }
 
     @Override
@@ -145,7 +136,7 @@
         String pool = upstream.pool();
         OriginRecord added = new OriginRecord(key, pool, new StreamOrigin(upstream.software(), order));
         table.put(added, true, expiry());
-        if (isMixed(pool)) {
+        if (software.isMixed(pool)) {
             store(added);
         } else {
             mixedPools.remove(pool);
@@ -154,16 +145,12 @@
 
     @Override
     public void find(StreamKey key, String pool, Consumer<OriginResult> listener) {
-        Consumer<OriginResult> counted = result -> {
-            counters.record(result);
-            listener.accept(result);
-        };
-        ask(key, pool, result -> {
-            long wait = majority.exchangeNanosLeft();
-            if (result instanceof OriginResult.Unknown && wait > 0 && !isAmbiguous(pool)) {
-                timers.schedule(wait, () -> ask(key, pool, counted));
+        ask(key, pool, views -> {
+            Optional<StreamOrigin> newest = OriginView.newest(views);
+            if (newest.isPresent()) {
+                report(new OriginResult.Recorded(newest.get()), listener);
             } else {
-                counted.accept(result);
+                software.findOnly(pool, views, only -> onOnlyVersion(key, pool, views, only, listener));
             }
         });
     }
@@ -175,7 +162,7 @@
      */
     public void onUpstreamChange(UpstreamRecord change) {
         String pool = change.pool();
-        if (isMixed(pool) && mixedPools.add(pool)) {
+        if (software.isMixed(pool) && mixedPools.add(pool)) {
             List<OriginRecord> kept = table.own(pool, timers.nanoTime());
             LOGGER.info(
                     "event=stream-origins-stored pool={} software={} streams={}",
@@ -207,8 +194,37 @@
         Set.copyOf(queries.keySet()).forEach(this::finishIfComplete);
     }
 
-    /** Asks the nodes that would hold a record, and decides by what they and this node know. */
-    private void ask(StreamKey key, String pool, Consumer<OriginResult> listener) {
+    /** Handles the search for the only version; it is repeated once others have sent what they know after a start. */
+    private void onOnlyVersion(
+            StreamKey key,
+            String pool,
+            List<OriginView> views,
+            Optional<SoftwareVersion> only,
+            Consumer<OriginResult> listener) {
+        long left = majority.exchangeNanosLeft();
+        if (only.isEmpty() && left > 0 && !software.isMixed(pool)) {
+            timers.schedule(left, () -> find(key, pool, listener));
+            return;
+        }
+        LOGGER.info(
+                "event=stream-without-record key={} pool={} only={} views={} connected={} uptime_ms={}",
+                key.text(),
+                pool,
+                only.map(SoftwareVersion::text).orElse(""),
+                views,
+                mesh.count(),
+                Duration.ofNanos(majority.uptimeNanos()).toMillis());
+        OriginResult result = only.isPresent() ? new OriginResult.OnlyVersion(only.get()) : new OriginResult.Unknown();
+        report(result, listener);
+    }
+
+    private void report(OriginResult result, Consumer<OriginResult> listener) {
+        counters.record(result);
+        listener.accept(result);
+    }
+
+    /** Asks the nodes that would hold a record. */
+    private void ask(StreamKey key, String pool, Consumer<List<OriginView>> listener) {
         OriginView own = view(key, pool);
         List<MeshNode> asked =
                 table.isOwn(key, timers.nanoTime()) ? List.of() : RecordHolders.of(key, mesh.nodes(), ASKED);
@@ -229,22 +245,8 @@
         finishIfComplete(id);
     }
 
-    /** Returns whether more than one version may have begun a stream that is taken up now. */
-    private boolean isAmbiguous(String pool) {
-        return versions(pool, 0).size() > 1;
-    }
-
     private OriginView view(StreamKey key, String pool) {
-        return new OriginView(
-                table.find(key, timers.nanoTime()), List.copyOf(versions(pool, 0)), majority.isInformed());
-    }
-
-    private Set<SoftwareVersion> versions(String pool, long marginNanos) {
-        return directory.softwareSince(pool, timers.nanoTime() - lifetimeNanos.getAsLong() - marginNanos);
-    }
-
-    private boolean isMixed(String pool) {
-        return versions(pool, STORED_LONGER_NANOS).size() > 1;
+        return new OriginView(table.find(key, timers.nanoTime()), observed.versions(pool), majority.isInformed());
     }
 
     private long expiry() {
--- a/library/src/test/java/org/copperspindle/gateway/StreamHarness.java
+++ b/library/src/test/java/org/copperspindle/gateway/StreamHarness.java
@@ -46,6 +46,7 @@
 import org.copperspindle.mesh.MeshSettings;
 import org.copperspindle.mesh.NodeHelloMessage;
 import org.copperspindle.mesh.NodeMesh;
+import org.copperspindle.origin.ObservedSoftware;
 import org.copperspindle.origin.SharedStreamOrigins;
 import org.copperspindle.quarantine.RequestQuarantine;
 import org.copperspindle.quarantine.UpstreamRun;
@@ -362,8 +363,13 @@
                 new StreamResumptions(counters),
                 HeldMemories.unlimited(),
                 new PausedUpstreams(),
-                new SharedStreamOrigins(
-                        nodes, new MajorityWatch(nodes::count, time), time, directory, TIMEOUT::toNanos));
+                origins(nodes));
+    }
+
+    private SharedStreamOrigins origins(NodeMesh nodes) {
+        MajorityWatch majority = new MajorityWatch(nodes::count, time);
+        ObservedSoftware observed = new ObservedSoftware(directory, majority, time, TIMEOUT::toNanos);
+        return new SharedStreamOrigins(nodes, majority, time, observed, observed, TIMEOUT::toNanos);
     }
 
     /** Virtual time in which the node is suspended now and then. */
--- a/library/src/test/java/org/copperspindle/origin/OriginFleet.java
+++ b/library/src/test/java/org/copperspindle/origin/OriginFleet.java
@@ -195,7 +195,8 @@
             UpstreamDirectory directory = new UpstreamDirectory();
             gossip = new DirectoryGossip(mesh, time, directory);
             MajorityWatch majority = new MajorityWatch(mesh::count, time);
-            origins = new SharedStreamOrigins(mesh, majority, time, directory, LIFETIME::toNanos);
+            ObservedSoftware observed = new ObservedSoftware(directory, majority, time, LIFETIME::toNanos);
+            origins = new SharedStreamOrigins(mesh, majority, time, observed, observed, LIFETIME::toNanos);
             mesh.subscribe(majority);
             mesh.subscribe(gossip);
             mesh.subscribe(origins);
