admission: a stream that is taken up is not counted as having waited

Cause: the time since the caller's first attempt, taken from its deadline, was counted as a wait for the first event. A caller that has read its stream for seconds came 8 to 10 s behind all others.

Change: RequestTimes of a request that takes up a stream count its objective from now and half a stream to come; it counts as one that has come back, so that it waits longer and goes first within its account.

The rest of what a caller can no longer receive is still refused (streamThatIsTakenUpTooLateIsRefused).

--- a/library/src/main/java/org/copperspindle/gateway/GatewayService.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayService.java
@@ -101,11 +101,7 @@
         String pool = route.get().choosePool(poolDraw(route.get(), request));
         long waited = priorWaits.waitedMillis(route.get().name(), request.deadlineMillis());
         RequestTimes times = RequestTimes.of(
-                route.get(),
-                request.deadlineMillis(),
-                waited,
-                context.streamDurations().expectedNanos(route.get()),
-                arrivedAt);
+                route.get(), request, waited, context.streamDurations().expectedNanos(route.get()), arrivedAt);
         AdmittedRequest admitted = new AdmittedRequest(request, table.get(), route.get(), account, pool, times);
         new RequestRun(context, exchange, admitted).start();
     }
--- a/library/src/main/java/org/copperspindle/gateway/RequestTimes.java
+++ b/library/src/main/java/org/copperspindle/gateway/RequestTimes.java
@@ -32,6 +32,9 @@
      */
     private static final int CALLER_TIMEOUT_EVENT_GAPS = 8;
 
+    /** Expected share of a stream that its caller has not received when it takes the stream up. */
+    private static final double LEFT_OF_TAKEN_UP_STREAM = 0.5;
+
     /** Shortest time after which callers of streams leave. */
     private static final long MIN_CALLER_TIMEOUT_NANOS = Duration.ofSeconds(2).toNanos();
 
@@ -53,6 +56,34 @@
         return new RequestTimes(now, objectiveAt, now + time, now + callerTimeNanos, waitedMillis > 0, false);
     }
 
+    /**
+     * Computes the times of a request, which may take up a stream.
+     *
+     * @param route        route of the request
+     * @param request      the request
+     * @param waitedMillis how long its caller has already waited, with earlier attempts, unless it takes up a stream
+     * @param streamNanos  expected duration of a whole stream after its first event; 0 if unknown
+     * @param now          monotonic time in nanoseconds
+     */
+    static RequestTimes of(Route route, GatewayRequest request, long waitedMillis, long streamNanos, long now) {
+        boolean takenUp =
+                route.kind() == RouteKind.STREAM && request.resumePoint().isPresent();
+        return takenUp
+                ? takenUp(route, request.deadlineMillis(), streamNanos, now)
+                : of(route, request.deadlineMillis(), waitedMillis, streamNanos, now);
+    }
+
+    /**
+     * Computes the times of a request that takes up a stream. Its caller has not waited for a first event since its first
+     * attempt: it has read the stream in between. So its objective counts from now, like that of a request that begins a
+     * stream, and among those it counts as one that has come back.
+     */
+    private static RequestTimes takenUp(Route route, OptionalLong deadlineMillis, long streamNanos, long now) {
+        long leftNanos = (long) (streamNanos * LEFT_OF_TAKEN_UP_STREAM);
+        RequestTimes begun = of(route, deadlineMillis, 0, leftNanos, now);
+        return new RequestTimes(now, begun.objectiveAt, begun.deadlineAt, begun.callerTimeoutAt, true, false);
+    }
+
     /**
      * Returns the times of the same request while its stream is interrupted. The caller has received the first event,
      * so the latest time for that one does not end the work on the next.
--- a/library/src/test/java/org/copperspindle/gateway/StageAdmissionTest.java
+++ b/library/src/test/java/org/copperspindle/gateway/StageAdmissionTest.java
@@ -18,6 +18,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -27,6 +28,16 @@
 
     private static final double PIECES_PER_SECOND = 400;
 
+    private static final List<Integer> PIECES = List.of(6, 6);
+
+    private static final Route ROUTE = TestRoutes.route(
+            "r",
+            "h",
+            "/",
+            RouteKind.STREAM,
+            List.of(new WeightedPool("p", 1)),
+            List.of(new RouteStage("s1", List.of(), 10), new RouteStage("s2", List.of(0), 10)));
+
     private long waitMillis;
     private long expectedPieces;
     private final StageAdmission admission = new StageAdmission(this::load, new FirstEventLatencies());
@@ -83,6 +94,30 @@
         assertThat(admission.decide(request, false, 0).verdict()).isEqualTo(verdict);
     }
 
+    /**
+     * A caller has read a stream for seconds and takes it up: counted as if it had waited all that time, it would be refused
+     * under loads at which other streams begin.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {0, 300, 600, 1200, 1600})
+    void streamThatIsTakenUpStartsLikeOneThatBegins(long wait) {
+        waitMillis = wait;
+        StageAdmissionVerdict begun =
+                admission.decide(request(0, 20_000), false, 0).verdict();
+        StageAdmission other = new StageAdmission(this::load, new FirstEventLatencies());
+        assertThat(other.decide(takingUp(6000), false, 0).verdict()).isEqualTo(begun);
+        assertThat(takingUp(6000).retried()).as("has come back").isTrue();
+    }
+
+    /** The rest of a stream could not end before its caller leaves: it would take the room of others for nothing. */
+    @ParameterizedTest
+    @CsvSource({"0, 6000, BEGIN", "1600, 3000, REFUSE"})
+    void streamThatIsTakenUpTooLateIsRefused(long wait, long deadlineMillis, StageAdmissionVerdict verdict) {
+        waitMillis = wait;
+        assertThat(admission.decide(takingUp(deadlineMillis), false, 0).verdict())
+                .isEqualTo(verdict);
+    }
+
     /**
      * Under a lasting load pools are never idle: the longer a request was deferred, the longer the waits at which it
      * may start.
@@ -201,19 +236,20 @@
     }
 
     private static AdmittedRequest request(long waitedMillis, long deadlineMillis, long streamNanos, long now) {
-        Route route = TestRoutes.route(
-                "r",
-                "h",
-                "/",
-                RouteKind.STREAM,
-                List.of(new WeightedPool("p", 1)),
-                List.of(new RouteStage("s1", List.of(), 10), new RouteStage("s2", List.of(0), 10)));
+        GatewayRequest request = TestRequests.request("id", OptionalLong.of(deadlineMillis), List.of(), PIECES);
+        return admitted(request, RequestTimes.of(ROUTE, request.deadlineMillis(), waitedMillis, streamNanos, now));
+    }
+
+    private static AdmittedRequest takingUp(long deadlineMillis) {
+        GatewayRequest request = TestRequests.takingUp("id", OptionalLong.of(deadlineMillis), PIECES);
+        return admitted(request, RequestTimes.of(ROUTE, request, 9000, 2000 * MILLI, 0));
+    }
+
+    private static AdmittedRequest admitted(GatewayRequest request, RequestTimes times) {
         RouteTable table = TestRoutes.table(
                 1,
-                List.of(route),
+                List.of(ROUTE),
                 List.of(TestRoutes.pool("p"), TestRoutes.stagePool("s1"), TestRoutes.stagePool("s2")));
-        GatewayRequest request = TestRequests.request("id", OptionalLong.of(deadlineMillis), List.of(), List.of(6, 6));
-        RequestTimes times = RequestTimes.of(route, request.deadlineMillis(), waitedMillis, streamNanos, now);
-        return new AdmittedRequest(request, table, route, Optional.empty(), "p", times);
+        return new AdmittedRequest(request, table, ROUTE, Optional.empty(), "p", times);
     }
 }
--- a/library/src/test/java/org/copperspindle/gateway/TestRequests.java
+++ b/library/src/test/java/org/copperspindle/gateway/TestRequests.java
@@ -14,6 +14,21 @@
     // Creates a request from its stages and its prompt.
     static GatewayRequest request(
             String id, OptionalLong deadlineMillis, List<PromptPart> prompt, List<Integer> pieces) {
+        return request(id, deadlineMillis, Optional.empty(), prompt, pieces);
+    }
+
+    // Creates a request that takes up a stream after its second event.
+    static GatewayRequest takingUp(String id, OptionalLong deadlineMillis, List<Integer> pieces) {
+        ResumePoint point = new ResumePoint("2", Optional.of("first"));
+        return request(id, deadlineMillis, Optional.of(point), List.of(), pieces);
+    }
+
+    private static GatewayRequest request(
+            String id,
+            OptionalLong deadlineMillis,
+            Optional<ResumePoint> resumePoint,
+            List<PromptPart> prompt,
+            List<Integer> pieces) {
         return new GatewayRequest(
                 id,
                 "POST",
@@ -22,7 +37,7 @@
                 new byte[0],
                 Optional.empty(),
                 deadlineMillis,
-                Optional.empty(),
+                resumePoint,
                 prompt,
                 pieces,
                 "k",
