--- a/library/src/main/java/org/copperspindle/discovery/UpstreamDirectory.java
+++ b/library/src/main/java/org/copperspindle/discovery/UpstreamDirectory.java
@@ -28,7 +28,7 @@
      * Time after which a silent upstream is removed; longer than any delayed announcement or forwarded record is
      * under way.
      */
-    private static final long EXPIRY_NANOS = Duration.ofSeconds(60).toNanos();
+    public static final Duration EXPIRY = Duration.ofSeconds(60);
 
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
@@ -223,7 +223,7 @@
     public void removeSilent(long now) {
         readyByPool.clear();
         software.removeExpired(now);
-        byId.values().removeIf(known -> now - known.receivedAt() > EXPIRY_NANOS);
+        byId.values().removeIf(known -> now - known.receivedAt() > EXPIRY.toNanos());
         ownerIdByAddress.values().removeIf(id -> !byId.containsKey(id));
     }
 
--- a/library/src/main/java/org/copperspindle/gateway/ControlGroupMember.java
+++ b/library/src/main/java/org/copperspindle/gateway/ControlGroupMember.java
@@ -12,6 +12,7 @@
 import org.copperspindle.version.EvacuationsMessage;
 import org.copperspindle.version.MemberStatus;
 import org.copperspindle.version.MemberSupervisor;
+import org.copperspindle.version.SoftwareInUseMessage;
 import org.copperspindle.version.VersionExchange;
 import org.copperspindle.version.VersionMessage;
 import org.copperspindle.version.VersionObserver;
@@ -113,5 +114,11 @@
             seenGroup = true;
             network.execute(() -> versionExchange.onRecorded(evacuations));
         }
+
+        @Override
+        public void onSoftware(SoftwareInUseMessage software) {
+            seenGroup = true;
+            network.execute(() -> versionExchange.onRecorded(software));
+        }
     }
 }
--- a/library/src/main/java/org/copperspindle/gateway/GatewayMessages.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayMessages.java
@@ -27,6 +27,7 @@
 import org.copperspindle.standby.DispatcherHeartbeatMessage;
 import org.copperspindle.standby.TakeoverMessage;
 import org.copperspindle.version.EvacuationsMessage;
+import org.copperspindle.version.SoftwareInUseMessage;
 import org.copperspindle.version.VersionLeaseRequestMessage;
 import org.copperspindle.version.VersionLeaseResponseMessage;
 import org.copperspindle.version.VersionMessage;
@@ -47,6 +48,7 @@
                 .register(RelayMessage.CODEC)
                 .register(VersionMessage.CODEC)
                 .register(EvacuationsMessage.CODEC)
+                .register(SoftwareInUseMessage.CODEC)
                 .register(VersionLeaseRequestMessage.CODEC)
                 .register(VersionLeaseResponseMessage.CODEC)
                 .register(UpstreamRecordsMessage.CODEC)
--- a/library/src/main/java/org/copperspindle/gateway/GatewayMetrics.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayMetrics.java
@@ -34,7 +34,7 @@
     GatewayMetrics(NodeState node) {
         this.node = node;
         this.admissionMetrics = new AdmissionMetrics(node.stageStarts());
-        this.originMetrics = new OriginMetrics(node.origins());
+        this.originMetrics = new OriginMetrics(node.origins(), node.versionHolder());
     }
 
     @Override
--- a/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
@@ -168,7 +168,7 @@
                 timers::nanoTime,
                 decisionLog);
         PausedUpstreams paused = new PausedUpstreams();
-        this.origins = OriginsFactory.create(mesh, timers, directory, versionHolder::heldTable);
+        this.origins = OriginsFactory.create(mesh, timers, directory, versionHolder);
         DirectClient client = new DirectClient(
                 loop,
                 timers,
@@ -423,6 +423,7 @@
                 () -> new WireTransport(eventLoops, registry, greeting, MeshSettings.LIMITS);
         member = Optional.of(
                 new ControlGroupMember(settings, folder, voterDiscovery, versionExchange, transports, loop));
+        loop.execute(OriginsFactory.createProposer(versionExchange, versionHolder, directory, timers)::start);
     }
 
     private NodeHelloMessage hello() {
--- a/library/src/main/java/org/copperspindle/gateway/OriginMetrics.java
+++ b/library/src/main/java/org/copperspindle/gateway/OriginMetrics.java
@@ -6,6 +6,7 @@
 import org.copperspindle.measure.MetricsRegistry;
 import org.copperspindle.origin.OriginCounters;
 import org.copperspindle.origin.SharedStreamOrigins;
+import org.copperspindle.version.VersionHolder;
 
 /**
  * Publishes the metrics of stream origins.
@@ -13,10 +14,12 @@
 final class OriginMetrics {
 
     private final SharedStreamOrigins origins;
+    private final VersionHolder holder;
     private final Set<String> published = new HashSet<>();
 
-    OriginMetrics(SharedStreamOrigins origins) {
+    OriginMetrics(SharedStreamOrigins origins, VersionHolder holder) {
         this.origins = origins;
+        this.holder = holder;
     }
 
     /** Publishes the series that every node has. */
@@ -31,6 +34,11 @@
                 "1 while this node may conclude from the only version that it knows where a stream began",
                 origins,
                 o -> o.isInformed() ? 1 : 0);
+        metrics.gauge(
+                "stream.software.versions",
+                "Software versions that are recorded as in use, over all pools",
+                holder,
+                h -> h.software().count());
         metrics.counter(
                 "stream.origins.dropped",
                 "Records of such streams that were dropped early",
--- a/library/src/main/java/org/copperspindle/gateway/OriginsFactory.java
+++ b/library/src/main/java/org/copperspindle/gateway/OriginsFactory.java
@@ -1,32 +1,45 @@
 package org.copperspindle.gateway;
 
-import java.util.Optional;
-import java.util.function.Supplier;
-
 import org.copperspindle.discovery.UpstreamDirectory;
 import org.copperspindle.mesh.MajorityWatch;
 import org.copperspindle.mesh.NodeMesh;
 import org.copperspindle.origin.ObservedSoftware;
 import org.copperspindle.origin.SharedStreamOrigins;
-import org.copperspindle.route.RouteTable;
 import org.copperspindle.time.TimerService;
+import org.copperspindle.version.VersionExchange;
+import org.copperspindle.version.VersionHolder;
 
 /**
- * Creates the stream origins of a node and connects them with the other nodes and the directory.
+ * Creates the stream origins of a node and connects them with the other nodes, the directory and the recorded versions.
  */
 final class OriginsFactory {
 
     private OriginsFactory() {}
 
     static SharedStreamOrigins create(
-            NodeMesh mesh, TimerService timers, UpstreamDirectory directory, Supplier<Optional<RouteTable>> tables) {
+            NodeMesh mesh, TimerService timers, UpstreamDirectory directory, VersionHolder holder) {
         MajorityWatch majority = new MajorityWatch(mesh::count, timers);
-        StreamLifetime lifetime = new StreamLifetime(tables);
+        StreamLifetime lifetime = new StreamLifetime(holder::heldTable);
         ObservedSoftware observed = new ObservedSoftware(directory, majority, timers, lifetime);
-        SharedStreamOrigins origins = new SharedStreamOrigins(mesh, majority, timers, observed, observed, lifetime);
+        AgreedSoftware agreed = new AgreedSoftware(holder, observed, timers);
+        SharedStreamOrigins origins = new SharedStreamOrigins(mesh, majority, timers, observed, agreed, lifetime);
         mesh.subscribe(majority);
         mesh.subscribe(origins);
         directory.subscribe(origins::onUpstreamChange);
+        holder.subscribeSoftware(software -> software.versionsByPool().keySet().forEach(origins::onSoftwareChange));
         return origins;
     }
+
+    static SoftwareProposer createProposer(
+            VersionExchange exchange, VersionHolder holder, UpstreamDirectory directory, TimerService timers) {
+        SoftwareProposer proposer = new SoftwareProposer(
+                new GroupSoftwareProposals(exchange, holder),
+                holder::heldTable,
+                directory,
+                timers,
+                new StreamLifetime(holder::heldTable),
+                holder.lease());
+        directory.subscribe(upstream -> proposer.check());
+        return proposer;
+    }
 }
--- a/library/src/main/java/org/copperspindle/gateway/RequestRun.java
+++ b/library/src/main/java/org/copperspindle/gateway/RequestRun.java
@@ -207,6 +207,7 @@
         AdmittedRequest current = resumption.request();
         search = Optional.of(new UpstreamSearch(
                 context, current, eligibility, stages.inputs(), current.resumedUntil(), new SearchListener()));
+        search.get().waitFor(eligibility::isAwaited);
         search.get().seek();
     }
 
--- a/library/src/main/java/org/copperspindle/gateway/StageEntrance.java
+++ b/library/src/main/java/org/copperspindle/gateway/StageEntrance.java
@@ -93,7 +93,7 @@
             return true;
         }
         OptionalLong backpressure = UpstreamSearch.backpressureNanos(
-                context, admitted, eligibility, context.timers().nanoTime());
+                context, admitted, eligibility::isExpected, context.timers().nanoTime());
         if (backpressure.isPresent()) {
             refuse(Refusal.backpressure(context.retryAfterDelays().after(backpressure.getAsLong())));
         }
--- a/library/src/main/java/org/copperspindle/gateway/StreamSoftware.java
+++ b/library/src/main/java/org/copperspindle/gateway/StreamSoftware.java
@@ -93,7 +93,7 @@
         return eligibility.software().isPresent()
                 && admitted.table()
                         .findPool(admitted.pool())
-                        .filter(pool -> context.chooser().hasEligible(pool, eligibility))
+                        .filter(pool -> context.chooser().hasEligible(pool, eligibility::isExpected))
                         .isEmpty();
     }
 
--- a/library/src/main/java/org/copperspindle/gateway/UpstreamChooser.java
+++ b/library/src/main/java/org/copperspindle/gateway/UpstreamChooser.java
@@ -228,6 +228,18 @@
         return directory.ready(pool.name()).stream().anyMatch(eligible);
     }
 
+    /**
+     * Returns whether an upstream that fulfils a condition is healthy and has not requested a backoff.
+     *
+     * @param pool      the pool
+     * @param condition the condition
+     * @param now       monotonic time in nanoseconds
+     * @return true if it could be chosen
+     */
+    boolean hasUsable(UpstreamPool pool, Predicate<UpstreamRecord> condition, long now) {
+        return !candidates(pool, condition, now).isEmpty();
+    }
+
     private List<UpstreamRecord> limitedCandidates(UpstreamPool pool, Predicate<UpstreamRecord> eligible, long now) {
         return candidates(pool, eligible, now).stream()
                 .filter(u -> permits.isNeeded(u.id()))
--- a/library/src/main/java/org/copperspindle/gateway/UpstreamEligibility.java
+++ b/library/src/main/java/org/copperspindle/gateway/UpstreamEligibility.java
@@ -31,13 +31,23 @@
 
     @Override
     public boolean test(UpstreamRecord upstream) {
-        if (tried.contains(upstream.id()) || !permitted.test(upstream)) {
-            return false;
-        }
-        return software.isPresent() ? software.get().equals(upstream.software()) : mayBegin.test(upstream);
+        return isExpected(upstream) && mayBegin.test(upstream);
     }
 
-    /** Limits which upstreams may begin the stream; one that is continued is limited by its software alone. */
+    /** Returns whether an upstream gets the request at the latest once it may begin streams. */
+    boolean isExpected(UpstreamRecord upstream) {
+        return !tried.contains(upstream.id())
+                && permitted.test(upstream)
+                && software.filter(version -> !version.equals(upstream.software()))
+                        .isEmpty();
+    }
+
+    /** Returns whether an upstream gets the request as soon as it may begin streams. */
+    boolean isAwaited(UpstreamRecord upstream) {
+        return isExpected(upstream) && !mayBegin.test(upstream);
+    }
+
+    /** Limits which upstreams may begin the stream or go on with it, besides by their software. */
     void beginOnlyAt(Predicate<UpstreamRecord> condition) {
         mayBegin = condition;
     }
--- a/library/src/main/java/org/copperspindle/gateway/UpstreamForecast.java
+++ b/library/src/main/java/org/copperspindle/gateway/UpstreamForecast.java
@@ -1,6 +1,7 @@
 package org.copperspindle.gateway;
 
 import java.util.Optional;
+import java.util.function.Predicate;
 
 import org.copperspindle.discovery.UpstreamRecord;
 
@@ -32,8 +33,7 @@
      * @param stagesNanos duration of the stages in nanoseconds
      */
     Optional<UpstreamRecord> afterNanos(long stagesNanos) {
-        long now = context.timers().nanoTime();
-        return UpstreamSearch.predict(context, admitted, eligibility, stagesNanos, now);
+        return afterNanos(eligibility, stagesNanos);
     }
 
     /**
@@ -43,6 +43,11 @@
      */
     Optional<String> failureDomainAfterStages() {
         long stagesNanos = context.stageAdmission().estimatedStagesNanos(admitted);
-        return afterNanos(stagesNanos).map(UpstreamRecord::failureDomain);
+        return afterNanos(eligibility::isExpected, stagesNanos).map(UpstreamRecord::failureDomain);
+    }
+
+    private Optional<UpstreamRecord> afterNanos(Predicate<UpstreamRecord> permitted, long stagesNanos) {
+        long now = context.timers().nanoTime();
+        return UpstreamSearch.predict(context, admitted, permitted, stagesNanos, now);
     }
 }
--- a/library/src/main/java/org/copperspindle/gateway/UpstreamSearch.java
+++ b/library/src/main/java/org/copperspindle/gateway/UpstreamSearch.java
@@ -27,6 +27,9 @@
     /** Upstreams that are asked for a later permit; each request costs a round trip between nodes. */
     private static final int MAX_DELAYED_PERMITS = 3;
 
+    /** How long a search waits for upstreams whose software version is not recorded yet; a commit takes some ms. */
+    private static final long MAX_RECORDING_NANOS = Duration.ofSeconds(1).toNanos();
+
     /** Interval for checking cold upstreams again, and those whose backoff has just ended. */
     private static final long CHECK_INTERVAL_NANOS = Duration.ofMillis(75).toNanos();
 
@@ -37,6 +40,8 @@
     private final OptionalLong nextEventBy;
     private final Listener listener;
     private final Set<String> delayedPermitsRequested = new HashSet<>();
+    private Predicate<UpstreamRecord> awaited = upstream -> false;
+    private OptionalLong awaitsUntil = OptionalLong.empty();
     private int immediatePermits;
     private Optional<PlacementReason> placement = Optional.empty();
     private boolean ended;
@@ -112,6 +117,11 @@
                 .map(ChosenUpstream::upstream);
     }
 
+    /** Sets which upstreams become eligible soon; the search waits for them shortly if there are no others. */
+    void waitFor(Predicate<UpstreamRecord> soonEligible) {
+        awaited = soonEligible;
+    }
+
     /** Starts or continues the search. */
     void seek() {
         Optional<UpstreamPool> pool = admitted.table().findPool(admitted.pool());
@@ -163,8 +173,12 @@
         return new PlacementTimes(admitted.request().id(), lateAt - now, nextEventBy.isPresent());
     }
 
-    /** Waits for upstreams that are cold or back off, unless that takes longer than the caller waits. */
+    /** Waits for upstreams that are cold, back off or are awaited, unless that takes longer than the caller waits. */
     private void retryOrGiveUp(UpstreamPool pool, long callerTimeNanos, long now) {
+        if (CHECK_INTERVAL_NANOS < callerTimeNanos && isWorthAwaiting(pool, now)) {
+            context.timers().schedule(CHECK_INTERVAL_NANOS, this::seek);
+            return;
+        }
         OptionalLong earliest = context.chooser().earliestNanos(pool, eligible, now);
         boolean waits = context.chooser().isWarming(pool, eligible, now) || earliest.isPresent();
         long wait = Math.max(CHECK_INTERVAL_NANOS, earliest.orElse(0));
@@ -175,6 +189,14 @@
         }
     }
 
+    private boolean isWorthAwaiting(UpstreamPool pool, long now) {
+        if (!context.chooser().hasUsable(pool, awaited, now)) {
+            return false;
+        }
+        awaitsUntil = OptionalLong.of(awaitsUntil.orElse(now + MAX_RECORDING_NANOS));
+        return now - awaitsUntil.getAsLong() < 0;
+    }
+
     private void selectOrRequestPermit(UpstreamPool pool, UpstreamRecord upstream) {
         if (context.permits().isNeeded(upstream.id())) {
             immediatePermits++;
--- a/library/src/main/java/org/copperspindle/origin/SharedStreamOrigins.java
+++ b/library/src/main/java/org/copperspindle/origin/SharedStreamOrigins.java
@@ -161,14 +161,18 @@
      * @param change an upstream that has changed
      */
     public void onUpstreamChange(UpstreamRecord change) {
-        String pool = change.pool();
+        onSoftwareChange(change.pool());
+    }
+
+    /**
+     * Stores the streams of a pool elsewhere as soon as a second version may begin some in it.
+     *
+     * @param pool name of the pool
+     */
+    public void onSoftwareChange(String pool) {
         if (software.isMixed(pool) && mixedPools.add(pool)) {
             List<OriginRecord> kept = table.own(pool, timers.nanoTime());
-            LOGGER.info(
-                    "event=stream-origins-stored pool={} software={} streams={}",
-                    pool,
-                    change.software().text(),
-                    kept.size());
+            LOGGER.info("event=stream-origins-stored pool={} streams={}", pool, kept.size());
             store(kept);
         }
     }
--- a/library/src/main/java/org/copperspindle/version/VersionExchange.java
+++ b/library/src/main/java/org/copperspindle/version/VersionExchange.java
@@ -2,9 +2,12 @@
 
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.Executor;
+import java.util.function.Consumer;
 
 import org.copperspindle.mesh.MeshListener;
 import org.copperspindle.mesh.MeshNode;
@@ -26,6 +29,7 @@
     private final TimerService timers;
     private final Executor network;
     private final Map<String, SentVersion> sent = new HashMap<>();
+    private final Set<String> softwareReaders = new HashSet<>();
     private VersionHolder holder;
     private Optional<VersionMember> member = Optional.empty();
     private MemberStatus status = MemberStatus.NONE;
@@ -161,9 +165,50 @@
         }
     }
 
+    /**
+     * Processes the software versions in use that this node's member has recorded.
+     *
+     * @param software all versions in use
+     */
+    public void onRecorded(SoftwareInUseMessage software) {
+        holder.receive(software);
+        if (status.leads()) {
+            mesh.broadcast(software);
+        }
+    }
+
+    /**
+     * Returns whether all members of the control group can apply changes of the software versions in use, as far as this
+     * node knows.
+     *
+     * @return false while a connected node with a disk has not shown by a lease request that its build can
+     */
+    public boolean isSoftwareReadable() {
+        return mesh.nodes().stream()
+                .filter(node -> node.hello().durable())
+                .allMatch(node -> softwareReaders.contains(node.address()));
+    }
+
+    /**
+     * Records a change of the software versions in use if this node's member is the leader.
+     *
+     * @param change   the change
+     * @param callback receives the result on the network thread
+     */
+    public void changeSoftware(SoftwareCommand change, Consumer<VersionResult> callback) {
+        if (member.isPresent() && status.leads()) {
+            member.get().changeSoftware(change, result -> network.execute(() -> callback.accept(result)));
+        } else {
+            callback.accept(new VersionResult.NotLeading());
+        }
+    }
+
     @Override
     public void onMessage(MeshNode node, WireMessage message) {
         if (message instanceof VersionLeaseRequestMessage request) {
+            if (request.readsSoftware()) {
+                softwareReaders.add(node.address());
+            }
             member.ifPresent(own ->
                     own.readIfLeading(newest -> network.execute(() -> respond(node.address(), request, newest))));
         } else if (message instanceof VersionLeaseResponseMessage respond) {
@@ -172,6 +217,8 @@
             holder.receive(newVersion);
         } else if (message instanceof EvacuationsMessage evacuations) {
             holder.receive(evacuations);
+        } else if (message instanceof SoftwareInUseMessage software) {
+            holder.receive(software);
         }
     }
 
@@ -190,11 +237,13 @@
     @Override
     public void onNodeDown(MeshNode node) {
         sent.remove(node.address());
+        softwareReaders.remove(node.address());
     }
 
     private void respondToSelf(long sequence, VersionSnapshotMessage newest) {
         newest.newestVersion().ifPresent(holder::receive);
         holder.receive(newest.evacuations());
+        holder.receive(newest.software());
         holder.receive(lease(sequence, newest));
     }
 
@@ -208,12 +257,18 @@
         if (newest.evacuations().revision() > request.revision()) {
             node.get().send(newest.evacuations());
         }
+        if (request.readsSoftware() && newest.software().revision() > request.software()) {
+            node.get().send(newest.software());
+        }
         node.get().send(lease(request.sequence(), newest));
     }
 
     private static VersionLeaseResponseMessage lease(long sequence, VersionSnapshotMessage newest) {
         return new VersionLeaseResponseMessage(
-                sequence, newest.version(), newest.evacuations().revision());
+                sequence,
+                newest.version(),
+                newest.evacuations().revision(),
+                newest.software().revision());
     }
 
     private void push(MeshNode node, long held, VersionMessage newVersion) {
--- a/library/src/main/java/org/copperspindle/version/VersionHolder.java
+++ b/library/src/main/java/org/copperspindle/version/VersionHolder.java
@@ -17,7 +17,8 @@
 import org.copperspindle.time.TimerService;
 
 /**
- * Holds the configuration version that this node serves by, the evacuated failure domains, and the lease on both. A
+ * Holds the configuration version that this node serves by, the evacuated failure domains, the software versions in use,
+ * and the lease on all of them. A
  * node never returns to a lower version or revision. It serves only under a lease: without one, an isolated node
  * could keep accepting revoked keys or using evacuated upstreams, and a restarted node could start with outdated
  * data. Must be used on the network thread.
@@ -38,10 +39,14 @@
     private final Consumer<VersionLeaseRequestMessage> requestSender;
     private final List<Consumer<RouteTable>> listeners = new ArrayList<>();
     private final List<Consumer<EvacuationsMessage>> evacuationListeners = new ArrayList<>();
+    private final List<Consumer<SoftwareInUseMessage>> softwareListeners = new ArrayList<>();
+    private final LeaseConfirmations confirmations;
     private final Deque<PendingRequest> pendingRequests = new ArrayDeque<>();
     private Optional<VersionMessage> heldVersion = Optional.empty();
     private Optional<RouteTable> table = Optional.empty();
     private EvacuationsMessage evacuations = EvacuationsMessage.NONE;
+    private SoftwareInUseMessage software = SoftwareInUseMessage.NONE;
+    private boolean softwareKept;
     private boolean leased;
     private boolean everLeased;
     private long leaseUntil;
@@ -68,6 +73,7 @@
         this.leaseNanos = lease.toNanos();
         this.watch = watch;
         this.requestSender = requestSender;
+        this.confirmations = new LeaseConfirmations(timers, () -> sequence, this::requestLease);
     }
 
     /**
@@ -88,6 +94,15 @@
         evacuationListeners.add(listener);
     }
 
+    /**
+     * Adds a listener.
+     *
+     * @param listener called with each list of software versions in use that this node starts to hold
+     */
+    public void subscribeSoftware(Consumer<SoftwareInUseMessage> listener) {
+        softwareListeners.add(listener);
+    }
+
     /** Starts requesting leases periodically. */
     public void start() {
         requestLease();
@@ -102,7 +117,17 @@
         if (pendingRequests.size() > MAX_PENDING_REQUESTS) {
             pendingRequests.removeFirst();
         }
-        requestSender.accept(new VersionLeaseRequestMessage(sequence, version(), evacuations.revision()));
+        requestSender.accept(
+                new VersionLeaseRequestMessage(sequence, version(), evacuations.revision(), software.revision()));
+    }
+
+    /**
+     * Confirms that this node holds everything that was committed before this call.
+     *
+     * @param listener receives true once the response to a later lease request has been taken; false if none was in 250 ms
+     */
+    public void confirm(Consumer<Boolean> listener) {
+        confirmations.await(listener);
     }
 
     /**
@@ -120,8 +145,7 @@
         }
         pendingRequests.removeIf(pending -> pending.sequence() <= response.sequence());
         // Missing data is already in transit on the same connection.
-        required = Optional.of(new RequiredState(
-                response.version(), response.revision(), request.get().sentAt()));
+        required = Optional.of(new RequiredState(response, request.get().sentAt()));
         extendIfComplete();
     }
 
@@ -168,6 +192,27 @@
         extendIfComplete();
     }
 
+    /**
+     * Processes a list of software versions in use. A list that is not newer than the held one is ignored.
+     *
+     * @param received the list
+     */
+    public void receive(SoftwareInUseMessage received) {
+        if (received.revision() <= software.revision()) {
+            return;
+        }
+        LOGGER.info(
+                "event=software-held revision={} before={} versions={} leased={}",
+                received.revision(),
+                software.revision(),
+                received.versionsByPool(),
+                isLeased());
+        software = received;
+        softwareKept = true;
+        softwareListeners.forEach(listener -> listener.accept(received));
+        extendIfComplete();
+    }
+
     /**
      * Returns the version held.
      *
@@ -186,6 +231,24 @@
         return evacuations;
     }
 
+    /**
+     * Returns the software versions in use known to this node, with or without a lease.
+     *
+     * @return the newest list held
+     */
+    public SoftwareInUseMessage software() {
+        return software;
+    }
+
+    /**
+     * Returns whether the leader keeps the list of software versions in use.
+     *
+     * @return false before the first version is recorded, and while the leader is of a build without the list
+     */
+    public boolean isSoftwareKept() {
+        return softwareKept;
+    }
+
     /**
      * Returns the held table, whether in force or not.
      *
@@ -205,6 +268,15 @@
         return isLeased() ? table : Optional.empty();
     }
 
+    /**
+     * Returns the duration of a lease.
+     *
+     * @return how long this node serves by a state without a confirmation of the leader
+     */
+    public Duration lease() {
+        return Duration.ofNanos(leaseNanos);
+    }
+
     /**
      * Returns whether this node has had a lease since it started.
      *
@@ -236,14 +308,21 @@
     }
 
     private void extendIfComplete() {
-        Optional<RequiredState> complete =
-                required.filter(state -> state.version() <= version() && state.revision() <= evacuations.revision());
+        Optional<RequiredState> complete = required.filter(state -> isHeld(state.response()));
         complete.ifPresent(state -> {
             required = Optional.empty();
+            softwareKept = state.response().software() > 0;
             extend(state.sentAt());
+            confirmations.onTaken(state.response().sequence());
         });
     }
 
+    private boolean isHeld(VersionLeaseResponseMessage named) {
+        return named.version() <= version()
+                && named.revision() <= evacuations.revision()
+                && named.software() <= software.revision();
+    }
+
     private void extend(long sentAt) {
         long until = sentAt + leaseNanos;
         if (timers.nanoTime() - until >= 0) {
@@ -261,6 +340,6 @@
 
     private record PendingRequest(long sequence, long sentAt) {}
 
-    /** Newest version and revision according to the leader, and when the request was sent. */
-    private record RequiredState(long version, long revision, long sentAt) {}
+    /** Newest state according to the leader, and when the request was sent. */
+    private record RequiredState(VersionLeaseResponseMessage response, long sentAt) {}
 }
--- a/library/src/main/java/org/copperspindle/version/VersionMember.java
+++ b/library/src/main/java/org/copperspindle/version/VersionMember.java
@@ -109,6 +109,16 @@
         propose(EvacuationCommand.CODEC.encode(order), callback);
     }
 
+    /**
+     * Records a change of the software versions in use.
+     *
+     * @param change   the change
+     * @param callback receives the result
+     */
+    public void changeSoftware(SoftwareCommand change, Consumer<VersionResult> callback) {
+        propose(SoftwareCommand.CODEC.encode(change), callback);
+    }
+
     /**
      * Reads the newest version. The read goes through the log: a leader that was suspended and does not know yet that
      * it has been replaced could otherwise return an outdated version.
--- a/library/src/main/java/org/copperspindle/version/VersionObserver.java
+++ b/library/src/main/java/org/copperspindle/version/VersionObserver.java
@@ -18,4 +18,11 @@
      * @param evacuations all failure domains that are evacuated now
      */
     void onEvacuations(EvacuationsMessage evacuations);
+
+    /**
+     * Called when a software version begins or ceases to be in use.
+     *
+     * @param software all versions that are in use now
+     */
+    default void onSoftware(SoftwareInUseMessage software) {}
 }
--- a/library/src/main/java/org/copperspindle/version/VersionSnapshotMessage.java
+++ b/library/src/main/java/org/copperspindle/version/VersionSnapshotMessage.java
@@ -12,8 +12,10 @@
  *
  * @param newestVersion newest version, empty if none was accepted yet
  * @param evacuations   failure domains that are evacuated
+ * @param software      software versions in use; not kept in snapshots of builds without them
  */
-public record VersionSnapshotMessage(Optional<VersionMessage> newestVersion, EvacuationsMessage evacuations)
+public record VersionSnapshotMessage(
+        Optional<VersionMessage> newestVersion, EvacuationsMessage evacuations, SoftwareInUseMessage software)
         implements WireMessage {
 
     /** Codec of this message. */
@@ -21,7 +23,8 @@
             215, VersionSnapshotMessage.class, VersionSnapshotMessage::write, VersionSnapshotMessage::read);
 
     /** State before anything was accepted. */
-    static final VersionSnapshotMessage EMPTY = new VersionSnapshotMessage(Optional.empty(), EvacuationsMessage.NONE);
+    static final VersionSnapshotMessage EMPTY =
+            new VersionSnapshotMessage(Optional.empty(), EvacuationsMessage.NONE, SoftwareInUseMessage.NONE);
 
     /**
      * Returns the number of the newest version.
@@ -35,12 +38,29 @@
     private void write(FieldWriter out) {
         newestVersion.ifPresent(newest -> out.put(1, VersionMessage.CODEC.encode(newest)));
         out.put(2, EvacuationsMessage.CODEC.encode(evacuations));
+        if (software.isKept()) {
+            out.put(3, SoftwareInUseMessage.CODEC.encode(software));
+        }
+    }
+
+    VersionSnapshotMessage with(VersionMessage newVersion) {
+        return new VersionSnapshotMessage(Optional.of(newVersion), evacuations, software);
+    }
+
+    VersionSnapshotMessage with(EvacuationsMessage next) {
+        return new VersionSnapshotMessage(newestVersion, next, software);
+    }
+
+    VersionSnapshotMessage with(SoftwareInUseMessage next) {
+        return new VersionSnapshotMessage(newestVersion, evacuations, next);
     }
 
     private static VersionSnapshotMessage read(FieldReader in) {
         byte[] text = in.getBytes(1);
+        byte[] software = in.getBytes(3);
         return new VersionSnapshotMessage(
                 text.length == 0 ? Optional.empty() : Optional.of(VersionMessage.CODEC.decodeNested(text)),
-                EvacuationsMessage.CODEC.decodeNested(in.getBytes(2)));
+                EvacuationsMessage.CODEC.decodeNested(in.getBytes(2)),
+                software.length == 0 ? SoftwareInUseMessage.NONE : SoftwareInUseMessage.CODEC.decodeNested(software));
     }
 }
--- a/library/src/main/java/org/copperspindle/version/VersionState.java
+++ b/library/src/main/java/org/copperspindle/version/VersionState.java
@@ -11,11 +11,12 @@
 import org.copperspindle.wire.WireMessage;
 
 /**
- * Replicated state: the newest accepted version and the evacuated failure domains.
+ * Replicated state: the newest accepted version, the evacuated failure domains and the software versions in use.
  *
  * <p>The highest version wins. A version that is not above the held one changes nothing, so a resent or delayed
  * change can be acknowledged safely, and of two texts with the same number the first one stands. Evacuation orders
- * carry no number: the last one in the log wins, and an order that matches the current state changes nothing.
+ * and changes of the software carry no number: the last one in the log wins, and one that matches the current state
+ * changes nothing.
  */
 public final class VersionState implements ReplicatedState {
 
@@ -34,6 +35,7 @@
     private static final MessageRegistry FORMAT = new MessageRegistry()
             .register(VersionMessage.CODEC)
             .register(EvacuationCommand.CODEC)
+            .register(SoftwareCommand.CODEC)
             .register(VersionSnapshotMessage.CODEC);
 
     private final VersionObserver observer;
@@ -42,7 +44,7 @@
     /**
      * Creates the state.
      *
-     * @param observer notified of each version and list of evacuations that comes into force
+     * @param observer notified of each version and list that comes into force
      */
     public VersionState(VersionObserver observer) {
         this.observer = observer;
@@ -66,6 +68,9 @@
         if (message instanceof EvacuationCommand order) {
             return evacuate(order, index, term);
         }
+        if (message instanceof SoftwareCommand change) {
+            return changeSoftware(change, index, term);
+        }
         if (message instanceof VersionMessage newVersion && newVersion.version() > held.version()) {
             accept(newVersion, index, term);
         }
@@ -84,12 +89,15 @@
             held = current;
         } else if (message instanceof VersionMessage legacy) {
             Optional<VersionMessage> newVersion = Optional.of(legacy).filter(e -> e.version() > 0);
-            held = new VersionSnapshotMessage(newVersion, EvacuationsMessage.NONE);
+            held = newVersion.map(VersionSnapshotMessage.EMPTY::with).orElse(VersionSnapshotMessage.EMPTY);
         }
         held.newestVersion().ifPresent(observer::onVersion);
         if (held.evacuations().revision() > 0) {
             observer.onEvacuations(held.evacuations());
         }
+        if (held.software().isKept()) {
+            observer.onSoftware(held.software());
+        }
     }
 
     private void accept(VersionMessage newVersion, long index, long term) {
@@ -100,7 +108,7 @@
                 index,
                 term,
                 newVersion.text().length);
-        held = new VersionSnapshotMessage(Optional.of(newVersion), held.evacuations());
+        held = held.with(newVersion);
         observer.onVersion(newVersion);
     }
 
@@ -118,12 +126,34 @@
                 term,
                 next.failureDomains());
         if (next != held.evacuations()) {
-            held = new VersionSnapshotMessage(held.newestVersion(), next);
+            held = held.with(next);
             observer.onEvacuations(next);
         }
         return new ControlResult.ConfigAccepted(held.version());
     }
 
+    private ControlResult changeSoftware(SoftwareCommand change, long index, long term) {
+        if (held.software().isFullFor(change)) {
+            return new ControlResult.ConfigRefused(held.version(), "", "too many software versions are in use");
+        }
+        SoftwareInUseMessage next = held.software().after(change, index);
+        for (String version : held.software().changed(change)) {
+            LOGGER.info(
+                    "event=software-{} pool={} software={} index={} term={} in_use={}",
+                    change.isInUse() ? "recorded" : "retired",
+                    change.pool(),
+                    version,
+                    index,
+                    term,
+                    next.versions(change.pool()).size());
+        }
+        if (next != held.software()) {
+            held = held.with(next);
+            observer.onSoftware(next);
+        }
+        return new ControlResult.ConfigAccepted(held.version());
+    }
+
     private static WireMessage decode(byte[] bytes) {
         try {
             return FORMAT.decode(bytes)
