--- a/library/src/main/java/org/copperspindle/gateway/AgreedSoftware.java
+++ b/library/src/main/java/org/copperspindle/gateway/AgreedSoftware.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
 import org.copperspindle.discovery.SoftwareVersion;
@@ -29,6 +30,7 @@
 
     private final VersionHolder holder;
     private final ObservedSoftware observed;
+    private final BooleanSupplier isolated;
     private final TimerService timers;
 
     /**
@@ -36,11 +38,13 @@
      *
      * @param holder   holds the recorded versions
      * @param observed the versions that this node has heard of
+     * @param isolated whether this node does not reach most of the others, so that no leader will answer it
      * @param timers   timers of the network thread
      */
-    AgreedSoftware(VersionHolder holder, ObservedSoftware observed, TimerService timers) {
+    AgreedSoftware(VersionHolder holder, ObservedSoftware observed, BooleanSupplier isolated, TimerService timers) {
         this.holder = holder;
         this.observed = observed;
+        this.isolated = isolated;
         this.timers = timers;
     }
 
@@ -70,8 +74,7 @@
         holder.confirm(confirmed -> {
             if (confirmed) {
                 conclude(pool, views, listener);
-            } else if (timers.nanoTime() - until < 0
-                    && recorded().versions(pool).size() <= 1) {
+            } else if (mayBecomeKnown(pool, until)) {
                 findOnly(pool, views, until, listener);
             } else {
                 listener.accept(Optional.empty());
@@ -79,6 +82,12 @@
         });
     }
 
+    private boolean mayBecomeKnown(String pool, long until) {
+        return timers.nanoTime() - until < 0
+                && !isolated.getAsBoolean()
+                && recorded().versions(pool).size() <= 1;
+    }
+
     private void conclude(String pool, List<OriginView> views, Consumer<Optional<SoftwareVersion>> listener) {
         if (!holder.isSoftwareKept()) {
             observed.findOnly(pool, views, listener);
--- a/library/src/test/java/org/copperspindle/gateway/UpstreamSearchTest.java
+++ b/library/src/test/java/org/copperspindle/gateway/UpstreamSearchTest.java
@@ -194,6 +194,35 @@
         assertThat(search.placement()).contains(PlacementReason.RESUMED);
     }
 
+    /** A version that is about to be recorded must not make the search refuse at once, nor wait longer than callers do. */
+    @ParameterizedTest
+    @CsvSource({"0, 6000, 0, e1", "200, 6000, 300, e1", "5000, 6000, 1100, none", "5000, 400, 450, none"})
+    void searchWaitsForVersionsToBeRecorded(long recordedMillis, long callerMillis, long endMillis, String expected) {
+        long recordedAt = time.nanoTime() + recordedMillis * MILLI;
+        eligibility.beginOnlyAt(upstream -> time.nanoTime() - recordedAt >= 0);
+        UpstreamSearch search = search(admitted(2000, 600, callerMillis), OptionalLong.empty());
+        search.waitFor(eligibility::isAwaited);
+        search.seek();
+        assertThat(selected).hasSize(recordedMillis == 0 ? 1 : 0);
+        time.advance(Math.max(0, endMillis - 150) * MILLI);
+        assertThat(selected).hasSize(recordedMillis == 0 ? 1 : 0);
+        time.advance(150 * MILLI);
+        assertThat(selected).containsExactly(expected);
+    }
+
+    /** The version is retired while the request waits for its backoff: it must not be sent then. */
+    @Test
+    void conditionIsCheckedAgainAfterABackoff() {
+        IDS.forEach(
+                id -> backoffs.onResponse(id, new BackoffSignal.Asked(Duration.ofMillis(450)), false, time.nanoTime()));
+        UpstreamSearch search = search(2500, 600, OptionalLong.empty());
+        search.waitFor(eligibility::isAwaited);
+        search.seek();
+        eligibility.beginOnlyAt(upstream -> false);
+        time.advance(3000 * MILLI);
+        assertThat(selected).containsExactly("none");
+    }
+
     private UpstreamSearch search(long leftMillis, long maxPauseMillis, OptionalLong nextEventBy) {
         return search(admitted(leftMillis, maxPauseMillis, 6000), nextEventBy);
     }
