--- a/library/src/main/java/org/copperspindle/consensus/AtomicFile.java
+++ b/library/src/main/java/org/copperspindle/consensus/AtomicFile.java
@@ -7,7 +7,9 @@
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
-import java.util.zip.CRC32C;
+
+import org.copperspindle.disk.Checksum;
+import org.copperspindle.disk.FolderSync;
 
 /**
  * A checksummed file that is replaced as a whole: written to a temporary file, synced, renamed, and the folder is
@@ -24,7 +26,7 @@
     static void write(Path path, byte[] content) throws IOException {
         Path temp = path.resolveSibling(path.getFileName() + TEMP_SUFFIX);
         ByteBuffer out = ByteBuffer.allocate(HEADER_BYTES + content.length);
-        out.putInt(content.length).putInt(checksum(content)).put(content).flip();
+        out.putInt(content.length).putInt(Checksum.crc32c(content)).put(content).flip();
         try (FileChannel channel = FileChannel.open(
                 temp, StandardOpenOption.CREATE, StandardOpenOption.TRUNCATE_EXISTING, StandardOpenOption.WRITE)) {
             while (out.hasRemaining()) {
@@ -33,7 +35,7 @@
             channel.force(true);
         }
         Files.move(temp, path, StandardCopyOption.ATOMIC_MOVE);
-        syncFolder(path.getParent());
+        FolderSync.sync(path.getParent());
     }
 
     static byte[] read(Path path) throws IOException {
@@ -44,22 +46,9 @@
         int expected = in.getInt();
         byte[] content = new byte[in.remaining()];
         in.get(content);
-        if (checksum(content) != expected) {
+        if (Checksum.crc32c(content) != expected) {
             throw new CorruptLogException(path, HEADER_BYTES, "wrong checksum");
         }
         return content;
     }
-
-    /** Syncs a folder, so that files created, renamed or deleted in it survive a crash. */
-    static void syncFolder(Path folder) throws IOException {
-        try (FileChannel channel = FileChannel.open(folder, StandardOpenOption.READ)) {
-            channel.force(true);
-        }
-    }
-
-    private static int checksum(byte[] content) {
-        CRC32C crc = new CRC32C();
-        crc.update(content);
-        return (int) crc.getValue();
-    }
 }
--- a/library/src/main/java/org/copperspindle/consensus/ConsensusLog.java
+++ b/library/src/main/java/org/copperspindle/consensus/ConsensusLog.java
@@ -19,6 +19,7 @@
 import org.copperspindle.control.ReplicatedLog;
 import org.copperspindle.control.ReplicatedState;
 import org.copperspindle.core.DecisionRing;
+import org.copperspindle.disk.LogFile;
 import org.copperspindle.time.TimerService;
 import org.copperspindle.wire.MessageCodec;
 import org.copperspindle.wire.Peer;
--- a/library/src/main/java/org/copperspindle/consensus/MemberFolder.java
+++ b/library/src/main/java/org/copperspindle/consensus/MemberFolder.java
@@ -17,6 +17,7 @@
 
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.copperspindle.disk.LogFile;
 import org.copperspindle.wire.MalformedFrameException;
 
 /**
--- a/library/src/main/java/org/copperspindle/consensus/RecordFormat.java
+++ b/library/src/main/java/org/copperspindle/consensus/RecordFormat.java
@@ -2,7 +2,8 @@
 
 import java.nio.ByteBuffer;
 import java.util.Optional;
-import java.util.zip.CRC32C;
+
+import org.copperspindle.disk.Checksum;
 
 /**
  * Layout of one record in a segment: length, CRC32C, position in its batch, and the entry. A batch is what was written
@@ -33,7 +34,7 @@
         int length = Integer.BYTES + encoded.length;
         ByteBuffer out = ByteBuffer.allocate(HEADER_BYTES + length);
         out.putInt(length).putInt(0).putInt(position).put(encoded);
-        out.putInt(Integer.BYTES, checksum(out, HEADER_BYTES, length));
+        out.putInt(Integer.BYTES, Checksum.crc32c(out, HEADER_BYTES, length));
         return out.flip();
     }
 
@@ -46,7 +47,7 @@
         if (length < MIN_LENGTH || length > MAX_LENGTH || length > in.limit() - offset - HEADER_BYTES) {
             return Optional.empty();
         }
-        if (in.getInt(offset + Integer.BYTES) != checksum(in, offset + HEADER_BYTES, length)) {
+        if (in.getInt(offset + Integer.BYTES) != Checksum.crc32c(in, offset + HEADER_BYTES, length)) {
             return Optional.empty();
         }
         int position = in.getInt(offset + HEADER_BYTES);
@@ -54,10 +55,4 @@
         in.get(offset + HEADER_BYTES + Integer.BYTES, encoded);
         return Optional.of(new Parsed(LogEntry.decode(encoded), position, HEADER_BYTES + length));
     }
-
-    private static int checksum(ByteBuffer bytes, int offset, int length) {
-        CRC32C crc = new CRC32C();
-        crc.update(bytes.slice(offset, length));
-        return (int) crc.getValue();
-    }
 }
--- a/library/src/main/java/org/copperspindle/consensus/SegmentStore.java
+++ b/library/src/main/java/org/copperspindle/consensus/SegmentStore.java
@@ -9,6 +9,9 @@
 import java.util.List;
 import java.util.stream.Stream;
 
+import org.copperspindle.disk.FolderSync;
+import org.copperspindle.disk.LogFile;
+
 /**
  * The log on the disk, as a sequence of segments. Not thread-safe; owned by the disk thread once opened.
  */
@@ -106,7 +109,7 @@
         while (segments.size() > 1 && segments.get(0).last() <= index) {
             Files.delete(segments.remove(0).path());
         }
-        AtomicFile.syncFolder(folder);
+        FolderSync.sync(folder);
     }
 
     @Override
@@ -123,7 +126,7 @@
             closeFile();
             Files.delete(newest().path());
             segments.remove(segments.size() - 1);
-            AtomicFile.syncFolder(folder);
+            FolderSync.sync(folder);
             file = opener.open(newest().path());
         }
         if (index <= newest().last()) {
@@ -143,7 +146,7 @@
         Segment segment = new Segment(folder, next);
         file = opener.open(segment.path());
         file.force();
-        AtomicFile.syncFolder(folder);
+        FolderSync.sync(folder);
         segments.add(segment);
         dirty = false;
     }
@@ -178,7 +181,7 @@
         for (Path path : paths) {
             Files.delete(path);
         }
-        AtomicFile.syncFolder(folder);
+        FolderSync.sync(folder);
     }
 
     private Segment newest() {
--- a/library/src/main/java/org/copperspindle/consensus/LogFile.java
+++ b/library/src/main/java/org/copperspindle/disk/LogFile.java
@@ -1,4 +1,4 @@
-package org.copperspindle.consensus;
+package org.copperspindle.disk;
 
 import java.io.Closeable;
 import java.io.IOException;
@@ -8,17 +8,31 @@
 import java.nio.file.StandardOpenOption;
 
 /**
- * An open segment file. An interface, so that tests can simulate disk failures.
+ * An open file that is appended to. An interface, so that tests can simulate disk failures.
  */
-interface LogFile extends Closeable {
+public interface LogFile extends Closeable {
 
-    /** Appends all bytes. */
+    /**
+     * Appends all bytes.
+     *
+     * @param bytes the bytes
+     * @throws IOException if they can't be written; a part of them may have been
+     */
     void append(ByteBuffer bytes) throws IOException;
 
-    /** Syncs everything appended so far. */
+    /**
+     * Syncs everything appended so far.
+     *
+     * @throws IOException if it can't be synced
+     */
     void force() throws IOException;
 
-    /** Truncates the file and syncs that. */
+    /**
+     * Truncates the file and syncs that.
+     *
+     * @param size new length in bytes
+     * @throws IOException if it can't be truncated
+     */
     void truncate(long size) throws IOException;
 
     /** Opens files. */
--- a/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
@@ -168,7 +168,7 @@
                 timers::nanoTime,
                 decisionLog);
         PausedUpstreams paused = new PausedUpstreams();
-        this.origins = OriginsFactory.create(mesh, timers, directory, versionHolder::heldTable);
+        this.origins = OriginsFactory.create(settings, mesh, timers, loop, directory, versionHolder::heldTable);
         DirectClient client = new DirectClient(
                 loop,
                 timers,
@@ -352,6 +352,7 @@
     /** Stops at once, like a crash; for tests. */
     public void kill() {
         member.ifPresent(ControlGroupMember::close);
+        origins.close();
         for (HttpListener listener : List.of(callerListener, readinessListener, controlListener)) {
             listener.close();
         }
@@ -493,6 +494,7 @@
         ready = false;
         mesh.announce();
         callerListener.announceStop();
-        new GracefulStop(timers, service, openRequests, callerListener, batches).begin(settings.stopGrace(), done);
+        new GracefulStop(timers, service, openRequests, callerListener, batches)
+                .begin(settings.stopGrace(), () -> origins.flush(done));
     }
 }
--- a/library/src/main/java/org/copperspindle/gateway/OriginMetrics.java
+++ b/library/src/main/java/org/copperspindle/gateway/OriginMetrics.java
@@ -5,6 +5,7 @@
 
 import org.copperspindle.measure.MetricsRegistry;
 import org.copperspindle.origin.OriginCounters;
+import org.copperspindle.origin.OriginStoreStatus;
 import org.copperspindle.origin.SharedStreamOrigins;
 
 /**
@@ -41,6 +42,33 @@
                 "Streams that this node recorded at other nodes",
                 origins.counters(),
                 OriginCounters::stored);
+        publishStore(metrics);
+    }
+
+    /** Publishes what the node stores on its disk, if it has one. */
+    private void publishStore(MetricsRegistry metrics) {
+        if (origins.storeStatus().isEmpty()) {
+            return;
+        }
+        metrics.counter(
+                "stream.origins.synced",
+                "Records of such streams that this node has stored on its disk",
+                origins,
+                o -> status(o).synced());
+        metrics.counter(
+                "stream.origins.not.synced",
+                "Records of such streams that this node could not store on its disk",
+                origins,
+                o -> status(o).lost());
+        metrics.gauge(
+                "stream.origins.disk.bytes",
+                "Bytes of such records on the disk of this node",
+                origins,
+                o -> status(o).bytes());
+    }
+
+    private static OriginStoreStatus status(SharedStreamOrigins origins) {
+        return origins.storeStatus().orElseThrow();
     }
 
     /** Publishes the results that have occurred since the last scrape. */
--- a/library/src/main/java/org/copperspindle/mesh/NodeMesh.java
+++ b/library/src/main/java/org/copperspindle/mesh/NodeMesh.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Supplier;
+import java.util.stream.Stream;
 
 import io.netty.channel.Channel;
 import org.apache.logging.log4j.LogManager;
@@ -163,6 +164,16 @@
         return Optional.ofNullable(nodes.get(address)).filter(MeshNode::isUp);
     }
 
+    /**
+     * Returns whether every node is connected that this node knows of: its seeds, and those that other nodes report.
+     *
+     * @return false while a node may still come up that others know
+     */
+    public boolean isComplete() {
+        return Stream.concat(seeds.stream(), dialTargets.keySet().stream())
+                .allMatch(address -> find(address).isPresent());
+    }
+
     /**
      * Sends a message to every connected node.
      *
--- a/library/src/main/java/org/copperspindle/origin/OriginRecord.java
+++ b/library/src/main/java/org/copperspindle/origin/OriginRecord.java
@@ -19,6 +19,10 @@
     static final MessageCodec<OriginRecord> CODEC =
             MessageCodec.of(250, OriginRecord.class, OriginRecord::write, OriginRecord::read);
 
+    /** Codec of the same record on a disk, where it is kept for longer than a message. */
+    static final MessageCodec<OriginRecord> STORED_CODEC =
+            MessageCodec.of(254, OriginRecord.class, OriginRecord::writeStored, OriginRecord::readStored);
+
     byte[] encode() {
         return CODEC.encode(this);
     }
@@ -35,4 +39,13 @@
         StreamOrigin origin = new StreamOrigin(SoftwareVersion.of(in.getString(3)), in.getLong(4, 0));
         return new OriginRecord(new StreamKey(in.getString(1)), in.getString(2), origin);
     }
+
+    private void writeStored(FieldWriter out) {
+        out.put(1, key.bytes()).put(2, pool).put(3, origin.software().text()).put(4, origin.order());
+    }
+
+    private static OriginRecord readStored(FieldReader in) {
+        StreamOrigin origin = new StreamOrigin(SoftwareVersion.of(in.getString(3)), in.getLong(4, 0));
+        return new OriginRecord(StreamKey.of(in.getBytes(1)), in.getString(2), origin);
+    }
 }
--- a/library/src/main/java/org/copperspindle/origin/OriginTable.java
+++ b/library/src/main/java/org/copperspindle/origin/OriginTable.java
@@ -11,7 +11,7 @@
 final class OriginTable {
 
     /** Bounds the memory: callers choose how many streams they begin. */
-    private static final int MAX_RECORDS = 20_000;
+    static final int MAX_RECORDS = 20_000;
 
     private final Map<StreamKey, Held> records = new LinkedHashMap<>();
     private long dropped;
@@ -22,11 +22,12 @@
      * @param received the record
      * @param own      whether this node relays the stream
      * @param until    when it expires, monotonic time in nanoseconds
+     * @return false if a later one is stored
      */
-    void put(OriginRecord received, boolean own, long until) {
+    boolean put(OriginRecord received, boolean own, long until) {
         Held before = records.get(received.key());
         if (before != null && before.origin().order() > received.origin().order()) {
-            return;
+            return false;
         }
         records.remove(received.key());
         boolean relayed = own || before != null && before.own();
@@ -35,6 +36,7 @@
             records.remove(records.keySet().iterator().next());
             dropped++;
         }
+        return true;
     }
 
     Optional<StreamOrigin> find(StreamKey key, long now) {
--- a/library/src/main/java/org/copperspindle/origin/SharedStreamOrigins.java
+++ b/library/src/main/java/org/copperspindle/origin/SharedStreamOrigins.java
@@ -25,21 +25,27 @@
 
 /**
  * Origins of streams, shared between nodes. A node keeps those of the streams that it relays; while more than one
- * version is known in a pool, it also stores each at {@link #COPIES} other nodes when it sends the request, which is
+ * version is known in a pool, it also stores each at other nodes and on its own disk when it sends the request, which is
  * long before the first event. When a second version becomes known, it stores those that it kept until then. A node at
  * which a stream is taken up asks the nodes that would hold the record.
  */
 public final class SharedStreamOrigins implements StreamOrigins, MeshListener {
 
-    /** Other nodes at which a record is stored. */
+    /** Other nodes at which a record is stored at least. */
     static final int COPIES = 2;
 
-    /** Nodes that are asked for a record: more than hold it, since a node may have come or gone in between. */
+    /** Nodes that are asked for a record at least. */
     static final int ASKED = 4;
 
+    /** Nodes that are asked besides the holders, since nodes may have come or gone in between. */
+    private static final int ASKED_BESIDES = 2;
+
     /** How long an answer is awaited: several round trips on a link with packet loss, little of a caller's time. */
     private static final long QUERY_TIMEOUT_NANOS = Duration.ofMillis(250).toNanos();
 
+    /** After a start: delay before nodes are asked again while some are not connected yet. */
+    private static final long REPEAT_NANOS = Duration.ofMillis(200).toNanos();
+
     private static final long SWEEP_NANOS = Duration.ofSeconds(5).toNanos();
 
     /** Largest number of records in one message. */
@@ -57,6 +63,9 @@
     private final Map<Long, OriginQuery> queries = new HashMap<>();
     private final Set<String> mixedPools = new HashSet<>();
     private final OriginCounters counters = new OriginCounters();
+    private final RepeatedQueries repeated;
+    private OriginStore store = new DisklessOriginStore();
+    private int copies = COPIES;
     private long lastQuery;
 
     /**
@@ -82,6 +91,19 @@
         this.observed = observed;
         this.software = software;
         this.lifetimeNanos = lifetimeNanos;
+        this.repeated = new RepeatedQueries(timers);
+    }
+
+    /**
+     * Sets where records are kept over the end of processes. Called once, before the network is started.
+     *
+     * @param kept            the store of this node, which is read
+     * @param toleratedLosses number of nodes with a disk whose simultaneous loss must be tolerated
+     */
+    public void storeOn(OriginStore kept, int toleratedLosses) {
+        store = kept;
+        copies = Math.max(COPIES, toleratedLosses + 1);
+        kept.read(this::restore);
     }
 
     /** Starts to remove expired records. */
@@ -126,6 +148,29 @@
         return majority.isInformed();
     }
 
+    /**
+     * Returns what this node has stored on its disk.
+     *
+     * @return empty if it has none
+     */
+    public Optional<OriginStoreStatus> storeStatus() {
+        return store.status();
+    }
+
+    /**
+     * Stores on the disk what this node has recorded, before it stops.
+     *
+     * @param done run when that is done or has failed, or after a bounded time
+     */
+    public void flush(Runnable done) {
+        store.flush(done);
+    }
+
+    /** Ends the use of the disk. */
+    public void close() {
+        store.close();
+    }
+
     @Override
     public boolean mayBegin(UpstreamRecord upstream) {
         return software.mayBegin(upstream);
@@ -176,7 +221,9 @@
     @Override
     public void onMessage(MeshNode node, WireMessage message) {
         if (message instanceof OriginRecordsMessage received) {
-            received.records().forEach(each -> table.put(each, false, expiry()));
+            store.add(received.records().stream()
+                    .filter(each -> table.put(each, false, expiry()))
+                    .toList());
         } else if (message instanceof OriginQueryMessage asked) {
             node.send(new OriginAnswerMessage(asked.query(), view(asked.key(), asked.pool())));
         } else if (message instanceof OriginAnswerMessage answer) {
@@ -188,13 +235,23 @@
         }
     }
 
+    @Override
+    public void onNodeUp(MeshNode node) {
+        if (node.hello().durable()) {
+            repeated.onNodeUp();
+        }
+    }
+
     @Override
     public void onNodeDown(MeshNode node) {
         queries.values().forEach(query -> query.lost(node.address()));
         Set.copyOf(queries.keySet()).forEach(this::finishIfComplete);
     }
 
-    /** Handles the search for the only version; it is repeated once others have sent what they know after a start. */
+    /**
+     * Handles the search for the only version. After a start it is repeated while a node that may hold a record is not
+     * connected, and once others have sent what they know.
+     */
     private void onOnlyVersion(
             StreamKey key,
             String pool,
@@ -202,8 +259,9 @@
             Optional<SoftwareVersion> only,
             Consumer<OriginResult> listener) {
         long left = majority.exchangeNanosLeft();
-        if (only.isEmpty() && left > 0 && !software.isMixed(pool)) {
-            timers.schedule(left, () -> find(key, pool, listener));
+        boolean complete = mesh.isComplete();
+        if (only.isEmpty() && left > 0 && !(complete && software.isMixed(pool))) {
+            repeated.add(complete ? left : Math.min(left, REPEAT_NANOS), () -> find(key, pool, listener));
             return;
         }
         LOGGER.info(
@@ -226,8 +284,9 @@
     /** Asks the nodes that would hold a record. */
     private void ask(StreamKey key, String pool, Consumer<List<OriginView>> listener) {
         OriginView own = view(key, pool);
-        List<MeshNode> asked =
-                table.isOwn(key, timers.nanoTime()) ? List.of() : RecordHolders.of(key, mesh.nodes(), ASKED);
+        List<MeshNode> asked = table.isOwn(key, timers.nanoTime())
+                ? List.of()
+                : RecordHolders.of(key, mesh.nodes(), Math.max(ASKED, copies + ASKED_BESIDES));
         OriginQuery query =
                 new OriginQuery(own, asked.stream().map(MeshNode::address).collect(Collectors.toSet()), listener);
         if (query.isComplete()) {
@@ -253,9 +312,15 @@
         return timers.nanoTime() + lifetimeNanos.getAsLong();
     }
 
+    private void restore(StoredOrigins stored) {
+        long until = timers.nanoTime() + Math.max(stored.lifetimeNanos(), lifetimeNanos.getAsLong());
+        stored.records().forEach(each -> table.put(each, false, until));
+    }
+
     private void store(OriginRecord added) {
         OriginRecordsMessage message = new OriginRecordsMessage(List.of(added));
-        RecordHolders.of(added.key(), mesh.nodes(), COPIES).forEach(node -> node.send(message));
+        RecordHolders.of(added.key(), mesh.nodes(), copies).forEach(node -> node.send(message));
+        store.add(message.records());
         counters.recordStored(1);
     }
 
@@ -263,11 +328,12 @@
         Map<MeshNode, List<OriginRecord>> byNode = new HashMap<>();
         List<MeshNode> nodes = mesh.nodes();
         for (OriginRecord each : kept) {
-            RecordHolders.of(each.key(), nodes, COPIES)
+            RecordHolders.of(each.key(), nodes, copies)
                     .forEach(node ->
                             byNode.computeIfAbsent(node, n -> new ArrayList<>()).add(each));
         }
         byNode.forEach(SharedStreamOrigins::send);
+        store.add(kept);
         counters.recordStored(kept.size());
     }
 
--- a/library/src/main/java/org/copperspindle/origin/StreamKey.java
+++ b/library/src/main/java/org/copperspindle/origin/StreamKey.java
@@ -1,5 +1,7 @@
 package org.copperspindle.origin;
 
+import java.util.HexFormat;
+
 import org.copperspindle.digest.ContentDigest;
 
 /**
@@ -10,6 +12,15 @@
  */
 public record StreamKey(String text) {
 
+    private static final int BYTES = 16;
+
+    /** Checks the length and the digits. */
+    public StreamKey {
+        if (HexFormat.of().parseHex(text).length != BYTES) {
+            throw new IllegalArgumentException("key of wrong length: " + text.length());
+        }
+    }
+
     /**
      * Returns the key of a stream.
      *
@@ -21,4 +32,12 @@
     public static StreamKey of(String pool, String account, String requestId) {
         return new StreamKey(ContentDigest.of(pool, account, requestId));
     }
+
+    static StreamKey of(byte[] bytes) {
+        return new StreamKey(HexFormat.of().formatHex(bytes));
+    }
+
+    byte[] bytes() {
+        return HexFormat.of().parseHex(text);
+    }
 }
--- a/library/src/test/java/org/copperspindle/consensus/ConsensusLogTest.java
+++ b/library/src/test/java/org/copperspindle/consensus/ConsensusLogTest.java
@@ -18,6 +18,7 @@
 import java.util.stream.Stream;
 
 import org.copperspindle.control.ProposalResult;
+import org.copperspindle.disk.LogFile;
 import org.copperspindle.loopback.LoopbackHost;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
--- a/library/src/test/java/org/copperspindle/consensus/MemberFolderTest.java
+++ b/library/src/test/java/org/copperspindle/consensus/MemberFolderTest.java
@@ -12,6 +12,7 @@
 import java.util.stream.LongStream;
 import java.util.stream.Stream;
 
+import org.copperspindle.disk.LogFile;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
--- a/library/src/test/java/org/copperspindle/consensus/SocketMember.java
+++ b/library/src/test/java/org/copperspindle/consensus/SocketMember.java
@@ -17,6 +17,7 @@
 import org.copperspindle.control.ProposalResult;
 import org.copperspindle.control.ReplicatedState;
 import org.copperspindle.core.DecisionRing;
+import org.copperspindle.disk.LogFile;
 import org.copperspindle.time.SystemTimerService;
 import org.copperspindle.wire.GreetingMessage;
 import org.copperspindle.wire.MessageRegistry;
--- a/library/src/test/java/org/copperspindle/origin/OriginFleet.java
+++ b/library/src/test/java/org/copperspindle/origin/OriginFleet.java
@@ -3,11 +3,15 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.stream.IntStream;
 
 import org.copperspindle.discovery.DirectoryGossip;
 import org.copperspindle.discovery.SoftwareVersion;
@@ -16,6 +20,7 @@
 import org.copperspindle.discovery.UpstreamRecord;
 import org.copperspindle.discovery.UpstreamRecordsMessage;
 import org.copperspindle.mesh.MajorityWatch;
+import org.copperspindle.mesh.MeshNode;
 import org.copperspindle.mesh.MeshSettings;
 import org.copperspindle.mesh.NodeHelloMessage;
 import org.copperspindle.mesh.NodeListMessage;
@@ -36,6 +41,10 @@
     static final String POOL = "p";
     static final Duration LIFETIME = Duration.ofSeconds(30);
 
+    /** After that long, what was recorded is synced. */
+    static final Duration SYNCED = Duration.ofMillis(200);
+
+    private static final int SEEDS = 3;
     private static final Duration LINK_DELAY = Duration.ofMillis(1);
 
     private final VirtualTimerService time = new VirtualTimerService();
@@ -47,22 +56,42 @@
             .register(OriginQueryMessage.CODEC)
             .register(OriginAnswerMessage.CODEC);
     private final List<Node> nodes = new ArrayList<>();
+    private final Map<Integer, SimulatedOriginDisk> disks = new HashMap<>();
+    private final Set<Integer> running = new TreeSet<>();
+    private final int toleratedLosses;
     private final Map<Class<?>, Integer> sent = new HashMap<>();
     private long sequence;
 
     /** Starts connected nodes, in two failure domains by turns. */
     OriginFleet(int count) {
-        for (int i = 0; i < count; i++) {
-            nodes.add(new Node(i, 1));
+        this(0, count, 0);
+    }
+
+    /** Starts connected nodes, first those with a disk. */
+    OriginFleet(int withDisk, int diskless, int toleratedLosses) {
+        this.toleratedLosses = toleratedLosses;
+        for (int i = 0; i < withDisk; i++) {
+            disks.put(i, new SimulatedOriginDisk(time));
         }
-        for (int i = 0; i < count; i++) {
-            for (int other = 0; other < i; other++) {
-                link(i, other);
-            }
+        for (int i = 0; i < withDisk + diskless; i++) {
+            join();
         }
         advance(Duration.ofSeconds(3));
     }
 
+    /** Starts one more node without a disk, and connects it; returns its number. */
+    int join() {
+        int node = nodes.size();
+        nodes.add(new Node(node, 1));
+        connect(node);
+        return node;
+    }
+
+    /** Returns the nodes to which a node is connected. */
+    List<MeshNode> connected(int node) {
+        return nodes.get(node).mesh.nodes();
+    }
+
     SharedStreamOrigins origins(int node) {
         return nodes.get(node).origins;
     }
@@ -113,6 +142,58 @@
         unlinkAll(node, false);
     }
 
+    /** Kills nodes at once, without a loss of power. */
+    void kill(Collection<Integer> killed) {
+        disconnect(killed, false);
+        killed.forEach(node -> disk(node).ifPresent(SimulatedOriginDisk::endProcess));
+        running.removeAll(killed);
+    }
+
+    /** Ends nodes at once with a loss of power. */
+    void losePower(Collection<Integer> ended) {
+        kill(ended);
+        ended.forEach(node -> disk(node).ifPresent(SimulatedOriginDisk::losePower));
+    }
+
+    /** Loses the contents of the disk of a node that does not run. */
+    void loseDisk(int node) {
+        disk(node).ifPresent(SimulatedOriginDisk::clear);
+    }
+
+    /** Starts a node that does not run, with its disk, and connects it to those that run. */
+    void start(int node) {
+        startAlone(node);
+        connect(node);
+    }
+
+    /** Starts a node that does not run, with its disk, and does not connect it yet. */
+    void startAlone(int node) {
+        nodes.get(node).close();
+        nodes.set(node, new Node(node, nodes.get(node).incarnation + 1));
+    }
+
+    /** Connects a node to those that run. */
+    void connect(int node) {
+        running.forEach(other -> link(node, other));
+        running.add(node);
+    }
+
+    /** Starts all nodes that do not run. */
+    void startAll() {
+        all().stream().filter(node -> !running.contains(node)).forEach(this::start);
+    }
+
+    /** Returns the numbers of all nodes. */
+    List<Integer> all() {
+        return IntStream.range(0, nodes.size()).boxed().toList();
+    }
+
+    /** Suspends a node: the others notice its silence, and it keeps its memory. */
+    void suspend(int node) {
+        disconnect(List.of(node), true);
+        running.remove(node);
+    }
+
     /** Starts a node again without its memory. */
     void restart(int node) {
         nodes.get(node).close();
@@ -150,6 +231,19 @@
         nodes.forEach(Node::close);
     }
 
+    private Optional<SimulatedOriginDisk> disk(int node) {
+        return Optional.ofNullable(disks.get(node));
+    }
+
+    private void disconnect(Collection<Integer> from, boolean silent) {
+        for (int node : from) {
+            for (int other : all()) {
+                nodes.get(node).disconnect(other, silent);
+                nodes.get(other).disconnect(node, silent);
+            }
+        }
+    }
+
     private void link(int one, int other) {
         nodes.get(one).connect(other);
         nodes.get(other).connect(one);
@@ -189,20 +283,32 @@
             greeting = new GreetingMessage(GreetingMessage.PROTOCOL, "gateway", name, incarnation);
             transport = new WireTransport(1, registry, greeting);
             String domain = number % 2 == 0 ? "a" : "b";
-            MeshSettings settings = new MeshSettings(listen, listen, name, domain, false, List.of());
-            NodeHelloMessage hello = new NodeHelloMessage(name, domain, false, true, false, 0, "", 0, 1);
+            MeshSettings settings = new MeshSettings(listen, listen, name, domain, false, seeds());
+            boolean durable = disk(number).isPresent();
+            NodeHelloMessage hello = new NodeHelloMessage(name, domain, durable, true, false, 0, "", 0, 1);
             mesh = new NodeMesh(settings, transport, time, () -> hello);
             UpstreamDirectory directory = new UpstreamDirectory();
             gossip = new DirectoryGossip(mesh, time, directory);
             MajorityWatch majority = new MajorityWatch(mesh::count, time);
             ObservedSoftware observed = new ObservedSoftware(directory, majority, time, LIFETIME::toNanos);
             origins = new SharedStreamOrigins(mesh, majority, time, observed, observed, LIFETIME::toNanos);
+            origins.storeOn(
+                    disk(number).map(SimulatedOriginDisk::open).orElseGet(DisklessOriginStore::new), toleratedLosses);
             mesh.subscribe(majority);
             mesh.subscribe(gossip);
             mesh.subscribe(origins);
             directory.subscribe(origins::onUpstreamChange);
         }
 
+        /** Without disks, nodes know only each other. */
+        private List<InetSocketAddress> seeds() {
+            return disks.isEmpty()
+                    ? List.of()
+                    : IntStream.rangeClosed(1, SEEDS)
+                            .mapToObj(port -> new InetSocketAddress("127.0.0.1", port))
+                            .toList();
+        }
+
         private void connect(int other) {
             Link link = new Link(number, other);
             peers.put(other, link);
