--- a/library/src/test/java/org/copperspindle/origin/OriginsAfterStartOfAllTest.java
+++ b/library/src/test/java/org/copperspindle/origin/OriginsAfterStartOfAllTest.java
@@ -108,6 +108,22 @@
         assertAllRecorded(DISKLESS);
     }
 
+    /** All other disks are lost: the node that relayed the streams must have kept them as well. */
+    @Test
+    void recordsAreOnTheDiskOfTheNodeThatRelays() {
+        UpstreamRecord first = fleet.announce(0, "u1", "old");
+        fleet.begin(0, "early", first, 1);
+        beginStreams(0);
+        fleet.advance(OriginFleet.SYNCED);
+        fleet.losePower(fleet.all());
+        for (int node = 1; node < DISKS; node++) {
+            fleet.loseDisk(node);
+        }
+        startAll();
+        assertAllRecorded(0);
+        assertThat(fleet.find(0, "early")).isEqualTo(recorded("old", 1));
+    }
+
     /** Holders come up later than the node at which a caller is back: it must wait for them rather than be refused. */
     @ParameterizedTest
     @ValueSource(ints = {0, DISKLESS})
@@ -133,6 +149,23 @@
         results.forEach((id, result) -> assertThat(result.get()).as(id).isEqualTo(recorded(version(id), 1)));
     }
 
+    /** A caller comes back just before the holders are up: it must not wait for the whole interval of the repetition. */
+    @Test
+    void queryIsRepeatedAsSoonAsAHolderComesUp() {
+        announce();
+        fleet.begin(DISKLESS, "r", old, 1);
+        fleet.advance(OriginFleet.SYNCED);
+        fleet.kill(fleet.all());
+        fleet.start(DISKLESS);
+        announce(DISKLESS);
+        assertThat(fleet.find(DISKLESS, "r", Duration.ofMillis(1))).isEmpty();
+        for (int node = 0; node < DISKS; node++) {
+            fleet.start(node);
+        }
+        fleet.advance(Duration.ofMillis(20));
+        assertThat(fleet.origins(DISKLESS).counters().results()).containsOnly(Map.entry("recorded", 1L));
+    }
+
     /** A seed that never comes back must delay a refusal for the first two seconds of a node only. */
     @Test
     void refusalWaitsForAMissingNodeForABoundedTime() {
