--- a/library/src/main/java/org/copperspindle/gateway/OriginsFactory.java
+++ b/library/src/main/java/org/copperspindle/gateway/OriginsFactory.java
@@ -1,9 +1,12 @@
 package org.copperspindle.gateway;
 
+import java.util.concurrent.Executor;
+
 import org.copperspindle.discovery.UpstreamDirectory;
 import org.copperspindle.mesh.MajorityWatch;
 import org.copperspindle.mesh.NodeMesh;
 import org.copperspindle.origin.ObservedSoftware;
+import org.copperspindle.origin.OriginStores;
 import org.copperspindle.origin.SharedStreamOrigins;
 import org.copperspindle.time.TimerService;
 import org.copperspindle.version.VersionExchange;
@@ -17,13 +20,19 @@
     private OriginsFactory() {}
 
     static SharedStreamOrigins create(
-            NodeMesh mesh, TimerService timers, UpstreamDirectory directory, VersionHolder holder) {
+            GatewaySettings settings,
+            NodeMesh mesh,
+            TimerService timers,
+            Executor network,
+            UpstreamDirectory directory,
+            VersionHolder holder) {
         MajorityWatch majority = new MajorityWatch(mesh::count, timers);
         StreamLifetime lifetime = new StreamLifetime(holder::heldTable);
         ObservedSoftware observed = new ObservedSoftware(directory, majority, timers, lifetime);
-        AgreedSoftware agreed =
-                new AgreedSoftware(holder, observed, () -> majority.lostAt().isPresent(), timers);
+        AgreedSoftware agreed = new AgreedSoftware(holder, observed, timers);
         SharedStreamOrigins origins = new SharedStreamOrigins(mesh, majority, timers, observed, agreed, lifetime);
+        origins.storeOn(
+                OriginStores.open(settings.dataFolder(), timers, network, lifetime), settings.toleratedLosses());
         mesh.subscribe(majority);
         mesh.subscribe(origins);
         directory.subscribe(origins::onUpstreamChange);
