test: a stream that is taken up is not compared with what its caller holds (fails)

The caller gets events twice, misses events, or gets a complete stream that lacks its end. Within one response the relay compares ids; what the caller brought it did not regard.

--- a/library/src/test/java/org/copperspindle/gateway/ScriptedEngines.java
+++ b/library/src/test/java/org/copperspindle/gateway/ScriptedEngines.java
@@ -71,6 +71,11 @@
             listener.onHead(new DirectHead(status, List.of(STREAM_TYPE)));
         }
 
+        /** Sends the head of a successful response with another type of content. */
+        void headOfType(String type) {
+            listener.onHead(new DirectHead(200, List.of(new HeaderField("Content-Type", type))));
+        }
+
         /** Sends the head of a stream that also proves that the request has not run. */
         void headOfRefusal(int status) {
             HeaderField notRun = new HeaderField(PlainDialect.NOT_RUN_FIELD, "1");
--- a/library/src/test/java/org/copperspindle/gateway/StreamHarness.java
+++ b/library/src/test/java/org/copperspindle/gateway/StreamHarness.java
@@ -48,6 +48,7 @@
 import org.copperspindle.mesh.NodeMesh;
 import org.copperspindle.origin.ObservedSoftware;
 import org.copperspindle.origin.SharedStreamOrigins;
+import org.copperspindle.origin.StreamKey;
 import org.copperspindle.quarantine.RequestQuarantine;
 import org.copperspindle.quarantine.UpstreamRun;
 import org.copperspindle.route.Route;
@@ -94,6 +95,7 @@
     private final EmbeddedCaller caller = new EmbeddedCaller();
     private final GatewayCounters counters = new GatewayCounters();
     private final FirstEventLatencies latencies = new FirstEventLatencies();
+    private final Optional<ResumePoint> resumePoint;
     private final Route route;
     private final RouteTable table;
     private final NodeMesh mesh;
@@ -122,10 +124,21 @@
      * @param objective   objective of its first event
      */
     StreamHarness(boolean resumable, boolean coordinated, int engineCount, Duration objective) {
-        route = route("r", 0, objective, resumable);
+        this(resumable, coordinated, engineCount, objective, Optional.empty());
+    }
+
+    private StreamHarness(
+            boolean resumable,
+            boolean coordinated,
+            int engineCount,
+            Duration objective,
+            Optional<ResumePoint> resumePoint) {
+        this.resumePoint = resumePoint;
+        List<RouteStage> stages = resumePoint.isPresent() ? List.of() : List.of(new RouteStage("s", List.of(), 10));
+        route = route("r", 0, objective, resumable, stages);
         List<Route> routes = new ArrayList<>(List.of(route));
         if (coordinated) {
-            routes.add(route("deferrable", 1, Duration.ofSeconds(15), false));
+            routes.add(route("deferrable", 1, Duration.ofSeconds(15), false, stages));
         }
         table = TestRoutes.table(1, routes, List.of(TestRoutes.pool("p"), TestRoutes.stagePool("s")));
         IntStream.range(0, engineCount).forEach(i -> announce(i, ""));
@@ -137,9 +150,27 @@
         mesh.subscribe(context.isolation());
         mesh.onOpen(dispatcher);
         mesh.onMessage(dispatcher, hello(2));
+        resumePoint
+                .flatMap(ResumePoint::firstRequest)
+                .ifPresent(first -> context.origins()
+                        .record(
+                                StreamKey.of("p", "", first),
+                                directory.find("e0").orElseThrow(),
+                                1));
         new RequestRun(context, caller.exchange(), admitted()).start();
     }
 
+    /**
+     * Starts a request without stages that takes up a stream, of which this node knows where it began.
+     *
+     * @param lastEventId id of the last event that the caller holds
+     * @param engineCount engines of the pool
+     */
+    static StreamHarness takenUp(String lastEventId, int engineCount) {
+        ResumePoint point = new ResumePoint(lastEventId, Optional.of("first"));
+        return new StreamHarness(true, false, engineCount, Duration.ofMillis(1500), Optional.of(point));
+    }
+
     /** Announces an engine with the version of its software. */
     void announce(int number, String software) {
         directory.accept(
@@ -290,7 +321,8 @@
         mesh.onMessage(dispatcher, new PieceResultsMessage(group.id(), List.of(new PieceResult(0, outcome))));
     }
 
-    private static Route route(String name, int priority, Duration objective, boolean resumable) {
+    private static Route route(
+            String name, int priority, Duration objective, boolean resumable, List<RouteStage> stages) {
         return new Route(
                 name,
                 "h",
@@ -301,14 +333,16 @@
                 priority,
                 List.of(new WeightedPool("p", 1)),
                 MAX_ATTEMPTS,
-                List.of(new RouteStage("s", List.of(), 10)),
+                stages,
                 false,
                 resumable,
                 MAX_EVENT_GAP);
     }
 
     private AdmittedRequest admitted() {
-        GatewayRequest request = TestRequests.request("id", OptionalLong.empty(), List.of(), List.of(1));
+        GatewayRequest request = resumePoint
+                .map(point -> TestRequests.resuming("id", point))
+                .orElseGet(() -> TestRequests.request("id", OptionalLong.empty(), List.of(), List.of(1)));
         RequestTimes times = RequestTimes.of(route, request.deadlineMillis(), 0, 0, time.nanoTime());
         return new AdmittedRequest(request, table, route, Optional.empty(), "p", times);
     }
--- a/library/src/test/java/org/copperspindle/gateway/TestRequests.java
+++ b/library/src/test/java/org/copperspindle/gateway/TestRequests.java
@@ -14,6 +14,20 @@
     // Creates a request from its stages and its prompt.
     static GatewayRequest request(
             String id, OptionalLong deadlineMillis, List<PromptPart> prompt, List<Integer> pieces) {
+        return request(id, deadlineMillis, Optional.empty(), prompt, pieces);
+    }
+
+    // Creates a request without stages that takes up a stream.
+    static GatewayRequest resuming(String id, ResumePoint point) {
+        return request(id, OptionalLong.empty(), Optional.of(point), List.of(), List.of());
+    }
+
+    private static GatewayRequest request(
+            String id,
+            OptionalLong deadlineMillis,
+            Optional<ResumePoint> resumePoint,
+            List<PromptPart> prompt,
+            List<Integer> pieces) {
         return new GatewayRequest(
                 id,
                 "POST",
@@ -22,7 +36,7 @@
                 new byte[0],
                 Optional.empty(),
                 deadlineMillis,
-                Optional.empty(),
+                resumePoint,
                 prompt,
                 pieces,
                 "k",
