relay: compares the events of a stream that is taken up with what its caller holds

A caller that took a stream up after event 2 could get events 1 and 2 again, miss events, or get a complete stream that ends before the event it holds, whenever the engine did not go on exactly behind the id it was sent.

Cause: the relay knew only ids of its own response. It did not regard the id that the caller brought.

Change: the relay of a resumable route begins with that id. Events up to it are dropped, a gap ends the attempt, and a stream that ends before it is not the end; the same rules as within one response. Ids that are no numbers are passed on as before. A route that isn't resumable is as before: its stream begins anew.

Why it holds: lastEventId is the one value that the checks compare with, and it is set from both sources, a response and a caller.

--- a/library/src/main/java/org/copperspindle/gateway/EventFramer.java
+++ b/library/src/main/java/org/copperspindle/gateway/EventFramer.java
@@ -66,7 +66,7 @@
         for (String line : new String(event, StandardCharsets.UTF_8).split("\n")) {
             if (line.startsWith(ID_FIELD)) {
                 return new StreamEvent(
-                        event, parseId(line.substring(ID_FIELD.length()).trim()), true);
+                        event, StreamEvent.numericId(line.substring(ID_FIELD.length()).trim()), true);
             }
             hasData |= isData(line);
         }
@@ -78,15 +78,6 @@
         return line.startsWith(DATA_FIELD + ':') || line.strip().equals(DATA_FIELD);
     }
 
-    private static OptionalLong parseId(String text) {
-        try {
-            return OptionalLong.of(Long.parseLong(text));
-        } catch (NumberFormatException e) {
-            // Event ids may be any text; only streams with numeric ids can be checked for gaps.
-            return OptionalLong.empty();
-        }
-    }
-
     private static byte[] join(byte[] first, byte[] second) {
         byte[] all = Arrays.copyOf(first, first.length + second.length);
         System.arraycopy(second, 0, all, first.length, second.length);
--- a/library/src/main/java/org/copperspindle/gateway/EventStreamRelay.java
+++ b/library/src/main/java/org/copperspindle/gateway/EventStreamRelay.java
@@ -22,7 +22,8 @@
     private Optional<ResponseHead> head = Optional.empty();
     private boolean started;
     private boolean resumes;
-    private OptionalLong lastEventId = OptionalLong.empty();
+    private OptionalLong lastEventId;
+    private Optional<String> resumeAfter;
     private boolean endsWithoutId;
     private long eventCount;
     private OptionalLong repeatedId = OptionalLong.empty();
@@ -36,10 +37,17 @@
      *
      * @param exchange the caller's exchange
      * @param clock    monotonic time in nanoseconds
+     * @param admitted the request, which names the last event that the caller holds if it takes a stream up
      */
-    EventStreamRelay(HttpExchange exchange, LongSupplier clock) {
+    EventStreamRelay(HttpExchange exchange, LongSupplier clock, AdmittedRequest admitted) {
         this.exchange = exchange;
         this.clock = clock;
+        this.resumeAfter = admitted.request().resumePoint().map(ResumePoint::lastEventId);
+        // A stream that may not be resumed begins anew: its events are others than those that the caller holds.
+        this.lastEventId = resumeAfter
+                .filter(id -> admitted.route().resumable())
+                .map(StreamEvent::numericId)
+                .orElse(OptionalLong.empty());
     }
 
     /**
@@ -55,7 +63,7 @@
         // Neither describes the stream of another upstream.
         gapFound = false;
         repeatedId = OptionalLong.empty();
-        resumes = started;
+        resumes = lastEventId.isPresent();
         if (!started) {
             head = Optional.of(new ResponseHead(status, fields));
         }
@@ -119,10 +127,8 @@
     }
 
     /** Returns the id of the event after which the next upstream goes on; empty if it begins the stream. */
-    Optional<String> resumeAfter(GatewayRequest request) {
-        return lastEventId.isPresent()
-                ? Optional.of(Long.toString(lastEventId.getAsLong()))
-                : request.resumePoint().map(ResumePoint::lastEventId);
+    Optional<String> resumeAfter() {
+        return resumeAfter;
     }
 
     /** Returns the number of relayed events, without comments. */
@@ -163,6 +169,7 @@
         endsWithoutId = event.id().isEmpty();
         if (event.id().isPresent()) {
             lastEventId = event.id();
+            resumeAfter = Optional.of(Long.toString(event.id().getAsLong()));
             repeatedId = OptionalLong.empty();
         }
     }
--- a/library/src/main/java/org/copperspindle/gateway/RequestRun.java
+++ b/library/src/main/java/org/copperspindle/gateway/RequestRun.java
@@ -60,7 +60,7 @@
         this.pool = admitted.pool();
         this.admittedAt = admitted.times().admittedAt();
         this.deadlineAt = admitted.times().deadlineAt();
-        this.relay = new EventStreamRelay(exchange, context.timers()::nanoTime);
+        this.relay = new EventStreamRelay(exchange, context.timers()::nanoTime, admitted);
         this.quarantine = new QuarantineGuard(context.quarantine(), admitted.tracked());
         this.eligibility = new UpstreamEligibility(quarantine::permits);
         this.forecast = new UpstreamForecast(context, admitted, eligibility);
@@ -231,7 +231,7 @@
         context.coldAdmission().recordSend(upstream.id(), now);
         attempts.recordSent();
         context.counters().recordAttempt(route.name(), attempts.sent() > 1, now - admittedAt);
-        Optional<String> resumeAfter = relay.resumeAfter(request);
+        Optional<String> resumeAfter = relay.resumeAfter();
         AttemptSpec spec = new AttemptSpec(
                 request,
                 upstream,
