relay: a response of another type does not continue a stream

After the loss of its engine a stream could go on with the body of a 200 of another content type, such as a page of an error, and end as complete.

Cause: whether a response continues a stream was decided by its status alone.

Change: the type of its content, without parameters, must be the same as well. Otherwise the attempt fails, as for another status.

Why it holds: beginStream is the only way into the relay, for each attempt.

--- a/library/src/main/java/org/copperspindle/gateway/EventStreamRelay.java
+++ b/library/src/main/java/org/copperspindle/gateway/EventStreamRelay.java
@@ -1,6 +1,7 @@
 package org.copperspindle.gateway;
 
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.LongSupplier;
@@ -16,6 +17,8 @@
  */
 final class EventStreamRelay {
 
+    private static final String CONTENT_TYPE = "Content-Type";
+
     private final HttpExchange exchange;
     private final LongSupplier clock;
     private EventFramer framer = new EventFramer();
@@ -55,8 +58,8 @@
      *
      * @param status HTTP status of the stream
      * @param fields header fields for the caller
-     * @return false if the caller has already received the head of a response with another status, which this stream
-     *     can't continue
+     * @return false if the caller has already received the head of a response with another status or another type of
+     *     content, which this stream can't continue
      */
     boolean beginStream(int status, List<HeaderField> fields) {
         framer = new EventFramer();
@@ -64,10 +67,11 @@
         gapFound = false;
         repeatedId = OptionalLong.empty();
         resumes = lastEventId.isPresent();
+        ResponseHead received = new ResponseHead(status, fields);
         if (!started) {
-            head = Optional.of(new ResponseHead(status, fields));
+            head = Optional.of(received);
         }
-        return head.orElseThrow().status() == status;
+        return head.orElseThrow().isContinuedBy(received);
     }
 
     /** Relays the events that these bytes complete; returns false if the event ids show that events are missing. */
@@ -200,5 +204,17 @@
                 && event.id().getAsLong() != lastEventId.getAsLong() + 1;
     }
 
-    private record ResponseHead(int status, List<HeaderField> fields) {}
+    private record ResponseHead(int status, List<HeaderField> fields) {
+        boolean isContinuedBy(ResponseHead other) {
+            return status == other.status && mediaType().equals(other.mediaType());
+        }
+
+        /** Returns the type of the content without its parameters; empty if none is stated. */
+        private Optional<String> mediaType() {
+            return fields.stream()
+                    .filter(field -> field.hasName(CONTENT_TYPE))
+                    .findFirst()
+                    .map(field -> field.value().split(";", 2)[0].strip().toLowerCase(Locale.ROOT));
+        }
+    }
 }
