relay: repeated events without an id are dropped with those around them

An engine that repeats events which a caller has could put events without an id into the response a second time.

Cause: events were known to be repeated by their own id only.

Change: while the ids show that an engine repeats events, those without an id are dropped. Before the first id of an engine that continues a stream they wait for it: they are relayed with the next event, or dropped with a repeated one. They count as buffered bytes of the attempt.

Why it holds: a stream is continued only behind an event with an id, so what precedes that id in a later stream is known to the caller, and what follows is not.

--- a/library/src/main/java/org/copperspindle/gateway/EventStreamRelay.java
+++ b/library/src/main/java/org/copperspindle/gateway/EventStreamRelay.java
@@ -1,5 +1,6 @@
 package org.copperspindle.gateway;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
@@ -24,6 +25,8 @@
     private EventFramer framer = new EventFramer();
     private Optional<ResponseHead> head = Optional.empty();
     private boolean started;
+    private final List<StreamEvent> unplaced = new ArrayList<>();
+    private boolean placed;
     private boolean resumes;
     private OptionalLong lastEventId;
     private Optional<String> resumeAfter;
@@ -66,6 +69,8 @@
         // Neither describes the stream of another upstream.
         gapFound = false;
         repeatedId = OptionalLong.empty();
+        unplaced.clear();
+        placed = lastEventId.isEmpty();
         resumes = lastEventId.isPresent();
         ResponseHead received = new ResponseHead(status, fields);
         if (!started) {
@@ -77,27 +82,53 @@
     /** Relays the events that these bytes complete; returns false if the event ids show that events are missing. */
     boolean accept(byte[] data) {
         for (StreamEvent event : framer.accept(data)) {
-            if (isDuplicate(event)) {
-                repeatedId = resumes ? event.id() : OptionalLong.empty();
-                continue;
-            }
-            gapFound |= isGap(event);
-            if (gapFound) {
+            if (!accept(event)) {
                 return false;
             }
-            send(event);
         }
         return true;
     }
 
+    private boolean accept(StreamEvent event) {
+        if (event.hasContent() && event.id().isEmpty()) {
+            acceptWithoutId(event);
+            return true;
+        }
+        placed |= event.id().isPresent();
+        if (isDuplicate(event)) {
+            repeatedId = resumes ? event.id() : OptionalLong.empty();
+            unplaced.clear();
+            return true;
+        }
+        gapFound |= isGap(event);
+        if (gapFound) {
+            return false;
+        }
+        if (placed) {
+            sendUnplaced();
+        }
+        send(event);
+        return true;
+    }
+
+    /** Relays an event without an id, unless it belongs to events that the caller has or may have. */
+    private void acceptWithoutId(StreamEvent event) {
+        if (!placed) {
+            unplaced.add(event);
+        } else if (!endsInRepeatedEvents()) {
+            send(event);
+        }
+    }
+
     /** Returns the exchange of the caller. */
     HttpExchange exchange() {
         return exchange;
     }
 
-    /** Returns how many bytes of an incomplete event are buffered. */
-    int partialEventBytes() {
-        return framer.partialBytes();
+    /** Returns how many bytes are buffered: those of an incomplete event, and of events that may be known to the caller. */
+    int bufferedBytes() {
+        return framer.partialBytes()
+                + unplaced.stream().mapToInt(event -> event.bytes().length).sum();
     }
 
     boolean hasStarted() {
@@ -151,6 +182,7 @@
     }
 
     void finish() {
+        sendUnplaced();
         if (!started) {
             start();
         }
@@ -167,6 +199,11 @@
         exchange.write(event.bytes());
     }
 
+    private void sendUnplaced() {
+        unplaced.forEach(this::send);
+        unplaced.clear();
+    }
+
     private void record(StreamEvent event) {
         eventCount++;
         recordTime();
--- a/library/src/main/java/org/copperspindle/gateway/UpstreamAttempt.java
+++ b/library/src/main/java/org/copperspindle/gateway/UpstreamAttempt.java
@@ -169,7 +169,7 @@
             abortAndFail("events-missing");
         }
         if (!ended) {
-            hold(relay.partialEventBytes());
+            hold(relay.bufferedBytes());
             reading.adjust();
         }
     }
