framer: the last of several ids of an event is its id

An event with two id lines could reach a caller twice after a hand-over.

Cause: the framer took the first id, callers take the last one. The next engine was asked to go on behind the wrong event, and its repetition was not noticed.

Change: the last id of an event counts, also if it is no number.

Evidence: ContinuedEventsTest#lastOfSeveralIdsIsTheOneToResumeAfter failed and passes; EventFramerTest passes.

Why it holds: the standard of event streams says so, and callers that follow it name the same event as the node.

--- a/library/src/main/java/org/copperspindle/gateway/EventFramer.java
+++ b/library/src/main/java/org/copperspindle/gateway/EventFramer.java
@@ -62,15 +62,17 @@
     }
 
     private static StreamEvent parse(byte[] event) {
-        boolean hasData = false;
+        boolean hasContent = false;
+        OptionalLong id = OptionalLong.empty();
         for (String line : new String(event, StandardCharsets.UTF_8).split("\n")) {
             if (line.startsWith(ID_FIELD)) {
-                return new StreamEvent(
-                        event, StreamEvent.numericId(line.substring(ID_FIELD.length()).trim()), true);
+                // The last id of an event counts.
+                id = StreamEvent.numericId(line.substring(ID_FIELD.length()).trim());
+                hasContent = true;
             }
-            hasData |= isData(line);
+            hasContent |= isData(line);
         }
-        return new StreamEvent(event, OptionalLong.empty(), hasData);
+        return new StreamEvent(event, id, hasContent);
     }
 
     /** Returns whether a line is of the field data, which may lack a value. */
