test: an upstream that announces a change while a permit is awaited (fails)

A request that waited for a send permit goes to the address that its upstream had before, and a stream is recorded under its former software version.

Evidence: UpstreamSearchTest#recordIsTheNewestWhenThePermitIsValid fails.

--- a/library/src/test/java/org/copperspindle/gateway/UpstreamSearchTest.java
+++ b/library/src/test/java/org/copperspindle/gateway/UpstreamSearchTest.java
@@ -12,6 +12,7 @@
 import java.util.stream.IntStream;
 
 import org.copperspindle.backpressure.BackoffSignal;
+import org.copperspindle.backpressure.LimitSignal;
 import org.copperspindle.backpressure.SendPermits;
 import org.copperspindle.backpressure.UpstreamBackoffs;
 import org.copperspindle.backpressure.UpstreamLimits;
@@ -45,6 +46,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.tuple;
 
 /**
  * Three engines: the home engine of the prompt, which has 40,000 unread tokens and running streams, an equal one, and a
@@ -72,7 +74,8 @@
     private final LogRateLimiter log = new LogRateLimiter(0, 0);
     private final EngineLoads loads = new EngineLoads(mesh, time, directory, pool -> "127.0.0.1:2", "p"::equals, log);
     private final UpstreamTracker tracker = new UpstreamTracker();
-    private final SendPermits permits = SingleNodePermits.of(new UpstreamLimits(directory, log), time);
+    private final UpstreamLimits limits = new UpstreamLimits(directory, log);
+    private final SendPermits permits = SingleNodePermits.of(limits, time);
     private final UpstreamBackoffs backoffs = new UpstreamBackoffs(directory, log);
     private final GatewayCounters counters = new GatewayCounters();
     private final UpstreamChooser chooser = new UpstreamChooser(
@@ -84,6 +87,7 @@
             new Random(1),
             "d");
     private final List<String> selected = new ArrayList<>();
+    private final List<UpstreamRecord> records = new ArrayList<>();
     private final UpstreamEligibility eligibility = new UpstreamEligibility(upstream -> true);
     private final String shared;
 
@@ -133,6 +137,23 @@
         assertThat(counters.placements()).isEmpty();
     }
 
+    /** Guards against a stream that is recorded under a version which its engine had while the permit was awaited. */
+    @Test
+    void recordIsTheNewestWhenThePermitIsValid() {
+        announce("e1", UpstreamPhase.LEAVING);
+        announce("slow", UpstreamPhase.LEAVING);
+        limits.onResponse("e0", new LimitSignal.Named(1), time.nanoTime(), time.nanoTime());
+        permits.requestPermit("e0", 0, result -> {});
+        search(2000, 0, OptionalLong.empty()).seek();
+        assertThat(records).isEmpty();
+        directory.accept(
+                record("e0", "10.0.0.9:1", UpstreamPhase.READY, 2, SoftwareVersion.of("new")), time.nanoTime());
+        time.advance(2000 * MILLI);
+        assertThat(records)
+                .extracting(UpstreamRecord::address, UpstreamRecord::software)
+                .containsExactly(tuple("10.0.0.9:1", SoftwareVersion.of("new")));
+    }
+
     /** The caller has left while engines back off: the search must not select one later. */
     @Test
     void cancelledSearchSelectsNothing() {
@@ -232,6 +253,7 @@
                     @Override
                     public void onUpstreamSelected(UpstreamRecord upstream) {
                         selected.add(upstream.id());
+                        records.add(upstream);
                     }
 
                     @Override
@@ -259,20 +281,13 @@
 
     private void announce(String id, UpstreamPhase phase) {
         String address = "10.0.0." + IDS.indexOf(id) + ":1";
-        directory.accept(
-                new UpstreamRecord(
-                        id,
-                        1,
-                        "p",
-                        address,
-                        id.equals("e0") ? "d0" : "d1",
-                        phase,
-                        64,
-                        1,
-                        0,
-                        0,
-                        SoftwareVersion.UNSTATED),
-                time.nanoTime());
+        directory.accept(record(id, address, phase, 1, SoftwareVersion.UNSTATED), time.nanoTime());
+    }
+
+    private static UpstreamRecord record(
+            String id, String address, UpstreamPhase phase, long sequence, SoftwareVersion software) {
+        return new UpstreamRecord(
+                id, 1, "p", address, id.equals("e0") ? "d0" : "d1", phase, 64, sequence, 0, 0, software);
     }
 
     private static long score(String part, String engine) {
