--- a/library/src/test/java/org/copperspindle/gateway/ContinuedVersionTest.java
+++ b/library/src/test/java/org/copperspindle/gateway/ContinuedVersionTest.java
@@ -84,6 +84,61 @@
         assertThat(stream.caller().isComplete()).isTrue();
     }
 
+    /** Guards against a stream of one version that is continued at another because its engine has changed under its id. */
+    @Test
+    void engineThatChangesItsVersionBeforeTheFirstEventBeginsNothing() {
+        announce(number -> "old");
+        stream.makeResults();
+        int first = begunAt();
+        stream.announce(first, "new");
+        stream.engines().last().head(200);
+        stream.engines().last().events(1);
+        assertThat(stream.engines().call(0).isOpen()).isFalse();
+        assertThat(stream.events()).isEmpty();
+        if (stream.stagesWait()) {
+            stream.makeResults();
+        }
+        stream.engines().last().head(200);
+        stream.engines().last().events(1);
+        stream.engines().last().end();
+        assertThat(stream.engines().count()).isEqualTo(2);
+        assertThat(stream.events()).containsExactly(1);
+        assertThat(stream.caller().isComplete()).isTrue();
+    }
+
+    /** Guards against events of two versions in one response: the engine that continues it changes under its id. */
+    @Test
+    void engineThatChangesItsVersionContinuesNothing() {
+        announce(number -> "old");
+        stream.startStream();
+        stream.engines().last().crash();
+        stream.makeResults();
+        int second = Integer.parseInt(stream.engines().last().sent().upstream().substring(1));
+        stream.announce(second, "new");
+        stream.engines().last().head(200);
+        stream.engines().last().events(3);
+        assertThat(stream.engines().call(1).isOpen()).isFalse();
+        assertThat(stream.events()).containsExactly(1, 2);
+        stream.makeResults();
+        stream.engines().last().head(200);
+        stream.engines().last().events(3);
+        stream.engines().last().end();
+        assertThat(stream.events()).containsExactly(1, 2, 3);
+        assertThat(stream.caller().isComplete()).isTrue();
+    }
+
+    /** Guards against a stream that goes on although its engine announced another version while it wrote. */
+    @Test
+    void streamOfAnEngineThatHasChangedItsVersionIsBrokenOff() {
+        announce(number -> "old");
+        stream.startStream();
+        stream.announce(begunAt(), "new");
+        stream.engines().last().crash();
+        assertThat(stream.outcome()).isEqualTo("broken-connection-closed");
+        assertThat(stream.caller().isComplete()).isFalse();
+        assertThat(stream.engines().count()).isEqualTo(1);
+    }
+
     private int begunAt() {
         return Integer.parseInt(stream.engines().call(0).sent().upstream().substring(1));
     }
