search: sends by the newest record of the upstream whose permit was awaited

A request that waited for a send permit went to the address that its upstream had announced before, and its stream was recorded under the version that the upstream had before. Callers could then take it up at that version.

Cause: the check after the wait compared ids with the newest records, but the record of the choice was passed on.

Change: the check returns the newest record, and that one is used.

Evidence: UpstreamSearchTest#recordIsTheNewestWhenThePermitIsValid failed and passes; UpstreamSearchTest, UpstreamChooserTest, PlacementReplayTest pass.

Why it holds: it is the only wait between a choice and its send. All other searches choose anew from the directory when they are continued.

--- a/library/src/main/java/org/copperspindle/gateway/UpstreamChooser.java
+++ b/library/src/main/java/org/copperspindle/gateway/UpstreamChooser.java
@@ -141,17 +141,20 @@
     }
 
     /**
-     * Returns whether an upstream that was chosen earlier may still get the request.
+     * Finds an upstream that was chosen earlier, if it may still get the request.
      *
      * @param pool     its pool
-     * @param upstream the upstream
+     * @param id       id of the upstream
      * @param eligible whether an upstream may get the request at all
      * @param now      monotonic time in nanoseconds
-     * @return false if it has left, is suspected, or is cold and has received as many requests as it can take
+     * @return its present record; empty if it has left, is suspected, or is cold and has received as many requests as it
+     *     can take
      */
-    boolean isStillUsable(UpstreamPool pool, UpstreamRecord upstream, Predicate<UpstreamRecord> eligible, long now) {
-        return accepts(pool, upstream, now)
-                && candidates(pool, eligible, now).stream().anyMatch(u -> u.id().equals(upstream.id()));
+    Optional<UpstreamRecord> findUsable(UpstreamPool pool, String id, Predicate<UpstreamRecord> eligible, long now) {
+        return candidates(pool, eligible, now).stream()
+                .filter(upstream -> upstream.id().equals(id))
+                .filter(upstream -> accepts(pool, upstream, now))
+                .findFirst();
     }
 
     /**
--- a/library/src/main/java/org/copperspindle/gateway/UpstreamSearch.java
+++ b/library/src/main/java/org/copperspindle/gateway/UpstreamSearch.java
@@ -208,12 +208,9 @@
         if (ended) {
             return;
         }
-        if (context.chooser()
-                .isStillUsable(pool, upstream, eligible, context.timers().nanoTime())) {
-            select(upstream);
-        } else {
-            seek();
-        }
+        context.chooser()
+                .findUsable(pool, upstream.id(), eligible, context.timers().nanoTime())
+                .ifPresentOrElse(this::select, this::seek);
     }
 
     private void select(UpstreamRecord upstream) {
