attempts: events of an upstream that changes its version under its id

A stream could hold events of two versions, or be continued at one that had not begun it, when an upstream announced another version under its known id after the stream was sent to it.

Cause: the version of a stream is that of the record by which it was sent. An announcement that came later was not compared.

Change: an attempt of a resumable stream fails as software-changed if another version is announced under the id before its first event; another upstream gets the stream then. If it is announced later, while the attempt writes, no other upstream continues the response.

Evidence: three tests of ContinuedVersionTest failed and pass; ResumedStreamTest and InterruptedStreamTest pass.

Why it holds, and where it does not: the announcement is compared at the two moments at which the version of an attempt decides. A change that is announced only after the upstream was lost is not seen, and the record for other nodes keeps the version of the send.

--- a/library/src/main/java/org/copperspindle/gateway/EventStreamRelay.java
+++ b/library/src/main/java/org/copperspindle/gateway/EventStreamRelay.java
@@ -31,6 +31,7 @@
     private OptionalLong lastEventId;
     private Optional<String> resumeAfter;
     private boolean endsWithoutId;
+    private boolean endsHere;
     private long eventCount;
     private OptionalLong repeatedId = OptionalLong.empty();
     private boolean gapFound;
@@ -153,7 +154,12 @@
      * repeat events that followed it without one.
      */
     boolean canContinue() {
-        return !endsWithoutId;
+        return !endsWithoutId && !endsHere;
+    }
+
+    /** Records that no other upstream may continue the response, since it is unknown which software wrote its events. */
+    void endContinuation() {
+        endsHere = true;
     }
 
     /** Returns the time at which the last event was relayed; empty if none was. */
--- a/library/src/main/java/org/copperspindle/gateway/UpstreamAttempt.java
+++ b/library/src/main/java/org/copperspindle/gateway/UpstreamAttempt.java
@@ -152,6 +152,10 @@
             buffer(data);
             return;
         }
+        if (!relayed && hasChangedSoftware()) {
+            abortAndFail("software-changed");
+            return;
+        }
         long eventsBefore = relay.eventCount();
         boolean inOrder = relay.accept(data);
         if (ended) {
@@ -303,8 +307,16 @@
         context.quarantine().onConnectionFailure(run, connectionFresh, () -> listener.onFailure(reason));
     }
 
+    /** Returns whether the version that wrote the events of this attempt is unknown. Only resumed streams depend on it. */
+    private boolean hasChangedSoftware() {
+        return isStream && admitted.route().resumable() && context.chooser().hasChangedSoftware(upstream);
+    }
+
     private void end(boolean succeeded, String reason) {
         ended = true;
+        if (!succeeded && relayed && hasChangedSoftware()) {
+            relay.endContinuation();
+        }
         releaseAll();
         engineAttempt.ended();
         if (succeeded) {
--- a/library/src/main/java/org/copperspindle/gateway/UpstreamChooser.java
+++ b/library/src/main/java/org/copperspindle/gateway/UpstreamChooser.java
@@ -231,6 +231,19 @@
         return directory.ready(pool.name()).stream().anyMatch(eligible);
     }
 
+    /**
+     * Returns whether an upstream now announces another software version than when it was chosen.
+     *
+     * @param chosen its record at that time
+     * @return false also if it has left
+     */
+    boolean hasChangedSoftware(UpstreamRecord chosen) {
+        return directory
+                .find(chosen.id())
+                .filter(present -> !present.software().equals(chosen.software()))
+                .isPresent();
+    }
+
     private List<UpstreamRecord> limitedCandidates(UpstreamPool pool, Predicate<UpstreamRecord> eligible, long now) {
         return candidates(pool, eligible, now).stream()
                 .filter(u -> permits.isNeeded(u.id()))
