test: a stream of a route with several pools that is taken up without a name (fails)

A caller that names no first request draws a pool anew. One that runs a single version goes on with the stream, whichever pool began it.

Evidence: TakenUpStreamTest#streamWithoutANameIsRefusedOnARouteWithSeveralPools fails.

--- a/library/src/test/java/org/copperspindle/gateway/StreamHarness.java
+++ b/library/src/test/java/org/copperspindle/gateway/StreamHarness.java
@@ -56,6 +56,7 @@
 import org.copperspindle.route.RouteStage;
 import org.copperspindle.route.RouteTable;
 import org.copperspindle.route.TestRoutes;
+import org.copperspindle.route.UpstreamPool;
 import org.copperspindle.route.WeightedPool;
 import org.copperspindle.time.TimerService;
 import org.copperspindle.time.TimerSubscription;
@@ -124,7 +125,7 @@
      * @param objective   objective of its first event
      */
     StreamHarness(boolean resumable, boolean coordinated, int engineCount, Duration objective) {
-        this(resumable, coordinated, engineCount, objective, Optional.empty());
+        this(resumable, coordinated, engineCount, objective, Optional.empty(), List.of("p"));
     }
 
     private StreamHarness(
@@ -132,15 +133,18 @@
             boolean coordinated,
             int engineCount,
             Duration objective,
-            Optional<ResumePoint> resumePoint) {
+            Optional<ResumePoint> resumePoint,
+            List<String> pools) {
         this.resumePoint = resumePoint;
         List<RouteStage> stages = resumePoint.isPresent() ? List.of() : List.of(new RouteStage("s", List.of(), 10));
-        route = route("r", 0, objective, resumable, stages);
+        route = route("r", 0, objective, resumable, stages, pools);
         List<Route> routes = new ArrayList<>(List.of(route));
         if (coordinated) {
-            routes.add(route("deferrable", 1, Duration.ofSeconds(15), false, stages));
+            routes.add(route("deferrable", 1, Duration.ofSeconds(15), false, stages, pools));
         }
-        table = TestRoutes.table(1, routes, List.of(TestRoutes.pool("p"), TestRoutes.stagePool("s")));
+        List<UpstreamPool> allPools = new ArrayList<>(List.of(TestRoutes.stagePool("s")));
+        pools.forEach(pool -> allPools.add(TestRoutes.pool(pool)));
+        table = TestRoutes.table(1, routes, allPools);
         IntStream.range(0, engineCount).forEach(i -> announce(i, ""));
         InetSocketAddress listen = new InetSocketAddress("127.0.0.1", 1);
         mesh = new NodeMesh(
@@ -148,8 +152,10 @@
         context = context(mesh);
         mesh.subscribe(context.batches());
         mesh.subscribe(context.isolation());
-        mesh.onOpen(dispatcher);
-        mesh.onMessage(dispatcher, hello(2));
+        if (resumePoint.isEmpty()) {
+            mesh.onOpen(dispatcher);
+            mesh.onMessage(dispatcher, hello(2));
+        }
         resumePoint
                 .flatMap(ResumePoint::firstRequest)
                 .ifPresent(first -> context.origins()
@@ -167,8 +173,12 @@
      * @param engineCount engines of the pool
      */
     static StreamHarness takenUp(String lastEventId, int engineCount) {
-        ResumePoint point = new ResumePoint(lastEventId, Optional.of("first"));
-        return new StreamHarness(true, false, engineCount, Duration.ofMillis(1500), Optional.of(point));
+        return takenUp(new ResumePoint(lastEventId, Optional.of("first")), engineCount, List.of("p"));
+    }
+
+    /** Starts a request without stages that takes up a stream of a route with these pools; its own is p. */
+    static StreamHarness takenUp(ResumePoint point, int engineCount, List<String> pools) {
+        return new StreamHarness(true, false, engineCount, Duration.ofMillis(1500), Optional.of(point), pools);
     }
 
     /** Announces an engine with the version of its software. */
@@ -322,7 +332,12 @@
     }
 
     private static Route route(
-            String name, int priority, Duration objective, boolean resumable, List<RouteStage> stages) {
+            String name,
+            int priority,
+            Duration objective,
+            boolean resumable,
+            List<RouteStage> stages,
+            List<String> pools) {
         return new Route(
                 name,
                 "h",
@@ -331,7 +346,7 @@
                 TIMEOUT,
                 objective,
                 priority,
-                List.of(new WeightedPool("p", 1)),
+                pools.stream().map(pool -> new WeightedPool(pool, 1)).toList(),
                 MAX_ATTEMPTS,
                 stages,
                 false,
--- a/library/src/test/java/org/copperspindle/gateway/TakenUpStreamTest.java
+++ b/library/src/test/java/org/copperspindle/gateway/TakenUpStreamTest.java
@@ -1,5 +1,8 @@
 package org.copperspindle.gateway;
 
+import java.util.List;
+import java.util.Optional;
+
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -96,6 +99,29 @@
         assertThat(stream.caller().isComplete()).isTrue();
     }
 
+    /** Guards against a stream that goes on at another pool: a caller that names no first request may come from any. */
+    @Test
+    void streamWithoutANameIsRefusedOnARouteWithSeveralPools() {
+        takeUpWithoutAName(List.of("p", "q"));
+        assertThat(stream.outcome()).isEqualTo("origin-unknown");
+        assertThat(stream.engines().count()).isZero();
+    }
+
+    /** Guards against callers that are refused for a name that they need not give. */
+    @Test
+    void streamWithoutANameGoesOnWhereOnePoolRunsOneVersion() {
+        takeUpWithoutAName(List.of("p"));
+        begin(3);
+        stream.engines().last().end();
+        assertThat(stream.caller().isComplete()).isTrue();
+    }
+
+    private void takeUpWithoutAName(List<String> pools) {
+        stream.close();
+        stream = StreamHarness.takenUp(new ResumePoint("2", Optional.empty()), ENGINES, pools);
+        stream.advance(3000);
+    }
+
     private void begin(int... ids) {
         stream.engines().last().head(200);
         stream.engines().last().events(ids);
