test: a request with several last event ids (fails)

Of several Last-Event-Id fields the first is taken. If the caller means another, it gets events twice or misses some.

--- a/library/src/test/java/org/copperspindle/http/EmbeddedCaller.java
+++ b/library/src/test/java/org/copperspindle/http/EmbeddedCaller.java
@@ -1,6 +1,7 @@
 package org.copperspindle.http;
 
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.concurrent.atomic.AtomicReference;
 
 import io.netty.channel.ChannelHandlerContext;
@@ -31,11 +32,17 @@
 
     // Sends a request without a body.
     public EmbeddedCaller() {
+        this(List.of());
+    }
+
+    // Sends a request with these header fields and without a body.
+    public EmbeddedCaller(List<HeaderField> fields) {
         HttpConnectionHandler handler = new HttpConnectionHandler(
                 HttpLimits.DEFAULT, new HttpCounters(), exchange::set, HeldMemories.unlimited(), () -> false);
         channel = new EmbeddedChannel(new CloseRecorder(), handler);
         DefaultHttpRequest head = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/x");
         head.headers().set(HttpHeaderNames.HOST, "h");
+        fields.forEach(field -> head.headers().add(field.name(), field.value()));
         channel.writeInbound(head, LastHttpContent.EMPTY_LAST_CONTENT);
     }
 
