test: events whose lines end with a carriage return (fails)

The framer ends lines at line feeds only. It holds back events that end with carriage returns, and does not see ids behind which one stands: such an event is relayed twice if an engine repeats it.

--- a/library/src/test/java/org/copperspindle/gateway/ContinuedEventsTest.java
+++ b/library/src/test/java/org/copperspindle/gateway/ContinuedEventsTest.java
@@ -97,6 +97,20 @@
         assertThat(stream.caller().isComplete()).isTrue();
     }
 
+    /** Guards against events whose ids are not seen: lines may end with a carriage return alone, or in any mixture. */
+    @ParameterizedTest
+    @ValueSource(strings = {"id: 1\rdata: a\r\rid: 2\rdata: b\r\r", "id: 1\rdata: a\n\nid: 2\rdata: b\n\n"})
+    void linesMayEndWithACarriageReturn(String events) {
+        start("id: 1\ndata: a\n\n");
+        stream.engines().last().crash();
+        stream.makeResults();
+        stream.engines().last().head(200);
+        stream.engines().last().data(events);
+        stream.engines().last().end();
+        assertThat(stream.caller().received()).containsOnlyOnce("data: a").containsOnlyOnce("data: b");
+        assertThat(stream.caller().isComplete()).isTrue();
+    }
+
     private void start(String data) {
         stream.advance(300);
         stream.makeResults();
