streams: one without a name is not taken up on a route with several pools

A caller that takes a stream up and names no first request could be continued at a pool that had not begun its stream, if that pool runs one version.

Cause: the pool of a stream is drawn by the id of its first request. Without it the id of the later request was used, and the only version of the pool drawn was taken for the one that began the stream.

Change: where a route has several pools, such a caller gets origin-unknown, as in a pool with several versions.

Evidence: TakenUpStreamTest#streamWithoutANameIsRefusedOnARouteWithSeveralPools failed and passes; streamWithoutANameGoesOnWhereOnePoolRunsOneVersion passes before and after.

Why it holds: nothing else ties such a request to a pool. A caller that names a later request of its stream is still drawn by that one; that needs the pool in the records of origins.

--- a/library/src/main/java/org/copperspindle/gateway/StreamSoftware.java
+++ b/library/src/main/java/org/copperspindle/gateway/StreamSoftware.java
@@ -59,6 +59,12 @@
     void find(Consumer<Boolean> listener) {
         long askedAt = context.timers().nanoTime();
         Optional<String> first = admitted.request().resumePoint().flatMap(ResumePoint::firstRequest);
+        if (first.isEmpty() && admitted.route().pools().size() > 1) {
+            // The pool was drawn by another name than when the stream began, and may not be the one that began it.
+            requestLogger.originFound(new OriginResult.Unknown(), 0);
+            listener.accept(false);
+            return;
+        }
         // No request has an empty id: a caller that names none can only be answered while there is one version.
         context.origins().find(key(first.orElse("")), admitted.pool(), result -> {
             requestLogger.originFound(result, context.timers().nanoTime() - askedAt);
