dialect: refuses a request with several last event ids

Of several Last-Event-Id fields the first was taken, so that a caller which meant another got events twice or missed some.

Change: such a request is malformed and gets the refusal for that.

Evidence: HeaderCallerDialectTest#severalLastEventIdsAreRefused failed and passes; severalFirstRequestsNameNone passes before and after.

Why it holds: it is the only place that reads the field.

--- a/library/src/main/java/org/copperspindle/dialect/HeaderCallerDialect.java
+++ b/library/src/main/java/org/copperspindle/dialect/HeaderCallerDialect.java
@@ -75,6 +75,9 @@
     }
 
     private Optional<ResumePoint> resumePoint(HttpExchange exchange) {
+        if (exchange.headerCount(HeaderFields.LAST_EVENT_ID) > 1) {
+            throw new IllegalArgumentException("more than one " + HeaderFields.LAST_EVENT_ID);
+        }
         Optional<String> first =
                 exchange.headerCount(names.resumes()) == 1 ? exchange.header(names.resumes()) : Optional.empty();
         return exchange.header(HeaderFields.LAST_EVENT_ID)
