framer: lines may end with a carriage return

Events whose lines end with carriage returns were held back until the stream failed. In a mixture the id of an event was not seen: it reached the caller twice if an engine repeated it after a hand-over.

Cause: only line feeds ended a line; the standard of event streams allows three ends.

Change: the framer knows all three. A carriage return that ends the bytes received so far may be half of a line end, so the event waits for the next byte or for the end of the stream.

Evidence: ContinuedEventsTest#linesMayEndWithACarriageReturn failed in 2 of 2 cases and passes; EventFramerTest splits such a stream at each 1, 2, 3 and 7 bytes; ResumedStreamTest and InterruptedStreamTest pass.

Why it holds: bytes are passed on as they came, and no event is cut between the two bytes of one line end. Streams with line feeds are split as before.

--- a/library/src/main/java/org/copperspindle/gateway/EventFramer.java
+++ b/library/src/main/java/org/copperspindle/gateway/EventFramer.java
@@ -24,12 +24,12 @@
         byte[] all = partial.length == 0 ? data : join(partial, data);
         List<StreamEvent> events = new ArrayList<>();
         int start = 0;
-        int end = endOfEvent(all, start);
+        int end = endOfEvent(all, start, false);
         while (end > 0) {
             byte[] bytes = Arrays.copyOfRange(all, start, end);
             events.add(parse(bytes));
             start = end;
-            end = endOfEvent(all, start);
+            end = endOfEvent(all, start, false);
         }
         partial = start == 0 ? all : Arrays.copyOfRange(all, start, all.length);
         return events;
@@ -45,15 +45,39 @@
         return partial.length;
     }
 
-    /** Returns the position after the next blank line, or -1. */
-    private static int endOfEvent(byte[] bytes, int from) {
+    /**
+     * Returns the event that the end of the stream completes: its blank line ends with a carriage return, which a line
+     * feed could have followed until now.
+     */
+    List<StreamEvent> end() {
+        if (partial.length == 0 || endOfEvent(partial, 0, true) != partial.length) {
+            return List.of();
+        }
+        StreamEvent last = parse(partial);
+        partial = new byte[0];
+        return List.of(last);
+    }
+
+    /**
+     * Returns the position after the next blank line, or -1. Lines end with a line feed, a carriage return, or both. One
+     * that ends with the last byte received, a carriage return, is not complete unless the stream has ended.
+     */
+    private static int endOfEvent(byte[] bytes, int from, boolean ended) {
         int lineStart = from;
         for (int i = from; i < bytes.length; i++) {
-            if (bytes[i] != LINE_FEED) {
+            if (bytes[i] != LINE_FEED && bytes[i] != CARRIAGE_RETURN) {
                 continue;
             }
-            boolean blank = i == lineStart || i == lineStart + 1 && bytes[lineStart] == CARRIAGE_RETURN;
-            if (blank) {
+            int lineEnd = i;
+            if (bytes[i] == CARRIAGE_RETURN) {
+                if (i + 1 == bytes.length && !ended) {
+                    return -1;
+                }
+                if (i + 1 < bytes.length && bytes[i + 1] == LINE_FEED) {
+                    i++;
+                }
+            }
+            if (lineEnd == lineStart) {
                 return i + 1;
             }
             lineStart = i + 1;
@@ -64,7 +88,7 @@
     private static StreamEvent parse(byte[] event) {
         boolean hasContent = false;
         OptionalLong id = OptionalLong.empty();
-        for (String line : new String(event, StandardCharsets.UTF_8).split("\n")) {
+        for (String line : new String(event, StandardCharsets.UTF_8).split("\r\n|\n|\r")) {
             if (line.startsWith(ID_FIELD)) {
                 // The last id of an event counts.
                 id = StreamEvent.numericId(line.substring(ID_FIELD.length()).trim());
--- a/library/src/main/java/org/copperspindle/gateway/EventStreamRelay.java
+++ b/library/src/main/java/org/copperspindle/gateway/EventStreamRelay.java
@@ -90,6 +90,14 @@
         return true;
     }
 
+    /**
+     * Relays the event that the end of the stream completes, if there is one. Returns whether the stream ended at an
+     * event boundary, without a gap in the event ids.
+     */
+    boolean end() {
+        return framer.end().stream().allMatch(this::accept) && isComplete();
+    }
+
     private boolean accept(StreamEvent event) {
         if (event.hasContent() && event.id().isEmpty()) {
             acceptWithoutId(event);
@@ -136,8 +144,7 @@
         return started;
     }
 
-    /** Returns whether the stream ended at an event boundary, without a gap in the event ids. */
-    boolean isComplete() {
+    private boolean isComplete() {
         return !framer.hasPartialEvent() && !gapFound;
     }
 
--- a/library/src/main/java/org/copperspindle/gateway/UpstreamAttempt.java
+++ b/library/src/main/java/org/copperspindle/gateway/UpstreamAttempt.java
@@ -184,7 +184,12 @@
             return;
         }
         DirectHead response = head.orElseThrow();
-        if (isStream && !relay.isComplete()) {
+        boolean complete = !isStream || relay.end();
+        if (ended) {
+            // The write of the last event closed the connection of the caller because memory is short.
+            return;
+        }
+        if (!complete) {
             // A response without a length ends with its connection, also when its upstream crashes.
             connectionLost(EVENT_CUT, true);
         } else if (isStream && relay.endsInRepeatedEvents()) {
--- a/library/src/test/java/org/copperspindle/gateway/EventFramerTest.java
+++ b/library/src/test/java/org/copperspindle/gateway/EventFramerTest.java
@@ -37,6 +37,24 @@
         assertThat(framer.hasPartialEvent()).isTrue();
     }
 
+    /** Guards against events that are held back for ever: lines may end with a carriage return alone, or in any mixture. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 3, 7, 1000})
+    void linesMayEndWithACarriageReturn(int size) {
+        EventFramer framer = new EventFramer();
+        List<StreamEvent> events = new ArrayList<>();
+        byte[] all = "id: 1\rdata: a\r\rid: 2\rdata: b\r\n\ndata: c\n\rid: 4\r\r".getBytes(StandardCharsets.UTF_8);
+        for (int at = 0; at < all.length; at += size) {
+            events.addAll(framer.accept(Arrays.copyOfRange(all, at, Math.min(all.length, at + size))));
+        }
+        events.addAll(framer.end());
+        assertThat(events)
+                .extracting(e -> new String(e.bytes(), StandardCharsets.UTF_8))
+                .containsExactly("id: 1\rdata: a\r\r", "id: 2\rdata: b\r\n\n", "data: c\n\r", "id: 4\r\r");
+        assertThat(events).extracting(e -> e.id().orElse(-1)).containsExactly(1L, 2L, -1L, 4L);
+        assertThat(framer.hasPartialEvent()).isFalse();
+    }
+
     /** A comment, or a block without an id and data, is nothing that a caller waits for: it must not count as an event. */
     @ParameterizedTest
     @CsvSource({
