--- a/library/src/main/java/org/copperspindle/gateway/EventFramer.java
+++ b/library/src/main/java/org/copperspindle/gateway/EventFramer.java
@@ -24,12 +24,12 @@
         byte[] all = partial.length == 0 ? data : join(partial, data);
         List<StreamEvent> events = new ArrayList<>();
         int start = 0;
-        int end = endOfEvent(all, start);
+        int end = endOfEvent(all, start, false);
         while (end > 0) {
             byte[] bytes = Arrays.copyOfRange(all, start, end);
             events.add(parse(bytes));
             start = end;
-            end = endOfEvent(all, start);
+            end = endOfEvent(all, start, false);
         }
         partial = start == 0 ? all : Arrays.copyOfRange(all, start, all.length);
         return events;
@@ -45,15 +45,39 @@
         return partial.length;
     }
 
-    /** Returns the position after the next blank line, or -1. */
-    private static int endOfEvent(byte[] bytes, int from) {
+    /**
+     * Returns the event that the end of the stream completes: its blank line ends with a carriage return, which a line
+     * feed could have followed until now.
+     */
+    List<StreamEvent> end() {
+        if (partial.length == 0 || endOfEvent(partial, 0, true) != partial.length) {
+            return List.of();
+        }
+        StreamEvent last = parse(partial);
+        partial = new byte[0];
+        return List.of(last);
+    }
+
+    /**
+     * Returns the position after the next blank line, or -1. Lines end with a line feed, a carriage return, or both. One
+     * that ends with the last byte received, a carriage return, is not complete unless the stream has ended.
+     */
+    private static int endOfEvent(byte[] bytes, int from, boolean ended) {
         int lineStart = from;
         for (int i = from; i < bytes.length; i++) {
-            if (bytes[i] != LINE_FEED) {
+            if (bytes[i] != LINE_FEED && bytes[i] != CARRIAGE_RETURN) {
                 continue;
             }
-            boolean blank = i == lineStart || i == lineStart + 1 && bytes[lineStart] == CARRIAGE_RETURN;
-            if (blank) {
+            int lineEnd = i;
+            if (bytes[i] == CARRIAGE_RETURN) {
+                if (i + 1 == bytes.length && !ended) {
+                    return -1;
+                }
+                if (i + 1 < bytes.length && bytes[i + 1] == LINE_FEED) {
+                    i++;
+                }
+            }
+            if (lineEnd == lineStart) {
                 return i + 1;
             }
             lineStart = i + 1;
@@ -62,15 +86,17 @@
     }
 
     private static StreamEvent parse(byte[] event) {
-        boolean hasData = false;
-        for (String line : new String(event, StandardCharsets.UTF_8).split("\n")) {
+        boolean hasContent = false;
+        OptionalLong id = OptionalLong.empty();
+        for (String line : new String(event, StandardCharsets.UTF_8).split("\r\n|\n|\r")) {
             if (line.startsWith(ID_FIELD)) {
-                return new StreamEvent(
-                        event, parseId(line.substring(ID_FIELD.length()).trim()), true);
+                // The last id of an event counts.
+                id = StreamEvent.numericId(line.substring(ID_FIELD.length()).trim());
+                hasContent = true;
             }
-            hasData |= isData(line);
+            hasContent |= isData(line);
         }
-        return new StreamEvent(event, OptionalLong.empty(), hasData);
+        return new StreamEvent(event, id, hasContent);
     }
 
     /** Returns whether a line is of the field data, which may lack a value. */
@@ -78,15 +104,6 @@
         return line.startsWith(DATA_FIELD + ':') || line.strip().equals(DATA_FIELD);
     }
 
-    private static OptionalLong parseId(String text) {
-        try {
-            return OptionalLong.of(Long.parseLong(text));
-        } catch (NumberFormatException e) {
-            // Event ids may be any text; only streams with numeric ids can be checked for gaps.
-            return OptionalLong.empty();
-        }
-    }
-
     private static byte[] join(byte[] first, byte[] second) {
         byte[] all = Arrays.copyOf(first, first.length + second.length);
         System.arraycopy(second, 0, all, first.length, second.length);
--- a/library/src/main/java/org/copperspindle/gateway/EventStreamRelay.java
+++ b/library/src/main/java/org/copperspindle/gateway/EventStreamRelay.java
@@ -1,6 +1,8 @@
 package org.copperspindle.gateway;
 
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.LongSupplier;
@@ -16,14 +18,20 @@
  */
 final class EventStreamRelay {
 
+    private static final String CONTENT_TYPE = "Content-Type";
+
     private final HttpExchange exchange;
     private final LongSupplier clock;
     private EventFramer framer = new EventFramer();
     private Optional<ResponseHead> head = Optional.empty();
     private boolean started;
+    private final List<StreamEvent> unplaced = new ArrayList<>();
+    private boolean placed;
     private boolean resumes;
-    private OptionalLong lastEventId = OptionalLong.empty();
+    private OptionalLong lastEventId;
+    private Optional<String> resumeAfter;
     private boolean endsWithoutId;
+    private boolean endsHere;
     private long eventCount;
     private OptionalLong repeatedId = OptionalLong.empty();
     private boolean gapFound;
@@ -36,10 +44,17 @@
      *
      * @param exchange the caller's exchange
      * @param clock    monotonic time in nanoseconds
+     * @param admitted the request, which names the last event that the caller holds if it takes a stream up
      */
-    EventStreamRelay(HttpExchange exchange, LongSupplier clock) {
+    EventStreamRelay(HttpExchange exchange, LongSupplier clock, AdmittedRequest admitted) {
         this.exchange = exchange;
         this.clock = clock;
+        this.resumeAfter = admitted.request().resumePoint().map(ResumePoint::lastEventId);
+        // A stream that may not be resumed begins anew: its events are others than those that the caller holds.
+        this.lastEventId = resumeAfter
+                .filter(id -> admitted.route().resumable())
+                .map(StreamEvent::numericId)
+                .orElse(OptionalLong.empty());
     }
 
     /**
@@ -47,53 +62,89 @@
      *
      * @param status HTTP status of the stream
      * @param fields header fields for the caller
-     * @return false if the caller has already received the head of a response with another status, which this stream
-     *     can't continue
+     * @return false if the caller has already received the head of a response with another status or another type of
+     *     content, which this stream can't continue
      */
     boolean beginStream(int status, List<HeaderField> fields) {
         framer = new EventFramer();
         // Neither describes the stream of another upstream.
         gapFound = false;
         repeatedId = OptionalLong.empty();
-        resumes = started;
+        unplaced.clear();
+        placed = lastEventId.isEmpty();
+        resumes = lastEventId.isPresent();
+        ResponseHead received = new ResponseHead(status, fields);
         if (!started) {
-            head = Optional.of(new ResponseHead(status, fields));
+            head = Optional.of(received);
         }
-        return head.orElseThrow().status() == status;
+        return head.orElseThrow().isContinuedBy(received);
     }
 
     /** Relays the events that these bytes complete; returns false if the event ids show that events are missing. */
     boolean accept(byte[] data) {
         for (StreamEvent event : framer.accept(data)) {
-            if (isDuplicate(event)) {
-                repeatedId = resumes ? event.id() : OptionalLong.empty();
-                continue;
-            }
-            gapFound |= isGap(event);
-            if (gapFound) {
+            if (!accept(event)) {
                 return false;
             }
-            send(event);
         }
         return true;
     }
 
+    /**
+     * Relays the event that the end of the stream completes, if there is one. Returns whether the stream ended at an
+     * event boundary, without a gap in the event ids.
+     */
+    boolean end() {
+        return framer.end().stream().allMatch(this::accept) && isComplete();
+    }
+
+    private boolean accept(StreamEvent event) {
+        if (event.hasContent() && event.id().isEmpty()) {
+            acceptWithoutId(event);
+            return true;
+        }
+        placed |= event.id().isPresent();
+        if (isDuplicate(event)) {
+            repeatedId = resumes ? event.id() : OptionalLong.empty();
+            unplaced.clear();
+            return true;
+        }
+        gapFound |= isGap(event);
+        if (gapFound) {
+            return false;
+        }
+        if (placed) {
+            sendUnplaced();
+        }
+        send(event);
+        return true;
+    }
+
+    /** Relays an event without an id, unless it belongs to events that the caller has or may have. */
+    private void acceptWithoutId(StreamEvent event) {
+        if (!placed) {
+            unplaced.add(event);
+        } else if (!endsInRepeatedEvents()) {
+            send(event);
+        }
+    }
+
     /** Returns the exchange of the caller. */
     HttpExchange exchange() {
         return exchange;
     }
 
-    /** Returns how many bytes of an incomplete event are buffered. */
-    int partialEventBytes() {
-        return framer.partialBytes();
+    /** Returns how many bytes are buffered: those of an incomplete event, and of events that may be known to the caller. */
+    int bufferedBytes() {
+        return framer.partialBytes()
+                + unplaced.stream().mapToInt(event -> event.bytes().length).sum();
     }
 
     boolean hasStarted() {
         return started;
     }
 
-    /** Returns whether the stream ended at an event boundary, without a gap in the event ids. */
-    boolean isComplete() {
+    private boolean isComplete() {
         return !framer.hasPartialEvent() && !gapFound;
     }
 
@@ -110,7 +161,12 @@
      * repeat events that followed it without one.
      */
     boolean canContinue() {
-        return !endsWithoutId;
+        return !endsWithoutId && !endsHere;
+    }
+
+    /** Records that no other upstream may continue the response, since it is unknown which software wrote its events. */
+    void endContinuation() {
+        endsHere = true;
     }
 
     /** Returns the time at which the last event was relayed; empty if none was. */
@@ -119,10 +175,8 @@
     }
 
     /** Returns the id of the event after which the next upstream goes on; empty if it begins the stream. */
-    Optional<String> resumeAfter(GatewayRequest request) {
-        return lastEventId.isPresent()
-                ? Optional.of(Long.toString(lastEventId.getAsLong()))
-                : request.resumePoint().map(ResumePoint::lastEventId);
+    Optional<String> resumeAfter() {
+        return resumeAfter;
     }
 
     /** Returns the number of relayed events, without comments. */
@@ -141,6 +195,7 @@
     }
 
     void finish() {
+        sendUnplaced();
         if (!started) {
             start();
         }
@@ -157,12 +212,18 @@
         exchange.write(event.bytes());
     }
 
+    private void sendUnplaced() {
+        unplaced.forEach(this::send);
+        unplaced.clear();
+    }
+
     private void record(StreamEvent event) {
         eventCount++;
         recordTime();
         endsWithoutId = event.id().isEmpty();
         if (event.id().isPresent()) {
             lastEventId = event.id();
+            resumeAfter = Optional.of(Long.toString(event.id().getAsLong()));
             repeatedId = OptionalLong.empty();
         }
     }
@@ -193,5 +254,17 @@
                 && event.id().getAsLong() != lastEventId.getAsLong() + 1;
     }
 
-    private record ResponseHead(int status, List<HeaderField> fields) {}
+    private record ResponseHead(int status, List<HeaderField> fields) {
+        boolean isContinuedBy(ResponseHead other) {
+            return status == other.status && mediaType().equals(other.mediaType());
+        }
+
+        /** Returns the type of the content without its parameters; empty if none is stated. */
+        private Optional<String> mediaType() {
+            return fields.stream()
+                    .filter(field -> field.hasName(CONTENT_TYPE))
+                    .findFirst()
+                    .map(field -> field.value().split(";", 2)[0].strip().toLowerCase(Locale.ROOT));
+        }
+    }
 }
--- a/library/src/main/java/org/copperspindle/gateway/UpstreamAttempt.java
+++ b/library/src/main/java/org/copperspindle/gateway/UpstreamAttempt.java
@@ -152,6 +152,10 @@
             buffer(data);
             return;
         }
+        if (!relayed && hasChangedSoftware()) {
+            abortAndFail("software-changed");
+            return;
+        }
         long eventsBefore = relay.eventCount();
         boolean inOrder = relay.accept(data);
         if (ended) {
@@ -169,7 +173,7 @@
             abortAndFail("events-missing");
         }
         if (!ended) {
-            hold(relay.partialEventBytes());
+            hold(relay.bufferedBytes());
             reading.adjust();
         }
     }
@@ -180,7 +184,12 @@
             return;
         }
         DirectHead response = head.orElseThrow();
-        if (isStream && !relay.isComplete()) {
+        boolean complete = !isStream || relay.end();
+        if (ended) {
+            // The write of the last event closed the connection of the caller because memory is short.
+            return;
+        }
+        if (!complete) {
             // A response without a length ends with its connection, also when its upstream crashes.
             connectionLost(EVENT_CUT, true);
         } else if (isStream && relay.endsInRepeatedEvents()) {
@@ -303,8 +312,16 @@
         context.quarantine().onConnectionFailure(run, connectionFresh, () -> listener.onFailure(reason));
     }
 
+    /** Returns whether the version that wrote the events of this attempt is unknown. Only resumed streams depend on it. */
+    private boolean hasChangedSoftware() {
+        return isStream && admitted.route().resumable() && context.chooser().hasChangedSoftware(upstream);
+    }
+
     private void end(boolean succeeded, String reason) {
         ended = true;
+        if (!succeeded && relayed && hasChangedSoftware()) {
+            relay.endContinuation();
+        }
         releaseAll();
         engineAttempt.ended();
         if (succeeded) {
--- a/library/src/test/java/org/copperspindle/gateway/StreamHarness.java
+++ b/library/src/test/java/org/copperspindle/gateway/StreamHarness.java
@@ -48,6 +48,7 @@
 import org.copperspindle.mesh.NodeMesh;
 import org.copperspindle.origin.ObservedSoftware;
 import org.copperspindle.origin.SharedStreamOrigins;
+import org.copperspindle.origin.StreamKey;
 import org.copperspindle.quarantine.RequestQuarantine;
 import org.copperspindle.quarantine.UpstreamRun;
 import org.copperspindle.route.Route;
@@ -55,6 +56,7 @@
 import org.copperspindle.route.RouteStage;
 import org.copperspindle.route.RouteTable;
 import org.copperspindle.route.TestRoutes;
+import org.copperspindle.route.UpstreamPool;
 import org.copperspindle.route.WeightedPool;
 import org.copperspindle.time.TimerService;
 import org.copperspindle.time.TimerSubscription;
@@ -94,6 +96,7 @@
     private final EmbeddedCaller caller = new EmbeddedCaller();
     private final GatewayCounters counters = new GatewayCounters();
     private final FirstEventLatencies latencies = new FirstEventLatencies();
+    private final Optional<ResumePoint> resumePoint;
     private final Route route;
     private final RouteTable table;
     private final NodeMesh mesh;
@@ -122,12 +125,26 @@
      * @param objective   objective of its first event
      */
     StreamHarness(boolean resumable, boolean coordinated, int engineCount, Duration objective) {
-        route = route("r", 0, objective, resumable);
+        this(resumable, coordinated, engineCount, objective, Optional.empty(), List.of("p"));
+    }
+
+    private StreamHarness(
+            boolean resumable,
+            boolean coordinated,
+            int engineCount,
+            Duration objective,
+            Optional<ResumePoint> resumePoint,
+            List<String> pools) {
+        this.resumePoint = resumePoint;
+        List<RouteStage> stages = resumePoint.isPresent() ? List.of() : List.of(new RouteStage("s", List.of(), 10));
+        route = route("r", 0, objective, resumable, stages, pools);
         List<Route> routes = new ArrayList<>(List.of(route));
         if (coordinated) {
-            routes.add(route("deferrable", 1, Duration.ofSeconds(15), false));
+            routes.add(route("deferrable", 1, Duration.ofSeconds(15), false, stages, pools));
         }
-        table = TestRoutes.table(1, routes, List.of(TestRoutes.pool("p"), TestRoutes.stagePool("s")));
+        List<UpstreamPool> allPools = new ArrayList<>(List.of(TestRoutes.stagePool("s")));
+        pools.forEach(pool -> allPools.add(TestRoutes.pool(pool)));
+        table = TestRoutes.table(1, routes, allPools);
         IntStream.range(0, engineCount).forEach(i -> announce(i, ""));
         InetSocketAddress listen = new InetSocketAddress("127.0.0.1", 1);
         mesh = new NodeMesh(
@@ -135,11 +152,35 @@
         context = context(mesh);
         mesh.subscribe(context.batches());
         mesh.subscribe(context.isolation());
-        mesh.onOpen(dispatcher);
-        mesh.onMessage(dispatcher, hello(2));
+        if (resumePoint.isEmpty()) {
+            mesh.onOpen(dispatcher);
+            mesh.onMessage(dispatcher, hello(2));
+        }
+        resumePoint
+                .flatMap(ResumePoint::firstRequest)
+                .ifPresent(first -> context.origins()
+                        .record(
+                                StreamKey.of("p", "", first),
+                                directory.find("e0").orElseThrow(),
+                                1));
         new RequestRun(context, caller.exchange(), admitted()).start();
     }
 
+    /**
+     * Starts a request without stages that takes up a stream, of which this node knows where it began.
+     *
+     * @param lastEventId id of the last event that the caller holds
+     * @param engineCount engines of the pool
+     */
+    static StreamHarness takenUp(String lastEventId, int engineCount) {
+        return takenUp(new ResumePoint(lastEventId, Optional.of("first")), engineCount, List.of("p"));
+    }
+
+    /** Starts a request without stages that takes up a stream of a route with these pools; its own is p. */
+    static StreamHarness takenUp(ResumePoint point, int engineCount, List<String> pools) {
+        return new StreamHarness(true, false, engineCount, Duration.ofMillis(1500), Optional.of(point), pools);
+    }
+
     /** Announces an engine with the version of its software. */
     void announce(int number, String software) {
         directory.accept(
@@ -290,7 +331,13 @@
         mesh.onMessage(dispatcher, new PieceResultsMessage(group.id(), List.of(new PieceResult(0, outcome))));
     }
 
-    private static Route route(String name, int priority, Duration objective, boolean resumable) {
+    private static Route route(
+            String name,
+            int priority,
+            Duration objective,
+            boolean resumable,
+            List<RouteStage> stages,
+            List<String> pools) {
         return new Route(
                 name,
                 "h",
@@ -299,16 +346,18 @@
                 TIMEOUT,
                 objective,
                 priority,
-                List.of(new WeightedPool("p", 1)),
+                pools.stream().map(pool -> new WeightedPool(pool, 1)).toList(),
                 MAX_ATTEMPTS,
-                List.of(new RouteStage("s", List.of(), 10)),
+                stages,
                 false,
                 resumable,
                 MAX_EVENT_GAP);
     }
 
     private AdmittedRequest admitted() {
-        GatewayRequest request = TestRequests.request("id", OptionalLong.empty(), List.of(), List.of(1));
+        GatewayRequest request = resumePoint
+                .map(point -> TestRequests.resuming("id", point))
+                .orElseGet(() -> TestRequests.request("id", OptionalLong.empty(), List.of(), List.of(1)));
         RequestTimes times = RequestTimes.of(route, request.deadlineMillis(), 0, 0, time.nanoTime());
         return new AdmittedRequest(request, table, route, Optional.empty(), "p", times);
     }
--- a/library/src/test/java/org/copperspindle/gateway/TestRequests.java
+++ b/library/src/test/java/org/copperspindle/gateway/TestRequests.java
@@ -23,6 +23,11 @@
         return request(id, deadlineMillis, Optional.of(point), List.of(), pieces);
     }
 
+    // Creates a request without stages that takes up a stream.
+    static GatewayRequest resuming(String id, ResumePoint point) {
+        return request(id, OptionalLong.empty(), Optional.of(point), List.of(), List.of());
+    }
+
     private static GatewayRequest request(
             String id,
             OptionalLong deadlineMillis,
