origins: a stale copy of a record comes from another node in its test

With the order of records ignored by the table, the test still passed: the node that relayed kept the later record on its own disk.

--- a/library/src/test/java/org/copperspindle/origin/OriginsAfterStartOfAllTest.java
+++ b/library/src/test/java/org/copperspindle/origin/OriginsAfterStartOfAllTest.java
@@ -251,9 +251,9 @@
     @Test
     void laterRecordCountsAfterReading() {
         announce();
-        fleet.begin(0, "r", old, 1);
-        fleet.begin(0, "r", next, 2);
-        fleet.begin(1, "r", old, 1);
+        fleet.begin(DISKLESS, "r", old, 1);
+        fleet.begin(DISKLESS, "r", next, 2);
+        fleet.begin(5, "r", old, 1);
         fleet.advance(OriginFleet.SYNCED);
         fleet.kill(fleet.all());
         startAll();
