streams: a node that has just started waits for upstreams of a stream's version

Cause: 'no upstream of the version serves' was concluded from silence in the seconds after a start.

Change: for as long as a node that has started learns what the others know (2 s), such a stream waits for an announcement; after that it is refused at once, as before.

Evidence: TakenUpStreamTest#streamWaitsForAnEngineOfItsVersionAfterAStart fails without the wait (nothing is sent).

--- a/library/src/main/java/org/copperspindle/gateway/OriginsFactory.java
+++ b/library/src/main/java/org/copperspindle/gateway/OriginsFactory.java
@@ -29,7 +29,8 @@
         MajorityWatch majority = new MajorityWatch(mesh::count, timers);
         StreamLifetime lifetime = new StreamLifetime(holder::heldTable);
         ObservedSoftware observed = new ObservedSoftware(directory, majority, timers, lifetime);
-        AgreedSoftware agreed = new AgreedSoftware(holder, observed, timers);
+        AgreedSoftware agreed =
+                new AgreedSoftware(holder, observed, () -> majority.lostAt().isPresent(), timers);
         SharedStreamOrigins origins = new SharedStreamOrigins(mesh, majority, timers, observed, agreed, lifetime);
         origins.storeOn(
                 OriginStores.open(settings.dataFolder(), timers, network, lifetime), settings.toleratedLosses());
--- a/library/src/main/java/org/copperspindle/gateway/StreamSoftware.java
+++ b/library/src/main/java/org/copperspindle/gateway/StreamSoftware.java
@@ -1,5 +1,6 @@
 package org.copperspindle.gateway;
 
+import java.time.Duration;
 import java.util.Optional;
 import java.util.function.Consumer;
 
@@ -15,6 +16,8 @@
  */
 final class StreamSoftware {
 
+    private static final long ANNOUNCEMENT_POLL_NANOS = Duration.ofMillis(50).toNanos();
+
     private final GatewayContext context;
     private final AdmittedRequest admitted;
     private final UpstreamEligibility eligibility;
@@ -68,7 +71,11 @@
         // No request has an empty id: a caller that names none can only be answered while there is one version.
         context.origins().find(key(first.orElse("")), admitted.pool(), result -> {
             requestLogger.originFound(result, context.timers().nanoTime() - askedAt);
-            listener.accept(require(result));
+            if (require(result)) {
+                awaitAnnouncement(listener);
+            } else {
+                listener.accept(false);
+            }
         });
     }
 
@@ -103,6 +110,18 @@
                         .isEmpty();
     }
 
+    /**
+     * Waits while no upstream of the version is known to a node that has just started: after a start of all nodes, upstreams
+     * that serve are known with their next announcement.
+     */
+    private void awaitAnnouncement(Consumer<Boolean> listener) {
+        if (isSoftwareGone() && context.origins().isLearning()) {
+            context.timers().schedule(ANNOUNCEMENT_POLL_NANOS, () -> awaitAnnouncement(listener));
+        } else {
+            listener.accept(true);
+        }
+    }
+
     private boolean require(OriginResult result) {
         if (result instanceof OriginResult.Recorded known) {
             eligibility.require(known.origin().software());
--- a/library/src/main/java/org/copperspindle/origin/SharedStreamOrigins.java
+++ b/library/src/main/java/org/copperspindle/origin/SharedStreamOrigins.java
@@ -176,6 +176,11 @@
         return software.mayBegin(upstream);
     }
 
+    @Override
+    public boolean isLearning() {
+        return majority.exchangeNanosLeft() > 0;
+    }
+
     @Override
     public void record(StreamKey key, UpstreamRecord upstream, long order) {
         String pool = upstream.pool();
--- a/library/src/main/java/org/copperspindle/origin/StreamOrigins.java
+++ b/library/src/main/java/org/copperspindle/origin/StreamOrigins.java
@@ -17,6 +17,13 @@
      */
     boolean mayBegin(UpstreamRecord upstream);
 
+    /**
+     * Returns whether this node has just started and may not have heard of all upstreams that serve.
+     *
+     * @return false once the upstreams that serve have announced themselves
+     */
+    boolean isLearning();
+
     /**
      * Records that a stream is sent to an upstream, before its first event.
      *
--- a/library/src/test/java/org/copperspindle/gateway/StreamHarness.java
+++ b/library/src/test/java/org/copperspindle/gateway/StreamHarness.java
@@ -125,7 +125,7 @@
      * @param objective   objective of its first event
      */
     StreamHarness(boolean resumable, boolean coordinated, int engineCount, Duration objective) {
-        this(resumable, coordinated, engineCount, objective, Optional.empty(), List.of("p"));
+        this(resumable, coordinated, engineCount, objective, Optional.empty(), List.of("p"), harness -> {});
     }
 
     private StreamHarness(
@@ -134,7 +134,8 @@
             int engineCount,
             Duration objective,
             Optional<ResumePoint> resumePoint,
-            List<String> pools) {
+            List<String> pools,
+            Consumer<StreamHarness> beforeStart) {
         this.resumePoint = resumePoint;
         List<RouteStage> stages = resumePoint.isPresent() ? List.of() : List.of(new RouteStage("s", List.of(), 10));
         route = route("r", 0, objective, resumable, stages, pools);
@@ -163,6 +164,7 @@
                                 StreamKey.of("p", "", first),
                                 directory.find("e0").orElseThrow(),
                                 1));
+        beforeStart.accept(this);
         new RequestRun(context, caller.exchange(), admitted()).start();
     }
 
@@ -178,7 +180,22 @@
 
     /** Starts a request without stages that takes up a stream of a route with these pools; its own is p. */
     static StreamHarness takenUp(ResumePoint point, int engineCount, List<String> pools) {
-        return new StreamHarness(true, false, engineCount, Duration.ofMillis(1500), Optional.of(point), pools);
+        return takenUp(point, engineCount, pools, harness -> {});
+    }
+
+    /** Starts a request that takes up a stream of a node that knows no engine of its version yet. */
+    static StreamHarness takenUpBeforeAnnouncements(int engineCount) {
+        return takenUp(
+                new ResumePoint("2", Optional.of("first")),
+                engineCount,
+                List.of("p"),
+                harness -> IntStream.range(0, engineCount).forEach(i -> harness.announce(i, "other")));
+    }
+
+    private static StreamHarness takenUp(
+            ResumePoint point, int engineCount, List<String> pools, Consumer<StreamHarness> beforeStart) {
+        return new StreamHarness(
+                true, false, engineCount, Duration.ofMillis(1500), Optional.of(point), pools, beforeStart);
     }
 
     /** Announces an engine with the version of its software. */
--- a/library/src/test/java/org/copperspindle/gateway/TakenUpStreamTest.java
+++ b/library/src/test/java/org/copperspindle/gateway/TakenUpStreamTest.java
@@ -116,6 +116,34 @@
         assertThat(stream.caller().isComplete()).isTrue();
     }
 
+    /** Guards against streams that a node refuses because the engines of their version have not announced themselves yet. */
+    @Test
+    void streamWaitsForAnEngineOfItsVersionAfterAStart() {
+        takeUpBeforeAnnouncements();
+        stream.advance(1000);
+        assertThat(stream.engines().count()).isZero();
+        stream.announce(1, "");
+        stream.advance(100);
+        begin(3);
+        stream.engines().last().end();
+        assertThat(stream.engines().last().sent().upstream()).isEqualTo("e1");
+        assertThat(stream.events()).containsExactly(3);
+    }
+
+    /** Guards against callers that wait for engines which have left. */
+    @Test
+    void streamWhoseVersionIsGoneIsRefusedOnceTheEnginesHaveAnnouncedThemselves() {
+        takeUpBeforeAnnouncements();
+        stream.advance(2100);
+        assertThat(stream.outcome()).isEqualTo("software-gone");
+        assertThat(stream.engines().count()).isZero();
+    }
+
+    private void takeUpBeforeAnnouncements() {
+        stream.close();
+        stream = StreamHarness.takenUpBeforeAnnouncements(ENGINES);
+    }
+
     private void takeUpWithoutAName(List<String> pools) {
         stream.close();
         stream = StreamHarness.takenUp(new ResumePoint("2", Optional.empty()), ENGINES, pools);
