gateway: an event that comes in small parts is not searched again with each

What callers saw: beside a stream whose upstream sends lines without end of one event, in chunks of a few bytes, other requests waited for 3.0 to 4.7 s, and the stream itself ended up to 3 s after its deadline. Cause: with each part EventFramer copied the whole partial event and searched it from its beginning, on the network thread: for 8 MB in chunks of ten bytes that is hundreds of gigabytes. Change: the partial event lies in a buffer that doubles, and the search goes on where it ended. EventFramerTest unchanged. Why it holds: each byte is searched once and copied at most three times.

--- a/library/src/main/java/org/copperspindle/gateway/EventFramer.java
+++ b/library/src/main/java/org/copperspindle/gateway/EventFramer.java
@@ -12,53 +12,69 @@
  */
 final class EventFramer {
 
+    private static final byte[] NONE = new byte[0];
     private static final byte LINE_FEED = '\n';
     private static final byte CARRIAGE_RETURN = '\r';
     private static final String ID_FIELD = "id:";
     private static final String DATA_FIELD = "data";
 
-    private byte[] partial = new byte[0];
+    private byte[] partial = NONE;
+    private int length;
+    private int lineStart;
 
-    /** Adds received bytes and returns the events that they complete. */
+    /**
+     * Adds received bytes and returns the events that they complete. The bytes of a partial event are neither copied nor
+     * searched again with each addition: an event may come in very many small parts.
+     */
     List<StreamEvent> accept(byte[] data) {
-        byte[] all = partial.length == 0 ? data : join(partial, data);
+        int next = length;
+        append(data);
         List<StreamEvent> events = new ArrayList<>();
         int start = 0;
-        int end = endOfEvent(all, start);
-        while (end > 0) {
-            byte[] bytes = Arrays.copyOfRange(all, start, end);
-            events.add(parse(bytes));
-            start = end;
-            end = endOfEvent(all, start);
+        for (; next < length; next++) {
+            if (partial[next] != LINE_FEED) {
+                continue;
+            }
+            if (isBlankLine(next)) {
+                events.add(parse(Arrays.copyOfRange(partial, start, next + 1)));
+                start = next + 1;
+            }
+            lineStart = next + 1;
         }
-        partial = start == 0 ? all : Arrays.copyOfRange(all, start, all.length);
+        discard(start);
         return events;
     }
 
     /** Returns whether the buffer holds a partial event. */
     boolean hasPartialEvent() {
-        return partial.length > 0;
+        return length > 0;
     }
 
     /** Returns the size of the partial event. */
     int partialBytes() {
-        return partial.length;
+        return length;
     }
 
-    /** Returns the position after the next blank line, or -1. */
-    private static int endOfEvent(byte[] bytes, int from) {
-        int lineStart = from;
-        for (int i = from; i < bytes.length; i++) {
-            if (bytes[i] != LINE_FEED) {
-                continue;
-            }
-            boolean blank = i == lineStart || i == lineStart + 1 && bytes[lineStart] == CARRIAGE_RETURN;
-            if (blank) {
-                return i + 1;
-            }
-            lineStart = i + 1;
+    private boolean isBlankLine(int lineFeed) {
+        return lineFeed == lineStart || lineFeed == lineStart + 1 && partial[lineStart] == CARRIAGE_RETURN;
+    }
+
+    private void append(byte[] data) {
+        if (length + data.length > partial.length) {
+            partial = Arrays.copyOf(partial, Math.max(length + data.length, 2 * length));
+        }
+        System.arraycopy(data, 0, partial, length, data.length);
+        length += data.length;
+    }
+
+    /** Removes complete events, and the space that a large one took. */
+    private void discard(int bytes) {
+        if (bytes == 0) {
+            return;
         }
-        return -1;
+        partial = bytes == length ? NONE : Arrays.copyOfRange(partial, bytes, length);
+        length -= bytes;
+        lineStart -= bytes;
     }
 
     private static StreamEvent parse(byte[] event) {
@@ -86,10 +102,4 @@
             return OptionalLong.empty();
         }
     }
-
-    private static byte[] join(byte[] first, byte[] second) {
-        byte[] all = Arrays.copyOf(first, first.length + second.length);
-        System.arraycopy(second, 0, all, first.length, second.length);
-        return all;
-    }
 }
