direct: bound what an upstream sends that is no progress

What callers saw: with interim responses, a switch of protocols or chunk extensions without end their requests lasted until the deadline (504 after 8 s), also those that another upstream would have answered. A caller got 404 made of bytes that had arrived on an idle connection and of the response to its own request. Cause: Netty's codec bounds one line and one block of fields, not their number; after status 101 it hands on raw bytes, which nobody read. It also keeps the beginning of a line until more arrives, so that the connection looked idle and was used for the next call. Change: ResponseDecoder counts what it consumes: everything before the body (120 KB), and the framing of a body in chunks (256 KB and 8 bytes for each byte of data). Outside of a response it drops bytes and has the connection closed. Status 101 is malformed. A repeatable call on a kept connection whose first bytes are no response to it is sent once more on a new one, within the 100 ms in which a lost connection counts as stale. Each closed connection has a line, upstream-bound-exceeded, and is counted by bound; so are bodies and events over 8 MB. Why it holds: the bounds are checked after each part that the decoder consumes, so at most one read of 64 KB and an incomplete line of 8 KB are held beyond them.

--- a/library/src/main/java/org/copperspindle/direct/DirectClient.java
+++ b/library/src/main/java/org/copperspindle/direct/DirectClient.java
@@ -18,7 +18,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import org.copperspindle.time.DeferredTask;
 import org.copperspindle.time.TimerService;
 import org.copperspindle.wire.NumericAddress;
@@ -42,9 +42,6 @@
     private static final long STALE_DETECTION_NANOS = Duration.ofMillis(100).toNanos();
 
     private static final long SWEEP_INTERVAL_NANOS = Duration.ofSeconds(1).toNanos();
-    private static final int MAX_LINE_BYTES = 8192;
-    private static final int MAX_HEADER_BYTES = 32768;
-    private static final int MAX_CHUNK_BYTES = 65536;
 
     private final EventLoop loop;
     private final TimerService timers;
@@ -52,6 +49,7 @@
     private final DeferredTask sweepTask;
     private final Map<String, Deque<DirectConnection>> idleByAddress = new HashMap<>();
     private final IdlePool idlePool = new IdlePool();
+    private final ExceededBounds exceededBounds = new ExceededBounds();
     private long connects;
 
     /**
@@ -77,6 +75,15 @@
         return connects;
     }
 
+    /**
+     * Returns the connections that were closed because their upstreams sent too much.
+     *
+     * @return counts
+     */
+    public ExceededBounds exceededBounds() {
+        return exceededBounds;
+    }
+
     @Override
     public CallHandle call(DirectCall call, DirectListener listener) {
         DirectExchange exchange = new DirectExchange(call, listener);
@@ -114,7 +121,7 @@
     }
 
     private void connect(DirectExchange exchange) {
-        DirectConnection connection = new DirectConnection(exchange.call().address(), idlePool);
+        DirectConnection connection = new DirectConnection(exchange.call().address(), idlePool, exceededBounds);
         open(exchange.call().address(), new Initializer(connection))
                 .addListener((ChannelFuture done) -> onConnected(exchange, connection, done));
     }
@@ -174,8 +181,7 @@
 
         @Override
         protected void initChannel(SocketChannel channel) {
-            channel.pipeline()
-                    .addLast(new HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES), connection);
+            channel.pipeline().addLast(new HttpRequestEncoder(), connection.decoder(), connection);
         }
     }
 
@@ -201,9 +207,14 @@
             }
         }
 
+        @Override
+        public boolean mayBeStale(DirectExchange exchange) {
+            return timers.nanoTime() - exchange.sentAt() < STALE_DETECTION_NANOS;
+        }
+
         @Override
         public void resend(DirectExchange exchange) {
-            if (timers.nanoTime() - exchange.sentAt() < STALE_DETECTION_NANOS) {
+            if (mayBeStale(exchange)) {
                 connect(exchange);
             } else {
                 exchange.failWithConnection("connection-closed");
--- a/library/src/main/java/org/copperspindle/direct/DirectConnection.java
+++ b/library/src/main/java/org/copperspindle/direct/DirectConnection.java
@@ -13,10 +13,13 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.copperspindle.http.HeaderField;
@@ -25,7 +28,7 @@
  * One connection to an upstream, with one call at a time. It is closed at the first byte that belongs to no call: a
  * second response, or bytes after the first, would otherwise be taken for the response to the next call.
  */
-final class DirectConnection extends SimpleChannelInboundHandler<HttpObject> {
+final class DirectConnection extends SimpleChannelInboundHandler<HttpObject> implements ResponseDecoder.Receiver {
 
     private static final Logger LOGGER = LogManager.getLogger(DirectConnection.class);
     private static final String REQUEST_ID = "X-Request-Id";
@@ -38,7 +41,10 @@
 
     private final String address;
     private final Pool pool;
+    private final ExceededBounds exceeded;
+    private final ResponseDecoder decoder = new ResponseDecoder(this);
     private Channel channel;
+    private String upstream = "";
     private DirectExchange exchange;
     private boolean usedBefore;
     private boolean requestWritten;
@@ -47,22 +53,30 @@
     private boolean keepAlive;
     private boolean closeDelimited;
     private boolean responseComplete;
+    private boolean strayBytes;
     private long idleTimeoutNanos = DEFAULT_IDLE_TIMEOUT_NANOS;
     private long idleSince;
 
-    DirectConnection(String address, Pool pool) {
+    DirectConnection(String address, Pool pool, ExceededBounds exceeded) {
         this.address = address;
         this.pool = pool;
+        this.exceeded = exceeded;
     }
 
     String address() {
         return address;
     }
 
+    ResponseDecoder decoder() {
+        return decoder;
+    }
+
     /** Sends a call. */
     void use(DirectExchange next) {
         exchange = next;
+        upstream = next.call().upstream();
         requestWritten = false;
+        decoder.expectResponse(next.call().method());
         responseComplete = false;
         next.sendingOn(this);
         channel.writeAndFlush(request(next.call())).addListener(result -> {
@@ -97,9 +111,38 @@
     /** Closes the connection without notifying its call, whose result nobody waits for any more. */
     void abandon() {
         exchange = null;
+        decoder.expectNothing();
         channel.close();
     }
 
+    /** Closes the connection as {@link #abandon} does, because the response of its call is larger than it may be. */
+    void abandonExceeded(ResponseBound bound, long limit) {
+        exceeded.record(bound, limit, exchange.call());
+        abandon();
+    }
+
+    @Override
+    public void onExceeded(ResponseBound bound, long limit) {
+        if (exchange == null || exchange.hasEnded()) {
+            return;
+        }
+        exceeded.record(bound, limit, exchange.call());
+        failResponse("response-" + bound.label() + "-too-large");
+    }
+
+    @Override
+    public void onStrayBytes(int bytes) {
+        // An unread rest of a response that this side gave up is no fault of the upstream.
+        if (channel.isActive() && !strayBytes) {
+            exceeded.recordStray(upstream, address, bytes);
+        }
+        strayBytes = true;
+        keepAlive = false;
+        if (exchange == null) {
+            channel.close();
+        }
+    }
+
     @Override
     public void handlerAdded(ChannelHandlerContext ctx) {
         channel = ctx.channel();
@@ -108,14 +151,12 @@
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, HttpObject part) {
         if (exchange == null || responseComplete) {
-            if (channel.isActive() && !(part instanceof LastHttpContent)) {
-                LOGGER.warn("event=stray-bytes upstream={} action=connection-closed", address);
-            }
+            // The rest of what was read before the connection was closed.
             ctx.close();
             return;
         }
         if (part.decoderResult().isFailure()) {
-            failResponse("malformed-response");
+            failMalformed(part.decoderResult().cause());
             return;
         }
         if (part instanceof HttpResponse head) {
@@ -158,7 +199,21 @@
         ctx.close();
     }
 
+    private void failMalformed(Throwable cause) {
+        if (cause instanceof TooLongHttpLineException) {
+            exceeded.record(ResponseBound.LINE, ResponseDecoder.MAX_LINE_BYTES, exchange.call());
+        } else if (cause instanceof TooLongHttpHeaderException) {
+            exceeded.record(ResponseBound.FIELDS, ResponseDecoder.MAX_FIELDS_BYTES, exchange.call());
+        }
+        failResponse("malformed-response");
+    }
+
     private void receiveHead(HttpResponse head) {
+        if (head.status().code() == HttpResponseStatus.SWITCHING_PROTOCOLS.code()) {
+            // No call requests it, and what follows would not be HTTP.
+            failResponse("malformed-response");
+            return;
+        }
         skippingInterim = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
         if (skippingInterim) {
             return;
@@ -176,7 +231,7 @@
         closeDelimited = !delimited;
         // If the response arrived before the whole request was written, the rest of the request is still on the
         // connection.
-        keepAlive = HttpUtil.isKeepAlive(head) && delimited && requestWritten;
+        keepAlive = HttpUtil.isKeepAlive(head) && delimited && requestWritten && !strayBytes;
         received.field(KEEP_ALIVE).ifPresent(this::readIdleTimeout);
         exchange.onHead(received);
     }
@@ -233,12 +288,18 @@
     private void failResponse(String reason) {
         DirectExchange failed = exchange;
         exchange = null;
+        decoder.expectNothing();
         LOGGER.warn(
                 "event=answer-spoiled upstream={} request={} reason={}",
                 address,
                 failed.call().requestId(),
                 reason);
         channel.close();
+        if (usedBefore && pool.mayBeStale(failed) && failed.tryResend()) {
+            // What was received may have followed the response to the call before.
+            pool.resend(failed);
+            return;
+        }
         failed.fail(reason);
     }
 
@@ -283,6 +344,9 @@
         /** The connection has been closed. */
         void closed(DirectConnection connection);
 
+        /** Returns whether what happens to the call now may be due to the state of its connection before. */
+        boolean mayBeStale(DirectExchange exchange);
+
         /** The call was lost with a kept connection and is to be sent on a new one. */
         void resend(DirectExchange exchange);
     }
--- a/library/src/main/java/org/copperspindle/direct/DirectExchange.java
+++ b/library/src/main/java/org/copperspindle/direct/DirectExchange.java
@@ -34,6 +34,15 @@
         }
     }
 
+    @Override
+    public void abortExceeded(ResponseBound bound, long limit) {
+        if (ended) {
+            return;
+        }
+        ended = true;
+        connection.abandonExceeded(bound, limit);
+    }
+
     @Override
     public void setReading(boolean reads) {
         if (!ended && connection != null) {
--- a/library/src/main/java/org/copperspindle/direct/UpstreamPort.java
+++ b/library/src/main/java/org/copperspindle/direct/UpstreamPort.java
@@ -24,6 +24,17 @@
          */
         void abort(String reason);
 
+        /**
+         * Aborts the call because its response is larger than it may be, and logs and counts that. Its listener is not
+         * notified any more.
+         *
+         * @param bound what is too large
+         * @param limit the limit in bytes
+         */
+        default void abortExceeded(ResponseBound bound, long limit) {
+            abort(bound.label() + "-too-large");
+        }
+
         /**
          * Pauses or resumes reading of the response, so that the upstream is slowed to the speed of the reader. Data
          * that was read before is still passed on. While paused, the loss of the connection isn't noticed; the caller
--- a/library/src/main/java/org/copperspindle/gateway/GatewayMetrics.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayMetrics.java
@@ -154,6 +154,7 @@
         admissionMetrics.publish(metrics);
         StandbyMetrics.publish(metrics, node.standby());
         HeldMemoryMetrics.register(metrics, node);
+        UpstreamBoundMetrics.register(metrics, node.client().exceededBounds());
         gauge(
                 metrics,
                 "upstreams.stating.load",
--- a/library/src/main/java/org/copperspindle/gateway/UpstreamAttempt.java
+++ b/library/src/main/java/org/copperspindle/gateway/UpstreamAttempt.java
@@ -8,6 +8,7 @@
 import org.copperspindle.direct.DirectFailure;
 import org.copperspindle.direct.DirectHead;
 import org.copperspindle.direct.DirectListener;
+import org.copperspindle.direct.ResponseBound;
 import org.copperspindle.direct.UpstreamPort.CallHandle;
 import org.copperspindle.discovery.UpstreamRecord;
 import org.copperspindle.engineload.EngineAttempt;
@@ -268,7 +269,8 @@
     /** Reserves the memory of the part of the response that can't be passed on yet. */
     private void hold(long bytes) {
         if (bytes > MAX_BUFFERED_BYTES) {
-            abortAndFail("answer-too-large");
+            handle.abortExceeded(isStream ? ResponseBound.EVENT : ResponseBound.BODY, MAX_BUFFERED_BYTES);
+            fail("answer-too-large");
             return;
         }
         long added = bytes - heldBytes;
--- a/library/src/test/java/org/copperspindle/direct/DirectClientTest.java
+++ b/library/src/test/java/org/copperspindle/direct/DirectClientTest.java
@@ -28,6 +28,7 @@
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.junit.jupiter.params.provider.Arguments.arguments;
@@ -99,6 +100,24 @@
         }
     }
 
+    /**
+     * Guards against bytes on a kept connection that are no whole response yet: together with the next response they would
+     * be a response to the next call.
+     */
+    @ParameterizedTest
+    @ValueSource(strings = {"HTTP/1.1 404 Not Found\r\nX-Lead: ", "HTTP/1.1", "\r\n", "x"})
+    void strayBytesCloseTheConnection(String stray) throws Exception {
+        Script script = (number, request, connection, out) -> write(out, number == 1 ? WHOLE + stray : WHOLE);
+        try (ScriptedUpstream upstream = new ScriptedUpstream(script)) {
+            for (int i = 0; i < 2; i++) {
+                assertThat(call(upstream.address(), ConnectionUse.KEPT).get(TIMEOUT_SECONDS, TimeUnit.SECONDS))
+                        .isEqualTo("200 whole");
+            }
+            assertThat(upstream.connections()).isEqualTo(2);
+        }
+        assertThat(client.exceededBounds().count(ResponseBound.STRAY_BYTES)).isEqualTo(1);
+    }
+
     @Test
     void intactConnectionIsKept() throws Exception {
         try (ScriptedUpstream upstream = new ScriptedUpstream(sends(WHOLE))) {
