dialect: bound the responses to calls of stages

What operators would see: the heap of a node grows as fast as a faulty stage server sends, until the call times out; no memory budget counts it. Cause: the reader collected the body without a bound. Change: 64 KB and 4 KB for each piece of the call; beyond that the call is lost and its connection closed. Why it holds: an outcome is a handle or a reason, so that 4 KB leave room, and a pool's upstream has one call at a time.

--- a/library/src/main/java/org/copperspindle/dialect/JsonStagePort.java
+++ b/library/src/main/java/org/copperspindle/dialect/JsonStagePort.java
@@ -18,6 +18,7 @@
 import org.copperspindle.direct.DirectFailure;
 import org.copperspindle.direct.DirectHead;
 import org.copperspindle.direct.DirectListener;
+import org.copperspindle.direct.ResponseBound;
 import org.copperspindle.direct.UpstreamPort;
 import org.copperspindle.discovery.UpstreamRecord;
 import org.copperspindle.http.HeaderField;
@@ -97,6 +98,12 @@
     private final class ResponseReader implements DirectListener {
         private static final int MISDIRECTED = 421;
 
+        /** Limit on a response without the outcomes of pieces, in bytes. */
+        private static final int MAX_BASE_BYTES = 64 << 10;
+
+        /** Limit on the outcome of one piece, which is a handle or a reason, in bytes. */
+        private static final int MAX_OUTCOME_BYTES = 4 << 10;
+
         private final int items;
         private final Consumer<StageCallResult> callback;
         private final ByteArrayOutputStream body = new ByteArrayOutputStream();
@@ -117,7 +124,15 @@
 
         @Override
         public void onData(byte[] data) {
+            if (ended) {
+                return;
+            }
             body.writeBytes(data);
+            int limit = MAX_BASE_BYTES + items * MAX_OUTCOME_BYTES;
+            if (body.size() > limit) {
+                handle.abortExceeded(ResponseBound.BODY, limit);
+                end(new StageCallResult.Lost("answer-too-large", false));
+            }
         }
 
         @Override
