agent: bound responses of the upstream as nodes do

An agent's calls lasted as long as its upstream sent interim responses, and an incomplete line on a kept connection became the beginning of the next response. Its connections use the same decoder now, with a line upstream-bound-exceeded for each one closed. UpstreamClientTest#responseWithoutEndFailsTheCall.

--- a/library/src/main/java/org/copperspindle/agent/UpstreamClient.java
+++ b/library/src/main/java/org/copperspindle/agent/UpstreamClient.java
@@ -20,10 +20,10 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import org.copperspindle.fleet.EngineRequest;
@@ -136,7 +136,7 @@
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
-                        channel.pipeline().addLast(new HttpClientCodec(), connection);
+                        channel.pipeline().addLast(new HttpRequestEncoder(), connection.decoder(), connection);
                     }
                 });
     }
--- a/library/src/main/java/org/copperspindle/agent/UpstreamConnection.java
+++ b/library/src/main/java/org/copperspindle/agent/UpstreamConnection.java
@@ -15,17 +15,23 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.copperspindle.direct.ResponseBound;
+import org.copperspindle.direct.ResponseDecoder;
 
 /**
  * One connection to the upstream. It carries one call at a time and is reused only after a whole response with no bytes
  * behind it. Bytes left over from one response, or a second copy of it, would be read as the response to the next call,
  * and a caller would get another caller's result; so any byte that no call waits for closes the connection.
  */
-final class UpstreamConnection extends SimpleChannelInboundHandler<HttpObject> {
+final class UpstreamConnection extends SimpleChannelInboundHandler<HttpObject> implements ResponseDecoder.Receiver {
 
+    private static final Logger LOGGER = LogManager.getLogger(UpstreamConnection.class);
     private static final long RESUME_CHECK_MILLIS = 5;
 
     private final Owner owner;
+    private final ResponseDecoder decoder = new ResponseDecoder(this);
     private Channel channel;
     private UpstreamExchange exchange;
     private boolean usedBefore;
@@ -35,16 +41,22 @@
     private boolean framed;
     private boolean done;
     private boolean paused;
+    private boolean strayBytes;
 
     UpstreamConnection(Owner owner) {
         this.owner = owner;
     }
 
+    ResponseDecoder decoder() {
+        return decoder;
+    }
+
     /** Sends a call. */
     void use(UpstreamExchange next, FullHttpRequest request) {
         exchange = next;
         written = false;
         done = false;
+        decoder.expectResponse(request.method().name());
         next.sendingOn(channel);
         channel.writeAndFlush(request).addListener(result -> {
             written = result.isSuccess();
@@ -62,6 +74,34 @@
         channel.close();
     }
 
+    @Override
+    public void onExceeded(ResponseBound bound, long limit) {
+        LOGGER.warn(
+                "event=upstream-bound-exceeded address={} bound={} limit={}",
+                channel.remoteAddress(),
+                bound.label(),
+                limit);
+        if (exchange != null) {
+            exchange.fail("response " + bound.label() + " too large");
+        }
+        channel.close();
+    }
+
+    @Override
+    public void onStrayBytes(int bytes) {
+        if (channel.isActive() && !strayBytes) {
+            LOGGER.warn(
+                    "event=upstream-bound-exceeded address={} bound={} limit=0 bytes={}",
+                    channel.remoteAddress(),
+                    ResponseBound.STRAY_BYTES.label(),
+                    bytes);
+        }
+        strayBytes = true;
+        if (exchange == null) {
+            channel.close();
+        }
+    }
+
     @Override
     public void handlerAdded(ChannelHandlerContext ctx) {
         channel = ctx.channel();
@@ -118,6 +158,11 @@
     }
 
     private void receiveHead(HttpResponse head) {
+        if (head.status().code() == HttpResponseStatus.SWITCHING_PROTOCOLS.code()) {
+            // No call requests it, and what follows would not be HTTP.
+            failAndClose("malformed response");
+            return;
+        }
         if (!written) {
             failAndClose("response before the request was sent");
             return;
@@ -171,6 +216,7 @@
     }
 
     private void failAndClose(String reason) {
+        decoder.expectNothing();
         exchange.fail(reason);
         channel.close();
     }
@@ -179,7 +225,7 @@
         exchange = null;
         done = false;
         usedBefore = true;
-        if (keepAlive && channel.isActive()) {
+        if (keepAlive && !strayBytes && channel.isActive()) {
             owner.idle(this);
         } else {
             channel.close();
--- a/library/src/test/java/org/copperspindle/agent/UpstreamClientTest.java
+++ b/library/src/test/java/org/copperspindle/agent/UpstreamClientTest.java
@@ -4,9 +4,14 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 
+import org.copperspindle.emulator.EndlessPlace;
+import org.copperspindle.emulator.EndlessResponse;
+import org.copperspindle.emulator.ScriptedUpstream;
+import org.copperspindle.wire.NumericAddress;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -50,6 +55,32 @@
         }
     }
 
+    /** Guards against a call that lasts as long as its upstream sends, and against its connection staying open. */
+    @ParameterizedTest
+    @EnumSource(
+            value = EndlessPlace.class,
+            names = {
+                "STATUS_LINE",
+                "HEADER_FIELDS",
+                "INTERIM",
+                "SWITCHED_PROTOCOL",
+                "CHUNK_EXTENSIONS",
+                "TRAILER_FIELDS"
+            })
+    void responseWithoutEndFailsTheCall(EndlessPlace place) throws Exception {
+        EndlessResponse endless = new EndlessResponse(place, "text/plain", 0);
+        try (ScriptedUpstream upstream = new ScriptedUpstream(endless);
+                UpstreamClient client = new UpstreamClient(NumericAddress.parse(upstream.address()), 4)) {
+            assertThat(call(client, "a", false)).startsWith("lost sent=true");
+            assertThat(endless.ledger()).hasSize(1);
+            long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
+            while (!endless.ledger().get(0).isClosed()) {
+                assertThat(System.nanoTime()).isLessThan(deadline);
+                Thread.onSpinWait();
+            }
+        }
+    }
+
     /** A call on a new connection is never sent twice, not even a repeatable one: the entry decides on repeats. */
     @ParameterizedTest
     @CsvSource({"true", "false"})
