--- a/library/src/main/java/org/copperspindle/gateway/EventFramer.java
+++ b/library/src/main/java/org/copperspindle/gateway/EventFramer.java
@@ -12,37 +12,34 @@
  */
 final class EventFramer {
 
+    private static final byte[] NONE = new byte[0];
     private static final byte LINE_FEED = '\n';
     private static final byte CARRIAGE_RETURN = '\r';
     private static final String ID_FIELD = "id:";
     private static final String DATA_FIELD = "data";
 
-    private byte[] partial = new byte[0];
+    private byte[] partial = NONE;
+    private int length;
+    private int scanned;
+    private int lineStart;
 
-    /** Adds received bytes and returns the events that they complete. */
+    /**
+     * Adds received bytes and returns the events that they complete. The bytes of a partial event are neither copied nor
+     * searched again with each addition: an event may come in very many small parts.
+     */
     List<StreamEvent> accept(byte[] data) {
-        byte[] all = partial.length == 0 ? data : join(partial, data);
-        List<StreamEvent> events = new ArrayList<>();
-        int start = 0;
-        int end = endOfEvent(all, start, false);
-        while (end > 0) {
-            byte[] bytes = Arrays.copyOfRange(all, start, end);
-            events.add(parse(bytes));
-            start = end;
-            end = endOfEvent(all, start, false);
-        }
-        partial = start == 0 ? all : Arrays.copyOfRange(all, start, all.length);
-        return events;
+        append(data);
+        return takeComplete(false);
     }
 
     /** Returns whether the buffer holds a partial event. */
     boolean hasPartialEvent() {
-        return partial.length > 0;
+        return length > 0;
     }
 
     /** Returns the size of the partial event. */
     int partialBytes() {
-        return partial.length;
+        return length;
     }
 
     /**
@@ -50,39 +47,65 @@
      * feed could have followed until now.
      */
     List<StreamEvent> end() {
-        if (partial.length == 0 || endOfEvent(partial, 0, true) != partial.length) {
-            return List.of();
+        return takeComplete(true);
+    }
+
+    /** Takes the events out of the buffer that end with a blank line. */
+    private List<StreamEvent> takeComplete(boolean ended) {
+        List<StreamEvent> events = new ArrayList<>();
+        int start = 0;
+        for (int next = nextLine(ended); next > 0; next = nextLine(ended)) {
+            boolean isBlank = scanned == lineStart;
+            scanned = next;
+            lineStart = next;
+            if (isBlank) {
+                events.add(parse(Arrays.copyOfRange(partial, start, next)));
+                start = next;
+            }
         }
-        StreamEvent last = parse(partial);
-        partial = new byte[0];
-        return List.of(last);
+        discard(start);
+        return events;
     }
 
     /**
-     * Returns the position after the next blank line, or -1. Lines end with a line feed, a carriage return, or both. One
-     * that ends with the last byte received, a carriage return, is not complete unless the stream has ended.
+     * Moves to the next line break and returns the position after it; 0 if no line is complete. Lines end with a line feed,
+     * a carriage return, or both. One that ends with the last byte received, a carriage return, is not complete unless the
+     * stream has ended.
      */
-    private static int endOfEvent(byte[] bytes, int from, boolean ended) {
-        int lineStart = from;
-        for (int i = from; i < bytes.length; i++) {
-            if (bytes[i] != LINE_FEED && bytes[i] != CARRIAGE_RETURN) {
-                continue;
-            }
-            int lineEnd = i;
-            if (bytes[i] == CARRIAGE_RETURN) {
-                if (i + 1 == bytes.length && !ended) {
-                    return -1;
-                }
-                if (i + 1 < bytes.length && bytes[i + 1] == LINE_FEED) {
-                    i++;
-                }
-            }
-            if (lineEnd == lineStart) {
-                return i + 1;
-            }
-            lineStart = i + 1;
+    private int nextLine(boolean ended) {
+        while (scanned < length && partial[scanned] != LINE_FEED && partial[scanned] != CARRIAGE_RETURN) {
+            scanned++;
+        }
+        if (scanned == length) {
+            return 0;
+        }
+        int next = scanned + 1;
+        if (partial[scanned] == LINE_FEED) {
+            return next;
         }
-        return -1;
+        if (next == length) {
+            return ended ? next : 0;
+        }
+        return partial[next] == LINE_FEED ? next + 1 : next;
+    }
+
+    private void append(byte[] data) {
+        if (length + data.length > partial.length) {
+            partial = Arrays.copyOf(partial, Math.max(length + data.length, 2 * length));
+        }
+        System.arraycopy(data, 0, partial, length, data.length);
+        length += data.length;
+    }
+
+    /** Removes complete events, and the space that a large one took. */
+    private void discard(int bytes) {
+        if (bytes == 0) {
+            return;
+        }
+        partial = bytes == length ? NONE : Arrays.copyOfRange(partial, bytes, length);
+        length -= bytes;
+        scanned -= bytes;
+        lineStart -= bytes;
     }
 
     private static StreamEvent parse(byte[] event) {
@@ -103,10 +126,4 @@
     private static boolean isData(String line) {
         return line.startsWith(DATA_FIELD + ':') || line.strip().equals(DATA_FIELD);
     }
-
-    private static byte[] join(byte[] first, byte[] second) {
-        byte[] all = Arrays.copyOf(first, first.length + second.length);
-        System.arraycopy(second, 0, all, first.length, second.length);
-        return all;
-    }
 }
