--- a/soak/src/main/java/org/copperspindle/soak/EngineVersions.java
+++ b/soak/src/main/java/org/copperspindle/soak/EngineVersions.java
@@ -1,5 +1,6 @@
 package org.copperspindle.soak;
 
+import java.util.Optional;
 import java.util.Random;
 
 /**
@@ -14,6 +15,7 @@
     private final long startedAt;
     private final long millis;
     private final Random random;
+    private Optional<String> only = Optional.empty();
 
     EngineVersions(long startedAt, long millis, Random random) {
         this.startedAt = startedAt;
@@ -21,8 +23,16 @@
         this.random = random;
     }
 
+    /** Lets all engines that start from now on run one version. */
+    void only(String version) {
+        only = Optional.of(version);
+    }
+
     /** Returns the version of an engine that starts now. */
     String next(long now) {
+        if (only.isPresent()) {
+            return only.get();
+        }
         long release = Math.min(RELEASES, (now - startedAt) * (RELEASES + 1) / millis);
         return "v" + (release + random.nextInt(2));
     }
--- a/soak/src/main/java/org/copperspindle/soak/HeldStreams.java
+++ b/soak/src/main/java/org/copperspindle/soak/HeldStreams.java
@@ -24,6 +24,8 @@
     private static final int LEAST_JUDGED = 12;
 
     private final Map<String, Map<Integer, Set<String>>> held = new ConcurrentHashMap<>();
+    private final Map<String, Integer> last = new ConcurrentHashMap<>();
+    private final List<String> outOfOrder = new CopyOnWriteArrayList<>();
     private final List<TakenUp> takenUp = new CopyOnWriteArrayList<>();
     private final List<Boolean> begun = new CopyOnWriteArrayList<>();
 
@@ -47,11 +49,29 @@
         return events;
     }
 
+    /** Each event must follow the one before it, in one answer and from one answer to the next. */
+    private void follow(String stream, String body) {
+        Matcher matcher = EVENT.matcher(body);
+        while (matcher.find()) {
+            int event = Integer.parseInt(matcher.group(1));
+            int before = last.getOrDefault(stream, 0);
+            if (event != before + 1) {
+                outOfOrder.add("events: " + stream + " got event " + event + " after " + before);
+            }
+            last.put(stream, event);
+        }
+    }
+
     /** A caller got an answer, or a part of one, to the request that began a stream. */
     void began(String stream, String body) {
         begun.add(!add(stream, body).isEmpty());
     }
 
+    /** A caller got an answer, or a part of one, to any request of a stream. */
+    void holds(String stream, String body) {
+        add(stream, body);
+    }
+
     /**
      * A caller got an answer, or a part of one, to a request that took a stream up.
      *
@@ -74,7 +94,7 @@
      * @param trouble begin and end of each disturbance of nodes and links, in milliseconds
      */
     List<String> broken(List<long[]> trouble) {
-        List<String> broken = new ArrayList<>();
+        List<String> broken = new ArrayList<>(outOfOrder);
         held.forEach((stream, events) -> {
             Set<String> versions = new TreeSet<>();
             events.values().forEach(versions::addAll);
@@ -100,6 +120,7 @@
     }
 
     private Map<Integer, String> add(String stream, String body) {
+        follow(stream, body);
         Map<Integer, String> events = events(body);
         Map<Integer, Set<String>> all = held.computeIfAbsent(stream, s -> new ConcurrentHashMap<>());
         events.forEach((number, software) ->
--- a/soak/src/main/java/org/copperspindle/soak/NodeProcess.java
+++ b/soak/src/main/java/org/copperspindle/soak/NodeProcess.java
@@ -73,6 +73,13 @@
         wanted = true;
     }
 
+    /** Kills it, and doesn't wait for its end. */
+    synchronized void destroy() {
+        noteEnd();
+        wanted = false;
+        process.destroyForcibly();
+    }
+
     synchronized void kill() throws InterruptedException {
         noteEnd();
         wanted = false;
--- a/soak/src/main/java/org/copperspindle/soak/PromiseBook.java
+++ b/soak/src/main/java/org/copperspindle/soak/PromiseBook.java
@@ -29,6 +29,7 @@
     private final AtomicInteger served = new AtomicInteger();
     private final StreamWork work = new StreamWork();
     private final HeldStreams held = new HeldStreams();
+    private final ReturnLedger returns = new ReturnLedger();
     private final RecoveryWatch recovery = new RecoveryWatch();
     private final ServedShares shares = new ServedShares();
     private final FatalLedger fatalRequest = new FatalLedger("one request", REQUEST_ENDS_BEFORE_HOLD);
@@ -131,6 +132,11 @@
         return held;
     }
 
+    /** Returns how callers waited for the streams to which they came back. */
+    ReturnLedger returns() {
+        return returns;
+    }
+
     /** Returns what engines worked on. */
     StreamWork work() {
         return work;
@@ -167,6 +173,7 @@
         surges.broken().ifPresent(this::breaks);
         work.overlaps().forEach(this::breaks);
         held.broken(linkTrouble).forEach(this::breaks);
+        returns.broken().ifPresent(this::breaks);
         return broken.size() > MOST_TOLD ? List.copyOf(broken.subList(0, MOST_TOLD)) : List.copyOf(broken);
     }
 
--- /dev/null
+++ b/soak/src/main/java/org/copperspindle/soak/ReturnLedger.java
@@ -0,0 +1,154 @@
+package org.copperspindle.soak;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+import org.copperspindle.soak.PromiseBook.Answer;
+
+/**
+ * How callers wait for streams that they take up, compared with new streams that they wait for in the same seconds, and
+ * what refusals they get. Times are in milliseconds.
+ */
+final class ReturnLedger {
+
+    /** From this number on, the share of streams that go on is judged. */
+    private static final int LEAST_JUDGED = 12;
+
+    private static final int LEAST_ENGINES = 2;
+    private static final long SAME_MILLIS = 1000;
+    private static final double PERCENTILE = 0.95;
+    private static final Pattern REASON = Pattern.compile("\"reason\":\"([^\"]*)\"");
+
+    private final List<Wait> waits = new CopyOnWriteArrayList<>();
+    private final List<Long> kills = new CopyOnWriteArrayList<>();
+    private final Map<String, List<Long>> refusals = new TreeMap<>();
+
+    /** Nodes are killed. */
+    void killed(long now) {
+        kills.add(now);
+    }
+
+    /** A caller has got an event, or has given up. */
+    void ended(Wait wait) {
+        waits.add(wait);
+    }
+
+    /** A caller got the end of an answer; {@code begins} says whether it asked for a new stream. */
+    synchronized void answered(Answer answer, boolean begins) {
+        if (answer.status() == 0 || answer.status() == 200) {
+            return;
+        }
+        Matcher reason = REASON.matcher(answer.text());
+        String what = (begins ? "new:" : "taken-up:") + answer.status() + ':' + (reason.find() ? reason.group(1) : "");
+        refusals.computeIfAbsent(what, w -> new ArrayList<>()).add(answer.endedAt() - answer.sentAt());
+    }
+
+    /** Returns what is broken, if anything is. */
+    Optional<String> broken() {
+        Judged judged = judge();
+        if (judged.all < LEAST_JUDGED || judged.wentOn >= judged.expected / 2) {
+            return Optional.empty();
+        }
+        return Optional.of(String.format(
+                "lost: %d of %d streams that were taken up went on, of new ones in the same seconds %.2f began",
+                judged.wentOn, judged.all, judged.expected / judged.all));
+    }
+
+    /** Returns all figures in one line. */
+    synchronized String summary() {
+        Judged judged = judge();
+        StringBuilder text = new StringBuilder(String.format(
+                "kills=%d taken_up=%d judged=%d went_on=%d expected=%.1f wait_ms_95: taken_up=%d new=%d refused:",
+                kills.size(),
+                waits.stream().filter(w -> !w.isNew).count(),
+                judged.all,
+                judged.wentOn,
+                judged.expected,
+                percentile(waits.stream()
+                        .filter(w -> !w.isNew && w.succeeded())
+                        .map(Wait::millis)
+                        .toList()),
+                percentile(waits.stream()
+                        .filter(w -> w.isNew && w.succeeded())
+                        .map(Wait::millis)
+                        .toList())));
+        refusals.forEach((what, millis) -> text.append(' ')
+                .append(what)
+                .append('=')
+                .append(millis.size())
+                .append("(ms_95=")
+                .append(percentile(millis))
+                .append(')'));
+        return text.toString();
+    }
+
+    private Judged judge() {
+        Judged judged = new Judged();
+        List<Wait> begun = waits.stream().filter(wait -> wait.isNew).toList();
+        for (Wait wait : waits) {
+            List<Wait> beside = begun.stream()
+                    .filter(other -> Math.abs(other.from - wait.from) <= SAME_MILLIS)
+                    .toList();
+            if (!wait.isNew && wait.engines >= LEAST_ENGINES && !beside.isEmpty()) {
+                judged.all++;
+                judged.wentOn += wait.succeeded() ? 1 : 0;
+                judged.expected +=
+                        (double) beside.stream().filter(Wait::succeeded).count() / beside.size();
+            }
+        }
+        return judged;
+    }
+
+    private static long percentile(List<Long> millis) {
+        List<Long> sorted = millis.stream().sorted().toList();
+        return sorted.isEmpty() ? 0 : sorted.get((int) (PERCENTILE * (sorted.size() - 1)));
+    }
+
+    private static final class Judged {
+        private int all;
+        private int wentOn;
+        private double expected;
+    }
+
+    /** The time from when a stream broke off, or was asked for, to its next event; of one caller. */
+    static final class Wait {
+        private final long from;
+        private final boolean isNew;
+        private int engines = Integer.MAX_VALUE;
+        private long until;
+
+        Wait(long from, boolean isNew) {
+            this.from = from;
+            this.isNew = isNew;
+        }
+
+        long from() {
+            return from;
+        }
+
+        /** So many engines of the version of the stream take requests. */
+        void serving(int count) {
+            engines = Math.min(engines, count);
+        }
+
+        /** An event came, or the end of a stream of which no event was missing. */
+        Wait succeededAt(long now) {
+            until = Math.max(from, now);
+            return this;
+        }
+
+        private boolean succeeded() {
+            return until > 0;
+        }
+
+        private long millis() {
+            return until - from;
+        }
+    }
+}
--- a/soak/src/main/java/org/copperspindle/soak/Soak.java
+++ b/soak/src/main/java/org/copperspindle/soak/Soak.java
@@ -39,6 +39,10 @@
     private static final double LEAST_RECOVERED = 0.25;
     private static final int WORKERS = 16;
     private static final int SURGE_CALLERS = 40;
+    private static final int RETURNING_CALLERS = 44;
+
+    /** Of so many callers that come back, one has short streams, so that new ones begin all the time. */
+    private static final int SHORT_STREAMS = 5;
 
     /** An upstream that ended by a request is back after this. */
     private static final long RESTART_MILLIS = 1000;
@@ -51,6 +55,7 @@
     private final List<NodeProcess> nodes = new ArrayList<>();
     private final List<SoakUpstream> upstreams = new ArrayList<>();
     private final List<SoakCaller> callers = new ArrayList<>();
+    private final List<ReturningCaller> returning = new ArrayList<>();
     private final List<FloodCaller> flood = new ArrayList<>();
     private final List<SurgeCaller> surge = new ArrayList<>();
     private final StageDispatchers dispatchers = new StageDispatchers(nodes);
@@ -70,12 +75,15 @@
         for (int number = 0; number < settings.nodes(); number++) {
             ports.add(NodePorts.free(loopback, number));
         }
-        this.operator = new SoakOperator(ports, book, settings.shortage());
+        this.operator = new SoakOperator(ports, book, settings);
         this.needSeeds = new Random(settings.seed());
         // A generator of its own: the other draws of a seed stay what they are.
         this.speeds = new Random(~settings.seed());
         this.versions = new EngineVersions(
                 System.currentTimeMillis(), settings.duration().toMillis(), new Random(settings.seed()));
+        if (settings.fleetKills()) {
+            versions.only(ReleasesWithKills.FIRST_VERSION);
+        }
         this.needsUntil = System.currentTimeMillis() + settings.duration().toMillis();
     }
 
@@ -106,6 +114,7 @@
         for (Disturbance each : plan) {
             workers.schedule(() -> disturb(each), each.atMillis(), TimeUnit.MILLISECONDS);
         }
+        Thread kills = fleetKills();
         List<Evacuation> evacuations = Evacuation.plan(settings);
         workers.execute(() -> evacuate(evacuations, startedAt));
         long lastEnd = Stream.concat(
@@ -114,10 +123,12 @@
                 .max(Long::compare)
                 .orElse(0L);
         Thread.sleep(Math.max(settings.duration().toMillis(), lastEnd) + startedAt - System.currentTimeMillis());
+        kills.join();
         flood.forEach(FloodCaller::end);
         surge.forEach(SurgeCaller::end);
         double recovered = recover();
         callers.forEach(SoakCaller::end);
+        returning.forEach(ReturningCaller::end);
         long end = System.currentTimeMillis();
         Thread.sleep(LINGER_MILLIS);
         if (settings.shortage()) {
@@ -130,6 +141,9 @@
         if (settings.surges()) {
             progress.accept("surges " + book.surges().summary());
         }
+        if (settings.fleetKills()) {
+            progress.accept("returns " + book.returns().summary());
+        }
         synchronized (linkTrouble) {
             if (settings.releases()) {
                 progress.accept("streams " + book.held().summary(linkTrouble));
@@ -147,11 +161,14 @@
 
     private List<Disturbance> plan() {
         List<Disturbance> plan = SoakPlan.of(settings, SoakPools.of(settings).size());
+        if (settings.fleetKills()) {
+            plan.clear();
+        }
         if (!settings.shortage()) {
             return plan;
         }
         plan.removeIf(d -> d.atMillis() < CALM_PART * settings.duration().toMillis());
-        plan.addAll(ShortagePlan.of(settings, SoakPools.STAGE_POOLS.size(), SoakPools.engines()));
+        plan.addAll(ShortagePlan.of(settings, SoakPools.STAGE_POOLS.size(), SoakPools.engines(settings)));
         return plan;
     }
 
@@ -195,6 +212,9 @@
         if (settings.fatalPart()) {
             start(new FatalCaller(numbers, ports, book, settings, true), "fatal-part-caller");
         }
+        if (settings.fleetKills()) {
+            startReturning(numbers);
+        }
         if (settings.surges()) {
             startSurge(numbers);
         }
@@ -216,6 +236,51 @@
         }
     }
 
+    private void startReturning(AtomicLong numbers) {
+        for (int i = 0; i < RETURNING_CALLERS; i++) {
+            boolean isPaced = i % SHORT_STREAMS != 0;
+            ReturningCaller caller =
+                    new ReturningCaller(numbers, ports, book, this::readyEngines, isPaced, ~(settings.seed() + i));
+            returning.add(caller);
+            start(caller, "returning-caller-" + i);
+        }
+    }
+
+    /** Releases engines and kills nodes, in a thread of its own. */
+    private Thread fleetKills() {
+        List<Integer> places = SoakPools.engines(settings);
+        ReleasesWithKills.Engines engines = new ReleasesWithKills.Engines() {
+            @Override
+            public int count() {
+                return places.size();
+            }
+
+            @Override
+            public void replace(int engine, FleetKill release) {
+                release(places.get(engine), release);
+            }
+        };
+        Runnable releases = new ReleasesWithKills(settings, nodes, engines, progress, this::trouble, book);
+        Thread thread = new Thread(settings.fleetKills() ? releases : () -> {}, "releases");
+        thread.setDaemon(true);
+        thread.start();
+        return thread;
+    }
+
+    private void release(int place, FleetKill release) {
+        SoakUpstream leaving;
+        synchronized (versions) {
+            versions.only(release.version());
+        }
+        synchronized (upstreams) {
+            leaving = upstreams.set(place, upstream(SoakUpstream.ENGINE));
+        }
+        if (release.drains()) {
+            workers.execute(leaving::drain);
+        }
+        workers.schedule(leaving::crash, release.graceMillis(), TimeUnit.MILLISECONDS);
+    }
+
     private int readyEngines(String software) {
         synchronized (upstreams) {
             return (int) upstreams.stream()
@@ -438,8 +503,12 @@
     }
 
     private void trouble(long begin) {
+        trouble(begin, System.currentTimeMillis());
+    }
+
+    private void trouble(long begin, long end) {
         synchronized (linkTrouble) {
-            linkTrouble.add(new long[] {begin, System.currentTimeMillis()});
+            linkTrouble.add(new long[] {begin, end});
         }
     }
 
--- a/soak/src/main/java/org/copperspindle/soak/SoakCaller.java
+++ b/soak/src/main/java/org/copperspindle/soak/SoakCaller.java
@@ -30,7 +30,13 @@
 
     private static final HeaderNames NAMES = HeaderNames.STANDARD;
     private static final String VERDICT_FIELD = ProblemDetails.VERDICT_HEADER.toLowerCase(Locale.ROOT);
+    private static final String RETRY_AFTER_FIELD = "retry-after";
+    private static final int MILLIS = 1000;
     private static final int CONNECT_MILLIS = 1000;
+
+    /** Longest silence of a stream that a caller who comes back waits for. */
+    private static final int IDLE_MILLIS = 2000;
+
     private static final int DEADLINE_MILLIS = 4000;
     private static final int THINK_MILLIS = 60;
     private static final int MOST_PIECES = 4;
@@ -83,6 +89,9 @@
     private InputStream in;
     private int left;
     private int node;
+    private long retryAfterMillis;
+    private long deadlineMillis = DEADLINE_MILLIS;
+    private boolean elsewhere;
     private boolean inShortage;
     private String prompt = "shared:10,own:5";
     private Optional<LeaningBalancer> balancer = Optional.empty();
@@ -182,6 +191,27 @@
         return ask(request, "", 0);
     }
 
+    /**
+     * Sends a request on a new connection, to another node than the last one.
+     *
+     * @param named          request that is named as the one that brought events, if the caller holds any
+     * @param leftMillis     time that the caller has left
+     */
+    Answer askElsewhere(SoakRequest request, SoakRequest named, long leftMillis) {
+        close();
+        elsewhere = true;
+        deadlineMillis = Math.max(1, leftMillis);
+        resumes = Optional.of(named).filter(r -> request.heldEvents() > 0);
+        Answer answer = ask(request, "", 0);
+        close();
+        return answer;
+    }
+
+    /** Returns after which time the last answer asks its caller to come back, 0 if it does not. */
+    long retryAfterMillis() {
+        return retryAfterMillis;
+    }
+
     /** Sends a request that ends upstreams, on a connection of its own. */
     Answer askFatal(SoakRequest request) {
         Answer answer = ask(request, SoakRequest.FATAL, 0);
@@ -230,6 +260,7 @@
             // The connection broke or nothing came in time: what had come by then is the answer.
             close();
         }
+        retryAfterMillis = (long) (MILLIS * Double.parseDouble(reply.fields.getOrDefault(RETRY_AFTER_FIELD, "0")));
         if (reply.whole) {
             answered = request.id();
         }
@@ -255,12 +286,13 @@
             return;
         }
         close();
-        int any = random.nextInt(nodes.size());
+        int any =
+                elsewhere ? (node + 1 + random.nextInt(nodes.size() - 1)) % nodes.size() : random.nextInt(nodes.size());
         Optional<Integer> lean = balancer.flatMap(b -> b.lean(more.nextDouble()));
         NodePorts ports = nodes.get(lean.orElse(any));
         node = ports.domain();
         Socket next = new Socket();
-        next.setSoTimeout(DEADLINE_MILLIS);
+        next.setSoTimeout(elsewhere ? IDLE_MILLIS : DEADLINE_MILLIS);
         if (smallWindow) {
             next.setReceiveBufferSize(SMALL_WINDOW);
         }
@@ -282,7 +314,7 @@
     private String text(SoakRequest request, String body) {
         return "POST /" + request.route() + "/x HTTP/1.1\r\nHost: h\r\n" + NAMES.requestId() + ": " + request.id()
                 + "\r\nAuthorization: Bearer key-" + request.account() + "\r\n" + NAMES.deadline() + ": "
-                + DEADLINE_MILLIS + "\r\n" + NAMES.prompt() + ": " + prompt + "\r\n" + NAMES.pieces() + ": "
+                + deadlineMillis + "\r\n" + NAMES.prompt() + ": " + prompt + "\r\n" + NAMES.pieces() + ": "
                 + request.pieces() + ',' + request.pieces() + "\r\n" + NAMES.pieceKey() + ": " + request.pieceKey()
                 + takenUpFields(request) + "\r\nContent-Length: " + body.length() + "\r\n\r\n";
     }
--- a/soak/src/main/java/org/copperspindle/soak/SoakOperator.java
+++ b/soak/src/main/java/org/copperspindle/soak/SoakOperator.java
@@ -45,6 +45,9 @@
     /** More than half of the timeout of the routes. */
     private static final int WAITING_OBJECTIVE_MILLIS = 2500;
 
+    /** Longest pause between two events of a stream that lasts for seconds. */
+    private static final int CHAT_PAUSE_MILLIS = 1000;
+
     private final List<NodePorts> nodes;
     private final PromiseBook book;
     private final HttpClient client = HttpClient.newBuilder()
@@ -53,15 +56,17 @@
             .connectTimeout(PATIENCE)
             .build();
     private final boolean shortage;
+    private final boolean fleetKills;
     private long version;
     private long acknowledged;
     private long acknowledgedAt;
     private boolean revoked;
 
-    /** Creates an operator; {@code shortage} says whether the stage pools of its versions run short. */
-    SoakOperator(List<NodePorts> nodes, PromiseBook book, boolean shortage) {
+    /** Creates an operator, whose versions depend on what is run. */
+    SoakOperator(List<NodePorts> nodes, PromiseBook book, SoakSettings settings) {
         this.nodes = nodes;
-        this.shortage = shortage;
+        this.shortage = settings.shortage();
+        this.fleetKills = settings.fleetKills();
         this.book = book;
     }
 
@@ -146,7 +151,15 @@
                 + route(SoakRequest.DRAFT, "stream", SoakUpstream.ENGINE, "max-attempts = 2")
                 + stages(SoakRequest.DRAFT)
                 + route(SoakRequest.RESUME, "stream", SoakUpstream.ENGINE, "max-attempts = 3\nresumable = true")
-                + stages(SoakRequest.RESUME);
+                + stages(SoakRequest.RESUME)
+                + (fleetKills ? chat() : "");
+    }
+
+    private String chat() {
+        return "[route chat]\nhost = h\npath-prefix = /chat/\nkind = stream\ntimeout = "
+                + ReturningCaller.DEADLINE_MILLIS
+                + "ms\nobjective = " + OBJECTIVE_MILLIS + "ms\nrank = 0\npools = " + SoakUpstream.ENGINE
+                + "\nlongest-pause = " + CHAT_PAUSE_MILLIS + "ms\nmax-attempts = 3\nresumable = true\n";
     }
 
     private String stagePools() {
--- a/soak/src/main/java/org/copperspindle/soak/SoakPools.java
+++ b/soak/src/main/java/org/copperspindle/soak/SoakPools.java
@@ -43,9 +43,10 @@
     }
 
     /** Returns the numbers of the engines among the upstreams of a soak. */
-    static List<Integer> engines() {
-        return IntStream.range(0, POOLS.size())
-                .filter(number -> POOLS.get(number).equals(SoakUpstream.ENGINE))
+    static List<Integer> engines(SoakSettings settings) {
+        List<String> pools = of(settings);
+        return IntStream.range(0, pools.size())
+                .filter(number -> pools.get(number).equals(SoakUpstream.ENGINE))
                 .boxed()
                 .toList();
     }
--- a/soak/src/main/java/org/copperspindle/soak/SoakRequest.java
+++ b/soak/src/main/java/org/copperspindle/soak/SoakRequest.java
@@ -18,6 +18,9 @@
     static final String DRAFT = "draft";
     static final String RESUME = "resume";
 
+    /** Resumable streams without stages, whose callers come back for longer. */
+    static final String CHAT = "chat";
+
     /** Body of a request that ends the upstream that runs it; all others have none. */
     static final String FATAL = "fatal";
 
@@ -33,6 +36,9 @@
     /** Ends the id of a request whose stream is long. */
     private static final String LONG = "long";
 
+    /** Ends the id of a request whose stream lasts for seconds. */
+    private static final String PACED = "paced";
+
     /** The same of a long stream: all of them are more than the buffers of a connection on loopback take. */
     private static final String LONG_FILLER = "x".repeat(240_000);
 
@@ -46,6 +52,8 @@
     /** Long enough that an engine can be lost in the middle of most streams. */
     private static final int LONG_EVENTS = 24;
 
+    private static final int PACED_EVENTS = 60;
+
     /** Makes a request. */
     static SoakRequest of(long number, String route, String account, int pieces) {
         String id = route + '-' + account + '-' + pieces + '-' + number;
@@ -68,6 +76,16 @@
         return new SoakRequest(id + '-' + LONG, route, account, pieces);
     }
 
+    /** Returns this request with a stream that lasts for seconds as its answer. */
+    SoakRequest paced() {
+        return new SoakRequest(id + '-' + PACED, route, account, pieces);
+    }
+
+    /** Says whether the stream of its answer lasts for seconds. */
+    boolean isPaced() {
+        return id.contains("-" + PACED);
+    }
+
     /** Returns the request in which a caller takes up this stream after an event. */
     SoakRequest takenUp(int event, long number) {
         return new SoakRequest(id + AFTER + event + "-n" + number, route, account, pieces);
@@ -85,6 +103,9 @@
 
     /** Returns how many events its answer has. */
     int events() {
+        if (isPaced()) {
+            return PACED_EVENTS;
+        }
         return isLong() ? LONG_EVENTS : EVENTS;
     }
 
@@ -99,11 +120,11 @@
     }
 
     boolean streams() {
-        return route.equals(DRAFT) || route.equals(RESUME);
+        return route.equals(DRAFT) || route.equals(RESUME) || route.equals(CHAT);
     }
 
     boolean isIdempotent() {
-        return route.equals(SAFE) || route.equals(RESUME);
+        return route.equals(SAFE) || route.equals(RESUME) || route.equals(CHAT);
     }
 
     /** Returns the whole body of its answer, for routes that don't stream. */
--- a/soak/src/main/java/org/copperspindle/soak/SoakSettings.java
+++ b/soak/src/main/java/org/copperspindle/soak/SoakSettings.java
@@ -19,6 +19,7 @@
  * @param needs    whether upstreams name limits and ask for rest
  * @param shortage whether stage pools run short under a flood, and their dispatchers and engines are disturbed
  * @param releases whether engines run two software versions at a time, and callers take streams up that break off
+ * @param fleetKills whether all nodes are killed at once beside releases of engines, and callers come back to long streams
  * @param launcher words that start the command line, to which {@code run --settings FILE} is added
  */
 public record SoakSettings(
@@ -34,6 +35,7 @@
         boolean needs,
         boolean shortage,
         boolean releases,
+        boolean fleetKills,
         List<String> launcher) {
 
     /** Copies the list. */
--- a/soak/src/main/java/org/copperspindle/soak/SoakUpstream.java
+++ b/soak/src/main/java/org/copperspindle/soak/SoakUpstream.java
@@ -57,6 +57,9 @@
     /** Between two events of a long stream; below the longest pause that the route table states. */
     private static final int LONG_EVENT_MILLIS = 40;
 
+    /** The same of a stream that lasts for seconds. */
+    private static final int PACED_EVENT_MILLIS = 120;
+
     private static final int LOOK_MILLIS = 10;
     private static final int SLOTS = 16;
     static final int DOMAINS = 3;
@@ -214,7 +217,7 @@
     /** Says that it drains, until that is acknowledged. */
     void drain() {
         phase = DRAINING;
-        while (!announce() && !Thread.currentThread().isInterrupted()) {
+        while (!ended && !announce() && !Thread.currentThread().isInterrupted()) {
             Pause.millis(ASK_AGAIN_MILLIS);
         }
         book.drained(id, System.currentTimeMillis());
@@ -354,13 +357,20 @@
             int stall = inShortage ? random.nextInt(LONGEST_STALL_MILLIS) : 0;
             breakOff(exchange, System.currentTimeMillis() + stall, work);
         } else if (exchange.write(event(request, number))) {
-            long pause = speed.scaled(inShortage ? LONG_EVENT_MILLIS : EVENT_MILLIS);
+            long pause = speed.scaled(eventMillis(request));
             later(exchange, pause, () -> stream(exchange, request, number + 1, last, work));
         } else {
             work.ends(System.currentTimeMillis());
         }
     }
 
+    private int eventMillis(SoakRequest request) {
+        if (request.isPaced()) {
+            return PACED_EVENT_MILLIS;
+        }
+        return inShortage ? LONG_EVENT_MILLIS : EVENT_MILLIS;
+    }
+
     private String event(SoakRequest request, int number) {
         String event = request.event(number);
         return software.isEmpty() ? event : HeldStreams.writtenBy(software, event);
--- a/soak/src/test/java/org/copperspindle/soak/NodeProcessTest.java
+++ b/soak/src/test/java/org/copperspindle/soak/NodeProcessTest.java
@@ -47,7 +47,20 @@
 
     private NodeProcess node(List<String> launcher) throws Exception {
         SoakSettings settings = new SoakSettings(
-                1, Duration.ofSeconds(1), 1, 0, folder, false, false, false, false, false, false, false, launcher);
+                1,
+                Duration.ofSeconds(1),
+                1,
+                0,
+                folder,
+                false,
+                false,
+                false,
+                false,
+                false,
+                false,
+                false,
+                false,
+                launcher);
         return new NodeProcess(0, settings, List.of(NodePorts.free(LoopbackHost.open(), 0)), false);
     }
 
--- a/soak/src/test/java/org/copperspindle/soak/ShortagePromisesTest.java
+++ b/soak/src/test/java/org/copperspindle/soak/ShortagePromisesTest.java
@@ -87,6 +87,7 @@
                 false,
                 true,
                 false,
+                false,
                 List.of());
         return ShortagePlan.of(settings, 2, List.of(3, 4, 5));
     }
--- a/tools/src/main/java/org/copperspindle/cli/SoakCommand.java
+++ b/tools/src/main/java/org/copperspindle/cli/SoakCommand.java
@@ -83,6 +83,10 @@
                 .action(Arguments.storeTrue())
                 .help(
                         "run engines of two software versions at a time, and callers that take up streams that break off");
+        parser.addArgument("--fleet-kills")
+                .action(Arguments.storeTrue())
+                .help("kill all nodes at once beside releases of engines, with callers that come back to long streams,"
+                        + " instead of what the options above leave out");
         parser.addArgument("--folder")
                 .setDefault("")
                 .help("folder for settings, data and logs; default: a temporary folder");
@@ -94,7 +98,9 @@
         Configurator.setLevel("org.copperspindle.http", Level.ERROR);
         boolean passed = true;
         boolean shortage = arguments.getBoolean("shortage");
-        boolean surges = !shortage && arguments.getBoolean("surges");
+        boolean fleetKills = !shortage && arguments.getBoolean("fleet_kills");
+        boolean special = shortage || fleetKills;
+        boolean surges = !special && arguments.getBoolean("surges");
         Integer nodes = arguments.getInt("nodes");
         int defaultNodes = shortage ? DEFAULT_SHORTAGE_NODES : DEFAULT_NODES;
         String folderOption = arguments.getString("folder");
@@ -107,13 +113,14 @@
                     nodes == null ? defaultNodes : nodes,
                     arguments.getInt("callers"),
                     folder.resolve("seed-" + seed),
-                    !shortage && !arguments.getBoolean("no_fatal"),
-                    !shortage && !arguments.getBoolean("no_fatal_part"),
+                    !special && !arguments.getBoolean("no_fatal"),
+                    !special && !arguments.getBoolean("no_fatal_part"),
                     surges,
-                    !shortage && !surges && !arguments.getBoolean("no_evacuations"),
-                    !shortage && !surges && !arguments.getBoolean("no_needs"),
+                    !special && !surges && !arguments.getBoolean("no_evacuations"),
+                    !special && !surges && !arguments.getBoolean("no_needs"),
                     shortage,
-                    !shortage && arguments.getBoolean("releases"),
+                    fleetKills || !shortage && arguments.getBoolean("releases"),
+                    fleetKills,
                     nodeCommand());
             SoakReport report = Soak.run(settings, line -> System.out.println("soak " + line));
             System.out.println(report.summary() + " logs=" + settings.folder());
--- a/tools/src/test/java/org/copperspindle/cli/SoakTest.java
+++ b/tools/src/test/java/org/copperspindle/cli/SoakTest.java
@@ -60,7 +60,8 @@
                 chosen.contains("evacuates"),
                 chosen.contains("needs"),
                 chosen.contains("shortage"),
-                chosen.contains("releases"),
+                chosen.contains("releases") || chosen.contains("fleet-kills"),
+                chosen.contains("fleet-kills"),
                 SoakCommand.nodeCommand());
         SoakReport report = Soak.run(settings, line -> {});
         assertThat(report.broken()).as(report.summary()).isEmpty();
