soak: ledger of streams that callers come back to, engines in a class of their own

The share of streams that go on is compared with new ones of the same seconds; events must follow each other in an answer and over the tries of a caller.

--- a/soak/src/main/java/org/copperspindle/soak/FleetKill.java
+++ b/soak/src/main/java/org/copperspindle/soak/FleetKill.java
@@ -41,7 +41,8 @@
     private static final int MORE_GRACE_MILLIS = 1500;
     private static final int LONGEST_LEAD_MILLIS = 300;
     private static final int SHORTEST_BACK_MILLIS = 300;
-    private static final int LONGEST_BACK_MILLIS = 3000;
+    private static final int LONGEST_BACK_MILLIS = 2700;
+    private static final int SOON_BACK_MILLIS = 700;
     private static final int LONGEST_EACH_MILLIS = 3300;
     private static final int LONGEST_LATER_MILLIS = 4000;
 
@@ -50,6 +51,11 @@
 
     private static final int SHORT_HOLD_MILLIS = 500;
 
+    private static final List<Moment> MOMENTS =
+            List.of(Moment.BEFORE, Moment.HALF, Moment.HALF, Moment.AFTER, Moment.AFTER, Moment.AFTER_TWICE);
+    private static final List<Shape> SHAPES =
+            List.of(Shape.ALL, Shape.ALL, Shape.ALL_STAGGERED, Shape.ALL_BUT_ONE, Shape.ALL_BUT_A_SUSPENDED);
+
     /** When the nodes are killed. */
     enum Moment {
         /** Before the first engine is replaced; the others are replaced while no node runs. */
@@ -98,8 +104,7 @@
             if (!again) {
                 former.add(next);
             }
-            plan.add(draw(
-                    random, next, take(moments, Moment.values(), random), take(shapes, Shape.values(), random), nodes));
+            plan.add(draw(random, next, take(moments, MOMENTS, random), take(shapes, SHAPES, random), nodes));
             running = next;
         }
         return plan;
@@ -115,16 +120,16 @@
                 shape,
                 random.nextInt(nodes),
                 random.nextInt(LONGEST_LEAD_MILLIS),
-                SHORTEST_BACK_MILLIS + random.nextInt(LONGEST_BACK_MILLIS - SHORTEST_BACK_MILLIS),
+                SHORTEST_BACK_MILLIS + random.nextInt(random.nextBoolean() ? LONGEST_BACK_MILLIS : SOON_BACK_MILLIS),
                 random.nextInt(LONGEST_EACH_MILLIS),
                 random.nextInt(LONGEST_LATER_MILLIS),
                 random.nextBoolean() ? LONG_HOLD_MILLIS : SHORT_HOLD_MILLIS);
     }
 
-    /** Each value comes once before one comes again, so that few releases cover all. */
-    private static <T> T take(List<T> left, T[] all, Random random) {
+    /** All values come before one comes again, so that few releases cover all. */
+    private static <T> T take(List<T> left, List<T> all, Random random) {
         if (left.isEmpty()) {
-            left.addAll(List.of(all));
+            left.addAll(all);
             Collections.shuffle(left, random);
         }
         return left.remove(0);
--- a/soak/src/main/java/org/copperspindle/soak/HeldStreams.java
+++ b/soak/src/main/java/org/copperspindle/soak/HeldStreams.java
@@ -96,10 +96,8 @@
     List<String> broken(List<long[]> trouble) {
         List<String> broken = new ArrayList<>(outOfOrder);
         held.forEach((stream, events) -> {
-            Set<String> versions = new TreeSet<>();
-            events.values().forEach(versions::addAll);
-            if (versions.size() > 1) {
-                broken.add("versions: " + stream + " holds events of " + versions + ": " + events);
+            if (isJoined(events)) {
+                broken.add("versions: " + stream + " holds events of " + versions(events) + ": " + changes(events));
             }
         });
         List<TakenUp> judged = judged(trouble);
@@ -114,11 +112,36 @@
     /** Returns how many streams began and were taken up, as one line. */
     String summary(List<long[]> trouble) {
         List<TakenUp> judged = judged(trouble);
-        return "began=" + begun.stream().filter(b -> b).count() + " of=" + begun.size() + " went_on="
+        return "joined=" + held.values().stream().filter(HeldStreams::isJoined).count() + " out_of_order="
+                + outOfOrder.size() + " began=" + begun.stream().filter(b -> b).count() + " of=" + begun.size()
+                + " went_on="
                 + judged.stream().filter(TakenUp::goesOn).count() + " of=" + judged.size() + " taken_up="
                 + takenUp.size();
     }
 
+    private static boolean isJoined(Map<Integer, Set<String>> events) {
+        return versions(events).size() > 1;
+    }
+
+    private static Set<String> versions(Map<Integer, Set<String>> events) {
+        Set<String> versions = new TreeSet<>();
+        events.values().forEach(versions::addAll);
+        return versions;
+    }
+
+    /** Returns the events that differ in version from the one before them, by number. */
+    private static Map<Integer, Set<String>> changes(Map<Integer, Set<String>> events) {
+        Map<Integer, Set<String>> changes = new TreeMap<>();
+        Set<String> before = Set.of();
+        for (Map.Entry<Integer, Set<String>> event : new TreeMap<>(events).entrySet()) {
+            if (!event.getValue().equals(before)) {
+                changes.put(event.getKey(), event.getValue());
+            }
+            before = event.getValue();
+        }
+        return changes;
+    }
+
     private Map<Integer, String> add(String stream, String body) {
         follow(stream, body);
         Map<Integer, String> events = events(body);
--- a/soak/src/main/java/org/copperspindle/soak/ReleasesWithKills.java
+++ b/soak/src/main/java/org/copperspindle/soak/ReleasesWithKills.java
@@ -19,7 +19,7 @@
     private static final long FIRST_MILLIS = 2500;
 
     /** Callers come back for as long after the kill before the next release begins. */
-    private static final long PAUSE_MILLIS = 7000;
+    private static final long PAUSE_MILLIS = 4000;
 
     /** After the start of the last node; streams are only compared with each other until then. */
     private static final long START_MILLIS = 3000;
@@ -113,7 +113,7 @@
                     other.signal("STOP");
                     awake = CompletableFuture.runAsync(() -> wake(other, release.laterMillis()));
                 }
-                default -> progress.accept("killing all nodes");
+                default -> progress.accept("all nodes are killed");
             }
             killed.forEach(NodeProcess::destroy);
             for (NodeProcess node : killed) {
@@ -121,10 +121,10 @@
             }
             Pause.millis(release.backMillis());
             for (NodeProcess node : killed) {
-                node.start();
-                if (release.shape() == FleetKill.Shape.ALL_STAGGERED) {
+                if (release.shape() == FleetKill.Shape.ALL_STAGGERED && !node.equals(killed.get(0))) {
                     Pause.millis(release.eachMillis());
                 }
+                node.start();
             }
             awake.join();
             progress.accept("nodes are back after_ms=" + (System.currentTimeMillis() - begin));
--- a/soak/src/main/java/org/copperspindle/soak/Soak.java
+++ b/soak/src/main/java/org/copperspindle/soak/Soak.java
@@ -5,8 +5,6 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Random;
-import java.util.Set;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -28,7 +26,6 @@
 
     private static final Duration START_BOUND = Duration.ofSeconds(60);
     private static final Duration CHANGE_BOUND = Duration.ofSeconds(20);
-    private static final long ANNOUNCE_MILLIS = 400;
     private static final long READ_MILLIS = 700;
     private static final long LINGER_MILLIS = 2500;
 
@@ -44,16 +41,11 @@
     /** Of so many callers that come back, one has short streams, so that new ones begin all the time. */
     private static final int SHORT_STREAMS = 5;
 
-    /** An upstream that ended by a request is back after this. */
-    private static final long RESTART_MILLIS = 1000;
-
     private final SoakSettings settings;
     private final Consumer<String> progress;
     private final PromiseBook book = new PromiseBook();
-    private final Set<String> results = SoakUpstream.noResults();
     private final List<NodePorts> ports = new ArrayList<>();
     private final List<NodeProcess> nodes = new ArrayList<>();
-    private final List<SoakUpstream> upstreams = new ArrayList<>();
     private final List<SoakCaller> callers = new ArrayList<>();
     private final List<ReturningCaller> returning = new ArrayList<>();
     private final List<FloodCaller> flood = new ArrayList<>();
@@ -63,10 +55,7 @@
     private final ScheduledExecutorService workers = Executors.newScheduledThreadPool(WORKERS);
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
     private final SoakOperator operator;
-    private final Random needSeeds;
-    private final Random speeds;
-    private final EngineVersions versions;
-    private final long needsUntil;
+    private final SoakUpstreams upstreams;
 
     private Soak(SoakSettings settings, Consumer<String> progress) throws IOException {
         this.settings = settings;
@@ -76,15 +65,7 @@
             ports.add(NodePorts.free(loopback, number));
         }
         this.operator = new SoakOperator(ports, book, settings);
-        this.needSeeds = new Random(settings.seed());
-        // A generator of its own: the other draws of a seed stay what they are.
-        this.speeds = new Random(~settings.seed());
-        this.versions = new EngineVersions(
-                System.currentTimeMillis(), settings.duration().toMillis(), new Random(settings.seed()));
-        if (settings.fleetKills()) {
-            versions.only(ReleasesWithKills.FIRST_VERSION);
-        }
-        this.needsUntil = System.currentTimeMillis() + settings.duration().toMillis();
+        this.upstreams = new SoakUpstreams(settings, book, ports, workers, group);
     }
 
     /**
@@ -188,8 +169,7 @@
         for (NodeProcess node : nodes) {
             node.start();
         }
-        SoakPools.of(settings).forEach(pool -> upstreams.add(upstream(pool)));
-        workers.scheduleAtFixedRate(this::announce, 0, ANNOUNCE_MILLIS, TimeUnit.MILLISECONDS);
+        upstreams.start();
         if (!operator.change(false, START_BOUND)) {
             throw new IOException("no node accepted the first version within " + START_BOUND);
         }
@@ -201,7 +181,7 @@
                 caller.inShortage();
             }
             if (settings.releases()) {
-                caller.takingUp(this::readyEngines);
+                caller.takingUp(upstreams::readyEngines);
             }
             callers.add(caller);
             start(caller, "caller-" + i);
@@ -240,7 +220,7 @@
         for (int i = 0; i < RETURNING_CALLERS; i++) {
             boolean isPaced = i % SHORT_STREAMS != 0;
             ReturningCaller caller =
-                    new ReturningCaller(numbers, ports, book, this::readyEngines, isPaced, ~(settings.seed() + i));
+                    new ReturningCaller(numbers, ports, book, upstreams::readyEngines, isPaced, ~(settings.seed() + i));
             returning.add(caller);
             start(caller, "returning-caller-" + i);
         }
@@ -248,79 +228,19 @@
 
     /** Releases engines and kills nodes, in a thread of its own. */
     private Thread fleetKills() {
-        List<Integer> places = SoakPools.engines(settings);
-        ReleasesWithKills.Engines engines = new ReleasesWithKills.Engines() {
-            @Override
-            public int count() {
-                return places.size();
-            }
-
-            @Override
-            public void replace(int engine, FleetKill release) {
-                release(places.get(engine), release);
-            }
-        };
-        Runnable releases = new ReleasesWithKills(settings, nodes, engines, progress, this::trouble, book);
+        Runnable releases = new ReleasesWithKills(settings, nodes, upstreams, progress, this::trouble, book);
         Thread thread = new Thread(settings.fleetKills() ? releases : () -> {}, "releases");
         thread.setDaemon(true);
         thread.start();
         return thread;
     }
 
-    private void release(int place, FleetKill release) {
-        SoakUpstream leaving;
-        synchronized (versions) {
-            versions.only(release.version());
-        }
-        synchronized (upstreams) {
-            leaving = upstreams.set(place, upstream(SoakUpstream.ENGINE));
-        }
-        if (release.drains()) {
-            workers.execute(leaving::drain);
-        }
-        workers.schedule(leaving::crash, release.graceMillis(), TimeUnit.MILLISECONDS);
-    }
-
-    private int readyEngines(String software) {
-        synchronized (upstreams) {
-            return (int) upstreams.stream()
-                    .filter(upstream ->
-                            upstream.isReady() && upstream.software().equals(software))
-                    .count();
-        }
-    }
-
     private static void start(Runnable caller, String name) {
         Thread thread = new Thread(caller, name);
         thread.setDaemon(true);
         thread.start();
     }
 
-    private SoakUpstream upstream(String pool) {
-        SoakUpstream upstream =
-                new SoakUpstream(pool, book, ports, results, this::endedUnderFatal, new Random(settings.seed()), group);
-        synchronized (speeds) {
-            upstream.working(UpstreamSpeed.of(speeds));
-        }
-        if (settings.shortage()) {
-            upstream.inShortage();
-        }
-        if (settings.releases() && pool.equals(SoakUpstream.ENGINE)) {
-            synchronized (versions) {
-                upstream.running(versions.next(System.currentTimeMillis()));
-            }
-        }
-        boolean cold = settings.evacuates() && pool.equals(SoakUpstream.ENGINE);
-        if (cold) {
-            upstream.starting(ColdStart.at(System.currentTimeMillis()));
-        }
-        if (settings.needs()) {
-            long now = System.currentTimeMillis();
-            upstream.needing(UpstreamNeed.between(now, needsUntil, settings.nodes(), new Random(needSeeds.nextLong())));
-        }
-        return upstream;
-    }
-
     /** Empties failure domains one after the other: two orders on one domain at once would undo each other. */
     private void evacuate(List<Evacuation> plan, long startedAt) {
         for (Evacuation each : plan) {
@@ -343,31 +263,6 @@
         }
     }
 
-    /** Ends an upstream by a request that it runs; another one starts in its place. */
-    private void endedUnderFatal(SoakUpstream upstream) {
-        workers.execute(() -> {
-            upstream.crash();
-            workers.schedule(() -> replace(upstream), RESTART_MILLIS, TimeUnit.MILLISECONDS);
-        });
-    }
-
-    private void replace(SoakUpstream ended) {
-        synchronized (upstreams) {
-            int place = upstreams.indexOf(ended);
-            if (place >= 0) {
-                upstreams.set(place, upstream(ended.pool()));
-            }
-        }
-    }
-
-    private void announce() {
-        List<SoakUpstream> now;
-        synchronized (upstreams) {
-            now = List.copyOf(upstreams);
-        }
-        now.forEach(upstream -> workers.execute(upstream::announce));
-    }
-
     private void disturb(Disturbance what) {
         progress.accept("at_ms=" + what.atMillis() + " kind=" + what.kind() + " target=" + what.target() + " for_ms="
                 + what.forMillis());
@@ -410,8 +305,8 @@
             case KILL, LOSE_DISK -> killAndRestart(nodes.get(what.target()), what);
             case TERM -> stopAndRestart(nodes.get(what.target()), what);
             case PAUSE -> pause(nodes.get(what.target()), what);
-            case UPSTREAM_CRASH, UPSTREAM_DRAIN -> replaceUpstream(what);
-            case ENGINE_SILENCE -> silence(what);
+            case UPSTREAM_CRASH, UPSTREAM_DRAIN -> upstreams.replace(what);
+            case ENGINE_SILENCE -> upstreams.silence(what);
             case REVOKE, CHANGE -> operator.change(what.kind() == DisturbanceKind.REVOKE, CHANGE_BOUND);
             default -> throw new IllegalArgumentException(what.toString());
         }
@@ -453,15 +348,6 @@
         node.signal("CONT");
     }
 
-    private void silence(Disturbance what) throws InterruptedException {
-        SoakUpstream engine;
-        synchronized (upstreams) {
-            engine = upstreams.get(what.target());
-        }
-        engine.silence(what.forMillis());
-        Thread.sleep(what.forMillis());
-    }
-
     private void killAndRestart(NodeProcess node, Disturbance what) throws IOException, InterruptedException {
         synchronized (node) {
             node.kill();
@@ -485,23 +371,6 @@
         }
     }
 
-    private void replaceUpstream(Disturbance what) throws InterruptedException {
-        SoakUpstream leaving;
-        synchronized (upstreams) {
-            leaving = upstreams.get(what.target());
-            upstreams.set(what.target(), upstream(leaving.pool()));
-        }
-        if (what.kind() == DisturbanceKind.UPSTREAM_DRAIN) {
-            leaving.drain();
-            Thread.sleep(SoakOperator.DRAIN_MILLIS + LINGER_MILLIS);
-        }
-        if (what.kind() == DisturbanceKind.UPSTREAM_CRASH) {
-            leaving.crash();
-        } else {
-            leaving.close();
-        }
-    }
-
     private void trouble(long begin) {
         trouble(begin, System.currentTimeMillis());
     }
@@ -544,9 +413,7 @@
         for (NodeProcess node : nodes) {
             node.close();
         }
-        synchronized (upstreams) {
-            upstreams.forEach(SoakUpstream::close);
-        }
+        upstreams.close();
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
     }
 }
--- a/soak/src/test/java/org/copperspindle/soak/HeldStreamsTest.java
+++ b/soak/src/test/java/org/copperspindle/soak/HeldStreamsTest.java
@@ -3,6 +3,8 @@
 import java.util.List;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -39,6 +41,23 @@
         assertThat(held.broken(CALM)).isEmpty();
     }
 
+    /** An event is missing, or came before, in one answer. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 3})
+    void eventsOutOfOrderInOneAnswerAreFound(int second) {
+        held.began(stream.id(), event("v1", 1) + event("v1", second));
+        assertThat(held.broken(CALM)).singleElement().asString().contains("event " + second + " after 1");
+    }
+
+    /** A node sent the caller that took the stream up what it held, or left something out. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 4})
+    void eventsOutOfOrderOverTwoRequestsAreFound(int next) {
+        held.holds(stream.id(), event("v1", 1) + event("v1", 2));
+        held.holds(stream.id(), event("v1", next));
+        assertThat(held.broken(CALM)).singleElement().asString().contains("event " + next + " after 2");
+    }
+
     /** All new streams begin, and of twelve that are taken up fewer than half go on. */
     @Test
     void streamsThatDoNotGoOnAreFound() {
