--- a/soak/src/main/java/org/copperspindle/soak/FleetKill.java
+++ b/soak/src/main/java/org/copperspindle/soak/FleetKill.java
@@ -18,7 +18,7 @@
  * @param leadMillis  between the moment and the kill
  * @param backMillis  from the kill until the first node starts
  * @param eachMillis  between two nodes that start
- * @param laterMillis from the kill until a suspended node goes on, and from when nodes are back until they are killed again
+ * @param laterMillis from the kill until a suspended node goes on, and from the start of the last node until all are killed again
  * @param holdMillis  for which the release pauses after the kill
  */
 record FleetKill(
@@ -46,6 +46,8 @@
     private static final int LONGEST_EACH_MILLIS = 3300;
     private static final int LONGEST_LATER_MILLIS = 4000;
 
+    private static final double LONG_HOLDS = 0.75;
+
     /** Long enough that callers come back while two versions serve. */
     private static final int LONG_HOLD_MILLIS = 7000;
 
@@ -123,7 +125,7 @@
                 SHORTEST_BACK_MILLIS + random.nextInt(random.nextBoolean() ? LONGEST_BACK_MILLIS : SOON_BACK_MILLIS),
                 random.nextInt(LONGEST_EACH_MILLIS),
                 random.nextInt(LONGEST_LATER_MILLIS),
-                random.nextBoolean() ? LONG_HOLD_MILLIS : SHORT_HOLD_MILLIS);
+                random.nextDouble() < LONG_HOLDS ? LONG_HOLD_MILLIS : SHORT_HOLD_MILLIS);
     }
 
     /** All values come before one comes again, so that few releases cover all. */
--- a/soak/src/main/java/org/copperspindle/soak/NodeProcess.java
+++ b/soak/src/main/java/org/copperspindle/soak/NodeProcess.java
@@ -2,6 +2,7 @@
 
 import java.io.File;
 import java.io.IOException;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -19,6 +20,8 @@
     /** Longest time from SIGTERM to the end, as the settings of the node state it, and some more for a busy machine. */
     private static final long STOP_SECONDS = 15;
 
+    private static final int CONNECT_MILLIS = 200;
+
     private final String name;
     private final SoakSettings settings;
     private final NodePorts ports;
@@ -133,6 +136,17 @@
         member.reset();
     }
 
+    /** Says whether callers can connect to it. */
+    boolean isListening() {
+        try (Socket socket = new Socket()) {
+            socket.connect(ports.socketAddress(ports.callers()), CONNECT_MILLIS);
+            return true;
+        } catch (IOException e) {
+            // It is not there, or not yet.
+            return false;
+        }
+    }
+
     synchronized boolean isAlive() {
         return process != null && process.isAlive();
     }
--- a/soak/src/main/java/org/copperspindle/soak/ReleasesWithKills.java
+++ b/soak/src/main/java/org/copperspindle/soak/ReleasesWithKills.java
@@ -18,12 +18,16 @@
     /** Streams have begun by then. */
     private static final long FIRST_MILLIS = 2500;
 
-    /** Callers come back for as long after the kill before the next release begins. */
-    private static final long PAUSE_MILLIS = 4000;
+    /** Callers come back for as long to nodes that serve again before the next release begins. */
+    private static final long PAUSE_MILLIS = 6000;
 
     /** After the start of the last node; streams are only compared with each other until then. */
     private static final long START_MILLIS = 3000;
 
+    /** A node that was started listens within this, on a busy machine. */
+    private static final long LISTENING_MILLIS = 15_000;
+
+    private static final long LOOK_MILLIS = 50;
     private static final int MOST_RELEASES = 1000;
 
     private final SoakSettings settings;
@@ -82,7 +86,7 @@
             }
             case AFTER_TWICE -> {
                 replace(release, 0, engines.count());
-                kill(release);
+                kill(release, false);
                 Pause.millis(release.laterMillis());
                 kill(release);
             }
@@ -100,6 +104,10 @@
     }
 
     private void kill(FleetKill release) {
+        kill(release, true);
+    }
+
+    private void kill(FleetKill release, boolean untilListening) {
         long begin = System.currentTimeMillis();
         book.returns().killed(begin);
         NodeProcess other = nodes.get(release.node());
@@ -127,6 +135,9 @@
                 node.start();
             }
             awake.join();
+            if (untilListening) {
+                awaitListening();
+            }
             progress.accept("nodes are back after_ms=" + (System.currentTimeMillis() - begin));
         } catch (IOException e) {
             book.breaks("soak: nodes could not be killed or started: " + e);
@@ -136,6 +147,13 @@
         trouble.accept(begin, System.currentTimeMillis() + START_MILLIS);
     }
 
+    private void awaitListening() {
+        long end = System.currentTimeMillis() + LISTENING_MILLIS;
+        while (!nodes.stream().allMatch(NodeProcess::isListening) && System.currentTimeMillis() < end) {
+            Pause.millis(LOOK_MILLIS);
+        }
+    }
+
     private void wake(NodeProcess node, long afterMillis) {
         Pause.millis(afterMillis);
         try {
--- a/soak/src/main/java/org/copperspindle/soak/ReturnLedger.java
+++ b/soak/src/main/java/org/copperspindle/soak/ReturnLedger.java
@@ -12,7 +12,7 @@
 import org.copperspindle.soak.PromiseBook.Answer;
 
 /**
- * How callers wait for streams that they take up, compared with new streams that they wait for in the same seconds, and
+ * How callers wait for streams that they take up, compared with new streams that callers ask for meanwhile, and
  * what refusals they get. Times are in milliseconds.
  */
 final class ReturnLedger {
@@ -21,7 +21,9 @@
     private static final int LEAST_JUDGED = 12;
 
     private static final int LEAST_ENGINES = 2;
+    /** New streams are compared that are asked for from when a stream broke off to as long after its next event. */
     private static final long SAME_MILLIS = 1000;
+
     private static final double PERCENTILE = 0.95;
     private static final Pattern REASON = Pattern.compile("\"reason\":\"([^\"]*)\"");
 
@@ -56,7 +58,7 @@
             return Optional.empty();
         }
         return Optional.of(String.format(
-                "lost: %d of %d streams that were taken up went on, of new ones in the same seconds %.2f began",
+                "lost: %d of %d streams that were taken up went on, of new ones meanwhile %.2f began",
                 judged.wentOn, judged.all, judged.expected / judged.all));
     }
 
@@ -93,7 +95,7 @@
         List<Wait> begun = waits.stream().filter(wait -> wait.isNew).toList();
         for (Wait wait : waits) {
             List<Wait> beside = begun.stream()
-                    .filter(other -> Math.abs(other.from - wait.from) <= SAME_MILLIS)
+                    .filter(other -> other.from >= wait.from && other.from <= wait.until + SAME_MILLIS)
                     .toList();
             if (!wait.isNew && wait.engines >= LEAST_ENGINES && !beside.isEmpty()) {
                 judged.all++;
@@ -122,6 +124,7 @@
         private final boolean isNew;
         private int engines = Integer.MAX_VALUE;
         private long until;
+        private boolean succeeded;
 
         Wait(long from, boolean isNew) {
             this.from = from;
@@ -140,11 +143,18 @@
         /** An event came, or the end of a stream of which no event was missing. */
         Wait succeededAt(long now) {
             until = Math.max(from, now);
+            succeeded = true;
+            return this;
+        }
+
+        /** Nothing came, and the caller gives up. */
+        Wait failedAt(long now) {
+            until = now;
             return this;
         }
 
         private boolean succeeded() {
-            return until > 0;
+            return succeeded;
         }
 
         private long millis() {
--- a/soak/src/main/java/org/copperspindle/soak/ReturningCaller.java
+++ b/soak/src/main/java/org/copperspindle/soak/ReturningCaller.java
@@ -20,7 +20,7 @@
     static final int DEADLINE_MILLIS = 20_000;
 
     /** A stream that broke off, or did not begin, is given up after this. */
-    private static final int COMES_BACK_MILLIS = 10_000;
+    private static final int COMES_BACK_MILLIS = 12_000;
 
     /** With less time the end of the deadline decides, not the nodes. */
     private static final int LEAST_JUDGED_MILLIS = 8000;
@@ -107,7 +107,7 @@
             pause = Math.min(2 * pause, LONGEST_PAUSE_MILLIS);
         }
         if (!ended && deadline - wait.from() >= LEAST_JUDGED_MILLIS) {
-            book.returns().ended(wait);
+            book.returns().ended(wait.failedAt(System.currentTimeMillis()));
         }
     }
 
