--- a/soak/src/main/java/org/copperspindle/soak/Soak.java
+++ b/soak/src/main/java/org/copperspindle/soak/Soak.java
@@ -5,8 +5,6 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Random;
-import java.util.Set;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -28,7 +26,6 @@
 
     private static final Duration START_BOUND = Duration.ofSeconds(60);
     private static final Duration CHANGE_BOUND = Duration.ofSeconds(20);
-    private static final long ANNOUNCE_MILLIS = 400;
     private static final long READ_MILLIS = 700;
     private static final long LINGER_MILLIS = 2500;
 
@@ -39,18 +36,18 @@
     private static final double LEAST_RECOVERED = 0.25;
     private static final int WORKERS = 16;
     private static final int SURGE_CALLERS = 40;
+    private static final int RETURNING_CALLERS = 44;
 
-    /** An upstream that ended by a request is back after this. */
-    private static final long RESTART_MILLIS = 1000;
+    /** Of so many callers that come back, one has short streams, so that new ones begin all the time. */
+    private static final int SHORT_STREAMS = 5;
 
     private final SoakSettings settings;
     private final Consumer<String> progress;
     private final PromiseBook book = new PromiseBook();
-    private final Set<String> results = SoakUpstream.noResults();
     private final List<NodePorts> ports = new ArrayList<>();
     private final List<NodeProcess> nodes = new ArrayList<>();
-    private final List<SoakUpstream> upstreams = new ArrayList<>();
     private final List<SoakCaller> callers = new ArrayList<>();
+    private final List<ReturningCaller> returning = new ArrayList<>();
     private final List<FloodCaller> flood = new ArrayList<>();
     private final List<SurgeCaller> surge = new ArrayList<>();
     private final StageDispatchers dispatchers = new StageDispatchers(nodes);
@@ -58,10 +55,7 @@
     private final ScheduledExecutorService workers = Executors.newScheduledThreadPool(WORKERS);
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
     private final SoakOperator operator;
-    private final Random needSeeds;
-    private final Random speeds;
-    private final EngineVersions versions;
-    private final long needsUntil;
+    private final SoakUpstreams upstreams;
 
     private Soak(SoakSettings settings, Consumer<String> progress) throws IOException {
         this.settings = settings;
@@ -70,13 +64,8 @@
         for (int number = 0; number < settings.nodes(); number++) {
             ports.add(NodePorts.free(loopback, number));
         }
-        this.operator = new SoakOperator(ports, book, settings.shortage());
-        this.needSeeds = new Random(settings.seed());
-        // A generator of its own: the other draws of a seed stay what they are.
-        this.speeds = new Random(~settings.seed());
-        this.versions = new EngineVersions(
-                System.currentTimeMillis(), settings.duration().toMillis(), new Random(settings.seed()));
-        this.needsUntil = System.currentTimeMillis() + settings.duration().toMillis();
+        this.operator = new SoakOperator(ports, book, settings);
+        this.upstreams = new SoakUpstreams(settings, book, ports, workers, group);
     }
 
     /**
@@ -106,6 +95,7 @@
         for (Disturbance each : plan) {
             workers.schedule(() -> disturb(each), each.atMillis(), TimeUnit.MILLISECONDS);
         }
+        Thread kills = fleetKills();
         List<Evacuation> evacuations = Evacuation.plan(settings);
         workers.execute(() -> evacuate(evacuations, startedAt));
         long lastEnd = Stream.concat(
@@ -114,10 +104,12 @@
                 .max(Long::compare)
                 .orElse(0L);
         Thread.sleep(Math.max(settings.duration().toMillis(), lastEnd) + startedAt - System.currentTimeMillis());
+        kills.join();
         flood.forEach(FloodCaller::end);
         surge.forEach(SurgeCaller::end);
         double recovered = recover();
         callers.forEach(SoakCaller::end);
+        returning.forEach(ReturningCaller::end);
         long end = System.currentTimeMillis();
         Thread.sleep(LINGER_MILLIS);
         if (settings.shortage()) {
@@ -130,6 +122,9 @@
         if (settings.surges()) {
             progress.accept("surges " + book.surges().summary());
         }
+        if (settings.fleetKills()) {
+            progress.accept("returns " + book.returns().summary());
+        }
         synchronized (linkTrouble) {
             if (settings.releases()) {
                 progress.accept("streams " + book.held().summary(linkTrouble));
@@ -147,11 +142,14 @@
 
     private List<Disturbance> plan() {
         List<Disturbance> plan = SoakPlan.of(settings, SoakPools.of(settings).size());
+        if (settings.fleetKills()) {
+            plan.clear();
+        }
         if (!settings.shortage()) {
             return plan;
         }
         plan.removeIf(d -> d.atMillis() < CALM_PART * settings.duration().toMillis());
-        plan.addAll(ShortagePlan.of(settings, SoakPools.STAGE_POOLS.size(), SoakPools.engines()));
+        plan.addAll(ShortagePlan.of(settings, SoakPools.STAGE_POOLS.size(), SoakPools.engines(settings)));
         return plan;
     }
 
@@ -171,8 +169,7 @@
         for (NodeProcess node : nodes) {
             node.start();
         }
-        SoakPools.of(settings).forEach(pool -> upstreams.add(upstream(pool)));
-        workers.scheduleAtFixedRate(this::announce, 0, ANNOUNCE_MILLIS, TimeUnit.MILLISECONDS);
+        upstreams.start();
         if (!operator.change(false, START_BOUND)) {
             throw new IOException("no node accepted the first version within " + START_BOUND);
         }
@@ -184,7 +181,7 @@
                 caller.inShortage();
             }
             if (settings.releases()) {
-                caller.takingUp(this::readyEngines);
+                caller.takingUp(upstreams::readyEngines);
             }
             callers.add(caller);
             start(caller, "caller-" + i);
@@ -195,6 +192,9 @@
         if (settings.fatalPart()) {
             start(new FatalCaller(numbers, ports, book, settings, true), "fatal-part-caller");
         }
+        if (settings.fleetKills()) {
+            startReturning(numbers);
+        }
         if (settings.surges()) {
             startSurge(numbers);
         }
@@ -216,44 +216,29 @@
         }
     }
 
-    private int readyEngines(String software) {
-        synchronized (upstreams) {
-            return (int) upstreams.stream()
-                    .filter(upstream ->
-                            upstream.isReady() && upstream.software().equals(software))
-                    .count();
+    private void startReturning(AtomicLong numbers) {
+        for (int i = 0; i < RETURNING_CALLERS; i++) {
+            boolean isPaced = i % SHORT_STREAMS != 0;
+            ReturningCaller caller =
+                    new ReturningCaller(numbers, ports, book, upstreams::readyEngines, isPaced, ~(settings.seed() + i));
+            returning.add(caller);
+            start(caller, "returning-caller-" + i);
         }
     }
 
-    private static void start(Runnable caller, String name) {
-        Thread thread = new Thread(caller, name);
+    /** Releases engines and kills nodes, in a thread of its own. */
+    private Thread fleetKills() {
+        Runnable releases = new ReleasesWithKills(settings, nodes, upstreams, progress, this::trouble, book);
+        Thread thread = new Thread(settings.fleetKills() ? releases : () -> {}, "releases");
         thread.setDaemon(true);
         thread.start();
+        return thread;
     }
 
-    private SoakUpstream upstream(String pool) {
-        SoakUpstream upstream =
-                new SoakUpstream(pool, book, ports, results, this::endedUnderFatal, new Random(settings.seed()), group);
-        synchronized (speeds) {
-            upstream.working(UpstreamSpeed.of(speeds));
-        }
-        if (settings.shortage()) {
-            upstream.inShortage();
-        }
-        if (settings.releases() && pool.equals(SoakUpstream.ENGINE)) {
-            synchronized (versions) {
-                upstream.running(versions.next(System.currentTimeMillis()));
-            }
-        }
-        boolean cold = settings.evacuates() && pool.equals(SoakUpstream.ENGINE);
-        if (cold) {
-            upstream.starting(ColdStart.at(System.currentTimeMillis()));
-        }
-        if (settings.needs()) {
-            long now = System.currentTimeMillis();
-            upstream.needing(UpstreamNeed.between(now, needsUntil, settings.nodes(), new Random(needSeeds.nextLong())));
-        }
-        return upstream;
+    private static void start(Runnable caller, String name) {
+        Thread thread = new Thread(caller, name);
+        thread.setDaemon(true);
+        thread.start();
     }
 
     /** Empties failure domains one after the other: two orders on one domain at once would undo each other. */
@@ -278,31 +263,6 @@
         }
     }
 
-    /** Ends an upstream by a request that it runs; another one starts in its place. */
-    private void endedUnderFatal(SoakUpstream upstream) {
-        workers.execute(() -> {
-            upstream.crash();
-            workers.schedule(() -> replace(upstream), RESTART_MILLIS, TimeUnit.MILLISECONDS);
-        });
-    }
-
-    private void replace(SoakUpstream ended) {
-        synchronized (upstreams) {
-            int place = upstreams.indexOf(ended);
-            if (place >= 0) {
-                upstreams.set(place, upstream(ended.pool()));
-            }
-        }
-    }
-
-    private void announce() {
-        List<SoakUpstream> now;
-        synchronized (upstreams) {
-            now = List.copyOf(upstreams);
-        }
-        now.forEach(upstream -> workers.execute(upstream::announce));
-    }
-
     private void disturb(Disturbance what) {
         progress.accept("at_ms=" + what.atMillis() + " kind=" + what.kind() + " target=" + what.target() + " for_ms="
                 + what.forMillis());
@@ -345,8 +305,8 @@
             case KILL, LOSE_DISK -> killAndRestart(nodes.get(what.target()), what);
             case TERM -> stopAndRestart(nodes.get(what.target()), what);
             case PAUSE -> pause(nodes.get(what.target()), what);
-            case UPSTREAM_CRASH, UPSTREAM_DRAIN -> replaceUpstream(what);
-            case ENGINE_SILENCE -> silence(what);
+            case UPSTREAM_CRASH, UPSTREAM_DRAIN -> upstreams.replace(what);
+            case ENGINE_SILENCE -> upstreams.silence(what);
             case REVOKE, CHANGE -> operator.change(what.kind() == DisturbanceKind.REVOKE, CHANGE_BOUND);
             default -> throw new IllegalArgumentException(what.toString());
         }
@@ -388,15 +348,6 @@
         node.signal("CONT");
     }
 
-    private void silence(Disturbance what) throws InterruptedException {
-        SoakUpstream engine;
-        synchronized (upstreams) {
-            engine = upstreams.get(what.target());
-        }
-        engine.silence(what.forMillis());
-        Thread.sleep(what.forMillis());
-    }
-
     private void killAndRestart(NodeProcess node, Disturbance what) throws IOException, InterruptedException {
         synchronized (node) {
             node.kill();
@@ -420,26 +371,13 @@
         }
     }
 
-    private void replaceUpstream(Disturbance what) throws InterruptedException {
-        SoakUpstream leaving;
-        synchronized (upstreams) {
-            leaving = upstreams.get(what.target());
-            upstreams.set(what.target(), upstream(leaving.pool()));
-        }
-        if (what.kind() == DisturbanceKind.UPSTREAM_DRAIN) {
-            leaving.drain();
-            Thread.sleep(SoakOperator.DRAIN_MILLIS + LINGER_MILLIS);
-        }
-        if (what.kind() == DisturbanceKind.UPSTREAM_CRASH) {
-            leaving.crash();
-        } else {
-            leaving.close();
-        }
+    private void trouble(long begin) {
+        trouble(begin, System.currentTimeMillis());
     }
 
-    private void trouble(long begin) {
+    private void trouble(long begin, long end) {
         synchronized (linkTrouble) {
-            linkTrouble.add(new long[] {begin, System.currentTimeMillis()});
+            linkTrouble.add(new long[] {begin, end});
         }
     }
 
@@ -475,9 +413,7 @@
         for (NodeProcess node : nodes) {
             node.close();
         }
-        synchronized (upstreams) {
-            upstreams.forEach(SoakUpstream::close);
-        }
+        upstreams.close();
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
     }
 }
