soak: engines that serve a stream are counted until it goes on

What it shows: streams that went on were counted with the engines at the end of their answer, seconds later, when the release had often ended their version. They were left out, and streams that failed were judged alone.

--- a/soak/src/main/java/org/copperspindle/soak/ReturningCaller.java
+++ b/soak/src/main/java/org/copperspindle/soak/ReturningCaller.java
@@ -88,7 +88,6 @@
             SoakRequest named = random.nextInt(LATER_NAMED) == 0 ? brought : first;
             note(wait, events.get(held));
             Answer answer = connection.askElsewhere(next, named, deadline - System.currentTimeMillis());
-            note(wait, events.get(held));
             book.answered(next, answer);
             book.held().holds(first.id(), answer.text());
             book.returns().answered(answer, begins);
@@ -99,6 +98,8 @@
                 brought = next;
                 wait = new ReturnLedger.Wait(answer.endedAt(), false);
                 pause = FIRST_PAUSE_MILLIS;
+            } else {
+                note(wait, events.get(held));
             }
             if (answer.isServed()) {
                 return;
