leases: confirmations leave room for the requests that extend a lease

Found by the review, not seen: while streams are taken up a node asked 100 times a second, and with 32 requests pending an answer after 320 ms was dropped as unknown, so that a slow leader could cost a node its lease. Now 20 requests a second and 64 pending, that is over 3 s.

--- a/library/src/main/java/org/copperspindle/version/LeaseConfirmations.java
+++ b/library/src/main/java/org/copperspindle/version/LeaseConfirmations.java
@@ -19,7 +19,7 @@
     private static final long TIMEOUT_NANOS = Duration.ofMillis(250).toNanos();
 
     /** Shortest time between two requests, which limits those that are under way. */
-    private static final long REQUEST_SPACING_NANOS = Duration.ofMillis(10).toNanos();
+    private static final long REQUEST_SPACING_NANOS = Duration.ofMillis(50).toNanos();
 
     private final TimerService timers;
     private final LongSupplier lastRequest;
--- a/library/src/main/java/org/copperspindle/version/VersionHolder.java
+++ b/library/src/main/java/org/copperspindle/version/VersionHolder.java
@@ -30,7 +30,7 @@
     /** Interval of lease requests to the leader; several may be lost before a lease expires. */
     private static final Duration REQUEST_INTERVAL = Duration.ofMillis(400);
 
-    private static final int MAX_PENDING_REQUESTS = 32;
+    private static final int MAX_PENDING_REQUESTS = 64;
 
     private final TimerService timers;
     private final RouteTableReader reader;
