origins: a pool without a recorded version is judged by what was heard, as before

Found by the review, not seen: a pool whose streams may not be resumed is never listed, so that a request with a last event id there was refused for good once any list was kept. AgreedSoftwareTest#observedVersionsAreUsedForAPoolWithoutARecordedVersion fails before.

--- a/library/src/main/java/org/copperspindle/gateway/AgreedSoftware.java
+++ b/library/src/main/java/org/copperspindle/gateway/AgreedSoftware.java
@@ -89,11 +89,12 @@
     }
 
     private void conclude(String pool, List<OriginView> views, Consumer<Optional<SoftwareVersion>> listener) {
-        if (!holder.isSoftwareKept()) {
+        List<String> versions = recorded().versions(pool);
+        if (!holder.isSoftwareKept() || versions.isEmpty()) {
+            // Without a recorded version the pool has begun no stream that may be resumed.
             observed.findOnly(pool, views, listener);
             return;
         }
-        List<String> versions = recorded().versions(pool);
         listener.accept(versions.size() == 1 ? Optional.of(new SoftwareVersion(versions.get(0))) : Optional.empty());
     }
 
--- a/library/src/test/java/org/copperspindle/gateway/AgreedSoftwareTest.java
+++ b/library/src/test/java/org/copperspindle/gateway/AgreedSoftwareTest.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
 
@@ -144,6 +145,16 @@
         assertThat(found).containsExactly(informed ? Optional.of(SoftwareVersion.of("old")) : Optional.empty());
     }
 
+    /** A pool whose streams may not be resumed is never listed: refusing what is taken up there would be new. */
+    @Test
+    void observedVersionsAreUsedForAPoolWithoutARecordedVersion() {
+        holder.receive(new SoftwareInUseMessage(5, new TreeMap<>(Map.of("q", List.of("other")))));
+        hear("old");
+        find(new OriginView(Optional.empty(), List.of(SoftwareVersion.of("old")), true));
+        respond(5);
+        assertThat(found).containsExactly(Optional.of(SoftwareVersion.of("old")));
+    }
+
     /** Records are stored elsewhere as soon as a second version is heard of, which is before it may begin streams. */
     @ParameterizedTest
     @CsvSource({"old, old, false", "old new, old, true", "old, old new, true", "old, new, false"})
