origins: a slow disk at the start doesn't use up the time in which a node learns

Found by the review, not seen: the watch counted from before the records are read, which may take 2 s on a slow disk, so that a node concluded before it was connected. It now counts from when the node connects. A folder that can't be listed no longer ends the reading with an unchecked exception. No test of its own: the fake disk of the tests has no slow start.

--- a/library/src/main/java/org/copperspindle/mesh/MajorityWatch.java
+++ b/library/src/main/java/org/copperspindle/mesh/MajorityWatch.java
@@ -23,7 +23,7 @@
 
     private final IntSupplier connected;
     private final TimerService timers;
-    private final long startedAt;
+    private long startedAt;
     private final Map<String, Long> silentSince = new HashMap<>();
     private OptionalLong lostAt = OptionalLong.empty();
 
@@ -39,6 +39,11 @@
         this.startedAt = timers.nanoTime();
     }
 
+    /** Begins to learn what the others know; called when this node starts to connect to them. */
+    public void start() {
+        startedAt = timers.nanoTime();
+    }
+
     /**
      * Returns since when this node has not reached a majority.
      *
--- a/library/src/main/java/org/copperspindle/origin/OriginFiles.java
+++ b/library/src/main/java/org/copperspindle/origin/OriginFiles.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.UncheckedIOException;
 import java.nio.ByteBuffer;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -226,7 +227,7 @@
                     all.filter(path -> path.getFileName().toString().matches(NAME_PATTERN))
                             .sorted()
                             .toList());
-        } catch (IOException e) {
+        } catch (IOException | UncheckedIOException e) {
             LOGGER.warn("event=stream-origins-unreadable folder={} reason=\"{}\"", folder, e.toString());
             return List.of();
         }
--- a/library/src/main/java/org/copperspindle/origin/SharedStreamOrigins.java
+++ b/library/src/main/java/org/copperspindle/origin/SharedStreamOrigins.java
@@ -108,8 +108,8 @@
 
     /** Starts to remove expired records. */
     public void start() {
-        table.removeExpired(timers.nanoTime());
-        timers.schedule(SWEEP_NANOS, this::start);
+        majority.start();
+        removeExpired();
     }
 
     /**
@@ -285,6 +285,11 @@
         report(result, listener);
     }
 
+    private void removeExpired() {
+        table.removeExpired(timers.nanoTime());
+        timers.schedule(SWEEP_NANOS, this::removeExpired);
+    }
+
     private void report(OriginResult result, Consumer<OriginResult> listener) {
         counters.record(result);
         listener.accept(result);
