--- a/library/src/test/java/org/copperspindle/agent/UpstreamClientTest.java
+++ b/library/src/test/java/org/copperspindle/agent/UpstreamClientTest.java
@@ -3,6 +3,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import org.copperspindle.emulator.EndlessPlace;
 import org.copperspindle.emulator.EndlessResponse;
@@ -55,6 +56,25 @@
         }
     }
 
+    /** Guards against a result with an empty body whose upstream stopped inside the head, at whichever byte. */
+    @ParameterizedTest
+    @CsvSource({"Content-Length: 3", "Transfer-Encoding: chunked", "Content-Type: text/plain"})
+    void headThatStopsIsNoResponse(String framing) throws Exception {
+        String head = "HTTP/1.1 200 OK\r\n" + framing + "\r\n\r\n";
+        AtomicInteger length = new AtomicInteger();
+        try (SocketUpstream upstream = new SocketUpstream((socket, request, call) -> {
+                    SocketUpstream.send(socket, head.substring(0, length.get()));
+                    socket.close();
+                });
+                UpstreamClient client = new UpstreamClient(upstream.address(), 4)) {
+            for (; length.get() < head.length(); length.incrementAndGet()) {
+                assertThat(call(client, "a" + length, false))
+                        .as("%s bytes", length)
+                        .startsWith("lost sent=true");
+            }
+        }
+    }
+
     /** Guards against a call that lasts as long as its upstream sends, and against its connection staying open. */
     @ParameterizedTest
     @EnumSource(
--- a/library/src/test/java/org/copperspindle/direct/DirectConnectionTest.java
+++ b/library/src/test/java/org/copperspindle/direct/DirectConnectionTest.java
@@ -3,6 +3,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.stream.Stream;
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
@@ -12,9 +13,12 @@
 import io.netty.util.ReferenceCountUtil;
 import org.copperspindle.http.HeaderField;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.MethodSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.junit.jupiter.params.provider.Arguments.arguments;
 
 /**
  * Ends of responses, on a channel without a socket.
@@ -42,6 +46,29 @@
         assertThat(ends).containsExactly(expected);
     }
 
+    static Stream<Arguments> heads() {
+        return Stream.of("Content-Length: 3\r\n", "Transfer-Encoding: chunked\r\n", "Content-Type: text/plain\r\n")
+                .flatMap(framing -> Stream.of("", "HTTP/1.1 100 Continue\r\n\r\n")
+                        .flatMap(interim -> Stream.of(true, false)
+                                .map(written -> arguments(interim + HEAD + framing + "\r\n", written))));
+    }
+
+    /** Guards against a response with an empty body whose upstream stopped inside the head, at whichever byte. */
+    @ParameterizedTest
+    @MethodSource("heads")
+    void endOfTheConnectionInsideTheHeadFailsTheCall(String head, boolean written) {
+        for (int length = 0; length < head.length(); length++) {
+            DirectConnection connection = new DirectConnection("127.0.0.1:1", new NoPool(), new ExceededBounds());
+            EmbeddedChannel channel = new EmbeddedChannel(new Writes(written), connection.decoder(), connection);
+            ends.clear();
+            connection.use(new DirectExchange(call(), new Ends()));
+            channel.writeInbound(Unpooled.copiedBuffer(head.substring(0, length), StandardCharsets.US_ASCII));
+            channel.close();
+            channel.runPendingTasks();
+            assertThat(ends).as("%d bytes", length).containsExactly("failed");
+        }
+    }
+
     private static DirectCall call() {
         List<HeaderField> fields = List.of(new HeaderField("X-Request-Id", "id"));
         return new DirectCall("u", "127.0.0.1:1", "POST", "/x", fields, new byte[1000], "id", ConnectionUse.NEW);
