--- a/library/src/main/java/org/copperspindle/gateway/RequestRun.java
+++ b/library/src/main/java/org/copperspindle/gateway/RequestRun.java
@@ -366,6 +366,7 @@
         context.openRequests().remove(this);
         timeout.cancel();
         silence.cancel();
+        software.onAttemptEnded();
         search.ifPresent(UpstreamSearch::cancel);
         stages.release();
         long now = context.timers().nanoTime();
@@ -445,7 +446,7 @@
 
         @Override
         public void onStreamed() {
-            attempt = Optional.empty();
+            endAttempt();
             resumption.endInterruption();
             context.streamDurations().observe(route, context.timers().nanoTime() - firstEventAt);
             relay.finish();
@@ -454,7 +455,7 @@
 
         @Override
         public void onResponse(DirectHead head, byte[] body) {
-            attempt = Optional.empty();
+            endAttempt();
             if (relay.hasStarted()) {
                 // The attempt was to resume the stream; the response to the caller has already started.
                 handleFailure("upstream-status-" + head.status());
@@ -468,13 +469,13 @@
 
         @Override
         public void onNotRun(String reason, boolean reached) {
-            attempt = Optional.empty();
+            endAttempt();
             handleNotRun(reason, reached);
         }
 
         @Override
         public void onInputsLost(String upstream) {
-            attempt = Optional.empty();
+            endAttempt();
             if (stages.isReleased()) {
                 context.fetchTime().recordEarlyRelease();
             }
@@ -489,13 +490,18 @@
 
         @Override
         public void onFailure(String reason) {
-            attempt = Optional.empty();
+            endAttempt();
             // The caller may have left while the quarantine checked whether the upstream crashed.
             if (!ended) {
                 handleFailure(reason);
             }
         }
 
+        private void endAttempt() {
+            attempt = Optional.empty();
+            software.onAttemptEnded();
+        }
+
         private void recordInputsFetched() {
             // An upstream fetches its inputs before it sends the first event.
             stages.release();
--- a/library/src/main/java/org/copperspindle/gateway/StreamSoftware.java
+++ b/library/src/main/java/org/copperspindle/gateway/StreamSoftware.java
@@ -4,27 +4,37 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 
-import org.copperspindle.discovery.SoftwareVersion;
 import org.copperspindle.discovery.UpstreamRecord;
 import org.copperspindle.origin.OriginResult;
 import org.copperspindle.origin.StreamKey;
 import org.copperspindle.route.RouteKind;
+import org.copperspindle.time.TimerSubscription;
 
 /**
  * Keeps one stream at the software version that began it, over all upstreams that continue the response and over all
- * requests in which the caller takes it up.
+ * requests in which the caller takes it up. A stream is recorded with one version only, and goes to upstreams of no other
+ * one after that: the record of a version that it has left could be the only one that a start of all nodes leaves.
  */
 final class StreamSoftware {
 
     private static final long ANNOUNCEMENT_POLL_NANOS = Duration.ofMillis(50).toNanos();
 
+    /**
+     * How long an upstream may reject a new stream before its version is recorded, unless the first event arrives earlier:
+     * a stream that is rejected at once may still move to any version.
+     */
+    private static final long REJECTION_NANOS = Duration.ofMillis(50).toNanos();
+
+    /** Number of the record of a stream that has no other one. */
+    private static final long FIRST_ORDER = 1;
+
     private final GatewayContext context;
     private final AdmittedRequest admitted;
     private final UpstreamEligibility eligibility;
     private final RequestLogger requestLogger;
-    private Optional<SoftwareVersion> recorded = Optional.empty();
-    private long records;
-    private long firstRecords = 1;
+    private TimerSubscription recording = () -> {};
+    private boolean recorded;
+    private long firstOrder = FIRST_ORDER;
 
     /**
      * Creates the state of a request that has not been sent.
@@ -79,29 +89,32 @@
         });
     }
 
-    /**
-     * Records the version before a request is sent, so that it is known before the first event can arrive. A stream that is
-     * taken up is recorded under its first name as well: the caller may use that again, and whoever recorded it may be gone.
-     */
+    /** Records the version of a stream that is taken up; that of a new one, once its upstream has had time to reject it. */
     void onSend(UpstreamRecord upstream) {
-        if (!isRecorded() || recorded.filter(upstream.software()::equals).isPresent()) {
+        if (!isRecorded() || recorded) {
             return;
         }
-        records++;
-        recorded = Optional.of(upstream.software());
-        context.origins().record(key(admitted.request().id()), upstream, records);
-        admitted.request()
-                .resumePoint()
-                .flatMap(ResumePoint::firstRequest)
-                .ifPresent(first -> context.origins().record(key(first), upstream, firstRecords));
+        if (isTakenUp()) {
+            record(upstream);
+        } else {
+            recording = context.timers().schedule(REJECTION_NANOS, () -> record(upstream));
+        }
+    }
+
+    /** Ends an attempt, whose version is not recorded after that. */
+    void onAttemptEnded() {
+        recording.cancel();
     }
 
     /** Limits the stream to the version that wrote its first event. */
     void onFirstEvent(UpstreamRecord upstream) {
         eligibility.require(upstream.software());
+        if (isRecorded() && !recorded) {
+            record(upstream);
+        }
     }
 
-    /** Returns whether the caller holds events that no upstream which serves now may continue. */
+    /** Returns whether the version of the stream is recorded, and no upstream that serves now may go on with it. */
     boolean isSoftwareGone() {
         return eligibility.software().isPresent()
                 && admitted.table()
@@ -122,10 +135,25 @@
         }
     }
 
+    /**
+     * Records the version, to which the stream is limited from now on. A stream that is taken up is recorded under its first
+     * name as well: the caller may use that again, and whoever recorded it may be gone.
+     */
+    private void record(UpstreamRecord upstream) {
+        recording.cancel();
+        recorded = true;
+        eligibility.require(upstream.software());
+        context.origins().record(key(admitted.request().id()), upstream, FIRST_ORDER);
+        admitted.request()
+                .resumePoint()
+                .flatMap(ResumePoint::firstRequest)
+                .ifPresent(first -> context.origins().record(key(first), upstream, firstOrder));
+    }
+
     private boolean require(OriginResult result) {
         if (result instanceof OriginResult.Recorded known) {
             eligibility.require(known.origin().software());
-            firstRecords = known.origin().order();
+            firstOrder = known.origin().order();
             return true;
         }
         if (result instanceof OriginResult.OnlyVersion only) {
--- a/library/src/main/java/org/copperspindle/gateway/UpstreamEligibility.java
+++ b/library/src/main/java/org/copperspindle/gateway/UpstreamEligibility.java
@@ -10,8 +10,7 @@
 
 /**
  * Which upstreams may get one request, whatever their load: none that has received it before or that the quarantine keeps
- * it from, and once a caller holds events of its stream, only those that run the software that wrote them. Every search for
- * an upstream applies it.
+ * it from, and once the version of its stream is recorded, only those that run it. Every search for an upstream applies it.
  */
 final class UpstreamEligibility implements Predicate<UpstreamRecord> {
 
@@ -67,7 +66,7 @@
         software = Optional.of(version);
     }
 
-    /** Returns the only version that may continue the stream; empty while no caller holds an event of it. */
+    /** Returns the only version that may begin the stream or go on with it; empty while each one may begin it. */
     Optional<SoftwareVersion> software() {
         return software;
     }
--- a/library/src/main/java/org/copperspindle/origin/StreamOrigins.java
+++ b/library/src/main/java/org/copperspindle/origin/StreamOrigins.java
@@ -25,10 +25,11 @@
     boolean isLearning();
 
     /**
-     * Records that a stream is sent to an upstream, before its first event.
+     * Records the version of a stream. No two versions may be recorded for one stream: after a start of all nodes the older
+     * record may be the only one that is left.
      *
      * @param key      the stream
-     * @param upstream the upstream
+     * @param upstream the upstream that begins it or goes on with it
      * @param order    number of the record of this stream, from 1
      */
     void record(StreamKey key, UpstreamRecord upstream, long order);
--- a/library/src/test/java/org/copperspindle/gateway/ContinuedVersionTest.java
+++ b/library/src/test/java/org/copperspindle/gateway/ContinuedVersionTest.java
@@ -15,6 +15,9 @@
 
     private static final int ENGINES = 6;
 
+    /** After that long without a rejection, the version of a new stream is recorded. */
+    private static final int RECORDED_MILLIS = 60;
+
     private final StreamHarness stream = new StreamHarness(true, true, ENGINES);
 
     @AfterEach
@@ -84,6 +87,44 @@
         assertThat(stream.caller().isComplete()).isTrue();
     }
 
+    /**
+     * Guards against two records of one stream, of which a start of all nodes may leave the older one only: once its version
+     * is recorded, a request that fails before its first event goes to no engine of another one.
+     */
+    @Test
+    void requestWhoseVersionIsRecordedStaysAtIt() {
+        announce(number -> "old");
+        stream.makeResults();
+        int other = (begunAt() + 1) % ENGINES;
+        announce(number -> number == begunAt() || number == other ? "old" : "new");
+        stream.advance(RECORDED_MILLIS);
+        stream.engines().last().crash();
+        if (stream.stagesWait()) {
+            stream.makeResults();
+        }
+        assertThat(stream.engines().last().sent().upstream()).isEqualTo("e" + other);
+        stream.engines().last().crash();
+        assertThat(stream.engines().count()).isEqualTo(2);
+        assertThat(stream.outcome()).isEqualTo("software-gone");
+    }
+
+    /** Guards against a request that is rejected although engines of another version would run it. */
+    @Test
+    void requestThatIsRejectedAtOnceMovesToAnotherVersion() {
+        announce(number -> "old");
+        stream.makeResults();
+        int first = begunAt();
+        announce(number -> number == first ? "old" : "new");
+        stream.engines().last().headOfRefusal(503);
+        stream.engines().last().end();
+        stream.advance(RECORDED_MILLIS);
+        assertThat(stream.engines().count()).isEqualTo(2);
+        stream.engines().last().head(200);
+        stream.engines().last().events(1);
+        stream.engines().last().end();
+        assertThat(stream.caller().isComplete()).isTrue();
+    }
+
     /** Guards against a stream of one version that is continued at another because its engine has changed under its id. */
     @Test
     void engineThatChangesItsVersionBeforeTheFirstEventBeginsNothing() {
