--- a/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
@@ -424,7 +424,9 @@
                 () -> new WireTransport(eventLoops, registry, greeting, MeshSettings.LIMITS);
         member = Optional.of(
                 new ControlGroupMember(settings, folder, voterDiscovery, versionExchange, transports, loop));
-        loop.execute(OriginsFactory.createProposer(versionExchange, versionHolder, directory, timers)::start);
+        loop.execute(
+                OriginsFactory.createProposer(settings, versionExchange, versionHolder, mesh, directory, timers)
+                        ::start);
     }
 
     private NodeHelloMessage hello() {
--- a/library/src/main/java/org/copperspindle/gateway/OriginsFactory.java
+++ b/library/src/main/java/org/copperspindle/gateway/OriginsFactory.java
@@ -42,14 +42,21 @@
     }
 
     static SoftwareProposer createProposer(
-            VersionExchange exchange, VersionHolder holder, UpstreamDirectory directory, TimerService timers) {
+            GatewaySettings settings,
+            VersionExchange exchange,
+            VersionHolder holder,
+            NodeMesh mesh,
+            UpstreamDirectory directory,
+            TimerService timers) {
         SoftwareProposer proposer = new SoftwareProposer(
                 new GroupSoftwareProposals(exchange, holder),
                 holder::heldTable,
                 directory,
                 timers,
                 new StreamLifetime(holder::heldTable),
-                holder.lease());
+                holder.lease(),
+                new SoftwareDeferral(directory, timers.nanoTime(), settings.firstStart()));
+        mesh.subscribe(proposer);
         directory.subscribe(upstream -> proposer.check());
         return proposer;
     }
--- a/library/src/main/java/org/copperspindle/gateway/SoftwareProposer.java
+++ b/library/src/main/java/org/copperspindle/gateway/SoftwareProposer.java
@@ -17,6 +17,8 @@
 import org.apache.logging.log4j.Logger;
 import org.copperspindle.discovery.SoftwareVersion;
 import org.copperspindle.discovery.UpstreamDirectory;
+import org.copperspindle.mesh.MeshListener;
+import org.copperspindle.mesh.MeshNode;
 import org.copperspindle.route.Route;
 import org.copperspindle.route.RouteKind;
 import org.copperspindle.route.RouteTable;
@@ -31,7 +33,7 @@
  * with resumable streams are recorded; those of which no caller can hold a stream any more are retired. Must be used on
  * the network thread.
  */
-final class SoftwareProposer {
+final class SoftwareProposer implements MeshListener {
 
     private static final Logger LOGGER = LogManager.getLogger(SoftwareProposer.class);
 
@@ -52,6 +54,7 @@
     private final TimerService timers;
     private final LongSupplier lifetimeNanos;
     private final long leaseNanos;
+    private final SoftwareDeferral deferral;
     private final Map<String, Long> poolRepeatAt = new HashMap<>();
     private final Map<PoolVersion, Long> unusedSince = new HashMap<>();
     private final Set<PoolVersion> refused = new HashSet<>();
@@ -68,6 +71,7 @@
      * @param timers        timers of the network thread
      * @param lifetimeNanos supplies the time after which no caller takes a stream up, in nanoseconds from its start
      * @param lease         duration of a lease
+     * @param deferral      how long further versions are not recorded
      */
     SoftwareProposer(
             SoftwareProposals proposals,
@@ -75,13 +79,23 @@
             UpstreamDirectory directory,
             TimerService timers,
             LongSupplier lifetimeNanos,
-            Duration lease) {
+            Duration lease,
+            SoftwareDeferral deferral) {
         this.proposals = proposals;
         this.tables = tables;
         this.directory = directory;
         this.timers = timers;
         this.lifetimeNanos = lifetimeNanos;
         this.leaseNanos = lease.toNanos();
+        this.deferral = deferral;
+    }
+
+    /** Streams may have broken off with a former process of the node if a version has begun any by now. */
+    @Override
+    public void onNodeUp(MeshNode node) {
+        if (proposals.held().count() > 0) {
+            deferral.onNodeUp(timers.nanoTime());
+        }
     }
 
     /** Checks periodically. */
@@ -123,6 +137,7 @@
         List<String> lacking = directory.softwareSince(pool, now - lifetimeNanos.getAsLong()).stream()
                 .map(SoftwareVersion::text)
                 .filter(version -> !held.contains(pool, version))
+                .filter(version -> !deferral.defers(pool, version, held.versions(pool), now))
                 .sorted()
                 .toList();
         List<String> fitting = lacking.subList(0, Math.min(lacking.size(), Math.max(0, held.room(pool))));
--- a/library/src/test/java/org/copperspindle/gateway/SoftwareProposerTest.java
+++ b/library/src/test/java/org/copperspindle/gateway/SoftwareProposerTest.java
@@ -47,8 +47,7 @@
     private final FakeGroup group = new FakeGroup();
     private Optional<RouteTable> table = Optional.of(table());
     private long sequence;
-    private final SoftwareProposer proposer =
-            new SoftwareProposer(group, () -> table, directory, time, LIFETIME::toNanos, LEASE);
+    private final SoftwareProposer proposer = proposer(directory, true);
 
     SoftwareProposerTest() {
         directory.subscribe(upstream -> proposer.check());
@@ -219,6 +218,94 @@
         assertThat(group.held.versions("p")).containsExactly("v2");
     }
 
+    /**
+     * Nodes have ended, and the streams that they relayed have no records while one version is in use: guards against a
+     * second one, in use at once, by which their callers would be refused.
+     */
+    @ParameterizedTest
+    @CsvSource({"1, 1", "2, 2", "3, 1"})
+    void furtherVersionWaitsWhileCallersReturn(int old, int next) {
+        announce("p", "v1", old);
+        start();
+        nodeUp();
+        announce("p", "v2", next);
+        advance(Duration.ofMillis(4700));
+        assertThat(group.held.versions("p")).containsExactly("v1");
+        advance(Duration.ofMillis(600));
+        assertThat(group.held.versions("p")).containsExactly("v1", "v2");
+    }
+
+    /** The version in use serves no more, or only a little: new streams need the further one. */
+    @ParameterizedTest
+    @CsvSource({"0, 2", "1, 2"})
+    void furtherVersionDoesNotWaitWhereItServesMostly(int old, int next) {
+        announce("p", "v1", old + 1);
+        start();
+        advance(Duration.ofSeconds(3));
+        leave("p", "v1");
+        nodeUp();
+        announce("p", "v2", next);
+        assertThat(group.held.versions("p")).containsExactly("v1", "v2");
+    }
+
+    /** Guards against a version that never begins streams because nodes are started one after the other. */
+    @Test
+    void furtherVersionWaitsForABoundedTime() {
+        announce("p", "v1");
+        start();
+        announce("p", "v2");
+        assertThat(group.held.versions("p")).containsExactly("v1", "v2");
+        for (int i = 0; i < 6; i++) {
+            nodeUp();
+            announce("p", "v3");
+            advance(Duration.ofSeconds(1));
+        }
+        assertThat(group.held.versions("p")).containsExactly("v1", "v2", "v3");
+    }
+
+    /** After a start of all, a further version may be heard of before the one in use. */
+    @Test
+    void furtherVersionWaitsForTheAnnouncementsOfTheOneInUse() {
+        TreeMap<String, List<String>> former = new TreeMap<>();
+        former.put("p", List.of("v1"));
+        group.held = new SoftwareInUseMessage(7, former);
+        UpstreamDirectory empty = new UpstreamDirectory();
+        SoftwareProposer restarted = proposer(empty, false);
+        empty.accept(upstream("p", "v2", 0), time.nanoTime());
+        restarted.check();
+        advance(Duration.ofMillis(1500));
+        empty.accept(upstream("p", "v1", 0), time.nanoTime());
+        restarted.check();
+        advance(Duration.ofSeconds(1));
+        restarted.check();
+        assertThat(group.held.versions("p")).containsExactly("v1");
+    }
+
+    /** Guards against versions that wait when all nodes start for the first time, with nobody to come back. */
+    @Test
+    void versionsDoNotWaitInTheFirstStart() {
+        start();
+        nodeUp();
+        announce("p", "v1");
+        announce("p", "v2");
+        assertThat(group.held.versions("p")).containsExactly("v1", "v2");
+    }
+
+    private SoftwareProposer proposer(UpstreamDirectory known, boolean firstStart) {
+        SoftwareDeferral deferral = new SoftwareDeferral(known, time.nanoTime(), firstStart);
+        return new SoftwareProposer(group, () -> table, known, time, LIFETIME::toNanos, LEASE, deferral);
+    }
+
+    private void nodeUp() {
+        proposer.onNodeUp(null);
+    }
+
+    private void announce(String pool, String software, int upstreams) {
+        for (int i = 0; i < upstreams; i++) {
+            directory.accept(upstream(pool, software, i), time.nanoTime());
+        }
+    }
+
     private void start() {
         time.schedule(0, this::tick);
         advance(Duration.ofMillis(1));
@@ -248,19 +335,19 @@
     }
 
     private void announce(String pool, String software) {
-        directory.accept(upstream(pool, software), time.nanoTime());
+        announce(pool, software, 1);
     }
 
     private void leave(String pool, String software) {
         directory.markGone(pool + '-' + software, 0, "test", time.nanoTime());
     }
 
-    private UpstreamRecord upstream(String pool, String software) {
+    private UpstreamRecord upstream(String pool, String software, int number) {
         return new UpstreamRecord(
-                pool + '-' + software,
+                pool + '-' + software + (number == 0 ? "" : "-" + number),
                 0,
                 pool,
-                "10.0.0.1:" + (1 + Math.floorMod((pool + software).hashCode(), 60_000)),
+                "10.0.0." + (1 + number) + ':' + (1 + Math.floorMod((pool + software).hashCode(), 60_000)),
                 "d",
                 UpstreamPhase.READY,
                 1,
