--- a/library/src/main/java/org/copperspindle/dialect/HeaderUpstreamDialect.java
+++ b/library/src/main/java/org/copperspindle/dialect/HeaderUpstreamDialect.java
@@ -8,8 +8,10 @@
 import org.copperspindle.backpressure.BackoffSignal;
 import org.copperspindle.backpressure.LimitSignal;
 import org.copperspindle.backpressure.UpstreamLoadSignal;
+import org.copperspindle.direct.ConnectionUse;
 import org.copperspindle.direct.DirectCall;
 import org.copperspindle.direct.DirectHead;
+import org.copperspindle.direct.IdEcho;
 import org.copperspindle.gateway.AttemptSpec;
 import org.copperspindle.gateway.GatewayRequest;
 import org.copperspindle.gateway.UpstreamDialect;
@@ -55,7 +57,13 @@
                 fields,
                 request.body(),
                 request.id(),
-                attempt.connectionUse());
+                IdEcho.REQUIRED,
+                connectionUse(attempt));
+    }
+
+    /** A response to a request without an id can't be told from a late one to the request before on its connection. */
+    private static ConnectionUse connectionUse(AttemptSpec attempt) {
+        return attempt.request().id().isEmpty() ? ConnectionUse.NEW : attempt.connectionUse();
     }
 
     @Override
--- a/library/src/main/java/org/copperspindle/dialect/JsonStagePort.java
+++ b/library/src/main/java/org/copperspindle/dialect/JsonStagePort.java
@@ -18,6 +18,7 @@
 import org.copperspindle.direct.DirectFailure;
 import org.copperspindle.direct.DirectHead;
 import org.copperspindle.direct.DirectListener;
+import org.copperspindle.direct.IdEcho;
 import org.copperspindle.direct.ResponseBound;
 import org.copperspindle.direct.UpstreamPort;
 import org.copperspindle.discovery.UpstreamRecord;
@@ -38,6 +39,7 @@
     private final HeaderNames names;
     private final UpstreamPort port;
     private final TimerService timers;
+    private final CallIds ids = new CallIds();
 
     /**
      * Creates the port.
@@ -77,8 +79,10 @@
     }
 
     private void call(UpstreamRecord upstream, String path, JsonNode body, long timeoutMillis, ResponseReader reader) {
+        String id = ids.next();
         List<HeaderField> fields = List.of(
                 new HeaderField(HeaderFields.HOST, upstream.address()),
+                new HeaderField(names.requestId(), id),
                 new HeaderField(HeaderFields.CONTENT_TYPE, JsonText.CONTENT_TYPE),
                 new HeaderField(names.expectedUpstream(), upstream.id()));
         DirectCall call = new DirectCall(
@@ -88,7 +92,8 @@
                 path,
                 fields,
                 body.toString().getBytes(StandardCharsets.UTF_8),
-                "",
+                id,
+                IdEcho.OPTIONAL,
                 ConnectionUse.KEPT);
         reader.timeout = timers.schedule(timeoutMillis * NANOS_PER_MILLI, reader::timedOut);
         reader.handle = port.call(call, reader);
--- a/library/src/main/java/org/copperspindle/direct/DirectCall.java
+++ b/library/src/main/java/org/copperspindle/direct/DirectCall.java
@@ -13,7 +13,9 @@
  * @param uri       target in the request line
  * @param fields    all header fields but those for the framing of the body
  * @param body      body, empty for none
- * @param requestId id that the response must repeat, empty if responses carry none
+ * @param requestId id that the response must repeat; empty only for a request of a caller that has none, which needs a new
+ *     connection
+ * @param echo      whether responses must repeat the id
  * @param use       on which connection it may be sent
  */
 public record DirectCall(
@@ -24,10 +26,14 @@
         List<HeaderField> fields,
         byte[] body,
         String requestId,
+        IdEcho echo,
         ConnectionUse use) {
 
     /** Copies the list. */
     public DirectCall {
+        if (requestId.isEmpty() && use == ConnectionUse.KEPT) {
+            throw new IllegalArgumentException("call without an id on a kept connection: " + uri);
+        }
         fields = List.copyOf(fields);
     }
 }
--- a/library/src/main/java/org/copperspindle/direct/DirectConnection.java
+++ b/library/src/main/java/org/copperspindle/direct/DirectConnection.java
@@ -231,20 +231,32 @@
         closeDelimited = !delimited;
         // If the response arrived before the whole request was written, the rest of the request is still on the
         // connection.
-        keepAlive = HttpUtil.isKeepAlive(head) && delimited && requestWritten && !strayBytes;
+        keepAlive = HttpUtil.isKeepAlive(head)
+                && delimited
+                && requestWritten
+                && !strayBytes
+                && showsLateResponses(received);
         received.field(KEEP_ALIVE).ifPresent(this::readIdleTimeout);
         exchange.onHead(received);
     }
 
     /**
-     * A successful response must repeat the id of the call; an error from before the request was read may not know it.
+     * Returns whether a response belongs to the call. A successful one must repeat its id, unless the upstream need not and
+     * no other call was sent on this connection; an error from before the request was read may not know it.
      */
     private boolean answersCall(DirectHead head) {
-        String expected = exchange.call().requestId();
-        if (expected.isEmpty()) {
+        DirectCall call = exchange.call();
+        if (call.requestId().isEmpty()) {
             return true;
         }
-        return head.field(REQUEST_ID).map(expected::equals).orElse(!head.isSuccess());
+        boolean mayOmitId = !head.isSuccess() || call.echo() == IdEcho.OPTIONAL && !usedBefore;
+        return head.field(REQUEST_ID).map(call.requestId()::equals).orElse(mayOmitId);
+    }
+
+    /** Returns whether a late copy of a response would be recognised on this connection. */
+    private boolean showsLateResponses(DirectHead head) {
+        return exchange.call().echo() == IdEcho.REQUIRED
+                || head.field(REQUEST_ID).isPresent();
     }
 
     private void readIdleTimeout(String value) {
--- a/library/src/test/java/org/copperspindle/direct/DirectClientTest.java
+++ b/library/src/test/java/org/copperspindle/direct/DirectClientTest.java
@@ -313,7 +313,7 @@
 
     private static DirectCall call(String address, String id, ConnectionUse use) {
         List<HeaderField> fields = List.of(new HeaderField("Host", "h"), new HeaderField("X-Request-Id", id));
-        return new DirectCall("u", address, "GET", "/x", fields, new byte[0], id, use);
+        return new DirectCall("u", address, "GET", "/x", fields, new byte[0], id, IdEcho.REQUIRED, use);
     }
 
     private static Script sends(String bytes) {
--- a/library/src/test/java/org/copperspindle/direct/DirectConnectionTest.java
+++ b/library/src/test/java/org/copperspindle/direct/DirectConnectionTest.java
@@ -71,7 +71,8 @@
 
     private static DirectCall call() {
         List<HeaderField> fields = List.of(new HeaderField("X-Request-Id", "id"));
-        return new DirectCall("u", "127.0.0.1:1", "POST", "/x", fields, new byte[1000], "id", ConnectionUse.NEW);
+        return new DirectCall(
+                "u", "127.0.0.1:1", "POST", "/x", fields, new byte[1000], "id", IdEcho.REQUIRED, ConnectionUse.NEW);
     }
 
     /** Completes writes, or leaves them unfinished. */
--- a/library/src/test/java/org/copperspindle/gateway/SignalReadingPortTest.java
+++ b/library/src/test/java/org/copperspindle/gateway/SignalReadingPortTest.java
@@ -15,6 +15,7 @@
 import org.copperspindle.direct.DirectFailure;
 import org.copperspindle.direct.DirectHead;
 import org.copperspindle.direct.DirectListener;
+import org.copperspindle.direct.IdEcho;
 import org.copperspindle.direct.UpstreamPort;
 import org.copperspindle.discovery.DirectoryGossip;
 import org.copperspindle.discovery.SoftwareVersion;
@@ -109,7 +110,8 @@
     }
 
     private static DirectCall call() {
-        return new DirectCall("u", "10.0.0.1:1", "GET", "/", List.of(), new byte[0], "id", ConnectionUse.NEW);
+        return new DirectCall(
+                "u", "10.0.0.1:1", "GET", "/", List.of(), new byte[0], "id", IdEcho.REQUIRED, ConnectionUse.NEW);
     }
 
     private static DirectHead head(int status, HeaderField... fields) {
--- a/soak/src/main/java/org/copperspindle/soak/SoakUpstream.java
+++ b/soak/src/main/java/org/copperspindle/soak/SoakUpstream.java
@@ -260,7 +260,7 @@
             later(exchange, callMillis(exchange), () -> makePieces(exchange));
         } else if (exchange.path().equals("/v1/results/free")) {
             read(exchange).path("handles").forEach(handle -> results.remove(handle.asText()));
-            exchange.respond(200, fields(), "{}".getBytes(StandardCharsets.UTF_8));
+            exchange.respond(200, fields(callId(exchange)), "{}".getBytes(StandardCharsets.UTF_8));
         } else {
             runRequest(exchange);
         }
@@ -289,6 +289,12 @@
         return fields;
     }
 
+    /** Returns the id that a response repeats. */
+    private static HeaderField callId(HttpExchange exchange) {
+        return new HeaderField(
+                NAMES.requestId(), exchange.header(NAMES.requestId()).orElse(""));
+    }
+
     private static void abortResponse(HttpExchange exchange) {
         // Only an answer that has begun can be broken off; where it has, this does nothing.
         exchange.start(200, List.of());
@@ -430,7 +436,7 @@
             results.add(handle);
             out.put("handle", handle);
         }
-        exchange.respond(200, fields(), answer.toString().getBytes(StandardCharsets.UTF_8));
+        exchange.respond(200, fields(callId(exchange)), answer.toString().getBytes(StandardCharsets.UTF_8));
     }
 
     private void judgePiece(SoakRequest request, int stage, String key, List<String> inputs) {
