--- a/library/src/main/java/org/copperspindle/direct/DirectClient.java
+++ b/library/src/main/java/org/copperspindle/direct/DirectClient.java
@@ -41,6 +41,15 @@
      */
     private static final long STALE_DETECTION_NANOS = Duration.ofMillis(100).toNanos();
 
+    /**
+     * A connection that took longer to open was noticed late: the network thread is busy, and may not have read yet that a
+     * caller has left.
+     */
+    private static final long LATE_CONNECT_NANOS = Duration.ofMillis(100).toNanos();
+
+    /** Long enough for the network thread to handle what has arrived on all sockets by now. */
+    private static final long NEXT_TURN_NANOS = Duration.ofMillis(1).toNanos();
+
     private static final long SWEEP_INTERVAL_NANOS = Duration.ofSeconds(1).toNanos();
 
     private final EventLoop loop;
@@ -122,8 +131,15 @@
 
     private void connect(DirectExchange exchange) {
         DirectConnection connection = new DirectConnection(exchange.call().address(), idlePool, exceededBounds);
-        open(exchange.call().address(), new Initializer(connection))
-                .addListener((ChannelFuture done) -> onConnected(exchange, connection, done));
+        long startedAt = timers.nanoTime();
+        open(exchange.call().address(), new Initializer(connection)).addListener((ChannelFuture done) -> {
+            boolean late = done.isSuccess() && timers.nanoTime() - startedAt > LATE_CONNECT_NANOS;
+            if (late) {
+                timers.schedule(NEXT_TURN_NANOS, () -> onConnected(exchange, connection, done));
+            } else {
+                onConnected(exchange, connection, done);
+            }
+        });
     }
 
     private ChannelFuture open(String address, ChannelHandler handler) {
@@ -146,7 +162,7 @@
     }
 
     private static void onConnected(DirectExchange exchange, DirectConnection connection, ChannelFuture done) {
-        if (!done.isSuccess()) {
+        if (!done.isSuccess() || !done.channel().isActive()) {
             exchange.failWithConnection("connect-failed");
         } else if (exchange.hasEnded()) {
             connection.close();
--- a/library/src/test/java/org/copperspindle/direct/DirectClientTest.java
+++ b/library/src/test/java/org/copperspindle/direct/DirectClientTest.java
@@ -2,18 +2,25 @@
 
 import java.io.IOException;
 import java.io.OutputStream;
+import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.stream.Stream;
 
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
 import org.copperspindle.direct.UpstreamPort.CallHandle;
 import org.copperspindle.emulator.ScriptedUpstream;
 import org.copperspindle.emulator.ScriptedUpstream.Script;
@@ -299,6 +306,67 @@
         }
     }
 
+    /**
+     * Guards against requests that are sent on after their callers have left: the network thread was busy while a connection
+     * opened and the caller closed its own.
+     */
+    @Test
+    void callThatIsAbortedWhileTheThreadIsBusyIsNotSent() throws Exception {
+        AtomicReference<CallHandle> handle = new AtomicReference<>();
+        try (ScriptedUpstream upstream = new ScriptedUpstream(sends(WHOLE));
+                Socket caller = connectToLoop(() -> handle.get().abort("caller-left"))) {
+            CountDownLatch calling = new CountDownLatch(1);
+            CountDownLatch left = new CountDownLatch(1);
+            DirectListener listener = new RecordingListener(new CompletableFuture<>());
+            loop.execute(() -> {
+                handle.set(client.call(call(upstream.address(), "id", ConnectionUse.NEW), listener));
+                calling.countDown();
+                await(left);
+            });
+            await(calling);
+            caller.shutdownOutput();
+            clock.addAndGet(TimeUnit.SECONDS.toNanos(1));
+            left.countDown();
+            assertThat(call(upstream.address(), ConnectionUse.NEW).get(TIMEOUT_SECONDS, TimeUnit.SECONDS))
+                    .isEqualTo("200 whole");
+            assertThat(upstream.received()).hasSize(1);
+        }
+    }
+
+    /** Connects to a listener on the network thread of the client, which notices when the connection is closed. */
+    private Socket connectToLoop(Runnable onClosed) throws Exception {
+        CountDownLatch accepted = new CountDownLatch(1);
+        Channel server = new ServerBootstrap()
+                .group(loop)
+                .channel(NioServerSocketChannel.class)
+                .childHandler(new ChannelInboundHandlerAdapter() {
+                    @Override
+                    public void channelActive(ChannelHandlerContext ctx) {
+                        accepted.countDown();
+                    }
+
+                    @Override
+                    public void channelInactive(ChannelHandlerContext ctx) {
+                        onClosed.run();
+                    }
+                })
+                .bind("127.0.0.1", 0)
+                .sync()
+                .channel();
+        InetSocketAddress address = (InetSocketAddress) server.localAddress();
+        Socket caller = new Socket(address.getAddress(), address.getPort());
+        await(accepted);
+        return caller;
+    }
+
+    private static void await(CountDownLatch latch) {
+        try {
+            assertThat(latch.await(TIMEOUT_SECONDS, TimeUnit.SECONDS)).isTrue();
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
     private ListenState check(String address) throws Exception {
         CompletableFuture<ListenState> state = new CompletableFuture<>();
         loop.execute(() -> client.check(address, state::complete));
