--- a/library/src/main/java/org/copperspindle/direct/DirectHead.java
+++ b/library/src/main/java/org/copperspindle/direct/DirectHead.java
@@ -1,8 +1,8 @@
 package org.copperspindle.direct;
 
 import java.util.List;
-import java.util.Locale;
 import java.util.Optional;
+import java.util.stream.Stream;
 
 import org.copperspindle.http.HeaderField;
 
@@ -18,6 +18,7 @@
     private static final int SUCCESS_CLASS = 2;
     private static final int NO_CONTENT = 204;
     private static final int NOT_MODIFIED = 304;
+    private static final String CHUNKED = "chunked";
 
     /** Copies the list. */
     public DirectHead {
@@ -53,9 +54,10 @@
      * @return false if the body ends with its connection, and can't be told from one that was cut off there
      */
     public boolean isDelimited() {
-        boolean chunked = field("Transfer-Encoding")
-                .filter(value -> value.toLowerCase(Locale.ROOT).contains("chunked"))
-                .isPresent();
+        // As the decoder compares them: a coding that is only similar leaves the end to the connection.
+        boolean chunked = values("Transfer-Encoding").stream()
+                .flatMap(value -> Stream.of(value.split(",")))
+                .anyMatch(coding -> coding.strip().equalsIgnoreCase(CHUNKED));
         return chunked || field("Content-Length").isPresent() || status == NO_CONTENT || status == NOT_MODIFIED;
     }
 
--- a/library/src/test/java/org/copperspindle/direct/DirectConnectionTest.java
+++ b/library/src/test/java/org/copperspindle/direct/DirectConnectionTest.java
@@ -69,6 +69,29 @@
         }
     }
 
+    /**
+     * Guards against half a response that looks complete because its framing is only similar to chunks: its end is that of
+     * the connection, which also closes when the upstream is lost while the request is being written.
+     */
+    @ParameterizedTest
+    @CsvSource({
+        "xchunked, false, failed",
+        "chunked-later, false, failed",
+        "identity, false, failed",
+        "xchunked, true, whole",
+        "identity, true, whole"
+    })
+    void unknownFramingEndsWithTheConnection(String coding, boolean written, String expected) {
+        DirectConnection connection = new DirectConnection("127.0.0.1:1", new NoPool(), new ExceededBounds());
+        EmbeddedChannel channel = new EmbeddedChannel(new Writes(written), connection.decoder(), connection);
+        connection.use(new DirectExchange(call(), new Ends()));
+        String head = HEAD + "Transfer-Encoding: " + coding + "\r\n\r\n";
+        channel.writeInbound(Unpooled.copiedBuffer(head + "who", StandardCharsets.US_ASCII));
+        channel.close();
+        channel.runPendingTasks();
+        assertThat(ends).containsExactly(expected);
+    }
+
     private static DirectCall call() {
         List<HeaderField> fields = List.of(new HeaderField("X-Request-Id", "id"));
         return new DirectCall(
