--- a/library/src/main/java/org/copperspindle/gateway/RequestRun.java
+++ b/library/src/main/java/org/copperspindle/gateway/RequestRun.java
@@ -228,7 +228,7 @@
 
     private void send(UpstreamRecord upstream, long now) {
         eligibility.exclude(upstream.id());
-        software.onSend(upstream);
+        software.onSelected(upstream);
         context.coldAdmission().recordSend(upstream.id(), now);
         attempts.recordSent();
         context.counters().recordAttempt(route.name(), attempts.sent() > 1, now - admittedAt);
@@ -426,6 +426,7 @@
         public void onSent() {
             Optional<UpstreamAttempt> reader = attempt;
             stages.releaseOnceFetched(() -> attempt.equals(reader));
+            lastRun.map(UpstreamRun::upstream).ifPresent(software::onSent);
         }
 
         @Override
--- a/library/src/main/java/org/copperspindle/gateway/StreamSoftware.java
+++ b/library/src/main/java/org/copperspindle/gateway/StreamSoftware.java
@@ -89,14 +89,17 @@
         });
     }
 
-    /** Records the version of a stream that is taken up; that of a new one, once its upstream has had time to reject it. */
-    void onSend(UpstreamRecord upstream) {
-        if (!isRecorded() || recorded) {
-            return;
-        }
-        if (isTakenUp()) {
+    /** Records the version of a stream that is taken up, of which an event may arrive at once. */
+    void onSelected(UpstreamRecord upstream) {
+        if (isTakenUp() && isRecorded() && !recorded) {
             record(upstream);
-        } else {
+        }
+    }
+
+    /** Records the version of a new stream, once the upstream that it was written to has had time to reject it. */
+    void onSent(UpstreamRecord upstream) {
+        recording.cancel();
+        if (isRecorded() && !recorded) {
             recording = context.timers().schedule(REJECTION_NANOS, () -> record(upstream));
         }
     }
--- a/library/src/test/java/org/copperspindle/gateway/ContinuedVersionTest.java
+++ b/library/src/test/java/org/copperspindle/gateway/ContinuedVersionTest.java
@@ -80,11 +80,7 @@
         if (stream.stagesWait()) {
             stream.makeResults();
         }
-        assertThat(stream.engines().count()).isEqualTo(2);
-        stream.engines().last().head(200);
-        stream.engines().last().events(1);
-        stream.engines().last().end();
-        assertThat(stream.caller().isComplete()).isTrue();
+        assertAnsweredByASecondEngine();
     }
 
     /**
@@ -108,6 +104,19 @@
         assertThat(stream.outcome()).isEqualTo("software-gone");
     }
 
+    /** Guards against a request that fails because its first engine, which it has never reached, was the last of its version. */
+    @Test
+    void requestThatReachesNoEngineMovesToAnotherVersion() {
+        stream.engines().openSlowly();
+        announce(number -> "old");
+        stream.makeResults();
+        int first = begunAt();
+        announce(number -> number == first ? "old" : "new");
+        stream.advance(RECORDED_MILLIS);
+        stream.engines().last().failToConnect();
+        assertAnsweredByASecondEngine();
+    }
+
     /** Guards against a request that is rejected although engines of another version would run it. */
     @Test
     void requestThatIsRejectedAtOnceMovesToAnotherVersion() {
@@ -118,11 +127,7 @@
         stream.engines().last().headOfRefusal(503);
         stream.engines().last().end();
         stream.advance(RECORDED_MILLIS);
-        assertThat(stream.engines().count()).isEqualTo(2);
-        stream.engines().last().head(200);
-        stream.engines().last().events(1);
-        stream.engines().last().end();
-        assertThat(stream.caller().isComplete()).isTrue();
+        assertAnsweredByASecondEngine();
     }
 
     /** Guards against a stream of one version that is continued at another because its engine has changed under its id. */
@@ -180,6 +185,14 @@
         assertThat(stream.engines().count()).isEqualTo(1);
     }
 
+    private void assertAnsweredByASecondEngine() {
+        assertThat(stream.engines().count()).isEqualTo(2);
+        stream.engines().last().head(200);
+        stream.engines().last().events(1);
+        stream.engines().last().end();
+        assertThat(stream.caller().isComplete()).isTrue();
+    }
+
     private int begunAt() {
         return Integer.parseInt(stream.engines().call(0).sent().upstream().substring(1));
     }
--- a/library/src/test/java/org/copperspindle/gateway/ScriptedEngines.java
+++ b/library/src/test/java/org/copperspindle/gateway/ScriptedEngines.java
@@ -17,14 +17,22 @@
 final class ScriptedEngines implements UpstreamPort {
 
     private final List<Call> calls = new ArrayList<>();
+    private boolean opensSlowly;
     private int mostOpen;
 
+    /** Lets connections wait to be opened from now on, so that calls are not sent. */
+    void openSlowly() {
+        opensSlowly = true;
+    }
+
     @Override
     public CallHandle call(DirectCall call, DirectListener listener) {
         Call next = new Call(call, listener);
         calls.add(next);
         mostOpen = Math.max(mostOpen, (int) calls.stream().filter(c -> c.open).count());
-        listener.onSent();
+        if (!opensSlowly) {
+            listener.onSent();
+        }
         return reason -> next.open = false;
     }
 
@@ -103,6 +111,12 @@
             listener.onEnd();
         }
 
+        /** Reports that no connection could be opened. */
+        void failToConnect() {
+            open = false;
+            listener.onFailure(new DirectFailure(false, true, false, "connect-failed"));
+        }
+
         void crash() {
             open = false;
             listener.onFailure(new DirectFailure(true, true, false, "connection-closed"));
