--- a/library/src/main/java/org/copperspindle/direct/DirectHead.java
+++ b/library/src/main/java/org/copperspindle/direct/DirectHead.java
@@ -16,6 +16,7 @@
 
     private static final int STATUSES_PER_CLASS = 100;
     private static final int SUCCESS_CLASS = 2;
+    private static final int SERVER_ERROR_CLASS = 5;
     private static final int NO_CONTENT = 204;
     private static final int NOT_MODIFIED = 304;
     private static final String CHUNKED = "chunked";
@@ -69,4 +70,13 @@
     public boolean isSuccess() {
         return status / STATUSES_PER_CLASS == SUCCESS_CLASS;
     }
+
+    /**
+     * Returns whether the status is an error of the upstream.
+     *
+     * @return true for 5xx and above
+     */
+    public boolean isServerError() {
+        return status / STATUSES_PER_CLASS >= SERVER_ERROR_CLASS;
+    }
 }
--- a/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
@@ -470,11 +470,7 @@
     }
 
     private boolean hasEngines(String pool) {
-        return versionHolder
-                .heldTable()
-                .flatMap(t -> t.findPool(pool))
-                .filter(p -> p.engineSlots().isPresent())
-                .isPresent();
+        return versionHolder.heldTable().filter(table -> table.hasEngines(pool)).isPresent();
     }
 
     private Duration uptime() {
--- a/library/src/main/java/org/copperspindle/gateway/RequestRun.java
+++ b/library/src/main/java/org/copperspindle/gateway/RequestRun.java
@@ -21,8 +21,6 @@
 
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
-    private static final int SERVER_ERROR = 500;
-
     private final GatewayContext context;
     private final HttpExchange exchange;
     private final AdmittedRequest admitted;
@@ -261,8 +259,7 @@
 
     /** Handles an attempt that provably did not run. */
     private void handleNotRun(String reason, boolean reached) {
-        boolean retry = reached ? attempts.tryAcquireRetry() : attempts.tryRepeatUnsent();
-        if (retry) {
+        if (reached ? attempts.tryAcquireRetry() : attempts.tryRepeatUnsent()) {
             startAttempt();
         } else {
             endUnserved(reason, "the upstream did not take the request");
@@ -431,7 +428,7 @@
 
         @Override
         public void onFirstEvent(long tookNanos) {
-            recordInputsFetched();
+            stages.onInputsFetched();
             context.firstEventLatencies().observe(route, tookNanos);
             firstEventAt = context.timers().nanoTime();
             lastRun.map(UpstreamRun::upstream).ifPresent(software::onFirstEvent);
@@ -440,7 +437,7 @@
 
         @Override
         public void onContinued() {
-            recordInputsFetched();
+            stages.onInputsFetched();
             resumption.endInterruption();
             attempt.ifPresent(silence::watch);
         }
@@ -457,14 +454,13 @@
         @Override
         public void onResponse(DirectHead head, byte[] body) {
             endAttempt();
-            if (relay.hasStarted()) {
-                // The attempt was to resume the stream; the response to the caller has already started.
-                handleFailure("upstream-status-" + head.status());
-            } else if (head.status() >= SERVER_ERROR && route.isIdempotent() && attempts.hasLeft()) {
+            boolean isRetried = head.isServerError() && route.isIdempotent() && attempts.hasLeft();
+            // Once the response to the caller has started, the attempt was to resume the stream.
+            if (relay.hasStarted() || isRetried) {
                 handleFailure("upstream-status-" + head.status());
             } else {
                 exchange.respond(head.status(), context.upstreamDialect().callerFields(head), body);
-                finish("status-" + head.status(), head.status() >= SERVER_ERROR);
+                finish("status-" + head.status(), head.isServerError());
             }
         }
 
@@ -477,9 +473,7 @@
         @Override
         public void onInputsLost(String upstream) {
             endAttempt();
-            if (stages.isReleased()) {
-                context.fetchTime().recordEarlyRelease();
-            }
+            stages.onInputsLost();
             if (stages.tryAcquireRunAfterLoss()) {
                 attempts.takeBack();
                 eligibility.readmit(upstream);
@@ -502,11 +496,5 @@
             attempt = Optional.empty();
             software.onAttemptEnded();
         }
-
-        private void recordInputsFetched() {
-            // An upstream fetches its inputs before it sends the first event.
-            stages.release();
-            context.fetchTime().recordSuccess();
-        }
     }
 }
--- a/library/src/main/java/org/copperspindle/gateway/RequestStages.java
+++ b/library/src/main/java/org/copperspindle/gateway/RequestStages.java
@@ -137,6 +137,19 @@
         }));
     }
 
+    /** Releases all results, which an upstream has fetched: it does so before it sends the first event. */
+    void onInputsFetched() {
+        release();
+        context.fetchTime().recordSuccess();
+    }
+
+    /** Records that an upstream did not find all results; they may have been released too early. */
+    void onInputsLost() {
+        if (isReleased()) {
+            context.fetchTime().recordEarlyRelease();
+        }
+    }
+
     /** Releases all results: the request has read what it needs, or has ended. */
     void release() {
         releaseTimer.cancel();
--- a/library/src/main/java/org/copperspindle/gateway/UpstreamSearch.java
+++ b/library/src/main/java/org/copperspindle/gateway/UpstreamSearch.java
@@ -27,7 +27,7 @@
     /** Upstreams that are asked for a later permit; each request costs a round trip between nodes. */
     private static final int MAX_DELAYED_PERMITS = 3;
 
-    /** How long a search waits for upstreams whose software version is not recorded yet; a commit takes some ms. */
+    /** How long a search waits for upstreams whose software version is not recorded yet. */
     private static final long MAX_RECORDING_NANOS = Duration.ofSeconds(1).toNanos();
 
     /** Interval for checking cold upstreams again, and those whose backoff has just ended. */
--- a/library/src/main/java/org/copperspindle/route/RouteTable.java
+++ b/library/src/main/java/org/copperspindle/route/RouteTable.java
@@ -137,6 +137,16 @@
         return Optional.ofNullable(pools.get(name));
     }
 
+    /**
+     * Returns whether the upstreams of a pool are engines.
+     *
+     * @param pool name of the pool
+     * @return false also for a pool that is not in this table
+     */
+    public boolean hasEngines(String pool) {
+        return findPool(pool).filter(each -> each.engineSlots().isPresent()).isPresent();
+    }
+
     /**
      * Returns how long upstreams stay cold after their start.
      *
