memory: responses are broken off only for what responses take

Cause: the policy breaks off responses only, and it compared all held bytes with the budget. With bodies that fill it, each answer that was written was the only candidate, though that frees nothing.

Change: responses may always take a fifth of the budget. Below that none is broken off.

Why it holds: what responses take beyond a fifth is broken off in the same order as before, so the sum stays bounded by the requests' part and theirs.

--- a/library/src/main/java/org/copperspindle/memory/SheddingPolicy.java
+++ b/library/src/main/java/org/copperspindle/memory/SheddingPolicy.java
@@ -6,7 +6,7 @@
 import java.util.List;
 
 /**
- * Decides which responses are broken off, and whether a large body is read, when memory is short. A pure function of
+ * Decides which responses are broken off when memory is short. A pure function of
  * its arguments.
  */
 final class SheddingPolicy {
@@ -23,6 +23,12 @@
      */
     static final long UNREAD_UNIT_NANOS = Duration.ofSeconds(1).toNanos();
 
+    /**
+     * Part of the budget that responses may always take. Below it they are not what makes memory short: to break them off
+     * would cost callers their answers and make no room for the requests that do.
+     */
+    static final double RESPONSE_SHARE = 0.2;
+
     /** Part of the budget below which a response is small: to break it off costs a caller its answer and frees nothing. */
     private static final int SMALL_PARTS = 100;
 
@@ -30,7 +36,8 @@
 
     /**
      * Returns the responses to break off. From a pressure of 0.9, those whose callers have stopped reading, until the
-     * pressure is below; from 1, others as well, until it is below 1.
+     * pressure is below; from 1, others as well, until it is below 1. None while all responses together take less than
+     * their own part of the budget.
      *
      * @param holders     all holders; those without bytes of a response are passed over
      * @param heldBytes   bytes held by all
@@ -43,17 +50,19 @@
             return chosen;
         }
         long left = heldBytes;
+        long responses = holders.stream().mapToLong(HeldResponse::responseBytes).sum();
         List<HeldResponse> candidates = holders.stream()
                 .filter(r -> r.responseBytes() > 0)
                 .sorted(order(budgetBytes))
                 .toList();
         for (HeldResponse next : candidates) {
             double target = unreadUnits(next) > 0 ? SHEDDING_PRESSURE : FULL_PRESSURE;
-            if (left < target * budgetBytes) {
+            if (left < target * budgetBytes || responses <= RESPONSE_SHARE * budgetBytes) {
                 return chosen;
             }
             chosen.add(next);
             left -= next.bytes();
+            responses -= next.responseBytes();
         }
         return chosen;
     }
