http: bytes of a request are admitted before they are held

What callers saw: clients that sent many bodies in chunks at once, or heads of very many lines, ended a node in 2 s (exit code 3): all requests in progress were lost, and with them the callers that had sent them. An entry ended the same way.

Cause: three holes of one kind, bytes that are held without being asked for. - A body in chunks was checked against the budget only while it had at most 64 KB. Its array doubled, and was copied at the end: up to three times the body. - Bodies up to 64 KB were never refused, however many there were. - Heads were not counted. Netty's decoder makes objects of each line as it arrives, some 250 bytes for a line of four, 0.5 to 1 MB for a head of 16 KB. It keeps an incomplete line in the buffer that it was read into, and it decodes all pipelined requests of one read at once. Trailers are kept as well, though nobody reads them.

Change: - RequestAdmissionPolicy, a pure function, decides on each growth of an arriving request before it is held. Large requests (over 64 KB) take up to 0.7 of the budget, small ones up to 0.85, or 0.2 whatever large ones hold. One alone is always taken. If there is no room, requests that are still arriving give way: stalled for a second first, then the largest, never one that is handled. Both get 503 `memory-short`, NOT_RUN and Retry-After, which is true, since neither was passed to the handler. - A head is decoded only when it is complete and there is room for what it becomes: 256 bytes a line and three copies of its text. - What is incomplete is kept in an array of its size and counted. No more requests are decoded than wait for their turn (8). - A body grows by segments that are never copied while it arrives. - Trailers are dropped as they are decoded. - The entry has a budget, a quarter of its heap; listeners for operators, upstreams and probes one of a sixteenth.

The constant for small bodies is named for requests.

Why it holds: each array and object that bytes of a client become is reserved first, and the policy bounds the sum for any number of connections: 0.9 of the budget, or one largest body and 0.3 of it.

--- a/library/src/main/java/org/copperspindle/daemon/EntryRole.java
+++ b/library/src/main/java/org/copperspindle/daemon/EntryRole.java
@@ -11,6 +11,7 @@
 import org.copperspindle.http.HttpListener;
 import org.copperspindle.measure.EntryMetrics;
 import org.copperspindle.measure.MicrometerEntryMetrics;
+import org.copperspindle.memory.HeldMemories;
 import org.copperspindle.wire.Peer;
 import org.copperspindle.wire.PeerListener;
 import org.copperspindle.wire.WireMessage;
@@ -44,7 +45,12 @@
         ProbeEndpoint endpoint =
                 new ProbeEndpoint(service::ready, context.metrics()::scrape, new EntryEndpoint(service, measures));
         this.callerListener = new HttpListener(
-                "http-" + context.settings().id(), settings.listen(), NETWORK_THREADS, settings.limits(), endpoint);
+                "http-" + context.settings().id(),
+                settings.listen(),
+                NETWORK_THREADS,
+                settings.limits(),
+                endpoint,
+                HeldMemories.ofCallers());
         ProcessMetrics.publish(context.metrics(), "callers", callerListener.counters());
         ProcessMetrics.publish(context.metrics(), service);
     }
--- a/library/src/main/java/org/copperspindle/gateway/HeldMemoryMetrics.java
+++ b/library/src/main/java/org/copperspindle/gateway/HeldMemoryMetrics.java
@@ -35,6 +35,11 @@
                 "Times that an upstream was not read because its caller did not read",
                 node,
                 n -> n.pausedUpstreams().total());
+        metrics.counter(
+                "requests.rejected.for.memory",
+                "Requests rejected while they arrived because memory was short",
+                node,
+                n -> n.memory().rejectedRequests());
         metrics.counter(
                 "responses.shed",
                 "Responses broken off because memory was short",
--- a/library/src/main/java/org/copperspindle/http/HttpConnectionHandler.java
+++ b/library/src/main/java/org/copperspindle/http/HttpConnectionHandler.java
@@ -26,13 +26,14 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.copperspindle.memory.HeldMemory;
+import org.copperspindle.memory.MemoryHolder;
 
 /**
  * Netty handler of one caller's connection. It passes requests to the handler one at a time, so that responses are
  * sent in the order of the requests, and enforces the timeouts. Fields are accessed only on the connection's network
  * thread.
  */
-final class HttpConnectionHandler extends ChannelInboundHandlerAdapter {
+final class HttpConnectionHandler extends ChannelInboundHandlerAdapter implements StrictRequestDecoder.Connection {
 
     private static final Logger LOGGER = LogManager.getLogger(HttpConnectionHandler.class);
 
@@ -47,7 +48,9 @@
     private final HttpRequestHandler handler;
     private final BooleanSupplier stopping;
     private final HeldMemory memory;
+    private final ArrivingRequest arriving;
     private final RequestAssembler assembler;
+    private final StrictRequestDecoder decoder;
     private final Deque<ReceivedRequest> queuedRequests = new ArrayDeque<>();
     private Optional<HttpExchange> currentExchange = Optional.empty();
     private boolean inputClosed;
@@ -67,7 +70,19 @@
         this.handler = handler;
         this.stopping = stopping;
         this.memory = memory;
-        this.assembler = new RequestAssembler(limits.maxBodyBytes(), memory);
+        this.arriving = new ArrivingRequest(memory, this::rejectArriving);
+        this.assembler = new RequestAssembler(limits.maxBodyBytes(), arriving);
+        this.decoder = new StrictRequestDecoder(limits, arriving, this);
+    }
+
+    /** Returns the decoder of this connection's requests. */
+    StrictRequestDecoder decoder() {
+        return decoder;
+    }
+
+    @Override
+    public boolean takesRequests() {
+        return queuedRequests.size() < MAX_QUEUED_REQUESTS;
     }
 
     @Override
@@ -88,6 +103,12 @@
         }
     }
 
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) {
+        updateReading();
+        ctx.fireChannelReadComplete();
+    }
+
     @Override
     public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
         if (event != StrictRequestDecoder.REQUEST_STARTED) {
@@ -207,17 +228,39 @@
         if (request instanceof ReceivedRequest.Refused) {
             inputClosed = true;
             assembler.discard();
+            decoder.discard();
             counters.refusedRequest();
         }
         queuedRequests.add(request);
-        if (queuedRequests.size() >= MAX_QUEUED_REQUESTS) {
-            // Bounds the memory used by a caller that sends requests without reading responses to this many requests
-            // and the bytes of one read.
-            context.channel().config().setAutoRead(false);
-        }
+        updateReading();
         handleNext();
     }
 
+    /**
+     * Reads while requests are taken. This bounds what a caller that sends requests without
+     * reading responses can have held to these requests and the bytes of one read.
+     */
+    private void updateReading() {
+        boolean reads = inputClosed || takesRequests();
+        if (context.channel().config().isAutoRead() != reads) {
+            context.channel().config().setAutoRead(reads);
+        }
+    }
+
+    /** Rejects what has not been passed to the handler, because its memory was given to others. */
+    private void rejectArriving(MemoryHolder holder) {
+        if (!context.executor().inEventLoop()) {
+            context.executor().execute(() -> rejectArriving(holder));
+            return;
+        }
+        boolean queued = queuedRequests.stream()
+                .anyMatch(r -> r instanceof ReceivedRequest.Whole whole && whole.holder() == holder);
+        if (queued || arriving.isHeldBy(holder)) {
+            dropUnhandled();
+            onRequest(new ReceivedRequest.Refused(RequestAssembler.memoryShort()));
+        }
+    }
+
     private void refuse(ProblemDetails problem) {
         if (!inputClosed) {
             onRequest(new ReceivedRequest.Refused(problem));
@@ -284,9 +327,8 @@
     }
 
     private void awaitNextRequest() {
-        if (!context.channel().config().isAutoRead()) {
-            context.channel().config().setAutoRead(true);
-        }
+        decoder.resume();
+        updateReading();
         if (!assembler.isIdle()) {
             sendContinueIfExpected();
             startReadTimeout();
@@ -307,7 +349,7 @@
         if (!context.channel().isActive()) {
             return;
         }
-        context.channel().config().setAutoRead(true);
+        updateReading();
         ((SocketChannel) context.channel()).shutdownOutput();
         context.executor().schedule(() -> context.close(), LINGER_TIME.toNanos(), TimeUnit.NANOSECONDS);
     }
@@ -321,6 +363,7 @@
 
     private void dropUnhandled() {
         assembler.discard();
+        decoder.discard();
         queuedRequests.forEach(request -> {
             if (request instanceof ReceivedRequest.Whole whole) {
                 memory.close(whole.holder());
@@ -343,7 +386,7 @@
 
     private void startReadTimeout() {
         cancel(readTimeout);
-        if (!context.channel().config().isAutoRead()) {
+        if (!takesRequests()) {
             // This side has paused reading; the timeout starts when reading resumes.
             return;
         }
--- a/library/src/main/java/org/copperspindle/http/HttpExchange.java
+++ b/library/src/main/java/org/copperspindle/http/HttpExchange.java
@@ -67,6 +67,7 @@
         // one response.
         this.keepAlive = !http10 && HttpUtil.isKeepAlive(head);
         this.memoryHolder = memoryHolder;
+        memoryHolder.endArrival();
         memoryHolder.onBreakOff(this::breakOff);
     }
 
--- a/library/src/main/java/org/copperspindle/http/HttpListener.java
+++ b/library/src/main/java/org/copperspindle/http/HttpListener.java
@@ -91,6 +91,26 @@
      */
     public HttpListener(
             String name, InetSocketAddress address, int threads, HttpLimits limits, HttpRequestHandler handler) {
+        this(name, address, threads, limits, handler, HeldMemories.ofOperators());
+    }
+
+    /**
+     * Binds and starts to listen, with a memory budget.
+     *
+     * @param name    name of the network threads
+     * @param address address to bind; port 0 picks a free port
+     * @param threads network threads
+     * @param limits  limits on requests and connections
+     * @param handler handles requests
+     * @param memory  holds requests and the unsent bytes of responses
+     */
+    public HttpListener(
+            String name,
+            InetSocketAddress address,
+            int threads,
+            HttpLimits limits,
+            HttpRequestHandler handler,
+            HeldMemory memory) {
         this(
                 new MultiThreadIoEventLoopGroup(
                         threads, new DefaultThreadFactory(name, true), NioIoHandler.newFactory()),
@@ -98,7 +118,7 @@
                 address,
                 () -> limits,
                 handler,
-                HeldMemories.unlimited(),
+                memory,
                 ConnectionAdmission.ALL);
     }
 
@@ -112,7 +132,7 @@
      */
     public HttpListener(
             EventLoopGroup group, InetSocketAddress address, Supplier<HttpLimits> limits, HttpRequestHandler handler) {
-        this(group, address, limits, handler, HeldMemories.unlimited());
+        this(group, address, limits, handler, HeldMemories.ofOperators());
     }
 
     /**
@@ -122,7 +142,7 @@
      * @param address address to bind; port 0 picks a free port
      * @param limits  supplies the limits of each new connection
      * @param handler handles requests
-     * @param memory  holds the bodies of requests and the unsent bytes of responses
+     * @param memory  holds requests and the unsent bytes of responses
      */
     public HttpListener(
             EventLoopGroup group,
@@ -140,7 +160,7 @@
      * @param address   address to bind; port 0 picks a free port
      * @param limits    supplies the limits of each new connection
      * @param handler   handles requests
-     * @param memory    holds the bodies of requests and the unsent bytes of responses
+     * @param memory    holds requests and the unsent bytes of responses
      * @param admission decides which connections are taken
      */
     public HttpListener(
@@ -268,12 +288,14 @@
                 return;
             }
             openChannels.add(accepted);
+            HttpConnectionHandler connection =
+                    new HttpConnectionHandler(current, counters, handler, memory, () -> stopping);
             accepted.pipeline()
                     // Parts of responses that are written together are sent with one system call.
                     .addLast(new FlushConsolidationHandler(MAX_WRITES_BEFORE_FLUSH, true))
-                    .addLast(new StrictRequestDecoder(current))
+                    .addLast(connection.decoder())
                     .addLast(new HttpResponseEncoder())
-                    .addLast(new HttpConnectionHandler(current, counters, handler, memory, () -> stopping));
+                    .addLast(connection);
         }
 
         private void refuse(SocketChannel accepted) {
--- a/library/src/main/java/org/copperspindle/http/RequestAssembler.java
+++ b/library/src/main/java/org/copperspindle/http/RequestAssembler.java
@@ -1,7 +1,5 @@
 package org.copperspindle.http;
 
-import java.io.ByteArrayOutputStream;
-import java.io.IOException;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
@@ -16,9 +14,6 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
-import org.copperspindle.memory.HeldKind;
-import org.copperspindle.memory.HeldMemory;
-import org.copperspindle.memory.MemoryHolder;
 import org.copperspindle.verdict.NotRunVerdict;
 
 /**
@@ -27,28 +22,27 @@
  */
 final class RequestAssembler {
 
-    /** Delay of a retry after a large body was refused: callers that have stopped reading are broken off by then. */
+    /** Delay of a retry after a request was refused for memory: stalled requests and unread responses give way by then. */
     private static final Duration MEMORY_RETRY_AFTER = Duration.ofSeconds(1);
 
     private static final int UNAVAILABLE = 503;
 
     private final int maxBodyBytes;
-    private final HeldMemory memory;
-    private Optional<MemoryHolder> holder = Optional.empty();
-    private long reservedBytes;
+    private final ArrivingRequest arriving;
     private Optional<HttpRequest> head = Optional.empty();
-    private ByteArrayOutputStream body = new ByteArrayOutputStream(0);
+    private BodyBuffer body;
     private boolean continueExpected;
 
-    RequestAssembler(int maxBodyBytes, HeldMemory memory) {
+    RequestAssembler(int maxBodyBytes, ArrivingRequest arriving) {
         this.maxBodyBytes = maxBodyBytes;
-        this.memory = memory;
+        this.arriving = arriving;
+        this.body = new BodyBuffer(maxBodyBytes);
     }
 
     /**
      * Accepts the next part.
      *
-     * @param part part decoded by Netty; not released here
+     * @param part part decoded by Netty, whose content is consumed; not released here
      * @return the request once it is complete or refused
      */
     Optional<ReceivedRequest> accept(HttpObject part) {
@@ -61,14 +55,11 @@
                 return refused(problem.get());
             }
             int length = (int) HttpUtil.getContentLength(request, 0L);
-            if (!memory.mayReadBody(length)) {
+            if (!arriving.reserveBody(length)) {
                 return refused(memoryShort());
             }
             head = Optional.of(request);
-            holder = Optional.of(memory.open());
-            reservedBytes = 0;
-            reserveBody(length);
-            body = new ByteArrayOutputStream(length);
+            body.allocate(length);
             continueExpected = request.headers().contains(HttpHeaderNames.EXPECT);
         }
         return part instanceof HttpContent content ? append(content) : Optional.empty();
@@ -87,9 +78,9 @@
 
     /** Drops a partly received request and releases its memory; no more parts may be passed. */
     void discard() {
-        holder.ifPresent(memory::close);
-        holder = Optional.empty();
-        body = new ByteArrayOutputStream(0);
+        arriving.discard();
+        head = Optional.empty();
+        body = new BodyBuffer(0);
     }
 
     /**
@@ -108,6 +99,9 @@
      * @return the problem
      */
     static ProblemDetails problem(Throwable cause) {
+        if (cause instanceof MemoryShortException) {
+            return memoryShort();
+        }
         if (cause instanceof TooLongHttpLineException) {
             return ProblemDetails.notRun("request-line-too-long", 414, "the request line is too long");
         }
@@ -120,31 +114,21 @@
     private Optional<ReceivedRequest> append(HttpContent content) {
         // A caller that sends the body without waiting for 100 Continue needs none.
         continueExpected &= !content.content().isReadable();
-        int size = body.size() + content.content().readableBytes();
-        if (size > maxBodyBytes) {
+        int bytes = content.content().readableBytes();
+        if (bytes > maxBodyBytes - body.size()) {
             return refused(tooLarge());
         }
-        if (body.size() <= HeldMemory.LARGE_BODY_BYTES && size > reservedBytes && !memory.mayReadBody(size)) {
-            // A body in chunks whose length was not known before.
+        if (!arriving.reserveBody(body.capacityFor(bytes))) {
             return refused(memoryShort());
         }
-        reserveBody(size);
-        try {
-            content.content()
-                    .getBytes(
-                            content.content().readerIndex(),
-                            body,
-                            content.content().readableBytes());
-        } catch (IOException e) {
-            throw new IllegalStateException("write to a byte array failed", e);
-        }
+        body.append(content.content());
         if (!(content instanceof LastHttpContent)) {
             return Optional.empty();
         }
-        ReceivedRequest whole = new ReceivedRequest.Whole(head.orElseThrow(), body.toByteArray(), holder.orElseThrow());
+        byte[] wholeBody = body.take();
+        arriving.reserveBody(wholeBody.length);
+        ReceivedRequest whole = new ReceivedRequest.Whole(head.orElseThrow(), wholeBody, arriving.complete());
         head = Optional.empty();
-        holder = Optional.empty();
-        body = new ByteArrayOutputStream(0);
         return Optional.of(whole);
     }
 
@@ -187,17 +171,11 @@
         return RequestTarget.parse(request.uri()).isPresent();
     }
 
-    private void reserveBody(int size) {
-        if (size > reservedBytes) {
-            memory.reserve(holder.orElseThrow(), HeldKind.REQUEST_BODY, size - reservedBytes);
-            reservedBytes = size;
-        }
-    }
-
-    private static ProblemDetails memoryShort() {
+    /** Returns the problem for a request for which there is no memory. */
+    static ProblemDetails memoryShort() {
         return new ProblemDetails(
                 UNAVAILABLE,
-                "this node has no memory for a large body now",
+                "there is no memory for the request now",
                 new NotRunVerdict("memory-short"),
                 "",
                 Optional.of(MEMORY_RETRY_AFTER));
--- a/library/src/main/java/org/copperspindle/http/StrictRequestDecoder.java
+++ b/library/src/main/java/org/copperspindle/http/StrictRequestDecoder.java
@@ -1,11 +1,11 @@
 package org.copperspindle.http;
 
+import java.util.ArrayList;
 import java.util.List;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.handler.codec.CorruptedFrameException;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequest;
@@ -13,53 +13,141 @@
 import io.netty.handler.codec.http.LastHttpContent;
 
 /**
- * Strict variant of Netty's request decoder. It refuses messages that a load balancer in front and this process
- * could parse differently: those with both Content-Length and Transfer-Encoding, and those with folded header lines
- * (RFC 9112, 5.2 and 6.1). Fires an event when the first byte of a request arrives.
+ * Strict variant of Netty's request decoder, which bounds what it keeps.
+ *
+ * <p>It refuses messages that a load balancer in front and this process could parse differently: those with both
+ * Content-Length and Transfer-Encoding, and those with folded header lines (RFC 9112, 5.2 and 6.1). It fires an event when
+ * the first byte of a request arrives.
+ *
+ * <p>Netty's decoder turns each line into objects as soon as it has arrived, keeps an incomplete line in the buffer that it was
+ * read into, and decodes everything that was read in one go. This one decodes a head only when it is complete and there is
+ * room for what it becomes, keeps incomplete bytes in an array of their size, whose room is reserved as well, and decodes
+ * no more requests than the connection takes.
  */
 final class StrictRequestDecoder extends HttpRequestDecoder {
 
     /** Fired as a user event at the first byte of each request. */
     static final Object REQUEST_STARTED = new Object();
 
-    private static final byte LINE_FEED = '\n';
+    /** Kept bytes move to a smaller array when they take less than this part of theirs. */
+    private static final int MAX_SPARE_PARTS = 4;
 
+    private final ArrivingRequest arriving;
+    private final Connection connection;
+    private final RequestHeadScanner scanner;
+    private final List<Object> parts = new ArrayList<>();
+    private ChannelHandlerContext context;
+    private ByteBuf kept = Unpooled.EMPTY_BUFFER;
     private boolean inHead = true;
     private boolean requestStarted;
-    private boolean refused;
+    private boolean decoding;
+    private boolean discarding;
 
-    StrictRequestDecoder(HttpLimits limits) {
+    StrictRequestDecoder(HttpLimits limits, ArrivingRequest arriving, Connection connection) {
         super(new HttpDecoderConfig()
                 .setMaxInitialLineLength(limits.maxLineBytes())
                 .setMaxHeaderSize(limits.maxHeaderBytes())
                 .setAllowDuplicateContentLengths(false)
+                .setTrailersFactory(DiscardedTrailers.FACTORY)
                 .setStrictLineParsing(true));
+        this.arriving = arriving;
+        this.connection = connection;
+        this.scanner = new RequestHeadScanner(limits);
+    }
+
+    /** Goes on with bytes that were kept because the connection did not take more requests. */
+    void resume() {
+        if (kept.isReadable() && !decoding) {
+            decodeAll(kept);
+        }
+    }
+
+    /** Drops all bytes from now on, those that are kept included. */
+    void discard() {
+        discarding = true;
+        kept = Unpooled.EMPTY_BUFFER;
     }
 
     @Override
-    protected void decode(ChannelHandlerContext ctx, ByteBuf buffer, List<Object> out) throws Exception {
-        if (refused) {
-            buffer.skipBytes(buffer.readableBytes());
-            return;
+    public void handlerAdded(ChannelHandlerContext ctx) throws Exception {
+        super.handlerAdded(ctx);
+        context = ctx;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object message) {
+        ByteBuf bytes = (ByteBuf) message;
+        try {
+            if (!discarding) {
+                arriving.recordArrival();
+                decodeAll(join(bytes));
+            }
+        } finally {
+            bytes.release();
         }
-        if (inHead && !requestStarted) {
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) {
+        // Netty's decoder reads on here while it has decoded nothing, also when reading is paused.
+        ctx.fireChannelReadComplete();
+    }
+
+    @Override
+    protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
+        throw new IllegalArgumentException("both Content-Length and Transfer-Encoding");
+    }
+
+    private ByteBuf join(ByteBuf bytes) {
+        return kept.isReadable() ? kept.writeBytes(bytes) : bytes;
+    }
+
+    private void decodeAll(ByteBuf input) {
+        try {
+            decoding = true;
+            while (decoding && input.isReadable() && connection.takesRequests()) {
+                decoding = (inHead ? decodeHead(input) : decodeBody(input)) && !discarding;
+            }
+            keep(input);
+        } catch (Exception e) {
+            discard();
+            context.fireExceptionCaught(e);
+        } finally {
+            decoding = false;
+        }
+    }
+
+    /** Returns false if the head is not complete. */
+    private boolean decodeHead(ByteBuf input) throws Exception {
+        if (!requestStarted) {
             requestStarted = true;
-            ctx.fireUserEventTriggered(REQUEST_STARTED);
+            context.fireUserEventTriggered(REQUEST_STARTED);
         }
-        if (inHead && isFolded(buffer)) {
-            refused = true;
-            throw new CorruptedFrameException("folded header line");
+        if (!scanner.scan(input)) {
+            return false;
         }
-        int before = out.size();
-        super.decode(ctx, buffer, out);
-        for (Object part : out.subList(before, out.size())) {
-            updateState(part);
+        if (!arriving.reserveHead(RequestHeadMemory.of(scanner.lines(), scanner.scannedBytes()))) {
+            throw new MemoryShortException();
         }
+        ByteBuf head = input.readSlice(scanner.scannedBytes());
+        scanner.reset();
+        while (head.isReadable() && decodeBody(head)) {
+            // Netty's decoder may take several steps.
+        }
+        return true;
     }
 
-    @Override
-    protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
-        throw new IllegalArgumentException("both Content-Length and Transfer-Encoding");
+    /** Returns false if more bytes are needed. */
+    private boolean decodeBody(ByteBuf input) throws Exception {
+        int before = input.readableBytes();
+        decode(context, input, parts);
+        boolean decoded = input.readableBytes() < before || !parts.isEmpty();
+        for (Object part : parts) {
+            updateState(part);
+            context.fireChannelRead(part);
+        }
+        parts.clear();
+        return decoded;
     }
 
     private void updateState(Object part) {
@@ -72,27 +160,33 @@
         }
     }
 
-    /**
-     * Checks the header lines up to the blank line for leading whitespace. The decoder consumes whole lines, so the
-     * buffer starts at the beginning of a line.
-     */
-    private static boolean isFolded(ByteBuf buffer) {
-        int start = buffer.readerIndex();
-        int end = buffer.writerIndex();
-        boolean lineSeen = false;
-        while (start < end) {
-            byte first = buffer.getByte(start);
-            if (first == ' ' || first == '\t') {
-                return true;
-            }
-            int lineFeed = ByteBufUtil.indexOf(buffer, start, end, LINE_FEED);
-            boolean blank = lineFeed == start || lineFeed == start + 1 && first == '\r';
-            if (lineFeed < 0 || blank && lineSeen) {
-                return false;
-            }
-            lineSeen |= !blank;
-            start = lineFeed + 1;
+    /** Keeps what is left of the input. */
+    private void keep(ByteBuf input) {
+        if (discarding || !input.isReadable()) {
+            kept = Unpooled.EMPTY_BUFFER;
+        } else if (input != kept) {
+            reserve(input.readableBytes());
+            kept = Unpooled.buffer(input.readableBytes()).writeBytes(input);
+        } else if (kept.readableBytes() < kept.capacity() / MAX_SPARE_PARTS) {
+            kept = Unpooled.buffer(kept.readableBytes()).writeBytes(kept);
+        } else {
+            kept.discardReadBytes();
+        }
+        if (!discarding) {
+            reserve(kept.capacity());
+        }
+    }
+
+    private void reserve(int bytes) {
+        if (!arriving.reserveUndecoded(bytes)) {
+            throw new MemoryShortException();
         }
-        return false;
+    }
+
+    /** The connection whose bytes are decoded. */
+    interface Connection {
+
+        /** Returns whether another request, or more of one, can be taken now. */
+        boolean takesRequests();
     }
 }
--- a/library/src/main/java/org/copperspindle/memory/BudgetedMemory.java
+++ b/library/src/main/java/org/copperspindle/memory/BudgetedMemory.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
@@ -31,12 +32,15 @@
 
     private final long budget;
     private final long shedFrom;
+    private final long alwaysAdmitted;
     private final LongSupplier clock;
     private final LogRateLimiter log;
     private final Set<MemoryHolder> holders = ConcurrentHashMap.newKeySet();
     private final AtomicLong held = new AtomicLong();
     private final AtomicLong peak = new AtomicLong();
+    private final AtomicLong requestBytes = new AtomicLong();
     private final AtomicLong shed = new AtomicLong();
+    private final AtomicLong rejected = new AtomicLong();
     private long evaluatedAt;
     private long evaluatedBytes;
     private long loggedAt;
@@ -44,6 +48,7 @@
     BudgetedMemory(long budget, LongSupplier clock, LogRateLimiter log) {
         this.budget = budget;
         this.shedFrom = (long) (SheddingPolicy.SHEDDING_PRESSURE * budget);
+        this.alwaysAdmitted = (long) (RequestAdmissionPolicy.LARGE_SHARE * budget);
         this.clock = clock;
         this.log = log;
         this.evaluatedAt = clock.getAsLong() - NANOS_PER_SECOND;
@@ -57,10 +62,24 @@
         return holder;
     }
 
+    @Override
+    public boolean tryReserve(MemoryHolder holder, HeldKind kind, long bytes) {
+        if (requestBytes.get() + bytes > alwaysAdmitted && !makeRoom(holder, bytes)) {
+            rejected.incrementAndGet();
+            return false;
+        }
+        reserve(holder, kind, bytes);
+        return true;
+    }
+
     @Override
     public void reserve(MemoryHolder holder, HeldKind kind, long bytes) {
         long now = clock.getAsLong();
-        long sum = held.addAndGet(holder.add(kind, bytes, now));
+        long added = holder.add(kind, bytes, now);
+        if (kind.isRequest()) {
+            requestBytes.addAndGet(added);
+        }
+        long sum = held.addAndGet(added);
         if (sum > peak.get()) {
             peak.accumulateAndGet(sum, Math::max);
         }
@@ -71,7 +90,16 @@
 
     @Override
     public void release(MemoryHolder holder, HeldKind kind, long bytes) {
-        held.addAndGet(-holder.remove(kind, bytes));
+        long removed = holder.remove(kind, bytes);
+        held.addAndGet(-removed);
+        if (kind.isRequest()) {
+            requestBytes.addAndGet(-removed);
+        }
+    }
+
+    @Override
+    public void recordArrival(MemoryHolder holder) {
+        holder.arrivedAt(clock.getAsLong());
     }
 
     @Override
@@ -82,12 +110,11 @@
     @Override
     public void close(MemoryHolder holder) {
         holders.remove(holder);
-        held.addAndGet(-holder.close());
-    }
-
-    @Override
-    public boolean mayReadBody(long bytes) {
-        return SheddingPolicy.mayReadBody(bytes, held.get(), budget);
+        synchronized (holder) {
+            held.addAndGet(-holder.bytes());
+            requestBytes.addAndGet(-holder.requestBytes());
+            holder.close();
+        }
     }
 
     @Override
@@ -110,11 +137,44 @@
         return (double) held.get() / budget;
     }
 
+    @Override
+    public long rejectedRequests() {
+        return rejected.get();
+    }
+
     @Override
     public long shedResponses() {
         return shed.get();
     }
 
+    private boolean makeRoom(MemoryHolder holder, long bytes) {
+        long now = clock.getAsLong();
+        Optional<List<HeldRequest>> decision;
+        synchronized (this) {
+            List<HeldRequest> others = holders.stream()
+                    .filter(other -> other != holder)
+                    .map(other -> other.request(now))
+                    .toList();
+            long responses = held.get() - requestBytes.get();
+            decision = RequestAdmissionPolicy.admit(others, holder.requestBytes() + bytes, responses, budget);
+            // Closed before the lock is released, so that no other thread makes room by the same requests.
+            decision.ifPresent(list -> list.forEach(r -> close(r.holder())));
+        }
+        decision.ifPresent(list -> list.forEach(r -> reject(r, now)));
+        return decision.isPresent();
+    }
+
+    private void reject(HeldRequest request, long now) {
+        rejected.incrementAndGet();
+        if (log.allowsFailed(now)) {
+            LOGGER.warn(
+                    "event=arriving-request-rejected bytes={} stalled_ms={}",
+                    request.bytes(),
+                    request.stalledNanos() / NANOS_PER_MILLI);
+        }
+        request.holder().breakOff();
+    }
+
     private void relieve(long sum, long now) {
         List<HeldResponse> chosen;
         synchronized (this) {
--- a/library/src/main/java/org/copperspindle/memory/HeldMemories.java
+++ b/library/src/main/java/org/copperspindle/memory/HeldMemories.java
@@ -16,6 +16,11 @@
      */
     private static final int HEAP_PARTS = 4;
 
+    /** Part of the maximum heap that may be held for operators, upstreams and probes: they are few. */
+    private static final int OPERATOR_HEAP_PARTS = 16;
+
+    private static final int MAX_LINES_PER_SECOND = 10;
+
     /**
      * Part of the process's memory that may be held: 24 MB of 330 MB, as large as a quarter of the heap of 96 MB that
      * such a process has. The rest is needed by the virtual machine, its compiled code, network buffers and threads.
@@ -37,12 +42,27 @@
     }
 
     /**
-     * Creates a budget that is never short, for listeners whose memory is bounded otherwise.
+     * Creates the budget of a process for its callers, by the size of its heap.
+     *
+     * @return an empty budget
+     */
+    public static HeldMemory ofCallers() {
+        return ofHeap(HEAP_PARTS);
+    }
+
+    /**
+     * Creates a budget for listeners that operators, upstreams and probes call, by the size of the heap. It is apart from
+     * that of callers, who could otherwise keep an operator's request out.
      *
      * @return an empty budget
      */
-    public static HeldMemory unlimited() {
-        return new BudgetedMemory(Long.MAX_VALUE, System::nanoTime, new LogRateLimiter(0, 0));
+    public static HeldMemory ofOperators() {
+        return ofHeap(OPERATOR_HEAP_PARTS);
+    }
+
+    private static HeldMemory ofHeap(int parts) {
+        LogRateLimiter log = new LogRateLimiter(0, MAX_LINES_PER_SECOND);
+        return create(Runtime.getRuntime().maxMemory() / parts, System::nanoTime, log);
     }
 
     /**
--- a/library/src/main/java/org/copperspindle/memory/HeldMemory.java
+++ b/library/src/main/java/org/copperspindle/memory/HeldMemory.java
@@ -1,14 +1,14 @@
 package org.copperspindle.memory;
 
 /**
- * The memory budget of a node for request bodies, buffered responses and unsent responses. A reservation is never
- * refused, because the bytes have arrived already; it may break off responses instead, as {@link SheddingPolicy}
- * decides. Thread-safe.
+ * The memory budget of a process for the requests and responses of its callers. Bytes of requests are admitted before
+ * they are held, as {@link RequestAdmissionPolicy} decides. Bytes of responses are always held, because they have arrived
+ * already; other responses may be broken off for them, as {@link SheddingPolicy} decides. Thread-safe.
  */
 public interface HeldMemory {
 
-    /** Bodies up to this size, in bytes, are read even while the budget is full: most requests have such bodies. */
-    int LARGE_BODY_BYTES = 64 << 10;
+    /** Requests up to this size, in bytes, have a part of the budget of their own: most requests are that small. */
+    int LARGE_REQUEST_BYTES = 64 << 10;
 
     /**
      * Adds a holder without bytes.
@@ -17,6 +17,17 @@
      */
     MemoryHolder open();
 
+    /**
+     * Reserves bytes of an arriving request, before they are held. Other arriving requests may be rejected for them
+     * before this returns.
+     *
+     * @param holder the holder
+     * @param kind   what the bytes are
+     * @param bytes  number of bytes
+     * @return false if there is no room: nothing was reserved, and the request must be rejected
+     */
+    boolean tryReserve(MemoryHolder holder, HeldKind kind, long bytes);
+
     /**
      * Reserves bytes. If that makes memory short, responses are broken off before this returns, possibly the
      * holder's own.
@@ -44,19 +55,18 @@
     void recordRead(MemoryHolder holder);
 
     /**
-     * Removes a holder and releases the bytes that it still has. Closing it again does nothing.
+     * Records that bytes of an arriving request were received.
      *
-     * @param holder the holder
+     * @param holder holder of the request
      */
-    void close(MemoryHolder holder);
+    void recordArrival(MemoryHolder holder);
 
     /**
-     * Returns whether a request body may be read.
+     * Removes a holder and releases the bytes that it still has. Closing it again does nothing.
      *
-     * @param bytes its size as far as known
-     * @return false if it is large and the budget is full
+     * @param holder the holder
      */
-    boolean mayReadBody(long bytes);
+    void close(MemoryHolder holder);
 
     /**
      * Returns the size of the budget.
@@ -86,6 +96,13 @@
      */
     double pressure();
 
+    /**
+     * Returns how many arriving requests were rejected to make room for others, or for lack of room.
+     *
+     * @return a count
+     */
+    long rejectedRequests();
+
     /**
      * Returns how many responses were broken off because memory was short.
      *
--- a/library/src/main/java/org/copperspindle/memory/MemoryHolder.java
+++ b/library/src/main/java/org/copperspindle/memory/MemoryHolder.java
@@ -14,6 +14,8 @@
     private boolean repeatable;
     private boolean started;
     private boolean closed;
+    private boolean arriving;
+    private long arrivedAt;
     private long readAt;
     private Runnable breakOff = () -> {};
 
@@ -30,6 +32,21 @@
         repeatable = canBeServed;
     }
 
+    /**
+     * Marks the request as arriving: it may be rejected for others, because nothing of it has run.
+     *
+     * @param reject rejects it; runs on the thread that reserves memory
+     */
+    public synchronized void startArrival(Runnable reject) {
+        arriving = true;
+        breakOff = reject;
+    }
+
+    /** Marks the request as passed on to be handled: from now on it is never rejected for others. */
+    public synchronized void endArrival() {
+        arriving = false;
+    }
+
     /** Records that the response has started. */
     public synchronized void responseStarted() {
         started = true;
@@ -78,6 +95,9 @@
             // The caller had read everything until now.
             readAt = now;
         }
+        if (kind.isRequest()) {
+            arrivedAt = now;
+        }
         bytesByKind[kind.ordinal()] += bytes;
         return bytes;
     }
@@ -89,12 +109,24 @@
         return removed;
     }
 
-    /** Closes the holder and returns how many bytes it still had. */
-    synchronized long close() {
+    /** Closes the holder. */
+    synchronized void close() {
         closed = true;
-        long rest = bytes();
         Arrays.fill(bytesByKind, 0);
-        return rest;
+    }
+
+    /** Returns how many bytes of the request are held. */
+    synchronized long requestBytes() {
+        return bytesByKind[HeldKind.REQUEST_HEAD.ordinal()] + bytesByKind[HeldKind.REQUEST_BODY.ordinal()];
+    }
+
+    synchronized void arrivedAt(long now) {
+        arrivedAt = now;
+    }
+
+    /** Returns what the admission of requests needs to know. */
+    synchronized HeldRequest request(long now) {
+        return new HeldRequest(this, requestBytes(), arriving, now - arrivedAt);
     }
 
     synchronized void readAt(long now) {
--- a/library/src/main/java/org/copperspindle/memory/SheddingPolicy.java
+++ b/library/src/main/java/org/copperspindle/memory/SheddingPolicy.java
@@ -67,18 +67,6 @@
         return chosen;
     }
 
-    /**
-     * Returns whether a request body may be read.
-     *
-     * @param bodyBytes   its size as far as known
-     * @param heldBytes   bytes held by all
-     * @param budgetBytes size of the budget
-     * @return false if it is large and the budget is full
-     */
-    static boolean mayReadBody(long bodyBytes, long heldBytes, long budgetBytes) {
-        return bodyBytes <= HeldMemory.LARGE_BODY_BYTES || heldBytes < FULL_PRESSURE * budgetBytes;
-    }
-
     /** Unread longest first; then all but small ones, those that may be repeated or resumed, not started, and the largest. */
     private static Comparator<HeldResponse> order(long budgetBytes) {
         return Comparator.comparingLong(SheddingPolicy::unreadUnits)
--- a/library/src/main/java/org/copperspindle/memory/package-info.java
+++ b/library/src/main/java/org/copperspindle/memory/package-info.java
@@ -1,5 +1,5 @@
 /**
- * The memory that a node holds for its callers: one budget, and the policy that decides which responses are broken off
- * when it runs short.
+ * The memory that a process holds for its callers: one budget, the policy that admits the bytes of arriving requests, and the
+ * policy that decides which responses are broken off when it runs short.
  */
 package org.copperspindle.memory;
