http: a body has a time of its own

Cause: one timeout ran from the first byte of a request to its last, by the name and value of the time for the head.

Change: the time for the head ends with the head, and the body has one of its own: the longer of `header-timeout` and `idle-timeout` at a node, `body-timeout` (30 s) in `[entry]`. Both are bounds of the whole part: a caller that drips still ends.

--- a/library/src/main/java/org/copperspindle/daemon/ProcessSettings.java
+++ b/library/src/main/java/org/copperspindle/daemon/ProcessSettings.java
@@ -170,6 +170,7 @@
                 (int) s.getBytes("max-body", 1, MAX_BODY_BYTES, Optional.of((long) d.maxBodyBytes())),
                 (int) s.getLong("max-connections", 1, 1_000_000, Optional.of((long) d.maxConnections())),
                 s.getDuration("read-timeout", Optional.of(d.readTimeout())),
+                s.getDuration("body-timeout", Optional.of(d.bodyTimeout())),
                 s.getDuration("idle-timeout", Optional.of(d.idleTimeout())),
                 s.getDuration("write-timeout", Optional.of(d.writeTimeout())),
                 s.getBytes("max-pending", 4 << 10, 64 << 20, Optional.of(d.maxPendingBytes())));
--- a/library/src/main/java/org/copperspindle/gateway/CallerHttpLimits.java
+++ b/library/src/main/java/org/copperspindle/gateway/CallerHttpLimits.java
@@ -1,5 +1,6 @@
 package org.copperspindle.gateway;
 
+import java.time.Duration;
 import java.util.Optional;
 import java.util.function.Supplier;
 
@@ -33,8 +34,13 @@
                 limits.maxBodyBytes(),
                 base.maxConnections(),
                 limits.headerTimeout(),
+                longer(limits.headerTimeout(), limits.idleTimeout()),
                 limits.idleTimeout(),
                 base.writeTimeout(),
                 Math.max(base.maxPendingBytes(), budgetBytes / RESPONSES_IN_BUDGET));
     }
+
+    private static Duration longer(Duration one, Duration other) {
+        return one.compareTo(other) < 0 ? other : one;
+    }
 }
--- a/library/src/main/java/org/copperspindle/http/HttpConnectionHandler.java
+++ b/library/src/main/java/org/copperspindle/http/HttpConnectionHandler.java
@@ -96,6 +96,9 @@
         try {
             if (!inputClosed) {
                 assembler.accept((HttpObject) part).ifPresent(this::onRequest);
+                if (part instanceof HttpRequest && !assembler.isIdle()) {
+                    startReadTimeout();
+                }
                 sendContinueIfExpected();
             }
         } finally {
@@ -390,9 +393,11 @@
             // This side has paused reading; the timeout starts when reading resumes.
             return;
         }
-        // One timeout for the whole request: a timeout that restarts with each byte would let a slow caller hold the
-        // connection forever.
-        readTimeout = schedule(limits.readTimeout(), () -> {
+        // One timeout for the whole head, and one for the whole body: a timeout that restarts with each byte would let
+        // a
+        // slow caller hold the connection forever.
+        Duration bound = assembler.isIdle() ? limits.readTimeout() : limits.bodyTimeout();
+        readTimeout = schedule(bound, () -> {
             counters.slowSender();
             refuse(ProblemDetails.notRun("request-timeout", 408, "the request did not arrive in time"));
         });
--- a/library/src/main/java/org/copperspindle/http/HttpLimits.java
+++ b/library/src/main/java/org/copperspindle/http/HttpLimits.java
@@ -9,7 +9,8 @@
  * @param maxHeaderBytes  total size of all header fields
  * @param maxBodyBytes    longest body
  * @param maxConnections  most open connections; further ones are refused
- * @param readTimeout     longest time from the first byte of a request to its last, however slowly they arrive
+ * @param readTimeout     longest time from the first byte of a request to the end of its head, however slowly they arrive
+ * @param bodyTimeout     longest time from the end of the head to that of the body
  * @param idleTimeout     longest wait for the next request on a persistent connection
  * @param writeTimeout    longest time that a caller may leave a response unread
  * @param maxPendingBytes most bytes of a chunked response that may wait for a slow caller
@@ -20,6 +21,7 @@
         int maxBodyBytes,
         int maxConnections,
         Duration readTimeout,
+        Duration bodyTimeout,
         Duration idleTimeout,
         Duration writeTimeout,
         long maxPendingBytes) {
@@ -31,6 +33,7 @@
             1 << 20,
             10_000,
             Duration.ofSeconds(10),
+            Duration.ofSeconds(30),
             Duration.ofSeconds(75),
             Duration.ofSeconds(30),
             256 << 10);
@@ -42,7 +45,7 @@
      * @param maxHeaderBytes total size of all header fields
      * @param maxBodyBytes   longest body
      * @param maxConnections most open connections
-     * @param readTimeout    longest time from the first byte of a request to its last
+     * @param readTimeout    longest time for the head, and for the body
      */
     public HttpLimits(
             int maxLineBytes, int maxHeaderBytes, int maxBodyBytes, int maxConnections, Duration readTimeout) {
@@ -52,6 +55,7 @@
                 maxBodyBytes,
                 maxConnections,
                 readTimeout,
+                readTimeout,
                 DEFAULT.idleTimeout,
                 DEFAULT.writeTimeout,
                 DEFAULT.maxPendingBytes);
@@ -70,6 +74,7 @@
                 bytes,
                 maxConnections,
                 readTimeout,
+                bodyTimeout,
                 idleTimeout,
                 writeTimeout,
                 maxPendingBytes);
