http: connections take turns when their bytes take long to decode

What callers saw: 800 clients with bodies in chunks of one byte kept a node from anything else for some 7 s. Its peers counted it as lost, a new leader was elected, ordinary requests stayed unanswered.

Cause: the thread that reads callers also answers other nodes, renews the lease and serves everybody else. In one look at its connections it decoded everything that each of them had sent, at 0.7 us for a chunk of one byte and more for a small pipelined request, one connection after the other.

Change: a connection decodes 256 units at a time (a chunk or a header line is one, a request 32). What is left waits, counted like all that is kept, and isn't read on. Waiting connections go on one after the other, 2,048 units between two looks of the thread at all its connections. The time of the thread is shared by what is ready, not by a clock, so that a connection alone is not slowed.

Why it holds: each look decodes at most 256 units of each connection that became ready since the last one, which then waits, and 2,048 of all that wait.

--- a/library/src/main/java/org/copperspindle/http/HttpConnectionHandler.java
+++ b/library/src/main/java/org/copperspindle/http/HttpConnectionHandler.java
@@ -64,6 +64,7 @@
             HttpCounters counters,
             HttpRequestHandler handler,
             HeldMemory memory,
+            DecodingTurns turns,
             BooleanSupplier stopping) {
         this.limits = limits;
         this.counters = counters;
@@ -72,7 +73,7 @@
         this.memory = memory;
         this.arriving = new ArrivingRequest(memory, this::rejectArriving);
         this.assembler = new RequestAssembler(limits.maxBodyBytes(), arriving);
-        this.decoder = new StrictRequestDecoder(limits, arriving, this);
+        this.decoder = new StrictRequestDecoder(limits, arriving, turns, this);
     }
 
     /** Returns the decoder of this connection's requests. */
@@ -85,6 +86,11 @@
         return queuedRequests.size() < MAX_QUEUED_REQUESTS;
     }
 
+    @Override
+    public void onTurnsEnded() {
+        updateReading();
+    }
+
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
         context = ctx;
@@ -240,11 +246,11 @@
     }
 
     /**
-     * Reads while requests are taken. This bounds what a caller that sends requests without
+     * Reads while requests are taken and nothing waits to be decoded. This bounds what a caller that sends requests without
      * reading responses can have held to these requests and the bytes of one read.
      */
     private void updateReading() {
-        boolean reads = inputClosed || takesRequests();
+        boolean reads = inputClosed || takesRequests() && !decoder.isAwaitingTurn();
         if (context.channel().config().isAutoRead() != reads) {
             context.channel().config().setAutoRead(reads);
         }
--- a/library/src/main/java/org/copperspindle/http/HttpListener.java
+++ b/library/src/main/java/org/copperspindle/http/HttpListener.java
@@ -2,7 +2,9 @@
 
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
@@ -12,6 +14,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.ServerChannelRecvByteBufAllocator;
@@ -66,6 +69,7 @@
     private final ConnectionAdmission admission;
     private final HttpCounters counters = new HttpCounters();
     private final ChannelGroup openChannels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+    private final Map<EventLoop, DecodingTurns> turns = new ConcurrentHashMap<>();
     private volatile boolean stopping;
 
     /**
@@ -288,8 +292,9 @@
                 return;
             }
             openChannels.add(accepted);
+            DecodingTurns ofThread = turns.computeIfAbsent(accepted.eventLoop(), DecodingTurns::new);
             HttpConnectionHandler connection =
-                    new HttpConnectionHandler(current, counters, handler, memory, () -> stopping);
+                    new HttpConnectionHandler(current, counters, handler, memory, ofThread, () -> stopping);
             accepted.pipeline()
                     // Parts of responses that are written together are sent with one system call.
                     .addLast(new FlushConsolidationHandler(MAX_WRITES_BEFORE_FLUSH, true))
--- a/library/src/main/java/org/copperspindle/http/StrictRequestDecoder.java
+++ b/library/src/main/java/org/copperspindle/http/StrictRequestDecoder.java
@@ -13,7 +13,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 
 /**
- * Strict variant of Netty's request decoder, which bounds what it keeps.
+ * Strict variant of Netty's request decoder, which bounds what it keeps and how long it works.
  *
  * <p>It refuses messages that a load balancer in front and this process could parse differently: those with both
  * Content-Length and Transfer-Encoding, and those with folded header lines (RFC 9112, 5.2 and 6.1). It fires an event when
@@ -21,10 +21,10 @@
  *
  * <p>Netty's decoder turns each line into objects as soon as it has arrived, keeps an incomplete line in the buffer that it was
  * read into, and decodes everything that was read in one go. This one decodes a head only when it is complete and there is
- * room for what it becomes, keeps incomplete bytes in an array of their size, whose room is reserved as well, and decodes
- * no more requests than the connection takes.
+ * room for what it becomes, keeps incomplete bytes in an array of their size, whose room is reserved as well, and takes
+ * {@linkplain DecodingTurns turns}.
  */
-final class StrictRequestDecoder extends HttpRequestDecoder {
+final class StrictRequestDecoder extends HttpRequestDecoder implements DecodingTurns.Decoder {
 
     /** Fired as a user event at the first byte of each request. */
     static final Object REQUEST_STARTED = new Object();
@@ -33,6 +33,7 @@
     private static final int MAX_SPARE_PARTS = 4;
 
     private final ArrivingRequest arriving;
+    private final DecodingTurns turns;
     private final Connection connection;
     private final RequestHeadScanner scanner;
     private final List<Object> parts = new ArrayList<>();
@@ -41,9 +42,10 @@
     private boolean inHead = true;
     private boolean requestStarted;
     private boolean decoding;
+    private boolean awaitingTurn;
     private boolean discarding;
 
-    StrictRequestDecoder(HttpLimits limits, ArrivingRequest arriving, Connection connection) {
+    StrictRequestDecoder(HttpLimits limits, ArrivingRequest arriving, DecodingTurns turns, Connection connection) {
         super(new HttpDecoderConfig()
                 .setMaxInitialLineLength(limits.maxLineBytes())
                 .setMaxHeaderSize(limits.maxHeaderBytes())
@@ -51,14 +53,20 @@
                 .setTrailersFactory(DiscardedTrailers.FACTORY)
                 .setStrictLineParsing(true));
         this.arriving = arriving;
+        this.turns = turns;
         this.connection = connection;
         this.scanner = new RequestHeadScanner(limits);
     }
 
+    /** Returns whether bytes that have arrived wait for their turn; no more should be read until then. */
+    boolean isAwaitingTurn() {
+        return awaitingTurn;
+    }
+
     /** Goes on with bytes that were kept because the connection did not take more requests. */
     void resume() {
-        if (kept.isReadable() && !decoding) {
-            decodeAll(kept);
+        if (kept.isReadable() && !decoding && !awaitingTurn) {
+            awaitTurn();
         }
     }
 
@@ -80,7 +88,7 @@
         try {
             if (!discarding) {
                 arriving.recordArrival();
-                decodeAll(join(bytes));
+                decodeTurn(join(bytes));
             }
         } finally {
             bytes.release();
@@ -93,6 +101,16 @@
         ctx.fireChannelReadComplete();
     }
 
+    @Override
+    public int decodeWaiting() {
+        awaitingTurn = false;
+        int units = discarding ? 0 : decodeTurn(kept);
+        if (!awaitingTurn) {
+            connection.onTurnsEnded();
+        }
+        return units;
+    }
+
     @Override
     protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
         throw new IllegalArgumentException("both Content-Length and Transfer-Encoding");
@@ -102,43 +120,56 @@
         return kept.isReadable() ? kept.writeBytes(bytes) : bytes;
     }
 
-    private void decodeAll(ByteBuf input) {
+    private int decodeTurn(ByteBuf input) {
         try {
-            decoding = true;
-            while (decoding && input.isReadable() && connection.takesRequests()) {
-                decoding = (inHead ? decodeHead(input) : decodeBody(input)) && !discarding;
-            }
+            int units = decodeUnits(input);
             keep(input);
+            if (units >= DecodingTurns.CONNECTION_UNITS && kept.isReadable() && connection.takesRequests()) {
+                awaitTurn();
+            }
+            return units;
         } catch (Exception e) {
             discard();
             context.fireExceptionCaught(e);
-        } finally {
-            decoding = false;
+            return 0;
+        }
+    }
+
+    private int decodeUnits(ByteBuf input) throws Exception {
+        int units = 0;
+        decoding = !awaitingTurn;
+        while (decoding && input.isReadable() && connection.takesRequests()) {
+            int decoded = inHead ? decodeHead(input) : decodeBody(input);
+            units += decoded;
+            decoding = decoded > 0 && units < DecodingTurns.CONNECTION_UNITS && !discarding;
         }
+        decoding = false;
+        return units;
     }
 
-    /** Returns false if the head is not complete. */
-    private boolean decodeHead(ByteBuf input) throws Exception {
+    /** Returns the units that were decoded; 0 if the head is not complete. */
+    private int decodeHead(ByteBuf input) throws Exception {
         if (!requestStarted) {
             requestStarted = true;
             context.fireUserEventTriggered(REQUEST_STARTED);
         }
         if (!scanner.scan(input)) {
-            return false;
+            return 0;
         }
-        if (!arriving.reserveHead(RequestHeadMemory.of(scanner.lines(), scanner.scannedBytes()))) {
+        int lines = scanner.lines();
+        if (!arriving.reserveHead(RequestHeadMemory.of(lines, scanner.scannedBytes()))) {
             throw new MemoryShortException();
         }
         ByteBuf head = input.readSlice(scanner.scannedBytes());
         scanner.reset();
-        while (head.isReadable() && decodeBody(head)) {
+        while (head.isReadable() && decodeBody(head) > 0) {
             // Netty's decoder may take several steps.
         }
-        return true;
+        return lines + DecodingTurns.REQUEST_UNITS;
     }
 
-    /** Returns false if more bytes are needed. */
-    private boolean decodeBody(ByteBuf input) throws Exception {
+    /** Returns the units that were decoded; 0 if more bytes are needed. */
+    private int decodeBody(ByteBuf input) throws Exception {
         int before = input.readableBytes();
         decode(context, input, parts);
         boolean decoded = input.readableBytes() < before || !parts.isEmpty();
@@ -147,7 +178,7 @@
             context.fireChannelRead(part);
         }
         parts.clear();
-        return decoded;
+        return decoded ? 1 : 0;
     }
 
     private void updateState(Object part) {
@@ -183,10 +214,18 @@
         }
     }
 
+    private void awaitTurn() {
+        awaitingTurn = true;
+        turns.await(this);
+    }
+
     /** The connection whose bytes are decoded. */
     interface Connection {
 
         /** Returns whether another request, or more of one, can be taken now. */
         boolean takesRequests();
+
+        /** Bytes no longer wait for a turn, so more can be read. */
+        void onTurnsEnded();
     }
 }
--- a/library/src/test/java/org/copperspindle/http/EmbeddedCaller.java
+++ b/library/src/test/java/org/copperspindle/http/EmbeddedCaller.java
@@ -39,7 +39,12 @@
     public EmbeddedCaller(List<HeaderField> fields) {
         channel = new EmbeddedChannel(new CloseRecorder());
         HttpConnectionHandler handler = new HttpConnectionHandler(
-                HttpLimits.DEFAULT, new HttpCounters(), exchange::set, HeldMemories.ofCallers(), () -> false);
+                HttpLimits.DEFAULT,
+                new HttpCounters(),
+                exchange::set,
+                HeldMemories.ofCallers(),
+                new DecodingTurns(channel.eventLoop()),
+                () -> false);
         channel.pipeline().addLast(handler);
         channel.pipeline().fireChannelActive();
         DefaultHttpRequest head = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/x");
