direct: a long body is written as fast as its upstream reads

Cause: a call was written in one piece. The connection copies what is written to direct memory (32 MB at a node), so each body was held a second time until its upstream had read it, and once more for each attempt at another one.

Change: RequestWriter writes a body of more than 64 KB in parts of 32 KB while the connection takes more, 64 KB and a part at a time. Smaller ones are written as before.

DirectConnectionTest and DirectClientTest are unchanged.

Why it holds: a call whose response comes before its end is not kept, as before, so no rest of a body can follow on the connection.

--- a/library/src/main/java/org/copperspindle/direct/DirectConnection.java
+++ b/library/src/main/java/org/copperspindle/direct/DirectConnection.java
@@ -1,23 +1,17 @@
 package org.copperspindle.direct;
 
-import java.util.List;
 import java.util.Optional;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
@@ -47,6 +41,7 @@
     private Channel channel;
     private String upstream = "";
     private DirectExchange exchange;
+    private Optional<RequestWriter> writer = Optional.empty();
     private boolean usedBefore;
     private boolean requestWritten;
     private boolean reset;
@@ -81,12 +76,13 @@
         decoder.expectResponse(next.call().method());
         responseComplete = false;
         next.sendingOn(this);
-        channel.writeAndFlush(request(next.call())).addListener(result -> {
+        writer = Optional.of(new RequestWriter(channel, next.call(), result -> {
             requestWritten = result.isSuccess();
             if (!requestWritten) {
                 channel.close();
             }
-        });
+        }));
+        writer.get().start();
     }
 
     /**
@@ -177,6 +173,12 @@
         ctx.fireChannelReadComplete();
     }
 
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+        writer.ifPresent(RequestWriter::resume);
+        ctx.fireChannelWritabilityChanged();
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         DirectExchange lost = exchange;
@@ -329,21 +331,6 @@
         }
     }
 
-    private static DefaultFullHttpRequest request(DirectCall call) {
-        DefaultFullHttpRequest request = new DefaultFullHttpRequest(
-                HttpVersion.HTTP_1_1,
-                HttpMethod.valueOf(call.method()),
-                call.uri(),
-                Unpooled.wrappedBuffer(call.body()));
-        List<HeaderField> fields = call.fields();
-        fields.forEach(field -> request.headers().add(field.name(), field.value()));
-        boolean mayHaveBody = !call.method().equals("GET") && !call.method().equals("HEAD");
-        if (call.body().length > 0 || mayHaveBody) {
-            request.headers().set(HttpHeaderNames.CONTENT_LENGTH, call.body().length);
-        }
-        return request;
-    }
-
     /** Hands out the connections, and takes them back. */
     interface Pool {
         /** The connection can carry another call. */
