gateway: pieces and members of lists are admitted by what they take

What callers saw: one request with a number of pieces of 50 million, nine bytes in one header field, ended a node (exit code 3), and with it all requests in progress.

Cause: the plan of the stages allocates an array of that number. The largest number that the field can hold exceeds what the virtual machine can allocate at all. Besides, a piece takes some hundred bytes until its request has ended, and a member of a list in one field as much as a line; neither was counted.

Change: a request names at most 4,096 pieces of all stages together (400, "bad-request"); the users' deployments name at most some hundred. Each takes 512 bytes of the budget before the plan is made; 503 `memory-short` otherwise, NOT_RUN. Members of lists count like lines of the head.

Why it holds: what a number in a header allocates is bounded by the number's own limit, and what all of them allocate by the budget.

--- a/library/src/main/java/org/copperspindle/dialect/HeaderCallerDialect.java
+++ b/library/src/main/java/org/copperspindle/dialect/HeaderCallerDialect.java
@@ -20,6 +20,9 @@
  */
 public final class HeaderCallerDialect implements CallerDialect {
 
+    /** Pieces of all stages of one request. A number costs its caller a few bytes, and this process memory for each piece. */
+    private static final int MAX_PIECES = 4096;
+
     private static final String BEARER = "bearer ";
     private static final double MILLIS_PER_SECOND = 1000;
 
@@ -109,7 +112,12 @@
     }
 
     private List<Integer> pieces(String text) {
-        return split(text).stream().map(count -> number(names.pieces(), count)).toList();
+        List<Integer> counts =
+                split(text).stream().map(count -> number(names.pieces(), count)).toList();
+        if (counts.stream().mapToLong(Integer::longValue).sum() > MAX_PIECES) {
+            throw new IllegalArgumentException(names.pieces() + " names more than " + MAX_PIECES + " pieces");
+        }
+        return counts;
     }
 
     private static List<String> split(String text) {
--- a/library/src/main/java/org/copperspindle/gateway/GatewayService.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayService.java
@@ -8,6 +8,7 @@
 import org.apache.logging.log4j.Logger;
 import org.copperspindle.http.HttpExchange;
 import org.copperspindle.http.HttpRequestHandler;
+import org.copperspindle.memory.HeldKind;
 import org.copperspindle.route.ClientAccount;
 import org.copperspindle.route.Route;
 import org.copperspindle.route.RouteKind;
@@ -19,6 +20,11 @@
  */
 final class GatewayService implements HttpRequestHandler {
 
+    /** What one piece of a stage takes until its request has ended: its task, its place in queues, and its result. */
+    private static final int PIECE_BYTES = 512;
+
+    private static final Duration MEMORY_RETRY_AFTER = Duration.ofSeconds(1);
+
     private static final Logger LOGGER = LogManager.getLogger(GatewayService.class);
 
     /** Retry delay while this node stops: another node can accept the request at once. */
@@ -98,6 +104,12 @@
             refuse(exchange, request.id(), Refusal.unknownKey(), table);
             return;
         }
+        if (!reservePieces(exchange, route.get(), request)) {
+            Refusal refusal =
+                    Refusal.unavailable("memory-short", "there is no memory for the pieces now", MEMORY_RETRY_AFTER);
+            refuse(exchange, request.id(), refusal, table);
+            return;
+        }
         String pool = route.get().choosePool(poolDraw(route.get(), request));
         long waited = priorWaits.waitedMillis(route.get().name(), request.deadlineMillis());
         RequestTimes times = RequestTimes.of(
@@ -106,6 +118,15 @@
         new RequestRun(context, exchange, admitted).start();
     }
 
+    private boolean reservePieces(HttpExchange exchange, Route route, GatewayRequest request) {
+        long pieces = request.pieces().stream()
+                .limit(route.stages().size())
+                .mapToLong(Integer::longValue)
+                .sum();
+        return pieces == 0
+                || context.memory().tryReserve(exchange.memoryHolder(), HeldKind.REQUEST_HEAD, pieces * PIECE_BYTES);
+    }
+
     /**
      * Draws a number for the choice of the pool. Requests of one stream draw the same one: only the pool in which a
      * stream began can continue it.
--- a/library/src/main/java/org/copperspindle/http/DecodingTurns.java
+++ b/library/src/main/java/org/copperspindle/http/DecodingTurns.java
@@ -11,7 +11,7 @@
  */
 final class DecodingTurns {
 
-    /** Units that a connection decodes in one turn. A chunk or a header line is one unit. */
+    /** Units that a connection decodes in one turn. A chunk, a header line or a member of a list in one is one unit. */
     static final int CONNECTION_UNITS = 256;
 
     /** Units of a whole request, which takes much longer to handle than to decode. */
--- a/library/src/main/java/org/copperspindle/http/RequestHeadScanner.java
+++ b/library/src/main/java/org/copperspindle/http/RequestHeadScanner.java
@@ -7,20 +7,22 @@
 import io.netty.handler.codec.http.TooLongHttpLineException;
 
 /**
- * Finds the end of the head of a request before anything of it is decoded, and counts its lines: the memory that a head takes
- * depends on the number of its lines more than on their length. Looks at each byte once, however the bytes arrive. Line
+ * Finds the end of the head of a request before anything of it is decoded, and counts its items: lines, and members of lists
+ * within a line. The memory that a head takes depends on their number more than on their length. Looks at each byte once, however the bytes arrive. Line
  * terminators don't count towards the limits, as in Netty's decoder.
  */
 final class RequestHeadScanner {
 
     private static final byte CARRIAGE_RETURN = '\r';
     private static final byte LINE_FEED = '\n';
+    private static final byte SEPARATOR = ',';
 
     private final int maxLineBytes;
     private final int maxHeaderBytes;
     private int scanned;
     private int lineStart;
     private int lines;
+    private int separators;
     private int fieldBytes;
 
     RequestHeadScanner(HttpLimits limits) {
@@ -33,12 +35,13 @@
         scanned = 0;
         lineStart = 0;
         lines = 0;
+        separators = 0;
         fieldBytes = 0;
     }
 
-    /** Returns the number of lines so far, the request line included. */
-    int lines() {
-        return lines;
+    /** Returns the number of lines, the request line included, and of further members of lists. */
+    int items() {
+        return lines + separators;
     }
 
     /** Returns the number of bytes that were looked at, which is the length of the head once it is complete. */
@@ -81,10 +84,21 @@
             return lines > 0;
         }
         fieldBytes += lines > 0 ? length : 0;
+        separators += separators(input, start, lineFeed);
         lines++;
         return false;
     }
 
+    private static int separators(ByteBuf input, int start, int end) {
+        int count = 0;
+        int next = ByteBufUtil.indexOf(input, start, end, SEPARATOR);
+        while (next >= 0) {
+            count++;
+            next = ByteBufUtil.indexOf(input, next + 1, end, SEPARATOR);
+        }
+        return count;
+    }
+
     /** Refuses lines that begin with a space, which servers read in different ways (RFC 9112, 5.2). */
     private static void checkFolding(ByteBuf input, int start, int end) {
         if (start < end && (input.getByte(start) == ' ' || input.getByte(start) == '\t')) {
--- a/library/src/main/java/org/copperspindle/http/StrictRequestDecoder.java
+++ b/library/src/main/java/org/copperspindle/http/StrictRequestDecoder.java
@@ -156,8 +156,8 @@
         if (!scanner.scan(input)) {
             return 0;
         }
-        int lines = scanner.lines();
-        if (!arriving.reserveHead(RequestHeadMemory.of(lines, scanner.scannedBytes()))) {
+        int items = scanner.items();
+        if (!arriving.reserveHead(RequestHeadMemory.of(items, scanner.scannedBytes()))) {
             throw new MemoryShortException();
         }
         ByteBuf head = input.readSlice(scanner.scannedBytes());
@@ -165,7 +165,7 @@
         while (head.isReadable() && decodeBody(head) > 0) {
             // Netty's decoder may take several steps.
         }
-        return lines + DecodingTurns.REQUEST_UNITS;
+        return items + DecodingTurns.REQUEST_UNITS;
     }
 
     /** Returns the units that were decoded; 0 if more bytes are needed. */
--- a/library/src/test/java/org/copperspindle/http/RequestHeadScannerTest.java
+++ b/library/src/test/java/org/copperspindle/http/RequestHeadScannerTest.java
@@ -26,9 +26,10 @@
         "'GET / HTTP/1.1\r\nHost: a\r\n\r\n', 2",
         "'GET / HTTP/1.1\r\n\r\n', 1",
         "'\r\n\r\nGET / HTTP/1.1\r\na:\r\nb:\r\n\r\n', 3",
-        "'GET / HTTP/1.1\nHost: a\n\n', 2"
+        "'GET / HTTP/1.1\nHost: a\n\n', 2",
+        "'GET / HTTP/1.1\r\na: 1,2,3\r\nb:,\r\n\r\n', 6"
     })
-    void endIsFoundInAnyPieces(String head, int lines) {
+    void endIsFoundInAnyPieces(String head, int items) {
         for (int piece = 1; piece <= head.length(); piece++) {
             RequestHeadScanner scanner = new RequestHeadScanner(LIMITS);
             ByteBuf input = Unpooled.buffer();
@@ -40,7 +41,7 @@
                 complete = scanner.scan(input);
             }
             assertThat(complete).isTrue();
-            assertThat(scanner.lines()).isEqualTo(lines);
+            assertThat(scanner.items()).isEqualTo(items);
             assertThat(scanner.scannedBytes()).isEqualTo(head.length());
         }
     }
--- a/tools/src/test/java/org/copperspindle/cli/NodeUnderCrowdTest.java
+++ b/tools/src/test/java/org/copperspindle/cli/NodeUnderCrowdTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -26,9 +27,12 @@
             + "header-timeout = 5s\nidle-timeout = 10s\n[pool web]\n[pool silent]\n"
             + "[route web]\nhost = h\npath-prefix = /web/\nkind = safe\ntimeout = 5s\nobjective = 1s\npools = web\n"
             + "[route silent]\nhost = h\npath-prefix = /silent/\nkind = safe\ntimeout = 5s\nobjective = 1s\n"
-            + "pools = silent\n";
+            + "pools = silent\n[pool encoders]\npieces-in-a-call = 8\ncall-time = 10ms\npiece-time = 1ms\n"
+            + "result-memory = 1MiB\nresult-kept = 4s\n[route staged]\nhost = h\npath-prefix = /staged/\nkind = safe\n"
+            + "timeout = 5s\nobjective = 1s\npools = silent\n[stage staged/0]\npool = encoders\nresult-size = 1KiB\n";
     private static final String WEB = "POST /web/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: r1\r\n";
     private static final String SILENT = "POST /silent/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: r2\r\n";
+    private static final String STAGED = "POST /staged/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: r3\r\n";
     private static final String OPERATOR = " HTTP/1.1\r\nHost: c\r\n";
     private static final String ORDINARY_BODY = "a".repeat(200);
     private static final int UPLOADS = 60;
@@ -64,7 +68,9 @@
                         + "\n");
         RawCall.untilServed("table accepted", node, control, "PUT /v1/table" + OPERATOR, TABLE);
         announce(control, "web", web.address());
-        announce(control, "silent", NumericAddress.format((InetSocketAddress) silent.getLocalSocketAddress()));
+        String silentAddress = NumericAddress.format((InetSocketAddress) silent.getLocalSocketAddress());
+        announce(control, "silent", silentAddress);
+        announce(control, "encoders", silentAddress);
         RawCall.untilServed("ready", node, callers, WEB, ORDINARY_BODY);
     }
 
@@ -82,6 +88,23 @@
         ProcessBounds.checkUnder(kind, node, callers, WEB, ORDINARY_BODY);
     }
 
+    /**
+     * Guards against header fields of a few bytes, or a list in one field, that become much more in memory: numbers of pieces
+     * to be made, and parts of a prompt.
+     */
+    @ParameterizedTest
+    @CsvSource({
+        "1, Copperspindle-Pieces: 2147483647, 1, ''",
+        "1, Copperspindle-Pieces: 50000000, 1, ''",
+        "400, Copperspindle-Pieces: 4000, 1, ''",
+        "400, 'Copperspindle-Prompt: ', 3900, '1:1,'"
+    })
+    void valuesInHeadersAreBorne(int clients, String field, int repeats, String repeated) throws Exception {
+        String request = STAGED + field + repeated.repeat(repeats) + "\r\nContent-Length: 0\r\n\r\n";
+        ProcessBounds.checkUnder(
+                clients, request.getBytes(StandardCharsets.US_ASCII), node, callers, WEB, ORDINARY_BODY);
+    }
+
     /** Guards against whole bodies that fill the memory on their way to an upstream that doesn't read. */
     @Test
     void uploadsToSilentUpstreamAreBorne() throws Exception {
--- a/tools/src/test/java/org/copperspindle/cli/ProcessBounds.java
+++ b/tools/src/test/java/org/copperspindle/cli/ProcessBounds.java
@@ -25,8 +25,20 @@
     static void checkUnder(
             CrowdKind kind, DaemonProcess process, InetSocketAddress callers, String start, String ordinaryBody)
             throws IOException {
+        checkUnder(kind.clients(), kind.bytesAfter(start), process, callers, start, ordinaryBody);
+    }
+
+    /** Does the same with clients that all send these bytes. */
+    static void checkUnder(
+            int clients,
+            byte[] bytes,
+            DaemonProcess process,
+            InetSocketAddress callers,
+            String start,
+            String ordinaryBody)
+            throws IOException {
         long before = process.descriptors();
-        try (ClientCrowd crowd = new ClientCrowd(callers, kind.clients(), kind.bytesAfter(start))) {
+        try (ClientCrowd crowd = new ClientCrowd(callers, clients, bytes)) {
             crowd.send();
             assertThat(process.isAlive()).as(process.lastLines()).isTrue();
             assertThat(process.descriptors()).isLessThanOrEqualTo(DESCRIPTORS);
