http: a connection without a whole request gives way to a new one

What callers saw: silent or half-open connections up to the limit of a listener kept ordinary callers out until they timed out, and then again when the same clients came back.

Cause: at the limit the newest connection was closed or refused, whatever the others did.

Change: at the limit, the oldest connection on which no whole request has arrived is closed for the new one. A limit on load (an overloaded node) makes none give way. The count is in HttpCounters.

Why it holds: an ordinary caller sends its request within moments of its connection, and becomes the oldest unused one only if the limit's worth of connections is opened meanwhile. Connections that have been used are not closed for others.

--- a/library/src/main/java/org/copperspindle/http/ConnectionAdmission.java
+++ b/library/src/main/java/org/copperspindle/http/ConnectionAdmission.java
@@ -16,4 +16,14 @@
      * @return false to close it without an answer, so that its caller tries elsewhere
      */
     boolean admits(int openConnections);
+
+    /**
+     * Returns whether there may be so many connections at all. If not, one that is not used may give way.
+     *
+     * @param openConnections open connections, including a new one
+     * @return false if there are too many, whatever the load
+     */
+    default boolean hasRoom(int openConnections) {
+        return true;
+    }
 }
--- a/library/src/main/java/org/copperspindle/http/HttpCounters.java
+++ b/library/src/main/java/org/copperspindle/http/HttpCounters.java
@@ -13,6 +13,7 @@
     private final LongAdder requests = new LongAdder();
     private final LongAdder refusedConnections = new LongAdder();
     private final LongAdder shedConnections = new LongAdder();
+    private final LongAdder replacedConnections = new LongAdder();
     private final LongAdder refusedRequests = new LongAdder();
     private final LongAdder slowSenders = new LongAdder();
     private final LongAdder slowReaders = new LongAdder();
@@ -44,6 +45,10 @@
         shedConnections.increment();
     }
 
+    void replacedConnection() {
+        replacedConnections.increment();
+    }
+
     void refusedRequest() {
         refusedRequests.increment();
     }
@@ -100,6 +105,15 @@
         return shedConnections.sum();
     }
 
+    /**
+     * Returns the number of connections without a whole request that were closed because there was no room for a new one.
+     *
+     * @return a count
+     */
+    public long replacedConnections() {
+        return replacedConnections.sum();
+    }
+
     /**
      * Returns the number of connections refused because too many were open.
      *
--- a/library/src/main/java/org/copperspindle/http/HttpListener.java
+++ b/library/src/main/java/org/copperspindle/http/HttpListener.java
@@ -69,6 +69,7 @@
     private final ConnectionAdmission admission;
     private final HttpCounters counters = new HttpCounters();
     private final ChannelGroup openChannels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+    private final UnusedConnections unused = new UnusedConnections();
     private final Map<EventLoop, DecodingTurns> turns = new ConcurrentHashMap<>();
     private volatile boolean stopping;
 
@@ -279,12 +280,16 @@
         protected void initChannel(SocketChannel accepted) {
             int connections = counters.connected();
             accepted.closeFuture().addListener(closed -> counters.disconnected());
+            HttpLimits current = limits.get();
+            if (!hasRoom(current, connections) && unused.closeOldest()) {
+                counters.replacedConnection();
+                connections--;
+            }
             if (!admission.admits(connections)) {
                 counters.shedConnection();
                 accepted.eventLoop().execute(accepted::close);
                 return;
             }
-            HttpLimits current = limits.get();
             if (connections > current.maxConnections()) {
                 counters.refusedConnection();
                 accepted.pipeline().addLast(new HttpResponseEncoder());
@@ -292,9 +297,11 @@
                 return;
             }
             openChannels.add(accepted);
+            unused.add(accepted);
+            accepted.closeFuture().addListener(closed -> unused.remove(accepted));
             DecodingTurns ofThread = turns.computeIfAbsent(accepted.eventLoop(), DecodingTurns::new);
-            HttpConnectionHandler connection =
-                    new HttpConnectionHandler(current, counters, handler, memory, ofThread, () -> stopping);
+            HttpConnectionHandler connection = new HttpConnectionHandler(
+                    current, counters, requestHandler(accepted), memory, ofThread, () -> stopping);
             accepted.pipeline()
                     // Parts of responses that are written together are sent with one system call.
                     .addLast(new FlushConsolidationHandler(MAX_WRITES_BEFORE_FLUSH, true))
@@ -303,6 +310,17 @@
                     .addLast(connection);
         }
 
+        private boolean hasRoom(HttpLimits current, int connections) {
+            return connections <= current.maxConnections() && admission.hasRoom(connections);
+        }
+
+        private HttpRequestHandler requestHandler(SocketChannel accepted) {
+            return exchange -> {
+                unused.remove(accepted);
+                handler.handle(exchange);
+            };
+        }
+
         private void refuse(SocketChannel accepted) {
             ProblemDetails problem = new ProblemDetails(
                     HttpResponseStatus.SERVICE_UNAVAILABLE.code(),
--- a/library/src/main/java/org/copperspindle/overload/ShedConnections.java
+++ b/library/src/main/java/org/copperspindle/overload/ShedConnections.java
@@ -36,6 +36,11 @@
 
     @Override
     public boolean admits(int openConnections) {
-        return openConnections <= maxConnections && tryAdmit.getAsBoolean();
+        return hasRoom(openConnections) && tryAdmit.getAsBoolean();
+    }
+
+    @Override
+    public boolean hasRoom(int openConnections) {
+        return openConnections <= maxConnections;
     }
 }
