direct: parts of a long body are written one after the other

Cause: RequestWriter is called when its own write changes whether the connection is writable, and wrote the next part from there, inside the encoder, which then fails.

Change: it doesn't write while it writes.

--- a/library/src/main/java/org/copperspindle/direct/RequestWriter.java
+++ b/library/src/main/java/org/copperspindle/direct/RequestWriter.java
@@ -32,6 +32,7 @@
     private final DirectCall call;
     private final ChannelFutureListener done;
     private int written;
+    private boolean writing;
 
     /**
      * Creates a writer.
@@ -63,13 +64,19 @@
 
     /** Goes on when the connection can take more. */
     void resume() {
-        if (written == call.body().length) {
+        if (writing || written == call.body().length) {
             return;
         }
+        // A write can change whether the connection is writable, which calls this again, and the encoder can't be
+        // entered twice.
+        writing = true;
         while (written < call.body().length && channel.isWritable()) {
             writePart();
+            if (!channel.isWritable() || written == call.body().length) {
+                channel.flush();
+            }
         }
-        channel.flush();
+        writing = false;
     }
 
     private void writePart() {
