http: blank lines before a request are skipped, reading stops at once

They are skipped as they arrive, as Netty's decoder does. HttpMemoryTest, 2 cases. - A connection that waits for its turn stopped reading at the end of a read loop only, after up to 16 reads. It stops within the read. DecodingTurnsTest checks this without the end of the loop now. - Large requests were checked against what responses hold only once requests alone were near their part. HeldMemoryTest. - Parts that were decoded before an error are released.

--- a/library/src/main/java/org/copperspindle/http/HttpConnectionHandler.java
+++ b/library/src/main/java/org/copperspindle/http/HttpConnectionHandler.java
@@ -87,7 +87,7 @@
     }
 
     @Override
-    public void onTurnsEnded() {
+    public void onTurnChanged() {
         updateReading();
     }
 
--- a/library/src/main/java/org/copperspindle/http/StrictRequestDecoder.java
+++ b/library/src/main/java/org/copperspindle/http/StrictRequestDecoder.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
 
 /**
  * Strict variant of Netty's request decoder, which bounds what it keeps and how long it works.
@@ -105,9 +106,7 @@
     public int decodeWaiting() {
         awaitingTurn = false;
         int units = discarding ? 0 : decodeTurn(kept);
-        if (!awaitingTurn) {
-            connection.onTurnsEnded();
-        }
+        connection.onTurnChanged();
         return units;
     }
 
@@ -130,6 +129,8 @@
             return units;
         } catch (Exception e) {
             discard();
+            parts.forEach(ReferenceCountUtil::release);
+            parts.clear();
             context.fireExceptionCaught(e);
             return 0;
         }
@@ -153,6 +154,9 @@
             requestStarted = true;
             context.fireUserEventTriggered(REQUEST_STARTED);
         }
+        if (scanner.scannedBytes() == 0) {
+            skipBlankLines(input);
+        }
         if (!scanner.scan(input)) {
             return 0;
         }
@@ -168,6 +172,17 @@
         return items + DecodingTurns.REQUEST_UNITS;
     }
 
+    /** Skips what Netty's decoder skips before a request, so that lines without an end of them are not kept. */
+    private static void skipBlankLines(ByteBuf input) {
+        while (input.isReadable() && isLineEnd(input.getByte(input.readerIndex()))) {
+            input.skipBytes(1);
+        }
+    }
+
+    private static boolean isLineEnd(byte next) {
+        return next == '\r' || next == '\n';
+    }
+
     /** Returns the units that were decoded; 0 if more bytes are needed. */
     private int decodeBody(ByteBuf input) throws Exception {
         int before = input.readableBytes();
@@ -216,6 +231,7 @@
 
     private void awaitTurn() {
         awaitingTurn = true;
+        connection.onTurnChanged();
         turns.await(this);
     }
 
@@ -225,7 +241,7 @@
         /** Returns whether another request, or more of one, can be taken now. */
         boolean takesRequests();
 
-        /** Bytes no longer wait for a turn, so more can be read. */
-        void onTurnsEnded();
+        /** Bytes wait for a turn, or no longer do. */
+        void onTurnChanged();
     }
 }
--- a/library/src/main/java/org/copperspindle/memory/BudgetedMemory.java
+++ b/library/src/main/java/org/copperspindle/memory/BudgetedMemory.java
@@ -64,7 +64,8 @@
 
     @Override
     public boolean tryReserve(MemoryHolder holder, HeldKind kind, long bytes) {
-        if (requestBytes.get() + bytes > alwaysAdmitted && !makeRoom(holder, bytes)) {
+        boolean hasRoom = requestBytes.get() + bytes <= alwaysAdmitted && held.get() + bytes <= budget;
+        if (!hasRoom && !makeRoom(holder, bytes)) {
             rejected.incrementAndGet();
             return false;
         }
--- a/library/src/test/java/org/copperspindle/http/DecodingTurnsTest.java
+++ b/library/src/test/java/org/copperspindle/http/DecodingTurnsTest.java
@@ -37,7 +37,7 @@
         connect();
         send(CHUNKED + "1\r\na\r\n".repeat(CHUNKS) + "0\r\n\r\n");
         assertThat(parts.get()).isBetween(1, DecodingTurns.CONNECTION_UNITS);
-        assertThat(channel.config().isAutoRead()).isFalse();
+        assertThat(channel.config().isAutoRead()).as("reads on, undecoded").isFalse();
         for (int turn = 0; turn < CHUNKS && handled.isEmpty(); turn++) {
             channel.runPendingTasks();
         }
@@ -77,7 +77,6 @@
     private void send(String text) {
         // Without tasks, unlike writeInbound.
         channel.pipeline().fireChannelRead(Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII));
-        channel.pipeline().fireChannelReadComplete();
     }
 
     /** Counts the parts with content, and the ends of requests. */
--- a/library/src/test/java/org/copperspindle/http/HttpMemoryTest.java
+++ b/library/src/test/java/org/copperspindle/http/HttpMemoryTest.java
@@ -113,6 +113,23 @@
         assertThat(handled).hasSize(1);
     }
 
+    /** Guards against blank lines before a request that are kept without end, and against a request that they spoil. */
+    @ParameterizedTest
+    @ValueSource(strings = {"\r\n", "\n"})
+    void blankLinesBeforeARequestAreNotKept(String line) throws Exception {
+        listen(LONG);
+        try (RawCaller caller = new RawCaller(listener.address())) {
+            for (int i = 0; i < 20; i++) {
+                caller.send(line.repeat(50_000));
+            }
+            caller.send(length(2) + "ab");
+            await(() -> handled.size() == 1);
+            assertThat(memory.peakBytes()).isEqualTo(held(2));
+            handled.forEach(exchange -> exchange.respond(200, "text/plain", Map.of(), OK));
+            caller.readUntil("ok");
+        }
+    }
+
     /** Guards against heads that are decoded, line by line, before there is room for what they become. */
     @ParameterizedTest
     @ValueSource(strings = {"", "\r\n"})
--- a/library/src/test/java/org/copperspindle/memory/HeldMemoryTest.java
+++ b/library/src/test/java/org/copperspindle/memory/HeldMemoryTest.java
@@ -51,6 +51,17 @@
         assertThat(memory.shedResponses()).isEqualTo(1);
     }
 
+    /** Guards against a large request that is taken beside responses that fill the budget. */
+    @Test
+    void largeRequestIsRefusedWhileResponsesFillTheBudget() {
+        HeldMemory large = HeldMemories.create(1 << 20, clock::get, new LogRateLimiter(9, 9));
+        large.reserve(large.open(), HeldKind.UNSENT_RESPONSE, 900_000);
+        assertThat(large.tryReserve(large.open(), HeldKind.REQUEST_BODY, 200_000))
+                .isFalse();
+        assertThat(large.tryReserve(large.open(), HeldKind.REQUEST_BODY, 10_000))
+                .isTrue();
+    }
+
     /** Guards against a sum that grows without bound when all callers read, but too slowly. */
     @Test
     void sumStaysNearTheBudget() {
