http: a request that waits for its turn is no idle connection

A caller that had sent its whole request would have lost it.

Change: it counts as begun, when connections are closed and when the time for the next request starts.

Test: DecodingTurnsTest.requestThatWaitsForItsTurnIsNotIdle, failed before.

--- a/library/src/main/java/org/copperspindle/http/HttpConnectionHandler.java
+++ b/library/src/main/java/org/copperspindle/http/HttpConnectionHandler.java
@@ -163,7 +163,7 @@
 
     /** Closes the connection unless a request has begun; in that case it closes after the response. */
     void closeIfIdle() {
-        if (currentExchange.isEmpty() && queuedRequests.isEmpty() && assembler.isIdle()) {
+        if (currentExchange.isEmpty() && queuedRequests.isEmpty() && !hasRequestBegun()) {
             context.close();
         }
     }
@@ -335,10 +335,14 @@
         handleNext();
     }
 
+    private boolean hasRequestBegun() {
+        return !assembler.isIdle() || decoder.isAwaitingTurn();
+    }
+
     private void awaitNextRequest() {
         decoder.resume();
         updateReading();
-        if (!assembler.isIdle()) {
+        if (hasRequestBegun()) {
             sendContinueIfExpected();
             startReadTimeout();
         } else if (isStopping()) {
--- a/library/src/test/java/org/copperspindle/http/DecodingTurnsTest.java
+++ b/library/src/test/java/org/copperspindle/http/DecodingTurnsTest.java
@@ -27,6 +27,7 @@
     private final HttpCounters counters = new HttpCounters();
     private final List<HttpExchange> handled = new ArrayList<>();
     private final AtomicInteger parts = new AtomicInteger();
+    private HttpConnectionHandler connection;
 
     /**
      * Guards against a network thread that decodes everything that has arrived in one go and neither answers other nodes
@@ -62,11 +63,30 @@
         assertThat(counters.inProgress()).isZero();
     }
 
+    /** Guards against a graceful stop that cuts off requests which have arrived and wait for their turn. */
+    @Test
+    void requestThatWaitsForItsTurnIsNotIdle() {
+        connect(exchange -> {
+            handled.add(exchange);
+            exchange.respond(ProblemDetails.notRun("x", 404, "x"));
+        });
+        String head = "POST /x HTTP/1.1\r\nHost: a\r\n" + "a: b\r\n".repeat(DecodingTurns.CONNECTION_UNITS);
+        send(head + "Content-Length: 0\r\n\r\n" + head + "Content-Length: 0\r\n\r\n");
+        assertThat(handled).hasSize(1);
+        connection.closeIfIdle();
+        channel.runPendingTasks();
+        assertThat(handled).hasSize(2);
+    }
+
     private void connect() {
-        HttpConnectionHandler connection = new HttpConnectionHandler(
+        connect(handled::add);
+    }
+
+    private void connect(HttpRequestHandler handler) {
+        connection = new HttpConnectionHandler(
                 HttpLimits.DEFAULT,
                 counters,
-                handled::add,
+                handler,
                 HeldMemories.ofCallers(),
                 new DecodingTurns(channel.eventLoop()),
                 () -> false);
