direct: a kept connection does not hold the body of its last call

The writer of a call stayed with its connection, and with it the call and its body: up to 4 MiB for each idle connection, beyond the budget.

Change: the connection forgets its writer when the response is complete.

Test: DirectClientTest.keptConnectionDoesNotHoldTheBodyOfItsLastCall, failed before. A comment of CrowdKind said what is no longer so.

--- a/library/src/main/java/org/copperspindle/direct/DirectConnection.java
+++ b/library/src/main/java/org/copperspindle/direct/DirectConnection.java
@@ -316,6 +316,8 @@
     private void finish() {
         DirectExchange ended = exchange;
         exchange = null;
+        // A kept connection must not keep the body of its last call.
+        writer = Optional.empty();
         responseComplete = false;
         usedBefore = true;
         if (keepAlive && channel.isActive()) {
--- a/library/src/test/java/org/copperspindle/direct/DirectClientTest.java
+++ b/library/src/test/java/org/copperspindle/direct/DirectClientTest.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.OutputStream;
+import java.lang.ref.WeakReference;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -117,6 +118,38 @@
         }
     }
 
+    /** Guards against idle connections that hold the bodies of their last calls, megabytes each. */
+    @Test
+    void keptConnectionDoesNotHoldTheBodyOfItsLastCall() throws Exception {
+        try (ScriptedUpstream upstream = new ScriptedUpstream(sends(WHOLE))) {
+            WeakReference<byte[]> body = new WeakReference<>(new byte[1 << 20]);
+            CompletableFuture<String> result = new CompletableFuture<>();
+            loop.submit(() -> {
+                        List<HeaderField> fields =
+                                List.of(new HeaderField("Host", "h"), new HeaderField("X-Request-Id", "id"));
+                        client.call(
+                                new DirectCall(
+                                        "u",
+                                        upstream.address(),
+                                        "POST",
+                                        "/x",
+                                        fields,
+                                        body.get(),
+                                        "id",
+                                        IdEcho.REQUIRED,
+                                        ConnectionUse.KEPT),
+                                new RecordingListener(result));
+                    })
+                    .get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+            assertThat(result.get(TIMEOUT_SECONDS, TimeUnit.SECONDS)).isEqualTo("200 whole");
+            long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(TIMEOUT_SECONDS);
+            while (body.get() != null && System.nanoTime() < end) {
+                System.gc();
+            }
+            assertThat(body.get()).isNull();
+        }
+    }
+
     /** A second response is waiting on a kept connection when the next call is sent: the call must not get it. */
     @Test
     void strayResponseClosesTheConnection() throws Exception {
--- a/tools/src/test/java/org/copperspindle/cli/CrowdKind.java
+++ b/tools/src/test/java/org/copperspindle/cli/CrowdKind.java
@@ -30,7 +30,7 @@
             return start + CHUNKED + "1\r\na\r\n".repeat(0x10000 - 1);
         }
     },
-    /** Bodies with a length, small enough to be read under any load, that stop just short of their end. */
+    /** Small bodies with a length that stop just short of their end. */
     SMALL_BODIES(450) {
         @Override
         String bytes(String start) {
