memory: a reservation of a closed holder fails

Cause: making room for a request can reject an earlier, queued request of the same connection, which is refused with all that follows, this request included. Its reservation then counted nothing and was still granted, so the connection could hold a body of up to `max-body`, uncounted, until the response before it ended.

Change: the reservation fails if the holder was closed meanwhile, and a connection takes no request after it has refused one.

Test: HeldMemoryTest.reservationOfAClosedHolderFails, failed before. HttpMemoryTest.requestThatDisplacesAnotherOfItsConnectionIsRefusedToo passes before as well: it checks that the refusal arrives and nothing runs.

Besides, without effect: a wrapped comment, the order of two constants.

--- a/library/src/main/java/org/copperspindle/gateway/GatewayService.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayService.java
@@ -20,13 +20,13 @@
  */
 final class GatewayService implements HttpRequestHandler {
 
+    private static final Logger LOGGER = LogManager.getLogger(GatewayService.class);
+
     /** What one piece of a stage takes until its request has ended: its task, its place in queues, and its result. */
     private static final int PIECE_BYTES = 512;
 
     private static final Duration MEMORY_RETRY_AFTER = Duration.ofSeconds(1);
 
-    private static final Logger LOGGER = LogManager.getLogger(GatewayService.class);
-
     /** Retry delay while this node stops: another node can accept the request at once. */
     private static final Duration STOP_RETRY_AFTER = Duration.ofMillis(100);
 
--- a/library/src/main/java/org/copperspindle/http/HttpConnectionHandler.java
+++ b/library/src/main/java/org/copperspindle/http/HttpConnectionHandler.java
@@ -101,7 +101,9 @@
     public void channelRead(ChannelHandlerContext ctx, Object part) {
         try {
             if (!inputClosed) {
-                assembler.accept((HttpObject) part).ifPresent(this::onRequest);
+                Optional<ReceivedRequest> received = assembler.accept((HttpObject) part);
+                // The part may have been refused already, together with an earlier request of this connection.
+                received.filter(request -> !inputClosed).ifPresent(this::onRequest);
                 if (part instanceof HttpRequest && !assembler.isIdle()) {
                     startReadTimeout();
                 }
@@ -403,9 +405,8 @@
             // This side has paused reading; the timeout starts when reading resumes.
             return;
         }
-        // One timeout for the whole head, and one for the whole body: a timeout that restarts with each byte would let
-        // a
-        // slow caller hold the connection forever.
+        // One timeout for the whole head and one for the whole body. A timeout that restarts with each byte would let
+        // a slow caller hold the connection forever.
         Duration bound = assembler.isIdle() ? limits.readTimeout() : limits.bodyTimeout();
         readTimeout = schedule(bound, () -> {
             counters.slowSender();
--- a/library/src/main/java/org/copperspindle/memory/BudgetedMemory.java
+++ b/library/src/main/java/org/copperspindle/memory/BudgetedMemory.java
@@ -70,7 +70,9 @@
             return false;
         }
         reserve(holder, kind, bytes);
-        return true;
+        // What gave way may have been an earlier request of the same connection, which is refused with all that
+        // follows.
+        return !holder.isClosed();
     }
 
     @Override
--- a/library/src/main/java/org/copperspindle/memory/MemoryHolder.java
+++ b/library/src/main/java/org/copperspindle/memory/MemoryHolder.java
@@ -115,6 +115,10 @@
         Arrays.fill(bytesByKind, 0);
     }
 
+    synchronized boolean isClosed() {
+        return closed;
+    }
+
     /** Returns how many bytes of the request are held. */
     synchronized long requestBytes() {
         return bytesByKind[HeldKind.REQUEST_HEAD.ordinal()] + bytesByKind[HeldKind.REQUEST_BODY.ordinal()];
--- a/library/src/test/java/org/copperspindle/http/HttpMemoryTest.java
+++ b/library/src/test/java/org/copperspindle/http/HttpMemoryTest.java
@@ -113,6 +113,23 @@
         assertThat(handled).hasSize(1);
     }
 
+    /** Guards against a refusal that is lost, and bytes that stay held, when a connection displaces its own earlier request. */
+    @Test
+    void requestThatDisplacesAnotherOfItsConnectionIsRefusedToo() throws Exception {
+        listen(LONG);
+        try (RawCaller caller = new RawCaller(listener.address())) {
+            caller.send(length(3) + "abc" + length(60_000) + "a".repeat(60_000));
+            await(() -> memory.heldBytes() == held(3) + held(60_000));
+            caller.send(CHUNKED + "7530\r\n" + "a".repeat(30_000) + "\r\n0\r\n\r\n");
+            await(() -> memory.rejectedRequests() > 0);
+            handled.forEach(exchange -> exchange.respond(200, "text/plain", Map.of(), OK));
+            assertThat(caller.readToEnd()).startsWith("HTTP/1.1 200").contains("ok", "503 ", "memory-short");
+        }
+        await(() -> memory.heldBytes() == 0);
+        assertThat(handled).hasSize(1);
+        assertThat(listener.counters().refusedRequests()).isEqualTo(1);
+    }
+
     /** Guards against blank lines before a request that are kept without end, and against a request that they spoil. */
     @ParameterizedTest
     @ValueSource(strings = {"\r\n", "\n"})
--- a/library/src/test/java/org/copperspindle/memory/HeldMemoryTest.java
+++ b/library/src/test/java/org/copperspindle/memory/HeldMemoryTest.java
@@ -62,6 +62,18 @@
                 .isTrue();
     }
 
+    /** Guards against bytes that are held, but not counted, after their own holder was closed to make room for them. */
+    @Test
+    void reservationOfAClosedHolderFails() {
+        HeldMemory large = HeldMemories.create(1 << 20, clock::get, new LogRateLimiter(9, 9));
+        MemoryHolder earlier = large.open();
+        MemoryHolder later = large.open();
+        earlier.startArrival(() -> large.close(later));
+        assertThat(large.tryReserve(earlier, HeldKind.REQUEST_BODY, 600_000)).isTrue();
+        assertThat(large.tryReserve(later, HeldKind.REQUEST_BODY, 300_000)).isFalse();
+        assertThat(large.heldBytes()).isZero();
+    }
+
     /** Guards against a sum that grows without bound when all callers read, but too slowly. */
     @Test
     void sumStaysNearTheBudget() {
