--- a/library/src/test/java/org/copperspindle/consensus/FreshElectionTest.java
+++ b/library/src/test/java/org/copperspindle/consensus/FreshElectionTest.java
@@ -118,6 +118,21 @@
         }
     }
 
+    /** Members whose election ends before slow disks have saved a vote never elect a leader. */
+    @ParameterizedTest
+    @CsvSource({"3, 50", "3, 80", "3, 100", "5, 50", "5, 80", "5, 100", "8, 50", "8, 80", "8, 100"})
+    void restartedGroupElectsWithDisksAsSlowAsItsTimeout(int voters, long syncMillis) {
+        for (long seed = 400; seed < 440; seed++) {
+            SimulatedGroup group = started(voters, seed);
+            group.members.forEach(SimulatedMember::crash);
+            group.members.forEach(member -> member.slowSyncs(syncMillis * MILLI));
+            group.startAll();
+            long from = group.time.nanoTime();
+            group.awaitLeader();
+            assertThat(group.time.nanoTime() - from).as("seed " + seed).isLessThan(RECOVERY);
+        }
+    }
+
     private static SimulatedGroup started(int voters, long seed) {
         SimulatedGroup group = new SimulatedGroup(seed, voters);
         group.startAll();
