consensus: elections end however slow the disks are; a member without a leader says why

Callers saw: after a start of all nodes every request was refused for want of a lease, and an operator did not get the accepted configuration back, for as long as the disks were slow.

Cause: a member started over while the votes of its round were still on their way to disks. The wait after a vote grew with the disk only for members that poll because they are fresh; the election timeout did not, so with saves of half of it or more each timeout ended the round. Besides, a voter saved the new term and its vote one after the other, and members that polled at the same moment split the votes, each time at the cost of four saves.

Change: no poll while the own vote is being saved; after it both waits grow with what the save took, up to two election timeouts, so that a disk that hung once delays nobody for long; term and vote are one save; a member that grants a pre-vote puts its own poll off once, and of two that poll at once the lower identity gives way. Who may vote for whom is unchanged, so safety does not depend on any of this.

no-leader-elected and version-not-read tell a missing leader from one that isn't found.

--- a/library/src/main/java/org/copperspindle/consensus/Election.java
+++ b/library/src/main/java/org/copperspindle/consensus/Election.java
@@ -3,6 +3,7 @@
 import java.util.HashSet;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
 
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -32,9 +33,15 @@
     /** The same after the own vote was saved, beside the time that the other voters need to save theirs. */
     private static final double VOTED_POLL_FRACTION = 0.2;
 
-    /** Saves of each voter that follow the candidate's own: the new term, and the vote. */
+    /** Longest time, in election timeouts, that a save is expected to take; a disk that hung once may be fast again. */
+    private static final int MAX_EXPECTED_SAVE = 2;
+
+    /** Saves of one member until a vote for another one is on its disk: one that is under way, and that of the vote. */
     private static final int SAVES_OF_VOTER = 2;
 
+    /** The same for a member that grants a pre-vote, until the vote request arrives: the candidate's own vote is first. */
+    private static final int SAVES_OF_CANDIDATE = 1;
+
     private final RaftState state;
     private final SplittableRandom random;
     private final Set<Long> granted = new HashSet<>();
@@ -43,7 +50,9 @@
     private long freshPollDeadline;
     private long voteSequence;
     private long votedAt;
+    private long saveNanos;
     private boolean isVotePending;
+    private boolean hasYielded;
 
     Election(RaftState state, SplittableRandom random, long now) {
         this.state = state;
@@ -52,12 +61,24 @@
         freshPollDeadline = now + freshPollDelay(FIRST_POLL_FRACTION);
     }
 
-    /** Called when a message of a leader was received. */
-    void postpone(long now) {
+    /** Called when a message of a leader was received, or this member was elected. */
+    void onLeaderKnown(long now) {
+        granted.clear();
+        postpone(now);
+    }
+
+    private void postpone(long now) {
         long election = state.settings().timing().electionNanos();
         deadline = now + election + random.nextLong(election);
     }
 
+    /** Puts off the next poll until votes that members save from now on can have arrived. */
+    private void awaitSaves(int saves, double pollFraction, long now) {
+        long saved = now + saves * saveNanos;
+        postpone(saved);
+        freshPollDeadline = saved + freshPollDelay(pollFraction);
+    }
+
     /**
      * Starts a pre-vote or an election if it is time.
      *
@@ -65,10 +86,12 @@
      */
     boolean tick(long now) {
         boolean due = now - deadline >= 0 || isIdleSoleVoter();
-        boolean pollsFresh = state.isFresh() && !isVotePending && now - freshPollDeadline >= 0;
-        if (state.role() == RaftRole.LEADER || !due && !pollsFresh) {
+        boolean pollsFresh = state.isFresh() && now - freshPollDeadline >= 0;
+        if (state.role() == RaftRole.LEADER || isVotePending || !due && !pollsFresh) {
             return false;
         }
+        logLastPoll();
+        hasYielded = false;
         if (due) {
             postpone(now);
         }
@@ -95,7 +118,9 @@
     boolean persisted(long now) {
         if (isVotePending && state.isDurable(voteSequence)) {
             isVotePending = false;
-            freshPollDeadline = now + freshPollDelay(VOTED_POLL_FRACTION) + SAVES_OF_VOTER * (now - votedAt);
+            long maxSave = MAX_EXPECTED_SAVE * state.settings().timing().electionNanos();
+            saveNanos = Math.min(now - votedAt, maxSave);
+            awaitSaves(SAVES_OF_VOTER, VOTED_POLL_FRACTION, now);
         }
         return hasWon() || isIdleSoleVoter() && tick(now);
     }
@@ -110,22 +135,49 @@
         // that its followers elect no other leader until their election timeout after its last heartbeat.
         if (leaderKnown || request.envelope().term() < state.term()) {
             reply(request, false);
-            return;
-        }
-        if (request.preVote()) {
-            reply(request, request.envelope().term() > state.term() && isUpToDate(request));
-            return;
+        } else {
+            reply(request, request.preVote() ? supports(request) : vote(request, now));
         }
-        if (request.envelope().term() > state.term()) {
-            state.adoptTerm(request.envelope().term());
+        boolean mayElect = !leaderKnown || state.isFresh();
+        if (request.preVote() && mayElect && supports(request)) {
+            letCandidateGoFirst(request.envelope().from(), now);
         }
+    }
+
+    /** Decides on a vote. A new term and the vote in it are saved together, as each save may take a slow disk long. */
+    private boolean vote(VoteRequestMessage request, long now) {
+        long term = request.envelope().term();
         long candidate = request.envelope().from();
-        boolean free = state.hard().votedFor() == 0 || state.hard().votedFor() == candidate;
-        boolean vote = free && isUpToDate(request);
-        if (vote && state.hard().votedFor() == 0) {
-            saveVote(candidate, state.term(), now);
+        boolean isNewTerm = term > state.term();
+        boolean free = isNewTerm || state.hard().votedFor() == 0;
+        boolean vote = isUpToDate(request) && (free || state.hard().votedFor() == candidate);
+        if (vote && free) {
+            if (isNewTerm) {
+                state.become(RaftRole.FOLLOWER, 0);
+            }
+            saveVote(candidate, term, now);
+        } else if (isNewTerm) {
+            state.adoptTerm(term);
         }
-        reply(request, vote);
+        return vote;
+    }
+
+    /**
+     * Lets another candidate go first: while its vote is on the way to a slow disk, members that start as well would split
+     * the votes. The next poll is put off once only between two polls, as a member that hears no replies polls for good.
+     */
+    private void letCandidateGoFirst(long candidate, long now) {
+        if (state.role() == RaftRole.PRE_CANDIDATE && candidate > state.identity()) {
+            state.become(RaftRole.FOLLOWER, 0);
+        }
+        if (!hasYielded && !isVotePending) {
+            hasYielded = true;
+            awaitSaves(SAVES_OF_CANDIDATE, NEXT_POLL_FRACTION, now);
+        }
+    }
+
+    private boolean supports(VoteRequestMessage request) {
+        return request.envelope().term() > state.term() && isUpToDate(request);
     }
 
     /**
@@ -155,6 +207,21 @@
         return areAllFresh() && startElection(true, now);
     }
 
+    /** Logs what the last poll or election came to, from which the reason for a missing leader can be told. */
+    private void logLastPoll() {
+        if (!granted.isEmpty()) {
+            LOGGER.info(
+                    "event=no-leader-elected member={} term={} role={} voters={} granted={} fresh={} save_ms={}",
+                    state.settings().name(),
+                    state.term(),
+                    state.role(),
+                    state.membership().voters().size(),
+                    granted.size(),
+                    fresh.size(),
+                    TimeUnit.NANOSECONDS.toMillis(saveNanos));
+        }
+    }
+
     private boolean areAllFresh() {
         return state.isFresh()
                 && state.membership().voters().stream()
@@ -178,10 +245,7 @@
         return hasWon();
     }
 
-    /**
-     * Saves a vote and puts off the next poll until the election can be decided. The votes wait for the disks of the
-     * voters; a poll that overtook them would end the election, and with slow disks each one after it.
-     */
+    /** Saves a vote. Until it is saved the member doesn't poll, which would end the election that the vote is for. */
     private void saveVote(long candidate, long term, long now) {
         voteSequence = state.saveHard(state.hard().withVote(term, candidate));
         votedAt = now;
@@ -244,7 +308,7 @@
                 request.preVote(),
                 request.envelope().term(),
                 vote,
-                state.isFresh() && request.envelope().term() > state.term() && isUpToDate(request));
+                state.isFresh() && supports(request));
         // A vote is sent once it is on the disk: a voter that lost it in a crash could vote twice in one term.
         state.sendAfter(state.hardStateSequence(), request.envelope().address(), reply);
     }
--- a/library/src/main/java/org/copperspindle/consensus/RaftNode.java
+++ b/library/src/main/java/org/copperspindle/consensus/RaftNode.java
@@ -172,6 +172,7 @@
     }
 
     private void becomeLeader(long now) {
+        election.onLeaderKnown(now);
         proposals.clear();
         proposedBytes = 0;
         changes.start();
@@ -221,7 +222,7 @@
             throw new IllegalStateException("two leaders in term " + state.term());
         }
         state.onLeaderMessage(envelope.from(), now);
-        election.postpone(now);
+        election.onLeaderKnown(now);
         if (message instanceof AppendRequestMessage append) {
             appends.receive(append);
         } else if (message instanceof SnapshotChunkMessage chunk) {
--- a/library/src/main/java/org/copperspindle/gateway/ControlRequestHandler.java
+++ b/library/src/main/java/org/copperspindle/gateway/ControlRequestHandler.java
@@ -153,7 +153,12 @@
      * @param callback receives its text
      */
     public void readTable(Consumer<ControlResponse> callback) {
-        controlGroup.submit(VersionMember::read, callback);
+        controlGroup.submit(VersionMember::read, outcome -> {
+            if (outcome instanceof ControlResponse.Unavailable unavailable) {
+                LOGGER.info("event=version-not-read reason=\"{}\"", unavailable.reason());
+            }
+            callback.accept(outcome);
+        });
     }
 
     private static String describe(ControlResponse result) {
