direct: a response with a malformed status line or field name is none

Callers saw, by the report: an answer with the status 000; an answer in whose head the name of a field held a blank or a control byte, with that line passed on or with a body that was not the upstream's.

Cause: the decoder guesses. It takes any number for a status and HTTP/2.0 for a version, ends the name of a field at its first blank, so that "Content-Length of: 3" cuts a body, and reads a line without a colon as a field. Control bytes in names were refused already.

Change: the one decoder of upstreams' responses, which nodes, stage calls and agents share, refuses a version that isn't HTTP/1, a status that isn't three digits in one of the five classes, a reason with control characters, and a field name that doesn't end at its colon, in heads, interim responses and trailers. The call fails like any malformed response.

--- a/emulator/src/main/java/org/copperspindle/emulator/ScriptedUpstream.java
+++ b/emulator/src/main/java/org/copperspindle/emulator/ScriptedUpstream.java
@@ -31,6 +31,7 @@
     private final ServerSocket server;
     private final Thread acceptor;
     private volatile Script script;
+    private volatile boolean readsBodies = true;
 
     /**
      * Starts to listen on a free port of loopback.
@@ -67,6 +68,11 @@
         script = next;
     }
 
+    /** Answers, from now on, when the head of a request has arrived, and leaves its body unread. */
+    public void leaveBodiesUnread() {
+        readsBodies = false;
+    }
+
     /**
      * Ends, from now on, by each request with a certain body: stops to listen and breaks all connections.
      *
@@ -122,7 +128,7 @@
     /**
      * Returns what it got.
      *
-     * @return all requests in the order in which they were whole
+     * @return all requests in the order in which they were read
      */
     public List<ScriptedRequest> received() {
         return received;
@@ -191,7 +197,7 @@
         }
     }
 
-    private static ScriptedRequest read(String line, BufferedReader in) throws IOException {
+    private ScriptedRequest read(String line, BufferedReader in) throws IOException {
         Map<String, String> fields = new HashMap<>();
         for (String field = in.readLine(); field != null && !field.isEmpty(); field = in.readLine()) {
             int colon = field.indexOf(':');
@@ -199,7 +205,8 @@
                     field.substring(0, colon).toLowerCase(Locale.ROOT),
                     field.substring(colon + 1).trim());
         }
-        char[] body = new char[Integer.parseInt(fields.getOrDefault("content-length", "0"))];
+        int bodyLength = Integer.parseInt(fields.getOrDefault("content-length", "0"));
+        char[] body = new char[readsBodies ? bodyLength : 0];
         int length = 0;
         while (length < body.length) {
             int count = in.read(body, length, body.length - length);
--- a/library/src/main/java/org/copperspindle/direct/ResponseDecoder.java
+++ b/library/src/main/java/org/copperspindle/direct/ResponseDecoder.java
@@ -13,12 +13,16 @@
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.AsciiString;
 import org.copperspindle.memory.HeldMemory;
 import org.copperspindle.memory.MemoryHolder;
 
 /**
  * Variant of Netty's decoder that bounds what is not part of a body, and never reads bytes that belong to no call.
  * Netty bounds single lines and blocks of fields only, and keeps bytes after a response for the next one.
+ *
+ * <p>It also rejects lines in which Netty guesses what is meant: any number as a status, and a field name that ends at its
+ * first blank.
  */
 public final class ResponseDecoder extends HttpResponseDecoder {
 
@@ -38,6 +42,7 @@
     static final int FRAMING_PER_DATA_BYTE = 8;
 
     private static final int MAX_CHUNK_BYTES = 65536;
+    private static final byte FIELD_NAME_END = ':';
 
     private final Receiver receiver;
     private boolean expected;
@@ -144,6 +149,20 @@
         }
     }
 
+    @Override
+    protected HttpMessage createMessage(String[] statusLine) {
+        StatusLineSyntax.check(statusLine[0], statusLine[1], statusLine[2]);
+        return super.createMessage(statusLine);
+    }
+
+    @Override
+    protected AsciiString splitHeaderName(byte[] line, int start, int length) {
+        if (line[start + length] != FIELD_NAME_END) {
+            throw new IllegalArgumentException("field name without a colon directly after it");
+        }
+        return super.splitHeaderName(line, start, length);
+    }
+
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
         return withoutBody || super.isContentAlwaysEmpty(message);
--- a/library/src/test/java/org/copperspindle/direct/DirectClientTest.java
+++ b/library/src/test/java/org/copperspindle/direct/DirectClientTest.java
@@ -74,6 +74,15 @@
                 arguments("bad chunk", sends(head + "Transfer-Encoding: chunked\r\n\r\nzz\r\nwho\r\n"), "sent"),
                 arguments("closed at once", closes(""), "sent connection-closed"),
                 arguments("not HTTP", sends("what is this?\r\n\r\n"), "sent malformed-response"),
+                arguments("no status", sends(WHOLE.replace("200 OK", "000 OK")), "sent malformed-response"),
+                arguments(
+                        "blank in a field name",
+                        sends(WHOLE.replace("Keep-Alive:", "Keep Alive:")),
+                        "sent malformed-response"),
+                arguments(
+                        "malformed trailer",
+                        sends(head + "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\nX A: b\r\n\r\n"),
+                        "sent malformed-response"),
                 arguments(
                         "to another request",
                         sends(WHOLE.replace("X-Request-Id: id", "X-Request-Id: other")),
