consensus: a voter that lost its disk is replaced as soon as its successor holds the log

Callers saw: after a second disk was lost, 4 s and more after the node of the first one had started again, no configuration could be read or accepted any more, for good. Up to then a node counts as lost; after it the next loss must be borne.

Cause: the voter with the lost disk counted until a leader had not heard from it for three election timeouts. After a start of all nodes, or the loss of the leader's disk, that time began with the election, so the repair took over 4 s, and until then two lost disks of three leave no quorum.

Change: a learner of the same name that holds the log shows that the disk of the voter is gone. It takes the voter's place once the voter has not replied for the time of a resend, 0.4 s. Steps and quorums of the change of membership are as before.

--- a/library/src/main/java/org/copperspindle/consensus/MembershipChanges.java
+++ b/library/src/main/java/org/copperspindle/consensus/MembershipChanges.java
@@ -19,7 +19,7 @@
     private static final int MAX_JOINERS = 8;
     private static final int MAX_MEMBERS = 12;
 
-    /** Election timeouts without a reply after which a voter may be replaced by its successor of the same name. */
+    /** Election timeouts without a reply after which a voter is considered gone. */
     private static final int SILENT_ELECTION_TIMEOUTS = 3;
 
     private final RaftState state;
@@ -151,11 +151,15 @@
         return replication.match(learner) >= needed;
     }
 
+    /**
+     * Returns whether a voter may give way to a learner of its name. The learner has replied, so the disk of the voter is
+     * lost, and no reply that is still under way can be newer than the time of a resend. Until the voter is replaced, the loss of
+     * another disk would leave no quorum.
+     */
     private boolean mayBeReplaced(Member predecessor, long now) {
-        long maxSilenceNanos =
-                SILENT_ELECTION_TIMEOUTS * state.settings().timing().electionNanos();
         return predecessor.identity() != state.identity()
-                && !replication.hasHeardFrom(predecessor, now, maxSilenceNanos)
+                && !replication.hasHeardFrom(
+                        predecessor, now, state.settings().timing().resendNanos())
                 && keepsQuorum(predecessor, now);
     }
 
--- a/library/src/test/java/org/copperspindle/consensus/DynamicMembershipTest.java
+++ b/library/src/test/java/org/copperspindle/consensus/DynamicMembershipTest.java
@@ -15,6 +15,9 @@
  */
 class DynamicMembershipTest {
 
+    /** Time after its start for which a node that has lost its disk still counts as lost: 4 s, with election timeouts of 1 s. */
+    private static final long REPAIR_NANOS = 4 * SimulatedGroup.TIMING.electionNanos();
+
     /**
      * One of four voters is partitioned for long. It must be removed, so that the group can tolerate another loss; the
      * loss of a second voter must then stop nothing. When the first one is back, no member sends it anything: it must
@@ -98,6 +101,29 @@
         }
     }
 
+    /** Guards against a group that has no quorum ever again because the voter with the first lost disk still counts. */
+    @ParameterizedTest
+    @CsvSource({"FOLLOWER, false", "FOLLOWER, true", "LEADER, false", "LEADER, true"})
+    void diskLostAfterTheRepairOfAnotherOneLosesNothing(RaftRole role, boolean allRestart) {
+        for (long seed = 41; seed < 61; seed++) {
+            SimulatedGroup group = start(seed, 3, 3);
+            SimulatedMember first = role == RaftRole.LEADER ? currentLeader(group) : other(group);
+            List<SimulatedMember> restarted = allRestart ? group.members : List.of(first);
+            restarted.forEach(SimulatedMember::crash);
+            first.loseDisk();
+            group.time.advance(SimulatedGroup.TIMING.electionNanos());
+            restarted.forEach(SimulatedMember::start);
+            group.time.advance(REPAIR_NANOS);
+            SimulatedMember second =
+                    group.members.stream().filter(m -> m != first).findFirst().orElseThrow();
+            second.crash();
+            second.loseDisk();
+            second.start();
+            group.commit("after the second loss");
+            group.awaitAllHoldAcknowledged();
+        }
+    }
+
     /** A removal must leave enough voters for the number of losses that the group must tolerate at once. */
     @Test
     void unresponsiveVoterStaysWithoutAReplacement() {
