consensus: a member that lets another candidate go first waits for that vote only

Callers saw nothing.

Change: the next poll comes no earlier than the vote request can, instead of a whole timeout later.

--- a/library/src/main/java/org/copperspindle/consensus/Election.java
+++ b/library/src/main/java/org/copperspindle/consensus/Election.java
@@ -39,9 +39,6 @@
     /** Saves of one member until a vote for another one is on its disk: one that is under way, and that of the vote. */
     private static final int SAVES_OF_VOTER = 2;
 
-    /** The same for a member that grants a pre-vote, until the vote request arrives: the candidate's own vote is first. */
-    private static final int SAVES_OF_CANDIDATE = 1;
-
     private final RaftState state;
     private final SplittableRandom random;
     private final Set<Long> granted = new HashSet<>();
@@ -72,13 +69,6 @@
         deadline = now + election + random.nextLong(election);
     }
 
-    /** Puts off the next poll until votes that members save from now on can have arrived. */
-    private void awaitSaves(int saves, double pollFraction, long now) {
-        long saved = now + saves * saveNanos;
-        postpone(saved);
-        freshPollDeadline = saved + freshPollDelay(pollFraction);
-    }
-
     /**
      * Starts a pre-vote or an election if it is time.
      *
@@ -120,7 +110,9 @@
             isVotePending = false;
             long maxSave = MAX_EXPECTED_SAVE * state.settings().timing().electionNanos();
             saveNanos = Math.min(now - votedAt, maxSave);
-            awaitSaves(SAVES_OF_VOTER, VOTED_POLL_FRACTION, now);
+            long othersSaved = now + SAVES_OF_VOTER * saveNanos;
+            postpone(othersSaved);
+            freshPollDeadline = othersSaved + freshPollDelay(VOTED_POLL_FRACTION);
         }
         return hasWon() || isIdleSoleVoter() && tick(now);
     }
@@ -172,7 +164,9 @@
         }
         if (!hasYielded && !isVotePending) {
             hasYielded = true;
-            awaitSaves(SAVES_OF_CANDIDATE, NEXT_POLL_FRACTION, now);
+            long voteRequested = now + saveNanos + freshPollDelay(NEXT_POLL_FRACTION);
+            deadline = Math.max(deadline, voteRequested);
+            freshPollDeadline = Math.max(freshPollDeadline, voteRequested);
         }
     }
 
