consensus, version: one group is bootstrapped, whoever restarts or stands still during the first start

Cause: only the first voter by name founds, and a restarted process is no longer told that the deployment starts for the first time, so nobody did. A node that knew fewer voters than required founded a group after 6 s of its own clock, also alone and right after it had stood still.

Change: the folder keeps that it dates from the first start, members tell it each other, and the first of those that may founds. Fewer voters than required must be more than can be lost, or all nodes known. Who was not asked for 2 s stood still and waits anew. A member that waits says for whom (no-group-yet).

Why it holds: a folder that was emptied later never founds, as before; of 2f+1 nodes two sets of f+1 share one.

--- a/library/src/main/java/org/copperspindle/consensus/ConsensusLog.java
+++ b/library/src/main/java/org/copperspindle/consensus/ConsensusLog.java
@@ -106,7 +106,8 @@
         MemberFolder folder = new MemberFolder(settings.dataFolder(), limits.segmentBytes(), opener);
         SecureRandom identities = new SecureRandom();
         try {
-            RecoveredState recovered = folder.recover(settings.name(), () -> newIdentity(identities));
+            RecoveredState recovered = folder.recover(
+                    settings.name(), settings.voterSource().isFirstStart(), () -> newIdentity(identities));
             return new ConsensusLog(ring, timers, transport, state, settings.raft(limits), folder, recovered);
         } catch (IOException | RuntimeException e) {
             LOGGER.error("event=log-refused member={} reason=\"{}\"", settings.name(), e.toString());
--- a/library/src/main/java/org/copperspindle/consensus/GroupBootstrap.java
+++ b/library/src/main/java/org/copperspindle/consensus/GroupBootstrap.java
@@ -12,18 +12,22 @@
 
 /**
  * Startup of a member that belongs to no group: asks to join, or bootstraps a group with the other first voters. Only
- * the first voter of the settings bootstraps, and only once every other configured voter has reported, to this
- * identity, that it belongs to no group either. A member whose folder was emptied therefore never bootstraps a second
- * group while one other member still has its log.
+ * the first voter whose folder dates from the first start of the deployment bootstraps, and only once every other voter
+ * has reported, to this identity, that it belongs to no group either. A member whose folder was emptied therefore never
+ * bootstraps a second group while one other member still has its log.
  */
 final class GroupBootstrap {
 
     private static final Logger LOGGER = LogManager.getLogger(GroupBootstrap.class);
 
+    /** Election timeouts between two log lines of a member that still waits for a group. */
+    private static final int LOG_ELECTION_TIMEOUTS = 2;
+
     private final RaftState state;
     private final Map<String, ReceivedJoin> joinRequests = new HashMap<>();
     private long joinRequestedAt;
     private boolean joinRequested;
+    private long waitLoggedAt;
 
     GroupBootstrap(RaftState state) {
         this.state = state;
@@ -34,13 +38,18 @@
         if (joinRequested && now - joinRequestedAt < settings.timing().resendNanos()) {
             return;
         }
+        if (!joinRequested) {
+            waitLoggedAt = now;
+        }
         joinRequested = true;
         joinRequestedAt = now;
+        logWait(now);
         JoinRequestMessage request = new JoinRequestMessage(
                 settings.groupName(),
                 settings.voterNames(),
                 knownBootstrapper(),
-                settings.self(state.identity()).encode());
+                settings.self(state.identity()).encode(),
+                mayEverBootstrap());
         settings.others().forEach(other -> state.send(other.address(), request));
         if (isBootstrapper() && settings.voters().size() == 1) {
             bootstrapIfAllAreEmpty(now);
@@ -60,7 +69,7 @@
                     request.voters());
             return;
         }
-        joinRequests.put(sender.name(), new ReceivedJoin(sender, request.bootstrapper(), now));
+        joinRequests.put(sender.name(), new ReceivedJoin(sender, request.bootstrapper(), request.isFirst(), now));
         if (isBootstrapper()) {
             bootstrapIfAllAreEmpty(now);
         }
@@ -76,6 +85,22 @@
         initialize(membership, message.group());
     }
 
+    /** Logs for whom this member waits, from which the reason for a missing group can be told. */
+    private void logWait(long now) {
+        RaftSettings settings = state.settings();
+        if (now - waitLoggedAt < LOG_ELECTION_TIMEOUTS * settings.timing().electionNanos()) {
+            return;
+        }
+        waitLoggedAt = now;
+        LOGGER.info(
+                "event=no-group-yet member={} voters={} reported={} bootstrapper={} may_bootstrap={}",
+                settings.name(),
+                settings.voterNames(),
+                joinRequests.keySet(),
+                bootstrapperName().orElse(""),
+                settings.voterSource().mayBootstrap());
+    }
+
     private void bootstrapIfAllAreEmpty(long now) {
         long within = 2 * state.settings().timing().resendNanos();
         List<Member> others = new ArrayList<>();
@@ -107,22 +132,39 @@
 
     private boolean isBootstrapper() {
         return state.settings().voterSource().mayBootstrap()
-                && firstVoter().filter(state.settings().name()::equals).isPresent();
+                && bootstrapperName().filter(state.settings().name()::equals).isPresent();
+    }
+
+    /** Returns the first voter that may bootstrap the group; one that has not reported yet may turn out to be able to. */
+    private Optional<String> bootstrapperName() {
+        return state.settings().voters().stream()
+                .map(RaftSettings.Voter::name)
+                .filter(this::mayEverBootstrap)
+                .findFirst();
+    }
+
+    private boolean mayEverBootstrap(String voter) {
+        if (voter.equals(state.settings().name())) {
+            return mayEverBootstrap();
+        }
+        return Optional.ofNullable(joinRequests.get(voter))
+                .map(ReceivedJoin::isFirst)
+                .orElse(true);
     }
 
-    private Optional<String> firstVoter() {
-        return state.settings().voters().stream().findFirst().map(RaftSettings.Voter::name);
+    private boolean mayEverBootstrap() {
+        return state.hard().isFirst() || state.settings().voterSource().isFirstStart();
     }
 
     private long knownBootstrapper() {
         if (isBootstrapper()) {
             return state.identity();
         }
-        return firstVoter()
+        return bootstrapperName()
                 .flatMap(name -> Optional.ofNullable(joinRequests.get(name)))
                 .map(bootstrapper -> bootstrapper.member().identity())
                 .orElse(0L);
     }
 
-    private record ReceivedJoin(Member member, long bootstrapper, long at) {}
+    private record ReceivedJoin(Member member, long bootstrapper, boolean isFirst, long at) {}
 }
--- a/library/src/main/java/org/copperspindle/consensus/MemberFolder.java
+++ b/library/src/main/java/org/copperspindle/consensus/MemberFolder.java
@@ -44,18 +44,19 @@
      * Reads the folder; an empty one gets a new identity.
      *
      * @param name       name of the member from its settings
+     * @param firstStart whether the whole deployment starts for the first time
      * @param identities source of identities
      * @return the recovered state
      * @throws CorruptLogException if something that was synced is damaged or missing
      * @throws IOException         if the disk fails or another process uses the folder
      */
-    RecoveredState recover(String name, LongSupplier identities) throws IOException {
+    RecoveredState recover(String name, boolean firstStart, LongSupplier identities) throws IOException {
         Files.createDirectories(folder);
         lock();
         deleteUnfinished();
         Path statePath = folder.resolve(HARD_STATE);
         if (!Files.exists(statePath)) {
-            return initialize(name, identities);
+            return initialize(name, firstStart, identities);
         }
         HardState state = readState(statePath);
         if (!state.name().equals(name)) {
@@ -103,7 +104,7 @@
         }
     }
 
-    private RecoveredState initialize(String name, LongSupplier identities) throws IOException {
+    private RecoveredState initialize(String name, boolean firstStart, LongSupplier identities) throws IOException {
         try (Stream<Path> files = Files.list(folder)) {
             Optional<Path> existing =
                     files.filter(p -> !p.getFileName().toString().equals(LOCK)).findFirst();
@@ -111,9 +112,13 @@
                 throw new CorruptLogException(existing.get(), 0, "log without its identity");
             }
         }
-        HardState state = HardState.initial(identities.getAsLong(), name);
+        HardState state = HardState.initial(identities.getAsLong(), name, firstStart);
         AtomicFile.write(folder.resolve(HARD_STATE), HardState.CODEC.encode(state));
-        LOGGER.info("event=identity-created member={} identity={}", name, Long.toHexString(state.identity()));
+        LOGGER.info(
+                "event=identity-created member={} identity={} first_start={}",
+                name,
+                Long.toHexString(state.identity()),
+                firstStart);
         return new RecoveredState(state, Optional.empty(), List.of());
     }
 
--- a/library/src/main/java/org/copperspindle/consensus/RaftNode.java
+++ b/library/src/main/java/org/copperspindle/consensus/RaftNode.java
@@ -269,7 +269,8 @@
                 state.settings().groupName(),
                 "",
                 0,
-                state.settings().self(state.identity()).encode());
+                state.settings().self(state.identity()).encode(),
+                false);
         state.settings().others().forEach(other -> state.send(other.address(), request));
     }
 
--- a/library/src/main/java/org/copperspindle/consensus/VoterSource.java
+++ b/library/src/main/java/org/copperspindle/consensus/VoterSource.java
@@ -16,10 +16,19 @@
     List<VoterAddress> voters();
 
     /**
-     * Returns whether a group may be bootstrapped now. A member that lost its disk must not bootstrap a second group in
-     * addition to the one that it no longer knows.
+     * Returns whether the whole deployment starts for the first time. Only a member whose folder was first used then may
+     * bootstrap a group: another one may have lost the disk that held its group.
      *
-     * @return false if this member may only join
+     * @return false if a member with an empty folder may only join
+     */
+    default boolean isFirstStart() {
+        return true;
+    }
+
+    /**
+     * Returns whether enough other members are known to bootstrap a group now.
+     *
+     * @return false while a group may exist that is not known here
      */
     boolean mayBootstrap();
 
--- a/library/src/main/java/org/copperspindle/version/VoterDiscovery.java
+++ b/library/src/main/java/org/copperspindle/version/VoterDiscovery.java
@@ -15,8 +15,8 @@
 
 /**
  * Discovers the voters of the control group: every connected node with a disk. At the very first start the group is
- * founded once the set of these nodes has been stable for a while; later a node can only join. Written on the network
- * thread, read on the decision ring.
+ * founded once the set of these nodes has been stable for a while; later a node can only join. Nodes are discovered on
+ * the network thread, the group asks on the decision ring.
  */
 public final class VoterDiscovery implements VoterSource, MeshListener {
 
@@ -29,11 +29,18 @@
     /** Time after which a group is founded with fewer nodes than required rather than not at all. */
     private static final Duration MAX_FOUNDING_DELAY = Duration.ofSeconds(6);
 
+    /**
+     * Time without a question after which this process must have stood still. The group asks every 0.4 s; other nodes
+     * notice after 1.6 s that this one is silent, and may found the group without it.
+     */
+    private static final Duration MAX_QUESTION_GAP = Duration.ofSeconds(2);
+
     private final NodeMesh mesh;
     private final TimerService timers;
     private final boolean firstStart;
     private final int toleratedLosses;
-    private final long startedAt;
+    private long askedAt;
+    private long awakeSince;
     private volatile State state;
 
     /**
@@ -49,8 +56,9 @@
         this.timers = timers;
         this.firstStart = firstStart;
         this.toleratedLosses = toleratedLosses;
-        this.startedAt = timers.nanoTime();
-        this.state = new State(List.of(), false, startedAt);
+        this.askedAt = timers.nanoTime();
+        this.awakeSince = askedAt;
+        this.state = new State(List.of(), false, false, askedAt);
         refresh();
     }
 
@@ -84,15 +92,36 @@
         return state.voters();
     }
 
+    @Override
+    public boolean isFirstStart() {
+        return firstStart;
+    }
+
     @Override
     public boolean mayBootstrap() {
-        State now = state;
-        if (!firstStart || now.grouped()) {
-            return false;
+        long now = timers.nanoTime();
+        if (now - askedAt > MAX_QUESTION_GAP.toNanos()) {
+            // What this process knows of the others is as old as the time for which it stood still.
+            awakeSince = now;
+        }
+        askedAt = now;
+        State known = state;
+        long stableSince = known.changedAt() - awakeSince > 0 ? known.changedAt() : awakeSince;
+        boolean isStable = now - stableSince > STABLE_TIME.toNanos();
+        return !known.grouped() && isStable && isSufficient(known, now);
+    }
+
+    /**
+     * Returns whether the known voters suffice. Fewer than required must still be more than can be lost: nodes that don't
+     * reach each other could otherwise found two groups.
+     */
+    private boolean isSufficient(State known, long now) {
+        int voters = known.voters().size();
+        if (voters >= minVoters()) {
+            return true;
         }
-        boolean isStable = timers.nanoTime() - now.changedAt() > STABLE_TIME.toNanos();
-        boolean mayWaitForMore = timers.nanoTime() - startedAt < MAX_FOUNDING_DELAY.toNanos();
-        return isStable && (now.voters().size() >= minVoters() || !mayWaitForMore);
+        boolean mayWaitForMore = now - awakeSince < MAX_FOUNDING_DELAY.toNanos();
+        return !mayWaitForMore && (voters > toleratedLosses || known.complete());
     }
 
     @Override
@@ -120,8 +149,16 @@
                 .toList();
         State before = state;
         long changedAt = voters.equals(before.voters()) ? before.changedAt() : timers.nanoTime();
-        state = new State(voters, grouped, changedAt);
+        state = new State(voters, grouped, mesh.isComplete(), changedAt);
     }
 
-    private record State(List<VoterAddress> voters, boolean grouped, long changedAt) {}
+    /**
+     * What this node knows of the others.
+     *
+     * @param voters    nodes with a disk, including this one
+     * @param grouped   whether one of them belongs to a group
+     * @param complete  whether every node is connected that this one knows of
+     * @param changedAt when the voters changed last, monotonic time in nanoseconds
+     */
+    private record State(List<VoterAddress> voters, boolean grouped, boolean complete, long changedAt) {}
 }
--- a/library/src/test/java/org/copperspindle/consensus/MemberFolderTest.java
+++ b/library/src/test/java/org/copperspindle/consensus/MemberFolderTest.java
@@ -220,7 +220,7 @@
             Files.delete(file);
         }
         folder = new MemberFolder(path, SEGMENT_BYTES, LogFile::open);
-        assertThat(folder.recover("m", () -> 8).hardState().identity())
+        assertThat(folder.recover("m", false, () -> 8).hardState().identity())
                 .isEqualTo(8)
                 .isNotEqualTo(first);
     }
@@ -228,12 +228,12 @@
     @Test
     void folderOfAnotherMemberOrInUseIsRefused() throws IOException {
         initialize();
-        assertThatThrownBy(() -> new MemberFolder(path, SEGMENT_BYTES, LogFile::open).recover("m", () -> 9))
+        assertThatThrownBy(() -> new MemberFolder(path, SEGMENT_BYTES, LogFile::open).recover("m", false, () -> 9))
                 .isInstanceOf(IOException.class)
                 .hasMessageContaining("in use");
         close();
         folder = new MemberFolder(path, SEGMENT_BYTES, LogFile::open);
-        assertThatThrownBy(() -> folder.recover("other", () -> 9)).hasMessageContaining("belongs to member m");
+        assertThatThrownBy(() -> folder.recover("other", false, () -> 9)).hasMessageContaining("belongs to member m");
     }
 
     @Test
@@ -246,7 +246,7 @@
 
     private RecoveredState open() throws IOException {
         folder = new MemberFolder(path, SEGMENT_BYTES, LogFile::open);
-        return folder.recover("m", () -> 7);
+        return folder.recover("m", false, () -> 7);
     }
 
     private RecoveredState reopen() throws IOException {
--- a/library/src/test/java/org/copperspindle/consensus/SimulatedGroup.java
+++ b/library/src/test/java/org/copperspindle/consensus/SimulatedGroup.java
@@ -63,32 +63,20 @@
 
     /** Makes membership dynamic, with a number of voters that a removal must leave. */
     void useDynamicMembership(int minVoters, boolean mayBootstrap) {
-        VoterSource roster = new VoterSource() {
-            @Override
-            public List<VoterAddress> voters() {
-                return List.of();
-            }
-
-            @Override
-            public boolean mayBootstrap() {
-                return mayBootstrap;
-            }
+        members.forEach(m -> useRoster(m, new Roster(minVoters, mayBootstrap, true)));
+    }
 
-            @Override
-            public boolean isDynamic() {
-                return true;
-            }
+    /** Makes membership dynamic for a member whose next start is not the first one of the deployment. */
+    void useLaterStart(SimulatedMember member, int minVoters) {
+        useRoster(member, new Roster(minVoters, true, false));
+    }
 
-            @Override
-            public int minVoters() {
-                return minVoters;
-            }
-        };
+    private void useRoster(SimulatedMember member, Roster roster) {
         List<RaftSettings.Voter> names = members.stream()
                 .map(m -> new RaftSettings.Voter(m.name, m.name))
                 .toList();
-        members.forEach(m ->
-                m.settings = new RaftSettings("group", m.name, m.name, m.name, () -> names, roster, TIMING, LIMITS));
+        member.settings =
+                new RaftSettings("group", member.name, member.name, member.name, () -> names, roster, TIMING, LIMITS);
     }
 
     void startAll() {
@@ -169,6 +157,19 @@
         return random.nextLong(bound) + 1;
     }
 
+    /** Rules of a dynamic membership; the names of the voters are in the settings. */
+    private record Roster(int minVoters, boolean mayBootstrap, boolean isFirstStart) implements VoterSource {
+        @Override
+        public List<VoterAddress> voters() {
+            return List.of();
+        }
+
+        @Override
+        public boolean isDynamic() {
+            return true;
+        }
+    }
+
     /** One member with its disk. */
     final class SimulatedMember {
         final String name;
@@ -214,7 +215,8 @@
         void start() {
             incarnation++;
             if (disk.hard == null) {
-                disk.hard = HardState.initial(nextIdentity++, name);
+                disk.hard = HardState.initial(
+                        nextIdentity++, name, settings.voterSource().isFirstStart());
             }
             state.clear();
             disk.snapshot.filter(s -> s.index() > 1).ifPresent(this::restore);
