test, consensus: a replaced leader still counts when another disk is lost; members that left take all places

On the current code a newcomer is admitted and promoted, the former leader is removed only after an election and three election timeouts, and a disk that is lost 4 election timeouts after the start of the newcomer leaves two of four voters: no change of the configuration is answered ever again. Learners that left are never removed, so that a group of twelve members admits nobody any more.

--- a/library/src/test/java/org/copperspindle/consensus/DynamicMembershipTest.java
+++ b/library/src/test/java/org/copperspindle/consensus/DynamicMembershipTest.java
@@ -6,6 +6,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -124,6 +125,52 @@
         }
     }
 
+    /** Guards against a group that has no quorum ever again because a voter that was replaced still counts. */
+    @ParameterizedTest
+    @EnumSource(
+            value = RaftRole.class,
+            names = {"FOLLOWER", "LEADER"})
+    void diskLostAfterTheReplacementOfAVoterLosesNothing(RaftRole role) {
+        for (long seed = 61; seed < 81; seed++) {
+            SimulatedGroup group = start(seed, 3, 3);
+            SimulatedMember replaced = role == RaftRole.LEADER ? currentLeader(group) : other(group);
+            long startedAt = group.time.nanoTime();
+            SimulatedMember newcomer = addMember(group);
+            group.time.advance(SimulatedGroup.TIMING.electionNanos() * 3 / 10);
+            replaced.crash();
+            group.time.advance(startedAt + REPAIR_NANOS - group.time.nanoTime());
+            SimulatedMember second = group.members.stream()
+                    .filter(m -> m != replaced && m != newcomer)
+                    .findFirst()
+                    .orElseThrow();
+            second.crash();
+            second.loseDisk();
+            second.start();
+            group.commit("after the second loss");
+            group.awaitAllHoldAcknowledged();
+        }
+    }
+
+    /** Guards against a lost voter that is never replaced because members that left before they could vote take all places. */
+    @Test
+    void membersThatLeftBeforeTheyCouldVoteTakeNoPlaces() {
+        SimulatedGroup group = start(81, 3, 3);
+        for (int i = 0; i < 12; i++) {
+            SimulatedMember brief = addMember(group);
+            group.until("admitted", () -> isMember(group, brief));
+            brief.crash();
+            group.time.advance(10 * SimulatedGroup.TIMING.electionNanos());
+        }
+        SimulatedMember lost = other(group);
+        lost.crash();
+        SimulatedMember newcomer = addMember(group);
+        group.until(
+                "replaced",
+                () -> group.leading()
+                        .filter(m -> m.node.membership().hasVoter(newcomer.node.identity()))
+                        .isPresent());
+    }
+
     /** A removal must leave enough voters for the number of losses that the group must tolerate at once. */
     @Test
     void unresponsiveVoterStaysWithoutAReplacement() {
@@ -134,6 +181,21 @@
         assertThat(currentLeader(group).node.membership().voters()).hasSize(3);
     }
 
+    private static SimulatedMember addMember(SimulatedGroup group) {
+        int number = group.members.size();
+        group.configureVoters(number + 1);
+        group.useDynamicMembership(3, false);
+        SimulatedMember added = group.member(number);
+        added.start();
+        return added;
+    }
+
+    private static boolean isMember(SimulatedGroup group, SimulatedMember member) {
+        return group.leading()
+                .flatMap(m -> m.node.membership().find(member.node.identity()))
+                .isPresent();
+    }
+
     private static SimulatedGroup start(long seed, int voters, int minVoters) {
         SimulatedGroup group = new SimulatedGroup(seed, voters);
         group.useDynamicMembership(minVoters, true);
