consensus: a member that left is removed before its node stops counting as lost

What callers saw: no configuration was read or accepted ever again when another disk was lost 4 s after the start of the node that replaced the leader's, with real processes and in the test.

Cause: the former leader still counted as a voter. Its silence was counted from the election that it caused, and three election timeouts had to pass; the successor is promoted meanwhile, so that two lost voters of four leave no quorum. The class: what has left counts on, for a time that begins late. Learners that left counted for good, and a group of twelve members admitted nobody any more.

Change: silence of the former leader counts from when it was last heard; two election timeouts of silence; learners are removed too. That a leader keeps its place is decided as before.

Why it holds: removal still needs a quorum of those left within an election timeout, and one change at a time; one that was only away asks to come back.

--- a/library/src/main/java/org/copperspindle/consensus/MembershipChanges.java
+++ b/library/src/main/java/org/copperspindle/consensus/MembershipChanges.java
@@ -19,8 +19,14 @@
     private static final int MAX_JOINERS = 8;
     private static final int MAX_MEMBERS = 12;
 
-    /** Election timeouts without a reply after which a voter is considered gone. */
-    private static final int SILENT_ELECTION_TIMEOUTS = 3;
+    /** Election timeouts after which a request to join is outdated. */
+    private static final int JOIN_ELECTION_TIMEOUTS = 3;
+
+    /**
+     * Election timeouts without a reply after which a member is considered gone. A node that was replaced counts as lost
+     * for four of them after the start of its successor, and its removal may have to wait for an election.
+     */
+    private static final int SILENT_ELECTION_TIMEOUTS = 2;
 
     private final RaftState state;
     private final Replication replication;
@@ -46,7 +52,7 @@
 
     /** Starts the next change, if there is one. */
     void tick(long now) {
-        long maxAge = SILENT_ELECTION_TIMEOUTS * state.settings().timing().electionNanos();
+        long maxAge = JOIN_ELECTION_TIMEOUTS * state.settings().timing().electionNanos();
         joiners.values()
                 .removeIf(j -> now - j.at() > maxAge
                         || state.membership().find(j.member().identity()).isPresent());
@@ -122,22 +128,23 @@
     }
 
     /**
-     * Removes a voter that no longer replies, so that the next loss hits a complete group again. One that was only
-     * partitioned or stopped asks to join when it is back.
+     * Removes a member that no longer replies: a voter, so that the next loss hits a complete group again, or a learner,
+     * whose place others need. One that was only partitioned or stopped asks to join when it is back.
      */
     private Optional<Membership> removeSilent(long now) {
         long maxSilenceNanos =
                 SILENT_ELECTION_TIMEOUTS * state.settings().timing().electionNanos();
-        if (state.membership().voters().size() <= state.settings().voterSource().minVoters()) {
-            return Optional.empty();
-        }
-        return state.membership().voters().stream()
-                .filter(m -> m.identity() != state.identity()
-                        && !replication.hasHeardFrom(m, now, maxSilenceNanos)
-                        && keepsQuorum(m, now))
+        boolean mayLoseVoter = state.membership().voters().size()
+                > state.settings().voterSource().minVoters();
+        return state.membership().members().stream()
+                .filter(m -> replication.isSilent(m, now, maxSilenceNanos))
+                .filter(m -> !m.voter() || mayLoseVoter && keepsQuorum(m, now))
                 .findFirst()
                 .map(gone -> {
-                    LOGGER.info("event=voter-removed member={} reason=silent", gone.name());
+                    LOGGER.info(
+                            "event={} member={} reason=silent",
+                            gone.voter() ? "voter-removed" : "learner-removed",
+                            gone.name());
                     return state.membership().without(gone.identity());
                 });
     }
--- a/library/src/main/java/org/copperspindle/consensus/Progress.java
+++ b/library/src/main/java/org/copperspindle/consensus/Progress.java
@@ -14,11 +14,20 @@
     private long match;
     private long next;
     private long lastReplyAt;
+    private long heardAt;
     private long ackedRequestSentAt = NEVER;
     private long advancedAt;
 
-    Progress(long next, long now) {
+    /**
+     * Creates the progress of a member that has not replied in this term.
+     *
+     * @param next    index of the first entry to send
+     * @param heardAt when the member was last heard before this term, on this member's clock in nanoseconds
+     * @param now     the same clock now
+     */
+    Progress(long next, long heardAt, long now) {
         this.next = next;
+        this.heardAt = heardAt;
         this.lastReplyAt = now;
         this.advancedAt = now;
     }
@@ -32,10 +41,16 @@
         return next;
     }
 
+    /** Returns when the member replied last; the begin of the term counts as a reply, as it had no time for one. */
     long lastReplyAt() {
         return lastReplyAt;
     }
 
+    /** Returns when the member was last heard, in this term or before. */
+    long heardAt() {
+        return heardAt;
+    }
+
     /** Returns when the newest request to which the member replied was sent, on the leader's clock. */
     long ackedRequestSentAt() {
         return ackedRequestSentAt;
@@ -55,6 +70,7 @@
 
     void replied(long sentAt, long now) {
         lastReplyAt = now;
+        heardAt = now;
         ackedRequestSentAt = Math.max(ackedRequestSentAt, sentAt);
     }
 
--- a/library/src/main/java/org/copperspindle/consensus/RaftState.java
+++ b/library/src/main/java/org/copperspindle/consensus/RaftState.java
@@ -20,6 +20,7 @@
     private HardState hard;
     private RaftRole role = RaftRole.FOLLOWER;
     private long leader;
+    private long lastLeader;
     private long leaderSeenAt;
     private boolean fresh = true;
     private long commit;
@@ -79,6 +80,11 @@
         return leader;
     }
 
+    /** Returns the identity of the last leader that this member has heard, 0 if none since its process started. */
+    long lastLeader() {
+        return lastLeader;
+    }
+
     long leaderSeenAt() {
         return leaderSeenAt;
     }
@@ -127,6 +133,7 @@
     /** Records a valid message from the leader of this term. */
     void onLeaderMessage(long from, long now) {
         become(RaftRole.FOLLOWER, from);
+        lastLeader = from;
         leaderSeenAt = now;
         fresh = false;
     }
--- a/library/src/main/java/org/copperspindle/consensus/Replication.java
+++ b/library/src/main/java/org/copperspindle/consensus/Replication.java
@@ -138,6 +138,12 @@
                 || now - progressOf(member, now).lastReplyAt() < withinNanos;
     }
 
+    /** Returns whether a member has been silent for a while; silence of the former leader before this term counts. */
+    boolean isSilent(Member member, long now, long forNanos) {
+        return member.identity() != state.identity()
+                && now - progressOf(member, now).heardAt() >= forNanos;
+    }
+
     private boolean hasHeardFromQuorum(long now) {
         long within = state.settings().timing().electionNanos();
         return state.membership()
@@ -203,7 +209,9 @@
 
     private Progress progressOf(Member member, long now) {
         // Starts with the newest entry; a member that doesn't have it replies so.
-        return progress.computeIfAbsent(
-                member.identity(), id -> new Progress(state.log().lastIndex(), now));
+        return progress.computeIfAbsent(member.identity(), id -> {
+            long heardAt = id == state.lastLeader() ? state.leaderSeenAt() : now;
+            return new Progress(state.log().lastIndex(), heardAt, now);
+        });
     }
 }
