gateway, consensus: logs tell which place ended a change, and for what it waits

What callers saw: several tries of a change without a clear answer; the logs of the nodes named neither the leader nor a reason, and a try that waits left no line.

--- a/library/src/main/java/org/copperspindle/gateway/ControlRequestHandler.java
+++ b/library/src/main/java/org/copperspindle/gateway/ControlRequestHandler.java
@@ -33,6 +33,7 @@
     private final IgnoredAnnouncements ignoredAnnouncements;
     private final RequestQuarantine quarantine;
     private final EvacuationRequestHandler evacuationHandler;
+    private final SubmissionLog submissionLog;
 
     ControlRequestHandler(
             DirectoryGossip gossip,
@@ -41,7 +42,8 @@
             Supplier<Optional<RouteTable>> table,
             IgnoredAnnouncements ignoredAnnouncements,
             RequestQuarantine quarantine,
-            EvacuationRequestHandler evacuationHandler) {
+            EvacuationRequestHandler evacuationHandler,
+            SubmissionLog submissionLog) {
         this.gossip = gossip;
         this.controlGroup = controlGroup;
         this.tableReader = tableReader;
@@ -49,6 +51,7 @@
         this.ignoredAnnouncements = ignoredAnnouncements;
         this.quarantine = quarantine;
         this.evacuationHandler = evacuationHandler;
+        this.submissionLog = submissionLog;
     }
 
     /**
@@ -127,14 +130,7 @@
             callback.accept(new ControlResponse.Invalid(invalid.problem()));
         } else if (result instanceof RouteTableResult.Valid valid) {
             VersionMessage version = new VersionMessage(valid.table().version(), text);
-            controlGroup.put(valid.table(), version, outcome -> {
-                LOGGER.info(
-                        "event=version-asked version={} bytes={} result={}",
-                        version.version(),
-                        text.length,
-                        describe(outcome));
-                callback.accept(outcome);
-            });
+            controlGroup.put(valid.table(), version, submissionLog.follow(version.version(), text.length, callback));
         }
     }
 
@@ -160,10 +156,4 @@
             callback.accept(outcome);
         });
     }
-
-    private static String describe(ControlResponse result) {
-        return result instanceof ControlResponse.Recorded recorded
-                ? "recorded newest=" + recorded.version()
-                : result.getClass().getSimpleName();
-    }
 }
--- a/library/src/main/java/org/copperspindle/gateway/GatewayCounters.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayCounters.java
@@ -23,6 +23,7 @@
     private final Map<String, Map<String, Long>> outcomes = new TreeMap<>();
     private final Map<String, Map<String, Long>> accounts = new TreeMap<>();
     private final Map<String, Long> refusals = new TreeMap<>();
+    private final Map<String, Long> submissions = new TreeMap<>();
     private final Map<String, Long> placements = new TreeMap<>();
     private final Map<String, LatencyHistogram> durations = new TreeMap<>();
     private final Map<String, LatencyHistogram> waits = new TreeMap<>();
@@ -52,6 +53,11 @@
         refusals.merge(reason, 1L, Long::sum);
     }
 
+    /** Counts a configuration that an operator submitted, by what it came to, or one that waits long for that. */
+    void recordSubmission(String result) {
+        submissions.merge(result, 1L, Long::sum);
+    }
+
     /** Counts a call that was not sent because it is of no request in progress. */
     void recordRejectedCall(RequestDifference difference) {
         rejectedCalls.merge(difference, 1L, Long::sum);
@@ -119,6 +125,10 @@
         return refusals;
     }
 
+    Map<String, Long> submissions() {
+        return submissions;
+    }
+
     /** Returns times from admission to the end, by route. */
     Map<String, LatencyHistogram> durations() {
         return durations;
--- a/library/src/main/java/org/copperspindle/gateway/GatewayMetrics.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayMetrics.java
@@ -222,6 +222,12 @@
                                 result)));
         publishReasons(
                 metrics, "refusals", "Requests not admitted", node.counters().refusals());
+        publishCounts(
+                metrics,
+                "configurations.submitted",
+                "Configurations that operators submitted to this node",
+                node.counters().submissions(),
+                "result");
         publishCounts(
                 metrics,
                 "engine.placements",
--- a/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
@@ -253,7 +253,8 @@
                 versionHolder::heldTable,
                 ignoredAnnouncements,
                 quarantine,
-                new EvacuationRequestHandler(controlGroup, versionHolder::evacuations, knownDomains));
+                new EvacuationRequestHandler(controlGroup, versionHolder::evacuations, knownDomains),
+                new SubmissionLog(timers, versionExchange, counters));
         this.callerListener = new HttpListener(
                 eventLoops,
                 settings.callers(),
