version, consensus: a change that is sent again, and a read, wait for no further save

What callers saw: a change that never got a clear answer, at several nodes, in calm.

Cause: every try was an entry of its own. The leader answers once it has applied the entry, after its own disk and one other; with syncs of over a second, as on a disk that is shared, each try ended unanswered at the operator although the first one had recorded the change. One slow disk suffices, since a leader keeps its place by heartbeats. A read was an entry too. The class: what need not be written waits for a disk.

Change: tries of one change share an entry while it is under way, and one that is recorded is acknowledged after a round of heartbeats, as are reads: a quorum that answers a request sent after the question has elected no other leader before it.

Why it holds: a recorded version never goes back, so an acknowledgement of it stays true; a read waits until the state holds what was committed when it was asked, and a replaced leader gets no such quorum.

--- a/library/src/main/java/org/copperspindle/consensus/ConsensusLog.java
+++ b/library/src/main/java/org/copperspindle/consensus/ConsensusLog.java
@@ -45,6 +45,8 @@
     private final DiskWorker disk;
     private final RaftNode node;
     private final Map<Long, Consumer<ProposalResult>> pending = new HashMap<>();
+    private final Map<Long, Consumer<Boolean>> confirming = new HashMap<>();
+    private long confirmations;
     private boolean running;
     private volatile boolean stopped;
 
@@ -198,6 +200,17 @@
         step(() -> {});
     }
 
+    @Override
+    public void confirm(Consumer<Boolean> callback) {
+        confirmations++;
+        if (stopped || !node.confirm(confirmations, timers.nanoTime())) {
+            callback.accept(false);
+            return;
+        }
+        confirming.put(confirmations, callback);
+        step(() -> {});
+    }
+
     /**
      * Removes a member permanently, for example one whose VM will not come back.
      *
@@ -297,6 +310,8 @@
             apply(apply.entry());
         } else if (action instanceof RaftAction.Restore restore) {
             restore(restore.snapshot());
+        } else if (action instanceof RaftAction.Confirmed confirmed) {
+            Optional.ofNullable(confirming.remove(confirmed.number())).ifPresent(callback -> callback.accept(true));
         } else if (action instanceof RaftAction.TakeSnapshot take) {
             node.snapshotTaken(new LogSnapshot(take.index(), take.term(), take.membership(), state.snapshot()));
         } else {
@@ -322,6 +337,9 @@
         List<Consumer<ProposalResult>> open = new ArrayList<>(pending.values());
         pending.clear();
         open.forEach(callback -> callback.accept(new ProposalResult.Unknown()));
+        List<Consumer<Boolean>> unconfirmed = new ArrayList<>(confirming.values());
+        confirming.clear();
+        unconfirmed.forEach(callback -> callback.accept(false));
     }
 
     private void fail(String event, Exception failure) {
--- a/library/src/main/java/org/copperspindle/consensus/RaftAction.java
+++ b/library/src/main/java/org/copperspindle/consensus/RaftAction.java
@@ -46,6 +46,13 @@
      */
     record TakeSnapshot(long index, long term, Membership membership) implements RaftAction {}
 
+    /**
+     * Reports that the member was the leader after it was asked, and that the state holds what was committed before.
+     *
+     * @param number number of the question
+     */
+    record Confirmed(long number) implements RaftAction {}
+
     /** The member is no longer the leader: it is unknown whether proposals without a result will be committed. */
     record LeadershipLost() implements RaftAction {}
 }
--- a/library/src/main/java/org/copperspindle/consensus/RaftNode.java
+++ b/library/src/main/java/org/copperspindle/consensus/RaftNode.java
@@ -108,6 +108,20 @@
         return OptionalLong.of(index);
     }
 
+    /**
+     * Asks for a {@link RaftAction.Confirmed}.
+     *
+     * @param number number of the question
+     * @return false if this member is not the leader
+     */
+    boolean confirm(long number, long now) {
+        if (state.role() != RaftRole.LEADER) {
+            return false;
+        }
+        replication.confirm(number, now);
+        return true;
+    }
+
     /** Called when a request to the disk and all earlier ones are synced. */
     void persisted(long sequence, long now) {
         state.persisted(sequence);
--- a/library/src/main/java/org/copperspindle/consensus/Replication.java
+++ b/library/src/main/java/org/copperspindle/consensus/Replication.java
@@ -1,5 +1,7 @@
 package org.copperspindle.consensus;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -19,9 +21,12 @@
     private final RaftState state;
     private final SnapshotSender snapshots;
     private final Map<Long, Progress> progress = new HashMap<>();
+    private final Deque<Confirmation> confirmations = new ArrayDeque<>();
     private long ownSequence;
     private long firstOfTerm;
     private long heartbeatAt;
+    private long appliedBefore;
+    private long appliedAt;
 
     Replication(RaftState state) {
         this.state = state;
@@ -31,6 +36,7 @@
     /** Starts a term of leadership. */
     void start(long now) {
         progress.clear();
+        confirmations.clear();
         snapshots.clear();
         state.become(RaftRole.LEADER, state.identity());
         ownSequence = 0;
@@ -49,6 +55,16 @@
         return index;
     }
 
+    /**
+     * Confirms that this member leads after now: a quorum that replies to a request sent from now on has elected no other
+     * leader before.
+     */
+    void confirm(long number, long now) {
+        confirmations.addLast(new Confirmation(number, now, Math.max(state.commit(), firstOfTerm)));
+        heartbeat(now);
+        completeConfirmations(now);
+    }
+
     /** Sends what can be sent, to the own disk and to all other members. */
     void replicate(long now) {
         persistLocally();
@@ -62,6 +78,7 @@
     /** Called when a request to the disk is synced. */
     void persisted(long now) {
         advanceCommit();
+        completeConfirmations(now);
         replicate(now);
     }
 
@@ -72,6 +89,7 @@
             heartbeat(now);
         }
         replicate(now);
+        logDelay(now);
         if (!hasHeardFromQuorum(now)) {
             LOGGER.warn(
                     "event=leader-stepped-down member={} term={} reason=no-quorum",
@@ -94,6 +112,7 @@
         } else {
             to.rejected(reply.index());
         }
+        completeConfirmations(now);
         replicate(from.get(), now);
     }
 
@@ -138,6 +157,36 @@
                 || now - progressOf(member, now).lastReplyAt() < withinNanos;
     }
 
+    /** Logs what the entries of this leader wait for if none has been applied for half an election timeout. */
+    private void logDelay(long now) {
+        if (state.applied() != appliedBefore || state.applied() == state.log().lastIndex()) {
+            appliedBefore = state.applied();
+            appliedAt = now;
+        }
+        if (now - appliedAt < state.settings().timing().electionNanos() / 2) {
+            return;
+        }
+        appliedAt = now;
+        LOGGER.warn(
+                "event=entries-wait member={} term={} last={} on_own_disk={} committed={} applied={} on_disks={}",
+                state.settings().name(),
+                state.term(),
+                state.log().lastIndex(),
+                state.durable(),
+                state.commit(),
+                state.applied(),
+                state.membership().voters().stream()
+                        .map(voter -> voter.name() + '=' + match(voter))
+                        .toList());
+    }
+
+    private void completeConfirmations(long now) {
+        long ackedSince = state.membership().reachedByQuorum(m -> ackedRequestSentAt(m, now));
+        while (!confirmations.isEmpty() && confirmations.peekFirst().isCompleted(ackedSince, state.applied())) {
+            state.addAction(new RaftAction.Confirmed(confirmations.pollFirst().number()));
+        }
+    }
+
     private boolean hasHeardFromQuorum(long now) {
         long within = state.settings().timing().electionNanos();
         return state.membership()
@@ -206,4 +255,11 @@
         return progress.computeIfAbsent(
                 member.identity(), id -> new Progress(state.log().lastIndex(), now));
     }
+
+    /** A question whether this member leads, when it was asked, and the index that the state must have reached. */
+    private record Confirmation(long number, long askedAt, long index) {
+        private boolean isCompleted(long ackedSince, long applied) {
+            return ackedSince - askedAt >= 0 && applied >= index;
+        }
+    }
 }
--- a/library/src/main/java/org/copperspindle/control/ReplicatedLog.java
+++ b/library/src/main/java/org/copperspindle/control/ReplicatedLog.java
@@ -73,6 +73,16 @@
      */
     void propose(byte[] command, Consumer<ProposalResult> callback);
 
+    /**
+     * Confirms that this member leads after this call, and that the state holds all commands that were acknowledged
+     * before it. Needs the replies of a quorum, but no disk.
+     *
+     * @param callback called once, on the decision ring; receives false if this member does not lead, or no longer
+     */
+    default void confirm(Consumer<Boolean> callback) {
+        callback.accept(leads());
+    }
+
     @Override
     void close();
 }
--- a/library/src/main/java/org/copperspindle/version/VersionMember.java
+++ b/library/src/main/java/org/copperspindle/version/VersionMember.java
@@ -3,7 +3,11 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 import java.util.function.Consumer;
 
 import org.apache.logging.log4j.LogManager;
@@ -39,6 +43,10 @@
     private long distrustUntil;
     private boolean isDistrusted;
     private MemberStatus published = MemberStatus.NONE;
+
+    /** Callbacks of the versions that are being recorded, by version. */
+    private final TreeMap<Long, List<Consumer<VersionResult>>> openPuts = new TreeMap<>();
+
     private volatile boolean closed;
 
     VersionMember(
@@ -90,13 +98,26 @@
     }
 
     /**
-     * Records a version.
+     * Records a version. One that is recorded already, or is being recorded, or is overtaken by such a one is not recorded
+     * again, so that its sender waits for no further save of a disk.
      *
      * @param version  the version, already validated
      * @param callback receives the result
      */
     public void put(VersionMessage version, Consumer<VersionResult> callback) {
-        propose(VersionMessage.CODEC.encode(version), callback);
+        offer(callback, () -> {
+            Optional<List<Consumer<VersionResult>>> waiting = Optional.ofNullable(
+                            openPuts.ceilingEntry(version.version()))
+                    .map(Map.Entry::getValue);
+            if (state.held().version() >= version.version()) {
+                confirm(callback);
+            } else if (waiting.isPresent()) {
+                waiting.get().add(callback);
+            } else {
+                openPuts.put(version.version(), new ArrayList<>(List.of(callback)));
+                log.propose(VersionMessage.CODEC.encode(version), result -> endPut(version.version(), read(result)));
+            }
+        });
     }
 
     /**
@@ -120,13 +141,13 @@
     }
 
     /**
-     * Reads the newest version. The read goes through the log: a leader that was suspended and does not know yet that
-     * it has been replaced could otherwise return an outdated version.
+     * Reads the newest version. A quorum confirms first that this member still leads: a leader that was suspended and does
+     * not know yet that it has been replaced could otherwise return an outdated version.
      *
      * @param callback receives the result
      */
     public void read(Consumer<VersionResult> callback) {
-        propose(VersionState.READ, callback);
+        offer(callback, () -> confirm(callback));
     }
 
     /**
@@ -174,18 +195,33 @@
     }
 
     private void propose(byte[] command, Consumer<VersionResult> callback) {
+        offer(callback, () -> log.propose(command, result -> callback.accept(read(result))));
+    }
+
+    /** Runs a request on the ring, unless the lease of this member can't be trusted. */
+    private void offer(Consumer<VersionResult> callback, Runnable request) {
         boolean accepted = ring.offer(() -> {
-            if (!isTrusted()) {
+            if (isTrusted()) {
+                request.run();
+            } else {
                 callback.accept(new VersionResult.NotLeading());
-                return;
             }
-            log.propose(command, result -> callback.accept(read(result)));
         });
         if (!accepted) {
             callback.accept(new VersionResult.NotLeading());
         }
     }
 
+    private void confirm(Consumer<VersionResult> callback) {
+        log.confirm(leads ->
+                callback.accept(leads ? new VersionResult.Recorded(state.held()) : new VersionResult.NotLeading()));
+    }
+
+    private void endPut(long version, VersionResult result) {
+        Optional.ofNullable(openPuts.remove(version))
+                .ifPresent(waiting -> waiting.forEach(each -> each.accept(result)));
+    }
+
     private VersionResult read(ProposalResult result) {
         if (result instanceof ProposalResult.NotTaken) {
             return new VersionResult.NotLeading();
--- a/library/src/test/java/org/copperspindle/consensus/SimulatedGroup.java
+++ b/library/src/test/java/org/copperspindle/consensus/SimulatedGroup.java
@@ -174,6 +174,7 @@
         final String name;
         final List<String> state = new ArrayList<>();
         final List<VoteReplyMessage> granted = new ArrayList<>();
+        final Set<Long> confirmed = new HashSet<>();
         RaftNode node;
         long minSync;
         long maxSync = 2 * MILLI;
@@ -261,6 +262,13 @@
             return index.isPresent();
         }
 
+        /** Asks whether this member leads; returns false if it knows that it does not. */
+        boolean confirm(long number) {
+            boolean isAsked = node.confirm(number, now());
+            run();
+            return isAsked;
+        }
+
         private void tick(long ofIncarnation) {
             if (ofIncarnation != incarnation) {
                 return;
@@ -288,6 +296,8 @@
                 applyEntry(apply.entry());
             } else if (action instanceof RaftAction.Restore restore) {
                 restore(restore.snapshot());
+            } else if (action instanceof RaftAction.Confirmed question) {
+                confirmed.add(question.number());
             } else if (action instanceof RaftAction.TakeSnapshot take) {
                 byte[] data = String.join("\n", state).getBytes(java.nio.charset.StandardCharsets.UTF_8);
                 node.snapshotTaken(new LogSnapshot(take.index(), take.term(), take.membership(), data));
