gateway: any node acknowledges a change that it holds

What callers saw: a change that was recorded long ago, sent again, got 503 or a redirect at each node that didn't reach the leader.

Cause: an order always went to the leader. Nodes hold what the leader has recorded and pushed, and a change that is not newer than that changes nothing.

Evidence: HeldChangeTest, 2 of its 3 cases need the change (a node without a leader answered 503 by reading of the former code).

Why it holds: what a node holds was committed by a quorum before it was pushed.

--- a/library/src/main/java/org/copperspindle/gateway/ControlGroupClient.java
+++ b/library/src/main/java/org/copperspindle/gateway/ControlGroupClient.java
@@ -18,23 +18,30 @@
 final class ControlGroupClient {
 
     private final VersionExchange versionExchange;
+    private final VersionHolder holder;
     private final MovedStreamsRecorder movedStreams;
     private final Executor network;
 
     ControlGroupClient(VersionExchange versionExchange, VersionHolder holder, Executor network) {
         this.versionExchange = versionExchange;
+        this.holder = holder;
         this.movedStreams = new MovedStreamsRecorder(holder);
         this.network = network;
     }
 
     /**
-     * Submits a route table.
+     * Submits a route table. One that is not newer than the held one changes nothing, and the held one is recorded: every
+     * node answers it, whether it reaches the leader or not.
      *
      * @param table    the table
      * @param version  the table as it is recorded
      * @param callback receives the response
      */
     void put(RouteTable table, VersionMessage version, Consumer<ControlResponse> callback) {
+        if (holder.version() >= version.version()) {
+            callback.accept(new ControlResponse.Recorded(holder.version(), Optional.empty()));
+            return;
+        }
         submit(
                 (member, outcome) -> movedStreams.record(member, table, outcome, () -> member.put(version, outcome)),
                 callback);
