http, direct: a node that is late reads a caller's close before it sends the request

Cause: a read that doesn't fill its buffer is the last one of a connection in a turn of the network thread, so the close behind a request is read a turn later, a second where the thread is that late; and a call goes out on a kept connection in the turn in which it is made, before what other sockets have to say is read. The class: decisions by what has been read, not by what has arrived.

Change: while the thread is late (its 100 ms tick by over 100 ms), connections of callers are read to their end, and calls are sent after what has arrived on all sockets. A thread that is on time reads and sends as before.

--- a/library/src/main/java/org/copperspindle/direct/DirectClient.java
+++ b/library/src/main/java/org/copperspindle/direct/DirectClient.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
 import io.netty.bootstrap.Bootstrap;
@@ -75,6 +76,7 @@
     private final TimerService timers;
     private final IdleConnectionLimit idleLimit;
     private final HeldMemory memory;
+    private final BooleanSupplier isLate;
     private final DeferredTask sweepTask;
     private final Map<String, Deque<DirectConnection>> idleByAddress = new HashMap<>();
     private final IdlePool idlePool = new IdlePool();
@@ -90,10 +92,30 @@
      * @param memory    counts the fields of responses
      */
     public DirectClient(EventLoop loop, TimerService timers, IdleConnectionLimit idleLimit, HeldMemory memory) {
+        this(loop, timers, idleLimit, memory, () -> false);
+    }
+
+    /**
+     * Creates a client without connections.
+     *
+     * @param loop      network thread
+     * @param timers    timers on the network thread
+     * @param idleLimit limits how many idle connections are kept
+     * @param memory    counts the fields of responses
+     * @param isLate    returns whether the network thread is late: a call waits then until the thread has handled what has
+     *                  arrived on all sockets, as its caller may have left
+     */
+    public DirectClient(
+            EventLoop loop,
+            TimerService timers,
+            IdleConnectionLimit idleLimit,
+            HeldMemory memory,
+            BooleanSupplier isLate) {
         this.loop = loop;
         this.timers = timers;
         this.idleLimit = idleLimit;
         this.memory = memory;
+        this.isLate = isLate;
         this.sweepTask = new DeferredTask(timers, this::sweep);
     }
 
@@ -118,18 +140,29 @@
     @Override
     public CallHandle call(DirectCall call, DirectListener listener) {
         DirectExchange exchange = new DirectExchange(call, listener);
-        if (call.use() != ConnectionUse.NEW) {
-            Optional<DirectConnection> kept = takeIdle(call);
-            if (kept.isPresent()) {
-                exchange.sentOnKeptAt(timers.nanoTime());
-                kept.get().use(exchange);
-                return exchange;
-            }
+        if (isLate.getAsBoolean()) {
+            // A connection that was closed in this turn is reported by a task of its own.
+            timers.schedule(NEXT_TURN_NANOS, () -> loop.execute(() -> send(exchange)));
+        } else {
+            send(exchange);
         }
-        connect(exchange);
         return exchange;
     }
 
+    private void send(DirectExchange exchange) {
+        if (exchange.hasEnded()) {
+            return;
+        }
+        Optional<DirectConnection> kept =
+                exchange.call().use() == ConnectionUse.NEW ? Optional.empty() : takeIdle(exchange.call());
+        if (kept.isPresent()) {
+            exchange.sentOnKeptAt(timers.nanoTime());
+            kept.get().use(exchange);
+        } else {
+            connect(exchange);
+        }
+    }
+
     @Override
     public void check(String address, Consumer<ListenState> result) {
         open(address, new ChannelInboundHandlerAdapter()).addListener((ChannelFuture done) -> {
--- a/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
@@ -171,7 +171,7 @@
         this.origins = OriginsFactory.create(settings, mesh, timers, loop, directory, versionHolder);
         SharedIdleConnectionLimit idleLimit =
                 new SharedIdleConnectionLimit(directory, versionHolder::heldTable, () -> 1 + mesh.count());
-        DirectClient client = new DirectClient(loop, timers, idleLimit, memory);
+        DirectClient client = new DirectClient(loop, timers, idleLimit, memory, this::isLate);
         this.quarantine = new RequestQuarantine(mesh, timers, directory, client, decisionLog);
         this.overload = new NodeOverload(mesh, TICK_INTERVAL.toNanos());
         this.upstreamLimits = new UpstreamLimits(directory, decisionLog);
@@ -261,7 +261,8 @@
                 new CallerHttpLimits(versionHolder::heldTable, memory.budgetBytes()),
                 service,
                 memory,
-                new ShedConnections(settings.descriptors(), overload::tryAdmit));
+                new ShedConnections(settings.descriptors(), overload::tryAdmit),
+                this::isLate);
         this.readinessListener =
                 new HttpListener(eventLoops, settings.readiness(), () -> HttpLimits.DEFAULT, this::answerReadiness);
         this.controlListener = new HttpListener(
@@ -479,6 +480,10 @@
         return Duration.ofNanos(System.nanoTime() - startedAt);
     }
 
+    private boolean isLate() {
+        return overload.isLate(timers.nanoTime());
+    }
+
     private boolean serves() {
         return ready && !stopping;
     }
--- a/library/src/main/java/org/copperspindle/http/HttpListener.java
+++ b/library/src/main/java/org/copperspindle/http/HttpListener.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 
 import io.netty.bootstrap.ServerBootstrap;
@@ -124,7 +125,8 @@
                 () -> limits,
                 handler,
                 memory,
-                ConnectionAdmission.ALL);
+                ConnectionAdmission.ALL,
+                () -> false);
     }
 
     /**
@@ -175,7 +177,30 @@
             HttpRequestHandler handler,
             HeldMemory memory,
             ConnectionAdmission admission) {
-        this(group, false, address, limits, handler, memory, admission);
+        this(group, address, limits, handler, memory, admission, () -> false);
+    }
+
+    /**
+     * Binds and starts to listen on existing network threads, with a memory budget and a choice of connections, and
+     * notice callers that leave while the threads are late.
+     *
+     * @param group     network threads; they keep running when the listener is closed
+     * @param address   address to bind; port 0 picks a free port
+     * @param limits    supplies the limits of each new connection
+     * @param handler   handles requests
+     * @param memory    holds requests and the unsent bytes of responses
+     * @param admission decides which connections are taken
+     * @param isLate    returns whether the network thread is late, so that a caller may have left unnoticed
+     */
+    public HttpListener(
+            EventLoopGroup group,
+            InetSocketAddress address,
+            Supplier<HttpLimits> limits,
+            HttpRequestHandler handler,
+            HeldMemory memory,
+            ConnectionAdmission admission,
+            BooleanSupplier isLate) {
+        this(group, false, address, limits, handler, memory, admission, isLate);
     }
 
     private HttpListener(
@@ -185,7 +210,8 @@
             Supplier<HttpLimits> limits,
             HttpRequestHandler handler,
             HeldMemory memory,
-            ConnectionAdmission admission) {
+            ConnectionAdmission admission,
+            BooleanSupplier isLate) {
         this.admission = admission;
         this.group = group;
         this.ownsGroup = ownsGroup;
@@ -198,6 +224,7 @@
                 .option(
                         ChannelOption.RECVBUF_ALLOCATOR,
                         new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(MAX_ACCEPTS_PER_READ))
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR, new LateThreadReads(isLate))
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.SO_KEEPALIVE, true)
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WATER_MARK)
--- a/library/src/main/java/org/copperspindle/overload/NodeOverload.java
+++ b/library/src/main/java/org/copperspindle/overload/NodeOverload.java
@@ -21,11 +21,15 @@
 
     private static final Logger LOGGER = LogManager.getLogger(NodeOverload.class);
 
+    /** Delay of the network thread from which on a request may be sent before the end of its caller's connection is read. */
+    private static final long LATE_NANOS = Duration.ofMillis(100).toNanos();
+
     private final NodeMesh mesh;
     private final ConnectionRateLimit limit;
     private final Set<String> overloadedNodes = new HashSet<>();
     private final long tickNanos;
     private OptionalLong tickedAt = OptionalLong.empty();
+    private long lastDelayNanos;
     private boolean announced;
     private long shed;
 
@@ -50,6 +54,7 @@
     public void tick(long now) {
         long delayNanos = tickedAt.isPresent() ? Math.max(0, now - tickedAt.getAsLong() - tickNanos) : 0;
         tickedAt = OptionalLong.of(now);
+        lastDelayNanos = delayNanos;
         limit.record(delayNanos, now);
         if (limit.isLimited() == announced) {
             return;
@@ -86,6 +91,17 @@
         return limit.isLimited();
     }
 
+    /**
+     * Returns whether the network thread is late, so that what has arrived may not have been read yet.
+     *
+     * @param now monotonic time in nanoseconds
+     * @return true if its last tick was late, or the next one already is
+     */
+    public boolean isLate(long now) {
+        boolean isTickOverdue = tickedAt.isPresent() && now - tickedAt.getAsLong() - tickNanos > LATE_NANOS;
+        return isTickOverdue || lastDelayNanos > LATE_NANOS;
+    }
+
     /**
      * Returns how many connections were left to other nodes.
      *
--- a/library/src/test/java/org/copperspindle/direct/DirectClientTest.java
+++ b/library/src/test/java/org/copperspindle/direct/DirectClientTest.java
@@ -344,6 +344,34 @@
         }
     }
 
+    /** Guards against requests that are sent on a kept connection in the turn in which the thread would read the caller's close. */
+    @Test
+    void callOnAKeptConnectionIsNotSentOnceItsCallerHasLeft() throws Exception {
+        AtomicReference<CallHandle> handle = new AtomicReference<>();
+        DirectClient late = new DirectClient(
+                loop, new ManualClockTimers(), address -> maxIdle, HeldMemories.ofCallers(), () -> true);
+        try (ScriptedUpstream upstream = new ScriptedUpstream(sends(WHOLE));
+                Socket caller = connectToLoop(() -> handle.get().abort("caller-left"))) {
+            DirectCall call = call(upstream.address(), "id", ConnectionUse.KEPT);
+            CompletableFuture<String> first = new CompletableFuture<>();
+            loop.execute(() -> late.call(call, new RecordingListener(first)));
+            assertThat(first.get(TIMEOUT_SECONDS, TimeUnit.SECONDS)).isEqualTo("200 whole");
+            CountDownLatch busy = new CountDownLatch(1);
+            CountDownLatch left = new CountDownLatch(1);
+            loop.execute(() -> {
+                busy.countDown();
+                await(left);
+                handle.set(late.call(call, new RecordingListener(new CompletableFuture<>())));
+            });
+            await(busy);
+            caller.shutdownOutput();
+            left.countDown();
+            assertThat(call(upstream.address(), ConnectionUse.NEW).get(TIMEOUT_SECONDS, TimeUnit.SECONDS))
+                    .isEqualTo("200 whole");
+            assertThat(upstream.received()).hasSize(2);
+        }
+    }
+
     /** Connects to a listener on the network thread of the client, which notices when the connection is closed. */
     private Socket connectToLoop(Runnable onClosed) throws Exception {
         CountDownLatch accepted = new CountDownLatch(1);
