test, discovery, mesh: departures that are lost with a connection, restarts that are not noticed

An upstream that deregisters, or says in a response that it leaves, says so once. The node that hears it sends it once to each other node; if that goes out on one of two connections and this one breaks, the other node goes on sending. A node whose new process connects before the loss of the former one is noticed is taken for the former one, and is not sent the directory.

--- a/library/src/test/java/org/copperspindle/discovery/DirectoryGossipTest.java
+++ b/library/src/test/java/org/copperspindle/discovery/DirectoryGossipTest.java
@@ -14,6 +14,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -75,6 +76,41 @@
         assertThat(other.sent(UpstreamRecordsMessage.class)).hasSize(2);
     }
 
+    /** Guards against requests to upstreams whose departure was lost with one of several connections to a node. */
+    @ParameterizedTest
+    @EnumSource
+    void departureOnALostConnectionIsSentAgain(Departure departure) {
+        mesh.subscribe(gossip);
+        gossip.onAnnouncement(announcement(1, 0));
+        time.advance(Duration.ofSeconds(10).toNanos());
+        FakePeer second = new FakePeer("127.0.0.1:2");
+        mesh.onOpen(second);
+        departure.say(gossip);
+        int before = other.sent(UpstreamRecordsMessage.class).size();
+        mesh.onClose(second);
+        assertThat(other.sent(UpstreamRecordsMessage.class).stream().skip(before))
+                .anySatisfy(message -> assertThat(message.records())
+                        .anySatisfy(each -> assertThat(each.phase()).isNotEqualTo(UpstreamPhase.READY)));
+    }
+
+    /** Ways in which an upstream says once that it leaves. */
+    private enum Departure {
+        DEREGISTERED {
+            @Override
+            void say(DirectoryGossip gossip) {
+                gossip.onLeft("u1", UpstreamRecord.UNKNOWN_INCARNATION, "deregistered");
+            }
+        },
+        STATED_IN_A_RESPONSE {
+            @Override
+            void say(DirectoryGossip gossip) {
+                gossip.onLeaving("u1");
+            }
+        };
+
+        abstract void say(DirectoryGossip gossip);
+    }
+
     private static UpstreamRecord announcement(int number, long sequence) {
         return new UpstreamRecord(
                 "u" + number,
--- a/library/src/test/java/org/copperspindle/mesh/NodeMeshTest.java
+++ b/library/src/test/java/org/copperspindle/mesh/NodeMeshTest.java
@@ -6,6 +6,7 @@
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
@@ -164,6 +165,30 @@
         }
     }
 
+    /** Guards against a node that is told nothing after its restart, because its former connection was still open. */
+    @Test
+    void nodeThatRestartsBeforeItsLossIsNoticedIsNew() {
+        List<String> events = new ArrayList<>();
+        mesh.subscribe(new MeshListener() {
+            @Override
+            public void onNodeUp(MeshNode node) {
+                events.add("up " + node.incarnation());
+            }
+
+            @Override
+            public void onNodeDown(MeshNode node) {
+                events.add("down " + node.incarnation());
+            }
+        });
+        FakePeer former = connect(1);
+        FakePeer next = new FakePeer(name(1), 2);
+        mesh.onOpen(next);
+        mesh.onMessage(next, hello(0));
+        mesh.onClose(former);
+        assertThat(events).containsExactly("up 1", "down 1", "up 2");
+        assertThat(mesh.nodes()).extracting(MeshNode::incarnation).containsExactly(2L);
+    }
+
     /** Advances the time on the network thread, as in a node: failed connections are recorded there. */
     private void advance(Duration duration) {
         loop.submit(() -> time.advance(duration.toNanos())).syncUninterruptibly();
