discovery, mesh: what an upstream says once survives a broken connection and an unnoticed restart

What callers saw: requests still reached upstreams that had said that they leave (the large gallery). Shown in tests only.

Cause: a departure that is said once was sent once. Two nodes mostly share two connections, and the end of one brought nothing new to the other node; a node whose new process connected before its former connection ended was not noticed as new, and not sent the directory. The class: state that is sent on a change only, over connections that may lose it. Suspicions, loads and starts are sent again already.

Change: changes of the last 3.2 s are sent again when one of several connections ends; a connection of a later process ends the former node first, for all listeners.

That this is what was seen on the large gallery is suspected.

Why it holds: what was on a connection that breaks was sent at most the time of its silence, 1.6 s, before; older records are ignored by their incarnation and sequence.

--- a/library/src/main/java/org/copperspindle/discovery/DirectoryGossip.java
+++ b/library/src/main/java/org/copperspindle/discovery/DirectoryGossip.java
@@ -29,6 +29,7 @@
     private final TimerService timers;
     private final UpstreamDirectory directory;
     private final Map<String, UpstreamRecord> pending = new LinkedHashMap<>();
+    private final RecentChanges recentChanges = new RecentChanges();
 
     /**
      * Creates the gossip. The caller subscribes it to the mesh.
@@ -51,7 +52,7 @@
     public void onAnnouncement(UpstreamRecord announcement) {
         DirectoryChange change = directory.accept(announcement, timers.nanoTime());
         if (change == DirectoryChange.CHANGED) {
-            mesh.broadcast(new UpstreamRecordsMessage(List.of(announcement)));
+            broadcast(announcement);
         } else if (change == DirectoryChange.REFRESHED) {
             enqueue(announcement);
         }
@@ -59,9 +60,7 @@
 
     @Override
     public void onLeft(String id, long incarnation, String reason) {
-        directory
-                .markGone(id, incarnation, reason, timers.nanoTime())
-                .ifPresent(announcement -> mesh.broadcast(new UpstreamRecordsMessage(List.of(announcement))));
+        directory.markGone(id, incarnation, reason, timers.nanoTime()).ifPresent(this::broadcast);
     }
 
     /**
@@ -70,9 +69,7 @@
      * @param id its id
      */
     public void onLeaving(String id) {
-        directory
-                .markLeaving(id, timers.nanoTime())
-                .ifPresent(announcement -> mesh.broadcast(new UpstreamRecordsMessage(List.of(announcement))));
+        directory.markLeaving(id, timers.nanoTime()).ifPresent(this::broadcast);
     }
 
     @Override
@@ -83,6 +80,15 @@
         }
     }
 
+    /** Sends recent changes again: what an upstream says once, such as that it leaves, is not repeated by later announcements. */
+    @Override
+    public void onConnectionLost(MeshNode node) {
+        List<UpstreamRecord> recent = recentChanges.since(timers.nanoTime());
+        if (!recent.isEmpty()) {
+            node.send(new UpstreamRecordsMessage(recent));
+        }
+    }
+
     @Override
     public void onMessage(MeshNode node, WireMessage message) {
         if (message instanceof UpstreamRecordsMessage received) {
@@ -116,6 +122,11 @@
                 .forEach(node -> node.send(message));
     }
 
+    private void broadcast(UpstreamRecord changed) {
+        recentChanges.add(changed, timers.nanoTime());
+        mesh.broadcast(new UpstreamRecordsMessage(List.of(changed)));
+    }
+
     private void enqueue(UpstreamRecord announcement) {
         if (pending.isEmpty()) {
             timers.schedule(BATCH_NANOS, this::flush);
--- a/library/src/main/java/org/copperspindle/mesh/MeshNode.java
+++ b/library/src/main/java/org/copperspindle/mesh/MeshNode.java
@@ -121,15 +121,19 @@
         }
         if (peerIncarnation > incarnation) {
             incarnation = peerIncarnation;
-            List<Peer> outdated = List.copyOf(peers);
-            peers.clear();
-            outdated.forEach(Peer::close);
+            closePeers();
         }
         peers.add(peer);
         lastSent.clear();
         return true;
     }
 
+    void closePeers() {
+        List<Peer> outdated = List.copyOf(peers);
+        peers.clear();
+        outdated.forEach(Peer::close);
+    }
+
     boolean removePeer(Peer peer) {
         // The last messages on this connection may not have arrived, so they are sent again.
         lastSent.clear();
--- a/library/src/main/java/org/copperspindle/mesh/NodeMesh.java
+++ b/library/src/main/java/org/copperspindle/mesh/NodeMesh.java
@@ -199,6 +199,7 @@
     @Override
     public boolean onOpen(Peer peer) {
         String address = peer.greeting().processId();
+        removeFormer(address, peer.greeting().incarnation());
         MeshNode node = nodes.computeIfAbsent(address, MeshNode::new);
         if (address.equals(self) || !node.addPeer(peer)) {
             peer.close();
@@ -238,6 +239,20 @@
             }
             return true;
         }
+        remove(node);
+        return true;
+    }
+
+    /** Removes a node whose process was replaced by a later one before all of its connections ended. */
+    private void removeFormer(String address, long incarnation) {
+        MeshNode known = nodes.get(address);
+        if (known != null && known.isUp() && known.incarnation() < incarnation) {
+            known.closePeers();
+            remove(known);
+        }
+    }
+
+    private void remove(MeshNode node) {
         nodes.remove(node.address());
         dialTargets.put(node.address(), timers.nanoTime());
         if (node.hello() != null) {
@@ -247,7 +262,6 @@
             LOGGER.info("event=node-lost node={} incarnation={} nodes={}", node.address(), node.incarnation(), count());
             listeners.forEach(listener -> listener.onNodeDown(node));
         }
-        return true;
     }
 
     private void receiveHello(MeshNode node, NodeHelloMessage received) {
