direct: a call that waits is sent after the next reads, unless its upstream left; calls of the node's own don't wait

Its premise is made in one read of one socket now: the former one relied on the order in which two sockets are reported; the assertions are unchanged. An upstream that said meanwhile that it leaves got the call all the same, and calls of stages, which nobody withdraws, could time out before they were sent (by reading).

Evidence: with the former wait the test fails again (trial); callThatWaitedIsNotSentToAnUpstreamThatLeft. UpstreamAttempt's part of the check has no test of its own.

--- a/library/src/main/java/org/copperspindle/direct/DirectClient.java
+++ b/library/src/main/java/org/copperspindle/direct/DirectClient.java
@@ -54,7 +54,7 @@
      */
     private static final long LATE_CONNECT_NANOS = Duration.ofMillis(100).toNanos();
 
-    /** Long enough for the network thread to handle what has arrived on all sockets by now. */
+    /** Delay of a timer that is due in the next turn of the network thread and not in this one. */
     private static final long NEXT_TURN_NANOS = Duration.ofMillis(1).toNanos();
 
     /** First size of a read, in bytes, which adapts to what arrives. */
@@ -140,19 +140,30 @@
     @Override
     public CallHandle call(DirectCall call, DirectListener listener) {
         DirectExchange exchange = new DirectExchange(call, listener);
-        if (isLate.getAsBoolean()) {
-            // A connection that was closed in this turn is reported by a task of its own.
-            timers.schedule(NEXT_TURN_NANOS, () -> loop.execute(() -> send(exchange)));
+        boolean hasCaller = !call.requestId().isEmpty();
+        if (hasCaller && isLate.getAsBoolean()) {
+            runAfterNextReads(() -> sendIfAwaited(exchange));
         } else {
             send(exchange);
         }
         return exchange;
     }
 
-    private void send(DirectExchange exchange) {
-        if (exchange.hasEnded()) {
-            return;
+    /**
+     * Runs a task once the network thread has read what has arrived on all sockets by now. Called in a read or in a task; a
+     * timer that is due runs before the thread looks at its sockets again, and a task before a timer.
+     */
+    private void runAfterNextReads(Runnable task) {
+        loop.execute(() -> timers.schedule(NEXT_TURN_NANOS, () -> loop.execute(task)));
+    }
+
+    private void sendIfAwaited(DirectExchange exchange) {
+        if (exchange.rejectUnlessAwaited()) {
+            send(exchange);
         }
+    }
+
+    private void send(DirectExchange exchange) {
         Optional<DirectConnection> kept =
                 exchange.call().use() == ConnectionUse.NEW ? Optional.empty() : takeIdle(exchange.call());
         if (kept.isPresent()) {
@@ -199,7 +210,7 @@
         open(exchange.call().address(), new Initializer(connection)).addListener((ChannelFuture done) -> {
             boolean late = done.isSuccess() && timers.nanoTime() - startedAt > LATE_CONNECT_NANOS;
             if (late) {
-                timers.schedule(NEXT_TURN_NANOS, () -> onConnected(exchange, connection, done));
+                runAfterNextReads(() -> onConnected(exchange, connection, done));
             } else {
                 onConnected(exchange, connection, done);
             }
--- a/library/src/main/java/org/copperspindle/direct/DirectExchange.java
+++ b/library/src/main/java/org/copperspindle/direct/DirectExchange.java
@@ -76,6 +76,14 @@
         return ended;
     }
 
+    /** Returns whether the call is to be sent after a wait; one that may not be sent any more fails unsent. */
+    boolean rejectUnlessAwaited() {
+        if (!ended && !listener.maySend()) {
+            end(DirectFailure.rejected("upstream-unavailable"));
+        }
+        return !ended;
+    }
+
     /** Records that the call is about to be written: from now on the upstream may run it. */
     void sendingOn(DirectConnection used) {
         connection = used;
--- a/library/src/main/java/org/copperspindle/direct/DirectListener.java
+++ b/library/src/main/java/org/copperspindle/direct/DirectListener.java
@@ -10,6 +10,15 @@
  */
 public interface DirectListener {
 
+    /**
+     * Returns whether a call that had to wait may still be sent.
+     *
+     * @return false if its upstream takes no calls any more; the call then fails unsent
+     */
+    default boolean maySend() {
+        return true;
+    }
+
     /**
      * The call is about to be written to an open connection; opening a new one may have taken a while. Called again if a
      * kept connection was lost at once and the call is sent on a new one.
--- a/library/src/main/java/org/copperspindle/gateway/SignalReadingPort.java
+++ b/library/src/main/java/org/copperspindle/gateway/SignalReadingPort.java
@@ -67,6 +67,11 @@
             this.incarnation = loads.incarnation(call.upstream());
         }
 
+        @Override
+        public boolean maySend() {
+            return listener.maySend();
+        }
+
         @Override
         public void onSent() {
             listener.onSent();
--- a/library/src/main/java/org/copperspindle/gateway/UpstreamAttempt.java
+++ b/library/src/main/java/org/copperspindle/gateway/UpstreamAttempt.java
@@ -123,6 +123,11 @@
         return now - since;
     }
 
+    @Override
+    public boolean maySend() {
+        return context.chooser().isReady(upstream);
+    }
+
     @Override
     public void onSent() {
         sends++;
--- a/library/src/main/java/org/copperspindle/gateway/UpstreamChooser.java
+++ b/library/src/main/java/org/copperspindle/gateway/UpstreamChooser.java
@@ -13,6 +13,7 @@
 import org.copperspindle.backpressure.UpstreamBackoffs;
 import org.copperspindle.coldstart.ColdAdmission;
 import org.copperspindle.discovery.UpstreamDirectory;
+import org.copperspindle.discovery.UpstreamIncarnation;
 import org.copperspindle.discovery.UpstreamRecord;
 import org.copperspindle.engineload.EngineEstimates;
 import org.copperspindle.placement.PlacementDecision;
@@ -243,6 +244,17 @@
         return !candidates(pool, condition, now).isEmpty();
     }
 
+    /**
+     * Returns whether a chosen upstream still accepts requests.
+     *
+     * @param chosen the upstream as it was chosen
+     * @return false if it leaves or has left since
+     */
+    boolean isReady(UpstreamRecord chosen) {
+        return directory.ready(chosen.pool()).stream()
+                .anyMatch(present -> UpstreamIncarnation.of(present).equals(UpstreamIncarnation.of(chosen)));
+    }
+
     /**
      * Returns whether an upstream now announces another software version than when it was chosen.
      *
--- a/library/src/test/java/org/copperspindle/direct/DirectClientTest.java
+++ b/library/src/test/java/org/copperspindle/direct/DirectClientTest.java
@@ -390,22 +390,13 @@
             Runnable send = () -> {
                 handle.set(late.call(call, new RecordingListener(new CompletableFuture<>())));
                 called.countDown();
+                await(left);
             };
-            try (Socket caller = connectToLoop(send, () -> handle.get().abort("caller-left"));
-                    Socket other = connectToLoop(() -> await(left), () -> {})) {
+            try (Socket caller = connectToLoop(send, () -> handle.get().abort("caller-left"))) {
                 CompletableFuture<String> first = new CompletableFuture<>();
                 loop.execute(() -> late.call(call, new RecordingListener(first)));
                 assertThat(first.get(TIMEOUT_SECONDS, TimeUnit.SECONDS)).isEqualTo("200 whole");
-                CountDownLatch busy = new CountDownLatch(1);
-                CountDownLatch arrived = new CountDownLatch(1);
-                loop.execute(() -> {
-                    busy.countDown();
-                    await(arrived);
-                });
-                await(busy);
                 caller.getOutputStream().write(1);
-                other.getOutputStream().write(1);
-                arrived.countDown();
                 await(called);
                 caller.shutdownOutput();
                 // The thread is in the same turn for longer than a call waits.
@@ -418,6 +409,25 @@
         }
     }
 
+    /** Guards against a call that waited and is sent to an upstream which has said meanwhile that it leaves. */
+    @Test
+    void callThatWaitedIsNotSentToAnUpstreamThatLeft() throws Exception {
+        DirectClient late = new DirectClient(
+                loop, new ManualClockTimers(), address -> maxIdle, HeldMemories.ofCallers(), () -> true);
+        try (ScriptedUpstream upstream = new ScriptedUpstream(sends(WHOLE))) {
+            CompletableFuture<String> result = new CompletableFuture<>();
+            DirectListener listener = new RecordingListener(result) {
+                @Override
+                public boolean maySend() {
+                    return false;
+                }
+            };
+            loop.execute(() -> late.call(call(upstream.address(), "id", ConnectionUse.KEPT), listener));
+            assertThat(result.get(TIMEOUT_SECONDS, TimeUnit.SECONDS)).isEqualTo("unsent upstream-unavailable");
+            assertThat(upstream.received()).isEmpty();
+        }
+    }
+
     /** Connects to a listener on the network thread of the client, which notices when the connection is closed. */
     private Socket connectToLoop(Runnable onClosed) throws Exception {
         return connectToLoop(() -> {}, onClosed);
