consensus, version, gateway: only what the leader leases is acknowledged elsewhere; members that return are judged anew

A member that was removed and is admitted again kept the time of its last reply, and the silence of a leader of long ago counted in a later term, so that a member could be removed before its first reply.

HeldChangeTest has the case of a version that is held and not leased. DynamicMembershipTest#unresponsiveVoterWithASlowDiskComesBack passes with and without the change: no test shows the removal before a reply.

--- a/library/src/main/java/org/copperspindle/consensus/MembershipChanges.java
+++ b/library/src/main/java/org/copperspindle/consensus/MembershipChanges.java
@@ -104,6 +104,9 @@
             return Optional.of(state.membership().without(predecessor.get().identity()));
         }
         LOGGER.info("event=learner-admitted member={} identity={}", joiner.name(), Long.toHexString(joiner.identity()));
+        // One that was a member before is judged by what it does from now on.
+        replication.forget(joiner);
+        admittedAt.remove(joiner.identity());
         return Optional.of(state.membership().with(joiner.withVoter(false)));
     }
 
--- a/library/src/main/java/org/copperspindle/consensus/RaftState.java
+++ b/library/src/main/java/org/copperspindle/consensus/RaftState.java
@@ -80,11 +80,15 @@
         return leader;
     }
 
-    /** Returns the identity of the last leader that this member has heard, 0 if none since its process started. */
+    /** Returns the identity of the last leader that this member has heard, 0 if none since it started or led. */
     long lastLeader() {
         return lastLeader;
     }
 
+    void forgetLastLeader() {
+        lastLeader = 0;
+    }
+
     long leaderSeenAt() {
         return leaderSeenAt;
     }
--- a/library/src/main/java/org/copperspindle/consensus/Replication.java
+++ b/library/src/main/java/org/copperspindle/consensus/Replication.java
@@ -39,6 +39,8 @@
         confirmations.clear();
         snapshots.clear();
         state.become(RaftRole.LEADER, state.identity());
+        state.membership().members().forEach(member -> progressOf(member, now));
+        state.forgetLastLeader();
         ownSequence = 0;
         // Entries of older terms are committed only together with one of this term; without it another leader could
         // still replace them.
@@ -151,6 +153,11 @@
         return known == null ? 0 : known.match();
     }
 
+    /** Forgets what a member has replied, because it joins or leaves. */
+    void forget(Member member) {
+        progress.remove(member.identity());
+    }
+
     /** Returns whether a member has replied recently. */
     boolean hasHeardFrom(Member member, long now, long withinNanos) {
         return member.identity() == state.identity()
--- a/library/src/main/java/org/copperspindle/gateway/ControlGroupClient.java
+++ b/library/src/main/java/org/copperspindle/gateway/ControlGroupClient.java
@@ -30,16 +30,16 @@
     }
 
     /**
-     * Submits a route table. One that is not newer than the held one changes nothing, and the held one is recorded: every
-     * node answers it, whether it reaches the leader or not.
+     * Submits a route table. One that is not newer than what the leader leases changes nothing: every node answers it,
+     * whether it reaches the leader or not.
      *
      * @param table    the table
      * @param version  the table as it is recorded
      * @param callback receives the response
      */
     void put(RouteTable table, VersionMessage version, Consumer<ControlResponse> callback) {
-        if (holder.version() >= version.version()) {
-            callback.accept(new ControlResponse.Recorded(holder.version(), Optional.empty()));
+        if (holder.leaderVersion() >= version.version()) {
+            callback.accept(new ControlResponse.Recorded(holder.leaderVersion(), Optional.empty()));
             return;
         }
         submit(
--- a/library/src/main/java/org/copperspindle/version/VersionHolder.java
+++ b/library/src/main/java/org/copperspindle/version/VersionHolder.java
@@ -53,6 +53,7 @@
     private boolean everLeased;
     private long leaseUntil;
     private Optional<RequiredState> required = Optional.empty();
+    private long leaderVersion;
 
     /**
      * Creates a holder without a version.
@@ -145,6 +146,7 @@
             return;
         }
         pendingRequests.removeIf(pending -> pending.sequence() <= response.sequence());
+        leaderVersion = Math.max(leaderVersion, response.version());
         // Missing data is already in transit on the same connection.
         required = Optional.of(new RequiredState(response, request.get().sentAt()));
         extendIfComplete();
@@ -223,6 +225,16 @@
         return heldVersion.map(VersionMessage::version).orElse(0L);
     }
 
+    /**
+     * Returns the newest version that a leader has named in a response to a lease request. A member may hold a newer one,
+     * which is committed, but which a leader with a slow disk does not lease yet.
+     *
+     * @return 0 if none
+     */
+    public long leaderVersion() {
+        return leaderVersion;
+    }
+
     /**
      * Returns the evacuated failure domains known to this node, with or without a lease.
      *
--- a/library/src/main/java/org/copperspindle/version/VersionMember.java
+++ b/library/src/main/java/org/copperspindle/version/VersionMember.java
@@ -110,7 +110,7 @@
                             openPuts.ceilingEntry(version.version()))
                     .map(Map.Entry::getValue);
             if (state.held().version() >= version.version()) {
-                confirm(callback);
+                callback.accept(new VersionResult.Recorded(state.held()));
             } else if (waiting.isPresent()) {
                 waiting.get().add(callback);
             } else {
--- a/library/src/test/java/org/copperspindle/consensus/DynamicMembershipTest.java
+++ b/library/src/test/java/org/copperspindle/consensus/DynamicMembershipTest.java
@@ -151,6 +151,24 @@
         }
     }
 
+    /** Guards against a member that is removed again as soon as it is back, before it could reply. */
+    @ParameterizedTest
+    @ValueSource(longs = {82, 83, 84})
+    void unresponsiveVoterWithASlowDiskComesBack(long seed) {
+        SimulatedGroup group = start(seed, 4, 3);
+        SimulatedMember unresponsive = other(group);
+        long identity = unresponsive.node.identity();
+        group.isolate(unresponsive);
+        group.until("removed", () -> !currentLeader(group).node.membership().hasVoter(identity));
+        unresponsive.slowSyncs(SimulatedGroup.TIMING.electionNanos());
+        group.cutLinks.clear();
+        group.until(
+                "back",
+                () -> group.leading()
+                        .filter(m -> m.node.membership().hasVoter(identity))
+                        .isPresent());
+    }
+
     /** Guards against a lost voter that is never replaced because members that left before they could vote take all places. */
     @Test
     void membersThatLeftBeforeTheyCouldVoteTakeNoPlaces() {
--- a/library/src/test/java/org/copperspindle/consensus/FirstStartTest.java
+++ b/library/src/test/java/org/copperspindle/consensus/FirstStartTest.java
@@ -29,7 +29,7 @@
     void memberRestartedBeforeThereIsAGroup(int number, boolean losesDisk) {
         for (long seed = 1; seed <= 10; seed++) {
             SimulatedGroup group = start(seed);
-            restartLater(group, List.of(group.member(number)), losesDisk);
+            restartLater(group, List.of(group.member(number)), group.members, losesDisk);
             group.commit("first");
             group.awaitAllHoldAcknowledged();
         }
@@ -40,7 +40,7 @@
     @ValueSource(longs = {1, 2, 3})
     void allMembersRestartedBeforeThereIsAGroup(long seed) {
         SimulatedGroup group = start(seed);
-        restartLater(group, group.members, false);
+        restartLater(group, group.members, group.members, false);
         group.commit("first");
         group.awaitAllHoldAcknowledged();
     }
@@ -52,7 +52,7 @@
         group.commit("first");
         group.members.forEach(SimulatedMember::crash);
         List<SimulatedMember> emptied = group.members.subList(0, 2);
-        restartLater(group, emptied, true);
+        restartLater(group, emptied, emptied, true);
         group.time.advance(LONG_NANOS);
         assertThat(emptied).allMatch(m -> m.node.membership().members().isEmpty());
     }
@@ -65,13 +65,14 @@
         return group;
     }
 
-    private static void restartLater(SimulatedGroup group, List<SimulatedMember> restarted, boolean loseDisks) {
+    private static void restartLater(
+            SimulatedGroup group, List<SimulatedMember> restarted, List<SimulatedMember> known, boolean loseDisks) {
         restarted.forEach(SimulatedMember::crash);
         if (loseDisks) {
             restarted.forEach(SimulatedMember::loseDisk);
         }
         group.time.advance(SimulatedGroup.TIMING.electionNanos());
-        restarted.forEach(m -> group.useLaterStart(m, VOTERS));
+        restarted.forEach(m -> group.useLaterStart(m, known, VOTERS));
         restarted.forEach(SimulatedMember::start);
     }
 }
--- a/library/src/test/java/org/copperspindle/consensus/SimulatedGroup.java
+++ b/library/src/test/java/org/copperspindle/consensus/SimulatedGroup.java
@@ -63,18 +63,17 @@
 
     /** Makes membership dynamic, with a number of voters that a removal must leave. */
     void useDynamicMembership(int minVoters, boolean mayBootstrap) {
-        members.forEach(m -> useRoster(m, new Roster(minVoters, mayBootstrap, true)));
+        members.forEach(m -> useRoster(m, members, new Roster(minVoters, mayBootstrap, true)));
     }
 
-    /** Makes membership dynamic for a member whose next start is not the first one of the deployment. */
-    void useLaterStart(SimulatedMember member, int minVoters) {
-        useRoster(member, new Roster(minVoters, true, false));
+    /** Makes membership dynamic for a member that knows some others, and whose next start is not the first of the deployment. */
+    void useLaterStart(SimulatedMember member, List<SimulatedMember> known, int minVoters) {
+        useRoster(member, known, new Roster(minVoters, true, false));
     }
 
-    private void useRoster(SimulatedMember member, Roster roster) {
-        List<RaftSettings.Voter> names = members.stream()
-                .map(m -> new RaftSettings.Voter(m.name, m.name))
-                .toList();
+    private void useRoster(SimulatedMember member, List<SimulatedMember> known, Roster roster) {
+        List<RaftSettings.Voter> names =
+                known.stream().map(m -> new RaftSettings.Voter(m.name, m.name)).toList();
         member.settings =
                 new RaftSettings("group", member.name, member.name, member.name, () -> names, roster, TIMING, LIMITS);
     }
--- a/library/src/test/java/org/copperspindle/gateway/HeldChangeTest.java
+++ b/library/src/test/java/org/copperspindle/gateway/HeldChangeTest.java
@@ -16,6 +16,7 @@
 import org.copperspindle.time.VirtualTimerService;
 import org.copperspindle.version.VersionExchange;
 import org.copperspindle.version.VersionHolder;
+import org.copperspindle.version.VersionLeaseResponseMessage;
 import org.copperspindle.version.VersionMessage;
 import org.copperspindle.wire.GreetingMessage;
 import org.copperspindle.wire.WireTransport;
@@ -32,6 +33,7 @@
 
     private static final long HELD = 3;
 
+    private long requested;
     private final VirtualTimerService time = new VirtualTimerService();
     private final InetSocketAddress listen = new InetSocketAddress("127.0.0.1", 1);
     private final WireTransport transport = new WireTransport(
@@ -47,7 +49,7 @@
             text -> new RouteTableResult.Valid(table(HELD)),
             Duration.ofMillis(3800),
             new SuspensionDetector(time::nanoTime, () -> time.nanoTime() / 1_000_000L),
-            exchange::requestLease);
+            request -> requested = request.sequence());
     private final ControlGroupClient client = new ControlGroupClient(exchange, holder, Runnable::run);
 
     @AfterEach
@@ -55,12 +57,19 @@
         transport.close();
     }
 
-    /** Guards against a change that is sent again and refused by a node which holds it, for want of a leader. */
+    /**
+     * Guards against a change that is sent again and refused by a node which holds it, for want of a leader, and against one
+     * that is acknowledged while the leader still leases an older version.
+     */
     @ParameterizedTest
-    @CsvSource({"2, true", "3, true", "4, false"})
-    void changeThatIsHeldIsAcknowledgedWithoutALeader(long version, boolean isAcknowledged) {
+    @CsvSource({"2, true, true", "3, true, true", "4, true, false", "3, false, false"})
+    void changeThatIsLeasedIsAcknowledgedWithoutALeader(long version, boolean isLeased, boolean isAcknowledged) {
         exchange.holder(holder);
         holder.receive(version(HELD));
+        holder.requestLease();
+        if (isLeased) {
+            holder.receive(new VersionLeaseResponseMessage(requested, HELD, 0, 0));
+        }
         List<ControlResponse> responses = new ArrayList<>();
         client.put(table(version), version(version), responses::add);
         assertThat(responses).hasSize(1);
