gateway, http, overload: constructors with fewer parameters; calls wait from a delay of 250 ms on

The style check allows seven parameters: ControlGroupClient logs submissions, and a listener gets its threads as one value.

--- a/library/src/main/java/org/copperspindle/gateway/ControlGroupClient.java
+++ b/library/src/main/java/org/copperspindle/gateway/ControlGroupClient.java
@@ -21,12 +21,14 @@
     private final VersionHolder holder;
     private final MovedStreamsRecorder movedStreams;
     private final Executor network;
+    private final SubmissionLog log;
 
-    ControlGroupClient(VersionExchange versionExchange, VersionHolder holder, Executor network) {
+    ControlGroupClient(VersionExchange versionExchange, VersionHolder holder, Executor network, SubmissionLog log) {
         this.versionExchange = versionExchange;
         this.holder = holder;
         this.movedStreams = new MovedStreamsRecorder(holder);
         this.network = network;
+        this.log = log;
     }
 
     /**
@@ -38,13 +40,14 @@
      * @param callback receives the response
      */
     void put(RouteTable table, VersionMessage version, Consumer<ControlResponse> callback) {
+        Consumer<ControlResponse> logged = log.follow(version.version(), version.text().length, callback);
         if (holder.leaderVersion() >= version.version()) {
-            callback.accept(new ControlResponse.Recorded(holder.leaderVersion(), Optional.empty()));
+            logged.accept(new ControlResponse.Recorded(holder.leaderVersion(), Optional.empty()));
             return;
         }
         submit(
                 (member, outcome) -> movedStreams.record(member, table, outcome, () -> member.put(version, outcome)),
-                callback);
+                logged);
     }
 
     /**
--- a/library/src/main/java/org/copperspindle/gateway/ControlRequestHandler.java
+++ b/library/src/main/java/org/copperspindle/gateway/ControlRequestHandler.java
@@ -33,7 +33,6 @@
     private final IgnoredAnnouncements ignoredAnnouncements;
     private final RequestQuarantine quarantine;
     private final EvacuationRequestHandler evacuationHandler;
-    private final SubmissionLog submissionLog;
 
     ControlRequestHandler(
             DirectoryGossip gossip,
@@ -42,8 +41,7 @@
             Supplier<Optional<RouteTable>> table,
             IgnoredAnnouncements ignoredAnnouncements,
             RequestQuarantine quarantine,
-            EvacuationRequestHandler evacuationHandler,
-            SubmissionLog submissionLog) {
+            EvacuationRequestHandler evacuationHandler) {
         this.gossip = gossip;
         this.controlGroup = controlGroup;
         this.tableReader = tableReader;
@@ -51,7 +49,6 @@
         this.ignoredAnnouncements = ignoredAnnouncements;
         this.quarantine = quarantine;
         this.evacuationHandler = evacuationHandler;
-        this.submissionLog = submissionLog;
     }
 
     /**
@@ -130,7 +127,7 @@
             callback.accept(new ControlResponse.Invalid(invalid.problem()));
         } else if (result instanceof RouteTableResult.Valid valid) {
             VersionMessage version = new VersionMessage(valid.table().version(), text);
-            controlGroup.put(valid.table(), version, submissionLog.follow(version.version(), text.length, callback));
+            controlGroup.put(valid.table(), version, callback);
         }
     }
 
--- a/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayNode.java
@@ -244,7 +244,8 @@
                 versionHolder::inForce,
                 new StartupLeaseStatus(versionHolder, mesh, () -> stopping, this::uptime));
         IgnoredAnnouncements ignoredAnnouncements = new IgnoredAnnouncements(timers, decisionLog);
-        ControlGroupClient controlGroup = new ControlGroupClient(versionExchange, versionHolder, loop);
+        ControlGroupClient controlGroup = new ControlGroupClient(
+                versionExchange, versionHolder, loop, new SubmissionLog(timers, versionExchange, counters));
         KnownFailureDomains knownDomains = new KnownFailureDomains(settings, mesh, directory);
         ControlRequestHandler controlHandler = new ControlRequestHandler(
                 gossip,
@@ -253,8 +254,7 @@
                 versionHolder::heldTable,
                 ignoredAnnouncements,
                 quarantine,
-                new EvacuationRequestHandler(controlGroup, versionHolder::evacuations, knownDomains),
-                new SubmissionLog(timers, versionExchange, counters));
+                new EvacuationRequestHandler(controlGroup, versionHolder::evacuations, knownDomains));
         this.callerListener = new HttpListener(
                 eventLoops,
                 settings.callers(),
--- a/library/src/main/java/org/copperspindle/http/HttpListener.java
+++ b/library/src/main/java/org/copperspindle/http/HttpListener.java
@@ -118,9 +118,10 @@
             HttpRequestHandler handler,
             HeldMemory memory) {
         this(
-                new MultiThreadIoEventLoopGroup(
-                        threads, new DefaultThreadFactory(name, true), NioIoHandler.newFactory()),
-                true,
+                new NetworkThreads(
+                        new MultiThreadIoEventLoopGroup(
+                                threads, new DefaultThreadFactory(name, true), NioIoHandler.newFactory()),
+                        true),
                 address,
                 () -> limits,
                 handler,
@@ -200,12 +201,11 @@
             HeldMemory memory,
             ConnectionAdmission admission,
             BooleanSupplier isLate) {
-        this(group, false, address, limits, handler, memory, admission, isLate);
+        this(new NetworkThreads(group, false), address, limits, handler, memory, admission, isLate);
     }
 
     private HttpListener(
-            EventLoopGroup group,
-            boolean ownsGroup,
+            NetworkThreads threads,
             InetSocketAddress address,
             Supplier<HttpLimits> limits,
             HttpRequestHandler handler,
@@ -213,8 +213,8 @@
             ConnectionAdmission admission,
             BooleanSupplier isLate) {
         this.admission = admission;
-        this.group = group;
-        this.ownsGroup = ownsGroup;
+        this.group = threads.group();
+        this.ownsGroup = threads.areOwned();
         this.limits = limits;
         this.handler = handler;
         this.memory = memory;
@@ -300,6 +300,9 @@
         done.run();
     }
 
+    /** Network threads, and whether they end with the listener. */
+    private record NetworkThreads(EventLoopGroup group, boolean areOwned) {}
+
     /** Builds the pipeline of one connection. */
     private final class Initializer extends ChannelInitializer<SocketChannel> {
 
--- a/library/src/main/java/org/copperspindle/overload/NodeOverload.java
+++ b/library/src/main/java/org/copperspindle/overload/NodeOverload.java
@@ -21,8 +21,11 @@
 
     private static final Logger LOGGER = LogManager.getLogger(NodeOverload.class);
 
-    /** Delay of the network thread from which on a request may be sent before the end of its caller's connection is read. */
-    private static final long LATE_NANOS = Duration.ofMillis(100).toNanos();
+    /**
+     * Delay of the network thread from which on calls wait until it has read what has arrived. With less, the close of a
+     * caller's connection is read within half a second, before and after the call is made.
+     */
+    private static final long LATE_NANOS = Duration.ofMillis(250).toNanos();
 
     private final NodeMesh mesh;
     private final ConnectionRateLimit limit;
