--- a/library/src/main/java/org/copperspindle/consensus/Election.java
+++ b/library/src/main/java/org/copperspindle/consensus/Election.java
@@ -1,6 +1,7 @@
 package org.copperspindle.consensus;
 
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
@@ -43,6 +44,7 @@
     private final SplittableRandom random;
     private final Set<Long> granted = new HashSet<>();
     private final Set<Long> fresh = new HashSet<>();
+    private final Set<Long> replied = new HashSet<>();
     private long deadline;
     private long freshPollDeadline;
     private long voteSequence;
@@ -91,6 +93,7 @@
         }
         granted.clear();
         granted.add(state.identity());
+        replied.clear();
         fresh.clear();
         // A partitioned member must not raise its term alone: after the partition it would depose a working leader.
         state.become(RaftRole.PRE_CANDIDATE, 0);
@@ -186,6 +189,7 @@
         if (!current) {
             return false;
         }
+        replied.add(reply.envelope().from());
         if (reply.granted()) {
             granted.add(reply.envelope().from());
         }
@@ -205,17 +209,25 @@
     private void logLastPoll() {
         if (!granted.isEmpty()) {
             LOGGER.info(
-                    "event=no-leader-elected member={} term={} role={} voters={} granted={} fresh={} save_ms={}",
+                    "event=no-leader-elected member={} term={} role={} voters={} granted={} fresh={} save_ms={} silent={}",
                     state.settings().name(),
                     state.term(),
                     state.role(),
                     state.membership().voters().size(),
                     granted.size(),
                     fresh.size(),
-                    TimeUnit.NANOSECONDS.toMillis(saveNanos));
+                    TimeUnit.NANOSECONDS.toMillis(saveNanos),
+                    silentVoters());
         }
     }
 
+    private List<String> silentVoters() {
+        return state.membership().voters().stream()
+                .filter(voter -> voter.identity() != state.identity() && !replied.contains(voter.identity()))
+                .map(Member::label)
+                .toList();
+    }
+
     private boolean areAllFresh() {
         return state.isFresh()
                 && state.membership().voters().stream()
--- a/library/src/main/java/org/copperspindle/consensus/Member.java
+++ b/library/src/main/java/org/copperspindle/consensus/Member.java
@@ -25,6 +25,11 @@
         return new Member(identity, name, address, operatorAddress, votes);
     }
 
+    /** Returns the name with the identity, which changes when the disk is lost; for log lines. */
+    String label() {
+        return name + '#' + Long.toHexString(identity);
+    }
+
     byte[] encode() {
         return CODEC.encode(this);
     }
--- a/library/src/main/java/org/copperspindle/consensus/MemberLinks.java
+++ b/library/src/main/java/org/copperspindle/consensus/MemberLinks.java
@@ -8,6 +8,8 @@
 import java.util.function.BiPredicate;
 
 import io.netty.channel.Channel;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.copperspindle.core.DecisionRing;
 import org.copperspindle.time.TimerService;
 import org.copperspindle.wire.NumericAddress;
@@ -22,6 +24,7 @@
  */
 final class MemberLinks {
 
+    private static final Logger LOGGER = LogManager.getLogger(MemberLinks.class);
     private static final int MAX_QUEUED = 16;
     private static final int MAX_INCOMING = 64;
 
@@ -32,6 +35,7 @@
     private final BiPredicate<Peer, WireMessage> receiver;
     private final Map<String, Peer> incoming = new HashMap<>();
     private final Map<String, Link> links = new HashMap<>();
+    private long reportedAt;
     private boolean closed;
 
     /**
@@ -86,9 +90,13 @@
                 || message instanceof SnapshotReplyMessage;
     }
 
-    /** Drops connections without replies. */
+    /** Drops connections without replies, and reports messages that found no room. */
     void tick() {
         links.values().forEach(Link::dropIfSilent);
+        if (timers.nanoTime() - reportedAt >= silenceNanos) {
+            reportedAt = timers.nanoTime();
+            links.values().forEach(Link::reportRefused);
+        }
     }
 
     void close() {
@@ -104,6 +112,7 @@
         private CompletableFuture<Channel> connecting;
         private long sentAt;
         private boolean awaitingReply;
+        private long refused;
 
         private Link(String address) {
             this.address = address;
@@ -117,6 +126,8 @@
                 }
                 if (peer.isWritable()) {
                     peer.send(message);
+                } else {
+                    refused++;
                 }
                 return;
             }
@@ -154,10 +165,18 @@
          */
         private void dropIfSilent() {
             if (awaitingReply && timers.nanoTime() - sentAt > silenceNanos) {
+                LOGGER.info("event=member-silent address={} action=connects-again", address);
                 drop();
             }
         }
 
+        private void reportRefused() {
+            if (refused > 0) {
+                LOGGER.info("event=link-full address={} refused={}", address, refused);
+                refused = 0;
+            }
+        }
+
         private void drop() {
             awaitingReply = false;
             queued.clear();
--- a/library/src/main/java/org/copperspindle/consensus/Membership.java
+++ b/library/src/main/java/org/copperspindle/consensus/Membership.java
@@ -85,7 +85,7 @@
         return String.join(
                 ",",
                 members.stream()
-                        .map(m -> m.name() + '#' + Long.toHexString(m.identity()) + (m.voter() ? "" : "(learner)"))
+                        .map(m -> m.label() + (m.voter() ? "" : "(learner)"))
                         .toList());
     }
 }
--- a/library/src/main/java/org/copperspindle/consensus/RaftNode.java
+++ b/library/src/main/java/org/copperspindle/consensus/RaftNode.java
@@ -25,6 +25,7 @@
     private final SnapshotReceiver snapshotReceiver;
     private final Replication replication;
     private final MembershipChanges changes;
+    private final RedundancyLog redundancy;
     private final GroupBootstrap bootstrap;
     private final Deque<Proposal> proposals = new ArrayDeque<>();
     private long proposedBytes;
@@ -40,6 +41,7 @@
         this.snapshotReceiver = new SnapshotReceiver(state);
         this.replication = new Replication(state);
         this.changes = new MembershipChanges(state, replication);
+        this.redundancy = new RedundancyLog(state, replication);
         this.bootstrap = new GroupBootstrap(state);
     }
 
@@ -71,6 +73,7 @@
         }
         if (state.role() == RaftRole.LEADER) {
             changes.tick(now);
+            redundancy.tick(now);
         }
     }
 
@@ -190,6 +193,7 @@
         proposals.clear();
         proposedBytes = 0;
         changes.start();
+        redundancy.start(now);
         replication.start(now);
     }
 
--- a/library/src/main/java/org/copperspindle/consensus/Replication.java
+++ b/library/src/main/java/org/copperspindle/consensus/Replication.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -158,6 +159,14 @@
         progress.remove(member.identity());
     }
 
+    /** Describes what is known of a member that replicates this leader's log, for log lines. */
+    String describe(Member member, long now) {
+        Progress to = progressOf(member, now);
+        return String.format(
+                "match=%d next=%d in_flight=%d heard_ms=%d",
+                to.match(), to.next(), to.inFlight(), TimeUnit.NANOSECONDS.toMillis(now - to.heardAt()));
+    }
+
     /** Returns whether a member has replied recently. */
     boolean hasHeardFrom(Member member, long now, long withinNanos) {
         return member.identity() == state.identity()
