test, consensus: a failing test of an empty member whose former identity fills the connection

Links of the simulated group can have the room of a real connection: while more than some bytes wait, a message is lost.

--- a/library/src/test/java/org/copperspindle/consensus/DynamicMembershipTest.java
+++ b/library/src/test/java/org/copperspindle/consensus/DynamicMembershipTest.java
@@ -125,6 +125,32 @@
         }
     }
 
+    /**
+     * Guards against an empty member that gets nothing while its former identity, a voter at the same address, takes all
+     * room on the connection of the two.
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void emptyMemberIsRepairedOverABusyLink(boolean allRestart) {
+        for (long seed = 101; seed < 121; seed++) {
+            SimulatedGroup group = start(seed, 3, 3);
+            group.bytesPerMilli = 100;
+            for (int i = 0; i < 10; i++) {
+                group.commit("command " + i + " of a size that fills the link ".repeat(4));
+            }
+            SimulatedMember emptied = other(group);
+            List<SimulatedMember> restarted = allRestart ? group.members : List.of(emptied);
+            restarted.forEach(SimulatedMember::crash);
+            emptied.loseDisk();
+            group.time.advance(SimulatedGroup.TIMING.electionNanos());
+            restarted.forEach(SimulatedMember::start);
+            group.time.advance(REPAIR_NANOS);
+            assertThat(currentLeader(group).node.membership().hasVoter(emptied.node.identity()))
+                    .as("repaired with seed " + seed)
+                    .isTrue();
+        }
+    }
+
     /** Guards against a group that has no quorum ever again because a voter that was replaced still counts. */
     @ParameterizedTest
     @EnumSource(
--- a/library/src/test/java/org/copperspindle/consensus/SimulatedGroup.java
+++ b/library/src/test/java/org/copperspindle/consensus/SimulatedGroup.java
@@ -24,6 +24,9 @@
 
     static final long MILLI = 1_000_000;
     static final RaftTiming TIMING = new RaftTiming(100 * MILLI, 20 * MILLI, 10);
+    /** Bytes waiting on a link beyond which it takes no further message. */
+    private static final int LINK_ROOM = 64;
+
     private static final RaftLimits LIMITS = new RaftLimits(1 << 10, 200, 4 << 10, 3, 100, 1 << 20, 600, 2, 1 << 20);
 
     final VirtualTimerService time = new VirtualTimerService();
@@ -34,6 +37,11 @@
     double duplicates;
     long maxDelay = 2 * MILLI;
     final Map<String, Long> slowLinks = new HashMap<>();
+
+    /** Bytes that each link carries in a millisecond; 0 for links that carry any number at once. */
+    long bytesPerMilli;
+
+    private final Map<String, Long> linkFreeAt = new HashMap<>();
     boolean syncBeforeAnswer = true;
     private final Map<Long, Long> leaderOfTerm = new HashMap<>();
     private final Map<Long, String> committed = new LinkedHashMap<>();
@@ -358,7 +366,7 @@
 
         private void transmit(String to, WireMessage message) {
             checkAcknowledged(message);
-            if (random.nextDouble() < loss) {
+            if (random.nextDouble() < loss || !hasRoom(to, message)) {
                 return;
             }
             int copies = random.nextDouble() < duplicates ? 2 : 1;
@@ -368,6 +376,26 @@
             }
         }
 
+        /** Returns whether a link takes a message, and lets the bytes of the message wait there. */
+        private boolean hasRoom(String to, WireMessage message) {
+            if (bytesPerMilli == 0) {
+                return true;
+            }
+            long waitingNanos = Math.max(0, linkFreeAt.getOrDefault(link(name, to), 0L) - time.nanoTime());
+            if (waitingNanos * bytesPerMilli / MILLI > LINK_ROOM) {
+                return false;
+            }
+            linkFreeAt.put(link(name, to), time.nanoTime() + waitingNanos + bytes(message) * MILLI / bytesPerMilli);
+            return true;
+        }
+
+        private static long bytes(WireMessage message) {
+            if (message instanceof AppendRequestMessage append) {
+                return append.entries().stream().mapToLong(LogEntry::size).sum();
+            }
+            return message instanceof SnapshotChunkMessage chunk ? chunk.data().length : 0;
+        }
+
         /** What a member acknowledges must be on its disk if it crashes at this moment. */
         private void checkAcknowledged(WireMessage message) {
             if (message instanceof AppendReplyMessage reply && reply.matched()) {
