consensus: a message that finds no room on a connection is sent again at once, not taken for sent

What callers saw: in a calm span no change is accepted and no configuration read, for good: "no leader is known" at every node, one member polls with one vote of three.

Cause: a connection on which more than 64 KB wait took no further message and dropped it without a word; the leader counted it as sent. The former identity of a member whose disk was lost is a voter at the same address until the member has caught up. Once both were due in one turn of the timer, the living one's part was dropped each time. It stayed a learner for longer than it counts as lost, and the next lost disk left one voter of three.

Heartbeats, votes and replies are small and are not refused, so that a follower that gets entries over a slow link hears its leader. The simulated group's links do the same as the real ones.

Why it holds: what is refused stays due, and both identities can't be due at each tick, as a chunk that was sent waits for 0.4 s while a tick comes every 0.1 s.

--- a/library/src/main/java/org/copperspindle/consensus/AppendRequestMessage.java
+++ b/library/src/main/java/org/copperspindle/consensus/AppendRequestMessage.java
@@ -32,6 +32,11 @@
         }
     }
 
+    @Override
+    public boolean isBulk() {
+        return !entries.isEmpty();
+    }
+
     private void write(FieldWriter out) {
         envelope.write(out)
                 .put(10, prevIndex)
--- a/library/src/main/java/org/copperspindle/consensus/ConsensusLog.java
+++ b/library/src/main/java/org/copperspindle/consensus/ConsensusLog.java
@@ -304,7 +304,9 @@
 
     private void executeAction(RaftAction action) {
         if (action instanceof RaftAction.Send send) {
-            links.send(send.address(), send.message());
+            if (!links.send(send.address(), send.message())) {
+                node.notSent(send.message());
+            }
         } else if (action instanceof RaftAction.Persist persist) {
             disk.add(persist);
         } else if (action instanceof RaftAction.Apply apply) {
--- a/library/src/main/java/org/copperspindle/consensus/MemberLinks.java
+++ b/library/src/main/java/org/copperspindle/consensus/MemberLinks.java
@@ -19,7 +19,7 @@
 import org.copperspindle.wire.WireTransport;
 
 /**
- * One outgoing connection to each other member. Messages that can't be sent are dropped rather than queued without
+ * One outgoing connection to each other member. Messages that can't be sent are refused rather than queued without
  * bound, since the protocol sends them again. Called on the decision ring only.
  */
 final class MemberLinks {
@@ -60,16 +60,21 @@
         this.receiver = receiver;
     }
 
-    void send(String address, WireMessage message) {
+    /**
+     * Sends a message, or queues it until the connection is open.
+     *
+     * @return false if it was not sent, because the connection is full or closed
+     */
+    boolean send(String address, WireMessage message) {
         if (closed) {
-            return;
+            return false;
         }
         // A reply uses the connection of its request, so that each connection shows whether it works.
         Peer requester = isReply(message) ? incoming.get(address) : null;
         if (requester != null && requester.send(message)) {
-            return;
+            return true;
         }
-        links.computeIfAbsent(address, Link::new).send(message);
+        return links.computeIfAbsent(address, Link::new).send(message);
     }
 
     /** Records the connection on which a member sends its requests. */
@@ -118,18 +123,13 @@
             this.address = address;
         }
 
-        private void send(WireMessage message) {
+        private boolean send(WireMessage message) {
             if (peer != null) {
                 if (!awaitingReply) {
                     awaitingReply = true;
                     sentAt = timers.nanoTime();
                 }
-                if (peer.isWritable()) {
-                    peer.send(message);
-                } else {
-                    refused++;
-                }
-                return;
+                return sendNow(message);
             }
             if (queued.size() == MAX_QUEUED) {
                 queued.pollFirst();
@@ -140,6 +140,16 @@
                 awaitingReply = true;
                 connect();
             }
+            return true;
+        }
+
+        private boolean sendNow(WireMessage message) {
+            boolean mayWait = !(message instanceof RaftMessage raft) || !raft.isBulk();
+            boolean sent = (mayWait || peer.isWritable()) && peer.send(message);
+            if (!sent) {
+                refused++;
+            }
+            return sent;
         }
 
         private void connect() {
--- a/library/src/main/java/org/copperspindle/consensus/Progress.java
+++ b/library/src/main/java/org/copperspindle/consensus/Progress.java
@@ -68,6 +68,12 @@
         next = last + 1;
     }
 
+    /** Forgets requests that were not sent: the first of them and those after it. */
+    void notSent(long prevIndex) {
+        inFlight.removeIf(last -> last > prevIndex);
+        next = Math.max(match + 1, Math.min(next, prevIndex + 1));
+    }
+
     void replied(long sentAt, long now) {
         lastReplyAt = now;
         heardAt = now;
--- a/library/src/main/java/org/copperspindle/consensus/RaftAction.java
+++ b/library/src/main/java/org/copperspindle/consensus/RaftAction.java
@@ -8,7 +8,7 @@
 sealed interface RaftAction {
 
     /**
-     * Sends a message; it may get lost.
+     * Sends a message; it may get lost. One that finds no room on its connection is passed to {@link RaftNode#notSent}.
      *
      * @param address IP:PORT
      * @param message the message
--- a/library/src/main/java/org/copperspindle/consensus/RaftMessage.java
+++ b/library/src/main/java/org/copperspindle/consensus/RaftMessage.java
@@ -18,6 +18,14 @@
     /** Returns who sent it, to whom, in which group and term. */
     Envelope envelope();
 
+    /**
+     * Returns whether the message may be large. A connection on which too many bytes wait takes no further message of
+     * this kind.
+     */
+    default boolean isBulk() {
+        return false;
+    }
+
     /**
      * The addressing that every message between members carries.
      *
--- a/library/src/main/java/org/copperspindle/consensus/RaftNode.java
+++ b/library/src/main/java/org/copperspindle/consensus/RaftNode.java
@@ -125,6 +125,15 @@
         return true;
     }
 
+    /** Called when a message that a {@link RaftAction.Send} requested found no room on its connection. */
+    void notSent(WireMessage message) {
+        if (state.role() == RaftRole.LEADER
+                && message instanceof RaftMessage raft
+                && raft.envelope().term() == state.term()) {
+            replication.notSent(raft);
+        }
+    }
+
     /** Called when a request to the disk and all earlier ones are synced. */
     void persisted(long sequence, long now) {
         state.persisted(sequence);
--- a/library/src/main/java/org/copperspindle/consensus/Replication.java
+++ b/library/src/main/java/org/copperspindle/consensus/Replication.java
@@ -102,6 +102,16 @@
         }
     }
 
+    /** Called when a message was not sent; it is sent again at the next tick or reply. */
+    void notSent(RaftMessage message) {
+        long to = message.envelope().to();
+        if (message instanceof SnapshotChunkMessage) {
+            snapshots.notSent(to);
+        } else if (message instanceof AppendRequestMessage append && append.isBulk()) {
+            Optional.ofNullable(progress.get(to)).ifPresent(known -> known.notSent(append.prevIndex()));
+        }
+    }
+
     void receive(AppendReplyMessage reply, long now) {
         Optional<Member> from = state.membership().find(reply.envelope().from());
         if (from.isEmpty()) {
--- a/library/src/main/java/org/copperspindle/consensus/SnapshotChunkMessage.java
+++ b/library/src/main/java/org/copperspindle/consensus/SnapshotChunkMessage.java
@@ -30,6 +30,11 @@
     static final MessageCodec<SnapshotChunkMessage> CODEC =
             MessageCodec.of(68, SnapshotChunkMessage.class, SnapshotChunkMessage::write, SnapshotChunkMessage::read);
 
+    @Override
+    public boolean isBulk() {
+        return true;
+    }
+
     private void write(FieldWriter out) {
         envelope.write(out)
                 .put(10, snapshotIndex)
--- a/library/src/main/java/org/copperspindle/consensus/SnapshotSender.java
+++ b/library/src/main/java/org/copperspindle/consensus/SnapshotSender.java
@@ -3,6 +3,7 @@
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.zip.CRC32C;
 
 /**
@@ -50,6 +51,11 @@
         return false;
     }
 
+    /** Called when the last chunk for a member was not sent. */
+    void notSent(long identity) {
+        Optional.ofNullable(transfers.get(identity)).ifPresent(transfer -> transfer.waiting = false);
+    }
+
     void clear() {
         transfers.clear();
     }
--- a/library/src/test/java/org/copperspindle/consensus/SimulatedGroup.java
+++ b/library/src/test/java/org/copperspindle/consensus/SimulatedGroup.java
@@ -366,7 +366,11 @@
 
         private void transmit(String to, WireMessage message) {
             checkAcknowledged(message);
-            if (random.nextDouble() < loss || !hasRoom(to, message)) {
+            if (!hasRoom(to, message)) {
+                node.notSent(message);
+                return;
+            }
+            if (random.nextDouble() < loss) {
                 return;
             }
             int copies = random.nextDouble() < duplicates ? 2 : 1;
@@ -378,7 +382,7 @@
 
         /** Returns whether a link takes a message, and lets the bytes of the message wait there. */
         private boolean hasRoom(String to, WireMessage message) {
-            if (bytesPerMilli == 0) {
+            if (bytesPerMilli == 0 || !(message instanceof RaftMessage raft) || !raft.isBulk()) {
                 return true;
             }
             long waitingNanos = Math.max(0, linkFreeAt.getOrDefault(link(name, to), 0L) - time.nanoTime());
