--- a/review/trials/RepairedVoter.java
+++ b/review/trials/RepairedVoter.java
@@ -100,7 +100,7 @@
 
     private boolean change(int changes) throws Exception {
         for (int i = 0; i < changes; i++) {
-            String by = deployment.put(table(version++), 30, deployment.nodes);
+            String by = deployment.put(table(version++, routes), 30, deployment.nodes);
             if (by == null) {
                 return false;
             }
@@ -108,7 +108,7 @@
         return true;
     }
 
-    private String table(int of) {
+    static String table(int of, int routes) {
         StringBuilder text = new StringBuilder("{\"Version\":" + of + ",\"Routes\":[");
         for (int i = 0; i < routes; i++) {
             text.append(i == 0 ? "" : ",").append("{\"Name\":\"r-" + i + "\",\"Host\":\"h" + i + ".example\",\"PathPrefix\":\"/p" + i + "/\","
