consensus, version, gateway: the leader tells how many voters its group can still lose

An operator could not see that a group of three bears no further loss while the repair of one member goes on. RedundancyLog is GroupRedundancy now.

DynamicMembershipTest#leaderTellsHowManyVotersCanBeLost: 1 of three, 0 with one lost, 1 once it has been repaired.

--- a/library/src/main/java/org/copperspindle/consensus/ConsensusLog.java
+++ b/library/src/main/java/org/copperspindle/consensus/ConsensusLog.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.SplittableRandom;
@@ -229,6 +230,11 @@
         return node.membership().toString();
     }
 
+    @Override
+    public OptionalInt spareVoters() {
+        return stopped ? OptionalInt.empty() : node.spareVoters();
+    }
+
     @Override
     public boolean isRunning() {
         return !stopped;
--- a/library/src/main/java/org/copperspindle/consensus/RedundancyLog.java
+++ b/library/src/main/java/org/copperspindle/consensus/GroupRedundancy.java
@@ -11,16 +11,16 @@
  * Logs at the leader how many more voters its group can lose, and how far the members are that don't vote yet. A group
  * that can lose no voter is one failure away from having no leader.
  */
-final class RedundancyLog {
+final class GroupRedundancy {
 
-    private static final Logger LOGGER = LogManager.getLogger(RedundancyLog.class);
+    private static final Logger LOGGER = LogManager.getLogger(GroupRedundancy.class);
 
     private final RaftState state;
     private final Replication replication;
     private OptionalInt spare = OptionalInt.empty();
     private long learnersLoggedAt;
 
-    RedundancyLog(RaftState state, Replication replication) {
+    GroupRedundancy(RaftState state, Replication replication) {
         this.state = state;
         this.replication = replication;
     }
@@ -37,6 +37,11 @@
         logLearners(now);
     }
 
+    /** Returns how many more voters the group can lose, empty before the first tick of a term. */
+    OptionalInt spareVoters() {
+        return spare;
+    }
+
     private void logSpareVoters(long now) {
         long within = state.settings().timing().electionNanos();
         List<Member> voters = state.membership().voters();
--- a/library/src/main/java/org/copperspindle/consensus/RaftNode.java
+++ b/library/src/main/java/org/copperspindle/consensus/RaftNode.java
@@ -4,6 +4,7 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.SplittableRandom;
 
@@ -25,7 +26,7 @@
     private final SnapshotReceiver snapshotReceiver;
     private final Replication replication;
     private final MembershipChanges changes;
-    private final RedundancyLog redundancy;
+    private final GroupRedundancy redundancy;
     private final GroupBootstrap bootstrap;
     private final Deque<Proposal> proposals = new ArrayDeque<>();
     private long proposedBytes;
@@ -41,7 +42,7 @@
         this.snapshotReceiver = new SnapshotReceiver(state);
         this.replication = new Replication(state);
         this.changes = new MembershipChanges(state, replication);
-        this.redundancy = new RedundancyLog(state, replication);
+        this.redundancy = new GroupRedundancy(state, replication);
         this.bootstrap = new GroupBootstrap(state);
     }
 
@@ -181,6 +182,11 @@
         return state.membership();
     }
 
+    /** Returns how many more voters the group can lose; empty unless this member is the leader. */
+    OptionalInt spareVoters() {
+        return state.role() == RaftRole.LEADER ? redundancy.spareVoters() : OptionalInt.empty();
+    }
+
     long commit() {
         return state.commit();
     }
--- a/library/src/main/java/org/copperspindle/control/ReplicatedLog.java
+++ b/library/src/main/java/org/copperspindle/control/ReplicatedLog.java
@@ -1,6 +1,7 @@
 package org.copperspindle.control;
 
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.function.Consumer;
 
 /**
@@ -56,6 +57,15 @@
         return "";
     }
 
+    /**
+     * Returns how many more voters can be lost before there is no leader.
+     *
+     * @return the number, below 0 while a quorum doesn't reply; empty unless this member leads
+     */
+    default OptionalInt spareVoters() {
+        return OptionalInt.empty();
+    }
+
     /**
      * Returns whether this member still participates.
      *
--- a/library/src/main/java/org/copperspindle/gateway/GatewayMetrics.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayMetrics.java
@@ -76,6 +76,14 @@
                 "leader.term",
                 "Term of the leader that this node's member knows",
                 n -> n.status().term());
+        gauge(
+                metrics,
+                "control.spare.voters",
+                "Voters that the control group can lose before it has no leader; reported by its leader, no number elsewhere",
+                n -> n.status().spareVoters().stream()
+                        .asDoubleStream()
+                        .findFirst()
+                        .orElse(Double.NaN));
         gauge(
                 metrics,
                 "leads",
--- a/library/src/main/java/org/copperspindle/version/VersionMember.java
+++ b/library/src/main/java/org/copperspindle/version/VersionMember.java
@@ -256,14 +256,17 @@
         boolean trusted = isTrusted();
         boolean leads = trusted && log.leads();
         Optional<String> leader = log.leaderName();
-        MemberStatus status = new MemberStatus(leader.isPresent() ? log.term() : 0, leader.orElse(""), leads);
-        if (!status.equals(published)) {
+        MemberStatus status =
+                new MemberStatus(leader.isPresent() ? log.term() : 0, leader.orElse(""), leads, log.spareVoters());
+        if (!status.hasSameLeader(published)) {
             LOGGER.info(
                     "event=leader-seen leader={} term={} leads={} members={}",
                     status.leader(),
                     status.term(),
                     status.leads(),
                     log.describeMembers());
+        }
+        if (!status.equals(published)) {
             published = status;
             listener.accept(status);
         }
--- a/library/src/test/java/org/copperspindle/consensus/DynamicMembershipTest.java
+++ b/library/src/test/java/org/copperspindle/consensus/DynamicMembershipTest.java
@@ -1,6 +1,7 @@
 package org.copperspindle.consensus;
 
 import java.util.List;
+import java.util.OptionalInt;
 
 import org.copperspindle.consensus.SimulatedGroup.SimulatedMember;
 import org.junit.jupiter.api.Test;
@@ -215,6 +216,22 @@
                         .isPresent());
     }
 
+    /** Guards against a group that is one loss away from having no leader while nothing says so. */
+    @Test
+    void leaderTellsHowManyVotersCanBeLost() {
+        SimulatedGroup group = start(91, 3, 3);
+        SimulatedMember emptied = other(group);
+        group.until("complete", () -> spareVoters(group).equals(OptionalInt.of(1)));
+        emptied.crash();
+        group.until("one lost", () -> spareVoters(group).equals(OptionalInt.of(0)));
+        emptied.loseDisk();
+        emptied.start();
+        group.until("repaired", () -> spareVoters(group).equals(OptionalInt.of(1)));
+        assertThat(currentLeader(group).node.membership().hasVoter(emptied.node.identity()))
+                .isTrue();
+        assertThat(other(group).node.spareVoters()).isEmpty();
+    }
+
     /** A removal must leave enough voters for the number of losses that the group must tolerate at once. */
     @Test
     void unresponsiveVoterStaysWithoutAReplacement() {
@@ -225,6 +242,10 @@
         assertThat(currentLeader(group).node.membership().voters()).hasSize(3);
     }
 
+    private static OptionalInt spareVoters(SimulatedGroup group) {
+        return currentLeader(group).node.spareVoters();
+    }
+
     private static SimulatedMember addMember(SimulatedGroup group) {
         int number = group.members.size();
         group.configureVoters(number + 1);
