consensus: the repair of a lost disk needs no wait for its former lease, and no second request to join

What callers saw: after a start of all nodes with one lost disk, the group bears no further loss until the empty member votes.

Cause: members that have just started elect at once only if all voters reply that they have heard no leader. The former identity of an empty member never replies, so the others waited for the end of a lease that it can't hold. And a request to join that reached a member before it was elected was dropped; the next one came up to 0.4 s later.

Change: every member keeps the requests to join of the last three election timeouts (JoinRequests). A leader admits who asked before its election. A voter at whose address another identity asks to join supports no lease: its folder is gone, and identities at one address follow each other.

Why it is safe: the early election relies on that no voter holds a lease or has heard one who does. A member that counts a voter as superseded has heard the successor in its own life, while the voter was in its membership; the voter's identity can't come back, as its folder is lost. The others must still reply that they have heard no leader since their start.

Evidence: FreshElectionTest#restartedGroupElectsAtOnceBesideALostDisk (7 of 7 cases) and DynamicMembershipTest#memberThatAskedBeforeTheElectionIsAdmitted (3 of 3) fail without it; FreshElectionTest#safetyHoldsUnderRepeatedRestartsWithLostDisks checks after each step that at most one member leads.

--- a/library/src/main/java/org/copperspindle/consensus/Election.java
+++ b/library/src/main/java/org/copperspindle/consensus/Election.java
@@ -16,7 +16,7 @@
  * election timeout. After a power loss of all members that wait would be useless, as there is no leader left whose
  * lease could be running. A candidate to which all voters reply that they have heard no leader since they started
  * therefore starts an election at once. A leader that still held a lease would be one of the voters, or would have been
- * heard by a voter whose vote the candidate needs.
+ * heard by a voter whose vote the candidate needs. A voter whose disk is lost can't reply, and can't be that leader.
  */
 final class Election {
 
@@ -41,6 +41,7 @@
     private static final int SAVES_OF_VOTER = 2;
 
     private final RaftState state;
+    private final JoinRequests joinRequests;
     private final SplittableRandom random;
     private final Set<Long> granted = new HashSet<>();
     private final Set<Long> fresh = new HashSet<>();
@@ -53,8 +54,9 @@
     private boolean isVotePending;
     private boolean hasYielded;
 
-    Election(RaftState state, SplittableRandom random, long now) {
+    Election(RaftState state, JoinRequests joinRequests, SplittableRandom random, long now) {
         this.state = state;
+        this.joinRequests = joinRequests;
         this.random = random;
         postpone(now);
         freshPollDeadline = now + freshPollDelay(FIRST_POLL_FRACTION);
@@ -229,10 +231,13 @@
     }
 
     private boolean areAllFresh() {
-        return state.isFresh()
-                && state.membership().voters().stream()
-                        .map(Member::identity)
-                        .allMatch(voter -> voter == state.identity() || fresh.contains(voter));
+        return state.isFresh() && state.membership().voters().stream().allMatch(this::supportsNoLease);
+    }
+
+    private boolean supportsNoLease(Member voter) {
+        return voter.identity() == state.identity()
+                || fresh.contains(voter.identity())
+                || joinRequests.isSuperseded(voter);
     }
 
     private boolean startElection(boolean allFresh, long now) {
--- a/library/src/main/java/org/copperspindle/consensus/MembershipChanges.java
+++ b/library/src/main/java/org/copperspindle/consensus/MembershipChanges.java
@@ -1,7 +1,6 @@
 package org.copperspindle.consensus;
 
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
 
@@ -16,12 +15,8 @@
 final class MembershipChanges {
 
     private static final Logger LOGGER = LogManager.getLogger(MembershipChanges.class);
-    private static final int MAX_JOINERS = 8;
     private static final int MAX_MEMBERS = 12;
 
-    /** Election timeouts after which a request to join is outdated. */
-    private static final int JOIN_ELECTION_TIMEOUTS = 3;
-
     /**
      * Election timeouts without a reply after which a member is considered gone. A node that was replaced counts as lost
      * for four of them after the start of its successor, and its removal may have to wait for an election.
@@ -30,12 +25,13 @@
 
     private final RaftState state;
     private final Replication replication;
-    private final Map<Long, Joiner> joiners = new LinkedHashMap<>();
+    private final JoinRequests joinRequests;
     private final Map<Long, Long> admittedAt = new HashMap<>();
 
-    MembershipChanges(RaftState state, Replication replication) {
+    MembershipChanges(RaftState state, Replication replication, JoinRequests joinRequests) {
         this.state = state;
         this.replication = replication;
+        this.joinRequests = joinRequests;
     }
 
     /** Starts a term of leadership: the progress of learners from an earlier term is not counted. */
@@ -43,23 +39,12 @@
         admittedAt.clear();
     }
 
-    /** Registers a member that asks to join. */
-    void receive(Member joiner, long now) {
-        if (joiners.size() < MAX_JOINERS || joiners.containsKey(joiner.identity())) {
-            joiners.put(joiner.identity(), new Joiner(joiner, now));
-        }
-    }
-
     /** Starts the next change, if there is one. */
     void tick(long now) {
-        long maxAge = JOIN_ELECTION_TIMEOUTS * state.settings().timing().electionNanos();
-        joiners.values()
-                .removeIf(j -> now - j.at() > maxAge
-                        || state.membership().find(j.member().identity()).isPresent());
         if (isChangePending()) {
             return;
         }
-        Optional<Membership> next = admit();
+        Optional<Membership> next = joinRequests.next(now).flatMap(this::admit);
         if (next.isEmpty()) {
             next = repair(now);
         }
@@ -92,11 +77,10 @@
         return !replication.termCommitted() || state.log().membershipIndex() > state.commit();
     }
 
-    private Optional<Membership> admit() {
-        if (joiners.isEmpty() || state.membership().members().size() >= MAX_MEMBERS) {
+    private Optional<Membership> admit(Member joiner) {
+        if (state.membership().members().size() >= MAX_MEMBERS) {
             return Optional.empty();
         }
-        Member joiner = joiners.values().iterator().next().member();
         Optional<Member> predecessor = state.membership().members().stream()
                 .filter(m -> !m.voter() && m.name().equals(joiner.name()))
                 .findFirst();
@@ -188,6 +172,4 @@
                 index,
                 next);
     }
-
-    private record Joiner(Member member, long at) {}
 }
--- a/library/src/main/java/org/copperspindle/consensus/RaftNode.java
+++ b/library/src/main/java/org/copperspindle/consensus/RaftNode.java
@@ -21,6 +21,7 @@
     private static final int LOST_ELECTION_TIMEOUTS = 3;
 
     private final RaftState state;
+    private final JoinRequests joinRequests;
     private final Election election;
     private final FollowerAppends appends;
     private final SnapshotReceiver snapshotReceiver;
@@ -37,11 +38,12 @@
 
     RaftNode(RaftSettings settings, RecoveredState recovered, SplittableRandom random, long now) {
         this.state = new RaftState(settings, recovered, now);
-        this.election = new Election(state, random, now);
+        this.joinRequests = new JoinRequests(state);
+        this.election = new Election(state, joinRequests, random, now);
         this.appends = new FollowerAppends(state);
         this.snapshotReceiver = new SnapshotReceiver(state);
         this.replication = new Replication(state);
-        this.changes = new MembershipChanges(state, replication);
+        this.changes = new MembershipChanges(state, replication, joinRequests);
         this.redundancy = new GroupRedundancy(state, replication);
         this.bootstrap = new GroupBootstrap(state);
     }
@@ -328,8 +330,8 @@
             state.send(
                     from,
                     new BootstrapGroupMessage(join.groupName(), state.hard().group(), voters));
-        } else if (state.role() == RaftRole.LEADER) {
-            changes.receive(from, now);
+        } else {
+            joinRequests.receive(from, now);
         }
     }
 
--- a/library/src/test/java/org/copperspindle/consensus/DynamicMembershipTest.java
+++ b/library/src/test/java/org/copperspindle/consensus/DynamicMembershipTest.java
@@ -216,6 +216,20 @@
                         .isPresent());
     }
 
+    /** Guards against a repair that begins late, as an empty member asked before there was a leader. */
+    @ParameterizedTest
+    @ValueSource(longs = {95, 96, 97})
+    void memberThatAskedBeforeTheElectionIsAdmitted(long seed) {
+        SimulatedGroup group = start(seed, 3, 3);
+        SimulatedMember emptied = other(group);
+        group.members.forEach(SimulatedMember::crash);
+        emptied.loseDisk();
+        group.startAll();
+        group.time.advance(8 * SimulatedGroup.MILLI);
+        group.members.forEach(other -> group.cutLinks.add(emptied.name + ">" + other.name));
+        group.until("admitted", () -> isMember(group, emptied));
+    }
+
     /** Guards against a group that is one loss away from having no leader while nothing says so. */
     @Test
     void leaderTellsHowManyVotersCanBeLost() {
--- a/library/src/test/java/org/copperspindle/consensus/FreshElectionTest.java
+++ b/library/src/test/java/org/copperspindle/consensus/FreshElectionTest.java
@@ -40,6 +40,23 @@
         group.awaitAllHoldAcknowledged();
     }
 
+    /** Guards against a wait for the lease of a voter whose disk is lost, while the group bears no further loss. */
+    @ParameterizedTest
+    @CsvSource({"3, 21", "3, 22", "3, 23", "3, 24", "5, 25", "5, 26", "8, 27"})
+    void restartedGroupElectsAtOnceBesideALostDisk(int voters, long seed) {
+        SimulatedGroup group = started(voters, seed);
+        SimulatedMember emptied = group.member((int) (seed % voters));
+        group.members.forEach(SimulatedMember::crash);
+        emptied.loseDisk();
+        group.time.advance(30 * MILLI);
+        group.startAll();
+        long from = group.time.nanoTime();
+        group.awaitLeader();
+        assertThat(group.time.nanoTime() - from).isLessThan(ELECTION);
+        group.commit("b");
+        group.awaitAllHoldAcknowledged();
+    }
+
     /** One voter does not reply: it may be a leader whose lease is still running. */
     @ParameterizedTest
     @ValueSource(longs = {11, 12, 13, 14})
@@ -103,6 +120,40 @@
         }
     }
 
+    /** The same with a lost disk in each round, the next one once the member votes again: at most one member may lead. */
+    @Test
+    void safetyHoldsUnderRepeatedRestartsWithLostDisks() {
+        for (long seed = 230; seed < 260; seed++) {
+            SplittableRandom random = new SplittableRandom(seed);
+            SimulatedGroup group = started(3, seed);
+            group.loss = 0.05;
+            group.duplicates = 0.05;
+            group.maxDelay = 15 * MILLI;
+            for (int round = 0; round < 8; round++) {
+                SimulatedMember emptied = group.member(random.nextInt(3));
+                double share = random.nextInt(3) == 0 ? 0.5 : 1;
+                for (SimulatedMember member : group.members) {
+                    if (member == emptied || random.nextDouble() < share) {
+                        member.crash();
+                        if (member == emptied) {
+                            member.loseDisk();
+                        }
+                        group.time.advance(random.nextInt(30) * MILLI);
+                        member.start();
+                    }
+                }
+                group.until(
+                        "votes again",
+                        () -> group.leading()
+                                .filter(leader -> isRepaired(leader, emptied))
+                                .isPresent());
+            }
+            group.loss = 0;
+            group.commit("last");
+            group.awaitAllHoldAcknowledged();
+        }
+    }
+
     /** Members that poll again before slow disks have saved the votes of the round before overtake each other for good. */
     @ParameterizedTest
     @CsvSource({"3, 10", "3, 20", "3, 30", "5, 10", "5, 20", "5, 30", "8, 10", "8, 20", "8, 30"})
@@ -133,6 +184,11 @@
         }
     }
 
+    private static boolean isRepaired(SimulatedMember leader, SimulatedMember emptied) {
+        return leader.node.membership().hasVoter(emptied.node.identity())
+                && leader.node.log().membershipIndex() <= leader.node.commit();
+    }
+
     private static SimulatedGroup started(int voters, long seed) {
         SimulatedGroup group = new SimulatedGroup(seed, voters);
         group.startAll();
