--- a/library/src/main/java/org/copperspindle/gateway/GatewayMetrics.java
+++ b/library/src/main/java/org/copperspindle/gateway/GatewayMetrics.java
@@ -71,24 +71,7 @@
                 "evacuation.revision",
                 "Revision of the list of evacuated failure domains; differs between nodes while one is behind",
                 n -> n.versionHolder().evacuations().revision());
-        gauge(
-                metrics,
-                "leader.term",
-                "Term of the leader that this node's member knows",
-                n -> n.status().term());
-        gauge(
-                metrics,
-                "control.spare.voters",
-                "Voters that the control group can lose before it has no leader; reported by its leader, no number elsewhere",
-                n -> n.status().spareVoters().stream()
-                        .asDoubleStream()
-                        .findFirst()
-                        .orElse(Double.NaN));
-        gauge(
-                metrics,
-                "leads",
-                "1 while this node leads the control group",
-                n -> n.status().leads() ? 1 : 0);
+        publishControlGroup(metrics);
         gauge(metrics, "nodes", "Other nodes that are connected", NodeState::connectedNodes);
         gauge(
                 metrics,
@@ -200,6 +183,27 @@
         return metrics;
     }
 
+    private void publishControlGroup(MetricsRegistry metrics) {
+        gauge(
+                metrics,
+                "leader.term",
+                "Term of the leader that this node's member knows",
+                n -> n.status().term());
+        gauge(
+                metrics,
+                "control.spare.voters",
+                "Voters that the control group can lose before it has no leader; reported by its leader, no number elsewhere",
+                n -> n.status().spareVoters().stream()
+                        .asDoubleStream()
+                        .findFirst()
+                        .orElse(Double.NaN));
+        gauge(
+                metrics,
+                "leads",
+                "1 while this node leads the control group",
+                n -> n.status().leads() ? 1 : 0);
+    }
+
     /** Publishes the series that have appeared since the last scrape. */
     private void publishNew(MetricsRegistry metrics) {
         node.counters()
