--- a/library/src/test/java/org/copperspindle/consensus/DynamicMembershipTest.java
+++ b/library/src/test/java/org/copperspindle/consensus/DynamicMembershipTest.java
@@ -248,6 +248,22 @@
         }
     }
 
+    /** Guards against entries that are sent for good to a member that can't reply, and take the room of others. */
+    @Test
+    void silentMemberGetsNoEntries() {
+        SimulatedGroup group = start(94, 3, 3);
+        SimulatedMember silent = other(group);
+        silent.crash();
+        group.commit("while it is gone");
+        group.time.advance(2 * SimulatedGroup.TIMING.electionNanos());
+        group.bulkSent.clear();
+        group.commit("after its silence");
+        group.time.advance(SimulatedGroup.TIMING.electionNanos());
+        assertThat(group.bulkSent).doesNotContainKey(silent.name);
+        silent.start();
+        group.awaitAllHoldAcknowledged();
+    }
+
     /** Guards against a group that is one loss away from having no leader while nothing says so. */
     @Test
     void leaderTellsHowManyVotersCanBeLost() {
--- a/library/src/test/java/org/copperspindle/consensus/SimulatedGroup.java
+++ b/library/src/test/java/org/copperspindle/consensus/SimulatedGroup.java
@@ -41,6 +41,9 @@
     /** Bytes that each link carries in a millisecond; 0 for links that carry any number at once. */
     long bytesPerMilli;
 
+    /** Messages with entries or parts of a snapshot that were sent to each member. */
+    final Map<String, Integer> bulkSent = new HashMap<>();
+
     private final Map<String, Long> linkFreeAt = new HashMap<>();
     boolean syncBeforeAnswer = true;
     private final Map<Long, Long> leaderOfTerm = new HashMap<>();
@@ -366,6 +369,9 @@
 
         private void transmit(String to, WireMessage message) {
             checkAcknowledged(message);
+            if (message instanceof RaftMessage raft && raft.isBulk()) {
+                bulkSent.merge(to, 1, Integer::sum);
+            }
             if (!hasRoom(to, message)) {
                 node.notSent(message);
                 return;
